--- /dev/null
+++ b/backend/generate.go
@@ -0,0 +1,104 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/verdict"
+)
+
+// Generate implements Engine.
+func (h *HTTP) Generate(ctx context.Context, a Attempt) (Stream, error) {
+	resp, err := h.request(ctx, PathGenerate, a)
+	if err != nil {
+		return nil, err
+	}
+	return &stream{attempt: a.ID, next: a.From, body: resp.Body, decoder: json.NewDecoder(resp.Body)}, nil
+}
+
+// Cancel implements Engine.
+func (h *HTTP) Cancel(ctx context.Context, attempt string) error {
+	resp, err := h.post(ctx, PathCancel, Attempt{ID: attempt})
+	if err != nil {
+		return ErrUnknown
+	}
+	drainAndClose(resp.Body)
+	return nil
+}
+
+// Call implements Service.
+func (h *HTTP) Call(ctx context.Context, c Call) ([]byte, error) {
+	resp, err := h.request(ctx, PathCall, c)
+	if err != nil {
+		return nil, err
+	}
+	defer drainAndClose(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes+1))
+	if err != nil {
+		return nil, verdict.New(verdict.Ran, verdict.ReasonBroken, "answer broke off: %v", err)
+	}
+	if len(body) > maxCallBytes {
+		return nil, verdict.New(verdict.Ran, verdict.ReasonBroken, "answer is larger than %d bytes", maxCallBytes)
+	}
+	return body, nil
+}
+
+// request sends a request once and returns the open answer, or a Failure whose
+// verdict is NotRun only if no connection was had, so that no byte was sent.
+func (h *HTTP) request(ctx context.Context, path string, body any) (*http.Response, error) {
+	resp, connected, err := h.postTraced(ctx, path, body)
+	if err != nil {
+		v := verdict.NotRun
+		if connected {
+			v = verdict.MayHaveRun
+		}
+		return nil, verdict.New(v, reasonOf(ctx), "send to backend server: %v", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer drainAndClose(resp.Body)
+		return nil, requestFailure(resp)
+	}
+	return resp, nil
+}
+
+func reasonOf(ctx context.Context) verdict.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.ReasonDeadline
+	case ctx.Err() != nil:
+		return verdict.ReasonCancelled
+	default:
+		return verdict.ReasonBackend
+	}
+}
+
+// stream checks that the tokens are its attempt's own and without gaps.
+type stream struct {
+	attempt string
+	next    int64
+	body    io.ReadCloser
+	decoder *json.Decoder
+}
+
+// Next implements Stream.
+func (s *stream) Next() (Token, error) {
+	var t Token
+	if err := s.decoder.Decode(&t); err != nil {
+		return Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "answer broke off at %d: %v", s.next, err)
+	}
+	if t.Attempt != s.attempt {
+		return Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "answer of attempt %q in the place of %q", t.Attempt, s.attempt)
+	}
+	if t.Sequence != s.next {
+		return Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "answer jumps from %d to %d", s.next, t.Sequence)
+	}
+	s.next++
+	return t, nil
+}
+
+// Close implements Stream.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/backend/http.go
@@ -0,0 +1,182 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/verdict"
+)
+
+// Paths of the engines' and services' HTTP interface.
+const (
+	PathFence    = "/v1/fence"
+	PathLoad     = "/v1/load"
+	PathUnload   = "/v1/unload"
+	PathReport   = "/v1/report"
+	PathGenerate = "/v1/generate"
+	PathCancel   = "/v1/cancel"
+	PathCall     = "/v1/call"
+)
+
+// Refusal is the body of an answer with status 4xx or 5xx.
+type Refusal struct {
+	Error string `json:"error"`
+	// NotRun is the backend server's own word that nothing ran.
+	NotRun       bool  `json:"not_run"`
+	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
+}
+
+// maxReportBytes bounds a report and maxCallBytes a plain service's answer.
+const (
+	maxReportBytes  = 4 << 20
+	maxCallBytes    = 8 << 20
+	maxRefusalBytes = 64 << 10
+)
+
+// HTTP is an Engine and a Service at one base URL.
+type HTTP struct {
+	base       string
+	client     *http.Client
+	credential string
+}
+
+// NewHTTP returns the backend server at base. credential, if not empty, is
+// sent as a bearer token with each order, for those servers that check.
+func NewHTTP(base string, client *http.Client, credential string) *HTTP {
+	return &HTTP{base: base, client: client, credential: credential}
+}
+
+// NewTransport returns the connection pool that all backend servers share.
+func NewTransport() *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true}
+}
+
+type fenceRequest struct {
+	Epoch uint64 `json:"epoch"`
+}
+
+// Fence implements Engine.
+func (h *HTTP) Fence(ctx context.Context, epoch uint64) (Report, error) {
+	var report Report
+	err := h.order(ctx, PathFence, fenceRequest{Epoch: epoch}, &report)
+	return report, err
+}
+
+// Load implements Engine.
+func (h *HTTP) Load(ctx context.Context, o Order) error {
+	return h.order(ctx, PathLoad, o, nil)
+}
+
+// Unload implements Engine.
+func (h *HTTP) Unload(ctx context.Context, o Order) error {
+	return h.order(ctx, PathUnload, o, nil)
+}
+
+// Report implements Engine.
+func (h *HTTP) Report(ctx context.Context, after uint64) (Report, error) {
+	target := h.base + PathReport + "?after=" + strconv.FormatUint(after, 10)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "backend: report")
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return Report{}, ErrUnknown
+	}
+	defer drainAndClose(resp.Body)
+	var report Report
+	if resp.StatusCode != http.StatusOK {
+		return report, ErrRefused
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&report)
+	return report, errors.Wrap(err, "backend: report")
+}
+
+func (h *HTTP) order(ctx context.Context, path string, body, out any) error {
+	resp, connected, err := h.postTraced(ctx, path, body)
+	if err != nil && !connected {
+		return errors.Wrapf(ErrRefused, "no connection: %v", err)
+	}
+	if err != nil {
+		return ErrUnknown
+	}
+	defer drainAndClose(resp.Body)
+	switch {
+	case resp.StatusCode == http.StatusOK:
+	case resp.StatusCode == http.StatusPreconditionFailed:
+		return ErrStaleEpoch
+	case resp.StatusCode < http.StatusInternalServerError:
+		return errors.Wrap(ErrRefused, readRefusal(resp.Body).Error)
+	default:
+		return ErrUnknown
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(out); err != nil {
+		return ErrUnknown
+	}
+	return nil
+}
+
+// postTraced is post, and says whether a connection was had: without one, no
+// byte of the request was sent.
+func (h *HTTP) postTraced(ctx context.Context, path string, body any) (*http.Response, bool, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := h.post(httptrace.WithClientTrace(ctx, trace), path, body)
+	return resp, connected.Load(), err
+}
+
+// post sends one request. It is never repeated by the transport: POST carries
+// no idempotency header and the body cannot be rewound.
+func (h *HTTP) post(ctx context.Context, path string, body any) (*http.Response, error) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "backend: encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.base+path, bytes.NewReader(encoded))
+	if err != nil {
+		return nil, errors.Wrap(err, "backend: request")
+	}
+	req.GetBody = nil
+	req.Header.Set("Content-Type", "application/json")
+	if h.credential != "" {
+		req.Header.Set("Authorization", "Bearer "+h.credential)
+	}
+	return h.client.Do(req)
+}
+
+func readRefusal(body io.Reader) Refusal {
+	var r Refusal
+	if err := json.NewDecoder(io.LimitReader(body, maxRefusalBytes)).Decode(&r); err != nil {
+		return Refusal{Error: "unreadable refusal"}
+	}
+	return r
+}
+
+func drainAndClose(body io.ReadCloser) {
+	_, _ = io.CopyN(io.Discard, body, maxRefusalBytes)
+	_ = body.Close()
+}
+
+// requestFailure turns a refused request into a Failure. NotRun is taken from
+// the backend server's own word alone.
+func requestFailure(resp *http.Response) *verdict.Failure {
+	r := readRefusal(resp.Body)
+	v := verdict.MayHaveRun
+	if r.NotRun {
+		v = verdict.NotRun
+	}
+	f := verdict.New(v, verdict.ReasonBackend, "backend server: status %d: %s", resp.StatusCode, r.Error)
+	return f.After(time.Duration(r.RetryAfterMS) * time.Millisecond)
+}
--- /dev/null
+++ b/cmd/martendev/main.go
@@ -0,0 +1,41 @@
+// Command martendev runs stand-ins for development: one of them as a process
+// of its own (platform, engine, service), or, without a role, a whole small
+// fleet in one process.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/martenport/martenport/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
+}
+
+func run(args []string) error {
+	fleet := &fleetOptions{}
+	parser := flags.NewParser(fleet, flags.HelpFlag|flags.PassDoubleDash)
+	parser.SubcommandsOptional = true
+	for _, c := range []struct {
+		name, short string
+		data        any
+	}{
+		{"platform", "run a stand-in platform", &platformCommand{}},
+		{"engine", "run a stand-in engine", &engineCommand{}},
+		{"service", "run a stand-in plain service", &serviceCommand{}},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return err
+	}
+	if parser.Active != nil {
+		return nil
+	}
+	return fleet.run()
+}
--- /dev/null
+++ b/cmd/martenportd/main.go
@@ -0,0 +1,35 @@
+// Command martenportd runs one entry instance.
+package main
+
+import (
+	"os"
+
+	"github.com/martenport/martenport/daemon"
+	"github.com/martenport/martenport/internal/cli"
+	"github.com/martenport/martenport/settings"
+)
+
+func main() {
+	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
+}
+
+func run(args []string) error {
+	var s settings.Settings
+	if err := cli.Parse(&s, args); err != nil {
+		return err
+	}
+	if err := s.Check(); err != nil {
+		return cli.Usage(err)
+	}
+	log, err := cli.Log(s.LogLevel, os.Stderr)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := cli.UntilSignal()
+	defer stop()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/command/intent/intent.go
@@ -0,0 +1,218 @@
+// Package intent is how operators change what is declared: a plan shows the
+// changes that a declaration implies against one generation, and confirming
+// it makes it the next generation, if that one is still current.
+package intent
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// keptPlans is how many accepted plan ids the platform remembers, so that a
+// repeated confirm is recognised.
+const keptPlans = 64
+
+// maxSourceBytes keeps the accepted declaration, with its frame and its base64
+// encoding, within the platform's megabyte a value.
+const maxSourceBytes = 700 << 10
+
+// Plan is what a declaration would change.
+type Plan struct {
+	ID             string
+	BaseGeneration int64
+	Changes        []declaration.Change
+	Warnings       []string
+}
+
+// Intents plans and confirms.
+type Intents struct {
+	store  platform.Store
+	tables *table.Tables
+}
+
+// New returns the intents of one instance.
+func New(store platform.Store, tables *table.Tables) *Intents {
+	return &Intents{store: store, tables: tables}
+}
+
+// Plan validates source and compares it with the newest generation. It changes
+// nothing.
+func (i *Intents) Plan(ctx context.Context, source []byte) (Plan, error) {
+	next, err := parse(source)
+	if err != nil {
+		return Plan{}, err
+	}
+	current, _, err := i.newest(ctx)
+	var warnings []string
+	if err != nil {
+		warnings = append(warnings, "the platform does not answer: the plan is against the generation known here and cannot be confirmed now")
+		current = i.known()
+	}
+	before, err := indexOf(current)
+	if err != nil {
+		return Plan{}, err
+	}
+	return Plan{
+		ID: planID(current.Generation, source), BaseGeneration: current.Generation,
+		Changes:  declaration.Diff(before.Declaration, next),
+		Warnings: append(warnings, i.unreachable()...),
+	}, nil
+}
+
+func parse(source []byte) (*declaration.Declaration, error) {
+	if len(source) > maxSourceBytes {
+		return nil, verdict.Refuse(verdict.ReasonInvalid, "the declaration has %d bytes, more than %d", len(source), maxSourceBytes)
+	}
+	d, err := declaration.Parse("declaration", source)
+	if err != nil {
+		return nil, verdict.Refuse(verdict.ReasonInvalid, "%v", err)
+	}
+	return d, nil
+}
+
+// planID names a plan by its content: the same plan always has the same id.
+func planID(base int64, source []byte) string {
+	h := sha256.New()
+	h.Write([]byte(strconv.FormatInt(base, 10) + "\x00"))
+	h.Write(source)
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// newest reads the accepted declaration from the platform.
+func (i *Intents) newest(ctx context.Context) (*table.Accepted, int64, error) {
+	current := &table.Accepted{}
+	version, err := platform.Read(ctx, i.store, platform.KeyConfig, current)
+	return current, version, err
+}
+
+func (i *Intents) known() *table.Accepted {
+	if a := i.tables.Config.Accepted(); a != nil {
+		return a
+	}
+	return &table.Accepted{}
+}
+
+func indexOf(a *table.Accepted) (*declaration.Index, error) {
+	if a.Generation == 0 {
+		return declaration.NewIndex(0, "", &declaration.Declaration{}), nil
+	}
+	if err := a.Parse(); err != nil {
+		return nil, errors.Wrap(err, "intent: accepted declaration")
+	}
+	return a.Index(), nil
+}
+
+// unreachable warns of failure domains in which no instance is known to be
+// alive: their slots count as used until they are back.
+func (i *Intents) unreachable() []string {
+	var out []string
+	for _, domain := range i.tables.Config.Index().Declaration.FailureDomains {
+		if len(i.tables.Members.AliveIn(domain)) == 0 {
+			out = append(out, fmt.Sprintf("failure domain %s is not reachable: it goes on with its generation, and its slots count as used, until it is back", domain))
+		}
+	}
+	return out
+}
+
+// Confirm accepts the plan with this id and returns its generation. It may be
+// repeated: a plan that was accepted before is not accepted twice.
+func (i *Intents) Confirm(ctx context.Context, id string, base int64, source []byte) (*table.Accepted, error) {
+	if _, err := parse(source); err != nil {
+		return nil, err
+	}
+	if id != planID(base, source) {
+		return nil, verdict.Refuse(verdict.ReasonInvalid, "plan %s is not of this declaration and base generation; plan again", id)
+	}
+	current, version, err := i.newest(ctx)
+	if err != nil {
+		return nil, verdict.Refuse(verdict.ReasonPlatform, "nothing was accepted: %v", err)
+	}
+	if generation, found := acceptedAs(current, id); found {
+		return &table.Accepted{Generation: generation, PlanID: id}, nil
+	}
+	if current.Generation != base {
+		return nil, i.stale(current, base, source)
+	}
+	return i.accept(ctx, current, version, id, source)
+}
+
+// acceptedAs finds the generation under which a plan was accepted.
+func acceptedAs(current *table.Accepted, id string) (int64, bool) {
+	at := slices.Index(current.Plans, id)
+	if at < 0 {
+		return 0, false
+	}
+	return current.Generation - int64(len(current.Plans)-1-at), true
+}
+
+func (i *Intents) accept(ctx context.Context, current *table.Accepted, version int64, id string, source []byte) (*table.Accepted, error) {
+	next := &table.Accepted{
+		Generation: current.Generation + 1, PlanID: id, Source: bytes.Clone(source),
+		Plans: append(slices.Clone(current.Plans), id),
+	}
+	if len(next.Plans) > keptPlans {
+		next.Plans = next.Plans[len(next.Plans)-keptPlans:]
+	}
+	_, err := platform.WriteJSON(ctx, i.store, platform.KeyConfig, next, version)
+	switch {
+	case err == nil:
+		return next, nil
+	case errors.Is(err, platform.ErrConflict):
+		newer, _, readErr := i.newest(ctx)
+		if readErr != nil {
+			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonPlatform, "it is not known whether the plan was accepted, confirm again")
+		}
+		if generation, found := acceptedAs(newer, id); found {
+			return &table.Accepted{Generation: generation, PlanID: id}, nil
+		}
+		return nil, i.stale(newer, current.Generation, source)
+	case errors.Is(err, platform.ErrUnavailable):
+		return nil, verdict.Refuse(verdict.ReasonPlatform, "nothing was accepted: %v", err)
+	default:
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonPlatform, "it is not known whether the plan was accepted, confirm again")
+	}
+}
+
+// stale refuses a plan whose base is not current and says what the difference
+// to the current generation is.
+func (i *Intents) stale(current *table.Accepted, base int64, source []byte) error {
+	f := verdict.Refuse(verdict.ReasonStalePlan, "the plan is against generation %d, current is %d", base, current.Generation)
+	before, err := indexOf(current)
+	if err != nil {
+		return f
+	}
+	next, err := declaration.Parse("declaration", source)
+	if err != nil {
+		return f
+	}
+	var lines []string
+	for _, c := range declaration.Diff(before.Declaration, next) {
+		lines = append(lines, strings.TrimSpace(c.Kind+" "+c.Subject+" "+c.Detail))
+	}
+	f.Detail += "; confirmed now it would: " + strings.Join(lines, ", ")
+	return f
+}
+
+// Encode returns the platform value of an accepted declaration.
+func Encode(a *table.Accepted) ([]byte, error) { return json.Marshal(a) }
+
+// Decode reads the platform value of an accepted declaration.
+func Decode(value []byte) (*table.Accepted, error) {
+	a := &table.Accepted{}
+	err := json.Unmarshal(value, a)
+	return a, errors.Wrap(err, "intent: platform value")
+}
--- /dev/null
+++ b/command/orderer/tidy.go
@@ -0,0 +1,117 @@
+package orderer
+
+import (
+	"context"
+	"time"
+
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/placement"
+)
+
+// tidy does what is due on the engine without anybody asking: unloads what is
+// idle, removed or above the cap, settles claims, and frees or adopts slots.
+func (o *Orderer) tidy(ctx context.Context) {
+	if o.take(ctx) != nil {
+		return
+	}
+	defer o.give()
+	if !o.Active() {
+		return
+	}
+	if len(o.unresolved) > 0 && o.refence(ctx) != nil {
+		return
+	}
+	o.settleClaims(ctx)
+	for _, e := range o.dueForUnload(ctx) {
+		if o.unload(ctx, e) != nil {
+			return
+		}
+	}
+	o.tidySlots(ctx)
+}
+
+// settleClaims strikes out claims that are proved to be of no effect any more.
+func (o *Orderer) settleClaims(ctx context.Context) {
+	if o.declared.Fencing || len(o.record.Claims) == 0 {
+		return
+	}
+	next, changed := o.record.Settle(o.received)
+	for _, c := range next.Claims {
+		_, counted := o.ledger.Entries[c.Unit.ID()]
+		if !c.Doubtful && !counted && !o.unresolved[c.Order] {
+			next = next.Unclaimed(c.Unit.ID())
+			changed = true
+		}
+	}
+	if changed && o.writeRecord(ctx, next) == nil {
+		o.dropSettled()
+	}
+}
+
+// dropSettled removes ledger entries whose doubt has gone and that the engine
+// does not report.
+func (o *Orderer) dropSettled() {
+	doubtful := map[string]bool{}
+	for _, id := range o.record.DoubtfulUnits() {
+		doubtful[id] = true
+	}
+	for id, e := range o.ledger.Entries {
+		if e.Phase == placement.Doubtful && !doubtful[id] {
+			delete(o.ledger.Entries, id)
+		}
+	}
+	o.publish()
+	o.changed.wake()
+}
+
+// dueForUnload lists the resident units that have no right or reason to stay.
+func (o *Orderer) dueForUnload(ctx context.Context) []backend.Unit {
+	var out []backend.Unit
+	for _, e := range o.ledger.Entries {
+		if e.Phase == placement.Resident && (o.unwanted(e) || o.excess(ctx, e.Unit) || o.idle(e)) {
+			out = append(out, e.Unit)
+		}
+	}
+	return out
+}
+
+// unwanted reports whether operators removed the unit, or changed its version
+// and nothing uses the old one.
+func (o *Orderer) unwanted(e placement.Entry) bool {
+	index := o.env.Tables.Config.Index()
+	m, found := index.Models[e.Unit.Model]
+	if index.Generation == 0 {
+		return false
+	}
+	if !found || m.MaxReplicas == 0 || !m.AllowedIn(o.declared.FailureDomain) {
+		return true
+	}
+	return e.Unit.Adapter == "" && m.Version != e.Unit.Version
+}
+
+func (o *Orderer) idle(e placement.Entry) bool {
+	return o.env.Policy.DueForUnload(e, o.costs(), o.env.Tables.Config.Index().Declaration.TailWeight, time.Now())
+}
+
+// excess reports whether the model's cap was lowered below this slot. The
+// platform is asked only when the slots may be too many.
+func (o *Orderer) excess(ctx context.Context, u backend.Unit) bool {
+	m, found := o.env.Tables.Config.Index().Models[u.Model]
+	if u.Adapter != "" || !found || o.holders(u.Model) <= m.MaxReplicas {
+		return false
+	}
+	return o.confirmExcess(ctx, u.Model)
+}
+
+// holders counts the engines known to hold a slot of the model.
+func (o *Orderer) holders(model string) int {
+	n := 0
+	for _, e := range o.env.Tables.Engines.All() {
+		for _, held := range e.Held {
+			if held == model {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/daemon/failure.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"time"
+
+	"connectrpc.com/connect"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/verdict"
+)
+
+// codes maps reasons to the protocol's codes. Reasons that are not listed are
+// Unavailable.
+var codes = map[verdict.Reason]connect.Code{
+	verdict.ReasonInvalid:      connect.CodeInvalidArgument,
+	verdict.ReasonUnknownModel: connect.CodeNotFound,
+	verdict.ReasonQueueFull:    connect.CodeResourceExhausted,
+	verdict.ReasonDeadline:     connect.CodeDeadlineExceeded,
+	verdict.ReasonNoReplica:    connect.CodeUnavailable,
+	verdict.ReasonKeyReused:    connect.CodeInvalidArgument,
+	verdict.ReasonKeyTaken:     connect.CodeAborted,
+	verdict.ReasonStalePlan:    connect.CodeFailedPrecondition,
+	verdict.ReasonCancelled:    connect.CodeCanceled,
+	verdict.ReasonBroken:       connect.CodeDataLoss,
+}
+
+// connectError turns any error into the protocol's error with a Failure detail.
+func connectError(err error) error {
+	f := verdict.Of(err)
+	code, found := codes[f.Reason]
+	if !found {
+		code = connect.CodeUnavailable
+	}
+	out := connect.NewError(code, f)
+	detail, detailErr := connect.NewErrorDetail(&martenportv1.Failure{
+		Verdict: martenportv1.Verdict(f.Verdict), Reason: string(f.Reason), Detail: f.Detail,
+		RetryAfterMs: int64((f.RetryAfter + time.Millisecond - 1) / time.Millisecond),
+	})
+	if detailErr == nil {
+		out.AddDetail(detail)
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/operator.go
@@ -0,0 +1,166 @@
+package daemon
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/query/status"
+	"github.com/martenport/martenport/table"
+)
+
+// maxDeclarationBytes bounds an operator's message.
+const maxDeclarationBytes = 2 << 20
+
+// timelineTimeout bounds the collection of events, and defaultTimeline how
+// many are returned when the operator does not say.
+const (
+	timelineTimeout = 3 * time.Second
+	defaultTimeline = 1000
+)
+
+// operatorHandler serves operators and metrics.
+func (d *Daemon) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	path, handler := martenportv1connect.NewOperatorServiceHandler(operator{d}, connect.WithReadMaxBytes(maxDeclarationBytes))
+	mux.Handle(path, d.requireCredential(handler))
+	mux.HandleFunc("GET /metrics", d.metrics.serve)
+	return mux
+}
+
+// requireCredential refuses operators without the credential, if one is set.
+func (d *Daemon) requireCredential(next http.Handler) http.Handler {
+	want := "Bearer " + d.settings.OperatorCredential
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		given := r.Header.Get("Authorization")
+		if d.settings.OperatorCredential != "" && subtle.ConstantTimeCompare([]byte(given), []byte(want)) != 1 {
+			http.Error(w, "operator credential missing or wrong", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// operator implements the operators' interface.
+type operator struct{ d *Daemon }
+
+// Plan implements martenportv1connect.OperatorServiceHandler.
+func (o operator) Plan(ctx context.Context, msg *connect.Request[martenportv1.PlanRequest]) (*connect.Response[martenportv1.PlanResponse], error) {
+	plan, err := o.d.intents.Plan(ctx, msg.Msg.Declaration)
+	if err != nil {
+		return nil, connectError(err)
+	}
+	out := &martenportv1.PlanResponse{PlanId: plan.ID, BaseGeneration: plan.BaseGeneration, Warnings: plan.Warnings}
+	for _, c := range plan.Changes {
+		out.Changes = append(out.Changes, &martenportv1.Change{Kind: c.Kind, Subject: c.Subject, Detail: c.Detail})
+	}
+	o.d.events.Record(event.Event{Kind: event.KindPlan, Plan: plan.ID})
+	return connect.NewResponse(out), nil
+}
+
+// Confirm implements martenportv1connect.OperatorServiceHandler.
+func (o operator) Confirm(ctx context.Context, msg *connect.Request[martenportv1.ConfirmRequest]) (*connect.Response[martenportv1.ConfirmResponse], error) {
+	req := msg.Msg
+	accepted, err := o.d.intents.Confirm(ctx, req.PlanId, req.BaseGeneration, req.Declaration)
+	if err != nil {
+		o.d.events.Record(event.Event{Kind: event.KindConfirm, Plan: req.PlanId, Detail: err.Error()})
+		return nil, connectError(err)
+	}
+	o.d.events.Record(event.Event{Kind: event.KindConfirm, Plan: req.PlanId, Detail: "accepted"})
+	if len(accepted.Source) > 0 {
+		peer.Apply(o.d.tables, o.d.events, accepted, "operator")
+	}
+	return connect.NewResponse(&martenportv1.ConfirmResponse{Generation: accepted.Generation}), nil
+}
+
+// GetDeclaration implements martenportv1connect.OperatorServiceHandler.
+func (o operator) GetDeclaration(context.Context, *connect.Request[martenportv1.GetDeclarationRequest]) (*connect.Response[martenportv1.GetDeclarationResponse], error) {
+	out := &martenportv1.GetDeclarationResponse{}
+	if a := o.d.tables.Config.Accepted(); a != nil {
+		out.Generation, out.PlanId, out.Declaration = a.Generation, a.PlanID, a.Source
+	}
+	return connect.NewResponse(out), nil
+}
+
+// Drain implements martenportv1connect.OperatorServiceHandler.
+func (o operator) Drain(context.Context, *connect.Request[martenportv1.DrainRequest]) (*connect.Response[martenportv1.DrainResponse], error) {
+	o.d.Drain()
+	return connect.NewResponse(&martenportv1.DrainResponse{Running: o.d.gate.Counts().Running}), nil
+}
+
+// Timeline implements martenportv1connect.OperatorServiceHandler.
+func (o operator) Timeline(ctx context.Context, msg *connect.Request[martenportv1.TimelineRequest]) (*connect.Response[martenportv1.TimelineResponse], error) {
+	req := msg.Msg
+	limit := int(req.Limit)
+	if limit <= 0 {
+		limit = defaultTimeline
+	}
+	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
+	defer cancel()
+	merged := o.d.timeline.Collect(ctx, event.Filter{Request: req.Request, Model: req.Model, Engine: req.Engine, Plan: req.Plan, Limit: limit})
+	out := &martenportv1.TimelineResponse{Unreachable: merged.Unreachable}
+	for _, e := range merged.Events {
+		out.Events = append(out.Events, &martenportv1.TimelineEvent{
+			WallNs: e.Stamp.Wall, Logical: e.Stamp.Logical, Process: e.Process, Kind: string(e.Kind),
+			Request: e.Request, Model: e.Model, Engine: e.Engine, Plan: e.Plan, Detail: e.Detail,
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// GetStatus implements martenportv1connect.OperatorServiceHandler.
+func (o operator) GetStatus(context.Context, *connect.Request[martenportv1.GetStatusRequest]) (*connect.Response[martenportv1.GetStatusResponse], error) {
+	self := o.d.tables.Members.Self()
+	counts := o.d.gate.Counts()
+	out := &martenportv1.GetStatusResponse{
+		Instance: self.Name, FailureDomain: self.FailureDomain, Draining: o.d.gate.Draining(),
+		Generation: o.d.tables.Config.Index().Generation, PlatformReachable: !o.d.store.down.Load(),
+		Requests: &martenportv1.RequestCounts{
+			Accepted: counts.Accepted, Answered: counts.Answered, Refused: counts.Refused,
+			Failed: counts.Failed, Cancelled: counts.Cancelled, Running: counts.Running,
+		},
+	}
+	for _, m := range o.d.tables.Members.All() {
+		out.Instances = append(out.Instances, &martenportv1.InstanceStatus{
+			Name: m.Name, FailureDomain: m.FailureDomain, State: m.State.String(), Generation: m.Generation,
+		})
+	}
+	for _, e := range o.d.tables.Engines.All() {
+		out.Engines = append(out.Engines, o.engine(e))
+	}
+	for _, m := range status.Models(o.d.tables, o.d.gate) {
+		out.Models = append(out.Models, &martenportv1.ModelStatus{
+			Name: m.Name, MaxReplicas: int32(m.MaxReplicas), Resident: int32(m.Resident), Loading: int32(m.Loading),
+			Waiting: int32(m.Waiting), WhyNotLoaded: m.WhyNotLoaded,
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (o operator) engine(e table.EngineView) *martenportv1.EngineStatus {
+	out := &martenportv1.EngineStatus{
+		Name: e.Engine, FailureDomain: e.FailureDomain, Orderer: e.Orderer, Epoch: e.Epoch,
+		MemoryBytes: e.MemoryBytes, UsedBytes: e.UsedBytes, Queue: int32(e.Load.Queue), Leaving: e.Leaving,
+		Doubtful: e.Doubtful, ReportAgeSeconds: status.ReportAge(e, time.Now()).Seconds(),
+	}
+	if declared, found := o.d.tables.Config.Index().Engines[e.Engine]; found {
+		out.Fencing = declared.Fencing
+	}
+	for _, u := range e.Units {
+		switch u.State {
+		case backend.Resident:
+			out.Resident = append(out.Resident, u.Unit.ID())
+		case backend.Loading:
+			out.Loading = append(out.Loading, u.Unit.ID())
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// peerHandler answers other instances.
+type peerHandler struct{ d *Daemon }
+
+// Exchange implements peer.Handler.
+func (h peerHandler) Exchange(ctx context.Context, args *peer.ExchangeArgs, reply *peer.ExchangeReply) error {
+	tables := h.d.tables
+	tables.Members.Merge(args.Introduce)
+	self := tables.Members.Self()
+	since := args.Since
+	if args.Incarnation != self.Incarnation {
+		since = 0
+	}
+	near := args.FailureDomain == self.FailureDomain
+	deadline := time.NewTimer(time.Duration(args.WaitMS) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		_, changed := tables.Engines.Mark()
+		reply.Delta = tables.Since(since, near)
+		reply.Incarnation = self.Incarnation
+		reply.Generation = tables.Config.Index().Generation
+		if since == 0 || !reply.Delta.Empty() {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Config implements peer.Handler.
+func (h peerHandler) Config(_ context.Context, _ *peer.ConfigArgs, reply *peer.ConfigReply) error {
+	reply.Accepted = h.d.tables.Config.Accepted()
+	return nil
+}
+
+// Wake implements peer.Handler.
+func (h peerHandler) Wake(ctx context.Context, args *peer.WakeArgs, reply *peer.WakeReply) error {
+	engine, err := h.d.waker.Hold(ctx, args.Unit)
+	reply.Engine = engine
+	return err
+}
+
+// Load implements peer.Handler.
+func (h peerHandler) Load(ctx context.Context, args *peer.OrderArgs, _ *peer.OrderReply) error {
+	return h.d.waker.Load(ctx, args.Engine, args.Unit)
+}
+
+// Yield implements peer.Handler.
+func (h peerHandler) Yield(ctx context.Context, args *peer.OrderArgs, _ *peer.OrderReply) error {
+	return h.d.waker.Yield(ctx, args.Engine, args.Unit)
+}
+
+// Events implements peer.Handler.
+func (h peerHandler) Events(_ context.Context, args *peer.EventsArgs, reply *peer.EventsReply) error {
+	reply.Events = h.d.events.Select(args.Filter)
+	return nil
+}
+
+// Run implements peer.Handler.
+func (h peerHandler) Run(ctx context.Context, args *peer.RunArgs, reply *peer.RunReply) error {
+	answer, err := h.d.runs.Answer(ctx, args.Key)
+	reply.Answer = answer
+	return err
+}
+
+// answerPeers implements runonce.Peers.
+type answerPeers struct{ d *Daemon }
+
+// Answer implements runonce.Peers.
+func (a answerPeers) Answer(ctx context.Context, instance, key string) ([]byte, error) {
+	member, found := a.d.tables.Members.Get(instance)
+	if !found || member.State == table.Dead {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonKeyTaken, "instance %s does not answer", instance)
+	}
+	return a.d.peers.Run(ctx, member.PeerAddress, key)
+}
--- /dev/null
+++ b/daemon/watch.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/intent"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/rendezvous"
+	"github.com/martenport/martenport/table"
+)
+
+// watchersPerDomain is how many instances of a failure domain watch the
+// platform; the others hear from them. Two, so that one may go.
+const watchersPerDomain = 2
+
+// watchPause is the pause after a failed call and between looks at whether
+// this instance is a watcher.
+const watchPause = time.Second
+
+// watchedStore notes whether the platform can be reached.
+type watchedStore struct {
+	platform.Store
+	events *event.Recorder
+	down   atomic.Bool
+}
+
+func newWatchedStore(s platform.Store, events *event.Recorder) *watchedStore {
+	return &watchedStore{Store: s, events: events}
+}
+
+func (w *watchedStore) note(err error) {
+	down := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+	if w.down.Swap(down) == down {
+		return
+	}
+	kind := event.KindPlatformUp
+	if down {
+		kind = event.KindPlatformDown
+	}
+	w.events.Record(event.Event{Kind: kind})
+}
+
+// Get implements platform.Store.
+func (w *watchedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	obj, err := w.Store.Get(ctx, key)
+	w.note(err)
+	return obj, err
+}
+
+// Put implements platform.Store.
+func (w *watchedStore) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	obj, err := w.Store.Put(ctx, key, value, version)
+	w.note(err)
+	return obj, err
+}
+
+// watch registers the instance, learns the declaration and the instances, and
+// watches for changes while this instance is one of its domain's watchers.
+func (d *Daemon) watch(ctx context.Context) {
+	d.register(ctx)
+	var watches sync.WaitGroup
+	for prefix, apply := range map[string]func(platform.Object){
+		platform.KeyConfig:       d.applyConfig,
+		platform.PrefixInstances: d.applyInstance,
+		platform.PrefixBackends:  d.applyBackend,
+	} {
+		watches.Go(func() { d.watchPrefix(ctx, prefix, apply) })
+	}
+	watches.Wait()
+}
+
+// watchPrefix reads everything once, then watches as long as it is this
+// instance's turn. A gap in the watch is closed by reading anew.
+func (d *Daemon) watchPrefix(ctx context.Context, prefix string, apply func(platform.Object)) {
+	revision := int64(-1)
+	for ctx.Err() == nil {
+		snap, err := d.readOrWatch(ctx, prefix, revision)
+		if err != nil {
+			revision = -1
+			pauseFor(ctx, watchPause)
+			continue
+		}
+		for _, obj := range snap.Objects {
+			apply(obj)
+		}
+		revision = snap.Revision
+		for !d.watches() && pauseFor(ctx, watchPause) {
+			revision = -1
+		}
+	}
+}
+
+func (d *Daemon) readOrWatch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+	if revision < 0 {
+		return d.platform.List(ctx, prefix)
+	}
+	return d.platform.Watch(ctx, prefix, revision)
+}
+
+// watches reports whether this instance is one of its domain's watchers.
+func (d *Daemon) watches() bool {
+	self := d.tables.Members.Self()
+	names := table.Names(d.tables.Members.AliveIn(self.FailureDomain))
+	for range watchersPerDomain {
+		chosen := rendezvous.Choose("watch", names)
+		if chosen == self.Name {
+			return true
+		}
+		names = slices.DeleteFunc(names, func(n string) bool { return n == chosen })
+	}
+	return false
+}
+
+func (d *Daemon) applyConfig(obj platform.Object) {
+	if obj.Deleted {
+		return // an accepted declaration never reverts
+	}
+	accepted, err := intent.Decode(obj.Value)
+	if err != nil {
+		d.events.Record(event.Event{Kind: event.KindGeneration, Detail: "unreadable: " + err.Error()})
+		return
+	}
+	peer.Apply(d.tables, d.events, accepted, "platform")
+}
+
+func (d *Daemon) applyInstance(obj platform.Object) {
+	var m table.Member
+	if obj.Deleted || json.Unmarshal(obj.Value, &m) != nil {
+		return
+	}
+	if known, found := d.tables.Members.Get(m.Name); found && known.Incarnation >= m.Incarnation {
+		return // what instances say of each other is newer than the list
+	}
+	d.tables.Members.Merge([]table.Member{m})
+}
+
+// backendStatus is the platform's own word on a backend server.
+type backendStatus struct {
+	Leaving bool `json:"leaving"`
+}
+
+func (d *Daemon) applyBackend(obj platform.Object) {
+	var status backendStatus
+	name := strings.TrimPrefix(obj.Key, platform.PrefixBackends)
+	if obj.Deleted || json.Unmarshal(obj.Value, &status) != nil || !status.Leaving {
+		return
+	}
+	if d.tables.Engines.MarkLeaving(name) {
+		d.events.Record(event.Event{Kind: event.KindLeaving, Engine: name, Detail: "word of the platform"})
+	}
+}
+
+func (d *Daemon) instanceKey() string { return platform.PrefixInstances + d.settings.Name }
+
+// register writes this instance's entry, over that of an earlier start.
+func (d *Daemon) register(ctx context.Context) {
+	for ctx.Err() == nil && !d.gate.Draining() {
+		var earlier table.Member
+		version, err := platform.Read(ctx, d.store, d.instanceKey(), &earlier)
+		if err == nil {
+			_, err = platform.WriteJSON(ctx, d.store, d.instanceKey(), d.tables.Members.Self(), version)
+		}
+		if err == nil {
+			return
+		}
+		pauseFor(ctx, watchPause)
+	}
+}
+
+// unregister removes the entry. If the platform is away the entry stays and is
+// overruled by what instances say of each other.
+func (d *Daemon) unregister(ctx context.Context) {
+	if obj, err := d.store.Get(ctx, d.instanceKey()); err == nil {
+		_ = d.store.Delete(ctx, obj.Key, obj.Version)
+	}
+}
+
+// sweepInterval is how often old keys are removed from the platform.
+const sweepInterval = time.Minute
+
+// sweepRuns removes old keys while this instance is the one chosen for it.
+func (d *Daemon) sweepRuns(ctx context.Context) {
+	for pauseFor(ctx, sweepInterval) {
+		if rendezvous.Choose("sweep", table.Names(d.tables.Members.Alive())) == d.settings.Name {
+			_, _ = d.runs.Sweep(ctx, time.Now())
+		}
+	}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,147 @@
+package e2e
+
+import (
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+)
+
+const captionModel = `{name: caption, version: "1", memory: 14GiB, maxReplicas: 1, deadline: 60s}`
+
+// TestOrdererKilledDuringLoad: the instance that orders the engine is killed
+// in the middle of a load. Another takes over, adopts the load, and the
+// request is answered; nothing is loaded twice.
+func TestOrdererKilledDuringLoad(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(map[bool]string{true: "fencing", false: "ignoring"}[fencing], func(t *testing.T) {
+			f := newFleet(t, fencing, "5e9") // a load takes 3 s
+			f.startInstance("i-a2", "a")
+			f.startInstance("i-b2", "b")
+			f.startInstance("i-c2", "c")
+			f.accept(f.instances["i-a"], f.declaration(fencing, captionModel))
+			f.awaitOrdered("i-a", "i-b", "i-c", "i-a2", "i-b2", "i-c2")
+
+			victim := make(chan string, 1)
+			go func() { victim <- f.awaitLoadingOrderer() }()
+			var wg sync.WaitGroup
+			for _, name := range []string{"i-a", "i-b", "i-c"} {
+				wg.Go(func() {
+					_, _ = f.instances[name].generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: name, MaxTokens: 2, Idempotent: true})
+				})
+			}
+			killed := <-victim
+			f.instances[killed].signal(syscall.SIGKILL)
+			survivor := "i-a"
+			if killed == survivor {
+				survivor = "i-b"
+			}
+			if _, err := f.instances[survivor].generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: "after", MaxTokens: 2, Idempotent: true}); err != nil {
+				t.Errorf("request after the kill of %s: %v", killed, err)
+			}
+			if n := f.loads(); n != 1 {
+				t.Errorf("%d loads, want 1", n)
+			}
+			wg.Wait()
+		})
+	}
+}
+
+// awaitLoadingOrderer waits until an engine loads and returns its orderer.
+func (f *fleet) awaitLoadingOrderer() string {
+	found := ""
+	await(f.t, "an engine loads", func() bool {
+		for _, i := range f.instances {
+			for _, e := range i.status().GetEngines() {
+				if len(e.Loading) > 0 && e.Orderer != "" {
+					found = e.Orderer
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// TestGracefulShutdown: an instance told to end finishes a running answer,
+// refuses new work, hands its engine over and exits.
+func TestGracefulShutdown(t *testing.T) {
+	f := newFleet(t, true, "100e9")
+	f.startInstance("i-a2", "a")
+	f.accept(f.instances["i-a"], f.declaration(true, captionModel))
+	f.awaitOrdered("i-a", "i-b", "i-c", "i-a2")
+	leaving := f.instances["i-a"]
+	done := make(chan error, 1)
+	go func() {
+		_, err := leaving.generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: "long", MaxTokens: 1500})
+		done <- err
+	}()
+	await(t, "the request runs", func() bool { return f.running() > 0 })
+	leaving.signal(syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Errorf("the running request was cut off: %v", err)
+	}
+	select {
+	case err := <-leaving.exit:
+		if err != nil {
+			t.Errorf("exit: %v", err)
+		}
+	case <-time.After(limit):
+		t.Fatal("the instance did not exit")
+	}
+	await(t, "another instance orders the engine", func() bool {
+		for _, e := range f.instances["i-b"].status().GetEngines() {
+			if e.Name == "e-a" && e.Orderer == "i-a2" {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func (f *fleet) running() int {
+	n := 0
+	for _, d := range domains {
+		n += f.tally(d).Requests
+	}
+	return n
+}
+
+// TestPlatformStopped: with the platform frozen, resident models are served, a
+// model whose slot is held is loaded again, and one without is refused with a
+// true NotRun.
+func TestPlatformStopped(t *testing.T) {
+	f := newFleet(t, true, "100e9")
+	f.accept(f.instances["i-a"], f.declaration(true, captionModel,
+		`{name: album, version: "1", memory: 14GiB, maxReplicas: 1, deadline: 60s}`))
+	f.awaitOrdered("i-a", "i-b", "i-c")
+	warm := func() error {
+		_, err := f.instances["i-b"].generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: "x", MaxTokens: 1, Idempotent: true})
+		return err
+	}
+	if err := warm(); err != nil {
+		t.Fatal(err)
+	}
+	f.platformP.signal(syscall.SIGSTOP)
+	if err := warm(); err != nil {
+		t.Errorf("resident model with the platform stopped: %v", err)
+	}
+	for _, d := range domains {
+		f.fault(f.engines[d], "restart=true")
+	}
+	if err := warm(); err != nil {
+		t.Errorf("held slot with the platform stopped: %v", err)
+	}
+	_, err := f.instances["i-b"].generate(30*time.Second, &martenportv1.GenerateRequest{Model: "album", Prompt: "x", MaxTokens: 1})
+	if f := failureIn(err); f == nil || f.Verdict != martenportv1.Verdict_VERDICT_NOT_RUN {
+		t.Errorf("model without a held slot: %v", err)
+	}
+	f.platformP.signal(syscall.SIGCONT)
+	await(t, "the other model is served again", func() bool {
+		_, err := f.instances["i-b"].generate(limit, &martenportv1.GenerateRequest{Model: "album", Prompt: "x", MaxTokens: 1})
+		return err == nil
+	})
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,146 @@
+// Package event records what a process did, as typed events in a bounded ring
+// and as log lines. Events of all processes merge into one causal order by
+// their hybrid logical clock stamps.
+package event
+
+import (
+	"sync"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Kind names what happened; docs/OPERATING.md lists the kinds.
+type Kind string
+
+// The kinds of events.
+const (
+	KindStart        Kind = "start"
+	KindDrain        Kind = "drain"
+	KindStop         Kind = "stop"
+	KindAccept       Kind = "request_accept"
+	KindAnswer       Kind = "request_answer"
+	KindRefuse       Kind = "request_refuse"
+	KindFail         Kind = "request_fail"
+	KindCancel       Kind = "request_cancel"
+	KindAttempt      Kind = "attempt"
+	KindAttemptFail  Kind = "attempt_fail"
+	KindWake         Kind = "wake"
+	KindLoadOrder    Kind = "load_order"
+	KindLoaded       Kind = "loaded"
+	KindLoadFail     Kind = "load_fail"
+	KindUnloadOrder  Kind = "unload_order"
+	KindSlotBind     Kind = "slot_bind"
+	KindSlotRelease  Kind = "slot_release"
+	KindTakeover     Kind = "takeover"
+	KindHandover     Kind = "handover"
+	KindSuperseded   Kind = "superseded"
+	KindLeaving      Kind = "backend_leaving"
+	KindReclaimed    Kind = "engine_restarted"
+	KindGeneration   Kind = "generation"
+	KindPlan         Kind = "plan"
+	KindConfirm      Kind = "confirm"
+	KindPlatformDown Kind = "platform_down"
+	KindPlatformUp   Kind = "platform_up"
+	KindPeerLost     Kind = "peer_lost"
+	KindPeerBack     Kind = "peer_back"
+)
+
+// Event is one thing that happened in one process. Unused fields are empty.
+type Event struct {
+	Stamp   Stamp
+	Process string
+	Kind    Kind
+	Request string
+	Model   string
+	Engine  string
+	Plan    string
+	Detail  string
+}
+
+// Filter selects events; empty fields match everything.
+type Filter struct {
+	Request, Model, Engine, Plan string
+	// Limit keeps only the newest events; 0 keeps all.
+	Limit int
+}
+
+// Match reports whether e passes the filter.
+func (f Filter) Match(e Event) bool {
+	return matches(f.Request, e.Request) && matches(f.Model, e.Model) &&
+		matches(f.Engine, e.Engine) && matches(f.Plan, e.Plan)
+}
+
+func matches(want, have string) bool { return want == "" || want == have }
+
+// Recorder keeps the newest events of a process and logs each as one line.
+type Recorder struct {
+	process string
+	clock   *Clock
+	log     *logrus.Logger
+
+	mu   sync.Mutex
+	ring []Event // guarded by mu; a circle once full
+	next int     // guarded by mu; where the next event goes once full
+}
+
+// NewRecorder returns a recorder that keeps up to size events. log may be nil.
+func NewRecorder(process string, clock *Clock, size int, log *logrus.Logger) *Recorder {
+	return &Recorder{process: process, clock: clock, log: log, ring: make([]Event, 0, size)}
+}
+
+// Clock returns the clock that stamps the events.
+func (r *Recorder) Clock() *Clock { return r.clock }
+
+// Record stamps, keeps and logs e.
+func (r *Recorder) Record(e Event) {
+	e.Stamp = r.clock.Now()
+	e.Process = r.process
+	r.keep(e)
+	r.logLine(e)
+}
+
+func (r *Recorder) keep(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, e)
+		return
+	}
+	r.ring[r.next] = e
+	r.next = (r.next + 1) % len(r.ring)
+}
+
+func (r *Recorder) logLine(e Event) {
+	if r.log == nil {
+		return
+	}
+	fields := logrus.Fields{"event": string(e.Kind), "process": e.Process}
+	addField(fields, "request", e.Request)
+	addField(fields, "model", e.Model)
+	addField(fields, "engine", e.Engine)
+	addField(fields, "plan", e.Plan)
+	r.log.WithFields(fields).Info(e.Detail)
+}
+
+func addField(fields logrus.Fields, name, value string) {
+	if value != "" {
+		fields[name] = value
+	}
+}
+
+// Select returns the kept events that pass f, oldest first.
+func (r *Recorder) Select(f Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.ring {
+		e := r.ring[(r.next+i)%len(r.ring)]
+		if f.Match(e) {
+			out = append(out, e)
+		}
+	}
+	if f.Limit > 0 && len(out) > f.Limit {
+		out = out[len(out)-f.Limit:]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,91 @@
+// Package cli is what the programs share: parsing of flags, the log, and the
+// signals that end them.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+)
+
+// Exit codes of all programs; docs/OPERATING.md lists them.
+const (
+	ExitOK      = 0
+	ExitFailed  = 1 // the work failed
+	ExitUsage   = 2 // flags, environment or a declaration are at fault
+	ExitRefused = 3 // the fleet refused, such as a stale plan
+)
+
+// Exit is an error that brings its own exit code.
+type Exit struct {
+	Code int
+	Err  error
+}
+
+// Error returns the message of the error within.
+func (e *Exit) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error within.
+func (e *Exit) Unwrap() error { return e.Err }
+
+// Usage marks err as a fault of flags, environment or a declaration.
+func Usage(err error) error { return &Exit{Code: ExitUsage, Err: err} }
+
+// Finish prints err, if any, and returns the exit code for it.
+func Finish(err error, stderr io.Writer) int {
+	if err == nil {
+		return ExitOK
+	}
+	var help *flags.Error
+	if errors.As(err, &help) && help.Type == flags.ErrHelp {
+		fmt.Fprintln(stderr, err)
+		return ExitOK
+	}
+	fmt.Fprintln(stderr, err)
+	var exit *Exit
+	switch {
+	case errors.As(err, &exit):
+		return exit.Code
+	case errors.As(err, &help):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
+
+// Parse fills target from flags and environment; other arguments are a fault.
+func Parse(target any, args []string) error {
+	rest, err := flags.NewParser(target, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
+	if err != nil {
+		return err
+	}
+	if len(rest) > 0 {
+		return Usage(errors.Newf("unexpected argument %q", rest[0]))
+	}
+	return nil
+}
+
+// Log returns a log with one key=value line an event.
+func Log(level string, to io.Writer) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	log := logrus.New()
+	log.SetOutput(to)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	return log, nil
+}
+
+// UntilSignal returns a context that ends at SIGINT or SIGTERM.
+func UntilSignal() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+}
--- /dev/null
+++ b/internal/standin/generate.go
@@ -0,0 +1,173 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/verdict"
+)
+
+// attemptKept is how long a finished or abandoned attempt can be resumed.
+const attemptKept = 5 * time.Second
+
+// attempt is one request in an engine.
+type attempt struct {
+	id   string
+	stop context.CancelFunc
+
+	mu      sync.Mutex
+	tokens  []backend.Token // guarded by mu
+	failed  bool            // guarded by mu
+	changed chan struct{}   // guarded by mu
+}
+
+func (a *attempt) add(t backend.Token) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tokens = append(a.tokens, t)
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *attempt) fail() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.failed = true
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Generate implements backend.Engine. An attempt id that is known resumes.
+func (e *Engine) Generate(ctx context.Context, req backend.Attempt) (backend.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a, found := e.attempts[req.ID]
+	if found {
+		return &reader{ctx: ctx, attempt: a, next: req.From}, nil
+	}
+	if req.From > 0 {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "attempt %s is not known any more", req.ID)
+	}
+	if err := e.admit(req); err != nil {
+		return nil, err
+	}
+	runCtx, stop := context.WithCancel(e.loadCtx)
+	a = &attempt{id: req.ID, stop: stop, changed: make(chan struct{})}
+	e.attempts[req.ID] = a
+	e.tally.Requests++
+	e.runs[req.Prompt]++
+	u := e.units[req.Unit.ID()]
+	u.Served++
+	u.Running++
+	go e.run(runCtx, a, u, req)
+	return &reader{ctx: ctx, attempt: a}, nil
+}
+
+// admit needs mu.
+func (e *Engine) admit(req backend.Attempt) error {
+	if e.leaving {
+		return verdict.Refuse(verdict.ReasonBackend, "engine is leaving")
+	}
+	u, found := e.units[req.Unit.ID()]
+	if !found || u.State != backend.Resident || u.Version != req.Version {
+		return verdict.Refuse(verdict.ReasonBackend, "%s %s is not resident", req.Unit.ID(), req.Version)
+	}
+	return nil
+}
+
+func (e *Engine) run(ctx context.Context, a *attempt, u *unit, req backend.Attempt) {
+	defer e.finish(a, u)
+	e.wait(1)
+	select {
+	case e.batch <- struct{}{}:
+		e.wait(-1)
+	case <-ctx.Done():
+		e.wait(-1)
+		a.fail()
+		return
+	}
+	defer func() { <-e.batch }()
+	for i := range int64(req.MaxTokens) {
+		if !pause(ctx, e.step()) {
+			a.fail()
+			return
+		}
+		a.add(backend.Token{Attempt: a.id, Sequence: i, Text: fmt.Sprintf("%s:%d ", req.Prompt, i)})
+	}
+	a.add(backend.Token{Attempt: a.id, Sequence: int64(req.MaxTokens), End: true})
+}
+
+func (e *Engine) wait(delta int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting += delta
+}
+
+func (e *Engine) step() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(float64(e.params.StepTime) * e.slowdown)
+}
+
+func (e *Engine) finish(a *attempt, u *unit) {
+	e.mu.Lock()
+	u.Running--
+	if u.State == backend.Unloading {
+		e.freeIdle()
+		e.bump()
+	}
+	ctx := e.loadCtx
+	e.mu.Unlock()
+	pause(ctx, attemptKept)
+	e.mu.Lock()
+	delete(e.attempts, a.id)
+	e.mu.Unlock()
+}
+
+// Cancel implements backend.Engine.
+func (e *Engine) Cancel(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a, found := e.attempts[id]; found {
+		a.stop()
+	}
+	return nil
+}
+
+// reader is a backend.Stream over an attempt.
+type reader struct {
+	ctx     context.Context
+	attempt *attempt
+	next    int64
+}
+
+// Next implements backend.Stream.
+func (r *reader) Next() (backend.Token, error) {
+	for {
+		r.attempt.mu.Lock()
+		ready, failed, changed := int64(len(r.attempt.tokens)) > r.next, r.attempt.failed, r.attempt.changed
+		var t backend.Token
+		if ready {
+			t = r.attempt.tokens[r.next]
+		}
+		r.attempt.mu.Unlock()
+		switch {
+		case ready:
+			r.next++
+			return t, nil
+		case failed:
+			return t, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "attempt stopped")
+		}
+		select {
+		case <-changed:
+		case <-r.ctx.Done():
+			return t, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "%v", r.ctx.Err())
+		}
+	}
+}
+
+// Close implements backend.Stream.
+func (r *reader) Close() error { return nil }
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,201 @@
+// Package standin holds small stand-ins for the systems outside: the
+// platform's object API, model engines with their weight store, and plain
+// services. They do what the brief says of the real ones, faults included,
+// and are used by tests and by martendev.
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/martenport/martenport/platform"
+)
+
+// watchWait is how long a watch waits for a change before it answers empty.
+const watchWait = 5 * time.Second
+
+// maxValueBytes is the largest value that the platform takes.
+const maxValueBytes = 1 << 20
+
+// Platform is an in-memory platform.Store with faults.
+type Platform struct {
+	// Reads, Writes and Watches count calls, failed ones included.
+	Reads, Writes, Watches atomic.Int64
+
+	mu       sync.Mutex
+	objects  map[string]platform.Object // guarded by mu
+	revision int64                      // guarded by mu
+	changed  chan struct{}              // guarded by mu; closed at each change
+	down     bool                       // guarded by mu
+	delay    time.Duration              // guarded by mu
+	lose     int                        // guarded by mu; answers of writes still to lose
+}
+
+// NewPlatform returns an empty platform.
+func NewPlatform() *Platform {
+	return &Platform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+}
+
+// SetDown starts or ends an outage: calls fail and are not carried out.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetDelay makes each call wait before it is carried out.
+func (p *Platform) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// LoseAnswers makes the next n writes take effect without an answer.
+func (p *Platform) LoseAnswers(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lose = n
+}
+
+func (p *Platform) enter(ctx context.Context) error {
+	p.mu.Lock()
+	delay := p.delay
+	p.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-ctx.Done():
+			return platform.ErrUnknown
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// Get implements platform.Store.
+func (p *Platform) Get(ctx context.Context, key string) (platform.Object, error) {
+	p.Reads.Add(1)
+	if err := p.enter(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	obj, found := p.objects[key]
+	if !found || obj.Deleted {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+// List implements platform.Store.
+func (p *Platform) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	p.Reads.Add(1)
+	if err := p.enter(ctx); err != nil {
+		return platform.Snapshot{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.changes(prefix, 0, false), nil
+}
+
+// Put implements platform.Store.
+func (p *Platform) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	p.Writes.Add(1)
+	if err := p.enter(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(value) > maxValueBytes || liveVersion(p.objects[key]) != version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	return p.store(platform.Object{Key: key, Value: slices.Clone(value)})
+}
+
+// Delete implements platform.Store.
+func (p *Platform) Delete(ctx context.Context, key string, version int64) error {
+	p.Writes.Add(1)
+	if err := p.enter(ctx); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if version == 0 || liveVersion(p.objects[key]) != version {
+		return platform.ErrConflict
+	}
+	_, err := p.store(platform.Object{Key: key, Deleted: true})
+	return err
+}
+
+// store needs mu.
+func (p *Platform) store(obj platform.Object) (platform.Object, error) {
+	p.revision++
+	obj.Version = p.revision
+	p.objects[obj.Key] = obj
+	p.wake()
+	if p.lose > 0 {
+		p.lose--
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return obj, nil
+}
+
+// wake needs mu.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// liveVersion is the version of an object, 0 when it does not exist.
+func liveVersion(obj platform.Object) int64 {
+	if obj.Deleted {
+		return 0
+	}
+	return obj.Version
+}
+
+// changes needs mu.
+func (p *Platform) changes(prefix string, after int64, deleted bool) platform.Snapshot {
+	snap := platform.Snapshot{Revision: p.revision}
+	for key, obj := range p.objects {
+		if strings.HasPrefix(key, prefix) && obj.Version > after && (deleted || !obj.Deleted) {
+			snap.Objects = append(snap.Objects, obj)
+		}
+	}
+	slices.SortFunc(snap.Objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	return snap
+}
+
+// Watch implements platform.Store.
+func (p *Platform) Watch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+	p.Watches.Add(1)
+	timeout := time.NewTimer(watchWait)
+	defer timeout.Stop()
+	for {
+		if err := p.enter(ctx); err != nil {
+			return platform.Snapshot{}, err
+		}
+		p.mu.Lock()
+		snap, changed := p.changes(prefix, revision, true), p.changed
+		p.mu.Unlock()
+		if len(snap.Objects) > 0 {
+			return snap, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return snap, nil
+		case <-ctx.Done():
+			return platform.Snapshot{}, platform.ErrUnavailable
+		}
+	}
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,289 @@
+// Package peer is the protocol between martenport's own processes, over
+// net/rpc: an exchange of table changes, and calls to the instance that holds
+// a model's wake or orders an engine.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// ErrUnreachable: the instance did not answer; the call may have been carried
+// out. Every peer call may be repeated.
+var ErrUnreachable = errors.New("peer: instance did not answer")
+
+// Header travels with each call and each answer.
+type Header struct {
+	From  string
+	Stamp event.Stamp
+	// TimeoutMS is the time that the caller will wait.
+	TimeoutMS int64
+}
+
+// Reply travels with each answer.
+type Reply struct {
+	Stamp event.Stamp
+	// Failure is set when the call was refused.
+	Failure *verdict.Failure
+}
+
+// ExchangeArgs asks for what changed after Since.
+type ExchangeArgs struct {
+	Header
+	// Incarnation is that of the answering instance, as known from its last
+	// answer; Since is of no use to another one.
+	Incarnation   int64
+	Since         uint64
+	FailureDomain string
+	// WaitMS is how long to wait when nothing has changed.
+	WaitMS int64
+	// Introduce, at first contact, holds the asking instance's own entry and
+	// its view of the answering one.
+	Introduce []table.Member
+}
+
+// ExchangeReply brings the changes.
+type ExchangeReply struct {
+	Reply
+	Incarnation int64
+	Generation  int64
+	Delta       table.Delta
+}
+
+// ConfigArgs asks for the declaration in force.
+type ConfigArgs struct{ Header }
+
+// ConfigReply brings it; Accepted is nil when there is none.
+type ConfigReply struct {
+	Reply
+	Accepted *table.Accepted
+}
+
+// WakeArgs asks the holder of a unit's wake to have it loaded somewhere.
+type WakeArgs struct {
+	Header
+	Unit backend.Unit
+	// Replicas is how many the asking instance has use for, at least 1.
+	Replicas int
+}
+
+// WakeReply names an engine on which the unit is resident.
+type WakeReply struct {
+	Reply
+	Engine string
+}
+
+// OrderArgs asks the orderer of an engine to load a unit or yield its slot.
+type OrderArgs struct {
+	Header
+	Engine string
+	Unit   backend.Unit
+}
+
+// OrderReply says that it is done, or why not.
+type OrderReply struct{ Reply }
+
+// EventsArgs asks for the events that pass a filter.
+type EventsArgs struct {
+	Header
+	Filter event.Filter
+}
+
+// EventsReply brings them, oldest first.
+type EventsReply struct {
+	Reply
+	Events []event.Event
+}
+
+// RunArgs asks what became of the run of a key that this instance recorded.
+type RunArgs struct {
+	Header
+	Key string
+}
+
+// RunReply brings the answer that is still held.
+type RunReply struct {
+	Reply
+	Answer []byte
+}
+
+// Handler answers the calls of other instances. A returned error reaches the
+// caller as a *verdict.Failure.
+type Handler interface {
+	Exchange(ctx context.Context, args *ExchangeArgs, reply *ExchangeReply) error
+	Config(ctx context.Context, args *ConfigArgs, reply *ConfigReply) error
+	Wake(ctx context.Context, args *WakeArgs, reply *WakeReply) error
+	Load(ctx context.Context, args *OrderArgs, reply *OrderReply) error
+	Yield(ctx context.Context, args *OrderArgs, reply *OrderReply) error
+	Events(ctx context.Context, args *EventsArgs, reply *EventsReply) error
+	Run(ctx context.Context, args *RunArgs, reply *RunReply) error
+}
+
+// Dial connects to an instance's peer address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dial used outside tests.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Client calls other instances, over one connection each.
+type Client struct {
+	self  string
+	clock *event.Clock
+	dial  Dial
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client // guarded by mu; by address
+}
+
+// NewClient returns a client that calls in the name of instance self.
+func NewClient(self string, clock *event.Clock, dial Dial) *Client {
+	return &Client{self: self, clock: clock, dial: dial, conns: map[string]*rpc.Client{}}
+}
+
+// Header returns the header of a call made now under ctx.
+func (c *Client) Header(ctx context.Context) Header {
+	h := Header{From: c.self, Stamp: c.clock.Now()}
+	if deadline, set := ctx.Deadline(); set {
+		h.TimeoutMS = max(1, time.Until(deadline).Milliseconds())
+	}
+	return h
+}
+
+// call makes one call and returns ErrUnreachable or the answer's Failure.
+func (c *Client) call(ctx context.Context, address, method string, args, reply any, head *Reply) error {
+	conn, err := c.conn(ctx, address)
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+	case <-ctx.Done():
+		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
+	}
+	if pending.Error != nil {
+		c.drop(address, conn)
+		return errors.Wrap(ErrUnreachable, pending.Error.Error())
+	}
+	c.clock.Observe(head.Stamp)
+	if head.Failure != nil {
+		return head.Failure
+	}
+	return nil
+}
+
+func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn, found := c.conns[address]
+	c.mu.Unlock()
+	if found {
+		return conn, nil
+	}
+	raw, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, found := c.conns[address]; found {
+		_ = raw.Close()
+		return conn, nil
+	}
+	conn = rpc.NewClient(raw)
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// Disconnect closes the connection to an instance that does not answer, so
+// that the next call opens a new one.
+func (c *Client) Disconnect(address string) {
+	c.mu.Lock()
+	conn, found := c.conns[address]
+	c.mu.Unlock()
+	if found {
+		c.drop(address, conn)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, address)
+	}
+}
+
+// Exchange calls Handler.Exchange at address.
+func (c *Client) Exchange(ctx context.Context, address string, args ExchangeArgs) (ExchangeReply, error) {
+	args.Header = c.Header(ctx)
+	var reply ExchangeReply
+	err := c.call(ctx, address, "Peer.Exchange", &args, &reply, &reply.Reply)
+	return reply, err
+}
+
+// Config calls Handler.Config at address.
+func (c *Client) Config(ctx context.Context, address string) (*table.Accepted, error) {
+	var reply ConfigReply
+	err := c.call(ctx, address, "Peer.Config", &ConfigArgs{c.Header(ctx)}, &reply, &reply.Reply)
+	return reply.Accepted, err
+}
+
+// Wake calls Handler.Wake at address.
+func (c *Client) Wake(ctx context.Context, address string, args WakeArgs) (string, error) {
+	args.Header = c.Header(ctx)
+	var reply WakeReply
+	err := c.call(ctx, address, "Peer.Wake", &args, &reply, &reply.Reply)
+	return reply.Engine, err
+}
+
+// Load calls Handler.Load at address.
+func (c *Client) Load(ctx context.Context, address, engine string, u backend.Unit) error {
+	var reply OrderReply
+	args := OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u}
+	return c.call(ctx, address, "Peer.Load", &args, &reply, &reply.Reply)
+}
+
+// Yield calls Handler.Yield at address.
+func (c *Client) Yield(ctx context.Context, address, engine string, u backend.Unit) error {
+	var reply OrderReply
+	args := OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u}
+	return c.call(ctx, address, "Peer.Yield", &args, &reply, &reply.Reply)
+}
+
+// Events calls Handler.Events at address.
+func (c *Client) Events(ctx context.Context, address string, f event.Filter) ([]event.Event, error) {
+	var reply EventsReply
+	err := c.call(ctx, address, "Peer.Events", &EventsArgs{c.Header(ctx), f}, &reply, &reply.Reply)
+	return reply.Events, err
+}
+
+// Run calls Handler.Run at address.
+func (c *Client) Run(ctx context.Context, address, key string) ([]byte, error) {
+	var reply RunReply
+	err := c.call(ctx, address, "Peer.Run", &RunArgs{c.Header(ctx), key}, &reply, &reply.Reply)
+	return reply.Answer, err
+}
--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,115 @@
+// Package table holds what an instance knows of the fleet, shared by all its
+// workers: the declaration in force, the instances, and the engines.
+//
+// Lock order: Config, then Members, then Engines. No lock is held over a call
+// to another process, and none of the tables calls out while it holds its own.
+//
+// What is in Members and Engines may be old or wrong. Decisions based on it
+// cost time when it is, never safety.
+package table
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/martenport/martenport/declaration"
+)
+
+// Tables is all shared state of one instance.
+type Tables struct {
+	Config  *Config
+	Members *Members
+	Engines *Engines
+}
+
+// New returns empty tables. self is this instance's own entry.
+func New(self Member) *Tables {
+	log := &changeLog{changed: make(chan struct{})}
+	return &Tables{
+		Config:  &Config{},
+		Members: newMembers(self, log),
+		Engines: newEngines(log),
+	}
+}
+
+// Config is the declaration in force. It only ever moves to newer generations.
+type Config struct {
+	mu      sync.Mutex // serialises Apply
+	current atomic.Pointer[Accepted]
+}
+
+// Accepted is an accepted declaration as kept in the platform and relayed
+// between instances.
+type Accepted struct {
+	Generation int64  `json:"generation"`
+	PlanID     string `json:"plan_id"`
+	// Source is the operators' YAML, byte for byte.
+	Source []byte `json:"source"`
+	// Plans are the ids of the plans accepted last, newest at the end.
+	Plans []string `json:"plans"`
+
+	index *declaration.Index
+}
+
+// Index returns the parsed declaration.
+func (a *Accepted) Index() *declaration.Index { return a.index }
+
+// Parse fills in the index.
+func (a *Accepted) Parse() error {
+	d, err := declaration.Parse("accepted", a.Source)
+	if err != nil {
+		return err
+	}
+	a.index = declaration.NewIndex(a.Generation, a.PlanID, d)
+	return nil
+}
+
+// emptyIndex is in force before the first declaration.
+var emptyIndex = declaration.NewIndex(0, "", &declaration.Declaration{})
+
+// Apply puts a in force if it is newer than what is, and reports whether it did.
+func (c *Config) Apply(a *Accepted) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.current.Load(); now != nil && now.Generation >= a.Generation {
+		return false
+	}
+	c.current.Store(a)
+	return true
+}
+
+// Accepted returns the accepted declaration in force, nil before the first.
+func (c *Config) Accepted() *Accepted { return c.current.Load() }
+
+// Index returns the declaration in force; it is empty before the first.
+func (c *Config) Index() *declaration.Index {
+	if a := c.current.Load(); a != nil {
+		return a.index
+	}
+	return emptyIndex
+}
+
+// changeLog numbers the changes of all tables, so that a peer can be sent only
+// what changed since it last asked.
+type changeLog struct {
+	mu       sync.Mutex
+	sequence uint64        // guarded by mu
+	changed  chan struct{} // guarded by mu; closed at each change
+}
+
+func (l *changeLog) next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return l.sequence
+}
+
+// Mark returns the number of the last change and a channel that is closed at
+// the next one.
+func (l *changeLog) Mark() (uint64, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sequence, l.changed
+}
