Wakes wait out the replacement of an engine's orderer

Cause: a request for a model whose orderer had just been killed was refused at once, because the holder could not tell a slot that comes back within seconds from one that only a healed partition or an operator can free. A refusal for want of a slot now names the engines that hold them; the holder tries again while instances live in their failure domains, and refuses at once otherwise. A load for which nobody waits any more is not started (flights count waiters).

--- a/command/orderer/excess.go
+++ b/command/orderer/excess.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/platform"
 )
@@ -41,8 +43,9 @@
 // adoptResident takes the slot of a model found on the engine. Where there is
 // none, the model has no right to be there and goes.
 func (o *Orderer) adoptResident(ctx context.Context, e placement.Entry) {
+	var none *placement.NoSlotError
 	err := o.ensureSlot(ctx, e.Unit.Model)
-	if err == placement.ErrNoSlot && e.Phase == placement.Resident {
+	if errors.As(err, &none) && e.Phase == placement.Resident {
 		_ = o.unload(ctx, e.Unit)
 	}
 }
--- a/command/placement/slots.go
+++ b/command/placement/slots.go
@@ -15,14 +15,13 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Errors of slot transitions.
 var (
-	// ErrNoSlot: every slot of the model is bound to another engine.
-	ErrNoSlot = errors.New("placement: no free slot")
 	// ErrNotBound: the model has no slot bound to the engine.
 	ErrNotBound = errors.New("placement: slot not bound to this engine")
 	// ErrSuperseded: a newer epoch of the engine's orderer holds the slot.
@@ -31,6 +30,18 @@
 	ErrOldGeneration = errors.New("placement: declaration older than the slots")
 )
 
+// NoSlotError says that every slot of the model is bound to another engine.
+type NoSlotError struct {
+	Model string
+	// Engines hold the slots; there are none if the cap is 0.
+	Engines []string
+}
+
+// Error names the engines that hold the slots.
+func (e *NoSlotError) Error() string {
+	return "placement: no free slot of " + e.Model + ", bound to: " + strings.Join(e.Engines, ", ")
+}
+
 // Slot is the right to hold one replica of a model.
 type Slot struct {
 	// Engine that the slot is bound to, empty when it is free.
@@ -86,7 +97,7 @@
 		i = m.find("")
 	}
 	if i < 0 {
-		return m, ErrNoSlot
+		return m, &NoSlotError{Model: m.Model, Engines: m.Engines()}
 	}
 	if m.Slots[i].Engine == engine && m.Slots[i].Epoch > epoch {
 		return m, ErrSuperseded
--- /dev/null
+++ b/command/wake/hold.go
@@ -0,0 +1,281 @@
+package wake
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/orderer"
+	"github.com/martenport/martenport/command/placement"
+	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// hold tries to have the unit loaded, in rounds, for as long as somebody waits
+// and there is a prospect.
+func (w *Waker) hold(ctx context.Context, u backend.Unit, latest func() time.Time) (string, error) {
+	w.env.Events.Record(event.Event{Kind: event.KindWake, Model: u.ID(), Detail: "version=" + u.Version})
+	for {
+		_, changed := w.env.Tables.Engines.Mark()
+		engine, err := w.round(ctx, u, latest())
+		if err == nil || !w.prospect(u, err) {
+			return engine, err
+		}
+		if time.Until(latest()) < w.params.Round {
+			return "", verdict.Of(err).After(w.params.RetryAfter)
+		}
+		if !awaitChange(ctx, changed, w.params.Round) {
+			return "", verdict.Refuse(verdict.ReasonDeadline, "nobody waits for %s any more", u.ID())
+		}
+	}
+}
+
+// awaitChange waits for news, at most for limit, and reports whether ctx goes on.
+func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// prospect reports whether what stood in the way is likely to pass soon by
+// itself: an engine's orderer is being replaced, or models in use fall idle.
+// What only operators or a healed partition can change is refused at once.
+func (w *Waker) prospect(u backend.Unit, err error) bool {
+	f := verdict.Of(err)
+	switch {
+	case f.Reason == verdict.ReasonNotOrderer || f.Reason == verdict.ReasonBackend:
+		return true
+	case len(f.Engines) > 0:
+		return slices.ContainsFunc(f.Engines, w.withinReach)
+	case f.Reason == verdict.ReasonNoReplica:
+		return w.betweenOrderers(u) || w.mayFallIdle(u)
+	default:
+		return false
+	}
+}
+
+// withinReach reports whether instances live in the engine's failure domain,
+// so that its slots can be used or given up.
+func (w *Waker) withinReach(engine string) bool {
+	declared, found := w.env.Tables.Config.Index().Engines[engine]
+	return found && w.populated(declared.FailureDomain)
+}
+
+// betweenOrderers reports whether an engine that the model may use lacks a
+// living orderer in a failure domain where instances live.
+func (w *Waker) betweenOrderers(u backend.Unit) bool {
+	index := w.env.Tables.Config.Index()
+	model, found := index.Models[u.Model]
+	if !found {
+		return false
+	}
+	for _, declared := range index.Engines {
+		if declared.Lost || !model.AllowedIn(declared.FailureDomain) || !w.populated(declared.FailureDomain) {
+			continue
+		}
+		view, known := w.env.Tables.Engines.Get(declared.Name)
+		if !known || !w.living(view.Orderer) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *Waker) living(name string) bool {
+	m, found := w.env.Tables.Members.Get(name)
+	return found && m.State == table.Alive
+}
+
+// mayFallIdle reports whether an engine within reach would have room if it
+// held nothing else.
+func (w *Waker) mayFallIdle(u backend.Unit) bool {
+	index := w.env.Tables.Config.Index()
+	memory, err := memoryOf(index, u)
+	if err != nil {
+		return false
+	}
+	for _, e := range w.env.Tables.Engines.All() {
+		if !e.Leaving && w.living(e.Orderer) && e.MemoryBytes >= memory && index.Models[u.Model].AllowedIn(e.FailureDomain) && w.slotPossible(e, u.Model) {
+			return true
+		}
+	}
+	return false
+}
+
+// slotPossible reports whether the engine holds the model's slot or an engine
+// within reach could yield one.
+func (w *Waker) slotPossible(e table.EngineView, model string) bool {
+	if slices.Contains(e.Held, model) {
+		return true
+	}
+	for _, holder := range w.holders(model) {
+		if w.living(holder.Orderer) {
+			return true
+		}
+	}
+	return false
+}
+
+// round asks the engines that could take the unit, the soonest first.
+func (w *Waker) round(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
+	index := w.env.Tables.Config.Index()
+	memory, err := memoryOf(index, u)
+	if err != nil {
+		return "", err
+	}
+	need := placement.Need{Unit: u, MemoryBytes: memory, FailureDomain: w.env.Tables.Members.Self().FailureDomain}
+	last := error(verdict.Refuse(verdict.ReasonNoReplica, "no engine has room for %s", u.ID()).After(w.params.RetryAfter))
+	for i, c := range w.env.Policy.Rank(need, index, w.env.Tables.Engines.All()) {
+		if i == w.params.Tries || ctx.Err() != nil {
+			break
+		}
+		err := w.load(ctx, c.Engine, c.Orderer, u, latest)
+		if err == nil {
+			return c.Engine, nil
+		}
+		last = err
+		if f := verdict.Of(err); f.Reason == verdict.ReasonNoSlot {
+			return w.useBoundSlot(ctx, c, u, f.Engines, latest)
+		}
+	}
+	return "", last
+}
+
+func memoryOf(index *declaration.Index, u backend.Unit) (int64, error) {
+	if u.Adapter != "" {
+		a, found := index.Adapters[declaration.AdapterID{Model: u.Model, Adapter: u.Adapter}]
+		if !found {
+			return 0, verdict.Refuse(verdict.ReasonUnknownModel, "adapter %s of model %s is not declared", u.Adapter, u.Model)
+		}
+		return int64(a.Memory), nil
+	}
+	m, found := index.Models[u.Model]
+	if !found {
+		return 0, verdict.Refuse(verdict.ReasonUnknownModel, "model %s is not declared", u.Model)
+	}
+	return int64(m.Memory), nil
+}
+
+// useBoundSlot is for when all slots are bound to other engines: one of those
+// loads the unit, or, if it has no room, yields the slot to the candidate.
+func (w *Waker) useBoundSlot(ctx context.Context, c placement.Candidate, u backend.Unit, bound []string, latest time.Time) (string, error) {
+	var holders []table.EngineView
+	for _, name := range bound {
+		if e, known := w.env.Tables.Engines.Get(name); known && !e.Leaving {
+			holders = append(holders, e)
+		}
+	}
+	for _, e := range holders {
+		if w.load(ctx, e.Engine, e.Orderer, u, latest) == nil {
+			return e.Engine, nil
+		}
+	}
+	for _, e := range holders {
+		if w.yield(ctx, e.Engine, e.Orderer, u) != nil {
+			continue
+		}
+		if err := w.load(ctx, c.Engine, c.Orderer, u, latest); err == nil {
+			return c.Engine, nil
+		}
+	}
+	f := verdict.Refuse(verdict.ReasonNoReplica, "the replicas of %s that operators allow belong to %v, which cannot be reached or have no room", u.ID(), bound)
+	f.Engines = bound
+	return "", f.After(w.params.RetryAfter)
+}
+
+func (w *Waker) holders(model string) []table.EngineView {
+	var out []table.EngineView
+	for _, e := range w.env.Tables.Engines.All() {
+		if slices.Contains(e.Held, model) && e.Orderer != "" && !e.Leaving {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// load asks an engine's orderer, here or elsewhere, to load the unit by the
+// time after which nobody waits for it.
+func (w *Waker) load(ctx context.Context, engine, ordererName string, u backend.Unit, latest time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, latest)
+	defer cancel()
+	if w.orders.Orderer(engine) != nil {
+		return w.Load(ctx, engine, u)
+	}
+	address, err := w.ordererAddress(engine, ordererName)
+	if err != nil {
+		return err
+	}
+	return typed(w.peers.Load(ctx, address, engine, u))
+}
+
+func (w *Waker) yield(ctx context.Context, engine, ordererName string, u backend.Unit) error {
+	if w.orders.Orderer(engine) != nil {
+		return w.Yield(ctx, engine, u)
+	}
+	address, err := w.ordererAddress(engine, ordererName)
+	if err != nil {
+		return err
+	}
+	return typed(w.peers.Yield(ctx, address, engine, u))
+}
+
+func (w *Waker) ordererAddress(engine, ordererName string) (string, error) {
+	member, found := w.env.Tables.Members.Get(ordererName)
+	if !found || member.State == table.Dead {
+		return "", verdict.Refuse(verdict.ReasonNotOrderer, "orderer %s of %s does not answer", ordererName, engine)
+	}
+	return member.PeerAddress, nil
+}
+
+// Load does the orderer's part of a wake.
+func (w *Waker) Load(ctx context.Context, engine string, u backend.Unit) error {
+	o := w.orders.Orderer(engine)
+	if o == nil {
+		return typed(orderer.ErrNotOrderer)
+	}
+	memory, err := memoryOf(w.env.Tables.Config.Index(), u)
+	if err != nil {
+		return err
+	}
+	return typed(o.Load(ctx, u, memory))
+}
+
+// Yield does the orderer's part of moving a slot.
+func (w *Waker) Yield(ctx context.Context, engine string, u backend.Unit) error {
+	o := w.orders.Orderer(engine)
+	if o == nil {
+		return typed(orderer.ErrNotOrderer)
+	}
+	return typed(o.Yield(ctx, u.Model))
+}
+
+// typed turns the errors of orderers into failures. Loading runs no request.
+func typed(err error) error {
+	var none *placement.NoSlotError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &none):
+		f := verdict.Refuse(verdict.ReasonNoSlot, "%v", err)
+		f.Engines = none.Engines
+		return f
+	case errors.Is(err, orderer.ErrNotOrderer), errors.Is(err, peer.ErrUnreachable):
+		return verdict.Refuse(verdict.ReasonNotOrderer, "%v", err)
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+		return verdict.Refuse(verdict.ReasonPlatform, "%v", err)
+	default:
+		return verdict.Of(err).WithVerdict(verdict.NotRun)
+	}
+}
--- a/command/wake/wake.go
+++ b/command/wake/wake.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/orderer"
-	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/declaration"
-	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/rendezvous"
 	"github.com/martenport/martenport/table"
@@ -27,14 +24,24 @@
 
 // Params bound a wake.
 type Params struct {
-	// Limit is the longest that one wake may take.
-	Limit time.Duration
-	// Tries is how many engines a holder asks before it gives up.
+	// Tries is how many engines a holder asks in one round.
 	Tries int
+	// Slice is the longest that one call to a holder waits. Instances whose
+	// requests still wait call again, so that a holder knows within a slice
+	// that nobody waits any more.
+	Slice time.Duration
+	// Round is the longest pause between two rounds of a holder that found no
+	// engine but may find one soon.
+	Round time.Duration
 	// RetryAfter is told to callers when no replica can be had now.
 	RetryAfter time.Duration
 }
 
+// DefaultParams returns the bounds used unless set otherwise.
+func DefaultParams() Params {
+	return Params{Tries: 4, Slice: 5 * time.Second, Round: 500 * time.Millisecond, RetryAfter: 2 * time.Second}
+}
+
 // Waker has units loaded.
 type Waker struct {
 	params Params
@@ -42,8 +49,8 @@
 	orders *orderer.Manager
 	peers  *peer.Client
 
-	asking  singleflight.Group // wakes asked for by this instance
-	holding singleflight.Group // wakes that this instance holds
+	asking  flights // wakes asked for by this instance
+	holding flights // wakes that this instance holds
 }
 
 // NewWaker returns a waker that orders through orders where this instance is
@@ -52,52 +59,65 @@
 	return &Waker{params: params, env: env, orders: orders, peers: peers}
 }
 
-// Wake has at least one replica of u loaded and returns its engine. It is
-// given up for this caller when ctx ends; the load goes on for the others.
+// flightID names a unit in its version.
+func flightID(u backend.Unit) string { return u.ID() + "@" + u.Version }
+
+// Wake has at least one replica of u loaded and returns its engine. ctx has a
+// deadline; the load goes on for others that wait longer.
 func (w *Waker) Wake(ctx context.Context, u backend.Unit) (string, error) {
-	return share(ctx, &w.asking, u, func() (string, error) {
-		shared, cancel := context.WithTimeout(context.Background(), w.params.Limit)
-		defer cancel()
-		return w.ask(shared, u)
+	latest, limited := ctx.Deadline()
+	if !limited {
+		return "", verdict.Refuse(verdict.ReasonInvalid, "a wake needs a deadline")
+	}
+	return w.asking.join(ctx, flightID(u), latest, 0, func(ctx context.Context, latest func() time.Time) (string, error) {
+		return w.ask(ctx, u, latest)
 	})
 }
 
-// Hold does the holder's part of a wake.
-func (w *Waker) Hold(ctx context.Context, u backend.Unit) (string, error) {
-	return share(ctx, &w.holding, u, func() (string, error) {
-		shared, cancel := context.WithTimeout(context.Background(), w.params.Limit)
-		defer cancel()
-		return w.hold(shared, u)
+// Hold does the holder's part of a wake for an instance that has use for it
+// until latest and asks again when ctx ends before.
+func (w *Waker) Hold(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
+	return w.holding.join(ctx, flightID(u), latest, askAgainGrace, func(ctx context.Context, latest func() time.Time) (string, error) {
+		return w.hold(ctx, u, latest)
 	})
 }
 
-// share runs f once for all callers that come while it runs.
-func share(ctx context.Context, group *singleflight.Group, u backend.Unit, f func() (string, error)) (string, error) {
-	done := group.DoChan(u.ID()+"@"+u.Version, func() (any, error) { return f() })
-	select {
-	case result := <-done:
-		engine, _ := result.Val.(string)
-		return engine, result.Err
-	case <-ctx.Done():
-		return "", verdict.Refuse(verdict.ReasonDeadline, "%s was not loaded in time", u.ID())
+// ask calls the holder, slice after slice, until the wake is done or refused.
+// Where the holder does not answer, this instance holds the wake itself.
+func (w *Waker) ask(ctx context.Context, u backend.Unit, latest func() time.Time) (string, error) {
+	for {
+		engine, err := w.askOnce(ctx, u, latest())
+		expired := err != nil && verdict.Of(err).Reason == verdict.ReasonDeadline
+		if !expired || ctx.Err() != nil || !time.Now().Before(latest()) {
+			return engine, err
+		}
 	}
 }
 
-// ask sends the wake to its holder; where that one does not answer, this
-// instance holds it itself.
-func (w *Waker) ask(ctx context.Context, u backend.Unit) (string, error) {
-	self := w.env.Tables.Members.Self()
-	holder := w.holder(u)
-	if holder.Name == "" || holder.Name == self.Name {
-		return w.Hold(ctx, u)
+func (w *Waker) askOnce(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
+	sliceEnd := time.Now().Add(w.params.Slice)
+	if latest.Before(sliceEnd) {
+		sliceEnd = latest
 	}
-	engine, err := w.peers.Wake(ctx, holder.PeerAddress, peer.WakeArgs{Unit: u, Replicas: 1})
-	if errors.Is(err, peer.ErrUnreachable) && ctx.Err() == nil {
-		return w.Hold(ctx, u)
+	slice, cancel := context.WithDeadline(ctx, sliceEnd)
+	defer cancel()
+	holder := w.holder(u)
+	if holder.Name != "" && holder.Name != w.env.Instance {
+		args := peer.WakeArgs{Unit: u, LatestMS: time.Until(latest).Milliseconds()}
+		engine, err := w.peers.Wake(slice, holder.PeerAddress, args)
+		switch {
+		case !errors.Is(err, peer.ErrUnreachable):
+			return engine, err
+		case slice.Err() != nil:
+			return "", verdict.Refuse(verdict.ReasonDeadline, "%s was not loaded in time", u.ID())
+		}
 	}
-	return engine, err
+	return w.Hold(slice, u, latest)
 }
 
+// askAgainGrace is how long a holder waits for an instance to ask again.
+const askAgainGrace = time.Second
+
 // holder chooses the failure domain of an engine that holds a slot of the
 // model, or else one of those allowed, and an instance in it.
 func (w *Waker) holder(u backend.Unit) table.Member {
@@ -105,8 +125,7 @@
 	if !found {
 		return table.Member{}
 	}
-	domain := w.homeDomain(model)
-	members := w.env.Tables.Members.AliveIn(domain)
+	members := w.env.Tables.Members.AliveIn(w.homeDomain(model))
 	chosen := rendezvous.Choose(u.ID(), table.Names(members))
 	member, _ := w.env.Tables.Members.Get(chosen)
 	return member
@@ -130,137 +149,8 @@
 	return rendezvous.Choose(model.Name, alive)
 }
 
+// populated reports whether an instance of the failure domain is known to be
+// alive.
 func (w *Waker) populated(domain string) bool {
 	return len(w.env.Tables.Members.AliveIn(domain)) > 0
 }
-
-// hold tries the engines that could take the unit, the soonest first.
-func (w *Waker) hold(ctx context.Context, u backend.Unit) (string, error) {
-	index := w.env.Tables.Config.Index()
-	memory, err := memoryOf(index, u)
-	if err != nil {
-		return "", err
-	}
-	w.env.Events.Record(event.Event{Kind: event.KindWake, Model: u.ID(), Detail: "version=" + u.Version})
-	need := placement.Need{Unit: u, MemoryBytes: memory, FailureDomain: w.env.Tables.Members.Self().FailureDomain}
-	last := error(verdict.Refuse(verdict.ReasonNoReplica, "no engine has room for %s", u.ID()).After(w.params.RetryAfter))
-	for i, c := range w.env.Policy.Rank(need, index, w.env.Tables.Engines.All()) {
-		if i == w.params.Tries || ctx.Err() != nil {
-			break
-		}
-		err := w.load(ctx, c.Engine, c.Orderer, u, memory)
-		if err == nil {
-			return c.Engine, nil
-		}
-		last = err
-		if verdict.Of(err).Reason == verdict.ReasonNoSlot {
-			return w.useBoundSlot(ctx, c, u, memory)
-		}
-	}
-	return "", last
-}
-
-func memoryOf(index *declaration.Index, u backend.Unit) (int64, error) {
-	if u.Adapter != "" {
-		a, found := index.Adapters[declaration.AdapterID{Model: u.Model, Adapter: u.Adapter}]
-		if !found {
-			return 0, verdict.Refuse(verdict.ReasonUnknownModel, "adapter %s of model %s is not declared", u.Adapter, u.Model)
-		}
-		return int64(a.Memory), nil
-	}
-	m, found := index.Models[u.Model]
-	if !found {
-		return 0, verdict.Refuse(verdict.ReasonUnknownModel, "model %s is not declared", u.Model)
-	}
-	return int64(m.Memory), nil
-}
-
-// useBoundSlot is for when all slots are bound to other engines: one of those
-// loads the unit, or, if it has no room, yields the slot to the candidate.
-func (w *Waker) useBoundSlot(ctx context.Context, c placement.Candidate, u backend.Unit, memory int64) (string, error) {
-	holders := w.holders(u.Model)
-	for _, e := range holders {
-		if w.load(ctx, e.Engine, e.Orderer, u, memory) == nil {
-			return e.Engine, nil
-		}
-	}
-	for _, e := range holders {
-		if w.yield(ctx, e.Engine, e.Orderer, u) != nil {
-			continue
-		}
-		if err := w.load(ctx, c.Engine, c.Orderer, u, memory); err == nil {
-			return c.Engine, nil
-		}
-	}
-	f := verdict.Refuse(verdict.ReasonNoReplica, "all replicas of %s that operators allow are placed where they cannot be reached or loaded", u.Model)
-	return "", f.After(w.params.RetryAfter)
-}
-
-func (w *Waker) holders(model string) []table.EngineView {
-	var out []table.EngineView
-	for _, e := range w.env.Tables.Engines.All() {
-		if slices.Contains(e.Held, model) && e.Orderer != "" && !e.Leaving {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// load asks an engine's orderer, here or elsewhere, to load the unit.
-func (w *Waker) load(ctx context.Context, engine, ordererName string, u backend.Unit, memory int64) error {
-	if o := w.orders.Orderer(engine); o != nil {
-		return typed(o.Load(ctx, u, memory))
-	}
-	member, found := w.env.Tables.Members.Get(ordererName)
-	if !found || member.State == table.Dead {
-		return verdict.Refuse(verdict.ReasonNotOrderer, "orderer %s of %s does not answer", ordererName, engine)
-	}
-	return typed(w.peers.Load(ctx, member.PeerAddress, engine, u))
-}
-
-func (w *Waker) yield(ctx context.Context, engine, ordererName string, u backend.Unit) error {
-	if o := w.orders.Orderer(engine); o != nil {
-		return typed(o.Yield(ctx, u.Model))
-	}
-	member, found := w.env.Tables.Members.Get(ordererName)
-	if !found || member.State == table.Dead {
-		return verdict.Refuse(verdict.ReasonNotOrderer, "orderer %s of %s does not answer", ordererName, engine)
-	}
-	return typed(w.peers.Yield(ctx, member.PeerAddress, engine, u))
-}
-
-// Load does the orderer's part of a wake, for a holder elsewhere.
-func (w *Waker) Load(ctx context.Context, engine string, u backend.Unit) error {
-	o := w.orders.Orderer(engine)
-	if o == nil {
-		return typed(orderer.ErrNotOrderer)
-	}
-	memory, err := memoryOf(w.env.Tables.Config.Index(), u)
-	if err != nil {
-		return err
-	}
-	return typed(o.Load(ctx, u, memory))
-}
-
-// Yield does the orderer's part of moving a slot.
-func (w *Waker) Yield(ctx context.Context, engine string, u backend.Unit) error {
-	o := w.orders.Orderer(engine)
-	if o == nil {
-		return typed(orderer.ErrNotOrderer)
-	}
-	return typed(o.Yield(ctx, u.Model))
-}
-
-// typed turns the errors of orderers into failures. Loading runs no request.
-func typed(err error) error {
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, placement.ErrNoSlot):
-		return verdict.Refuse(verdict.ReasonNoSlot, "%v", err)
-	case errors.Is(err, orderer.ErrNotOrderer):
-		return verdict.Refuse(verdict.ReasonNotOrderer, "%v", err)
-	default:
-		return verdict.Of(err).WithVerdict(verdict.NotRun)
-	}
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,9 +69,6 @@
 	platformReadRetries  = 2
 )
 
-// wakeTries is how many engines a wake's holder asks before it gives up.
-const wakeTries = 4
-
 // refusalRetry is told to callers refused for a limit or for lack of replicas.
 const refusalRetry = time.Second
 
@@ -143,7 +140,7 @@
 		Store: d.store, Tables: d.tables, Events: d.events, Policy: placement.DefaultPolicy(),
 	}
 	d.orders = orderer.NewManager(env, orderer.Params{Tick: s.Tick, Settle: s.Settle, Workers: s.Workers}, d.dialEngine)
-	d.waker = wake.NewWaker(wake.Params{Limit: s.LoadLimit, Tries: wakeTries, RetryAfter: refusalRetry}, env, d.orders, d.peers)
+	d.waker = wake.NewWaker(wake.DefaultParams(), env, d.orders, d.peers)
 	d.gate = admission.NewGate(admission.Params{
 		MaxRequests: s.MaxRequests, MaxPerModel: s.MaxPerModel, MaxPerCaller: s.MaxPerCaller, RetryAfter: refusalRetry,
 	})
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -50,7 +50,8 @@
 
 // Wake implements peer.Handler.
 func (h peerHandler) Wake(ctx context.Context, args *peer.WakeArgs, reply *peer.WakeReply) error {
-	engine, err := h.d.waker.Hold(ctx, args.Unit)
+	latest := time.Now().Add(time.Duration(args.LatestMS) * time.Millisecond)
+	engine, err := h.d.waker.Hold(ctx, args.Unit, latest)
 	reply.Engine = engine
 	return err
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -73,8 +73,8 @@
 type WakeArgs struct {
 	Header
 	Unit backend.Unit
-	// Replicas is how many the asking instance has use for, at least 1.
-	Replicas int
+	// LatestMS is how long from now the last request waits for it.
+	LatestMS int64
 }
 
 // WakeReply names an engine on which the unit is resident.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -39,7 +39,6 @@
 	MaxPromptBytes int           `long:"max-prompt-bytes" env:"MARTENPORT_MAX_PROMPT_BYTES" default:"1048576" description:"largest prompt or service call body"`
 	MaxTokens      int           `long:"max-tokens" env:"MARTENPORT_MAX_TOKENS" default:"8192" description:"most tokens that a request may ask for"`
 	MaxTimeout     time.Duration `long:"max-timeout" env:"MARTENPORT_MAX_TIMEOUT" default:"24h" description:"longest time that a request may allow"`
-	LoadLimit      time.Duration `long:"load-limit" env:"MARTENPORT_LOAD_LIMIT" default:"10m" description:"longest time that one load may take"`
 	KeyRetention   time.Duration `long:"key-retention" env:"MARTENPORT_KEY_RETENTION" default:"24h" description:"how long keys of non-idempotent requests are remembered"`
 	HeldAnswers    int           `long:"held-answers" env:"MARTENPORT_HELD_ANSWERS" default:"10000" description:"answers of non-idempotent requests held for repeats"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"MARTENPORT_DRAIN_LIMIT" default:"10m" description:"longest time that a graceful shutdown waits for running requests"`
@@ -113,7 +112,7 @@
 		}
 	}
 	for flag, d := range map[string]time.Duration{
-		"max-timeout": s.MaxTimeout, "load-limit": s.LoadLimit, "key-retention": s.KeyRetention,
+		"max-timeout": s.MaxTimeout, "key-retention": s.KeyRetention,
 		"drain-limit": s.DrainLimit, "tick": s.Tick,
 	} {
 		if d <= 0 {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -69,6 +69,9 @@
 	Detail  string
 	// RetryAfter is when trying again makes sense; 0 when it never does.
 	RetryAfter time.Duration
+	// Engines are those that stand in the way: for no_slot, the engines that
+	// hold the slots.
+	Engines []string
 }
 
 // Error returns reason, verdict and detail in one line.
