Calls to a silent platform fail fast

Cause: with the platform frozen each call waited 2 s and was repeated, so that a refusal that needed the platform took 13 s to reach the caller.

--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -148,6 +148,8 @@
 		last = err
 		if f := verdict.Of(err); f.Reason == verdict.ReasonNoSlot {
 			return w.useBoundSlot(ctx, c, u, f.Engines, latest)
+		} else if f.Reason == verdict.ReasonPlatform {
+			break // the other engines need the platform just as well
 		}
 	}
 	return "", last
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,7 +64,7 @@
 
 // The timing of platform calls.
 const (
-	platformCallTimeout  = 2 * time.Second
+	platformCallTimeout  = time.Second
 	platformWatchTimeout = 30 * time.Second
 	platformReadRetries  = 2
 )
