A failure domain that is cut off goes on, and rejoins

Cause: nothing proved what a cut domain does. Core (an instance without listeners) runs many times in one process over a network in memory and in virtual time, so that cuts are short to test. Before: outside the cut, a refusal said MayHaveRun, since the replica known from before the cut was tried and its silence taken for a run. After: NotRun. Replicas in domains without a living instance are a last resort, connections are given 1 s, idle ones are probed so that a cut is noticed in 5 s.

--- a/backend/http.go
+++ b/backend/http.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -55,9 +56,25 @@
 	return &HTTP{base: base, client: client, credential: credential}
 }
 
+// A backend server that a partition cut off must be noticed soon: a request
+// sent into silence comes back as MayHaveRun, one that found no connection as
+// NotRun. New connections are given dialTimeout, and idle ones are probed.
+const (
+	dialTimeout       = time.Second
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 3
+)
+
 // NewTransport returns the connection pool that all backend servers share.
 func NewTransport() *http.Transport {
-	return &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true}
+	dialer := &net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
+	}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+	}
 }
 
 type fenceRequest struct {
--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -125,6 +125,7 @@
 		}
 		domain := d.tables.Members.Self().FailureDomain
 		replicas := slices.DeleteFunc(d.replicas(index, units), func(e table.EngineView) bool { return refused[e.Engine] })
+		replicas = d.preferReachable(replicas)
 		if chosen, found := d.balancer.Choose(replicas, domain, req.Session, time.Now()); found {
 			return chosen, nil
 		}
@@ -177,6 +178,22 @@
 	return out
 }
 
+// preferReachable leaves out replicas in failure domains of which no instance
+// is known to be alive, unless there are no others: their domain may be cut
+// off, and what is known of them old.
+func (d *Dispatcher) preferReachable(replicas []table.EngineView) []table.EngineView {
+	var out []table.EngineView
+	for _, r := range replicas {
+		if len(d.tables.Members.AliveIn(r.FailureDomain)) > 0 {
+			out = append(out, r)
+		}
+	}
+	if len(out) == 0 {
+		return replicas
+	}
+	return out
+}
+
 func holdsAll(e table.EngineView, units []backend.Unit) bool {
 	for _, u := range units {
 		if !e.Resident(u) {
--- /dev/null
+++ b/daemon/fleet_test.go
@@ -0,0 +1,426 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/settings"
+	"github.com/martenport/martenport/verdict"
+)
+
+// network is loopback in memory, which virtual time can wait on. It can cut
+// failure domains off from each other and from the platform.
+type network struct {
+	bytes atomic.Int64 // written by all instances
+
+	mu        sync.Mutex
+	listeners map[string]*listener // guarded by mu; by address
+	away      map[string]bool      // guarded by mu; domains that are cut off
+	conns     []*conn              // guarded by mu
+}
+
+type listener struct {
+	address string
+	domain  string
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.UnixAddr{Name: l.address} }
+
+// conn is one direction's end of a connection. Once it has lost a write to a
+// cut it stays silent, as a real one would until its timeouts.
+type conn struct {
+	net.Conn
+	net      *network
+	from, to string
+	dead     atomic.Bool
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.dead.Load() || c.net.cut(c.from, c.to) {
+		c.dead.Store(true)
+		return len(p), nil
+	}
+	c.net.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, away: map[string]bool{}}
+}
+
+// platformDomain stands for the platform in cuts.
+const platformDomain = "platform"
+
+func (n *network) cut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return from != to && (n.away[from] || n.away[to])
+}
+
+func (n *network) setAway(domain string, away bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.away[domain] = away
+}
+
+func (n *network) listen(address, domain string) *listener {
+	l := &listener{address: address, domain: domain, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l
+}
+
+func (n *network) dial(from string) peer.Dial {
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		n.mu.Lock()
+		l, found := n.listeners[address]
+		n.mu.Unlock()
+		if !found {
+			return nil, errors.New("nobody listens there")
+		}
+		if n.cut(from, l.domain) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		here, there := net.Pipe()
+		a := &conn{Conn: here, net: n, from: from, to: l.domain}
+		b := &conn{Conn: there, net: n, from: l.domain, to: from}
+		n.mu.Lock()
+		n.conns = append(n.conns, a, b)
+		n.mu.Unlock()
+		select {
+		case l.accept <- b:
+			return a, nil
+		case <-l.closed:
+			return nil, net.ErrClosed
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (n *network) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+}
+
+// cutStore is the platform as seen from a failure domain.
+type cutStore struct {
+	platform.Store
+	net    *network
+	domain string
+}
+
+func (s cutStore) reach(ctx context.Context) error {
+	if !s.net.cut(s.domain, platformDomain) {
+		return nil
+	}
+	return platform.ErrUnavailable
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.reach(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+	if err := s.reach(ctx); err != nil {
+		return platform.Snapshot{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s cutStore) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+	if err := s.reach(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Put(ctx, key, value, version)
+}
+
+func (s cutStore) Watch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+	if err := s.reach(ctx); err != nil {
+		return platform.Snapshot{}, err
+	}
+	snap, err := s.Store.Watch(ctx, prefix, revision)
+	if reachErr := s.reach(ctx); reachErr != nil {
+		return platform.Snapshot{}, reachErr
+	}
+	return snap, err
+}
+
+// cutEngine is an engine as reached from a failure domain.
+type cutEngine struct {
+	backend.Engine
+	net      *network
+	from, to string
+}
+
+func (e cutEngine) Generate(ctx context.Context, a backend.Attempt) (backend.Stream, error) {
+	if e.net.cut(e.from, e.to) {
+		return nil, verdict.Refuse(verdict.ReasonBackend, "no route to %s", e.to)
+	}
+	return e.Engine.Generate(ctx, a)
+}
+
+// node is one instance of a test fleet.
+type node struct {
+	*Core
+	domain string
+	stop   context.CancelFunc
+	peers  *listener
+}
+
+// testFleet is instances, engines and the platform in one process, in virtual
+// time.
+type testFleet struct {
+	t        *testing.T
+	net      *network
+	platform *standin.Platform
+	engines  map[string]*standin.Engine
+	domains  []string
+	declared string
+	nodes    []*node
+	running  sync.WaitGroup
+	// startSpan spreads the starts of the instances.
+	startSpan time.Duration
+}
+
+// fleetShape is the size of a test fleet.
+type fleetShape struct {
+	domains, nodesPerDomain, enginesPerDomain int
+	// models is the YAML list of models.
+	models string
+	// tailWeight of the declaration.
+	tailWeight float64
+}
+
+// newTestFleet starts a fleet and waits until its engines have orderers.
+func newTestFleet(t *testing.T, shape fleetShape) *testFleet {
+	f := &testFleet{t: t, net: newNetwork(), platform: standin.NewPlatform(), engines: map[string]*standin.Engine{}}
+	weights := standin.NewWeightStore(3, 4)
+	var engines strings.Builder
+	for d := range shape.domains {
+		domain := fmt.Sprintf("d%d", d)
+		f.domains = append(f.domains, domain)
+		for i := range shape.enginesPerDomain {
+			name := fmt.Sprintf("%s-e%d", domain, i)
+			f.engines[name] = standin.NewEngine(standin.EngineParams{
+				Name: name, MemoryBytes: 80 << 30, Fencing: true, StepTime: 5 * time.Millisecond, MaxBatch: 32,
+				Speeds: standin.DefaultSpeeds(), Weights: weights,
+			})
+			fmt.Fprintf(&engines, "  - {name: %s, failureDomain: %s, address: \"%s:1\", memory: 80GiB, fencing: true}\n", name, domain, name)
+		}
+	}
+	f.declared = fmt.Sprintf("failureDomains: [%s]\ntailWeight: %v\nweightStore: {startsPerSecond: 3, streams: 4}\nengines:\n%s",
+		strings.Join(f.domains, ", "), shape.tailWeight, engines.String())
+	for i := range shape.nodesPerDomain {
+		for _, domain := range f.domains {
+			f.start(fmt.Sprintf("%s-i%d", domain, i), domain)
+		}
+	}
+	f.accept(f.nodes[0], shape.models)
+	f.awaitOrderers()
+	return f
+}
+
+// start runs one more instance.
+func (f *testFleet) start(name, domain string) *node {
+	s := settings.Settings{
+		Name: name, FailureDomain: domain, PlatformRate: 50, MaxRequests: 2000, MaxPerModel: 2000, MaxPerCaller: 2000,
+		MaxPromptBytes: 1 << 20, MaxTokens: 8192, MaxTimeout: 24 * time.Hour, KeyRetention: 24 * time.Hour, HeldAnswers: 1000,
+		DrainLimit: time.Minute, Events: 2000, Tick: time.Second, Settle: 2 * time.Second, Workers: 4,
+	}
+	if len(f.nodes) > 0 {
+		s.Peers = []string{f.nodes[0].PeerAddress()}
+	}
+	address := name + ":1"
+	ports := Ports{
+		Store: cutStore{f.platform, f.net, domain}, Peer: f.net.dial(domain),
+		Engine: func(e declaration.Engine) backend.Engine {
+			return cutEngine{f.engines[e.Name], f.net, domain, e.FailureDomain}
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{Core: NewCore(s, ports, address, nil), domain: domain, stop: stop, peers: f.net.listen(address, domain)}
+	f.nodes = append(f.nodes, n)
+	f.running.Go(func() { n.Run(ctx) })
+	f.running.Go(func() { n.ServePeers(n.peers) })
+	return n
+}
+
+// PeerAddress is where other instances reach the node.
+func (n *node) PeerAddress() string { return n.tables.Members.Self().PeerAddress }
+
+// kill ends an instance at once.
+func (f *testFleet) kill(n *node) {
+	n.stop()
+	_ = n.peers.Close()
+	f.net.mu.Lock()
+	delete(f.net.listeners, n.peers.address)
+	f.net.mu.Unlock()
+	n.Core.peers.Close()
+}
+
+func (f *testFleet) close() {
+	for _, n := range f.nodes {
+		f.kill(n)
+	}
+	f.net.close()
+	f.running.Wait()
+	for _, e := range f.engines {
+		e.Restart()
+	}
+	time.Sleep(time.Minute) // for calls under way to end
+}
+
+// accept plans and confirms the fleet's declaration with these models.
+func (f *testFleet) accept(n *node, models string) {
+	f.t.Helper()
+	if err := f.tryAccept(n, models); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *testFleet) tryAccept(n *node, models string) error {
+	source := []byte(f.declared + "models:\n" + models)
+	plan, err := n.intents.Plan(f.t.Context(), source)
+	if err != nil {
+		return err
+	}
+	accepted, err := n.intents.Confirm(f.t.Context(), plan.ID, plan.BaseGeneration, source)
+	if err == nil {
+		peer.Apply(n.tables, n.events, accepted, "operator")
+	}
+	return err
+}
+
+// awaitUntil waits in virtual time until the condition holds.
+func (f *testFleet) awaitUntil(what string, limit time.Duration, condition func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			f.t.Fatalf("not reached within %v: %s", limit, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+func (f *testFleet) awaitOrderers() {
+	f.t.Helper()
+	f.awaitUntil("every instance knows every engine's orderer", 2*time.Minute, func() bool {
+		for _, n := range f.nodes {
+			known := 0
+			for _, e := range n.tables.Engines.All() {
+				if e.Orderer != "" {
+					known++
+				}
+			}
+			if known < len(f.engines) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// generate sends a request to a node as a caller would.
+func (n *node) generate(model, prompt string, timeout time.Duration) (*martenportv1.GenerateResponse, error) {
+	return n.generateAs(&martenportv1.GenerateRequest{
+		Model: model, Prompt: prompt, MaxTokens: 4, TimeoutMs: timeout.Milliseconds(), Idempotent: true,
+	})
+}
+
+func (n *node) generateAs(req *martenportv1.GenerateRequest) (*martenportv1.GenerateResponse, error) {
+	return n.Generate(context.Background(), req)
+}
+
+func (f *testFleet) loads() int {
+	n := 0
+	for _, e := range f.engines {
+		n += e.Tally().Loads
+	}
+	return n
+}
+
+func (f *testFleet) replicas(model string) int {
+	n := 0
+	for _, e := range f.engines {
+		if e.Holds(model) {
+			n++
+		}
+	}
+	return n
+}
+
+// checkCounts fails the test unless every accepted request has one end.
+func (f *testFleet) checkCounts() {
+	f.t.Helper()
+	for _, n := range f.nodes {
+		if c := n.gate.Counts(); c.Accepted != c.Sum() || c.Running != 0 {
+			f.t.Errorf("%s: %+v", n.settings.Name, c)
+		}
+	}
+}
+
+// trace returns the newest events of a model over all nodes.
+func (f *testFleet) trace(filter event.Filter) string {
+	var b strings.Builder
+	for _, n := range f.nodes {
+		for _, e := range n.events.Select(filter) {
+			fmt.Fprintf(&b, "%s %s %s engine=%s model=%s %s\n", time.Unix(0, e.Stamp.Wall).Format("04:05.000"), e.Process, e.Kind, e.Engine, e.Model, e.Detail)
+		}
+	}
+	return b.String()
+}
+
+// bubble runs f in virtual time from a benchmark.
+func bubble(b *testing.B, f func(t *testing.T)) {
+	b.Helper()
+	ok := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
+		Name: b.Name(), F: func(t *testing.T) { synctest.Test(t, f) },
+	}})
+	if !ok {
+		b.Fatal("failed in virtual time")
+	}
+}
--- /dev/null
+++ b/daemon/jobs.go
@@ -0,0 +1,180 @@
+package daemon
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/command/dispatch"
+	"github.com/martenport/martenport/command/runonce"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/verdict"
+)
+
+// The limits of request fields that are not settings.
+const (
+	maxNameBytes  = 256
+	maxPriority   = 9
+	frameOverhead = 4096
+)
+
+// defaultTokens is taken where a request does not say how many tokens it wants.
+const defaultTokens = 256
+
+// job is one accepted request on its way.
+type job struct {
+	id, model, caller string
+	key, content      string // for requests that run at most once
+	deadline          time.Duration
+	modelLimit        int
+}
+
+// generateJob checks a request and works out how it is run.
+func (c *Core) generateJob(req *martenportv1.GenerateRequest) (job, error) {
+	s := c.settings
+	if err := checkNames(req.Model, req.Adapter, req.Key, req.Session, req.Caller); err != nil {
+		return job{}, err
+	}
+	switch {
+	case req.Model == "":
+		return job{}, verdict.Refuse(verdict.ReasonInvalid, "model is missing")
+	case len(req.Prompt) > s.MaxPromptBytes:
+		return job{}, verdict.Refuse(verdict.ReasonInvalid, "prompt has %d bytes, more than %d", len(req.Prompt), s.MaxPromptBytes)
+	case req.MaxTokens < 0 || int(req.MaxTokens) > s.MaxTokens:
+		return job{}, verdict.Refuse(verdict.ReasonInvalid, "max_tokens %d is not from 0 to %d", req.MaxTokens, s.MaxTokens)
+	case req.Priority < 0 || req.Priority > maxPriority:
+		return job{}, verdict.Refuse(verdict.ReasonInvalid, "priority %d is not from 0 to %d", req.Priority, maxPriority)
+	}
+	model, found := c.tables.Config.Index().Models[req.Model]
+	if !found {
+		return job{}, verdict.Refuse(verdict.ReasonUnknownModel, "model %q is not declared", req.Model)
+	}
+	deadline, err := c.deadline(req.TimeoutMs, model.Deadline)
+	if err != nil {
+		return job{}, err
+	}
+	if req.MaxTokens == 0 {
+		req.MaxTokens = defaultTokens
+	}
+	j := job{id: uuid.NewString(), model: req.Model, caller: req.Caller, deadline: deadline, modelLimit: model.QueueLimit}
+	if !req.Idempotent && req.Key != "" {
+		j.key = runonce.Key(req.Caller, req.Key)
+		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Model, req.Adapter, req.Prompt}, "\x00")))
+	}
+	return j, nil
+}
+
+func (c *Core) callJob(req *martenportv1.CallRequest) (job, error) {
+	if err := checkNames(req.Service, req.Method, req.Key, req.Caller); err != nil {
+		return job{}, err
+	}
+	if len(req.Body) > c.settings.MaxPromptBytes {
+		return job{}, verdict.Refuse(verdict.ReasonInvalid, "body has %d bytes, more than %d", len(req.Body), c.settings.MaxPromptBytes)
+	}
+	service, method, err := dispatch.FindMethod(c.tables.Config.Index(), req.Service, req.Method)
+	if err != nil {
+		return job{}, err
+	}
+	deadline, err := c.deadline(req.TimeoutMs, service.Deadline)
+	if err != nil {
+		return job{}, err
+	}
+	j := job{id: uuid.NewString(), model: req.Service, caller: req.Caller, deadline: deadline}
+	if !method.Idempotent && req.Key != "" {
+		j.key = runonce.Key(req.Caller, req.Key)
+		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Service, req.Method, string(req.Body)}, "\x00")))
+	}
+	return j, nil
+}
+
+func checkNames(names ...string) error {
+	for _, n := range names {
+		if len(n) > maxNameBytes {
+			return verdict.Refuse(verdict.ReasonInvalid, "a name, key or session has %d bytes, more than %d", len(n), maxNameBytes)
+		}
+	}
+	return nil
+}
+
+// deadline returns the time that the request allows, or the declared one.
+func (c *Core) deadline(timeoutMS int64, declared time.Duration) (time.Duration, error) {
+	if timeoutMS < 0 || timeoutMS > c.settings.MaxTimeout.Milliseconds() {
+		return 0, verdict.Refuse(verdict.ReasonInvalid, "timeout_ms %d is not from 0 to %d", timeoutMS, c.settings.MaxTimeout.Milliseconds())
+	}
+	if timeoutMS == 0 {
+		return declared, nil
+	}
+	return time.Duration(timeoutMS) * time.Millisecond, nil
+}
+
+func dispatchRequest(id string, req *martenportv1.GenerateRequest) dispatch.Request {
+	return dispatch.Request{
+		ID: id, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
+		MaxTokens: int(req.MaxTokens), Priority: int(req.Priority), Session: req.Session, Idempotent: req.Idempotent,
+	}
+}
+
+// refuse counts and records a request that was refused before its way began,
+// and returns err.
+func (c *Core) refuse(model string, err error) error {
+	c.gate.Reject()
+	c.events.Record(event.Event{Kind: event.KindRefuse, Model: limitName(model), Detail: err.Error()})
+	return err
+}
+
+func limitName(name string) string {
+	return name[:min(len(name), maxNameBytes)]
+}
+
+// run takes a job through admission, the account of keys, and work, and
+// records how it ended.
+func (c *Core) run(ctx context.Context, j job, work func(context.Context) ([]byte, error)) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, j.deadline)
+	defer cancel()
+	start := time.Now()
+	ticket, err := c.gate.Enter(j.model, j.caller, j.modelLimit)
+	if err != nil {
+		c.end(j, start, err)
+		return nil, err
+	}
+	ctx, ended := c.running.start(ctx, j.id, j.key)
+	defer ended()
+	c.events.Record(event.Event{Kind: event.KindAccept, Request: j.id, Model: j.model})
+	answer, err := c.once(ctx, j, work)
+	ticket.Leave(err)
+	c.end(j, start, err)
+	return answer, err
+}
+
+// once runs work, at most once for the job's key if it has one.
+func (c *Core) once(ctx context.Context, j job, work func(context.Context) ([]byte, error)) ([]byte, error) {
+	if j.key == "" {
+		return work(ctx)
+	}
+	run, answer, err := c.runs.Begin(ctx, j.key, j.content)
+	if run == nil {
+		return answer, err
+	}
+	answer, err = work(ctx)
+	run.Finish(ctx, answer, err)
+	return answer, err
+}
+
+func (c *Core) end(j job, start time.Time, err error) {
+	e := event.Event{Kind: event.KindAnswer, Request: j.id, Model: j.model}
+	if err != nil {
+		f := verdict.Of(err)
+		e.Kind, e.Detail = event.KindFail, f.Error()
+		if f.Verdict == verdict.NotRun {
+			e.Kind = event.KindRefuse
+		}
+		if f.Reason == verdict.ReasonCancelled {
+			e.Kind = event.KindCancel
+		}
+	}
+	c.events.Record(e)
+	c.metrics.requestSeconds.UpdateDuration(start)
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/martenport/martenport/command/admission"
+	"github.com/martenport/martenport/platform"
 )
 
 // instruments are the metrics of one instance; docs/OPERATING.md lists them.
@@ -14,7 +16,7 @@
 	requestSeconds *metrics.Histogram
 }
 
-func newInstruments(d *Daemon) *instruments {
+func newInstruments(c *Core) *instruments {
 	set := metrics.NewSet()
 	m := &instruments{set: set, requestSeconds: set.NewHistogram("martenport_request_seconds")}
 	for end, read := range map[string]func(admission.Counts) int64{
@@ -25,19 +27,23 @@
 		"cancelled": func(c admission.Counts) int64 { return c.Cancelled },
 		"running":   func(c admission.Counts) int64 { return c.Running },
 	} {
-		set.NewGauge(`martenport_requests{state="`+end+`"}`, func() float64 { return float64(read(d.gate.Counts())) })
+		set.NewGauge(`martenport_requests{state="`+end+`"}`, func() float64 { return float64(read(c.gate.Counts())) })
 	}
-	calls := d.platform.Calls()
-	set.NewGauge(`martenport_platform_calls{kind="read"}`, func() float64 { return float64(calls.Reads.Load()) })
-	set.NewGauge(`martenport_platform_calls{kind="write"}`, func() float64 { return float64(calls.Writes.Load()) })
-	set.NewGauge(`martenport_platform_calls{kind="watch"}`, func() float64 { return float64(calls.Watches.Load()) })
-	set.NewGauge(`martenport_platform_calls{kind="failed"}`, func() float64 { return float64(calls.Failures.Load()) })
-	set.NewGauge("martenport_generation", func() float64 { return float64(d.tables.Config.Index().Generation) })
-	set.NewGauge("martenport_instances_alive", func() float64 { return float64(len(d.tables.Members.Alive())) })
-	set.NewGauge("martenport_engines_ordered", func() float64 { return float64(len(d.orders.Ordered())) })
+	set.NewGauge("martenport_generation", func() float64 { return float64(c.tables.Config.Index().Generation) })
+	set.NewGauge("martenport_instances_alive", func() float64 { return float64(len(c.tables.Members.Alive())) })
+	set.NewGauge("martenport_engines_ordered", func() float64 { return float64(len(c.orders.Ordered())) })
 	return m
 }
 
+// addPlatform adds the counts of calls to the platform.
+func (m *instruments) addPlatform(calls *platform.Calls) {
+	for kind, count := range map[string]*atomic.Int64{
+		"read": &calls.Reads, "write": &calls.Writes, "watch": &calls.Watches, "failed": &calls.Failures,
+	} {
+		m.set.NewGauge(`martenport_platform_calls{kind="`+kind+`"}`, func() float64 { return float64(count.Load()) })
+	}
+}
+
 func (m *instruments) serve(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
 	metrics.WriteProcessMetrics(w)
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -10,11 +10,11 @@
 )
 
 // peerHandler answers other instances.
-type peerHandler struct{ d *Daemon }
+type peerHandler struct{ c *Core }
 
 // Exchange implements peer.Handler.
 func (h peerHandler) Exchange(ctx context.Context, args *peer.ExchangeArgs, reply *peer.ExchangeReply) error {
-	tables := h.d.tables
+	tables := h.c.tables
 	tables.Members.Merge(args.Introduce)
 	self := tables.Members.Self()
 	since := args.Since
@@ -44,49 +44,49 @@
 
 // Config implements peer.Handler.
 func (h peerHandler) Config(_ context.Context, _ *peer.ConfigArgs, reply *peer.ConfigReply) error {
-	reply.Accepted = h.d.tables.Config.Accepted()
+	reply.Accepted = h.c.tables.Config.Accepted()
 	return nil
 }
 
 // Wake implements peer.Handler.
 func (h peerHandler) Wake(ctx context.Context, args *peer.WakeArgs, reply *peer.WakeReply) error {
 	latest := time.Now().Add(time.Duration(args.LatestMS) * time.Millisecond)
-	engine, err := h.d.waker.Hold(ctx, args.Unit, latest)
+	engine, err := h.c.waker.Hold(ctx, args.Unit, latest)
 	reply.Engine = engine
 	return err
 }
 
 // Load implements peer.Handler.
 func (h peerHandler) Load(ctx context.Context, args *peer.OrderArgs, _ *peer.OrderReply) error {
-	return h.d.waker.Load(ctx, args.Engine, args.Unit)
+	return h.c.waker.Load(ctx, args.Engine, args.Unit)
 }
 
 // Yield implements peer.Handler.
 func (h peerHandler) Yield(ctx context.Context, args *peer.OrderArgs, _ *peer.OrderReply) error {
-	return h.d.waker.Yield(ctx, args.Engine, args.Unit)
+	return h.c.waker.Yield(ctx, args.Engine, args.Unit)
 }
 
 // Events implements peer.Handler.
 func (h peerHandler) Events(_ context.Context, args *peer.EventsArgs, reply *peer.EventsReply) error {
-	reply.Events = h.d.events.Select(args.Filter)
+	reply.Events = h.c.events.Select(args.Filter)
 	return nil
 }
 
 // Run implements peer.Handler.
 func (h peerHandler) Run(ctx context.Context, args *peer.RunArgs, reply *peer.RunReply) error {
-	answer, err := h.d.runs.Answer(ctx, args.Key)
+	answer, err := h.c.runs.Answer(ctx, args.Key)
 	reply.Answer = answer
 	return err
 }
 
 // answerPeers implements runonce.Peers.
-type answerPeers struct{ d *Daemon }
+type answerPeers struct{ c *Core }
 
 // Answer implements runonce.Peers.
 func (a answerPeers) Answer(ctx context.Context, instance, key string) ([]byte, error) {
-	member, found := a.d.tables.Members.Get(instance)
+	member, found := a.c.tables.Members.Get(instance)
 	if !found || member.State == table.Dead {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonKeyTaken, "instance %s does not answer", instance)
 	}
-	return a.d.peers.Run(ctx, member.PeerAddress, key)
+	return a.c.peers.Run(ctx, member.PeerAddress, key)
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -66,25 +66,25 @@
 
 // watch registers the instance, learns the declaration and the instances, and
 // watches for changes while this instance is one of its domain's watchers.
-func (d *Daemon) watch(ctx context.Context) {
-	d.register(ctx)
+func (c *Core) watch(ctx context.Context) {
+	c.register(ctx)
 	var watches sync.WaitGroup
 	for prefix, apply := range map[string]func(platform.Object){
-		platform.KeyConfig:       d.applyConfig,
-		platform.PrefixInstances: d.applyInstance,
-		platform.PrefixBackends:  d.applyBackend,
+		platform.KeyConfig:       c.applyConfig,
+		platform.PrefixInstances: c.applyInstance,
+		platform.PrefixBackends:  c.applyBackend,
 	} {
-		watches.Go(func() { d.watchPrefix(ctx, prefix, apply) })
+		watches.Go(func() { c.watchPrefix(ctx, prefix, apply) })
 	}
 	watches.Wait()
 }
 
 // watchPrefix reads everything once, then watches as long as it is this
 // instance's turn. A gap in the watch is closed by reading anew.
-func (d *Daemon) watchPrefix(ctx context.Context, prefix string, apply func(platform.Object)) {
+func (c *Core) watchPrefix(ctx context.Context, prefix string, apply func(platform.Object)) {
 	revision := int64(-1)
 	for ctx.Err() == nil {
-		snap, err := d.readOrWatch(ctx, prefix, revision)
+		snap, err := c.readOrWatch(ctx, prefix, revision)
 		if err != nil {
 			revision = -1
 			pauseFor(ctx, watchPause)
@@ -94,23 +94,23 @@
 			apply(obj)
 		}
 		revision = snap.Revision
-		for !d.watches() && pauseFor(ctx, watchPause) {
+		for !c.watches() && pauseFor(ctx, watchPause) {
 			revision = -1
 		}
 	}
 }
 
-func (d *Daemon) readOrWatch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+func (c *Core) readOrWatch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
 	if revision < 0 {
-		return d.platform.List(ctx, prefix)
+		return c.store.List(ctx, prefix)
 	}
-	return d.platform.Watch(ctx, prefix, revision)
+	return c.store.Watch(ctx, prefix, revision)
 }
 
 // watches reports whether this instance is one of its domain's watchers.
-func (d *Daemon) watches() bool {
-	self := d.tables.Members.Self()
-	names := table.Names(d.tables.Members.AliveIn(self.FailureDomain))
+func (c *Core) watches() bool {
+	self := c.tables.Members.Self()
+	names := table.Names(c.tables.Members.AliveIn(self.FailureDomain))
 	for range watchersPerDomain {
 		chosen := rendezvous.Choose("watch", names)
 		if chosen == self.Name {
@@ -121,27 +121,27 @@
 	return false
 }
 
-func (d *Daemon) applyConfig(obj platform.Object) {
+func (c *Core) applyConfig(obj platform.Object) {
 	if obj.Deleted {
 		return // an accepted declaration never reverts
 	}
 	accepted, err := intent.Decode(obj.Value)
 	if err != nil {
-		d.events.Record(event.Event{Kind: event.KindGeneration, Detail: "unreadable: " + err.Error()})
+		c.events.Record(event.Event{Kind: event.KindGeneration, Detail: "unreadable: " + err.Error()})
 		return
 	}
-	peer.Apply(d.tables, d.events, accepted, "platform")
+	peer.Apply(c.tables, c.events, accepted, "platform")
 }
 
-func (d *Daemon) applyInstance(obj platform.Object) {
+func (c *Core) applyInstance(obj platform.Object) {
 	var m table.Member
 	if obj.Deleted || json.Unmarshal(obj.Value, &m) != nil {
 		return
 	}
-	if known, found := d.tables.Members.Get(m.Name); found && known.Incarnation >= m.Incarnation {
+	if known, found := c.tables.Members.Get(m.Name); found && known.Incarnation >= m.Incarnation {
 		return // what instances say of each other is newer than the list
 	}
-	d.tables.Members.Merge([]table.Member{m})
+	c.tables.Members.Merge([]table.Member{m})
 }
 
 // backendStatus is the platform's own word on a backend server.
@@ -149,25 +149,25 @@
 	Leaving bool `json:"leaving"`
 }
 
-func (d *Daemon) applyBackend(obj platform.Object) {
+func (c *Core) applyBackend(obj platform.Object) {
 	var status backendStatus
 	name := strings.TrimPrefix(obj.Key, platform.PrefixBackends)
 	if obj.Deleted || json.Unmarshal(obj.Value, &status) != nil || !status.Leaving {
 		return
 	}
-	if d.tables.Engines.MarkLeaving(name) {
-		d.events.Record(event.Event{Kind: event.KindLeaving, Engine: name, Detail: "word of the platform"})
+	if c.tables.Engines.MarkLeaving(name) {
+		c.events.Record(event.Event{Kind: event.KindLeaving, Engine: name, Detail: "word of the platform"})
 	}
 }
 
-func (d *Daemon) instanceKey() string { return platform.PrefixInstances + d.settings.Name }
+func (c *Core) instanceKey() string { return platform.PrefixInstances + c.settings.Name }
 
 // register writes this instance's entry, over that of an earlier start.
-func (d *Daemon) register(ctx context.Context) {
-	for ctx.Err() == nil && !d.gate.Draining() {
-		_, version, err := platform.Read[table.Member](ctx, d.store, d.instanceKey())
+func (c *Core) register(ctx context.Context) {
+	for ctx.Err() == nil && !c.gate.Draining() {
+		_, version, err := platform.Read[table.Member](ctx, c.store, c.instanceKey())
 		if err == nil {
-			_, err = platform.WriteJSON(ctx, d.store, d.instanceKey(), d.tables.Members.Self(), version)
+			_, err = platform.WriteJSON(ctx, c.store, c.instanceKey(), c.tables.Members.Self(), version)
 		}
 		if err == nil {
 			return
@@ -178,9 +178,9 @@
 
 // unregister removes the entry. If the platform is away the entry stays and is
 // overruled by what instances say of each other.
-func (d *Daemon) unregister(ctx context.Context) {
-	if obj, err := d.store.Get(ctx, d.instanceKey()); err == nil {
-		_ = d.store.Delete(ctx, obj.Key, obj.Version)
+func (c *Core) unregister(ctx context.Context) {
+	if obj, err := c.store.Get(ctx, c.instanceKey()); err == nil {
+		_ = c.store.Delete(ctx, obj.Key, obj.Version)
 	}
 }
 
@@ -188,10 +188,10 @@
 const sweepInterval = time.Minute
 
 // sweepRuns removes old keys while this instance is the one chosen for it.
-func (d *Daemon) sweepRuns(ctx context.Context) {
+func (c *Core) sweepRuns(ctx context.Context) {
 	for pauseFor(ctx, sweepInterval) {
-		if rendezvous.Choose("sweep", table.Names(d.tables.Members.Alive())) == d.settings.Name {
-			_, _ = d.runs.Sweep(ctx, time.Now())
+		if rendezvous.Choose("sweep", table.Names(c.tables.Members.Alive())) == c.settings.Name {
+			_, _ = c.runs.Sweep(ctx, time.Now())
 		}
 	}
 }
