--- /dev/null
+++ b/daemon/cpu_test.go
@@ -0,0 +1,17 @@
+package daemon
+
+import (
+	"syscall"
+	"testing"
+	"time"
+)
+
+// processorTime returns what this process has used so far.
+func processorTime(t *testing.T) time.Duration {
+	t.Helper()
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -65,6 +65,7 @@
 	net.Conn
 	net      *network
 	from, to string
+	address  string // of the instance that was dialled
 	dead     atomic.Bool
 }
 
@@ -117,8 +118,8 @@
 			return nil, ctx.Err()
 		}
 		here, there := net.Pipe()
-		a := &conn{Conn: here, net: n, from: from, to: l.domain}
-		b := &conn{Conn: there, net: n, from: l.domain, to: from}
+		a := &conn{Conn: here, net: n, from: from, to: l.domain, address: address}
+		b := &conn{Conn: there, net: n, from: l.domain, to: from, address: address}
 		n.mu.Lock()
 		n.conns = append(n.conns, a, b)
 		n.mu.Unlock()
@@ -294,10 +295,15 @@
 func (f *testFleet) kill(n *node) {
 	n.stop()
 	_ = n.peers.Close()
+	n.Core.peers.Close()
 	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
 	delete(f.net.listeners, n.peers.address)
-	f.net.mu.Unlock()
-	n.Core.peers.Close()
+	for _, c := range f.net.conns {
+		if c.address == n.peers.address {
+			_ = c.Close()
+		}
+	}
 }
 
 func (f *testFleet) close() {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,9 @@
 // the lag of the load figures in it.
 const reportWait = 500 * time.Millisecond
 
+// noiseQueue is the longest queue reported under SetLoadNoise.
+const noiseQueue = 8
+
 // keptOrders is how many order ids an engine remembers.
 const keptOrders = 64
 
@@ -57,6 +61,7 @@
 	stopLoads   context.CancelFunc      // guarded by mu
 	loadCtx     context.Context         // guarded by mu
 	waiting     int                     // guarded by mu
+	noise       bool                    // guarded by mu; report a load that changes
 	slowdown    float64                 // guarded by mu
 }
 
@@ -123,6 +128,13 @@
 	e.slowdown = factor
 }
 
+// SetLoadNoise makes each report show another queue, as a busy engine's would.
+func (e *Engine) SetLoadNoise(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noise = on
+}
+
 // OnLoad calls f, outside locks, with each load order before it is looked at.
 func (e *Engine) OnLoad(f func(o backend.Order)) {
 	e.mu.Lock()
@@ -352,6 +364,9 @@
 		Queue: e.waiting, Running: len(e.batch),
 		Orders: slices.Clone(e.orders), Tiers: maps.Clone(e.tiers),
 	}
+	if e.noise {
+		r.Queue = rand.IntN(noiseQueue)
+	}
 	for _, u := range e.units {
 		r.Units = append(r.Units, u.UnitReport)
 	}
