--- /dev/null
+++ b/command/intent/intent_test.go
@@ -0,0 +1,178 @@
+package intent
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+func source(maxReplicas int) []byte {
+	return fmt.Appendf(nil, `failureDomains: [a]
+weightStore: {startsPerSecond: 3, streams: 4}
+engines:
+  - {name: e1, failureDomain: a, address: "e1:1", memory: 80GiB, fencing: true}
+models:
+  - {name: m, version: "1", memory: 14GiB, maxReplicas: %d, deadline: 30s}
+`, maxReplicas)
+}
+
+func newIntents(s platform.Store) *Intents {
+	return New(s, table.New(table.Member{Name: "i", FailureDomain: "a"}))
+}
+
+func TestPlanThenConfirm(t *testing.T) {
+	i := newIntents(standin.NewPlatform())
+	plan, err := i.Plan(t.Context(), source(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(plan.Changes) == 0 || plan.BaseGeneration != 0 {
+		t.Errorf("plan %+v", plan)
+	}
+	accepted, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, source(1))
+	if err != nil || accepted.Generation != 1 {
+		t.Fatalf("generation %d: %v", accepted.Generation, err)
+	}
+	again, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, source(1))
+	if err != nil || again.Generation != 1 {
+		t.Errorf("repeated confirm: generation %d: %v", again.Generation, err)
+	}
+	if _, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, source(2)); verdict.Of(err).Reason != verdict.ReasonInvalid {
+		t.Errorf("confirm of another declaration under the plan's id: %v", err)
+	}
+}
+
+func TestStalePlanShowsDifference(t *testing.T) {
+	i := newIntents(standin.NewPlatform())
+	mine, _ := i.Plan(t.Context(), source(1))
+	theirs, _ := i.Plan(t.Context(), source(3))
+	if _, err := i.Confirm(t.Context(), theirs.ID, theirs.BaseGeneration, source(3)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := i.Confirm(t.Context(), mine.ID, mine.BaseGeneration, source(1))
+	f := verdict.Of(err)
+	if f.Reason != verdict.ReasonStalePlan || !strings.Contains(f.Detail, "maxReplicas 3 to 1") {
+		t.Errorf("%v, want stale_plan with the difference", err)
+	}
+}
+
+// TestRacingOperators: many operators confirm while the platform loses
+// answers. The history is that of one register with compare-and-set: a
+// generation is accepted once, and nothing that was accepted is undone.
+func TestRacingOperators(t *testing.T) {
+	type confirm struct{ base int64 }
+	type result struct {
+		generation int64
+		unknown    bool
+	}
+	register := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{int64(0)} },
+		Step: func(state, input, output any) []any {
+			now, base, r := state.(int64), input.(confirm).base, output.(result)
+			switch {
+			case r.unknown && now == base:
+				return []any{now, base + 1}
+			case r.unknown || (r.generation == 0 && now != base):
+				return []any{now}
+			case r.generation == base+1 && now == base:
+				return []any{base + 1}
+			default:
+				return nil
+			}
+		},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform()
+		p.SetDelay(5 * time.Millisecond)
+		rng := rand.New(rand.NewPCG(1, 3))
+		var (
+			mu      sync.Mutex
+			history []porcupine.Operation
+			all     sync.WaitGroup
+		)
+		for client := range 5 {
+			all.Go(func() {
+				i := newIntents(p)
+				for n := range 12 {
+					text := source(client*100 + n)
+					plan, err := i.Plan(context.Background(), text)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					mu.Lock()
+					pause, lose := rng.IntN(40), rng.IntN(4) == 0
+					mu.Unlock()
+					time.Sleep(time.Duration(pause) * time.Millisecond)
+					if lose {
+						p.LoseAnswers(1)
+					}
+					call := time.Now().UnixNano()
+					accepted, err := i.Confirm(context.Background(), plan.ID, plan.BaseGeneration, text)
+					r := result{unknown: err != nil && verdict.Of(err).Verdict != verdict.NotRun}
+					if err == nil {
+						r.generation = accepted.Generation
+					}
+					mu.Lock()
+					history = append(history, porcupine.Operation{ClientId: client, Input: confirm{plan.BaseGeneration}, Call: call, Output: r, Return: time.Now().UnixNano()})
+					mu.Unlock()
+				}
+			})
+		}
+		all.Wait()
+		if !porcupine.CheckOperations(register.ToModel(), history) {
+			t.Error("the confirms are not those of one register")
+		}
+		current, _, err := newIntents(p).newest(t.Context())
+		if err != nil || current.Generation < 2 {
+			t.Errorf("generation %d: %v", current.Generation, err)
+		}
+	})
+}
+
+// TestSizeInTwoYears: the declaration at the two-year size fits into one value
+// of the platform.
+func TestSizeInTwoYears(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("failureDomains: [a, b, c, d]\nweightStore: {startsPerSecond: 30, streams: 40}\nengines:\n")
+	for n := range 600 {
+		fmt.Fprintf(&b, "  - {name: domain-engine-%03d, failureDomain: %c, address: \"10.120.130.%d:9000\", memory: 320GiB, fencing: true}\n", n, 'a'+n%4, n%250)
+	}
+	b.WriteString("models:\n")
+	for n := range 790 {
+		fmt.Fprintf(&b, "  - {name: customer-model-%04d, version: \"2026-11-%02d\", memory: 14GiB, maxReplicas: 3, deadline: 30s}\n", n, n%28)
+	}
+	b.WriteString("adapters:\n")
+	for n := range 1600 {
+		fmt.Fprintf(&b, "  - {name: customer-adapter-%04d, model: customer-model-%04d, version: \"2026-11-%02d\", memory: 256MiB}\n", n, n%790, n%28)
+	}
+	i := newIntents(standin.NewPlatform())
+	plan, err := i.Plan(t.Context(), []byte(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, []byte(b.String()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, err := Encode(accepted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("source %d bytes, value %d bytes", b.Len(), len(value))
+	if len(value) > 1<<20 {
+		t.Errorf("value has %d bytes", len(value))
+	}
+}
--- a/declaration/parse.go
+++ b/declaration/parse.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"fmt"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
-	"github.com/goccy/go-yaml"
-	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/parser"
+	"go.yaml.in/yaml/v3"
 )
 
 // Fault is one mistake in a declaration.
@@ -42,9 +42,10 @@
 // error is *Faults when the content is at fault.
 func Parse(file string, source []byte) (*Declaration, error) {
 	d := &Declaration{}
-	decoder := yaml.NewDecoder(bytes.NewReader(source), yaml.Strict())
+	decoder := yaml.NewDecoder(bytes.NewReader(source))
+	decoder.KnownFields(true)
 	if err := decoder.Decode(d); err != nil {
-		return nil, syntaxFault(file, err)
+		return nil, &Faults{File: file, List: syntaxFaults(err)}
 	}
 	if err := decoder.Decode(&Declaration{}); !errors.Is(err, io.EOF) {
 		return nil, &Faults{File: file, List: []Fault{{Path: "$", Message: "more than one document", Mend: "keep one document a file"}}}
@@ -57,47 +58,71 @@
 	return nil, &Faults{File: file, List: faults}
 }
 
-func syntaxFault(file string, err error) *Faults {
-	fault := Fault{Path: "$", Message: err.Error(), Mend: "see docs/OPERATING.md for the fields"}
+// linePattern finds the line in the parser's messages.
+var linePattern = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
+
+// syntaxMend is all that can be advised about a file that cannot be read.
+const syntaxMend = "correct it, docs/OPERATING.md lists the fields"
+
+func syntaxFaults(err error) []Fault {
 	if errors.Is(err, io.EOF) {
-		fault.Message = "empty file"
+		return []Fault{{Path: "$", Line: 1, Message: "empty file", Mend: "declare at least failureDomains, weightStore and engines"}}
 	}
-	var typed yaml.Error
+	messages := []string{err.Error()}
+	var typed *yaml.TypeError
 	if errors.As(err, &typed) {
-		fault.Message = typed.GetMessage()
-		fault.Line = typed.GetToken().Position.Line
-		fault.Path = typed.GetToken().Value
+		messages = typed.Errors
+	}
+	var out []Fault
+	for _, m := range messages {
+		fault := Fault{Path: "$", Message: m, Mend: syntaxMend}
+		if found := linePattern.FindStringSubmatch(m); found != nil {
+			fault.Line, _ = strconv.Atoi(found[1])
+			fault.Message = strings.ReplaceAll(found[2], "type declaration.", "")
+		}
+		out = append(out, fault)
 	}
-	return &Faults{File: file, List: []Fault{fault}}
+	return out
 }
 
+// addLines looks up the line of each fault's path.
 func addLines(source []byte, faults []Fault) {
-	file, err := parser.ParseBytes(source, 0)
-	if err != nil || len(file.Docs) == 0 {
+	var root yaml.Node
+	if yaml.Unmarshal(source, &root) != nil || len(root.Content) == 0 {
 		return
 	}
 	for i := range faults {
-		faults[i].Line = lineOf(file, faults[i].Path)
+		faults[i].Line = lineOf(root.Content[0], faults[i].Path)
 	}
 }
 
+// stepPattern splits a path into names and indexes.
+var stepPattern = regexp.MustCompile(`[A-Za-z]+|\d+`)
+
 // lineOf returns the line of path, or of the nearest parent that exists.
-func lineOf(file *ast.File, path string) int {
-	for path != "$" && path != "" {
-		p, err := yaml.PathString(path)
-		if err == nil {
-			if node, err := p.FilterFile(file); err == nil && node != nil {
-				return node.GetToken().Position.Line
-			}
+func lineOf(node *yaml.Node, path string) int {
+	line := node.Line
+	for _, step := range stepPattern.FindAllString(path, -1) {
+		node = child(node, step)
+		if node == nil {
+			return line
 		}
-		path = parentPath(path)
+		line = node.Line
 	}
-	return 1
+	return line
 }
 
-func parentPath(path string) string {
-	if i := strings.LastIndexAny(path, ".["); i > 0 {
-		return path[:i]
+func child(node *yaml.Node, step string) *yaml.Node {
+	if index, err := strconv.Atoi(step); err == nil && node.Kind == yaml.SequenceNode {
+		if index < len(node.Content) {
+			return node.Content[index]
+		}
+		return nil
+	}
+	for i := 0; i+1 < len(node.Content) && node.Kind == yaml.MappingNode; i += 2 {
+		if node.Content[i].Value == step {
+			return node.Content[i+1]
+		}
 	}
-	return "$"
+	return nil
 }
