Goodput stays flat under overload

Cause: requests were sent to the engine at once and waited there, where deadlines are not known; under overload the engine worked on requests that were already lost. Tried first: windows that follow the engine's reports (growth by half, shrink in proportion). Taken out again. Now: a window a replica that follows the first tokens (additive increase, multiplicative decrease), a line a model ordered by priority, turn of callers, deadline; a request that cannot be answered any more, by the observed time of requests, is refused at once and never takes room. TestGoodputStaysFlat bounds it at 5x.

--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/admission"
 	"github.com/martenport/martenport/command/routing"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
@@ -46,6 +47,8 @@
 	Priority   int
 	Session    string
 	Idempotent bool
+	// Caller is whose turn it is when requests have to wait.
+	Caller string
 }
 
 // Result says where a request was answered.
@@ -76,13 +79,14 @@
 	tables   *table.Tables
 	events   *event.Recorder
 	balancer *routing.Balancer
+	line     *admission.Line
 	waker    Waker
 	dial     func(declaration.Engine) backend.Engine
 }
 
 // New returns a dispatcher that reaches engines by dial.
-func New(params Params, tables *table.Tables, events *event.Recorder, balancer *routing.Balancer, waker Waker, dial func(declaration.Engine) backend.Engine) *Dispatcher {
-	return &Dispatcher{params: params, tables: tables, events: events, balancer: balancer, waker: waker, dial: dial}
+func New(params Params, tables *table.Tables, events *event.Recorder, balancer *routing.Balancer, line *admission.Line, waker Waker, dial func(declaration.Engine) backend.Engine) *Dispatcher {
+	return &Dispatcher{params: params, tables: tables, events: events, balancer: balancer, line: line, waker: waker, dial: dial}
 }
 
 // Generate runs the request within ctx's deadline and hands the answer to
@@ -93,11 +97,11 @@
 	worst := verdict.NotRun
 	refused := map[string]bool{}
 	for attempt := 1; ; attempt++ {
-		engine, err := d.find(ctx, req, refused, &result)
+		room, err := d.find(ctx, req, refused, &result)
 		if err == nil {
-			result.Engine = engine.Engine
-			err = d.attempt(ctx, engine, req, sink, &result)
-			refused[engine.Engine] = true
+			result.Engine = room.engine.Engine
+			err = d.attempt(ctx, room, req, sink, &result)
+			refused[result.Engine] = true
 		}
 		if err == nil {
 			return result, nil
@@ -116,32 +120,98 @@
 // find returns a replica that has all that the request needs, after having it
 // loaded if need be. Those that refused the request before are passed over
 // until a wake has confirmed what is loaded.
-func (d *Dispatcher) find(ctx context.Context, req Request, refused map[string]bool, result *Result) (table.EngineView, error) {
+func (d *Dispatcher) find(ctx context.Context, req Request, refused map[string]bool, result *Result) (room, error) {
 	for range maxFinds {
 		index := d.tables.Config.Index()
 		units, err := unitsOf(index, req)
 		if err != nil {
-			return table.EngineView{}, err
+			return room{}, err
 		}
-		domain := d.tables.Members.Self().FailureDomain
-		replicas := slices.DeleteFunc(d.replicas(index, units), func(e table.EngineView) bool { return refused[e.Engine] })
-		replicas = d.preferReachable(replicas)
-		if chosen, found := d.balancer.Choose(replicas, domain, req.Session, time.Now()); found {
-			return chosen, nil
+		if len(d.candidates(units, refused)) > 0 {
+			found, err := d.await(ctx, req, units, refused)
+			if err != nil || found.done != nil {
+				return found, err
+			}
 		}
 		result.Cold = true
 		missing := d.firstMissing(index, units)
 		if _, err := d.waker.Wake(ctx, missing); err != nil {
-			return table.EngineView{}, err
+			return room{}, err
 		}
 		clear(refused)
 		if err := d.awaitNews(ctx, index, units, missing); err != nil {
-			return table.EngineView{}, err
+			return room{}, err
+		}
+	}
+	return room{}, verdict.Refuse(verdict.ReasonNoReplica, "%s was loaded and gone again %d times", req.Model, maxFinds)
+}
+
+// room is a place on a replica that was taken for a request. done gives it back.
+type room struct {
+	engine table.EngineView
+	done   func(failed bool)
+}
+
+// await waits in line for room on a replica. It returns no room when there is
+// no replica any more.
+func (d *Dispatcher) await(ctx context.Context, req Request, units []backend.Unit, refused map[string]bool) (room, error) {
+	deadline, _ := ctx.Deadline()
+	waiter := admission.Waiter{
+		Model: req.Model, Caller: req.Caller, Priority: req.Priority, Deadline: deadline,
+		Service: d.soonest(units, refused, req.MaxTokens),
+	}
+	var found room
+	err := d.line.Wait(ctx, waiter, func() bool {
+		candidates := d.candidates(units, refused)
+		if len(candidates) == 0 {
+			return true // to be woken again
+		}
+		domain := d.tables.Members.Self().FailureDomain
+		chosen, ok := d.balancer.Choose(candidates, domain, req.Session, time.Now())
+		if ok {
+			found = room{chosen, d.balancer.Sent(chosen.Engine)}
+		}
+		return ok
+	})
+	return found, err
+}
+
+// soonest returns the observed time of a request on the fastest replica.
+func (d *Dispatcher) soonest(units []backend.Unit, refused map[string]bool, tokens int) time.Duration {
+	var best time.Duration
+	for i, r := range d.candidates(units, refused) {
+		if s := d.balancer.Service(r.Engine, tokens); i == 0 || s < best {
+			best = s
+		}
+	}
+	return best
+}
+
+// candidates lists the replicas that a request may be sent to.
+func (d *Dispatcher) candidates(units []backend.Unit, refused map[string]bool) []table.EngineView {
+	replicas := slices.DeleteFunc(d.replicas(d.tables.Config.Index(), units), func(e table.EngineView) bool { return refused[e.Engine] })
+	return d.preferReachable(replicas)
+}
+
+// Run serves requests in line whenever an engine has news, until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) {
+	for {
+		_, changed := d.tables.Engines.Mark()
+		d.line.Poke()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+		if !pause(ctx, pokeGap) {
+			return
 		}
 	}
-	return table.EngineView{}, verdict.Refuse(verdict.ReasonNoReplica, "%s was loaded and gone again %d times", req.Model, maxFinds)
 }
 
+// pokeGap is the shortest pause between two looks for news of engines.
+const pokeGap = 20 * time.Millisecond
+
 // maxFinds bounds how often a request waits for what it needs: its model, its
 // adapter, and each once more if it was unloaded meanwhile.
 const maxFinds = 4
@@ -234,7 +304,10 @@
 
 // attempt sends the request once, resumes its answer where it breaks off, and
 // cancels it at the engine when it is given up.
-func (d *Dispatcher) attempt(ctx context.Context, view table.EngineView, req Request, sink Sink, result *Result) error {
+func (d *Dispatcher) attempt(ctx context.Context, taken room, req Request, sink Sink, result *Result) (err error) {
+	defer d.line.Poke()
+	defer func() { taken.done(blames(err)) }()
+	view := taken.engine
 	declared, found := d.tables.Config.Index().Engines[view.Engine]
 	if !found {
 		return verdict.Refuse(verdict.ReasonNoReplica, "engine %s is not declared any more", view.Engine)
@@ -246,10 +319,12 @@
 	engine := d.dial(*declared)
 	a := newAttempt(req, units[len(units)-1])
 	d.events.Record(event.Event{Kind: event.KindAttempt, Request: req.ID, Model: req.Model, Engine: view.Engine, Detail: "attempt=" + a.ID})
-	done := d.balancer.Sent(view.Engine)
 	result.Tokens = 0
-	err = d.run(ctx, engine, a, sink, result)
-	done(blames(err))
+	timed := d.timed(view.Engine, req, sink)
+	err = d.run(ctx, engine, a, timed, result)
+	if err == nil {
+		timed.finish()
+	}
 	if err != nil {
 		d.events.Record(event.Event{Kind: event.KindAttemptFail, Request: req.ID, Model: req.Model, Engine: view.Engine, Detail: err.Error()})
 		d.giveUp(ctx, engine, a, err)
--- a/command/routing/balancer.go
+++ b/command/routing/balancer.go
@@ -23,11 +23,17 @@
 	// up to MaxEject.
 	EjectAfter         int
 	EjectFor, MaxEject time.Duration
+	// StartWindow is how many requests an instance sends to a replica before
+	// first tokens tell more; 0 sends without limit.
+	StartWindow float64
+	// QueueDelay is how much later than at best the first token may come
+	// before it counts as waiting in the engine.
+	QueueDelay time.Duration
 }
 
 // DefaultParams returns the comparison used unless set otherwise.
 func DefaultParams() Params {
-	return Params{AffinitySlack: 4, FarPenalty: 4, EjectAfter: 3, EjectFor: time.Second, MaxEject: 30 * time.Second}
+	return Params{AffinitySlack: 4, FarPenalty: 4, EjectAfter: 3, EjectFor: time.Second, MaxEject: 30 * time.Second, StartWindow: 8, QueueDelay: 50 * time.Millisecond}
 }
 
 // health is what the balancer knows of one backend server by its own requests.
@@ -35,6 +41,8 @@
 	inFlight int
 	failures int
 	until    time.Time
+	window   window
+	service  service
 }
 
 // Balancer chooses replicas for one instance.
@@ -50,13 +58,13 @@
 	return &Balancer{params: p, servers: map[string]*health{}}
 }
 
-// Choose returns the replica for a request, false when there is none. Sessions
-// stay with one replica while it is not much busier than the others, so that
-// its prefix cache is of use.
+// Choose returns the replica for a request, false when there is none with room.
+// Sessions stay with one replica while it is not much busier than the others,
+// so that its prefix cache is of use.
 func (b *Balancer) Choose(replicas []table.EngineView, domain, session string, now time.Time) (table.EngineView, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	usable := b.usable(replicas, now)
+	usable := b.withRoom(b.usable(replicas, now))
 	if len(usable) == 0 {
 		return table.EngineView{}, false
 	}
@@ -85,6 +93,20 @@
 	return out
 }
 
+// withRoom leaves out replicas whose window is full. It needs mu.
+func (b *Balancer) withRoom(replicas []table.EngineView) []table.EngineView {
+	if b.params.StartWindow == 0 {
+		return replicas
+	}
+	var out []table.EngineView
+	for _, r := range replicas {
+		if s := b.server(r.Engine); float64(s.inFlight) < s.window.size {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // least returns the better of two taken at random, so that instances with the
 // same old reports do not all choose the same. It needs mu.
 func (b *Balancer) least(replicas []table.EngineView, domain string) table.EngineView {
@@ -131,7 +153,7 @@
 func (b *Balancer) server(name string) *health {
 	s, found := b.servers[name]
 	if !found {
-		s = &health{}
+		s = &health{window: window{size: b.params.StartWindow, slowStart: true}}
 		b.servers[name] = s
 	}
 	return s
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -91,7 +91,8 @@
 		MaxRequests: s.MaxRequests, MaxPerModel: s.MaxPerModel, MaxPerCaller: s.MaxPerCaller, RetryAfter: refusalRetry,
 	})
 	balancer := routing.NewBalancer(routing.DefaultParams())
-	c.dispatcher = dispatch.New(dispatch.DefaultParams(), c.tables, c.events, balancer, c.waker, ports.Engine)
+	line := admission.NewLine(admission.LineParams{MaxWaiting: s.MaxPerModel, RetryAfter: refusalRetry, Refuse: true})
+	c.dispatcher = dispatch.New(dispatch.DefaultParams(), c.tables, c.events, balancer, line, c.waker, ports.Engine)
 	c.caller = dispatch.NewCaller(c.dispatcher, ports.Service)
 	c.runs = runonce.NewRegistry(runonce.Params{Retention: s.KeyRetention, MaxHeld: s.HeldAnswers}, s.Name, c.store, answerPeers{c})
 	c.intents = intent.New(c.store, c.tables)
@@ -102,7 +103,7 @@
 // Run does the instance's standing work until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){c.gossip.Run, c.watch, c.orders.Run, c.sweepRuns} {
+	for _, run := range []func(context.Context){c.gossip.Run, c.watch, c.orders.Run, c.dispatcher.Run, c.sweepRuns} {
 		work.Go(func() { run(ctx) })
 	}
 	work.Wait()
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -114,6 +114,7 @@
 	return dispatch.Request{
 		ID: id, Model: req.Model, Adapter: req.Adapter, Prompt: req.Prompt,
 		MaxTokens: int(req.MaxTokens), Priority: int(req.Priority), Session: req.Session, Idempotent: req.Idempotent,
+		Caller: req.Caller,
 	}
 }
 
--- /dev/null
+++ b/daemon/overload_test.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/admission"
+	"github.com/martenport/martenport/command/dispatch"
+	"github.com/martenport/martenport/command/routing"
+	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/verdict"
+)
+
+// One engine of 32 requests of 20 tokens of 5 ms serves 320 requests a second.
+const (
+	overloadTokens   = 20
+	overloadCapacity = 320
+	overloadDeadline = time.Second
+	overloadSpan     = 10 * time.Second
+)
+
+// overloadResult is what became of one run.
+type overloadResult struct {
+	goodput float64 // answers in time, a second
+	slowest time.Duration
+	refusal time.Duration // the longest that a refused caller waited
+	counts  admission.Counts
+}
+
+// overload offers load times capacity for a while. limits turns the line and
+// the windows on; without them every request goes to the engine at once.
+func overload(t *testing.T, load int, limits bool) overloadResult {
+	f := newTestFleet(t, fleetShape{domains: 1, nodesPerDomain: 1, enginesPerDomain: 1, models: oneReplica, tailWeight: 1})
+	defer f.close()
+	n := f.nodes[0]
+	if !limits {
+		params := routing.DefaultParams()
+		params.StartWindow = 0
+		n.dispatcher = dispatch.New(dispatch.DefaultParams(), n.tables, n.events, routing.NewBalancer(params),
+			admission.NewLine(admission.LineParams{MaxWaiting: 1 << 20}), n.waker, func(e declaration.Engine) backend.Engine { return f.engines[e.Name] })
+	}
+	n.gate = admission.NewGate(admission.Params{MaxRequests: 1 << 20, MaxPerModel: 1 << 20, MaxPerCaller: 1 << 20, RetryAfter: time.Second})
+	if _, err := n.generate("caption", "warm", time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	type end struct {
+		took time.Duration
+		err  error
+	}
+	total := load * overloadCapacity * int(overloadSpan/time.Second)
+	ends := make(chan end, total)
+	for i := range total {
+		go func() {
+			start := time.Now()
+			_, err := n.generateAs(&martenportv1.GenerateRequest{
+				Model: "caption", Prompt: fmt.Sprint(i), MaxTokens: overloadTokens, TimeoutMs: overloadDeadline.Milliseconds(), Caller: fmt.Sprint(i % 7),
+			})
+			ends <- end{time.Since(start), err}
+		}()
+		time.Sleep(overloadSpan / time.Duration(total))
+	}
+	var r overloadResult
+	answered := 0
+	for range total {
+		e := <-ends
+		switch {
+		case e.err == nil:
+			answered++
+			r.slowest = max(r.slowest, e.took)
+		case verdict.Of(e.err).Verdict == verdict.NotRun:
+			r.refusal = max(r.refusal, e.took)
+		}
+	}
+	r.goodput = float64(answered) / overloadSpan.Seconds()
+	r.counts = n.gate.Counts()
+	return r
+}
+
+// TestGoodputStaysFlat: at five times the capacity at least nine tenths of it
+// is answered in time, and every request has one end.
+func TestGoodputStaysFlat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := overload(t, 5, true)
+		if r.goodput < 0.9*overloadCapacity {
+			t.Errorf("goodput %v, capacity %d", r.goodput, overloadCapacity)
+		}
+		if r.counts.Accepted != r.counts.Sum() || r.counts.Running != 0 {
+			t.Errorf("%+v", r.counts)
+		}
+	})
+}
+
+// BenchmarkOverload offers 1, 2, 5 and 10 times the capacity, with and without
+// the line and the windows.
+func BenchmarkOverload(b *testing.B) {
+	for _, load := range []int{1, 2, 5, 10} {
+		for _, limits := range []bool{true, false} {
+			b.Run(fmt.Sprintf("load=%dx/limits=%t", load, limits), func(b *testing.B) {
+				for b.Loop() {
+					bubble(b, func(t *testing.T) {
+						r := overload(t, load, limits)
+						b.ReportMetric(r.goodput/overloadCapacity, "goodput/capacity")
+						b.ReportMetric(r.slowest.Seconds(), "slowest-virtual-s")
+						b.ReportMetric(r.refusal.Seconds(), "refusal-virtual-s")
+						b.ReportMetric(float64(r.counts.Failed), "failed")
+					})
+				}
+			})
+		}
+	}
+}
+
+// TestCancelLeavesNothing: a caller that leaves while its request waits for a
+// load is counted as cancelled.
+func TestCancelLeavesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, small)
+		defer f.close()
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			_, err := f.nodes[0].Generate(ctx, &martenportv1.GenerateRequest{Model: "caption", Prompt: "x"})
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		cancel()
+		if err := <-done; err == nil {
+			t.Error("a cancelled request was answered")
+		}
+		f.checkCounts()
+	})
+}
