--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -79,7 +79,7 @@
 	unresolved map[string]backend.Order // guarded by turn; by id, orders to load sent without an answer
 	published  table.Residency          // guarded by turn
 	loads      uint64                   // guarded by turn; version of published load figures
-	history    placement.Histories      // guarded by turn
+	history    *placement.Histories     // guarded by turn
 
 	active  atomic.Bool
 	changed *broadcast
@@ -92,7 +92,7 @@
 		turn:    make(chan struct{}, 1),
 		changed: newBroadcast(),
 		past:    map[string]bool{},
-		history: placement.Histories{},
+		history: placement.NewHistories(),
 	}
 }
 
@@ -224,7 +224,7 @@
 }
 
 func (o *Orderer) costs() placement.Costs {
-	return placement.Costs{Tiers: o.report.Tiers, Histories: o.history}
+	return placement.Costs{Tiers: o.report.Tiers, Histories: o.history, Capacity: int64(o.declared.Memory)}
 }
 
 // sendLoad sends an order that is counted already.
--- a/command/placement/policy.go
+++ b/command/placement/policy.go
@@ -32,7 +32,7 @@
 	return Policy{
 		Speeds:          map[backend.Tier]float64{backend.TierMemory: 12e9, backend.TierDisk: 3e9, backend.TierRemote: 1e9},
 		Quiet:           3 * time.Second,
-		ColdSecondWorth: 30,
+		ColdSecondWorth: 10,
 		MaxKeep:         6 * time.Hour,
 	}
 }
@@ -41,7 +41,9 @@
 type Costs struct {
 	// Tiers says where checkpoints are cached; a missing one is remote.
 	Tiers     map[string]backend.Tier
-	Histories Histories
+	Histories *Histories
+	// Capacity is the engine's memory in bytes.
+	Capacity int64
 }
 
 // LoadTime is the expected time of loading so many bytes from the tier. An
@@ -101,7 +103,7 @@
 		return -idle.Seconds()
 	}
 	reload := p.LoadTime(c.Tiers[e.Unit.ID()], e.MemoryBytes).Seconds()
-	chance := ReturnChance(c.Histories.Gaps(e.Unit.ID()), idle, returnHorizon)
+	chance := c.Histories.ReturnChance(e.Unit.ID(), idle, returnHorizon)
 	return reload * chance / float64(e.MemoryBytes)
 }
 
@@ -128,8 +130,8 @@
 	reload := p.LoadTime(c.Tiers[e.Unit.ID()], e.MemoryBytes).Seconds()
 	tail := math.Min(tailWeight, maxTailWeight)
 	loadCost := reload * p.ColdSecondWorth * tail
-	idleCost := 1 - tail
-	keep := KeepFor(c.Histories.Gaps(e.Unit.ID()), idleCost, loadCost)
+	idleCost := (1 - tail) * float64(e.MemoryBytes) / float64(c.Capacity)
+	keep := c.Histories.KeepFor(e.Unit.ID(), idleCost, loadCost)
 	return min(max(keep, p.Quiet), p.MaxKeep)
 }
 
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -221,8 +221,6 @@
 	declared string
 	nodes    []*node
 	running  sync.WaitGroup
-	// startSpan spreads the starts of the instances.
-	startSpan time.Duration
 }
 
 // fleetShape is the size of a test fleet.
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -151,3 +151,109 @@
 		return err == nil
 	})
 }
+
+// TestOrdererFrozenAcrossTakeover: the instance that orders a loading engine is
+// frozen until another has taken over, and then goes on. It finds itself
+// superseded; nothing is loaded twice.
+func TestOrdererFrozenAcrossTakeover(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		t.Run(map[bool]string{true: "fencing", false: "ignoring"}[fencing], func(t *testing.T) {
+			f := newFleet(t, fencing, "3e9") // a load takes 5 s
+			for _, d := range domains {
+				f.startInstance("i-"+d+"2", d)
+			}
+			f.accept(f.instances["i-a"], f.declaration(fencing, captionModel))
+			f.awaitOrdered("i-a", "i-b", "i-c", "i-a2", "i-b2", "i-c2")
+			go func() {
+				_, _ = f.instances["i-a"].generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: "first", MaxTokens: 2, Idempotent: true})
+			}()
+			frozen := f.instances[f.awaitLoadingOrderer()]
+			frozen.signal(syscall.SIGSTOP)
+			witness := f.otherThan(frozen)
+			engine := ""
+			await(t, "another instance has taken over", func() bool {
+				for _, e := range witness.status().GetEngines() {
+					if len(e.Loading)+len(e.Resident) > 0 && e.Orderer != frozen.name {
+						engine = e.Name
+						return true
+					}
+				}
+				return false
+			})
+			frozen.signal(syscall.SIGCONT)
+			await(t, "the frozen instance knows its successor", func() bool {
+				for _, e := range frozen.status().GetEngines() {
+					if e.Name == engine && e.Orderer != frozen.name {
+						return true
+					}
+				}
+				return false
+			})
+			if _, err := frozen.generate(limit, &martenportv1.GenerateRequest{Model: "caption", Prompt: "after", MaxTokens: 2, Idempotent: true}); err != nil {
+				t.Errorf("request at the instance that was frozen: %v", err)
+			}
+			if n := f.loads(); n != 1 {
+				t.Errorf("%d loads, want 1", n)
+			}
+		})
+	}
+}
+
+func (f *fleet) otherThan(not *instance) *instance {
+	for _, i := range f.instances {
+		if i != not {
+			return i
+		}
+	}
+	return nil
+}
+
+// TestKeyAtSeveralInstances: the balancer sends one notice to three instances
+// at once. It runs once, and all get its answer; when the instance that ran it
+// is gone, a repeat is told that it may have run, and does not run.
+func TestKeyAtSeveralInstances(t *testing.T) {
+	f := newFleet(t, true, "100e9")
+	f.accept(f.instances["i-a"], f.declaration(true, captionModel))
+	await(t, "all have the declaration", func() bool {
+		for _, i := range f.instances {
+			if i.status().GetGeneration() != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	var wg sync.WaitGroup
+	answers := make(chan string, 3)
+	for _, i := range f.instances {
+		wg.Go(func() {
+			body, err := i.call("confirm", "notice 17", "key 17")
+			if err != nil {
+				t.Errorf("%s: %v", i.name, err)
+			}
+			answers <- body
+		})
+	}
+	wg.Wait()
+	first := <-answers
+	for range 2 {
+		if other := <-answers; other != first || first == "" {
+			t.Errorf("answers %q and %q", first, other)
+		}
+	}
+	if n := f.serviceRuns("notice 17"); n != 1 {
+		t.Errorf("the notice ran %d times", n)
+	}
+	for _, i := range f.instances {
+		i.signal(syscall.SIGKILL)
+		<-i.exit
+	}
+	fresh := f.startInstance("i-a", "a")
+	await(t, "the new instance has the declaration", func() bool { return fresh.status().GetGeneration() == 1 })
+	_, err := fresh.call("confirm", "notice 17", "key 17")
+	if failure := failureIn(err); failure == nil || failure.Verdict != martenportv1.Verdict_VERDICT_MAY_HAVE_RUN {
+		t.Errorf("repeat after all instances were replaced: %v", err)
+	}
+	if n := f.serviceRuns("notice 17"); n != 1 {
+		t.Errorf("the notice ran %d times", n)
+	}
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -285,12 +285,29 @@
 	return n
 }
 
-// fault sets a fault of a stand-in at address.
-func (f *fleet) fault(address, query string) {
+// call sends one call to the stand-in plain service.
+func (i *instance) call(method, body, key string) (string, error) {
+	client := martenportv1connect.NewInferenceServiceClient(http.DefaultClient, "http://"+i.callers)
+	answer, err := client.Call(context.Background(), connect.NewRequest(&martenportv1.CallRequest{
+		Service: "notices", Method: method, Body: []byte(body), Key: key, Caller: "carrier",
+	}))
+	if err != nil {
+		return "", err
+	}
+	return string(answer.Msg.Body), nil
+}
+
+// serviceRuns asks the stand-in plain service how often it ran a body.
+func (f *fleet) serviceRuns(body string) int {
 	f.t.Helper()
-	resp, err := http.Post("http://"+address+"/fault?"+query, "", nil)
+	resp, err := http.Get("http://" + f.services + "/runs")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	_ = resp.Body.Close()
+	defer resp.Body.Close()
+	runs := map[string]int{}
+	if err := json.NewDecoder(resp.Body).Decode(&runs); err != nil {
+		f.t.Fatal(err)
+	}
+	return runs[body]
 }
