Tokens are not compressed one by one

Cause: each token's message was gzipped, since the interface compresses every message whose caller accepts it. Messages from 4 KiB on are still compressed.

--- a/daemon/cpu_test.go
+++ b/daemon/cpu_test.go
@@ -7,7 +7,7 @@
 )
 
 // processorTime returns what this process has used so far.
-func processorTime(t *testing.T) time.Duration {
+func processorTime(t testing.TB) time.Duration {
 	t.Helper()
 	var usage syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
--- a/daemon/inference.go
+++ b/daemon/inference.go
@@ -16,11 +16,16 @@
 	"github.com/martenport/martenport/verdict"
 )
 
+// compressMinBytes keeps single tokens, which are smaller, from being
+// compressed one by one.
+const compressMinBytes = 4096
+
 // callerHandler serves callers.
 func (c *Core) callerHandler() http.Handler {
 	mux := http.NewServeMux()
-	limit := connect.WithReadMaxBytes(c.settings.MaxPromptBytes + frameOverhead)
-	mux.Handle(martenportv1connect.NewInferenceServiceHandler(inference{c}, limit))
+	mux.Handle(martenportv1connect.NewInferenceServiceHandler(inference{c},
+		connect.WithReadMaxBytes(c.settings.MaxPromptBytes+frameOverhead),
+		connect.WithCompressMinBytes(compressMinBytes)))
 	mux.Handle(grpchealth.NewHandler(c.health))
 	return mux
 }
