--- a/cmd/martenctl/timeline.go
+++ b/cmd/martenctl/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -14,6 +15,7 @@
 	Model   string `long:"model" description:"only events of this model or model+adapter"`
 	Engine  string `long:"engine" description:"only events of this engine"`
 	Plan    string `long:"plan" description:"only events of this plan"`
+	HTML    string `long:"html" description:"write a page with one lane a process to this file"`
 	Limit   int32  `long:"limit" default:"1000" description:"at most this many of the newest events"`
 }
 
@@ -25,6 +27,9 @@
 	if err != nil {
 		return err
 	}
+	if c.HTML != "" {
+		return c.writePage(t)
+	}
 	if c.shared.Output == "json" {
 		return printJSON(t)
 	}
@@ -37,6 +42,18 @@
 	return nil
 }
 
+func (c *timelineCommand) writePage(t *martenportv1.TimelineResponse) error {
+	file, err := os.Create(c.HTML)
+	if err != nil {
+		return err
+	}
+	if err := writeTimelineHTML(file, t); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
 func eventLine(e *martenportv1.TimelineEvent) string {
 	parts := []string{
 		time.Unix(0, e.WallNs).UTC().Format("2006-01-02T15:04:05.000000Z"),
--- a/command/intent/intent.go
+++ b/command/intent/intent.go
@@ -4,7 +4,6 @@
 package intent
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -26,9 +25,8 @@
 // repeated confirm is recognised.
 const keptPlans = 64
 
-// maxSourceBytes keeps the accepted declaration, with its frame and its base64
-// encoding, within the platform's megabyte a value.
-const maxSourceBytes = 700 << 10
+// maxValueBytes is the platform's limit for the accepted declaration.
+const maxValueBytes = 1 << 20
 
 // Plan is what a declaration would change.
 type Plan struct {
@@ -74,8 +72,8 @@
 }
 
 func parse(source []byte) (*declaration.Declaration, error) {
-	if len(source) > maxSourceBytes {
-		return nil, verdict.Refuse(verdict.ReasonInvalid, "the declaration has %d bytes, more than %d", len(source), maxSourceBytes)
+	if len(source) > table.MaxSourceBytes {
+		return nil, verdict.Refuse(verdict.ReasonInvalid, "the declaration has %d bytes, more than %d", len(source), table.MaxSourceBytes)
 	}
 	d, err := declaration.Parse("declaration", source)
 	if err != nil {
@@ -160,13 +158,23 @@
 
 func (i *Intents) accept(ctx context.Context, current *table.Accepted, version int64, id string, source []byte) (*table.Accepted, error) {
 	next := &table.Accepted{
-		Generation: current.Generation + 1, PlanID: id, Source: bytes.Clone(source),
+		Generation: current.Generation + 1, PlanID: id,
 		Plans: append(slices.Clone(current.Plans), id),
 	}
+	if err := next.SetSource(source); err != nil {
+		return nil, err
+	}
 	if len(next.Plans) > keptPlans {
 		next.Plans = next.Plans[len(next.Plans)-keptPlans:]
 	}
-	_, err := platform.WriteJSON(ctx, i.store, platform.KeyConfig, next, version)
+	value, err := Encode(next)
+	if err != nil {
+		return nil, err
+	}
+	if len(value) > maxValueBytes {
+		return nil, verdict.Refuse(verdict.ReasonInvalid, "the declaration takes %d bytes of the platform's %d", len(value), maxValueBytes)
+	}
+	_, err = platform.Write(ctx, i.store, platform.KeyConfig, value, version)
 	switch {
 	case err == nil:
 		return next, nil
--- a/command/orderer/history_test.go
+++ b/command/orderer/history_test.go
@@ -227,7 +227,10 @@
 // tables returns the tables of one instance with the world's declaration.
 func (w *world) tables(name string) *table.Tables {
 	t := table.New(table.Member{Name: name, FailureDomain: "a", Incarnation: 1})
-	accepted := &table.Accepted{Generation: 1, PlanID: "p", Source: []byte(w.yaml())}
+	accepted := &table.Accepted{Generation: 1, PlanID: "p"}
+	if err := accepted.SetSource([]byte(w.yaml())); err != nil {
+		w.t.Fatal(err)
+	}
 	if err := accepted.Parse(); err != nil {
 		w.t.Fatal(err)
 	}
--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -79,6 +79,7 @@
 	unresolved map[string]backend.Order // guarded by turn; by id, orders to load sent without an answer
 	published  table.Residency          // guarded by turn
 	loads      uint64                   // guarded by turn; version of published load figures
+	loadAt     time.Time                // guarded by turn; of the last publication of load figures
 	history    *placement.Histories     // guarded by turn
 
 	active  atomic.Bool
--- a/command/orderer/report.go
+++ b/command/orderer/report.go
@@ -13,6 +13,11 @@
 	"github.com/martenport/martenport/table"
 )
 
+// loadGap is the shortest time between two publications of an engine's load.
+// Each goes to every instance of the failure domain; what changes faster is
+// known to each instance from its own requests.
+const loadGap = time.Second
+
 // reportTimeout bounds one wait for a report.
 const reportTimeout = 3 * time.Second
 
@@ -148,9 +153,10 @@
 func (o *Orderer) publishLoad(r backend.Report) {
 	known, _ := o.env.Tables.Engines.Get(o.declared.Name)
 	same := known.Load.Queue == r.Queue && known.Load.Running == r.Running && known.Load.Epoch == o.record.Epoch
-	if same {
+	if same || time.Since(o.loadAt) < loadGap {
 		return
 	}
+	o.loadAt = time.Now()
 	o.loads++
 	o.env.Tables.Engines.MergeLoad([]table.Load{{
 		Engine: o.declared.Name, Epoch: o.record.Epoch, Version: o.loads,
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -49,6 +49,7 @@
 	orders     *orderer.Manager
 	waker      *wake.Waker
 	gate       *admission.Gate
+	line       *admission.Line
 	dispatcher *dispatch.Dispatcher
 	caller     *dispatch.Caller
 	runs       *runonce.Registry
@@ -91,8 +92,8 @@
 		MaxRequests: s.MaxRequests, MaxPerModel: s.MaxPerModel, MaxPerCaller: s.MaxPerCaller, RetryAfter: refusalRetry,
 	})
 	balancer := routing.NewBalancer(routing.DefaultParams())
-	line := admission.NewLine(admission.LineParams{MaxWaiting: s.MaxPerModel, RetryAfter: refusalRetry, Refuse: true})
-	c.dispatcher = dispatch.New(dispatch.DefaultParams(), c.tables, c.events, balancer, line, c.waker, ports.Engine)
+	c.line = admission.NewLine(admission.LineParams{MaxWaiting: s.MaxPerModel, RetryAfter: refusalRetry, Refuse: true})
+	c.dispatcher = dispatch.New(dispatch.DefaultParams(), c.tables, c.events, balancer, c.line, c.waker, ports.Engine)
 	c.caller = dispatch.NewCaller(c.dispatcher, ports.Service)
 	c.runs = runonce.NewRegistry(runonce.Params{Retention: s.KeyRetention, MaxHeld: s.HeldAnswers}, s.Name, c.store, answerPeers{c})
 	c.intents = intent.New(c.store, c.tables)
--- a/daemon/inference.go
+++ b/daemon/inference.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return connectError(i.c.refuse(req.Model, err))
 	}
-	sink := &sender{id: j.id, stream: stream}
+	sink := &sender{id: j.id, stream: stream, keep: j.key != ""}
 	answer, err := i.c.run(ctx, j, func(ctx context.Context) ([]byte, error) {
 		if _, err := i.c.dispatcher.Generate(ctx, dispatchRequest(j.id, req), sink); err != nil {
 			return nil, err
@@ -132,14 +132,18 @@
 	id     string
 	stream *connect.ServerStream[martenportv1.GenerateStreamResponse]
 	next   int64
-	text   strings.Builder
+	// keep says that the whole text is wanted for repeats of the key.
+	keep bool
+	text strings.Builder
 }
 
 // Token implements dispatch.Sink.
 func (s *sender) Token(t backend.Token) error {
 	err := s.stream.Send(&martenportv1.GenerateStreamResponse{RequestId: s.id, Sequence: s.next, Text: t.Text})
 	s.next++
-	s.text.WriteString(t.Text)
+	if s.keep {
+		s.text.WriteString(t.Text)
+	}
 	return err
 }
 
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -18,7 +18,7 @@
 )
 
 // maxDeclarationBytes bounds an operator's message.
-const maxDeclarationBytes = 2 << 20
+const maxDeclarationBytes = table.MaxSourceBytes + 4096
 
 // timelineTimeout bounds the collection of events, and defaultTimeline how
 // many are returned when the operator does not say.
@@ -75,7 +75,7 @@
 		return nil, connectError(err)
 	}
 	o.d.events.Record(event.Event{Kind: event.KindConfirm, Plan: req.PlanId, Detail: "accepted"})
-	if len(accepted.Source) > 0 {
+	if len(accepted.Compressed) > 0 {
 		peer.Apply(o.d.tables, o.d.events, accepted, "operator")
 	}
 	return connect.NewResponse(&martenportv1.ConfirmResponse{Generation: accepted.Generation}), nil
@@ -85,7 +85,11 @@
 func (o operator) GetDeclaration(context.Context, *connect.Request[martenportv1.GetDeclarationRequest]) (*connect.Response[martenportv1.GetDeclarationResponse], error) {
 	out := &martenportv1.GetDeclarationResponse{}
 	if a := o.d.tables.Config.Accepted(); a != nil {
-		out.Generation, out.PlanId, out.Declaration = a.Generation, a.PlanID, a.Source
+		source, err := a.Source()
+		if err != nil {
+			return nil, connectError(err)
+		}
+		out.Generation, out.PlanId, out.Declaration = a.Generation, a.PlanID, source
 	}
 	return connect.NewResponse(out), nil
 }
--- a/table/table.go
+++ b/table/table.go
@@ -9,9 +9,14 @@
 package table
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"sync"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/declaration"
 )
 
@@ -43,8 +48,9 @@
 type Accepted struct {
 	Generation int64  `json:"generation"`
 	PlanID     string `json:"plan_id"`
-	// Source is the operators' YAML, byte for byte.
-	Source []byte `json:"source"`
+	// Compressed is the operators' YAML, byte for byte, under gzip: at the
+	// two-year size it is relayed hundreds of times a day.
+	Compressed []byte `json:"compressed"`
 	// Plans are the ids of the plans accepted last, newest at the end.
 	Plans []string `json:"plans"`
 
@@ -54,9 +60,43 @@
 // Index returns the parsed declaration.
 func (a *Accepted) Index() *declaration.Index { return a.index }
 
+// SetSource puts the operators' YAML in.
+func (a *Accepted) SetSource(source []byte) error {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	if _, err := w.Write(source); err != nil {
+		return errors.Wrap(err, "table: compress")
+	}
+	if err := w.Close(); err != nil {
+		return errors.Wrap(err, "table: compress")
+	}
+	a.Compressed = packed.Bytes()
+	return nil
+}
+
+// MaxSourceBytes bounds a declaration, packed or not.
+const MaxSourceBytes = 4 << 20
+
+// Source returns the operators' YAML.
+func (a *Accepted) Source() ([]byte, error) {
+	if len(a.Compressed) == 0 {
+		return nil, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(a.Compressed))
+	if err != nil {
+		return nil, errors.Wrap(err, "table: decompress")
+	}
+	source, err := io.ReadAll(io.LimitReader(r, MaxSourceBytes))
+	return source, errors.Wrap(err, "table: decompress")
+}
+
 // Parse fills in the index.
 func (a *Accepted) Parse() error {
-	d, err := declaration.Parse("accepted", a.Source)
+	source, err := a.Source()
+	if err != nil {
+		return err
+	}
+	d, err := declaration.Parse("accepted", source)
 	if err != nil {
 		return err
 	}
