--- /dev/null
+++ b/command/dispatch/dispatch_test.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/admission"
+	"github.com/martenport/martenport/command/routing"
+	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// outcome is what a scripted engine does with one call of Generate.
+type outcome struct {
+	// refuse, if set, is the verdict with which the call fails at once.
+	refuse verdict.Verdict
+	// tokens are sent before the answer ends, or breaks off if broken is set.
+	tokens int
+	broken bool
+	// foreign sends a token of another attempt in the middle, skipped leaves
+	// one out.
+	foreign, skipped bool
+}
+
+// scripted is an engine that plays outcomes in turn, then answers whole.
+type scripted struct {
+	backend.Engine
+	script    []outcome
+	attempts  map[string]int // calls by attempt id
+	mayRun    int            // attempts that ran or may have
+	cancelled int
+}
+
+const answerTokens = 6
+
+func (e *scripted) Generate(_ context.Context, a backend.Attempt) (backend.Stream, error) {
+	o := outcome{tokens: answerTokens}
+	if len(e.script) > 0 {
+		o, e.script = e.script[0], e.script[1:]
+	}
+	if o.refuse == verdict.NotRun && a.From == 0 {
+		return nil, verdict.Refuse(verdict.ReasonBackend, "refused")
+	}
+	if e.attempts[a.ID] == 0 {
+		e.mayRun++
+	}
+	e.attempts[a.ID]++
+	if o.refuse != 0 {
+		return nil, verdict.New(o.refuse, verdict.ReasonBackend, "failed")
+	}
+	return &scriptedStream{outcome: o, attempt: a.ID, next: a.From}, nil
+}
+
+func (e *scripted) Cancel(context.Context, string) error {
+	e.cancelled++
+	return nil
+}
+
+// scriptedStream keeps to the contract of backend.Stream: tokens that are not
+// the attempt's own next one come out as broken.
+type scriptedStream struct {
+	outcome
+	attempt string
+	next    int64
+	sent    int
+}
+
+func (s *scriptedStream) Next() (backend.Token, error) {
+	wrong := s.sent == s.tokens/2 && (s.foreign || s.skipped)
+	if (s.broken && s.sent == s.tokens) || wrong {
+		return backend.Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "broke off")
+	}
+	s.sent++
+	t := backend.Token{Attempt: s.attempt, Sequence: s.next, Text: fmt.Sprint(s.next, " ")}
+	if s.next == answerTokens {
+		t.Text, t.End = "", true
+	}
+	s.next++
+	return t, nil
+}
+
+func (s *scriptedStream) Close() error { return nil }
+
+// text is a sink; sent says that its tokens have left and cannot be taken back.
+type text struct {
+	strings.Builder
+	sent bool
+}
+
+func (s *text) Token(t backend.Token) error {
+	s.WriteString(t.Text)
+	return nil
+}
+
+func (s *text) Restart() bool {
+	if s.sent && s.Len() > 0 {
+		return false
+	}
+	s.Reset()
+	return true
+}
+
+type noWaker struct{}
+
+func (noWaker) Wake(context.Context, backend.Unit) (string, error) { return "e1", nil }
+
+// newDispatcher has one model resident on two engines played by e.
+func newDispatcher(t interface{ Fatal(...any) }, e *scripted) *Dispatcher {
+	tables := table.New(table.Member{Name: "i", FailureDomain: "a"})
+	accepted := &table.Accepted{Generation: 1}
+	err := accepted.SetSource([]byte(`failureDomains: [a]
+weightStore: {startsPerSecond: 3, streams: 4}
+engines:
+  - {name: e1, failureDomain: a, address: "e1:1", memory: 80GiB, fencing: true}
+  - {name: e2, failureDomain: a, address: "e2:1", memory: 80GiB, fencing: true}
+models:
+  - {name: m, version: "1", memory: 14GiB, maxReplicas: 2, deadline: 30s}
+`))
+	if err == nil {
+		err = accepted.Parse()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables.Config.Apply(accepted)
+	for _, name := range []string{"e1", "e2"} {
+		tables.Engines.MergeResidency([]table.Residency{{
+			Engine: name, FailureDomain: "a", Orderer: "i", Epoch: 1, Version: 1,
+			Units: []table.UnitState{{Unit: backend.Unit{Model: "m", Version: "1"}, State: backend.Resident}},
+		}})
+	}
+	return New(DefaultParams(), tables, event.NewRecorder("i", &event.Clock{}, 16, nil), routing.NewBalancer(routing.DefaultParams()),
+		admission.NewLine(admission.LineParams{MaxWaiting: 10}), noWaker{}, func(declaration.Engine) backend.Engine { return e })
+}
+
+func (d *Dispatcher) try(sink Sink, idempotent bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := d.Generate(ctx, Request{ID: "r", Model: "m", Prompt: "p", MaxTokens: answerTokens, Idempotent: idempotent}, sink)
+	return err
+}
+
+const whole = "0 1 2 3 4 5 "
+
+// TestAnswers: what each fault of an engine leads to.
+func TestAnswers(t *testing.T) {
+	notRun, mayHaveRun := outcome{refuse: verdict.NotRun}, outcome{refuse: verdict.MayHaveRun}
+	broken := outcome{tokens: 3, broken: true}
+	for _, c := range []struct {
+		name       string
+		script     []outcome
+		idempotent bool
+		sent       bool
+		want       verdict.Verdict // 0 when answered
+	}{
+		{"whole", nil, false, false, 0},
+		{"refused, sent again", []outcome{notRun}, false, false, 0},
+		{"may have run, not sent again", []outcome{mayHaveRun}, false, false, verdict.MayHaveRun},
+		{"may have run, idempotent", []outcome{mayHaveRun}, true, false, 0},
+		{"broke off, resumed", []outcome{broken}, false, true, 0},
+		{"broke off, cannot be resumed", []outcome{broken, mayHaveRun}, false, false, verdict.MayHaveRun},
+		{"broke off, resume refused as not run", []outcome{broken, notRun, notRun}, false, false, verdict.MayHaveRun},
+		{"another attempt's token in between", []outcome{{tokens: 6, foreign: true}}, false, true, 0},
+		{"a token left out", []outcome{{tokens: 6, skipped: true}}, false, true, 0},
+		{"broke off after tokens left, idempotent", []outcome{broken, mayHaveRun}, true, true, verdict.MayHaveRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &scripted{script: c.script, attempts: map[string]int{}}
+				sink := &text{sent: c.sent}
+				err := newDispatcher(t, e).try(sink, c.idempotent)
+				synctest.Wait()
+				switch {
+				case c.want == 0 && (err != nil || sink.String() != whole):
+					t.Errorf("%q %v", sink.String(), err)
+				case c.want != 0 && (err == nil || verdict.Of(err).Verdict != c.want):
+					t.Errorf("%v, want %v", err, c.want)
+				}
+				if c.want == verdict.MayHaveRun && e.cancelled == 0 {
+					t.Error("the abandoned attempt was not cancelled")
+				}
+			})
+		})
+	}
+}
+
+// TestVerdicts: whatever engines do, a request that is not idempotent has at
+// most one attempt that may have run, an answer is whole, and NotRun is true.
+func TestVerdicts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &scripted{attempts: map[string]int{}}
+		for range rapid.IntRange(0, 6).Draw(t, "faults") {
+			e.script = append(e.script, outcome{
+				refuse:  rapid.SampledFrom([]verdict.Verdict{0, verdict.NotRun, verdict.MayHaveRun, verdict.Ran}).Draw(t, "refuse"),
+				tokens:  rapid.IntRange(0, answerTokens).Draw(t, "tokens"),
+				broken:  rapid.Bool().Draw(t, "broken"),
+				foreign: rapid.Bool().Draw(t, "foreign"),
+			})
+		}
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		sink := &text{sent: rapid.Bool().Draw(t, "sent")}
+		err := newDispatcher(t, e).try(sink, idempotent)
+		if !idempotent && e.mayRun > 1 {
+			t.Fatalf("%d attempts may have run", e.mayRun)
+		}
+		if err == nil && sink.String() != whole {
+			t.Fatalf("answered with %q", sink.String())
+		}
+		if err != nil && verdict.Of(err).Verdict == verdict.NotRun && e.mayRun > 0 {
+			t.Fatalf("%v, but %d attempts may have run", err, e.mayRun)
+		}
+	})
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -428,3 +428,7 @@
 		b.Fatal("failed in virtual time")
 	}
 }
+
+func unitOf(n *node, model string) backend.Unit {
+	return backend.Unit{Model: model, Version: n.tables.Config.Index().Models[model].Version}
+}
