--- /dev/null
+++ b/daemon/hostile_test.go
@@ -0,0 +1,124 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/settings"
+	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
+)
+
+// newCore returns an instance that reaches nothing but a platform, with a
+// declared model.
+func newCore(t testing.TB) *Core {
+	t.Helper()
+	c := NewCore(settings.Settings{
+		Name: "i", FailureDomain: "d0", MaxRequests: 10, MaxPerModel: 10, MaxPerCaller: 10, MaxPromptBytes: 1000, MaxTokens: 100,
+		MaxTimeout: time.Hour, KeyRetention: time.Hour, HeldAnswers: 10, Events: 100, OperatorCredential: "secret", Workers: 1,
+	}, Ports{Store: standin.NewPlatform()}, "i:1", nil)
+	accepted := &table.Accepted{Generation: 1}
+	source := "failureDomains: [d0]\nweightStore: {startsPerSecond: 3, streams: 4}\nengines:\n" +
+		"  - {name: e, failureDomain: d0, address: \"e:1\", memory: 80GiB, fencing: true}\nmodels:\n" + oneReplica
+	if err := accepted.SetSource([]byte(source)); err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.Parse(); err != nil {
+		t.Fatal(err)
+	}
+	c.tables.Config.Apply(accepted)
+	return c
+}
+
+// TestHostileRequests: what breaks a limit is refused as NotRun, is counted,
+// and leaves nothing behind.
+func TestHostileRequests(t *testing.T) {
+	c := newCore(t)
+	long := strings.Repeat("x", 2000)
+	for name, req := range map[string]*martenportv1.GenerateRequest{
+		"no model":          {},
+		"long model":        {Model: long},
+		"unknown model":     {Model: "other"},
+		"long prompt":       {Model: "caption", Prompt: long},
+		"long key":          {Model: "caption", Key: long},
+		"many tokens":       {Model: "caption", MaxTokens: 101},
+		"negative tokens":   {Model: "caption", MaxTokens: -1},
+		"negative timeout":  {Model: "caption", TimeoutMs: -1},
+		"endless timeout":   {Model: "caption", TimeoutMs: 1 << 60},
+		"priority":          {Model: "caption", Priority: 10},
+		"unknown adapter":   {Model: "caption", Adapter: "other", TimeoutMs: 100},
+		"nothing can serve": {Model: "caption", TimeoutMs: 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := c.Generate(t.Context(), req)
+			if f := verdict.Of(err); err == nil || f.Verdict != verdict.NotRun {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+	if n := c.gate.Counts(); n.Accepted != n.Sum() || n.Running != 0 || n.Refused != n.Accepted {
+		t.Errorf("%+v", n)
+	}
+	if ids := c.running.ids(); len(ids) > 0 {
+		t.Errorf("left behind: %v", ids)
+	}
+}
+
+// TestOperatorCredential: without it nothing of the operators' interface
+// answers, and a message beyond the limit is refused.
+func TestOperatorCredential(t *testing.T) {
+	server := httptest.NewServer(newCoreDaemon(t).operatorHandler())
+	defer server.Close()
+	for _, given := range []string{"", "wrong", "secret"} {
+		client := martenportv1connect.NewOperatorServiceClient(http.DefaultClient, server.URL, connect.WithInterceptors(bearer(given)))
+		_, err := client.GetStatus(t.Context(), connect.NewRequest(&martenportv1.GetStatusRequest{}))
+		if (err == nil) != (given == "secret") {
+			t.Errorf("credential %q: %v", given, err)
+		}
+		_, err = client.Plan(t.Context(), connect.NewRequest(&martenportv1.PlanRequest{Declaration: make([]byte, maxDeclarationBytes+1)}))
+		var refused *connect.Error
+		if !errors.As(err, &refused) {
+			t.Errorf("credential %q: an oversized plan: %v", given, err)
+		}
+	}
+}
+
+func newCoreDaemon(t *testing.T) *Daemon { return &Daemon{Core: newCore(t)} }
+
+func bearer(credential string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			req.Header().Set("Authorization", "Bearer "+credential)
+			return next(ctx, req)
+		}
+	}
+}
+
+// FuzzGenerateRequest: no field makes a request be taken in outside the limits.
+func FuzzGenerateRequest(f *testing.F) {
+	c := newCore(f)
+	f.Add("caption", "prompt", "key", int32(1), int64(1000), int32(1))
+	f.Fuzz(func(t *testing.T, model, prompt, key string, tokens int32, timeout int64, priority int32) {
+		req := &martenportv1.GenerateRequest{Model: model, Prompt: prompt, Key: key, MaxTokens: tokens, TimeoutMs: timeout, Priority: priority}
+		j, err := c.generateJob(req)
+		if err != nil {
+			if verdict.Of(err).Verdict != verdict.NotRun {
+				t.Errorf("%v", err)
+			}
+			return
+		}
+		if j.deadline <= 0 || j.deadline > c.settings.MaxTimeout || len(prompt) > c.settings.MaxPromptBytes || req.MaxTokens > 100 || len(key) > maxNameBytes {
+			t.Errorf("taken in: %+v", j)
+		}
+	})
+}
