--- a/command/admission/line.go
+++ b/command/admission/line.go
@@ -44,6 +44,8 @@
 	// pace is the smoothed time between two grants, 0 before the second.
 	pace  time.Duration
 	since time.Time // of the last grant
+	// busySince is when the line last stopped being empty.
+	busySince time.Time
 }
 
 // Line is where requests wait for room on the replicas of their model. Models
@@ -113,6 +115,9 @@
 		return nil, verdict.Refuse(verdict.ReasonDeadline, "the line for %s takes %v", w.Model, wait.Round(time.Millisecond)).After(max(wait, l.params.RetryAfter))
 	}
 	e := &entry{Waiter: w, try: try, granted: make(chan struct{})}
+	if len(m.entries) == 0 {
+		m.busySince = time.Now()
+	}
 	m.entries = append(m.entries, e)
 	return e, nil
 }
@@ -247,6 +252,20 @@
 	m.since = now
 }
 
+// Busy returns for how long requests have been waiting for each model without
+// a break.
+func (l *Line) Busy() map[string]time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string]time.Duration{}
+	for _, m := range l.models {
+		if len(m.entries) > 0 {
+			out[m.name] = time.Since(m.busySince)
+		}
+	}
+	return out
+}
+
 // Waiting returns how many requests wait in the line.
 func (l *Line) Waiting() int {
 	l.mu.Lock()
--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -68,9 +69,15 @@
 	Restart() bool
 }
 
-// Waker has a unit loaded and names the engine.
+// Waker has units loaded.
 type Waker interface {
+	// Wake has at least one replica loaded and names its engine.
 	Wake(ctx context.Context, u backend.Unit) (string, error)
+	// Grow has one replica more loaded than the number given, if operators
+	// and engines permit.
+	Grow(ctx context.Context, u backend.Unit, replicas int) error
+	// LoadTime is the expected time of a load that finds nothing cached.
+	LoadTime(memory int64) time.Duration
 }
 
 // Dispatcher dispatches the requests of one instance.
@@ -82,6 +89,7 @@
 	line     *admission.Line
 	waker    Waker
 	dial     func(declaration.Engine) backend.Engine
+	growing  sync.Map // models for which a replica is being asked for
 }
 
 // New returns a dispatcher that reaches engines by dial.
@@ -198,6 +206,7 @@
 	for {
 		_, changed := d.tables.Engines.Mark()
 		d.line.Poke()
+		d.growBusy(ctx)
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/command/dispatch/dispatch_test.go
+++ b/command/dispatch/dispatch_test.go
@@ -113,6 +113,9 @@
 
 func (noWaker) Wake(context.Context, backend.Unit) (string, error) { return "e1", nil }
 
+func (noWaker) Grow(context.Context, backend.Unit, int) error { return nil }
+func (noWaker) LoadTime(int64) time.Duration                  { return time.Hour }
+
 // newDispatcher has one model resident on two engines played by e.
 func newDispatcher(t interface{ Fatal(...any) }, e *scripted) *Dispatcher {
 	tables := table.New(table.Member{Name: "i", FailureDomain: "a"})
--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -37,6 +38,26 @@
 	}
 }
 
+// grow loads one replica more than so many, on an engine that has none. It asks
+// once: what stands in the way of another replica is no reason to wait.
+func (w *Waker) grow(ctx context.Context, u backend.Unit, replicas int, latest time.Time) (string, error) {
+	var without []table.EngineView
+	have := 0
+	for _, e := range w.env.Tables.Engines.All() {
+		if _, found := e.Find(u.ID()); found {
+			have++
+		} else {
+			without = append(without, e)
+		}
+	}
+	if have > replicas {
+		return "", nil
+	}
+	w.env.Events.Record(event.Event{Kind: event.KindWake, Model: u.ID(), Detail: fmt.Sprintf("version=%s replicas=%d", u.Version, replicas+1)})
+	c, err := w.firstOf(ctx, u, without, latest)
+	return c.Engine, err
+}
+
 // awaitChange waits for news, at most for limit, and reports whether ctx goes on.
 func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
 	timer := time.NewTimer(limit)
@@ -128,31 +149,42 @@
 	return false
 }
 
-// round asks the engines that could take the unit, the soonest first.
+// round has the unit loaded on the soonest engine, or on one that holds a slot
+// when all slots are bound.
 func (w *Waker) round(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
+	c, err := w.firstOf(ctx, u, w.env.Tables.Engines.All(), latest)
+	if err == nil {
+		return c.Engine, nil
+	}
+	if f := verdict.Of(err); f.Reason == verdict.ReasonNoSlot {
+		return w.useBoundSlot(ctx, c, u, f.Engines, latest)
+	}
+	return "", err
+}
+
+// firstOf asks the engines that could take the unit, the soonest first, and
+// returns the one that did, or the one that stopped the search.
+func (w *Waker) firstOf(ctx context.Context, u backend.Unit, engines []table.EngineView, latest time.Time) (placement.Candidate, error) {
 	index := w.env.Tables.Config.Index()
 	memory, err := memoryOf(index, u)
 	if err != nil {
-		return "", err
+		return placement.Candidate{}, err
 	}
 	need := placement.Need{Unit: u, MemoryBytes: memory, FailureDomain: w.env.Tables.Members.Self().FailureDomain}
 	last := error(verdict.Refuse(verdict.ReasonNoReplica, "no engine has room for %s", u.ID()).After(w.params.RetryAfter))
-	for i, c := range w.env.Policy.Rank(need, index, w.env.Tables.Engines.All()) {
+	for i, c := range w.env.Policy.Rank(need, index, engines) {
 		if i == w.params.Tries || ctx.Err() != nil {
 			break
 		}
-		err := w.load(ctx, c.Engine, c.Orderer, u, latest)
-		if err == nil {
-			return c.Engine, nil
+		if last = w.load(ctx, c.Engine, c.Orderer, u, latest); last == nil {
+			return c, nil
 		}
-		last = err
-		if f := verdict.Of(err); f.Reason == verdict.ReasonNoSlot {
-			return w.useBoundSlot(ctx, c, u, f.Engines, latest)
-		} else if f.Reason == verdict.ReasonPlatform {
-			break // the other engines need the platform just as well
+		switch verdict.Of(last).Reason {
+		case verdict.ReasonNoSlot, verdict.ReasonPlatform:
+			return c, last // the other engines would meet the same
 		}
 	}
-	return "", last
+	return placement.Candidate{}, last
 }
 
 func memoryOf(index *declaration.Index, u backend.Unit) (int64, error) {
--- a/command/wake/wake.go
+++ b/command/wake/wake.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,6 +63,19 @@
 // flightID names a unit in its version.
 func flightID(u backend.Unit) string { return u.ID() + "@" + u.Version }
 
+// LoadTime is the expected time of a load that finds nothing cached.
+func (w *Waker) LoadTime(memory int64) time.Duration {
+	return w.env.Policy.LoadTime(backend.TierRemote, memory)
+}
+
+// Grow has one replica more than so many loaded. All instances that see the
+// same number ask the holder for the same one.
+func (w *Waker) Grow(ctx context.Context, u backend.Unit, replicas int) error {
+	latest, _ := ctx.Deadline()
+	_, err := w.askOnce(ctx, u, replicas, latest)
+	return err
+}
+
 // Wake has at least one replica of u loaded and returns its engine. ctx has a
 // deadline; the load goes on for others that wait longer.
 func (w *Waker) Wake(ctx context.Context, u backend.Unit) (string, error) {
@@ -75,9 +89,14 @@
 }
 
 // Hold does the holder's part of a wake for an instance that has use for it
-// until latest and asks again when ctx ends before.
-func (w *Waker) Hold(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
-	return w.holding.join(ctx, flightID(u), latest, askAgainGrace, func(ctx context.Context, latest func() time.Time) (string, error) {
+// until latest and asks again when ctx ends before. replicas is 0 for a first
+// replica, else how many there are already.
+func (w *Waker) Hold(ctx context.Context, u backend.Unit, replicas int, latest time.Time) (string, error) {
+	id := flightID(u) + "/" + strconv.Itoa(replicas)
+	return w.holding.join(ctx, id, latest, askAgainGrace, func(ctx context.Context, latest func() time.Time) (string, error) {
+		if replicas > 0 {
+			return w.grow(ctx, u, replicas, latest())
+		}
 		return w.hold(ctx, u, latest)
 	})
 }
@@ -86,7 +105,7 @@
 // Where the holder does not answer, this instance holds the wake itself.
 func (w *Waker) ask(ctx context.Context, u backend.Unit, latest func() time.Time) (string, error) {
 	for {
-		engine, err := w.askOnce(ctx, u, latest())
+		engine, err := w.askOnce(ctx, u, 0, latest())
 		expired := err != nil && verdict.Of(err).Reason == verdict.ReasonDeadline
 		if !expired || ctx.Err() != nil || !time.Now().Before(latest()) {
 			return engine, err
@@ -94,7 +113,7 @@
 	}
 }
 
-func (w *Waker) askOnce(ctx context.Context, u backend.Unit, latest time.Time) (string, error) {
+func (w *Waker) askOnce(ctx context.Context, u backend.Unit, replicas int, latest time.Time) (string, error) {
 	sliceEnd := time.Now().Add(w.params.Slice)
 	if latest.Before(sliceEnd) {
 		sliceEnd = latest
@@ -103,7 +122,7 @@
 	defer cancel()
 	holder := w.holder(u)
 	if holder.Name != "" && holder.Name != w.env.Instance {
-		args := peer.WakeArgs{Unit: u, LatestMS: time.Until(latest).Milliseconds()}
+		args := peer.WakeArgs{Unit: u, LatestMS: time.Until(latest).Milliseconds(), Replicas: replicas}
 		engine, err := w.peers.Wake(slice, holder.PeerAddress, args)
 		switch {
 		case !errors.Is(err, peer.ErrUnreachable):
@@ -112,7 +131,7 @@
 			return "", verdict.Refuse(verdict.ReasonDeadline, "%s was not loaded in time", u.ID())
 		}
 	}
-	return w.Hold(slice, u, latest)
+	return w.Hold(slice, u, replicas, latest)
 }
 
 // askAgainGrace is how long a holder waits for an instance to ask again.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -51,7 +51,7 @@
 // Wake implements peer.Handler.
 func (h peerHandler) Wake(ctx context.Context, args *peer.WakeArgs, reply *peer.WakeReply) error {
 	latest := time.Now().Add(time.Duration(args.LatestMS) * time.Millisecond)
-	engine, err := h.c.waker.Hold(ctx, args.Unit, latest)
+	engine, err := h.c.waker.Hold(ctx, args.Unit, args.Replicas, latest)
 	reply.Engine = engine
 	return err
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -75,6 +75,9 @@
 	Unit backend.Unit
 	// LatestMS is how long from now the last request waits for it.
 	LatestMS int64
+	// Replicas is how many there are already, of which there should be one
+	// more; 0 asks for one at all.
+	Replicas int
 }
 
 // WakeReply names an engine on which the unit is resident.
