Loads take turns at the weight store

Cause: twelve cold models asked for at once all loaded at once and shared the store's four streams, so that each took 45 s instead of 15 and none met a 40 s deadline. A domain's own share is always its own; beyond it one stream at a time, as the others' loads become known. Loads that cannot come in time any more, even at the fastest speed seen of late, are refused at once (TestDoomedLoads). Also a race: an answer of a peer that came after the caller had left was decoded into what the caller was reading; found under -race in TestDomainCutOff. Answers that come late are not looked at any more.

--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -239,11 +239,29 @@
 	return out
 }
 
-// load asks an engine's orderer, here or elsewhere, to load the unit by the
-// time after which nobody waits for it.
+// load has the unit loaded on an engine, from the weight store once there is a
+// stream, by the time after which nobody waits for it.
 func (w *Waker) load(ctx context.Context, engine, ordererName string, u backend.Unit, latest time.Time) error {
 	ctx, cancel := context.WithDeadline(ctx, latest)
 	defer cancel()
+	memory, err := memoryOf(w.env.Tables.Config.Index(), u)
+	if err != nil {
+		return err
+	}
+	view, _ := w.env.Tables.Engines.Get(engine)
+	if err := w.acquire(ctx, view, u, memory, latest); err != nil {
+		return err
+	}
+	start := time.Now()
+	err = w.order(ctx, engine, ordererName, u)
+	if _, cached := view.Cached[u.ID()]; err == nil && !cached && u.Adapter == "" {
+		w.gate.Loaded(memory, time.Since(start))
+	}
+	return err
+}
+
+// order asks an engine's orderer, here or elsewhere, to load the unit.
+func (w *Waker) order(ctx context.Context, engine, ordererName string, u backend.Unit) error {
 	if w.orders.Orderer(engine) != nil {
 		return w.Load(ctx, engine, u)
 	}
--- a/command/wake/wake.go
+++ b/command/wake/wake.go
@@ -16,6 +16,7 @@
 
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/orderer"
+	"github.com/martenport/martenport/command/weights"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/rendezvous"
@@ -49,6 +50,7 @@
 	env    *orderer.Environment
 	orders *orderer.Manager
 	peers  *peer.Client
+	gate   *weights.Gate
 
 	asking  flights // wakes asked for by this instance
 	holding flights // wakes that this instance holds
@@ -57,7 +59,7 @@
 // NewWaker returns a waker that orders through orders where this instance is
 // the orderer, and through peers elsewhere.
 func NewWaker(params Params, env *orderer.Environment, orders *orderer.Manager, peers *peer.Client) *Waker {
-	return &Waker{params: params, env: env, orders: orders, peers: peers}
+	return &Waker{params: params, env: env, orders: orders, peers: peers, gate: weights.NewGate(weights.DefaultParams())}
 }
 
 // flightID names a unit in its version.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/martenport/martenport/command/weights"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
@@ -66,6 +67,12 @@
 	return h.c.waker.Yield(ctx, args.Engine, args.Unit)
 }
 
+// Stream implements peer.Handler.
+func (h peerHandler) Stream(ctx context.Context, args *peer.StreamArgs, _ *peer.StreamReply) error {
+	latest := time.Now().Add(time.Duration(args.LatestMS) * time.Millisecond)
+	return h.c.waker.Stream(ctx, weights.Request{Engine: args.Engine, Unit: args.Unit, Bytes: args.Bytes, Latest: latest})
+}
+
 // Events implements peer.Handler.
 func (h peerHandler) Events(_ context.Context, args *peer.EventsArgs, reply *peer.EventsReply) error {
 	reply.Events = h.c.events.Select(args.Filter)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -37,6 +37,15 @@
 	Failure *verdict.Failure
 }
 
+// head gives access to what all answers have.
+func (r *Reply) head() *Reply { return r }
+
+// answer is a pointer to any of the answers.
+type answer[R any] interface {
+	*R
+	head() *Reply
+}
+
 // ExchangeArgs asks for what changed after Since.
 type ExchangeArgs struct {
 	Header
@@ -96,6 +105,18 @@
 // OrderReply says that it is done, or why not.
 type OrderReply struct{ Reply }
 
+// StreamArgs asks the gate of a failure domain for a stream of the weight store.
+type StreamArgs struct {
+	Header
+	Engine, Unit string
+	Bytes        int64
+	// LatestMS is how long from now the load is of use.
+	LatestMS int64
+}
+
+// StreamReply says that it is granted, or why not.
+type StreamReply struct{ Reply }
+
 // EventsArgs asks for the events that pass a filter.
 type EventsArgs struct {
 	Header
@@ -128,6 +149,7 @@
 	Wake(ctx context.Context, args *WakeArgs, reply *WakeReply) error
 	Load(ctx context.Context, args *OrderArgs, reply *OrderReply) error
 	Yield(ctx context.Context, args *OrderArgs, reply *OrderReply) error
+	Stream(ctx context.Context, args *StreamArgs, reply *StreamReply) error
 	Events(ctx context.Context, args *EventsArgs, reply *EventsReply) error
 	Run(ctx context.Context, args *RunArgs, reply *RunReply) error
 }
@@ -165,27 +187,30 @@
 	return h
 }
 
-// call makes one call and returns ErrUnreachable or the answer's Failure.
-func (c *Client) call(ctx context.Context, address, method string, args, reply any, head *Reply) error {
+// invoke makes one call. The error is ErrUnreachable or the answer's Failure.
+// An answer that comes after ctx has ended is never looked at.
+func invoke[R any, P answer[R]](ctx context.Context, c *Client, address, method string, args any) (R, error) {
+	var none R
 	conn, err := c.conn(ctx, address)
 	if err != nil {
-		return errors.Wrap(ErrUnreachable, err.Error())
+		return none, errors.Wrap(ErrUnreachable, err.Error())
 	}
+	reply := P(new(R))
 	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
 	case <-ctx.Done():
-		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
+		return none, errors.Wrap(ErrUnreachable, ctx.Err().Error())
 	}
 	if pending.Error != nil {
 		c.drop(address, conn)
-		return errors.Wrap(ErrUnreachable, pending.Error.Error())
+		return none, errors.Wrap(ErrUnreachable, pending.Error.Error())
 	}
-	c.clock.Observe(head.Stamp)
-	if head.Failure != nil {
-		return head.Failure
+	c.clock.Observe(reply.head().Stamp)
+	if f := reply.head().Failure; f != nil {
+		return *reply, f
 	}
-	return nil
+	return *reply, nil
 }
 
 func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
@@ -243,50 +268,49 @@
 // Exchange calls Handler.Exchange at address.
 func (c *Client) Exchange(ctx context.Context, address string, args ExchangeArgs) (ExchangeReply, error) {
 	args.Header = c.Header(ctx)
-	var reply ExchangeReply
-	err := c.call(ctx, address, "Peer.Exchange", &args, &reply, &reply.Reply)
-	return reply, err
+	return invoke[ExchangeReply](ctx, c, address, "Peer.Exchange", &args)
 }
 
 // Config calls Handler.Config at address.
 func (c *Client) Config(ctx context.Context, address string) (*table.Accepted, error) {
-	var reply ConfigReply
-	err := c.call(ctx, address, "Peer.Config", &ConfigArgs{c.Header(ctx)}, &reply, &reply.Reply)
+	reply, err := invoke[ConfigReply](ctx, c, address, "Peer.Config", &ConfigArgs{c.Header(ctx)})
 	return reply.Accepted, err
 }
 
 // Wake calls Handler.Wake at address.
 func (c *Client) Wake(ctx context.Context, address string, args WakeArgs) (string, error) {
 	args.Header = c.Header(ctx)
-	var reply WakeReply
-	err := c.call(ctx, address, "Peer.Wake", &args, &reply, &reply.Reply)
+	reply, err := invoke[WakeReply](ctx, c, address, "Peer.Wake", &args)
 	return reply.Engine, err
 }
 
 // Load calls Handler.Load at address.
 func (c *Client) Load(ctx context.Context, address, engine string, u backend.Unit) error {
-	var reply OrderReply
-	args := OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u}
-	return c.call(ctx, address, "Peer.Load", &args, &reply, &reply.Reply)
+	_, err := invoke[OrderReply](ctx, c, address, "Peer.Load", &OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u})
+	return err
 }
 
 // Yield calls Handler.Yield at address.
 func (c *Client) Yield(ctx context.Context, address, engine string, u backend.Unit) error {
-	var reply OrderReply
-	args := OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u}
-	return c.call(ctx, address, "Peer.Yield", &args, &reply, &reply.Reply)
+	_, err := invoke[OrderReply](ctx, c, address, "Peer.Yield", &OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u})
+	return err
+}
+
+// Stream calls Handler.Stream at address.
+func (c *Client) Stream(ctx context.Context, address string, args StreamArgs) error {
+	args.Header = c.Header(ctx)
+	_, err := invoke[StreamReply](ctx, c, address, "Peer.Stream", &args)
+	return err
 }
 
 // Events calls Handler.Events at address.
 func (c *Client) Events(ctx context.Context, address string, f event.Filter) ([]event.Event, error) {
-	var reply EventsReply
-	err := c.call(ctx, address, "Peer.Events", &EventsArgs{c.Header(ctx), f}, &reply, &reply.Reply)
+	reply, err := invoke[EventsReply](ctx, c, address, "Peer.Events", &EventsArgs{c.Header(ctx), f})
 	return reply.Events, err
 }
 
 // Run calls Handler.Run at address.
 func (c *Client) Run(ctx context.Context, address, key string) ([]byte, error) {
-	var reply RunReply
-	err := c.call(ctx, address, "Peer.Run", &RunArgs{c.Header(ctx), key}, &reply, &reply.Reply)
+	reply, err := invoke[RunReply](ctx, c, address, "Peer.Run", &RunArgs{c.Header(ctx), key})
 	return reply.Answer, err
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -85,6 +85,11 @@
 	return s.serve(args.Header, &reply.Reply, func(ctx context.Context) error { return s.handler.Yield(ctx, args, reply) })
 }
 
+// Stream serves Handler.Stream.
+func (s *service) Stream(args *StreamArgs, reply *StreamReply) error {
+	return s.serve(args.Header, &reply.Reply, func(ctx context.Context) error { return s.handler.Stream(ctx, args, reply) })
+}
+
 // Events serves Handler.Events.
 func (s *service) Events(args *EventsArgs, reply *EventsReply) error {
 	return s.serve(args.Header, &reply.Reply, func(ctx context.Context) error { return s.handler.Events(ctx, args, reply) })
