A model that has just become ready is not unloaded as idle

Cause: idleness was counted from when the load was ordered, so that a load longer than the keep-alive was followed by an unload at once; and use of an adapter did not count as use of its model. Requests for an adapter whose model went meanwhile waited for an engine that could not come until their deadline. Before: TestAdapters 6 loads instead of 3, four of six requests refused. After: 3 loads, all answered. TestEngineReclaimed, TestTimelineNamesTheDead pass.

--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -144,6 +144,9 @@
 		result.Cold = true
 		missing := d.firstMissing(index, units)
 		if _, err := d.waker.Wake(ctx, missing); err != nil {
+			if d.firstMissing(index, units) != missing && ctx.Err() == nil {
+				continue // the adapter's model has gone meanwhile
+			}
 			return room{}, err
 		}
 		clear(refused)
--- a/command/placement/ledger.go
+++ b/command/placement/ledger.go
@@ -50,7 +50,7 @@
 	Served uint64
 	// Running is the engine's count of requests in progress when last seen.
 	Running int
-	// LastUsed is when a request last used the unit.
+	// LastUsed is when a request last used the unit, or when it became ready.
 	LastUsed time.Time
 	// ReadyAt is when it was first reported resident.
 	ReadyAt time.Time
@@ -175,9 +175,19 @@
 	e.Phase = phaseOf(u.State)
 	e.Incarnation = r.Incarnation
 	if e.Phase == Resident && e.ReadyAt.IsZero() {
-		e.ReadyAt = now
+		e.ReadyAt, e.LastUsed = now, now
 	}
 	l.Entries[u.ID()] = e
+	l.useModel(u.Unit, e.LastUsed)
+}
+
+// useModel counts the use of an adapter as one of its model.
+func (l *Ledger) useModel(u backend.Unit, at time.Time) {
+	m, found := l.Entries[u.Model]
+	if u.Adapter != "" && found && at.After(m.LastUsed) {
+		m.LastUsed = at
+		l.Entries[u.Model] = m
+	}
 }
 
 func phaseOf(s backend.State) Phase {
--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -80,6 +80,8 @@
 		return true
 	case len(f.Engines) > 0:
 		return slices.ContainsFunc(f.Engines, w.withinReach)
+	case u.Adapter != "" && !w.modelResident(u):
+		return false // the model has to be woken first
 	case f.Reason == verdict.ReasonNoReplica:
 		return w.betweenOrderers(u) || w.mayFallIdle(u)
 	default:
@@ -87,6 +89,13 @@
 	}
 }
 
+func (w *Waker) modelResident(u backend.Unit) bool {
+	return slices.ContainsFunc(w.env.Tables.Engines.All(), func(e table.EngineView) bool {
+		state, found := e.Find(u.Model)
+		return found && state.State == backend.Resident
+	})
+}
+
 // withinReach reports whether instances live in the engine's failure domain,
 // so that its slots can be used or given up.
 func (w *Waker) withinReach(engine string) bool {
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -432,3 +432,5 @@
 func unitOf(n *node, model string) backend.Unit {
 	return backend.Unit{Model: model, Version: n.tables.Config.Index().Models[model].Version}
 }
+
+func modelFilter(model string) event.Filter { return event.Filter{Model: model} }
