A broken answer is never begun again by its resumption

Cause 1: an answer that broke off before its first token was resumed at sequence 0, which an engine that had forgotten the attempt took for a new one, and its refusal for a NotRun of the whole: a request that is not idempotent had two attempts that may have run. Resumption is now said so in the attempt; an engine that does not know it refuses, and the verdict stays MayHaveRun. Cause 2: the time of a load counted as an idle gap, and the keep-alive never exceeded the longest gap seen: with operators weighing only the tail a model was unloaded 17 s after it was ready. Loads are no gaps, and four gaps up to six hours, of a quarter's weight each, stand for what a short history has not shown.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -117,8 +117,11 @@
 	MaxTokens int    `json:"max_tokens"`
 	Priority  int    `json:"priority"`
 	Session   string `json:"session,omitempty"`
-	// From is the sequence to resume at, 0 for a new attempt.
-	From int64 `json:"from,omitempty"`
+	// Resume asks for the rest of the answer of an attempt that was begun, from
+	// sequence From on. An engine that does not know the attempt refuses; it
+	// never begins it again.
+	Resume bool  `json:"resume,omitempty"`
+	From   int64 `json:"from,omitempty"`
 }
 
 // Token is one piece of an answer. The last one has End set and no text.
@@ -151,7 +154,7 @@
 	// Report returns the state once its sequence is above after, or when the
 	// engine's waiting time has passed.
 	Report(ctx context.Context, after uint64) (Report, error)
-	// Generate runs an attempt. Errors are *verdict.Failure.
+	// Generate runs or resumes an attempt. Errors are *verdict.Failure.
 	Generate(ctx context.Context, a Attempt) (Stream, error)
 	// Cancel ends the attempt with this id.
 	Cancel(ctx context.Context, attempt string) error
--- a/command/dispatch/call.go
+++ b/command/dispatch/call.go
@@ -99,6 +99,7 @@
 	done(blames(err))
 	if err != nil {
 		d.events.Record(event.Event{Kind: event.KindAttemptFail, Request: req.ID, Engine: server.Name, Detail: err.Error()})
+		return nil, timedOut(ctx, verdict.Of(err))
 	}
-	return body, timedOut(ctx, err)
+	return body, nil
 }
--- a/command/dispatch/dispatch_test.go
+++ b/command/dispatch/dispatch_test.go
@@ -47,7 +47,7 @@
 	if len(e.script) > 0 {
 		o, e.script = e.script[0], e.script[1:]
 	}
-	if o.refuse == verdict.NotRun && a.From == 0 {
+	if o.refuse == verdict.NotRun && !a.Resume {
 		return nil, verdict.Refuse(verdict.ReasonBackend, "refused")
 	}
 	if e.attempts[a.ID] == 0 {
@@ -174,6 +174,7 @@
 		{"broke off, resume refused as not run", []outcome{broken, notRun, notRun}, false, false, verdict.MayHaveRun},
 		{"another attempt's token in between", []outcome{{tokens: 6, foreign: true}}, false, true, 0},
 		{"a token left out", []outcome{{tokens: 6, skipped: true}}, false, true, 0},
+		{"broke off before a token, resume refused as not run", []outcome{{broken: true}, notRun}, false, false, verdict.MayHaveRun},
 		{"broke off after tokens left, idempotent", []outcome{broken, mayHaveRun}, true, true, verdict.MayHaveRun},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/command/orderer/manager.go
+++ b/command/orderer/manager.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/declaration"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/rendezvous"
 	"github.com/martenport/martenport/table"
@@ -68,7 +69,7 @@
 	for range m.params.Workers {
 		workers.Go(func() { m.worker(ctx) })
 	}
-	if pause(ctx, m.params.Settle) {
+	if pause.For(ctx, m.params.Settle) {
 		m.loop(ctx)
 	}
 	workers.Wait()
@@ -190,7 +191,7 @@
 		if err != nil {
 			gap = m.params.Tick
 		}
-		if !pause(ctx, gap) {
+		if !pause.For(ctx, gap) {
 			return
 		}
 	}
@@ -268,14 +269,3 @@
 	}
 	handovers.Wait()
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/command/orderer/report.go
+++ b/command/orderer/report.go
@@ -58,8 +58,8 @@
 	for _, id := range report.Orders {
 		delete(o.unresolved, id)
 	}
-	o.noteUse()
 	o.noteLoaded(before)
+	o.noteUse()
 	o.publish()
 	o.publishLoad(report)
 	o.changed.wake()
@@ -77,6 +77,7 @@
 	for id, e := range o.ledger.Entries {
 		was := before[id]
 		if e.Phase == placement.Resident && (was == placement.Ordered || was == placement.Loading) {
+			o.history.Ready(id, e.ReadyAt)
 			o.event(event.KindLoaded, id, "")
 		}
 	}
--- a/command/placement/history.go
+++ b/command/placement/history.go
@@ -62,6 +62,14 @@
 	h.next = (h.next + 1) % pooledGaps
 }
 
+// Ready notes that the unit became ready at t, after a load. The time of the
+// load is no idleness.
+func (h *Histories) Ready(unitID string, t time.Time) {
+	if one, found := h.units[unitID]; found && t.After(one.last) {
+		one.last = t
+	}
+}
+
 // Gaps returns the unit's own gaps.
 func (h *Histories) Gaps(unitID string) []time.Duration {
 	if one, found := h.units[unitID]; found {
@@ -108,7 +116,7 @@
 		return time.Duration(loadCost / idleCost * float64(time.Second))
 	}
 	cost := func(keep time.Duration) float64 {
-		sum := keepCost(own, keep, idleCost, loadCost)
+		sum := keepCost(own, keep, idleCost, loadCost) + unseenWeight*keepCost(unseenGaps, keep, idleCost, loadCost)
 		if len(h.pool) > 0 {
 			sum += keepCost(h.pool, keep, idleCost, loadCost) * priorWeight / float64(len(h.pool))
 		}
@@ -123,6 +131,13 @@
 	return best
 }
 
+// unseenGaps stand for what a short history has not shown yet: that nothing
+// longer was seen does not mean that nothing longer comes. Each weighs
+// unseenWeight of a gap that was seen.
+var unseenGaps = []time.Duration{time.Minute, 10 * time.Minute, time.Hour, 6 * time.Hour}
+
+const unseenWeight = 0.25
+
 // keepMargin adds a tenth to a gap seen before, since the next is not the same
 // to the second.
 const keepMargin = 10
@@ -135,6 +150,7 @@
 	for _, g := range own {
 		out = append(out, g+g/keepMargin)
 	}
+	out = append(out, unseenGaps...)
 	for i := 0; i < len(h.pool); i += poolStride {
 		out = append(out, h.pool[i]+h.pool[i]/keepMargin)
 	}
--- a/command/placement/replay_test.go
+++ b/command/placement/replay_test.go
@@ -211,6 +211,7 @@
 			continue
 		}
 		histories.Use(u.ID(), now)
+		histories.Ready(u.ID(), now.Add(wait))
 		waits = append(waits, wait)
 	}
 	slices.Sort(waits)
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -13,6 +13,7 @@
 
 	"github.com/martenport/martenport/command/intent"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/rendezvous"
@@ -87,14 +88,14 @@
 		snap, err := c.readOrWatch(ctx, prefix, revision)
 		if err != nil {
 			revision = -1
-			pauseFor(ctx, watchPause)
+			pause.For(ctx, watchPause)
 			continue
 		}
 		for _, obj := range snap.Objects {
 			apply(obj)
 		}
 		revision = snap.Revision
-		for !c.watches() && pauseFor(ctx, watchPause) {
+		for !c.watches() && pause.For(ctx, watchPause) {
 			revision = -1
 		}
 	}
@@ -172,7 +173,7 @@
 		if err == nil {
 			return
 		}
-		pauseFor(ctx, watchPause)
+		pause.For(ctx, watchPause)
 	}
 }
 
@@ -189,20 +190,9 @@
 
 // sweepRuns removes old keys while this instance is the one chosen for it.
 func (c *Core) sweepRuns(ctx context.Context) {
-	for pauseFor(ctx, sweepInterval) {
+	for pause.For(ctx, sweepInterval) {
 		if rendezvous.Choose("sweep", table.Names(c.tables.Members.Alive())) == c.settings.Name {
 			_, _ = c.runs.Sweep(ctx, time.Now())
 		}
 	}
 }
-
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,19 @@
+// Package pause waits for a time under a context.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for d and reports whether it passed before ctx ended.
+func For(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/internal/pause"
 )
 
 // reportWait is how long a report waits for a change of what is loaded, and so
@@ -286,7 +287,7 @@
 		if e.params.Weights.Fetch(ctx, bytes, speed) != nil {
 			return
 		}
-	} else if !pause(ctx, time.Duration(bytes/speed*float64(time.Second))) {
+	} else if !pause.For(ctx, time.Duration(bytes/speed*float64(time.Second))) {
 		return
 	}
 	e.mu.Lock()
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -177,6 +178,6 @@
 		return
 	}
 	s.runs.add(string(c.Body))
-	pause(r.Context(), s.Work)
+	pause.For(r.Context(), s.Work)
 	_, _ = w.Write([]byte(s.Name + " " + c.Method + ": " + string(c.Body)))
 }
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -48,7 +49,7 @@
 	if found {
 		return &reader{ctx: ctx, attempt: a, next: req.From}, nil
 	}
-	if req.From > 0 {
+	if req.Resume {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "attempt %s is not known any more", req.ID)
 	}
 	if err := e.admit(req); err != nil {
@@ -91,7 +92,7 @@
 	}
 	defer func() { <-e.batch }()
 	for i := range int64(req.MaxTokens) {
-		if !pause(ctx, e.step()) {
+		if !pause.For(ctx, e.step()) {
 			a.fail()
 			return
 		}
@@ -121,7 +122,7 @@
 	}
 	ctx := e.loadCtx
 	e.mu.Unlock()
-	pause(ctx, attemptKept)
+	pause.For(ctx, attemptKept)
 	e.mu.Lock()
 	delete(e.attempts, a.id)
 	e.mu.Unlock()
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/internal/pause"
 )
 
 // transferStep is how often a transfer's share of the store is worked out.
@@ -59,7 +60,7 @@
 	for bytes > 0 {
 		speed := bytesPerSecond * s.share()
 		step := min(transferStep, time.Duration(bytes/speed*float64(time.Second))+time.Nanosecond)
-		if !pause(ctx, step) {
+		if !pause.For(ctx, step) {
 			return ctx.Err()
 		}
 		bytes -= speed * step.Seconds()
@@ -74,14 +75,3 @@
 func DefaultSpeeds() Speeds {
 	return Speeds{backend.TierMemory: 12e9, backend.TierDisk: 3e9, backend.TierRemote: 1e9}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/table"
 )
 
@@ -70,7 +71,7 @@
 		case <-ticker.C:
 			g.probeOne(ctx)
 		case <-changed:
-			if !sleep(ctx, g.params.MinGap) {
+			if !pause.For(ctx, g.params.MinGap) {
 				return
 			}
 		}
@@ -134,7 +135,7 @@
 			misses = 0
 			state = next
 		}
-		if !sleep(ctx, gap) {
+		if !pause.For(ctx, gap) {
 			return
 		}
 	}
@@ -254,14 +255,3 @@
 		g.client.Disconnect(address)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
