--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/martenport/martenport/backend"
@@ -120,4 +121,3 @@
 		}
 	}
 }
-
--- a/command/dispatch/find.go
+++ b/command/dispatch/find.go
@@ -201,4 +201,3 @@
 
 // newsLimit is how long word of a finished load may take to get here.
 const newsLimit = 5 * time.Second
-
--- a/command/wake/prospect.go
+++ b/command/wake/prospect.go
@@ -95,4 +95,3 @@
 	}
 	return false
 }
-
