--- a/command/orderer/history_test.go
+++ b/command/orderer/history_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,8 @@
 	models   map[string]declaration.Model
 	events   *event.Recorder
 
+	steps atomic.Int64 // random actions taken
+
 	mu  sync.Mutex
 	rng *rand.Rand // guarded by mu
 }
@@ -321,6 +324,7 @@
 
 // act does one random thing.
 func (i instance) act(ctx context.Context, orderers map[string]*Orderer) {
+	i.w.steps.Add(1)
 	name := []string{"e1", "e2", "e3"}[i.w.intN(3)]
 	model := "m" + strconv.Itoa(1+i.w.intN(5))
 	o := orderers[name]
@@ -347,9 +351,9 @@
 	time.Sleep(time.Duration(i.w.intN(500)) * time.Millisecond)
 }
 
-// runHistory runs a world for a virtual time and returns the loads it made.
-func runHistory(t *testing.T, seed uint64, fencing bool, f faults, virtual time.Duration) int {
-	loads := 0
+// runHistory runs a world for a virtual time and returns the loads it made and
+// the random actions it took.
+func runHistory(t *testing.T, seed uint64, fencing bool, f faults, virtual time.Duration) (loads, steps int) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, seed, fencing, f)
 		stop := time.Now().Add(virtual)
@@ -364,8 +368,9 @@
 			loads += e.Tally().Loads
 			e.Restart() // ends its loads
 		}
+		steps = int(w.steps.Load())
 	})
-	return loads
+	return loads, steps
 }
 
 // seedOf returns the first seed: fixed in CI, set by MARTENPORT_SEED by hand.
@@ -417,14 +422,15 @@
 		for _, fencing := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s/fencing=%t", name, fencing), func(t *testing.T) {
 				t.Parallel()
-				loads := 0
+				loads, steps := 0, 0
 				for round := range rounds(t) {
-					loads += runHistory(t, seedOf(t)+uint64(round), fencing, mix, 20*time.Minute)
+					l, s := runHistory(t, seedOf(t)+uint64(round), fencing, mix, 20*time.Minute)
+					loads, steps = loads+l, steps+s
 				}
 				if loads == 0 {
 					t.Error("nothing was loaded, so nothing was tested")
 				}
-				t.Logf("loads=%d", loads)
+				t.Logf("loads=%d steps=%d", loads, steps)
 			})
 		}
 	}
--- /dev/null
+++ b/daemon/tls_test.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sirupsen/logrus"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
+	"github.com/martenport/martenport/settings"
+)
+
+// selfSigned writes a certificate and key for 127.0.0.1 and returns their files
+// and a pool that trusts them.
+func selfSigned(t *testing.T) (certFile, keyFile string, pool *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	cert, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert})
+	dir := t.TempDir()
+	certFile, keyFile = filepath.Join(dir, "cert"), filepath.Join(dir, "key")
+	for file, content := range map[string][]byte{certFile: certPEM, keyFile: pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: encoded})} {
+		if err := os.WriteFile(file, content, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	pool = x509.NewCertPool()
+	pool.AppendCertsFromPEM(certPEM)
+	return certFile, keyFile, pool
+}
+
+// TestTLS: with a certificate set, callers and operators are served over TLS
+// and in no other way.
+func TestTLS(t *testing.T) {
+	certFile, keyFile, pool := selfSigned(t)
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	d, err := New(settings.Settings{
+		Name: "i", FailureDomain: "d0", Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		PlatformURL: "http://127.0.0.1:1", PlatformRate: 1, MaxRequests: 1, MaxPerModel: 1, MaxPerCaller: 1, MaxPromptBytes: 1,
+		MaxTokens: 1, MaxTimeout: time.Hour, KeyRetention: time.Hour, HeldAnswers: 1, DrainLimit: time.Second, Events: 1,
+		LogLevel: "info", Tick: time.Second, Workers: 1, TLSCert: certFile, TLSKey: keyFile,
+	}, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = d.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		stop()
+		<-ended
+	}()
+	secure := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}}
+	status := func(client *http.Client, scheme string) error {
+		operators := martenportv1connect.NewOperatorServiceClient(client, scheme+"://"+d.OperatorAddress())
+		_, err := operators.GetStatus(t.Context(), connect.NewRequest(&martenportv1.GetStatusRequest{}))
+		return err
+	}
+	if err := status(secure, "https"); err != nil {
+		t.Errorf("over TLS: %v", err)
+	}
+	if err := status(http.DefaultClient, "http"); err == nil {
+		t.Error("answered without TLS")
+	}
+}
