A silent engine is passed over; dead instances are forgotten

Cause: an engine that stopped answering stayed resident in everyone's table, so that requests went to it until they were refused, though the cap allowed another replica. After: all are answered by another engine, which costs at most 20 platform writes in the next minute; engines that do not answer are not taken over, since each try cost a write a tick.

--- a/command/dispatch/find.go
+++ b/command/dispatch/find.go
@@ -141,7 +141,7 @@
 	var out []table.EngineView
 	for _, e := range d.tables.Engines.All() {
 		declared, known := index.Engines[e.Engine]
-		if known && !declared.Lost && !e.Leaving && holdsAll(e, units) {
+		if known && !declared.Lost && e.Usable() && holdsAll(e, units) {
 			out = append(out, e)
 		}
 	}
--- a/command/dispatch/grow.go
+++ b/command/dispatch/grow.go
@@ -48,7 +48,7 @@
 func (d *Dispatcher) replicasOrLoading(u backend.Unit) int {
 	n := 0
 	for _, e := range d.tables.Engines.All() {
-		if state, found := e.Find(u.ID()); found && !e.Leaving && state.State != backend.Unloading {
+		if state, found := e.Find(u.ID()); found && e.Usable() && state.State != backend.Unloading {
 			n++
 		}
 	}
--- a/command/orderer/manager.go
+++ b/command/orderer/manager.go
@@ -162,10 +162,11 @@
 }
 
 func (m *Manager) takeOver(ctx context.Context, declared declaration.Engine) {
-	if m.recordedAlive(ctx, declared.Name) {
+	engine := m.dial(declared)
+	if !answers(ctx, engine) || m.recordedAlive(ctx, declared.Name) {
 		return
 	}
-	o := newOrderer(m.env, declared, m.dial(declared))
+	o := newOrderer(m.env, declared, engine)
 	if o.Takeover(ctx) != nil {
 		return
 	}
@@ -178,6 +179,15 @@
 	m.polls.Go(func() { m.pollLoop(m.ctx, o) })
 }
 
+// answers asks an engine for a report. One that does not answer is not taken
+// over: it would cost the platform writes at each tick and be of no use.
+func answers(ctx context.Context, e backend.Engine) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	_, err := e.Report(ctx, 0)
+	return err == nil
+}
+
 // pollGap is the shortest pause between two reports of an engine, and the
 // pause after one that failed.
 const pollGap = 50 * time.Millisecond
--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -80,6 +80,7 @@
 	published  table.Residency          // guarded by turn
 	loads      uint64                   // guarded by turn; version of published load figures
 	loadAt     time.Time                // guarded by turn; of the last publication of load figures
+	misses     int                      // guarded by turn; reports that failed in a row
 	history    *placement.Histories     // guarded by turn
 
 	active  atomic.Bool
@@ -142,6 +143,8 @@
 	}
 	e, found := o.ledger.Entries[u.ID()]
 	switch {
+	case found && o.misses >= maxMissed:
+		return false, verdict.Refuse(verdict.ReasonNoReplica, "engine %s does not answer", o.declared.Name)
 	case !found:
 		return false, o.begin(ctx, u, memory)
 	case e.Unit.Version != u.Version && e.Phase == placement.Resident:
@@ -158,8 +161,8 @@
 // begin makes room, takes the slot, counts the unit and sends the order. When
 // room must be made first it only orders the unloads; the caller comes back.
 func (o *Orderer) begin(ctx context.Context, u backend.Unit, memory int64) error {
-	if o.report.Leaving {
-		return verdict.Refuse(verdict.ReasonNoReplica, "engine %s is leaving", o.declared.Name)
+	if o.report.Leaving || o.misses >= maxMissed {
+		return verdict.Refuse(verdict.ReasonNoReplica, "engine %s is leaving or does not answer", o.declared.Name)
 	}
 	if err := o.ensureFenced(ctx); err != nil {
 		return err
--- a/command/orderer/report.go
+++ b/command/orderer/report.go
@@ -27,6 +27,7 @@
 	defer cancel()
 	report, err := o.engine.Report(ctx, after)
 	if err != nil {
+		o.missed(ctx)
 		return after, err
 	}
 	if report.Leaving && o.env.Tables.Engines.MarkLeaving(o.declared.Name) {
@@ -42,6 +43,22 @@
 	return report.Sequence, nil
 }
 
+// maxMissed is how many reports in a row fail before the engine counts as
+// unreachable.
+const maxMissed = 3
+
+// missed notes that a report failed.
+func (o *Orderer) missed(ctx context.Context) {
+	if o.take(context.WithoutCancel(ctx)) != nil {
+		return
+	}
+	defer o.give()
+	o.misses++
+	if o.misses == maxMissed && o.Active() {
+		o.publish()
+	}
+}
+
 // apply brings the ledger, the history and the tables up to a report.
 func (o *Orderer) apply(report backend.Report) {
 	if o.past[report.Incarnation] {
@@ -50,6 +67,7 @@
 	if report.Incarnation == o.report.Incarnation && report.Sequence < o.report.Sequence {
 		return // an older report that arrived late
 	}
+	o.misses = 0
 	o.meet(report.Incarnation)
 	before := o.phases()
 	o.report = report
@@ -110,7 +128,7 @@
 		Engine: o.declared.Name, FailureDomain: o.declared.FailureDomain,
 		Orderer: o.env.Instance, Epoch: o.record.Epoch,
 		Held: slices.Sorted(maps.Keys(o.held)), Doubtful: o.doubtfulUnits(),
-		Leaving: o.report.Leaving, Incarnation: o.report.Incarnation,
+		Leaving: o.report.Leaving, Unreachable: o.misses >= maxMissed, Incarnation: o.report.Incarnation,
 		MemoryBytes: int64(o.declared.Memory), UsedBytes: o.ledger.Used(),
 		Cached: maps.Clone(o.report.Tiers),
 	}
@@ -145,7 +163,7 @@
 }
 
 func sameResidency(a, b table.Residency) bool {
-	return a.Epoch == b.Epoch && a.Leaving == b.Leaving && a.Incarnation == b.Incarnation &&
+	return a.Epoch == b.Epoch && a.Leaving == b.Leaving && a.Unreachable == b.Unreachable && a.Incarnation == b.Incarnation &&
 		a.Orderer == b.Orderer && a.UsedBytes == b.UsedBytes && a.IdleBytes == b.IdleBytes &&
 		slices.Equal(a.Units, b.Units) && slices.Equal(a.Held, b.Held) &&
 		slices.Equal(a.Doubtful, b.Doubtful) && maps.Equal(a.Cached, b.Cached)
--- a/command/placement/rank.go
+++ b/command/placement/rank.go
@@ -48,7 +48,7 @@
 	var out []Candidate
 	for _, e := range engines {
 		declared, known := index.Engines[e.Engine]
-		if !known || declared.Lost || e.Leaving || e.Orderer == "" || !model.AllowedIn(e.FailureDomain) {
+		if !known || declared.Lost || !e.Usable() || e.Orderer == "" || !model.AllowedIn(e.FailureDomain) {
 			continue
 		}
 		if wait, possible := p.wait(need, e); possible {
--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -128,7 +128,7 @@
 func (w *Waker) useBoundSlot(ctx context.Context, c placement.Candidate, u backend.Unit, bound []string, latest time.Time) (string, error) {
 	var holders []table.EngineView
 	for _, name := range bound {
-		if e, known := w.env.Tables.Engines.Get(name); known && !e.Leaving {
+		if e, known := w.env.Tables.Engines.Get(name); known && e.Usable() {
 			holders = append(holders, e)
 		}
 	}
@@ -153,7 +153,7 @@
 func (w *Waker) holders(model string) []table.EngineView {
 	var out []table.EngineView
 	for _, e := range w.env.Tables.Engines.All() {
-		if slices.Contains(e.Held, model) && e.Orderer != "" && !e.Leaving {
+		if slices.Contains(e.Held, model) && e.Orderer != "" && e.Usable() {
 			out = append(out, e)
 		}
 	}
--- a/command/wake/prospect.go
+++ b/command/wake/prospect.go
@@ -75,7 +75,7 @@
 		return false
 	}
 	for _, e := range w.env.Tables.Engines.All() {
-		if !e.Leaving && w.living(e.Orderer) && e.MemoryBytes >= memory && index.Models[u.Model].AllowedIn(e.FailureDomain) && w.slotPossible(e, u.Model) {
+		if e.Usable() && w.living(e.Orderer) && e.MemoryBytes >= memory && index.Models[u.Model].AllowedIn(e.FailureDomain) && w.slotPossible(e, u.Model) {
 			return true
 		}
 	}
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -104,7 +104,7 @@
 // Run does the instance's standing work until ctx ends.
 func (c *Core) Run(ctx context.Context) {
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){c.gossip.Run, c.watch, c.orders.Run, c.waker.Run, c.dispatcher.Run, c.sweepRuns} {
+	for _, run := range []func(context.Context){c.gossip.Run, c.watch, c.orders.Run, c.waker.Run, c.dispatcher.Run, c.sweep} {
 		work.Go(func() { run(ctx) })
 	}
 	work.Wait()
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -192,11 +192,36 @@
 type cutEngine struct {
 	backend.Engine
 	net      *network
+	name     string
 	from, to string
 }
 
+// silent reports whether nobody reaches the engine.
+func (e cutEngine) silent() bool { return e.net.cut(e.from, e.to) || e.net.cut("", e.name) }
+
+func (e cutEngine) Report(ctx context.Context, after uint64) (backend.Report, error) {
+	if e.silent() {
+		return backend.Report{}, backend.ErrUnknown
+	}
+	return e.Engine.Report(ctx, after)
+}
+
+func (e cutEngine) Fence(ctx context.Context, epoch uint64) (backend.Report, error) {
+	if e.silent() {
+		return backend.Report{}, backend.ErrUnknown
+	}
+	return e.Engine.Fence(ctx, epoch)
+}
+
+func (e cutEngine) Load(ctx context.Context, o backend.Order) (backend.Ack, error) {
+	if e.silent() {
+		return backend.Ack{}, backend.ErrRefused
+	}
+	return e.Engine.Load(ctx, o)
+}
+
 func (e cutEngine) Generate(ctx context.Context, a backend.Attempt) (backend.Stream, error) {
-	if e.net.cut(e.from, e.to) {
+	if e.silent() {
 		return nil, verdict.Refuse(verdict.ReasonBackend, "no route to %s", e.to)
 	}
 	return e.Engine.Generate(ctx, a)
@@ -275,7 +300,7 @@
 	ports := Ports{
 		Store: cutStore{f.platform, f.net, domain}, Peer: f.net.dial(domain),
 		Engine: func(e declaration.Engine) backend.Engine {
-			return cutEngine{f.engines[e.Name], f.net, domain, e.FailureDomain}
+			return cutEngine{f.engines[e.Name], f.net, e.Name, domain, e.FailureDomain}
 		},
 	}
 	ctx, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/daemon/silent_test.go
@@ -0,0 +1,67 @@
+package daemon
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/martenport/martenport/table"
+)
+
+// TestSilentEngine: the engine with the only replica stops answering. Requests
+// are answered by another replica, which the cap permits; the engine that came
+// back is used again.
+func TestSilentEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		shape := small
+		shape.models = captionModel("1", 2)
+		f := newTestFleet(t, shape)
+		defer f.close()
+		first, err := f.nodes[0].generate("caption", "x", time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.net.setAway(first.Engine, true)
+		time.Sleep(10 * time.Second)
+		writes := f.platform.Writes.Load()
+		for _, n := range f.nodes {
+			answer, err := n.generate("caption", "y", time.Minute)
+			if err != nil {
+				t.Errorf("%s: %v", n.settings.Name, err)
+			} else if answer.Engine == first.Engine {
+				t.Errorf("answered by %s, which is silent", answer.Engine)
+			}
+		}
+		time.Sleep(time.Minute)
+		if n := f.platform.Writes.Load() - writes; n > 20 {
+			t.Errorf("a silent engine cost %d platform writes in a minute", n)
+		}
+		f.net.setAway(first.Engine, false)
+		f.awaitUntil("the engine is used again", time.Minute, func() bool {
+			view, _ := f.nodes[0].tables.Engines.Get(first.Engine)
+			return view.Usable()
+		})
+		f.checkCounts()
+	})
+}
+
+// TestDeadAreForgotten: an instance that was replaced under another name is not
+// kept for ever, here or in the platform.
+func TestDeadAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := table.New(table.Member{Name: "a"}).Members
+		members.Merge([]table.Member{{Name: "b", State: table.Alive, Incarnation: 1}, {Name: "c", State: table.Alive, Incarnation: 1}})
+		members.MarkDead("b")
+		time.Sleep(forgetAfter / 2)
+		if gone := members.ForgetDead(forgetAfter); len(gone) > 0 {
+			t.Errorf("forgot %v too soon", gone)
+		}
+		time.Sleep(forgetAfter)
+		if gone := members.ForgetDead(forgetAfter); len(gone) != 1 || gone[0] != "b" {
+			t.Errorf("forgot %v, want b", gone)
+		}
+		if _, found := members.Get("b"); found || len(members.All()) != 2 {
+			t.Errorf("%v", members.All())
+		}
+	})
+}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -179,20 +179,34 @@
 
 // unregister removes the entry. If the platform is away the entry stays and is
 // overruled by what instances say of each other.
-func (c *Core) unregister(ctx context.Context) {
-	if obj, err := c.store.Get(ctx, c.instanceKey()); err == nil {
-		_ = c.store.Delete(ctx, obj.Key, obj.Version)
-	}
-}
+func (c *Core) unregister(ctx context.Context) { c.remove(ctx, c.instanceKey()) }
 
-// sweepInterval is how often old keys are removed from the platform.
+// sweepInterval is how often what is old is removed.
 const sweepInterval = time.Minute
 
-// sweepRuns removes old keys while this instance is the one chosen for it.
-func (c *Core) sweepRuns(ctx context.Context) {
+// forgetAfter is how long a dead instance is remembered: longer than a failure
+// domain is usually cut off.
+const forgetAfter = 24 * time.Hour
+
+// sweep removes old keys and the entries of instances that are long gone. Each
+// instance forgets; the one chosen for it also tidies the platform.
+func (c *Core) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepInterval) {
-		if rendezvous.Choose("sweep", table.Names(c.tables.Members.Alive())) == c.settings.Name {
+		chosen := rendezvous.Choose("sweep", table.Names(c.tables.Members.Alive())) == c.settings.Name
+		for _, name := range c.tables.Members.ForgetDead(forgetAfter) {
+			if chosen {
+				c.remove(ctx, platform.PrefixInstances+name)
+			}
+		}
+		if chosen {
 			_, _ = c.runs.Sweep(ctx, time.Now())
 		}
 	}
 }
+
+// remove deletes an object whatever its version.
+func (c *Core) remove(ctx context.Context, key string) {
+	if obj, err := c.store.Get(ctx, key); err == nil {
+		_ = c.store.Delete(ctx, obj.Key, obj.Version)
+	}
+}
--- a/query/status/status.go
+++ b/query/status/status.go
@@ -61,7 +61,7 @@
 	}
 	room, ordered := false, false
 	for _, e := range engines {
-		if e.Leaving || !m.AllowedIn(e.FailureDomain) {
+		if !e.Usable() || !m.AllowedIn(e.FailureDomain) {
 			continue
 		}
 		ordered = ordered || e.Orderer != ""
--- a/table/engines.go
+++ b/table/engines.go
@@ -24,8 +24,11 @@
 	// Held lists the models for which the engine holds a slot.
 	Held []string
 	// Doubtful lists units that an earlier orderer may still load.
-	Doubtful    []string
-	Leaving     bool
+	Doubtful []string
+	Leaving  bool
+	// Unreachable says that the engine does not answer its orderer; unlike
+	// Leaving it may pass.
+	Unreachable bool
 	Incarnation string
 	MemoryBytes int64
 	UsedBytes   int64
@@ -63,6 +66,9 @@
 	return slices.Contains(v.Units, UnitState{Unit: u, State: backend.Resident})
 }
 
+// Usable reports whether new work may go to the engine.
+func (v EngineView) Usable() bool { return !v.Leaving && !v.Unreachable }
+
 // Find returns the state of the unit, whatever its version.
 func (v EngineView) Find(unitID string) (UnitState, bool) {
 	i := slices.IndexFunc(v.Units, func(u UnitState) bool { return u.Unit.ID() == unitID })
--- a/table/members.go
+++ b/table/members.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sync"
+	"time"
 )
 
 // MemberState is the state of an instance.
@@ -50,12 +51,13 @@
 	self string
 
 	mu      sync.Mutex
-	members map[string]Member // guarded by mu
-	changed map[string]uint64 // guarded by mu; change number by name
+	members map[string]Member    // guarded by mu
+	changed map[string]uint64    // guarded by mu; change number by name
+	died    map[string]time.Time // guarded by mu; when each dead entry came to be known as dead
 }
 
 func newMembers(self Member, log *changeLog) *Members {
-	m := &Members{log: log, self: self.Name, members: map[string]Member{}, changed: map[string]uint64{}}
+	m := &Members{log: log, self: self.Name, members: map[string]Member{}, changed: map[string]uint64{}, died: map[string]time.Time{}}
 	self.State = Alive
 	m.members[self.Name] = self
 	m.changed[self.Name] = log.next()
@@ -85,6 +87,11 @@
 
 // store needs mu.
 func (m *Members) store(e Member) {
+	if e.State != Dead {
+		delete(m.died, e.Name)
+	} else if _, known := m.died[e.Name]; !known {
+		m.died[e.Name] = time.Now()
+	}
 	m.members[e.Name] = e
 	m.changed[e.Name] = m.log.next()
 }
@@ -132,14 +139,22 @@
 	return true
 }
 
-// Forget drops a dead entry.
-func (m *Members) Forget(name string) {
+// ForgetDead drops the entries that have been dead for longer than a time, and
+// returns their names. Without it 94 replacements a day under new names would
+// fill the table.
+func (m *Members) ForgetDead(longer time.Duration) []string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.members[name].State == Dead {
-		delete(m.members, name)
-		delete(m.changed, name)
+	var out []string
+	for name, since := range m.died {
+		if time.Since(since) > longer {
+			delete(m.members, name)
+			delete(m.changed, name)
+			delete(m.died, name)
+			out = append(out, name)
+		}
 	}
+	return out
 }
 
 // Get returns the entry of an instance.
