Cancel by key finds the request, and only its own caller's

Cause: running requests were noted under the hashed key of the account of runs, and only those that are not idempotent, while Cancel looked for the key as given; and a caller that left was counted as refused for its deadline. Before: TestCancelByKey not found. After: found by caller and key; the reason is 'cancelled'. One rule now says whether a model may be on an engine at all.

--- a/command/orderer/excess.go
+++ b/command/orderer/surplus.go
@@ -9,9 +9,13 @@
 	"github.com/martenport/martenport/platform"
 )
 
-// confirmExcess reads the model's slots and reports whether this engine's is
-// above the cap.
-func (o *Orderer) confirmExcess(ctx context.Context, model string) bool {
+// slotExcess reports whether this engine's slot of the model is above the cap.
+// The platform is asked only when the slots that are known may be too many.
+func (o *Orderer) slotExcess(ctx context.Context, model string) bool {
+	m, found := o.env.Tables.Config.Index().Models[model]
+	if !found || o.holders(model) <= m.MaxReplicas {
+		return false
+	}
 	slots, version, err := platform.Read[placement.ModelSlots](ctx, o.env.Store, slotsKey(model))
 	if err != nil || version == 0 {
 		return false
@@ -22,13 +26,9 @@
 // tidySlots frees slots that are held for models that may not be loaded here
 // any more, and takes those that the engine needs but are not adopted yet.
 func (o *Orderer) tidySlots(ctx context.Context) {
-	index := o.env.Tables.Config.Index()
 	for model := range o.held {
 		_, counted := o.ledger.Entries[model]
-		m, found := index.Models[model]
-		surplus := !found || m.MaxReplicas == 0 || !m.AllowedIn(o.declared.FailureDomain) ||
-			(o.holders(model) > m.MaxReplicas && o.confirmExcess(ctx, model))
-		if !counted && surplus && index.Generation > 0 {
+		if !counted && (!o.permitted(model) || o.slotExcess(ctx, model)) {
 			_ = o.releaseSlot(ctx, model)
 		}
 	}
--- a/command/orderer/tidy.go
+++ b/command/orderer/tidy.go
@@ -92,29 +92,31 @@
 // unwanted reports whether operators removed the unit, or changed its version
 // and nothing uses the old one.
 func (o *Orderer) unwanted(e placement.Entry) bool {
+	if !o.permitted(e.Unit.Model) {
+		return true
+	}
+	m, found := o.env.Tables.Config.Index().Models[e.Unit.Model]
+	return found && e.Unit.Adapter == "" && m.Version != e.Unit.Version
+}
+
+// permitted reports whether operators allow the model here at all. Before the
+// first declaration is known nothing is forbidden.
+func (o *Orderer) permitted(model string) bool {
 	index := o.env.Tables.Config.Index()
-	m, found := index.Models[e.Unit.Model]
 	if index.Generation == 0 {
-		return false
-	}
-	if !found || m.MaxReplicas == 0 || !m.AllowedIn(o.declared.FailureDomain) {
 		return true
 	}
-	return e.Unit.Adapter == "" && m.Version != e.Unit.Version
+	m, found := index.Models[model]
+	return found && m.MaxReplicas > 0 && m.AllowedIn(o.declared.FailureDomain)
 }
 
 func (o *Orderer) idle(e placement.Entry) bool {
 	return o.env.Policy.DueForUnload(e, o.costs(), o.env.Tables.Config.Index().Declaration.TailWeight, time.Now())
 }
 
-// excess reports whether the model's cap was lowered below this slot. The
-// platform is asked only when the slots may be too many.
+// excess reports whether the model's cap was lowered below this unit's slot.
 func (o *Orderer) excess(ctx context.Context, u backend.Unit) bool {
-	m, found := o.env.Tables.Config.Index().Models[u.Model]
-	if u.Adapter != "" || !found || o.holders(u.Model) <= m.MaxReplicas {
-		return false
-	}
-	return o.confirmExcess(ctx, u.Model)
+	return u.Adapter == "" && o.slotExcess(ctx, u.Model)
 }
 
 // holders counts the engines known to hold a slot of the model.
--- a/daemon/inference.go
+++ b/daemon/inference.go
@@ -107,7 +107,7 @@
 
 // Cancel implements martenportv1connect.InferenceServiceHandler.
 func (i inference) Cancel(_ context.Context, msg *connect.Request[martenportv1.CancelRequest]) (*connect.Response[martenportv1.CancelResponse], error) {
-	found := i.c.running.stop(msg.Msg.RequestId, msg.Msg.Key)
+	found := i.c.running.stop(msg.Msg.RequestId, msg.Msg.Caller, msg.Msg.Key)
 	return connect.NewResponse(&martenportv1.CancelResponse{Found: found}), nil
 }
 
--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
@@ -27,9 +28,11 @@
 // job is one accepted request on its way.
 type job struct {
 	id, model, caller string
-	key, content      string // for requests that run at most once
-	deadline          time.Duration
-	modelLimit        int
+	// givenKey is the key as the caller gave it, to cancel by.
+	givenKey     string
+	key, content string // for requests that run at most once
+	deadline     time.Duration
+	modelLimit   int
 }
 
 // generateJob checks a request and works out how it is run.
@@ -59,7 +62,7 @@
 	if req.MaxTokens == 0 {
 		req.MaxTokens = defaultTokens
 	}
-	j := job{id: uuid.NewString(), model: req.Model, caller: req.Caller, deadline: deadline, modelLimit: model.QueueLimit}
+	j := job{id: uuid.NewString(), model: req.Model, caller: req.Caller, givenKey: req.Key, deadline: deadline, modelLimit: model.QueueLimit}
 	if !req.Idempotent && req.Key != "" {
 		j.key = runonce.Key(req.Caller, req.Key)
 		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Model, req.Adapter, req.Prompt}, "\x00")))
@@ -82,7 +85,7 @@
 	if err != nil {
 		return job{}, err
 	}
-	j := job{id: uuid.NewString(), model: req.Service, caller: req.Caller, deadline: deadline}
+	j := job{id: uuid.NewString(), model: req.Service, caller: req.Caller, givenKey: req.Key, deadline: deadline}
 	if !method.Idempotent && req.Key != "" {
 		j.key = runonce.Key(req.Caller, req.Key)
 		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Service, req.Method, string(req.Body)}, "\x00")))
@@ -141,10 +144,14 @@
 		c.end(j, start, err)
 		return nil, err
 	}
-	ctx, ended := c.running.start(ctx, j.id, j.key)
+	ctx, ended := c.running.start(ctx, j.id, j.caller, j.givenKey)
 	defer ended()
 	c.events.Record(event.Event{Kind: event.KindAccept, Request: j.id, Model: j.model})
 	answer, err := c.once(ctx, j, work)
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		f := verdict.Of(err)
+		err = verdict.New(f.Verdict, verdict.ReasonCancelled, "the caller cancelled or left: %s", f.Detail)
+	}
 	ticket.Leave(err)
 	c.end(j, start, err)
 	return answer, err
--- a/daemon/overload_test.go
+++ b/daemon/overload_test.go
@@ -115,6 +115,32 @@
 	}
 }
 
+// TestCancelByKey: a request is cancelled by its caller's key, and by nobody
+// else's.
+func TestCancelByKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, small)
+		defer f.close()
+		n := f.nodes[0]
+		done := make(chan error, 1)
+		go func() {
+			_, err := n.generateAs(&martenportv1.GenerateRequest{Model: "caption", Prompt: "x", Key: "k", Caller: "a", Idempotent: true})
+			done <- err
+		}()
+		time.Sleep(time.Second)
+		if n.running.stop("", "b", "k") {
+			t.Error("another caller's cancel took effect")
+		}
+		if !n.running.stop("", "a", "k") {
+			t.Error("the request was not found by its key")
+		}
+		if f := verdict.Of(<-done); f.Reason != verdict.ReasonCancelled || f.Verdict != verdict.NotRun {
+			t.Errorf("%v, want cancelled and not run", f)
+		}
+		f.checkCounts()
+	})
+}
+
 // TestCancelLeavesNothing: a caller that leaves while its request waits for a
 // load is counted as cancelled.
 func TestCancelLeavesNothing(t *testing.T) {
--- a/daemon/running.go
+++ b/daemon/running.go
@@ -16,26 +16,29 @@
 type runningRequests struct {
 	mu     sync.Mutex
 	cancel map[string]context.CancelCauseFunc // guarded by mu; by request id
-	byKey  map[string]string                  // guarded by mu; request id by caller's key
+	byKey  map[callerKey]string               // guarded by mu; request id
 }
 
+// callerKey is a key as its caller gave it.
+type callerKey struct{ caller, key string }
+
 func newRunningRequests() *runningRequests {
-	return &runningRequests{cancel: map[string]context.CancelCauseFunc{}, byKey: map[string]string{}}
+	return &runningRequests{cancel: map[string]context.CancelCauseFunc{}, byKey: map[callerKey]string{}}
 }
 
 // start notes a request and returns its context and what to call at its end.
-func (r *runningRequests) start(ctx context.Context, id, key string) (context.Context, func()) {
+func (r *runningRequests) start(ctx context.Context, id, caller, key string) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancel[id] = cancel
 	if key != "" {
-		r.byKey[key] = id
+		r.byKey[callerKey{caller, key}] = id
 	}
-	return ctx, func() { r.end(id, key) }
+	return ctx, func() { r.end(id, callerKey{caller, key}) }
 }
 
-func (r *runningRequests) end(id, key string) {
+func (r *runningRequests) end(id string, key callerKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cancel[id](nil)
@@ -46,11 +49,11 @@
 }
 
 // stop cancels a request and reports whether it was running.
-func (r *runningRequests) stop(id, key string) bool {
+func (r *runningRequests) stop(id, caller, key string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if id == "" {
-		id = r.byKey[key]
+		id = r.byKey[callerKey{caller, key}]
 	}
 	cancel, found := r.cancel[id]
 	if found {
