--- a/command/dispatch/call.go
+++ b/command/dispatch/call.go
@@ -40,6 +40,7 @@
 		return nil, err
 	}
 	worst := verdict.NotRun
+	c.dispatcher.budget.earn()
 	servers := c.order(service)
 	for attempt := 1; ; attempt++ {
 		if len(servers) == 0 {
@@ -51,7 +52,7 @@
 		}
 		f := verdict.Of(err)
 		worst = max(worst, f.Verdict)
-		if attempt == c.dispatcher.params.MaxAttempts || !verdict.Retryable(err, method.Idempotent) {
+		if attempt == c.dispatcher.params.MaxAttempts || !verdict.Retryable(err, method.Idempotent) || !c.dispatcher.budget.spend() {
 			return nil, f.WithVerdict(worst)
 		}
 		servers = servers[1:]
--- a/command/dispatch/dispatch.go
+++ b/command/dispatch/dispatch.go
@@ -28,11 +28,15 @@
 	RetryPause time.Duration
 	// CancelTimeout bounds the cancel of an abandoned attempt.
 	CancelTimeout time.Duration
+	// RetryRatio is how many retries each request earns, and RetryBurst how
+	// many can be saved up.
+	RetryRatio float64
+	RetryBurst int
 }
 
 // DefaultParams returns the bounds used unless set otherwise.
 func DefaultParams() Params {
-	return Params{MaxAttempts: 3, MaxResumes: 2, RetryPause: 20 * time.Millisecond, CancelTimeout: 2 * time.Second}
+	return Params{MaxAttempts: 3, MaxResumes: 2, RetryPause: 20 * time.Millisecond, CancelTimeout: 2 * time.Second, RetryRatio: 0.2, RetryBurst: 100}
 }
 
 // Request is one request of a caller.
@@ -86,12 +90,13 @@
 	line     *admission.Line
 	waker    Waker
 	dial     func(declaration.Engine) backend.Engine
+	budget   *budget
 	growing  sync.Map // models for which a replica is being asked for
 }
 
 // New returns a dispatcher that reaches engines by dial.
 func New(params Params, tables *table.Tables, events *event.Recorder, balancer *routing.Balancer, line *admission.Line, waker Waker, dial func(declaration.Engine) backend.Engine) *Dispatcher {
-	return &Dispatcher{params: params, tables: tables, events: events, balancer: balancer, line: line, waker: waker, dial: dial}
+	return &Dispatcher{params: params, tables: tables, events: events, balancer: balancer, line: line, waker: waker, dial: dial, budget: newBudget(params.RetryRatio, params.RetryBurst)}
 }
 
 // Generate runs the request within ctx's deadline and hands the answer to
@@ -100,6 +105,7 @@
 func (d *Dispatcher) Generate(ctx context.Context, req Request, sink Sink) (Result, error) {
 	var result Result
 	worst := verdict.NotRun
+	d.budget.earn()
 	refused := map[string]bool{}
 	for attempt := 1; ; attempt++ {
 		room, err := d.find(ctx, req, refused, &result)
@@ -113,7 +119,7 @@
 		}
 		f := verdict.Of(err)
 		worst = max(worst, f.Verdict)
-		if attempt == d.params.MaxAttempts || !verdict.Retryable(err, req.Idempotent) || !sink.Restart() {
+		if attempt == d.params.MaxAttempts || !verdict.Retryable(err, req.Idempotent) || !sink.Restart() || !d.budget.spend() {
 			return result, f.WithVerdict(worst)
 		}
 		if !pause.For(ctx, d.params.RetryPause) {
--- a/command/dispatch/dispatch_test.go
+++ b/command/dispatch/dispatch_test.go
@@ -224,3 +224,25 @@
 		}
 	})
 }
+
+// TestRetryBudget: with every attempt refused, attempts stay near the number of
+// requests, not at its threefold.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const requests = 1000
+		e := &scripted{attempts: map[string]int{}}
+		for range requests * 3 {
+			e.script = append(e.script, outcome{refuse: verdict.NotRun})
+		}
+		d := newDispatcher(t, e)
+		for range requests {
+			if err := d.try(&text{}, true); verdict.Of(err).Verdict != verdict.NotRun {
+				t.Fatal(err)
+			}
+		}
+		most := requests + int(d.params.RetryRatio*requests) + d.params.RetryBurst
+		if sent := requests*3 - len(e.script); sent > most {
+			t.Errorf("%d attempts for %d requests, want at most %d", sent, requests, most)
+		}
+	})
+}
