A load that cannot come in time is refused at once, end to end

Cause: the gate's refusal had the same reason as a call's end of time, so that the asking instance asked again until the request's deadline: the request was given up and its answer held back. And the gate's speeds were kept by whoever held the wake, not by the gate. The reason is too_slow; the gate times its own grants.

--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -173,12 +173,7 @@
 	if err := w.acquire(ctx, view, u, memory, latest); err != nil {
 		return err
 	}
-	start := time.Now()
-	err = w.order(ctx, engine, ordererName, u)
-	if _, cached := view.Cached[u.ID()]; err == nil && !cached && u.Adapter == "" {
-		w.gate.Loaded(memory, time.Since(start))
-	}
-	return err
+	return w.order(ctx, engine, ordererName, u)
 }
 
 // order asks an engine's orderer, here or elsewhere, to load the unit.
--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -32,8 +32,8 @@
 	params Params
 
 	mu      sync.Mutex
-	waiting []*waiter            // guarded by mu
-	granted map[string]time.Time // guarded by mu; by key
+	waiting []*waiter        // guarded by mu
+	granted map[string]grant // guarded by mu; by key
 	// borrowed is when a stream beyond the share was last granted.
 	borrowed time.Time // guarded by mu
 	speeds   []float64 // guarded by mu; bytes a second of the newest loads
@@ -58,6 +58,12 @@
 // keptSpeeds is how many of the newest loads are remembered.
 const keptSpeeds = 8
 
+// grant is a stream in use.
+type grant struct {
+	since time.Time
+	bytes int64
+}
+
 type waiter struct {
 	Request
 	done chan error
@@ -65,7 +71,7 @@
 
 // NewGate returns a gate that has granted nothing.
 func NewGate(p Params) *Gate {
-	return &Gate{params: p, granted: map[string]time.Time{}}
+	return &Gate{params: p, granted: map[string]grant{}}
 }
 
 // Acquire waits for a stream. The load that is needed soonest goes first; one
@@ -120,13 +126,14 @@
 func (g *Gate) Update(s Streams, look func(engine, unit string) State, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for key, since := range g.granted {
+	for key, one := range g.granted {
 		engine, unit := splitKey(key)
 		switch look(engine, unit) {
 		case Finished:
+			g.note(one.bytes, now.Sub(one.since))
 			delete(g.granted, key)
 		case Unknown:
-			if now.Sub(since) > g.params.Settle {
+			if now.Sub(one.since) > g.params.Settle {
 				delete(g.granted, key)
 			}
 		}
@@ -136,7 +143,7 @@
 	for len(g.waiting) > 0 && g.mayGrant(s, now) {
 		w := g.waiting[0]
 		g.waiting = g.waiting[1:]
-		g.granted[w.key()] = now
+		g.granted[w.key()] = grant{since: now, bytes: w.Bytes}
 		w.done <- nil
 	}
 }
@@ -176,18 +183,16 @@
 		if !now.Add(need).After(w.Latest) {
 			return false
 		}
-		w.done <- verdict.Refuse(verdict.ReasonDeadline, "%s cannot be loaded in time, a load takes %v", w.Unit, need.Round(time.Second)).After(max(need, g.params.RetryAfter))
+		w.done <- verdict.Refuse(verdict.ReasonTooSlow, "%s cannot be loaded in time, a load takes %v", w.Unit, need.Round(time.Second)).After(max(need, g.params.RetryAfter))
 		return true
 	})
 }
 
-// Loaded notes how long a load took.
-func (g *Gate) Loaded(bytes int64, took time.Duration) {
+// note keeps how fast a load was. It needs mu.
+func (g *Gate) note(bytes int64, took time.Duration) {
 	if took <= 0 {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.speeds = append(g.speeds, float64(bytes)/took.Seconds())
 	if len(g.speeds) > keptSpeeds {
 		g.speeds = g.speeds[1:]
--- a/command/weights/weights_test.go
+++ b/command/weights/weights_test.go
@@ -50,7 +50,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := NewGate(DefaultParams())
 		for range keptSpeeds {
-			g.Loaded(100, 100*time.Second)
+			g.loaded(t, 100, 100*time.Second)
 		}
 		errs := make(chan error, 2)
 		for _, limit := range []time.Duration{time.Minute, 10 * time.Minute} {
@@ -112,3 +112,20 @@
 		}
 	})
 }
+
+// loaded takes a load of so many bytes and so long through the gate.
+func (g *Gate) loaded(t *testing.T, bytes int64, took time.Duration) {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		done <- g.Acquire(t.Context(), Request{Engine: "e", Unit: "before", Bytes: bytes, Latest: time.Now().Add(time.Hour)})
+	}()
+	synctest.Wait()
+	one := Streams{Share: 1, Allowed: 1}
+	g.Update(one, func(string, string) State { return Loading }, time.Now())
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(took)
+	g.Update(one, func(string, string) State { return Finished }, time.Now())
+}
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -242,6 +242,7 @@
 	net      *network
 	platform *standin.Platform
 	engines  map[string]*standin.Engine
+	weights  *standin.WeightStore
 	domains  []string
 	declared string
 	nodes    []*node
@@ -260,7 +261,7 @@
 // newTestFleet starts a fleet and waits until its engines have orderers.
 func newTestFleet(t *testing.T, shape fleetShape) *testFleet {
 	f := &testFleet{t: t, net: newNetwork(), platform: standin.NewPlatform(), engines: map[string]*standin.Engine{}}
-	weights := standin.NewWeightStore(3, 4)
+	f.weights = standin.NewWeightStore(3, 4)
 	var engines strings.Builder
 	for d := range shape.domains {
 		domain := fmt.Sprintf("d%d", d)
@@ -269,7 +270,7 @@
 			name := fmt.Sprintf("%s-e%d", domain, i)
 			f.engines[name] = standin.NewEngine(standin.EngineParams{
 				Name: name, MemoryBytes: 80 << 30, Fencing: true, StepTime: 5 * time.Millisecond, MaxBatch: 32,
-				Speeds: standin.DefaultSpeeds(), Weights: weights,
+				Speeds: standin.DefaultSpeeds(), Weights: f.weights,
 			})
 			fmt.Fprintf(&engines, "  - {name: %s, failureDomain: %s, address: \"%s:1\", memory: 80GiB, fencing: true}\n", name, domain, name)
 		}
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -56,6 +56,7 @@
 	ReasonKeyReused    Reason = "key_reused"    // the key was used with other content
 	ReasonKeyTaken     Reason = "key_taken"     // the key ran or may have run elsewhere
 	ReasonCancelled    Reason = "cancelled"     // the caller cancelled or left
+	ReasonTooSlow      Reason = "too_slow"      // a load that is needed cannot be finished in time
 	ReasonNoSlot       Reason = "no_slot"       // every slot of the model is bound elsewhere
 	ReasonNotOrderer   Reason = "not_orderer"   // the instance does not order this engine
 	ReasonStaleEpoch   Reason = "stale_epoch"   // the engine has seen a newer fencing number
