A recovered weight store is tried again

Cause: once the newest loads were all slow, requests with short deadlines were all refused, so that no load corrected what was observed. Before (the line taken out): TestSlowWeightStore refuses m13 a minute after the store recovered. After: answered. A speed is believed for 30 s when no load runs.

--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -37,6 +37,7 @@
 	// borrowed is when a stream beyond the share was last granted.
 	borrowed time.Time // guarded by mu
 	speeds   []float64 // guarded by mu; bytes a second of the newest loads
+	notedAt  time.Time // guarded by mu; when the newest of them ended
 }
 
 // Params bound a Gate.
@@ -46,13 +47,16 @@
 	// Borrow is the shortest time between two grants beyond the own share: long
 	// enough to hear what the other domains have begun meanwhile.
 	Borrow time.Duration
+	// Trust is how long an observed speed is believed when no load is running:
+	// if all were refused for it, it would never be corrected.
+	Trust time.Duration
 	// RetryAfter is told when a load is refused.
 	RetryAfter time.Duration
 }
 
 // DefaultParams returns the bounds used unless set otherwise.
 func DefaultParams() Params {
-	return Params{Settle: 5 * time.Second, Borrow: 3 * time.Second, RetryAfter: 5 * time.Second}
+	return Params{Settle: 5 * time.Second, Borrow: 3 * time.Second, Trust: 30 * time.Second, RetryAfter: 5 * time.Second}
 }
 
 // keptSpeeds is how many of the newest loads are remembered.
@@ -171,6 +175,9 @@
 
 // refuseDoomed needs mu.
 func (g *Gate) refuseDoomed(now time.Time) {
+	if len(g.granted) == 0 && now.Sub(g.notedAt) > g.params.Trust {
+		g.speeds = nil
+	}
 	fastest := 0.0
 	for _, s := range g.speeds {
 		fastest = max(fastest, s)
@@ -193,6 +200,7 @@
 	if took <= 0 {
 		return
 	}
+	g.notedAt = time.Now()
 	g.speeds = append(g.speeds, float64(bytes)/took.Seconds())
 	if len(g.speeds) > keptSpeeds {
 		g.speeds = g.speeds[1:]
--- a/daemon/weights_test.go
+++ b/daemon/weights_test.go
@@ -44,6 +44,10 @@
 			t.Errorf("a doomed load: after %v: %v", took, err)
 		}
 		f.weights.SetSpeed(1)
+		time.Sleep(time.Minute)
+		if _, err := ask(13, 30*time.Second); err != nil {
+			t.Errorf("with short deadlines only, after the store recovered: %v", err)
+		}
 		if _, err := ask(11, 10*time.Minute); err != nil {
 			t.Errorf("after the store recovered: %v", err)
 		}
