A wake's answer brings the engine's residency; streams are granted at once

Cause: a load waited up to 100 ms for the gate's next look, and the asking instance up to a second to hear, by the exchange between domains, of the replica that its own wake had made. The gate now looks when a load begins to wait, and the answer carries the residency.

--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -185,7 +185,9 @@
 	if err != nil {
 		return err
 	}
-	return typed(w.peers.Load(ctx, address, engine, u))
+	residency, err := w.peers.Load(ctx, address, engine, u)
+	w.learn(residency)
+	return typed(err)
 }
 
 func (w *Waker) yield(ctx context.Context, engine, ordererName string, u backend.Unit) error {
--- a/command/wake/streams.go
+++ b/command/wake/streams.go
@@ -61,10 +61,11 @@
 	for {
 		select {
 		case <-ticker.C:
-			w.gate.Update(w.streams(), w.loadState, time.Now())
+		case <-w.gate.News():
 		case <-ctx.Done():
 			return
 		}
+		w.gate.Update(w.streams(), w.loadState, time.Now())
 	}
 }
 
--- a/command/wake/wake.go
+++ b/command/wake/wake.go
@@ -125,10 +125,11 @@
 	holder := w.holder(u)
 	if holder.Name != "" && holder.Name != w.env.Instance {
 		args := peer.WakeArgs{Unit: u, LatestMS: time.Until(latest).Milliseconds(), Replicas: replicas}
-		engine, err := w.peers.Wake(slice, holder.PeerAddress, args)
+		reply, err := w.peers.Wake(slice, holder.PeerAddress, args)
+		w.learn(reply.Residency)
 		switch {
 		case !errors.Is(err, peer.ErrUnreachable):
-			return engine, err
+			return reply.Engine, err
 		case slice.Err() != nil:
 			return "", verdict.Refuse(verdict.ReasonDeadline, "%s was not loaded in time", u.ID())
 		}
@@ -136,6 +137,13 @@
 	return w.Hold(slice, u, replicas, latest)
 }
 
+// learn takes in what an answer says of an engine, ahead of the exchange.
+func (w *Waker) learn(r *table.Residency) {
+	if r != nil {
+		w.env.Tables.Engines.MergeResidency([]table.Residency{*r})
+	}
+}
+
 // askAgainGrace is how long a holder waits for an instance to ask again.
 const askAgainGrace = time.Second
 
--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -30,6 +30,8 @@
 // Gate grants streams in one failure domain.
 type Gate struct {
 	params Params
+	// news has an item when a load has begun to wait.
+	news chan struct{}
 
 	mu      sync.Mutex
 	waiting []*waiter        // guarded by mu
@@ -56,7 +58,7 @@
 
 // DefaultParams returns the bounds used unless set otherwise.
 func DefaultParams() Params {
-	return Params{Settle: 5 * time.Second, Borrow: 3 * time.Second, Trust: 30 * time.Second, RetryAfter: 5 * time.Second}
+	return Params{Settle: 5 * time.Second, Borrow: 1500 * time.Millisecond, Trust: 30 * time.Second, RetryAfter: 5 * time.Second}
 }
 
 // keptSpeeds is how many of the newest loads are remembered.
@@ -75,7 +77,7 @@
 
 // NewGate returns a gate that has granted nothing.
 func NewGate(p Params) *Gate {
-	return &Gate{params: p, granted: map[string]grant{}}
+	return &Gate{params: p, granted: map[string]grant{}, news: make(chan struct{}, 1)}
 }
 
 // Acquire waits for a stream. The load that is needed soonest goes first; one
@@ -92,6 +94,10 @@
 	g.waiting = append(g.waiting, w)
 	g.mu.Unlock()
 	select {
+	case g.news <- struct{}{}:
+	default: // there is word already
+	}
+	select {
 	case err := <-w.done:
 		return err
 	case <-ctx.Done():
@@ -100,6 +106,9 @@
 	}
 }
 
+// News has an item when Update should look, since a load has begun to wait.
+func (g *Gate) News() <-chan struct{} { return g.news }
+
 func (g *Gate) remove(w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -54,12 +54,23 @@
 	latest := time.Now().Add(time.Duration(args.LatestMS) * time.Millisecond)
 	engine, err := h.c.waker.Hold(ctx, args.Unit, args.Replicas, latest)
 	reply.Engine = engine
+	reply.Residency = h.residency(engine)
 	return err
 }
 
+// residency is what is known of an engine, nil if nothing is.
+func (h peerHandler) residency(engine string) *table.Residency {
+	if view, known := h.c.tables.Engines.Get(engine); known && view.Engine != "" {
+		return &view.Residency
+	}
+	return nil
+}
+
 // Load implements peer.Handler.
-func (h peerHandler) Load(ctx context.Context, args *peer.OrderArgs, _ *peer.OrderReply) error {
-	return h.c.waker.Load(ctx, args.Engine, args.Unit)
+func (h peerHandler) Load(ctx context.Context, args *peer.OrderArgs, reply *peer.OrderReply) error {
+	err := h.c.waker.Load(ctx, args.Engine, args.Unit)
+	reply.Residency = h.residency(args.Engine)
+	return err
 }
 
 // Yield implements peer.Handler.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -93,6 +93,9 @@
 type WakeReply struct {
 	Reply
 	Engine string
+	// Residency of the engine, so that the asking instance need not wait to
+	// hear of it; nil when it is not known here.
+	Residency *table.Residency
 }
 
 // OrderArgs asks the orderer of an engine to load a unit or yield its slot.
@@ -103,7 +106,11 @@
 }
 
 // OrderReply says that it is done, or why not.
-type OrderReply struct{ Reply }
+type OrderReply struct {
+	Reply
+	// Residency of the engine after a load.
+	Residency *table.Residency
+}
 
 // StreamArgs asks the gate of a failure domain for a stream of the weight store.
 type StreamArgs struct {
@@ -278,16 +285,15 @@
 }
 
 // Wake calls Handler.Wake at address.
-func (c *Client) Wake(ctx context.Context, address string, args WakeArgs) (string, error) {
+func (c *Client) Wake(ctx context.Context, address string, args WakeArgs) (WakeReply, error) {
 	args.Header = c.Header(ctx)
-	reply, err := invoke[WakeReply](ctx, c, address, "Peer.Wake", &args)
-	return reply.Engine, err
+	return invoke[WakeReply](ctx, c, address, "Peer.Wake", &args)
 }
 
-// Load calls Handler.Load at address.
-func (c *Client) Load(ctx context.Context, address, engine string, u backend.Unit) error {
-	_, err := invoke[OrderReply](ctx, c, address, "Peer.Load", &OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u})
-	return err
+// Load calls Handler.Load at address and returns the engine's residency.
+func (c *Client) Load(ctx context.Context, address, engine string, u backend.Unit) (*table.Residency, error) {
+	reply, err := invoke[OrderReply](ctx, c, address, "Peer.Load", &OrderArgs{Header: c.Header(ctx), Engine: engine, Unit: u})
+	return reply.Residency, err
 }
 
 // Yield calls Handler.Yield at address.
