--- a/command/dispatch/dispatch_test.go
+++ b/command/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 	script    []outcome
 	attempts  map[string]int // calls by attempt id
 	mayRun    int            // attempts that ran or may have
-	cancelled int
+	cancelled atomic.Int64
 }
 
 const answerTokens = 6
@@ -61,7 +62,7 @@
 }
 
 func (e *scripted) Cancel(context.Context, string) error {
-	e.cancelled++
+	e.cancelled.Add(1)
 	return nil
 }
 
@@ -189,7 +190,7 @@
 				case c.want != 0 && (err == nil || verdict.Of(err).Verdict != c.want):
 					t.Errorf("%v, want %v", err, c.want)
 				}
-				if c.want == verdict.MayHaveRun && e.cancelled == 0 {
+				if c.want == verdict.MayHaveRun && e.cancelled.Load() == 0 {
 					t.Error("the abandoned attempt was not cancelled")
 				}
 			})
