--- a/daemon/jobs.go
+++ b/daemon/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
@@ -63,9 +64,8 @@
 		req.MaxTokens = defaultTokens
 	}
 	j := job{id: uuid.NewString(), model: req.Model, caller: req.Caller, givenKey: req.Key, deadline: deadline, modelLimit: model.QueueLimit}
-	if !req.Idempotent && req.Key != "" {
-		j.key = runonce.Key(req.Caller, req.Key)
-		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Model, req.Adapter, req.Prompt}, "\x00")))
+	if !req.Idempotent {
+		j.atMostOnce(req.Model, req.Adapter, strconv.Itoa(int(req.MaxTokens)), req.Prompt)
 	}
 	return j, nil
 }
@@ -86,13 +86,22 @@
 		return job{}, err
 	}
 	j := job{id: uuid.NewString(), model: req.Service, caller: req.Caller, givenKey: req.Key, deadline: deadline}
-	if !method.Idempotent && req.Key != "" {
-		j.key = runonce.Key(req.Caller, req.Key)
-		j.content = runonce.Fingerprint([]byte(strings.Join([]string{req.Service, req.Method, string(req.Body)}, "\x00")))
+	if !method.Idempotent {
+		j.atMostOnce(req.Service, req.Method, string(req.Body))
 	}
 	return j, nil
 }
 
+// atMostOnce has the job run at most once for its key, if it has one. content
+// is what a repeat must have in common; only the last part may hold anything.
+func (j *job) atMostOnce(content ...string) {
+	if j.givenKey == "" {
+		return
+	}
+	j.key = runonce.Key(j.caller, j.givenKey)
+	j.content = runonce.Fingerprint([]byte(strings.Join(content, "\x00")))
+}
+
 func checkNames(names ...string) error {
 	for _, n := range names {
 		if len(n) > maxNameBytes {
