Engines are ordered to their declared role

TestRole: ordered once after the declaration and once after the engine came back empty, and not again in a minute.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -57,7 +57,7 @@
 	return u.Model + "+" + u.Adapter
 }
 
-// Order asks an engine to load or unload a unit.
+// Order asks an engine to load or unload a unit, or to change its role.
 type Order struct {
 	Unit
 	// ID is unique to this order; the engine reports the ids it received.
@@ -68,6 +68,8 @@
 	Epoch       uint64 `json:"epoch"`
 	Incarnation string `json:"incarnation"`
 	MemoryBytes int64  `json:"memory_bytes"`
+	// Role is what SetRole asks the engine to be; other orders have none.
+	Role string `json:"role,omitempty"`
 }
 
 // Ack is an engine's answer to an order that it has taken.
@@ -101,6 +103,8 @@
 	Queue   int  `json:"queue"`
 	Running int  `json:"running"`
 	Leaving bool `json:"leaving"`
+	// Role is what the engine is at present.
+	Role string `json:"role,omitempty"`
 	// Orders are the ids of the orders received last, newest at the end.
 	Orders []string `json:"orders,omitempty"`
 	// Tiers says where the checkpoints not on the accelerator are cached;
@@ -151,6 +155,8 @@
 	Load(ctx context.Context, o Order) (Ack, error)
 	// Unload lets running requests of the unit finish, then frees it.
 	Unload(ctx context.Context, o Order) (Ack, error)
+	// SetRole has the engine change to the order's role.
+	SetRole(ctx context.Context, o Order) (Ack, error)
 	// Report returns the state once its sequence is above after, or when the
 	// engine's waiting time has passed.
 	Report(ctx context.Context, after uint64) (Report, error)
--- a/backend/http.go
+++ b/backend/http.go
@@ -22,6 +22,7 @@
 	PathFence    = "/v1/fence"
 	PathLoad     = "/v1/load"
 	PathUnload   = "/v1/unload"
+	PathRole     = "/v1/role"
 	PathReport   = "/v1/report"
 	PathGenerate = "/v1/generate"
 	PathCancel   = "/v1/cancel"
@@ -102,6 +103,13 @@
 	return ack, err
 }
 
+// SetRole implements Engine.
+func (h *HTTP) SetRole(ctx context.Context, o Order) (Ack, error) {
+	var ack Ack
+	err := h.order(ctx, PathRole, o, &ack)
+	return ack, err
+}
+
 // Report implements Engine.
 func (h *HTTP) Report(ctx context.Context, after uint64) (Report, error) {
 	target := h.base + PathReport + "?after=" + strconv.FormatUint(after, 10)
--- a/command/orderer/tidy.go
+++ b/command/orderer/tidy.go
@@ -5,8 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/placement"
+	"github.com/martenport/martenport/event"
 )
 
 // tidy does what is due on the engine without anybody asking: unloads what is
@@ -26,6 +29,9 @@
 		return
 	}
 	o.settleClaims(ctx)
+	if o.tidyRole(ctx) != nil {
+		return
+	}
 	for _, e := range o.dueForUnload(ctx) {
 		if o.unload(ctx, e) != nil {
 			return
@@ -34,6 +40,17 @@
 	o.tidySlots(ctx)
 }
 
+// tidyRole orders the declared role if the engine reports another one.
+func (o *Orderer) tidyRole(ctx context.Context) error {
+	declared, found := o.env.Tables.Config.Index().Engines[o.declared.Name]
+	if !found || declared.Role == "" || declared.Role == o.report.Role {
+		return nil
+	}
+	order := backend.Order{ID: uuid.NewString(), Role: declared.Role}
+	o.event(event.KindRoleOrder, "", "role="+declared.Role+" epoch="+formatEpoch(o.record.Epoch))
+	return o.send(ctx, order, o.engine.SetRole)
+}
+
 // settled returns the record with all claims closed that are proved to be, and
 // those struck out of which the engine holds nothing.
 func (o *Orderer) settled() (placement.EngineRecord, bool) {
--- a/daemon/silent_test.go
+++ b/daemon/silent_test.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/table"
 )
 
@@ -45,6 +47,40 @@
 	})
 }
 
+// TestRole: an engine is ordered to its declared role, again after it came back
+// empty, and is left alone once it has it.
+func TestRole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, small)
+		defer f.close()
+		before := "name: d0-e0, failureDomain: d0,"
+		f.declared = strings.Replace(f.declared, before, before+" role: decode,", 1)
+		f.accept(f.nodes[0], oneReplica)
+		role := func() string {
+			report, err := f.engines["d0-e0"].Report(t.Context(), 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return report.Role
+		}
+		f.awaitUntil("the role is ordered", 14*time.Second, func() bool { return role() == "decode" })
+		f.engines["d0-e0"].Restart()
+		f.awaitUntil("the role is ordered again", 14*time.Second, func() bool { return role() == "decode" })
+		time.Sleep(time.Minute)
+		orders := 0
+		for _, n := range f.nodes {
+			for _, e := range n.events.Select(event.Filter{Engine: "d0-e0"}) {
+				if e.Kind == event.KindRoleOrder {
+					orders++
+				}
+			}
+		}
+		if orders != 2 {
+			t.Errorf("%d orders, want 2", orders)
+		}
+	})
+}
+
 // TestDeadAreForgotten: an instance that was replaced under another name is not
 // kept for ever, here or in the platform.
 func TestDeadAreForgotten(t *testing.T) {
--- a/declaration/declaration.go
+++ b/declaration/declaration.go
@@ -61,6 +61,9 @@
 	Memory Size `yaml:"memory"`
 	// Fencing says that the engine refuses orders with an old epoch.
 	Fencing bool `yaml:"fencing"`
+	// Role is what the engine is ordered to be, in its own terms, such as
+	// prefill or decode; empty leaves it as it is.
+	Role string `yaml:"role,omitempty"`
 	// Lost is the operator's word that the engine is off and stays off: its
 	// slots are freed. Never set it while the engine may still run.
 	Lost bool `yaml:"lost,omitempty"`
--- a/declaration/validate.go
+++ b/declaration/validate.go
@@ -105,6 +105,9 @@
 		if e.Memory <= 0 {
 			c.fault(path+".memory", "must be above 0", "give the accelerator memory, such as 80GiB")
 		}
+		if e.Role != "" && !namePattern.MatchString(e.Role) {
+			c.fault(path+".role", fmt.Sprintf("%q is not a role", e.Role), "use 1 to 63 of a-z, 0-9, dot, dash and underscore")
+		}
 	}
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -29,6 +29,7 @@
 	KindLoaded       Kind = "loaded"
 	KindLoadFail     Kind = "load_fail"
 	KindUnloadOrder  Kind = "unload_order"
+	KindRoleOrder    Kind = "role_order"
 	KindSlotBind     Kind = "slot_bind"
 	KindSlotRelease  Kind = "slot_release"
 	KindTakeover     Kind = "takeover"
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -55,6 +55,7 @@
 	tiers       map[string]backend.Tier // guarded by mu
 	attempts    map[string]*attempt     // guarded by mu
 	leaving     bool                    // guarded by mu
+	role        string                  // guarded by mu
 	changed     chan struct{}           // guarded by mu; closed at each change
 	tally       Tally                   // guarded by mu
 	runs        map[string]int          // guarded by mu; by prompt
@@ -110,6 +111,7 @@
 	}
 	e.epoch = 0
 	e.orders = nil
+	e.role = ""
 	e.reset()
 	e.bump()
 }
@@ -320,6 +322,18 @@
 	return ack, nil
 }
 
+// SetRole implements backend.Engine.
+func (e *Engine) SetRole(_ context.Context, o backend.Order) (backend.Ack, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.receive(o); err != nil {
+		return backend.Ack{}, err
+	}
+	e.role = o.Role
+	e.bump()
+	return backend.Ack{Incarnation: e.incarnation}, nil
+}
+
 // freeIdle removes units that are unloading and serve nothing, with the
 // adapters of a removed model. It needs mu.
 func (e *Engine) freeIdle() {
@@ -361,7 +375,7 @@
 func (e *Engine) report() backend.Report {
 	r := backend.Report{
 		Incarnation: e.incarnation, Sequence: e.sequence, Epoch: e.epoch,
-		MemoryBytes: e.params.MemoryBytes, Leaving: e.leaving,
+		MemoryBytes: e.params.MemoryBytes, Leaving: e.leaving, Role: e.role,
 		Queue: e.waiting, Running: len(e.batch),
 		Orders: slices.Clone(e.orders), Tiers: maps.Clone(e.tiers),
 	}
--- a/internal/standin/engine_http.go
+++ b/internal/standin/engine_http.go
@@ -23,6 +23,7 @@
 	mux.HandleFunc("POST "+backend.PathFence, e.serveFence)
 	mux.HandleFunc("POST "+backend.PathLoad, e.serveLoad)
 	mux.HandleFunc("POST "+backend.PathUnload, e.serveUnload)
+	mux.HandleFunc("POST "+backend.PathRole, e.serveRole)
 	mux.HandleFunc("GET "+backend.PathReport, e.serveReport)
 	mux.HandleFunc("POST "+backend.PathGenerate, e.serveGenerate)
 	mux.HandleFunc("POST "+backend.PathCancel, e.serveCancel)
@@ -67,6 +68,15 @@
 	answerOrder(w, ack, err)
 }
 
+func (e *Engine) serveRole(w http.ResponseWriter, r *http.Request) {
+	var o backend.Order
+	if !e.permitted(w, r) || !readJSON(w, r, &o) {
+		return
+	}
+	ack, err := e.SetRole(r.Context(), o)
+	answerOrder(w, ack, err)
+}
+
 func answerOrder(w http.ResponseWriter, v any, err error) {
 	switch {
 	case err == nil:
