--- a/command/intent/intent_test.go
+++ b/command/intent/intent_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"github.com/martenport/martenport/internal/deployments"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/table"
@@ -145,25 +146,13 @@
 // TestSizeInTwoYears: the declaration at the two-year size fits into one value
 // of the platform.
 func TestSizeInTwoYears(t *testing.T) {
-	var b strings.Builder
-	b.WriteString("failureDomains: [a, b, c, d]\nweightStore: {startsPerSecond: 30, streams: 40}\nengines:\n")
-	for n := range 600 {
-		fmt.Fprintf(&b, "  - {name: domain-engine-%03d, failureDomain: %c, address: \"10.120.130.%d:9000\", memory: 320GiB, fencing: true}\n", n, 'a'+n%4, n%250)
-	}
-	b.WriteString("models:\n")
-	for n := range 790 {
-		fmt.Fprintf(&b, "  - {name: customer-model-%04d, version: \"2026-11-%02d\", memory: 14GiB, maxReplicas: 3, deadline: 30s}\n", n, n%28)
-	}
-	b.WriteString("adapters:\n")
-	for n := range 1600 {
-		fmt.Fprintf(&b, "  - {name: customer-adapter-%04d, model: customer-model-%04d, version: \"2026-11-%02d\", memory: 256MiB}\n", n, n%790, n%28)
-	}
+	twoYears := deployments.TwoYears()
 	i := newIntents(standin.NewPlatform())
-	plan, err := i.Plan(t.Context(), []byte(b.String()))
+	plan, err := i.Plan(t.Context(), twoYears)
 	if err != nil {
 		t.Fatal(err)
 	}
-	accepted, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, []byte(b.String()))
+	accepted, err := i.Confirm(t.Context(), plan.ID, plan.BaseGeneration, twoYears)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +160,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("source %d bytes, value %d bytes", b.Len(), len(value))
+	t.Logf("source %d bytes, value %d bytes", len(twoYears), len(value))
 	if len(value) > 1<<20 {
 		t.Errorf("value has %d bytes", len(value))
 	}
--- a/command/orderer/lost.go
+++ b/command/orderer/lost.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
 
 	"github.com/martenport/martenport/command/placement"
@@ -12,26 +11,22 @@
 
 // freeLost frees the slots of an engine that operators declared lost: their
 // word that it is off takes the place of the proof that nothing can arrive.
+// What fails is tried again at the next tick.
 func (m *Manager) freeLost(ctx context.Context, engine string) {
 	generation := m.env.Tables.Config.Index().Generation
-	snap, err := m.env.Store.List(ctx, platform.PrefixSlots)
-	if err != nil {
-		return
-	}
-	for _, obj := range snap.Objects {
-		var slots placement.ModelSlots
-		if json.Unmarshal(obj.Value, &slots) != nil {
-			continue
-		}
+	err := eachSlots(ctx, m.env.Store, func(obj platform.Object, slots placement.ModelSlots) error {
 		next, err := slots.Release(engine, math.MaxUint64)
 		if err != nil {
-			continue
+			return nil // none of its slots
 		}
-		if _, err := platform.WriteJSON(ctx, m.env.Store, obj.Key, next, obj.Version); err == nil {
-			m.env.Events.Record(event.Event{Kind: event.KindSlotRelease, Engine: engine, Model: slots.Model, Detail: "engine declared lost"})
-		} else {
-			return // again at the next tick
+		if _, err := platform.WriteJSON(ctx, m.env.Store, obj.Key, next, obj.Version); err != nil {
+			return err
 		}
+		m.env.Events.Record(event.Event{Kind: event.KindSlotRelease, Engine: engine, Model: slots.Model, Detail: "engine declared lost"})
+		return nil
+	})
+	if err != nil {
+		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/command/orderer/slots.go
+++ b/command/orderer/slots.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -101,17 +100,29 @@
 // engine, so that they can be used also when the platform is gone later. What
 // fails is tried again by tidy.
 func (o *Orderer) adoptSlots(ctx context.Context) {
-	snap, err := o.env.Store.List(ctx, platform.PrefixSlots)
+	_ = eachSlots(ctx, o.env.Store, func(_ platform.Object, slots placement.ModelSlots) error {
+		if _, bound := slots.Bound(o.declared.Name); bound {
+			_ = o.ensureSlot(ctx, slots.Model)
+		}
+		return nil
+	})
+}
+
+// eachSlots calls f with the slots of every model until f fails. Values that
+// cannot be read are passed over.
+func eachSlots(ctx context.Context, store platform.Store, f func(platform.Object, placement.ModelSlots) error) error {
+	snap, err := store.List(ctx, platform.PrefixSlots)
 	if err != nil {
-		return
+		return err
 	}
 	for _, obj := range snap.Objects {
 		var slots placement.ModelSlots
 		if json.Unmarshal(obj.Value, &slots) != nil {
 			continue
 		}
-		if _, bound := slots.Bound(o.declared.Name); bound {
-			_ = o.ensureSlot(ctx, strings.TrimPrefix(obj.Key, platform.PrefixSlots))
+		if err := f(obj, slots); err != nil {
+			return err
 		}
 	}
+	return nil
 }
--- a/daemon/dispatch_bench_test.go
+++ b/daemon/dispatch_bench_test.go
@@ -16,7 +16,6 @@
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/settings"
 )
 
 // wired is one instance over real sockets before one engine.
@@ -32,12 +31,8 @@
 		Name: "e", MemoryBytes: 80 << 30, Fencing: true, StepTime: time.Nanosecond, MaxBatch: 1024,
 		Speeds: standin.Speeds{backend.TierRemote: 1e15}, Weights: standin.NewWeightStore(1000, 100),
 	}).Handler())
-	s := settings.Settings{
-		Name: "i", FailureDomain: "d0", Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		PlatformURL: platformServer.URL, PlatformRate: 50, MaxRequests: 2000, MaxPerModel: 2000, MaxPerCaller: 2000,
-		MaxPromptBytes: 1 << 20, MaxTokens: 8192, MaxTimeout: 24 * time.Hour, KeyRetention: 24 * time.Hour, HeldAnswers: 1000,
-		DrainLimit: time.Minute, Events: 20000, LogLevel: "info", Tick: 100 * time.Millisecond, Workers: 4,
-	}
+	s := testSettings("i", "d0")
+	s.PlatformURL, s.Tick, s.Settle = platformServer.URL, 100*time.Millisecond, 0
 	log := logrus.New()
 	log.SetLevel(logrus.ErrorLevel)
 	d, err := New(s, log)
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -287,13 +287,19 @@
 	return f
 }
 
-// start runs one more instance.
-func (f *testFleet) start(name, domain string) *node {
-	s := settings.Settings{
-		Name: name, FailureDomain: domain, PlatformRate: 50, MaxRequests: 2000, MaxPerModel: 2000, MaxPerCaller: 2000,
+// testSettings returns the settings of an instance in tests, with free ports.
+func testSettings(name, domain string) settings.Settings {
+	return settings.Settings{
+		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+		PlatformURL: "http://127.0.0.1:1", PlatformRate: 50, MaxRequests: 2000, MaxPerModel: 2000, MaxPerCaller: 2000,
 		MaxPromptBytes: 1 << 20, MaxTokens: 8192, MaxTimeout: 24 * time.Hour, KeyRetention: 24 * time.Hour, HeldAnswers: 1000,
-		DrainLimit: time.Minute, Events: 2000, Tick: time.Second, Settle: 2 * time.Second, Workers: 4,
+		DrainLimit: time.Minute, Events: 2000, LogLevel: "info", Tick: time.Second, Settle: 2 * time.Second, Workers: 4,
 	}
+}
+
+// start runs one more instance.
+func (f *testFleet) start(name, domain string) *node {
+	s := testSettings(name, domain)
 	if len(f.nodes) > 0 {
 		s.Peers = []string{f.nodes[0].PeerAddress()}
 	}
--- a/daemon/hostile_test.go
+++ b/daemon/hostile_test.go
@@ -14,7 +14,6 @@
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/settings"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -23,10 +22,9 @@
 // declared model.
 func newCore(t testing.TB) *Core {
 	t.Helper()
-	c := NewCore(settings.Settings{
-		Name: "i", FailureDomain: "d0", MaxRequests: 10, MaxPerModel: 10, MaxPerCaller: 10, MaxPromptBytes: 1000, MaxTokens: 100,
-		MaxTimeout: time.Hour, KeyRetention: time.Hour, HeldAnswers: 10, Events: 100, OperatorCredential: "secret", Workers: 1,
-	}, Ports{Store: standin.NewPlatform()}, "i:1", nil)
+	s := testSettings("i", "d0")
+	s.MaxPromptBytes, s.MaxTokens, s.MaxTimeout, s.OperatorCredential = 1000, 100, time.Hour, "secret"
+	c := NewCore(s, Ports{Store: standin.NewPlatform()}, "i:1", nil)
 	accepted := &table.Accepted{Generation: 1}
 	source := "failureDomains: [d0]\nweightStore: {startsPerSecond: 3, streams: 4}\nengines:\n" +
 		"  - {name: e, failureDomain: d0, address: \"e:1\", memory: 80GiB, fencing: true}\nmodels:\n" + oneReplica
--- a/daemon/silent_test.go
+++ b/daemon/silent_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/verdict"
 )
 
 // TestSilentEngine: the engine with the only replica stops answering. Requests
@@ -101,3 +102,28 @@
 		}
 	})
 }
+
+// TestEngineDeclaredLost: the engine that holds the only slot is gone for good.
+// Requests are refused until operators declare it lost, and served after.
+func TestEngineDeclaredLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, small)
+		defer f.close()
+		first, err := f.nodes[0].generate("caption", "x", time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.net.setAway(first.Engine, true)
+		time.Sleep(10 * time.Second)
+		if _, err := f.nodes[0].generate("caption", "y", 20*time.Second); verdict.Of(err).Verdict != verdict.NotRun {
+			t.Errorf("with the slot on a silent engine: %v", err)
+		}
+		before := "name: " + first.Engine + ", failureDomain: d" + first.Engine[1:2] + ","
+		f.declared = strings.Replace(f.declared, before, before+" lost: true,", 1)
+		f.accept(f.nodes[0], oneReplica)
+		f.awaitUntil("the model is served elsewhere", time.Minute, func() bool {
+			answer, err := f.nodes[0].generate("caption", "z", time.Minute)
+			return err == nil && answer.Engine != first.Engine
+		})
+	})
+}
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -21,7 +21,6 @@
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
-	"github.com/martenport/martenport/settings"
 )
 
 // selfSigned writes a certificate and key for 127.0.0.1 and returns their files
@@ -63,12 +62,9 @@
 	certFile, keyFile, pool := selfSigned(t)
 	log := logrus.New()
 	log.SetLevel(logrus.PanicLevel)
-	d, err := New(settings.Settings{
-		Name: "i", FailureDomain: "d0", Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		PlatformURL: "http://127.0.0.1:1", PlatformRate: 1, MaxRequests: 1, MaxPerModel: 1, MaxPerCaller: 1, MaxPromptBytes: 1,
-		MaxTokens: 1, MaxTimeout: time.Hour, KeyRetention: time.Hour, HeldAnswers: 1, DrainLimit: time.Second, Events: 1,
-		LogLevel: "info", Tick: time.Second, Workers: 1, TLSCert: certFile, TLSKey: keyFile,
-	}, log)
+	s := testSettings("i", "d0")
+	s.TLSCert, s.TLSKey = certFile, keyFile
+	d, err := New(s, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/deployments/deployments.go
+++ b/internal/deployments/deployments.go
@@ -4,6 +4,7 @@
 
 import (
 	_ "embed" // the declarations
+	"fmt"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -49,3 +50,21 @@
 	}
 	return []byte(text)
 }
+
+// TwoYears returns a declaration at the users' size in two years.
+func TwoYears() []byte {
+	var b strings.Builder
+	b.WriteString("failureDomains: [a, b, c, d]\nweightStore: {startsPerSecond: 30, streams: 40}\nengines:\n")
+	for n := range 600 {
+		fmt.Fprintf(&b, "  - {name: domain-engine-%03d, failureDomain: %c, address: \"10.120.130.%d:9000\", memory: 320GiB, fencing: true}\n", n, 'a'+n%4, n%250)
+	}
+	b.WriteString("models:\n")
+	for n := range 790 {
+		fmt.Fprintf(&b, "  - {name: customer-model-%04d, version: \"2026-11-%02d\", memory: 14GiB, maxReplicas: 3, deadline: 30s}\n", n, n%28)
+	}
+	b.WriteString("adapters:\n")
+	for n := range 1600 {
+		fmt.Fprintf(&b, "  - {name: customer-adapter-%04d, model: customer-model-%04d, version: \"2026-11-%02d\", memory: 256MiB}\n", n, n%790, n%28)
+	}
+	return []byte(b.String())
+}
