A second reading: one piece of code for what stood twice, and dead parts out

Behaviour as before; no check changed. - taking the slot and writing the claim before a load stood twice in the orderer (prepare); choosing victims up to the room stood in the policy and in the replay (firstThatFit); the rule for names stood in declarations and settings; starting a daemon and silencing an engine stood twice in tests. - doubtful entries are counted anew by countDoubtful instead of by a second list of what is doubtful; the gate's loads have a struct for a key, not a string that is taken apart again. - out: Ledger.Apply's result, which nobody read, and Policy.MayYield, another name for Evictable. Two doc comments said what the code no longer does. - hot path: whether a domain has a living instance copied and sorted its members for each replica and each look at the line (Members.Populated does neither); a unary answer without a key was encoded and decoded again for nobody. Neither was measured by itself.

--- a/command/dispatch/attempt.go
+++ b/command/dispatch/attempt.go
@@ -33,11 +33,10 @@
 	err = d.run(ctx, engine, a, timed, result)
 	if err == nil {
 		timed.finish()
+		return nil
 	}
-	if err != nil {
-		d.events.Record(event.Event{Kind: event.KindAttemptFail, Request: req.ID, Model: req.Model, Engine: view.Engine, Detail: err.Error()})
-		d.giveUp(ctx, engine, a, err)
-	}
+	d.events.Record(event.Event{Kind: event.KindAttemptFail, Request: req.ID, Model: req.Model, Engine: view.Engine, Detail: err.Error()})
+	d.giveUp(ctx, engine, a, err)
 	return err
 }
 
--- a/command/dispatch/find.go
+++ b/command/dispatch/find.go
@@ -154,7 +154,7 @@
 func (d *Dispatcher) preferReachable(replicas []table.EngineView) []table.EngineView {
 	var out []table.EngineView
 	for _, r := range replicas {
-		if len(d.tables.Members.AliveIn(r.FailureDomain)) > 0 {
+		if d.tables.Members.Populated(r.FailureDomain) {
 			out = append(out, r)
 		}
 	}
--- a/command/intent/intent.go
+++ b/command/intent/intent.go
@@ -121,7 +121,7 @@
 func (i *Intents) unreachable() []string {
 	var out []string
 	for _, domain := range i.tables.Config.Index().Declaration.FailureDomains {
-		if len(i.tables.Members.AliveIn(domain)) == 0 {
+		if !i.tables.Members.Populated(domain) {
 			out = append(out, fmt.Sprintf("failure domain %s is not reachable: it goes on with its generation, and its slots count as used, until it is back", domain))
 		}
 	}
--- a/command/orderer/epoch.go
+++ b/command/orderer/epoch.go
@@ -214,8 +214,8 @@
 	}
 }
 
-// Handover ends the stewardship in good order, so that the next orderer need
-// doubt nothing.
+// Handover stops ordering in good order, so that the next orderer need doubt
+// nothing.
 func (o *Orderer) Handover(ctx context.Context) error {
 	if err := o.take(ctx); err != nil {
 		return err
--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -174,13 +174,8 @@
 	if !ready || err != nil {
 		return err
 	}
-	if u.Adapter == "" {
-		if err := o.ensureSlot(ctx, u.Model); err != nil {
-			return err
-		}
-	}
-	order := backend.Order{Unit: u, ID: uuid.NewString(), MemoryBytes: memory}
-	if err := o.claim(ctx, order); err != nil {
+	order, err := o.prepare(ctx, u, memory)
+	if err != nil {
 		return err
 	}
 	if err := o.ledger.Reserve(u, memory, order.ID, time.Now()); err != nil {
@@ -189,19 +184,25 @@
 	return o.sendLoad(ctx, order)
 }
 
+// prepare takes the slot and writes the claim that an order to load needs.
+func (o *Orderer) prepare(ctx context.Context, u backend.Unit, memory int64) (backend.Order, error) {
+	order := backend.Order{Unit: u, ID: uuid.NewString(), MemoryBytes: memory}
+	if u.Adapter == "" {
+		if err := o.ensureSlot(ctx, u.Model); err != nil {
+			return order, err
+		}
+	}
+	return order, o.claim(ctx, order)
+}
+
 // adopt orders again what an earlier orderer may or may not have ordered. The
 // same unit on the same engine is one replica however often it is ordered.
 func (o *Orderer) adopt(ctx context.Context, u backend.Unit, memory int64) error {
 	if o.ledger.Free() < 0 {
 		return verdict.Refuse(verdict.ReasonNoReplica, "doubtful claims on %s together pass its memory", o.declared.Name)
 	}
-	order := backend.Order{Unit: u, ID: uuid.NewString(), MemoryBytes: memory}
-	if u.Adapter == "" {
-		if err := o.ensureSlot(ctx, u.Model); err != nil {
-			return err
-		}
-	}
-	if err := o.claim(ctx, order); err != nil {
+	order, err := o.prepare(ctx, u, memory)
+	if err != nil {
 		return err
 	}
 	entry := o.ledger.Entries[u.ID()]
@@ -304,8 +305,8 @@
 	return nil
 }
 
-// Yield gives up the slot of a model that is not loaded, so that another
-// engine can have it. Force unloads an idle model first.
+// Yield gives up the slot of a model, so that another engine can have it. A
+// model that is idle is unloaded first.
 func (o *Orderer) Yield(ctx context.Context, model string) error {
 	for {
 		changed := o.changed.wait()
@@ -335,7 +336,7 @@
 	}
 	switch e.Phase {
 	case placement.Resident:
-		if !o.env.Policy.MayYield(e, time.Now()) {
+		if !o.env.Policy.Evictable(e, time.Now()) {
 			return false, ErrInUse
 		}
 		return false, o.unload(ctx, e.Unit)
--- a/command/orderer/tidy.go
+++ b/command/orderer/tidy.go
@@ -76,21 +76,14 @@
 	}
 }
 
-// dropSettled removes ledger entries whose doubt has gone and that the engine
-// does not report.
+// dropSettled counts what is doubtful anew, after some of the doubt has gone.
 func (o *Orderer) dropSettled() {
-	doubtful := map[string]bool{}
-	for _, c := range o.record.DoubtfulClaims() {
-		doubtful[c.Unit.ID()] = true
-	}
-	for _, order := range o.unresolved {
-		doubtful[order.Unit.ID()] = true
-	}
 	for id, e := range o.ledger.Entries {
-		if e.Phase == placement.Doubtful && !doubtful[id] {
+		if e.Phase == placement.Doubtful {
 			delete(o.ledger.Entries, id)
 		}
 	}
+	o.countDoubtful()
 	o.publish()
 	o.changed.wake()
 }
--- a/command/placement/ledger.go
+++ b/command/placement/ledger.go
@@ -134,15 +134,13 @@
 // Apply brings the ledger up to a report. A unit that the report lacks is
 // dropped only if the engine has received the last order for it, or if no
 // order is open. The report is of the engine's current incarnation, and
-// Restarted was called if that is a new one. Apply returns the units that are
-// gone.
-func (l *Ledger) Apply(r backend.Report, now time.Time) []backend.Unit {
+// Restarted was called if that is a new one.
+func (l *Ledger) Apply(r backend.Report, now time.Time) {
 	reported := map[string]bool{}
 	for _, u := range r.Units {
 		reported[u.ID()] = true
 		l.see(u, r, now)
 	}
-	var gone []backend.Unit
 	for id, e := range l.Entries {
 		if reported[id] || e.Phase == Doubtful {
 			continue
@@ -152,9 +150,7 @@
 			continue
 		}
 		delete(l.Entries, id)
-		gone = append(gone, e.Unit)
 	}
-	return gone
 }
 
 func (l *Ledger) see(u backend.UnitReport, r backend.Report, now time.Time) {
--- a/command/placement/policy.go
+++ b/command/placement/policy.go
@@ -56,15 +56,12 @@
 	return time.Duration(float64(bytes) / speed * float64(time.Second))
 }
 
-// Evictable reports whether the unit may be unloaded to make room.
+// Evictable reports whether the unit may be unloaded to make room, or because
+// another engine wants its slot.
 func (p Policy) Evictable(e Entry, now time.Time) bool {
 	return e.Phase == Resident && e.Running == 0 && now.Sub(e.LastUsed) >= p.Quiet
 }
 
-// MayYield reports whether a resident model may be unloaded because another
-// engine wants its slot.
-func (p Policy) MayYield(e Entry, now time.Time) bool { return p.Evictable(e, now) }
-
 // Victims returns the units to unload so that memory bytes fit, those whose
 // return is least likely and cheapest for each byte first (Greedy-Dual, after
 // FaasCache, 2021). Units that are unloading already count as room to come.
@@ -82,6 +79,12 @@
 	slices.SortFunc(candidates, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(p.worth(a, c, now), p.worth(b, c, now)), cmp.Compare(a.Unit.ID(), b.Unit.ID()))
 	})
+	return firstThatFit(candidates, room, memory)
+}
+
+// firstThatFit returns as many of the candidates, in order, as bring the room
+// up to memory.
+func firstThatFit(candidates []Entry, room, memory int64) ([]backend.Unit, error) {
 	var out []backend.Unit
 	for _, e := range candidates {
 		if room >= memory {
--- a/command/placement/replay_test.go
+++ b/command/placement/replay_test.go
@@ -119,19 +119,7 @@
 		return now.Add(1e6 * time.Hour)
 	}
 	slices.SortFunc(candidates, func(a, b Entry) int { return far(b).Compare(far(a)) })
-	room := l.Free()
-	var out []backend.Unit
-	for _, e := range candidates {
-		if room >= memory {
-			break
-		}
-		room += e.MemoryBytes
-		out = append(out, e.Unit)
-	}
-	if room < memory {
-		return nil, ErrNoMemory
-	}
-	return out, nil
+	return firstThatFit(candidates, l.Free(), memory)
 }
 
 // figures are the users' two measures.
--- a/command/wake/prospect.go
+++ b/command/wake/prospect.go
@@ -38,7 +38,7 @@
 // so that its slots can be used or given up.
 func (w *Waker) withinReach(engine string) bool {
 	declared, found := w.env.Tables.Config.Index().Engines[engine]
-	return found && w.populated(declared.FailureDomain)
+	return found && w.env.Tables.Members.Populated(declared.FailureDomain)
 }
 
 // betweenOrderers reports whether an engine that the model may use lacks a
@@ -50,7 +50,7 @@
 		return false
 	}
 	for _, declared := range index.Engines {
-		if declared.Lost || !model.AllowedIn(declared.FailureDomain) || !w.populated(declared.FailureDomain) {
+		if declared.Lost || !model.AllowedIn(declared.FailureDomain) || !w.env.Tables.Members.Populated(declared.FailureDomain) {
 			continue
 		}
 		view, known := w.env.Tables.Engines.Get(declared.Name)
--- a/command/wake/wake.go
+++ b/command/wake/wake.go
@@ -163,7 +163,7 @@
 func (w *Waker) homeDomain(model *declaration.Model) string {
 	var holding, alive []string
 	for _, e := range w.env.Tables.Engines.All() {
-		if slices.Contains(e.Held, model.Name) && w.populated(e.FailureDomain) {
+		if slices.Contains(e.Held, model.Name) && w.env.Tables.Members.Populated(e.FailureDomain) {
 			holding = append(holding, e.FailureDomain)
 		}
 	}
@@ -177,9 +177,3 @@
 	}
 	return rendezvous.Choose(model.Name, alive)
 }
-
-// populated reports whether an instance of the failure domain is known to be
-// alive.
-func (w *Waker) populated(domain string) bool {
-	return len(w.env.Tables.Members.AliveIn(domain)) > 0
-}
--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -25,7 +25,10 @@
 	Latest time.Time
 }
 
-func (r Request) key() string { return r.Engine + "/" + r.Unit }
+// loadID names one load.
+type loadID struct{ engine, unit string }
+
+func (r Request) id() loadID { return loadID{r.Engine, r.Unit} }
 
 // Gate grants streams in one failure domain.
 type Gate struct {
@@ -35,7 +38,7 @@
 
 	mu      sync.Mutex
 	waiting []*waiter        // guarded by mu
-	granted map[string]grant // guarded by mu; by key
+	granted map[loadID]grant // guarded by mu
 	// borrowed is when a stream beyond the share was last granted.
 	borrowed time.Time // guarded by mu
 	speeds   []float64 // guarded by mu; bytes a second of the newest loads
@@ -77,7 +80,7 @@
 
 // NewGate returns a gate that has granted nothing.
 func NewGate(p Params) *Gate {
-	return &Gate{params: p, granted: map[string]grant{}, news: make(chan struct{}, 1)}
+	return &Gate{params: p, granted: map[loadID]grant{}, news: make(chan struct{}, 1)}
 }
 
 // Acquire waits for a stream. The load that is needed soonest goes first; one
@@ -87,7 +90,7 @@
 func (g *Gate) Acquire(ctx context.Context, r Request) error {
 	w := &waiter{Request: r, done: make(chan error, 1)}
 	g.mu.Lock()
-	if _, again := g.granted[r.key()]; again {
+	if _, again := g.granted[r.id()]; again {
 		g.mu.Unlock()
 		return nil
 	}
@@ -139,15 +142,14 @@
 func (g *Gate) Update(s Streams, look func(engine, unit string) State, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for key, one := range g.granted {
-		engine, unit := splitKey(key)
-		switch look(engine, unit) {
+	for id, one := range g.granted {
+		switch look(id.engine, id.unit) {
 		case Finished:
 			g.note(one.bytes, now.Sub(one.since))
-			delete(g.granted, key)
+			delete(g.granted, id)
 		case Unknown:
 			if now.Sub(one.since) > g.params.Settle {
-				delete(g.granted, key)
+				delete(g.granted, id)
 			}
 		}
 	}
@@ -156,7 +158,7 @@
 	for len(g.waiting) > 0 && g.mayGrant(s, now) {
 		w := g.waiting[0]
 		g.waiting = g.waiting[1:]
-		g.granted[w.key()] = grant{since: now, bytes: w.Bytes}
+		g.granted[w.id()] = grant{since: now, bytes: w.Bytes}
 		w.done <- nil
 	}
 }
@@ -173,15 +175,6 @@
 	return true
 }
 
-func splitKey(key string) (engine, unit string) {
-	for i := range key {
-		if key[i] == '/' {
-			return key[:i], key[i+1:]
-		}
-	}
-	return key, ""
-}
-
 // refuseDoomed needs mu.
 func (g *Gate) refuseDoomed(now time.Time) {
 	if len(g.granted) == 0 && now.Sub(g.notedAt) > g.params.Trust {
--- a/daemon/dispatch_bench_test.go
+++ b/daemon/dispatch_bench_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sirupsen/logrus"
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
@@ -27,30 +26,15 @@
 func newWired(b *testing.B) wired {
 	b.Helper()
 	platformServer := httptest.NewServer(standin.NewPlatform().Handler())
+	b.Cleanup(platformServer.Close)
 	engineServer := httptest.NewServer(standin.NewEngine(standin.EngineParams{
 		Name: "e", MemoryBytes: 80 << 30, Fencing: true, StepTime: time.Nanosecond, MaxBatch: 1024,
 		Speeds: standin.Speeds{backend.TierRemote: 1e15}, Weights: standin.NewWeightStore(1000, 100),
 	}).Handler())
+	b.Cleanup(engineServer.Close)
 	s := testSettings("i", "d0")
 	s.PlatformURL, s.Tick, s.Settle = platformServer.URL, 100*time.Millisecond, 0
-	log := logrus.New()
-	log.SetLevel(logrus.ErrorLevel)
-	d, err := New(s, log)
-	if err != nil {
-		b.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		_ = d.Run(ctx)
-		close(ended)
-	}()
-	b.Cleanup(func() {
-		stop()
-		<-ended
-		engineServer.Close()
-		platformServer.Close()
-	})
+	d := runDaemon(b, s)
 	w := wired{
 		engine: backend.NewHTTP(engineServer.URL, &http.Client{Transport: backend.NewTransport()}, ""),
 		client: martenportv1connect.NewInferenceServiceClient(&http.Client{Transport: backend.NewTransport()}, "http://"+d.CallerAddress()),
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/backend"
@@ -297,6 +298,28 @@
 	}
 }
 
+// runDaemon runs an instance with its listeners until the test ends.
+func runDaemon(t testing.TB, s settings.Settings) *Daemon {
+	t.Helper()
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	d, err := New(s, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = d.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-ended
+	})
+	return d
+}
+
 // start runs one more instance.
 func (f *testFleet) start(name, domain string) *node {
 	s := testSettings(name, domain)
--- a/daemon/inference.go
+++ b/daemon/inference.go
@@ -48,20 +48,28 @@
 	if err != nil {
 		return nil, c.refuse(req.Model, err)
 	}
+	var out *martenportv1.GenerateResponse
 	answer, err := c.run(ctx, j, func(ctx context.Context) ([]byte, error) {
 		sink := &collector{}
 		result, err := c.dispatcher.Generate(ctx, dispatchRequest(j.id, req), sink)
 		if err != nil {
 			return nil, err
 		}
-		return proto.Marshal(&martenportv1.GenerateResponse{
+		out = &martenportv1.GenerateResponse{
 			RequestId: j.id, Text: sink.text.String(), Tokens: int32(result.Tokens), Engine: result.Engine, Cold: result.Cold,
-		})
+		}
+		if j.key == "" {
+			return nil, nil // nobody can ask for it again
+		}
+		return proto.Marshal(out)
 	})
 	if err != nil {
 		return nil, err
 	}
-	out := &martenportv1.GenerateResponse{}
+	if out != nil {
+		return out, nil
+	}
+	out = &martenportv1.GenerateResponse{}
 	if err := proto.Unmarshal(answer, out); err != nil {
 		return nil, verdict.New(verdict.Ran, verdict.ReasonBroken, "held answer: %v", err)
 	}
--- a/daemon/silent_test.go
+++ b/daemon/silent_test.go
@@ -11,6 +11,19 @@
 	"github.com/martenport/martenport/verdict"
 )
 
+// silence has the model loaded, has its engine fall silent, waits until that is
+// known, and returns the engine.
+func (f *testFleet) silence(model string) string {
+	f.t.Helper()
+	first, err := f.nodes[0].generate(model, "x", time.Minute)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.net.setAway(first.Engine, true)
+	time.Sleep(10 * time.Second)
+	return first.Engine
+}
+
 // TestSilentEngine: the engine with the only replica stops answering. Requests
 // are answered by another replica, which the cap permits; the engine that came
 // back is used again.
@@ -20,18 +33,13 @@
 		shape.models = captionModel("1", 2)
 		f := newTestFleet(t, shape)
 		defer f.close()
-		first, err := f.nodes[0].generate("caption", "x", time.Minute)
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.net.setAway(first.Engine, true)
-		time.Sleep(10 * time.Second)
+		silent := f.silence("caption")
 		writes := f.platform.Writes.Load()
 		for _, n := range f.nodes {
 			answer, err := n.generate("caption", "y", time.Minute)
 			if err != nil {
 				t.Errorf("%s: %v", n.settings.Name, err)
-			} else if answer.Engine == first.Engine {
+			} else if answer.Engine == silent {
 				t.Errorf("answered by %s, which is silent", answer.Engine)
 			}
 		}
@@ -39,9 +47,9 @@
 		if n := f.platform.Writes.Load() - writes; n > 20 {
 			t.Errorf("a silent engine cost %d platform writes in a minute", n)
 		}
-		f.net.setAway(first.Engine, false)
+		f.net.setAway(silent, false)
 		f.awaitUntil("the engine is used again", time.Minute, func() bool {
-			view, _ := f.nodes[0].tables.Engines.Get(first.Engine)
+			view, _ := f.nodes[0].tables.Engines.Get(silent)
 			return view.Usable()
 		})
 		f.checkCounts()
@@ -109,21 +117,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(t, small)
 		defer f.close()
-		first, err := f.nodes[0].generate("caption", "x", time.Minute)
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.net.setAway(first.Engine, true)
-		time.Sleep(10 * time.Second)
+		silent := f.silence("caption")
 		if _, err := f.nodes[0].generate("caption", "y", 20*time.Second); verdict.Of(err).Verdict != verdict.NotRun {
 			t.Errorf("with the slot on a silent engine: %v", err)
 		}
-		before := "name: " + first.Engine + ", failureDomain: d" + first.Engine[1:2] + ","
+		before := "name: " + silent + ", failureDomain: d" + silent[1:2] + ","
 		f.declared = strings.Replace(f.declared, before, before+" lost: true,", 1)
 		f.accept(f.nodes[0], oneReplica)
 		f.awaitUntil("the model is served elsewhere", time.Minute, func() bool {
 			answer, err := f.nodes[0].generate("caption", "z", time.Minute)
-			return err == nil && answer.Engine != first.Engine
+			return err == nil && answer.Engine != silent
 		})
 	})
 }
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -17,7 +16,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/sirupsen/logrus"
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
@@ -60,24 +58,9 @@
 // and in no other way.
 func TestTLS(t *testing.T) {
 	certFile, keyFile, pool := selfSigned(t)
-	log := logrus.New()
-	log.SetLevel(logrus.PanicLevel)
 	s := testSettings("i", "d0")
 	s.TLSCert, s.TLSKey = certFile, keyFile
-	d, err := New(s, log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		_ = d.Run(ctx)
-		close(ended)
-	}()
-	defer func() {
-		stop()
-		<-ended
-	}()
+	d := runDaemon(t, s)
 	secure := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}, ForceAttemptHTTP2: true}}
 	status := func(client *http.Client, scheme string) error {
 		operators := martenportv1connect.NewOperatorServiceClient(client, scheme+"://"+d.OperatorAddress())
--- a/declaration/validate.go
+++ b/declaration/validate.go
@@ -17,6 +17,10 @@
 // object keys and metric labels.
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+// IsName reports whether s can name an instance, a failure domain, or anything
+// that is declared.
+func IsName(s string) bool { return namePattern.MatchString(s) }
+
 // checker collects faults.
 type checker struct {
 	d      *Declaration
@@ -40,7 +44,7 @@
 }
 
 func (c *checker) name(path, name string, seen map[string]bool) {
-	if !namePattern.MatchString(name) {
+	if !IsName(name) {
 		c.fault(path, fmt.Sprintf("%q is not a name", name), "use 1 to 63 of a-z, 0-9, dot, dash and underscore")
 	}
 	if seen[name] {
@@ -105,7 +109,7 @@
 		if e.Memory <= 0 {
 			c.fault(path+".memory", "must be above 0", "give the accelerator memory, such as 80GiB")
 		}
-		if e.Role != "" && !namePattern.MatchString(e.Role) {
+		if e.Role != "" && !IsName(e.Role) {
 			c.fault(path+".role", fmt.Sprintf("%q is not a role", e.Role), "use 1 to 63 of a-z, 0-9, dot, dash and underscore")
 		}
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -6,12 +6,13 @@
 	"fmt"
 	"net"
 	"net/url"
-	"regexp"
 	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/declaration"
 )
 
 // Settings of one instance. Durations are written as 250ms or 2s.
@@ -50,9 +51,6 @@
 	Workers  int           `long:"workers" env:"MARTENPORT_WORKERS" default:"8" description:"engines looked after at once"`
 }
 
-// namePattern is what names must match: they are parts of object keys.
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
-
 // Check returns every fault of s in one error, nil when there is none.
 func (s *Settings) Check() error {
 	var faults []string
@@ -77,10 +75,10 @@
 type faultFunc func(flag, format string, args ...any)
 
 func (s *Settings) checkNames(fault faultFunc) {
-	if !namePattern.MatchString(s.Name) {
+	if !declaration.IsName(s.Name) {
 		fault("name", "%q is not a name, use 1 to 63 of a-z, 0-9, dot, dash and underscore", s.Name)
 	}
-	if !namePattern.MatchString(s.FailureDomain) {
+	if !declaration.IsName(s.FailureDomain) {
 		fault("failure-domain", "%q is not a name, use 1 to 63 of a-z, 0-9, dot, dash and underscore", s.FailureDomain)
 	}
 }
--- a/table/members.go
+++ b/table/members.go
@@ -180,6 +180,18 @@
 	return m.selectBy(func(e Member) bool { return e.FailureDomain == domain && e.State == Alive })
 }
 
+// Populated reports whether an instance of the failure domain takes new work.
+func (m *Members) Populated(domain string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range m.members {
+		if e.FailureDomain == domain && e.State == Alive {
+			return true
+		}
+	}
+	return false
+}
+
 // Names returns the names of members.
 func Names(members []Member) []string {
 	out := make([]string, len(members))
