One client for the store, in the platform's own protocol

Cause: the object API client and its stand-in spoke a dialect of ours; the users' platform speaks objects by kind and name with revisions, watches and 410. Ruled out: a second client beside the old one (two copies of limits, breaker and lost-answer resolution). Now platform.Client implements store.Store over the platform's calls, the stand-in serves the same calls, and the interface moved to package store. Values are compared as JSON when a lost answer is read back, since the platform may write fields in another order.

--- a/command/intent/intent.go
+++ b/command/intent/intent.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/declaration"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -38,12 +38,12 @@
 
 // Intents plans and confirms.
 type Intents struct {
-	store  platform.Store
+	store  store.Store
 	tables *table.Tables
 }
 
 // New returns the intents of one instance.
-func New(store platform.Store, tables *table.Tables) *Intents {
+func New(store store.Store, tables *table.Tables) *Intents {
 	return &Intents{store: store, tables: tables}
 }
 
@@ -92,7 +92,7 @@
 
 // newest reads the accepted declaration from the platform.
 func (i *Intents) newest(ctx context.Context) (*table.Accepted, int64, error) {
-	current, version, err := platform.Read[table.Accepted](ctx, i.store, platform.KeyConfig)
+	current, version, err := store.Read[table.Accepted](ctx, i.store, store.KeyConfig)
 	return &current, version, err
 }
 
@@ -177,11 +177,11 @@
 	if len(value) > maxValueBytes {
 		return nil, verdict.Refuse(verdict.ReasonInvalid, "the declaration takes %d bytes of the platform's %d", len(value), maxValueBytes)
 	}
-	_, err = platform.Write(ctx, i.store, platform.KeyConfig, value, version)
+	_, err = store.Write(ctx, i.store, store.KeyConfig, value, version)
 	switch {
 	case err == nil:
 		return next, nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		newer, _, readErr := i.newest(ctx)
 		if readErr != nil {
 			return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonPlatform, "it is not known whether the plan was accepted, confirm again")
@@ -190,7 +190,7 @@
 			return &table.Accepted{Generation: generation, PlanID: id}, nil
 		}
 		return nil, i.stale(newer, current.Generation, source)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		return nil, verdict.Refuse(verdict.ReasonPlatform, "nothing was accepted: %v", err)
 	default:
 		return nil, verdict.New(verdict.MayHaveRun, verdict.ReasonPlatform, "it is not known whether the plan was accepted, confirm again")
--- a/command/intent/intent_test.go
+++ b/command/intent/intent_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/martenport/martenport/internal/deployments"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -29,7 +29,7 @@
 `, maxReplicas)
 }
 
-func newIntents(s platform.Store) *Intents {
+func newIntents(s store.Store) *Intents {
 	return New(s, table.New(table.Member{Name: "i", FailureDomain: "a"}))
 }
 
--- a/command/orderer/epoch.go
+++ b/command/orderer/epoch.go
@@ -10,12 +10,12 @@
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/event"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
 // recordKey is the platform object of an engine.
-func recordKey(engine string) string { return platform.PrefixEngines + engine }
+func recordKey(engine string) string { return store.PrefixEngines + engine }
 
 func formatEpoch(epoch uint64) string { return strconv.FormatUint(epoch, 10) }
 
@@ -30,7 +30,7 @@
 	o.held = map[string]bool{}
 	o.unresolved = map[string]backend.Order{}
 	o.ledger = placement.NewLedger(int64(o.declared.Memory))
-	record, version, err := platform.Read[placement.EngineRecord](ctx, o.env.Store, recordKey(o.declared.Name))
+	record, version, err := store.Read[placement.EngineRecord](ctx, o.env.Store, recordKey(o.declared.Name))
 	if err != nil {
 		return err
 	}
@@ -161,8 +161,8 @@
 // writeRecord writes the engine's record. A conflict means that another
 // instance has taken over.
 func (o *Orderer) writeRecord(ctx context.Context, next placement.EngineRecord) error {
-	version, err := platform.WriteJSON(ctx, o.env.Store, recordKey(o.declared.Name), next, o.version)
-	if errors.Is(err, platform.ErrConflict) {
+	version, err := store.WriteJSON(ctx, o.env.Store, recordKey(o.declared.Name), next, o.version)
+	if errors.Is(err, store.ErrConflict) {
 		o.supersede(ctx)
 		return ErrNotOrderer
 	}
@@ -202,7 +202,7 @@
 // superseded, it will not send what it has not sent. It holds its turn: none is being sent.
 func (o *Orderer) withdraw(ctx context.Context) {
 	mine := o.record.Epoch
-	record, version, err := platform.Read[placement.EngineRecord](ctx, o.env.Store, recordKey(o.declared.Name))
+	record, version, err := store.Read[placement.EngineRecord](ctx, o.env.Store, recordKey(o.declared.Name))
 	if err != nil {
 		return
 	}
@@ -210,7 +210,7 @@
 		return c.Epoch == mine && !o.isUnresolved(c.Order)
 	})
 	if changed {
-		_, _ = platform.WriteJSON(ctx, o.env.Store, recordKey(o.declared.Name), closed, version)
+		_, _ = store.WriteJSON(ctx, o.env.Store, recordKey(o.declared.Name), closed, version)
 	}
 }
 
--- a/command/orderer/history_test.go
+++ b/command/orderer/history_test.go
@@ -18,7 +18,7 @@
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
@@ -188,16 +188,16 @@
 	return time.Now().Before(s.away)
 }
 
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
 	if s.cut() {
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	}
 	return s.Platform.Get(ctx, key)
 }
 
-func (s *faultyStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+func (s *faultyStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	if s.cut() {
-		return platform.Snapshot{}, platform.ErrUnavailable
+		return store.Snapshot{}, store.ErrUnavailable
 	}
 	return s.Platform.List(ctx, prefix)
 }
@@ -205,14 +205,14 @@
 // writeLimit is how long an instance waits for the answer to a write.
 const writeLimit = 2 * time.Second
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	if s.cut() {
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
 	type answer struct {
-		obj platform.Object
+		obj store.Object
 		err error
 	}
 	got := make(chan answer, 1)
@@ -221,7 +221,7 @@
 		got <- answer{obj, err}
 	})
 	if !answered {
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	}
 	a := <-got
 	return a.obj, a.err
--- a/command/orderer/lost.go
+++ b/command/orderer/lost.go
@@ -6,7 +6,7 @@
 
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/event"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // freeLost frees the slots of an engine that operators declared lost: their
@@ -14,12 +14,12 @@
 // What fails is tried again at the next tick.
 func (m *Manager) freeLost(ctx context.Context, engine string) {
 	generation := m.env.Tables.Config.Index().Generation
-	err := eachSlots(ctx, m.env.Store, func(obj platform.Object, slots placement.ModelSlots) error {
+	err := eachSlots(ctx, m.env.Store, func(obj store.Object, slots placement.ModelSlots) error {
 		next, err := slots.Release(engine, math.MaxUint64)
 		if err != nil {
 			return nil // none of its slots
 		}
-		if _, err := platform.WriteJSON(ctx, m.env.Store, obj.Key, next, obj.Version); err != nil {
+		if _, err := store.WriteJSON(ctx, m.env.Store, obj.Key, next, obj.Version); err != nil {
 			return err
 		}
 		m.env.Events.Record(event.Event{Kind: event.KindSlotRelease, Engine: engine, Model: slots.Model, Detail: "engine declared lost"})
--- a/command/orderer/manager.go
+++ b/command/orderer/manager.go
@@ -12,8 +12,8 @@
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/internal/pause"
-	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/rendezvous"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
@@ -237,7 +237,7 @@
 // another start of an instance that is alive. It keeps instances that have
 // not heard of each other yet from taking engines back and forth.
 func (m *Manager) recordedAlive(ctx context.Context, engine string) bool {
-	record, _, err := platform.Read[placement.EngineRecord](ctx, m.env.Store, recordKey(engine))
+	record, _, err := store.Read[placement.EngineRecord](ctx, m.env.Store, recordKey(engine))
 	if err != nil {
 		return true // without the platform there is no take-over anyway
 	}
--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -28,7 +28,7 @@
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -46,7 +46,7 @@
 	// Instance is the instance's name, Identity its name and incarnation.
 	Instance string
 	Identity string
-	Store    platform.Store
+	Store    store.Store
 	Tables   *table.Tables
 	Events   *event.Recorder
 	// Policy decides what is unloaded, and when.
--- a/command/orderer/slots.go
+++ b/command/orderer/slots.go
@@ -8,19 +8,19 @@
 
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/event"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/verdict"
 )
 
 // slotTries bounds repeats of a slot write that met another's.
 const slotTries = 4
 
-func slotsKey(model string) string { return platform.PrefixSlots + model }
+func slotsKey(model string) string { return store.PrefixSlots + model }
 
 // platformFailure turns an error of the platform into a refusal: nothing was
 // sent to the engine.
 func platformFailure(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) {
 		return verdict.Refuse(verdict.ReasonPlatform, "%v", err)
 	}
 	return err
@@ -65,7 +65,7 @@
 // changeSlots reads, sizes, changes and writes the slots of a model.
 func (o *Orderer) changeSlots(ctx context.Context, model string, change func(placement.ModelSlots) (placement.ModelSlots, error)) error {
 	for range slotTries {
-		slots, version, err := platform.Read[placement.ModelSlots](ctx, o.env.Store, slotsKey(model))
+		slots, version, err := store.Read[placement.ModelSlots](ctx, o.env.Store, slotsKey(model))
 		if err != nil {
 			return err
 		}
@@ -73,12 +73,12 @@
 		if err != nil {
 			return err
 		}
-		_, err = platform.WriteJSON(ctx, o.env.Store, slotsKey(model), next, version)
-		if !errors.Is(err, platform.ErrConflict) {
+		_, err = store.WriteJSON(ctx, o.env.Store, slotsKey(model), next, version)
+		if !errors.Is(err, store.ErrConflict) {
 			return err
 		}
 	}
-	return platform.ErrConflict
+	return store.ErrConflict
 }
 
 // sized applies the declared cap, if the declaration here is not the older one.
@@ -100,7 +100,7 @@
 // engine, so that they can be used also when the platform is gone later. What
 // fails is tried again by tidy.
 func (o *Orderer) adoptSlots(ctx context.Context) {
-	_ = eachSlots(ctx, o.env.Store, func(_ platform.Object, slots placement.ModelSlots) error {
+	_ = eachSlots(ctx, o.env.Store, func(_ store.Object, slots placement.ModelSlots) error {
 		if _, bound := slots.Bound(o.declared.Name); bound {
 			_ = o.ensureSlot(ctx, slots.Model)
 		}
@@ -110,8 +110,8 @@
 
 // eachSlots calls f with the slots of every model until f fails. Values that
 // cannot be read are passed over.
-func eachSlots(ctx context.Context, store platform.Store, f func(platform.Object, placement.ModelSlots) error) error {
-	snap, err := store.List(ctx, platform.PrefixSlots)
+func eachSlots(ctx context.Context, s store.Store, f func(store.Object, placement.ModelSlots) error) error {
+	snap, err := s.List(ctx, store.PrefixSlots)
 	if err != nil {
 		return err
 	}
--- a/command/orderer/surplus.go
+++ b/command/orderer/surplus.go
@@ -6,7 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/command/placement"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // slotExcess reports whether this engine's slot of the model is above the cap.
@@ -16,7 +16,7 @@
 	if !found || o.holders(model) <= m.MaxReplicas {
 		return false
 	}
-	slots, version, err := platform.Read[placement.ModelSlots](ctx, o.env.Store, slotsKey(model))
+	slots, version, err := store.Read[placement.ModelSlots](ctx, o.env.Store, slotsKey(model))
 	if err != nil || version == 0 {
 		return false
 	}
--- a/command/runonce/runonce.go
+++ b/command/runonce/runonce.go
@@ -19,7 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -52,7 +52,7 @@
 type Registry struct {
 	params   Params
 	instance string
-	store    platform.Store
+	store    store.Store
 	peers    Peers
 
 	mu   sync.Mutex
@@ -61,7 +61,7 @@
 }
 
 // NewRegistry returns an empty registry of the named instance.
-func NewRegistry(p Params, instance string, store platform.Store, peers Peers) *Registry {
+func NewRegistry(p Params, instance string, store store.Store, peers Peers) *Registry {
 	return &Registry{params: p, instance: instance, store: store, peers: peers, runs: map[string]*Run{}}
 }
 
@@ -104,7 +104,7 @@
 	}
 	run.finish(nil, err)
 	r.forget(run)
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, store.ErrConflict) {
 		return r.elsewhere(ctx, key, fingerprint)
 	}
 	return nil, nil, verdict.Refuse(verdict.ReasonPlatform, "the key cannot be recorded: %v", err).After(time.Second)
@@ -147,7 +147,7 @@
 	}
 }
 
-// create records the key. A lost answer is resolved by platform.Write.
+// create records the key. A lost answer is resolved by store.Write.
 func (run *Run) create(ctx context.Context) error {
 	r := run.registry
 	value, err := json.Marshal(Record{
@@ -157,14 +157,14 @@
 	if err != nil {
 		return err
 	}
-	obj, err := platform.Write(ctx, r.store, platform.PrefixRuns+run.key, value, 0)
+	obj, err := store.Write(ctx, r.store, store.PrefixRuns+run.key, value, 0)
 	run.version = obj.Version
 	return err
 }
 
 // elsewhere answers a key that another instance recorded.
 func (r *Registry) elsewhere(ctx context.Context, key, fingerprint string) (*Run, []byte, error) {
-	record, version, err := platform.Read[Record](ctx, r.store, platform.PrefixRuns+key)
+	record, version, err := store.Read[Record](ctx, r.store, store.PrefixRuns+key)
 	if err != nil || version == 0 {
 		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.ReasonKeyTaken, "the key is recorded, its record cannot be read")
 	}
@@ -213,7 +213,7 @@
 // send can start in between. Where the platform fails the key stays taken.
 func (run *Run) release(ctx context.Context) {
 	ctx = context.WithoutCancel(ctx)
-	if run.registry.store.Delete(ctx, platform.PrefixRuns+run.key, run.version) == nil {
+	if run.registry.store.Delete(ctx, store.PrefixRuns+run.key, run.version) == nil {
 		run.registry.forget(run)
 		return
 	}
--- a/command/runonce/runonce_test.go
+++ b/command/runonce/runonce_test.go
@@ -12,7 +12,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -29,19 +29,19 @@
 	return f.rng.IntN(n)
 }
 
-func (f *flaky) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (f *flaky) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	switch f.roll(10) {
 	case 0:
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Object{}, store.ErrUnavailable
 	case 1: // carried out, answer lost
 		_, _ = f.Platform.Put(ctx, key, value, version)
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	case 2: // carried out long after
 		go func() {
 			time.Sleep(time.Duration(f.roll(20)) * time.Second)
 			_, _ = f.Platform.Put(context.Background(), key, value, version)
 		}()
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	}
 	time.Sleep(time.Duration(f.roll(30)) * time.Millisecond)
 	return f.Platform.Put(ctx, key, value, version)
@@ -60,7 +60,7 @@
 }
 
 // replace starts the named instance anew: what it held is gone.
-func (d *directory) replace(name string, store platform.Store) {
+func (d *directory) replace(name string, store store.Store) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.registries[name] = NewRegistry(Params{Retention: time.Hour, MaxHeld: 100}, name, store, d)
--- a/command/runonce/sweep.go
+++ b/command/runonce/sweep.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // sweepBatch bounds the deletions of one sweep, to leave the platform's write
@@ -15,7 +15,7 @@
 // Sweep removes records older than the retention time from the platform and
 // returns how many. One instance does it for all.
 func (r *Registry) Sweep(ctx context.Context, now time.Time) (int, error) {
-	snap, err := r.store.List(ctx, platform.PrefixRuns)
+	snap, err := r.store.List(ctx, store.PrefixRuns)
 	if err != nil {
 		return 0, err
 	}
--- a/command/wake/hold.go
+++ b/command/wake/hold.go
@@ -14,7 +14,7 @@
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/peer"
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -243,7 +243,7 @@
 		return f
 	case errors.Is(err, orderer.ErrNotOrderer), errors.Is(err, peer.ErrUnreachable):
 		return verdict.Refuse(verdict.ReasonNotOrderer, "%v", err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrUnknown), errors.Is(err, store.ErrConflict):
 		return verdict.Refuse(verdict.ReasonPlatform, "%v", err)
 	default:
 		return verdict.Of(err).WithVerdict(verdict.NotRun)
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -22,15 +22,15 @@
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/peer"
-	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/query/timeline"
 	"github.com/martenport/martenport/settings"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
 // Ports are what an instance reaches the outside by.
 type Ports struct {
-	Store   platform.Store
+	Store   store.Store
 	Engine  func(declaration.Engine) backend.Engine
 	Service func(address string) backend.Service
 	Peer    peer.Dial
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,9 +33,9 @@
 
 // The timing of platform calls.
 const (
-	platformCallTimeout  = time.Second
-	platformWatchTimeout = 30 * time.Second
-	platformReadRetries  = 2
+	platformCallTimeout = time.Second
+	platformWatchWait   = 5 * time.Second
+	platformReadRetries = 2
 )
 
 // New opens the listeners and wires the instance. Run starts it.
@@ -47,8 +47,8 @@
 	if err := d.listen(s); err != nil {
 		return nil, err
 	}
-	client := platform.NewClient(platform.Params{
-		BaseURL: s.PlatformURL, CallTimeout: platformCallTimeout, WatchTimeout: platformWatchTimeout,
+	client := platform.NewClient(platform.ClientParams{
+		BaseURL: s.PlatformURL, CallTimeout: platformCallTimeout, WatchWait: platformWatchWait,
 		CallsPerSecond: s.PlatformRate, ReadRetries: platformReadRetries,
 	})
 	peerAddress := s.PeerAddress
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -20,8 +20,8 @@
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/peer"
-	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/settings"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -145,7 +145,7 @@
 
 // cutStore is the platform as seen from a failure domain.
 type cutStore struct {
-	platform.Store
+	store.Store
 	net    *network
 	domain string
 }
@@ -154,37 +154,37 @@
 	if !s.net.cut(s.domain, platformDomain) {
 		return nil
 	}
-	return platform.ErrUnavailable
+	return store.ErrUnavailable
 }
 
-func (s cutStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s cutStore) Get(ctx context.Context, key string) (store.Object, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s cutStore) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+func (s cutStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
 	return s.Store.List(ctx, prefix)
 }
 
-func (s cutStore) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+func (s cutStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	return s.Store.Put(ctx, key, value, version)
 }
 
-func (s cutStore) Watch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+func (s cutStore) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
 	if err := s.reach(ctx); err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
 	snap, err := s.Store.Watch(ctx, prefix, revision)
 	if reachErr := s.reach(ctx); reachErr != nil {
-		return platform.Snapshot{}, reachErr
+		return store.Snapshot{}, reachErr
 	}
 	return snap, err
 }
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -15,8 +15,8 @@
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/peer"
-	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/rendezvous"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
@@ -30,17 +30,17 @@
 
 // watchedStore notes whether the platform can be reached.
 type watchedStore struct {
-	platform.Store
+	store.Store
 	events *event.Recorder
 	down   atomic.Bool
 }
 
-func newWatchedStore(s platform.Store, events *event.Recorder) *watchedStore {
+func newWatchedStore(s store.Store, events *event.Recorder) *watchedStore {
 	return &watchedStore{Store: s, events: events}
 }
 
 func (w *watchedStore) note(err error) {
-	down := errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown)
+	down := errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown)
 	if w.down.Swap(down) == down {
 		return
 	}
@@ -51,15 +51,15 @@
 	w.events.Record(event.Event{Kind: kind})
 }
 
-// Get implements platform.Store.
-func (w *watchedStore) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (w *watchedStore) Get(ctx context.Context, key string) (store.Object, error) {
 	obj, err := w.Store.Get(ctx, key)
 	w.note(err)
 	return obj, err
 }
 
-// Put implements platform.Store.
-func (w *watchedStore) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+// Put implements store.Store.
+func (w *watchedStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	obj, err := w.Store.Put(ctx, key, value, version)
 	w.note(err)
 	return obj, err
@@ -70,10 +70,10 @@
 func (c *Core) watch(ctx context.Context) {
 	c.register(ctx)
 	var watches sync.WaitGroup
-	for prefix, apply := range map[string]func(platform.Object){
-		platform.KeyConfig:       c.applyConfig,
-		platform.PrefixInstances: c.applyInstance,
-		platform.PrefixBackends:  c.applyBackend,
+	for prefix, apply := range map[string]func(store.Object){
+		store.KeyConfig:       c.applyConfig,
+		store.PrefixInstances: c.applyInstance,
+		store.PrefixBackends:  c.applyBackend,
 	} {
 		watches.Go(func() { c.watchPrefix(ctx, prefix, apply) })
 	}
@@ -82,7 +82,7 @@
 
 // watchPrefix reads everything once, then watches as long as it is this
 // instance's turn. A gap in the watch is closed by reading anew.
-func (c *Core) watchPrefix(ctx context.Context, prefix string, apply func(platform.Object)) {
+func (c *Core) watchPrefix(ctx context.Context, prefix string, apply func(store.Object)) {
 	revision := int64(-1)
 	for ctx.Err() == nil {
 		snap, err := c.readOrWatch(ctx, prefix, revision)
@@ -101,7 +101,7 @@
 	}
 }
 
-func (c *Core) readOrWatch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+func (c *Core) readOrWatch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
 	if revision < 0 {
 		return c.store.List(ctx, prefix)
 	}
@@ -122,7 +122,7 @@
 	return false
 }
 
-func (c *Core) applyConfig(obj platform.Object) {
+func (c *Core) applyConfig(obj store.Object) {
 	if obj.Deleted {
 		return // an accepted declaration never reverts
 	}
@@ -134,7 +134,7 @@
 	peer.Apply(c.tables, c.events, accepted, "platform")
 }
 
-func (c *Core) applyInstance(obj platform.Object) {
+func (c *Core) applyInstance(obj store.Object) {
 	var m table.Member
 	if obj.Deleted || json.Unmarshal(obj.Value, &m) != nil {
 		return
@@ -150,9 +150,9 @@
 	Leaving bool `json:"leaving"`
 }
 
-func (c *Core) applyBackend(obj platform.Object) {
+func (c *Core) applyBackend(obj store.Object) {
 	var status backendStatus
-	name := strings.TrimPrefix(obj.Key, platform.PrefixBackends)
+	name := strings.TrimPrefix(obj.Key, store.PrefixBackends)
 	if obj.Deleted || json.Unmarshal(obj.Value, &status) != nil || !status.Leaving {
 		return
 	}
@@ -161,14 +161,14 @@
 	}
 }
 
-func (c *Core) instanceKey() string { return platform.PrefixInstances + c.settings.Name }
+func (c *Core) instanceKey() string { return store.PrefixInstances + c.settings.Name }
 
 // register writes this instance's entry, over that of an earlier start.
 func (c *Core) register(ctx context.Context) {
 	for ctx.Err() == nil && !c.gate.Draining() {
-		_, version, err := platform.Read[table.Member](ctx, c.store, c.instanceKey())
+		_, version, err := store.Read[table.Member](ctx, c.store, c.instanceKey())
 		if err == nil {
-			_, err = platform.WriteJSON(ctx, c.store, c.instanceKey(), c.tables.Members.Self(), version)
+			_, err = store.WriteJSON(ctx, c.store, c.instanceKey(), c.tables.Members.Self(), version)
 		}
 		if err == nil {
 			return
@@ -195,7 +195,7 @@
 		chosen := rendezvous.Choose("sweep", table.Names(c.tables.Members.Alive())) == c.settings.Name
 		for _, name := range c.tables.Members.ForgetDead(forgetAfter) {
 			if chosen {
-				c.remove(ctx, platform.PrefixInstances+name)
+				c.remove(ctx, store.PrefixInstances+name)
 			}
 		}
 		if chosen {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // watchWait is how long a watch waits for a change before it answers empty.
@@ -21,23 +21,23 @@
 // maxValueBytes is the largest value that the platform takes.
 const maxValueBytes = 1 << 20
 
-// Platform is an in-memory platform.Store with faults.
+// Platform is an in-memory store.Store with faults.
 type Platform struct {
 	// Reads, Writes and Watches count calls, failed ones included.
 	Reads, Writes, Watches atomic.Int64
 
 	mu       sync.Mutex
-	objects  map[string]platform.Object // guarded by mu
-	revision int64                      // guarded by mu
-	changed  chan struct{}              // guarded by mu; closed at each change
-	down     bool                       // guarded by mu
-	delay    time.Duration              // guarded by mu
-	lose     int                        // guarded by mu; answers of writes still to lose
+	objects  map[string]store.Object // guarded by mu
+	revision int64                   // guarded by mu
+	changed  chan struct{}           // guarded by mu; closed at each change
+	down     bool                    // guarded by mu
+	delay    time.Duration           // guarded by mu
+	lose     int                     // guarded by mu; answers of writes still to lose
 }
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	return &Platform{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Platform{objects: map[string]store.Object{}, changed: make(chan struct{})}
 }
 
 // SetDown starts or ends an outage: calls fail and are not carried out.
@@ -70,58 +70,58 @@
 		select {
 		case <-time.After(delay):
 		case <-ctx.Done():
-			return platform.ErrUnknown
+			return store.ErrUnknown
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (p *Platform) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements store.Store.
+func (p *Platform) Get(ctx context.Context, key string) (store.Object, error) {
 	p.Reads.Add(1)
 	if err := p.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	obj, found := p.objects[key]
 	if !found || obj.Deleted {
-		return platform.Object{}, platform.ErrNotFound
+		return store.Object{}, store.ErrNotFound
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (p *Platform) List(ctx context.Context, prefix string) (platform.Snapshot, error) {
+// List implements store.Store.
+func (p *Platform) List(ctx context.Context, prefix string) (store.Snapshot, error) {
 	p.Reads.Add(1)
 	if err := p.enter(ctx); err != nil {
-		return platform.Snapshot{}, err
+		return store.Snapshot{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.changes(prefix, 0, false), nil
 }
 
-// Put implements platform.Store.
-func (p *Platform) Put(ctx context.Context, key string, value []byte, version int64) (platform.Object, error) {
+// Put implements store.Store.
+func (p *Platform) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
 	p.Writes.Add(1)
 	if err := p.enter(ctx); err != nil {
-		return platform.Object{}, err
+		return store.Object{}, err
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(value) > maxValueBytes || liveVersion(p.objects[key]) != version {
-		return platform.Object{}, platform.ErrConflict
+		return store.Object{}, store.ErrConflict
 	}
-	return p.store(platform.Object{Key: key, Value: slices.Clone(value)})
+	return p.store(store.Object{Key: key, Value: slices.Clone(value)})
 }
 
-// Delete implements platform.Store.
+// Delete implements store.Store.
 func (p *Platform) Delete(ctx context.Context, key string, version int64) error {
 	p.Writes.Add(1)
 	if err := p.enter(ctx); err != nil {
@@ -130,21 +130,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version == 0 || liveVersion(p.objects[key]) != version {
-		return platform.ErrConflict
+		return store.ErrConflict
 	}
-	_, err := p.store(platform.Object{Key: key, Deleted: true})
+	_, err := p.store(store.Object{Key: key, Deleted: true})
 	return err
 }
 
 // store needs mu.
-func (p *Platform) store(obj platform.Object) (platform.Object, error) {
+func (p *Platform) store(obj store.Object) (store.Object, error) {
 	p.revision++
 	obj.Version = p.revision
 	p.objects[obj.Key] = obj
 	p.wake()
 	if p.lose > 0 {
 		p.lose--
-		return platform.Object{}, platform.ErrUnknown
+		return store.Object{}, store.ErrUnknown
 	}
 	return obj, nil
 }
@@ -156,7 +156,7 @@
 }
 
 // liveVersion is the version of an object, 0 when it does not exist.
-func liveVersion(obj platform.Object) int64 {
+func liveVersion(obj store.Object) int64 {
 	if obj.Deleted {
 		return 0
 	}
@@ -164,25 +164,25 @@
 }
 
 // changes needs mu.
-func (p *Platform) changes(prefix string, after int64, deleted bool) platform.Snapshot {
-	snap := platform.Snapshot{Revision: p.revision}
+func (p *Platform) changes(prefix string, after int64, deleted bool) store.Snapshot {
+	snap := store.Snapshot{Revision: p.revision}
 	for key, obj := range p.objects {
 		if strings.HasPrefix(key, prefix) && obj.Version > after && (deleted || !obj.Deleted) {
 			snap.Objects = append(snap.Objects, obj)
 		}
 	}
-	slices.SortFunc(snap.Objects, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(snap.Objects, func(a, b store.Object) int { return strings.Compare(a.Key, b.Key) })
 	return snap
 }
 
-// Watch implements platform.Store.
-func (p *Platform) Watch(ctx context.Context, prefix string, revision int64) (platform.Snapshot, error) {
+// Watch implements store.Store.
+func (p *Platform) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
 	p.Watches.Add(1)
 	timeout := time.NewTimer(watchWait)
 	defer timeout.Stop()
 	for {
 		if err := p.enter(ctx); err != nil {
-			return platform.Snapshot{}, err
+			return store.Snapshot{}, err
 		}
 		p.mu.Lock()
 		snap, changed := p.changes(prefix, revision, true), p.changed
@@ -195,7 +195,7 @@
 		case <-timeout.C:
 			return snap, nil
 		case <-ctx.Done():
-			return platform.Snapshot{}, platform.ErrUnavailable
+			return store.Snapshot{}, store.ErrUnavailable
 		}
 	}
 }
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -1,58 +1,129 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
-// Handler serves the platform over HTTP. POST /fault?down=true, ?delay=1s and
-// ?lose=3 set its faults.
+// objectMetadata is what the platform keeps of an object beside its spec.
+type objectMetadata struct {
+	Name       string   `json:"name"`
+	Revision   int64    `json:"revision"`
+	Finalizers []string `json:"finalizers"`
+}
+
+// storedObject is an object on the wire.
+type storedObject struct {
+	Metadata objectMetadata  `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+}
+
+type objectList struct {
+	Items         []storedObject `json:"items"`
+	MorePages     bool           `json:"morePages"`
+	StoreRevision int64          `json:"storeRevision"`
+}
+
+type objectEvent struct {
+	Object  storedObject `json:"object"`
+	Deleted bool         `json:"deleted"`
+}
+
+type objectEvents struct {
+	Events        []objectEvent `json:"events"`
+	StoreRevision int64         `json:"storeRevision"`
+}
+
+// Handler serves the platform over its HTTP protocol. POST /fault?down=true,
+// ?delay=1s and ?lose=3 set its faults.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/object", p.serveGet)
-	mux.HandleFunc("PUT /v1/object", p.servePut)
-	mux.HandleFunc("DELETE /v1/object", p.serveDelete)
-	mux.HandleFunc("GET /v1/list", p.serveList)
-	mux.HandleFunc("GET /v1/watch", p.serveWatch)
+	mux.HandleFunc("GET /v1/objects/{kind}", p.serveKind)
+	mux.HandleFunc("POST /v1/objects/{kind}", p.serveCreate)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name...}", p.serveGet)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name...}", p.servePut)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name...}", p.serveDelete)
 	mux.HandleFunc("POST /fault", p.serveFault)
 	return mux
 }
 
+func objectKey(r *http.Request) string { return r.PathValue("kind") + "/" + r.PathValue("name") }
+
+func encodeObject(obj store.Object) storedObject {
+	_, name, _ := strings.Cut(obj.Key, "/")
+	return storedObject{Metadata: objectMetadata{Name: name, Revision: obj.Version, Finalizers: []string{}}, Spec: obj.Value}
+}
+
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
-	obj, err := p.Get(r.Context(), r.FormValue("key"))
-	answerPlatform(w, obj, err)
+	obj, err := p.Get(r.Context(), objectKey(r))
+	answerPlatform(w, encodeObject(obj), err)
 }
 
-func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
-	value, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+// serveKind lists a kind in one page, or waits for its changes.
+func (p *Platform) serveKind(w http.ResponseWriter, r *http.Request) {
+	prefix := r.PathValue("kind") + "/"
+	if r.URL.Query().Has("watch") {
+		p.serveWatch(w, r, prefix)
 		return
 	}
-	obj, err := p.Put(r.Context(), r.URL.Query().Get("key"), value, formInt(r, "version"))
-	answerPlatform(w, obj, err)
+	snap, err := p.List(r.Context(), prefix)
+	page := objectList{Items: []storedObject{}, StoreRevision: snap.Revision}
+	for _, obj := range snap.Objects {
+		page.Items = append(page.Items, encodeObject(obj))
+	}
+	answerPlatform(w, page, err)
 }
 
-func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
-	err := p.Delete(r.Context(), r.URL.Query().Get("key"), formInt(r, "version"))
-	answerPlatform(w, platform.Object{}, err)
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(formInt(r, "waitMs"))*time.Millisecond)
+	defer cancel()
+	since := formInt(r, "watch")
+	snap, err := p.Watch(ctx, prefix, since)
+	if err != nil && ctx.Err() != nil && r.Context().Err() == nil {
+		snap, err = store.Snapshot{Revision: since}, nil // the waiting time is over
+	}
+	page := objectEvents{Events: []objectEvent{}, StoreRevision: snap.Revision}
+	for _, obj := range snap.Objects {
+		page.Events = append(page.Events, objectEvent{Object: encodeObject(obj), Deleted: obj.Deleted})
+	}
+	answerPlatform(w, page, err)
 }
 
-func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
-	snap, err := p.List(r.Context(), r.FormValue("prefix"))
-	answerPlatform(w, snap, err)
+func (p *Platform) serveCreate(w http.ResponseWriter, r *http.Request) { p.write(w, r, true) }
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) { p.write(w, r, false) }
+
+func (p *Platform) write(w http.ResponseWriter, r *http.Request, create bool) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxValueBytes+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var obj storedObject
+	if err := json.Unmarshal(body, &obj); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	key, version := objectKey(r), obj.Metadata.Revision
+	if create {
+		key, version = r.PathValue("kind")+"/"+obj.Metadata.Name, 0
+	}
+	stored, err := p.Put(r.Context(), key, obj.Spec, version)
+	answerPlatform(w, encodeObject(stored), err)
 }
 
-func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
-	snap, err := p.Watch(r.Context(), r.FormValue("prefix"), formInt(r, "revision"))
-	answerPlatform(w, snap, err)
+func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
+	err := p.Delete(r.Context(), objectKey(r), formInt(r, "revision"))
+	answerPlatform(w, storedObject{Spec: json.RawMessage("null")}, err)
 }
 
 func (p *Platform) serveFault(w http.ResponseWriter, r *http.Request) {
@@ -78,11 +149,13 @@
 	switch {
 	case err == nil:
 		writeJSON(w, v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrCompacted):
+		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, store.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		panic(http.ErrAbortHandler) // the answer is lost
--- /dev/null
+++ b/serving/server.go
@@ -0,0 +1,60 @@
+package serving
+
+import "time"
+
+// Server is a backend server as it announces itself. Each start of a process
+// is another Server with another ID.
+type Server struct {
+	ID, Service, Address string
+	FailureDomain        string
+	Slots                int
+	// Draining servers get no new requests.
+	Draining bool
+	// Remaining is how long a server that was reclaimed at short notice still
+	// runs; 0 when that is not known.
+	Remaining time.Duration
+	// Sequence counts the orders that an engine has accepted.
+	Sequence int64
+	// Models maps each resident model to its resident adapters.
+	Models map[string][]string
+	// Tiers says where other weights are cached on the engine.
+	Tiers map[string]Tier
+}
+
+// Tier is where weights are cached, as seen from one engine.
+type Tier int
+
+// The tiers, from the slowest to load to the fastest.
+const (
+	TierRemote Tier = iota
+	TierDisk
+	TierMemory
+)
+
+// LoadTime is how long a load of the model takes from the tier.
+func (m Model) LoadTime(t Tier) time.Duration {
+	switch {
+	case t == TierMemory && m.MemoryLoad > 0:
+		return m.MemoryLoad
+	case t >= TierDisk && m.DiskLoad > 0:
+		return m.DiskLoad
+	default:
+		return m.RemoteLoad
+	}
+}
+
+// Unit names what a request needs on an engine: a model, or one of its
+// adapters.
+type Unit struct {
+	Model string
+	// Adapter is empty for the model itself.
+	Adapter string
+}
+
+// String returns MODEL or MODEL/ADAPTER.
+func (u Unit) String() string {
+	if u.Adapter == "" {
+		return u.Model
+	}
+	return u.Model + "/" + u.Adapter
+}
--- a/platform/keys.go
+++ b/store/keys.go
@@ -1,9 +1,9 @@
-package platform
+package store
 
 // Prefixes of the objects that martenport keeps, one kind each.
 const (
 	// KeyConfig is the single object with the accepted declaration.
-	KeyConfig = "config/current"
+	KeyConfig = "declarations/current"
 	// PrefixSlots holds one object a model: its replica slots.
 	PrefixSlots = "slots/"
 	// PrefixEngines holds one object an engine: its orderer, epoch and claims.
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,24 +1,27 @@
-// Package platform is the client of the platform's object API: versions,
+// Package store is the client of the platform's object API: versions,
 // conditional updates and watches. Everything that must outlive an instance
 // is kept there.
 //
 // A write whose answer was lost is resolved by sending the same conditional
 // write again and reading back, never by assuming. Values must therefore be
 // unique to their writer and purpose (they carry an epoch, claim or plan id).
-package platform
+package store
 
 import (
 	"context"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
 // Errors of a Store. ErrUnknown alone leaves open whether a write took effect.
 var (
-	ErrNotFound    = errors.New("platform: object not found")
-	ErrConflict    = errors.New("platform: version conflict")
-	ErrUnavailable = errors.New("platform: unavailable, request not carried out")
-	ErrUnknown     = errors.New("platform: answer lost, write may have taken effect")
+	ErrNotFound    = errors.New("store: object not found")
+	ErrConflict    = errors.New("store: version conflict")
+	ErrUnavailable = errors.New("store: unavailable, request not carried out")
+	ErrUnknown     = errors.New("store: answer lost, write may have taken effect")
+	// ErrCompacted: the history after a revision is gone; list and watch anew.
+	ErrCompacted = errors.New("store: history is gone")
 )
 
 // Object is one stored value. Version is the platform's revision of the last
@@ -36,6 +39,13 @@
 	Objects  []Object `json:"objects"`
 }
 
+// Add appends obj if its key starts with prefix.
+func (s *Snapshot) Add(obj Object, prefix string) {
+	if strings.HasPrefix(obj.Key, prefix) {
+		s.Objects = append(s.Objects, obj)
+	}
+}
+
 // Store is the object API. Every call, a waiting watch included, is counted by
 // the platform against its rates.
 type Store interface {
--- a/platform/write.go
+++ b/store/write.go
@@ -1,9 +1,10 @@
-package platform
+package store
 
 import (
 	"bytes"
 	"context"
 	"encoding/json"
+	"reflect"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,12 +54,22 @@
 	if err != nil {
 		return Object{}, ErrUnknown
 	}
-	if !bytes.Equal(obj.Value, value) {
+	if !sameJSON(obj.Value, value) {
 		return Object{}, ErrConflict
 	}
 	return obj, nil
 }
 
+// sameJSON compares values by what they say: the platform may write their
+// fields in another order.
+func sameJSON(a, b []byte) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return bytes.Equal(a, b)
+	}
+	return reflect.DeepEqual(x, y)
+}
+
 // Read decodes the JSON value under key and returns it with its version, 0 when
 // there is none. The value is always a fresh one: decoding into a value that
 // was used before would keep what the new one leaves out.
@@ -72,7 +83,7 @@
 		return v, 0, err
 	}
 	if err := json.Unmarshal(obj.Value, &v); err != nil {
-		return v, 0, errors.Wrapf(err, "platform: value of %s", key)
+		return v, 0, errors.Wrapf(err, "store: value of %s", key)
 	}
 	return v, obj.Version, nil
 }
@@ -81,7 +92,7 @@
 func WriteJSON(ctx context.Context, s Store, key string, v any, version int64) (int64, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
-		return 0, errors.Wrapf(err, "platform: value of %s", key)
+		return 0, errors.Wrapf(err, "store: value of %s", key)
 	}
 	obj, err := Write(ctx, s, key, value, version)
 	return obj.Version, err
