--- /dev/null
+++ b/cmd/martenentryd/main.go
@@ -0,0 +1,49 @@
+// Command martenentryd runs one entry instance on the users' platform.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/martenport/martenport/entry"
+	"github.com/martenport/martenport/internal/boundedlog"
+	"github.com/martenport/martenport/internal/cli"
+	"github.com/martenport/martenport/platform"
+)
+
+// options of the command line; what the platform decides is in the settings file.
+type options struct {
+	Settings string `long:"settings" env:"MARTENPORT_CONFIG" default:"/etc/martenport/settings.toml" description:"settings file that the platform writes"`
+	LogLevel string `long:"log-level" env:"MARTENPORT_LOG_LEVEL" default:"info" description:"debug, info, warning or error"`
+}
+
+// Lines that wait to be written, and how long an instance that ends waits for
+// the last of them.
+const (
+	logBuffer    = 2048
+	logCloseWait = 200 * time.Millisecond
+)
+
+func main() {
+	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
+}
+
+func run(args []string) error {
+	var o options
+	if err := cli.Parse(&o, args); err != nil {
+		return err
+	}
+	settings, err := platform.LoadSettings(o.Settings)
+	if err != nil {
+		return cli.Usage(err)
+	}
+	out := boundedlog.New(os.Stdout, logBuffer)
+	defer out.Close(logCloseWait)
+	log, err := cli.Log(o.LogLevel, out)
+	if err != nil {
+		return cli.Usage(err)
+	}
+	ctx, stop := cli.UntilSignal()
+	defer stop()
+	return entry.New(settings, log).Run(ctx)
+}
--- /dev/null
+++ b/command/forward/choose.go
@@ -0,0 +1,193 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// choose returns the server to send to next, waiting for a load if need be.
+func (t *trip) choose(ctx context.Context) (serving.Server, *verdict.Failure) {
+	if t.service.Engine == nil || t.request.Unit.Model == "" {
+		return t.choosePlain()
+	}
+	return t.chooseEngine(ctx)
+}
+
+// choosePlain picks among all servers of the service.
+func (t *trip) choosePlain() (serving.Server, *verdict.Failure) {
+	servers := t.f.dir.Servers(t.service.Name)
+	var usable []serving.Server
+	var candidates []balance.Candidate
+	for _, s := range servers {
+		if t.excluded[s.ID] {
+			continue
+		}
+		usable = append(usable, s)
+		candidates = append(candidates, balance.Candidate{ID: s.ID, Slots: s.Slots, Near: s.FailureDomain == t.f.params.FailureDomain})
+	}
+	i := t.f.balancer.Pick(candidates, time.Now())
+	if i < 0 {
+		return serving.Server{}, t.noServer(len(servers))
+	}
+	return usable[i], nil
+}
+
+// noServerRetry is told to clients when no server of a service is known: about
+// the time in which a new one announces itself.
+const noServerRetry = time.Second
+
+func (t *trip) noServer(known int) *verdict.Failure {
+	if t.last != nil {
+		return t.lastFailure("no other server is left")
+	}
+	return verdict.Refuse(verdict.ReasonNoReplica, "no server of %s can be asked, of %d known", t.service.Name, known).After(noServerRetry)
+}
+
+// chooseEngine picks among the engines that have the unit, or has it loaded.
+func (t *trip) chooseEngine(ctx context.Context) (serving.Server, *verdict.Failure) {
+	for {
+		server, ready, found := t.bestReplica()
+		if !found {
+			var failure *verdict.Failure
+			server, ready, failure = t.want(ctx)
+			if failure != nil {
+				return serving.Server{}, failure
+			}
+			if server.ID == "" {
+				continue // asked again after a pause
+			}
+		}
+		wait := time.Until(ready)
+		if wait <= 0 {
+			return server, nil
+		}
+		if failure := t.refuseWait(wait); failure != nil {
+			return serving.Server{}, failure
+		}
+		started := time.Now()
+		failure := t.pauseFor(ctx, wait)
+		t.waited += time.Since(started)
+		if failure != nil {
+			return serving.Server{}, failure
+		}
+		if s, live := t.f.dir.Server(server.ID); live && !s.Draining {
+			return s, nil
+		}
+	}
+}
+
+// bestReplica picks among the engines known to have the unit or to get it.
+func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
+	now := time.Now()
+	replicas := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
+	candidates := make([]balance.Candidate, 0, len(replicas))
+	usable := replicas[:0]
+	for _, r := range replicas {
+		if t.excluded[r.Server.ID] {
+			continue
+		}
+		usable = append(usable, r)
+		candidates = append(candidates, balance.Candidate{
+			ID: r.Server.ID, Slots: r.Server.Slots, Others: r.Others, Wait: max(0, r.Ready.Sub(now)),
+			Near: r.Server.FailureDomain == t.f.params.FailureDomain,
+		})
+	}
+	t.markAffine(candidates)
+	i := t.f.balancer.Pick(candidates, now)
+	if i < 0 {
+		return serving.Server{}, time.Time{}, false
+	}
+	return usable[i].Server, usable[i].Ready, true
+}
+
+// markAffine marks the replica that gets requests with the same start of the
+// prompt, chosen by hash (rendezvous) so that instances agree on it.
+func (t *trip) markAffine(candidates []balance.Candidate) {
+	if len(t.request.PromptParts) < affineParts || len(candidates) < 2 {
+		return
+	}
+	prefix := t.request.Unit.String()
+	for _, part := range t.request.PromptParts[:affineParts] {
+		prefix += "," + part
+	}
+	best, bestHash := 0, uint64(0)
+	for i, c := range candidates {
+		if h := xxhash.Sum64String(prefix + "@" + c.ID); h >= bestHash {
+			best, bestHash = i, h
+		}
+	}
+	candidates[best].Affine = true
+}
+
+// affineParts is how many parts of a prompt are taken as shared: the last one
+// belongs to the request, the first is shared most widely.
+const affineParts = 1
+
+// want asks for the unit to be loaded. An empty server means: ask again.
+func (t *trip) want(ctx context.Context) (serving.Server, time.Time, *verdict.Failure) {
+	place, err := t.f.placer.Want(ctx, Wanted{
+		Service: t.service.Name, Unit: t.request.Unit, Priority: t.route.Priority, Missing: t.missing,
+	})
+	t.missing = ""
+	switch {
+	case ctx.Err() != nil:
+		return serving.Server{}, time.Time{}, verdict.Refuse(verdict.ReasonDeadline, "the time was over before a place for %s was known", t.request.Unit)
+	case err != nil:
+		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err)
+	}
+	server, live := t.f.dir.Server(place.Engine)
+	if !live || server.Draining {
+		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
+	}
+	if t.excluded[server.ID] { // it has just refused: a load may take a little longer
+		delete(t.excluded, server.ID)
+		return server, place.Ready, t.pauseFor(ctx, t.f.params.RetryPause)
+	}
+	return server, place.Ready, nil
+}
+
+// wantFailed waits before the next try, or refuses.
+func (t *trip) wantFailed(ctx context.Context, err error) *verdict.Failure {
+	back := t.f.params.HolderReturn
+	if errors.Is(err, ErrNoRoom) {
+		back /= 2
+	}
+	if failure := t.refuseWait(back); failure != nil {
+		failure.Detail += ": " + err.Error()
+		return failure
+	}
+	return t.pauseFor(ctx, max(back/10, t.f.params.RetryPause))
+}
+
+// refuseWait decides whether the client should come back rather than wait. A
+// client that comes back is answered within its objective, counted anew; one
+// that waits is late. So a first try is refused if the wait breaks the
+// objective, while little of it has passed and the client may heed the time.
+func (t *trip) refuseWait(wait time.Duration) *verdict.Failure {
+	now := time.Now()
+	elapsed, left := now.Sub(t.request.Arrived), t.deadline.Sub(now)
+	if wait+t.f.params.FirstEvent >= left {
+		return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
+	}
+	onTime := elapsed+wait+t.f.params.FirstEvent <= t.route.Objective
+	early := elapsed <= t.route.Objective/refusalShare
+	heeded := wait <= left/refusalShare
+	if onTime || t.again || t.sends > 0 || !early || !heeded {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonNoReplica, "%s is ready in %s", t.request.Unit, round(wait)).After(wait)
+}
+
+// refusalShare: a refusal within this part of the objective costs a client
+// little, and clients heed a time to come back up to about this part of the
+// time that they have left.
+const refusalShare = 4
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- /dev/null
+++ b/command/forward/forward.go
@@ -0,0 +1,172 @@
+// Package forward takes a request to a backend server and the answer back.
+//
+// A request is sent again only where that is harmless: if it has not run, by
+// the verdict of the send or the server's own word, or if its route says that
+// it may run again. Repeated sends are drawn from a budget that all instances
+// share. Where the model that a request needs is not loaded, the forwarder
+// asks for it, and then either waits or refuses at once and says when to come
+// back, by what is expected to reach the client within its latency objective.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// Errors of a Placer.
+var (
+	// ErrNoHolder: no instance can be reached that loads models.
+	ErrNoHolder = errors.New("forward: no holder can be reached")
+	// ErrNoRoom: no engine can take the model now.
+	ErrNoRoom = errors.New("forward: no engine can take the model now")
+)
+
+// Wanted asks for a unit to be loaded.
+type Wanted struct {
+	Service string
+	Unit    serving.Unit
+	// Priority of the request that needs it, 0 first.
+	Priority int
+	// Missing names an engine that said that it does not have the unit though
+	// it should.
+	Missing string
+}
+
+// Place is where a unit is or will be.
+type Place struct {
+	Engine string
+	Ready  time.Time
+}
+
+// Placer has units loaded.
+type Placer interface {
+	// Want returns where the unit will be. It does not wait for the load. Its
+	// errors are ErrNoHolder and ErrNoRoom.
+	Want(ctx context.Context, w Wanted) (Place, error)
+	// Arrived notes a request for a unit, for forecasts.
+	Arrived(unit serving.Unit, priority int)
+	// Started notes that a request for a unit runs on an engine, until the
+	// returned function is called.
+	Started(engine string, unit serving.Unit) func()
+	// Instances is how many instances there are, this one included.
+	Instances() int
+}
+
+// Params are what the forwarder goes by beside routes.
+type Params struct {
+	FailureDomain string
+	// FirstEvent is how long an engine takes to a first event when all that it
+	// needs is loaded.
+	FirstEvent time.Duration
+	// RetryPause is the pause before a server that has just refused, or a
+	// holder that could not be reached, is asked again.
+	RetryPause time.Duration
+	// HolderReturn is told to clients as the time to come back when there is
+	// no holder: about what a take-over takes.
+	HolderReturn time.Duration
+}
+
+// DefaultParams returns the parameters used unless set otherwise.
+func DefaultParams(failureDomain string) Params {
+	return Params{
+		FailureDomain: failureDomain, FirstEvent: 120 * time.Millisecond, RetryPause: 60 * time.Millisecond, HolderReturn: 1500 * time.Millisecond,
+	}
+}
+
+// Forwarder is a serving.Handler.
+type Forwarder struct {
+	params   Params
+	dir      *directory.Directory
+	sender   serving.Sender
+	placer   Placer
+	balancer *balance.Balancer
+	budget   *Budget
+	log      logrus.FieldLogger
+	counts   *Counts
+
+	mu sync.Mutex
+	// longest is the longest time that clients of a route have allowed. One
+	// that allows less has tried before.
+	longest map[string]time.Duration // by route; guarded by mu
+}
+
+// New returns a Forwarder.
+func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, counts *Counts, log logrus.FieldLogger) *Forwarder {
+	return &Forwarder{
+		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, counts: counts, log: log,
+		longest: map[string]time.Duration{},
+	}
+}
+
+// noConfigRetry is told to clients while there is no configuration yet.
+const noConfigRetry = 500 * time.Millisecond
+
+// Serve implements serving.Handler.
+func (f *Forwarder) Serve(ctx context.Context, r *serving.Request, w http.ResponseWriter) *verdict.Failure {
+	config := f.dir.Config()
+	if config == nil {
+		return f.refused(r, verdict.Refuse(verdict.ReasonPlatform, "no configuration is known yet").After(noConfigRetry))
+	}
+	route := config.Match(r.Host, r.Path())
+	if route == nil {
+		return f.refused(r, verdict.Refuse(verdict.ReasonNoRoute, "no route of configuration %d for %s%s", config.Version, r.Host, r.Path()))
+	}
+	t := f.newTrip(config, route, r, w)
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	defer cancel()
+	failure := t.run(ctx)
+	t.end(failure)
+	return failure
+}
+
+func (f *Forwarder) refused(r *serving.Request, failure *verdict.Failure) *verdict.Failure {
+	f.counts.end(failure, 0)
+	f.log.WithFields(logrus.Fields{"request": r.ID, "reason": failure.Reason}).Info("request refused: " + failure.Detail)
+	return failure
+}
+
+// retried reports whether the client has tried the request before: it allows
+// less time than others of the route.
+func (f *Forwarder) retried(route string, timeout time.Duration) bool {
+	if timeout == 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.longest[route] = max(f.longest[route], timeout)
+	return timeout < f.longest[route]-retriedSlack
+}
+
+// retriedSlack is what the time that clients allow may vary by without a try
+// before.
+const retriedSlack = 20 * time.Millisecond
+
+// chooseTarget picks a service by weight.
+func chooseTarget(targets []serving.Target) string {
+	total := 0
+	for _, t := range targets {
+		total += max(0, t.Weight)
+	}
+	if total == 0 {
+		return targets[0].Service
+	}
+	n := rand.IntN(total)
+	for _, t := range targets {
+		n -= max(0, t.Weight)
+		if n < 0 {
+			return t.Service
+		}
+	}
+	return targets[0].Service
+}
--- /dev/null
+++ b/command/forward/trip.go
@@ -0,0 +1,248 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// trip is the way of one request through this instance.
+type trip struct {
+	f       *Forwarder
+	config  *serving.Config
+	route   *serving.Route
+	service serving.Service
+	request *serving.Request
+	out     *writer
+	// deadline is when the final answer is due: the sooner of the client's and
+	// the route's.
+	deadline time.Time
+	// again: the client has tried before.
+	again bool
+
+	// sends counts the sends that reached a server, runs those that may have
+	// run.
+	sends, runs int
+	// mayHaveRun: a send may have run, so that "not run" may not be said.
+	mayHaveRun bool
+	// prepaid: the budget for the next send has been taken already.
+	prepaid bool
+	// excluded are servers that are not asked again.
+	excluded map[string]bool
+	// missing is the last engine that did not have the unit.
+	missing string
+	// waited is how long the request waited for a load.
+	waited time.Duration
+	server string
+	last   *verdict.Failure
+}
+
+func (f *Forwarder) newTrip(config *serving.Config, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
+	t := &trip{
+		f: f, config: config, route: route, request: r, out: newWriter(w), excluded: map[string]bool{},
+		service: config.Services[chooseTarget(route.Targets)], again: f.retried(route.Name, r.Timeout),
+	}
+	allowed := route.Timeout
+	if r.Timeout > 0 && (allowed == 0 || r.Timeout < allowed) {
+		allowed = r.Timeout
+	}
+	if allowed == 0 {
+		allowed = defaultTimeout
+	}
+	t.deadline = r.Arrived.Add(allowed)
+	f.budget.Request(t.service.Name, r.Arrived)
+	if t.service.Engine != nil && r.Unit.Model != "" {
+		f.placer.Arrived(r.Unit, route.Priority)
+	}
+	return t
+}
+
+// defaultTimeout bounds a request for which neither client nor route says how
+// long it may take.
+const defaultTimeout = 30 * time.Second
+
+// run takes the request from server to server until it is answered.
+func (t *trip) run(ctx context.Context) *verdict.Failure {
+	for {
+		server, failure := t.choose(ctx)
+		if failure != nil {
+			return t.final(ctx, failure)
+		}
+		if !t.paid() {
+			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
+		}
+		answered, failure := t.attempt(ctx, server)
+		if answered {
+			return nil
+		}
+		t.last = failure
+		if ctx.Err() != nil || !t.mayTryAgain(failure) {
+			return t.final(ctx, failure)
+		}
+		t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{"server": server.ID, "verdict": failure.Verdict}).
+			Info("sending once more: " + failure.Detail)
+	}
+}
+
+// paid draws the next send from the budget of repeated ones, if it is one.
+func (t *trip) paid() bool {
+	if t.sends == 0 || t.prepaid {
+		t.prepaid = false
+		return true
+	}
+	return t.f.budget.Take(t.service.Name, t.f.placer.Instances(), time.Now())
+}
+
+// mayTryAgain reports whether the request may be sent once more after failure.
+func (t *trip) mayTryAgain(failure *verdict.Failure) bool {
+	if failure.Verdict == verdict.NotRun {
+		return true
+	}
+	return t.route.MayRepeat() && t.runs < t.route.Attempts
+}
+
+func (t *trip) lastFailure(reason string) *verdict.Failure {
+	if t.last == nil {
+		return verdict.Refuse(verdict.ReasonBackend, "%s", reason)
+	}
+	return verdict.New(t.last.Verdict, t.last.Reason, "%s; %s", t.last.Detail, reason).After(t.f.params.RetryPause)
+}
+
+// final turns the last failure into what the client may be told.
+func (t *trip) final(ctx context.Context, failure *verdict.Failure) *verdict.Failure {
+	f := *failure
+	if t.mayHaveRun && f.Verdict == verdict.NotRun {
+		f.Verdict = verdict.MayHaveRun
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		f.Reason = verdict.ReasonCancelled
+	case t.out.started:
+		f.Reason = verdict.ReasonBroken
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		f.Reason = verdict.ReasonDeadline
+	}
+	return &f
+}
+
+// attempt sends the request to a server and passes the answer on. answered
+// means that the client has its answer.
+func (t *trip) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
+	t.server = server.ID
+	now := time.Now()
+	ended := t.f.balancer.Start(server.ID)
+	done := func() {}
+	if t.request.Unit.Model != "" {
+		done = t.f.placer.Started(server.ID, t.request.Unit)
+	}
+	outcome := balance.Neutral
+	defer func() {
+		done()
+		ended(outcome, time.Now())
+	}()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	resp, err := t.f.sender.Send(ctx, serving.Attempt{
+		Request: t.request, Server: server, Left: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEvent,
+	})
+	if err != nil {
+		return false, t.sendFailed(ctx, server, err, &outcome)
+	}
+	defer resp.Body.Close()
+	if resp.NotRun {
+		outcome = balance.Failed
+		return false, t.notRun(server, resp, &outcome)
+	}
+	t.sends++
+	t.runs++
+	t.mayHaveRun = true
+	failure = t.relay(ctx, resp)
+	outcome = t.judge(ctx, resp, failure)
+	if failure != nil {
+		t.excluded[server.ID] = true
+	}
+	return failure == nil, failure
+}
+
+// maxUrgency is the least urgent rank that engines know.
+const maxUrgency = 9
+
+// urgency ranks a request at an engine as its route does.
+func urgency(r *serving.Route) int { return min(maxUrgency, max(0, r.Priority)) }
+
+func (t *trip) sendFailed(ctx context.Context, server serving.Server, err error, outcome *balance.Outcome) *verdict.Failure {
+	failure := verdict.Of(err)
+	t.excluded[server.ID] = true
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		*outcome = balance.Failed
+	}
+	if failure.Verdict != verdict.NotRun {
+		t.sends++
+		t.runs++
+		t.mayHaveRun = true
+	}
+	return failure
+}
+
+// notRun handles a server's own word that it has not run the request.
+func (t *trip) notRun(server serving.Server, resp *serving.Response, outcome *balance.Outcome) *verdict.Failure {
+	t.sends++
+	t.excluded[server.ID] = true
+	if resp.Misdirected {
+		*outcome = balance.Neutral
+		t.missing = server.ID
+	}
+	return verdict.Refuse(verdict.ReasonBackend, "server %s has not run it: status %d", server.ID, resp.Status)
+}
+
+// judge says what an answer tells of the server.
+func (t *trip) judge(ctx context.Context, resp *serving.Response, failure *verdict.Failure) balance.Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && failure != nil:
+		return balance.Neutral
+	case failure != nil || resp.Status >= http.StatusInternalServerError:
+		return balance.Failed
+	default:
+		return balance.Succeeded
+	}
+}
+
+// pauseFor waits, and fails when the request's time ends before.
+func (t *trip) pauseFor(ctx context.Context, d time.Duration) *verdict.Failure {
+	if d <= 0 || pause.For(ctx, d) {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonDeadline, "the time was over after %s of waiting", time.Since(t.request.Arrived).Round(time.Millisecond))
+}
+
+func (t *trip) fields() logrus.Fields {
+	fields := logrus.Fields{
+		"request": t.request.ID, "route": t.route.Name, "config": t.config.Version, "sends": t.sends,
+		"ms": time.Since(t.request.Arrived).Milliseconds(),
+	}
+	if t.request.Unit.Model != "" {
+		fields["unit"] = t.request.Unit.String()
+	}
+	return fields
+}
+
+// end counts and logs how the request ended.
+func (t *trip) end(failure *verdict.Failure) {
+	t.f.counts.end(failure, time.Since(t.request.Arrived))
+	log := t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{"server": t.server, "waited_ms": t.waited.Milliseconds()})
+	if failure == nil {
+		log.WithField("status", t.out.status).Info("request answered")
+		return
+	}
+	log.WithFields(logrus.Fields{
+		"verdict": failure.Verdict, "reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "again": t.again,
+	}).Info("request not answered: " + failure.Detail)
+}
--- /dev/null
+++ b/command/holder/holder.go
@@ -0,0 +1,218 @@
+// Package holder is the work of the one instance that loads models: it takes
+// the lease, keeps the account of all engines, decides by package replicas what
+// is loaded where, and sends the orders.
+//
+// Every instance has a Holder; all but one are idle. Lock order: an engine's
+// order lock (worker.mu) before Holder.mu. No call is made under Holder.mu.
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// KeyLease is where the lease's record lies in the store.
+const KeyLease = "leases/orders"
+
+// ErrNotHolder: this instance does not hold the lease, or may not use it yet.
+var ErrNotHolder = errors.New("holder: the lease is not held")
+
+// Params are the times of a holder's work.
+type Params struct {
+	// Name is the machine's name and Address where peers reach the instance.
+	Name, Address string
+	Lease         lease.Params
+	// Tick is the interval of the standing work.
+	Tick time.Duration
+	// ReportLag is how old an engine's report may be.
+	ReportLag time.Duration
+	// OrderPause is the pause before an order that met another one under way
+	// is sent again.
+	OrderPause time.Duration
+	// OrderTries bounds that.
+	OrderTries int
+	Fleet      replicas.Params
+}
+
+// Times of a holder that do not depend on the deployment.
+const (
+	// validity permits orders through short outages of the store, and is what
+	// a take-over has to wait for.
+	validity = 3500 * time.Millisecond
+	// transit bounds one order's call; an order takes a few milliseconds.
+	transit = time.Second
+	// settleSlack is added to the deployment's time between two holders.
+	settleSlack = 200 * time.Millisecond
+)
+
+// DefaultParams returns the parameters for an instance, where settle is the
+// deployment's least time between orders of two holders.
+func DefaultParams(name, address string, settle time.Duration) Params {
+	return Params{
+		Name: name, Address: address,
+		Lease: lease.Params{Validity: validity, Transit: transit, Settle: settle + settleSlack},
+		Tick:  200 * time.Millisecond, ReportLag: 350 * time.Millisecond, OrderPause: 40 * time.Millisecond, OrderTries: 60,
+		Fleet: replicas.DefaultParams(),
+	}
+}
+
+// Holder is one instance's part in loading models.
+type Holder struct {
+	params  Params
+	store   store.Store
+	engines serving.Engines
+	dir     *directory.Directory
+	log     logrus.FieldLogger
+	counts  *Counts
+
+	mu    sync.Mutex
+	lease *lease.Lease    // guarded by mu
+	fleet *replicas.Fleet // guarded by mu
+	// account is what instances have said of their requests; guarded by mu.
+	account account
+	workers map[string]*worker // by engine; guarded by mu
+	// ctx ends when this instance stops; guarded by mu.
+	ctx context.Context
+
+	renewing sync.Mutex // held while a renewal is on its way
+}
+
+// New returns a Holder that does not hold the lease.
+func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, counts *Counts, log logrus.FieldLogger) *Holder {
+	return &Holder{
+		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), account: newAccount(), workers: map[string]*worker{},
+		ctx: context.Background(),
+	}
+}
+
+// Run does the standing work while the lease is held, until ctx ends.
+func (h *Holder) Run(ctx context.Context) {
+	h.mu.Lock()
+	h.ctx = ctx
+	h.mu.Unlock()
+	for pause.For(ctx, h.params.Tick) {
+		if h.Holds() {
+			h.tick(time.Now())
+		}
+	}
+}
+
+// Holds reports whether the lease is this instance's, as far as it knows.
+func (h *Holder) Holds() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease.Held()
+}
+
+// Fence returns the fencing token held, 0 when there is none.
+func (h *Holder) Fence() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.lease.Held() {
+		return 0
+	}
+	record, _ := h.lease.Record()
+	return record.Fence
+}
+
+// tick takes over what engines announce, has doubtful ones read anew, and
+// starts what the demand asks for.
+func (h *Holder) tick(now time.Time) {
+	h.mu.Lock()
+	h.refreshServers()
+	h.fleet.Running(h.account.running(now))
+	var operations []replicas.Operation
+	if !now.Before(h.lease.OrderFrom()) {
+		operations = h.fleet.Rebalance(now)
+	}
+	unsure := h.fleet.Unsure()
+	h.mu.Unlock()
+	for _, id := range unsure {
+		h.worker(id).readAnew()
+	}
+	for _, op := range operations {
+		h.begin(op, "demand")
+	}
+}
+
+// refreshServers needs mu.
+func (h *Holder) refreshServers() {
+	config := h.dir.Config()
+	if config == nil {
+		return
+	}
+	h.fleet.SetServers(h.dir.All(), func(service string) *serving.EngineSpec { return config.Services[service].Engine })
+	for id, w := range h.workers {
+		if h.fleet.Engine(id) == nil {
+			w.stop()
+			delete(h.workers, id)
+		}
+	}
+}
+
+// Want returns the engine on which a unit is or will be, and when it serves.
+// ok is false if no engine can take it.
+func (h *Holder) Want(service string, unit serving.Unit, missing string, now time.Time) (engine string, ready time.Time, ok bool, err error) {
+	h.mu.Lock()
+	if !h.lease.Held() {
+		h.mu.Unlock()
+		return "", time.Time{}, false, ErrNotHolder
+	}
+	h.refreshServers()
+	if missing != "" {
+		h.lacks(missing, unit, now)
+	}
+	found, ok := h.fleet.Find(service, unit, now)
+	if from := h.lease.OrderFrom(); ok && found.Start != nil && now.Before(from) {
+		found.Ready = found.Ready.Add(from.Sub(now)) // orders wait for the predecessor's validity
+		h.fleet.Expect(*found.Start, found.Ready)
+	}
+	h.mu.Unlock()
+	if ok && found.Start != nil {
+		h.begin(*found.Start, "request")
+	}
+	return found.Engine, found.Ready, ok, nil
+}
+
+// lacks needs mu. An engine said that it does not have a unit that it should.
+func (h *Holder) lacks(id string, unit serving.Unit, now time.Time) {
+	e := h.fleet.Engine(id)
+	if e == nil || !e.Claims(unit, now) {
+		return
+	}
+	h.fleet.Doubt(id)
+	h.log.WithFields(logrus.Fields{"engine": id, "unit": unit.String(), "sequence": e.Sequence}).Info("engine lacks a unit, reading it anew")
+}
+
+// begin hands an operation to its engine's worker.
+func (h *Holder) begin(op replicas.Operation, cause string) {
+	h.log.WithFields(logrus.Fields{
+		"engine": op.Engine, "load": op.Load.String(), "unload": op.Unload, "remote": op.Remote, "cause": cause,
+		"ready_ms": time.Until(op.Ready).Milliseconds(),
+	}).Info("operation planned")
+	h.worker(op.Engine).carryOut(op)
+}
+
+// worker returns the engine's worker, started if need be.
+func (h *Holder) worker(id string) *worker {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := h.workers[id]
+	if w == nil {
+		w = newWorker(h.ctx, h, id)
+		h.workers[id] = w
+	}
+	return w
+}
--- /dev/null
+++ b/command/holder/tenure.go
@@ -0,0 +1,134 @@
+package holder
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/store"
+)
+
+// Current reads the lease's record from the store; the zero Record if there is
+// none.
+func (h *Holder) Current(ctx context.Context) (lease.Record, int64, error) {
+	return store.Read[lease.Record](ctx, h.store, KeyLease)
+}
+
+// TakeOver writes this instance into the record in place of current, which was
+// read at revision. It fails with store.ErrConflict when another was faster.
+func (h *Holder) TakeOver(ctx context.Context, current lease.Record, revision int64, cause string) error {
+	h.mu.Lock()
+	candidate := h.lease.Candidate(current, h.params.Address)
+	h.mu.Unlock()
+	sent := time.Now()
+	written, err := store.WriteJSON(ctx, h.store, KeyLease, candidate, revision)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	h.lease.Won(current, candidate, written, sent, time.Now())
+	from := h.lease.OrderFrom()
+	h.fleet = replicas.NewFleet(h.params.Fleet)
+	h.account = newAccount()
+	for _, w := range h.workers {
+		w.stop()
+	}
+	h.workers = map[string]*worker{}
+	h.refreshServers()
+	h.mu.Unlock()
+	h.counts.takeOvers.Inc()
+	h.log.WithFields(logrus.Fields{
+		"fence": candidate.Fence, "before": current.Holder, "cause": cause, "orders_in_ms": time.Until(from).Milliseconds(),
+	}).Info("lease taken")
+	return nil
+}
+
+// Release gives the lease up, so that a successor need not wait for its
+// validity. No order is sent after it has begun.
+func (h *Holder) Release(ctx context.Context) {
+	h.mu.Lock()
+	held := h.lease.Held()
+	record, revision := h.lease.Record()
+	h.lease.Lost()
+	workers := slices.Collect(maps.Values(h.workers))
+	h.mu.Unlock()
+	if !held {
+		return
+	}
+	for _, w := range workers { // an order that was checked before is answered first
+		w.ordering.Lock()
+		w.ordering.Unlock() //nolint:staticcheck // only waits
+	}
+	record.Released = true
+	_, err := store.WriteJSON(ctx, h.store, KeyLease, record, revision)
+	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease released")
+}
+
+// Deposed notes that another instance has a higher fencing token.
+func (h *Holder) Deposed(fence int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	record, _ := h.lease.Record()
+	if h.lease.Held() && fence > record.Fence {
+		h.lease.Lost()
+		h.log.WithFields(logrus.Fields{"fence": record.Fence, "newer": fence}).Info("lease lost to another instance")
+	}
+}
+
+// fence returns the fencing token for an order to be sent now, renewing the
+// lease first if that is due.
+func (h *Holder) fence(ctx context.Context) (int64, error) {
+	if err := h.renew(ctx); err != nil {
+		return 0, err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	token, ok := h.lease.Fence(time.Now())
+	if !ok {
+		return 0, ErrNotHolder
+	}
+	return token, nil
+}
+
+// renew has the store confirm the record if that is due. A failure matters only
+// once the last confirmation is too old for an order.
+func (h *Holder) renew(ctx context.Context) error {
+	h.renewing.Lock()
+	defer h.renewing.Unlock()
+	h.mu.Lock()
+	due, held := h.lease.RenewalDue(time.Now()), h.lease.Held()
+	record, revision := h.lease.Record()
+	h.mu.Unlock()
+	if !held {
+		return ErrNotHolder
+	}
+	if !due {
+		return nil
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "holder: lease record")
+	}
+	sent := time.Now()
+	obj, err := h.store.Put(ctx, KeyLease, value, revision)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case err == nil:
+		h.lease.Renewed(obj.Version, sent)
+	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
+		h.lease.Lost()
+		h.log.WithField("fence", record.Fence).Info("lease lost: the record is another's")
+		return ErrNotHolder
+	default:
+		h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
+	}
+	return nil
+}
--- /dev/null
+++ b/command/holder/worker.go
@@ -0,0 +1,285 @@
+package holder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
+)
+
+// errEngine: an engine would not take an order, or nobody knows whether it has.
+var errEngine = errors.New("holder: order failed")
+
+// worker carries out the operations of one engine: those of models one after
+// the other, those of adapters beside them.
+type worker struct {
+	h      *Holder
+	engine string
+	ctx    context.Context
+	stop   context.CancelFunc
+
+	// ordering is held from the choice of an order's sequence to its answer.
+	ordering sync.Mutex
+	// lastOrder is when the last order was answered; guarded by ordering.
+	lastOrder time.Time
+
+	mu      sync.Mutex
+	queue   []replicas.Operation // guarded by mu
+	working bool                 // guarded by mu
+	reading bool                 // guarded by mu
+}
+
+func newWorker(ctx context.Context, h *Holder, engine string) *worker {
+	w := &worker{h: h, engine: engine}
+	w.ctx, w.stop = context.WithCancel(ctx)
+	return w
+}
+
+// carryOut queues an operation.
+func (w *worker) carryOut(op replicas.Operation) {
+	if op.Load.Adapter != "" {
+		go w.do(op)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue = append(w.queue, op)
+	if !w.working {
+		w.working = true
+		go w.work()
+	}
+}
+
+func (w *worker) work() {
+	for {
+		w.mu.Lock()
+		if len(w.queue) == 0 {
+			w.working = false
+			w.mu.Unlock()
+			return
+		}
+		op := w.queue[0]
+		w.queue = w.queue[1:]
+		w.mu.Unlock()
+		if err := w.do(op); err != nil {
+			w.dropQueue()
+		}
+	}
+}
+
+// dropQueue gives up what was planned on an account that was wrong.
+func (w *worker) dropQueue() {
+	w.mu.Lock()
+	dropped := w.queue
+	w.queue = nil
+	w.mu.Unlock()
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	for _, op := range dropped {
+		w.h.fleet.Failed(op, time.Now())
+	}
+}
+
+// do carries one operation out and notes how it ended.
+func (w *worker) do(op replicas.Operation) error {
+	started := time.Now()
+	err := w.steps(op)
+	w.h.mu.Lock()
+	if err == nil {
+		w.h.fleet.Done(op, time.Now())
+	} else {
+		w.h.fleet.Failed(op, time.Now())
+	}
+	w.h.account.touch()
+	w.h.mu.Unlock()
+	w.h.counts.operation(op, err, time.Since(started))
+	w.h.log.WithFields(logrus.Fields{
+		"engine": op.Engine, "load": op.Load.String(), "ms": time.Since(started).Milliseconds(), "late_ms": time.Since(op.Ready).Milliseconds(), "error": err,
+	}).Info("operation ended")
+	return err
+}
+
+// steps unloads what has to go, orders the load and waits for it.
+func (w *worker) steps(op replicas.Operation) error {
+	w.h.mu.Lock()
+	from := w.h.lease.OrderFrom()
+	w.h.mu.Unlock()
+	if !pause.For(w.ctx, time.Until(from)) {
+		return w.ctx.Err()
+	}
+	for _, unit := range op.Unload {
+		if err := w.order(unit, true); err != nil {
+			return err
+		}
+		w.h.mu.Lock()
+		w.h.fleet.Unloaded(op.Engine, unit)
+		w.h.mu.Unlock()
+	}
+	if err := w.order(op.Load, false); err != nil {
+		return err
+	}
+	ready := time.Now().Add(op.Duration)
+	w.h.mu.Lock()
+	w.h.fleet.Expect(op, ready)
+	w.h.account.touch()
+	w.h.mu.Unlock()
+	if op.Remote {
+		return w.awaitRemote(op, ready)
+	}
+	if !pause.For(w.ctx, time.Until(ready)) {
+		return w.ctx.Err()
+	}
+	return nil
+}
+
+// awaitRemote waits for a load from the weight store, whose time depends on how
+// many others run.
+func (w *worker) awaitRemote(op replicas.Operation, ready time.Time) error {
+	limit := ready.Add(2 * op.Duration)
+	for time.Now().Before(limit) {
+		if !pause.For(w.ctx, max(w.h.params.ReportLag, time.Until(ready))) {
+			return w.ctx.Err()
+		}
+		report, err := w.report()
+		if err != nil {
+			continue
+		}
+		if _, loaded := report.Models[op.Load.Model]; loaded && !report.Busy {
+			return nil
+		}
+		w.h.mu.Lock()
+		w.h.fleet.Expect(op, time.Now().Add(w.h.params.ReportLag))
+		w.h.mu.Unlock()
+	}
+	return errors.Wrapf(errEngine, "%s was not loaded by %s", op.Load, limit)
+}
+
+// order has the engine take one order, again while another is under way.
+func (w *worker) order(unit serving.Unit, unload bool) error {
+	unsure := false
+	for range w.h.params.OrderTries {
+		answer, err := w.send(unit, unload)
+		switch {
+		case errors.Is(err, serving.ErrOrderUnknown):
+			unsure = true
+		case err != nil:
+			return err
+		case answer == serving.OrderAccepted, answer == serving.OrderHolds:
+			return nil
+		case answer == serving.OrderConflict && !unsure:
+		default:
+			return errors.Wrapf(errEngine, "%s of %s: %s", operationName(unload), unit, answer)
+		}
+		if !pause.For(w.ctx, w.h.params.OrderPause) {
+			return w.ctx.Err()
+		}
+	}
+	return errors.Wrapf(errEngine, "%s of %s: another order stayed under way", operationName(unload), unit)
+}
+
+func operationName(unload bool) string {
+	if unload {
+		return "unload"
+	}
+	return "load"
+}
+
+// send sends one order with the engine's sequence as known now. The lease is
+// checked immediately before.
+func (w *worker) send(unit serving.Unit, unload bool) (serving.OrderAnswer, error) {
+	w.ordering.Lock()
+	defer w.ordering.Unlock()
+	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
+	defer cancel()
+	fence, err := w.h.fence(ctx)
+	if err != nil {
+		return 0, err
+	}
+	w.h.mu.Lock()
+	e := w.h.fleet.Engine(w.engine)
+	if e == nil || e.Unsure {
+		w.h.mu.Unlock()
+		return 0, errors.Wrap(errEngine, "the engine is gone or has to be read anew")
+	}
+	o := serving.Order{Server: e.Server, Unit: unit, Unload: unload, Expect: e.Sequence, Holder: w.h.params.Name, Fence: fence}
+	w.h.mu.Unlock()
+	answer, err := w.h.engines.Order(ctx, o)
+	w.lastOrder = time.Now()
+	w.noteAnswer(o, answer, err)
+	return answer, err
+}
+
+// noteAnswer counts an accepted order. An engine that already held what was
+// ordered has counted nothing, but for an adapter that it unloaded at once.
+func (w *worker) noteAnswer(o serving.Order, answer serving.OrderAnswer, err error) {
+	w.h.counts.order(answer)
+	counted := answer == serving.OrderAccepted || answer == serving.OrderHolds && o.Unload && o.Unit.Adapter != ""
+	if err == nil && counted {
+		w.h.mu.Lock()
+		w.h.fleet.Ordered(w.engine)
+		w.h.mu.Unlock()
+	}
+	w.h.log.WithFields(logrus.Fields{
+		"engine": w.engine, "unit": o.Unit.String(), "operation": operationName(o.Unload), "expect": o.Expect, "fence": o.Fence,
+		"answer": answer, "error": err,
+	}).Info("order sent")
+}
+
+// readAnew reads the engine until no order is under way, unless that is being
+// done already.
+func (w *worker) readAnew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.reading {
+		return
+	}
+	w.reading = true
+	go func() {
+		w.read()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.reading = false
+	}()
+}
+
+// readTries bounds one reading; the next tick begins another.
+const readTries = 5
+
+func (w *worker) read() {
+	w.ordering.Lock()
+	defer w.ordering.Unlock()
+	if !pause.For(w.ctx, time.Until(w.lastOrder.Add(w.h.params.ReportLag))) {
+		return
+	}
+	for range readTries {
+		report, err := w.report()
+		if err == nil && !report.Busy {
+			w.h.mu.Lock()
+			w.h.fleet.Adopt(w.engine, report, time.Now())
+			w.h.account.touch()
+			w.h.mu.Unlock()
+			w.h.log.WithFields(logrus.Fields{"engine": w.engine, "sequence": report.Sequence, "models": len(report.Models)}).Info("engine read")
+			return
+		}
+		if !pause.For(w.ctx, w.h.params.ReportLag) {
+			return
+		}
+	}
+}
+
+func (w *worker) report() (serving.Report, error) {
+	server, live := w.h.dir.Server(w.engine)
+	if !live {
+		return serving.Report{}, errors.Wrap(errEngine, "the engine is gone")
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
+	defer cancel()
+	w.h.counts.reports.Inc()
+	return w.h.engines.Report(ctx, server)
+}
--- /dev/null
+++ b/command/lease/lease.go
@@ -0,0 +1,122 @@
+// Package lease decides when an instance may order engines.
+//
+// One instance at a time is the holder. A record in the store names it, with a
+// fencing token that rises at each take-over. The record is replaced by
+// conditional writes only, so a token belongs to one holder.
+//
+// The holder may order while less than Validity, less the time that an order may
+// be on its way, has passed on its steady clock since it sent the last renewal
+// that the store confirmed. A renewal that
+// changes nothing suffices: it succeeds only while the record is still the
+// holder's. So a renewal is needed only when there is something to order.
+//
+// A successor writes itself into the record first, which makes every later
+// renewal of the old holder fail, and then waits for Validity, in which the old
+// holder may still order, and for Settle, which the deployment asks for between
+// orders of two holders. It needs no news of the old holder's renewals, and no
+// two clocks are compared.
+//
+// A paused holder may still send one order after its check. That order carries
+// the old token and the engine's sequence that it was decided on; the engine
+// refuses it once the successor has ordered anything there.
+package lease
+
+import "time"
+
+// Record is what the store holds.
+type Record struct {
+	// Holder is the machine's name. Its processes follow each other on it, so
+	// that a restarted one need not wait for its predecessor.
+	Holder string `json:"holder"`
+	// Address is where other instances reach the holder.
+	Address string `json:"address"`
+	// Fence is the fencing token.
+	Fence int64 `json:"fence"`
+	// Released: the holder has stopped ordering.
+	Released bool `json:"released"`
+}
+
+// Params are the times of a lease.
+type Params struct {
+	// Validity is how long after a confirmed renewal was sent orders may arrive.
+	Validity time.Duration
+	// Transit is how long an order may be on its way after it was sent, before
+	// it is given up. None is sent in the last Transit of Validity.
+	Transit time.Duration
+	// Settle must pass between orders of two holders.
+	Settle time.Duration
+}
+
+// Lease is one instance's right to order. It is not safe for concurrent use.
+type Lease struct {
+	params Params
+	self   string
+
+	record   Record
+	revision int64
+	held     bool
+	// renewed is when the last confirmed renewal was sent.
+	renewed time.Time
+	// from is when the first order may be sent.
+	from time.Time
+}
+
+// New returns the lease of the instance on the machine named self, not held.
+func New(p Params, self string) *Lease { return &Lease{params: p, self: self} }
+
+// Candidate returns the record to write in place of current to take over.
+func (l *Lease) Candidate(current Record, address string) Record {
+	return Record{Holder: l.self, Address: address, Fence: current.Fence + 1}
+}
+
+// Won notes that the store has accepted record at revision in place of previous
+// (the zero Record if there was none). sent is when the write was sent, now
+// when its answer came.
+func (l *Lease) Won(previous, record Record, revision int64, sent, now time.Time) {
+	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
+	switch {
+	case previous.Fence == 0 || previous.Holder == l.self:
+		l.from = now
+	case previous.Released:
+		l.from = now.Add(l.params.Settle)
+	default:
+		l.from = now.Add(l.params.Validity + l.params.Settle)
+	}
+}
+
+// Renewed notes that the store has confirmed the record by a write sent at sent.
+func (l *Lease) Renewed(revision int64, sent time.Time) {
+	if l.held && sent.After(l.renewed) {
+		l.renewed, l.revision = sent, revision
+	}
+}
+
+// Lost notes that the record is another's.
+func (l *Lease) Lost() { l.held = false }
+
+// Held reports whether the record is this instance's, as far as it knows.
+func (l *Lease) Held() bool { return l.held }
+
+// Record returns the record as last written, and its revision in the store.
+func (l *Lease) Record() (Record, int64) { return l.record, l.revision }
+
+// OrderFrom returns when the first order may be sent.
+func (l *Lease) OrderFrom() time.Time { return l.from }
+
+// Fence returns the fencing token of an order sent at now; ok is false when
+// none may be sent. It must be asked immediately before each send.
+func (l *Lease) Fence(now time.Time) (fence int64, ok bool) {
+	if !l.held || now.Before(l.from) || now.Sub(l.renewed) >= l.params.Validity-l.params.Transit {
+		return 0, false
+	}
+	return l.record.Fence, true
+}
+
+// renewalShare is the part of the usable time after which a renewal is due: at a
+// half, one renewal may fail and be repeated without a gap.
+const renewalShare = 2
+
+// RenewalDue reports whether a renewal should be sent before an order at now.
+func (l *Lease) RenewalDue(now time.Time) bool {
+	return l.held && now.Sub(l.renewed) >= (l.params.Validity-l.params.Transit)/renewalShare
+}
--- /dev/null
+++ b/command/replicas/fleet.go
@@ -0,0 +1,201 @@
+// Package replicas decides which models and adapters are loaded on which
+// engine. It is pure: it takes what is known of the engines and of demand, and
+// gives operations. The instance that holds the lease carries them out.
+//
+// Fleet is that instance's account of all engines. Memory never depends on who
+// holds the lease: each order names the sequence of the engine on which it was
+// decided, and the account of an engine whose sequence is in doubt is Unsure,
+// so that nothing is decided on it until it has been read anew.
+package replicas
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// State is the state of a model on an engine.
+type State int
+
+// The states. A model in any of them occupies memory.
+const (
+	// Resident models serve.
+	Resident State = iota + 1
+	// Arriving models are being loaded or will be.
+	Arriving
+	// Leaving models are being unloaded or will be, and get no new requests.
+	Leaving
+)
+
+// Copy is a model on one engine.
+type Copy struct {
+	State State
+	// Ready is when an arriving copy is expected to serve.
+	Ready time.Time
+	// Needed is until when requests are known to need the copy.
+	Needed time.Time
+	// Running counts requests of all instances on the copy, when last heard.
+	Running  int
+	Adapters map[string]*Adapter
+}
+
+// Adapter is an adapter of a copy.
+type Adapter struct {
+	// Ready is when it is expected to serve.
+	Ready time.Time
+	// Used is when it was last asked for.
+	Used    time.Time
+	Running int
+}
+
+// Engine is the account of one engine.
+type Engine struct {
+	Server serving.Server
+	Spec   *serving.EngineSpec
+	// Sequence is the engine's count of accepted orders, as known here.
+	Sequence int64
+	Copies   map[string]*Copy
+	Tiers    map[string]serving.Tier
+	// Unsure engines must be read anew before anything is decided on them.
+	Unsure bool
+	// Free is when the operations planned so far are expected to be done.
+	Free time.Time
+	// Planned counts those operations.
+	Planned int
+	// Failing is until when the engine is passed over, after failed orders.
+	Failing  time.Time
+	failures int
+}
+
+// Demand is what is known of the requests for one model.
+type Demand struct {
+	// Rate is requests a second over all instances, smoothed.
+	Rate float64
+	// Value is the smoothed worth a second of those requests, by priority.
+	Value float64
+	// Last is when the last request was heard of.
+	Last time.Time
+}
+
+// Fleet is the account of all engines. It is not safe for concurrent use.
+type Fleet struct {
+	params  Params
+	engines map[string]*Engine
+	demand  map[string]*Demand
+	decayed time.Time
+	// remoteLoads are the recent starts of loads from the weight store.
+	remoteLoads []time.Time
+}
+
+// NewFleet returns an empty account.
+func NewFleet(p Params) *Fleet {
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}}
+}
+
+// Engine returns the account of one engine, nil if it is not known.
+func (f *Fleet) Engine(id string) *Engine { return f.engines[id] }
+
+// Engines returns all accounts, in the order of ids.
+func (f *Fleet) Engines() []*Engine {
+	ids := slices.Sorted(maps.Keys(f.engines))
+	engines := make([]*Engine, 0, len(ids))
+	for _, id := range ids {
+		engines = append(engines, f.engines[id])
+	}
+	return engines
+}
+
+// SetServers takes over which engines there are and what they announce. New
+// engines are Unsure.
+func (f *Fleet) SetServers(servers []serving.Server, spec func(service string) *serving.EngineSpec) {
+	seen := map[string]bool{}
+	for _, s := range servers {
+		engineSpec := spec(s.Service)
+		if engineSpec == nil {
+			continue
+		}
+		seen[s.ID] = true
+		e := f.engines[s.ID]
+		if e == nil {
+			e = &Engine{Unsure: true, Copies: map[string]*Copy{}}
+			e.adopt(s.Models, s.Sequence, time.Time{})
+			f.engines[s.ID] = e
+		}
+		if s.Sequence > e.Sequence {
+			e.Unsure = true // it has accepted an order that is not known here
+		}
+		e.Server, e.Spec, e.Tiers = s, engineSpec, s.Tiers
+	}
+	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
+}
+
+// Adopt takes over an engine's report in place of what was known. The report
+// must have been made when no order was under way.
+func (f *Fleet) Adopt(id string, r serving.Report, now time.Time) {
+	e := f.engines[id]
+	if e == nil {
+		return
+	}
+	e.adopt(r.Models, r.Sequence, now)
+	for _, unit := range r.Pending {
+		if c := e.Copies[unit.Model]; c != nil && c.Adapters[unit.Adapter] == nil {
+			c.Adapters[unit.Adapter] = &Adapter{Ready: now, Used: now}
+		}
+	}
+	if r.Tiers != nil {
+		e.Tiers = r.Tiers
+	}
+	e.Unsure = false
+}
+
+func (e *Engine) adopt(models map[string][]string, sequence int64, now time.Time) {
+	old := e.Copies
+	e.Copies, e.Sequence = map[string]*Copy{}, sequence
+	for model, adapters := range models {
+		c := &Copy{State: Resident, Adapters: map[string]*Adapter{}}
+		if known := old[model]; known != nil {
+			c.Needed, c.Running = known.Needed, known.Running
+		}
+		for _, name := range adapters {
+			c.Adapters[name] = &Adapter{Used: now}
+		}
+		e.Copies[model] = c
+	}
+}
+
+// memoryMB is what everything on the engine may occupy.
+func (e *Engine) memoryMB() float64 {
+	total := 0.0
+	for name, c := range e.Copies {
+		m := e.Spec.Models[name]
+		total += m.MemoryMB + float64(len(c.Adapters))*m.AdapterMB
+	}
+	return total
+}
+
+// adapters counts the adapters on the engine.
+func (e *Engine) adapters() int {
+	n := 0
+	for _, c := range e.Copies {
+		n += len(c.Adapters)
+	}
+	return n
+}
+
+// usable reports whether anything may be loaded on the engine.
+func (e *Engine) usable(now time.Time) bool {
+	return !e.Server.Draining && !e.Unsure && !now.Before(e.Failing)
+}
+
+// copiesOf counts the copies of a model that serve or will.
+func (f *Fleet) copiesOf(model string) int {
+	n := 0
+	for _, e := range f.engines {
+		if c := e.Copies[model]; c != nil && c.State != Leaving && !e.Server.Draining {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/command/replicas/progress.go
@@ -0,0 +1,88 @@
+package replicas
+
+import (
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// The progress of an operation, as the instance that carries it out notes it.
+
+// failingFor is how long an engine is passed over after a failed operation; it
+// doubles with each further one up to maxFailingFor.
+const (
+	failingFor    = 500 * time.Millisecond
+	maxFailingFor = 8 * time.Second
+)
+
+// Ordered notes that the engine has accepted an order.
+func (f *Fleet) Ordered(id string) {
+	if e := f.engines[id]; e != nil {
+		e.Sequence++
+	}
+}
+
+// Unloaded notes that a unit is gone from the engine.
+func (f *Fleet) Unloaded(id string, unit serving.Unit) {
+	e := f.engines[id]
+	if e == nil {
+		return
+	}
+	if unit.Adapter == "" {
+		delete(e.Copies, unit.Model)
+		return
+	}
+	if c := e.Copies[unit.Model]; c != nil {
+		delete(c.Adapters, unit.Adapter)
+	}
+}
+
+// Expect moves the time at which an operation's load will be ready.
+func (f *Fleet) Expect(op Operation, ready time.Time) {
+	e := f.engines[op.Engine]
+	if e == nil || e.Copies[op.Load.Model] == nil {
+		return
+	}
+	c := e.Copies[op.Load.Model]
+	if a := c.Adapters[op.Load.Adapter]; a != nil {
+		a.Ready = ready
+		return
+	}
+	c.Ready = ready
+	c.need(ready.Add(f.params.KeepFor))
+	e.Free = later(e.Free, ready)
+}
+
+// Done notes that an operation has been carried out.
+func (f *Fleet) Done(op Operation, now time.Time) {
+	e := f.engines[op.Engine]
+	if e == nil {
+		return
+	}
+	e.Planned--
+	e.failures = 0
+	if c := e.Copies[op.Load.Model]; c != nil && op.Load.Adapter == "" {
+		c.State = Resident
+		c.need(now.Add(f.params.KeepFor))
+	}
+}
+
+// Failed notes that an operation could not be carried out: the engine has to
+// be read anew, and is passed over for a while.
+func (f *Fleet) Failed(op Operation, now time.Time) {
+	e := f.engines[op.Engine]
+	if e == nil {
+		return
+	}
+	e.Planned--
+	e.Unsure = true
+	e.Failing = now.Add(min(maxFailingFor, failingFor<<min(e.failures, 8)))
+	e.failures++
+}
+
+// Doubt marks an engine to be read anew.
+func (f *Fleet) Doubt(id string) {
+	if e := f.engines[id]; e != nil {
+		e.Unsure = true
+	}
+}
--- /dev/null
+++ b/command/replicas/view.go
@@ -0,0 +1,68 @@
+package replicas
+
+import (
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/serving"
+)
+
+// Units returns what gets requests on the engine now or soon.
+func (e *Engine) Units(now time.Time) []directory.UnitView {
+	var units []directory.UnitView
+	if e.Unsure && now.Before(e.Failing) {
+		return units // what it holds is not known, and requests would be refused
+	}
+	for model, c := range e.Copies {
+		if c.State == Leaving {
+			continue
+		}
+		units = append(units, directory.UnitView{Unit: serving.Unit{Model: model}, Ready: c.Ready})
+		for name, a := range c.Adapters {
+			units = append(units, directory.UnitView{Unit: serving.Unit{Model: model, Adapter: name}, Ready: later(c.Ready, a.Ready)})
+		}
+	}
+	slices.SortFunc(units, func(a, b directory.UnitView) int {
+		if a.Unit.String() < b.Unit.String() {
+			return -1
+		}
+		return 1
+	})
+	return units
+}
+
+// Claims reports whether the account says that the engine serves the unit now.
+func (e *Engine) Claims(unit serving.Unit, now time.Time) bool {
+	c := e.Copies[unit.Model]
+	if c == nil || c.State == Leaving || now.Before(c.Ready) {
+		return false
+	}
+	if unit.Adapter == "" {
+		return true
+	}
+	a := c.Adapters[unit.Adapter]
+	return a != nil && !now.Before(a.Ready)
+}
+
+// Unsure returns the engines that have to be read anew.
+func (f *Fleet) Unsure() []string {
+	var ids []string
+	for _, e := range f.Engines() {
+		if e.Unsure && !e.Server.Draining {
+			ids = append(ids, e.Server.ID)
+		}
+	}
+	return ids
+}
+
+// Used notes that a unit is in use on an engine.
+func (f *Fleet) Used(id string, unit serving.Unit, now time.Time) {
+	e := f.engines[id]
+	if e == nil || e.Copies[unit.Model] == nil {
+		return
+	}
+	if a := e.Copies[unit.Model].Adapters[unit.Adapter]; a != nil {
+		a.Used = now
+	}
+}
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -21,6 +21,7 @@
 	"github.com/martenport/martenport/command/wake"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/query/timeline"
 	"github.com/martenport/martenport/settings"
@@ -33,7 +34,7 @@
 	Store   store.Store
 	Engine  func(declaration.Engine) backend.Engine
 	Service func(address string) backend.Service
-	Peer    peer.Dial
+	Peer    rpcpool.Dial
 }
 
 // Core is an entry instance without its listeners: what it knows, decides and
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,7 @@
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
-	"github.com/martenport/martenport/peer"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/settings"
 )
@@ -55,7 +55,7 @@
 	if peerAddress == "" {
 		peerAddress = d.peerListener.Addr().String()
 	}
-	d.Core = NewCore(s, Ports{Store: client, Engine: d.dialEngine, Service: d.dialService, Peer: peer.DialTCP}, peerAddress, log)
+	d.Core = NewCore(s, Ports{Store: client, Engine: d.dialEngine, Service: d.dialService, Peer: rpcpool.DialTCP}, peerAddress, log)
 	d.metrics.addPlatform(client.Calls())
 	return d, nil
 }
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/settings"
@@ -106,7 +107,7 @@
 	return l
 }
 
-func (n *network) dial(from string) peer.Dial {
+func (n *network) dial(from string) rpcpool.Dial {
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		n.mu.Lock()
 		l, found := n.listeners[address]
--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,158 @@
+// Package directory is what an entry instance knows: the configuration in
+// force, the backend servers, and what the holder says is loaded on engines.
+// All methods are safe for concurrent use; there is one lock.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// Directory is the knowledge of one instance.
+type Directory struct {
+	mu      sync.RWMutex
+	config  *serving.Config           // guarded by mu
+	servers map[string]serving.Server // live and draining ones by id; guarded by mu
+	// draining are ids that were seen draining, which lasts to the end of
+	// their process whatever an older page says.
+	draining map[string]time.Time // guarded by mu
+	// removed are the revisions at which entries were found to be gone. Only a
+	// newer announcement brings a server back.
+	removed map[string]removal    // guarded by mu
+	views   map[string]EngineView // by engine id; guarded by mu
+	// viewsFrom is the fencing token of the holder that the views are from.
+	viewsFrom int64 // guarded by mu
+	heard     time.Time
+}
+
+type removal struct {
+	revision int64
+	at       time.Time
+}
+
+// New returns an empty directory.
+func New() *Directory {
+	return &Directory{
+		servers: map[string]serving.Server{}, draining: map[string]time.Time{}, removed: map[string]removal{},
+		views: map[string]EngineView{},
+	}
+}
+
+// Config returns the configuration in force, nil before the first one.
+func (d *Directory) Config() *serving.Config {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.config
+}
+
+// ApplyConfig takes a configuration over if it is newer than the one in force
+// and reports whether it was.
+func (d *Directory) ApplyConfig(c *serving.Config) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config != nil && c.Version <= d.config.Version {
+		return false
+	}
+	d.config = c
+	return true
+}
+
+// ApplyServer takes over what a server announces and reports whether it is now
+// known to be draining for the first time. Older announcements are ignored.
+func (d *Directory) ApplyServer(s serving.Server, now time.Time) (leaves bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if gone, removed := d.removed[s.ID]; removed && s.Revision <= gone.revision {
+		return false
+	}
+	if known, found := d.servers[s.ID]; found && s.Revision <= known.Revision {
+		return false
+	}
+	delete(d.removed, s.ID)
+	_, drains := d.draining[s.ID]
+	if s.Draining && !drains {
+		d.draining[s.ID] = now
+		leaves = true
+	}
+	s.Draining = s.Draining || drains
+	d.servers[s.ID] = s
+	return leaves
+}
+
+// RemoveServer forgets a server whose entry is gone as of revision and reports
+// whether it was known.
+func (d *Directory) RemoveServer(id string, revision int64, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, found := d.servers[id]
+	if found && known.Revision > revision {
+		return false
+	}
+	d.removed[id] = removal{revision: max(revision, d.removed[id].revision), at: now}
+	delete(d.servers, id)
+	delete(d.views, id)
+	return found
+}
+
+// IDs returns the ids of all known servers.
+func (d *Directory) IDs() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.servers))
+}
+
+// Server returns a server by id.
+func (d *Directory) Server(id string) (serving.Server, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	s, found := d.servers[id]
+	return s, found
+}
+
+// All returns all known servers in the order of ids.
+func (d *Directory) All() []serving.Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(d.servers), byID)
+}
+
+// Servers returns the servers of a service that are not draining, in the order
+// of ids.
+func (d *Directory) Servers(service string) []serving.Server {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var found []serving.Server
+	for _, s := range d.servers {
+		if s.Service == service && !s.Draining {
+			found = append(found, s)
+		}
+	}
+	slices.SortFunc(found, byID)
+	return found
+}
+
+func byID(a, b serving.Server) int {
+	if a.ID < b.ID {
+		return -1
+	}
+	return 1
+}
+
+// leftRetention is how long the ids of servers that left are remembered: far
+// longer than any page of the store can be late.
+const leftRetention = 10 * time.Minute
+
+// Sweep forgets servers that left long ago.
+func (d *Directory) Sweep(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.removed, func(_ string, r removal) bool { return now.Sub(r.at) > leftRetention })
+	maps.DeleteFunc(d.draining, func(id string, at time.Time) bool {
+		_, live := d.servers[id]
+		return !live && now.Sub(at) > leftRetention
+	})
+}
--- /dev/null
+++ b/directory/views.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// EngineView is what the holder says of one engine.
+type EngineView struct {
+	Engine string
+	// Sequence is the engine's count of accepted orders that the view is of.
+	Sequence int64
+	// Units are the models and adapters that get requests.
+	Units []UnitView
+	// Running is how many requests of all instances run on the engine.
+	Running int
+}
+
+// UnitView is a unit on an engine.
+type UnitView struct {
+	Unit serving.Unit
+	// Ready is when it is expected to serve; a time past means now.
+	Ready time.Time
+}
+
+// Replica is a place where a unit is served.
+type Replica struct {
+	Server serving.Server
+	// Ready is when it is expected to serve; a time past means now.
+	Ready time.Time
+	// Others is how many requests of other instances run on the engine.
+	Others int
+}
+
+// ApplyViews takes over what the holder with the given fencing token says. All
+// engines that it does not name keep their views.
+func (d *Directory) ApplyViews(fence int64, views []EngineView, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if fence < d.viewsFrom {
+		return
+	}
+	if fence > d.viewsFrom {
+		clear(d.views)
+		d.viewsFrom = fence
+	}
+	d.heard = now
+	for _, v := range views {
+		if _, live := d.servers[v.Engine]; live {
+			d.views[v.Engine] = v
+		}
+	}
+}
+
+// viewLifetime is how long the holder's word is taken without another: the
+// engine's own entry, a second or two old, is better then.
+const viewLifetime = 3 * time.Second
+
+// Replicas returns where a unit of a service is served or will be.
+func (d *Directory) Replicas(service string, unit serving.Unit, now time.Time) []Replica {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var found []Replica
+	fresh := now.Sub(d.heard) < viewLifetime
+	for _, s := range d.servers {
+		if s.Service != service || s.Draining {
+			continue
+		}
+		view, viewed := d.views[s.ID]
+		if viewed && fresh && view.Sequence >= s.Sequence {
+			for _, u := range view.Units {
+				if u.Unit == unit {
+					found = append(found, Replica{Server: s, Ready: u.Ready, Others: view.Running})
+				}
+			}
+			continue
+		}
+		if adapters, loaded := s.Models[unit.Model]; loaded && (unit.Adapter == "" || slices.Contains(adapters, unit.Adapter)) {
+			found = append(found, Replica{Server: s, Others: view.Running})
+		}
+	}
+	slices.SortFunc(found, func(a, b Replica) int { return byID(a.Server, b.Server) })
+	return found
+}
+
+// Others is how many requests of other instances run on a server.
+func (d *Directory) Others(id string) int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.views[id].Running
+}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,257 @@
+// Package entry wires an entry instance that runs on the users' platform: it
+// answers clients' requests, keeps up with the store, reports to the holder of
+// the lease or is the holder itself. It is the library behind martenentryd.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/rpcpool"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
+)
+
+// Times and rates of calls to the store.
+const (
+	// storeTimeout is many times the store's usual answer of a few
+	// milliseconds, and still lets a silent store be noticed within a second.
+	storeTimeout = time.Second
+	// watchWait bounds how long a watch that hangs goes unnoticed.
+	watchWait = 2 * time.Second
+	// storeRate is an instance's calls a second at the most; usual are two.
+	storeRate   = 40
+	readRetries = 1
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings platform.Settings
+	log      *logrus.Logger
+	set      *metrics.Set
+
+	dir      *directory.Directory
+	client   *platform.Client
+	backends *platform.Backends
+	balancer *balance.Balancer
+	holder   *holder.Holder
+	follower *follower
+	members  *members
+	guard    *guard
+	watcher  *watcher
+	handler  http.Handler
+
+	draining atomic.Bool
+}
+
+// New wires an instance. Run starts it.
+func New(s platform.Settings, log *logrus.Logger) *Instance {
+	i := &Instance{settings: s, log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
+	i.client = platform.NewClient(platform.ClientParams{
+		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
+	})
+	i.balancer = balance.New(balance.DefaultParams())
+	i.holder = holder.New(holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease()), i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
+	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress()}, log: log}
+	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
+	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}}
+	budget := forward.NewBudget(forward.BudgetParams{
+		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(),
+	})
+	forwarder := forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, budget, forward.NewCounts(i.set), log)
+	i.guard = newGuard(i.limits)
+	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(forwarder, i.limits)))
+	i.addGauges()
+	return i
+}
+
+// limits returns the limits on clients in force, none before a configuration.
+func (i *Instance) limits() serving.Limits {
+	if config := i.dir.Config(); config != nil {
+		return config.Limits
+	}
+	return serving.Limits{}
+}
+
+// whileDraining has clients open their next connection elsewhere once the
+// instance leaves.
+func (i *Instance) whileDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if i.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Ready reports whether clients should be sent here.
+func (i *Instance) Ready() bool {
+	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0
+}
+
+func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !i.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// maxHeaderBytes is net/http's own bound; the configured one is below it.
+const maxHeaderBytes = 64 << 10
+
+// Run serves until ctx ends, then drains and returns.
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	i.log.WithFields(logrus.Fields{
+		"instance": i.settings.NodeName, "domain": i.settings.Zone, "clients": i.settings.Listen.Frontend, "peers": i.settings.PeerAddress(), "store": i.settings.Platform.Address,
+	}).Info("instance started")
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	var work sync.WaitGroup
+	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.guard.run, i.members.register, i.reload} {
+		work.Go(func() { run(background) })
+	}
+	go (&service{holder: i.holder, follower: i.follower}).serve(listeners.peers)
+	clients := &http.Server{Handler: i.handler, MaxHeaderBytes: maxHeaderBytes, ConnState: i.guard.connState, ConnContext: i.guard.connContext, ErrorLog: nil}
+	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
+	own := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
+	failed := make(chan error, 3)
+	go func() { failed <- clients.Serve(listeners.clients) }()
+	go func() { failed <- ready.Serve(listeners.ready) }()
+	go func() { failed <- own.Serve(listeners.metrics) }()
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	i.drain(clients)
+	stop()
+	_ = ready.Close()
+	_ = own.Close()
+	_ = listeners.peers.Close()
+	work.Wait()
+	i.log.WithField("instance", i.settings.NodeName).Info("instance stopped")
+	return err
+}
+
+type listeners struct{ clients, ready, peers, metrics net.Listener }
+
+// MetricsPort is where an instance serves its metrics, under /metrics; the
+// deploy file names the same one.
+const MetricsPort = 9464
+
+func (i *Instance) listen() (listeners, error) {
+	var l listeners
+	for _, s := range []struct {
+		name, address string
+		to            *net.Listener
+	}{
+		{"listen.frontend", i.settings.Listen.Frontend, &l.clients},
+		{"listen.ready", i.settings.Listen.Ready, &l.ready},
+		{"internalPorts", i.settings.PeerAddress(), &l.peers},
+		{"metrics", i.settings.MetricsAddress(MetricsPort), &l.metrics},
+	} {
+		listener, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return l, errors.Wrapf(err, "%s: listen on %s", s.name, s.address)
+		}
+		*s.to = listener
+	}
+	return l, nil
+}
+
+// Times of leaving.
+const (
+	// graceShare of the time until the platform kills the process is used to
+	// let requests end; the rest is for the last answers to leave.
+	graceShare = 0.9
+	// balancerNotice is how long the platform's balancer may go on sending new
+	// connections after the instance has become unready: two checks a second
+	// apart, and one on its way.
+	balancerNotice = 2500 * time.Millisecond
+	drainCheck     = 50 * time.Millisecond
+	storeNotice    = time.Second
+)
+
+// drain makes the instance unready, gives up the lease, and lets requests end.
+func (i *Instance) drain(clients *http.Server) {
+	started := time.Now()
+	i.draining.Store(true)
+	i.log.WithField("grace_ms", i.settings.Grace().Milliseconds()).Info("instance draining")
+	limit := started.Add(time.Duration(float64(i.settings.Grace()) * graceShare))
+	ctx, cancel := context.WithTimeout(context.Background(), storeNotice)
+	i.holder.Release(ctx)
+	i.members.unregister(ctx)
+	cancel()
+	for time.Now().Before(limit) {
+		if time.Since(started) >= balancerNotice && i.guard.idle() {
+			break
+		}
+		time.Sleep(drainCheck)
+	}
+	ctx, cancel = context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		i.log.WithField("error", err).Warn("requests cut off at the end of the grace")
+		_ = clients.Close()
+	}
+}
+
+// reload logs signals that the settings file has changed. What it holds is fixed
+// for a process: addresses and bounds. The platform restarts it to change them.
+func (i *Instance) reload(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-hup:
+			i.log.Info("settings reloaded")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (i *Instance) addGauges() {
+	i.set.NewGauge("martenport_configuration_version", func() float64 {
+		if config := i.dir.Config(); config != nil {
+			return float64(config.Version)
+		}
+		return 0
+	})
+	i.set.NewGauge("martenport_servers", func() float64 { return float64(len(i.dir.IDs())) })
+	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
+	for kind, count := range map[string]*atomic.Int64{
+		"read": &i.client.Calls().Reads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
+	} {
+		i.set.NewGauge(`martenport_store_calls{kind="`+kind+`"}`, func() float64 { return float64(count.Load()) })
+	}
+}
+
+func (i *Instance) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/metrics" {
+		http.NotFound(w, r)
+		return
+	}
+	i.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/entry/follower.go
@@ -0,0 +1,307 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/rpcpool"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// Times between an instance and the holder.
+const (
+	// exchangeInterval is how often an instance reports its requests: models
+	// take about a second to load, so demand a quarter old is recent.
+	exchangeInterval = 250 * time.Millisecond
+	// exchangeTimeout is several round trips between failure domains, with
+	// room for a holder that is short of processor time.
+	exchangeTimeout = 500 * time.Millisecond
+	// wantTimeout bounds one question for a unit.
+	wantTimeout = 400 * time.Millisecond
+	// silentAfter without an answer the holder is not counted on.
+	silentAfter = 1200 * time.Millisecond
+	// suspectAfter without an answer an instance may want to take over.
+	suspectAfter = 1500 * time.Millisecond
+	// aloneAfter it takes over though no other instance answers it either.
+	aloneAfter = 5 * time.Second
+	// takeOverJitter spreads instances that suspect at the same time.
+	takeOverJitter = 400 * time.Millisecond
+	// voters is how many other instances are asked before a take-over.
+	voters = 3
+)
+
+// follower is an instance's link to the holder. It implements forward.Placer.
+type follower struct {
+	name    string
+	holder  *holder.Holder
+	dir     *directory.Directory
+	pool    *rpcpool.Pool
+	members *members
+	log     logrus.FieldLogger
+
+	mu sync.Mutex
+	// record is the lease's record as last read; guarded by mu.
+	record lease.Record
+	// answered is when the holder last answered; guarded by mu.
+	answered  time.Time
+	arrivals  map[string]*holder.Arrivals // by model; guarded by mu
+	running   map[placed]int              // guarded by mu
+	instances int                         // guarded by mu
+	silent    bool                        // guarded by mu
+}
+
+// placed is a unit on an engine.
+type placed struct {
+	engine string
+	unit   serving.Unit
+}
+
+func newFollower(name string, h *holder.Holder, dir *directory.Directory, pool *rpcpool.Pool, m *members, log logrus.FieldLogger) *follower {
+	return &follower{
+		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
+		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, instances: unknownInstances,
+	}
+}
+
+// unknownInstances is taken while no holder has said how many there are, so
+// that shares are small.
+const unknownInstances = 16
+
+// Arrived implements forward.Placer.
+func (f *follower) Arrived(unit serving.Unit, priority int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := f.arrivals[unit.Model]
+	if a == nil {
+		a = &holder.Arrivals{Model: unit.Model}
+		f.arrivals[unit.Model] = a
+	}
+	a.Count++
+	a.Value += 1 / float64(1+priority)
+}
+
+// Started implements forward.Placer.
+func (f *follower) Started(engine string, unit serving.Unit) func() {
+	key := placed{engine, unit}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[key]++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.running[key]--
+		if f.running[key] == 0 {
+			delete(f.running, key)
+		}
+	}
+}
+
+// Instances implements forward.Placer.
+func (f *follower) Instances() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances
+}
+
+// Want implements forward.Placer.
+func (f *follower) Want(ctx context.Context, w forward.Wanted) (forward.Place, error) {
+	f.mu.Lock()
+	record, silent := f.record, time.Since(f.answered) > silentAfter
+	f.mu.Unlock()
+	if silent || record.Released {
+		return forward.Place{}, forward.ErrNoHolder
+	}
+	var reply WantReply
+	if err := f.call(ctx, record, wantTimeout, methodWant, &WantArgs{Service: w.Service, Unit: w.Unit, Missing: w.Missing}, &reply); err != nil {
+		return forward.Place{}, errors.Wrap(forward.ErrNoHolder, err.Error())
+	}
+	switch {
+	case !reply.Held:
+		return forward.Place{}, forward.ErrNoHolder
+	case !reply.Found:
+		return forward.Place{}, forward.ErrNoRoom
+	}
+	return forward.Place{Engine: reply.Engine, Ready: time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)}, nil
+}
+
+// call calls the holder, directly if that is this instance.
+func (f *follower) call(ctx context.Context, record lease.Record, timeout time.Duration, method string, args, reply any) error {
+	if record.Holder == f.name {
+		return f.callOwn(args, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.pool.Call(ctx, record.Address, method, args, reply)
+}
+
+func (f *follower) callOwn(args, reply any) error {
+	own := &service{holder: f.holder, follower: f}
+	switch a := args.(type) {
+	case *ExchangeArgs:
+		return own.Exchange(a, reply.(*ExchangeReply))
+	case *WantArgs:
+		return own.Want(a, reply.(*WantReply))
+	default:
+		return errors.Newf("entry: no such call %T", args)
+	}
+}
+
+// run keeps up with the holder, or becomes it, until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	f.mu.Lock()
+	f.answered = time.Now()
+	f.mu.Unlock()
+	f.find(ctx)
+	for pause.For(ctx, exchangeInterval) {
+		if f.exchange(ctx) {
+			continue
+		}
+		f.find(ctx)
+		if f.suspects() {
+			f.consider(ctx)
+		}
+	}
+}
+
+// exchange reports to the holder and takes over what it says. It reports
+// whether the holder answered.
+func (f *follower) exchange(ctx context.Context) bool {
+	f.mu.Lock()
+	record := f.record
+	args := &ExchangeArgs{From: f.name}
+	for _, a := range f.arrivals {
+		args.Arrivals = append(args.Arrivals, *a)
+	}
+	clear(f.arrivals)
+	for key, n := range f.running {
+		args.Running = append(args.Running, holder.Running{Engine: key.engine, Unit: key.unit, Count: n})
+	}
+	f.mu.Unlock()
+	if record.Holder == "" || record.Released {
+		return false
+	}
+	var reply ExchangeReply
+	if err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply); err != nil || !reply.Held {
+		f.noAnswer(record, err)
+		return false
+	}
+	now := time.Now()
+	f.dir.ApplyViews(reply.Fence, decodeViews(reply.Views, now), now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered, f.instances = now, max(1, reply.Instances)
+	if f.silent {
+		f.silent = false
+		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": reply.Fence}).Info("holder answers")
+	}
+	return true
+}
+
+func (f *follower) noAnswer(record lease.Record, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.answered) < silentAfter || f.silent {
+		return
+	}
+	f.silent = true
+	f.pool.Disconnect(record.Address)
+	f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.Fence, "error": err}).Warn("holder does not answer")
+}
+
+// find reads who the holder is.
+func (f *follower) find(ctx context.Context) {
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil {
+		return // the store's client logs its outages
+	}
+	f.mu.Lock()
+	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
+	if changed {
+		f.record = record
+		f.answered = time.Now() // a new holder gets its time to answer
+	}
+	f.mu.Unlock()
+	if changed {
+		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.Fence, "released": record.Released}).Info("holder found")
+	}
+	f.holder.Deposed(record.Fence)
+	if record.Fence == 0 || record.Released || record.Holder == f.name && !f.holder.Holds() {
+		f.takeOver(ctx, record, revision, "free")
+	}
+}
+
+// suspects reports whether the holder has been silent for too long.
+func (f *follower) suspects() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.answered) > suspectAfter
+}
+
+// reaches reports whether the named holder has answered of late.
+func (f *follower) reaches(name string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Holder == name && now.Sub(f.answered) < silentAfter
+}
+
+// consider takes over from a silent holder, unless another instance still
+// reaches it: then this one is cut off, not the holder.
+func (f *follower) consider(ctx context.Context) {
+	f.mu.Lock()
+	suspect, silence := f.record.Holder, time.Since(f.answered)
+	f.mu.Unlock()
+	if !pause.For(ctx, rand.N(takeOverJitter)) {
+		return
+	}
+	asked, reached := f.poll(ctx, suspect)
+	if reached || asked == 0 && silence < aloneAfter {
+		return
+	}
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil || record.Holder != suspect {
+		return // the store is away, or another was faster
+	}
+	f.takeOver(ctx, record, revision, "silent")
+}
+
+// poll asks a few other instances whether they reach the holder. asked counts
+// those that answered.
+func (f *follower) poll(ctx context.Context, suspect string) (asked int, reached bool) {
+	for _, address := range f.members.some(ctx, voters, f.name, suspect) {
+		ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+		var reply ReachesReply
+		err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
+		cancel()
+		if err != nil {
+			f.pool.Disconnect(address)
+			continue
+		}
+		asked++
+		if reply.Reaches {
+			return asked, true
+		}
+	}
+	return asked, false
+}
+
+func (f *follower) takeOver(ctx context.Context, record lease.Record, revision int64, cause string) {
+	err := f.holder.TakeOver(ctx, record, revision, cause)
+	if err != nil {
+		if !errors.Is(err, store.ErrConflict) {
+			f.log.WithFields(logrus.Fields{"fence": record.Fence, "cause": cause, "error": err}).Info("lease not taken")
+		}
+		return
+	}
+	f.find(ctx)
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/store"
+)
+
+// prefixMembers has an entry for each instance.
+const prefixMembers = "members/"
+
+// member is an instance's entry.
+type member struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// members is the list of instances in the store. It is read only when it is
+// needed, which is rare: instances otherwise speak with the holder alone.
+type members struct {
+	store store.Store
+	self  member
+	log   logrus.FieldLogger
+
+	mu    sync.Mutex
+	known []member  // guarded by mu
+	read  time.Time // guarded by mu
+}
+
+// membersLifetime is how long the list is taken as read: instances come and go
+// within minutes.
+const membersLifetime = 10 * time.Second
+
+// registerPause is the pause before a failed registration is tried again.
+const registerPause = time.Second
+
+// register writes this instance's entry, and tries until that has succeeded.
+func (m *members) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		known, version, err := store.Read[member](ctx, m.store, prefixMembers+m.self.Name)
+		if err == nil && known == m.self {
+			return
+		}
+		if err == nil {
+			_, err = store.WriteJSON(ctx, m.store, prefixMembers+m.self.Name, m.self, version)
+		}
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, store.ErrUnavailable) {
+			m.log.WithField("error", err).Info("instance not registered")
+		}
+		pause.For(ctx, registerPause)
+	}
+}
+
+// unregister removes this instance's entry.
+func (m *members) unregister(ctx context.Context) {
+	key := prefixMembers + m.self.Name
+	obj, err := m.store.Get(ctx, key)
+	if err == nil {
+		err = m.store.Delete(ctx, key, obj.Version)
+	}
+	if err != nil {
+		m.log.WithField("error", err).Info("instance not unregistered")
+	}
+}
+
+// some returns the addresses of up to n instances other than those named, in
+// random order.
+func (m *members) some(ctx context.Context, n int, except ...string) []string {
+	list := m.list(ctx)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	var addresses []string
+	for _, member := range list {
+		if len(addresses) < n && !slices.Contains(except, member.Name) {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+func (m *members) list(ctx context.Context) []member {
+	m.mu.Lock()
+	fresh := time.Since(m.read) < membersLifetime
+	known := append([]member(nil), m.known...)
+	m.mu.Unlock()
+	if fresh {
+		return known
+	}
+	snap, err := m.store.List(ctx, prefixMembers)
+	if err != nil {
+		return known
+	}
+	var list []member
+	for _, obj := range snap.Objects {
+		var entry member
+		if err := json.Unmarshal(obj.Value, &entry); err != nil {
+			m.log.WithFields(logrus.Fields{"key": obj.Key, "revision": obj.Version, "error": err}).Warn("entry of an instance cannot be read")
+			continue
+		}
+		list = append(list, entry)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.known, m.read = list, time.Now()
+	return append([]member(nil), list...)
+}
--- /dev/null
+++ b/entry/rpc.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/serving"
+)
+
+// The protocol between entry instances, over net/rpc. Times travel as
+// durations: clocks of instances are never compared.
+
+// Methods of the protocol.
+const (
+	methodExchange = "Entry.Exchange"
+	methodWant     = "Entry.Want"
+	methodReaches  = "Entry.Reaches"
+)
+
+// ExchangeArgs is what an instance says of its requests to the holder.
+type ExchangeArgs struct {
+	From     string
+	Arrivals []holder.Arrivals
+	Running  []holder.Running
+}
+
+// WireView is a directory.EngineView with times as durations from now.
+type WireView struct {
+	Engine   string
+	Sequence int64
+	Units    []WireUnit
+	Running  int
+}
+
+type WireUnit struct {
+	Unit serving.Unit
+	// InMS is when the unit serves, from now; 0 or less means now.
+	InMS int64
+}
+
+// ExchangeReply is the holder's answer. Held is false at any other instance.
+type ExchangeReply struct {
+	Held      bool
+	Fence     int64
+	Views     []WireView
+	Instances int
+}
+
+type WantArgs struct {
+	Service string
+	Unit    serving.Unit
+	Missing string
+}
+
+// WantReply says where a unit is or will be. Found is false if no engine can
+// take it, Held if this instance is not the holder.
+type WantReply struct {
+	Held, Found bool
+	Engine      string
+	InMS        int64
+}
+
+// ReachesArgs asks whether the instance is answered by a holder.
+type ReachesArgs struct{ Holder string }
+
+// ReachesReply says whether the instance has lately been answered by the holder.
+type ReachesReply struct{ Reaches bool }
+
+// service answers the calls of instances, in the method set that net/rpc asks
+// for.
+type service struct {
+	holder   *holder.Holder
+	follower *follower
+}
+
+// Exchange answers an instance's report.
+func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
+	now := time.Now()
+	fence, views, instances, err := s.holder.Exchange(args.From, args.Arrivals, args.Running, now)
+	if errors.Is(err, holder.ErrNotHolder) {
+		return nil
+	}
+	reply.Held, reply.Fence, reply.Instances = true, fence, instances
+	for _, v := range views {
+		reply.Views = append(reply.Views, encodeView(v, now))
+	}
+	return nil
+}
+
+// Want answers where a unit is or will be.
+func (s *service) Want(args *WantArgs, reply *WantReply) error {
+	now := time.Now()
+	engine, ready, found, err := s.holder.Want(args.Service, args.Unit, args.Missing, now)
+	if errors.Is(err, holder.ErrNotHolder) {
+		return nil
+	}
+	reply.Held, reply.Found, reply.Engine = true, found, engine
+	reply.InMS = until(ready, now)
+	return nil
+}
+
+// Reaches answers whether the holder answers this instance.
+func (s *service) Reaches(args *ReachesArgs, reply *ReachesReply) error {
+	reply.Reaches = s.follower.reaches(args.Holder, time.Now())
+	return nil
+}
+
+func until(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
+
+func encodeView(v directory.EngineView, now time.Time) WireView {
+	w := WireView{Engine: v.Engine, Sequence: v.Sequence, Running: v.Running}
+	for _, u := range v.Units {
+		w.Units = append(w.Units, WireUnit{Unit: u.Unit, InMS: until(u.Ready, now)})
+	}
+	return w
+}
+
+func decodeViews(views []WireView, now time.Time) []directory.EngineView {
+	decoded := make([]directory.EngineView, 0, len(views))
+	for _, w := range views {
+		v := directory.EngineView{Engine: w.Engine, Sequence: w.Sequence, Running: w.Running}
+		for _, u := range w.Units {
+			v.Units = append(v.Units, directory.UnitView{Unit: u.Unit, Ready: now.Add(time.Duration(u.InMS) * time.Millisecond)})
+		}
+		decoded = append(decoded, v)
+	}
+	return decoded
+}
+
+// serve answers other instances on l until it is closed.
+func (s *service) serve(l net.Listener) {
+	server := rpc.NewServer()
+	if err := server.RegisterName("Entry", s); err != nil {
+		panic(err) // the method set is fixed, so this is a programming error
+	}
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go server.ServeConn(conn)
+	}
+}
--- /dev/null
+++ b/internal/rpcpool/rpcpool.go
@@ -0,0 +1,108 @@
+// Package rpcpool keeps one net/rpc connection to each address that is called.
+package rpcpool
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrUnreachable: no answer came; the call may have been carried out.
+var ErrUnreachable = errors.New("rpc: no answer")
+
+// Dial connects to an address.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// DialTCP is the Dial used outside tests.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+// Pool is a set of connections, safe for concurrent use.
+type Pool struct {
+	dial Dial
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client // by address; guarded by mu
+}
+
+// New returns an empty pool.
+func New(dial Dial) *Pool {
+	return &Pool{dial: dial, conns: map[string]*rpc.Client{}}
+}
+
+// Call makes one call and waits for its answer until ctx ends. reply must not
+// be used after an error: a late answer may still be written to it.
+func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := p.conn(ctx, address)
+	if err != nil {
+		return errors.Wrap(ErrUnreachable, err.Error())
+	}
+	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-pending.Done:
+	case <-ctx.Done():
+		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
+	}
+	if pending.Error != nil {
+		p.drop(address, conn)
+		return errors.Wrap(ErrUnreachable, pending.Error.Error())
+	}
+	return nil
+}
+
+func (p *Pool) conn(ctx context.Context, address string) (*rpc.Client, error) {
+	p.mu.Lock()
+	conn, found := p.conns[address]
+	p.mu.Unlock()
+	if found {
+		return conn, nil
+	}
+	raw, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if conn, found := p.conns[address]; found {
+		_ = raw.Close()
+		return conn, nil
+	}
+	conn = rpc.NewClient(raw)
+	p.conns[address] = conn
+	return conn, nil
+}
+
+func (p *Pool) drop(address string, conn *rpc.Client) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == conn {
+		delete(p.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// Disconnect closes the connection to an address that does not answer, so that
+// the next call opens a new one.
+func (p *Pool) Disconnect(address string) {
+	p.mu.Lock()
+	conn, found := p.conns[address]
+	p.mu.Unlock()
+	if found {
+		p.drop(address, conn)
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, conn := range p.conns {
+		_ = conn.Close()
+		delete(p.conns, address)
+	}
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -5,15 +5,13 @@
 
 import (
 	"context"
-	"net"
-	"net/rpc"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -161,28 +159,16 @@
 	Run(ctx context.Context, args *RunArgs, reply *RunReply) error
 }
 
-// Dial connects to an instance's peer address.
-type Dial func(ctx context.Context, address string) (net.Conn, error)
-
-// DialTCP is the Dial used outside tests.
-func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // Client calls other instances, over one connection each.
 type Client struct {
 	self  string
 	clock *event.Clock
-	dial  Dial
-
-	mu    sync.Mutex
-	conns map[string]*rpc.Client // guarded by mu; by address
+	pool  *rpcpool.Pool
 }
 
 // NewClient returns a client that calls in the name of instance self.
-func NewClient(self string, clock *event.Clock, dial Dial) *Client {
-	return &Client{self: self, clock: clock, dial: dial, conns: map[string]*rpc.Client{}}
+func NewClient(self string, clock *event.Clock, dial rpcpool.Dial) *Client {
+	return &Client{self: self, clock: clock, pool: rpcpool.New(dial)}
 }
 
 // Header returns the header of a call made now under ctx.
@@ -198,20 +184,9 @@
 // An answer that comes after ctx has ended is never looked at.
 func invoke[R any, P answer[R]](ctx context.Context, c *Client, address, method string, args any) (R, error) {
 	var none R
-	conn, err := c.conn(ctx, address)
-	if err != nil {
-		return none, errors.Wrap(ErrUnreachable, err.Error())
-	}
 	reply := P(new(R))
-	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-pending.Done:
-	case <-ctx.Done():
-		return none, errors.Wrap(ErrUnreachable, ctx.Err().Error())
-	}
-	if pending.Error != nil {
-		c.drop(address, conn)
-		return none, errors.Wrap(ErrUnreachable, pending.Error.Error())
+	if err := c.pool.Call(ctx, address, method, args, reply); err != nil {
+		return none, errors.Wrap(ErrUnreachable, err.Error())
 	}
 	c.clock.Observe(reply.head().Stamp)
 	if f := reply.head().Failure; f != nil {
@@ -220,57 +195,12 @@
 	return *reply, nil
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn, found := c.conns[address]
-	c.mu.Unlock()
-	if found {
-		return conn, nil
-	}
-	raw, err := c.dial(ctx, address)
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn, found := c.conns[address]; found {
-		_ = raw.Close()
-		return conn, nil
-	}
-	conn = rpc.NewClient(raw)
-	c.conns[address] = conn
-	return conn, nil
-}
-
-func (c *Client) drop(address string, conn *rpc.Client) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	_ = conn.Close()
-}
-
 // Disconnect closes the connection to an instance that does not answer, so
 // that the next call opens a new one.
-func (c *Client) Disconnect(address string) {
-	c.mu.Lock()
-	conn, found := c.conns[address]
-	c.mu.Unlock()
-	if found {
-		c.drop(address, conn)
-	}
-}
+func (c *Client) Disconnect(address string) { c.pool.Disconnect(address) }
 
 // Close closes all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, conn := range c.conns {
-		_ = conn.Close()
-		delete(c.conns, address)
-	}
-}
+func (c *Client) Close() { c.pool.Close() }
 
 // Exchange calls Handler.Exchange at address.
 func (c *Client) Exchange(ctx context.Context, address string, args ExchangeArgs) (ExchangeReply, error) {
--- a/serving/server.go
+++ b/serving/server.go
@@ -6,8 +6,10 @@
 // is another Server with another ID.
 type Server struct {
 	ID, Service, Address string
-	FailureDomain        string
-	Slots                int
+	// Revision is the store's revision of this announcement.
+	Revision      int64
+	FailureDomain string
+	Slots         int
 	// Draining servers get no new requests.
 	Draining bool
 	// Remaining is how long a server that was reclaimed at short notice still
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -45,6 +45,7 @@
 // The reasons of refusals and failures.
 const (
 	ReasonInvalid      Reason = "invalid"       // the request breaks a limit or lacks a field
+	ReasonNoRoute      Reason = "no_route"      // no configured route leads to a service
 	ReasonUnknownModel Reason = "unknown_model" // not declared
 	ReasonQueueFull    Reason = "queue_full"    // a bounded queue is full
 	ReasonDeadline     Reason = "deadline"      // cannot be met, or has passed
