An entry's sequence counts entries, not orders

Cause: engines' entries carry a sequence that rises with every heartbeat; it was taken for the count of accepted orders, so every engine counted as unsure and no order was sent.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -97,7 +97,7 @@
 	record, _ := h.lease.Record()
 	others := h.account.others(name)
 	for _, e := range h.fleet.Engines() {
-		views = append(views, directory.EngineView{Engine: e.Server.ID, Sequence: e.Sequence, Units: e.Units(now), Running: others[e.Server.ID]})
+		views = append(views, directory.EngineView{Engine: e.Server.ID, Units: e.Units(now), Running: others[e.Server.ID]})
 	}
 	return record.Fence, views, len(h.account.instances), nil
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -120,12 +120,9 @@
 		e := f.engines[s.ID]
 		if e == nil {
 			e = &Engine{Unsure: true, Copies: map[string]*Copy{}}
-			e.adopt(s.Models, s.Sequence, time.Time{})
+			e.adopt(s.Models, 0, time.Time{})
 			f.engines[s.ID] = e
 		}
-		if s.Sequence > e.Sequence {
-			e.Unsure = true // it has accepted an order that is not known here
-		}
 		e.Server, e.Spec, e.Tiers = s, engineSpec, s.Tiers
 	}
 	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
--- a/directory/views.go
+++ b/directory/views.go
@@ -10,8 +10,6 @@
 // EngineView is what the holder says of one engine.
 type EngineView struct {
 	Engine string
-	// Sequence is the engine's count of accepted orders that the view is of.
-	Sequence int64
 	// Units are the models and adapters that get requests.
 	Units []UnitView
 	// Running is how many requests of all instances run on the engine.
@@ -69,7 +67,7 @@
 			continue
 		}
 		view, viewed := d.views[s.ID]
-		if viewed && fresh && view.Sequence >= s.Sequence {
+		if viewed && fresh {
 			for _, u := range view.Units {
 				if u.Unit == unit {
 					found = append(found, Replica{Server: s, Ready: u.Ready, Others: view.Running})
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -31,10 +31,9 @@
 
 // WireView is a directory.EngineView with times as durations from now.
 type WireView struct {
-	Engine   string
-	Sequence int64
-	Units    []WireUnit
-	Running  int
+	Engine  string
+	Units   []WireUnit
+	Running int
 }
 
 type WireUnit struct {
@@ -113,7 +112,7 @@
 func until(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func encodeView(v directory.EngineView, now time.Time) WireView {
-	w := WireView{Engine: v.Engine, Sequence: v.Sequence, Running: v.Running}
+	w := WireView{Engine: v.Engine, Running: v.Running}
 	for _, u := range v.Units {
 		w.Units = append(w.Units, WireUnit{Unit: u.Unit, InMS: until(u.Ready, now)})
 	}
@@ -123,7 +122,7 @@
 func decodeViews(views []WireView, now time.Time) []directory.EngineView {
 	decoded := make([]directory.EngineView, 0, len(views))
 	for _, w := range views {
-		v := directory.EngineView{Engine: w.Engine, Sequence: w.Sequence, Running: w.Running}
+		v := directory.EngineView{Engine: w.Engine, Running: w.Running}
 		for _, u := range w.Units {
 			v.Units = append(v.Units, directory.UnitView{Unit: u.Unit, Ready: now.Add(time.Duration(u.InMS) * time.Millisecond)})
 		}
--- a/serving/server.go
+++ b/serving/server.go
@@ -15,8 +15,6 @@
 	// Remaining is how long a server that was reclaimed at short notice still
 	// runs; 0 when that is not known.
 	Remaining time.Duration
-	// Sequence counts the orders that an engine has accepted.
-	Sequence int64
 	// Models maps each resident model to its resident adapters.
 	Models map[string][]string
 	// Tiers says where other weights are cached on the engine.
