An engine is read anew only between its operations; true load times

Ruled out: late orders (none), sequence (all orders were accepted in order). The worker now reads between operations and gives up what was queued; adapters are excluded meanwhile.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -77,9 +77,6 @@
 		if failure != nil {
 			return serving.Server{}, failure
 		}
-		if s, live := t.f.dir.Server(server.ID); live && !s.Draining {
-			return s, nil
-		}
 	}
 }
 
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -29,10 +29,15 @@
 	// lastOrder is when the last order was answered; guarded by ordering.
 	lastOrder time.Time
 
+	// adapters is held for reading while an adapter is loaded and for writing
+	// while the engine is read anew.
+	adapters sync.RWMutex
+
 	mu      sync.Mutex
 	queue   []replicas.Operation // guarded by mu
 	working bool                 // guarded by mu
-	reading bool                 // guarded by mu
+	// doubtful: the engine has to be read anew before the next operation.
+	doubtful bool // guarded by mu
 }
 
 func newWorker(ctx context.Context, h *Holder, engine string) *worker {
@@ -44,35 +49,71 @@
 // carryOut queues an operation.
 func (w *worker) carryOut(op replicas.Operation) {
 	if op.Load.Adapter != "" {
-		go w.do(op)
+		go w.loadAdapter(op)
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.queue = append(w.queue, op)
+	w.start()
+}
+
+// readAnew has the engine read before its next operation. What was planned on
+// the account as it was is given up.
+func (w *worker) readAnew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.doubtful = true
+	w.start()
+}
+
+// start needs mu.
+func (w *worker) start() {
 	if !w.working {
 		w.working = true
 		go w.work()
 	}
 }
 
+// next takes the next operation from the queue; read means that the engine has
+// to be read first. more is false when there is nothing to do.
+func (w *worker) next() (op replicas.Operation, read, more bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.ctx.Err() != nil:
+	case w.doubtful:
+		w.doubtful = false
+		return op, true, true
+	case len(w.queue) > 0:
+		op, w.queue = w.queue[0], w.queue[1:]
+		return op, false, true
+	}
+	w.working = false
+	return op, false, false
+}
+
 func (w *worker) work() {
 	for {
-		w.mu.Lock()
-		if len(w.queue) == 0 {
-			w.working = false
-			w.mu.Unlock()
+		op, read, more := w.next()
+		switch {
+		case !more:
 			return
-		}
-		op := w.queue[0]
-		w.queue = w.queue[1:]
-		w.mu.Unlock()
-		if err := w.do(op); err != nil {
+		case read:
+			w.dropQueue()
+			w.read()
+		case w.do(op) != nil:
 			w.dropQueue()
 		}
 	}
 }
 
+func (w *worker) loadAdapter(op replicas.Operation) {
+	w.adapters.RLock()
+	defer w.adapters.RUnlock()
+	_ = w.do(op) // noted and logged there
+}
+
 // dropQueue gives up what was planned on an account that was wrong.
 func (w *worker) dropQueue() {
 	w.mu.Lock()
@@ -110,6 +151,9 @@
 	w.h.mu.Lock()
 	from := w.h.lease.OrderFrom()
 	w.h.mu.Unlock()
+	if from.Before(op.From) {
+		from = op.From
+	}
 	if !pause.For(w.ctx, time.Until(from)) {
 		return w.ctx.Err()
 	}
@@ -231,27 +275,13 @@
 	}).Info("order sent")
 }
 
-// readAnew reads the engine until no order is under way, unless that is being
-// done already.
-func (w *worker) readAnew() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.reading {
-		return
-	}
-	w.reading = true
-	go func() {
-		w.read()
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.reading = false
-	}()
-}
-
 // readTries bounds one reading; the next tick begins another.
 const readTries = 5
 
+// read reads the engine until no order is under way.
 func (w *worker) read() {
+	w.adapters.Lock()
+	defer w.adapters.Unlock()
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
 	if !pause.For(w.ctx, time.Until(w.lastOrder.Add(w.h.params.ReportLag))) {
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -62,8 +62,6 @@
 	Unsure bool
 	// Free is when the operations planned so far are expected to be done.
 	Free time.Time
-	// Planned counts those operations.
-	Planned int
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
@@ -123,7 +121,10 @@
 			e.adopt(s.Models, 0, time.Time{})
 			f.engines[s.ID] = e
 		}
-		e.Server, e.Spec, e.Tiers = s, engineSpec, s.Tiers
+		if e.Tiers == nil || s.Revision > e.Server.Revision {
+			e.Tiers = maps.Clone(s.Tiers)
+		}
+		e.Server, e.Spec = s, engineSpec
 	}
 	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
 }
@@ -145,6 +146,7 @@
 		e.Tiers = r.Tiers
 	}
 	e.Unsure = false
+	e.Free = now
 }
 
 func (e *Engine) adopt(models map[string][]string, sequence int64, now time.Time) {
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -17,8 +17,10 @@
 	// RunningWait is how long an unload is expected to wait for requests that
 	// run: about the length of a generation.
 	RunningWait time.Duration
-	// OrderTime is what each order adds: a round trip and the engine's own.
-	OrderTime time.Duration
+	// OrderTime is what a load adds to its configured time: a round trip and
+	// the engine's own. UnloadTime is what an unload takes before the next
+	// order is accepted.
+	OrderTime, UnloadTime time.Duration
 	// KeepFor is how long a copy that was loaded for waiting requests is kept
 	// for them after it is ready.
 	KeepFor time.Duration
@@ -41,7 +43,7 @@
 // loads come from the configuration; these are the rest.
 func DefaultParams() Params {
 	return Params{
-		DemandWindow: 4 * time.Second, ForgetRate: 0.001, RunningWait: 2 * time.Second, OrderTime: 20 * time.Millisecond,
+		DemandWindow: 4 * time.Second, ForgetRate: 0.001, RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 90 * time.Millisecond,
 		KeepFor: time.Second, CopyLoad: 12, SpareRate: 1.5, RequestTime: 2 * time.Second, AdapterTime: 80 * time.Millisecond,
 		RemoteWindow: 5 * time.Second,
 	}
@@ -54,6 +56,8 @@
 	Load   serving.Unit
 	// Remote: the load comes from the weight store.
 	Remote bool
+	// From is when the first order may be sent; an adapter waits for its model.
+	From time.Time
 	// Ready is when the load is expected to be done.
 	Ready time.Time
 	// Duration is the expected time of the load alone.
@@ -164,15 +168,14 @@
 
 func (f *Fleet) startAdapter(e *Engine, unit, victim serving.Unit, now time.Time) Found {
 	c := e.Copies[unit.Model]
-	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime}
-	op.Ready = later(c.Ready, now).Add(f.params.OrderTime + f.params.AdapterTime)
+	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime, From: later(c.Ready, now)}
+	op.Ready = op.From.Add(f.params.OrderTime + f.params.AdapterTime)
 	if victim.Adapter != "" {
 		op.Unload = []serving.Unit{victim}
 		delete(e.Copies[victim.Model].Adapters, victim.Adapter)
 	}
 	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Used: now}
 	c.need(op.Ready.Add(f.params.KeepFor))
-	e.Planned++
 	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op}
 }
 
@@ -233,7 +236,7 @@
 	if tier == serving.TierRemote && !f.remoteAllowed(e.Spec, now) {
 		return choice{}, false
 	}
-	start := later(e.Free, now).Add(wait + time.Duration(len(evict)+1)*f.params.OrderTime)
+	start := later(e.Free, now).Add(wait + f.params.OrderTime + time.Duration(len(evict))*f.params.UnloadTime)
 	return choice{engine: e, evict: evict, tier: tier, ready: start.Add(m.LoadTime(tier)), loss: loss}, true
 }
 
@@ -306,10 +309,21 @@
 	}
 	e.Copies[model] = &Copy{State: Arriving, Ready: c.ready, Needed: c.ready.Add(f.params.KeepFor), Adapters: map[string]*Adapter{}}
 	e.Free = c.ready
-	e.Planned++
+	e.cached(model)
 	return op
 }
 
+// cached notes that a load leaves a copy of the weights with the engine. Which
+// copies it drops from its host memory for that is known from its next entry.
+func (e *Engine) cached(model string) {
+	for name, tier := range e.Tiers {
+		e.Tiers[name] = min(tier, serving.TierDisk)
+	}
+	if e.Tiers != nil {
+		e.Tiers[model] = serving.TierMemory
+	}
+}
+
 // remoteAllowed reports whether one more load from the weight store may begin.
 func (f *Fleet) remoteAllowed(spec *serving.EngineSpec, now time.Time) bool {
 	f.remoteLoads = slices.DeleteFunc(f.remoteLoads, func(t time.Time) bool { return now.Sub(t) > f.params.RemoteWindow })
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -59,7 +59,6 @@
 	if e == nil {
 		return
 	}
-	e.Planned--
 	e.failures = 0
 	if c := e.Copies[op.Load.Model]; c != nil && op.Load.Adapter == "" {
 		c.State = Resident
@@ -74,7 +73,6 @@
 	if e == nil {
 		return
 	}
-	e.Planned--
 	e.Unsure = true
 	e.Failing = now.Add(min(maxFailingFor, failingFor<<min(e.failures, 8)))
 	e.failures++
--- a/serving/order.go
+++ b/serving/order.go
@@ -11,6 +11,9 @@
 // one.
 var ErrOrderUnknown = errors.New("serving: order not answered, may be carried out")
 
+// ErrOrderNotSent: no connection was had, so the engine has not got the order.
+var ErrOrderNotSent = errors.New("serving: order not sent")
+
 // Order asks an engine to load or unload a unit.
 type Order struct {
 	Server Server
@@ -62,7 +65,8 @@
 
 // Engines carries orders to engines and reads their reports.
 type Engines interface {
-	// Order sends o once. Without an answer the error is ErrOrderUnknown.
+	// Order sends o once. Without an answer the error is ErrOrderUnknown, or
+	// ErrOrderNotSent if the engine cannot have got it.
 	Order(ctx context.Context, o Order) (OrderAnswer, error)
 	Report(ctx context.Context, s Server) (Report, error)
 }
