A holder that is cut from the store gives the lease up to those who reach it

Ruled out: a shorter validity alone (a successor would still wait for it and for the time between holders). The holder now gives up, once renewals have failed for 400 ms and an instance that asks does reach the store; it says under which token it orders nothing more, after the last order has been answered, and the successor waits only the deployment's time between holders.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -80,7 +80,11 @@
 
 // Exchange takes over what an instance says of its requests and returns what it
 // should know of the engines.
-func (h *Holder) Exchange(name string, arrivals []Arrivals, running []Running, now time.Time) (fence int64, views []directory.EngineView, instances int, err error) {
+// reachesStore says whether that instance does.
+func (h *Holder) Exchange(name string, reachesStore bool, arrivals []Arrivals, running []Running, now time.Time) (fence int64, views []directory.EngineView, instances int, err error) {
+	if reachesStore {
+		h.offerUp(now)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.lease.Held() {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -49,9 +49,9 @@
 const (
 	// validity permits orders through short outages of the store, and is what
 	// a take-over has to wait for.
-	validity = 3500 * time.Millisecond
+	validity = 2500 * time.Millisecond
 	// transit bounds one order's call; an order takes a few milliseconds.
-	transit = time.Second
+	transit = 500 * time.Millisecond
 	// settleSlack is added to the deployment's time between two holders.
 	settleSlack = 200 * time.Millisecond
 )
@@ -82,6 +82,12 @@
 	// account is what instances have said of their requests; guarded by mu.
 	account account
 	workers map[string]*worker // by engine; guarded by mu
+	// failingSince is when renewals began to fail, zero while they succeed;
+	// guarded by mu.
+	failingSince time.Time
+	// gaveUp is the fencing token under which this instance has promised to
+	// order nothing more; guarded by mu.
+	gaveUp int64
 	// ctx ends when this instance stops; guarded by mu.
 	ctx context.Context
 
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -37,6 +37,7 @@
 	from := h.lease.OrderFrom()
 	h.fleet = replicas.NewFleet(h.params.Fleet)
 	h.account = newAccount()
+	h.failingSince = time.Time{}
 	for _, w := range h.workers {
 		w.stop()
 	}
@@ -56,21 +57,63 @@
 	h.mu.Lock()
 	held := h.lease.Held()
 	record, revision := h.lease.Record()
-	h.lease.Lost()
-	workers := slices.Collect(maps.Values(h.workers))
 	h.mu.Unlock()
 	if !held {
 		return
 	}
-	for _, w := range workers { // an order that was checked before is answered first
-		w.ordering.Lock()
-		w.ordering.Unlock() //nolint:staticcheck // only waits
-	}
+	h.stopOrders()
 	record.Released = true
 	_, err := store.WriteJSON(ctx, h.store, KeyLease, record, revision)
 	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease released")
 }
 
+// stopOrders gives up the lease and waits for the orders that were checked
+// before to be answered.
+func (h *Holder) stopOrders() {
+	h.mu.Lock()
+	h.lease.Lost()
+	workers := slices.Collect(maps.Values(h.workers))
+	h.mu.Unlock()
+	for _, w := range workers {
+		w.awaitOrder()
+	}
+}
+
+// giveUpAfter is how long renewals must have failed before the lease is given
+// up to instances that do reach the store: two renewals at the least.
+const giveUpAfter = 400 * time.Millisecond
+
+// offerUp gives the lease up if this instance does not reach the store while
+// the one that asks does. Another can then take over without waiting for the
+// validity to end.
+func (h *Holder) offerUp(now time.Time) {
+	h.mu.Lock()
+	record, _ := h.lease.Record()
+	failing := h.lease.Held() && !h.failingSince.IsZero() && now.Sub(h.failingSince) >= giveUpAfter
+	if failing {
+		h.lease.Lost()
+	}
+	h.mu.Unlock()
+	if !failing {
+		return
+	}
+	h.log.WithField("fence", record.Fence).Warn("lease given up: this instance does not reach the store, another does")
+	go func() {
+		h.stopOrders()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.gaveUp = record.Fence
+	}()
+}
+
+// GaveUp returns the fencing token under which this instance has promised to
+// order nothing more, 0 if there is none.
+func (h *Holder) GaveUp() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gaveUp
+}
+
 // Deposed notes that another instance has a higher fencing token.
 func (h *Holder) Deposed(fence int64) {
 	h.mu.Lock()
@@ -123,11 +166,15 @@
 	switch {
 	case err == nil:
 		h.lease.Renewed(obj.Version, sent)
+		h.failingSince = time.Time{}
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		h.lease.Lost()
 		h.log.WithField("fence", record.Fence).Info("lease lost: the record is another's")
 		return ErrNotHolder
 	default:
+		if h.failingSince.IsZero() {
+			h.failingSince = sent
+		}
 		h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
 	}
 	return nil
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// awaitOrder waits until no order is on its way.
+func (w *worker) awaitOrder() {
+	w.ordering.Lock()
+	defer w.ordering.Unlock()
+	w.h.log.WithFields(logrus.Fields{"engine": w.engine, "last_order_ms": time.Since(w.lastOrder).Milliseconds()}).Debug("no order on its way")
+}
+
 // do carries one operation out and notes how it ended.
 func (w *worker) do(op replicas.Operation) error {
 	started := time.Now()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -70,6 +70,7 @@
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}}
+	i.follower.reachesStore = i.watcher.reachesStore
 	budget := forward.NewBudget(forward.BudgetParams{
 		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(),
 	})
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -59,6 +59,11 @@
 	running   map[placed]int              // guarded by mu
 	instances int                         // guarded by mu
 	silent    bool                        // guarded by mu
+	// gaveUp is the fencing token that its holder has given up; guarded by mu.
+	gaveUp int64
+
+	// reachesStore reports whether the last call to the store succeeded.
+	reachesStore func() bool
 }
 
 // placed is a unit on an engine.
@@ -179,7 +184,7 @@
 func (f *follower) exchange(ctx context.Context) bool {
 	f.mu.Lock()
 	record := f.record
-	args := &ExchangeArgs{From: f.name}
+	args := &ExchangeArgs{From: f.name, ReachesStore: f.reachesStore()}
 	for _, a := range f.arrivals {
 		args.Arrivals = append(args.Arrivals, *a)
 	}
@@ -193,7 +198,7 @@
 	}
 	var reply ExchangeReply
 	if err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply); err != nil || !reply.Held {
-		f.noAnswer(record, err)
+		f.noAnswer(record, reply.GaveUp, err)
 		return false
 	}
 	now := time.Now()
@@ -208,9 +213,13 @@
 	return true
 }
 
-func (f *follower) noAnswer(record lease.Record, err error) {
+// noAnswer notes that the holder did not answer, or is not the holder any more.
+func (f *follower) noAnswer(record lease.Record, gaveUp int64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err == nil && gaveUp == record.Fence {
+		f.gaveUp = gaveUp
+	}
 	if time.Since(f.answered) < silentAfter || f.silent {
 		return
 	}
@@ -226,6 +235,9 @@
 		return // the store's client logs its outages
 	}
 	f.mu.Lock()
+	if record.Fence == f.gaveUp {
+		record.Released = true // by its holder's word, which cannot reach the store
+	}
 	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
 	if changed {
 		f.record = record
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -24,9 +24,11 @@
 
 // ExchangeArgs is what an instance says of its requests to the holder.
 type ExchangeArgs struct {
-	From     string
-	Arrivals []holder.Arrivals
-	Running  []holder.Running
+	From string
+	// ReachesStore: the last call to the store succeeded.
+	ReachesStore bool
+	Arrivals     []holder.Arrivals
+	Running      []holder.Running
 }
 
 // WireView is a directory.EngineView with times as durations from now.
@@ -44,7 +46,10 @@
 
 // ExchangeReply is the holder's answer. Held is false at any other instance.
 type ExchangeReply struct {
-	Held      bool
+	Held bool
+	// GaveUp is the fencing token under which the answering instance orders
+	// nothing more, 0 if there is none.
+	GaveUp    int64
 	Fence     int64
 	Views     []WireView
 	Instances int
@@ -80,8 +85,9 @@
 // Exchange answers an instance's report.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
-	fence, views, instances, err := s.holder.Exchange(args.From, args.Arrivals, args.Running, now)
+	fence, views, instances, err := s.holder.Exchange(args.From, args.ReachesStore, args.Arrivals, args.Running, now)
 	if errors.Is(err, holder.ErrNotHolder) {
+		reply.GaveUp = s.holder.GaveUp()
 		return nil
 	}
 	reply.Held, reply.Fence, reply.Instances = true, fence, instances
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -102,6 +102,13 @@
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
+// reachesStore reports whether the last call succeeded.
+func (w *watcher) reachesStore() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.down
+}
+
 func (w *watcher) applyConfig(snap store.Snapshot, _ bool) {
 	for _, obj := range snap.Objects {
 		if obj.Deleted {
