--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -145,7 +145,8 @@
 	}
 	if t.excluded[server.ID] { // it has just refused: a load may take a little longer
 		delete(t.excluded, server.ID)
-		return server, place.Ready, t.pauseFor(ctx, t.f.params.RetryPause)
+		t.pauses = min(t.pauses+1, maxPauses)
+		return server, place.Ready, t.pauseFor(ctx, time.Duration(t.pauses)*t.f.params.RetryPause)
 	}
 	return server, place.Ready, nil
 }
@@ -169,13 +170,13 @@
 // objective, while little of it has passed and the client may heed the time.
 func (t *trip) refuseWait(wait time.Duration) *verdict.Failure {
 	now := time.Now()
-	elapsed, left := now.Sub(t.request.Arrived), t.deadline.Sub(now)
+	elapsed, left := now.Sub(t.request.Arrived), t.firstDue.Sub(now)
 	if wait+t.f.params.FirstEvent >= left {
 		return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
 	}
 	onTime := elapsed+wait+t.f.params.FirstEvent <= t.route.Objective
 	early := elapsed <= t.route.Objective/refusalShare
-	heeded := wait <= left/refusalShare
+	heeded := wait <= t.deadline.Sub(now)/refusalShare
 	if onTime || t.again || t.sends > 0 || !early || !heeded {
 		return nil
 	}
@@ -187,4 +188,7 @@
 // time that they have left.
 const refusalShare = 4
 
+// Further pauses before a server that has just refused is asked again.
+const maxPauses = 4
+
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -25,6 +25,8 @@
 	// deadline is when the final answer is due: the sooner of the client's and
 	// the route's.
 	deadline time.Time
+	// firstDue is when the client leaves if nothing has come by then.
+	firstDue time.Time
 	// again: the client has tried before.
 	again bool
 
@@ -39,6 +41,8 @@
 	excluded map[string]bool
 	// missing is the last engine that did not have the unit.
 	missing string
+	// pauses counts the pauses before a server was asked again.
+	pauses int
 	// waited is how long the request waited for a load.
 	waited time.Duration
 	server string
@@ -58,6 +62,10 @@
 		allowed = defaultTimeout
 	}
 	t.deadline = r.Arrived.Add(allowed)
+	t.firstDue = t.deadline
+	if route.Patience > 0 && route.Patience < allowed {
+		t.firstDue = r.Arrived.Add(route.Patience)
+	}
 	f.budget.Request(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
 		f.placer.Arrived(r.Unit, route.Priority)
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -195,7 +195,7 @@
 // lacks needs mu. An engine said that it does not have a unit that it should.
 func (h *Holder) lacks(id string, unit serving.Unit, now time.Time) {
 	e := h.fleet.Engine(id)
-	if e == nil || !e.Claims(unit, now) {
+	if e == nil || !e.Claims(unit, now) || h.fleet.Postpone(id, unit, now) {
 		return
 	}
 	h.fleet.Doubt(id)
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -43,8 +43,8 @@
 
 // Adapter is an adapter of a copy.
 type Adapter struct {
-	// Ready is when it is expected to serve.
-	Ready time.Time
+	// Ready is when it is expected to serve, Due when it first was.
+	Ready, Due time.Time
 	// Used is when it was last asked for.
 	Used    time.Time
 	Running int
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -174,7 +174,7 @@
 		op.Unload = []serving.Unit{victim}
 		delete(e.Copies[victim.Model].Adapters, victim.Adapter)
 	}
-	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Used: now}
+	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Due: op.Ready, Used: now}
 	c.need(op.Ready.Add(f.params.KeepFor))
 	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op}
 }
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -45,7 +45,7 @@
 	}
 	c := e.Copies[op.Load.Model]
 	if a := c.Adapters[op.Load.Adapter]; a != nil {
-		a.Ready = ready
+		a.Ready, a.Due = ready, ready
 		return
 	}
 	c.Ready = ready
@@ -78,6 +78,33 @@
 	e.failures++
 }
 
+// A load that is not done when it was expected to be is looked for again after
+// postponement, and in doubt when it is later than latest.
+const (
+	postponement = 100 * time.Millisecond
+	latest       = 2 * time.Second
+)
+
+// Postpone moves the time at which a unit is ready if its load is still under
+// way or has just been due, and reports whether it is.
+func (f *Fleet) Postpone(id string, unit serving.Unit, now time.Time) bool {
+	e := f.engines[id]
+	if e == nil || e.Copies[unit.Model] == nil {
+		return false
+	}
+	c := e.Copies[unit.Model]
+	if c.State == Arriving {
+		c.Ready = later(c.Ready, now.Add(postponement))
+		return true
+	}
+	a := c.Adapters[unit.Adapter]
+	if a == nil || now.Sub(a.Due) > latest {
+		return false
+	}
+	a.Ready = later(a.Ready, now.Add(postponement))
+	return true
+}
+
 // Doubt marks an engine to be read anew.
 func (f *Fleet) Doubt(id string) {
 	if e := f.engines[id]; e != nil {
--- a/serving/config.go
+++ b/serving/config.go
@@ -37,6 +37,9 @@
 	// Objective is the latency objective: to the answer, or to a stream's
 	// first event.
 	Objective time.Duration
+	// Patience is how long clients wait for a first event, and between events,
+	// before they leave; 0 if they wait to the end of their time.
+	Patience time.Duration
 	// Priority ranks requests; 0 goes first.
 	Priority int
 	// Targets share the route's requests by weight.
