Operations are void once their engine's account has changed

Ruled out: late orders, an unknown holder (fence 2 had settled). An account now has a generation, which rises when it is read, doubted or found wrong; no order is sent for an operation of an earlier one.

--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -59,7 +59,7 @@
 }
 
 // readAnew has the engine read before its next operation. What was planned on
-// the account as it was is given up.
+// the account as it was is void by then.
 func (w *worker) readAnew() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -100,10 +100,9 @@
 		case !more:
 			return
 		case read:
-			w.dropQueue()
 			w.read()
-		case w.do(op) != nil:
-			w.dropQueue()
+		default:
+			_ = w.do(op) // noted and logged there
 		}
 	}
 }
@@ -114,19 +113,6 @@
 	_ = w.do(op) // noted and logged there
 }
 
-// dropQueue gives up what was planned on an account that was wrong.
-func (w *worker) dropQueue() {
-	w.mu.Lock()
-	dropped := w.queue
-	w.queue = nil
-	w.mu.Unlock()
-	w.h.mu.Lock()
-	defer w.h.mu.Unlock()
-	for _, op := range dropped {
-		w.h.fleet.Failed(op, time.Now())
-	}
-}
-
 // awaitOrder waits until no order is on its way.
 func (w *worker) awaitOrder() {
 	w.ordering.Lock()
@@ -165,14 +151,14 @@
 		return w.ctx.Err()
 	}
 	for _, unit := range op.Unload {
-		if err := w.order(unit, true); err != nil {
+		if err := w.order(op, unit, true); err != nil {
 			return err
 		}
 		w.h.mu.Lock()
-		w.h.fleet.Unloaded(op.Engine, unit)
+		w.h.fleet.Unloaded(op, unit)
 		w.h.mu.Unlock()
 	}
-	if err := w.order(op.Load, false); err != nil {
+	if err := w.order(op, op.Load, false); err != nil {
 		return err
 	}
 	ready := time.Now().Add(op.Duration)
@@ -212,10 +198,10 @@
 }
 
 // order has the engine take one order, again while another is under way.
-func (w *worker) order(unit serving.Unit, unload bool) error {
+func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool) error {
 	unsure := false
 	for range w.h.params.OrderTries {
-		answer, err := w.send(unit, unload)
+		answer, err := w.send(op, unit, unload)
 		switch {
 		case errors.Is(err, serving.ErrOrderUnknown):
 			unsure = true
@@ -243,7 +229,7 @@
 
 // send sends one order with the engine's sequence as known now. The lease is
 // checked immediately before.
-func (w *worker) send(unit serving.Unit, unload bool) (serving.OrderAnswer, error) {
+func (w *worker) send(op replicas.Operation, unit serving.Unit, unload bool) (serving.OrderAnswer, error) {
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
@@ -253,11 +239,11 @@
 		return 0, err
 	}
 	w.h.mu.Lock()
-	e := w.h.fleet.Engine(w.engine)
-	if e == nil || e.Unsure {
+	if !w.h.fleet.Current(op) {
 		w.h.mu.Unlock()
-		return 0, errors.Wrap(errEngine, "the engine is gone or has to be read anew")
+		return 0, errors.Wrap(errEngine, "what is known of the engine has changed since the operation was planned")
 	}
+	e := w.h.fleet.Engine(w.engine)
 	o := serving.Order{Server: e.Server, Unit: unit, Unload: unload, Expect: e.Sequence, Holder: w.h.params.Name, Fence: fence}
 	w.h.mu.Unlock()
 	answer, err := w.h.engines.Order(ctx, o)
@@ -282,6 +268,13 @@
 	}).Info("order sent")
 }
 
+func (w *worker) unsure() bool {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	e := w.h.fleet.Engine(w.engine)
+	return e != nil && e.Unsure
+}
+
 // readTries bounds one reading; the next tick begins another.
 const readTries = 5
 
@@ -291,7 +284,7 @@
 	defer w.adapters.Unlock()
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
-	if !pause.For(w.ctx, time.Until(w.lastOrder.Add(w.h.params.ReportLag))) {
+	if !w.unsure() || !pause.For(w.ctx, time.Until(w.lastOrder.Add(w.h.params.ReportLag))) {
 		return
 	}
 	for range readTries {
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -65,6 +65,9 @@
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
+	// generation counts the times that the account was replaced or found to be
+	// wrong. Operations of an earlier one are void.
+	generation uint64
 }
 
 // Demand is what is known of the requests for one model.
@@ -146,6 +149,7 @@
 		e.Tiers = r.Tiers
 	}
 	e.Unsure = false
+	e.generation++
 	e.Free = now
 }
 
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -62,6 +62,8 @@
 	Ready time.Time
 	// Duration is the expected time of the load alone.
 	Duration time.Duration
+	// generation of the account that it was planned on.
+	generation uint64
 }
 
 // Found is where a unit is or will be.
@@ -168,7 +170,7 @@
 
 func (f *Fleet) startAdapter(e *Engine, unit, victim serving.Unit, now time.Time) Found {
 	c := e.Copies[unit.Model]
-	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime, From: later(c.Ready, now)}
+	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime, From: later(c.Ready, now), generation: e.generation}
 	op.Ready = op.From.Add(f.params.OrderTime + f.params.AdapterTime)
 	if victim.Adapter != "" {
 		op.Unload = []serving.Unit{victim}
@@ -297,7 +299,7 @@
 func (f *Fleet) start(c choice, model string, now time.Time) Operation {
 	e := c.engine
 	op := Operation{
-		Engine: e.Server.ID, Load: serving.Unit{Model: model}, Ready: c.ready,
+		Engine: e.Server.ID, Load: serving.Unit{Model: model}, Ready: c.ready, generation: e.generation,
 		Remote: c.tier == serving.TierRemote, Duration: e.Spec.Models[model].LoadTime(c.tier),
 	}
 	for _, victim := range c.evict {
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -22,10 +22,10 @@
 	}
 }
 
-// Unloaded notes that a unit is gone from the engine.
-func (f *Fleet) Unloaded(id string, unit serving.Unit) {
-	e := f.engines[id]
-	if e == nil {
+// Unloaded notes that a unit is gone from an operation's engine.
+func (f *Fleet) Unloaded(op Operation, unit serving.Unit) {
+	e := f.engines[op.Engine]
+	if e == nil || e.generation != op.generation {
 		return
 	}
 	if unit.Adapter == "" {
@@ -40,7 +40,7 @@
 // Expect moves the time at which an operation's load will be ready.
 func (f *Fleet) Expect(op Operation, ready time.Time) {
 	e := f.engines[op.Engine]
-	if e == nil || e.Copies[op.Load.Model] == nil {
+	if e == nil || e.generation != op.generation || e.Copies[op.Load.Model] == nil {
 		return
 	}
 	c := e.Copies[op.Load.Model]
@@ -53,10 +53,17 @@
 	e.Free = later(e.Free, ready)
 }
 
+// Current reports whether the account that an operation was planned on still
+// stands. No order may be sent for one that is not.
+func (f *Fleet) Current(op Operation) bool {
+	e := f.engines[op.Engine]
+	return e != nil && !e.Unsure && e.generation == op.generation
+}
+
 // Done notes that an operation has been carried out.
 func (f *Fleet) Done(op Operation, now time.Time) {
 	e := f.engines[op.Engine]
-	if e == nil {
+	if e == nil || e.generation != op.generation {
 		return
 	}
 	e.failures = 0
@@ -70,9 +77,10 @@
 // be read anew, and is passed over for a while.
 func (f *Fleet) Failed(op Operation, now time.Time) {
 	e := f.engines[op.Engine]
-	if e == nil {
+	if e == nil || e.generation != op.generation {
 		return
 	}
+	e.generation++
 	e.Unsure = true
 	e.Failing = now.Add(min(maxFailingFor, failingFor<<min(e.failures, 8)))
 	e.failures++
@@ -109,5 +117,6 @@
 func (f *Fleet) Doubt(id string) {
 	if e := f.engines[id]; e != nil {
 		e.Unsure = true
+		e.generation++
 	}
 }
