--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,6 +25,7 @@
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
 )
 
 // Times and rates of calls to the store.
@@ -57,6 +58,8 @@
 	handler  http.Handler
 
 	draining atomic.Bool
+	// refusing: requests that arrive now could not be finished in the grace.
+	refusing atomic.Bool
 }
 
 // New wires an instance. Run starts it.
@@ -76,7 +79,7 @@
 	})
 	forwarder := forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, budget, forward.NewCounts(i.set), log)
 	i.guard = newGuard(i.limits)
-	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(forwarder, i.limits)))
+	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(&drainHandler{next: forwarder, refusing: &i.refusing}, i.limits)))
 	i.addGauges()
 	return i
 }
@@ -100,6 +103,24 @@
 	})
 }
 
+// drainHandler refuses requests that arrive late in a drain: the balancer sends
+// them when it has no other instance in the failure domain.
+type drainHandler struct {
+	next     serving.Handler
+	refusing *atomic.Bool
+}
+
+// drainRetry is told to clients that are refused: another instance answers them.
+const drainRetry = 20 * time.Millisecond
+
+// Serve implements serving.Handler.
+func (d *drainHandler) Serve(ctx context.Context, r *serving.Request, w http.ResponseWriter) *verdict.Failure {
+	if d.refusing.Load() {
+		return verdict.Refuse(verdict.ReasonDraining, "the instance is leaving").After(drainRetry)
+	}
+	return d.next.Serve(ctx, r, w)
+}
+
 // Ready reports whether clients should be sent here.
 func (i *Instance) Ready() bool {
 	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0
@@ -203,8 +224,11 @@
 	i.members.unregister(ctx)
 	cancel()
 	for time.Now().Before(limit) {
-		if time.Since(started) >= balancerNotice && i.guard.idle() {
-			break
+		if time.Since(started) >= balancerNotice {
+			i.refusing.Store(true)
+			if i.guard.idle() {
+				break
+			}
 		}
 		time.Sleep(drainCheck)
 	}
