Models are bound to engines late; copies in use are not evicted

Wanted models were bound to an engine when first asked for and queued there behind loads of 6 s, busy models behind idle ones; copies in use were evicted, and an unload then waited seconds for their requests; adapter orders met loads under way; dead engines counted as places. Ruled out: the holder (none was lost then).

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -60,26 +60,32 @@
 			if failure != nil {
 				return serving.Server{}, failure
 			}
-			if server.ID == "" {
-				continue // asked again after a pause
-			}
 		}
 		wait := time.Until(ready)
-		if wait <= 0 {
+		if wait <= 0 && server.ID != "" {
 			return server, nil
 		}
-		if failure := t.refuseWait(wait); failure != nil {
-			return serving.Server{}, failure
-		}
-		started := time.Now()
-		failure := t.pauseFor(ctx, wait)
-		t.waited += time.Since(started)
-		if failure != nil {
+		if failure := t.waitFor(ctx, wait); failure != nil {
 			return serving.Server{}, failure
 		}
 	}
 }
 
+// leastWait is the shortest pause before a place is asked for again.
+const leastWait = 20 * time.Millisecond
+
+// waitFor waits for a load, or refuses if the client should rather come back.
+func (t *trip) waitFor(ctx context.Context, wait time.Duration) *verdict.Failure {
+	wait = max(wait, leastWait)
+	if failure := t.refuseWait(wait); failure != nil {
+		return failure
+	}
+	started := time.Now()
+	failure := t.pauseFor(ctx, wait)
+	t.waited += time.Since(started)
+	return failure
+}
+
 // bestReplica picks among the engines known to have the unit or to get it.
 func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
 	now := time.Now()
@@ -127,18 +133,21 @@
 // belongs to the request, the first is shared most widely.
 const affineParts = 1
 
-// want asks for the unit to be loaded. An empty server means: ask again.
+// want asks for the unit to be loaded. An empty server means: ask again then.
 func (t *trip) want(ctx context.Context) (serving.Server, time.Time, *verdict.Failure) {
 	place, err := t.f.placer.Want(ctx, Wanted{
-		Service: t.service.Name, Unit: t.request.Unit, Priority: t.route.Priority, Missing: t.missing,
+		Service: t.service.Name, Unit: t.request.Unit, Priority: t.route.Priority, Missing: t.missing, Unreachable: t.unreachable,
 	})
-	t.missing = ""
+	t.missing, t.unreachable = "", ""
 	switch {
 	case ctx.Err() != nil:
 		return serving.Server{}, time.Time{}, verdict.Refuse(verdict.ReasonDeadline, "the time was over before a place for %s was known", t.request.Unit)
 	case err != nil:
 		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err)
 	}
+	if place.Engine == "" {
+		return serving.Server{}, place.Ready, nil
+	}
 	server, live := t.f.dir.Server(place.Engine)
 	if !live || server.Draining {
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -41,10 +41,13 @@
 	// Missing names an engine that said that it does not have the unit though
 	// it should.
 	Missing string
+	// Unreachable names an engine that could not be connected to.
+	Unreachable string
 }
 
 // Place is where a unit is or will be.
 type Place struct {
+	// Engine is empty while that is not decided; ask again when it is Ready.
 	Engine string
 	Ready  time.Time
 }
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -41,6 +41,8 @@
 	excluded map[string]bool
 	// missing is the last engine that did not have the unit.
 	missing string
+	// unreachable is the last engine that could not be connected to.
+	unreachable string
 	// pauses counts the pauses before a server was asked again.
 	pauses int
 	// waited is how long the request waited for a load.
@@ -192,7 +194,9 @@
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		*outcome = balance.Failed
 	}
-	if failure.Verdict != verdict.NotRun {
+	if failure.Verdict == verdict.NotRun {
+		t.unreachable = server.ID
+	} else {
 		t.sends++
 		t.runs++
 		t.mayHaveRun = true
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -138,10 +138,10 @@
 func (h *Holder) tick(now time.Time) {
 	h.mu.Lock()
 	h.refreshServers()
-	h.fleet.Running(h.account.running(now))
+	h.fleet.Running(h.account.running(now), now)
 	var operations []replicas.Operation
 	if !now.Before(h.lease.OrderFrom()) {
-		operations = h.fleet.Rebalance(now)
+		operations = append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
 	}
 	unsure := h.fleet.Unsure()
 	h.mu.Unlock()
@@ -168,28 +168,60 @@
 	}
 }
 
-// Want returns the engine on which a unit is or will be, and when it serves.
-// ok is false if no engine can take it.
-func (h *Holder) Want(service string, unit serving.Unit, missing string, now time.Time) (engine string, ready time.Time, ok bool, err error) {
+// Request is a request for a unit to be loaded.
+type Request struct {
+	Service string
+	Unit    serving.Unit
+	// Weight of the request that needs it, against an ordinary one.
+	Weight float64
+	// Missing names an engine that said that it does not have the unit, and
+	// Unreachable one that could not be connected to.
+	Missing, Unreachable string
+}
+
+// Want returns where a unit is or will be. ok is false if no engine can take it.
+func (h *Holder) Want(r Request, now time.Time) (found replicas.Found, ok bool, err error) {
 	h.mu.Lock()
 	if !h.lease.Held() {
 		h.mu.Unlock()
-		return "", time.Time{}, false, ErrNotHolder
+		return found, false, ErrNotHolder
 	}
 	h.refreshServers()
-	if missing != "" {
-		h.lacks(missing, unit, now)
+	if r.Missing != "" {
+		h.lacks(r.Missing, r.Unit, now)
 	}
-	found, ok := h.fleet.Find(service, unit, now)
-	if from := h.lease.OrderFrom(); ok && found.Start != nil && now.Before(from) {
+	if r.Unreachable != "" {
+		h.fleet.Unreachable(r.Unreachable, now)
+	}
+	found, ok = h.fleet.Find(r.Service, r.Unit, r.Weight, now)
+	var operations []replicas.Operation
+	if found.Start != nil {
+		operations = append(operations, *found.Start)
+	}
+	if from := h.lease.OrderFrom(); now.Before(from) {
 		found.Ready = found.Ready.Add(from.Sub(now)) // orders wait for the predecessor's validity
-		h.fleet.Expect(*found.Start, found.Ready)
+	} else if ok && found.Engine == "" {
+		operations = append(operations, h.fleet.Dispatch(now)...)
+		found, ok = h.fleet.Find(r.Service, r.Unit, 0, now)
+	}
+	h.mu.Unlock()
+	for _, op := range operations {
+		h.begin(op, "request")
+	}
+	return found, ok, nil
+}
+
+// dispatch starts what is wanted on engines that have become free.
+func (h *Holder) dispatch(now time.Time) {
+	h.mu.Lock()
+	var operations []replicas.Operation
+	if h.lease.Held() && !now.Before(h.lease.OrderFrom()) {
+		operations = h.fleet.Dispatch(now)
 	}
 	h.mu.Unlock()
-	if ok && found.Start != nil {
-		h.begin(*found.Start, "request")
+	for _, op := range operations {
+		h.begin(op, "request")
 	}
-	return found.Engine, found.Ready, ok, nil
 }
 
 // lacks needs mu. An engine said that it does not have a unit that it should.
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -132,6 +132,7 @@
 	}
 	w.h.account.touch()
 	w.h.mu.Unlock()
+	w.h.dispatch(time.Now())
 	w.h.counts.operation(op, err, time.Since(started))
 	w.h.log.WithFields(logrus.Fields{
 		"engine": op.Engine, "load": op.Load.String(), "ms": time.Since(started).Milliseconds(), "late_ms": time.Since(op.Ready).Milliseconds(), "error": err,
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -20,10 +20,13 @@
 
 // Running takes over how many requests of all instances run on each copy; what
 // is not named has none.
-func (f *Fleet) Running(counts map[string]map[string]int) {
+func (f *Fleet) Running(counts map[string]map[string]int, now time.Time) {
 	for id, e := range f.engines {
 		for model, c := range e.Copies {
 			c.Running = counts[id][model]
+			if c.Running > 0 {
+				c.Used = now
+			}
 		}
 	}
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -36,8 +36,10 @@
 	Ready time.Time
 	// Needed is until when requests are known to need the copy.
 	Needed time.Time
-	// Running counts requests of all instances on the copy, when last heard.
+	// Running counts requests of all instances on the copy, when last heard,
+	// and Used is when any was last heard of.
 	Running  int
+	Used     time.Time
 	Adapters map[string]*Adapter
 }
 
@@ -60,8 +62,12 @@
 	Tiers    map[string]serving.Tier
 	// Unsure engines must be read anew before anything is decided on them.
 	Unsure bool
-	// Free is when the operations planned so far are expected to be done.
+	// Busy: a model is being loaded or unloaded; Free is when that is expected
+	// to be done.
+	Busy bool
 	Free time.Time
+	// remote: what is being loaded comes from the weight store.
+	remote bool
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
@@ -85,6 +91,7 @@
 	params  Params
 	engines map[string]*Engine
 	demand  map[string]*Demand
+	wants   map[string]*want
 	decayed time.Time
 	// remoteLoads are the recent starts of loads from the weight store.
 	remoteLoads []time.Time
@@ -92,7 +99,7 @@
 
 // NewFleet returns an empty account.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}}
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}}
 }
 
 // Engine returns the account of one engine, nil if it is not known.
@@ -139,6 +146,10 @@
 	if e == nil {
 		return
 	}
+	if r.Sequence < e.Sequence { // only a restart counts anew: this is another engine's report
+		e.fail(now)
+		return
+	}
 	e.adopt(r.Models, r.Sequence, now)
 	for _, unit := range r.Pending {
 		if c := e.Copies[unit.Model]; c != nil && c.Adapters[unit.Adapter] == nil {
@@ -148,9 +159,8 @@
 	if r.Tiers != nil {
 		e.Tiers = r.Tiers
 	}
-	e.Unsure = false
+	e.Unsure, e.Busy = false, false
 	e.generation++
-	e.Free = now
 }
 
 func (e *Engine) adopt(models map[string][]string, sequence int64, now time.Time) {
@@ -159,7 +169,7 @@
 	for model, adapters := range models {
 		c := &Copy{State: Resident, Adapters: map[string]*Adapter{}}
 		if known := old[model]; known != nil {
-			c.Needed, c.Running = known.Needed, known.Running
+			c.Needed, c.Running, c.Used = known.Needed, known.Running, known.Used
 		}
 		for _, name := range adapters {
 			c.Adapters[name] = &Adapter{Used: now}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -67,6 +67,9 @@
 		return
 	}
 	e.failures = 0
+	if op.Load.Adapter == "" {
+		e.Busy = false
+	}
 	if c := e.Copies[op.Load.Model]; c != nil && op.Load.Adapter == "" {
 		c.State = Resident
 		c.need(now.Add(f.params.KeepFor))
@@ -80,12 +83,27 @@
 	if e == nil || e.generation != op.generation {
 		return
 	}
+	e.fail(now)
+}
+
+func (e *Engine) fail(now time.Time) {
 	e.generation++
 	e.Unsure = true
 	e.Failing = now.Add(min(maxFailingFor, failingFor<<min(e.failures, 8)))
 	e.failures++
 }
 
+// unreachableFor is how long an engine that an instance could not connect to is
+// passed over.
+const unreachableFor = time.Second
+
+// Unreachable notes that an instance could not connect to an engine.
+func (f *Fleet) Unreachable(id string, now time.Time) {
+	if e := f.engines[id]; e != nil {
+		e.Failing = later(e.Failing, now.Add(unreachableFor))
+	}
+}
+
 // A load that is not done when it was expected to be is looked for again after
 // postponement, and in doubt when it is later than latest.
 const (
--- a/command/replicas/rebalance.go
+++ b/command/replicas/rebalance.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // Rebalance plans what demand asks for beyond single requests: further copies
@@ -20,8 +22,8 @@
 		if !known {
 			continue
 		}
-		c, ok := f.bestChoice(service, model, now)
-		if !ok || c.loss >= f.gain(model) {
+		c, ok := f.bestChoice(service, model, nil, now)
+		if !ok || c.engine.Busy || c.tier == serving.TierRemote && f.copiesOf(model) > 0 {
 			continue
 		}
 		return []Operation{f.start(c, model, now)}
@@ -44,11 +46,6 @@
 	return n
 }
 
-// gain is what one more copy is worth, in the same measure as evictionLoss.
-func (f *Fleet) gain(model string) float64 {
-	return f.rate(model) * f.params.RequestTime.Seconds() / f.params.CopyLoad
-}
-
 // serviceOf returns the service that has the model.
 func (f *Fleet) serviceOf(model string) (string, bool) {
 	for _, e := range f.Engines() {
--- /dev/null
+++ b/command/replicas/want.go
@@ -0,0 +1,131 @@
+package replicas
+
+import (
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// Found is where a unit is or will be.
+type Found struct {
+	// Engine is empty while it is not decided which one takes the unit.
+	Engine string
+	// Ready is when it serves, as expected; a time past means now.
+	Ready time.Time
+	// Start, if set, is the operation to carry out for it.
+	Start *Operation
+}
+
+// want is a model that requests wait for and that no engine has.
+type want struct {
+	service, model string
+	// value is the weight of the requests that asked, together.
+	value float64
+	// asked is when the last of them did.
+	asked time.Time
+	// estimate is when the model is expected to be ready.
+	estimate time.Time
+}
+
+// Find returns where a unit of a service is served or will be. A model that no
+// engine has becomes wanted; Dispatch decides which engine takes it, as late as
+// possible, since what is known then is better. weight is that of the request.
+// ok is false if no engine can take the unit.
+func (f *Fleet) Find(service string, unit serving.Unit, weight float64, now time.Time) (found Found, ok bool) {
+	if found, ok := f.existing(service, unit, now); ok {
+		return found, true
+	}
+	if unit.Adapter != "" && f.copiesOf(unit.Model) > 0 {
+		return f.placeAdapter(service, unit, now)
+	}
+	w := f.wants[unit.Model]
+	if w == nil {
+		w = &want{service: service, model: unit.Model, estimate: now}
+		f.wants[unit.Model] = w
+	}
+	w.value += weight
+	w.asked = now
+	c, ok := f.bestChoice(service, unit.Model, f.claims(w, now), now)
+	if !ok {
+		return Found{}, false
+	}
+	w.estimate = c.ready
+	return Found{Ready: c.ready}, true
+}
+
+// claims returns how long engines will be busy with what is wanted more.
+func (f *Fleet) claims(before *want, now time.Time) map[string]time.Duration {
+	claimed := map[string]time.Duration{}
+	for _, w := range f.byValue() {
+		if w == before || w.value < before.value {
+			continue
+		}
+		if c, ok := f.bestChoice(w.service, w.model, claimed, now); ok {
+			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
+		}
+	}
+	return claimed
+}
+
+func (f *Fleet) byValue() []*want {
+	wants := make([]*want, 0, len(f.wants))
+	for _, w := range f.wants {
+		wants = append(wants, w)
+	}
+	slices.SortFunc(wants, func(a, b *want) int { return compareFloat(-a.value, -b.value, a.model, b.model) })
+	return wants
+}
+
+// Dispatch starts what is wanted on engines that are free, the most wanted
+// first. A model for which a busy engine is the better choice goes on waiting.
+func (f *Fleet) Dispatch(now time.Time) []Operation {
+	var operations []Operation
+	claimed := map[string]time.Duration{}
+	for _, w := range f.byValue() {
+		if now.Sub(w.asked) > f.params.WantLifetime && now.After(w.estimate) || f.copiesOf(w.model) > 0 {
+			delete(f.wants, w.model)
+			continue
+		}
+		c, ok := f.bestChoice(w.service, w.model, claimed, now)
+		if !ok {
+			continue
+		}
+		w.estimate = c.ready
+		if c.engine.Busy || claimed[c.engine.Server.ID] > 0 {
+			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
+			continue
+		}
+		operations = append(operations, f.start(c, w.model, now))
+		delete(f.wants, w.model)
+	}
+	return operations
+}
+
+// existing returns the copy that serves the unit, or will first.
+func (f *Fleet) existing(service string, unit serving.Unit, now time.Time) (best Found, ok bool) {
+	for _, e := range f.Engines() {
+		c := e.Copies[unit.Model]
+		if e.Server.Service != service || c == nil || c.State == Leaving || e.Server.Draining || now.Before(e.Failing) {
+			continue
+		}
+		ready := c.Ready
+		if unit.Adapter != "" {
+			a := c.Adapters[unit.Adapter]
+			if a == nil {
+				continue
+			}
+			ready = later(ready, a.Ready)
+			a.Used = now
+		}
+		if !ok || ready.Before(best.Ready) {
+			best, ok = Found{Engine: e.Server.ID, Ready: ready}, true
+		}
+	}
+	if ok {
+		f.engines[best.Engine].Copies[unit.Model].need(later(best.Ready, now).Add(f.params.KeepFor))
+	}
+	return best, ok
+}
+
+func (c *Copy) need(until time.Time) { c.Needed = later(c.Needed, until) }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -93,9 +94,13 @@
 		f.arrivals[unit.Model] = a
 	}
 	a.Count++
-	a.Value += 1 / float64(1+priority)
+	a.Value += weight(priority)
 }
 
+// weight is how much a request of a priority counts for what is loaded. Routes
+// state a rank and no worth; each rank counts a third of the one before.
+func weight(priority int) float64 { return math.Pow(3, float64(1-priority)) }
+
 // Started implements forward.Placer.
 func (f *follower) Started(engine string, unit serving.Unit) func() {
 	key := placed{engine, unit}
@@ -128,7 +133,9 @@
 		return forward.Place{}, forward.ErrNoHolder
 	}
 	var reply WantReply
-	if err := f.call(ctx, record, wantTimeout, methodWant, &WantArgs{Service: w.Service, Unit: w.Unit, Missing: w.Missing}, &reply); err != nil {
+	if err := f.call(ctx, record, wantTimeout, methodWant, &WantArgs{holder.Request{
+		Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable,
+	}}, &reply); err != nil {
 		return forward.Place{}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	switch {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -55,11 +55,7 @@
 	Instances int
 }
 
-type WantArgs struct {
-	Service string
-	Unit    serving.Unit
-	Missing string
-}
+type WantArgs struct{ holder.Request }
 
 // WantReply says where a unit is or will be. Found is false if no engine can
 // take it, Held if this instance is not the holder.
@@ -100,12 +96,12 @@
 // Want answers where a unit is or will be.
 func (s *service) Want(args *WantArgs, reply *WantReply) error {
 	now := time.Now()
-	engine, ready, found, err := s.holder.Want(args.Service, args.Unit, args.Missing, now)
+	found, ok, err := s.holder.Want(args.Request, now)
 	if errors.Is(err, holder.ErrNotHolder) {
 		return nil
 	}
-	reply.Held, reply.Found, reply.Engine = true, found, engine
-	reply.InMS = until(ready, now)
+	reply.Held, reply.Found, reply.Engine = true, ok, found.Engine
+	reply.InMS = until(found.Ready, now)
 	return nil
 }
 
