A released lease names the engines ordered last; a leaving instance refuses what waits

What no server has yet is now refused once the balancer has taken notice. In a roll of all instances each successor waited the whole time between holders for every engine; now only for those ordered within it, named in the record.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -97,6 +97,8 @@
 	budget   *Budget
 	log      logrus.FieldLogger
 	counts   *Counts
+	// leaving is closed when the instance is about to end.
+	leaving chan struct{}
 
 	mu sync.Mutex
 	// longest is the longest time that clients of a route have allowed. One
@@ -108,7 +110,24 @@
 func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, counts *Counts, log logrus.FieldLogger) *Forwarder {
 	return &Forwarder{
 		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, counts: counts, log: log,
-		longest: map[string]time.Duration{},
+		longest: map[string]time.Duration{}, leaving: make(chan struct{}),
+	}
+}
+
+// Leave has all requests that no server has yet refused, since the instance is
+// about to end. It must be called once.
+func (f *Forwarder) Leave() { close(f.leaving) }
+
+// leavingRetry is told to clients of an instance that leaves: another answers.
+const leavingRetry = 20 * time.Millisecond
+
+// left returns the refusal of an instance that leaves, nil while it stays.
+func (f *Forwarder) left() *verdict.Failure {
+	select {
+	case <-f.leaving:
+		return verdict.Refuse(verdict.ReasonDraining, "the instance is leaving").After(leavingRetry)
+	default:
+		return nil
 	}
 }
 
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
-	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -82,6 +81,9 @@
 // run takes the request from server to server until it is answered.
 func (t *trip) run(ctx context.Context) *verdict.Failure {
 	for {
+		if failure := t.f.left(); failure != nil {
+			return t.final(ctx, failure)
+		}
 		server, failure := t.choose(ctx)
 		if failure != nil {
 			return t.final(ctx, failure)
@@ -227,10 +229,20 @@
 	}
 }
 
-// pauseFor waits, and fails when the request's time ends before.
+// pauseFor waits, and fails when the request's time ends before or the instance
+// leaves.
 func (t *trip) pauseFor(ctx context.Context, d time.Duration) *verdict.Failure {
-	if d <= 0 || pause.For(ctx, d) {
+	if d <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
 		return nil
+	case <-t.f.leaving:
+		return t.f.left()
+	case <-ctx.Done():
 	}
 	return verdict.Refuse(verdict.ReasonDeadline, "the time was over after %s of waiting", time.Since(t.request.Arrived).Round(time.Millisecond))
 }
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -85,9 +85,9 @@
 	// failingSince is when renewals began to fail, zero while they succeed;
 	// guarded by mu.
 	failingSince time.Time
-	// gaveUp is the fencing token under which this instance has promised to
+	// gaveUp is the released record under which this instance has promised to
 	// order nothing more; guarded by mu.
-	gaveUp int64
+	gaveUp lease.Record
 	// ctx ends when this instance stops; guarded by mu.
 	ctx context.Context
 
@@ -140,7 +140,7 @@
 	h.refreshServers()
 	h.fleet.Running(h.account.running(now), now)
 	var operations []replicas.Operation
-	if !now.Before(h.lease.OrderFrom()) {
+	if !now.Before(h.lease.OrderFrom("")) {
 		operations = append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
 	}
 	unsure := h.fleet.Unsure()
@@ -198,7 +198,7 @@
 	if found.Start != nil {
 		operations = append(operations, *found.Start)
 	}
-	if from := h.lease.OrderFrom(); now.Before(from) {
+	if from := h.lease.OrderFrom(found.Engine); now.Before(from) {
 		found.Ready = found.Ready.Add(from.Sub(now)) // orders wait for the predecessor's validity
 	} else if ok && found.Engine == "" {
 		operations = append(operations, h.fleet.Dispatch(now)...)
@@ -215,7 +215,7 @@
 func (h *Holder) dispatch(now time.Time) {
 	h.mu.Lock()
 	var operations []replicas.Operation
-	if h.lease.Held() && !now.Before(h.lease.OrderFrom()) {
+	if h.lease.Held() && !now.Before(h.lease.OrderFrom("")) {
 		operations = h.fleet.Dispatch(now)
 	}
 	h.mu.Unlock()
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -34,7 +34,7 @@
 	}
 	h.mu.Lock()
 	h.lease.Won(current, candidate, written, sent, time.Now())
-	from := h.lease.OrderFrom()
+	from := h.lease.OrderFrom("")
 	h.fleet = replicas.NewFleet(h.params.Fleet)
 	h.account = newAccount()
 	h.failingSince = time.Time{}
@@ -54,29 +54,25 @@
 // Release gives the lease up, so that a successor need not wait for its
 // validity. No order is sent after it has begun.
 func (h *Holder) Release(ctx context.Context) {
-	h.mu.Lock()
-	held := h.lease.Held()
-	record, revision := h.lease.Record()
-	h.mu.Unlock()
-	if !held {
+	record, revision, ok := h.stopOrders()
+	if !ok {
 		return
 	}
-	h.stopOrders()
-	record.Released = true
 	_, err := store.WriteJSON(ctx, h.store, KeyLease, record, revision)
 	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease released")
 }
 
 // stopOrders gives up the lease and waits for the orders that were checked
-// before to be answered.
-func (h *Holder) stopOrders() {
+// before to be answered. ok is false if there is nothing to hand over.
+func (h *Holder) stopOrders() (record lease.Record, revision int64, ok bool) {
 	h.mu.Lock()
-	h.lease.Lost()
+	record, revision, ok = h.lease.Release(time.Now())
 	workers := slices.Collect(maps.Values(h.workers))
 	h.mu.Unlock()
 	for _, w := range workers {
 		w.awaitOrder()
 	}
+	return record, revision, ok
 }
 
 // giveUpAfter is how long renewals must have failed before the lease is given
@@ -88,27 +84,29 @@
 // validity to end.
 func (h *Holder) offerUp(now time.Time) {
 	h.mu.Lock()
-	record, _ := h.lease.Record()
 	failing := h.lease.Held() && !h.failingSince.IsZero() && now.Sub(h.failingSince) >= giveUpAfter
 	if failing {
-		h.lease.Lost()
+		h.failingSince = time.Time{} // once
 	}
 	h.mu.Unlock()
 	if !failing {
 		return
 	}
-	h.log.WithField("fence", record.Fence).Warn("lease given up: this instance does not reach the store, another does")
 	go func() {
-		h.stopOrders()
+		record, _, ok := h.stopOrders()
+		if !ok {
+			return
+		}
+		h.log.WithField("fence", record.Fence).Warn("lease given up: this instance does not reach the store, another does")
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.gaveUp = record.Fence
+		h.gaveUp = record
 	}()
 }
 
-// GaveUp returns the fencing token under which this instance has promised to
-// order nothing more, 0 if there is none.
-func (h *Holder) GaveUp() int64 {
+// GaveUp returns the released record under which this instance has promised to
+// order nothing more, the zero Record if there is none.
+func (h *Holder) GaveUp() lease.Record {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.gaveUp
@@ -125,18 +123,19 @@
 	}
 }
 
-// fence returns the fencing token for an order to be sent now, renewing the
+// fence returns the fencing token for an order to an engine to be sent now, renewing the
 // lease first if that is due.
-func (h *Holder) fence(ctx context.Context) (int64, error) {
+func (h *Holder) fence(ctx context.Context, engine string) (int64, error) {
 	if err := h.renew(ctx); err != nil {
 		return 0, err
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	token, ok := h.lease.Fence(time.Now())
+	token, ok := h.lease.Fence(engine, time.Now())
 	if !ok {
 		return 0, ErrNotHolder
 	}
+	h.lease.Ordered(engine, time.Now())
 	return token, nil
 }
 
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -143,7 +143,7 @@
 // steps unloads what has to go, orders the load and waits for it.
 func (w *worker) steps(op replicas.Operation) error {
 	w.h.mu.Lock()
-	from := w.h.lease.OrderFrom()
+	from := w.h.lease.OrderFrom(w.engine)
 	w.h.mu.Unlock()
 	if from.Before(op.From) {
 		from = op.From
@@ -235,7 +235,7 @@
 	defer w.ordering.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
 	defer cancel()
-	fence, err := w.h.fence(ctx)
+	fence, err := w.h.fence(ctx, w.engine)
 	if err != nil {
 		return 0, err
 	}
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -6,15 +6,16 @@
 //
 // The holder may order while less than Validity, less the time that an order may
 // be on its way, has passed on its steady clock since it sent the last renewal
-// that the store confirmed. A renewal that
-// changes nothing suffices: it succeeds only while the record is still the
-// holder's. So a renewal is needed only when there is something to order.
+// that the store confirmed. A renewal that changes nothing suffices: it succeeds
+// only while the record is still the holder's. So a renewal is needed only when
+// there is something to order.
 //
 // A successor writes itself into the record first, which makes every later
 // renewal of the old holder fail, and then waits for Validity, in which the old
 // holder may still order, and for Settle, which the deployment asks for between
 // orders of two holders. It needs no news of the old holder's renewals, and no
-// two clocks are compared.
+// two clocks are compared. A holder that releases the lease says when it last
+// ordered which engine, so that its successor waits for those alone.
 //
 // A paused holder may still send one order after its check. That order carries
 // the old token and the engine's sequence that it was decided on; the engine
@@ -34,6 +35,10 @@
 	Fence int64 `json:"fence"`
 	// Released: the holder has stopped ordering.
 	Released bool `json:"released"`
+	// Ordered, in a released record, is how long before the release each engine
+	// was last ordered, in milliseconds. An engine that is not named was not
+	// ordered within Settle.
+	Ordered map[string]int64 `json:"ordered,omitempty"`
 }
 
 // Params are the times of a lease.
@@ -59,6 +64,9 @@
 	renewed time.Time
 	// from is when the first order may be sent.
 	from time.Time
+	// others is when other holders last ordered each engine, at the latest, and
+	// ordered when this one did.
+	others, ordered map[string]time.Time
 }
 
 // New returns the lease of the instance on the machine named self, not held.
@@ -74,11 +82,15 @@
 // when its answer came.
 func (l *Lease) Won(previous, record Record, revision int64, sent, now time.Time) {
 	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
+	l.others, l.ordered = map[string]time.Time{}, map[string]time.Time{}
 	switch {
 	case previous.Fence == 0 || previous.Holder == l.self:
 		l.from = now
 	case previous.Released:
-		l.from = now.Add(l.params.Settle)
+		l.from = now
+		for engine, age := range previous.Ordered {
+			l.others[engine] = now.Add(-time.Duration(age) * time.Millisecond)
+		}
 	default:
 		l.from = now.Add(l.params.Validity + l.params.Settle)
 	}
@@ -100,13 +112,40 @@
 // Record returns the record as last written, and its revision in the store.
 func (l *Lease) Record() (Record, int64) { return l.record, l.revision }
 
-// OrderFrom returns when the first order may be sent.
-func (l *Lease) OrderFrom() time.Time { return l.from }
+// OrderFrom returns when the first order may be sent to an engine.
+func (l *Lease) OrderFrom(engine string) time.Time {
+	if last, known := l.others[engine]; known && last.Add(l.params.Settle).After(l.from) {
+		return last.Add(l.params.Settle)
+	}
+	return l.from
+}
+
+// Ordered notes that an order was sent to an engine.
+func (l *Lease) Ordered(engine string, now time.Time) { l.ordered[engine] = now }
+
+// Release gives the lease up and returns the record that says so. ok is false
+// if the last holder but one may still order: a successor must wait for it as
+// this instance would have had to.
+func (l *Lease) Release(now time.Time) (record Record, revision int64, ok bool) {
+	record, revision = l.record, l.revision
+	ok = l.held && !now.Before(l.from)
+	l.held = false
+	record.Released = true
+	record.Ordered = map[string]int64{}
+	for _, last := range []map[string]time.Time{l.others, l.ordered} {
+		for engine, at := range last {
+			if age := now.Sub(at); age < l.params.Settle {
+				record.Ordered[engine] = age.Milliseconds()
+			}
+		}
+	}
+	return record, revision, ok
+}
 
-// Fence returns the fencing token of an order sent at now; ok is false when
-// none may be sent. It must be asked immediately before each send.
-func (l *Lease) Fence(now time.Time) (fence int64, ok bool) {
-	if !l.held || now.Before(l.from) || now.Sub(l.renewed) >= l.params.Validity-l.params.Transit {
+// Fence returns the fencing token of an order to an engine sent at now; ok is
+// false when none may be sent. It must be asked immediately before each send.
+func (l *Lease) Fence(engine string, now time.Time) (fence int64, ok bool) {
+	if !l.held || now.Before(l.OrderFrom(engine)) || now.Sub(l.renewed) >= l.params.Validity-l.params.Transit {
 		return 0, false
 	}
 	return l.record.Fence, true
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,7 +25,6 @@
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
-	"github.com/martenport/martenport/verdict"
 )
 
 // Times and rates of calls to the store.
@@ -46,20 +45,19 @@
 	log      *logrus.Logger
 	set      *metrics.Set
 
-	dir      *directory.Directory
-	client   *platform.Client
-	backends *platform.Backends
-	balancer *balance.Balancer
-	holder   *holder.Holder
-	follower *follower
-	members  *members
-	guard    *guard
-	watcher  *watcher
-	handler  http.Handler
+	dir       *directory.Directory
+	client    *platform.Client
+	backends  *platform.Backends
+	balancer  *balance.Balancer
+	holder    *holder.Holder
+	follower  *follower
+	members   *members
+	forwarder *forward.Forwarder
+	guard     *guard
+	watcher   *watcher
+	handler   http.Handler
 
 	draining atomic.Bool
-	// refusing: requests that arrive now could not be finished in the grace.
-	refusing atomic.Bool
 }
 
 // New wires an instance. Run starts it.
@@ -77,9 +75,9 @@
 	budget := forward.NewBudget(forward.BudgetParams{
 		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(),
 	})
-	forwarder := forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, budget, forward.NewCounts(i.set), log)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, budget, forward.NewCounts(i.set), log)
 	i.guard = newGuard(i.limits)
-	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(&drainHandler{next: forwarder, refusing: &i.refusing}, i.limits)))
+	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)))
 	i.addGauges()
 	return i
 }
@@ -103,24 +101,6 @@
 	})
 }
 
-// drainHandler refuses requests that arrive late in a drain: the balancer sends
-// them when it has no other instance in the failure domain.
-type drainHandler struct {
-	next     serving.Handler
-	refusing *atomic.Bool
-}
-
-// drainRetry is told to clients that are refused: another instance answers them.
-const drainRetry = 20 * time.Millisecond
-
-// Serve implements serving.Handler.
-func (d *drainHandler) Serve(ctx context.Context, r *serving.Request, w http.ResponseWriter) *verdict.Failure {
-	if d.refusing.Load() {
-		return verdict.Refuse(verdict.ReasonDraining, "the instance is leaving").After(drainRetry)
-	}
-	return d.next.Serve(ctx, r, w)
-}
-
 // Ready reports whether clients should be sent here.
 func (i *Instance) Ready() bool {
 	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0
@@ -223,13 +203,9 @@
 	i.holder.Release(ctx)
 	i.members.unregister(ctx)
 	cancel()
-	for time.Now().Before(limit) {
-		if time.Since(started) >= balancerNotice {
-			i.refusing.Store(true)
-			if i.guard.idle() {
-				break
-			}
-		}
+	time.Sleep(time.Until(started.Add(balancerNotice)))
+	i.forwarder.Leave()
+	for time.Now().Before(limit) && !i.guard.idle() {
 		time.Sleep(drainCheck)
 	}
 	ctx, cancel = context.WithDeadline(context.Background(), limit)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -60,8 +60,9 @@
 	running   map[placed]int              // guarded by mu
 	instances int                         // guarded by mu
 	silent    bool                        // guarded by mu
-	// gaveUp is the fencing token that its holder has given up; guarded by mu.
-	gaveUp int64
+	// gaveUp is the released record of a holder that could not write it; guarded
+	// by mu.
+	gaveUp lease.Record
 
 	// reachesStore reports whether the last call to the store succeeded.
 	reachesStore func() bool
@@ -221,10 +222,10 @@
 }
 
 // noAnswer notes that the holder did not answer, or is not the holder any more.
-func (f *follower) noAnswer(record lease.Record, gaveUp int64, err error) {
+func (f *follower) noAnswer(record lease.Record, gaveUp lease.Record, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err == nil && gaveUp == record.Fence {
+	if err == nil && gaveUp.Fence == record.Fence {
 		f.gaveUp = gaveUp
 	}
 	if time.Since(f.answered) < silentAfter || f.silent {
@@ -242,8 +243,8 @@
 		return // the store's client logs its outages
 	}
 	f.mu.Lock()
-	if record.Fence == f.gaveUp {
-		record.Released = true // by its holder's word, which cannot reach the store
+	if record.Fence == f.gaveUp.Fence {
+		record = f.gaveUp // its holder cannot reach the store
 	}
 	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
 	if changed {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
 )
@@ -47,9 +48,9 @@
 // ExchangeReply is the holder's answer. Held is false at any other instance.
 type ExchangeReply struct {
 	Held bool
-	// GaveUp is the fencing token under which the answering instance orders
-	// nothing more, 0 if there is none.
-	GaveUp    int64
+	// GaveUp is the released record under which the answering instance orders
+	// nothing more, the zero Record if there is none.
+	GaveUp    lease.Record
 	Fence     int64
 	Views     []WireView
 	Instances int
