An adapter planned anew keeps its place in the account

Ruled out: late orders, a wrong count of memory. The place is freed when the eviction is planned. TestAdapterPlannedAnewKeepsItsPlace fails without.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -45,16 +45,16 @@
 // touch notes that a view has changed.
 func (a *account) touch() { a.changes++ }
 
-// running adds up what all instances run, by engine and model.
-func (a *account) running(now time.Time) map[string]map[string]int {
+// running adds up what all instances run, by engine and unit.
+func (a *account) running(now time.Time) map[string]map[serving.Unit]int {
 	a.expire(now)
-	counts := map[string]map[string]int{}
+	counts := map[string]map[serving.Unit]int{}
 	for _, i := range a.instances {
 		for _, r := range i.running {
 			if counts[r.Engine] == nil {
-				counts[r.Engine] = map[string]int{}
+				counts[r.Engine] = map[serving.Unit]int{}
 			}
-			counts[r.Engine][r.Unit.Model] += r.Count
+			counts[r.Engine][r.Unit] += r.Count
 		}
 	}
 	return counts
--- /dev/null
+++ b/command/replicas/adapters_test.go
@@ -0,0 +1,102 @@
+package replicas
+
+import (
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// testSpec has room for three models and two adapters.
+func testSpec(models ...string) *serving.EngineSpec {
+	spec := &serving.EngineSpec{Slots: 8, MemoryMB: 330, AdapterSlots: 2, RemoteLoadsPerSecond: 3, Models: map[string]serving.Model{}}
+	for _, name := range models {
+		spec.Models[name] = serving.Model{
+			Name: name, MemoryMB: 100, RemoteLoad: 6 * time.Second, DiskLoad: time.Second, MemoryLoad: time.Second / 2, Adapters: 9, AdapterMB: 1,
+		}
+	}
+	return spec
+}
+
+// testFleet has engines e1, e2, ... with the given models loaded and all other
+// ones on disk, read already.
+func testFleet(now time.Time, spec *serving.EngineSpec, loaded ...[]string) *Fleet {
+	f := NewFleet(DefaultParams())
+	var servers []serving.Server
+	for i, models := range loaded {
+		s := serving.Server{ID: string(rune('a'+i)) + "-engine", Service: "llm", Models: map[string][]string{}, Tiers: map[string]serving.Tier{}}
+		for name := range spec.Models {
+			s.Tiers[name] = serving.TierDisk
+		}
+		for _, name := range models {
+			s.Models[name] = nil
+		}
+		servers = append(servers, s)
+	}
+	f.SetServers(servers, func(string) *serving.EngineSpec { return spec })
+	for _, s := range servers {
+		f.Adopt(s.ID, serving.Report{Models: s.Models}, now)
+	}
+	return f
+}
+
+// TestAdapterPlannedAnewKeepsItsPlace: an adapter that is evicted for another
+// and asked for again before the eviction was ordered counts when it is back.
+// Found as LIMIT on pulmapilt's scale-1: the eviction, carried out late, struck
+// the new one from the account, and one adapter too many was ordered.
+func TestAdapterPlannedAnewKeepsItsPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m"), []string{"m"})
+	find := func(adapter string) *Operation {
+		t.Helper()
+		now = now.Add(5 * time.Second)
+		found, ok := f.Find("llm", serving.Unit{Model: "m", Adapter: adapter}, 1, now)
+		if !ok || found.Start == nil {
+			t.Fatalf("adapter %s: %+v, %v", adapter, found, ok)
+		}
+		return found.Start
+	}
+	find("a1")
+	find("a2")
+	evicts1 := find("a3")
+	if len(evicts1.Unload) != 1 || evicts1.Unload[0].Adapter != "a1" {
+		t.Fatalf("a3 evicts %v, want a1", evicts1.Unload)
+	}
+	find("a1") // wanted again, in place of a2
+	f.Unloaded(*evicts1, evicts1.Unload[0])
+	if n := f.Engine("a-engine").adapters(); n != 2 {
+		t.Errorf("%d adapters counted, want 2", n)
+	}
+	if again := find("a4"); len(again.Unload) != 1 {
+		t.Errorf("a4 evicts %v, want one adapter: all places are taken", again.Unload)
+	}
+}
+
+// TestOperationVoidAfterReading: found as LIMIT on trouble-1 of both sites. An
+// operation that was planned on an account that has been replaced is void.
+func TestOperationVoidAfterReading(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	if _, ok := f.Find("llm", serving.Unit{Model: "m4"}, 1, now); !ok {
+		t.Fatal("no place for m4")
+	}
+	operations := f.Dispatch(now)
+	if len(operations) != 1 || !f.Current(operations[0]) {
+		t.Fatalf("operations %+v", operations)
+	}
+	f.Adopt("a-engine", serving.Report{Models: map[string][]string{"m1": nil, "m2": nil, "m3": nil}}, now)
+	if f.Current(operations[0]) {
+		t.Error("an operation is carried out on an account that it was not planned on")
+	}
+}
+
+// TestReportOfAnotherStart: a sequence below the known one is another process's.
+func TestReportOfAnotherStart(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1"), []string{"m1"})
+	f.Ordered("a-engine")
+	f.Adopt("a-engine", serving.Report{}, now)
+	if e := f.Engine("a-engine"); len(e.Copies) != 1 || !e.Unsure {
+		t.Errorf("copies %v, unsure %v: took over the report of another process", e.Copies, e.Unsure)
+	}
+}
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // Arrived notes n requests for a model, with their worth together.
@@ -18,12 +20,16 @@
 	d.Last = now
 }
 
-// Running takes over how many requests of all instances run on each copy; what
+// Running takes over how many requests of all instances run for each unit; what
 // is not named has none.
-func (f *Fleet) Running(counts map[string]map[string]int, now time.Time) {
+func (f *Fleet) Running(counts map[string]map[serving.Unit]int, now time.Time) {
 	for id, e := range f.engines {
 		for model, c := range e.Copies {
-			c.Running = counts[id][model]
+			c.Running = counts[id][serving.Unit{Model: model}]
+			for name, a := range c.Adapters {
+				a.Running = counts[id][serving.Unit{Model: model, Adapter: name}]
+				c.Running += a.Running
+			}
 			if c.Running > 0 {
 				c.Used = now
 			}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -22,18 +22,13 @@
 	}
 }
 
-// Unloaded notes that a unit is gone from an operation's engine.
+// Unloaded notes that a unit is gone from an operation's engine. An adapter left
+// the account when the operation was planned: its place is the new one's, and by
+// now it may have been planned anew for another request.
 func (f *Fleet) Unloaded(op Operation, unit serving.Unit) {
 	e := f.engines[op.Engine]
-	if e == nil || e.generation != op.generation {
-		return
-	}
-	if unit.Adapter == "" {
+	if e != nil && e.generation == op.generation && unit.Adapter == "" {
 		delete(e.Copies, unit.Model)
-		return
-	}
-	if c := e.Copies[unit.Model]; c != nil {
-		delete(c.Adapters, unit.Adapter)
 	}
 }
 
