The holder relays the store's news; views travel as changes

Ways weighed: watchers by failure domain with a relay tree (a second protocol); the holder, whom all report to anyway, as the only watcher (taken). Instances watch themselves only while the holder's word is older than 0.9 s or its own watches than 1.3 s, so the bound is below the seconds in which drains and configurations must be known.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -23,12 +23,9 @@
 	Count  int
 }
 
-// account is what instances have said of their requests, and which views have
-// changed since.
+// account is what instances have said of their requests.
 type account struct {
 	instances map[string]instance
-	// changes counts changes of any engine's view.
-	changes uint64
 }
 
 type instance struct {
@@ -36,15 +33,12 @@
 	running []Running
 }
 
-func newAccount() account { return account{instances: map[string]instance{}, changes: 1} }
+func newAccount() account { return account{instances: map[string]instance{}} }
 
 // instanceLifetime is how long an instance's word is counted: several times the
 // interval at which instances report.
 const instanceLifetime = 2 * time.Second
 
-// touch notes that a view has changed.
-func (a *account) touch() { a.changes++ }
-
 // running adds up what all instances run, by engine and unit.
 func (a *account) running(now time.Time) map[string]map[serving.Unit]int {
 	a.expire(now)
@@ -78,30 +72,63 @@
 	return counts
 }
 
-// Exchange takes over what an instance says of its requests and returns what it
-// should know of the engines.
-// reachesStore says whether that instance does.
-func (h *Holder) Exchange(name string, reachesStore bool, arrivals []Arrivals, running []Running, now time.Time) (fence int64, views []directory.EngineView, instances int, err error) {
-	if reachesStore {
+// Report is what an instance says of itself.
+type Report struct {
+	Name string
+	// ReachesStore: its last call to the store succeeded.
+	ReachesStore bool
+	Arrivals     []Arrivals
+	Running      []Running
+	// Fence is the token of the holder that it heard from last, SeenViews and
+	// SeenServers what it has from that one.
+	Fence                  int64
+	SeenViews, SeenServers uint64
+}
+
+// News is what the holder says to an instance.
+type News struct {
+	Fence     int64
+	Instances int
+	// Views are those that have changed since SeenViews; Seen is what to
+	// report next time.
+	Views []directory.EngineView
+	Seen  uint64
+	// Others is how many requests of other instances run on each engine.
+	Others map[string]int
+	// Servers are the changes since SeenServers.
+	Servers directory.Delta
+	// ConfigVersion is that of the configuration in force at the holder.
+	ConfigVersion int64
+}
+
+// Exchange takes over what an instance says and returns what it should know.
+func (h *Holder) Exchange(r Report, now time.Time) (News, error) {
+	if r.ReachesStore {
 		h.offerUp(now)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.lease.Held() {
-		return 0, nil, 0, ErrNotHolder
+		return News{}, ErrNotHolder
 	}
-	h.account.instances[name] = instance{heard: now, running: running}
-	for _, a := range arrivals {
+	h.account.instances[r.Name] = instance{heard: now, running: r.Running}
+	for _, a := range r.Arrivals {
 		h.fleet.Arrived(a.Model, a.Count, a.Value, now)
 	}
-	for _, r := range running {
-		h.fleet.Used(r.Engine, r.Unit, now)
+	for _, run := range r.Running {
+		h.fleet.Used(run.Engine, run.Unit, now)
 	}
 	h.account.expire(now)
 	record, _ := h.lease.Record()
-	others := h.account.others(name)
-	for _, e := range h.fleet.Engines() {
-		views = append(views, directory.EngineView{Engine: e.Server.ID, Units: e.Units(now), Running: others[e.Server.ID]})
+	if r.Fence != record.Fence {
+		r.SeenViews, r.SeenServers = 0, 0
+	}
+	news := News{
+		Fence: record.Fence, Instances: len(h.account.instances), Others: h.account.others(r.Name), Servers: h.dir.Since(r.SeenServers),
+	}
+	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
+	if config := h.dir.Config(); config != nil {
+		news.ConfigVersion = config.Version
 	}
-	return record.Fence, views, len(h.account.instances), nil
+	return news, nil
 }
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -81,6 +81,7 @@
 	fleet *replicas.Fleet // guarded by mu
 	// account is what instances have said of their requests; guarded by mu.
 	account account
+	views   views              // guarded by mu
 	workers map[string]*worker // by engine; guarded by mu
 	// failingSince is when renewals began to fail, zero while they succeed;
 	// guarded by mu.
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -130,7 +130,6 @@
 	} else {
 		w.h.fleet.Failed(op, time.Now())
 	}
-	w.h.account.touch()
 	w.h.mu.Unlock()
 	w.h.dispatch(time.Now())
 	w.h.counts.operation(op, err, time.Since(started))
@@ -165,7 +164,6 @@
 	ready := time.Now().Add(op.Duration)
 	w.h.mu.Lock()
 	w.h.fleet.Expect(op, ready)
-	w.h.account.touch()
 	w.h.mu.Unlock()
 	if op.Remote {
 		return w.awaitRemote(op, ready)
@@ -293,7 +291,6 @@
 		if err == nil && !report.Busy {
 			w.h.mu.Lock()
 			w.h.fleet.Adopt(w.engine, report, time.Now())
-			w.h.account.touch()
 			w.h.mu.Unlock()
 			w.h.log.WithFields(logrus.Fields{"engine": w.engine, "sequence": report.Sequence, "models": len(report.Models)}).Info("engine read")
 			return
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,14 @@
 	// viewsFrom is the fencing token of the holder that the views are from.
 	viewsFrom int64 // guarded by mu
 	heard     time.Time
+	// others is how many requests of other instances run on each engine;
+	// guarded by mu.
+	others map[string]int
+	// change counts the changes of servers, changed has the last one of each
+	// id, and revision is the store's up to which they are known; guarded by mu.
+	change   uint64
+	changed  map[string]uint64
+	revision int64
 }
 
 type removal struct {
@@ -38,7 +46,7 @@
 func New() *Directory {
 	return &Directory{
 		servers: map[string]serving.Server{}, draining: map[string]time.Time{}, removed: map[string]removal{},
-		views: map[string]EngineView{},
+		views: map[string]EngineView{}, changed: map[string]uint64{},
 	}
 }
 
@@ -69,7 +77,8 @@
 	if gone, removed := d.removed[s.ID]; removed && s.Revision <= gone.revision {
 		return false
 	}
-	if known, found := d.servers[s.ID]; found && s.Revision <= known.Revision {
+	known, found := d.servers[s.ID]
+	if found && s.Revision <= known.Revision {
 		return false
 	}
 	delete(d.removed, s.ID)
@@ -80,6 +89,10 @@
 	}
 	s.Draining = s.Draining || drains
 	d.servers[s.ID] = s
+	d.revision = max(d.revision, s.Revision)
+	if !found || !routesAlike(known, s) {
+		d.touch(s.ID)
+	}
 	return leaves
 }
 
@@ -95,6 +108,9 @@
 	d.removed[id] = removal{revision: max(revision, d.removed[id].revision), at: now}
 	delete(d.servers, id)
 	delete(d.views, id)
+	if found {
+		d.touch(id)
+	}
 	return found
 }
 
@@ -150,7 +166,13 @@
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.removed, func(_ string, r removal) bool { return now.Sub(r.at) > leftRetention })
+	maps.DeleteFunc(d.removed, func(id string, r removal) bool {
+		old := now.Sub(r.at) > leftRetention
+		if _, live := d.servers[id]; old && !live {
+			delete(d.changed, id)
+		}
+		return old
+	})
 	maps.DeleteFunc(d.draining, func(id string, at time.Time) bool {
 		_, live := d.servers[id]
 		return !live && now.Sub(at) > leftRetention
--- /dev/null
+++ b/directory/relay.go
@@ -0,0 +1,92 @@
+package directory
+
+import (
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// Removal says that a server's entry was gone as of a revision of the store.
+type Removal struct {
+	ID       string
+	Revision int64
+}
+
+// Delta is what one instance's directory has that another's has not, of what
+// concerns routing: weights cached on engines are left out.
+type Delta struct {
+	// Change is what to ask from next time.
+	Change  uint64
+	Servers []serving.Server
+	Removed []Removal
+	// Whole: Servers are all there are as of Revision, the store's.
+	Whole    bool
+	Revision int64
+}
+
+// Since returns what has changed after a change that an earlier Delta named, or
+// everything after 0.
+func (d *Directory) Since(change uint64) Delta {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	delta := Delta{Change: d.change, Whole: change == 0, Revision: d.revision}
+	if change == d.change {
+		return delta
+	}
+	for id, s := range d.servers {
+		if d.changed[id] > change {
+			s.Tiers = nil
+			delta.Servers = append(delta.Servers, s)
+		}
+	}
+	for id, r := range d.removed {
+		if d.changed[id] > change {
+			delta.Removed = append(delta.Removed, Removal{ID: id, Revision: r.revision})
+		}
+	}
+	slices.SortFunc(delta.Servers, byID)
+	return delta
+}
+
+// ApplyDelta takes over what another instance's directory has, and returns the
+// servers that are gone by it.
+func (d *Directory) ApplyDelta(delta Delta, now time.Time) (gone []string) {
+	for _, s := range delta.Servers {
+		d.ApplyServer(s, now)
+	}
+	for _, r := range delta.Removed {
+		if d.RemoveServer(r.ID, r.Revision, now) {
+			gone = append(gone, r.ID)
+		}
+	}
+	if !delta.Whole {
+		return gone
+	}
+	for _, id := range d.IDs() {
+		listed := slices.ContainsFunc(delta.Servers, func(s serving.Server) bool { return s.ID == id })
+		if !listed && d.RemoveServer(id, delta.Revision, now) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Listed notes the store's revision up to which the servers are known.
+func (d *Directory) Listed(revision int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision = max(d.revision, revision)
+}
+
+// touch needs mu. It notes a change that other instances should hear of.
+func (d *Directory) touch(id string) {
+	d.change++
+	d.changed[id] = d.change
+}
+
+// routesAlike reports whether two announcements of a server say the same to
+// those who send requests.
+func routesAlike(a, b serving.Server) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Draining == b.Draining && a.FailureDomain == b.FailureDomain
+}
--- a/directory/views.go
+++ b/directory/views.go
@@ -12,8 +12,6 @@
 	Engine string
 	// Units are the models and adapters that get requests.
 	Units []UnitView
-	// Running is how many requests of all instances run on the engine.
-	Running int
 }
 
 // UnitView is a unit on an engine.
@@ -32,9 +30,10 @@
 	Others int
 }
 
-// ApplyViews takes over what the holder with the given fencing token says. All
-// engines that it does not name keep their views.
-func (d *Directory) ApplyViews(fence int64, views []EngineView, now time.Time) {
+// ApplyViews takes over what the holder with the given fencing token says: the
+// views that have changed, and how many requests of other instances run on each
+// engine. Engines that it does not name keep their views.
+func (d *Directory) ApplyViews(fence int64, views []EngineView, others map[string]int, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if fence < d.viewsFrom {
@@ -44,7 +43,7 @@
 		clear(d.views)
 		d.viewsFrom = fence
 	}
-	d.heard = now
+	d.heard, d.others = now, others
 	for _, v := range views {
 		if _, live := d.servers[v.Engine]; live {
 			d.views[v.Engine] = v
@@ -70,13 +69,13 @@
 		if viewed && fresh {
 			for _, u := range view.Units {
 				if u.Unit == unit {
-					found = append(found, Replica{Server: s, Ready: u.Ready, Others: view.Running})
+					found = append(found, Replica{Server: s, Ready: u.Ready, Others: d.others[s.ID]})
 				}
 			}
 			continue
 		}
 		if adapters, loaded := s.Models[unit.Model]; loaded && (unit.Adapter == "" || slices.Contains(adapters, unit.Adapter)) {
-			found = append(found, Replica{Server: s, Others: view.Running})
+			found = append(found, Replica{Server: s, Others: d.others[s.ID]})
 		}
 	}
 	slices.SortFunc(found, func(a, b Replica) int { return byID(a.Server, b.Server) })
@@ -87,5 +86,5 @@
 func (d *Directory) Others(id string) int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.views[id].Running
+	return d.others[id]
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -33,7 +33,7 @@
 	// milliseconds, and still lets a silent store be noticed within a second.
 	storeTimeout = time.Second
 	// watchWait bounds how long a watch that hangs goes unnoticed.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// storeRate is an instance's calls a second at the most; usual are two.
 	storeRate   = 40
 	readRetries = 1
@@ -55,6 +55,7 @@
 	forwarder *forward.Forwarder
 	guard     *guard
 	watcher   *watcher
+	service   *service
 	handler   http.Handler
 
 	draining atomic.Bool
@@ -70,8 +71,10 @@
 	i.holder = holder.New(holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease()), i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
-	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}}
-	i.follower.reachesStore = i.watcher.reachesStore
+	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
+	i.follower.watcher = i.watcher
+	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
+	i.follower.own = i.service
 	budget := forward.NewBudget(forward.BudgetParams{
 		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(),
 	})
@@ -132,7 +135,7 @@
 	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.guard.run, i.members.register, i.reload} {
 		work.Go(func() { run(background) })
 	}
-	go (&service{holder: i.holder, follower: i.follower}).serve(listeners.peers)
+	go i.service.serve(listeners.peers)
 	clients := &http.Server{Handler: i.handler, MaxHeaderBytes: maxHeaderBytes, ConnState: i.guard.connState, ConnContext: i.guard.connContext, ErrorLog: nil}
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
 	own := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -25,6 +25,12 @@
 	// exchangeInterval is how often an instance reports its requests: models
 	// take about a second to load, so demand a quarter old is recent.
 	exchangeInterval = 250 * time.Millisecond
+	// exchangeShare for each instance is the least interval of a large fleet:
+	// the holder then answers 125 reports a second.
+	exchangeShare = 8 * time.Millisecond
+	// relayedAge is how old the holder's word of the store may be to be taken:
+	// the holder's watches answer within a second at the latest.
+	relayedAge = 1300 * time.Millisecond
 	// exchangeTimeout is several round trips between failure domains, with
 	// room for a holder that is short of processor time.
 	exchangeTimeout = 500 * time.Millisecond
@@ -63,9 +69,19 @@
 	// gaveUp is the released record of a holder that could not write it; guarded
 	// by mu.
 	gaveUp lease.Record
+	// seen is what the holder has told; guarded by mu.
+	seen seen
 
-	// reachesStore reports whether the last call to the store succeeded.
-	reachesStore func() bool
+	// watcher is set before run.
+	watcher *watcher
+	// own answers this instance's calls of itself.
+	own *service
+}
+
+// seen is what an instance has of a holder's word.
+type seen struct {
+	fence          int64
+	views, servers uint64
 }
 
 // placed is a unit on an engine.
@@ -159,12 +175,11 @@
 }
 
 func (f *follower) callOwn(args, reply any) error {
-	own := &service{holder: f.holder, follower: f}
 	switch a := args.(type) {
 	case *ExchangeArgs:
-		return own.Exchange(a, reply.(*ExchangeReply))
+		return f.own.Exchange(a, reply.(*ExchangeReply))
 	case *WantArgs:
-		return own.Want(a, reply.(*WantReply))
+		return f.own.Want(a, reply.(*WantReply))
 	default:
 		return errors.Newf("entry: no such call %T", args)
 	}
@@ -176,7 +191,7 @@
 	f.answered = time.Now()
 	f.mu.Unlock()
 	f.find(ctx)
-	for pause.For(ctx, exchangeInterval) {
+	for pause.For(ctx, f.interval()) {
 		if f.exchange(ctx) {
 			continue
 		}
@@ -190,17 +205,7 @@
 // exchange reports to the holder and takes over what it says. It reports
 // whether the holder answered.
 func (f *follower) exchange(ctx context.Context) bool {
-	f.mu.Lock()
-	record := f.record
-	args := &ExchangeArgs{From: f.name, ReachesStore: f.reachesStore()}
-	for _, a := range f.arrivals {
-		args.Arrivals = append(args.Arrivals, *a)
-	}
-	clear(f.arrivals)
-	for key, n := range f.running {
-		args.Running = append(args.Running, holder.Running{Engine: key.engine, Unit: key.unit, Count: n})
-	}
-	f.mu.Unlock()
+	record, args := f.report()
 	if record.Holder == "" || record.Released {
 		return false
 	}
@@ -209,16 +214,52 @@
 		f.noAnswer(record, reply.GaveUp, err)
 		return false
 	}
-	now := time.Now()
-	f.dir.ApplyViews(reply.Fence, decodeViews(reply.Views, now), now)
+	f.takeOverNews(record, &reply, time.Now())
+	return true
+}
+
+// report makes up what the holder is told, and to whom.
+func (f *follower) report() (lease.Record, *ExchangeArgs) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answered, f.instances = now, max(1, reply.Instances)
+	r := holder.Report{
+		Name: f.name, ReachesStore: f.watcher.reachesStore(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
+	}
+	for _, a := range f.arrivals {
+		r.Arrivals = append(r.Arrivals, *a)
+	}
+	clear(f.arrivals)
+	for key, n := range f.running {
+		r.Running = append(r.Running, holder.Running{Engine: key.engine, Unit: key.unit, Count: n})
+	}
+	return f.record, &ExchangeArgs{r}
+}
+
+// takeOverNews takes over what the holder says.
+func (f *follower) takeOverNews(record lease.Record, reply *ExchangeReply, now time.Time) {
+	news := reply.News
+	f.dir.ApplyViews(news.Fence, decodeViews(reply.Views, now), news.Others, now)
+	relayed := record.Holder != f.name && time.Duration(reply.StoreAgeMS)*time.Millisecond < relayedAge
+	if relayed {
+		f.watcher.relay(news, now)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered, f.instances = now, max(1, news.Instances)
+	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
+	if !relayed {
+		f.seen.servers = 0 // they were not taken over
+	}
 	if f.silent {
 		f.silent = false
-		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": reply.Fence}).Info("holder answers")
+		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": news.Fence}).Info("holder answers")
 	}
-	return true
+}
+
+// interval is how often the instance reports: less often in a large fleet, so
+// that the holder's work does not grow with it without bound.
+func (f *follower) interval() time.Duration {
+	return max(exchangeInterval, time.Duration(f.Instances())*exchangeShare)
 }
 
 // noAnswer notes that the holder did not answer, or is not the holder any more.
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -23,25 +23,18 @@
 	methodReaches  = "Entry.Reaches"
 )
 
-// ExchangeArgs is what an instance says of its requests to the holder.
-type ExchangeArgs struct {
-	From string
-	// ReachesStore: the last call to the store succeeded.
-	ReachesStore bool
-	Arrivals     []holder.Arrivals
-	Running      []holder.Running
-}
+// ExchangeArgs is an instance's report to the holder.
+type ExchangeArgs struct{ holder.Report }
 
 // WireView is a directory.EngineView with times as durations from now.
 type WireView struct {
-	Engine  string
-	Units   []WireUnit
-	Running int
+	Engine string
+	Units  []WireUnit
 }
 
+// WireUnit is a directory.UnitView; InMS is when the unit serves, from now.
 type WireUnit struct {
 	Unit serving.Unit
-	// InMS is when the unit serves, from now; 0 or less means now.
 	InMS int64
 }
 
@@ -50,10 +43,12 @@
 	Held bool
 	// GaveUp is the released record under which the answering instance orders
 	// nothing more, the zero Record if there is none.
-	GaveUp    lease.Record
-	Fence     int64
-	Views     []WireView
-	Instances int
+	GaveUp lease.Record
+	// News has no views: they travel in Views.
+	News  holder.News
+	Views []WireView
+	// StoreAgeMS is how old the holder's word of the store may be.
+	StoreAgeMS int64
 }
 
 type WantArgs struct{ holder.Request }
@@ -77,20 +72,23 @@
 type service struct {
 	holder   *holder.Holder
 	follower *follower
+	// storeAge is how old what this instance knows of the store may be.
+	storeAge func(now time.Time) time.Duration
 }
 
 // Exchange answers an instance's report.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
-	fence, views, instances, err := s.holder.Exchange(args.From, args.ReachesStore, args.Arrivals, args.Running, now)
+	news, err := s.holder.Exchange(args.Report, now)
 	if errors.Is(err, holder.ErrNotHolder) {
 		reply.GaveUp = s.holder.GaveUp()
 		return nil
 	}
-	reply.Held, reply.Fence, reply.Instances = true, fence, instances
-	for _, v := range views {
+	for _, v := range news.Views {
 		reply.Views = append(reply.Views, encodeView(v, now))
 	}
+	news.Views = nil
+	reply.Held, reply.News, reply.StoreAgeMS = true, news, s.storeAge(now).Milliseconds()
 	return nil
 }
 
@@ -115,7 +113,7 @@
 func until(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func encodeView(v directory.EngineView, now time.Time) WireView {
-	w := WireView{Engine: v.Engine, Running: v.Running}
+	w := WireView{Engine: v.Engine}
 	for _, u := range v.Units {
 		w.Units = append(w.Units, WireUnit{Unit: u.Unit, InMS: until(u.Ready, now)})
 	}
@@ -125,7 +123,7 @@
 func decodeViews(views []WireView, now time.Time) []directory.EngineView {
 	decoded := make([]directory.EngineView, 0, len(views))
 	for _, w := range views {
-		v := directory.EngineView{Engine: w.Engine, Running: w.Running}
+		v := directory.EngineView{Engine: w.Engine}
 		for _, u := range w.Units {
 			v.Units = append(v.Units, directory.UnitView{Unit: u.Unit, Ready: now.Add(time.Duration(u.InMS) * time.Millisecond)})
 		}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
@@ -29,19 +30,32 @@
 	lapseGrace = 2200 * time.Millisecond
 )
 
-// watcher keeps the directory up with the store.
+// watcher keeps the directory up with the store: by watches of its own at the
+// holder of the lease and wherever the holder's word is not recent, else by that
+// word. So calls to the store do not grow with the number of instances.
 type watcher struct {
 	store    store.Store
 	dir      *directory.Directory
 	backends *platform.Backends
 	balancer *balance.Balancer
 	log      logrus.FieldLogger
+	// holds reports whether this instance holds the lease.
+	holds func() bool
+	// news wakes the watch of the configuration when there is a newer one.
+	news chan struct{}
 
 	mu sync.Mutex
 	// down is whether the last call failed, and returned when calls succeeded
 	// again; guarded by mu.
 	down     bool
 	returned time.Time
+	// relayed is when the holder's word was last taken; guarded by mu.
+	relayed time.Time
+	// wanted is the newest configuration's version that was heard of; guarded
+	// by mu.
+	wanted int64
+	// contact is when each watch was last answered, by prefix; guarded by mu.
+	contact map[string]time.Time
 	// lapsed are servers whose entries are missing, with the revision of that.
 	lapsed map[string]int64 // guarded by mu
 }
@@ -55,11 +69,69 @@
 	work.Wait()
 }
 
-// watch reads all objects under prefix once and then what changes. full is
-// whether apply gets all objects or only changes.
+// relayLifetime is how long the holder's word is taken without another: two
+// reports may fail.
+const relayLifetime = 900 * time.Millisecond
+
+// relayCheck is how often an instance that takes the holder's word looks
+// whether it still does.
+const relayCheck = 100 * time.Millisecond
+
+// relies reports whether the holder's word is recent.
+func (w *watcher) relies(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.relayed.IsZero() && now.Sub(w.relayed) < relayLifetime
+}
+
+// relay takes over the holder's word.
+func (w *watcher) relay(news holder.News, now time.Time) {
+	for _, id := range w.dir.ApplyDelta(news.Servers, now) {
+		w.forget(id, news.Servers.Revision)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.relayed = now
+	w.wanted = max(w.wanted, news.ConfigVersion)
+	select {
+	case w.news <- struct{}{}:
+	default: // the watch has been woken already
+	}
+}
+
+// lacksConfig reports whether a newer configuration than the one in force was
+// heard of.
+func (w *watcher) lacksConfig() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	config := w.dir.Config()
+	return config == nil || config.Version < w.wanted
+}
+
+// age is how old what is known of the store may be.
+func (w *watcher) age(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	oldest := now
+	for _, prefix := range []string{platform.KeyConfig, platform.PrefixServers} {
+		if t := w.contact[prefix]; t.Before(oldest) {
+			oldest = t
+		}
+	}
+	return now.Sub(oldest)
+}
+
+// watch reads all objects under prefix once and then what changes, while the
+// holder's word is not relied on. full is whether apply gets all objects or only
+// changes.
 func (w *watcher) watch(ctx context.Context, prefix string, gather time.Duration, apply func(snap store.Snapshot, full bool)) {
 	revision := int64(-1)
 	for ctx.Err() == nil {
+		if !w.holds() && w.relies(time.Now()) && (prefix != platform.KeyConfig || !w.lacksConfig()) {
+			revision = -1
+			w.idle(ctx, prefix)
+			continue
+		}
 		snap, err := w.readOrWatch(ctx, prefix, revision)
 		w.note(prefix, err)
 		if errors.Is(err, store.ErrCompacted) {
@@ -78,6 +150,22 @@
 	}
 }
 
+// idle waits for news of the configuration, or until it is time to look whether
+// the holder's word is still relied on.
+func (w *watcher) idle(ctx context.Context, prefix string) {
+	if prefix != platform.KeyConfig {
+		pause.For(ctx, relayCheck)
+		return
+	}
+	timer := time.NewTimer(relayCheck)
+	defer timer.Stop()
+	select {
+	case <-w.news:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 func (w *watcher) readOrWatch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
 	if revision < 0 {
 		return w.store.List(ctx, prefix)
@@ -90,6 +178,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	down := err != nil && !errors.Is(err, store.ErrCompacted)
+	if !down {
+		w.contact[prefix] = time.Now()
+	}
 	if down == w.down {
 		return
 	}
@@ -102,13 +193,25 @@
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
-// reachesStore reports whether the last call succeeded.
+// reachesStore reports whether a call has succeeded of late, and none has failed
+// since. An instance that takes the holder's word cannot say so.
 func (w *watcher) reachesStore() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.down
+	if w.down {
+		return false
+	}
+	for _, t := range w.contact {
+		if time.Since(t) < recentContact {
+			return true
+		}
+	}
+	return false
 }
 
+// recentContact is a little longer than a watch waits without events.
+const recentContact = 1500 * time.Millisecond
+
 func (w *watcher) applyConfig(snap store.Snapshot, _ bool) {
 	for _, obj := range snap.Objects {
 		if obj.Deleted {
@@ -140,6 +243,7 @@
 		}
 		w.apply(server)
 	}
+	w.dir.Listed(snap.Revision)
 	if !full {
 		return
 	}
@@ -178,9 +282,13 @@
 // remove needs mu.
 func (w *watcher) remove(id string, revision int64) {
 	delete(w.lapsed, id)
-	if !w.dir.RemoveServer(id, revision, time.Now()) {
-		return
+	if w.dir.RemoveServer(id, revision, time.Now()) {
+		w.forget(id, revision)
 	}
+}
+
+// forget drops what was kept for a server that is gone.
+func (w *watcher) forget(id string, revision int64) {
 	w.backends.Forget(id)
 	w.balancer.Forget(id)
 	w.log.WithFields(logrus.Fields{"server": id, "revision": revision}).Info("server gone")
