The account of the fleet finds engines by what they hold

Ruled out: the take-over itself (one, in 3.2 s). Indexes by model and by cached weights; engines without the weights are looked at only if no other is soon free.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -26,6 +26,9 @@
 // account is what instances have said of their requests.
 type account struct {
 	instances map[string]instance
+	// totals is what all run, by engine, as of added.
+	totals map[string]int
+	added  time.Time
 }
 
 type instance struct {
@@ -59,14 +62,20 @@
 }
 
 // others adds up what all instances but one run, by engine.
-func (a *account) others(name string) map[string]int {
-	counts := map[string]int{}
-	for from, i := range a.instances {
-		if from == name {
-			continue
+func (a *account) others(name string, now time.Time) map[string]int {
+	if now.Sub(a.added) >= viewsInterval {
+		a.added = now
+		a.totals = map[string]int{}
+		for _, i := range a.instances {
+			for _, r := range i.running {
+				a.totals[r.Engine] += r.Count
+			}
 		}
-		for _, r := range i.running {
-			counts[r.Engine] += r.Count
+	}
+	counts := maps.Clone(a.totals)
+	for _, r := range a.instances[name].running {
+		if counts[r.Engine] -= r.Count; counts[r.Engine] <= 0 {
+			delete(counts, r.Engine)
 		}
 	}
 	return counts
@@ -124,7 +133,7 @@
 		r.SeenViews, r.SeenServers = 0, 0
 	}
 	news := News{
-		Fence: record.Fence, Instances: len(h.account.instances), Others: h.account.others(r.Name), Servers: h.dir.Since(r.SeenServers),
+		Fence: record.Fence, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers),
 	}
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config := h.dir.Config(); config != nil {
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -23,7 +23,7 @@
 
 // viewsInterval bounds how often the views are made anew: many instances ask
 // within one.
-const viewsInterval = 20 * time.Millisecond
+const viewsInterval = 50 * time.Millisecond
 
 // since returns the views that changed after a change, and the newest change.
 func (v *views) since(change uint64, fleet *replicas.Fleet, now time.Time) ([]directory.EngineView, uint64) {
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -20,9 +20,9 @@
 // take no adapter while they load or unload a model.
 func (f *Fleet) placeAdapter(service string, unit serving.Unit, now time.Time) (Found, bool) {
 	var best room
-	for _, e := range f.Engines() {
+	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
-		if e.Server.Service != service || c == nil || c.State == Leaving || !e.usable(now) {
+		if e.Server.Service != service || c.State == Leaving || !e.usable(now) {
 			continue
 		}
 		r, ok := f.adapterRoom(e, unit.Model, now)
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -10,7 +10,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/martenport/martenport/serving"
@@ -92,6 +91,7 @@
 	engines map[string]*Engine
 	demand  map[string]*Demand
 	wants   map[string]*want
+	index   index
 	decayed time.Time
 	// remoteLoads are the recent starts of loads from the weight store.
 	remoteLoads []time.Time
@@ -105,16 +105,6 @@
 // Engine returns the account of one engine, nil if it is not known.
 func (f *Fleet) Engine(id string) *Engine { return f.engines[id] }
 
-// Engines returns all accounts, in the order of ids.
-func (f *Fleet) Engines() []*Engine {
-	ids := slices.Sorted(maps.Keys(f.engines))
-	engines := make([]*Engine, 0, len(ids))
-	for _, id := range ids {
-		engines = append(engines, f.engines[id])
-	}
-	return engines
-}
-
 // SetServers takes over which engines there are and what they announce. New
 // engines are Unsure.
 func (f *Fleet) SetServers(servers []serving.Server, spec func(service string) *serving.EngineSpec) {
@@ -130,13 +120,19 @@
 			e = &Engine{Unsure: true, Copies: map[string]*Copy{}}
 			e.adopt(s.Models, 0, time.Time{})
 			f.engines[s.ID] = e
+			f.index = index{}
 		}
 		if e.Tiers == nil || s.Revision > e.Server.Revision {
 			e.Tiers = maps.Clone(s.Tiers)
+			f.index.cached = nil
 		}
 		e.Server, e.Spec = s, engineSpec
 	}
+	known := len(f.engines)
 	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
+	if len(f.engines) < known {
+		f.index = index{}
+	}
 }
 
 // Adopt takes over an engine's report in place of what was known. The report
@@ -151,6 +147,7 @@
 		return
 	}
 	e.adopt(r.Models, r.Sequence, now)
+	f.copiesChanged()
 	for _, unit := range r.Pending {
 		if c := e.Copies[unit.Model]; c != nil && c.Adapters[unit.Adapter] == nil {
 			c.Adapters[unit.Adapter] = &Adapter{Ready: now, Used: now}
@@ -158,6 +155,7 @@
 	}
 	if r.Tiers != nil {
 		e.Tiers = r.Tiers
+		f.index.cached = nil
 	}
 	e.Unsure, e.Busy = false, false
 	e.generation++
@@ -201,14 +199,3 @@
 func (e *Engine) usable(now time.Time) bool {
 	return !e.Server.Draining && !e.Unsure && !now.Before(e.Failing)
 }
-
-// copiesOf counts the copies of a model that serve or will.
-func (f *Fleet) copiesOf(model string) int {
-	n := 0
-	for _, e := range f.engines {
-		if c := e.Copies[model]; c != nil && c.State != Leaving && !e.Server.Draining {
-			n++
-		}
-	}
-	return n
-}
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -91,9 +91,21 @@
 }
 
 // bestChoice returns where a model costs least to load. claimed is how long
-// engines will be busy with models that go before it.
+// engines will be busy with models that go before it. Engines without the
+// weights are looked at only if none that has them is soon free.
 func (f *Fleet) bestChoice(service, model string, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
-	for _, e := range f.Engines() {
+	best, ok = f.bestOf(f.caching(model), service, model, claimed, now)
+	if ok && best.ready.Sub(now) < best.engine.Spec.Models[model].RemoteLoad {
+		return best, true
+	}
+	if other, found := f.bestOf(f.Engines(), service, model, claimed, now); found {
+		return other, true
+	}
+	return best, ok
+}
+
+func (f *Fleet) bestOf(engines []*Engine, service, model string, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
+	for _, e := range engines {
 		if e.Server.Service != service || !e.usable(now) || e.Copies[model] != nil {
 			continue
 		}
@@ -218,13 +230,17 @@
 	}
 	e.Copies[model] = &Copy{State: Arriving, Ready: c.ready, Needed: c.ready.Add(f.params.KeepFor), Adapters: map[string]*Adapter{}}
 	e.Busy, e.Free, e.remote = true, c.ready, op.Remote
-	e.cached(model)
+	f.copiesChanged()
+	f.cached(e, model)
 	return op
 }
 
 // cached notes that a load leaves a copy of the weights with the engine. Which
 // copies it drops from its host memory for that is known from its next entry.
-func (e *Engine) cached(model string) {
+func (f *Fleet) cached(e *Engine, model string) {
+	if e.Tiers[model] == serving.TierRemote {
+		f.index.cached = nil
+	}
 	for name, tier := range e.Tiers {
 		e.Tiers[name] = min(tier, serving.TierDisk)
 	}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -29,6 +29,7 @@
 	e := f.engines[op.Engine]
 	if e != nil && e.generation == op.generation && unit.Adapter == "" {
 		delete(e.Copies, unit.Model)
+		f.copiesChanged()
 	}
 }
 
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -41,31 +41,19 @@
 	}
 	w := f.wants[unit.Model]
 	if w == nil {
-		w = &want{service: service, model: unit.Model, estimate: now}
+		w = &want{service: service, model: unit.Model}
 		f.wants[unit.Model] = w
 	}
 	w.value += weight
 	w.asked = now
-	c, ok := f.bestChoice(service, unit.Model, f.claims(w, now), now)
-	if !ok {
-		return Found{}, false
-	}
-	w.estimate = c.ready
-	return Found{Ready: c.ready}, true
-}
-
-// claims returns how long engines will be busy with what is wanted more.
-func (f *Fleet) claims(before *want, now time.Time) map[string]time.Duration {
-	claimed := map[string]time.Duration{}
-	for _, w := range f.byValue() {
-		if w == before || w.value < before.value {
-			continue
-		}
-		if c, ok := f.bestChoice(w.service, w.model, claimed, now); ok {
-			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
+	if !w.estimate.After(now) {
+		c, ok := f.bestChoice(service, unit.Model, nil, now)
+		if !ok {
+			return Found{}, false
 		}
+		w.estimate = c.ready
 	}
-	return claimed
+	return Found{Ready: w.estimate}, true
 }
 
 func (f *Fleet) byValue() []*want {
@@ -104,9 +92,9 @@
 
 // existing returns the copy that serves the unit, or will first.
 func (f *Fleet) existing(service string, unit serving.Unit, now time.Time) (best Found, ok bool) {
-	for _, e := range f.Engines() {
+	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
-		if e.Server.Service != service || c == nil || c.State == Leaving || e.Server.Draining || now.Before(e.Failing) {
+		if e.Server.Service != service || c.State == Leaving || e.Server.Draining || now.Before(e.Failing) {
 			continue
 		}
 		ready := c.Ready
