--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -84,8 +84,9 @@
 // Report is what an instance says of itself.
 type Report struct {
 	Name string
-	// ReachesStore: its last call to the store succeeded.
-	ReachesStore bool
+	// StoreContact is how long ago the store last answered it, negative if that
+	// is not known.
+	StoreContact time.Duration
 	Arrivals     []Arrivals
 	Running      []Running
 	// Fence is the token of the holder that it heard from last, SeenViews and
@@ -112,8 +113,8 @@
 
 // Exchange takes over what an instance says and returns what it should know.
 func (h *Holder) Exchange(r Report, now time.Time) (News, error) {
-	if r.ReachesStore {
-		h.offerUp(now)
+	if r.StoreContact >= 0 {
+		h.offerUp(now.Add(-r.StoreContact), now)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -86,6 +86,8 @@
 	// failingSince is when renewals began to fail, zero while they succeed;
 	// guarded by mu.
 	failingSince time.Time
+	// renewalFailed is when the last renewal got no answer; guarded by mu.
+	renewalFailed time.Time
 	// gaveUp is the released record under which this instance has promised to
 	// order nothing more; guarded by mu.
 	gaveUp lease.Record
@@ -93,6 +95,10 @@
 	ctx context.Context
 
 	renewing sync.Mutex // held while a renewal is on its way
+
+	// storeSeen returns when the store last answered this instance's watches,
+	// and when one of them last failed.
+	storeSeen func() (answered, failed time.Time)
 }
 
 // New returns a Holder that does not hold the lease.
@@ -100,10 +106,14 @@
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), account: newAccount(), workers: map[string]*worker{},
-		ctx: context.Background(),
+		ctx: context.Background(), storeSeen: func() (answered, failed time.Time) { return },
 	}
 }
 
+// WatchStore has the holder know how this instance's watches fare. It must be
+// called before Run.
+func (h *Holder) WatchStore(seen func() (answered, failed time.Time)) { h.storeSeen = seen }
+
 // Run does the standing work while the lease is held, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.mu.Lock()
@@ -145,15 +155,44 @@
 		operations = append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
 	}
 	unsure := h.fleet.Unsure()
+	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
+	if unsettled {
+		go h.settle()
+	}
 	for _, id := range unsure {
-		h.worker(id).readAnew()
+		h.readIfSettled(id, now)
 	}
 	for _, op := range operations {
 		h.begin(op, "demand")
 	}
 }
 
+// settle writes that no holder before may order any more. It is tried again at
+// the next tick if that fails.
+func (h *Holder) settle() {
+	ctx, cancel := context.WithTimeout(h.ctx, h.params.Lease.Transit)
+	defer cancel()
+	if err := h.renew(ctx); err != nil {
+		h.log.WithField("error", err).Info("lease not settled")
+	}
+}
+
+// readAhead is how long before the first order to an engine it is read: earlier
+// the holder before may still have ordered it.
+const readAhead = 300 * time.Millisecond
+
+// readIfSettled has an engine read anew, unless the holder before may still
+// order it.
+func (h *Holder) readIfSettled(id string, now time.Time) {
+	h.mu.Lock()
+	settled := now.Add(readAhead).After(h.lease.OrderFrom(id))
+	h.mu.Unlock()
+	if settled {
+		h.worker(id).readAnew()
+	}
+}
+
 // refreshServers needs mu.
 func (h *Holder) refreshServers() {
 	config := h.dir.Config()
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -79,12 +79,22 @@
 // up to instances that do reach the store: two renewals at the least.
 const giveUpAfter = 400 * time.Millisecond
 
-// offerUp gives the lease up if this instance does not reach the store while
-// the one that asks does. Another can then take over without waiting for the
-// validity to end.
-func (h *Holder) offerUp(now time.Time) {
+// contactSlack is how much later than another's success an own failure must be
+// to say that the store serves others and not this instance.
+const contactSlack = 200 * time.Millisecond
+
+// offerUp gives the lease up if this instance does not reach the store though
+// the store has answered another one, at contact. Another can then take over
+// without waiting for the validity to end. While the store answers nobody the
+// lease stays: nobody could take it over.
+func (h *Holder) offerUp(contact, now time.Time) {
+	own, failed := h.storeSeen()
 	h.mu.Lock()
-	failing := h.lease.Held() && !h.failingSince.IsZero() && now.Sub(h.failingSince) >= giveUpAfter
+	if h.renewalFailed.After(failed) {
+		failed = h.renewalFailed
+	}
+	failing := h.lease.Held() && !h.failingSince.IsZero() && now.Sub(h.failingSince) >= giveUpAfter &&
+		contact.After(own) && failed.After(contact.Add(contactSlack))
 	if failing {
 		h.failingSince = time.Time{} // once
 	}
@@ -146,7 +156,8 @@
 	defer h.renewing.Unlock()
 	h.mu.Lock()
 	due, held := h.lease.RenewalDue(time.Now()), h.lease.Held()
-	record, revision := h.lease.Record()
+	sent := time.Now()
+	record, revision := h.lease.Renewal(sent)
 	h.mu.Unlock()
 	if !held {
 		return ErrNotHolder
@@ -158,13 +169,12 @@
 	if err != nil {
 		return errors.Wrap(err, "holder: lease record")
 	}
-	sent := time.Now()
 	obj, err := h.store.Put(ctx, KeyLease, value, revision)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
 	case err == nil:
-		h.lease.Renewed(obj.Version, sent)
+		h.lease.Renewed(record, obj.Version, sent)
 		h.failingSince = time.Time{}
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		h.lease.Lost()
@@ -174,6 +184,9 @@
 		if h.failingSince.IsZero() {
 			h.failingSince = sent
 		}
+		if errors.Is(err, store.ErrUnknown) { // the store was really asked
+			h.renewalFailed = time.Now()
+		}
 		h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
 	}
 	return nil
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -27,12 +27,16 @@
 // Record is what the store holds.
 type Record struct {
 	// Holder is the machine's name. Its processes follow each other on it, so
-	// that a restarted one need not wait for its predecessor.
+	// that a restarted one need not wait for its predecessor once that had
+	// settled.
 	Holder string `json:"holder"`
 	// Address is where other instances reach the holder.
 	Address string `json:"address"`
 	// Fence is the fencing token.
 	Fence int64 `json:"fence"`
+	// Settled: no holder before may order any more. Until then a process of the
+	// holder's that starts anew has to wait like any successor.
+	Settled bool `json:"settled"`
 	// Released: the holder has stopped ordering.
 	Released bool `json:"released"`
 	// Ordered, in a released record, is how long before the release each engine
@@ -64,6 +68,9 @@
 	renewed time.Time
 	// from is when the first order may be sent.
 	from time.Time
+	// knows is from when this process knows of every order that still counts:
+	// one that follows another on its machine does not know of the other's.
+	knows time.Time
 	// others is when other holders last ordered each engine, at the latest, and
 	// ordered when this one did.
 	others, ordered map[string]time.Time
@@ -74,7 +81,12 @@
 
 // Candidate returns the record to write in place of current to take over.
 func (l *Lease) Candidate(current Record, address string) Record {
-	return Record{Holder: l.self, Address: address, Fence: current.Fence + 1}
+	return Record{Holder: l.self, Address: address, Fence: current.Fence + 1, Settled: l.follows(current)}
+}
+
+// follows reports whether no other machine's holder may order after previous.
+func (l *Lease) follows(previous Record) bool {
+	return previous.Fence == 0 || previous.Holder == l.self && previous.Settled && !previous.Released
 }
 
 // Won notes that the store has accepted record at revision in place of previous
@@ -82,10 +94,14 @@
 // when its answer came.
 func (l *Lease) Won(previous, record Record, revision int64, sent, now time.Time) {
 	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
+	l.knows = time.Time{}
 	l.others, l.ordered = map[string]time.Time{}, map[string]time.Time{}
 	switch {
-	case previous.Fence == 0 || previous.Holder == l.self:
+	case l.follows(previous):
 		l.from = now
+		if previous.Fence != 0 {
+			l.knows = now.Add(l.params.Settle)
+		}
 	case previous.Released:
 		l.from = now
 		for engine, age := range previous.Ordered {
@@ -96,13 +112,34 @@
 	}
 }
 
-// Renewed notes that the store has confirmed the record by a write sent at sent.
-func (l *Lease) Renewed(revision int64, sent time.Time) {
-	if l.held && sent.After(l.renewed) {
-		l.renewed, l.revision = sent, revision
+// Renewal returns the record to write, at the revision of the last one, to renew
+// the lease at now.
+func (l *Lease) Renewal(now time.Time) (record Record, revision int64) {
+	record = l.record
+	record.Settled = record.Settled || l.settled(now)
+	return record, l.revision
+}
+
+// settled reports whether the time of all holders before is over.
+func (l *Lease) settled(now time.Time) bool {
+	for engine := range l.others {
+		if now.Before(l.OrderFrom(engine)) {
+			return false
+		}
 	}
+	return !now.Before(l.from)
 }
 
+// Renewed notes that the store has confirmed a renewal that was sent at sent.
+func (l *Lease) Renewed(record Record, revision int64, sent time.Time) {
+	if l.held && record.Fence == l.record.Fence && sent.After(l.renewed) {
+		l.record, l.renewed, l.revision = record, sent, revision
+	}
+}
+
+// Settled reports whether the record says that no holder before may order.
+func (l *Lease) Settled() bool { return l.record.Settled }
+
 // Lost notes that the record is another's.
 func (l *Lease) Lost() { l.held = false }
 
@@ -124,11 +161,11 @@
 func (l *Lease) Ordered(engine string, now time.Time) { l.ordered[engine] = now }
 
 // Release gives the lease up and returns the record that says so. ok is false
-// if the last holder but one may still order: a successor must wait for it as
-// this instance would have had to.
+// if an order that this process does not know of may still count: a successor
+// must then wait as for any other holder.
 func (l *Lease) Release(now time.Time) (record Record, revision int64, ok bool) {
 	record, revision = l.record, l.revision
-	ok = l.held && !now.Before(l.from)
+	ok = l.held && !now.Before(l.from) && !now.Before(l.knows)
 	l.held = false
 	record.Released = true
 	record.Ordered = map[string]int64{}
@@ -157,5 +194,8 @@
 
 // RenewalDue reports whether a renewal should be sent before an order at now.
 func (l *Lease) RenewalDue(now time.Time) bool {
+	if l.held && !l.record.Settled && l.settled(now) {
+		return true
+	}
 	return l.held && now.Sub(l.renewed) >= (l.params.Validity-l.params.Transit)/renewalShare
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,10 +69,11 @@
 	})
 	i.balancer = balance.New(balance.DefaultParams())
 	i.holder = holder.New(holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease()), i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
-	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress()}, log: log}
+	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Cores: s.Cores()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher = i.watcher
+	i.holder.WatchStore(i.watcher.seen)
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
 	budget := forward.NewBudget(forward.BudgetParams{
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -31,6 +31,8 @@
 	// relayedAge is how old the holder's word of the store may be to be taken:
 	// the holder's watches answer within a second at the latest.
 	relayedAge = 1300 * time.Millisecond
+	// exchangeRetry is the pause after a report without an answer.
+	exchangeRetry = 150 * time.Millisecond
 	// exchangeTimeout is several round trips between failure domains, with
 	// room for a holder that is short of processor time.
 	exchangeTimeout = 500 * time.Millisecond
@@ -38,12 +40,20 @@
 	wantTimeout = 400 * time.Millisecond
 	// silentAfter without an answer the holder is not counted on.
 	silentAfter = 1200 * time.Millisecond
-	// suspectAfter without an answer an instance may want to take over.
-	suspectAfter = 1500 * time.Millisecond
+	// suspectAfter without an answer, and suspectMisses reports in a row, an
+	// instance may want to take over.
+	suspectAfter  = 1500 * time.Millisecond
+	suspectMisses = 3
 	// aloneAfter it takes over though no other instance answers it either.
 	aloneAfter = 5 * time.Second
+	// firstWait lets instances that start together register, before the first
+	// of them takes the lease.
+	firstWait = 500 * time.Millisecond
+	// takeOverSpread is how much later than the strongest instance the weakest
+	// one takes over.
+	takeOverSpread = time.Second
 	// takeOverJitter spreads instances that suspect at the same time.
-	takeOverJitter = 400 * time.Millisecond
+	takeOverJitter = 200 * time.Millisecond
 	// voters is how many other instances are asked before a take-over.
 	voters = 3
 )
@@ -60,8 +70,10 @@
 	mu sync.Mutex
 	// record is the lease's record as last read; guarded by mu.
 	record lease.Record
-	// answered is when the holder last answered; guarded by mu.
+	// answered is when the holder last answered, and misses counts the reports
+	// without an answer since; guarded by mu.
 	answered  time.Time
+	misses    int
 	arrivals  map[string]*holder.Arrivals // by model; guarded by mu
 	running   map[placed]int              // guarded by mu
 	instances int                         // guarded by mu
@@ -191,10 +203,13 @@
 	f.answered = time.Now()
 	f.mu.Unlock()
 	f.find(ctx)
-	for pause.For(ctx, f.interval()) {
+	wait := f.interval()
+	for pause.For(ctx, wait) {
 		if f.exchange(ctx) {
+			wait = f.interval()
 			continue
 		}
+		wait = exchangeRetry
 		f.find(ctx)
 		if f.suspects() {
 			f.consider(ctx)
@@ -223,7 +238,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := holder.Report{
-		Name: f.name, ReachesStore: f.watcher.reachesStore(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
+		Name: f.name, StoreContact: f.watcher.contactAge(time.Now()), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
 	}
 	for _, a := range f.arrivals {
 		r.Arrivals = append(r.Arrivals, *a)
@@ -245,7 +260,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answered, f.instances = now, max(1, news.Instances)
+	f.answered, f.misses, f.instances = now, 0, max(1, news.Instances)
 	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
 	if !relayed {
 		f.seen.servers = 0 // they were not taken over
@@ -266,6 +281,7 @@
 func (f *follower) noAnswer(record lease.Record, gaveUp lease.Record, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.misses++
 	if err == nil && gaveUp.Fence == record.Fence {
 		f.gaveUp = gaveUp
 	}
@@ -290,23 +306,44 @@
 	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
 	if changed {
 		f.record = record
-		f.answered = time.Now() // a new holder gets its time to answer
+		f.answered, f.misses = time.Now(), 0 // a new holder gets its time to answer
 	}
 	f.mu.Unlock()
 	if changed {
 		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.Fence, "released": record.Released}).Info("holder found")
 	}
 	f.holder.Deposed(record.Fence)
-	if record.Fence == 0 || record.Released || record.Holder == f.name && !f.holder.Holds() {
-		f.takeOver(ctx, record, revision, "free")
+	if record.Fence == 0 || record.Released {
+		f.takeFree(ctx, record)
+	} else if record.Holder == f.name && !f.holder.Holds() {
+		f.takeOver(ctx, record, revision, "own")
 	}
 }
 
+// takeFree takes over a lease that nobody holds, if no stronger instance does
+// first.
+func (f *follower) takeFree(ctx context.Context, seen lease.Record) {
+	if seen.Fence == 0 && !pause.For(ctx, firstWait) {
+		return
+	}
+	if !f.yield(ctx) {
+		return
+	}
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil || record.Fence != seen.Fence {
+		return // the store is away, or another was faster
+	}
+	if seen.Released {
+		record = seen // also by its holder's word
+	}
+	f.takeOver(ctx, record, revision, "free")
+}
+
 // suspects reports whether the holder has been silent for too long.
 func (f *follower) suspects() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.answered) > suspectAfter
+	return time.Since(f.answered) > suspectAfter && f.misses >= suspectMisses
 }
 
 // reaches reports whether the named holder has answered of late.
@@ -322,7 +359,7 @@
 	f.mu.Lock()
 	suspect, silence := f.record.Holder, time.Since(f.answered)
 	f.mu.Unlock()
-	if !pause.For(ctx, rand.N(takeOverJitter)) {
+	if !f.yield(ctx) {
 		return
 	}
 	asked, reached := f.poll(ctx, suspect)
@@ -336,6 +373,12 @@
 	f.takeOver(ctx, record, revision, "silent")
 }
 
+// yield lets stronger instances go first: the holder's work grows with the
+// fleet, and one without processor time for it would soon be suspected itself.
+func (f *follower) yield(ctx context.Context) bool {
+	return pause.For(ctx, f.members.rank(ctx, takeOverSpread)+rand.N(takeOverJitter))
+}
+
 // poll asks a few other instances whether they reach the holder. asked counts
 // those that answered.
 func (f *follower) poll(ctx context.Context, suspect string) (asked int, reached bool) {
--- a/entry/members.go
+++ b/entry/members.go
@@ -22,6 +22,8 @@
 type member struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	// Cores is the processor time that the instance has.
+	Cores float64 `json:"cores"`
 }
 
 // members is the list of instances in the store. It is read only when it is
@@ -89,6 +91,22 @@
 	return addresses
 }
 
+// rank returns the part of spread that this instance should let pass before it
+// does what stronger ones would do better: none for the strongest.
+func (m *members) rank(ctx context.Context, spread time.Duration) time.Duration {
+	list := m.list(ctx)
+	stronger := 0
+	for _, other := range list {
+		if other.Cores > m.self.Cores {
+			stronger++
+		}
+	}
+	if stronger == 0 {
+		return 0
+	}
+	return time.Duration(float64(spread) * float64(stronger) / float64(len(list)))
+}
+
 func (m *members) list(ctx context.Context) []member {
 	m.mu.Lock()
 	fresh := time.Since(m.read) < membersLifetime
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -49,6 +49,8 @@
 	// again; guarded by mu.
 	down     bool
 	returned time.Time
+	// failed is when a call last failed; guarded by mu.
+	failed time.Time
 	// relayed is when the holder's word was last taken; guarded by mu.
 	relayed time.Time
 	// wanted is the newest configuration's version that was heard of; guarded
@@ -178,7 +180,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	down := err != nil && !errors.Is(err, store.ErrCompacted)
-	if !down {
+	if down {
+		w.failed = time.Now()
+	} else {
 		w.contact[prefix] = time.Now()
 	}
 	if down == w.down {
@@ -193,24 +197,26 @@
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
-// reachesStore reports whether a call has succeeded of late, and none has failed
-// since. An instance that takes the holder's word cannot say so.
-func (w *watcher) reachesStore() bool {
+// seen returns when the store last answered a watch, and when one last failed.
+func (w *watcher) seen() (answered, failed time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down {
-		return false
-	}
 	for _, t := range w.contact {
-		if time.Since(t) < recentContact {
-			return true
+		if t.After(answered) {
+			answered = t
 		}
 	}
-	return false
+	return answered, w.failed
 }
 
-// recentContact is a little longer than a watch waits without events.
-const recentContact = 1500 * time.Millisecond
+// contactAge is how long ago the store last answered, negative if it never has.
+func (w *watcher) contactAge(now time.Time) time.Duration {
+	answered, _ := w.seen()
+	if answered.IsZero() {
+		return -1
+	}
+	return now.Sub(answered)
+}
 
 func (w *watcher) applyConfig(snap store.Snapshot, _ bool) {
 	for _, obj := range snap.Objects {
