--- /dev/null
+++ b/command/forward/forward_test.go
@@ -0,0 +1,327 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// reply is what a fake server does with one attempt.
+type reply struct {
+	failure *verdict.Failure
+	status  int
+	notRun  bool
+	misdir  bool
+	events  bool
+	body    string
+	// broken ends the body with an error instead of its end.
+	broken bool
+}
+
+// fakeServers answers attempts in the order of replies and notes them.
+type fakeServers struct {
+	replies  []reply
+	attempts []serving.Attempt
+}
+
+func (f *fakeServers) Send(_ context.Context, a serving.Attempt) (*serving.Response, error) {
+	f.attempts = append(f.attempts, a)
+	r := f.replies[0]
+	if len(f.replies) > 1 {
+		f.replies = f.replies[1:]
+	}
+	if r.failure != nil {
+		return nil, r.failure
+	}
+	var body io.Reader = strings.NewReader(r.body)
+	if r.broken {
+		body = io.MultiReader(body, brokenReader{})
+	}
+	return &serving.Response{
+		Status: r.status, Header: http.Header{"X-Server": {a.Server.ID}}, Body: io.NopCloser(body),
+		NotRun: r.notRun, Misdirected: r.misdir, Events: r.events,
+	}, nil
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// fakePlacer says where units are.
+type fakePlacer struct {
+	place Place
+	err   error
+	asked []Wanted
+}
+
+func (f *fakePlacer) Want(_ context.Context, w Wanted) (Place, error) {
+	f.asked = append(f.asked, w)
+	return f.place, f.err
+}
+func (f *fakePlacer) Arrived(serving.Unit, int)           {}
+func (f *fakePlacer) Started(string, serving.Unit) func() { return func() {} }
+func (f *fakePlacer) Instances() int                      { return 1 }
+
+type fixture struct {
+	servers   *fakeServers
+	placer    *fakePlacer
+	dir       *directory.Directory
+	forwarder *Forwarder
+}
+
+// newFixture has a plain service with servers s1 to s3, and an engine service
+// with engines e1 and e2 that both hold the model "warm".
+func newFixture(t *testing.T, replies ...reply) *fixture {
+	t.Helper()
+	config := &serving.Config{Version: 1, Services: map[string]serving.Service{
+		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &serving.EngineSpec{}},
+	}}
+	route := func(name string, kind serving.Kind, service string, resumable bool) {
+		config.Routes = append(config.Routes, serving.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, Objective: 400 * time.Millisecond,
+			Targets: []serving.Target{{Service: service, Weight: 1}}, Attempts: 2, Resumable: resumable,
+		})
+	}
+	route("safe", serving.Idempotent, "plain", false)
+	route("unsafe", serving.NonIdempotent, "plain", false)
+	route("stream", serving.Streaming, "llm", true)
+	route("once", serving.Streaming, "llm", false)
+	config.Index()
+	dir := directory.New()
+	dir.ApplyConfig(config)
+	now := time.Now()
+	for _, id := range []string{"s1", "s2", "s3"} {
+		dir.ApplyServer(serving.Server{ID: id, Service: "plain", Revision: 1}, now)
+	}
+	for _, id := range []string{"e1", "e2"} {
+		dir.ApplyServer(serving.Server{ID: id, Service: "llm", Revision: 1, Models: map[string][]string{"warm": nil}}, now)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir}
+	f.forwarder = New(DefaultParams("d"), dir, f.servers, f.placer, balance.New(balance.DefaultParams()),
+		NewBudget(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), NewCounts(metrics.NewSet()), log)
+	return f
+}
+
+func (f *fixture) serve(route, model string, timeout time.Duration) (*httptest.ResponseRecorder, *verdict.Failure) {
+	w := httptest.NewRecorder()
+	r := &serving.Request{
+		ID: "r1", Method: http.MethodPost, Host: "h", Target: "/" + route + "/x?q=1", Header: http.Header{}, Unit: serving.Unit{Model: model},
+		Arrived: time.Now(), Timeout: timeout,
+	}
+	return w, f.forwarder.Serve(context.Background(), r, w)
+}
+
+var (
+	mayHaveRun = verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "lost")
+	notSent    = verdict.New(verdict.NotRun, verdict.ReasonBackend, "refused")
+)
+
+// TestResends: what is sent once more, and what the client is told.
+func TestResends(t *testing.T) {
+	ok := reply{status: 200, body: "done"}
+	tests := map[string]struct {
+		route   string
+		replies []reply
+		sends   int
+		status  int // 0: no answer
+		verdict verdict.Verdict
+	}{
+		"answered":                         {"unsafe", []reply{ok}, 1, 200, 0},
+		"non-idempotent, answer lost":      {"unsafe", []reply{{failure: mayHaveRun}, ok}, 1, 0, verdict.MayHaveRun},
+		"non-idempotent, not sent":         {"unsafe", []reply{{failure: notSent}, ok}, 2, 200, 0},
+		"non-idempotent, server's own 503": {"unsafe", []reply{{status: 503, notRun: true}, ok}, 2, 200, 0},
+		"non-idempotent, failed":           {"unsafe", []reply{{status: 500, body: "no"}, ok}, 1, 500, 0},
+		"non-idempotent, answer cut":       {"unsafe", []reply{{status: 200, body: "do", broken: true}, ok}, 1, 0, verdict.MayHaveRun},
+		"idempotent, answer lost":          {"safe", []reply{{failure: mayHaveRun}, ok}, 2, 200, 0},
+		"idempotent, answer cut":           {"safe", []reply{{status: 200, body: "do", broken: true}, ok}, 2, 200, 0},
+		"idempotent, failed":               {"safe", []reply{{status: 500, body: "no"}, ok}, 2, 200, 0},
+		"idempotent, attempts used up":     {"safe", []reply{{failure: mayHaveRun}, {failure: mayHaveRun}, ok}, 2, 0, verdict.MayHaveRun},
+		"refused after it may have run":    {"safe", []reply{{failure: mayHaveRun}, {status: 503, notRun: true}, {status: 503, notRun: true}}, 3, 0, verdict.MayHaveRun},
+		"all refuse":                       {"unsafe", []reply{{status: 503, notRun: true}}, 3, 0, verdict.NotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, test.replies...)
+			w, failure := f.serve(test.route, "", 0)
+			if len(f.servers.attempts) != test.sends {
+				t.Errorf("%d sends, want %d", len(f.servers.attempts), test.sends)
+			}
+			switch {
+			case test.status != 0 && (failure != nil || w.Code != test.status):
+				t.Errorf("status %d, %v; want %d", w.Code, failure, test.status)
+			case test.status == 0 && (failure == nil || failure.Verdict != test.verdict):
+				t.Errorf("failure %v, want %v", failure, test.verdict)
+			}
+			seen := map[string]bool{}
+			for _, a := range f.servers.attempts {
+				if seen[a.Server.ID] {
+					t.Errorf("%s was asked twice", a.Server.ID)
+				}
+				seen[a.Server.ID] = true
+			}
+		})
+	}
+}
+
+const threeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+// TestStreamResumed: a stream that breaks off goes on at another engine behind
+// the last whole event, under the head of its first engine.
+func TestStreamResumed(t *testing.T) {
+	f := newFixture(t,
+		reply{status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", broken: true},
+		reply{status: 200, events: true, body: "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+	)
+	w, failure := f.serve("stream", "warm", 0)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if w.Body.String() != threeEvents {
+		t.Errorf("client got %q", w.Body.String())
+	}
+	if after := f.servers.attempts[1].ResumeAfter; after != "2" {
+		t.Errorf("resumed after %q, want 2", after)
+	}
+	if first := f.servers.attempts[0].Server.ID; w.Header().Get("X-Server") != first {
+		t.Errorf("head of %s, want %s", w.Header().Get("X-Server"), first)
+	}
+}
+
+// TestStreamBroken: what cannot be resumed must not look whole, nor end within
+// an event.
+func TestStreamBroken(t *testing.T) {
+	for name, r := range map[string]reply{
+		"reset":                {status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\nda", broken: true},
+		"ends within an event": {status: 200, events: true, body: "id: 1\ndata: a\n\nid: 2\nda"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, r)
+			w, failure := f.serve("once", "warm", 0)
+			if failure == nil || failure.Reason != verdict.ReasonBroken {
+				t.Errorf("failure %v, want broken", failure)
+			}
+			if w.Body.String() != "id: 1\ndata: a\n\n" {
+				t.Errorf("client got %q", w.Body.String())
+			}
+			if len(f.servers.attempts) != 1 {
+				t.Errorf("%d sends of a stream that may run once", len(f.servers.attempts))
+			}
+		})
+	}
+}
+
+// TestColdModel: a client whose objective the load breaks is told at once when
+// to come back; when it does it waits.
+func TestColdModel(t *testing.T) { synctest.Test(t, testColdModel) }
+
+func testColdModel(t *testing.T) {
+	f := newFixture(t, reply{status: 200, events: true, body: threeEvents})
+	f.placer.place = Place{Engine: "e1", Ready: time.Now().Add(450 * time.Millisecond)}
+	start := time.Now()
+	_, failure := f.serve("stream", "cold", 4*time.Second)
+	if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter <= 0 || failure.RetryAfter > 450*time.Millisecond {
+		t.Fatalf("first try: %v after %v", failure, failure.RetryAfter)
+	}
+	if len(f.servers.attempts) != 0 {
+		t.Error("a refused request was sent")
+	}
+	w, failure := f.serve("stream", "cold", 3*time.Second)
+	if failure != nil || w.Body.String() != threeEvents {
+		t.Fatalf("second try: %v, %q", failure, w.Body.String())
+	}
+	if time.Since(start) < 450*time.Millisecond {
+		t.Error("sent before the load was done")
+	}
+}
+
+// TestLoadOutlastsClient: no client is kept waiting for what comes too late.
+func TestLoadOutlastsClient(t *testing.T) { synctest.Test(t, testLoadOutlastsClient) }
+
+func testLoadOutlastsClient(t *testing.T) {
+	f := newFixture(t, reply{status: 200})
+	f.serve("stream", "warm", 4*time.Second) // the route's usual time
+	f.placer.place = Place{Engine: "e1", Ready: time.Now().Add(time.Minute)}
+	_, failure := f.serve("stream", "cold", time.Second)
+	if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter < 30*time.Second {
+		t.Errorf("%v, come back in %v", failure, failure.RetryAfter)
+	}
+}
+
+// TestMissingUnitIsReported: the next question for a place names the engine that
+// did not have the unit.
+func TestMissingUnitIsReported(t *testing.T) {
+	f := newFixture(t, reply{status: 421, notRun: true, misdir: true}, reply{status: 421, notRun: true, misdir: true}, reply{status: 200, events: true, body: threeEvents})
+	f.placer.place = Place{Engine: "e1"}
+	if _, failure := f.serve("stream", "warm", 0); failure != nil {
+		t.Fatal(failure)
+	}
+	if len(f.placer.asked) == 0 || f.placer.asked[0].Missing == "" {
+		t.Errorf("asked %+v, want the engine that lacks the unit named", f.placer.asked)
+	}
+}
+
+// TestLeave: an instance that ends refuses what waits. Found as LOST on
+// portage's mix 684510430417.
+func TestLeave(t *testing.T) { synctest.Test(t, testLeave) }
+
+func testLeave(t *testing.T) {
+	f := newFixture(t, reply{status: 200})
+	f.serve("stream", "warm", 4*time.Second)
+	f.placer.place = Place{Engine: "e1", Ready: time.Now().Add(2 * time.Second)}
+	time.AfterFunc(20*time.Millisecond, f.forwarder.Leave)
+	_, failure := f.serve("stream", "cold", 3900*time.Millisecond)
+	if failure == nil || failure.Verdict != verdict.NotRun || failure.Reason != verdict.ReasonDraining {
+		t.Errorf("%v, want a refusal of an instance that leaves", failure)
+	}
+	if len(f.servers.attempts) != 1 {
+		t.Error("a refused request was sent")
+	}
+}
+
+// TestNoRoute: an unknown path is a client's fault; no configuration is not.
+func TestNoRoute(t *testing.T) {
+	f := newFixture(t, reply{status: 200})
+	if _, failure := f.serve("nowhere", "", 0); failure == nil || failure.Reason != verdict.ReasonNoRoute {
+		t.Errorf("%v, want no route", failure)
+	}
+	f.forwarder.dir = directory.New()
+	if _, failure := f.serve("safe", "", 0); failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 {
+		t.Errorf("%v, want a refusal with a time to come back", failure)
+	}
+}
+
+// TestBudget: repeated sends stay within the share of an instance.
+func TestBudget(t *testing.T) {
+	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	for range 100 {
+		b.Request("s", now)
+	}
+	taken := 0
+	for range 100 {
+		if b.Take("s", 10, now) {
+			taken++
+		}
+	}
+	if share := 0.2*100 + 50.0/10; float64(taken) > share || taken < 10 {
+		t.Errorf("%d repeats taken of a share of %.0f", taken, share)
+	}
+	if !b.Take("s", 1, now.Add(11*time.Second)) {
+		t.Error("a window later nothing may be sent again")
+	}
+}
