The lease is given up only on proof; limits on what a crowd of wanted models costs

Ruled out: clocks (durations travel). A holder now numbers each episode of failing and says so; an instance that the store has answered since names it, and the holder tries once more before it gives up. Wanted models are looked at as far as engines are free, instances ask once for a burst, and failed watches back off, one for both.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -84,11 +84,11 @@
 // Report is what an instance says of itself.
 type Report struct {
 	Name string
-	// StoreContact is how long ago the store last answered it, negative if that
-	// is not known.
-	StoreContact time.Duration
-	Arrivals     []Arrivals
-	Running      []Running
+	// Reaches names the episode of the holder's failing (News.Failing) during
+	// which the store has answered this instance, 0 if there is none.
+	Reaches  uint64
+	Arrivals []Arrivals
+	Running  []Running
 	// Fence is the token of the holder that it heard from last, SeenViews and
 	// SeenServers what it has from that one.
 	Fence                  int64
@@ -109,12 +109,16 @@
 	Servers directory.Delta
 	// ConfigVersion is that of the configuration in force at the holder.
 	ConfigVersion int64
+	// Failing numbers the episode in which the holder does not reach the store,
+	// 0 while it does.
+	Failing uint64
 }
 
 // Exchange takes over what an instance says and returns what it should know.
 func (h *Holder) Exchange(r Report, now time.Time) (News, error) {
-	if r.StoreContact >= 0 {
-		h.offerUp(now.Add(-r.StoreContact), now)
+	failing := h.failing(now)
+	if failing != 0 && r.Reaches == failing {
+		h.proveOrGiveUp()
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -134,7 +138,7 @@
 		r.SeenViews, r.SeenServers = 0, 0
 	}
 	news := News{
-		Fence: record.Fence, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers),
+		Fence: record.Fence, Failing: failing, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers),
 	}
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config := h.dir.Config(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -86,8 +86,13 @@
 	// failingSince is when renewals began to fail, zero while they succeed;
 	// guarded by mu.
 	failingSince time.Time
-	// renewalFailed is when the last renewal got no answer; guarded by mu.
-	renewalFailed time.Time
+	// episode numbers the times that this instance did not reach the store, and
+	// inEpisode is whether it does not now; guarded by mu.
+	episode   uint64
+	inEpisode bool
+	// proving is whether a renewal is on its way that decides whether the lease
+	// is given up; guarded by mu.
+	proving bool
 	// gaveUp is the released record under which this instance has promised to
 	// order nothing more; guarded by mu.
 	gaveUp lease.Record
@@ -96,9 +101,9 @@
 
 	renewing sync.Mutex // held while a renewal is on its way
 
-	// storeSeen returns when the store last answered this instance's watches,
-	// and when one of them last failed.
-	storeSeen func() (answered, failed time.Time)
+	// outage returns when the first of this instance's watches was begun that
+	// failed since the store last answered; zero while it answers.
+	outage func() time.Time
 }
 
 // New returns a Holder that does not hold the lease.
@@ -106,13 +111,13 @@
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), account: newAccount(), workers: map[string]*worker{},
-		ctx: context.Background(), storeSeen: func() (answered, failed time.Time) { return },
+		ctx: context.Background(), outage: func() (none time.Time) { return },
 	}
 }
 
 // WatchStore has the holder know how this instance's watches fare. It must be
 // called before Run.
-func (h *Holder) WatchStore(seen func() (answered, failed time.Time)) { h.storeSeen = seen }
+func (h *Holder) WatchStore(outage func() time.Time) { h.outage = outage }
 
 // Run does the standing work while the lease is held, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
@@ -219,6 +224,10 @@
 	Missing, Unreachable string
 }
 
+// askAgain is the shortest time after which an instance should ask again for a
+// unit that no engine has been chosen for.
+const askAgain = 120 * time.Millisecond
+
 // Want returns where a unit is or will be. ok is false if no engine can take it.
 func (h *Holder) Want(r Request, now time.Time) (found replicas.Found, ok bool, err error) {
 	h.mu.Lock()
@@ -248,6 +257,9 @@
 	for _, op := range operations {
 		h.begin(op, "request")
 	}
+	if earliest := now.Add(askAgain); found.Engine == "" && found.Ready.Before(earliest) {
+		found.Ready = earliest
+	}
 	return found, ok, nil
 }
 
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -75,43 +75,59 @@
 	return record, revision, ok
 }
 
-// giveUpAfter is how long renewals must have failed before the lease is given
-// up to instances that do reach the store: two renewals at the least.
-const giveUpAfter = 400 * time.Millisecond
-
-// contactSlack is how much later than another's success an own failure must be
-// to say that the store serves others and not this instance.
-const contactSlack = 200 * time.Millisecond
-
-// offerUp gives the lease up if this instance does not reach the store though
-// the store has answered another one, at contact. Another can then take over
-// without waiting for the validity to end. While the store answers nobody the
-// lease stays: nobody could take it over.
-func (h *Holder) offerUp(contact, now time.Time) {
-	own, failed := h.storeSeen()
+// failing returns the number of the episode in which this instance does not
+// reach the store, 0 while it does.
+func (h *Holder) failing(now time.Time) uint64 {
+	first := h.outage()
 	h.mu.Lock()
-	if h.renewalFailed.After(failed) {
-		failed = h.renewalFailed
+	defer h.mu.Unlock()
+	if first.IsZero() || !h.failingSince.IsZero() && h.failingSince.Before(first) {
+		first = h.failingSince
+	}
+	if first.IsZero() {
+		h.inEpisode = false
+		return 0
 	}
-	failing := h.lease.Held() && !h.failingSince.IsZero() && now.Sub(h.failingSince) >= giveUpAfter &&
-		contact.After(own) && failed.After(contact.Add(contactSlack))
-	if failing {
-		h.failingSince = time.Time{} // once
+	if !h.inEpisode {
+		h.inEpisode = true
+		h.episode++
 	}
+	return h.episode
+}
+
+// proveOrGiveUp renews the lease once more and gives it up if that fails: the
+// store has answered another instance after it had stopped answering this one.
+// The other can then take over without waiting for the validity to end. While
+// the store answers nobody the lease stays, since nobody could take it over.
+func (h *Holder) proveOrGiveUp() {
+	h.mu.Lock()
+	proving := h.proving || !h.lease.Held()
+	h.proving = true
 	h.mu.Unlock()
-	if !failing {
-		return
+	if !proving {
+		go h.prove()
 	}
-	go func() {
-		record, _, ok := h.stopOrders()
-		if !ok {
-			return
-		}
-		h.log.WithField("fence", record.Fence).Warn("lease given up: this instance does not reach the store, another does")
+}
+
+func (h *Holder) prove() {
+	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.gaveUp = record
+		h.proving = false
 	}()
+	ctx, cancel := context.WithTimeout(context.Background(), h.params.Lease.Transit)
+	defer cancel()
+	if h.confirm(ctx) == nil {
+		return
+	}
+	record, _, ok := h.stopOrders()
+	h.log.WithFields(logrus.Fields{"fence": record.Fence, "handed_over": ok}).Warn("lease given up: this instance does not reach the store, another does")
+	if !ok {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gaveUp = record
 }
 
 // GaveUp returns the released record under which this instance has promised to
@@ -156,8 +172,6 @@
 	defer h.renewing.Unlock()
 	h.mu.Lock()
 	due, held := h.lease.RenewalDue(time.Now()), h.lease.Held()
-	sent := time.Now()
-	record, revision := h.lease.Renewal(sent)
 	h.mu.Unlock()
 	if !held {
 		return ErrNotHolder
@@ -165,6 +179,19 @@
 	if !due {
 		return nil
 	}
+	if err := h.confirm(ctx); errors.Is(err, ErrNotHolder) {
+		return err
+	}
+	return nil
+}
+
+// confirm writes the record once more. It fails with ErrNotHolder if the record
+// is another's.
+func (h *Holder) confirm(ctx context.Context) error {
+	h.mu.Lock()
+	sent := time.Now()
+	record, revision := h.lease.Renewal(sent)
+	h.mu.Unlock()
 	value, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "holder: lease record")
@@ -176,18 +203,15 @@
 	case err == nil:
 		h.lease.Renewed(record, obj.Version, sent)
 		h.failingSince = time.Time{}
+		return nil
 	case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrNotFound):
 		h.lease.Lost()
 		h.log.WithField("fence", record.Fence).Info("lease lost: the record is another's")
 		return ErrNotHolder
-	default:
-		if h.failingSince.IsZero() {
-			h.failingSince = sent
-		}
-		if errors.Is(err, store.ErrUnknown) { // the store was really asked
-			h.renewalFailed = time.Now()
-		}
-		h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
 	}
-	return nil
+	if h.failingSince.IsZero() {
+		h.failingSince = sent
+	}
+	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
+	return err
 }
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -98,12 +98,23 @@
 	if ok && best.ready.Sub(now) < best.engine.Spec.Models[model].RemoteLoad {
 		return best, true
 	}
-	if other, found := f.bestOf(f.Engines(), service, model, claimed, now); found {
+	if other, found := f.bestOf(f.free(now), service, model, claimed, now); found && (!ok || other.cost < best.cost) {
 		return other, true
 	}
 	return best, ok
 }
 
+// free returns the engines on which a load could begin now.
+func (f *Fleet) free(now time.Time) []*Engine {
+	var free []*Engine
+	for _, e := range f.Engines() {
+		if !e.Busy && e.usable(now) {
+			free = append(free, e)
+		}
+	}
+	return free
+}
+
 func (f *Fleet) bestOf(engines []*Engine, service, model string, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
 	for _, e := range engines {
 		if e.Server.Service != service || !e.usable(now) || e.Copies[model] != nil {
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -65,15 +66,23 @@
 	return wants
 }
 
+// lookAhead is how many wanted models more than there are free engines are
+// looked at: some wait for busy ones.
+const lookAhead = 16
+
 // Dispatch starts what is wanted on engines that are free, the most wanted
 // first. A model for which a busy engine is the better choice goes on waiting.
 func (f *Fleet) Dispatch(now time.Time) []Operation {
 	var operations []Operation
 	claimed := map[string]time.Duration{}
-	for _, w := range f.byValue() {
-		if now.Sub(w.asked) > f.params.WantLifetime && now.After(w.estimate) || f.copiesOf(w.model) > 0 {
-			delete(f.wants, w.model)
-			continue
+	maps.DeleteFunc(f.wants, func(_ string, w *want) bool {
+		return now.Sub(w.asked) > f.params.WantLifetime && now.After(w.estimate) || f.copiesOf(w.model) > 0
+	})
+	wants := f.byValue()
+	free := len(f.free(now))
+	for i, w := range wants {
+		if free == 0 || i >= free+lookAhead {
+			break
 		}
 		c, ok := f.bestChoice(w.service, w.model, claimed, now)
 		if !ok {
@@ -85,6 +94,7 @@
 			continue
 		}
 		operations = append(operations, f.start(c, w.model, now))
+		free--
 		delete(f.wants, w.model)
 	}
 	return operations
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,6 +35,7 @@
 const (
 	platformCallTimeout = time.Second
 	platformWatchWait   = 5 * time.Second
+	platformBreakAfter  = 2
 	platformReadRetries = 2
 )
 
@@ -49,7 +50,7 @@
 	}
 	client := platform.NewClient(platform.ClientParams{
 		BaseURL: s.PlatformURL, CallTimeout: platformCallTimeout, WatchWait: platformWatchWait,
-		CallsPerSecond: s.PlatformRate, ReadRetries: platformReadRetries,
+		CallsPerSecond: s.PlatformRate, ReadRetries: platformReadRetries, BreakAfter: platformBreakAfter,
 	})
 	peerAddress := s.PeerAddress
 	if peerAddress == "" {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -73,7 +73,7 @@
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher = i.watcher
-	i.holder.WatchStore(i.watcher.seen)
+	i.holder.WatchStore(i.watcher.outage)
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
 	budget := forward.NewBudget(forward.BudgetParams{
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -84,6 +85,13 @@
 	// seen is what the holder has told; guarded by mu.
 	seen seen
 
+	// failing is the episode in which the holder says that it does not reach the
+	// store, and failingHeard when it first said so; guarded by mu.
+	failing      uint64
+	failingHeard time.Time
+	// places are answers of the holder that are still taken; guarded by mu.
+	places map[forward.Wanted]knownPlace
+
 	// watcher is set before run.
 	watcher *watcher
 	// own answers this instance's calls of itself.
@@ -105,7 +113,7 @@
 func newFollower(name string, h *holder.Holder, dir *directory.Directory, pool *rpcpool.Pool, m *members, log logrus.FieldLogger) *follower {
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
-		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, instances: unknownInstances,
+		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, places: map[forward.Wanted]knownPlace{}, instances: unknownInstances,
 	}
 }
 
@@ -153,8 +161,38 @@
 	return f.instances
 }
 
+// knownPlace is an answer to a question for a place.
+type knownPlace struct {
+	place forward.Place
+	err   error
+	at    time.Time
+}
+
+// placeLifetime is how long an answer is taken for other requests that need the
+// same: a burst for one model asks the holder once.
+const placeLifetime = 60 * time.Millisecond
+
 // Want implements forward.Placer.
 func (f *follower) Want(ctx context.Context, w forward.Wanted) (forward.Place, error) {
+	now := time.Now()
+	f.mu.Lock()
+	known, found := f.places[w]
+	f.mu.Unlock()
+	if found && now.Sub(known.at) < placeLifetime {
+		return known.place, known.err
+	}
+	place, err := f.ask(ctx, w)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.places, func(_ forward.Wanted, p knownPlace) bool { return now.Sub(p.at) >= placeLifetime })
+	if ctx.Err() == nil {
+		f.places[w] = knownPlace{place: place, err: err, at: time.Now()}
+	}
+	return place, err
+}
+
+// ask asks the holder where a unit is or will be.
+func (f *follower) ask(ctx context.Context, w forward.Wanted) (forward.Place, error) {
 	f.mu.Lock()
 	record, silent := f.record, time.Since(f.answered) > silentAfter
 	f.mu.Unlock()
@@ -162,9 +200,8 @@
 		return forward.Place{}, forward.ErrNoHolder
 	}
 	var reply WantReply
-	if err := f.call(ctx, record, wantTimeout, methodWant, &WantArgs{holder.Request{
-		Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable,
-	}}, &reply); err != nil {
+	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable}}
+	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
 		return forward.Place{}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	switch {
@@ -238,7 +275,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := holder.Report{
-		Name: f.name, StoreContact: f.watcher.contactAge(time.Now()), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
+		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
 	}
 	for _, a := range f.arrivals {
 		r.Arrivals = append(r.Arrivals, *a)
@@ -250,16 +287,28 @@
 	return f.record, &ExchangeArgs{r}
 }
 
+// reachesIn needs mu. It returns the episode of the holder's failing in which the
+// store has answered this instance.
+func (f *follower) reachesIn() uint64 {
+	if f.failing != 0 && f.watcher.answeredSince(f.failingHeard) {
+		return f.failing
+	}
+	return 0
+}
+
 // takeOverNews takes over what the holder says.
 func (f *follower) takeOverNews(record lease.Record, reply *ExchangeReply, now time.Time) {
 	news := reply.News
 	f.dir.ApplyViews(news.Fence, decodeViews(reply.Views, now), news.Others, now)
-	relayed := record.Holder != f.name && time.Duration(reply.StoreAgeMS)*time.Millisecond < relayedAge
+	relayed := record.Holder != f.name && news.Failing == 0 && time.Duration(reply.StoreAgeMS)*time.Millisecond < relayedAge
 	if relayed {
 		f.watcher.relay(news, now)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if news.Failing != f.failing {
+		f.failing, f.failingHeard = news.Failing, now
+	}
 	f.answered, f.misses, f.instances = now, 0, max(1, news.Instances)
 	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
 	if !relayed {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -20,8 +20,11 @@
 
 // Times of watching the store.
 const (
-	// watchRetry is the pause after a call that failed.
-	watchRetry = 200 * time.Millisecond
+	// watchRetry is the pause after a call that failed; it doubles up to
+	// maxWatchRetry, which is short against the seconds in which a
+	// configuration must be in force.
+	watchRetry    = 200 * time.Millisecond
+	maxWatchRetry = 800 * time.Millisecond
 	// serversPause gathers changes of servers into one call; it is short
 	// against the seconds in which a leaving server must be noticed.
 	serversPause = 250 * time.Millisecond
@@ -49,8 +52,9 @@
 	// again; guarded by mu.
 	down     bool
 	returned time.Time
-	// failed is when a call last failed; guarded by mu.
-	failed time.Time
+	// failing is when the first call was begun that failed since the last
+	// success, and answered when that success was; guarded by mu.
+	failing, answered time.Time
 	// relayed is when the holder's word was last taken; guarded by mu.
 	relayed time.Time
 	// wanted is the newest configuration's version that was heard of; guarded
@@ -128,22 +132,31 @@
 // changes.
 func (w *watcher) watch(ctx context.Context, prefix string, gather time.Duration, apply func(snap store.Snapshot, full bool)) {
 	revision := int64(-1)
+	retry := watchRetry
 	for ctx.Err() == nil {
+		if prefix != platform.KeyConfig && w.lost() {
+			revision = -1
+			pause.For(ctx, relayCheck) // the other watch tries for both
+			continue
+		}
 		if !w.holds() && w.relies(time.Now()) && (prefix != platform.KeyConfig || !w.lacksConfig()) {
 			revision = -1
 			w.idle(ctx, prefix)
 			continue
 		}
+		started := time.Now()
 		snap, err := w.readOrWatch(ctx, prefix, revision)
-		w.note(prefix, err)
+		w.note(prefix, started, err)
 		if errors.Is(err, store.ErrCompacted) {
 			revision = -1
 			continue
 		}
 		if err != nil {
-			pause.For(ctx, watchRetry)
+			pause.For(ctx, retry)
+			retry = min(2*retry, maxWatchRetry)
 			continue
 		}
+		retry = watchRetry
 		apply(snap, revision < 0)
 		revision = snap.Revision
 		if len(snap.Objects) > 0 {
@@ -176,14 +189,17 @@
 }
 
 // note logs when the store is lost and regained.
-func (w *watcher) note(prefix string, err error) {
+func (w *watcher) note(prefix string, started time.Time, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	down := err != nil && !errors.Is(err, store.ErrCompacted)
 	if down {
-		w.failed = time.Now()
+		if w.failing.IsZero() {
+			w.failing = started
+		}
 	} else {
 		w.contact[prefix] = time.Now()
+		w.failing, w.answered = time.Time{}, started
 	}
 	if down == w.down {
 		return
@@ -197,25 +213,27 @@
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
-// seen returns when the store last answered a watch, and when one last failed.
-func (w *watcher) seen() (answered, failed time.Time) {
+// lost reports whether the last call failed.
+func (w *watcher) lost() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, t := range w.contact {
-		if t.After(answered) {
-			answered = t
-		}
-	}
-	return answered, w.failed
+	return w.down
 }
 
-// contactAge is how long ago the store last answered, negative if it never has.
-func (w *watcher) contactAge(now time.Time) time.Duration {
-	answered, _ := w.seen()
-	if answered.IsZero() {
-		return -1
-	}
-	return now.Sub(answered)
+// outage returns when the first call was begun that failed since the store last
+// answered; zero while it answers.
+func (w *watcher) outage() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failing
+}
+
+// answeredSince reports whether the store has answered a call that was begun
+// after t.
+func (w *watcher) answeredSince(t time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.answered.After(t)
 }
 
 func (w *watcher) applyConfig(snap store.Snapshot, _ bool) {
