The strong take over first; a cut-off minority does not

Ruled out: the store (outages were survived), the account's cost (71 us a decision). The handicap is now by own processor time against the strongest's, and two instances of each failure domain vote: more than half must answer, and none may reach the holder.

--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -60,6 +60,11 @@
 	}
 	_, err := store.WriteJSON(ctx, h.store, KeyLease, record, revision)
 	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease released")
+	if err != nil { // instances that ask meanwhile hear of it from this one
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.gaveUp = record
+	}
 }
 
 // stopOrders gives up the lease and waits for the orders that were checked
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -34,6 +34,9 @@
 	relayedAge = 1300 * time.Millisecond
 	// exchangeRetry is the pause after a report without an answer.
 	exchangeRetry = 150 * time.Millisecond
+	// maxFindInterval is the longest pause between readings of the lease's record
+	// while the holder does not answer.
+	maxFindInterval = 800 * time.Millisecond
 	// exchangeTimeout is several round trips between failure domains, with
 	// room for a holder that is short of processor time.
 	exchangeTimeout = 500 * time.Millisecond
@@ -45,18 +48,22 @@
 	// instance may want to take over.
 	suspectAfter  = 1500 * time.Millisecond
 	suspectMisses = 3
-	// aloneAfter it takes over though no other instance answers it either.
-	aloneAfter = 5 * time.Second
+	// aloneAfter it takes over though half of the others do not answer it either:
+	// longer than most cuts last, since taking over from a holder that is well
+	// costs those that reach it a take-over.
+	aloneAfter = 10 * time.Second
 	// firstWait lets instances that start together register, before the first
 	// of them takes the lease.
 	firstWait = 500 * time.Millisecond
-	// takeOverSpread is how much later than the strongest instance the weakest
-	// one takes over.
-	takeOverSpread = time.Second
+	// takeOverSpread is how much later than the strongest instance one without
+	// any processor time would take over: longer than two reports are apart, so
+	// that the strong have noticed by then.
+	takeOverSpread = 1500 * time.Millisecond
 	// takeOverJitter spreads instances that suspect at the same time.
 	takeOverJitter = 200 * time.Millisecond
-	// voters is how many other instances are asked before a take-over.
-	voters = 3
+	// votersPerDomain is how many instances of each failure domain are asked
+	// before a take-over.
+	votersPerDomain = 2
 )
 
 // follower is an instance's link to the holder. It implements forward.Placer.
@@ -73,8 +80,10 @@
 	record lease.Record
 	// answered is when the holder last answered, and misses counts the reports
 	// without an answer since; guarded by mu.
-	answered  time.Time
-	misses    int
+	answered time.Time
+	misses   int
+	// found is when the record was last read; guarded by mu.
+	found     time.Time
 	arrivals  map[string]*holder.Arrivals // by model; guarded by mu
 	running   map[placed]int              // guarded by mu
 	instances int                         // guarded by mu
@@ -247,7 +256,7 @@
 			continue
 		}
 		wait = exchangeRetry
-		f.find(ctx)
+		f.findAgain(ctx)
 		if f.suspects() {
 			f.consider(ctx)
 		}
@@ -342,6 +351,21 @@
 	f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.Fence, "error": err}).Warn("holder does not answer")
 }
 
+// findAgain reads who the holder is, less and less often while nothing changes,
+// and not at all while the store does not answer: its watch notices its return.
+func (f *follower) findAgain(ctx context.Context) {
+	now := time.Now()
+	f.mu.Lock()
+	due := now.Sub(f.found) >= min(maxFindInterval, time.Duration(f.misses)*exchangeRetry)
+	if due {
+		f.found = now
+	}
+	f.mu.Unlock()
+	if due && !f.watcher.lost() {
+		f.find(ctx)
+	}
+}
+
 // find reads who the holder is.
 func (f *follower) find(ctx context.Context) {
 	record, revision, err := f.holder.Current(ctx)
@@ -403,7 +427,7 @@
 }
 
 // consider takes over from a silent holder, unless another instance still
-// reaches it: then this one is cut off, not the holder.
+// reaches it or this one is cut off from most others.
 func (f *follower) consider(ctx context.Context) {
 	f.mu.Lock()
 	suspect, silence := f.record.Holder, time.Since(f.answered)
@@ -411,8 +435,9 @@
 	if !f.yield(ctx) {
 		return
 	}
-	asked, reached := f.poll(ctx, suspect)
-	if reached || asked == 0 && silence < aloneAfter {
+	asked, answered, reached := f.poll(ctx, suspect)
+	cutOff := 2*answered <= asked // then the holder may be well, and reach most others
+	if reached || cutOff && silence < aloneAfter {
 		return
 	}
 	record, revision, err := f.holder.Current(ctx)
@@ -425,27 +450,35 @@
 // yield lets stronger instances go first: the holder's work grows with the
 // fleet, and one without processor time for it would soon be suspected itself.
 func (f *follower) yield(ctx context.Context) bool {
-	return pause.For(ctx, f.members.rank(ctx, takeOverSpread)+rand.N(takeOverJitter))
+	return pause.For(ctx, f.members.handicap(ctx, takeOverSpread)+rand.N(takeOverJitter))
 }
 
-// poll asks a few other instances whether they reach the holder. asked counts
-// those that answered.
-func (f *follower) poll(ctx context.Context, suspect string) (asked int, reached bool) {
-	for _, address := range f.members.some(ctx, voters, f.name, suspect) {
-		ctx, cancel := context.WithTimeout(ctx, wantTimeout)
-		var reply ReachesReply
-		err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
-		cancel()
-		if err != nil {
-			f.pool.Disconnect(address)
-			continue
-		}
-		asked++
-		if reply.Reaches {
-			return asked, true
+// poll asks a few instances of each failure domain at once whether they reach
+// the holder. asked counts them, answered those that answered.
+func (f *follower) poll(ctx context.Context, suspect string) (asked, answered int, reached bool) {
+	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+	defer cancel()
+	addresses := f.members.sample(ctx, votersPerDomain, f.name, suspect)
+	type vote struct{ answered, reaches bool }
+	votes := make(chan vote, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply ReachesReply
+			err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
+			if err != nil {
+				f.pool.Disconnect(address)
+			}
+			votes <- vote{answered: err == nil, reaches: reply.Reaches}
+		}()
+	}
+	for range addresses {
+		v := <-votes
+		if v.answered {
+			answered++
+			reached = reached || v.reaches
 		}
 	}
-	return asked, false
+	return len(addresses), answered, reached
 }
 
 func (f *follower) takeOver(ctx context.Context, record lease.Record, revision int64, cause string) {
--- a/entry/members.go
+++ b/entry/members.go
@@ -22,6 +22,8 @@
 type member struct {
 	Name    string `json:"name"`
 	Address string `json:"address"`
+	// Domain is the failure domain.
+	Domain string `json:"domain"`
 	// Cores is the processor time that the instance has.
 	Cores float64 `json:"cores"`
 }
@@ -77,34 +79,33 @@
 	}
 }
 
-// some returns the addresses of up to n instances other than those named, in
-// random order.
-func (m *members) some(ctx context.Context, n int, except ...string) []string {
+// sample returns the addresses of up to n random instances of each failure
+// domain, other than those named.
+func (m *members) sample(ctx context.Context, n int, except ...string) []string {
 	list := m.list(ctx)
 	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	var addresses []string
+	taken := map[string]int{}
 	for _, member := range list {
-		if len(addresses) < n && !slices.Contains(except, member.Name) {
+		if taken[member.Domain] < n && !slices.Contains(except, member.Name) {
+			taken[member.Domain]++
 			addresses = append(addresses, member.Address)
 		}
 	}
 	return addresses
 }
 
-// rank returns the part of spread that this instance should let pass before it
-// does what stronger ones would do better: none for the strongest.
-func (m *members) rank(ctx context.Context, spread time.Duration) time.Duration {
-	list := m.list(ctx)
-	stronger := 0
-	for _, other := range list {
-		if other.Cores > m.self.Cores {
-			stronger++
-		}
+// handicap returns the part of spread that this instance should let pass before
+// it does what stronger ones would do better: none for the strongest.
+func (m *members) handicap(ctx context.Context, spread time.Duration) time.Duration {
+	strongest := m.self.Cores
+	for _, other := range m.list(ctx) {
+		strongest = max(strongest, other.Cores)
 	}
-	if stronger == 0 {
+	if strongest <= 0 {
 		return 0
 	}
-	return time.Duration(float64(spread) * float64(stronger) / float64(len(list)))
+	return time.Duration(float64(spread) * (1 - m.self.Cores/strongest))
 }
 
 func (m *members) list(ctx context.Context) []member {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -57,6 +57,8 @@
 	failing, answered time.Time
 	// relayed is when the holder's word was last taken; guarded by mu.
 	relayed time.Time
+	// relying is whether the holder's word is taken at present; guarded by mu.
+	relying bool
 	// wanted is the newest configuration's version that was heard of; guarded
 	// by mu.
 	wanted int64
@@ -139,7 +141,9 @@
 			pause.For(ctx, relayCheck) // the other watch tries for both
 			continue
 		}
-		if !w.holds() && w.relies(time.Now()) && (prefix != platform.KeyConfig || !w.lacksConfig()) {
+		relies := !w.holds() && w.relies(time.Now())
+		w.noteSource(prefix, relies)
+		if relies && (prefix != platform.KeyConfig || !w.lacksConfig()) {
 			revision = -1
 			w.idle(ctx, prefix)
 			continue
@@ -160,11 +164,20 @@
 		apply(snap, revision < 0)
 		revision = snap.Revision
 		if len(snap.Objects) > 0 {
-			pause.For(ctx, gather)
+			pause.For(ctx, w.gather(gather))
 		}
 	}
 }
 
+// gather is the pause that gathers changes: the holder's is shorter, since all
+// others hear from it.
+func (w *watcher) gather(own time.Duration) time.Duration {
+	if w.holds() {
+		return own
+	}
+	return 2 * own
+}
+
 // idle waits for news of the configuration, or until it is time to look whether
 // the holder's word is still relied on.
 func (w *watcher) idle(ctx context.Context, prefix string) {
@@ -188,6 +201,20 @@
 	return w.store.Watch(ctx, prefix, revision)
 }
 
+// noteSource logs from where the servers are known, when that changes.
+func (w *watcher) noteSource(prefix string, relies bool) {
+	if prefix != platform.PrefixServers {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if relies == w.relying {
+		return
+	}
+	w.relying = relies
+	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": time.Since(w.relayed).Milliseconds()}).Info("source of the servers changed")
+}
+
 // note logs when the store is lost and regained.
 func (w *watcher) note(prefix string, started time.Time, err error) {
 	w.mu.Lock()
