Entry instances on loopback before stand-ins that speak the platform's protocol

Found while writing them: an instance that had released the lease while it drained could take it again itself (it saw a free lease); it now takes nothing over when leaving.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -204,6 +204,7 @@
 	i.log.WithField("grace_ms", i.settings.Grace().Milliseconds()).Info("instance draining")
 	limit := started.Add(time.Duration(float64(i.settings.Grace()) * graceShare))
 	ctx, cancel := context.WithTimeout(context.Background(), storeNotice)
+	i.follower.leave()
 	i.holder.Release(ctx)
 	i.members.unregister(ctx)
 	cancel()
--- /dev/null
+++ b/entry/fleet_test.go
@@ -0,0 +1,283 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+)
+
+// fleet is entry instances before stand-ins of the platform, on loopback.
+type fleet struct {
+	t         *testing.T
+	store     *standin.Platform
+	storeURL  string
+	servers   map[string]*standin.Server
+	silence   map[string]context.CancelFunc // ends a server's announcements
+	instances []*running
+	version   int64
+}
+
+// running is one instance.
+type running struct {
+	*Instance
+	address, ready string
+	stop           context.CancelFunc
+	done           chan struct{}
+}
+
+// Times of the stand-ins: loads are short, but longer than a request's way.
+const (
+	testLoad      = 150 * time.Millisecond
+	testHeartbeat = 200 * time.Millisecond
+	// eventually bounds what must come about; it decides nothing but how long a
+	// failed test takes.
+	eventually = 30 * time.Second
+)
+
+// newFleet starts a store with a configuration, two engines for four models of
+// which each has room for two, one plain service, and n instances.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	t.Parallel()
+	f := &fleet{t: t, store: standin.NewPlatform(), servers: map[string]*standin.Server{}, silence: map[string]context.CancelFunc{}}
+	server := httptest.NewServer(f.store.Handler())
+	t.Cleanup(server.Close)
+	f.storeURL = strings.TrimPrefix(server.URL, "http://")
+	f.configure("stream", "unsafe", "safe")
+	for _, id := range []string{"e1", "e2"} {
+		f.addServer(id, "llm", map[string][]string{"e1": {"m1", "m2"}, "e2": {"m1", "m3"}}[id])
+	}
+	f.addServer("p1", "plain", nil)
+	for i := range n {
+		f.addInstance(i)
+	}
+	f.await("instances ready", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool { return !r.Ready() || len(r.dir.IDs()) < 3 })
+	})
+	return f
+}
+
+func (f *fleet) addServer(id, service string, loaded []string) {
+	p := standin.ServerParams{ID: id, Service: service, FailureDomain: "a", EventPause: 5 * time.Millisecond, Work: 5 * time.Millisecond}
+	if service == "llm" {
+		p.Models, p.MemoryMB, p.AdapterSlots, p.Loaded = map[string]standin.ServerModel{}, 210, 2, loaded
+		for _, name := range []string{"m1", "m2", "m3", "m4"} {
+			p.Models[name] = standin.ServerModel{MemoryMB: 100, AdapterMB: 1, Load: testLoad}
+		}
+	}
+	s, err := standin.NewServer("127.0.0.1", p)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, silence := context.WithCancel(context.Background())
+	f.t.Cleanup(silence)
+	f.t.Cleanup(s.Stop)
+	f.servers[id], f.silence[id] = s, silence
+	go s.Announce(ctx, f.store, testHeartbeat)
+}
+
+// configure writes the next configuration, with the named routes.
+func (f *fleet) configure(routes ...string) {
+	f.t.Helper()
+	f.version++
+	kinds := map[string]string{"stream": "streaming", "once": "streaming", "safe": "safe"}
+	var list []map[string]any
+	for _, name := range routes {
+		kind, service := kinds[name], "plain"
+		if kind == "" {
+			kind = "unsafe"
+		}
+		if kind == "streaming" {
+			service = "llm"
+		}
+		list = append(list, map[string]any{
+			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "routeType": kind, "timeoutMs": 20000, "goalMs": 1000,
+			"service": service, "attempts": 3, "resumable": name == "stream",
+		})
+	}
+	models := []map[string]any{}
+	for _, name := range []string{"m1", "m2", "m3", "m4"} {
+		models = append(models, map[string]any{"name": name, "weightsMb": 100, "loadS": 0.5, "diskS": testLoad.Seconds(), "warmS": testLoad.Seconds(), "adapters": 4, "adapterSizeMb": 1})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": f.version, "routes": list, "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000, "headerTimeoutMs": 3000},
+		"services": []map[string]any{
+			{"name": "plain"}, {"name": "llm", "engine": map[string]any{"slots": 8, "weightsMb": 210, "adapterSlots": 2, "loadsPerS": 3, "models": models}},
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	version := int64(0)
+	if obj, err := f.store.Get(context.Background(), platform.KeyConfig); err == nil {
+		version = obj.Version
+	}
+	if _, err := f.store.Put(context.Background(), platform.KeyConfig, value, version); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// addInstance starts the instance of a machine, each at an address of its own.
+func (f *fleet) addInstance(machine int) *running {
+	f.t.Helper()
+	ip := fmt.Sprintf("127.0.7.%d", addresses.Add(1))
+	s := platform.Settings{NodeName: "node-" + strconv.Itoa(machine), IP: ip, Zone: "a", InternalPorts: []int{7380, 7390}}
+	s.Listen.Frontend, s.Listen.Ready = freePort(f.t, ip), freePort(f.t, ip)
+	s.Platform.Address = f.storeURL
+	s.Bounds.GraceS, s.Bounds.LeaseMS, s.Bounds.DrainMS = 8, 300, 2000
+	s.Bounds.BudgetRatio, s.Bounds.BudgetWindowS, s.Bounds.BudgetExtra = 0.2, 10, 100
+	if err := s.Check(); err != nil {
+		f.t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, stop := context.WithCancel(context.Background())
+	r := &running{Instance: New(s, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		if err := r.Run(ctx); err != nil {
+			f.t.Errorf("instance %d: %v", machine, err)
+		}
+	}()
+	f.t.Cleanup(func() { r.stop(); <-r.done })
+	f.instances = append(f.instances, r)
+	return r
+}
+
+func freePort(t *testing.T, ip string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) await(what string, holds func() bool) {
+	f.t.Helper()
+	for limit := time.Now().Add(eventually); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			f.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+// addresses and attempts count what was given out, over all tests.
+var addresses, attempts atomic.Int64
+
+// answer is what a client got.
+type answer struct {
+	id, body string
+	status   int
+	after    time.Duration
+	err      error
+}
+
+// ask sends one request to an instance.
+func (f *fleet) ask(r *running, route, model string) answer {
+	a := answer{id: fmt.Sprintf("try-%d", attempts.Add(1))}
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/"+route+"/x?q=1", strings.NewReader("body"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Martenport-Attempt-Id", a.id)
+	req.Header.Set("Martenport-Deadline-Ms", "15000")
+	if model != "" {
+		req.Header.Set("Martenport-Model", model)
+	}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		a.err = err
+		return a
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	a.status, a.body, a.err = resp.StatusCode, string(body), err
+	if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		a.after = time.Duration(s * float64(time.Second))
+	}
+	return a
+}
+
+// askUntilServed repeats a request while it is refused, as told.
+func (f *fleet) askUntilServed(r *running, route, model string) answer {
+	f.t.Helper()
+	var a answer
+	f.await(route+" "+model+" served", func() bool {
+		a = f.ask(r, route, model)
+		if a.status == http.StatusServiceUnavailable {
+			time.Sleep(a.after)
+		}
+		return a.err == nil && a.status == http.StatusOK
+	})
+	return a
+}
+
+// wholeStream is what a stream of a model must bring.
+func wholeStream(model string) string {
+	var b strings.Builder
+	for i := range standin.StreamEvents {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, model)
+	}
+	return b.String()
+}
+
+// checkPromises looks at what the backend servers have seen.
+func (f *fleet) checkPromises() {
+	f.t.Helper()
+	for id, s := range f.servers {
+		for _, v := range s.Violations() {
+			f.t.Errorf("%s: %s", id, v)
+		}
+		var last standin.ReceivedOrder
+		for _, o := range s.Orders() {
+			if o.Fence < last.Fence {
+				f.t.Errorf("%s: token %d of %s after %d of %s", id, o.Fence, o.Holder, last.Fence, last.Holder)
+			}
+			if last.Holder != "" && o.Holder != last.Holder && o.At.Sub(last.At) < 300*time.Millisecond {
+				f.t.Errorf("%s: %s and %s order within %v", id, last.Holder, o.Holder, o.At.Sub(last.At))
+			}
+			last = o
+		}
+	}
+}
+
+// runs adds up how often an attempt ran, over all servers.
+func (f *fleet) runs(id string) int {
+	n := 0
+	for _, s := range f.servers {
+		n += s.Runs()[id]
+	}
+	return n
+}
+
+// holder returns the instance that holds the lease, nil if none does.
+func (f *fleet) holder() *running {
+	for _, r := range f.instances {
+		select {
+		case <-r.done:
+		default:
+			if r.Instance.holder.Holds() {
+				return r
+			}
+		}
+	}
+	return nil
+}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -101,6 +101,10 @@
 	// places are answers of the holder that are still taken; guarded by mu.
 	places map[forward.Wanted]knownPlace
 
+	// leaving: the instance is about to end and takes nothing over; guarded by
+	// mu.
+	leaving bool
+
 	// watcher is set before run.
 	watcher *watcher
 	// own answers this instance's calls of itself.
@@ -481,7 +485,20 @@
 	return len(addresses), answered, reached
 }
 
+// leave has the instance take nothing over any more.
+func (f *follower) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+}
+
 func (f *follower) takeOver(ctx context.Context, record lease.Record, revision int64, cause string) {
+	f.mu.Lock()
+	leaving := f.leaving
+	f.mu.Unlock()
+	if leaving {
+		return
+	}
 	err := f.holder.TakeOver(ctx, record, revision, cause)
 	if err != nil {
 		if !errors.Is(err, store.ErrConflict) {
