--- a/cmd/martenentryd/main.go
+++ b/cmd/martenentryd/main.go
@@ -13,7 +13,7 @@
 
 // options of the command line; what the platform decides is in the settings file.
 type options struct {
-	Settings string `long:"settings" env:"MARTENPORT_CONFIG" default:"/etc/martenport/settings.toml" description:"settings file that the platform writes"`
+	Settings string `long:"settings" description:"settings file that the platform writes; if absent, the platform's environment variable names it"`
 	LogLevel string `long:"log-level" env:"MARTENPORT_LOG_LEVEL" default:"info" description:"debug, info, warning or error"`
 }
 
@@ -33,6 +33,9 @@
 	if err := cli.Parse(&o, args); err != nil {
 		return err
 	}
+	if o.Settings == "" {
+		o.Settings = os.Getenv(platform.SettingsVariable)
+	}
 	settings, err := platform.LoadSettings(o.Settings)
 	if err != nil {
 		return cli.Usage(err)
@@ -45,5 +48,5 @@
 	}
 	ctx, stop := cli.UntilSignal()
 	defer stop()
-	return entry.New(settings, log).Run(ctx)
+	return entry.New(settings, o.Settings, log).Run(ctx)
 }
--- a/command/forward/budget.go
+++ b/command/forward/budget.go
@@ -19,9 +19,8 @@
 
 // Budget is one instance's share of the repeated sends to each service.
 type Budget struct {
-	params BudgetParams
-
 	mu       sync.Mutex
+	params   BudgetParams        // guarded by mu
 	services map[string]*account // guarded by mu
 }
 
@@ -35,6 +34,13 @@
 	return &Budget{params: p, services: map[string]*account{}}
 }
 
+// SetParams puts other bounds in force.
+func (b *Budget) SetParams(p BudgetParams) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.params = p
+}
+
 // Request notes a request for a service.
 func (b *Budget) Request(service string, now time.Time) {
 	b.mu.Lock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -7,11 +7,8 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -41,7 +38,9 @@
 
 // Instance is one entry instance.
 type Instance struct {
-	settings platform.Settings
+	// path is where the settings were read from, and settings those in force.
+	path     string
+	settings atomic.Pointer[platform.Settings]
 	log      *logrus.Logger
 	set      *metrics.Set
 
@@ -53,6 +52,7 @@
 	follower  *follower
 	members   *members
 	forwarder *forward.Forwarder
+	budget    *forward.Budget
 	guard     *guard
 	watcher   *watcher
 	service   *service
@@ -61,9 +61,10 @@
 	draining atomic.Bool
 }
 
-// New wires an instance. Run starts it.
-func New(s platform.Settings, log *logrus.Logger) *Instance {
-	i := &Instance{settings: s, log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
+// New wires an instance with the settings read from path. Run starts it.
+func New(s platform.Settings, path string, log *logrus.Logger) *Instance {
+	i := &Instance{path: path, log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
+	i.settings.Store(&s)
 	i.client = platform.NewClient(platform.ClientParams{
 		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
 	})
@@ -76,10 +77,8 @@
 	i.holder.WatchStore(i.watcher.outage)
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
-	budget := forward.NewBudget(forward.BudgetParams{
-		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(),
-	})
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, budget, forward.NewCounts(i.set), log)
+	i.budget = forward.NewBudget(budgetParams(&s))
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, forward.NewCounts(i.set), log)
 	i.guard = newGuard(i.limits)
 	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)))
 	i.addGauges()
@@ -127,8 +126,9 @@
 	if err != nil {
 		return err
 	}
+	s := i.settings.Load()
 	i.log.WithFields(logrus.Fields{
-		"instance": i.settings.NodeName, "domain": i.settings.Zone, "clients": i.settings.Listen.Frontend, "peers": i.settings.PeerAddress(), "store": i.settings.Platform.Address,
+		"instance": s.NodeName, "domain": s.Zone, "clients": s.Listen.Frontend, "peers": s.PeerAddress(), "store": s.Platform.Address,
 	}).Info("instance started")
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -154,7 +154,7 @@
 	_ = own.Close()
 	_ = listeners.peers.Close()
 	work.Wait()
-	i.log.WithField("instance", i.settings.NodeName).Info("instance stopped")
+	i.log.WithField("instance", s.NodeName).Info("instance stopped")
 	return err
 }
 
@@ -166,20 +166,21 @@
 
 func (i *Instance) listen() (listeners, error) {
 	var l listeners
-	for _, s := range []struct {
+	s := i.settings.Load()
+	for _, where := range []struct {
 		name, address string
 		to            *net.Listener
 	}{
-		{"listen.frontend", i.settings.Listen.Frontend, &l.clients},
-		{"listen.ready", i.settings.Listen.Ready, &l.ready},
-		{"internalPorts", i.settings.PeerAddress(), &l.peers},
-		{"metrics", i.settings.MetricsAddress(MetricsPort), &l.metrics},
+		{"listen.frontend", s.Listen.Frontend, &l.clients},
+		{"listen.ready", s.Listen.Ready, &l.ready},
+		{"internalPorts", s.PeerAddress(), &l.peers},
+		{"metrics", s.MetricsAddress(MetricsPort), &l.metrics},
 	} {
-		listener, err := net.Listen("tcp", s.address)
+		listener, err := net.Listen("tcp", where.address)
 		if err != nil {
-			return l, errors.Wrapf(err, "%s: listen on %s", s.name, s.address)
+			return l, errors.Wrapf(err, "%s: listen on %s", where.name, where.address)
 		}
-		*s.to = listener
+		*where.to = listener
 	}
 	return l, nil
 }
@@ -201,8 +202,9 @@
 func (i *Instance) drain(clients *http.Server) {
 	started := time.Now()
 	i.draining.Store(true)
-	i.log.WithField("grace_ms", i.settings.Grace().Milliseconds()).Info("instance draining")
-	limit := started.Add(time.Duration(float64(i.settings.Grace()) * graceShare))
+	grace := i.settings.Load().Grace()
+	i.log.WithField("grace_ms", grace.Milliseconds()).Info("instance draining")
+	limit := started.Add(time.Duration(float64(grace) * graceShare))
 	ctx, cancel := context.WithTimeout(context.Background(), storeNotice)
 	i.follower.leave()
 	i.holder.Release(ctx)
@@ -221,22 +223,6 @@
 	}
 }
 
-// reload logs signals that the settings file has changed. What it holds is fixed
-// for a process: addresses and bounds. The platform restarts it to change them.
-func (i *Instance) reload(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-hup:
-			i.log.Info("settings reloaded")
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (i *Instance) addGauges() {
 	i.set.NewGauge("martenport_configuration_version", func() float64 {
 		if config := i.dir.Config(); config != nil {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -8,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +18,7 @@
 	"testing"
 	"time"
 
+	"github.com/BurntSushi/toml"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/internal/standin"
@@ -147,7 +151,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Instance: New(s, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
+	r := &running{Instance: New(s, writeSettings(f.t, s), log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
 		if err := r.Run(ctx); err != nil {
@@ -159,6 +163,20 @@
 	return r
 }
 
+// writeSettings writes settings to a file as the platform does.
+func writeSettings(t *testing.T, s platform.Settings) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	var text bytes.Buffer
+	if err := toml.NewEncoder(&text).Encode(s); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text.Bytes(), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
 func freePort(t *testing.T, ip string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
--- /dev/null
+++ b/entry/placer.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/serving"
+)
+
+// Arrived implements forward.Placer.
+func (f *follower) Arrived(unit serving.Unit, priority int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := f.arrivals[unit.Model]
+	if a == nil {
+		a = &holder.Arrivals{Model: unit.Model}
+		f.arrivals[unit.Model] = a
+	}
+	a.Count++
+	a.Value += weight(priority)
+}
+
+// weight is how much a request of a priority counts for what is loaded. Routes
+// state a rank and no worth; each rank counts a third of the one before.
+func weight(priority int) float64 { return math.Pow(3, float64(1-priority)) }
+
+// Started implements forward.Placer.
+func (f *follower) Started(engine string, unit serving.Unit) func() {
+	key := placed{engine, unit}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.running[key]++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.running[key]--
+		if f.running[key] == 0 {
+			delete(f.running, key)
+		}
+	}
+}
+
+// Instances implements forward.Placer.
+func (f *follower) Instances() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances
+}
+
+// knownPlace is an answer to a question for a place.
+type knownPlace struct {
+	place forward.Place
+	err   error
+	at    time.Time
+}
+
+// placeLifetime is how long an answer is taken for other requests that need the
+// same: a burst for one model asks the holder once.
+const placeLifetime = 60 * time.Millisecond
+
+// Want implements forward.Placer.
+func (f *follower) Want(ctx context.Context, w forward.Wanted) (forward.Place, error) {
+	now := time.Now()
+	f.mu.Lock()
+	known, found := f.places[w]
+	f.mu.Unlock()
+	if found && now.Sub(known.at) < placeLifetime {
+		return known.place, known.err
+	}
+	place, err := f.ask(ctx, w)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.places, func(_ forward.Wanted, p knownPlace) bool { return now.Sub(p.at) >= placeLifetime })
+	if ctx.Err() == nil {
+		f.places[w] = knownPlace{place: place, err: err, at: time.Now()}
+	}
+	return place, err
+}
+
+// ask asks the holder where a unit is or will be.
+func (f *follower) ask(ctx context.Context, w forward.Wanted) (forward.Place, error) {
+	f.mu.Lock()
+	record, silent := f.record, time.Since(f.answered) > silentAfter
+	f.mu.Unlock()
+	if silent || record.Released {
+		return forward.Place{}, forward.ErrNoHolder
+	}
+	var reply WantReply
+	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable}}
+	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
+		return forward.Place{}, errors.Wrap(forward.ErrNoHolder, err.Error())
+	}
+	switch {
+	case !reply.Held:
+		return forward.Place{}, forward.ErrNoHolder
+	case !reply.Found:
+		return forward.Place{}, forward.ErrNoRoom
+	}
+	return forward.Place{Engine: reply.Engine, Ready: time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)}, nil
+}
--- /dev/null
+++ b/entry/reload.go
@@ -0,0 +1,69 @@
+package entry
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/platform"
+)
+
+// settingsCheck is how often the settings file is looked at: the platform may
+// change it without a signal.
+const settingsCheck = 2 * time.Second
+
+// reload takes over changed settings, at SIGHUP and whenever the file has
+// changed, until ctx ends.
+func (i *Instance) reload(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ticker := time.NewTicker(settingsCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-hup:
+			i.reloadOnce("signal")
+		case <-ticker.C:
+			i.reloadOnce("file")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reloadOnce reads the file. Settings that cannot be used leave those in force.
+func (i *Instance) reloadOnce(cause string) {
+	s, err := platform.LoadSettings(i.path)
+	if err != nil {
+		i.log.WithFields(logrus.Fields{"cause": cause, "error": err}).Error("settings cannot be used, those in force stay")
+		return
+	}
+	old := i.settings.Load()
+	if reflect.DeepEqual(s, *old) {
+		if cause == "signal" {
+			i.log.Info("settings reloaded, nothing has changed")
+		}
+		return
+	}
+	i.settings.Store(&s)
+	i.budget.SetParams(budgetParams(&s))
+	i.log.WithFields(logrus.Fields{"cause": cause, "restart_needed": fixed(s) != fixed(*old)}).Info("settings reloaded")
+}
+
+// fixedSettings are in force from the start of a process to its end.
+type fixedSettings struct{ name, ip, zone, frontend, ready, store, peers string }
+
+func fixed(s platform.Settings) fixedSettings {
+	return fixedSettings{s.NodeName, s.IP, s.Zone, s.Listen.Frontend, s.Listen.Ready, s.Platform.Address, s.PeerAddress()}
+}
+
+func budgetParams(s *platform.Settings) forward.BudgetParams {
+	return forward.BudgetParams{Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow()}
+}
--- /dev/null
+++ b/entry/succession.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/store"
+)
+
+// Times of taking over from a holder.
+const (
+	// maxFindInterval is the longest pause between readings of the lease's record
+	// while the holder does not answer.
+	maxFindInterval = 800 * time.Millisecond
+	// suspectAfter without an answer, and suspectMisses reports in a row, an
+	// instance may want to take over.
+	suspectAfter  = 1500 * time.Millisecond
+	suspectMisses = 3
+	// aloneAfter it takes over though half of the others do not answer it either:
+	// longer than most cuts last, since taking over from a holder that is well
+	// costs those that reach it a take-over.
+	aloneAfter = 10 * time.Second
+	// firstWait lets instances that start together register, before the first
+	// of them takes the lease.
+	firstWait = 500 * time.Millisecond
+	// takeOverSpread is how much later than the strongest instance one without
+	// any processor time would take over: longer than two reports are apart, so
+	// that the strong have noticed by then.
+	takeOverSpread = 1500 * time.Millisecond
+	// takeOverJitter spreads instances that suspect at the same time.
+	takeOverJitter = 200 * time.Millisecond
+	// votersPerDomain is how many instances of each failure domain are asked
+	// before a take-over.
+	votersPerDomain = 2
+)
+
+// findAgain reads who the holder is, less and less often while nothing changes,
+// and not at all while the store does not answer: its watch notices its return.
+func (f *follower) findAgain(ctx context.Context) {
+	now := time.Now()
+	f.mu.Lock()
+	due := now.Sub(f.found) >= min(maxFindInterval, time.Duration(f.misses)*exchangeRetry)
+	if due {
+		f.found = now
+	}
+	f.mu.Unlock()
+	if due && !f.watcher.lost() {
+		f.find(ctx)
+	}
+}
+
+// find reads who the holder is.
+func (f *follower) find(ctx context.Context) {
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil {
+		return // the store's client logs its outages
+	}
+	f.mu.Lock()
+	if record.Fence == f.gaveUp.Fence {
+		record = f.gaveUp // its holder cannot reach the store
+	}
+	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
+	if changed {
+		f.record = record
+		f.answered, f.misses = time.Now(), 0 // a new holder gets its time to answer
+	}
+	f.mu.Unlock()
+	if changed {
+		f.log.WithFields(logrus.Fields{"holder": record.Holder, "fence": record.Fence, "released": record.Released}).Info("holder found")
+	}
+	f.holder.Deposed(record.Fence)
+	if record.Fence == 0 || record.Released {
+		f.takeFree(ctx, record)
+	} else if record.Holder == f.name && !f.holder.Holds() {
+		f.takeOver(ctx, record, revision, "own")
+	}
+}
+
+// takeFree takes over a lease that nobody holds, if no stronger instance does
+// first.
+func (f *follower) takeFree(ctx context.Context, seen lease.Record) {
+	if seen.Fence == 0 && !pause.For(ctx, firstWait) {
+		return
+	}
+	if !f.yield(ctx) {
+		return
+	}
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil || record.Fence != seen.Fence {
+		return // the store is away, or another was faster
+	}
+	if seen.Released {
+		record = seen // also by its holder's word
+	}
+	f.takeOver(ctx, record, revision, "free")
+}
+
+// suspects reports whether the holder has been silent for too long.
+func (f *follower) suspects() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Since(f.answered) > suspectAfter && f.misses >= suspectMisses
+}
+
+// reaches reports whether the named holder has answered of late.
+func (f *follower) reaches(name string, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Holder == name && now.Sub(f.answered) < silentAfter
+}
+
+// consider takes over from a silent holder, unless another instance still
+// reaches it or this one is cut off from most others.
+func (f *follower) consider(ctx context.Context) {
+	f.mu.Lock()
+	suspect, silence := f.record.Holder, time.Since(f.answered)
+	f.mu.Unlock()
+	if !f.yield(ctx) {
+		return
+	}
+	asked, answered, reached := f.poll(ctx, suspect)
+	cutOff := 2*answered <= asked // then the holder may be well, and reach most others
+	if reached || cutOff && silence < aloneAfter {
+		return
+	}
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil || record.Holder != suspect {
+		return // the store is away, or another was faster
+	}
+	f.takeOver(ctx, record, revision, "silent")
+}
+
+// yield lets stronger instances go first: the holder's work grows with the
+// fleet, and one without processor time for it would soon be suspected itself.
+func (f *follower) yield(ctx context.Context) bool {
+	return pause.For(ctx, f.members.handicap(ctx, takeOverSpread)+rand.N(takeOverJitter))
+}
+
+// poll asks a few instances of each failure domain at once whether they reach
+// the holder. asked counts them, answered those that answered.
+func (f *follower) poll(ctx context.Context, suspect string) (asked, answered int, reached bool) {
+	ctx, cancel := context.WithTimeout(ctx, wantTimeout)
+	defer cancel()
+	addresses := f.members.sample(ctx, votersPerDomain, f.name, suspect)
+	type vote struct{ answered, reaches bool }
+	votes := make(chan vote, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			var reply ReachesReply
+			err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
+			if err != nil {
+				f.pool.Disconnect(address)
+			}
+			votes <- vote{answered: err == nil, reaches: reply.Reaches}
+		}()
+	}
+	for range addresses {
+		v := <-votes
+		if v.answered {
+			answered++
+			reached = reached || v.reaches
+		}
+	}
+	return len(addresses), answered, reached
+}
+
+// leave has the instance take nothing over any more.
+func (f *follower) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+}
+
+func (f *follower) takeOver(ctx context.Context, record lease.Record, revision int64, cause string) {
+	f.mu.Lock()
+	leaving := f.leaving
+	f.mu.Unlock()
+	if leaving {
+		return
+	}
+	err := f.holder.TakeOver(ctx, record, revision, cause)
+	if err != nil {
+		if !errors.Is(err, store.ErrConflict) {
+			f.log.WithFields(logrus.Fields{"fence": record.Fence, "cause": cause, "error": err}).Info("lease not taken")
+		}
+		return
+	}
+	f.find(ctx)
+}
