True times to come back while there is no holder; a lease given up is heard of from voters

Waits are now counted from the last event, the time told is the take-over's, and voters pass on what they heard.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/serving"
@@ -143,7 +142,7 @@
 	case ctx.Err() != nil:
 		return serving.Server{}, time.Time{}, verdict.Refuse(verdict.ReasonDeadline, "the time was over before a place for %s was known", t.request.Unit)
 	case err != nil:
-		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err)
+		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err, time.Until(place.Ready))
 	}
 	if place.Engine == "" {
 		return serving.Server{}, place.Ready, nil
@@ -160,17 +159,19 @@
 	return server, place.Ready, nil
 }
 
-// wantFailed waits before the next try, or refuses.
-func (t *trip) wantFailed(ctx context.Context, err error) *verdict.Failure {
-	back := t.f.params.HolderReturn
-	if errors.Is(err, ErrNoRoom) {
-		back /= 2
-	}
+// longestAskPause bounds the pause before a holder is asked again: it may be back
+// sooner than expected.
+const longestAskPause = 250 * time.Millisecond
+
+// wantFailed waits before the next question for a place, or refuses. back is when
+// there is hope again.
+func (t *trip) wantFailed(ctx context.Context, err error, back time.Duration) *verdict.Failure {
+	back = max(back, t.f.params.RetryPause)
 	if failure := t.refuseWait(back); failure != nil {
 		failure.Detail += ": " + err.Error()
 		return failure
 	}
-	return t.pauseFor(ctx, max(back/10, t.f.params.RetryPause))
+	return t.pauseFor(ctx, min(back, longestAskPause))
 }
 
 // refuseWait decides whether the client should come back rather than wait. A
@@ -179,7 +180,7 @@
 // objective, while little of it has passed and the client may heed the time.
 func (t *trip) refuseWait(wait time.Duration) *verdict.Failure {
 	now := time.Now()
-	elapsed, left := now.Sub(t.request.Arrived), t.firstDue.Sub(now)
+	elapsed, left := now.Sub(t.request.Arrived), t.due().Sub(now)
 	if wait+t.f.params.FirstEvent >= left {
 		return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
 	}
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -55,7 +55,8 @@
 // Placer has units loaded.
 type Placer interface {
 	// Want returns where the unit will be. It does not wait for the load. Its
-	// errors are ErrNoHolder and ErrNoRoom.
+	// errors are ErrNoHolder and ErrNoRoom; the place then says when to ask
+	// again.
 	Want(ctx context.Context, w Wanted) (Place, error)
 	// Arrived notes a request for a unit, for forecasts.
 	Arrived(unit serving.Unit, priority int)
@@ -72,18 +73,15 @@
 	// FirstEvent is how long an engine takes to a first event when all that it
 	// needs is loaded.
 	FirstEvent time.Duration
-	// RetryPause is the pause before a server that has just refused, or a
-	// holder that could not be reached, is asked again.
+	// RetryPause is the pause before a server that has just refused is asked
+	// again.
 	RetryPause time.Duration
-	// HolderReturn is told to clients as the time to come back when there is
-	// no holder: about what a take-over takes.
-	HolderReturn time.Duration
 }
 
 // DefaultParams returns the parameters used unless set otherwise.
 func DefaultParams(failureDomain string) Params {
 	return Params{
-		FailureDomain: failureDomain, FirstEvent: 120 * time.Millisecond, RetryPause: 60 * time.Millisecond, HolderReturn: 1500 * time.Millisecond,
+		FailureDomain: failureDomain, FirstEvent: 120 * time.Millisecond, RetryPause: 60 * time.Millisecond,
 	}
 }
 
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -23,6 +23,8 @@
 	// started: the head has been written, so the status can no longer change.
 	started bool
 	status  int
+	// written is when the client was last sent something.
+	written time.Time
 	// lastEvent is the id of the last event passed on, "" before the first.
 	lastEvent string
 }
@@ -39,7 +41,7 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
-	w.started, w.status = true, resp.Status
+	w.started, w.status, w.written = true, resp.Status, time.Now()
 	w.WriteHeader(resp.Status)
 }
 
@@ -118,6 +120,7 @@
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
 		}
+		t.out.written = time.Now()
 		if e.id != "" {
 			t.out.lastEvent = e.id
 		}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -24,8 +24,6 @@
 	// deadline is when the final answer is due: the sooner of the client's and
 	// the route's.
 	deadline time.Time
-	// firstDue is when the client leaves if nothing has come by then.
-	firstDue time.Time
 	// again: the client has tried before.
 	again bool
 
@@ -63,10 +61,6 @@
 		allowed = defaultTimeout
 	}
 	t.deadline = r.Arrived.Add(allowed)
-	t.firstDue = t.deadline
-	if route.Patience > 0 && route.Patience < allowed {
-		t.firstDue = r.Arrived.Add(route.Patience)
-	}
 	f.budget.Request(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
 		f.placer.Arrived(r.Unit, route.Priority)
@@ -74,6 +68,21 @@
 	return t
 }
 
+// due is when the client leaves if nothing more has come by then.
+func (t *trip) due() time.Time {
+	if t.route.Patience == 0 {
+		return t.deadline
+	}
+	last := t.request.Arrived
+	if t.out.started {
+		last = t.out.written
+	}
+	if due := last.Add(t.route.Patience); due.Before(t.deadline) {
+		return due
+	}
+	return t.deadline
+}
+
 // defaultTimeout bounds a request for which neither client nor route says how
 // long it may take.
 const defaultTimeout = 30 * time.Second
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -143,6 +143,11 @@
 	return h.gaveUp
 }
 
+// SuccessionTime is how long after a take-over from a lost holder orders begin.
+func (h *Holder) SuccessionTime() time.Duration {
+	return h.params.Lease.Validity + h.params.Lease.Settle
+}
+
 // Deposed notes that another instance has a higher fencing token.
 func (h *Holder) Deposed(fence int64) {
 	h.mu.Lock()
@@ -206,6 +211,9 @@
 	defer h.mu.Unlock()
 	switch {
 	case err == nil:
+		if !h.failingSince.IsZero() {
+			h.log.WithFields(logrus.Fields{"fence": record.Fence, "failed_ms": time.Since(h.failingSince).Milliseconds()}).Info("lease renewed again")
+		}
 		h.lease.Renewed(record, obj.Version, sent)
 		h.failingSince = time.Time{}
 		return nil
@@ -216,7 +224,7 @@
 	}
 	if h.failingSince.IsZero() {
 		h.failingSince = sent
+		h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
 	}
-	h.log.WithFields(logrus.Fields{"fence": record.Fence, "error": err}).Info("lease not renewed")
 	return err
 }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -225,7 +225,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses++
-	if err == nil && gaveUp.Fence == record.Fence {
+	if err == nil && gaveUp.Fence > f.gaveUp.Fence {
 		f.gaveUp = gaveUp
 	}
 	if time.Since(f.answered) < silentAfter || f.silent {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -10,6 +10,7 @@
 
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -83,24 +84,36 @@
 	return place, err
 }
 
+// noRoomRetry is when an engine may have room again: about what a load takes.
+const noRoomRetry = time.Second
+
+// succession is how long it is expected to take until there is a holder again
+// that orders loads, after silence of the one before.
+func (f *follower) succession(record lease.Record, silence time.Duration) time.Duration {
+	if record.Released {
+		return takeOverSpread / 2
+	}
+	return max(0, suspectAfter+takeOverSpread/2-silence) + f.holder.SuccessionTime()
+}
+
 // ask asks the holder where a unit is or will be.
 func (f *follower) ask(ctx context.Context, w forward.Wanted) (forward.Place, error) {
 	f.mu.Lock()
-	record, silent := f.record, time.Since(f.answered) > silentAfter
+	record, silence := f.record, time.Since(f.answered)
 	f.mu.Unlock()
-	if silent || record.Released {
-		return forward.Place{}, forward.ErrNoHolder
+	if silence > silentAfter || record.Released {
+		return forward.Place{Ready: time.Now().Add(f.succession(record, silence))}, forward.ErrNoHolder
 	}
 	var reply WantReply
 	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable}}
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
-		return forward.Place{}, errors.Wrap(forward.ErrNoHolder, err.Error())
+		return forward.Place{Ready: time.Now().Add(exchangeRetry)}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	switch {
 	case !reply.Held:
-		return forward.Place{}, forward.ErrNoHolder
+		return forward.Place{Ready: time.Now().Add(silentAfter)}, forward.ErrNoHolder
 	case !reply.Found:
-		return forward.Place{}, forward.ErrNoRoom
+		return forward.Place{Ready: time.Now().Add(noRoomRetry)}, forward.ErrNoRoom
 	}
 	return forward.Place{Engine: reply.Engine, Ready: time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)}, nil
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -65,7 +65,12 @@
 type ReachesArgs struct{ Holder string }
 
 // ReachesReply says whether the instance has lately been answered by the holder.
-type ReachesReply struct{ Reaches bool }
+type ReachesReply struct {
+	Reaches bool
+	// GaveUp is the released record of a holder that could not write it, as far
+	// as the instance has heard of one.
+	GaveUp lease.Record
+}
 
 // service answers the calls of instances, in the method set that net/rpc asks
 // for.
@@ -106,7 +111,7 @@
 
 // Reaches answers whether the holder answers this instance.
 func (s *service) Reaches(args *ReachesArgs, reply *ReachesReply) error {
-	reply.Reaches = s.follower.reaches(args.Holder, time.Now())
+	reply.Reaches, reply.GaveUp = s.follower.reaches(args.Holder, time.Now())
 	return nil
 }
 
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -61,10 +61,8 @@
 	if err != nil {
 		return // the store's client logs its outages
 	}
+	record = f.released(record)
 	f.mu.Lock()
-	if record.Fence == f.gaveUp.Fence {
-		record = f.gaveUp // its holder cannot reach the store
-	}
 	changed := record.Fence > f.record.Fence || record.Released != f.record.Released
 	if changed {
 		f.record = record
@@ -95,9 +93,6 @@
 	if err != nil || record.Fence != seen.Fence {
 		return // the store is away, or another was faster
 	}
-	if seen.Released {
-		record = seen // also by its holder's word
-	}
 	f.takeOver(ctx, record, revision, "free")
 }
 
@@ -108,11 +103,31 @@
 	return time.Since(f.answered) > suspectAfter && f.misses >= suspectMisses
 }
 
-// reaches reports whether the named holder has answered of late.
-func (f *follower) reaches(name string, now time.Time) bool {
+// reaches reports whether the named holder has answered of late, and the record
+// that a holder has given up, if one is known.
+func (f *follower) reaches(name string, now time.Time) (bool, lease.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Holder == name && now.Sub(f.answered) < silentAfter, f.gaveUp
+}
+
+// heardOf notes the released record of a holder that could not write it.
+func (f *follower) heardOf(gaveUp lease.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.record.Holder == name && now.Sub(f.answered) < silentAfter
+	if gaveUp.Fence > f.gaveUp.Fence {
+		f.gaveUp = gaveUp
+	}
+}
+
+// released returns record, or what its holder has said of giving it up.
+func (f *follower) released(record lease.Record) lease.Record {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if record.Fence != 0 && record.Fence == f.gaveUp.Fence {
+		return f.gaveUp
+	}
+	return record
 }
 
 // consider takes over from a silent holder, unless another instance still
@@ -156,6 +171,8 @@
 			err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
 			if err != nil {
 				f.pool.Disconnect(address)
+			} else {
+				f.heardOf(reply.GaveUp)
 			}
 			votes <- vote{answered: err == nil, reaches: reply.Reaches}
 		}()
@@ -184,7 +201,7 @@
 	if leaving {
 		return
 	}
-	err := f.holder.TakeOver(ctx, record, revision, cause)
+	err := f.holder.TakeOver(ctx, f.released(record), revision, cause)
 	if err != nil {
 		if !errors.Is(err, store.ErrConflict) {
 			f.log.WithFields(logrus.Fields{"fence": record.Fence, "cause": cause, "error": err}).Info("lease not taken")
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -72,6 +72,9 @@
 	return nil
 }
 
+// timestampFormat has milliseconds: loads take a second, requests less.
+const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Log returns a log with one key=value line an event.
 func Log(level string, to io.Writer) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
@@ -81,7 +84,7 @@
 	log := logrus.New()
 	log.SetOutput(to)
 	log.SetLevel(parsed)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timestampFormat})
 	return log, nil
 }
 
--- /dev/null
+++ b/query/explain/explain_test.go
@@ -0,0 +1,48 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+)
+
+const sampleLog = `  17.1 edge-2 time="2026-04-07T22:21:01.100Z" level=info msg="lease taken" before=edge-1 cause=silent fence=2 orders_in_ms=5699
+  18.0 edge-2 time="2026-04-07T22:21:02.000Z" level=info msg="operation planned" engine=i-9 load=m7 ready_ms=879 unload="[m3]"
+  18.1 edge-1 time="2026-04-07T22:21:02.100Z" level=warning msg="holder does not answer" holder=edge-9
+  18.2 edge-3 time="2026-04-07T22:21:02.200Z" level=warning msg="holder does not answer" holder=edge-9
+  18.3 edge-2 time="2026-04-07T22:21:02.300Z" level=info msg="operation planned" engine=i-8 load=m1 ready_ms=879
+  18.4 edge-1 time="2026-04-07T22:21:02.400Z" level=info msg="request answered" request=other unit=m7 ms=3
+not a line of ours
+  18.9 edge-1 time="2026-04-07T22:21:02.900Z" level=info msg="request not answered: m7 is ready in 1.2s" request=r1 unit=m7/a2 ms=2 reason=no_replica
+  19.9 edge-2 time="2026-04-07T22:21:03.900Z" level=info msg="operation ended" engine=i-9 load=m7
+`
+
+func TestRequest(t *testing.T) {
+	lines, err := Read(strings.NewReader(sampleLog), "file")
+	if err != nil || len(lines) != 8 {
+		t.Fatalf("%d lines, %v", len(lines), err)
+	}
+	found, err := Request(lines, "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, l := range found {
+		got = append(got, l.Instance+": "+l.Message)
+	}
+	want := "edge-2: lease taken|edge-2: operation planned|edge-1: holder does not answer|edge-1: request not answered: m7 is ready in 1.2s"
+	if strings.Join(got, "|") != want {
+		t.Errorf("got %s", strings.Join(got, "|"))
+	}
+	if _, err := Request(lines, "r2"); !errors.Is(err, ErrNotFound) {
+		t.Errorf("%v, want not found", err)
+	}
+}
+
+func TestInstanceOfFile(t *testing.T) {
+	lines, err := Read(strings.NewReader(`time="2026-04-07T22:21:02.900Z" level=info msg="x" request=r1`), "edge-7")
+	if err != nil || len(lines) != 1 || lines[0].Instance != "edge-7" {
+		t.Errorf("%+v, %v", lines, err)
+	}
+}
