--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -186,7 +186,7 @@
 	}
 	onTime := elapsed+wait+t.f.params.FirstEvent <= t.route.Objective
 	early := elapsed <= t.route.Objective/refusalShare
-	heeded := wait <= t.deadline.Sub(now)/refusalShare
+	heeded := wait <= t.deadline.Sub(now)/heedShare
 	if onTime || t.again || t.sends > 0 || !early || !heeded {
 		return nil
 	}
@@ -194,9 +194,12 @@
 }
 
 // refusalShare: a refusal within this part of the objective costs a client
-// little, and clients heed a time to come back up to about this part of the
-// time that they have left.
-const refusalShare = 4
+// little. heedShare: clients heed a time to come back up to this part of the time
+// that they have left. The users' pages give both.
+const (
+	refusalShare = 4
+	heedShare    = 3
+)
 
 // Further pauses before a server that has just refused is asked again.
 const maxPauses = 4
