What the holder tells is bounded

Loads are told for the 64 busiest engines, at most 128 views an answer, and servers only from the revision that an instance knows. Found by TestRelayBringsAll while writing it: a revision was noted before all entries up to it were known.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/martenport/martenport/directory"
@@ -26,9 +27,9 @@
 // account is what instances have said of their requests.
 type account struct {
 	instances map[string]instance
-	// totals is what all run, by engine, as of added.
-	totals map[string]int
-	added  time.Time
+	// busiest is what all run on the busiest engines, as of added.
+	busiest map[string]int
+	added   time.Time
 }
 
 type instance struct {
@@ -65,22 +66,40 @@
 func (a *account) others(name string, now time.Time) map[string]int {
 	if now.Sub(a.added) >= viewsInterval {
 		a.added = now
-		a.totals = map[string]int{}
+		totals := map[string]int{}
 		for _, i := range a.instances {
 			for _, r := range i.running {
-				a.totals[r.Engine] += r.Count
+				totals[r.Engine] += r.Count
 			}
 		}
+		a.busiest = busiestOf(totals)
 	}
-	counts := maps.Clone(a.totals)
+	counts := maps.Clone(a.busiest)
 	for _, r := range a.instances[name].running {
-		if counts[r.Engine] -= r.Count; counts[r.Engine] <= 0 {
-			delete(counts, r.Engine)
+		if n, told := counts[r.Engine]; told {
+			counts[r.Engine] = max(0, n-r.Count)
 		}
 	}
 	return counts
 }
 
+// maxBusiest bounds how many engines' loads are told: those that it is best to
+// stay away from. The rest count as having none of other instances.
+const maxBusiest = 64
+
+// busiestOf returns the engines with the highest counts.
+func busiestOf(totals map[string]int) map[string]int {
+	if len(totals) <= maxBusiest {
+		return totals
+	}
+	ids := slices.SortedFunc(maps.Keys(totals), func(a, b string) int { return totals[b] - totals[a] })
+	busiest := make(map[string]int, maxBusiest)
+	for _, id := range ids[:maxBusiest] {
+		busiest[id] = totals[id]
+	}
+	return busiest
+}
+
 // Report is what an instance says of itself.
 type Report struct {
 	Name string
@@ -93,6 +112,8 @@
 	// SeenServers what it has from that one.
 	Fence                  int64
 	SeenViews, SeenServers uint64
+	// Revision is the store's, up to which it knows of servers.
+	Revision int64
 }
 
 // News is what the holder says to an instance.
@@ -138,7 +159,7 @@
 		r.SeenViews, r.SeenServers = 0, 0
 	}
 	news := News{
-		Fence: record.Fence, Failing: failing, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers),
+		Fence: record.Fence, Failing: failing, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers, r.Revision),
 	}
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config := h.dir.Config(); config != nil {
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -25,16 +26,34 @@
 // within one.
 const viewsInterval = 50 * time.Millisecond
 
-// since returns the views that changed after a change, and the newest change.
+// maxViews bounds how many views one answer has: all instances ask at once when
+// there is a new holder, and the rest follows with their next reports.
+const maxViews = 128
+
+// since returns views that changed after a change, the oldest changes first, and
+// the change up to which they go.
 func (v *views) since(change uint64, fleet *replicas.Fleet, now time.Time) ([]directory.EngineView, uint64) {
 	v.refresh(fleet, now)
-	var changed []directory.EngineView
+	var changed []viewChange
 	for _, c := range v.last {
 		if c.change > change {
-			changed = append(changed, c.view)
+			changed = append(changed, c)
 		}
 	}
-	return changed, v.change
+	if len(changed) == 0 {
+		return nil, v.change
+	}
+	slices.SortFunc(changed, func(a, b viewChange) int { return cmp.Compare(a.change, b.change) })
+	upTo := v.change
+	if len(changed) > maxViews {
+		changed = changed[:maxViews]
+		upTo = changed[maxViews-1].change
+	}
+	views := make([]directory.EngineView, 0, len(changed))
+	for _, c := range changed {
+		views = append(views, c.view)
+	}
+	return views, upTo
 }
 
 func (v *views) refresh(fleet *replicas.Fleet, now time.Time) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -89,7 +89,6 @@
 	}
 	s.Draining = s.Draining || drains
 	d.servers[s.ID] = s
-	d.revision = max(d.revision, s.Revision)
 	if !found || !routesAlike(known, s) {
 		d.touch(s.ID)
 	}
--- /dev/null
+++ b/directory/directory_test.go
@@ -0,0 +1,122 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/serving"
+)
+
+var start = time.Unix(1000, 0)
+
+func server(id string, revision int64, draining bool) serving.Server {
+	return serving.Server{ID: id, Service: "s", Address: "a", Revision: revision, Draining: draining}
+}
+
+// TestOlderPages: what is older than what is known changes nothing, and a
+// draining server stays so whatever an older page says.
+func TestOlderPages(t *testing.T) {
+	d := New()
+	d.ApplyServer(server("x", 5, true), start)
+	d.ApplyServer(server("x", 4, false), start)
+	if got := d.Servers("s"); len(got) != 0 {
+		t.Errorf("a draining server is offered: %v", got)
+	}
+	d.ApplyServer(server("x", 6, false), start)
+	if got := d.Servers("s"); len(got) != 0 {
+		t.Error("a server that was draining is offered again")
+	}
+	d.RemoveServer("x", 7, start)
+	d.ApplyServer(server("x", 6, false), start)
+	if _, known := d.Server("x"); known {
+		t.Error("an older page brings a removed server back")
+	}
+	d.ApplyServer(server("y", 8, false), start)
+	d.RemoveServer("y", 7, start)
+	if _, known := d.Server("y"); !known {
+		t.Error("a removal that is older than the announcement was applied")
+	}
+	d.RemoveServer("y", 9, start)
+	d.ApplyServer(server("y", 10, false), start)
+	if got := d.Servers("s"); len(got) != 1 {
+		t.Error("a server whose entry had lapsed is not used when it is back")
+	}
+}
+
+// TestConfigurationNeverReverts by whatever comes later.
+func TestConfigurationNeverReverts(t *testing.T) {
+	d := New()
+	if !d.ApplyConfig(&serving.Config{Version: 7}) || d.ApplyConfig(&serving.Config{Version: 7}) || d.ApplyConfig(&serving.Config{Version: 4}) {
+		t.Error("a version that is not newer was taken over")
+	}
+	if d.Config().Version != 7 {
+		t.Errorf("version %d in force", d.Config().Version)
+	}
+}
+
+// TestRelayBringsAll: whatever happens at one directory, another that takes its
+// deltas knows the same servers in the end, from wherever it began.
+func TestRelayBringsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		from, to := New(), New()
+		revision, seen := int64(0), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			revision++
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")
+			switch rapid.SampledFrom([]string{"announce", "announce", "drain", "remove", "lapse", "list", "relay", "relay"}).Draw(t, "what") {
+			case "announce":
+				from.ApplyServer(server(id, revision, false), start)
+			case "drain":
+				from.ApplyServer(server(id, revision, true), start)
+			case "remove":
+				from.RemoveServer(id, revision, start)
+			case "lapse": // found later than its revision says
+				from.RemoveServer(id, revision-1, start)
+			case "list": // the other one asks the store itself
+				from.Listed(revision)
+				for _, s := range from.All() {
+					to.ApplyServer(s, start)
+				}
+				for _, id := range to.IDs() {
+					if _, known := from.Server(id); !known {
+						to.RemoveServer(id, revision, start)
+					}
+				}
+				to.Listed(revision)
+				seen = 0
+			case "relay":
+				delta := from.Since(seen, to.Revision())
+				to.ApplyDelta(delta, start)
+				seen = delta.Change
+			}
+		}
+		to.ApplyDelta(from.Since(seen, to.Revision()), start)
+		for _, id := range []string{"a", "b", "c", "d"} {
+			x, xKnown := from.Server(id)
+			y, yKnown := to.Server(id)
+			if xKnown != yKnown || x.Draining != y.Draining {
+				t.Fatalf("%s: %v %+v, relayed %v %+v", id, xKnown, x, yKnown, y)
+			}
+		}
+	})
+}
+
+// TestViewsOfOlderHolder: the word of a holder that has been succeeded is not
+// taken.
+func TestViewsOfOlderHolder(t *testing.T) {
+	d := New()
+	d.ApplyServer(serving.Server{ID: "e", Service: "s", Revision: 1}, start)
+	unit := serving.Unit{Model: "m"}
+	view := []EngineView{{Engine: "e", Units: []UnitView{{Unit: unit}}}}
+	d.ApplyViews(2, []EngineView{{Engine: "e"}}, nil, start)
+	d.ApplyViews(1, view, nil, start)
+	if got := d.Replicas("s", unit, start); len(got) != 0 {
+		t.Errorf("replicas %v by the word of an older holder", got)
+	}
+	d.ApplyViews(2, view, nil, start)
+	if got := d.Replicas("s", unit, start); len(got) != 1 {
+		t.Errorf("replicas %v, want the one of the view", got)
+	}
+}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -20,22 +20,23 @@
 	Change  uint64
 	Servers []serving.Server
 	Removed []Removal
-	// Whole: Servers are all there are as of Revision, the store's.
-	Whole    bool
+	// Revision is the store's, up to which the sender knows of servers.
 	Revision int64
 }
 
-// Since returns what has changed after a change that an earlier Delta named, or
-// everything after 0.
-func (d *Directory) Since(change uint64) Delta {
+// Since returns what has changed after a change that an earlier Delta named. To
+// an instance that has named none it returns what is newer than the revision of
+// the store up to which that one knows of servers, and all removals that are
+// remembered: those of lapsed entries are found later than their revision says.
+func (d *Directory) Since(change uint64, revision int64) Delta {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	delta := Delta{Change: d.change, Whole: change == 0, Revision: d.revision}
+	delta := Delta{Change: d.change, Revision: d.revision}
 	if change == d.change {
 		return delta
 	}
 	for id, s := range d.servers {
-		if d.changed[id] > change {
+		if change == 0 && s.Revision > revision || change > 0 && d.changed[id] > change {
 			s.Tiers = nil
 			delta.Servers = append(delta.Servers, s)
 		}
@@ -60,18 +61,17 @@
 			gone = append(gone, r.ID)
 		}
 	}
-	if !delta.Whole {
-		return gone
-	}
-	for _, id := range d.IDs() {
-		listed := slices.ContainsFunc(delta.Servers, func(s serving.Server) bool { return s.ID == id })
-		if !listed && d.RemoveServer(id, delta.Revision, now) {
-			gone = append(gone, id)
-		}
-	}
+	d.Listed(delta.Revision)
 	return gone
 }
 
+// Revision returns the store's revision up to which servers are known.
+func (d *Directory) Revision() int64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.revision
+}
+
 // Listed notes the store's revision up to which the servers are known.
 func (d *Directory) Listed(revision int64) {
 	d.mu.Lock()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -169,7 +169,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := holder.Report{
-		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers,
+		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
 	}
 	for _, a := range f.arrivals {
 		r.Arrivals = append(r.Arrivals, *a)
