--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -10,7 +10,7 @@
 	"github.com/martenport/martenport/platform"
 )
 
-// instruments are the metrics of one instance; docs/OPERATING.md lists them.
+// instruments are the metrics of one instance; docs/OPERATIONS.md lists them.
 type instruments struct {
 	set            *metrics.Set
 	requestSeconds *metrics.Histogram
--- a/declaration/parse.go
+++ b/declaration/parse.go
@@ -62,7 +62,7 @@
 var linePattern = regexp.MustCompile(`^(?:yaml: )?line (\d+): (.*)$`)
 
 // syntaxMend is all that can be advised about a file that cannot be read.
-const syntaxMend = "correct it, docs/OPERATING.md lists the fields"
+const syntaxMend = "correct it, docs/OPERATIONS.md lists the fields"
 
 func syntaxFaults(err error) []Fault {
 	if errors.Is(err, io.EOF) {
--- a/event/event.go
+++ b/event/event.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Kind names what happened; docs/OPERATING.md lists the kinds.
+// Kind names what happened; docs/OPERATIONS.md lists the kinds.
 type Kind string
 
 // The kinds of events.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,7 +15,7 @@
 	"github.com/sirupsen/logrus"
 )
 
-// Exit codes of all programs; docs/OPERATING.md lists them.
+// Exit codes of all programs; docs/OPERATIONS.md lists them.
 const (
 	ExitOK      = 0
 	ExitFailed  = 1 // the work failed
