--- /dev/null
+++ b/command/replicas/place_test.go
@@ -0,0 +1,179 @@
+package replicas
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// TestWeightsDecide: a model goes to the engine that has its weights, though
+// another has as much room.
+func TestWeightsDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2"}, []string{"m1", "m2"}, []string{"m1", "m2"})
+	for _, id := range []string{"a-engine", "c-engine"} {
+		f.Engine(id).Tiers["m4"] = serving.TierRemote
+	}
+	f.index = index{}
+	operations := wantNow(t, f, "m4", now)
+	if len(operations) != 1 || operations[0].Engine != "b-engine" || operations[0].Remote {
+		t.Errorf("%+v, want a load from the disk of b-engine", operations)
+	}
+}
+
+// wantNow asks for a model and returns what is started for it.
+func wantNow(t *testing.T, f *Fleet, model string, now time.Time) []Operation {
+	t.Helper()
+	if _, ok := f.Find("llm", serving.Unit{Model: model}, 1, now); !ok {
+		t.Fatalf("no place for %s", model)
+	}
+	return f.Dispatch(now)
+}
+
+// TestCopyInUseStays: for room an idle copy goes, never one in use that its model
+// cannot spare.
+func TestCopyInUseStays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	f.Running(map[string]map[serving.Unit]int{"a-engine": {{Model: "m1"}: 1, {Model: "m3"}: 2}}, now)
+	operations := wantNow(t, f, "m4", now)
+	if len(operations) != 1 || len(operations[0].Unload) != 1 || operations[0].Unload[0].Model != "m2" {
+		t.Fatalf("%+v, want m2 evicted", operations)
+	}
+	f = testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	f.Running(map[string]map[serving.Unit]int{"a-engine": {{Model: "m1"}: 1, {Model: "m2"}: 1, {Model: "m3"}: 1}}, now)
+	if found, ok := f.Find("llm", serving.Unit{Model: "m4"}, 1, now); ok {
+		t.Errorf("%+v, want no place: all copies are in use", found)
+	}
+}
+
+// TestOneOperationForABurst: requests for one model share its load.
+func TestOneOperationForABurst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"}, []string{"m1", "m2", "m3"})
+	started := 0
+	for range 50 {
+		started += len(wantNow(t, f, "m4", now))
+	}
+	if started != 1 {
+		t.Errorf("%d loads for one burst", started)
+	}
+}
+
+// TestMostWantedFirst: when an engine is free it takes what more requests want.
+func TestMostWantedFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4", "m5"), []string{"m1", "m2", "m3"})
+	e := f.Engine("a-engine")
+	e.Busy, e.Free = true, now.Add(time.Second)
+	f.Find("llm", serving.Unit{Model: "m4"}, 1, now)
+	for range 5 {
+		f.Find("llm", serving.Unit{Model: "m5"}, 1, now)
+	}
+	if operations := f.Dispatch(now); len(operations) != 0 {
+		t.Fatalf("%+v started on a busy engine", operations)
+	}
+	e.Busy = false
+	if operations := f.Dispatch(now); len(operations) != 1 || operations[0].Load.Model != "m5" {
+		t.Errorf("%+v, want m5 first", operations)
+	}
+}
+
+// TestBusyModelsGetCopies: demand brings further copies, and spares one.
+func TestBusyModelsGetCopies(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"}, []string{"m2", "m3", "m4"}, []string{"m2", "m3", "m4"})
+	f.Arrived("m1", 80, 80, now) // 20 a second
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		for _, op := range f.Rebalance(now) {
+			f.Done(op, now)
+		}
+	}
+	if n := f.copiesOf("m1"); n != 3 {
+		t.Errorf("%d copies of a model with 20 requests a second on three engines", n)
+	}
+}
+
+// TestWeightStoreCeiling: loads from the weight store stay within its rate and
+// the number that run at full speed.
+func TestWeightStoreCeiling(t *testing.T) {
+	now := time.Unix(1000, 0)
+	names := []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}
+	var loaded [][]string
+	for range 8 {
+		loaded = append(loaded, nil)
+	}
+	f := testFleet(now, testSpec(names...), loaded...)
+	for _, e := range f.Engines() {
+		clear(e.Tiers)
+	}
+	f.index = index{}
+	started := 0
+	for _, name := range names {
+		f.Find("llm", serving.Unit{Model: name}, 1, now)
+		started += len(f.Dispatch(now))
+	}
+	if started != f.params.RemoteAtOnce {
+		t.Errorf("%d loads from the weight store at once, want %d", started, f.params.RemoteAtOnce)
+	}
+}
+
+// TestAccountFits: whatever is asked for, ended and failed, what an account
+// counts on an engine fits it.
+func TestAccountFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		names := []string{"m1", "m2", "m3", "m4", "m5", "m6"}
+		f := testFleet(now, testSpec(names...), []string{"m1", "m2", "m3"}, []string{"m1", "m4"})
+		var running []Operation
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "passes")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"want", "want", "want", "adapter", "end", "end", "fail", "read"}).Draw(t, "what") {
+			case "want":
+				f.Find("llm", serving.Unit{Model: rapid.SampledFrom(names).Draw(t, "model")}, 1, now)
+				running = append(running, f.Dispatch(now)...)
+			case "adapter":
+				unit := serving.Unit{Model: rapid.SampledFrom(names).Draw(t, "model"), Adapter: rapid.SampledFrom([]string{"a1", "a2", "a3", "a4"}).Draw(t, "adapter")}
+				if found, ok := f.Find("llm", unit, 1, now); ok && found.Start != nil {
+					running = append(running, *found.Start)
+				}
+			case "end", "fail":
+				if len(running) == 0 {
+					continue
+				}
+				op := running[0]
+				running = running[1:]
+				if !f.Current(op) {
+					continue
+				}
+				if rapid.Bool().Draw(t, "fails") {
+					f.Failed(op, now)
+					continue
+				}
+				for _, unit := range op.Unload {
+					f.Unloaded(op, unit)
+				}
+				f.Done(op, now)
+			case "read":
+				for _, id := range f.Unsure() {
+					f.Adopt(id, serving.Report{Models: map[string][]string{"m1": nil, "m2": {"a1"}}, Sequence: 1 << 30}, now)
+				}
+			}
+			for _, e := range f.Engines() {
+				leaving := 0.0 // is replaced by what arrives
+				for name, c := range e.Copies {
+					if c.State == Leaving {
+						leaving += e.Spec.Models[name].MemoryMB + float64(len(c.Adapters))*e.Spec.Models[name].AdapterMB
+					}
+				}
+				if e.memoryMB()-leaving > e.Spec.MemoryMB || e.adapters() > e.Spec.AdapterSlots {
+					t.Fatalf("%s: %.0f MB, %d adapters", e.Server.ID, e.memoryMB()-leaving, e.adapters())
+				}
+			}
+		}
+	})
+}
