--- a/cmd/martendev/main.go
+++ b/cmd/martendev/main.go
@@ -25,6 +25,7 @@
 	}{
 		{"platform", "run a stand-in platform", &platformCommand{}},
 		{"engine", "run a stand-in engine", &engineCommand{}},
+		{"server", "run a stand-in backend server of the users' platform", &serverCommand{}},
 		{"service", "run a stand-in plain service", &serviceCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -12,6 +12,7 @@
 
 	"github.com/martenport/martenport/internal/cli"
 	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
 )
 
 // serve answers on address until a signal comes, and prints the address.
@@ -73,6 +74,49 @@
 	return serve(c.Listen, engine.Handler())
 }
 
+type serverCommand struct {
+	Listen    string        `long:"listen" required:"true" description:"address"`
+	Announced string        `long:"announced" description:"address in its entry, if not its own"`
+	Store     string        `long:"store" required:"true" description:"base URL of the platform's store"`
+	ID        string        `long:"id" required:"true" description:"id of this start"`
+	Service   string        `long:"service" required:"true" description:"service that it belongs to"`
+	Domain    string        `long:"domain" default:"a" description:"failure domain"`
+	Models    []string      `long:"model" description:"model that it can load; none for a plain service"`
+	Loaded    []string      `long:"loaded" description:"model that it holds from the start"`
+	Load      time.Duration `long:"load" default:"200ms" description:"time of a load"`
+	Work      time.Duration `long:"work" default:"5ms" description:"time of a plain request, and pause between events"`
+	Heartbeat time.Duration `long:"heartbeat" default:"500ms" description:"interval of its entries"`
+}
+
+// Sizes of the stand-in server: two models and two adapters fit.
+const (
+	serverMemoryMB     = 210
+	serverModelMB      = 100
+	serverAdapterSlots = 2
+)
+
+// Execute implements flags.Commander.
+func (c *serverCommand) Execute([]string) error {
+	p := standin.ServerParams{
+		ID: c.ID, Service: c.Service, FailureDomain: c.Domain, Announced: c.Announced, Models: map[string]standin.ServerModel{},
+		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work,
+	}
+	for _, name := range c.Models {
+		p.Models[name] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: c.Load}
+	}
+	s, err := standin.NewServerAt(c.Listen, p)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("listening address=%s\n", c.Listen)
+	ctx, stop := cli.UntilSignal()
+	defer stop()
+	client := platform.NewClient(platform.ClientParams{BaseURL: c.Store, CallTimeout: time.Second, WatchWait: time.Second, CallsPerSecond: 100})
+	s.Announce(ctx, client, c.Heartbeat)
+	s.Stop()
+	return nil
+}
+
 type serviceCommand struct {
 	Listen string        `long:"listen" default:"127.0.0.1:9100" description:"address"`
 	Name   string        `long:"name" default:"service" description:"name, for its own messages"`
--- /dev/null
+++ b/cmd/martensoak/main.go
@@ -0,0 +1,97 @@
+// Command martensoak disturbs a small fleet of real processes on loopback and
+// checks the promises from what callers and backend servers see.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/internal/cli"
+	"github.com/martenport/martenport/soak"
+)
+
+type options struct {
+	Seed    uint64        `long:"seed" default:"1" description:"seed of one run"`
+	Seeds   string        `long:"seeds" description:"A..B: these seeds one after the other"`
+	For     time.Duration `long:"for" default:"30s" description:"how long faults are injected"`
+	Entries int           `long:"entries" default:"3" description:"entry instances"`
+	Engines int           `long:"engines" default:"4" description:"model engines"`
+	Plain   int           `long:"plain" default:"2" description:"servers of the plain service"`
+	Dir     string        `long:"dir" description:"folder for programs and logs; a new one if absent"`
+}
+
+func main() {
+	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
+}
+
+func run(args []string) error {
+	var o options
+	if err := cli.Parse(&o, args); err != nil {
+		return err
+	}
+	first, last, err := o.seeds()
+	if err != nil {
+		return cli.Usage(err)
+	}
+	if o.Dir == "" {
+		if o.Dir, err = os.MkdirTemp("", "martensoak-"); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("programs and logs in %s\n", o.Dir)
+	ctx, stop := cli.UntilSignal()
+	defer stop()
+	broken := 0
+	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
+		breached, err := o.one(ctx, seed)
+		if err != nil {
+			return err
+		}
+		if breached {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d of %d seeds with a broken promise", broken, last-first+1)
+	}
+	return nil
+}
+
+// one runs one seed, prints its outcome, and its schedule if a promise broke.
+func (o *options) one(ctx context.Context, seed uint64) (bool, error) {
+	result, err := soak.Run(ctx, soak.Params{Seed: seed, For: o.For, Entries: o.Entries, Engines: o.Engines, Plain: o.Plain, Dir: o.Dir})
+	if err != nil {
+		return false, errors.Wrapf(err, "seed %d", seed)
+	}
+	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d breaches=%d\n",
+		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, len(result.Breaches))
+	if len(result.Breaches) == 0 {
+		return false, nil
+	}
+	for _, f := range result.Faults {
+		fmt.Println("  fault", f)
+	}
+	for _, b := range result.Breaches {
+		fmt.Printf("  BROKEN %s: %s\n", b.Promise, b.Detail)
+	}
+	return true, nil
+}
+
+func (o *options) seeds() (first, last uint64, err error) {
+	if o.Seeds == "" {
+		return o.Seed, o.Seed, nil
+	}
+	a, b, found := strings.Cut(o.Seeds, "..")
+	first, errA := strconv.ParseUint(a, 10, 64)
+	last, errB := strconv.ParseUint(b, 10, 64)
+	if !found || errA != nil || errB != nil || last < first {
+		return 0, 0, errors.Newf("--seeds %q is not A..B with A at most B", o.Seeds)
+	}
+	return first, last, nil
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -32,6 +32,8 @@
 	AdapterSlots int
 	// Loaded are the models that it holds from the start.
 	Loaded []string
+	// Announced is the address in its entry, if not its own.
+	Announced string
 	// EventPause is the pause between events of a stream, Work what a plain
 	// request takes.
 	EventPause, Work time.Duration
@@ -68,7 +70,12 @@
 
 // NewServer starts a Server on a free port of ip. Stop ends it.
 func NewServer(ip string, p ServerParams) (*Server, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	return NewServerAt(net.JoinHostPort(ip, "0"), p)
+}
+
+// NewServerAt starts a Server at an address.
+func NewServerAt(address string, p ServerParams) (*Server, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -110,8 +117,12 @@
 		onDisk = append(onDisk, name)
 	}
 	slices.Sort(onDisk)
+	address := s.address
+	if s.params.Announced != "" {
+		address = s.params.Announced
+	}
 	value, _ := json.Marshal(map[string]any{
-		"service": s.params.Service, "address": s.address, "zone": s.params.FailureDomain, "slots": 8, "state": s.state,
+		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "slots": 8, "state": s.state,
 		"models": s.models(), "available": map[string]any{"onDisk": onDisk},
 	})
 	return value
@@ -152,6 +163,21 @@
 	s.loseOrders = n
 }
 
+// PathState serves a Server's State to tests.
+const PathState = "/standin/state"
+
+// State is what a Server has seen.
+type State struct {
+	Orders     []ReceivedOrder
+	Runs       map[string]int
+	Violations []string
+}
+
+// State returns what the server has seen so far.
+func (s *Server) State() State {
+	return State{Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations()}
+}
+
 // Orders returns the orders received so far.
 func (s *Server) Orders() []ReceivedOrder {
 	s.mu.Lock()
@@ -189,6 +215,8 @@
 		s.serveOrder(w, r)
 	case "/v1/report":
 		s.serveReport(w)
+	case PathState:
+		writeJSON(w, s.State())
 	default:
 		s.serveRequest(w, r)
 	}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is what a proxy does with what passes through it.
+type mode int
+
+// The modes.
+const (
+	pass mode = iota
+	// delay holds each piece back for a while.
+	delay
+	// silent lets nothing through, in both directions.
+	silent
+	// deaf lets nothing through towards the target.
+	deaf
+	// reset resets each connection.
+	reset
+)
+
+// pieceDelay is how long a delaying proxy holds a piece back.
+const pieceDelay = 80 * time.Millisecond
+
+// proxy is a TCP proxy on loopback whose connections can be disturbed.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  mode              // guarded by mu
+	conns map[net.Conn]bool // guarded by mu
+	woken chan struct{}     // closed when the mode changes; guarded by mu
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, woken: make(chan struct{})}
+	go p.run()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.set(reset)
+}
+
+// set changes what is done from now on.
+func (p *proxy) set(m mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.woken)
+	p.woken = make(chan struct{})
+	if m != reset {
+		return
+	}
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) current() (mode, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode, p.woken
+}
+
+func (p *proxy) run() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	if m, _ := p.current(); m == reset {
+		_ = client.(*net.TCPConn).SetLinger(0)
+		_ = client.Close()
+		return
+	}
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[client], p.conns[server] = true, true
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(server, client, true) })
+	both.Go(func() { p.copy(client, server, false) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.conns, client)
+	delete(p.conns, server)
+	p.mu.Unlock()
+}
+
+// copy passes pieces on until either side ends.
+func (p *proxy) copy(to, from net.Conn, towardsTarget bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			p.hold(towardsTarget)
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err == io.EOF {
+				p.hold(towardsTarget)
+			}
+			return
+		}
+	}
+}
+
+// hold waits while the mode lets nothing through in a direction.
+func (p *proxy) hold(towardsTarget bool) {
+	for {
+		m, woken := p.current()
+		switch {
+		case m == delay:
+			time.Sleep(pieceDelay)
+			return
+		case m == silent, m == deaf && towardsTarget:
+			<-woken
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/soak/soak.go
@@ -0,0 +1,291 @@
+// Package soak runs the real programs as separate processes on loopback and
+// disturbs them from outside: signals, and proxies that delay, reset, silence or
+// cut one way what passes between them. What callers and backend servers see is
+// checked against the promises; logs are kept but not judged.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
+)
+
+// Params of one run.
+type Params struct {
+	Seed uint64
+	// For is how long faults are injected.
+	For time.Duration
+	// Entries, Engines and Plain are how many processes of each there are.
+	Entries, Engines, Plain int
+	// Dir is where programs and logs go.
+	Dir string
+}
+
+// Breach is a promise that was broken.
+type Breach struct{ Promise, Detail string }
+
+// Result of one run.
+type Result struct {
+	Requests, Answered, Refused, Failed int
+	Faults                              []string
+	Breaches                            []Breach
+}
+
+// Times of a run.
+const (
+	// settleTime lets everything come back before the last checks: longer than
+	// a take-over of the lease.
+	settleTime = 12 * time.Second
+	// leaseMS is the least time between orders of two holders.
+	leaseMS = 1000
+	// graceTime is from SIGTERM to SIGKILL.
+	graceTime = 8 * time.Second
+	// comeBack bounds the last checks' requests.
+	comeBack = 30 * time.Second
+)
+
+// models are what engines can load; two fit.
+var models = []string{"m1", "m2", "m3", "m4", "m5"}
+
+// run is one soak under way.
+type run struct {
+	params  Params
+	random  *rand.Rand
+	logs    string
+	subnet  string
+	store   *process
+	storeAt string
+	client  *platform.Client
+	entries []*process
+	ways    []*proxy // to the store, by entry
+	servers []*process
+	doors   []*proxy // to each server
+	addr    []string // of each server
+	seen    seen
+	version int64
+}
+
+// Run starts the processes, disturbs them, and checks. Its error says that the
+// soak itself failed.
+func Run(ctx context.Context, p Params) (Result, error) {
+	r := &run{
+		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
+		subnet: fmt.Sprintf("127.1.%d", p.Seed%250), seen: newSeen(),
+	}
+	if err := os.MkdirAll(r.logs, 0o700); err != nil {
+		return Result{}, errors.Wrap(err, "soak")
+	}
+	if err := build(p.Dir); err != nil {
+		return Result{}, err
+	}
+	defer r.stop()
+	if err := r.start(ctx); err != nil {
+		return Result{}, err
+	}
+	clients, stopClients := context.WithCancel(ctx)
+	traffic := r.startClients(clients)
+	faults := r.disturb(ctx)
+	r.heal()
+	pause.For(ctx, settleTime)
+	stopClients()
+	result := traffic()
+	result.Faults = faults
+	r.collectAll()
+	result.Breaches = append(result.Breaches, r.seen.breaches()...)
+	result.Breaches = append(result.Breaches, r.comesBack(ctx)...)
+	return result, nil
+}
+
+// start starts the store, the servers and the entry instances.
+func (r *run) start(ctx context.Context) error {
+	r.storeAt = r.subnet + ".1:7000"
+	r.store = r.process("store", "martendev", func() []string { return []string{"platform", "--listen", r.storeAt} })
+	if err := r.store.start(); err != nil {
+		return err
+	}
+	r.client = platform.NewClient(platform.ClientParams{BaseURL: "http://" + r.storeAt, CallTimeout: time.Second, WatchWait: time.Second, CallsPerSecond: 1000})
+	if err := r.await(ctx, "store", func() bool { return r.configure(ctx) == nil }); err != nil {
+		return err
+	}
+	for i := range r.params.Engines + r.params.Plain {
+		if err := r.addServer(i); err != nil {
+			return err
+		}
+	}
+	for i := range r.params.Entries {
+		if err := r.addEntry(i); err != nil {
+			return err
+		}
+	}
+	return r.await(ctx, "entry instances", r.allReady)
+}
+
+func (r *run) process(name, program string, args func() []string) *process {
+	return &process{name: name, path: filepath.Join(r.params.Dir, program), args: args, logs: r.logs}
+}
+
+func (r *run) addServer(i int) error {
+	address := fmt.Sprintf("%s.%d:9000", r.subnet, 100+i)
+	door, err := newProxy(address)
+	if err != nil {
+		return errors.Wrap(err, "soak: proxy")
+	}
+	name := fmt.Sprintf("server-%d", i)
+	p := r.process(name, "martendev", nil)
+	p.args = func() []string {
+		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", fmt.Sprintf("%s-%d", name, p.starts)}
+		if i >= r.params.Engines {
+			return append(args, "--service", "plain")
+		}
+		args = append(args, "--service", "llm")
+		for _, m := range models {
+			args = append(args, "--model", m)
+		}
+		if p.starts == 0 { // a restarted engine is empty
+			args = append(args, "--loaded", models[i%len(models)], "--loaded", models[(i+1)%len(models)])
+		}
+		return args
+	}
+	r.servers, r.doors, r.addr = append(r.servers, p), append(r.doors, door), append(r.addr, address)
+	return p.start()
+}
+
+func (r *run) addEntry(i int) error {
+	way, err := newProxy(r.storeAt)
+	if err != nil {
+		return errors.Wrap(err, "soak: proxy")
+	}
+	ip := fmt.Sprintf("%s.%d", r.subnet, 10+i)
+	text := fmt.Sprintf(`nodeName = "entry-%d"
+ip = "%s"
+zone = "z%d"
+internalPorts = [7380, 7390]
+listen = { frontend = "%s:8100", ready = "%s:8101" }
+limits = { cpuShare = 1.0, cores = 1 }
+bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = 0.2, budgetWindowS = 10, budgetExtra = 200 }
+platform = { address = "%s" }
+`, i, ip, i%3, ip, ip, graceTime.Seconds(), leaseMS, way.address())
+	path := filepath.Join(r.logs, fmt.Sprintf("entry-%d.toml", i))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return errors.Wrap(err, "soak: settings")
+	}
+	p := r.process(fmt.Sprintf("entry-%d", i), "martenentryd", func() []string { return []string{"--settings", path} })
+	r.entries, r.ways = append(r.entries, p), append(r.ways, way)
+	return p.start()
+}
+
+func (r *run) entryAddress(i int) string { return fmt.Sprintf("%s.%d:8100", r.subnet, 10+i) }
+
+// configure writes the next configuration: the lasting routes, and one that only
+// this version has.
+func (r *run) configure(ctx context.Context) error {
+	r.version++
+	route := func(name, kind, service string, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "routeType": kind, "timeoutMs": routeTimeout.Milliseconds(), "goalMs": 1000,
+			"service": service, "attempts": 2, "resumable": resumable,
+		}
+	}
+	var list []map[string]any
+	for _, m := range models {
+		list = append(list, map[string]any{"name": m, "weightsMb": 100, "loadS": 0.5, "diskS": 0.2, "warmS": 0.2})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": r.version, "limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000, "headerTimeoutMs": 3000},
+		"routes": []map[string]any{
+			route("unsafe", "unsafe", "plain", false), route("safe", "safe", "plain", false), route("stream", "streaming", "llm", true),
+			route("once", "streaming", "llm", false), route(versionRoute(r.version), "safe", "plain", false),
+		},
+		"services": []map[string]any{{"name": "plain"}, {"name": "llm", "engine": map[string]any{"slots": 8, "weightsMb": 210, "adapterSlots": 2, "loadsPerS": 3, "models": list}}},
+	})
+	if err != nil {
+		return errors.Wrap(err, "soak: configuration")
+	}
+	version := int64(0)
+	obj, err := r.client.Get(ctx, platform.KeyConfig)
+	switch {
+	case err == nil:
+		version = obj.Version
+	case !errors.Is(err, store.ErrNotFound):
+		return err
+	}
+	_, err = r.client.Put(ctx, platform.KeyConfig, value, version)
+	return err
+}
+
+func versionRoute(version int64) string { return "v" + strconv.FormatInt(version, 10) }
+
+func (r *run) await(ctx context.Context, what string, holds func() bool) error {
+	for limit := time.Now().Add(comeBack); time.Now().Before(limit); {
+		if holds() {
+			return nil
+		}
+		if !pause.For(ctx, 50*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+	return errors.Newf("soak: %s did not come up in %s", what, comeBack)
+}
+
+func (r *run) allReady() bool {
+	for i := range r.entries {
+		resp, err := http.Get(strings.Replace("http://"+r.entryAddress(i)+"/v1/readyz", ":8100", ":8101", 1))
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// collect takes over what a server has seen so far; one that does not answer has
+// nothing more to tell.
+func (r *run) collect(i int) {
+	client := http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	resp, err := client.Get("http://" + r.addr[i] + standin.PathState)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var state standin.State
+	if json.NewDecoder(resp.Body).Decode(&state) == nil {
+		r.seen.add(fmt.Sprintf("%s start %d", r.servers[i].name, r.servers[i].starts), state)
+	}
+}
+
+func (r *run) collectAll() {
+	for i := range r.servers {
+		r.collect(i)
+	}
+}
+
+// stop ends every process that the run has started.
+func (r *run) stop() {
+	for _, p := range append(append(append([]*process{}, r.entries...), r.servers...), r.store) {
+		if p != nil {
+			p.end(syscall.SIGKILL, time.Second)
+		}
+	}
+	for _, p := range append(r.ways, r.doors...) {
+		p.close()
+	}
+}
