The time between holders is part of each engine's account

A resident model was reported as ready only after the successor's waiting time, and an engine that had to be waited for could be chosen though another was free. NotBefore is now the account's; TestNotBefore. The window of the weight store's bound comes from the settings.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -155,10 +155,7 @@
 	h.mu.Lock()
 	h.refreshServers()
 	h.fleet.Running(h.account.running(now), now)
-	var operations []replicas.Operation
-	if !now.Before(h.lease.OrderFrom("")) {
-		operations = append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
-	}
+	operations := append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
 	unsure := h.fleet.Unsure()
 	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
@@ -205,6 +202,9 @@
 		return
 	}
 	h.fleet.SetServers(h.dir.All(), func(service string) *serving.EngineSpec { return config.Services[service].Engine })
+	for _, e := range h.fleet.Engines() {
+		e.NotBefore = h.lease.OrderFrom(e.Server.ID)
+	}
 	for id, w := range h.workers {
 		if h.fleet.Engine(id) == nil {
 			w.stop()
@@ -247,9 +247,7 @@
 	if found.Start != nil {
 		operations = append(operations, *found.Start)
 	}
-	if from := h.lease.OrderFrom(found.Engine); now.Before(from) {
-		found.Ready = found.Ready.Add(from.Sub(now)) // orders wait for the predecessor's validity
-	} else if ok && found.Engine == "" {
+	if ok && found.Engine == "" {
 		operations = append(operations, h.fleet.Dispatch(now)...)
 		found, ok = h.fleet.Find(r.Service, r.Unit, 0, now)
 	}
@@ -267,7 +265,7 @@
 func (h *Holder) dispatch(now time.Time) {
 	h.mu.Lock()
 	var operations []replicas.Operation
-	if h.lease.Held() && !now.Before(h.lease.OrderFrom("")) {
+	if h.lease.Held() {
 		operations = h.fleet.Dispatch(now)
 	}
 	h.mu.Unlock()
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -29,10 +29,7 @@
 		if !ok {
 			continue
 		}
-		r.from = later(c.Ready, now)
-		if e.Busy {
-			r.from = later(r.from, e.Free)
-		}
+		r.from = later(c.Ready, e.free(now))
 		r.score += r.from.Sub(now).Seconds()
 		if best.engine == nil || r.score < best.score {
 			best = r
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -65,6 +65,9 @@
 	// to be done.
 	Busy bool
 	Free time.Time
+	// NotBefore is when the first order may be sent: another holder may have
+	// ordered the engine of late.
+	NotBefore time.Time
 	// remote: what is being loaded comes from the weight store.
 	remote bool
 	// Failing is until when the engine is passed over, after failed orders.
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -104,11 +104,20 @@
 	return best, ok
 }
 
+// free returns when the next load could begin on the engine.
+func (e *Engine) free(now time.Time) time.Time {
+	at := later(e.NotBefore, now)
+	if e.Busy {
+		at = later(e.Free, at)
+	}
+	return at
+}
+
 // free returns the engines on which a load could begin now.
 func (f *Fleet) free(now time.Time) []*Engine {
 	var free []*Engine
 	for _, e := range f.Engines() {
-		if !e.Busy && e.usable(now) {
+		if e.usable(now) && !e.free(now).After(now) {
 			free = append(free, e)
 		}
 	}
@@ -143,10 +152,7 @@
 		return choice{}, false
 	}
 	load := m.LoadTime(tier)
-	start := now
-	if e.Busy {
-		start = later(e.Free, now)
-	}
+	start := e.free(now)
 	start = start.Add(claimed + wait + f.params.OrderTime + time.Duration(len(evict))*f.params.UnloadTime)
 	c := choice{engine: e, evict: evict, tier: tier, ready: start.Add(load)}
 	c.cost = c.ready.Sub(now).Seconds() + loss + f.params.LaneCost*load.Seconds()
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -177,3 +177,25 @@
 		}
 	})
 }
+
+// TestNotBefore: an engine that another holder may have ordered of late is
+// waited for, and one that is free is taken first.
+func TestNotBefore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	e := f.Engine("a-engine")
+	e.NotBefore = now.Add(3 * time.Second)
+	found, ok := f.Find("llm", serving.Unit{Model: "m4"}, 1, now)
+	if !ok || found.Ready.Before(now.Add(4*time.Second)) {
+		t.Errorf("%+v, want ready after the wait and the load", found)
+	}
+	if operations := f.Dispatch(now); len(operations) != 0 {
+		t.Errorf("%+v started before its time", operations)
+	}
+	if found, ok := f.Find("llm", serving.Unit{Model: "m1"}, 1, now); !ok || found.Ready.After(now) {
+		t.Errorf("%+v, want the loaded model at once", found)
+	}
+	if operations := f.Dispatch(now.Add(3 * time.Second)); len(operations) != 1 {
+		t.Errorf("%d operations when its time has come, want 1", len(operations))
+	}
+}
--- a/command/replicas/rebalance.go
+++ b/command/replicas/rebalance.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		c, ok := f.bestChoice(service, model, nil, now)
-		if !ok || c.engine.Busy || c.tier == serving.TierRemote && f.copiesOf(model) > 0 {
+		if !ok || c.engine.free(now).After(now) || c.tier == serving.TierRemote && f.copiesOf(model) > 0 {
 			continue
 		}
 		return []Operation{f.start(c, model, now)}
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -89,7 +89,7 @@
 			continue
 		}
 		w.estimate = c.ready
-		if c.engine.Busy || claimed[c.engine.Server.ID] > 0 {
+		if c.engine.Busy || now.Before(c.engine.NotBefore) || claimed[c.engine.Server.ID] > 0 {
 			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -69,7 +69,11 @@
 		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
 	})
 	i.balancer = balance.New(balance.DefaultParams())
-	i.holder = holder.New(holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease()), i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
+	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
+	if window := s.CeilingWindow(); window > 0 {
+		holding.Fleet.RemoteWindow = window
+	}
+	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
--- a/serving/config.go
+++ b/serving/config.go
@@ -127,17 +127,6 @@
 	return best
 }
 
-// EngineServices returns the services whose backend servers are model engines.
-func (c *Config) EngineServices() []Service {
-	var found []Service
-	for _, s := range c.Services {
-		if s.Engine != nil {
-			found = append(found, s)
-		}
-	}
-	return found
-}
-
 func normalHost(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
