--- a/soak/process.go
+++ b/soak/process.go
@@ -39,6 +39,7 @@
 	}
 	cmd := exec.Command(p.path, p.args()...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a soak that is killed leaves nothing behind
 	if err := cmd.Start(); err != nil {
 		_ = log.Close()
 		return errors.Wrapf(err, "soak: start %s", p.name)
@@ -57,6 +58,13 @@
 	return nil
 }
 
+// runs reports whether the program runs.
+func (p *process) runs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
 // signal sends a signal to the program if it runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -123,6 +123,9 @@
 	if err := r.await(ctx, "store", func() bool { return r.configure(ctx) == nil }); err != nil {
 		return err
 	}
+	if !r.store.runs() {
+		return errors.Newf("soak: another process answers at the store's address %s", r.storeAt)
+	}
 	for i := range r.params.Engines + r.params.Plain {
 		if err := r.addServer(i); err != nil {
 			return err
