--- a/soak/soak.go
+++ b/soak/soak.go
@@ -56,6 +56,9 @@
 	leaseMS = 1000
 	// graceTime is from SIGTERM to SIGKILL.
 	graceTime = 8 * time.Second
+	// work is what a plain request takes, and the pause between events: long
+	// enough that many are under way when something breaks.
+	work = 40 * time.Millisecond
 	// comeBack bounds the last checks' requests.
 	comeBack = 30 * time.Second
 )
@@ -152,7 +155,7 @@
 	name := fmt.Sprintf("server-%d", i)
 	p := r.process(name, "martendev", nil)
 	p.args = func() []string {
-		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", fmt.Sprintf("%s-%d", name, p.starts)}
+		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", fmt.Sprintf("%s-%d", name, p.starts), "--work", work.String()}
 		if i >= r.params.Engines {
 			return append(args, "--service", "plain")
 		}
