--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -63,7 +63,7 @@
 	return nil
 }
 
-// one runs one seed, prints its outcome, and its schedule if a promise broke.
+// one runs one seed and prints its outcome, its schedule, and what broke.
 func (o *options) one(ctx context.Context, seed uint64) (bool, error) {
 	result, err := soak.Run(ctx, soak.Params{Seed: seed, For: o.For, Entries: o.Entries, Engines: o.Engines, Plain: o.Plain, Dir: o.Dir})
 	if err != nil {
@@ -71,16 +71,13 @@
 	}
 	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d breaches=%d\n",
 		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, len(result.Breaches))
-	if len(result.Breaches) == 0 {
-		return false, nil
-	}
 	for _, f := range result.Faults {
 		fmt.Println("  fault", f)
 	}
 	for _, b := range result.Breaches {
 		fmt.Printf("  BROKEN %s: %s\n", b.Promise, b.Detail)
 	}
-	return true, nil
+	return len(result.Breaches) > 0, nil
 }
 
 func (o *options) seeds() (first, last uint64, err error) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -48,12 +48,16 @@
 
 func nothing() {}
 
+// disturbances are what proxies do; mute comes twice, since lost answers break
+// most promises.
+var disturbances = []mode{delay, silent, deaf, mute, mute, reset}
+
 // draw picks a fault.
 func (r *run) draw(ctx context.Context) fault {
 	e, s := r.random.IntN(len(r.entries)), r.random.IntN(len(r.servers))
 	entry, server, way, door := r.entries[e], r.servers[s], r.ways[e], r.doors[s]
 	restart := func(p *process) func() { return func() { _ = p.start() } } // a failed start shows as not coming back
-	switch r.random.IntN(11) {
+	switch r.random.IntN(14) {
 	case 0:
 		return fault{"freeze " + entry.name, func() { entry.signal(syscall.SIGSTOP) }, func() { entry.signal(syscall.SIGCONT) }}
 	case 1:
@@ -62,11 +66,11 @@
 		return fault{"stop " + entry.name, func() { go entry.end(syscall.SIGTERM, graceTime) }, func() { entry.end(syscall.SIGTERM, graceTime); _ = entry.start() }}
 	case 3:
 		return fault{"hup " + entry.name, func() { entry.signal(syscall.SIGHUP) }, nothing}
-	case 4:
-		m := []mode{delay, silent, deaf, reset}[r.random.IntN(4)]
+	case 4, 10:
+		m := disturbances[r.random.IntN(len(disturbances))]
 		return fault{fmt.Sprintf("store of %s mode %d", entry.name, m), func() { way.set(m) }, func() { way.set(pass) }}
-	case 5:
-		m := []mode{delay, silent, deaf, reset}[r.random.IntN(4)]
+	case 5, 11, 12:
+		m := disturbances[r.random.IntN(len(disturbances))]
 		return fault{fmt.Sprintf("way to %s mode %d", server.name, m), func() { door.set(m) }, func() { door.set(pass) }}
 	case 6:
 		return fault{"kill " + server.name, func() { r.collect(s); server.end(syscall.SIGKILL, time.Second) }, restart(server)}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -19,6 +19,9 @@
 	silent
 	// deaf lets nothing through towards the target.
 	deaf
+	// mute lets nothing back from the target: what was asked for is done, and
+	// its answer is lost.
+	mute
 	// reset resets each connection.
 	reset
 )
@@ -142,7 +145,7 @@
 		case m == delay:
 			time.Sleep(pieceDelay)
 			return
-		case m == silent, m == deaf && towardsTarget:
+		case m == silent, m == deaf && towardsTarget, m == mute && !towardsTarget:
 			<-woken
 		default:
 			return
