--- a/cmd/martenentryd/main.go
+++ b/cmd/martenentryd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/martenport/martenport/entry"
@@ -24,6 +25,11 @@
 	logCloseWait = 200 * time.Millisecond
 )
 
+// memoryShare is the percentage of the process's memory that the heap may reach
+// before the collector works harder; the rest is for stacks and for bytes that
+// were received and not yet read.
+const memoryShare = 70
+
 func main() {
 	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
 }
@@ -40,6 +46,9 @@
 	if err != nil {
 		return cli.Usage(err)
 	}
+	if limit := settings.MemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit * memoryShare / 100)
+	}
 	out := boundedlog.New(os.Stdout, logBuffer)
 	defer out.Close(logCloseWait)
 	log, err := cli.Log(o.LogLevel, out)
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -71,12 +71,20 @@
 // before to be answered. ok is false if there is nothing to hand over.
 func (h *Holder) stopOrders() (record lease.Record, revision int64, ok bool) {
 	h.mu.Lock()
+	if !h.lease.Held() {
+		h.mu.Unlock()
+		return record, revision, false
+	}
 	record, revision, ok = h.lease.Release(time.Now())
 	workers := slices.Collect(maps.Values(h.workers))
 	h.mu.Unlock()
+	var last time.Time
 	for _, w := range workers {
-		w.awaitOrder()
+		if t := w.lastAnswered(); t.After(last) {
+			last = t
+		}
 	}
+	h.log.WithFields(logrus.Fields{"fence": record.Fence, "last_order_ms": time.Since(last).Milliseconds()}).Info("orders stopped")
 	return record, revision, ok
 }
 
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -108,16 +108,18 @@
 }
 
 func (w *worker) loadAdapter(op replicas.Operation) {
+	w.awaitStart(op)
 	w.adapters.RLock()
 	defer w.adapters.RUnlock()
 	_ = w.do(op) // noted and logged there
 }
 
-// awaitOrder waits until no order is on its way.
-func (w *worker) awaitOrder() {
+// lastAnswered waits until no order is on its way and returns when the last one
+// was answered.
+func (w *worker) lastAnswered() time.Time {
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
-	w.h.log.WithFields(logrus.Fields{"engine": w.engine, "last_order_ms": time.Since(w.lastOrder).Milliseconds()}).Debug("no order on its way")
+	return w.lastOrder
 }
 
 // do carries one operation out and notes how it ended.
@@ -139,15 +141,21 @@
 	return err
 }
 
-// steps unloads what has to go, orders the load and waits for it.
-func (w *worker) steps(op replicas.Operation) error {
+// awaitStart waits until the operation's first order may be sent, and reports
+// whether the worker still works then.
+func (w *worker) awaitStart(op replicas.Operation) bool {
 	w.h.mu.Lock()
 	from := w.h.lease.OrderFrom(w.engine)
 	w.h.mu.Unlock()
 	if from.Before(op.From) {
 		from = op.From
 	}
-	if !pause.For(w.ctx, time.Until(from)) {
+	return pause.For(w.ctx, time.Until(from))
+}
+
+// steps unloads what has to go, orders the load and waits for it.
+func (w *worker) steps(op replicas.Operation) error {
+	if !w.awaitStart(op) {
 		return w.ctx.Err()
 	}
 	for _, unit := range op.Unload {
@@ -277,13 +285,12 @@
 // readTries bounds one reading; the next tick begins another.
 const readTries = 5
 
-// read reads the engine until no order is under way.
+// read reads the engine until no order is under way. None is sent meanwhile: what
+// was planned on an account that is unsure is void.
 func (w *worker) read() {
 	w.adapters.Lock()
 	defer w.adapters.Unlock()
-	w.ordering.Lock()
-	defer w.ordering.Unlock()
-	if !w.unsure() || !pause.For(w.ctx, time.Until(w.lastOrder.Add(w.h.params.ReportLag))) {
+	if !w.unsure() || !pause.For(w.ctx, time.Until(w.lastAnswered().Add(w.h.params.ReportLag))) {
 		return
 	}
 	for range readTries {
