--- a/entry/follower.go
+++ b/entry/follower.go
@@ -22,9 +22,11 @@
 	// exchangeInterval is how often an instance reports its requests: models
 	// take about a second to load, so demand a quarter old is recent.
 	exchangeInterval = 250 * time.Millisecond
-	// exchangeShare for each instance is the least interval of a large fleet:
-	// the holder then answers 125 reports a second.
-	exchangeShare = 8 * time.Millisecond
+	// exchangeShare for each instance is the least interval of a large fleet, so
+	// that the holder answers 125 reports a second, up to maxExchangeInterval:
+	// leaving servers and configurations must be known within two or three.
+	exchangeShare       = 8 * time.Millisecond
+	maxExchangeInterval = time.Second
 	// relayedAge is how old the holder's word of the store may be to be taken:
 	// the holder's watches answer within a second at the latest.
 	relayedAge = 1300 * time.Millisecond
@@ -196,7 +198,7 @@
 	f.dir.ApplyViews(news.Fence, decodeViews(reply.Views, now), news.Others, now)
 	relayed := record.Holder != f.name && news.Failing == 0 && time.Duration(reply.StoreAgeMS)*time.Millisecond < relayedAge
 	if relayed {
-		f.watcher.relay(news, now)
+		f.watcher.relay(news, now, f.interval()+exchangeTimeout+relaySlack)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -217,7 +219,7 @@
 // interval is how often the instance reports: less often in a large fleet, so
 // that the holder's work does not grow with it without bound.
 func (f *follower) interval() time.Duration {
-	return max(exchangeInterval, time.Duration(f.Instances())*exchangeShare)
+	return min(maxExchangeInterval, max(exchangeInterval, time.Duration(f.Instances())*exchangeShare))
 }
 
 // noAnswer notes that the holder did not answer, or is not the holder any more.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -55,8 +55,10 @@
 	// failing is when the first call was begun that failed since the last
 	// success, and answered when that success was; guarded by mu.
 	failing, answered time.Time
-	// relayed is when the holder's word was last taken; guarded by mu.
-	relayed time.Time
+	// relayed is when the holder's word was last taken, and lifetime for how
+	// long that lasts; guarded by mu.
+	relayed  time.Time
+	lifetime time.Duration
 	// relying is whether the holder's word is taken at present; guarded by mu.
 	relying bool
 	// wanted is the newest configuration's version that was heard of; guarded
@@ -77,9 +79,9 @@
 	work.Wait()
 }
 
-// relayLifetime is how long the holder's word is taken without another: two
-// reports may fail.
-const relayLifetime = 900 * time.Millisecond
+// relaySlack is added to the time between reports and that of one to get how long
+// the holder's word is taken without another: one that fails is repeated.
+const relaySlack = 150 * time.Millisecond
 
 // relayCheck is how often an instance that takes the holder's word looks
 // whether it still does.
@@ -89,17 +91,17 @@
 func (w *watcher) relies(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return !w.relayed.IsZero() && now.Sub(w.relayed) < relayLifetime
+	return !w.relayed.IsZero() && now.Sub(w.relayed) < w.lifetime
 }
 
-// relay takes over the holder's word.
-func (w *watcher) relay(news holder.News, now time.Time) {
+// relay takes over the holder's word, which is taken for lifetime.
+func (w *watcher) relay(news holder.News, now time.Time, lifetime time.Duration) {
 	for _, id := range w.dir.ApplyDelta(news.Servers, now) {
 		w.forget(id, news.Servers.Revision)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.relayed = now
+	w.relayed, w.lifetime = now, lifetime
 	w.wanted = max(w.wanted, news.ConfigVersion)
 	select {
 	case w.news <- struct{}{}:
