--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -137,7 +137,7 @@
 
 // Exchange takes over what an instance says and returns what it should know.
 func (h *Holder) Exchange(r Report, now time.Time) (News, error) {
-	failing := h.failing(now)
+	failing := h.failing()
 	if failing != 0 && r.Reaches == failing {
 		h.proveOrGiveUp()
 	}
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -90,7 +90,7 @@
 
 // failing returns the number of the episode in which this instance does not
 // reach the store, 0 while it does.
-func (h *Holder) failing(now time.Time) uint64 {
+func (h *Holder) failing() uint64 {
 	first := h.outage()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -114,12 +114,12 @@
 // the store answers nobody the lease stays, since nobody could take it over.
 func (h *Holder) proveOrGiveUp() {
 	h.mu.Lock()
-	proving := h.proving || !h.lease.Held()
-	h.proving = true
-	h.mu.Unlock()
-	if !proving {
-		go h.prove()
+	defer h.mu.Unlock()
+	if h.proving || !h.lease.Held() {
+		return
 	}
+	h.proving = true
+	go h.prove()
 }
 
 func (h *Holder) prove() {
@@ -130,7 +130,10 @@
 	}()
 	ctx, cancel := context.WithTimeout(context.Background(), h.params.Lease.Transit)
 	defer cancel()
-	if h.confirm(ctx) == nil {
+	h.renewing.Lock()
+	err := h.confirm(ctx)
+	h.renewing.Unlock()
+	if err == nil || errors.Is(err, ErrNotHolder) {
 		return
 	}
 	record, _, ok := h.stopOrders()
@@ -203,8 +206,8 @@
 	return nil
 }
 
-// confirm writes the record once more. It fails with ErrNotHolder if the record
-// is another's.
+// confirm needs renewing. It writes the record once more and fails with ErrNotHolder if
+// the record is another's.
 func (h *Holder) confirm(ctx context.Context) error {
 	h.mu.Lock()
 	sent := time.Now()
--- a/directory/views.go
+++ b/directory/views.go
@@ -81,10 +81,3 @@
 	slices.SortFunc(found, func(a, b Replica) int { return byID(a.Server, b.Server) })
 	return found
 }
-
-// Others is how many requests of other instances run on a server.
-func (d *Directory) Others(id string) int {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.others[id]
-}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -158,8 +158,12 @@
 		return false
 	}
 	var reply ExchangeReply
-	if err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply); err != nil || !reply.Held {
-		f.noAnswer(record, reply.GaveUp, err)
+	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
+	if err == nil {
+		f.heardOf(reply.GaveUp)
+	}
+	if err != nil || !reply.Held {
+		f.noAnswer(record, err)
 		return false
 	}
 	f.takeOverNews(record, &reply, time.Now())
@@ -223,13 +227,10 @@
 }
 
 // noAnswer notes that the holder did not answer, or is not the holder any more.
-func (f *follower) noAnswer(record lease.Record, gaveUp lease.Record, err error) {
+func (f *follower) noAnswer(record lease.Record, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses++
-	if err == nil && gaveUp.Fence > f.gaveUp.Fence {
-		f.gaveUp = gaveUp
-	}
 	if time.Since(f.answered) < silentAfter || f.silent {
 		return
 	}
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -171,10 +171,11 @@
 			err := f.pool.Call(ctx, address, methodReaches, &ReachesArgs{Holder: suspect}, &reply)
 			if err != nil {
 				f.pool.Disconnect(address)
-			} else {
-				f.heardOf(reply.GaveUp)
+				votes <- vote{}
+				return
 			}
-			votes <- vote{answered: err == nil, reaches: reply.Reaches}
+			f.heardOf(reply.GaveUp)
+			votes <- vote{answered: true, reaches: reply.Reaches}
 		}()
 	}
 	for range addresses {
