Servers whose entries were back stayed unknown to instances that the holder tells

Cause: a holder that is cut off with a failure domain does not see that the entries of that domain's servers lapse; the other instances do, by their own watches, and remove them. After the cut the entries are written anew. For the holder the server was known all the time and announces the same, so it noted no change and told nobody; the others took its word and did not ask the store. Ruled out: the servers had not crashed (instances in the cut domain went on using them), the lapse grace (long over), tombstones (revisions are newer). Mend: each report's answer has a digest of the servers that the holder knows; an instance that knows others asks for all of them, once a second at most. The test fails without the mend.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -120,3 +120,37 @@
 		t.Errorf("replicas %v, want the one of the view", got)
 	}
 }
+
+// TestRelayFindsDifference: an instance that saw an entry lapse, while the holder
+// did not, misses the server when its entry is back: the holder has nothing to
+// tell, since nothing has changed for it. The digests show that, and a full delta
+// ends it. The same for a server that only the other instance still knows.
+func TestRelayFindsDifference(t *testing.T) {
+	holder, other := New(), New()
+	holder.ApplyServer(server("x", 1, false), start)
+	holder.Listed(1)
+	other.ApplyDelta(holder.Since(0, 0), start)
+	other.RemoveServer("x", 2, start)
+	other.ApplyServer(server("gone", 3, false), start)
+	other.Listed(3)
+	seen := holder.Since(0, other.Revision()).Change
+	holder.ApplyServer(server("x", 4, false), start) // the entry is back
+	holder.Listed(5)                                 // and the other server's is gone
+	delta := holder.Since(seen, other.Revision())
+	other.ApplyDelta(delta, start)
+	if delta.Digest == other.Digest() {
+		t.Fatal("the digests of directories that differ are the same")
+	}
+	delta = holder.Since(seen, Everything)
+	gone := other.ApplyDelta(delta, start)
+	if _, known := other.Server("x"); !known || delta.Digest != other.Digest() {
+		t.Errorf("after a full delta the server is known: %v", known)
+	}
+	if len(gone) != 1 || gone[0] != "gone" {
+		t.Errorf("servers removed by a full delta: %v", gone)
+	}
+	other.ApplyServer(server("newer", 9, false), start)
+	if gone := other.ApplyDelta(holder.Since(0, Everything), start); len(gone) != 0 {
+		t.Errorf("a server that is newer than the delta was removed: %v", gone)
+	}
+}
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -22,17 +24,30 @@
 	Removed []Removal
 	// Revision is the store's, up to which the sender knows of servers.
 	Revision int64
+	// Digest is the sender's Digest. A receiver that has another one after it has
+	// taken the delta over lacks something that changes do not tell.
+	Digest uint64
+	// Full: Servers are all that the sender knows.
+	Full bool
 }
 
+// Everything, as the revision of a question, asks for all servers: what the one
+// who asks knows cannot be told by a revision.
+const Everything = -1
+
 // Since returns what has changed after a change that an earlier Delta named. To
 // an instance that has named none it returns what is newer than the revision of
 // the store up to which that one knows of servers, and all removals that are
 // remembered: those of lapsed entries are found later than their revision says.
+// Revision Everything asks for all servers.
 func (d *Directory) Since(change uint64, revision int64) Delta {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	delta := Delta{Change: d.change, Revision: d.revision}
-	if change == d.change {
+	delta := Delta{Change: d.change, Revision: d.revision, Digest: d.digest(), Full: revision == Everything}
+	if delta.Full {
+		change = 0
+	}
+	if change == d.change && !delta.Full {
 		return delta
 	}
 	for id, s := range d.servers {
@@ -61,10 +76,28 @@
 			gone = append(gone, r.ID)
 		}
 	}
+	if delta.Full {
+		gone = append(gone, d.removeOthers(delta, now)...)
+	}
 	d.Listed(delta.Revision)
 	return gone
 }
 
+// removeOthers removes the servers that a full delta does not name, though its
+// sender has seen a later state of the store.
+func (d *Directory) removeOthers(delta Delta, now time.Time) (gone []string) {
+	named := map[string]bool{}
+	for _, s := range delta.Servers {
+		named[s.ID] = true
+	}
+	for _, id := range d.IDs() {
+		if !named[id] && d.RemoveServer(id, delta.Revision, now) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 // Revision returns the store's revision up to which servers are known.
 func (d *Directory) Revision() int64 {
 	d.mu.RLock()
@@ -79,6 +112,27 @@
 	d.revision = max(d.revision, revision)
 }
 
+// Digest sums up which servers are known and which of them are draining. Two
+// directories that know the same have the same one.
+func (d *Directory) Digest() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.digest()
+}
+
+// digest needs mu.
+func (d *Directory) digest() uint64 {
+	sum := uint64(0)
+	for id, s := range d.servers {
+		state := id
+		if s.Draining {
+			state += " draining"
+		}
+		sum ^= xxhash.Sum64String(state)
+	}
+	return sum
+}
+
 // touch needs mu. It notes a change that other instances should hear of.
 func (d *Directory) touch(id string) {
 	d.change++
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -175,6 +176,29 @@
 	})
 }
 
+// TestReturnedServerIsUsedAgain: an instance saw a server's entry lapse while the
+// holder was cut off and did not. When the entry is back the instance uses the
+// server again, though nothing has changed for the holder.
+func TestReturnedServerIsUsedAgain(t *testing.T) {
+	f := newFleet(t, 2)
+	f.await("the holder's word is taken", func() bool {
+		return f.holder() != nil && slices.ContainsFunc(f.instances, func(r *running) bool { return r.watcher.relies(time.Now()) })
+	})
+	other := f.instances[0]
+	if other == f.holder() {
+		other = f.instances[1]
+	}
+	f.silence["p1"]()
+	server, _ := other.dir.Server("p1")
+	other.dir.RemoveServer("p1", server.Revision, time.Now())
+	server.Revision++
+	f.holder().dir.ApplyServer(server, time.Now())
+	f.await("the server is known again", func() bool { _, known := other.dir.Server("p1"); return known })
+	if a := f.ask(other, "unsafe", ""); a.status != http.StatusOK {
+		t.Errorf("a server that is back is not used: %+v", a)
+	}
+}
+
 // TestServerLeaves: a server that drains, or is gone, gets nothing new.
 func TestServerLeaves(t *testing.T) {
 	f := newFleet(t, 2)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -37,6 +37,10 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// wantTimeout bounds one question for a unit.
 	wantTimeout = 400 * time.Millisecond
+	// compareInterval is how often an instance asks for all servers while it knows
+	// others than the holder. One of them may be ahead of the other for as long
+	// as a watch takes.
+	compareInterval = time.Second
 	// silentAfter without an answer the holder is not counted on.
 	silentAfter = 1200 * time.Millisecond
 )
@@ -68,6 +72,10 @@
 	gaveUp lease.Record
 	// seen is what the holder has told; guarded by mu.
 	seen seen
+	// differs: the holder knows other servers than this instance, and asked is
+	// when all were last asked for because of that; guarded by mu.
+	differs bool
+	asked   time.Time
 
 	// failing is the episode in which the holder says that it does not reach the
 	// store, and failingHeard when it first said so; guarded by mu.
@@ -177,6 +185,10 @@
 	r := holder.Report{
 		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
 	}
+	if now := time.Now(); f.differs && now.Sub(f.asked) >= compareInterval {
+		f.asked = now
+		r.Revision = directory.Everything
+	}
 	for _, a := range f.arrivals {
 		r.Arrivals = append(r.Arrivals, *a)
 	}
@@ -211,6 +223,7 @@
 	}
 	f.answered, f.misses, f.instances = now, 0, max(1, news.Instances)
 	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
+	f.differs = relayed && news.Servers.Digest != f.dir.Digest()
 	if !relayed {
 		f.seen.servers = 0 // they were not taken over
 	}
