True times for loads that queue at the weight store

Cause: while as many loads run from the weight store as run at full speed, a further model that no engine has cached got no time at all, which a request takes for 'ask again in a second' and waits for; after a quarter of its objective it may not be refused any more, and was held to its end. Ruled out: the weight store's rate (used in full throughout), idle engines. Now the turn is worked out from the loads that run and the more wanted models.

--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -122,6 +123,37 @@
 	}
 }
 
+// TestTurnAtWeightStore: a model that has to queue at the weight store is promised
+// for when its turn is over, behind the loads that run and the more wanted ones.
+func TestTurnAtWeightStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	names := []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8"}
+	f := testFleet(now, testSpec(names...), make([][]string, 8)...)
+	for _, e := range f.Engines() {
+		clear(e.Tiers)
+	}
+	f.index = index{}
+	load := f.Engines()[0].Spec.Models["m1"].RemoteLoad
+	turns := func(model string, weight float64) float64 {
+		found, ok := f.Find("llm", serving.Unit{Model: model}, weight, now)
+		if !ok {
+			t.Fatalf("no time for %s", model)
+		}
+		f.Dispatch(now)
+		found, _ = f.Find("llm", serving.Unit{Model: model}, 0, now)
+		return math.Round(found.Ready.Sub(now).Seconds() / load.Seconds())
+	}
+	for i, name := range names {
+		want := float64(1 + i/f.params.RemoteAtOnce)
+		if got := turns(name, 1); got != want {
+			t.Errorf("%s is promised after %v loads, want %v", name, got, want)
+		}
+	}
+	if got := turns("m8", 5); got != 2 {
+		t.Errorf("the most wanted one is promised after %v loads, want 2", got)
+	}
+}
+
 // TestAccountFits: whatever is asked for, ended and failed, what an account
 // counts on an engine fits it.
 func TestAccountFits(t *testing.T) {
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -48,15 +48,63 @@
 	w.value += weight
 	w.asked = now
 	if !w.estimate.After(now) {
-		c, ok := f.bestChoice(service, unit.Model, nil, now)
+		ready, ok := f.expect(w, now)
 		if !ok {
 			return Found{}, false
 		}
-		w.estimate = c.ready
+		w.estimate = ready
 	}
 	return Found{Ready: w.estimate}, true
 }
 
+// expect returns when a wanted model is expected to be ready.
+func (f *Fleet) expect(w *want, now time.Time) (time.Time, bool) {
+	if c, ok := f.bestChoice(w.service, w.model, nil, now); ok {
+		return c.ready, true
+	}
+	return f.remoteTurn(w, now)
+}
+
+// remoteTurn returns when a wanted model that must come from the weight store will
+// be ready, behind the loads that run and the more wanted models that must come
+// from there, too.
+func (f *Fleet) remoteTurn(w *want, now time.Time) (time.Time, bool) {
+	var load time.Duration
+	lanes := make([]time.Time, 0, f.params.RemoteAtOnce)
+	for _, e := range f.Engines() {
+		if e.Server.Service == w.service && e.usable(now) {
+			load = e.Spec.Models[w.model].RemoteLoad
+		}
+		if e.Busy && e.remote {
+			lanes = append(lanes, later(e.Free, now))
+		}
+	}
+	if load == 0 || len(f.caching(w.model)) > 0 {
+		return time.Time{}, false
+	}
+	for len(lanes) < f.params.RemoteAtOnce {
+		lanes = append(lanes, now)
+	}
+	for _, other := range f.wants {
+		if other != w && other.value > w.value && len(f.caching(other.model)) == 0 {
+			first := earliest(lanes)
+			lanes[first] = lanes[first].Add(load)
+		}
+	}
+	return lanes[earliest(lanes)].Add(load + f.params.OrderTime), true
+}
+
+// earliest returns the index of the earliest time.
+func earliest(times []time.Time) int {
+	first := 0
+	for i, t := range times {
+		if t.Before(times[first]) {
+			first = i
+		}
+	}
+	return first
+}
+
 func (f *Fleet) byValue() []*want {
 	wants := make([]*want, 0, len(f.wants))
 	for _, w := range f.wants {
@@ -86,6 +134,9 @@
 		}
 		c, ok := f.bestChoice(w.service, w.model, claimed, now)
 		if !ok {
+			if ready, queued := f.remoteTurn(w, now); queued {
+				w.estimate = ready
+			}
 			continue
 		}
 		w.estimate = c.ready
