Connections notice that the peer has fallen silent

Ruled out: the store's calls and watches (each has a deadline, after which net/http closes the connection).

--- a/backend/http.go
+++ b/backend/http.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/internal/tcpdial"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -59,23 +59,17 @@
 
 // A backend server that a partition cut off must be noticed soon: a request
 // sent into silence comes back as MayHaveRun, one that found no connection as
-// NotRun. New connections are given dialTimeout, and idle ones are probed.
+// NotRun. New connections are given dialTimeout, open ones may be silent for as
+// many round trips as silence is.
 const (
-	dialTimeout       = time.Second
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
+	dialTimeout = time.Second
+	silence     = 4 * time.Second
 )
 
 // NewTransport returns the connection pool that all backend servers share.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes},
-	}
-	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
-	}
+	dial := tcpdial.Params{Connect: dialTimeout, Silence: silence}
+	return &http.Transport{DialContext: dial.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true}
 }
 
 type fenceRequest struct {
--- a/internal/rpcpool/rpcpool.go
+++ b/internal/rpcpool/rpcpool.go
@@ -6,8 +6,11 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/internal/tcpdial"
 )
 
 // ErrUnreachable: no answer came; the call may have been carried out.
@@ -16,10 +19,13 @@
 // Dial connects to an address.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
+// silence is how long an instance may leave what was sent unacknowledged: many
+// round trips, with room for one lost packet (1 s).
+const silence = 1200 * time.Millisecond
+
 // DialTCP is the Dial used outside tests.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
+	return tcpdial.Params{Silence: silence}.Dial(ctx, "tcp", address)
 }
 
 // Pool is a set of connections, safe for concurrent use.
@@ -36,7 +42,9 @@
 }
 
 // Call makes one call and waits for its answer until ctx ends. reply must not
-// be used after an error: a late answer may still be written to it.
+// be used after an error: a late answer may still be written to it. A connection
+// on which a call has passed its deadline is closed, and other calls on it fail:
+// it may have fallen silent for good, while a new one would work.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := p.conn(ctx, address)
 	if err != nil {
@@ -46,6 +54,9 @@
 	select {
 	case <-pending.Done:
 	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			p.drop(address, conn)
+		}
 		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
 	}
 	if pending.Error != nil {
