--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -25,6 +25,10 @@
 	status  int
 	// written is when the client was last sent something.
 	written time.Time
+	// first is when the first event was passed on, and pause the longest time
+	// between two of them so far.
+	first time.Time
+	pause time.Duration
 	// lastEvent is the id of the last event passed on, "" before the first.
 	lastEvent string
 }
@@ -45,6 +49,16 @@
 	w.WriteHeader(resp.Status)
 }
 
+// passedOn notes that an event was passed on.
+func (w *writer) passedOn(now time.Time) {
+	if w.first.IsZero() {
+		w.first = now
+	} else {
+		w.pause = max(w.pause, now.Sub(w.written))
+	}
+	w.written = now
+}
+
 // maxBuffered is the largest answer that is read whole before it is passed on.
 // One that breaks off by then leaves every choice open.
 const maxBuffered = 64 << 10
@@ -120,7 +134,7 @@
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
 		}
-		t.out.written = time.Now()
+		t.out.passedOn(time.Now())
 		if e.id != "" {
 			t.out.lastEvent = e.id
 		}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -271,6 +271,9 @@
 func (t *trip) end(failure *verdict.Failure) {
 	t.f.counts.end(failure, time.Since(t.request.Arrived))
 	log := t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{"server": t.server, "waited_ms": t.waited.Milliseconds()})
+	if !t.out.first.IsZero() {
+		log = log.WithFields(logrus.Fields{"first_ms": t.out.first.Sub(t.request.Arrived).Milliseconds(), "pause_ms": t.out.pause.Milliseconds()})
+	}
 	if failure == nil {
 		log.WithField("status", t.out.status).Info("request answered")
 		return
