New engines get further copies of busy models from the weight store

Cause: when engines are replaced in series, those that come have no weights on disk, and further copies of a busy model were never loaded from the weight store: its requests crowded on the few old engines until these left, too, and then waited six seconds.

--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -99,6 +99,25 @@
 	}
 }
 
+// TestNewEngineGetsCopies: further copies of a busy model go from the weight store
+// into the free memory of a new engine, but evict nothing there.
+func TestNewEngineGetsCopies(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, held := range [][]string{nil, {"m2", "m3", "m4"}} {
+		f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"}, held)
+		clear(f.Engine("b-engine").Tiers)
+		f.index = index{}
+		f.Arrived("m1", 40, 40, now)
+		operations := f.Rebalance(now)
+		if held == nil && (len(operations) != 1 || operations[0].Engine != "b-engine" || !operations[0].Remote) {
+			t.Errorf("%+v, want m1 from the weight store on the new engine", operations)
+		}
+		if held != nil && len(operations) > 0 {
+			t.Errorf("%+v, want nothing evicted for it", operations)
+		}
+	}
+}
+
 // TestWeightStoreCeiling: loads from the weight store stay within its rate and
 // the number that run at full speed.
 func TestWeightStoreCeiling(t *testing.T) {
--- a/command/replicas/rebalance.go
+++ b/command/replicas/rebalance.go
@@ -23,7 +23,7 @@
 			continue
 		}
 		c, ok := f.bestChoice(service, model, nil, now)
-		if !ok || c.engine.free(now).After(now) || c.tier == serving.TierRemote && f.copiesOf(model, now) > 0 {
+		if !ok || c.engine.free(now).After(now) || !f.worthwhile(c, model, now) {
 			continue
 		}
 		return []Operation{f.start(c, model, now)}
@@ -31,6 +31,25 @@
 	return nil
 }
 
+// worthwhile reports whether a copy beyond what single requests ask for is worth
+// its load. One from the weight store takes an engine several seconds, in which it
+// could load others from its own disk. So it is if it is the first copy, or if it
+// goes into free memory of an engine that has no weights of its own, as new ones.
+func (f *Fleet) worthwhile(c choice, model string, now time.Time) bool {
+	return c.tier != serving.TierRemote || f.copiesOf(model, now) == 0 || len(c.evict) == 0 && !c.engine.hasWeights()
+}
+
+// hasWeights reports whether the engine has weights of models that it does not
+// hold.
+func (e *Engine) hasWeights() bool {
+	for model, tier := range e.Tiers {
+		if tier >= serving.TierDisk && e.Copies[model] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // byRate orders models by falling rate.
 func (f *Fleet) byRate(a, b string) int {
 	return compareFloat(-f.demand[a].Rate, -f.demand[b].Rate, a, b)
