Operators' calls on declarations stand in a package of their own

Plan, Confirm, GetDeclaration and the check of the credential move from daemon to operators/, the errors to verdict/rpcerror, so that entry instances on the users' platform can offer the same. Intents need only the declaration in force and which failure domains are populated. Nothing changes in what is answered.

--- a/command/intent/intent.go
+++ b/command/intent/intent.go
@@ -39,12 +39,15 @@
 // Intents plans and confirms.
 type Intents struct {
 	store  store.Store
-	tables *table.Tables
+	config *table.Config
+	// populated reports whether an instance is known to be alive in a failure
+	// domain.
+	populated func(domain string) bool
 }
 
 // New returns the intents of one instance.
-func New(store store.Store, tables *table.Tables) *Intents {
-	return &Intents{store: store, tables: tables}
+func New(store store.Store, config *table.Config, populated func(domain string) bool) *Intents {
+	return &Intents{store: store, config: config, populated: populated}
 }
 
 // Plan validates source and compares it with the newest generation. It changes
@@ -97,7 +100,7 @@
 }
 
 func (i *Intents) known() *table.Accepted {
-	if a := i.tables.Config.Accepted(); a != nil {
+	if a := i.config.Accepted(); a != nil {
 		return a
 	}
 	return &table.Accepted{}
@@ -120,8 +123,8 @@
 // alive: their slots count as used until they are back.
 func (i *Intents) unreachable() []string {
 	var out []string
-	for _, domain := range i.tables.Config.Index().Declaration.FailureDomains {
-		if !i.tables.Members.Populated(domain) {
+	for _, domain := range i.config.Index().Declaration.FailureDomains {
+		if !i.populated(domain) {
 			out = append(out, fmt.Sprintf("failure domain %s is not reachable: it goes on with its generation, and its slots count as used, until it is back", domain))
 		}
 	}
--- a/command/intent/intent_test.go
+++ b/command/intent/intent_test.go
@@ -30,7 +30,8 @@
 }
 
 func newIntents(s store.Store) *Intents {
-	return New(s, table.New(table.Member{Name: "i", FailureDomain: "a"}))
+	tables := table.New(table.Member{Name: "i", FailureDomain: "a"})
+	return New(s, tables.Config, tables.Members.Populated)
 }
 
 func TestPlanThenConfirm(t *testing.T) {
--- a/daemon/core.go
+++ b/daemon/core.go
@@ -97,7 +97,7 @@
 	c.dispatcher = dispatch.New(dispatch.DefaultParams(), c.tables, c.events, balancer, c.line, c.waker, ports.Engine)
 	c.caller = dispatch.NewCaller(c.dispatcher, ports.Service)
 	c.runs = runonce.NewRegistry(runonce.Params{Retention: s.KeyRetention, MaxHeld: s.HeldAnswers}, s.Name, c.store, answerPeers{c})
-	c.intents = intent.New(c.store, c.tables)
+	c.intents = intent.New(c.store, c.tables.Config, c.tables.Members.Populated)
 	c.timeline = timeline.NewCollector(c.tables, c.events, c.peers)
 	c.health = grpchealth.NewStaticChecker(martenportv1connect.InferenceServiceName)
 }
--- a/daemon/hostile_test.go
+++ b/daemon/hostile_test.go
@@ -14,6 +14,7 @@
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
 	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/operators"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/verdict"
 )
@@ -83,7 +84,7 @@
 		if (err == nil) != (given == "secret") {
 			t.Errorf("credential %q: %v", given, err)
 		}
-		_, err = client.Plan(t.Context(), connect.NewRequest(&martenportv1.PlanRequest{Declaration: make([]byte, maxDeclarationBytes+1)}))
+		_, err = client.Plan(t.Context(), connect.NewRequest(&martenportv1.PlanRequest{Declaration: make([]byte, operators.MaxMessageBytes+1)}))
 		var refused *connect.Error
 		if !errors.As(err, &refused) {
 			t.Errorf("credential %q: an oversized plan: %v", given, err)
--- a/daemon/inference.go
+++ b/daemon/inference.go
@@ -14,6 +14,7 @@
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/command/dispatch"
 	"github.com/martenport/martenport/verdict"
+	"github.com/martenport/martenport/verdict/rpcerror"
 )
 
 // compressMinBytes keeps single tokens, which are smaller, from being
@@ -37,7 +38,7 @@
 func (i inference) Generate(ctx context.Context, msg *connect.Request[martenportv1.GenerateRequest]) (*connect.Response[martenportv1.GenerateResponse], error) {
 	answer, err := i.c.Generate(ctx, msg.Msg)
 	if err != nil {
-		return nil, connectError(err)
+		return nil, rpcerror.New(err)
 	}
 	return connect.NewResponse(answer), nil
 }
@@ -82,7 +83,7 @@
 	req := msg.Msg
 	j, err := i.c.generateJob(req)
 	if err != nil {
-		return connectError(i.c.refuse(req.Model, err))
+		return rpcerror.New(i.c.refuse(req.Model, err))
 	}
 	sink := &sender{id: j.id, stream: stream, keep: j.key != ""}
 	answer, err := i.c.run(ctx, j, func(ctx context.Context) ([]byte, error) {
@@ -92,7 +93,7 @@
 		return []byte(sink.text.String()), nil
 	})
 	if err != nil {
-		return connectError(err)
+		return rpcerror.New(err)
 	}
 	return sink.finish(string(answer))
 }
@@ -102,13 +103,13 @@
 	req := msg.Msg
 	j, err := i.c.callJob(req)
 	if err != nil {
-		return nil, connectError(i.c.refuse(req.Service, err))
+		return nil, rpcerror.New(i.c.refuse(req.Service, err))
 	}
 	body, err := i.c.run(ctx, j, func(ctx context.Context) ([]byte, error) {
 		return i.c.caller.Call(ctx, dispatch.ServiceRequest{ID: j.id, Service: req.Service, Method: req.Method, Body: req.Body})
 	})
 	if err != nil {
-		return nil, connectError(err)
+		return nil, rpcerror.New(err)
 	}
 	return connect.NewResponse(&martenportv1.CallResponse{RequestId: j.id, Body: body}), nil
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"net/http"
 	"time"
 
@@ -12,14 +11,12 @@
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
 	"github.com/martenport/martenport/backend"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/operators"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/query/status"
 	"github.com/martenport/martenport/table"
 )
 
-// maxDeclarationBytes bounds an operator's message.
-const maxDeclarationBytes = table.MaxSourceBytes + 4096
-
 // timelineTimeout bounds the collection of events, and defaultTimeline how
 // many are returned when the operator does not say.
 const (
@@ -30,68 +27,23 @@
 // operatorHandler serves operators and metrics.
 func (d *Daemon) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	path, handler := martenportv1connect.NewOperatorServiceHandler(operator{d}, connect.WithReadMaxBytes(maxDeclarationBytes))
-	mux.Handle(path, d.requireCredential(handler))
+	path, handler := martenportv1connect.NewOperatorServiceHandler(newOperator(d), connect.WithReadMaxBytes(operators.MaxMessageBytes))
+	mux.Handle(path, operators.RequireCredential(d.settings.OperatorCredential, handler))
 	mux.HandleFunc("GET /metrics", d.metrics.serve)
 	return mux
 }
 
-// requireCredential refuses operators without the credential, if one is set.
-func (d *Daemon) requireCredential(next http.Handler) http.Handler {
-	want := "Bearer " + d.settings.OperatorCredential
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		given := r.Header.Get("Authorization")
-		if d.settings.OperatorCredential != "" && subtle.ConstantTimeCompare([]byte(given), []byte(want)) != 1 {
-			http.Error(w, "operator credential missing or wrong", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // operator implements the operators' interface.
-type operator struct{ d *Daemon }
-
-// Plan implements martenportv1connect.OperatorServiceHandler.
-func (o operator) Plan(ctx context.Context, msg *connect.Request[martenportv1.PlanRequest]) (*connect.Response[martenportv1.PlanResponse], error) {
-	plan, err := o.d.intents.Plan(ctx, msg.Msg.Declaration)
-	if err != nil {
-		return nil, connectError(err)
-	}
-	out := &martenportv1.PlanResponse{PlanId: plan.ID, BaseGeneration: plan.BaseGeneration, Warnings: plan.Warnings}
-	for _, c := range plan.Changes {
-		out.Changes = append(out.Changes, &martenportv1.Change{Kind: c.Kind, Subject: c.Subject, Detail: c.Detail})
-	}
-	o.d.events.Record(event.Event{Kind: event.KindPlan, Plan: plan.ID})
-	return connect.NewResponse(out), nil
+type operator struct {
+	operators.Declarations
+	d *Daemon
 }
 
-// Confirm implements martenportv1connect.OperatorServiceHandler.
-func (o operator) Confirm(ctx context.Context, msg *connect.Request[martenportv1.ConfirmRequest]) (*connect.Response[martenportv1.ConfirmResponse], error) {
-	req := msg.Msg
-	accepted, err := o.d.intents.Confirm(ctx, req.PlanId, req.BaseGeneration, req.Declaration)
-	if err != nil {
-		o.d.events.Record(event.Event{Kind: event.KindConfirm, Plan: req.PlanId, Detail: err.Error()})
-		return nil, connectError(err)
-	}
-	o.d.events.Record(event.Event{Kind: event.KindConfirm, Plan: req.PlanId, Detail: "accepted"})
-	if len(accepted.Compressed) > 0 {
-		peer.Apply(o.d.tables, o.d.events, accepted, "operator")
-	}
-	return connect.NewResponse(&martenportv1.ConfirmResponse{Generation: accepted.Generation}), nil
-}
-
-// GetDeclaration implements martenportv1connect.OperatorServiceHandler.
-func (o operator) GetDeclaration(context.Context, *connect.Request[martenportv1.GetDeclarationRequest]) (*connect.Response[martenportv1.GetDeclarationResponse], error) {
-	out := &martenportv1.GetDeclarationResponse{}
-	if a := o.d.tables.Config.Accepted(); a != nil {
-		source, err := a.Source()
-		if err != nil {
-			return nil, connectError(err)
-		}
-		out.Generation, out.PlanId, out.Declaration = a.Generation, a.PlanID, source
-	}
-	return connect.NewResponse(out), nil
+func newOperator(d *Daemon) operator {
+	return operator{d: d, Declarations: operators.Declarations{
+		Intents: d.intents, Config: d.tables.Config, Events: d.events,
+		Accepted: func(a *table.Accepted) { peer.Apply(d.tables, d.events, a, "operator") },
+	}}
 }
 
 // Drain implements martenportv1connect.OperatorServiceHandler.
--- a/daemon/failure.go
+++ b/verdict/rpcerror/rpcerror.go
@@ -1,4 +1,5 @@
-package daemon
+// Package rpcerror turns verdicts into errors of the connect protocol.
+package rpcerror
 
 import (
 	"time"
@@ -24,8 +25,8 @@
 	verdict.ReasonBroken:       connect.CodeDataLoss,
 }
 
-// connectError turns any error into the protocol's error with a Failure detail.
-func connectError(err error) error {
+// New turns any error into the protocol's error with a Failure detail.
+func New(err error) error {
 	f := verdict.Of(err)
 	code, found := codes[f.Reason]
 	if !found {
