--- a/internal/rpcpool/rpcpool.go
+++ b/internal/rpcpool/rpcpool.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,28 +34,57 @@
 	dial Dial
 
 	mu    sync.Mutex
-	conns map[string]*rpc.Client // by address; guarded by mu
+	conns map[string]*client // by address; guarded by mu
+}
+
+// client is one connection.
+type client struct {
+	*rpc.Client
+	// heard counts the reads that brought something.
+	heard *atomic.Int64
+}
+
+// countingConn counts the reads that bring something.
+type countingConn struct {
+	net.Conn
+	heard *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.heard.Add(1)
+	}
+	return n, err
+}
+
+func newClient(raw net.Conn) *client {
+	heard := &atomic.Int64{}
+	return &client{Client: rpc.NewClient(countingConn{Conn: raw, heard: heard}), heard: heard}
 }
 
 // New returns an empty pool.
 func New(dial Dial) *Pool {
-	return &Pool{dial: dial, conns: map[string]*rpc.Client{}}
+	return &Pool{dial: dial, conns: map[string]*client{}}
 }
 
 // Call makes one call and waits for its answer until ctx ends. reply must not
-// be used after an error: a late answer may still be written to it. A connection
-// on which a call has passed its deadline is closed, and other calls on it fail:
-// it may have fallen silent for good, while a new one would work.
+// be used after an error: a late answer may still be written to it. If a call
+// passes its deadline and nothing at all has come on the connection meanwhile, the
+// connection is closed: it may have fallen silent for good, while a new one would
+// work.
 func (p *Pool) Call(ctx context.Context, address, method string, args, reply any) error {
 	conn, err := p.conn(ctx, address)
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
+	before := conn.heard.Load()
 	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && conn.heard.Load() == before {
 			p.drop(address, conn)
 		}
 		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
@@ -66,7 +96,7 @@
 	return nil
 }
 
-func (p *Pool) conn(ctx context.Context, address string) (*rpc.Client, error) {
+func (p *Pool) conn(ctx context.Context, address string) (*client, error) {
 	p.mu.Lock()
 	conn, found := p.conns[address]
 	p.mu.Unlock()
@@ -83,12 +113,12 @@
 		_ = raw.Close()
 		return conn, nil
 	}
-	conn = rpc.NewClient(raw)
+	conn = newClient(raw)
 	p.conns[address] = conn
 	return conn, nil
 }
 
-func (p *Pool) drop(address string, conn *rpc.Client) {
+func (p *Pool) drop(address string, conn *client) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns[address] == conn {
--- a/internal/rpcpool/rpcpool_test.go
+++ b/internal/rpcpool/rpcpool_test.go
@@ -13,6 +13,11 @@
 // Echo is the service of the test's peer.
 type Echo struct{}
 
+// Wait answers only when the test is over.
+func (Echo) Wait(*string, *string) error {
+	select {}
+}
+
 // Say answers with what was said.
 func (Echo) Say(args *string, reply *string) error {
 	*reply = *args
@@ -53,3 +58,41 @@
 		t.Errorf("%d connections, want 2", dialed.Load())
 	}
 }
+
+// TestLongCallKeepsConnection: a call that its deadline ends while others are
+// answered does not cost the connection.
+func TestLongCallKeepsConnection(t *testing.T) {
+	server := rpc.NewServer()
+	if err := server.Register(Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	var dialed atomic.Int64
+	pool := New(func(context.Context, string) (net.Conn, error) {
+		dialed.Add(1)
+		ours, theirs := net.Pipe()
+		go server.ServeConn(theirs)
+		return ours, nil
+	})
+	defer pool.Close()
+	said, heard := "hello", ""
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := pool.Call(ctx, "peer", "Echo.Say", &said, &heard); err != nil { // one connection, before two calls want one
+		t.Fatal(err)
+	}
+	long, stop := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- pool.Call(long, "peer", "Echo.Wait", &said, new(string)) }()
+	for long.Err() == nil {
+		if err := pool.Call(ctx, "peer", "Echo.Say", &said, &heard); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := <-ended; err == nil {
+		t.Error("a call that is never answered succeeded")
+	}
+	if err := pool.Call(ctx, "peer", "Echo.Say", &said, &heard); err != nil || dialed.Load() != 1 {
+		t.Errorf("%v; %d connections, want 1", err, dialed.Load())
+	}
+}
