Failure domains that need streams at the same moment borrow them in turn

Up to seven loads then shared four streams and all came late. Now the first stream beyond the share waits for 1.5 s, in which others are heard of, and for half a second more for each domain before it. A load whose caller asks anew keeps its place.

--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -39,6 +39,9 @@
 	mu      sync.Mutex
 	waiting []*waiter        // guarded by mu
 	granted map[loadID]grant // guarded by mu
+	// waitingFrom is since when loads have waited, with pauses of up to Settle:
+	// one whose caller asks anew has not just come. waitedAt is when one last did.
+	waitingFrom, waitedAt time.Time // guarded by mu
 	// borrowed is when a stream beyond the share was last granted.
 	borrowed time.Time // guarded by mu
 	speeds   []float64 // guarded by mu; bytes a second of the newest loads
@@ -52,6 +55,8 @@
 	// Borrow is the shortest time between two grants beyond the own share: long
 	// enough to hear what the other domains have begun meanwhile.
 	Borrow time.Duration
+	// Hear is how long a domain takes to hear what another has begun.
+	Hear time.Duration
 	// Trust is how long an observed speed is believed when no load is running:
 	// if all were refused for it, it would never be corrected.
 	Trust time.Duration
@@ -61,7 +66,7 @@
 
 // DefaultParams returns the bounds used unless set otherwise.
 func DefaultParams() Params {
-	return Params{Settle: 5 * time.Second, Borrow: 1500 * time.Millisecond, Trust: 30 * time.Second, RetryAfter: 5 * time.Second}
+	return Params{Settle: 5 * time.Second, Borrow: 1500 * time.Millisecond, Hear: 500 * time.Millisecond, Trust: 30 * time.Second, RetryAfter: 5 * time.Second}
 }
 
 // keptSpeeds is how many of the newest loads are remembered.
@@ -94,6 +99,9 @@
 		g.mu.Unlock()
 		return nil
 	}
+	if len(g.waiting) == 0 && time.Since(g.waitedAt) > g.params.Settle {
+		g.waitingFrom = time.Now()
+	}
 	g.waiting = append(g.waiting, w)
 	g.mu.Unlock()
 	select {
@@ -135,6 +143,10 @@
 	Share int
 	// Allowed is Share and what the others are known to leave.
 	Allowed int
+	// Turn is the domain's place in the order in which domains that need streams
+	// at the same moment borrow them. One that is not first waits until it can
+	// have heard what those before it have begun.
+	Turn int
 }
 
 // Update drops loads that are over and grants streams while there are any. look
@@ -153,6 +165,9 @@
 			}
 		}
 	}
+	if len(g.waiting) > 0 {
+		g.waitedAt = now
+	}
 	g.refuseDoomed(now)
 	slices.SortStableFunc(g.waiting, func(a, b *waiter) int { return a.Latest.Compare(b.Latest) })
 	for len(g.waiting) > 0 && g.mayGrant(s, now) {
@@ -171,6 +186,9 @@
 	if len(g.granted) >= s.Allowed || now.Sub(g.borrowed) < g.params.Borrow {
 		return false
 	}
+	if now.Sub(g.waitingFrom) < g.params.Borrow+time.Duration(s.Turn)*g.params.Hear {
+		return false
+	}
 	g.borrowed = now
 	return true
 }
@@ -225,5 +243,5 @@
 		share++
 	}
 	share = max(1, share)
-	return Streams{Share: share, Allowed: max(share, streams-usedElsewhere)}
+	return Streams{Share: share, Allowed: max(share, streams-usedElsewhere), Turn: index}
 }
