Entry instances answer operators and keep to their numbers of replicas

The users ask for martenport on their platform 'as itself': operators declare which models belong where and how many replicas at most. Until now that held for the fleet on its own stand-ins only. The account's count is not enough (a load without an answer may be carried out much later, and a successor does not know of it), so each load of a limited model is first written into the model's record, with the sequence it is decided on, and counts until that has passed. Ways weighed: docs/DESIGN.md. Tests that fail without their guards: limits TestReplicasStayWithinLimit (2 replicas of 1 if the sequence is not compared), replicas TestLimitsArePlannedFor. No test fails if an order names a newer sequence than the recorded one (docs/PROOF.md says so).

--- a/cmd/martenentryd/main.go
+++ b/cmd/martenentryd/main.go
@@ -6,6 +6,8 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/entry"
 	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/cli"
@@ -14,8 +16,10 @@
 
 // options of the command line; what the platform decides is in the settings file.
 type options struct {
-	Settings string `long:"settings" description:"settings file that the platform writes; if absent, the platform's environment variable names it"`
-	LogLevel string `long:"log-level" env:"MARTENPORT_LOG_LEVEL" default:"info" description:"debug, info, warning or error"`
+	Settings           string `long:"settings" description:"settings file that the platform writes; if absent, the platform's environment variable names it"`
+	OperatorsPort      int    `long:"operators-port" env:"MARTENPORT_OPERATORS_PORT" description:"port on the instance's own address where operators are answered, the same at all instances; absent, no operators' interface is offered and no number of replicas limited"`
+	OperatorCredential string `long:"operator-credential" env:"MARTENPORT_OPERATOR_CREDENTIAL" description:"bearer token that operators must send"`
+	LogLevel           string `long:"log-level" env:"MARTENPORT_LOG_LEVEL" default:"info" description:"debug, info, warning or error"`
 }
 
 // Lines that wait to be written, and how long an instance that ends waits for
@@ -30,6 +34,9 @@
 // were received and not yet read.
 const memoryShare = 70
 
+// maxPort is the highest TCP port.
+const maxPort = 65535
+
 func main() {
 	os.Exit(cli.Finish(run(os.Args[1:]), os.Stderr))
 }
@@ -49,6 +56,9 @@
 	if limit := settings.MemoryLimit(); limit > 0 {
 		debug.SetMemoryLimit(limit * memoryShare / 100)
 	}
+	if o.OperatorsPort < 0 || o.OperatorsPort > maxPort {
+		return cli.Usage(errors.Newf("--operators-port %d is not a port: give 1 to %d, or leave it out", o.OperatorsPort, maxPort))
+	}
 	out := boundedlog.New(os.Stdout, logBuffer)
 	defer out.Close(logCloseWait)
 	log, err := cli.Log(o.LogLevel, out)
@@ -57,5 +67,5 @@
 	}
 	ctx, stop := cli.UntilSignal()
 	defer stop()
-	return entry.New(settings, o.Settings, log).Run(ctx)
+	return entry.New(settings, o.Settings, entry.Options{OperatorsPort: o.OperatorsPort, OperatorCredential: o.OperatorCredential}, log).Run(ctx)
 }
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/pause"
@@ -101,6 +102,9 @@
 
 	renewing sync.Mutex // held while a renewal is on its way
 
+	// limits is what operators decided.
+	limits limits.Source
+
 	// outage returns when the first of this instance's watches was begun that
 	// failed since the store last answered; zero while it answers.
 	outage func() time.Time
@@ -111,7 +115,7 @@
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), account: newAccount(), workers: map[string]*worker{},
-		ctx: context.Background(), outage: func() (none time.Time) { return },
+		ctx: context.Background(), limits: limits.None{}, outage: func() (none time.Time) { return },
 	}
 }
 
@@ -119,6 +123,10 @@
 // called before Run.
 func (h *Holder) WatchStore(outage func() time.Time) { h.outage = outage }
 
+// Limit has the holder load models only as operators decided. It must be called
+// before Run.
+func (h *Holder) Limit(source limits.Source) { h.limits = source }
+
 // Run does the standing work while the lease is held, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.mu.Lock()
@@ -155,7 +163,8 @@
 	h.mu.Lock()
 	h.refreshServers()
 	h.fleet.Running(h.account.running(now), now)
-	operations := append(h.fleet.Dispatch(now), h.fleet.Rebalance(now)...)
+	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
+	operations = append(operations, h.fleet.Rebalance(now)...)
 	unsure := h.fleet.Unsure()
 	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -36,6 +36,7 @@
 	h.lease.Won(current, candidate, written, sent, time.Now())
 	from := h.lease.OrderFrom("")
 	h.fleet = replicas.NewFleet(h.params.Fleet)
+	h.fleet.SetLimits(h.limits)
 	h.account, h.views = newAccount(), views{}
 	h.failingSince = time.Time{}
 	for _, w := range h.workers {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -159,14 +159,17 @@
 		return w.ctx.Err()
 	}
 	for _, unit := range op.Unload {
-		if err := w.order(op, unit, true); err != nil {
+		if err := w.order(op, unit, true, anySequence); err != nil {
 			return err
 		}
 		w.h.mu.Lock()
 		w.h.fleet.Unloaded(op, unit)
 		w.h.mu.Unlock()
 	}
-	if err := w.order(op, op.Load, false); err != nil {
+	if op.Load.Model == "" {
+		return nil // it only unloads
+	}
+	if err := w.load(op); err != nil {
 		return err
 	}
 	ready := time.Now().Add(op.Duration)
@@ -204,11 +207,15 @@
 	return errors.Wrapf(errEngine, "%s was not loaded by %s", op.Load, limit)
 }
 
-// order has the engine take one order, again while another is under way.
-func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool) error {
+// anySequence has an order name whatever the engine's sequence is.
+const anySequence = -1
+
+// order has the engine take one order, again while another is under way. pinned
+// is the sequence that it must name, or anySequence.
+func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) error {
 	unsure := false
 	for range w.h.params.OrderTries {
-		answer, err := w.send(op, unit, unload)
+		answer, err := w.send(op, unit, unload, pinned)
 		switch {
 		case errors.Is(err, serving.ErrOrderUnknown):
 			unsure = true
@@ -236,7 +243,7 @@
 
 // send sends one order with the engine's sequence as known now. The lease is
 // checked immediately before.
-func (w *worker) send(op replicas.Operation, unit serving.Unit, unload bool) (serving.OrderAnswer, error) {
+func (w *worker) send(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (serving.OrderAnswer, error) {
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
 	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
@@ -251,6 +258,10 @@
 		return 0, errors.Wrap(errEngine, "what is known of the engine has changed since the operation was planned")
 	}
 	e := w.h.fleet.Engine(w.engine)
+	if pinned != anySequence && e.Sequence != pinned {
+		w.h.mu.Unlock()
+		return 0, errMoved
+	}
 	o := serving.Order{Server: e.Server, Unit: unit, Unload: unload, Expect: e.Sequence, Holder: w.h.params.Name, Fence: fence}
 	w.h.mu.Unlock()
 	answer, err := w.h.engines.Order(ctx, o)
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -12,6 +12,7 @@
 	"maps"
 	"time"
 
+	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -98,13 +99,18 @@
 	decayed time.Time
 	// remoteLoads are the recent starts of loads from the weight store.
 	remoteLoads []time.Time
+	// limits is what operators decided.
+	limits limits.Source
 }
 
 // NewFleet returns an empty account.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}}
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, limits: limits.None{}}
 }
 
+// SetLimits has the fleet keep to what operators decided.
+func (f *Fleet) SetLimits(source limits.Source) { f.limits = source }
+
 // Engine returns the account of one engine, nil if it is not known.
 func (f *Fleet) Engine(id string) *Engine { return f.engines[id] }
 
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -140,7 +140,7 @@
 // consider says what loading a model on the engine would take.
 func (f *Fleet) consider(e *Engine, model string, claimed time.Duration, now time.Time) (choice, bool) {
 	m, known := e.Spec.Models[model]
-	if !known {
+	if !known || !f.permitted(e, model) {
 		return choice{}, false
 	}
 	evict, loss, wait, ok := f.makeRoom(e, m.MemoryMB, now)
--- a/directory/views.go
+++ b/directory/views.go
@@ -81,3 +81,21 @@
 	slices.SortFunc(found, func(a, b Replica) int { return byID(a.Server, b.Server) })
 	return found
 }
+
+// UnitsOn returns the units that an engine serves or will, by the holder's word or,
+// without that, by what the engine announced.
+func (d *Directory) UnitsOn(id string) []serving.Unit {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var units []serving.Unit
+	if view, viewed := d.views[id]; viewed {
+		for _, u := range view.Units {
+			units = append(units, u.Unit)
+		}
+		return units
+	}
+	for model := range d.servers[id].Models {
+		units = append(units, serving.Unit{Model: model})
+	}
+	return units
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/table"
 )
 
 // Times and rates of calls to the store.
@@ -57,13 +58,18 @@
 	watcher   *watcher
 	service   *service
 	handler   http.Handler
+	options   Options
+	declared  *declared
 
 	draining atomic.Bool
+	// left is closed when an operator has the instance leave.
+	left      chan struct{}
+	leaveOnce sync.Once
 }
 
 // New wires an instance with the settings read from path. Run starts it.
-func New(s platform.Settings, path string, log *logrus.Logger) *Instance {
-	i := &Instance{path: path, log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
+func New(s platform.Settings, path string, o Options, log *logrus.Logger) *Instance {
+	i := &Instance{path: path, options: o, left: make(chan struct{}), log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
 	i.settings.Store(&s)
 	i.client = platform.NewClient(platform.ClientParams{
 		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
@@ -79,6 +85,11 @@
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher = i.watcher
 	i.holder.WatchStore(i.watcher.outage)
+	i.declared = &declared{config: &table.Config{}, log: log}
+	if o.OperatorsPort > 0 {
+		i.holder.Limit(i.declared)
+		i.watcher.declared = i.declared
+	}
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
 	i.budget = forward.NewBudget(budgetParams(&s))
@@ -144,16 +155,22 @@
 	clients := &http.Server{Handler: i.handler, MaxHeaderBytes: maxHeaderBytes, ConnState: i.guard.connState, ConnContext: i.guard.connContext, ErrorLog: nil}
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
 	own := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
+	operators := &http.Server{Handler: i.operatorHandler(i.options)}
+	if listeners.operators != nil {
+		go func() { failed <- operators.Serve(listeners.operators) }()
+	}
 	go func() { failed <- clients.Serve(listeners.clients) }()
 	go func() { failed <- ready.Serve(listeners.ready) }()
 	go func() { failed <- own.Serve(listeners.metrics) }()
 	select {
 	case <-ctx.Done():
+	case <-i.left:
 	case err = <-failed:
 	}
 	i.drain(clients)
 	stop()
+	_ = operators.Close()
 	_ = ready.Close()
 	_ = own.Close()
 	_ = listeners.peers.Close()
@@ -162,7 +179,8 @@
 	return err
 }
 
-type listeners struct{ clients, ready, peers, metrics net.Listener }
+// listeners are where an instance is reached; operators is nil if nowhere.
+type listeners struct{ clients, ready, peers, metrics, operators net.Listener }
 
 // MetricsPort is where an instance serves its metrics, under /metrics; the
 // deploy file names the same one.
@@ -179,7 +197,11 @@
 		{"listen.ready", s.Listen.Ready, &l.ready},
 		{"internalPorts", s.PeerAddress(), &l.peers},
 		{"metrics", s.MetricsAddress(MetricsPort), &l.metrics},
+		{"operators-port", i.operatorsAddress(), &l.operators},
 	} {
+		if where.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp", where.address)
 		if err != nil {
 			return l, errors.Wrapf(err, "%s: listen on %s", where.name, where.address)
@@ -189,6 +211,9 @@
 	return l, nil
 }
 
+// leave has the instance leave as at SIGTERM.
+func (i *Instance) leave() { i.leaveOnce.Do(func() { close(i.left) }) }
+
 // Times of leaving.
 const (
 	// graceShare of the time until the platform kills the process is used to
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -33,6 +33,7 @@
 	servers   map[string]*standin.Server
 	silence   map[string]context.CancelFunc // ends a server's announcements
 	instances []*running
+	options   Options
 	version   int64
 }
 
@@ -56,9 +57,14 @@
 // newFleet starts a store with a configuration, two engines for four models of
 // which each has room for two, one plain service, and n instances.
 func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	return newFleetWith(t, n, Options{})
+}
+
+func newFleetWith(t *testing.T, n int, o Options) *fleet {
 	t.Helper()
 	t.Parallel()
-	f := &fleet{t: t, store: standin.NewPlatform(), servers: map[string]*standin.Server{}, silence: map[string]context.CancelFunc{}}
+	f := &fleet{t: t, options: o, store: standin.NewPlatform(), servers: map[string]*standin.Server{}, silence: map[string]context.CancelFunc{}}
 	server := httptest.NewServer(f.store.Handler())
 	t.Cleanup(server.Close)
 	f.storeURL = strings.TrimPrefix(server.URL, "http://")
@@ -151,7 +157,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Instance: New(s, writeSettings(f.t, s), log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
+	r := &running{Instance: New(s, writeSettings(f.t, s), f.options, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(r.done)
 		if err := r.Run(ctx); err != nil {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -117,6 +117,13 @@
 // that shares are small.
 const unknownInstances = 16
 
+// holderName returns the name of the lease's holder, as last read.
+func (f *follower) holderName() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Holder
+}
+
 // call calls the holder, directly if that is this instance.
 func (f *follower) call(ctx context.Context, record lease.Record, timeout time.Duration, method string, args, reply any) error {
 	if record.Holder == f.name {
--- a/entry/members.go
+++ b/entry/members.go
@@ -95,6 +95,14 @@
 	return addresses
 }
 
+// populated reports whether an instance is registered in a failure domain, as far
+// as the list was read.
+func (m *members) populated(domain string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.self.Domain == domain || slices.ContainsFunc(m.known, func(other member) bool { return other.Domain == domain })
+}
+
 // handicap returns the part of spread that this instance should let pass before
 // it does what stronger ones would do better: none for the strongest.
 func (m *members) handicap(ctx context.Context, spread time.Duration) time.Duration {
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,206 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
+	"github.com/martenport/martenport/command/intent"
+	"github.com/martenport/martenport/command/limits"
+	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/operators"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+	"github.com/martenport/martenport/table"
+)
+
+// Options are decided by whoever starts the process, not by the platform.
+type Options struct {
+	// OperatorsPort is where operators are answered, on the instance's own
+	// address; 0 offers no operators' interface, and then no declaration is read
+	// and no number of replicas limited. It must be the same at all instances.
+	OperatorsPort int
+	// OperatorCredential is the bearer token that operators must send; empty
+	// lets everyone in who reaches the port.
+	OperatorCredential string
+}
+
+// declared is the operators' declaration, as far as this instance has read it.
+type declared struct {
+	config *table.Config
+	// read: the store has said whether there is a declaration.
+	read atomic.Bool
+	log  logrus.FieldLogger
+}
+
+// Known implements limits.Source.
+func (d *declared) Known() bool { return d.read.Load() }
+
+// Limit implements limits.Source.
+func (d *declared) Limit(model string) (limits.Limit, bool) {
+	m, found := d.config.Index().Models[model]
+	if !found {
+		return limits.Limit{}, false
+	}
+	return limits.Limit{Replicas: m.MaxReplicas, Domains: m.FailureDomains}, true
+}
+
+// apply takes over what the store has. An accepted declaration never reverts.
+func (d *declared) apply(snap store.Snapshot, _ bool) {
+	for _, obj := range snap.Objects {
+		if obj.Deleted || obj.Key != store.KeyConfig {
+			continue
+		}
+		accepted, err := intent.Decode(obj.Value)
+		if err == nil {
+			err = d.accept(accepted)
+		}
+		if err != nil {
+			d.log.WithFields(logrus.Fields{"revision": obj.Version, "error": err}).Error("declaration cannot be read, the one in force stays")
+		}
+	}
+	d.read.Store(true)
+}
+
+// refresh reads the declaration for an operator: only the holder of the lease
+// watches it. While the store is away the one that was read last is told.
+func (d *declared) refresh(ctx context.Context, s store.Store) {
+	obj, err := s.Get(ctx, store.KeyConfig)
+	if err == nil {
+		d.apply(store.Snapshot{Objects: []store.Object{obj}}, false)
+	} else if !errors.Is(err, store.ErrNotFound) {
+		d.log.WithField("error", err).Info("declaration not read, the one read last is told")
+	}
+}
+
+// accept puts a declaration in force if it is newer.
+func (d *declared) accept(a *table.Accepted) error {
+	if a.Generation <= d.config.Index().Generation {
+		return nil
+	}
+	if err := a.Parse(); err != nil {
+		return err
+	}
+	if d.config.Apply(a) {
+		d.log.WithFields(logrus.Fields{"generation": a.Generation, "plan": a.PlanID, "models": len(a.Index().Models)}).Info("declaration in force")
+	}
+	return nil
+}
+
+// operatorService answers operators. It offers no time line: entry instances write
+// logs, from which `martenctl explain` tells what became of a request.
+type operatorService struct {
+	operators.Declarations
+	martenportv1connect.UnimplementedOperatorServiceHandler
+	i *Instance
+}
+
+// operatorEvents is how many events of plans and confirmations are kept.
+const operatorEvents = 100
+
+func (i *Instance) operatorHandler(o Options) http.Handler {
+	s := operatorService{i: i, Declarations: operators.Declarations{
+		Intents: intent.New(i.client, i.declared.config, i.members.populated), Config: i.declared.config,
+		Events: event.NewRecorder(i.settings.Load().NodeName, &event.Clock{}, operatorEvents, i.log),
+		Accepted: func(a *table.Accepted) {
+			if err := i.declared.accept(a); err != nil {
+				i.log.WithField("error", err).Error("accepted declaration cannot be read here")
+			}
+		},
+	}}
+	mux := http.NewServeMux()
+	path, handler := martenportv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(operators.MaxMessageBytes))
+	mux.Handle(path, operators.RequireCredential(o.OperatorCredential, handler))
+	return mux
+}
+
+// Plan implements martenportv1connect.OperatorServiceHandler.
+func (s operatorService) Plan(ctx context.Context, msg *connect.Request[martenportv1.PlanRequest]) (*connect.Response[martenportv1.PlanResponse], error) {
+	return s.Declarations.Plan(ctx, msg)
+}
+
+// Confirm implements martenportv1connect.OperatorServiceHandler.
+func (s operatorService) Confirm(ctx context.Context, msg *connect.Request[martenportv1.ConfirmRequest]) (*connect.Response[martenportv1.ConfirmResponse], error) {
+	return s.Declarations.Confirm(ctx, msg)
+}
+
+// GetDeclaration implements martenportv1connect.OperatorServiceHandler.
+func (s operatorService) GetDeclaration(ctx context.Context, msg *connect.Request[martenportv1.GetDeclarationRequest]) (*connect.Response[martenportv1.GetDeclarationResponse], error) {
+	s.i.declared.refresh(ctx, s.i.client)
+	return s.Declarations.GetDeclaration(ctx, msg)
+}
+
+// Drain implements martenportv1connect.OperatorServiceHandler: the instance leaves
+// as at SIGTERM, and its process ends.
+func (s operatorService) Drain(context.Context, *connect.Request[martenportv1.DrainRequest]) (*connect.Response[martenportv1.DrainResponse], error) {
+	s.i.leave()
+	return connect.NewResponse(&martenportv1.DrainResponse{}), nil
+}
+
+// Timeline implements martenportv1connect.OperatorServiceHandler.
+func (s operatorService) Timeline(context.Context, *connect.Request[martenportv1.TimelineRequest]) (*connect.Response[martenportv1.TimelineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("entry instances keep no time line: collect their logs and use martenctl explain"))
+}
+
+// GetStatus implements martenportv1connect.OperatorServiceHandler.
+func (s operatorService) GetStatus(ctx context.Context, _ *connect.Request[martenportv1.GetStatusRequest]) (*connect.Response[martenportv1.GetStatusResponse], error) {
+	s.i.declared.refresh(ctx, s.i.client)
+	settings := s.i.settings.Load()
+	out := &martenportv1.GetStatusResponse{
+		Instance: settings.NodeName, FailureDomain: settings.Zone, Draining: s.i.draining.Load(),
+		Generation: s.i.declared.config.Index().Generation, PlatformReachable: !s.i.watcher.lost(),
+	}
+	for _, m := range s.i.members.list(ctx) {
+		out.Instances = append(out.Instances, &martenportv1.InstanceStatus{Name: m.Name, FailureDomain: m.Domain, State: "registered"})
+	}
+	holder := s.i.follower.holderName()
+	config := s.i.dir.Config()
+	for _, server := range s.i.dir.All() {
+		if config != nil && config.Services[server.Service].Engine != nil {
+			out.Engines = append(out.Engines, s.engine(server, holder))
+		}
+	}
+	out.Models = s.models()
+	return connect.NewResponse(out), nil
+}
+
+func (s operatorService) engine(server serving.Server, holder string) *martenportv1.EngineStatus {
+	e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
+	for _, u := range s.i.dir.UnitsOn(server.ID) {
+		e.Resident = append(e.Resident, u.String())
+	}
+	return e
+}
+
+// models returns the state of the declared models.
+func (s operatorService) models() []*martenportv1.ModelStatus {
+	var models []*martenportv1.ModelStatus
+	for _, m := range s.i.declared.config.Index().Declaration.Models {
+		state := &martenportv1.ModelStatus{Name: m.Name, MaxReplicas: int32(m.MaxReplicas)}
+		for _, server := range s.i.dir.All() {
+			for _, u := range s.i.dir.UnitsOn(server.ID) {
+				if u == (serving.Unit{Model: m.Name}) {
+					state.Resident++
+				}
+			}
+		}
+		models = append(models, state)
+	}
+	return models
+}
+
+// operatorsAddress is where operators are answered, empty if nowhere.
+func (i *Instance) operatorsAddress() string {
+	if i.options.OperatorsPort == 0 {
+		return ""
+	}
+	return net.JoinHostPort(i.settings.Load().IP, strconv.Itoa(i.options.OperatorsPort))
+}
--- a/entry/reload_test.go
+++ b/entry/reload_test.go
@@ -19,7 +19,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	path := writeSettings(t, s)
-	i := New(s, path, log)
+	i := New(s, path, Options{}, log)
 
 	s.Bounds.GraceS = 5
 	text, err := os.ReadFile(writeSettings(t, s))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -44,6 +44,8 @@
 	log      logrus.FieldLogger
 	// holds reports whether this instance holds the lease.
 	holds func() bool
+	// declared is nil where no operators are answered.
+	declared *declared
 	// news wakes the watch of the configuration when there is a newer one.
 	news chan struct{}
 
@@ -76,6 +78,9 @@
 	work.Go(func() { w.watch(ctx, platform.KeyConfig, 0, w.applyConfig) })
 	work.Go(func() { w.watch(ctx, platform.PrefixServers, serversPause, w.applyServers) })
 	work.Go(func() { w.sweep(ctx) })
+	if w.declared != nil {
+		work.Go(func() { w.watch(ctx, store.KeyConfig, 0, w.declared.apply) })
+	}
 	work.Wait()
 }
 
