--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -293,6 +293,28 @@
 	}
 }
 
+// TestBudgetSpent: a request that has not run is not sent once more when the budget
+// of repeated sends is spent, and the client is told that it has not run.
+func TestBudgetSpent(t *testing.T) {
+	f := newFixture(t, reply{status: 503, notRun: true}, reply{status: 200, body: "done"})
+	f.forwarder.budget.SetParams(BudgetParams{Window: time.Minute})
+	_, failure := f.serve("safe", "", 0)
+	if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 || len(f.servers.attempts) != 1 {
+		t.Errorf("%+v after %d sends, want a refusal after one", failure, len(f.servers.attempts))
+	}
+}
+
+// TestNoConfiguration: an instance that knows no configuration yet refuses, and
+// does not say that there is no such route.
+func TestNoConfiguration(t *testing.T) {
+	f := newFixture(t, reply{status: 200})
+	f.forwarder.dir = directory.New()
+	_, failure := f.serve("safe", "", 0)
+	if failure == nil || failure.Reason != verdict.ReasonPlatform || failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 {
+		t.Errorf("%+v", failure)
+	}
+}
+
 // TestNoRoute: an unknown path is a client's fault; no configuration is not.
 func TestNoRoute(t *testing.T) {
 	f := newFixture(t, reply{status: 200})
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -26,6 +26,26 @@
 	}
 }
 
+// TestNoOrderWithOldRenewal: a holder orders only while its last confirmed renewal
+// is young enough that the order arrives within Validity.
+func TestNoOrderWithOldRenewal(t *testing.T) {
+	now := time.Unix(1000, 0)
+	l := New(testParams, "a")
+	record := l.Candidate(Record{}, "")
+	l.Won(Record{}, record, 1, now, now)
+	usable := testParams.Validity - testParams.Transit
+	if _, ok := l.Fence("e", now.Add(usable-time.Millisecond)); !ok {
+		t.Error("no order though the renewal is young")
+	}
+	if _, ok := l.Fence("e", now.Add(usable)); ok {
+		t.Error("an order that may arrive after Validity")
+	}
+	l.Renewed(record, 1, now.Add(time.Second))
+	if _, ok := l.Fence("e", now.Add(usable)); !ok {
+		t.Error("no order after a renewal")
+	}
+}
+
 // TestReleasedNamesEngines: after a release only the engines that were ordered
 // within Settle are waited for, also those of the holder before.
 func TestReleasedNamesEngines(t *testing.T) {
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -142,6 +142,37 @@
 	}
 }
 
+// TestWeightStoreRate: within the window no more loads begin than the weight store
+// allows, however many could run at once.
+func TestWeightStoreRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spec := testSpec("m1", "m2", "m3", "m4", "m5", "m6")
+	spec.RemoteLoadsPerSecond = 0.4
+	f := testFleet(now, spec, make([][]string, 6)...)
+	f.params.RemoteAtOnce = 100
+	for _, e := range f.Engines() {
+		clear(e.Tiers)
+	}
+	f.index = index{}
+	begin := func(at time.Time) (started int) {
+		for name := range spec.Models {
+			f.Find("llm", serving.Unit{Model: name}, 1, at)
+			started += len(f.Dispatch(at))
+		}
+		return started
+	}
+	allowed := int(spec.RemoteLoadsPerSecond * f.params.RemoteWindow.Seconds())
+	if got := begin(now); got != allowed {
+		t.Errorf("%d loads began at once, want %d", got, allowed)
+	}
+	if got := begin(now.Add(f.params.RemoteWindow / 2)); got != 0 {
+		t.Errorf("%d more within the window", got)
+	}
+	if got := begin(now.Add(f.params.RemoteWindow + time.Millisecond)); got != allowed {
+		t.Errorf("%d after the window, want %d", got, allowed)
+	}
+}
+
 // TestTurnAtWeightStore: a model that has to queue at the weight store is promised
 // for when its turn is over, behind the loads that run and the more wanted ones.
 func TestTurnAtWeightStore(t *testing.T) {
