An adapter is evicted only for one that then fits

Cause: when places or memory for adapters were short, the one that was not used for longest went, of whatever size; a larger one was then ordered into memory that was not there, and the engine would have crashed. Found by taking the count of adapters' memory out of the account: no test noticed. Ruled out on the users' sites: 230,000 MB hold three models of 72,700 with 11,900 to spare, and eight adapters take 528 at most. Unseen deployments may be tighter. TestAdaptersFitMemory fails without it: 350 MB counted, of 330.

--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -47,12 +47,16 @@
 	if slots == 0 {
 		return room{}, false
 	}
-	if e.adapters() < e.Spec.AdapterSlots && e.memoryMB()+e.Spec.Models[model].AdapterMB <= e.Spec.MemoryMB {
+	short := e.memoryMB() + e.Spec.Models[model].AdapterMB - e.Spec.MemoryMB
+	if e.adapters() < e.Spec.AdapterSlots && short <= 0 {
 		return room{engine: e, score: float64(e.adapters()) / slots}, true
 	}
 	r := room{engine: e}
 	var oldest time.Time
 	for name, c := range e.Copies {
+		if e.Spec.Models[name].AdapterMB < short {
+			continue // one of its adapters does not make room enough
+		}
 		for adapter, a := range c.Adapters {
 			if a.Running > 0 || now.Before(a.Ready.Add(f.params.KeepFor)) || now.Sub(a.Used) < f.params.KeepFor {
 				continue
--- a/command/replicas/adapters_test.go
+++ b/command/replicas/adapters_test.go
@@ -72,6 +72,37 @@
 	}
 }
 
+// TestAdaptersFitMemory: adapters of different sizes share what the models leave.
+// For a large one a small one does not make room enough, though it is the oldest.
+func TestAdaptersFitMemory(t *testing.T) {
+	now := time.Unix(1000, 0)
+	spec := testSpec("small", "large", "third")
+	for name, mb := range map[string]float64{"small": 5, "large": 25} {
+		m := spec.Models[name]
+		m.AdapterMB = mb
+		spec.Models[name] = m
+	}
+	f := testFleet(now, spec, []string{"small", "large", "third"}) // 30 MB are left
+	find := func(model, adapter string) Found {
+		now = now.Add(5 * time.Second)
+		found, _ := f.Find("llm", serving.Unit{Model: model, Adapter: adapter}, 1, now)
+		return found
+	}
+	find("small", "a1")
+	find("large", "a1")
+	found := find("large", "a2")
+	if found.Start == nil || len(found.Start.Unload) != 1 || found.Start.Unload[0].Model != "large" {
+		t.Errorf("%+v, want the other large adapter evicted", found.Start)
+	}
+	if used := f.Engine("a-engine").memoryMB(); used > spec.MemoryMB {
+		t.Errorf("%v MB counted, of %v", used, spec.MemoryMB)
+	}
+	spec.AdapterSlots = 9 // places are left, memory is not
+	if found := find("small", "a2"); found.Start == nil || len(found.Start.Unload) != 1 {
+		t.Errorf("%+v, want an adapter evicted for its memory", found.Start)
+	}
+}
+
 // TestOperationVoidAfterReading: found as LIMIT on trouble-1 of both sites. An
 // operation that was planned on an account that has been replaced is void.
 func TestOperationVoidAfterReading(t *testing.T) {
