--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
 )
 
 // TestServes: plain requests, a loaded model, and a cold one that many ask for
@@ -199,6 +200,57 @@
 	}
 }
 
+// TestLapsedServerIsRemoved: a server whose entry was lost while the store was away,
+// and that does not come back, gets nothing more once the time for that is over.
+func TestLapsedServerIsRemoved(t *testing.T) {
+	f := newFleet(t, 2)
+	f.store.SetDown(true)
+	for _, r := range f.instances {
+		f.await("the store is missed", r.watcher.lost)
+	}
+	f.silence["p1"]()
+	f.store.SetDown(false)
+	f.lapse("p1")
+	for _, r := range f.instances {
+		f.await("the server is gone", func() bool { _, known := r.dir.Server("p1"); return !known })
+		if a := f.ask(r, "unsafe", ""); a.status != http.StatusServiceUnavailable {
+			t.Errorf("%+v, want a refusal: no server is left", a)
+		}
+	}
+}
+
+// TestNotReady: without a configuration an instance is not ready, and says that it
+// has not run what it is sent.
+func TestNotReady(t *testing.T) {
+	f := newFleet(t, 1)
+	r := f.instances[0]
+	bare := New(*r.settings.Load(), "", Options{}, r.log)
+	if bare.Ready() || !r.Ready() {
+		t.Errorf("ready without a configuration: %v, with one: %v", bare.Ready(), r.Ready())
+	}
+	bare.dir.ApplyConfig(r.dir.Config())
+	if bare.Ready() {
+		t.Error("ready without knowing any server")
+	}
+}
+
+// TestLongStreamOutlivesStop: a stream that lasts longer than the balancer takes to
+// notice that its instance leaves is ended before the process is.
+func TestLongStreamOutlivesStop(t *testing.T) {
+	f := newFleet(t, 2)
+	f.addServerWith("slow", "llm", []string{"m4"}, balancerNotice/4)
+	r := f.instances[0]
+	f.await("the engine is known", func() bool { return len(r.dir.Replicas("llm", serving.Unit{Model: "m4"}, time.Now())) > 0 })
+	ended := make(chan answer, 1)
+	go func() { ended <- f.ask(r, "stream", "m4") }()
+	f.await("the stream runs", func() bool { return len(f.servers["slow"].Runs()) > 0 })
+	r.stop()
+	if a := <-ended; a.body != wholeStream("m4") {
+		t.Errorf("a stream was cut off: %+v", a)
+	}
+	<-r.done
+}
+
 // TestServerLeaves: a server that drains, or is gone, gets nothing new.
 func TestServerLeaves(t *testing.T) {
 	f := newFleet(t, 2)
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -83,7 +83,12 @@
 }
 
 func (f *fleet) addServer(id, service string, loaded []string) {
-	p := standin.ServerParams{ID: id, Service: service, FailureDomain: "a", EventPause: 5 * time.Millisecond, Work: 5 * time.Millisecond}
+	f.addServerWith(id, service, loaded, 5*time.Millisecond)
+}
+
+// addServerWith starts a server with a pause between the events of its streams.
+func (f *fleet) addServerWith(id, service string, loaded []string, eventPause time.Duration) {
+	p := standin.ServerParams{ID: id, Service: service, FailureDomain: "a", EventPause: eventPause, Work: 5 * time.Millisecond}
 	if service == "llm" {
 		p.Models, p.MemoryMB, p.AdapterSlots, p.Loaded = map[string]standin.ServerModel{}, 210, 2, loaded
 		for _, name := range []string{"m1", "m2", "m3", "m4"} {
--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -107,7 +107,7 @@
 			})
 		}
 		clients.Go(func() {
-			if a := f.ask(r, "once", "m3"); a.status == http.StatusOK {
+			if a := f.ask(r, "stream", "m3"); a.status != http.StatusServiceUnavailable {
 				t.Errorf("a model without replicas answered: %+v", a)
 			}
 		})
