--- a/cmd/martenctl/status.go
+++ b/cmd/martenctl/status.go
@@ -22,9 +22,9 @@
 	if c.shared.Output == "json" {
 		return printJSON(s)
 	}
-	r := s.Requests
+	r := s.GetRequests() // an instance may tell none
 	fmt.Printf("instance=%s domain=%s generation=%d draining=%t platform=%t\n", s.Instance, s.FailureDomain, s.Generation, s.Draining, s.PlatformReachable)
-	fmt.Printf("requests accepted=%d answered=%d refused=%d failed=%d cancelled=%d running=%d\n\n", r.Accepted, r.Answered, r.Refused, r.Failed, r.Cancelled, r.Running)
+	fmt.Printf("requests accepted=%d answered=%d refused=%d failed=%d cancelled=%d running=%d\n\n", r.GetAccepted(), r.GetAnswered(), r.GetRefused(), r.GetFailed(), r.GetCancelled(), r.GetRunning())
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	printInstances(w, s)
 	printEngines(w, s)
--- /dev/null
+++ b/cmd/martendev/entries.go
@@ -0,0 +1,166 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/entry"
+	"github.com/martenport/martenport/internal/cli"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+)
+
+// entriesCommand runs what runs on the users' platform, on stand-ins, in one
+// process: entry instances, a store, engines and a plain service.
+type entriesCommand struct {
+	Instances int    `long:"instances" default:"3" description:"entry instances, each in a failure domain of its own; 9 at most"`
+	Engines   int    `long:"engines" default:"4" description:"model engines"`
+	LogLevel  string `long:"log-level" default:"warning" description:"debug, info, warning or error"`
+}
+
+// Addresses and sizes of the embedded entry instances. Each instance has an
+// address of its own, as its machine would.
+const (
+	entriesStore     = "127.0.7.1:7000"
+	entriesFirstIP   = 10
+	entriesOperators = 7390
+	entriesHost      = "models.example"
+	entriesModels    = 8
+	maxEntries       = 9
+	entryHeartbeat   = 500 * time.Millisecond
+	loadTime         = time.Second
+)
+
+// Execute implements flags.Commander.
+func (c *entriesCommand) Execute([]string) error {
+	if c.Instances < 1 || c.Instances > maxEntries || c.Engines < 1 {
+		return cli.Usage(errors.Newf("--instances %d, --engines %d: give 1 to %d instances and at least one engine", c.Instances, c.Engines, maxEntries))
+	}
+	ctx, stop := cli.UntilSignal()
+	defer stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	store := standin.NewPlatform()
+	l, err := net.Listen("tcp", entriesStore)
+	if err != nil {
+		return err
+	}
+	storeServer := &http.Server{Handler: store.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = storeServer.Serve(l) }() // ends with the process
+	if err := c.config().Write(ctx, store); err != nil {
+		return err
+	}
+	if err := c.startServers(ctx, store); err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "martendev-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	for i := range c.Instances {
+		if err := c.startInstance(ctx, i, dir, &running); err != nil {
+			return err
+		}
+	}
+	c.describe()
+	<-ctx.Done()
+	return nil
+}
+
+func modelName(i int) string { return fmt.Sprintf("m%d", i+1) }
+
+func (c *entriesCommand) models() map[string]standin.ServerModel {
+	models := map[string]standin.ServerModel{}
+	for i := range entriesModels {
+		models[modelName(i)] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: loadTime}
+	}
+	return models
+}
+
+func (c *entriesCommand) config() standin.Config {
+	route := func(name, service string, kind standin.RouteKind) standin.Route {
+		return standin.Route{
+			Name: name, Host: entriesHost, Service: service, Kind: kind, Timeout: 20 * time.Second, Objective: 2 * time.Second, Attempts: 2,
+			Resumable: kind == standin.StreamRoute,
+		}
+	}
+	return standin.Config{
+		Version: 1, Plain: []string{"notices"}, Engines: "engines", Models: c.models(), MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots,
+		RemoteLoad: 6 * loadTime, LoadsPerSecond: 3,
+		Routes: []standin.Route{
+			route("generate", "engines", standin.StreamRoute), route("notice", "notices", standin.UnsafeRoute), route("lookup", "notices", standin.SafeRoute),
+		},
+	}
+}
+
+// startServers starts engines that hold two models each, and a plain service.
+func (c *entriesCommand) startServers(ctx context.Context, store *standin.Platform) error {
+	params := []standin.ServerParams{{ID: "notices-1", Service: "notices", FailureDomain: "a", Work: 5 * time.Millisecond}}
+	for i := range c.Engines {
+		params = append(params, standin.ServerParams{
+			ID: fmt.Sprintf("engine-%d", i+1), Service: "engines", FailureDomain: domain(i % c.Instances), Models: c.models(),
+			MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, EventPause: 50 * time.Millisecond,
+			Loaded: []string{modelName(2 * i % entriesModels), modelName((2*i + 1) % entriesModels)},
+		})
+	}
+	for _, p := range params {
+		s, err := standin.NewServer("127.0.7.2", p)
+		if err != nil {
+			return err
+		}
+		go s.Announce(ctx, store, entryHeartbeat)
+	}
+	return nil
+}
+
+func domain(i int) string { return string(rune('a' + i)) }
+
+func entryIP(i int) string { return fmt.Sprintf("127.0.7.%d", entriesFirstIP+i) }
+
+// startInstance runs an instance with a settings file as the platform writes it.
+func (c *entriesCommand) startInstance(ctx context.Context, i int, dir string, running *sync.WaitGroup) error {
+	s := platform.Settings{NodeName: fmt.Sprintf("entry-%d", i+1), IP: entryIP(i), Zone: domain(i), InternalPorts: []int{7380, 7395}}
+	s.Listen.Frontend, s.Listen.Ready = s.IP+":8100", s.IP+":8101"
+	s.Platform.Address = entriesStore
+	s.Bounds = platform.Bounds{DrainMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2, BudgetWindowS: 10, BudgetExtra: 50, CeilingWindowS: 5}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	path := filepath.Join(dir, s.NodeName+".toml")
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.CombineErrors(toml.NewEncoder(file).Encode(s), file.Close()); err != nil {
+		return err
+	}
+	log, err := cli.Log(c.LogLevel, os.Stdout)
+	if err != nil {
+		return cli.Usage(err)
+	}
+	instance := entry.New(s, path, entry.Options{OperatorsPort: entriesOperators}, log)
+	running.Go(func() {
+		if err := instance.Run(ctx); err != nil {
+			log.WithField("error", err).Error("instance ended")
+		}
+	})
+	return nil
+}
+
+func (c *entriesCommand) describe() {
+	fmt.Printf("%d entry instances, clients at %s:8100 and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesOperators)
+	fmt.Printf("models %s to %s, two fit on an engine; try (the last one is cold):\n", modelName(0), modelName(entriesModels-1))
+	fmt.Printf("  curl -si -H 'Host: %s' -H 'Martenport-Attempt-Id: 1' -H 'Martenport-Model: %s' -d prompt http://%s:8100/generate/x\n",
+		entriesHost, modelName(entriesModels-1), entryIP(0))
+	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d status\n", entryIP(0), entriesOperators)
+}
--- a/cmd/martendev/main.go
+++ b/cmd/martendev/main.go
@@ -27,6 +27,7 @@
 		{"engine", "run a stand-in engine", &engineCommand{}},
 		{"server", "run a stand-in backend server of the users' platform", &serverCommand{}},
 		{"service", "run a stand-in plain service", &serviceCommand{}},
+		{"entries", "run entry instances as on the users' platform, on stand-ins, in one process", &entriesCommand{}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,6 +14,16 @@
 	set      *metrics.Set
 	answered *metrics.Counter
 	seconds  *metrics.Histogram
+
+	answers, refused, failed, cancelled atomic.Int64
+}
+
+// Totals are how many requests have ended in which way.
+type Totals struct{ Answered, Refused, Failed, Cancelled int64 }
+
+// Totals returns the counts so far.
+func (c *Counts) Totals() Totals {
+	return Totals{Answered: c.answers.Load(), Refused: c.refused.Load(), Failed: c.failed.Load(), Cancelled: c.cancelled.Load()}
 }
 
 // NewCounts returns Counts in set.
@@ -28,7 +39,16 @@
 	c.seconds.Update(took.Seconds())
 	if failure == nil {
 		c.answered.Inc()
+		c.answers.Add(1)
 		return
 	}
+	switch {
+	case failure.Reason == verdict.ReasonCancelled:
+		c.cancelled.Add(1)
+	case failure.Verdict == verdict.NotRun:
+		c.refused.Add(1)
+	default:
+		c.failed.Add(1)
+	}
 	c.set.GetOrCreateCounter(`martenport_requests_total{outcome="` + string(failure.Reason) + `",verdict="` + failure.Verdict.String() + `"}`).Inc()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,7 @@
 	follower  *follower
 	members   *members
 	forwarder *forward.Forwarder
+	counts    *forward.Counts
 	budget    *forward.Budget
 	guard     *guard
 	watcher   *watcher
@@ -93,7 +94,8 @@
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
 	i.budget = forward.NewBudget(budgetParams(&s))
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, forward.NewCounts(i.set), log)
+	i.counts = forward.NewCounts(i.set)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, i.counts, log)
 	i.guard = newGuard(i.limits)
 	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)))
 	i.addGauges()
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -90,10 +89,7 @@
 func (f *fleet) addServerWith(id, service string, loaded []string, eventPause time.Duration) {
 	p := standin.ServerParams{ID: id, Service: service, FailureDomain: "a", EventPause: eventPause, Work: 5 * time.Millisecond}
 	if service == "llm" {
-		p.Models, p.MemoryMB, p.AdapterSlots, p.Loaded = map[string]standin.ServerModel{}, 210, 2, loaded
-		for _, name := range []string{"m1", "m2", "m3", "m4"} {
-			p.Models[name] = standin.ServerModel{MemoryMB: 100, AdapterMB: 1, Load: testLoad}
-		}
+		p.Models, p.MemoryMB, p.AdapterSlots, p.Loaded = testModels, testMemoryMB, testAdapterSlots, loaded
 	}
 	s, err := standin.NewServer("127.0.0.1", p)
 	if err != nil {
@@ -106,43 +102,38 @@
 	go s.Announce(ctx, f.store, testHeartbeat)
 }
 
+// testModels are what engines can load; two fit.
+var testModels = map[string]standin.ServerModel{
+	"m1": {MemoryMB: 100, AdapterMB: 1, Load: testLoad}, "m2": {MemoryMB: 100, AdapterMB: 1, Load: testLoad},
+	"m3": {MemoryMB: 100, AdapterMB: 1, Load: testLoad}, "m4": {MemoryMB: 100, AdapterMB: 1, Load: testLoad},
+}
+
+// Room of an engine.
+const (
+	testMemoryMB     = 210
+	testAdapterSlots = 2
+)
+
 // configure writes the next configuration, with the named routes.
 func (f *fleet) configure(routes ...string) {
 	f.t.Helper()
 	f.version++
-	kinds := map[string]string{"stream": "streaming", "once": "streaming", "safe": "safe"}
-	var list []map[string]any
+	c := standin.Config{
+		Version: f.version, Plain: []string{"plain"}, Engines: "llm", Models: testModels, MemoryMB: testMemoryMB, AdapterSlots: testAdapterSlots,
+		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3,
+	}
+	kinds := map[string]standin.RouteKind{"stream": standin.StreamRoute, "safe": standin.SafeRoute}
 	for _, name := range routes {
-		kind, service := kinds[name], "plain"
-		if kind == "" {
-			kind = "unsafe"
+		r := standin.Route{Name: name, Host: "h.example", Service: "plain", Kind: kinds[name], Timeout: 20 * time.Second, Objective: time.Second, Attempts: 3}
+		switch r.Kind {
+		case "":
+			r.Kind = standin.UnsafeRoute
+		case standin.StreamRoute:
+			r.Service, r.Resumable = "llm", true
 		}
-		if kind == "streaming" {
-			service = "llm"
-		}
-		list = append(list, map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "routeType": kind, "timeoutMs": 20000, "goalMs": 1000,
-			"service": service, "attempts": 3, "resumable": name == "stream",
-		})
-	}
-	models := []map[string]any{}
-	for _, name := range []string{"m1", "m2", "m3", "m4"} {
-		models = append(models, map[string]any{"name": name, "weightsMb": 100, "loadS": 0.5, "diskS": testLoad.Seconds(), "warmS": testLoad.Seconds(), "adapters": 4, "adapterSizeMb": 1})
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": f.version, "routes": list, "limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000, "headerTimeoutMs": 3000},
-		"services": []map[string]any{
-			{"name": "plain"}, {"name": "llm", "engine": map[string]any{"slots": 8, "weightsMb": 210, "adapterSlots": 2, "loadsPerS": 3, "models": models}},
-		},
-	})
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	version := int64(0)
-	if obj, err := f.store.Get(context.Background(), platform.KeyConfig); err == nil {
-		version = obj.Version
+		c.Routes = append(c.Routes, r)
 	}
-	if _, err := f.store.Put(context.Background(), platform.KeyConfig, value, version); err != nil {
+	if err := c.Write(context.Background(), f.store); err != nil {
 		f.t.Fatal(err)
 	}
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -157,6 +157,7 @@
 	out := &martenportv1.GetStatusResponse{
 		Instance: settings.NodeName, FailureDomain: settings.Zone, Draining: s.i.draining.Load(),
 		Generation: s.i.declared.config.Index().Generation, PlatformReachable: !s.i.watcher.lost(),
+		Requests: s.requests(),
 	}
 	for _, m := range s.i.members.list(ctx) {
 		out.Instances = append(out.Instances, &martenportv1.InstanceStatus{Name: m.Name, FailureDomain: m.Domain, State: "registered"})
@@ -172,6 +173,15 @@
 	return connect.NewResponse(out), nil
 }
 
+// requests returns the counts of this instance's requests.
+func (s operatorService) requests() *martenportv1.RequestCounts {
+	t, running := s.i.counts.Totals(), s.i.guard.running()
+	return &martenportv1.RequestCounts{
+		Accepted: t.Answered + t.Refused + t.Failed + t.Cancelled + running, Answered: t.Answered, Refused: t.Refused,
+		Failed: t.Failed, Cancelled: t.Cancelled, Running: running,
+	}
+}
+
 func (s operatorService) engine(server serving.Server, holder string) *martenportv1.EngineStatus {
 	e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
 	for _, u := range s.i.dir.UnitsOn(server.ID) {
--- a/entry/operators_test.go
+++ b/entry/operators_test.go
@@ -168,12 +168,17 @@
 	if err != nil || string(declaration.Msg.Declaration) != limited {
 		t.Errorf("%v, %v", declaration, err)
 	}
+	f.ask(r, "unsafe", "")
+	f.ask(r, "nowhere", "")
 	f.await("the status shows the limits kept", func() bool {
 		status, err := client.GetStatus(ctx, connect.NewRequest(&martenportv1.GetStatusRequest{}))
 		if err != nil {
 			t.Fatal(err)
 		}
 		m := status.Msg.Models
+		if q := status.Msg.Requests; q.Accepted != 2 || q.Answered != 1 || q.Refused != 1 {
+			t.Fatalf("requests %v, want one answered and one refused", q)
+		}
 		return len(m) == 3 && m[0].Resident == 1 && m[1].Resident == 0 && len(status.Msg.Instances) == 2 && len(status.Msg.Engines) == 2
 	})
 	if _, err := client.Timeline(ctx, connect.NewRequest(&martenportv1.TimelineRequest{})); connect.CodeOf(err) != connect.CodeUnimplemented || !strings.Contains(err.Error(), "martenctl explain") {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -23,6 +23,9 @@
 	Load                time.Duration
 }
 
+// serverSlots is how many requests a Server says that it runs at once.
+const serverSlots = 8
+
 // ServerParams describe a Server.
 type ServerParams struct {
 	ID, Service, FailureDomain string
@@ -122,7 +125,7 @@
 		address = s.params.Announced
 	}
 	value, _ := json.Marshal(map[string]any{
-		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "slots": 8, "state": s.state,
+		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "slots": serverSlots, "state": s.state,
 		"models": s.models(), "available": map[string]any{"onDisk": onDisk},
 	})
 	return value
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // mode is what a proxy does with what passes through it.
@@ -124,6 +126,9 @@
 		n, err := from.Read(buf)
 		if n > 0 {
 			p.hold(towardsTarget)
+			if wasReset(from) {
+				return
+			}
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
@@ -137,6 +142,20 @@
 	}
 }
 
+// wasReset reports whether the peer has reset the connection. What it had sent and
+// a partition held up is then lost, as it would be on a network.
+func wasReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) {
+		pending, _ = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR) // an error says the same as a pending one
+	})
+	return err != nil || pending != 0
+}
+
 // hold waits while the mode lets nothing through in a direction.
 func (p *proxy) hold(towardsTarget bool) {
 	for {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -23,7 +23,6 @@
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/platform"
-	"github.com/martenport/martenport/store"
 )
 
 // Params of one run.
@@ -202,37 +201,22 @@
 // this version has.
 func (r *run) configure(ctx context.Context) error {
 	r.version++
-	route := func(name, kind, service string, resumable bool) map[string]any {
-		return map[string]any{
-			"name": name, "host": "h.example", "pathPrefix": "/" + name + "/", "routeType": kind, "timeoutMs": routeTimeout.Milliseconds(), "goalMs": 1000,
-			"service": service, "attempts": 2, "resumable": resumable,
-		}
+	c := standin.Config{
+		Version: r.version, Plain: []string{"plain"}, Engines: "llm", Models: map[string]standin.ServerModel{}, MemoryMB: 210, AdapterSlots: 2,
+		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3,
 	}
-	var list []map[string]any
 	for _, m := range models {
-		list = append(list, map[string]any{"name": m, "weightsMb": 100, "loadS": 0.5, "diskS": 0.2, "warmS": 0.2})
-	}
-	value, err := json.Marshal(map[string]any{
-		"version": r.version, "limits": map[string]any{"maxBodyBytes": 1 << 20, "idleTimeoutMs": 15000, "headerTimeoutMs": 3000},
-		"routes": []map[string]any{
-			route("unsafe", "unsafe", "plain", false), route("safe", "safe", "plain", false), route("stream", "streaming", "llm", true),
-			route("once", "streaming", "llm", false), route(versionRoute(r.version), "safe", "plain", false),
-		},
-		"services": []map[string]any{{"name": "plain"}, {"name": "llm", "engine": map[string]any{"slots": 8, "weightsMb": 210, "adapterSlots": 2, "loadsPerS": 3, "models": list}}},
-	})
-	if err != nil {
-		return errors.Wrap(err, "soak: configuration")
+		c.Models[m] = standin.ServerModel{MemoryMB: 100, Load: 200 * time.Millisecond}
 	}
-	version := int64(0)
-	obj, err := r.client.Get(ctx, platform.KeyConfig)
-	switch {
-	case err == nil:
-		version = obj.Version
-	case !errors.Is(err, store.ErrNotFound):
-		return err
+	for _, route := range []standin.Route{
+		{Name: "unsafe", Kind: standin.UnsafeRoute, Service: "plain"}, {Name: "safe", Kind: standin.SafeRoute, Service: "plain"},
+		{Name: "stream", Kind: standin.StreamRoute, Service: "llm", Resumable: true}, {Name: "once", Kind: standin.StreamRoute, Service: "llm"},
+		{Name: versionRoute(r.version), Kind: standin.SafeRoute, Service: "plain"},
+	} {
+		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", routeTimeout, time.Second, 2
+		c.Routes = append(c.Routes, route)
 	}
-	_, err = r.client.Put(ctx, platform.KeyConfig, value, version)
-	return err
+	return c.Write(ctx, r.client)
 }
 
 func versionRoute(version int64) string { return "v" + strconv.FormatInt(version, 10) }
