--- a/cmd/martendev/entries.go
+++ b/cmd/martendev/entries.go
@@ -31,6 +31,9 @@
 // address of its own, as its machine would.
 const (
 	entriesStore     = "127.0.7.1:7000"
+	entriesServers   = "127.0.7.2"
+	entriesClients   = "8100"
+	entriesReady     = "8101"
 	entriesFirstIP   = 10
 	entriesOperators = 7390
 	entriesHost      = "models.example"
@@ -114,7 +117,7 @@
 		})
 	}
 	for _, p := range params {
-		s, err := standin.NewServer("127.0.7.2", p)
+		s, err := standin.NewServer(entriesServers, p)
 		if err != nil {
 			return err
 		}
@@ -130,7 +133,7 @@
 // startInstance runs an instance with a settings file as the platform writes it.
 func (c *entriesCommand) startInstance(ctx context.Context, i int, dir string, running *sync.WaitGroup) error {
 	s := platform.Settings{NodeName: fmt.Sprintf("entry-%d", i+1), IP: entryIP(i), Zone: domain(i), InternalPorts: []int{7380, 7395}}
-	s.Listen.Frontend, s.Listen.Ready = s.IP+":8100", s.IP+":8101"
+	s.Listen.Frontend, s.Listen.Ready = net.JoinHostPort(s.IP, entriesClients), net.JoinHostPort(s.IP, entriesReady)
 	s.Platform.Address = entriesStore
 	s.Bounds = platform.Bounds{DrainMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2, BudgetWindowS: 10, BudgetExtra: 50, CeilingWindowS: 5}
 	if err := s.Check(); err != nil {
@@ -158,9 +161,9 @@
 }
 
 func (c *entriesCommand) describe() {
-	fmt.Printf("%d entry instances, clients at %s:8100 and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesOperators)
+	fmt.Printf("%d entry instances, clients at %s:%s and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesClients, entriesOperators)
 	fmt.Printf("models %s to %s, two fit on an engine; try (the last one is cold):\n", modelName(0), modelName(entriesModels-1))
-	fmt.Printf("  curl -si -H 'Host: %s' -H 'Martenport-Attempt-Id: 1' -H 'Martenport-Model: %s' -d prompt http://%s:8100/generate/x\n",
-		entriesHost, modelName(entriesModels-1), entryIP(0))
+	fmt.Printf("  curl -si -H 'Host: %s' -H 'Martenport-Attempt-Id: 1' -H 'Martenport-Model: %s' -d prompt http://%s:%s/generate/x\n",
+		entriesHost, modelName(entriesModels-1), entryIP(0), entriesClients)
 	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d status\n", entryIP(0), entriesOperators)
 }
