--- /dev/null
+++ b/command/holder/succession_test.go
@@ -0,0 +1,131 @@
+package holder
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/serving"
+)
+
+// judged is a fakeEngine that notes which holder's orders it accepted, when, and
+// can keep a holder's next order back, as the freeze of its machine would between
+// the check of the lease and the send.
+type judged struct {
+	fakeEngine
+	accepted []acceptedOrder
+	frozen   chan struct{} // closed when the machine wakes; nil while it runs
+}
+
+type acceptedOrder struct {
+	holder string
+	fence  int64
+	at     time.Time
+}
+
+func (j *judged) Order(ctx context.Context, o serving.Order) (serving.OrderAnswer, error) {
+	j.mu.Lock()
+	frozen := j.frozen
+	j.mu.Unlock()
+	if o.Holder == "a" && frozen != nil {
+		<-frozen
+		ctx = context.WithoutCancel(ctx) // the kernel sends what was written
+	}
+	answer, err := j.fakeEngine.Order(ctx, o)
+	if answer == serving.OrderAccepted {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.accepted = append(j.accepted, acceptedOrder{holder: o.Holder, fence: o.Fence, at: time.Now()})
+	}
+	return answer, err
+}
+
+// newTestHolder returns a holder named name before one engine for the models.
+func newTestHolder(name string, platform *standin.Platform, engine serving.Engines, settle time.Duration, models ...string) *Holder {
+	spec := &serving.EngineSpec{MemoryMB: 15, Models: map[string]serving.Model{}}
+	tiers := map[string]serving.Tier{}
+	for _, m := range models {
+		spec.Models[m] = serving.Model{Name: m, MemoryMB: 10, DiskLoad: 50 * time.Millisecond}
+		tiers[m] = serving.TierDisk
+	}
+	dir := directory.New()
+	dir.ApplyConfig(&serving.Config{Version: 1, Services: map[string]serving.Service{"llm": {Name: "llm", Engine: spec}}})
+	dir.ApplyServer(serving.Server{ID: "e", Service: "llm", Revision: 1, Tiers: tiers}, time.Now())
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return New(DefaultParams(name, name+":1", settle), platform, engine, dir, NewCounts(metrics.NewSet()), log)
+}
+
+// keepWanting asks for the models by turns until ctx ends: one fits, so that each
+// turn is another load. A turn is longer than a model is kept for those who asked.
+func keepWanting(ctx context.Context, h *Holder, models ...string) {
+	const turn = 8
+	for i := 0; ctx.Err() == nil; i++ {
+		_, _, _ = h.Want(Request{Service: "llm", Unit: serving.Unit{Model: models[i/turn%len(models)]}, Weight: 1}, time.Now())
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// TestFrozenHolder: a holder freezes with an order checked and not sent; another
+// takes over. The successor's first order is as long after the last one before as
+// the deployment asks, and the order that the old holder sends when it wakes is
+// refused: it is of an older sequence.
+func TestFrozenHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const settle = 3 * time.Second
+		platform := standin.NewPlatform()
+		engine := &judged{fakeEngine: fakeEngine{models: map[string][]string{}}}
+		a := newTestHolder("a", platform, engine, settle, "m1", "m2")
+		b := newTestHolder("b", platform, engine, settle, "m1", "m2")
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		takeOver := func(h *Holder) {
+			record, revision, err := h.Current(ctx)
+			if err == nil {
+				err = h.TakeOver(ctx, record, revision, "test")
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			go h.Run(ctx)
+			go keepWanting(ctx, h, "m1", "m2")
+		}
+		takeOver(a)
+		time.Sleep(10 * time.Second)
+		wake := make(chan struct{})
+		engine.mu.Lock()
+		engine.frozen = wake
+		before := len(engine.accepted)
+		engine.mu.Unlock()
+		takeOver(b)
+		time.Sleep(15 * time.Second)
+		close(wake)
+		engine.mu.Lock()
+		engine.frozen = nil
+		engine.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		stop()
+		time.Sleep(10 * time.Second) // all that runs has ended
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		if before == 0 || len(engine.accepted) < before+2 || a.Holds() {
+			t.Fatalf("%d orders before, %d in all, the old holder holds the lease: %v", before, len(engine.accepted), a.Holds())
+		}
+		for i, o := range engine.accepted[1:] {
+			last := engine.accepted[i]
+			if o.fence < last.fence {
+				t.Errorf("token %d of %s after %d of %s", o.fence, o.holder, last.fence, last.holder)
+			}
+			if o.holder != last.holder && o.at.Sub(last.at) < settle {
+				t.Errorf("%s orders %s after %s", o.holder, o.at.Sub(last.at), last.holder)
+			}
+		}
+	})
+}
