The soak refuses addresses that another run uses

Two runs whose seeds share a range of addresses mixed up each other's histories (hundreds of false breaches, seen twice today). A run now holds an address of its range for its whole time.

--- a/soak/soak.go
+++ b/soak/soak.go
@@ -62,6 +62,9 @@
 	comeBack = 30 * time.Second
 )
 
+// subnets is how many ranges of addresses there are for runs.
+const subnets = 250
+
 // models are what engines can load; two fit.
 var models = []string{"m1", "m2", "m3", "m4", "m5"}
 
@@ -88,8 +91,13 @@
 func Run(ctx context.Context, p Params) (Result, error) {
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
-		subnet: fmt.Sprintf("127.1.%d", p.Seed%250), seen: newSeen(),
+		subnet: fmt.Sprintf("127.1.%d", p.Seed%subnets), seen: newSeen(),
+	}
+	alone, err := net.Listen("tcp", r.subnet+".254:7000")
+	if err != nil {
+		return Result{}, errors.Wrapf(err, "soak: another run uses the addresses %s.x; seeds that differ by a multiple of %d share them", r.subnet, subnets)
 	}
+	defer alone.Close()
 	if err := os.MkdirAll(r.logs, 0o700); err != nil {
 		return Result{}, errors.Wrap(err, "soak")
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"net"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +33,19 @@
 	}
 }
 
+// TestRunsDoNotShareAddresses: a second run on the same addresses would mix up the
+// histories of both; it is refused.
+func TestRunsDoNotShareAddresses(t *testing.T) {
+	other, err := net.Listen("tcp", "127.1.17.254:7000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if _, err := Run(t.Context(), Params{Seed: subnets + 17, Dir: t.TempDir()}); err == nil || !strings.Contains(err.Error(), "another run") {
+		t.Errorf("%v, want a refusal", err)
+	}
+}
+
 // TestHistoryIsJudged: each promise that the soak checks is seen to break in a
 // history that breaks it.
 func TestHistoryIsJudged(t *testing.T) {
