A difference that lasts is asked for less and less often

Instances that know other servers than the holder ask for all of them. If that does not end the difference, at 330 instances and 600 servers a full answer to each once a second would be tens of MB a second; the pause now doubles up to 32 s, and starts anew once they agree.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -37,10 +37,13 @@
 	exchangeTimeout = 500 * time.Millisecond
 	// wantTimeout bounds one question for a unit.
 	wantTimeout = 400 * time.Millisecond
-	// compareInterval is how often an instance asks for all servers while it knows
-	// others than the holder. One of them may be ahead of the other for as long
-	// as a watch takes.
-	compareInterval = time.Second
+	// compareInterval is the first pause between questions for all servers while
+	// an instance knows others than the holder: one of them may be ahead of the
+	// other for as long as a watch takes. It doubles up to maxCompareInterval, so
+	// that a difference that lasts does not cost the holder a full answer a second
+	// for each instance.
+	compareInterval    = time.Second
+	maxCompareInterval = 32 * time.Second
 	// silentAfter without an answer the holder is not counted on.
 	silentAfter = 1200 * time.Millisecond
 )
@@ -72,10 +75,12 @@
 	gaveUp lease.Record
 	// seen is what the holder has told; guarded by mu.
 	seen seen
-	// differs: the holder knows other servers than this instance, and asked is
-	// when all were last asked for because of that; guarded by mu.
-	differs bool
-	asked   time.Time
+	// differs: the holder knows other servers than this instance; asked is when
+	// all were last asked for because of that, and questions how often since they
+	// were last the same; guarded by mu.
+	differs   bool
+	asked     time.Time
+	questions int
 
 	// failing is the episode in which the holder says that it does not reach the
 	// store, and failingHeard when it first said so; guarded by mu.
@@ -192,8 +197,9 @@
 	r := holder.Report{
 		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
 	}
-	if now := time.Now(); f.differs && now.Sub(f.asked) >= compareInterval {
+	if now := time.Now(); f.differs && now.Sub(f.asked) >= compareWait(f.questions) {
 		f.asked = now
+		f.questions++
 		r.Revision = directory.Everything
 	}
 	for _, a := range f.arrivals {
@@ -206,6 +212,12 @@
 	return f.record, &ExchangeArgs{r}
 }
 
+// compareWait is the pause after so many questions for all servers.
+func compareWait(questions int) time.Duration {
+	const doublings = 5 // from compareInterval to maxCompareInterval
+	return min(maxCompareInterval, compareInterval<<min(doublings, max(0, questions-1)))
+}
+
 // reachesIn needs mu. It returns the episode of the holder's failing in which the
 // store has answered this instance.
 func (f *follower) reachesIn() uint64 {
@@ -231,6 +243,9 @@
 	f.answered, f.misses, f.instances = now, 0, max(1, news.Instances)
 	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
 	f.differs = relayed && news.Servers.Digest != f.dir.Digest()
+	if relayed && !f.differs {
+		f.questions = 0
+	}
 	if !relayed {
 		f.seen.servers = 0 // they were not taken over
 	}
--- /dev/null
+++ b/entry/follower_test.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/directory"
+)
+
+// TestLastingDifferenceIsAskedForLessOften: an instance that knows other servers than
+// the holder asks for all of them, less and less often while that does not help, and
+// at once when they differ anew.
+func TestLastingDifferenceIsAskedForLessOften(t *testing.T) {
+	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.watcher = &watcher{dir: f.dir, news: make(chan struct{}, 1)}
+	answered := func(digest uint64) {
+		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Fence: 1, Servers: directory.Delta{Digest: digest}}}, time.Now())
+	}
+	asksForAll := func() bool {
+		_, args := f.report()
+		return args.Revision == directory.Everything
+	}
+	same := f.dir.Digest()
+	answered(same + 1)
+	if !asksForAll() || asksForAll() {
+		t.Error("want one question for all at once, and none directly after it")
+	}
+	var waits []time.Duration
+	for range 8 {
+		waits = append(waits, compareWait(f.questions))
+		f.asked = time.Now().Add(-compareWait(f.questions))
+		answered(same + 1)
+		if !asksForAll() {
+			t.Fatalf("no question after %s", waits[len(waits)-1])
+		}
+	}
+	for i, w := range waits {
+		if want := min(maxCompareInterval, compareInterval<<i); w != want {
+			t.Errorf("question %d after %s, want %s", i+2, w, want)
+		}
+	}
+	answered(same)
+	answered(same + 1)
+	if f.asked = time.Now().Add(-compareInterval); !asksForAll() {
+		t.Error("a new difference waits for the old one's pause")
+	}
+}
