--- a/cmd/martendev/entries.go
+++ b/cmd/martendev/entries.go
@@ -163,7 +163,10 @@
 func (c *entriesCommand) describe() {
 	fmt.Printf("%d entry instances, clients at %s:%s and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesClients, entriesOperators)
 	fmt.Printf("models %s to %s, two fit on an engine; try (the last one is cold):\n", modelName(0), modelName(entriesModels-1))
-	fmt.Printf("  curl -si -H 'Host: %s' -H 'Martenport-Attempt-Id: 1' -H 'Martenport-Model: %s' -d prompt http://%s:%s/generate/x\n",
-		entriesHost, modelName(entriesModels-1), entryIP(0), entriesClients)
+	fmt.Printf("  curl -si -H 'Host: %s'", entriesHost)
+	for name, values := range standin.ClientHeader("1", modelName(entriesModels-1), 0) {
+		fmt.Printf(" -H '%s: %s'", name, values[0])
+	}
+	fmt.Printf(" -d prompt http://%s:%s/generate/x\n", entryIP(0), entriesClients)
 	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d status\n", entryIP(0), entriesOperators)
 }
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -217,11 +217,7 @@
 		f.t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Martenport-Attempt-Id", a.id)
-	req.Header.Set("Martenport-Deadline-Ms", "15000")
-	if model != "" {
-		req.Header.Set("Martenport-Model", model)
-	}
+	req.Header = standin.ClientHeader(a.id, model, 15*time.Second)
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
 		a.err = err
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -104,11 +105,11 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(routeTimeout + 2*answerSlack)) // a read that outlasts it ends the try
-	text := fmt.Sprintf("POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nMartenport-Attempt-Id: %s\r\nMartenport-Deadline-Ms: %d\r\n", t.route, t.id, routeTimeout.Milliseconds())
-	if t.model != "" {
-		text += "Martenport-Model: " + t.model + "\r\n"
-	}
-	if _, err := io.WriteString(conn, text+"\r\nbody"); err != nil {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n", t.route)
+	_ = standin.ClientHeader(t.id, t.model, routeTimeout).Write(&text) // a buffer does not fail
+	text.WriteString("\r\nbody")
+	if _, err := conn.Write(text.Bytes()); err != nil {
 		return
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -243,7 +243,7 @@
 
 func (r *run) allReady() bool {
 	for i := range r.entries {
-		resp, err := http.Get(strings.Replace("http://"+r.entryAddress(i)+"/v1/readyz", ":8100", ":8101", 1))
+		resp, err := http.Get(strings.Replace("http://"+r.entryAddress(i)+standin.PathReady, ":8100", ":8101", 1))
 		if err != nil {
 			return false
 		}
