--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -15,7 +15,7 @@
 	answered *metrics.Counter
 	seconds  *metrics.Histogram
 
-	answers, refused, failed, cancelled atomic.Int64
+	refused, failed, cancelled atomic.Int64
 }
 
 // Totals are how many requests have ended in which way.
@@ -23,7 +23,7 @@
 
 // Totals returns the counts so far.
 func (c *Counts) Totals() Totals {
-	return Totals{Answered: c.answers.Load(), Refused: c.refused.Load(), Failed: c.failed.Load(), Cancelled: c.cancelled.Load()}
+	return Totals{Answered: int64(c.answered.Get()), Refused: c.refused.Load(), Failed: c.failed.Load(), Cancelled: c.cancelled.Load()}
 }
 
 // NewCounts returns Counts in set.
@@ -39,7 +39,6 @@
 	c.seconds.Update(took.Seconds())
 	if failure == nil {
 		c.answered.Inc()
-		c.answers.Add(1)
 		return
 	}
 	switch {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -35,6 +35,8 @@
 	change   uint64
 	changed  map[string]uint64
 	revision int64
+	// digest sums up the servers, see Digest; guarded by mu.
+	digest uint64
 }
 
 type removal struct {
@@ -89,6 +91,10 @@
 	}
 	s.Draining = s.Draining || drains
 	d.servers[s.ID] = s
+	if found {
+		d.digest ^= digestOf(known)
+	}
+	d.digest ^= digestOf(s)
 	if !found || !routesAlike(known, s) {
 		d.touch(s.ID)
 	}
@@ -108,6 +114,7 @@
 	delete(d.servers, id)
 	delete(d.views, id)
 	if found {
+		d.digest ^= digestOf(known)
 		d.touch(id)
 	}
 	return found
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -93,6 +93,9 @@
 			}
 		}
 		to.ApplyDelta(from.Since(seen, to.Revision()), start)
+		if from.Digest() != to.Digest() {
+			t.Fatal("digests differ after everything was relayed")
+		}
 		for _, id := range []string{"a", "b", "c", "d"} {
 			x, xKnown := from.Server(id)
 			y, yKnown := to.Server(id)
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -43,7 +43,7 @@
 func (d *Directory) Since(change uint64, revision int64) Delta {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	delta := Delta{Change: d.change, Revision: d.revision, Digest: d.digest(), Full: revision == Everything}
+	delta := Delta{Change: d.change, Revision: d.revision, Digest: d.digest, Full: revision == Everything}
 	if delta.Full {
 		change = 0
 	}
@@ -117,20 +117,15 @@
 func (d *Directory) Digest() uint64 {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.digest()
+	return d.digest
 }
 
-// digest needs mu.
-func (d *Directory) digest() uint64 {
-	sum := uint64(0)
-	for id, s := range d.servers {
-		state := id
-		if s.Draining {
-			state += " draining"
-		}
-		sum ^= xxhash.Sum64String(state)
+// digestOf is a server's part of the digest.
+func digestOf(s serving.Server) uint64 {
+	if s.Draining {
+		return xxhash.Sum64String(s.ID + " draining")
 	}
-	return sum
+	return xxhash.Sum64String(s.ID)
 }
 
 // touch needs mu. It notes a change that other instances should hear of.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -158,8 +158,9 @@
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
 	own := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
 	failed := make(chan error, 4)
-	operators := &http.Server{Handler: i.operatorHandler(i.options)}
+	operators := &http.Server{}
 	if listeners.operators != nil {
+		operators.Handler = i.operatorHandler()
 		go func() { failed <- operators.Serve(listeners.operators) }()
 	}
 	go func() { failed <- clients.Serve(listeners.clients) }()
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -83,30 +83,24 @@
 
 // accept puts a declaration in force if it is newer.
 func (d *declared) accept(a *table.Accepted) error {
-	if a.Generation <= d.config.Index().Generation {
-		return nil
-	}
-	if err := a.Parse(); err != nil {
-		return err
-	}
-	if d.config.Apply(a) {
+	applied, err := d.config.Accept(a)
+	if applied {
 		d.log.WithFields(logrus.Fields{"generation": a.Generation, "plan": a.PlanID, "models": len(a.Index().Models)}).Info("declaration in force")
 	}
-	return nil
+	return err
 }
 
 // operatorService answers operators. It offers no time line: entry instances write
 // logs, from which `martenctl explain` tells what became of a request.
 type operatorService struct {
 	operators.Declarations
-	martenportv1connect.UnimplementedOperatorServiceHandler
 	i *Instance
 }
 
 // operatorEvents is how many events of plans and confirmations are kept.
 const operatorEvents = 100
 
-func (i *Instance) operatorHandler(o Options) http.Handler {
+func (i *Instance) operatorHandler() http.Handler {
 	s := operatorService{i: i, Declarations: operators.Declarations{
 		Intents: intent.New(i.client, i.declared.config, i.members.populated), Config: i.declared.config,
 		Events: event.NewRecorder(i.settings.Load().NodeName, &event.Clock{}, operatorEvents, i.log),
@@ -118,20 +112,10 @@
 	}}
 	mux := http.NewServeMux()
 	path, handler := martenportv1connect.NewOperatorServiceHandler(s, connect.WithReadMaxBytes(operators.MaxMessageBytes))
-	mux.Handle(path, operators.RequireCredential(o.OperatorCredential, handler))
+	mux.Handle(path, operators.RequireCredential(i.options.OperatorCredential, handler))
 	return mux
 }
 
-// Plan implements martenportv1connect.OperatorServiceHandler.
-func (s operatorService) Plan(ctx context.Context, msg *connect.Request[martenportv1.PlanRequest]) (*connect.Response[martenportv1.PlanResponse], error) {
-	return s.Declarations.Plan(ctx, msg)
-}
-
-// Confirm implements martenportv1connect.OperatorServiceHandler.
-func (s operatorService) Confirm(ctx context.Context, msg *connect.Request[martenportv1.ConfirmRequest]) (*connect.Response[martenportv1.ConfirmResponse], error) {
-	return s.Declarations.Confirm(ctx, msg)
-}
-
 // GetDeclaration implements martenportv1connect.OperatorServiceHandler.
 func (s operatorService) GetDeclaration(ctx context.Context, msg *connect.Request[martenportv1.GetDeclarationRequest]) (*connect.Response[martenportv1.GetDeclarationResponse], error) {
 	s.i.declared.refresh(ctx, s.i.client)
@@ -162,14 +146,13 @@
 	for _, m := range s.i.members.list(ctx) {
 		out.Instances = append(out.Instances, &martenportv1.InstanceStatus{Name: m.Name, FailureDomain: m.Domain, State: "registered"})
 	}
-	holder := s.i.follower.holderName()
-	config := s.i.dir.Config()
-	for _, server := range s.i.dir.All() {
-		if config != nil && config.Services[server.Service].Engine != nil {
-			out.Engines = append(out.Engines, s.engine(server, holder))
-		}
+	resident := map[serving.Unit]int32{}
+	out.Engines = s.engines(resident)
+	for _, m := range s.i.declared.config.Index().Declaration.Models {
+		out.Models = append(out.Models, &martenportv1.ModelStatus{
+			Name: m.Name, MaxReplicas: int32(m.MaxReplicas), Resident: resident[serving.Unit{Model: m.Name}],
+		})
 	}
-	out.Models = s.models()
 	return connect.NewResponse(out), nil
 }
 
@@ -182,29 +165,26 @@
 	}
 }
 
-func (s operatorService) engine(server serving.Server, holder string) *martenportv1.EngineStatus {
-	e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
-	for _, u := range s.i.dir.UnitsOn(server.ID) {
-		e.Resident = append(e.Resident, u.String())
+// engines returns the state of the engines, and counts each unit in resident.
+func (s operatorService) engines(resident map[serving.Unit]int32) []*martenportv1.EngineStatus {
+	config := s.i.dir.Config()
+	if config == nil {
+		return nil
 	}
-	return e
-}
-
-// models returns the state of the declared models.
-func (s operatorService) models() []*martenportv1.ModelStatus {
-	var models []*martenportv1.ModelStatus
-	for _, m := range s.i.declared.config.Index().Declaration.Models {
-		state := &martenportv1.ModelStatus{Name: m.Name, MaxReplicas: int32(m.MaxReplicas)}
-		for _, server := range s.i.dir.All() {
-			for _, u := range s.i.dir.UnitsOn(server.ID) {
-				if u == (serving.Unit{Model: m.Name}) {
-					state.Resident++
-				}
-			}
+	holder := s.i.follower.holderName()
+	var engines []*martenportv1.EngineStatus
+	for _, server := range s.i.dir.All() {
+		if config.Services[server.Service].Engine == nil {
+			continue
+		}
+		e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
+		for _, u := range s.i.dir.UnitsOn(server.ID) {
+			e.Resident = append(e.Resident, u.String())
+			resident[u]++
 		}
-		models = append(models, state)
+		engines = append(engines, e)
 	}
-	return models
+	return engines
 }
 
 // operatorsAddress is where operators are answered, empty if nowhere.
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -100,12 +100,8 @@
 	if err != nil {
 		return err
 	}
-	version := int64(0)
-	obj, err := s.Get(ctx, platform.KeyConfig)
-	switch {
-	case err == nil:
-		version = obj.Version
-	case !errors.Is(err, store.ErrNotFound):
+	_, version, err := store.Read[json.RawMessage](ctx, s, platform.KeyConfig)
+	if err != nil {
 		return err
 	}
 	_, err = s.Put(ctx, platform.KeyConfig, value, version)
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -208,14 +208,11 @@
 // Apply puts an accepted declaration in force if it is newer, whoever brought
 // it.
 func Apply(tables *table.Tables, events *event.Recorder, accepted *table.Accepted, source string) {
-	if accepted.Generation <= tables.Config.Index().Generation {
-		return
-	}
-	if err := accepted.Parse(); err != nil {
+	applied, err := tables.Config.Accept(accepted)
+	if err != nil {
 		events.Record(event.Event{Kind: event.KindGeneration, Plan: accepted.PlanID, Detail: "unreadable: " + err.Error()})
-		return
 	}
-	if !tables.Config.Apply(accepted) {
+	if !applied {
 		return
 	}
 	tables.Members.UpdateSelf(func(m *table.Member) { m.Generation = tables.Config.Index().Generation })
--- a/table/table.go
+++ b/table/table.go
@@ -107,6 +107,18 @@
 // emptyIndex is in force before the first declaration.
 var emptyIndex = declaration.NewIndex(0, "", &declaration.Declaration{})
 
+// Accept parses a and puts it in force if it is newer than what is, and reports
+// whether it did.
+func (c *Config) Accept(a *Accepted) (bool, error) {
+	if a.Generation <= c.Index().Generation {
+		return false, nil
+	}
+	if err := a.Parse(); err != nil {
+		return false, err
+	}
+	return c.Apply(a), nil
+}
+
 // Apply puts a in force if it is newer than what is, and reports whether it did.
 func (c *Config) Apply(a *Accepted) bool {
 	c.mu.Lock()
