--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,16 +52,29 @@
 
 // chooseEngine picks among the engines that have the unit, or has it loaded.
 func (t *trip) chooseEngine(ctx context.Context) (serving.Server, *verdict.Failure) {
+	var stop func()
+	defer func() {
+		if stop != nil {
+			stop()
+		}
+	}()
 	for {
 		server, ready, found := t.bestReplica()
+		wait := time.Until(ready)
+		if found && wait <= 0 {
+			return server, nil
+		}
+		if stop == nil {
+			stop = t.f.placer.Waits(t.request.Unit, t.route.Priority)
+		}
 		if !found {
 			var failure *verdict.Failure
 			server, ready, failure = t.want(ctx)
 			if failure != nil {
 				return serving.Server{}, failure
 			}
+			wait = time.Until(ready)
 		}
-		wait := time.Until(ready)
 		if wait <= 0 && server.ID != "" {
 			return server, nil
 		}
@@ -70,10 +84,21 @@
 	}
 }
 
+// lateByLoad is the chance that the request is late if its model has to be loaded
+// from an engine's disk: waits for loads vary about as exponentially distributed
+// ones do, since they begin when an engine is free.
+func (t *trip) lateByLoad() float64 {
+	load := t.service.Engine.Models[t.request.Unit.Model].LoadTime(serving.TierDisk)
+	if load <= 0 {
+		return 1
+	}
+	return math.Exp(-t.route.Objective.Seconds() / load.Seconds())
+}
+
 // leastWait is the shortest pause before a place is asked for again.
 const leastWait = 20 * time.Millisecond
 
-// waitFor waits for a load, or refuses if the client should rather come back.
+// waitFor waits for a load, or refuses if it will be done too late.
 func (t *trip) waitFor(ctx context.Context, wait time.Duration) *verdict.Failure {
 	wait = max(wait, leastWait)
 	if failure := t.refuseWait(wait); failure != nil {
@@ -174,33 +199,17 @@
 	return t.pauseFor(ctx, min(back, longestAskPause))
 }
 
-// refuseWait decides whether the client should come back rather than wait. A
-// client that comes back is answered within its objective, counted anew; one
-// that waits is late. So a first try is refused if the wait breaks the
-// objective, while little of it has passed and the client may heed the time.
+// refuseWait refuses a request that cannot be served before its client leaves, at
+// once and with the time at which its model will be ready. Any other one is worth
+// waiting for: what its client gains by an answer counts from its first try.
 func (t *trip) refuseWait(wait time.Duration) *verdict.Failure {
-	now := time.Now()
-	elapsed, left := now.Sub(t.request.Arrived), t.due().Sub(now)
-	if wait+t.f.params.FirstEvent >= left {
-		return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
-	}
-	onTime := elapsed+wait+t.f.params.FirstEvent <= t.route.Objective
-	early := elapsed <= t.route.Objective/refusalShare
-	heeded := wait <= t.deadline.Sub(now)/heedShare
-	if onTime || t.again || t.sends > 0 || !early || !heeded {
+	left := time.Until(t.due())
+	if wait+t.f.params.FirstEvent < left {
 		return nil
 	}
-	return verdict.Refuse(verdict.ReasonNoReplica, "%s is ready in %s", t.request.Unit, round(wait)).After(wait)
+	return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
 }
 
-// refusalShare: a refusal within this part of the objective costs a client
-// little. heedShare: clients heed a time to come back up to this part of the time
-// that they have left. The users' pages give both.
-const (
-	refusalShare = 4
-	heedShare    = 3
-)
-
 // Further pauses before a server that has just refused is asked again.
 const maxPauses = 4
 
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -4,15 +4,14 @@
 // the verdict of the send or the server's own word, or if its route says that
 // it may run again. Repeated sends are drawn from a budget that all instances
 // share. Where the model that a request needs is not loaded, the forwarder
-// asks for it, and then either waits or refuses at once and says when to come
-// back, by what is expected to reach the client within its latency objective.
+// asks for it, and then waits, or refuses at once and says when to come back if
+// the load will be done too late for the client.
 package forward
 
 import (
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +44,14 @@
 	Unreachable string
 }
 
+// Urgency is what a request loses if its unit has to be loaded first.
+type Urgency struct {
+	// Priority of its route, 0 first.
+	Priority int
+	// Late is the chance that it is late then.
+	Late float64
+}
+
 // Place is where a unit is or will be.
 type Place struct {
 	// Engine is empty while that is not decided; ask again when it is Ready.
@@ -59,7 +66,10 @@
 	// again.
 	Want(ctx context.Context, w Wanted) (Place, error)
 	// Arrived notes a request for a unit, for forecasts.
-	Arrived(unit serving.Unit, priority int)
+	Arrived(unit serving.Unit, urgency Urgency)
+	// Waits notes that a request waits for a unit to be loaded, until the returned
+	// function is called.
+	Waits(unit serving.Unit, priority int) func()
 	// Started notes that a request for a unit runs on an engine, until the
 	// returned function is called.
 	Started(engine string, unit serving.Unit) func()
@@ -97,18 +107,13 @@
 	counts   *Counts
 	// leaving is closed when the instance is about to end.
 	leaving chan struct{}
-
-	mu sync.Mutex
-	// longest is the longest time that clients of a route have allowed. One
-	// that allows less has tried before.
-	longest map[string]time.Duration // by route; guarded by mu
 }
 
 // New returns a Forwarder.
 func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, counts *Counts, log logrus.FieldLogger) *Forwarder {
 	return &Forwarder{
 		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, counts: counts, log: log,
-		longest: map[string]time.Duration{}, leaving: make(chan struct{}),
+		leaving: make(chan struct{}),
 	}
 }
 
@@ -156,22 +161,6 @@
 	return failure
 }
 
-// retried reports whether the client has tried the request before: it allows
-// less time than others of the route.
-func (f *Forwarder) retried(route string, timeout time.Duration) bool {
-	if timeout == 0 {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.longest[route] = max(f.longest[route], timeout)
-	return timeout < f.longest[route]-retriedSlack
-}
-
-// retriedSlack is what the time that clients allow may vary by without a try
-// before.
-const retriedSlack = 20 * time.Millisecond
-
 // chooseTarget picks a service by weight.
 func chooseTarget(targets []serving.Target) string {
 	total := 0
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -24,8 +24,6 @@
 	// deadline is when the final answer is due: the sooner of the client's and
 	// the route's.
 	deadline time.Time
-	// again: the client has tried before.
-	again bool
 
 	// sends counts the sends that reached a server, runs those that may have
 	// run.
@@ -51,7 +49,7 @@
 func (f *Forwarder) newTrip(config *serving.Config, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
 	t := &trip{
 		f: f, config: config, route: route, request: r, out: newWriter(w), excluded: map[string]bool{},
-		service: config.Services[chooseTarget(route.Targets)], again: f.retried(route.Name, r.Timeout),
+		service: config.Services[chooseTarget(route.Targets)],
 	}
 	allowed := route.Timeout
 	if r.Timeout > 0 && (allowed == 0 || r.Timeout < allowed) {
@@ -63,7 +61,7 @@
 	t.deadline = r.Arrived.Add(allowed)
 	f.budget.Request(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
-		f.placer.Arrived(r.Unit, route.Priority)
+		f.placer.Arrived(r.Unit, Urgency{Priority: route.Priority, Late: t.lateByLoad()})
 	}
 	return t
 }
@@ -279,6 +277,6 @@
 		return
 	}
 	log.WithFields(logrus.Fields{
-		"verdict": failure.Verdict, "reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "again": t.again,
+		"verdict": failure.Verdict, "reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(),
 	}).Info("request not answered: " + failure.Detail)
 }
--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -5,15 +5,20 @@
 	"slices"
 	"time"
 
+	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
 )
 
-// Arrivals counts requests for one model since the last word.
+// Arrivals are requests for one model since the last word.
 type Arrivals struct {
 	Model string
-	Count int
-	// Value is their worth together, in requests of ordinary priority.
+	replicas.Arrivals
+}
+
+// Waiting is the weight of the requests that wait for a model.
+type Waiting struct {
+	Model string
 	Value float64
 }
 
@@ -108,6 +113,8 @@
 	Reaches  uint64
 	Arrivals []Arrivals
 	Running  []Running
+	// Waiting is all that waits there.
+	Waiting []Waiting
 	// Fence is the token of the holder that it heard from last, SeenViews and
 	// SeenServers what it has from that one.
 	Fence                  int64
@@ -148,11 +155,16 @@
 	}
 	h.account.instances[r.Name] = instance{heard: now, running: r.Running}
 	for _, a := range r.Arrivals {
-		h.fleet.Arrived(a.Model, a.Count, a.Value, now)
+		h.fleet.Arrived(a.Model, a.Arrivals, now)
 	}
 	for _, run := range r.Running {
 		h.fleet.Used(run.Engine, run.Unit, now)
 	}
+	waiting := make(map[string]float64, len(r.Waiting))
+	for _, w := range r.Waiting {
+		waiting[w.Model] = w.Value
+	}
+	h.fleet.WaitsOnly(r.Name, waiting, now)
 	h.account.expire(now)
 	record, _ := h.lease.Record()
 	if r.Fence != record.Fence {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -41,9 +41,9 @@
 	// OrderPause is the pause before an order that met another one under way
 	// is sent again.
 	OrderPause time.Duration
-	// OrderTries bounds that.
-	OrderTries int
-	Fleet      replicas.Params
+	// OrderPatience bounds that.
+	OrderPatience time.Duration
+	Fleet         replicas.Params
 }
 
 // Times of a holder that do not depend on the deployment.
@@ -53,6 +53,10 @@
 	validity = 2500 * time.Millisecond
 	// transit bounds one order's call; an order takes a few milliseconds.
 	transit = 500 * time.Millisecond
+	// orderPatience is how long an order is sent again while the one before it is
+	// under way: an unload waits for requests that run, some of them for as long as
+	// clients allow. To take the engine for failed would stop its other models.
+	orderPatience = 15 * time.Second
 	// settleSlack is added to the deployment's time between two holders.
 	settleSlack = 200 * time.Millisecond
 )
@@ -63,7 +67,7 @@
 	return Params{
 		Name: name, Address: address,
 		Lease: lease.Params{Validity: validity, Transit: transit, Settle: settle + settleSlack},
-		Tick:  200 * time.Millisecond, ReportLag: 350 * time.Millisecond, OrderPause: 40 * time.Millisecond, OrderTries: 60,
+		Tick:  200 * time.Millisecond, ReportLag: 350 * time.Millisecond, OrderPause: 20 * time.Millisecond, OrderPatience: orderPatience,
 		Fleet: replicas.DefaultParams(),
 	}
 }
@@ -164,7 +168,6 @@
 	h.refreshServers()
 	h.fleet.Running(h.account.running(now), now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
-	operations = append(operations, h.fleet.Rebalance(now)...)
 	unsure := h.fleet.Unsure()
 	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
@@ -175,7 +178,7 @@
 		h.readIfSettled(id, now)
 	}
 	for _, op := range operations {
-		h.begin(op, "demand")
+		h.begin(op, "tick")
 	}
 }
 
@@ -226,8 +229,8 @@
 type Request struct {
 	Service string
 	Unit    serving.Unit
-	// Weight of the request that needs it, against an ordinary one.
-	Weight float64
+	// Waiting is what waits for its model at the instance that asks.
+	Waiting replicas.Waiting
 	// Missing names an engine that said that it does not have the unit, and
 	// Unreachable one that could not be connected to.
 	Missing, Unreachable string
@@ -251,14 +254,14 @@
 	if r.Unreachable != "" {
 		h.fleet.Unreachable(r.Unreachable, now)
 	}
-	found, ok = h.fleet.Find(r.Service, r.Unit, r.Weight, now)
+	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
 	var operations []replicas.Operation
 	if found.Start != nil {
 		operations = append(operations, *found.Start)
 	}
 	if ok && found.Engine == "" {
 		operations = append(operations, h.fleet.Dispatch(now)...)
-		found, ok = h.fleet.Find(r.Service, r.Unit, 0, now)
+		found, ok = h.fleet.Find(r.Service, r.Unit, replicas.Waiting{}, now)
 	}
 	h.mu.Unlock()
 	for _, op := range operations {
--- a/command/holder/limit.go
+++ b/command/holder/limit.go
@@ -21,23 +21,28 @@
 // errMoved: the engine's sequence is not the permitted one any more.
 var errMoved = errors.New("holder: the engine's sequence has moved")
 
+// maxPermits bounds how often one load is permitted anew because the engine's
+// sequence has moved: each time something else was ordered there.
+const maxPermits = 60
+
 // load orders an operation's load. A limited model is ordered on the very sequence
-// that its permission names, or permitted anew.
-func (w *worker) load(op replicas.Operation) error {
+// that its permission names, or permitted anew. refused counts the answers that
+// another order was under way.
+func (w *worker) load(op replicas.Operation) (refused int, err error) {
 	limit, limited := w.limitOf(op)
 	if !limited {
 		return w.order(op, op.Load, false, anySequence)
 	}
-	for range w.h.params.OrderTries {
+	for range maxPermits {
 		sequence, err := w.permit(op, limit)
 		if err == nil {
-			err = w.order(op, op.Load, false, sequence)
+			refused, err = w.order(op, op.Load, false, sequence)
 		}
 		if !errors.Is(err, errMoved) {
-			return err
+			return refused, err
 		}
 	}
-	return errMoved
+	return refused, errMoved
 }
 
 func (w *worker) limitOf(op replicas.Operation) (limit limits.Limit, limited bool) {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -26,8 +26,10 @@
 
 	// ordering is held from the choice of an order's sequence to its answer.
 	ordering sync.Mutex
-	// lastOrder is when the last order was answered; guarded by ordering.
-	lastOrder time.Time
+	// lastOrder is when the last order was answered, accepted when one was last
+	// accepted, and confirmed when the engine was last asked whether the account is
+	// right; guarded by ordering.
+	lastOrder, accepted, confirmed time.Time
 
 	// adapters is held for reading while an adapter is loaded and for writing
 	// while the engine is read anew.
@@ -158,10 +160,17 @@
 	if !w.awaitStart(op) {
 		return w.ctx.Err()
 	}
+	var unloaded time.Time
 	for _, unit := range op.Unload {
-		if err := w.order(op, unit, true, anySequence); err != nil {
+		if !w.awaitUnloaded(unloaded) {
+			return w.ctx.Err()
+		}
+		if _, err := w.order(op, unit, true, anySequence); err != nil {
 			return err
 		}
+		if unit.Adapter == "" {
+			unloaded = time.Now()
+		}
 		w.h.mu.Lock()
 		w.h.fleet.Unloaded(op, unit)
 		w.h.mu.Unlock()
@@ -169,22 +178,38 @@
 	if op.Load.Model == "" {
 		return nil // it only unloads
 	}
-	if err := w.load(op); err != nil {
+	if !w.awaitUnloaded(unloaded) {
+		return w.ctx.Err()
+	}
+	refused, err := w.load(op)
+	if err != nil {
 		return err
 	}
-	ready := time.Now().Add(op.Duration)
+	now := time.Now()
 	w.h.mu.Lock()
-	w.h.fleet.Expect(op, ready)
+	w.h.fleet.Began(op, unloaded, refused, now)
 	w.h.mu.Unlock()
 	if op.Remote {
-		return w.awaitRemote(op, ready)
+		return w.awaitRemote(op, now.Add(op.Duration))
 	}
-	if !pause.For(w.ctx, time.Until(ready)) {
+	if !pause.For(w.ctx, op.Duration) {
 		return w.ctx.Err()
 	}
 	return nil
 }
 
+// awaitUnloaded waits until an unload that was accepted at a time is expected to be
+// done, since the engine refuses orders until then.
+func (w *worker) awaitUnloaded(accepted time.Time) bool {
+	if accepted.IsZero() {
+		return w.ctx.Err() == nil
+	}
+	w.h.mu.Lock()
+	done := accepted.Add(w.h.fleet.UnloadTime())
+	w.h.mu.Unlock()
+	return pause.For(w.ctx, time.Until(done))
+}
+
 // awaitRemote waits for a load from the weight store, whose time depends on how
 // many others run.
 func (w *worker) awaitRemote(op replicas.Operation, ready time.Time) error {
@@ -210,28 +235,84 @@
 // anySequence has an order name whatever the engine's sequence is.
 const anySequence = -1
 
-// order has the engine take one order, again while another is under way. pinned
-// is the sequence that it must name, or anySequence.
-func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) error {
+// order has the engine take one order, again while another is under way, less and
+// less often. pinned is the sequence that it must name, or anySequence. refused
+// counts the answers that another was under way.
+func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (refused int, err error) {
 	unsure := false
-	for range w.h.params.OrderTries {
+	began := time.Now()
+	for time.Since(began) < w.h.params.OrderPatience {
 		answer, err := w.send(op, unit, unload, pinned)
 		switch {
 		case errors.Is(err, serving.ErrOrderUnknown):
 			unsure = true
 		case err != nil:
-			return err
+			return refused, err
 		case answer == serving.OrderAccepted, answer == serving.OrderHolds:
-			return nil
+			return refused, nil
 		case answer == serving.OrderConflict && !unsure:
+			refused++
 		default:
-			return errors.Wrapf(errEngine, "%s of %s: %s", operationName(unload), unit, answer)
+			return refused, errors.Wrapf(errEngine, "%s of %s: %s", operationName(unload), unit, answer)
 		}
-		if !pause.For(w.ctx, w.h.params.OrderPause) {
-			return w.ctx.Err()
+		if err := w.confirm(began); err != nil {
+			return refused, err
+		}
+		wait := min(maxOrderPause, max(w.h.params.OrderPause, time.Since(began)/orderPauseShare))
+		if !unload {
+			w.h.mu.Lock()
+			w.h.fleet.Expect(op, time.Now().Add(wait+op.Duration))
+			w.h.mu.Unlock()
 		}
+		if !pause.For(w.ctx, wait) {
+			return refused, w.ctx.Err()
+		}
+	}
+	return refused, errors.Wrapf(errEngine, "%s of %s: another order stayed under way", operationName(unload), unit)
+}
+
+// The pause between two sends of an order is a part of the time that it has been
+// tried for, up to maxOrderPause: an unload that waits for running requests may
+// take seconds, and the next order is then late in proportion.
+const (
+	orderPauseShare = 3
+	maxOrderPause   = 300 * time.Millisecond
+)
+
+// confirmAfter is how long an order is refused before the engine is asked whether
+// another is under way at all: the account's sequence may be wrong instead. It is
+// asked again each confirmAfter.
+const confirmAfter = time.Second
+
+// confirm fails if the engine is not busy and has counted other orders than the
+// account. began is when the order was first sent.
+func (w *worker) confirm(began time.Time) error {
+	if time.Since(began) < confirmAfter || !w.mayConfirm() {
+		return nil
+	}
+	report, err := w.report()
+	if err != nil || report.Busy {
+		return nil // without a report the order's own tries tell, and they are logged
+	}
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	if e := w.h.fleet.Engine(w.engine); e != nil && report.Sequence != e.Sequence {
+		return errors.Wrapf(errEngine, "the engine is not busy and has accepted %d orders, not %d", report.Sequence, e.Sequence)
+	}
+	return nil
+}
+
+// mayConfirm reports whether a report would tell something new: the last one was
+// long ago, and the last accepted order is old enough to be in it.
+func (w *worker) mayConfirm() bool {
+	w.ordering.Lock()
+	defer w.ordering.Unlock()
+	now := time.Now()
+	if now.Sub(w.confirmed) < confirmAfter || now.Sub(w.accepted) < confirmAfter {
+		return false
 	}
-	return errors.Wrapf(errEngine, "%s of %s: another order stayed under way", operationName(unload), unit)
+	w.confirmed = now
+	return true
 }
 
 func operationName(unload bool) string {
@@ -276,6 +357,7 @@
 	w.h.counts.order(answer)
 	counted := answer == serving.OrderAccepted || answer == serving.OrderHolds && o.Unload && o.Unit.Adapter != ""
 	if err == nil && counted {
+		w.accepted = w.lastOrder
 		w.h.mu.Lock()
 		w.h.fleet.Ordered(w.engine)
 		w.h.mu.Unlock()
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -73,13 +73,12 @@
 func (f *Fleet) startAdapter(r room, unit serving.Unit, now time.Time) Found {
 	e := r.engine
 	c := e.Copies[unit.Model]
-	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime, From: r.from, generation: e.generation}
+	op := Operation{Engine: e.Server.ID, Load: unit, Duration: f.params.AdapterTime, From: r.from, generation: e.generation, copy: c}
 	op.Ready = op.From.Add(f.params.OrderTime + f.params.AdapterTime)
 	if r.victim.Adapter != "" {
 		op.Unload = []serving.Unit{r.victim}
 		delete(e.Copies[r.victim.Model].Adapters, r.victim.Adapter)
 	}
 	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Due: op.Ready, Used: now}
-	c.need(op.Ready.Add(f.params.KeepFor))
 	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op}
 }
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -7,22 +7,35 @@
 	"github.com/martenport/martenport/serving"
 )
 
-// Arrived notes n requests for a model, with their worth together.
-func (f *Fleet) Arrived(model string, n int, value float64, now time.Time) {
+// Arrivals are requests for a model.
+type Arrivals struct {
+	Count int
+	// Weight is that of the requests together, and Late that of those which would
+	// be late if the model had to be loaded first.
+	Weight, Late float64
+}
+
+// Arrived notes requests for a model.
+func (f *Fleet) Arrived(model string, a Arrivals, now time.Time) {
 	f.decay(now)
 	d := f.demand[model]
 	if d == nil {
 		d = &Demand{}
 		f.demand[model] = d
 	}
-	d.Rate += float64(n) / f.params.DemandWindow.Seconds()
-	d.Value += value / f.params.DemandWindow.Seconds()
-	d.Last = now
+	window := f.params.DemandWindow.Seconds()
+	d.Rate += float64(a.Count) / window
+	d.Weight += a.Weight / window
+	d.Late += a.Late / window
 }
 
+// runningWindow is the time constant of how many requests run at once.
+const runningWindow = 2 * time.Second
+
 // Running takes over how many requests of all instances run for each unit; what
 // is not named has none.
 func (f *Fleet) Running(counts map[string]map[serving.Unit]int, now time.Time) {
+	totals := map[string]int{}
 	for id, e := range f.engines {
 		for model, c := range e.Copies {
 			c.Running = counts[id][serving.Unit{Model: model}]
@@ -30,11 +43,14 @@
 				a.Running = counts[id][serving.Unit{Model: model, Adapter: name}]
 				c.Running += a.Running
 			}
-			if c.Running > 0 {
-				c.Used = now
-			}
+			totals[model] += c.Running
 		}
 	}
+	gain := 1 - math.Exp(-now.Sub(f.counted).Seconds()/runningWindow.Seconds())
+	f.counted = now
+	for model, d := range f.demand {
+		d.Running += gain * (float64(totals[model]) - d.Running)
+	}
 }
 
 // decay lets rates fall exponentially with the demand window.
@@ -47,17 +63,18 @@
 	keep := math.Exp(-passed.Seconds() / f.params.DemandWindow.Seconds())
 	for model, d := range f.demand {
 		d.Rate *= keep
-		d.Value *= keep
+		d.Weight *= keep
+		d.Late *= keep
 		if d.Rate < f.params.ForgetRate {
 			delete(f.demand, model)
 		}
 	}
 }
 
-// rate is the requests a second for a model.
-func (f *Fleet) rate(model string) float64 {
+// demandOf returns what is known of the requests for a model.
+func (f *Fleet) demandOf(model string) Demand {
 	if d := f.demand[model]; d != nil {
-		return d.Rate
+		return *d
 	}
-	return 0
+	return Demand{}
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -32,14 +32,10 @@
 // Copy is a model on one engine.
 type Copy struct {
 	State State
-	// Ready is when an arriving copy is expected to serve.
-	Ready time.Time
-	// Needed is until when requests are known to need the copy.
-	Needed time.Time
-	// Running counts requests of all instances on the copy, when last heard,
-	// and Used is when any was last heard of.
+	// Ready is when an arriving copy is expected to serve, and Due when it was first.
+	Ready, Due time.Time
+	// Running counts requests of all instances on the copy, when last heard.
 	Running  int
-	Used     time.Time
 	Adapters map[string]*Adapter
 }
 
@@ -79,14 +75,13 @@
 	generation uint64
 }
 
-// Demand is what is known of the requests for one model.
+// Demand is what is known of the requests for one model, smoothed.
 type Demand struct {
-	// Rate is requests a second over all instances, smoothed.
-	Rate float64
-	// Value is the smoothed worth a second of those requests, by priority.
-	Value float64
-	// Last is when the last request was heard of.
-	Last time.Time
+	// Rate is requests a second over all instances, Weight their weight, and Late
+	// the weight of those that would be late if the model had to be loaded first.
+	Rate, Weight, Late float64
+	// Running is how many run at once.
+	Running float64
 }
 
 // Fleet is the account of all engines. It is not safe for concurrent use.
@@ -96,16 +91,21 @@
 	demand  map[string]*Demand
 	wants   map[string]*want
 	index   index
-	decayed time.Time
+	// decayed is when rates last fell, counted when running requests were counted.
+	decayed, counted time.Time
 	// remoteLoads are the recent starts of loads from the weight store.
 	remoteLoads []time.Time
+	// wanted is what all that is wanted was worth when last added up.
+	wanted float64
+	pace   pace
 	// limits is what operators decided.
 	limits limits.Source
 }
 
 // NewFleet returns an empty account.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, limits: limits.None{}}
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, limits: limits.None{},
+		pace: pace{idle: p.UnloadTime, running: p.RunningWait}}
 }
 
 // SetLimits has the fleet keep to what operators decided.
@@ -176,7 +176,7 @@
 	for model, adapters := range models {
 		c := &Copy{State: Resident, Adapters: map[string]*Adapter{}}
 		if known := old[model]; known != nil {
-			c.Needed, c.Running, c.Used = known.Needed, known.Running, known.Used
+			c.Running = known.Running
 		}
 		for _, name := range adapters {
 			c.Adapters[name] = &Adapter{Used: now}
--- a/command/replicas/limit.go
+++ b/command/replicas/limit.go
@@ -72,6 +72,6 @@
 // startUnload books an operation that only unloads.
 func (f *Fleet) startUnload(e *Engine, model string, now time.Time) Operation {
 	e.Copies[model].State = Leaving
-	e.Busy, e.Free, e.remote = true, now.Add(f.params.RunningWait), false
+	e.Busy, e.Free, e.remote = true, now.Add(f.pace.running), false
 	return Operation{Engine: e.Server.ID, Unload: []serving.Unit{{Model: model}}, From: now, Ready: e.Free, generation: e.generation}
 }
--- /dev/null
+++ b/command/replicas/loss.go
@@ -0,0 +1,152 @@
+package replicas
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// victim is a copy that could be evicted.
+type victim struct {
+	model string
+	// loss is what its eviction is expected to cost, wait how long its requests
+	// are expected to run on.
+	loss float64
+	wait time.Duration
+	mb   float64
+}
+
+// victims lists the copies of an engine that may be evicted: all that serve. What
+// a copy in use, or one that requests wait for, is worth is in its loss and wait.
+func (f *Fleet) victims(e *Engine, now time.Time) []victim {
+	var victims []victim
+	for name, c := range e.Copies {
+		if c.State != Resident {
+			continue
+		}
+		m := e.Spec.Models[name]
+		v := victim{model: name, mb: m.MemoryMB + float64(len(c.Adapters))*m.AdapterMB}
+		v.loss = f.evictionLoss(m, f.copiesOf(name, now) > max(1, f.wantedCopies(name)))
+		if c.Running > 0 {
+			v.wait = f.pace.running
+		}
+		victims = append(victims, v)
+	}
+	slices.SortFunc(victims, func(a, b victim) int { return compareFloat(a.loss/a.mb, b.loss/b.mb, a.model, b.model) })
+	return victims
+}
+
+// spareLoss is what evicting a copy that its model can spare costs, a second of rate,
+// in seconds of waiting of an ordinary request.
+const spareLoss = 0.01
+
+// evictionLoss is what the eviction of a model's copy is expected to cost.
+func (f *Fleet) evictionLoss(m serving.Model, spare bool) float64 {
+	if spare {
+		return f.demandOf(m.Name).Rate * spareLoss
+	}
+	return f.waitingFor(m.Name) + f.absence(m.Name)
+}
+
+// absence is what it is expected to cost that no engine has a model: if requests
+// come within the horizon, their waiting until it is loaded, those that are late by
+// that, and an engine's time for the load.
+func (f *Fleet) absence(model string) float64 {
+	d := f.demandOf(model)
+	if d.Rate <= 0 {
+		return 0
+	}
+	load := f.diskLoad(model).Seconds()
+	away := load + f.pace.idle.Seconds() + f.params.OrderTime.Seconds()
+	soon := 1 - math.Exp(-d.Rate*f.params.Horizon.Seconds())
+	waiting := d.Weight/d.Rate*away + d.Weight*away*away/2
+	late := d.Late/d.Rate + d.Late*away
+	return soon * (waiting + late + max(f.params.LaneCost, f.laneCost(&want{}))*load)
+}
+
+// diskLoad is how long an engine loads a model from its disk.
+func (f *Fleet) diskLoad(model string) time.Duration {
+	for _, e := range f.Engines() {
+		if m, known := e.Spec.Models[model]; known {
+			return m.LoadTime(serving.TierDisk)
+		}
+	}
+	return 0
+}
+
+// setWanted takes over what all that is wanted is worth now. Nothing waits behind an
+// engine while none loads anything.
+func (f *Fleet) setWanted(now time.Time) {
+	f.wanted = 0
+	if !slices.ContainsFunc(f.Engines(), func(e *Engine) bool { return e.Busy }) {
+		return
+	}
+	for _, w := range f.wants {
+		if f.copiesOf(w.model, now) == 0 {
+			f.wanted += w.value()
+		}
+	}
+}
+
+// laneCost is what a second of an engine's time costs that loads a wanted model, and
+// nothing else: all that is wanted besides waits behind it, shared with the other
+// engines.
+func (f *Fleet) laneCost(w *want) float64 {
+	others := f.wanted
+	if !w.extra {
+		others -= w.value()
+	}
+	return max(0, others) / float64(max(1, len(f.engines)))
+}
+
+// evictions are what has to be evicted for a model.
+type evictions struct {
+	models []string
+	loss   float64
+	wait   time.Duration
+}
+
+// maxChoices bounds how many copies of an engine are looked at for eviction, those
+// that cost least for their memory: all their combinations are compared.
+const maxChoices = 8
+
+// makeRoom chooses the copies to evict for needMB of memory: those that cost least
+// together, where a second until their requests have ended costs perSecond.
+func (f *Fleet) makeRoom(e *Engine, needMB, perSecond float64, now time.Time) (best evictions, ok bool) {
+	free := e.Spec.MemoryMB - e.memoryMB()
+	if free >= needMB {
+		return evictions{}, true
+	}
+	victims := f.victims(e, now)
+	victims = victims[:min(len(victims), maxChoices)]
+	bestCost := math.Inf(1)
+	for set := 1; set < 1<<len(victims); set++ {
+		var chosen evictions
+		mb := free
+		for i, v := range victims {
+			if set&(1<<i) != 0 {
+				mb += v.mb
+				chosen.loss += v.loss
+				chosen.wait = max(chosen.wait, v.wait)
+			}
+		}
+		if cost := chosen.loss + perSecond*chosen.wait.Seconds(); mb >= needMB && cost < bestCost {
+			best, bestCost, ok = chosen, cost, true
+			best.models = chosenModels(victims, set)
+		}
+	}
+	return best, ok
+}
+
+// chosenModels names the victims in a set of them, given as bits.
+func chosenModels(victims []victim, set int) []string {
+	var models []string
+	for i, v := range victims {
+		if set&(1<<i) != 0 {
+			models = append(models, v.model)
+		}
+	}
+	return models
+}
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -21,20 +21,15 @@
 	// the engine's own. UnloadTime is what an unload takes before the next
 	// order is accepted.
 	OrderTime, UnloadTime time.Duration
-	// KeepFor is how long a copy that was loaded for waiting requests is kept
-	// for them after it is ready.
+	// KeepFor is how long an adapter is kept after it is ready and after its last
+	// use.
 	KeepFor time.Duration
-	// UsedLately is how long after its last use a copy counts as in use: what
-	// instances report is a little old.
-	UsedLately time.Duration
 	// CopyLoad is how many requests at once, all instances together, make
 	// another copy of a model worth its memory.
 	CopyLoad float64
 	// SpareRate is the rate, a second, from which a model has a second copy,
 	// so that the loss of an engine does not stop it.
 	SpareRate float64
-	// RequestTime is how long a request is expected to run.
-	RequestTime time.Duration
 	// AdapterTime is how long an adapter takes to load.
 	AdapterTime time.Duration
 	// RemoteWindow is the time over which loads from the weight store are
@@ -42,9 +37,13 @@
 	// other down.
 	RemoteWindow time.Duration
 	RemoteAtOnce int
-	// LaneCost is what a second in which an engine can load nothing else adds
-	// to the cost of a load there, in seconds of waiting.
+	// LaneCost is the least that a second costs in which an engine can load nothing
+	// else, in seconds of waiting, so that models that are asked for alike are not
+	// exchanged ahead of requests.
 	LaneCost float64
+	// Horizon is the time within which a copy counts: one that is not asked for
+	// within it would have been evicted for another anyway.
+	Horizon time.Duration
 	// WantLifetime is how long a wanted model is remembered after it was last
 	// asked for.
 	WantLifetime time.Duration
@@ -52,13 +51,13 @@
 
 // DefaultParams returns the parameters used unless set otherwise. Times of
 // loads come from the configuration; the times of orders were measured on the
-// users' bench (45 to 90 ms for an unload, 20 ms beyond a load's time), the
+// users' bench (50 to 60 ms for an unload, 20 ms beyond a load's time), the
 // weights chosen by its days.
 func DefaultParams() Params {
 	return Params{
-		DemandWindow: 4 * time.Second, ForgetRate: 0.001, RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 90 * time.Millisecond,
-		KeepFor: time.Second, UsedLately: 600 * time.Millisecond, CopyLoad: 12, SpareRate: 1.5, RequestTime: 2 * time.Second,
-		AdapterTime: 80 * time.Millisecond, RemoteWindow: 5 * time.Second, RemoteAtOnce: 4, LaneCost: 0.5, WantLifetime: 1500 * time.Millisecond,
+		DemandWindow: 4 * time.Second, ForgetRate: 0.001, RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 60 * time.Millisecond,
+		KeepFor: time.Second, CopyLoad: 12, SpareRate: 1.5,
+		AdapterTime: 80 * time.Millisecond, RemoteWindow: 5 * time.Second, RemoteAtOnce: 4, LaneCost: 0.5, Horizon: 4 * time.Second, WantLifetime: 1500 * time.Millisecond,
 	}
 }
 
@@ -75,30 +74,37 @@
 	Ready time.Time
 	// Duration is the expected time of the load alone.
 	Duration time.Duration
+	// InUse: requests ran on what is unloaded when that was planned.
+	InUse bool
 	// generation of the account that it was planned on.
 	generation uint64
+	// copy is the one that an adapter is loaded for, nil for models.
+	copy *Copy
 }
 
 // choice is an engine that could take a model, and at what price.
 type choice struct {
 	engine *Engine
 	evict  []string
-	tier   serving.Tier
-	ready  time.Time
-	// cost is the waiting time, what evicting costs, and what the engine
-	// cannot do meanwhile, in seconds of waiting.
-	cost float64
+	// inUse: requests run on what is evicted.
+	inUse bool
+	tier  serving.Tier
+	ready time.Time
+	// price is what the load has to be worth: what evicting costs, and the engine's
+	// time. cost compares choices: it is that and the waiting time. Both are in
+	// seconds of waiting of an ordinary request.
+	price, cost float64
 }
 
-// bestChoice returns where a model costs least to load. claimed is how long
+// bestChoice returns where a wanted model costs least to load. claimed is how long
 // engines will be busy with models that go before it. Engines without the
 // weights are looked at only if none that has them is soon free.
-func (f *Fleet) bestChoice(service, model string, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
-	best, ok = f.bestOf(f.caching(model), service, model, claimed, now)
-	if ok && best.ready.Sub(now) < best.engine.Spec.Models[model].RemoteLoad {
+func (f *Fleet) bestChoice(w *want, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
+	best, ok = f.bestOf(f.caching(w.model), w, claimed, now)
+	if ok && best.ready.Sub(now) < best.engine.Spec.Models[w.model].RemoteLoad {
 		return best, true
 	}
-	if other, found := f.bestOf(f.free(now), service, model, claimed, now); found && (!ok || other.cost < best.cost) {
+	if other, found := f.bestOf(f.free(now), w, claimed, now); found && (!ok || other.cost < best.cost) {
 		return other, true
 	}
 	return best, ok
@@ -124,12 +130,12 @@
 	return free
 }
 
-func (f *Fleet) bestOf(engines []*Engine, service, model string, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
+func (f *Fleet) bestOf(engines []*Engine, w *want, claimed map[string]time.Duration, now time.Time) (best choice, ok bool) {
 	for _, e := range engines {
-		if e.Server.Service != service || !e.usable(now) || e.Copies[model] != nil {
+		if e.Server.Service != w.service || !e.usable(now) || e.Copies[w.model] != nil {
 			continue
 		}
-		c, possible := f.consider(e, model, claimed[e.Server.ID], now)
+		c, possible := f.consider(e, w, claimed[e.Server.ID], now)
 		if possible && (!ok || c.cost < best.cost) {
 			best, ok = c, true
 		}
@@ -137,98 +143,34 @@
 	return best, ok
 }
 
-// consider says what loading a model on the engine would take.
-func (f *Fleet) consider(e *Engine, model string, claimed time.Duration, now time.Time) (choice, bool) {
-	m, known := e.Spec.Models[model]
-	if !known || !f.permitted(e, model) {
+// consider says what loading a wanted model on the engine would take.
+func (f *Fleet) consider(e *Engine, w *want, claimed time.Duration, now time.Time) (choice, bool) {
+	m, known := e.Spec.Models[w.model]
+	if !known || !f.permitted(e, w.model) {
 		return choice{}, false
 	}
-	evict, loss, wait, ok := f.makeRoom(e, m.MemoryMB, now)
-	if !ok {
+	tier := e.Tiers[w.model]
+	if tier == serving.TierRemote && !f.remoteAllowed(e.Spec, now) {
 		return choice{}, false
 	}
-	tier := e.Tiers[model]
-	if tier == serving.TierRemote && !f.remoteAllowed(e.Spec, now) {
+	lane := f.laneCost(w)
+	value := max(1, w.value())
+	room, ok := f.makeRoom(e, m.MemoryMB, value+lane, now)
+	if !ok {
 		return choice{}, false
 	}
+	unload := room.wait + time.Duration(len(room.models))*f.pace.idle
 	load := m.LoadTime(tier)
-	start := e.free(now)
-	start = start.Add(claimed + wait + f.params.OrderTime + time.Duration(len(evict))*f.params.UnloadTime)
-	c := choice{engine: e, evict: evict, tier: tier, ready: start.Add(load)}
-	c.cost = c.ready.Sub(now).Seconds() + loss + f.params.LaneCost*load.Seconds()
-	return c, true
-}
-
-// victim is a copy that could be evicted.
-type victim struct {
-	model string
-	loss  float64
-	wait  time.Duration
-	mb    float64
-}
-
-// makeRoom chooses the copies to evict for needMB of memory: those whose loss
-// costs least. wait is how long their requests are expected to run on.
-func (f *Fleet) makeRoom(e *Engine, needMB float64, now time.Time) (evict []string, loss float64, wait time.Duration, ok bool) {
-	free := e.Spec.MemoryMB - e.memoryMB()
-	if free >= needMB {
-		return nil, 0, 0, true
-	}
-	victims := f.victims(e, now)
-	slices.SortFunc(victims, func(a, b victim) int {
-		return compareFloat(a.loss+a.wait.Seconds(), b.loss+b.wait.Seconds(), a.model, b.model)
-	})
-	for _, v := range victims {
-		evict = append(evict, v.model)
-		free += v.mb
-		loss += v.loss
-		wait = max(wait, v.wait)
-		if free >= needMB {
-			return evict, loss, wait, true
-		}
+	c := choice{engine: e, evict: room.models, inUse: room.wait > 0, tier: tier, price: room.loss}
+	c.ready = e.free(now).Add(claimed + f.params.OrderTime + unload + load)
+	if w.extra {
+		lane = max(lane, f.params.LaneCost)
 	}
-	return nil, 0, 0, false
-}
-
-// victims lists the copies of an engine that may be evicted. A copy in use is
-// one only if its model has copies to spare.
-func (f *Fleet) victims(e *Engine, now time.Time) []victim {
-	var victims []victim
-	for name, c := range e.Copies {
-		if c.State != Resident || now.Before(c.Needed) {
-			continue
-		}
-		m := e.Spec.Models[name]
-		v := victim{model: name, mb: m.MemoryMB + float64(len(c.Adapters))*m.AdapterMB}
-		spare := f.copiesOf(name, now) > max(1, f.wantedCopies(name))
-		v.loss = f.evictionLoss(e, name, spare)
-		if c.Running > 0 || now.Sub(c.Used) < f.params.UsedLately {
-			if !spare {
-				continue
-			}
-			v.wait = f.params.RunningWait
-		}
-		victims = append(victims, v)
+	if len(room.models) > 0 || e.hasWeights() { // else the engine is new, and could do nothing else meanwhile
+		c.price += lane * (load + unload).Seconds()
 	}
-	return victims
-}
-
-// What evicting costs, in seconds of waiting.
-const (
-	// spareLoss is for a copy that its model can spare, a second of rate.
-	spareLoss = 0.01
-	// tieLoss prefers, among idle models, one that has other copies.
-	tieLoss = 0.02
-)
-
-// evictionLoss is what a copy's eviction is expected to cost: the requests that
-// come, times the time to load it again.
-func (f *Fleet) evictionLoss(e *Engine, model string, spare bool) float64 {
-	rate := f.rate(model)
-	if spare {
-		return rate * spareLoss
-	}
-	return rate*e.Spec.Models[model].LoadTime(serving.TierDisk).Seconds() + tieLoss
+	c.cost = value*c.ready.Sub(now).Seconds() + room.loss + max(lane, f.params.LaneCost)*(load+unload).Seconds()
+	return c, true
 }
 
 // start books the operation of a choice.
@@ -236,7 +178,7 @@
 	e := c.engine
 	op := Operation{
 		Engine: e.Server.ID, Load: serving.Unit{Model: model}, From: now, Ready: c.ready, generation: e.generation,
-		Remote: c.tier == serving.TierRemote, Duration: e.Spec.Models[model].LoadTime(c.tier),
+		Remote: c.tier == serving.TierRemote, Duration: e.Spec.Models[model].LoadTime(c.tier), InUse: c.inUse,
 	}
 	for _, name := range c.evict {
 		e.Copies[name].State = Leaving
@@ -245,7 +187,7 @@
 	if op.Remote {
 		f.remoteLoads = append(f.remoteLoads, now)
 	}
-	e.Copies[model] = &Copy{State: Arriving, Ready: c.ready, Needed: c.ready.Add(f.params.KeepFor), Adapters: map[string]*Adapter{}}
+	e.Copies[model] = &Copy{State: Arriving, Ready: c.ready, Adapters: map[string]*Adapter{}}
 	e.Busy, e.Free, e.remote = true, c.ready, op.Remote
 	f.copiesChanged()
 	f.cached(e, model)
--- a/command/replicas/rebalance.go
+++ b/command/replicas/rebalance.go
@@ -1,42 +1,40 @@
 package replicas
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/martenport/martenport/serving"
 )
 
-// Rebalance plans what demand asks for beyond single requests: further copies
-// of models that many requests need. One operation at a time is planned, since
-// each changes what the next should be.
-func (f *Fleet) Rebalance(now time.Time) []Operation {
-	f.decay(now)
-	for _, model := range slices.SortedFunc(maps.Keys(f.demand), f.byRate) {
-		if f.copiesOf(model, now) >= f.wantedCopies(model) {
+// spareClaim is the claim of a second copy that only guards against the loss of an
+// engine, as a share of the model's requests.
+const spareClaim = 0.02
+
+// extraWants returns the models that should have copies ahead of requests: further
+// ones, where their claim is the weight, within the horizon, of the requests that are
+// beyond what the copies carry; and first ones of models that are asked for, where it
+// is what their absence costs.
+func (f *Fleet) extraWants(now time.Time) []*want {
+	var wants []*want
+	for model, d := range f.demand {
+		copies := f.copiesOf(model, now)
+		if copies >= f.wantedCopies(model) || copies == 0 && f.wants[model] != nil {
 			continue
 		}
 		service, known := f.serviceOf(model)
 		if !known {
 			continue
 		}
-		c, ok := f.bestChoice(service, model, nil, now)
-		if !ok || c.engine.free(now).After(now) || !f.worthwhile(c, model, now) {
-			continue
+		claim := f.absence(model)
+		if copies > 0 {
+			claim = f.params.Horizon.Seconds() * d.Weight * max(spareClaim, 1-float64(copies)*f.params.CopyLoad/max(1, d.Running))
 		}
-		return []Operation{f.start(c, model, now)}
+		wants = append(wants, &want{
+			service: service, model: model, extra: true, since: now, waiting: map[string]heardWaiting{"": {value: claim, at: now}},
+		})
 	}
-	return nil
-}
-
-// worthwhile reports whether a copy beyond what single requests ask for is worth
-// its load. One from the weight store takes an engine several seconds, in which it
-// could load others from its own disk. So it is if it is the first copy, or if it
-// goes into free memory of an engine that has no weights of its own, as new ones.
-func (f *Fleet) worthwhile(c choice, model string, now time.Time) bool {
-	return c.tier != serving.TierRemote || f.copiesOf(model, now) == 0 || len(c.evict) == 0 && !c.engine.hasWeights()
+	return wants
 }
 
 // hasWeights reports whether the engine has weights of models that it does not
@@ -50,16 +48,11 @@
 	return false
 }
 
-// byRate orders models by falling rate.
-func (f *Fleet) byRate(a, b string) int {
-	return compareFloat(-f.demand[a].Rate, -f.demand[b].Rate, a, b)
-}
-
 // wantedCopies is how many copies the requests for a model need.
 func (f *Fleet) wantedCopies(model string) int {
-	rate := f.rate(model)
-	n := int(math.Ceil(rate * f.params.RequestTime.Seconds() / f.params.CopyLoad))
-	if rate >= f.params.SpareRate {
+	d := f.demandOf(model)
+	n := int(math.Ceil(d.Running / f.params.CopyLoad))
+	if d.Rate >= f.params.SpareRate {
 		n = max(n, 2)
 	}
 	return n
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -1,7 +1,6 @@
 package replicas
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -18,22 +17,14 @@
 	Start *Operation
 }
 
-// want is a model that requests wait for and that no engine has.
-type want struct {
-	service, model string
-	// value is the weight of the requests that asked, together.
-	value float64
-	// asked is when the last of them did.
-	asked time.Time
-	// estimate is when the model is expected to be ready.
-	estimate time.Time
-}
-
 // Find returns where a unit of a service is served or will be. A model that no
 // engine has becomes wanted; Dispatch decides which engine takes it, as late as
-// possible, since what is known then is better. weight is that of the request.
-// ok is false if no engine can take the unit.
-func (f *Fleet) Find(service string, unit serving.Unit, weight float64, now time.Time) (found Found, ok bool) {
+// possible, since what is known then is better. waiting is what waits for it at
+// the instance that asks. ok is false if no engine can take the unit.
+func (f *Fleet) Find(service string, unit serving.Unit, waiting Waiting, now time.Time) (found Found, ok bool) {
+	if waiting.Value > 0 {
+		f.Waits(service, unit.Model, waiting, now)
+	}
 	if found, ok := f.existing(service, unit, now); ok {
 		return found, true
 	}
@@ -42,12 +33,10 @@
 	}
 	w := f.wants[unit.Model]
 	if w == nil {
-		w = &want{service: service, model: unit.Model}
-		f.wants[unit.Model] = w
+		return Found{}, false // nobody waits
 	}
-	w.value += weight
-	w.asked = now
 	if !w.estimate.After(now) {
+		f.setWanted(now)
 		ready, ok := f.expect(w, now)
 		if !ok {
 			return Found{}, false
@@ -59,8 +48,8 @@
 
 // expect returns when a wanted model is expected to be ready.
 func (f *Fleet) expect(w *want, now time.Time) (time.Time, bool) {
-	if c, ok := f.bestChoice(w.service, w.model, nil, now); ok {
-		return c.ready, true
+	if c, ok := f.bestChoice(w, nil, now); ok {
+		return later(c.ready, c.ready.Add(f.acceptable(w, c.price, now).Sub(now))), true
 	}
 	return f.remoteTurn(w, now)
 }
@@ -86,7 +75,7 @@
 		lanes = append(lanes, now)
 	}
 	for _, other := range f.wants {
-		if other != w && other.value > w.value && len(f.caching(other.model)) == 0 {
+		if other != w && f.copiesOf(other.model, now) == 0 && other.value() > w.value() && len(f.caching(other.model)) == 0 {
 			first := earliest(lanes)
 			lanes[first] = lanes[first].Add(load)
 		}
@@ -105,12 +94,16 @@
 	return first
 }
 
-func (f *Fleet) byValue() []*want {
-	wants := make([]*want, 0, len(f.wants))
+// byClaim returns the wanted models that no engine has or gets and those that
+// should have further copies, the highest claims first.
+func (f *Fleet) byClaim(now time.Time) []*want {
+	wants := f.extraWants(now)
 	for _, w := range f.wants {
-		wants = append(wants, w)
+		if f.copiesOf(w.model, now) == 0 {
+			wants = append(wants, w)
+		}
 	}
-	slices.SortFunc(wants, func(a, b *want) int { return compareFloat(-a.value, -b.value, a.model, b.model) })
+	slices.SortFunc(wants, func(a, b *want) int { return compareFloat(-f.claim(a, now), -f.claim(b, now), a.model, b.model) })
 	return wants
 }
 
@@ -118,35 +111,40 @@
 // looked at: some wait for busy ones.
 const lookAhead = 16
 
-// Dispatch starts what is wanted on engines that are free, the most wanted
-// first. A model for which a busy engine is the better choice goes on waiting.
+// Dispatch starts what is wanted on engines that are free, the highest claim
+// first. A model for which a busy engine is the better choice goes on waiting, and
+// so does one whose claim is less than what has to be evicted for it.
 func (f *Fleet) Dispatch(now time.Time) []Operation {
 	var operations []Operation
 	claimed := map[string]time.Duration{}
-	maps.DeleteFunc(f.wants, func(_ string, w *want) bool {
-		return now.Sub(w.asked) > f.params.WantLifetime && now.After(w.estimate) || f.copiesOf(w.model, now) > 0
-	})
-	wants := f.byValue()
+	f.decay(now)
+	f.forgetWaiting(now)
+	f.setWanted(now)
+	wants := f.byClaim(now)
 	free := len(f.free(now))
 	for i, w := range wants {
 		if free == 0 || i >= free+lookAhead {
 			break
 		}
-		c, ok := f.bestChoice(w.service, w.model, claimed, now)
+		c, ok := f.bestChoice(w, claimed, now)
 		if !ok {
-			if ready, queued := f.remoteTurn(w, now); queued {
+			if ready, queued := f.remoteTurn(w, now); queued && !w.extra {
 				w.estimate = ready
 			}
 			continue
 		}
-		w.estimate = c.ready
+		hold := f.acceptable(w, c.price, now).Sub(now)
+		w.estimate = c.ready.Add(hold)
+		if hold > 0 {
+			continue
+		}
 		if c.engine.Busy || now.Before(c.engine.NotBefore) || claimed[c.engine.Server.ID] > 0 {
 			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
 			continue
 		}
 		operations = append(operations, f.start(c, w.model, now))
 		free--
-		delete(f.wants, w.model)
+		f.setWanted(now)
 	}
 	return operations
 }
@@ -171,10 +169,5 @@
 			best, ok = Found{Engine: e.Server.ID, Ready: ready}, true
 		}
 	}
-	if ok {
-		f.engines[best.Engine].Copies[unit.Model].need(later(best.Ready, now).Add(f.params.KeepFor))
-	}
 	return best, ok
 }
-
-func (c *Copy) need(until time.Time) { c.Needed = later(c.Needed, until) }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -65,11 +65,15 @@
 	answered time.Time
 	misses   int
 	// found is when the record was last read; guarded by mu.
-	found     time.Time
-	arrivals  map[string]*holder.Arrivals // by model; guarded by mu
-	running   map[placed]int              // guarded by mu
-	instances int                         // guarded by mu
-	silent    bool                        // guarded by mu
+	found    time.Time
+	arrivals map[string]*holder.Arrivals // by model; guarded by mu
+	running  map[placed]int              // guarded by mu
+	// waiting is the weight of the requests that wait for a model, and waiters
+	// their number; guarded by mu.
+	waiting   map[string]float64
+	waiters   map[string]int
+	instances int  // guarded by mu
+	silent    bool // guarded by mu
 	// gaveUp is the released record of a holder that could not write it; guarded
 	// by mu.
 	gaveUp lease.Record
@@ -114,7 +118,7 @@
 func newFollower(name string, h *holder.Holder, dir *directory.Directory, pool *rpcpool.Pool, m *members, log logrus.FieldLogger) *follower {
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
-		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, places: map[forward.Wanted]knownPlace{}, instances: unknownInstances,
+		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, waiting: map[string]float64{}, waiters: map[string]int{}, places: map[forward.Wanted]knownPlace{}, instances: unknownInstances,
 	}
 }
 
@@ -209,6 +213,9 @@
 	for key, n := range f.running {
 		r.Running = append(r.Running, holder.Running{Engine: key.engine, Unit: key.unit, Count: n})
 	}
+	for model, value := range f.waiting {
+		r.Waiting = append(r.Waiting, holder.Waiting{Model: model, Value: value})
+	}
 	return f.record, &ExchangeArgs{r}
 }
 
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -11,11 +11,12 @@
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/serving"
 )
 
 // Arrived implements forward.Placer.
-func (f *follower) Arrived(unit serving.Unit, priority int) {
+func (f *follower) Arrived(unit serving.Unit, urgency forward.Urgency) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := f.arrivals[unit.Model]
@@ -24,7 +25,27 @@
 		f.arrivals[unit.Model] = a
 	}
 	a.Count++
-	a.Value += weight(priority)
+	a.Weight += weight(urgency.Priority)
+	a.Late += weight(urgency.Priority) * urgency.Late
+}
+
+// Waits implements forward.Placer.
+func (f *follower) Waits(unit serving.Unit, priority int) func() {
+	value := weight(priority)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting[unit.Model] += value
+	f.waiters[unit.Model]++
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.waiting[unit.Model] -= value
+		f.waiters[unit.Model]--
+		if f.waiters[unit.Model] == 0 {
+			delete(f.waiting, unit.Model)
+			delete(f.waiters, unit.Model)
+		}
+	}
 }
 
 // weight is how much a request of a priority counts for what is loaded. Routes
@@ -100,12 +121,13 @@
 func (f *follower) ask(ctx context.Context, w forward.Wanted) (forward.Place, error) {
 	f.mu.Lock()
 	record, silence := f.record, time.Since(f.answered)
+	waiting := replicas.Waiting{Instance: f.name, Value: f.waiting[w.Unit.Model]}
 	f.mu.Unlock()
 	if silence > silentAfter || record.Released {
 		return forward.Place{Ready: time.Now().Add(f.succession(record, silence))}, forward.ErrNoHolder
 	}
 	var reply WantReply
-	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Weight: weight(w.Priority), Missing: w.Missing, Unreachable: w.Unreachable}}
+	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Waiting: waiting, Missing: w.Missing, Unreachable: w.Unreachable}}
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
 		return forward.Place{Ready: time.Now().Add(exchangeRetry)}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
