Adapters that are to be loaded go before the engine's next model

Change: an engine with adapters on their way starts no model, for 200 ms at most; an adapter that is refused is promised for when the engine is free. Test: TestAdaptersFirst.

--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -261,7 +261,7 @@
 		wait := min(maxOrderPause, max(w.h.params.OrderPause, time.Since(began)/orderPauseShare))
 		if !unload {
 			w.h.mu.Lock()
-			w.h.fleet.Expect(op, time.Now().Add(wait+op.Duration))
+			w.h.fleet.Delayed(op, wait, time.Now())
 			w.h.mu.Unlock()
 		}
 		if !pause.For(w.ctx, wait) {
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -79,6 +79,37 @@
 		op.Unload = []serving.Unit{r.victim}
 		delete(e.Copies[r.victim.Model].Adapters, r.victim.Adapter)
 	}
-	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Due: op.Ready, Used: now}
+	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Due: op.Ready, Used: now, arriving: true}
 	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op}
 }
+
+// adaptersFirst reports whether adapters are to be loaded on the engine before the
+// next model is: they take milliseconds, and while a model is loaded or an unload
+// waits for running requests, they cannot be loaded for seconds.
+func (e *Engine) adaptersFirst(now time.Time) bool {
+	for _, c := range e.Copies {
+		if c.State == Leaving {
+			continue
+		}
+		for _, a := range c.Adapters {
+			if a.arriving && now.Before(a.Due.Add(adapterPatience)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// adapterPatience is how long after an adapter should have been loaded the next
+// model is held back for it.
+const adapterPatience = 200 * time.Millisecond
+
+// Delayed notes that an engine has refused an operation's load because another order
+// is under way; it is sent again after wait.
+func (f *Fleet) Delayed(op Operation, wait time.Duration, now time.Time) {
+	ready := now.Add(wait + op.Duration)
+	if e := f.engines[op.Engine]; e != nil && op.Load.Adapter != "" {
+		ready = later(ready, e.free(now).Add(op.Duration))
+	}
+	f.Expect(op, ready)
+}
--- a/command/replicas/adapters_test.go
+++ b/command/replicas/adapters_test.go
@@ -165,3 +165,29 @@
 		t.Error("the engine is passed over for an operation that was void")
 	}
 }
+
+// TestAdaptersFirst: an adapter that is to be loaded goes before the next model, which
+// would keep the engine for long, but does not hold it back for ever; and one that is
+// refused meanwhile is promised for when the engine is free.
+func TestAdaptersFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	f.Arrived("m1", arrivals(99), now)
+	found, _ := f.Find("llm", serving.Unit{Model: "m1", Adapter: "a1"}, Waiting{}, now)
+	if operations := wantNow(t, f, "m4", now); len(operations) > 0 {
+		t.Fatalf("%+v before the adapter", operations)
+	}
+	late := found.Start.Ready.Add(adapterPatience)
+	if operations := wantNow(t, f, "m4", late); len(operations) != 1 {
+		t.Fatalf("%d operations %s after the adapter should have been loaded, want 1", len(operations), adapterPatience)
+	}
+	e := f.Engine("a-engine")
+	f.Delayed(*found.Start, 20*time.Millisecond, late)
+	if ready := e.Copies["m1"].Adapters["a1"].Ready; ready.Before(e.Free) {
+		t.Errorf("the adapter is promised %s before the engine is free", e.Free.Sub(ready))
+	}
+	f.Done(*found.Start, late)
+	if e.adaptersFirst(late) {
+		t.Error("an adapter that is loaded holds models back")
+	}
+}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -46,6 +46,8 @@
 	// Used is when it was last asked for.
 	Used    time.Time
 	Running int
+	// arriving: its order has not been answered yet.
+	arriving bool
 }
 
 // Engine is the account of one engine.
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -40,8 +40,10 @@
 		return
 	}
 	c := e.Copies[op.Load.Model]
-	if a := c.Adapters[op.Load.Adapter]; a != nil {
-		a.Ready, a.Due = ready, ready
+	if op.Load.Adapter != "" {
+		if a := c.Adapters[op.Load.Adapter]; a != nil {
+			a.Ready, a.Due = ready, ready
+		}
 		return
 	}
 	c.Ready, c.Due = ready, ready
@@ -69,8 +71,14 @@
 	if op.Load.Adapter == "" {
 		e.Busy = false
 	}
-	if c := e.Copies[op.Load.Model]; c != nil && op.Load.Adapter == "" {
+	c := e.Copies[op.Load.Model]
+	if c == nil {
+		return
+	}
+	if op.Load.Adapter == "" {
 		c.State = Resident
+	} else if a := c.Adapters[op.Load.Adapter]; a != nil {
+		a.arriving = false
 	}
 }
 
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -138,7 +138,7 @@
 		if hold > 0 {
 			continue
 		}
-		if c.engine.Busy || now.Before(c.engine.NotBefore) || claimed[c.engine.Server.ID] > 0 {
+		if c.engine.Busy || now.Before(c.engine.NotBefore) || claimed[c.engine.Server.ID] > 0 || c.engine.adaptersFirst(now) {
 			claimed[c.engine.Server.ID] += c.engine.Spec.Models[w.model].LoadTime(c.tier)
 			continue
 		}
