A copy carries half of an engine's places

Hypothesis: further copies from 12 requests on take memory from rare models, on engines with 64 places.

--- a/command/replicas/loss.go
+++ b/command/replicas/loss.go
@@ -68,12 +68,11 @@
 
 // diskLoad is how long an engine loads a model from its disk.
 func (f *Fleet) diskLoad(model string) time.Duration {
-	for _, e := range f.Engines() {
-		if m, known := e.Spec.Models[model]; known {
-			return m.LoadTime(serving.TierDisk)
-		}
+	e, known := f.knowing(model)
+	if !known {
+		return 0
 	}
-	return 0
+	return e.Spec.Models[model].LoadTime(serving.TierDisk)
 }
 
 // setWanted takes over what all that is wanted is worth now. Nothing waits behind an
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -24,9 +24,9 @@
 	// KeepFor is how long an adapter is kept after it is ready and after its last
 	// use.
 	KeepFor time.Duration
-	// CopyLoad is how many requests at once, all instances together, make
-	// another copy of a model worth its memory.
-	CopyLoad float64
+	// CopyShare is the part of an engine's places that the requests for one model may
+	// take up on it, all instances together, before another copy is worth its memory.
+	CopyShare float64
 	// SpareRate is the rate, a second, from which a model has a second copy,
 	// so that the loss of an engine does not stop it.
 	SpareRate float64
@@ -56,7 +56,7 @@
 func DefaultParams() Params {
 	return Params{
 		DemandWindow: 4 * time.Second, ForgetRate: 0.001, RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 60 * time.Millisecond,
-		KeepFor: time.Second, CopyLoad: 12, SpareRate: 1.5,
+		KeepFor: time.Second, CopyShare: 0.5, SpareRate: 1.5,
 		AdapterTime: 80 * time.Millisecond, RemoteWindow: 5 * time.Second, RemoteAtOnce: 4, LaneCost: 0.5, Horizon: 4 * time.Second, WantLifetime: 1500 * time.Millisecond,
 	}
 }
--- a/command/replicas/rebalance.go
+++ b/command/replicas/rebalance.go
@@ -22,16 +22,17 @@
 		if copies >= f.wantedCopies(model) || copies == 0 && f.wants[model] != nil {
 			continue
 		}
-		service, known := f.serviceOf(model)
+		e, known := f.knowing(model)
 		if !known {
 			continue
 		}
 		claim := f.absence(model)
 		if copies > 0 {
-			claim = f.params.Horizon.Seconds() * d.Weight * max(spareClaim, 1-float64(copies)*f.params.CopyLoad/max(1, d.Running))
+			beyond := 1 - float64(copies)*f.copyLoad(e)/max(1, d.Running)
+			claim = f.params.Horizon.Seconds() * d.Weight * max(spareClaim, beyond)
 		}
 		wants = append(wants, &want{
-			service: service, model: model, extra: true, since: now, waiting: map[string]heardWaiting{"": {value: claim, at: now}},
+			service: e.Server.Service, model: model, extra: true, since: now, waiting: map[string]heardWaiting{"": {value: claim, at: now}},
 		})
 	}
 	return wants
@@ -50,20 +51,27 @@
 
 // wantedCopies is how many copies the requests for a model need.
 func (f *Fleet) wantedCopies(model string) int {
-	d := f.demandOf(model)
-	n := int(math.Ceil(d.Running / f.params.CopyLoad))
+	d, asked := f.demand[model]
+	e, known := f.knowing(model)
+	if !asked || !known {
+		return 0
+	}
+	n := int(math.Ceil(d.Running / f.copyLoad(e)))
 	if d.Rate >= f.params.SpareRate {
 		n = max(n, 2)
 	}
 	return n
 }
 
-// serviceOf returns the service that has the model.
-func (f *Fleet) serviceOf(model string) (string, bool) {
+// copyLoad is how many requests one copy on an engine carries.
+func (f *Fleet) copyLoad(e *Engine) float64 { return max(1, f.params.CopyShare*float64(e.Spec.Slots)) }
+
+// knowing returns an engine that could have the model.
+func (f *Fleet) knowing(model string) (*Engine, bool) {
 	for _, e := range f.Engines() {
 		if _, known := e.Spec.Models[model]; known {
-			return e.Server.Service, true
+			return e, true
 		}
 	}
-	return "", false
+	return nil, false
 }
