An engine's word that it lacks a unit is heeded

Cause: a request answered 421 was sent to the same engine each 100 to 200 ms until its time was over: neither the instance's view nor the holder's account changed until the engine had been read anew, and each send was drawn from the budget of repeated ones. Change: the instance does not offer the engine for that unit until the holder says something new of it, one second at most; the holder's account takes the unit as gone, its memory still counted, until the engine has been read. Tests: directory TestLacks, replicas TestMissingUnitGetsNoRequests.

--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -220,6 +220,7 @@
 	if resp.Misdirected {
 		*outcome = balance.Neutral
 		t.missing = server.ID
+		t.f.dir.Lacks(server.ID, t.request.Unit, time.Now())
 	}
 	return verdict.Refuse(verdict.ReasonBackend, "server %s has not run it: status %d", server.ID, resp.Status)
 }
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -292,7 +292,7 @@
 	if e == nil || !e.Claims(unit, now) || h.fleet.Postpone(id, unit, now) {
 		return
 	}
-	h.fleet.Doubt(id)
+	h.fleet.Doubt(id, unit)
 	h.log.WithFields(logrus.Fields{"engine": id, "unit": unit.String(), "sequence": e.Sequence}).Info("engine lacks a unit, reading it anew")
 }
 
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -48,6 +48,8 @@
 	Running int
 	// arriving: its order has not been answered yet.
 	arriving bool
+	// missing: the engine says that it does not have it.
+	missing bool
 }
 
 // Engine is the account of one engine.
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -444,7 +444,7 @@
 func TestUnreadableEngineIsPassedOver(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1"}, []string{"m2"})
-	f.Doubt("a-engine")
+	f.Doubt("a-engine", serving.Unit{Model: "m1"})
 	f.Unreachable("a-engine", now)
 	if units := f.Engine("a-engine").Units(now); len(units) != 0 {
 		t.Errorf("instances are told of %v", units)
@@ -454,3 +454,36 @@
 		t.Errorf("%+v, want m1 loaded on the other engine", operations)
 	}
 }
+
+// TestMissingUnitGetsNoRequests: a unit that its engine says it does not have is not
+// offered, by any of the account's answers, until the engine has been read; its memory
+// stays counted, and what else the engine has is offered on.
+func TestMissingUnitGetsNoRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2"})
+	adapter := serving.Unit{Model: "m2", Adapter: "a1"}
+	found, _ := f.Find("llm", adapter, Waiting{}, now)
+	f.Done(*found.Start, now)
+	before := f.Engine("a-engine").memoryMB()
+	for _, unit := range []serving.Unit{{Model: "m1"}, adapter} {
+		f.Doubt("a-engine", unit)
+		if found, ok := f.Find("llm", unit, Waiting{}, now); ok && found.Engine == "a-engine" {
+			t.Errorf("%s: sent to the engine that lacks it", unit)
+		}
+		for _, u := range f.Engine("a-engine").Units(now) {
+			if u.Unit == unit {
+				t.Errorf("%s: instances are told that the engine has it", unit)
+			}
+		}
+	}
+	if found, ok := f.Find("llm", serving.Unit{Model: "m2"}, Waiting{}, now); !ok || found.Engine != "a-engine" {
+		t.Errorf("%+v, want the model that the engine has", found)
+	}
+	if after := f.Engine("a-engine").memoryMB(); after != before {
+		t.Errorf("%v MB counted, %v before", after, before)
+	}
+	f.Adopt("a-engine", serving.Report{Models: map[string][]string{"m1": nil, "m2": {"a1"}}, Sequence: 2}, now)
+	if found, ok := f.Find("llm", serving.Unit{Model: "m1"}, Waiting{}, now); !ok || found.Engine != "a-engine" {
+		t.Errorf("%+v after the engine was read", found)
+	}
+}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -142,10 +142,24 @@
 	return true
 }
 
-// Doubt marks an engine to be read anew.
-func (f *Fleet) Doubt(id string) {
-	if e := f.engines[id]; e != nil {
-		e.Unsure = true
-		e.generation++
+// Doubt marks an engine to be read anew, since it does not have a unit that it should.
+// Until then the unit gets no requests; its memory stays counted.
+func (f *Fleet) Doubt(id string, unit serving.Unit) {
+	e := f.engines[id]
+	if e == nil {
+		return
+	}
+	e.Unsure = true
+	e.generation++
+	c := e.Copies[unit.Model]
+	if c == nil {
+		return
+	}
+	if unit.Adapter == "" {
+		c.State = Leaving
+		return
+	}
+	if a := c.Adapters[unit.Adapter]; a != nil {
+		a.missing = true
 	}
 }
--- a/command/replicas/view.go
+++ b/command/replicas/view.go
@@ -20,6 +20,9 @@
 		}
 		units = append(units, directory.UnitView{Unit: serving.Unit{Model: model}, Ready: c.Ready})
 		for name, a := range c.Adapters {
+			if a.missing {
+				continue
+			}
 			units = append(units, directory.UnitView{Unit: serving.Unit{Model: model, Adapter: name}, Ready: later(c.Ready, a.Ready)})
 		}
 	}
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -159,7 +159,7 @@
 		ready := c.Ready
 		if unit.Adapter != "" {
 			a := c.Adapters[unit.Adapter]
-			if a == nil {
+			if a == nil || a.missing {
 				continue
 			}
 			ready = later(ready, a.Ready)
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -24,6 +24,9 @@
 	// newer announcement brings a server back.
 	removed map[string]removal    // guarded by mu
 	views   map[string]EngineView // by engine id; guarded by mu
+	// lacks is until when an engine is not offered for a unit that it said it does
+	// not have, though it should; guarded by mu.
+	lacks map[string]map[serving.Unit]time.Time
 	// viewsFrom is the fencing token of the holder that the views are from.
 	viewsFrom int64 // guarded by mu
 	heard     time.Time
@@ -48,7 +51,7 @@
 func New() *Directory {
 	return &Directory{
 		servers: map[string]serving.Server{}, draining: map[string]time.Time{}, removed: map[string]removal{},
-		views: map[string]EngineView{}, changed: map[string]uint64{},
+		views: map[string]EngineView{}, lacks: map[string]map[serving.Unit]time.Time{}, changed: map[string]uint64{},
 	}
 }
 
@@ -113,6 +116,7 @@
 	d.removed[id] = removal{revision: max(revision, d.removed[id].revision), at: now}
 	delete(d.servers, id)
 	delete(d.views, id)
+	delete(d.lacks, id)
 	if found {
 		d.digest ^= digestOf(known)
 		d.touch(id)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -157,3 +157,30 @@
 		t.Errorf("a server that is newer than the delta was removed: %v", gone)
 	}
 }
+
+// TestLacks: an engine that said that it does not have a unit is not offered for it
+// until the holder says something new of it, or for a second; for other units it is.
+func TestLacks(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.ApplyServer(serving.Server{ID: "e", Service: "llm", Revision: 1}, now)
+	one, two := serving.Unit{Model: "m1"}, serving.Unit{Model: "m2"}
+	view := []EngineView{{Engine: "e", Units: []UnitView{{Unit: one}, {Unit: two}}}}
+	d.ApplyViews(1, view, nil, now)
+	offered := func(unit serving.Unit, at time.Time) bool { return len(d.Replicas("llm", unit, at)) > 0 }
+	d.Lacks("e", one, now)
+	if offered(one, now) || !offered(two, now) {
+		t.Errorf("offered for what it lacks: %v, for what it has: %v", offered(one, now), offered(two, now))
+	}
+	if !offered(one, now.Add(lackLifetime)) {
+		t.Error("not offered any more at all")
+	}
+	d.ApplyViews(1, nil, nil, now)
+	if offered(one, now) {
+		t.Error("offered again without news of the engine")
+	}
+	d.ApplyViews(1, view, nil, now)
+	if !offered(one, now) {
+		t.Error("not offered though the holder has said something new of it")
+	}
+}
--- a/directory/views.go
+++ b/directory/views.go
@@ -41,16 +41,38 @@
 	}
 	if fence > d.viewsFrom {
 		clear(d.views)
+		clear(d.lacks)
 		d.viewsFrom = fence
 	}
 	d.heard, d.others = now, others
 	for _, v := range views {
 		if _, live := d.servers[v.Engine]; live {
 			d.views[v.Engine] = v
+			delete(d.lacks, v.Engine)
 		}
 	}
 }
 
+// lackLifetime is how long an engine's own word that it does not have a unit is taken:
+// longer than the holder's newer word is on its way, shorter than it takes the engine
+// to be restarted or to get the unit by an order of another holder.
+const lackLifetime = time.Second
+
+// Lacks notes that an engine said that it does not have a unit. Until the holder says
+// something new of the engine, it is not offered for the unit: each send would be
+// refused again, and is drawn from the budget of repeated ones.
+func (d *Directory) Lacks(id string, unit serving.Unit, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, live := d.servers[id]; !live {
+		return
+	}
+	if d.lacks[id] == nil {
+		d.lacks[id] = map[serving.Unit]time.Time{}
+	}
+	d.lacks[id][unit] = now.Add(lackLifetime)
+}
+
 // viewLifetime is how long the holder's word is taken without another: the
 // engine's own entry, a second or two old, is better then.
 const viewLifetime = 3 * time.Second
@@ -62,7 +84,7 @@
 	var found []Replica
 	fresh := now.Sub(d.heard) < viewLifetime
 	for _, s := range d.servers {
-		if s.Service != service || s.Draining {
+		if s.Service != service || s.Draining || now.Before(d.lacks[s.ID][unit]) {
 			continue
 		}
 		view, viewed := d.views[s.ID]
