--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -258,7 +258,7 @@
 		if err := w.confirm(began); err != nil {
 			return refused, err
 		}
-		wait := min(maxOrderPause, max(w.h.params.OrderPause, time.Since(began)/orderPauseShare))
+		wait := min(maxOrderPause, max(w.h.params.OrderPause, time.Since(began)))
 		if !unload {
 			w.h.mu.Lock()
 			w.h.fleet.Delayed(op, wait, time.Now())
@@ -271,13 +271,10 @@
 	return refused, errors.Wrapf(errEngine, "%s of %s: another order stayed under way", operationName(unload), unit)
 }
 
-// The pause between two sends of an order is a part of the time that it has been
-// tried for, up to maxOrderPause: an unload that waits for running requests may
-// take seconds, and the next order is then late in proportion.
-const (
-	orderPauseShare = 3
-	maxOrderPause   = 300 * time.Millisecond
-)
+// maxOrderPause bounds the pause between two sends of an order, which is as long as it
+// has been tried for: an unload that waits for running requests may take seconds, and
+// shorter pauses change nothing but the number of refused orders.
+const maxOrderPause = 300 * time.Millisecond
 
 // confirmAfter is how long an order is refused before the engine is asked whether
 // another is under way at all: the account's sequence may be wrong instead. It is
