An order that could not be sent says nothing of its engine

Change: a renewal goes on beside the orders while the lease is good; an operation that could not be sent is withdrawn and its copies serve on; while no order can be sent nothing is planned, and who asks is told to come back after as long again.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -166,13 +166,15 @@
 func (h *Holder) tick(now time.Time) {
 	h.mu.Lock()
 	h.refreshServers()
+	outage := h.outageOf(now)
+	h.fleet.Suspend(outage > 0)
 	h.fleet.Running(h.account.running(now), now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
 	unsure := h.fleet.Unsure()
 	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
-	if unsettled {
-		go h.settle()
+	if unsettled || outage > 0 { // written or confirmed now, or tried again at the next tick
+		h.renewBeside()
 	}
 	for _, id := range unsure {
 		h.readIfSettled(id, now)
@@ -182,16 +184,6 @@
 	}
 }
 
-// settle writes that no holder before may order any more. It is tried again at
-// the next tick if that fails.
-func (h *Holder) settle() {
-	ctx, cancel := context.WithTimeout(h.ctx, h.params.Lease.Transit)
-	defer cancel()
-	if err := h.renew(ctx); err != nil {
-		h.log.WithField("error", err).Info("lease not settled")
-	}
-}
-
 // readAhead is how long before the first order to an engine it is read: earlier
 // the holder before may still have ordered it.
 const readAhead = 300 * time.Millisecond
@@ -240,7 +232,12 @@
 // unit that no engine has been chosen for.
 const askAgain = 120 * time.Millisecond
 
-// Want returns where a unit is or will be. ok is false if no engine can take it.
+// noRoomRetry is when an engine may have room again: about what a load takes.
+const noRoomRetry = time.Second
+
+// Want returns where a unit is or will be. ok is false if no engine can take it; the
+// place then says when to ask again. After an outage of the store as long again is
+// expected, since it may last for milliseconds or minutes.
 func (h *Holder) Want(r Request, now time.Time) (found replicas.Found, ok bool, err error) {
 	h.mu.Lock()
 	if !h.lease.Held() {
@@ -254,6 +251,8 @@
 	if r.Unreachable != "" {
 		h.fleet.Unreachable(r.Unreachable, now)
 	}
+	outage := h.outageOf(now)
+	h.fleet.Suspend(outage > 0)
 	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
 	var operations []replicas.Operation
 	if found.Start != nil {
@@ -267,7 +266,10 @@
 	for _, op := range operations {
 		h.begin(op, "request")
 	}
-	if earliest := now.Add(askAgain); found.Engine == "" && found.Ready.Before(earliest) {
+	if !ok {
+		found.Ready = now.Add(max(noRoomRetry, outage))
+	}
+	if earliest := now.Add(askAgain); ok && found.Engine == "" && found.Ready.Before(earliest) {
 		found.Ready = earliest
 	}
 	return found, ok, nil
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -171,20 +171,73 @@
 	}
 }
 
-// fence returns the fencing token for an order to an engine to be sent now, renewing the
-// lease first if that is due.
+// fence returns the fencing token for an order to an engine to be sent now. If a
+// renewal is due it goes on beside the order while the lease is good without it: a
+// store that does not answer must not keep orders back that are still allowed.
 func (h *Holder) fence(ctx context.Context, engine string) (int64, error) {
-	if err := h.renew(ctx); err != nil {
+	if token, ok := h.token(engine); ok {
+		if h.renewalDue() {
+			h.renewBeside()
+		}
+		return token, nil
+	}
+	if err := h.renewWithin(ctx); err != nil {
 		return 0, err
 	}
+	if token, ok := h.token(engine); ok {
+		return token, nil
+	}
+	return 0, ErrNotHolder
+}
+
+// token returns the fencing token if an order may be sent to the engine now.
+func (h *Holder) token(engine string) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	token, ok := h.lease.Fence(engine, time.Now())
-	if !ok {
-		return 0, ErrNotHolder
+	if ok {
+		h.lease.Ordered(engine, time.Now())
+	}
+	return token, ok
+}
+
+func (h *Holder) renewalDue() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease.RenewalDue(time.Now())
+}
+
+// renewBeside renews the lease in the background unless that is under way.
+func (h *Holder) renewBeside() {
+	if !h.renewing.TryLock() {
+		return
 	}
-	h.lease.Ordered(engine, time.Now())
-	return token, nil
+	h.mu.Lock()
+	ctx := h.ctx
+	h.mu.Unlock()
+	go func() {
+		defer h.renewing.Unlock()
+		ctx, cancel := context.WithTimeout(ctx, h.params.Lease.Transit)
+		defer cancel()
+		_ = h.renewLocked(ctx) // noted and logged there
+	}()
+}
+
+// renewWithin renews the lease if that is due, and waits for it no longer than an
+// order may be on its way.
+func (h *Holder) renewWithin(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, h.params.Lease.Transit)
+	defer cancel()
+	return h.renew(ctx)
+}
+
+// outageOf returns for how long no order could be sent because the store does not
+// confirm the lease, zero while orders can be sent. It needs mu.
+func (h *Holder) outageOf(now time.Time) time.Duration {
+	if h.failingSince.IsZero() || h.lease.Good(now) {
+		return 0
+	}
+	return now.Sub(h.failingSince)
 }
 
 // renew has the store confirm the record if that is due. A failure matters only
@@ -192,6 +245,11 @@
 func (h *Holder) renew(ctx context.Context) error {
 	h.renewing.Lock()
 	defer h.renewing.Unlock()
+	return h.renewLocked(ctx)
+}
+
+// renewLocked needs renewing.
+func (h *Holder) renewLocked(ctx context.Context) error {
 	h.mu.Lock()
 	due, held := h.lease.RenewalDue(time.Now()), h.lease.Held()
 	h.mu.Unlock()
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -129,10 +129,13 @@
 	started := time.Now()
 	err := w.steps(op)
 	w.h.mu.Lock()
-	if err == nil {
+	switch {
+	case err == nil:
 		w.h.fleet.Done(op, time.Now())
-	} else {
+	case errors.Is(err, errEngine):
 		w.h.fleet.Failed(op, time.Now())
+	default:
+		w.h.fleet.Withdrawn(op) // nothing was sent: the lease, the store or a limit did not allow it
 	}
 	w.h.mu.Unlock()
 	w.h.dispatch(time.Now())
@@ -324,12 +327,12 @@
 func (w *worker) send(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (serving.OrderAnswer, error) {
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
-	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
-	defer cancel()
-	fence, err := w.h.fence(ctx, w.engine)
+	fence, err := w.h.fence(w.ctx, w.engine)
 	if err != nil {
 		return 0, err
 	}
+	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
+	defer cancel()
 	w.h.mu.Lock()
 	if !w.h.fleet.Current(op) {
 		w.h.mu.Unlock()
@@ -345,6 +348,9 @@
 	answer, err := w.h.engines.Order(ctx, o)
 	w.lastOrder = time.Now()
 	w.noteAnswer(o, answer, err)
+	if err != nil {
+		err = errors.Mark(err, errEngine)
+	}
 	return answer, err
 }
 
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -186,12 +186,18 @@
 // Fence returns the fencing token of an order to an engine sent at now; ok is
 // false when none may be sent. It must be asked immediately before each send.
 func (l *Lease) Fence(engine string, now time.Time) (fence int64, ok bool) {
-	if !l.held || now.Before(l.OrderFrom(engine)) || now.Sub(l.renewed) >= l.params.Validity-l.params.Transit {
+	if now.Before(l.OrderFrom(engine)) || !l.Good(now) {
 		return 0, false
 	}
 	return l.record.Fence, true
 }
 
+// Good reports whether the lease is held and its last renewal recent enough for an
+// order at now.
+func (l *Lease) Good(now time.Time) bool {
+	return l.held && now.Sub(l.renewed) < l.params.Validity-l.params.Transit
+}
+
 // renewalShare is the part of the usable time after which a renewal is due: at a
 // half, one renewal may fail and be repeated without a gap.
 const renewalShare = 2
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -102,6 +102,8 @@
 	// wanted is what all that is wanted was worth when last added up.
 	wanted float64
 	pace   pace
+	// suspended: nothing is planned.
+	suspended bool
 	// limits is what operators decided.
 	limits limits.Source
 }
--- a/command/replicas/limit.go
+++ b/command/replicas/limit.go
@@ -39,6 +39,9 @@
 // lowered number, and those in failure domains that are not allowed. One operation
 // for each engine that is free is planned.
 func (f *Fleet) Trim(now time.Time) []Operation {
+	if f.suspended {
+		return nil
+	}
 	var operations []Operation
 	for _, e := range f.free(now) {
 		for model, c := range e.Copies {
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -91,6 +91,35 @@
 	}
 }
 
+// Withdrawn notes that an operation ended because an order could not be sent, which
+// says nothing of the engine. What it holds is known: the copies whose unload was not
+// ordered serve on.
+func (f *Fleet) Withdrawn(op Operation) {
+	e := f.engines[op.Engine]
+	if !f.Current(op) {
+		return
+	}
+	if op.Load.Adapter != "" { // whether its victim is still there is not noted
+		e.Unsure = true
+		e.generation++
+		return
+	}
+	for _, unit := range op.Unload {
+		if c := e.Copies[unit.Model]; c != nil {
+			c.State = Resident
+		}
+	}
+	if c := e.Copies[op.Load.Model]; c != nil && c.State == Arriving {
+		delete(e.Copies, op.Load.Model)
+	}
+	e.Busy = false
+	f.copiesChanged()
+}
+
+// Suspend has the fleet plan nothing, or go on: while no order can be sent, what is
+// planned would only be withdrawn.
+func (f *Fleet) Suspend(suspended bool) { f.suspended = suspended }
+
 func (e *Engine) fail(now time.Time) {
 	e.generation++
 	e.Unsure = true
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -28,6 +28,9 @@
 	if found, ok := f.existing(service, unit, now); ok {
 		return found, true
 	}
+	if f.suspended {
+		return Found{}, false
+	}
 	if unit.Adapter != "" && f.copiesOf(unit.Model, now) > 0 {
 		return f.placeAdapter(service, unit, now)
 	}
@@ -115,6 +118,9 @@
 // first. A model for which a busy engine is the better choice goes on waiting, and
 // so does one whose claim is less than what has to be evicted for it.
 func (f *Fleet) Dispatch(now time.Time) []Operation {
+	if f.suspended {
+		return nil
+	}
 	var operations []Operation
 	claimed := map[string]time.Duration{}
 	f.decay(now)
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -126,9 +126,6 @@
 	return place, err
 }
 
-// noRoomRetry is when an engine may have room again: about what a load takes.
-const noRoomRetry = time.Second
-
 // succession is how long it is expected to take until there is a holder again
 // that orders loads, after silence of the one before.
 func (f *follower) succession(record lease.Record, silence time.Duration) time.Duration {
@@ -152,11 +149,12 @@
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
 		return forward.Place{Ready: time.Now().Add(exchangeRetry)}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
+	ready := time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)
 	switch {
 	case !reply.Held:
 		return forward.Place{Ready: time.Now().Add(silentAfter)}, forward.ErrNoHolder
 	case !reply.Found:
-		return forward.Place{Ready: time.Now().Add(noRoomRetry)}, forward.ErrNoRoom
+		return forward.Place{Ready: ready}, forward.ErrNoRoom
 	}
-	return forward.Place{Engine: reply.Engine, Ready: time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)}, nil
+	return forward.Place{Engine: reply.Engine, Ready: ready}, nil
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -54,7 +54,8 @@
 type WantArgs struct{ holder.Request }
 
 // WantReply says where a unit is or will be. Found is false if no engine can
-// take it, Held if this instance is not the holder.
+// take it, and InMS then says when to ask again; Held if this instance is not the
+// holder.
 type WantReply struct {
 	Held, Found bool
 	Engine      string
