A prospect by the models that go before

Change: a wanted model is promised for when its claim exceeds what has to be evicted, behind the models with higher claims, by turns on all engines.

--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -90,6 +90,8 @@
 	inUse bool
 	tier  serving.Tier
 	ready time.Time
+	// least is what the load would have to be worth if nothing else were wanted.
+	least float64
 	// price is what the load has to be worth: what evicting costs, and the engine's
 	// time. cost compares choices: it is that and the waiting time. Both are in
 	// seconds of waiting of an ordinary request.
@@ -169,6 +171,7 @@
 	if len(room.models) > 0 || e.hasWeights() { // else the engine is new, and could do nothing else meanwhile
 		c.price += lane * (load + unload).Seconds()
 	}
+	c.least = room.loss
 	c.cost = value*c.ready.Sub(now).Seconds() + room.loss + max(lane, f.params.LaneCost)*(load+unload).Seconds()
 	return c, true
 }
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -52,11 +52,26 @@
 // expect returns when a wanted model is expected to be ready.
 func (f *Fleet) expect(w *want, now time.Time) (time.Time, bool) {
 	if c, ok := f.bestChoice(w, nil, now); ok {
-		return later(c.ready, c.ready.Add(f.acceptable(w, c.price, now).Sub(now))), true
+		return f.prospect(w, c, now), true
 	}
 	return f.remoteTurn(w, now)
 }
 
+// prospect returns when a wanted model is expected to be ready at a place: once its
+// claim exceeds what has to be evicted, and behind the models with higher claims,
+// which all engines load by turns.
+func (f *Fleet) prospect(w *want, c choice, now time.Time) time.Time {
+	claim, ahead := f.claim(w, now), 0
+	for _, other := range f.wants {
+		if other != w && f.copiesOf(other.model, now) == 0 && f.claim(other, now) > claim {
+			ahead++
+		}
+	}
+	turn := f.diskLoad(w.model) + f.pace.idle
+	queue := turn * time.Duration(ahead) / time.Duration(max(1, len(f.engines)))
+	return c.ready.Add(f.acceptable(w, c.least, now).Sub(now) + queue)
+}
+
 // remoteTurn returns when a wanted model that must come from the weight store will
 // be ready, behind the loads that run and the more wanted models that must come
 // from there, too.
@@ -140,7 +155,7 @@
 			continue
 		}
 		hold := f.acceptable(w, c.price, now).Sub(now)
-		w.estimate = c.ready.Add(hold)
+		w.estimate = f.prospect(w, c, now)
 		if hold > 0 {
 			continue
 		}
