A wait ends when an engine has the unit, not when it was promised

Cause: a request that was told 5 s, before it was decided which engine takes its model, slept for them though the model was loaded after 0.6 s; and one whose prospect turned bad was held on. Change: while no engine is chosen, a request looks each 50 ms for one that the holder has told of, and asks anew after 500 ms. Tests: TestWaitEndsWithTheLoad, TestProspectTurnsBad; both fail before.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -78,7 +78,7 @@
 		if wait <= 0 && server.ID != "" {
 			return server, nil
 		}
-		if failure := t.waitFor(ctx, wait); failure != nil {
+		if failure := t.waitFor(ctx, wait, server.ID != ""); failure != nil {
 			return serving.Server{}, failure
 		}
 	}
@@ -109,18 +109,38 @@
 // leastWait is the shortest pause before a place is asked for again.
 const leastWait = 20 * time.Millisecond
 
-// waitFor waits for a load, or refuses if it will be done too late.
-func (t *trip) waitFor(ctx context.Context, wait time.Duration) *verdict.Failure {
+// waitFor waits for a load, or refuses if it will be done too late. While it is not
+// decided which engine loads the unit, the wait ends as soon as one has it, and is
+// asked about anew from time to time.
+func (t *trip) waitFor(ctx context.Context, wait time.Duration, decided bool) *verdict.Failure {
 	wait = max(wait, leastWait)
 	if failure := t.refuseWait(wait); failure != nil {
 		return failure
 	}
 	started := time.Now()
-	failure := t.pauseFor(ctx, wait)
-	t.waited += time.Since(started)
-	return failure
+	defer func() { t.waited += time.Since(started) }()
+	if decided {
+		return t.pauseFor(ctx, wait)
+	}
+	for until := started.Add(min(wait, askAnew)); time.Now().Before(until); {
+		if failure := t.pauseFor(ctx, min(lookInterval, time.Until(until))); failure != nil {
+			return failure
+		}
+		if _, _, found := t.bestReplica(); found {
+			return nil
+		}
+	}
+	return nil
 }
 
+// While a request waits and no engine is chosen yet, it looks each lookInterval for
+// one that the holder has told of since, and asks the holder anew after askAnew: the
+// prospect may have turned bad, or what it was told of is free sooner.
+const (
+	lookInterval = 50 * time.Millisecond
+	askAnew      = 500 * time.Millisecond
+)
+
 // bestReplica picks among the engines known to have the unit or to get it.
 func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
 	now := time.Now()
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,7 +63,8 @@
 
 // fakePlacer says where units are.
 type fakePlacer struct {
-	place Place
+	mu    sync.Mutex
+	place Place // guarded by mu where a test changes it meanwhile
 	err   error
 	asked []Wanted
 	// waiting counts the requests that wait, and onTime is what the last one said.
@@ -71,6 +73,8 @@
 }
 
 func (f *fakePlacer) Want(_ context.Context, w Wanted) (Place, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.asked = append(f.asked, w)
 	return f.place, f.err
 }
@@ -258,6 +262,46 @@
 	}
 }
 
+// TestWaitEndsWithTheLoad: a request that was promised a unit for later, before it was
+// decided which engine takes it, is sent as soon as the holder tells of one that has it.
+func TestWaitEndsWithTheLoad(t *testing.T) { synctest.Test(t, testWaitEndsWithTheLoad) }
+
+func testWaitEndsWithTheLoad(t *testing.T) {
+	f := newFixture(t, reply{status: 200, events: true, body: threeEvents})
+	f.placer.place = Place{Ready: time.Now().Add(3 * time.Second)}
+	start := time.Now()
+	time.AfterFunc(200*time.Millisecond, func() {
+		view := directory.EngineView{Engine: "e1", Units: []directory.UnitView{{Unit: serving.Unit{Model: "cold"}, Ready: time.Now()}}}
+		f.dir.ApplyViews(1, []directory.EngineView{view}, nil, time.Now())
+	})
+	_, failure := f.serve("stream", "cold", 5*time.Second)
+	if waited := time.Since(start); failure != nil || waited > 200*time.Millisecond+lookInterval {
+		t.Errorf("%v after %s, want an answer %s after the load at most", failure, waited, lookInterval)
+	}
+}
+
+// TestProspectTurnsBad: a request that waits is refused when the prospect turns bad, not
+// when its client leaves.
+func TestProspectTurnsBad(t *testing.T) { synctest.Test(t, testProspectTurnsBad) }
+
+func testProspectTurnsBad(t *testing.T) {
+	f := newFixture(t, reply{status: 200})
+	f.placer.place = Place{Ready: time.Now().Add(3 * time.Second)}
+	start := time.Now()
+	time.AfterFunc(700*time.Millisecond, func() {
+		f.placer.mu.Lock()
+		defer f.placer.mu.Unlock()
+		f.placer.place = Place{Ready: time.Now().Add(time.Minute)}
+	})
+	_, failure := f.serve("stream", "cold", 5*time.Second)
+	if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter < 50*time.Second {
+		t.Fatalf("%v", failure)
+	}
+	if waited := time.Since(start); waited > 700*time.Millisecond+askAnew {
+		t.Errorf("refused after %s, the prospect turned bad after 700 ms", waited)
+	}
+}
+
 // TestLoadOutlastsClient: no client is kept waiting for what comes too late.
 func TestLoadOutlastsClient(t *testing.T) { synctest.Test(t, testLoadOutlastsClient) }
 
