martenctl explain: how all requests ended, and what they waited for

Now the logs of a run give a table by priority, outcome and what was waited for (load from disk, weight store, copies in use, adapter, no holder, no engine, or the engine itself), as text or with -o json. The end of a request's log names it (waited_for, promised_ms, priority, objective_ms), and the metrics tell by how much waits ended later or sooner than first promised (martenport_prospect_error_seconds). Test: explain TestOutcomes.

--- a/cmd/martenctl/explain.go
+++ b/cmd/martenctl/explain.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
+	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,35 +14,66 @@
 	"github.com/martenport/martenport/query/explain"
 )
 
-// explainCommand prints what the logs of entry instances say of one request.
+// explainCommand prints what the logs of entry instances say of one request or, if
+// only logs are named, how all requests ended and what they waited for.
 type explainCommand struct {
-	Args struct {
-		Request string   `positional-arg-name:"REQUEST" description:"the request's id"`
-		Logs    []string `positional-arg-name:"FILE" required:"1" description:"logs, one file an instance, or one with the instance before each line"`
+	shared *options
+	Args   struct {
+		Names []string `positional-arg-name:"[REQUEST] FILE" required:"1" description:"a request's id, and logs: one file an instance, or one with the instance before each line; without an id all requests are counted by how they ended"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
+	request, paths := "", c.Args.Names
+	if _, err := os.Stat(paths[0]); err != nil {
+		request, paths = paths[0], paths[1:]
+	}
+	if len(paths) == 0 {
+		return cli.Usage(errors.Newf("%q is no file: name at least one log", request))
+	}
+	lines, err := readLogs(paths)
+	if err != nil {
+		return err
+	}
+	if request == "" {
+		return c.printOutcomes(explain.Outcomes(lines))
+	}
+	found, err := explain.Request(lines, request)
+	if err != nil {
+		return err
+	}
+	for _, l := range found {
+		fmt.Println(l.Time.Format("15:04:05.000"), l.Instance, l.Text)
+	}
+	return nil
+}
+
+func readLogs(paths []string) ([]explain.Line, error) {
 	var lines []explain.Line
-	for _, path := range c.Args.Logs {
+	for _, path := range paths {
 		file, err := os.Open(path)
 		if err != nil {
-			return cli.Usage(errors.Wrap(err, "log"))
+			return nil, cli.Usage(errors.Wrap(err, "log"))
 		}
 		read, err := explain.Read(file, strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)))
 		_ = file.Close()
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines = append(lines, read...)
 	}
-	found, err := explain.Request(lines, c.Args.Request)
-	if err != nil {
-		return err
+	return lines, nil
+}
+
+func (c *explainCommand) printOutcomes(groups []explain.Group) error {
+	if c.shared.Output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(groups)
 	}
-	for _, l := range found {
-		fmt.Println(l.Time.Format("15:04:05.000"), l.Instance, l.Text)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "PRIORITY\tOUTCOME\tFOR\tREQUESTS\tSHARE\tWORTH")
+	for _, g := range groups {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%.3f\t%.3f\n", g.Priority, g.Outcome, g.For, g.Requests, g.Share, g.Worth)
 	}
-	return nil
+	return w.Flush()
 }
--- a/cmd/martenctl/main.go
+++ b/cmd/martenctl/main.go
@@ -35,7 +35,7 @@
 		{"status", "show what an instance knows of the fleet", &statusCommand{shared: shared}},
 		{"timeline", "show the events of all instances in causal order", &timelineCommand{shared: shared}},
 		{"drain", "make an instance leave gracefully", &drainCommand{shared: shared}},
-		{"explain", "find in logs why a request ended as it did", &explainCommand{}},
+		{"explain", "find in logs why a request ended as it did, or how all did", &explainCommand{shared: shared}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -62,11 +62,13 @@
 		server, ready, found := t.bestReplica()
 		wait := time.Until(ready)
 		if found && wait <= 0 {
+			t.waits.ended(t.f.counts)
 			return server, nil
 		}
 		if stop == nil {
 			stop = t.f.placer.Waits(t.request.Unit, t.route.Priority, t.onTime())
 		}
+		t.waits.next(serving.WaitLoad)
 		if !found {
 			var failure *verdict.Failure
 			server, ready, failure = t.want(ctx)
@@ -76,6 +78,7 @@
 			wait = time.Until(ready)
 		}
 		if wait <= 0 && server.ID != "" {
+			t.waits.ended(t.f.counts)
 			return server, nil
 		}
 		if failure := t.waitFor(ctx, wait, server.ID != ""); failure != nil {
@@ -118,7 +121,8 @@
 		return failure
 	}
 	started := time.Now()
-	defer func() { t.waited += time.Since(started) }()
+	t.waits.expect(wait)
+	defer func() { t.waits.add(time.Since(started)) }()
 	if decided {
 		return t.pauseFor(ctx, wait)
 	}
@@ -194,6 +198,7 @@
 		Service: t.service.Name, Unit: t.request.Unit, Priority: t.route.Priority, Missing: t.missing, Unreachable: t.unreachable,
 	})
 	t.missing, t.unreachable = "", ""
+	t.waits.next(place.For)
 	switch {
 	case ctx.Err() != nil:
 		return serving.Server{}, time.Time{}, verdict.Refuse(verdict.ReasonDeadline, "the time was over before a place for %s was known", t.request.Unit)
@@ -227,6 +232,8 @@
 		failure.Detail += ": " + err.Error()
 		return failure
 	}
+	started := time.Now()
+	defer func() { t.waits.add(time.Since(started)) }()
 	return t.pauseFor(ctx, min(back, longestAskPause))
 }
 
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -14,6 +14,8 @@
 	set      *metrics.Set
 	answered *metrics.Counter
 	seconds  *metrics.Histogram
+	// later and sooner are by how much waits ended later and sooner than promised.
+	later, sooner *metrics.Histogram
 
 	refused, failed, cancelled atomic.Int64
 }
@@ -31,6 +33,17 @@
 	return &Counts{
 		set: set, answered: set.NewCounter(`martenport_requests_total{outcome="answered"}`),
 		seconds: set.NewHistogram("martenport_request_seconds"),
+		later:   set.NewHistogram(`martenport_prospect_error_seconds{ended="later"}`),
+		sooner:  set.NewHistogram(`martenport_prospect_error_seconds{ended="sooner"}`),
+	}
+}
+
+// prospect counts by how much a wait differed from what was promised.
+func (c *Counts) prospect(promised, waited time.Duration) {
+	if waited >= promised {
+		c.later.Update((waited - promised).Seconds())
+	} else {
+		c.sooner.Update((promised - waited).Seconds())
 	}
 }
 
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -57,6 +57,8 @@
 	// Engine is empty while that is not decided; ask again when it is Ready.
 	Engine string
 	Ready  time.Time
+	// For is what requests wait for until then.
+	For serving.Wait
 }
 
 // Placer has units loaded.
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -40,8 +40,8 @@
 	unreachable string
 	// pauses counts the pauses before a server was asked again.
 	pauses int
-	// waited is how long the request waited for a load.
-	waited time.Duration
+	// waits is what the request waited for, and how long.
+	waits  waits
 	server string
 	last   *verdict.Failure
 }
@@ -269,7 +269,10 @@
 // end counts and logs how the request ended.
 func (t *trip) end(failure *verdict.Failure) {
 	t.f.counts.end(failure, time.Since(t.request.Arrived))
-	log := t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{"server": t.server, "waited_ms": t.waited.Milliseconds()})
+	log := t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{
+		"server": t.server, "waited_ms": t.waits.total().Milliseconds(), "waited_for": t.waits.longest(), "promised_ms": t.waits.promised.Milliseconds(),
+		"priority": t.route.Priority, "objective_ms": t.route.Objective.Milliseconds(),
+	})
 	if !t.out.first.IsZero() {
 		log = log.WithFields(logrus.Fields{"first_ms": t.out.first.Sub(t.request.Arrived).Milliseconds(), "pause_ms": t.out.pause.Milliseconds()})
 	}
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -80,7 +80,7 @@
 		delete(e.Copies[r.victim.Model].Adapters, r.victim.Adapter)
 	}
 	c.Adapters[unit.Adapter] = &Adapter{Ready: op.Ready, Due: op.Ready, Used: now, arriving: true}
-	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op}
+	return Found{Engine: e.Server.ID, Ready: op.Ready, Start: &op, For: serving.WaitAdapter}
 }
 
 // adaptersFirst reports whether adapters are to be loaded on the engine before the
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -98,6 +98,18 @@
 	price, cost float64
 }
 
+// waitsFor says what requests wait for that get the choice after hold.
+func (c choice) waitsFor(hold time.Duration) serving.Wait {
+	switch {
+	case hold > 0 || c.inUse:
+		return serving.WaitCopies
+	case c.tier == serving.TierRemote:
+		return serving.WaitWeightStore
+	default:
+		return serving.WaitDisk
+	}
+}
+
 // bestChoice returns where a wanted model costs least to load. claimed is how long
 // engines will be busy with models that go before it. Engines without the
 // weights are looked at only if none that has them is soon free.
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // Waiting is what an instance says of its requests that wait for a model.
@@ -33,6 +35,8 @@
 	since time.Time
 	// estimate is when the model is expected to be ready.
 	estimate time.Time
+	// waitsFor is what it waits for until then.
+	waitsFor serving.Wait
 }
 
 // heardWaiting is what an instance said last, and when.
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -15,6 +15,8 @@
 	Ready time.Time
 	// Start, if set, is the operation to carry out for it.
 	Start *Operation
+	// For is what it waits for until then.
+	For serving.Wait
 }
 
 // Find returns where a unit of a service is served or will be. A model that no
@@ -46,7 +48,7 @@
 		}
 		w.estimate = ready
 	}
-	return Found{Ready: w.estimate}, true
+	return Found{Ready: w.estimate, For: w.waitsFor}, true
 }
 
 // expect returns when a wanted model is expected to be ready.
@@ -54,6 +56,7 @@
 	if c, ok := f.bestChoice(w, nil, now); ok {
 		return f.prospect(w, c, now), true
 	}
+	w.waitsFor = serving.WaitWeightStore
 	return f.remoteTurn(w, now)
 }
 
@@ -69,7 +72,9 @@
 	}
 	turn := f.diskLoad(w.model) + f.pace.idle
 	queue := turn * time.Duration(ahead) / time.Duration(max(1, len(f.engines)))
-	return c.ready.Add(f.acceptable(w, c.least, now).Sub(now) + queue)
+	hold := f.acceptable(w, c.least, now).Sub(now)
+	w.waitsFor = c.waitsFor(hold)
+	return c.ready.Add(hold + queue)
 }
 
 // remoteTurn returns when a wanted model that must come from the weight store will
@@ -187,7 +192,7 @@
 			a.Used = now
 		}
 		if !ok || ready.Before(best.Ready) {
-			best, ok = Found{Engine: e.Server.ID, Ready: ready}, true
+			best, ok = Found{Engine: e.Server.ID, Ready: ready, For: serving.WaitLoad}, true
 		}
 	}
 	return best, ok
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,8 +24,8 @@
 		f.arrivals[unit.Model] = a
 	}
 	a.Count++
-	a.Weight += weight(urgency.Priority)
-	a.Late += weight(urgency.Priority) * urgency.Late
+	a.Weight += serving.Weight(urgency.Priority)
+	a.Late += serving.Weight(urgency.Priority) * urgency.Late
 }
 
 // waiter is a request that waits for a model.
@@ -39,7 +38,7 @@
 
 // Waits implements forward.Placer.
 func (f *follower) Waits(unit serving.Unit, priority int, onTime time.Time) func() {
-	w := &waiter{weight: weight(priority), onTime: onTime}
+	w := &waiter{weight: serving.Weight(priority), onTime: onTime}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.waiting[unit.Model] == nil {
@@ -69,10 +68,6 @@
 	return waiting
 }
 
-// weight is how much a request of a priority counts for what is loaded. Routes
-// state a rank and no worth; each rank counts a third of the one before.
-func weight(priority int) float64 { return math.Pow(3, float64(1-priority)) }
-
 // Started implements forward.Placer.
 func (f *follower) Started(engine string, unit serving.Unit) func() {
 	key := placed{engine, unit}
@@ -142,19 +137,19 @@
 	waiting := f.waitingFor(w.Unit.Model, time.Now())
 	f.mu.Unlock()
 	if silence > silentAfter || record.Released {
-		return forward.Place{Ready: time.Now().Add(f.succession(record, silence))}, forward.ErrNoHolder
+		return forward.Place{Ready: time.Now().Add(f.succession(record, silence)), For: serving.WaitHolder}, forward.ErrNoHolder
 	}
 	var reply WantReply
 	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Waiting: waiting, Missing: w.Missing, Unreachable: w.Unreachable}}
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
-		return forward.Place{Ready: time.Now().Add(exchangeRetry)}, errors.Wrap(forward.ErrNoHolder, err.Error())
+		return forward.Place{Ready: time.Now().Add(exchangeRetry), For: serving.WaitHolder}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	ready := time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)
 	switch {
 	case !reply.Held:
-		return forward.Place{Ready: time.Now().Add(silentAfter)}, forward.ErrNoHolder
+		return forward.Place{Ready: time.Now().Add(silentAfter), For: serving.WaitHolder}, forward.ErrNoHolder
 	case !reply.Found:
-		return forward.Place{Ready: ready}, forward.ErrNoRoom
+		return forward.Place{Ready: ready, For: serving.WaitEngine}, forward.ErrNoRoom
 	}
-	return forward.Place{Engine: reply.Engine, Ready: ready}, nil
+	return forward.Place{Engine: reply.Engine, Ready: ready, For: reply.For}, nil
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -60,6 +60,7 @@
 	Held, Found bool
 	Engine      string
 	InMS        int64
+	For         serving.Wait
 }
 
 // ReachesArgs asks whether the instance is answered by a holder.
@@ -106,7 +107,7 @@
 		return nil
 	}
 	reply.Held, reply.Found, reply.Engine = true, ok, found.Engine
-	reply.InMS = until(found.Ready, now)
+	reply.InMS, reply.For = until(found.Ready, now), found.For
 	return nil
 }
 
--- /dev/null
+++ b/query/explain/outcomes_test.go
@@ -0,0 +1,46 @@
+package explain
+
+import (
+	"math"
+	"strings"
+	"testing"
+)
+
+const endedLog = `time="2026-04-07T22:21:01Z" level=info msg="request answered" request=r1 priority=0 objective_ms=300 first_ms=80 ms=900 waited_ms=0 status=200
+time="2026-04-07T22:21:01Z" level=info msg="request answered" request=r2 priority=0 objective_ms=300 first_ms=700 ms=900 waited_ms=600 waited_for=disk status=200
+time="2026-04-07T22:21:01Z" level=info msg="request answered" request=r3 priority=0 objective_ms=300 first_ms=700 ms=900 waited_ms=20 waited_for=adapter status=200
+time="2026-04-07T22:21:01Z" level=info msg="request answered" request=r4 priority=1 objective_ms=300 ms=40 waited_ms=0 status=500
+time="2026-04-07T22:21:01Z" level=info msg="sending once more: server i-1 has not run it: status 421" request=r5
+time="2026-04-07T22:21:02Z" level=info msg="request not answered: m takes 9s to load, longer than the 2s left" request=r5 priority=0 objective_ms=300 ms=3 waited_ms=0 waited_for=copies_in_use verdict=NotRun reason=deadline
+time="2026-04-07T22:21:02Z" level=info msg="request not answered: server i-1: context canceled" request=r6 priority=0 ms=3 verdict=MayHaveRun reason=cancelled
+time="2026-04-07T22:21:02Z" level=info msg="request not answered: the stream broke off" request=r7 priority=0 ms=3 verdict=MayHaveRun reason=broken
+time="2026-04-07T22:21:02Z" level=info msg="request refused: no route of configuration 3" request=r8 reason=no_route
+`
+
+// TestOutcomes: each request counts once, by how it ended and for what, and shares add
+// up.
+func TestOutcomes(t *testing.T) {
+	lines, err := Read(strings.NewReader(endedLog), "edge-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[string]int{}
+	share, worth := 0.0, 0.0
+	for _, g := range Outcomes(lines) {
+		got[strings.TrimSpace(string(g.Outcome)+" "+g.For)] += g.Requests
+		share += g.Share
+		worth += g.Worth
+	}
+	want := map[string]int{
+		"on_time": 1, "late disk": 1, "late engine": 1, "failed status 500": 1, "refused copies_in_use": 1, "left cancelled": 1, "failed broken": 1,
+		"refused no_route": 1,
+	}
+	for k, n := range want {
+		if got[k] != n {
+			t.Errorf("%s: %d requests, want %d", k, got[k], n)
+		}
+	}
+	if len(got) != len(want) || math.Abs(share-1) > 1e-9 || math.Abs(worth-1) > 1e-9 {
+		t.Errorf("%v, shares add up to %v and %v", got, share, worth)
+	}
+}
