Claims are compared once a dispatch

Cause: sorting and each prospect computed the claims of all wanted models anew, which grows with their square.

--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -33,6 +33,8 @@
 	waiting map[string]heardWaiting
 	// since is when the first of the requests began to wait.
 	since time.Time
+	// worth is its claim when claims were last compared.
+	worth float64
 	// estimate is when the model is expected to be ready.
 	estimate time.Time
 	// waitsFor is what it waits for until then.
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -53,6 +53,7 @@
 
 // expect returns when a wanted model is expected to be ready.
 func (f *Fleet) expect(w *want, now time.Time) (time.Time, bool) {
+	w.worth = f.claim(w, now)
 	if c, ok := f.bestChoice(w, nil, now); ok {
 		return f.prospect(w, c, now), true
 	}
@@ -64,9 +65,9 @@
 // claim exceeds what has to be evicted, and behind the models with higher claims,
 // which all engines load by turns.
 func (f *Fleet) prospect(w *want, c choice, now time.Time) time.Time {
-	claim, ahead := f.claim(w, now), 0
+	ahead := 0
 	for _, other := range f.wants {
-		if other != w && f.copiesOf(other.model, now) == 0 && f.claim(other, now) > claim {
+		if other != w && other.worth > w.worth && f.copiesOf(other.model, now) == 0 {
 			ahead++
 		}
 	}
@@ -126,7 +127,10 @@
 			wants = append(wants, w)
 		}
 	}
-	slices.SortFunc(wants, func(a, b *want) int { return compareFloat(-f.claim(a, now), -f.claim(b, now), a.model, b.model) })
+	for _, w := range wants {
+		w.worth = f.claim(w, now)
+	}
+	slices.SortFunc(wants, func(a, b *want) int { return compareFloat(-a.worth, -b.worth, a.model, b.model) })
 	return wants
 }
 
