--- a/command/holder/outage_test.go
+++ b/command/holder/outage_test.go
@@ -85,3 +85,70 @@
 		}
 	}
 }
+
+// busyEngine is one whose unloads wait for running requests.
+type busyEngine struct {
+	judged
+	unloading time.Duration
+	until     time.Time // guarded by mu
+	refused   int       // guarded by mu
+}
+
+func (b *busyEngine) Order(ctx context.Context, o serving.Order) (serving.OrderAnswer, error) {
+	b.mu.Lock()
+	busy := time.Now().Before(b.until)
+	switch {
+	case busy:
+		b.refused++
+	case o.Unload:
+		b.until = time.Now().Add(b.unloading)
+	}
+	b.mu.Unlock()
+	if busy {
+		return serving.OrderConflict, nil
+	}
+	return b.judged.Order(ctx, o)
+}
+
+func (b *busyEngine) Report(ctx context.Context, s serving.Server) (serving.Report, error) {
+	r, err := b.judged.Report(ctx, s)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r.Busy = time.Now().Before(b.until)
+	return r, err
+}
+
+// TestUnloadThatWaits: an unload that waits for requests for longer than a load takes
+// does not fail its engine; the load follows it, and few orders are refused meanwhile.
+// Found on the booking desk's scale-1: the engine was passed over after 2.4 s, and busy
+// models that it had were loaded anew from the weight store.
+func TestUnloadThatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := &busyEngine{judged: judged{fakeEngine: fakeEngine{models: map[string][]string{"m1": nil}}}, unloading: 6 * time.Second}
+		h := newTestHolder("a", standin.NewPlatform(), engine, time.Millisecond, "m1", "m2")
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		if err := h.TakeOver(ctx, lease.Record{}, 0, "test"); err != nil {
+			t.Fatal(err)
+		}
+		go h.Run(ctx)
+		time.Sleep(2 * time.Second)
+		for range 40 {
+			_, _, _ = h.Want(Request{Service: "llm", Unit: serving.Unit{Model: "m2"}, Waiting: replicas.Waiting{Instance: "i", OnTime: 1}}, time.Now())
+			time.Sleep(200 * time.Millisecond)
+			h.mu.Lock()
+			e := h.fleet.Engine("e")
+			failing := e.Unsure || time.Now().Before(e.Failing)
+			h.mu.Unlock()
+			if failing {
+				t.Fatal("the engine is passed over while its unload waits")
+			}
+		}
+		if loads := engine.loads("m2"); len(loads) == 0 || len(engine.accepted) < 2 {
+			t.Errorf("%d orders accepted, want the unload and the load", len(engine.accepted))
+		}
+		if engine.refused == 0 || engine.refused > 30 {
+			t.Errorf("%d orders refused in 6 s, want some and 30 at most", engine.refused)
+		}
+	})
+}
