An operation with a lost answer is not withdrawn as if nothing had been sent

Cause, found by reading the change once more: an operation that ends because the lease does not allow its next order was taken as not sent, though an earlier order of it may have gone out and its answer been lost; that one may be carried out seconds later. The account then offered copies that may be gone. Memory stayed safe: orders name the sequence. Change: a lost answer is noted with its sequence, and while that stands the engine is read anew. Test: TestWithdrawnWithLostAnswer, fails before.

--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -133,17 +133,20 @@
 	return answer, err
 }
 
-// noteAnswer counts an accepted order. An engine that already held what was
+// noteAnswer counts an accepted order, and notes one whose answer was lost. An engine that already held what was
 // ordered has counted nothing, but for an adapter that it unloaded at once.
 func (w *worker) noteAnswer(o serving.Order, answer serving.OrderAnswer, err error) {
 	w.h.counts.order(answer)
 	counted := answer == serving.OrderAccepted || answer == serving.OrderHolds && o.Unload && o.Unit.Adapter != ""
-	if err == nil && counted {
+	w.h.mu.Lock()
+	switch {
+	case errors.Is(err, serving.ErrOrderUnknown):
+		w.h.fleet.Unanswered(w.engine)
+	case err == nil && counted:
 		w.accepted = w.lastOrder
-		w.h.mu.Lock()
 		w.h.fleet.Ordered(w.engine)
-		w.h.mu.Unlock()
 	}
+	w.h.mu.Unlock()
 	w.h.log.WithFields(logrus.Fields{
 		"engine": w.engine, "unit": o.Unit.String(), "operation": operationName(o.Unload), "expect": o.Expect, "fence": o.Fence,
 		"answer": answer, "error": err,
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -135,7 +135,7 @@
 	case errors.Is(err, errEngine):
 		w.h.fleet.Failed(op, time.Now())
 	default:
-		w.h.fleet.Withdrawn(op) // nothing was sent: the lease, the store or a limit did not allow it
+		w.h.fleet.Withdrawn(op) // no order was sent last: the lease, the store or a limit did not allow it
 	}
 	w.h.mu.Unlock()
 	w.h.dispatch(time.Now())
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -62,6 +62,9 @@
 	Tiers    map[string]serving.Tier
 	// Unsure engines must be read anew before anything is decided on them.
 	Unsure bool
+	// unanswered: the answer to an order on the sequence unansweredOn was lost.
+	unanswered   bool
+	unansweredOn int64
 	// Busy: a model is being loaded or unloaded; Free is when that is expected
 	// to be done.
 	Busy bool
@@ -173,7 +176,7 @@
 		e.Tiers = r.Tiers
 		f.index.cached = nil
 	}
-	e.Unsure, e.Busy = false, false
+	e.Unsure, e.Busy, e.unanswered = false, false, false
 	e.generation++
 }
 
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -487,3 +487,44 @@
 		t.Errorf("%+v after the engine was read", found)
 	}
 }
+
+// TestWithdrawnWithLostAnswer: an operation that ends because its next order cannot be
+// sent leaves the engine as it was, unless an order's answer was lost on the sequence
+// that still stands: that one may be carried out yet, so the engine is read anew, and
+// what it may have got stays counted.
+func TestWithdrawnWithLostAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, c := range map[string]struct {
+		lost, passed, unsure bool
+	}{
+		"nothing lost":          {},
+		"lost":                  {lost: true, unsure: true},
+		"lost, sequence passed": {lost: true, passed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2"})
+			operations := wantNow(t, f, "m4", now)
+			if len(operations) != 1 {
+				t.Fatalf("%+v, want m4 loaded", operations)
+			}
+			e := f.Engine("a-engine")
+			before := e.memoryMB()
+			if c.lost {
+				f.Unanswered("a-engine")
+			}
+			if c.passed {
+				f.Ordered("a-engine")
+			}
+			f.Withdrawn(operations[0])
+			if e.Unsure != c.unsure {
+				t.Errorf("unsure: %v, want %v", e.Unsure, c.unsure)
+			}
+			if c.unsure && e.memoryMB() != before {
+				t.Errorf("%v MB counted, %v while the order may be carried out", e.memoryMB(), before)
+			}
+			if !c.unsure && e.Copies["m4"] != nil {
+				t.Error("a model is counted whose load was not sent")
+			}
+		})
+	}
+}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -22,6 +22,14 @@
 	}
 }
 
+// Unanswered notes that the answer to an order was lost, which named the sequence that
+// is known. It may be carried out until the engine accepts another one on that.
+func (f *Fleet) Unanswered(id string) {
+	if e := f.engines[id]; e != nil {
+		e.unanswered, e.unansweredOn = true, e.Sequence
+	}
+}
+
 // Unloaded notes that a unit is gone from an operation's engine. An adapter left
 // the account when the operation was planned: its place is the new one's, and by
 // now it may have been planned anew for another request.
@@ -92,14 +100,16 @@
 }
 
 // Withdrawn notes that an operation ended because an order could not be sent, which
-// says nothing of the engine. What it holds is known: the copies whose unload was not
-// ordered serve on.
+// says nothing of the engine. What it holds is known, and the copies whose unload was
+// not ordered serve on; but it has to be read anew if an order whose answer was lost may
+// still be carried out.
 func (f *Fleet) Withdrawn(op Operation) {
 	e := f.engines[op.Engine]
 	if !f.Current(op) {
 		return
 	}
-	if op.Load.Adapter != "" { // whether its victim is still there is not noted
+	lost := e.unanswered && e.unansweredOn == e.Sequence
+	if lost || op.Load.Adapter != "" { // of an adapter it is not noted whether its victim is still there
 		e.Unsure = true
 		e.generation++
 		return
