Reading: what the change left dead, and what stood twice

A question for a place carried a priority that nothing read any more, so that requests of two priorities asked for one model separately; whether the store's outage suspends planning stood in two places. No other change.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -197,7 +197,7 @@
 // want asks for the unit to be loaded. An empty server means: ask again then.
 func (t *trip) want(ctx context.Context) (serving.Server, time.Time, *verdict.Failure) {
 	place, err := t.f.placer.Want(ctx, Wanted{
-		Service: t.service.Name, Unit: t.request.Unit, Priority: t.route.Priority, Missing: t.missing, Unreachable: t.unreachable,
+		Service: t.service.Name, Unit: t.request.Unit, Missing: t.missing, Unreachable: t.unreachable,
 	})
 	t.missing, t.unreachable = "", ""
 	t.waits.next(place.For)
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -35,8 +35,6 @@
 type Wanted struct {
 	Service string
 	Unit    serving.Unit
-	// Priority of the request that needs it, 0 first.
-	Priority int
 	// Missing names an engine that said that it does not have the unit though
 	// it should.
 	Missing string
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -166,8 +166,7 @@
 func (h *Holder) tick(now time.Time) {
 	h.mu.Lock()
 	h.refreshServers()
-	outage := h.outageOf(now)
-	h.fleet.Suspend(outage > 0)
+	outage := h.suspendInOutage(now)
 	h.fleet.Running(h.account.running(now), now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
 	unsure := h.fleet.Unsure()
@@ -251,8 +250,7 @@
 	if r.Unreachable != "" {
 		h.fleet.Unreachable(r.Unreachable, now)
 	}
-	outage := h.outageOf(now)
-	h.fleet.Suspend(outage > 0)
+	outage := h.suspendInOutage(now)
 	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
 	var operations []replicas.Operation
 	if found.Start != nil {
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -233,13 +233,15 @@
 	return h.renew(ctx)
 }
 
-// outageOf returns for how long no order could be sent because the store does not
-// confirm the lease, zero while orders can be sent. It needs mu.
-func (h *Holder) outageOf(now time.Time) time.Duration {
-	if h.failingSince.IsZero() || h.lease.Good(now) {
-		return 0
+// suspendInOutage needs mu. It returns for how long no order could be sent because the
+// store does not confirm the lease, zero while orders can be sent, and has the fleet
+// plan nothing meanwhile.
+func (h *Holder) suspendInOutage(now time.Time) (outage time.Duration) {
+	if !h.failingSince.IsZero() && !h.lease.Good(now) {
+		outage = now.Sub(h.failingSince)
 	}
-	return now.Sub(h.failingSince)
+	h.fleet.Suspend(outage > 0)
+	return outage
 }
 
 // renew has the store confirm the record if that is due. A failure matters only
