Each draw from the budget of repeated sends is logged with its inputs

A bound over all instances was broken and no log could tell why: a line says for each draw what decided it (requests and repeats counted, instances, age of the account), and martenport_repeated_sends_total counts draws by service and outcome. One line a draw: bounded by the requests.

--- a/command/forward/budget.go
+++ b/command/forward/budget.go
@@ -19,6 +19,7 @@
 
 // Budget is one instance's share of the repeated sends to each service.
 type Budget struct {
+	began    time.Time
 	mu       sync.Mutex
 	params   BudgetParams        // guarded by mu
 	services map[string]*account // guarded by mu
@@ -31,7 +32,7 @@
 
 // NewBudget returns a budget of which nothing has been spent.
 func NewBudget(p BudgetParams) *Budget {
-	return &Budget{params: p, services: map[string]*account{}}
+	return &Budget{began: time.Now(), params: p, services: map[string]*account{}}
 }
 
 // SetParams puts other bounds in force.
@@ -63,6 +64,22 @@
 	return true
 }
 
+// Spending is what a budget's decision rests on, for the log.
+type Spending struct {
+	// Requests and Repeats are those of the window that ends now, at this instance.
+	Requests, Repeats int
+	// Age is how long the process has kept count.
+	Age time.Duration
+}
+
+// Spending returns the present account of a service.
+func (b *Budget) Spending(service string, now time.Time) Spending {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(service, now)
+	return Spending{Requests: len(a.requests), Repeats: len(a.repeats), Age: now.Sub(b.began)}
+}
+
 // account needs mu. It forgets what is older than the window.
 func (b *Budget) account(service string, now time.Time) *account {
 	a := b.services[service]
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -46,6 +46,16 @@
 	}
 }
 
+// repeat counts a repeated send that the budget allowed or denied. Services are
+// those of the configuration, so the counters are few.
+func (c *Counts) repeat(service string, allowed bool) {
+	outcome := "denied"
+	if allowed {
+		outcome = "allowed"
+	}
+	c.set.GetOrCreateCounter(`martenport_repeated_sends_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // prospect counts by how much a wait differed from what was promised.
 func (c *Counts) prospect(promised, waited time.Duration) {
 	if waited >= promised {
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -87,7 +87,7 @@
 func (t *trip) holdBack(resp *serving.Response) *verdict.Failure {
 	server, known := t.f.dir.Server(t.server)
 	others := len(t.f.dir.Servers(t.service.Name))
-	if !known || others < 2 || !t.f.budget.Take(t.service.Name, t.f.placer.Instances(), time.Now()) {
+	if !known || others < 2 || !t.draw() {
 		return t.relayBody(resp)
 	}
 	t.prepaid = true
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -117,7 +117,21 @@
 		t.prepaid = false
 		return true
 	}
-	return t.f.budget.Take(t.service.Name, t.f.placer.Instances(), time.Now())
+	return t.draw()
+}
+
+// draw takes one more send from the budget, and logs what that rested on: a bound
+// over all instances that is broken can be traced only with each one's account.
+func (t *trip) draw() bool {
+	now, instances := time.Now(), t.f.placer.Instances()
+	allowed := t.f.budget.Take(t.service.Name, instances, now)
+	t.f.counts.repeat(t.service.Name, allowed)
+	s := t.f.budget.Spending(t.service.Name, now)
+	t.f.log.WithFields(logrus.Fields{
+		"request": t.request.ID, "service": t.service.Name, "allowed": allowed, "requests": s.Requests, "repeats": s.Repeats,
+		"instances": instances, "age_ms": s.Age.Milliseconds(),
+	}).Info("repeated send drawn from the budget")
+	return allowed
 }
 
 // mayTryAgain reports whether the request may be sent once more after failure.
