The budget of repeated sends outlives restarts: an account begins empty

Cause: the bound is on the sum over all instances, and what an instance had spent was forgotten with its process, so that each restart took the part of Extra again. A wrong number of instances did the same: the first instances that a new holder hears were told 1 to 5 of 6 (log of the draws), and no number was taken for 16.

An account now begins empty and gains with requests and time up to a level, so that whatever is forgotten makes it smaller; the bound follows from that (doc comment). Each failure domain of the settings has an equal part, shared by the instances of that domain that the holder has heard of; it says nothing before it has listened for 2 s, and a number that falls is believed after 10 minutes. Without a number there is no part of Extra. A draw that waits for more than 0.5 s is drawn anew.

Tests changed, none weaker: the budget is told the number of instances instead of each Take, and no other number for the last check of TestBudget; TestStreamGoesOn and the fixture of package forward wait until there is something to spend, since a new instance has nothing.

--- a/command/forward/budget_test.go
+++ b/command/forward/budget_test.go
@@ -1,8 +1,14 @@
 package forward
 
 import (
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // fleet judges the budgets of several instances by the bound on their sum.
@@ -16,7 +22,13 @@
 // half a window before it, whichever has most.
 func (f *fleet) excess() (worst float64, from time.Time) {
 	w := f.params.Window
-	for _, start := range f.repeats {
+	slices.SortFunc(f.requests, time.Time.Compare)
+	slices.SortFunc(f.repeats, time.Time.Compare)
+	starts := slices.Clone(f.repeats)
+	for _, t := range f.repeats { // the first window that has the repeat, and the last
+		starts = append(starts, t.Add(1-w))
+	}
+	for _, start := range starts {
 		most := 0
 		for _, before := range []time.Duration{0, w / 2, w} {
 			most = max(most, within(f.requests, start.Add(-before), w))
@@ -29,14 +41,42 @@
 	return worst, from
 }
 
+// within counts the times of a window; they are in order.
 func within(times []time.Time, from time.Time, window time.Duration) int {
-	n := 0
-	for _, t := range times {
-		if !t.Before(from) && t.Before(from.Add(window)) {
-			n++
+	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(window), time.Time.Compare)
+	return end - first
+}
+
+// savedUp returns the budget of an only instance that has run for a window.
+func savedUp(p BudgetParams) *Budget {
+	b := NewBudget(p)
+	now := time.Now()
+	b.SetInstances(1, now.Add(-p.Window))
+	b.SetParams(p, now)
+	return b
+}
+
+// TestBudget: repeated sends stay within the share of an instance.
+func TestBudget(t *testing.T) {
+	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	b.SetInstances(10, now)
+	for range 100 {
+		b.Request("s", now)
+	}
+	taken := 0
+	for range 100 {
+		if b.Take("s", now) {
+			taken++
 		}
 	}
-	return n
+	if share := 0.2*100 + 50.0/10; float64(taken) > share || taken < 10 {
+		t.Errorf("%d repeats taken of a share of %.0f", taken, share)
+	}
+	if !b.Take("s", now.Add(11*time.Second)) {
+		t.Error("a window later nothing may be sent again")
+	}
 }
 
 // TestBudgetOverRestarts: clients of a service whose servers all failed saw nothing
@@ -64,13 +104,14 @@
 			restarts = restarts[1:]
 			for i := range budgets {
 				budgets[i] = NewBudget(params)
+				budgets[i].SetInstances(instances, now)
 			}
 		}
 		for _, b := range budgets {
 			b.Request("s", now)
 			f.requests = append(f.requests, now)
 			failing := s >= 18 && s < 38
-			if failing && b.Take("s", instances, now) {
+			if failing && b.Take("s", now) {
 				f.repeats = append(f.repeats, now)
 			}
 		}
@@ -82,3 +123,219 @@
 		t.Error("nothing was sent once more")
 	}
 }
+
+// machine is one of several that share the budget; its process may be replaced.
+type machine struct {
+	budget *Budget
+	domain int
+}
+
+// services is a group of machines that send to a few services, of which any may fail.
+type services struct {
+	params   BudgetParams
+	machines []*machine
+	judges   map[string]*fleet // by service
+	now      time.Time
+}
+
+// count is how many machines a failure domain has.
+func (s *services) count(domain int) int {
+	n := 0
+	for _, m := range s.machines {
+		if m.domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// add adds a machine, after the others of its domain have heard of it.
+func (s *services) add(domain int) {
+	n := s.count(domain) + 1
+	for _, m := range s.machines {
+		if m.domain == domain {
+			m.budget.SetInstances(n, s.now)
+		}
+	}
+	m := &machine{domain: domain}
+	s.machines = append(s.machines, m)
+	s.restart(m, true)
+}
+
+// restart replaces a machine's process by one that may know the number of instances.
+func (s *services) restart(m *machine, known bool) {
+	m.budget = NewBudget(s.params)
+	if known {
+		m.budget.SetInstances(s.count(m.domain), s.now)
+	}
+}
+
+// serve takes a request that was sent a while ago, and sends it up to tries times more
+// as the budget allows. These sends arrive late.
+func (s *services) serve(m *machine, service string, tries int, noted, arrives time.Duration) {
+	judge := s.judges[service]
+	if judge == nil {
+		judge = &fleet{params: s.params}
+		s.judges[service] = judge
+	}
+	judge.requests = append(judge.requests, s.now.Add(-noted))
+	m.budget.Request(service, s.now)
+	for range tries {
+		if m.budget.Take(service, s.now) {
+			judge.repeats = append(judge.repeats, s.now.Add(arrives))
+		}
+	}
+}
+
+// TestBudgetBound: whatever restarts, arrives, fails and is added, and however many
+// failure domains and services there are, the repeated sends that arrive within any
+// window keep to the bound on their sum; also when requests are noted and sends arrive
+// late, by 1.5 s of a window of 10 s together.
+func TestBudgetBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * time.Second
+		s := &services{judges: map[string]*fleet{}, now: time.Unix(1000, 0)}
+		s.params = BudgetParams{
+			Ratio: rapid.SampledFrom([]float64{0, 0.2, 0.2, 1}).Draw(t, "ratio"), Extra: rapid.SampledFrom([]float64{0, 10, 52, 200}).Draw(t, "extra"),
+			Window: window, Domains: rapid.IntRange(1, 3).Draw(t, "domains"),
+		}
+		for d := range s.params.Domains {
+			for range rapid.IntRange(1, 3).Draw(t, "machines") {
+				s.add(d)
+			}
+		}
+		s.now = s.now.Add(rapid.SampledFrom([]time.Duration{0, window, 10 * window}).Draw(t, "idle"))
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			s.step(t)
+		}
+		for name, judge := range s.judges {
+			if over, from := judge.excess(); over > rounding {
+				t.Fatalf("service %s: %.2f repeated sends beyond the bound from %s on", name, over, from.Sub(time.Unix(1000, 0)))
+			}
+		}
+	})
+}
+
+func (s *services) step(t *rapid.T) {
+	m := rapid.SampledFrom(s.machines).Draw(t, "machine")
+	switch rapid.IntRange(0, 9).Draw(t, "what") {
+	case 0:
+		s.restart(m, rapid.Bool().Draw(t, "known"))
+	case 1:
+		for _, m := range s.machines {
+			s.restart(m, true)
+		}
+	case 2:
+		s.add(m.domain)
+	case 3, 4:
+		ms := rapid.OneOf(rapid.SampledFrom([]int{1, 1500, 5000, 8500, 10000}), rapid.IntRange(1, 12000)).Draw(t, "ms")
+		s.now = s.now.Add(time.Duration(ms) * time.Millisecond)
+	default:
+		service := rapid.SampledFrom([]string{"a", "a", "b"}).Draw(t, "service")
+		tries := rapid.SampledFrom([]int{0, 1, 3, 50}).Draw(t, "tries") // 50 is all that was saved up
+		late := rapid.SampledFrom([]int{0, 700, 1500}).Draw(t, "late_ms")
+		noted := rapid.IntRange(0, late).Draw(t, "noted_ms")
+		n := rapid.IntRange(1, 30).Draw(t, "requests")
+		for _, m := range s.machines {
+			for range n {
+				s.serve(m, service, tries, time.Duration(noted)*time.Millisecond, time.Duration(late-noted)*time.Millisecond)
+			}
+		}
+	}
+}
+
+// TestBudgetSpentAtOnce: instances that have saved up all they can and then spend all
+// they have at once, again and again, keep to the bound, at rates from none to high;
+// and in the first window they get four fifths of it at least.
+func TestBudgetSpentAtOnce(t *testing.T) {
+	const (
+		perDomain = 2
+		step      = 100 * time.Millisecond
+		tries     = 100
+	)
+	for _, requests := range []int{0, 1, 5} { // in each step, at each machine
+		s := &services{judges: map[string]*fleet{}, now: time.Unix(1000, 0)}
+		s.params = BudgetParams{Ratio: 0.2, Extra: 100, Window: 10 * time.Second, Domains: 3}
+		for d := range s.params.Domains * perDomain {
+			s.add(d % s.params.Domains)
+		}
+		judge := &fleet{params: s.params}
+		s.judges["a"] = judge
+		for at := time.Duration(0); at < 5*s.params.Window; at += step {
+			failing := at >= 2*s.params.Window
+			for _, m := range s.machines {
+				for range requests {
+					s.serve(m, "a", 0, 0, 0)
+				}
+				for range tries {
+					if failing && m.budget.Take("a", s.now) {
+						judge.repeats = append(judge.repeats, s.now)
+					}
+				}
+			}
+			s.now = s.now.Add(step)
+		}
+		over, from := judge.excess()
+		if over > rounding {
+			t.Errorf("%d requests a step: %.1f repeated sends beyond the bound from %s on", requests, over, from)
+		}
+		first := within(judge.repeats, judge.repeats[0], s.params.Window)
+		if least := 0.8*s.params.Extra + 0.8*s.params.Ratio*float64(requests*len(s.machines)*100); float64(first) < least {
+			t.Errorf("%d requests a step: %d repeated sends in the first window, want %.0f at least", requests, first, least)
+		}
+	}
+}
+
+// TestDrawWaits: a send that was drawn before it was known where to is made without
+// another draw at once, but not after it has waited: draws that wait for one load would
+// all be sent in one window though they were gained in two.
+func TestDrawWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, reply{status: 200})
+		r := &trip{f: f.forwarder, service: serving.Service{Name: "plain"}, request: &serving.Request{ID: "r"}, sends: 1}
+		draws := func() int { return f.forwarder.budget.Spending("plain", time.Now()).Repeats }
+		r.prepaid = time.Now()
+		if !r.paid() || draws() != 0 {
+			t.Errorf("%d draws for a send that was drawn just now", draws())
+		}
+		if !r.paid() || draws() != 1 {
+			t.Errorf("%d draws for the send after it, want 1", draws())
+		}
+		r.prepaid = time.Now()
+		time.Sleep(prepaidFor)
+		if !r.paid() || draws() != 2 {
+			t.Errorf("%d draws in all when a drawn send has waited, want 2", draws())
+		}
+	})
+}
+
+// TestBudgetWithoutCount: an instance that does not know how many share the budget has
+// no part of Extra; it gains with its requests alone.
+func TestBudgetWithoutCount(t *testing.T) {
+	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 52, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	b.SetInstances(0, now)
+	now = now.Add(time.Minute)
+	if b.Take("s", now) {
+		t.Error("a share of Extra was spent though nobody has said how many share it")
+	}
+	for range 100 {
+		b.Request("s", now)
+	}
+	if !b.Take("s", now) {
+		t.Error("requests have gained nothing")
+	}
+}
+
+// TestBudgetOfRareService: the first request for a service finds what was saved up
+// while the instance ran.
+func TestBudgetOfRareService(t *testing.T) {
+	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 52, Window: 10 * time.Second})
+	now := time.Unix(1000, 0)
+	b.SetInstances(6, now)
+	now = now.Add(time.Minute)
+	b.Request("rare", now)
+	if !b.Take("rare", now) {
+		t.Error("a rare service has saved up nothing")
+	}
+}
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -74,8 +74,6 @@
 	// Started notes that a request for a unit runs on an engine, until the
 	// returned function is called.
 	Started(engine string, unit serving.Unit) func()
-	// Instances is how many instances there are, this one included.
-	Instances() int
 }
 
 // Params are what the forwarder goes by beside routes.
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -85,7 +85,6 @@
 	return func() { f.waiting-- }
 }
 func (f *fakePlacer) Started(string, serving.Unit) func() { return func() {} }
-func (f *fakePlacer) Instances() int                      { return 1 }
 
 type fixture struct {
 	servers   *fakeServers
@@ -125,7 +124,7 @@
 	log.SetOutput(io.Discard)
 	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir}
 	f.forwarder = New(DefaultParams("d"), dir, f.servers, f.placer, balance.New(balance.DefaultParams()),
-		NewBudget(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), NewCounts(metrics.NewSet()), log)
+		savedUp(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), NewCounts(metrics.NewSet()), log)
 	return f
 }
 
@@ -350,7 +349,7 @@
 // of repeated sends is spent, and the client is told that it has not run.
 func TestBudgetSpent(t *testing.T) {
 	f := newFixture(t, reply{status: 503, notRun: true}, reply{status: 200, body: "done"})
-	f.forwarder.budget.SetParams(BudgetParams{Window: time.Minute})
+	f.forwarder.budget.SetParams(BudgetParams{Window: time.Minute}, time.Now())
 	_, failure := f.serve("safe", "", 0)
 	if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter == 0 || len(f.servers.attempts) != 1 {
 		t.Errorf("%+v after %d sends, want a refusal after one", failure, len(f.servers.attempts))
@@ -379,24 +378,3 @@
 		t.Errorf("%v, want a refusal with a time to come back", failure)
 	}
 }
-
-// TestBudget: repeated sends stay within the share of an instance.
-func TestBudget(t *testing.T) {
-	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 50, Window: 10 * time.Second})
-	now := time.Unix(1000, 0)
-	for range 100 {
-		b.Request("s", now)
-	}
-	taken := 0
-	for range 100 {
-		if b.Take("s", 10, now) {
-			taken++
-		}
-	}
-	if share := 0.2*100 + 50.0/10; float64(taken) > share || taken < 10 {
-		t.Errorf("%d repeats taken of a share of %.0f", taken, share)
-	}
-	if !b.Take("s", 1, now.Add(11*time.Second)) {
-		t.Error("a window later nothing may be sent again")
-	}
-}
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -90,7 +90,7 @@
 	if !known || others < 2 || !t.draw() {
 		return t.relayBody(resp)
 	}
-	t.prepaid = true
+	t.prepaid = time.Now()
 	return verdict.New(verdict.Ran, verdict.ReasonBackend, "server %s answered with status %d", server.ID, resp.Status)
 }
 
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -30,8 +30,8 @@
 	sends, runs int
 	// mayHaveRun: a send may have run, so that "not run" may not be said.
 	mayHaveRun bool
-	// prepaid: the budget for the next send has been taken already.
-	prepaid bool
+	// prepaid is when the next send was drawn from the budget, zero if it was not.
+	prepaid time.Time
 	// excluded are servers that are not asked again.
 	excluded map[string]bool
 	// missing is the last engine that did not have the unit.
@@ -113,23 +113,26 @@
 
 // paid draws the next send from the budget of repeated ones, if it is one.
 func (t *trip) paid() bool {
-	if t.sends == 0 || t.prepaid {
-		t.prepaid = false
-		return true
-	}
-	return t.draw()
+	prepaid := time.Since(t.prepaid) < prepaidFor
+	t.prepaid = time.Time{}
+	return t.sends == 0 || prepaid || t.draw()
 }
 
+// prepaidFor is how long the next send may be put off after it was drawn. Draws that
+// wait for a model to be loaded, which takes seconds, would be sent in one window
+// though they were gained in two.
+const prepaidFor = 500 * time.Millisecond
+
 // draw takes one more send from the budget, and logs what that rested on: a bound
 // over all instances that is broken can be traced only with each one's account.
 func (t *trip) draw() bool {
-	now, instances := time.Now(), t.f.placer.Instances()
-	allowed := t.f.budget.Take(t.service.Name, instances, now)
+	now := time.Now()
+	allowed := t.f.budget.Take(t.service.Name, now)
 	t.f.counts.repeat(t.service.Name, allowed)
 	s := t.f.budget.Spending(t.service.Name, now)
 	t.f.log.WithFields(logrus.Fields{
 		"request": t.request.ID, "service": t.service.Name, "allowed": allowed, "requests": s.Requests, "repeats": s.Repeats,
-		"instances": instances, "age_ms": s.Age.Milliseconds(),
+		"left": s.Level, "instances": s.Instances, "age_ms": s.Age.Milliseconds(),
 	}).Info("repeated send drawn from the budget")
 	return allowed
 }
--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -26,6 +26,7 @@
 // account is what instances have said of their requests.
 type account struct {
 	instances map[string]instance
+	peers     peers
 	// busiest is what all run on the busiest engines, as of added.
 	busiest map[string]int
 	added   time.Time
@@ -36,7 +37,9 @@
 	running []Running
 }
 
-func newAccount() account { return account{instances: map[string]instance{}} }
+func newAccount() account {
+	return account{instances: map[string]instance{}, peers: peers{known: map[string]peer{}}}
+}
 
 // instanceLifetime is how long an instance's word is counted: several times the
 // interval at which instances report.
@@ -102,6 +105,9 @@
 // Report is what an instance says of itself.
 type Report struct {
 	Name string
+	// Domain is the failure domain that the instance shares a part of the budget of
+	// repeated sends with.
+	Domain string
 	// Reaches names the episode of the holder's failing (News.Failing) during
 	// which the store has answered this instance, 0 if there is none.
 	Reaches  uint64
@@ -121,6 +127,9 @@
 type News struct {
 	Fence     int64
 	Instances int
+	// Peers is how many instances there are, or lately were, in the failure domain of
+	// the one that reports; 0 while the holder has not listened for long enough.
+	Peers int
 	// Views are those that have changed since SeenViews; Seen is what to
 	// report next time.
 	Views []directory.EngineView
@@ -148,6 +157,7 @@
 		return News{}, ErrNotHolder
 	}
 	h.account.instances[r.Name] = instance{heard: now, running: r.Running}
+	h.account.peers.heard(r.Name, r.Domain, now)
 	for _, a := range r.Arrivals {
 		h.fleet.Arrived(a.Model, a.Arrivals, now)
 	}
@@ -163,6 +173,7 @@
 	news := News{
 		Fence: record.Fence, Failing: failing, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers, r.Revision),
 	}
+	news.Peers = h.account.peers.count(r.Domain, now)
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config := h.dir.Config(); config != nil {
 		news.ConfigVersion = config.Version
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,12 +55,14 @@
 	forwarder *forward.Forwarder
 	counts    *forward.Counts
 	budget    *forward.Budget
-	guard     *guard
-	watcher   *watcher
-	service   *service
-	handler   http.Handler
-	options   Options
-	declared  *declared
+	// domains is how many parts the budget had when the instance started.
+	domains  int
+	guard    *guard
+	watcher  *watcher
+	service  *service
+	handler  http.Handler
+	options  Options
+	declared *declared
 
 	draining atomic.Bool
 	// left is closed when an operator has the instance leave.
@@ -93,7 +95,9 @@
 	}
 	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
 	i.follower.own = i.service
-	i.budget = forward.NewBudget(budgetParams(&s))
+	i.domains = s.SharingDomains()
+	i.budget = forward.NewBudget(i.budgetParams(&s))
+	i.follower.budget, i.follower.domain = i.budget, s.SharingDomain()
 	i.counts = forward.NewCounts(i.set)
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, i.counts, log)
 	i.guard = newGuard(i.limits)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -108,10 +108,12 @@
 // TestStreamGoesOn: a stream that breaks off goes on at the other engine.
 func TestStreamGoesOn(t *testing.T) {
 	f := newFleet(t, 1)
+	r := f.instances[0]
+	f.await("a repeated send for each server to spend", func() bool { return r.budget.Spending("llm", time.Now()).Level >= float64(len(f.servers)) })
 	for _, s := range f.servers {
 		s.CutStreams(1)
 	}
-	if a := f.ask(f.instances[0], "stream", "m1"); a.err != nil || a.body != wholeStream("m1") {
+	if a := f.ask(r, "stream", "m1"); a.err != nil || a.body != wholeStream("m1") {
 		t.Errorf("%+v", a)
 	}
 }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -72,8 +72,9 @@
 	running  map[placed]int              // guarded by mu
 	// waiting are the requests that wait for a model; guarded by mu.
 	waiting   map[string]map[*waiter]struct{}
-	instances int  // guarded by mu
-	silent    bool // guarded by mu
+	instances int   // guarded by mu
+	peers     peers // guarded by mu
+	silent    bool  // guarded by mu
 	// gaveUp is the released record of a holder that could not write it; guarded
 	// by mu.
 	gaveUp lease.Record
@@ -99,6 +100,10 @@
 
 	// watcher is set before run.
 	watcher *watcher
+	// budget is told how many instances of domain share a part of it; both are set
+	// before run. Lock order: mu before the budget's.
+	budget *forward.Budget
+	domain string
 	// own answers this instance's calls of itself.
 	own *service
 }
@@ -122,8 +127,8 @@
 	}
 }
 
-// unknownInstances is taken while no holder has said how many there are, so
-// that shares are small.
+// unknownInstances is taken while no holder has said how many there are: reports of
+// so many do not keep a holder busy.
 const unknownInstances = 16
 
 // holderName returns the name of the lease's holder, as last read.
@@ -199,7 +204,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := holder.Report{
-		Name: f.name, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
+		Name: f.name, Domain: f.domain, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
 	}
 	if now := time.Now(); f.differs && now.Sub(f.asked) >= compareWait(f.questions) {
 		f.asked = now
@@ -249,6 +254,7 @@
 		f.failing, f.failingHeard = news.Failing, now
 	}
 	f.answered, f.misses, f.instances = now, 0, max(1, news.Instances)
+	f.budget.SetInstances(f.peers.heard(news.Peers, now), now)
 	f.seen = seen{fence: news.Fence, views: news.Seen, servers: news.Servers.Change}
 	f.differs = relayed && news.Servers.Digest != f.dir.Digest()
 	if relayed && !f.differs {
@@ -266,7 +272,7 @@
 // interval is how often the instance reports: less often in a large fleet, so
 // that the holder's work does not grow with it without bound.
 func (f *follower) interval() time.Duration {
-	return min(maxExchangeInterval, max(exchangeInterval, time.Duration(f.Instances())*exchangeShare))
+	return min(maxExchangeInterval, max(exchangeInterval, time.Duration(f.knownInstances())*exchangeShare))
 }
 
 // noAnswer notes that the holder did not answer, or is not the holder any more.
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/directory"
@@ -16,6 +17,7 @@
 // at once when they differ anew.
 func TestLastingDifferenceIsAskedForLessOften(t *testing.T) {
 	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.budget = forward.NewBudget(forward.BudgetParams{})
 	f.watcher = &watcher{dir: f.dir, news: make(chan struct{}, 1)}
 	answered := func(digest uint64) {
 		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Fence: 1, Servers: directory.Delta{Digest: digest}}}, time.Now())
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,26 @@
+package entry
+
+import "time"
+
+// peersMemory is how long a higher count of instances is kept after it was last
+// heard. One that falls may mean that a new holder does not hear from all: those cut
+// off from it go on spending their shares of the budget of repeated sends, and the
+// others must not take these.
+const peersMemory = 10 * time.Minute
+
+// peers is the highest count that holders have told within peersMemory, at least. It
+// keeps the highest of the period that runs and of the one before.
+type peers struct {
+	began         time.Time
+	current, last int
+}
+
+// heard notes a holder's count, 0 if it has none yet, and returns the highest.
+func (p *peers) heard(n int, now time.Time) int {
+	if now.Sub(p.began) >= peersMemory {
+		p.last, p.current = p.current, 0
+		p.began = now
+	}
+	p.current = max(p.current, n)
+	return max(p.last, p.current)
+}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// Instances implements forward.Placer.
-func (f *follower) Instances() int {
+// knownInstances is how many instances the holder hears from, this one included.
+func (f *follower) knownInstances() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.instances
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -53,7 +53,7 @@
 		return
 	}
 	i.settings.Store(&s)
-	i.budget.SetParams(budgetParams(&s))
+	i.budget.SetParams(i.budgetParams(&s), time.Now())
 	i.log.WithFields(logrus.Fields{"cause": cause, "restart_needed": fixed(s) != fixed(*old)}).Info("settings reloaded")
 }
 
@@ -64,6 +64,10 @@
 	return fixedSettings{s.NodeName, s.IP, s.Zone, s.Listen.Frontend, s.Listen.Ready, s.Platform.Address, s.PeerAddress()}
 }
 
-func budgetParams(s *platform.Settings) forward.BudgetParams {
-	return forward.BudgetParams{Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow()}
+// budgetParams returns the bounds of repeated sends. The instance reports the failure
+// domain of its start: fewer domains than then would give each a part that is too large.
+func (i *Instance) budgetParams(s *platform.Settings) forward.BudgetParams {
+	return forward.BudgetParams{
+		Ratio: s.Bounds.BudgetRatio, Extra: s.Bounds.BudgetExtra, Window: s.BudgetWindow(), Domains: max(i.domains, s.SharingDomains()),
+	}
 }
