Loads from the weight store keep to its rate over all holders

Cause: the holder's count of loads begins empty with its account, so holders that follow each other within the window each took the whole rate. A load now also takes one from a credit that grows by the rate, up to what the weight store bears beyond it (three loads and the overage of the settings), and that a new account begins without: losing it is on the safe side. Loads that are planned and not begun keep their part, since they may begin together.

Before: 9 loads within 5 s where 5.75 are promised (0.5 a second, the holder killed each 2.5 s). Without the credit, without the part of loads that have not begun, or without bringing it up to date when one begins, a test fails.

Ruled out: to begin an account with the window full, since then no load would begin for 5 s after each take-over; to count evenly spread loads before, since those of the last holder may all have begun at its end (twice the rate).

The tests' fleets are not new accounts, and TestWeightStoreRate notes that its loads have begun; their assertions are as they were.

--- a/command/replicas/ceiling_test.go
+++ b/command/replicas/ceiling_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -55,6 +57,7 @@
 // order is gone with it.
 func (s *weightStoreFleet) takeOver() {
 	s.fleet = NewFleet(DefaultParams())
+	s.fleet.params.RemoteOverage = ceilingOverage
 	s.pending = map[string]pendingLoad{}
 	var servers []serving.Server
 	for _, id := range s.engines {
@@ -161,3 +164,54 @@
 	}
 	return ages
 }
+
+// TestWeightStoreRateOfLateLoads: loads that were planned one after another and begin
+// together, since their engines had to unload first, leave no room for as many that are
+// planned then; also if nothing was asked for until they began.
+func TestWeightStoreRateOfLateLoads(t *testing.T) {
+	for name, quiet := range map[string]time.Duration{"asked for all the while": 0, "asked for again when they begin": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			s := newWeightStoreFleet(12, 0.5, 200*time.Millisecond)
+			window := DefaultParams().RemoteWindow
+			start := time.Unix(1000, 0)
+			together := start.Add(16 * time.Second)
+			s.takeOver()
+			for i := range 200 {
+				now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+				if ahead := together.Sub(now); ahead <= 0 || ahead > quiet {
+					s.tick(now, max(0, ahead))
+				}
+			}
+			if got := s.most(window); float64(got) > s.allowed(window) {
+				t.Errorf("%d loads began within %v, %.2f are promised; begun at %v", got, window, s.allowed(window), s.since(start))
+			}
+			if last := s.since(start)[len(s.begun)-1]; last < 30*time.Second {
+				t.Errorf("the last load began after %v, though the weight store was free", last)
+			}
+		})
+	}
+}
+
+// TestWeightStoreRateProperty: so it is with any rate, any times of loads, holders that
+// follow each other at any time, and loads that begin late since their engine unloads
+// first.
+func TestWeightStoreRateProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.1, 2).Draw(t, "rate")
+		load := time.Duration(rapid.IntRange(200, 8000).Draw(t, "load_ms")) * time.Millisecond
+		s := newWeightStoreFleet(12, rate, load)
+		window := DefaultParams().RemoteWindow
+		now := time.Unix(1000, 0)
+		s.takeOver()
+		for range 60 {
+			if rapid.IntRange(0, 9).Draw(t, "killed") == 9 {
+				s.takeOver()
+			}
+			s.tick(now, time.Duration(rapid.IntRange(0, 20).Draw(t, "delay"))*200*time.Millisecond)
+			now = now.Add(200 * time.Millisecond)
+		}
+		if got := s.most(window); float64(got) > s.allowed(window) {
+			t.Fatalf("%d loads began within %v, %.2f are promised", got, window, s.allowed(window))
+		}
+	})
+}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -72,8 +72,9 @@
 	// NotBefore is when the first order may be sent: another holder may have
 	// ordered the engine of late.
 	NotBefore time.Time
-	// remote: what is being loaded comes from the weight store.
-	remote bool
+	// remote: what is being loaded comes from the weight store; begun: the engine has
+	// accepted that load.
+	remote, begun bool
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
@@ -101,8 +102,8 @@
 	// decayed is when rates last fell, counted when running requests were counted.
 	// extrasAt is when further copies were last looked at.
 	decayed, counted, extrasAt time.Time
-	// remoteLoads are the recent starts of loads from the weight store.
-	remoteLoads []time.Time
+	// remote bounds loads from the weight store.
+	remote ceiling
 	// wanted is what all that is wanted was worth when last added up.
 	wanted float64
 	pace   pace
--- a/command/replicas/pace.go
+++ b/command/replicas/pace.go
@@ -52,5 +52,6 @@
 	if !began.IsZero() {
 		f.pace.note(now.Sub(began), refused, op.InUse)
 	}
+	f.remoteBegan(op, now)
 	f.Expect(op, now.Add(op.Duration))
 }
--- a/command/replicas/params.go
+++ b/command/replicas/params.go
@@ -34,6 +34,10 @@
 	// other down.
 	RemoteWindow time.Duration
 	RemoteAtOnce int
+	// RemoteOverage times what the weight store's rate gives in a window, and
+	// RemoteExtra more loads, may begin within one at the most, whoever holds the lease
+	// meanwhile.
+	RemoteOverage, RemoteExtra float64
 	// EngineTimeCost is the least that a second costs in which an engine can load nothing
 	// else, in seconds of waiting, so that models that are asked for alike are not
 	// exchanged ahead of requests.
@@ -56,6 +60,6 @@
 		RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 60 * time.Millisecond,
 		AdapterTime: 80 * time.Millisecond, KeepFor: time.Second,
 		CopyShare: 0.5, SpareRate: 1.5, EngineTimeCost: 0.5,
-		RemoteWindow: 5 * time.Second, RemoteAtOnce: 4,
+		RemoteWindow: 5 * time.Second, RemoteAtOnce: 4, RemoteOverage: 1, RemoteExtra: 3,
 	}
 }
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -1,7 +1,6 @@
 package replicas
 
 import (
-	"slices"
 	"time"
 
 	"github.com/martenport/martenport/serving"
@@ -149,10 +148,10 @@
 		op.Unload = append(op.Unload, serving.Unit{Model: name})
 	}
 	if op.Remote {
-		f.remoteLoads = append(f.remoteLoads, now)
+		f.remote.plan(now)
 	}
 	e.Copies[model] = &Copy{State: Arriving, Ready: c.ready, Adapters: map[string]*Adapter{}}
-	e.Busy, e.Free, e.remote = true, c.ready, op.Remote
+	e.Busy, e.Free, e.remote, e.begun = true, c.ready, op.Remote, false
 	f.copiesChanged()
 	f.cached(e, model)
 	return op
@@ -172,18 +171,6 @@
 	}
 }
 
-// remoteAllowed reports whether one more load from the weight store may begin.
-func (f *Fleet) remoteAllowed(spec *serving.EngineSpec, now time.Time) bool {
-	running := 0
-	for _, e := range f.engines {
-		if e.Busy && e.remote {
-			running++
-		}
-	}
-	f.remoteLoads = slices.DeleteFunc(f.remoteLoads, func(t time.Time) bool { return now.Sub(t) > f.params.RemoteWindow })
-	return running < f.params.RemoteAtOnce && float64(len(f.remoteLoads)) < spec.RemoteLoadsPerSecond*f.params.RemoteWindow.Seconds()
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -312,7 +312,10 @@
 	begin := func(at time.Time) (started int) {
 		for name := range spec.Models {
 			f.Find("llm", serving.Unit{Model: name}, waits(1), at)
-			started += len(f.Dispatch(at))
+			for _, op := range f.Dispatch(at) {
+				f.Began(op, time.Time{}, 0, at)
+				started++
+			}
 		}
 		return started
 	}
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -149,6 +149,7 @@
 	claimed := map[string]time.Duration{}
 	f.decay(now)
 	f.forgetWaiting(now)
+	f.remote.begin(now)
 	f.setWanted(now)
 	wants := f.byClaim(now)
 	free := len(f.free(now))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -80,6 +80,7 @@
 	if window := s.CeilingWindow(); window > 0 {
 		holding.Fleet.RemoteWindow = window
 	}
+	holding.Fleet.RemoteOverage = max(holding.Fleet.RemoteOverage, s.Bounds.CeilingOverage)
 	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
