--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +13,6 @@
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
-	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
 )
 
@@ -140,16 +138,8 @@
 	revision := int64(-1)
 	retry := watchRetry
 	for ctx.Err() == nil {
-		if prefix != platform.KeyConfig && w.lost() {
+		if w.rests(ctx, prefix) {
 			revision = -1
-			pause.For(ctx, relayCheck) // the other watch tries for both
-			continue
-		}
-		relies := !w.holds() && w.relies(time.Now())
-		w.noteSource(prefix, relies)
-		if relies && (prefix != platform.KeyConfig || !w.lacksConfig()) {
-			revision = -1
-			w.idle(ctx, prefix)
 			continue
 		}
 		started := time.Now()
@@ -173,6 +163,22 @@
 	}
 }
 
+// rests lets some time pass if the store need not be asked now, and reports whether it
+// did: another watch tries whether the store is back, or the holder's word is recent.
+func (w *watcher) rests(ctx context.Context, prefix string) bool {
+	if prefix != platform.KeyConfig && w.lost() {
+		pause.For(ctx, relayCheck)
+		return true
+	}
+	relies := !w.holds() && w.relies(time.Now())
+	w.noteSource(prefix, relies)
+	if !relies || prefix == platform.KeyConfig && w.lacksConfig() {
+		return false
+	}
+	w.idle(ctx, prefix)
+	return true
+}
+
 // gather is the pause that gathers changes: the holder's is shorter, since all
 // others hear from it.
 func (w *watcher) gather(own time.Duration) time.Duration {
@@ -266,102 +272,3 @@
 	defer w.mu.Unlock()
 	return w.answered.After(t)
 }
-
-func (w *watcher) applyConfig(snap store.Snapshot, _ bool) {
-	for _, obj := range snap.Objects {
-		if obj.Deleted {
-			continue // a configuration in force never reverts
-		}
-		config, err := platform.DecodeConfig(obj.Value)
-		if err != nil {
-			w.log.WithFields(logrus.Fields{"revision": obj.Version, "error": err}).Error("configuration cannot be read, the one in force stays")
-			continue
-		}
-		if w.dir.ApplyConfig(config) {
-			w.log.WithFields(logrus.Fields{"config": config.Version, "revision": obj.Version, "routes": len(config.Routes)}).Info("configuration in force")
-		}
-	}
-}
-
-func (w *watcher) applyServers(snap store.Snapshot, full bool) {
-	var listed []string
-	for _, obj := range snap.Objects {
-		server, err := platform.DecodeServer(obj)
-		listed = append(listed, server.ID)
-		if obj.Deleted {
-			w.missing(server.ID, obj.Version)
-			continue
-		}
-		if err != nil {
-			w.log.WithFields(logrus.Fields{"revision": obj.Version, "error": err}).Error("entry of a server cannot be read")
-			continue
-		}
-		w.apply(server)
-	}
-	w.dir.Listed(snap.Revision, time.Now())
-	if !full {
-		return
-	}
-	for _, id := range w.dir.IDs() {
-		if !slices.Contains(listed, id) {
-			w.missing(id, snap.Revision)
-		}
-	}
-}
-
-func (w *watcher) apply(server serving.Server) {
-	w.mu.Lock()
-	delete(w.lapsed, server.ID)
-	w.mu.Unlock()
-	_, known := w.dir.Server(server.ID)
-	leaves := w.dir.ApplyServer(server, time.Now())
-	if leaves || !known {
-		w.log.WithFields(logrus.Fields{
-			"server": server.ID, "service": server.Service, "address": server.Address, "domain": server.FailureDomain,
-			"draining": server.Draining, "remaining_ms": server.Remaining.Milliseconds(), "revision": server.Revision,
-		}).Info("server known")
-	}
-}
-
-// missing removes a server whose entry is gone, or waits while it may be back.
-func (w *watcher) missing(id string, revision int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.down || time.Since(w.returned) < directory.LapseGrace {
-		w.lapsed[id] = max(revision, w.lapsed[id])
-		return
-	}
-	w.remove(id, revision)
-}
-
-// remove needs mu.
-func (w *watcher) remove(id string, revision int64) {
-	delete(w.lapsed, id)
-	if w.dir.RemoveServer(id, revision, time.Now()) {
-		w.forget(id, revision)
-	}
-}
-
-// forget drops what was kept for a server that is gone.
-func (w *watcher) forget(id string, revision int64) {
-	w.backends.Forget(id)
-	w.balancer.Forget(id)
-	w.log.WithFields(logrus.Fields{"server": id, "revision": revision}).Info("server gone")
-}
-
-// sweepInterval is how often lapsed entries are looked at.
-const sweepInterval = 200 * time.Millisecond
-
-// sweep removes what has not come back in its grace, and old memories.
-func (w *watcher) sweep(ctx context.Context) {
-	for pause.For(ctx, sweepInterval) {
-		w.mu.Lock()
-		if !w.down && time.Since(w.returned) >= directory.LapseGrace {
-			for id, revision := range w.lapsed {
-				w.remove(id, revision)
-			}
-		}
-		w.mu.Unlock()
-		w.dir.Sweep(time.Now())
-	}
-}
