--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -163,23 +163,9 @@
 	if !w.awaitStart(op) {
 		return w.ctx.Err()
 	}
-	var unloaded time.Time
-	for _, unit := range op.Unload {
-		if !w.awaitUnloaded(unloaded) {
-			return w.ctx.Err()
-		}
-		if _, err := w.order(op, unit, true, anySequence); err != nil {
-			return err
-		}
-		if unit.Adapter == "" {
-			unloaded = time.Now()
-		}
-		w.h.mu.Lock()
-		w.h.fleet.Unloaded(op, unit)
-		w.h.mu.Unlock()
-	}
-	if op.Load.Model == "" {
-		return nil // it only unloads
+	unloaded, err := w.unload(op)
+	if err != nil || op.Load.Model == "" {
+		return err
 	}
 	if !w.awaitUnloaded(unloaded) {
 		return w.ctx.Err()
@@ -201,6 +187,26 @@
 	return nil
 }
 
+// unload orders what has to go to be unloaded, and returns when the last unload of a
+// model was accepted, zero if there was none.
+func (w *worker) unload(op replicas.Operation) (accepted time.Time, err error) {
+	for _, unit := range op.Unload {
+		if !w.awaitUnloaded(accepted) {
+			return accepted, w.ctx.Err()
+		}
+		if _, err := w.order(op, unit, true, anySequence); err != nil {
+			return accepted, err
+		}
+		if unit.Adapter == "" {
+			accepted = time.Now()
+		}
+		w.h.mu.Lock()
+		w.h.fleet.Unloaded(op, unit)
+		w.h.mu.Unlock()
+	}
+	return accepted, nil
+}
+
 // awaitUnloaded waits until an unload that was accepted at a time is expected to be
 // done, since the engine refuses orders until then.
 func (w *worker) awaitUnloaded(accepted time.Time) bool {
