--- a/entry/lapse_test.go
+++ b/entry/lapse_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/martenport/martenport/platform"
 )
 
 // TestReplicaLimitAfterLapse: an instance that starts while the entry of an engine is
@@ -47,3 +49,21 @@
 	}
 	f.checkPromises()
 }
+
+// TestUnreadStoreIsOld: an instance that becomes the holder before the store has told it
+// of servers and of a configuration is not taken at its word by others.
+func TestUnreadStoreIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := &watcher{contact: map[string]time.Time{}}
+	if age := w.age(now); age < relayedAge {
+		t.Errorf("nothing is %v old, taken below %v", age, relayedAge)
+	}
+	w.contact[platform.PrefixServers] = now
+	if age := w.age(now); age < relayedAge {
+		t.Errorf("an unread configuration is %v old", age)
+	}
+	w.contact[platform.KeyConfig] = now.Add(-time.Second)
+	if age := w.age(now); age != time.Second {
+		t.Errorf("%v old, want the older of both", age)
+	}
+}
