Log and count every end of a client's connection without a whole answer

Now each has one line and a counter, martenport_client_connection_ends_total: answers given up and panics with the request's id, the connection's age in its phase, the first error of reading and of writing and the state of the request's context; connections that end while a request arrives, before a handler has it, or before its answer was sent; the guard's closings with the count, the limits in force, the oldest and the youngest age, one line a look; the end of the grace with the connections left in each phase. No logic changes: the clients' server and the guard move behind one seam (entry/clients.go), connections are wrapped to note errors and whether bytes of a request have come. The wrapper passes CloseWrite on, by which net/http lets an answer arrive before it closes.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -55,10 +55,9 @@
 	forwarder *forward.Forwarder
 	counts    *forward.Counts
 	budget    *forward.Budget
-	guard     *guard
+	clients   *clients
 	watcher   *watcher
 	service   *service
-	handler   http.Handler
 	options   Options
 	declared  *declared
 
@@ -96,8 +95,7 @@
 	i.budget = forward.NewBudget(budgetParams(&s))
 	i.counts = forward.NewCounts(i.set)
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, i.counts, log)
-	i.guard = newGuard(i.limits)
-	i.handler = i.guard.wrap(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)))
+	i.clients = newClients(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
 	return i
 }
@@ -134,9 +132,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// maxHeaderBytes is net/http's own bound; the configured one is below it.
-const maxHeaderBytes = 64 << 10
-
 // Run serves until ctx ends, then drains and returns.
 func (i *Instance) Run(ctx context.Context) error {
 	listeners, err := i.listen()
@@ -150,11 +145,10 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.guard.run, i.members.register, i.reload} {
+	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.clients.guard.run, i.members.register, i.reload} {
 		work.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
-	clients := &http.Server{Handler: i.handler, MaxHeaderBytes: maxHeaderBytes, ConnState: i.guard.connState, ConnContext: i.guard.connContext, ErrorLog: nil}
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
 	own := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
 	failed := make(chan error, 4)
@@ -163,7 +157,7 @@
 		operators.Handler = i.operatorHandler()
 		go func() { failed <- operators.Serve(listeners.operators) }()
 	}
-	go func() { failed <- clients.Serve(listeners.clients) }()
+	go func() { failed <- i.clients.serve(listeners.clients) }()
 	go func() { failed <- ready.Serve(listeners.ready) }()
 	go func() { failed <- own.Serve(listeners.metrics) }()
 	select {
@@ -171,7 +165,7 @@
 	case <-i.left:
 	case err = <-failed:
 	}
-	i.drain(clients)
+	i.drain()
 	stop()
 	_ = operators.Close()
 	_ = ready.Close()
@@ -226,12 +220,11 @@
 	// connections after the instance has become unready: two checks a second
 	// apart, and one on its way.
 	balancerNotice = 2500 * time.Millisecond
-	drainCheck     = 50 * time.Millisecond
 	storeNotice    = time.Second
 )
 
 // drain makes the instance unready, gives up the lease, and lets requests end.
-func (i *Instance) drain(clients *http.Server) {
+func (i *Instance) drain() {
 	started := time.Now()
 	i.draining.Store(true)
 	grace := i.settings.Load().Grace()
@@ -244,15 +237,7 @@
 	cancel()
 	time.Sleep(time.Until(started.Add(balancerNotice)))
 	i.forwarder.Leave()
-	for time.Now().Before(limit) && !i.guard.idle() {
-		time.Sleep(drainCheck)
-	}
-	ctx, cancel = context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	if err := clients.Shutdown(ctx); err != nil {
-		i.log.WithField("error", err).Warn("requests cut off at the end of the grace")
-		_ = clients.Close()
-	}
+	i.clients.drain(limit)
 }
 
 func (i *Instance) addGauges() {
