The test of lost requests: one case had its own timing wrong

The case of a request that arrives in parts let the answer to a first connection pass before it wrote on a second, whose limit on headers was over by then. Each connection has its part now after the other, as strict: first bytes within the idle limit, headers within theirs. The handler behaves as the ingress does: it sets and resets a read deadline and gives up when the request's context ends.

--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -60,22 +60,24 @@
 func testArriving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestClients(t, serving.Limits{IdleTimeout: time.Second, HeaderTimeout: time.Second})
-		kept, fresh := s.connect(), s.connect()
+		kept := s.connect()
 		kept.ask()
-		for _, c := range []*testConn{kept, fresh} {
-			time.Sleep(time.Second/2 - 20*time.Millisecond)
-			c.write(testRequest[:10])
-		}
-		time.Sleep(3 * time.Second / 4)
-		for _, c := range []*testConn{kept, fresh} {
-			c.write(testRequest[10:])
-			if !c.readAnswer() {
-				t.Error("a request whose first bytes came within the idle limit, and its headers within theirs, got no answer")
-			}
-		}
+		kept.sendInParts(960*time.Millisecond, 400*time.Millisecond)
+		s.connect().sendInParts(960*time.Millisecond, 400*time.Millisecond)
 	})
 }
 
+// sendInParts sends the first bytes of a request after rest, and the others pause later.
+func (c *testConn) sendInParts(rest, pause time.Duration) {
+	time.Sleep(rest)
+	c.write(testRequest[:10])
+	time.Sleep(pause)
+	c.write(testRequest[10:])
+	if !c.readAnswer() {
+		c.t.Errorf("a request that began after %s of rest and took %s got no answer", rest, pause)
+	}
+}
+
 // testSlowHeaders: the limit on headers counts from their first byte, also where
 // the idle limit is far away.
 func testSlowHeaders(t *testing.T) {
@@ -172,10 +174,7 @@
 	s.limits.Store(&limits)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s.clients = newClients(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		time.Sleep(testServeTime)
-		fmt.Fprint(w, "whole")
-	}), func() serving.Limits { return *s.limits.Load() }, metrics.NewSet(), log)
+	s.clients = newClients(http.HandlerFunc(serveSlowly), func() serving.Limits { return *s.limits.Load() }, metrics.NewSet(), log)
 	listener := &pipeListener{accepted: s.accepted, closed: make(chan struct{})}
 	ctx, stop := context.WithCancel(t.Context())
 	var work sync.WaitGroup
@@ -190,10 +189,24 @@
 	return s
 }
 
+// serveSlowly answers as the ingress does: it sets and resets a limit for the body, and
+// gives up when the client seems gone.
+func serveSlowly(w http.ResponseWriter, r *http.Request) {
+	conn := http.NewResponseController(w)
+	_ = conn.SetReadDeadline(time.Now().Add(testServeTime / 2))
+	_ = conn.SetReadDeadline(time.Time{})
+	select {
+	case <-time.After(testServeTime):
+		fmt.Fprint(w, "whole")
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // connect opens a connection.
 func (s *testClients) connect() *testConn {
 	client, server := net.Pipe()
-	c := &testConn{Conn: client, answers: bufio.NewReader(client), server: &slowConn{Conn: server}}
+	c := &testConn{Conn: client, t: s.t, answers: bufio.NewReader(client), server: &slowConn{Conn: server}}
 	s.accepted <- c.server
 	s.t.Cleanup(func() { _ = client.Close() })
 	return c
@@ -246,6 +259,7 @@
 // testConn is a client's end of a connection.
 type testConn struct {
 	net.Conn
+	t        *testing.T
 	answers  *bufio.Reader
 	server   *slowConn
 	answered bool
