A client's connection is ended by its own reader, never closed from outside

So a request that had been read, or was at a server already, lost its connection. Now an end is judged and asked for in one step under the connection's lock, by a read deadline in the past. The connection's own reader finds it, looks once more for 100 ms (a read whose deadline is over does not look at all), and either serves what has come or gives up, so that net/http closes the connection itself. - net/http's own deadlines are kept while an end is asked for, and come back in force when it is taken back, so that none of the past reaches a body, a background read or a later rest. - The first byte of a request begins the phase 'receiving', to which the limit on headers applies; it never took effect before. - A rest lasts as long as the larger of the limits in force at its start and now. - An instance that leaves ends idle connections in the same way, waits until no connection is left, and no longer uses Shutdown. TestGuardLimits: its seam, a map of net/http's states, is gone; it checks the same five connections by the phases, now also that those over the limit cannot be read from and those within are untouched.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -16,7 +15,11 @@
 type clients struct {
 	guard  *guard
 	server *http.Server
-	log    logrus.FieldLogger
+	ends   *connEnds
+	// listener is set before accepting is closed; ended is closed after the last
+	// connection has been accepted.
+	listener         net.Listener
+	accepting, ended chan struct{}
 }
 
 // maxHeaderBytes is net/http's own bound; the configured one is below it.
@@ -24,15 +27,18 @@
 
 func newClients(handler http.Handler, limits func() serving.Limits, set *metrics.Set, log logrus.FieldLogger) *clients {
 	ends := &connEnds{log: log, set: set}
-	g := newGuard(limits)
-	g.ends = ends
-	return &clients{guard: g, log: log, server: &http.Server{
+	g := newGuard(limits, ends)
+	return &clients{guard: g, ends: ends, accepting: make(chan struct{}), ended: make(chan struct{}), server: &http.Server{
 		Handler: g.wrap(ends.report(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState, ConnContext: g.connContext,
 	}}
 }
 
-// serve answers clients that connect to l until the server is ended.
+// serve answers clients that connect to l until drain or an error. It must be called
+// once.
 func (c *clients) serve(l net.Listener) error {
+	c.listener = l
+	close(c.accepting)
+	defer close(c.ended)
 	return c.server.Serve(clientListener{l})
 }
 
@@ -51,15 +57,24 @@
 // drainCheck is how often connections are looked at while an instance leaves.
 const drainCheck = 50 * time.Millisecond
 
-// drain lets requests end, until limit at the latest, and ends all connections.
+// drain lets requests end, until limit at the latest, and ends all connections. serve
+// must have been called or be about to. http.Server's Shutdown is not used: it drops
+// requests that it reads after it has begun.
 func (c *clients) drain(limit time.Time) {
-	for time.Now().Before(limit) && !c.guard.idle() {
-		time.Sleep(drainCheck)
+	c.guard.leave()
+	c.await(limit, c.guard.idle)
+	<-c.accepting
+	_ = c.listener.Close()
+	<-c.ended
+	c.await(limit, c.guard.empty)
+	if !c.guard.empty() {
+		c.ends.reportLeft(c.guard.phases())
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
-	defer cancel()
-	if err := c.server.Shutdown(ctx); err != nil {
-		c.guard.reportLeft(err)
-		_ = c.server.Close()
+	_ = c.server.Close()
+}
+
+func (c *clients) await(limit time.Time, done func() bool) {
+	for time.Now().Before(limit) && !done() {
+		time.Sleep(drainCheck)
 	}
 }
--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -37,6 +37,7 @@
 	t.Run("slow headers", testSlowHeaders)
 	t.Run("idle limit lowered", testIdleLimitLowered)
 	t.Run("leaving", testLeaving)
+	t.Run("taken back", testTakenBack)
 }
 
 // testPicked: requests come from 100 ms before to 400 ms after the guard has picked their
@@ -151,6 +152,30 @@
 	})
 }
 
+// testTakenBack: a request comes while its connection's reader looks for the last time. It
+// is served, and what had been set to end the connection touches neither its answer nor
+// the next rest.
+func testTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestClients(t, serving.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: time.Second})
+		c := s.connect()
+		c.ask()
+		time.Sleep(10*time.Second + guardInterval + lastLook/2)
+		for _, rest := range []time.Duration{0, 9 * time.Second} {
+			time.Sleep(rest)
+			if !c.ask() {
+				t.Errorf("no answer after %s of rest", rest)
+			}
+		}
+		c.server.closeTime.Store(int64(testCloseTime))
+		began := time.Now()
+		c.readAnswer()
+		if took := time.Since(began); took < 10*time.Second || took > 11*time.Second+testCloseTime {
+			t.Errorf("the limit of 10 s ended the next rest after %s", took)
+		}
+	})
+}
+
 const (
 	testRequest = "GET /x HTTP/1.1\r\nHost: h.example\r\n\r\n"
 	// testServeTime is how long a request takes.
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -91,9 +91,20 @@
 	}
 }
 
+// reportLeft logs the connections that are cut off at the end of the grace.
+func (e *connEnds) reportLeft(left map[phase]int) {
+	e.count(endGrace, left[phaseIdle]+left[phaseReceiving]+left[phaseServing])
+	e.log.WithFields(logrus.Fields{
+		"idle": left[phaseIdle], "receiving": left[phaseReceiving], "serving": left[phaseServing],
+	}).Warn("connections cut off at the end of the grace")
+}
+
 // fields are what is logged of a connection. c.mu must be held.
 func (c *clientConn) fields() logrus.Fields {
 	fields := logrus.Fields{"client": c.RemoteAddr().String(), "phase": c.phase.String(), "phase_ms": time.Since(c.since).Milliseconds()}
+	if c.ending != endNone {
+		fields["over_limit"] = true
+	}
 	if c.readErr != nil {
 		fields["read_error"] = c.readErr.Error()
 	}
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -13,26 +13,21 @@
 	"github.com/martenport/martenport/serving"
 )
 
-// guard closes connections of clients that are idle, or send their headers,
-// for longer than the configuration allows. net/http's own limits are fixed
-// when a server starts, the configured ones are not.
+// guard ends connections of clients that are idle, or send their headers, for
+// longer than the configuration allows, and those that are idle once the instance
+// leaves. net/http's own limits are fixed when a server starts, the configured ones
+// are not; its Shutdown drops requests that it reads on connections it ends.
 type guard struct {
 	limits func() serving.Limits
 	ends   *connEnds
 
-	mu    sync.Mutex
-	conns map[net.Conn]connState // guarded by mu
+	mu      sync.Mutex               // taken before a connection's
+	conns   map[*clientConn]struct{} // guarded by mu
+	leaving bool                     // guarded by mu
 }
 
-type connState struct {
-	state http.ConnState
-	since time.Time
-	// serving: the handler has the request.
-	serving bool
-}
-
-func newGuard(limits func() serving.Limits) *guard {
-	return &guard{limits: limits, conns: map[net.Conn]connState{}}
+func newGuard(limits func() serving.Limits, ends *connEnds) *guard {
+	return &guard{limits: limits, ends: ends, conns: map[*clientConn]struct{}{}}
 }
 
 // connKey is the context key of a request's connection.
@@ -49,38 +44,43 @@
 	return c
 }
 
-// connState is an http.Server's ConnState hook.
-func (g *guard) connState(c net.Conn, state http.ConnState) {
-	g.note(c.(*clientConn), state)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(g.conns, c)
-		return
-	}
-	g.conns[c] = connState{state: state, since: time.Now()}
-}
-
-// note passes a change of state on to the connection.
-func (g *guard) note(c *clientConn, state http.ConnState) {
+// connState is an http.Server's ConnState hook. The connections are clientConns.
+func (g *guard) connState(conn net.Conn, state http.ConnState) {
+	c := conn.(*clientConn)
 	switch state {
+	case http.StateNew:
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.conns[c] = struct{}{}
 	case http.StateActive:
 		c.serve()
 	case http.StateIdle:
-		c.rest()
-	case http.StateClosed:
+		c.rest(g.limits())
+		g.endIfLeaving(c)
+	case http.StateClosed, http.StateHijacked:
 		g.ends.closed(c)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.conns, c)
 	}
 }
 
-// wrap marks connections whose headers have been read.
+func (g *guard) endIfLeaving(c *clientConn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.leaving {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.end()
+}
+
+// wrap notes which requests a handler has.
 func (g *guard) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := connOf(r.Context()); c != nil {
 			c.hand()
-			g.mu.Lock()
-			g.conns[c] = connState{state: http.StateActive, since: time.Now(), serving: true}
-			g.mu.Unlock()
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -89,87 +89,105 @@
 // guardInterval is how often connections are looked at.
 const guardInterval = 250 * time.Millisecond
 
-// run closes what has outlasted its limit until ctx ends.
+// run ends what has outlasted its limit until ctx ends.
 func (g *guard) run(ctx context.Context) {
 	for pause.For(ctx, guardInterval) {
-		old := g.outlasted(time.Now())
-		g.reportOutlasted(old)
-		for _, c := range old {
-			_ = c.Close()
+		if ended := g.endOutlasted(time.Now()); ended.count > 0 {
+			g.report(ended)
 		}
 	}
 }
 
-// reportOutlasted logs which connections are closed, one line a look.
-func (g *guard) reportOutlasted(old []net.Conn) {
-	if len(old) == 0 {
-		return
+// outlasted sums the connections up that one look has ended.
+type outlasted struct {
+	count, idle      int
+	oldest, youngest time.Duration
+	limits           serving.Limits
+}
+
+func (o *outlasted) add(p phase, age time.Duration) {
+	o.oldest = max(o.oldest, age)
+	if o.count == 0 || age < o.youngest {
+		o.youngest = age
 	}
-	limits := g.limits()
+	o.count++
+	if p == phaseIdle {
+		o.idle++
+	}
+}
+
+// endOutlasted ends the connections that have outlasted their limit. Each is judged
+// and ended in one step under its lock.
+func (g *guard) endOutlasted(now time.Time) outlasted {
+	ended := outlasted{limits: g.limits()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var oldest, youngest time.Duration
-	idle := 0
-	for n, c := range old {
-		s := g.conns[c]
-		age := time.Since(s.since)
-		oldest = max(oldest, age)
-		if n == 0 || age < youngest {
-			youngest = age
-		}
-		if s.state != http.StateActive {
-			idle++
+	for c := range g.conns {
+		c.mu.Lock()
+		if c.ending == endNone && (c.over(now, ended.limits) || g.leaving && c.unused(now)) {
+			c.end()
+			ended.add(c.phase, now.Sub(c.since))
 		}
+		c.mu.Unlock()
 	}
-	g.ends.count(endLimit, len(old))
+	return ended
+}
+
+// firstRequestTime is how long an instance that leaves waits for the first request
+// on a connection: clients send it as they connect.
+const firstRequestTime = 500 * time.Millisecond
+
+// unused reports whether no request has come long after the client connected. c.mu
+// must be held.
+func (c *clientConn) unused(now time.Time) bool {
+	return c.phase == phaseIdle && !c.kept && now.Sub(c.since) > firstRequestTime
+}
+
+// report logs which connections one look has ended.
+func (g *guard) report(o outlasted) {
+	g.ends.count(endLimit, o.count)
 	g.ends.log.WithFields(logrus.Fields{
-		"idle": idle, "slow_headers": len(old) - idle, "idle_limit_ms": limits.IdleTimeout.Milliseconds(), "header_limit_ms": limits.HeaderTimeout.Milliseconds(),
-		"oldest_ms": oldest.Milliseconds(), "youngest_ms": youngest.Milliseconds(),
-	}).Info("connections over their limit are closed")
+		"idle": o.idle, "slow_headers": o.count - o.idle, "idle_limit_ms": o.limits.IdleTimeout.Milliseconds(),
+		"header_limit_ms": o.limits.HeaderTimeout.Milliseconds(), "oldest_ms": o.oldest.Milliseconds(), "youngest_ms": o.youngest.Milliseconds(),
+	}).Info("connections over their limit are ended")
 }
 
-// reportLeft logs the connections that are cut off at the end of the grace.
-func (g *guard) reportLeft(err error) {
+// leave ends kept connections that are idle, and from now on as they become so.
+func (g *guard) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	left := map[phase]int{}
+	g.leaving = true
 	for c := range g.conns {
-		cc := c.(*clientConn)
-		cc.mu.Lock()
-		left[cc.phase]++
-		cc.mu.Unlock()
+		c.mu.Lock()
+		if c.phase == phaseIdle && c.kept {
+			c.end()
+		}
+		c.mu.Unlock()
 	}
-	g.ends.count(endGrace, len(g.conns))
-	g.ends.log.WithFields(logrus.Fields{
-		"error": err, "idle": left[phaseIdle], "receiving": left[phaseReceiving], "serving": left[phaseServing],
-	}).Warn("connections cut off at the end of the grace")
 }
 
-func (g *guard) outlasted(now time.Time) []net.Conn {
-	limits := g.limits()
+// phases counts the connections in each phase.
+func (g *guard) phases() map[phase]int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var old []net.Conn
-	for c, s := range g.conns {
-		limit := limits.IdleTimeout
-		if s.state == http.StateActive {
-			limit = limits.HeaderTimeout
-		}
-		if !s.serving && limit > 0 && now.Sub(s.since) > limit {
-			old = append(old, c)
-		}
+	counts := map[phase]int{}
+	for c := range g.conns {
+		c.mu.Lock()
+		counts[c.phase]++
+		c.mu.Unlock()
 	}
-	return old
+	return counts
 }
 
 // idle reports whether no request is being read or served.
 func (g *guard) idle() bool {
+	counts := g.phases()
+	return counts[phaseReceiving]+counts[phaseServing] == 0
+}
+
+// empty reports whether there are no connections.
+func (g *guard) empty() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, s := range g.conns {
-		if s.state == http.StateActive {
-			return false
-		}
-	}
-	return true
+	return len(g.conns) == 0
 }
--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"testing"
 	"time"
 
@@ -10,25 +9,37 @@
 )
 
 // TestGuardLimits: connections that are idle, or slow with their headers, for longer
-// than the configuration allows are closed; those that are served are not.
+// than the configuration allows are ended; those that are served are not.
 func TestGuardLimits(t *testing.T) {
 	g := newGuard(func() serving.Limits {
 		return serving.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: 2 * time.Second}
-	})
+	}, nil)
 	now := time.Now()
-	conn := func(state http.ConnState, age time.Duration, serving bool) net.Conn {
-		c, peer := net.Pipe()
-		t.Cleanup(func() { _ = c.Close(); _ = peer.Close() })
-		g.conns[c] = connState{state: state, since: now.Add(-age), serving: serving}
+	conn := func(p phase, age time.Duration) *clientConn {
+		server, peer := net.Pipe()
+		t.Cleanup(func() { _ = server.Close(); _ = peer.Close() })
+		c := newClientConn(server)
+		c.phase, c.since = p, now.Add(-age)
+		g.conns[c] = struct{}{}
 		return c
 	}
-	idle, slow := conn(http.StateIdle, 11*time.Second, false), conn(http.StateActive, 3*time.Second, false)
-	conn(http.StateIdle, 9*time.Second, false)
-	conn(http.StateActive, time.Second, false)
-	conn(http.StateActive, time.Hour, true)
-	old := g.outlasted(now)
-	if len(old) != 2 || (old[0] != idle && old[1] != idle) || (old[0] != slow && old[1] != slow) {
-		t.Errorf("%d connections are closed, want the idle and the slow one", len(old))
+	over := []*clientConn{conn(phaseIdle, 11*time.Second), conn(phaseReceiving, 3*time.Second)}
+	within := []*clientConn{conn(phaseIdle, 9*time.Second), conn(phaseReceiving, time.Second), conn(phaseServing, time.Hour)}
+	if ended := g.endOutlasted(now); ended.count != 2 || ended.idle != 1 {
+		t.Errorf("%+v are ended, want the idle and the slow one", ended)
+	}
+	for _, c := range over {
+		if c.ending != endAsked {
+			t.Errorf("the %s connection over its limit is not ended", c.phase)
+		}
+		if _, err := c.Read(make([]byte, 1)); err == nil {
+			t.Errorf("the %s connection over its limit can be read from", c.phase)
+		}
+	}
+	for _, c := range within {
+		if c.ending != endNone {
+			t.Errorf("the %s connection within its limit is ended", c.phase)
+		}
 	}
 	if g.idle() {
 		t.Error("a request is being served, and the guard says that none is")
