--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -54,7 +54,8 @@
 	// phase is what the connection is used for, since when.
 	phase phase
 	since time.Time
-	// idleLimit was in force when the connection became idle.
+	// idleLimit is the larger of those in force as the last request was read, of which the
+	// client has been told, and as the connection became idle.
 	idleLimit time.Duration
 	// kept: a request has been answered on the connection.
 	kept bool
@@ -182,15 +183,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enter(phaseIdle)
-	c.idleLimit = limits.IdleTimeout
+	c.idleLimit = max(c.idleLimit, limits.IdleTimeout)
 	c.kept, c.handled = true, false
 	c.readErr = nil // a read that net/http itself has ended
 }
 
 // serve notes that the headers of a request have been read.
-func (c *clientConn) serve() {
+func (c *clientConn) serve(limits serving.Limits) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.idleLimit = limits.IdleTimeout
 	c.enter(phaseServing)
 	c.stay()
 }
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -53,7 +53,7 @@
 		defer g.mu.Unlock()
 		g.conns[c] = struct{}{}
 	case http.StateActive:
-		c.serve()
+		c.serve(g.limits())
 	case http.StateIdle:
 		c.rest(g.limits())
 		g.endIfLeaving(c)
