--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -132,6 +132,8 @@
 func testLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestClients(t, serving.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second})
+		s.connect().ask() // and rests
+		s.connect()       // and does not ask
 		all := s.connectAll(20)
 		for _, c := range all {
 			c.server.readTime.Store(int64(testReadTime))
@@ -152,25 +154,32 @@
 	})
 }
 
-// testTakenBack: a request comes while its connection's reader looks for the last time. It
-// is served, and what had been set to end the connection touches neither its answer nor
-// the next rest.
+// testTakenBack: a request, or its first bytes, or the rest of its headers, come while the
+// connection's reader looks for the last time. It is served, and what had been set to
+// end the connection touches neither the request nor the next rest.
 func testTakenBack(t *testing.T) {
+	const into = 50 * time.Millisecond // of the last look
+	idle, header := 10*time.Second, time.Second
+	t.Run("whole", func(t *testing.T) { takenBack(t, true, idle+guardInterval+into, 0) })
+	t.Run("first bytes", func(t *testing.T) { takenBack(t, true, idle+guardInterval+into, header-guardInterval) })
+	t.Run("first bytes of all", func(t *testing.T) { takenBack(t, false, idle+guardInterval+into, header-guardInterval) })
+	t.Run("rest of the headers", func(t *testing.T) { takenBack(t, true, idle/2, header+guardInterval+into) })
+}
+
+// takenBack sends a request after rest on a kept or a new connection, with a pause
+// within its headers.
+func takenBack(t *testing.T, kept bool, rest, pause time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestClients(t, serving.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: time.Second})
 		c := s.connect()
-		c.ask()
-		time.Sleep(10*time.Second + guardInterval + lastLook/2)
-		for _, rest := range []time.Duration{0, 9 * time.Second} {
-			time.Sleep(rest)
-			if !c.ask() {
-				t.Errorf("no answer after %s of rest", rest)
-			}
+		if kept {
+			c.ask()
 		}
-		c.server.closeTime.Store(int64(testCloseTime))
+		c.sendInParts(rest, pause)
+		c.sendInParts(9*time.Second, 0)
 		began := time.Now()
 		c.readAnswer()
-		if took := time.Since(began); took < 10*time.Second || took > 11*time.Second+testCloseTime {
+		if took := time.Since(began); took < 10*time.Second || took > 11*time.Second {
 			t.Errorf("the limit of 10 s ended the next rest after %s", took)
 		}
 	})
