Test: a configuration that changes while a request is under way

Ruled out for the forwarder: eight cases, four kinds of route with the route gone or going to another service between two sends, are each answered whole by the configuration they began with. The test passes on the code as it was.

--- /dev/null
+++ b/command/forward/change_test.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// changingServers applies another configuration while the first attempt is under way.
+type changingServers struct {
+	*fakeServers
+	change func()
+}
+
+func (s changingServers) Send(ctx context.Context, a serving.Attempt) (*serving.Response, error) {
+	s.change()
+	return s.fakeServers.Send(ctx, a)
+}
+
+// TestConfigurationChangesMeanwhile: a request under way, also one that is sent once more
+// after the change, is answered by the configuration it began with, whatever the new
+// one has left of its route and service.
+func TestConfigurationChangesMeanwhile(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream", "once"} {
+		for name, config := range map[string]*serving.Config{
+			"all gone":        {Version: 2},
+			"another service": {Version: 2, Routes: []serving.Route{{Name: route, Host: "h", Prefix: "/" + route + "/", Targets: []serving.Target{{Service: "none", Weight: 1}}}}},
+		} {
+			f := newFixture(t, reply{notRun: true, status: http.StatusServiceUnavailable}, reply{status: http.StatusOK, body: "whole"})
+			config.Index()
+			f.forwarder.sender = changingServers{f.servers, func() { f.dir.ApplyConfig(config) }}
+			w, failure := f.serve(route, "", 0)
+			if failure != nil || w.Code != http.StatusOK || w.Body.String() != "whole" {
+				t.Errorf("%s, %s: status %d %q, %+v", route, name, w.Code, w.Body, failure)
+			}
+			if f.dir.Config().Version != 2 || len(f.servers.attempts) != 2 {
+				t.Errorf("%s, %s: %d attempts, version %d in force", route, name, len(f.servers.attempts), f.dir.Config().Version)
+			}
+		}
+	}
+}
