Test of the log lines for ends of connections; one of them said too much

The test found that net/http calls a connection active also when it has read only a part of the headers: the line for that said that a whole request was not handed on. One line and one counter now serve both, request_unserved, with the phase and the read error.

--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -204,11 +204,15 @@
 }
 
 func newTestClients(t *testing.T, limits serving.Limits) *testClients {
-	s := &testClients{t: t, accepted: make(chan net.Conn)}
-	s.limits.Store(&limits)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s.clients = newClients(http.HandlerFunc(serveSlowly), func() serving.Limits { return *s.limits.Load() }, metrics.NewSet(), log)
+	return serveClients(t, limits, serveSlowly, log)
+}
+
+func serveClients(t *testing.T, limits serving.Limits, handler http.HandlerFunc, log logrus.FieldLogger) *testClients {
+	s := &testClients{t: t, accepted: make(chan net.Conn)}
+	s.limits.Store(&limits)
+	s.clients = newClients(handler, func() serving.Limits { return *s.limits.Load() }, metrics.NewSet(), log)
 	listener := &pipeListener{accepted: s.accepted, closed: make(chan struct{})}
 	ctx, stop := context.WithCancel(t.Context())
 	var work sync.WaitGroup
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -21,13 +21,12 @@
 
 // The ends of connections, as counted.
 const (
-	endCut        = "answer_cut"
-	endPanic      = "panic"
-	endIncomplete = "request_incomplete"
-	endUnserved   = "request_unserved"
-	endNotTaken   = "answer_not_taken"
-	endLimit      = "limit"
-	endGrace      = "grace"
+	endCut      = "answer_cut"
+	endPanic    = "panic"
+	endUnserved = "request_unserved"
+	endNotTaken = "answer_not_taken"
+	endLimit    = "limit"
+	endGrace    = "grace"
 )
 
 func (e *connEnds) count(end string, n int) {
@@ -70,8 +69,9 @@
 	return "open"
 }
 
-// closed logs a connection that net/http has closed before the answer to a
-// request was whole.
+// closed logs a connection that net/http has closed before the answer to a request
+// was whole. A request that is not handed on was not whole, not well formed (net/http
+// then answers itself), or read as all was cut off at the end of the grace.
 func (e *connEnds) closed(c *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -79,12 +79,9 @@
 	switch {
 	case c.cut || c.phase == phaseIdle:
 		return // logged, or nothing was under way
-	case c.phase == phaseReceiving:
-		e.count(endIncomplete, 1)
-		e.log.WithFields(fields).Info("connection ended before a request was whole")
 	case !c.handled:
 		e.count(endUnserved, 1)
-		e.log.WithFields(fields).Info("connection closed with a request that was not handed on")
+		e.log.WithFields(fields).Info("connection ended before a request was handed on")
 	case c.writeErr != nil:
 		e.count(endNotTaken, 1)
 		e.log.WithFields(fields).Info("connection ended before an answer was sent")
