Idle connections stay while an instance that leaves still serves

Such a request is now answered, as before the mend, and its connection closed with the answer; idle ones are ended when nothing is served any more, or 2 s before the limit.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -57,12 +57,18 @@
 // drainCheck is how often connections are looked at while an instance leaves.
 const drainCheck = 50 * time.Millisecond
 
+// endingTime is how long before the limit connections are ended that rest while others
+// are still served: over twice what a last look and a first request take.
+const endingTime = 2 * time.Second
+
 // drain lets requests end, until limit at the latest, and ends all connections. serve
-// must have been called or be about to. http.Server's Shutdown is not used: it drops
-// requests that it reads after it has begun.
+// must have been called or be about to. Idle connections stay while requests are served:
+// a request on them is answered and its connection closed, whereas one that crosses
+// the end has to be sent anew. http.Server's Shutdown is not used: it drops requests that
+// it reads after it has begun.
 func (c *clients) drain(limit time.Time) {
+	c.await(limit.Add(-endingTime), c.guard.idle)
 	c.guard.leave()
-	c.await(limit, c.guard.idle)
 	<-c.accepting
 	_ = c.listener.Close()
 	<-c.ended
