--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -37,6 +37,7 @@
 	t.Run("slow headers", testSlowHeaders)
 	t.Run("idle limit lowered", testIdleLimitLowered)
 	t.Run("leaving", testLeaving)
+	t.Run("leaving while serving", testLeavingWhileServing)
 	t.Run("taken back", testTakenBack)
 }
 
@@ -154,6 +155,22 @@
 	})
 }
 
+// testLeavingWhileServing: an instance that leaves answers on connections that rest for as
+// long as it serves others, so that clients need not send anew.
+func testLeavingWhileServing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestClients(t, serving.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second})
+		all := s.connectAll(2)
+		all[0].write(testRequest)
+		synctest.Wait() // until it is served
+		go s.clients.drain(time.Now().Add(time.Minute))
+		time.Sleep(testServeTime / 2)
+		if !all[1].ask() || !all[0].readAnswer() {
+			t.Error("a request on a connection that rested got no answer while another was served")
+		}
+	})
+}
+
 // testTakenBack: a request, or its first bytes, or the rest of its headers, come while the
 // connection's reader looks for the last time. It is served, and what had been set to
 // end the connection touches neither the request nor the next rest.
