--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -48,9 +48,11 @@
 	// LoadsPerSecond.
 	RemoteLoad     time.Duration
 	LoadsPerSecond float64
+	// IdleTimeout is how long clients' connections may be idle.
+	IdleTimeout time.Duration
 }
 
-// Limits on clients in every Config.
+// Limits on clients in every Config; configIdleTimeout in one without IdleTimeout.
 const (
 	configHeaderBytes   = 16 << 10
 	configBodyBytes     = 1 << 20
@@ -84,11 +86,15 @@
 	services = append(services, map[string]any{"name": c.Engines, "engine": map[string]any{
 		"slots": serverSlots, "weightsMb": c.MemoryMB, "adapterSlots": c.AdapterSlots, "loadsPerS": c.LoadsPerSecond, "models": models,
 	}})
+	idle := c.IdleTimeout
+	if idle == 0 {
+		idle = configIdleTimeout
+	}
 	value, err := json.Marshal(map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
 		"limits": map[string]any{
 			"maxHeaderBytes": configHeaderBytes, "maxBodyBytes": configBodyBytes,
-			"idleTimeoutMs": configIdleTimeout.Milliseconds(), "headerTimeoutMs": configHeaderTimeout.Milliseconds(),
+			"idleTimeoutMs": idle.Milliseconds(), "headerTimeoutMs": configHeaderTimeout.Milliseconds(),
 		},
 	})
 	return value, errors.Wrap(err, "standin: configuration")
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -59,6 +59,8 @@
 	address string
 	http    *http.Server
 
+	arrivals arrivals
+
 	mu         sync.Mutex
 	loaded     map[string]map[string]bool // adapters by model; guarded by mu
 	loading    string                     // guarded by mu
@@ -171,14 +173,21 @@
 
 // State is what a Server has seen.
 type State struct {
+	Service    string
 	Orders     []ReceivedOrder
 	Runs       map[string]int
 	Violations []string
+	// Arrivals are the last attempts; Forgotten counts those before them.
+	Arrivals  []Arrival
+	Forgotten int
 }
 
 // State returns what the server has seen so far.
 func (s *Server) State() State {
-	return State{Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations()}
+	arrived, forgotten := s.arrivals.all()
+	return State{
+		Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
+	}
 }
 
 // Orders returns the orders received so far.
@@ -208,6 +217,9 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("Martenport-Attempt-Id"); id != "" {
+		s.arrivals.add(id, time.Now())
+	}
 	if expected := r.Header.Get("Martenport-Expect-Instance"); expected != "" && expected != s.params.ID {
 		w.Header().Set("Martenport-Instance-Id", s.params.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -220,6 +232,8 @@
 		s.serveReport(w)
 	case PathState:
 		writeJSON(w, s.State())
+	case PathFault:
+		s.serveFault(w, r)
 	default:
 		s.serveRequest(w, r)
 	}
@@ -343,6 +357,11 @@
 		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
+	if s.arrivals.fails() {
+		time.Sleep(s.params.Work)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if model != "" {
 		s.stream(w, r, cut)
 		return
