--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,20 +70,22 @@
 
 // run is one soak under way.
 type run struct {
-	params  Params
-	random  *rand.Rand
-	logs    string
-	subnet  string
-	store   *process
-	storeAt string
-	client  *platform.Client
-	entries []*process
-	ways    []*proxy // to the store, by entry
-	servers []*process
-	doors   []*proxy // to each server
-	addr    []string // of each server
-	seen    seen
-	version int64
+	params Params
+	random *rand.Rand
+	logs   string
+	subnet string
+
+	subnetNumber int // of subnets
+	store        *process
+	storeAt      string
+	client       *platform.Client
+	entries      []*process
+	ways         []*proxy // to the store, by entry
+	servers      []*process
+	doors        []*proxy // to each server
+	addr         []string // of each server
+	seen         seen
+	version      int64
 }
 
 // Run starts the processes, disturbs them, and checks. Its error says that the
@@ -91,13 +93,14 @@
 func Run(ctx context.Context, p Params) (Result, error) {
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
-		subnet: fmt.Sprintf("127.1.%d", p.Seed%subnets), seen: newSeen(),
+		seen: newSeen(),
 	}
-	alone, err := net.Listen("tcp", r.subnet+".254:7000")
+	alone, err := r.claim(subnets)
 	if err != nil {
-		return Result{}, errors.Wrapf(err, "soak: another run uses the addresses %s.x; seeds that differ by a multiple of %d share them", r.subnet, subnets)
+		return Result{}, err
 	}
 	defer alone.Close()
+	r.subnet = fmt.Sprintf("127.1.%d", r.subnetNumber)
 	if err := os.MkdirAll(r.logs, 0o700); err != nil {
 		return Result{}, errors.Wrap(err, "soak")
 	}
@@ -122,6 +125,18 @@
 	return result, nil
 }
 
+// claim takes addresses that no other run uses, until the listener that it returns is
+// closed: those of the seed, or else the next free of so many.
+func (r *run) claim(tries int) (net.Listener, error) {
+	for n := range tries {
+		r.subnetNumber = int((r.params.Seed + uint64(n)) % subnets)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:7000", r.subnetNumber)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, errors.Newf("soak: other runs use the addresses 127.1.%d.x and the next %d", r.params.Seed%subnets, tries-1)
+}
+
 // start starts the store, the servers and the entry instances.
 func (r *run) start(ctx context.Context) error {
 	r.storeAt = r.subnet + ".1:7000"
