Soak: failing services, kills in series, kept connections, changing idle limits

The soak had missed repeated sends beyond the budget and requests lost on kept connections. Causes: no fault had all servers of a service fail, all instances were never killed together, budgetExtra was 200 for 3 instances (a bound out of reach), nothing checked the bound; each client opened a connection for each request, and no configuration changed the idle limit.

New: up to 750 clients that keep connections (pauses up to 12 s; a connection is used again up to four fifths of the idle limit that the client last knew) and send at about the same time when the configuration changes; configurations that change idle limits, timeouts, routes and a second plain service; series of kills, stops, reloads and changes beside the other faults; budgetRatio 0.05 and budgetExtra 40 + 2 for each instance. Two checks over the history, and that the history is whole. Every run has one series of idle limits and one of kills while a service fails; half of the runs spare the store until four fifths of the time, since an instance that starts without a store sends nothing again. Up to 250 instances and 250 servers.

--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -22,7 +22,7 @@
 	For     time.Duration `long:"for" default:"30s" description:"how long faults are injected"`
 	Entries int           `long:"entries" default:"3" description:"entry instances"`
 	Engines int           `long:"engines" default:"4" description:"model engines"`
-	Plain   int           `long:"plain" default:"2" description:"servers of the plain service"`
+	Plain   int           `long:"plain" default:"4" description:"servers of the two plain services together"`
 	Dir     string        `long:"dir" description:"folder for programs and logs; a new one if absent"`
 }
 
@@ -69,11 +69,14 @@
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d", seed)
 	}
-	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d breaches=%d\n",
-		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, len(result.Breaches))
+	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d kept_clear=%d repeats=%d breaches=%d\n",
+		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, result.KeptClear, result.Repeats, len(result.Breaches))
 	for _, f := range result.Faults {
 		fmt.Println("  fault", f)
 	}
+	for _, b := range result.Budget {
+		fmt.Println("  budget", b)
+	}
 	for _, b := range result.Breaches {
 		fmt.Printf("  BROKEN %s: %s\n", b.Promise, b.Detail)
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -16,10 +15,12 @@
 	mu      *sync.Mutex
 	tries   map[string]try
 	servers map[string]standin.State // by server and start
+	// extra is how many repeated sends the budget allows beyond its ratio.
+	extra int
 }
 
-func newSeen() seen {
-	return seen{mu: &sync.Mutex{}, tries: map[string]try{}, servers: map[string]standin.State{}}
+func newSeen(entries int) seen {
+	return seen{mu: &sync.Mutex{}, tries: map[string]try{}, servers: map[string]standin.State{}, extra: budgetExtra(entries)}
 }
 
 func (s *seen) tried(t try) {
@@ -48,19 +49,23 @@
 			found = append(found, Breach{"memory is never overcommitted", name + ": " + v})
 		}
 		found = append(found, ordersOf(name, state.Orders)...)
+		if state.Forgotten > 0 {
+			found = append(found, Breach{"the history is whole", fmt.Sprintf("%s has forgotten %d arrivals: make the run shorter", name, state.Forgotten)})
+		}
 	}
 	for id, n := range runs {
 		if _, known := s.tries[id]; !known {
 			found = append(found, Breach{"only what a client sent runs", id})
 		}
-		if t := s.tries[id]; n > 1 && (t.route == "unsafe" || t.route == "once") {
+		if t := s.tries[id]; n > 1 && runsOnce(t.route) {
 			found = append(found, Breach{"a non-idempotent request runs at most once", fmt.Sprintf("%s ran %d times", id, n)})
 		}
 	}
 	for _, t := range s.tries {
 		found = append(found, t.breaches(runs[t.id])...)
+		found = append(found, t.lostBreaches(runs[t.id])...)
 	}
-	return found
+	return append(found, s.budgetBreaches()...)
 }
 
 // breaches checks one try, which ran so often.
@@ -99,34 +104,3 @@
 	}
 	return found
 }
-
-// comesBack checks that each instance serves again, by the newest configuration.
-func (r *run) comesBack(ctx context.Context) []Breach {
-	var found []Breach
-	if err := r.await(ctx, "configuration", func() bool { return r.configure(ctx) == nil }); err != nil {
-		return []Breach{{"the store is back", err.Error()}}
-	}
-	for i := range r.entries {
-		for n, what := range append([]string{versionRoute(r.version), "unsafe"}, models...) {
-			t := try{route: what}
-			if n >= 2 {
-				t = try{route: "stream", model: what}
-			}
-			attempt := 0
-			err := r.await(ctx, what, func() bool {
-				attempt++
-				t.id = fmt.Sprintf("back-%d-%s-%d", i, what, attempt)
-				t.send(r.entryAddress(i))
-				return t.status == http.StatusOK && t.whole
-			})
-			if err != nil {
-				found = append(found, Breach{"everything is served again after the faults", fmt.Sprintf("entry-%d: %s: status %d", i, what, t.status)})
-			}
-		}
-		old := try{id: fmt.Sprintf("back-%d-old", i), route: versionRoute(r.version - 1)}
-		if old.send(r.entryAddress(i)); old.status != http.StatusNotFound {
-			found = append(found, Breach{"an accepted configuration does not revert", fmt.Sprintf("entry-%d serves a dropped route: status %d", i, old.status)})
-		}
-	}
-	return found
-}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -17,19 +17,22 @@
 	"github.com/martenport/martenport/internal/standin"
 )
 
-// routeTimeout is the routes' time, and answerSlack how much later an answer may
-// come on a busy machine.
-const (
-	routeTimeout = 4 * time.Second
-	answerSlack  = 6 * time.Second
-)
+// answerSlack is how much later than the route's time an answer may come on a busy
+// machine.
+const answerSlack = 6 * time.Second
 
-// Clients: how many, and how long each pauses between requests.
+// Clients: how many at least, how many for each instance, and how long each pauses
+// between requests.
 const (
 	clients     = 12
+	eachEntry   = 2
 	clientPause = 60 * time.Millisecond
 )
 
+// freshRoutes are those of clients that open a connection for each request. Most
+// may be sent once more when a server fails, so that the budget is put to use.
+var freshRoutes = []string{"unsafe", "safe", "safe", "stream", "once"}
+
 // try is one request and what its client saw.
 type try struct {
 	id, route, model string
@@ -38,8 +41,15 @@
 	// whole: the answer ended as it said it would.
 	whole bool
 	took  time.Duration
+	// sent is when the request was written whole; zero if it was not.
+	sent time.Time
+	// kept: the connection had carried another request before.
+	kept bool
 	// undisturbed: the instance ran all the while.
 	undisturbed bool
+	// clear: nothing at all disturbed the instance, the servers of the service or
+	// the ways to them.
+	clear bool
 }
 
 // startClients sends requests until ctx ends. The returned function waits and
@@ -48,18 +58,21 @@
 	var work sync.WaitGroup
 	var mu sync.Mutex
 	var result Result
-	for c := range clients {
+	ended := func(t try) {
+		r.seen.tried(t)
+		mu.Lock()
+		defer mu.Unlock()
+		result.count(t)
+	}
+	for c := range max(clients, eachEntry*len(r.entries)) {
 		random := rand.New(rand.NewPCG(r.params.Seed, uint64(100+c)))
 		work.Go(func() {
 			for n := 0; pause.For(ctx, clientPause); n++ {
-				t := r.try(random, fmt.Sprintf("try-%d-%d", c, n))
-				r.seen.tried(t)
-				mu.Lock()
-				result.count(t)
-				mu.Unlock()
+				ended(r.try(random, fmt.Sprintf("try-%d-%d", c, n)))
 			}
 		})
 	}
+	r.startKeepers(ctx, &work, ended)
 	return func() Result {
 		work.Wait()
 		return result
@@ -68,6 +81,9 @@
 
 func (r *Result) count(t try) {
 	r.Requests++
+	if t.kept && t.clear && !t.sent.IsZero() {
+		r.KeptClear++
+	}
 	switch {
 	case t.status == http.StatusOK && t.whole:
 		r.Answered++
@@ -79,21 +95,16 @@
 }
 
 func (r *run) try(random *rand.Rand, id string) try {
-	t := try{id: id, route: []string{"unsafe", "safe", "stream", "once"}[random.IntN(4)]}
+	t := try{id: id, route: freshRoutes[random.IntN(len(freshRoutes))]}
 	if t.route == "stream" || t.route == "once" {
 		t.model = models[random.IntN(len(models))]
 	}
 	entry := random.IntN(len(r.entries))
-	p := r.entries[entry]
-	p.mu.Lock()
-	starts, running := p.starts, p.cmd != nil && !p.frozen
-	p.mu.Unlock()
+	watch := r.watch(entry, serviceOf(t.route))
 	began := time.Now()
 	t.send(r.entryAddress(entry))
 	t.took = time.Since(began)
-	p.mu.Lock()
-	t.undisturbed = running && p.starts == starts && p.cmd != nil && !p.frozen
-	p.mu.Unlock()
+	watch.ended(&t)
 	return t
 }
 
@@ -104,21 +115,30 @@
 		return
 	}
 	defer conn.Close()
+	t.exchange(conn, bufio.NewReader(conn))
+}
+
+// exchange sends the request and reads the answer. It reports whether the connection
+// may carry another one.
+func (t *try) exchange(conn net.Conn, reader *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(routeTimeout + 2*answerSlack)) // a read that outlasts it ends the try
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n", t.route)
 	_ = standin.ClientHeader(t.id, t.model, routeTimeout).Write(&text) // a buffer does not fail
 	text.WriteString("\r\nbody")
+	now := time.Now()
 	if _, err := conn.Write(text.Bytes()); err != nil {
-		return
+		return false
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	t.sent = now
+	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
-		return
+		return false
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	t.status, t.body, t.whole = resp.StatusCode, string(body), err == nil
+	return t.whole && !resp.Close
 }
 
 // expected is the whole answer to the request.
--- a/soak/process.go
+++ b/soak/process.go
@@ -24,6 +24,10 @@
 	ended  chan struct{} // closed when cmd has ended; guarded by mu
 	starts int           // guarded by mu
 	frozen bool          // guarded by mu
+	// signals counts those that stop, freeze or end the program, and ending is
+	// whether one that ends it was sent to this start; guarded by mu.
+	signals int
+	ending  bool
 }
 
 // start starts the program unless it runs. Its output goes to a file of its own.
@@ -47,6 +51,7 @@
 	ended := make(chan struct{})
 	p.cmd, p.ended = cmd, ended
 	p.starts++
+	p.ending = false
 	go func() {
 		_ = cmd.Wait() // how it ended shows in its log
 		_ = log.Close()
@@ -72,6 +77,10 @@
 	if p.cmd == nil {
 		return
 	}
+	if s != syscall.SIGHUP {
+		p.signals++ // before the signal, so that nobody sees its effect without it
+	}
+	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s) // it may have ended just now
 	switch s {
 	case syscall.SIGSTOP:
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -13,7 +13,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -30,7 +29,8 @@
 	Seed uint64
 	// For is how long faults are injected.
 	For time.Duration
-	// Entries, Engines and Plain are how many processes of each there are.
+	// Entries, Engines and Plain are how many processes of each there are; Plain are
+	// those of the two plain services together.
 	Entries, Engines, Plain int
 	// Dir is where programs and logs go.
 	Dir string
@@ -43,7 +43,12 @@
 type Result struct {
 	Requests, Answered, Refused, Failed int
 	Faults                              []string
-	Breaches                            []Breach
+	// KeptClear counts the requests sent on kept connections that nothing disturbed,
+	// and Repeats the arrivals at servers beyond the first of each request.
+	KeptClear, Repeats int
+	// Budget tells how near the repeated sends to each service came to the bound.
+	Budget   []string
+	Breaches []Breach
 }
 
 // Times of a run.
@@ -65,27 +70,32 @@
 // subnets is how many ranges of addresses there are for runs.
 const subnets = 250
 
+// mostProcesses is how many entry instances, and how many servers, a run has
+// addresses for.
+const mostProcesses = 250
+
 // models are what engines can load; two fit.
 var models = []string{"m1", "m2", "m3", "m4", "m5"}
 
 // run is one soak under way.
 type run struct {
-	params Params
-	random *rand.Rand
-	logs   string
-	subnet string
+	params  Params
+	random  *rand.Rand
+	logs    string
+	subnet  int // of subnets
+	store   *process
+	storeAt string
+	client  *platform.Client
+	entries []*process
+	ways    []*proxy // to the store, by entry
+	servers []*process
+	doors   []*proxy // to each server
+	addr    []string // of each server
+	seen    seen
 
-	subnetNumber int // of subnets
-	store        *process
-	storeAt      string
-	client       *platform.Client
-	entries      []*process
-	ways         []*proxy // to the store, by entry
-	servers      []*process
-	doors        []*proxy // to each server
-	addr         []string // of each server
-	seen         seen
-	version      int64
+	troubles *troubles
+	herd     *herd
+	settings settings
 }
 
 // Run starts the processes, disturbs them, and checks. Its error says that the
@@ -93,14 +103,17 @@
 func Run(ctx context.Context, p Params) (Result, error) {
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
-		seen: newSeen(),
+		seen:     newSeen(p.Entries),
+		troubles: newTroubles(), herd: newHerd(), settings: settings{random: rand.New(rand.NewPCG(p.Seed, 2))},
+	}
+	if p.Entries > mostProcesses || p.Engines+p.Plain > mostProcesses {
+		return Result{}, errors.Newf("soak: %d entries, %d servers: there are addresses for %d of each", p.Entries, p.Engines+p.Plain, mostProcesses)
 	}
 	alone, err := r.claim(subnets)
 	if err != nil {
 		return Result{}, err
 	}
 	defer alone.Close()
-	r.subnet = fmt.Sprintf("127.1.%d", r.subnetNumber)
 	if err := os.MkdirAll(r.logs, 0o700); err != nil {
 		return Result{}, errors.Wrap(err, "soak")
 	}
@@ -120,6 +133,7 @@
 	result := traffic()
 	result.Faults = faults
 	r.collectAll()
+	result.Budget, result.Repeats = r.seen.budgetUses()
 	result.Breaches = append(result.Breaches, r.seen.breaches()...)
 	result.Breaches = append(result.Breaches, r.comesBack(ctx)...)
 	return result, nil
@@ -129,8 +143,8 @@
 // closed: those of the seed, or else the next free of so many.
 func (r *run) claim(tries int) (net.Listener, error) {
 	for n := range tries {
-		r.subnetNumber = int((r.params.Seed + uint64(n)) % subnets)
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:7000", r.subnetNumber)); err == nil {
+		r.subnet = int((r.params.Seed + uint64(n)) % subnets)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.1.%d.254:7000", r.subnet)); err == nil {
 			return l, nil
 		}
 	}
@@ -139,7 +153,7 @@
 
 // start starts the store, the servers and the entry instances.
 func (r *run) start(ctx context.Context) error {
-	r.storeAt = r.subnet + ".1:7000"
+	r.storeAt = fmt.Sprintf("127.1.%d.1:7000", r.subnet)
 	r.store = r.process("store", "martendev", func() []string { return []string{"platform", "--listen", r.storeAt} })
 	if err := r.store.start(); err != nil {
 		return err
@@ -169,7 +183,7 @@
 }
 
 func (r *run) addServer(i int) error {
-	address := fmt.Sprintf("%s.%d:9000", r.subnet, 100+i)
+	address := fmt.Sprintf("127.3.%d.%d:9000", r.subnet, 1+i)
 	door, err := newProxy(address)
 	if err != nil {
 		return errors.Wrap(err, "soak: proxy")
@@ -178,10 +192,10 @@
 	p := r.process(name, "martendev", nil)
 	p.args = func() []string {
 		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", fmt.Sprintf("%s-%d", name, p.starts), "--work", work.String()}
+		args = append(args, "--service", r.serviceAt(i))
 		if i >= r.params.Engines {
-			return append(args, "--service", "plain")
+			return args
 		}
-		args = append(args, "--service", "llm")
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
@@ -194,21 +208,34 @@
 	return p.start()
 }
 
+// serviceAt is the service of a server: the engines come first, then those of the
+// plain services by turns.
+func (r *run) serviceAt(server int) string {
+	switch {
+	case server < r.params.Engines:
+		return engines
+	case (server-r.params.Engines)%2 == 0:
+		return plain
+	default:
+		return side
+	}
+}
+
 func (r *run) addEntry(i int) error {
 	way, err := newProxy(r.storeAt)
 	if err != nil {
 		return errors.Wrap(err, "soak: proxy")
 	}
-	ip := fmt.Sprintf("%s.%d", r.subnet, 10+i)
+	ip := r.entryIP(i)
 	text := fmt.Sprintf(`nodeName = "entry-%d"
 ip = "%s"
 zone = "z%d"
 internalPorts = [7380, 7390]
 listen = { frontend = "%s:8100", ready = "%s:8101" }
 limits = { cpuShare = 1.0, cores = 1 }
-bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = 0.2, budgetWindowS = 10, budgetExtra = 200 }
+bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = %v, budgetWindowS = %v, budgetExtra = %d }
 platform = { address = "%s" }
-`, i, ip, i%3, ip, ip, graceTime.Seconds(), leaseMS, way.address())
+`, i, ip, i%3, ip, ip, graceTime.Seconds(), leaseMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), way.address())
 	path := filepath.Join(r.logs, fmt.Sprintf("entry-%d.toml", i))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "soak: settings")
@@ -218,31 +245,9 @@
 	return p.start()
 }
 
-func (r *run) entryAddress(i int) string { return fmt.Sprintf("%s.%d:8100", r.subnet, 10+i) }
-
-// configure writes the next configuration: the lasting routes, and one that only
-// this version has.
-func (r *run) configure(ctx context.Context) error {
-	r.version++
-	c := standin.Config{
-		Version: r.version, Plain: []string{"plain"}, Engines: "llm", Models: map[string]standin.ServerModel{}, MemoryMB: 210, AdapterSlots: 2,
-		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3,
-	}
-	for _, m := range models {
-		c.Models[m] = standin.ServerModel{MemoryMB: 100, Load: 200 * time.Millisecond}
-	}
-	for _, route := range []standin.Route{
-		{Name: "unsafe", Kind: standin.UnsafeRoute, Service: "plain"}, {Name: "safe", Kind: standin.SafeRoute, Service: "plain"},
-		{Name: "stream", Kind: standin.StreamRoute, Service: "llm", Resumable: true}, {Name: "once", Kind: standin.StreamRoute, Service: "llm"},
-		{Name: versionRoute(r.version), Kind: standin.SafeRoute, Service: "plain"},
-	} {
-		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", routeTimeout, time.Second, 2
-		c.Routes = append(c.Routes, route)
-	}
-	return c.Write(ctx, r.client)
-}
+func (r *run) entryIP(i int) string { return fmt.Sprintf("127.2.%d.%d", r.subnet, 1+i) }
 
-func versionRoute(version int64) string { return "v" + strconv.FormatInt(version, 10) }
+func (r *run) entryAddress(i int) string { return r.entryIP(i) + ":8100" }
 
 func (r *run) await(ctx context.Context, what string, holds func() bool) error {
 	for limit := time.Now().Add(comeBack); time.Now().Before(limit); {
