--- a/soak/soak.go
+++ b/soak/soak.go
@@ -1,7 +1,9 @@
 // Package soak runs the real programs as separate processes on loopback and
-// disturbs them from outside: signals, and proxies that delay, reset, silence or
-// cut one way what passes between them. What callers and backend servers see is
-// checked against the promises; logs are kept but not judged.
+// disturbs them from outside: signals, proxies that delay, reset, silence or cut one
+// way what passes between them, servers that fail what they are asked, and
+// configurations. Some clients open a connection for each request, others keep one.
+// What callers and backend servers see is checked against the promises; logs are kept
+// but not judged.
 package soak
 
 import (
