A plain server that is another one than was announced counts as failed

A send to an address that another server has by now says that the announced one is gone, and counted as neutral, as for an engine that only lacks a unit. So the entry of a killed server was chosen before a successor that had failed before, for as long as the entry stayed, and the budget of repeated sends did not reach further.

--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -234,7 +234,10 @@
 func (t *trip) notRun(server serving.Server, resp *serving.Response, outcome *balance.Outcome) *verdict.Failure {
 	t.sends++
 	t.excluded[server.ID] = true
-	if resp.Misdirected {
+	// Of an engine this says that it lacks the unit. A plain server is another one than was
+	// announced: it has to count as failed, or the entry of one that is gone is chosen
+	// before its successor for as long as it stays.
+	if resp.Misdirected && t.request.Unit.Model != "" {
 		*outcome = balance.Neutral
 		t.missing = server.ID
 		t.f.dir.Lacks(server.ID, t.request.Unit, time.Now())
