The budget allows for lateness as a time, in windows of any length

What can be saved up and which requests are remembered now follow from the window and from how late draws may arrive (1.5 s): 0.42 and 8.5 s at 10 s, as before; 0.31 and 2.5 s at 4 s; nothing is saved up in windows not longer than the lateness.

--- a/command/forward/budget.go
+++ b/command/forward/budget.go
@@ -20,13 +20,14 @@
 	// gained is the part that is gained within a window: a service in trouble for long
 	// gets that much of it in each.
 	gained = 0.5
-	// saved is the part that can be saved up for a sudden failure.
-	saved = 0.42
-	// remembered is the part of the window whose requests count for what can be saved
-	// up. The rest, 1.5 of 10 s, is how late requests may be noted here and draws may
-	// arrive at a backend server, together: a connection takes 0.8 s at most, and a
-	// draw is sent within prepaidFor.
-	remembered = 0.85
+	// whole is the part that is used up within a window at the most: what was saved up
+	// before it and what is gained for it.
+	whole = 0.995
+	// lateness is how late requests may be noted here and draws may arrive at a backend
+	// server, together: a connection takes 0.8 s at most, and a draw is sent within
+	// prepaidFor. It is a time, whatever the window: allowed for as a part of 10 s it let
+	// 5 in 100 too many arrive in windows of 4 s.
+	lateness = 1500 * time.Millisecond
 	// shared is the part of Extra that is shared out. The rest is for shares that add
 	// up to more while instances learn of a new one.
 	shared = 0.95
@@ -41,15 +42,16 @@
 // whatever is forgotten makes it smaller: an account that began full would have each
 // restart spend the share again. The account of a service gains gained x Ratio with
 // each request and gained x share with each Window, and has at most saved x (Ratio x
-// requests of the remembered part of the last Window + share). What arrives within a
-// Window was drawn in it or late before it, so that the processes of one machine have
-// at most what they had then and gained since:
+// requests remembered + share). What arrives within a Window was drawn in it or late
+// before it, so that the processes of one machine have at most what they had then and
+// gained since:
 //
-//	saved x (Ratio x requests before + share) + gained x (Ratio x requests since + share x (2 - remembered))
+//	saved x (Ratio x requests before + share) + gained x (Ratio x requests since + share x (1 + lateness / Window))
 //
-// All these requests were made in the Window or in the one before it. Neither part is
-// above one half, so the sum over all machines is at most Ratio x the larger count of
-// the two windows + 0.995 x all shares, and these add up to shared x Extra.
+// All these requests were made in the Window or in the one before it, since those of the
+// last Window - lateness are remembered. Neither part is above one half, so the sum over
+// all machines is at most Ratio x the larger count of the two windows + whole x all
+// shares, and these add up to shared x Extra.
 type Budget struct {
 	mu       sync.Mutex
 	began    time.Time
@@ -66,8 +68,8 @@
 type account struct {
 	level   float64
 	settled time.Time
-	// requests are those of the remembered part of the last window and repeats those
-	// of all of it, in the order of time.
+	// requests are those remembered and repeats those of the last window, in the
+	// order of time.
 	requests, repeats []time.Time
 }
 
@@ -124,8 +126,8 @@
 type Spending struct {
 	// Level is what is left to spend.
 	Level float64
-	// Requests and Repeats are those of the window that ends now, at this instance;
-	// requests of its remembered part.
+	// Requests are those remembered and Repeats those of the window that ends now, at
+	// this instance.
 	Requests, Repeats int
 	// Instances share the part of this failure domain; 0 while that is not known.
 	Instances int
@@ -171,14 +173,24 @@
 		a.level += gained * b.share() * float64(elapsed) / float64(b.params.Window)
 		a.settled = now
 	}
-	a.requests = recent(a.requests, now.Add(-time.Duration(remembered*float64(b.params.Window))))
+	a.requests = recent(a.requests, now.Add(-max(0, b.params.Window-lateness)))
 	a.repeats = recent(a.repeats, now.Add(-b.params.Window))
 	a.level = min(a.level, b.most(a))
 }
 
 // most needs mu. It is the highest level of an account.
 func (b *Budget) most(a *account) float64 {
-	return saved * (b.params.Ratio*float64(len(a.requests)) + b.share())
+	return b.saved() * (b.params.Ratio*float64(len(a.requests)) + b.share())
+}
+
+// saved needs mu. It is the part that can be saved up for a sudden failure: what the
+// gains of a window and of the lateness before it leave; nothing in windows not longer
+// than about lateness.
+func (b *Budget) saved() float64 {
+	if b.params.Window <= 0 {
+		return 0
+	}
+	return max(0, whole-gained*(1+float64(lateness)/float64(b.params.Window)))
 }
 
 // share needs mu. It is this instance's part of Extra.
