Test, failing: time without a window is paid out when a reload brings one

An account's time is not brought up to date while the window is 0, so that the first with a window finds all that can be saved up. The case without a window itself, which would divide by zero, had no test either; nor had a request noted with an earlier time.

--- a/command/forward/budget_edge_test.go
+++ b/command/forward/budget_edge_test.go
@@ -81,3 +81,36 @@
 		})
 	}
 }
+
+// TestBudgetWithoutWindow: without a window nothing is sent once more, and when there
+// is one the account begins empty: the time before has gained nothing.
+func TestBudgetWithoutWindow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(BudgetParams{Ratio: 0.2, Extra: 52})
+	for _, instances := range []int{0, 1} {
+		b.SetInstances(instances, now)
+		now = now.Add(time.Minute)
+		b.Request("s", now)
+		if b.Take("s", now) {
+			t.Errorf("%d instances: a send once more without a window", instances)
+		}
+	}
+	b.SetParams(BudgetParams{Ratio: 0.2, Extra: 52, Window: 10 * time.Second}, now)
+	if b.Take("s", now) {
+		t.Error("an account that begins has something to spend")
+	}
+}
+
+// TestBudgetOfEarlierTime: a request that is noted with a time before that of the last
+// takes nothing away.
+func TestBudgetOfEarlierTime(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := NewBudget(BudgetParams{Extra: 52, Window: 10 * time.Second})
+	b.SetInstances(1, now)
+	now = now.Add(time.Minute)
+	before := b.Spending("s", now).Level
+	b.Request("s", now.Add(-time.Second))
+	if left := b.Spending("s", now).Level; left != before {
+		t.Errorf("%.1f left, before %.1f", left, before)
+	}
+}
