--- a/command/forward/budget.go
+++ b/command/forward/budget.go
@@ -169,8 +169,8 @@
 	if a.settled.IsZero() {
 		a.settled = now
 	}
-	if elapsed := now.Sub(a.settled); elapsed > 0 && b.params.Window > 0 {
-		a.level += gained * b.share() * float64(elapsed) / float64(b.params.Window)
+	if elapsed := now.Sub(a.settled); elapsed > 0 {
+		a.level += b.gain(elapsed)
 		a.settled = now
 	}
 	a.requests = recent(a.requests, now.Add(-max(0, b.params.Window-lateness)))
@@ -178,6 +178,14 @@
 	a.level = min(a.level, b.most(a))
 }
 
+// gain needs mu. It is what an account gains with time.
+func (b *Budget) gain(elapsed time.Duration) float64 {
+	if b.params.Window <= 0 {
+		return 0
+	}
+	return gained * b.share() * float64(elapsed) / float64(b.params.Window)
+}
+
 // most needs mu. It is the highest level of an account.
 func (b *Budget) most(a *account) float64 {
 	return b.saved() * (b.params.Ratio*float64(len(a.requests)) + b.share())
