--- a/command/holder/peers_test.go
+++ b/command/holder/peers_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/internal/standin"
 )
 
 // TestPeersAfterTakeOver: a holder that has just taken over has heard from few. The
@@ -40,3 +43,32 @@
 		t.Errorf("%d instances long after one was heard last, want 1", n)
 	}
 }
+
+// TestPeersTold: each instance that reports is told how many there are in its own
+// failure domain, once all can have reported.
+func TestPeersTold(t *testing.T) {
+	h := newTestHolder("a", standin.NewPlatform(), &fakeEngine{}, time.Millisecond)
+	if err := h.TakeOver(t.Context(), lease.Record{}, 0, "test"); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	told := func(at time.Time) map[string]int {
+		counts := map[string]int{}
+		for name, domain := range map[string]string{"a": "x", "b": "x", "c": "y"} {
+			news, err := h.Exchange(Report{Name: name, Domain: domain}, at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			counts[name] = news.Peers
+		}
+		return counts
+	}
+	for name, n := range told(now) {
+		if n != 0 {
+			t.Errorf("%s was told %d at once", name, n)
+		}
+	}
+	if counts := told(now.Add(instanceLifetime)); counts["a"] != 2 || counts["b"] != 2 || counts["c"] != 1 {
+		t.Errorf("%v, want 2 for a and b, 1 for c", counts)
+	}
+}
