Test, failing: a part of a request outlasts the idle limit where headers have none

Cause: the first byte begins the phase 'receiving', to which only the limit on headers applies; 0 is none. Before that phase was known the idle limit ended such a connection. An instance that leaves waits for it until the end of its grace (1 min of 1 min in the test).

--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -35,6 +35,7 @@
 	t.Run("picked as idle", testPicked)
 	t.Run("arriving", testArriving)
 	t.Run("slow headers", testSlowHeaders)
+	t.Run("no limit on headers", testNoHeaderLimit)
 	t.Run("idle limit lowered", testIdleLimitLowered)
 	t.Run("leaving", testLeaving)
 	t.Run("taken back", testTakenBack)
@@ -103,6 +104,32 @@
 	})
 }
 
+// testNoHeaderLimit: where headers have no limit, a connection on which a request began
+// and did not go on is ended as one that is idle, and does not hold up an instance that
+// leaves.
+func testNoHeaderLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestClients(t, serving.Limits{IdleTimeout: 10 * time.Second})
+		begin := func() {
+			c := s.connect()
+			c.ask()
+			time.Sleep(time.Second)
+			c.write(testRequest[:1])
+		}
+		begin()
+		time.Sleep(10*time.Second + 2*guardInterval)
+		if !s.clients.guard.empty() {
+			t.Error("a connection outlasts the idle limit by a part of a request")
+		}
+		begin()
+		leave := time.Now()
+		s.clients.drain(leave.Add(time.Minute))
+		if took := time.Since(leave); took > 11*time.Second {
+			t.Errorf("an instance without a whole request took %s to leave", took)
+		}
+	})
+}
+
 // testIdleLimitLowered: clients go by the limit that they knew when their connection
 // began to rest; a lower one holds from the next rest on.
 func testIdleLimitLowered(t *testing.T) {
