Without a limit on headers a request that has begun keeps to the idle limit

Ran: go test -race ./entry, vet, gofmt. One run of ./entry failed after 37 s beside other work on the machine; its output was not kept, so the test is not known. The five runs after it passed.

--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -204,14 +204,15 @@
 	c.handled = true
 }
 
-// over reports whether the connection has outlasted its limit. A limit of 0 is none.
+// over reports whether the connection has outlasted its limit. A limit of 0 is none;
+// without one on headers, a request that has begun is given as long as one that has not.
 // c.mu must be held.
 func (c *clientConn) over(now time.Time, limits serving.Limits) bool {
 	limit := time.Duration(0)
 	switch {
-	case c.phase == phaseReceiving:
+	case c.phase == phaseReceiving && limits.HeaderTimeout > 0:
 		limit = limits.HeaderTimeout
-	case c.phase == phaseIdle && limits.IdleTimeout > 0:
+	case c.phase != phaseServing && limits.IdleTimeout > 0:
 		// Clients use a connection for as long as the limit allowed that they
 		// knew when it became idle.
 		limit = max(limits.IdleTimeout, c.idleLimit)
