Test: the part of the credit of loads that have not begun, and unknown engines

Three guards could be taken out with no test failing: an engine's second load begins without the mark of the first, the word of a load planned on another account does not count, and an engine that is not known may exist until that is complete. Each now fails a test; they pass on the code as it is. Ran: go test -race ./command/replicas, each mutation by itself in a scratch copy.

--- a/command/replicas/ceiling_test.go
+++ b/command/replicas/ceiling_test.go
@@ -282,6 +282,41 @@
 	}
 }
 
+// TestWeightStorePartOfLoad: each load keeps its part of the credit until its engine has
+// accepted it, also the second one on an engine; the word of a load that was planned on
+// another account of the engine does not count.
+func TestWeightStorePartOfLoad(t *testing.T) {
+	s := newWeightStoreFleet(1, 2, 200*time.Millisecond)
+	s.takeOver()
+	now := time.Unix(1000, 0)
+	plan := func(delay time.Duration, enough func() bool) {
+		for range 100 {
+			if s.tick(now, delay); enough() {
+				return
+			}
+			now = now.Add(200 * time.Millisecond)
+		}
+		t.Fatal("no load")
+	}
+	pending := func() int { return s.fleet.remoteUse().pending }
+	plan(0, func() bool { return len(s.begun) == 1 })
+	if n := pending(); n != 0 {
+		t.Errorf("%d loads keep a part after the first has begun", n)
+	}
+	plan(time.Hour, func() bool { return len(s.pending) == 1 })
+	op := s.pending[s.engines[0]].op
+	earlier := op
+	earlier.generation--
+	s.fleet.Began(earlier, time.Time{}, 0, now)
+	if n := pending(); n != 1 {
+		t.Errorf("%d loads keep a part, want the second one, which has not begun", n)
+	}
+	s.fleet.Began(op, time.Time{}, 0, now)
+	if n := pending(); n != 0 {
+		t.Errorf("%d loads keep a part after the second has begun", n)
+	}
+}
+
 // TestWeightStoreRateProperty: so it is with any rate, any times of loads, holders that
 // follow each other at any time, and loads that begin late since their engine unloads
 // first.
--- a/command/replicas/limit_test.go
+++ b/command/replicas/limit_test.go
@@ -73,3 +73,15 @@
 		t.Errorf("left: %v of m1, %v of m2", m1, f.Holders("m2", ""))
 	}
 }
+
+// TestUnknownEngine: an engine that the account does not know may exist, until it is
+// known that those without an entry are gone.
+func TestUnknownEngine(t *testing.T) {
+	f := NewFleet(DefaultParams())
+	for _, complete := range []bool{false, true} {
+		f.Complete(complete)
+		if got := f.Known("e", "m").Exists; got == complete {
+			t.Errorf("complete: %v, the engine exists: %v", complete, got)
+		}
+	}
+}
