Test: ends of clients' connections whose guards no test held

Left without a test of its own: that the listener stays open for a request of which only a part has come, and two resets that only log lines depend on.

--- a/entry/connends_test.go
+++ b/entry/connends_test.go
@@ -87,3 +87,21 @@
 	set.WritePrometheus(&text)
 	return text.String()
 }
+
+// TestAnswerCutIsNotWhole: a client cannot take the part of an answer that its handler
+// has given up for the whole.
+func TestAnswerCutIsNotWhole(t *testing.T) {
+	for _, cause := range []any{http.ErrAbortHandler, "spoilt"} {
+		synctest.Test(t, func(t *testing.T) {
+			log, _ := logtest.NewNullLogger()
+			handler := func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte("whole"))
+				panic(cause)
+			}
+			s := serveClients(t, serving.Limits{}, handler, log)
+			if s.connect().ask() {
+				t.Errorf("whole though its handler panicked with %v", cause)
+			}
+		})
+	}
+}
--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -1,10 +1,13 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -45,3 +48,40 @@
 		t.Error("a request is being served, and the guard says that none is")
 	}
 }
+
+// TestCloseWritePassedOn: net/http closes its half first where it answers before it has read
+// all, so that the answer is not lost to a reset.
+func TestCloseWritePassedOn(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	server, err := clientListener{l}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	half, ok := server.(interface{ CloseWrite() error })
+	if !ok {
+		t.Fatal("net/http finds no CloseWrite")
+	}
+	if err := half.CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = client.SetReadDeadline(time.Now().Add(10 * time.Second)) // not reached unless the end is missing
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("%v, want the end", err)
+	}
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if n, err := server.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("the other half is closed too: %v", err)
+	}
+}
