The test of new connections while leaving: its own timing was wrong

It connected once more at the instant at which the last request had ended, where the listener may just be closed, and then hung: one run of ./entry stood for 600 s. Now the connection comes while a request is known and being served; each check is as it was.

--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -216,14 +216,12 @@
 		s := newTestClients(t, serving.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second})
 		busy, before := s.connect(), s.connect()
 		busy.write(testRequest)
+		synctest.Wait() // until the request is known to be there
 		go s.clients.drain(time.Now().Add(time.Minute))
 		time.Sleep(firstRequestTime - lastLook/2)
-		if !before.ask() {
-			t.Error("a client that had connected before got no answer")
-		}
-		busy = s.connect()
-		busy.write(testRequest)
-		time.Sleep(testServeTime / 2)
+		answered := make(chan bool, 1)
+		go func() { answered <- before.ask() }()
+		time.Sleep(testServeTime / 4) // the first request is being served
 		client, server := net.Pipe()
 		t.Cleanup(func() { _, _ = client.Close(), server.Close() })
 		select {
@@ -231,6 +229,9 @@
 		case <-time.After(testServeTime / 4):
 			t.Error("no connection was accepted while a request was being served")
 		}
+		if !<-answered {
+			t.Error("a client that had connected before got no answer")
+		}
 	})
 }
 
