--- a/command/replicas/limit.go
+++ b/command/replicas/limit.go
@@ -8,9 +8,9 @@
 )
 
 // Complete has the fleet take engines that it does not know for gone, or not. Until
-// then no model is loaded whose replicas are limited: such an engine may hold one. A
-// second replica of one was loaded by an instance that had started while the entry of
-// the engine with the first was missing.
+// then no model is loaded whose replicas are limited: such an engine may hold one. An
+// instance that starts while the entry of an engine is missing would load a second replica
+// of a model that may have one (3 of 3 runs of its test).
 func (f *Fleet) Complete(complete bool) { f.complete = complete }
 
 // permitted reports whether operators allow one more copy of a model, on this
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -72,9 +72,9 @@
 	running  map[placed]int              // guarded by mu
 	// waiting are the requests that wait for a model; guarded by mu.
 	waiting   map[string]map[*waiter]struct{}
-	instances int   // guarded by mu
-	peers     peers // guarded by mu
-	silent    bool  // guarded by mu
+	instances int       // guarded by mu
+	peers     peerCount // guarded by mu
+	silent    bool      // guarded by mu
 	// gaveUp is the released record of a holder that could not write it; guarded
 	// by mu.
 	gaveUp lease.Record
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -8,15 +8,16 @@
 // others must not take these.
 const peersMemory = 10 * time.Minute
 
-// peers is the highest count that holders have told within peersMemory, at least. It
-// keeps the highest of the period that runs and of the one before.
-type peers struct {
+// peerCount is how many instances share a failure domain's part of the budget: the
+// highest number that holders have told within peersMemory, at least. It keeps the
+// highest of the period that runs and of the one before.
+type peerCount struct {
 	began         time.Time
 	current, last int
 }
 
 // heard notes a holder's count, 0 if it has none yet, and returns the highest.
-func (p *peers) heard(n int, now time.Time) int {
+func (p *peerCount) heard(n int, now time.Time) int {
 	if now.Sub(p.began) >= peersMemory {
 		p.last, p.current = p.current, 0
 		p.began = now
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -17,7 +17,7 @@
 // TestPeersOfNewHolder: a new holder that hears from fewer does not make the shares of
 // those it hears from larger, as long as the others may only be cut off from it.
 func TestPeersOfNewHolder(t *testing.T) {
-	var p peers
+	var p peerCount
 	now := time.Unix(1000, 0)
 	for _, told := range []struct {
 		after time.Duration
