--- a/entry/operators.go
+++ b/entry/operators.go
@@ -53,8 +53,8 @@
 	return limits.Limit{Replicas: m.MaxReplicas, Domains: m.FailureDomains}, true
 }
 
-// forget notes that the declaration is not read any more. An instance that was the
-// holder, and is so again, had gone by the declaration of the first time for 84 ms.
+// forget notes that the declaration is not read any more. Without it an instance that
+// becomes the holder again goes by the declaration of the first time, for 84 ms in its test.
 func (d *declared) forget() { d.read.Store(false) }
 
 // apply takes over what the store has. An accepted declaration never reverts.
