Stale word of others' load does not send everybody to one server

Cause: an instance took the server with the fewest requests that it knew of. In a fleet of hundreds it hears of the others once a second, a request lasts 1.5 s, so most of what runs is not in that word and many choose the same server until the next one. Ruled out: the order of candidates (it is drawn), the interval of 8 ms for each instance (the holder's processor time binds it). Now: the requests that others are expected to have sent since their word are counted, by how much runs and how long requests take there (learned), and the choice is drawn so that those even the servers out. With word that is fresh against a request's length it is the old choice.

--- a/command/balance/balance.go
+++ b/command/balance/balance.go
@@ -37,8 +37,9 @@
 type Candidate struct {
 	ID   string
 	Near bool
-	// Others is how many requests of other instances it runs.
+	// Others is how many requests of other instances it runs, as of Age ago.
 	Others int
+	Age    time.Duration
 	// Slots is how many requests it runs at once.
 	Slots int
 	// Affine: it is the one to which such requests should go.
@@ -69,6 +70,9 @@
 
 type server struct {
 	inFlight int
+	// took is how long requests that it answered have taken, smoothed; zero before the
+	// first one.
+	took time.Duration
 	// failing is the smoothed share of failures.
 	failing float64
 	row     int
@@ -88,36 +92,46 @@
 	return &Balancer{params: p, servers: map[string]*server{}}
 }
 
-// Pick returns the index of the best candidate, -1 if there is none. Ejected
-// servers are taken only when all are ejected.
+// Pick returns the index of the candidate to send to, -1 if there is none. Ejected
+// servers are taken only when all are ejected. The choice is drawn: see spread.
 func (b *Balancer) Pick(candidates []Candidate, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	best, bestScore, bestEjected := -1, 0.0, true
+	usable := b.usable(candidates, now)
+	if len(usable) == 0 {
+		return -1
+	}
+	scores := make([]float64, len(usable))
+	for i, index := range usable {
+		scores[i] = b.score(candidates[index])
+	}
+	return usable[draw(scores, b.unseen(candidates, usable), rand.Float64())]
+}
+
+// usable needs mu. It returns the indices of the candidates that are not ejected, of all
+// if all are.
+func (b *Balancer) usable(candidates []Candidate, now time.Time) []int {
+	var usable, ejected []int
 	for i, c := range candidates {
-		s := b.servers[c.ID]
-		ejected := s != nil && now.Before(s.until)
-		score := b.score(c, s) + rand.Float64()*tieBreak
-		if best < 0 || (bestEjected && !ejected) || (bestEjected == ejected && score < bestScore) {
-			best, bestScore, bestEjected = i, score, ejected
+		if s := b.servers[c.ID]; s != nil && now.Before(s.until) {
+			ejected = append(ejected, i)
+			continue
 		}
+		usable = append(usable, i)
+	}
+	if len(usable) == 0 {
+		return ejected
 	}
-	return best
+	return usable
 }
 
-// tieBreak spreads equal candidates, so that instances with the same view do
-// not all choose the same one.
-const tieBreak = 0.4
-
 // score needs mu; lower is better.
-func (b *Balancer) score(c Candidate, s *server) float64 {
+func (b *Balancer) score(c Candidate) float64 {
 	load := float64(c.Others)
-	if s != nil {
+	if s := b.servers[c.ID]; s != nil {
 		load += float64(s.inFlight) + s.failing*b.params.FailurePenalty
 	}
-	if c.Slots > 0 {
-		load *= referenceSlots / float64(c.Slots)
-	}
+	load *= c.scale()
 	if !c.Near {
 		load += b.params.FarPenalty
 	}
@@ -130,6 +144,14 @@
 // referenceSlots is the size of a server in which the other weights are given.
 const referenceSlots = 16
 
+// scale converts requests on the candidate to those on a server of referenceSlots.
+func (c Candidate) scale() float64 {
+	if c.Slots <= 0 {
+		return 1
+	}
+	return referenceSlots / float64(c.Slots)
+}
+
 // Start notes that a request is sent to a server. The returned function must be
 // called once, with how it ended.
 func (b *Balancer) Start(id string) func(o Outcome, now time.Time) {
@@ -141,10 +163,14 @@
 		b.servers[id] = s
 	}
 	s.inFlight++
+	began := time.Now()
 	return func(o Outcome, now time.Time) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		s.inFlight--
+		if o == Succeeded {
+			s.noteTook(now.Sub(began))
+		}
 		b.note(s, o, now)
 	}
 }
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -159,7 +159,7 @@
 		}
 		usable = append(usable, r)
 		candidates = append(candidates, balance.Candidate{
-			ID: r.Server.ID, Slots: r.Server.Slots, Others: r.Others, Wait: max(0, r.Ready.Sub(now)),
+			ID: r.Server.ID, Slots: r.Server.Slots, Others: r.Others, Age: r.Age, Wait: max(0, r.Ready.Sub(now)),
 			Near: r.Server.FailureDomain == t.f.params.FailureDomain,
 		})
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -29,7 +29,10 @@
 	lacks map[string]map[serving.Unit]time.Time
 	// viewsFrom is the fencing token of the holder that the views are from.
 	viewsFrom int64 // guarded by mu
-	heard     time.Time
+	// heard is when the holder last said anything, spacing how long after the time
+	// before; guarded by mu.
+	heard   time.Time
+	spacing time.Duration
 	// others is how many requests of other instances run on each engine;
 	// guarded by mu.
 	others map[string]int
--- a/directory/views.go
+++ b/directory/views.go
@@ -26,8 +26,9 @@
 	Server serving.Server
 	// Ready is when it is expected to serve; a time past means now.
 	Ready time.Time
-	// Others is how many requests of other instances run on the engine.
+	// Others is how many requests of other instances run on the engine, as of Age ago.
 	Others int
+	Age    time.Duration
 }
 
 // ApplyViews takes over what the holder with the given fencing token says: the
@@ -44,6 +45,7 @@
 		clear(d.lacks)
 		d.viewsFrom = fence
 	}
+	d.spacing = min(viewLifetime, now.Sub(d.heard))
 	d.heard, d.others = now, others
 	for _, v := range views {
 		if _, live := d.servers[v.Engine]; live {
@@ -83,6 +85,7 @@
 	defer d.mu.RUnlock()
 	var found []Replica
 	fresh := now.Sub(d.heard) < viewLifetime
+	age := now.Sub(d.heard) + d.spacing/2 // instances report as often as they hear
 	for _, s := range d.servers {
 		if s.Service != service || s.Draining || now.Before(d.lacks[s.ID][unit]) {
 			continue
@@ -91,13 +94,13 @@
 		if viewed && fresh {
 			for _, u := range view.Units {
 				if u.Unit == unit {
-					found = append(found, Replica{Server: s, Ready: u.Ready, Others: d.others[s.ID]})
+					found = append(found, Replica{Server: s, Ready: u.Ready, Others: d.others[s.ID], Age: age})
 				}
 			}
 			continue
 		}
 		if adapters, loaded := s.Models[unit.Model]; loaded && (unit.Adapter == "" || slices.Contains(adapters, unit.Adapter)) {
-			found = append(found, Replica{Server: s, Others: d.others[s.ID]})
+			found = append(found, Replica{Server: s, Others: d.others[s.ID], Age: age})
 		}
 	}
 	slices.SortFunc(found, func(a, b Replica) int { return byID(a.Server, b.Server) })
