The weight store's speed is learned, and a load there is promised for its true time

Cause: four loads at once were a constant, from deployments where four have full speed. Where one has, loads that were promised for 13 s took 13, 27, 40 and 53 s (two were given up as not loaded after 40 s), and their engines could load nothing else meanwhile. Now: how many loads have full speed together is learned from how long loads took, given how many were under way when they began, also from those that last. A successor hears what was learned with the holder's word; loads of a holder before count as soon as an engine that has to be read anew stays busy for 2 s. An engine that neither has nor loads the model is noticed at once. Equal requests queue by how long they have waited: all were promised the same turn before. Ruled out: sharing by the loads that run at each moment (the first of the four kept its time).

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -140,6 +140,9 @@
 	Servers directory.Delta
 	// ConfigVersion is that of the configuration in force at the holder.
 	ConfigVersion int64
+	// RemoteAtOnce is how many loads from the weight store have full speed together, as
+	// far as is known: a successor need not learn it again.
+	RemoteAtOnce float64
 	// Failing numbers the episode in which the holder does not reach the store,
 	// 0 while it does.
 	Failing uint64
@@ -173,6 +176,7 @@
 	news := News{
 		Fence: record.Fence, Failing: failing, Instances: len(h.account.instances), Others: h.account.others(r.Name, now), Servers: h.dir.Since(r.SeenServers, r.Revision),
 	}
+	news.RemoteAtOnce = h.fleet.RemoteAtOnce()
 	news.Peers = h.account.peers.count(r.Domain, now)
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config := h.dir.Config(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -55,6 +55,8 @@
 	// proving is whether a renewal is on its way that decides whether the lease
 	// is given up; guarded by mu.
 	proving bool
+	// remoteAtOnce is what a holder before has learned of the weight store; guarded by mu.
+	remoteAtOnce float64
 	// gaveUp is the released record under which this instance has promised to
 	// order nothing more; guarded by mu.
 	gaveUp lease.Record
@@ -88,6 +90,13 @@
 // before Run.
 func (h *Holder) Limit(source limits.Source) { h.limits = source }
 
+// HeardRemoteAtOnce notes what the holder has learned of the weight store.
+func (h *Holder) HeardRemoteAtOnce(atOnce float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.remoteAtOnce = atOnce
+}
+
 // Run does the standing work while the lease is held, until ctx ends.
 func (h *Holder) Run(ctx context.Context) {
 	h.mu.Lock()
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -37,6 +37,7 @@
 	from := h.lease.OrderFrom("")
 	h.fleet = replicas.NewFleet(h.params.Fleet)
 	h.fleet.SetLimits(h.limits)
+	h.fleet.LearnRemoteAtOnce(h.remoteAtOnce)
 	h.account, h.views = newAccount(), views{}
 	h.failingSince = time.Time{}
 	for _, w := range h.workers {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -219,10 +219,14 @@
 	return pause.For(w.ctx, time.Until(done))
 }
 
+// remotePatience times the expected time a load from the weight store may be late: while
+// nothing is known of the store's speed as many loads as are tried slow each other.
+const remotePatience = 4
+
 // awaitRemote waits for a load from the weight store, whose time depends on how
 // many others run.
 func (w *worker) awaitRemote(op replicas.Operation, ready time.Time) error {
-	limit := ready.Add(2 * op.Duration)
+	limit := ready.Add(remotePatience * op.Duration)
 	for time.Now().Before(limit) {
 		if !pause.For(w.ctx, max(w.h.params.ReportLag, time.Until(ready))) {
 			return w.ctx.Err()
@@ -231,11 +235,15 @@
 		if err != nil {
 			continue
 		}
-		if _, loaded := report.Models[op.Load.Model]; loaded && !report.Busy {
+		_, loaded := report.Models[op.Load.Model]
+		switch {
+		case loaded && !report.Busy:
 			return nil
+		case !report.Busy:
+			return errors.Wrapf(errEngine, "the engine neither has %s nor loads it", op.Load)
 		}
 		w.h.mu.Lock()
-		w.h.fleet.Expect(op, time.Now().Add(w.h.params.ReportLag))
+		ready = w.h.fleet.Lasts(op, time.Now())
 		w.h.mu.Unlock()
 	}
 	return errors.Wrapf(errEngine, "%s was not loaded by %s", op.Load, limit)
@@ -268,6 +276,11 @@
 			w.h.log.WithFields(logrus.Fields{"engine": w.engine, "sequence": report.Sequence, "models": len(report.Models)}).Info("engine read")
 			return
 		}
+		if err == nil {
+			w.h.mu.Lock()
+			w.h.fleet.BusyElsewhere(w.engine, time.Now())
+			w.h.mu.Unlock()
+		}
 		if err != nil { // what it holds is not known, so requests go elsewhere
 			w.h.mu.Lock()
 			w.h.fleet.Unreachable(w.engine, time.Now())
--- a/command/replicas/ceiling.go
+++ b/command/replicas/ceiling.go
@@ -55,9 +55,10 @@
 func (f *Fleet) remoteAllowed(spec *serving.EngineSpec, now time.Time) bool {
 	use := f.remoteUse()
 	f.growCredit(use, now)
+	running := use.running + f.foreignLoads(now)
 	f.remote.forget(now.Add(-f.params.RemoteWindow))
 	inWindow := float64(len(f.remote.planned))
-	return use.running < f.params.RemoteAtOnce && f.remote.credit >= 1 &&
+	return running < f.store.limit() && f.remote.credit >= 1 &&
 		inWindow < spec.RemoteLoadsPerSecond*f.params.RemoteWindow.Seconds()
 }
 
@@ -101,5 +102,5 @@
 		return
 	}
 	f.growCredit(f.remoteUse(), now)
-	e.begun = true
+	e.begun, e.began = true, now
 }
--- a/command/replicas/ceiling_test.go
+++ b/command/replicas/ceiling_test.go
@@ -31,8 +31,8 @@
 		f.Find("llm", serving.Unit{Model: name}, waits(1), now)
 		started += len(f.Dispatch(now))
 	}
-	if started != f.params.RemoteAtOnce {
-		t.Errorf("%d loads from the weight store at once, want %d", started, f.params.RemoteAtOnce)
+	if started != f.store.limit() {
+		t.Errorf("%d loads from the weight store at once, want %d", started, f.store.limit())
 	}
 }
 
@@ -43,7 +43,7 @@
 	spec := testSpec("m1", "m2", "m3", "m4", "m5", "m6")
 	spec.RemoteLoadsPerSecond = 0.4
 	f := testFleet(now, spec, make([][]string, 6)...)
-	f.params.RemoteAtOnce = 100
+	f.store.atOnce = 100
 	for _, e := range f.Engines() {
 		clear(e.Tiers)
 	}
@@ -91,7 +91,7 @@
 		return math.Round(found.Ready.Sub(now).Seconds() / load.Seconds())
 	}
 	for i, name := range names {
-		want := float64(1 + i/f.params.RemoteAtOnce)
+		want := float64(1 + i/f.store.limit())
 		if got := turns(name, 1); got != want {
 			t.Errorf("%s is promised after %v loads, want %v", name, got, want)
 		}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -75,6 +75,13 @@
 	// remote: what is being loaded comes from the weight store; begun: the engine has
 	// accepted that load.
 	remote, begun bool
+	// together is as one of how many under way a load from the weight store was planned,
+	// and began when the engine accepted it.
+	together int
+	began    time.Time
+	// foreignSince is since when an engine that is Unsure has been carrying out an order
+	// of a holder before, zero if it is not.
+	foreignSince time.Time
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
@@ -102,8 +109,9 @@
 	// decayed is when rates last fell, counted when running requests were counted.
 	// extrasAt is when further copies were last looked at.
 	decayed, counted, extrasAt time.Time
-	// remote bounds loads from the weight store.
+	// remote bounds loads from the weight store, and store is what is known of its speed.
 	remote ceiling
+	store  weightStore
 	// wanted is what all that is wanted was worth when last added up.
 	wanted float64
 	pace   pace
@@ -118,7 +126,7 @@
 // NewFleet returns an empty account.
 func NewFleet(p Params) *Fleet {
 	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, limits: limits.None{},
-		pace: pace{idle: p.UnloadTime, running: p.RunningWait}}
+		store: weightStore{atOnce: p.RemoteAtOnce}, pace: pace{idle: p.UnloadTime, running: p.RunningWait}}
 }
 
 // SetLimits has the fleet keep to what operators decided.
@@ -180,6 +188,7 @@
 		f.index.cached = nil
 	}
 	e.Unsure, e.Busy, e.unanswered = false, false, false
+	e.foreignSince = time.Time{}
 	e.generation++
 }
 
--- a/command/replicas/params.go
+++ b/command/replicas/params.go
@@ -29,11 +29,11 @@
 	SpareRate float64
 	// AdapterTime is how long an adapter takes to load.
 	AdapterTime time.Duration
-	// RemoteWindow is the time over which loads from the weight store are
-	// counted, and RemoteAtOnce how many may run together: more slow each
-	// other down.
+	// RemoteWindow is the time over which loads from the weight store are counted.
 	RemoteWindow time.Duration
-	RemoteAtOnce int
+	// RemoteAtOnce is how many loads from the weight store are tried together while
+	// nothing is known of its speed: a second one shows whether it has to share.
+	RemoteAtOnce float64
 	// RemoteOverage times what the weight store's rate gives in a window, and
 	// RemoteExtra more loads, may begin within one at the most, whoever holds the lease
 	// meanwhile.
@@ -60,6 +60,6 @@
 		RunningWait: 2 * time.Second, OrderTime: 30 * time.Millisecond, UnloadTime: 60 * time.Millisecond,
 		AdapterTime: 80 * time.Millisecond, KeepFor: time.Second,
 		CopyShare: 0.5, SpareRate: 1.5, EngineTimeCost: 0.5,
-		RemoteWindow: 5 * time.Second, RemoteAtOnce: 4, RemoteOverage: 1, RemoteExtra: 3,
+		RemoteWindow: 5 * time.Second, RemoteAtOnce: 2, RemoteOverage: 1, RemoteExtra: 3,
 	}
 }
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -123,6 +123,9 @@
 	}
 	unload := room.wait + time.Duration(len(room.models))*f.pace.idle
 	load := m.LoadTime(tier)
+	if tier == serving.TierRemote {
+		load = f.remoteLoad(m, now)
+	}
 	c := choice{engine: e, evict: room.models, inUse: room.wait > 0, tier: tier, loss: room.loss, price: room.loss}
 	c.ready = e.free(now).Add(claimed + f.params.OrderTime + unload + load)
 	least := max(second, f.params.EngineTimeCost)
@@ -143,6 +146,11 @@
 		Engine: e.Server.ID, Load: serving.Unit{Model: model}, From: now, Ready: c.ready, generation: e.generation,
 		Remote: c.tier == serving.TierRemote, Duration: e.Spec.Models[model].LoadTime(c.tier), InUse: c.inUse,
 	}
+	e.together, e.began = 0, time.Time{}
+	if op.Remote {
+		e.together = f.remoteTogether(now)
+		op.Duration = f.store.duration(op.Duration, e.together)
+	}
 	for _, name := range c.evict {
 		e.Copies[name].State = Leaving
 		op.Unload = append(op.Unload, serving.Unit{Model: name})
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -78,6 +78,7 @@
 	e.failures = 0
 	if op.Load.Adapter == "" {
 		e.Busy = false
+		f.remoteEnded(op, e, now)
 	}
 	c := e.Copies[op.Load.Model]
 	if c == nil {
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -58,6 +58,19 @@
 	return total
 }
 
+// before reports whether the want goes first where both have to queue: more waits for it
+// or, of equal ones, for longer.
+func (w *want) before(other *want) bool {
+	switch own, others := w.value(), other.value(); {
+	case own != others:
+		return own > others
+	case !w.since.Equal(other.since):
+		return w.since.Before(other.since)
+	default:
+		return w.model < other.model
+	}
+}
+
 // impatience is the time in which the claim of a waiting request doubles, so that a
 // rare model is not passed over for ever while busier ones are wanted again and
 // again: several loads from disk.
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -83,7 +83,7 @@
 // from there, too.
 func (f *Fleet) remoteTurn(w *want, now time.Time) (time.Time, bool) {
 	var load time.Duration
-	lanes := make([]time.Time, 0, f.params.RemoteAtOnce)
+	lanes := make([]time.Time, 0, f.store.limit())
 	for _, e := range f.Engines() {
 		if e.Server.Service == w.service && e.usable(now) {
 			load = e.Spec.Models[w.model].RemoteLoad
@@ -95,11 +95,11 @@
 	if load == 0 || len(f.caching(w.model)) > 0 {
 		return time.Time{}, false
 	}
-	for len(lanes) < f.params.RemoteAtOnce {
+	for len(lanes) < f.store.limit() {
 		lanes = append(lanes, now)
 	}
 	for _, other := range f.wants {
-		if other != w && f.copiesOf(other.model, now) == 0 && other.value() > w.value() && len(f.caching(other.model)) == 0 {
+		if f.copiesOf(other.model, now) == 0 && other.before(w) && len(f.caching(other.model)) == 0 {
 			first := earliest(lanes)
 			lanes[first] = lanes[first].Add(load)
 		}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -196,6 +196,7 @@
 		return false
 	}
 	f.takeOverNews(record, &reply, time.Now())
+	f.holder.HeardRemoteAtOnce(reply.News.RemoteAtOnce)
 	return true
 }
 
