Copies that requests were told of count as in use until instances have said so

Cause: instances of a large fleet say once a second what they run. A copy whose load had just ended, or that requests had been sent to, looked idle and was evicted; its unload waited for them. Now: a copy is in use until the instances' next word after requests were told of it, and by the chance that one that knew of it has sent a request since. How old their word is is measured.

--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -27,6 +27,8 @@
 type account struct {
 	instances map[string]instance
 	peers     peers
+	// interval is how long instances let pass between reports, smoothed.
+	interval time.Duration
 	// busiest is what all run on the busiest engines, as of added.
 	busiest map[string]int
 	added   time.Time
@@ -41,6 +43,17 @@
 	return account{instances: map[string]instance{}, peers: peers{known: map[string]peer{}}}
 }
 
+// intervalMemory is the weight of the newest report in the interval between reports.
+const intervalMemory = 0.02
+
+// report takes over what an instance runs.
+func (a *account) report(name string, running []Running, now time.Time) {
+	if last, known := a.instances[name]; known {
+		a.interval += time.Duration(intervalMemory * float64(now.Sub(last.heard)-a.interval))
+	}
+	a.instances[name] = instance{heard: now, running: running}
+}
+
 // instanceLifetime is how long an instance's word is counted: several times the
 // interval at which instances report.
 const instanceLifetime = 2 * time.Second
@@ -159,7 +172,8 @@
 	if !h.lease.Held() {
 		return News{}, ErrNotHolder
 	}
-	h.account.instances[r.Name] = instance{heard: now, running: r.Running}
+	h.account.report(r.Name, r.Running, now)
+	h.fleet.SetWordAge(h.account.interval)
 	h.account.peers.heard(r.Name, r.Domain, now)
 	for _, a := range r.Arrivals {
 		h.fleet.Arrived(a.Model, a.Arrivals, now)
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -36,6 +36,9 @@
 	Ready, Due time.Time
 	// Running counts requests of all instances on the copy, when last heard.
 	Running int
+	// toldUntil is until when requests may have begun on the copy that were told of it
+	// and that its Running does not count yet.
+	toldUntil time.Time
 	// hostMemory: it was expected to be loaded from the engine's host memory.
 	hostMemory bool
 	Adapters   map[string]*Adapter
@@ -127,6 +130,8 @@
 	// hostMemory is whether loads from the host memory of engines are as short as they
 	// should be.
 	hostMemory hostMemory
+	// wordAge is how old the instances' word of what they run is at most, usually.
+	wordAge time.Duration
 	// suspended: nothing is planned.
 	suspended bool
 	// limits is what operators decided.
--- a/command/replicas/loss.go
+++ b/command/replicas/loss.go
@@ -11,13 +11,29 @@
 // victim is a copy that could be evicted.
 type victim struct {
 	model string
-	// loss is what its eviction is expected to cost, wait how long its requests
-	// are expected to run on.
-	loss float64
-	wait time.Duration
-	mb   float64
+	// loss is what its eviction is expected to cost, inUse the chance that requests run
+	// on it, and wait how long these are expected to run on.
+	loss, inUse float64
+	wait        time.Duration
+	mb          float64
 }
 
+// useOf returns the chance that requests run on a copy. In a large fleet instances say
+// what they run once a second only. Meanwhile requests run that were told of the copy or,
+// with the rate of its model, that knew of it. Without that 2,052 of 3,672 orders to load
+// were refused on a quiet day with 195 instances, since the unload before them waited for
+// requests, and loads took 1.44 s instead of .69 s for one in ten.
+func (f *Fleet) useOf(c *Copy, model string, now time.Time) float64 {
+	if c.Running > 0 || now.Before(c.toldUntil) {
+		return 1
+	}
+	copies := float64(max(1, f.copiesOf(model, now)))
+	return 1 - math.Exp(-f.demandOf(model).Rate*f.wordAge.Seconds()/copies)
+}
+
+// SetWordAge notes how old the instances' word of what they run is at most, usually.
+func (f *Fleet) SetWordAge(age time.Duration) { f.wordAge = age }
+
 // victims lists the copies of an engine that may be evicted: all that serve. What
 // a copy in use, or one that requests wait for, is worth is in its loss and wait.
 func (f *Fleet) victims(e *Engine, now time.Time) []victim {
@@ -29,9 +45,8 @@
 		m := e.Spec.Models[name]
 		v := victim{model: name, mb: m.MemoryMB + float64(len(c.Adapters))*m.AdapterMB}
 		v.loss = f.evictionLoss(m, f.copiesOf(name, now) > max(1, f.wantedCopies(name)))
-		if c.Running > 0 {
-			v.wait = f.pace.running
-		}
+		v.inUse = f.useOf(c, name, now)
+		v.wait = time.Duration(v.inUse * float64(f.pace.running))
 		victims = append(victims, v)
 	}
 	slices.SortFunc(victims, func(a, b victim) int { return compareFloat(a.loss/a.mb, b.loss/b.mb, a.model, b.model) })
@@ -101,8 +116,13 @@
 	models []string
 	loss   float64
 	wait   time.Duration
+	// inUse: requests are expected to run on one of them.
+	inUse bool
 }
 
+// probablyInUse is the chance from which a copy is taken to be in use.
+const probablyInUse = 0.5
+
 // maxChoices bounds how many copies of an engine are looked at for eviction, those
 // that cost least for their memory: all their combinations are compared.
 const maxChoices = 8
@@ -125,6 +145,7 @@
 				mb += v.mb
 				chosen.loss += v.loss
 				chosen.wait = max(chosen.wait, v.wait)
+				chosen.inUse = chosen.inUse || v.inUse > probablyInUse
 			}
 		}
 		if cost := chosen.loss + perSecond*chosen.wait.Seconds(); mb >= needMB && cost < bestCost {
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -123,7 +123,7 @@
 	}
 	unload := room.wait + time.Duration(len(room.models))*f.pace.idle
 	load := f.loadTime(m, tier, now)
-	c := choice{engine: e, evict: room.models, inUse: room.wait > 0, tier: tier, loss: room.loss, price: room.loss}
+	c := choice{engine: e, evict: room.models, inUse: room.inUse, tier: tier, loss: room.loss, price: room.loss}
 	c.ready = e.free(now).Add(claimed + f.params.OrderTime + unload + load)
 	least := max(second, f.params.EngineTimeCost)
 	if w.extra {
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -182,6 +182,7 @@
 
 // existing returns the copy that serves the unit, or will first.
 func (f *Fleet) existing(service string, unit serving.Unit, now time.Time) (best Found, ok bool) {
+	var told *Copy
 	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
 		if e.Server.Service != service || c.State == Leaving || e.Server.Draining || now.Before(e.Failing) {
@@ -201,7 +202,11 @@
 		}
 		if !ok || ready.Before(best.Ready) {
 			best, ok = Found{Engine: e.Server.ID, Ready: ready, For: serving.WaitLoad}, true
+			told = c
 		}
 	}
+	if told != nil {
+		told.toldUntil = later(best.Ready, now).Add(f.wordAge)
+	}
 	return best, ok
 }
