The holder is told at once of a request for a copy that is the only one

Cause: in a large fleet reports come once a second. In a small fleet nothing is sent. Test: TestBegunUseCountsBeforeReports.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -163,6 +163,7 @@
 			Near: r.Server.FailureDomain == t.f.params.FailureDomain,
 		})
 	}
+	t.only = len(candidates) == 1 && usable[0].Ready.IsZero()
 	t.markAffine(candidates)
 	i := t.f.balancer.Pick(candidates, now)
 	if i < 0 {
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -76,8 +76,8 @@
 	// within the request's objective.
 	Waits(unit serving.Unit, priority int, onTime time.Time) func()
 	// Started notes that a request for a unit runs on an engine, until the
-	// returned function is called.
-	Started(engine string, unit serving.Unit) func()
+	// returned function is called. only: no other engine is known to have the unit.
+	Started(engine string, unit serving.Unit, only bool) func()
 }
 
 // Params are what the forwarder goes by beside routes.
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -38,6 +38,8 @@
 	missing string
 	// unreachable is the last engine that could not be connected to.
 	unreachable string
+	// only: the one engine that is known to have the unit was chosen.
+	only bool
 	// pauses counts the pauses before a server was asked again.
 	pauses int
 	// waits is what the request waited for, and how long.
@@ -177,7 +179,7 @@
 	ended := t.f.balancer.Start(server.ID)
 	done := func() {}
 	if t.request.Unit.Model != "" {
-		done = t.f.placer.Started(server.ID, t.request.Unit)
+		done = t.f.placer.Started(server.ID, t.request.Unit, t.only)
 	}
 	outcome := balance.Neutral
 	defer func() {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -240,6 +240,21 @@
 	return found, ok, nil
 }
 
+// Use is a request that begins on an engine.
+type Use struct {
+	Engine string
+	Unit   serving.Unit
+}
+
+// Used notes a request that begins, before the instance that sends it reports.
+func (h *Holder) Used(u Use, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lease.Held() {
+		h.fleet.BeganUse(u.Engine, u.Unit, now)
+	}
+}
+
 // dispatch starts what is wanted on engines that have become free.
 func (h *Holder) dispatch(now time.Time) {
 	h.mu.Lock()
--- a/command/replicas/inuse_test.go
+++ b/command/replicas/inuse_test.go
@@ -52,3 +52,18 @@
 		t.Errorf("in use with chance %.2f half a second after the load, want 1", use)
 	}
 }
+
+// TestBegunUseCountsBeforeReports: a copy that an instance has said to use is not the one
+// that goes for room.
+func TestBegunUseCountsBeforeReports(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+	f.SetWordAge(time.Second)
+	f.BeganUse("a-engine", serving.Unit{Model: "m1"}, now)
+	f.BeganUse("a-engine", serving.Unit{Model: "m2"}, now)
+	f.BeganUse("gone", serving.Unit{Model: "m2"}, now)
+	operations := wantNow(t, f, "m4", now)
+	if len(operations) != 1 || operations[0].Unload[0].Model != "m3" || operations[0].InUse {
+		t.Errorf("%+v, want m3 evicted, and nothing waited for", operations)
+	}
+}
--- a/command/replicas/view.go
+++ b/command/replicas/view.go
@@ -72,6 +72,16 @@
 	return ids
 }
 
+// BeganUse notes that a request has begun on a unit of an engine, which the instances'
+// reports do not say yet.
+func (f *Fleet) BeganUse(id string, unit serving.Unit, now time.Time) {
+	if e := f.engines[id]; e != nil && e.Copies[unit.Model] != nil {
+		c := e.Copies[unit.Model]
+		c.toldUntil = later(c.toldUntil, now.Add(f.wordAge))
+	}
+	f.Used(id, unit, now)
+}
+
 // Used notes that a unit is in use on an engine.
 func (f *Fleet) Used(id string, unit serving.Unit, now time.Time) {
 	e := f.engines[id]
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -158,6 +158,8 @@
 		return f.own.Exchange(a, reply.(*ExchangeReply))
 	case *WantArgs:
 		return f.own.Want(a, reply.(*WantReply))
+	case *UseArgs:
+		return f.own.Use(a, reply.(*UseReply))
 	default:
 		return errors.Newf("entry: no such call %T", args)
 	}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -69,7 +69,10 @@
 }
 
 // Started implements forward.Placer.
-func (f *follower) Started(engine string, unit serving.Unit) func() {
+func (f *follower) Started(engine string, unit serving.Unit, only bool) func() {
+	if only {
+		f.tellUse(engine, unit)
+	}
 	key := placed{engine, unit}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -22,6 +22,7 @@
 	methodWant     = "Entry.Want"
 	methodReaches  = "Entry.Reaches"
 	methodAnnounce = "Entry.Announce"
+	methodUse      = "Entry.Use"
 )
 
 // ExchangeArgs is an instance's report to the holder.
@@ -79,6 +80,12 @@
 // AnnounceArgs tells of a new holder: the record that it has written.
 type AnnounceArgs struct{ Record lease.Record }
 
+// UseArgs tells the holder of a request that begins.
+type UseArgs struct{ holder.Use }
+
+// UseReply has nothing.
+type UseReply struct{}
+
 // AnnounceReply has nothing.
 type AnnounceReply struct{}
 
@@ -131,6 +138,12 @@
 	return nil
 }
 
+// Use takes over that a request begins.
+func (s *service) Use(args *UseArgs, _ *UseReply) error {
+	s.holder.Used(args.Use, time.Now())
+	return nil
+}
+
 func until(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func encodeView(v directory.EngineView, now time.Time) WireView {
--- /dev/null
+++ b/entry/use.go
@@ -0,0 +1,31 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/serving"
+)
+
+// Where instances report less often than requests last, the holder is told at once of a
+// request for a unit that one engine alone has: such copies look idle between reports, and
+// are the ones that are evicted. On a quiet day with 195 instances 97 of 1,024 loads waited
+// 2.4 s for a request that had begun since the last report. Copies of popular models need no
+// such word: some request runs on them in every report.
+
+// tellUse tells the holder that a request begins, unless reports are frequent enough.
+func (f *follower) tellUse(engine string, unit serving.Unit) {
+	if f.interval() <= exchangeInterval {
+		return
+	}
+	f.mu.Lock()
+	record := f.record
+	f.mu.Unlock()
+	if record.Holder == "" || record.Released {
+		return
+	}
+	go func() {
+		args := &UseArgs{holder.Use{Engine: engine, Unit: unit}}
+		_ = f.call(context.Background(), record, wantTimeout, methodUse, args, &UseReply{}) // the next report says so, too
+	}()
+}
