Of what engines cannot serve on time a part is refused at once

Cause: where a model was asked for a little more than its engines serve, their queues grew until clients left. Ruled out: choosing other engines (all that had the weights were as full), holding the requests at the instance (as late), further copies alone (the weight store gives one in 13 s). Now: by the load of all engines that have the model together, against what a request may still wait, a share of first sends is refused at once with the time after which the queues are gone. Objectives longer than the requests themselves are in effect not touched.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +63,7 @@
 		server, ready, found := t.bestReplica()
 		if found && ready.IsZero() {
 			t.waits.ended(t.f.counts)
-			return server, nil
+			return server, t.refuseOverload()
 		}
 		wait := time.Until(ready)
 		if stop == nil {
@@ -147,6 +148,21 @@
 	askAnew      = 500 * time.Millisecond
 )
 
+// refuseOverload refuses a request, by chance, that comes while its engines have more than
+// they can serve on time. One that an engine has had is not refused for that.
+func (t *trip) refuseOverload() *verdict.Failure {
+	if t.sends > 0 || t.out.started {
+		return nil
+	}
+	spare := time.Until(t.request.Arrived.Add(t.route.Objective - t.f.params.FirstEvent))
+	overload := t.f.balancer.Overload(t.candidates, spare)
+	if overload.Refuse <= rand.Float64() {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonQueueFull, "%d engines of %s have more than they can serve on time, %.2f of such requests are refused",
+		len(t.candidates), t.request.Unit, overload.Refuse).After(max(overload.After, t.f.params.RetryPause))
+}
+
 // bestReplica picks among the engines known to have the unit or to get it.
 func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
 	now := time.Now()
@@ -163,6 +179,7 @@
 			Near: r.Server.FailureDomain == t.f.params.FailureDomain,
 		})
 	}
+	t.candidates = candidates
 	t.only = len(candidates) == 1 && usable[0].Ready.IsZero()
 	t.markAffine(candidates)
 	i := t.f.balancer.Pick(candidates, now)
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -38,6 +38,8 @@
 	missing string
 	// unreachable is the last engine that could not be connected to.
 	unreachable string
+	// candidates are the engines that were last chosen among.
+	candidates []balance.Candidate
 	// only: the one engine that is known to have the unit was chosen.
 	only bool
 	// pauses counts the pauses before a server was asked again.
