Nothing is compared while no engine is free

Cause: each question of an instance compared all claims, also in the seconds in which a new holder may not order yet and 250 models are waited for. Test: those of the package, unchanged.

--- a/command/replicas/bench_test.go
+++ b/command/replicas/bench_test.go
@@ -88,3 +88,22 @@
 		})
 	}
 }
+
+// BenchmarkDispatchAfterTakeOver measures the decision at the moment from which a new holder
+// may order engines: 124 are free, and 250 models have been waited for.
+func BenchmarkDispatchAfterTakeOver(b *testing.B) {
+	const engines, waited = 124, 250
+	now := time.Unix(1000, 0)
+	f := busyFleet(now, engines)
+	for i := range waited {
+		f.Find("llm", serving.Unit{Model: fmt.Sprintf("m%d", 5*engines-1-i)}, waits(1), now)
+	}
+	for _, e := range f.Engines() {
+		e.Busy = false
+	}
+	for b.Loop() {
+		for _, op := range f.Dispatch(now) {
+			f.Withdrawn(op)
+		}
+	}
+}
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -151,8 +151,11 @@
 	f.forgetWaiting(now)
 	f.remote.begin(now)
 	f.setWanted(now)
-	wants := f.byClaim(now)
 	free := len(f.free(now))
+	if free == 0 {
+		return nil // to compare claims would only take a busy holder's time
+	}
+	wants := f.byClaim(now)
 	for i, w := range wants {
 		if free == 0 || i >= free+lookAhead {
 			break
