An instance that starts reads the configuration at once, and takes the lease by fresh answers

Causes: the configuration was waited for like the list of servers, and an instance that had reported to a holder which had not read the store yet reported again only after the fleet's interval (1 s); the permission to read stale answers went on into what takes the lease, so the record read back after it was the one from before. Tests, both failing before: TestStartReadsConfiguration, TestStaleRecordDoesNotKeepTheLeaseFree.

--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
@@ -92,6 +94,70 @@
 	})
 }
 
+// TestStartReadsConfiguration: an instance that starts has the configuration at once, while
+// it waits for the holder's word.
+func TestStartReadsConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		inner := standin.NewPlatform()
+		if _, err := inner.Put(t.Context(), platform.KeyConfig, []byte(testConfig), 0); err != nil {
+			t.Fatal(err)
+		}
+		s := &countedStore{Store: inner}
+		w := newTestWatcher(s)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			w.run(ctx)
+			close(done)
+		}()
+		time.Sleep(relayCheck)
+		if w.dir.Config() == nil || s.config.Load() != 1 || s.servers.Load() != 0 {
+			t.Errorf("configuration %v after %d calls for it and %d for servers, want one after 1 and 0",
+				w.dir.Config(), s.config.Load(), s.servers.Load())
+		}
+		stop()
+		<-done
+	})
+}
+
+// staleStore answers reads that may be stale with what it had at first.
+type staleStore struct {
+	store.Store
+	old store.Object
+}
+
+func (s staleStore) Get(ctx context.Context, key string) (store.Object, error) {
+	if store.StaleAllowed(ctx) && key == holder.KeyLease {
+		return s.old, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// TestStaleRecordDoesNotKeepTheLeaseFree: an instance that sees by a stale answer that the
+// lease was given up, and takes it, goes by fresh ones for that: it knows itself as the
+// holder, so that it can announce itself. With stale ones it did not, on a day on which a
+// holder gave the lease up while 195 instances looked for one.
+func TestStaleRecordDoesNotKeepTheLeaseFree(t *testing.T) {
+	inner := standin.NewPlatform()
+	released, err := json.Marshal(lease.Record{Holder: "b", Address: "10.0.0.2:1", Fence: 1, Settled: true, Released: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	old, err := inner.Put(t.Context(), holder.KeyLease, released, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := staleStore{Store: inner, old: old}
+	dir := directory.New()
+	h := holder.New(holder.DefaultParams("a", "10.0.0.1:1", 0), s, nil, dir, holder.NewCounts(metrics.NewSet()), discardLog())
+	m := &members{store: s, self: member{Name: "a", Address: "10.0.0.1:1", Domain: "d", Cores: 1}, log: discardLog()}
+	f := newFollower("a", h, dir, nil, m, discardLog())
+	f.look(t.Context())
+	if !h.Holds() || f.holderName() != "a" {
+		t.Errorf("holds %t, and knows %q as the holder; want the lease and itself", h.Holds(), f.holderName())
+	}
+}
+
 // TestStartWithoutHolder: an instance that hears from no holder reads the store itself
 // after firstWord.
 func TestStartWithoutHolder(t *testing.T) {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -175,6 +175,9 @@
 	for pause.Until(ctx, wait, f.woken) {
 		if f.exchange(ctx) {
 			wait = f.interval()
+			if f.watcher.awaitsWord(time.Now()) {
+				wait = exchangeRetry // the holder has not read the store yet
+			}
 			continue
 		}
 		wait = exchangeRetry
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -51,7 +51,22 @@
 	}
 	f.mu.Unlock()
 	if due && !f.watcher.lost() {
-		f.find(store.AllowStale(ctx)) // a new holder also announces itself
+		f.look(ctx)
+	}
+}
+
+// look reads who the holder is, by an answer that may be seconds old: a new holder also
+// announces itself. Whatever this instance then does about the lease rests on a fresh one.
+func (f *follower) look(ctx context.Context) {
+	record, _, err := f.holder.Current(store.AllowStale(ctx))
+	if err != nil {
+		return // the store's client logs its outages
+	}
+	record = f.released(record)
+	f.heardRecord(record, "store")
+	own := record.Holder == f.name && !f.holder.Holds()
+	if record.Fence == 0 || record.Released || own {
+		f.find(ctx)
 	}
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -124,9 +124,10 @@
 }
 
 // firstWord is how long an instance that starts waits for the holder's word before it
-// reads the store itself. Where all start at once the first holder is known to them after
-// about a second. 195 instances that did not wait made 3,225 calls before their first
-// request, 16 each.
+// reads the list of servers itself, and watches. Where all start at once the first holder
+// is known to them after about a second. 195 instances that did not wait made 3,225 calls
+// before their first request, 16 each. The configuration is read once without waiting: an
+// instance refuses everything before it has one.
 const firstWord = 1500 * time.Millisecond
 
 // awaitsWord reports whether the holder's first word may still come.
@@ -136,6 +137,13 @@
 	return w.relayed.IsZero() && now.Sub(w.began) < firstWord
 }
 
+// unread reports whether the configuration has not been read at all yet.
+func (w *watcher) unread(prefix string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return prefix == platform.KeyConfig && w.contact[prefix].IsZero()
+}
+
 // age is how old what is known of the store may be.
 func (w *watcher) age(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -192,7 +200,7 @@
 		return true
 	}
 	now := time.Now()
-	if !w.holds() && w.awaitsWord(now) {
+	if !w.holds() && w.awaitsWord(now) && !w.unread(prefix) {
 		w.idle(ctx, prefix)
 		return true
 	}
