Shares to admit only where engines are full

Cause: a share was told from .7 of the places on, and what is served follows what is asked for by as long as a request takes, so models whose demand rose lost requests that could have been served. Kept from .95 on.

--- a/command/replicas/admit.go
+++ b/command/replicas/admit.go
@@ -13,16 +13,20 @@
 // asked for three times what it can be are full within one (2,800 refusals on one day, two
 // thirds of them at a share of nothing, and no more requests on time than without).
 //
-// TestAdmission plays it: of a model that is asked for 1.1 times what its engines serve 7 in
-// 100 requests were on time, and 71 are now.
+// TestAdmission plays it: of a model that is asked for 1.1 times what its engines serve 12 in
+// 100 requests were on time, and 59 are now. On a day with 195 instances engines refused
+// 10 in 100 sends without it, and 5 with it, and 4 in 100 more of the requests with an
+// objective of 400 ms were on time; what all requests earn is the same within the noise.
 const (
-	// targetLoad is how many requests run and queue for each place: so many that places
-	// are seldom empty, and the queue of the busiest engine is not too long for a request
-	// that must begin within a quarter of the time that one takes.
-	targetLoad = 0.95
+	// targetLoad is how many requests run and queue for each place of engines that are
+	// busy: so many that places are seldom empty. With .95, and easyLoad and fullLoad at
+	// .7 and 1, more would be on time of models that are asked for too much, but models
+	// whose demand only rises lose requests that could have been served: what is served
+	// follows what is asked for by as long as a request takes (4,475 on time, not 4,373).
+	targetLoad = 1.1
 	// From easyLoad on what is served counts, and from fullLoad on alone: below, engines
-	// are not busy and serve what they are asked for.
-	easyLoad, fullLoad = 0.7, 1.0
+	// have places and serve what they are asked for.
+	easyLoad, fullLoad = 0.95, 1.25
 	// admissionGain corrects the share by the distance from targetLoad. With word that is
 	// two seconds old, and places that turn over in one and a half, four times the gain
 	// swings.
