--- a/command/holder/counts.go
+++ b/command/holder/counts.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"math"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,6 +16,9 @@
 	takeOvers *metrics.Counter
 	reports   *metrics.Counter
 	seconds   *metrics.Histogram
+	// promiseError is by which part of its time a load from the weight store was promised
+	// wrongly.
+	promiseError *metrics.Histogram
 }
 
 // NewCounts returns Counts in set.
@@ -22,6 +26,7 @@
 	return &Counts{
 		set: set, takeOvers: set.NewCounter("martenport_lease_takeovers_total"),
 		reports: set.NewCounter("martenport_engine_reports_total"), seconds: set.NewHistogram("martenport_operation_seconds"),
+		promiseError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
 	}
 }
 
@@ -29,6 +34,13 @@
 	c.set.GetOrCreateCounter(`martenport_orders_total{answer="` + answer.String() + `"}`).Inc()
 }
 
+// weightStore counts a load from the weight store that was promised to take so long.
+func (c *Counts) weightStore(promised, took time.Duration) {
+	if took > 0 {
+		c.promiseError.Update(math.Abs((promised - took).Seconds()) / took.Seconds())
+	}
+}
+
 func (c *Counts) operation(op replicas.Operation, err error, took time.Duration) {
 	kind, outcome := "model", "done"
 	if op.Load.Adapter != "" {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -179,7 +179,11 @@
 	w.h.fleet.Began(op, unloaded, refused, now)
 	w.h.mu.Unlock()
 	if op.Remote {
-		return w.awaitRemote(op, now.Add(op.Duration))
+		err := w.awaitRemote(op, now.Add(op.Duration))
+		if err == nil {
+			w.h.counts.weightStore(op.Duration, time.Since(now))
+		}
+		return err
 	}
 	if !pause.For(w.ctx, op.Duration) {
 		return w.ctx.Err()
