--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -280,16 +280,13 @@
 			w.h.log.WithFields(logrus.Fields{"engine": w.engine, "sequence": report.Sequence, "models": len(report.Models)}).Info("engine read")
 			return
 		}
+		w.h.mu.Lock()
 		if err == nil {
-			w.h.mu.Lock()
 			w.h.fleet.BusyElsewhere(w.engine, time.Now())
-			w.h.mu.Unlock()
-		}
-		if err != nil { // what it holds is not known, so requests go elsewhere
-			w.h.mu.Lock()
+		} else { // what it holds is not known, so requests go elsewhere
 			w.h.fleet.Unreachable(w.engine, time.Now())
-			w.h.mu.Unlock()
 		}
+		w.h.mu.Unlock()
 		if !pause.For(w.ctx, w.h.params.ReportLag) {
 			return
 		}
--- a/command/replicas/ceiling.go
+++ b/command/replicas/ceiling.go
@@ -87,7 +87,7 @@
 			continue
 		}
 		use.running++
-		if !e.begun {
+		if e.began.IsZero() {
 			use.pending++
 		}
 	}
@@ -101,5 +101,5 @@
 		return
 	}
 	f.growCredit(f.remoteUse(), now)
-	e.begun, e.began = true, now
+	e.began = now
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -84,11 +84,10 @@
 	// NotBefore is when the first order may be sent: another holder may have
 	// ordered the engine of late.
 	NotBefore time.Time
-	// remote: what is being loaded comes from the weight store; begun: the engine has
-	// accepted that load.
-	remote, begun bool
+	// remote: what is being loaded comes from the weight store.
+	remote bool
 	// together is as one of how many under way a load from the weight store was planned,
-	// and began when the engine accepted it.
+	// and began when the engine accepted it, zero until then.
 	together int
 	began    time.Time
 	// foreignSince is since when an engine that is Unsure has been carrying out an order
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -162,7 +162,7 @@
 		e.Copies[model].hostMemory = f.hostMemory.trusted()
 		f.hostMemory.began(e.Copies[model].hostMemory)
 	}
-	e.Busy, e.Free, e.remote, e.begun = true, c.ready, op.Remote, false
+	e.Busy, e.Free, e.remote = true, c.ready, op.Remote
 	f.copyAdded(e, model)
 	f.cached(e, model)
 	return op
--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -53,31 +53,42 @@
 	return log
 }
 
-func newTestWatcher(s store.Store) *watcher {
-	dir := directory.New()
-	return &watcher{
-		store: s, dir: dir, backends: platform.NewBackends(), balancer: balance.New(balance.DefaultParams()), log: discardLog(),
+// newCountedWatcher returns the watcher of an instance that does not hold the lease, and its
+// store, which has a configuration.
+func newCountedWatcher(t *testing.T) (*countedStore, *watcher) {
+	t.Helper()
+	inner := standin.NewPlatform()
+	if _, err := inner.Put(t.Context(), platform.KeyConfig, []byte(testConfig), 0); err != nil {
+		t.Fatal(err)
+	}
+	s := &countedStore{Store: inner}
+	return s, &watcher{
+		store: s, dir: directory.New(), backends: platform.NewBackends(), balancer: balance.New(balance.DefaultParams()), log: discardLog(),
 		holds: func() bool { return false }, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1),
 	}
 }
 
+// watching has w run until the returned function is called, which waits for its end.
+func watching(t *testing.T, w *watcher) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		w.run(ctx)
+		close(done)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // TestStartWithHoldersWord: an instance that starts, and hears from a holder within a
 // second, reads the configuration once and nothing else. Without waiting for that word 195
 // instances made 16 calls each before their first request.
 func TestStartWithHoldersWord(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		inner := standin.NewPlatform()
-		s := &countedStore{Store: inner}
-		if _, err := inner.Put(t.Context(), platform.KeyConfig, []byte(testConfig), 0); err != nil {
-			t.Fatal(err)
-		}
-		w := newTestWatcher(s)
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			w.run(ctx)
-			close(done)
-		}()
+		s, w := newCountedWatcher(t)
+		defer watching(t, w)()
 		time.Sleep(time.Second)
 		for range 5 {
 			w.relay(holder.News{ConfigVersion: 1, Servers: directory.Delta{Digest: w.dir.Digest()}}, time.Now(), 1500*time.Millisecond)
@@ -89,8 +100,6 @@
 		if w.dir.Config() == nil {
 			t.Error("no configuration in force")
 		}
-		stop()
-		<-done
 	})
 }
 
@@ -98,25 +107,13 @@
 // it waits for the holder's word.
 func TestStartReadsConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		inner := standin.NewPlatform()
-		if _, err := inner.Put(t.Context(), platform.KeyConfig, []byte(testConfig), 0); err != nil {
-			t.Fatal(err)
-		}
-		s := &countedStore{Store: inner}
-		w := newTestWatcher(s)
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			w.run(ctx)
-			close(done)
-		}()
+		s, w := newCountedWatcher(t)
+		defer watching(t, w)()
 		time.Sleep(relayCheck)
 		if w.dir.Config() == nil || s.config.Load() != 1 || s.servers.Load() != 0 {
 			t.Errorf("configuration %v after %d calls for it and %d for servers, want one after 1 and 0",
 				w.dir.Config(), s.config.Load(), s.servers.Load())
 		}
-		stop()
-		<-done
 	})
 }
 
@@ -162,24 +159,12 @@
 // after firstWord.
 func TestStartWithoutHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		inner := standin.NewPlatform()
-		s := &countedStore{Store: inner}
-		if _, err := inner.Put(t.Context(), platform.KeyConfig, []byte(testConfig), 0); err != nil {
-			t.Fatal(err)
-		}
-		w := newTestWatcher(s)
-		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan struct{})
-		go func() {
-			w.run(ctx)
-			close(done)
-		}()
+		s, w := newCountedWatcher(t)
+		defer watching(t, w)()
 		time.Sleep(firstWord + 2*relayCheck)
 		if w.dir.Config() == nil || s.servers.Load() == 0 {
 			t.Errorf("configuration %v and %d calls for servers after %s", w.dir.Config(), s.servers.Load(), firstWord)
 		}
-		stop()
-		<-done
 	})
 }
 
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -58,12 +58,10 @@
 // look reads who the holder is, by an answer that may be seconds old: a new holder also
 // announces itself. Whatever this instance then does about the lease rests on a fresh one.
 func (f *follower) look(ctx context.Context) {
-	record, _, err := f.holder.Current(store.AllowStale(ctx))
-	if err != nil {
-		return // the store's client logs its outages
+	record, _, ok := f.readRecord(store.AllowStale(ctx))
+	if !ok {
+		return
 	}
-	record = f.released(record)
-	f.heardRecord(record, "store")
 	own := record.Holder == f.name && !f.holder.Holds()
 	if record.Fence == 0 || record.Released || own {
 		f.find(ctx)
@@ -72,12 +70,10 @@
 
 // find reads who the holder is.
 func (f *follower) find(ctx context.Context) {
-	record, revision, err := f.holder.Current(ctx)
-	if err != nil {
-		return // the store's client logs its outages
+	record, revision, ok := f.readRecord(ctx)
+	if !ok {
+		return
 	}
-	record = f.released(record)
-	f.heardRecord(record, "store")
 	if record.Fence == 0 || record.Released {
 		f.takeFree(ctx, record)
 	} else if record.Holder == f.name && !f.holder.Holds() {
@@ -85,6 +81,18 @@
 	}
 }
 
+// readRecord reads and takes over the lease's record. ok is false if the store does not
+// answer, which its client logs.
+func (f *follower) readRecord(ctx context.Context) (record lease.Record, revision int64, ok bool) {
+	record, revision, err := f.holder.Current(ctx)
+	if err != nil {
+		return record, revision, false
+	}
+	record = f.released(record)
+	f.heardRecord(record, "store")
+	return record, revision, true
+}
+
 // heardRecord takes over who the holder is, unless a newer one is known.
 func (f *follower) heardRecord(record lease.Record, source string) {
 	f.mu.Lock()
