Sight: log lines name what a request asks for, not only the one try

The logs named a request by the id of one try, so that it could not be read whether the requests on engines that end one after the other are the same one. No decision rests on it yet.

--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -288,7 +288,7 @@
 func (t *trip) fields() logrus.Fields {
 	fields := logrus.Fields{
 		"request": t.request.ID, "route": t.route.Name, "config": t.config.Version, "sends": t.sends,
-		"ms": time.Since(t.request.Arrived).Milliseconds(),
+		"ms": time.Since(t.request.Arrived).Milliseconds(), "fingerprint": t.request.Fingerprint,
 	}
 	if t.request.Unit.Model != "" {
 		fields["unit"] = t.request.Unit.String()
--- a/serving/request.go
+++ b/serving/request.go
@@ -19,6 +19,8 @@
 	// nor what is the system's to set.
 	Header http.Header
 	Body   []byte
+	// Fingerprint names what is asked for, over all tries.
+	Fingerprint Fingerprint
 	// Unit is what a generation needs on its engine; empty for other requests.
 	Unit Unit
 	// PromptParts identify the parts of the prompt, shared ones first.
