Requests under which servers end are known by their fingerprint, and held everywhere

Cause: what one try may do was bounded, the request was not. The next try, at any instance, was a new request.

Each end of a server now counts against all that ran there; who is answered is cleared. After two ends a request runs alone, by leave of the holder; after three it is refused for good (400), and what ran beside it is cleared of the ends that it explains. An end is shown by a refused connection, another process at the address, or the entry that goes; a broken answer is none. Ledgers are merged with the reports to the holder, from instance to instance while no holder answers, and suspects are written to the store.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -26,7 +26,7 @@
 	var usable []serving.Server
 	var candidates []balance.Candidate
 	for _, s := range servers {
-		if t.excluded[s.ID] {
+		if t.excluded[s.ID] || t.f.guard.Ended(s) {
 			continue
 		}
 		usable = append(usable, s)
@@ -154,7 +154,7 @@
 	candidates := make([]balance.Candidate, 0, len(replicas))
 	usable := replicas[:0]
 	for _, r := range replicas {
-		if t.excluded[r.Server.ID] {
+		if t.excluded[r.Server.ID] || t.f.guard.Ended(r.Server) {
 			continue
 		}
 		usable = append(usable, r)
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -118,6 +118,7 @@
 	placer   Placer
 	balancer *balance.Balancer
 	budget   *Budget
+	guard    Guard
 	log      logrus.FieldLogger
 	counts   *Counts
 	// leaving is closed when the instance is about to end.
@@ -125,9 +126,9 @@
 }
 
 // New returns a Forwarder.
-func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, counts *Counts, log logrus.FieldLogger) *Forwarder {
+func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, counts *Counts, log logrus.FieldLogger) *Forwarder {
 	return &Forwarder{
-		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, counts: counts, log: log,
+		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, counts: counts, log: log,
 		leaving: make(chan struct{}),
 	}
 }
@@ -159,6 +160,9 @@
 	if config == nil {
 		return f.refused(r, verdict.Refuse(verdict.ReasonPlatform, "no configuration is known yet").After(noConfigRetry))
 	}
+	if !f.guard.Ready() {
+		return f.refused(r, verdict.Refuse(verdict.ReasonPlatform, "it is not known yet which requests are held").After(noConfigRetry))
+	}
 	route := config.Match(r.Host, r.Path())
 	if route == nil {
 		return f.refused(r, verdict.Refuse(verdict.ReasonNoRoute, "no route of configuration %d for %s%s", config.Version, r.Host, r.Path()))
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -89,6 +89,7 @@
 type fixture struct {
 	servers   *fakeServers
 	placer    *fakePlacer
+	guard     *fakeGuard
 	dir       *directory.Directory
 	forwarder *Forwarder
 }
@@ -122,9 +123,9 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir}
+	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir, guard: &fakeGuard{}}
 	f.forwarder = New(DefaultParams("d"), dir, f.servers, f.placer, balance.New(balance.DefaultParams()),
-		savedUp(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), NewCounts(metrics.NewSet()), log)
+		savedUp(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), f.guard, NewCounts(metrics.NewSet()), log)
 	return f
 }
 
--- /dev/null
+++ b/command/forward/guard.go
@@ -0,0 +1,159 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// A request may end each server that begins it, and is sent again by clients and instances.
+// What is known of it is asked before each send and not only when it arrives: one may have
+// waited for a load while servers ended under other tries of it.
+
+// Guard knows under which requests servers end.
+type Guard interface {
+	// Ready reports whether it is known which requests are held: an instance that has just
+	// started reads it first.
+	Ready() bool
+	// State returns how a request for a service is treated, and StateOn how on one server: a
+	// quarantined one may run alone on a version of the software under which none has ended.
+	State(fp serving.Fingerprint, service string) quarantine.State
+	StateOn(fp serving.Fingerprint, s serving.Server) quarantine.State
+	// Ended reports whether a server is known to have ended, though it is still announced.
+	Ended(s serving.Server) bool
+	// Try asks that a suspect may run alone on a server, for so long at the most. Its errors
+	// are ErrTrialBusy and ErrNoHolder.
+	Try(ctx context.Context, fp serving.Fingerprint, s serving.Server, longest time.Duration) (Trial, error)
+	// Broke notes that an answer broke off. The channel is closed when it is known whether
+	// the server has ended, as far as that can be known at once.
+	Broke(b quarantine.Break) <-chan struct{}
+	// Answered notes that a request was answered whole and with success.
+	Answered(fp serving.Fingerprint)
+}
+
+// Trial is a suspect's leave to run on a server.
+type Trial struct {
+	// Grace is how long after the first event the run has to itself.
+	Grace time.Duration
+	// End ends the trial; it may be called again.
+	End func()
+}
+
+// ErrTrialBusy: another suspect runs on the server, or the request itself on another one.
+var ErrTrialBusy = errors.New("forward: a suspect is on trial")
+
+// subjectLength bounds what a request is called, in bytes.
+const subjectLength = 120
+
+// subject says to people what a request is.
+func subject(r *serving.Request) string {
+	s := r.Method + " " + r.Host + r.Path()
+	if r.Unit.Model != "" {
+		s += " " + r.Unit.String()
+	}
+	return s[:min(len(s), subjectLength)]
+}
+
+// quarantined refuses a request under which servers end, for good: there is no time after
+// which it would be served, and a client that is told so does not come again.
+func (t *trip) quarantined() *verdict.Failure {
+	if t.f.guard.State(t.request.Fingerprint, t.service.Name) != quarantine.Quarantined {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, "request %s is quarantined: %d servers ended while it ran there",
+		t.request.Fingerprint, quarantine.QuarantineAfter)
+}
+
+// Waiting of suspects.
+const (
+	// trialPause is the pause before a suspect asks again whether it may run: about what
+	// another one takes to its first event.
+	trialPause = 50 * time.Millisecond
+	// noTrialRetry is told to the client of a suspect while nobody can let it run: about the
+	// time in which there is a holder again.
+	noTrialRetry = 2 * time.Second
+	// trialSlack is how much longer than the request a trial may last: the way of the word
+	// that it is over.
+	trialSlack = time.Second
+)
+
+// admitted reports whether the request may be sent to the server now. A suspect has to be
+// on trial there; while it cannot be, a pause has passed.
+func (t *trip) admitted(ctx context.Context, server serving.Server) (bool, *verdict.Failure) {
+	switch t.f.guard.StateOn(t.request.Fingerprint, server) {
+	case quarantine.Clear:
+		return true, nil
+	case quarantine.Quarantined:
+		t.excluded[server.ID] = true
+		return false, t.quarantined()
+	}
+	trial, err := t.f.guard.Try(ctx, t.request.Fingerprint, server, time.Until(t.deadline)+trialSlack)
+	switch {
+	case err == nil:
+		t.trial = trial
+		return true, nil
+	case !errors.Is(err, ErrTrialBusy):
+		return false, verdict.Refuse(verdict.ReasonPlatform, "servers ended while the request ran there, and nobody can let it run alone: %v", err).After(noTrialRetry)
+	case time.Until(t.due()) < t.f.params.FirstEvent+trialPause:
+		return false, verdict.Refuse(verdict.ReasonQueueFull, "servers ended while the request ran there, and others run alone before it").After(noTrialRetry)
+	}
+	return false, t.pauseFor(ctx, trialPause)
+}
+
+// endTrial ends the trial of a suspect, if there is one.
+func (t *trip) endTrial() {
+	if t.trial.End != nil {
+		t.trial.End()
+	}
+	t.trial = Trial{}
+}
+
+// passedTrial lets other suspects run on the server once this one has gone on for long enough.
+func (t *trip) passedTrial(now time.Time) {
+	if t.trial.End != nil && now.Sub(t.firstHere) > t.trial.Grace {
+		t.trial.End()
+	}
+}
+
+// settleTime bounds how long a suspect whose answer broke off waits until it is known
+// whether the server has ended: a refused connection shows that within milliseconds.
+const settleTime = 500 * time.Millisecond
+
+// report tells the guard how an attempt ended.
+func (t *trip) report(ctx context.Context, server serving.Server, failure *verdict.Failure) {
+	fp := t.request.Fingerprint
+	if failure == nil {
+		if t.out.status < 300 {
+			t.f.guard.Answered(fp)
+		}
+		return
+	}
+	left := errors.Is(ctx.Err(), context.Canceled) || failure.Reason == verdict.ReasonCancelled
+	if failure.Verdict != verdict.MayHaveRun || ctx.Err() != nil && !left {
+		return
+	}
+	b := quarantine.Break{
+		Fingerprint: fp, Subject: subject(t.request), Server: server, Alone: t.trial.End != nil, Grace: t.trial.Grace, Left: left,
+	}
+	if !t.firstHere.IsZero() {
+		b.Ran = time.Since(t.firstHere)
+	}
+	settled := t.f.guard.Broke(b)
+	if left || t.f.guard.State(fp, t.service.Name) == quarantine.Clear && !b.Alone {
+		return
+	}
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-settled:
+	case <-timer.C:
+		t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{"server": server.ID}).Info("not known in time whether the server has ended")
+	case <-ctx.Done():
+	}
+}
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -127,6 +127,7 @@
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEvent, err)
 		}
+		t.arrived(time.Now())
 		if t.passed(e) {
 			continue // a resumed stream that repeats an event
 		}
@@ -147,6 +148,14 @@
 	}
 }
 
+// arrived notes that the server has sent an event.
+func (t *trip) arrived(now time.Time) {
+	if t.firstHere.IsZero() {
+		t.firstHere = now
+	}
+	t.passedTrial(now)
+}
+
 // endEvents ends a stream whose engine has ended it; rest is what follows the
 // last whole event.
 func (t *trip) endEvents(resp *serving.Response, rest streamEvent) *verdict.Failure {
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -45,7 +45,11 @@
 	// waits is what the request waited for, and how long.
 	waits  waits
 	server string
-	last   *verdict.Failure
+	// firstHere is when the server sent its first event, zero before.
+	firstHere time.Time
+	// trial is the leave to run of a suspect; zero if there is none.
+	trial Trial
+	last  *verdict.Failure
 }
 
 func (f *Forwarder) newTrip(config *serving.Config, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
@@ -93,11 +97,22 @@
 		if failure := t.f.left(); failure != nil {
 			return t.final(ctx, failure)
 		}
+		if failure := t.quarantined(); failure != nil {
+			return t.final(ctx, failure)
+		}
 		server, failure := t.choose(ctx)
 		if failure != nil {
 			return t.final(ctx, failure)
 		}
+		admitted, failure := t.admitted(ctx, server)
+		if failure != nil {
+			return t.final(ctx, failure)
+		}
+		if !admitted {
+			continue
+		}
 		if !t.paid() {
+			t.endTrial()
 			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
 		answered, failure := t.attempt(ctx, server)
@@ -174,8 +189,11 @@
 // attempt sends the request to a server and passes the answer on. answered
 // means that the client has its answer.
 func (t *trip) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
-	t.server = server.ID
+	t.server, t.firstHere = server.ID, time.Time{}
 	now := time.Now()
+	whole := ctx
+	defer t.endTrial()
+	defer func() { t.report(whole, server, failure) }()
 	ended := t.f.balancer.Start(server.ID, server.FailureDomain)
 	done := func(bool) {}
 	if t.request.Unit.Model != "" {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -124,6 +124,13 @@
 	return h.lease.Held()
 }
 
+// Settled reports whether the lease is this instance's and the time of holders before is over.
+func (h *Holder) Settled(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lease.Held() && !now.Before(h.lease.OrderFrom(""))
+}
+
 // Fence returns the fencing token held, 0 when there is none.
 func (h *Holder) Fence() int64 {
 	h.mu.Lock()
--- /dev/null
+++ b/command/quarantine/ledger.go
@@ -0,0 +1,301 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// How long and how much a ledger remembers.
+const (
+	// suspicionLifetime is for how long an end counts against a request that is not
+	// quarantined: longer than any client repeats one.
+	suspicionLifetime = 10 * time.Minute
+	// quarantineLifetime is after how long a quarantined request is tried again.
+	quarantineLifetime = time.Hour
+	// maxRecords bounds the requests remembered, about 300 B each: all that run on tens of
+	// servers that end together.
+	maxRecords = 4096
+	// maxCleared bounds the ends that a record remembers as cleared: more than are news to
+	// any instance at once.
+	maxCleared = 8
+)
+
+// Ledger is what one instance knows of ends of servers. It is safe for concurrent use.
+type Ledger struct {
+	// id tells this ledger from one that a process before had, and from other instances'.
+	id uint64
+
+	mu      sync.Mutex
+	records map[serving.Fingerprint]*record // guarded by mu
+	// explained has the lives that quarantined requests ended; guarded by mu.
+	explained map[Life]serving.Fingerprint
+	change    uint64 // counts changes of records; guarded by mu
+}
+
+type record struct {
+	Record
+	at time.Time
+	// change is the ledger's at the record's last one.
+	change uint64
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}}
+}
+
+// Crashed notes that a life ended while the request was under way there.
+func (l *Ledger) Crashed(fp serving.Fingerprint, subject string, life Life, now time.Time) []Raise {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.merge(Record{Fingerprint: fp, Subject: subject, Crashes: []Life{life}}, now)
+}
+
+// Outlived notes that a run alone went on for so long after its first event before its
+// server ended, which is longer than its grace: the end does not count, but the next run is
+// watched for longer.
+func (l *Ledger) Outlived(fp serving.Fingerprint, ran time.Duration, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, known := l.records[fp]; known {
+		l.merge(Record{Fingerprint: fp, Grace: min(mostGrace, graceGrowth*ran)}, now)
+	}
+}
+
+// Clear notes that the request was answered, or that an operator releases it. It returns the
+// state before, and whether anything was held against it.
+func (l *Ledger) Clear(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[fp]
+	if r == nil || len(r.Crashes) == 0 {
+		return Clear, false
+	}
+	before = r.State()
+	l.merge(Record{Fingerprint: fp, Cleared: slices.Clone(r.Crashes)}, now)
+	return before, true
+}
+
+// Record returns what is known of a request.
+func (l *Ledger) Record(fp serving.Fingerprint, now time.Time) (Record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[fp]; r != nil {
+		return r.told(now), true
+	}
+	return Record{}, false
+}
+
+// State returns how a request is treated.
+func (l *Ledger) State(fp serving.Fingerprint) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[fp]; r != nil {
+		return r.State()
+	}
+	return Clear
+}
+
+// StateOn returns how a request is treated on servers of a version of their software: a
+// quarantined one may run alone on one under which no server of that version has ended.
+func (l *Ledger) StateOn(fp serving.Fingerprint, version string) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[fp]
+	if r == nil {
+		return Clear
+	}
+	state := r.State()
+	if state == Quarantined && !slices.ContainsFunc(r.Crashes, func(life Life) bool { return life.Version == version }) {
+		return Suspect
+	}
+	return state
+}
+
+// Grace returns how long after the first event of a run alone an end counts.
+func (l *Ledger) Grace(fp serving.Fingerprint) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.records[fp]; r != nil {
+		return max(leastGrace, r.Grace)
+	}
+	return leastGrace
+}
+
+// List returns the requests that are suspects or quarantined, the oldest first.
+func (l *Ledger) List(now time.Time) []Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var list []Record
+	for _, r := range l.records {
+		if r.State() != Clear {
+			list = append(list, r.told(now))
+		}
+	}
+	slices.SortFunc(list, func(a, b Record) int { return int(b.Age - a.Age) })
+	return list
+}
+
+// Expire forgets what is old, and returns the quarantined requests among it.
+func (l *Ledger) Expire(now time.Time) []serving.Fingerprint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var released []serving.Fingerprint
+	for fp, r := range l.records {
+		lifetime := suspicionLifetime
+		if r.State() == Quarantined {
+			lifetime = quarantineLifetime
+		}
+		if now.Sub(r.at) < lifetime {
+			continue
+		}
+		if r.State() == Quarantined {
+			released = append(released, fp)
+		}
+		l.drop(fp)
+	}
+	return released
+}
+
+// merge needs mu. It takes over what a record says beyond what is known.
+func (l *Ledger) merge(from Record, now time.Time) []Raise {
+	r := l.records[from.Fingerprint]
+	if r == nil {
+		l.makeRoom()
+		r = &record{Record: Record{Fingerprint: from.Fingerprint}}
+		l.records[from.Fingerprint] = r
+	}
+	before := r.State()
+	changed := r.take(from)
+	changed = l.clearExplained(r) || changed
+	if at := now.Add(-from.Age); changed && at.After(r.at) {
+		r.at = at
+	}
+	if !changed {
+		if r.change == 0 {
+			delete(l.records, from.Fingerprint)
+		}
+		return nil
+	}
+	l.touch(r)
+	if r.State() <= before {
+		l.unexplain(r, before)
+		return nil
+	}
+	raised := []Raise{{Record: r.told(now), To: r.State()}}
+	if r.State() == Quarantined {
+		l.explain(r)
+	}
+	return raised
+}
+
+// take takes over what another record says and reports whether that was news.
+func (r *record) take(from Record) bool {
+	changed := false
+	for _, life := range from.Cleared {
+		if !slices.Contains(r.Cleared, life) {
+			r.Cleared = append(r.Cleared, life)
+			changed = true
+		}
+		if i := slices.Index(r.Crashes, life); i >= 0 {
+			r.Crashes = slices.Delete(r.Crashes, i, i+1)
+		}
+	}
+	for _, life := range from.Crashes {
+		if !slices.Contains(r.Crashes, life) && !slices.Contains(r.Cleared, life) && len(r.Crashes) < maxCleared {
+			r.Crashes = append(r.Crashes, life)
+			changed = true
+		}
+	}
+	if excess := len(r.Cleared) - maxCleared; excess > 0 {
+		r.Cleared = slices.Delete(r.Cleared, 0, excess)
+	}
+	if from.Grace > r.Grace {
+		r.Grace = from.Grace
+		changed = true
+	}
+	if r.Subject == "" {
+		r.Subject = from.Subject
+	}
+	return changed
+}
+
+// clearExplained needs mu. It clears a request of the ends that a quarantined one explains.
+func (l *Ledger) clearExplained(r *record) bool {
+	var cleared []Life
+	for _, life := range r.Crashes {
+		if by, explained := l.explained[life]; explained && by != r.Fingerprint {
+			cleared = append(cleared, life)
+		}
+	}
+	return len(cleared) > 0 && r.take(Record{Cleared: cleared})
+}
+
+// explain needs mu. It clears all others of the ends of a request that is quarantined now.
+func (l *Ledger) explain(by *record) {
+	for _, life := range by.Crashes {
+		if _, known := l.explained[life]; !known {
+			l.explained[life] = by.Fingerprint
+		}
+	}
+	for _, r := range l.records {
+		if r != by && r.State() != Quarantined && l.clearExplained(r) {
+			l.touch(r)
+		}
+	}
+}
+
+// unexplain needs mu. What a request that is not quarantined any more explained counts no
+// further against others, but new ends do.
+func (l *Ledger) unexplain(r *record, before State) {
+	if before != Quarantined || r.State() == Quarantined {
+		return
+	}
+	for life, by := range l.explained {
+		if by == r.Fingerprint {
+			delete(l.explained, life)
+		}
+	}
+}
+
+// touch needs mu. It notes a change that other instances should hear of.
+func (l *Ledger) touch(r *record) {
+	l.change++
+	r.change = l.change
+}
+
+// drop needs mu.
+func (l *Ledger) drop(fp serving.Fingerprint) {
+	r := l.records[fp]
+	before := r.State()
+	r.Crashes = nil
+	l.unexplain(r, before)
+	delete(l.records, fp)
+}
+
+// makeRoom needs mu. It forgets the oldest record of those that matter least if there are
+// too many.
+func (l *Ledger) makeRoom() {
+	if len(l.records) < maxRecords {
+		return
+	}
+	var oldest *record
+	for _, r := range l.records {
+		if oldest == nil || r.State() < oldest.State() || r.State() == oldest.State() && r.at.Before(oldest.at) {
+			oldest = r
+		}
+	}
+	l.drop(oldest.Fingerprint)
+}
+
+// told returns the record for others.
+func (r *record) told(now time.Time) Record {
+	told := r.Record
+	told.Crashes, told.Cleared = slices.Clone(r.Crashes), slices.Clone(r.Cleared)
+	told.Age = max(0, now.Sub(r.at))
+	return told
+}
--- /dev/null
+++ b/command/quarantine/trials.go
@@ -0,0 +1,56 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// Trials are the runs of suspects that the holder of the lease has let begin. It is safe for
+// concurrent use.
+type Trials struct {
+	mu       sync.Mutex
+	byServer map[string]Trial // guarded by mu
+}
+
+// Trial is the run of a suspect.
+type Trial struct {
+	Fingerprint serving.Fingerprint
+	Server      string
+	// Instance that sends it.
+	Instance string
+	// until is when it is over if nobody has said so before.
+	until time.Time
+}
+
+// NewTrials returns Trials of which none has begun.
+func NewTrials() *Trials { return &Trials{byServer: map[string]Trial{}} }
+
+// Begin reports whether a suspect may run: no other one is on trial on the server, and it
+// itself on none. The trial is over at End, or after longest.
+func (t *Trials) Begin(trial Trial, longest time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for server, running := range t.byServer {
+		switch {
+		case !now.Before(running.until):
+			delete(t.byServer, server)
+		case server == trial.Server || running.Fingerprint == trial.Fingerprint:
+			return false
+		}
+	}
+	trial.until = now.Add(longest)
+	t.byServer[trial.Server] = trial
+	return true
+}
+
+// End notes that a trial is over.
+func (t *Trials) End(trial Trial) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := t.byServer[trial.Server]
+	if running.Fingerprint == trial.Fingerprint && running.Instance == trial.Instance {
+		delete(t.byServer, trial.Server)
+	}
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -132,6 +132,14 @@
 	return found
 }
 
+// Drained reports whether a server was seen draining, also after it is gone.
+func (d *Directory) Drained(id string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	_, drained := d.draining[id]
+	return drained
+}
+
 // IDs returns the ids of all known servers.
 func (d *Directory) IDs() []string {
 	d.mu.RLock()
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -49,8 +49,5 @@
 // announced takes over what a new holder says of itself, and reports to it at once.
 func (f *follower) announced(record lease.Record) {
 	f.heardRecord(record, "holder")
-	select {
-	case f.woken <- struct{}{}:
-	default: // a report is due already
-	}
+	f.wake()
 }
--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -62,7 +62,7 @@
 		t.Fatal(err)
 	}
 	s := &countedStore{Store: inner}
-	return s, &watcher{
+	return s, &watcher{crashes: &crashes{},
 		store: s, dir: directory.New(), backends: platform.NewBackends(), balancer: balance.New(balance.DefaultParams()), log: discardLog(),
 		holds: func() bool { return false }, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/entry/crashcheck.go
@@ -0,0 +1,74 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/serving"
+)
+
+// checkAfter are the pauses before a server is looked at after an answer broke off. A process
+// that ends closes its connections and its port one after the other; one whose machine ends
+// with it answers nothing, and is not waited for.
+var checkAfter = []time.Duration{0, 50 * time.Millisecond, 150 * time.Millisecond, 500 * time.Millisecond}
+
+// checkTimeout bounds one look: many round trips between failure domains.
+const checkTimeout = 300 * time.Millisecond
+
+// connectsToBeThere is how often a plain server has to take a connection to count as there.
+const connectsToBeThere = 2
+
+// check looks whether a server has ended, once for all answers that break off meanwhile.
+func (c *crashes) check(life quarantine.Life, s serving.Server, settled chan struct{}) {
+	began := time.Now()
+	presence := c.look(s)
+	if presence == serving.PresenceEnded {
+		c.ended(life, "address refuses or is another's")
+	}
+	c.mu.Lock()
+	if w := c.lives[life]; w != nil {
+		w.settled = nil
+		if presence == serving.PresenceThere {
+			w.dropBefore(began)
+		}
+	}
+	c.mu.Unlock()
+	close(settled)
+}
+
+// look returns whether a server is there, as far as that can be seen at once.
+func (c *crashes) look(s serving.Server) serving.Presence {
+	connects := 0
+	for _, pause := range checkAfter {
+		time.Sleep(pause)
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		presence := c.backends.Presence(ctx, s, c.isEngine(s))
+		cancel()
+		switch presence {
+		case serving.PresenceThere, serving.PresenceEnded:
+			return presence
+		case serving.PresenceConnects:
+			if connects++; connects == connectsToBeThere {
+				return serving.PresenceThere
+			}
+		}
+	}
+	return serving.PresenceUnknown
+}
+
+func (c *crashes) isEngine(s serving.Server) bool {
+	config := c.dir.Config()
+	return config != nil && config.Services[s.Service].Engine != nil
+}
+
+// dropBefore forgets the answers that broke off before t: the server was there after them.
+func (w *lifeWatch) dropBefore(t time.Time) {
+	kept := w.breaks[:0]
+	for _, b := range w.breaks {
+		if b.at.After(t) {
+			kept = append(kept, b)
+		}
+	}
+	w.breaks = kept
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
@@ -54,6 +55,8 @@
 	members   *members
 	forwarder *forward.Forwarder
 	counts    *forward.Counts
+	keeper    *quarantineKeeper
+	crashes   *crashes
 	budget    *forward.Budget
 	// domains is how many parts the budget had when the instance started.
 	domains  int
@@ -93,13 +96,17 @@
 		i.holder.Limit(i.declared)
 		i.watcher.declared = i.declared
 	}
-	i.service = &service{holder: i.holder, follower: i.follower, storeAge: i.watcher.age}
+	i.keeper = newQuarantineKeeper(i.client, i.members, i.follower, i.holder.Holds, i.set, log)
+	i.keeper.read.Store(s.Bootstrap) // then the store has nothing
+	i.crashes = newCrashes(i.keeper, i.dir, i.backends, i.set, log)
+	i.follower.raised, i.watcher.crashes = i.keeper.heard, i.crashes
+	i.service = &service{holder: i.holder, follower: i.follower, keeper: i.keeper, trials: quarantine.NewTrials(), storeAge: i.watcher.age}
 	i.follower.own = i.service
 	i.domains = s.SharingDomains()
 	i.budget = forward.NewBudget(i.budgetParams(&s))
 	i.follower.budget, i.follower.domain = i.budget, s.SharingDomain()
 	i.counts = forward.NewCounts(i.set)
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, i.counts, log)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashes: i.crashes, follower: i.follower}, i.counts, log)
 	i.clients = newClients(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
 	return i
@@ -150,7 +157,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.clients.guard.run, i.members.register, i.reload} {
+	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.crashes.runSweep, i.clients.guard.run, i.members.register, i.reload} {
 		work.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/pause"
@@ -109,6 +110,13 @@
 	domain string
 	// own answers this instance's calls of itself.
 	own *service
+	// ledger has the requests under which servers end, and raised is told which of them are
+	// held by what the holder says; it is set before run.
+	ledger *quarantine.Ledger
+	raised func([]quarantine.Raise)
+	// link is how far the holder and this instance know of each other's ledgers; guarded by
+	// mu.
+	link quarantine.Link
 }
 
 // seen is what an instance has of a holder's word.
@@ -127,7 +135,7 @@
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
 		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, waiting: map[string]map[*waiter]struct{}{}, places: map[forward.Wanted]knownPlace{}, instances: unknownInstances,
-		woken: make(chan struct{}, 1),
+		woken: make(chan struct{}, 1), ledger: quarantine.NewLedger(), raised: func([]quarantine.Raise) {},
 	}
 }
 
@@ -160,6 +168,8 @@
 		return f.own.Want(a, reply.(*WantReply))
 	case *UseArgs:
 		return f.own.Use(a, reply.(*UseReply))
+	case *TrialArgs:
+		return f.own.Trial(a, reply.(*TrialReply))
 	default:
 		return errors.Newf("entry: no such call %T", args)
 	}
@@ -199,6 +209,7 @@
 	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
 	if err == nil {
 		f.heardOf(reply.GaveUp)
+		f.heardHeld(args.Held, reply.Requests, time.Now())
 	}
 	if err != nil || !reply.Held {
 		f.noAnswer(record, err)
@@ -232,7 +243,7 @@
 	for model := range f.waiting {
 		r.Waiting[model] = f.waitingFor(model, time.Now())
 	}
-	return f.record, &ExchangeArgs{r}
+	return f.record, &ExchangeArgs{Report: r, Held: f.ledger.Tell(f.link, time.Now())}
 }
 
 // compareWait is the pause after so many questions for all servers.
--- a/entry/members.go
+++ b/entry/members.go
@@ -98,8 +98,24 @@
 
 // others returns the addresses of all other instances.
 func (m *members) others(ctx context.Context) []string {
+	return m.addressesOfOthers(m.list(ctx))
+}
+
+// lastKnown returns the addresses of all other instances as they were last read, and reads
+// them only if they never were: it is asked for while the store may be away, too.
+func (m *members) lastKnown(ctx context.Context) []string {
+	m.mu.Lock()
+	known := append([]member(nil), m.known...)
+	m.mu.Unlock()
+	if len(known) == 0 {
+		known = m.list(ctx)
+	}
+	return m.addressesOfOthers(known)
+}
+
+func (m *members) addressesOfOthers(list []member) []string {
 	var addresses []string
-	for _, member := range m.list(ctx) {
+	for _, member := range list {
 		if member.Name != m.self.Name {
 			addresses = append(addresses, member.Address)
 		}
--- /dev/null
+++ b/entry/quarantine.go
@@ -0,0 +1,76 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
+)
+
+// crashGuard is what the forwarder asks of requests under which servers end. It implements
+// forward.Guard.
+type crashGuard struct {
+	*crashes
+	follower *follower
+}
+
+// State implements forward.Guard.
+func (g *crashGuard) State(fp serving.Fingerprint, service string) quarantine.State {
+	state := g.ledger.State(fp)
+	if state != quarantine.Quarantined {
+		return state
+	}
+	for _, s := range g.dir.Servers(service) {
+		if on := g.ledger.StateOn(fp, s.Version); on != quarantine.Quarantined {
+			return on
+		}
+	}
+	return state
+}
+
+// StateOn implements forward.Guard.
+func (g *crashGuard) StateOn(fp serving.Fingerprint, s serving.Server) quarantine.State {
+	return g.ledger.StateOn(fp, s.Version)
+}
+
+// readGrace bounds how long an instance that starts refuses requests because it has not read
+// yet which are held: the store answers within milliseconds, and may turn this call away.
+const readGrace = 3 * time.Second
+
+// Ready implements forward.Guard.
+func (g *crashGuard) Ready() bool {
+	return g.keeper.read.Load() || time.Since(g.keeper.began) > readGrace
+}
+
+// Try implements forward.Guard. The holder lets suspects run; while there is none, nobody does.
+func (g *crashGuard) Try(ctx context.Context, fp serving.Fingerprint, s serving.Server, longest time.Duration) (forward.Trial, error) {
+	trial := quarantine.Trial{Fingerprint: fp, Server: s.ID, Instance: g.follower.name}
+	granted, err := g.follower.trial(ctx, trial, longest)
+	if err != nil {
+		return forward.Trial{}, err
+	}
+	if !granted {
+		return forward.Trial{}, forward.ErrTrialBusy
+	}
+	over := false
+	end := func() {
+		if !over {
+			over = true
+			go g.follower.endTrial(trial)
+		}
+	}
+	return forward.Trial{Grace: g.ledger.Grace(fp), End: end}, nil
+}
+
+// sweepCrashes is how often old knowledge is dropped.
+const sweepCrashes = time.Second
+
+// runSweep drops old knowledge until ctx ends.
+func (c *crashes) runSweep(ctx context.Context) {
+	for pause.For(ctx, sweepCrashes) {
+		c.sweep(time.Now())
+	}
+}
--- /dev/null
+++ b/entry/quarantine_keeper.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/rpcpool"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// quarantineKeeper has all instances know of requests under which servers end: by the reports
+// to the holder and its answers; from instance to instance while no holder answers; and, for
+// suspects and quarantined requests, by the store, where it outlasts all instances. The last
+// is rare, and the only one that costs calls to the store.
+type quarantineKeeper struct {
+	ledger   *quarantine.Ledger
+	store    store.Store
+	members  *members
+	pool     *rpcpool.Pool
+	follower *follower
+	// holds reports whether this instance holds the lease.
+	holds func() bool
+	log   logrus.FieldLogger
+	set   *metrics.Set
+	// read: what the store has was taken over.
+	read atomic.Bool
+	// began is when the instance was made.
+	began time.Time
+
+	mu sync.Mutex
+	// unwritten are requests whose state in the store may be another; guarded by mu.
+	unwritten map[serving.Fingerprint]bool
+	// links are those to instances that were told directly, by address; guarded by mu.
+	links map[string]quarantine.Link
+	woken chan struct{}
+}
+
+func newQuarantineKeeper(s store.Store, m *members, f *follower, holds func() bool, set *metrics.Set, log logrus.FieldLogger) *quarantineKeeper {
+	q := &quarantineKeeper{
+		ledger: f.ledger, store: s, members: m, pool: f.pool, follower: f, holds: holds, log: log, set: set, began: time.Now(),
+		unwritten: map[serving.Fingerprint]bool{}, links: map[string]quarantine.Link{}, woken: make(chan struct{}, 1),
+	}
+	for _, state := range []quarantine.State{quarantine.Suspect, quarantine.Quarantined} {
+		set.NewGauge(`martenport_requests_held{state="`+state.String()+`"}`, func() float64 { return float64(q.count(state)) })
+	}
+	return q
+}
+
+func (q *quarantineKeeper) count(state quarantine.State) int {
+	n := 0
+	for _, r := range q.ledger.List(time.Now()) {
+		if r.State() == state {
+			n++
+		}
+	}
+	return n
+}
+
+// changed notes that this instance has learned of an end, and which requests are suspects or
+// quarantined by that: it writes those down, and tells the holder now.
+func (q *quarantineKeeper) changed(raised []quarantine.Raise) {
+	q.logRaised(raised, "seen here")
+	q.writeLater(raised)
+	q.follower.wake()
+	q.wake()
+}
+
+// answer takes over what another instance tells, and returns what to tell it.
+func (q *quarantineKeeper) answer(m quarantine.Message, now time.Time) quarantine.Message {
+	answer, raised := q.ledger.Answer(m, now)
+	if len(raised) > 0 { // no single instance has seen that
+		q.logRaised(raised, "put together")
+		q.writeLater(raised)
+		q.wake()
+	}
+	return answer
+}
+
+// heard notes which requests are held by what another instance says.
+func (q *quarantineKeeper) heard(raised []quarantine.Raise) { q.logRaised(raised, "heard") }
+
+func (q *quarantineKeeper) logRaised(raised []quarantine.Raise, source string) {
+	for _, r := range raised {
+		q.log.WithFields(logrus.Fields{
+			"fingerprint": r.Fingerprint, "subject": r.Subject, "state": r.To, "servers": r.Crashes, "source": source,
+		}).Warn("servers ended while the request ran there")
+		q.set.GetOrCreateCounter(`martenport_requests_held_total{state="` + r.To.String() + `"}`).Inc()
+	}
+}
+
+// cleared notes that a request was answered, or released, and which state it had.
+func (q *quarantineKeeper) cleared(fp serving.Fingerprint, before quarantine.State) {
+	if before != quarantine.Clear {
+		q.mu.Lock()
+		q.unwritten[fp] = true
+		q.mu.Unlock()
+	}
+	q.follower.wake()
+	q.wake()
+}
+
+// expired has the store forget a request, once for all instances.
+func (q *quarantineKeeper) expired(fp serving.Fingerprint) {
+	if q.holds() {
+		q.cleared(fp, quarantine.Quarantined)
+	}
+}
+
+func (q *quarantineKeeper) writeLater(raised []quarantine.Raise) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, r := range raised {
+		q.unwritten[r.Fingerprint] = true
+	}
+}
+
+func (q *quarantineKeeper) wake() {
+	select {
+	case q.woken <- struct{}{}:
+	default: // it has been woken already
+	}
+}
+
+// Times of the keeper.
+const (
+	// keepInterval is the pause between looks at what is to be told or written.
+	keepInterval = 250 * time.Millisecond
+	// tellAfter without an answer of the holder, instances tell each other: two reports that
+	// failed.
+	tellAfter = 400 * time.Millisecond
+	// tellTimeout bounds one call to another instance.
+	tellTimeout = 400 * time.Millisecond
+)
+
+// run reads what the store has and keeps it, and the other instances, up to date.
+func (q *quarantineKeeper) run(ctx context.Context) {
+	for !q.read.Load() && !q.load(ctx) {
+		if !pause.For(ctx, keepInterval) {
+			return
+		}
+	}
+	for pause.Until(ctx, keepInterval, q.woken) {
+		q.write(ctx)
+		if q.follower.silentFor(time.Now()) > tellAfter {
+			q.tellAll(ctx)
+		}
+	}
+}
+
+// tellAll tells all instances that may lack something, directly.
+func (q *quarantineKeeper) tellAll(ctx context.Context) {
+	var calls errgroup.Group
+	calls.SetLimit(announceAtOnce)
+	for _, address := range q.members.lastKnown(ctx) {
+		q.mu.Lock()
+		link := q.links[address]
+		q.mu.Unlock()
+		if !link.Behind(q.ledger) {
+			continue
+		}
+		calls.Go(func() error {
+			q.tell(ctx, address, link)
+			return nil
+		})
+	}
+	_ = calls.Wait() // who is not reached is told again with the next look
+}
+
+func (q *quarantineKeeper) tell(ctx context.Context, address string, link quarantine.Link) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	args := &HeldArgs{Message: q.ledger.Tell(link, time.Now())}
+	var reply HeldReply
+	if err := q.pool.Call(ctx, address, methodHeld, args, &reply); err != nil {
+		q.pool.Disconnect(address)
+		return
+	}
+	q.heard(q.ledger.Told(&link, args.Message, reply.Message, time.Now()))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.links[address] = link
+}
--- /dev/null
+++ b/entry/quarantine_store.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// prefixQuarantine has an entry for each suspect and quarantined request, by fingerprint.
+const prefixQuarantine = "quarantine/"
+
+// heldRequest is such an entry.
+type heldRequest struct {
+	Subject string            `json:"subject"`
+	Crashes []quarantine.Life `json:"crashes"`
+	Cleared []quarantine.Life `json:"cleared"`
+	GraceMS int64             `json:"graceMs"`
+	// ChangedMS is the time of the last change in milliseconds of the Unix epoch. It decides
+	// for how many minutes the entry counts and nothing else.
+	ChangedMS int64 `json:"changedMs"`
+}
+
+func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
+	return heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+}
+
+func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
+	return quarantine.Record{
+		Fingerprint: fp, Subject: h.Subject, Crashes: h.Crashes, Cleared: h.Cleared, Grace: time.Duration(h.GraceMS) * time.Millisecond,
+		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
+	}
+}
+
+// load takes over what the store has, and reports whether it could be read.
+func (q *quarantineKeeper) load(ctx context.Context) bool {
+	snap, err := q.store.List(ctx, prefixQuarantine)
+	if err != nil {
+		return false
+	}
+	now := time.Now()
+	var records []quarantine.Record
+	for _, obj := range snap.Objects {
+		var h heldRequest
+		if err := json.Unmarshal(obj.Value, &h); err != nil {
+			q.log.WithFields(logrus.Fields{"key": obj.Key, "error": err}).Error("entry of a held request cannot be read")
+			continue
+		}
+		records = append(records, h.decode(serving.Fingerprint(obj.Key[len(prefixQuarantine):]), now))
+	}
+	q.logRaised(q.ledger.Take(records, now), "store")
+	q.read.Store(true)
+	return true
+}
+
+// write brings the store up to date with what has changed.
+func (q *quarantineKeeper) write(ctx context.Context) {
+	q.mu.Lock()
+	due := slices.Sorted(maps.Keys(q.unwritten))
+	q.mu.Unlock()
+	for _, fp := range due {
+		err := q.writeOne(ctx, fp)
+		if errors.Is(err, store.ErrConflict) {
+			continue // another instance was faster; what it wrote is read first next time
+		}
+		if err != nil {
+			return // the store is away; all are tried again
+		}
+		q.mu.Lock()
+		delete(q.unwritten, fp)
+		q.mu.Unlock()
+	}
+}
+
+// writeOne writes what is known of a request, together with what the store knows, or removes
+// it if nothing counts against it.
+func (q *quarantineKeeper) writeOne(ctx context.Context, fp serving.Fingerprint) error {
+	key := prefixQuarantine + string(fp)
+	now := time.Now()
+	stored, version, err := store.Read[heldRequest](ctx, q.store, key)
+	if err != nil {
+		return err
+	}
+	if version != 0 {
+		q.logRaised(q.ledger.Take([]quarantine.Record{stored.decode(fp, now)}, now), "store")
+	}
+	r, known := q.ledger.Record(fp, now)
+	if !known || r.State() == quarantine.Clear {
+		if version == 0 {
+			return nil
+		}
+		return q.store.Delete(ctx, key, version)
+	}
+	if version != 0 && sameLives(stored.Crashes, r.Crashes) {
+		return nil
+	}
+	_, err = store.WriteJSON(ctx, q.store, key, encodeHeld(r, now), version)
+	return err
+}
+
+func sameLives(a, b []quarantine.Life) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(life quarantine.Life) bool { return !slices.Contains(b, life) })
+}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -9,6 +9,7 @@
 
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
 )
@@ -23,10 +24,16 @@
 	methodReaches  = "Entry.Reaches"
 	methodAnnounce = "Entry.Announce"
 	methodUse      = "Entry.Use"
+	methodHeld     = "Entry.Held"
+	methodTrial    = "Entry.Trial"
 )
 
 // ExchangeArgs is an instance's report to the holder.
-type ExchangeArgs struct{ holder.Report }
+type ExchangeArgs struct {
+	holder.Report
+	// Held are requests under which servers end.
+	Held quarantine.Message
+}
 
 // WireView is a directory.EngineView with times as durations from now.
 type WireView struct {
@@ -44,6 +51,8 @@
 // ExchangeReply is the holder's answer. Held is false at any other instance.
 type ExchangeReply struct {
 	Held bool
+	// Requests are those under which servers end.
+	Requests quarantine.Message
 	// GaveUp is the released record under which the answering instance orders
 	// nothing more, the zero Record if there is none.
 	GaveUp lease.Record
@@ -86,6 +95,23 @@
 // UseReply has nothing.
 type UseReply struct{}
 
+// HeldArgs tells of requests under which servers end.
+type HeldArgs struct{ quarantine.Message }
+
+// HeldReply tells what the other instance knows of such.
+type HeldReply struct{ quarantine.Message }
+
+// TrialArgs asks the holder that a suspect may run alone, or says that it does not any more.
+type TrialArgs struct {
+	quarantine.Trial
+	LongestMS int64
+	Over      bool
+}
+
+// TrialReply is the answer. Held is false if this instance is not the holder, or the holder
+// before may still have let others run.
+type TrialReply struct{ Held, Granted bool }
+
 // AnnounceReply has nothing.
 type AnnounceReply struct{}
 
@@ -94,6 +120,8 @@
 type service struct {
 	holder   *holder.Holder
 	follower *follower
+	keeper   *quarantineKeeper
+	trials   *quarantine.Trials
 	// storeAge is how old what this instance knows of the store may be.
 	storeAge func(now time.Time) time.Duration
 }
@@ -101,6 +129,7 @@
 // Exchange answers an instance's report.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := time.Now()
+	reply.Requests = s.keeper.answer(args.Held, now)
 	news, err := s.holder.Exchange(args.Report, now)
 	if errors.Is(err, holder.ErrNotHolder) {
 		reply.GaveUp = s.holder.GaveUp()
@@ -126,6 +155,25 @@
 	return nil
 }
 
+// Held takes over what another instance knows of requests under which servers end.
+func (s *service) Held(args *HeldArgs, reply *HeldReply) error {
+	reply.Message = s.keeper.answer(args.Message, time.Now())
+	return nil
+}
+
+// Trial answers whether a suspect may run alone.
+func (s *service) Trial(args *TrialArgs, reply *TrialReply) error {
+	now := time.Now()
+	if args.Over {
+		s.trials.End(args.Trial)
+		return nil
+	}
+	if reply.Held = s.holder.Settled(now); reply.Held {
+		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
+	}
+	return nil
+}
+
 // Reaches answers whether the holder answers this instance.
 func (s *service) Reaches(args *ReachesArgs, reply *ReachesReply) error {
 	reply.Reaches, reply.GaveUp = s.follower.reaches(args.Holder, time.Now())
--- /dev/null
+++ b/entry/trial.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/quarantine"
+)
+
+// trial asks the holder whether a suspect may run alone.
+func (f *follower) trial(ctx context.Context, t quarantine.Trial, longest time.Duration) (bool, error) {
+	f.mu.Lock()
+	record, silence := f.record, time.Since(f.answered)
+	f.mu.Unlock()
+	if record.Holder == "" || record.Released || silence > silentAfter {
+		return false, forward.ErrNoHolder
+	}
+	var reply TrialReply
+	args := &TrialArgs{Trial: t, LongestMS: longest.Milliseconds()}
+	if err := f.call(ctx, record, wantTimeout, methodTrial, args, &reply); err != nil {
+		return false, errors.Wrap(forward.ErrNoHolder, err.Error())
+	}
+	if !reply.Held {
+		return false, forward.ErrNoHolder
+	}
+	return reply.Granted, nil
+}
+
+// endTrial tells the holder that a trial is over. If the word is lost, the trial is over
+// after its longest time.
+func (f *follower) endTrial(t quarantine.Trial) {
+	f.mu.Lock()
+	record := f.record
+	f.mu.Unlock()
+	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true}, &TrialReply{})
+}
+
+// heardHeld takes over what the one that was reported to knows of requests under which
+// servers end.
+func (f *follower) heardHeld(told, answer quarantine.Message, now time.Time) {
+	f.mu.Lock()
+	link := f.link
+	f.mu.Unlock()
+	f.raised(f.ledger.Told(&link, told, answer, now))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.link = link
+}
+
+// silentFor is how long the holder has not answered.
+func (f *follower) silentFor(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.answered)
+}
+
+// wake has the next report be sent at once.
+func (f *follower) wake() {
+	select {
+	case f.woken <- struct{}{}:
+	default: // a report is due already
+	}
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -36,6 +36,7 @@
 	dir      *directory.Directory
 	backends *platform.Backends
 	balancer *balance.Balancer
+	crashes  *crashes
 	log      logrus.FieldLogger
 	// holds reports whether this instance holds the lease.
 	holds func() bool
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -63,6 +63,7 @@
 	delete(w.lapsed, server.ID)
 	w.mu.Unlock()
 	_, known := w.dir.Server(server.ID)
+	w.crashes.known(server)
 	leaves := w.dir.ApplyServer(server, time.Now())
 	if leaves || !known {
 		w.log.WithFields(logrus.Fields{
@@ -93,6 +94,7 @@
 
 // forget drops what was kept for a server that is gone.
 func (w *watcher) forget(id string, revision int64) {
+	w.crashes.gone(id, w.dir.Drained(id))
 	w.backends.Forget(id)
 	w.balancer.Forget(id)
 	w.log.WithFields(logrus.Fields{"server": id, "revision": revision}).Info("server gone")
--- a/serving/order.go
+++ b/serving/order.go
@@ -51,6 +51,9 @@
 
 // Report is an engine's account of itself, some hundred milliseconds old.
 type Report struct {
+	// Born is when the engine started, in milliseconds of the Unix epoch; 0 if it does not
+	// say.
+	Born int64
 	// Models maps each loaded model to its adapters.
 	Models map[string][]string
 	// Pending are adapters on their way to the engine.
--- a/serving/server.go
+++ b/serving/server.go
@@ -2,10 +2,14 @@
 
 import "time"
 
-// Server is a backend server as it announces itself. Each start of a process
-// is another Server with another ID.
+// Server is a backend server as it announces itself.
 type Server struct {
 	ID, Service, Address string
+	// Born is when its process started, in milliseconds of the Unix epoch; 0 if it does not
+	// say. A process that starts again may bear the ID that the one before had.
+	Born int64
+	// Version of its software.
+	Version string
 	// Revision is the store's revision of this announcement.
 	Revision      int64
 	FailureDomain string
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -61,6 +61,7 @@
 	ReasonNoSlot       Reason = "no_slot"       // every slot of the model is bound elsewhere
 	ReasonNotOrderer   Reason = "not_orderer"   // the instance does not order this engine
 	ReasonStaleEpoch   Reason = "stale_epoch"   // the engine has seen a newer fencing number
+	ReasonQuarantined  Reason = "quarantined"   // servers end while the request runs
 	ReasonStalePlan    Reason = "stale_plan"    // the plan's base generation is not current
 )
 
