--- /dev/null
+++ b/command/quarantine/ledger_test.go
@@ -0,0 +1,252 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/serving"
+)
+
+var start = time.Unix(1000, 0)
+
+func life(n int) Life { return Life{Server: fmt.Sprintf("s%d", n), Born: 1, Version: "v1"} }
+
+// TestStates: the first end holds nothing against anybody, the second has a request run
+// alone, the third has it refused; the same life counts once.
+func TestStates(t *testing.T) {
+	l := NewLedger()
+	want := []State{Clear, Clear, Suspect, Suspect, Quarantined, Quarantined}
+	for i, n := range []int{1, 1, 2, 2, 3, 4} {
+		raised := l.Crashed("a", "GET /a", life(n), start)
+		if got := l.State("a"); got != want[i] {
+			t.Errorf("after end %d: %s, want %s", i, got, want[i])
+		}
+		if rises := i == 2 || i == 4; (len(raised) == 1) != rises {
+			t.Errorf("after end %d: raised %v", i, raised)
+		}
+	}
+}
+
+// TestAnsweredIsCleared: a request that is answered starts anew, also where the word of old
+// ends comes later; new ends count.
+func TestAnsweredIsCleared(t *testing.T) {
+	l := NewLedger()
+	l.Crashed("a", "", life(1), start)
+	l.Crashed("a", "", life(2), start)
+	if before, changed := l.Clear("a", start); before != Suspect || !changed {
+		t.Errorf("cleared from %s, changed %v", before, changed)
+	}
+	l.Take([]Record{{Fingerprint: "a", Crashes: []Life{life(1), life(2)}}}, start)
+	if got := l.State("a"); got != Clear {
+		t.Errorf("%s by word of ends that it is cleared of", got)
+	}
+	l.Crashed("a", "", life(3), start)
+	l.Crashed("a", "", life(4), start)
+	if got := l.State("a"); got != Suspect {
+		t.Errorf("%s after two new ends", got)
+	}
+}
+
+// TestCulpritExplains: once a request is quarantined, what ran beside it is cleared of the
+// ends under which both were, whichever is heard of first.
+func TestCulpritExplains(t *testing.T) {
+	l := NewLedger()
+	for n := range 2 {
+		l.Crashed("culprit", "", life(n), start)
+		l.Crashed("beside", "", life(n), start)
+	}
+	if l.State("beside") != Suspect {
+		t.Fatal("not yet a suspect")
+	}
+	l.Crashed("culprit", "", life(2), start)
+	if got := l.State("beside"); got != Clear {
+		t.Errorf("%s, want clear", got)
+	}
+	l.Crashed("late", "", life(0), start)
+	l.Crashed("late", "", life(2), start)
+	l.Crashed("beside", "", life(2), start)
+	if l.State("late") != Clear || l.State("beside") != Clear {
+		t.Error("ends that are explained count when they are heard of later")
+	}
+	l.Clear("culprit", start) // an operator releases it
+	l.Crashed("beside", "", life(3), start)
+	l.Crashed("beside", "", life(4), start)
+	if got := l.State("beside"); got != Suspect {
+		t.Errorf("%s after two ends that nothing explains", got)
+	}
+}
+
+// TestNewVersion: a quarantined request may run alone on a new version of the software.
+func TestNewVersion(t *testing.T) {
+	l := NewLedger()
+	for n := range 3 {
+		l.Crashed("a", "", life(n), start)
+	}
+	if on := l.StateOn("a", "v1"); on != Quarantined {
+		t.Errorf("%s on the version under which servers ended", on)
+	}
+	if on := l.StateOn("a", "v2"); on != Suspect {
+		t.Errorf("%s on a new version", on)
+	}
+	l.Crashed("a", "", Life{Server: "n", Version: "v2"}, start)
+	if on := l.StateOn("a", "v2"); on != Quarantined {
+		t.Errorf("%s after one end under the new version", on)
+	}
+}
+
+// TestLedgersAgree: ledgers that have heard of the same come to the same, in whatever order
+// and how often they heard it, and however messages were lost.
+func TestLedgersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledgers := []*Ledger{NewLedger(), NewLedger(), NewLedger()}
+		links := map[[2]int]*Link{}
+		fps := []serving.Fingerprint{"a", "b", "c"}
+		exchange := func(from, to int, lost bool) {
+			key := [2]int{from, to}
+			if links[key] == nil {
+				links[key] = &Link{}
+			}
+			m := ledgers[from].Tell(*links[key], start)
+			answer, _ := ledgers[to].Answer(m, start)
+			if !lost {
+				ledgers[from].Told(links[key], m, answer, start)
+			}
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			at := rapid.IntRange(0, 2).Draw(t, "at")
+			fp := rapid.SampledFrom(fps).Draw(t, "request")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0, 1:
+				ledgers[at].Crashed(fp, "", life(rapid.IntRange(0, 5).Draw(t, "life")), start)
+			case 2:
+				if ledgers[at].State(fp) != Quarantined {
+					ledgers[at].Clear(fp, start)
+				}
+			case 3:
+				exchange(at, rapid.IntRange(0, 2).Draw(t, "to"), rapid.Bool().Draw(t, "lost"))
+			case 4: // the process starts anew
+				ledgers[at] = NewLedger()
+				for key := range links {
+					if key[0] == at {
+						delete(links, key)
+					}
+				}
+			}
+		}
+		for range 6 {
+			for from := range ledgers {
+				for to := range ledgers {
+					exchange(from, to, false)
+				}
+			}
+		}
+		for _, fp := range fps {
+			if a, b, c := lives(ledgers[0], fp), lives(ledgers[1], fp), lives(ledgers[2], fp); !slices.Equal(a, b) || !slices.Equal(b, c) {
+				t.Fatalf("%s: ledgers differ: %v, %v, %v", fp, a, b, c)
+			}
+		}
+	})
+}
+
+// lives returns what counts against a request, sorted.
+func lives(l *Ledger, fp serving.Fingerprint) []string {
+	r, _ := l.Record(fp, start)
+	var names []string
+	for _, c := range r.Crashes {
+		names = append(names, c.Server)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestLateEndsWatchLonger: a request that ends servers only after it has run for long is not
+// taken for one that has passed, again and again.
+func TestLateEndsWatchLonger(t *testing.T) {
+	l := NewLedger()
+	l.Crashed("a", "", life(0), start)
+	l.Crashed("a", "", life(1), start)
+	const endsAfter = 2 * time.Second
+	ends := 2
+	for ; l.State("a") != Quarantined && ends < 10; ends++ {
+		b := Break{Fingerprint: "a", Alone: true, Ran: endsAfter, Grace: l.Grace("a")}
+		if b.Late() {
+			l.Outlived("a", b.Ran, start)
+		} else {
+			l.Crashed("a", "", life(ends), start)
+		}
+	}
+	if ends != 4 {
+		t.Errorf("quarantined after %d ends, want 4", ends)
+	}
+}
+
+// TestBounds: what is remembered is bounded, quarantined requests are kept longest, and all
+// of it ends.
+func TestBounds(t *testing.T) {
+	l := NewLedger()
+	for n := range 3 {
+		l.Crashed("bad", "", life(n), start)
+	}
+	for n := range 2 * maxRecords {
+		l.Crashed(serving.Fingerprint(fmt.Sprint(n)), "", life(n+10), start.Add(time.Duration(n)))
+	}
+	if n := len(l.records); n > maxRecords {
+		t.Errorf("%d records, want at most %d", n, maxRecords)
+	}
+	if l.State("bad") != Quarantined {
+		t.Error("a quarantined request had to make room for others")
+	}
+	later := start.Add(suspicionLifetime + time.Second)
+	if released := l.Expire(later); len(released) > 0 || len(l.records) != 1 {
+		t.Errorf("%v released, %d records left, want the quarantined one", released, len(l.records))
+	}
+	if released := l.Expire(start.Add(quarantineLifetime)); len(released) != 1 || l.State("bad") != Clear || len(l.explained) != 0 {
+		t.Errorf("%v released, %d ends still explained", released, len(l.explained))
+	}
+	m := NewLedger().Tell(Link{}, start)
+	for n := range 3 * maxTold {
+		l.Crashed(serving.Fingerprint(fmt.Sprint("x", n)), "", life(n), start)
+	}
+	told, link := NewLedger(), Link{}
+	rounds := 0
+	for ; link.Behind(l) && rounds < 10; rounds++ {
+		m = l.Tell(link, start)
+		if len(m.Records) > maxTold {
+			t.Fatalf("%d records in one message", len(m.Records))
+		}
+		answer, _ := told.Answer(m, start)
+		l.Told(&link, m, answer, start)
+	}
+	if len(told.records) != len(l.records) {
+		t.Errorf("%d of %d records told in %d messages", len(told.records), len(l.records), rounds)
+	}
+}
+
+// TestTrials: one suspect at a time on a server, one run at a time of a suspect, and none for
+// ever.
+func TestTrials(t *testing.T) {
+	trials := NewTrials()
+	a, b := Trial{Fingerprint: "a", Server: "s1", Instance: "i"}, Trial{Fingerprint: "b", Server: "s1", Instance: "j"}
+	elsewhere := Trial{Fingerprint: "a", Server: "s2", Instance: "j"}
+	if !trials.Begin(a, time.Second, start) {
+		t.Fatal("nobody is on trial")
+	}
+	if trials.Begin(b, time.Second, start) || trials.Begin(elsewhere, time.Second, start) || trials.Begin(a, time.Second, start) {
+		t.Error("two on a server, or two runs of a request")
+	}
+	trials.End(Trial{Fingerprint: "a", Server: "s1", Instance: "other"})
+	if trials.Begin(b, time.Second, start) {
+		t.Error("ended by an instance that had not begun it")
+	}
+	trials.End(a)
+	if !trials.Begin(b, time.Second, start) || !trials.Begin(elsewhere, time.Second, start) {
+		t.Error("the trial is over, and others may not run")
+	}
+	if !trials.Begin(a, time.Second, start.Add(time.Second)) {
+		t.Error("a trial without end")
+	}
+}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -42,6 +42,9 @@
 	// client that repeats the poison.
 	innocentPause = 25 * time.Millisecond
 	repeatPause   = 150 * time.Millisecond
+	// shortPause and longPause are between events: streams of 50 ms and of a second.
+	shortPause = 5 * time.Millisecond
+	longPause  = 100 * time.Millisecond
 	// knownAfter is when no instance may send the poison any more once it has ended
 	// enoughEnded engines: the word of it takes so long at the most.
 	knownAfter  = 3 * time.Second
@@ -52,6 +55,8 @@
 // crashFleet is a fleet whose engines end when they begin the poison, and are back.
 type crashFleet struct {
 	*fleet
+	// eventPause is the pause between events of the engines' streams.
+	eventPause time.Duration
 	// mu guards the list of instances, too, while some are replaced.
 	mu sync.Mutex
 	// starts has all starts of engines; ended when engines ended; guarded by mu.
@@ -65,8 +70,8 @@
 }
 
 // newCrashFleet starts instances before six engines that have the same model.
-func newCrashFleet(t *testing.T, instances int) *crashFleet {
-	f := &crashFleet{fleet: newFleet(t, instances), tries: map[string]bool{}}
+func newCrashFleet(t *testing.T, instances int, eventPause time.Duration) *crashFleet {
+	f := &crashFleet{fleet: newFleet(t, instances), eventPause: eventPause, tries: map[string]bool{}}
 	ctx, stop := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	t.Cleanup(func() { stop(); work.Wait() })
@@ -87,7 +92,7 @@
 	for start := 0; ctx.Err() == nil; start++ {
 		id := fmt.Sprintf("c%d-%d", i, start)
 		s, err := standin.NewServerAt(address, standin.ServerParams{
-			ID: id, Service: "llm", FailureDomain: "a", EventPause: 5 * time.Millisecond, Models: testModels, MemoryMB: testMemoryMB,
+			ID: id, Service: "llm", FailureDomain: "a", EventPause: f.eventPause, Models: testModels, MemoryMB: testMemoryMB,
 			AdapterSlots: testAdapterSlots, Loaded: []string{"m1"}, Poison: poison,
 		})
 		if err != nil {
@@ -238,15 +243,23 @@
 // TestPoisonRequest: with nothing else wrong, a request that ends each engine that begins
 // it ends three, or one more that two instances sent at the same moment.
 func TestPoisonRequest(t *testing.T) {
-	f := newCrashFleet(t, 4)
+	f := newCrashFleet(t, 4, shortPause)
 	f.play(10*time.Second, func(context.Context) {})
 	f.check(enoughEnded+1, 0)
 }
 
+// TestPoisonRequestManyBeside: the same while some forty other requests run at any time, all
+// of which break off with the engine that they are on.
+func TestPoisonRequestManyBeside(t *testing.T) {
+	f := newCrashFleet(t, 4, longPause)
+	f.play(12*time.Second, func(context.Context) {})
+	f.check(enoughEnded+1, 0)
+}
+
 // TestPoisonRequestHolderLost: the same while the instance that orders engines is lost as
 // soon as the first engine has ended.
 func TestPoisonRequestHolderLost(t *testing.T) {
-	f := newCrashFleet(t, 4)
+	f := newCrashFleet(t, 4, shortPause)
 	f.play(12*time.Second, func(ctx context.Context) {
 		f.await("first end", func() bool {
 			f.mu.Lock()
@@ -271,7 +284,7 @@
 // TestPoisonRequestInstancesRestarted: the same while one instance after the other is
 // replaced, so that none has seen all ends.
 func TestPoisonRequestInstancesRestarted(t *testing.T) {
-	f := newCrashFleet(t, 4)
+	f := newCrashFleet(t, 4, shortPause)
 	f.play(14*time.Second, func(ctx context.Context) {
 		for n := 4; pause.For(ctx, time.Second); n++ {
 			f.mu.Lock()
