Ages are measured by a clock that counts the time for which a machine was suspended

Cause: time.Now's differences and all timers stand still while the machine is suspended. A holder suspended for longer than its lease is good believed it for as long as before, and engines that do not compare fencing tokens took its orders beside its successor's; requests were sent with time left that had passed.

Connections' own deadlines stay with the time package.

--- a/command/balance/balance.go
+++ b/command/balance/balance.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/martenport/martenport/internal/clock"
 )
 
 // Params set how replicas are compared.
@@ -179,7 +181,7 @@
 		b.servers[id] = s
 	}
 	s.inFlight++
-	began := time.Now()
+	began := clock.Now()
 	return func(o Outcome, now time.Time) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/command/forward/budget.go
+++ b/command/forward/budget.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/martenport/martenport/internal/clock"
 )
 
 // BudgetParams bound the repeated sends of all instances together.
@@ -75,7 +77,7 @@
 
 // NewBudget returns a budget in which nothing has been gained.
 func NewBudget(p BudgetParams) *Budget {
-	return &Budget{began: time.Now(), params: p, services: map[string]*account{}}
+	return &Budget{began: clock.Now(), params: p, services: map[string]*account{}}
 }
 
 // SetParams puts other bounds in force.
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -32,7 +33,7 @@
 		usable = append(usable, s)
 		candidates = append(candidates, balance.Candidate{ID: s.ID, Domain: s.FailureDomain, Slots: s.Slots, Near: s.FailureDomain == t.f.params.FailureDomain})
 	}
-	i := t.f.balancer.Pick(candidates, time.Now())
+	i := t.f.balancer.Pick(candidates, clock.Now())
 	if i < 0 {
 		return serving.Server{}, t.noServer(len(servers))
 	}
@@ -64,7 +65,7 @@
 			t.waits.ended(t.f.counts)
 			return server, t.refuseOverload()
 		}
-		wait := time.Until(ready)
+		wait := clock.Until(ready)
 		if stop == nil {
 			stop = t.f.placer.Waits(t.request.Unit, t.route.Priority, t.onTime(), t.due())
 		}
@@ -75,7 +76,7 @@
 			if failure != nil {
 				return serving.Server{}, failure
 			}
-			wait = time.Until(ready)
+			wait = clock.Until(ready)
 		}
 		if wait <= 0 && server.ID != "" {
 			t.waits.ended(t.f.counts)
@@ -120,14 +121,14 @@
 	if failure := t.refuseWait(wait); failure != nil {
 		return failure
 	}
-	started := time.Now()
+	started := clock.Now()
 	t.waits.expect(wait)
-	defer func() { t.waits.add(time.Since(started)) }()
+	defer func() { t.waits.add(clock.Since(started)) }()
 	if decided {
 		return t.pauseFor(ctx, wait)
 	}
-	for until := started.Add(min(wait, askAnew)); time.Now().Before(until); {
-		if failure := t.pauseFor(ctx, min(lookInterval, time.Until(until))); failure != nil {
+	for until := started.Add(min(wait, askAnew)); clock.Now().Before(until); {
+		if failure := t.pauseFor(ctx, min(lookInterval, clock.Until(until))); failure != nil {
 			return failure
 		}
 		if _, _, found := t.bestReplica(); found {
@@ -149,7 +150,7 @@
 
 // bestReplica picks among the engines known to have the unit or to get it.
 func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
-	now := time.Now()
+	now := clock.Now()
 	replicas := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
 	candidates := make([]balance.Candidate, 0, len(replicas))
 	usable := replicas[:0]
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -19,6 +19,7 @@
 
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -168,7 +169,7 @@
 		return f.refused(r, verdict.Refuse(verdict.ReasonNoRoute, "no route of configuration %d for %s%s", config.Version, r.Host, r.Path()))
 	}
 	t := f.newTrip(config, route, r, w)
-	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
 	failure := t.run(ctx)
 	t.end(failure)
--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -93,14 +94,14 @@
 		t.excluded[server.ID] = true
 		return false, t.quarantined()
 	}
-	trial, err := t.f.guard.Try(ctx, t.request.Fingerprint, server, time.Until(t.deadline)+trialSlack)
+	trial, err := t.f.guard.Try(ctx, t.request.Fingerprint, server, clock.Until(t.deadline)+trialSlack)
 	switch {
 	case err == nil:
 		t.trial = trial
 		return true, nil
 	case !errors.Is(err, ErrTrialBusy):
 		return false, verdict.Refuse(verdict.ReasonPlatform, "servers ended while the request ran there, and nobody can let it run alone: %v", err).After(noTrialRetry)
-	case time.Until(t.due()) < t.f.params.FirstEvent+trialPause:
+	case clock.Until(t.due()) < t.f.params.FirstEvent+trialPause:
 		return false, verdict.Refuse(verdict.ReasonQueueFull, "servers ended while the request ran there, and others run alone before it").After(noTrialRetry)
 	}
 	return false, t.pauseFor(ctx, trialPause)
@@ -142,7 +143,7 @@
 		Fingerprint: fp, Subject: subject(t.request), Server: server, Alone: t.trial.End != nil, Grace: t.trial.Grace, Left: left,
 	}
 	if !t.firstHere.IsZero() {
-		b.Ran = time.Since(t.firstHere)
+		b.Ran = clock.Since(t.firstHere)
 	}
 	settled := t.f.guard.Broke(b)
 	if left || t.f.guard.State(fp, t.service.Name) == quarantine.Clear && !b.Alone {
--- a/command/forward/overload.go
+++ b/command/forward/overload.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -22,7 +23,7 @@
 	if !deferrable(t.route) || t.sends > 0 || t.out.started {
 		return nil
 	}
-	share := t.f.dir.Admit(t.request.Unit.Model, time.Now())
+	share := t.f.dir.Admit(t.request.Unit.Model, clock.Now())
 	if rand.Float64() < share {
 		return nil
 	}
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -45,7 +46,7 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
-	w.started, w.status, w.written = true, resp.Status, time.Now()
+	w.started, w.status, w.written = true, resp.Status, clock.Now()
 	w.WriteHeader(resp.Status)
 }
 
@@ -65,7 +66,7 @@
 
 // relay passes an answer on. On failure the client may have a part of it.
 func (t *trip) relay(ctx context.Context, resp *serving.Response) *verdict.Failure {
-	_ = t.out.control.SetWriteDeadline(t.deadline.Add(writeSlack)) // without one a client that does not read is not noticed
+	_ = t.out.control.SetWriteDeadline(time.Now().Add(clock.Until(t.deadline) + writeSlack)) // without one a client that does not read is not noticed
 	defer func() { _ = t.out.control.SetWriteDeadline(time.Time{}) }()
 	if resp.Status >= http.StatusInternalServerError && t.route.MayRepeat() && t.runs < t.route.Attempts && !t.out.started {
 		return t.holdBack(resp)
@@ -90,7 +91,7 @@
 	if !known || others < 2 || !t.draw() {
 		return t.relayBody(resp)
 	}
-	t.prepaid = time.Now()
+	t.prepaid = clock.Now()
 	return verdict.New(verdict.Ran, verdict.ReasonBackend, "server %s answered with status %d", server.ID, resp.Status)
 }
 
@@ -127,7 +128,7 @@
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEvent, err)
 		}
-		t.arrived(time.Now())
+		t.arrived(clock.Now())
 		if t.passed(e) {
 			continue // a resumed stream that repeats an event
 		}
@@ -135,7 +136,7 @@
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
 		}
-		t.out.passedOn(time.Now())
+		t.out.passedOn(clock.Now())
 		if e.id != "" {
 			t.out.lastEvent = e.id
 		}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -104,6 +105,9 @@
 		if failure != nil {
 			return t.final(ctx, failure)
 		}
+		if failure := t.overdue(); failure != nil {
+			return t.final(ctx, failure)
+		}
 		admitted, failure := t.admitted(ctx, server)
 		if failure != nil {
 			return t.final(ctx, failure)
@@ -128,9 +132,18 @@
 	}
 }
 
+// overdue refuses a request whose time is over though its context has not ended: the timers
+// of contexts stand still while the machine is suspended.
+func (t *trip) overdue() *verdict.Failure {
+	if clock.Exact().Before(t.deadline) {
+		return nil
+	}
+	return verdict.Refuse(verdict.ReasonDeadline, "the time was over before the request could be sent")
+}
+
 // paid draws the next send from the budget of repeated ones, if it is one.
 func (t *trip) paid() bool {
-	prepaid := time.Since(t.prepaid) < prepaidFor
+	prepaid := clock.Since(t.prepaid) < prepaidFor
 	t.prepaid = time.Time{}
 	return t.sends == 0 || prepaid || t.draw()
 }
@@ -143,7 +156,7 @@
 // draw takes one more send from the budget, and logs what that rested on: a bound
 // over all instances that is broken can be traced only with each one's account.
 func (t *trip) draw() bool {
-	now := time.Now()
+	now := clock.Now()
 	allowed := t.f.budget.Take(t.service.Name, now)
 	t.f.counts.repeat(t.service.Name, allowed)
 	s := t.f.budget.Spending(t.service.Name, now)
@@ -190,7 +203,7 @@
 // means that the client has its answer.
 func (t *trip) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
 	t.server, t.firstHere = server.ID, time.Time{}
-	now := time.Now()
+	now := clock.Now()
 	whole := ctx
 	defer t.endTrial()
 	defer func() { t.report(whole, server, failure) }()
@@ -202,7 +215,7 @@
 	outcome := balance.Neutral
 	defer func() {
 		done(outcome == balance.Succeeded)
-		ended(outcome, time.Now())
+		ended(outcome, clock.Now())
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -245,7 +258,7 @@
 	switch {
 	case !errors.Is(ctx.Err(), context.Canceled):
 		*outcome = balance.Unreachable
-	case time.Since(sent) >= silentAfter:
+	case clock.Since(sent) >= silentAfter:
 		*outcome = balance.Silent
 	}
 	if failure.Verdict == verdict.NotRun {
@@ -268,7 +281,7 @@
 	if resp.Misdirected && t.request.Unit.Model != "" {
 		*outcome = balance.Neutral
 		t.missing = server.ID
-		t.f.dir.Lacks(server.ID, t.request.Unit, time.Now())
+		t.f.dir.Lacks(server.ID, t.request.Unit, clock.Now())
 	}
 	return verdict.Refuse(verdict.ReasonBackend, "server %s has not run it: status %d", server.ID, resp.Status)
 }
@@ -300,13 +313,13 @@
 		return t.f.left()
 	case <-ctx.Done():
 	}
-	return verdict.Refuse(verdict.ReasonDeadline, "the time was over after %s of waiting", time.Since(t.request.Arrived).Round(time.Millisecond))
+	return verdict.Refuse(verdict.ReasonDeadline, "the time was over after %s of waiting", clock.Since(t.request.Arrived).Round(time.Millisecond))
 }
 
 func (t *trip) fields() logrus.Fields {
 	fields := logrus.Fields{
 		"request": t.request.ID, "route": t.route.Name, "config": t.config.Version, "sends": t.sends,
-		"ms": time.Since(t.request.Arrived).Milliseconds(), "fingerprint": t.request.Fingerprint,
+		"ms": clock.Since(t.request.Arrived).Milliseconds(), "fingerprint": t.request.Fingerprint,
 	}
 	if t.request.Unit.Model != "" {
 		fields["unit"] = t.request.Unit.String()
@@ -316,7 +329,7 @@
 
 // end counts and logs how the request ended.
 func (t *trip) end(failure *verdict.Failure) {
-	t.f.counts.end(failure, time.Since(t.request.Arrived))
+	t.f.counts.end(failure, clock.Since(t.request.Arrived))
 	log := t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{
 		"server": t.server, "waited_ms": t.waits.total().Milliseconds(), "waited_for": t.waits.longest(), "promised_ms": t.waits.promised.Milliseconds(),
 		"priority": t.route.Priority, "objective_ms": t.route.Objective.Milliseconds(),
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -21,9 +22,9 @@
 	case ctx.Err() != nil:
 		return serving.Server{}, time.Time{}, verdict.Refuse(verdict.ReasonDeadline, "the time was over before a place for %s was known", t.request.Unit)
 	case err != nil && expected.ID != "":
-		return expected, time.Now(), nil
+		return expected, clock.Now(), nil
 	case err != nil:
-		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err, time.Until(place.Ready))
+		return serving.Server{}, time.Time{}, t.wantFailed(ctx, err, clock.Until(place.Ready))
 	}
 	if place.Engine == "" {
 		return serving.Server{}, place.Ready, nil
@@ -52,8 +53,8 @@
 		failure.Detail += ": " + err.Error()
 		return failure
 	}
-	started := time.Now()
-	defer func() { t.waits.add(time.Since(started)) }()
+	started := clock.Now()
+	defer func() { t.waits.add(clock.Since(started)) }()
 	return t.pauseFor(ctx, min(back, longestAskPause))
 }
 
@@ -61,7 +62,7 @@
 // once and with the time at which its model will be ready. Any other one is worth
 // waiting for: what its client gains by an answer counts from its first try.
 func (t *trip) refuseWait(wait time.Duration) *verdict.Failure {
-	left := time.Until(t.due())
+	left := clock.Until(t.due())
 	if wait+t.f.params.FirstEvent < left {
 		return nil
 	}
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -20,6 +20,7 @@
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
@@ -112,7 +113,7 @@
 	h.mu.Unlock()
 	for pause.For(ctx, h.params.Tick) {
 		if h.Holds() {
-			h.tick(time.Now())
+			h.tick(clock.Now())
 		}
 	}
 }
@@ -202,8 +203,8 @@
 	if config == nil {
 		return
 	}
-	h.refreshed = time.Now()
-	h.fleet.Complete(h.dir.Complete(time.Now()))
+	h.refreshed = clock.Now()
+	h.fleet.Complete(h.dir.Complete(clock.Now()))
 	h.fleet.SetServers(h.dir.All(), func(service string) *serving.EngineSpec { return config.Services[service].Engine })
 	for _, e := range h.fleet.Engines() {
 		e.NotBefore = h.lease.OrderFrom(e.Server.ID)
@@ -317,7 +318,7 @@
 func (h *Holder) begin(op replicas.Operation, cause string) {
 	h.log.WithFields(logrus.Fields{
 		"engine": op.Engine, "load": op.Load.String(), "unload": op.Unload, "remote": op.Remote, "cause": cause,
-		"ready_ms": time.Until(op.Ready).Milliseconds(),
+		"ready_ms": clock.Until(op.Ready).Milliseconds(),
 	}).Info("operation planned")
 	h.worker(op.Engine).carryOut(op)
 }
--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
@@ -22,8 +23,8 @@
 // counts the answers that another was under way.
 func (w *worker) order(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (refused int, err error) {
 	unsure := false
-	began := time.Now()
-	for time.Since(began) < w.h.params.OrderPatience {
+	began := clock.Now()
+	for clock.Since(began) < w.h.params.OrderPatience {
 		answer, err := w.send(op, unit, unload, pinned)
 		switch {
 		case errors.Is(err, serving.ErrOrderUnknown):
@@ -40,10 +41,10 @@
 		if err := w.confirm(began); err != nil {
 			return refused, err
 		}
-		wait := min(maxOrderPause, max(w.h.params.OrderPause, time.Since(began)))
+		wait := min(maxOrderPause, max(w.h.params.OrderPause, clock.Since(began)))
 		if !unload {
 			w.h.mu.Lock()
-			w.h.fleet.Delayed(op, wait, time.Now())
+			w.h.fleet.Delayed(op, wait, clock.Now())
 			w.h.mu.Unlock()
 		}
 		if !pause.For(w.ctx, wait) {
@@ -66,7 +67,7 @@
 // confirm fails if the engine is not busy and has counted other orders than the
 // account. began is when the order was first sent.
 func (w *worker) confirm(began time.Time) error {
-	if time.Since(began) < confirmAfter || !w.mayConfirm() {
+	if clock.Since(began) < confirmAfter || !w.mayConfirm() {
 		return nil
 	}
 	report, err := w.report()
@@ -86,7 +87,7 @@
 func (w *worker) mayConfirm() bool {
 	w.ordering.Lock()
 	defer w.ordering.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(w.confirmed) < confirmAfter || now.Sub(w.accepted) < confirmAfter {
 		return false
 	}
@@ -125,7 +126,7 @@
 	o := serving.Order{Server: e.Server, Unit: unit, Unload: unload, Expect: e.Sequence, Holder: w.h.params.Name, Fence: fence}
 	w.h.mu.Unlock()
 	answer, err := w.h.engines.Order(ctx, o)
-	w.lastOrder = time.Now()
+	w.lastOrder = clock.Now()
 	w.noteAnswer(o, answer, err)
 	if err != nil {
 		err = errors.Mark(err, errEngine)
--- /dev/null
+++ b/command/holder/suspended_test.go
@@ -0,0 +1,42 @@
+package holder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
+)
+
+// TestSuspendedHolder: a holder whose machine was suspended for longer than its lease was
+// good orders nothing more, though by the steady clock it has renewed a moment ago. Its
+// successor may order by then, and not all engines compare fencing tokens.
+func TestSuspendedHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		suspended := time.Duration(0)
+		defer clock.Replace(func() (time.Duration, bool) { return suspended, true })()
+		platform := standin.NewPlatform()
+		engine := &judged{fakeEngine: fakeEngine{models: map[string][]string{}}}
+		before := newTestHolder("a", platform, engine, time.Second, "m1")
+		after := newTestHolder("b", platform, engine, time.Second, "m1")
+		if err := before.TakeOver(t.Context(), lease.Record{}, 0, "test"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := before.fence(t.Context(), "e1"); err != nil {
+			t.Fatalf("the holder may not order: %v", err)
+		}
+		record, revision, err := after.Current(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := after.TakeOver(t.Context(), record, revision, "test"); err != nil {
+			t.Fatal(err)
+		}
+		suspended = validity + time.Second
+		if token, err := before.fence(t.Context(), "e1"); err == nil {
+			t.Errorf("orders with token %d after it was suspended for %s", token, suspended)
+		}
+	})
+}
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -12,6 +12,7 @@
 
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/store"
 )
 
@@ -27,13 +28,13 @@
 	h.mu.Lock()
 	candidate := h.lease.Candidate(current, h.params.Address)
 	h.mu.Unlock()
-	sent := time.Now()
+	sent := clock.Now()
 	written, err := store.WriteJSON(ctx, h.store, KeyLease, candidate, revision)
 	if err != nil {
 		return err
 	}
 	h.mu.Lock()
-	h.lease.Won(current, candidate, written, sent, time.Now())
+	h.lease.Won(current, candidate, written, sent, clock.Now())
 	from := h.lease.OrderFrom("")
 	h.fleet = replicas.NewFleet(h.params.Fleet)
 	h.fleet.SetLimits(h.limits)
@@ -48,7 +49,7 @@
 	h.mu.Unlock()
 	h.counts.takeOvers.Inc()
 	h.log.WithFields(logrus.Fields{
-		"fence": candidate.Fence, "before": current.Holder, "cause": cause, "orders_in_ms": time.Until(from).Milliseconds(),
+		"fence": candidate.Fence, "before": current.Holder, "cause": cause, "orders_in_ms": clock.Until(from).Milliseconds(),
 	}).Info("lease taken")
 	return nil
 }
@@ -77,7 +78,7 @@
 		h.mu.Unlock()
 		return record, revision, false
 	}
-	record, revision, ok = h.lease.Release(time.Now())
+	record, revision, ok = h.lease.Release(clock.Now())
 	workers := slices.Collect(maps.Values(h.workers))
 	h.mu.Unlock()
 	var last time.Time
@@ -86,7 +87,7 @@
 			last = t
 		}
 	}
-	h.log.WithFields(logrus.Fields{"fence": record.Fence, "last_order_ms": time.Since(last).Milliseconds()}).Info("orders stopped")
+	h.log.WithFields(logrus.Fields{"fence": record.Fence, "last_order_ms": clock.Since(last).Milliseconds()}).Info("orders stopped")
 	return record, revision, ok
 }
 
@@ -197,9 +198,9 @@
 func (h *Holder) token(engine string) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	token, ok := h.lease.Fence(engine, time.Now())
+	token, ok := h.lease.Fence(engine, clock.Exact())
 	if ok {
-		h.lease.Ordered(engine, time.Now())
+		h.lease.Ordered(engine, clock.Exact())
 	}
 	return token, ok
 }
@@ -207,7 +208,7 @@
 func (h *Holder) renewalDue() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lease.RenewalDue(time.Now())
+	return h.lease.RenewalDue(clock.Now())
 }
 
 // renewBeside renews the lease in the background unless that is under way.
@@ -256,7 +257,7 @@
 // renewLocked needs renewing.
 func (h *Holder) renewLocked(ctx context.Context) error {
 	h.mu.Lock()
-	due, held := h.lease.RenewalDue(time.Now()), h.lease.Held()
+	due, held := h.lease.RenewalDue(clock.Now()), h.lease.Held()
 	h.mu.Unlock()
 	if !held {
 		return ErrNotHolder
@@ -274,7 +275,7 @@
 // the record is another's.
 func (h *Holder) confirm(ctx context.Context) error {
 	h.mu.Lock()
-	sent := time.Now()
+	sent := clock.Now()
 	record, revision := h.lease.Renewal(sent)
 	h.mu.Unlock()
 	value, err := json.Marshal(record)
@@ -287,7 +288,7 @@
 	switch {
 	case err == nil:
 		if !h.failingSince.IsZero() {
-			h.log.WithFields(logrus.Fields{"fence": record.Fence, "failed_ms": time.Since(h.failingSince).Milliseconds()}).Info("lease renewed again")
+			h.log.WithFields(logrus.Fields{"fence": record.Fence, "failed_ms": clock.Since(h.failingSince).Milliseconds()}).Info("lease renewed again")
 		}
 		h.lease.Renewed(record, obj.Version, sent)
 		h.failingSince = time.Time{}
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
@@ -126,22 +127,22 @@
 
 // do carries one operation out and notes how it ended.
 func (w *worker) do(op replicas.Operation) error {
-	started := time.Now()
+	started := clock.Now()
 	err := w.steps(op)
 	w.h.mu.Lock()
 	switch {
 	case err == nil:
-		w.h.fleet.Done(op, time.Now())
+		w.h.fleet.Done(op, clock.Now())
 	case errors.Is(err, errEngine):
-		w.h.fleet.Failed(op, time.Now())
+		w.h.fleet.Failed(op, clock.Now())
 	default:
 		w.h.fleet.Withdrawn(op) // no order was sent last: the lease, the store or a limit did not allow it
 	}
 	w.h.mu.Unlock()
-	w.h.dispatch(time.Now())
-	w.h.counts.operation(op, err, time.Since(started))
+	w.h.dispatch(clock.Now())
+	w.h.counts.operation(op, err, clock.Since(started))
 	w.h.log.WithFields(logrus.Fields{
-		"engine": op.Engine, "load": op.Load.String(), "ms": time.Since(started).Milliseconds(), "late_ms": time.Since(op.Ready).Milliseconds(), "error": err,
+		"engine": op.Engine, "load": op.Load.String(), "ms": clock.Since(started).Milliseconds(), "late_ms": clock.Since(op.Ready).Milliseconds(), "error": err,
 	}).Info("operation ended")
 	return err
 }
@@ -155,7 +156,7 @@
 	if from.Before(op.From) {
 		from = op.From
 	}
-	return pause.For(w.ctx, time.Until(from))
+	return pause.For(w.ctx, clock.Until(from))
 }
 
 // steps unloads what has to go, orders the load and waits for it.
@@ -174,14 +175,14 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	w.h.mu.Lock()
 	w.h.fleet.Began(op, unloaded, refused, now)
 	w.h.mu.Unlock()
 	if op.Remote {
 		err := w.awaitRemote(op, now.Add(op.Duration))
 		if err == nil {
-			w.h.counts.weightStore(op.Duration, time.Since(now))
+			w.h.counts.weightStore(op.Duration, clock.Since(now))
 		}
 		return err
 	}
@@ -202,7 +203,7 @@
 			return accepted, err
 		}
 		if unit.Adapter == "" {
-			accepted = time.Now()
+			accepted = clock.Now()
 		}
 		w.h.mu.Lock()
 		w.h.fleet.Unloaded(op, unit)
@@ -220,7 +221,7 @@
 	w.h.mu.Lock()
 	done := accepted.Add(w.h.fleet.UnloadTime())
 	w.h.mu.Unlock()
-	return pause.For(w.ctx, time.Until(done))
+	return pause.For(w.ctx, clock.Until(done))
 }
 
 // remotePatience times the expected time a load from the weight store may be late: while
@@ -231,8 +232,8 @@
 // many others run.
 func (w *worker) awaitRemote(op replicas.Operation, ready time.Time) error {
 	limit := ready.Add(remotePatience * op.Duration)
-	for time.Now().Before(limit) {
-		if !pause.For(w.ctx, max(w.h.params.ReportLag, time.Until(ready))) {
+	for clock.Now().Before(limit) {
+		if !pause.For(w.ctx, max(w.h.params.ReportLag, clock.Until(ready))) {
 			return w.ctx.Err()
 		}
 		report, err := w.report()
@@ -247,7 +248,7 @@
 			return errors.Wrapf(errEngine, "the engine neither has %s nor loads it", op.Load)
 		}
 		w.h.mu.Lock()
-		ready = w.h.fleet.Lasts(op, time.Now())
+		ready = w.h.fleet.Lasts(op, clock.Now())
 		w.h.mu.Unlock()
 	}
 	return errors.Wrapf(errEngine, "%s was not loaded by %s", op.Load, limit)
@@ -268,23 +269,23 @@
 func (w *worker) read() {
 	w.adapters.Lock()
 	defer w.adapters.Unlock()
-	if !w.unsure() || !pause.For(w.ctx, time.Until(w.lastAnswered().Add(w.h.params.ReportLag))) {
+	if !w.unsure() || !pause.For(w.ctx, clock.Until(w.lastAnswered().Add(w.h.params.ReportLag))) {
 		return
 	}
 	for range readTries {
 		report, err := w.report()
 		if err == nil && !report.Busy {
 			w.h.mu.Lock()
-			w.h.fleet.Adopt(w.engine, report, time.Now())
+			w.h.fleet.Adopt(w.engine, report, clock.Now())
 			w.h.mu.Unlock()
 			w.h.log.WithFields(logrus.Fields{"engine": w.engine, "sequence": report.Sequence, "models": len(report.Models)}).Info("engine read")
 			return
 		}
 		w.h.mu.Lock()
 		if err == nil {
-			w.h.fleet.BusyElsewhere(w.engine, time.Now())
+			w.h.fleet.BusyElsewhere(w.engine, clock.Now())
 		} else { // what it holds is not known, so requests go elsewhere
-			w.h.fleet.Unreachable(w.engine, time.Now())
+			w.h.fleet.Unreachable(w.engine, clock.Now())
 		}
 		w.h.mu.Unlock()
 		if !pause.For(w.ctx, w.h.params.ReportLag) {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -21,7 +22,7 @@
 
 // check looks whether a server has ended, once for all answers that break off meanwhile.
 func (c *crashes) check(life quarantine.Life, s serving.Server, settled chan struct{}) {
-	began := time.Now()
+	began := clock.Now()
 	presence := c.look(s)
 	if presence == serving.PresenceEnded {
 		c.ended(life, "address refuses or is another's")
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -9,6 +9,7 @@
 
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
 )
@@ -61,7 +62,7 @@
 
 // Broke implements forward.Guard.
 func (c *crashes) Broke(b quarantine.Break) <-chan struct{} {
-	now := time.Now()
+	now := clock.Now()
 	life := quarantine.LifeOf(b.Server)
 	if s, known := c.dir.Server(life.Server); !known || s.Draining || s.Born != life.Born {
 		return closedChannel // it leaves, some without a word but that their entry goes
@@ -101,7 +102,7 @@
 
 // Answered implements forward.Guard.
 func (c *crashes) Answered(fp serving.Fingerprint) {
-	before, changed := c.ledger.Clear(fp, time.Now())
+	before, changed := c.ledger.Clear(fp, clock.Now())
 	if !changed {
 		return
 	}
@@ -119,7 +120,7 @@
 
 // ended notes that a life has ended, and counts that against what ran there.
 func (c *crashes) ended(life quarantine.Life, evidence string) {
-	now := time.Now()
+	now := clock.Now()
 	c.mu.Lock()
 	w := c.lives[life]
 	if w == nil || w.ended {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -14,6 +14,7 @@
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/serving"
@@ -178,14 +179,14 @@
 // run keeps up with the holder, or becomes it, until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	f.mu.Lock()
-	f.answered = time.Now()
+	f.answered = clock.Now()
 	f.mu.Unlock()
 	f.find(ctx)
 	wait := f.interval()
 	for pause.Until(ctx, wait, f.woken) {
 		if f.exchange(ctx) {
 			wait = f.interval()
-			if f.watcher.awaitsWord(time.Now()) {
+			if f.watcher.awaitsWord(clock.Now()) {
 				wait = exchangeRetry // the holder has not read the store yet
 			}
 			continue
@@ -209,13 +210,13 @@
 	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
 	if err == nil {
 		f.heardOf(reply.GaveUp)
-		f.heardHeld(args.Held, reply.Requests, time.Now())
+		f.heardHeld(args.Held, reply.Requests, clock.Now())
 	}
 	if err != nil || !reply.Held {
 		f.noAnswer(record, err)
 		return false
 	}
-	f.takeOverNews(record, &reply, time.Now())
+	f.takeOverNews(record, &reply, clock.Now())
 	f.holder.HeardRemoteAtOnce(reply.News.RemoteAtOnce)
 	return true
 }
@@ -227,7 +228,7 @@
 	r := holder.Report{
 		Name: f.name, Domain: f.domain, Reaches: f.reachesIn(), Fence: f.seen.fence, SeenViews: f.seen.views, SeenServers: f.seen.servers, Revision: f.dir.Revision(),
 	}
-	if now := time.Now(); f.differs && now.Sub(f.asked) >= compareWait(f.questions) {
+	if now := clock.Now(); f.differs && now.Sub(f.asked) >= compareWait(f.questions) {
 		f.asked = now
 		f.questions++
 		r.Revision = directory.Everything
@@ -241,9 +242,9 @@
 	}
 	r.Waiting = make(map[string]replicas.Waiting, len(f.waiting))
 	for model := range f.waiting {
-		r.Waiting[model] = f.waitingFor(model, time.Now())
+		r.Waiting[model] = f.waitingFor(model, clock.Now())
 	}
-	return f.record, &ExchangeArgs{Report: r, Held: f.ledger.Tell(f.link, time.Now())}
+	return f.record, &ExchangeArgs{Report: r, Held: f.ledger.Tell(f.link, clock.Now())}
 }
 
 // compareWait is the pause after so many questions for all servers.
@@ -305,7 +306,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.misses++
-	if time.Since(f.answered) < silentAfter || f.silent {
+	if clock.Since(f.answered) < silentAfter || f.silent {
 		return
 	}
 	f.silent = true
--- a/entry/members.go
+++ b/entry/members.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/store"
 )
@@ -162,7 +163,7 @@
 
 func (m *members) list(ctx context.Context) []member {
 	m.mu.Lock()
-	fresh := time.Since(m.read) < membersLifetime
+	fresh := clock.Since(m.read) < membersLifetime
 	known := append([]member(nil), m.known...)
 	m.mu.Unlock()
 	if fresh {
@@ -183,6 +184,6 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.known, m.read = list, time.Now()
+	m.known, m.read = list, clock.Now()
 	return append([]member(nil), list...)
 }
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -122,7 +123,7 @@
 
 // Want implements forward.Placer.
 func (f *follower) Want(ctx context.Context, w forward.Wanted) (forward.Place, error) {
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	known, found := f.places[w]
 	f.mu.Unlock()
@@ -134,7 +135,7 @@
 	defer f.mu.Unlock()
 	maps.DeleteFunc(f.places, func(_ forward.Wanted, p knownPlace) bool { return now.Sub(p.at) >= placeLifetime })
 	if ctx.Err() == nil {
-		f.places[w] = knownPlace{place: place, err: err, at: time.Now()}
+		f.places[w] = knownPlace{place: place, err: err, at: clock.Now()}
 	}
 	return place, err
 }
@@ -151,21 +152,21 @@
 // ask asks the holder where a unit is or will be.
 func (f *follower) ask(ctx context.Context, w forward.Wanted) (forward.Place, error) {
 	f.mu.Lock()
-	record, silence := f.record, time.Since(f.answered)
-	waiting := f.waitingFor(w.Unit.Model, time.Now())
+	record, silence := f.record, clock.Since(f.answered)
+	waiting := f.waitingFor(w.Unit.Model, clock.Now())
 	f.mu.Unlock()
 	if silence > silentAfter || record.Released {
-		return forward.Place{Ready: time.Now().Add(f.succession(record, silence)), For: serving.WaitHolder}, forward.ErrNoHolder
+		return forward.Place{Ready: clock.Now().Add(f.succession(record, silence)), For: serving.WaitHolder}, forward.ErrNoHolder
 	}
 	var reply WantReply
 	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Waiting: waiting, Missing: w.Missing, Unreachable: w.Unreachable}}
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
-		return forward.Place{Ready: time.Now().Add(exchangeRetry), For: serving.WaitHolder}, errors.Wrap(forward.ErrNoHolder, err.Error())
+		return forward.Place{Ready: clock.Now().Add(exchangeRetry), For: serving.WaitHolder}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
-	ready := time.Now().Add(time.Duration(reply.InMS) * time.Millisecond)
+	ready := clock.Now().Add(time.Duration(reply.InMS) * time.Millisecond)
 	switch {
 	case !reply.Held:
-		return forward.Place{Ready: time.Now().Add(silentAfter), For: serving.WaitHolder}, forward.ErrNoHolder
+		return forward.Place{Ready: clock.Now().Add(silentAfter), For: serving.WaitHolder}, forward.ErrNoHolder
 	case !reply.Found:
 		return forward.Place{Ready: ready, For: serving.WaitEngine}, forward.ErrNoRoom
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -6,6 +6,7 @@
 
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
@@ -42,7 +43,7 @@
 
 // Ready implements forward.Guard.
 func (g *crashGuard) Ready() bool {
-	return g.keeper.read.Load() || time.Since(g.keeper.began) > readGrace
+	return g.keeper.read.Load() || clock.Since(g.keeper.began) > readGrace
 }
 
 // Try implements forward.Guard. The holder lets suspects run; while there is none, nobody does.
@@ -71,6 +72,6 @@
 // runSweep drops old knowledge until ctx ends.
 func (c *crashes) runSweep(ctx context.Context) {
 	for pause.For(ctx, sweepCrashes) {
-		c.sweep(time.Now())
+		c.sweep(clock.Now())
 	}
 }
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/serving"
@@ -46,7 +47,7 @@
 
 func newQuarantineKeeper(s store.Store, m *members, f *follower, holds func() bool, set *metrics.Set, log logrus.FieldLogger) *quarantineKeeper {
 	q := &quarantineKeeper{
-		ledger: f.ledger, store: s, members: m, pool: f.pool, follower: f, holds: holds, log: log, set: set, began: time.Now(),
+		ledger: f.ledger, store: s, members: m, pool: f.pool, follower: f, holds: holds, log: log, set: set, began: clock.Now(),
 		unwritten: map[serving.Fingerprint]bool{}, links: map[string]quarantine.Link{}, woken: make(chan struct{}, 1),
 	}
 	for _, state := range []quarantine.State{quarantine.Suspect, quarantine.Quarantined} {
@@ -57,7 +58,7 @@
 
 func (q *quarantineKeeper) count(state quarantine.State) int {
 	n := 0
-	for _, r := range q.ledger.List(time.Now()) {
+	for _, r := range q.ledger.List(clock.Now()) {
 		if r.State() == state {
 			n++
 		}
@@ -150,7 +151,7 @@
 	}
 	for pause.Until(ctx, keepInterval, q.woken) {
 		q.write(ctx)
-		if q.follower.silentFor(time.Now()) > tellAfter {
+		if q.follower.silentFor(clock.Now()) > tellAfter {
 			q.tellAll(ctx)
 		}
 	}
@@ -178,13 +179,13 @@
 func (q *quarantineKeeper) tell(ctx context.Context, address string, link quarantine.Link) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	args := &HeldArgs{Message: q.ledger.Tell(link, time.Now())}
+	args := &HeldArgs{Message: q.ledger.Tell(link, clock.Now())}
 	var reply HeldReply
 	if err := q.pool.Call(ctx, address, methodHeld, args, &reply); err != nil {
 		q.pool.Disconnect(address)
 		return
 	}
-	q.heard(q.ledger.Told(&link, args.Message, reply.Message, time.Now()))
+	q.heard(q.ledger.Told(&link, args.Message, reply.Message, clock.Now()))
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.links[address] = link
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
 )
@@ -56,7 +57,7 @@
 		}
 		records = append(records, h.decode(serving.Fingerprint(obj.Key[len(prefixQuarantine):]), now))
 	}
-	q.logRaised(q.ledger.Take(records, now), "store")
+	q.logRaised(q.ledger.Take(records, clock.Now()), "store")
 	q.read.Store(true)
 	return true
 }
@@ -90,9 +91,9 @@
 		return err
 	}
 	if version != 0 {
-		q.logRaised(q.ledger.Take([]quarantine.Record{stored.decode(fp, now)}, now), "store")
+		q.logRaised(q.ledger.Take([]quarantine.Record{stored.decode(fp, now)}, clock.Now()), "store")
 	}
-	r, known := q.ledger.Record(fp, now)
+	r, known := q.ledger.Record(fp, clock.Now())
 	if !known || r.State() == quarantine.Clear {
 		if version == 0 {
 			return nil
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -128,7 +129,7 @@
 
 // Exchange answers an instance's report.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
-	now := time.Now()
+	now := clock.Now()
 	reply.Requests = s.keeper.answer(args.Held, now)
 	news, err := s.holder.Exchange(args.Report, now)
 	if errors.Is(err, holder.ErrNotHolder) {
@@ -145,7 +146,7 @@
 
 // Want answers where a unit is or will be.
 func (s *service) Want(args *WantArgs, reply *WantReply) error {
-	now := time.Now()
+	now := clock.Now()
 	found, ok, err := s.holder.Want(args.Request, now)
 	if errors.Is(err, holder.ErrNotHolder) {
 		return nil
@@ -157,13 +158,13 @@
 
 // Held takes over what another instance knows of requests under which servers end.
 func (s *service) Held(args *HeldArgs, reply *HeldReply) error {
-	reply.Message = s.keeper.answer(args.Message, time.Now())
+	reply.Message = s.keeper.answer(args.Message, clock.Now())
 	return nil
 }
 
 // Trial answers whether a suspect may run alone.
 func (s *service) Trial(args *TrialArgs, reply *TrialReply) error {
-	now := time.Now()
+	now := clock.Now()
 	if args.Over {
 		s.trials.End(args.Trial)
 		return nil
@@ -176,7 +177,7 @@
 
 // Reaches answers whether the holder answers this instance.
 func (s *service) Reaches(args *ReachesArgs, reply *ReachesReply) error {
-	reply.Reaches, reply.GaveUp = s.follower.reaches(args.Holder, time.Now())
+	reply.Reaches, reply.GaveUp = s.follower.reaches(args.Holder, clock.Now())
 	return nil
 }
 
@@ -188,7 +189,7 @@
 
 // Use takes over that a request begins.
 func (s *service) Use(args *UseArgs, _ *UseReply) error {
-	s.holder.Used(args.Use, time.Now())
+	s.holder.Used(args.Use, clock.Now())
 	return nil
 }
 
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/store"
 )
@@ -43,7 +44,7 @@
 // findAgain reads who the holder is, less and less often while nothing changes,
 // and not at all while the store does not answer: its watch notices its return.
 func (f *follower) findAgain(ctx context.Context) {
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	due := now.Sub(f.found) >= min(maxFindInterval, time.Duration(f.misses)*exchangeRetry)
 	if due {
@@ -100,7 +101,7 @@
 	changed := record.Fence > f.record.Fence || released
 	if changed {
 		f.record = record
-		f.answered, f.misses = time.Now(), 0 // a new holder gets its time to answer
+		f.answered, f.misses = clock.Now(), 0 // a new holder gets its time to answer
 	}
 	f.mu.Unlock()
 	if changed {
@@ -136,7 +137,7 @@
 func (f *follower) suspects() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Since(f.answered) > suspectAfter && f.misses >= suspectMisses
+	return clock.Since(f.answered) > suspectAfter && f.misses >= suspectMisses
 }
 
 // reaches reports whether the named holder has answered of late, and the record
@@ -170,7 +171,7 @@
 // reaches it or this one is cut off from most others.
 func (f *follower) consider(ctx context.Context) {
 	f.mu.Lock()
-	suspect, silence := f.record.Holder, time.Since(f.answered)
+	suspect, silence := f.record.Holder, clock.Since(f.answered)
 	f.mu.Unlock()
 	if !f.yield(ctx) {
 		return
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -8,12 +8,13 @@
 
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
 )
 
 // trial asks the holder whether a suspect may run alone.
 func (f *follower) trial(ctx context.Context, t quarantine.Trial, longest time.Duration) (bool, error) {
 	f.mu.Lock()
-	record, silence := f.record, time.Since(f.answered)
+	record, silence := f.record, clock.Since(f.answered)
 	f.mu.Unlock()
 	if record.Holder == "" || record.Released || silence > silentAfter {
 		return false, forward.ErrNoHolder
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/store"
@@ -73,7 +74,7 @@
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	w.mu.Lock()
-	w.began = time.Now()
+	w.began = clock.Now()
 	w.mu.Unlock()
 	var work sync.WaitGroup
 	work.Go(func() { w.watch(ctx, platform.KeyConfig, 0, w.applyConfig) })
@@ -172,7 +173,7 @@
 			revision = -1
 			continue
 		}
-		started := time.Now()
+		started := clock.Now()
 		snap, err := w.readOrWatch(ctx, prefix, revision)
 		w.note(prefix, started, err)
 		if errors.Is(err, store.ErrCompacted) {
@@ -200,7 +201,7 @@
 		pause.For(ctx, relayCheck)
 		return true
 	}
-	now := time.Now()
+	now := clock.Now()
 	if !w.holds() && w.awaitsWord(now) && !w.unread(prefix) {
 		w.idle(ctx, prefix)
 		return true
@@ -257,7 +258,7 @@
 		return
 	}
 	w.relying = relies
-	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": time.Since(w.relayed).Milliseconds()}).Info("source of the servers changed")
+	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": clock.Since(w.relayed).Milliseconds()}).Info("source of the servers changed")
 }
 
 // note logs when the store is lost and regained.
@@ -270,7 +271,7 @@
 			w.failing = started
 		}
 	} else {
-		w.contact[prefix] = time.Now()
+		w.contact[prefix] = clock.Now()
 		w.failing, w.answered = time.Time{}, started
 	}
 	if down == w.down {
@@ -281,7 +282,7 @@
 		w.log.WithFields(logrus.Fields{"watch": prefix, "error": err}).Warn("store lost")
 		return
 	}
-	w.returned = time.Now()
+	w.returned = clock.Now()
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
@@ -47,7 +48,7 @@
 		}
 		w.apply(server)
 	}
-	w.dir.Listed(snap.Revision, time.Now())
+	w.dir.Listed(snap.Revision, clock.Now())
 	if !full {
 		return
 	}
@@ -64,7 +65,7 @@
 	w.mu.Unlock()
 	_, known := w.dir.Server(server.ID)
 	w.crashes.known(server)
-	leaves := w.dir.ApplyServer(server, time.Now())
+	leaves := w.dir.ApplyServer(server, clock.Now())
 	if leaves || !known {
 		w.log.WithFields(logrus.Fields{
 			"server": server.ID, "service": server.Service, "address": server.Address, "domain": server.FailureDomain,
@@ -77,7 +78,7 @@
 func (w *watcher) missing(id string, revision int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down || time.Since(w.returned) < directory.LapseGrace {
+	if w.down || clock.Since(w.returned) < directory.LapseGrace {
 		w.lapsed[id] = max(revision, w.lapsed[id])
 		return
 	}
@@ -87,7 +88,7 @@
 // remove needs mu.
 func (w *watcher) remove(id string, revision int64) {
 	delete(w.lapsed, id)
-	if w.dir.RemoveServer(id, revision, time.Now()) {
+	if w.dir.RemoveServer(id, revision, clock.Now()) {
 		w.forget(id, revision)
 	}
 }
@@ -107,12 +108,12 @@
 func (w *watcher) sweep(ctx context.Context) {
 	for pause.For(ctx, sweepInterval) {
 		w.mu.Lock()
-		if !w.down && time.Since(w.returned) >= directory.LapseGrace {
+		if !w.down && clock.Since(w.returned) >= directory.LapseGrace {
 			for id, revision := range w.lapsed {
 				w.remove(id, revision)
 			}
 		}
 		w.mu.Unlock()
-		w.dir.Sweep(time.Now())
+		w.dir.Sweep(clock.Now())
 	}
 }
