A server that starts again under its id is another process; entries of other writers name none

Found by reading. What was known of a process, its views, its draining, its account, orders and reports went by the id alone: an order to the process before could be carried out by the one after it once its sequence fits, and a late report be taken for a new one. Born now tells them apart in the directory, in what the holder says, in reports and in the account; after a lost answer the new process is not read, so not ordered, for 5 s.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -151,7 +151,7 @@
 	outage := h.suspendInOutage(now)
 	h.fleet.Running(h.account.running(now), now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
-	unsure := h.fleet.Unsure()
+	unsure := h.fleet.Unsure(now)
 	unsettled := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
 	if unsettled || outage > 0 { // written or confirmed now, or tried again at the next tick
--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -142,7 +142,7 @@
 	w.h.mu.Lock()
 	switch {
 	case errors.Is(err, serving.ErrOrderUnknown):
-		w.h.fleet.Unanswered(w.engine)
+		w.h.fleet.Unanswered(w.engine, w.lastOrder)
 	case err == nil && counted:
 		w.accepted = w.lastOrder
 		w.h.fleet.Ordered(w.engine)
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -76,11 +76,11 @@
 	for _, e := range fleet.Engines() {
 		units := e.Units(now)
 		known, found := v.last[e.Server.ID]
-		if found && slices.EqualFunc(known.view.Units, units, sameUnit) {
+		if found && known.view.Born == e.Server.Born && slices.EqualFunc(known.view.Units, units, sameUnit) {
 			continue
 		}
 		v.change++
-		v.last[e.Server.ID] = viewChange{view: directory.EngineView{Engine: e.Server.ID, Units: units}, change: v.change}
+		v.last[e.Server.ID] = viewChange{view: directory.EngineView{Engine: e.Server.ID, Born: e.Server.Born, Units: units}, change: v.change}
 	}
 	for id := range v.last {
 		if fleet.Engine(id) == nil {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -257,8 +257,7 @@
 func (w *worker) unsure() bool {
 	w.h.mu.Lock()
 	defer w.h.mu.Unlock()
-	e := w.h.fleet.Engine(w.engine)
-	return e != nil && e.Unsure
+	return w.h.fleet.Readable(w.engine, clock.Now())
 }
 
 // readTries bounds one reading; the next tick begins another.
@@ -302,5 +301,9 @@
 	ctx, cancel := context.WithTimeout(w.ctx, w.h.params.Lease.Transit)
 	defer cancel()
 	w.h.counts.reports.Inc()
-	return w.h.engines.Report(ctx, server)
+	report, err := w.h.engines.Report(ctx, server)
+	if err == nil && !server.SameLife(report.Born) {
+		return report, errors.Wrap(errEngine, "the report is of another process under the engine's id")
+	}
+	return report, err
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -77,6 +77,10 @@
 	// unanswered: the answer to an order on the sequence unansweredOn was lost.
 	unanswered   bool
 	unansweredOn int64
+	// unansweredAt is when that was.
+	unansweredAt time.Time
+	// readFrom is from when the engine may be read, see restarted.
+	readFrom time.Time
 	// Busy: a model is being loaded or unloaded; Free is when that is expected
 	// to be done.
 	Busy bool
@@ -165,9 +169,8 @@
 		}
 		seen[s.ID] = true
 		e := f.engines[s.ID]
-		if e == nil {
-			e = &Engine{Unsure: true, Copies: map[string]*Copy{}}
-			e.adopt(s.Models, 0, time.Time{})
+		if e == nil || e.Server.Before(s) {
+			e = restarted(e, s)
 			f.engines[s.ID] = e
 			f.index = index{}
 		}
@@ -184,6 +187,28 @@
 	}
 }
 
+// lateOrder is how long after its answer was lost an order may still be carried out. It names
+// the engine by its id, and a sequence, which a process that starts again under the same id
+// comes to have as well.
+const lateOrder = 5 * time.Second
+
+// restarted returns the account of an engine that starts, in place of that of the process
+// before it under the same id, nil if there is none. It holds and knows nothing of before. It
+// is not read, and so not ordered, while an order to the one before may still come late.
+func restarted(before *Engine, s serving.Server) *Engine {
+	e := &Engine{Unsure: true, Copies: map[string]*Copy{}}
+	e.adopt(s.Models, 0, time.Time{})
+	if before == nil {
+		return e
+	}
+	e.generation = before.generation + 1
+	e.readFrom = before.readFrom
+	if before.unanswered {
+		e.readFrom = before.unansweredAt.Add(lateOrder)
+	}
+	return e
+}
+
 // Adopt takes over an engine's report in place of what was known. The report
 // must have been made when no order was under way.
 func (f *Fleet) Adopt(id string, r serving.Report, now time.Time) {
@@ -191,6 +216,10 @@
 	if e == nil {
 		return
 	}
+	if !e.Server.SameLife(r.Born) {
+		e.fail(now)
+		return
+	}
 	if r.Sequence < e.Sequence { // only a restart counts anew: this is another engine's report
 		e.fail(now)
 		return
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -309,7 +309,7 @@
 				}
 				f.Done(op, now)
 			case "read":
-				for _, id := range f.Unsure() {
+				for _, id := range f.Unsure(now) {
 					f.Adopt(id, serving.Report{Models: map[string][]string{"m1": nil, "m2": {"a1"}}, Sequence: 1 << 30}, now)
 				}
 			}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -24,9 +24,9 @@
 
 // Unanswered notes that the answer to an order was lost, which named the sequence that
 // is known. It may be carried out until the engine accepts another one on that.
-func (f *Fleet) Unanswered(id string) {
+func (f *Fleet) Unanswered(id string, now time.Time) {
 	if e := f.engines[id]; e != nil {
-		e.unanswered, e.unansweredOn = true, e.Sequence
+		e.unanswered, e.unansweredOn, e.unansweredAt = true, e.Sequence, now
 	}
 }
 
--- a/command/replicas/progress_test.go
+++ b/command/replicas/progress_test.go
@@ -80,7 +80,7 @@
 			e := f.Engine("a-engine")
 			before := e.memoryMB()
 			if c.lost {
-				f.Unanswered("a-engine")
+				f.Unanswered("a-engine", now)
 			}
 			if c.passed {
 				f.Ordered("a-engine")
--- a/command/replicas/view.go
+++ b/command/replicas/view.go
@@ -61,17 +61,23 @@
 	return a != nil && !now.Before(a.Ready)
 }
 
-// Unsure returns the engines that have to be read anew.
-func (f *Fleet) Unsure() []string {
+// Unsure returns the engines that have to be read anew, and may be.
+func (f *Fleet) Unsure(now time.Time) []string {
 	var ids []string
 	for _, e := range f.Engines() {
-		if e.Unsure && !e.Server.Draining {
+		if !e.Server.Draining && f.Readable(e.Server.ID, now) {
 			ids = append(ids, e.Server.ID)
 		}
 	}
 	return ids
 }
 
+// Readable reports whether an engine has to be read anew, and may be.
+func (f *Fleet) Readable(id string, now time.Time) bool {
+	e := f.engines[id]
+	return e != nil && e.Unsure && !now.Before(e.readFrom)
+}
+
 // BeganUse notes that a request has begun on a unit of an engine, which the instances'
 // reports do not say yet.
 func (f *Fleet) BeganUse(id string, unit serving.Unit, now time.Time) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -17,9 +17,9 @@
 	mu      sync.RWMutex
 	config  *serving.Config           // guarded by mu
 	servers map[string]serving.Server // live and draining ones by id; guarded by mu
-	// draining are ids that were seen draining, which lasts to the end of
+	// draining are servers that were seen draining, by id, which lasts to the end of
 	// their process whatever an older page says.
-	draining map[string]time.Time // guarded by mu
+	draining map[string]drain // guarded by mu
 	// removed are the revisions at which entries were found to be gone. Only a
 	// newer announcement brings a server back.
 	removed map[string]removal    // guarded by mu
@@ -50,6 +50,12 @@
 	digest uint64
 }
 
+// drain is when the process born then was seen draining.
+type drain struct {
+	at   time.Time
+	born int64
+}
+
 type removal struct {
 	revision int64
 	at       time.Time
@@ -58,7 +64,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
-		servers: map[string]serving.Server{}, draining: map[string]time.Time{}, removed: map[string]removal{},
+		servers: map[string]serving.Server{}, draining: map[string]drain{}, removed: map[string]removal{},
 		views: map[string]EngineView{}, lacks: map[string]map[serving.Unit]time.Time{}, changed: map[string]uint64{},
 	}
 }
@@ -83,7 +89,8 @@
 }
 
 // ApplyServer takes over what a server announces and reports whether it is now
-// known to be draining for the first time. Older announcements are ignored.
+// known to be draining for the first time. Older announcements are ignored, and those of a
+// process before the one that is known.
 func (d *Directory) ApplyServer(s serving.Server, now time.Time) (leaves bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -94,10 +101,21 @@
 	if found && s.Revision <= known.Revision {
 		return false
 	}
+	if found && s.Before(known) {
+		return false
+	}
+	if found && known.Before(s) {
+		delete(d.views, s.ID)
+		delete(d.lacks, s.ID)
+	}
 	delete(d.removed, s.ID)
-	_, drains := d.draining[s.ID]
+	drained, drains := d.draining[s.ID]
+	if drains && (serving.Server{Born: drained.born}).Before(s) {
+		delete(d.draining, s.ID)
+		drains = false
+	}
 	if s.Draining && !drains {
-		d.draining[s.ID] = now
+		d.draining[s.ID] = drain{at: now, born: s.Born}
 		leaves = true
 	}
 	s.Draining = s.Draining || drains
@@ -199,8 +217,8 @@
 		}
 		return old
 	})
-	maps.DeleteFunc(d.draining, func(id string, at time.Time) bool {
+	maps.DeleteFunc(d.draining, func(id string, drained drain) bool {
 		_, live := d.servers[id]
-		return !live && now.Sub(at) > leftRetention
+		return !live && now.Sub(drained.at) > leftRetention
 	})
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -145,10 +146,11 @@
 
 // digestOf is a server's part of the digest.
 func digestOf(s serving.Server) uint64 {
+	text := s.ID + " " + strconv.FormatInt(s.Born, 10)
 	if s.Draining {
-		return xxhash.Sum64String(s.ID + " draining")
+		text += " draining"
 	}
-	return xxhash.Sum64String(s.ID)
+	return xxhash.Sum64String(text)
 }
 
 // touch needs mu. It notes a change that other instances should hear of.
@@ -160,5 +162,5 @@
 // routesAlike reports whether two announcements of a server say the same to
 // those who send requests.
 func routesAlike(a, b serving.Server) bool {
-	return a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Draining == b.Draining && a.FailureDomain == b.FailureDomain
+	return a.Born == b.Born && a.Service == b.Service && a.Address == b.Address && a.Slots == b.Slots && a.Draining == b.Draining && a.FailureDomain == b.FailureDomain
 }
--- a/directory/views.go
+++ b/directory/views.go
@@ -10,6 +10,8 @@
 // EngineView is what the holder says of one engine.
 type EngineView struct {
 	Engine string
+	// Born is when the engine that is meant was born, 0 if it does not say.
+	Born int64
 	// Units are the models and adapters that get requests.
 	Units []UnitView
 }
@@ -48,7 +50,7 @@
 	d.spacing = min(viewLifetime, now.Sub(d.heard))
 	d.heard, d.others = now, others
 	for _, v := range views {
-		if _, live := d.servers[v.Engine]; live {
+		if s, live := d.servers[v.Engine]; live && s.SameLife(v.Born) {
 			d.views[v.Engine] = v
 			delete(d.lacks, v.Engine)
 		}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -57,6 +57,8 @@
 	*fleet
 	// eventPause is the pause between events of the engines' streams.
 	eventPause time.Duration
+	// sameID: engines bear the same id again after they have ended, and their entries stay.
+	sameID bool
 	// mu guards the list of instances, too, while some are replaced.
 	mu sync.Mutex
 	// starts has all starts of engines; ended when engines ended; guarded by mu.
@@ -71,7 +73,11 @@
 
 // newCrashFleet starts instances before six engines that have the same model.
 func newCrashFleet(t *testing.T, instances int, eventPause time.Duration) *crashFleet {
-	f := &crashFleet{fleet: newFleet(t, instances), eventPause: eventPause, tries: map[string]bool{}}
+	return newCrashFleetWith(t, instances, eventPause, false)
+}
+
+func newCrashFleetWith(t *testing.T, instances int, eventPause time.Duration, sameID bool) *crashFleet {
+	f := &crashFleet{fleet: newFleet(t, instances), eventPause: eventPause, sameID: sameID, tries: map[string]bool{}}
 	ctx, stop := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	t.Cleanup(func() { stop(); work.Wait() })
@@ -91,6 +97,9 @@
 	address := "127.0.0.1:0"
 	for start := 0; ctx.Err() == nil; start++ {
 		id := fmt.Sprintf("c%d-%d", i, start)
+		if f.sameID {
+			id = fmt.Sprintf("c%d", i)
+		}
 		s, err := standin.NewServerAt(address, standin.ServerParams{
 			ID: id, Service: "llm", FailureDomain: "a", EventPause: f.eventPause, Models: testModels, MemoryMB: testMemoryMB,
 			AdapterSlots: testAdapterSlots, Loaded: []string{"m1"}, Poison: poison,
@@ -115,7 +124,7 @@
 		}
 		silence()
 		pause.For(ctx, lapseTime)
-		if obj, err := f.store.Get(ctx, platform.PrefixServers+id); err == nil {
+		if obj, err := f.store.Get(ctx, platform.PrefixServers+id); err == nil && !f.sameID {
 			_ = f.store.Delete(ctx, obj.Key, obj.Version)
 		}
 		pause.For(ctx, downTime-lapseTime)
@@ -256,6 +265,17 @@
 	f.check(enoughEnded+1, 0)
 }
 
+// TestPoisonRequestSameID: the same while engines that are back bear the id that they had:
+// each start counts, and what is back is used again.
+func TestPoisonRequestSameID(t *testing.T) {
+	f := newCrashFleetWith(t, 4, shortPause, true)
+	f.play(10*time.Second, func(context.Context) {})
+	f.check(enoughEnded+1, 0)
+	f.await("all engines used again", func() bool {
+		return !slices.ContainsFunc(f.instances[0].dir.Servers("llm"), f.instances[0].crashes.Ended)
+	})
+}
+
 // TestPoisonRequestHolderLost: the same while the instance that orders engines is lost as
 // soon as the first engine has ended.
 func TestPoisonRequestHolderLost(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -263,6 +263,7 @@
 	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
+		"unreadable": &i.client.Calls().Unreadable,
 	} {
 		i.set.NewGauge(`martenport_store_calls{kind="`+kind+`"}`, func() float64 { return float64(count.Load()) })
 	}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -39,6 +39,7 @@
 // WireView is a directory.EngineView with times as durations from now.
 type WireView struct {
 	Engine string
+	Born   int64
 	Units  []WireUnit
 }
 
@@ -196,7 +197,7 @@
 func until(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func encodeView(v directory.EngineView, now time.Time) WireView {
-	w := WireView{Engine: v.Engine}
+	w := WireView{Engine: v.Engine, Born: v.Born}
 	for _, u := range v.Units {
 		unit := WireUnit{Unit: u.Unit}
 		if !u.Ready.IsZero() {
@@ -210,7 +211,7 @@
 func decodeViews(views []WireView, now time.Time) []directory.EngineView {
 	decoded := make([]directory.EngineView, 0, len(views))
 	for _, w := range views {
-		v := directory.EngineView{Engine: w.Engine}
+		v := directory.EngineView{Engine: w.Engine, Born: w.Born}
 		for _, u := range w.Units {
 			unit := directory.UnitView{Unit: u.Unit}
 			if u.InMS > 0 {
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -43,7 +43,8 @@
 			continue
 		}
 		if err != nil {
-			w.log.WithFields(logrus.Fields{"revision": obj.Version, "error": err}).Error("entry of a server cannot be read")
+			w.log.WithFields(logrus.Fields{"server": server.ID, "revision": obj.Version, "error": err}).Error("entry of a server cannot be read, it is not used")
+			w.unreadable(server)
 			continue
 		}
 		w.apply(server)
@@ -65,6 +66,10 @@
 	w.mu.Unlock()
 	_, known := w.dir.Server(server.ID)
 	w.crashes.known(server)
+	if before, found := w.dir.Server(server.ID); found && before.Before(server) {
+		w.backends.Forget(server.ID) // those connections are to the process before
+		w.balancer.Forget(server.ID)
+	}
 	leaves := w.dir.ApplyServer(server, clock.Now())
 	if leaves || !known {
 		w.log.WithFields(logrus.Fields{
@@ -74,6 +79,13 @@
 	}
 }
 
+// unreadable has a server not be used whose entry cannot be read: another writer has left it.
+func (w *watcher) unreadable(server serving.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.remove(server.ID, server.Revision)
+}
+
 // missing removes a server whose entry is gone, or waits while it may be back.
 func (w *watcher) missing(id string, revision int64) {
 	w.mu.Lock()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -74,6 +74,7 @@
 	loading    string                     // guarded by mu
 	sequence   int64                      // guarded by mu
 	state      string                     // guarded by mu
+	entries    int64                      // written so far; guarded by mu
 	orders     []ReceivedOrder            // guarded by mu
 	runs       map[string]int             // by attempt id; guarded by mu
 	cuts       int                        // streams still to cut; guarded by mu
@@ -134,6 +135,7 @@
 func (s *Server) entry() []byte {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.entries++
 	var onDisk []string
 	for name := range s.params.Models {
 		onDisk = append(onDisk, name)
@@ -144,7 +146,8 @@
 		address = s.params.Announced
 	}
 	value, _ := json.Marshal(map[string]any{
-		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "slots": serverSlots, "state": s.state,
+		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "version": "v1", "slots": serverSlots, "state": s.state,
+		"coldLeftMs": 0, "sequence": s.entries,
 		"born": s.born, "models": s.models(), "available": map[string]any{"onDisk": onDisk},
 	})
 	return value
--- a/serving/server.go
+++ b/serving/server.go
@@ -25,6 +25,17 @@
 	Tiers map[string]Tier
 }
 
+// Before reports whether s is an earlier process than another that bears the same ID. It is
+// not if either does not say when it was born.
+func (s Server) Before(other Server) bool {
+	return s.Born != 0 && other.Born != 0 && s.Born < other.Born
+}
+
+// SameLife reports whether a process that was born then may be the server's.
+func (s Server) SameLife(born int64) bool {
+	return s.Born == 0 || born == 0 || s.Born == born
+}
+
 // Tier is where weights are cached, as seen from one engine.
 type Tier int
 
