--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -140,13 +140,13 @@
 		return
 	}
 	b := quarantine.Break{
-		Fingerprint: fp, Subject: subject(t.request), Server: server, Alone: t.trial.End != nil, Grace: t.trial.Grace, Left: left,
+		Fingerprint: fp, Subject: subject(t.request), Server: server, Left: left,
 	}
 	if !t.firstHere.IsZero() {
 		b.Ran = clock.Since(t.firstHere)
 	}
 	settled := t.f.guard.Broke(b)
-	if left || t.f.guard.State(fp, t.service.Name) == quarantine.Clear && !b.Alone {
+	if left || t.f.guard.State(fp, t.service.Name) == quarantine.Clear {
 		return
 	}
 	timer := time.NewTimer(settleTime)
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -48,24 +48,6 @@
 	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}}
 }
 
-// Crashed notes that a life ended while the request was under way there.
-func (l *Ledger) Crashed(fp serving.Fingerprint, subject string, life Life, now time.Time) []Raise {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.merge(Record{Fingerprint: fp, Subject: subject, Crashes: []Life{life}}, now)
-}
-
-// Outlived notes that a run alone went on for so long after its first event before its
-// server ended, which is longer than its grace: the end does not count, but the next run is
-// watched for longer.
-func (l *Ledger) Outlived(fp serving.Fingerprint, ran time.Duration, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if _, known := l.records[fp]; known {
-		l.merge(Record{Fingerprint: fp, Grace: min(mostGrace, graceGrowth*ran)}, now)
-	}
-}
-
 // Clear notes that the request was answered, or that an operator releases it. It returns the
 // state before, and whether anything was held against it.
 func (l *Ledger) Clear(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
@@ -121,11 +103,13 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.records[fp]; r != nil {
-		return max(leastGrace, r.Grace)
+		return r.grace()
 	}
 	return leastGrace
 }
 
+func (r *record) grace() time.Duration { return max(leastGrace, r.Grace) }
+
 // List returns the requests that are suspects or quarantined, the oldest first.
 func (l *Ledger) List(now time.Time) []Record {
 	l.mu.Lock()
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -144,11 +144,7 @@
 	}
 	var raised []quarantine.Raise
 	for _, b := range breaks {
-		if b.Late() {
-			c.ledger.Outlived(b.Fingerprint, b.Ran, now)
-			continue
-		}
-		raised = append(raised, c.ledger.Crashed(b.Fingerprint, b.Subject, life, now)...)
+		raised = append(raised, c.ledger.Ended(b.Break, now)...)
 	}
 	c.keeper.changed(raised)
 }
