Soak: requests that end each engine that begins them, beside all other faults

A new fault, once in each run and drawn again: two clients repeat such a request at random instances for 8 s while instances are killed, frozen, cut off and restarted; engines that end refuse connections and are back after 1.5 s. Checked: at most 8 engines end under one, at most 3 sends reach engines later than 3 s after the third, and no other request is refused for good. Half of the other requests are the same to the letter, half each its own.

--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,6 +87,8 @@
 	Loaded    []string      `long:"loaded" description:"model that it holds from the start"`
 	Load      time.Duration `long:"load" default:"200ms" description:"time of a load"`
 	Work      time.Duration `long:"work" default:"5ms" description:"time of a plain request, and pause between events"`
+	Poison    string        `long:"poison" description:"beginning of the body of requests that end it when it begins them"`
+	State     string        `long:"state" description:"file for what it has seen, if such a request ends it"`
 	Heartbeat time.Duration `long:"heartbeat" default:"500ms" description:"interval of its entries"`
 }
 
@@ -99,7 +103,7 @@
 func (c *serverCommand) Execute([]string) error {
 	p := standin.ServerParams{
 		ID: c.ID, Service: c.Service, FailureDomain: c.Domain, Announced: c.Announced, Models: map[string]standin.ServerModel{},
-		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work,
+		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work, Poison: c.Poison,
 	}
 	for _, name := range c.Models {
 		p.Models[name] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: c.Load}
@@ -111,10 +115,26 @@
 	fmt.Printf("listening address=%s\n", c.Listen)
 	ctx, stop := cli.UntilSignal()
 	defer stop()
+	go func() {
+		<-s.Ended()
+		stop()
+	}()
 	client := platform.NewClient(platform.ClientParams{BaseURL: c.Store, CallTimeout: time.Second, WatchWait: time.Second, CallsPerSecond: 100})
 	s.Announce(ctx, client, c.Heartbeat)
 	s.Stop()
-	return nil
+	return c.writeState(s.State())
+}
+
+// writeState leaves what a server has seen that a request has ended.
+func (c *serverCommand) writeState(state standin.State) error {
+	if c.State == "" || state.EndedBy == "" {
+		return nil
+	}
+	text, err := json.Marshal(state)
+	if err != nil {
+		return errors.Wrap(err, "--state")
+	}
+	return errors.Wrap(os.WriteFile(c.State, text, 0o600), "--state")
 }
 
 type serviceCommand struct {
--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -69,8 +69,8 @@
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d", seed)
 	}
-	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d kept_clear=%d repeats=%d breaches=%d\n",
-		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, result.KeptClear, result.Repeats, len(result.Breaches))
+	fmt.Printf("seed=%d faults=%d requests=%d answered=%d refused=%d failed=%d kept_clear=%d repeats=%d engines_ended=%d breaches=%d\n",
+		seed, len(result.Faults), result.Requests, result.Answered, result.Refused, result.Failed, result.KeptClear, result.Repeats, result.Ended, len(result.Breaches))
 	for _, f := range result.Faults {
 		fmt.Println("  fault", f)
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -37,7 +37,7 @@
 	Loaded []string
 	// Announced is the address in its entry, if not its own.
 	Announced string
-	// Poison is the body of a request that ends the server when it begins it; none if
+	// Poison begins the bodies of requests that end the server when it begins them; none if
 	// empty.
 	Poison string
 	// EventPause is the pause between events of a stream, Work what a plain
@@ -74,6 +74,7 @@
 	loading    string                     // guarded by mu
 	sequence   int64                      // guarded by mu
 	state      string                     // guarded by mu
+	endedBy    string                     // the body of the request that ended it; guarded by mu
 	entries    int64                      // written so far; guarded by mu
 	orders     []ReceivedOrder            // guarded by mu
 	runs       map[string]int             // by attempt id; guarded by mu
@@ -197,6 +198,8 @@
 	Orders     []ReceivedOrder
 	Runs       map[string]int
 	Violations []string
+	// EndedBy is the body of the request that has ended the server, "" if none has.
+	EndedBy string
 	// Arrivals are the last attempts; Forgotten counts those before them.
 	Arrivals  []Arrival
 	Forgotten int
@@ -205,8 +208,11 @@
 // State returns what the server has seen so far.
 func (s *Server) State() State {
 	arrived, forgotten := s.arrivals.all()
+	s.mu.Lock()
+	endedBy := s.endedBy
+	s.mu.Unlock()
 	return State{
-		Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
+		EndedBy: endedBy, Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
 	}
 }
 
@@ -377,10 +383,8 @@
 		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
-	if s.params.Poison != "" && string(body) == s.params.Poison {
-		time.Sleep(poisonTime)
-		go s.Stop()
-		panic(http.ErrAbortHandler)
+	if s.params.Poison != "" && strings.HasPrefix(string(body), s.params.Poison) {
+		s.endUnder(string(body))
 	}
 	if s.arrivals.fails() {
 		time.Sleep(s.params.Work)
@@ -395,6 +399,18 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 }
 
+// endUnder ends the server for the request with the given body.
+func (s *Server) endUnder(body string) {
+	time.Sleep(poisonTime)
+	s.mu.Lock()
+	if s.endedBy == "" {
+		s.endedBy = body
+	}
+	s.mu.Unlock()
+	go s.Stop()
+	panic(http.ErrAbortHandler)
+}
+
 // poisonTime is how long a server runs the request that ends it.
 const poisonTime = 20 * time.Millisecond
 
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -33,11 +33,16 @@
 // may be sent once more when a server fails, so that the budget is put to use.
 var freshRoutes = []string{"unsafe", "safe", "safe", "stream", "once"}
 
+// samePayload is what half of the requests bear, so that many ask for the same.
+const samePayload = "body"
+
 // try is one request and what its client saw.
 type try struct {
 	id, route, model string
-	status           int
-	body             string
+	// payload is the body; samePayload if empty.
+	payload string
+	status  int
+	body    string
 	// whole: the answer ended as it said it would.
 	whole bool
 	took  time.Duration
@@ -96,6 +101,9 @@
 
 func (r *run) try(random *rand.Rand, id string) try {
 	t := try{id: id, route: freshRoutes[random.IntN(len(freshRoutes))]}
+	if random.IntN(2) == 0 {
+		t.payload = "body of " + id
+	}
 	if t.route == "stream" || t.route == "once" {
 		t.model = models[random.IntN(len(models))]
 	}
@@ -123,9 +131,9 @@
 func (t *try) exchange(conn net.Conn, reader *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(routeTimeout + 2*answerSlack)) // a read that outlasts it ends the try
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n", t.route)
+	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", t.route, len(t.sends()))
 	_ = standin.ClientHeader(t.id, t.model, routeTimeout).Write(&text) // a buffer does not fail
-	text.WriteString("\r\nbody")
+	text.WriteString("\r\n" + t.sends())
 	now := time.Now()
 	if _, err := conn.Write(text.Bytes()); err != nil {
 		return false
@@ -141,10 +149,18 @@
 	return t.whole && !resp.Close
 }
 
+// sends is the body of the request.
+func (t *try) sends() string {
+	if t.payload == "" {
+		return samePayload
+	}
+	return t.payload
+}
+
 // expected is the whole answer to the request.
 func (t *try) expected() string {
 	if t.model == "" {
-		return "POST /" + t.route + "/x body"
+		return "POST /" + t.route + "/x " + t.sends()
 	}
 	var b strings.Builder
 	for i := range standin.StreamEvents {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -60,10 +60,10 @@
 	fault
 }
 
-// certain are the faults of each run: kept connections under a changing idle limit,
-// and then a failing service while all instances are killed.
+// certain are the faults of each run: kept connections under a changing idle limit, a request
+// that ends engines, and then a failing service while all instances are killed.
 func (r *run) certain(ctx context.Context) []timed {
-	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
+	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 5, r.poisonFault(ctx)}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
 }
 
 // disturbances are what proxies do; mute comes twice, since lost answers break
@@ -85,7 +85,7 @@
 	e, s, service := r.random.IntN(len(r.entries)), r.random.IntN(len(r.servers)), services[r.random.IntN(len(services))]
 	entry, server, way, door := r.entries[e], r.servers[s], r.ways[e], r.doors[s]
 	restart := func(p *process) func() { return func() { _ = p.start() } } // a failed start shows as not coming back
-	kind := r.random.IntN(19)
+	kind := r.random.IntN(20)
 	if storeKinds := kind >= 7 && kind <= 9; storeKinds && !store {
 		kind = 13
 	}
@@ -122,6 +122,8 @@
 		return r.signalsAndChanges(ctx)
 	case 18:
 		return r.killAll(ctx, service)
+	case 19:
+		return r.poisonFault(ctx)
 	default:
 		return fault{"configuration", func() { _ = r.configure(ctx) }, nothing} // the store may be away; the next one comes
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -33,13 +33,15 @@
 
 // proxy is a TCP proxy on loopback whose connections can be disturbed.
 type proxy struct {
-	listener net.Listener
-	target   string
-
-	mu    sync.Mutex
-	mode  mode              // guarded by mu
-	conns map[net.Conn]bool // guarded by mu
-	woken chan struct{}     // closed when the mode changes; guarded by mu
+	at, target string
+
+	mu       sync.Mutex
+	listener net.Listener      // guarded by mu
+	mode     mode              // guarded by mu
+	conns    map[net.Conn]bool // guarded by mu
+	// refusing: nothing listens; guarded by mu.
+	refusing bool
+	woken    chan struct{} // closed when the mode changes; guarded by mu
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -47,18 +49,38 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, woken: make(chan struct{})}
-	go p.run()
+	p := &proxy{listener: l, at: l.Addr().String(), target: target, conns: map[net.Conn]bool{}, woken: make(chan struct{})}
+	go p.run(l)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.at }
 
 func (p *proxy) close() {
-	_ = p.listener.Close()
+	p.refuse(true)
 	p.set(reset)
 }
 
+// refuse has connections be refused, as at an address at which nothing listens, or taken
+// again.
+func (p *proxy) refuse(refuses bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case refuses == p.refusing:
+	case refuses:
+		p.refusing = true
+		_ = p.listener.Close()
+	default:
+		l, err := net.Listen("tcp", p.at)
+		if err != nil {
+			return // the server shows as not coming back
+		}
+		p.refusing, p.listener = false, l
+		go p.run(l)
+	}
+}
+
 // set changes what is done from now on.
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
@@ -83,9 +105,9 @@
 	return p.mode, p.woken
 }
 
-func (p *proxy) run() {
+func (p *proxy) run(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,8 @@
 	// KeptClear counts the requests sent on kept connections that nothing disturbed,
 	// and Repeats the arrivals at servers beyond the first of each request.
 	KeptClear, Repeats int
+	// Ended are the engines that requests ended.
+	Ended int
 	// Budget tells how near the repeated sends to each service came to the bound.
 	Budget   []string
 	Breaches []Breach
@@ -96,6 +98,7 @@
 	seen    seen
 
 	troubles *troubles
+	poisons  *poisonings
 	herd     *herd
 	settings settings
 }
@@ -106,7 +109,7 @@
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
 		seen:     newSeen(p.Entries),
-		troubles: newTroubles(), herd: newHerd(), settings: settings{random: rand.New(rand.NewPCG(p.Seed, 2))},
+		troubles: newTroubles(), poisons: newPoisonings(), herd: newHerd(), settings: settings{random: rand.New(rand.NewPCG(p.Seed, 2))},
 	}
 	if p.Entries > mostProcesses || p.Engines+p.Plain > mostProcesses {
 		return Result{}, errors.Newf("soak: %d entries, %d servers: there are addresses for %d of each", p.Entries, p.Engines+p.Plain, mostProcesses)
@@ -127,6 +130,9 @@
 		return Result{}, err
 	}
 	clients, stopClients := context.WithCancel(ctx)
+	for i := range p.Engines {
+		go r.superviseEngine(clients, i)
+	}
 	traffic := r.startClients(clients)
 	faults := r.disturb(ctx)
 	r.heal()
@@ -137,6 +143,8 @@
 	r.collectAll()
 	result.Budget, result.Repeats = r.seen.budgetUses()
 	result.Breaches = append(result.Breaches, r.seen.breaches()...)
+	result.Ended = r.poisons.count()
+	result.Breaches = append(result.Breaches, r.poisonBreaches()...)
 	result.Breaches = append(result.Breaches, r.comesBack(ctx)...)
 	return result, nil
 }
@@ -193,11 +201,12 @@
 	name := fmt.Sprintf("server-%d", i)
 	p := r.process(name, "martendev", nil)
 	p.args = func() []string {
-		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", fmt.Sprintf("%s-%d", name, p.starts), "--work", work.String()}
+		args := []string{"server", "--listen", address, "--announced", door.address(), "--store", "http://" + r.storeAt, "--id", r.serverID(i, p.starts), "--work", work.String()}
 		args = append(args, "--service", r.serviceAt(i))
 		if i >= r.params.Engines {
 			return args
 		}
+		args = append(args, "--poison", poison, "--state", r.stateFile(i, p.starts))
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
@@ -210,6 +219,9 @@
 	return p.start()
 }
 
+// serverID is the id of a start of a server.
+func (r *run) serverID(server, start int) string { return fmt.Sprintf("server-%d-%d", server, start) }
+
 // serviceAt is the service of a server: the engines come first, then those of the
 // plain services by turns.
 func (r *run) serviceAt(server int) string {
