--- a/api/martenport/v1/martenportv1connect/martenport.connect.go
+++ b/api/martenport/v1/martenportv1connect/martenport.connect.go
@@ -60,6 +60,11 @@
 	OperatorServiceGetStatusProcedure = "/martenport.v1.OperatorService/GetStatus"
 	// OperatorServiceDrainProcedure is the fully-qualified name of the OperatorService's Drain RPC.
 	OperatorServiceDrainProcedure = "/martenport.v1.OperatorService/Drain"
+	// OperatorServiceListQuarantineProcedure is the fully-qualified name of the OperatorService's
+	// ListQuarantine RPC.
+	OperatorServiceListQuarantineProcedure = "/martenport.v1.OperatorService/ListQuarantine"
+	// OperatorServiceReleaseProcedure is the fully-qualified name of the OperatorService's Release RPC.
+	OperatorServiceReleaseProcedure = "/martenport.v1.OperatorService/Release"
 	// OperatorServiceTimelineProcedure is the fully-qualified name of the OperatorService's Timeline
 	// RPC.
 	OperatorServiceTimelineProcedure = "/martenport.v1.OperatorService/Timeline"
@@ -237,6 +242,11 @@
 	// Drain makes this instance leave: it refuses new requests, hands its
 	// engines over and finishes what runs.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// ListQuarantine returns the requests under which servers ended and that are
+	// therefore run alone or refused.
+	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
+	// Release has such a request be served like all others again, at all instances.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
 	Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error)
 }
@@ -282,6 +292,18 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 			connect.WithClientOptions(opts...),
 		),
+		listQuarantine: connect.NewClient[v1.ListQuarantineRequest, v1.ListQuarantineResponse](
+			httpClient,
+			baseURL+OperatorServiceListQuarantineProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ListQuarantine")),
+			connect.WithClientOptions(opts...),
+		),
+		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
+			httpClient,
+			baseURL+OperatorServiceReleaseProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Release")),
+			connect.WithClientOptions(opts...),
+		),
 		timeline: connect.NewClient[v1.TimelineRequest, v1.TimelineResponse](
 			httpClient,
 			baseURL+OperatorServiceTimelineProcedure,
@@ -298,6 +320,8 @@
 	getDeclaration *connect.Client[v1.GetDeclarationRequest, v1.GetDeclarationResponse]
 	getStatus      *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
 	drain          *connect.Client[v1.DrainRequest, v1.DrainResponse]
+	listQuarantine *connect.Client[v1.ListQuarantineRequest, v1.ListQuarantineResponse]
+	release        *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	timeline       *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 }
 
@@ -326,6 +350,16 @@
 	return c.drain.CallUnary(ctx, req)
 }
 
+// ListQuarantine calls martenport.v1.OperatorService.ListQuarantine.
+func (c *operatorServiceClient) ListQuarantine(ctx context.Context, req *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error) {
+	return c.listQuarantine.CallUnary(ctx, req)
+}
+
+// Release calls martenport.v1.OperatorService.Release.
+func (c *operatorServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return c.release.CallUnary(ctx, req)
+}
+
 // Timeline calls martenport.v1.OperatorService.Timeline.
 func (c *operatorServiceClient) Timeline(ctx context.Context, req *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error) {
 	return c.timeline.CallUnary(ctx, req)
@@ -345,6 +379,11 @@
 	// Drain makes this instance leave: it refuses new requests, hands its
 	// engines over and finishes what runs.
 	Drain(context.Context, *connect.Request[v1.DrainRequest]) (*connect.Response[v1.DrainResponse], error)
+	// ListQuarantine returns the requests under which servers ended and that are
+	// therefore run alone or refused.
+	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
+	// Release has such a request be served like all others again, at all instances.
+	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
 	Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error)
 }
@@ -386,6 +425,18 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Drain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceListQuarantineHandler := connect.NewUnaryHandler(
+		OperatorServiceListQuarantineProcedure,
+		svc.ListQuarantine,
+		connect.WithSchema(operatorServiceMethods.ByName("ListQuarantine")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceReleaseHandler := connect.NewUnaryHandler(
+		OperatorServiceReleaseProcedure,
+		svc.Release,
+		connect.WithSchema(operatorServiceMethods.ByName("Release")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceTimelineHandler := connect.NewUnaryHandler(
 		OperatorServiceTimelineProcedure,
 		svc.Timeline,
@@ -404,6 +455,10 @@
 			operatorServiceGetStatusHandler.ServeHTTP(w, r)
 		case OperatorServiceDrainProcedure:
 			operatorServiceDrainHandler.ServeHTTP(w, r)
+		case OperatorServiceListQuarantineProcedure:
+			operatorServiceListQuarantineHandler.ServeHTTP(w, r)
+		case OperatorServiceReleaseProcedure:
+			operatorServiceReleaseHandler.ServeHTTP(w, r)
 		case OperatorServiceTimelineProcedure:
 			operatorServiceTimelineHandler.ServeHTTP(w, r)
 		default:
@@ -435,6 +490,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.Drain is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.ListQuarantine is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.Release is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Timeline(context.Context, *connect.Request[v1.TimelineRequest]) (*connect.Response[v1.TimelineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.Timeline is not implemented"))
 }
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/api/martenport/v1/martenportv1connect"
@@ -46,6 +47,16 @@
 	}}
 }
 
+// ListQuarantine implements martenportv1connect.OperatorServiceHandler.
+func (o operator) ListQuarantine(context.Context, *connect.Request[martenportv1.ListQuarantineRequest]) (*connect.Response[martenportv1.ListQuarantineResponse], error) {
+	return connect.NewResponse(&martenportv1.ListQuarantineResponse{}), nil // nothing is held here
+}
+
+// Release implements martenportv1connect.OperatorServiceHandler.
+func (o operator) Release(_ context.Context, msg *connect.Request[martenportv1.ReleaseRequest]) (*connect.Response[martenportv1.ReleaseResponse], error) {
+	return nil, connect.NewError(connect.CodeNotFound, errors.Newf("no request %s is held", msg.Msg.Fingerprint))
+}
+
 // Drain implements martenportv1connect.OperatorServiceHandler.
 func (o operator) Drain(context.Context, *connect.Request[martenportv1.DrainRequest]) (*connect.Response[martenportv1.DrainResponse], error) {
 	o.d.Drain()
--- /dev/null
+++ b/entry/quarantine_test.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/serving"
+)
+
+// hold has an instance learn that servers ended under a request.
+func hold(r *running, fp serving.Fingerprint, ends int) {
+	for n := range ends {
+		b := quarantine.Break{Fingerprint: fp, Subject: "POST h.example/x m1", Server: serving.Server{ID: string(rune('a' + n)), Version: "v1"}}
+		r.crashes.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
+	}
+}
+
+// everywhere reports whether all instances treat a request in a way.
+func (f *fleet) everywhere(fp serving.Fingerprint, want quarantine.State) func() bool {
+	return func() bool {
+		for _, r := range f.instances {
+			if r.keeper.ledger.State(fp) != want {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// TestQuarantineOutlastsInstances: what is held is known everywhere within moments, to an
+// instance that starts after all others have ended, and not any more after an operator has
+// released it anywhere.
+func TestQuarantineOutlastsInstances(t *testing.T) {
+	f := newFleetWith(t, 3, Options{OperatorsPort: testOperatorsPort})
+	f.await("a holder", func() bool { return f.holder() != nil })
+	hold(f.instances[0], "fp", quarantine.QuarantineAfter)
+	f.await("known everywhere", f.everywhere("fp", quarantine.Quarantined))
+	f.await("written", func() bool {
+		_, err := f.store.Get(t.Context(), prefixQuarantine+"fp")
+		return err == nil
+	})
+	for _, r := range f.instances {
+		r.kill()
+		<-r.done
+	}
+	f.instances = nil
+	r := f.addInstance(10)
+	f.await("known to one that starts", f.everywhere("fp", quarantine.Quarantined))
+	f.addInstance(11)
+	f.await("known to another", f.everywhere("fp", quarantine.Quarantined))
+	list, err := operatorsOf(r).ListQuarantine(t.Context(), connect.NewRequest(&martenportv1.ListQuarantineRequest{}))
+	if err != nil || len(list.Msg.Requests) != 1 || list.Msg.Requests[0].State != "quarantined" || len(list.Msg.Requests[0].Servers) != 3 || list.Msg.Requests[0].Subject == "" {
+		t.Errorf("%v, %v: want the request with what is known of it", list, err)
+	}
+	released, err := operatorsOf(f.instances[1]).Release(t.Context(), connect.NewRequest(&martenportv1.ReleaseRequest{Fingerprint: "fp"}))
+	if err != nil || released.Msg.State != "quarantined" {
+		t.Errorf("%v, %v", released, err)
+	}
+	f.await("released everywhere", f.everywhere("fp", quarantine.Clear))
+	f.await("removed from the store", func() bool {
+		_, err := f.store.Get(t.Context(), prefixQuarantine+"fp")
+		return err != nil
+	})
+	if _, err := operatorsOf(r).Release(t.Context(), connect.NewRequest(&martenportv1.ReleaseRequest{Fingerprint: "fp"})); connect.CodeOf(err) != connect.CodeNotFound {
+		t.Errorf("released twice: %v", err)
+	}
+}
+
+// TestEndsAddUpOverInstances: ends that different instances have seen add up.
+func TestEndsAddUpOverInstances(t *testing.T) {
+	f := newFleet(t, 3)
+	f.await("a holder", func() bool { return f.holder() != nil })
+	for n, r := range f.instances {
+		b := quarantine.Break{Fingerprint: "fp", Server: serving.Server{ID: string(rune('a' + n))}}
+		r.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
+	}
+	f.await("known everywhere", f.everywhere("fp", quarantine.Quarantined))
+	f.await("written by one that has put it together", func() bool {
+		_, err := f.store.Get(t.Context(), prefixQuarantine+"fp")
+		return err == nil
+	})
+}
+
+// TestQuarantineWithoutHolder: while no holder answers and the store is away, so that there can
+// be no other, instances tell each other.
+func TestQuarantineWithoutHolder(t *testing.T) {
+	f := newFleet(t, 4)
+	f.await("a holder", func() bool { return f.holder() != nil })
+	f.await("instances know each other", func() bool {
+		for _, r := range f.instances {
+			if len(r.members.lastKnown(t.Context())) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	lost := f.holder()
+	var left []*running
+	for _, r := range f.instances {
+		if r != lost {
+			left = append(left, r)
+		}
+	}
+	f.instances = left
+	lost.kill()
+	f.store.SetDown(true)
+	defer f.store.SetDown(false)
+	hold(left[0], "fp", quarantine.QuarantineAfter)
+	f.await("known everywhere", f.everywhere("fp", quarantine.Quarantined))
+	if f.holder() != nil {
+		t.Error("there is a holder, which may have told them")
+	}
+}
+
+// TestQuarantinedIsRefusedForGood: the client is told with a status after which it does not
+// come again, at once, and what the cause is.
+func TestQuarantinedIsRefusedForGood(t *testing.T) {
+	f := newFleet(t, 1)
+	r := f.instances[0]
+	req := &serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x?q=1", Body: []byte("body")}
+	hold(r, serving.FingerprintOf(req, ""), quarantine.QuarantineAfter)
+	a := f.ask(r, "stream", "m4")
+	if a.status != http.StatusBadRequest || a.after != 0 || f.runs(a.id) != 0 {
+		t.Errorf("%+v, ran %d times, want 400 without a time to come back", a, f.runs(a.id))
+	}
+	if other := f.askUntilServed(r, "unsafe", ""); other.status != http.StatusOK {
+		t.Errorf("%+v: another request", other)
+	}
+	for _, s := range f.servers {
+		for _, o := range s.Orders() {
+			if o.Unit == "m4" {
+				t.Error("a model was loaded for a request that is refused")
+			}
+		}
+	}
+}
