The holder lets no suspect run that it knows to be quarantined, and knows how a trial ended before it is over

Found by a test of a request that is repeated in turn (4 or 5 engines ended, want 3): an instance with the word of two ends asked for a trial 2 ms after the third, and the holder, which knew of the third, granted it. Questions and ends of trials now carry what is known of the request.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -72,6 +72,14 @@
 	return Record{}, false
 }
 
+// Known returns what is known of a request for another ledger, nothing if nothing is.
+func (l *Ledger) Known(fp serving.Fingerprint, now time.Time) []Record {
+	if r, known := l.Record(fp, now); known {
+		return []Record{r}
+	}
+	return nil
+}
+
 // State returns how a request is treated.
 func (l *Ledger) State(fp serving.Fingerprint) State {
 	l.mu.Lock()
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -49,7 +49,7 @@
 // Try implements forward.Guard. The holder lets suspects run; while there is none, nobody does.
 func (g *crashGuard) Try(ctx context.Context, fp serving.Fingerprint, s serving.Server, longest time.Duration) (forward.Trial, error) {
 	trial := quarantine.Trial{Fingerprint: fp, Server: s.ID, Instance: g.follower.name}
-	granted, err := g.follower.trial(ctx, trial, longest)
+	granted, err := g.follower.trial(ctx, trial, s.Version, longest)
 	if err != nil {
 		return forward.Trial{}, err
 	}
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -86,6 +86,11 @@
 	return answer
 }
 
+// hear takes over what another instance knows.
+func (q *quarantineKeeper) hear(records []quarantine.Record, now time.Time) {
+	q.heard(q.ledger.Take(records, now))
+}
+
 // heard notes which requests are held by what another instance says.
 func (q *quarantineKeeper) heard(raised []quarantine.Raise) { q.logRaised(raised, "heard") }
 
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -106,13 +106,22 @@
 // TrialArgs asks the holder that a suspect may run alone, or says that it does not any more.
 type TrialArgs struct {
 	quarantine.Trial
+	// Version of the server's software.
+	Version   string
 	LongestMS int64
 	Over      bool
+	// Known is what the instance knows of the request: a trial is not over at the holder
+	// before that knows how it ended.
+	Known []quarantine.Record
 }
 
 // TrialReply is the answer. Held is false if this instance is not the holder, or the holder
 // before may still have let others run.
-type TrialReply struct{ Held, Granted bool }
+type TrialReply struct {
+	Held, Granted bool
+	// Known is what the holder knows of the request.
+	Known []quarantine.Record
+}
 
 // AnnounceReply has nothing.
 type AnnounceReply struct{}
@@ -166,11 +175,14 @@
 // Trial answers whether a suspect may run alone.
 func (s *service) Trial(args *TrialArgs, reply *TrialReply) error {
 	now := clock.Now()
+	s.keeper.hear(args.Known, now)
 	if args.Over {
 		s.trials.End(args.Trial)
 		return nil
 	}
-	if reply.Held = s.holder.Settled(now); reply.Held {
+	reply.Held = s.holder.Settled(now)
+	reply.Known = s.keeper.ledger.Known(args.Fingerprint, now)
+	if reply.Held && s.keeper.ledger.StateOn(args.Fingerprint, args.Version) == quarantine.Suspect {
 		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
 	}
 	return nil
