--- /dev/null
+++ b/internal/standin/server_requests.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// How a Server answers requests.
+
+func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	id := r.Header.Get("Martenport-Attempt-Id")
+	model, adapter, _ := strings.Cut(r.Header.Get("Martenport-Model"), "/")
+	w.Header().Set("Martenport-Attempt-Id", id)
+	s.mu.Lock()
+	adapters, resident := s.loaded[model]
+	missing := model != "" && (!resident || adapter != "" && !adapters[adapter])
+	if !missing && id != "" {
+		s.runs[id]++
+	}
+	cut := s.cuts > 0 && model != ""
+	if cut && !missing {
+		s.cuts--
+	}
+	s.mu.Unlock()
+	switch {
+	case id == "":
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	case missing:
+		w.Header().Set("Martenport-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
+	if s.params.Poison != "" && strings.HasPrefix(string(body), s.params.Poison) {
+		s.endUnder(string(body))
+	}
+	if s.arrivals.fails() {
+		time.Sleep(s.params.Work)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if model != "" {
+		s.stream(w, r, cut)
+		return
+	}
+	time.Sleep(s.params.Work)
+	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+}
+
+// endUnder ends the server for the request with the given body.
+func (s *Server) endUnder(body string) {
+	time.Sleep(poisonTime)
+	s.mu.Lock()
+	if s.endedBy == "" {
+		s.endedBy = body
+	}
+	s.mu.Unlock()
+	go s.Stop()
+	panic(http.ErrAbortHandler)
+}
+
+// poisonTime is how long a server runs the request that ends it.
+const poisonTime = 20 * time.Millisecond
+
+// StreamEvents is how many events each stream has.
+const StreamEvents = 10
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for i := from + 1; i <= StreamEvents; i++ {
+		if cut && i == from+3 {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Header.Get("Martenport-Model")); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-time.After(s.params.EventPause):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
