--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -126,8 +126,8 @@
 // whether the server has ended: a refused connection shows that within milliseconds.
 const settleTime = 500 * time.Millisecond
 
-// report tells the guard how an attempt ended.
-func (t *trip) report(ctx context.Context, server serving.Server, failure *verdict.Failure) {
+// tellGuard says how an attempt ended.
+func (t *trip) tellGuard(ctx context.Context, server serving.Server, failure *verdict.Failure) {
 	fp := t.request.Fingerprint
 	if failure == nil {
 		if t.out.status < 300 {
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -206,7 +206,7 @@
 	now := clock.Now()
 	whole := ctx
 	defer t.endTrial()
-	defer func() { t.report(whole, server, failure) }()
+	defer func() { t.tellGuard(whole, server, failure) }()
 	ended := t.f.balancer.Start(server.ID, server.FailureDomain)
 	done := func(bool) {}
 	if t.request.Unit.Model != "" {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -20,18 +20,25 @@
 // connectsToBeThere is how often a plain server has to take a connection to count as there.
 const connectsToBeThere = 2
 
-// check looks whether a server has ended, once for all answers that break off meanwhile.
-func (c *crashes) check(life quarantine.Life, s serving.Server, settled chan struct{}) {
+// checkSpacing is the least time between two looks at a server that was there: one that breaks
+// many answers off, and does not end, is not asked as often as it does.
+const checkSpacing = 250 * time.Millisecond
+
+// check looks whether a server has ended, at a time at the earliest, once for all answers that
+// break off meanwhile.
+func (c *crashes) check(life quarantine.Life, s serving.Server, from time.Time, settled chan struct{}) {
+	time.Sleep(clock.Until(from))
 	began := clock.Now()
 	presence := c.look(s)
 	if presence == serving.PresenceEnded {
-		c.ended(life, "address refuses or is another's")
+		c.noteEnd(life, "address refuses or is another's")
 	}
 	c.mu.Lock()
 	if w := c.lives[life]; w != nil {
 		w.settled = nil
 		if presence == serving.PresenceThere {
 			w.dropBefore(began)
+			w.there = clock.Now()
 		}
 	}
 	c.mu.Unlock()
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -38,6 +38,8 @@
 	// settled is closed when the check that is under way is over; nil if there is none.
 	settled chan struct{}
 	ended   bool
+	// there is when the server was last seen to be there.
+	there time.Time
 	// touched is when the last break was noted or the end found.
 	touched time.Time
 }
@@ -87,7 +89,7 @@
 	}
 	if w.settled == nil && !b.Left {
 		w.settled = make(chan struct{})
-		go c.check(life, w.server, w.settled)
+		go c.check(life, w.server, w.there.Add(checkSpacing), w.settled)
 	}
 	settled := w.settled
 	c.mu.Unlock()
@@ -121,8 +123,8 @@
 	return w != nil && w.ended
 }
 
-// ended notes that a life has ended, and counts that against what ran there.
-func (c *crashes) ended(life quarantine.Life, evidence string) {
+// noteEnd notes that a life has ended, and counts that against what ran there.
+func (c *crashes) noteEnd(life quarantine.Life, evidence string) {
 	now := clock.Now()
 	c.mu.Lock()
 	w := c.lives[life]
@@ -155,27 +157,27 @@
 	c.keeper.changed(raised)
 }
 
-// gone notes that a server's entry has gone.
-func (c *crashes) gone(id string, draining bool) {
+// entryGone notes that a server's entry has gone.
+func (c *crashes) entryGone(id string, draining bool) {
 	for _, life := range c.livesWhere(func(w *lifeWatch) bool { return w.server.ID == id }) {
 		if draining {
 			c.forget(life)
 			continue
 		}
-		c.ended(life, "entry gone")
+		c.noteEnd(life, "entry gone")
 	}
 }
 
-// known notes what a server announces: another life at an address, or under an id, shows that
+// announced notes what a server announces: another life at an address, or under an id, shows that
 // the one before has ended.
-func (c *crashes) known(s serving.Server) {
+func (c *crashes) announced(s serving.Server) {
 	life := quarantine.LifeOf(s)
 	replaced := func(w *lifeWatch) bool {
 		before := quarantine.LifeOf(w.server)
 		return before != life && w.server.Revision < s.Revision && (before.Server == life.Server || w.server.Address == s.Address)
 	}
 	for _, before := range c.livesWhere(replaced) {
-		c.ended(before, "replaced")
+		c.noteEnd(before, "replaced")
 	}
 }
 
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -210,7 +210,7 @@
 	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
 	if err == nil {
 		f.heardOf(reply.GaveUp)
-		f.heardHeld(args.Held, reply.Requests, clock.Now())
+		f.heardCrashes(args.Crashes, reply.Crashes, clock.Now())
 	}
 	if err != nil || !reply.Held {
 		f.noAnswer(record, err)
@@ -244,7 +244,7 @@
 	for model := range f.waiting {
 		r.Waiting[model] = f.waitingFor(model, clock.Now())
 	}
-	return f.record, &ExchangeArgs{Report: r, Held: f.ledger.Tell(f.link, clock.Now())}
+	return f.record, &ExchangeArgs{Report: r, Crashes: f.ledger.Tell(f.link, clock.Now())}
 }
 
 // compareWait is the pause after so many questions for all servers.
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -86,8 +86,8 @@
 	return answer
 }
 
-// hear takes over what another instance knows.
-func (q *quarantineKeeper) hear(records []quarantine.Record, now time.Time) {
+// take takes over what another instance knows.
+func (q *quarantineKeeper) take(records []quarantine.Record, now time.Time) {
 	q.heard(q.ledger.Take(records, now))
 }
 
@@ -184,9 +184,9 @@
 func (q *quarantineKeeper) tell(ctx context.Context, address string, link quarantine.Link) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	args := &HeldArgs{Message: q.ledger.Tell(link, clock.Now())}
-	var reply HeldReply
-	if err := q.pool.Call(ctx, address, methodHeld, args, &reply); err != nil {
+	args := &CrashesArgs{Message: q.ledger.Tell(link, clock.Now())}
+	var reply CrashesReply
+	if err := q.pool.Call(ctx, address, methodCrashes, args, &reply); err != nil {
 		q.pool.Disconnect(address)
 		return
 	}
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -139,3 +139,28 @@
 		}
 	}
 }
+
+// TestBrokenAnswersAreNoEnds: servers that break answers off, and are there, hold nothing
+// against the requests, however often they do.
+func TestBrokenAnswersAreNoEnds(t *testing.T) {
+	f := newFleet(t, 1)
+	r := f.instances[0]
+	f.askUntilServed(r, "stream", "m1")
+	for _, s := range f.servers {
+		s.CutStreams(20)
+	}
+	broken := 0
+	for n := 0; n < 40; n++ {
+		if a := f.ask(r, "stream", "m1"); a.body != wholeStream("m1") {
+			broken++
+		}
+	}
+	req := &serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x?q=1", Body: []byte("body")}
+	record, known := r.keeper.ledger.Record(serving.FingerprintOf(req, ""), time.Now())
+	if broken == 0 {
+		t.Error("no answer broke off: nothing was put to the test")
+	}
+	if known && len(record.Crashes)+len(record.Cleared) > 0 {
+		t.Errorf("%+v held against a request whose servers are there", record)
+	}
+}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -25,15 +25,15 @@
 	methodReaches  = "Entry.Reaches"
 	methodAnnounce = "Entry.Announce"
 	methodUse      = "Entry.Use"
-	methodHeld     = "Entry.Held"
+	methodCrashes  = "Entry.Crashes"
 	methodTrial    = "Entry.Trial"
 )
 
 // ExchangeArgs is an instance's report to the holder.
 type ExchangeArgs struct {
 	holder.Report
-	// Held are requests under which servers end.
-	Held quarantine.Message
+	// Crashes are requests under which servers ended.
+	Crashes quarantine.Message
 }
 
 // WireView is a directory.EngineView with times as durations from now.
@@ -53,8 +53,8 @@
 // ExchangeReply is the holder's answer. Held is false at any other instance.
 type ExchangeReply struct {
 	Held bool
-	// Requests are those under which servers end.
-	Requests quarantine.Message
+	// Crashes are requests under which servers ended.
+	Crashes quarantine.Message
 	// GaveUp is the released record under which the answering instance orders
 	// nothing more, the zero Record if there is none.
 	GaveUp lease.Record
@@ -97,11 +97,11 @@
 // UseReply has nothing.
 type UseReply struct{}
 
-// HeldArgs tells of requests under which servers end.
-type HeldArgs struct{ quarantine.Message }
+// CrashesArgs tells of requests under which servers end.
+type CrashesArgs struct{ quarantine.Message }
 
-// HeldReply tells what the other instance knows of such.
-type HeldReply struct{ quarantine.Message }
+// CrashesReply tells what the other instance knows of such.
+type CrashesReply struct{ quarantine.Message }
 
 // TrialArgs asks the holder that a suspect may run alone, or says that it does not any more.
 type TrialArgs struct {
@@ -140,7 +140,7 @@
 // Exchange answers an instance's report.
 func (s *service) Exchange(args *ExchangeArgs, reply *ExchangeReply) error {
 	now := clock.Now()
-	reply.Requests = s.keeper.answer(args.Held, now)
+	reply.Crashes = s.keeper.answer(args.Crashes, now)
 	news, err := s.holder.Exchange(args.Report, now)
 	if errors.Is(err, holder.ErrNotHolder) {
 		reply.GaveUp = s.holder.GaveUp()
@@ -166,8 +166,8 @@
 	return nil
 }
 
-// Held takes over what another instance knows of requests under which servers end.
-func (s *service) Held(args *HeldArgs, reply *HeldReply) error {
+// Crashes takes over what another instance knows of requests under which servers end.
+func (s *service) Crashes(args *CrashesArgs, reply *CrashesReply) error {
 	reply.Message = s.keeper.answer(args.Message, clock.Now())
 	return nil
 }
@@ -175,7 +175,7 @@
 // Trial answers whether a suspect may run alone.
 func (s *service) Trial(args *TrialArgs, reply *TrialReply) error {
 	now := clock.Now()
-	s.keeper.hear(args.Known, now)
+	s.keeper.take(args.Known, now)
 	if args.Over {
 		s.trials.End(args.Trial)
 		return nil
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -40,9 +40,9 @@
 	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Known: f.ledger.Known(t.Fingerprint, clock.Now())}, &TrialReply{})
 }
 
-// heardHeld takes over what the one that was reported to knows of requests under which
+// heardCrashes takes over what the one that was reported to knows of requests under which
 // servers end.
-func (f *follower) heardHeld(told, answer quarantine.Message, now time.Time) {
+func (f *follower) heardCrashes(told, answer quarantine.Message, now time.Time) {
 	f.mu.Lock()
 	link := f.link
 	f.mu.Unlock()
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -65,7 +65,7 @@
 	delete(w.lapsed, server.ID)
 	w.mu.Unlock()
 	_, known := w.dir.Server(server.ID)
-	w.crashes.known(server)
+	w.crashes.announced(server)
 	if before, found := w.dir.Server(server.ID); found && before.Before(server) {
 		w.backends.Forget(server.ID) // those connections are to the process before
 		w.balancer.Forget(server.ID)
@@ -107,7 +107,7 @@
 
 // forget drops what was kept for a server that is gone.
 func (w *watcher) forget(id string, revision int64) {
-	w.crashes.gone(id, w.dir.Drained(id))
+	w.crashes.entryGone(id, w.dir.Drained(id))
 	w.backends.Forget(id)
 	w.balancer.Forget(id)
 	w.log.WithFields(logrus.Fields{"server": id, "revision": revision}).Info("server gone")
