A suspect whose run alone broke off is not run again while it is not known whether its server ended

Where an engine's machine ends with it nothing refuses a connection, and its entry goes only after three missed heartbeats: until then one more engine would be tried each second or two, more than the three sends that are allowed later than 3 s after the third end. Found by reading (quarantine TestTrials).

--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -34,6 +34,9 @@
 	// Broke notes that an answer broke off. The channel is closed when it is known whether
 	// the server has ended, as far as that can be known at once.
 	Broke(b quarantine.Break) <-chan struct{}
+	// Doubtful reports whether answers broke off on a server, and it is not known whether it
+	// has ended.
+	Doubtful(s serving.Server) bool
 	// Answered notes that a request was answered whole and with success.
 	Answered(fp serving.Fingerprint)
 }
@@ -42,8 +45,9 @@
 type Trial struct {
 	// Grace is how long after the first event the run has to itself.
 	Grace time.Duration
-	// End ends the trial; it may be called again.
-	End func()
+	// End ends the trial; it may be called again. doubtful: the answer broke off, and it is
+	// not known whether the server has ended.
+	End func(doubtful bool)
 }
 
 // ErrTrialBusy: another suspect runs on the server, or the request itself on another one.
@@ -107,10 +111,10 @@
 	return false, t.pauseFor(ctx, trialPause)
 }
 
-// endTrial ends the trial of a suspect, if there is one.
-func (t *trip) endTrial() {
+// endTrial ends the trial of a suspect on a server, if there is one.
+func (t *trip) endTrial(server serving.Server) {
 	if t.trial.End != nil {
-		t.trial.End()
+		t.trial.End(t.f.guard.Doubtful(server))
 	}
 	t.trial = Trial{}
 }
@@ -118,7 +122,7 @@
 // passedTrial lets other suspects run on the server once this one has gone on for long enough.
 func (t *trip) passedTrial(now time.Time) {
 	if t.trial.End != nil && now.Sub(t.firstHere) > t.trial.Grace {
-		t.trial.End()
+		t.trial.End(false)
 	}
 }
 
--- a/command/forward/guard_test.go
+++ b/command/forward/guard_test.go
@@ -49,7 +49,7 @@
 		g.busy--
 		return Trial{}, ErrTrialBusy
 	}
-	return Trial{Grace: time.Second, End: func() { g.over++ }}, g.err
+	return Trial{Grace: time.Second, End: func(bool) { g.over++ }}, g.err
 }
 
 func (g *fakeGuard) Broke(b quarantine.Break) <-chan struct{} {
@@ -59,6 +59,8 @@
 	return settled
 }
 
+func (g *fakeGuard) Doubtful(serving.Server) bool { return false }
+
 func (g *fakeGuard) Answered(serving.Fingerprint) { g.answered++ }
 
 // TestQuarantinedWhileItWaits: a request that is quarantined while it waits for a load, or
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		if !t.paid() {
-			t.endTrial()
+			t.endTrial(server)
 			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
 		answered, failure := t.attempt(ctx, server)
@@ -205,7 +205,7 @@
 	t.server, t.firstHere = server.ID, time.Time{}
 	now := clock.Now()
 	whole := ctx
-	defer t.endTrial()
+	defer t.endTrial(server)
 	defer func() { t.tellGuard(whole, server, failure) }()
 	ended := t.f.balancer.Start(server.ID, server.FailureDomain)
 	done := func(bool) {}
--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -276,15 +276,23 @@
 	if trials.Begin(b, time.Second, start) || trials.Begin(elsewhere, time.Second, start) || trials.Begin(a, time.Second, start) {
 		t.Error("two on a server, or two runs of a request")
 	}
-	trials.End(Trial{Fingerprint: "a", Server: "s1", Instance: "other"})
+	trials.End(Trial{Fingerprint: "a", Server: "s1", Instance: "other"}, false, start)
 	if trials.Begin(b, time.Second, start) {
 		t.Error("ended by an instance that had not begun it")
 	}
-	trials.End(a)
+	trials.End(a, false, start)
 	if !trials.Begin(b, time.Second, start) || !trials.Begin(elsewhere, time.Second, start) {
 		t.Error("the trial is over, and others may not run")
 	}
 	if !trials.Begin(a, time.Second, start.Add(time.Second)) {
 		t.Error("a trial without end")
 	}
+	later := start.Add(time.Second)
+	trials.End(a, true, later)
+	if trials.Begin(a, time.Second, later.Add(doubt-time.Millisecond)) {
+		t.Error("run again while it is not known whether its server has ended")
+	}
+	if !trials.Begin(a, time.Second, later.Add(doubt)) {
+		t.Error("never run again")
+	}
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -123,6 +123,14 @@
 	return w != nil && w.ended
 }
 
+// Doubtful implements forward.Guard.
+func (c *crashes) Doubtful(s serving.Server) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.lives[quarantine.LifeOf(s)]
+	return w != nil && !w.ended && len(w.breaks) > 0
+}
+
 // noteEnd notes that a life has ended, and counts that against what ran there.
 func (c *crashes) noteEnd(life quarantine.Life, evidence string) {
 	now := clock.Now()
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -57,10 +57,10 @@
 		return forward.Trial{}, forward.ErrTrialBusy
 	}
 	over := false
-	end := func() {
+	end := func(doubtful bool) {
 		if !over {
 			over = true
-			go g.follower.endTrial(trial)
+			go g.follower.endTrial(trial, doubtful)
 		}
 	}
 	return forward.Trial{Grace: g.ledger.Grace(fp), End: end}, nil
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -109,7 +109,8 @@
 	// Version of the server's software.
 	Version   string
 	LongestMS int64
-	Over      bool
+	// Over: the trial is over; Doubtful: and it is not known whether the server has ended.
+	Over, Doubtful bool
 	// Known is what the instance knows of the request: a trial is not over at the holder
 	// before that knows how it ended.
 	Known []quarantine.Record
@@ -177,7 +178,7 @@
 	now := clock.Now()
 	s.keeper.take(args.Known, now)
 	if args.Over {
-		s.trials.End(args.Trial)
+		s.trials.End(args.Trial, args.Doubtful, now)
 		return nil
 	}
 	reply.Held = s.holder.Settled(now)
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -33,11 +33,11 @@
 
 // endTrial tells the holder that a trial is over. If the word is lost, the trial is over
 // after its longest time.
-func (f *follower) endTrial(t quarantine.Trial) {
+func (f *follower) endTrial(t quarantine.Trial, doubtful bool) {
 	f.mu.Lock()
 	record := f.record
 	f.mu.Unlock()
-	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Known: f.ledger.Known(t.Fingerprint, clock.Now())}, &TrialReply{})
+	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Doubtful: doubtful, Known: f.ledger.Known(t.Fingerprint, clock.Now())}, &TrialReply{})
 }
 
 // heardCrashes takes over what the one that was reported to knows of requests under which
