The word of ended servers goes once to each instance

Cause: instances told each other directly whenever the holder had been silent for 400 ms, and in a large fleet reports are a second apart: all told all everything, all the time.

Ends that are cleared are forgotten in one order everywhere.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -34,13 +34,16 @@
 	// explained has the lives that quarantined requests ended; guarded by mu.
 	explained map[Life]serving.Fingerprint
 	change    uint64 // counts changes of records; guarded by mu
+	// digest sums up the records; guarded by mu.
+	digest uint64
 }
 
 type record struct {
 	Record
 	at time.Time
-	// change is the ledger's at the record's last one.
-	change uint64
+	// change is the ledger's at the record's last one, and sum the record's part of its
+	// digest.
+	change, sum uint64
 }
 
 // NewLedger returns an empty ledger.
@@ -138,11 +141,7 @@
 	defer l.mu.Unlock()
 	var released []serving.Fingerprint
 	for fp, r := range l.records {
-		lifetime := suspicionLifetime
-		if r.State() == Quarantined {
-			lifetime = quarantineLifetime
-		}
-		if now.Sub(r.at) < lifetime {
+		if now.Sub(r.at) < r.lifetime() {
 			continue
 		}
 		if r.State() == Quarantined {
@@ -189,12 +188,13 @@
 func (r *record) take(from Record) bool {
 	changed := false
 	for _, life := range from.Cleared {
-		if !slices.Contains(r.Cleared, life) {
+		if !slices.Contains(r.Cleared, life) && !r.forgotten(life) {
 			r.Cleared = append(r.Cleared, life)
 			changed = true
 		}
 		if i := slices.Index(r.Crashes, life); i >= 0 {
 			r.Crashes = slices.Delete(r.Crashes, i, i+1)
+			changed = true
 		}
 	}
 	for _, life := range from.Crashes {
@@ -203,8 +203,10 @@
 			changed = true
 		}
 	}
+	slices.SortFunc(r.Crashes, compareLives)
+	slices.SortFunc(r.Cleared, compareLives)
 	if excess := len(r.Cleared) - maxCleared; excess > 0 {
-		r.Cleared = slices.Delete(r.Cleared, 0, excess)
+		r.Cleared = slices.Delete(r.Cleared, 0, excess) // all ledgers drop the same
 	}
 	if from.Grace > r.Grace {
 		r.Grace = from.Grace
@@ -216,6 +218,11 @@
 	return changed
 }
 
+// forgotten reports whether a cleared life is one of those that are not remembered.
+func (r *record) forgotten(life Life) bool {
+	return len(r.Cleared) >= maxCleared && compareLives(life, r.Cleared[0]) < 0
+}
+
 // clearExplained needs mu. It clears a request of the ends that a quarantined one explains.
 func (l *Ledger) clearExplained(r *record) bool {
 	var cleared []Life
@@ -258,11 +265,15 @@
 func (l *Ledger) touch(r *record) {
 	l.change++
 	r.change = l.change
+	l.digest ^= r.sum
+	r.sum = r.hash()
+	l.digest ^= r.sum
 }
 
 // drop needs mu.
 func (l *Ledger) drop(fp serving.Fingerprint) {
 	r := l.records[fp]
+	l.digest ^= r.sum
 	before := r.State()
 	r.Crashes = nil
 	l.unexplain(r, before)
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -15,8 +15,13 @@
 package quarantine
 
 import (
+	"cmp"
+	"encoding/binary"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -68,7 +73,7 @@
 	// Subject says to people what the request is.
 	Subject string
 	// Crashes are the lives that ended while it was under way there, and Cleared those that
-	// do not count against it any more.
+	// do not count against it any more, both in the order of compareLives.
 	Crashes, Cleared []Life
 	// Grace is how long after the first event of a run alone the server's end counts.
 	Grace time.Duration
@@ -88,6 +93,34 @@
 	}
 }
 
+// lifetime is for how long after its last change the record counts.
+func (r *Record) lifetime() time.Duration {
+	if r.State() == Quarantined {
+		return quarantineLifetime
+	}
+	return suspicionLifetime
+}
+
+// same reports whether another record says the same.
+func (r *Record) same(other Record) bool {
+	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) && r.Grace == other.Grace
+}
+
+// hash sums up what the record says.
+func (r *Record) hash() uint64 {
+	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)))
+	for _, life := range slices.Concat(r.Crashes, r.Cleared) {
+		text = append(text, life.Server...)
+		text = binary.BigEndian.AppendUint64(text, uint64(life.Born))
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, uint64(r.Grace)))
+}
+
+// compareLives orders lives by their birth.
+func compareLives(a, b Life) int {
+	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Version, b.Version))
+}
+
 // Raise is a change of a request's state for the worse.
 type Raise struct {
 	Record
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -51,3 +51,20 @@
 		t.Error("a new difference waits for the old one's pause")
 	}
 }
+
+// TestSilenceBetweenReportsIsNoLoss: instances tell each other directly only after reports
+// without an answer. In a large fleet reports are a second apart, and the holder is silent
+// between them.
+func TestSilenceBetweenReportsIsNoLoss(t *testing.T) {
+	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.answered = time.Now().Add(-maxExchangeInterval)
+	if misses, _ := f.unanswered(); misses >= tellAfter {
+		t.Errorf("%d reports count as not answered", misses)
+	}
+	for range tellAfter {
+		f.noAnswer(lease.Record{Holder: "h"}, nil)
+	}
+	if misses, _ := f.unanswered(); misses < tellAfter {
+		t.Errorf("%d reports count as not answered, want %d", misses, tellAfter)
+	}
+}
--- /dev/null
+++ b/entry/quarantine_direct.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
+)
+
+// While no holder answers, an instance tells all others itself what it has seen. What came
+// from another that does so is not told on: that one tells all. With reports a second apart a
+// holder is silent for as long between any two of them, so that it is reports without an answer
+// that count: where silence did, 195 instances told each other everything all the time, 2.1 GB
+// between failure domains in a day instead of .12.
+
+// holderTells notes that the holder has been told through a change, and tells the others.
+func (q *quarantineKeeper) holderTells(delivered uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.told = max(q.told, delivered)
+	clear(q.missed)
+}
+
+// toldDirectly takes over what another instance tells all.
+func (q *quarantineKeeper) toldDirectly(records []quarantine.Record, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	upToDate := q.told == q.ledger.Change()
+	q.heard(q.ledger.Take(records, now))
+	if upToDate {
+		q.told = q.ledger.Change()
+	}
+}
+
+// tellAll tells all other instances what they may lack. delivered is through which change the
+// holder was told while there was one.
+func (q *quarantineKeeper) tellAll(ctx context.Context, delivered uint64) {
+	q.mu.Lock()
+	q.told = max(q.told, delivered)
+	from, missed := q.told, maps.Clone(q.missed)
+	q.mu.Unlock()
+	records, through := q.ledger.Since(from, clock.Now())
+	if len(records) == 0 && len(missed) == 0 {
+		return
+	}
+	var calls errgroup.Group
+	calls.SetLimit(announceAtOnce)
+	for _, address := range q.members.lastKnown(ctx) {
+		since, failed := missed[address]
+		if !failed && len(records) == 0 {
+			continue
+		}
+		if !failed {
+			since = from
+		}
+		calls.Go(func() error {
+			q.tell(ctx, address, since)
+			return nil
+		})
+	}
+	_ = calls.Wait() // who is not reached is told again with the next look
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.told = max(q.told, through)
+}
+
+// tell tells one instance what has changed since a change, and notes if it was not reached.
+func (q *quarantineKeeper) tell(ctx context.Context, address string, since uint64) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	records, _ := q.ledger.Since(since, clock.Now())
+	err := q.pool.Call(ctx, address, methodCrashes, &CrashesArgs{Records: records}, &CrashesReply{})
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err == nil {
+		delete(q.missed, address)
+		return
+	}
+	q.pool.Disconnect(address)
+	q.missed[address] = since
+}
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -8,7 +8,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
@@ -40,15 +39,17 @@
 	mu sync.Mutex
 	// unwritten are requests whose state in the store may be another; guarded by mu.
 	unwritten map[serving.Fingerprint]bool
-	// links are those to instances that were told directly, by address; guarded by mu.
-	links map[string]quarantine.Link
-	woken chan struct{}
+	// told is through which change all others know of the ledger, by the holder or by having
+	// been told directly, but for those in missed, by address; guarded by mu.
+	told   uint64
+	missed map[string]uint64
+	woken  chan struct{}
 }
 
 func newQuarantineKeeper(s store.Store, m *members, f *follower, holds func() bool, set *metrics.Set, log logrus.FieldLogger) *quarantineKeeper {
 	q := &quarantineKeeper{
 		ledger: f.ledger, store: s, members: m, pool: f.pool, follower: f, holds: holds, log: log, set: set, began: clock.Now(),
-		unwritten: map[serving.Fingerprint]bool{}, links: map[string]quarantine.Link{}, woken: make(chan struct{}, 1),
+		unwritten: map[serving.Fingerprint]bool{}, missed: map[string]uint64{}, woken: make(chan struct{}, 1),
 	}
 	for _, state := range []quarantine.State{quarantine.Suspect, quarantine.Quarantined} {
 		set.NewGauge(`martenport_requests_held{state="`+state.String()+`"}`, func() float64 { return float64(q.count(state)) })
@@ -140,9 +141,8 @@
 const (
 	// keepInterval is the pause between looks at what is to be told or written.
 	keepInterval = 250 * time.Millisecond
-	// tellAfter without an answer of the holder, instances tell each other: two reports that
-	// failed.
-	tellAfter = 400 * time.Millisecond
+	// tellAfter reports in a row without an answer of the holder, instances tell each other.
+	tellAfter = 2
 	// tellTimeout bounds one call to another instance.
 	tellTimeout = 400 * time.Millisecond
 )
@@ -156,42 +156,10 @@
 	}
 	for pause.Until(ctx, keepInterval, q.woken) {
 		q.write(ctx)
-		if q.follower.silentFor(clock.Now()) > tellAfter {
-			q.tellAll(ctx)
+		if misses, delivered := q.follower.unanswered(); misses >= tellAfter {
+			q.tellAll(ctx, delivered)
+		} else {
+			q.holderTells(delivered)
 		}
 	}
 }
-
-// tellAll tells all instances that may lack something, directly.
-func (q *quarantineKeeper) tellAll(ctx context.Context) {
-	var calls errgroup.Group
-	calls.SetLimit(announceAtOnce)
-	for _, address := range q.members.lastKnown(ctx) {
-		q.mu.Lock()
-		link := q.links[address]
-		q.mu.Unlock()
-		if !link.Behind(q.ledger) {
-			continue
-		}
-		calls.Go(func() error {
-			q.tell(ctx, address, link)
-			return nil
-		})
-	}
-	_ = calls.Wait() // who is not reached is told again with the next look
-}
-
-func (q *quarantineKeeper) tell(ctx context.Context, address string, link quarantine.Link) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-	defer cancel()
-	args := &CrashesArgs{Message: q.ledger.Tell(link, clock.Now())}
-	var reply CrashesReply
-	if err := q.pool.Call(ctx, address, methodCrashes, args, &reply); err != nil {
-		q.pool.Disconnect(address)
-		return
-	}
-	q.heard(q.ledger.Told(&link, args.Message, reply.Message, clock.Now()))
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.links[address] = link
-}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -97,11 +97,11 @@
 // UseReply has nothing.
 type UseReply struct{}
 
-// CrashesArgs tells of requests under which servers end.
-type CrashesArgs struct{ quarantine.Message }
+// CrashesArgs tells of requests under which servers ended, while no holder does.
+type CrashesArgs struct{ Records []quarantine.Record }
 
-// CrashesReply tells what the other instance knows of such.
-type CrashesReply struct{ quarantine.Message }
+// CrashesReply has nothing.
+type CrashesReply struct{}
 
 // TrialArgs asks the holder that a suspect may run alone, or says that it does not any more.
 type TrialArgs struct {
@@ -168,8 +168,8 @@
 }
 
 // Crashes takes over what another instance knows of requests under which servers end.
-func (s *service) Crashes(args *CrashesArgs, reply *CrashesReply) error {
-	reply.Message = s.keeper.answer(args.Message, clock.Now())
+func (s *service) Crashes(args *CrashesArgs, _ *CrashesReply) error {
+	s.keeper.toldDirectly(args.Records, clock.Now())
 	return nil
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -52,11 +52,12 @@
 	f.link = link
 }
 
-// silentFor is how long the holder has not answered.
-func (f *follower) silentFor(now time.Time) time.Duration {
+// unanswered returns how many reports in a row the holder has not answered, and through which
+// change of the ledger it has been told.
+func (f *follower) unanswered() (misses int, delivered uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Sub(f.answered)
+	return f.misses, f.link.Sent()
 }
 
 // wake has the next report be sent at once.
