--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -206,9 +206,6 @@
 	h.refreshed = clock.Now()
 	h.fleet.Complete(h.dir.Complete(clock.Now()))
 	h.fleet.SetServers(h.dir.All(), func(service string) *serving.EngineSpec { return config.Services[service].Engine })
-	for _, end := range h.fleet.NewLoadEnds() {
-		h.log.WithFields(logrus.Fields{"engine": end.Engine, "model": end.Model, "ends": end.Ends}).Warn("engine ended that loaded a model")
-	}
 	for _, e := range h.fleet.Engines() {
 		e.NotBefore = h.lease.OrderFrom(e.Server.ID)
 	}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -39,8 +39,6 @@
 	// toldUntil is until when requests may have begun on the copy that were told of it
 	// and that its Running does not count yet.
 	toldUntil time.Time
-	// unseen: the engine has begun to load it, and has not said since that it has it.
-	unseen bool
 	// hostMemory: it was expected to be loaded from the engine's host memory.
 	hostMemory bool
 	Adapters   map[string]*Adapter
@@ -144,16 +142,13 @@
 	suspended bool
 	// limits is what operators decided.
 	limits limits.Source
-	// loadEnds are models that engines ended under, and newEnds those not yet told.
-	loadEnds map[string]loadEnds
-	newEnds  []LoadEnd
 	// complete: an engine that is not known is gone.
 	complete bool
 }
 
 // NewFleet returns an empty account.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, loadEnds: map[string]loadEnds{}, limits: limits.None{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wants: map[string]*want{}, limits: limits.None{},
 		store: weightStore{atOnce: p.RemoteAtOnce}, pace: pace{idle: p.UnloadTime, running: p.RunningWait}}
 }
 
@@ -175,18 +170,10 @@
 		seen[s.ID] = true
 		e := f.engines[s.ID]
 		if e == nil || e.Server.Before(s) {
-			if e != nil {
-				f.ended(e)
-			}
 			e = restarted(e, s)
 			f.engines[s.ID] = e
 			f.index = index{}
 		}
-		if s.Revision > e.Server.Revision {
-			for model := range s.Models {
-				f.seen(e, model)
-			}
-		}
 		if e.Tiers == nil || s.Revision > e.Server.Revision {
 			e.Tiers = maps.Clone(s.Tiers)
 			f.index.cached = nil
@@ -194,12 +181,7 @@
 		e.Server, e.Spec = s, engineSpec
 	}
 	known := len(f.engines)
-	maps.DeleteFunc(f.engines, func(id string, e *Engine) bool {
-		if !seen[id] {
-			f.ended(e)
-		}
-		return !seen[id]
-	})
+	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
 	if len(f.engines) < known {
 		f.index = index{}
 	}
@@ -243,9 +225,6 @@
 		return
 	}
 	e.adopt(r.Models, r.Sequence, now)
-	for model := range r.Models {
-		f.seen(e, model)
-	}
 	f.copiesChanged()
 	for _, unit := range r.Pending {
 		if c := e.Copies[unit.Model]; c != nil && c.Adapters[unit.Adapter] == nil {
--- a/command/replicas/pace.go
+++ b/command/replicas/pace.go
@@ -52,9 +52,6 @@
 	if !began.IsZero() {
 		f.pace.note(now.Sub(began), refused, op.InUse)
 	}
-	if e := f.engines[op.Engine]; e != nil && f.Current(op) && op.Load.Adapter == "" && e.Copies[op.Load.Model] != nil {
-		e.Copies[op.Load.Model].unseen = true
-	}
 	f.remoteBegan(op, now)
 	f.Expect(op, now.Add(op.Duration))
 }
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -110,7 +110,7 @@
 // consider says what loading a wanted model on the engine would take.
 func (f *Fleet) consider(e *Engine, w *want, claimed time.Duration, remote remoteState, now time.Time) (choice, bool) {
 	m, known := e.Spec.Models[w.model]
-	if !known || !f.permitted(e, w.model) || !f.mayLoad(w.model, now) {
+	if !known || !f.permitted(e, w.model) {
 		return choice{}, false
 	}
 	tier := e.Tiers[w.model]
