Soak: late sends count against instances in touch

The trace: the third end came while the store was down (lost 06.79, regained 10.74), all instances were killed at 08.1, 10.5 and 12.6, the sends were at 10.96 to 12.6 by instances started at 10.50. What was known was in no place that lasts; the rule speaks of instances in touch, that is with nothing disturbed for 3 s. The check now asks that of the instance, its way to the store, and the store.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -145,6 +145,7 @@
 }
 
 func (r *run) storeFault(query string) {
+	r.storeCalm.note(query, time.Now())
 	resp, err := http.Post("http://"+r.storeAt+"/fault?"+query, "", nil)
 	if err == nil {
 		_ = resp.Body.Close()
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -45,12 +45,12 @@
 	mu   sync.Mutex
 	made int                    // how many there are; guarded by mu
 	ends map[string][]time.Time // of engines, by body; guarded by mu
-	// undisturbed says which tries met an instance that ran all the while; guarded by mu.
-	undisturbed map[string]bool
+	// inTouch says which tries met an instance in touch; guarded by mu.
+	inTouch map[string]bool
 }
 
 func newPoisonings() *poisonings {
-	return &poisonings{ends: map[string][]time.Time{}, undisturbed: map[string]bool{}}
+	return &poisonings{ends: map[string][]time.Time{}, inTouch: map[string]bool{}}
 }
 
 // poisonFault has clients repeat a new such request at random instances.
@@ -78,12 +78,12 @@
 	for n := 0; time.Now().Before(limit) && pause.For(ctx, poisonPause); n++ {
 		t := try{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[0], payload: body}
 		entry := random.IntN(len(r.entries))
-		watch := r.watch(entry, engines)
+		watch, inTouch := r.watch(entry, engines), r.inTouch(entry, time.Now())
 		t.send(r.entryAddress(entry))
 		watch.ended(&t)
 		r.seen.tried(t)
 		r.poisons.mu.Lock()
-		r.poisons.undisturbed[t.id] = t.undisturbed
+		r.poisons.inTouch[t.id] = inTouch && t.undisturbed
 		r.poisons.mu.Unlock()
 	}
 }
@@ -162,12 +162,12 @@
 }
 
 // lateSends needs both locks. It counts the sends of a request that reached engines after a
-// time, by instances that ran all the while.
+// time, by instances in touch.
 func (r *run) lateSends(body string, after time.Time) int {
 	n := 0
 	for _, state := range r.seen.servers {
 		for _, a := range state.Arrivals {
-			if strings.HasPrefix(a.ID, body+"-") && a.At.After(after) && r.poisons.undisturbed[a.ID] {
+			if strings.HasPrefix(a.ID, body+"-") && a.At.After(after) && r.poisons.inTouch[a.ID] {
 				n++
 			}
 		}
--- a/soak/process.go
+++ b/soak/process.go
@@ -28,6 +28,7 @@
 	// whether one that ends it was sent to this start; guarded by mu.
 	signals int
 	ending  bool
+	touched time.Time // when it was last started or got a signal; guarded by mu
 }
 
 // start starts the program unless it runs. Its output goes to a file of its own.
@@ -51,7 +52,7 @@
 	ended := make(chan struct{})
 	p.cmd, p.ended = cmd, ended
 	p.starts++
-	p.ending = false
+	p.ending, p.touched = false, time.Now()
 	go func() {
 		_ = cmd.Wait() // how it ended shows in its log
 		_ = log.Close()
@@ -80,6 +81,7 @@
 	if s != syscall.SIGHUP {
 		p.signals++ // before the signal, so that nobody sees its effect without it
 	}
+	p.touched = time.Now()
 	p.ending = p.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.cmd.Process.Signal(s) // it may have ended just now
 	switch s {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	listener net.Listener      // guarded by mu
 	mode     mode              // guarded by mu
+	changed  time.Time         // when the mode last did; guarded by mu
 	conns    map[net.Conn]bool // guarded by mu
 	// refusing: nothing listens; guarded by mu.
 	refusing bool
@@ -85,7 +86,7 @@
 func (p *proxy) set(m mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.mode = m
+	p.mode, p.changed = m, time.Now()
 	close(p.woken)
 	p.woken = make(chan struct{})
 	if m != reset {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -99,8 +99,10 @@
 
 	troubles *troubles
 	poisons  *poisonings
-	herd     *herd
-	settings settings
+	// storeCalm knows how the store fares.
+	storeCalm storeCalm
+	herd      *herd
+	settings  settings
 }
 
 // Run starts the processes, disturbs them, and checks. Its error says that the
@@ -109,7 +111,7 @@
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
 		seen:     newSeen(p.Entries),
-		troubles: newTroubles(), poisons: newPoisonings(), herd: newHerd(), settings: settings{random: rand.New(rand.NewPCG(p.Seed, 2))},
+		troubles: newTroubles(), poisons: newPoisonings(), storeCalm: storeCalm{active: map[string]bool{}}, herd: newHerd(), settings: settings{random: rand.New(rand.NewPCG(p.Seed, 2))},
 	}
 	if p.Entries > mostProcesses || p.Engines+p.Plain > mostProcesses {
 		return Result{}, errors.Newf("soak: %d entries, %d servers: there are addresses for %d of each", p.Entries, p.Engines+p.Plain, mostProcesses)
