--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,7 +63,7 @@
 // certain are the faults of each run: kept connections under a changing idle limit, a request
 // that ends engines, and then a failing service while all instances are killed.
 func (r *run) certain(ctx context.Context) []timed {
-	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 5, r.poisonFault(ctx)}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
+	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 10, r.poisonFault(ctx)}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
 }
 
 // disturbances are what proxies do; mute comes twice, since lost answers break
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -26,9 +26,9 @@
 // Times and bounds of such requests.
 const (
 	// poisonFor is for how long clients repeat one, each poisonPause.
-	poisonFor   = 8 * time.Second
+	poisonFor   = 14 * time.Second
 	poisonPause = 250 * time.Millisecond
-	poisoners   = 2
+	poisoners   = 4
 	// engineDown is how long an engine is away after it has ended, and entryStays how long
 	// its entry is still there.
 	engineDown, entryStays = 1500 * time.Millisecond, 1200 * time.Millisecond
@@ -76,7 +76,7 @@
 func (r *run) repeatPoison(ctx context.Context, body string, client int, random *rand.Rand) {
 	limit := time.Now().Add(poisonFor)
 	for n := 0; time.Now().Before(limit) && pause.For(ctx, poisonPause); n++ {
-		t := try{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[0], payload: body}
+		t := try{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[random.IntN(len(models))], payload: body}
 		entry := random.IntN(len(r.entries))
 		watch, inTouch := r.watch(entry, engines), r.inTouch(entry, time.Now())
 		t.send(r.entryAddress(entry))
