--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -134,7 +135,7 @@
 func (t *trip) tellGuard(ctx context.Context, server serving.Server, failure *verdict.Failure) {
 	fp := t.request.Fingerprint
 	if failure == nil {
-		if t.out.status < 300 {
+		if t.out.status < http.StatusMultipleChoices {
 			t.f.guard.Answered(fp)
 		}
 		return
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -58,9 +58,9 @@
 // held against it.
 func (l *Ledger) Answered(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.answered.note(fp, now)
-	l.mu.Unlock()
-	return l.Clear(fp, now)
+	return l.clear(fp, now)
 }
 
 // Clear has nothing be held against a request any more. It returns the state before, and
@@ -68,6 +68,11 @@
 func (l *Ledger) Clear(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.clear(fp, now)
+}
+
+// clear needs mu.
+func (l *Ledger) clear(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
 	r := l.records[fp]
 	if r == nil || len(r.Crashes) == 0 {
 		return Clear, false
--- a/command/quarantine/message.go
+++ b/command/quarantine/message.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // maxTold bounds the records in one message, about 160 B each: the rest follow in the next.
@@ -71,11 +73,11 @@
 	}
 	answer := Message{From: l.id, Digest: l.digest}
 	answer.Records, answer.Through = l.since(heard, now)
-	told := map[string]Record{}
+	told := map[serving.Fingerprint]Record{}
 	for _, r := range m.Records {
-		told[string(r.Fingerprint)] = r
+		told[r.Fingerprint] = r
 	}
-	answer.Records = slices.DeleteFunc(answer.Records, func(r Record) bool { return r.same(told[string(r.Fingerprint)]) })
+	answer.Records = slices.DeleteFunc(answer.Records, func(r Record) bool { return r.same(told[r.Fingerprint]) })
 	return answer, raised
 }
 
