What comes back at its own address has one that connections do not take

Cause: entry TestPoisonRequestSameID failed once in a run of all tests (-race): "engine: listen tcp 127.0.0.1:41379: bind: address already in use". An engine that had ended came back 1.5 s later at a port of 127.0.0.1 from the range of which the machine takes ports for connections; a connection or listener of another test had it meanwhile.

Instances in the tests of entry had addresses of their own for that reason; so have now the engines that come back, the proxies of the soak that refuse and return (one that could not return showed as a server that stays away), and the processes of e2e, whose ports are chosen before they start. Not weakened: the same tests, same bounds. Run after it: entry Poison tests, soak and e2e, passed.

--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -148,10 +148,11 @@
 	return strings.Fields(rest)[0]
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns a loopback address that nobody listens on, and that is left alone
+// until a process of the test does.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnIP(), "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -100,7 +101,7 @@
 
 // engine runs an engine that is back at its address after it has ended.
 func (f *crashFleet) engine(ctx context.Context, i int) {
-	address := "127.0.0.1:0"
+	address := net.JoinHostPort(standin.OwnIP(), "0")
 	for start := 0; ctx.Err() == nil; start++ {
 		id := fmt.Sprintf("c%d-%d", i, start)
 		if f.sameID {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -141,7 +141,7 @@
 // addInstance starts the instance of a machine, each at an address of its own.
 func (f *fleet) addInstance(machine int) *running {
 	f.t.Helper()
-	ip := freeIP()
+	ip := standin.OwnIP()
 	s := platform.Settings{NodeName: "node-" + strconv.Itoa(machine), IP: ip, Zone: "a", InternalPorts: []int{7380, 7390}}
 	s.Listen.Frontend, s.Listen.Ready = freePort(f.t, ip), freePort(f.t, ip)
 	s.Platform.Address = f.storeURL
@@ -179,14 +179,6 @@
 	return path
 }
 
-// freeIP returns a loopback address that no other test has, also in another process:
-// instances listen on fixed ports, and two test runs at once on one machine took each
-// other's.
-func freeIP() string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&0x3f, pid&0xff, addresses.Add(1))
-}
-
 func freePort(t *testing.T, ip string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
@@ -206,8 +198,8 @@
 	}
 }
 
-// addresses and attempts count what was given out, over all tests.
-var addresses, attempts atomic.Int64
+// attempts counts what was given out, over all tests.
+var attempts atomic.Int64
 
 // answer is what a client got.
 type answer struct {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/martenport/martenport/internal/standin"
 )
 
 // mode is what a proxy does with what passes through it.
@@ -46,7 +48,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(standin.OwnIP(), "0"))
 	if err != nil {
 		return nil, err
 	}
