Who follows a holder that does not count renewals is not counted from

Cause: reading. A holder of software before renews without a revision, also after its successor has sent the take-over and before the store carries it out. The one after that successor would count from when the take-over was sent, too early by the time that it was on its way. Seen nowhere. The record of such a successor says that it counts nothing until its own first renewal.

--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -41,8 +41,10 @@
 	// holder's that starts anew has to wait like any successor.
 	Settled bool `json:"settled"`
 	// Renewals counts the renewals under this token, so that each makes a revision of
-	// the record. It is 0 in records of holders whose renewals change nothing: there a
-	// revision says nothing of the last one.
+	// the record. It is 0 in records of holders whose renewals change nothing, where a
+	// revision says nothing of the last one, and until the first renewal of one that
+	// follows such a holder, which may have renewed the lease after its successor had
+	// sent the take-over.
 	Renewals int64 `json:"renewals,omitempty"`
 	// Released: the holder has stopped ordering.
 	Released bool `json:"released"`
@@ -90,7 +92,11 @@
 
 // Candidate returns the record to write in place of current to take over.
 func (l *Lease) Candidate(current Record, address string) Record {
-	return Record{Holder: l.self, Address: address, Fence: current.Fence + 1, Settled: l.follows(current), Renewals: 1}
+	candidate := Record{Holder: l.self, Address: address, Fence: current.Fence + 1, Settled: l.follows(current), Renewals: 1}
+	if current.Fence != 0 && current.Renewals == 0 {
+		candidate.Renewals = 0
+	}
+	return candidate
 }
 
 // follows reports whether no other machine's holder may order after previous.
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -54,6 +54,26 @@
 	}
 }
 
+// TestFollowsUncountedRenewals: who succeeds a holder whose renewals change nothing does not
+// have others count from its take-over: that one may have renewed the lease while the
+// take-over was on its way. From its own first renewal on they do.
+func TestFollowsUncountedRenewals(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(testParams, "b")
+	before := Record{Holder: "a", Fence: 1}
+	record := b.Candidate(before, "")
+	b.Won(before, 7, record, 8, now, now)
+	renewed, _ := b.Renewal(now)
+	for _, c := range []struct {
+		record Record
+		counts bool
+	}{{record, false}, {renewed, true}, {New(testParams, "c").Candidate(renewed, ""), true}, {b.Candidate(Record{}, ""), true}} {
+		if c.counts != (c.record.Renewals > 0) {
+			t.Errorf("%+v: counted from: %v", c.record, !c.counts)
+		}
+	}
+}
+
 // TestLostAnswerCountsForNothing: a renewal whose answer was lost has made a revision. The
 // holder goes on from it once it has renewed the lease again, and not before: others may
 // have known of that revision for long.
