--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -12,10 +12,11 @@
 	"github.com/martenport/martenport/serving"
 )
 
-// hold has an instance learn that servers ended under a request.
+// hold has an instance learn that servers ended under a request, which runs alone once it is
+// a suspect.
 func hold(r *running, fp serving.Fingerprint, ends int) {
 	for n := range ends {
-		b := quarantine.Break{Fingerprint: fp, Subject: "POST h.example/x m1", Server: serving.Server{ID: string(rune('a' + n)), Version: "v1"}}
+		b := quarantine.Break{Fingerprint: fp, Subject: "POST h.example/x m1", Server: serving.Server{ID: string(rune('a' + n)), Version: "v1"}, Alone: n >= quarantine.SuspectAfter}
 		r.crashes.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
 	}
 }
@@ -76,7 +77,7 @@
 	f := newFleet(t, 3)
 	f.await("a holder", func() bool { return f.holder() != nil })
 	for n, r := range f.instances {
-		b := quarantine.Break{Fingerprint: "fp", Server: serving.Server{ID: string(rune('a' + n))}}
+		b := quarantine.Break{Fingerprint: "fp", Server: serving.Server{ID: string(rune('a' + n))}, Alone: n >= quarantine.SuspectAfter}
 		r.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
 	}
 	f.await("known everywhere", f.everywhere("fp", quarantine.Quarantined))
