--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -59,6 +59,28 @@
 	}
 }
 
+// TestCulpritBesideARunAlone: three servers end together under one request, while another that
+// many clients ask for runs on all of them. That one then runs alone on a fourth server, which
+// the culprit had been sent to before anything was known and begins only now. The end of the
+// fourth is no end under a run alone: both had been under way there. Seen in the soak (seed
+// 1028): 473 requests that harm nobody refused for good.
+func TestCulpritBesideARunAlone(t *testing.T) {
+	l := NewLedger()
+	for n := range 3 {
+		for _, fp := range []serving.Fingerprint{"beside", "culprit"} {
+			l.Ended(Break{Fingerprint: fp, Server: server(n)}, start)
+		}
+	}
+	l.Ended(Break{Fingerprint: "beside", Server: server(3), Alone: true}, start)
+	l.Ended(Break{Fingerprint: "culprit", Server: server(3)}, start)
+	if got := l.State("beside"); got != Suspect {
+		t.Errorf("%s, want suspect", got)
+	}
+	if got := l.State("culprit"); got != Suspect {
+		t.Errorf("the culprit is %s, want suspect", got)
+	}
+}
+
 // TestStates: the first end holds nothing against anybody, the second has a request run
 // alone, the third has it refused; the same life counts once.
 func TestStates(t *testing.T) {
