The lease alone says when what holders before have begun is over

The holder decided again, beside the lease, which take-overs have to wait and for how long. Lease.Won now sets both times in its one switch: from when orders may be sent, and from when runs that a holder before has let begin are over. An order looks at the clocks once and not twice.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -64,9 +64,6 @@
 	// proving is whether a renewal is on its way that decides whether the lease
 	// is given up; guarded by mu.
 	proving bool
-	// settledFrom is from when nothing that another holder has let begin goes on unknown;
-	// guarded by mu.
-	settledFrom time.Time
 	// remoteAtOnce is what a holder before has learned of the weight store; guarded by mu.
 	remoteAtOnce float64
 	// gaveUp is the released record under which this instance has promised to
@@ -129,12 +126,11 @@
 }
 
 // Settled reports whether the lease is this instance's and what holders before have let
-// begin is over or known. Orders may be sent before that: their time is bounded by the
-// lease's renewals, that of runs which a holder lets begin is not.
+// begin is over or known, which the lease's renewals do not bound.
 func (h *Holder) Settled(now time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lease.Held() && !now.Before(h.settledFrom)
+	return h.lease.Over(now)
 }
 
 // Fence returns the fencing token held, 0 when there is none.
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -56,10 +56,6 @@
 	h.mu.Lock()
 	h.lease.Won(current, revision, candidate, written, sent, clock.Now())
 	from := h.lease.OrderFrom("")
-	h.settledFrom = from
-	if !candidate.Settled && !current.Released {
-		h.settledFrom = clock.Now().Add(h.SuccessionTime())
-	}
 	h.fleet = replicas.NewFleet(h.params.Fleet)
 	h.fleet.SetLimits(h.limits)
 	h.fleet.LearnRemoteAtOnce(h.remoteAtOnce)
@@ -228,9 +224,10 @@
 func (h *Holder) token(engine string) (int64, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	token, ok := h.lease.Fence(engine, clock.Exact())
+	now := clock.Exact()
+	token, ok := h.lease.Fence(engine, now)
 	if ok {
-		h.lease.Ordered(engine, clock.Exact())
+		h.lease.Ordered(engine, now)
 	}
 	return token, ok
 }
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -75,8 +75,9 @@
 	held     bool
 	// renewed is when the last confirmed renewal was sent.
 	renewed time.Time
-	// from is when the first order may be sent.
-	from time.Time
+	// from is when the first order may be sent, and over is from when nothing that a holder
+	// before has let begin goes on unknown, which its renewals do not bound.
+	from, over time.Time
 	// knows is from when this process knows of every order that still counts:
 	// one that follows another on its machine does not know of the other's.
 	knows time.Time
@@ -111,29 +112,23 @@
 	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
 	l.knows = time.Time{}
 	l.others, l.ordered = map[string]time.Time{}, map[string]time.Time{}
+	l.from, l.over = now, now
 	switch {
 	case l.follows(previous):
-		l.from = now
 		if previous.Fence != 0 {
 			l.knows = now.Add(l.params.Settle)
 		}
 	case previous.Released:
-		l.from = now
 		for engine, age := range previous.Ordered {
 			l.others[engine] = now.Add(-time.Duration(age) * time.Millisecond)
 		}
 	default:
-		l.from = later(now, l.lastRenewal(previous, replaced, now).Add(l.params.Validity+l.params.Settle))
+		whole := l.params.Validity + l.params.Settle
+		l.from = now.Add(max(0, whole-now.Sub(l.lastRenewal(previous, replaced, now))))
+		l.over = now.Add(whole)
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Renewal returns the record to write, at the revision of the last one, to renew
 // the lease at now.
 func (l *Lease) Renewal(now time.Time) (record Record, revision int64) {
@@ -160,6 +155,10 @@
 	}
 }
 
+// Over reports whether the lease is held and what holders before have let begin is over, or
+// known. Orders may be sent before that: their time is bounded by renewals.
+func (l *Lease) Over(now time.Time) bool { return l.held && !now.Before(l.over) }
+
 // Adopt takes over the record at revision as the store has it, and reports whether it
 // is still this holder's, which has then written it by a renewal without an answer.
 // That renewal counts for nothing: others may have known of the revision for long.
