A ledger's record takes over clears and ends in steps of their own

The three lists of lives were each searched, added to and removed from by hand, in one function of forty lines. The order of the steps is kept: what is cleared is cut to its bound only after the ends were looked at.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -209,46 +209,73 @@
 
 // take takes over what another record says and reports whether that was news.
 func (r *record) take(from Record) bool {
-	changed := false
-	for _, life := range from.Cleared {
-		if !slices.Contains(r.Cleared, life) && !r.forgotten(life) {
-			r.Cleared = append(r.Cleared, life)
-			changed = true
-		}
-		if i := slices.Index(r.Crashes, life); i >= 0 {
-			r.Crashes = slices.Delete(r.Crashes, i, i+1)
-			changed = true
-		}
-		if i := slices.Index(r.Alone, life); i >= 0 {
-			r.Alone = slices.Delete(r.Alone, i, i+1)
+	changed := r.takeCleared(from.Cleared)
+	changed = r.takeEnds(from) || changed
+	r.tidy()
+	if from.Grace > r.Grace {
+		r.Grace = from.Grace
+		changed = true
+	}
+	if r.Subject == "" {
+		r.Subject = from.Subject
+	}
+	return changed
+}
+
+// takeCleared has lives not count any more, and reports whether that was news.
+func (r *record) takeCleared(cleared []Life) (changed bool) {
+	for _, life := range cleared {
+		if !r.forgotten(life) {
+			changed = add(&r.Cleared, life) || changed
 		}
+		changed = remove(&r.Crashes, life) || changed
+		remove(&r.Alone, life)
 	}
+	return changed
+}
+
+// takeEnds has lives that ended count, and reports whether that was news.
+func (r *record) takeEnds(from Record) (changed bool) {
 	for _, life := range from.Crashes {
-		if !slices.Contains(r.Crashes, life) && !slices.Contains(r.Cleared, life) && len(r.Crashes) < r.mostCrashes(from, life) {
-			r.Crashes = append(r.Crashes, life)
-			changed = true
+		if !slices.Contains(r.Cleared, life) && len(r.Crashes) < r.mostCrashes(from, life) {
+			changed = add(&r.Crashes, life) || changed
 		}
 	}
 	for _, life := range from.Alone {
-		if slices.Contains(r.Crashes, life) && !slices.Contains(r.Alone, life) {
-			r.Alone = append(r.Alone, life)
-			changed = true
+		if slices.Contains(r.Crashes, life) {
+			changed = add(&r.Alone, life) || changed
 		}
 	}
+	return changed
+}
+
+// tidy has the lists be in order, and forgets what is too much.
+func (r *record) tidy() {
 	slices.SortFunc(r.Crashes, compareLives)
 	slices.SortFunc(r.Cleared, compareLives)
 	slices.SortFunc(r.Alone, compareLives)
 	if excess := len(r.Cleared) - maxCleared; excess > 0 {
 		r.Cleared = slices.Delete(r.Cleared, 0, excess) // all ledgers drop the same
 	}
-	if from.Grace > r.Grace {
-		r.Grace = from.Grace
-		changed = true
+}
+
+// add adds a life that a list lacks and reports whether it did.
+func add(lives *[]Life, life Life) bool {
+	if slices.Contains(*lives, life) {
+		return false
 	}
-	if r.Subject == "" {
-		r.Subject = from.Subject
+	*lives = append(*lives, life)
+	return true
+}
+
+// remove removes a life from a list and reports whether it was there.
+func remove(lives *[]Life, life Life) bool {
+	i := slices.Index(*lives, life)
+	if i < 0 {
+		return false
 	}
-	return changed
+	*lives = slices.Delete(*lives, i, i+1)
+	return true
 }
 
 // mostCrashes bounds the ends that a record remembers, for one more. That under a run of its own
