--- a/command/weights/weights.go
+++ b/command/weights/weights.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -104,10 +105,7 @@
 	}
 	g.waiting = append(g.waiting, w)
 	g.mu.Unlock()
-	select {
-	case g.news <- struct{}{}:
-	default: // there is word already
-	}
+	pause.Wake(g.news)
 	select {
 	case err := <-w.done:
 		return err
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -110,7 +110,7 @@
 	}
 	delete(d.removed, s.ID)
 	drained, drains := d.draining[s.ID]
-	if drains && (serving.Server{Born: drained.born}).Before(s) {
+	if drains && serving.BornBefore(drained.born, s.Born) {
 		delete(d.draining, s.ID)
 		drains = false
 	}
--- a/entry/quarantine_direct.go
+++ b/entry/quarantine_direct.go
@@ -30,7 +30,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	upToDate := q.told == q.ledger.Change()
-	q.heard(q.ledger.Take(records, now))
+	q.take(records, now)
 	if upToDate {
 		q.told = q.ledger.Change()
 	}
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -73,7 +73,7 @@
 	q.logRaised(raised, "seen here")
 	q.writeLater(raised)
 	q.follower.wake()
-	q.wake()
+	pause.Wake(q.woken)
 }
 
 // answer takes over what another instance tells, and returns what to tell it.
@@ -82,7 +82,7 @@
 	if len(raised) > 0 { // no single instance has seen that
 		q.logRaised(raised, "put together")
 		q.writeLater(raised)
-		q.wake()
+		pause.Wake(q.woken)
 	}
 	return answer
 }
@@ -112,7 +112,7 @@
 		q.mu.Unlock()
 	}
 	q.follower.wake()
-	q.wake()
+	pause.Wake(q.woken)
 }
 
 // expired has the store forget a request, once for all instances.
@@ -130,13 +130,6 @@
 	}
 }
 
-func (q *quarantineKeeper) wake() {
-	select {
-	case q.woken <- struct{}{}:
-	default: // it has been woken already
-	}
-}
-
 // Times of the keeper.
 const (
 	// keepInterval is the pause between looks at what is to be told or written.
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -101,13 +101,9 @@
 		}
 		return q.store.Delete(ctx, key, version)
 	}
-	if version != 0 && sameLives(stored.Crashes, r.Crashes) && sameLives(stored.Alone, r.Alone) {
+	if version != 0 && slices.Equal(stored.Crashes, r.Crashes) && slices.Equal(stored.Alone, r.Alone) {
 		return nil
 	}
 	_, err = store.WriteJSON(ctx, q.store, key, encodeHeld(r, now), version)
 	return err
 }
-
-func sameLives(a, b []quarantine.Life) bool {
-	return len(a) == len(b) && !slices.ContainsFunc(a, func(life quarantine.Life) bool { return !slices.Contains(b, life) })
-}
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -9,6 +9,7 @@
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
 )
 
 // trial asks the holder whether a suspect may run alone.
@@ -61,9 +62,4 @@
 }
 
 // wake has the next report be sent at once.
-func (f *follower) wake() {
-	select {
-	case f.woken <- struct{}{}:
-	default: // a report is due already
-	}
-}
+func (f *follower) wake() { pause.Wake(f.woken) }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -110,10 +110,7 @@
 	defer w.mu.Unlock()
 	w.relayed, w.lifetime = now, lifetime
 	w.wanted = max(w.wanted, news.ConfigVersion)
-	select {
-	case w.news <- struct{}{}:
-	default: // the watch has been woken already
-	}
+	pause.Wake(w.news)
 }
 
 // lacksConfig reports whether a newer configuration than the one in force was
@@ -231,13 +228,7 @@
 		pause.For(ctx, relayCheck)
 		return
 	}
-	timer := time.NewTimer(relayCheck)
-	defer timer.Stop()
-	select {
-	case <-w.news:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.Until(ctx, relayCheck, w.news)
 }
 
 func (w *watcher) readOrWatch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -1,4 +1,4 @@
-// Package pause waits for a time under a context.
+// Package pause waits for a time under a context, or for a word.
 package pause
 
 import (
@@ -32,3 +32,12 @@
 		return false
 	}
 }
+
+// Wake has whoever waits for something from woken, which holds one item, go on. It does not
+// wait itself: where nobody waits the word stays, and several become one.
+func Wake(woken chan<- struct{}) {
+	select {
+	case woken <- struct{}{}:
+	default:
+	}
+}
--- a/serving/server.go
+++ b/serving/server.go
@@ -28,9 +28,12 @@
 // Before reports whether s is an earlier process than another that bears the same ID. It is
 // not if either does not say when it was born.
 func (s Server) Before(other Server) bool {
-	return s.Born != 0 && other.Born != 0 && s.Born < other.Born
+	return BornBefore(s.Born, other.Born)
 }
 
+// BornBefore reports whether a process that was born at a is earlier than one born at b.
+func BornBefore(a, b int64) bool { return a != 0 && b != 0 && a < b }
+
 // SameLife reports whether a process that was born then may be the server's.
 func (s Server) SameLife(born int64) bool {
 	return s.Born == 0 || born == 0 || s.Born == born
