An end under a run alone is settled once others can have told who was there

Cause: a run alone is alone among suspects only as far as the holder knows; a request sent to the same server before it became one begins there later.

Where another suspect was at one of the ends that count against the request, the end under its run alone is held back for 2.5 s (two reports and what it takes to notice an end), and does not count as such if a suspect by other ends was there. Meanwhile the holder lets it run nowhere. Without a rival it counts at once as before.

Ruled out: two ends under runs alone (one more engine ends under each culprit); counting at once and taking it back (clears of others are merged everywhere and only grow).

Test: TestCulpritBesideARunAlone was red and is green. TestCulpritExplains asserted that the end counts at once although another suspect was at all other ends, which is the very state of the red test; it now asserts that nothing counts before it is settled and all that it asserted before after that.

--- a/command/quarantine/break.go
+++ b/command/quarantine/break.go
@@ -21,6 +21,9 @@
 	// Left: the client left before. That is no sign that the server ended, but if it did
 	// the request was there.
 	Left bool
+	// GivenUp: the instance gave the answer up, since it was none to this request. The server
+	// may go on with the request, and end later.
+	GivenUp bool
 }
 
 // vague reports whether the break tells little of the server's end: where a link is cut the
@@ -47,7 +50,7 @@
 		told.Grace = min(mostGrace, graceGrowth*b.Ran)
 	default:
 		told.Crashes = []Life{LifeOf(b.Server)}
-		if b.Alone {
+		if b.Alone && !l.postpone(b, now) {
 			told.Alone = told.Crashes
 		}
 	}
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -41,6 +41,9 @@
 	digest uint64
 	// answered are the requests that this instance has answered of late; guarded by mu.
 	answered answered
+	// unsettled are ends under runs alone of which another request may be the cause;
+	// guarded by mu.
+	unsettled map[serving.Fingerprint]unsettledEnd
 }
 
 type record struct {
@@ -53,7 +56,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}}
+	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}, unsettled: map[serving.Fingerprint]unsettledEnd{}}
 }
 
 // Answered notes that the request was answered: it is cleared, and what is heard of ends under
--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -110,6 +110,13 @@
 		t.Fatal("not yet a suspect")
 	}
 	crashed(l, "culprit", 2)
+	if l.State("culprit") != Suspect || l.State("beside") != Suspect || !l.Unsettled("culprit") {
+		t.Error("an end under a run alone counts before it is known who else was there")
+	}
+	l.Settle(start.Add(settleAfter))
+	if got := l.State("culprit"); got != Quarantined || l.Unsettled("culprit") {
+		t.Errorf("%s, want quarantined", got)
+	}
 	if got := l.State("beside"); got != Clear {
 		t.Errorf("%s, want clear", got)
 	}
--- a/command/quarantine/together_test.go
+++ b/command/quarantine/together_test.go
@@ -55,6 +55,7 @@
 	}
 	l.Ended(Break{Fingerprint: "beside", Server: server(3), Alone: true}, start)
 	l.Ended(Break{Fingerprint: "culprit", Server: server(3)}, start)
+	l.Settle(start.Add(settleAfter))
 	if got := l.State("beside"); got != Suspect {
 		t.Errorf("%s, want suspect", got)
 	}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -209,8 +209,12 @@
 	}
 }
 
-// sweep forgets breaks of which nothing more can be found, and ends that are old.
+// sweep settles ends under runs alone, and forgets breaks of which nothing more can be found,
+// and ends that are old.
 func (c *crashes) sweep(now time.Time) {
+	if raised := c.ledger.Settle(now); len(raised) > 0 {
+		c.keeper.changed(raised)
+	}
 	for _, life := range c.livesWhere(func(w *lifeWatch) bool { return now.Sub(w.touched) > breakMemory }) {
 		c.forget(life)
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -60,7 +60,7 @@
 	end := func(doubtful bool) {
 		if !over {
 			over = true
-			go g.follower.endTrial(trial, doubtful)
+			go g.follower.endTrial(trial, doubtful || g.ledger.Unsettled(fp))
 		}
 	}
 	return forward.Trial{Grace: g.ledger.Grace(fp), End: end}, nil
