An engine that answers without its receipt and then ends is counted

Cause: such an answer is given up at once, the look right after it finds the engine there, and forgets the break; the engine ends 20 ms later under the request that it went on with. Answers that are given up stay in the watch for half a second, in which the server is looked at again after 60, 120 and 240 ms.

--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -63,10 +63,7 @@
 // crashFleet is a fleet whose engines end when they begin the poison, and are back.
 type crashFleet struct {
 	*fleet
-	// eventPause is the pause between events of the engines' streams.
-	eventPause time.Duration
-	// sameID: engines bear the same id again after they have ended, and their entries stay.
-	sameID bool
+	engines crashEngines
 	// mu guards the list of instances, too, while some are replaced.
 	mu sync.Mutex
 	// starts has all starts of engines; ended when engines ended; guarded by mu.
@@ -79,13 +76,23 @@
 	sent, failed, refused int
 }
 
+// crashEngines says how engines end.
+type crashEngines struct {
+	// eventPause is the pause between events of their streams.
+	eventPause time.Duration
+	// sameID: they bear the same id again after they have ended, and their entries stay.
+	sameID bool
+	// unsealed: they answer the poison with a head that has no receipt before they end.
+	unsealed bool
+}
+
 // newCrashFleet starts instances before six engines that have the same model.
 func newCrashFleet(t *testing.T, instances int, eventPause time.Duration) *crashFleet {
-	return newCrashFleetWith(t, instances, eventPause, false)
+	return newCrashFleetWith(t, instances, crashEngines{eventPause: eventPause})
 }
 
-func newCrashFleetWith(t *testing.T, instances int, eventPause time.Duration, sameID bool) *crashFleet {
-	f := &crashFleet{fleet: newFleet(t, instances), eventPause: eventPause, sameID: sameID, tries: map[string]bool{}}
+func newCrashFleetWith(t *testing.T, instances int, engines crashEngines) *crashFleet {
+	f := &crashFleet{fleet: newFleet(t, instances), engines: engines, tries: map[string]bool{}}
 	ctx, stop := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	t.Cleanup(func() { stop(); work.Wait() })
@@ -108,12 +115,12 @@
 	address := net.JoinHostPort(standin.OwnIP(), "0")
 	for start := 0; ctx.Err() == nil; start++ {
 		id := fmt.Sprintf("c%d-%d", i, start)
-		if f.sameID {
+		if f.engines.sameID {
 			id = fmt.Sprintf("c%d", i)
 		}
 		s, err := standin.NewServerAt(address, standin.ServerParams{
-			ID: id, Service: "llm", FailureDomain: "a", EventPause: f.eventPause, Models: testModels, MemoryMB: testMemoryMB,
-			AdapterSlots: testAdapterSlots, Loaded: []string{"m1"}, Poison: poison,
+			ID: id, Service: "llm", FailureDomain: "a", EventPause: f.engines.eventPause, Models: testModels, MemoryMB: testMemoryMB,
+			AdapterSlots: testAdapterSlots, Loaded: []string{"m1"}, Poison: poison, Unsealed: f.engines.unsealed,
 		})
 		if err != nil {
 			f.t.Errorf("engine: %v", err)
@@ -135,7 +142,7 @@
 		}
 		silence()
 		pause.For(ctx, lapseTime)
-		if obj, err := f.store.Get(ctx, platform.PrefixServers+id); err == nil && !f.sameID {
+		if obj, err := f.store.Get(ctx, platform.PrefixServers+id); err == nil && !f.engines.sameID {
 			_ = f.store.Delete(ctx, obj.Key, obj.Version)
 		}
 		pause.For(ctx, downTime-lapseTime)
@@ -315,7 +322,7 @@
 // TestPoisonRequestSameID: the same while engines that are back bear the id that they had:
 // each start counts, and what is back is used again.
 func TestPoisonRequestSameID(t *testing.T) {
-	f := newCrashFleetWith(t, 4, shortPause, true)
+	f := newCrashFleetWith(t, 4, crashEngines{eventPause: shortPause, sameID: true})
 	f.play(10*time.Second, func(context.Context) {})
 	f.check(0)
 	f.await("all engines used again", func() bool {
@@ -323,6 +330,15 @@
 	})
 }
 
+// TestPoisonRequestUnsealed: the same while engines answer it before they end, without the
+// receipt that proves an answer to be theirs. 59 engines ended in one play, with 60 late sends,
+// while such an answer was no sign of an end.
+func TestPoisonRequestUnsealed(t *testing.T) {
+	f := newCrashFleetWith(t, 4, crashEngines{eventPause: shortPause, unsealed: true})
+	f.play(10*time.Second, func(context.Context) {})
+	f.check(0)
+}
+
 // TestPoisonRequestHolderLost: the same while the instance that orders engines is lost as
 // soon as the first engine has ended.
 func TestPoisonRequestHolderLost(t *testing.T) {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -24,27 +24,44 @@
 // many answers off, and does not end, is not asked as often as it does.
 const checkSpacing = 250 * time.Millisecond
 
+// firstRelook is the first pause between two looks at a server that may still be at work on a
+// request whose answer was given up; it doubles.
+const firstRelook = 60 * time.Millisecond
+
 // check looks whether a server has ended, at a time at the earliest, once for all answers that
 // break off meanwhile.
 func (c *crashes) check(life quarantine.Life, s serving.Server, from time.Time, settled chan struct{}) {
 	time.Sleep(clock.Until(from))
-	began := clock.Now()
-	presence := c.look(s)
-	if presence == serving.PresenceEnded {
-		c.noteEnd(life, "address refuses or is another's")
+	for wait := firstRelook; c.lookOnce(life, s); wait *= 2 {
+		time.Sleep(wait)
 	}
 	c.mu.Lock()
 	if w := c.lives[life]; w != nil {
 		w.settled = nil
-		if presence == serving.PresenceThere {
-			w.dropBefore(began)
-			w.there = clock.Now()
-		}
 	}
 	c.mu.Unlock()
 	close(settled)
 }
 
+// lookOnce looks whether a server has ended, and reports whether it should be looked at again:
+// it was there, and may still be at work on a request whose answer was given up.
+func (c *crashes) lookOnce(life quarantine.Life, s serving.Server) (again bool) {
+	began := clock.Now()
+	presence := c.look(s)
+	if presence == serving.PresenceEnded {
+		c.noteEnd(life, "address refuses or is another's")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.lives[life]
+	if w == nil || presence != serving.PresenceThere {
+		return false
+	}
+	w.dropBefore(began)
+	w.there = clock.Now()
+	return len(w.breaks) > 0
+}
+
 // look returns whether a server is there, as far as that can be seen at once.
 func (c *crashes) look(s serving.Server) serving.Presence {
 	connects := 0
@@ -70,11 +87,18 @@
 	return config != nil && config.Services[s.Service].Engine != nil
 }
 
-// dropBefore forgets the answers that broke off before t: the server was there after them.
+// givenUpCounts is how long after its answer was given up a request may still be the cause of
+// its server's end: it goes on there, and one that ends servers does so within tens of
+// milliseconds of its beginning. An engine that answered without its receipt and then ended was
+// not counted at all before: 59 engines ended under one request in a play with four instances.
+const givenUpCounts = 500 * time.Millisecond
+
+// dropBefore forgets the answers that broke off before t: the server was there after them. Those
+// that were given up it forgets later.
 func (w *lifeWatch) dropBefore(t time.Time) {
 	kept := w.breaks[:0]
 	for _, b := range w.breaks {
-		if b.at.After(t) {
+		if b.at.After(t) || b.GivenUp && t.Sub(b.at) < givenUpCounts {
 			kept = append(kept, b)
 		}
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -38,6 +38,8 @@
 	// Poison begins the bodies of requests that end the server when it begins them; none if
 	// empty.
 	Poison string
+	// Unsealed: what it answers to them before has no proof that it made it.
+	Unsealed bool
 	// EventPause is the pause between events of a stream, Work what a plain
 	// request takes.
 	EventPause, Work time.Duration
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -38,7 +38,7 @@
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
 	if s.params.Poison != "" && strings.HasPrefix(string(body), s.params.Poison) {
-		s.endUnder(string(body))
+		s.endUnder(w, string(body))
 	}
 	if s.arrivals.fails() {
 		time.Sleep(s.params.Work)
@@ -54,7 +54,11 @@
 }
 
 // endUnder ends the server for the request with the given body.
-func (s *Server) endUnder(body string) {
+func (s *Server) endUnder(w http.ResponseWriter, body string) {
+	if s.params.Unsealed {
+		w.Header().Del("Martenport-Server-Seal")
+		_ = http.NewResponseController(w).Flush()
+	}
 	time.Sleep(poisonTime)
 	s.mu.Lock()
 	if s.endedBy == "" {
