Limits over all instances: shares that the holder lends, questions beyond them

A share grows with what is asked for at the instance, is given up again as far as it is not needed at each report, and is counted as lent until the instance reports another one, or its lifetime is over.

Not used yet.

--- /dev/null
+++ b/command/quota/lender.go
@@ -0,0 +1,352 @@
+package quota
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+func compare(a, b string) int { return cmp.Compare(a, b) }
+
+// Parts of a limit.
+const (
+	// lentRate and lentSaved are the parts of what a limit gains and of what may be saved up
+	// that are lent at the most. The rest is for questions: of instances where nothing was
+	// asked for of late, and of those that ask for more.
+	lentRate, lentSaved = 0.75, 0.5
+	// ahead is by how much a share is above what is asked for at an instance on average, so
+	// that most of what comes in bursts needs no question.
+	ahead = 1.5
+	// demandMemory is how long what is asked for counts: long enough that a few requests a
+	// second are an average, short against the bursts in which it changes.
+	demandMemory = 3 * time.Second
+	// usualMemory is the weight of the newest report in what a request asks for on average.
+	usualMemory = 0.05
+	// alikePart is the part of a share by which it is not changed.
+	alikePart = 0.3
+	// keptPart is the part of what an instance may save up that it keeps when it reports.
+	// The rest is room for what it gains until the next report.
+	keptPart = 0.6
+	// savedFor is for how long what an instance may save up lasts it, and usualSaved how many
+	// usual requests it may save up beyond that. Those that report first would else have all
+	// that can be lent: of what was asked for in the first two seconds of a load 7 in 10
+	// requests were refused.
+	savedFor   = 3 * time.Second
+	usualSaved = 2
+	// worthHaving is how many usual requests a share has to hold.
+	worthHaving = 1.5
+	// heaviestKept is how many of the heaviest requests the holder can grant at once.
+	heaviestKept = 2
+	// firstMost is the part of a limit that an instance may have before any was told of more.
+	firstMost = 0.125
+	// mostKnownAfter is how long after instances are told of a larger share one may get it:
+	// longer than two reports are apart.
+	mostKnownAfter = 2200 * time.Millisecond
+	// lifetimeSlack is the part by which the holder counts a share for longer than the
+	// instance uses it: their clocks do not run alike.
+	lifetimeSlack = 0.02
+)
+
+// Lender is the holder's account of what it lends. It is not safe for concurrent use.
+type Lender struct {
+	params Params
+	// began is when this instance became the holder.
+	began    time.Time
+	accounts map[string]*account
+	// reported are the instances that have reported since, and expected those that may still
+	// have shares of the holder before, once they are listed.
+	reported map[string]bool
+	expected []string
+	listed   bool
+	// complete is when all of them had reported, zero before.
+	complete time.Time
+}
+
+// account is one workspace's.
+type account struct {
+	limit serving.Limit
+	// own is what the holder keeps for questions, and free what it gains and may save up, as
+	// of when own was settled.
+	own   bucket
+	free  Share
+	loans map[string]*loan
+	// most is what no share is above, and announced what instances are told of that: it is
+	// the same once they had the time to hear, since announcedAt.
+	most, announced Share
+	announcedAt     time.Time
+	// before is the same of the holder before, as far as instances have told.
+	before Share
+	// heaviest is the largest amount asked for at once, and usual the mean one, of late.
+	heaviest, usual float64
+	// asked and refused are totals.
+	asked, refused float64
+}
+
+// loan is what one instance has.
+type loan struct {
+	// held is the share that it reported, told the one that it was told since.
+	held, told Share
+	until      time.Time
+	// demand is what is asked for there a second, as of noted.
+	demand float64
+	noted  time.Time
+}
+
+// counted is what the instance may have.
+func (l *loan) counted() Share { return l.held.larger(l.told) }
+
+// NewLender returns the account of an instance that has just become the holder.
+func NewLender(p Params, now time.Time) *Lender {
+	return &Lender{params: p, began: now, accounts: map[string]*account{}, reported: map[string]bool{}}
+}
+
+// Expect says which instances may have shares of the holder before.
+func (l *Lender) Expect(names []string) { l.expected, l.listed = names, true }
+
+// Limits returns a workspace's limit; ok is false if there is no such workspace.
+type Limits func(workspace string) (limit serving.Limit, ok bool)
+
+// Heard takes over an instance's report and returns what it is lent: all shares that it has
+// from now on. It must be called only while the lease is good and that of the holder before
+// is over.
+func (l *Lender) Heard(instance string, uses []Use, limits Limits, now time.Time) []Loan {
+	l.report(instance, now)
+	reported := map[string]bool{}
+	var loans []Loan
+	for _, use := range uses {
+		limit, known := limits(use.Workspace)
+		if !known || !limit.Limited() {
+			delete(l.accounts, use.Workspace)
+			continue
+		}
+		reported[use.Workspace] = true
+		a := l.account(use.Workspace, limit, now)
+		a.note(instance, use, l.params.Lifetime, now)
+		loans = append(loans, l.lend(a, use, instance, now))
+	}
+	for name, a := range l.accounts {
+		if !reported[name] {
+			delete(a.loans, instance) // it has started anew, or has had no share for long
+		}
+	}
+	return loans
+}
+
+// report notes that an instance has reported.
+func (l *Lender) report(instance string, now time.Time) {
+	l.reported[instance] = true
+	if l.complete.IsZero() && l.listed && l.silent() == 0 {
+		l.complete = now
+	}
+}
+
+// silent counts the instances that may have shares of the holder before and have not reported.
+func (l *Lender) silent() int {
+	n := 0
+	for _, name := range l.expected {
+		if !l.reported[name] {
+			n++
+		}
+	}
+	return n
+}
+
+// Ask answers a question for one request. It must be called only while the lease is good and
+// that of the holder before is over.
+func (l *Lender) Ask(workspace string, cost float64, limit serving.Limit, now time.Time) Answer {
+	if !limit.Limited() {
+		return Answer{Granted: true, Known: true}
+	}
+	a := l.account(workspace, limit, now)
+	l.settle(a, now)
+	switch {
+	case a.own.take(cost):
+		return Answer{Granted: true, Known: true}
+	case cost > l.params.saved(limit):
+		return Answer{Known: true}
+	}
+	// What is lent comes back as it is used up, so the whole rate counts.
+	return Answer{Known: true, After: time.Duration((cost - a.own.level) / limit.Rate * float64(time.Second))}
+}
+
+// account returns a workspace's account by its limit.
+func (l *Lender) account(workspace string, limit serving.Limit, now time.Time) *account {
+	a := l.accounts[workspace]
+	if a == nil || a.limit.Tokens != limit.Tokens {
+		a = &account{limit: limit, loans: map[string]*loan{}}
+		a.own.settled = now
+		a.free = l.whole(a).minus(l.unknown(a, now))
+		if !l.complete.IsZero() {
+			a.own.settled = l.complete // nobody has had a share of it since
+		}
+		a.most = l.whole(a).times(firstMost)
+		a.announced = a.most
+		l.accounts[workspace] = a
+	}
+	if a.limit != limit {
+		l.settle(a, now)
+		a.limit = limit
+	}
+	return a
+}
+
+// settle adds what the holder has gained of what nobody else may have. It returns what all
+// instances may have.
+func (l *Lender) settle(a *account, now time.Time) (given Share) {
+	given = l.lentTo(a, now)
+	free := l.whole(a).minus(given)
+	a.own.settle(Share{Rate: min(free.Rate, a.free.Rate), Saved: free.Saved}, now) // some may have ended since
+	a.free = free
+	return given
+}
+
+// note takes over what an instance reports.
+func (a *account) note(instance string, use Use, lifetime time.Duration, now time.Time) {
+	lo := a.loans[instance]
+	if lo == nil {
+		lo = &loan{noted: now.Add(-demandMemory / 4)}
+		a.loans[instance] = lo
+	}
+	lo.held, lo.told = use.Held, use.Held
+	lo.until = now.Add(time.Duration((1 + lifetimeSlack) * float64(lifetime)))
+	elapsed := max(time.Millisecond, now.Sub(lo.noted))
+	weight := min(1, elapsed.Seconds()/demandMemory.Seconds())
+	lo.demand += weight * (use.Asked/elapsed.Seconds() - lo.demand)
+	lo.noted = now
+	a.before = a.before.larger(use.Most)
+	a.most, a.announced = a.most.larger(use.Most), a.announced.larger(use.Most)
+	a.heaviest = max(use.Heaviest, a.heaviest*(1-weight/float64(len(a.loans))))
+	if use.Requests > 0 {
+		usual := use.Asked / float64(use.Requests)
+		if a.usual == 0 {
+			a.usual = usual
+		}
+		a.usual += usualMemory * (usual - a.usual)
+	}
+	a.own.level += use.Returned
+	a.asked += use.Asked
+	a.refused += use.Refused
+}
+
+// lend decides an instance's share anew, and returns what it is told.
+func (l *Lender) lend(a *account, use Use, instance string, now time.Time) Loan {
+	lo := a.loans[instance]
+	others := l.settle(a, now).minus(lo.counted())
+	want := l.want(a, lo, now)
+	if alike(want, lo.held) {
+		want = lo.held
+	}
+	lo.told = want.within(l.lendable(a).minus(others))
+	l.settle(a, now)
+	loan := Loan{Workspace: use.Workspace, Share: lo.told, Most: a.announced, Keep: lo.told.Saved * keptPart}
+	// What the instance lacks is made up from what the holder keeps, if it has plenty.
+	if missing := min(loan.Keep-use.Level, a.own.level/2); missing > 0 && a.own.take(missing) {
+		loan.Grant = missing
+	}
+	return loan
+}
+
+// alike reports whether a share is not worth changing for another: while it changes the larger
+// of the two counts.
+func alike(want, held Share) bool {
+	return math.Abs(want.Rate-held.Rate) <= alikePart*held.Rate && math.Abs(want.Saved-held.Saved) <= alikePart*held.Saved
+}
+
+// want returns the share that an instance should have by what is asked for there. One that
+// does not hold a usual request is not worth having: it would lie idle.
+func (l *Lender) want(a *account, lo *loan, now time.Time) Share {
+	all, demand := l.lendable(a), a.demand()
+	if demand <= 0 {
+		return Share{}
+	}
+	part := lo.demand / demand
+	share := Share{Rate: min(ahead*lo.demand, all.Rate*part), Saved: min(all.Saved*part, savedFor.Seconds()*lo.demand+usualSaved*a.usual)}
+	share = share.within(a.allowed(share, now))
+	if share.Saved < worthHaving*a.usual || share.Rate <= 0 {
+		return Share{}
+	}
+	return share
+}
+
+// allowed returns what no share may be above, and has instances be told of more if one
+// should be.
+func (a *account) allowed(share Share, now time.Time) Share {
+	if now.Sub(a.announcedAt) >= mostKnownAfter {
+		a.most = a.announced
+	}
+	if a.most == a.announced && share.within(a.most) != share {
+		a.announced, a.announcedAt = a.announced.larger(share.times(ahead)), now
+	}
+	return a.most
+}
+
+// lendable is what may be lent of a limit: all but a part for questions, which holds the
+// heaviest requests.
+func (l *Lender) lendable(a *account) Share {
+	all := l.whole(a)
+	return Share{Rate: lentRate * all.Rate, Saved: max(0, min(lentSaved*all.Saved, all.Saved-heaviestKept*a.heaviest))}
+}
+
+// whole is what there is of a limit.
+func (l *Lender) whole(a *account) Share {
+	return Share{Rate: a.limit.Rate, Saved: l.params.saved(a.limit)}
+}
+
+// lentTo is what all instances may have.
+func (l *Lender) lentTo(a *account, now time.Time) Share {
+	sum := l.unknown(a, now)
+	for name, lo := range a.loans {
+		if !now.Before(lo.until) {
+			delete(a.loans, name)
+			continue
+		}
+		sum = sum.plus(lo.counted())
+	}
+	return sum
+}
+
+// unknown is what instances may have that have not reported to this holder, of the one before.
+func (l *Lender) unknown(a *account, now time.Time) Share {
+	if !l.complete.IsZero() || now.Sub(l.began) > time.Duration((1+lifetimeSlack)*float64(l.params.Lifetime)) {
+		return Share{}
+	}
+	if !l.listed || a.before == (Share{}) {
+		return l.whole(a)
+	}
+	return a.before.times(float64(l.silent()))
+}
+
+// demand is what is asked for a second at all instances.
+func (a *account) demand() float64 {
+	sum := 0.0
+	for _, lo := range a.loans {
+		sum += lo.demand
+	}
+	return sum
+}
+
+// Total is what the holder knows of one workspace.
+type Total struct {
+	Workspace string
+	Limit     serving.Limit
+	// Asked and Refused are totals since this holder began; Demand is what is asked for a
+	// second.
+	Asked, Refused, Demand float64
+	// Lent is what instances may have, and Left what the holder could grant now.
+	Lent Share
+	Left float64
+}
+
+// Totals returns what is known of all workspaces with a limit that were asked for.
+func (l *Lender) Totals(now time.Time) []Total {
+	var list []Total
+	for name, a := range l.accounts {
+		given := l.settle(a, now)
+		list = append(list, Total{Workspace: name, Limit: a.limit, Asked: a.asked, Refused: a.refused, Demand: a.demand(), Lent: given, Left: a.own.level})
+	}
+	slices.SortFunc(list, func(a, b Total) int { return compare(a.Workspace, b.Workspace) })
+	return list
+}
