--- a/api/martenport/v1/martenportv1connect/martenport.connect.go
+++ b/api/martenport/v1/martenportv1connect/martenport.connect.go
@@ -63,6 +63,9 @@
 	// OperatorServiceListQuarantineProcedure is the fully-qualified name of the OperatorService's
 	// ListQuarantine RPC.
 	OperatorServiceListQuarantineProcedure = "/martenport.v1.OperatorService/ListQuarantine"
+	// OperatorServiceListWorkspacesProcedure is the fully-qualified name of the OperatorService's
+	// ListWorkspaces RPC.
+	OperatorServiceListWorkspacesProcedure = "/martenport.v1.OperatorService/ListWorkspaces"
 	// OperatorServiceReleaseProcedure is the fully-qualified name of the OperatorService's Release RPC.
 	OperatorServiceReleaseProcedure = "/martenport.v1.OperatorService/Release"
 	// OperatorServiceTimelineProcedure is the fully-qualified name of the OperatorService's Timeline
@@ -245,6 +248,9 @@
 	// ListQuarantine returns the requests under which servers ended and that are
 	// therefore run alone or refused.
 	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
+	// ListWorkspaces returns what each workspace asks for against its limit, and
+	// how current the instance that answers knows keys to be.
+	ListWorkspaces(context.Context, *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error)
 	// Release has such a request be served like all others again, at all instances.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
@@ -298,6 +304,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ListQuarantine")),
 			connect.WithClientOptions(opts...),
 		),
+		listWorkspaces: connect.NewClient[v1.ListWorkspacesRequest, v1.ListWorkspacesResponse](
+			httpClient,
+			baseURL+OperatorServiceListWorkspacesProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ListWorkspaces")),
+			connect.WithClientOptions(opts...),
+		),
 		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
 			httpClient,
 			baseURL+OperatorServiceReleaseProcedure,
@@ -321,6 +333,7 @@
 	getStatus      *connect.Client[v1.GetStatusRequest, v1.GetStatusResponse]
 	drain          *connect.Client[v1.DrainRequest, v1.DrainResponse]
 	listQuarantine *connect.Client[v1.ListQuarantineRequest, v1.ListQuarantineResponse]
+	listWorkspaces *connect.Client[v1.ListWorkspacesRequest, v1.ListWorkspacesResponse]
 	release        *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	timeline       *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 }
@@ -355,6 +368,11 @@
 	return c.listQuarantine.CallUnary(ctx, req)
 }
 
+// ListWorkspaces calls martenport.v1.OperatorService.ListWorkspaces.
+func (c *operatorServiceClient) ListWorkspaces(ctx context.Context, req *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error) {
+	return c.listWorkspaces.CallUnary(ctx, req)
+}
+
 // Release calls martenport.v1.OperatorService.Release.
 func (c *operatorServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return c.release.CallUnary(ctx, req)
@@ -382,6 +400,9 @@
 	// ListQuarantine returns the requests under which servers ended and that are
 	// therefore run alone or refused.
 	ListQuarantine(context.Context, *connect.Request[v1.ListQuarantineRequest]) (*connect.Response[v1.ListQuarantineResponse], error)
+	// ListWorkspaces returns what each workspace asks for against its limit, and
+	// how current the instance that answers knows keys to be.
+	ListWorkspaces(context.Context, *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error)
 	// Release has such a request be served like all others again, at all instances.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
@@ -431,6 +452,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ListQuarantine")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceListWorkspacesHandler := connect.NewUnaryHandler(
+		OperatorServiceListWorkspacesProcedure,
+		svc.ListWorkspaces,
+		connect.WithSchema(operatorServiceMethods.ByName("ListWorkspaces")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceReleaseHandler := connect.NewUnaryHandler(
 		OperatorServiceReleaseProcedure,
 		svc.Release,
@@ -457,6 +484,8 @@
 			operatorServiceDrainHandler.ServeHTTP(w, r)
 		case OperatorServiceListQuarantineProcedure:
 			operatorServiceListQuarantineHandler.ServeHTTP(w, r)
+		case OperatorServiceListWorkspacesProcedure:
+			operatorServiceListWorkspacesHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseProcedure:
 			operatorServiceReleaseHandler.ServeHTTP(w, r)
 		case OperatorServiceTimelineProcedure:
@@ -494,6 +523,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.ListQuarantine is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) ListWorkspaces(context.Context, *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.ListWorkspaces is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.Release is not implemented"))
 }
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -120,6 +120,7 @@
 	balancer *balance.Balancer
 	budget   *Budget
 	guard    Guard
+	access   Access
 	log      logrus.FieldLogger
 	counts   *Counts
 	// leaving is closed when the instance is about to end.
@@ -127,9 +128,9 @@
 }
 
 // New returns a Forwarder.
-func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, counts *Counts, log logrus.FieldLogger) *Forwarder {
+func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, a Access, counts *Counts, log logrus.FieldLogger) *Forwarder {
 	return &Forwarder{
-		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, counts: counts, log: log,
+		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, access: a, counts: counts, log: log,
 		leaving: make(chan struct{}),
 	}
 }
@@ -157,7 +158,7 @@
 // Serve implements serving.Handler.
 func (f *Forwarder) Serve(ctx context.Context, r *serving.Request, w http.ResponseWriter) *verdict.Failure {
 	f.counts.begin()
-	config := f.dir.Config()
+	config, known := f.access.Current()
 	if config == nil {
 		return f.refused(r, verdict.Refuse(verdict.ReasonPlatform, "no configuration is known yet").After(noConfigRetry))
 	}
@@ -168,10 +169,17 @@
 	if route == nil {
 		return f.refused(r, verdict.Refuse(verdict.ReasonNoRoute, "no route of configuration %d for %s%s", config.Version, r.Host, r.Path()))
 	}
-	t := f.newTrip(config, route, r, w)
+	admitted, failure := f.admit(ctx, config, known, route, r)
+	if failure != nil {
+		return f.notAdmitted(r, config, route, known, admitted, failure)
+	}
+	t := f.newTrip(config, admitted, route, r, w)
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
-	failure := t.run(ctx)
+	failure = t.run(ctx)
+	if t.runs == 0 {
+		admitted.giveBack()
+	}
 	t.end(failure)
 	return failure
 }
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -21,7 +21,9 @@
 	route   *serving.Route
 	service serving.Service
 	request *serving.Request
-	out     *writer
+	// admission is the request's leave to run.
+	admission admission
+	out       *writer
 	// deadline is when the final answer is due: the sooner of the client's and
 	// the route's.
 	deadline time.Time
@@ -53,9 +55,10 @@
 	last  *verdict.Failure
 }
 
-func (f *Forwarder) newTrip(config *serving.Config, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
+func (f *Forwarder) newTrip(config *serving.Config, a admission, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
+	route = a.ranked(route)
 	t := &trip{
-		f: f, config: config, route: route, request: r, out: newWriter(w), excluded: map[string]bool{},
+		f: f, config: config, admission: a, route: route, request: r, out: newWriter(w), excluded: map[string]bool{},
 		service: config.Services[chooseTarget(route.Targets)],
 	}
 	allowed := route.Timeout
@@ -221,6 +224,7 @@
 	defer cancel()
 	resp, err := t.f.sender.Send(ctx, serving.Attempt{
 		Request: t.request, Server: server, Left: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEvent,
+		Guarded: t.config.Guarded(), Workspace: t.admission.name(),
 	})
 	if err != nil {
 		return false, t.sendFailed(ctx, server, err, now, &outcome)
@@ -324,6 +328,9 @@
 	if t.request.Unit.Model != "" {
 		fields["unit"] = t.request.Unit.String()
 	}
+	if name := t.admission.name(); name != "" {
+		fields["workspace"] = name
+	}
 	return fields
 }
 
--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/martenport/martenport/command/access"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
@@ -154,8 +155,8 @@
 	Admit map[string]float64
 	// Servers are the changes since SeenServers.
 	Servers directory.Delta
-	// ConfigVersion is that of the configuration in force at the holder.
-	ConfigVersion int64
+	// Config says which configuration is in force at the holder, and how current it is.
+	Config access.Word
 	// RemoteAtOnce is how many loads from the weight store have full speed together, as
 	// far as is known: a successor need not learn it again.
 	RemoteAtOnce float64
@@ -201,8 +202,8 @@
 	news.Admit = h.admissions(now)
 	news.Peers = h.account.peers.count(r.Domain, now)
 	news.Views, news.Seen = h.views.since(r.SeenViews, h.fleet, now)
-	if config := h.dir.Config(); config != nil {
-		news.ConfigVersion = config.Version
+	if config, asOf := h.dir.Current(); config != nil {
+		news.Config = access.Word{Version: config.Version, Age: now.Sub(asOf)}
 	}
 	return news, nil
 }
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -18,6 +18,7 @@
 
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/limits"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
@@ -44,6 +45,8 @@
 	mu    sync.Mutex
 	lease *lease.Lease    // guarded by mu
 	fleet *replicas.Fleet // guarded by mu
+	// lender lends the limits of workspaces; guarded by mu.
+	lender *quota.Lender
 	// account is what instances have said of their requests; guarded by mu.
 	account account
 	views   views // guarded by mu
@@ -86,7 +89,7 @@
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, counts *Counts, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), account: newAccount(), workers: map[string]*worker{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), account: newAccount(), workers: map[string]*worker{},
 		ctx: context.Background(), limits: limits.None{}, outage: func() (none time.Time) { return },
 	}
 }
--- a/command/holder/params.go
+++ b/command/holder/params.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
 )
 
@@ -22,6 +23,8 @@
 	// OrderPatience bounds that.
 	OrderPatience time.Duration
 	Fleet         replicas.Params
+	// Quota says how limits of workspaces are lent.
+	Quota quota.Params
 }
 
 // Times of a holder that do not depend on the deployment.
@@ -29,6 +32,10 @@
 	// validity permits orders through short outages of the store, and is what
 	// a take-over has to wait for.
 	validity = 2500 * time.Millisecond
+	// lending is longer: a holder that does not reach the store gives the lease up some 2.4 s
+	// after, and its successor is rarely there sooner after any loss. With validity instead
+	// nothing was lent for 1.5 s of that.
+	lending = validity + 1200*time.Millisecond
 	// transit bounds one order's call; an order takes a few milliseconds.
 	transit = 500 * time.Millisecond
 	// orderPatience is how long an order is sent again while the one before it is
@@ -44,7 +51,7 @@
 func DefaultParams(name, address string, settle time.Duration) Params {
 	return Params{
 		Name: name, Address: address,
-		Lease: lease.Params{Validity: validity, Transit: transit, Settle: settle + settleSlack},
+		Lease: lease.Params{Validity: validity, Transit: transit, Settle: settle + settleSlack, Lending: lending},
 		Tick:  200 * time.Millisecond, ReportLag: 350 * time.Millisecond, OrderPause: 20 * time.Millisecond, OrderPatience: orderPatience,
 		Fleet: replicas.DefaultParams(),
 	}
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/store"
@@ -60,6 +61,7 @@
 	h.fleet.SetLimits(h.limits)
 	h.fleet.LearnRemoteAtOnce(h.remoteAtOnce)
 	h.account, h.views = newAccount(), views{}
+	h.lender = quota.NewLender(h.params.Quota, current.Fence == 0, current.Left, clock.Now())
 	h.failingSince = time.Time{}
 	for _, w := range h.workers {
 		w.stop()
@@ -103,7 +105,11 @@
 		h.mu.Unlock()
 		return record, revision, false
 	}
+	lent := h.lease.GoodToLend(clock.Exact())
 	record, revision, ok = h.lease.Release(clock.Now())
+	if lent {
+		record.Left = h.lender.Left(clock.Now())
+	}
 	workers := slices.Collect(maps.Values(h.workers))
 	h.mu.Unlock()
 	var last time.Time
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -52,6 +52,8 @@
 	// arrived at each engine, at the latest, in milliseconds. An engine that is
 	// not named got none within Settle.
 	Ordered map[string]int64 `json:"ordered,omitempty"`
+	// Left, in a released record, is what the holder had left of what it lends, by workspace.
+	Left map[string]float64 `json:"left,omitempty"`
 }
 
 // Params are the times of a lease.
@@ -63,6 +65,10 @@
 	Transit time.Duration
 	// Settle must pass between orders of two holders.
 	Settle time.Duration
+	// Lending is how long after a confirmed renewal was sent what the holder lends may
+	// arrive. It may be longer than Validity, since nothing has to pass between two holders
+	// that lend.
+	Lending time.Duration
 }
 
 // Lease is one instance's right to order. It is not safe for concurrent use.
@@ -78,6 +84,8 @@
 	// from is when the first order may be sent, and over is from when nothing that a holder
 	// before has let begin goes on unknown, which its renewals do not bound.
 	from, over time.Time
+	// lend is from when no holder before lends.
+	lend time.Time
 	// knows is from when this process knows of every order that still counts:
 	// one that follows another on its machine does not know of the other's.
 	knows time.Time
@@ -112,7 +120,7 @@
 	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
 	l.knows = time.Time{}
 	l.others, l.ordered = map[string]time.Time{}, map[string]time.Time{}
-	l.from, l.over = now, now
+	l.from, l.over, l.lend = now, now, now
 	switch {
 	case l.follows(previous):
 		if previous.Fence != 0 {
@@ -124,8 +132,10 @@
 		}
 	default:
 		whole := l.params.Validity + l.params.Settle
-		l.from = now.Add(max(0, whole-now.Sub(l.lastRenewal(previous, replaced, now))))
+		renewed := l.lastRenewal(previous, replaced, now)
+		l.from = now.Add(max(0, whole-now.Sub(renewed)))
 		l.over = now.Add(whole)
+		l.lend = renewed.Add(l.params.Lending)
 	}
 }
 
@@ -159,6 +169,12 @@
 // known. Orders may be sent before that: their time is bounded by renewals.
 func (l *Lease) Over(now time.Time) bool { return l.held && !now.Before(l.over) }
 
+// GoodToLend reports whether the lease is held and the holder may lend at now what one instance
+// at a time may: no holder before lends any more, and none after does yet.
+func (l *Lease) GoodToLend(now time.Time) bool {
+	return l.held && !now.Before(l.lend) && now.Sub(l.renewed) < l.params.Lending-l.params.Transit
+}
+
 // Adopt takes over the record at revision as the store has it, and reports whether it
 // is still this holder's, which has then written it by a renewal without an answer.
 // That renewal counts for nothing: others may have known of the revision for long.
--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -16,7 +16,7 @@
 	// lentRate and lentSaved are the parts of what a limit gains and of what may be saved up
 	// that are lent at the most. The rest is for questions: of instances where nothing was
 	// asked for of late, and of those that ask for more.
-	lentRate, lentSaved = 0.75, 0.5
+	lentRate, lentSaved = 0.85, 0.7
 	// ahead is by how much a share is above what is asked for at an instance on average, so
 	// that most of what comes in bursts needs no question.
 	ahead = 1.5
@@ -37,14 +37,9 @@
 	savedFor   = 3 * time.Second
 	usualSaved = 2
 	// worthHaving is how many usual requests a share has to hold.
-	worthHaving = 1.5
+	worthHaving = 1
 	// heaviestKept is how many of the heaviest requests the holder can grant at once.
 	heaviestKept = 2
-	// firstMost is the part of a limit that an instance may have before any was told of more.
-	firstMost = 0.125
-	// mostKnownAfter is how long after instances are told of a larger share one may get it:
-	// longer than two reports are apart.
-	mostKnownAfter = 2200 * time.Millisecond
 	// lifetimeSlack is the part by which the holder counts a share for longer than the
 	// instance uses it: their clocks do not run alike.
 	lifetimeSlack = 0.02
@@ -53,8 +48,12 @@
 // Lender is the holder's account of what it lends. It is not safe for concurrent use.
 type Lender struct {
 	params Params
-	// began is when this instance became the holder.
-	began    time.Time
+	// began is when this instance became the holder; first: nobody was before.
+	began time.Time
+	first bool
+	// left is what the holder before had for questions of each workspace's limit when it
+	// stopped to lend, as far as it has said so.
+	left     map[string]float64
 	accounts map[string]*account
 	// reported are the instances that have reported since, and expected those that may still
 	// have shares of the holder before, once they are listed.
@@ -73,14 +72,10 @@
 	own   bucket
 	free  Share
 	loans map[string]*loan
-	// most is what no share is above, and announced what instances are told of that: it is
-	// the same once they had the time to hear, since announcedAt.
-	most, announced Share
-	announcedAt     time.Time
-	// before is the same of the holder before, as far as instances have told.
-	before Share
 	// heaviest is the largest amount asked for at once, and usual the mean one, of late.
 	heaviest, usual float64
+	// inherited are all shares of the holder before that were reported to this one.
+	inherited Share
 	// asked and refused are totals.
 	asked, refused float64
 }
@@ -98,24 +93,43 @@
 // counted is what the instance may have.
 func (l *loan) counted() Share { return l.held.larger(l.told) }
 
-// NewLender returns the account of an instance that has just become the holder.
-func NewLender(p Params, now time.Time) *Lender {
-	return &Lender{params: p, began: now, accounts: map[string]*account{}, reported: map[string]bool{}}
+// NewLender returns the account of an instance that has just become the holder. first: nobody
+// was before, so that nothing has been lent. left is what the holder before has left over, by
+// workspace.
+func NewLender(p Params, first bool, left map[string]float64, now time.Time) *Lender {
+	return &Lender{params: p, began: now, first: first, listed: first, left: left, accounts: map[string]*account{}, reported: map[string]bool{}}
 }
 
 // Expect says which instances may have shares of the holder before.
-func (l *Lender) Expect(names []string) { l.expected, l.listed = names, true }
+func (l *Lender) Expect(names []string) {
+	if !l.first {
+		l.expected, l.listed = names, true
+	}
+}
 
 // Limits returns a workspace's limit; ok is false if there is no such workspace.
 type Limits func(workspace string) (limit serving.Limit, ok bool)
 
-// Heard takes over an instance's report and returns what it is lent: all shares that it has
+// Lend takes over an instance's report and returns what it is lent: all shares that it has
 // from now on. It must be called only while the lease is good and that of the holder before
 // is over.
-func (l *Lender) Heard(instance string, uses []Use, limits Limits, now time.Time) []Loan {
-	l.report(instance, now)
-	reported := map[string]bool{}
+func (l *Lender) Lend(instance string, uses []Use, limits Limits, now time.Time) []Loan {
+	l.Heard(instance, uses, limits, now)
 	var loans []Loan
+	for _, use := range uses {
+		if a := l.accounts[use.Workspace]; a != nil {
+			loans = append(loans, l.lend(a, use, instance, now))
+		}
+	}
+	return loans
+}
+
+// Heard takes over an instance's report. It keeps the shares that it has.
+func (l *Lender) Heard(instance string, uses []Use, limits Limits, now time.Time) {
+	first := !l.reported[instance]
+	l.reported[instance] = true
+	defer l.checkComplete(now)
+	reported := map[string]bool{}
 	for _, use := range uses {
 		limit, known := limits(use.Workspace)
 		if !known || !limit.Limited() {
@@ -125,20 +139,20 @@
 		reported[use.Workspace] = true
 		a := l.account(use.Workspace, limit, now)
 		a.note(instance, use, l.params.Lifetime, now)
-		loans = append(loans, l.lend(a, use, instance, now))
+		if first {
+			a.inherited = a.inherited.plus(use.Held)
+		}
 	}
 	for name, a := range l.accounts {
 		if !reported[name] {
 			delete(a.loans, instance) // it has started anew, or has had no share for long
 		}
 	}
-	return loans
 }
 
-// report notes that an instance has reported.
-func (l *Lender) report(instance string, now time.Time) {
-	l.reported[instance] = true
-	if l.complete.IsZero() && l.listed && l.silent() == 0 {
+// checkComplete notes when all instances have reported.
+func (l *Lender) checkComplete(now time.Time) {
+	if !l.first && l.complete.IsZero() && l.listed && l.silent() == 0 {
 		l.complete = now
 	}
 }
@@ -179,11 +193,13 @@
 		a = &account{limit: limit, loans: map[string]*loan{}}
 		a.own.settled = now
 		a.free = l.whole(a).minus(l.unknown(a, now))
-		if !l.complete.IsZero() {
+		a.own.level = l.left[workspace]
+		switch {
+		case l.first:
+			a.own.level = l.params.saved(limit)
+		case !l.complete.IsZero():
 			a.own.settled = l.complete // nobody has had a share of it since
 		}
-		a.most = l.whole(a).times(firstMost)
-		a.announced = a.most
 		l.accounts[workspace] = a
 	}
 	if a.limit != limit {
@@ -216,8 +232,6 @@
 	weight := min(1, elapsed.Seconds()/demandMemory.Seconds())
 	lo.demand += weight * (use.Asked/elapsed.Seconds() - lo.demand)
 	lo.noted = now
-	a.before = a.before.larger(use.Most)
-	a.most, a.announced = a.most.larger(use.Most), a.announced.larger(use.Most)
 	a.heaviest = max(use.Heaviest, a.heaviest*(1-weight/float64(len(a.loans))))
 	if use.Requests > 0 {
 		usual := use.Asked / float64(use.Requests)
@@ -235,13 +249,13 @@
 func (l *Lender) lend(a *account, use Use, instance string, now time.Time) Loan {
 	lo := a.loans[instance]
 	others := l.settle(a, now).minus(lo.counted())
-	want := l.want(a, lo, now)
+	want := l.want(a, lo)
 	if alike(want, lo.held) {
 		want = lo.held
 	}
 	lo.told = want.within(l.lendable(a).minus(others))
 	l.settle(a, now)
-	loan := Loan{Workspace: use.Workspace, Share: lo.told, Most: a.announced, Keep: lo.told.Saved * keptPart}
+	loan := Loan{Workspace: use.Workspace, Share: lo.told, Keep: lo.told.Saved * keptPart}
 	// What the instance lacks is made up from what the holder keeps, if it has plenty.
 	if missing := min(loan.Keep-use.Level, a.own.level/2); missing > 0 && a.own.take(missing) {
 		loan.Grant = missing
@@ -257,37 +271,30 @@
 
 // want returns the share that an instance should have by what is asked for there. One that
 // does not hold a usual request is not worth having: it would lie idle.
-func (l *Lender) want(a *account, lo *loan, now time.Time) Share {
+func (l *Lender) want(a *account, lo *loan) Share {
 	all, demand := l.lendable(a), a.demand()
 	if demand <= 0 {
 		return Share{}
 	}
 	part := lo.demand / demand
 	share := Share{Rate: min(ahead*lo.demand, all.Rate*part), Saved: min(all.Saved*part, savedFor.Seconds()*lo.demand+usualSaved*a.usual)}
-	share = share.within(a.allowed(share, now))
 	if share.Saved < worthHaving*a.usual || share.Rate <= 0 {
 		return Share{}
 	}
 	return share
 }
 
-// allowed returns what no share may be above, and has instances be told of more if one
-// should be.
-func (a *account) allowed(share Share, now time.Time) Share {
-	if now.Sub(a.announcedAt) >= mostKnownAfter {
-		a.most = a.announced
-	}
-	if a.most == a.announced && share.within(a.most) != share {
-		a.announced, a.announcedAt = a.announced.larger(share.times(ahead)), now
-	}
-	return a.most
-}
-
 // lendable is what may be lent of a limit: all but a part for questions, which holds the
 // heaviest requests.
 func (l *Lender) lendable(a *account) Share {
+	most := l.mostLent(a)
+	return Share{Rate: most.Rate, Saved: max(0, min(most.Saved, l.whole(a).Saved-heaviestKept*a.heaviest))}
+}
+
+// mostLent is what is ever lent of a limit.
+func (l *Lender) mostLent(a *account) Share {
 	all := l.whole(a)
-	return Share{Rate: lentRate * all.Rate, Saved: max(0, min(lentSaved*all.Saved, all.Saved-heaviestKept*a.heaviest))}
+	return Share{Rate: lentRate * all.Rate, Saved: lentSaved * all.Saved}
 }
 
 // whole is what there is of a limit.
@@ -308,15 +315,14 @@
 	return sum
 }
 
-// unknown is what instances may have that have not reported to this holder, of the one before.
+// unknown is what instances may have that have not reported to this holder, of the one before:
+// what is ever lent, less what others have of it.
 func (l *Lender) unknown(a *account, now time.Time) Share {
-	if !l.complete.IsZero() || now.Sub(l.began) > time.Duration((1+lifetimeSlack)*float64(l.params.Lifetime)) {
+	over := now.Sub(l.began) > time.Duration((1+lifetimeSlack)*float64(l.params.Lifetime))
+	if l.first || !l.complete.IsZero() || over {
 		return Share{}
 	}
-	if !l.listed || a.before == (Share{}) {
-		return l.whole(a)
-	}
-	return a.before.times(float64(l.silent()))
+	return l.mostLent(a).minus(a.inherited)
 }
 
 // demand is what is asked for a second at all instances.
@@ -350,3 +356,14 @@
 	slices.SortFunc(list, func(a, b Total) int { return compare(a.Workspace, b.Workspace) })
 	return list
 }
+
+// Left returns what there is for questions of each workspace's limit. It is the next holder's if
+// this one lends nothing more.
+func (l *Lender) Left(now time.Time) map[string]float64 {
+	left := map[string]float64{}
+	for name, a := range l.accounts {
+		l.settle(a, now)
+		left[name] = math.Floor(a.own.level)
+	}
+	return left
+}
--- a/command/quota/quota.go
+++ b/command/quota/quota.go
@@ -9,13 +9,13 @@
 // The bound. Let a limit be R a second and B saved up. All shares together and what the holder
 // keeps for questions gain at most R a second and have saved up at most
 //
-//	K = B + max(0, Z - R x transit)
+//	K = B + max(0, Z - R x T)
 //
-// where Z is what the deployment allows beyond R and B in a window. What is let run in a
-// window W was saved up at its beginning, or gained in it, or was on its way between the
-// holder and an instance then: at most K + R x W + R x transit, which is within the
-// deployment's bound (R x W + B) x (1 + overage) + slack. A request is let run between the
-// times at which it is sent and at which it reaches a server, so that one that is sent and
+// where Z is what the deployment allows beyond R and B in a window, and T the longest time for
+// which something may be on its way between the holder and an instance, or be given back. What
+// is let run in a window W was saved up at its beginning, or gained in it, or was on its way
+// or had been taken by requests that did not run: at most K + R x W + R x T, which is within
+// the deployment's bound (R x W + B) x (1 + overage) + slack if Z is R x T at least. A request is let run between the
 // arrives within the window is let run within it.
 //
 // The sum holds whatever is lost. A share counts as lent at the holder from when the reply
@@ -27,10 +27,9 @@
 //
 // A holder lends, and answers questions, only while its lease is good. Its successor lends
 // nothing before the lease of the one before is over, and takes over the shares that
-// instances report. What those that have not reported may still have counts as lent until the
-// shares of the one before are over: as much for each as the largest share that the one before
-// let anybody have, which each instance is told some time before anybody gets one as large.
-// No two clocks are compared.
+// instances report. What is ever lent of a limit, less those, counts as lent to instances that
+// have not reported, until all have or the shares of the one before are over. No two clocks are
+// compared.
 package quota
 
 import (
@@ -51,15 +50,20 @@
 	Lifetime time.Duration
 }
 
-// transit bounds how long what was let run may be on its way between the holder's account and
-// an instance's, and within which time a request that did not run is given back.
-const transit = time.Second
+const (
+	// transit bounds how long what was let run may be on its way between the holder's account
+	// and an instance's: that of one call.
+	transit = 500 * time.Millisecond
+	// giveBackWithin is the time within which what a request took is given back if it did not
+	// run. Most refusals come within milliseconds.
+	giveBackWithin = 200 * time.Millisecond
+)
 
 // saved returns K: how much may be saved up of a limit, over all instances.
 func (p Params) saved(l serving.Limit) float64 {
 	window := p.Window.Seconds()
 	beyond := p.Overage*(l.Rate*window+l.Burst) + p.Slack
-	return l.Burst + max(0, beyond-l.Rate*transit.Seconds())
+	return l.Burst + max(0, beyond-l.Rate*(transit+giveBackWithin).Seconds())
 }
 
 // Share is an instance's part of a limit: what it gains a second, and how much it may save up.
@@ -82,8 +86,6 @@
 	return Share{min(s.Rate, other.Rate), min(s.Saved, other.Saved)}
 }
 
-func (s Share) times(factor float64) Share { return Share{s.Rate * factor, s.Saved * factor} }
-
 // Use is what an instance reports of one workspace.
 type Use struct {
 	Workspace string
@@ -99,8 +101,6 @@
 	// saved up beyond what the instance is to keep: it has given that up.
 	Held            Share
 	Level, Returned float64
-	// Most is what the instance was told that no share is above.
-	Most Share
 }
 
 // Loan is what the holder lends an instance of one workspace's limit.
@@ -110,8 +110,6 @@
 	// Keep is what the instance is to keep of what it has saved up when it reports: the rest
 	// is of more use to others. Grant is added to what it has.
 	Keep, Grant float64
-	// Most is what no instance's share is above.
-	Most Share
 }
 
 // Answer is the holder's to a question for one request.
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -16,8 +16,8 @@
 
 // held is one instance's share of a workspace's limit.
 type held struct {
-	share, most Share
-	keep        float64
+	share Share
+	keep  float64
 	bucket
 	// until is when the share ends without another word of the holder.
 	until time.Time
@@ -69,7 +69,7 @@
 // ago is not given back: it may have been gained anew meanwhile, and would be let run twice in
 // one window.
 func (s *Shares) GiveBack(workspace string, cost float64, taken, now time.Time) {
-	if now.Sub(taken) >= transit/2 {
+	if now.Sub(taken) >= giveBackWithin {
 		return
 	}
 	s.mu.Lock()
@@ -92,7 +92,7 @@
 		}
 		returned := max(0, h.level-h.keep)
 		h.level -= returned
-		uses = append(uses, Use{Workspace: name, Asked: h.asked, Requests: h.requests, Refused: h.refused, Heaviest: h.heaviest, Held: h.share, Level: h.level, Returned: returned, Most: h.most})
+		uses = append(uses, Use{Workspace: name, Asked: h.asked, Requests: h.requests, Refused: h.refused, Heaviest: h.heaviest, Held: h.share, Level: h.level, Returned: returned})
 		h.asked, h.requests, h.refused, h.heaviest = 0, 0, 0, 0
 	}
 	slices.SortFunc(uses, func(a, b Use) int { return compare(a.Workspace, b.Workspace) })
@@ -122,7 +122,7 @@
 	for _, loan := range loans {
 		named[loan.Workspace] = true
 		h := s.held(loan.Workspace, now)
-		h.share, h.most, h.keep, h.until = loan.Share, loan.Most, loan.Keep, sent.Add(s.lifetime)
+		h.share, h.keep, h.until = loan.Share, loan.Keep, sent.Add(s.lifetime)
 		h.level = min(h.level+loan.Grant, loan.Share.Saved)
 		if loan.Grant > 0 {
 			h.refusedUntil = time.Time{}
@@ -164,7 +164,7 @@
 		h = &held{used: now}
 		s.byWorkspace[workspace] = h
 	}
-	if h.share != (Share{}) && !now.Before(h.until) {
+	if !now.Before(h.until) {
 		h.share, h.level = Share{}, 0
 	}
 	h.settle(h.share, now)
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -47,6 +47,11 @@
 	}}
 }
 
+// ListWorkspaces implements martenportv1connect.OperatorServiceHandler.
+func (o operator) ListWorkspaces(context.Context, *connect.Request[martenportv1.ListWorkspacesRequest]) (*connect.Response[martenportv1.ListWorkspacesResponse], error) {
+	return connect.NewResponse(&martenportv1.ListWorkspacesResponse{KeysTrusted: true}), nil // there are none here
+}
+
 // ListQuarantine implements martenportv1connect.OperatorServiceHandler.
 func (o operator) ListQuarantine(context.Context, *connect.Request[martenportv1.ListQuarantineRequest]) (*connect.Response[martenportv1.ListQuarantineResponse], error) {
 	return connect.NewResponse(&martenportv1.ListQuarantineResponse{}), nil // nothing is held here
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -14,8 +14,10 @@
 
 // Directory is the knowledge of one instance.
 type Directory struct {
-	mu      sync.RWMutex
-	config  *serving.Config           // guarded by mu
+	mu     sync.RWMutex
+	config *serving.Config // guarded by mu
+	// asOf is when it was sure that there was no newer configuration; guarded by mu.
+	asOf    time.Time
 	servers map[string]serving.Server // live and draining ones by id; guarded by mu
 	// draining are servers that were seen draining, by id, which lasts to the end of
 	// their process whatever an older page says.
@@ -88,6 +90,24 @@
 	return true
 }
 
+// Current returns the configuration in force, and when it was sure that there was no newer one:
+// the zero time if it never was.
+func (d *Directory) Current() (config *serving.Config, asOf time.Time) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.config, d.asOf
+}
+
+// Confirm notes that no configuration newer than version had been accepted at a time. That
+// tells nothing while the one in force is older.
+func (d *Directory) Confirm(version int64, asOf time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config != nil && d.config.Version >= version && asOf.After(d.asOf) {
+		d.asOf = asOf
+	}
+}
+
 // ApplyServer takes over what a server announces and reports whether it is now
 // known to be draining for the first time. Older announcements are ignored, and those of a
 // process before the one that is known.
--- /dev/null
+++ b/entry/access.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/quota"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// gate is what the forwarder asks of who may ask, and how much. It implements forward.Access.
+type gate struct {
+	*follower
+	settings func() *platform.Settings
+	set      *metrics.Set
+	// distrusted: keys are not relied on, as of the last look.
+	distrusted atomic.Bool
+}
+
+func newGate(f *follower, settings func() *platform.Settings, set *metrics.Set) *gate {
+	g := &gate{follower: f, settings: settings, set: set}
+	set.NewGauge("martenport_configuration_age_seconds", func() float64 {
+		_, known := g.Current()
+		return known.Age.Seconds()
+	})
+	set.NewGauge("martenport_keys_trusted", func() float64 {
+		if g.distrusted.Load() {
+			return 0
+		}
+		return 1
+	})
+	return g
+}
+
+// trustInterval is how often it is looked whether keys are relied on, for the log.
+const trustInterval = 200 * time.Millisecond
+
+// run logs when keys are not relied on any more, and when they are again, until ctx ends.
+func (g *gate) run(ctx context.Context) {
+	for pause.For(ctx, trustInterval) {
+		config, known := g.Current()
+		if config == nil || !config.Guarded() {
+			continue
+		}
+		distrusted := !g.Policy().Trusts(known.Age)
+		if distrusted == g.distrusted.Swap(distrusted) {
+			continue
+		}
+		log := g.log.WithFields(logrus.Fields{"config": config.Version, "config_age_ms": known.Age.Milliseconds(), "trusted_ms": g.Policy().Trusted().Milliseconds(), "holder_answers": known.Reached})
+		if distrusted {
+			log.Warn("keys are not relied on any more: requests that need one are refused")
+		} else {
+			log.Info("keys are relied on again")
+		}
+	}
+}
+
+// Current implements forward.Access.
+func (g *gate) Current() (*serving.Config, access.Knowledge) {
+	now := clock.Exact()
+	config, asOf := g.dir.Current()
+	return config, access.Knowledge{Age: now.Sub(asOf), Newer: g.watcher.lacksConfig(), Reached: g.holderAnswers(now)}
+}
+
+// Policy implements forward.Access.
+func (g *gate) Policy() access.Policy {
+	s := g.settings()
+	return access.Policy{FailClosed: s.Bounds.RevokeFailClosed, Bound: s.RevokeBound()}
+}
+
+// holderAnswers reports whether the holder has answered of late.
+func (f *follower) holderAnswers(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.record.Holder != "" && now.Sub(f.answered) < silentAfter
+}
+
+// Times of questions for single requests.
+const (
+	// drawTimeout bounds one question: several round trips between failure domains. It is
+	// within what the bound of quota allows to be on its way.
+	drawTimeout = 300 * time.Millisecond
+	// refusedFor bounds for how long the holder's word that nothing is left is taken: what is
+	// lent elsewhere comes back within a report or two.
+	refusedFor = 200 * time.Millisecond
+	// unansweredRetry is told to clients while the holder cannot be asked: other instances may
+	// have a share that is left.
+	unansweredRetry = 200 * time.Millisecond
+	// leastOverRetry is the least time after which a client that goes beyond its limit is told
+	// to come back.
+	leastOverRetry = 50 * time.Millisecond
+)
+
+// Draw implements forward.Access.
+func (g *gate) Draw(ctx context.Context, w *serving.Workspace, cost float64) (giveBack func(), failure *verdict.Failure) {
+	if !w.Limit.Limited() {
+		return func() {}, nil
+	}
+	now := clock.Exact()
+	taken, refusedUntil := g.shares.Take(w.Name, cost, now)
+	if taken {
+		return func() { g.shares.GiveBack(w.Name, cost, now, clock.Exact()) }, nil
+	}
+	if wait := refusedUntil.Sub(now); wait > 0 {
+		return nil, g.overLimit(w, cost, wait)
+	}
+	answer, err := g.draw(ctx, w.Name, cost)
+	g.count(answer)
+	switch {
+	case err != nil || !answer.Known:
+		return nil, verdict.Refuse(verdict.ReasonPlatform, "the share of workspace %s is used up, and no holder says whether there is more", w.Name).After(unansweredRetry)
+	case !answer.Granted:
+		return nil, g.overLimit(w, cost, answer.After)
+	}
+	return func() {}, nil
+}
+
+// count counts a question by its answer.
+func (g *gate) count(a quota.Answer) {
+	outcome := "unknown"
+	switch {
+	case a.Granted:
+		outcome = "granted"
+	case a.Known:
+		outcome = "refused"
+	}
+	g.set.GetOrCreateCounter(`martenport_limit_questions_total{answer="` + outcome + `"}`).Inc()
+}
+
+// overLimit refuses a request that goes beyond the limit of its workspace. after is when it
+// would be within it, 0 if never.
+func (g *gate) overLimit(w *serving.Workspace, cost float64, after time.Duration) *verdict.Failure {
+	now := clock.Now()
+	g.shares.Refused(w.Name, cost, now.Add(min(after, refusedFor)), now)
+	failure := verdict.Refuse(verdict.ReasonOverLimit, "workspace %s asks for more than its limit", w.Name)
+	if after <= 0 {
+		return failure
+	}
+	return failure.After(max(leastOverRetry, after))
+}
+
+// limits asks the holder what it knows of the limits of workspaces.
+func (f *follower) limits(ctx context.Context) ([]quota.Total, error) {
+	f.mu.Lock()
+	record := f.record
+	f.mu.Unlock()
+	var reply LimitsReply
+	err := f.call(ctx, record, wantTimeout, methodLimits, &LimitsArgs{}, &reply)
+	if err == nil && !reply.Held {
+		err = errors.New("entry: the instance is not the holder")
+	}
+	return reply.Totals, err
+}
+
+// draw asks the holder for one request.
+func (f *follower) draw(ctx context.Context, workspace string, cost float64) (quota.Answer, error) {
+	f.mu.Lock()
+	record, silence := f.record, clock.Since(f.answered)
+	f.mu.Unlock()
+	if record.Holder == "" || record.Released || silence > silentAfter {
+		return quota.Answer{}, errors.New("entry: no holder can be reached")
+	}
+	var reply DrawReply
+	err := f.call(ctx, record, drawTimeout, methodDraw, &DrawArgs{Workspace: workspace, Cost: cost}, &reply)
+	return reply.Answer, err
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
@@ -53,6 +54,7 @@
 	holder    *holder.Holder
 	follower  *follower
 	members   *members
+	gate      *gate
 	forwarder *forward.Forwarder
 	counts    *forward.Counts
 	keeper    *quarantineKeeper
@@ -85,11 +87,12 @@
 		holding.Fleet.RemoteWindow = window
 	}
 	holding.Fleet.RemoteOverage = max(holding.Fleet.RemoteOverage, s.Bounds.CeilingOverage)
+	holding.Quota = quotaParams(&s)
 	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
-	i.follower.watcher = i.watcher
+	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.holder.WatchStore(i.watcher.outage)
 	i.declared = &declared{config: &table.Config{}, log: log}
 	if o.OperatorsPort > 0 {
@@ -106,12 +109,32 @@
 	i.budget = forward.NewBudget(i.budgetParams(&s))
 	i.follower.budget, i.follower.domain = i.budget, s.SharingDomain()
 	i.counts = forward.NewCounts(i.set)
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashes: i.crashes, follower: i.follower}, i.counts, log)
+	i.gate = newGate(i.follower, i.settings.Load, i.set)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashes: i.crashes, follower: i.follower}, i.gate, i.counts, log)
 	i.clients = newClients(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
 	return i
 }
 
+// Lifetimes of shares of the limits of workspaces.
+const (
+	// shortLoan is how long a share lasts without the holder's word where an instance that
+	// is cut off stops to serve: longer than it takes until a lost holder's successor lends,
+	// which is from 2.5 s after the last renewal on, and its first answer to a report.
+	shortLoan = 5 * time.Second
+	// longLoan is how long where it goes on: longer than all but rare cuts.
+	longLoan = 10 * time.Minute
+)
+
+// quotaParams returns how limits of workspaces are lent.
+func quotaParams(s *platform.Settings) quota.Params {
+	p := quota.Params{Window: s.QuotaWindow(), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack, Lifetime: longLoan}
+	if s.Bounds.RevokeFailClosed {
+		p.Lifetime = shortLoan
+	}
+	return p
+}
+
 // limits returns the limits on clients in force, none before a configuration.
 func (i *Instance) limits() serving.Limits {
 	if config := i.dir.Config(); config != nil {
@@ -157,7 +180,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.crashes.runSweep, i.clients.guard.run, i.members.register, i.reload} {
+	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.crashes.runSweep, i.gate.run, i.clients.guard.run, i.members.register, i.reload} {
 		work.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -12,6 +12,7 @@
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
@@ -114,6 +115,8 @@
 	// ledger has the requests under which servers end, and raised is told which of them are
 	// held by what the holder says; it is set before run.
 	ledger *quarantine.Ledger
+	// shares are what this instance was lent of the limits of workspaces; it is set before run.
+	shares *quota.Shares
 	raised func([]quarantine.Raise)
 	// link is how far the holder and this instance know of each other's ledgers; guarded by
 	// mu.
@@ -136,7 +139,7 @@
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
 		arrivals: map[string]*holder.Arrivals{}, running: map[placed]int{}, waiting: map[string]map[*waiter]struct{}{}, places: map[forward.Wanted]knownPlace{}, instances: unknownInstances,
-		woken: make(chan struct{}, 1), ledger: quarantine.NewLedger(), raised: func([]quarantine.Raise) {},
+		woken: make(chan struct{}, 1), ledger: quarantine.NewLedger(), shares: quota.NewShares(0), raised: func([]quarantine.Raise) {},
 	}
 }
 
@@ -171,6 +174,10 @@
 		return f.own.Use(a, reply.(*UseReply))
 	case *TrialArgs:
 		return f.own.Trial(a, reply.(*TrialReply))
+	case *DrawArgs:
+		return f.own.Draw(a, reply.(*DrawReply))
+	case *LimitsArgs:
+		return f.own.Limits(a, reply.(*LimitsReply))
 	default:
 		return errors.Newf("entry: no such call %T", args)
 	}
@@ -206,6 +213,8 @@
 	if record.Holder == "" || record.Released {
 		return false
 	}
+	sent := clock.Exact()
+	args.Uses = f.shares.Report(sent)
 	var reply ExchangeReply
 	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
 	if err == nil {
@@ -213,15 +222,28 @@
 		f.heardCrashes(args.Crashes, reply.Crashes, clock.Now())
 	}
 	if err != nil || !reply.Held {
+		f.shares.Unreported(args.Uses, clock.Now())
 		f.noAnswer(record, err)
 		return false
 	}
 	f.takeOverNews(record, &reply, clock.Now())
+	f.takeOverLimits(&reply, sent, clock.Exact())
 	f.holder.HeardRemoteAtOnce(reply.News.RemoteAtOnce)
 	f.holder.Heard(reply.News.Lease)
 	return true
 }
 
+// takeOverLimits takes over what the holder says, in answer to a report that was sent at a
+// time, of limits and of how current the configuration is. Its word was made after that time.
+func (f *follower) takeOverLimits(reply *ExchangeReply, sent, now time.Time) {
+	if word := reply.News.Config; word.Version > 0 {
+		f.dir.Confirm(word.Version, word.AsOf(sent))
+	}
+	if reply.Lends {
+		f.shares.Apply(reply.Loans, sent, now)
+	}
+}
+
 // report makes up what the holder is told, and to whom.
 func (f *follower) report() (lease.Record, *ExchangeArgs) {
 	f.mu.Lock()
--- a/entry/members.go
+++ b/entry/members.go
@@ -161,6 +161,20 @@
 	return time.Duration(float64(spread) * (1 - m.self.Cores/strongest))
 }
 
+// fresh reads the list anew and returns the names of all instances; ok is false if the store
+// does not answer.
+func (m *members) fresh(ctx context.Context) (names []string, ok bool) {
+	if !m.readList(ctx) {
+		return nil, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, known := range m.known {
+		names = append(names, known.Name)
+	}
+	return names, true
+}
+
 func (m *members) list(ctx context.Context) []member {
 	m.mu.Lock()
 	fresh := clock.Since(m.read) < membersLifetime
@@ -169,10 +183,20 @@
 	if fresh {
 		return known
 	}
-	snap, err := m.store.List(store.AllowStale(ctx), prefixMembers)
-	if err != nil {
+	if !m.readList(store.AllowStale(ctx)) {
 		return known
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]member(nil), m.known...)
+}
+
+// readList reads the list and reports whether the store has answered.
+func (m *members) readList(ctx context.Context) bool {
+	snap, err := m.store.List(ctx, prefixMembers)
+	if err != nil {
+		return false
+	}
 	var list []member
 	for _, obj := range snap.Objects {
 		var entry member
@@ -185,5 +209,5 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.known, m.read = list, clock.Now()
-	return append([]member(nil), list...)
+	return true
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -10,6 +10,7 @@
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
@@ -27,6 +28,8 @@
 	methodUse      = "Entry.Use"
 	methodCrashes  = "Entry.Crashes"
 	methodTrial    = "Entry.Trial"
+	methodDraw     = "Entry.Draw"
+	methodLimits   = "Entry.Limits"
 )
 
 // ExchangeArgs is an instance's report to the holder.
@@ -34,6 +37,8 @@
 	holder.Report
 	// Crashes are requests under which servers ended.
 	Crashes quarantine.Message
+	// Uses are what was asked for of workspaces, and the shares that the instance has.
+	Uses []quota.Use
 }
 
 // WireView is a directory.EngineView with times as durations from now.
@@ -63,8 +68,31 @@
 	Views []WireView
 	// StoreAgeMS is how old the holder's word of the store may be.
 	StoreAgeMS int64
+	// Lends: Loans are all shares of limits that the instance has from now on. Otherwise it
+	// keeps those that it has, for as long as they last.
+	Lends bool
+	Loans []quota.Loan
 }
 
+// DrawArgs asks whether a request may run that goes beyond what the instance was lent of the
+// limit of its workspace.
+type DrawArgs struct {
+	Workspace string
+	Cost      float64
+}
+
+// LimitsArgs asks the holder what it knows of the limits of workspaces.
+type LimitsArgs struct{}
+
+// LimitsReply is the answer. Held is false if this instance is not the holder.
+type LimitsReply struct {
+	Held   bool
+	Totals []quota.Total
+}
+
+// DrawReply is the answer.
+type DrawReply struct{ quota.Answer }
+
 type WantArgs struct{ holder.Request }
 
 // WantReply says where a unit is or will be. Found is false if no engine can
@@ -154,6 +182,19 @@
 	}
 	news.Views = nil
 	reply.Held, reply.News, reply.StoreAgeMS = true, news, s.storeAge(now).Milliseconds()
+	reply.Loans, reply.Lends = s.holder.Lend(args.Name, args.Uses)
+	return nil
+}
+
+// Limits answers what the holder knows of the limits of workspaces.
+func (s *service) Limits(_ *LimitsArgs, reply *LimitsReply) error {
+	reply.Totals, reply.Held = s.holder.Limits()
+	return nil
+}
+
+// Draw answers whether a request may run that goes beyond what its instance was lent.
+func (s *service) Draw(args *DrawArgs, reply *DrawReply) error {
+	reply.Answer = s.holder.Draw(args.Workspace, args.Cost)
 	return nil
 }
 
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -247,6 +247,9 @@
 		}
 		return
 	}
+	if names, ok := f.members.fresh(ctx); ok {
+		f.holder.ExpectInstances(names)
+	}
 	f.find(ctx)
 	go f.announce(ctx) // some instances may be out of reach, which takes a while
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -65,6 +65,8 @@
 	// wanted is the newest configuration's version that was heard of; guarded
 	// by mu.
 	wanted int64
+	// newestUnreadable: the newest configuration cannot be read; guarded by mu.
+	newestUnreadable bool
 	// contact is when each watch was last answered, by prefix; guarded by mu.
 	contact map[string]time.Time
 	// lapsed are servers whose entries are missing, with the revision of that.
@@ -109,7 +111,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.relayed, w.lifetime = now, lifetime
-	w.wanted = max(w.wanted, news.ConfigVersion)
+	w.wanted = max(w.wanted, news.Config.Version)
 	pause.Wake(w.news)
 }
 
@@ -170,7 +172,7 @@
 			revision = -1
 			continue
 		}
-		started := clock.Now()
+		started := clock.Exact()
 		snap, err := w.readOrWatch(ctx, prefix, revision)
 		w.note(prefix, started, err)
 		if errors.Is(err, store.ErrCompacted) {
@@ -184,6 +186,9 @@
 		}
 		retry = watchRetry
 		apply(snap, revision < 0)
+		if prefix == platform.KeyConfig {
+			w.confirm(started)
+		}
 		revision = snap.Revision
 		if len(snap.Objects) > 0 {
 			pause.For(ctx, w.gather(gather))
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -25,14 +25,34 @@
 		config, err := platform.DecodeConfig(obj.Value)
 		if err != nil {
 			w.log.WithFields(logrus.Fields{"revision": obj.Version, "error": err}).Error("configuration cannot be read, the one in force stays")
+			w.setUnreadable(true)
 			continue
 		}
+		w.setUnreadable(false)
 		if w.dir.ApplyConfig(config) {
 			w.log.WithFields(logrus.Fields{"config": config.Version, "revision": obj.Version, "routes": len(config.Routes)}).Info("configuration in force")
 		}
 	}
 }
 
+// setUnreadable notes whether the newest configuration can be read.
+func (w *watcher) setUnreadable(unreadable bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.newestUnreadable = unreadable
+}
+
+// confirm notes that all configurations that had been accepted at a time were heard of. While
+// the newest cannot be read, that does not make the one in force current: it may have keys
+// that the newest has not.
+func (w *watcher) confirm(asOf time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if config := w.dir.Config(); config != nil && !w.newestUnreadable {
+		w.dir.Confirm(config.Version, asOf)
+	}
+}
+
 func (w *watcher) applyServers(snap store.Snapshot, full bool) {
 	var listed []string
 	for _, obj := range snap.Objects {
--- a/internal/standin/arrivals.go
+++ b/internal/standin/arrivals.go
@@ -15,6 +15,10 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Workspace is whose it is by what the server was told, KeyTold whether the client's key
+	// was passed on to it.
+	Workspace string
+	KeyTold   bool
 }
 
 // arrivals are the last attempts that reached a Server, and whether it fails them.
@@ -26,14 +30,14 @@
 }
 
 // add notes an attempt. When the list is full its older half is forgotten.
-func (a *arrivals) add(id string, now time.Time) {
+func (a *arrivals) add(arrival Arrival) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.list) == keptArrivals {
 		a.list = append([]Arrival(nil), a.list[keptArrivals/2:]...)
 		a.forgotten += keptArrivals / 2
 	}
-	a.list = append(a.list, Arrival{ID: id, At: now})
+	a.list = append(a.list, arrival)
 }
 
 func (a *arrivals) all() (list []Arrival, forgotten int) {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -23,3 +23,6 @@
 	}
 	return h
 }
+
+// KeyHeader is the header in which a client's request bears its key.
+const KeyHeader = "X-Api-Key"
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -30,8 +30,22 @@
 	Timeout, Objective time.Duration
 	Attempts           int
 	Resumable          bool
+	// Public: requests need no key.
+	Public bool
 }
 
+// Workspace is whose requests are.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Rate a second and Burst bound its requests over all instances, in tokens; no limit if
+	// Rate is 0.
+	Rate, Burst float64
+}
+
+// plainTokens is what a request counts that does not say its size.
+const plainTokens = 200
+
 // Config is a configuration as the platform's operator writes it: plain services,
 // and one service of model engines that are all alike.
 type Config struct {
@@ -48,6 +62,8 @@
 	// LoadsPerSecond.
 	RemoteLoad     time.Duration
 	LoadsPerSecond float64
+	// Workspaces is nil where requests need no key.
+	Workspaces []Workspace
 	// IdleTimeout is how long clients' connections may be idle.
 	IdleTimeout time.Duration
 }
@@ -69,7 +85,7 @@
 	for _, r := range c.Routes {
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": r.Host, "pathPrefix": "/" + r.Name + "/", "routeType": string(r.Kind), "timeoutMs": r.Timeout.Milliseconds(),
-			"goalMs": r.Objective.Milliseconds(), "service": r.Service, "attempts": r.Attempts, "resumable": r.Resumable,
+			"goalMs": r.Objective.Milliseconds(), "service": r.Service, "attempts": r.Attempts, "resumable": r.Resumable, "public": r.Public,
 		})
 	}
 	services := []map[string]any{}
@@ -90,16 +106,30 @@
 	if idle == 0 {
 		idle = configIdleTimeout
 	}
-	value, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
 		"limits": map[string]any{
 			"maxHeaderBytes": configHeaderBytes, "maxBodyBytes": configBodyBytes,
 			"idleTimeoutMs": idle.Milliseconds(), "headerTimeoutMs": configHeaderTimeout.Milliseconds(),
 		},
-	})
+	}
+	if c.Workspaces != nil {
+		config["tenants"] = c.workspaces()
+	}
+	value, err := json.Marshal(config)
 	return value, errors.Wrap(err, "standin: configuration")
 }
 
+func (c Config) workspaces() []map[string]any {
+	list := []map[string]any{}
+	for _, w := range c.Workspaces {
+		list = append(list, map[string]any{
+			"name": w.Name, "apiKeys": w.Keys, "unit": "token_stream", "plainTokens": plainTokens, "ratePerS": w.Rate, "burst": w.Burst,
+		})
+	}
+	return list
+}
+
 // Write puts the configuration in force in a store.
 func (c Config) Write(ctx context.Context, s store.Store) error {
 	value, err := c.Encode()
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -244,7 +244,7 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	if id := r.Header.Get("Martenport-Attempt-Id"); id != "" {
-		s.arrivals.add(id, time.Now())
+		s.arrivals.add(Arrival{ID: id, At: time.Now(), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != ""})
 	}
 	if expected := r.Header.Get("Martenport-Expect-Instance"); expected != "" && expected != s.params.ID {
 		w.Header().Set("Martenport-Instance-Id", s.params.ID)
--- a/serving/workspace.go
+++ b/serving/workspace.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,11 @@
 // Guarded reports whether requests need a key, but for those of public routes.
 func (c *Config) Guarded() bool { return c.Workspaces != nil }
 
+// Limited reports whether a workspace has a limit.
+func (c *Config) Limited() bool {
+	return slices.ContainsFunc(c.Workspaces, func(w Workspace) bool { return w.Limit.Limited() })
+}
+
 // WorkspaceOf returns the workspace that has a key, nil if none has.
 func (c *Config) WorkspaceOf(key KeyDigest) *Workspace { return c.byKey[key] }
 
