The soak has keys, revocation and a limit

Requests bear the key of one of three workspaces, one whose keys go with each configuration, one that asks for more than its limit, or of nobody. Checked by what servers see: the workspace that they are told, no key, no key for longer than the bound after it was taken away, and what the limited workspace runs in any window.

--- a/soak/check.go
+++ b/soak/check.go
@@ -17,10 +17,12 @@
 	servers map[string]standin.State // by server and start
 	// extra is how many repeated sends the budget allows beyond its ratio.
 	extra int
+	// versions are when each was acknowledged.
+	versions map[int64]time.Time
 }
 
 func newSeen(entries int) seen {
-	return seen{mu: &sync.Mutex{}, tries: map[string]try{}, servers: map[string]standin.State{}, extra: budgetExtra(entries)}
+	return seen{mu: &sync.Mutex{}, tries: map[string]try{}, servers: map[string]standin.State{}, extra: budgetExtra(entries), versions: map[int64]time.Time{}}
 }
 
 func (s *seen) tried(t try) {
@@ -65,6 +67,7 @@
 		found = append(found, t.breaches(runs[t.id])...)
 		found = append(found, t.lostBreaches(runs[t.id])...)
 	}
+	found = append(found, s.keyBreaches()...)
 	return append(found, s.budgetBreaches()...)
 }
 
@@ -72,7 +75,7 @@
 func (t *try) breaches(runs int) []Breach {
 	var found []Breach
 	switch {
-	case t.status == http.StatusServiceUnavailable && runs > 0:
+	case t.refused() && runs > 0:
 		found = append(found, Breach{"a refusal that says not run is true", fmt.Sprintf("%s (%s) ran %d times", t.id, t.route, runs)})
 	case t.status == http.StatusOK && t.whole && t.body != t.expected():
 		found = append(found, Breach{"each client gets the whole answer to its own request", fmt.Sprintf("%s (%s) got %q", t.id, t.route, t.body)})
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -39,6 +40,8 @@
 // try is one request and what its client saw.
 type try struct {
 	id, route, model string
+	// key is that of the steady workspace if empty.
+	key string
 	// payload is the body; samePayload if empty.
 	payload string
 	status  int
@@ -92,7 +95,7 @@
 	switch {
 	case t.status == http.StatusOK && t.whole:
 		r.Answered++
-	case t.status == http.StatusServiceUnavailable:
+	case t.refused():
 		r.Refused++
 	default:
 		r.Failed++
@@ -100,7 +103,7 @@
 }
 
 func (r *run) try(random *rand.Rand, id string) try {
-	t := try{id: id, route: freshRoutes[random.IntN(len(freshRoutes))]}
+	t := try{id: id, route: freshRoutes[random.IntN(len(freshRoutes))], key: r.drawKey(random)}
 	if random.IntN(2) == 0 {
 		t.payload = "body of " + id
 	}
@@ -132,7 +135,9 @@
 	_ = conn.SetDeadline(time.Now().Add(routeTimeout + 2*answerSlack)) // a read that outlasts it ends the try
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", t.route, len(t.sends()))
-	_ = standin.ClientHeader(t.id, t.model, routeTimeout).Write(&text) // a buffer does not fail
+	header := standin.ClientHeader(t.id, t.model, routeTimeout)
+	header.Set(standin.KeyHeader, cmp.Or(t.key, steadyKey))
+	_ = header.Write(&text) // a buffer does not fail
 	text.WriteString("\r\n" + t.sends())
 	now := time.Now()
 	if _, err := conn.Write(text.Bytes()); err != nil {
@@ -149,6 +154,11 @@
 	return t.whole && !resp.Close
 }
 
+// refused reports whether the client was told that the request has not run.
+func (t *try) refused() bool {
+	return t.status == http.StatusServiceUnavailable || t.status == http.StatusTooManyRequests || t.status == http.StatusUnauthorized
+}
+
 // sends is the body of the request.
 func (t *try) sends() string {
 	if t.payload == "" {
--- a/soak/config.go
+++ b/soak/config.go
@@ -70,6 +70,7 @@
 	c := standin.Config{
 		Version: r.settings.version, Plain: []string{plain, side}, Engines: engines, Models: map[string]standin.ServerModel{}, MemoryMB: 210, AdapterSlots: 2,
 		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3, IdleTimeout: idle,
+		Workspaces: workspaces(r.settings.version),
 	}
 	for _, m := range models {
 		c.Models[m] = standin.ServerModel{MemoryMB: 100, Load: 200 * time.Millisecond}
@@ -82,6 +83,7 @@
 	if err := c.Write(ctx, r.client); err != nil {
 		return err
 	}
+	r.seen.accepted(c.Version, time.Now())
 	r.settings.idle = idle
 	return nil
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -249,9 +249,9 @@
 internalPorts = [7380, 7390]
 listen = { frontend = "%s:8100", ready = "%s:8101" }
 limits = { cpuShare = 1.0, cores = 1 }
-bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = %v, budgetWindowS = %v, budgetExtra = %d }
+bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = %v, budgetWindowS = %v, budgetExtra = %d, revokeFailClosed = true, revokeMs = %d, quotaWindowS = %v, quotaOverage = %v, quotaSlack = %v }
 platform = { address = "%s" }
-`, i, ip, i%3, ip, ip, graceTime.Seconds(), leaseMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), way.address())
+`, i, ip, i%3, ip, ip, graceTime.Seconds(), leaseMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), revokeBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, way.address())
 	path := filepath.Join(r.logs, fmt.Sprintf("entry-%d.toml", i))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return errors.Wrap(err, "soak: settings")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -103,7 +103,7 @@
 func repeated(id string, n int) []standin.Arrival {
 	var list []standin.Arrival
 	for i := range n {
-		list = append(list, standin.Arrival{ID: id, At: time.Unix(100, 0).Add(time.Duration(i) * time.Millisecond)})
+		list = append(list, standin.Arrival{ID: id, Workspace: steadyWorkspace, At: time.Unix(100, 0).Add(time.Duration(i) * time.Millisecond)})
 	}
 	return list
 }
