A workspace that asks for more than its limit is decided in the order of arrival

Cause: shares decide each instance's part for itself, and an instance that was refused did not ask again for 200 ms, so that of a workspace beyond its limit other requests ran than those that came first; the ones that came first are those that are within the limit.

Nothing is lent of such a workspace, and each request is asked for.

--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -9,8 +9,6 @@
 	"github.com/martenport/martenport/serving"
 )
 
-func compare(a, b string) int { return cmp.Compare(a, b) }
-
 // Parts of a limit.
 const (
 	// lentRate and lentSaved are the parts of what a limit gains and of what may be saved up
@@ -270,10 +268,13 @@
 }
 
 // want returns the share that an instance should have by what is asked for there. One that
-// does not hold a usual request is not worth having: it would lie idle.
+// does not hold a usual request is not worth having: it would lie idle. Of a workspace that asks
+// for more than its limit nothing is lent: questions alone let requests run in the order in which
+// they come, which, with no pause between questions, gained .018 +- .010 of worth (6 pairs of
+// days on the users' platform).
 func (l *Lender) want(a *account, lo *loan) Share {
 	all, demand := l.lendable(a), a.demand()
-	if demand <= 0 {
+	if demand <= 0 || demand > a.limit.Rate {
 		return Share{}
 	}
 	part := lo.demand / demand
@@ -353,7 +354,7 @@
 		given := l.settle(a, now)
 		list = append(list, Total{Workspace: name, Limit: a.limit, Asked: a.asked, Refused: a.refused, Demand: a.demand(), Lent: given, Left: a.own.level})
 	}
-	slices.SortFunc(list, func(a, b Total) int { return compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(list, func(a, b Total) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return list
 }
 
--- a/command/quota/lender_test.go
+++ b/command/quota/lender_test.go
@@ -125,13 +125,13 @@
 	}{{100 * time.Millisecond, true}, {2 * time.Second, false}} {
 		s := NewShares(time.Minute)
 		s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 100}, Grant: 100}}, epoch, epoch)
-		if taken, _ := s.Take("w", 100, epoch); !taken {
+		if !s.Take("w", 100, epoch) {
 			t.Fatal("not there")
 		}
 		now := epoch.Add(c.after)
 		s.GiveBack("w", 100, epoch, now)
-		if taken, _ := s.Take("w", 100, now); taken != c.want {
-			t.Errorf("%s later: there is %v, want %v", c.after, taken, c.want)
+		if s.Take("w", 100, now) != c.want {
+			t.Errorf("%s later: it is there %v, want %v", c.after, !c.want, c.want)
 		}
 	}
 }
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -21,8 +22,6 @@
 	bucket
 	// until is when the share ends without another word of the holder.
 	until time.Time
-	// refusedUntil: the holder has said that nothing is left until then.
-	refusedUntil time.Time
 	// asked and refused are since the last report; totals since the start.
 	asked, refused, heaviest float64
 	requests                 int
@@ -41,8 +40,8 @@
 const idleAfter = 30 * time.Second
 
 // Take takes what a request costs from the share of its workspace, and reports whether it was
-// there. If not, the holder may be asked, but not before refusedUntil.
-func (s *Shares) Take(workspace string, cost float64, now time.Time) (taken bool, refusedUntil time.Time) {
+// there. If not, the holder may be asked.
+func (s *Shares) Take(workspace string, cost float64, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held(workspace, now)
@@ -51,18 +50,16 @@
 	h.heaviest = max(h.heaviest, cost)
 	h.totalAsked += cost
 	h.used = now
-	return h.take(cost), h.refusedUntil
+	return h.take(cost)
 }
 
-// Refused notes that a request was refused for the limit, and until when the holder has
-// nothing left.
-func (s *Shares) Refused(workspace string, cost float64, until, now time.Time) {
+// Refused notes that a request was refused for the limit.
+func (s *Shares) Refused(workspace string, cost float64, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.held(workspace, now)
 	h.refused += cost
 	h.totalRefused += cost
-	h.refusedUntil = until
 }
 
 // GiveBack gives back what a request took that did not reach a server. What was taken longer
@@ -95,7 +92,7 @@
 		uses = append(uses, Use{Workspace: name, Asked: h.asked, Requests: h.requests, Refused: h.refused, Heaviest: h.heaviest, Held: h.share, Level: h.level, Returned: returned})
 		h.asked, h.requests, h.refused, h.heaviest = 0, 0, 0, 0
 	}
-	slices.SortFunc(uses, func(a, b Use) int { return compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return uses
 }
 
@@ -124,9 +121,6 @@
 		h := s.held(loan.Workspace, now)
 		h.share, h.keep, h.until = loan.Share, loan.Keep, sent.Add(s.lifetime)
 		h.level = min(h.level+loan.Grant, loan.Share.Saved)
-		if loan.Grant > 0 {
-			h.refusedUntil = time.Time{}
-		}
 	}
 	for name, h := range s.byWorkspace {
 		if !named[name] {
@@ -153,7 +147,7 @@
 		h := s.held(name, now)
 		list = append(list, Status{Workspace: name, Held: h.share, Level: h.level, Asked: h.totalAsked, Refused: h.totalRefused})
 	}
-	slices.SortFunc(list, func(a, b Status) int { return compare(a.Workspace, b.Workspace) })
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return list
 }
 
--- a/command/quota/ways_test.go
+++ b/command/quota/ways_test.go
@@ -216,18 +216,15 @@
 
 func (w *lentWay) request(a arrival) (run, question bool) {
 	s := w.shares[a.instance]
-	taken, refusedUntil := s.Take(a.workspace, a.cost, a.at)
 	switch {
-	case taken:
+	case s.Take(a.workspace, a.cost, a.at):
 		return true, false
-	case a.at.Before(refusedUntil):
-		return false, false
 	case !w.lost.IsZero() && a.at.After(w.lost):
 		return false, true
 	}
 	answer := w.lender.Ask(a.workspace, a.cost, w.limits[a.workspace], a.at)
 	if !answer.Granted {
-		s.Refused(a.workspace, a.cost, a.at.Add(min(answer.After, 200*time.Millisecond)), a.at)
+		s.Refused(a.workspace, a.cost, a.at)
 	}
 	return answer.Granted, true
 }
--- a/command/quota/world_test.go
+++ b/command/quota/world_test.go
@@ -79,16 +79,12 @@
 
 // request has a request arrive at an instance, and reports whether it was let run.
 func (w *world) request(i int, cost float64, lost int) bool {
-	taken, refusedUntil := w.shares[i].Take("w", cost, w.now)
-	if !taken && w.now.Before(refusedUntil) {
-		w.shares[i].Refused("w", cost, refusedUntil, w.now)
-		return false
-	}
+	taken := w.shares[i].Take("w", cost, w.now)
 	if !taken && lost != reportLost {
 		answer := w.lender.Ask("w", cost, w.limit, w.now)
 		taken = answer.Granted && lost == nothingLost
 		if answer.Known && !answer.Granted {
-			w.shares[i].Refused("w", cost, w.now.Add(min(answer.After, 200*time.Millisecond)), w.now)
+			w.shares[i].Refused("w", cost, w.now)
 		}
 	}
 	if taken {
--- a/entry/access.go
+++ b/entry/access.go
@@ -90,9 +90,6 @@
 	// drawTimeout bounds one question: several round trips between failure domains. It is
 	// within what the bound of quota allows to be on its way.
 	drawTimeout = 300 * time.Millisecond
-	// refusedFor bounds for how long the holder's word that nothing is left is taken: what is
-	// lent elsewhere comes back within a report or two.
-	refusedFor = 200 * time.Millisecond
 	// unansweredRetry is told to clients while the holder cannot be asked: other instances may
 	// have a share that is left.
 	unansweredRetry = 200 * time.Millisecond
@@ -107,13 +104,9 @@
 		return func() {}, nil
 	}
 	now := clock.Exact()
-	taken, refusedUntil := g.shares.Take(w.Name, cost, now)
-	if taken {
+	if g.shares.Take(w.Name, cost, now) {
 		return func() { g.shares.GiveBack(w.Name, cost, now, clock.Exact()) }, nil
 	}
-	if wait := refusedUntil.Sub(now); wait > 0 {
-		return nil, g.overLimit(w, cost, wait)
-	}
 	answer, err := g.draw(ctx, w.Name, cost)
 	g.count(answer)
 	switch {
@@ -140,8 +133,7 @@
 // overLimit refuses a request that goes beyond the limit of its workspace. after is when it
 // would be within it, 0 if never.
 func (g *gate) overLimit(w *serving.Workspace, cost float64, after time.Duration) *verdict.Failure {
-	now := clock.Now()
-	g.shares.Refused(w.Name, cost, now.Add(min(after, refusedFor)), now)
+	g.shares.Refused(w.Name, cost, clock.Now())
 	failure := verdict.Refuse(verdict.ReasonOverLimit, "workspace %s asks for more than its limit", w.Name)
 	if after <= 0 {
 		return failure
