--- a/cmd/martendev/entries.go
+++ b/cmd/martendev/entries.go
@@ -41,6 +41,8 @@
 	maxEntries       = 9
 	entryHeartbeat   = 500 * time.Millisecond
 	loadTime         = time.Second
+	// galleryKey is the key of a workspace that has a limit.
+	galleryKey = "gallery-key"
 )
 
 // Execute implements flags.Commander.
@@ -94,12 +96,15 @@
 	route := func(name, service string, kind standin.RouteKind) standin.Route {
 		return standin.Route{
 			Name: name, Host: entriesHost, Service: service, Kind: kind, Timeout: 20 * time.Second, Objective: 2 * time.Second, Attempts: 2,
-			Resumable: kind == standin.StreamRoute,
+			Resumable: kind == standin.StreamRoute, Public: kind == standin.SafeRoute,
 		}
 	}
 	return standin.Config{
 		Version: 1, Plain: []string{"notices"}, Engines: "engines", Models: c.models(), MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots,
 		RemoteLoad: 6 * loadTime, LoadsPerSecond: 3,
+		Workspaces: []standin.Workspace{
+			{Name: "gallery", Keys: []string{galleryKey}, Rate: 5000, Burst: 5000}, {Name: "archive", Keys: []string{"archive-key"}},
+		},
 		Routes: []standin.Route{
 			route("generate", "engines", standin.StreamRoute), route("notice", "notices", standin.UnsafeRoute), route("lookup", "notices", standin.SafeRoute),
 		},
@@ -135,7 +140,10 @@
 	s := platform.Settings{NodeName: fmt.Sprintf("entry-%d", i+1), IP: entryIP(i), Zone: domain(i), InternalPorts: []int{7380, 7395}}
 	s.Listen.Frontend, s.Listen.Ready = net.JoinHostPort(s.IP, entriesClients), net.JoinHostPort(s.IP, entriesReady)
 	s.Platform.Address = entriesStore
-	s.Bounds = platform.Bounds{DrainMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2, BudgetWindowS: 10, BudgetExtra: 50, CeilingWindowS: 5}
+	s.Bounds = platform.Bounds{
+		DrainMS: 2000, GraceS: 8, LeaseMS: 3000, BudgetRatio: 0.2, BudgetWindowS: 10, BudgetExtra: 50, CeilingWindowS: 5,
+		RevokeFailClosed: true, RevokeMS: 5000, QuotaWindowS: 8, QuotaOverage: 0.1, QuotaSlack: 2000,
+	}
 	if err := s.Check(); err != nil {
 		return err
 	}
@@ -164,9 +172,12 @@
 	fmt.Printf("%d entry instances, clients at %s:%s and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesClients, entriesOperators)
 	fmt.Printf("models %s to %s, two fit on an engine; try (the last one is cold):\n", modelName(0), modelName(entriesModels-1))
 	fmt.Printf("  curl -si -H 'Host: %s'", entriesHost)
-	for name, values := range standin.ClientHeader("1", modelName(entriesModels-1), 0) {
+	header := standin.ClientHeader("1", modelName(entriesModels-1), 0)
+	header.Set(standin.KeyHeader, galleryKey)
+	for name, values := range header {
 		fmt.Printf(" -H '%s: %s'", name, values[0])
 	}
 	fmt.Printf(" -d prompt http://%s:%s/generate/x\n", entryIP(0), entriesClients)
 	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d status\n", entryIP(0), entriesOperators)
+	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d workspaces\n", entryIP(0), entriesOperators)
 }
