--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -48,7 +48,7 @@
 	f.counts.end(failure, 0)
 	fields := logrus.Fields{
 		"request": r.ID, "route": route.Name, "config": config.Version, "config_age_ms": known.Age.Milliseconds(), "verdict": failure.Verdict,
-		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0,
+		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0, "priority": a.ranked(route).Priority,
 	}
 	if a.workspace != nil {
 		fields["workspace"] = a.workspace.Name
--- a/query/explain/explain_test.go
+++ b/query/explain/explain_test.go
@@ -46,3 +46,32 @@
 		t.Errorf("%+v, %v", lines, err)
 	}
 }
+
+// TestRefusedByKeyOrLimit: a request that was refused for its key, its workspace's limit or the age of
+// what is known of keys is explained by its own line, which has the workspace and the age, and by
+// what its instance said of keys and the holder before.
+func TestRefusedByKeyOrLimit(t *testing.T) {
+	const log = `edge-1 time="2026-04-07T22:21:01.000Z" level=warning msg="keys are not relied on any more: requests that need one are refused" config=7 config_age_ms=4310 holder_answers=false
+edge-1 time="2026-04-07T22:21:02.000Z" level=info msg="request not answered: it is not known whether keys were taken away" request=aged config_age_ms=5310 reason=platform ms=0 route=r verdict=NotRun priority=1
+edge-2 time="2026-04-07T22:21:02.100Z" level=info msg="request not answered: workspace w asks for more than its limit" request=over workspace=w config_age_ms=310 reason=over_limit ms=0 route=r verdict=NotRun priority=1
+edge-2 time="2026-04-07T22:21:02.200Z" level=info msg="request not answered: no workspace has the key" request=unknown config_age_ms=410 reason=unauthorized ms=0 route=r verdict=NotRun priority=1
+`
+	lines, err := Read(strings.NewReader(log), "file")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for id, want := range map[string]string{"aged": "keys are not relied on any more", "over": "workspace w asks for more", "unknown": "no workspace has the key"} {
+		found, err := Request(lines, id)
+		if err != nil || len(found) == 0 {
+			t.Fatalf("%s: %v", id, err)
+		}
+		if text := found[0].Text; !strings.Contains(text, want) || !strings.Contains(text, "config_age_ms") {
+			t.Errorf("%s: explained by %q", id, text)
+		}
+	}
+	for _, g := range Outcomes(lines) {
+		if g.Outcome != Refused {
+			t.Errorf("%+v, want refused", g)
+		}
+	}
+}
