What the holder grants is lost if its answer came late

Cause, by reading: timers stand still while a machine is suspended, so that an answer to a question or a report could be taken long after it was made, and what it grants would run in a window in which the holder has gained as much again. An answer that took longer than the proof allows for grants nothing. A request that a question let run and that reached no server is given back like one by the share.

Test: TestLateGrant.

--- a/command/quota/lender_test.go
+++ b/command/quota/lender_test.go
@@ -153,3 +153,14 @@
 		t.Errorf("the holder has %.0f, %.0f were returned", a.own.level, uses[0].Returned)
 	}
 }
+
+// TestLateGrant: what the holder grants with its answer is lost if that took long.
+func TestLateGrant(t *testing.T) {
+	for took, want := range map[time.Duration]float64{transit: 50, 3 * time.Second: 0} {
+		s := NewShares(time.Minute)
+		s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 100}, Grant: 50}}, epoch, epoch.Add(took))
+		if got := s.Status(epoch.Add(took))[0].Level; got != want {
+			t.Errorf("%s after the report: %.0f, want %.0f", took, got, want)
+		}
+	}
+}
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -111,7 +111,9 @@
 }
 
 // Apply takes over what the holder lends in answer to a report that was sent at a time. It
-// says all: of a workspace that it does not name nothing is lent any more.
+// says all: of a workspace that it does not name nothing is lent any more. What it grants is
+// lost if the answer took long, as where the machine was suspended: the holder has gained as
+// much again since.
 func (s *Shares) Apply(loans []Loan, sent, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,7 +122,10 @@
 		named[loan.Workspace] = true
 		h := s.held(loan.Workspace, now)
 		h.share, h.keep, h.until = loan.Share, loan.Keep, sent.Add(s.lifetime)
-		h.level = min(h.level+loan.Grant, loan.Share.Saved)
+		if now.Sub(sent) <= transit {
+			h.level += loan.Grant
+		}
+		h.level = min(h.level, loan.Share.Saved)
 	}
 	for name, h := range s.byWorkspace {
 		if !named[name] {
--- a/entry/access.go
+++ b/entry/access.go
@@ -104,8 +104,9 @@
 		return func() {}, nil
 	}
 	now := clock.Exact()
+	giveBack = func() { g.shares.GiveBack(w.Name, cost, now, clock.Exact()) }
 	if g.shares.Take(w.Name, cost, now) {
-		return func() { g.shares.GiveBack(w.Name, cost, now, clock.Exact()) }, nil
+		return giveBack, nil
 	}
 	answer, err := g.draw(ctx, w.Name, cost)
 	g.count(answer)
@@ -115,7 +116,7 @@
 	case !answer.Granted:
 		return nil, g.overLimit(w, cost, answer.After)
 	}
-	return func() {}, nil
+	return giveBack, nil
 }
 
 // count counts a question by its answer.
@@ -162,7 +163,11 @@
 	if record.Holder == "" || record.Released || silence > silentAfter {
 		return quota.Answer{}, errors.New("entry: no holder can be reached")
 	}
+	asked := clock.Exact()
 	var reply DrawReply
 	err := f.call(ctx, record, drawTimeout, methodDraw, &DrawArgs{Workspace: workspace, Cost: cost}, &reply)
+	if took := clock.Exact().Sub(asked); err == nil && took > drawTimeout {
+		err = errors.Newf("entry: the answer took %s", took) // timers stand still while the machine is suspended
+	}
 	return reply.Answer, err
 }
