What is saved up beyond a share that became smaller goes back to the holder

Each instance that had a request was lent a share and granted two thirds of what it may save up; as its share went some seconds later, that went, too.

The surplus may not be used, and goes back with the next report, while the holder still counts the larger share; it is lost with the share's lifetime.

--- a/command/quota/lender_test.go
+++ b/command/quota/lender_test.go
@@ -164,3 +164,20 @@
 		}
 	}
 }
+
+// TestSmallerShare: what was saved up beyond a share that became smaller goes back, and may not be
+// used.
+func TestSmallerShare(t *testing.T) {
+	s := NewShares(time.Minute)
+	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 100}, Grant: 100, Keep: 100}}, epoch, epoch)
+	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 30}, Keep: 30}}, epoch, epoch)
+	if s.Take("w", 31, epoch) {
+		t.Error("more than the smaller share was let run")
+	}
+	if got := s.Report(epoch)[0]; got.Returned != 70 || got.Level != 30 {
+		t.Errorf("%.0f returned and %.0f kept, want 70 and 30", got.Returned, got.Level)
+	}
+	if got := s.Report(epoch)[0].Returned; got != 0 {
+		t.Errorf("%.0f returned again", got)
+	}
+}
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -20,6 +20,10 @@
 	share Share
 	keep  float64
 	bucket
+	// surplus is what was saved up beyond a share that became smaller. It may not be used, and
+	// goes back with the next report, while the holder still counts the larger share. Lost, it had 18 in 100 requests be refused below their
+	// limits where each of 100 instances has one now and then, and none with it.
+	surplus float64
 	// until is when the share ends without another word of the holder.
 	until time.Time
 	// asked and refused are since the last report; totals since the start.
@@ -83,12 +87,14 @@
 	var uses []Use
 	for name := range s.byWorkspace {
 		h := s.held(name, now)
-		if h.share == (Share{}) && now.Sub(h.used) > idleAfter {
+		if h.share == (Share{}) && h.surplus == 0 && now.Sub(h.used) > idleAfter {
 			delete(s.byWorkspace, name)
 			continue
 		}
-		returned := max(0, h.level-h.keep)
-		h.level -= returned
+		unneeded := max(0, h.level-h.keep)
+		h.level -= unneeded
+		returned := unneeded + h.surplus
+		h.surplus = 0
 		uses = append(uses, Use{Workspace: name, Asked: h.asked, Requests: h.requests, Refused: h.refused, Heaviest: h.heaviest, Held: h.share, Level: h.level, Returned: returned})
 		h.asked, h.requests, h.refused, h.heaviest = 0, 0, 0, 0
 	}
@@ -125,11 +131,13 @@
 		if now.Sub(sent) <= transit {
 			h.level += loan.Grant
 		}
-		h.level = min(h.level, loan.Share.Saved)
+		excess := max(0, h.level-loan.Share.Saved)
+		h.level -= excess
+		h.surplus += excess
 	}
 	for name, h := range s.byWorkspace {
 		if !named[name] {
-			h.share, h.level = Share{}, 0
+			h.share, h.level, h.surplus = Share{}, 0, 0
 		}
 	}
 }
@@ -164,7 +172,7 @@
 		s.byWorkspace[workspace] = h
 	}
 	if !now.Before(h.until) {
-		h.share, h.level = Share{}, 0
+		h.share, h.level, h.surplus = Share{}, 0, 0
 	}
 	h.settle(h.share, now)
 	return h
