--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -21,8 +21,9 @@
 	keep  float64
 	bucket
 	// surplus is what was saved up beyond a share that became smaller. It may not be used, and
-	// goes back with the next report, while the holder still counts the larger share. Lost, it had 18 in 100 requests be refused below their
-	// limits where each of 100 instances has one now and then, and none with it.
+	// goes back with the next report, while the holder still counts the larger share. Where
+	// each of 100 instances has a request now and then, 19 in 100 were refused while it was
+	// lost, and 12 in 100 are since (a day with some 1,350 requests on the users' platform).
 	surplus float64
 	// until is when the share ends without another word of the holder.
 	until time.Time
