One check of whether the holder is counted on, one of whether keys are

Questions about limits repeated the check that trials make (entry trial.go): both call liveHolder now. Whether keys are relied on was kept in a variable beside what it follows from; the gauge, the log and the operators' list derive it by one function.

--- a/command/holder/lend.go
+++ b/command/holder/lend.go
@@ -1,8 +1,6 @@
 package holder
 
 import (
-	"time"
-
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
@@ -18,7 +16,7 @@
 	if !h.lease.Held() {
 		return nil, false
 	}
-	if !h.mayLend(now) {
+	if !h.lease.GoodToLend(now) {
 		h.lender.Heard(instance, uses, h.limitOf, now)
 		return nil, false
 	}
@@ -32,7 +30,7 @@
 	defer h.mu.Unlock()
 	now := clock.Exact()
 	limit, known := h.limitOf(workspace)
-	if !known || !h.mayLend(now) {
+	if !known || !h.lease.GoodToLend(now) {
 		return quota.Answer{}
 	}
 	return h.lender.Ask(workspace, cost, limit, now)
@@ -56,12 +54,6 @@
 	return h.lender.Totals(clock.Now()), true
 }
 
-// mayLend needs mu. An instance that is not certain that it is the holder lends nothing: its
-// successor may lend the same.
-func (h *Holder) mayLend(now time.Time) bool {
-	return h.lease.GoodToLend(now)
-}
-
 // limitOf needs mu.
 func (h *Holder) limitOf(workspace string) (serving.Limit, bool) {
 	config := h.dir.Config()
--- a/entry/access.go
+++ b/entry/access.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,8 +22,6 @@
 	*follower
 	settings func() *platform.Settings
 	set      *metrics.Set
-	// distrusted: keys are not relied on, as of the last look.
-	distrusted atomic.Bool
 }
 
 func newGate(f *follower, settings func() *platform.Settings, set *metrics.Set) *gate {
@@ -34,33 +31,37 @@
 		return known.Age.Seconds()
 	})
 	set.NewGauge("martenport_keys_trusted", func() float64 {
-		if g.distrusted.Load() {
-			return 0
+		if config, known := g.Current(); g.trusts(config, known) {
+			return 1
 		}
-		return 1
+		return 0
 	})
 	return g
 }
 
+// trusts reports whether requests that need a key are served; it is true where none does.
+func (g *gate) trusts(config *serving.Config, known access.Knowledge) bool {
+	return config == nil || !config.Guarded() || g.Policy().Trusts(known.Age)
+}
+
 // trustInterval is how often it is looked whether keys are relied on, for the log.
 const trustInterval = 200 * time.Millisecond
 
 // run logs when keys are not relied on any more, and when they are again, until ctx ends.
 func (g *gate) run(ctx context.Context) {
+	trusted := true
 	for pause.For(ctx, trustInterval) {
 		config, known := g.Current()
-		if config == nil || !config.Guarded() {
-			continue
-		}
-		distrusted := !g.Policy().Trusts(known.Age)
-		if distrusted == g.distrusted.Swap(distrusted) {
+		now := g.trusts(config, known)
+		if now == trusted {
 			continue
 		}
+		trusted = now
 		log := g.log.WithFields(logrus.Fields{"config": config.Version, "config_age_ms": known.Age.Milliseconds(), "trusted_ms": g.Policy().Trusted().Milliseconds(), "holder_answers": known.Reached})
-		if distrusted {
-			log.Warn("keys are not relied on any more: requests that need one are refused")
-		} else {
+		if trusted {
 			log.Info("keys are relied on again")
+		} else {
+			log.Warn("keys are not relied on any more: requests that need one are refused")
 		}
 	}
 }
@@ -157,10 +158,8 @@
 
 // draw asks the holder for one request.
 func (f *follower) draw(ctx context.Context, workspace string, cost float64) (quota.Answer, error) {
-	f.mu.Lock()
-	record, silence := f.record, clock.Since(f.answered)
-	f.mu.Unlock()
-	if record.Holder == "" || record.Released || silence > silentAfter {
+	record, live := f.liveHolder()
+	if !live {
 		return quota.Answer{}, errors.New("entry: no holder can be reached")
 	}
 	asked := clock.Exact()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -154,6 +154,14 @@
 	return f.record.Holder
 }
 
+// liveHolder returns the lease's record as last read, and whether its holder is counted on.
+func (f *follower) liveHolder() (record lease.Record, live bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	live = f.record.Holder != "" && !f.record.Released && clock.Since(f.answered) <= silentAfter
+	return f.record, live
+}
+
 // call calls the holder, directly if that is this instance.
 func (f *follower) call(ctx context.Context, record lease.Record, timeout time.Duration, method string, args, reply any) error {
 	if record.Holder == f.name {
--- a/entry/operators_workspaces.go
+++ b/entry/operators_workspaces.go
@@ -25,7 +25,7 @@
 		return connect.NewResponse(out), nil
 	}
 	out.ConfigVersion, out.ConfigAgeMs = config.Version, known.Age.Milliseconds()
-	out.KeysTrusted = s.i.gate.Policy().Trusts(known.Age)
+	out.KeysTrusted = s.i.gate.trusts(config, known)
 	totals, err := s.i.follower.limits(ctx)
 	out.TotalsKnown = err == nil
 	here := s.i.follower.shares.Status(clock.Now())
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -14,10 +14,8 @@
 
 // trial asks the holder whether a suspect may run alone.
 func (f *follower) trial(ctx context.Context, t quarantine.Trial, version string, longest time.Duration) (bool, error) {
-	f.mu.Lock()
-	record, silence := f.record, clock.Since(f.answered)
-	f.mu.Unlock()
-	if record.Holder == "" || record.Released || silence > silentAfter {
+	record, live := f.liveHolder()
+	if !live {
 		return false, forward.ErrNoHolder
 	}
 	var reply TrialReply
--- a/serving/config.go
+++ b/serving/config.go
@@ -118,7 +118,7 @@
 		host := normalHost(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
-	return c.checkWorkspaces()
+	return c.indexWorkspaces()
 }
 
 // Match returns the route of the host with the longest prefix of path, or nil.
--- a/serving/workspace.go
+++ b/serving/workspace.go
@@ -86,8 +86,9 @@
 // Workspace returns a workspace by its name, nil if there is none.
 func (c *Config) Workspace(name string) *Workspace { return c.byName[name] }
 
-// checkWorkspaces returns why workspaces cannot be told apart by their names and keys.
-func (c *Config) checkWorkspaces() error {
+// indexWorkspaces prepares the configuration for Workspace and WorkspaceOf. It fails if two
+// workspaces cannot be told apart by their names and keys.
+func (c *Config) indexWorkspaces() error {
 	empty := DigestKey("")
 	for i := range c.Workspaces {
 		w := &c.Workspaces[i]
