Quota: who is awaited is a set that shrinks; one walk over the loans less for each report

Which instances had not reported was counted anew with each report, from a list and a set, for as long as one that is gone for good stayed on the list; what is lent was summed up again right after one share of it had changed. The lists for reports and operators go through sorted names instead of being sorted after.

--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -1,7 +1,7 @@
 package quota
 
 import (
-	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -53,11 +53,9 @@
 	// stopped to lend, as far as it has said so.
 	left     map[string]float64
 	accounts map[string]*account
-	// reported are the instances that have reported since, and expected those that may still
-	// have shares of the holder before, once they are listed.
-	reported map[string]bool
-	expected []string
-	listed   bool
+	// reported are the instances that have reported since, and awaited those that have not and
+	// may have shares of the holder before; nil while they are not known.
+	reported, awaited map[string]bool
 	// complete is when all of them had reported, zero before.
 	complete time.Time
 }
@@ -95,13 +93,16 @@
 // was before, so that nothing has been lent. left is what the holder before has left over, by
 // workspace.
 func NewLender(p Params, first bool, left map[string]float64, now time.Time) *Lender {
-	return &Lender{params: p, began: now, first: first, listed: first, left: left, accounts: map[string]*account{}, reported: map[string]bool{}}
+	return &Lender{params: p, began: now, first: first, left: left, accounts: map[string]*account{}, reported: map[string]bool{}}
 }
 
 // Expect says which instances may have shares of the holder before.
 func (l *Lender) Expect(names []string) {
-	if !l.first {
-		l.expected, l.listed = names, true
+	l.awaited = map[string]bool{}
+	for _, name := range names {
+		if !l.reported[name] {
+			l.awaited[name] = true
+		}
 	}
 }
 
@@ -126,6 +127,7 @@
 func (l *Lender) Heard(instance string, uses []Use, limits Limits, now time.Time) {
 	first := !l.reported[instance]
 	l.reported[instance] = true
+	delete(l.awaited, instance)
 	defer l.checkComplete(now)
 	reported := map[string]bool{}
 	for _, use := range uses {
@@ -150,22 +152,11 @@
 
 // checkComplete notes when all instances have reported.
 func (l *Lender) checkComplete(now time.Time) {
-	if !l.first && l.complete.IsZero() && l.listed && l.silent() == 0 {
+	if !l.first && l.complete.IsZero() && l.awaited != nil && len(l.awaited) == 0 {
 		l.complete = now
 	}
 }
 
-// silent counts the instances that may have shares of the holder before and have not reported.
-func (l *Lender) silent() int {
-	n := 0
-	for _, name := range l.expected {
-		if !l.reported[name] {
-			n++
-		}
-	}
-	return n
-}
-
 // Ask answers a question for one request. It must be called only while the lease is good and
 // that of the holder before is over.
 func (l *Lender) Ask(workspace string, cost float64, limit serving.Limit, now time.Time) Answer {
@@ -211,10 +202,15 @@
 // instances may have.
 func (l *Lender) settle(a *account, now time.Time) (given Share) {
 	given = l.lentTo(a, now)
+	l.setGiven(a, given, now)
+	return given
+}
+
+// setGiven notes what all instances may have from now on.
+func (l *Lender) setGiven(a *account, given Share, now time.Time) {
 	free := l.whole(a).minus(given)
 	a.own.settle(Share{Rate: min(free.Rate, a.free.Rate), Saved: free.Saved}, now) // some may have ended since
 	a.free = free
-	return given
 }
 
 // note takes over what an instance reports.
@@ -252,7 +248,7 @@
 		want = lo.held
 	}
 	lo.told = want.within(l.lendable(a).minus(others))
-	l.settle(a, now)
+	l.setGiven(a, others.plus(lo.counted()), now)
 	loan := Loan{Workspace: use.Workspace, Share: lo.told, Keep: lo.told.Saved * keptPart}
 	// What the instance lacks is made up from what the holder keeps, if it has plenty.
 	if missing := min(loan.Keep-use.Level, a.own.level/2); missing > 0 && a.own.take(missing) {
@@ -350,11 +346,11 @@
 // Totals returns what is known of all workspaces with a limit that were asked for.
 func (l *Lender) Totals(now time.Time) []Total {
 	var list []Total
-	for name, a := range l.accounts {
+	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
+		a := l.accounts[name]
 		given := l.settle(a, now)
 		list = append(list, Total{Workspace: name, Limit: a.limit, Asked: a.asked, Refused: a.refused, Demand: a.demand(), Lent: given, Left: a.own.level})
 	}
-	slices.SortFunc(list, func(a, b Total) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return list
 }
 
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -1,7 +1,7 @@
 package quota
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -86,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var uses []Use
-	for name := range s.byWorkspace {
+	for _, name := range slices.Sorted(maps.Keys(s.byWorkspace)) {
 		h := s.held(name, now)
 		if h.share == (Share{}) && h.surplus == 0 && now.Sub(h.used) > idleAfter {
 			delete(s.byWorkspace, name)
@@ -99,7 +99,6 @@
 		uses = append(uses, Use{Workspace: name, Asked: h.asked, Requests: h.requests, Refused: h.refused, Heaviest: h.heaviest, Held: h.share, Level: h.level, Returned: returned})
 		h.asked, h.requests, h.refused, h.heaviest = 0, 0, 0, 0
 	}
-	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return uses
 }
 
@@ -157,11 +156,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []Status
-	for name := range s.byWorkspace {
+	for _, name := range slices.Sorted(maps.Keys(s.byWorkspace)) {
 		h := s.held(name, now)
 		list = append(list, Status{Workspace: name, Held: h.share, Level: h.level, Asked: h.totalAsked, Refused: h.totalRefused})
 	}
-	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Workspace, b.Workspace) })
 	return list
 }
 
