--- a/command/quota/lender_test.go
+++ b/command/quota/lender_test.go
@@ -180,4 +180,8 @@
 	if got := s.Report(epoch)[0].Returned; got != 0 {
 		t.Errorf("%.0f returned again", got)
 	}
+	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 10}, Keep: 10}}, epoch, epoch)
+	if got := s.Report(epoch.Add(time.Minute))[0]; got.Returned != 0 || got.Held != (Share{}) {
+		t.Errorf("%+v after the share's lifetime, when the holder does not count it any more", got)
+	}
 }
