--- a/command/quota/lender_test.go
+++ b/command/quota/lender_test.go
@@ -168,7 +168,7 @@
 // TestSmallerShare: what was saved up beyond a share that became smaller goes back, and may not be
 // used.
 func TestSmallerShare(t *testing.T) {
-	s := NewShares(time.Minute)
+	s := NewShares(10 * time.Second)
 	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 100}, Grant: 100, Keep: 100}}, epoch, epoch)
 	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 30}, Keep: 30}}, epoch, epoch)
 	if s.Take("w", 31, epoch) {
@@ -181,7 +181,7 @@
 		t.Errorf("%.0f returned again", got)
 	}
 	s.Apply([]Loan{{Workspace: "w", Share: Share{Saved: 10}, Keep: 10}}, epoch, epoch)
-	if got := s.Report(epoch.Add(time.Minute))[0]; got.Returned != 0 || got.Held != (Share{}) {
+	if got := s.Report(epoch.Add(10 * time.Second))[0]; got.Returned != 0 || got.Held != (Share{}) {
 		t.Errorf("%+v after the share's lifetime, when the holder does not count it any more", got)
 	}
 }
