Forward: an admission carries what it was decided by, and a trip is made of it

Configuration, route, knowledge and workspace went side by side through three functions, and a trip kept two of them beside the admission. Behaviour as before, but that the line of a request whose size cannot be read names its workspace.

--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -22,53 +22,60 @@
 	Draw(ctx context.Context, w *serving.Workspace, cost float64) (giveBack func(), failure *verdict.Failure)
 }
 
-// admission is a request's leave to run.
+// admission is a request's leave to run, or what it was refused by.
 type admission struct {
-	// workspace is nil where the request needs no key.
+	config *serving.Config
+	known  access.Knowledge
+	// route has the rank of the workspace, if that has one.
+	route *serving.Route
+	// workspace is nil where the request needs no key, or has none that is known.
 	workspace *serving.Workspace
 	giveBack  func()
 }
 
-// admit decides whether a request may run, by its key and the limit of its workspace.
-func (f *Forwarder) admit(ctx context.Context, config *serving.Config, known access.Knowledge, route *serving.Route, r *serving.Request) (admission, *verdict.Failure) {
-	workspace, failure := access.Decide(config, route, r.Credential, known, f.access.Policy())
+// admit decides whether a request for a route may run, by its key and the limit of its
+// workspace.
+func (f *Forwarder) admit(ctx context.Context, a admission, r *serving.Request) (admission, *verdict.Failure) {
+	a.giveBack = func() {}
+	workspace, failure := access.Decide(a.config, a.route, r.Credential, a.known, f.access.Policy())
 	if failure != nil || workspace == nil {
-		return admission{giveBack: func() {}}, failure
+		return a, failure
 	}
+	a.workspace, a.route = workspace, ranked(a.route, workspace)
 	cost, err := workspace.Limit.Cost(r)
 	if err != nil && workspace.Limit.Limited() {
-		return admission{}, verdict.Refuse(verdict.ReasonInvalid, "%v", err)
+		return a, verdict.Refuse(verdict.ReasonInvalid, "%v", err)
 	}
-	giveBack, failure := f.access.Draw(ctx, workspace, cost)
-	return admission{workspace, giveBack}, failure
+	a.giveBack, failure = f.access.Draw(ctx, workspace, cost)
+	return a, failure
+}
+
+// ranked returns the route with the rank that the workspace's requests have.
+func ranked(route *serving.Route, w *serving.Workspace) *serving.Route {
+	if !w.Ranked || w.Priority == route.Priority {
+		return route
+	}
+	ranked := *route
+	ranked.Priority = w.Priority
+	return &ranked
 }
 
 // notAdmitted logs and counts a request that may not run.
-func (f *Forwarder) notAdmitted(r *serving.Request, config *serving.Config, route *serving.Route, known access.Knowledge, a admission, failure *verdict.Failure) *verdict.Failure {
+func (f *Forwarder) notAdmitted(a admission, r *serving.Request, failure *verdict.Failure) *verdict.Failure {
 	f.counts.end(failure, 0)
 	fields := logrus.Fields{
-		"request": r.ID, "route": route.Name, "config": config.Version, "config_age_ms": known.Age.Milliseconds(), "verdict": failure.Verdict,
-		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0, "priority": a.ranked(route).Priority,
+		"request": r.ID, "route": a.route.Name, "config": a.config.Version, "config_age_ms": a.known.Age.Milliseconds(), "verdict": failure.Verdict,
+		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0, "priority": a.route.Priority,
 	}
-	if a.workspace != nil {
-		fields["workspace"] = a.workspace.Name
+	if name := a.workspaceName(); name != "" {
+		fields["workspace"] = name
 	}
 	f.log.WithFields(fields).Info("request not answered: " + failure.Detail)
 	return failure
 }
 
-// ranked returns the route with the rank that the workspace's requests have.
-func (a admission) ranked(route *serving.Route) *serving.Route {
-	if a.workspace == nil || !a.workspace.Ranked || a.workspace.Priority == route.Priority {
-		return route
-	}
-	ranked := *route
-	ranked.Priority = a.workspace.Priority
-	return &ranked
-}
-
-// name of the workspace, "" if there is none.
-func (a admission) name() string {
+// workspaceName returns "" if there is no workspace.
+func (a admission) workspaceName() string {
 	if a.workspace == nil {
 		return ""
 	}
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -169,11 +169,11 @@
 	if route == nil {
 		return f.refused(r, verdict.Refuse(verdict.ReasonNoRoute, "no route of configuration %d for %s%s", config.Version, r.Host, r.Path()))
 	}
-	admitted, failure := f.admit(ctx, config, known, route, r)
+	admitted, failure := f.admit(ctx, admission{config: config, known: known, route: route}, r)
 	if failure != nil {
-		return f.notAdmitted(r, config, route, known, admitted, failure)
+		return f.notAdmitted(admitted, r, failure)
 	}
-	t := f.newTrip(config, admitted, route, r, w)
+	t := f.newTrip(admitted, r, w)
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
 	failure = t.run(ctx)
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -16,14 +16,11 @@
 
 // trip is the way of one request through this instance.
 type trip struct {
-	f       *Forwarder
-	config  *serving.Config
-	route   *serving.Route
+	f *Forwarder
+	admission
 	service serving.Service
 	request *serving.Request
-	// admission is the request's leave to run.
-	admission admission
-	out       *writer
+	out     *writer
 	// deadline is when the final answer is due: the sooner of the client's and
 	// the route's.
 	deadline time.Time
@@ -55,11 +52,11 @@
 	last  *verdict.Failure
 }
 
-func (f *Forwarder) newTrip(config *serving.Config, a admission, route *serving.Route, r *serving.Request, w http.ResponseWriter) *trip {
-	route = a.ranked(route)
+func (f *Forwarder) newTrip(a admission, r *serving.Request, w http.ResponseWriter) *trip {
+	route := a.route
 	t := &trip{
-		f: f, config: config, admission: a, route: route, request: r, out: newWriter(w), excluded: map[string]bool{},
-		service: config.Services[chooseTarget(route.Targets)],
+		f: f, admission: a, request: r, out: newWriter(w), excluded: map[string]bool{},
+		service: a.config.Services[chooseTarget(route.Targets)],
 	}
 	allowed := route.Timeout
 	if r.Timeout > 0 && (allowed == 0 || r.Timeout < allowed) {
@@ -224,7 +221,7 @@
 	defer cancel()
 	resp, err := t.f.sender.Send(ctx, serving.Attempt{
 		Request: t.request, Server: server, Left: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEvent,
-		Guarded: t.config.Guarded(), Workspace: t.admission.name(),
+		Guarded: t.config.Guarded(), Workspace: t.workspaceName(),
 	})
 	if err != nil {
 		return false, t.sendFailed(ctx, server, err, now, &outcome)
@@ -328,7 +325,7 @@
 	if t.request.Unit.Model != "" {
 		fields["unit"] = t.request.Unit.String()
 	}
-	if name := t.admission.name(); name != "" {
+	if name := t.workspaceName(); name != "" {
 		fields["workspace"] = name
 	}
 	return fields
