Tests of engines that name a limit in their answers, which fail: their word is read nowhere

What users saw: engines that named 1.5 to 2 requests a second in their answers went on to get 3 to 7 a second from all instances together.

The tests play it with stand-ins and no other trouble: one of three engines names 1.5 a second, and each of three names 4 while an instance is replaced.

Hypotheses, before any change of logic: (1) the word is dropped where answers are read; (2) it is read and each instance holds to it by itself, so that the sum is too large; (3) it is read and lost again (a restart, another process under the same id). In the record the rate of sends does not change at the moment when the limit is named, at any instance, and no log names one: that is (1). Neither (2) nor (3) can be seen before (1) is mended, and both have to hold for the mend.

--- /dev/null
+++ b/entry/ratelimit_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/internal/standin"
+)
+
+// What users saw: an engine in need named in its answers how many requests a second it takes
+// from all instances together, and got two and a half times as many for as long as it did.
+//
+// The order of events: some engines of a model began to name a limit in every answer. Each
+// instance passed the answers on and sent the engine as many requests after them as before.
+//
+// The cause: the adapter that reads answers took over status, body and what clients get. What an
+// engine says there of itself was known nowhere.
+//
+// The evidence: the engines got 3 to 7 requests in each second before and after they named 1.5
+// or 2, no line of a log and no counter named a limit, and with stand-ins and no other trouble
+// these tests fail in the same way.
+
+// The bound on what an engine gets that names its limit.
+const (
+	limitWindow = 4 * time.Second
+	// limitSettled is when the bound begins after the limit was first named.
+	limitSettled = 3 * time.Second
+)
+
+// limitAllowed is how many requests an engine may get in the window that takes so many a second.
+func limitAllowed(rate float64) int { return int(1.5*rate*limitWindow.Seconds() + 5) }
+
+// limitedFor is how long engines name their limit in these tests: two windows.
+const limitedFor = limitSettled + 2*limitWindow
+
+// TestLimitedEngineGetsWhatItTakes: one of three engines names a limit far below its part of the
+// load. It gets no more than that, the others get the rest, and a moment after it has ceased to
+// name it it is used as before.
+func TestLimitedEngineGetsWhatItTakes(t *testing.T) {
+	f := newLoadFleet(t)
+	f.startLoad()
+	time.Sleep(time.Second)
+	named := time.Now()
+	defer func() { f.logArrivals(named, time.Now()) }()
+	limited := f.engines[0]
+	limited.Say(standin.Words{Limit: "1.5"})
+	time.Sleep(limitedFor)
+	ceased := time.Now()
+	limited.Say(standin.Words{})
+	const backWithin = 2 * time.Second
+	time.Sleep(backWithin + 2*time.Second)
+	ended := time.Now()
+	f.endLoad()
+	if n := most(limited, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(1.5) {
+		t.Errorf("an engine that takes 1.5 requests a second got %d in %s, want at most %d", n, limitWindow, limitAllowed(1.5))
+	}
+	if n := arrived(limited, named.Add(limitSettled), ceased); n == 0 {
+		t.Error("an engine that takes 1.5 requests a second got none")
+	}
+	e := f.between(named, ended)
+	if e.failed > 0 || 50*e.refused > e.tried {
+		t.Errorf("%v: want none failed, and at most 2 in 100 refused where other engines have room", e)
+	}
+	usual := f.between(ceased.Add(backWithin), ended).tried / len(f.engines)
+	if n := arrived(limited, ceased.Add(backWithin), ended); 2*n < usual {
+		t.Errorf("the engine got %d requests from %s after it had ceased to name a limit, its part is %d", n, backWithin, usual)
+	}
+	f.checkPromises()
+}
+
+// TestLimitedServiceIsUsed: each of three engines names a limit, and an instance starts anew in
+// between. No engine gets more than it takes, most of what they take together is used, and who is
+// refused is told when to come back.
+func TestLimitedServiceIsUsed(t *testing.T) {
+	f := newLoadFleet(t)
+	f.startLoad()
+	time.Sleep(time.Second)
+	named := time.Now()
+	defer func() { f.logArrivals(named, time.Now()) }()
+	for _, s := range f.engines {
+		s.Say(standin.Words{Limit: "4"})
+	}
+	time.Sleep(limitedFor / 2)
+	f.replaceOne()
+	time.Sleep(limitedFor / 2)
+	ceased := time.Now()
+	f.endLoad()
+	for i, s := range f.engines {
+		if n := most(s, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(4) {
+			t.Errorf("engine %d, which takes 4 requests a second, got %d in %s, want at most %d", i+1, n, limitWindow, limitAllowed(4))
+		}
+	}
+	e := f.between(named.Add(limitSettled), ceased)
+	if e.failed > 0 || e.unhinted > 0 {
+		t.Errorf("%v: want none failed, and each that is refused told when to come back", e)
+	}
+	// The load is the clock: where the machine stands still, it does, too.
+	taken := 3 * 4 * loadPause.Seconds() * float64(e.tried)
+	if float64(e.served) < 0.8*taken {
+		t.Errorf("%v: of %.0f that the engines take at least four fifths should be served", e, taken)
+	}
+	f.checkPromises()
+}
+
+// replaceOne ends an instance that is not the holder, and starts another.
+func (f *loadFleet) replaceOne() {
+	holder := f.holder()
+	f.mu.Lock()
+	for i, r := range f.instances {
+		if r == holder {
+			continue
+		}
+		f.instances = append(f.instances[:i:i], f.instances[i+1:]...)
+		f.mu.Unlock()
+		r.stop()
+		<-r.done
+		break
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.addInstance(loadInstances)
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -68,6 +68,7 @@
 	end   sync.Once
 
 	arrivals arrivals
+	words    words
 
 	mu         sync.Mutex
 	loaded     map[string]map[string]bool // adapters by model; guarded by mu
@@ -243,7 +244,9 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header.Get("Martenport-Attempt-Id"); id != "" {
+	said := s.words.write(w.Header())
+	id := r.Header.Get("Martenport-Attempt-Id")
+	if id != "" {
 		s.arrivals.add(Arrival{ID: id, At: time.Now(), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != ""})
 	}
 	if expected := r.Header.Get("Martenport-Expect-Instance"); expected != "" && expected != s.params.ID {
@@ -251,6 +254,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if id != "" && said.Rest != "" {
+		said.turnAway(w, id)
+		return
+	}
 	switch r.URL.Path {
 	case "/v1/order":
 		s.serveOrder(w, r)
