Words of backend servers about themselves are read from their answers, kept and logged

No decision goes by them yet. A server that names a limit of requests, asks for rest or says that it leaves said so in heads of answers that nothing read, so that no log could tell whether an instance did not hear it, forgot it or did not hold to it. Now each change of what is believed is a line: which server, which limit, from which answer; what cannot be read is one, too.

Read are the heads of answers to requests, orders and calls for reports, whatever their status. A word is of one process. Of two answers the newer counts, as far as that is certain, else the stricter: answers overtake each other.

--- /dev/null
+++ b/command/backpressure/ledger_test.go
@@ -0,0 +1,156 @@
+package backpressure
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/serving"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// named is a word that names a limit, in answer to a request sent and read at times.
+func named(rate float64, sent, heard int) serving.Word {
+	return serving.Word{Server: "e", Limited: true, Rate: rate, Sent: at(sent), Heard: at(heard)}
+}
+
+// silent is a word that names none.
+func silent(sent, heard int) serving.Word {
+	return serving.Word{Server: "e", Sent: at(sent), Heard: at(heard)}
+}
+
+var server = serving.Server{ID: "e"}
+
+// TestNewestLimitCounts: a limit changes and ends with answers that are certainly newer, and of
+// those that overtake each other the stricter counts.
+func TestNewestLimitCounts(t *testing.T) {
+	for name, c := range map[string]struct {
+		words   []serving.Word
+		rate    float64
+		limited bool
+	}{
+		"none":                             {words: []serving.Word{silent(0, 5)}},
+		"named":                            {words: []serving.Word{named(2, 0, 5)}, rate: 2, limited: true},
+		"ended":                            {words: []serving.Word{named(2, 0, 5), silent(6, 9)}},
+		"raised":                           {words: []serving.Word{named(2, 0, 5), named(4, 6, 9)}, rate: 4, limited: true},
+		"ended, then an old answer":        {words: []serving.Word{named(2, 0, 5), silent(20, 25), named(2, 1, 15)}},
+		"an answer from before it":         {words: []serving.Word{named(2, 3, 5), silent(1, 9)}, rate: 2, limited: true},
+		"confirmed, then one from between": {words: []serving.Word{named(2, 0, 5), named(2, 20, 25), silent(10, 30)}, rate: 2, limited: true},
+		"lowered by one from before":       {words: []serving.Word{named(4, 3, 5), named(2, 1, 9)}, rate: 2, limited: true},
+		"nothing at all":                   {words: []serving.Word{named(0, 0, 5)}, limited: true},
+		"not readable":                     {words: []serving.Word{named(2, 0, 5), {Server: "e", LimitUnknown: true, Unreadable: "x", Sent: at(6), Heard: at(9)}}, rate: 2, limited: true},
+	} {
+		l := NewLedger()
+		for _, w := range c.words {
+			l.Hear(w, w.Heard)
+		}
+		if rate, limited := l.Limit(server); rate != c.rate || limited != c.limited {
+			t.Errorf("%s: %v, %v, want %v, %v", name, rate, limited, c.rate, c.limited)
+		}
+	}
+}
+
+// TestWordIsOfOneProcess: nothing of what a process said holds for another under its id.
+func TestWordIsOfOneProcess(t *testing.T) {
+	l := NewLedger()
+	w := named(2, 0, 5)
+	w.Born, w.Rest = 1, time.Minute
+	l.Hear(w, at(5))
+	reborn := serving.Server{ID: "e", Born: 2}
+	if _, limited := l.Limit(reborn); limited || !l.RestUntil(reborn).IsZero() {
+		t.Error("the word of a process holds for the one after it")
+	}
+	next := named(3, 10, 15)
+	next.Born = 2
+	l.Hear(next, at(15))
+	l.Hear(w, at(16))
+	if rate, limited := l.Limit(reborn); !limited || rate != 3 {
+		t.Errorf("%v, %v: want what the later process says", rate, limited)
+	}
+}
+
+// TestLongestRestCounts: of rests that overlap the one that ends last counts.
+func TestLongestRestCounts(t *testing.T) {
+	l := NewLedger()
+	rest := func(heard int, d time.Duration) Change {
+		return l.Hear(serving.Word{Server: "e", Rest: d, Sent: at(heard - 1), Heard: at(heard)}, at(heard))
+	}
+	if c := rest(100, 3*time.Second); !c.Rest {
+		t.Error("a rest is no change")
+	}
+	rest(200, time.Second)
+	if until := l.RestUntil(server); until != at(3100) {
+		t.Errorf("rests until %v, want the later end", until.Sub(epoch))
+	}
+	l.Hear(silent(300, 400), at(400))
+	if until := l.RestUntil(server); until != at(3100) {
+		t.Errorf("rests until %v after an answer that asks for none, want as before", until.Sub(epoch))
+	}
+}
+
+// TestToldWhileItChanges: two instances that tell each other what they hear, late and lossy,
+// never believe in more than the engine says while all that they hear names a limit, and both
+// know within an exchange that there is none any more.
+func TestToldWhileItChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ledgers := []*Ledger{NewLedger(), NewLedger()}
+		seen := []uint64{0, 0}
+		now := 1000
+		rate := 2.0
+		hear := func(i int) {
+			ledgers[i].Hear(named(rate, now-rapid.IntRange(1, 50).Draw(t, "way"), now), at(now))
+		}
+		tell := func(from int) {
+			list, upTo := ledgers[from].Since(seen[from], at(now))
+			now += rapid.IntRange(0, 100).Draw(t, "transit")
+			if rapid.Bool().Draw(t, "lost") {
+				return
+			}
+			ledgers[1-from].Take(list, at(now))
+			seen[from] = upTo
+		}
+		hear(0)
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			now += rapid.IntRange(1, 200).Draw(t, "pause")
+			if rapid.Bool().Draw(t, "hear") {
+				hear(rapid.IntRange(0, 1).Draw(t, "who"))
+			} else {
+				tell(rapid.IntRange(0, 1).Draw(t, "teller"))
+			}
+		}
+		for i, l := range ledgers {
+			if r, limited := l.Limit(server); limited && r != rate {
+				t.Fatalf("instance %d believes in %v", i, r)
+			}
+		}
+		// It ends. Whoever hears that tells the other, who believes it if its own word is older.
+		now += 2 * int(Transit/time.Millisecond)
+		ledgers[0].Hear(silent(now-10, now), at(now))
+		list, _ := ledgers[0].Since(0, at(now))
+		now += 100
+		ledgers[1].Take(list, at(now))
+		for i, l := range ledgers {
+			if r, limited := l.Limit(server); limited {
+				t.Fatalf("instance %d still believes in %v", i, r)
+			}
+		}
+	})
+}
+
+// TestAccountGoesOn: what a server got is accounted for a while after it has ceased to name a
+// limit, by the rate that it named.
+func TestAccountGoesOn(t *testing.T) {
+	l := NewLedger()
+	l.Hear(named(2, 0, 5), at(5))
+	l.Hear(silent(6, 9), at(9))
+	if rate, ok := l.Account("e", at(1000)); !ok || rate != 2 {
+		t.Errorf("%v, %v a second after the end, want 2", rate, ok)
+	}
+	if _, ok := l.Account("e", at(20000)); ok {
+		t.Error("the account goes on for ever")
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/backpressure"
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
@@ -50,6 +51,7 @@
 	dir       *directory.Directory
 	client    *platform.Client
 	backends  *platform.Backends
+	hears     *hears
 	balancer  *balance.Balancer
 	holder    *holder.Holder
 	follower  *follower
@@ -81,6 +83,8 @@
 	i.client = platform.NewClient(platform.ClientParams{
 		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
 	})
+	i.hears = &hears{ledger: backpressure.NewLedger(), log: log}
+	i.backends.Listen(i.hears.hear)
 	i.balancer = balance.New(balance.DefaultParams())
 	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
 	if window := s.CeilingWindow(); window > 0 {
