A server's limit in its answers is held to by all instances together, at every send

What callers saw: servers in need named in each answer how many requests a second they take, and went on to get two and a half times as many, from all instances, for as long as they did.

Cause: the adapter took over status, body and what clients get, and dropped what a server says of itself in an answer's head. No instance knew of it, so none held back. The class is a word of a server about itself that reaches us only in an answer. Ruled out by the record and by the lines added before: that it was known and lost (no restart, no other process under the id), or held to by each instance alone (no instance's rate changed).

Every send passes one gate, right before it: first sends, repeats, resumed streams, suspects. A limit is summed over all instances like a workspace's: the same lender and shares, with the proof of package quota, by questions where there is too little to lend. Instances tell each other what was said, with ages; a newer answer ends it. Requests that can go to another server take only what is beyond half of what is saved up; those that cannot are given turns one after the other, and are refused at once if theirs comes too late. The holder counts a copy that takes no more as none, so that another is loaded. While no holder lends, some instances of the server's own failure domain, chosen by hash, have equal parts of it, from when the last share is over; what is lent is so much less than what is allowed that both together are within it.

Ways weighed: an equal part for each instance is nothing at 71 instances of 1.5 a second; the whole limit at one instance has all others send their requests on or refuse them. A limit of 0 is one; one request in five seconds shows its end.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -16,28 +18,32 @@
 // choose returns the server to send to next, waiting for a load if need be.
 func (t *trip) choose(ctx context.Context) (serving.Server, *verdict.Failure) {
 	if t.service.Engine == nil || t.request.Unit.Model == "" {
-		return t.choosePlain()
+		return t.choosePlain(ctx)
 	}
 	return t.chooseEngine(ctx)
 }
 
-// choosePlain picks among all servers of the service.
-func (t *trip) choosePlain() (serving.Server, *verdict.Failure) {
-	servers := t.f.dir.Servers(t.service.Name)
-	var usable []serving.Server
-	var candidates []balance.Candidate
-	for _, s := range servers {
-		if t.excluded[s.ID] || t.f.guard.Ended(s) {
-			continue
+// choosePlain picks among all servers of the service, and waits for a turn if need be.
+func (t *trip) choosePlain(ctx context.Context) (serving.Server, *verdict.Failure) {
+	for {
+		known := t.f.dir.Servers(t.service.Name)
+		usable := slices.DeleteFunc(slices.Clone(known), func(s serving.Server) bool { return t.excluded[s.ID] || t.f.guard.Ended(s) })
+		open := t.openTo(usable)
+		candidates := make([]balance.Candidate, 0, len(open))
+		for _, i := range open {
+			s := usable[i]
+			candidates = append(candidates, balance.Candidate{ID: s.ID, Domain: s.FailureDomain, Slots: s.Slots, Near: s.FailureDomain == t.f.params.FailureDomain})
+		}
+		if i := t.f.balancer.Pick(candidates, clock.Now()); i >= 0 {
+			return usable[open[i]], nil
+		}
+		if t.intake.closed.IsZero() {
+			return serving.Server{}, t.noServer(len(known))
+		}
+		if failure := t.awaitTurn(ctx); failure != nil {
+			return serving.Server{}, failure
 		}
-		usable = append(usable, s)
-		candidates = append(candidates, balance.Candidate{ID: s.ID, Domain: s.FailureDomain, Slots: s.Slots, Near: s.FailureDomain == t.f.params.FailureDomain})
-	}
-	i := t.f.balancer.Pick(candidates, clock.Now())
-	if i < 0 {
-		return serving.Server{}, t.noServer(len(servers))
 	}
-	return usable[i], nil
 }
 
 // noServerRetry is told to clients when no server of a service is known: about
@@ -78,6 +84,9 @@
 			}
 			wait = clock.Until(ready)
 		}
+		if server.ID == "" && !t.intake.closed.IsZero() {
+			wait = min(wait, clock.Until(t.intake.closed))
+		}
 		if wait <= 0 && server.ID != "" {
 			t.waits.ended(t.f.counts)
 			return server, nil
@@ -151,14 +160,9 @@
 // bestReplica picks among the engines known to have the unit or to get it.
 func (t *trip) bestReplica() (serving.Server, time.Time, bool) {
 	now := clock.Now()
-	replicas := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
-	candidates := make([]balance.Candidate, 0, len(replicas))
-	usable := replicas[:0]
-	for _, r := range replicas {
-		if t.excluded[r.Server.ID] || t.f.guard.Ended(r.Server) {
-			continue
-		}
-		usable = append(usable, r)
+	usable := t.openReplicas(now)
+	candidates := make([]balance.Candidate, 0, len(usable))
+	for _, r := range usable {
 		candidates = append(candidates, balance.Candidate{
 			ID: r.Server.ID, Domain: r.Server.FailureDomain, Slots: r.Server.Slots, Others: r.Others, Age: r.Age, Wait: max(0, r.Ready.Sub(now)),
 			Near: r.Server.FailureDomain == t.f.params.FailureDomain,
@@ -173,6 +177,23 @@
 	return usable[i].Server, usable[i].Ready, true
 }
 
+// openReplicas returns the replicas to which the request may be sent, as far as is known.
+func (t *trip) openReplicas(now time.Time) []directory.Replica {
+	replicas := slices.DeleteFunc(t.f.dir.Replicas(t.service.Name, t.request.Unit, now), func(r directory.Replica) bool {
+		return t.excluded[r.Server.ID] || t.f.guard.Ended(r.Server)
+	})
+	servers := make([]serving.Server, 0, len(replicas))
+	for _, r := range replicas {
+		servers = append(servers, r.Server)
+	}
+	open := t.openTo(servers)
+	chosen := make([]directory.Replica, 0, len(open))
+	for _, i := range open {
+		chosen = append(chosen, replicas[i])
+	}
+	return chosen
+}
+
 // markAffine marks the replica that gets requests with the same start of the
 // prompt, chosen by hash (rendezvous) so that instances agree on it.
 func (t *trip) markAffine(candidates []balance.Candidate) {
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -121,6 +121,7 @@
 	budget   *Budget
 	guard    Guard
 	access   Access
+	intake   Intake
 	log      logrus.FieldLogger
 	counts   *Counts
 	// leaving is closed when the instance is about to end.
@@ -128,9 +129,9 @@
 }
 
 // New returns a Forwarder.
-func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, a Access, counts *Counts, log logrus.FieldLogger) *Forwarder {
+func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, a Access, intake Intake, counts *Counts, log logrus.FieldLogger) *Forwarder {
 	return &Forwarder{
-		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, access: a, counts: counts, log: log,
+		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, access: a, intake: intake, counts: counts, log: log,
 		leaving: make(chan struct{}),
 	}
 }
--- /dev/null
+++ b/command/forward/intake.go
@@ -0,0 +1,169 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/quota"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// A server in need says in its answers how many requests it takes from all instances together,
+// or that one instance should leave it alone for a while. That holds for every send: first ones,
+// repeated ones, the rest of a stream, calls of servers, and those of suspects. So it is asked
+// right before each, in one place, and not when the request arrives: one may have waited for a
+// load since.
+
+// Intake says what servers take at the moment.
+type Intake interface {
+	// RestsUntil returns until when this instance may send nothing to a server; the zero time
+	// if it does not rest.
+	RestsUntil(s serving.Server) time.Time
+	// Limited reports whether a server limits what it takes, and spareFrom from when a request
+	// may be sent to it that can go elsewhere, as far as is known.
+	Limited(s serving.Server) (limited bool, spareFrom time.Time)
+	// Admit asks whether a request may be sent to a server now.
+	Admit(ctx context.Context, s serving.Server, t quota.Turn) Admission
+}
+
+// Admission is the answer to a request that asks whether it may be sent.
+type Admission struct {
+	Granted bool
+	// GiveBack takes back what was granted, if nothing is sent after all.
+	GiveBack func()
+	// After is when to ask again if it is not granted.
+	After time.Duration
+	// Rate is how many requests a second the server takes.
+	Rate float64
+}
+
+// intake is what one request knows of the servers that limit what they take.
+type intake struct {
+	// spare: the server chosen last is not the only one to which the request can go.
+	spare bool
+	// turns is when the request may ask again, by server.
+	turns map[string]time.Time
+	// closed is when the first of the servers that cannot be asked now can be; the zero time if
+	// there is none. It is set by each choice.
+	closed time.Time
+	// giveBack takes back what was granted to the next send.
+	giveBack func()
+}
+
+// openTo returns the indices of the servers to which the request may be sent now, as far as is
+// known: those that take what comes, and of those with a limit the ones that can spare something,
+// or all if there are no others.
+func (t *trip) openTo(servers []serving.Server) []int {
+	now := clock.Now()
+	t.intake.closed = time.Time{}
+	var free, spare, limited []int
+	for i, s := range servers {
+		if at := later(t.f.intake.RestsUntil(s), t.intake.turns[s.ID]); at.After(now) {
+			t.closedUntil(at)
+			continue
+		}
+		switch isLimited, spareFrom := t.f.intake.Limited(s); {
+		case !isLimited:
+			free = append(free, i)
+		case spareFrom.After(now):
+			limited = append(limited, i)
+		default:
+			spare = append(spare, i)
+		}
+	}
+	t.intake.spare = len(free) > 0
+	if t.intake.spare {
+		return append(free, spare...)
+	}
+	return append(spare, limited...)
+}
+
+// closedUntil notes that a server can be asked at a time.
+func (t *trip) closedUntil(at time.Time) {
+	if t.intake.closed.IsZero() || at.Before(t.intake.closed) {
+		t.intake.closed = at
+	}
+}
+
+// taken asks whether the request may be sent to the server now, and notes when it may ask again
+// if not.
+func (t *trip) taken(ctx context.Context, server serving.Server) bool {
+	if limited, _ := t.f.intake.Limited(server); !limited {
+		return !t.rests(server)
+	}
+	if t.rests(server) {
+		return false
+	}
+	_, waited := t.intake.turns[server.ID]
+	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.spare || deferrable(t.route), Waited: waited})
+	if a.Granted {
+		t.intake.giveBack = a.GiveBack
+		return true
+	}
+	if t.intake.turns == nil {
+		t.intake.turns = map[string]time.Time{}
+	}
+	t.intake.turns[server.ID] = clock.Now().Add(a.After)
+	t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{
+		"server": server.ID, "rate": a.Rate, "spare": t.intake.spare, "after_ms": a.After.Milliseconds(),
+	}).Info("server takes no more now")
+	return false
+}
+
+// rests reports whether a server rests: it may have asked for that since it was chosen.
+func (t *trip) rests(server serving.Server) bool {
+	return t.f.intake.RestsUntil(server).After(clock.Now())
+}
+
+// returnTaken gives back what was taken for a send that reached no server.
+func (t *trip) returnTaken() {
+	if t.intake.giveBack != nil {
+		t.intake.giveBack()
+	}
+	t.intake.giveBack = nil
+}
+
+const (
+	// longestTurn bounds how long a request waits here for a server that limits what it takes,
+	// or rests: a client that is told to come back then can be served by another instance
+	// meanwhile.
+	longestTurn = time.Second
+	// restSpread is the part of a rest over which clients are told to come back after it, and
+	// longestSpread bounds that: at its end the server should not get all of them at once.
+	restSpread    = 0.5
+	longestSpread = time.Second
+)
+
+// awaitTurn waits until one of the servers that cannot be asked now can be, or refuses the request
+// at once if that takes too long.
+func (t *trip) awaitTurn(ctx context.Context) *verdict.Failure {
+	wait := clock.Until(t.intake.closed)
+	if wait > longestTurn || wait+t.f.params.FirstEvent >= clock.Until(t.due()) {
+		return t.heldBack(wait)
+	}
+	started := clock.Now()
+	t.waits.next(serving.WaitTurn)
+	defer func() { t.waits.add(clock.Since(started)) }()
+	return t.pauseFor(ctx, max(wait, time.Millisecond))
+}
+
+// heldBack refuses a request for which no server takes anything for so long. Turns at limited
+// servers are given one after the other; rests end for all at the same moment.
+func (t *trip) heldBack(wait time.Duration) *verdict.Failure {
+	spread := min(longestSpread, time.Duration(restSpread*float64(wait)))
+	after := wait + time.Duration(rand.Float64()*float64(spread))
+	return verdict.Refuse(verdict.ReasonHeldBack, "no server of %s that could run it takes anything for %s: all limit what they take, or rest",
+		t.service.Name, round(wait)).After(after)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -47,6 +47,8 @@
 	server string
 	// firstHere is when the server sent its first event, zero before.
 	firstHere time.Time
+	// intake is what is known of the servers that limit what they take.
+	intake intake
 	// trial is the leave to run of a suspect; zero if there is none.
 	trial Trial
 	last  *verdict.Failure
@@ -115,11 +117,17 @@
 		if !admitted {
 			continue
 		}
+		if !t.taken(ctx, server) {
+			t.endTrial(server)
+			continue
+		}
 		if !t.paid() {
+			t.returnTaken()
 			t.endTrial(server)
 			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
 		answered, failure := t.attempt(ctx, server)
+		t.intake.giveBack = nil
 		if answered {
 			return nil
 		}
@@ -263,6 +271,7 @@
 		*outcome = balance.Silent
 	}
 	if failure.Verdict == verdict.NotRun {
+		t.returnTaken()
 		t.unreachable = server.ID
 	} else {
 		t.sends++
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -33,6 +33,10 @@
 	if !live || server.Draining {
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
 	}
+	if at := later(t.f.intake.RestsUntil(server), t.intake.turns[server.ID]); at.After(place.Ready) && at.After(clock.Now()) {
+		t.closedUntil(at)
+		return serving.Server{}, at, nil
+	}
 	if t.excluded[server.ID] { // it has just refused: a load may take a little longer
 		delete(t.excluded, server.ID)
 		t.pauses = min(t.pauses+1, maxPauses)
@@ -48,6 +52,10 @@
 // wantFailed waits before the next question for a place, or refuses. back is when
 // there is hope again.
 func (t *trip) wantFailed(ctx context.Context, err error, back time.Duration) *verdict.Failure {
+	if !t.intake.closed.IsZero() {
+		t.waits.next(serving.WaitTurn)
+		return t.awaitTurn(ctx)
+	}
 	back = max(back, t.f.params.RetryPause)
 	if failure := t.refuseWait(back); failure != nil {
 		failure.Detail += ": " + err.Error()
@@ -66,6 +74,9 @@
 	if wait+t.f.params.FirstEvent < left {
 		return nil
 	}
+	if !t.intake.closed.IsZero() {
+		return t.heldBack(wait)
+	}
 	return verdict.Refuse(verdict.ReasonDeadline, "%s takes %s to load, longer than the %s left", t.request.Unit, round(wait), round(left)).After(wait)
 }
 
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -45,8 +45,10 @@
 	mu    sync.Mutex
 	lease *lease.Lease    // guarded by mu
 	fleet *replicas.Fleet // guarded by mu
-	// lender lends the limits of workspaces; guarded by mu.
-	lender *quota.Lender
+	// lender lends the limits of workspaces, and serverLender those of servers; guarded by mu.
+	lender, serverLender *quota.Lender
+	// serverLimits is what servers say of their limits.
+	serverLimits ServerLimits
 	// account is what instances have said of their requests; guarded by mu.
 	account account
 	views   views // guarded by mu
@@ -89,7 +91,7 @@
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, counts *Counts, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), account: newAccount(), workers: map[string]*worker{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, account: newAccount(), workers: map[string]*worker{},
 		ctx: context.Background(), limits: limits.None{}, outage: func() (none time.Time) { return },
 	}
 }
@@ -98,6 +100,10 @@
 // called before Run.
 func (h *Holder) WatchStore(outage func() time.Time) { h.outage = outage }
 
+// LimitServers has the holder lend what servers say that they take. It must be called before
+// Run.
+func (h *Holder) LimitServers(source ServerLimits) { h.serverLimits = source }
+
 // Limit has the holder load models only as operators decided. It must be called
 // before Run.
 func (h *Holder) Limit(source limits.Source) { h.limits = source }
@@ -230,6 +236,9 @@
 	// Missing names an engine that said that it does not have the unit, and
 	// Unreachable one that could not be connected to.
 	Missing, Unreachable string
+	// HeldBack are engines that have the unit, and to which the instance that asks may send
+	// nothing for now: they limit what they take, or rest.
+	HeldBack []string
 }
 
 // askAgain is the shortest time after which an instance should ask again for a
@@ -257,6 +266,9 @@
 	if r.Unreachable != "" {
 		h.fleet.Unreachable(r.Unreachable, now)
 	}
+	for _, id := range r.HeldBack {
+		h.fleet.HoldBack(id, now)
+	}
 	outage := h.suspendInOutage(now)
 	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
 	var operations []replicas.Operation
--- a/command/holder/params.go
+++ b/command/holder/params.go
@@ -23,8 +23,8 @@
 	// OrderPatience bounds that.
 	OrderPatience time.Duration
 	Fleet         replicas.Params
-	// Quota says how limits of workspaces are lent.
-	Quota quota.Params
+	// Quota says how limits of workspaces are lent, and ServerQuota those of servers.
+	Quota, ServerQuota quota.Params
 }
 
 // Times of a holder that do not depend on the deployment.
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -62,6 +62,7 @@
 	h.fleet.LearnRemoteAtOnce(h.remoteAtOnce)
 	h.account, h.views = newAccount(), views{}
 	h.lender = quota.NewLender(h.params.Quota, current.Fence == 0, current.Left, clock.Now())
+	h.serverLender = quota.NewLender(h.params.ServerQuota, current.Fence == 0, nil, clock.Now())
 	h.failingSince = time.Time{}
 	for _, w := range h.workers {
 		w.stop()
--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -74,6 +74,8 @@
 	inherited Share
 	// asked and refused are totals.
 	asked, refused float64
+	// turns is until when what will be gained is promised, see AskInTurn.
+	turns time.Time
 }
 
 // loan is what one instance has.
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -100,6 +100,8 @@
 	// Failing is until when the engine is passed over, after failed orders.
 	Failing  time.Time
 	failures int
+	// heldBack is until when the engine takes no more, or nothing, of what it has: see HoldBack.
+	heldBack time.Time
 	// generation counts the times that the account was replaced or found to be
 	// wrong. Operations of an earlier one are void.
 	generation uint64
@@ -276,5 +278,10 @@
 
 // usable reports whether anything may be loaded on the engine.
 func (e *Engine) usable(now time.Time) bool {
-	return !e.Server.Draining && !e.Unsure && !now.Before(e.Failing)
+	return !e.Unsure && e.takes(now)
+}
+
+// takes reports whether the engine takes requests for what it has.
+func (e *Engine) takes(now time.Time) bool {
+	return !e.Server.Draining && !now.Before(e.Failing) && !now.Before(e.heldBack)
 }
--- a/command/replicas/index.go
+++ b/command/replicas/index.go
@@ -92,11 +92,11 @@
 func compareEngines(a, b *Engine) int { return strings.Compare(a.Server.ID, b.Server.ID) }
 
 // copiesOf counts the copies of a model that serve or will; those on engines that
-// fail do not.
+// fail or take no more do not.
 func (f *Fleet) copiesOf(model string, now time.Time) int {
 	n := 0
 	for _, e := range f.holding(model) {
-		if e.Copies[model].State != Leaving && !e.Server.Draining && !now.Before(e.Failing) {
+		if e.Copies[model].State != Leaving && e.takes(now) {
 			n++
 		}
 	}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -149,6 +149,19 @@
 	}
 }
 
+// heldBackFor is how long an engine counts as taking no more after an instance said so: requests
+// that find no other copy say so again.
+const heldBackFor = 500 * time.Millisecond
+
+// HoldBack notes that an engine takes no more requests than it gets, or rests, and that a request
+// that needs what it has finds no other copy. Until that is over, its copies count as none, so that
+// another engine loads what is asked for, and nothing is loaded there.
+func (f *Fleet) HoldBack(id string, now time.Time) {
+	if e := f.engines[id]; e != nil {
+		e.heldBack = later(e.heldBack, now.Add(heldBackFor))
+	}
+}
+
 // A load that is not done when it was expected to be is looked for again after
 // postponement, and in doubt when it is later than latest.
 const (
--- a/command/replicas/want.go
+++ b/command/replicas/want.go
@@ -188,7 +188,7 @@
 	var told *Copy
 	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
-		if e.Server.Service != service || c.State == Leaving || e.Server.Draining || now.Before(e.Failing) {
+		if e.Server.Service != service || c.State == Leaving || !e.takes(now) {
 			continue
 		}
 		ready := c.Ready
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -51,7 +51,7 @@
 	dir       *directory.Directory
 	client    *platform.Client
 	backends  *platform.Backends
-	hears     *hears
+	intake    *intake
 	balancer  *balance.Balancer
 	holder    *holder.Holder
 	follower  *follower
@@ -83,20 +83,23 @@
 	i.client = platform.NewClient(platform.ClientParams{
 		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
 	})
-	i.hears = &hears{ledger: backpressure.NewLedger(), log: log}
-	i.backends.Listen(i.hears.hear)
 	i.balancer = balance.New(balance.DefaultParams())
 	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
 	if window := s.CeilingWindow(); window > 0 {
 		holding.Fleet.RemoteWindow = window
 	}
 	holding.Fleet.RemoteOverage = max(holding.Fleet.RemoteOverage, s.Bounds.CeilingOverage)
-	holding.Quota = quotaParams(&s)
+	holding.Quota, holding.ServerQuota = quotaParams(&s), backpressure.QuotaParams()
 	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
+	i.intake = newIntake(s.NodeName, i.dir, i.members, i.set, log)
+	i.backends.Listen(i.intake.hear)
+	i.holder.LimitServers(lentLimits{i.intake})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
+	i.follower.intake = i.intake
+	i.intake.ask, i.intake.wake = i.follower.turn, i.follower.reportNow
 	i.holder.WatchStore(i.watcher.outage)
 	i.declared = &declared{config: &table.Config{}, log: log}
 	if o.OperatorsPort > 0 {
@@ -107,14 +110,14 @@
 	i.keeper.read.Store(s.Bootstrap) // then the store has nothing
 	i.crashes = newCrashes(i.keeper, i.dir, i.backends, i.set, log)
 	i.follower.raised, i.watcher.crashes = i.keeper.heard, i.crashes
-	i.service = &service{holder: i.holder, follower: i.follower, keeper: i.keeper, trials: quarantine.NewTrials(), storeAge: i.watcher.age}
+	i.service = &service{holder: i.holder, follower: i.follower, keeper: i.keeper, trials: quarantine.NewTrials(), intake: i.intake, storeAge: i.watcher.age}
 	i.follower.own = i.service
 	i.domains = s.SharingDomains()
 	i.budget = forward.NewBudget(i.budgetParams(&s))
 	i.follower.budget, i.follower.domain = i.budget, s.SharingDomain()
 	i.counts = forward.NewCounts(i.set)
 	i.gate = newGate(i.follower, i.settings.Load, i.set)
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashes: i.crashes, follower: i.follower}, i.gate, i.counts, log)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashes: i.crashes, follower: i.follower}, i.gate, i.intake, i.counts, log)
 	i.clients = newClients(i.whileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
 	return i
@@ -184,7 +187,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.crashes.runSweep, i.gate.run, i.clients.guard.run, i.members.register, i.reload} {
+	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.crashes.runSweep, i.intake.run, i.gate.run, i.clients.guard.run, i.members.register, i.reload} {
 		work.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -83,6 +83,8 @@
 	gaveUp lease.Record
 	// seen is what the holder has told; guarded by mu.
 	seen seen
+	// limits is what has been exchanged of servers' limits; only exchange uses it.
+	exchanged exchanged
 	// differs: the holder knows other servers than this instance; asked is when
 	// all were last asked for because of that, and questions how often since they
 	// were last the same; guarded by mu.
@@ -115,6 +117,8 @@
 	// ledger has the requests under which servers end, and raised is told which of them are
 	// held by what the holder says; it is set before run.
 	ledger *quarantine.Ledger
+	// intake is what is known of servers that limit what they take; it is set before run.
+	intake *intake
 	// shares are what this instance was lent of the limits of workspaces; it is set before run.
 	shares *quota.Shares
 	raised func([]quarantine.Raise)
@@ -129,6 +133,13 @@
 	views, servers uint64
 }
 
+// exchanged is up to which changes a holder and this instance know what the other says of the
+// limits of servers.
+type exchanged struct {
+	fence           int64
+	heard, reported uint64
+}
+
 // placed is a unit on an engine.
 type placed struct {
 	engine string
@@ -184,6 +195,8 @@
 		return f.own.Trial(a, reply.(*TrialReply))
 	case *DrawArgs:
 		return f.own.Draw(a, reply.(*DrawReply))
+	case *TurnArgs:
+		return f.own.Turn(a, reply.(*TurnReply))
 	case *LimitsArgs:
 		return f.own.Limits(a, reply.(*LimitsReply))
 	default:
@@ -222,7 +235,13 @@
 		return false
 	}
 	sent := clock.Exact()
-	args.Uses = f.shares.Report(sent)
+	args.Uses = holder.Uses{Workspaces: f.shares.Report(sent), Servers: f.intake.shares.Report(sent)}
+	if f.exchanged.fence != record.Fence {
+		f.exchanged = exchanged{fence: record.Fence}
+	}
+	var reported uint64
+	args.SeenLimits = f.exchanged.heard
+	args.ServerLimits, reported = f.intake.ledger.Since(f.exchanged.reported, clock.Now())
 	var reply ExchangeReply
 	err := f.call(ctx, record, exchangeTimeout, methodExchange, args, &reply)
 	if err == nil {
@@ -230,11 +249,14 @@
 		f.heardCrashes(args.Crashes, reply.Crashes, clock.Now())
 	}
 	if err != nil || !reply.Held {
-		f.shares.Unreported(args.Uses, clock.Now())
+		f.shares.Unreported(args.Uses.Workspaces, clock.Now())
+		f.intake.shares.Unreported(args.Uses.Servers, clock.Now())
 		f.noAnswer(record, err)
 		return false
 	}
 	f.takeOverNews(record, &reply, clock.Now())
+	f.exchanged.heard, f.exchanged.reported = reply.LimitsUpTo, reported
+	f.intake.take(reply.ServerLimits, record.Holder)
 	f.takeOverLimits(&reply, sent, clock.Exact())
 	f.holder.HeardRemoteAtOnce(reply.News.RemoteAtOnce)
 	f.holder.Heard(reply.News.Lease)
@@ -248,10 +270,15 @@
 		f.dir.Confirm(word.Version, word.AsOf(sent))
 	}
 	if reply.Lends {
-		f.shares.Apply(reply.Loans, sent, now)
+		f.shares.Apply(reply.Loans.Workspaces, sent, now)
+		f.intake.shares.Apply(reply.Loans.Servers, sent, now)
+		f.intake.lentAt(sent)
 	}
 }
 
+// reportNow has the next report be sent at once.
+func (f *follower) reportNow() { pause.Wake(f.woken) }
+
 // report makes up what the holder is told, and to whom.
 func (f *follower) report() (lease.Record, *ExchangeArgs) {
 	f.mu.Lock()
--- /dev/null
+++ b/entry/intake.go
@@ -0,0 +1,241 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/command/backpressure"
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/quota"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// intake is what this instance knows of how much servers take, by their own words and by what
+// other instances tell. It implements forward.Intake and holder.ServerLimits.
+type intake struct {
+	ledger *backpressure.Ledger
+	// shares are what the holder has lent of the limits, alone what the instance takes while
+	// none lends.
+	shares *quota.Shares
+	alone  *backpressure.Alone
+	dir    *directory.Directory
+	// members is asked who shares a server while no holder lends.
+	members *members
+	log     logrus.FieldLogger
+	// ask asks the holder for one send; it is set before the first request.
+	ask func(ctx context.Context, args *TurnArgs) (quota.Answer, error)
+	// wake has the next report be sent at once.
+	wake func()
+
+	mu sync.Mutex
+	// lent is when the holder last lent; guarded by mu.
+	lent time.Time
+	// spareFrom is from when a request that can go elsewhere may ask again, by server, and
+	// refused when one that cannot was last refused; guarded by mu.
+	spareFrom, refused map[string]time.Time
+}
+
+func newIntake(self string, dir *directory.Directory, m *members, set *metrics.Set, log logrus.FieldLogger) *intake {
+	i := &intake{
+		ledger: backpressure.NewLedger(), shares: quota.NewShares(backpressure.QuotaParams().Lifetime), alone: backpressure.NewAlone(self),
+		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, wake: func() {},
+	}
+	gauge := func(name string, value func(limited, resting int) int) {
+		set.NewGauge(name, func() float64 { return float64(value(i.ledger.Count(clock.Now()))) })
+	}
+	gauge("martenport_servers_limited", func(limited, _ int) int { return limited })
+	gauge("martenport_servers_resting", func(_, resting int) int { return resting })
+	return i
+}
+
+// hear takes over what a server says of itself, and logs what that changes.
+func (i *intake) hear(w serving.Word) {
+	changed := i.ledger.Hear(w, clock.Now())
+	log := i.log.WithFields(logrus.Fields{"server": w.Server, "born": w.Born, "sent_ms": clock.Since(w.Sent).Milliseconds()})
+	if changed.Limit {
+		log.WithFields(logrus.Fields{"limited": w.Limited, "rate": w.Rate, "source": "answer"}).Info("server's limit changed")
+		i.wake()
+		go i.members.list(store.AllowStale(context.Background())) // before it may be needed: the store may be away then
+	}
+	if changed.Rest {
+		log.WithField("rest_ms", w.Rest.Milliseconds()).Info("server asks for rest")
+	}
+	if changed.Unreadable {
+		log.WithField("said", w.Unreadable).Warn("server says something of itself that cannot be read")
+	}
+}
+
+// take takes over what another instance tells of limits.
+func (i *intake) take(told []backpressure.Told, source string) {
+	for _, l := range i.ledger.Take(told, clock.Now()) {
+		i.log.WithFields(logrus.Fields{
+			"server": l.Server, "born": l.Born, "sent_ms": clock.Since(l.Sent).Milliseconds(), "limited": l.Named, "rate": l.Rate, "source": source,
+		}).Info("server's limit changed")
+	}
+}
+
+// RestsUntil implements forward.Intake. What servers ask for as rest is known, and not held to yet.
+func (i *intake) RestsUntil(serving.Server) time.Time { return time.Time{} }
+
+// Limited implements forward.Intake.
+func (i *intake) Limited(s serving.Server) (limited bool, spareFrom time.Time) {
+	if _, limited = i.ledger.Limit(s); !limited {
+		return false, time.Time{}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return true, i.spareFrom[s.ID]
+}
+
+// Admit implements forward.Intake.
+func (i *intake) Admit(ctx context.Context, s serving.Server, t quota.Turn) forward.Admission {
+	rate, limited := i.ledger.Limit(s)
+	if !limited {
+		return forward.Admission{Granted: true}
+	}
+	now := clock.Exact()
+	a := forward.Admission{Rate: rate, GiveBack: func() { i.shares.GiveBack(s.ID, 1, now, clock.Exact()) }}
+	a.Granted = i.shares.Take(s.ID, 1, now)
+	if !a.Granted {
+		a.Granted, a.After = i.askHolder(ctx, s, rate, t)
+	}
+	if !a.Granted {
+		i.noteRefused(s.ID, t, a.After)
+	}
+	return a
+}
+
+// askHolder asks the holder for one send. While none lends, the instance has a part of its own.
+func (i *intake) askHolder(ctx context.Context, s serving.Server, rate float64, t quota.Turn) (granted bool, after time.Duration) {
+	told, _ := i.ledger.Said(s.ID, clock.Now())
+	answer, err := i.ask(ctx, &TurnArgs{Told: told, Turn: t})
+	if err == nil && answer.Known {
+		return answer.Granted, max(leastTurn, answer.After)
+	}
+	i.mu.Lock()
+	lent := i.lent
+	i.mu.Unlock()
+	granted, after = i.alone.Take(s.ID, rate, i.members.inDomain(s.FailureDomain), lent, clock.Now())
+	if after == 0 {
+		after = noPartRetry
+	}
+	return granted, max(leastTurn, after)
+}
+
+const (
+	// leastTurn is the shortest time after which a request asks again.
+	leastTurn = 20 * time.Millisecond
+	// noPartRetry is when a request asks again at an instance that has no part of what a server
+	// takes while no holder lends.
+	noPartRetry = 500 * time.Millisecond
+	// heldBackFor is how long the holder is told that a server takes no more after a request
+	// was refused that had no other.
+	heldBackFor = 500 * time.Millisecond
+)
+
+// noteRefused notes that a request was not let through to a server.
+func (i *intake) noteRefused(server string, t quota.Turn, after time.Duration) {
+	now := clock.Now()
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if t.Spare {
+		i.spareFrom[server] = now.Add(after)
+		return
+	}
+	i.refused[server] = now
+}
+
+// heldBack returns the servers with a unit to which nothing may be sent now.
+func (i *intake) heldBack(service string, unit serving.Unit, now time.Time) []string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	var ids []string
+	for _, r := range i.dir.Replicas(service, unit, now) {
+		refused, found := i.refused[r.Server.ID]
+		if found && now.Sub(refused) < heldBackFor {
+			ids = append(ids, r.Server.ID)
+		}
+	}
+	return ids
+}
+
+// lentAt notes that the holder lent something in answer to a report that was sent at a time.
+func (i *intake) lentAt(sent time.Time) {
+	i.mu.Lock()
+	i.lent = sent
+	i.mu.Unlock()
+	i.alone.Lent()
+}
+
+// intakeSweep is how often servers that are gone are forgotten.
+const intakeSweep = 10 * time.Second
+
+// run forgets servers that are gone, until ctx ends.
+func (i *intake) run(ctx context.Context) {
+	for pause.For(ctx, intakeSweep) {
+		i.sweep(clock.Now())
+	}
+}
+
+// sweep forgets servers that are gone.
+func (i *intake) sweep(now time.Time) {
+	known := func(id string) bool { _, live := i.dir.Server(id); return live }
+	i.ledger.Sweep(known, now)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, times := range []map[string]time.Time{i.spareFrom, i.refused} {
+		for id, at := range times {
+			if now.Sub(at) > heldBackFor && !known(id) {
+				delete(times, id)
+			}
+		}
+	}
+}
+
+// Lent implements holder.ServerLimits.
+func (i *intake) Lent(server string) (serving.Limit, bool) {
+	rate, ok := i.ledger.Account(server, clock.Now())
+	return backpressure.LimitAt(rate), ok
+}
+
+// Limited implements holder.ServerLimits.
+func (l lentLimits) Limited(server string) bool {
+	_, limited := l.ledger.Limit(serving.Server{ID: server})
+	return limited
+}
+
+// Any implements holder.ServerLimits.
+func (l lentLimits) Any() bool {
+	limited, _ := l.ledger.Count(clock.Now())
+	return limited > 0
+}
+
+// lentLimits is what the holder lends by.
+type lentLimits struct{ *intake }
+
+// errNoTurns: no holder can be asked for a send.
+var errNoTurns = errors.New("entry: no holder can be asked what a server takes")
+
+// turn asks the holder for one send to a server that limits what it takes.
+func (f *follower) turn(ctx context.Context, args *TurnArgs) (quota.Answer, error) {
+	record, live := f.liveHolder()
+	if !live {
+		return quota.Answer{}, errNoTurns
+	}
+	asked := clock.Exact()
+	var reply TurnReply
+	err := f.call(ctx, record, drawTimeout, methodTurn, args, &reply)
+	if took := clock.Exact().Sub(asked); err == nil && took > drawTimeout {
+		err = errors.Newf("entry: the answer took %s", took) // timers stand still while the machine is suspended
+	}
+	return reply.Answer, err
+}
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -47,6 +47,11 @@
 func newLoadFleet(t *testing.T) *loadFleet {
 	f := &loadFleet{fleet: newFleet(t, loadInstances), ended: make(chan struct{})}
 	f.addServer("e3", "llm", []string{"m1"})
+	t.Cleanup(func() { // all at once: each takes seconds to leave
+		for _, r := range f.instances {
+			r.stop()
+		}
+	})
 	f.engines = []*standin.Server{f.servers["e1"], f.servers["e2"], f.servers["e3"]}
 	f.await("a holder, and engines known", func() bool {
 		return f.holder() != nil && !slices.ContainsFunc(f.instances, func(r *running) bool { return len(r.dir.IDs()) < 4 })
--- a/entry/members.go
+++ b/entry/members.go
@@ -140,6 +140,33 @@
 	return addresses
 }
 
+// inDomain returns the names of the instances that are registered in a failure domain, as the
+// list was last read: none if it never was. Of a domain without any it returns those of all.
+func (m *members) inDomain(domain string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.read.IsZero() {
+		return nil
+	}
+	all, here := []string{m.self.Name}, []string{}
+	if m.self.Domain == domain {
+		here = append(here, m.self.Name)
+	}
+	for _, other := range m.known {
+		if other.Name == m.self.Name {
+			continue
+		}
+		all = append(all, other.Name)
+		if other.Domain == domain {
+			here = append(here, other.Name)
+		}
+	}
+	if len(here) == 0 {
+		return all
+	}
+	return here
+}
+
 // populated reports whether an instance is registered in a failure domain, as far
 // as the list was read.
 func (m *members) populated(domain string) bool {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -159,7 +159,10 @@
 		return forward.Place{Ready: clock.Now().Add(f.succession(record, silence)), For: serving.WaitHolder}, forward.ErrNoHolder
 	}
 	var reply WantReply
-	args := &WantArgs{holder.Request{Service: w.Service, Unit: w.Unit, Waiting: waiting, Missing: w.Missing, Unreachable: w.Unreachable}}
+	args := &WantArgs{holder.Request{
+		Service: w.Service, Unit: w.Unit, Waiting: waiting, Missing: w.Missing, Unreachable: w.Unreachable,
+		HeldBack: f.intake.heldBack(w.Service, w.Unit, clock.Now()),
+	}}
 	if err := f.call(ctx, record, wantTimeout, methodWant, args, &reply); err != nil {
 		return forward.Place{Ready: clock.Now().Add(exchangeRetry), For: serving.WaitHolder}, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
--- a/entry/ratelimit_test.go
+++ b/entry/ratelimit_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,7 @@
 		t.Error("an engine that takes 1.5 requests a second got none")
 	}
 	e := f.between(named, ended)
+	t.Logf("the engine got %d in %s at the most; %v", most(limited, limitWindow, named.Add(limitSettled), ceased), limitWindow, e)
 	if e.failed > 0 || 50*e.refused > e.tried {
 		t.Errorf("%v: want none failed, and at most 2 in 100 refused where other engines have room", e)
 	}
@@ -95,6 +97,8 @@
 		t.Errorf("%v: want none failed, and each that is refused told when to come back", e)
 	}
 	// The load is the clock: where the machine stands still, it does, too.
+	t.Logf("the engines got %d, %d and %d in %s at the most; %v", most(f.engines[0], limitWindow, named.Add(limitSettled), ceased),
+		most(f.engines[1], limitWindow, named.Add(limitSettled), ceased), most(f.engines[2], limitWindow, named.Add(limitSettled), ceased), limitWindow, e)
 	taken := 3 * 4 * loadPause.Seconds() * float64(e.tried)
 	if float64(e.served) < 0.8*taken {
 		t.Errorf("%v: of %.0f that the engines take at least four fifths should be served", e, taken)
@@ -102,6 +106,43 @@
 	f.checkPromises()
 }
 
+// TestLimitWhileHolderIsLost: what all engines take is held to by all instances together also while
+// the instance is lost that shares it out, and its successor begins.
+func TestLimitWhileHolderIsLost(t *testing.T) {
+	f := newLoadFleet(t)
+	f.startLoad()
+	time.Sleep(time.Second)
+	named := time.Now()
+	defer func() { f.logArrivals(named, time.Now()) }()
+	for _, s := range f.engines {
+		s.Say(standin.Words{Limit: "1.5"})
+	}
+	time.Sleep(limitSettled)
+	f.killHolder()
+	time.Sleep(3 * limitWindow)
+	ceased := time.Now()
+	f.endLoad()
+	for i, s := range f.engines {
+		if n := most(s, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(1.5) {
+			t.Errorf("engine %d, which takes 1.5 requests a second, got %d in %s, want at most %d", i+1, n, limitWindow, limitAllowed(1.5))
+		}
+	}
+	if e := f.between(named.Add(limitSettled+limitWindow), ceased); e.served == 0 || e.unhinted > 0 {
+		t.Errorf("%v: want some served, and each that is refused told when to come back", e)
+	}
+	f.checkPromises()
+}
+
+// killHolder kills the instance that holds the lease.
+func (f *loadFleet) killHolder() {
+	holder := f.holder()
+	f.mu.Lock()
+	f.instances = slices.DeleteFunc(slices.Clone(f.instances), func(r *running) bool { return r == holder })
+	f.mu.Unlock()
+	holder.kill()
+	<-holder.done
+}
+
 // replaceOne ends an instance that is not the holder, and starts another.
 func (f *loadFleet) replaceOne() {
 	holder := f.holder()
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/command/backpressure"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quarantine"
@@ -30,6 +31,7 @@
 	methodTrial    = "Entry.Trial"
 	methodDraw     = "Entry.Draw"
 	methodLimits   = "Entry.Limits"
+	methodTurn     = "Entry.Turn"
 )
 
 // ExchangeArgs is an instance's report to the holder.
@@ -38,7 +40,11 @@
 	// Crashes are requests under which servers ended.
 	Crashes quarantine.Message
 	// Uses are what was asked for of workspaces, and the shares that the instance has.
-	Uses []quota.Use
+	Uses holder.Uses
+	// ServerLimits are what servers say of their limits, as far as that has changed since the
+	// report before, and SeenLimits is the change of the holder's word up to which it is known.
+	ServerLimits []backpressure.Told
+	SeenLimits   uint64
 }
 
 // WireView is a directory.EngineView with times as durations from now.
@@ -71,9 +77,23 @@
 	// Lends: Loans are all shares of limits that the instance has from now on. Otherwise it
 	// keeps those that it has, for as long as they last.
 	Lends bool
-	Loans []quota.Loan
+	Loans holder.Loans
+	// ServerLimits are what servers say of their limits, as far as it has changed since
+	// SeenLimits, which LimitsUpTo replaces.
+	ServerLimits []backpressure.Told
+	LimitsUpTo   uint64
 }
 
+// TurnArgs asks whether a request may be sent to a server that limits what it takes: by Told, as
+// far as the instance knows.
+type TurnArgs struct {
+	Told backpressure.Told
+	quota.Turn
+}
+
+// TurnReply is the answer.
+type TurnReply struct{ quota.Answer }
+
 // DrawArgs asks whether a request may run that goes beyond what the instance was lent of the
 // limit of its workspace.
 type DrawArgs struct {
@@ -164,6 +184,7 @@
 	follower *follower
 	keeper   *quarantineKeeper
 	trials   *quarantine.Trials
+	intake   *intake
 	// storeAge is how old what this instance knows of the store may be.
 	storeAge func(now time.Time) time.Duration
 }
@@ -182,6 +203,8 @@
 	}
 	news.Views = nil
 	reply.Held, reply.News, reply.StoreAgeMS = true, news, s.storeAge(now).Milliseconds()
+	s.intake.take(args.ServerLimits, args.Name)
+	reply.ServerLimits, reply.LimitsUpTo = s.intake.ledger.Since(args.SeenLimits, now)
 	reply.Loans, reply.Lends = s.holder.Lend(args.Name, args.Uses)
 	return nil
 }
@@ -198,6 +221,13 @@
 	return nil
 }
 
+// Turn answers whether a request may be sent to a server that limits what it takes.
+func (s *service) Turn(args *TurnArgs, reply *TurnReply) error {
+	s.intake.take([]backpressure.Told{args.Told}, "question")
+	reply.Answer = s.holder.DrawTurn(args.Told.Server, args.Turn)
+	return nil
+}
+
 // Want answers where a unit is or will be.
 func (s *service) Want(args *WantArgs, reply *WantReply) error {
 	now := clock.Now()
--- a/serving/wait.go
+++ b/serving/wait.go
@@ -17,6 +17,8 @@
 	WaitHolder Wait = "no_holder"
 	// WaitEngine: no engine can take the model, or none can be ordered now.
 	WaitEngine Wait = "no_engine"
+	// WaitTurn: the servers that have the model limit what they take, or rest.
+	WaitTurn Wait = "turn"
 	// WaitLoad: a load under way, whatever it is from.
 	WaitLoad Wait = "load_under_way"
 )
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -65,6 +65,7 @@
 	ReasonQuarantined  Reason = "quarantined"   // servers end while the request runs
 	ReasonUnauthorized Reason = "unauthorized"  // the request bears no key that is known
 	ReasonOverLimit    Reason = "over_limit"    // the workspace asks for more than its limit
+	ReasonHeldBack     Reason = "held_back"     // all servers that could run it limit what they take, or rest
 	ReasonStalePlan    Reason = "stale_plan"    // the plan's base generation is not current
 )
 
