A server that says in an answer that it leaves gets nothing new, whatever its entry says

What callers saw: requests were sent to a server for seconds after it had told the instance that sent them, in an answer, that it leaves. They were served; had it ended sooner they would not have been.

Cause: who leaves was learned from the store's entries alone, and the store was away for 12 s. The word in the answer reached the adapter and nothing went by it.

The mend: the word marks the process as draining in the directory, where draining lasts to the end of a process however its entry reads, how often it lapses, and whoever says ready. So routing, the holder's placement and the word to others go by it with no path of their own. Reports and their answers carry it besides the store's news, which is not relayed while the store is away.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -52,10 +52,11 @@
 	digest uint64
 }
 
-// drain is when the process born then was seen draining.
+// drain is when the process born then was seen draining. said: by an answer of its own.
 type drain struct {
 	at   time.Time
 	born int64
+	said bool
 }
 
 type removal struct {
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -240,6 +240,7 @@
 		f.exchanged = exchanged{fence: record.Fence}
 	}
 	var reported uint64
+	args.Leaving = f.dir.Leavers()
 	args.SeenLimits = f.exchanged.heard
 	args.ServerLimits, reported = f.intake.ledger.Since(f.exchanged.reported, clock.Now())
 	var reply ExchangeReply
@@ -257,6 +258,7 @@
 	f.takeOverNews(record, &reply, clock.Now())
 	f.exchanged.heard, f.exchanged.reported = reply.LimitsUpTo, reported
 	f.intake.take(reply.ServerLimits, record.Holder)
+	f.intake.takeLeaving(reply.Leaving, record.Holder)
 	f.takeOverLimits(&reply, sent, clock.Exact())
 	f.holder.HeardRemoteAtOnce(reply.News.RemoteAtOnce)
 	f.holder.Heard(reply.News.Lease)
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -54,6 +54,7 @@
 	}
 	gauge("martenport_servers_limited", func(limited, _ int) int { return limited })
 	gauge("martenport_servers_resting", func(_, resting int) int { return resting })
+	set.NewGauge("martenport_servers_leaving", func() float64 { return float64(len(dir.Leavers())) })
 	return i
 }
 
@@ -69,11 +70,30 @@
 	if changed.Rest {
 		log.WithField("rest_ms", w.Rest.Milliseconds()).Info("server asks for rest")
 	}
+	if w.Leaving {
+		i.leaves(directory.Leaver{ID: w.Server, Born: w.Born}, "answer")
+	}
 	if changed.Unreadable {
 		log.WithField("said", w.Unreadable).Warn("server says something of itself that cannot be read")
 	}
 }
 
+// leaves takes over that a server leaves by its own word.
+func (i *intake) leaves(l directory.Leaver, source string) {
+	if !i.dir.Leave(l, clock.Now()) {
+		return
+	}
+	i.log.WithFields(logrus.Fields{"server": l.ID, "born": l.Born, "source": source}).Info("server says that it leaves")
+	i.wake()
+}
+
+// takeLeaving takes over which servers leave by their own words, as another instance tells.
+func (i *intake) takeLeaving(list []directory.Leaver, source string) {
+	for _, l := range list {
+		i.leaves(l, source)
+	}
+}
+
 // take takes over what another instance tells of limits.
 func (i *intake) take(told []backpressure.Told, source string) {
 	for _, l := range i.ledger.Take(told, clock.Now()) {
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -45,6 +45,8 @@
 	// report before, and SeenLimits is the change of the holder's word up to which it is known.
 	ServerLimits []backpressure.Told
 	SeenLimits   uint64
+	// Leaving are servers that have said in answers that they leave.
+	Leaving []directory.Leaver
 }
 
 // WireView is a directory.EngineView with times as durations from now.
@@ -82,6 +84,8 @@
 	// SeenLimits, which LimitsUpTo replaces.
 	ServerLimits []backpressure.Told
 	LimitsUpTo   uint64
+	// Leaving are servers that have said in answers that they leave.
+	Leaving []directory.Leaver
 }
 
 // TurnArgs asks whether a request may be sent to a server that limits what it takes: by Told, as
@@ -203,6 +207,8 @@
 	}
 	news.Views = nil
 	reply.Held, reply.News, reply.StoreAgeMS = true, news, s.storeAge(now).Milliseconds()
+	s.intake.takeLeaving(args.Leaving, args.Name)
+	reply.Leaving = s.intake.dir.Leavers()
 	s.intake.take(args.ServerLimits, args.Name)
 	reply.ServerLimits, reply.LimitsUpTo = s.intake.ledger.Since(args.SeenLimits, now)
 	reply.Loans, reply.Lends = s.holder.Lend(args.Name, args.Uses)
