A server that asks an instance for rest gets it, and its part again after that

What callers saw: a server that turned requests away and asked for 3 s without any got eight more from one instance in that time, and half of what was asked for in those seconds was refused after up to four vain sends each.

Cause: the time that a server asks for when it turns a request away reached the adapter, and nothing went by it. Against a server that refuses stood a pause of one request before it asks again, and an ejection of a few hundred milliseconds that does not hold where there is no other server.

The mend: the rest is one more thing that the gate before each send asks, per instance and process; of several the one that ends last counts. None of what is allowed in a rest is used: what is on its way when it begins may arrive. Requests go to other servers or have another copy loaded, wait for the rest's end if that comes within a second and in their time, or are refused at once with the time of its end, spread over up to a second after it. A rest is no failure of the server: counted as one, it kept the server from its part for as long as others answered (it got 2 requests in the 6 s after a rest, the two others 25 and 43 a second).

Ruled out: that the time was known and held per request only; no line of the log showed that it was.

--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -30,6 +30,8 @@
 	body    string
 	// broken ends the body with an error instead of its end.
 	broken bool
+	// rests: the server asks for rest.
+	rests bool
 }
 
 // fakeServers answers attempts in the order of replies and notes them.
@@ -53,7 +55,7 @@
 	}
 	return &serving.Response{
 		Status: r.status, Header: http.Header{"X-Server": {a.Server.ID}}, Body: io.NopCloser(body),
-		NotRun: r.notRun, Misdirected: r.misdir, Events: r.events,
+		NotRun: r.notRun, Misdirected: r.misdir, Events: r.events, Rests: r.rests,
 	}, nil
 }
 
--- a/command/forward/intake_test.go
+++ b/command/forward/intake_test.go
@@ -101,3 +101,26 @@
 		t.Errorf("%v, %d sends, want one and a refusal", failure, len(f.servers.attempts))
 	}
 }
+
+// TestRestIsNoFailure: a server that turned requests away and asked for rest gets its part again
+// once that is over. One that fails does not, as long as others do not.
+func TestRestIsNoFailure(t *testing.T) {
+	f := newFixture(t, reply{status: 200, body: "done"})
+	f.intake.rests = map[string]time.Time{"s2": clock.Now().Add(time.Minute), "s3": clock.Now().Add(time.Minute)}
+	f.servers.replies = []reply{{status: 503, notRun: true, rests: true}}
+	for range 10 {
+		f.serve("unsafe", "", 0)
+	}
+	f.intake.rests = nil
+	f.servers.attempts, f.servers.replies = nil, []reply{{status: 200, body: "done"}}
+	sends := map[string]int{}
+	for range 90 {
+		f.serve("unsafe", "", 0)
+	}
+	for _, a := range f.servers.attempts {
+		sends[a.Server.ID]++
+	}
+	if sends["s1"] < 10 {
+		t.Errorf("%v: the server that rested should get about a third", sends)
+	}
+}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -236,7 +236,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.NotRun {
-		outcome = balance.Failed
+		outcome = turnedAway(resp)
 		return false, t.notRun(server, resp, &outcome)
 	}
 	t.sends++
@@ -281,6 +281,15 @@
 	return failure
 }
 
+// turnedAway says what an answer that has not run the request tells of the server. One that asks
+// for rest is not counted as failing: it gets nothing for so long, and then what it got before.
+func turnedAway(resp *serving.Response) balance.Outcome {
+	if resp.Rests {
+		return balance.Neutral
+	}
+	return balance.Failed
+}
+
 // notRun handles a server's own word that it has not run the request.
 func (t *trip) notRun(server serving.Server, resp *serving.Response, outcome *balance.Outcome) *verdict.Failure {
 	t.sends++
@@ -299,7 +308,7 @@
 // judge says what an answer tells of the server.
 func (t *trip) judge(ctx context.Context, resp *serving.Response, failure *verdict.Failure) balance.Outcome {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && failure != nil:
+	case errors.Is(ctx.Err(), context.Canceled) && failure != nil, resp.Rests:
 		return balance.Neutral
 	case failure != nil || resp.Status >= http.StatusInternalServerError:
 		return balance.Failed
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -103,8 +103,8 @@
 	}
 }
 
-// RestsUntil implements forward.Intake. What servers ask for as rest is known, and not held to yet.
-func (i *intake) RestsUntil(serving.Server) time.Time { return time.Time{} }
+// RestsUntil implements forward.Intake.
+func (i *intake) RestsUntil(s serving.Server) time.Time { return i.ledger.RestUntil(s) }
 
 // Limited implements forward.Intake.
 func (i *intake) Limited(s serving.Server) (limited bool, spareFrom time.Time) {
@@ -181,7 +181,7 @@
 	var ids []string
 	for _, r := range i.dir.Replicas(service, unit, now) {
 		refused, found := i.refused[r.Server.ID]
-		if found && now.Sub(refused) < heldBackFor {
+		if found && now.Sub(refused) < heldBackFor || i.ledger.RestUntil(r.Server).After(now) {
 			ids = append(ids, r.Server.ID)
 		}
 	}
--- a/serving/request.go
+++ b/serving/request.go
@@ -77,6 +77,8 @@
 	Misdirected bool
 	// Events: the body is a series of events.
 	Events bool
+	// Rests: the server turns the request away and asks for a time without any.
+	Rests bool
 }
 
 // Sender sends attempts to backend servers.
