A request that may be refused for load and has no other server has the holder load a copy, too

Such a request yields what is saved up of a server's limit to more urgent ones, like one that can go elsewhere, and was taken for one: the holder did not hear that the server takes no more. Whether there is another server, and whether it yields, are two things now.

Test: the one engine that has a model takes 1.5 a second of 65.

--- a/command/forward/intake.go
+++ b/command/forward/intake.go
@@ -27,8 +27,9 @@
 	// Limited reports whether a server limits what it takes, and spareFrom from when a request
 	// may be sent to it that can go elsewhere, as far as is known.
 	Limited(s serving.Server) (limited bool, spareFrom time.Time)
-	// Admit asks whether a request may be sent to a server now.
-	Admit(ctx context.Context, s serving.Server, t quota.Turn) Admission
+	// Admit asks whether a request may be sent to a server now. only: no other server is known
+	// to which it could go.
+	Admit(ctx context.Context, s serving.Server, t quota.Turn, only bool) Admission
 }
 
 // Admission is the answer to a request that asks whether it may be sent.
@@ -100,7 +101,7 @@
 		return false
 	}
 	_, waited := t.intake.turns[server.ID]
-	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.spare || deferrable(t.route), Waited: waited})
+	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.spare || deferrable(t.route), Waited: waited}, !t.intake.spare)
 	if a.Granted {
 		t.intake.giveBack = a.GiveBack
 		return true
--- a/command/forward/intake_test.go
+++ b/command/forward/intake_test.go
@@ -30,7 +30,7 @@
 	return limited, time.Time{}
 }
 
-func (i *fakeIntake) Admit(_ context.Context, s serving.Server, t quota.Turn) Admission {
+func (i *fakeIntake) Admit(_ context.Context, s serving.Server, t quota.Turn, _ bool) Admission {
 	if t.Spare {
 		i.spare++
 	}
--- a/command/quota/turns.go
+++ b/command/quota/turns.go
@@ -10,7 +10,7 @@
 // takes.
 type Turn struct {
 	// Spare: it can go to another server, or may be refused for load. It takes only what is
-	// above half of what may be saved up, so that the rest is there for those that cannot.
+	// above half of what may be saved up: the rest is for those that neither can nor may.
 	Spare bool
 	// Waited: it was told when to ask again, and does.
 	Waited bool
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -117,7 +117,7 @@
 }
 
 // Admit implements forward.Intake.
-func (i *intake) Admit(ctx context.Context, s serving.Server, t quota.Turn) forward.Admission {
+func (i *intake) Admit(ctx context.Context, s serving.Server, t quota.Turn, only bool) forward.Admission {
 	rate, limited := i.ledger.Limit(s)
 	if !limited {
 		return forward.Admission{Granted: true}
@@ -129,7 +129,7 @@
 		a.Granted, a.After = i.askHolder(ctx, s, rate, t)
 	}
 	if !a.Granted {
-		i.noteRefused(s.ID, t, a.After)
+		i.noteRefused(s.ID, only, a.After)
 	}
 	return a
 }
@@ -162,16 +162,16 @@
 	heldBackFor = 500 * time.Millisecond
 )
 
-// noteRefused notes that a request was not let through to a server.
-func (i *intake) noteRefused(server string, t quota.Turn, after time.Duration) {
+// noteRefused notes that a request was not let through to a server; only: it has no other.
+func (i *intake) noteRefused(server string, only bool, after time.Duration) {
 	now := clock.Now()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if t.Spare {
+	if only {
+		i.refused[server] = now
+	} else {
 		i.spareFrom[server] = now.Add(after)
-		return
 	}
-	i.refused[server] = now
 }
 
 // heldBack returns the servers with a unit to which nothing may be sent now.
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -18,8 +18,11 @@
 type loadFleet struct {
 	*fleet
 	engines []*standin.Server
-	stop    context.CancelFunc
-	ended   chan struct{}
+	// model is what is asked for: m1, which all engines have, unless it is changed before the load
+	// begins.
+	model string
+	stop  context.CancelFunc
+	ended chan struct{}
 
 	mu sync.Mutex
 	// tries are all tries of requests in the order in which they were sent; guarded by mu. The
@@ -45,7 +48,7 @@
 
 // newLoadFleet starts instances and engines. startLoad begins the load.
 func newLoadFleet(t *testing.T) *loadFleet {
-	f := &loadFleet{fleet: newFleet(t, loadInstances), ended: make(chan struct{})}
+	f := &loadFleet{fleet: newFleet(t, loadInstances), ended: make(chan struct{}), model: "m1"}
 	f.addServer("e3", "llm", []string{"m1"})
 	t.Cleanup(func() { // all at once: each takes seconds to leave
 		for _, r := range f.instances {
@@ -72,7 +75,7 @@
 			f.tries = append(f.tries, tried)
 			f.mu.Unlock()
 			work.Go(func() {
-				a := f.ask(tried.instance, "stream", "m1")
+				a := f.ask(tried.instance, "stream", f.model)
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				tried.answer, tried.done = a, true
@@ -110,7 +113,7 @@
 		}
 		e.tried++
 		switch {
-		case tried.err == nil && tried.status == http.StatusOK && tried.body == wholeStream("m1"):
+		case tried.err == nil && tried.status == http.StatusOK && tried.body == wholeStream(f.model):
 			e.served++
 		case tried.err == nil && (tried.status == http.StatusServiceUnavailable || tried.status == http.StatusTooManyRequests):
 			e.refused++
--- a/entry/ratelimit_test.go
+++ b/entry/ratelimit_test.go
@@ -133,6 +133,30 @@
 	f.checkPromises()
 }
 
+// TestLimitedOnlyCopy: the one engine that has a model limits what it takes. Another one loads the
+// model, so that requests for it are served.
+func TestLimitedOnlyCopy(t *testing.T) {
+	f := newLoadFleet(t)
+	f.model = "m2"
+	named := time.Now()
+	defer func() { f.logArrivals(named, time.Now()) }()
+	f.engines[0].Say(standin.Words{Limit: "1.5"})
+	f.startLoad()
+	const loaded = 2 * time.Second
+	time.Sleep(loaded + limitWindow)
+	ended := time.Now()
+	f.endLoad()
+	e := f.between(named.Add(loaded), ended)
+	t.Logf("%v", e)
+	if e.failed > 0 || 50*e.refused > e.tried {
+		t.Errorf("%v: want none failed, and at most 2 in 100 refused once another engine has the model", e)
+	}
+	if n := most(f.engines[0], limitWindow, named.Add(limitSettled), ended); n > limitAllowed(1.5) {
+		t.Errorf("the limited engine got %d in %s, want at most %d", n, limitWindow, limitAllowed(1.5))
+	}
+	f.checkPromises()
+}
+
 // killHolder kills the instance that holds the lease.
 func (f *loadFleet) killHolder() {
 	holder := f.holder()
