What servers say of what they take is in status, metrics, refusals and explain

martenctl status has a column TAKES; martenport_servers_limited, _resting and _leaving count them; a request that waited or was refused for servers that limit what they take, or rest, names them, and martenctl explain shows what its instance had heard of these.

--- a/cmd/martenctl/status.go
+++ b/cmd/martenctl/status.go
@@ -40,14 +40,26 @@
 }
 
 func printEngines(w *tabwriter.Writer, s *martenportv1.GetStatusResponse) {
-	fmt.Fprintln(w, "\nENGINE\tDOMAIN\tORDERER\tEPOCH\tMEMORY\tQUEUE\tLEAVING\tRESIDENT\tLOADING\tDOUBTFUL")
+	fmt.Fprintln(w, "\nENGINE\tDOMAIN\tORDERER\tEPOCH\tMEMORY\tQUEUE\tLEAVING\tTAKES\tRESIDENT\tLOADING\tDOUBTFUL")
 	for _, e := range s.Engines {
 		memory := humanize.IBytes(uint64(e.UsedBytes)) + "/" + humanize.IBytes(uint64(e.MemoryBytes))
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%t\t%s\t%s\t%s\n", e.Name, e.FailureDomain, e.Orderer, e.Epoch, memory, e.Queue, e.Leaving,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d\t%t\t%s\t%s\t%s\t%s\n", e.Name, e.FailureDomain, e.Orderer, e.Epoch, memory, e.Queue, e.Leaving, takes(e),
 			strings.Join(e.Resident, ","), strings.Join(e.Loading, ","), strings.Join(e.Doubtful, ","))
 	}
 }
 
+// takes says what an engine takes by its own word: what comes, unless it has said less.
+func takes(e *martenportv1.EngineStatus) string {
+	switch {
+	case e.RestingSeconds > 0:
+		return fmt.Sprintf("nothing for %.1f s", e.RestingSeconds)
+	case e.Limited:
+		return fmt.Sprintf("%g/s", e.Limit)
+	default:
+		return "all"
+	}
+}
+
 func printModels(w *tabwriter.Writer, s *martenportv1.GetStatusResponse) {
 	fmt.Fprintln(w, "\nMODEL\tRESIDENT\tLOADING\tMAX\tWAITING HERE\tWHY NOT LOADED")
 	for _, m := range s.Models {
--- a/command/forward/intake.go
+++ b/command/forward/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -52,6 +53,8 @@
 	// closed is when the first of the servers that cannot be asked now can be; the zero time if
 	// there is none. It is set by each choice.
 	closed time.Time
+	// held are those servers.
+	held []string
 	// giveBack takes back what was granted to the next send.
 	giveBack func()
 }
@@ -61,11 +64,11 @@
 // or all if there are no others.
 func (t *trip) openTo(servers []serving.Server) []int {
 	now := clock.Now()
-	t.intake.closed = time.Time{}
+	t.intake.closed, t.intake.held = time.Time{}, nil
 	var free, spare, limited []int
 	for i, s := range servers {
 		if at := later(t.f.intake.RestsUntil(s), t.intake.turns[s.ID]); at.After(now) {
-			t.closedUntil(at)
+			t.closedUntil(s, at)
 			continue
 		}
 		switch isLimited, spareFrom := t.f.intake.Limited(s); {
@@ -85,7 +88,8 @@
 }
 
 // closedUntil notes that a server can be asked at a time.
-func (t *trip) closedUntil(at time.Time) {
+func (t *trip) closedUntil(s serving.Server, at time.Time) {
+	t.intake.held = append(t.intake.held, s.ID)
 	if t.intake.closed.IsZero() || at.Before(t.intake.closed) {
 		t.intake.closed = at
 	}
@@ -162,6 +166,12 @@
 		t.service.Name, round(wait)).After(after)
 }
 
+// heldFor names the servers for which a request waited last or was refused, bounded.
+func (i *intake) heldFor() string {
+	const most = 8
+	return strings.Join(i.held[:min(most, len(i.held))], ",")
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -359,6 +359,9 @@
 	if !t.out.first.IsZero() {
 		log = log.WithFields(logrus.Fields{"first_ms": t.out.first.Sub(t.request.Arrived).Milliseconds(), "pause_ms": t.out.pause.Milliseconds()})
 	}
+	if held := t.intake.heldFor(); held != "" {
+		log = log.WithField("held_back", held)
+	}
 	if failure == nil {
 		log.WithField("status", t.out.status).Info("request answered")
 		return
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -34,7 +34,7 @@
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
 	}
 	if at := later(t.f.intake.RestsUntil(server), t.intake.turns[server.ID]); at.After(place.Ready) && at.After(clock.Now()) {
-		t.closedUntil(at)
+		t.closedUntil(server, at)
 		return serving.Server{}, at, nil
 	}
 	if t.excluded[server.ID] { // it has just refused: a load may take a little longer
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -16,6 +16,7 @@
 	"github.com/martenport/martenport/command/intent"
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/operators"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
@@ -181,6 +182,8 @@
 			continue
 		}
 		e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
+		e.Limit, e.Limited = s.i.intake.ledger.Limit(server)
+		e.RestingSeconds = max(0, clock.Until(s.i.intake.RestsUntil(server)).Seconds())
 		for _, u := range s.i.dir.UnitsOn(server.ID) {
 			e.Resident = append(e.Resident, u.String())
 			resident[u]++
--- /dev/null
+++ b/entry/operators_intake_test.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/serving"
+)
+
+// TestOperatorsSeeWordsOfServers: what engines say of themselves is in the status and the metrics.
+func TestOperatorsSeeWordsOfServers(t *testing.T) {
+	f := newFleetWith(t, 1, Options{OperatorsPort: testOperatorsPort})
+	r := f.instances[0]
+	f.await("a holder", func() bool { return f.holder() != nil })
+	now := clock.Now()
+	r.intake.hear(serving.Word{Server: "e1", Sent: now, Heard: now, Limited: true, Rate: 1.5, Leaving: true})
+	r.intake.hear(serving.Word{Server: "e2", Sent: now, Heard: now, Rest: time.Minute})
+	status, err := operatorsOf(r).GetStatus(t.Context(), connect.NewRequest(&martenportv1.GetStatusRequest{}))
+	if err != nil || len(status.Msg.Engines) != 2 {
+		t.Fatalf("%v, %v", status, err)
+	}
+	e1, e2 := status.Msg.Engines[0], status.Msg.Engines[1]
+	if !e1.Limited || e1.Limit != 1.5 || !e1.Leaving || e1.RestingSeconds != 0 {
+		t.Errorf("%v: want a limit of 1.5, and that it leaves", e1)
+	}
+	if e2.Limited || e2.Leaving || e2.RestingSeconds < 30 {
+		t.Errorf("%v: want a rest of a minute", e2)
+	}
+	var text bytes.Buffer
+	r.set.WritePrometheus(&text)
+	for _, line := range []string{"martenport_servers_limited 1\n", "martenport_servers_resting 1\n", "martenport_servers_leaving 1\n"} {
+		if !strings.Contains(text.String(), line) {
+			t.Errorf("the metrics lack %q", line)
+		}
+	}
+}
--- a/query/explain/explain.go
+++ b/query/explain/explain.go
@@ -115,8 +115,10 @@
 		if unit := l.Fields["unit"]; unit != "" {
 			c.model, _, _ = strings.Cut(unit, "/")
 		}
-		if server := l.Fields["server"]; server != "" {
-			c.engines[server] = true
+		for _, server := range append(strings.Split(l.Fields["held_back"], ","), l.Fields["server"]) {
+			if server != "" {
+				c.engines[server] = true
+			}
 		}
 		took, _ := strconv.Atoi(l.Fields["ms"]) // a line without it took no time
 		if begun := l.Time.Add(-time.Duration(took) * time.Millisecond); begun.Before(c.from) {
--- a/query/explain/explain_test.go
+++ b/query/explain/explain_test.go
@@ -75,3 +75,21 @@
 		}
 	}
 }
+
+// TestRefusedForWordsOfServers: a request that was refused since all servers limit what they take,
+// or rest, is explained by what they said, as its instance heard it.
+func TestRefusedForWordsOfServers(t *testing.T) {
+	const log = `edge-1 time="2026-04-07T22:21:01.000Z" level=info msg="server's limit changed" limited=true rate=1.5 server=s1 source=edge-2
+edge-1 time="2026-04-07T22:21:01.100Z" level=info msg="server asks for rest" rest_ms=3000 server=s2
+edge-1 time="2026-04-07T22:21:01.200Z" level=info msg="server asks for rest" rest_ms=3000 server=s3
+edge-1 time="2026-04-07T22:21:02.000Z" level=info msg="request not answered: no server of plain that could run it takes anything for 1.9s" request=r held_back=s1,s2 reason=held_back ms=0 route=r verdict=NotRun priority=1
+`
+	lines, err := Read(strings.NewReader(log), "file")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found, err := Request(lines, "r")
+	if err != nil || len(found) != 3 || found[0].Fields["server"] != "s1" || found[1].Fields["server"] != "s2" {
+		t.Errorf("%v, %v: want what s1 and s2 said, and the refusal", found, err)
+	}
+}
