Soak: servers say in answers that they leave, limit what they take or want a rest

In each run a server says one of these for a while, beside all other faults; one that leaves ends then and starts anew. Checked by what servers see, of instances in touch and requests that nothing disturbed on their way: the sum over all instances while a limit is named, nothing new to a leaving server from an instance that it has told, and rests. Seen to judge by a test of histories that break each bound.

--- a/internal/standin/arrivals.go
+++ b/internal/standin/arrivals.go
@@ -19,6 +19,8 @@
 	// was passed on to it.
 	Workspace string
 	KeyTold   bool
+	// Said is what the server said of itself in its answer.
+	Said Words
 }
 
 // arrivals are the last attempts that reached a Server, and whether it fails them.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -247,7 +247,7 @@
 	said := s.words.write(w.Header())
 	id := r.Header.Get("Martenport-Attempt-Id")
 	if id != "" {
-		s.arrivals.add(Arrival{ID: id, At: time.Now(), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != ""})
+		s.arrivals.add(Arrival{ID: id, At: time.Now(), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != "", Said: said})
 	}
 	if expected := r.Header.Get("Martenport-Expect-Instance"); expected != "" && expected != s.params.ID {
 		w.Header().Set("Martenport-Instance-Id", s.params.ID)
@@ -267,6 +267,8 @@
 		writeJSON(w, s.State())
 	case PathFault:
 		s.serveFault(w, r)
+	case PathSay:
+		s.serveSay(w, r)
 	default:
 		s.serveRequest(w, r)
 	}
--- a/internal/standin/words.go
+++ b/internal/standin/words.go
@@ -29,6 +29,15 @@
 	s.words.now = w
 }
 
+// PathSay has a Server say something: POST with ?limit=, &rest= and &leaving=true or false.
+const PathSay = "/standin/say"
+
+func (s *Server) serveSay(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.Say(Words{Limit: q.Get("limit"), Rest: q.Get("rest"), Leaving: q.Get("leaving") == "true"})
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // write writes what the server says into the head of an answer.
 func (w *words) write(h http.Header) (now Words) {
 	w.mu.Lock()
--- a/soak/check.go
+++ b/soak/check.go
@@ -68,6 +68,7 @@
 		found = append(found, t.lostBreaches(runs[t.id])...)
 	}
 	found = append(found, s.keyBreaches()...)
+	found = append(found, s.saidBreaches()...)
 	return append(found, s.budgetBreaches()...)
 }
 
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -55,6 +55,11 @@
 	kept bool
 	// undisturbed: the instance ran all the while.
 	undisturbed bool
+	// entry is the instance that it was sent to. inTouch: it had not been disturbed for a while,
+	// and nor had the store; calm is since when it had not been.
+	entry   int
+	inTouch bool
+	calm    time.Time
 	// clear: nothing at all disturbed the instance, the servers of the service or
 	// the ways to them.
 	clear bool
@@ -111,6 +116,7 @@
 		t.model = models[random.IntN(len(models))]
 	}
 	entry := random.IntN(len(r.entries))
+	t.entry, t.inTouch, t.calm = entry, r.inTouch(entry, time.Now()), r.entries[entry].calmSince()
 	watch := r.watch(entry, serviceOf(t.route))
 	began := time.Now()
 	t.send(r.entryAddress(entry))
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/standin"
 )
 
 // fault is one disturbance: begun, and ended a while later.
@@ -61,9 +62,10 @@
 }
 
 // certain are the faults of each run: kept connections under a changing idle limit, a request
-// that ends engines, and then a failing service while all instances are killed.
+// that ends engines, a server that says something of itself, and then a failing service while all
+// instances are killed.
 func (r *run) certain(ctx context.Context) []timed {
-	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 10, r.poisonFault(ctx)}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
+	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 10, r.poisonFault(ctx)}, {r.params.For / 5, r.sayFault(ctx, r.random.IntN(len(r.servers)))}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
 }
 
 // disturbances are what proxies do; mute comes twice, since lost answers break
@@ -85,7 +87,7 @@
 	e, s, service := r.random.IntN(len(r.entries)), r.random.IntN(len(r.servers)), services[r.random.IntN(len(services))]
 	entry, server, way, door := r.entries[e], r.servers[s], r.ways[e], r.doors[s]
 	restart := func(p *process) func() { return func() { _ = p.start() } } // a failed start shows as not coming back
-	kind := r.random.IntN(20)
+	kind := r.random.IntN(23)
 	if storeKinds := kind >= 7 && kind <= 9; storeKinds && !store {
 		kind = 13
 	}
@@ -124,6 +126,8 @@
 		return r.killAll(ctx, service)
 	case 19:
 		return r.poisonFault(ctx)
+	case 20, 21, 22:
+		return r.sayFault(ctx, s)
 	default:
 		return fault{"configuration", func() { _ = r.configure(ctx) }, nothing} // the store may be away; the next one comes
 	}
@@ -160,6 +164,9 @@
 	for _, service := range services {
 		r.fail(service, false)
 	}
+	for i := range r.servers {
+		r.say(i, standin.Words{})
+	}
 	for _, p := range append(append([]*proxy{}, r.ways...), r.doors...) {
 		p.set(pass)
 	}
--- a/soak/touch.go
+++ b/soak/touch.go
@@ -51,6 +51,13 @@
 	return p.cmd != nil && now.Sub(p.touched) >= touchTime
 }
 
+// calmSince returns when the program was last started or got a signal.
+func (p *process) calmSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.touched
+}
+
 // untouched reports whether the proxy has let everything pass for a while.
 func (p *proxy) untouched(now time.Time) bool {
 	p.mu.Lock()
