What servers say costs a look for each answer, and no more reports than four a second

Every answer has a word, and nearly none says anything: no line is prepared for those. A server may name another limit in each answer; the holder is told at once of one each quarter of a second, and of the rest with the next report. What cannot be read is logged once for each text.

--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -59,8 +59,9 @@
 		c.Limit = l.believe(e, limitOf(w))
 	}
 	c.Rest = e.hearRest(w, now)
-	c.Unreadable = w.Unreadable != "" && w.Unreadable != e.unreadable
-	e.unreadable = w.Unreadable
+	if w.Unreadable != "" && w.Unreadable != e.unreadable {
+		c.Unreadable, e.unreadable = true, w.Unreadable
+	}
 	return c
 }
 
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -33,12 +33,13 @@
 	log     logrus.FieldLogger
 	// ask asks the holder for one send; it is set before the first request.
 	ask func(ctx context.Context, args *TurnArgs) (quota.Answer, error)
-	// wake has the next report be sent at once.
-	wake func()
+	// report has the next report be sent at once.
+	report func()
 
 	mu sync.Mutex
-	// lent is when the holder last lent; guarded by mu.
-	lent time.Time
+	// lent is when the holder last lent, and woken when a report was last sent at once; guarded by
+	// mu.
+	lent, woken time.Time
 	// spareFrom is from when a request that can go elsewhere may ask again, by server, and
 	// refused when one that cannot was last refused; guarded by mu.
 	spareFrom, refused map[string]time.Time
@@ -47,7 +48,7 @@
 func newIntake(self string, dir *directory.Directory, m *members, set *metrics.Set, log logrus.FieldLogger) *intake {
 	i := &intake{
 		ledger: backpressure.NewLedger(), shares: quota.NewShares(backpressure.QuotaParams().Lifetime), alone: backpressure.NewAlone(self),
-		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, wake: func() {},
+		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, report: func() {},
 	}
 	gauge := func(name string, value func(limited, resting int) int) {
 		set.NewGauge(name, func() float64 { return float64(value(i.ledger.Count(clock.Now()))) })
@@ -60,7 +61,13 @@
 
 // hear takes over what a server says of itself, and logs what that changes.
 func (i *intake) hear(w serving.Word) {
+	if w.Leaving {
+		i.leaves(directory.Leaver{ID: w.Server, Born: w.Born}, "answer")
+	}
 	changed := i.ledger.Hear(w, clock.Now())
+	if changed == (backpressure.Change{}) {
+		return // as nearly always: every answer has a word
+	}
 	log := i.log.WithFields(logrus.Fields{"server": w.Server, "born": w.Born, "sent_ms": clock.Since(w.Sent).Milliseconds()})
 	if changed.Limit {
 		log.WithFields(logrus.Fields{"limited": w.Limited, "rate": w.Rate, "source": "answer"}).Info("server's limit changed")
@@ -70,9 +77,6 @@
 	if changed.Rest {
 		log.WithField("rest_ms", w.Rest.Milliseconds()).Info("server asks for rest")
 	}
-	if w.Leaving {
-		i.leaves(directory.Leaver{ID: w.Server, Born: w.Born}, "answer")
-	}
 	if changed.Unreadable {
 		log.WithField("said", w.Unreadable).Warn("server says something of itself that cannot be read")
 	}
@@ -94,6 +98,24 @@
 	}
 }
 
+// wakePause is the shortest time between two reports that are sent at once: a server may name
+// another limit in each answer.
+const wakePause = 250 * time.Millisecond
+
+// wake has the holder told at once of what has changed.
+func (i *intake) wake() {
+	now := clock.Now()
+	i.mu.Lock()
+	due := now.Sub(i.woken) >= wakePause
+	if due {
+		i.woken = now
+	}
+	i.mu.Unlock()
+	if due {
+		i.report()
+	}
+}
+
 // take takes over what another instance tells of limits.
 func (i *intake) take(told []backpressure.Told, source string) {
 	for _, l := range i.ledger.Take(told, clock.Now()) {
