How often a holder is asked for spare requests follows from what limited servers take

Each instance asked again when it was told that there may be something: with 195 instances 130 questions for each request that a server takes. Now all together ask twice for each, and an instance every 30 s at least. The list of instances is read once, not with each change of a limit.

--- a/command/backpressure/limits.go
+++ b/command/backpressure/limits.go
@@ -25,6 +25,22 @@
 // deployment allows of any limit.
 const leastRate = 0.2
 
+const (
+	// spareAsks is how many spare requests of all instances ask for each one that a server takes.
+	spareAsks = 2
+	// longestSpare bounds how long an instance sends no spare request to a limited server.
+	longestSpare = 30 * time.Second
+)
+
+// SpareAgain returns after which time an instance asks again for a spare request that was refused,
+// where it was told that there may be something after a time. All instances ask for the same: if
+// each did at that time, a holder of 195 instances would be asked 130 times for each request that a
+// server takes.
+func SpareAgain(rate float64, instances int, told time.Duration) time.Duration {
+	turn := time.Duration(float64(instances) / (spareAsks * LimitAt(rate).Rate) * float64(time.Second))
+	return max(told, min(longestSpare, turn))
+}
+
 // QuotaParams says how limits of servers are lent.
 func QuotaParams() quota.Params {
 	return quota.Params{Window: window, Overage: overage, Slack: slack, Lifetime: lifetime}
--- a/command/backpressure/world_test.go
+++ b/command/backpressure/world_test.go
@@ -175,6 +175,19 @@
 	}
 }
 
+// TestSpareQuestionsAreFew: how often a holder is asked for spare requests follows from what the
+// server takes, and not from how many instances there are.
+func TestSpareQuestionsAreFew(t *testing.T) {
+	for _, instances := range []int{1, 7, 71, 330} {
+		for _, rate := range []float64{0, 1.5, 20} {
+			asks := float64(instances) / SpareAgain(rate, instances, 100*time.Millisecond).Seconds()
+			if most := max(spareAsks*LimitAt(rate).Rate, float64(instances)/longestSpare.Seconds()); asks > 1.001*most {
+				t.Errorf("%d instances, %v a second: asked %.1f times a second, want at most %.1f", instances, rate, asks, most)
+			}
+		}
+	}
+}
+
 // TestTurnsAreSpread: requests that have no other server are told to come back one after the
 // other, and get what is let through then, before those that come later.
 func TestTurnsAreSpread(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -99,7 +99,7 @@
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.follower.intake = i.intake
-	i.intake.ask, i.intake.report = i.follower.turn, i.follower.reportNow
+	i.intake.ask, i.intake.report, i.intake.instances = i.follower.turn, i.follower.reportNow, i.follower.knownInstances
 	i.holder.WatchStore(i.watcher.outage)
 	i.declared = &declared{config: &table.Config{}, log: log}
 	if o.OperatorsPort > 0 {
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -33,8 +33,10 @@
 	log     logrus.FieldLogger
 	// ask asks the holder for one send; it is set before the first request.
 	ask func(ctx context.Context, args *TurnArgs) (quota.Answer, error)
-	// report has the next report be sent at once.
-	report func()
+	// report has the next report be sent at once, and instances says how many there are; they are
+	// set like ask.
+	report    func()
+	instances func() int
 
 	mu sync.Mutex
 	// lent is when the holder last lent, and woken when a report was last sent at once; guarded by
@@ -48,7 +50,7 @@
 func newIntake(self string, dir *directory.Directory, m *members, set *metrics.Set, log logrus.FieldLogger) *intake {
 	i := &intake{
 		ledger: backpressure.NewLedger(), shares: quota.NewShares(backpressure.QuotaParams().Lifetime), alone: backpressure.NewAlone(self),
-		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, report: func() {},
+		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, report: func() {}, instances: func() int { return 1 },
 	}
 	gauge := func(name string, value func(limited, resting int) int) {
 		set.NewGauge(name, func() float64 { return float64(value(i.ledger.Count(clock.Now()))) })
@@ -72,7 +74,7 @@
 	if changed.Limit {
 		log.WithFields(logrus.Fields{"limited": w.Limited, "rate": w.Rate, "source": "answer"}).Info("server's limit changed")
 		i.wake()
-		go i.members.list(store.AllowStale(context.Background())) // before it may be needed: the store may be away then
+		go i.members.lastKnown(store.AllowStale(context.Background())) // before it may be needed: the store may be away then
 	}
 	if changed.Rest {
 		log.WithField("rest_ms", w.Rest.Milliseconds()).Info("server asks for rest")
@@ -151,7 +153,7 @@
 		a.Granted, a.After = i.askHolder(ctx, s, rate, t)
 	}
 	if !a.Granted {
-		i.noteRefused(s.ID, only, a.After)
+		i.noteRefused(s.ID, rate, only, a.After)
 	}
 	return a
 }
@@ -184,15 +186,16 @@
 	heldBackFor = 500 * time.Millisecond
 )
 
-// noteRefused notes that a request was not let through to a server; only: it has no other.
-func (i *intake) noteRefused(server string, only bool, after time.Duration) {
-	now := clock.Now()
+// noteRefused notes that a request was not let through to a server that takes so many a second;
+// only: it has no other.
+func (i *intake) noteRefused(server string, rate float64, only bool, after time.Duration) {
+	now, instances := clock.Now(), i.instances()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if only {
 		i.refused[server] = now
 	} else {
-		i.spareFrom[server] = now.Add(after)
+		i.spareFrom[server] = now.Add(backpressure.SpareAgain(rate, instances, after))
 	}
 }
 
