A request asks three limited servers at most, and instances together 2,000 times a second

Where all of many servers of a service limit what they take, each request asked one after the other before it was refused, and the holder a hundred times for it. Now it is refused after three, and instances that have asked their part tell clients to come back without a question.

Tests: 103 servers that take nothing, three questions; 2,000 a second for 1, 7 and 330 instances.

--- /dev/null
+++ b/command/backpressure/questions.go
@@ -0,0 +1,44 @@
+package backpressure
+
+import (
+	"sync"
+	"time"
+)
+
+// Questions bounds how often instances ask the holder for single sends: where all servers of a busy
+// service limit what they take, each request would ask, and a holder that has no processor time left
+// for its other work is lost to all. It is safe for concurrent use.
+type Questions struct {
+	mu      sync.Mutex
+	level   float64
+	settled time.Time
+}
+
+const (
+	// allQuestions is how many a second all instances together may ask: each takes some 30 us of the
+	// holder's processor time, which has .8 of a core where it is large.
+	allQuestions = 2000
+	// questionsFor is for how long an instance may save up questions.
+	questionsFor = 500 * time.Millisecond
+	// leastQuestions is how many it may save up at least.
+	leastQuestions = 4
+)
+
+// Take takes one question of this instance's part, one of so many.
+func (q *Questions) Take(instances int, now time.Time) bool {
+	rate := allQuestions / float64(max(1, instances))
+	most := max(leastQuestions, rate*questionsFor.Seconds())
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.settled.IsZero() {
+		q.level = most
+	} else {
+		q.level = min(most, q.level+rate*now.Sub(q.settled).Seconds())
+	}
+	q.settled = now
+	if q.level < 1 {
+		return false
+	}
+	q.level--
+	return true
+}
--- a/command/backpressure/world_test.go
+++ b/command/backpressure/world_test.go
@@ -188,6 +188,26 @@
 	}
 }
 
+// TestQuestionsAreBounded: however much is asked for, a holder gets no more questions than it can
+// answer, and one instance alone may ask for much.
+func TestQuestionsAreBounded(t *testing.T) {
+	for _, instances := range []int{1, 7, 330} {
+		asked, seconds := 0, 10
+		q := &Questions{}
+		for ms := range 1000 * seconds {
+			for range 5 {
+				if q.Take(instances, at(ms)) {
+					asked++
+				}
+			}
+		}
+		all := asked * instances / seconds
+		if most := int(1.1*allQuestions) + leastQuestions*instances/seconds; all > most || all < allQuestions/2 {
+			t.Errorf("%d instances: %d questions a second, want %d at the most and half of that at least", instances, all, most)
+		}
+	}
+}
+
 // TestTurnsAreSpread: requests that have no other server are told to come back one after the
 // other, and get what is let through then, before those that come later.
 func TestTurnsAreSpread(t *testing.T) {
--- a/command/forward/intake.go
+++ b/command/forward/intake.go
@@ -48,7 +48,7 @@
 type intake struct {
 	// spare: the server chosen last is not the only one to which the request can go.
 	spare bool
-	// turns is when the request may ask again, by server.
+	// turns is when the request may ask again, by server. It asks no more than mostTurns servers.
 	turns map[string]time.Time
 	// closed is when the first of the servers that cannot be asked now can be; the zero time if
 	// there is none. It is set by each choice.
@@ -71,9 +71,11 @@
 			t.closedUntil(s, at)
 			continue
 		}
+		_, asked := t.intake.turns[s.ID]
 		switch isLimited, spareFrom := t.f.intake.Limited(s); {
 		case !isLimited:
 			free = append(free, i)
+		case !asked && len(t.intake.turns) >= mostTurns:
 		case spareFrom.After(now):
 			limited = append(limited, i)
 		default:
@@ -134,6 +136,9 @@
 }
 
 const (
+	// mostTurns is how many limited servers a request asks. Where all of many servers take no more, one
+	// that asked each would be refused late, and the holder would be asked a hundred times for it.
+	mostTurns = 3
 	// longestTurn bounds how long a request waits here for a server that limits what it takes,
 	// or rests: a client that is told to come back then can be served by another instance
 	// meanwhile.
--- a/command/forward/intake_test.go
+++ b/command/forward/intake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -19,8 +20,8 @@
 	rests  map[string]time.Time
 	limits map[string]int
 	// after is when to ask again, spare what was asked for requests that can go elsewhere.
-	after           time.Duration
-	spare, returned int
+	after                  time.Duration
+	spare, returned, asked int
 }
 
 func (i *fakeIntake) RestsUntil(s serving.Server) time.Time { return i.rests[s.ID] }
@@ -31,6 +32,7 @@
 }
 
 func (i *fakeIntake) Admit(_ context.Context, s serving.Server, t quota.Turn, _ bool) Admission {
+	i.asked++
 	if t.Spare {
 		i.spare++
 	}
@@ -124,3 +126,19 @@
 		t.Errorf("%v: the server that rested should get about a third", sends)
 	}
 }
+
+// TestFewServersAreAsked: where all of many servers take no more, a request asks some of them and is
+// refused then.
+func TestFewServersAreAsked(t *testing.T) {
+	f := newFixture(t, reply{status: 200, body: "done"})
+	f.intake.limits, f.intake.after = map[string]int{"s1": 0, "s2": 0, "s3": 0}, time.Minute
+	for n := range 100 {
+		id := fmt.Sprintf("more-%d", n)
+		f.dir.ApplyServer(serving.Server{ID: id, Service: "plain", Revision: 1}, time.Now())
+		f.intake.limits[id] = 0
+	}
+	_, failure := f.serve("unsafe", "", 0)
+	if failure == nil || failure.Reason != verdict.ReasonHeldBack || f.intake.asked != mostTurns {
+		t.Errorf("%v after %d questions, want a refusal after %d", failure, f.intake.asked, mostTurns)
+	}
+}
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -27,7 +27,9 @@
 	// none lends.
 	shares *quota.Shares
 	alone  *backpressure.Alone
-	dir    *directory.Directory
+	// questions bounds how often the holder is asked.
+	questions *backpressure.Questions
+	dir       *directory.Directory
 	// members is asked who shares a server while no holder lends.
 	members *members
 	log     logrus.FieldLogger
@@ -49,7 +51,7 @@
 
 func newIntake(self string, dir *directory.Directory, m *members, set *metrics.Set, log logrus.FieldLogger) *intake {
 	i := &intake{
-		ledger: backpressure.NewLedger(), shares: quota.NewShares(backpressure.QuotaParams().Lifetime), alone: backpressure.NewAlone(self),
+		ledger: backpressure.NewLedger(), shares: quota.NewShares(backpressure.QuotaParams().Lifetime), alone: backpressure.NewAlone(self), questions: &backpressure.Questions{},
 		dir: dir, members: m, log: log, lent: clock.Now(), spareFrom: map[string]time.Time{}, refused: map[string]time.Time{}, report: func() {}, instances: func() int { return 1 },
 	}
 	gauge := func(name string, value func(limited, resting int) int) {
@@ -160,6 +162,9 @@
 
 // askHolder asks the holder for one send. While none lends, the instance has a part of its own.
 func (i *intake) askHolder(ctx context.Context, s serving.Server, rate float64, t quota.Turn) (granted bool, after time.Duration) {
+	if !i.questions.Take(i.instances(), clock.Now()) {
+		return false, noQuestionRetry
+	}
 	told, _ := i.ledger.Said(s.ID, clock.Now())
 	answer, err := i.ask(ctx, &TurnArgs{Told: told, Turn: t})
 	if err == nil && answer.Known {
@@ -178,6 +183,8 @@
 const (
 	// leastTurn is the shortest time after which a request asks again.
 	leastTurn = 20 * time.Millisecond
+	// noQuestionRetry is when a request asks again where too many others ask.
+	noQuestionRetry = 500 * time.Millisecond
 	// noPartRetry is when a request asks again at an instance that has no part of what a server
 	// takes while no holder lends.
 	noPartRetry = 500 * time.Millisecond
