One bucket, one timed question, and reports that older instances can read

What is saved up for one send without a holder, and questions, use the bucket of package quota; questions to the holder that count only in time have one function. Limits of servers travel in fields of their own, so that instances of two versions understand each other while they are replaced in turn.

--- a/command/backpressure/alone.go
+++ b/command/backpressure/alone.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/rendezvous"
 )
 
@@ -24,28 +25,22 @@
 	mu sync.Mutex
 	// since is when the instance was first alone, zero while a holder lends; guarded by mu.
 	since time.Time
-	// spent has, by server, when what is gained was last settled and how much there is;
-	// guarded by mu.
-	spent map[string]*saved
-}
-
-type saved struct {
-	level   float64
-	settled time.Time
+	// parts has what there is of each server's; guarded by mu.
+	parts map[string]*quota.Bucket
 }
 
 // sharers is how many of an instance's peers share a server that takes so many a second.
 func sharers(peers []string, rate float64) int { return min(len(peers), 2+int(rate)) }
 
 // NewAlone returns the account of the named instance.
-func NewAlone(self string) *Alone { return &Alone{self: self, spent: map[string]*saved{}} }
+func NewAlone(self string) *Alone { return &Alone{self: self, parts: map[string]*quota.Bucket{}} }
 
 // Lent notes that a holder has lent.
 func (a *Alone) Lent() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.since = time.Time{}
-	clear(a.spent)
+	clear(a.parts)
 }
 
 // Take takes one send to a server from this instance's part of what it takes. lent is when a
@@ -65,19 +60,18 @@
 	if a.since.IsZero() {
 		a.since = begins
 	}
-	part := max(leastRate, rate) / float64(n)
-	s := a.spent[server]
-	if s == nil {
-		s = &saved{settled: a.since}
-		a.spent[server] = s
+	share := quota.Share{Rate: LimitAt(rate).Rate / float64(n), Saved: 1}
+	part := a.parts[server]
+	if part == nil {
+		begun := quota.NewBucket(0, a.since)
+		part = &begun
+		a.parts[server] = part
 	}
-	s.level = min(1, s.level+part*now.Sub(s.settled).Seconds())
-	s.settled = now
-	if s.level < 1 {
-		return false, time.Duration((1 - s.level) / part * float64(time.Second))
+	part.Settle(share, now)
+	if part.Take(1) {
+		return true, 0
 	}
-	s.level--
-	return true, 0
+	return false, time.Duration((1 - part.Level()) / share.Rate * float64(time.Second))
 }
 
 // lifetimeSlack is the part by which shares of others may last longer than by this clock.
--- a/command/backpressure/questions.go
+++ b/command/backpressure/questions.go
@@ -3,15 +3,17 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/martenport/martenport/command/quota"
 )
 
 // Questions bounds how often instances ask the holder for single sends: where all servers of a busy
 // service limit what they take, each request would ask, and a holder that has no processor time left
 // for its other work is lost to all. It is safe for concurrent use.
 type Questions struct {
-	mu      sync.Mutex
-	level   float64
-	settled time.Time
+	mu    sync.Mutex
+	saved quota.Bucket // guarded by mu
+	begun bool         // guarded by mu
 }
 
 const (
@@ -26,19 +28,13 @@
 
 // Take takes one question of this instance's part, one of so many.
 func (q *Questions) Take(instances int, now time.Time) bool {
-	rate := allQuestions / float64(max(1, instances))
-	most := max(leastQuestions, rate*questionsFor.Seconds())
+	part := quota.Share{Rate: allQuestions / float64(max(1, instances))}
+	part.Saved = max(leastQuestions, part.Rate*questionsFor.Seconds())
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.settled.IsZero() {
-		q.level = most
-	} else {
-		q.level = min(most, q.level+rate*now.Sub(q.settled).Seconds())
-	}
-	q.settled = now
-	if q.level < 1 {
-		return false
+	if !q.begun {
+		q.saved, q.begun = quota.NewBucket(part.Saved, now), true
 	}
-	q.level--
-	return true
+	q.saved.Settle(part, now)
+	return q.saved.Take(1)
 }
--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -65,7 +65,7 @@
 	limit serving.Limit
 	// own is what the holder keeps for questions, and free what it gains and may save up, as
 	// of when own was settled.
-	own   bucket
+	own   Bucket
 	free  Share
 	loans map[string]*loan
 	// heaviest is the largest amount asked for at once, and usual the mean one, of late.
@@ -168,7 +168,7 @@
 	a := l.account(workspace, limit, now)
 	l.settle(a, now)
 	switch {
-	case a.own.take(cost):
+	case a.own.Take(cost):
 		return Answer{Granted: true, Known: true}
 	case cost > l.params.saved(limit):
 		return Answer{Known: true}
@@ -211,7 +211,7 @@
 // setGiven notes what all instances may have from now on.
 func (l *Lender) setGiven(a *account, given Share, now time.Time) {
 	free := l.whole(a).minus(given)
-	a.own.settle(Share{Rate: min(free.Rate, a.free.Rate), Saved: free.Saved}, now) // some may have ended since
+	a.own.Settle(Share{Rate: min(free.Rate, a.free.Rate), Saved: free.Saved}, now) // some may have ended since
 	a.free = free
 }
 
@@ -253,7 +253,7 @@
 	l.setGiven(a, others.plus(lo.counted()), now)
 	loan := Loan{Workspace: use.Workspace, Share: lo.told, Keep: lo.told.Saved * keptPart}
 	// What the instance lacks is made up from what the holder keeps, if it has plenty.
-	if missing := min(loan.Keep-use.Level, a.own.level/2); missing > 0 && a.own.take(missing) {
+	if missing := min(loan.Keep-use.Level, a.own.level/2); missing > 0 && a.own.Take(missing) {
 		loan.Grant = missing
 	}
 	return loan
--- a/command/quota/shares.go
+++ b/command/quota/shares.go
@@ -19,7 +19,7 @@
 type held struct {
 	share Share
 	keep  float64
-	bucket
+	Bucket
 	// surplus is what was saved up beyond a share that became smaller. It may not be used, and
 	// goes back with the next report, while the holder still counts the larger share. Where
 	// each of 100 instances has a request now and then, 19 in 100 were refused while it was
@@ -55,7 +55,7 @@
 	h.heaviest = max(h.heaviest, cost)
 	h.totalAsked += cost
 	h.used = now
-	return h.take(cost)
+	return h.Bucket.Take(cost)
 }
 
 // Refused notes that a request was refused for the limit.
@@ -173,6 +173,6 @@
 	if !now.Before(h.until) {
 		h.share, h.level, h.surplus = Share{}, 0, 0
 	}
-	h.settle(h.share, now)
+	h.Settle(h.share, now)
 	return h
 }
--- a/command/quota/turns.go
+++ b/command/quota/turns.go
@@ -39,7 +39,7 @@
 		needed = 1 + promised
 	}
 	// Not all come back to whom turns were promised: what is full is let run.
-	if a.own.level >= min(needed, max(1, a.free.Saved)) && a.own.take(1) {
+	if a.own.level >= min(needed, max(1, a.free.Saved)) && a.own.Take(1) {
 		return Answer{Granted: true, Known: true}
 	}
 	if !t.Spare && !t.Waited {
--- a/command/quota/ways_test.go
+++ b/command/quota/ways_test.go
@@ -106,16 +106,16 @@
 // that fit before were let run.
 func play(l *load, list []arrival, w way) outcome {
 	o := outcome{owedBy: map[string]int{}, refusedBy: map[string]int{}, runBy: map[string]float64{}}
-	owed := map[string]*bucket{}
+	owed := map[string]*Bucket{}
 	for _, a := range list {
 		w.passed(a.at)
 		limit := l.limits[a.workspace]
 		b := owed[a.workspace]
 		if b == nil {
-			b = &bucket{level: limit.Burst, settled: epoch}
+			b = &Bucket{level: limit.Burst, settled: epoch}
 			owed[a.workspace] = b
 		}
-		b.settle(Share{limit.Rate, limit.Burst}, a.at)
+		b.Settle(Share{limit.Rate, limit.Burst}, a.at)
 		run, question := w.request(a)
 		o.asked++
 		if question {
@@ -124,7 +124,7 @@
 		if run {
 			o.runBy[a.workspace] += a.cost
 		}
-		if b.take(a.cost) {
+		if b.Take(a.cost) {
 			o.owed++
 			o.owedBy[a.workspace]++
 			if !run {
@@ -140,7 +140,7 @@
 type fixedWay struct {
 	*load
 	params  Params
-	buckets map[string]*bucket
+	buckets map[string]*Bucket
 }
 
 func (w *fixedWay) passed(time.Time) {}
@@ -151,11 +151,11 @@
 	share := Share{limit.Rate / n, w.params.saved(limit) / n}
 	b := w.buckets[key]
 	if b == nil {
-		b = &bucket{level: share.Saved, settled: epoch}
+		b = &Bucket{level: share.Saved, settled: epoch}
 		w.buckets[key] = b
 	}
-	b.settle(share, a.at)
-	return b.take(a.cost), false
+	b.Settle(share, a.at)
+	return b.Take(a.cost), false
 }
 
 // askWay asks for each request.
@@ -242,7 +242,7 @@
 		list := l.arrivals(length, hot, 6)
 		lent := newLentWay(l, p)
 		ask := &askWay{load: l, lender: newLentWay(l, p).lender}
-		fixed := &fixedWay{load: l, params: p, buckets: map[string]*bucket{}}
+		fixed := &fixedWay{load: l, params: p, buckets: map[string]*Bucket{}}
 		kept := play(l, list, lent)
 		t.Logf("%d instances, lent and asked: %s, at most %d loans in an answer", instances, kept.but(hot), lent.answers)
 		t.Logf("%d instances, always asked: %s", instances, play(l, list, ask).but(hot))
--- a/entry/access.go
+++ b/entry/access.go
@@ -158,15 +158,21 @@
 
 // draw asks the holder for one request.
 func (f *follower) draw(ctx context.Context, workspace string, cost float64) (quota.Answer, error) {
+	var reply DrawReply
+	err := f.callInTime(ctx, methodDraw, &DrawArgs{Workspace: workspace, Cost: cost}, &reply)
+	return reply.Answer, err
+}
+
+// callInTime asks the holder a question whose answer counts only within drawTimeout.
+func (f *follower) callInTime(ctx context.Context, method string, args, reply any) error {
 	record, live := f.liveHolder()
 	if !live {
-		return quota.Answer{}, errors.New("entry: no holder can be reached")
+		return errors.New("entry: no holder can be reached")
 	}
 	asked := clock.Exact()
-	var reply DrawReply
-	err := f.call(ctx, record, drawTimeout, methodDraw, &DrawArgs{Workspace: workspace, Cost: cost}, &reply)
+	err := f.call(ctx, record, drawTimeout, method, args, reply)
 	if took := clock.Exact().Sub(asked); err == nil && took > drawTimeout {
-		err = errors.Newf("entry: the answer took %s", took) // timers stand still while the machine is suspended
+		return errors.Newf("entry: the answer took %s", took) // timers stand still while the machine is suspended
 	}
-	return reply.Answer, err
+	return err
 }
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -83,7 +83,7 @@
 	gaveUp lease.Record
 	// seen is what the holder has told; guarded by mu.
 	seen seen
-	// limits is what has been exchanged of servers' limits; only exchange uses it.
+	// exchanged is what of servers' limits has been exchanged; only exchange uses it.
 	exchanged exchanged
 	// differs: the holder knows other servers than this instance; asked is when
 	// all were last asked for because of that, and questions how often since they
@@ -235,7 +235,7 @@
 		return false
 	}
 	sent := clock.Exact()
-	args.Uses = holder.Uses{Workspaces: f.shares.Report(sent), Servers: f.intake.shares.Report(sent)}
+	args.Uses, args.ServerUses = f.shares.Report(sent), f.intake.shares.Report(sent)
 	if f.exchanged.fence != record.Fence {
 		f.exchanged = exchanged{fence: record.Fence}
 	}
@@ -250,8 +250,8 @@
 		f.heardCrashes(args.Crashes, reply.Crashes, clock.Now())
 	}
 	if err != nil || !reply.Held {
-		f.shares.Unreported(args.Uses.Workspaces, clock.Now())
-		f.intake.shares.Unreported(args.Uses.Servers, clock.Now())
+		f.shares.Unreported(args.Uses, clock.Now())
+		f.intake.shares.Unreported(args.ServerUses, clock.Now())
 		f.noAnswer(record, err)
 		return false
 	}
@@ -272,8 +272,8 @@
 		f.dir.Confirm(word.Version, word.AsOf(sent))
 	}
 	if reply.Lends {
-		f.shares.Apply(reply.Loans.Workspaces, sent, now)
-		f.intake.shares.Apply(reply.Loans.Servers, sent, now)
+		f.shares.Apply(reply.Loans, sent, now)
+		f.intake.shares.Apply(reply.ServerLoans, sent, now)
 		f.intake.lentAt(sent)
 	}
 }
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/backpressure"
@@ -274,20 +273,9 @@
 // lentLimits is what the holder lends by.
 type lentLimits struct{ *intake }
 
-// errNoTurns: no holder can be asked for a send.
-var errNoTurns = errors.New("entry: no holder can be asked what a server takes")
-
 // turn asks the holder for one send to a server that limits what it takes.
 func (f *follower) turn(ctx context.Context, args *TurnArgs) (quota.Answer, error) {
-	record, live := f.liveHolder()
-	if !live {
-		return quota.Answer{}, errNoTurns
-	}
-	asked := clock.Exact()
 	var reply TurnReply
-	err := f.call(ctx, record, drawTimeout, methodTurn, args, &reply)
-	if took := clock.Exact().Sub(asked); err == nil && took > drawTimeout {
-		err = errors.Newf("entry: the answer took %s", took) // timers stand still while the machine is suspended
-	}
+	err := f.callInTime(ctx, methodTurn, args, &reply)
 	return reply.Answer, err
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -39,8 +39,9 @@
 	holder.Report
 	// Crashes are requests under which servers ended.
 	Crashes quarantine.Message
-	// Uses are what was asked for of workspaces, and the shares that the instance has.
-	Uses holder.Uses
+	// Uses are what was asked for of workspaces, and the shares that the instance has; ServerUses
+	// the same of servers that limit what they take.
+	Uses, ServerUses []quota.Use
 	// ServerLimits are what servers say of their limits, as far as that has changed since the
 	// report before, and SeenLimits is the change of the holder's word up to which it is known.
 	ServerLimits []backpressure.Told
@@ -79,7 +80,9 @@
 	// Lends: Loans are all shares of limits that the instance has from now on. Otherwise it
 	// keeps those that it has, for as long as they last.
 	Lends bool
-	Loans holder.Loans
+	Loans []quota.Loan
+	// ServerLoans are the same of servers that limit what they take.
+	ServerLoans []quota.Loan
 	// ServerLimits are what servers say of their limits, as far as it has changed since
 	// SeenLimits, which LimitsUpTo replaces.
 	ServerLimits []backpressure.Told
@@ -211,7 +214,8 @@
 	reply.Leaving = s.intake.dir.Leavers()
 	s.intake.take(args.ServerLimits, args.Name)
 	reply.ServerLimits, reply.LimitsUpTo = s.intake.ledger.Since(args.SeenLimits, now)
-	reply.Loans, reply.Lends = s.holder.Lend(args.Name, args.Uses)
+	loans, lends := s.holder.Lend(args.Name, holder.Uses{Workspaces: args.Uses, Servers: args.ServerUses})
+	reply.Loans, reply.ServerLoans, reply.Lends = loans.Workspaces, loans.Servers, lends
 	return nil
 }
 
