The end of a server's limit is told again, by newer answers, for ten seconds

At first the test: the holder read the engine that it used, whose own answers named no limit; done on purpose that fails in the same way. It uses a server that answers nobody. An instance that sends something to the server learns it from the answer; those that do not went by the limit for as long.

Tests: the end is repeated and relayed, and nobody goes on telling after that; both fail without.

--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -26,6 +26,10 @@
 	change uint64
 	// named is the rate that was last named, also after the server has ceased to.
 	named float64
+	// ended is when the answer was read after which it was not named any more.
+	ended time.Time
+	// told is when the request was sent whose answer others were last told of.
+	told time.Time
 	// rest is until when the server wants nothing from this instance, asked by the process
 	// born then.
 	rest time.Time
@@ -57,6 +61,7 @@
 	}
 	if !w.LimitUnknown {
 		c.Limit = l.believe(e, limitOf(w))
+		l.repeatEnd(e, limitOf(w), now)
 	}
 	c.Rest = e.hearRest(w, now)
 	if w.Unreadable != "" && w.Unreadable != e.unreadable {
@@ -87,15 +92,37 @@
 	if e.known && !limit.replaces(e.limit) {
 		return false
 	}
+	if e.limit.Named && !limit.Named {
+		e.ended = limit.Heard
+	}
 	e.limit, e.known = limit, true
 	if limit.Named {
 		e.named = limit.Rate
 	}
-	l.change++
-	e.change = l.change
+	l.tell(e)
 	return true
 }
 
+// tell needs mu. It has others be told of a server's limit.
+func (l *Ledger) tell(e *entry) {
+	l.change++
+	e.change, e.told = l.change, e.limit.Sent
+}
+
+// repeatEvery is how often others are told again that a server names no limit any more.
+const repeatEvery = time.Second
+
+// repeatEnd needs mu. It has others be told again for a while that a limit is over, by newer answers:
+// they may have heard of it so late that they could not tell which word was the newer one.
+func (l *Ledger) repeatEnd(e *entry, limit Limit, now time.Time) {
+	if !e.known || e.limit.Named || limit.Named || limit.Sent.Sub(e.told) < repeatEvery {
+		return
+	}
+	if _, accounted := e.account(now); accounted {
+		l.tell(e)
+	}
+}
+
 // hearRest needs the ledger's mu. Of several rests the one that ends last counts: a server that
 // asks for a shorter one later has not taken the longer one back.
 func (e *entry) hearRest(w serving.Word, now time.Time) bool {
@@ -133,7 +160,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[id]
-	if e == nil || !e.known || !e.limit.Named && now.Sub(e.limit.Heard) > accountFor {
+	if e == nil {
+		return 0, false
+	}
+	return e.account(now)
+}
+
+// account needs the ledger's mu.
+func (e *entry) account(now time.Time) (rate float64, ok bool) {
+	if !e.known || !e.limit.Named && now.Sub(e.ended) > accountFor {
 		return 0, false
 	}
 	return e.named, true
@@ -191,9 +226,11 @@
 			}
 			e = l.add(t.Server)
 		}
-		if limit := t.limit(now); l.believe(e, limit) {
+		limit := t.limit(now)
+		if l.believe(e, limit) {
 			changed = append(changed, limit)
 		}
+		l.repeatEnd(e, limit, now) // who was told in turn may have doubted it, too
 	}
 	return changed
 }
--- a/command/backpressure/ledger_test.go
+++ b/command/backpressure/ledger_test.go
@@ -155,6 +155,74 @@
 	}
 }
 
+// TestEndIsRepeated: others are told again that a limit is over, by newer answers, for a while. They
+// may have heard so late of the limit that the first word of its end was not certainly newer.
+func TestEndIsRepeated(t *testing.T) {
+	l, other := NewLedger(), NewLedger()
+	change := uint64(0)
+	tell := func(ms int) int {
+		list, upTo := l.Since(change, at(ms))
+		change = upTo
+		other.Take(list, at(ms))
+		return len(list)
+	}
+	l.Hear(named(2, 0, 5), at(5))
+	tell(900)
+	other.Hear(named(2, 880, 900), at(900))
+	l.Hear(silent(950, 955), at(955))
+	tell(960)
+	if _, limited := other.Limit(server); !limited {
+		t.Fatal("the end was not doubtful: the test tries nothing")
+	}
+	told := 0
+	for ms := 1000; ms < 30000; ms += 100 {
+		l.Hear(silent(ms, ms+5), at(ms+5))
+		told += tell(ms + 10)
+	}
+	if _, limited := other.Limit(server); limited {
+		t.Error("the end was not heard of")
+	}
+	if told < 5 || told > 12 {
+		t.Errorf("told %d times in half a minute, want about once a second for ten", told)
+	}
+}
+
+// TestEndIsRelayed: the end of a limit goes from one instance over the holder to a third, each of which
+// takes the word for older than it is.
+func TestEndIsRelayed(t *testing.T) {
+	ledgers := []*Ledger{NewLedger(), NewLedger(), NewLedger()} // the second is the holder's
+	seen := map[[2]int]uint64{}
+	tell := func(from, to, ms int) {
+		list, upTo := ledgers[from].Since(seen[[2]int{from, to}], at(ms))
+		seen[[2]int{from, to}] = upTo
+		ledgers[to].Take(list, at(ms))
+	}
+	exchange := func(ms int) {
+		for _, follower := range []int{0, 2} {
+			tell(follower, 1, ms)
+			tell(1, follower, ms)
+		}
+	}
+	ledgers[0].Hear(named(2, 0, 5), at(5))
+	exchange(100)
+	exchange(200)
+	for ms := 250; ms < 4000; ms += 100 {
+		ledgers[0].Hear(silent(ms, ms+5), at(ms+5))
+		exchange(ms + 10)
+	}
+	for i, l := range ledgers {
+		if _, limited := l.Limit(server); limited {
+			t.Errorf("instance %d has not heard of the end", i)
+		}
+	}
+	_, before := ledgers[1].Since(0, at(30000))
+	exchange(30000)
+	exchange(30100)
+	if _, after := ledgers[1].Since(0, at(30200)); after != before {
+		t.Error("they go on telling each other")
+	}
+}
+
 // TestAccountGoesOn: what a server got is accounted for a while after it has ceased to name a
 // limit, by the rate that it named.
 func TestAccountGoesOn(t *testing.T) {
--- a/entry/operators_intake_test.go
+++ b/entry/operators_intake_test.go
@@ -10,6 +10,7 @@
 
 	martenportv1 "github.com/martenport/martenport/api/martenport/v1"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -18,6 +19,7 @@
 	f := newFleetWith(t, 1, Options{OperatorsPort: testOperatorsPort})
 	r := f.instances[0]
 	f.await("a holder", func() bool { return f.holder() != nil })
+	f.servers["e1"].Say(standin.Words{Limit: "1.5", Leaving: true}) // the holder may read it meanwhile
 	now := clock.Now()
 	r.intake.hear(serving.Word{Server: "e1", Sent: now, Heard: now, Limited: true, Rate: 1.5, Leaving: true})
 	r.intake.hear(serving.Word{Server: "e2", Sent: now, Heard: now, Rest: time.Minute})
--- a/entry/ratelimit_test.go
+++ b/entry/ratelimit_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/martenport/martenport/command/backpressure"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/serving"
@@ -161,7 +160,8 @@
 }
 
 // TestLimitIsTold: an instance that is not told by an answer hears of a limit, and of its end, from
-// those that are.
+// those that are. The server is a plain one, which answers nobody here: engines are read by the holder,
+// and what they say then counts.
 func TestLimitIsTold(t *testing.T) {
 	f := newFleet(t, 3)
 	f.await("a holder", func() bool { return f.holder() != nil })
@@ -169,17 +169,19 @@
 	everywhere := func(want bool) func() bool {
 		return func() bool {
 			return !slices.ContainsFunc(f.instances, func(r *running) bool {
-				_, limited := r.intake.ledger.Limit(serving.Server{ID: "e1"})
+				_, limited := r.intake.ledger.Limit(serving.Server{ID: "p1"})
 				return limited != want
 			})
 		}
 	}
 	now := clock.Now()
-	told.hear(serving.Word{Server: "e1", Sent: now, Heard: now, Limited: true, Rate: 1.5})
+	told.hear(serving.Word{Server: "p1", Sent: now, Heard: now, Limited: true, Rate: 1.5})
 	f.await("known everywhere", everywhere(true))
-	now = clock.Now().Add(2 * backpressure.Transit)
-	told.hear(serving.Word{Server: "e1", Sent: now, Heard: now})
-	f.await("over everywhere", everywhere(false))
+	f.await("over everywhere", func() bool { // further answers say so, too
+		now := clock.Now()
+		told.hear(serving.Word{Server: "p1", Sent: now, Heard: now})
+		return everywhere(false)()
+	})
 }
 
 // killHolder kills the instance that holds the lease.
