--- a/command/orderer/history_test.go
+++ b/command/orderer/history_test.go
@@ -18,7 +18,6 @@
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/table"
 )
 
@@ -121,112 +120,6 @@
 	return !w.chance(w.faults.lost)
 }
 
-// faultyEngine is an engine as one instance reaches it.
-type faultyEngine struct {
-	backend.Engine
-	w *world
-}
-
-func (e faultyEngine) Load(ctx context.Context, o backend.Order) (backend.Ack, error) {
-	return e.order(ctx, func() (backend.Ack, error) { return e.Engine.Load(ctx, o) })
-}
-
-func (e faultyEngine) Unload(ctx context.Context, o backend.Order) (backend.Ack, error) {
-	return e.order(ctx, func() (backend.Ack, error) { return e.Engine.Unload(ctx, o) })
-}
-
-func (e faultyEngine) Fence(ctx context.Context, epoch uint64) (backend.Report, error) {
-	type answer struct {
-		report backend.Report
-		err    error
-	}
-	got := make(chan answer, 1)
-	answered := e.w.deliver(ctx, func() {
-		report, err := e.Engine.Fence(ctx, epoch)
-		got <- answer{report, err}
-	})
-	if !answered {
-		return backend.Report{}, backend.ErrUnknown
-	}
-	a := <-got
-	return a.report, a.err
-}
-
-func (e faultyEngine) order(ctx context.Context, call func() (backend.Ack, error)) (backend.Ack, error) {
-	type answer struct {
-		ack backend.Ack
-		err error
-	}
-	got := make(chan answer, 1)
-	answered := e.w.deliver(ctx, func() {
-		ack, err := call()
-		e.w.check()
-		got <- answer{ack, err}
-	})
-	if !answered {
-		return backend.Ack{}, backend.ErrUnknown
-	}
-	a := <-got
-	return a.ack, a.err
-}
-
-// faultyStore is the platform as one instance reaches it.
-type faultyStore struct {
-	*standin.Platform
-	w *world
-
-	mu   sync.Mutex
-	away time.Time // guarded by mu; end of this instance's outage
-}
-
-func (s *faultyStore) cut() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.w.chance(s.w.faults.outage) {
-		s.away = time.Now().Add(time.Duration(1+s.w.intN(3600)) * time.Second)
-	}
-	return time.Now().Before(s.away)
-}
-
-func (s *faultyStore) Get(ctx context.Context, key string) (store.Object, error) {
-	if s.cut() {
-		return store.Object{}, store.ErrUnavailable
-	}
-	return s.Platform.Get(ctx, key)
-}
-
-func (s *faultyStore) List(ctx context.Context, prefix string) (store.Snapshot, error) {
-	if s.cut() {
-		return store.Snapshot{}, store.ErrUnavailable
-	}
-	return s.Platform.List(ctx, prefix)
-}
-
-// writeLimit is how long an instance waits for the answer to a write.
-const writeLimit = 2 * time.Second
-
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
-	if s.cut() {
-		return store.Object{}, store.ErrUnavailable
-	}
-	ctx, cancel := context.WithTimeout(ctx, writeLimit)
-	defer cancel()
-	type answer struct {
-		obj store.Object
-		err error
-	}
-	got := make(chan answer, 1)
-	answered := s.w.deliver(ctx, func() {
-		obj, err := s.Platform.Put(context.Background(), key, value, version)
-		got <- answer{obj, err}
-	})
-	if !answered {
-		return store.Object{}, store.ErrUnknown
-	}
-	a := <-got
-	return a.obj, a.err
-}
-
 // tables returns the tables of one instance with the world's declaration.
 func (w *world) tables(name string) *table.Tables {
 	t := table.New(table.Member{Name: name, FailureDomain: "a", Incarnation: 1})
