Servers' words, read once more: less state, and one piece of code for what stood twice

What an instance has without a holder begins with what is lent, so no second time is kept for it. When a server may be asked is one function; the holder's view of limits has all its methods in one place; tests compare what engines got with the bound in one. No list is copied only to know its length. Two comments said what the code does not do.

Behaviour, bounds and assertions are as before.

--- a/command/backpressure/alone.go
+++ b/command/backpressure/alone.go
@@ -1,6 +1,7 @@
 package backpressure
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,6 @@
 	self string
 
 	mu sync.Mutex
-	// since is when the instance was first alone, zero while a holder lends; guarded by mu.
-	since time.Time
 	// parts has what there is of each server's; guarded by mu.
 	parts map[string]*quota.Bucket
 }
@@ -39,7 +38,6 @@
 func (a *Alone) Lent() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.since = time.Time{}
 	clear(a.parts)
 }
 
@@ -57,13 +55,10 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.since.IsZero() {
-		a.since = begins
-	}
 	share := quota.Share{Rate: LimitAt(rate).Rate / float64(n), Saved: 1}
 	part := a.parts[server]
 	if part == nil {
-		begun := quota.NewBucket(0, a.since)
+		begun := quota.NewBucket(0, begins)
 		part = &begun
 		a.parts[server] = part
 	}
@@ -79,18 +74,13 @@
 
 // chosen reports whether an instance is one of the n of its peers that share a server.
 func chosen(server, self string, peers []string, n int) bool {
-	left := append([]string(nil), peers...)
+	left := slices.Clone(peers)
 	for range n {
 		best := rendezvous.Choose(server, left)
 		if best == self {
 			return true
 		}
-		for i, name := range left {
-			if name == best {
-				left = append(left[:i], left[i+1:]...)
-				break
-			}
-		}
+		left = slices.DeleteFunc(left, func(name string) bool { return name == best })
 	}
 	return false
 }
--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -43,8 +43,8 @@
 
 // Change is what a word has changed.
 type Change struct {
-	// Limit: the limit is another, or there is none any more. Rest: it asks for one that lasts
-	// longer than what was known. Unreadable: something else cannot be read than before.
+	// Limit: the limit is another, or there is none any more. Rest: it asks for one, and was not
+	// resting. Unreadable: something else cannot be read than before.
 	Limit, Rest, Unreadable bool
 }
 
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -26,8 +26,9 @@
 // choosePlain picks among all servers of the service, and waits for a turn if need be.
 func (t *trip) choosePlain(ctx context.Context) (serving.Server, *verdict.Failure) {
 	for {
-		known := t.f.dir.Servers(t.service.Name)
-		usable := slices.DeleteFunc(slices.Clone(known), func(s serving.Server) bool { return t.excluded[s.ID] || t.f.guard.Ended(s) })
+		servers := t.f.dir.Servers(t.service.Name)
+		known := len(servers)
+		usable := slices.DeleteFunc(servers, func(s serving.Server) bool { return t.excluded[s.ID] || t.f.guard.Ended(s) })
 		open := t.openTo(usable)
 		candidates := make([]balance.Candidate, 0, len(open))
 		for _, i := range open {
@@ -38,7 +39,7 @@
 			return usable[open[i]], nil
 		}
 		if t.intake.closed.IsZero() {
-			return serving.Server{}, t.noServer(len(known))
+			return serving.Server{}, t.noServer(known)
 		}
 		if failure := t.awaitTurn(ctx); failure != nil {
 			return serving.Server{}, failure
--- a/command/forward/intake.go
+++ b/command/forward/intake.go
@@ -67,7 +67,7 @@
 	t.intake.closed, t.intake.held = time.Time{}, nil
 	var free, spare, limited []int
 	for i, s := range servers {
-		if at := later(t.f.intake.RestsUntil(s), t.intake.turns[s.ID]); at.After(now) {
+		if at := t.notBefore(s); at.After(now) {
 			t.closedUntil(s, at)
 			continue
 		}
@@ -89,6 +89,11 @@
 	return append(spare, limited...)
 }
 
+// notBefore returns when the server may be asked, by its rest and the request's turn there.
+func (t *trip) notBefore(s serving.Server) time.Time {
+	return later(t.f.intake.RestsUntil(s), t.intake.turns[s.ID])
+}
+
 // closedUntil notes that a server can be asked at a time.
 func (t *trip) closedUntil(s serving.Server, at time.Time) {
 	t.intake.held = append(t.intake.held, s.ID)
@@ -100,11 +105,11 @@
 // taken asks whether the request may be sent to the server now, and notes when it may ask again
 // if not.
 func (t *trip) taken(ctx context.Context, server serving.Server) bool {
-	if limited, _ := t.f.intake.Limited(server); !limited {
-		return !t.rests(server)
+	if t.f.intake.RestsUntil(server).After(clock.Now()) {
+		return false // it may have asked for that since it was chosen
 	}
-	if t.rests(server) {
-		return false
+	if limited, _ := t.f.intake.Limited(server); !limited {
+		return true
 	}
 	_, waited := t.intake.turns[server.ID]
 	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.spare || deferrable(t.route), Waited: waited}, !t.intake.spare)
@@ -122,11 +127,6 @@
 	return false
 }
 
-// rests reports whether a server rests: it may have asked for that since it was chosen.
-func (t *trip) rests(server serving.Server) bool {
-	return t.f.intake.RestsUntil(server).After(clock.Now())
-}
-
 // returnTaken gives back what was taken for a send that reached no server.
 func (t *trip) returnTaken() {
 	if t.intake.giveBack != nil {
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -33,7 +33,7 @@
 	if !live || server.Draining {
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
 	}
-	if at := later(t.f.intake.RestsUntil(server), t.intake.turns[server.ID]); at.After(place.Ready) && at.After(clock.Now()) {
+	if at := t.notBefore(server); at.After(place.Ready) && at.After(clock.Now()) {
 		t.closedUntil(server, at)
 		return serving.Server{}, at, nil
 	}
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -19,7 +19,7 @@
 )
 
 // intake is what this instance knows of how much servers take, by their own words and by what
-// other instances tell. It implements forward.Intake and holder.ServerLimits.
+// other instances tell. It implements forward.Intake.
 type intake struct {
 	ledger *backpressure.Ledger
 	// shares are what the holder has lent of the limits, alone what the instance takes while
@@ -252,9 +252,12 @@
 	}
 }
 
+// lentLimits is what the holder lends by. It implements holder.ServerLimits.
+type lentLimits struct{ ledger *backpressure.Ledger }
+
 // Lent implements holder.ServerLimits.
-func (i *intake) Lent(server string) (serving.Limit, bool) {
-	rate, ok := i.ledger.Account(server, clock.Now())
+func (l lentLimits) Lent(server string) (serving.Limit, bool) {
+	rate, ok := l.ledger.Account(server, clock.Now())
 	return backpressure.LimitAt(rate), ok
 }
 
@@ -270,9 +273,6 @@
 	return limited > 0
 }
 
-// lentLimits is what the holder lends by.
-type lentLimits struct{ *intake }
-
 // turn asks the holder for one send to a server that limits what it takes.
 func (f *follower) turn(ctx context.Context, args *TurnArgs) (quota.Answer, error) {
 	var reply TurnReply
--- a/entry/ratelimit_test.go
+++ b/entry/ratelimit_test.go
@@ -33,6 +33,16 @@
 // limitAllowed is how many requests an engine may get in the window that takes so many a second.
 func limitAllowed(rate float64) int { return int(1.5*rate*limitWindow.Seconds() + 5) }
 
+// checkLimits compares what each engine got, which takes so many a second, with the bound.
+func (f *loadFleet) checkLimits(rate float64, named, ceased time.Time) {
+	f.t.Helper()
+	for i, s := range f.engines {
+		if n := most(s, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(rate) {
+			f.t.Errorf("engine %d, which takes %v requests a second, got %d in %s, want at most %d", i+1, rate, n, limitWindow, limitAllowed(rate))
+		}
+	}
+}
+
 // limitedFor is how long engines name their limit in these tests: two windows.
 const limitedFor = limitSettled + 2*limitWindow
 
@@ -89,11 +99,7 @@
 	time.Sleep(limitedFor / 2)
 	ceased := time.Now()
 	f.endLoad()
-	for i, s := range f.engines {
-		if n := most(s, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(4) {
-			t.Errorf("engine %d, which takes 4 requests a second, got %d in %s, want at most %d", i+1, n, limitWindow, limitAllowed(4))
-		}
-	}
+	f.checkLimits(4, named, ceased)
 	e := f.between(named.Add(limitSettled), ceased)
 	if e.failed > 0 || e.unhinted > 0 {
 		t.Errorf("%v: want none failed, and each that is refused told when to come back", e)
@@ -124,11 +130,7 @@
 	time.Sleep(3 * limitWindow)
 	ceased := time.Now()
 	f.endLoad()
-	for i, s := range f.engines {
-		if n := most(s, limitWindow, named.Add(limitSettled), ceased); n > limitAllowed(1.5) {
-			t.Errorf("engine %d, which takes 1.5 requests a second, got %d in %s, want at most %d", i+1, n, limitWindow, limitAllowed(1.5))
-		}
-	}
+	f.checkLimits(1.5, named, ceased)
 	if e := f.between(named.Add(limitSettled+limitWindow), ceased); e.served == 0 || e.unhinted > 0 {
 		t.Errorf("%v: want some served, and each that is refused told when to come back", e)
 	}
