Pending ends of runs alone outlast the instances that saw them

Cause: where another suspect shares ends with a request, an end under a run of its own counts 2.5 s later. It waited in the memory of one process. All instances were killed before, each time, and the request ran alone again. A second holder is not needed for it.

Records now carry pending ends with an age of their own; they are merged, told and written like the rest, any instance decides them, and the holder lets no run of the request begin meanwhile. Further ends of a suspect are written as well, so that whoever decides knows who else was there.

Left: a kill of all instances between the end and its write costs one more engine.

--- a/command/quarantine/break.go
+++ b/command/quarantine/break.go
@@ -50,7 +50,10 @@
 		told.Grace = min(mostGrace, graceGrowth*b.Ran)
 	default:
 		told.Crashes = []Life{LifeOf(b.Server)}
-		if b.Alone && !l.postpone(b, now) {
+		switch {
+		case b.Alone && l.postpone(b):
+			told.Pending = []PendingEnd{{Life: LifeOf(b.Server)}}
+		case b.Alone:
 			told.Alone = told.Crashes
 		}
 	}
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -1,11 +1,14 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -41,14 +44,13 @@
 	digest uint64
 	// answered are the requests that this instance has answered of late; guarded by mu.
 	answered answered
-	// unsettled are ends under runs alone of which another request may be the cause;
-	// guarded by mu.
-	unsettled map[serving.Fingerprint]unsettledEnd
 }
 
 type record struct {
-	Record
-	at time.Time
+	Record // but for Pending
+	at     time.Time
+	// pending are its pending ends.
+	pending []pendingEnd
 	// change is the ledger's at the record's last one, and sum the record's part of its
 	// digest.
 	change, sum uint64
@@ -56,7 +58,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}, unsettled: map[serving.Fingerprint]unsettledEnd{}}
+	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}}
 }
 
 // Answered notes that the request was answered: it is cleared, and what is heard of ends under
@@ -185,6 +187,7 @@
 	}
 	before := r.State()
 	changed := r.take(from)
+	changed = l.takePending(r, from.Pending, now) || changed
 	changed = l.clearExplained(r) || changed
 	if len(r.Crashes) > 0 && l.answered.knows(r.Fingerprint, now) {
 		changed = r.take(Record{Cleared: slices.Clone(r.Crashes)}) || changed
@@ -215,6 +218,7 @@
 	changed := r.takeCleared(from.Cleared)
 	changed = r.takeEnds(from) || changed
 	r.tidy()
+	r.dropPending()
 	if from.Grace > r.Grace {
 		r.Grace = from.Grace
 		changed = true
@@ -342,6 +346,20 @@
 	l.digest ^= r.sum
 }
 
+// hash sums up what the record says.
+func (r *record) hash() uint64 {
+	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Alone)))
+	lives := slices.Concat(r.Crashes, r.Cleared, r.Alone)
+	for _, end := range r.pending {
+		lives = append(lives, end.life)
+	}
+	for _, life := range lives {
+		text = append(text, life.Server...)
+		text = binary.BigEndian.AppendUint64(text, uint64(life.Born))
+	}
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, uint64(r.Grace)))
+}
+
 // drop needs mu.
 func (l *Ledger) drop(fp serving.Fingerprint) {
 	r := l.records[fp]
@@ -371,6 +389,7 @@
 func (r *record) told(now time.Time) Record {
 	told := r.Record
 	told.Crashes, told.Cleared, told.Alone = slices.Clone(r.Crashes), slices.Clone(r.Cleared), slices.Clone(r.Alone)
+	told.Pending = r.toldPending(now)
 	told.Age = max(0, now.Sub(r.at))
 	return told
 }
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -17,12 +17,9 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/martenport/martenport/serving"
 )
 
@@ -81,6 +78,8 @@
 	Crashes, Cleared []Life
 	// Alone are those of Crashes that ended under a run of its own.
 	Alone []Life
+	// Pending are ends under runs of its own that do not count as such yet, since another request may be the cause.
+	Pending []PendingEnd
 	// Grace is how long after the first event of a run alone the server's end counts.
 	Grace time.Duration
 	// Age is how long ago the last change was.
@@ -109,17 +108,8 @@
 
 // same reports whether another record says the same.
 func (r *Record) same(other Record) bool {
-	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) && slices.Equal(r.Alone, other.Alone) && r.Grace == other.Grace
-}
-
-// hash sums up what the record says.
-func (r *Record) hash() uint64 {
-	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Alone)))
-	for _, life := range slices.Concat(r.Crashes, r.Cleared, r.Alone) {
-		text = append(text, life.Server...)
-		text = binary.BigEndian.AppendUint64(text, uint64(life.Born))
-	}
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, uint64(r.Grace)))
+	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) && slices.Equal(r.Alone, other.Alone) &&
+		slices.EqualFunc(r.Pending, other.Pending, func(a, b PendingEnd) bool { return a.Life == b.Life }) && r.Grace == other.Grace
 }
 
 // compareLives orders lives by their birth.
--- a/command/quarantine/settle.go
+++ b/command/quarantine/settle.go
@@ -18,24 +18,75 @@
 // second apart at the most, and the time in which an instance notices that an answer broke off.
 const settleAfter = 2500 * time.Millisecond
 
-// unsettledEnd is an end under a run alone of which another suspect may be the cause.
-type unsettledEnd struct {
+// maxPending bounds the pending ends of a record: as many as the ends that it remembers of runs alone.
+const maxPending = maxAlone
+
+// PendingEnd is the end of a life under a run alone of which another suspect may be the cause.
+type PendingEnd struct {
+	Life Life
+	// Age is how long ago the life ended.
+	Age time.Duration
+}
+
+// pendingEnd is a PendingEnd as a ledger remembers it. An end is older than anybody's word of it, so that of
+// two times the earlier one counts.
+type pendingEnd struct {
 	life Life
 	at   time.Time
 }
 
-// postpone needs mu. It reports whether an end under a run alone does not count as such yet,
-// and has it be settled later then.
-func (l *Ledger) postpone(b Break, now time.Time) bool {
-	life := LifeOf(b.Server)
+// postpone needs mu. It reports whether an end under a run alone does not count as such yet:
+// another suspect was there at ends that count against the request.
+func (l *Ledger) postpone(b Break) bool {
 	known := l.records[b.Fingerprint]
-	if known == nil || !l.rivalled(known) {
+	return known != nil && l.rivalled(known)
+}
+
+// takePending needs mu. It takes over pending ends, and reports whether one was news. Those that do not count any more
+// are left out, or ledgers would tell each other of them for ever.
+func (l *Ledger) takePending(r *record, pending []PendingEnd, now time.Time) (changed bool) {
+	for _, end := range pending {
+		if end.Age >= settleAfter && l.contested(r.Fingerprint, end.Life) {
+			continue
+		}
+		changed = r.addPending(pendingEnd{life: end.Life, at: now.Add(-end.Age)}) || changed
+	}
+	return changed
+}
+
+// addPending notes a pending end, and reports whether it was news.
+func (r *record) addPending(end pendingEnd) bool {
+	i := slices.IndexFunc(r.pending, func(known pendingEnd) bool { return known.life == end.life })
+	switch {
+	case i >= 0:
+		if end.at.Before(r.pending[i].at) {
+			r.pending[i].at = end.at
+		}
+		return false
+	case len(r.pending) >= maxPending, slices.Contains(r.Alone, end.life), slices.Contains(r.Cleared, end.life):
 		return false
 	}
-	l.unsettled[b.Fingerprint] = unsettledEnd{life: life, at: now}
+	r.pending = append(r.pending, end)
+	slices.SortFunc(r.pending, func(a, b pendingEnd) int { return compareLives(a.life, b.life) })
 	return true
 }
 
+// dropPending forgets pending ends that were decided: of lives that count, or that do not count any more.
+func (r *record) dropPending() {
+	r.pending = slices.DeleteFunc(r.pending, func(end pendingEnd) bool {
+		return slices.Contains(r.Alone, end.life) || slices.Contains(r.Cleared, end.life)
+	})
+}
+
+// toldPending returns the pending ends for others.
+func (r *record) toldPending(now time.Time) []PendingEnd {
+	var told []PendingEnd
+	for _, end := range r.pending {
+		told = append(told, PendingEnd{Life: end.life, Age: max(0, now.Sub(end.at))})
+	}
+	return told
+}
+
 // rivalled needs mu. It reports whether another suspect was there at an end that counts
 // against the request.
 func (l *Ledger) rivalled(r *record) bool {
@@ -58,28 +109,31 @@
 	return false
 }
 
-// Unsettled reports whether an end under a run alone of the request is held back.
+// Unsettled reports whether an end under a run alone of the request is pending. It must not run meanwhile.
 func (l *Ledger) Unsettled(fp serving.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, held := l.unsettled[fp]
-	return held
+	r := l.records[fp]
+	return r != nil && len(r.pending) > 0
 }
 
-// Settle has ends under runs alone count that were held back for long enough, unless another
-// suspect was there.
-func (l *Ledger) Settle(now time.Time) []Raise {
+// Settle decides pending ends that are old enough: they count as ends under runs alone, unless another suspect was
+// there. It returns the requests that were raised by that, and those of which an end does not count.
+func (l *Ledger) Settle(now time.Time) (raised []Raise, dropped []serving.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var raised []Raise
-	for fp, end := range l.unsettled {
-		if now.Sub(end.at) < settleAfter {
-			continue
-		}
-		delete(l.unsettled, fp)
-		if !l.contested(fp, end.life) {
-			raised = append(raised, l.merge(Record{Fingerprint: fp, Crashes: []Life{end.life}, Alone: []Life{end.life}}, now)...)
+	for fp, r := range l.records {
+		for _, end := range slices.Clone(r.pending) {
+			switch {
+			case now.Sub(end.at) < settleAfter:
+			case l.contested(fp, end.life):
+				r.pending = slices.DeleteFunc(r.pending, func(p pendingEnd) bool { return p.life == end.life })
+				l.touch(r)
+				dropped = append(dropped, fp)
+			default:
+				raised = append(raised, l.merge(Record{Fingerprint: fp, Crashes: []Life{end.life}, Alone: []Life{end.life}}, now)...)
+			}
 		}
 	}
-	return raised
+	return raised, dropped
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -161,6 +161,10 @@
 			continue
 		}
 		raised = append(raised, c.ledger.Ended(b.Break, now)...)
+		// Instances that start anew decide by all ends of those that are held.
+		if c.ledger.State(b.Fingerprint) != quarantine.Clear {
+			c.keeper.writeLater(b.Fingerprint)
+		}
 	}
 	c.keeper.changed(raised)
 }
@@ -212,7 +216,9 @@
 // sweep settles ends under runs alone, and forgets breaks of which nothing more can be found,
 // and ends that are old.
 func (c *crashes) sweep(now time.Time) {
-	if raised := c.ledger.Settle(now); len(raised) > 0 {
+	raised, dropped := c.ledger.Settle(now)
+	c.keeper.writeLater(dropped...)
+	if len(raised)+len(dropped) > 0 {
 		c.keeper.changed(raised)
 	}
 	for _, life := range c.livesWhere(func(w *lifeWatch) bool { return now.Sub(w.touched) > breakMemory }) {
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -71,7 +71,7 @@
 // quarantined by that: it writes those down, and tells the holder now.
 func (q *quarantineKeeper) changed(raised []quarantine.Raise) {
 	q.logRaised(raised, "seen here")
-	q.writeLater(raised)
+	q.writeRaised(raised)
 	q.follower.wake()
 	pause.Wake(q.woken)
 }
@@ -81,7 +81,7 @@
 	answer, raised := q.ledger.Answer(m, now)
 	if len(raised) > 0 { // no single instance has seen that
 		q.logRaised(raised, "put together")
-		q.writeLater(raised)
+		q.writeRaised(raised)
 		pause.Wake(q.woken)
 	}
 	return answer
@@ -107,9 +107,7 @@
 // cleared notes that a request was answered, or released, and which state it had.
 func (q *quarantineKeeper) cleared(fp serving.Fingerprint, before quarantine.State) {
 	if before != quarantine.Clear {
-		q.mu.Lock()
-		q.unwritten[fp] = true
-		q.mu.Unlock()
+		q.writeLater(fp)
 	}
 	q.follower.wake()
 	pause.Wake(q.woken)
@@ -122,11 +120,18 @@
 	}
 }
 
-func (q *quarantineKeeper) writeLater(raised []quarantine.Raise) {
+func (q *quarantineKeeper) writeRaised(raised []quarantine.Raise) {
+	for _, r := range raised {
+		q.writeLater(r.Fingerprint)
+	}
+}
+
+// writeLater has the next write bring the store up to date with requests.
+func (q *quarantineKeeper) writeLater(fps ...serving.Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, r := range raised {
-		q.unwritten[r.Fingerprint] = true
+	for _, fp := range fps {
+		q.unwritten[fp] = true
 	}
 }
 
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -25,21 +25,44 @@
 	Crashes []quarantine.Life `json:"crashes"`
 	Cleared []quarantine.Life `json:"cleared"`
 	Alone   []quarantine.Life `json:"alone,omitempty"`
+	Pending []heldEnd         `json:"pending,omitempty"`
 	GraceMS int64             `json:"graceMs"`
 	// ChangedMS is the time of the last change in milliseconds of the Unix epoch. It decides
 	// for how many minutes the entry counts and nothing else.
 	ChangedMS int64 `json:"changedMs"`
 }
 
+// heldEnd is a pending end in such an entry.
+type heldEnd struct {
+	Life quarantine.Life `json:"life"`
+	// EndedMS is when it ended in milliseconds of the Unix epoch. It decides when the end is
+	// decided, and the request does not run before.
+	EndedMS int64 `json:"endedMs"`
+}
+
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
-	return heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+	for _, end := range r.Pending {
+		h.Pending = append(h.Pending, heldEnd{Life: end.Life, EndedMS: now.Add(-end.Age).UnixMilli()})
+	}
+	return h
+}
+
+// says reports whether the entry has what is known of a request.
+func (h heldRequest) says(r quarantine.Record) bool {
+	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Alone, r.Alone) &&
+		slices.EqualFunc(h.Pending, r.Pending, func(a heldEnd, b quarantine.PendingEnd) bool { return a.Life == b.Life })
 }
 
 func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
-	return quarantine.Record{
+	r := quarantine.Record{
 		Fingerprint: fp, Subject: h.Subject, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Grace: time.Duration(h.GraceMS) * time.Millisecond,
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
+	for _, end := range h.Pending {
+		r.Pending = append(r.Pending, quarantine.PendingEnd{Life: end.Life, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
+	}
+	return r
 }
 
 // load takes over what the store has, and reports whether it could be read.
@@ -101,7 +124,7 @@
 		}
 		return q.store.Delete(ctx, key, version)
 	}
-	if version != 0 && slices.Equal(stored.Crashes, r.Crashes) && slices.Equal(stored.Alone, r.Alone) {
+	if version != 0 && stored.says(r) {
 		return nil
 	}
 	_, err = store.WriteJSON(ctx, q.store, key, encodeHeld(r, now), version)
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -165,3 +166,43 @@
 		t.Errorf("%+v held against a request whose servers are there", record)
 	}
 }
+
+// TestEndOfRunAloneOutlastsInstances: a request does not run while it is open whether it ended the
+// server on which it ran alone, and instances that start after all others have ended decide it.
+// Guards against requests that end one more server after each restart of all instances.
+func TestEndOfRunAloneOutlastsInstances(t *testing.T) {
+	f := newFleet(t, 2)
+	f.await("a holder", func() bool { return f.holder() != nil })
+	r := f.holder()
+	for n, fps := range [][]serving.Fingerprint{{"fp"}, {"fp", "beside"}, {"beside"}} {
+		for _, fp := range fps {
+			endUnder(r, fp, n, false)
+		}
+	}
+	endUnder(r, "fp", 3, true)
+	trial := &TrialArgs{Trial: quarantine.Trial{Fingerprint: "fp", Server: "e1", Instance: "other"}, Version: "v1", LongestMS: 1000}
+	var reply TrialReply
+	if err := r.service.Trial(trial, &reply); err != nil || reply.Granted {
+		t.Errorf("%v, %+v: it may run before that is decided", err, reply)
+	}
+	f.await("written", func() bool {
+		obj, err := f.store.Get(t.Context(), prefixQuarantine+"fp")
+		return err == nil && strings.Contains(string(obj.Value), "pending")
+	})
+	for _, r := range f.instances {
+		r.kill()
+		<-r.done
+	}
+	f.instances = nil
+	f.addInstance(10)
+	f.addInstance(11)
+	f.await("decided by others", f.everywhere("fp", quarantine.Quarantined))
+	f.await("the request beside it is cleared", f.everywhere("beside", quarantine.Clear))
+}
+
+// endUnder has an instance learn that a server has ended under a request.
+func endUnder(r *running, fp serving.Fingerprint, server int, alone bool) {
+	s := serving.Server{ID: string(rune('a' + server)), Version: "v1"}
+	b := quarantine.Break{Fingerprint: fp, Server: s, Alone: alone}
+	r.crashes.count(quarantine.LifeOf(s), []timedBreak{{b, time.Now()}}, time.Now())
+}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -266,7 +266,8 @@
 	}
 	reply.Held = s.holder.Settled(now)
 	reply.Known = s.keeper.ledger.Known(args.Fingerprint, now)
-	if reply.Held && s.keeper.ledger.StateOn(args.Fingerprint, args.Version) == quarantine.Suspect {
+	mayRun := s.keeper.ledger.StateOn(args.Fingerprint, args.Version) == quarantine.Suspect && !s.keeper.ledger.Unsettled(args.Fingerprint)
+	if reply.Held && mayRun {
 		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
 	}
 	return nil
