A suspect that its server refused is not held in doubt

Cause: the run alone of the request was sent to a server that had ended, whose entry was still there; the connection was refused, so nothing ran. The trial was reported as in doubt all the same, since answers to earlier sends had broken off there, and the holder let the request run nowhere for 6 s. It ended its next server after that. Evidence: refused at .580 s, trials refused from then on, the next send at 6.620 s.

A trial is in doubt only if its own run may have run. forward TestTrialThatNeverRanIsNotInDoubt fails before.

--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -139,10 +139,12 @@
 	}
 }
 
-// endTrial ends the trial of a suspect on a server, if there is one.
-func (t *trip) endTrial(server serving.Server) {
+// endTrial ends the trial of a suspect on a server, if there is one. ran: it was sent there, and may
+// have run. Only then is there a doubt: other answers that broke off there say nothing of a run that
+// never began.
+func (t *trip) endTrial(server serving.Server, ran bool) {
 	if t.trial.End != nil {
-		t.trial.End(t.f.guard.Doubtful(server))
+		t.trial.End(ran && t.f.guard.Doubtful(server))
 	}
 	t.trial = Trial{}
 }
--- a/command/forward/guard_test.go
+++ b/command/forward/guard_test.go
@@ -22,11 +22,15 @@
 	// implicates: servers end where answers break off. told are the states after a question
 	// to the holder, which fails with consultErr.
 	implicates bool
+	// doubtful: answers broke off on each server, of which nobody knows whether it has ended.
+	doubtful   bool
 	told       []quarantine.State
 	consultErr error
 
 	consulted, tries, answered, over int
-	breaks                           []quarantine.Break
+	// inDoubt counts the trials that ended in doubt.
+	inDoubt int
+	breaks  []quarantine.Break
 }
 
 func (g *fakeGuard) State(serving.Fingerprint, string) quarantine.State {
@@ -54,7 +58,14 @@
 		g.busy--
 		return Trial{}, ErrTrialBusy
 	}
-	return Trial{Grace: time.Second, End: func(bool) { g.over++ }}, g.err
+	return Trial{Grace: time.Second, End: g.endTrial}, g.err
+}
+
+func (g *fakeGuard) endTrial(doubtful bool) {
+	g.over++
+	if doubtful {
+		g.inDoubt++
+	}
 }
 
 func (g *fakeGuard) Broke(b quarantine.Break) CrashCheck {
@@ -76,7 +87,7 @@
 	return g.consultErr
 }
 
-func (g *fakeGuard) Doubtful(serving.Server) bool { return false }
+func (g *fakeGuard) Doubtful(serving.Server) bool { return g.doubtful }
 
 func (g *fakeGuard) Answered(serving.Fingerprint) { g.answered++ }
 
@@ -231,3 +242,28 @@
 		})
 	}
 }
+
+// TestTrialThatNeverRanIsNotInDoubt: a suspect that its server refused is free to run elsewhere at
+// once, though other answers broke off there. Guards against a request that is held for seconds and
+// ends its next server when it must not be sent any more (entry TestPoisonRequest).
+func TestTrialThatNeverRanIsNotInDoubt(t *testing.T) {
+	tests := map[string]struct {
+		reply   reply
+		inDoubt int
+	}{
+		"refused connection": {reply{failure: notSent}, 0},
+		"not run":            {reply{status: 503, notRun: true}, 0},
+		"no answer":          {reply{failure: mayHaveRun}, 1},
+		"broken off":         {reply{status: 200, events: true, body: "id: 1\n", broken: true}, 1},
+	}
+	for name, test := range tests {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, test.reply)
+			f.guard.states, f.guard.doubtful = []quarantine.State{quarantine.Suspect}, true
+			_, _ = f.serve("once", "warm", time.Second)
+			if got := min(1, f.guard.inDoubt); f.guard.over == 0 || got != test.inDoubt {
+				t.Errorf("%s: %d of %d trials ended in doubt", name, f.guard.inDoubt, f.guard.over)
+			}
+		})
+	}
+}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -120,12 +120,12 @@
 			continue
 		}
 		if !t.taken(ctx, server) {
-			t.endTrial(server)
+			t.endTrial(server, false)
 			continue
 		}
 		if !t.paid() {
 			t.returnTaken()
-			t.endTrial(server)
+			t.endTrial(server, false)
 			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
 		answered, failure := t.attempt(ctx, server)
@@ -215,7 +215,7 @@
 	t.server, t.firstHere = server.ID, time.Time{}
 	now := clock.Now()
 	whole := ctx
-	defer t.endTrial(server)
+	defer func() { t.endTrial(server, failure != nil && failure.Verdict == verdict.MayHaveRun) }()
 	defer func() { t.tellGuard(whole, server, failure) }()
 	ended := t.f.balancer.Start(server.ID, server.FailureDomain)
 	done := func(bool) {}
