--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -36,11 +36,11 @@
 	Implicated(fp serving.Fingerprint) bool
 	// Consult exchanges with the holder what is known of a request. Its error is ErrNoHolder.
 	Consult(ctx context.Context, fp serving.Fingerprint) error
-	// Broke notes that an answer broke off, and has the server be checked.
-	Broke(b quarantine.Break) CrashCheck
-	// Doubtful reports whether answers broke off on a server, and it is not known whether it
+	// RecordFailure notes that an answer broke off, and has the server be checked.
+	RecordFailure(b quarantine.BrokenAttempt) CrashCheck
+	// Inconclusive reports whether answers broke off on a server, and it is not known whether it
 	// has ended.
-	Doubtful(s serving.Server) bool
+	Inconclusive(s serving.Server) bool
 	// Answered notes that a request was answered whole and with success.
 	Answered(fp serving.Fingerprint)
 }
@@ -56,9 +56,9 @@
 type Trial struct {
 	// Grace is how long after the first event the run has to itself.
 	Grace time.Duration
-	// End ends the trial; it may be called again. doubtful: the answer broke off, and it is
+	// End ends the trial; it may be called again. inconclusive: the answer broke off, and it is
 	// not known whether the server has ended.
-	End func(doubtful bool)
+	End func(inconclusive bool)
 }
 
 // ErrTrialBusy: another suspect runs on the server, or the request itself on another one.
@@ -144,7 +144,7 @@
 // never began.
 func (t *trip) endTrial(server serving.Server, ran bool) {
 	if t.trial.End != nil {
-		t.trial.End(ran && t.f.guard.Doubtful(server))
+		t.trial.End(ran && t.f.guard.Inconclusive(server))
 	}
 	t.trial = Trial{}
 }
@@ -164,8 +164,8 @@
 	settleTime = 500 * time.Millisecond
 )
 
-// tellGuard says how an attempt ended.
-func (t *trip) tellGuard(ctx context.Context, server serving.Server, failure *verdict.Failure) {
+// recordFailure says how an attempt ended.
+func (t *trip) recordFailure(ctx context.Context, server serving.Server, failure *verdict.Failure) {
 	fp := t.request.Fingerprint
 	if failure == nil {
 		if t.out.status < http.StatusMultipleChoices {
@@ -177,13 +177,13 @@
 	if failure.Verdict != verdict.MayHaveRun || ctx.Err() != nil && !left {
 		return
 	}
-	b := quarantine.Break{
+	b := quarantine.BrokenAttempt{
 		Fingerprint: fp, Subject: subject(t.request), Server: server, Alone: t.trial.End != nil, Silent: failure.Silent, Left: left,
 	}
 	if !t.firstHere.IsZero() {
 		b.Ran = clock.Since(t.firstHere)
 	}
-	check := t.f.guard.Broke(b)
+	check := t.f.guard.RecordFailure(b)
 	switch {
 	case left:
 	case t.f.guard.State(fp, t.service.Name) == quarantine.Clear:
--- a/command/forward/guard_test.go
+++ b/command/forward/guard_test.go
@@ -22,15 +22,15 @@
 	// implicates: servers end where answers break off. told are the states after a question
 	// to the holder, which fails with consultErr.
 	implicates bool
-	// doubtful: answers broke off on each server, of which nobody knows whether it has ended.
-	doubtful   bool
-	told       []quarantine.State
-	consultErr error
+	// inconclusive: answers broke off on each server, of which nobody knows whether it has ended.
+	inconclusive bool
+	told         []quarantine.State
+	consultErr   error
 
 	consulted, tries, answered, over int
-	// inDoubt counts the trials that ended in doubt.
-	inDoubt int
-	breaks  []quarantine.Break
+	// inconclusiveEnds counts the trials that ended in doubt.
+	inconclusiveEnds int
+	breaks           []quarantine.BrokenAttempt
 }
 
 func (g *fakeGuard) State(serving.Fingerprint, string) quarantine.State {
@@ -61,14 +61,14 @@
 	return Trial{Grace: time.Second, End: g.endTrial}, g.err
 }
 
-func (g *fakeGuard) endTrial(doubtful bool) {
+func (g *fakeGuard) endTrial(inconclusive bool) {
 	g.over++
-	if doubtful {
-		g.inDoubt++
+	if inconclusive {
+		g.inconclusiveEnds++
 	}
 }
 
-func (g *fakeGuard) Broke(b quarantine.Break) CrashCheck {
+func (g *fakeGuard) RecordFailure(b quarantine.BrokenAttempt) CrashCheck {
 	g.breaks = append(g.breaks, b)
 	over := make(chan struct{})
 	close(over)
@@ -87,7 +87,7 @@
 	return g.consultErr
 }
 
-func (g *fakeGuard) Doubtful(serving.Server) bool { return g.doubtful }
+func (g *fakeGuard) Inconclusive(serving.Server) bool { return g.inconclusive }
 
 func (g *fakeGuard) Answered(serving.Fingerprint) { g.answered++ }
 
@@ -248,8 +248,8 @@
 // ends its next server when it must not be sent any more (entry TestPoisonRequest).
 func TestTrialThatNeverRanIsNotInDoubt(t *testing.T) {
 	tests := map[string]struct {
-		reply   reply
-		inDoubt int
+		reply            reply
+		inconclusiveEnds int
 	}{
 		"refused connection": {reply{failure: notSent}, 0},
 		"not run":            {reply{status: 503, notRun: true}, 0},
@@ -259,10 +259,10 @@
 	for name, test := range tests {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(t, test.reply)
-			f.guard.states, f.guard.doubtful = []quarantine.State{quarantine.Suspect}, true
+			f.guard.states, f.guard.inconclusive = []quarantine.State{quarantine.Suspect}, true
 			_, _ = f.serve("once", "warm", time.Second)
-			if got := min(1, f.guard.inDoubt); f.guard.over == 0 || got != test.inDoubt {
-				t.Errorf("%s: %d of %d trials ended in doubt", name, f.guard.inDoubt, f.guard.over)
+			if got := min(1, f.guard.inconclusiveEnds); f.guard.over == 0 || got != test.inconclusiveEnds {
+				t.Errorf("%s: %d of %d trials ended in doubt", name, f.guard.inconclusiveEnds, f.guard.over)
 			}
 		})
 	}
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -216,7 +216,7 @@
 	now := clock.Now()
 	whole := ctx
 	defer func() { t.endTrial(server, failure != nil && failure.Verdict == verdict.MayHaveRun) }()
-	defer func() { t.tellGuard(whole, server, failure) }()
+	defer func() { t.recordFailure(whole, server, failure) }()
 	ended := t.f.balancer.Start(server.ID, server.FailureDomain)
 	done := func(bool) {}
 	if t.request.Unit.Model != "" {
--- a/command/quarantine/break.go
+++ b/command/quarantine/attempt.go
@@ -6,8 +6,8 @@
 	"github.com/martenport/martenport/serving"
 )
 
-// Break is an answer that broke off.
-type Break struct {
+// BrokenAttempt is an answer that broke off.
+type BrokenAttempt struct {
 	Fingerprint serving.Fingerprint
 	// Subject says to people what the request is.
 	Subject string
@@ -26,15 +26,13 @@
 // vague reports whether the break tells little of the server's end: where a link is cut the
 // entry of a server goes as well, and a request that has left may have been far from its end.
 // A suspect that runs alone is seen through to the end.
-func (b *Break) vague() bool { return !b.Alone && (b.Silent || b.Left) }
+func (b *BrokenAttempt) vague() bool { return !b.Alone && (b.Silent || b.Left) }
 
 // Ended notes that the server on which an answer broke off has ended. What counts against a
 // suspect for good is the end of a server that had just begun it: of those on which it has
 // gone on for longer than its grace, another is more likely to be the cause, and such an end
-// has the next run be watched for longer. On 36 days on which servers end each second, failure
-// domains are cut and clients leave, some 97,000 requests, three were quarantined by mistake
-// where vague signs counted like others, and none since.
-func (l *Ledger) Ended(b Break, now time.Time) []Raise {
+// has the next run be watched for longer.
+func (l *Ledger) Ended(b BrokenAttempt, now time.Time) []Raise {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	told := Record{Fingerprint: b.Fingerprint, Subject: b.Subject}
@@ -46,10 +44,10 @@
 	case suspect && b.Ran > r.grace():
 		told.Grace = min(mostGrace, graceGrowth*b.Ran)
 	default:
-		told.Crashes = []Life{LifeOf(b.Server)}
+		told.Crashes = []Incarnation{IncarnationOf(b.Server)}
 		switch {
-		case b.Alone && l.postpone(b):
-			told.Pending = []PendingEnd{{Life: LifeOf(b.Server)}}
+		case b.Alone && l.awaitsConfirmation(b):
+			told.Pending = []PendingEnd{{Incarnation: IncarnationOf(b.Server)}}
 		case b.Alone:
 			told.Alone = told.Crashes
 		}
--- a/command/quarantine/bench_test.go
+++ b/command/quarantine/bench_test.go
@@ -12,7 +12,7 @@
 func endOfDomain(requests int) *Ledger {
 	l := NewLedger()
 	for n := range requests {
-		b := Break{Fingerprint: serving.Fingerprint(fmt.Sprintf("%032x", n)), Subject: "POST host.example/path/of/some/length/3f2a model-name/a12"}
+		b := BrokenAttempt{Fingerprint: serving.Fingerprint(fmt.Sprintf("%032x", n)), Subject: "POST host.example/path/of/some/length/3f2a model-name/a12"}
 		b.Server = serving.Server{ID: fmt.Sprintf("i-%010x", n%30), Born: 1773379172019, Version: "v1"}
 		l.Ended(b, start)
 	}
--- a/command/quarantine/kills_test.go
+++ b/command/quarantine/kills_test.go
@@ -58,7 +58,7 @@
 		ends := 0
 		for ; ends < together; ends++ {
 			for _, fp := range fps {
-				r.ledger.Ended(Break{Fingerprint: fp, Server: server(ends)}, now)
+				r.ledger.Ended(BrokenAttempt{Fingerprint: fp, Server: server(ends)}, now)
 			}
 		}
 		r.write(now, fps...)
@@ -69,13 +69,13 @@
 				r.restart(now)
 			}
 			if rapid.Bool().Draw(t, "sweep") {
-				r.ledger.Settle(now)
+				r.ledger.DecidePending(now)
 				r.write(now, fps...)
 			}
-			if r.ledger.State("culprit") != Suspect || r.ledger.Unsettled("culprit") {
+			if r.ledger.State("culprit") != Suspect || r.ledger.HasPending("culprit") {
 				continue
 			}
-			r.ledger.Ended(Break{Fingerprint: "culprit", Server: server(ends), Alone: true}, now)
+			r.ledger.Ended(BrokenAttempt{Fingerprint: "culprit", Server: server(ends), Alone: true}, now)
 			ends++
 			if rapid.IntRange(0, 4).Draw(t, "killed before the write") == 0 {
 				r.restart(now)
@@ -99,27 +99,27 @@
 	a, b := NewLedger(), NewLedger()
 	for n := range 3 {
 		for _, fp := range []serving.Fingerprint{"beside", "culprit"} {
-			a.Ended(Break{Fingerprint: fp, Server: server(n)}, start)
+			a.Ended(BrokenAttempt{Fingerprint: fp, Server: server(n)}, start)
 		}
 	}
-	a.Ended(Break{Fingerprint: "beside", Server: server(3), Alone: true}, start)
+	a.Ended(BrokenAttempt{Fingerprint: "beside", Server: server(3), Alone: true}, start)
 	share := func(from, to *Ledger, now time.Time) {
 		records, _ := from.Since(0, now)
 		to.Take(records, now)
 	}
 	share(a, b, start.Add(time.Second)) // on its way for a second
 	share(b, a, start.Add(time.Second))
-	a.Ended(Break{Fingerprint: "culprit", Server: server(3)}, start)
-	if _, dropped := a.Settle(start.Add(settleAfter)); len(dropped) != 1 {
+	a.Ended(BrokenAttempt{Fingerprint: "culprit", Server: server(3)}, start)
+	if _, dropped := a.DecidePending(start.Add(confirmationDelay)); len(dropped) != 1 {
 		t.Fatalf("dropped %v: the end was put off, or counts", dropped)
 	}
-	share(a, b, start.Add(settleAfter))
-	share(b, a, start.Add(settleAfter+time.Second))
-	if a.Unsettled("beside") {
+	share(a, b, start.Add(confirmationDelay))
+	share(b, a, start.Add(confirmationDelay+time.Second))
+	if a.HasPending("beside") {
 		t.Error("taken up again after it was decided")
 	}
-	b.Settle(start.Add(settleAfter + time.Second))
-	if a.State("beside") != Suspect || b.State("beside") != Suspect || b.Unsettled("beside") {
+	b.DecidePending(start.Add(confirmationDelay + time.Second))
+	if a.State("beside") != Suspect || b.State("beside") != Suspect || b.HasPending("beside") {
 		t.Errorf("%s and %s, want suspect", a.State("beside"), b.State("beside"))
 	}
 	if a.digest != b.digest {
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -37,8 +37,8 @@
 
 	mu      sync.Mutex
 	records map[serving.Fingerprint]*record // guarded by mu
-	// explained has the lives that quarantined requests ended; guarded by mu.
-	explained map[Life]serving.Fingerprint
+	// explained has the incarnations that quarantined requests ended; guarded by mu.
+	explained map[Incarnation]serving.Fingerprint
 	change    uint64 // counts changes of records; guarded by mu
 	// digest sums up the records; guarded by mu.
 	digest uint64
@@ -58,7 +58,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Life]serving.Fingerprint{}}
+	return &Ledger{id: rand.Uint64(), records: map[serving.Fingerprint]*record{}, explained: map[Incarnation]serving.Fingerprint{}}
 }
 
 // Answered notes that the request was answered: it is cleared, and what is heard of ends under
@@ -79,7 +79,7 @@
 	return l.clear(fp, now)
 }
 
-// clear needs mu.
+// l.mu must be held.
 func (l *Ledger) clear(fp serving.Fingerprint, now time.Time) (before State, changed bool) {
 	r := l.records[fp]
 	if r == nil || len(r.Crashes) == 0 {
@@ -137,7 +137,7 @@
 		return Clear
 	}
 	state := r.State()
-	if state == Quarantined && !slices.ContainsFunc(r.Crashes, func(life Life) bool { return life.Version == version }) {
+	if state == Quarantined && !slices.ContainsFunc(r.Crashes, func(incarnation Incarnation) bool { return incarnation.Version == version }) {
 		return Suspect
 	}
 	return state
@@ -186,7 +186,7 @@
 	return released
 }
 
-// merge needs mu. It takes over what a record says beyond what is known.
+// merge takes over what a record says beyond what is known. l.mu must be held.
 func (l *Ledger) merge(from Record, now time.Time) []Raise {
 	r := l.records[from.Fingerprint]
 	if r == nil {
@@ -238,28 +238,28 @@
 	return changed
 }
 
-// takeCleared has lives not count any more, and reports whether that was news.
-func (r *record) takeCleared(cleared []Life) (changed bool) {
-	for _, life := range cleared {
-		if !r.forgotten(life) {
-			changed = add(&r.Cleared, life) || changed
+// takeCleared has incarnations not count any more, and reports whether that was news.
+func (r *record) takeCleared(cleared []Incarnation) (changed bool) {
+	for _, incarnation := range cleared {
+		if !r.forgotten(incarnation) {
+			changed = add(&r.Cleared, incarnation) || changed
 		}
-		changed = remove(&r.Crashes, life) || changed
-		remove(&r.Alone, life)
+		changed = remove(&r.Crashes, incarnation) || changed
+		remove(&r.Alone, incarnation)
 	}
 	return changed
 }
 
-// takeEnds has lives that ended count, and reports whether that was news.
+// takeEnds has incarnations that ended count, and reports whether that was news.
 func (r *record) takeEnds(from Record) (changed bool) {
-	for _, life := range from.Crashes {
-		if !slices.Contains(r.Cleared, life) && len(r.Crashes) < r.mostCrashes(from, life) {
-			changed = add(&r.Crashes, life) || changed
+	for _, incarnation := range from.Crashes {
+		if !slices.Contains(r.Cleared, incarnation) && len(r.Crashes) < r.mostCrashes(from, incarnation) {
+			changed = add(&r.Crashes, incarnation) || changed
 		}
 	}
-	for _, life := range from.Alone {
-		if slices.Contains(r.Crashes, life) {
-			changed = add(&r.Alone, life) || changed
+	for _, incarnation := range from.Alone {
+		if slices.Contains(r.Crashes, incarnation) {
+			changed = add(&r.Alone, incarnation) || changed
 		}
 	}
 	return changed
@@ -267,63 +267,63 @@
 
 // tidy has the lists be in order, and forgets what is too much.
 func (r *record) tidy() {
-	slices.SortFunc(r.Crashes, compareLives)
-	slices.SortFunc(r.Cleared, compareLives)
-	slices.SortFunc(r.Alone, compareLives)
+	slices.SortFunc(r.Crashes, compareIncarnations)
+	slices.SortFunc(r.Cleared, compareIncarnations)
+	slices.SortFunc(r.Alone, compareIncarnations)
 	if excess := len(r.Cleared) - maxCleared; excess > 0 {
 		r.Cleared = slices.Delete(r.Cleared, 0, excess) // all ledgers drop the same
 	}
 }
 
-// add adds a life that a list lacks and reports whether it did.
-func add(lives *[]Life, life Life) bool {
-	if slices.Contains(*lives, life) {
+// add adds an incarnation that a list lacks and reports whether it did.
+func add(incarnations *[]Incarnation, incarnation Incarnation) bool {
+	if slices.Contains(*incarnations, incarnation) {
 		return false
 	}
-	*lives = append(*lives, life)
+	*incarnations = append(*incarnations, incarnation)
 	return true
 }
 
-// remove removes a life from a list and reports whether it was there.
-func remove(lives *[]Life, life Life) bool {
-	i := slices.Index(*lives, life)
+// remove removes an incarnation from a list and reports whether it was there.
+func remove(incarnations *[]Incarnation, incarnation Incarnation) bool {
+	i := slices.Index(*incarnations, incarnation)
 	if i < 0 {
 		return false
 	}
-	*lives = slices.Delete(*lives, i, i+1)
+	*incarnations = slices.Delete(*incarnations, i, i+1)
 	return true
 }
 
 // mostCrashes bounds the ends that a record remembers, for one more. That under a run of its own
 // has to be among them, however many servers ended together before.
-func (r *record) mostCrashes(from Record, life Life) int {
-	if slices.Contains(from.Alone, life) {
+func (r *record) mostCrashes(from Record, incarnation Incarnation) int {
+	if slices.Contains(from.Alone, incarnation) {
 		return maxCleared + maxAlone
 	}
 	return maxCleared
 }
 
-// forgotten reports whether a cleared life is one of those that are not remembered.
-func (r *record) forgotten(life Life) bool {
-	return len(r.Cleared) >= maxCleared && compareLives(life, r.Cleared[0]) < 0
+// forgotten reports whether a cleared incarnation is one of those that are not remembered.
+func (r *record) forgotten(incarnation Incarnation) bool {
+	return len(r.Cleared) >= maxCleared && compareIncarnations(incarnation, r.Cleared[0]) < 0
 }
 
-// clearExplained needs mu. It clears a request of the ends that a quarantined one explains.
+// clearExplained clears a request of the ends that a quarantined one explains. l.mu must be held.
 func (l *Ledger) clearExplained(r *record) bool {
-	var cleared []Life
-	for _, life := range r.Crashes {
-		if by, explained := l.explained[life]; explained && by != r.Fingerprint {
-			cleared = append(cleared, life)
+	var cleared []Incarnation
+	for _, incarnation := range r.Crashes {
+		if by, explained := l.explained[incarnation]; explained && by != r.Fingerprint {
+			cleared = append(cleared, incarnation)
 		}
 	}
 	return len(cleared) > 0 && r.take(Record{Cleared: cleared})
 }
 
-// explain needs mu. It clears all others of the ends of a request that is quarantined now.
+// explain clears all others of the ends of a request that is quarantined now. l.mu must be held.
 func (l *Ledger) explain(by *record) {
-	for _, life := range by.Crashes {
-		if _, known := l.explained[life]; !known {
-			l.explained[life] = by.Fingerprint
+	for _, incarnation := range by.Crashes {
+		if _, known := l.explained[incarnation]; !known {
+			l.explained[incarnation] = by.Fingerprint
 		}
 	}
 	for _, r := range l.records {
@@ -333,20 +333,20 @@
 	}
 }
 
-// unexplain needs mu. What a request that is not quarantined any more explained counts no
-// further against others, but new ends do.
+// unexplain What a request that is not quarantined any more explained counts no further against
+// others, but new ends do. l.mu must be held.
 func (l *Ledger) unexplain(r *record, before State) {
 	if before != Quarantined || r.State() == Quarantined {
 		return
 	}
-	for life, by := range l.explained {
+	for incarnation, by := range l.explained {
 		if by == r.Fingerprint {
-			delete(l.explained, life)
+			delete(l.explained, incarnation)
 		}
 	}
 }
 
-// touch needs mu. It notes a change that other instances should hear of.
+// touch notes a change that other instances should hear of. l.mu must be held.
 func (l *Ledger) touch(r *record) {
 	l.change++
 	r.change = l.change
@@ -358,18 +358,18 @@
 // hash sums up what the record says.
 func (r *record) hash() uint64 {
 	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Alone)))
-	lives := slices.Concat(r.Crashes, r.Cleared, r.Alone)
+	incarnations := slices.Concat(r.Crashes, r.Cleared, r.Alone)
 	for _, end := range r.pending {
-		lives = append(lives, end.life)
+		incarnations = append(incarnations, end.incarnation)
 	}
-	for _, life := range lives {
-		text = append(text, life.Server...)
-		text = binary.BigEndian.AppendUint64(text, uint64(life.Born))
+	for _, incarnation := range incarnations {
+		text = append(text, incarnation.Server...)
+		text = binary.BigEndian.AppendUint64(text, uint64(incarnation.Born))
 	}
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(text, uint64(r.Grace)))
 }
 
-// drop needs mu.
+// l.mu must be held.
 func (l *Ledger) drop(fp serving.Fingerprint) {
 	r := l.records[fp]
 	l.digest ^= r.sum
@@ -379,8 +379,8 @@
 	delete(l.records, fp)
 }
 
-// makeRoom needs mu. It forgets the oldest record of those that matter least if there are
-// too many.
+// makeRoom forgets the oldest record of those that matter least if there are too many. l.mu must be
+// held.
 func (l *Ledger) makeRoom() {
 	if len(l.records) < maxRecords {
 		return
--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -17,15 +17,15 @@
 	return serving.Server{ID: fmt.Sprintf("s%d", n), Born: 1, Version: "v1"}
 }
 
-func life(n int) Life { return LifeOf(server(n)) }
+func incarnation(n int) Incarnation { return IncarnationOf(server(n)) }
 
 // crashed notes that a server ended that had just begun the request, alone if it is a suspect.
 func crashed(l *Ledger, fp serving.Fingerprint, n int) []Raise {
-	return l.Ended(Break{Fingerprint: fp, Server: server(n), Alone: l.State(fp) == Suspect}, start)
+	return l.Ended(BrokenAttempt{Fingerprint: fp, Server: server(n), Alone: l.State(fp) == Suspect}, start)
 }
 
 // TestStates: the first end holds nothing against anybody, the second has a request run
-// alone, the third has it refused; the same life counts once.
+// alone, the third has it refused; the same incarnation counts once.
 func TestStates(t *testing.T) {
 	l := NewLedger()
 	want := []State{Clear, Clear, Suspect, Suspect, Quarantined, Quarantined}
@@ -49,7 +49,7 @@
 	if before, changed := l.Clear("a", start); before != Suspect || !changed {
 		t.Errorf("cleared from %s, changed %v", before, changed)
 	}
-	l.Take([]Record{{Fingerprint: "a", Crashes: []Life{life(1), life(2)}}}, start)
+	l.Take([]Record{{Fingerprint: "a", Crashes: []Incarnation{incarnation(1), incarnation(2)}}}, start)
 	if got := l.State("a"); got != Clear {
 		t.Errorf("%s by word of ends that it is cleared of", got)
 	}
@@ -85,7 +85,7 @@
 	}
 	later := start.Add(2 * answeredFor)
 	for n := range 3 {
-		answers.Ended(Break{Fingerprint: "a", Server: server(20 + n), Alone: n == 2}, later)
+		answers.Ended(BrokenAttempt{Fingerprint: "a", Server: server(20 + n), Alone: n == 2}, later)
 	}
 	if got := answers.State("a"); got != Quarantined {
 		t.Errorf("%s long after the last answer", got)
@@ -110,11 +110,11 @@
 		t.Fatal("not yet a suspect")
 	}
 	crashed(l, "culprit", 2)
-	if l.State("culprit") != Suspect || l.State("beside") != Suspect || !l.Unsettled("culprit") {
+	if l.State("culprit") != Suspect || l.State("beside") != Suspect || !l.HasPending("culprit") {
 		t.Error("an end under a run alone counts before it is known who else was there")
 	}
-	l.Settle(start.Add(settleAfter))
-	if got := l.State("culprit"); got != Quarantined || l.Unsettled("culprit") {
+	l.DecidePending(start.Add(confirmationDelay))
+	if got := l.State("culprit"); got != Quarantined || l.HasPending("culprit") {
 		t.Errorf("%s, want quarantined", got)
 	}
 	if got := l.State("beside"); got != Clear {
@@ -146,7 +146,7 @@
 	if on := l.StateOn("a", "v2"); on != Suspect {
 		t.Errorf("%s on a new version", on)
 	}
-	l.Ended(Break{Fingerprint: "a", Server: serving.Server{ID: "n", Version: "v2"}}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: serving.Server{ID: "n", Version: "v2"}}, start)
 	if on := l.StateOn("a", "v2"); on != Quarantined {
 		t.Errorf("%s after one end under the new version", on)
 	}
@@ -175,7 +175,7 @@
 			fp := rapid.SampledFrom(fps).Draw(t, "request")
 			switch rapid.IntRange(0, 4).Draw(t, "what") {
 			case 0, 1:
-				crashed(ledgers[at], fp, rapid.IntRange(0, 5).Draw(t, "life"))
+				crashed(ledgers[at], fp, rapid.IntRange(0, 5).Draw(t, "incarnation"))
 			case 2:
 				if ledgers[at].State(fp) != Quarantined {
 					ledgers[at].Clear(fp, start)
@@ -199,15 +199,15 @@
 			}
 		}
 		for _, fp := range fps {
-			if a, b, c := lives(ledgers[0], fp), lives(ledgers[1], fp), lives(ledgers[2], fp); !slices.Equal(a, b) || !slices.Equal(b, c) {
+			if a, b, c := incarnations(ledgers[0], fp), incarnations(ledgers[1], fp), incarnations(ledgers[2], fp); !slices.Equal(a, b) || !slices.Equal(b, c) {
 				t.Fatalf("%s: ledgers differ: %v, %v, %v", fp, a, b, c)
 			}
 		}
 	})
 }
 
-// lives returns what counts against a request, sorted.
-func lives(l *Ledger, fp serving.Fingerprint) []string {
+// incarnations returns what counts against a request, sorted.
+func incarnations(l *Ledger, fp serving.Fingerprint) []string {
 	r, _ := l.Record(fp, start)
 	var names []string
 	for _, c := range r.Crashes {
@@ -223,13 +223,13 @@
 // server each 1.5 s, and others while the store was away.
 func TestLongRunsBesideEnds(t *testing.T) {
 	l := NewLedger()
-	l.Ended(Break{Fingerprint: "a", Server: server(1), Ran: 3 * time.Second}, start)
-	l.Ended(Break{Fingerprint: "a", Server: server(2)}, start)
-	l.Ended(Break{Fingerprint: "a", Server: server(3), Ran: 837 * time.Millisecond}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(1), Ran: 3 * time.Second}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(2)}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(3), Ran: 837 * time.Millisecond}, start)
 	if got := l.State("a"); got != Suspect {
 		t.Errorf("%s, want suspect", got)
 	}
-	l.Ended(Break{Fingerprint: "a", Server: server(4), Ran: 100 * time.Millisecond, Alone: true}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(4), Ran: 100 * time.Millisecond, Alone: true}, start)
 	if got := l.State("a"); got != Quarantined {
 		t.Errorf("%s after the end of a server that had just begun it alone", got)
 	}
@@ -240,12 +240,12 @@
 func TestVagueEnds(t *testing.T) {
 	l := NewLedger()
 	for n := range 6 {
-		l.Ended(Break{Fingerprint: "a", Server: server(n), Silent: n%2 == 0, Left: n%2 == 1}, start)
+		l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(n), Silent: n%2 == 0, Left: n%2 == 1}, start)
 	}
 	if got := l.State("a"); got != Suspect {
 		t.Errorf("%s by vague signs", got)
 	}
-	l.Ended(Break{Fingerprint: "a", Server: server(7), Silent: true, Alone: true}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(7), Silent: true, Alone: true}, start)
 	if got := l.State("a"); got != Quarantined {
 		t.Errorf("%s after the server fell silent on which it ran alone", got)
 	}
@@ -260,7 +260,7 @@
 	const endsAfter = 2 * time.Second
 	ends := 2
 	for ; l.State("a") != Quarantined && ends < 10; ends++ {
-		l.Ended(Break{Fingerprint: "a", Server: server(ends), Ran: endsAfter, Alone: true}, start)
+		l.Ended(BrokenAttempt{Fingerprint: "a", Server: server(ends), Ran: endsAfter, Alone: true}, start)
 	}
 	if ends != 4 {
 		t.Errorf("quarantined after %d ends, want 4", ends)
@@ -275,7 +275,7 @@
 		crashed(l, "bad", n)
 	}
 	for n := range 2 * maxRecords {
-		l.Ended(Break{Fingerprint: serving.Fingerprint(fmt.Sprint(n)), Server: server(n + 10)}, start.Add(time.Duration(n)))
+		l.Ended(BrokenAttempt{Fingerprint: serving.Fingerprint(fmt.Sprint(n)), Server: server(n + 10)}, start.Add(time.Duration(n)))
 	}
 	if n := len(l.records); n > maxRecords {
 		t.Errorf("%d records, want at most %d", n, maxRecords)
@@ -334,10 +334,10 @@
 	}
 	later := start.Add(time.Second)
 	trials.End(a, true, later)
-	if trials.Begin(a, time.Second, later.Add(doubt-time.Millisecond)) {
+	if trials.Begin(a, time.Second, later.Add(inconclusiveHold-time.Millisecond)) {
 		t.Error("run again while it is not known whether its server has ended")
 	}
-	if !trials.Begin(a, time.Second, later.Add(doubt)) {
+	if !trials.Begin(a, time.Second, later.Add(inconclusiveHold)) {
 		t.Error("never run again")
 	}
 }
--- a/command/quarantine/message.go
+++ b/command/quarantine/message.go
@@ -81,9 +81,9 @@
 	return answer, raised
 }
 
-// assumed needs mu. It returns through which change a ledger is taken to know that has heard
-// of none yet, such as after another instance has become the holder: of all where the digests
-// are the same.
+// assumed returns through which change a ledger is taken to know that has heard of none yet, such
+// as after another instance has become the holder: of all where the digests are the same. l.mu must
+// be held.
 func (l *Ledger) assumed(m Message) uint64 {
 	if m.Digest == l.digest {
 		return l.change
@@ -134,7 +134,7 @@
 	return l.take(records, now)
 }
 
-// take needs mu.
+// l.mu must be held.
 func (l *Ledger) take(records []Record, now time.Time) []Raise {
 	var raised []Raise
 	for _, r := range records {
@@ -145,7 +145,7 @@
 	return raised
 }
 
-// since needs mu.
+// l.mu must be held.
 func (l *Ledger) since(change uint64, now time.Time) ([]Record, uint64) {
 	if change >= l.change {
 		return nil, l.change
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -29,15 +29,13 @@
 	// ended for a reason of its own would wait for each other.
 	SuspectAfter = 2
 	// QuarantineAfter is from when it is refused, if one of the ends was under a run of its own.
-	// Servers that end at the same moment say of all that ran on them the same: what many
-	// clients ask for runs on each. Where it had not been answered of late, after all instances
-	// had started anew, 435 requests that harm nobody were refused for good in one run of the
-	// soak.
+	// Servers that end at the same moment say of all that ran on them the same, and what many
+	// clients ask for runs on each.
 	QuarantineAfter = 3
 )
 
-// Life is one start of a backend server.
-type Life struct {
+// Incarnation is one start of a backend server.
+type Incarnation struct {
 	Server string
 	// Born is when it started, in milliseconds of the Unix epoch, 0 if it does not say.
 	Born int64
@@ -45,9 +43,9 @@
 	Version string
 }
 
-// LifeOf returns the life of a server as it was announced.
-func LifeOf(s serving.Server) Life {
-	return Life{Server: s.ID, Born: s.Born, Version: s.Version}
+// IncarnationOf returns the incarnation of a server as it was announced.
+func IncarnationOf(s serving.Server) Incarnation {
+	return Incarnation{Server: s.ID, Born: s.Born, Version: s.Version}
 }
 
 // State says how a request is treated.
@@ -73,11 +71,11 @@
 	Fingerprint serving.Fingerprint
 	// Subject says to people what the request is.
 	Subject string
-	// Crashes are the lives that ended while it was under way there, and Cleared those that
-	// do not count against it any more, both in the order of compareLives.
-	Crashes, Cleared []Life
+	// Crashes are the incarnations that ended while it was under way there, and Cleared those that
+	// do not count against it any more, both in the order of compareIncarnations.
+	Crashes, Cleared []Incarnation
 	// Alone are those of Crashes that ended under a run of its own.
-	Alone []Life
+	Alone []Incarnation
 	// Pending are ends under runs of its own that do not count as such yet, since another request may be the cause.
 	Pending []PendingEnd
 	// Grace is how long after the first event of a run alone the server's end counts.
@@ -109,11 +107,11 @@
 // same reports whether another record says the same.
 func (r *Record) same(other Record) bool {
 	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) && slices.Equal(r.Alone, other.Alone) &&
-		slices.EqualFunc(r.Pending, other.Pending, func(a, b PendingEnd) bool { return a.Life == b.Life }) && r.Grace == other.Grace
+		slices.EqualFunc(r.Pending, other.Pending, func(a, b PendingEnd) bool { return a.Incarnation == b.Incarnation }) && r.Grace == other.Grace
 }
 
-// compareLives orders lives by their birth.
-func compareLives(a, b Life) int {
+// compareIncarnations orders incarnations by their birth.
+func compareIncarnations(a, b Incarnation) int {
 	return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Version, b.Version))
 }
 
--- a/command/quarantine/together_test.go
+++ b/command/quarantine/together_test.go
@@ -15,7 +15,7 @@
 		l, other := NewLedger(), NewLedger()
 		for n := range servers {
 			for _, fp := range []serving.Fingerprint{"beside", "culprit"} {
-				l.Ended(Break{Fingerprint: fp, Server: server(n)}, start)
+				l.Ended(BrokenAttempt{Fingerprint: fp, Server: server(n)}, start)
 			}
 		}
 		if l.State("beside") != Suspect || l.State("culprit") != Suspect {
@@ -25,7 +25,7 @@
 		if got := l.State("beside"); got != Clear {
 			t.Errorf("%d servers: %s after its answer", servers, got)
 		}
-		raised := l.Ended(Break{Fingerprint: "culprit", Server: server(servers), Alone: true}, start)
+		raised := l.Ended(BrokenAttempt{Fingerprint: "culprit", Server: server(servers), Alone: true}, start)
 		if len(raised) != 1 || raised[0].To != Quarantined {
 			t.Errorf("%d servers: raised %v by the end of its run alone", servers, raised)
 		}
@@ -50,12 +50,12 @@
 	l := NewLedger()
 	for n := range 3 {
 		for _, fp := range []serving.Fingerprint{"beside", "culprit"} {
-			l.Ended(Break{Fingerprint: fp, Server: server(n)}, start)
+			l.Ended(BrokenAttempt{Fingerprint: fp, Server: server(n)}, start)
 		}
 	}
-	l.Ended(Break{Fingerprint: "beside", Server: server(3), Alone: true}, start)
-	l.Ended(Break{Fingerprint: "culprit", Server: server(3)}, start)
-	l.Settle(start.Add(settleAfter))
+	l.Ended(BrokenAttempt{Fingerprint: "beside", Server: server(3), Alone: true}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "culprit", Server: server(3)}, start)
+	l.DecidePending(start.Add(confirmationDelay))
 	if got := l.State("beside"); got != Suspect {
 		t.Errorf("%s, want suspect", got)
 	}
@@ -72,13 +72,13 @@
 	l, later := NewLedger(), NewLedger()
 	for n, fps := range [][]serving.Fingerprint{{"culprit"}, {"culprit", "beside"}, {"beside"}} {
 		for _, fp := range fps {
-			l.Ended(Break{Fingerprint: fp, Server: server(n)}, start)
+			l.Ended(BrokenAttempt{Fingerprint: fp, Server: server(n)}, start)
 		}
 	}
-	l.Ended(Break{Fingerprint: "culprit", Server: server(3), Alone: true}, start)
+	l.Ended(BrokenAttempt{Fingerprint: "culprit", Server: server(3), Alone: true}, start)
 	records, _ := l.Since(0, start)
 	later.Take(records, start)
-	later.Settle(start.Add(settleAfter))
+	later.DecidePending(start.Add(confirmationDelay))
 	if got := later.State("culprit"); got != Quarantined {
 		t.Errorf("%s, want quarantined", got)
 	}
--- a/command/quarantine/trials.go
+++ b/command/quarantine/trials.go
@@ -45,22 +45,22 @@
 	return true
 }
 
-// doubt is how long a request whose run alone broke off is not let run again while it is not
+// inconclusiveHold is how long a request whose run alone broke off is not let run again while it is not
 // known whether its server has ended: an entry goes after three missed heartbeats. Where an
 // engine's machine ends with it nothing else shows the end.
-const doubt = 6 * time.Second
+const inconclusiveHold = 6 * time.Second
 
-// End notes that a trial is over. doubtful: its answer broke off, and it is not known whether
+// End notes that a trial is over. inconclusive: its answer broke off, and it is not known whether
 // the server has ended.
-func (t *Trials) End(trial Trial, doubtful bool, now time.Time) {
+func (t *Trials) End(trial Trial, inconclusive bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	running := t.byServer[trial.Server]
 	if running.Fingerprint != trial.Fingerprint || running.Instance != trial.Instance {
 		return
 	}
-	if doubtful {
-		running.until = now.Add(doubt)
+	if inconclusive {
+		running.until = now.Add(inconclusiveHold)
 		t.byServer[trial.Server] = running
 		return
 	}
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -34,16 +34,16 @@
 
 // check looks whether a server has ended, at a time at the earliest, once for all answers that
 // break off meanwhile.
-func (c *crashes) check(life quarantine.Life, s serving.Server, from time.Time, check *crashCheck) {
+func (c *crashes) check(incarnation quarantine.Incarnation, s serving.Server, from time.Time, check *crashCheck) {
 	time.Sleep(clock.Until(from))
-	again := c.lookOnce(life, s)
+	again := c.lookOnce(incarnation, s)
 	close(check.looked)
 	for wait := firstRelook; again; wait = min(2*wait, lastRelook) {
 		wait = check.pause(wait)
-		again = c.lookOnce(life, s)
+		again = c.lookOnce(incarnation, s)
 	}
 	c.mu.Lock()
-	if w := c.lives[life]; w != nil {
+	if w := c.incarnations[incarnation]; w != nil {
 		w.check = nil
 	}
 	c.mu.Unlock()
@@ -66,15 +66,15 @@
 
 // lookOnce looks whether a server has ended, and reports whether it should be looked at again:
 // it was there, and answers broke off so lately that it may be about to end.
-func (c *crashes) lookOnce(life quarantine.Life, s serving.Server) (again bool) {
+func (c *crashes) lookOnce(incarnation quarantine.Incarnation, s serving.Server) (again bool) {
 	began := clock.Now()
 	presence := c.look(s)
 	if presence == serving.PresenceEnded {
-		c.noteEnd(life, "address refuses or is another's")
+		c.noteEnd(incarnation, "address refuses or is another's")
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.lives[life]
+	w := c.incarnations[incarnation]
 	if w == nil || presence != serving.PresenceThere {
 		return false
 	}
@@ -116,6 +116,6 @@
 
 // dropBefore forgets the answers that broke off long enough before t: the server was there after
 // them.
-func (w *lifeWatch) dropBefore(t time.Time) {
-	w.breaks = slices.DeleteFunc(w.breaks, func(b timedBreak) bool { return t.Sub(b.at) >= brokenCounts })
+func (w *incarnationWatch) dropBefore(t time.Time) {
+	w.breaks = slices.DeleteFunc(w.breaks, func(b timedAttempt) bool { return t.Sub(b.at) >= brokenCounts })
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -28,15 +28,15 @@
 	set      *metrics.Set
 	keeper   *quarantineKeeper
 
-	mu    sync.Mutex
-	lives map[quarantine.Life]*lifeWatch // guarded by mu
+	mu           sync.Mutex
+	incarnations map[quarantine.Incarnation]*incarnationWatch // guarded by mu
 }
 
-// lifeWatch is what is known of the end of one life.
-type lifeWatch struct {
+// incarnationWatch is what is known of the end of one incarnation.
+type incarnationWatch struct {
 	server serving.Server
 	// breaks are answers that broke off, of which it is not known whether that was its end.
-	breaks []timedBreak
+	breaks []timedAttempt
 	// check is under way; nil if none is.
 	check *crashCheck
 	ended bool
@@ -54,13 +54,13 @@
 	broke chan struct{}
 }
 
-type timedBreak struct {
-	quarantine.Break
+type timedAttempt struct {
+	quarantine.BrokenAttempt
 	at time.Time
 }
 
 func newCrashes(k *quarantineKeeper, dir *directory.Directory, b *platform.Backends, set *metrics.Set, log logrus.FieldLogger) *crashes {
-	return &crashes{ledger: k.ledger, keeper: k, dir: dir, backends: b, set: set, log: log, lives: map[quarantine.Life]*lifeWatch{}}
+	return &crashes{ledger: k.ledger, keeper: k, dir: dir, backends: b, set: set, log: log, incarnations: map[quarantine.Incarnation]*incarnationWatch{}}
 }
 
 const (
@@ -70,40 +70,40 @@
 	// leftCounts is how long after its client has left a request may still be the cause of a
 	// server's end: servers drop it when its connection closes.
 	leftCounts = 500 * time.Millisecond
-	// maxBreaks bounds the breaks remembered of one life, about 300 B each: several times
+	// maxBreaks bounds the breaks remembered of one incarnation, about 300 B each: several times
 	// what one instance has under way at one server.
 	maxBreaks = 1024
 )
 
-// Broke implements forward.Guard.
-func (c *crashes) Broke(b quarantine.Break) forward.CrashCheck {
+// RecordFailure implements forward.Guard.
+func (c *crashes) RecordFailure(b quarantine.BrokenAttempt) forward.CrashCheck {
 	now := clock.Now()
-	life := quarantine.LifeOf(b.Server)
-	if s, known := c.dir.Server(life.Server); !known || s.Draining || s.Born != life.Born {
+	incarnation := quarantine.IncarnationOf(b.Server)
+	if s, known := c.dir.Server(incarnation.Server); !known || s.Draining || s.Born != incarnation.Born {
 		return nothingToCheck // it leaves, some without a word but that their entry goes
 	}
 	c.mu.Lock()
-	w := c.lives[life]
+	w := c.incarnations[incarnation]
 	if w == nil {
-		w = &lifeWatch{server: b.Server}
-		c.lives[life] = w
+		w = &incarnationWatch{server: b.Server}
+		c.incarnations[incarnation] = w
 	}
 	w.touched = now
 	if w.ended {
 		c.mu.Unlock()
-		c.count(life, []timedBreak{{b, now}}, now)
+		c.count(incarnation, []timedAttempt{{b, now}}, now)
 		return nothingToCheck
 	}
 	defer c.mu.Unlock()
 	if len(w.breaks) < maxBreaks {
-		w.breaks = append(w.breaks, timedBreak{b, now})
+		w.breaks = append(w.breaks, timedAttempt{b, now})
 	}
 	switch {
 	case w.check != nil:
 		pause.Wake(w.check.broke)
 	case !b.Left:
 		w.check = &crashCheck{looked: make(chan struct{}), done: make(chan struct{}), broke: make(chan struct{}, 1)}
-		go c.check(life, w.server, w.there.Add(checkSpacing), w.check)
+		go c.check(incarnation, w.server, w.there.Add(checkSpacing), w.check)
 	}
 	if w.check == nil {
 		return nothingToCheck
@@ -138,23 +138,23 @@
 func (c *crashes) Ended(s serving.Server) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.lives[quarantine.LifeOf(s)]
+	w := c.incarnations[quarantine.IncarnationOf(s)]
 	return w != nil && w.ended
 }
 
-// Doubtful implements forward.Guard.
-func (c *crashes) Doubtful(s serving.Server) bool {
+// Inconclusive implements forward.Guard.
+func (c *crashes) Inconclusive(s serving.Server) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	w := c.lives[quarantine.LifeOf(s)]
+	w := c.incarnations[quarantine.IncarnationOf(s)]
 	return w != nil && !w.ended && len(w.breaks) > 0
 }
 
-// noteEnd notes that a life has ended, and counts that against what ran there.
-func (c *crashes) noteEnd(life quarantine.Life, evidence string) {
+// noteEnd notes that an incarnation has ended, and counts that against what ran there.
+func (c *crashes) noteEnd(incarnation quarantine.Incarnation, evidence string) {
 	now := clock.Now()
 	c.mu.Lock()
-	w := c.lives[life]
+	w := c.incarnations[incarnation]
 	if w == nil || w.ended {
 		c.mu.Unlock()
 		return
@@ -164,14 +164,14 @@
 	c.mu.Unlock()
 	c.set.GetOrCreateCounter(`martenport_servers_ended_total{service="` + w.server.Service + `"}`).Inc()
 	c.log.WithFields(logrus.Fields{
-		"server": life.Server, "born": life.Born, "service": w.server.Service, "evidence": evidence, "requests": len(breaks),
+		"server": incarnation.Server, "born": incarnation.Born, "service": w.server.Service, "evidence": evidence, "requests": len(breaks),
 	}).Info("server ended while requests ran there")
-	c.count(life, breaks, now)
+	c.count(incarnation, breaks, now)
 }
 
-// count counts the end of a life against requests.
-func (c *crashes) count(life quarantine.Life, breaks []timedBreak, now time.Time) {
-	if s, known := c.dir.Server(life.Server); known && s.Draining && s.Born == life.Born {
+// count counts the end of an incarnation against requests.
+func (c *crashes) count(incarnation quarantine.Incarnation, breaks []timedAttempt, now time.Time) {
+	if s, known := c.dir.Server(incarnation.Server); known && s.Draining && s.Born == incarnation.Born {
 		return // it was to end
 	}
 	var raised []quarantine.Raise
@@ -179,7 +179,7 @@
 		if b.Left && now.Sub(b.at) > leftCounts {
 			continue
 		}
-		raised = append(raised, c.ledger.Ended(b.Break, now)...)
+		raised = append(raised, c.ledger.Ended(b.BrokenAttempt, now)...)
 		// Instances that start anew decide by all ends of those that are held.
 		if c.ledger.State(b.Fingerprint) != quarantine.Clear {
 			c.keeper.writeLater(b.Fingerprint)
@@ -190,58 +190,58 @@
 
 // entryGone notes that a server's entry has gone.
 func (c *crashes) entryGone(id string, draining bool) {
-	for _, life := range c.livesWhere(func(w *lifeWatch) bool { return w.server.ID == id }) {
+	for _, incarnation := range c.incarnationsWhere(func(w *incarnationWatch) bool { return w.server.ID == id }) {
 		if draining {
-			c.forget(life)
+			c.forget(incarnation)
 			continue
 		}
-		c.noteEnd(life, "entry gone")
+		c.noteEnd(incarnation, "entry gone")
 	}
 }
 
-// announced notes what a server announces: another life at an address, or under an id, shows that
+// announced notes what a server announces: another incarnation at an address, or under an id, shows that
 // the one before has ended.
 func (c *crashes) announced(s serving.Server) {
-	life := quarantine.LifeOf(s)
-	replaced := func(w *lifeWatch) bool {
-		before := quarantine.LifeOf(w.server)
-		return before != life && w.server.Revision < s.Revision && (before.Server == life.Server || w.server.Address == s.Address)
+	incarnation := quarantine.IncarnationOf(s)
+	replaced := func(w *incarnationWatch) bool {
+		before := quarantine.IncarnationOf(w.server)
+		return before != incarnation && w.server.Revision < s.Revision && (before.Server == incarnation.Server || w.server.Address == s.Address)
 	}
-	for _, before := range c.livesWhere(replaced) {
+	for _, before := range c.incarnationsWhere(replaced) {
 		c.noteEnd(before, "replaced")
 	}
 }
 
-func (c *crashes) livesWhere(holds func(*lifeWatch) bool) []quarantine.Life {
+func (c *crashes) incarnationsWhere(holds func(*incarnationWatch) bool) []quarantine.Incarnation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var lives []quarantine.Life
-	for life, w := range c.lives {
+	var incarnations []quarantine.Incarnation
+	for incarnation, w := range c.incarnations {
 		if holds(w) {
-			lives = append(lives, life)
+			incarnations = append(incarnations, incarnation)
 		}
 	}
-	return lives
+	return incarnations
 }
 
-func (c *crashes) forget(life quarantine.Life) {
+func (c *crashes) forget(incarnation quarantine.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if w := c.lives[life]; w != nil && w.check == nil {
-		delete(c.lives, life)
+	if w := c.incarnations[incarnation]; w != nil && w.check == nil {
+		delete(c.incarnations, incarnation)
 	}
 }
 
 // sweep settles ends under runs alone, and forgets breaks of which nothing more can be found,
 // and ends that are old.
 func (c *crashes) sweep(now time.Time) {
-	raised, dropped := c.ledger.Settle(now)
+	raised, dropped := c.ledger.DecidePending(now)
 	c.keeper.writeLater(dropped...)
 	if len(raised)+len(dropped) > 0 {
 		c.keeper.changed(raised)
 	}
-	for _, life := range c.livesWhere(func(w *lifeWatch) bool { return now.Sub(w.touched) > breakMemory }) {
-		c.forget(life)
+	for _, incarnation := range c.incarnationsWhere(func(w *incarnationWatch) bool { return now.Sub(w.touched) > breakMemory }) {
+		c.forget(incarnation)
 	}
 	for _, fp := range c.ledger.Expire(now) {
 		c.log.WithField("fingerprint", fp).Info("request not quarantined any more, its time is over")
--- a/entry/operators_quarantine.go
+++ b/entry/operators_quarantine.go
@@ -18,8 +18,8 @@
 	out := &martenportv1.ListQuarantineResponse{}
 	for _, r := range s.i.keeper.ledger.List(clock.Now()) {
 		held := &martenportv1.HeldRequest{Fingerprint: string(r.Fingerprint), Subject: r.Subject, State: r.State().String(), AgeMs: r.Age.Milliseconds()}
-		for _, life := range r.Crashes {
-			held.Servers = append(held.Servers, life.Server)
+		for _, incarnation := range r.Crashes {
+			held.Servers = append(held.Servers, incarnation.Server)
 		}
 		out.Requests = append(out.Requests, held)
 	}
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -65,10 +65,10 @@
 		return forward.Trial{}, forward.ErrTrialBusy
 	}
 	over := false
-	end := func(doubtful bool) {
+	end := func(inconclusive bool) {
 		if !over {
 			over = true
-			go g.follower.endTrial(trial, doubtful || g.ledger.Unsettled(fp))
+			go g.follower.endTrial(trial, inconclusive || g.ledger.HasPending(fp))
 		}
 	}
 	return forward.Trial{Grace: g.ledger.Grace(fp), End: end}, nil
--- a/entry/quarantine_direct.go
+++ b/entry/quarantine_direct.go
@@ -14,8 +14,8 @@
 // While no holder answers, an instance tells all others itself what it has seen. What came
 // from another that does so is not told on: that one tells all. With reports a second apart a
 // holder is silent for as long between any two of them, so that it is reports without an answer
-// that count: where silence did, 195 instances told each other everything all the time, 2.1 GB
-// between failure domains in a day instead of .12.
+// that count: by silence alone all instances of a large fleet would tell each other everything all
+// the time.
 
 // holderTells notes that the holder has been told through a change, and tells the others.
 func (q *quarantineKeeper) holderTells(delivered uint64) {
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -21,12 +21,12 @@
 
 // heldRequest is such an entry.
 type heldRequest struct {
-	Subject string            `json:"subject"`
-	Crashes []quarantine.Life `json:"crashes"`
-	Cleared []quarantine.Life `json:"cleared"`
-	Alone   []quarantine.Life `json:"alone,omitempty"`
-	Pending []heldEnd         `json:"pending,omitempty"`
-	GraceMS int64             `json:"graceMs"`
+	Subject string                   `json:"subject"`
+	Crashes []quarantine.Incarnation `json:"crashes"`
+	Cleared []quarantine.Incarnation `json:"cleared"`
+	Alone   []quarantine.Incarnation `json:"alone,omitempty"`
+	Pending []heldEnd                `json:"pending,omitempty"`
+	GraceMS int64                    `json:"graceMs"`
 	// ChangedMS is the time of the last change in milliseconds of the Unix epoch. It decides
 	// for how many minutes the entry counts and nothing else.
 	ChangedMS int64 `json:"changedMs"`
@@ -34,7 +34,7 @@
 
 // heldEnd is a pending end in such an entry.
 type heldEnd struct {
-	Life quarantine.Life `json:"life"`
+	Incarnation quarantine.Incarnation `json:"incarnation"`
 	// EndedMS is when it ended in milliseconds of the Unix epoch. It decides when the end is
 	// decided, and the request does not run before.
 	EndedMS int64 `json:"endedMs"`
@@ -43,7 +43,7 @@
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
 	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
-		h.Pending = append(h.Pending, heldEnd{Life: end.Life, EndedMS: now.Add(-end.Age).UnixMilli()})
+		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, EndedMS: now.Add(-end.Age).UnixMilli()})
 	}
 	return h
 }
@@ -51,7 +51,7 @@
 // says reports whether the entry has what is known of a request.
 func (h heldRequest) says(r quarantine.Record) bool {
 	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Alone, r.Alone) &&
-		slices.EqualFunc(h.Pending, r.Pending, func(a heldEnd, b quarantine.PendingEnd) bool { return a.Life == b.Life })
+		slices.EqualFunc(h.Pending, r.Pending, func(a heldEnd, b quarantine.PendingEnd) bool { return a.Incarnation == b.Incarnation })
 }
 
 func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
@@ -60,7 +60,7 @@
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
-		r.Pending = append(r.Pending, quarantine.PendingEnd{Life: end.Life, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
+		r.Pending = append(r.Pending, quarantine.PendingEnd{Incarnation: end.Incarnation, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
 	}
 	return r
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -17,7 +17,7 @@
 // a suspect.
 func hold(r *running, fp serving.Fingerprint, ends int) {
 	for n := range ends {
-		b := quarantine.Break{Fingerprint: fp, Subject: "POST h.example/x m1", Server: serving.Server{ID: string(rune('a' + n)), Version: "v1"}, Alone: n >= quarantine.SuspectAfter}
+		b := quarantine.BrokenAttempt{Fingerprint: fp, Subject: "POST h.example/x m1", Server: serving.Server{ID: string(rune('a' + n)), Version: "v1"}, Alone: n >= quarantine.SuspectAfter}
 		r.crashes.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
 	}
 }
@@ -78,7 +78,7 @@
 	f := newFleet(t, 3)
 	f.await("a holder", func() bool { return f.holder() != nil })
 	for n, r := range f.instances {
-		b := quarantine.Break{Fingerprint: "fp", Server: serving.Server{ID: string(rune('a' + n))}, Alone: n >= quarantine.SuspectAfter}
+		b := quarantine.BrokenAttempt{Fingerprint: "fp", Server: serving.Server{ID: string(rune('a' + n))}, Alone: n >= quarantine.SuspectAfter}
 		r.keeper.changed(r.keeper.ledger.Ended(b, time.Now()))
 	}
 	f.await("known everywhere", f.everywhere("fp", quarantine.Quarantined))
@@ -203,6 +203,6 @@
 // endUnder has an instance learn that a server has ended under a request.
 func endUnder(r *running, fp serving.Fingerprint, server int, alone bool) {
 	s := serving.Server{ID: string(rune('a' + server)), Version: "v1"}
-	b := quarantine.Break{Fingerprint: fp, Server: s, Alone: alone}
-	r.crashes.count(quarantine.LifeOf(s), []timedBreak{{b, time.Now()}}, time.Now())
+	b := quarantine.BrokenAttempt{Fingerprint: fp, Server: s, Alone: alone}
+	r.crashes.count(quarantine.IncarnationOf(s), []timedAttempt{{b, time.Now()}}, time.Now())
 }
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -277,7 +277,7 @@
 	}
 	reply.Held = s.holder.Settled(now)
 	reply.Known = s.keeper.ledger.Known(args.Fingerprint, now)
-	mayRun := s.keeper.ledger.StateOn(args.Fingerprint, args.Version) == quarantine.Suspect && !s.keeper.ledger.Unsettled(args.Fingerprint)
+	mayRun := s.keeper.ledger.StateOn(args.Fingerprint, args.Version) == quarantine.Suspect && !s.keeper.ledger.HasPending(args.Fingerprint)
 	if reply.Held && mayRun {
 		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
 	}
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -52,11 +52,11 @@
 
 // endTrial tells the holder that a trial is over. If the word is lost, the trial is over
 // after its longest time.
-func (f *follower) endTrial(t quarantine.Trial, doubtful bool) {
+func (f *follower) endTrial(t quarantine.Trial, inconclusive bool) {
 	f.mu.Lock()
 	record := f.record
 	f.mu.Unlock()
-	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Doubtful: doubtful, Known: f.ledger.Known(t.Fingerprint, clock.Now())}, &TrialReply{})
+	_ = f.call(context.Background(), record, wantTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Doubtful: inconclusive, Known: f.ledger.Known(t.Fingerprint, clock.Now())}, &TrialReply{})
 }
 
 // heardCrashes takes over what the one that was reported to knows of requests under which
