--- a/command/backpressure/backpressure.go
+++ b/command/backpressure/backpressure.go
@@ -31,8 +31,8 @@
 	Sent, Heard time.Time
 }
 
-// Told is a Limit as one instance tells another.
-type Told struct {
+// Snapshot is a Limit as one instance tells another.
+type Snapshot struct {
 	Server            string
 	Born              int64
 	Named             bool
@@ -40,18 +40,18 @@
 	SentAge, HeardAge time.Duration
 }
 
-// tell returns what another instance is told.
-func (l Limit) tell(now time.Time) Told {
-	return Told{Server: l.Server, Born: l.Born, Named: l.Named, Rate: l.Rate, SentAge: now.Sub(l.Sent), HeardAge: now.Sub(l.Heard)}
+// snapshot returns what another instance is told.
+func (l Limit) snapshot(now time.Time) Snapshot {
+	return Snapshot{Server: l.Server, Born: l.Born, Named: l.Named, Rate: l.Rate, SentAge: now.Sub(l.Sent), HeardAge: now.Sub(l.Heard)}
 }
 
 // limit returns what was told, by this instance's clock.
-func (t Told) limit(now time.Time) Limit {
+func (t Snapshot) limit(now time.Time) Limit {
 	return Limit{Server: t.Server, Born: t.Born, Named: t.Named, Rate: t.Rate, Sent: now.Add(-t.SentAge - Transit), Heard: now.Add(-t.HeardAge)}
 }
 
 // limitOf returns what a server's word says of its limit.
-func limitOf(w serving.Word) Limit {
+func limitOf(w serving.Advisory) Limit {
 	return Limit{Server: w.Server, Born: w.Born, Named: w.Limited, Rate: w.Rate, Sent: w.Sent, Heard: w.Heard}
 }
 
--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -28,12 +28,12 @@
 	named float64
 	// ended is when the answer was read after which it was not named any more.
 	ended time.Time
-	// told is when the request was sent whose answer others were last told of.
-	told time.Time
-	// rest is until when the server wants nothing from this instance, asked by the process
+	// lastAdvertised is when the request was sent whose answer others were last told of.
+	lastAdvertised time.Time
+	// retryAfter is until when the server wants nothing from this instance, asked by the process
 	// born then.
-	rest time.Time
-	born int64
+	retryAfter time.Time
+	born       int64
 	// unreadable is what could last not be read.
 	unreadable string
 }
@@ -43,43 +43,43 @@
 
 // Change is what a word has changed.
 type Change struct {
-	// Limit: the limit is another, or there is none any more. Rest: it asks for one, and was not
+	// Limit: the limit is another, or there is none any more. RetryAfter: it asks for one, and was not
 	// resting. Unreadable: something else cannot be read than before.
-	Limit, Rest, Unreadable bool
+	Limit, RetryAfter, Unreadable bool
 }
 
-// Hear takes over what a server says.
-func (l *Ledger) Hear(w serving.Word, now time.Time) (c Change) {
+// Observe takes over what a server says.
+func (l *Ledger) Observe(w serving.Advisory, now time.Time) (c Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[w.Server]
 	if e == nil {
-		if !w.Limited && w.Rest == 0 && w.Unreadable == "" {
+		if !w.Limited && w.RetryAfter == 0 && w.Unreadable == "" {
 			return c // most servers never say anything
 		}
 		e = l.add(w.Server)
 	}
 	if !w.LimitUnknown {
-		c.Limit = l.believe(e, limitOf(w))
+		c.Limit = l.updateLimit(e, limitOf(w))
 		l.repeatEnd(e, limitOf(w), now)
 	}
-	c.Rest = e.hearRest(w, now)
+	c.RetryAfter = e.observeRetryAfter(w, now)
 	if w.Unreadable != "" && w.Unreadable != e.unreadable {
 		c.Unreadable, e.unreadable = true, w.Unreadable
 	}
 	return c
 }
 
-// add needs mu.
+// l.mu must be held.
 func (l *Ledger) add(server string) *entry {
 	e := &entry{}
 	l.entries[server] = e
 	return e
 }
 
-// believe needs mu. It takes a limit over unless a newer one is known, and reports whether that
-// changes anything.
-func (l *Ledger) believe(e *entry, limit Limit) bool {
+// updateLimit takes a limit over unless a newer one is known, and reports whether that changes
+// anything. l.mu must be held.
+func (l *Ledger) updateLimit(e *entry, limit Limit) bool {
 	if !e.known && !limit.Named {
 		return false
 	}
@@ -99,42 +99,44 @@
 	if limit.Named {
 		e.named = limit.Rate
 	}
-	l.tell(e)
+	l.markChanged(e)
 	return true
 }
 
-// tell needs mu. It has others be told of a server's limit.
-func (l *Ledger) tell(e *entry) {
+// markChanged has others be told of a server's limit. l.mu must be held.
+func (l *Ledger) markChanged(e *entry) {
 	l.change++
-	e.change, e.told = l.change, e.limit.Sent
+	e.change, e.lastAdvertised = l.change, e.limit.Sent
 }
 
 // repeatEvery is how often others are told again that a server names no limit any more.
 const repeatEvery = time.Second
 
-// repeatEnd needs mu. It has others be told again for a while that a limit is over, by newer answers:
-// they may have heard of it so late that they could not tell which word was the newer one.
+// repeatEnd has others be told again for a while that a limit is over, by newer answers: they may
+// have heard of it so late that they could not tell which word was the newer one. l.mu must be
+// held.
 func (l *Ledger) repeatEnd(e *entry, limit Limit, now time.Time) {
-	if !e.known || e.limit.Named || limit.Named || limit.Sent.Sub(e.told) < repeatEvery {
+	if !e.known || e.limit.Named || limit.Named || limit.Sent.Sub(e.lastAdvertised) < repeatEvery {
 		return
 	}
 	if _, accounted := e.account(now); accounted {
-		l.tell(e)
+		l.markChanged(e)
 	}
 }
 
-// hearRest needs the ledger's mu. Of several rests the one that ends last counts: a server that
-// asks for a shorter one later has not taken the longer one back.
-func (e *entry) hearRest(w serving.Word, now time.Time) bool {
+// observeRetryAfter notes until when the server wants nothing. Of several such times the last one
+// counts: a server that asks for a shorter one later has
+// not taken the longer one back. The ledger's mu must be held.
+func (e *entry) observeRetryAfter(w serving.Advisory, now time.Time) bool {
 	if serving.BornBefore(e.born, w.Born) {
-		e.rest = time.Time{}
+		e.retryAfter = time.Time{}
 	}
-	until := w.Heard.Add(w.Rest)
-	if w.Rest == 0 || serving.BornBefore(w.Born, e.born) || !until.After(e.rest) || !until.After(now) {
+	until := w.Heard.Add(w.RetryAfter)
+	if w.RetryAfter == 0 || serving.BornBefore(w.Born, e.born) || !until.After(e.retryAfter) || !until.After(now) {
 		return false
 	}
-	resting := e.rest.After(now)
-	e.rest, e.born = until, w.Born
+	resting := e.retryAfter.After(now)
+	e.retryAfter, e.born = until, w.Born
 	return !resting
 }
 
@@ -166,7 +168,7 @@
 	return e.account(now)
 }
 
-// account needs the ledger's mu.
+// The ledger's mu must be held.
 func (e *entry) account(now time.Time) (rate float64, ok bool) {
 	if !e.known || !e.limit.Named && now.Sub(e.ended) > accountFor {
 		return 0, false
@@ -174,32 +176,32 @@
 	return e.named, true
 }
 
-// RestUntil returns until when a server wants nothing from this instance; the zero time if it
+// RetryAfterUntil returns until when a server wants nothing from this instance; the zero time if it
 // has not asked for a rest.
-func (l *Ledger) RestUntil(s serving.Server) time.Time {
+func (l *Ledger) RetryAfterUntil(s serving.Server) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[s.ID]
 	if e == nil || !s.SameLife(e.born) {
 		return time.Time{}
 	}
-	return e.rest
+	return e.retryAfter
 }
 
-// Said returns what is known of a server's limit, to tell another instance; known is false if
+// Snapshot returns what is known of a server's limit, to tell another instance; known is false if
 // nothing is.
-func (l *Ledger) Said(id string, now time.Time) (told Told, known bool) {
+func (l *Ledger) Snapshot(id string, now time.Time) (told Snapshot, known bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entries[id]
 	if e == nil || !e.known {
-		return Told{}, false
+		return Snapshot{}, false
 	}
-	return e.limit.tell(now), true
+	return e.limit.snapshot(now), true
 }
 
 // Since returns the limits that changed after a change, and the change up to which they go.
-func (l *Ledger) Since(change uint64, now time.Time) (list []Told, upTo uint64) {
+func (l *Ledger) Since(change uint64, now time.Time) (list []Snapshot, upTo uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if change == l.change {
@@ -207,15 +209,15 @@
 	}
 	for _, e := range l.entries {
 		if e.known && e.change > change {
-			list = append(list, e.limit.tell(now))
+			list = append(list, e.limit.snapshot(now))
 		}
 	}
-	slices.SortFunc(list, func(a, b Told) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(list, func(a, b Snapshot) int { return cmp.Compare(a.Server, b.Server) })
 	return list, l.change
 }
 
 // Take takes over what another instance tells, and returns what that changes.
-func (l *Ledger) Take(list []Told, now time.Time) (changed []Limit) {
+func (l *Ledger) Take(list []Snapshot, now time.Time) (changed []Limit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range list {
@@ -227,7 +229,7 @@
 			e = l.add(t.Server)
 		}
 		limit := t.limit(now)
-		if l.believe(e, limit) {
+		if l.updateLimit(e, limit) {
 			changed = append(changed, limit)
 		}
 		l.repeatEnd(e, limit, now) // who was told in turn may have doubted it, too
@@ -243,7 +245,7 @@
 		if e.known && e.limit.Named {
 			limited++
 		}
-		if e.rest.After(now) {
+		if e.retryAfter.After(now) {
 			resting++
 		}
 	}
@@ -255,7 +257,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.entries, func(id string, e *entry) bool {
-		old := now.Sub(e.limit.Heard) > forgetAfter && now.Sub(e.rest) > forgetAfter
+		old := now.Sub(e.limit.Heard) > forgetAfter && now.Sub(e.retryAfter) > forgetAfter
 		return old && !known(id)
 	})
 }
--- a/command/backpressure/ledger_test.go
+++ b/command/backpressure/ledger_test.go
@@ -14,13 +14,13 @@
 func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
 
 // named is a word that names a limit, in answer to a request sent and read at times.
-func named(rate float64, sent, heard int) serving.Word {
-	return serving.Word{Server: "e", Limited: true, Rate: rate, Sent: at(sent), Heard: at(heard)}
+func named(rate float64, sent, heard int) serving.Advisory {
+	return serving.Advisory{Server: "e", Limited: true, Rate: rate, Sent: at(sent), Heard: at(heard)}
 }
 
 // silent is a word that names none.
-func silent(sent, heard int) serving.Word {
-	return serving.Word{Server: "e", Sent: at(sent), Heard: at(heard)}
+func silent(sent, heard int) serving.Advisory {
+	return serving.Advisory{Server: "e", Sent: at(sent), Heard: at(heard)}
 }
 
 var server = serving.Server{ID: "e"}
@@ -29,24 +29,24 @@
 // those that overtake each other the stricter counts.
 func TestNewestLimitCounts(t *testing.T) {
 	for name, c := range map[string]struct {
-		words   []serving.Word
+		words   []serving.Advisory
 		rate    float64
 		limited bool
 	}{
-		"none":                             {words: []serving.Word{silent(0, 5)}},
-		"named":                            {words: []serving.Word{named(2, 0, 5)}, rate: 2, limited: true},
-		"ended":                            {words: []serving.Word{named(2, 0, 5), silent(6, 9)}},
-		"raised":                           {words: []serving.Word{named(2, 0, 5), named(4, 6, 9)}, rate: 4, limited: true},
-		"ended, then an old answer":        {words: []serving.Word{named(2, 0, 5), silent(20, 25), named(2, 1, 15)}},
-		"an answer from before it":         {words: []serving.Word{named(2, 3, 5), silent(1, 9)}, rate: 2, limited: true},
-		"confirmed, then one from between": {words: []serving.Word{named(2, 0, 5), named(2, 20, 25), silent(10, 30)}, rate: 2, limited: true},
-		"lowered by one from before":       {words: []serving.Word{named(4, 3, 5), named(2, 1, 9)}, rate: 2, limited: true},
-		"nothing at all":                   {words: []serving.Word{named(0, 0, 5)}, limited: true},
-		"not readable":                     {words: []serving.Word{named(2, 0, 5), {Server: "e", LimitUnknown: true, Unreadable: "x", Sent: at(6), Heard: at(9)}}, rate: 2, limited: true},
+		"none":                             {words: []serving.Advisory{silent(0, 5)}},
+		"named":                            {words: []serving.Advisory{named(2, 0, 5)}, rate: 2, limited: true},
+		"ended":                            {words: []serving.Advisory{named(2, 0, 5), silent(6, 9)}},
+		"raised":                           {words: []serving.Advisory{named(2, 0, 5), named(4, 6, 9)}, rate: 4, limited: true},
+		"ended, then an old answer":        {words: []serving.Advisory{named(2, 0, 5), silent(20, 25), named(2, 1, 15)}},
+		"an answer from before it":         {words: []serving.Advisory{named(2, 3, 5), silent(1, 9)}, rate: 2, limited: true},
+		"confirmed, then one from between": {words: []serving.Advisory{named(2, 0, 5), named(2, 20, 25), silent(10, 30)}, rate: 2, limited: true},
+		"lowered by one from before":       {words: []serving.Advisory{named(4, 3, 5), named(2, 1, 9)}, rate: 2, limited: true},
+		"nothing at all":                   {words: []serving.Advisory{named(0, 0, 5)}, limited: true},
+		"not readable":                     {words: []serving.Advisory{named(2, 0, 5), {Server: "e", LimitUnknown: true, Unreadable: "x", Sent: at(6), Heard: at(9)}}, rate: 2, limited: true},
 	} {
 		l := NewLedger()
 		for _, w := range c.words {
-			l.Hear(w, w.Heard)
+			l.Observe(w, w.Heard)
 		}
 		if rate, limited := l.Limit(server); rate != c.rate || limited != c.limited {
 			t.Errorf("%s: %v, %v, want %v, %v", name, rate, limited, c.rate, c.limited)
@@ -58,16 +58,16 @@
 func TestWordIsOfOneProcess(t *testing.T) {
 	l := NewLedger()
 	w := named(2, 0, 5)
-	w.Born, w.Rest = 1, time.Minute
-	l.Hear(w, at(5))
+	w.Born, w.RetryAfter = 1, time.Minute
+	l.Observe(w, at(5))
 	reborn := serving.Server{ID: "e", Born: 2}
-	if _, limited := l.Limit(reborn); limited || !l.RestUntil(reborn).IsZero() {
+	if _, limited := l.Limit(reborn); limited || !l.RetryAfterUntil(reborn).IsZero() {
 		t.Error("the word of a process holds for the one after it")
 	}
 	next := named(3, 10, 15)
 	next.Born = 2
-	l.Hear(next, at(15))
-	l.Hear(w, at(16))
+	l.Observe(next, at(15))
+	l.Observe(w, at(16))
 	if rate, limited := l.Limit(reborn); !limited || rate != 3 {
 		t.Errorf("%v, %v: want what the later process says", rate, limited)
 	}
@@ -77,17 +77,17 @@
 func TestLongestRestCounts(t *testing.T) {
 	l := NewLedger()
 	rest := func(heard int, d time.Duration) Change {
-		return l.Hear(serving.Word{Server: "e", Rest: d, Sent: at(heard - 1), Heard: at(heard)}, at(heard))
+		return l.Observe(serving.Advisory{Server: "e", RetryAfter: d, Sent: at(heard - 1), Heard: at(heard)}, at(heard))
 	}
-	if c := rest(100, 3*time.Second); !c.Rest {
+	if c := rest(100, 3*time.Second); !c.RetryAfter {
 		t.Error("a rest is no change")
 	}
 	rest(200, time.Second)
-	if until := l.RestUntil(server); until != at(3100) {
+	if until := l.RetryAfterUntil(server); until != at(3100) {
 		t.Errorf("rests until %v, want the later end", until.Sub(epoch))
 	}
-	l.Hear(silent(300, 400), at(400))
-	if until := l.RestUntil(server); until != at(3100) {
+	l.Observe(silent(300, 400), at(400))
+	if until := l.RetryAfterUntil(server); until != at(3100) {
 		t.Errorf("rests until %v after an answer that asks for none, want as before", until.Sub(epoch))
 	}
 }
@@ -102,7 +102,7 @@
 		now := 1000
 		rate := 2.0
 		hear := func(i int) {
-			ledgers[i].Hear(named(rate, now-rapid.IntRange(1, 50).Draw(t, "way"), now), at(now))
+			ledgers[i].Observe(named(rate, now-rapid.IntRange(1, 50).Draw(t, "way"), now), at(now))
 		}
 		tell := func(from int) {
 			list, upTo := ledgers[from].Since(seen[from], at(now))
@@ -129,7 +129,7 @@
 		}
 		// It ends. Whoever hears that tells the other, who believes it if its own word is older.
 		now += 2 * int(Transit/time.Millisecond)
-		ledgers[0].Hear(silent(now-10, now), at(now))
+		ledgers[0].Observe(silent(now-10, now), at(now))
 		list, _ := ledgers[0].Since(0, at(now))
 		now += 100
 		ledgers[1].Take(list, at(now))
@@ -145,10 +145,10 @@
 // that was heard of meanwhile, though its age says that it is newer.
 func TestToldLate(t *testing.T) {
 	teller, l := NewLedger(), NewLedger()
-	teller.Hear(named(2, 0, 5), at(5))
-	teller.Hear(silent(90, 95), at(95))
+	teller.Observe(named(2, 0, 5), at(5))
+	teller.Observe(silent(90, 95), at(95))
 	list, _ := teller.Since(0, at(96))
-	l.Hear(named(2, 195, 200), at(200))
+	l.Observe(named(2, 195, 200), at(200))
 	l.Take(list, at(400))
 	if _, limited := l.Limit(server); !limited {
 		t.Error("a limit ended by an answer from before it")
@@ -166,17 +166,17 @@
 		other.Take(list, at(ms))
 		return len(list)
 	}
-	l.Hear(named(2, 0, 5), at(5))
+	l.Observe(named(2, 0, 5), at(5))
 	tell(900)
-	other.Hear(named(2, 880, 900), at(900))
-	l.Hear(silent(950, 955), at(955))
+	other.Observe(named(2, 880, 900), at(900))
+	l.Observe(silent(950, 955), at(955))
 	tell(960)
 	if _, limited := other.Limit(server); !limited {
 		t.Fatal("the end was not doubtful: the test tries nothing")
 	}
 	told := 0
 	for ms := 1000; ms < 30000; ms += 100 {
-		l.Hear(silent(ms, ms+5), at(ms+5))
+		l.Observe(silent(ms, ms+5), at(ms+5))
 		told += tell(ms + 10)
 	}
 	if _, limited := other.Limit(server); limited {
@@ -203,11 +203,11 @@
 			tell(1, follower, ms)
 		}
 	}
-	ledgers[0].Hear(named(2, 0, 5), at(5))
+	ledgers[0].Observe(named(2, 0, 5), at(5))
 	exchange(100)
 	exchange(200)
 	for ms := 250; ms < 4000; ms += 100 {
-		ledgers[0].Hear(silent(ms, ms+5), at(ms+5))
+		ledgers[0].Observe(silent(ms, ms+5), at(ms+5))
 		exchange(ms + 10)
 	}
 	for i, l := range ledgers {
@@ -227,8 +227,8 @@
 // limit, by the rate that it named.
 func TestAccountGoesOn(t *testing.T) {
 	l := NewLedger()
-	l.Hear(named(2, 0, 5), at(5))
-	l.Hear(silent(6, 9), at(9))
+	l.Observe(named(2, 0, 5), at(5))
+	l.Observe(silent(6, 9), at(9))
 	if rate, ok := l.Account("e", at(1000)); !ok || rate != 2 {
 		t.Errorf("%v, %v a second after the end, want 2", rate, ok)
 	}
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -29,7 +29,7 @@
 		servers := t.f.dir.Servers(t.service.Name)
 		known := len(servers)
 		usable := slices.DeleteFunc(servers, func(s serving.Server) bool { return t.excluded[s.ID] || t.f.guard.Ended(s) })
-		open := t.openTo(usable)
+		open := t.available(usable)
 		candidates := make([]balance.Candidate, 0, len(open))
 		for _, i := range open {
 			s := usable[i]
@@ -187,7 +187,7 @@
 	for _, r := range replicas {
 		servers = append(servers, r.Server)
 	}
-	open := t.openTo(servers)
+	open := t.available(servers)
 	chosen := make([]directory.Replica, 0, len(open))
 	for _, i := range open {
 		chosen = append(chosen, replicas[i])
--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -99,9 +99,9 @@
 	trialSlack = time.Second
 )
 
-// admitted reports whether the request may be sent to the server now. A suspect has to be
+// passesQuarantine reports whether the request may be sent to the server now. A suspect has to be
 // on trial there; while it cannot be, a pause has passed.
-func (t *trip) admitted(ctx context.Context, server serving.Server) (bool, *verdict.Failure) {
+func (t *trip) passesQuarantine(ctx context.Context, server serving.Server) (bool, *verdict.Failure) {
 	t.consult(ctx)
 	switch t.f.guard.StateOn(t.request.Fingerprint, server) {
 	case quarantine.Clear:
--- a/command/forward/intake.go
+++ b/command/forward/intake.go
@@ -22,9 +22,9 @@
 
 // Intake says what servers take at the moment.
 type Intake interface {
-	// RestsUntil returns until when this instance may send nothing to a server; the zero time
+	// RetryAfterUntil returns until when this instance may send nothing to a server; the zero time
 	// if it does not rest.
-	RestsUntil(s serving.Server) time.Time
+	RetryAfterUntil(s serving.Server) time.Time
 	// Limited reports whether a server limits what it takes, and spareFrom from when a request
 	// may be sent to it that can go elsewhere, as far as is known.
 	Limited(s serving.Server) (limited bool, spareFrom time.Time)
@@ -46,8 +46,8 @@
 
 // intake is what one request knows of the servers that limit what they take.
 type intake struct {
-	// spare: the server chosen last is not the only one to which the request can go.
-	spare bool
+	// hasAlternative: the server chosen last is not the only one to which the request can go.
+	hasAlternative bool
 	// turns is when the request may ask again, by server. It asks no more than mostTurns servers.
 	turns map[string]time.Time
 	// closed is when the first of the servers that cannot be asked now can be; the zero time if
@@ -59,16 +59,16 @@
 	giveBack func()
 }
 
-// openTo returns the indices of the servers to which the request may be sent now, as far as is
+// available returns the indices of the servers to which the request may be sent now, as far as is
 // known: those that take what comes, and of those with a limit the ones that can spare something,
 // or all if there are no others.
-func (t *trip) openTo(servers []serving.Server) []int {
+func (t *trip) available(servers []serving.Server) []int {
 	now := clock.Now()
 	t.intake.closed, t.intake.held = time.Time{}, nil
 	var free, spare, limited []int
 	for i, s := range servers {
 		if at := t.notBefore(s); at.After(now) {
-			t.closedUntil(s, at)
+			t.unavailableUntil(s, at)
 			continue
 		}
 		_, asked := t.intake.turns[s.ID]
@@ -82,8 +82,8 @@
 			spare = append(spare, i)
 		}
 	}
-	t.intake.spare = len(free) > 0
-	if t.intake.spare {
+	t.intake.hasAlternative = len(free) > 0
+	if t.intake.hasAlternative {
 		return append(free, spare...)
 	}
 	return append(spare, limited...)
@@ -91,28 +91,28 @@
 
 // notBefore returns when the server may be asked, by its rest and the request's turn there.
 func (t *trip) notBefore(s serving.Server) time.Time {
-	return later(t.f.intake.RestsUntil(s), t.intake.turns[s.ID])
+	return later(t.f.intake.RetryAfterUntil(s), t.intake.turns[s.ID])
 }
 
-// closedUntil notes that a server can be asked at a time.
-func (t *trip) closedUntil(s serving.Server, at time.Time) {
+// unavailableUntil notes that a server can be asked at a time.
+func (t *trip) unavailableUntil(s serving.Server, at time.Time) {
 	t.intake.held = append(t.intake.held, s.ID)
 	if t.intake.closed.IsZero() || at.Before(t.intake.closed) {
 		t.intake.closed = at
 	}
 }
 
-// taken asks whether the request may be sent to the server now, and notes when it may ask again
+// admit asks whether the request may be sent to the server now, and notes when it may ask again
 // if not.
-func (t *trip) taken(ctx context.Context, server serving.Server) bool {
-	if t.f.intake.RestsUntil(server).After(clock.Now()) {
+func (t *trip) admit(ctx context.Context, server serving.Server) bool {
+	if t.f.intake.RetryAfterUntil(server).After(clock.Now()) {
 		return false // it may have asked for that since it was chosen
 	}
 	if limited, _ := t.f.intake.Limited(server); !limited {
 		return true
 	}
 	_, waited := t.intake.turns[server.ID]
-	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.spare || deferrable(t.route), Waited: waited}, !t.intake.spare)
+	a := t.f.intake.Admit(ctx, server, quota.Turn{Spare: t.intake.hasAlternative || deferrable(t.route), Waited: waited}, !t.intake.hasAlternative)
 	if a.Granted {
 		t.intake.giveBack = a.GiveBack
 		return true
@@ -122,13 +122,13 @@
 	}
 	t.intake.turns[server.ID] = clock.Now().Add(a.After)
 	t.f.log.WithFields(t.fields()).WithFields(logrus.Fields{
-		"server": server.ID, "rate": a.Rate, "spare": t.intake.spare, "after_ms": a.After.Milliseconds(),
+		"server": server.ID, "rate": a.Rate, "spare": t.intake.hasAlternative, "after_ms": a.After.Milliseconds(),
 	}).Info("server takes no more now")
 	return false
 }
 
-// returnTaken gives back what was taken for a send that reached no server.
-func (t *trip) returnTaken() {
+// returnAdmission gives back what was taken for a send that reached no server.
+func (t *trip) returnAdmission() {
 	if t.intake.giveBack != nil {
 		t.intake.giveBack()
 	}
--- a/command/forward/intake_test.go
+++ b/command/forward/intake_test.go
@@ -24,7 +24,7 @@
 	spare, returned, asked int
 }
 
-func (i *fakeIntake) RestsUntil(s serving.Server) time.Time { return i.rests[s.ID] }
+func (i *fakeIntake) RetryAfterUntil(s serving.Server) time.Time { return i.rests[s.ID] }
 
 func (i *fakeIntake) Limited(s serving.Server) (bool, time.Time) {
 	_, limited := i.limits[s.ID]
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -112,19 +112,19 @@
 		if failure := t.overdue(); failure != nil {
 			return t.final(ctx, failure)
 		}
-		admitted, failure := t.admitted(ctx, server)
+		admitted, failure := t.passesQuarantine(ctx, server)
 		if failure != nil {
 			return t.final(ctx, failure)
 		}
 		if !admitted {
 			continue
 		}
-		if !t.taken(ctx, server) {
+		if !t.admit(ctx, server) {
 			t.endTrial(server, false)
 			continue
 		}
 		if !t.paid() {
-			t.returnTaken()
+			t.returnAdmission()
 			t.endTrial(server, false)
 			return t.final(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
@@ -273,7 +273,7 @@
 		*outcome = balance.Silent
 	}
 	if failure.Verdict == verdict.NotRun {
-		t.returnTaken()
+		t.returnAdmission()
 		t.unreachable = server.ID
 	} else {
 		t.sends++
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -34,7 +34,7 @@
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
 	}
 	if at := t.notBefore(server); at.After(place.Ready) && at.After(clock.Now()) {
-		t.closedUntil(server, at)
+		t.unavailableUntil(server, at)
 		return serving.Server{}, at, nil
 	}
 	if t.excluded[server.ID] { // it has just refused: a load may take a little longer
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,7 +93,7 @@
 	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
 	i.intake = newIntake(s.NodeName, i.dir, i.members, i.set, log)
-	i.backends.Listen(i.intake.hear)
+	i.backends.Listen(i.intake.observe)
 	i.holder.LimitServers(lentLimits{i.intake.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -63,11 +63,11 @@
 }
 
 // hear takes over what a server says of itself, and logs what that changes.
-func (i *intake) hear(w serving.Word) {
+func (i *intake) observe(w serving.Advisory) {
 	if w.Leaving {
 		i.leaves(directory.Leaver{ID: w.Server, Born: w.Born}, "answer")
 	}
-	changed := i.ledger.Hear(w, clock.Now())
+	changed := i.ledger.Observe(w, clock.Now())
 	if changed == (backpressure.Change{}) {
 		return // as nearly always: every answer has a word
 	}
@@ -77,8 +77,8 @@
 		i.wake()
 		go i.members.lastKnown(store.AllowStale(context.Background())) // before it may be needed: the store may be away then
 	}
-	if changed.Rest {
-		log.WithField("rest_ms", w.Rest.Milliseconds()).Info("server asks for rest")
+	if changed.RetryAfter {
+		log.WithField("rest_ms", w.RetryAfter.Milliseconds()).Info("server asks for rest")
 	}
 	if changed.Unreadable {
 		log.WithField("said", w.Unreadable).Warn("server says something of itself that cannot be read")
@@ -120,7 +120,7 @@
 }
 
 // take takes over what another instance tells of limits.
-func (i *intake) take(told []backpressure.Told, source string) {
+func (i *intake) take(told []backpressure.Snapshot, source string) {
 	for _, l := range i.ledger.Take(told, clock.Now()) {
 		i.log.WithFields(logrus.Fields{
 			"server": l.Server, "born": l.Born, "sent_ms": clock.Since(l.Sent).Milliseconds(), "limited": l.Named, "rate": l.Rate, "source": source,
@@ -128,8 +128,8 @@
 	}
 }
 
-// RestsUntil implements forward.Intake.
-func (i *intake) RestsUntil(s serving.Server) time.Time { return i.ledger.RestUntil(s) }
+// RetryAfterUntil implements forward.Intake.
+func (i *intake) RetryAfterUntil(s serving.Server) time.Time { return i.ledger.RetryAfterUntil(s) }
 
 // Limited implements forward.Intake.
 func (i *intake) Limited(s serving.Server) (limited bool, spareFrom time.Time) {
@@ -164,7 +164,7 @@
 	if !i.questions.Take(i.instances(), clock.Now()) {
 		return false, noQuestionRetry
 	}
-	told, _ := i.ledger.Said(s.ID, clock.Now())
+	told, _ := i.ledger.Snapshot(s.ID, clock.Now())
 	answer, err := i.ask(ctx, &TurnArgs{Told: told, Turn: t})
 	if err == nil && answer.Known {
 		return answer.Granted, max(leastTurn, answer.After)
@@ -212,7 +212,7 @@
 	var ids []string
 	for _, r := range i.dir.Replicas(service, unit, now) {
 		refused, found := i.refused[r.Server.ID]
-		if found && now.Sub(refused) < heldBackFor || i.ledger.RestUntil(r.Server).After(now) {
+		if found && now.Sub(refused) < heldBackFor || i.ledger.RetryAfterUntil(r.Server).After(now) {
 			ids = append(ids, r.Server.ID)
 		}
 	}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -183,7 +183,7 @@
 		}
 		e := &martenportv1.EngineStatus{Name: server.ID, FailureDomain: server.FailureDomain, Orderer: holder, Leaving: server.Draining}
 		e.Limit, e.Limited = s.i.intake.ledger.Limit(server)
-		e.RestingSeconds = max(0, clock.Until(s.i.intake.RestsUntil(server)).Seconds())
+		e.RestingSeconds = max(0, clock.Until(s.i.intake.RetryAfterUntil(server)).Seconds())
 		for _, u := range s.i.dir.UnitsOn(server.ID) {
 			e.Resident = append(e.Resident, u.String())
 			resident[u]++
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -45,7 +45,7 @@
 	Uses, ServerUses []quota.Use
 	// ServerLimits are what servers say of their limits, as far as that has changed since the
 	// report before, and SeenLimits is the change of the holder's word up to which it is known.
-	ServerLimits []backpressure.Told
+	ServerLimits []backpressure.Snapshot
 	SeenLimits   uint64
 	// Leaving are servers that have said in answers that they leave.
 	Leaving []directory.Leaver
@@ -86,7 +86,7 @@
 	ServerLoans []quota.Loan
 	// ServerLimits are what servers say of their limits, as far as it has changed since
 	// SeenLimits, which LimitsUpTo replaces.
-	ServerLimits []backpressure.Told
+	ServerLimits []backpressure.Snapshot
 	LimitsUpTo   uint64
 	// Leaving are servers that have said in answers that they leave.
 	Leaving []directory.Leaver
@@ -95,7 +95,7 @@
 // TurnArgs asks whether a request may be sent to a server that limits what it takes: by Told, as
 // far as the instance knows.
 type TurnArgs struct {
-	Told backpressure.Told
+	Told backpressure.Snapshot
 	quota.Turn
 }
 
@@ -244,7 +244,7 @@
 
 // Turn answers whether a request may be sent to a server that limits what it takes.
 func (s *service) Turn(args *TurnArgs, reply *TurnReply) error {
-	s.intake.take([]backpressure.Told{args.Told}, "question")
+	s.intake.take([]backpressure.Snapshot{args.Told}, "question")
 	reply.Answer = s.holder.DrawTurn(args.Told.Server, args.Turn)
 	return nil
 }
--- a/serving/word.go
+++ b/serving/advisory.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Word is what a backend server says of itself in the head of an answer, to a request, an order
+// Advisory is what a backend server says of itself in the head of an answer, to a request, an order
 // or a call for its report.
-type Word struct {
+type Advisory struct {
 	// Server that says it. Its process was Born then, as it announces; 0 if it does not.
 	Server string
 	Born   int64
@@ -16,10 +16,10 @@
 	// Limited: it takes Rate requests a second from all instances together.
 	Limited bool
 	Rate    float64
-	// Rest is for how long it wants nothing from this instance; 0 if it does not say.
-	Rest time.Duration
+	// RetryAfter is for how long it wants nothing from this instance; 0 if it does not say.
+	RetryAfter time.Duration
 	// Unreadable has what could not be read, "" if all could. Of a limit that cannot be read
-	// the word says nothing, neither that there is one nor that there is none.
+	// the advisory says nothing, neither that there is one nor that there is none.
 	Unreadable   string
 	LimitUnknown bool
 }
