--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -18,18 +18,20 @@
 // second apart at the most, and the time in which an instance notices that an answer broke off.
 const confirmationDelay = 2500 * time.Millisecond
 
-// maxPending bounds the pending ends of a record: as many as the ends that it remembers of runs alone.
+// maxPending bounds the pending ends of a record: as many as the ends that it remembers of runs
+// alone.
 const maxPending = maxAlone
 
-// PendingEnd is the end of an incarnation under a run alone of which another suspect may be the cause.
+// PendingEnd is the end of an incarnation under a run alone of which another suspect may be the
+// cause.
 type PendingEnd struct {
 	Incarnation Incarnation
 	// Age is how long ago the incarnation ended.
 	Age time.Duration
 }
 
-// pendingEnd is a PendingEnd as a ledger remembers it. An end is older than anybody's word of it, so that of
-// two times the earlier one counts.
+// pendingEnd is a PendingEnd as a ledger remembers it. An end is older than anybody's word of it, so
+// that of two times the earlier one counts.
 type pendingEnd struct {
 	incarnation Incarnation
 	at          time.Time
@@ -71,7 +73,8 @@
 	return true
 }
 
-// dropPending forgets pending ends that were decided: of incarnations that count, or that do not count any more.
+// dropPending forgets pending ends that were decided: of incarnations that count, or that do not
+// count any more.
 func (r *record) dropPending() {
 	r.pending = slices.DeleteFunc(r.pending, func(end pendingEnd) bool {
 		return slices.Contains(r.Alone, end.incarnation) || slices.Contains(r.Cleared, end.incarnation)
@@ -109,7 +112,8 @@
 	return false
 }
 
-// HasPending reports whether an end under a run alone of the request is pending. It must not run meanwhile.
+// HasPending reports whether an end under a run alone of the request is pending. It must not run
+// meanwhile.
 func (l *Ledger) HasPending(fp serving.Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,23 +121,36 @@
 	return r != nil && len(r.pending) > 0
 }
 
-// DecidePending decides pending ends that are old enough: they count as ends under runs alone, unless another suspect was
-// there. It returns the requests that were raised by that, and those of which an end does not count.
+// DecidePending decides pending ends that are old enough: they count as ends under runs alone, unless
+// another suspect was there. It returns the requests that were raised by that, and those of which an
+// end does not count.
 func (l *Ledger) DecidePending(now time.Time) (raised []Raise, dropped []serving.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for fp, r := range l.records {
-		for _, end := range slices.Clone(r.pending) {
-			switch {
-			case now.Sub(end.at) < confirmationDelay:
-			case l.hasOtherCause(fp, end.incarnation):
-				r.pending = slices.DeleteFunc(r.pending, func(p pendingEnd) bool { return p.incarnation == end.incarnation })
+		for _, end := range r.takeDue(now) {
+			if l.hasOtherCause(fp, end.incarnation) {
 				l.touch(r)
 				dropped = append(dropped, fp)
-			default:
-				raised = append(raised, l.merge(Record{Fingerprint: fp, Crashes: []Incarnation{end.incarnation}, Alone: []Incarnation{end.incarnation}}, now)...)
+				continue
 			}
+			ended := []Incarnation{end.incarnation}
+			raised = append(raised, l.merge(Record{Fingerprint: fp, Crashes: ended, Alone: ended}, now)...)
 		}
 	}
 	return raised, dropped
 }
+
+// takeDue removes the pending ends that are old enough to be decided, and returns them.
+func (r *record) takeDue(now time.Time) []pendingEnd {
+	var due, later []pendingEnd
+	for _, end := range r.pending {
+		if now.Sub(end.at) >= confirmationDelay {
+			due = append(due, end)
+		} else {
+			later = append(later, end)
+		}
+	}
+	r.pending = later
+	return due
+}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -236,6 +236,9 @@
 // and ends that are old.
 func (c *crashes) sweep(now time.Time) {
 	raised, dropped := c.ledger.DecidePending(now)
+	for _, fp := range dropped {
+		c.log.WithField("fingerprint", fp).Info("end under a run alone does not count, another suspect was there")
+	}
 	c.keeper.writeLater(dropped...)
 	if len(raised)+len(dropped) > 0 {
 		c.keeper.changed(raised)
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quarantine"
@@ -47,6 +48,7 @@
 		return errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	f.raised(f.ledger.Take(reply.Known, clock.Now()))
+	f.log.WithFields(logrus.Fields{"fingerprint": fp, "holder": record.Holder, "state": f.ledger.State(fp)}).Info("holder asked before a request is sent under which a server ended")
 	return nil
 }
 
