A repeat waits for a look at its server that comes after the answer broke off

With looks at a server going on for 2 s after an answer broke off, the word of the first of them was taken for later answers as well: what broke off half a second after another answer was sent on at once, before it was known that the server had ended. Found by reading.

--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -7,6 +7,7 @@
 
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -32,21 +33,51 @@
 	lastRelook  = time.Second
 )
 
+// crashCheck is a series of looks whether a server has ended.
+type crashCheck struct {
+	// looked is closed after the next look; guarded by the mu of crashes.
+	looked chan struct{}
+	// done is closed when the check is over.
+	done chan struct{}
+	// broke has word of further answers that broke off.
+	broke chan struct{}
+}
+
+func newCrashCheck() *crashCheck {
+	return &crashCheck{looked: make(chan struct{}), done: make(chan struct{}), broke: make(chan struct{}, 1)}
+}
+
+// expectLook has the next look be soon: another answer broke off. The mu of crashes must be held.
+func (c *crashCheck) expectLook() {
+	if isClosed(c.looked) {
+		c.looked = make(chan struct{})
+	}
+	pause.Wake(c.broke)
+}
+
+// noteLook notes that the server was looked at. The mu of crashes must be held.
+func (c *crashCheck) noteLook() {
+	if !isClosed(c.looked) {
+		close(c.looked)
+	}
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // check looks whether a server has ended, at a time at the earliest, once for all answers that
 // break off meanwhile.
 func (c *crashes) check(incarnation quarantine.Incarnation, s serving.Server, from time.Time, check *crashCheck) {
 	time.Sleep(clock.Until(from))
-	again := c.lookOnce(incarnation, s)
-	close(check.looked)
-	for wait := firstRelook; again; wait = min(2*wait, lastRelook) {
+	for wait := firstRelook; c.lookOnce(incarnation, s, check); wait = min(2*wait, lastRelook) {
 		wait = check.pause(wait)
-		again = c.lookOnce(incarnation, s)
-	}
-	c.mu.Lock()
-	if w := c.incarnations[incarnation]; w != nil {
-		w.check = nil
 	}
-	c.mu.Unlock()
 	close(check.done)
 }
 
@@ -64,9 +95,9 @@
 	return wait
 }
 
-// lookOnce looks whether a server has ended, and reports whether it should be looked at again:
-// it was there, and answers broke off so lately that it may be about to end.
-func (c *crashes) lookOnce(incarnation quarantine.Incarnation, s serving.Server) (again bool) {
+// lookOnce looks whether a server has ended, and reports whether it should be looked at again: it
+// was there, and answers broke off so lately that it may be about to end. Else the check is over.
+func (c *crashes) lookOnce(incarnation quarantine.Incarnation, s serving.Server, check *crashCheck) (again bool) {
 	began := clock.Now()
 	presence := c.look(s)
 	if presence == serving.PresenceEnded {
@@ -74,13 +105,20 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	check.noteLook()
 	w := c.incarnations[incarnation]
-	if w == nil || presence != serving.PresenceThere {
+	if w == nil {
 		return false
 	}
-	w.dropBefore(began)
-	w.there = clock.Now()
-	return len(w.breaks) > 0
+	if presence == serving.PresenceThere {
+		w.dropBefore(began)
+		w.there = clock.Now()
+		again = len(w.breaks) > 0
+	}
+	if !again {
+		w.check = nil
+	}
+	return again
 }
 
 // look returns whether a server is there, as far as that can be seen at once.
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -11,7 +11,6 @@
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
 )
@@ -46,14 +45,6 @@
 	touched time.Time
 }
 
-// crashCheck looks whether a server has ended.
-type crashCheck struct {
-	// looked is closed after its first look, done when it is over.
-	looked, done chan struct{}
-	// broke has word of further answers that broke off.
-	broke chan struct{}
-}
-
 type timedAttempt struct {
 	quarantine.BrokenAttempt
 	at time.Time
@@ -100,9 +91,9 @@
 	}
 	switch {
 	case w.check != nil:
-		pause.Wake(w.check.broke)
+		w.check.expectLook()
 	case !b.Left:
-		w.check = &crashCheck{looked: make(chan struct{}), done: make(chan struct{}), broke: make(chan struct{}, 1)}
+		w.check = newCrashCheck()
 		go c.check(incarnation, w.server, w.there.Add(checkSpacing), w.check)
 	}
 	if w.check == nil {
