One piece of code calls all instances; a comment that a rename had broken

The call of a new holder to all instances and that of a request that is held stood twice. Behaviour as before: entry TestAnnouncement, TestPoisonRequestAtManyInstances, the tests of quarantine and peers, and those of the ledger pass on it.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -232,8 +232,8 @@
 	}
 }
 
-// unexplain What a request that is not quarantined any more explained counts no further against
-// others, but new ends do. l.mu must be held.
+// unexplain forgets what a request explained that is not quarantined any more: new ends count
+// against others. l.mu must be held.
 func (l *Ledger) unexplain(r *record, before State) {
 	if before != Quarantined || r.State() == Quarantined {
 		return
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -27,17 +27,22 @@
 	if record.Holder != f.name {
 		return // another took over meanwhile, and announces itself
 	}
+	addresses := f.members.others(ctx)
+	callAll(addresses, func(address string) { f.announceTo(ctx, address, record) }) // who is not reached finds the record
+	f.log.WithFields(logrus.Fields{"fence": record.Fence, "instances": len(addresses)}).Info("lease announced")
+}
+
+// callAll calls each instance, announceAtOnce at the same time, and returns when all calls are over.
+func callAll(addresses []string, call func(address string)) {
 	var calls errgroup.Group
 	calls.SetLimit(announceAtOnce)
-	addresses := f.members.others(ctx)
 	for _, address := range addresses {
 		calls.Go(func() error {
-			f.announceTo(ctx, address, record)
+			call(address)
 			return nil
 		})
 	}
-	_ = calls.Wait() // none fails the others; who is not reached finds the record
-	f.log.WithFields(logrus.Fields{"fence": record.Fence, "instances": len(addresses)}).Info("lease announced")
+	_ = calls.Wait() // none fails the others
 }
 
 func (f *follower) announceTo(ctx context.Context, address string, record lease.Record) {
--- a/entry/quarantine_urgent.go
+++ b/entry/quarantine_urgent.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
@@ -56,17 +54,11 @@
 		return
 	}
 	args := &CrashesArgs{Records: records}
-	var calls errgroup.Group
-	calls.SetLimit(announceAtOnce)
-	for _, address := range q.othersSoon(ctx) {
-		calls.Go(func() error {
-			ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			_ = q.pool.Call(ctx, address, methodCrashes, args, &CrashesReply{})
-			return nil
-		})
-	}
-	_ = calls.Wait() // none fails the others
+	callAll(q.othersSoon(ctx), func(address string) {
+		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+		defer cancel()
+		_ = q.pool.Call(ctx, address, methodCrashes, args, &CrashesReply{})
+	})
 }
 
 // othersSoon returns the addresses of all other instances, as they were last read where the store
