Instances log when they learn that a server leaves, by whose word and how old that is

In the record of the incident no line says when an instance learned that a server leaves, unless it reads the store itself; nothing says how old what an instance goes by has become. Both hypotheses that are left (the holder heard late, or one instance did) look the same without that. New: a line 'server leaving' with the source and the age of the word, martenport_servers_age_seconds, and the age in 'source of the servers changed'. No decision goes by it.

--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -145,7 +145,7 @@
 		t.Fatal("the digests of directories that differ are the same")
 	}
 	delta = holder.Since(seen, Everything)
-	gone := other.ApplyDelta(delta, start)
+	gone := other.ApplyDelta(delta, start).Gone
 	if _, known := other.Server("x"); !known || delta.Digest != other.Digest() {
 		t.Errorf("after a full delta the server is known: %v", known)
 	}
@@ -153,7 +153,7 @@
 		t.Errorf("servers removed by a full delta: %v", gone)
 	}
 	other.ApplyServer(server("newer", 9, false), start)
-	if gone := other.ApplyDelta(holder.Since(0, Everything), start); len(gone) != 0 {
+	if gone := other.ApplyDelta(holder.Since(0, Everything), start).Gone; len(gone) != 0 {
 		t.Errorf("a server that is newer than the delta was removed: %v", gone)
 	}
 }
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -66,22 +66,31 @@
 	return delta
 }
 
-// ApplyDelta takes over what another instance's directory has, and returns the
-// servers that are gone by it.
-func (d *Directory) ApplyDelta(delta Delta, now time.Time) (gone []string) {
+// Applied is what a delta has changed, by the ids of servers.
+type Applied struct {
+	// Leaving are servers that are known to be draining for the first time.
+	Leaving []string
+	Gone    []string
+}
+
+// ApplyDelta takes over what another instance's directory has.
+func (d *Directory) ApplyDelta(delta Delta, now time.Time) Applied {
+	var applied Applied
 	for _, s := range delta.Servers {
-		d.ApplyServer(s, now)
+		if d.ApplyServer(s, now) {
+			applied.Leaving = append(applied.Leaving, s.ID)
+		}
 	}
 	for _, r := range delta.Removed {
 		if d.RemoveServer(r.ID, r.Revision, now) {
-			gone = append(gone, r.ID)
+			applied.Gone = append(applied.Gone, r.ID)
 		}
 	}
 	if delta.Full {
-		gone = append(gone, d.removeOthers(delta, now)...)
+		applied.Gone = append(applied.Gone, d.removeOthers(delta, now)...)
 	}
 	d.Listed(delta.Revision, now)
-	return gone
+	return applied
 }
 
 // removeOthers removes the servers that a full delta does not name, though its
--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -92,7 +92,7 @@
 		defer watching(t, w)()
 		time.Sleep(time.Second)
 		for range 5 {
-			w.relay(holder.News{Config: access.Word{Version: 1}, Servers: directory.Delta{Digest: w.dir.Digest()}}, time.Now(), 1500*time.Millisecond)
+			w.relay(holder.News{Config: access.Word{Version: 1}, Servers: directory.Delta{Digest: w.dir.Digest()}}, time.Now(), time.Now(), 1500*time.Millisecond)
 			time.Sleep(time.Second)
 		}
 		if config, servers := s.config.Load(), s.servers.Load(); config != 1 || servers != 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
@@ -290,6 +291,7 @@
 		return 0
 	})
 	i.set.NewGauge("martenport_servers", func() float64 { return float64(len(i.dir.IDs())) })
+	i.set.NewGauge("martenport_servers_age_seconds", func() float64 { return i.watcher.serversAge(clock.Now()).Seconds() })
 	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -259,7 +259,7 @@
 		f.noAnswer(record, err)
 		return false
 	}
-	f.takeOverNews(record, &reply, clock.Now())
+	f.takeOverNews(record, &reply, sent, clock.Now())
 	f.exchanged.heard, f.exchanged.reported = reply.LimitsUpTo, reported
 	f.intake.take(reply.ServerLimits, record.Holder)
 	f.intake.takeLeaving(reply.Leaving, record.Holder)
@@ -326,17 +326,18 @@
 	return 0
 }
 
-// takeOverNews takes over what the holder says.
-func (f *follower) takeOverNews(record lease.Record, reply *ExchangeReply, now time.Time) {
+// takeOverNews takes over what the holder says in answer to a report that was sent at a time.
+func (f *follower) takeOverNews(record lease.Record, reply *ExchangeReply, sent, now time.Time) {
 	news := reply.News
 	f.mu.Lock()
 	f.instances = max(1, news.Instances) // how long the word is taken is for the next interval
 	f.mu.Unlock()
 	f.dir.ApplyViews(news.Fence, decodeViews(reply.Views, now), news.Others, now)
 	f.dir.ApplyAdmissions(news.Admit)
-	relayed := record.Holder != f.name && news.Failing == 0 && time.Duration(reply.StoreAgeMS)*time.Millisecond < relayedAge
+	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
+	relayed := record.Holder != f.name && news.Failing == 0 && storeAge < relayedAge
 	if relayed {
-		f.watcher.relay(news, now, f.interval()+exchangeTimeout+relaySlack)
+		f.watcher.relay(news, sent.Add(-storeAge), now, f.interval()+exchangeTimeout+relaySlack)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -20,7 +20,7 @@
 	f.budget = forward.NewBudget(forward.BudgetParams{})
 	f.watcher = &watcher{dir: f.dir, news: make(chan struct{}, 1)}
 	answered := func(digest uint64) {
-		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Fence: 1, Servers: directory.Delta{Digest: digest}}}, time.Now())
+		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Fence: 1, Servers: directory.Delta{Digest: digest}}}, time.Now(), time.Now())
 	}
 	asksForAll := func() bool {
 		_, args := f.report()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -67,6 +67,8 @@
 	wanted int64
 	// newestUnreadable: the newest configuration cannot be read; guarded by mu.
 	newestUnreadable bool
+	// asOf is as of when the servers in the store are known here; guarded by mu.
+	asOf time.Time
 	// contact is when each watch was last answered, by prefix; guarded by mu.
 	contact map[string]time.Time
 	// lapsed are servers whose entries are missing, with the revision of that.
@@ -103,11 +105,16 @@
 	return !w.relayed.IsZero() && now.Sub(w.relayed) < w.lifetime
 }
 
-// relay takes over the holder's word, which is taken for lifetime.
-func (w *watcher) relay(news holder.News, now time.Time, lifetime time.Duration) {
-	for _, id := range w.dir.ApplyDelta(news.Servers, now) {
+// relay takes over the holder's word as of a time, which is taken for lifetime.
+func (w *watcher) relay(news holder.News, asOf, now time.Time, lifetime time.Duration) {
+	applied := w.dir.ApplyDelta(news.Servers, now)
+	for _, id := range applied.Leaving {
+		w.logLeaving(id, "holder", now.Sub(asOf))
+	}
+	for _, id := range applied.Gone {
 		w.forget(id, news.Servers.Revision)
 	}
+	w.serversKnown(asOf)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.relayed, w.lifetime = now, lifetime
@@ -145,6 +152,33 @@
 	return prefix == platform.KeyConfig && w.contact[prefix].IsZero()
 }
 
+// serversKnown notes that the servers are known as they were in the store at a time.
+func (w *watcher) serversKnown(asOf time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if asOf.After(w.asOf) {
+		w.asOf = asOf
+	}
+}
+
+// serversAge is how old what is known of the servers is.
+func (w *watcher) serversAge(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return now.Sub(w.asOf)
+}
+
+// answeredAsOf returns a time at which the store had no more than an answer says, to a call
+// that was begun at started and answered at now. The store holds a watch without events for
+// watchWait.
+func answeredAsOf(started, now time.Time, heldWithoutEvents bool) time.Time {
+	held := started.Add(watchWait)
+	if heldWithoutEvents && held.Before(now) {
+		return held
+	}
+	return started
+}
+
 // age is how old what is known of the store may be.
 func (w *watcher) age(now time.Time) time.Duration {
 	w.mu.Lock()
@@ -186,8 +220,11 @@
 		}
 		retry = watchRetry
 		apply(snap, revision < 0)
-		if prefix == platform.KeyConfig {
+		switch prefix {
+		case platform.KeyConfig:
 			w.confirm(started)
+		case platform.PrefixServers:
+			w.serversKnown(answeredAsOf(started, clock.Exact(), revision >= 0 && len(snap.Objects) == 0))
 		}
 		revision = snap.Revision
 		if len(snap.Objects) > 0 {
@@ -254,7 +291,7 @@
 		return
 	}
 	w.relying = relies
-	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": clock.Since(w.relayed).Milliseconds()}).Info("source of the servers changed")
+	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": clock.Since(w.relayed).Milliseconds(), "servers_age_ms": clock.Since(w.asOf).Milliseconds()}).Info("source of the servers changed")
 }
 
 // note logs when the store is lost and regained.
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -90,8 +90,10 @@
 		w.backends.Forget(server.ID) // those connections are to the process before
 		w.balancer.Forget(server.ID)
 	}
-	leaves := w.dir.ApplyServer(server, clock.Now())
-	if leaves || !known {
+	if w.dir.ApplyServer(server, clock.Now()) {
+		w.logLeaving(server.ID, "store", w.serversAge(clock.Now()))
+	}
+	if !known {
 		w.log.WithFields(logrus.Fields{
 			"server": server.ID, "service": server.Service, "address": server.Address, "domain": server.FailureDomain,
 			"draining": server.Draining, "remaining_ms": server.Remaining.Milliseconds(), "revision": server.Revision,
@@ -99,6 +101,16 @@
 	}
 }
 
+// logLeaving logs that a server is known to be leaving, by whose word, and how old what was
+// known of the servers before, or is by that word, has become.
+func (w *watcher) logLeaving(id, source string, age time.Duration) {
+	server, _ := w.dir.Server(id)
+	w.log.WithFields(logrus.Fields{
+		"server": id, "service": server.Service, "source": source, "revision": server.Revision, "servers_age_ms": age.Milliseconds(),
+		"remaining_ms": server.Remaining.Milliseconds(),
+	}).Info("server leaving")
+}
+
 // unreadable has a server not be used whose entry cannot be read: another writer has left it.
 func (w *watcher) unreadable(server serving.Server) {
 	w.mu.Lock()
