--- a/entry/entry.go
+++ b/entry/entry.go
@@ -77,12 +77,23 @@
 	leaveOnce sync.Once
 }
 
+// network opens connections to the store and to other instances.
+type network struct {
+	// store is nil for TCP.
+	store func(ctx context.Context, network, address string) (net.Conn, error)
+	peers rpcpool.Dial
+}
+
 // New wires an instance with the settings read from path. Run starts it.
 func New(s platform.Settings, path string, o Options, log *logrus.Logger) *Instance {
+	return newInstance(s, path, o, network{peers: rpcpool.DialTCP}, log)
+}
+
+func newInstance(s platform.Settings, path string, o Options, n network, log *logrus.Logger) *Instance {
 	i := &Instance{path: path, options: o, left: make(chan struct{}), log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
 	i.settings.Store(&s)
 	i.client = platform.NewClient(platform.ClientParams{
-		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries,
+		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries, Dial: n.store,
 	})
 	i.balancer = balance.New(balance.DefaultParams())
 	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
@@ -96,7 +107,7 @@
 	i.intake = newIntake(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.Listen(i.intake.observe)
 	i.holder.LimitServers(lentLimits{i.intake.ledger})
-	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(rpcpool.DialTCP), i.members, log)
+	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
 	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.follower.intake = i.intake
@@ -188,7 +199,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	var work sync.WaitGroup
-	for _, run := range []func(context.Context){i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.keeper.runUrgent, i.crashes.runSweep, i.intake.run, i.gate.run, i.clients.guard.run, i.members.register, i.reload} {
+	for _, run := range append(i.control(), i.clients.guard.run, i.reload) {
 		work.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
@@ -219,6 +230,13 @@
 	return err
 }
 
+// control returns the standing work with the store and other instances.
+func (i *Instance) control() []func(context.Context) {
+	return []func(context.Context){
+		i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.keeper.runUrgent, i.crashes.runSweep, i.intake.run, i.gate.run, i.members.register,
+	}
+}
+
 // listeners are where an instance is reached; operators is nil if nowhere.
 type listeners struct{ clients, ready, peers, metrics, operators net.Listener }
 
--- /dev/null
+++ b/entry/simulation_test.go
@@ -0,0 +1,281 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+)
+
+// simulation is the control of many instances before a stand-in of the store, in virtual time:
+// it must run in a synctest bubble. There are entries of backend servers and no servers.
+type simulation struct {
+	t         *testing.T
+	store     *standin.Platform
+	storeHTTP *http.Server
+	stored    *memoryListener
+	instances []*simulated
+
+	mu    sync.Mutex
+	peers map[string]*memoryListener // by address; guarded by mu
+}
+
+// simulated is one instance.
+type simulated struct {
+	*Instance
+	address string
+	// way is the instance's way to the store.
+	way  *memoryWay
+	stop func()
+}
+
+// Figures of the users' large deployments.
+const (
+	simulatedDrain = 3 * time.Second
+	simulatedLease = 3 * time.Second
+	simulatedLarge = 79
+	// simulatedEnd lets the last calls give up.
+	simulatedEnd = 10 * time.Second
+)
+
+// newSimulation starts a store with a configuration and two entries of servers, and n instances,
+// and waits until all rely on a holder.
+func newSimulation(t *testing.T, n int) *simulation {
+	s := &simulation{t: t, store: standin.NewPlatform(), stored: newMemoryListener(), peers: map[string]*memoryListener{}}
+	s.storeHTTP = &http.Server{Handler: s.store.Handler()}
+	go func() { _ = s.storeHTTP.Serve(s.stored) }()
+	t.Cleanup(s.end)
+	s.configure(1)
+	s.announce("p1", "ready")
+	s.announce("p2", "ready")
+	for i := range n {
+		s.add(i)
+	}
+	s.await("all rely on a holder", 30*time.Second, s.settled)
+	return s
+}
+
+// settled reports whether there is one holder, and all others rely on it.
+func (s *simulation) settled() bool {
+	now := time.Now()
+	return s.holder() != nil && !slices.ContainsFunc(s.instances, func(i *simulated) bool {
+		return !i.Instance.holder.Holds() && !i.watcher.relies(now)
+	})
+}
+
+// add starts the instance of a machine.
+func (s *simulation) add(machine int) *simulated {
+	way := &memoryWay{}
+	settings := platform.Settings{NodeName: fmt.Sprintf("node-%d", machine), IP: fmt.Sprintf("10.0.%d.%d", machine/200, 1+machine%200), Zone: string(rune('a' + machine%3)), InternalPorts: []int{7380, 7390}}
+	settings.Bounds.DrainMS, settings.Bounds.LeaseMS, settings.Bounds.GraceS = int(simulatedDrain.Milliseconds()), int(simulatedLease.Milliseconds()), 8
+	settings.Platform.Address, settings.Limits.CPUShare = "10.8.0.1:80", 1
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	network := network{
+		store: func(ctx context.Context, _, _ string) (net.Conn, error) { return s.stored.dial(ctx, way) },
+		peers: func(ctx context.Context, address string) (net.Conn, error) { return s.dialPeer(ctx, address) },
+	}
+	i := &simulated{Instance: newInstance(settings, "", Options{}, network, log), address: settings.PeerAddress(), way: way}
+	l := newMemoryListener()
+	s.mu.Lock()
+	s.peers[i.address] = l
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	for _, run := range i.control() {
+		work.Go(func() { run(ctx) })
+	}
+	go i.service.serve(l)
+	i.stop = func() {
+		cancel()
+		l.end()
+		work.Wait()
+	}
+	s.instances = append(s.instances, i)
+	return i
+}
+
+func (s *simulation) dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	s.mu.Lock()
+	l := s.peers[address]
+	s.mu.Unlock()
+	if l == nil {
+		return nil, net.ErrClosed
+	}
+	return l.dial(ctx, &memoryWay{})
+}
+
+// end stops everything, so that the bubble can end.
+func (s *simulation) end() {
+	for _, i := range s.instances {
+		i.stop()
+	}
+	for _, i := range s.instances {
+		i.follower.pool.Close()
+	}
+	_ = s.storeHTTP.Close()
+	s.stored.end()
+	time.Sleep(simulatedEnd)
+}
+
+// holder returns the instance that holds the lease, nil if none does.
+func (s *simulation) holder() *simulated {
+	i := slices.IndexFunc(s.instances, func(i *simulated) bool { return i.Instance.holder.Holds() })
+	if i < 0 {
+		return nil
+	}
+	return s.instances[i]
+}
+
+// await lets virtual time pass until something holds.
+func (s *simulation) await(what string, within time.Duration, holds func() bool) {
+	s.t.Helper()
+	for limit := time.Now().Add(within); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			s.t.Fatalf("not in %s: %s", within, what)
+		}
+	}
+}
+
+// configure writes a version of the configuration.
+func (s *simulation) configure(version int64) {
+	c := standin.Config{Version: version, Plain: []string{"plain"}, Engines: "llm"}
+	if err := c.Write(context.Background(), s.store); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// announce writes a server's entry.
+func (s *simulation) announce(id, state string) {
+	ctx, key := context.Background(), platform.PrefixServers+id
+	version := int64(0)
+	if obj, err := s.store.Get(ctx, key); err == nil {
+		version = obj.Version
+	}
+	entry := fmt.Sprintf(`{"service":"plain","address":"10.9.0.1:80","zone":"a","version":"v1","slots":6,"state":%q,"coldLeftMs":0,"sequence":1,"born":1}`, state)
+	if _, err := s.store.Put(ctx, key, []byte(entry), version); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// lastToKnow has a server leave, and returns how long after that the last instance knows, but for one.
+func (s *simulation) lastToKnow(id string, except *simulated) time.Duration {
+	left := time.Now()
+	s.announce(id, "draining")
+	s.await("all know that the server leaves", time.Minute, func() bool {
+		return !slices.ContainsFunc(s.instances, func(i *simulated) bool {
+			server, known := i.dir.Server(id)
+			return i != except && known && !server.Draining
+		})
+	})
+	return time.Since(left)
+}
+
+// memoryListener accepts connections within the process.
+type memoryListener struct {
+	conns chan net.Conn
+	ended chan struct{}
+	once  sync.Once
+
+	mu   sync.Mutex
+	open []net.Conn // guarded by mu
+}
+
+func newMemoryListener() *memoryListener {
+	return &memoryListener{conns: make(chan net.Conn), ended: make(chan struct{})}
+}
+
+// memoryWay is a way that can be cut: what is sent is lost, and no connection opens.
+type memoryWay struct {
+	mu  sync.Mutex
+	cut bool // guarded by mu
+}
+
+func (w *memoryWay) set(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+func (w *memoryWay) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
+// memoryConnect is how long opening a connection on a way that is cut takes to fail.
+const memoryConnect = 1200 * time.Millisecond
+
+// memoryConn is one end of a connection on a way.
+type memoryConn struct {
+	net.Conn
+	way *memoryWay
+}
+
+// Write implements net.Conn.
+func (c memoryConn) Write(b []byte) (int, error) {
+	if c.way.isCut() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (l *memoryListener) dial(ctx context.Context, way *memoryWay) (net.Conn, error) {
+	if way.isCut() {
+		pause.For(ctx, memoryConnect)
+		return nil, os.ErrDeadlineExceeded
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- memoryConn{there, way}:
+	case <-l.ended:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = append(l.open, here, there)
+	return memoryConn{here, way}, nil
+}
+
+// Accept implements net.Listener.
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.ended:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.ended) })
+	return nil
+}
+
+// end closes the listener and all its connections.
+func (l *memoryListener) end() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.open {
+		_ = conn.Close()
+	}
+}
+
+// Addr implements net.Listener.
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -34,6 +34,7 @@
 	down     bool                    // guarded by mu
 	delay    time.Duration           // guarded by mu
 	lose     int                     // guarded by mu; answers of writes still to lose
+	deaf     bool                    // guarded by mu; watches are not answered
 }
 
 // NewPlatform returns an empty platform.
@@ -63,6 +64,15 @@
 	p.lose = n
 }
 
+// DeafenWatches begins or ends that watches are not answered, those that wait and new ones. They
+// stay without an answer when that is over; all other calls are answered.
+func (p *Platform) DeafenWatches(deaf bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deaf = deaf
+	p.wake()
+}
+
 func (p *Platform) enter(ctx context.Context) error {
 	p.mu.Lock()
 	delay := p.delay
@@ -186,16 +196,25 @@
 
 // Watch implements store.Store.
 func (p *Platform) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+	return p.watch(ctx, prefix, revision, watchWait)
+}
+
+// watch waits for a change for so long.
+func (p *Platform) watch(ctx context.Context, prefix string, revision int64, wait time.Duration) (store.Snapshot, error) {
 	p.Watches.Add(1)
-	timeout := time.NewTimer(watchWait)
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
 		if err := p.enter(ctx); err != nil {
 			return store.Snapshot{}, err
 		}
 		p.mu.Lock()
-		snap, changed := p.changes(prefix, revision, true), p.changed
+		snap, changed, deaf := p.changes(prefix, revision, true), p.changed, p.deaf
 		p.mu.Unlock()
+		if deaf {
+			<-ctx.Done()
+			return store.Snapshot{}, store.ErrUnknown
+		}
 		if len(snap.Objects) > 0 {
 			return snap, nil
 		}
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -84,13 +83,8 @@
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(formInt(r, "waitMs"))*time.Millisecond)
-	defer cancel()
-	since := formInt(r, "watch")
-	snap, err := p.Watch(ctx, prefix, since)
-	if err != nil && ctx.Err() != nil && r.Context().Err() == nil {
-		snap, err = store.Snapshot{Revision: since}, nil // the waiting time is over
-	}
+	wait := time.Duration(formInt(r, "waitMs")) * time.Millisecond
+	snap, err := p.watch(r.Context(), prefix, formInt(r, "watch"), wait)
 	page := objectEvents{Events: []objectEvent{}, StoreRevision: snap.Revision}
 	for _, obj := range snap.Objects {
 		page.Events = append(page.Events, objectEvent{Object: encodeObject(obj), Deleted: obj.Deleted})
