A watch that is not answered is followed by a reading, and keeps no other watch from asking

What callers saw: a request reached a server 3.27 s after it had said that it leaves, of 3 s.

Cause: (1) a watch that had failed was begun again from where it was. Where the store answers no watch, but all else, it failed again and again. (2) The watch of servers rested while the last call for the configuration had failed, whichever of the two did not work, until that was answered, which without news takes its whole wait. So a watch of servers that was silent from the word on was given up after 2.0 s, rested for up to 1 s for that of the configuration, and all that rely on the holder's word heard of it after that.

Mend: what follows a failed watch is a list, at once; a watch rests only if its own last call failed as well as that for the configuration, so that one of them tries whether the store is back.

--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -65,7 +65,7 @@
 	s := &countedStore{Store: inner}
 	return s, &watcher{crashes: &crashes{},
 		store: s, dir: directory.New(), backends: platform.NewBackends(), balancer: balance.New(balance.DefaultParams()), log: discardLog(),
-		holds: func() bool { return false }, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1),
+		holds: func() bool { return false }, lapsed: map[string]int64{}, contact: map[string]time.Time{}, failed: map[string]bool{}, news: make(chan struct{}, 1),
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,7 @@
 	i.backends.Listen(i.intake.observe)
 	i.holder.LimitServers(lentLimits{i.intake.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
-	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
+	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, failed: map[string]bool{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.follower.intake = i.intake
 	i.intake.ask, i.intake.report, i.intake.instances = i.follower.turn, i.follower.reportNow, i.follower.knownInstances
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -51,6 +51,8 @@
 	// again; guarded by mu.
 	down     bool
 	returned time.Time
+	// failed is whether the last call for a prefix failed; guarded by mu.
+	failed map[string]bool
 	// failing is when the first call was begun that failed since the last
 	// success, and answered when that success was; guarded by mu.
 	failing, answered time.Time
@@ -209,8 +211,8 @@
 		started := clock.Exact()
 		snap, err := w.readOrWatch(ctx, prefix, revision)
 		w.note(prefix, started, err)
-		if errors.Is(err, store.ErrCompacted) {
-			revision = -1
+		if err != nil && revision >= 0 {
+			revision = -1 // all is listed: the store answers that even where a watch hears nothing
 			continue
 		}
 		if err != nil {
@@ -236,7 +238,7 @@
 // rests lets some time pass if the store need not be asked now, and reports whether it
 // did: another watch tries whether the store is back, or the holder's word is recent.
 func (w *watcher) rests(ctx context.Context, prefix string) bool {
-	if prefix != platform.KeyConfig && w.lost() {
+	if prefix != platform.KeyConfig && w.allFailed(prefix) {
 		pause.For(ctx, relayCheck)
 		return true
 	}
@@ -299,6 +301,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	down := err != nil && !errors.Is(err, store.ErrCompacted)
+	w.failed[prefix] = down
 	if down {
 		if w.failing.IsZero() {
 			w.failing = started
@@ -319,6 +322,14 @@
 	w.log.WithField("watch", prefix).Info("store regained")
 }
 
+// allFailed reports whether the last call for a prefix failed, and that for the configuration,
+// which tries whether the store is back.
+func (w *watcher) allFailed(prefix string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failed[prefix] && w.failed[platform.KeyConfig]
+}
+
 // lost reports whether the last call failed.
 func (w *watcher) lost() bool {
 	w.mu.Lock()
