What an instance goes by has one age, from the store on, and one bound

What callers saw: requests reached servers over 3 s after these had said that they leave.

Cause: each hop had a bound of its own, and they added up. The holder's word was taken while the store had answered the holder within 1.3 s, and lasted another interval, timeout and slack (0.78 s at 7 instances, 1.29 s at 79) from when it came, however old it was by then; its own watch was given up after 2.0 s; a call of the instance that then read the store itself could fail. An instance that started took a word of 1.28 s as new. The class: a word that is fresh as a message and old in what it says.

Mend: the age of what is known counts from a time at which the store had no more (a read: when it was sent; a watch without news: as long as the store held it), goes with the holder's word, and counts on at the instance. The word is relied on until that age is the deployment's bound (for leaving servers or configurations) less what an own reading takes, one failed call included. Pauses between the holder's calls for servers count from the call before.

What it costs in calls to the store is measured next.

--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -209,7 +209,7 @@
 // TestWordOfConfiguration: what a watch hears makes the configuration in force current as of when
 // it asked, and not while a newer one could not be read.
 func TestWordOfConfiguration(t *testing.T) {
-	w := &watcher{dir: directory.New(), log: discardLog(), contact: map[string]time.Time{}, failed: map[string]bool{}}
+	w := newTestWatcher(nil, directory.New(), discardLog())
 	config := standin.Config{Version: 1, Workspaces: []standin.Workspace{{Name: "w", Keys: []string{"k"}}}}
 	asOf := clock.Now()
 	apply := func(c standin.Config, asked time.Time) {
--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -13,7 +13,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/access"
-	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/directory"
@@ -63,10 +62,7 @@
 		t.Fatal(err)
 	}
 	s := &countedStore{Store: inner}
-	return s, &watcher{crashes: &crashes{},
-		store: s, dir: directory.New(), backends: platform.NewBackends(), balancer: balance.New(balance.DefaultParams()), log: discardLog(),
-		holds: func() bool { return false }, lapsed: map[string]int64{}, contact: map[string]time.Time{}, failed: map[string]bool{}, news: make(chan struct{}, 1),
-	}
+	return s, newTestWatcher(s, directory.New(), discardLog())
 }
 
 // watching has w run until the returned function is called, which waits for its end.
@@ -92,7 +88,7 @@
 		defer watching(t, w)()
 		time.Sleep(time.Second)
 		for range 5 {
-			w.relay(holder.News{Config: access.Word{Version: 1}, Servers: directory.Delta{Digest: w.dir.Digest()}}, time.Now(), time.Now(), 1500*time.Millisecond)
+			w.relay(holder.News{Config: access.Word{Version: 1}, Servers: directory.Delta{Digest: w.dir.Digest()}}, time.Now(), time.Now())
 			time.Sleep(time.Second)
 		}
 		if config, servers := s.config.Load(), s.servers.Load(); config != 1 || servers != 0 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,8 +34,14 @@
 	// storeTimeout is many times the store's usual answer of a few
 	// milliseconds, and still lets a silent store be noticed within a second.
 	storeTimeout = time.Second
-	// watchWait bounds how long a watch that hangs goes unnoticed.
+	// watchWait is how long the store holds a watch without news.
 	watchWait = time.Second
+	// holderWatchWait is the same at the holder: what all others know is older by it, and it
+	// makes as many calls for it as it has times in a second.
+	holderWatchWait = 400 * time.Millisecond
+	// watchGrace is how long after that a watch may be answered: several times what a slow
+	// store takes.
+	watchGrace = 600 * time.Millisecond
 	// storeRate is an instance's calls a second at the most; usual are two.
 	storeRate   = 40
 	readRetries = 1
@@ -93,7 +99,7 @@
 	i := &Instance{path: path, options: o, left: make(chan struct{}), log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
 	i.settings.Store(&s)
 	i.client = platform.NewClient(platform.ClientParams{
-		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, CallsPerSecond: storeRate, ReadRetries: readRetries, Dial: n.store,
+		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, WatchGrace: watchGrace, CallsPerSecond: storeRate, ReadRetries: readRetries, Dial: n.store,
 	})
 	i.balancer = balance.New(balance.DefaultParams())
 	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
@@ -108,7 +114,8 @@
 	i.backends.Listen(i.intake.observe)
 	i.holder.LimitServers(lentLimits{i.intake.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
-	i.watcher = &watcher{store: i.client, dir: i.dir, backends: i.backends, balancer: i.balancer, log: log, lapsed: map[string]int64{}, contact: map[string]time.Time{}, failed: map[string]bool{}, news: make(chan struct{}, 1), holds: i.holder.Holds}
+	bound := func() time.Duration { return wordLifetime(i.settings.Load()) }
+	i.watcher = newWatcher(i.client, i.dir, i.backends, i.balancer, i.holder.Holds, bound, log)
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.follower.intake = i.intake
 	i.intake.ask, i.intake.report, i.intake.instances = i.follower.turn, i.follower.reportNow, i.follower.knownInstances
@@ -309,7 +316,7 @@
 		return 0
 	})
 	i.set.NewGauge("martenport_servers", func() float64 { return float64(len(i.dir.IDs())) })
-	i.set.NewGauge("martenport_servers_age_seconds", func() float64 { return i.watcher.serversAge(clock.Now()).Seconds() })
+	i.set.NewGauge("martenport_servers_age_seconds", func() float64 { return i.watcher.ageOf(platform.PrefixServers, clock.Now()).Seconds() })
 	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -32,9 +32,6 @@
 	// leaving servers and configurations must be known within two or three.
 	exchangeShare       = 8 * time.Millisecond
 	maxExchangeInterval = time.Second
-	// relayedAge is how old the holder's word of the store may be to be taken:
-	// the holder's watches answer within a second at the latest.
-	relayedAge = 1300 * time.Millisecond
 	// exchangeRetry is the pause after a report without an answer.
 	exchangeRetry = 150 * time.Millisecond
 	// exchangeTimeout is several round trips between failure domains, with
@@ -335,9 +332,9 @@
 	f.dir.ApplyViews(news.Fence, decodeViews(reply.Views, now), news.Others, now)
 	f.dir.ApplyAdmissions(news.Admit)
 	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
-	relayed := record.Holder != f.name && news.Failing == 0 && storeAge < relayedAge
+	relayed := record.Holder != f.name && news.Failing == 0 && storeAge < f.watcher.bound()
 	if relayed {
-		f.watcher.relay(news, sent.Add(-storeAge), now, f.interval()+exchangeTimeout+relaySlack)
+		f.watcher.relay(news, sent.Add(-storeAge), now)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -18,7 +18,7 @@
 func TestLastingDifferenceIsAskedForLessOften(t *testing.T) {
 	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
 	f.budget = forward.NewBudget(forward.BudgetParams{})
-	f.watcher = &watcher{dir: f.dir, news: make(chan struct{}, 1)}
+	f.watcher = newTestWatcher(nil, f.dir, discardLog())
 	answered := func(digest uint64) {
 		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Fence: 1, Servers: directory.Delta{Digest: digest}}}, time.Now(), time.Now())
 	}
--- a/entry/lapse_test.go
+++ b/entry/lapse_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/platform"
 )
 
@@ -54,15 +55,15 @@
 // of servers and of a configuration is not taken at its word by others.
 func TestUnreadStoreIsOld(t *testing.T) {
 	now := time.Unix(1000, 0)
-	w := &watcher{contact: map[string]time.Time{}}
-	if age := w.age(now); age < relayedAge {
-		t.Errorf("nothing is %v old, taken below %v", age, relayedAge)
+	w := newTestWatcher(nil, directory.New(), discardLog())
+	if age := w.age(now); age < testBound {
+		t.Errorf("nothing is %v old, taken below %v", age, testBound)
 	}
-	w.contact[platform.PrefixServers] = now
-	if age := w.age(now); age < relayedAge {
+	w.asOf[platform.PrefixServers] = now
+	if age := w.age(now); age < testBound {
 		t.Errorf("an unread configuration is %v old", age)
 	}
-	w.contact[platform.KeyConfig] = now.Add(-time.Second)
+	w.asOf[platform.KeyConfig] = now.Add(-time.Second)
 	if age := w.age(now); age != time.Second {
 		t.Errorf("%v old, want the older of both", age)
 	}
--- a/entry/leaving_late_test.go
+++ b/entry/leaving_late_test.go
@@ -7,16 +7,18 @@
 	"time"
 )
 
-// atPhases runs a test in a fleet that relies on its holder, from several moments between its reports and watches on.
+// atPhases runs a test in fleets that rely on their holder, from several moments between reports and watches on.
 func atPhases(t *testing.T, test func(t *testing.T, s *simulation)) {
-	for _, phase := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond, 750 * time.Millisecond} {
-		t.Run(fmt.Sprint(phase), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newSimulation(t, simulatedLarge)
-				time.Sleep(5*time.Second + phase)
-				test(t, s)
+	for _, deployed := range []site{smallSite, largeSite} {
+		for _, phase := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond, 750 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%d/%s", deployed.instances, phase), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newSimulation(t, deployed)
+					time.Sleep(5*time.Second + phase)
+					test(t, s)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -25,8 +27,8 @@
 	s.t.Helper()
 	last := s.lastToKnow("p1", except)
 	s.t.Logf("the last of %d instances knows after %s", len(s.instances), last)
-	if last > simulatedDrain {
-		s.t.Errorf("the last instance knows after %s, want at most %s", last, simulatedDrain)
+	if last > s.site.drain {
+		s.t.Errorf("the last instance knows after %s, want at most %s", last, s.site.drain)
 	}
 }
 
@@ -50,11 +52,28 @@
 
 // TestLeavingHeardLateFromHolderCutOff: the holder does not reach the store, all others do, and of these one starts anew.
 func TestLeavingHeardLateFromHolderCutOff(t *testing.T) {
-	atPhases(t, func(_ *testing.T, s *simulation) {
+	atPhases(t, func(t *testing.T, s *simulation) {
 		holder := s.holder()
 		holder.way.set(true)
 		time.Sleep(20 * time.Millisecond)
-		time.AfterFunc(1200*time.Millisecond, func() { s.add(len(s.instances)) })
+		started := time.AfterFunc(s.site.drain/3, func() { s.add(len(s.instances)) })
+		defer started.Stop()
 		s.checkHeardInTime(holder)
+		time.Sleep(s.site.drain)
+		if !s.allKnowLeaving("p1", holder) {
+			t.Error("an instance that started meanwhile does not know")
+		}
+	})
+}
+
+// TestLeavingHeardLateBySilentConnections: watches fall silent, and so do, for good, all open connections to the store; new ones work.
+func TestLeavingHeardLateBySilentConnections(t *testing.T) {
+	atPhases(t, func(_ *testing.T, s *simulation) {
+		s.store.DeafenWatches(true)
+		time.AfterFunc(time.Second, func() { s.store.DeafenWatches(false) })
+		for _, i := range s.instances {
+			i.way.silence()
+		}
+		s.checkHeardInTime(nil)
 	})
 }
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -45,7 +45,7 @@
 func TestBudgetToldOfPeers(t *testing.T) {
 	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
 	f.budget = forward.NewBudget(forward.BudgetParams{})
-	f.watcher = &watcher{dir: f.dir, news: make(chan struct{}, 1)}
+	f.watcher = newTestWatcher(nil, f.dir, discardLog())
 	for _, n := range []int{6, 0, 4} {
 		f.takeOverNews(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.News{Peers: n}}, time.Now(), time.Now())
 		if got := f.budget.Spending("s", time.Now()).Instances; got != 6 {
--- a/entry/simulation_test.go
+++ b/entry/simulation_test.go
@@ -14,9 +14,12 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // simulation is the control of many instances before a stand-in of the store, in virtual time:
@@ -27,6 +30,7 @@
 	storeHTTP *http.Server
 	stored    *memoryListener
 	instances []*simulated
+	site      site
 
 	mu    sync.Mutex
 	peers map[string]*memoryListener // by address; guarded by mu
@@ -41,26 +45,47 @@
 	stop func()
 }
 
-// Figures of the users' large deployments.
+// site is what a deployment asks for.
+type site struct {
+	instances int
+	// drain is how long after its word a server may get requests.
+	drain time.Duration
+}
+
+// The users' deployments.
+var (
+	smallSite = site{instances: 7, drain: 2 * time.Second}
+	largeSite = site{instances: 79, drain: 3 * time.Second}
+)
+
 const (
-	simulatedDrain = 3 * time.Second
 	simulatedLease = 3 * time.Second
-	simulatedLarge = 79
 	// simulatedEnd lets the last calls give up.
 	simulatedEnd = 10 * time.Second
 )
 
-// newSimulation starts a store with a configuration and two entries of servers, and n instances,
+// testBound is how old the word of a holder may become in tests of single parts.
+const testBound = 1500 * time.Millisecond
+
+// newTestWatcher returns a watcher of a store at an instance that never holds the lease.
+func newTestWatcher(s store.Store, dir *directory.Directory, log logrus.FieldLogger) *watcher {
+	never, bound := func() bool { return false }, func() time.Duration { return testBound }
+	w := newWatcher(s, dir, platform.NewBackends(), balance.New(balance.DefaultParams()), never, bound, log)
+	w.crashes = &crashes{}
+	return w
+}
+
+// newSimulation starts a store with a configuration and two entries of servers, and the instances,
 // and waits until all rely on a holder.
-func newSimulation(t *testing.T, n int) *simulation {
-	s := &simulation{t: t, store: standin.NewPlatform(), stored: newMemoryListener(), peers: map[string]*memoryListener{}}
+func newSimulation(t *testing.T, deployed site) *simulation {
+	s := &simulation{t: t, site: deployed, store: standin.NewPlatform(), stored: newMemoryListener(), peers: map[string]*memoryListener{}}
 	s.storeHTTP = &http.Server{Handler: s.store.Handler()}
 	go func() { _ = s.storeHTTP.Serve(s.stored) }()
 	t.Cleanup(s.end)
 	s.configure(1)
 	s.announce("p1", "ready")
 	s.announce("p2", "ready")
-	for i := range n {
+	for i := range deployed.instances {
 		s.add(i)
 	}
 	s.await("all rely on a holder", 30*time.Second, s.settled)
@@ -79,7 +104,7 @@
 func (s *simulation) add(machine int) *simulated {
 	way := &memoryWay{}
 	settings := platform.Settings{NodeName: fmt.Sprintf("node-%d", machine), IP: fmt.Sprintf("10.0.%d.%d", machine/200, 1+machine%200), Zone: string(rune('a' + machine%3)), InternalPorts: []int{7380, 7390}}
-	settings.Bounds.DrainMS, settings.Bounds.LeaseMS, settings.Bounds.GraceS = int(simulatedDrain.Milliseconds()), int(simulatedLease.Milliseconds()), 8
+	settings.Bounds.DrainMS, settings.Bounds.LeaseMS, settings.Bounds.GraceS = int(s.site.drain.Milliseconds()), int(simulatedLease.Milliseconds()), 8
 	settings.Platform.Address, settings.Limits.CPUShare = "10.8.0.1:80", 1
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -174,15 +199,18 @@
 func (s *simulation) lastToKnow(id string, except *simulated) time.Duration {
 	left := time.Now()
 	s.announce(id, "draining")
-	s.await("all know that the server leaves", time.Minute, func() bool {
-		return !slices.ContainsFunc(s.instances, func(i *simulated) bool {
-			server, known := i.dir.Server(id)
-			return i != except && known && !server.Draining
-		})
-	})
+	s.await("all know that the server leaves", time.Minute, func() bool { return s.allKnowLeaving(id, except) })
 	return time.Since(left)
 }
 
+// allKnowLeaving reports whether no instance but one would send requests to a server.
+func (s *simulation) allKnowLeaving(id string, except *simulated) bool {
+	return !slices.ContainsFunc(s.instances, func(i *simulated) bool {
+		server, known := i.dir.Server(id)
+		return i != except && known && !server.Draining
+	})
+}
+
 // memoryListener accepts connections within the process.
 type memoryListener struct {
 	conns chan net.Conn
@@ -201,6 +229,31 @@
 type memoryWay struct {
 	mu  sync.Mutex
 	cut bool // guarded by mu
+	// silent is the last connection that has fallen silent, by the number of its opening, and
+	// opened the last one; guarded by mu.
+	silent, opened int
+}
+
+// open returns the number of a new connection.
+func (w *memoryWay) open() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.opened++
+	return w.opened
+}
+
+// silence has all open connections be silent from now on.
+func (w *memoryWay) silence() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.silent = w.opened
+}
+
+// loses reports whether what is sent on a connection is lost.
+func (w *memoryWay) loses(conn int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut || conn <= w.silent
 }
 
 func (w *memoryWay) set(cut bool) {
@@ -221,12 +274,13 @@
 // memoryConn is one end of a connection on a way.
 type memoryConn struct {
 	net.Conn
-	way *memoryWay
+	way    *memoryWay
+	number int
 }
 
 // Write implements net.Conn.
 func (c memoryConn) Write(b []byte) (int, error) {
-	if c.way.isCut() {
+	if c.way.loses(c.number) {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
@@ -238,8 +292,9 @@
 		return nil, os.ErrDeadlineExceeded
 	}
 	here, there := net.Pipe()
+	number := way.open()
 	select {
-	case l.conns <- memoryConn{there, way}:
+	case l.conns <- memoryConn{there, way, number}:
 	case <-l.ended:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
@@ -248,7 +303,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open = append(l.open, here, there)
-	return memoryConn{here, way}, nil
+	return memoryConn{here, way, number}, nil
 }
 
 // Accept implements net.Listener.
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
-	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
@@ -24,8 +23,8 @@
 	// configuration must be in force.
 	watchRetry    = 200 * time.Millisecond
 	maxWatchRetry = 800 * time.Millisecond
-	// serversPause gathers changes of servers into one call; it is short
-	// against the seconds in which a leaving server must be noticed.
+	// serversPause is the least time from one call for servers to the next, in which changes
+	// gather; it is short against the seconds in which a leaving server must be noticed.
 	serversPause = 250 * time.Millisecond
 )
 
@@ -56,10 +55,12 @@
 	// failing is when the first call was begun that failed since the last
 	// success, and answered when that success was; guarded by mu.
 	failing, answered time.Time
-	// relayed is when the holder's word was last taken, and lifetime for how
-	// long that lasts; guarded by mu.
-	relayed  time.Time
+	// word is as of when the holder's last word was that was taken, and lifetime for how long
+	// after that it lasts; guarded by mu.
+	word     time.Time
 	lifetime time.Duration
+	// bound returns how old the holder's word may become.
+	bound func() time.Duration
 	// relying is whether the holder's word is taken at present; guarded by mu.
 	relying bool
 	// began is when the instance began to watch.
@@ -69,14 +70,20 @@
 	wanted int64
 	// newestUnreadable: the newest configuration cannot be read; guarded by mu.
 	newestUnreadable bool
-	// asOf is as of when the servers in the store are known here; guarded by mu.
-	asOf time.Time
-	// contact is when each watch was last answered, by prefix; guarded by mu.
-	contact map[string]time.Time
+	// asOf is as of when what the store has under a prefix is known here; guarded by mu.
+	asOf map[string]time.Time
 	// lapsed are servers whose entries are missing, with the revision of that.
 	lapsed map[string]int64 // guarded by mu
 }
 
+// newWatcher returns a watcher; bound returns how old the holder's word may become.
+func newWatcher(s store.Store, dir *directory.Directory, b *platform.Backends, balancer *balance.Balancer, holds func() bool, bound func() time.Duration, log logrus.FieldLogger) *watcher {
+	return &watcher{
+		store: s, dir: dir, backends: b, balancer: balancer, holds: holds, bound: bound, log: log, news: make(chan struct{}, 1),
+		failed: map[string]bool{}, asOf: map[string]time.Time{}, lapsed: map[string]int64{},
+	}
+}
+
 // run watches until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	w.mu.Lock()
@@ -92,38 +99,10 @@
 	work.Wait()
 }
 
-// relaySlack is added to the time between reports and that of one to get how long
-// the holder's word is taken without another: one that fails is repeated.
-const relaySlack = 150 * time.Millisecond
-
 // relayCheck is how often an instance that takes the holder's word looks
 // whether it still does.
 const relayCheck = 100 * time.Millisecond
 
-// relies reports whether the holder's word is recent.
-func (w *watcher) relies(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return !w.relayed.IsZero() && now.Sub(w.relayed) < w.lifetime
-}
-
-// relay takes over the holder's word as of a time, which is taken for lifetime.
-func (w *watcher) relay(news holder.News, asOf, now time.Time, lifetime time.Duration) {
-	applied := w.dir.ApplyDelta(news.Servers, now)
-	for _, id := range applied.Leaving {
-		w.logLeaving(id, "holder", now.Sub(asOf))
-	}
-	for _, id := range applied.Gone {
-		w.forget(id, news.Servers.Revision)
-	}
-	w.serversKnown(asOf)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.relayed, w.lifetime = now, lifetime
-	w.wanted = max(w.wanted, news.Config.Version)
-	pause.Wake(w.news)
-}
-
 // lacksConfig reports whether a newer configuration than the one in force was
 // heard of.
 func (w *watcher) lacksConfig() bool {
@@ -144,54 +123,14 @@
 func (w *watcher) awaitsWord(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.relayed.IsZero() && now.Sub(w.began) < firstWord
+	return w.word.IsZero() && now.Sub(w.began) < firstWord
 }
 
 // unread reports whether the configuration has not been read at all yet.
 func (w *watcher) unread(prefix string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return prefix == platform.KeyConfig && w.contact[prefix].IsZero()
-}
-
-// serversKnown notes that the servers are known as they were in the store at a time.
-func (w *watcher) serversKnown(asOf time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if asOf.After(w.asOf) {
-		w.asOf = asOf
-	}
-}
-
-// serversAge is how old what is known of the servers is.
-func (w *watcher) serversAge(now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return now.Sub(w.asOf)
-}
-
-// answeredAsOf returns a time at which the store had no more than an answer says, to a call
-// that was begun at started and answered at now. The store holds a watch without events for
-// watchWait.
-func answeredAsOf(started, now time.Time, heldWithoutEvents bool) time.Time {
-	held := started.Add(watchWait)
-	if heldWithoutEvents && held.Before(now) {
-		return held
-	}
-	return started
-}
-
-// age is how old what is known of the store may be.
-func (w *watcher) age(now time.Time) time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	oldest := now
-	for _, prefix := range []string{platform.KeyConfig, platform.PrefixServers} {
-		if t := w.contact[prefix]; t.Before(oldest) {
-			oldest = t
-		}
-	}
-	return now.Sub(oldest)
+	return prefix == platform.KeyConfig && w.asOf[prefix].IsZero()
 }
 
 // watch reads all objects under prefix once and then what changes, while the
@@ -209,7 +148,8 @@
 			continue
 		}
 		started := clock.Exact()
-		snap, err := w.readOrWatch(ctx, prefix, revision)
+		wait := w.watchWait()
+		snap, err := w.readOrWatch(store.WaitAtMost(ctx, wait), prefix, revision)
 		w.note(prefix, started, err)
 		if err != nil && revision >= 0 {
 			revision = -1 // all is listed: the store answers that even where a watch hears nothing
@@ -222,15 +162,17 @@
 		}
 		retry = watchRetry
 		apply(snap, revision < 0)
-		switch prefix {
-		case platform.KeyConfig:
+		if prefix == platform.KeyConfig {
 			w.confirm(started)
-		case platform.PrefixServers:
-			w.serversKnown(answeredAsOf(started, clock.Exact(), revision >= 0 && len(snap.Objects) == 0))
 		}
+		asOf := started
+		if revision >= 0 && len(snap.Objects) == 0 {
+			asOf = heldUntil(started, wait, clock.Exact())
+		}
+		w.known(prefix, asOf)
 		revision = snap.Revision
 		if len(snap.Objects) > 0 {
-			pause.For(ctx, w.gather(gather))
+			pause.For(ctx, w.gather(gather)-clock.Since(started))
 		}
 	}
 }
@@ -256,6 +198,15 @@
 	return true
 }
 
+// watchWait is how long the store holds a watch without news: at the holder for a short time,
+// as each answer tells that there is none, and all others hear that from it.
+func (w *watcher) watchWait() time.Duration {
+	if w.holds() {
+		return holderWatchWait
+	}
+	return watchWait
+}
+
 // gather is the pause that gathers changes: the holder's is shorter, since all
 // others hear from it.
 func (w *watcher) gather(own time.Duration) time.Duration {
@@ -293,7 +244,7 @@
 		return
 	}
 	w.relying = relies
-	w.log.WithFields(logrus.Fields{"from_holder": relies, "heard_ms": clock.Since(w.relayed).Milliseconds(), "servers_age_ms": clock.Since(w.asOf).Milliseconds()}).Info("source of the servers changed")
+	w.log.WithFields(logrus.Fields{"from_holder": relies, "word_ms": clock.Since(w.word).Milliseconds(), "servers_age_ms": clock.Since(w.asOf[platform.PrefixServers]).Milliseconds()}).Info("source of the servers changed")
 }
 
 // note logs when the store is lost and regained.
@@ -307,7 +258,6 @@
 			w.failing = started
 		}
 	} else {
-		w.contact[prefix] = clock.Now()
 		w.failing, w.answered = time.Time{}, started
 	}
 	if down == w.down {
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -91,7 +91,7 @@
 		w.balancer.Forget(server.ID)
 	}
 	if w.dir.ApplyServer(server, clock.Now()) {
-		w.logLeaving(server.ID, "store", w.serversAge(clock.Now()))
+		w.logLeaving(server.ID, "store", w.ageOf(platform.PrefixServers, clock.Now()))
 	}
 	if !known {
 		w.log.WithFields(logrus.Fields{
