--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"github.com/martenport/martenport/store"
 	"maps"
 	"slices"
 	"time"
@@ -135,7 +136,7 @@
 	Fence                  int64
 	SeenViews, SeenServers uint64
 	// Revision is the store's, up to which it knows of servers.
-	Revision int64
+	Revision store.Revision
 }
 
 // News is what the holder says to an instance.
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -76,6 +76,8 @@
 	gaveUp lease.Record
 	// ctx ends when this instance stops; guarded by mu.
 	ctx context.Context
+	// era is the newest era of the store that was heard of, and firstEra the first one; guarded by mu.
+	era, firstEra int64
 
 	renewing sync.Mutex // held while a renewal is on its way
 
@@ -87,12 +89,15 @@
 	outage func() time.Time
 }
 
+// unknownEra is before the store has said anything.
+const unknownEra = -1
+
 // New returns a Holder that does not hold the lease.
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, counts *Counts, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, counts: counts,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, account: newAccount(), workers: map[string]*worker{},
-		ctx: context.Background(), limits: limits.None{}, outage: func() (none time.Time) { return },
+		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), limits: limits.None{}, outage: func() (none time.Time) { return },
 	}
 }
 
--- a/command/holder/limit_test.go
+++ b/command/holder/limit_test.go
@@ -72,7 +72,7 @@
 	written func()
 }
 
-func (s hookedStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (s hookedStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	obj, err := s.Store.Put(ctx, key, value, version)
 	if strings.HasPrefix(key, prefixReplicas) {
 		s.written()
--- a/command/holder/params.go
+++ b/command/holder/params.go
@@ -12,7 +12,9 @@
 type Params struct {
 	// Name is the machine's name and Address where peers reach the instance.
 	Name, Address string
-	Lease         lease.Params
+	// Bootstrap: the whole system starts for the first time.
+	Bootstrap bool
+	Lease     lease.Params
 	// Tick is the interval of the standing work.
 	Tick time.Duration
 	// ReportLag is how old an engine's report may be.
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -19,9 +19,10 @@
 
 // Current reads the lease's record from the store; the zero Record if there is
 // none. A successor counts from when it first knew of the record's revision.
-func (h *Holder) Current(ctx context.Context) (lease.Record, int64, error) {
+func (h *Holder) Current(ctx context.Context) (lease.Record, store.Revision, error) {
 	record, revision, err := store.Read[lease.Record](ctx, h.store, KeyLease)
 	if err == nil {
+		h.EraBegan(revision.Era())
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		h.lease.Saw(revision, clock.Exact())
@@ -29,6 +30,34 @@
 	return record, revision, err
 }
 
+// EraBegan notes the era of the store's word. A lease of an era before is lost: the store does not
+// have the record any more that says so, and may give the lease to another.
+func (h *Holder) EraBegan(era int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.era == unknownEra {
+		h.firstEra = era
+	}
+	if era <= h.era {
+		return
+	}
+	h.era = era
+	if h.lease.EraBegan(era) {
+		record, _ := h.lease.Record()
+		h.log.WithFields(logrus.Fields{"fence": record.Fence, "era": era}).Warn("lease lost: the store came back from a copy")
+	}
+}
+
+// previous needs mu. It returns the record to succeed, as read in an era: where there is none,
+// nobody has held the lease if no copy can have lost the record.
+func (h *Holder) previous(current lease.Record, era int64) lease.Record {
+	first := h.params.Bootstrap && h.firstEra == era
+	if current.Fence == 0 && (first || era == 0) {
+		return lease.None(era)
+	}
+	return current
+}
+
 // Heard notes what another instance has told of the lease.
 func (h *Holder) Heard(s lease.Standing) {
 	h.mu.Lock()
@@ -45,12 +74,17 @@
 
 // TakeOver writes this instance into the record in place of current, which was
 // read at revision. It fails with store.ErrConflict when another was faster.
-func (h *Holder) TakeOver(ctx context.Context, current lease.Record, revision int64, cause string) error {
+func (h *Holder) TakeOver(ctx context.Context, current lease.Record, revision store.Revision, cause string) error {
 	h.mu.Lock()
-	candidate := h.lease.Candidate(current, h.params.Address)
+	era := max(0, h.era, revision.Era())
+	current = h.previous(current, era)
+	candidate := h.lease.Candidate(current, era, h.params.Address)
 	h.mu.Unlock()
 	sent := clock.Now()
 	written, err := store.WriteJSON(ctx, h.store, KeyLease, candidate, revision)
+	if err == nil && written.Era() != era {
+		err = store.ErrConflict // the record is one of an era before to all others
+	}
 	if err != nil {
 		return err
 	}
@@ -61,8 +95,12 @@
 	h.fleet.SetLimits(h.limits)
 	h.fleet.LearnRemoteAtOnce(h.remoteAtOnce)
 	h.account, h.views = newAccount(), views{}
-	h.lender = quota.NewLender(h.params.Quota, current.Fence == 0, current.Left, clock.Now())
-	h.serverLender = quota.NewLender(h.params.ServerQuota, current.Fence == 0, nil, clock.Now())
+	first, left := current.Fence == 0 && !current.CameBack(era), current.Left
+	if current.CameBack(era) {
+		left = nil
+	}
+	h.lender = quota.NewLender(h.params.Quota, first, left, clock.Now())
+	h.serverLender = quota.NewLender(h.params.ServerQuota, first, nil, clock.Now())
 	h.failingSince = time.Time{}
 	for _, w := range h.workers {
 		w.stop()
@@ -100,7 +138,7 @@
 
 // stopOrders gives up the lease and waits for the orders that were checked
 // before to be answered. ok is false if there is nothing to hand over.
-func (h *Holder) stopOrders() (record lease.Record, revision int64, ok bool) {
+func (h *Holder) stopOrders() (record lease.Record, revision store.Revision, ok bool) {
 	h.mu.Lock()
 	if !h.lease.Held() {
 		h.mu.Unlock()
@@ -339,7 +377,7 @@
 
 // adopt reads the record and takes its revision over. It fails with store.ErrConflict if
 // the record is another's.
-func (h *Holder) adopt(ctx context.Context) (revision int64, err error) {
+func (h *Holder) adopt(ctx context.Context) (revision store.Revision, err error) {
 	record, revision, err := h.Current(ctx)
 	if err != nil {
 		return 0, err
--- a/command/intent/intent.go
+++ b/command/intent/intent.go
@@ -94,7 +94,7 @@
 }
 
 // newest reads the accepted declaration from the platform.
-func (i *Intents) newest(ctx context.Context) (*table.Accepted, int64, error) {
+func (i *Intents) newest(ctx context.Context) (*table.Accepted, store.Revision, error) {
 	current, version, err := store.Read[table.Accepted](ctx, i.store, store.KeyConfig)
 	return &current, version, err
 }
@@ -162,7 +162,7 @@
 	return current.Generation - int64(len(current.Plans)-1-at), true
 }
 
-func (i *Intents) accept(ctx context.Context, current *table.Accepted, version int64, id string, source []byte) (*table.Accepted, error) {
+func (i *Intents) accept(ctx context.Context, current *table.Accepted, version store.Revision, id string, source []byte) (*table.Accepted, error) {
 	next := &table.Accepted{
 		Generation: current.Generation + 1, PlanID: id,
 		Plans: append(slices.Clone(current.Plans), id),
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -20,12 +20,22 @@
 // are compared. A holder that releases the lease says when it last ordered which
 // engine, so that its successor waits for those alone.
 //
+// A store that comes back from a copy has a record that says nothing of who has held the lease
+// since the copy, and begins a new era. A lease of the era before is lost to its holder with the first word
+// of that. Records name their era: to one that came back with a copy a successor counts as to an unknown holder,
+// which renewed the lease until the take-over. Fencing tokens have the era in their upper bits, so that
+// none is given out twice.
+//
 // A paused holder may still send one order after its check. That order carries
 // the old token and the engine's sequence that it was decided on; the engine
 // refuses it once the successor has ordered anything there.
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/martenport/martenport/store"
+)
 
 // Record is what the store holds.
 type Record struct {
@@ -37,6 +47,8 @@
 	Address string `json:"address"`
 	// Fence is the fencing token.
 	Fence int64 `json:"fence"`
+	// Era is the store's in which the record was written.
+	Era int64 `json:"era,omitempty"`
 	// Settled: no holder before may order any more. Until then a process of the
 	// holder's that starts anew has to wait like any successor.
 	Settled bool `json:"settled"`
@@ -77,7 +89,7 @@
 	self   string
 
 	record   Record
-	revision int64
+	revision store.Revision
 	held     bool
 	// renewed is when the last confirmed renewal was sent.
 	renewed time.Time
@@ -99,9 +111,11 @@
 // New returns the lease of the instance on the machine named self, not held.
 func New(p Params, self string) *Lease { return &Lease{params: p, self: self} }
 
-// Candidate returns the record to write in place of current to take over.
-func (l *Lease) Candidate(current Record, address string) Record {
-	candidate := Record{Holder: l.self, Address: address, Fence: current.Fence + 1, Settled: l.follows(current), Renewals: 1}
+// Candidate returns the record to write in place of current to take over, in an era of the store.
+func (l *Lease) Candidate(current Record, era int64, address string) Record {
+	fence := max(current.Fence, FirstFence(era)) + 1
+	current = current.asOf(era)
+	candidate := Record{Holder: l.self, Address: address, Fence: fence, Era: era, Settled: l.follows(current), Renewals: 1}
 	if current.Fence != 0 && current.Renewals == 0 {
 		candidate.Renewals = 0
 	}
@@ -116,7 +130,8 @@
 // Won notes that the store has accepted record at revision in place of previous (the
 // zero Record if there was none), which was at revision replaced. sent is when the
 // write was sent, now when its answer came.
-func (l *Lease) Won(previous Record, replaced int64, record Record, revision int64, sent, now time.Time) {
+func (l *Lease) Won(previous Record, replaced store.Revision, record Record, revision store.Revision, sent, now time.Time) {
+	previous = previous.asOf(record.Era)
 	l.record, l.revision, l.held, l.renewed = record, revision, true, sent
 	l.knows = time.Time{}
 	l.others, l.ordered = map[string]time.Time{}, map[string]time.Time{}
@@ -141,7 +156,7 @@
 
 // Renewal returns the record to write, at the revision of the last one, to renew
 // the lease at now.
-func (l *Lease) Renewal(now time.Time) (record Record, revision int64) {
+func (l *Lease) Renewal(now time.Time) (record Record, revision store.Revision) {
 	record = l.record
 	record.Settled = record.Settled || l.settled(now)
 	record.Renewals++
@@ -159,7 +174,7 @@
 }
 
 // Renewed notes that the store has confirmed a renewal that was sent at sent.
-func (l *Lease) Renewed(record Record, revision int64, sent time.Time) {
+func (l *Lease) Renewed(record Record, revision store.Revision, sent time.Time) {
 	if l.held && record.Fence == l.record.Fence && sent.After(l.renewed) {
 		l.record, l.renewed, l.revision = record, sent, revision
 	}
@@ -178,8 +193,8 @@
 // Adopt takes over the record at revision as the store has it, and reports whether it
 // is still this holder's, which has then written it by a renewal without an answer.
 // That renewal counts for nothing: others may have known of the revision for long.
-func (l *Lease) Adopt(record Record, revision int64) bool {
-	if record.Holder != l.self || record.Fence != l.record.Fence || record.Released {
+func (l *Lease) Adopt(record Record, revision store.Revision) bool {
+	if record.Holder != l.self || record.Fence != l.record.Fence || record.Released || revision.Era() != l.revision.Era() {
 		return false
 	}
 	l.record, l.revision = record, revision
@@ -196,7 +211,7 @@
 func (l *Lease) Held() bool { return l.held }
 
 // Record returns the record as last written, and its revision in the store.
-func (l *Lease) Record() (Record, int64) { return l.record, l.revision }
+func (l *Lease) Record() (Record, store.Revision) { return l.record, l.revision }
 
 // OrderFrom returns when the first order may be sent to an engine.
 func (l *Lease) OrderFrom(engine string) time.Time {
@@ -212,7 +227,7 @@
 // Release gives the lease up and returns the record that says so. ok is false
 // if an order that this process does not know of may still count: a successor
 // must then wait as for any other holder.
-func (l *Lease) Release(now time.Time) (record Record, revision int64, ok bool) {
+func (l *Lease) Release(now time.Time) (record Record, revision store.Revision, ok bool) {
 	record, revision = l.record, l.revision
 	ok = l.held && !now.Before(l.from) && !now.Before(l.knows)
 	l.held = false
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"github.com/martenport/martenport/store"
 	"reflect"
 	"slices"
 	"testing"
@@ -34,9 +35,10 @@
 	now := time.Unix(1000, 0)
 	whole := testParams.Validity + testParams.Settle
 	for _, c := range []struct {
-		what               string
-		renewals, replaced int64
-		age, want          time.Duration
+		what      string
+		renewals  int64
+		replaced  store.Revision
+		age, want time.Duration
 	}{
 		{"heard of", 3, 7, 2 * time.Second, whole - 2*time.Second},
 		{"long ago", 3, 7, time.Minute, 0},
@@ -61,13 +63,13 @@
 	now := time.Unix(1000, 0)
 	b := New(testParams, "b")
 	before := Record{Holder: "a", Fence: 1}
-	record := b.Candidate(before, "")
+	record := b.Candidate(before, 0, "")
 	b.Won(before, 7, record, 8, now, now)
 	renewed, _ := b.Renewal(now)
 	for _, c := range []struct {
 		record Record
 		counts bool
-	}{{record, false}, {renewed, true}, {New(testParams, "c").Candidate(renewed, ""), true}, {b.Candidate(Record{}, ""), true}} {
+	}{{record, false}, {renewed, true}, {New(testParams, "c").Candidate(renewed, 0, ""), true}, {b.Candidate(Record{}, 0, ""), true}} {
 		if c.counts != (c.record.Renewals > 0) {
 			t.Errorf("%+v: counted from: %v", c.record, !c.counts)
 		}
@@ -80,7 +82,7 @@
 func TestLostAnswerCountsForNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := New(testParams, "a")
-	record := a.Candidate(Record{}, "")
+	record := a.Candidate(Record{}, 0, "")
 	a.Won(Record{}, 0, record, 1, now, now)
 	lost, _ := a.Renewal(now.Add(time.Second))
 	if !a.Adopt(lost, 2) {
@@ -103,7 +105,7 @@
 func TestNoOrderWithOldRenewal(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(testParams, "a")
-	record := l.Candidate(Record{}, "")
+	record := l.Candidate(Record{}, 0, "")
 	l.Won(Record{}, 0, record, 1, now, now)
 	usable := testParams.Validity - testParams.Transit
 	if _, ok := l.Fence("e", now.Add(usable-time.Millisecond)); !ok {
@@ -134,7 +136,7 @@
 	}
 	b := New(testParams, "b")
 	won := now.Add(2 * time.Second)
-	b.Won(record, 0, b.Candidate(record, ""), 2, won, won)
+	b.Won(record, 0, b.Candidate(record, 0, ""), 2, won, won)
 	// e was ordered 500 ms before the release, and the order may have arrived
 	// Transit later; old's age was told by the holder before.
 	for engine, age := range map[string]time.Duration{"e": 500*time.Millisecond - testParams.Transit, "old": 1100 * time.Millisecond} {
@@ -208,7 +210,7 @@
 type leaseModel struct {
 	now      time.Time
 	record   Record // in the store
-	revision int64
+	revision store.Revision
 	leases   map[string]*Lease
 	last     map[string]sentOrder // by engine
 	arrives  map[string]time.Time // of the last order, by holder
@@ -220,7 +222,7 @@
 type sentRenewal struct {
 	by       *Lease
 	record   Record
-	revision int64 // that it expects, then that it has made
+	revision store.Revision // that it expects, then that it has made
 	at       time.Time
 	done, ok bool
 }
@@ -323,7 +325,7 @@
 	}
 	previous, replaced := m.record, m.revision
 	sent := m.now
-	m.write(l.Candidate(previous, ""))
+	m.write(l.Candidate(previous, 0, ""))
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "answer takes")) * time.Millisecond)
 	l.Won(previous, replaced, m.record, m.revision, sent, m.now)
 }
--- a/command/lease/sighting.go
+++ b/command/lease/sighting.go
@@ -1,12 +1,16 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/martenport/martenport/store"
+)
 
 // Sighting says of a revision of the record that it was there at some time: the renewal
 // that made it had been sent by then, and with it every renewal before. The zero
 // Sighting says nothing.
 type Sighting struct {
-	Revision int64
+	Revision store.Revision
 	// At is by the clock of the instance that keeps the sighting. It must count
 	// suspensions of the machine up to the moment: a time too early would let a
 	// successor order too early.
@@ -24,12 +28,12 @@
 // Standing is a sighting on its way to another instance, whose clock is another: Age is
 // at least how long before it was sent the renewal had been sent.
 type Standing struct {
-	Revision int64
+	Revision store.Revision
 	Age      time.Duration
 }
 
 // Saw notes that the record was at revision at a time.
-func (l *Lease) Saw(revision int64, at time.Time) {
+func (l *Lease) Saw(revision store.Revision, at time.Time) {
 	if s := (Sighting{Revision: revision, At: at}); revision > 0 && s.better(l.seen) {
 		l.seen = s
 	}
@@ -49,7 +53,7 @@
 
 // lastRenewal returns when the holder that was replaced at a revision has sent its last
 // renewal, at the latest.
-func (l *Lease) lastRenewal(previous Record, replaced int64, now time.Time) time.Time {
+func (l *Lease) lastRenewal(previous Record, replaced store.Revision, now time.Time) time.Time {
 	if previous.Renewals == 0 || l.seen.Revision != replaced || l.seen.At.After(now) {
 		return now
 	}
--- a/command/orderer/history_faults_test.go
+++ b/command/orderer/history_faults_test.go
@@ -94,7 +94,7 @@
 // writeLimit is how long an instance waits for the answer to a write.
 const writeLimit = 2 * time.Second
 
-func (s *faultyStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	if s.cut() {
 		return store.Object{}, store.ErrUnavailable
 	}
--- a/command/orderer/orderer.go
+++ b/command/orderer/orderer.go
@@ -65,7 +65,7 @@
 	turn chan struct{}
 
 	record  placement.EngineRecord // guarded by turn
-	version int64                  // guarded by turn; of the record's object
+	version store.Revision         // guarded by turn; of the record's object
 	ledger  *placement.Ledger      // guarded by turn
 	report  backend.Report         // guarded by turn; the newest
 	// incarnation of the engine, and those it had before; guarded by turn.
--- a/command/runonce/runonce.go
+++ b/command/runonce/runonce.go
@@ -72,7 +72,7 @@
 	fingerprint string
 	finished    chan struct{}
 	// version of the platform object; 0 when it could not be created for sure.
-	version int64
+	version store.Revision
 
 	answer []byte // set before finished is closed
 	err    error  // set before finished is closed
--- a/command/runonce/runonce_test.go
+++ b/command/runonce/runonce_test.go
@@ -29,7 +29,7 @@
 	return f.rng.IntN(n)
 }
 
-func (f *flaky) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (f *flaky) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	switch f.roll(10) {
 	case 0:
 		return store.Object{}, store.ErrUnavailable
--- a/daemon/network_test.go
+++ b/daemon/network_test.go
@@ -160,14 +160,14 @@
 	return s.Store.List(ctx, prefix)
 }
 
-func (s cutStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (s cutStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	if err := s.reach(ctx); err != nil {
 		return store.Object{}, err
 	}
 	return s.Store.Put(ctx, key, value, version)
 }
 
-func (s cutStore) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+func (s cutStore) Watch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
 	if err := s.reach(ctx); err != nil {
 		return store.Snapshot{}, err
 	}
--- a/daemon/watch.go
+++ b/daemon/watch.go
@@ -59,7 +59,7 @@
 }
 
 // Put implements store.Store.
-func (w *watchedStore) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (w *watchedStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	obj, err := w.Store.Put(ctx, key, value, version)
 	w.note(err)
 	return obj, err
@@ -83,7 +83,7 @@
 // watchPrefix reads everything once, then watches as long as it is this
 // instance's turn. A gap in the watch is closed by reading anew.
 func (c *Core) watchPrefix(ctx context.Context, prefix string, apply func(store.Object)) {
-	revision := int64(-1)
+	revision := store.Revision(-1)
 	for ctx.Err() == nil {
 		snap, err := c.readOrWatch(ctx, prefix, revision)
 		if err != nil {
@@ -101,7 +101,7 @@
 	}
 }
 
-func (c *Core) readOrWatch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+func (c *Core) readOrWatch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
 	if revision < 0 {
 		return c.store.List(ctx, prefix)
 	}
--- a/directory/born_test.go
+++ b/directory/born_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"github.com/martenport/martenport/store"
 	"testing"
 
 	"github.com/martenport/martenport/serving"
@@ -9,7 +10,7 @@
 // TestBornAgain: a server that starts again under its id is another process: what was known
 // of the one before, and what is still said of it, counts no more.
 func TestBornAgain(t *testing.T) {
-	at := func(born, revision int64, draining bool) serving.Server {
+	at := func(born int64, revision store.Revision, draining bool) serving.Server {
 		return serving.Server{ID: "e", Service: "s", Born: born, Revision: revision, Draining: draining}
 	}
 	unit := serving.Unit{Model: "m"}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,6 +4,7 @@
 package directory
 
 import (
+	"github.com/martenport/martenport/store"
 	"maps"
 	"slices"
 	"sync"
@@ -44,7 +45,10 @@
 	// id, and revision is the store's up to which they are known; guarded by mu.
 	change   uint64
 	changed  map[string]uint64
-	revision int64
+	revision store.Revision
+	// era is the store's, known since eraBegan; guarded by mu.
+	era      int64
+	eraBegan time.Time
 	// noticed is since when it is noticed here which servers are gone, see Complete;
 	// zero before the first listing; guarded by mu.
 	noticed time.Time
@@ -60,7 +64,7 @@
 }
 
 type removal struct {
-	revision int64
+	revision store.Revision
 	at       time.Time
 }
 
@@ -115,7 +119,8 @@
 func (d *Directory) ApplyServer(s serving.Server, now time.Time) (leaves bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if gone, removed := d.removed[s.ID]; removed && s.Revision <= gone.revision {
+	d.noteEra(s.Revision, now)
+	if gone, removed := d.removed[s.ID]; removed && (s.Revision <= gone.revision || d.mayBeCopied(gone, now)) {
 		return false
 	}
 	known, found := d.servers[s.ID]
@@ -153,7 +158,7 @@
 
 // RemoveServer forgets a server whose entry is gone as of revision and reports
 // whether it was known.
-func (d *Directory) RemoveServer(id string, revision int64, now time.Time) bool {
+func (d *Directory) RemoveServer(id string, revision store.Revision, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known, found := d.servers[id]
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"github.com/martenport/martenport/store"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 var start = time.Unix(1000, 0)
 
-func server(id string, revision int64, draining bool) serving.Server {
+func server(id string, revision store.Revision, draining bool) serving.Server {
 	return serving.Server{ID: id, Service: "s", Address: "a", Revision: revision, Draining: draining}
 }
 
@@ -61,7 +62,7 @@
 func TestRelayBringsAll(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		from, to := New(), New()
-		revision, seen := int64(0), uint64(0)
+		revision, seen := store.Revision(0), uint64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			revision++
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"github.com/martenport/martenport/store"
 	"testing"
 	"time"
 
@@ -10,7 +11,7 @@
 // TestLeaveOutlastsEntries: a process that has said that it leaves is draining to its end,
 // whatever entries and other instances say of it, and the one after it under its id is not.
 func TestLeaveOutlastsEntries(t *testing.T) {
-	entry := func(born, revision int64) serving.Server {
+	entry := func(born int64, revision store.Revision) serving.Server {
 		return serving.Server{ID: "e", Service: "s", Born: born, Revision: revision}
 	}
 	for name, born := range map[string]int64{"known birth": 10, "birth not said": 0} {
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"github.com/martenport/martenport/store"
 	"slices"
 	"strconv"
 	"time"
@@ -13,7 +14,7 @@
 // Removal says that a server's entry was gone as of a revision of the store.
 type Removal struct {
 	ID       string
-	Revision int64
+	Revision store.Revision
 }
 
 // Delta is what one instance's directory has that another's has not, of what
@@ -24,7 +25,7 @@
 	Servers []serving.Server
 	Removed []Removal
 	// Revision is the store's, up to which the sender knows of servers.
-	Revision int64
+	Revision store.Revision
 	// Digest is the sender's Digest. A receiver that has another one after it has
 	// taken the delta over lacks something that changes do not tell.
 	Digest uint64
@@ -41,7 +42,7 @@
 // the store up to which that one knows of servers, and all removals that are
 // remembered: those of lapsed entries are found later than their revision says.
 // Revision Everything asks for all servers.
-func (d *Directory) Since(change uint64, revision int64) Delta {
+func (d *Directory) Since(change uint64, revision store.Revision) Delta {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	delta := Delta{Change: d.change, Revision: d.revision, Digest: d.digest, Full: revision == Everything}
@@ -114,16 +115,17 @@
 }
 
 // Revision returns the store's revision up to which servers are known.
-func (d *Directory) Revision() int64 {
+func (d *Directory) Revision() store.Revision {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.revision
 }
 
 // Listed notes the store's revision up to which the servers are known.
-func (d *Directory) Listed(revision int64, now time.Time) {
+func (d *Directory) Listed(revision store.Revision, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.noteEra(revision, now)
 	d.revision = max(d.revision, revision)
 	if d.noticed.IsZero() {
 		d.noticed = now
--- a/entry/access_test.go
+++ b/entry/access_test.go
@@ -217,7 +217,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.applyConfig(store.Snapshot{Objects: []store.Object{{Key: platform.KeyConfig, Version: c.Version, Value: value}}}, false)
+		w.applyConfig(store.Snapshot{Objects: []store.Object{{Key: platform.KeyConfig, Version: store.RevisionOf(0, c.Version), Value: value}}}, false)
 		w.confirm(asked)
 	}
 	apply(config, asOf)
--- a/entry/ages.go
+++ b/entry/ages.go
@@ -72,6 +72,9 @@
 
 // relay takes over the holder's word as of a time.
 func (w *watcher) relay(news holder.News, asOf, now time.Time) {
+	if news.Servers.Revision > 0 {
+		w.heardOfEra(news.Servers.Revision.Era(), false)
+	}
 	applied := w.dir.ApplyDelta(news.Servers, now)
 	for _, id := range applied.Leaving {
 		w.logLeaving(id, "holder", now.Sub(asOf))
@@ -82,6 +85,7 @@
 	w.known(platform.PrefixServers, asOf)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	clear(w.lapsed) // the holder waits for them, and says which are gone
 	if asOf.After(w.word) {
 		w.word, w.lifetime = asOf, w.bound()-rand.N(wordSpread)
 	}
--- a/entry/calls_test.go
+++ b/entry/calls_test.go
@@ -40,7 +40,7 @@
 	return c.Store.List(ctx, prefix)
 }
 
-func (c *countedStore) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+func (c *countedStore) Watch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
 	c.count(prefix)
 	return c.Store.Watch(ctx, prefix, revision)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
@@ -103,19 +104,21 @@
 	})
 	i.balancer = balance.New(balance.DefaultParams())
 	holding := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
+	holding.Bootstrap = s.Bootstrap
 	if window := s.CeilingWindow(); window > 0 {
 		holding.Fleet.RemoteWindow = window
 	}
 	holding.Fleet.RemoteOverage = max(holding.Fleet.RemoteOverage, s.Bounds.CeilingOverage)
 	holding.Quota, holding.ServerQuota = quotaParams(&s), backpressure.QuotaParams()
 	i.holder = holder.New(holding, i.client, i.backends, i.dir, holder.NewCounts(i.set), log)
-	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log}
+	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log, eraBegan: make(chan struct{}, 1)}
 	i.intake = newIntake(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.Listen(i.intake.observe)
 	i.holder.LimitServers(lentLimits{i.intake.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
 	bound := func() time.Duration { return wordLifetime(i.settings.Load()) }
 	i.watcher = newWatcher(i.client, i.dir, i.backends, i.balancer, i.holder.Holds, bound, log)
+	i.watcher.onEra, i.watcher.cameBack = i.holder.EraBegan, i.storeCameBack
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holding.Quota.Lifetime)
 	i.follower.intake = i.intake
 	i.intake.ask, i.intake.report, i.intake.instances = i.follower.turn, i.follower.reportNow, i.follower.knownInstances
@@ -237,10 +240,20 @@
 	return err
 }
 
+// storeCameBack has what this instance wrote be written again: the copy that the store came back
+// from may lack it. told is whether the store has said so, and not another instance.
+func (i *Instance) storeCameBack(told bool) {
+	pause.Wake(i.members.eraBegan)
+	if told {
+		i.keeper.writeAllLater()
+	}
+	i.follower.reportNow()
+}
+
 // control returns the standing work with the store and other instances.
 func (i *Instance) control() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.keeper.runUrgent, i.crashes.runSweep, i.intake.run, i.gate.run, i.members.register,
+		i.watcher.run, i.follower.run, i.holder.Run, i.keeper.run, i.keeper.runUrgent, i.crashes.runSweep, i.intake.run, i.gate.run, i.members.run,
 	}
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -35,12 +35,14 @@
 	store store.Store
 	self  member
 	log   logrus.FieldLogger
+	// eraBegan says that the store has come back from a copy.
+	eraBegan chan struct{}
 
 	mu    sync.Mutex
 	known []member  // guarded by mu
 	read  time.Time // guarded by mu
 	// version is that of this instance's entry, 0 while there is none; guarded by mu.
-	version int64
+	version store.Revision
 }
 
 // membersLifetime is how long the list is taken as read: instances come and go
@@ -50,9 +52,26 @@
 // registerPause is the pause before a failed registration is tried again.
 const registerPause = time.Second
 
+// registerSpread is the time over which all instances register again when the store has come back
+// from a copy.
+const registerSpread = time.Second
+
+// run registers this instance, and again in each era of the store, whose copy may lack the entry.
+func (m *members) run(ctx context.Context) {
+	for {
+		m.register(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.eraBegan:
+		}
+		pause.For(ctx, rand.N(registerSpread))
+	}
+}
+
 // register writes this instance's entry, and tries until that has succeeded.
 func (m *members) register(ctx context.Context) {
-	version := int64(0) // most often there is no entry yet
+	version := store.Revision(0) // most often there is no entry yet
 	for ctx.Err() == nil {
 		written, err := store.WriteJSON(ctx, m.store, prefixMembers+m.self.Name, m.self, version)
 		if err == nil {
@@ -78,7 +97,7 @@
 }
 
 // registered notes the version of this instance's entry.
-func (m *members) registered(version int64) {
+func (m *members) registered(version store.Revision) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.version = version
--- a/entry/quarantine_keeper.go
+++ b/entry/quarantine_keeper.go
@@ -144,6 +144,16 @@
 	}
 }
 
+// writeAllLater has the next write bring the store up to date with all requests that are held: it may
+// have forgotten them.
+func (q *quarantineKeeper) writeAllLater() {
+	for _, r := range q.ledger.List(clock.Now()) {
+		if r.State() != quarantine.Clear {
+			q.writeLater(r.Fingerprint)
+		}
+	}
+}
+
 // Times of the keeper.
 const (
 	// keepInterval is the pause between looks at what is to be told or written.
--- a/entry/simulation_test.go
+++ b/entry/simulation_test.go
@@ -31,6 +31,8 @@
 	stored    *memoryListener
 	instances []*simulated
 	site      site
+	// sequence counts the entries written.
+	sequence int
 
 	mu    sync.Mutex
 	peers map[string]*memoryListener // by address; guarded by mu
@@ -106,6 +108,7 @@
 	settings := platform.Settings{NodeName: fmt.Sprintf("node-%d", machine), IP: fmt.Sprintf("10.0.%d.%d", machine/200, 1+machine%200), Zone: string(rune('a' + machine%3)), InternalPorts: []int{7380, 7390}}
 	settings.Bounds.DrainMS, settings.Bounds.LeaseMS, settings.Bounds.GraceS = int(s.site.drain.Milliseconds()), int(simulatedLease.Milliseconds()), 8
 	settings.Platform.Address, settings.Limits.CPUShare = "10.8.0.1:80", 1
+	settings.Bootstrap = true
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	network := network{
@@ -185,11 +188,12 @@
 // announce writes a server's entry.
 func (s *simulation) announce(id, state string) {
 	ctx, key := context.Background(), platform.PrefixServers+id
-	version := int64(0)
+	version := store.Revision(0)
 	if obj, err := s.store.Get(ctx, key); err == nil {
 		version = obj.Version
 	}
-	entry := fmt.Sprintf(`{"service":"plain","address":"10.9.0.1:80","zone":"a","version":"v1","slots":6,"state":%q,"coldLeftMs":0,"sequence":1,"born":1}`, state)
+	s.sequence++
+	entry := fmt.Sprintf(`{"service":"plain","address":"10.9.0.1:80","zone":"a","version":"v1","slots":6,"state":%q,"coldLeftMs":0,"sequence":%d,"born":1}`, state, s.sequence)
 	if _, err := s.store.Put(ctx, key, []byte(entry), version); err != nil {
 		s.t.Fatal(err)
 	}
@@ -211,6 +215,27 @@
 	})
 }
 
+// comeBack has the store be away for a moment and come back from a copy. Servers and operators
+// write again what it lacks.
+func (s *simulation) comeBack(c standin.Copy) {
+	s.store.SetDown(true)
+	time.Sleep(300 * time.Millisecond)
+	s.store.Restore(c, platform.PrefixServers, "config/")
+	s.store.SetDown(false)
+}
+
+// remove removes a server's entry.
+func (s *simulation) remove(id string) {
+	ctx, key := context.Background(), platform.PrefixServers+id
+	obj, err := s.store.Get(ctx, key)
+	if err == nil {
+		err = s.store.Delete(ctx, key, obj.Version)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
 // memoryListener accepts connections within the process.
 type memoryListener struct {
 	conns chan net.Conn
--- a/entry/succession.go
+++ b/entry/succession.go
@@ -59,12 +59,12 @@
 // look reads who the holder is, by an answer that may be seconds old: a new holder also
 // announces itself. Whatever this instance then does about the lease rests on a fresh one.
 func (f *follower) look(ctx context.Context) {
-	record, _, ok := f.readRecord(store.AllowStale(ctx))
+	record, revision, ok := f.readRecord(store.AllowStale(ctx))
 	if !ok {
 		return
 	}
 	own := record.Holder == f.name && !f.holder.Holds()
-	if record.Fence == 0 || record.Released || own {
+	if record.Vacant(revision.Era()) || own {
 		f.find(ctx)
 	}
 }
@@ -75,8 +75,8 @@
 	if !ok {
 		return
 	}
-	if record.Fence == 0 || record.Released {
-		f.takeFree(ctx, record)
+	if record.Vacant(revision.Era()) {
+		f.takeFree(ctx, record, revision.Era())
 	} else if record.Holder == f.name && !f.holder.Holds() {
 		f.takeOver(ctx, record, revision, "own")
 	}
@@ -84,7 +84,7 @@
 
 // readRecord reads and takes over the lease's record. ok is false if the store does not
 // answer, which its client logs.
-func (f *follower) readRecord(ctx context.Context) (record lease.Record, revision int64, ok bool) {
+func (f *follower) readRecord(ctx context.Context) (record lease.Record, revision store.Revision, ok bool) {
 	record, revision, err := f.holder.Current(ctx)
 	if err != nil {
 		return record, revision, false
@@ -110,20 +110,24 @@
 	f.holder.Deposed(record.Fence)
 }
 
-// takeFree takes over a lease that nobody holds, if no stronger instance does
-// first.
-func (f *follower) takeFree(ctx context.Context, seen lease.Record) {
+// takeFree takes over a lease that nobody holds by the record, read in an era of the store, if no
+// stronger instance does first.
+func (f *follower) takeFree(ctx context.Context, seen lease.Record, era int64) {
 	if seen.Fence == 0 && !pause.For(ctx, firstWait) {
 		return
 	}
-	if !f.yield(ctx) || f.knownFence() > seen.Fence {
+	if !f.yield(ctx) || f.knownFence() > max(seen.Fence, lease.FirstFence(era)) {
 		return // ended, or another has announced itself
 	}
 	record, revision, err := f.holder.Current(ctx)
 	if err != nil || record.Fence != seen.Fence {
 		return // the store is away, or another was faster
 	}
-	f.takeOver(ctx, record, revision, "free")
+	cause := "free"
+	if record.CameBack(revision.Era()) {
+		cause = "came back from a copy"
+	}
+	f.takeOver(ctx, record, revision, cause)
 }
 
 // knownFence is the fencing token of the newest holder that is known.
@@ -182,7 +186,7 @@
 		return
 	}
 	record, revision, err := f.holder.Current(ctx)
-	if err != nil || record.Holder != suspect {
+	if err != nil || record.Holder != suspect && !record.CameBack(revision.Era()) {
 		return // the store is away, or another was faster
 	}
 	f.takeOver(ctx, record, revision, "silent")
@@ -233,7 +237,7 @@
 	f.leaving = true
 }
 
-func (f *follower) takeOver(ctx context.Context, record lease.Record, revision int64, cause string) {
+func (f *follower) takeOver(ctx context.Context, record lease.Record, revision store.Revision, cause string) {
 	f.mu.Lock()
 	leaving := f.leaving
 	f.mu.Unlock()
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -72,15 +72,22 @@
 	newestUnreadable bool
 	// asOf is as of when what the store has under a prefix is known here; guarded by mu.
 	asOf map[string]time.Time
+	// era is the store's, and eraBegan when it was first heard of; guarded by mu.
+	era      int64
+	eraBegan time.Time
+	// onEra is told of each new era, and cameBack of each but the first one that is heard of: whether
+	// the store has said so to this instance.
+	onEra    func(era int64)
+	cameBack func(told bool)
 	// lapsed are servers whose entries are missing, with the revision of that.
-	lapsed map[string]int64 // guarded by mu
+	lapsed map[string]store.Revision // guarded by mu
 }
 
 // newWatcher returns a watcher; bound returns how old the holder's word may become.
 func newWatcher(s store.Store, dir *directory.Directory, b *platform.Backends, balancer *balance.Balancer, holds func() bool, bound func() time.Duration, log logrus.FieldLogger) *watcher {
 	return &watcher{
 		store: s, dir: dir, backends: b, balancer: balancer, holds: holds, bound: bound, log: log, news: make(chan struct{}, 1),
-		failed: map[string]bool{}, asOf: map[string]time.Time{}, lapsed: map[string]int64{},
+		era: unknownEra, onEra: func(int64) {}, cameBack: func(bool) {}, failed: map[string]bool{}, asOf: map[string]time.Time{}, lapsed: map[string]store.Revision{},
 	}
 }
 
@@ -137,7 +144,7 @@
 // holder's word is not relied on. full is whether apply gets all objects or only
 // changes.
 func (w *watcher) watch(ctx context.Context, prefix string, gather time.Duration, apply func(snap store.Snapshot, full bool)) {
-	revision := int64(-1)
+	revision := store.Revision(-1)
 	retry := watchRetry
 	for ctx.Err() == nil {
 		if w.rests(ctx, prefix) {
@@ -161,6 +168,7 @@
 			continue
 		}
 		retry = watchRetry
+		w.heardOfEra(snap.Revision.Era(), true)
 		apply(snap, revision < 0)
 		if prefix == platform.KeyConfig {
 			w.confirm(started)
@@ -171,6 +179,9 @@
 		}
 		w.known(prefix, asOf)
 		revision = snap.Revision
+		if w.listsAgain(prefix, started) {
+			revision = -1
+		}
 		if len(snap.Objects) > 0 {
 			pause.For(ctx, w.gather(gather)-clock.Since(started))
 		}
@@ -226,7 +237,7 @@
 	pause.Until(ctx, relayCheck, w.news)
 }
 
-func (w *watcher) readOrWatch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+func (w *watcher) readOrWatch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
 	if revision < 0 {
 		return w.store.List(ctx, prefix)
 	}
--- a/entry/watched.go
+++ b/entry/watched.go
@@ -46,6 +46,9 @@
 // the newest cannot be read, that does not make the one in force current: it may have keys
 // that the newest has not.
 func (w *watcher) confirm(asOf time.Time) {
+	if w.newEra(directory.LapseGrace) {
+		return // the copy may have an older one, and the newest is written again
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if config := w.dir.Config(); config != nil && !w.newestUnreadable {
@@ -119,7 +122,7 @@
 }
 
 // missing removes a server whose entry is gone, or waits while it may be back.
-func (w *watcher) missing(id string, revision int64) {
+func (w *watcher) missing(id string, revision store.Revision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.down || clock.Since(w.returned) < directory.LapseGrace {
@@ -130,7 +133,7 @@
 }
 
 // remove needs mu.
-func (w *watcher) remove(id string, revision int64) {
+func (w *watcher) remove(id string, revision store.Revision) {
 	delete(w.lapsed, id)
 	if w.dir.RemoveServer(id, revision, clock.Now()) {
 		w.forget(id, revision)
@@ -138,7 +141,7 @@
 }
 
 // forget drops what was kept for a server that is gone.
-func (w *watcher) forget(id string, revision int64) {
+func (w *watcher) forget(id string, revision store.Revision) {
 	w.crashes.entryGone(id, w.dir.Drained(id))
 	w.backends.Forget(id)
 	w.balancer.Forget(id)
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -29,7 +29,7 @@
 
 	mu       sync.Mutex
 	objects  map[string]store.Object // guarded by mu
-	revision int64                   // guarded by mu
+	revision store.Revision          // the last one given out; guarded by mu
 	changed  chan struct{}           // guarded by mu; closed at each change
 	down     bool                    // guarded by mu
 	delay    time.Duration           // guarded by mu
@@ -119,7 +119,7 @@
 }
 
 // Put implements store.Store.
-func (p *Platform) Put(ctx context.Context, key string, value []byte, version int64) (store.Object, error) {
+func (p *Platform) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
 	p.Writes.Add(1)
 	if err := p.enter(ctx); err != nil {
 		return store.Object{}, err
@@ -136,7 +136,7 @@
 }
 
 // Delete implements store.Store.
-func (p *Platform) Delete(ctx context.Context, key string, version int64) error {
+func (p *Platform) Delete(ctx context.Context, key string, version store.Revision) error {
 	p.Writes.Add(1)
 	if err := p.enter(ctx); err != nil {
 		return err
@@ -175,7 +175,7 @@
 }
 
 // liveVersion is the version of an object, 0 when it does not exist.
-func liveVersion(obj store.Object) int64 {
+func liveVersion(obj store.Object) store.Revision {
 	if obj.Deleted {
 		return 0
 	}
@@ -183,7 +183,7 @@
 }
 
 // changes needs mu.
-func (p *Platform) changes(prefix string, after int64, deleted bool) store.Snapshot {
+func (p *Platform) changes(prefix string, after store.Revision, deleted bool) store.Snapshot {
 	snap := store.Snapshot{Revision: p.revision}
 	for key, obj := range p.objects {
 		if strings.HasPrefix(key, prefix) && obj.Version > after && (deleted || !obj.Deleted) {
@@ -195,12 +195,12 @@
 }
 
 // Watch implements store.Store.
-func (p *Platform) Watch(ctx context.Context, prefix string, revision int64) (store.Snapshot, error) {
+func (p *Platform) Watch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
 	return p.watch(ctx, prefix, revision, watchWait)
 }
 
 // watch waits for a change for so long.
-func (p *Platform) watch(ctx context.Context, prefix string, revision int64, wait time.Duration) (store.Snapshot, error) {
+func (p *Platform) watch(ctx context.Context, prefix string, revision store.Revision, wait time.Duration) (store.Snapshot, error) {
 	p.Watches.Add(1)
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -211,6 +211,9 @@
 		p.mu.Lock()
 		snap, changed, deaf := p.changes(prefix, revision, true), p.changed, p.deaf
 		p.mu.Unlock()
+		if revision.Era() != snap.Revision.Era() || revision > snap.Revision {
+			return snap, store.ErrCompacted
+		}
 		if deaf {
 			<-ctx.Done()
 			return store.Snapshot{}, store.ErrUnknown
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -43,7 +43,8 @@
 }
 
 // Handler serves the platform over its HTTP protocol. POST /fault?down=true,
-// ?delay=1s and ?lose=3 set its faults.
+// ?delay=1s and ?lose=3 set its faults; ?copy=true keeps a copy, and ?restore=true has it come
+// back from that.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}", p.serveKind)
@@ -59,12 +60,12 @@
 
 func encodeObject(obj store.Object) storedObject {
 	_, name, _ := strings.Cut(obj.Key, "/")
-	return storedObject{Metadata: objectMetadata{Name: name, Revision: obj.Version, Finalizers: []string{}}, Spec: obj.Value}
+	return storedObject{Metadata: objectMetadata{Name: name, Revision: obj.Version.Number(), Finalizers: []string{}}, Spec: obj.Value}
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	obj, err := p.Get(r.Context(), objectKey(r))
-	answerPlatform(w, encodeObject(obj), err)
+	p.respond(w, obj.Version, encodeObject(obj), err)
 }
 
 // serveKind lists a kind in one page, or waits for its changes.
@@ -75,21 +76,21 @@
 		return
 	}
 	snap, err := p.List(r.Context(), prefix)
-	page := objectList{Items: []storedObject{}, StoreRevision: snap.Revision}
+	page := objectList{Items: []storedObject{}, StoreRevision: snap.Revision.Number()}
 	for _, obj := range snap.Objects {
 		page.Items = append(page.Items, encodeObject(obj))
 	}
-	answerPlatform(w, page, err)
+	p.respond(w, snap.Revision, page, err)
 }
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
 	wait := time.Duration(formInt(r, "waitMs")) * time.Millisecond
-	snap, err := p.watch(r.Context(), prefix, formInt(r, "watch"), wait)
-	page := objectEvents{Events: []objectEvent{}, StoreRevision: snap.Revision}
+	snap, err := p.watch(r.Context(), prefix, p.current(formInt(r, "watch")), wait)
+	page := objectEvents{Events: []objectEvent{}, StoreRevision: snap.Revision.Number()}
 	for _, obj := range snap.Objects {
 		page.Events = append(page.Events, objectEvent{Object: encodeObject(obj), Deleted: obj.Deleted})
 	}
-	answerPlatform(w, page, err)
+	p.respond(w, snap.Revision, page, err)
 }
 
 func (p *Platform) serveCreate(w http.ResponseWriter, r *http.Request) { p.write(w, r, true) }
@@ -107,17 +108,17 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	key, version := objectKey(r), obj.Metadata.Revision
+	key, version := objectKey(r), p.current(obj.Metadata.Revision)
 	if create {
 		key, version = r.PathValue("kind")+"/"+obj.Metadata.Name, 0
 	}
 	stored, err := p.Put(r.Context(), key, obj.Spec, version)
-	answerPlatform(w, encodeObject(stored), err)
+	p.respond(w, stored.Version, encodeObject(stored), err)
 }
 
 func (p *Platform) serveDelete(w http.ResponseWriter, r *http.Request) {
-	err := p.Delete(r.Context(), objectKey(r), formInt(r, "revision"))
-	answerPlatform(w, storedObject{Spec: json.RawMessage("null")}, err)
+	err := p.Delete(r.Context(), objectKey(r), p.current(formInt(r, "revision")))
+	p.respond(w, 0, storedObject{Spec: json.RawMessage("null")}, err)
 }
 
 func (p *Platform) serveFault(w http.ResponseWriter, r *http.Request) {
@@ -139,7 +140,27 @@
 	return n
 }
 
-func answerPlatform(w http.ResponseWriter, v any, err error) {
+// current returns the revision that a call means by a number; 0 is that of no object.
+func (p *Platform) current(number int64) store.Revision {
+	if number == 0 {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return store.RevisionOf(p.revision.Era(), number)
+}
+
+// eraHeader has the platform's era, in all answers.
+const eraHeader = "Store-Era"
+
+// respond answers as of a revision, 0 if what is answered has none.
+func (p *Platform) respond(w http.ResponseWriter, as store.Revision, v any, err error) {
+	if as == 0 || err != nil {
+		p.mu.Lock()
+		as = p.revision
+		p.mu.Unlock()
+	}
+	w.Header().Set(eraHeader, strconv.FormatInt(as.Era(), 10))
 	switch {
 	case err == nil:
 		writeJSON(w, v)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -124,7 +124,7 @@
 func (s *Server) Announce(ctx context.Context, p store.Store, every time.Duration) {
 	for {
 		key := platform.PrefixServers + s.params.ID
-		version := int64(0)
+		version := store.Revision(0)
 		if obj, err := p.Get(ctx, key); err == nil {
 			version = obj.Version
 		}
--- a/serving/server.go
+++ b/serving/server.go
@@ -1,6 +1,10 @@
 package serving
 
-import "time"
+import (
+	"time"
+
+	"github.com/martenport/martenport/store"
+)
 
 // Server is a backend server as it announces itself.
 type Server struct {
@@ -11,7 +15,7 @@
 	// Version of its software.
 	Version string
 	// Revision is the store's revision of this announcement.
-	Revision      int64
+	Revision      store.Revision
 	FailureDomain string
 	Slots         int
 	// Draining servers get no new requests.
--- a/store/store.go
+++ b/store/store.go
@@ -27,15 +27,15 @@
 // Object is one stored value. Version is the platform's revision of the last
 // write to it and never repeats, also not after a deletion.
 type Object struct {
-	Key     string `json:"key"`
-	Version int64  `json:"version"`
-	Value   []byte `json:"value"`
-	Deleted bool   `json:"deleted,omitempty"`
+	Key     string   `json:"key"`
+	Version Revision `json:"version"`
+	Value   []byte   `json:"value"`
+	Deleted bool     `json:"deleted,omitempty"`
 }
 
 // Snapshot is a set of objects read at one revision.
 type Snapshot struct {
-	Revision int64    `json:"revision"`
+	Revision Revision `json:"revision"`
 	Objects  []Object `json:"objects"`
 }
 
@@ -55,11 +55,11 @@
 	List(ctx context.Context, prefix string) (Snapshot, error)
 	// Put writes value if the object's version is still version, 0 meaning
 	// that it must not exist. It fails with ErrConflict otherwise.
-	Put(ctx context.Context, key string, value []byte, version int64) (Object, error)
+	Put(ctx context.Context, key string, value []byte, version Revision) (Object, error)
 	// Delete removes the object if its version is still version.
-	Delete(ctx context.Context, key string, version int64) error
+	Delete(ctx context.Context, key string, version Revision) error
 	// Watch waits until objects under prefix changed after revision and
 	// returns their newest state, deleted ones included. It returns an empty
 	// snapshot when nothing changed within the platform's waiting time.
-	Watch(ctx context.Context, prefix string, revision int64) (Snapshot, error)
+	Watch(ctx context.Context, prefix string, revision Revision) (Snapshot, error)
 }
--- a/store/write.go
+++ b/store/write.go
@@ -23,7 +23,7 @@
 // sent again, which is harmless since only one of them can meet the version,
 // and a conflict is read back and compared with value. It returns ErrUnknown
 // only when the platform stayed silent.
-func Write(ctx context.Context, s Store, key string, value []byte, version int64) (Object, error) {
+func Write(ctx context.Context, s Store, key string, value []byte, version Revision) (Object, error) {
 	obj, err := s.Put(ctx, key, value, version)
 	unsure := errors.Is(err, ErrUnknown)
 	wait := resolvePause
@@ -73,7 +73,7 @@
 // Read decodes the JSON value under key and returns it with its version, 0 when
 // there is none. The value is always a fresh one: decoding into a value that
 // was used before would keep what the new one leaves out.
-func Read[T any](ctx context.Context, s Store, key string) (T, int64, error) {
+func Read[T any](ctx context.Context, s Store, key string) (T, Revision, error) {
 	var v T
 	obj, err := s.Get(ctx, key)
 	if errors.Is(err, ErrNotFound) {
@@ -89,7 +89,7 @@
 }
 
 // WriteJSON encodes v and calls Write.
-func WriteJSON(ctx context.Context, s Store, key string, v any, version int64) (int64, error) {
+func WriteJSON(ctx context.Context, s Store, key string, v any, version Revision) (Revision, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return 0, errors.Wrapf(err, "store: value of %s", key)
