An entry that goes is waited for only if the store was away

Cause: an entry that is missing is waited for 2.2 s after the store's return, since entries lapse while the store is away. What counted as its return was the first call of the instance that succeeded after one that had failed. And a watch that was not answered counted as a store that is away, at the holder, too.

Mend: the store was away only if a plain call failed; it is back as of the holder's word that is newer than the last such call, too.

--- a/entry/ages.go
+++ b/entry/ages.go
@@ -85,6 +85,9 @@
 	w.known(platform.PrefixServers, asOf)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if asOf.After(w.lastFailed) {
+		w.regained(asOf, "holder")
+	}
 	clear(w.lapsed) // the holder waits for them, and says which are gone
 	if asOf.After(w.word) {
 		w.word, w.lifetime = asOf, w.bound()-rand.N(wordSpread)
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -35,12 +35,14 @@
 
 // TestLeavingUnheardAfterStoreCameBack: revisions that are given out again keep nobody from hearing that a server leaves.
 func TestLeavingUnheardAfterStoreCameBack(t *testing.T) {
-	inEras(t, func(_ *testing.T, s *simulation) {
+	inEras(t, func(t *testing.T, s *simulation) {
 		copied := s.store.Copy()
 		s.change()
 		time.Sleep(2 * time.Second)
 		s.comeBack(copied)
-		s.checkHeardInTime(nil)
+		if last := s.lastToKnow("p1", s.drain, nil); last > s.site.drain {
+			t.Errorf("the last instance knows after %s, want at most %s", last, s.site.drain)
+		}
 	})
 }
 
--- a/entry/leaving_late_test.go
+++ b/entry/leaving_late_test.go
@@ -5,6 +5,13 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // atPhases runs a test in fleets that rely on their holder, from several moments between reports and watches on.
@@ -22,12 +29,15 @@
 	}
 }
 
-// checkHeardInTime has a server leave, and checks that all instances but one know within the bound.
+// checkHeardInTime has two servers leave, of which one says so and the entry of the other goes, and
+// checks that all instances but one know within the bound.
 func (s *simulation) checkHeardInTime(except *simulated) {
 	s.t.Helper()
-	last := s.lastToKnow("p1", except)
-	s.t.Logf("the last of %d instances knows after %s", len(s.instances), last)
-	if last > s.site.drain {
+	time.AfterFunc(time.Millisecond, func() { s.remove("p2") })
+	last := s.lastToKnow("p1", s.drain, except)
+	gone := s.lastToKnow("p2", func(string) {}, except) + last
+	s.t.Logf("the last of %d instances knows of one after %s, of the other after %s", len(s.instances), last, gone)
+	if last = max(last, gone); last > s.site.drain {
 		s.t.Errorf("the last instance knows after %s, want at most %s", last, s.site.drain)
 	}
 }
@@ -77,3 +87,18 @@
 		s.checkHeardInTime(nil)
 	})
 }
+
+// TestGoneServerKeptByOldOutage: an entry that goes long after an instance last missed the store, which others reached since, is not waited for.
+func TestGoneServerKeptByOldOutage(t *testing.T) {
+	w := newTestWatcher(nil, directory.New(), discardLog())
+	now := clock.Now()
+	failed := now.Add(-2 * directory.LapseGrace)
+	w.apply(serving.Server{ID: "p1", Service: "plain", Revision: 1})
+	w.note(platform.PrefixServers, failed, false, store.ErrUnavailable)
+	w.relay(holder.News{Servers: directory.Delta{Revision: 1, Digest: w.dir.Digest()}}, failed.Add(time.Millisecond), now)
+	w.note(platform.PrefixServers, now, false, nil)
+	w.applyServers(store.Snapshot{Revision: 2}, true)
+	if _, known := w.dir.Server("p1"); known {
+		t.Error("waited for, though the store was there all the time")
+	}
+}
--- a/entry/simulation_test.go
+++ b/entry/simulation_test.go
@@ -199,14 +199,17 @@
 	}
 }
 
-// lastToKnow has a server leave, and returns how long after that the last instance knows, but for one.
-func (s *simulation) lastToKnow(id string, except *simulated) time.Duration {
+// lastToKnow has a server leave by a change of its entry, and returns how long after that the last instance knows, but for one.
+func (s *simulation) lastToKnow(id string, leave func(id string), except *simulated) time.Duration {
 	left := time.Now()
-	s.announce(id, "draining")
+	leave(id)
 	s.await("all know that the server leaves", time.Minute, func() bool { return s.allKnowLeaving(id, except) })
 	return time.Since(left)
 }
 
+// drain has a server say in its entry that it leaves.
+func (s *simulation) drain(id string) { s.announce(id, "draining") }
+
 // allKnowLeaving reports whether no instance but one would send requests to a server.
 func (s *simulation) allKnowLeaving(id string, except *simulated) bool {
 	return !slices.ContainsFunc(s.instances, func(i *simulated) bool {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -46,10 +46,11 @@
 	news chan struct{}
 
 	mu sync.Mutex
-	// down is whether the last call failed, and returned when calls succeeded
-	// again; guarded by mu.
-	down     bool
-	returned time.Time
+	// down is whether the store was not there when it was last heard of, and returned when it was
+	// again: by own calls, of which the last that failed was begun at lastFailed, or by the
+	// holder's word; guarded by mu.
+	down                 bool
+	returned, lastFailed time.Time
 	// failed is whether the last call for a prefix failed; guarded by mu.
 	failed map[string]bool
 	// failing is when the first call was begun that failed since the last
@@ -157,7 +158,7 @@
 		started := clock.Exact()
 		wait := w.watchWait()
 		snap, err := w.readOrWatch(store.WaitAtMost(ctx, wait), prefix, revision)
-		w.note(prefix, started, err)
+		w.note(prefix, started, revision >= 0, err)
 		if err != nil && revision >= 0 {
 			revision = -1 // all is listed: the store answers that even where a watch hears nothing
 			continue
@@ -258,29 +259,39 @@
 	w.log.WithFields(logrus.Fields{"from_holder": relies, "word_ms": clock.Since(w.word).Milliseconds(), "servers_age_ms": clock.Since(w.asOf[platform.PrefixServers]).Milliseconds()}).Info("source of the servers changed")
 }
 
-// note logs when the store is lost and regained.
-func (w *watcher) note(prefix string, started time.Time, err error) {
+// note notes how a call ended that was begun at started. A watch that was not answered says
+// nothing of the store, which the reading after it does.
+func (w *watcher) note(prefix string, started time.Time, watching bool, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	down := err != nil && !errors.Is(err, store.ErrCompacted)
-	w.failed[prefix] = down
-	if down {
-		if w.failing.IsZero() {
-			w.failing = started
-		}
-	} else {
+	failed := err != nil && !errors.Is(err, store.ErrCompacted)
+	w.failed[prefix] = failed
+	if !failed {
 		w.failing, w.answered = time.Time{}, started
+		w.regained(clock.Now(), "own call")
+		return
+	}
+	if w.failing.IsZero() {
+		w.failing = started
 	}
-	if down == w.down {
+	if watching {
 		return
 	}
-	w.down = down
-	if down {
+	w.lastFailed = started
+	if !w.down {
+		w.down = true
 		w.log.WithFields(logrus.Fields{"watch": prefix, "error": err}).Warn("store lost")
+	}
+}
+
+// regained needs mu. It notes that the store was there at a time, by whose word: entries that
+// lapsed before may be back in a moment.
+func (w *watcher) regained(at time.Time, source string) {
+	if !w.down {
 		return
 	}
-	w.returned = clock.Now()
-	w.log.WithField("watch", prefix).Info("store regained")
+	w.down, w.returned = false, at
+	w.log.WithField("source", source).Info("store regained")
 }
 
 // allFailed reports whether the last call for a prefix failed, and that for the configuration,
