Walks of lease and directory with a store that comes back from a copy

lease TestOneHolderOrdersAtATime draws copies and returns at every step, renewals that meet a number which another has by then, and checks that no token is used by two holders: 30,000 walks. It found that a removal in a later era was not told to those that knew of one before, so that they went on holding the server back; and that a server which was announced again right before a return is held back for its grace by instances that had not heard of that: they differ until all is asked for after it, which the walk asks for where a return was drawn. The age of the configuration counts from when the store stopped holding the watch without news.

--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -194,7 +194,7 @@
 // lower token never comes after a higher one, and two machines' orders are Settle apart.
 func TestOneHolderOrdersAtATime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &leaseModel{now: time.Unix(1000, 0), leases: map[string]*Lease{}, last: map[string]sentOrder{}, arrives: map[string]time.Time{}}
+		m := &leaseModel{now: time.Unix(1000, 0), leases: map[string]*Lease{}, last: map[string]sentOrder{}, arrives: map[string]time.Time{}, tokens: map[int64]string{}}
 		for _, name := range modelInstances {
 			m.leases[name] = New(testParams, name)
 		}
@@ -216,6 +216,16 @@
 	arrives  map[string]time.Time // of the last order, by holder
 	sent     []*sentRenewal       // not carried out, or not answered
 	told     []toldStanding       // on their way
+	// tokens is who has ordered with each fencing token.
+	tokens map[int64]string
+	// copied is what a copy of the store has.
+	copied storedRecord
+}
+
+// storedRecord is the record with its revision.
+type storedRecord struct {
+	record   Record
+	revision store.Revision
 }
 
 // sentRenewal is a renewal on its way to the store, or its answer on the way back.
@@ -237,7 +247,7 @@
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "passes")) * time.Millisecond)
 	name := rapid.SampledFrom(modelInstances).Draw(t, "instance")
 	l := m.leases[name]
-	actions := []string{"order", "order", "order", "renew", "renew", "store", "store", "answer", "look", "tell", "hear", "take", "release", "restart"}
+	actions := []string{"order", "order", "order", "renew", "renew", "store", "store", "answer", "look", "tell", "hear", "take", "release", "restart", "copy", "come back"}
 	switch rapid.SampledFrom(actions).Draw(t, "action") {
 	case "order":
 		m.order(t, name, l)
@@ -251,7 +261,11 @@
 	case "answer":
 		m.answer(t)
 	case "look":
-		l.Saw(m.revision, m.now)
+		m.look(l)
+	case "copy":
+		m.copied = storedRecord{m.record, m.revision}
+	case "come back":
+		m.record, m.revision = m.copied.record, store.RevisionOf(m.revision.Era()+1, m.copied.revision.Number())
 	case "tell":
 		m.told = append(m.told, toldStanding{to: rapid.SampledFrom(modelInstances).Draw(t, "to"), standing: l.Standing(m.now)})
 	case "hear":
@@ -275,6 +289,12 @@
 	}
 }
 
+// look has an instance hear of the store's era and of the record's revision.
+func (m *leaseModel) look(l *Lease) {
+	l.EraBegan(m.revision.Era())
+	l.Saw(m.revision, m.now)
+}
+
 func (m *leaseModel) write(record Record) {
 	if !reflect.DeepEqual(record, m.record) {
 		m.record = record
@@ -292,8 +312,10 @@
 		return
 	}
 	s.done, s.ok = true, s.revision == m.revision
-	if s.ok {
+	if s.revision.Number() == m.revision.Number() { // also if another has it in this era
 		m.write(s.record)
+	}
+	if s.ok {
 		s.revision = m.revision
 	}
 }
@@ -312,7 +334,7 @@
 	case s.ok:
 		s.by.Renewed(s.record, s.revision, s.at)
 	case s.by.Held():
-		s.by.Saw(m.revision, m.now)
+		m.look(s.by)
 		if !s.by.Adopt(m.record, m.revision) {
 			s.by.Lost()
 		}
@@ -323,9 +345,10 @@
 	if l.Held() {
 		return
 	}
+	m.look(l)
 	previous, replaced := m.record, m.revision
 	sent := m.now
-	m.write(l.Candidate(previous, 0, ""))
+	m.write(l.Candidate(previous, replaced.Era(), ""))
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "answer takes")) * time.Millisecond)
 	l.Won(previous, replaced, m.record, m.revision, sent, m.now)
 }
@@ -337,6 +360,10 @@
 	if !ok {
 		return
 	}
+	if other, used := m.tokens[fence]; used && other != name {
+		t.Fatalf("%s and %s order with one token, %d", other, name, fence)
+	}
+	m.tokens[fence] = name
 	l.Ordered(engine, m.now)
 	transit := time.Duration(rapid.IntRange(0, int(testParams.Transit.Milliseconds())-1).Draw(t, "transit")) * time.Millisecond
 	o := sentOrder{holder: name, fence: fence, at: m.now.Add(transit)}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -120,7 +120,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.noteEra(s.Revision, now)
-	if gone, removed := d.removed[s.ID]; removed && (s.Revision <= gone.revision || d.mayBeCopied(gone, now)) {
+	if gone, removed := d.removed[s.ID]; removed && (s.Revision <= gone.revision || d.mayBeCopied(s.Revision, gone, now)) {
 		return false
 	}
 	known, found := d.servers[s.ID]
@@ -165,12 +165,15 @@
 	if found && known.Revision > revision {
 		return false
 	}
-	d.removed[id] = removal{revision: max(revision, d.removed[id].revision), at: now}
+	before, removed := d.removed[id]
+	d.removed[id] = removal{revision: max(revision, before.revision), at: now}
 	delete(d.servers, id)
 	delete(d.views, id)
 	delete(d.lacks, id)
 	if found {
 		d.digest ^= digestOf(known)
+	}
+	if found || removed && before.revision.Era() < revision.Era() {
 		d.touch(id)
 	}
 	return found
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -66,7 +66,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			revision++
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "server")
-			switch rapid.SampledFrom([]string{"announce", "announce", "drain", "remove", "lapse", "list", "relay", "relay"}).Draw(t, "what") {
+			switch rapid.SampledFrom([]string{"announce", "announce", "drain", "remove", "lapse", "list", "relay", "relay", "come back"}).Draw(t, "what") {
 			case "announce":
 				from.ApplyServer(server(id, revision, false), start)
 			case "drain":
@@ -75,6 +75,9 @@
 				from.RemoveServer(id, revision, start)
 			case "lapse": // found later than its revision says
 				from.RemoveServer(id, revision-1, start)
+			case "come back":
+				revision = store.RevisionOf(revision.Era()+1, revision.Number()/2)
+				from.Listed(revision, start)
 			case "list": // the other one asks the store itself
 				from.Listed(revision, start)
 				for _, s := range from.All() {
@@ -94,6 +97,9 @@
 			}
 		}
 		to.ApplyDelta(from.Since(seen, to.Revision()), start)
+		if revision.Era() > 0 && from.Digest() != to.Digest() { // then all is asked for, until entries of before are gone
+			to.ApplyDelta(from.Since(0, Everything), start.Add(CopiedGrace))
+		}
 		if from.Digest() != to.Digest() {
 			t.Fatal("digests differ after everything was relayed")
 		}
--- a/directory/era.go
+++ b/directory/era.go
@@ -17,8 +17,8 @@
 	}
 }
 
-// mayBeCopied needs mu. It reports whether the entry of a server that was removed may be one of
-// before, which came back with a copy of the store.
-func (d *Directory) mayBeCopied(gone removal, now time.Time) bool {
-	return gone.revision.Era() < d.era && now.Sub(d.eraBegan) < CopiedGrace
+// mayBeCopied needs mu. It reports whether the entry at a revision, of a server that was removed,
+// may be one of before, which came back with a copy of the store.
+func (d *Directory) mayBeCopied(r store.Revision, gone removal, now time.Time) bool {
+	return gone.revision.Era() < r.Era() && now.Sub(d.eraBegan) < CopiedGrace
 }
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -171,14 +171,14 @@
 		retry = watchRetry
 		w.heardOfEra(snap.Revision.Era(), true)
 		apply(snap, revision < 0)
-		if prefix == platform.KeyConfig {
-			w.confirm(started)
-		}
 		asOf := started
 		if revision >= 0 && len(snap.Objects) == 0 {
 			asOf = heldUntil(started, wait, clock.Exact())
 		}
 		w.known(prefix, asOf)
+		if prefix == platform.KeyConfig {
+			w.confirm(asOf)
+		}
 		revision = snap.Revision
 		if w.listsAgain(prefix, started) {
 			revision = -1
