--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -35,6 +35,7 @@
 	delay    time.Duration           // guarded by mu
 	lose     int                     // guarded by mu; answers of writes still to lose
 	deaf     bool                    // guarded by mu; watches are not answered
+	copied   Copy                    // the copy that was asked for last; guarded by mu
 }
 
 // NewPlatform returns an empty platform.
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -44,7 +44,7 @@
 
 // Handler serves the platform over its HTTP protocol. POST /fault?down=true,
 // ?delay=1s and ?lose=3 set its faults; ?copy=true keeps a copy, and ?restore=true has it come
-// back from that.
+// back from that, with what is under each "again" written again.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}", p.serveKind)
@@ -132,6 +132,18 @@
 	if query.Has("lose") {
 		p.LoseAnswers(int(formInt(r, "lose")))
 	}
+	if query.Get("copy") == "true" {
+		copied := p.Copy()
+		p.mu.Lock()
+		p.copied = copied
+		p.mu.Unlock()
+	}
+	if query.Get("restore") == "true" {
+		p.mu.Lock()
+		copied := p.copied
+		p.mu.Unlock()
+		p.Restore(copied, query["again"]...)
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -62,10 +62,10 @@
 }
 
 // certain are the faults of each run: kept connections under a changing idle limit, a request
-// that ends engines, a server that says something of itself, and then a failing service while all
-// instances are killed.
+// that ends engines, a server that says something of itself, a failing service while all
+// instances are killed, and a store that comes back from a copy.
 func (r *run) certain(ctx context.Context) []timed {
-	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 10, r.poisonFault(ctx)}, {r.params.For / 5, r.sayFault(ctx, r.random.IntN(len(r.servers)))}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}}
+	return []timed{{0, r.lowerIdle(ctx)}, {r.params.For / 10, r.poisonFault(ctx)}, {r.params.For / 5, r.sayFault(ctx, r.random.IntN(len(r.servers)))}, {r.params.For * 2 / 5, r.killAll(ctx, plain)}, {r.params.For * 4 / 5, r.drill(ctx)}}
 }
 
 // disturbances are what proxies do; mute comes twice, since lost answers break
