--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -76,6 +76,38 @@
 	}
 }
 
+// TestStartOfAllAfterCopy: instances that all start anew before a store that came back from a copy, of before the first lease, or
+// with one of before, find a holder, which waits for the one that may have been there.
+func TestStartOfAllAfterCopy(t *testing.T) {
+	for name, leased := range map[string]bool{"no lease in the copy": false, "lease in the copy": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimulation(t, smallSite)
+				copied := s.store.Copy()
+				token := s.holder().Instance.holder.Fence()
+				if !leased {
+					copied = s.emptyCopy
+				}
+				for _, i := range s.instances {
+					i.stop()
+				}
+				s.instances, s.restarted = nil, true
+				s.comeBack(copied)
+				for i := range s.site.instances {
+					s.add(i)
+				}
+				s.await("all rely on a holder", 30*time.Second, s.settled)
+				if next := s.holder().Instance.holder; next.Fence() <= token || next.Settled(time.Now()) {
+					t.Errorf("token %d after %d, settled at once: %t", next.Fence(), token, next.Settled(time.Now()))
+				}
+				if last := s.lastToKnow("p1", s.drain, nil); last > s.site.drain {
+					t.Errorf("a leaving server is known after %s", last)
+				}
+			})
+		})
+	}
+}
+
 // TestGoneServerIsUsedByCopy: the entry of a server that is gone, which came back with a copy, does not have it be used; if it
 // stays, the server is there again.
 func TestGoneServerIsUsedByCopy(t *testing.T) {
--- a/entry/leaving_late_test.go
+++ b/entry/leaving_late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,6 +89,22 @@
 	})
 }
 
+// TestConfigurationLateBySilentWatch: a watch that is never answered keeps no instance from a new configuration.
+func TestConfigurationLateBySilentWatch(t *testing.T) {
+	atPhases(t, func(t *testing.T, s *simulation) {
+		s.store.DeafenWatches(true)
+		time.AfterFunc(20*time.Second, func() { s.store.DeafenWatches(false) })
+		written := time.Now()
+		s.configure(2)
+		s.await("the configuration in force", time.Minute, func() bool {
+			return !slices.ContainsFunc(s.instances, func(i *simulated) bool { return i.dir.Config().Version < 2 })
+		})
+		if last := time.Since(written); last > s.site.drain {
+			t.Errorf("in force after %s, want at most %s", last, s.site.drain)
+		}
+	})
+}
+
 // TestGoneServerKeptByOldOutage: an entry that goes long after an instance last missed the store, which others reached since, is not waited for.
 func TestGoneServerKeptByOldOutage(t *testing.T) {
 	w := newTestWatcher(nil, directory.New(), discardLog())
--- a/entry/simulation_test.go
+++ b/entry/simulation_test.go
@@ -31,6 +31,10 @@
 	stored    *memoryListener
 	instances []*simulated
 	site      site
+	// emptyCopy is of the store before the instances.
+	emptyCopy standin.Copy
+	// restarted: the system was started before.
+	restarted bool
 	// sequence counts the entries written.
 	sequence int
 
@@ -50,7 +54,8 @@
 // site is what a deployment asks for.
 type site struct {
 	instances int
-	// drain is how long after its word a server may get requests.
+	// drain is how long after its word a server may get requests, and until when a configuration
+	// has to be in force.
 	drain time.Duration
 }
 
@@ -87,6 +92,7 @@
 	s.configure(1)
 	s.announce("p1", "ready")
 	s.announce("p2", "ready")
+	s.emptyCopy = s.store.Copy()
 	for i := range deployed.instances {
 		s.add(i)
 	}
@@ -108,7 +114,7 @@
 	settings := platform.Settings{NodeName: fmt.Sprintf("node-%d", machine), IP: fmt.Sprintf("10.0.%d.%d", machine/200, 1+machine%200), Zone: string(rune('a' + machine%3)), InternalPorts: []int{7380, 7390}}
 	settings.Bounds.DrainMS, settings.Bounds.LeaseMS, settings.Bounds.GraceS = int(s.site.drain.Milliseconds()), int(simulatedLease.Milliseconds()), 8
 	settings.Platform.Address, settings.Limits.CPUShare = "10.8.0.1:80", 1
-	settings.Bootstrap = true
+	settings.Bootstrap, settings.Bounds.ConfigApplyMS = !s.restarted, settings.Bounds.DrainMS
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	network := network{
