A server that leaves while it is asked does not get the request

What callers would see: a request reaches a server that has said that it leaves later than the bound, by the time that the questions before a send take: a consultation of the holder for a request under which a server ended (up to 0.4 s), a turn at a server that limits what it takes (0.3 s). The directory is asked once more right before the send, and another server is chosen. forward TestServerLeavesMeanwhile fails without it (sent to the server that leaves); go test ./command/forward passes.

--- a/command/forward/intake_test.go
+++ b/command/forward/intake_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/quota"
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -22,6 +23,8 @@
 	// after is when to ask again, spare what was asked for requests that can go elsewhere.
 	after                  time.Duration
 	spare, returned, asked int
+	// meanwhile is called while a server is asked.
+	meanwhile func(s serving.Server)
 }
 
 func (i *fakeIntake) RetryAfterUntil(s serving.Server) time.Time { return i.rests[s.ID] }
@@ -33,6 +36,9 @@
 
 func (i *fakeIntake) Admit(_ context.Context, s serving.Server, t quota.Turn, _ bool) Admission {
 	i.asked++
+	if i.meanwhile != nil {
+		i.meanwhile(s)
+	}
 	if t.Spare {
 		i.spare++
 	}
@@ -93,6 +99,25 @@
 	}
 }
 
+// TestServerLeavesMeanwhile: a server that is known to leave while it is asked whether it takes the request does not get it.
+func TestServerLeavesMeanwhile(t *testing.T) {
+	f := newFixture(t, reply{status: 200, body: "done"})
+	f.intake.limits = map[string]int{"s1": 9, "s2": 9, "s3": 9}
+	left := ""
+	f.intake.meanwhile = func(s serving.Server) {
+		if left == "" {
+			left = s.ID
+			f.dir.Leave(directory.Leaver{ID: s.ID, Born: s.Born}, clock.Now())
+		}
+	}
+	if _, failure := f.serve("unsafe", "", 0); failure != nil {
+		t.Fatal(failure)
+	}
+	if sent := f.servers.attempts[0].Server.ID; sent == left || f.intake.returned != 1 {
+		t.Errorf("sent to %s, which leaves; given back %d times, want 1", sent, f.intake.returned)
+	}
+}
+
 // TestRestAskedMeanwhile: a server that asks for rest while a request is on its way to it is not
 // sent what comes after, though it was chosen before.
 func TestRestAskedMeanwhile(t *testing.T) {
--- a/command/forward/trip.go
+++ b/command/forward/trip.go
@@ -119,7 +119,8 @@
 		if !admitted {
 			continue
 		}
-		if !t.admit(ctx, server) {
+		if !t.admit(ctx, server) || t.leftMeanwhile(server) {
+			t.returnAdmission()
 			t.endTrial(server, false)
 			continue
 		}
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -84,3 +84,10 @@
 const maxPauses = 4
 
 func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+// leftMeanwhile reports whether a server that was chosen is known to leave, or to be gone, since: the
+// questions before a send may take hundreds of milliseconds.
+func (t *trip) leftMeanwhile(server serving.Server) bool {
+	known, live := t.f.dir.Server(server.ID)
+	return !live || known.Draining
+}
