--- a/entry/ages.go
+++ b/entry/ages.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// answeredAsOf notes that the store has answered all that it had under a prefix at a time.
+func (w *watcher) answeredAsOf(prefix string, asOf time.Time) {
+	w.known(prefix, asOf)
+	if prefix == platform.KeyConfig {
+		w.confirm(asOf)
+	}
+}
+
 // heldUntil returns a time until which a watch, begun at started and answered without events at
 // now, was held by the store, which does so for wait.
 func heldUntil(started time.Time, wait time.Duration, now time.Time) time.Time {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -175,10 +175,7 @@
 		if revision >= 0 && len(snap.Objects) == 0 {
 			asOf = heldUntil(started, wait, clock.Exact())
 		}
-		w.known(prefix, asOf)
-		if prefix == platform.KeyConfig {
-			w.confirm(asOf)
-		}
+		w.answeredAsOf(prefix, asOf)
 		revision = snap.Revision
 		if w.listsAgain(prefix, started) {
 			revision = -1
