No timer for no pause; the simulation's list of instances has a lock

go test -race of the new tests ended twice: once by SIGSEGV in the runtime (timer.maybeRunChan, called by the select of pause.For with a pause of 0, in a synctest bubble; seen once, in TestLeavingUnheardWhileWatchesAreSilent/79; a first run failed, too, its output was not kept), once by a race of the test's own list, and by a log line whose revision reads 0.7 now. A pause of nothing makes no timer any more, which is what the crashed select waited for.

--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -51,15 +51,12 @@
 	for _, killed := range []bool{false, true} {
 		inEras(t, func(t *testing.T, s *simulation) {
 			copied := s.store.Copy()
-			first := s.holder()
-			first.stop()
-			s.instances = slices.DeleteFunc(s.instances, func(i *simulated) bool { return i == first })
+			s.takeOut(s.holder())
 			s.await("another holder", 30*time.Second, func() bool { return s.holder() != nil })
 			lost := s.holder()
 			token := lost.Instance.holder.Fence()
 			if killed {
-				lost.stop()
-				s.instances = slices.DeleteFunc(s.instances, func(i *simulated) bool { return i == lost })
+				s.takeOut(lost)
 			}
 			s.comeBack(copied)
 			s.await("a holder by the store's new record", 30*time.Second, func() bool {
@@ -88,10 +85,8 @@
 				if !leased {
 					copied = s.emptyCopy
 				}
-				for _, i := range s.instances {
-					i.stop()
-				}
-				s.instances, s.restarted = nil, true
+				s.takeOut(s.all()...)
+				s.restarted = true
 				s.comeBack(copied)
 				for i := range s.site.instances {
 					s.add(i)
@@ -115,7 +110,7 @@
 		copied := s.store.Copy()
 		s.remove("p2")
 		used := func() bool {
-			return slices.ContainsFunc(s.instances, func(i *simulated) bool { _, known := i.dir.Server("p2"); return known })
+			return slices.ContainsFunc(s.all(), func(i *simulated) bool { _, known := i.dir.Server("p2"); return known })
 		}
 		s.await("the server is gone", 10*time.Second, func() bool { return !used() })
 		s.store.SetDown(true)
@@ -129,7 +124,7 @@
 			}
 		}
 		s.await("the server is there again", 30*time.Second, func() bool {
-			return !slices.ContainsFunc(s.instances, func(i *simulated) bool { _, known := i.dir.Server("p2"); return !known })
+			return !slices.ContainsFunc(s.all(), func(i *simulated) bool { _, known := i.dir.Server("p2"); return !known })
 		})
 	})
 }
@@ -144,7 +139,7 @@
 		s.comeBack(copied)
 		s.await("all are registered", 10*time.Second, func() bool {
 			snap, err := s.store.List(context.Background(), prefixMembers)
-			return err == nil && len(snap.Objects) == len(s.instances)
+			return err == nil && len(snap.Objects) == len(s.all())
 		})
 	})
 }
@@ -155,7 +150,7 @@
 		copied := s.store.Copy()
 		s.announce("p3", "ready")
 		known := func() bool {
-			return !slices.ContainsFunc(s.instances, func(i *simulated) bool { _, known := i.dir.Server("p3"); return !known })
+			return !slices.ContainsFunc(s.all(), func(i *simulated) bool { _, known := i.dir.Server("p3"); return !known })
 		}
 		s.await("the server is known", 10*time.Second, known)
 		s.store.SetDown(true)
--- a/entry/leaving_late_test.go
+++ b/entry/leaving_late_test.go
@@ -37,7 +37,7 @@
 	time.AfterFunc(time.Millisecond, func() { s.remove("p2") })
 	last := s.lastToKnow("p1", s.drain, except)
 	gone := s.lastToKnow("p2", func(string) {}, except) + last
-	s.t.Logf("the last of %d instances knows of one after %s, of the other after %s", len(s.instances), last, gone)
+	s.t.Logf("the last of %d instances knows of one after %s, of the other after %s", len(s.all()), last, gone)
 	if last = max(last, gone); last > s.site.drain {
 		s.t.Errorf("the last instance knows after %s, want at most %s", last, s.site.drain)
 	}
@@ -67,7 +67,7 @@
 		holder := s.holder()
 		holder.way.set(true)
 		time.Sleep(20 * time.Millisecond)
-		started := time.AfterFunc(s.site.drain/3, func() { s.add(len(s.instances)) })
+		started := time.AfterFunc(s.site.drain/3, func() { s.add(s.site.instances) })
 		defer started.Stop()
 		s.checkHeardInTime(holder)
 		time.Sleep(s.site.drain)
@@ -82,7 +82,7 @@
 	atPhases(t, func(_ *testing.T, s *simulation) {
 		s.store.DeafenWatches(true)
 		time.AfterFunc(time.Second, func() { s.store.DeafenWatches(false) })
-		for _, i := range s.instances {
+		for _, i := range s.all() {
 			i.way.silence()
 		}
 		s.checkHeardInTime(nil)
@@ -97,7 +97,7 @@
 		written := time.Now()
 		s.configure(2)
 		s.await("the configuration in force", time.Minute, func() bool {
-			return !slices.ContainsFunc(s.instances, func(i *simulated) bool { return i.dir.Config().Version < 2 })
+			return !slices.ContainsFunc(s.all(), func(i *simulated) bool { return i.dir.Config().Version < 2 })
 		})
 		if last := time.Since(written); last > s.site.drain {
 			t.Errorf("in force after %s, want at most %s", last, s.site.drain)
--- a/entry/leaving_log_test.go
+++ b/entry/leaving_log_test.go
@@ -28,7 +28,7 @@
 	if n := strings.Count(logs.String(), "server leaving"); n != 1 {
 		t.Errorf("%d lines, want 1: %s", n, &logs)
 	}
-	for _, field := range []string{"server=e1", "source=holder", "revision=7", "servers_age_ms=800"} {
+	for _, field := range []string{"server=e1", "source=holder", "revision=0.7", "servers_age_ms=800"} {
 		if !strings.Contains(logs.String(), field) {
 			t.Errorf("%s is missing: %s", field, &logs)
 		}
--- a/entry/simulation_test.go
+++ b/entry/simulation_test.go
@@ -29,7 +29,6 @@
 	store     *standin.Platform
 	storeHTTP *http.Server
 	stored    *memoryListener
-	instances []*simulated
 	site      site
 	// emptyCopy is of the store before the instances.
 	emptyCopy standin.Copy
@@ -38,8 +37,26 @@
 	// sequence counts the entries written.
 	sequence int
 
-	mu    sync.Mutex
-	peers map[string]*memoryListener // by address; guarded by mu
+	mu        sync.Mutex
+	instances []*simulated               // guarded by mu
+	peers     map[string]*memoryListener // by address; guarded by mu
+}
+
+// all returns the instances that were not taken out.
+func (s *simulation) all() []*simulated {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.instances)
+}
+
+// takeOut stops instances.
+func (s *simulation) takeOut(out ...*simulated) {
+	for _, i := range out {
+		i.stop()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.instances = slices.DeleteFunc(s.instances, func(i *simulated) bool { return slices.Contains(out, i) })
 }
 
 // simulated is one instance.
@@ -103,7 +120,7 @@
 // settled reports whether there is one holder, and all others rely on it.
 func (s *simulation) settled() bool {
 	now := time.Now()
-	return s.holder() != nil && !slices.ContainsFunc(s.instances, func(i *simulated) bool {
+	return s.holder() != nil && !slices.ContainsFunc(s.all(), func(i *simulated) bool {
 		return !i.Instance.holder.Holds() && !i.watcher.relies(now)
 	})
 }
@@ -137,6 +154,8 @@
 		l.end()
 		work.Wait()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.instances = append(s.instances, i)
 	return i
 }
@@ -153,10 +172,9 @@
 
 // end stops everything, so that the bubble can end.
 func (s *simulation) end() {
-	for _, i := range s.instances {
-		i.stop()
-	}
-	for _, i := range s.instances {
+	instances := s.all()
+	s.takeOut(instances...)
+	for _, i := range instances {
 		i.follower.pool.Close()
 	}
 	_ = s.storeHTTP.Close()
@@ -166,11 +184,12 @@
 
 // holder returns the instance that holds the lease, nil if none does.
 func (s *simulation) holder() *simulated {
-	i := slices.IndexFunc(s.instances, func(i *simulated) bool { return i.Instance.holder.Holds() })
+	instances := s.all()
+	i := slices.IndexFunc(instances, func(i *simulated) bool { return i.Instance.holder.Holds() })
 	if i < 0 {
 		return nil
 	}
-	return s.instances[i]
+	return instances[i]
 }
 
 // await lets virtual time pass until something holds.
@@ -218,7 +237,7 @@
 
 // allKnowLeaving reports whether no instance but one would send requests to a server.
 func (s *simulation) allKnowLeaving(id string, except *simulated) bool {
-	return !slices.ContainsFunc(s.instances, func(i *simulated) bool {
+	return !slices.ContainsFunc(s.all(), func(i *simulated) bool {
 		server, known := i.dir.Server(id)
 		return i != except && known && !server.Draining
 	})
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -8,6 +8,9 @@
 
 // For waits for d and reports whether it passed before ctx ended.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
