--- a/command/holder/account.go
+++ b/command/holder/account.go
@@ -1,7 +1,6 @@
 package holder
 
 import (
-	"github.com/martenport/martenport/store"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // Arrivals are requests for one model since the last word.
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -1,13 +1,14 @@
 package lease
 
 import (
-	"github.com/martenport/martenport/store"
 	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/martenport/martenport/store"
 )
 
 var testParams = Params{Validity: 2500 * time.Millisecond, Transit: 500 * time.Millisecond, Settle: 3200 * time.Millisecond}
--- a/directory/born_test.go
+++ b/directory/born_test.go
@@ -1,10 +1,10 @@
 package directory
 
 import (
-	"github.com/martenport/martenport/store"
 	"testing"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // TestBornAgain: a server that starts again under its id is another process: what was known
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,13 +4,13 @@
 package directory
 
 import (
-	"github.com/martenport/martenport/store"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // Directory is the knowledge of one instance.
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -1,13 +1,13 @@
 package directory
 
 import (
-	"github.com/martenport/martenport/store"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 var start = time.Unix(1000, 0)
--- a/directory/era_test.go
+++ b/directory/era_test.go
@@ -20,8 +20,7 @@
 	}
 }
 
-// TestGoneServerOfferedByCopy: an entry that came back with a copy counts for nothing while the platform may not have
-// removed it, and a word of the era in which the server went does.
+// TestGoneServerOfferedByCopy: an entry that came back counts for nothing in its grace, and a word of the era before does.
 func TestGoneServerOfferedByCopy(t *testing.T) {
 	d := New()
 	d.ApplyServer(server("x", store.RevisionOf(0, 100), false), start)
--- a/directory/leaving_test.go
+++ b/directory/leaving_test.go
@@ -1,11 +1,11 @@
 package directory
 
 import (
-	"github.com/martenport/martenport/store"
 	"testing"
 	"time"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // TestLeaveOutlastsEntries: a process that has said that it leaves is draining to its end,
--- a/directory/relay.go
+++ b/directory/relay.go
@@ -1,7 +1,6 @@
 package directory
 
 import (
-	"github.com/martenport/martenport/store"
 	"slices"
 	"strconv"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 )
 
 // Removal says that a server's entry was gone as of a revision of the store.
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// TestStartOfAllAfterCopy: instances that all start anew before a store that came back from a copy, of before the first lease, or
-// with one of before, find a holder, which waits for the one that may have been there.
+// TestStartOfAllAfterCopy: instances that all start anew after a return find a holder, which waits for one of before.
 func TestStartOfAllAfterCopy(t *testing.T) {
 	for name, leased := range map[string]bool{"no lease in the copy": false, "lease in the copy": true} {
 		t.Run(name, func(t *testing.T) {
@@ -103,8 +102,7 @@
 	}
 }
 
-// TestGoneServerIsUsedByCopy: the entry of a server that is gone, which came back with a copy, does not have it be used; if it
-// stays, the server is there again.
+// TestGoneServerIsUsedByCopy: a server that is gone is not used by an entry that came back, unless that stays.
 func TestGoneServerIsUsedByCopy(t *testing.T) {
 	inEras(t, func(t *testing.T, s *simulation) {
 		copied := s.store.Copy()
--- a/entry/leaving_late_test.go
+++ b/entry/leaving_late_test.go
@@ -77,7 +77,7 @@
 	})
 }
 
-// TestLeavingHeardLateBySilentConnections: watches fall silent, and so do, for good, all open connections to the store; new ones work.
+// TestLeavingHeardLateBySilentConnections: watches and all open connections to the store fall silent; new ones work.
 func TestLeavingHeardLateBySilentConnections(t *testing.T) {
 	atPhases(t, func(_ *testing.T, s *simulation) {
 		s.store.DeafenWatches(true)
@@ -105,7 +105,7 @@
 	})
 }
 
-// TestGoneServerKeptByOldOutage: an entry that goes long after an instance last missed the store, which others reached since, is not waited for.
+// TestGoneServerKeptByOldOutage: an entry that goes long after the store was last missed is not waited for.
 func TestGoneServerKeptByOldOutage(t *testing.T) {
 	w := newTestWatcher(nil, directory.New(), discardLog())
 	now := clock.Now()
