A run alone whose grant is lost is over at once

Cause, by the test's lines: the holder's answers came later than the 0.4 s that an instance waits. It had granted a run alone, the instance had given up the question and refused the request, and the holder let no other run alone for that one's longest time, 4.4 s: the run that decides whether the request is quarantined came so much later. Ruled out: an end that was nobody's (all six are counted), a run in doubt (none was reported before). The instance now tells the holder that it is over where the answer was lost. entry TestTrialHeldByLostGrant fails without that and passes.

--- a/entry/trial.go
+++ b/entry/trial.go
@@ -23,6 +23,7 @@
 	var reply TrialReply
 	args := &TrialArgs{Trial: t, Version: version, LongestMS: longest.Milliseconds(), Known: f.ledger.Known(t.Fingerprint, clock.Now())}
 	if err := f.call(ctx, record, wantTimeout, methodTrial, args, &reply); err != nil {
+		go f.endTrial(t, false) // it may have been granted, and then no other runs until it is over
 		return false, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	f.raised(f.ledger.Take(reply.Known, clock.Now()))
