--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -89,9 +89,6 @@
 	outage func() time.Time
 }
 
-// unknownEra is before the store has said anything.
-const unknownEra = -1
-
 // New returns a Holder that does not hold the lease.
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, counts *Counts, log logrus.FieldLogger) *Holder {
 	return &Holder{
--- a/command/holder/tenure.go
+++ b/command/holder/tenure.go
@@ -30,34 +30,6 @@
 	return record, revision, err
 }
 
-// EraBegan notes the era of the store's word. A lease of an era before is lost: the store does not
-// have the record any more that says so, and may give the lease to another.
-func (h *Holder) EraBegan(era int64) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.era == unknownEra {
-		h.firstEra = era
-	}
-	if era <= h.era {
-		return
-	}
-	h.era = era
-	if h.lease.EraBegan(era) {
-		record, _ := h.lease.Record()
-		h.log.WithFields(logrus.Fields{"fence": record.Fence, "era": era}).Warn("lease lost: the store came back from a copy")
-	}
-}
-
-// previous needs mu. It returns the record to succeed, as read in an era: where there is none,
-// nobody has held the lease if no copy can have lost the record.
-func (h *Holder) previous(current lease.Record, era int64) lease.Record {
-	first := h.params.Bootstrap && h.firstEra == era
-	if current.Fence == 0 && (first || era == 0) {
-		return lease.None(era)
-	}
-	return current
-}
-
 // Heard notes what another instance has told of the lease.
 func (h *Holder) Heard(s lease.Standing) {
 	h.mu.Lock()
