--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -127,10 +127,25 @@
 	draining chan struct{}
 }
 
+// Dependencies are what a Forwarder works with. All fields are required.
+type Dependencies struct {
+	Directory *directory.Directory
+	Sender    serving.Sender
+	Placer    Placer
+	Balancer  *balance.Balancer
+	Budget    *Budget
+	Guard     Guard
+	Access    Access
+	Limiter   ServerLimiter
+	Counts    *Counts
+	Log       logrus.FieldLogger
+}
+
 // New returns a Forwarder.
-func New(p Params, dir *directory.Directory, s serving.Sender, placer Placer, b *balance.Balancer, budget *Budget, guard Guard, a Access, limiter ServerLimiter, counts *Counts, log logrus.FieldLogger) *Forwarder {
+func New(p Params, d Dependencies) *Forwarder {
 	return &Forwarder{
-		params: p, dir: dir, sender: s, placer: placer, balancer: b, budget: budget, guard: guard, access: a, limiter: limiter, counts: counts, log: log,
+		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
+		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log,
 		draining: make(chan struct{}),
 	}
 }
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -131,8 +131,11 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir, guard: &fakeGuard{}, limiter: &fakeServerLimiter{}, access: &fakeAccess{dir: dir}}
-	f.forwarder = New(DefaultParams("d"), dir, f.servers, f.placer, balance.New(balance.DefaultParams()),
-		newFilledBudget(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), f.guard, f.access, f.limiter, NewCounts(metrics.NewSet()), log)
+	f.forwarder = New(DefaultParams("d"), Dependencies{
+		Directory: dir, Sender: f.servers, Placer: f.placer, Balancer: balance.New(balance.DefaultParams()),
+		Budget: newFilledBudget(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), Guard: f.guard, Access: f.access,
+		Limiter: f.limiter, Counts: NewCounts(metrics.NewSet()), Log: log,
+	})
 	return f
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -140,7 +140,11 @@
 	i.follower.budget, i.follower.domain = i.budget, s.RetryBudgetDomain()
 	i.counts = forward.NewCounts(i.set)
 	i.access = newAccessControl(i.follower, i.settings.Load, i.set)
-	i.forwarder = forward.New(forward.DefaultParams(s.Zone), i.dir, i.backends, i.follower, i.balancer, i.budget, &crashGuard{crashDetector: i.crashes, follower: i.follower}, i.access, i.limiter, i.counts, log)
+	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
+		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
+		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
+		Counts: i.counts, Log: log,
+	})
 	i.clients = newClientServer(i.closeWhileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
 	return i
--- a/serving/config.go
+++ b/serving/config.go
@@ -103,9 +103,11 @@
 	byHost map[string][]*Route
 	byName map[string]*Workspace
 	byKey  map[KeyDigest]*Workspace
+	// contended has the services for which Contended reports true.
+	contended map[string]bool
 }
 
-// Index prepares the configuration for Match, Workspace and WorkspaceOf. It must be called once, before the
+// Index prepares the configuration for Match, Contended, Workspace and WorkspaceOf. It must be called once, before the
 // configuration is shared. It fails if a workspace has no name or an empty key, or if two workspaces share a name or
 // a key.
 func (c *Config) Index() error {
@@ -116,6 +118,7 @@
 		host := normalizeHost(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
+	c.contended = c.contendedServices()
 	return c.indexWorkspaces()
 }
 
