command/holder: decide loads for a bounded share of the time

Cause: each question for a model that no engine serves, and each ended operation, decided all loads anew, whatever was asked. Under many questions the holder's time went there while its answers waited for the same lock.

Change: command/overload.Pacer. A decision runs at once after a pause; the pause after it is four times what it took, 50 ms at most, and requests within the pause share the decision at its end. Questions within the pause are answered from the record. The tick's decision counts as one.

Existing test code: benchHolder takes a testing.TB, so that tests use it. BenchmarkWant is unchanged; it asks engines that have not been read, so no decision is made there.

--- a/command/holder/bench_test.go
+++ b/command/holder/bench_test.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/overload"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/standin"
@@ -25,7 +26,7 @@
 
 // benchHolder returns a holder that holds the lease over engines with three loaded models each, which have 17 models
 // on their disks.
-func benchHolder(b *testing.B) *Holder {
+func benchHolder(b testing.TB) *Holder {
 	b.Helper()
 	spec := &serving.EngineSpec{Slots: 12, MemoryMB: 310, AdapterSlots: 8, RemoteLoadsPerSecond: 48, Models: map[string]serving.Model{}}
 	for i := range benchModels {
@@ -112,3 +113,24 @@
 		}
 	}
 }
+
+// BenchmarkWantUnplaced measures one call for a model that waits for the weight store, while engines are free: the call
+// for which loads are decided. With pacing, calls that come faster than the decision are answered from the record.
+func BenchmarkWantUnplaced(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		pacing overload.PacerParams
+	}{{"pacing=off", overload.PacerParams{}}, {"pacing=on", overload.PacerParams{PauseFactor: dispatchPauseFactor, MaxPause: maxDispatchPause}}} {
+		b.Run(c.name, func(b *testing.B) {
+			h := loadableHolder(b)
+			h.pacing.pacer = overload.NewPacer(c.pacing)
+			for i := 0; b.Loop(); i++ {
+				unit := serving.Unit{Model: fmt.Sprintf("m%d", firstRemote+i%6)}
+				if _, _, err := h.Want(Request{Service: "llm", Unit: unit, Waiting: replicas.Waiting{Instance: "instance-1", OnTime: 1}}, time.Now()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(h.metrics.dispatches.Get())/float64(b.N), "dispatches/op")
+		})
+	}
+}
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -85,6 +85,9 @@
 	// outageStart returns the start of the first of this instance's store watches that has failed since the store
 	// last answered. It returns the zero time while the store answers.
 	outageStart func() time.Time
+
+	// pacing bounds the time that the holder spends on deciding loads; guarded by mu.
+	pacing dispatchPacing
 }
 
 // New returns a Holder that does not hold the lease.
@@ -93,6 +96,7 @@
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
+		pacing: newDispatchPacing(),
 	}
 }
 
@@ -160,7 +164,7 @@
 	h.refreshServers()
 	outage := h.suspendInOutage(now)
 	h.fleet.SetRunning(h.reports.runningByUnit(now), now)
-	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
+	operations := append(h.fleet.Trim(now), h.runDispatch(now)...)
 	uncertain := h.fleet.EnginesToRead(now)
 	settleDue := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
@@ -275,8 +279,10 @@
 		operations = append(operations, *found.Start)
 	}
 	if ok && found.Engine == "" {
-		operations = append(operations, h.fleet.Dispatch(now)...)
-		found, ok = h.fleet.Find(r.Service, r.Unit, replicas.Waiting{}, now)
+		if planned, ran := h.requestDispatch(now); ran {
+			operations = append(operations, planned...)
+			found, ok = h.fleet.Find(r.Service, r.Unit, replicas.Waiting{}, now)
+		}
 	}
 	h.mu.Unlock()
 	for _, op := range operations {
@@ -311,7 +317,7 @@
 	h.mu.Lock()
 	var operations []replicas.Operation
 	if h.lease.Held() {
-		operations = h.fleet.Dispatch(now)
+		operations, _ = h.requestDispatch(now)
 	}
 	h.mu.Unlock()
 	for _, op := range operations {
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -18,6 +18,10 @@
 	operationSeconds *metrics.Histogram
 	// loadTimeError is the relative error of the predicted duration of loads from the weight store.
 	loadTimeError *metrics.Histogram
+	// dispatches counts decisions about loads, dispatchSeconds has their durations, and coalescedDispatches counts
+	// requests for one that shared a later one.
+	dispatches, coalescedDispatches *metrics.Counter
+	dispatchSeconds                 *metrics.Histogram
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -26,6 +30,8 @@
 		set: set, takeOvers: set.NewCounter("martenport_lease_takeovers_total"),
 		reports: set.NewCounter("martenport_engine_reports_total"), operationSeconds: set.NewHistogram("martenport_operation_seconds"),
 		loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
+		dispatches:    set.NewCounter("martenport_dispatches_total"), coalescedDispatches: set.NewCounter("martenport_dispatches_coalesced_total"),
+		dispatchSeconds: set.NewHistogram("martenport_dispatch_seconds"),
 	}
 }
 
