command/forward: bound the log lines of refusals that are alike

Change: ten refusals a second of the same reason, cause and priority have a line each, with request, reason and retry_after_ms as before; a line "refusals not logged one by one" then states how many had none, and explain counts them. Requests that reached a server, failed, or were answered always have a line. The fields of a line are collected in one map.

--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -65,6 +65,9 @@
 // recordRejection logs and counts a request that may not run.
 func (f *Forwarder) recordRejection(a admission, r *serving.Request, failure *verdict.Failure) *verdict.Failure {
 	f.counts.requestEnded(failure, 0)
+	if !f.refusals.allow(refusalKind{reason: failure.Reason, priority: a.route.Priority}) {
+		return failure
+	}
 	fields := logrus.Fields{
 		"request": r.ID, "route": a.route.Name, "config": a.config.Version, "config_age_ms": a.freshness.Age.Milliseconds(), "verdict": failure.Verdict,
 		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0, "priority": a.route.Priority,
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -17,6 +17,8 @@
 	// waitedLonger and waitedShorter observe by how much waits were longer and shorter than first
 	// estimated.
 	waitedLonger, waitedShorter *metrics.Histogram
+	// refusalsLogged and refusalsOmitted count refusals with and without a log line of their own.
+	refusalsLogged, refusalsOmitted *metrics.Counter
 
 	accepted, refused, failed, cancelled atomic.Int64
 }
@@ -41,9 +43,11 @@
 func NewCounts(set *metrics.Set) *Counts {
 	return &Counts{
 		set: set, answered: set.NewCounter(`martenport_requests_total{outcome="answered"}`),
-		seconds:       set.NewHistogram("martenport_request_seconds"),
-		waitedLonger:  set.NewHistogram(`martenport_prospect_error_seconds{ended="later"}`),
-		waitedShorter: set.NewHistogram(`martenport_prospect_error_seconds{ended="sooner"}`),
+		seconds:         set.NewHistogram("martenport_request_seconds"),
+		waitedLonger:    set.NewHistogram(`martenport_prospect_error_seconds{ended="later"}`),
+		waitedShorter:   set.NewHistogram(`martenport_prospect_error_seconds{ended="sooner"}`),
+		refusalsLogged:  set.NewCounter(`martenport_refusal_lines_total{line="written"}`),
+		refusalsOmitted: set.NewCounter(`martenport_refusal_lines_total{line="left_out"}`),
 	}
 }
 
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -125,6 +125,7 @@
 	counts   *Counts
 	// draining is closed when the instance begins to shut down.
 	draining chan struct{}
+	refusals *refusalLines
 }
 
 // Dependencies are what a Forwarder works with. All fields are required.
@@ -143,11 +144,13 @@
 
 // New returns a Forwarder.
 func New(p Params, d Dependencies) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log,
 		draining: make(chan struct{}),
 	}
+	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
+	return f
 }
 
 // Drain refuses all requests that would have to be sent, for the first time or again, from now on,
@@ -205,6 +208,9 @@
 // route.
 func (f *Forwarder) recordRefusal(r *serving.Request, failure *verdict.Failure) *verdict.Failure {
 	f.counts.requestEnded(failure, 0)
+	if !f.refusals.allow(refusalKind{reason: failure.Reason, priority: noPriority}) {
+		return failure
+	}
 	f.log.WithFields(logrus.Fields{"request": r.ID, "reason": failure.Reason}).Info("request refused: " + failure.Detail)
 	return failure
 }
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -101,7 +101,7 @@
 
 // newFixture returns a fixture with a plain service with servers s1 to s3, and an engine service
 // with engines e1 and e2 that both have the model "warm".
-func newFixture(t *testing.T, replies ...reply) *fixture {
+func newFixture(t testing.TB, replies ...reply) *fixture {
 	t.Helper()
 	config := &serving.Config{Version: 1, Services: map[string]serving.Service{
 		"plain": {Name: "plain"}, "llm": {Name: "llm", Engine: &serving.EngineSpec{}},
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -366,21 +366,23 @@
 // finish counts and logs the outcome of the request.
 func (t *transaction) finish(failure *verdict.Failure) {
 	t.f.counts.requestEnded(failure, clock.Since(t.request.Arrived))
-	log := t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{
-		"server": t.server, "waited_ms": t.waits.total().Milliseconds(), "waited_for": t.waits.longestCause(), "promised_ms": t.waits.estimate.Milliseconds(),
-		"priority": t.route.Priority, "objective_ms": t.route.Objective.Milliseconds(),
-	})
+	if !t.logsFailure(failure) {
+		return
+	}
+	fields := t.logFields()
+	fields["server"], fields["priority"], fields["objective_ms"] = t.server, t.route.Priority, t.route.Objective.Milliseconds()
+	fields["waited_ms"], fields["waited_for"], fields["promised_ms"] = t.waits.total().Milliseconds(), t.waits.longestCause(), t.waits.estimate.Milliseconds()
 	if !t.out.firstEvent.IsZero() {
-		log = log.WithFields(logrus.Fields{"first_ms": t.out.firstEvent.Sub(t.request.Arrived).Milliseconds(), "pause_ms": t.out.longestPause.Milliseconds()})
+		fields["first_ms"], fields["pause_ms"] = t.out.firstEvent.Sub(t.request.Arrived).Milliseconds(), t.out.longestPause.Milliseconds()
 	}
 	if held := t.serverLimits.unavailableServers(); held != "" {
-		log = log.WithField("held_back", held)
+		fields["held_back"] = held
 	}
 	if failure == nil {
-		log.WithField("status", t.out.status).Info("request answered")
+		fields["status"] = t.out.status
+		t.f.log.WithFields(fields).Info("request answered")
 		return
 	}
-	log.WithFields(logrus.Fields{
-		"verdict": failure.Verdict, "reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(),
-	}).Info("request not answered: " + failure.Detail)
+	fields["verdict"], fields["reason"], fields["retry_after_ms"] = failure.Verdict, failure.Reason, failure.RetryAfter.Milliseconds()
+	t.f.log.WithFields(fields).Info("request not answered: " + failure.Detail)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -328,6 +328,7 @@
 	time.Sleep(time.Until(start.Add(balancerDelay)))
 	i.forwarder.Drain()
 	i.clients.drain(deadline)
+	i.forwarder.FlushLog()
 }
 
 func (i *Instance) addGauges() {
--- a/query/explain/outcomes.go
+++ b/query/explain/outcomes.go
@@ -56,9 +56,10 @@
 			continue
 		}
 		priority := priorityOf(l)
-		counts[key{priority, outcome, causeOf(l, outcome)}]++
-		total++
-		weight += weightOf(priority)
+		requests := requestsOf(l)
+		counts[key{priority, outcome, causeOf(l, outcome)}] += requests
+		total += requests
+		weight += float64(requests) * weightOf(priority)
 	}
 	groups := make([]Group, 0, len(counts))
 	for k, n := range counts {
@@ -74,6 +75,17 @@
 	return groups
 }
 
+// messageOmitted is the message of lines that state how many refusals have no line of their own.
+const messageOmitted = "refusals not logged one by one"
+
+// requestsOf returns the number of requests whose end a line states.
+func requestsOf(l Line) int {
+	if l.Message == messageOmitted {
+		return intField(l, "requests")
+	}
+	return 1
+}
+
 // noPriority is the priority of requests without a route, whose weight is 0.
 const noPriority = -1
 
@@ -100,7 +112,7 @@
 	switch {
 	case l.Message == "request answered":
 		return answeredOutcome(l), true
-	case strings.HasPrefix(l.Message, "request not answered"), strings.HasPrefix(l.Message, "request refused"):
+	case strings.HasPrefix(l.Message, "request not answered"), strings.HasPrefix(l.Message, "request refused"), l.Message == messageOmitted:
 		return unansweredOutcome(l), true
 	default:
 		return "", false
--- a/query/explain/outcomes_test.go
+++ b/query/explain/outcomes_test.go
@@ -44,3 +44,23 @@
 		t.Errorf("%v, shares add up to %v and %v", got, share, weightShare)
 	}
 }
+
+const omittedLog = `time="2026-04-07T22:21:02Z" level=info msg="request not answered: much is asked of m" request=r1 priority=1 ms=3 verdict=NotRun reason=queue_full
+time="2026-04-07T22:21:03Z" level=info msg="refusals not logged one by one" priority=1 reason=queue_full requests=41 verdict=NotRun
+time="2026-04-07T22:21:03Z" level=info msg="refusals not logged one by one" priority=0 reason=deadline requests=5 verdict=NotRun waited_for=disk
+`
+
+// TestOutcomesOmittedLines checks that refusals without a line of their own are counted with those that have one.
+func TestOutcomesOmittedLines(t *testing.T) {
+	lines, err := ParseLog(strings.NewReader(omittedLog), "edge-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	groups := Outcomes(lines)
+	if len(groups) != 2 || groups[0].Requests != 5 || groups[0].Cause != "disk" || groups[1].Requests != 42 || groups[1].Outcome != Refused {
+		t.Fatalf("%+v, want 5 refused for disk and 42 for queue_full", groups)
+	}
+	if share := groups[0].Share + groups[1].Share; math.Abs(share-1) > 1e-9 {
+		t.Errorf("shares add up to %v", share)
+	}
+}
