entry: an instance that lags sends new connections elsewhere

Cause: an instance that is short of processor time kept its connections and stayed ready; all its callers waited.

Change: command/overload measures the scheduling lag (the third quartile, over a second, of how much longer than planned a pause takes; suspensions and frozen processes are dropped) and decides by it. Above an eighth of the shortest objective of the routes (a sixteenth at the lease holder, for whose work all wait) for a second, the instance is unready, and once the load balancer has noticed, closes connections after answers. Shedding lasts 3.5 to 5 s, and the instance is ready for 45 s before and in between: a tenth of the time at most. Requests that were read are served.

Ruled out: shedding by rate or by open connections, which are no measure of a shortage; closing connections at once, since the load balancer sends the next one to the same instance for two seconds.

Tests, in virtual time: command/overload TestShedsWhileLagging (ten minutes of lag: a tenth of the time), TestNoShortageNoShedding, TestFrozenMachineIsNoLag (suspended, frozen, clock ahead and back), TestSheddingBounded (random lag). Through the instance: entry TestShedderFollowsLag, TestHolderKilledWhileShedding, TestStopWhileShedding.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	service      *service
 	options      Options
 	declaration  *declarationState
+	shedding     *connShedder
 
 	draining atomic.Bool
 	// leaveRequested is closed when an operator asks the instance to leave.
@@ -145,7 +146,9 @@
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
 		Counts: i.counts, Log: log,
 	})
-	i.clients = newClientServer(i.closeWhileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
+	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
+	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
+	i.clients = newClientServer(i.closeWhileDraining(ingress), i.limits, i.set, log)
 	i.addGauges()
 	return i
 }
@@ -192,7 +195,7 @@
 
 // Ready reports whether clients should be routed to this instance.
 func (i *Instance) Ready() bool {
-	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0
+	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0 && !i.shedding.active()
 }
 
 func (i *Instance) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -263,7 +266,7 @@
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.access.run, i.members.run,
+		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.access.run, i.members.run, i.shedding.run,
 	}
 }
 
