command/holder: the pause after a decision begins when it ends

Cause: a caller's time is read before it waits for the holder's lock, so under contention the pause was shortened by that wait. Test: TestPauseAfterWaitForLock, red before (2 dispatches).

--- a/command/holder/pacing.go
+++ b/command/holder/pacing.go
@@ -49,7 +49,11 @@
 	began := time.Now()
 	operations := h.fleet.Dispatch(now)
 	took := h.pacing.elapsed(began)
-	h.pacing.pacer.Ran(now.Add(took), took)
+	ended := now.Add(took)
+	if current := clock.Now(); current.After(ended) { // the caller has waited for h.mu since now
+		ended = current
+	}
+	h.pacing.pacer.Ran(ended, took)
 	h.metrics.dispatches.Inc()
 	h.metrics.dispatchSeconds.Update(took.Seconds())
 	return operations
--- a/command/holder/pacing_test.go
+++ b/command/holder/pacing_test.go
@@ -151,6 +151,21 @@
 	})
 }
 
+// TestPauseAfterWaitForLock: the pause begins when the decision ends, also if its caller had to wait for it.
+func TestPauseAfterWaitForLock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := benchHolder(t)
+		h.pacing.elapsed = func(time.Time) time.Duration { return dispatchCost }
+		asked := clock.Now()
+		time.Sleep(10 * time.Millisecond)
+		h.dispatch(asked)
+		h.dispatch(clock.Now())
+		if n := h.metrics.dispatches.Get(); n != 1 {
+			t.Errorf("%d dispatches, want 1: the second one is within the pause", n)
+		}
+	})
+}
+
 // TestPendingDispatchAfterLostLease: a decision that was put off is not made once the lease is gone.
 func TestPendingDispatchAfterLostLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
