Over its limit, a workspace's requests get places in a queue

Cause: Grant told each refused request the time as if there were no others (50 ms at least), so those of a workspace at five times its limit came back together and all but one were refused again; whoever returned most often was served. Now the lender books what the limit will gain for refused requests, in order and by traffic class, keeps it until they return (at any instance), and tells the others when there is room behind them. Early returns gain nothing, three of them cost the place. Bookings are no amounts: every admission is still taken from the reserve or a share, so the bound of the package comment holds; its simulation (TestAdmittedWithinBound) now books and returns as well, and passes.

--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -19,7 +20,7 @@
 	Policy() access.Policy
 	// Draw deducts the cost of a request from the limit of its workspace. refund must be called if
 	// the request did not reach a server. A failure states why the request may not run.
-	Draw(ctx context.Context, w *serving.Workspace, cost float64) (refund func(), failure *verdict.Failure)
+	Draw(ctx context.Context, w *serving.Workspace, d quota.Draw) (refund func(), failure *verdict.Failure)
 }
 
 // admission is the result of authorizing a request, together with the configuration it was
@@ -48,7 +49,7 @@
 	if err != nil && workspace.Limit.Limited() {
 		return a, verdict.Refuse(verdict.ReasonInvalid, "%v", err)
 	}
-	a.refund, failure = f.access.Draw(ctx, workspace, cost)
+	a.refund, failure = f.access.Draw(ctx, workspace, drawFor(a.route, r, cost))
 	return a, failure
 }
 
--- a/command/forward/access_test.go
+++ b/command/forward/access_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -25,7 +26,8 @@
 
 func (f *fakeAccess) Current() (*serving.Config, access.Freshness) { return f.dir.Config(), f.known }
 func (f *fakeAccess) Policy() access.Policy                        { return f.policy }
-func (f *fakeAccess) Draw(_ context.Context, w *serving.Workspace, cost float64) (func(), *verdict.Failure) {
+func (f *fakeAccess) Draw(_ context.Context, w *serving.Workspace, d quota.Draw) (func(), *verdict.Failure) {
+	cost := d.Cost
 	if f.remaining < cost {
 		return nil, verdict.Refuse(verdict.ReasonOverLimit, "workspace %s", w.Name).WithRetryAfter(time.Second)
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -69,14 +69,7 @@
 		f: f, admission: a, request: r, out: newClientWriter(w), excluded: map[string]bool{},
 		service: a.config.Services[chooseTarget(route.Targets)],
 	}
-	allowed := route.Timeout
-	if r.Timeout > 0 && (allowed == 0 || r.Timeout < allowed) {
-		allowed = r.Timeout
-	}
-	if allowed == 0 {
-		allowed = defaultTimeout
-	}
-	t.deadline = r.Arrived.Add(allowed)
+	t.deadline = r.Arrived.Add(allowedTime(route, r))
 	f.budget.RecordRequest(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
 		f.placer.RecordArrival(r.Unit, Demand{Priority: route.Priority, Deferrable: deferrable(route), LateProbability: t.lateProbability()})
--- a/command/holder/lend.go
+++ b/command/holder/lend.go
@@ -67,7 +67,7 @@
 }
 
 // Draw decides whether a request may run when its instance has used up what it was lent of the workspace's limit.
-func (h *Holder) Draw(workspace string, cost float64) quota.Answer {
+func (h *Holder) Draw(workspace string, d quota.Draw) quota.Answer {
 	h.renewForLending()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,7 +76,7 @@
 	if !known || !h.lease.MayLend(now) {
 		return quota.Answer{}
 	}
-	return h.lender.Grant(workspace, cost, limit, now)
+	return h.lender.GrantBooked(workspace, d, limit, now)
 }
 
 // ExpectInstances names the instances that may still have shares from an earlier holder.
--- a/command/quota/lender.go
+++ b/command/quota/lender.go
@@ -77,6 +77,8 @@
 	// promisedUntil is the time until which the future gains are promised to waiting requests; see
 	// GrantInTurn.
 	promisedUntil time.Time
+	// returns are the refused requests that were told when to return; see GrantBooked.
+	returns returns
 }
 
 // loan is what one instance has been lent.
@@ -163,24 +165,6 @@
 	}
 }
 
-// Grant answers a query for one request. It must be called only while the lease is valid and the previous
-// holder's lease has expired.
-func (l *Lender) Grant(workspace string, cost float64, limit serving.Limit, now time.Time) Answer {
-	if !limit.Limited() {
-		return Answer{Granted: true, Known: true}
-	}
-	a := l.account(workspace, limit, now)
-	l.refill(a, now)
-	switch {
-	case a.reserve.Take(cost):
-		return Answer{Granted: true, Known: true}
-	case cost > l.params.capacity(limit):
-		return Answer{Known: true}
-	}
-	// What is lent is used up and becomes available again, so the full rate of the limit applies.
-	return Answer{Known: true, After: time.Duration((cost - a.reserve.level) / limit.Rate * float64(time.Second))}
-}
-
 // account returns the workspace's account, and creates or updates it to match the limit.
 func (l *Lender) account(workspace string, limit serving.Limit, now time.Time) *account {
 	a := l.accounts[workspace]
@@ -256,8 +240,9 @@
 	lo.assigned = target.cappedBy(l.lendable(a).minus(others))
 	l.setOutstanding(a, others.plus(lo.outstanding()), now)
 	loan := Loan{Workspace: use.Workspace, Share: lo.assigned, Keep: lo.assigned.Saved * keepFraction}
-	// Fill up the instance's level from the reserve, using at most half of it.
-	if missing := min(loan.Keep-use.Level, a.reserve.level/2); missing > 0 && a.reserve.Take(missing) {
+	// Fill up the instance's level from the reserve, using at most half of what is not booked.
+	a.returns.dropLapsed(now)
+	if missing := min(loan.Keep-use.Level, (a.reserve.level-a.returns.keptFor(a.limit.Rate, now))/2); missing > 0 && a.reserve.Take(missing) {
 		loan.Grant = missing
 	}
 	return loan
--- a/command/quota/quota.go
+++ b/command/quota/quota.go
@@ -23,6 +23,13 @@
 // is admitted between the time at which it is sent and the time at which it reaches a server, so a
 // request that is sent and arrives within the window is admitted within it.
 //
+// # Bookings
+//
+// A refused request is told when the limit will suffice for it, and that part of the future gains is
+// booked for it (Lender.GrantBooked). A booking is no amount: it only keeps the reserve from others. Every
+// admission is still taken from the reserve or from a share, so bookings don't enter the sum above, and the
+// bound holds whether they are claimed, lapse, or are lost with the holder.
+//
 // # Lost messages
 //
 // The sum holds whichever messages are lost. The holder counts a share as lent from the time at which it
@@ -130,7 +137,9 @@
 	// Known is set if the holder could decide. It cannot if it does not know the workspace, or may not
 	// lend.
 	Known bool
-	// After is the time after which the request would be granted if there were no other requests; 0 if
-	// never.
+	// After is the time after which the limit will suffice for the request and for those that were booked
+	// before it; 0 if never.
 	After time.Duration
+	// Place is the request's place in the queue of its workspace, from 1; 0 if it has none.
+	Place int
 }
--- a/command/quota/simulation_test.go
+++ b/command/quota/simulation_test.go
@@ -28,6 +28,8 @@
 	shares   []*Shares
 	lender   *Lender
 	admitted []admission
+	// asked is the number of queries.
+	asked uint64
 }
 
 // newSimulation returns a simulation without any demand so far, with a holder that had no predecessor.
@@ -83,7 +85,7 @@
 func (s *simulation) request(i int, cost float64, lost int) bool {
 	admitted := s.shares[i].Take("w", cost, s.now)
 	if !admitted && lost != reportLost {
-		answer := s.lender.Grant("w", cost, s.limit, s.now)
+		answer := s.lender.GrantBooked("w", s.draw(cost), s.limit, s.now)
 		admitted = answer.Granted && lost == nothingLost
 		if answer.Known && !answer.Granted {
 			s.shares[i].RecordRefusal("w", cost, s.now)
@@ -95,6 +97,16 @@
 	return admitted
 }
 
+// draw returns a request for the given cost. Every second one is known and may be booked, and returns later.
+func (s *simulation) draw(cost float64) Draw {
+	s.asked++
+	d := Draw{Cost: cost, Within: 5 * time.Second, Left: 5 * time.Second}
+	if s.asked%2 == 0 {
+		d.Request = s.asked % 100
+	}
+	return d
+}
+
 // maxInWindow returns the largest cost that was admitted in a window.
 func (s *simulation) maxInWindow() float64 {
 	largest, sum, from := 0.0, 0.0, 0
--- a/entry/access.go
+++ b/entry/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -101,22 +102,22 @@
 )
 
 // Draw implements forward.Access.
-func (g *accessControl) Draw(ctx context.Context, w *serving.Workspace, cost float64) (release func(), failure *verdict.Failure) {
+func (g *accessControl) Draw(ctx context.Context, w *serving.Workspace, d quota.Draw) (release func(), failure *verdict.Failure) {
 	if !w.Limit.Limited() {
 		return func() {}, nil
 	}
 	now := clock.Exact()
-	release = func() { g.shares.Refund(w.Name, cost, now, clock.Exact()) }
-	if g.shares.Take(w.Name, cost, now) {
+	release = func() { g.shares.Refund(w.Name, d.Cost, now, clock.Exact()) }
+	if g.shares.Take(w.Name, d.Cost, now) {
 		return release, nil
 	}
-	answer, err := g.requestDraw(ctx, w.Name, cost)
+	answer, err := g.requestDraw(ctx, w.Name, d)
 	g.countAnswer(answer)
 	switch {
 	case err != nil || !answer.Known:
 		return nil, verdict.Refuse(verdict.ReasonPlatform, "the share of workspace %s is used up, and no holder says whether there is more", w.Name).WithRetryAfter(holderUnavailableRetryAfter)
 	case !answer.Granted:
-		return nil, g.overLimit(w, cost, answer.After)
+		return nil, g.overLimit(w, d.Cost, answer)
 	}
 	return release, nil
 }
@@ -133,15 +134,29 @@
 	g.set.GetOrCreateCounter(`martenport_limit_questions_total{answer="` + outcome + `"}`).Inc()
 }
 
-// overLimit returns the refusal of a request that exceeds its workspace's limit. after is the time
-// until the request would be within the limit, 0 if it never will be.
-func (g *accessControl) overLimit(w *serving.Workspace, cost float64, after time.Duration) *verdict.Failure {
+// overLimit returns the refusal of a request that exceeds its workspace's limit, with the time at which
+// the limit will suffice as its Retry-After if it ever will.
+func (g *accessControl) overLimit(w *serving.Workspace, cost float64, answer quota.Answer) *verdict.Failure {
 	g.shares.RecordRefusal(w.Name, cost, clock.Now())
 	failure := verdict.Refuse(verdict.ReasonOverLimit, "workspace %s asks for more than its limit", w.Name)
-	if after <= 0 {
+	if answer.Place > 0 {
+		failure.Detail += fmt.Sprintf(", place %d in its queue is kept", answer.Place)
+	}
+	if answer.After <= 0 {
 		return failure
 	}
-	return failure.WithRetryAfter(max(minOverLimitRetryAfter, after))
+	g.countPlace(answer.Place > 0)
+	return failure.WithRetryAfter(max(minOverLimitRetryAfter, answer.After))
+}
+
+// countPlace increments the metric of requests that were told when to return: with a place kept for them,
+// or without one.
+func (g *accessControl) countPlace(booked bool) {
+	name := `martenport_limit_returns_total{place="none"}`
+	if booked {
+		name = `martenport_limit_returns_total{place="booked"}`
+	}
+	g.set.GetOrCreateCounter(name).Inc()
 }
 
 // queryLimits asks the holder for the usage of the workspaces' limits.
@@ -158,9 +173,10 @@
 }
 
 // requestDraw asks the holder to admit one request.
-func (f *follower) requestDraw(ctx context.Context, workspace string, cost float64) (quota.Answer, error) {
+func (f *follower) requestDraw(ctx context.Context, workspace string, d quota.Draw) (quota.Answer, error) {
 	var reply DrawReply
-	err := f.callWithinDrawTimeout(ctx, methodDraw, &DrawArgs{Workspace: workspace, Cost: cost}, &reply)
+	args := &DrawArgs{Workspace: workspace, Cost: d.Cost, Request: d.Request, Class: d.Class, Within: d.Within, Left: d.Left}
+	err := f.callWithinDrawTimeout(ctx, methodDraw, args, &reply)
 	return reply.Answer, err
 }
 
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -107,6 +107,15 @@
 type DrawArgs struct {
 	Workspace string
 	Cost      float64
+	// The rest describes the request for a booking; see quota.Draw.
+	Request      uint64
+	Class        serving.TrafficClass
+	Within, Left time.Duration
+}
+
+// draw returns the arguments without the workspace.
+func (a *DrawArgs) draw() quota.Draw {
+	return quota.Draw{Cost: a.Cost, Request: a.Request, Class: a.Class, Within: a.Within, Left: a.Left}
 }
 
 // LimitsArgs asks the holder for the usage of the workspaces' limits.
@@ -243,7 +252,7 @@
 
 // Draw answers whether a request may run that exceeds its instance's share.
 func (s *service) Draw(args *DrawArgs, reply *DrawReply) error {
-	reply.Answer = s.holder.Draw(args.Workspace, args.Cost)
+	reply.Answer = s.holder.Draw(args.Workspace, args.draw())
 	return nil
 }
 
