Places over the limit: light classes do not queue, demand decides the classes' parts

A class that asks for less than half of the mean of the classes is now granted from the reserve as before, the others share by max-min fairness of what they ask for (by cost asked, before).

--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -67,7 +67,7 @@
 func (f *Forwarder) recordRejection(a admission, r *serving.Request, failure *verdict.Failure) *verdict.Failure {
 	f.counts.requestEnded(failure, 0)
 	fields := logrus.Fields{
-		"request": r.ID, "route": a.route.Name, "config": a.config.Version, "config_age_ms": a.freshness.Age.Milliseconds(), "verdict": failure.Verdict,
+		"request": r.ID, "fingerprint": r.Fingerprint, "route": a.route.Name, "config": a.config.Version, "config_age_ms": a.freshness.Age.Milliseconds(), "verdict": failure.Verdict,
 		"reason": failure.Reason, "retry_after_ms": failure.RetryAfter.Milliseconds(), "ms": 0, "priority": a.route.Priority,
 	}
 	if name := a.workspaceName(); name != "" {
--- a/command/quota/booking.go
+++ b/command/quota/booking.go
@@ -46,7 +46,7 @@
 	// told are the others.
 	told     map[uint64]told
 	purgedAt time.Time
-	// asked is, by class, the smoothed cost of requests when they were refused first, as of askedAt.
+	// asked is, by class, the smoothed cost per second of the requests that are no returns, as of askedAt.
 	asked   map[serving.TrafficClass]float64
 	askedAt time.Time
 }
@@ -70,8 +70,10 @@
 	// maxEarly is how often a request may return before its time and still get a place afterwards. A client
 	// that honours Retry-After only for a part of its remaining time returns early once or twice.
 	maxEarly = 3
-	// askedWindow is the averaging time of what the classes ask for.
+	// askedWindow is the averaging time of what the classes ask for. A class that asks for less than minAsked
+	// a second is forgotten.
 	askedWindow = 3 * time.Second
+	minAsked    = 0.01
 )
 
 // Grant answers a query for one request of which nothing is known but its cost. It must be called only
@@ -84,8 +86,8 @@
 // for several times its limit: if all refused requests were told the time as if they were alone, they
 // would return together, and all but one would be refused again. Here each gets a place behind those of
 // its traffic class, and what the limit gains for that place is kept for it until it returns, at whichever
-// instance. The classes share the gains in proportion to what they ask for, so that the places of urgent
-// requests are not behind those of patient ones. A request whose place would come too late for its client
+// instance. The classes share the gains, so that urgent requests are not behind patient ones, and few light
+// ones not behind many heavy ones. A request whose place would come too late for its client
 // gets none; it is told when there will be room behind the others. Places that nobody claims lapse.
 //
 // A request that returns before its time gains nothing, and if it does so often it gets no place, except if
@@ -102,6 +104,9 @@
 	r := &a.returns
 	r.dropLapsed(now)
 	i := r.find(d.Request)
+	if i < 0 {
+		r.recordAsked(d, now)
+	}
 	if r.mayTake(i, d, a.reserve.level, limit.Rate, now) || a.reserve.level >= max(d.Cost, a.unlent.Saved) {
 		a.reserve.Take(d.Cost)
 		r.remove(i, d.Request)
@@ -126,7 +131,10 @@
 	if i >= 0 {
 		return level >= d.Cost && !now.Before(r.booked[i].at.Add(-returnTolerance))
 	}
-	return r.waitOf(d.Request, now) == 0 && r.told[d.Request].early < maxEarly && level >= d.Cost+r.keptFor(rate, now)
+	if r.waitOf(d.Request, now) > 0 || r.told[d.Request].early >= maxEarly {
+		return false
+	}
+	return level >= d.Cost+r.keptFrom(d.Class, rate, now)
 }
 
 // refuse books a place for a request, or tells it only when there will be room.
@@ -134,7 +142,6 @@
 	t, known := r.told[d.Request]
 	if !known {
 		t.first = now
-		r.recordAsked(d, now)
 	}
 	after := r.placeAfter(d, level, rate, now)
 	if d.Request == 0 {
@@ -155,41 +162,78 @@
 // placeAfter returns the time until the next place of a class. What is lent is used up and becomes
 // available again, so the full rate of the limit applies.
 func (r *returns) placeAfter(d Draw, level, rate float64, now time.Time) time.Duration {
-	last, missing := now, d.Cost+r.keptFor(rate, now)-level
+	last, missing := now, d.Cost+r.keptFrom(d.Class, rate, now)-level
 	for _, b := range r.booked {
 		if b.class == d.Class && b.at.After(last) {
 			last, missing = b.at, d.Cost
 		}
 	}
 	if len(r.booked) > 0 {
-		rate *= r.shareOf(d.Class)
+		rate = r.fairRate(d.Class, rate)
 	}
 	after := last.Sub(now) + time.Duration(max(0, missing)/rate*float64(time.Second))
 	return min(max(after, minReturnDelay), maxToldDelay)
 }
 
-// recordAsked adds a request that is refused for the first time to what its class asks for.
+// recordAsked adds a request to what its class asks for, unless it returns.
 func (r *returns) recordAsked(d Draw, now time.Time) {
+	if _, known := r.told[d.Request]; known {
+		return
+	}
 	if r.asked == nil {
 		r.asked = map[serving.TrafficClass]float64{}
 	}
 	decay := math.Exp(-max(0, now.Sub(r.askedAt).Seconds()) / askedWindow.Seconds())
 	for class := range r.asked {
-		r.asked[class] *= decay
+		if r.asked[class] *= decay; r.asked[class] < minAsked {
+			delete(r.asked, class)
+		}
 	}
 	r.askedAt = now
 	if _, known := r.asked[d.Class]; known || len(r.asked) < maxClasses {
-		r.asked[d.Class] += d.Cost
+		r.asked[d.Class] += d.Cost / askedWindow.Seconds()
+	}
+}
+
+// fairRate returns the part of a rate that a class gets. If all ask for more than that, no class gets more than
+// it asks for while another one gets less.
+func (r *returns) fairRate(class serving.TrafficClass, rate float64) float64 {
+	demand, sum := max(r.asked[class], minAsked), 0.0
+	for _, d := range r.asked {
+		sum += d
+	}
+	if sum <= rate {
+		return rate * min(1, demand/max(sum, minAsked))
+	}
+	left, fair := rate, rate
+	demands := slices.Sorted(maps.Values(r.asked))
+	for i, d := range demands {
+		fair = left / float64(len(demands)-i)
+		if d > fair {
+			break
+		}
+		left -= d
 	}
+	return min(fair, max(demand, rate/maxClasses))
 }
 
-// shareOf returns the part of the gains that is booked for a class.
-func (r *returns) shareOf(class serving.TrafficClass) float64 {
+// light reports whether a class asks for so little that its requests need not queue: less than half of what
+// the classes ask for in the mean, and less than half of an equal part of the rate.
+func (r *returns) light(class serving.TrafficClass, rate float64) bool {
 	sum := 0.0
-	for _, asked := range r.asked {
-		sum += asked
+	for _, demand := range r.asked {
+		sum += demand
+	}
+	demand, known := r.asked[class]
+	return known && demand*2*float64(len(r.asked)) < min(sum, rate)
+}
+
+// keptFrom returns how much of the reserve is kept from the newcomers of a class.
+func (r *returns) keptFrom(class serving.TrafficClass, rate float64, now time.Time) float64 {
+	if r.light(class, rate) {
+		return 0
 	}
-	return max(r.asked[class], sum/(2*maxClasses)) / max(sum, 1)
+	return r.keptFor(rate, now)
 }
 
 // keptFor returns how much of a reserve that gains rate per second must be kept so that each booked request
