Refused requests return in order: the waitlist

Cause: requests refused for lack of room came back after a fixed 1.5 s and were admitted at random, so those that had waited longest competed with those that just came. Nobody kept count of who was told to come when. Now instances report refused requests (first bytes of the fingerprint) with their reports, the holder orders them by first refusal within their class and names those whose turn it is, and any instance admits these. Contended services only; without a holder, a list or a fingerprint the refusal is that of before. Distinct refused requests go to Holder.SetRefusedRecorder, which nothing calls yet.

A test of this change found that a request without a fingerprint would have been admitted as due by a holder that names 0; mended in it.

The fixture of the forwarder's tests is as before.

--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -57,6 +57,12 @@
 	c.set.GetOrCreateCounter(`martenport_repeated_sends_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// turn counts what became of a request for which there was no room: "begun" if its turn had come, "listed" if it
+// got a turn, "too_late" if that would come too late, "unknown" if no holder says.
+func (c *Counts) turn(what string) {
+	c.set.GetOrCreateCounter(`martenport_waitlist_total{what="` + what + `"}`).Inc()
+}
+
 // waitEstimateError records the difference between the estimated and the actual wait.
 func (c *Counts) waitEstimateError(estimated, waited time.Duration) {
 	if waited >= estimated {
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -123,11 +123,12 @@
 	limiter  ServerLimiter
 	log      logrus.FieldLogger
 	counts   *Counts
+	waitlist Waitlist
 	// draining is closed when the instance begins to shut down.
 	draining chan struct{}
 }
 
-// Dependencies are what a Forwarder works with. All fields are required.
+// Dependencies are what a Forwarder works with. All fields but Waitlist are required.
 type Dependencies struct {
 	Directory *directory.Directory
 	Sender    serving.Sender
@@ -139,13 +140,15 @@
 	Limiter   ServerLimiter
 	Counts    *Counts
 	Log       logrus.FieldLogger
+	// Waitlist lets refused requests return in order; nil if they are not to.
+	Waitlist Waitlist
 }
 
 // New returns a Forwarder.
 func New(p Params, d Dependencies) *Forwarder {
 	return &Forwarder{
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
-		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log,
+		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
 		draining: make(chan struct{}),
 	}
 }
--- a/command/forward/overload.go
+++ b/command/forward/overload.go
@@ -27,6 +27,6 @@
 	if rand.Float64() < share {
 		return nil
 	}
-	return verdict.Refuse(verdict.ReasonQueueFull, "more is asked of %s than its engines serve, %.2f of such requests are admitted",
-		t.request.Unit.Model, share).WithRetryAfter(overloadRetryAfter)
+	return t.refuseInOrder(verdict.Refuse(verdict.ReasonQueueFull, "more is asked of %s than its engines serve, %.2f of such requests are admitted",
+		t.request.Unit.Model, share).WithRetryAfter(overloadRetryAfter))
 }
--- a/command/forward/refusal.go
+++ b/command/forward/refusal.go
@@ -3,11 +3,15 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/martenport/martenport/command/quota"
+	"github.com/martenport/martenport/command/waitlist"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
 )
 
 const (
@@ -29,6 +33,44 @@
 	return quota.Draw{Cost: cost, Request: shortFingerprint(r.Fingerprint), Class: route.Class(), Within: within, Left: left}
 }
 
+// Waitlist lets requests that were refused for lack of room return in order; see waitlist.Desk.
+type Waitlist interface {
+	Begin(request uint64, now time.Time) bool
+	Refuse(r waitlist.Refused, within time.Duration, random float64, now time.Time) (wait time.Duration, known bool)
+}
+
+// refuseInOrder returns the refusal of a request for which there is no room, or nil if it was refused before and its
+// turn has come. If its turn comes in time for the client, the refusal says when. It changes nothing for services
+// whose callers are equally patient.
+func (t *transaction) refuseInOrder(failure *verdict.Failure) *verdict.Failure {
+	if t.f.waitlist == nil || !t.config.Contended(t.service.Name) {
+		return failure
+	}
+	now, request := clock.Now(), shortFingerprint(t.request.Fingerprint)
+	if t.f.waitlist.Begin(request, now) {
+		t.f.counts.turn("begun")
+		return nil
+	}
+	refused := waitlist.Refused{Request: request, Model: t.request.Unit.Model, Class: t.route.Class()}
+	within := time.Duration(returnFraction * float64(clock.Until(t.deadline)))
+	if t.route.Objective > 0 {
+		within = min(within, time.Duration(queuedFraction*float64(t.route.Objective)))
+	}
+	wait, known := t.f.waitlist.Refuse(refused, within, rand.Float64(), now)
+	switch {
+	case !known:
+		t.f.counts.turn("unknown")
+		return failure
+	case wait > within:
+		t.f.counts.turn("too_late")
+		failure.Detail += fmt.Sprintf("; those refused before have their turns for %s", round(wait))
+		return failure
+	}
+	t.f.counts.turn("listed")
+	failure.Detail += fmt.Sprintf("; its turn is expected in %s", round(wait))
+	return failure.WithRetryAfter(wait)
+}
+
 // shortFingerprint returns the first bytes of a fingerprint: enough to tell the requests apart that are
 // refused within seconds. It is 0 if the request has no fingerprint.
 func shortFingerprint(f serving.Fingerprint) uint64 {
--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/martenport/martenport/command/access"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/command/waitlist"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
@@ -142,6 +143,8 @@
 	SeenViews, SeenServers uint64
 	// Revision is the store revision up to which the instance knows the servers.
 	Revision store.Revision
+	// Waitlist names the requests that the instance refused for lack of room.
+	Waitlist waitlist.Report
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -170,6 +173,8 @@
 	Failing uint64
 	// Lease states when the holder last renewed the lease. A successor counts its waiting time from then.
 	Lease lease.RenewalAge
+	// Waitlist names the refused requests that are to be admitted when they return.
+	Waitlist waitlist.Update
 }
 
 // Exchange processes the report of an instance and returns the state that the instance needs. It fails with
@@ -205,6 +210,7 @@
 	reply.RemoteAtOnce = h.fleet.RemoteConcurrency()
 	reply.Lease = h.lease.RenewalAge(now)
 	reply.Admit = h.admissions(now)
+	reply.Waitlist = h.exchangeWaitlist(r.Waitlist, now)
 	reply.Peers = h.reports.peers.count(r.Domain, now)
 	reply.Views, reply.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config, confirmedAt := h.dir.Current(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -19,6 +19,7 @@
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/command/waitlist"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
@@ -55,6 +56,9 @@
 	// is replaced and never changed, because replies that are being sent refer to it.
 	admissionShares map[string]float64
 	admissionsAt    time.Time
+	// refused has the refused requests that are to return; guarded by mu. recordRefused may be nil.
+	refused       refusedRequests
+	recordRefused RefusedRecorder
 	// serversRefreshedAt is when the list of servers was last copied from the directory; guarded by mu.
 	serversRefreshedAt time.Time
 	workers            map[string]*worker // by engine; guarded by mu
@@ -91,7 +95,7 @@
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, metrics *Metrics, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), refused: refusedRequests{list: waitlist.NewList()}, workers: map[string]*worker{},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
 	}
 }
--- a/command/holder/lease.go
+++ b/command/holder/lease.go
@@ -13,6 +13,7 @@
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/command/waitlist"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/store"
 )
@@ -67,6 +68,7 @@
 	h.fleet.SetLimits(h.replicaLimits)
 	h.fleet.SetRemoteConcurrency(h.remoteConcurrency)
 	h.reports, h.views = newInstanceReports(), views{}
+	h.refused = refusedRequests{list: waitlist.NewList()}
 	firstHolder, remaining := current.Fence == 0 && !current.RestoredFromBackup(era), current.Left
 	if current.RestoredFromBackup(era) {
 		remaining = nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,7 +143,7 @@
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
-		Counts: i.counts, Log: log,
+		Counts: i.counts, Log: log, Waitlist: i.follower.desk,
 	})
 	i.clients = newClientServer(i.closeWhileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -14,6 +14,7 @@
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/command/replicas"
+	"github.com/martenport/martenport/command/waitlist"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
@@ -121,6 +122,8 @@
 	// shares are the parts of workspaces' limits that are lent to this instance; set before run.
 	shares        *quota.Shares
 	onEscalations func([]quarantine.Escalation)
+	// desk has the refused requests that are to return.
+	desk *waitlist.Desk
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 }
@@ -150,7 +153,7 @@
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
 		arrivals: map[string]*holder.Arrivals{}, running: map[unitOnEngine]int{}, waiting: map[string]map[*waitingRequest]struct{}{}, cachedPlaces: map[forward.PlaceRequest]cachedPlace{}, instances: assumedInstances, minInterval: exchangeInterval,
-		reportRequested: make(chan struct{}, 1), ledger: quarantine.NewLedger(), shares: quota.NewShares(0), onEscalations: func([]quarantine.Escalation) {},
+		reportRequested: make(chan struct{}, 1), ledger: quarantine.NewLedger(), shares: quota.NewShares(0), desk: waitlist.NewDesk(), onEscalations: func([]quarantine.Escalation) {},
 	}
 }
 
@@ -237,6 +240,7 @@
 		return false
 	}
 	sent := clock.Exact()
+	args.Waitlist = f.desk.Report(sent)
 	args.Uses, args.ServerUses = f.shares.Report(sent), f.limiter.shares.Report(sent)
 	if f.limitsExchange.fence != record.Fence {
 		f.limitsExchange = limitsProgress{fence: record.Fence}
@@ -252,6 +256,7 @@
 		f.applyCrashes(args.Crashes, reply.Crashes, clock.Now())
 	}
 	if err != nil || !reply.Held {
+		f.desk.Restore(args.Waitlist, clock.Now())
 		f.shares.RestoreReport(args.Uses, clock.Now())
 		f.limiter.shares.RestoreReport(args.ServerUses, clock.Now())
 		f.recordUnanswered(record, err)
@@ -332,6 +337,7 @@
 	f.mu.Unlock()
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
 	f.dir.ApplyAdmissions(update.Admit)
+	f.desk.Apply(update.Waitlist, now)
 	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
 	fresh := record.Holder != f.name && update.Failing == 0 && storeAge < f.watcher.maxUpdateAge()
 	if fresh {
