--- a/command/holder/waitlist.go
+++ b/command/holder/waitlist.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/waitlist"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -26,6 +27,22 @@
 // called before Run.
 func (h *Holder) SetRefusedRecorder(record RefusedRecorder) { h.recordRefused = record }
 
+// addWaitlistGauges registers the numbers of listed and due requests, 0 at instances that do not hold the lease.
+func (h *Holder) addWaitlistGauges() {
+	count := func(of func(waitlist.Status) int) func() float64 {
+		return func() float64 {
+			sum := 0
+			all, _ := h.Waitlist(clock.Now())
+			for _, s := range all {
+				sum += of(s)
+			}
+			return float64(sum)
+		}
+	}
+	h.metrics.set.GetOrCreateGauge(`martenport_waitlist_requests{state="listed"}`, count(func(s waitlist.Status) int { return s.Listed }))
+	h.metrics.set.GetOrCreateGauge(`martenport_waitlist_requests{state="due"}`, count(func(s waitlist.Status) int { return s.Due }))
+}
+
 // exchangeWaitlist processes an instance's report of refused requests, and returns the update for it. h.mu must be
 // held.
 func (h *Holder) exchangeWaitlist(r waitlist.Report, now time.Time) waitlist.Update {
--- a/query/explain/explain_test.go
+++ b/query/explain/explain_test.go
@@ -94,3 +94,25 @@
 		t.Errorf("%v, %v: want the advisories of s1 and s2, and the refusal", found, err)
 	}
 }
+
+// TestRefusedWithPlace checks that a request that was refused with a place in a queue is explained by its own line,
+// which has the place and the time, and by the holder's lines about the queue of its model.
+func TestRefusedWithPlace(t *testing.T) {
+	const log = `edge-9 time="2026-04-07T22:21:01.000Z" level=info msg="refused requests wait for their turn" unit=m7 listed=12 due=3 oldest_ms=800
+edge-9 time="2026-04-07T22:21:01.100Z" level=info msg="refused requests wait for their turn" unit=m8 listed=2 due=0 oldest_ms=90
+edge-1 time="2026-04-07T22:21:02.000Z" level=info msg="request not answered: more is asked of m7 than its engines serve, 0.30 of such requests are admitted; its turn is expected in 640ms" request=r unit=m7 reason=queue_full ms=0 retry_after_ms=640
+edge-1 time="2026-04-07T22:21:02.100Z" level=info msg="request not answered: workspace w asks for more than its limit, place 4 in its queue is kept" request=over workspace=w reason=over_limit ms=0 retry_after_ms=410
+`
+	lines, err := ParseLog(strings.NewReader(log), "file")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found, err := RequestLines(lines, "r")
+	if err != nil || len(found) != 2 || found[0].Fields["listed"] != "12" || !strings.Contains(found[1].Message, "expected in 640ms") {
+		t.Errorf("%v, %v: want the queue of m7 and the refusal", found, err)
+	}
+	found, err = RequestLines(lines, "over")
+	if err != nil || !strings.Contains(found[len(found)-1].Text, "place 4") || found[len(found)-1].Fields["retry_after_ms"] != "410" {
+		t.Errorf("%v, %v: want the place", found, err)
+	}
+}
