--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -93,13 +93,11 @@
 
 // New returns a Holder that does not hold the lease.
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, metrics *Metrics, log logrus.FieldLogger) *Holder {
-	h := &Holder{
+	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
 		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), refused: refusedRequests{list: waitlist.NewList()}, workers: map[string]*worker{},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
 	}
-	h.addWaitlistGauges()
-	return h
 }
 
 // SetOutageSource sets the function that returns when this instance's store watches began to fail, or the zero time.
--- a/command/holder/waitlist.go
+++ b/command/holder/waitlist.go
@@ -6,7 +6,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/waitlist"
-	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -27,22 +26,6 @@
 // called before Run.
 func (h *Holder) SetRefusedRecorder(record RefusedRecorder) { h.recordRefused = record }
 
-// addWaitlistGauges registers the numbers of listed and due requests, 0 at instances that do not hold the lease.
-func (h *Holder) addWaitlistGauges() {
-	count := func(of func(waitlist.Status) int) func() float64 {
-		return func() float64 {
-			sum := 0
-			all, _ := h.Waitlist(clock.Now())
-			for _, s := range all {
-				sum += of(s)
-			}
-			return float64(sum)
-		}
-	}
-	h.metrics.set.GetOrCreateGauge(`martenport_waitlist_requests{state="listed"}`, count(func(s waitlist.Status) int { return s.Listed }))
-	h.metrics.set.GetOrCreateGauge(`martenport_waitlist_requests{state="due"}`, count(func(s waitlist.Status) int { return s.Due }))
-}
-
 // exchangeWaitlist processes an instance's report of refused requests, and returns the update for it. h.mu must be
 // held.
 func (h *Holder) exchangeWaitlist(r waitlist.Report, now time.Time) waitlist.Update {
@@ -103,6 +86,17 @@
 	return h.refused.list.Status(now), true
 }
 
+// WaitlistTotals returns the numbers of listed and due requests of all models, 0 at instances that do not hold the
+// lease.
+func (h *Holder) WaitlistTotals(now time.Time) (sum waitlist.Status) {
+	all, _ := h.Waitlist(now)
+	for _, s := range all {
+		sum.Listed += s.Listed
+		sum.Due += s.Due
+	}
+	return sum
+}
+
 // lessBooked lowers the shares of newcomers to admit by what is kept for refused requests whose turn has come, so that
 // both together are not more than the engines serve. h.mu must be held.
 func (h *Holder) lessBooked(shares map[string]float64) map[string]float64 {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -340,6 +340,8 @@
 	i.set.NewGauge("martenport_servers", func() float64 { return float64(len(i.dir.IDs())) })
 	i.set.NewGauge("martenport_servers_age_seconds", func() float64 { return i.watcher.prefixAge(platform.PrefixServers, clock.Now()).Seconds() })
 	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
+	i.set.NewGauge(`martenport_waitlist_requests{state="listed"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Listed) })
+	i.set.NewGauge(`martenport_waitlist_requests{state="due"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Due) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
 		"unreadable": &i.client.Calls().MalformedObjects,
