--- a/entry/entry.go
+++ b/entry/entry.go
@@ -144,7 +144,7 @@
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
-		Counts: i.counts, Log: log,
+		Counts: i.counts, Log: log, Waitlist: i.follower.desk,
 	})
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
 	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
@@ -344,6 +344,8 @@
 	i.set.NewGauge("martenport_servers", func() float64 { return float64(len(i.dir.IDs())) })
 	i.set.NewGauge("martenport_servers_age_seconds", func() float64 { return i.watcher.prefixAge(platform.PrefixServers, clock.Now()).Seconds() })
 	i.set.NewGauge("martenport_holder", func() float64 { return float64(i.holder.Fence()) })
+	i.set.NewGauge(`martenport_waitlist_requests{state="listed"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Listed) })
+	i.set.NewGauge(`martenport_waitlist_requests{state="due"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Due) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
 		"unreadable": &i.client.Calls().MalformedObjects,
