Refused requests count as demand for copies, in contended services

Cause: a model asked for as many copies as its running requests need. Running is what admission lets in, so a model whose only copy is on an engine that other models keep busy was refused and never got a further copy. Instances now report, for contended services, requests by model and class: arrived, returned (known by fingerprint), refused for the first time, answered and their run time. Copies, spare copies and the benefit of a further copy follow from the requests that run and, by Little's law, the rate of refused ones times the mean run time. A request that comes back counts no more in the rate that absence and eviction costs follow from.

Ruled out: the ratio of requested to served requests as a factor on Running, which is nothing times nothing for a model of which no request runs.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -52,6 +52,16 @@
 	Deferrable bool
 	// LateProbability is the probability that the request then misses its objective.
 	LateProbability float64
+	// Returned is set if this instance refused the request for lack of room shortly before.
+	Returned bool
+	// Room is nil if the service is not contended.
+	Room *RoomClass
+}
+
+// RoomClass is the service and traffic class whose room a request takes.
+type RoomClass struct {
+	Service string
+	Class   serving.TrafficClass
 }
 
 // Run is a request that is running on an engine.
@@ -62,6 +72,8 @@
 	Deferrable bool
 	// SoleReplica is set if no other engine is known to have the unit.
 	SoleReplica bool
+	// Room is nil if the service is not contended.
+	Room *RoomClass
 }
 
 // Place states where a unit is or will be loaded. The holder follows the load and reports the unit
@@ -125,9 +137,12 @@
 	counts   *Counts
 	// draining is closed when the instance begins to shut down.
 	draining chan struct{}
+	// refused has the requests that were refused for lack of room, and recordRefused reports them.
+	refused       *refusedRequests
+	recordRefused func(model string, room RoomClass)
 }
 
-// Dependencies are what a Forwarder works with. All fields are required.
+// Dependencies are what a Forwarder works with. All fields are required but RecordRefused.
 type Dependencies struct {
 	Directory *directory.Directory
 	Sender    serving.Sender
@@ -139,6 +154,8 @@
 	Limiter   ServerLimiter
 	Counts    *Counts
 	Log       logrus.FieldLogger
+	// RecordRefused, if set, records the first refusal of a request for lack of room.
+	RecordRefused func(model string, room RoomClass)
 }
 
 // New returns a Forwarder.
@@ -146,7 +163,7 @@
 	return &Forwarder{
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log,
-		draining: make(chan struct{}),
+		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
 	}
 }
 
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -59,6 +59,8 @@
 	trial Trial
 	// last is the failure of the last attempt; nil before.
 	last *verdict.Failure
+	// room is the class whose room the request takes; nil if the service is not contended.
+	room *RoomClass
 }
 
 // newTransaction returns the transaction of an admitted request, and records the request for the
@@ -77,9 +79,10 @@
 		allowed = defaultTimeout
 	}
 	t.deadline = r.Arrived.Add(allowed)
+	t.room = t.roomClass()
 	f.budget.RecordRequest(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
-		f.placer.RecordArrival(r.Unit, Demand{Priority: route.Priority, Deferrable: deferrable(route), LateProbability: t.lateProbability()})
+		t.recordArrival()
 	}
 	return t
 }
@@ -230,7 +233,7 @@
 	balancerDone := t.f.balancer.Start(server.ID, server.FailureDomain)
 	placerDone := func(bool) {}
 	if t.request.Unit.Model != "" {
-		placerDone = t.f.placer.RegisterRun(Run{Engine: server.ID, Unit: t.request.Unit, Deferrable: deferrable(t.route), SoleReplica: t.soleReplica})
+		placerDone = t.f.placer.RegisterRun(Run{Engine: server.ID, Unit: t.request.Unit, Deferrable: deferrable(t.route), SoleReplica: t.soleReplica, Room: t.room})
 	}
 	outcome := balance.Neutral
 	defer func() {
@@ -365,6 +368,7 @@
 
 // finish counts and logs the outcome of the request.
 func (t *transaction) finish(failure *verdict.Failure) {
+	t.recordRefusal(failure)
 	t.f.counts.requestEnded(failure, clock.Since(t.request.Arrived))
 	log := t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{
 		"server": t.server, "waited_ms": t.waits.total().Milliseconds(), "waited_for": t.waits.longestCause(), "promised_ms": t.waits.estimate.Milliseconds(),
--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -142,6 +142,8 @@
 	SeenViews, SeenServers uint64
 	// Revision is the store revision up to which the instance knows the servers.
 	Revision store.Revision
+	// Traffic counts the requests of contended services by model and class since the last report.
+	Traffic []replicas.ClassTraffic
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -170,6 +172,8 @@
 	Failing uint64
 	// Lease states when the holder last renewed the lease. A successor counts its waiting time from then.
 	Lease lease.RenewalAge
+	// Room has the shares to admit by class, for contended services.
+	Room directory.Room
 }
 
 // Exchange processes the report of an instance and returns the state that the instance needs. It fails with
@@ -190,6 +194,7 @@
 	for _, a := range r.Arrivals {
 		h.fleet.RecordArrivals(a.Model, a.Arrivals, now)
 	}
+	h.recordTraffic(r.Traffic, now)
 	for _, run := range r.Running {
 		h.fleet.MarkUsed(run.Engine, run.Unit, now)
 	}
@@ -204,7 +209,7 @@
 	}
 	reply.RemoteAtOnce = h.fleet.RemoteConcurrency()
 	reply.Lease = h.lease.RenewalAge(now)
-	reply.Admit = h.admissions(now)
+	reply.Admit, reply.Room = h.admissions(now), h.room
 	reply.Peers = h.reports.peers.count(r.Domain, now)
 	reply.Views, reply.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config, confirmedAt := h.dir.Current(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -55,6 +55,8 @@
 	// is replaced and never changed, because replies that are being sent refer to it.
 	admissionShares map[string]float64
 	admissionsAt    time.Time
+	// room is computed together with admissionShares, and replaced like it; guarded by mu.
+	room directory.Room
 	// serversRefreshedAt is when the list of servers was last copied from the directory; guarded by mu.
 	serversRefreshedAt time.Time
 	workers            map[string]*worker // by engine; guarded by mu
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -59,6 +59,7 @@
 	if now.Sub(h.admissionsAt) >= viewsInterval {
 		h.admissionsAt = now
 		h.admissionShares = h.fleet.Admissions(now)
+		h.room = h.fleet.Room(now)
 	}
 	return h.admissionShares
 }
--- a/command/replicas/copies.go
+++ b/command/replicas/copies.go
@@ -31,7 +31,7 @@
 		}
 		benefit := f.absenceCost(model)
 		if copies > 0 {
-			uncovered := 1 - float64(copies)*f.copyCapacity(e)/max(1, d.Running)
+			uncovered := 1 - float64(copies)*f.copyCapacity(e)/max(1, f.offered(d))
 			benefit = f.params.Horizon.Seconds() * d.Weight * max(spareCopyBenefit, uncovered)
 		}
 		models = append(models, &wantedModel{
@@ -62,7 +62,7 @@
 	if !requested || !known {
 		return 0
 	}
-	n := int(math.Ceil(d.Running / f.copyCapacity(e)))
+	n := int(math.Ceil(f.offered(d) / f.copyCapacity(e)))
 	if d.Rate >= f.params.SpareRate {
 		n = max(n, 2)
 	}
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -21,11 +21,7 @@
 // RecordArrivals records requests for a model.
 func (f *Fleet) RecordArrivals(model string, a Arrivals, now time.Time) {
 	f.decay(now)
-	d := f.demand[model]
-	if d == nil {
-		d = &Demand{}
-		f.demand[model] = d
-	}
+	d := f.demandFor(model)
 	window := f.params.DemandWindow.Seconds()
 	d.Rate += float64(a.Count) / window
 	d.Weight += a.Weight / window
@@ -72,6 +68,7 @@
 		d.Late *= keep
 		d.Deferrable *= keep
 		d.Served *= keep
+		d.decayClasses(keep)
 		if d.Rate < f.params.IdleRate {
 			delete(f.demand, model)
 		}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -112,6 +112,13 @@
 	Deferrable, Served float64
 	// Running is the number of concurrent requests.
 	Running float64
+	// Refused is the rate of requests that are refused for lack of room and still want to be served, each counted once.
+	Refused float64
+	// service is the service of the model; empty if it is not contended.
+	service string
+	// answered is the rate of answered requests, and runSeconds the total run time of those answered in a second.
+	answered, runSeconds float64
+	classes              []classDemand
 }
 
 // Fleet is the record of all engines. It is not safe for concurrent use.
@@ -138,6 +145,10 @@
 	suspended bool
 	// limits has the operators' limits.
 	limits limits.Source
+	// runTime is the mean run time of the requests for all models.
+	runTime runTime
+	// room has the room of traffic classes in contended services.
+	room room
 	// complete: an engine that is not in engines no longer exists.
 	complete bool
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -144,6 +144,7 @@
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
 		Counts: i.counts, Log: log,
+		RecordRefused: i.follower.recordRefused,
 	})
 	i.clients = newClientServer(i.closeWhileDraining(platform.NewIngress(i.forwarder, i.limits)), i.limits, i.set, log)
 	i.addGauges()
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -70,6 +70,7 @@
 	// lastLookup is when the record was last read; guarded by mu.
 	lastLookup time.Time
 	arrivals   map[string]*holder.Arrivals // by model; guarded by mu
+	traffic    classTraffic                // guarded by mu
 	running    map[unitOnEngine]int        // guarded by mu
 	// waiting are the requests that wait for a model, by model; guarded by mu.
 	waiting      map[string]map[*waitingRequest]struct{}
@@ -299,6 +300,7 @@
 		r.Arrivals = append(r.Arrivals, *a)
 	}
 	clear(f.arrivals)
+	r.Traffic = f.traffic.take()
 	for key, n := range f.running {
 		r.Running = append(r.Running, holder.Running{Engine: key.engine, Unit: key.unit, Count: n})
 	}
@@ -332,6 +334,7 @@
 	f.mu.Unlock()
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
 	f.dir.ApplyAdmissions(update.Admit)
+	f.dir.ApplyRoom(update.Room)
 	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
 	fresh := record.Holder != f.name && update.Failing == 0 && storeAge < f.watcher.maxUpdateAge()
 	if fresh {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -19,13 +19,18 @@
 func (f *follower) RecordArrival(unit serving.Unit, demand forward.Demand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.traffic.recordArrival(unit.Model, demand)
 	a := f.arrivalsFor(unit.Model)
-	a.Count++
 	if demand.Deferrable {
 		a.Deferrable++
 	}
-	a.Weight += serving.Weight(demand.Priority)
-	a.Late += serving.Weight(demand.Priority) * demand.LateProbability
+	if demand.Returned {
+		return
+	}
+	a.Count++
+	weight := serving.Weight(max(0, demand.Priority))
+	a.Weight += weight
+	a.Late += weight * demand.LateProbability
 }
 
 // arrivalsFor returns the arrivals of requests for a model since the last report. f.mu must be held.
@@ -90,6 +95,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running[key]++
+	started := clock.Now()
 	return func(answered bool) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -100,6 +106,9 @@
 		if answered && r.Deferrable {
 			f.arrivalsFor(r.Unit.Model).Served++
 		}
+		if answered {
+			f.traffic.recordAnswer(r, clock.Since(started))
+		}
 	}
 }
 
--- a/serving/class.go
+++ b/serving/class.go
@@ -47,3 +47,17 @@
 	}
 	return contended
 }
+
+// LowestPriority is the lowest priority that engines support.
+const LowestPriority = 9
+
+// maxObjective bounds the objectives of classes.
+const maxObjective = time.Hour
+
+// OtherClass is the class of requests whose own class is not counted, because there are too many.
+var OtherClass = TrafficClass{Priority: LowestPriority, Objective: maxObjective}
+
+// Bounded returns the class with priority and objective within what is supported, whatever is configured.
+func (c TrafficClass) Bounded() TrafficClass {
+	return TrafficClass{Priority: min(LowestPriority, max(0, c.Priority)), Objective: min(maxObjective, max(0, c.Objective))}
+}
