Room by class: a burst is paid by the class that sends it, in contended services

Cause: under overload the holder sent one share by model, which instances apply to all requests of a priority above 0. A burst of patient callers over hundreds of models, each too rare for a share, fills the queues, and what is refused then are urgent requests for the few models that are asked for often. The holder now decides on each engine, over all its models, how many requests it has room for, and divides them by traffic class: first what each class usually takes, learnt while room is not scarce, then by priority. What exceeds the queue that the callers' objectives allow is taken from what was lent, and then from the lowest priority. Instances take the mean over the engines of a model. Shares travel by engine, because there are fewer engines than models.

--- a/command/forward/overload.go
+++ b/command/forward/overload.go
@@ -17,13 +17,28 @@
 // all slots of an engine are freed and taken again.
 const overloadRetryAfter = 1500 * time.Millisecond
 
+// admittedShare returns the share of requests like this one to admit. In a contended service that is
+// the share of their class, which may be below 1 for the highest priority too: if that alone asks for
+// more than there is, a queue for the slots of the engines makes all of its requests late.
+func (t *transaction) admittedShare() float64 {
+	if t.room != nil {
+		if share, known := t.f.dir.AdmitClass(t.request.Unit.Model, t.room.Class, clock.Now()); known {
+			return share
+		}
+	}
+	if !deferrable(t.route) {
+		return 1
+	}
+	return t.f.dir.Admit(t.request.Unit.Model, clock.Now())
+}
+
 // refuseOverload refuses a random fraction of the requests while the demand for a model exceeds the
 // capacity of its engines. A request that has been sent to an engine before is not refused.
 func (t *transaction) refuseOverload() *verdict.Failure {
-	if !deferrable(t.route) || t.sends > 0 || t.out.started {
+	if t.sends > 0 || t.out.started {
 		return nil
 	}
-	share := t.f.dir.Admit(t.request.Unit.Model, clock.Now())
+	share := t.admittedShare()
 	if rand.Float64() < share {
 		return nil
 	}
--- a/command/forward/refused.go
+++ b/command/forward/refused.go
@@ -13,8 +13,8 @@
 // is one request, however often it comes back.
 
 const (
-	// refusedLifetime is how long a refused request is remembered at least: clients that come back do so within the
-	// time they have for an answer.
+	// refusedLifetime is how long a refused request is remembered at least, and a third of how long at most: clients
+	// that come back do so within the time they have for an answer.
 	refusedLifetime = 15 * time.Second
 	// maxRefused bounds the requests that are remembered, to about 1 MB.
 	maxRefused = 8192
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -62,13 +62,14 @@
 		return
 	}
 	keep := math.Exp(-passed.Seconds() / f.params.DemandWindow.Seconds())
+	keepTraffic := math.Exp(-passed.Seconds() / trafficWindow.Seconds())
 	for model, d := range f.demand {
 		d.Rate *= keep
 		d.Weight *= keep
 		d.Late *= keep
 		d.Deferrable *= keep
 		d.Served *= keep
-		d.decayClasses(keep)
+		d.decayClasses(keepTraffic)
 		if d.Rate < f.params.IdleRate {
 			delete(f.demand, model)
 		}
--- a/command/replicas/room.go
+++ b/command/replicas/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,19 +13,24 @@
 // class of them sends a burst. Each class is guaranteed the room that it usually takes. Room that a class does not use
 // is lent to the others, and what a class asks for beyond its guarantee it gets only from what is left.
 
-// usualWindow is the time constant of the usual room of a class: a burst lasts seconds, a lasting change of demand
-// longer. While room is short, it is scarceUsualWindow, so that a burst hardly raises its own guarantee.
+// usualWindow is the time constant of the usual room of a class. It is scarceUsualWindow while room is scarce: a burst
+// lasts seconds, a lasting change of demand longer, and a burst must not raise its own guarantee.
 const (
-	usualWindow       = 30 * time.Second
+	usualWindow       = 15 * time.Second
 	scarceUsualWindow = 5 * time.Minute
 )
 
 // minHistory is how long a class must have been observed without a shortage until its usual room is known.
 const minHistory = 5 * time.Second
 
+// warmUp is how long rates rise after the first report until they include what is usual.
+const warmUp = 2 * trafficWindow
+
 // usualRoom is the number of concurrent requests that a class usually has in a service.
 type usualRoom struct {
 	requests float64
+	// begun is how long traffic has been counted, up to warmUp.
+	begun time.Duration
 	// observed is how long the class has been observed without a shortage, up to usualWindow.
 	observed time.Duration
 }
@@ -37,6 +43,8 @@
 	passed = min(passed, time.Second) // nothing is known of a longer pause
 	switch {
 	case passed <= 0:
+	case u.begun < warmUp:
+		u.begun += passed
 	case !scarce:
 		u.observed = min(usualWindow, u.observed+passed)
 		u.requests += float64(passed) / float64(u.observed) * (requests - u.requests)
@@ -46,12 +54,14 @@
 }
 
 // guaranteedShare returns the share of what a class asks for that its guarantee covers: all of it while its usual
-// room is not known.
+// room is not known. What is usual varies by chance: a count has the deviation of its
+// square root, of which three cover nearly all that is no burst.
 func (u usualRoom) guaranteedShare(requested float64) float64 {
-	if !u.known() || requested <= u.requests {
+	guaranteed := u.requests + 3*math.Sqrt(max(0, u.requests))
+	if !u.known() || requested <= guaranteed {
 		return 1
 	}
-	return u.requests / requested
+	return guaranteed / requested
 }
 
 // claim is what one class asks for, in concurrent requests.
@@ -61,20 +71,54 @@
 	requested, guaranteed float64
 }
 
-// divideRoom returns the share of its requests that each class is admitted, in the order of claims.
+// divideRoom returns the share of its requests that each class is admitted, in the order of claims. room is for how
+// many there is room once the queues are as long as they should be, and excess how many fewer must come until then.
 //
 // Guaranteed requests come first. If there is too little room even for them, the classes are admitted in proportion to
-// their weight. What is left goes to the highest priority that asks for more. A class is never admitted a smaller share
-// than one of lower priority.
-func divideRoom(room float64, claims []claim) []float64 {
-	admitted := fillByWeight(room, claims)
-	for _, a := range admitted {
-		room -= a
+// their weight. What is left goes to the highest priority that asks for more. The excess is taken from those that got
+// more than their guarantee, and then from the lowest priority only, because the queues are its: engines serve the
+// higher ones first. A class is never admitted a smaller share than one of lower priority.
+func divideRoom(room, excess float64, claims []claim) []float64 {
+	guaranteed := fillByWeight(room, claims)
+	for _, g := range guaranteed {
+		room -= g
 	}
+	lent := make([]float64, len(claims))
 	for priority := range serving.LowestPriority + 1 {
-		room -= lend(room, priority, claims, admitted)
+		room -= lend(room, priority, claims, lent)
+	}
+	last := 0
+	for priority := serving.LowestPriority; priority >= 0; priority-- {
+		excess -= withdraw(excess, priority, claims, lent)
+	}
+	for _, c := range claims {
+		last = max(last, c.class.Priority)
+	}
+	withdraw(excess, last, claims, guaranteed)
+	for i := range lent {
+		lent[i] += guaranteed[i]
+	}
+	return orderedShares(claims, lent)
+}
+
+// withdraw lowers what classes of one priority are admitted by up to excess requests, and returns by how many.
+func withdraw(excess float64, priority int, claims []claim, admitted []float64) float64 {
+	total := 0.0
+	for i, c := range claims {
+		if c.class.Priority == priority {
+			total += admitted[i]
+		}
 	}
-	return orderedShares(claims, admitted)
+	if total <= 0 || excess <= 0 {
+		return 0
+	}
+	share := min(1, excess/total)
+	for i, c := range claims {
+		if c.class.Priority == priority {
+			admitted[i] *= 1 - share
+		}
+	}
+	return share * total
 }
 
 // lend admits requests of one priority beyond the guarantees of their classes, as far as there is room, and returns how
@@ -99,31 +143,24 @@
 }
 
 // fillByWeight returns how many of the guaranteed requests of each class fit into the room. The admitted share of a
-// class grows with its weight until it is 1.
+// class is proportional to its weight, up to 1, so that priorities are filled in their order.
 func fillByWeight(room float64, claims []claim) []float64 {
 	admitted := make([]float64, len(claims))
-	for range claims { // each round completes a class or uses up the room
-		open := 0.0
-		for i, c := range claims {
-			if admitted[i] < c.guaranteed {
+	for priority := range serving.LowestPriority + 1 {
+		open := 0.0 // the guaranteed requests of this priority and lower ones, by weight
+		for _, c := range claims {
+			if c.class.Priority >= priority {
 				open += c.guaranteed * serving.Weight(c.class.Priority)
 			}
 		}
 		if open <= 0 || room <= 0 {
 			break
 		}
-		// level is the share admitted in this round per unit of weight.
-		level := room / open
-		for i, c := range claims {
-			if missing := c.guaranteed - admitted[i]; missing > 0 {
-				level = min(level, missing/(c.guaranteed*serving.Weight(c.class.Priority)))
-			}
-		}
+		share := min(1, room/open*serving.Weight(priority))
 		for i, c := range claims {
-			if admitted[i] < c.guaranteed {
-				more := min(c.guaranteed-admitted[i], level*c.guaranteed*serving.Weight(c.class.Priority))
-				admitted[i] += more
-				room -= more
+			if c.class.Priority == priority {
+				admitted[i] = share * c.guaranteed
+				room -= admitted[i]
 			}
 		}
 	}
--- a/command/replicas/shares.go
+++ b/command/replicas/shares.go
@@ -1,8 +1,10 @@
 package replicas
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -19,6 +21,8 @@
 // serviceRoom is the state of the room of one service.
 type serviceRoom struct {
 	classes map[serving.TrafficClass]*classState
+	// running and slots are those of all engines that get requests.
+	running, slots float64
 	// scarceUntil is until when the traffic counts as unusual after a shortage.
 	scarceUntil time.Time
 }
@@ -57,145 +61,218 @@
 	return class
 }
 
-// maxRoomModels bounds the models in Room: those of which most is refused.
-const maxRoomModels = 128
+// maxRoomEngines bounds the engines in Room: those that refuse most.
+const maxRoomEngines = 256
 
-// Room returns the share of the requests for each model to admit by class, in contended services. Classes of which all
-// requests are admitted are omitted.
+// Room returns the share of the requests to admit on each short engine by class, in contended services.
 //
-// The number of requests admitted is that of Admissions, over all classes together. On each engine that a short model
-// uses, it is divided between the classes of all its models, so that a class also makes room on the engines that it
-// shares with the models of another. A model's share is the mean of its engines.
+// How many requests an engine gets follows from its load and throughput, like the shares of Admissions, but over all
+// its models: hundreds of models that are rarely asked for keep an engine as busy as one that is asked for often. They
+// are divided between the classes.
 func (f *Fleet) Room(now time.Time) directory.Room {
 	if len(f.room.services) == 0 {
 		return directory.Room{}
 	}
 	f.decay(now)
-	short := f.shortModels(now)
-	f.observeRoom(short, now)
-	shares := map[modelClass]float64{}
-	for _, e := range f.enginesOf(short) {
-		f.divideEngine(e, short, shares, now)
+	f.sumTraffic(now)
+	var divided []dividedEngine
+	for _, e := range f.Engines() {
+		s := f.room.services[e.Server.Service]
+		if s == nil || !servesNow(e, now) {
+			continue
+		}
+		s.running += e.load() * float64(slotsOf(e))
+		s.slots += float64(slotsOf(e))
+		if d, short := f.divideEngine(e, s, now); short {
+			divided = append(divided, d)
+		}
 	}
-	f.addAdmitted(shares)
-	return directory.Room{Known: true, Shares: f.lowestShares(shares)}
+	f.observeRoom(now)
+	return encodeRoom(divided)
 }
 
-// modelClass is a model as asked for by one class.
-type modelClass struct {
-	model string
-	class serving.TrafficClass
+// dividedEngine is an engine on which not all requests can be admitted, with the shares of the claims.
+type dividedEngine struct {
+	id     string
+	claims []claim
+	shares []float64
 }
 
-// shortModels returns the models of contended services of which not all requests can be admitted, with the share of all
-// their requests together.
-func (f *Fleet) shortModels(now time.Time) map[string]float64 {
-	short := map[string]float64{}
-	for model, d := range f.demand {
-		requested, answered := 0.0, 0.0
-		for _, c := range d.classes {
-			requested += c.arrived
-			answered += c.answered
-		}
-		if requested < minDeferrableRate {
-			continue
-		}
-		load, known := f.loadOf(model, now)
-		if !known || load <= admitAllLoad {
-			continue
+// refused returns how many concurrent requests are refused on the engine.
+func (d dividedEngine) refused() float64 {
+	refused := 0.0
+	for i, c := range d.claims {
+		refused += (1 - d.shares[i]) * c.requested
+	}
+	return refused
+}
+
+// encodeRoom returns the shares of the maxRoomEngines engines that refuse most.
+func encodeRoom(divided []dividedEngine) directory.Room {
+	slices.SortStableFunc(divided, func(a, b dividedEngine) int { return cmp.Compare(b.refused(), a.refused()) })
+	r := directory.Room{Known: true}
+	index := map[serving.TrafficClass]int{}
+	for _, d := range divided[:min(len(divided), maxRoomEngines)] {
+		for _, c := range d.claims {
+			if _, found := index[c.class]; !found {
+				index[c.class] = len(r.Classes)
+				r.Classes = append(r.Classes, c.class)
+			}
 		}
-		if share := admissionShare(load, requested, answered); share < 1 {
-			short[model] = share
+		e := directory.EngineRoom{Engine: d.id, Percent: bytes.Repeat([]byte{100}, len(r.Classes))}
+		for i, c := range d.claims {
+			e.Percent[index[c.class]] = byte(math.Round(100 * d.shares[i]))
 		}
+		r.Engines = append(r.Engines, e)
 	}
-	return short
+	return r
 }
 
-// observeRoom updates the traffic of all classes and what is usual for them.
-func (f *Fleet) observeRoom(short map[string]float64, now time.Time) {
-	passed := now.Sub(f.room.computedAt)
-	f.room.computedAt = now
+// sumTraffic sums up the traffic of all classes.
+func (f *Fleet) sumTraffic(now time.Time) {
 	for _, s := range f.room.services {
 		maps.DeleteFunc(s.classes, func(_ serving.TrafficClass, c *classState) bool { return now.Sub(c.seen) > classLifetime })
+		s.running, s.slots = 0, 0
 		for _, c := range s.classes {
-			c.requested, c.offered, c.served = 0, 0, 0
+			c.requested, c.offered, c.served, c.admitted = 0, 0, 0, 0
 		}
 	}
-	for model, d := range f.demand {
+	for _, d := range f.demand {
 		s := f.room.services[d.service]
 		if s == nil {
 			continue
 		}
-		if _, isShort := short[model]; isShort {
-			// The rates still include the traffic of the shortage for some time after it.
-			s.scarceUntil = now.Add(2 * f.params.DemandWindow)
-		}
 		seconds := f.meanRunTime(d)
 		for _, c := range d.classes {
 			if state := s.classes[c.class]; state != nil {
 				state.requested += c.arrived * seconds
+				state.admitted += c.arrived * seconds
 				state.offered += c.distinct * seconds
 				state.served += c.answered * seconds
 			}
 		}
 	}
+}
+
+// scarceShare is the share of all requests of a service below which room is scarce, as it is when all engines together
+// have more than targetLoad. Less is refused when single engines are busy by chance.
+const scarceShare = 0.75
+
+// observeRoom updates what is usual for all classes.
+func (f *Fleet) observeRoom(now time.Time) {
+	passed := now.Sub(f.room.computedAt)
+	f.room.computedAt = now
 	for _, s := range f.room.services {
+		requested, admitted := 0.0, 0.0
 		for _, c := range s.classes {
-			c.usual.observe(c.offered, now.Before(s.scarceUntil), passed)
+			requested += c.requested
+			admitted += c.admitted
 		}
-	}
-}
-
-// enginesOf returns the engines that serve one of the models.
-func (f *Fleet) enginesOf(models map[string]float64) []*Engine {
-	seen := map[*Engine]bool{}
-	for model := range models {
-		for _, e := range f.holding(model) {
-			seen[e] = true
+		if admitted < scarceShare*requested || s.running > targetLoad*s.slots {
+			// The rates still include the traffic of a shortage for some time after it.
+			s.scarceUntil = now.Add(2 * trafficWindow)
+		}
+		for _, c := range s.classes {
+			c.usual.observe(c.offered, now.Before(s.scarceUntil), passed)
 		}
 	}
-	return slices.SortedFunc(maps.Keys(seen), compareEngines)
 }
 
-// divideEngine divides the room of an engine between the classes, and lowers the shares of its models accordingly.
-func (f *Fleet) divideEngine(e *Engine, short map[string]float64, shares map[modelClass]float64, now time.Time) {
-	service := f.room.services[e.Server.Service]
-	if service == nil || !servesNow(e, now) {
-		return
+// divideEngine divides the room of an engine between the classes. It returns false if all requests can be admitted.
+func (f *Fleet) divideEngine(e *Engine, service *serviceRoom, now time.Time) (d dividedEngine, short bool) {
+	load := e.load()
+	if load <= admitAllLoad {
+		return dividedEngine{}, false
 	}
-	total := 0.0
+	requested, answered, total := 0.0, 0.0, 0.0
 	var claims []claim
 	for model, c := range e.Copies {
 		d := f.demand[model]
 		if c.State != Resident || d == nil {
 			continue
 		}
-		share, isShort := short[model]
-		if !isShort {
-			share = 1
-		}
-		seconds := f.meanRunTime(d) / float64(f.servingCopies(model, now))
+		copies := float64(f.servingCopies(model, now))
 		for _, class := range d.classes {
-			claims = addClaim(claims, class.class, class.arrived*seconds)
-			total += share * class.arrived * seconds
+			requested += class.arrived / copies
+			answered += class.answered / copies
+			concurrent := class.arrived / copies * f.meanRunTime(d)
+			total += concurrent
+			claims = addClaim(claims, class.class, concurrent)
 		}
 	}
+	if requested < minDeferrableRate {
+		return dividedEngine{}, false
+	}
+	seconds := total / requested
+	room, excess := engineRoom(load-acceptableQueue(claims, seconds), slotsOf(e), requested, answered)
+	if excess <= 0 && room >= requested {
+		return dividedEngine{}, false
+	}
+	d = dividedEngine{id: e.Server.ID, claims: service.guarantee(claims)}
+	d.shares = divideRoom(room*seconds, excess*seconds, d.claims)
+	for i, c := range d.claims {
+		d.shares[i] = max(minAdmittedShare, d.shares[i])
+		if state := service.classes[c.class]; state != nil {
+			state.admitted -= (1 - d.shares[i]) * c.requested
+		}
+	}
+	return d, true
+}
+
+// queueTime is the time in which the load of an engine is brought to targetLoad: longer than reports and replies take,
+// and shorter than callers wait.
+const queueTime = 2 * time.Second
+
+// The share of its objective that a request may spend in the queue of an engine, and how many requests may queue for
+// each slot however patient they are.
+const (
+	queueShare = 0.25
+	maxQueue   = 0.5
+)
+
+// acceptableQueue returns how many requests may queue for each slot of an engine beyond targetLoad. They are those of
+// the lowest priority, since engines serve higher ones first, and the least patient of them decides.
+func acceptableQueue(claims []claim, runSeconds float64) float64 {
+	var last serving.TrafficClass
+	for i, c := range claims {
+		if i == 0 || c.class.Priority > last.Priority || c.class.Priority == last.Priority && c.class.Objective < last.Objective {
+			last = c.class
+		}
+	}
+	wait := queueShare * last.Objective.Seconds()
+	return min(maxQueue, max(0, wait/max(runSeconds, 0.01)-(targetLoad-1)))
+}
+
+// engineRoom returns how many requests per second an engine has room for, given the requested and the answered rate:
+// as many as it answers, and more while its load is below targetLoad. excess is how many fewer must come for queueTime
+// if its load is above.
+func engineRoom(load float64, slots int, requested, answered float64) (room, excess float64) {
+	saturation := min(1, max(0, (load-admitAllLoad)/(saturatedLoad-admitAllLoad)))
+	distance := (targetLoad - load) * float64(slots) / queueTime.Seconds()
+	room = min(requested, (1-saturation)*requested+saturation*(answered+max(0, distance)))
+	return room, saturation * max(0, -distance)
+}
+
+// load returns the number of running and queued requests per slot of the engine.
+func (e *Engine) load() float64 {
+	running := 0
+	for _, c := range e.Copies {
+		running += c.Running
+	}
+	return float64(running) / float64(max(1, slotsOf(e)))
+}
+
+// guarantee orders the claims of classes, and sets which part of each the guarantee of the class covers.
+func (s *serviceRoom) guarantee(claims []claim) []claim {
 	slices.SortFunc(claims, func(a, b claim) int { return compareClasses(a.class, b.class) })
 	for i := range claims {
 		c := &claims[i]
 		c.guaranteed = c.requested
-		if state := service.classes[c.class]; state != nil {
+		if state := s.classes[c.class]; state != nil {
 			c.guaranteed *= state.usual.guaranteedShare(state.requested)
 		}
 	}
-	admitted := divideRoom(total, claims)
-	for model, c := range e.Copies {
-		if d := f.demand[model]; c.State == Resident && d != nil {
-			for i, claim := range claims {
-				f.lowerShare(shares, modelClass{model, claim.class}, max(minAdmittedShare, admitted[i]), now)
-			}
-		}
-	}
+	return claims
 }
 
 // addClaim adds requests to the claim of a class.
@@ -209,22 +286,6 @@
 	return append(claims, claim{class: class, requested: requests})
 }
 
-// lowerShare lowers the share of a model's requests, which is the mean over its engines, by the share on one engine.
-func (f *Fleet) lowerShare(shares map[modelClass]float64, key modelClass, share float64, now time.Time) {
-	if !f.demand[key.model].has(key.class) {
-		return
-	}
-	if _, found := shares[key]; !found {
-		shares[key] = 1
-	}
-	shares[key] -= (1 - share) / float64(f.servingCopies(key.model, now))
-}
-
-// has reports whether there is traffic of a class.
-func (d *Demand) has(class serving.TrafficClass) bool {
-	return slices.ContainsFunc(d.classes, func(c classDemand) bool { return c.class == class })
-}
-
 // servingCopies returns the number of engines that serve a model now, at least 1.
 func (f *Fleet) servingCopies(model string, now time.Time) int {
 	n := 0
@@ -241,54 +302,6 @@
 	return !e.Server.Draining && !now.Before(e.FailingUntil)
 }
 
-// addAdmitted adds up, for each class, the requests that are admitted with the given shares.
-func (f *Fleet) addAdmitted(shares map[modelClass]float64) {
-	for _, s := range f.room.services {
-		for _, c := range s.classes {
-			c.admitted = 0
-		}
-	}
-	for model, d := range f.demand {
-		s := f.room.services[d.service]
-		if s == nil {
-			continue
-		}
-		seconds := f.meanRunTime(d)
-		for _, c := range d.classes {
-			share, found := shares[modelClass{model, c.class}]
-			if !found {
-				share = 1
-			}
-			if state := s.classes[c.class]; state != nil {
-				state.admitted += share * c.arrived * seconds
-			}
-		}
-	}
-}
-
-// shareMargin is how far a share must be below 1 to be sent: less makes no difference to callers.
-const shareMargin = 0.01
-
-// lowestShares returns the shares of the maxRoomModels models of which most is refused, ordered by model and class.
-func (f *Fleet) lowestShares(shares map[modelClass]float64) []directory.ClassShare {
-	lowest := map[string]float64{}
-	for key, share := range shares {
-		if low, found := lowest[key.model]; share < 1-shareMargin && (!found || share < low) {
-			lowest[key.model] = share
-		}
-	}
-	models := slices.SortedFunc(maps.Keys(lowest), func(a, b string) int { return cmp.Or(cmp.Compare(lowest[a], lowest[b]), cmp.Compare(a, b)) })
-	var list []directory.ClassShare
-	for _, model := range models[:min(len(models), maxRoomModels)] {
-		for _, c := range f.demand[model].classes {
-			if share, found := shares[modelClass{model, c.class}]; found {
-				list = append(list, directory.ClassShare{Model: model, Class: c.class, Share: share})
-			}
-		}
-	}
-	return list
-}
-
 func compareClasses(a, b serving.TrafficClass) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Objective, b.Objective))
 }
--- a/command/replicas/traffic.go
+++ b/command/replicas/traffic.go
@@ -41,6 +41,9 @@
 
 func boundedCount(n int) int { return min(maxReported, max(0, n)) }
 
+// trafficWindow is the time constant of the traffic by class: a burst is to be noticed within a second or two.
+const trafficWindow = 2 * time.Second
+
 // classDemand is the smoothed traffic of one class for one model, per second.
 type classDemand struct {
 	class serving.TrafficClass
@@ -52,7 +55,7 @@
 func (f *Fleet) RecordClassTraffic(t ClassTraffic, now time.Time) {
 	t = t.bounded()
 	f.decay(now)
-	window := f.params.DemandWindow.Seconds()
+	window := trafficWindow.Seconds()
 	d := f.demandFor(t.Model)
 	d.service = t.Service
 	d.answered += float64(t.Answered) / window
@@ -71,7 +74,7 @@
 		return
 	}
 	f.decay(now)
-	f.demandFor(model).Refused += float64(n) / f.params.DemandWindow.Seconds()
+	f.demandFor(model).Refused += float64(n) / trafficWindow.Seconds()
 }
 
 // demandFor returns the record of the demand for a model, which it creates if there is none.
--- a/command/replicas/traffic_test.go
+++ b/command/replicas/traffic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"reflect"
 	"testing"
 	"time"
 
@@ -140,14 +141,8 @@
 	if n := len(f.demand["m9"].classes); n > maxClasses {
 		t.Errorf("%d classes of a model", n)
 	}
-	got := f.Room(now)
-	if len(got.Shares) != len(want.Shares) {
-		t.Fatalf("%+v, want %+v", got, want)
-	}
-	for i := range got.Shares {
-		if math.Abs(got.Shares[i].Share-want.Shares[i].Share) > 1e-9 {
-			t.Errorf("%+v, want %+v", got.Shares[i], want.Shares[i])
-		}
+	if got := f.Room(now); !reflect.DeepEqual(got, want) || len(want.Engines) != 1 {
+		t.Errorf("%+v, want %+v", got, want)
 	}
 	huge := ClassTraffic{Class: serving.TrafficClass{Priority: 99, Objective: time.Duration(math.MaxInt64)}, Arrived: math.MaxInt, Answered: 1, RunTime: time.Duration(math.MaxInt64)}.bounded()
 	if huge.Class != serving.OtherClass || huge.Arrived != maxReported || huge.RunTime != maxRunTime {
@@ -177,10 +172,10 @@
 	for _, d := range plain.demand {
 		d.classes = nil
 	}
-	if r := plain.Room(now); r.Known || len(r.Shares) > 0 {
+	if r := plain.Room(now); r.Known || len(r.Engines) > 0 {
 		t.Errorf("%+v without classes", r)
 	}
-	if r := f.Room(now); !r.Known || len(r.Shares) == 0 {
+	if r := f.Room(now); !r.Known || len(r.Engines) == 0 {
 		t.Errorf("%+v, want shares", r)
 	}
 	for model, share := range plain.Admissions(now) {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -41,8 +41,9 @@
 	// admissionShares is the share of deferrable requests to admit, by model; guarded by mu.
 	admissionShares map[string]float64
 	// classShares has the shares to admit by class, by model. roomKnown: the holder decides by class; guarded by mu.
-	classShares map[string][]ClassShare
+	classShares map[string][]classShare
 	roomKnown   bool
+	roomClasses []serving.TrafficClass
 	// lastChange counts the changes of servers, changeOf is the last change of each id, and revision is the store
 	// revision up to which the servers are known; guarded by mu.
 	lastChange uint64
