A request that comes back counts once in four seconds, not once in all

Cause: a request that came back was left out of the rate of its model for as long as it was remembered, so that a model whose callers still wait for a first copy looked idle after a few seconds. It now counts once in each time constant of the demand.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -52,7 +52,7 @@
 	Deferrable bool
 	// LateProbability is the probability that the request then misses its objective.
 	LateProbability float64
-	// Returned is set if this instance refused the request for lack of room shortly before.
+	// Returned is set if this instance refused the request for lack of room and counted it shortly before.
 	Returned bool
 	// Room is nil if the service is not contended.
 	Room *RoomClass
@@ -154,7 +154,7 @@
 	Limiter   ServerLimiter
 	Counts    *Counts
 	Log       logrus.FieldLogger
-	// RecordRefused, if set, records the first refusal of a request for lack of room.
+	// RecordRefused, if set, records the refusal of a request for lack of room, unless it was counted shortly before.
 	RecordRefused func(model string, room RoomClass)
 }
 
--- a/command/forward/refused.go
+++ b/command/forward/refused.go
@@ -9,13 +9,12 @@
 	"github.com/martenport/martenport/verdict"
 )
 
-// A client whose request was refused sends it again, under a new ID but with the same fingerprint. For the demand it
-// is one request, however often it comes back.
+// A client whose request was refused sends it again, under a new ID but with the same fingerprint. It is one request
+// that still wants to be served, however often it comes back, and counts once in each countedInterval.
 
 const (
-	// refusedLifetime is how long a refused request is remembered at least, and a third of how long at most: clients
-	// that come back do so within the time they have for an answer.
-	refusedLifetime = 15 * time.Second
+	// countedInterval is about the time constant of the demand for models, over which a request is to count once.
+	countedInterval = 4 * time.Second
 	// maxRefused bounds the requests that are remembered, to about 1 MB.
 	maxRefused = 8192
 )
@@ -23,32 +22,35 @@
 // refusedRequests remembers the requests that were refused for lack of room.
 type refusedRequests struct {
 	mu sync.Mutex
-	// recent and older have the fingerprints; recent becomes older at the end of refusedLifetime, or when it is full;
-	// guarded by mu.
-	recent, older map[serving.Fingerprint]struct{}
+	// recent and older state when requests were last counted; recent becomes older after countedInterval, or when it is
+	// full; guarded by mu.
+	recent, older map[serving.Fingerprint]time.Time
 	since         time.Time // when recent began; guarded by mu
 }
 
 func newRefusedRequests() *refusedRequests {
-	return &refusedRequests{recent: map[serving.Fingerprint]struct{}{}}
+	return &refusedRequests{recent: map[serving.Fingerprint]time.Time{}}
 }
 
-// has reports whether the request was refused shortly before.
-func (r *refusedRequests) has(id serving.Fingerprint, now time.Time) bool {
+// counted reports whether the request was refused, and counted less than countedInterval ago.
+func (r *refusedRequests) counted(id serving.Fingerprint, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rotate(now)
-	return r.find(id)
+	return r.find(id, now)
 }
 
-// add records the refusal of a request, and reports whether it is the first one.
-func (r *refusedRequests) add(id serving.Fingerprint, now time.Time) (first bool) {
+// count records the refusal of a request, and reports whether it counts.
+func (r *refusedRequests) count(id serving.Fingerprint, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rotate(now)
-	first = !r.find(id)
-	r.recent[id] = struct{}{}
-	return first
+	if r.find(id, now) {
+		return false
+	}
+	if now.Sub(r.since) >= countedInterval || len(r.recent) >= maxRefused/2 {
+		r.recent, r.older, r.since = map[serving.Fingerprint]time.Time{}, r.recent, now
+	}
+	r.recent[id] = now
+	return true
 }
 
 // forget drops a request that was answered: the next one with its content is another request.
@@ -59,25 +61,13 @@
 	delete(r.older, id)
 }
 
-// find reports whether the request is remembered. r.mu must be held.
-func (r *refusedRequests) find(id serving.Fingerprint) bool {
-	_, recent := r.recent[id]
-	_, older := r.older[id]
-	return recent || older
-}
-
-// rotate drops the requests that were refused too long ago, and the older half if there are too many. r.mu must be
-// held.
-func (r *refusedRequests) rotate(now time.Time) {
-	age := now.Sub(r.since)
-	if age < refusedLifetime && len(r.recent) < maxRefused/2 {
-		return
-	}
-	r.older = r.recent
-	if age >= 2*refusedLifetime {
-		r.older = nil
+// find reports whether the request was counted less than countedInterval ago. r.mu must be held.
+func (r *refusedRequests) find(id serving.Fingerprint, now time.Time) bool {
+	at, found := r.recent[id]
+	if !found {
+		at, found = r.older[id]
 	}
-	r.recent, r.since = map[serving.Fingerprint]struct{}{}, now
+	return found && now.Sub(at) < countedInterval
 }
 
 // roomClass returns the class whose room the request takes, nil if its service is not contended.
@@ -90,7 +80,7 @@
 
 // recordArrival records the request for demand forecasts.
 func (t *transaction) recordArrival() {
-	returned := t.room != nil && t.f.refused.has(t.request.Fingerprint, clock.Now())
+	returned := t.room != nil && t.f.refused.counted(t.request.Fingerprint, clock.Now())
 	t.f.placer.RecordArrival(t.request.Unit, Demand{
 		Priority: t.route.Priority, Deferrable: deferrable(t.route), LateProbability: t.lateProbability(), Returned: returned, Room: t.room,
 	})
@@ -103,7 +93,7 @@
 	case t.room == nil:
 	case failure == nil:
 		t.f.refused.forget(t.request.Fingerprint)
-	case refusedForRoom(failure) && t.f.refused.add(t.request.Fingerprint, clock.Now()) && t.f.recordRefused != nil:
+	case refusedForRoom(failure) && t.f.refused.count(t.request.Fingerprint, clock.Now()) && t.f.recordRefused != nil:
 		t.f.recordRefused(t.request.Unit.Model, *t.room)
 	}
 }
--- a/command/replicas/traffic.go
+++ b/command/replicas/traffic.go
@@ -11,9 +11,9 @@
 type ClassTraffic struct {
 	Service, Model string
 	Class          serving.TrafficClass
-	// Arrived counts all requests, and Returned those among them that had been refused shortly before.
+	// Arrived counts all requests, and Returned those among them that had been refused and counted shortly before.
 	Arrived, Returned int
-	// Refused is the number of requests that were refused for lack of room, each counted once.
+	// Refused is the number of requests that were refused for lack of room, except those counted shortly before.
 	Refused int
 	// Answered is the number of answered requests, and RunTime how long they ran in total.
 	Answered int
@@ -68,7 +68,7 @@
 }
 
 // RecordRefused records that n requests for a model were refused for lack of room and still want to be served. A
-// request that comes back must not be counted again.
+// request that comes back must not be counted again within seconds.
 func (f *Fleet) RecordRefused(model string, _ serving.TrafficClass, n int, now time.Time) {
 	if n = boundedCount(n); n == 0 {
 		return
--- a/entry/classtraffic.go
+++ b/entry/classtraffic.go
@@ -68,7 +68,7 @@
 	return list
 }
 
-// recordRefused records the first refusal of a request for lack of room.
+// recordRefused records the refusal of a request for lack of room that was not counted shortly before.
 func (f *follower) recordRefused(model string, room forward.RoomClass) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
