--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -55,8 +55,12 @@
 	// is replaced and never changed, because replies that are being sent refer to it.
 	admissionShares map[string]float64
 	admissionsAt    time.Time
-	// room is computed together with admissionShares, and replaced like it; guarded by mu.
-	room directory.Room
+	// room has the shares to admit by class, as computed at roomAt, and is replaced like admissionShares; guarded by mu.
+	room   directory.Room
+	roomAt time.Time
+	// roomReportedAt is when the room was last reported to operators, and copiesLoggedAt when models that lack copies
+	// were last logged; guarded by mu.
+	roomReportedAt, copiesLoggedAt time.Time
 	// serversRefreshedAt is when the list of servers was last copied from the directory; guarded by mu.
 	serversRefreshedAt time.Time
 	workers            map[string]*worker // by engine; guarded by mu
@@ -125,6 +129,8 @@
 	for pause.For(ctx, h.params.Tick) {
 		if h.Holds() {
 			h.tick(clock.Now())
+		} else {
+			h.dropRoom()
 		}
 	}
 }
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -18,6 +18,8 @@
 	operationSeconds *metrics.Histogram
 	// loadTimeError is the relative error of the predicted duration of loads from the weight store.
 	loadTimeError *metrics.Histogram
+	// roomGauges are the names of the gauges of the room of classes; guarded by Holder.mu.
+	roomGauges map[string]struct{}
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -25,7 +27,7 @@
 	return &Metrics{
 		set: set, takeOvers: set.NewCounter("martenport_lease_takeovers_total"),
 		reports: set.NewCounter("martenport_engine_reports_total"), operationSeconds: set.NewHistogram("martenport_operation_seconds"),
-		loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
+		roomGauges: map[string]struct{}{}, loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
 	}
 }
 
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -59,7 +59,11 @@
 	if now.Sub(h.admissionsAt) >= viewsInterval {
 		h.admissionsAt = now
 		h.admissionShares = h.fleet.Admissions(now)
+	}
+	if now.Sub(h.roomAt) >= roomInterval {
+		h.roomAt = now
 		h.room = h.fleet.Room(now)
+		h.reportRoom(now)
 	}
 	return h.admissionShares
 }
--- a/command/replicas/bench_test.go
+++ b/command/replicas/bench_test.go
@@ -105,3 +105,25 @@
 		}
 	}
 }
+
+// BenchmarkRoom measures the division of the room of all engines, each short, with three models for two classes on each:
+// what a holder does ten times a second under a burst.
+func BenchmarkRoom(b *testing.B) {
+	for _, engines := range []int{9, 124, 600} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			f := busyFleet(now, engines)
+			for _, e := range f.Engines() {
+				for model, c := range e.Copies {
+					c.Running = 8
+					for _, class := range []serving.TrafficClass{urgentClass, patientClass} {
+						f.RecordClassTraffic(ClassTraffic{Service: "llm", Model: model, Class: class, Arrived: 20, Answered: 8, RunTime: 16 * time.Second}, now)
+					}
+				}
+			}
+			for b.Loop() {
+				f.Room(now)
+			}
+		})
+	}
+}
--- a/command/replicas/room_load_test.go
+++ b/command/replicas/room_load_test.go
@@ -42,7 +42,9 @@
 	lostReports, staleReplies float64
 	// shifts: in the burst, patient callers ask for half of the models only.
 	shifts bool
-	seed   uint64
+	// urgentBack is when urgent callers, who send nothing from the beginning of the burst on, come back; 0 if they stay.
+	urgentBack time.Duration
+	seed       uint64
 }
 
 // outcome is what becomes of the requests of a class that first came in a part of the play.
@@ -129,6 +131,9 @@
 			if class == p.bursting && now >= roomBurst && now < roomAfter {
 				slots *= roomBurstFactor
 			}
+			if class == 0 && now >= roomBurst && now < p.urgentBack {
+				continue
+			}
 			rate := slots * roomEngines * admitSlots / roomRun
 			for pending[class] += rate * roomStep.Seconds() * p.random.ExpFloat64(); pending[class] >= 1; pending[class]-- {
 				p.send(roomRequest{class: class, model: p.model(class, now), first: now}, now)
--- a/command/replicas/room_test.go
+++ b/command/replicas/room_test.go
@@ -120,6 +120,21 @@
 	}
 }
 
+// TestLentRoomComesBack: patient callers use the room of urgent ones who send nothing, and lose it when those are back.
+func TestLentRoomComesBack(t *testing.T) {
+	c := roomCase{urgent: classWith(1), bursting: 1, urgentBack: 25 * time.Second}
+	byModel := c
+	byModel.byModel = true
+	before, after := playRooms(byModel), playRooms(c)
+	t.Logf("urgent %v, patient %v; before: urgent %v, patient %v", after.during[0], after.during[1], before.during[0], before.during[1])
+	if o := after.during[0]; o.share(o.onTime) < 0.85 || o.share(o.onTime) < before.during[0].share(before.during[0].onTime) {
+		t.Errorf("urgent callers are back: %v, before: %v", o, before.during[0])
+	}
+	if o := after.during[1]; o.share(o.onTime) < 0.6 {
+		t.Errorf("patient callers with lent room: %v", o)
+	}
+}
+
 // TestDivideRoom checks the properties of a division for any claims.
 func TestDivideRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/command/replicas/shares.go
+++ b/command/replicas/shares.go
@@ -35,10 +35,9 @@
 	// admitted is the part of requested that is admitted.
 	admitted float64
 	seen     time.Time
-	// short: operators have been told that the class is short of room. shareChangedAt is when its state last differed
-	// from that.
-	short          bool
-	shareChangedAt time.Time
+	// short: the class was last reported as short of room. differsSince is since when that is no longer so.
+	short        bool
+	differsSince time.Time
 }
 
 // admitClass returns the class under which traffic of a class is recorded, which bounds their number.
