--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -59,6 +59,8 @@
 	trial Trial
 	// last is the failure of the last attempt; nil before.
 	last *verdict.Failure
+	// room is the class whose room the request takes; nil if the service is not contended.
+	room *RoomClass
 }
 
 // newTransaction returns the transaction of an admitted request, and records the request for the
@@ -70,9 +72,10 @@
 		service: a.config.Services[chooseTarget(route.Targets)],
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
+	t.room = t.roomClass()
 	f.budget.RecordRequest(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
-		f.placer.RecordArrival(r.Unit, Demand{Priority: route.Priority, Deferrable: deferrable(route), LateProbability: t.lateProbability()})
+		t.recordArrival()
 	}
 	return t
 }
@@ -223,7 +226,7 @@
 	balancerDone := t.f.balancer.Start(server.ID, server.FailureDomain)
 	placerDone := func(bool) {}
 	if t.request.Unit.Model != "" {
-		placerDone = t.f.placer.RegisterRun(Run{Engine: server.ID, Unit: t.request.Unit, Deferrable: deferrable(t.route), SoleReplica: t.soleReplica})
+		placerDone = t.f.placer.RegisterRun(Run{Engine: server.ID, Unit: t.request.Unit, Deferrable: deferrable(t.route), SoleReplica: t.soleReplica, Room: t.room})
 	}
 	outcome := balance.Neutral
 	defer func() {
@@ -358,6 +361,7 @@
 
 // finish counts and logs the outcome of the request.
 func (t *transaction) finish(failure *verdict.Failure) {
+	t.recordRefusal(failure)
 	t.f.counts.requestEnded(failure, clock.Since(t.request.Arrived))
 	if !t.logsFailure(failure) {
 		return
--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -145,6 +145,8 @@
 	Revision store.Revision
 	// Waitlist names the requests that the instance refused for lack of room.
 	Waitlist waitlist.Report
+	// Traffic counts the requests of contended services by model and class since the last report.
+	Traffic []replicas.ClassTraffic
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -175,6 +177,8 @@
 	Lease lease.RenewalAge
 	// Waitlist names the refused requests that are to be admitted when they return.
 	Waitlist waitlist.Update
+	// Room has the shares to admit by class, for contended services.
+	Room directory.Room
 }
 
 // Exchange processes the report of an instance and returns the state that the instance needs. It fails with
@@ -195,6 +199,7 @@
 	for _, a := range r.Arrivals {
 		h.fleet.RecordArrivals(a.Model, a.Arrivals, now)
 	}
+	h.recordTraffic(r.Traffic, now)
 	for _, run := range r.Running {
 		h.fleet.MarkUsed(run.Engine, run.Unit, now)
 	}
@@ -209,7 +214,7 @@
 	}
 	reply.RemoteAtOnce = h.fleet.RemoteConcurrency()
 	reply.Lease = h.lease.RenewalAge(now)
-	reply.Admit = h.admissions(now)
+	reply.Admit, reply.Room = h.admissions(now), h.room
 	reply.Waitlist = h.exchangeWaitlist(r.Waitlist, now)
 	reply.Peers = h.reports.peers.count(r.Domain, now)
 	reply.Views, reply.Seen = h.views.since(r.SeenViews, h.fleet, now)
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -59,6 +59,12 @@
 	// refused has the refused requests that are to return; guarded by mu. recordRefused may be nil.
 	refused       refusedRequests
 	recordRefused RefusedRecorder
+	// room has the shares to admit by class, as computed at roomAt, and is replaced like admissionShares; guarded by mu.
+	room   directory.Room
+	roomAt time.Time
+	// roomReportedAt is when the room was last reported to operators, and copiesLoggedAt when models that lack copies
+	// were last logged; guarded by mu.
+	roomReportedAt, copiesLoggedAt time.Time
 	// serversRefreshedAt is when the list of servers was last copied from the directory; guarded by mu.
 	serversRefreshedAt time.Time
 	workers            map[string]*worker // by engine; guarded by mu
@@ -131,6 +137,8 @@
 	for pause.For(ctx, h.params.Tick) {
 		if h.Holds() {
 			h.tick(clock.Now())
+		} else {
+			h.dropRoom()
 		}
 	}
 }
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -22,6 +22,8 @@
 	// requests for one that shared a later one.
 	dispatches, coalescedDispatches *metrics.Counter
 	dispatchSeconds                 *metrics.Histogram
+	// roomGauges are the names of the gauges of the room of classes; guarded by Holder.mu.
+	roomGauges map[string]struct{}
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -32,6 +34,7 @@
 		loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
 		dispatches:    set.NewCounter("martenport_dispatches_total"), coalescedDispatches: set.NewCounter("martenport_dispatches_coalesced_total"),
 		dispatchSeconds: set.NewHistogram("martenport_dispatch_seconds"),
+		roomGauges:      map[string]struct{}{},
 	}
 }
 
--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -60,6 +60,11 @@
 		h.admissionsAt = now
 		h.admissionShares = h.lessBooked(h.fleet.Admissions(now))
 	}
+	if now.Sub(h.roomAt) >= roomInterval {
+		h.roomAt = now
+		h.room = h.fleet.Room(now)
+		h.reportRoom(now)
+	}
 	return h.admissionShares
 }
 
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -21,11 +21,7 @@
 // RecordArrivals records requests for a model.
 func (f *Fleet) RecordArrivals(model string, a Arrivals, now time.Time) {
 	f.decay(now)
-	d := f.demand[model]
-	if d == nil {
-		d = &Demand{}
-		f.demand[model] = d
-	}
+	d := f.demandFor(model)
 	window := f.params.DemandWindow.Seconds()
 	d.Rate += float64(a.Count) / window
 	d.Weight += a.Weight / window
@@ -66,12 +62,14 @@
 		return
 	}
 	keep := math.Exp(-passed.Seconds() / f.params.DemandWindow.Seconds())
+	keepTraffic := math.Exp(-passed.Seconds() / trafficWindow.Seconds())
 	for model, d := range f.demand {
 		d.Rate *= keep
 		d.Weight *= keep
 		d.Late *= keep
 		d.Deferrable *= keep
 		d.Served *= keep
+		d.decayClasses(keepTraffic)
 		if d.Rate < f.params.IdleRate {
 			delete(f.demand, model)
 		}
