command/holder: refused demand has one way to the fleet

Cause: after the merge of room by class and the waitlist, two ways led to Fleet.RecordRefused, of which the recorder of the waitlist was not connected. Ruled out: connecting it, since the list has only requests refused by admission, and the traffic reports also those whose model loads too late; both would count them twice.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -56,9 +56,8 @@
 	// is replaced and never changed, because replies that are being sent refer to it.
 	admissionShares map[string]float64
 	admissionsAt    time.Time
-	// refused has the refused requests that are to return; guarded by mu. recordRefused may be nil.
-	refused       refusedRequests
-	recordRefused RefusedRecorder
+	// refused has the refused requests that are to return; guarded by mu.
+	refused refusedRequests
 	// room has the shares to admit by class, as computed at roomAt, and is replaced like admissionShares; guarded by mu.
 	room   directory.Room
 	roomAt time.Time
--- a/command/holder/waitlist.go
+++ b/command/holder/waitlist.go
@@ -6,7 +6,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/waitlist"
-	"github.com/martenport/martenport/serving"
 )
 
 // refusedRequests is the holder's part in the list of refused requests.
@@ -19,22 +18,11 @@
 	loggedAt   time.Time
 }
 
-// RefusedRecorder is told of requests that were refused for lack of room, each once over all its attempts.
-type RefusedRecorder func(model string, class serving.TrafficClass, n int, now time.Time)
-
-// SetRefusedRecorder sets what is told of refused requests: the demand that is not seen as running requests. It must be
-// called before Run.
-func (h *Holder) SetRefusedRecorder(record RefusedRecorder) { h.recordRefused = record }
-
 // exchangeWaitlist processes an instance's report of refused requests, and returns the update for it. h.mu must be
 // held.
 func (h *Holder) exchangeWaitlist(r waitlist.Report, now time.Time) waitlist.Update {
 	w := &h.refused
-	for key, n := range w.list.Record(r, now) {
-		if h.recordRefused != nil {
-			h.recordRefused(key.Model, key.Class, n, now)
-		}
-	}
+	w.list.Record(r, now)
 	if now.Sub(w.advancedAt).Abs() >= viewsInterval {
 		w.advancedAt = now
 		w.list.Advance(h.fleet.ServedRate, now)
