Loads follow unloads: the holder asks instances when their last run on a copy ends

Cause: an unload waits for its running requests, and the engine refuses every order until then. The load after it was repeated with pauses as long as it had been tried, up to 300 ms, so that many orders were refused and an engine idled after its unload.

Change: once an unload is accepted, the holder calls the instances that are known to run requests on the copy. Each stops sending there at once and answers when its last request there has ended. The load is sent then. Without an answer the retries of before remain. The answers decide only when an order is sent; the sequence number guards it as before.

Ruled out: a message of the instance for every last run on a copy, which is one call per request; a flag in the view, which arrives up to a report interval later.

--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -43,6 +43,7 @@
 type instanceReport struct {
 	receivedAt time.Time
 	running    []Running
+	address    string
 }
 
 func newInstanceReports() instanceReports {
@@ -53,11 +54,11 @@
 const intervalSmoothing = 0.02
 
 // record stores the running requests of an instance, and updates the smoothed report interval.
-func (ir *instanceReports) record(name string, running []Running, now time.Time) {
+func (ir *instanceReports) record(name, address string, running []Running, now time.Time) {
 	if last, found := ir.instances[name]; found {
 		ir.reportInterval += time.Duration(intervalSmoothing * float64(now.Sub(last.receivedAt)-ir.reportInterval))
 	}
-	ir.instances[name] = instanceReport{receivedAt: now, running: running}
+	ir.instances[name] = instanceReport{receivedAt: now, running: running, address: address}
 }
 
 // reportLifetime is how long the report of an instance is counted: several times the interval at which instances
@@ -142,6 +143,8 @@
 	SeenViews, SeenServers uint64
 	// Revision is the store revision up to which the instance knows the servers.
 	Revision store.Revision
+	// Address is where the instance answers a RunsQuery, empty if it answers none.
+	Address string
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -184,7 +187,7 @@
 	if !h.lease.Held() {
 		return Update{}, ErrNotHolder
 	}
-	h.reports.record(r.Name, r.Running, now)
+	h.reports.record(r.Name, r.Address, r.Running, now)
 	h.fleet.SetReportAge(h.reports.reportInterval)
 	h.reports.peers.recordReport(r.Name, r.Domain, now)
 	for _, a := range r.Arrivals {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -85,13 +85,17 @@
 	// outageStart returns the start of the first of this instance's store watches that has failed since the store
 	// last answered. It returns the zero time while the store answers.
 	outageStart func() time.Time
+
+	// askRuns asks instances for the end of their requests, nil if they are not asked. uses is guarded by mu.
+	askRuns RunsAsker
+	uses    recentUses
 }
 
 // New returns a Holder that does not hold the lease.
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, metrics *Metrics, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{}, uses: recentUses{},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
 	}
 }
@@ -278,6 +282,7 @@
 		operations = append(operations, h.fleet.Dispatch(now)...)
 		found, ok = h.fleet.Find(r.Service, r.Unit, replicas.Waiting{}, now)
 	}
+	h.recordFound(r, found, now)
 	h.mu.Unlock()
 	for _, op := range operations {
 		h.startOperation(op, "request")
@@ -295,6 +300,8 @@
 type Use struct {
 	Engine string
 	Unit   serving.Unit
+	// Instance is the sender, empty if it does not answer a RunsQuery.
+	Instance string
 }
 
 // RequestStarted records the start of a request before the sending instance reports it.
@@ -303,6 +310,7 @@
 	defer h.mu.Unlock()
 	if h.lease.Held() {
 		h.fleet.UseStarted(u.Engine, u.Unit, now)
+		h.uses.record(use{u.Engine, u.Unit.Model, u.Instance}, now, now)
 	}
 }
 
--- a/command/holder/limit.go
+++ b/command/holder/limit.go
@@ -27,16 +27,16 @@
 
 // load orders an operation's load. The order for a model with a replica limit names exactly the sequence number that
 // was recorded for it; if that number is outdated, the load is recorded again. refused is the number of responses
-// that another order was in progress.
-func (w *worker) load(op replicas.Operation) (refused int, err error) {
+// that another order was in progress. watch follows the requests of the unload before, nil if there was none.
+func (w *worker) load(op replicas.Operation, watch *runWatch) (refused int, err error) {
 	limit, limited := w.limitOf(op)
 	if !limited {
-		return w.orderWithRetries(op, op.Load, false, anySequence)
+		return w.orderWithRetries(op, op.Load, false, anySequence, watch)
 	}
 	for range maxPermitAttempts {
 		sequence, err := w.recordPermit(op, limit)
 		if err == nil {
-			refused, err = w.orderWithRetries(op, op.Load, false, sequence)
+			refused, err = w.orderWithRetries(op, op.Load, false, sequence, watch)
 		}
 		if !errors.Is(err, errSequenceChanged) {
 			return refused, err
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -33,6 +33,18 @@
 	m.set.GetOrCreateCounter(`martenport_orders_total{answer="` + answer.String() + `"}`).Inc()
 }
 
+// countRefused counts an order that was refused because another one was in progress. runs is what is known of the
+// requests that the unload before waits for, see runEnds.cause.
+func (m *Metrics) countRefused(operation, runs string) {
+	m.set.GetOrCreateCounter(`martenport_orders_refused_total{operation="` + operation + `",runs="` + runs + `"}`).Inc()
+}
+
+// observeLoadAfterUnload records the time from the end of the requests that an unload waited for, or from its
+// acceptance if none is known, until the engine accepted the load.
+func (m *Metrics) observeLoadAfterUnload(runs string, idle time.Duration) {
+	m.set.GetOrCreateHistogram(`martenport_load_after_unload_seconds{runs="` + runs + `"}`).Update(idle.Seconds())
+}
+
 // observeWeightStoreLoad records the error of the predicted duration of a load from the weight store.
 func (m *Metrics) observeWeightStoreLoad(predicted, actual time.Duration) {
 	if actual > 0 {
--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -9,7 +9,6 @@
 
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -20,8 +19,8 @@
 
 // orderWithRetries sends one order and repeats it with growing pauses while another order is in progress. pinned is
 // the sequence number that the order must name, or anySequence. refused is the number of responses that another
-// order was in progress.
-func (w *worker) orderWithRetries(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (refused int, err error) {
+// order was in progress. watch follows the requests that the unload before the order waits for, nil if there was none.
+func (w *worker) orderWithRetries(op replicas.Operation, unit serving.Unit, unload bool, pinned int64, watch *runWatch) (refused int, err error) {
 	unanswered := false
 	startedAt := clock.Now()
 	for clock.Since(startedAt) < w.h.params.OrderRetryTimeout {
@@ -35,6 +34,8 @@
 			return refused, nil
 		case answer == serving.OrderConflict && !unanswered:
 			refused++
+			state := watch.state()
+			w.h.metrics.countRefused(operationName(unload), state.cause())
 		default:
 			return refused, errors.Wrapf(errEngine, "%s of %s: %s", operationName(unload), unit, answer)
 		}
@@ -47,7 +48,7 @@
 			w.h.fleet.Delayed(op, wait, clock.Now())
 			w.h.mu.Unlock()
 		}
-		if !pause.For(w.ctx, wait) {
+		if !w.pauseRefused(watch, wait) {
 			return refused, w.ctx.Err()
 		}
 	}
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -163,20 +163,19 @@
 		return w.ctx.Err()
 	}
 	unloaded, err := w.unload(op)
+	defer unloaded.end()
 	if err != nil || op.Load.Model == "" {
 		return err
 	}
 	if !w.awaitUnloaded(unloaded) {
 		return w.ctx.Err()
 	}
-	refused, err := w.load(op)
+	refused, err := w.load(op, unloaded)
 	if err != nil {
 		return err
 	}
 	now := clock.Now()
-	w.h.mu.Lock()
-	w.h.fleet.LoadAccepted(op, unloaded, refused, now)
-	w.h.mu.Unlock()
+	w.recordLoadAccepted(op, unloaded.state(), refused, now)
 	if op.Remote {
 		err := w.awaitRemote(op, now.Add(op.Duration))
 		if err == nil {
@@ -190,36 +189,55 @@
 	return nil
 }
 
-// unload orders the unloads of the operation. It returns when the last unload of a model was accepted, zero if there
-// was none.
-func (w *worker) unload(op replicas.Operation) (accepted time.Time, err error) {
+// unload orders the unloads of the operation. It returns the watch of the last model that was unloaded, nil if there was
+// none. The caller must end the watch.
+func (w *worker) unload(op replicas.Operation) (last *runWatch, err error) {
 	for _, unit := range op.Unload {
-		if !w.awaitUnloaded(accepted) {
-			return accepted, w.ctx.Err()
+		if !w.awaitUnloaded(last) {
+			return last, w.ctx.Err()
 		}
-		if _, err := w.orderWithRetries(op, unit, true, anySequence); err != nil {
-			return accepted, err
+		if _, err := w.orderWithRetries(op, unit, true, anySequence, last); err != nil {
+			return last, err
 		}
 		if unit.Adapter == "" {
-			accepted = clock.Now()
+			last.end()
+			last = w.watchRuns(unit, clock.Now())
 		}
 		w.h.mu.Lock()
 		w.h.fleet.Unloaded(op, unit)
 		w.h.mu.Unlock()
 	}
-	return accepted, nil
+	return last, nil
 }
 
-// awaitUnloaded waits until an unload that was accepted at the given time is expected to be complete; the engine
-// refuses orders until then. It returns false if the worker was stopped.
-func (w *worker) awaitUnloaded(accepted time.Time) bool {
-	if accepted.IsZero() {
-		return w.ctx.Err() == nil
-	}
+// recordLoadAccepted records that the engine has accepted the load of an operation after the given unload.
+func (w *worker) recordLoadAccepted(op replicas.Operation, unload runEnds, refused int, now time.Time) {
 	w.h.mu.Lock()
-	done := accepted.Add(w.h.fleet.UnloadTime())
+	if unload.endedAt.IsZero() {
+		w.h.fleet.LoadAccepted(op, unload.unloadedAt, refused, now)
+	} else {
+		w.h.fleet.LoadAcceptedAfterRuns(op, unload.unloadedAt, unload.endedAt, refused, now)
+	}
 	w.h.mu.Unlock()
-	return pause.For(w.ctx, clock.Until(done))
+	if unload.unloadedAt.IsZero() {
+		return
+	}
+	idle := now.Sub(later(unload.unloadedAt, unload.endedAt))
+	w.h.metrics.observeLoadAfterUnload(unload.cause(), idle)
+	if unload.endedAt.IsZero() && refused == 0 {
+		return // the usual case
+	}
+	w.h.log.WithFields(logrus.Fields{
+		"engine": op.Engine, "load": op.Load.String(), "runs": unload.cause(), "wait_ms": now.Sub(unload.unloadedAt).Milliseconds(), "idle_ms": idle.Milliseconds(), "refused": refused,
+	}).Info("load follows an unload that waited for requests")
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // remoteTimeoutFactor times the expected duration of a load from the weight store is how late the load may be. While the
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -145,7 +145,7 @@
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
 	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{},
-		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait}}
+		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait, afterRuns: p.UnloadTime}}
 }
 
 // SetLimits sets the source of the operators' limits.
--- a/command/replicas/unloadtimes.go
+++ b/command/replicas/unloadtimes.go
@@ -8,6 +8,9 @@
 	idle time.Duration
 	// inUse is for copies in use, whose running requests the engine waits for.
 	inUse time.Duration
+	// afterRuns is for copies in use whose requests are known to have ended: the next order is sent this long after the
+	// last one.
+	afterRuns time.Duration
 }
 
 // How the estimates follow the observed times.
@@ -29,20 +32,49 @@
 	if inUse || elapsed > t.idle+inUseMargin {
 		t.inUse += time.Duration(inUseGain * float64(elapsed-t.inUse))
 	}
+	if !inUse {
+		t.idle = follow(t.idle, elapsed, refused)
+	}
+}
+
+// observeAfterRuns updates the estimates after an unload whose requests are known to have ended. elapsed is the time from
+// the unload, and sinceRuns the time from the end of the last request, until the next order was accepted.
+func (t *unloadTimes) observeAfterRuns(elapsed, sinceRuns time.Duration, refused int) {
+	t.observe(elapsed, refused, true)
+	if refused > 0 && sinceRuns <= t.afterRuns {
+		refused = 0 // it was refused while they ran
+	}
+	t.afterRuns = follow(t.afterRuns, sinceRuns, refused)
+}
+
+// follow returns an estimate of the time after which an order is accepted, adapted to an order that was accepted after
+// elapsed and was refused the given number of times before.
+func follow(estimate, elapsed time.Duration, refused int) time.Duration {
 	switch {
-	case inUse:
-	case elapsed > t.idle+inUseMargin:
-		t.idle += idleIncrease / 2 // frequent slow unloads mean that idle copies take longer as well
+	case elapsed > estimate+inUseMargin:
+		return estimate + idleIncrease/2 // frequent slow unloads mean that idle copies take longer as well
 	case refused > 0:
-		t.idle += idleIncrease
+		return estimate + idleIncrease
 	default:
-		t.idle = max(idleDecrease, t.idle-idleDecrease)
+		return max(idleDecrease, estimate-idleDecrease)
 	}
 }
 
 // UnloadTime returns how long an engine is expected to take to unload a copy without requests.
 func (f *Fleet) UnloadTime() time.Duration { return f.unloadTimes.idle }
 
+// UnloadTimeAfterRuns returns how long an engine is expected to take to unload a copy after the last request on it has
+// ended.
+func (f *Fleet) UnloadTimeAfterRuns() time.Duration { return f.unloadTimes.afterRuns }
+
+// LoadAcceptedAfterRuns is LoadAccepted for an unload of which the instances have told that its last request ended at
+// the given time.
+func (f *Fleet) LoadAcceptedAfterRuns(op Operation, began, ended time.Time, refused int, now time.Time) {
+	f.unloadTimes.observeAfterRuns(now.Sub(began), now.Sub(ended), refused)
+	f.remoteLoadStarted(op, now)
+	f.Expect(op, now.Add(op.Duration))
+}
+
 // LoadAccepted records that an engine has accepted an operation's load, after it was refused the given number of times.
 // began is when the last unload of the operation was accepted, zero if there was none.
 func (f *Fleet) LoadAccepted(op Operation, began time.Time, refused int, now time.Time) {
--- a/directory/views.go
+++ b/directory/views.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -97,6 +98,28 @@
 	d.missingUnits[id][unit] = now.Add(missingUnitTTL)
 }
 
+// ReportUnloading records that the holder with the given fencing token unloads a model from the process of an engine
+// that started at born. The engine is not offered for the model and its adapters until the holder sends a new view of
+// the engine, or, if there is none since the message is old, for missingUnitTTL.
+func (d *Directory) ReportUnloading(fence int64, id string, born int64, model string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, live := d.servers[id]
+	if fence < d.viewsFence || !live || !s.MayBeSameProcess(born) {
+		return
+	}
+	missing := map[serving.Unit]time.Time{{Model: model}: now.Add(missingUnitTTL)}
+	for _, u := range d.views[id].Units {
+		if u.Unit.Model == model {
+			missing[u.Unit] = now.Add(missingUnitTTL)
+		}
+	}
+	if d.missingUnits[id] == nil {
+		d.missingUnits[id] = map[serving.Unit]time.Time{}
+	}
+	maps.Copy(d.missingUnits[id], missing)
+}
+
 // viewTTL is how long the holder's views are used without a further update. After that the engine's own entry, which
 // is one or two seconds old, is better.
 const viewTTL = 3 * time.Second
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -123,6 +123,10 @@
 	onEscalations func([]quarantine.Escalation)
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
+	// address is where other instances reach this one; set before run.
+	address string
+	// runWaits are the holder's queries that wait for the end of requests; guarded by mu.
+	runWaits runWaits
 }
 
 // appliedState identifies the holder's updates that an instance has applied: the holder's fencing token,
@@ -288,7 +292,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r := holder.Report{
-		Name: f.name, Domain: f.domain, Reaches: f.reachableInOutage(), Fence: f.applied.fence, SeenViews: f.applied.views, SeenServers: f.applied.servers, Revision: f.dir.Revision(),
+		Name: f.name, Domain: f.domain, Reaches: f.reachableInOutage(), Fence: f.applied.fence, SeenViews: f.applied.views, SeenServers: f.applied.servers, Revision: f.dir.Revision(), Address: f.address,
 	}
 	if now := clock.Now(); f.serversDiffer && now.Sub(f.lastFullRequest) >= fullRequestWait(f.fullRequests) {
 		f.lastFullRequest = now
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -33,6 +33,7 @@
 	methodDraw     = "Entry.Draw"
 	methodLimits   = "Entry.Limits"
 	methodTurn     = "Entry.Turn"
+	methodRunsEnd  = "Entry.RunsEnd"
 )
 
 // ExchangeArgs is an instance's report to the holder.
@@ -157,6 +158,12 @@
 // UseReply is empty.
 type UseReply struct{}
 
+// RunsEndArgs asks an instance for the end of its requests on a copy that is being unloaded.
+type RunsEndArgs struct{ holder.RunsQuery }
+
+// RunsEndReply is the instance's answer.
+type RunsEndReply struct{ holder.RunsAnswer }
+
 // CrashesArgs has the requests under which servers ended. It is sent directly between instances while
 // no holder answers, and by the holder for requests that have just become held.
 type CrashesArgs struct{ Records []quarantine.Record }
@@ -316,6 +323,12 @@
 	return nil
 }
 
+// RunsEnd answers when the instance's last request on a copy that is being unloaded has ended.
+func (s *service) RunsEnd(args *RunsEndArgs, reply *RunsEndReply) error {
+	reply.RunsAnswer = s.follower.answerRunsEnd(args.RunsQuery)
+	return nil
+}
+
 func millisUntil(t, now time.Time) int64 { return max(0, t.Sub(now).Milliseconds()) }
 
 func encodeView(v directory.EngineView, now time.Time) WireView {
