--- a/command/replicas/unloadtimes.go
+++ b/command/replicas/unloadtimes.go
@@ -18,9 +18,11 @@
 	// inUseGain is the weight of the newest unload of a copy in use.
 	inUseGain = 0.2
 	// A load that is sent too early is refused and costs the engine an order; one that is sent late costs engine time.
-	// With these steps about one load in ten is refused.
-	idleIncrease = 4500 * time.Microsecond
+	// With these steps about one load in twenty is refused.
+	idleIncrease = 9500 * time.Microsecond
 	idleDecrease = 500 * time.Microsecond
+	// slowIncrease is the step after an unload that took much longer, which is rarely for the engine's part of it.
+	slowIncrease = 2250 * time.Microsecond
 	// inUseMargin: an unload that takes longer than that of an idle copy by more than this, two retries of the next
 	// order, was of a copy in use.
 	inUseMargin = 50 * time.Millisecond
@@ -52,7 +54,7 @@
 func follow(estimate, elapsed time.Duration, refused int) time.Duration {
 	switch {
 	case elapsed > estimate+inUseMargin:
-		return estimate + idleIncrease/2 // frequent slow unloads mean that idle copies take longer as well
+		return estimate + slowIncrease // frequent slow unloads mean that idle copies take longer as well
 	case refused > 0:
 		return estimate + idleIncrease
 	default:
