--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -95,7 +95,7 @@
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, metrics *Metrics, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{}, uses: recentUses{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{}, uses: recentUses{until: map[use]time.Time{}},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
 	}
 }
--- a/command/holder/runend.go
+++ b/command/holder/runend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -32,7 +33,7 @@
 	Running int
 }
 
-// RunsAsker sends a query to the instance at an address.
+// RunsAsker sends a query to the instance at an address and waits for its answer until ctx ends.
 type RunsAsker func(ctx context.Context, address string, q RunsQuery) (RunsAnswer, error)
 
 // SetRunsAsker sets how instances are asked for the end of their requests. Without it, orders are repeated until the
@@ -40,8 +41,10 @@
 func (h *Holder) SetRunsAsker(ask RunsAsker) { h.askRuns = ask }
 
 const (
-	// runsQueryWait is the longest wait of one query, short enough to notice an instance that is gone.
-	runsQueryWait = 400 * time.Millisecond
+	// runsQueryWait is the longest wait of one query, and runsQuerySlack how much later its answer may arrive. An
+	// instance that is gone costs about as much time as the longest pause between retries.
+	runsQueryWait  = 300 * time.Millisecond
+	runsQuerySlack = 100 * time.Millisecond
 	// runsProbeInterval is how often an order is tried although instances report running requests, since a report may
 	// be wrong.
 	runsProbeInterval = 2 * time.Second
@@ -146,7 +149,9 @@
 func (watch *runWatch) follow(ctx context.Context, ask RunsAsker, address string, q RunsQuery) {
 	for again := true; again; {
 		askedAt := clock.Now()
-		answer, err := ask(ctx, address, q)
+		call, cancel := context.WithTimeout(ctx, q.Wait+runsQuerySlack)
+		answer, err := ask(call, address, q)
+		cancel()
 		if ctx.Err() != nil {
 			return
 		}
@@ -256,31 +261,32 @@
 // use is the use of an engine's copy of a model by an instance.
 type use struct{ engine, model, instance string }
 
-// recentUses are uses that the instances' reports may not include yet, with the time until which that is so.
-type recentUses map[use]time.Time
+// recentUses are uses that the instances' reports may not include yet.
+type recentUses struct {
+	until   map[use]time.Time // when a report includes the use or its end
+	sweptAt time.Time
+}
 
 // maxRecentUses bounds the number of recent uses. Further ones are not recorded.
 const maxRecentUses = 8192
 
 // record records that an instance was directed to a copy that is ready at the given time, or has started a request on
 // it.
-func (r recentUses) record(u use, ready, now time.Time) {
+func (r *recentUses) record(u use, ready, now time.Time) {
 	if u.engine == "" || u.instance == "" {
 		return
 	}
-	if len(r) >= maxRecentUses {
-		for known, until := range r {
-			if !now.Before(until) {
-				delete(r, known)
-			}
-		}
+	if now.Sub(r.sweptAt) >= reportLifetime {
+		r.sweptAt = now
+		maps.DeleteFunc(r.until, func(_ use, until time.Time) bool { return !now.Before(until) })
 	}
-	if len(r) < maxRecentUses {
-		r[u] = ready.Add(reportLifetime)
+	if len(r.until) < maxRecentUses {
+		r.until[u] = ready.Add(reportLifetime)
 	}
 }
 
-func (r recentUses) recent(u use, now time.Time) bool { return now.Before(r[u]) }
+// recent reports whether a use may be missing in the instance's report.
+func (r *recentUses) recent(u use, now time.Time) bool { return now.Before(r.until[u]) }
 
 // recordFound records the use of the copy that the holder has named to an instance. h.mu must be held.
 func (h *Holder) recordFound(r Request, found replicas.Found, now time.Time) {
--- a/entry/use.go
+++ b/entry/use.go
@@ -117,13 +117,11 @@
 	return n
 }
 
-// askRunsEnd sends a query of the holder to the instance at an address.
+// askRunsEnd sends a query of the holder to the instance at an address. ctx bounds the call.
 func (f *follower) askRunsEnd(ctx context.Context, address string, q holder.RunsQuery) (holder.RunsAnswer, error) {
 	if address == f.address {
 		return f.answerRunsEnd(q), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+callTimeout)
-	defer cancel()
 	var reply RunsEndReply
 	if err := f.pool.Call(ctx, address, methodRunsEnd, &RunsEndArgs{q}, &reply); err != nil {
 		return holder.RunsAnswer{}, err
