--- a/entry/placer.go
+++ b/entry/placer.go
@@ -96,7 +96,7 @@
 		f.running[key]--
 		if f.running[key] == 0 {
 			delete(f.running, key)
-			f.runWaits.wake(copyOnEngine{r.Engine, r.Unit.Model})
+			f.wakeRunWaits(copyOnEngine{r.Engine, r.Unit.Model})
 		}
 		if answered && r.Deferrable {
 			f.arrivalsFor(r.Unit.Model).Served++
--- a/entry/use.go
+++ b/entry/use.go
@@ -73,9 +73,13 @@
 	}
 }
 
-// wake signals the queries about a copy.
-func (w *runWaits) wake(c copyOnEngine) {
-	for _, ended := range w.ended[c] {
+// wakeRunWaits signals the queries about a copy if no request runs on it any more. f.mu must be held.
+func (f *follower) wakeRunWaits(c copyOnEngine) {
+	waits := f.runWaits.ended[c]
+	if len(waits) == 0 || f.runsOn(c) > 0 {
+		return
+	}
+	for _, ended := range waits {
 		pause.Wake(ended)
 	}
 }
