Orders whose answer was lost: sent again at once, and a conflict then does not fail the engine

Cause: after 500 ms without an answer the next send waited another 300 ms, though an unload takes a tenth of that.

Change: the order is sent again after the shortest pause, with the same sequence. A conflict means that it may be carried out: the engine is read at once and its other copies serve on. If the sequence has moved on, it is a usual refusal.

Ruled out: a shorter time for the answer (the lease's bound on orders in transit counts from it, and slowed engines answer late); planning on the engine before it is read.

--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -32,7 +32,9 @@
 			return refused, err
 		case answer == serving.OrderAccepted, answer == serving.OrderAlreadyDone:
 			return refused, nil
-		case answer == serving.OrderConflict && !unanswered:
+		case answer == serving.OrderConflict && unanswered && w.orderPending():
+			return refused, errors.Wrapf(errUncertain, "%s of %s", operationName(unload), unit)
+		case answer == serving.OrderConflict:
 			refused++
 			state := watch.state()
 			w.h.metrics.countRefused(operationName(unload), state.cause())
@@ -43,6 +45,9 @@
 			return refused, err
 		}
 		wait := min(maxOrderPause, max(w.h.params.OrderRetryPause, clock.Since(startedAt)))
+		if err != nil { // there was enough time for an answer
+			wait = w.h.params.OrderRetryPause
+		}
 		if !unload {
 			w.h.mu.Lock()
 			w.h.fleet.Delayed(op, wait, clock.Now())
@@ -55,6 +60,17 @@
 	return refused, errors.Wrapf(errEngine, "%s of %s: another order was still in progress at the end of the retries", operationName(unload), unit)
 }
 
+// errUncertain is returned when an order was refused after the response to it was lost: the engine may be carrying it
+// out, or have done so.
+var errUncertain = errors.New("holder: the order may have been carried out")
+
+// orderPending reports whether an order whose response was lost may still be carried out.
+func (w *worker) orderPending() bool {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	return w.h.fleet.OrderPending(w.engine)
+}
+
 // maxOrderPause bounds the pause between two sends of an order. The pause is as long as the order has been tried
 // for: an unload that waits for running requests may take seconds, and shorter pauses would only increase the number
 // of refused orders.
--- a/command/holder/runend_fixture_test.go
+++ b/command/holder/runend_fixture_test.go
@@ -49,6 +49,9 @@
 	// Counts, guarded by mu. overcommitted is the number of loads that an engine had no memory for.
 	orders, refused, loads, served, misdirected, overcommitted int
 	idle                                                       time.Duration
+	// lose is the share of orders whose answer is lost. Half of them are carried out late, if at all.
+	lose float64
+	rng  *rand.Rand // guarded by mu
 }
 
 // runInstance is the part of an instance that matters here.
@@ -69,7 +72,7 @@
 		spec.Models[name] = serving.Model{Name: name, MemoryMB: 10, DiskLoad: runLoadTime, MemoryLoad: runLoadTime, RemoteLoad: 10 * time.Second}
 		tiers[name] = serving.TierDisk
 	}
-	l := &runLoad{engines: map[string]*runEngine{}}
+	l := &runLoad{engines: map[string]*runEngine{}, rng: rand.New(rand.NewPCG(7, 7))}
 	dir := directory.New()
 	dir.ApplyConfig(&serving.Config{Version: 1, Services: map[string]serving.Service{"llm": {Name: "llm", Engine: spec}}})
 	for i := range runEngineCount {
@@ -89,12 +92,32 @@
 }
 
 // Order implements serving.Engines.
-func (l *runLoad) Order(_ context.Context, o serving.Order) (serving.OrderAnswer, error) {
+func (l *runLoad) Order(ctx context.Context, o serving.Order) (serving.OrderAnswer, error) {
 	time.Sleep(3 * time.Millisecond)
+	l.mu.Lock()
+	lost, late, delay := l.rng.Float64() < l.lose, l.rng.Float64() < 0.5, time.Duration(l.rng.Int64N(int64(5*time.Second)))
+	l.mu.Unlock()
+	switch {
+	case lost && late:
+		time.AfterFunc(delay, func() { _, _ = l.carryOut(o) })
+	case lost:
+		_, _ = l.carryOut(o)
+	default:
+		return l.carryOut(o)
+	}
+	<-ctx.Done()
+	return 0, errors.Mark(ctx.Err(), serving.ErrOrderUnknown)
+}
+
+// carryOut carries out an order if no other is in progress and the sequence number is the expected one.
+func (l *runLoad) carryOut(o serving.Order) (serving.OrderAnswer, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e, now := l.engines[o.Server.ID], time.Now()
 	l.orders++
+	if e.unloading == "" && !now.Before(e.busyUntil) && e.models[o.Unit.Model] != o.Unload {
+		return serving.OrderAlreadyDone, nil
+	}
 	if e.unloading != "" || now.Before(e.busyUntil) || o.Expect != e.sequence {
 		l.refused++
 		return serving.OrderConflict, nil
--- a/command/holder/runend_test.go
+++ b/command/holder/runend_test.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// TestOrderAnswersLost: the answers of three in ten orders are lost, and half of those orders arrive up to five seconds
+// late. The engines' memory is never exceeded.
+func TestOrderAnswersLost(t *testing.T) {
+	l := playRunLoad(t, func(l *runLoad) {
+		l.lose = 0.3
+		l.h.SetRunsAsker(l.ask)
+	})
+	_ = l
+}
+
 // TestOrderTimeAfterUnload: the order that follows an unload is sent when the engine is expected to accept it, by what
 // the instances have answered.
 func TestOrderTimeAfterUnload(t *testing.T) {
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -132,12 +132,17 @@
 	switch {
 	case err == nil:
 		w.h.fleet.Done(op, clock.Now())
+	case errors.Is(err, errUncertain):
+		w.h.fleet.Uncertain(op)
 	case errors.Is(err, errEngine):
 		w.h.fleet.Failed(op, clock.Now())
 	default:
 		w.h.fleet.Withdrawn(op) // the last order was not sent: the lease, the store or a limit did not allow it
 	}
 	w.h.mu.Unlock()
+	if errors.Is(err, errUncertain) {
+		w.requestRead()
+	}
 	w.h.dispatch(clock.Now())
 	w.h.metrics.observeOperation(op, err, clock.Since(started))
 	w.h.log.WithFields(logrus.Fields{
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -100,6 +100,23 @@
 	}
 }
 
+// OrderPending reports whether an order whose response was lost may still be carried out: the engine has accepted no other
+// order since that names the same sequence.
+func (f *Fleet) OrderPending(id string) bool {
+	e := f.engines[id]
+	return e != nil && e.orderUnanswered && e.unansweredSequence == e.Sequence
+}
+
+// Uncertain records that an operation ended because an order may or may not have been carried out, which does not show
+// that the engine has failed: it is read again, and its other copies serve meanwhile.
+func (f *Fleet) Uncertain(op Operation) {
+	if f.Current(op) {
+		e := f.engines[op.Engine]
+		e.MustBeRead = true
+		e.generation++
+	}
+}
+
 // Withdrawn records that an operation ended because an order could not be sent, which does not show that the engine has
 // failed. The engine's state is still known, and copies whose unload was not ordered continue to serve. But the engine
 // must be read again if it may still carry out an order whose response was lost.
@@ -108,8 +125,7 @@
 	if !f.Current(op) {
 		return
 	}
-	lost := e.orderUnanswered && e.unansweredSequence == e.Sequence
-	if lost || op.Load.Adapter != "" { // the record does not show whether the evicted adapter is still loaded
+	if f.OrderPending(op.Engine) || op.Load.Adapter != "" { // the record does not show whether the evicted adapter is still loaded
 		e.MustBeRead = true
 		e.generation++
 		return
