Orders whose answer was lost: what holds already means that the engine is read, not that its sequence is known

Cause: an order whose answer was lost had been carried out; its repetition was answered 'holds already', which counted as an order that changed nothing. The recorded sequence was one too low: the next orders met conflicts for a second, and the engine then counted as failing.

Change: after such an answer to an unload the engine is read at once, after one to a load at the end of the load. A rapid walk was not added: the order still names one sequence, and nothing is planned unread.

--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -30,6 +30,8 @@
 			unanswered = true
 		case err != nil:
 			return refused, err
+		case answer == serving.OrderAlreadyDone && unit.Adapter == "" && unanswered && w.heldAlready() && unload:
+			return refused, errors.Wrapf(errUncertain, "%s of %s", operationName(unload), unit) // no order can follow it
 		case answer == serving.OrderAccepted, answer == serving.OrderAlreadyDone:
 			return refused, nil
 		case answer == serving.OrderConflict && unanswered && w.orderPending():
@@ -64,6 +66,14 @@
 // out, or have done so.
 var errUncertain = errors.New("holder: the order may have been carried out")
 
+// heldAlready records that the engine already had what an order asked for, and reports whether an earlier send of the
+// order was probably carried out.
+func (w *worker) heldAlready() bool {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	return w.h.fleet.HeldAlready(w.engine)
+}
+
 // orderPending reports whether an order whose response was lost may still be carried out.
 func (w *worker) orderPending() bool {
 	w.h.mu.Lock()
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -76,6 +76,8 @@
 	unansweredSequence int64
 	// unansweredAt is when the answer was lost.
 	unansweredAt time.Time
+	// sequenceDoubtful: the order whose answer was lost was probably carried out, see HeldAlready.
+	sequenceDoubtful bool
 	// readableAt is when the engine may be read, see restarted.
 	readableAt time.Time
 	// Busy: a model is being loaded or unloaded. FreeAt is when that is expected to be done.
@@ -230,7 +232,7 @@
 		e.Tiers = r.Tiers
 		f.index.cached = nil
 	}
-	e.MustBeRead, e.Busy, e.orderUnanswered = false, false, false
+	e.MustBeRead, e.Busy, e.orderUnanswered, e.sequenceDoubtful = false, false, false, false
 	e.inheritedBusySince = time.Time{}
 	e.generation++
 }
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -82,6 +82,10 @@
 		f.remoteLoadEnded(op, e, now)
 	}
 	c := e.Copies[op.Load.Model]
+	if e.sequenceDoubtful && op.Load.Adapter == "" {
+		e.MustBeRead = true
+		e.generation++
+	}
 	if c == nil {
 		return
 	}
@@ -107,6 +111,17 @@
 	return e != nil && e.orderUnanswered && e.unansweredSequence == e.Sequence
 }
 
+// HeldAlready records that an engine already had what an order for a model asked for. If the response to an earlier send
+// was lost, that was probably carried out, and the engine's sequence is one higher than recorded: it reports true, and the
+// engine is read at the end of the operation.
+func (f *Fleet) HeldAlready(id string) bool {
+	if !f.OrderPending(id) {
+		return false
+	}
+	f.engines[id].sequenceDoubtful = true
+	return true
+}
+
 // Uncertain records that an operation ended because an order may or may not have been carried out, which does not show
 // that the engine has failed: it is read again, and its other copies serve meanwhile.
 func (f *Fleet) Uncertain(op Operation) {
--- a/command/replicas/progress_test.go
+++ b/command/replicas/progress_test.go
@@ -95,3 +95,40 @@
 		})
 	}
 }
+
+// TestUncertainOrder: after an order whose answer was lost, a conflict or a state that already holds does not make the
+// engine count as failing. Nothing is planned on it until it has been read, and its other copies serve meanwhile.
+func TestUncertainOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, end := range map[string]func(f *Fleet, op Operation){
+		"conflict": func(f *Fleet, op Operation) { f.Uncertain(op) },
+		"held": func(f *Fleet, op Operation) {
+			if !f.HeldAlready(op.Engine) {
+				t.Error("the lost order is not considered to be carried out")
+			}
+			f.Done(op, now)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := testFleet(now, testSpec("m1", "m2", "m3", "m4"), []string{"m1", "m2", "m3"})
+			op := requestModel(t, f, "m4", now)[0]
+			if f.Ordered(op.Engine); f.HeldAlready(op.Engine) {
+				t.Error("an answered order is considered to be lost")
+			}
+			f.Unanswered(op.Engine, now)
+			end(f, op)
+			e := f.Engine(op.Engine)
+			if !e.MustBeRead || f.Current(op) || e.usable(now) || !e.acceptsRequests(now) || len(e.Units(now)) < 2 {
+				t.Errorf("must be read %v, operation current %v, units %v", e.MustBeRead, f.Current(op), e.Units(now))
+			}
+			f.Adopt(op.Engine, serving.Report{Models: map[string][]string{"m4": nil}, Sequence: 2}, now)
+			if !e.usable(now) || f.OrderPending(op.Engine) || e.sequenceDoubtful || e.Sequence != 2 {
+				t.Errorf("the engine is not usable after it was read: %+v", e)
+			}
+			f.Unanswered(op.Engine, now)
+			if f.Ordered(op.Engine); f.OrderPending(op.Engine) || f.HeldAlready(op.Engine) {
+				t.Error("a lost order is pending although the engine has accepted another one on its sequence")
+			}
+		})
+	}
+}
