--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -9,7 +9,6 @@
 
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -20,8 +19,8 @@
 
 // orderWithRetries sends one order and repeats it with growing pauses while another order is in progress. pinned is
 // the sequence number that the order must name, or anySequence. refused is the number of responses that another
-// order was in progress.
-func (w *worker) orderWithRetries(op replicas.Operation, unit serving.Unit, unload bool, pinned int64) (refused int, err error) {
+// order was in progress. watch follows the requests that the unload before the order waits for, nil if there was none.
+func (w *worker) orderWithRetries(op replicas.Operation, unit serving.Unit, unload bool, pinned int64, watch *runWatch) (refused int, err error) {
 	unanswered := false
 	startedAt := clock.Now()
 	for clock.Since(startedAt) < w.h.params.OrderRetryTimeout {
@@ -31,10 +30,16 @@
 			unanswered = true
 		case err != nil:
 			return refused, err
+		case answer == serving.OrderAlreadyDone && unit.Adapter == "" && unanswered && w.heldAlready() && unload:
+			return refused, errors.Wrapf(errUncertain, "%s of %s", operationName(unload), unit) // no order can follow it
 		case answer == serving.OrderAccepted, answer == serving.OrderAlreadyDone:
 			return refused, nil
-		case answer == serving.OrderConflict && !unanswered:
+		case answer == serving.OrderConflict && unanswered && w.orderPending():
+			return refused, errors.Wrapf(errUncertain, "%s of %s", operationName(unload), unit)
+		case answer == serving.OrderConflict:
 			refused++
+			state := watch.state()
+			w.h.metrics.countRefused(operationName(unload), state.cause())
 		default:
 			return refused, errors.Wrapf(errEngine, "%s of %s: %s", operationName(unload), unit, answer)
 		}
@@ -42,18 +47,40 @@
 			return refused, err
 		}
 		wait := min(maxOrderPause, max(w.h.params.OrderRetryPause, clock.Since(startedAt)))
+		if err != nil { // there was enough time for an answer
+			wait = w.h.params.OrderRetryPause
+		}
 		if !unload {
 			w.h.mu.Lock()
 			w.h.fleet.Delayed(op, wait, clock.Now())
 			w.h.mu.Unlock()
 		}
-		if !pause.For(w.ctx, wait) {
+		if !w.pauseRefused(watch, wait) {
 			return refused, w.ctx.Err()
 		}
 	}
 	return refused, errors.Wrapf(errEngine, "%s of %s: another order was still in progress at the end of the retries", operationName(unload), unit)
 }
 
+// errUncertain is returned when an order was refused after the response to it was lost: the engine may be carrying it
+// out, or have done so.
+var errUncertain = errors.New("holder: the order may have been carried out")
+
+// heldAlready records that the engine already had what an order asked for, and reports whether an earlier send of the
+// order was probably carried out.
+func (w *worker) heldAlready() bool {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	return w.h.fleet.HeldAlready(w.engine)
+}
+
+// orderPending reports whether an order whose response was lost may still be carried out.
+func (w *worker) orderPending() bool {
+	w.h.mu.Lock()
+	defer w.h.mu.Unlock()
+	return w.h.fleet.OrderPending(w.engine)
+}
+
 // maxOrderPause bounds the pause between two sends of an order. The pause is as long as the order has been tried
 // for: an unload that waits for running requests may take seconds, and shorter pauses would only increase the number
 // of refused orders.
