Loads by slack: order and start of loads of contended services follow from slack

Cause: on a contended service loads begin as engines are free and in an order of weights with a fixed factor a priority, so patient callers' models are swapped for few requests each. Waiting reports carry slack in at most four groups; the order is a schedule of unit jobs with deadlines, and a load waits for further requests while its first one has slack. Not wired to the holder yet.

--- a/command/replicas/dispatch.go
+++ b/command/replicas/dispatch.go
@@ -40,6 +40,7 @@
 		return Found{}, false // no request is waiting for the model
 	}
 	if !w.estimatedReady.After(now) {
+		f.refreshSlackValue(w, now)
 		f.updateWantedValue(now)
 		ready, ok := f.estimateReady(w, now)
 		if !ok {
@@ -67,15 +68,16 @@
 func (f *Fleet) placementReady(w *wantedModel, c placementOption, now time.Time) time.Time {
 	ahead := 0
 	for _, other := range f.wantedModels {
-		if other != w && other.benefit > w.benefit && f.copiesOf(other.model, now) == 0 {
+		if other != w && f.goesBefore(other, w) && f.copiesOf(other.model, now) == 0 {
 			ahead++
 		}
 	}
 	perLoad := f.diskLoad(w.model) + f.unloadTimes.idle
 	queueDelay := perLoad * time.Duration(ahead) / time.Duration(max(1, len(f.engines)))
 	delay := f.acceptableAt(w, c.evictionCost, now).Sub(now)
-	w.waitReason = c.waitReason(delay)
-	return c.ready.Add(delay + queueDelay)
+	held := f.holdUntil(w, c, now).Sub(now)
+	w.waitReason = c.waitReason(max(delay, held))
+	return c.ready.Add(max(delay+queueDelay, held))
 }
 
 // remoteQueueReady returns when a wanted model that must be loaded from the weight store is expected to be ready, after
@@ -148,12 +150,14 @@
 	f.decay(now)
 	f.expireWaiting(now)
 	f.remoteLimiter.start(now)
+	f.noteShortage(now)
 	f.updateWantedValue(now)
 	free := len(f.freeEngines(now))
 	if free == 0 {
 		return nil // saves the holder the time to rank the models
 	}
 	models := f.byBenefit(now)
+	f.sortBySlack(models, now)
 	for i, w := range models {
 		if free == 0 || i >= free+lookAhead {
 			break
@@ -170,11 +174,16 @@
 		if delay > 0 {
 			continue
 		}
+		if w.heldUntil = f.holdUntil(w, c, now); w.heldUntil.After(now) {
+			continue
+		}
 		if c.engine.Busy || now.Before(c.engine.NotBefore) || reserved[c.engine.Server.ID] > 0 || c.engine.adapterLoadPending(now) {
 			reserved[c.engine.Server.ID] += f.loadTime(c.engine.Spec.Models[w.model], c.tier, c.concurrency)
 			continue
 		}
-		operations = append(operations, f.startLoad(c, w.model, now))
+		op := f.startLoad(c, w.model, now)
+		f.recordOrder(w, &op, now)
+		operations = append(operations, op)
 		free--
 		f.updateWantedValue(now)
 	}
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -140,6 +140,9 @@
 	limits limits.Source
 	// complete: an engine that is not in engines no longer exists.
 	complete bool
+	// contended has the services whose models are loaded by slack, and short those of them that had more wanted models
+	// than free engines when loads were last ordered.
+	contended, short map[string]bool
 }
 
 // NewFleet returns a Fleet without engines.
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -21,6 +21,10 @@
 	Duration time.Duration
 	// InUse is set if requests probably ran on the units to unload when the operation was planned.
 	InUse bool
+	// Order is why the load has its place among others, empty if the service is not contended. Slack is how long it
+	// could have waited further, and Waited how long its requests have waited.
+	Order         string
+	Slack, Waited time.Duration
 	// generation is the generation of the engine's record on which the operation was planned.
 	generation uint64
 	// copy is the copy of the model for which an adapter is loaded, nil if a model is loaded.
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -16,6 +16,9 @@
 	OnTime, Late float64
 	// Left is how long the request with the latest deadline still waits, 0 if that is not known.
 	Left time.Duration
+	// Slack are the same requests by slack, at most maxSlackGroups groups. It is empty if the instance does not report
+	// it.
+	Slack []Slack
 }
 
 // lateValueShare is the value of an answer after the objective, relative to one within it; the users give between 0.15
@@ -51,6 +54,12 @@
 	estimatedReady time.Time
 	// waitReason is what the requests wait for until then.
 	waitReason serving.Wait
+	// The following are set in contended services only, see orderBySlack. order states why the load has its rank in the
+	// last order, due is when it must begin, zero if that is not known or too late, and heldUntil is until when it waits
+	// for further requests.
+	order          string
+	rank           int
+	due, heldUntil time.Time
 }
 
 // reportedWaiting is an instance's last report.
@@ -59,6 +68,8 @@
 	at    time.Time
 	// until is when the request with the latest deadline gives up.
 	until time.Time
+	// slack has the requests by slack; empty in services that are not contended.
+	slack []slackGroup
 }
 
 // waitsUntil returns when the last of the waiting requests gives up.
@@ -137,7 +148,12 @@
 	if len(w.waiting) == 0 {
 		w.waitingSince = now
 	}
-	w.waiting[waiting.Instance] = reportedWaiting{value: waiting.value(), at: now, until: now.Add(waiting.maxWait())}
+	r := reportedWaiting{value: waiting.value(), at: now, until: now.Add(waiting.maxWait())}
+	if f.contended[service] {
+		r.slack = f.slackGroups(model, waiting, now)
+		f.noteSlack(w, r.slack, now)
+	}
+	w.waiting[waiting.Instance] = r
 }
 
 // ReplaceWaiting sets all waiting requests of an instance, replacing its previous reports: no request waits there for
