Loads by slack: a load that waits is looked at again only after an interval

The test's weights are now spread over the disks; before, those of the urgent models lay on a few engines.

--- a/command/replicas/contended.go
+++ b/command/replicas/contended.go
@@ -11,6 +11,10 @@
 // slackCheckInterval is the time between two dispatches if nothing else causes one.
 const slackCheckInterval = 200 * time.Millisecond
 
+// benefitCheckInterval is the maximum time after which a load of too little benefit is considered again: short compared
+// with a load.
+const benefitCheckInterval = 50 * time.Millisecond
+
 // SetContended sets the services whose callers differ in patience, so that their models are loaded by slack.
 func (f *Fleet) SetContended(services map[string]bool) { f.contended = services }
 
@@ -44,7 +48,7 @@
 			continue
 		}
 		if w.due.IsZero() || g.latestStart.Before(w.due) {
-			w.due, w.estimatedReady = g.latestStart, time.Time{}
+			w.due, w.estimatedReady, w.deferredUntil = g.latestStart, time.Time{}, time.Time{}
 		}
 		return
 	}
@@ -155,6 +159,30 @@
 	return mayWaitUntil(w.due, f.diskLoad(w.model), c.ready.Sub(now), slackCheckInterval)
 }
 
+// deferLoad reports whether a load does not begin yet: its benefit is too low for the given time, or it waits for further
+// requests.
+func (f *Fleet) deferLoad(w *wantedModel, c placementOption, lowBenefit time.Duration, now time.Time) bool {
+	if !f.contended[w.service] || w.proactive {
+		return lowBenefit > 0
+	}
+	w.heldUntil = f.holdUntil(w, c, now)
+	switch {
+	case lowBenefit > 0:
+		w.deferredUntil = now.Add(min(lowBenefit, benefitCheckInterval))
+	case w.heldUntil.After(now):
+		w.deferredUntil = now.Add(min(w.heldUntil.Sub(now), slackCheckInterval))
+	default:
+		return false
+	}
+	return true
+}
+
+// deferred reports whether a load was recently found not to begin yet and nothing makes it begin earlier. With hundreds
+// of wanted models, the search for their placements at each dispatch would take most of the holder's time.
+func (f *Fleet) deferred(w *wantedModel, now time.Time) bool {
+	return w.deferredUntil.After(now) && f.short[w.service] && !w.proactive
+}
+
 // recordOrder notes on an operation why its load goes first, and counts it.
 func (f *Fleet) recordOrder(w *wantedModel, op *Operation, now time.Time) {
 	if !f.contended[w.service] || w.proactive {
--- a/command/replicas/dispatch.go
+++ b/command/replicas/dispatch.go
@@ -66,12 +66,7 @@
 // benefit exceeds the cost of the evictions, and after the loads of models of higher benefit, which are spread over all
 // engines.
 func (f *Fleet) placementReady(w *wantedModel, c placementOption, now time.Time) time.Time {
-	ahead := 0
-	for _, other := range f.wantedModels {
-		if other != w && f.goesBefore(other, w) && f.copiesOf(other.model, now) == 0 {
-			ahead++
-		}
-	}
+	ahead := f.aheadOf(w, now)
 	perLoad := f.diskLoad(w.model) + f.unloadTimes.idle
 	queueDelay := perLoad * time.Duration(ahead) / time.Duration(max(1, len(f.engines)))
 	delay := f.acceptableAt(w, c.evictionCost, now).Sub(now)
@@ -80,6 +75,20 @@
 	return c.ready.Add(max(delay+queueDelay, held))
 }
 
+// aheadOf returns how many loads are expected to begin before that of a wanted model.
+func (f *Fleet) aheadOf(w *wantedModel, now time.Time) int {
+	if w.rankedAt.Equal(now) {
+		return w.rank
+	}
+	ahead := 0
+	for _, other := range f.wantedModels {
+		if other != w && f.goesBefore(other, w) && f.copiesOf(other.model, now) == 0 {
+			ahead++
+		}
+	}
+	return ahead
+}
+
 // remoteQueueReady returns when a wanted model that must be loaded from the weight store is expected to be ready, after
 // the current loads from there and those of models that take precedence. It returns false if an engine has the weights
 // or no engine can load them.
@@ -158,10 +167,15 @@
 	}
 	models := f.byBenefit(now)
 	f.sortBySlack(models, now)
-	for i, w := range models {
-		if free == 0 || i >= free+lookAhead {
+	considered := 0
+	for _, w := range models {
+		if free == 0 || considered >= free+lookAhead {
 			break
 		}
+		if f.deferred(w, now) {
+			continue
+		}
+		considered++
 		c, ok := f.bestPlacement(w, reserved, now)
 		if !ok {
 			if ready, queued := f.remoteQueueReady(w, now); queued && !w.proactive {
@@ -171,10 +185,7 @@
 		}
 		delay := f.acceptableAt(w, c.minBenefit, now).Sub(now)
 		w.estimatedReady = f.placementReady(w, c, now)
-		if delay > 0 {
-			continue
-		}
-		if w.heldUntil = f.holdUntil(w, c, now); w.heldUntil.After(now) {
+		if f.deferLoad(w, c, delay, now) {
 			continue
 		}
 		if c.engine.Busy || now.Before(c.engine.NotBefore) || reserved[c.engine.Server.ID] > 0 || c.engine.adapterLoadPending(now) {
--- a/command/replicas/slack.go
+++ b/command/replicas/slack.go
@@ -211,7 +211,7 @@
 		ordered, rest = append(ordered, rest[0]), rest[1:]
 	}
 	for i, w := range ordered {
-		w.rank = i
+		w.rank, w.rankedAt = i, now
 	}
 	return ordered
 }
--- a/command/replicas/slack_load_test.go
+++ b/command/replicas/slack_load_test.go
@@ -73,9 +73,9 @@
 	for i := range engines {
 		s := serving.Server{ID: fmt.Sprintf("e%03d", i), Service: "llm", Models: map[string][]string{}, Tiers: map[string]serving.Tier{}}
 		for j := range 10 {
-			s.Tiers[names[(10*i+j)%len(names)]] = serving.TierDisk
+			s.Tiers[names[(i+j*43)%len(names)]] = serving.TierDisk
 		}
-		s.Models[names[10*i%len(names)]], s.Models[names[(10*i+1)%len(names)]] = nil, nil
+		s.Models[names[i%len(names)]], s.Models[names[(i+43)%len(names)]] = nil, nil
 		servers = append(servers, s)
 		l.running[s.ID] = map[string][]time.Time{}
 	}
@@ -248,7 +248,9 @@
 				{name: "patient", first: 50, models: 386, rate: 2.3 * 259, priority: 2, objective: 5 * time.Second, disconnect: 15 * time.Second},
 			}, contended, seed)
 			began := time.Now()
-			l.play(15 * time.Second)
+			l.play(5 * time.Second)
+			t.Logf("after 5 s: urgent %+v, patient %+v, %d loads", *l.results["urgent"], *l.results["patient"], l.loads)
+			l.play(10 * time.Second)
 			t.Logf("seed %d, contended %t: urgent %+v, patient %+v, %d loads, %s", seed, contended, *l.results["urgent"], *l.results["patient"], l.loads, time.Since(began))
 		}
 	}
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -54,12 +54,12 @@
 	estimatedReady time.Time
 	// waitReason is what the requests wait for until then.
 	waitReason serving.Wait
-	// The following are set in contended services only, see orderBySlack. order states why the load has its rank in the
-	// last order, due is when it must begin, zero if that is not known or too late, and heldUntil is until when it waits
-	// for further requests.
-	order          string
-	rank           int
-	due, heldUntil time.Time
+	// The following are set in contended services only, see orderBySlack. rank is the place in the order that was made
+	// at rankedAt, and order states why the load has it. due is when the load must begin, zero if that is not known or
+	// too late. heldUntil is until when it waits for further requests, and deferredUntil when it is considered next.
+	order                                   string
+	rank                                    int
+	due, rankedAt, heldUntil, deferredUntil time.Time
 }
 
 // reportedWaiting is an instance's last report.
