Loads by slack: wire to the holder and the instances

Instances report the slack of waiting requests; the holder tells the fleet which services are contended, logs why a load of theirs goes first, and counts them.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -162,6 +162,7 @@
 	h.fleet.SetRunning(h.reports.runningByUnit(now), now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
 	uncertain := h.fleet.EnginesToRead(now)
+	h.metrics.loadsHeld.Set(float64(h.fleet.HeldLoads(now)))
 	settleDue := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
 	if settleDue || outage > 0 { // a failed renewal is retried at the next tick
@@ -215,6 +216,7 @@
 	h.serversRefreshedAt = clock.Now()
 	h.fleet.SetComplete(h.dir.RemovalsComplete(clock.Now()))
 	h.fleet.SetServers(h.dir.All(), func(service string) *serving.EngineSpec { return config.Services[service].Engine })
+	h.fleet.SetContended(contendedServices(config))
 	for _, e := range h.fleet.Engines() {
 		e.NotBefore = h.lease.OrderFrom(e.Server.ID)
 	}
@@ -226,6 +228,17 @@
 	}
 }
 
+// contendedServices returns the services for which the configuration says that their callers compete.
+func contendedServices(config *serving.Config) map[string]bool {
+	contended := map[string]bool{}
+	for name := range config.Services {
+		if config.Contended(name) {
+			contended[name] = true
+		}
+	}
+	return contended
+}
+
 // Request asks for a unit to be loaded.
 type Request struct {
 	Service string
@@ -332,10 +345,15 @@
 
 // startOperation queues an operation at its engine's worker.
 func (h *Holder) startOperation(op replicas.Operation, cause string) {
-	h.log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"engine": op.Engine, "load": op.Load.String(), "unload": op.Unload, "remote": op.Remote, "cause": cause,
 		"ready_ms": clock.Until(op.Ready).Milliseconds(),
-	}).Info("operation planned")
+	}
+	if op.Order != "" {
+		fields["order"], fields["slack_ms"], fields["waiting_ms"] = op.Order, op.Slack.Milliseconds(), op.Waited.Milliseconds()
+		h.metrics.countContendedLoad(op.Order)
+	}
+	h.log.WithFields(fields).Info("operation planned")
 	h.worker(op.Engine).enqueue(op)
 }
 
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -18,6 +18,8 @@
 	operationSeconds *metrics.Histogram
 	// loadTimeError is the relative error of the predicted duration of loads from the weight store.
 	loadTimeError *metrics.Histogram
+	// loadsHeld is the number of loads that wait for further requests.
+	loadsHeld *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -26,6 +28,7 @@
 		set: set, takeOvers: set.NewCounter("martenport_lease_takeovers_total"),
 		reports: set.NewCounter("martenport_engine_reports_total"), operationSeconds: set.NewHistogram("martenport_operation_seconds"),
 		loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
+		loadsHeld:     set.NewGauge("martenport_loads_held", nil),
 	}
 }
 
@@ -33,6 +36,11 @@
 	m.set.GetOrCreateCounter(`martenport_orders_total{answer="` + answer.String() + `"}`).Inc()
 }
 
+// countContendedLoad counts a load of a contended service by why it has its place among others.
+func (m *Metrics) countContendedLoad(order string) {
+	m.set.GetOrCreateCounter(`martenport_contended_loads_total{order="` + order + `"}`).Inc()
+}
+
 // observeWeightStoreLoad records the error of the predicted duration of a load from the weight store.
 func (m *Metrics) observeWeightStoreLoad(predicted, actual time.Duration) {
 	if actual > 0 {
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -50,7 +50,7 @@
 
 // RegisterWait implements forward.Placer.
 func (f *follower) RegisterWait(unit serving.Unit, priority int, onTimeUntil, expires time.Time) func() {
-	w := &waitingRequest{weight: serving.Weight(priority), onTimeUntil: onTimeUntil, expires: expires}
+	w := &waitingRequest{weight: replicas.BoundWeight(serving.Weight(priority)), onTimeUntil: onTimeUntil, expires: expires}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.waiting[unit.Model] == nil {
@@ -70,14 +70,17 @@
 // waitingFor returns the requests that wait for a model at this instance. f.mu must be held.
 func (f *follower) waitingFor(model string, now time.Time) replicas.Waiting {
 	waiting := replicas.Waiting{Instance: f.name}
+	slack := make([]replicas.Slack, 0, len(f.waiting[model]))
 	for w := range f.waiting[model] {
 		waiting.Left = max(waiting.Left, w.expires.Sub(now))
+		slack = append(slack, replicas.Slack{Weight: w.weight, Start: w.onTimeUntil.Sub(now), Left: w.expires.Sub(now)})
 		if now.Before(w.onTimeUntil) {
 			waiting.OnTime += w.weight
 		} else {
 			waiting.Late += w.weight
 		}
 	}
+	waiting.Slack = replicas.GroupSlack(slack)
 	return waiting
 }
 
