Loads by slack: models that only the weight store has keep their order

Cause: they queue for the store, not for the engines; counted as wanted they made loads from disk wait on a fleet with free engines.

--- a/command/replicas/contended.go
+++ b/command/replicas/contended.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// noteShortage records which contended services have more wanted models than free engines.
+// noteShortage records which contended services have more wanted models than free engines. Models that only the weight
+// store has do not count: they queue for the store, not for the engines.
 func (f *Fleet) noteShortage(now time.Time) {
 	if len(f.contended) == 0 {
 		return
@@ -79,7 +80,7 @@
 	missing := map[string]int{}
 	for _, w := range f.wantedModels {
 		f.refreshSlackValue(w, now)
-		if f.contended[w.service] && f.copiesOf(w.model, now) == 0 {
+		if f.contended[w.service] && f.copiesOf(w.model, now) == 0 && len(f.caching(w.model)) > 0 {
 			missing[w.service]++
 		}
 	}
@@ -92,15 +93,15 @@
 	}
 }
 
-// sortBySlack puts the wanted models of contended services into the order by slack, at the places that they have in
-// models.
+// sortBySlack puts the wanted models of contended services that engines have on their disks into the order by slack, at
+// the places that they have in models.
 func (f *Fleet) sortBySlack(models []*wantedModel, now time.Time) {
 	if len(f.contended) == 0 {
 		return
 	}
 	places := map[string][]int{}
 	for i, w := range models {
-		if f.contended[w.service] && !w.proactive {
+		if f.contended[w.service] && !w.proactive && len(f.caching(w.model)) > 0 {
 			places[w.service] = append(places[w.service], i)
 		}
 	}
