--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -121,9 +121,11 @@
 	h.ctx = ctx
 	h.mu.Unlock()
 	for pause.For(ctx, h.params.Tick) {
-		if h.Holds() {
-			h.tick(clock.Now())
+		if !h.Holds() {
+			h.metrics.loadsHeld.Set(0)
+			continue
 		}
+		h.tick(clock.Now())
 	}
 }
 
--- a/command/replicas/contended.go
+++ b/command/replicas/contended.go
@@ -63,6 +63,9 @@
 	}
 	load := f.diskLoad(w.model)
 	for instance, r := range w.waiting {
+		if len(r.slack) == 0 {
+			continue // reported before the service became contended
+		}
 		r.value = 0
 		for _, g := range r.slack {
 			r.value += g.valueIfLoaded(now, load)
--- a/command/replicas/slack_load_test.go
+++ b/command/replicas/slack_load_test.go
@@ -21,14 +21,19 @@
 	objective, disconnect time.Duration
 }
 
-// results counts what callers of a class got.
-type results struct{ onTime, late, refused int }
+// results counts what callers of a class got. refusedLater is how many of the refused were given an estimate
+// first, told how many of all were given one, and overrun by how much requests waited longer than that, in total.
+type results struct {
+	onTime, late, refused, refusedLater, told int
+	overrun                                   time.Duration
+}
 
 // caller is one request.
 type caller struct {
 	class   *callers
 	arrived time.Time
-	askAt   time.Time
+	// estimate is the first that the request was given, askAt when it asks again.
+	estimate, askAt time.Time
 }
 
 // slackLoad plays a load against a fleet in virtual time. Engines have room for two models each.
@@ -123,6 +128,10 @@
 	} else {
 		l.results[c.class.name].late++
 	}
+	if !c.estimate.IsZero() {
+		l.results[c.class.name].told++
+		l.results[c.class.name].overrun += max(0, l.now.Sub(c.estimate))
+	}
 	l.running[engine][model] = append(l.running[engine][model], l.now.Add(loadRun))
 }
 
@@ -135,8 +144,14 @@
 		return false
 	case !ok || found.Ready.Add(loadFirstEvent).Sub(c.arrived) > c.class.disconnect:
 		l.results[c.class.name].refused++
+		if !c.estimate.IsZero() {
+			l.results[c.class.name].refusedLater++
+		}
 		return false
 	}
+	if c.estimate.IsZero() {
+		c.estimate = found.Ready
+	}
 	c.askAt = later(found.Ready, l.now.Add(120*time.Millisecond))
 	return true
 }
@@ -267,6 +282,14 @@
 		if b, a := before.results["patient"], after.results["patient"]; float64(a.onTime) < 1.15*float64(b.onTime) || a.refused > b.refused/3 {
 			t.Errorf("patient: %+v before, %+v after, want more on time and a third of the refusals", *b, *a)
 		}
+		for class, r := range after.results {
+			if float64(r.refusedLater) > .03*float64(r.refused) {
+				t.Errorf("%s: %d of %d refused requests were given an estimate first", class, r.refusedLater, r.refused)
+			}
+			if mean := r.overrun / time.Duration(max(1, r.told)); mean > 100*time.Millisecond {
+				t.Errorf("%s: requests wait %s longer on average than they were told", class, mean)
+			}
+		}
 		if b, a := before.results["urgent"], after.results["urgent"]; float64(a.onTime) < .99*float64(b.onTime) {
 			t.Errorf("urgent: %+v before, %+v after, want no fewer on time", *b, *a)
 		}
