--- a/command/replicas/bench_test.go
+++ b/command/replicas/bench_test.go
@@ -105,3 +105,33 @@
 		}
 	}
 }
+
+// BenchmarkDispatchContended measures one decision while patient requests wait for 250 models of a contended service and
+// a quarter of 124 engines are free, all models looked at anew and only those that are due.
+func BenchmarkDispatchContended(b *testing.B) {
+	const engines, waited = 124, 250
+	for _, anew := range []bool{true, false} {
+		b.Run(fmt.Sprintf("anew=%t", anew), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			f := busyFleet(now, engines)
+			f.SetContended(map[string]bool{"llm": true})
+			for i, e := range f.Engines() {
+				e.Busy = i%4 != 0
+			}
+			for i := range waited {
+				slack := Slack{Weight: 1, Start: time.Duration(3000+10*i) * time.Millisecond, Left: 15 * time.Second}
+				f.SetWaiting("llm", fmt.Sprintf("m%d", 5*engines-1-i), Waiting{Instance: "instance", OnTime: 1, Slack: []Slack{slack}}, now)
+			}
+			for b.Loop() {
+				for _, op := range f.Dispatch(now) {
+					f.Withdrawn(op)
+				}
+				if anew {
+					for _, w := range f.wantedModels {
+						w.deferredUntil = time.Time{}
+					}
+				}
+			}
+		})
+	}
+}
