--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -56,7 +56,8 @@
 	waitReason serving.Wait
 	// The following are set in contended services only, see orderBySlack. rank is the place in the order that was made
 	// at rankedAt, and order states why the load has it. due is when the load must begin, zero if that is not known or
-	// too late, and latestStart the same with regard to the loads after it. heldUntil is until when it waits for further requests, and deferredUntil when it is considered next.
+	// too late, and latestStart the same with regard to the loads after it. heldUntil is until when it waits for further
+	// requests, and deferredUntil when it is considered next.
 	order                                                string
 	rank                                                 int
 	due, latestStart, rankedAt, heldUntil, deferredUntil time.Time
