Loads by slack: the margin follows from how late loads end

Cause: engines refuse orders while they unload and disks are slow at times, by amounts that no constant knows.

--- a/command/replicas/contended.go
+++ b/command/replicas/contended.go
@@ -167,7 +167,7 @@
 	if !f.contended[w.service] || w.proactive || w.due.IsZero() || !f.short[w.service] && !c.inUse {
 		return time.Time{}
 	}
-	return mayWaitUntil(earlier(w.due, w.latestStart), f.diskLoad(w.model), c.ready.Sub(now), slackCheckInterval)
+	return mayWaitUntil(earlier(w.due, w.latestStart), f.diskLoad(w.model), c.ready.Sub(now), slackCheckInterval, f.lateness)
 }
 
 // deferLoad reports whether a load does not begin yet: its benefit is too low for the given time, or it waits for further
@@ -205,6 +205,13 @@
 	}
 }
 
+// observeLateness learns from the end of a load of a contended service. Loads from the weight store are predicted apart.
+func (f *Fleet) observeLateness(op Operation, now time.Time) {
+	if op.Order != "" && !op.Remote {
+		f.lateness.observe(now.Sub(op.Ready))
+	}
+}
+
 // HeldLoads returns how many loads wait for further requests.
 func (f *Fleet) HeldLoads(now time.Time) int {
 	n := 0
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -143,6 +143,8 @@
 	// contended has the services whose models are loaded by slack, and short those of them that had more wanted models
 	// than free engines when loads were last ordered.
 	contended, short map[string]bool
+	// lateness is by how much loads of contended services end later than expected.
+	lateness loadLateness
 }
 
 // NewFleet returns a Fleet without engines.
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -77,6 +77,7 @@
 		return
 	}
 	e.failures = 0
+	f.observeLateness(op, now)
 	if op.Load.Adapter == "" {
 		e.Busy = false
 		f.remoteLoadEnded(op, e, now)
--- a/command/replicas/slack.go
+++ b/command/replicas/slack.go
@@ -280,17 +280,36 @@
 	return starts
 }
 
-// slackMarginShare is the share of a load's time by which a load that waits for further requests begins before its
+// slackMarginShare is the least share of a load's time by which a load that waits for further requests begins before its
 // latest start, since loads and the unloads before them take longer than expected at times.
 const slackMarginShare = 0.25
 
 // mayWaitUntil returns until when a load that takes total with its unloads, and load alone, may wait for further
 // requests if it must begin at latestStart. interval is how often that is checked.
-func mayWaitUntil(latestStart time.Time, load, total, interval time.Duration) time.Time {
-	margin := time.Duration(slackMarginShare*float64(load)) + interval
+func mayWaitUntil(latestStart time.Time, load, total, interval time.Duration, late loadLateness) time.Time {
+	margin := max(time.Duration(slackMarginShare*float64(load)), min(load, late.usual())) + interval
 	return latestStart.Add(load - total - margin)
 }
 
+// loadLateness learns by how much loads end later than expected: engines refuse orders while they unload, and disks are
+// slower at times.
+type loadLateness struct {
+	mean, deviation time.Duration
+}
+
+// latenessGain is the weight of the newest load: some ten loads, less than a second under load, show a change.
+const latenessGain = 0.1
+
+// observe records that a load ended late, or early if late is negative.
+func (l *loadLateness) observe(late time.Duration) {
+	difference := late - l.mean
+	l.mean += time.Duration(latenessGain * float64(difference))
+	l.deviation += time.Duration(latenessGain * float64(max(difference, -difference)-l.deviation))
+}
+
+// usual returns by how much most loads are late at most.
+func (l *loadLateness) usual() time.Duration { return max(0, l.mean+l.deviation) }
+
 // mergeGroups returns the groups of all reports, least slack first.
 func mergeGroups(reports map[string]reportedWaiting) []slackGroup {
 	var groups []slackGroup
--- a/command/replicas/slack_test.go
+++ b/command/replicas/slack_test.go
@@ -304,3 +304,34 @@
 		}
 	}
 }
+
+// TestLateLoadsBeginEarlier: after loads that end late, loads wait for less long; the margin is at most a load, and
+// returns when loads are on time again.
+func TestLateLoadsBeginEarlier(t *testing.T) {
+	due := time.Unix(1000, 0)
+	wait := func(l loadLateness) time.Duration {
+		return due.Sub(mayWaitUntil(due, time.Second, time.Second, 0, l))
+	}
+	var l loadLateness
+	if got := wait(l); got != 250*time.Millisecond {
+		t.Errorf("margin %s without history", got)
+	}
+	for range 50 {
+		l.observe(600 * time.Millisecond)
+	}
+	if got := wait(l); got < 550*time.Millisecond || got > 700*time.Millisecond {
+		t.Errorf("margin %s for loads that are .6 s late", got)
+	}
+	for range 50 {
+		l.observe(time.Minute)
+	}
+	if got := wait(l); got != time.Second {
+		t.Errorf("margin %s, want at most a load", got)
+	}
+	for range 200 {
+		l.observe(-10 * time.Millisecond)
+	}
+	if got := wait(l); got != 250*time.Millisecond {
+		t.Errorf("margin %s after loads in time", got)
+	}
+}
