Loads by slack: models whose callers cannot wait for any load compete by the cost of delay

Now such a model takes the earliest start, in the order of what waiting costs, and a load does not wait if a tenth of its model's requests cannot wait for one.

--- a/command/replicas/contended.go
+++ b/command/replicas/contended.go
@@ -123,6 +123,10 @@
 	}
 }
 
+// impatientShare is the share of a model's requests that cannot wait for a load, by weight, from which its load does not
+// wait for further requests.
+const impatientShare = 0.1
+
 // loadableShare is the share of the engines on which loads that wait are counted on to begin: a model's weights lie on
 // few engines, and copies of some are worth more than the load.
 const loadableShare = 0.5
@@ -130,7 +134,7 @@
 // loadCandidate describes a wanted model to orderBySlack.
 func (f *Fleet) loadCandidate(w *wantedModel, now time.Time) *loadCandidate {
 	age := 1 + max(0, now.Sub(w.waitingSince).Seconds()/benefitDoubling.Seconds())
-	return &loadCandidate{w: w, groups: mergeGroups(w.waiting), load: f.diskLoad(w.model), age: age, extra: f.absenceCost(w.model)}
+	return &loadCandidate{w: w, groups: mergeGroups(w.waiting), load: f.diskLoad(w.model), age: age, extra: f.absenceCost(w.model), lateRate: f.demandOf(w.model).Late}
 }
 
 // freeTimes returns when the usable engines of a service can begin their next load, earliest first.
@@ -167,6 +171,9 @@
 	if !f.contended[w.service] || w.proactive || w.due.IsZero() || !f.short[w.service] && !c.inUse {
 		return time.Time{}
 	}
+	if d := f.demandOf(w.model); d.Late > impatientShare*d.Weight {
+		return time.Time{} // requests that arrive meanwhile would be late
+	}
 	return mayWaitUntil(earlier(w.due, w.latestStart), f.diskLoad(w.model), c.ready.Sub(now), slackCheckInterval, f.lateness)
 }
 
--- a/command/replicas/slack.go
+++ b/command/replicas/slack.go
@@ -91,13 +91,15 @@
 	groups []slackGroup
 	load   time.Duration
 	// extra is the benefit that does not depend on when the load begins, age the factor by which waiting raises the
-	// value.
-	extra, age float64
-	// due is when its load must begin, see nextDue, and benefit the benefit of that. onTime is set while such a time
-	// exists.
+	// value, and lateRate the weight per second of requests that arrive and are late because the model is not loaded.
+	extra, age, lateRate float64
+	// due is when its load must begin, see nextDue, and onTime is set while such a time exists. benefit is the benefit of
+	// beginning then, or without such a time the cost of beginning a load's time later.
 	due     time.Time
 	benefit float64
 	onTime  bool
+	// start is the start that it was given.
+	start time.Time
 }
 
 // nextDue moves due to the first latest start of a group that is not before from.
@@ -118,6 +120,9 @@
 		value += g.valueIfLoaded(at, c.load)
 	}
 	c.benefit = value*c.age + c.extra
+	if !c.onTime {
+		c.benefit = (value*c.age/benefitDoubling.Seconds() + c.lateRate) * c.load.Seconds()
+	}
 }
 
 // candidateHeap has the candidate with the highest benefit first.
@@ -157,9 +162,9 @@
 )
 
 // orderBySlack orders the candidates, and sets order and due of their models. starts are the times at which the engines
-// can begin loads, earliest first, concurrency is how many loads of perLoad each may run at once. The candidates that can be met are those of a schedule of highest benefit: each, in
-// the order of benefit, takes the latest free start that is not after its deadline; one that finds none tries the next
-// deadline of its requests. They are loaded earliest deadline first, and the others after them.
+// can begin loads, earliest first, concurrency is how many loads of perLoad each may run at once. Each candidate, in the
+// order of benefit, takes the latest free start that is not after its deadline; one that finds none tries the next
+// deadline of its requests. One that is too late for all of them takes the earliest free start.
 func orderBySlack(candidates []*loadCandidate, starts []time.Time, concurrency int, perLoad time.Duration, now time.Time) []*wantedModel {
 	queue := make(candidateHeap, 0, len(candidates))
 	for _, c := range candidates {
@@ -171,19 +176,39 @@
 	var inTime, others []*loadCandidate
 	for queue.Len() > 0 {
 		c := heap.Pop(&queue).(*loadCandidate)
-		switch {
-		case !c.onTime:
+		ok := false
+		if !c.onTime {
+			c.start = free.takeFirst()
 			others = append(others, c)
-		case free.take(c.due):
+		} else if c.start, ok = free.take(c.due); ok {
 			inTime = append(inTime, c)
-		default:
+		} else {
 			c.nextDue(c.due.Add(1))
 			heap.Push(&queue, c)
 		}
 	}
 	slices.SortStableFunc(inTime, func(a, b *loadCandidate) int { return a.due.Compare(b.due) })
 	setLatestStarts(inTime, concurrency, perLoad)
-	return mergeAged(inTime, others, now)
+	return mergeAged(mergeByStart(inTime, others), now)
+}
+
+// mergeByStart joins candidates that are in time, earliest deadline first, and others, in the order in which they took
+// their starts. One of the others goes before those in time that were given later starts.
+func mergeByStart(inTime, others []*loadCandidate) []*loadCandidate {
+	starts := make([]time.Time, 0, len(inTime))
+	for _, c := range inTime {
+		starts = append(starts, c.start)
+	}
+	slices.SortFunc(starts, time.Time.Compare) // the set can be met earliest deadline first as well
+	merged := make([]*loadCandidate, 0, len(inTime)+len(others))
+	for len(inTime)+len(others) > 0 {
+		if len(others) == 0 || len(inTime) > 0 && !starts[0].After(others[0].start) {
+			merged, inTime, starts = append(merged, inTime[0]), inTime[1:], starts[1:]
+			continue
+		}
+		merged, others = append(merged, others[0]), others[1:]
+	}
+	return merged
 }
 
 // setLatestStarts sets when the loads of models, ordered by deadline, must begin at the latest if at most concurrency of
@@ -206,11 +231,11 @@
 	return b
 }
 
-// mergeAged joins the candidates in their order, except that those that have waited for too long get every agedShare-th
+// mergeAged returns the candidates' models in their order, except that those that have waited for too long get every agedShare-th
 // place.
-func mergeAged(inTime, others []*loadCandidate, now time.Time) []*wantedModel {
+func mergeAged(candidates []*loadCandidate, now time.Time) []*wantedModel {
 	var aged, rest []*wantedModel
-	for _, c := range slices.Concat(inTime, others) {
+	for _, c := range candidates {
 		c.w.order, c.w.due = orderBenefit, time.Time{}
 		if c.onTime {
 			c.w.order, c.w.due = orderDeadline, c.due
@@ -242,6 +267,8 @@
 	starts []time.Time
 	// before[i] leads to the latest free one of the first i starts, by a path that is shortened when it is followed.
 	before []int
+	// first is the number of starts at the beginning that are taken.
+	first int
 }
 
 func newFreeStarts(starts []time.Time) *freeStarts {
@@ -253,17 +280,29 @@
 }
 
 // take takes the latest free start that is not after due. It returns false if there is none.
-func (f *freeStarts) take(due time.Time) bool {
+func (f *freeStarts) take(due time.Time) (start time.Time, ok bool) {
 	n, _ := slices.BinarySearchFunc(f.starts, due.Add(1), time.Time.Compare)
 	for f.before[n] != n {
 		f.before[n] = f.before[f.before[n]]
 		n = f.before[n]
 	}
 	if n == 0 {
-		return false
+		return start, false
 	}
 	f.before[n] = n - 1
-	return true
+	return f.starts[n-1], true
+}
+
+// takeFirst takes the earliest free start. If there is none, it returns a time after all starts.
+func (f *freeStarts) takeFirst() time.Time {
+	for f.first < len(f.starts) && f.before[f.first+1] != f.first+1 {
+		f.first++
+	}
+	if f.first == len(f.starts) {
+		return time.Unix(math.MaxInt32, 0)
+	}
+	f.before[f.first+1] = f.first
+	return f.starts[f.first]
 }
 
 // startTimes returns the first n times at which engines can begin loads that take perLoad each. free are the times at
--- a/command/replicas/slack_load_test.go
+++ b/command/replicas/slack_load_test.go
@@ -334,3 +334,28 @@
 		t.Errorf("operations %s, want %s", got, recorded)
 	}
 }
+
+// TestImpatientCallersOfSharedModels: when some callers of each model cannot wait for any load, no load waits for the
+// patient callers of the same models, and the impatient ones get no less than before.
+func TestImpatientCallersOfSharedModels(t *testing.T) {
+	classes := []callers{
+		{name: "impatient", models: 150, rate: 150, priority: 0, objective: 300 * time.Millisecond, disconnect: 5 * time.Second},
+		{name: "patient", models: 150, rate: 75, priority: 0, objective: 2 * time.Second, disconnect: 10 * time.Second},
+	}
+	before, after := map[string]int{}, map[string]int{}
+	for seed := range uint64(8) {
+		for contended, onTime := range map[bool]map[string]int{false: before, true: after} {
+			l := newSlackLoad(50, classes, contended, seed)
+			l.play(10 * time.Second)
+			for class, r := range l.results {
+				onTime[class] += r.onTime
+			}
+		}
+	}
+	t.Logf("on time: %v before, %v after", before, after)
+	for class, b := range before {
+		if float64(after[class]) < .97*float64(b) {
+			t.Errorf("%s: %d on time before, %d after", class, b, after[class])
+		}
+	}
+}
--- a/command/replicas/slack_test.go
+++ b/command/replicas/slack_test.go
@@ -62,7 +62,8 @@
 			for i, c := range candidates {
 				if set&(1<<i) != 0 {
 					weight += c.groups[0].weight
-					feasible = feasible && free.take(c.groups[0].latestStart)
+					_, ok := free.take(c.groups[0].latestStart)
+					feasible = feasible && ok
 				}
 			}
 			if feasible {
