--- a/command/replicas/slack.go
+++ b/command/replicas/slack.go
@@ -231,8 +231,8 @@
 	return b
 }
 
-// mergeAged returns the candidates' models in their order, except that those that have waited for too long get every agedShare-th
-// place.
+// mergeAged returns the candidates' models in their order, except that those that have waited for too long get every
+// agedShare-th place.
 func mergeAged(candidates []*loadCandidate, now time.Time) []*wantedModel {
 	var aged, rest []*wantedModel
 	for _, c := range candidates {
