--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -24,6 +24,8 @@
 	dispatchSeconds                 *metrics.Histogram
 	// roomGauges are the names of the gauges of the room of classes; guarded by Holder.mu.
 	roomGauges map[string]struct{}
+	// loadsHeld is the number of loads that wait for further requests.
+	loadsHeld *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -35,6 +37,7 @@
 		dispatches:    set.NewCounter("martenport_dispatches_total"), coalescedDispatches: set.NewCounter("martenport_dispatches_coalesced_total"),
 		dispatchSeconds: set.NewHistogram("martenport_dispatch_seconds"),
 		roomGauges:      map[string]struct{}{},
+		loadsHeld:       set.NewGauge("martenport_loads_held", nil),
 	}
 }
 
@@ -54,6 +57,11 @@
 	m.set.GetOrCreateHistogram(`martenport_load_after_unload_seconds{runs="` + runs + `"}`).Update(idle.Seconds())
 }
 
+// countContendedLoad counts a load of a contended service by why it has its place among others.
+func (m *Metrics) countContendedLoad(order string) {
+	m.set.GetOrCreateCounter(`martenport_contended_loads_total{order="` + order + `"}`).Inc()
+}
+
 // observeWeightStoreLoad records the error of the predicted duration of a load from the weight store.
 func (m *Metrics) observeWeightStoreLoad(predicted, actual time.Duration) {
 	if actual > 0 {
