Do not send to engines that are full

Cause: an engine whose slots and queue are full answers 503 (not run). Each such answer led to another send drawn from the budget of repeated sends, to an engine that was often as full, until the budget was spent; the request was then refused late.

An instance that got such an answer sends nothing to that engine until it may have room: the time of one completion at first, doubled by each refusal, at most a quarter of a request's latency. If all engines with the unit are full, the request is refused at once with a Retry-After of when room may be there; a request that may have run, or a stream to be resumed, waits instead. A refusal counts as full only if the engine's slots are known to be taken, since an engine that changes its models refuses as well. A full engine no longer counts as failing.

Ruled out: ejection, since it doubles up to five seconds and counts as a failure of the engine afterwards.

--- a/command/balance/balance.go
+++ b/command/balance/balance.go
@@ -91,6 +91,10 @@
 	consecutiveFailures int
 	// ejectedUntil is when the current or last ejection ends.
 	ejectedUntil time.Time
+	// fullUntil is until when the server is known to be full, and refusals the number of pauses for
+	// that without a success since, see RecordFull.
+	fullUntil time.Time
+	refusals  int
 }
 
 // Balancer chooses servers for one instance and keeps its statistics of them.
@@ -206,7 +210,7 @@
 	switch o {
 	case Succeeded:
 		s.failureRate *= 1 - failureSmoothing
-		s.consecutiveFailures = 0
+		s.consecutiveFailures, s.refusals = 0, 0
 	case Failed, Unreachable:
 		s.failureRate += (1 - s.failureRate) * failureSmoothing
 		s.consecutiveFailures++
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -76,6 +76,12 @@
 			t.waits.recordEstimateError(t.f.counts)
 			return server, t.refuseOverload()
 		}
+		if !found && !t.roomAt.IsZero() {
+			if failure := t.awaitRoom(ctx); failure != nil {
+				return serving.Server{}, failure
+			}
+			continue
+		}
 		wait := clock.Until(ready)
 		if stop == nil {
 			stop = t.f.placer.RegisterWait(t.request.Unit, t.route.Priority, t.latestOnTimeLoad(), t.nextOutputDeadline())
@@ -185,7 +191,8 @@
 // availableReplicas returns the replicas to which the request may be sent, according to the current
 // state of the directory and the server limits.
 func (t *transaction) availableReplicas(now time.Time) []directory.Replica {
-	replicas := slices.DeleteFunc(t.f.dir.Replicas(t.service.Name, t.request.Unit, now), func(r directory.Replica) bool {
+	replicas := t.withoutFull(t.f.dir.Replicas(t.service.Name, t.request.Unit, now), now)
+	replicas = slices.DeleteFunc(replicas, func(r directory.Replica) bool {
 		return t.excluded[r.Server.ID] || t.f.guard.Crashed(r.Server)
 	})
 	servers := make([]serving.Server, 0, len(replicas))
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -57,6 +57,11 @@
 	c.set.GetOrCreateCounter(`martenport_repeated_sends_total{service="` + service + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// serverFull counts a refusal by an engine that was full.
+func (c *Counts) serverFull(service string) {
+	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
+}
+
 // waitEstimateError records the difference between the estimated and the actual wait.
 func (c *Counts) waitEstimateError(estimated, waited time.Duration) {
 	if waited >= estimated {
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -55,6 +55,9 @@
 	firstEventAt time.Time
 	// serverLimits is the state of the servers that limit the requests they accept.
 	serverLimits limitedServers
+	// roomAt is when the first of the engines that have the unit and are full may have room; the zero
+	// time if none is full. It is set by each choice of an engine.
+	roomAt time.Time
 	// trial is the permission of a suspect to run; zero if there is none.
 	trial Trial
 	// last is the failure of the last attempt; nil before.
@@ -316,6 +319,7 @@
 		t.missing = server.ID
 		t.f.dir.ReportMissingUnit(server.ID, t.request.Unit, clock.Now())
 	}
+	t.recordIfFull(server, resp, outcome)
 	return verdict.Refuse(verdict.ReasonBackend, "server %s has not run it: status %d", server.ID, resp.Status)
 }
 
