Place copies by the speed of engines

Cause: a hot model's further copy went to a slow engine as gladly as to a fast one.

The cost of a placement option gets the time by which the model's requests within the horizon take longer there; the cost of evicting a copy is multiplied by the engine's speed. Where no speed is known to differ, both are unchanged: TestEqualSpeedsPlaceAsBefore plays the same demand with and without. TestFurtherCopyOnFastEngine covers engines that are slow, fast and both slow, earlier processes and speeds that make no sense.

--- a/command/replicas/eviction.go
+++ b/command/replicas/eviction.go
@@ -44,7 +44,7 @@
 		}
 		m := e.Spec.Models[name]
 		v := victim{model: name, mb: m.MemoryMB + float64(len(c.Adapters))*m.AdapterMB}
-		v.cost = f.evictionCost(m, f.copiesOf(name, now) > max(1, f.wantedCopies(name)))
+		v.cost = f.evictionCost(m, f.copiesOf(name, now) > max(1, f.wantedCopies(name))) * f.speedOf(e)
 		v.inUse = f.useProbability(c, name, now)
 		v.wait = time.Duration(v.inUse * float64(f.unloadTimes.inUse))
 		victims = append(victims, v)
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -138,13 +138,15 @@
 	suspended bool
 	// limits has the operators' limits.
 	limits limits.Source
+	// speeds are the engines' speeds that differ from the usual one.
+	speeds map[string]float64
 	// complete: an engine that is not in engines no longer exists.
 	complete bool
 }
 
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, speeds: map[string]float64{},
 		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait}}
 }
 
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -144,6 +144,7 @@
 		c.minBenefit += timeCost * (load + unload).Seconds()
 	}
 	c.cost = value*c.ready.Sub(now).Seconds() + c.evictionCost + minTimeCost*(load+unload).Seconds()
+	c.cost += f.slownessCost(e, w.model)
 	return c, true
 }
 
