Share the engines' speeds between instances

An instance sees too few streams of each engine to know its speed. Without a holder, or with one that knows of no difference, an instance uses what it has learnt itself. The log line of a request names the speed that was known where it differs.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -176,7 +176,7 @@
 	for _, r := range usable {
 		candidates = append(candidates, balance.Candidate{
 			ID: r.Server.ID, Domain: r.Server.FailureDomain, Slots: r.Server.Slots, OthersInFlight: r.Others, ReportAge: r.Age, Wait: max(0, r.Ready.Sub(now)),
-			SameDomain: r.Server.FailureDomain == t.f.params.FailureDomain,
+			SameDomain: r.Server.FailureDomain == t.f.params.FailureDomain, Speed: t.f.balancer.Speed(r.Server, now), Urgent: t.urgent(),
 		})
 	}
 	t.soleReplica = len(candidates) == 1 && usable[0].Ready.IsZero()
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -134,7 +134,9 @@
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEventID, err).WithCause(err)
 		}
-		t.recordEventReceived(clock.Now())
+		received := clock.Now()
+		t.recordEventReceived(received)
+		t.speed.recordEvent(received)
 		if t.alreadySent(e) {
 			continue // a resumed stream that repeats an event
 		}
@@ -142,7 +144,9 @@
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
 		}
-		t.out.recordEventSent(clock.Now())
+		sent := clock.Now()
+		t.out.recordEventSent(sent)
+		t.speed.recordWrite(sent.Sub(received))
 		if e.id != "" {
 			t.out.lastEventID = e.id
 		}
@@ -170,6 +174,7 @@
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.lastEventID)
 	}
 	t.out.start(resp)
+	t.endSpeedSample(clock.Now())
 	return nil
 }
 
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -55,6 +55,8 @@
 	firstEventAt time.Time
 	// serverLimits is the state of the servers that limit the requests they accept.
 	serverLimits limitedServers
+	// speed follows the stream of the current attempt, to learn the engine's speed.
+	speed streamSpeed
 	// roomAt is when the first of the engines that have the unit and are full may have room; the zero
 	// time if none is full. It is set by each choice of an engine.
 	roomAt time.Time
@@ -257,6 +259,7 @@
 	t.sends++
 	t.runs++
 	t.mayHaveRun = true
+	t.beginSpeedSample(server, now)
 	failure = t.relay(ctx, resp)
 	outcome = t.answerOutcome(ctx, resp, failure)
 	if failure != nil {
@@ -377,6 +380,9 @@
 	if !t.out.firstEvent.IsZero() {
 		log = log.WithFields(logrus.Fields{"first_ms": t.out.firstEvent.Sub(t.request.Arrived).Milliseconds(), "pause_ms": t.out.longestPause.Milliseconds()})
 	}
+	if t.speed.relative > 0 && t.speed.relative != 1 {
+		log = log.WithField("engine_speed", t.speed.relative)
+	}
 	if held := t.serverLimits.unavailableServers(); held != "" {
 		log = log.WithField("held_back", held)
 	}
--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/directory"
@@ -142,6 +143,8 @@
 	SeenViews, SeenServers uint64
 	// Revision is the store revision up to which the instance knows the servers.
 	Revision store.Revision
+	// Speeds are samples of the engines' speeds since the last report, at most balance.MaxSharedSamples.
+	Speeds []balance.SpeedSample
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -170,6 +173,8 @@
 	Failing uint64
 	// Lease states when the holder last renewed the lease. A successor counts its waiting time from then.
 	Lease lease.RenewalAge
+	// Speeds are the speeds of the engines that differ from the usual speed, at most balance.MaxSharedSpeeds.
+	Speeds []balance.EngineSpeed
 }
 
 // Exchange processes the report of an instance and returns the state that the instance needs. It fails with
@@ -194,6 +199,7 @@
 		h.fleet.MarkUsed(run.Engine, run.Unit, now)
 	}
 	h.fleet.ReplaceWaiting(r.Name, r.Waiting, now)
+	h.speeds.Add(r.Speeds, now)
 	h.reports.expire(now)
 	record, _ := h.lease.Record()
 	if r.Fence != record.Fence {
@@ -205,6 +211,7 @@
 	reply.RemoteAtOnce = h.fleet.RemoteConcurrency()
 	reply.Lease = h.lease.RenewalAge(now)
 	reply.Admit = h.admissions(now)
+	reply.Speeds = h.speeds.Speeds(now)
 	reply.Peers = h.reports.peers.count(r.Domain, now)
 	reply.Views, reply.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config, confirmedAt := h.dir.Current(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/quota"
@@ -69,6 +70,8 @@
 	finalRenewalRunning bool
 	// remoteConcurrency is the estimate of an earlier holder for Update.RemoteAtOnce; guarded by mu.
 	remoteConcurrency float64
+	// speeds are the engines' speeds according to the samples of all instances; guarded by mu.
+	speeds *balance.SpeedLearner
 	// surrendered is the released record under which this instance has promised to send no more orders; guarded by
 	// mu.
 	surrendered lease.Record
@@ -91,7 +94,7 @@
 func New(p Params, s store.Store, engines serving.Engines, dir *directory.Directory, metrics *Metrics, log logrus.FieldLogger) *Holder {
 	return &Holder{
 		params: p, store: s, engines: engines, dir: dir, log: log, metrics: metrics,
-		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), workers: map[string]*worker{},
+		lease: lease.New(p.Lease, p.Name), fleet: replicas.NewFleet(p.Fleet), lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()), serverLimits: unlimited{}, reports: newInstanceReports(), speeds: balance.NewSpeedLearner(), workers: map[string]*worker{},
 		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{}, outageStart: func() (none time.Time) { return },
 	}
 }
@@ -160,6 +163,7 @@
 	h.refreshServers()
 	outage := h.suspendInOutage(now)
 	h.fleet.SetRunning(h.reports.runningByUnit(now), now)
+	h.fleet.SetSpeeds(h.speeds.Speeds(now))
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
 	uncertain := h.fleet.EnginesToRead(now)
 	settleDue := !h.lease.Settled() && h.lease.RenewalDue(now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,7 @@
 	i.watcher.onNewEra, i.watcher.onRestored = i.holder.ObserveEra, i.handleStoreRestored
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holderParams.Quota.Lifetime)
 	i.follower.limiter = i.limiter
+	i.follower.balancer = i.balancer
 	i.limiter.askTurn, i.limiter.requestReport, i.limiter.instances = i.follower.requestTurn, i.follower.reportNow, i.follower.knownInstances
 	i.holder.SetOutageSource(i.watcher.outageSince)
 	i.declaration = &declarationState{config: &table.Config{}, log: log}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
@@ -121,6 +122,8 @@
 	// shares are the parts of workspaces' limits that are lent to this instance; set before run.
 	shares        *quota.Shares
 	onEscalations func([]quarantine.Escalation)
+	// balancer learns the speeds of engines; nil if they are not to be learnt. Set before run.
+	balancer *balance.Balancer
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 }
@@ -306,6 +309,7 @@
 	for model := range f.waiting {
 		r.Waiting[model] = f.waitingFor(model, clock.Now())
 	}
+	r.Speeds = f.balancer.TakeSpeedSamples()
 	return f.record, &ExchangeArgs{Report: r, Crashes: f.ledger.NextMessage(f.link, clock.Now())}
 }
 
@@ -332,6 +336,7 @@
 	f.mu.Unlock()
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
 	f.dir.ApplyAdmissions(update.Admit)
+	f.balancer.SetSharedSpeeds(update.Speeds, now)
 	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
 	fresh := record.Holder != f.name && update.Failing == 0 && storeAge < f.watcher.maxUpdateAge()
 	if fresh {
