--- a/command/balance/speed.go
+++ b/command/balance/speed.go
@@ -237,61 +237,77 @@
 	}
 }
 
+// comparison is the median logarithm of an engine's times in a column, both by number.
+type comparison struct {
+	column, engine int
+	time           float64
+}
+
 // solve returns the logarithm of each engine's time relative to the usual one. A time is modelled as that of its column
-// times that of its engine; both are found by
-// least squares, alternating between the means of the two. Outliers do not get that far, see comparableTimes. Columns
-// with a single engine compare nothing and are left out, and so are engines without any other column.
+// times that of its engine; both are found by least squares, alternating between the means of the two. Columns with a
+// single engine compare nothing and are left out, and so are engines without any other column.
 func (l *SpeedLearner) solve() map[string]float64 {
-	times := l.comparableTimes()
-	offsets := map[string]float64{}
+	ids, comparisons, columns := l.comparisons()
+	offsets, usual := make([]float64, len(ids)), make([]float64, columns)
 	for moved, round := math.Inf(1), 0; moved > settled && round < solveRounds; round++ {
-		residuals := map[string][]float64{}
-		for _, engines := range times {
-			var logs []float64
-			for id, t := range engines {
-				logs = append(logs, t-offsets[id])
-			}
-			usual := mean(logs)
-			for id, t := range engines {
-				residuals[id] = append(residuals[id], t-usual)
-			}
-		}
-		var all []float64
+		means(usual, comparisons, func(c comparison) (int, float64) { return c.column, c.time - offsets[c.engine] })
+		before := slices.Clone(offsets)
+		means(offsets, comparisons, func(c comparison) (int, float64) { return c.engine, c.time - usual[c.column] })
+		center := median(offsets)
 		moved = 0
-		for id, r := range residuals {
-			next := mean(r)
-			moved = max(moved, math.Abs(next-offsets[id]))
-			offsets[id] = next
-			all = append(all, next)
-		}
-		center := median(all)
-		for id := range offsets {
-			offsets[id] -= center
+		for i := range offsets {
+			offsets[i] -= center
+			moved = max(moved, math.Abs(offsets[i]-before[i]))
 		}
 	}
-	return offsets
+	byEngine := make(map[string]float64, len(ids))
+	for i, id := range ids {
+		byEngine[id] = offsets[i]
+	}
+	return byEngine
 }
 
-// comparableTimes returns the median logarithm of the time by column and engine, for the columns with several engines.
-func (l *SpeedLearner) comparableTimes() map[column]map[string]float64 {
-	times := map[column]map[string]float64{}
+// means sets each element to the mean of the values that part assigns to it. Each gets at least one.
+func means(result []float64, comparisons []comparison, part func(comparison) (int, float64)) {
+	counts := make([]float64, len(result))
+	clear(result)
+	for _, c := range comparisons {
+		i, value := part(c)
+		result[i] += value
+		counts[i]++
+	}
+	for i := range result {
+		result[i] /= counts[i]
+	}
+}
+
+// comparisons returns what can be compared: the engines' times in the columns that have several of them.
+func (l *SpeedLearner) comparisons() (ids []string, comparisons []comparison, columns int) {
+	enginesOf := map[column]int{}
+	for _, e := range l.engines {
+		for k, c := range e.cells {
+			if len(c.logs) >= minCellSamples {
+				enginesOf[k]++
+			}
+		}
+	}
+	numbers := map[column]int{}
 	for id, e := range l.engines {
+		known := len(comparisons)
 		for k, c := range e.cells {
-			if len(c.logs) < minCellSamples {
+			if len(c.logs) < minCellSamples || enginesOf[k] < 2 {
 				continue
 			}
-			if times[k] == nil {
-				times[k] = map[string]float64{}
+			if _, numbered := numbers[k]; !numbered {
+				numbers[k] = len(numbers)
 			}
-			times[k][id] = median(c.logs)
+			comparisons = append(comparisons, comparison{numbers[k], len(ids), median(c.logs)})
 		}
-	}
-	for k, engines := range times {
-		if len(engines) < 2 {
-			delete(times, k)
+		if len(comparisons) > known {
+			ids = append(ids, id)
 		}
 	}
-	return times
+	return ids, comparisons, len(numbers)
 }
 
 // median returns the median, 0 of nothing.
@@ -306,12 +322,3 @@
 	}
 	return (sorted[middle-1] + sorted[middle]) / 2
 }
-
-// mean returns the mean of at least one value.
-func mean(values []float64) float64 {
-	sum := 0.0
-	for _, v := range values {
-		sum += v
-	}
-	return sum / float64(len(values))
-}
--- a/command/balance/speed_test.go
+++ b/command/balance/speed_test.go
@@ -189,3 +189,16 @@
 		t.Errorf("%d samples to report", n)
 	}
 }
+
+// BenchmarkSpeeds measures what the holder computes once per solveInterval, with 140 engines and 400 models.
+func BenchmarkSpeeds(b *testing.B) {
+	random, l := rand.New(rand.NewPCG(1, 4)), NewSpeedLearner()
+	for range cellSamples {
+		for _, s := range unevenSamples(140, 400, random) {
+			l.Add([]SpeedSample{s}, now)
+		}
+	}
+	for b.Loop() {
+		l.solve()
+	}
+}
