Placement: fast engines count as usual

Cause: with copies on fast engines worth up to twice as much, every eviction there cost twice as much, and loads had to be worth as much more (minBenefit holds the cost of evictions). Now only slow engines differ.

In seed 13, 354 of 517 urgent requests that were late without having waited ran on the only copy of one hot model: no choice of an engine helps these.

--- a/command/replicas/speed.go
+++ b/command/replicas/speed.go
@@ -25,17 +25,17 @@
 	}
 }
 
-// speedOf returns the speed of an engine, 1 if it is not known to differ from the usual one. It is also what a copy on
-// the engine is worth.
+// speedOf returns the speed of an engine that is known to be slow, 1 of all others. It is also what a copy on the engine
+// is worth. Fast engines count as usual: if their copies were worth more, loads on them would have to be worth more too.
 func (f *Fleet) speedOf(e *Engine) float64 {
 	if speed, differs := f.speeds[e.Server.ID]; differs {
-		return speed
+		return min(1, speed)
 	}
 	return 1
 }
 
 // slownessCost returns the cost of a model's copy on an engine compared to one on an engine of usual speed: by how much
-// longer its requests within the horizon take there. It is negative on a fast engine.
+// longer its requests within the horizon take there.
 func (f *Fleet) slownessCost(e *Engine, model string) float64 {
 	longer := (1/f.speedOf(e) - 1) * usualRun.Seconds()
 	return longer * f.demandOf(model).Weight * f.params.Horizon.Seconds()
