--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -72,6 +72,8 @@
 	remoteConcurrency float64
 	// speeds are the engines' speeds according to the samples of all instances; guarded by mu.
 	speeds *balance.SpeedLearner
+	// speedReporter reports speeds to the operator; guarded by mu.
+	speedReporter speedReporter
 	// surrendered is the released record under which this instance has promised to send no more orders; guarded by
 	// mu.
 	surrendered lease.Record
@@ -163,7 +165,9 @@
 	h.refreshServers()
 	outage := h.suspendInOutage(now)
 	h.fleet.SetRunning(h.reports.runningByUnit(now), now)
-	h.fleet.SetSpeeds(h.speeds.Speeds(now))
+	speeds := h.speeds.Speeds(now)
+	h.fleet.SetSpeeds(speeds)
+	h.speedReporter.report(speeds, h.metrics, h.log, now)
 	operations := append(h.fleet.Trim(now), h.fleet.Dispatch(now)...)
 	uncertain := h.fleet.EnginesToRead(now)
 	settleDue := !h.lease.Settled() && h.lease.RenewalDue(now)
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -18,6 +18,9 @@
 	operationSeconds *metrics.Histogram
 	// loadTimeError is the relative error of the predicted duration of loads from the weight store.
 	loadTimeError *metrics.Histogram
+	// slowEngines and fastEngines are the numbers of engines whose speed differs from the usual one, as of the last time
+	// that this instance held the lease.
+	slowEngines, fastEngines *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -26,6 +29,8 @@
 		set: set, takeOvers: set.NewCounter("martenport_lease_takeovers_total"),
 		reports: set.NewCounter("martenport_engine_reports_total"), operationSeconds: set.NewHistogram("martenport_operation_seconds"),
 		loadTimeError: set.NewHistogram("martenport_weight_store_promise_error_ratio"),
+		slowEngines:   set.NewGauge(`martenport_engines_of_unusual_speed{kind="slow"}`, nil),
+		fastEngines:   set.NewGauge(`martenport_engines_of_unusual_speed{kind="fast"}`, nil),
 	}
 }
 
