--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -67,6 +67,11 @@
 	c.set.GetOrCreateCounter(`martenport_waitlist_total{what="` + what + `"}`).Inc()
 }
 
+// serverFull counts a refusal by an engine that was full.
+func (c *Counts) serverFull(service string) {
+	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
+}
+
 // waitEstimateError records the difference between the estimated and the actual wait.
 func (c *Counts) waitEstimateError(estimated, waited time.Duration) {
 	if waited >= estimated {
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -55,6 +55,11 @@
 	firstEventAt time.Time
 	// serverLimits is the state of the servers that limit the requests they accept.
 	serverLimits limitedServers
+	// speed follows the stream of the current attempt, to learn the engine's speed.
+	speed streamSpeed
+	// roomAt is when the first of the engines that have the unit and are full may have room; the zero
+	// time if none is full. It is set by each choice of an engine.
+	roomAt time.Time
 	// trial is the permission of a suspect to run; zero if there is none.
 	trial Trial
 	// last is the failure of the last attempt; nil before.
@@ -250,6 +255,7 @@
 	t.sends++
 	t.runs++
 	t.mayHaveRun = true
+	t.beginSpeedSample(server, now)
 	failure = t.relay(ctx, resp)
 	outcome = t.answerOutcome(ctx, resp, failure)
 	if failure != nil {
@@ -312,6 +318,7 @@
 		t.missing = server.ID
 		t.f.dir.ReportMissingUnit(server.ID, t.request.Unit, clock.Now())
 	}
+	t.recordIfFull(server, resp, outcome)
 	return verdict.Refuse(verdict.ReasonBackend, "server %s has not run it: status %d", server.ID, resp.Status)
 }
 
@@ -372,6 +379,9 @@
 	if !t.out.firstEvent.IsZero() {
 		fields["first_ms"], fields["pause_ms"] = t.out.firstEvent.Sub(t.request.Arrived).Milliseconds(), t.out.longestPause.Milliseconds()
 	}
+	if t.speed.relative > 0 && t.speed.relative != 1 {
+		fields["engine_speed"] = t.speed.relative
+	}
 	if held := t.serverLimits.unavailableServers(); held != "" {
 		fields["held_back"] = held
 	}
--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/replicas"
 	"github.com/martenport/martenport/command/waitlist"
@@ -150,6 +151,8 @@
 	Traffic []replicas.ClassTraffic
 	// Address is where the instance answers a RunsQuery, empty if it answers none.
 	Address string
+	// Speeds are samples of the engines' speeds since the last report, at most balance.MaxSharedSamples.
+	Speeds []balance.SpeedSample
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -182,6 +185,8 @@
 	Waitlist waitlist.Update
 	// Room has the shares to admit by class, for contended services.
 	Room directory.Room
+	// Speeds are the speeds of the engines that differ from the usual speed, at most balance.MaxSharedSpeeds.
+	Speeds []balance.EngineSpeed
 }
 
 // Exchange processes the report of an instance and returns the state that the instance needs. It fails with
@@ -207,6 +212,7 @@
 		h.fleet.MarkUsed(run.Engine, run.Unit, now)
 	}
 	h.fleet.ReplaceWaiting(r.Name, r.Waiting, now)
+	h.speeds.Add(r.Speeds, now)
 	h.reports.expire(now)
 	record, _ := h.lease.Record()
 	if r.Fence != record.Fence {
@@ -219,6 +225,7 @@
 	reply.Lease = h.lease.RenewalAge(now)
 	reply.Admit, reply.Room = h.admissions(now), h.room
 	reply.Waitlist = h.exchangeWaitlist(r.Waitlist, now)
+	reply.Speeds = h.speeds.Speeds(now)
 	reply.Peers = h.reports.peers.count(r.Domain, now)
 	reply.Views, reply.Seen = h.views.since(r.SeenViews, h.fleet, now)
 	if config, confirmedAt := h.dir.Current(); config != nil {
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/quota"
@@ -78,6 +79,10 @@
 	finalRenewalRunning bool
 	// remoteConcurrency is the estimate of an earlier holder for Update.RemoteAtOnce; guarded by mu.
 	remoteConcurrency float64
+	// speeds are the engines' speeds according to the samples of all instances; guarded by mu.
+	speeds *balance.SpeedLearner
+	// speedReporter reports speeds to the operator; guarded by mu.
+	speedReporter speedReporter
 	// surrendered is the released record under which this instance has promised to send no more orders; guarded by
 	// mu.
 	surrendered lease.Record
@@ -110,7 +115,8 @@
 		lender: quota.NewLender(p.Quota, false, nil, clock.Now()), serverLender: quota.NewLender(p.ServerQuota, false, nil, clock.Now()),
 		serverLimits: unlimited{}, reports: newInstanceReports(), refused: refusedRequests{list: waitlist.NewList()},
 		workers: map[string]*worker{}, uses: recentUses{until: map[use]time.Time{}}, pacing: newDispatchPacing(),
-		era: unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{},
+		speeds: balance.NewSpeedLearner(),
+		era:    unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{},
 		outageStart: func() (none time.Time) { return },
 	}
 }
@@ -182,6 +188,9 @@
 	h.refreshServers()
 	outage := h.suspendInOutage(now)
 	h.fleet.SetRunning(h.reports.runningByUnit(now), now)
+	speeds := h.speeds.Speeds(now)
+	h.fleet.SetSpeeds(speeds)
+	h.speedReporter.report(speeds, h.metrics, h.log, now)
 	operations := append(h.fleet.Trim(now), h.runDispatch(now)...)
 	uncertain := h.fleet.EnginesToRead(now)
 	h.metrics.loadsHeld.Set(float64(h.fleet.HeldLoads(now)))
--- a/command/holder/metrics.go
+++ b/command/holder/metrics.go
@@ -26,6 +26,9 @@
 	roomGauges map[string]struct{}
 	// loadsHeld is the number of loads that wait for further requests.
 	loadsHeld *metrics.Gauge
+	// slowEngines and fastEngines are the numbers of engines whose speed differs from the usual one, as of the last time
+	// that this instance held the lease.
+	slowEngines, fastEngines *metrics.Gauge
 }
 
 // NewMetrics registers the metrics in set and returns them.
@@ -38,6 +41,8 @@
 		dispatchSeconds: set.NewHistogram("martenport_dispatch_seconds"),
 		roomGauges:      map[string]struct{}{},
 		loadsHeld:       set.NewGauge("martenport_loads_held", nil),
+		slowEngines:     set.NewGauge(`martenport_engines_of_unusual_speed{kind="slow"}`, nil),
+		fastEngines:     set.NewGauge(`martenport_engines_of_unusual_speed{kind="fast"}`, nil),
 	}
 }
 
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -151,6 +151,8 @@
 	runTime runTime
 	// room has the room of traffic classes in contended services.
 	room room
+	// speeds are the engines' speeds that differ from the usual one.
+	speeds map[string]float64
 	// complete: an engine that is not in engines no longer exists.
 	complete bool
 	// contended has the services whose models are loaded by slack, and short those of them that had more wanted models
@@ -162,7 +164,7 @@
 
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, speeds: map[string]float64{},
 		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait, afterRuns: p.UnloadTime}}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -124,6 +124,7 @@
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holderParams.Quota.Lifetime)
 	i.follower.limiter, i.follower.address = i.limiter, s.PeerAddress()
 	i.holder.SetRunsAsker(i.follower.askRunsEnd)
+	i.follower.balancer = i.balancer
 	i.limiter.askTurn, i.limiter.requestReport, i.limiter.instances = i.follower.requestTurn, i.follower.reportNow, i.follower.knownInstances
 	i.holder.SetOutageSource(i.watcher.outageSince)
 	i.declaration = &declarationState{config: &table.Config{}, log: log}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
@@ -125,6 +126,8 @@
 	onEscalations func([]quarantine.Escalation)
 	// desk has the refused requests that are to return.
 	desk *waitlist.Desk
+	// balancer learns the speeds of engines; nil if they are not to be learnt. Set before run.
+	balancer *balance.Balancer
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 	// address is where other instances reach this one; set before run.
@@ -317,6 +320,7 @@
 	for model := range f.waiting {
 		r.Waiting[model] = f.waitingFor(model, clock.Now())
 	}
+	r.Speeds = f.balancer.TakeSpeedSamples()
 	return f.record, &ExchangeArgs{Report: r, Crashes: f.ledger.NextMessage(f.link, clock.Now())}
 }
 
@@ -345,6 +349,7 @@
 	f.dir.ApplyAdmissions(update.Admit)
 	f.desk.Apply(update.Waitlist, now)
 	f.dir.ApplyRoom(update.Room)
+	f.balancer.SetSharedSpeeds(update.Speeds, now)
 	storeAge := time.Duration(reply.StoreAgeMS) * time.Millisecond
 	fresh := record.Holder != f.name && update.Failing == 0 && storeAge < f.watcher.maxUpdateAge()
 	if fresh {
