command/holder: TestLoadsFollowUnloads judges the refused orders of four plays

In 12 single plays the share was 2.5 to 5.4 in 100, mean 3.4: a start of a request that nobody noticed costs a series of refused orders, and a play has some 930. Ruled out: load on the machine (virtual time), and a fault of the queries (the refusals follow lost start notices, which the fixture loses 1 in 50 of). The bound stays the stated target; it is judged over the orders of four plays, and the other checks on each play, so that the test asks for more than before.

--- a/command/holder/runend_test.go
+++ b/command/holder/runend_test.go
@@ -43,15 +43,20 @@
 // requests. With queries for their end, few orders are refused and the loads follow sooner than with retries alone.
 func TestLoadsFollowUnloads(t *testing.T) {
 	before := playRunLoad(t, time.Minute, func(*runLoad) {})
-	after := playRunLoad(t, time.Minute, func(l *runLoad) { l.h.SetRunsAsker(l.ask) })
-	if after.refusedShare() > 0.05 {
-		t.Errorf("%.1f in 100 orders refused, want 5 at most", 100*after.refusedShare())
-	}
-	if after.served < before.served || after.meanIdle() > before.meanIdle()/2 {
-		t.Errorf("no better than retries alone")
+	const plays = 4 // a request whose start nobody noticed costs a series of refused orders, so one play says little
+	orders, refused := 0, 0
+	for range plays {
+		after := playRunLoad(t, time.Minute, func(l *runLoad) { l.h.SetRunsAsker(l.ask) })
+		orders, refused = orders+after.orders, refused+after.refused
+		if after.served < before.served || after.meanIdle() > before.meanIdle()/2 {
+			t.Errorf("no better than retries alone")
+		}
+		if float64(after.loads) < 0.9*float64(before.loads) { // with fewer refused requests, the same demand needs fewer loads
+			t.Errorf("%d loads, %d with retries alone", after.loads, before.loads)
+		}
 	}
-	if float64(after.loads) < 0.9*float64(before.loads) { // with fewer refused requests, the same demand needs fewer loads
-		t.Errorf("%d loads, %d with retries alone", after.loads, before.loads)
+	if share := float64(refused) / float64(orders); share > 0.05 {
+		t.Errorf("%.1f in 100 orders refused, want 5 at most", 100*share)
 	}
 }
 
