--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -75,3 +75,19 @@
 		}
 	}
 }
+
+// TestReportedInstances checks that the number of instances is not known before a holder has reported it, and that
+// the last one is kept while there is no holder.
+func TestReportedInstances(t *testing.T) {
+	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.budget = forward.NewBudget(forward.BudgetParams{})
+	f.watcher = newTestWatcher(nil, f.dir, discardLog())
+	if n := f.reportedInstances(); n != 0 {
+		t.Errorf("%d instances are reported before any update", n)
+	}
+	f.applyUpdate(lease.Record{Holder: "h"}, &ExchangeReply{Held: true, News: holder.Update{Fence: 1, Instances: 83}}, time.Now(), time.Now())
+	f.recordUnanswered(lease.Record{Holder: "h"}, nil)
+	if n := f.reportedInstances(); n != 83 {
+		t.Errorf("%d instances are reported, want 83", n)
+	}
+}
