forward: bound the size of an event of a stream

Cause: an event was read until its end, however long. TestEndlessEventCostsBoundedMemory did not end with the code before: the relay kept all that the server sent. An event is now given up at 1 MiB, as a stream that broke off. Lines and events of that size are relayed as before.

--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -189,12 +189,34 @@
 	id  string
 }
 
+// maxEvent is the size in bytes up to which an event is read. It is many times that of an event with
+// a few tokens, and bounds the memory that a faulty server takes.
+const maxEvent = 1 << 20
+
+// errEventTooLarge is returned for an event larger than maxEvent.
+var errEventTooLarge = errors.Newf("an event is larger than %d bytes", maxEvent)
+
+// readLine reads a line of at most limit bytes, with its end.
+func readLine(r *bufio.Reader, limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if len(line)+len(part) > limit {
+			return line, errEventTooLarge
+		}
+		line = append(line, part...)
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // readEvent reads up to and including the blank line that ends an event. At the end of the stream
 // it returns io.EOF together with the remaining data.
 func readEvent(r *bufio.Reader) (streamEvent, error) {
 	var e streamEvent
 	for {
-		line, err := r.ReadBytes('\n')
+		line, err := readLine(r, maxEvent-len(e.raw))
 		e.raw = append(e.raw, line...)
 		if err != nil {
 			return e, err
