balance: connected servers are preferred only where loads are reported

Cause: on a plain service no instance knows the load from others. The preference for connected servers now leaves such servers out; the test has the case.

--- a/command/balance/subset.go
+++ b/command/balance/subset.go
@@ -82,6 +82,12 @@
 	return preferred[drawBelow(scores, preferred, level, share)]
 }
 
+// ManyInstances reports whether there are so many instances that each can do with a part of the
+// servers.
+func ManyInstances(n int) bool {
+	return 1/(1+float64(n)*maxShareDeviation*maxShareDeviation) <= maxSubsetShare
+}
+
 // sparseInstances returns the number of instances if there are so many of them, and so few requests
 // of this one, that its connections to the candidates would not stay in use; 0 otherwise. b.mu must
 // be held.
@@ -90,7 +96,7 @@
 		return 0
 	}
 	instances := b.subset.Instances()
-	if 1/(1+float64(instances)*maxShareDeviation*maxShareDeviation) > maxSubsetShare {
+	if !ManyInstances(instances) {
 		return 0
 	}
 	requests := 0.0
@@ -137,7 +143,8 @@
 }
 
 // connected returns those of the preferred candidates to which an idle connection is open, and the
-// affine one. If there is no idle connection, found is false and all of them are returned. b.mu must
+// affine one. A server whose load from other instances is not reported does not count, since nothing
+// would even out what all instances together send to it. If there is no idle connection, found is false and all of them are returned. b.mu must
 // be held.
 func (b *Balancer) connected(candidates []Candidate, usable, preferred []int) (kept []int, found bool) {
 	if b.subset.Connections == nil {
@@ -149,7 +156,7 @@
 		if s := b.servers[c.ID]; s != nil {
 			inFlight = s.inFlight
 		}
-		idle := b.subset.Connections.Open(c.ID) > inFlight
+		idle := c.ReportAge > 0 && b.subset.Connections.Open(c.ID) > inFlight
 		found = found || idle
 		if idle || c.Affine {
 			kept = append(kept, i)
--- a/command/balance/subset_test.go
+++ b/command/balance/subset_test.go
@@ -236,4 +236,12 @@
 	if got := countPicks(b, candidates, 300); got["s1"] > 200 {
 		t.Errorf("picked %v, the connection to s1 is in use", got)
 	}
+	for i := range candidates {
+		candidates[i].OthersInFlight, candidates[i].ReportAge = 0, 0
+	}
+	b = subsetBalancer("i1", 83)
+	b.subset.Connections = fakeConnections{"s0": 0, "s1": 1}
+	if got := countPicks(b, candidates, 100); got["s0"] != 100 {
+		t.Errorf("picked %v although the loads are not reported, want s0 in the same domain", got)
+	}
 }
