platform: keep idle connections for as long as servers announce, with many instances

Cause: connections were closed after 4 s, though a trial with scratch log lines saw every server announce 10 s. The transport of a server is not replaced to lengthen its timeout: that would cost the connection it is to save.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -147,6 +147,7 @@
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk,
 	})
 	i.backends.SetMetrics(i.set)
+	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
 	i.balancer.SetSubset(balance.Subset{Instance: s.NodeName, Instances: i.follower.reportedInstances, Connections: i.backends})
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
 	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
