--- a/command/balance/balance.go
+++ b/command/balance/balance.go
@@ -91,11 +91,14 @@
 	consecutiveFailures int
 	// ejectedUntil is when the current or last ejection ends.
 	ejectedUntil time.Time
+	// recent counts the requests sent lately.
+	recent recentRequests
 }
 
 // Balancer chooses servers for one instance and keeps its statistics of them.
 type Balancer struct {
 	params Params
+	subset Subset
 
 	mu      sync.Mutex
 	servers map[string]*serverStats // by ID; guarded by mu
@@ -109,7 +112,7 @@
 
 // Pick returns the index of the candidate to send to, or -1 if there are none. Servers in a domain
 // that is suspected to be unreachable are chosen only if there are no others, and ejected servers
-// only if all candidates are ejected. The choice is random, see draw.
+// only if all candidates are ejected. The choice is random, see draw and Subset.
 func (b *Balancer) Pick(candidates []Candidate, now time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -121,7 +124,7 @@
 	for i, index := range usable {
 		scores[i] = b.score(candidates[index])
 	}
-	return usable[draw(scores, b.unseenRequests(candidates, usable), rand.Float64())]
+	return usable[b.drawPreferred(candidates, usable, scores, b.unseenRequests(candidates, usable), rand.Float64(), now)]
 }
 
 // usable returns the indices of the candidates that are neither ejected nor in a suspect domain. If
@@ -189,6 +192,7 @@
 	}
 	s.inFlight++
 	start := clock.Now()
+	s.recent.record(start)
 	return func(o Outcome, now time.Time) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,6 +146,8 @@
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk,
 	})
+	i.backends.SetMetrics(i.set)
+	i.balancer.SetSubset(balance.Subset{Instance: s.NodeName, Instances: i.follower.reportedInstances, Connections: i.backends})
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
 	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
 	i.clients = newClientServer(i.closeWhileDraining(ingress), i.limits, i.set, log)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -124,6 +124,8 @@
 	onEscalations func([]quarantine.Escalation)
 	// desk has the refused requests that are to return.
 	desk *waitlist.Desk
+	// instancesReported is whether instances is from a holder; guarded by mu.
+	instancesReported bool
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 }
@@ -333,6 +335,7 @@
 func (f *follower) applyUpdate(record lease.Record, reply *ExchangeReply, sent, now time.Time) {
 	update := reply.News
 	f.mu.Lock()
+	f.instancesReported = true
 	f.instances = max(1, update.Instances) // the interval until the next report depends on it
 	f.mu.Unlock()
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -5,7 +5,12 @@
 // depend on it, since instances may have different lists.
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // separator makes the hash inputs of ("ab", "c") and ("a", "bc") distinct.
 const separator = "\x00"
@@ -32,3 +37,30 @@
 	h ^= h >> 33
 	return h
 }
+
+// Top returns the n items whose names have the highest weights for key, in the order of items.
+// Items of equal weight are chosen in order of their names.
+func Top[T any](key string, items []T, n int, name func(T) string) []T {
+	if n >= len(items) {
+		return items
+	}
+	type ranked struct {
+		index  int
+		name   string
+		weight uint64
+	}
+	order := make([]ranked, len(items))
+	for i, item := range items {
+		order[i] = ranked{index: i, name: name(item), weight: weight(key, name(item))}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.name, b.name))
+	})
+	order = order[:max(0, n)]
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.index, b.index) })
+	chosen := make([]T, 0, len(order))
+	for _, r := range order {
+		chosen = append(chosen, items[r.index])
+	}
+	return chosen
+}
