--- a/entry/follower.go
+++ b/entry/follower.go
@@ -128,6 +128,8 @@
 	desk *waitlist.Desk
 	// balancer learns the speeds of engines; nil if they are not to be learnt. Set before run.
 	balancer *balance.Balancer
+	// instancesReported is whether instances is from a holder; guarded by mu.
+	instancesReported bool
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 	// address is where other instances reach this one; set before run.
@@ -343,6 +345,7 @@
 func (f *follower) applyUpdate(record lease.Record, reply *ExchangeReply, sent, now time.Time) {
 	update := reply.News
 	f.mu.Lock()
+	f.instancesReported = true
 	f.instances = max(1, update.Instances) // the interval until the next report depends on it
 	f.mu.Unlock()
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
