forward, continuation: a stream that must not be repeated goes on at its backup engine

A stream of a route that is not resumable ended with its engine: neither the client nor the system may run it again. Its engine now sends the memory of the run to a backup engine, where the configuration says that engines keep backups, and the stream goes on there after the last event relayed. It goes on only once the engine before does not work on it any more: it is gone, does not list the run, or has been unreachable for 600 ms.

Ruled out: continuing at once after the channel broke off, as some engines go on working after their channel is closed. An engine's list of its runs can be some hundred ms old and lacks queued requests, so it counts only for runs that began before it.

Tests: random walk of the state machine; an engine killed under such a stream.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -127,6 +127,7 @@
 	// draining is closed when the instance begins to shut down.
 	draining chan struct{}
 	refusals *refusalLines
+	backups  *backups
 }
 
 // Dependencies are what a Forwarder works with. All fields but Waitlist are required.
@@ -143,6 +144,8 @@
 	Log       logrus.FieldLogger
 	// Waitlist lets refused requests return in order; nil if they are not to.
 	Waitlist Waitlist
+	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
+	Memory RunMemory
 }
 
 // New returns a Forwarder.
@@ -153,6 +156,7 @@
 		draining: make(chan struct{}),
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
+	f.backups = newBackups(d.Memory, d.Counts)
 	return f
 }
 
@@ -200,6 +204,7 @@
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
 	failure = t.run(ctx)
+	t.endOnlyRun(ctx, failure)
 	if t.runs == 0 {
 		admitted.refund()
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -59,6 +59,9 @@
 	trial Trial
 	// last is the failure of the last attempt; nil before.
 	last *verdict.Failure
+	// onlyRun is the single run of a stream that must not be repeated; nil for other requests, and
+	// if it cannot outlive its engine.
+	onlyRun *onlyRun
 }
 
 // newTransaction returns the transaction of an admitted request, and records the request for the
@@ -70,6 +73,7 @@
 		service: a.config.Services[chooseTarget(route.Targets)],
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
+	t.onlyRun = f.newOnlyRun(t)
 	f.budget.RecordRequest(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
 		f.placer.RecordArrival(r.Unit, Demand{Priority: route.Priority, Deferrable: deferrable(route), LateProbability: t.lateProbability()})
@@ -104,7 +108,7 @@
 		if failure := t.quarantineFailure(); failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
-		server, failure := t.choose(ctx)
+		server, failure := t.nextServer(ctx)
 		if failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
@@ -134,7 +138,7 @@
 			return nil
 		}
 		t.last = failure
-		if ctx.Err() != nil || !t.mayResend(failure) {
+		if ctx.Err() != nil || !t.goesOn(ctx, failure) {
 			return t.finalFailure(ctx, failure)
 		}
 		t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{"server": server.ID, "verdict": failure.Verdict}).
@@ -232,15 +236,17 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := t.f.sender.Send(ctx, serving.Attempt{
+	a := serving.Attempt{
 		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(),
-	})
+	}
+	t.beginOnlyRun(&a)
+	resp, err := t.f.sender.Send(ctx, a)
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
 	}
 	defer resp.Body.Close()
-	if resp.NotExecuted {
+	if resp.NotExecuted || t.notContinued(resp) {
 		outcome = rejectionOutcome(resp)
 		return false, t.handleNotExecuted(server, resp, &outcome)
 	}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -133,16 +133,16 @@
 	f.version++
 	c := standin.Config{
 		Version: f.version, PlainServices: []string{"plain"}, EngineService: "llm", Models: testModels, MemoryMB: testMemoryMB, AdapterSlots: testAdapterSlots,
-		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3, Workspaces: f.workspaces,
+		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3, Workspaces: f.workspaces, Backups: true,
 	}
-	kinds := map[string]standin.RouteKind{"stream": standin.StreamRoute, "safe": standin.SafeRoute}
+	kinds := map[string]standin.RouteKind{"stream": standin.StreamRoute, "once": standin.StreamRoute, "safe": standin.SafeRoute}
 	for _, name := range routes {
 		r := standin.Route{Name: name, Host: "h.example", Service: "plain", Kind: kinds[name], Timeout: 20 * time.Second, Objective: time.Second, Attempts: 3}
 		switch r.Kind {
 		case "":
 			r.Kind = standin.UnsafeRoute
 		case standin.StreamRoute:
-			r.Service, r.Resumable = "llm", true
+			r.Service, r.Resumable = "llm", name != "once"
 		}
 		c.Routes = append(c.Routes, r)
 	}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -62,6 +62,8 @@
 	// permits.
 	RemoteLoad     time.Duration
 	LoadsPerSecond float64
+	// Backups is set if engines keep backups of runs on other engines.
+	Backups bool
 	// Workspaces is nil if requests need no key.
 	Workspaces []Workspace
 	// IdleTimeout is the idle timeout of clients' connections, configIdleTimeout if 0.
@@ -76,6 +78,10 @@
 	configHeaderTimeout = 3 * time.Second
 )
 
+// handleLifetime is how long a backup is kept after its last part, according to the configuration. A
+// Server keeps it until it is used or freed.
+const handleLifetime = 5 * time.Second
+
 // adaptersPerModel is the number of adapters of each model.
 const adaptersPerModel = 4
 
@@ -101,6 +107,7 @@
 	}
 	services = append(services, map[string]any{"name": c.EngineService, "engine": map[string]any{
 		"slots": serverSlots, "weightsMb": c.MemoryMB, "adapterSlots": c.AdapterSlots, "loadsPerS": c.LoadsPerSecond, "models": models,
+		"backups": c.Backups, "handle_s": handleLifetime.Seconds(),
 	}})
 	idle := c.IdleTimeout
 	if idle == 0 {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -85,6 +85,8 @@
 	streamsToCut       int                        // number of streams still to cut off; guarded by mu
 	orderAnswersToLose int                        // number of answers to orders still to lose; guarded by mu
 	violations         []string                   // guarded by mu
+	backups            map[string]int             // events by attempt id of runs elsewhere; guarded by mu
+	active             map[string]int             // events by attempt id of own streams; guarded by mu
 }
 
 // NewServer starts a Server on a free port of ip. Stop ends it.
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{params: p, address: l.Addr().String(), loaded: map[string]map[string]bool{}, runs: map[string]int{}, state: "ready", born: time.Now().UnixMilli(), ended: make(chan struct{})}
+	s := &Server{params: p, address: l.Addr().String(), loaded: map[string]map[string]bool{}, runs: map[string]int{}, backups: map[string]int{}, active: map[string]int{}, state: "ready", born: time.Now().UnixMilli(), ended: make(chan struct{})}
 	for _, name := range p.Loaded {
 		s.loaded[name] = map[string]bool{}
 	}
@@ -267,18 +269,24 @@
 		s.serveReport(w)
 	case PathState:
 		writeJSON(w, s.State())
+	case PathBackup:
+		s.serveBackup(r)
 	case PathFault:
 		s.serveFault(w, r)
 	case PathBackpressure:
 		s.serveBackpressure(w, r)
 	default:
+		if handle, found := strings.CutPrefix(r.URL.Path, pathHandles); found && r.Method == http.MethodDelete {
+			s.freeBackup(w, handle)
+			return
+		}
 		s.serveRequest(w, r)
 	}
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
 	s.mu.Lock()
-	report := map[string]any{"born": s.born, "models": s.models(), "busy": s.loading != "", "sequence": s.sequence}
+	report := map[string]any{"born": s.born, "models": s.models(), "busy": s.loading != "", "sequence": s.sequence, "runs": s.activeRuns()}
 	s.mu.Unlock()
 	writeJSON(w, report)
 }
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -17,8 +17,10 @@
 	s.mu.Lock()
 	adapters, resident := s.loaded[model]
 	missing := model != "" && (!resident || adapter != "" && !adapters[adapter])
-	if !missing && id != "" {
-		s.runs[id]++
+	from := r.Header.Get("Kv-From")
+	lacksBackup := !missing && from != "" && !s.takeBackup(from, id)
+	if !missing && id != "" && from == "" {
+		s.runs[id]++ // one that goes on from a backup is the same run
 	}
 	cut := s.streamsToCut > 0 && model != ""
 	if cut && !missing {
@@ -33,6 +35,9 @@
 		w.Header().Set("Martenport-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
+	case lacksBackup:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
 	if s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix) {
@@ -76,6 +81,8 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	id, backup := r.Header.Get("Martenport-Attempt-Id"), r.Header.Get("Martenport-Kv-Backup")
+	defer s.setActive(id, -1)
 	for i := from + 1; i <= StreamEvents; i++ {
 		if cut && i == from+3 {
 			panic(http.ErrAbortHandler)
@@ -84,10 +91,13 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		s.setActive(id, i)
+		s.sendBackup(backup, id, i)
 		select {
 		case <-time.After(s.params.EventPause):
 		case <-r.Context().Done():
 			return
 		}
 	}
+	s.sendBackup(backup, id, 0)
 }
--- a/serving/config.go
+++ b/serving/config.go
@@ -75,7 +75,11 @@
 	AdapterSlots int
 	// RemoteLoadsPerSecond bounds the rate of loads from the weight store over all engines.
 	RemoteLoadsPerSecond float64
-	Models               map[string]Model
+	// Backups is set if engines send the memory of a run to a backup engine on request. BackupTTL is how long a backup
+	// is kept after its last part.
+	Backups   bool
+	BackupTTL time.Duration
+	Models    map[string]Model
 }
 
 // Service is a group of interchangeable backend servers.
--- a/serving/request.go
+++ b/serving/request.go
@@ -60,6 +60,11 @@
 	KeysRequired bool
 	// Workspace is the workspace of the request; "" if it needs no key.
 	Workspace string
+	// Backup is the address of the engine that the memory of the run is sent to as it grows; "" for none.
+	Backup string
+	// ContinueFromBackup is set if the server keeps the backup of this request's run, and is to go on from there. If
+	// it has no backup, it does not run the request.
+	ContinueFromBackup bool
 }
 
 // Response is a backend server's response to an Attempt.
