forward, replicas: a backup where the model can be loaded, and its load there

When the stream breaks off, the model is requested with that engine as the preferred one; if it is loaded elsewhere the stream ends as before.

--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -3,75 +3,18 @@
 import (
 	"context"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/continuation"
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
 
-// RunMemory calls engines about the memory of runs.
-type RunMemory interface {
-	// RunState returns whether an engine still works on the request with the given ID.
-	RunState(ctx context.Context, s serving.Server, id string) serving.RunState
-	// FreeBackup lets an engine drop the backup of the request with the given ID.
-	FreeBackup(ctx context.Context, s serving.Server, id string) error
-}
-
-// engineCallTimeout bounds a call to an engine about the memory of a run.
-const engineCallTimeout = 300 * time.Millisecond
-
-// backups are the backups that engines keep for streams of this instance.
-type backups struct {
-	memory RunMemory
-	set    *metrics.Set
-
-	mu     sync.Mutex
-	ledger *continuation.Ledger // guarded by mu
-}
-
-// newBackups returns backups, or nil without a RunMemory.
-func newBackups(memory RunMemory, counts *Counts) *backups {
-	if memory == nil {
-		return nil
-	}
-	b := &backups{memory: memory, set: counts.set, ledger: continuation.NewLedger(continuation.DefaultLimits())}
-	b.set.NewGauge("martenport_stream_backups", func() float64 {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		return float64(b.ledger.InUse())
-	})
-	return b
-}
-
-func (b *backups) reserve(s serving.Server, targets []continuation.Target) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	id := b.ledger.Reserve(s.ID, s.FailureDomain, targets)
-	found := "kept"
-	if id == "" {
-		found = "none"
-	}
-	b.set.GetOrCreateCounter(`martenport_stream_backups_total{backup="` + found + `"}`).Inc()
-	return id
-}
-
-func (b *backups) release(id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ledger.Release(id)
-}
-
-func (b *backups) count(o continuation.Outcome) {
-	b.set.GetOrCreateCounter(`martenport_continuations_total{outcome="` + string(o) + `"}`).Inc()
-}
-
 // onlyRun is the run of a stream that must not be repeated.
 type onlyRun struct {
 	stream *continuation.Stream
@@ -82,6 +25,8 @@
 	copies []serving.Server
 	// answeredOtherwise is set if the engine answered with something else than a stream of events.
 	answeredOtherwise bool
+	// giveUp is when a stream that broke off has to go on at the latest.
+	giveUp time.Time
 }
 
 // newOnlyRun returns the run of a stream that neither the client nor the system may repeat, and nil
@@ -107,7 +52,44 @@
 	if wait > maxTurnWait || wait >= clock.Until(t.nextOutputDeadline()) {
 		return serving.Server{}, t.refuseContinuation("its backup engine takes nothing now")
 	}
-	return target, t.pauseFor(ctx, wait)
+	if failure := t.pauseFor(ctx, wait); failure != nil {
+		return serving.Server{}, failure
+	}
+	return target, t.awaitUnit(ctx, target)
+}
+
+// awaitUnit waits until the backup engine has the unit, and requests its load there.
+func (t *transaction) awaitUnit(ctx context.Context, target serving.Server) *verdict.Failure {
+	if t.hasUnit(target) {
+		return nil
+	}
+	giveUp := t.onlyRun.giveUp
+	defer t.f.placer.RegisterWait(t.request.Unit, t.route.Priority, giveUp.Add(-t.diskLoadTime()), giveUp)()
+	for asked := (time.Time{}); clock.Now().Before(giveUp); {
+		if clock.Since(asked) >= placeRefreshInterval {
+			asked = clock.Now()
+			place, err := t.f.placer.RequestPlace(ctx, PlaceRequest{
+				Service: t.service.Name, Unit: t.request.Unit, Unreachable: t.onlyRun.engine.ID, Preferred: target.ID,
+			})
+			if err == nil && place.Engine != "" && place.Engine != target.ID && place.Engine != t.onlyRun.engine.ID {
+				return t.refuseContinuation("its model is loaded elsewhere than at its backup engine")
+			}
+		}
+		if failure := t.pauseFor(ctx, replicaPollInterval); failure != nil {
+			return failure
+		}
+		if t.hasUnit(target) {
+			return nil
+		}
+	}
+	return t.refuseContinuation("its backup engine does not have its model in time")
+}
+
+// hasUnit reports whether a server is known to have the request's unit.
+func (t *transaction) hasUnit(s serving.Server) bool {
+	return slices.ContainsFunc(t.f.dir.Replicas(t.service.Name, t.request.Unit, clock.Now()), func(r directory.Replica) bool {
+		return r.Server.ID == s.ID && r.Ready.IsZero()
+	})
 }
 
 // refuseContinuation ends a stream that its backup engine does not take.
@@ -136,31 +118,6 @@
 	r.stream.Sent(r.engine.ID, r.backup.ID)
 }
 
-// reserveBackup returns the engine that keeps the backup of a stream on the given engine: one that
-// has the unit, since only there the stream can go on. Its ID is empty if there is none.
-func (t *transaction) reserveBackup(engine serving.Server) serving.Server {
-	var targets []continuation.Target
-	for _, r := range t.f.dir.Replicas(t.service.Name, t.request.Unit, clock.Now()) {
-		s := r.Server
-		if r.Ready.IsZero() && !t.excluded[s.ID] && !t.isLeaving(s) && !t.f.guard.Crashed(s) {
-			targets = append(targets, continuation.Target{ID: s.ID, FailureDomain: s.FailureDomain, Running: r.Others, Slots: s.Slots})
-		}
-	}
-	if n := uint64(len(targets)); n > 0 { // instances that know the same begin at different engines
-		first := xxhash.Sum64String(t.request.ID) % n
-		targets = append(targets[first:], targets[:first]...)
-	}
-	id := t.f.backups.reserve(engine, targets)
-	if id == "" {
-		return serving.Server{}
-	}
-	s, known := t.f.dir.Server(id)
-	if !known {
-		t.f.backups.release(id)
-	}
-	return s
-}
-
 // notContinued reports whether an engine did not let a stream go on: it answers with another status
 // if it has no backup.
 func (t *transaction) notContinued(resp *serving.Response) bool {
@@ -194,6 +151,7 @@
 	if lapse := now.Add(t.service.Engine.BackupTTL); lapse.Before(giveUp) {
 		giveUp = lapse
 	}
+	r.giveUp = giveUp
 	r.stream.Broke(now, t.firstEventAt, giveUp)
 	goesOn := t.awaitEndOfRun(ctx)
 	t.logContinuation(r.stream.Outcome())
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -42,6 +42,9 @@
 	Missing string
 	// Unreachable is an engine to which no connection could be made; empty if there is none.
 	Unreachable string
+	// Preferred is the engine that should load the unit, since it keeps the memory of a run; empty
+	// for any.
+	Preferred string
 }
 
 // Demand describes what it costs a request if its unit has to be loaded first.
