--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,15 @@
 	giveUp time.Time
 }
 
+// copyIDs returns the IDs of the engines that may hold a backup.
+func (r *onlyRun) copyIDs() string {
+	ids := make([]string, 0, len(r.copies))
+	for _, s := range r.copies {
+		ids = append(ids, s.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // newOnlyRun returns the run of a stream that neither the client nor the system may repeat, and nil
 // for other requests.
 func (f *Forwarder) newOnlyRun(t *transaction) *onlyRun {
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -377,6 +377,9 @@
 	if held := t.serverLimits.unavailableServers(); held != "" {
 		fields["held_back"] = held
 	}
+	if t.onlyRun != nil {
+		fields["backups"] = t.onlyRun.copyIDs()
+	}
 	if failure == nil {
 		fields["status"] = t.out.status
 		t.f.log.WithFields(fields).Info("request answered")
