--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -111,7 +111,7 @@
 
 // beginOnlyRun completes an attempt of a stream that must not be repeated: it names the engine that
 // keeps the backup, and for a stream that goes on, the backup to go on from.
-func (t *transaction) beginOnlyRun(a *serving.Attempt) {
+func (t *transaction) beginOnlyRun(ctx context.Context, a *serving.Attempt) {
 	r := t.onlyRun
 	if r == nil {
 		return
@@ -120,7 +120,7 @@
 	if r.backup.ID != "" {
 		t.f.backups.release(r.backup.ID)
 	}
-	r.engine, r.backup, r.answeredOtherwise = a.Server, t.reserveBackup(a.Server), false
+	r.engine, r.backup, r.answeredOtherwise = a.Server, t.reserveBackup(ctx, a.Server), false
 	a.Backup = r.backup.Address
 	if r.backup.ID != "" {
 		r.copies = append(r.copies, r.backup)
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -149,6 +149,9 @@
 	Waitlist Waitlist
 	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
 	Memory RunMemory
+	// Loadable returns engines of a service that could load a model from their memory or disk; nil if
+	// that is not known.
+	Loadable func(ctx context.Context, service, model string) []string
 }
 
 // New returns a Forwarder.
@@ -159,7 +162,7 @@
 		draining: make(chan struct{}),
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
-	f.backups = newBackups(d.Memory, d.Counts)
+	f.backups = newBackups(d)
 	return f
 }
 
--- a/command/replicas/preferred.go
+++ b/command/replicas/preferred.go
@@ -20,3 +20,23 @@
 	}
 	return f.bestPlacementAmong([]*Engine{e}, w, reserved, remoteState{}, now)
 }
+
+// maxLoadable bounds the engines that Loadable returns.
+const maxLoadable = 4
+
+// Loadable returns engines of a service that could load a model from their memory or disk, those that are not busy
+// first.
+func (f *Fleet) Loadable(service, model string, now time.Time) []string {
+	var free, busy []string
+	for _, e := range f.caching(model) {
+		switch {
+		case e.Server.Service != service || !e.usable(now) || e.Copies[model] != nil:
+		case e.freeAt(now).After(now):
+			busy = append(busy, e.Server.ID)
+		default:
+			free = append(free, e.Server.ID)
+		}
+	}
+	found := append(free, busy...)
+	return found[:min(len(found), maxLoadable)]
+}
--- a/command/replicas/preferred_test.go
+++ b/command/replicas/preferred_test.go
@@ -1,6 +1,7 @@
 package replicas
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,3 +39,17 @@
 		t.Errorf("%+v for no request", operations)
 	}
 }
+
+// TestLoadable: engines that have the weights but not the model, free ones first.
+func TestLoadable(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := testFleet(now, testSpec("m1", "m2"), []string{"m1"}, []string{"m2"}, []string{"m2"}, []string{"m2"})
+	f.Engine("b-engine").Busy, f.Engine("b-engine").FreeAt = true, now.Add(time.Second)
+	f.Unreachable("c-engine", now)
+	if got := f.Loadable("llm", "m1", now); !slices.Equal(got, []string{"d-engine", "b-engine"}) {
+		t.Errorf("loadable at %v", got)
+	}
+	if got := f.Loadable("other", "m1", now); len(got) != 0 {
+		t.Errorf("loadable at %v of another service", got)
+	}
+}
