forward: backups only at engines that have the model

Takes out the backup at an engine that loads the model when the stream breaks off, with the holder's query (Entry.Loadable) and the preferred engine of a request for a place.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -42,9 +42,6 @@
 	Missing string
 	// Unreachable is an engine to which no connection could be made; empty if there is none.
 	Unreachable string
-	// Preferred is the engine that should load the unit, since it keeps the memory of a run; empty
-	// for any.
-	Preferred string
 }
 
 // Demand describes what it costs a request if its unit has to be loaded first.
@@ -149,9 +146,6 @@
 	Waitlist Waitlist
 	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
 	Memory RunMemory
-	// Loadable returns engines of a service that could load a model from their memory or disk; nil if
-	// that is not known.
-	Loadable func(ctx context.Context, service, model string) []string
 }
 
 // New returns a Forwarder.
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -240,7 +240,7 @@
 		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(),
 	}
-	t.beginOnlyRun(ctx, &a)
+	t.beginOnlyRun(&a)
 	resp, err := t.f.sender.Send(ctx, a)
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -246,8 +246,6 @@
 	// HeldBack are engines that have the unit but to which the asking instance may not send requests for now, because
 	// they limit their requests or have asked for a pause.
 	HeldBack []string
-	// Preferred is the engine on which the unit should be loaded, since it keeps the memory of a run; empty for any.
-	Preferred string
 }
 
 // minRetryDelay is the minimum time after which an instance should ask again for a unit for which no engine has been
@@ -278,9 +276,6 @@
 	for _, id := range r.HeldBack {
 		h.fleet.HoldBack(id, now)
 	}
-	if r.Preferred != "" {
-		h.fleet.Prefer(r.Service, r.Unit.Model, r.Preferred, r.Waiting, now)
-	}
 	outage := h.suspendInOutage(now)
 	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
 	var operations []replicas.Operation
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -63,9 +63,6 @@
 // weight store are considered only if no engine that has them in its host memory or on its disk could have the model
 // ready within the duration of such a load.
 func (f *Fleet) bestPlacement(w *wantedModel, reserved map[string]time.Duration, now time.Time) (best placementOption, ok bool) {
-	if best, ok = f.preferredPlacement(w, reserved, now); ok {
-		return best, true
-	}
 	best, ok = f.bestPlacementAmong(f.caching(w.model), w, reserved, remoteState{}, now)
 	if ok && best.ready.Sub(now) < best.engine.Spec.Models[w.model].RemoteLoad {
 		return best, true
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -51,8 +51,6 @@
 	estimatedReady time.Time
 	// waitReason is what the requests wait for until then.
 	waitReason serving.Wait
-	// preferred is the engine that is to load the model, see Prefer; empty for any.
-	preferred string
 }
 
 // reportedWaiting is an instance's last report.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -145,7 +145,6 @@
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk, Memory: i.backends,
-		Loadable: i.follower.Loadable,
 	})
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
 	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -192,8 +192,6 @@
 		return f.self.Exchange(a, reply.(*ExchangeReply))
 	case *WantArgs:
 		return f.self.Want(a, reply.(*WantReply))
-	case *LoadableArgs:
-		return f.self.Loadable(a, reply.(*LoadableReply))
 	case *UseArgs:
 		return f.self.Use(a, reply.(*UseReply))
 	case *TrialArgs:
