--- a/command/continuation/stream.go
+++ b/command/continuation/stream.go
@@ -191,6 +191,9 @@
 // End records that the stream is complete or will not go on.
 func (s *Stream) End() { s.state = Ended }
 
+// GiveUp records that the request ended before it was decided whether the stream goes on.
+func (s *Stream) GiveUp() { s.stop(TooLate) }
+
 // Refuse records that the backup engine did not take the stream.
 func (s *Stream) Refuse() { s.stop(Refused) }
 
--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -141,6 +141,7 @@
 			r.stream.Checked(t.runState(ctx), asked)
 		case continuation.Pause:
 			if t.pauseFor(ctx, continuation.DefaultParams().CheckPause) != nil {
+				r.stream.GiveUp()
 				return false
 			}
 		default:
--- a/command/forward/continuation_test.go
+++ b/command/forward/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -172,3 +173,27 @@
 		t.Errorf("metrics %s", text.String())
 	}
 }
+
+// TestContinuationGivenUp: a stream does not go on if its client leaves while the engine before is
+// asked, and is counted as too late.
+func TestContinuationGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := &fakeMemory{state: serving.RunActive}
+		f := newBackupFixture(t, memory, brokenStream, restOfStream)
+		w := httptest.NewRecorder()
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(120*time.Millisecond, leave)
+		r := &serving.Request{ID: "r1", Host: "h", Target: "/once/x", Unit: serving.Unit{Model: "warm"}, Arrived: time.Now()}
+		failure := f.forwarder.Serve(ctx, r, w)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if failure == nil || failure.Reason != verdict.ReasonCancelled || len(f.servers.attempts) != 1 || len(memory.freed) != 1 {
+			t.Errorf("%v, %d sends, freed at %v", failure, len(f.servers.attempts), memory.freed)
+		}
+		var text strings.Builder
+		f.forwarder.backups.set.WritePrometheus(&text)
+		if !strings.Contains(text.String(), `martenport_continuations_total{outcome="too_late"} 1`) {
+			t.Errorf("metrics %s", text.String())
+		}
+	})
+}
