--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -142,9 +142,10 @@
 	// refused has the requests that were refused for lack of room, and recordRefused reports them.
 	refused       *refusedRequests
 	recordRefused func(model string, room RoomClass)
+	backups       *backups
 }
 
-// Dependencies are what a Forwarder works with. All fields but Waitlist and RecordRefused are required.
+// Dependencies are what a Forwarder works with. All fields but Waitlist, RecordRefused and Memory are required.
 type Dependencies struct {
 	Directory *directory.Directory
 	Sender    serving.Sender
@@ -160,6 +161,8 @@
 	Waitlist Waitlist
 	// RecordRefused, if set, records the refusal of a request for lack of room, unless it was counted shortly before.
 	RecordRefused func(model string, room RoomClass)
+	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
+	Memory RunMemory
 }
 
 // New returns a Forwarder.
@@ -170,6 +173,7 @@
 		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
+	f.backups = newBackups(d)
 	return f
 }
 
@@ -217,6 +221,7 @@
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
 	failure = t.run(ctx)
+	t.endOnlyRun(ctx, failure)
 	if t.runs == 0 {
 		admitted.refund()
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -66,6 +66,9 @@
 	last *verdict.Failure
 	// room is the class whose room the request takes; nil if the service is not contended.
 	room *RoomClass
+	// onlyRun is the single run of a stream that must not be repeated; nil for other requests, and
+	// if it cannot outlive its engine.
+	onlyRun *onlyRun
 }
 
 // newTransaction returns the transaction of an admitted request, and records the request for the
@@ -78,6 +81,7 @@
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
 	t.room = t.roomClass()
+	t.onlyRun = f.newOnlyRun(t)
 	f.budget.RecordRequest(t.service.Name, r.Arrived)
 	if t.service.Engine != nil && r.Unit.Model != "" {
 		t.recordArrival()
@@ -112,7 +116,7 @@
 		if failure := t.quarantineFailure(); failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
-		server, failure := t.choose(ctx)
+		server, failure := t.nextServer(ctx)
 		if failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
@@ -142,7 +146,7 @@
 			return nil
 		}
 		t.last = failure
-		if ctx.Err() != nil || !t.mayResend(failure) {
+		if ctx.Err() != nil || !t.goesOn(ctx, failure) {
 			return t.finalFailure(ctx, failure)
 		}
 		t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{"server": server.ID, "verdict": failure.Verdict}).
@@ -240,15 +244,17 @@
 	}()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	resp, err := t.f.sender.Send(ctx, serving.Attempt{
+	a := serving.Attempt{
 		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(),
-	})
+	}
+	t.beginOnlyRun(&a)
+	resp, err := t.f.sender.Send(ctx, a)
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
 	}
 	defer resp.Body.Close()
-	if resp.NotExecuted {
+	if resp.NotExecuted || t.notContinued(resp) {
 		outcome = rejectionOutcome(resp)
 		return false, t.handleNotExecuted(server, resp, &outcome)
 	}
@@ -385,6 +391,9 @@
 	if held := t.serverLimits.unavailableServers(); held != "" {
 		fields["held_back"] = held
 	}
+	if t.onlyRun != nil {
+		fields["backups"] = t.onlyRun.copyIDs()
+	}
 	if failure == nil {
 		fields["status"] = t.out.status
 		t.f.log.WithFields(fields).Info("request answered")
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -146,7 +146,7 @@
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
-		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused,
+		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends,
 	})
 	i.backends.SetMetrics(i.set)
 	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
