martenctl capacity: who has the engines, and what is lacking

Room by class, models short of copies and the waitlist were seen in the holder's metrics and log lines alone, so an operator had to find out which instance the holder is and read lines that are written at most once in some seconds. GetCapacity answers at any instance, which asks the holder (Entry.Capacity), like the list of workspaces. Without a holder that answers it fails with a message: nobody else has the figures of all instances, and an empty table would read as enough room.

The shortage of copies is now computed as a list, of which the log line and the metric take the first; the log lines of before are the same.

--- a/api/martenport/v1/martenportv1connect/martenport.connect.go
+++ b/api/martenport/v1/martenportv1connect/martenport.connect.go
@@ -66,6 +66,9 @@
 	// OperatorServiceListWorkspacesProcedure is the fully-qualified name of the OperatorService's
 	// ListWorkspaces RPC.
 	OperatorServiceListWorkspacesProcedure = "/martenport.v1.OperatorService/ListWorkspaces"
+	// OperatorServiceGetCapacityProcedure is the fully-qualified name of the OperatorService's
+	// GetCapacity RPC.
+	OperatorServiceGetCapacityProcedure = "/martenport.v1.OperatorService/GetCapacity"
 	// OperatorServiceReleaseProcedure is the fully-qualified name of the OperatorService's Release RPC.
 	OperatorServiceReleaseProcedure = "/martenport.v1.OperatorService/Release"
 	// OperatorServiceTimelineProcedure is the fully-qualified name of the OperatorService's Timeline
@@ -251,6 +254,10 @@
 	// ListWorkspaces returns what each workspace asks for against its limit, and
 	// how current the instance that answers knows keys to be.
 	ListWorkspaces(context.Context, *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error)
+	// GetCapacity returns which traffic class has which part of the engines, and
+	// what is lacking, as the lease holder knows. Fails with unavailable while no
+	// holder answers.
+	GetCapacity(context.Context, *connect.Request[v1.GetCapacityRequest]) (*connect.Response[v1.GetCapacityResponse], error)
 	// Release has such a request be served like all others again, at all instances.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
@@ -310,6 +317,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("ListWorkspaces")),
 			connect.WithClientOptions(opts...),
 		),
+		getCapacity: connect.NewClient[v1.GetCapacityRequest, v1.GetCapacityResponse](
+			httpClient,
+			baseURL+OperatorServiceGetCapacityProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("GetCapacity")),
+			connect.WithClientOptions(opts...),
+		),
 		release: connect.NewClient[v1.ReleaseRequest, v1.ReleaseResponse](
 			httpClient,
 			baseURL+OperatorServiceReleaseProcedure,
@@ -334,6 +347,7 @@
 	drain          *connect.Client[v1.DrainRequest, v1.DrainResponse]
 	listQuarantine *connect.Client[v1.ListQuarantineRequest, v1.ListQuarantineResponse]
 	listWorkspaces *connect.Client[v1.ListWorkspacesRequest, v1.ListWorkspacesResponse]
+	getCapacity    *connect.Client[v1.GetCapacityRequest, v1.GetCapacityResponse]
 	release        *connect.Client[v1.ReleaseRequest, v1.ReleaseResponse]
 	timeline       *connect.Client[v1.TimelineRequest, v1.TimelineResponse]
 }
@@ -373,6 +387,11 @@
 	return c.listWorkspaces.CallUnary(ctx, req)
 }
 
+// GetCapacity calls martenport.v1.OperatorService.GetCapacity.
+func (c *operatorServiceClient) GetCapacity(ctx context.Context, req *connect.Request[v1.GetCapacityRequest]) (*connect.Response[v1.GetCapacityResponse], error) {
+	return c.getCapacity.CallUnary(ctx, req)
+}
+
 // Release calls martenport.v1.OperatorService.Release.
 func (c *operatorServiceClient) Release(ctx context.Context, req *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return c.release.CallUnary(ctx, req)
@@ -403,6 +422,10 @@
 	// ListWorkspaces returns what each workspace asks for against its limit, and
 	// how current the instance that answers knows keys to be.
 	ListWorkspaces(context.Context, *connect.Request[v1.ListWorkspacesRequest]) (*connect.Response[v1.ListWorkspacesResponse], error)
+	// GetCapacity returns which traffic class has which part of the engines, and
+	// what is lacking, as the lease holder knows. Fails with unavailable while no
+	// holder answers.
+	GetCapacity(context.Context, *connect.Request[v1.GetCapacityRequest]) (*connect.Response[v1.GetCapacityResponse], error)
 	// Release has such a request be served like all others again, at all instances.
 	Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error)
 	// Timeline returns events of all reachable instances in causal order.
@@ -458,6 +481,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("ListWorkspaces")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceGetCapacityHandler := connect.NewUnaryHandler(
+		OperatorServiceGetCapacityProcedure,
+		svc.GetCapacity,
+		connect.WithSchema(operatorServiceMethods.ByName("GetCapacity")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceReleaseHandler := connect.NewUnaryHandler(
 		OperatorServiceReleaseProcedure,
 		svc.Release,
@@ -486,6 +515,8 @@
 			operatorServiceListQuarantineHandler.ServeHTTP(w, r)
 		case OperatorServiceListWorkspacesProcedure:
 			operatorServiceListWorkspacesHandler.ServeHTTP(w, r)
+		case OperatorServiceGetCapacityProcedure:
+			operatorServiceGetCapacityHandler.ServeHTTP(w, r)
 		case OperatorServiceReleaseProcedure:
 			operatorServiceReleaseHandler.ServeHTTP(w, r)
 		case OperatorServiceTimelineProcedure:
@@ -527,6 +558,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.ListWorkspaces is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) GetCapacity(context.Context, *connect.Request[v1.GetCapacityRequest]) (*connect.Response[v1.GetCapacityResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.GetCapacity is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) Release(context.Context, *connect.Request[v1.ReleaseRequest]) (*connect.Response[v1.ReleaseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("martenport.v1.OperatorService.Release is not implemented"))
 }
--- a/cmd/martenctl/main.go
+++ b/cmd/martenctl/main.go
@@ -36,6 +36,7 @@
 		{"timeline", "show the events of all instances in causal order", &timelineCommand{shared: shared}},
 		{"drain", "make an instance leave gracefully", &drainCommand{shared: shared}},
 		{"workspaces", "list workspaces: what each asks for against its limit, and how current keys are known", &workspacesCommand{shared: shared}},
+		{"capacity", "show which traffic class has which part of the engines, and what is lacking", &capacityCommand{shared: shared}},
 		{"quarantine", "list requests under which servers ended", &quarantineCommand{shared: shared}},
 		{"release", "have such a request be served again", &releaseCommand{shared: shared}},
 		{"explain", "find in logs why a request ended as it did, or how all did", &explainCommand{shared: shared}},
--- a/command/replicas/report.go
+++ b/command/replicas/report.go
@@ -92,21 +92,39 @@
 
 // CopyShortages returns which models have fewer copies than their demand needs.
 func (f *Fleet) CopyShortages(now time.Time) CopyShortage {
-	var s CopyShortage
+	short := f.ShortModels(now)
+	if len(short) == 0 {
+		return CopyShortage{}
+	}
+	m := short[0]
+	return CopyShortage{
+		Models: len(short), Model: m.Model, Copies: m.Copies, Wanted: m.Wanted,
+		Offered: math.Round(m.Offered), Running: math.Round(m.Running),
+	}
+}
+
+// ShortModel is a model that has fewer copies than its demand needs; see CopyShortage.
+type ShortModel struct {
+	Model            string
+	Copies, Wanted   int
+	Offered, Running float64
+}
+
+// ShortModels returns the models of contended services that have fewer copies than their demand needs, those that lack
+// most first.
+func (f *Fleet) ShortModels(now time.Time) []ShortModel {
+	var short []ShortModel
 	for model, d := range f.demand {
 		if d.Refused <= 0 {
 			continue
 		}
 		copies, wanted := f.copiesOf(model, now), f.wantedCopies(model)
-		lacking, most := wanted-copies, s.Wanted-s.Copies
-		if lacking <= 0 {
-			continue
-		}
-		s.Models++
-		if lacking > most || lacking == most && model < s.Model {
-			s.Model, s.Copies, s.Wanted = model, copies, wanted
-			s.Offered, s.Running = math.Round(f.offered(d)), math.Round(d.Running)
+		if copies < wanted {
+			short = append(short, ShortModel{Model: model, Copies: copies, Wanted: wanted, Offered: f.offered(d), Running: d.Running})
 		}
 	}
-	return s
+	slices.SortFunc(short, func(a, b ShortModel) int {
+		return cmp.Or(cmp.Compare(b.Wanted-b.Copies, a.Wanted-a.Copies), cmp.Compare(a.Model, b.Model))
+	})
+	return short
 }
--- a/command/replicas/report_test.go
+++ b/command/replicas/report_test.go
@@ -48,3 +48,18 @@
 		t.Errorf("%+v, want m2 first", s)
 	}
 }
+
+// TestShortModels: the models that lack most come first, and the summary agrees with the list.
+func TestShortModels(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := overloadedFleet(now)
+	f.RecordRefused("m1", urgentClass, 30, now)
+	f.RecordRefused("m2", patientClass, 90, now)
+	list, s := f.ShortModels(now), f.CopyShortages(now)
+	if len(list) != 2 || list[0].Model != "m2" || list[1].Model != "m1" {
+		t.Fatalf("%+v, want m2 and m1", list)
+	}
+	if list[0].Wanted-list[0].Copies < list[1].Wanted-list[1].Copies || s.Models != 2 || s.Model != "m2" || s.Wanted != list[0].Wanted {
+		t.Errorf("%+v, %+v", list, s)
+	}
+}
--- a/daemon/operator.go
+++ b/daemon/operator.go
@@ -52,6 +52,11 @@
 	return connect.NewResponse(&martenportv1.ListWorkspacesResponse{KeysTrusted: true}), nil // this daemon has no workspaces
 }
 
+// GetCapacity implements martenportv1connect.OperatorServiceHandler.
+func (o operator) GetCapacity(context.Context, *connect.Request[martenportv1.GetCapacityRequest]) (*connect.Response[martenportv1.GetCapacityResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this daemon does not divide engines among traffic classes; ask an entry instance"))
+}
+
 // ListQuarantine implements martenportv1connect.OperatorServiceHandler.
 func (o operator) ListQuarantine(context.Context, *connect.Request[martenportv1.ListQuarantineRequest]) (*connect.Response[martenportv1.ListQuarantineResponse], error) {
 	return connect.NewResponse(&martenportv1.ListQuarantineResponse{}), nil // this daemon has no quarantine
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -212,6 +212,8 @@
 		return f.self.Turn(a, reply.(*TurnReply))
 	case *LimitsArgs:
 		return f.self.Limits(a, reply.(*LimitsReply))
+	case *CapacityArgs:
+		return f.self.Capacity(a, reply.(*CapacityReply))
 	default:
 		return errors.Newf("entry: unsupported call %T", args)
 	}
