martendev entries: competing callers on uneven engines

A newcomer saw none of what acts under hard load: all routes had one objective and all engines one speed. Now a route with an objective of four times that of the others shares the engines, one engine of four is slow, and two commands for bursts are printed beside `martenctl capacity`.

--- a/cmd/martendev/entries.go
+++ b/cmd/martendev/entries.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,8 +43,16 @@
 	maxEntries           = 9
 	entryHeartbeat       = 500 * time.Millisecond
 	loadTime             = time.Second
-	// galleryKey is the API key of a workspace with a limit.
-	galleryKey = "gallery-key"
+	// galleryKey is the API key of a workspace with a limit, archiveKey that of one without.
+	galleryKey, archiveKey = "gallery-key", "archive-key"
+	// The objective of most routes, and that of the route whose callers are patient.
+	entriesObjective, patientObjective = 2 * time.Second, 8 * time.Second
+	// One engine of slowEngineEvery is slow: it pauses for longer between events.
+	slowEngineEvery                   = 4
+	usualEventPause, slowerEventPause = 50 * time.Millisecond, 125 * time.Millisecond
+	// The bursts that newcomers are told to send.
+	patientRequests, patientConcurrency = 600, 150
+	urgentRequests, urgentConcurrency   = 100, 8
 )
 
 // Execute implements flags.Commander.
@@ -95,18 +105,20 @@
 func (c *entriesCommand) config() standin.Config {
 	route := func(name, service string, kind standin.RouteKind) standin.Route {
 		return standin.Route{
-			Name: name, Host: entriesRouteHost, Service: service, Kind: kind, Timeout: 20 * time.Second, Objective: 2 * time.Second, Attempts: 2,
+			Name: name, Host: entriesRouteHost, Service: service, Kind: kind, Timeout: 20 * time.Second, Objective: entriesObjective, Attempts: 2,
 			Resumable: kind == standin.StreamRoute, Public: kind == standin.SafeRoute,
 		}
 	}
+	patient := route("digest", "engines", standin.StreamRoute)
+	patient.Objective, patient.Priority = patientObjective, 3
 	return standin.Config{
 		Version: 1, PlainServices: []string{"notices"}, EngineService: "engines", Models: c.models(), MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots,
 		RemoteLoad: 6 * loadTime, LoadsPerSecond: 3,
 		Workspaces: []standin.Workspace{
-			{Name: "gallery", Keys: []string{galleryKey}, Rate: 5000, Burst: 5000}, {Name: "archive", Keys: []string{"archive-key"}},
+			{Name: "gallery", Keys: []string{galleryKey}, Rate: 5000, Burst: 5000}, {Name: "archive", Keys: []string{archiveKey}},
 		},
 		Routes: []standin.Route{
-			route("generate", "engines", standin.StreamRoute), route("notice", "notices", standin.UnsafeRoute), route("lookup", "notices", standin.SafeRoute),
+			patient, route("generate", "engines", standin.StreamRoute), route("notice", "notices", standin.UnsafeRoute), route("lookup", "notices", standin.SafeRoute),
 		},
 	}
 }
@@ -115,9 +127,13 @@
 func (c *entriesCommand) startServers(ctx context.Context, store *standin.Platform) error {
 	params := []standin.ServerParams{{ID: "notices-1", Service: "notices", FailureDomain: "a", Work: 5 * time.Millisecond}}
 	for i := range c.Engines {
+		eventPause := usualEventPause
+		if i%slowEngineEvery == slowEngineEvery-1 {
+			eventPause = slowerEventPause
+		}
 		params = append(params, standin.ServerParams{
 			ID: fmt.Sprintf("engine-%d", i+1), Service: "engines", FailureDomain: domain(i % c.Instances), Models: c.models(),
-			MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, EventPause: 50 * time.Millisecond,
+			MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, EventPause: eventPause,
 			Loaded: []string{modelName(2 * i % entriesModels), modelName((2*i + 1) % entriesModels)},
 		})
 	}
@@ -172,13 +188,29 @@
 func (c *entriesCommand) describe() {
 	fmt.Printf("%d entry instances, clients at %s:%s and on, operators at port %d of the same\n", c.Instances, entryIP(0), entriesClientPort, entriesOperatorsPort)
 	fmt.Printf("models %s to %s, two fit on an engine; try (the last one is cold):\n", modelName(0), modelName(entriesModels-1))
-	fmt.Printf("  curl -si -H 'Host: %s'", entriesRouteHost)
-	header := standin.ClientHeader("1", modelName(entriesModels-1), 0)
-	header.Set(standin.KeyHeader, galleryKey)
-	for name, values := range header {
-		fmt.Printf(" -H '%s: %s'", name, values[0])
-	}
-	fmt.Printf(" -d prompt http://%s:%s/generate/x\n", entryIP(0), entriesClientPort)
+	fmt.Printf("  curl -si%s -d prompt http://%s:%s/generate/x\n", curlHeaders("1", modelName(entriesModels-1), galleryKey), entryIP(0), entriesClientPort)
 	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d status\n", entryIP(0), entriesOperatorsPort)
 	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d workspaces\n", entryIP(0), entriesOperatorsPort)
+	fmt.Printf("a burst of patient callers, of more than the engines serve, and urgent callers beside it, with counts by status:\n")
+	printBurst("digest", patientRequests, patientConcurrency)
+	printBurst("generate", urgentRequests, urgentConcurrency)
+	fmt.Printf("who has the engines meanwhile (engine-%d and each %dth are slow, which is learnt from streams):\n", slowEngineEvery, slowEngineEvery)
+	fmt.Printf("  go run ./cmd/martenctl --server http://%s:%d capacity\n", entryIP(0), entriesOperatorsPort)
+}
+
+// printBurst prints a command that sends requests for one model to a route and counts the answers by status.
+func printBurst(route string, requests, concurrency int) {
+	fmt.Printf("  seq %d | xargs -P %d -I{} curl -s -o /dev/null -w '%s %%{http_code}\\n'%s -d 'item {}' http://%s:%s/%s/x | sort | uniq -c &\n",
+		requests, concurrency, route, curlHeaders(route+"-{}", modelName(0), archiveKey), entryIP(0), entriesClientPort, route)
+}
+
+// curlHeaders returns the arguments of curl for the headers of a request.
+func curlHeaders(id, model, key string) string {
+	header := standin.ClientHeader(id, model, 0)
+	header.Set(standin.KeyHeader, key)
+	arguments := fmt.Sprintf(" -H 'Host: %s'", entriesRouteHost)
+	for _, name := range slices.Sorted(maps.Keys(header)) {
+		arguments += fmt.Sprintf(" -H '%s: %s'", name, header.Get(name))
+	}
+	return arguments
 }
