martensoak: bursts of patient callers on uneven engines

All routes had one objective and all engines one speed, so room by class, the waitlist and learnt speeds were not in force in any soak. What each class got is counted, of requests that no key and no limit affects. A patient request refused with 503 must name when to return; that it was not run is checked as for all. The test of the checks has a history that breaks the new one.

--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -75,6 +75,9 @@
 	for _, f := range result.Faults {
 		fmt.Println("  fault", f)
 	}
+	for _, c := range result.Classes() {
+		fmt.Println("  class", c)
+	}
 	for _, b := range result.Budget {
 		fmt.Println("  budget", b)
 	}
--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -30,6 +30,8 @@
 	Timeout, Objective time.Duration
 	Attempts           int
 	Resumable          bool
+	// Priority is 0 for the most urgent requests.
+	Priority int
 	// Public reports whether requests need no key.
 	Public bool
 }
@@ -86,6 +88,7 @@
 		routes = append(routes, map[string]any{
 			"name": r.Name, "host": r.Host, "pathPrefix": "/" + r.Name + "/", "routeType": string(r.Kind), "timeoutMs": r.Timeout.Milliseconds(),
 			"goalMs": r.Objective.Milliseconds(), "service": r.Service, "attempts": r.Attempts, "resumable": r.Resumable, "public": r.Public,
+			"priority": r.Priority,
 		})
 	}
 	services := []map[string]any{}
--- a/soak/check.go
+++ b/soak/check.go
@@ -66,6 +66,7 @@
 	for _, req := range h.requests {
 		found = append(found, req.violations(runs[req.id])...)
 		found = append(found, req.lostAnswerViolations(runs[req.id])...)
+		found = append(found, req.retryViolations()...)
 	}
 	found = append(found, h.keyViolations()...)
 	found = append(found, h.backpressureViolations()...)
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -44,6 +44,8 @@
 	payload string
 	status  int
 	body    string
+	// retryAfter is the header of that name in the answer.
+	retryAfter string
 	// complete reports whether the whole answer was read.
 	complete bool
 	duration time.Duration
@@ -84,6 +86,7 @@
 		})
 	}
 	r.startKeepAliveClients(ctx, &wg, record)
+	r.startBursts(ctx, &wg, record)
 	return func() Result {
 		wg.Wait()
 		return result
@@ -92,6 +95,7 @@
 
 func (r *Result) count(req clientRequest) {
 	r.Requests++
+	r.countClass(req)
 	if req.reusedConn && req.undisturbed && !req.sentAt.IsZero() {
 		r.UndisturbedReused++
 	}
@@ -113,14 +117,18 @@
 	if req.route == "stream" || req.route == "once" {
 		req.model = models[random.IntN(len(models))]
 	}
-	entry := random.IntN(len(r.entries))
+	r.sendTo(random.IntN(len(r.entries)), &req)
+	return req
+}
+
+// sendTo sends a request to an instance on a new connection, and records what was undisturbed.
+func (r *run) sendTo(entry int, req *clientRequest) {
 	req.entry, req.entryStable, req.entryUndisturbedSince = entry, r.entryStable(entry, time.Now()), r.entries[entry].undisturbedSince()
 	observed := r.observe(entry, serviceOf(req.route))
 	began := time.Now()
 	req.send(r.entryAddress(entry))
 	req.duration = time.Since(began)
-	observed.finish(&req)
-	return req
+	observed.finish(req)
 }
 
 // send sends the request on a new connection.
@@ -153,7 +161,7 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	req.status, req.body, req.complete = resp.StatusCode, string(body), err == nil
+	req.status, req.body, req.complete, req.retryAfter = resp.StatusCode, string(body), err == nil, resp.Header.Get("Retry-After")
 	return req.complete && !resp.Close
 }
 
--- a/soak/config.go
+++ b/soak/config.go
@@ -78,7 +78,10 @@
 	}
 	times := []time.Duration{shortestTimeout, middleTimeout, longestTimeout}
 	for _, route := range configRoutes(c.Version) {
-		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", times[r.config.random.IntN(len(times))], time.Second, 2
+		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", times[r.config.random.IntN(len(times))], urgentObjective, 2
+		if route.Name == patientRoute {
+			route.Objective, route.Priority = patientObjective, patientPriority
+		}
 		c.Routes = append(c.Routes, route)
 	}
 	if err := c.Write(ctx, r.client); err != nil {
@@ -96,6 +99,7 @@
 		{Name: "unsafe", Kind: standin.UnsafeRoute, Service: mainService}, {Name: "safe", Kind: standin.SafeRoute, Service: mainService},
 		{Name: "add", Kind: standin.UnsafeRoute, Service: sideService}, {Name: "keep", Kind: standin.SafeRoute, Service: sideService},
 		{Name: "stream", Kind: standin.StreamRoute, Service: engineService, Resumable: true}, {Name: "once", Kind: standin.StreamRoute, Service: engineService},
+		{Name: patientRoute, Kind: standin.StreamRoute, Service: engineService, Resumable: true},
 		{Name: versionRoute(version), Kind: standin.SafeRoute, Service: serviceOf(versionRoute(version))},
 	}
 }
@@ -109,7 +113,7 @@
 		return mainService
 	case "add", "keep":
 		return sideService
-	case "stream", "once":
+	case "stream", "once", patientRoute:
 		return engineService
 	}
 	if version, err := strconv.ParseInt(strings.TrimPrefix(route, "v"), 10, 64); err == nil && version%2 == 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -51,6 +51,7 @@
 	// Budget says, for each service, how close the repeated sends came to the bound of the retry budget.
 	Budget     []string
 	Violations []Violation
+	classes    map[string]*classCounts
 }
 
 // Times of a run.
@@ -207,7 +208,7 @@
 	name := fmt.Sprintf("server-%d", i)
 	p := r.newProcess(name, "martendev", nil)
 	p.args = func() []string {
-		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", r.serverID(i, p.starts), "--work", requestWork.String()}
+		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", r.serverID(i, p.starts), "--work", r.engineWork(i).String()}
 		args = append(args, "--service", r.serverService(i))
 		if i >= r.params.Engines {
 			return args
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -74,6 +74,8 @@
 	s.addRequest(clientRequest{id: "run and cut", route: "keep", reusedConn: true, undisturbed: true, sentAt: time.Unix(1, 0)})
 	s.addRequest(clientRequest{id: "read and cut", route: "keep", reusedConn: true, undisturbed: true, sentAt: time.Unix(1, 0), duration: closeRaceTime})
 	s.addRequest(clientRequest{id: "answer cut", route: "once", model: "m1", status: 200, reusedConn: true, undisturbed: true, sentAt: time.Unix(1, 0)})
+	s.addRequest(clientRequest{id: "patient", route: patientRoute, model: "m1", status: 503})
+	s.addRequest(clientRequest{id: "patient, told", route: patientRoute, model: "m1", status: 503, retryAfter: "2"})
 	s.servers["e start 1"] = stateWithRuns(map[string]int{"twice": 1, "refused": 1, "nobody's": 1, "run and cut": 1, "answer cut": 1})
 	s.servers["e start 2"] = stateWithRuns(map[string]int{"twice": 1})
 	s.servers["e start 3"] = standin.State{Forgotten: 1}
@@ -82,7 +84,7 @@
 		"a non-idempotent request runs at most once": 1, "a refusal that says not run is true": 1, "only what a client sent runs": 1,
 		"each client gets the whole answer to its own request": 2, "each request is answered or refused in its time": 1,
 		"a request on a kept connection is answered or refused": 3, "repeated sends stay within the shared budget": 1,
-		"the history is whole": 1,
+		"the history is whole": 1, "a refused request is told when to return": 1,
 	}
 	got := map[string]int{}
 	for _, b := range s.violations() {
