Estimates for the weight store count from when the load can begin

Cause: a new holder that has not read its engines, or cannot send orders, told instances to ask again after 1 s although only the weight store has the model, whose load takes longer than the request has left. And the estimate counted from the time at which it was made, not from when the rate of the store and the engines allow the load, so it came no nearer. Such a unit stays not placed, so that instances which know of an engine with it still use that one; the answer now carries the earliest time.

The tests of the package and of command/holder pass.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -292,7 +292,7 @@
 const noCapacityRetry = time.Second
 
 // Want returns where a unit is loaded or will be. ok is false if no engine can take it; found.Ready then states when
-// to ask again. During an outage of the store that is at least as long as the outage has lasted, since outages last
+// to ask again, or when a load of the unit can end at the earliest. During an outage of the store that is at least as long as the outage has lasted, since outages last
 // from milliseconds to minutes.
 func (h *Holder) Want(r Request, now time.Time) (found replicas.Found, ok bool, err error) {
 	h.mu.Lock()
@@ -329,8 +329,8 @@
 	for _, op := range operations {
 		h.startOperation(op, "request")
 	}
-	if !ok {
-		found.Ready = now.Add(max(noCapacityRetry, outage))
+	if retry := now.Add(max(noCapacityRetry, outage)); !ok && found.Ready.Before(retry) {
+		found.Ready = retry
 	}
 	if earliest := now.Add(minRetryDelay); ok && found.Engine == "" && found.Ready.Before(earliest) {
 		found.Ready = earliest
--- a/command/replicas/dispatch.go
+++ b/command/replicas/dispatch.go
@@ -21,7 +21,8 @@
 
 // Find returns where a unit of a service is loaded or will be. A model that no engine has is recorded as wanted.
 // Dispatch decides which engine loads it, as late as possible, when the state of the engines is known best. waiting
-// describes the requests that wait for the unit at the calling instance. ok is false if no engine can load the unit.
+// describes the requests that wait for the unit at the calling instance. ok is false if no engine can load the unit now;
+// found.Ready is then the earliest time at which the unit can be ready, if that is known.
 func (f *Fleet) Find(service string, unit serving.Unit, waiting Waiting, now time.Time) (found Found, ok bool) {
 	if waiting.value() > 0 {
 		f.SetWaiting(service, unit.Model, waiting, now)
@@ -30,7 +31,7 @@
 		return found, true
 	}
 	if f.suspended {
-		return Found{}, false
+		return f.unplaced(unit, now), false
 	}
 	if unit.Adapter != "" && f.copiesOf(unit.Model, now) > 0 {
 		return f.placeAdapter(service, unit, now)
@@ -44,7 +45,7 @@
 		f.updateWantedValue(now)
 		ready, ok := f.estimateReady(w, now)
 		if !ok {
-			return Found{}, false
+			return f.unplaced(unit, now), false
 		}
 		w.estimatedReady = ready
 	}
@@ -89,35 +90,6 @@
 	return ahead
 }
 
-// remoteQueueReady returns when a wanted model that must be loaded from the weight store is expected to be ready, after
-// the current loads from there and those of models that take precedence. It returns false if an engine has the weights
-// or no engine can load them.
-func (f *Fleet) remoteQueueReady(w *wantedModel, now time.Time) (time.Time, bool) {
-	var load time.Duration
-	slots := make([]time.Time, 0, f.store.limit())
-	for _, e := range f.Engines() {
-		if e.Server.Service == w.service && e.usable(now) {
-			load = e.Spec.Models[w.model].RemoteLoad
-		}
-		if e.Busy && e.remote {
-			slots = append(slots, later(e.FreeAt, now))
-		}
-	}
-	if load == 0 || len(f.caching(w.model)) > 0 {
-		return time.Time{}, false
-	}
-	for len(slots) < f.store.limit() {
-		slots = append(slots, now)
-	}
-	for _, other := range f.wantedModels {
-		if f.copiesOf(other.model, now) == 0 && other.precedes(w) && len(f.caching(other.model)) == 0 {
-			first := earliestIndex(slots)
-			slots[first] = slots[first].Add(load)
-		}
-	}
-	return slots[earliestIndex(slots)].Add(load + f.params.OrderTime), true
-}
-
 // earliestIndex returns the index of the earliest time.
 func earliestIndex(times []time.Time) int {
 	first := 0
