--- a/command/replicas/estimate.go
+++ b/command/replicas/estimate.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/martenport/martenport/serving"
@@ -83,7 +82,7 @@
 
 // queueForStore returns when a wanted model is expected to be ready on one of the given engines, see remoteQueueReady.
 func (f *Fleet) queueForStore(w *wantedModel, engines remoteEngines, now time.Time) (time.Time, bool) {
-	if engines.load == 0 || !f.onlyInStore(w.model) {
+	if engines.load == 0 || len(f.caching(w.model)) > 0 {
 		return time.Time{}, false
 	}
 	from := later(engines.from, f.nextRemoteLoad(now))
@@ -105,17 +104,14 @@
 	return slots[earliestIndex(slots)].Add(engines.load + f.params.OrderTime), true
 }
 
-// unplaced returns when a unit can be ready at the earliest for which no engine can be chosen now. Ready is zero if that
-// is not known. A holder that has not read the engines yet, or cannot send orders, knows this much.
+// unplaced returns when a unit is expected to be ready for which no engine can be chosen now: if only the weight store
+// has its model, after a load from there. Ready is zero if that is not known. A holder that has not read the engines yet
+// and one that cannot send orders know this much.
 func (f *Fleet) unplaced(unit serving.Unit, now time.Time) (found Found) {
 	w := f.wantedModels[unit.Model]
 	if w == nil || f.copiesOf(unit.Model, now) > 0 {
 		return found
 	}
-	if !f.onlyInStore(unit.Model) {
-		found.Ready = f.earliestLocal(w, now)
-		return found
-	}
 	ready, ok := f.remoteQueueReady(w, now)
 	if !ok {
 		ready, ok = f.queueForStore(w, f.unreadEnginesFor(w, now), now)
@@ -125,28 +121,3 @@
 	}
 	return found
 }
-
-// onlyInStore reports whether no engine has a model's weights. Engines that drain load nothing any more.
-func (f *Fleet) onlyInStore(model string) bool {
-	return !slices.ContainsFunc(f.caching(model), func(e *Engine) bool { return !e.Server.Draining })
-}
-
-// earliestLocal returns the earliest time at which one of the engines that have a wanted model's weights can serve it, or
-// any engine after a load from the weight store. Engines are skipped for a while after failures. It returns the zero time
-// if there is no engine.
-func (f *Fleet) earliestLocal(w *wantedModel, now time.Time) (earliest time.Time) {
-	for _, e := range f.engines {
-		m, known := e.Spec.Models[w.model]
-		if !known || e.Server.Service != w.service || e.Server.Draining {
-			continue
-		}
-		at := later(later(now, e.FailingUntil), e.heldBackUntil)
-		if e.Copies[w.model] == nil {
-			at = later(at, e.NotBefore).Add(m.LoadTime(e.Tiers[w.model]))
-		}
-		if earliest.IsZero() || at.Before(earliest) {
-			earliest = at
-		}
-	}
-	return earliest
-}
