entry: the balancer asks for the number of instances without the follower's lock

A dump of the goroutines shows a report (follower.mu) that waits for the balancer, and a choice of a server (the balancer's lock) that asks the follower for the number of instances: 387 goroutines behind both. Ruled out: load on the machine (idle when it showed again). The number is an atomic of its own now. TestChoiceBesideReport hangs with the lock (timed out after 5 s) and passes without.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
@@ -128,8 +128,9 @@
 	desk *waitlist.Desk
 	// balancer learns the speeds of engines; nil if they are not to be learnt. Set before run.
 	balancer *balance.Balancer
-	// instancesReported is whether instances is from a holder; guarded by mu.
-	instancesReported bool
+	// reported is the number of instances that a holder last reported, 0 before that. The balancer and the connections
+	// to servers read it under their own locks, so it needs none.
+	reported atomic.Int64
 	// link is how much of each other's ledgers the holder and this instance have; guarded by mu.
 	link quarantine.Link
 	// address is where other instances reach this one; set before run.
@@ -186,41 +187,6 @@
 	return f.record, live
 }
 
-// call calls the holder, without the network if that is this instance.
-func (f *follower) call(ctx context.Context, record lease.Record, timeout time.Duration, method string, args, reply any) error {
-	if record.Holder == f.name {
-		return f.callSelf(args, reply)
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return f.pool.Call(ctx, record.Address, method, args, reply)
-}
-
-func (f *follower) callSelf(args, reply any) error {
-	switch a := args.(type) {
-	case *ExchangeArgs:
-		return f.self.Exchange(a, reply.(*ExchangeReply))
-	case *WantArgs:
-		return f.self.Want(a, reply.(*WantReply))
-	case *UseArgs:
-		return f.self.Use(a, reply.(*UseReply))
-	case *TrialArgs:
-		return f.self.Trial(a, reply.(*TrialReply))
-	case *ConsultArgs:
-		return f.self.Consult(a, reply.(*ConsultReply))
-	case *DrawArgs:
-		return f.self.Draw(a, reply.(*DrawReply))
-	case *TurnArgs:
-		return f.self.Turn(a, reply.(*TurnReply))
-	case *LimitsArgs:
-		return f.self.Limits(a, reply.(*LimitsReply))
-	case *CapacityArgs:
-		return f.self.Capacity(a, reply.(*CapacityReply))
-	default:
-		return errors.Newf("entry: unsupported call %T", args)
-	}
-}
-
 // run exchanges reports with the holder, or becomes the holder, until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	f.mu.Lock()
@@ -347,9 +313,9 @@
 func (f *follower) applyUpdate(record lease.Record, reply *ExchangeReply, sent, now time.Time) {
 	update := reply.News
 	f.mu.Lock()
-	f.instancesReported = true
 	f.instances = max(1, update.Instances) // the interval until the next report depends on it
 	f.mu.Unlock()
+	f.reported.Store(int64(max(1, update.Instances)))
 	f.dir.ApplyViews(update.Fence, decodeViews(reply.Views, now), update.Others, now)
 	f.dir.ApplyAdmissions(update.Admit)
 	f.desk.Apply(update.Waitlist, now)
--- a/entry/peers_test.go
+++ b/entry/peers_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/lease"
@@ -91,3 +92,21 @@
 		t.Errorf("%d instances are reported, want 83", n)
 	}
 }
+
+// TestChoiceBesideReport: a report takes what the balancer has learnt, under the follower's lock. A choice of a server
+// beside it, under the balancer's lock, must not wait for the follower.
+func TestChoiceBesideReport(t *testing.T) {
+	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.balancer = balance.New(balance.DefaultParams())
+	f.balancer.SetSubset(balance.Subset{Instance: "a", Instances: f.reportedInstances})
+	f.reported.Store(83)
+	candidates := make([]balance.Candidate, 12)
+	for i := range candidates {
+		candidates[i] = balance.Candidate{ID: string(rune('a' + i)), Slots: 12}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.balancer.Pick(candidates, time.Now()) < 0 {
+		t.Error("no server is chosen")
+	}
+}
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -123,15 +123,8 @@
 	return f.instances
 }
 
-// reportedInstances returns the number of instances that a holder last reported, 0 if none has yet.
-func (f *follower) reportedInstances() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !f.instancesReported {
-		return 0
-	}
-	return f.instances
-}
+// reportedInstances returns the number of instances that a holder last reported, 0 if none has yet. It takes no lock.
+func (f *follower) reportedInstances() int { return int(f.reported.Load()) }
 
 // cachedPlace is the holder's answer to a request for a place.
 type cachedPlace struct {
