--- a/command/holder/want.go
+++ b/command/holder/want.go
@@ -31,8 +31,8 @@
 const noCapacityRetry = time.Second
 
 // Want returns where a unit is loaded or will be. ok is false if no engine can take it; found.Ready then states when
-// to ask again, or when a load of the unit can end at the earliest. During an outage of the store that is at least as long as the outage has lasted, since outages last
-// from milliseconds to minutes.
+// to ask again, or when a load of the unit can end at the earliest. During an outage of the store that is at least as
+// long as the outage has lasted, since outages last from milliseconds to minutes.
 func (h *Holder) Want(r Request, now time.Time) (found replicas.Found, ok bool, err error) {
 	h.mu.Lock()
 	if !h.lease.Held() {
