Instances log and count which servers they cannot connect to

The logs of the incident have no line by which an instance without a path to any server can be told from one whose servers failed: each failed send is a line of its own, and the holder's failed orders look the same in both cases. command/reachability keeps the state of the paths; a change of it is a line ("server cannot be reached from here", "no server of the service can be reached from here", and their ends), and martenport_servers_unreached counts. Nothing decides by it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,7 @@
 	dir        *directory.Directory
 	client     *platform.Client
 	backends   *platform.Backends
+	paths      *pathObserver
 	limiter    *serverLimiter
 	balancer   *balance.Balancer
 	holder     *holder.Holder
@@ -91,6 +92,8 @@
 	// store is nil for plain TCP.
 	store func(ctx context.Context, network, address string) (net.Conn, error)
 	peers rpcpool.Dial
+	// servers opens connections to backend servers; nil for plain TCP.
+	servers platform.Dial
 }
 
 // New creates an instance with the settings s, which were read from path. Run starts it.
@@ -116,6 +119,11 @@
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log, eraChanged: make(chan struct{}, 1)}
 	i.limiter = newServerLimiter(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.OnAdvisory(i.limiter.observe)
+	i.paths = newPathObserver(i.set, log)
+	i.backends.TrackPaths(i.paths.tracker, i.paths.changed)
+	if n.servers != nil {
+		i.backends.SetDial(n.servers)
+	}
 	i.holder.SetServerLimits(lendableLimits{i.limiter.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
 	maxUpdateAge := func() time.Duration { return updateLifetime(i.settings.Load()) }
