Tests of instances without a path to servers, which fail

Where open connections live on and new ones are refused, streams are served and requests to the plain server are not. TestHolderWithoutPathHandsOver: the holder keeps the lease for 30 s, and a cold model is not loaded in that time. TestLostPathIsNoCrash: three engines that run count as ended at the instance that lost its path to them.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/platform"
 )
@@ -39,6 +40,8 @@
 	editSettings func(s *platform.Settings)
 	// logOutput receives the log lines of all instances; discarded if nil.
 	logOutput io.Writer
+	// links are the instances' paths to servers, by machine; a test that sets it to an empty map can cut them.
+	links map[int]*serverLink
 	// beforeRun is called with each instance before it runs.
 	beforeRun func(i *Instance)
 }
@@ -180,7 +183,12 @@
 		log.SetFormatter(&logrus.TextFormatter{DisableColors: true, TimestampFormat: time.StampMilli})
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Instance: New(s, writeSettings(f.t, s), f.options, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
+	n := network{peers: rpcpool.DialTCP}
+	if f.links != nil {
+		f.links[machine] = newServerLink()
+		n.servers = f.links[machine].dial
+	}
+	r := &running{Instance: newInstance(s, writeSettings(f.t, s), f.options, n, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
 	if f.beforeRun != nil {
 		f.beforeRun(r.Instance)
 	}
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -49,7 +49,14 @@
 
 // newLoadFleet starts the instances and engines, without the load.
 func newLoadFleet(t *testing.T) *loadFleet {
-	f := &loadFleet{fleet: newFleet(t, loadInstances), loadEnded: make(chan struct{}), model: "m1", pause: loadPause}
+	t.Helper()
+	return startLoadFleet(&fleet{t: t})
+}
+
+// startLoadFleet starts the instances and engines of a fleet, without the load.
+func startLoadFleet(fleet *fleet) *loadFleet {
+	t := fleet.t
+	f := &loadFleet{fleet: fleet.start(loadInstances), loadEnded: make(chan struct{}), model: "m1", pause: loadPause}
 	f.addServer("e3", "llm", []string{"m1"})
 	t.Cleanup(func() { // stop all before waiting for any: each takes seconds
 		for _, r := range f.instances {
@@ -108,10 +115,15 @@
 // outcomesBetween counts the outcomes of the answered requests that were sent from the time from until before to. A
 // request is served if it got the complete stream, and refused if it got status 503 or 429.
 func (f *loadFleet) outcomesBetween(from, to time.Time) (e outcomes) {
+	return f.countOutcomes(from, to, func(*loadRequest) bool { return true })
+}
+
+// countOutcomes is outcomesBetween for the requests that counts selects.
+func (f *loadFleet) countOutcomes(from, to time.Time, counts func(*loadRequest) bool) (e outcomes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, req := range f.requests {
-		if req.sent.Before(from) || !req.sent.Before(to) || !req.done {
+		if req.sent.Before(from) || !req.sent.Before(to) || !req.done || !counts(req) {
 			continue
 		}
 		e.total++
