Instances without a path to servers send through other instances

Cause: an instance had one way to a server, its own connection. What it cannot reach was a property of the server for it (ejected, skipped), and the request was refused as if no server were left.

Now an instance that cannot open a connection asks another one for a tunnel (package tunnel, HTTP CONNECT between instances). Everything that is sent is still decided and accounted for by the instance that has the request; the other one copies bytes, to servers of its directory only and over its own connections only. Bytes from the server are framed, so that the end of the copying process is no end of an answer; closing either end resets the other, so a client that leaves is noticed by the server. A tunnel carries one request.

--- a/command/forward/finish.go
+++ b/command/forward/finish.go
@@ -41,6 +41,9 @@
 	if held := t.serverLimits.unavailableServers(); held != "" {
 		fields["held_back"] = held
 	}
+	if t.via != "" {
+		fields["via"] = t.via
+	}
 	if t.onlyRun != nil {
 		fields["backups"] = t.onlyRun.copyIDs()
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -51,6 +51,8 @@
 	waits waitTimes
 	// server is the ID of the server to which the request was last sent.
 	server string
+	// via is the instance through which the server last answered; "" if the connection was direct.
+	via string
 	// firstEventAt is when the current server sent its first event; zero before.
 	firstEventAt time.Time
 	// serverLimits is the state of the servers that limit the requests they accept.
@@ -250,6 +252,9 @@
 	}
 	t.beginOnlyRun(&a)
 	resp, err := t.f.sender.Send(ctx, a)
+	if resp != nil {
+		t.via = resp.Via
+	}
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
 	}
--- a/command/reachability/reachability.go
+++ b/command/reachability/reachability.go
@@ -14,14 +14,18 @@
 )
 
 // isolatedServers is the number of servers of a service that have to fail, one after the other and without a success in
-// between, for all servers of the service to count as out of reach.
+// between, for the instance to count as isolated from the service. If servers of as many services fail like that, it
+// counts as isolated from all.
 const isolatedServers = 2
 
+// allServices is the key under which the services with failing servers are counted.
+const allServices = ""
+
 // Tracker holds the state of the paths from one instance to servers. It is safe for concurrent use.
 type Tracker struct {
 	mu       sync.Mutex
 	servers  map[string]*path     // by server ID; guarded by mu
-	services map[string]*isolated // by service; guarded by mu
+	services map[string]*isolated // by service, and under allServices; guarded by mu
 }
 
 // path is the state of the path to one server.
@@ -35,10 +39,8 @@
 
 // isolated is the state of all paths to the servers of one service.
 type isolated struct {
-	// failing are the servers that failed since the last success.
+	// failing are the servers, or under allServices the services, that failed since the last success.
 	failing map[string]struct{}
-	// since is when the service became isolated; zero if it is not.
-	since time.Time
 }
 
 // Change is a change of the state, for logs.
@@ -60,7 +62,7 @@
 		delete(t.servers, s.ID)
 		c.Path = p.broken
 	}
-	c.Service = t.clearService(s.Service)
+	c.Service = t.clear(s.Service)
 	return c
 }
 
@@ -69,17 +71,24 @@
 func (t *Tracker) Answered(s serving.Server) (c Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return Change{Service: t.clearService(s.Service)}
+	return Change{Service: t.clear(s.Service)}
 }
 
-// clearService records that a server of a service is in reach, and reports whether the service was isolated. t.mu must
-// be held.
-func (t *Tracker) clearService(service string) bool {
-	i := t.services[service]
+// clear records that a server of a service is in reach, and reports whether the service was isolated. t.mu must be held.
+func (t *Tracker) clear(service string) bool {
+	was := t.isolated(service)
 	delete(t.services, service)
-	return i != nil && !i.since.IsZero()
+	delete(t.services, allServices)
+	return was
+}
+
+// isolated implements Isolated. t.mu must be held.
+func (t *Tracker) isolated(service string) bool {
+	return t.services[service].isolated() || t.services[allServices].isolated()
 }
 
+func (i *isolated) isolated() bool { return i != nil && len(i.failing) >= isolatedServers }
+
 // Failed records that a connection to a server could not be opened, or that an open one was silent for too long.
 func (t *Tracker) Failed(s serving.Server, now time.Time) (c Change) {
 	t.mu.Lock()
@@ -91,28 +100,29 @@
 	}
 	c.Path = !p.broken
 	p.broken, p.nextProbe = true, now.Add(probeInterval)
-	i := t.services[s.Service]
+	was := t.isolated(s.Service)
+	t.failing(s.Service)[s.ID] = struct{}{}
+	t.failing(allServices)[s.Service] = struct{}{}
+	c.Service = !was && t.isolated(s.Service)
+	return c
+}
+
+// failing returns what failed since the last success under a key of services. t.mu must be held.
+func (t *Tracker) failing(key string) map[string]struct{} {
+	i := t.services[key]
 	if i == nil {
 		i = &isolated{failing: map[string]struct{}{}}
-		t.services[s.Service] = i
+		t.services[key] = i
 	}
-	i.failing[s.ID] = struct{}{}
-	if len(i.failing) >= isolatedServers && i.since.IsZero() {
-		i.since = now
-		c.Service = true
-	}
-	return c
+	return i.failing
 }
 
-// Reaches reports whether a new connection to the server is expected to succeed.
+// Reaches reports whether a new connection to the server is expected to succeed: the last one did, or none was tried.
 func (t *Tracker) Reaches(s serving.Server) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if p := t.servers[s.ID]; p != nil && p.broken {
-		return false
-	}
-	i := t.services[s.Service]
-	return i == nil || i.since.IsZero()
+	p := t.servers[s.ID]
+	return p == nil || !p.broken
 }
 
 // probeInterval is the pause between two attempts to reach a server that is out of reach.
@@ -135,12 +145,11 @@
 	return true
 }
 
-// Isolated reports whether no server of a service is in reach.
+// Isolated reports whether the instance seems to reach no server of a service. One that was not tried may be in reach.
 func (t *Tracker) Isolated(service string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	i := t.services[service]
-	return i != nil && !i.since.IsZero()
+	return t.isolated(service)
 }
 
 // Unreached returns the number of servers to which no connection could be opened when that was last tried.
@@ -165,7 +174,11 @@
 		return
 	}
 	delete(t.servers, id)
-	if i := t.services[p.service]; i != nil && i.since.IsZero() {
+	if i := t.services[p.service]; i != nil {
 		delete(i.failing, id)
+		if len(i.failing) == 0 {
+			delete(t.services, p.service)
+			delete(t.failing(allServices), p.service)
+		}
 	}
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/table"
+	"github.com/martenport/martenport/tunnel"
 )
 
 // Time limits and rates of calls to the store.
@@ -61,6 +62,7 @@
 	client     *platform.Client
 	backends   *platform.Backends
 	paths      *pathObserver
+	tunnels    *tunnel.Server
 	limiter    *serverLimiter
 	balancer   *balance.Balancer
 	holder     *holder.Holder
@@ -116,7 +118,7 @@
 	holderParams.Fleet.RemoteOverage = max(holderParams.Fleet.RemoteOverage, s.Bounds.CeilingOverage)
 	holderParams.Quota, holderParams.ServerQuota = quotaParams(&s), backpressure.QuotaParams()
 	i.holder = holder.New(holderParams, i.client, i.backends, i.dir, holder.NewMetrics(i.set), log)
-	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores()}, log: log, eraChanged: make(chan struct{}, 1)}
+	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores(), Tunnels: s.TunnelAddress()}, log: log, eraChanged: make(chan struct{}, 1)}
 	i.limiter = newServerLimiter(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.OnAdvisory(i.limiter.observe)
 	i.paths = newPathObserver(i.set, log)
@@ -124,6 +126,7 @@
 	if n.servers != nil {
 		i.backends.SetDial(n.servers)
 	}
+	i.useTunnels(&s)
 	i.holder.SetServerLimits(lendableLimits{i.limiter.ledger})
 	i.follower = newFollower(s.NodeName, i.holder, i.dir, rpcpool.New(n.peers), i.members, log)
 	maxUpdateAge := func() time.Duration { return updateLifetime(i.settings.Load()) }
@@ -239,7 +242,11 @@
 	go i.service.serve(listeners.peers)
 	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
 	metricsServer := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
-	serveErrors := make(chan error, 4)
+	serveErrors := make(chan error, 5)
+	tunnels := i.newTunnelServer()
+	if listeners.tunnels != nil {
+		go func() { serveErrors <- tunnels.Serve(listeners.tunnels) }()
+	}
 	operators := &http.Server{}
 	if listeners.operators != nil {
 		operators.Handler = i.operatorHandler()
@@ -258,6 +265,7 @@
 	_ = operators.Close()
 	_ = ready.Close()
 	_ = metricsServer.Close()
+	_ = tunnels.Close()
 	_ = listeners.peers.Close()
 	wg.Wait()
 	i.log.WithField("instance", s.NodeName).Info("instance stopped")
@@ -283,8 +291,9 @@
 	}
 }
 
-// listeners are an instance's listeners. operators is nil if the operators' interface is disabled.
-type listeners struct{ clients, ready, peers, metrics, operators net.Listener }
+// listeners are an instance's listeners. operators is nil if the operators' interface is disabled, and tunnels if no port
+// is left for them.
+type listeners struct{ clients, ready, peers, metrics, tunnels, operators net.Listener }
 
 // MetricsPort is the port that serves the metrics, under /metrics. The deploy file has the same
 // number.
@@ -300,6 +309,7 @@
 		{"listen.frontend", s.Listen.Frontend, &l.clients},
 		{"listen.ready", s.Listen.Ready, &l.ready},
 		{"internalPorts", s.PeerAddress(), &l.peers},
+		{"internalPorts", s.TunnelAddress(), &l.tunnels},
 		{"metrics", s.MetricsAddress(MetricsPort), &l.metrics},
 		{"operators-port", i.operatorsAddress(), &l.operators},
 	} {
@@ -333,6 +343,7 @@
 func (i *Instance) drain() {
 	start := time.Now()
 	i.draining.Store(true)
+	i.tunnels.Refuse()
 	grace := i.settings.Load().Grace()
 	i.log.WithField("grace_ms", grace.Milliseconds()).Info("instance draining")
 	deadline := start.Add(time.Duration(float64(grace) * drainShare))
@@ -344,6 +355,9 @@
 	time.Sleep(time.Until(start.Add(balancerDelay)))
 	i.forwarder.Drain()
 	i.clients.drain(deadline)
+	ctx, cancel = context.WithDeadline(context.Background(), deadline)
+	i.tunnels.Wait(ctx)
+	cancel()
 	i.forwarder.FlushLog()
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,7 @@
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/store"
+	"github.com/martenport/martenport/tunnel"
 )
 
 // prefixMembers is the store's prefix of the instances' entries.
@@ -27,6 +29,8 @@
 	Domain string `json:"domain"`
 	// Cores is the processor time available to the instance, in cores.
 	Cores float64 `json:"cores"`
+	// Tunnels is where the instance provides tunnels; empty if it provides none.
+	Tunnels string `json:"tunnels,omitempty"`
 }
 
 // members is the list of instances in the store. It is read only when needed, which is rare, since
@@ -41,6 +45,8 @@
 	mu     sync.Mutex
 	known  []member  // guarded by mu
 	readAt time.Time // guarded by mu
+	// refreshing is set while the list is read in the background.
+	refreshing atomic.Bool
 	// version is the version of this instance's entry, 0 while there is none; guarded by mu.
 	version store.Revision
 }
@@ -133,6 +139,30 @@
 	return m.addressesOfOthers(known)
 }
 
+// tunnelProviders returns the other instances that provide tunnels, as last read. It refreshes the list in the
+// background if it is old, and waits for it only if it has never been read.
+func (m *members) tunnelProviders(ctx context.Context) []tunnel.Instance {
+	m.mu.Lock()
+	known, read, fresh := append([]member(nil), m.known...), !m.readAt.IsZero(), clock.Since(m.readAt) < membersCacheTime
+	m.mu.Unlock()
+	switch {
+	case !read:
+		known = m.list(ctx)
+	case !fresh && m.refreshing.CompareAndSwap(false, true):
+		go func() {
+			defer m.refreshing.Store(false)
+			m.list(context.WithoutCancel(ctx))
+		}()
+	}
+	var providers []tunnel.Instance
+	for _, other := range known {
+		if other.Name != m.self.Name && other.Tunnels != "" {
+			providers = append(providers, tunnel.Instance{Name: other.Name, Address: other.Tunnels, Domain: other.Domain})
+		}
+	}
+	return providers
+}
+
 func (m *members) addressesOfOthers(list []member) []string {
 	var addresses []string
 	for _, member := range list {
--- a/serving/request.go
+++ b/serving/request.go
@@ -81,6 +81,8 @@
 	Misdirected bool
 	// Events is set if the body is a stream of events.
 	Events bool
+	// Via is the instance through which the response came; "" if the connection to the server was direct.
+	Via string
 	// HasRetryAfter is set if the server rejected the request and asked for a pause without requests.
 	HasRetryAfter bool
 }
