The holder tells engines that it does not reach from engines that failed

Cause: an order that could not be sent counted as a failure of the engine. Failed engines' copies do not count and are in no view, so every instance was told that busy models have no copy.

The holder now reads an engine to which it could not send an order; a report may come through another instance. If the engine answers, only the holder's path is broken: the copies serve on, and nothing is planned on the engine for a while. If it does not answer, it has failed, as before.

--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -128,10 +128,13 @@
 func (w *worker) execute(op replicas.Operation) error {
 	started := clock.Now()
 	err := w.runSteps(op)
+	onlyFromHere := errors.Is(err, serving.ErrOrderNotSent) && w.answersOthers()
 	w.h.mu.Lock()
 	switch {
 	case err == nil:
 		w.h.fleet.Done(op, clock.Now())
+	case onlyFromHere:
+		w.h.fleet.OutOfReach(op, clock.Now())
 	case errors.Is(err, errUncertain):
 		w.h.fleet.Uncertain(op)
 	case errors.Is(err, errEngine):
@@ -146,11 +149,18 @@
 	w.h.dispatch(clock.Now())
 	w.h.metrics.observeOperation(op, err, clock.Since(started))
 	w.h.log.WithFields(logrus.Fields{
-		"engine": op.Engine, "load": op.Load.String(), "ms": clock.Since(started).Milliseconds(), "late_ms": clock.Since(op.Ready).Milliseconds(), "error": err,
+		"engine": op.Engine, "load": op.Load.String(), "ms": clock.Since(started).Milliseconds(), "late_ms": clock.Since(op.Ready).Milliseconds(), "error": err, "only_from_here": onlyFromHere,
 	}).Info("operation ended")
 	return err
 }
 
+// answersOthers reports whether an engine to which an order could not be sent runs. A report may come through another
+// instance, an order may not.
+func (w *worker) answersOthers() bool {
+	_, err := w.report()
+	return err == nil
+}
+
 // awaitStart waits until the operation's first order may be sent. It returns false if the worker was stopped.
 func (w *worker) awaitStart(op replicas.Operation) bool {
 	w.h.mu.Lock()
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -97,6 +97,8 @@
 	// FailingUntil is until when the engine is skipped after failed orders.
 	FailingUntil time.Time
 	failures     int
+	// outOfReachUntil is until when nothing is planned on the engine, because the lease holder does not reach it.
+	outOfReachUntil time.Time
 	// heldBackUntil is until when the engine accepts no additional requests for its units, see HoldBack.
 	heldBackUntil time.Time
 	// generation counts how often the record was replaced or found to be wrong. Operations of an earlier generation are
@@ -291,7 +293,7 @@
 
 // usable reports whether anything may be loaded on the engine.
 func (e *Engine) usable(now time.Time) bool {
-	return !e.MustBeRead && e.acceptsRequests(now)
+	return !e.MustBeRead && !now.Before(e.outOfReachUntil) && e.acceptsRequests(now)
 }
 
 // acceptsRequests reports whether the engine accepts requests for its units.
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -158,6 +158,18 @@
 	e.Busy = false
 }
 
+// OutOfReach records that an operation ended because the lease holder does not reach an engine that runs: its copies continue
+// to serve, and nothing is planned on it for a while.
+func (f *Fleet) OutOfReach(op Operation, now time.Time) {
+	e := f.engines[op.Engine]
+	if !f.Current(op) {
+		return
+	}
+	f.Withdrawn(op)
+	e.outOfReachUntil = now.Add(min(maxFailureBackoff, failureBackoff<<min(e.failures, 8)))
+	e.failures++
+}
+
 // Suspend stops or resumes the planning of operations. While no order can be sent, planned operations would only be
 // withdrawn.
 func (f *Fleet) Suspend(suspended bool) { f.suspended = suspended }
