A holder that reaches few engines hands the lease over

Each instance reports the fraction of the engines that it reaches. A holder that has reached half or fewer for 0.4 s, where another instance reaches half of all engines more, releases the lease, so that its successor waits only for engines that were ordered lately. An instance connects to an engine before it takes over, and goes a second later if it reaches none; where nobody reaches engines, nobody hands over.

The lease is not taken while it is being released (TestReleaseIsNotOvertaken). A shutdown had it, too, in principle: only the order of two calls kept it away.

--- a/command/holder/exchange.go
+++ b/command/holder/exchange.go
@@ -46,6 +46,7 @@
 	receivedAt time.Time
 	running    []Running
 	address    string
+	reached    float64
 }
 
 func newInstanceReports() instanceReports {
@@ -55,12 +56,12 @@
 // intervalSmoothing is the weight of the newest report in the smoothed report interval.
 const intervalSmoothing = 0.02
 
-// record stores the running requests of an instance, and updates the smoothed report interval.
-func (ir *instanceReports) record(name, address string, running []Running, now time.Time) {
-	if last, found := ir.instances[name]; found {
+// record stores an instance's report, and updates the smoothed report interval.
+func (ir *instanceReports) record(r Report, now time.Time) {
+	if last, found := ir.instances[r.Name]; found {
 		ir.reportInterval += time.Duration(intervalSmoothing * float64(now.Sub(last.receivedAt)-ir.reportInterval))
 	}
-	ir.instances[name] = instanceReport{receivedAt: now, running: running, address: address}
+	ir.instances[r.Name] = instanceReport{receivedAt: now, running: r.Running, address: r.Address, reached: r.Reached}
 }
 
 // reportLifetime is how long the report of an instance is counted: several times the interval at which instances
@@ -153,6 +154,8 @@
 	Address string
 	// Speeds are samples of the engines' speeds since the last report, at most balance.MaxSharedSamples.
 	Speeds []balance.SpeedSample
+	// Reached is the fraction of the engines that the instance reaches, as far as it has tried.
+	Reached float64
 }
 
 // Update is the holder's reply to the report of an instance.
@@ -201,7 +204,7 @@
 	if !h.lease.Held() {
 		return Update{}, ErrNotHolder
 	}
-	h.reports.record(r.Name, r.Address, r.Running, now)
+	h.reports.record(r, now)
 	h.fleet.SetReportAge(h.reports.reportInterval)
 	h.reports.peers.recordReport(r.Name, r.Domain, now)
 	for _, a := range r.Arrivals {
--- /dev/null
+++ b/command/holder/handover_test.go
@@ -0,0 +1,98 @@
+package holder
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/store"
+)
+
+// TestLeaseHandedOver checks when a holder gives up the lease for the engines that it does not reach.
+func TestLeaseHandedOver(t *testing.T) {
+	for name, c := range map[string]struct {
+		own, other float64
+		lasts      time.Duration
+		want       bool
+	}{
+		"reaches none, another all":        {0, 1, 2 * handOverAfter, true},
+		"for a moment":                     {0, 1, handOverAfter / 4, false},
+		"nobody reaches any":               {0, 0, 2 * handOverAfter, false},
+		"a failure domain is out of reach": {2.0 / 3, 1, 2 * handOverAfter, false},
+		"another reaches few more":         {0.4, 0.6, 2 * handOverAfter, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			engine := &fakeEngine{models: map[string][]string{}}
+			h := newTestHolder("a", standin.NewPlatform(), engine, time.Second, "m1")
+			reached := 1.0
+			h.SetReach(func() float64 { return reached })
+			ctx, stop := context.WithCancel(t.Context())
+			takeOverFrom(ctx, t, h)
+			go func() {
+				for ctx.Err() == nil {
+					_, _ = h.Exchange(Report{Name: "b", Reached: c.other}, time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+			time.Sleep(time.Second)
+			h.mu.Lock()
+			reached = c.own
+			h.mu.Unlock()
+			time.Sleep(c.lasts)
+			h.mu.Lock()
+			reached = 1
+			h.mu.Unlock()
+			time.Sleep(time.Second)
+			if h.Holds() == c.want {
+				t.Errorf("%s: holds the lease: %t", name, h.Holds())
+			}
+			stop()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// slowStore is a store whose writes take a second.
+type slowStore struct{ store.Store }
+
+func (s slowStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
+	time.Sleep(time.Second)
+	return s.Store.Put(ctx, key, value, version)
+}
+
+// TestReleaseIsNotOvertaken guards against an instance that takes over its own lease while it releases it, and writes the released
+// record of the lease before over the new one, whose token is then issued twice.
+func TestReleaseIsNotOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		platform := standin.NewPlatform()
+		engine := &fakeEngine{models: map[string][]string{}}
+		h := newTestHolder("a", platform, engine, time.Second, "m1")
+		ctx, stop := context.WithCancel(t.Context())
+		takeOverFrom(ctx, t, h)
+		h.store = slowStore{platform}
+		released := make(chan struct{})
+		go func() {
+			h.Release(ctx)
+			close(released)
+		}()
+		time.Sleep(500 * time.Millisecond)
+		record, revision, err := h.Current(ctx)
+		if err != nil || h.Holds() {
+			t.Fatalf("%v, holds %t", err, h.Holds())
+		}
+		if err := h.TakeOver(ctx, record, revision, "own"); !errors.Is(err, store.ErrConflict) {
+			t.Errorf("taken over during the release: %v", err)
+		}
+		<-released
+		record, _, err = h.Current(ctx)
+		if err != nil || !record.Released || record.Fence != 1 {
+			t.Errorf("%+v, %v; want the first lease, released", record, err)
+		}
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -70,6 +70,10 @@
 	workers            map[string]*worker // by engine; guarded by mu
 	// failingSince is when renewals began to fail. It is zero while they succeed; guarded by mu.
 	failingSince time.Time
+	// reached returns the fraction of the engines that this instance reaches, and fewReachedSince is since when it
+	// is so small that the lease is to be given up; zero if it is not. fewReachedSince is guarded by mu.
+	reached         func() float64
+	fewReachedSince time.Time
 	// outageID numbers the outages in which this instance cannot reach the store, and inOutage reports whether there
 	// is one now; guarded by mu.
 	outageID uint64
@@ -83,6 +87,8 @@
 	speeds *balance.SpeedLearner
 	// speedReporter reports speeds to the operator; guarded by mu.
 	speedReporter speedReporter
+	// releasing is set while the lease is being released; guarded by mu.
+	releasing bool
 	// surrendered is the released record under which this instance has promised to send no more orders; guarded by
 	// mu.
 	surrendered lease.Record
@@ -117,7 +123,7 @@
 		workers: map[string]*worker{}, uses: recentUses{until: map[use]time.Time{}}, pacing: newDispatchPacing(),
 		speeds: balance.NewSpeedLearner(),
 		era:    unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{},
-		outageStart: func() (none time.Time) { return },
+		outageStart: func() (none time.Time) { return }, reached: func() float64 { return 1 },
 	}
 }
 
@@ -151,6 +157,10 @@
 			h.dropRoom()
 			continue
 		}
+		if h.handOverDue(clock.Now()) {
+			h.handOver(ctx)
+			continue
+		}
 		h.tick(clock.Now())
 	}
 }
--- a/command/holder/lease.go
+++ b/command/holder/lease.go
@@ -49,6 +49,10 @@
 // store.ErrConflict if the record has changed since.
 func (h *Holder) TakeOver(ctx context.Context, current lease.Record, revision store.Revision, cause string) error {
 	h.mu.Lock()
+	if h.releasing {
+		h.mu.Unlock()
+		return store.ErrConflict // the record is about to change
+	}
 	era := max(0, h.era, revision.Era())
 	current = h.recordToReplace(current, era)
 	candidate := h.lease.Candidate(current, era, h.params.Address)
@@ -90,8 +94,10 @@
 }
 
 // Release gives up the lease, so that a successor need not wait for its validity to end. No order is sent after
-// Release has started.
+// Release has started, and this instance does not take the lease again before Release has ended.
 func (h *Holder) Release(ctx context.Context) {
+	h.setReleasing(true)
+	defer h.setReleasing(false)
 	record, revision, ok := h.stopOrders()
 	if !ok {
 		return
@@ -110,6 +116,13 @@
 	}
 }
 
+// setReleasing records whether the lease is being released.
+func (h *Holder) setReleasing(releasing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.releasing = releasing
+}
+
 // stopOrders gives up the lease and waits for the responses to orders that passed the check before. ok is false if
 // there is nothing to hand over.
 func (h *Holder) stopOrders() (record lease.Record, revision store.Revision, ok bool) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -133,6 +133,8 @@
 	i.watcher = newWatcher(i.client, i.dir, i.backends, i.balancer, i.holder.Holds, maxUpdateAge, log)
 	i.watcher.onNewEra, i.watcher.onRestored = i.holder.ObserveEra, i.handleStoreRestored
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holderParams.Quota.Lifetime)
+	i.holder.SetReach(i.reachedEngines)
+	i.follower.reached, i.follower.reachesEngine = i.reachedEngines, i.reachesEngine
 	i.follower.limiter, i.follower.address = i.limiter, s.PeerAddress()
 	i.holder.SetRunsAsker(i.follower.askRunsEnd)
 	i.follower.balancer = i.balancer
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -128,6 +128,10 @@
 	desk *waitlist.Desk
 	// balancer learns the speeds of engines; nil if they are not to be learnt. Set before run.
 	balancer *balance.Balancer
+	// reached returns the fraction of the engines that this instance reaches, and reachesEngine tries whether it reaches
+	// any; set before run.
+	reached       func() float64
+	reachesEngine func(ctx context.Context) bool
 	// reported is the number of instances that a holder last reported, 0 before that. The balancer and the connections
 	// to servers read it under their own locks, so it needs none.
 	reported atomic.Int64
@@ -165,6 +169,7 @@
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
 		arrivals: map[string]*holder.Arrivals{}, running: map[unitOnEngine]int{}, waiting: map[string]map[*waitingRequest]struct{}{}, cachedPlaces: map[forward.PlaceRequest]cachedPlace{}, instances: assumedInstances, minInterval: exchangeInterval,
 		reportRequested: make(chan struct{}, 1), ledger: quarantine.NewLedger(), shares: quota.NewShares(0), desk: waitlist.NewDesk(), onEscalations: func([]quarantine.Escalation) {},
+		reached: func() float64 { return 1 }, reachesEngine: func(context.Context) bool { return true },
 	}
 }
 
@@ -291,6 +296,7 @@
 		r.Waiting[model] = f.waitingFor(model, clock.Now())
 	}
 	r.Speeds = f.balancer.TakeSpeedSamples()
+	r.Reached = f.reached()
 	return f.record, &ExchangeArgs{Report: r, Crashes: f.ledger.NextMessage(f.link, clock.Now())}
 }
 
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -89,3 +91,68 @@
 func (i *Instance) newTunnelServer() *http.Server {
 	return &http.Server{Handler: i.tunnels, ReadHeaderTimeout: tunnelHeaderTimeout}
 }
+
+// reachedEngines returns the fraction of the engines that this instance reaches; 1 if there are none. An engine that was
+// not tried counts as in reach unless the instance is isolated from its service.
+func (i *Instance) reachedEngines() float64 {
+	if i.paths.tracker.Unreached() == 0 {
+		return 1
+	}
+	engines, reached := i.engines(), 0
+	for _, s := range engines {
+		if i.paths.tracker.Reaches(s) && !i.paths.tracker.Isolated(s.Service) {
+			reached++
+		}
+	}
+	if len(engines) == 0 {
+		return 1
+	}
+	return float64(reached) / float64(len(engines))
+}
+
+// engines returns the engines that are not leaving.
+func (i *Instance) engines() []serving.Server {
+	config := i.dir.Config()
+	if config == nil {
+		return nil
+	}
+	return slices.DeleteFunc(i.dir.All(), func(s serving.Server) bool {
+		return s.Draining || config.Services[s.Service].Engine == nil
+	})
+}
+
+const (
+	// enginesTried is the number of engines that an instance connects to before it takes over the lease: some may be
+	// down.
+	enginesTried = 3
+	// engineTryTimeout bounds that.
+	engineTryTimeout = 300 * time.Millisecond
+)
+
+// reachesEngine tries whether this instance can connect to an engine. It returns true if there is none.
+func (i *Instance) reachesEngine(ctx context.Context) bool {
+	engines := i.engines()
+	if len(engines) == 0 {
+		return true
+	}
+	rand.Shuffle(len(engines), func(a, b int) { engines[a], engines[b] = engines[b], engines[a] })
+	engines = engines[:min(enginesTried, len(engines))]
+	ctx, cancel := context.WithTimeout(ctx, engineTryTimeout)
+	defer cancel()
+	reached := make(chan bool, len(engines))
+	for _, s := range engines {
+		go func() {
+			conn, err := i.backends.Connect(ctx, s)
+			if err == nil {
+				_ = conn.Close()
+			}
+			reached <- err == nil
+		}()
+	}
+	for range engines {
+		if <-reached {
+			return true
+		}
+	}
+	return false
+}
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -34,6 +34,9 @@
 	// would take over. It is longer than the interval between two reports, so that the strong
 	// instances have noticed the loss by then.
 	takeoverSpread = 1500 * time.Millisecond
+	// isolatedTakeoverDelay is how much later an instance takes over that reaches no engine, so that one that does goes
+	// first. If there is none, somebody still has to lend limits and relay the store.
+	isolatedTakeoverDelay = time.Second
 	// takeoverJitter spreads the attempts of instances that suspect the holder at the same time.
 	takeoverJitter = 200 * time.Millisecond
 	// votersPerDomain is the number of instances of each failure domain that are asked before a
@@ -117,7 +120,7 @@
 	if vacant.Fence == 0 && !pause.For(ctx, registrationWait) {
 		return
 	}
-	if !f.yieldToStronger(ctx) || f.knownFence() > max(vacant.Fence, lease.FenceBase(era)) {
+	if !f.yieldToBetter(ctx) || f.knownFence() > max(vacant.Fence, lease.FenceBase(era)) {
 		return // ctx has ended, or another holder has announced itself
 	}
 	record, revision, err := f.holder.Current(ctx)
@@ -178,7 +181,7 @@
 	f.mu.Lock()
 	suspect, unanswered := f.record.Holder, clock.Since(f.lastAnswer)
 	f.mu.Unlock()
-	if !f.yieldToStronger(ctx) {
+	if !f.yieldToBetter(ctx) {
 		return
 	}
 	asked, answered, reached := f.pollReachability(ctx, suspect)
@@ -193,12 +196,26 @@
 	f.takeOver(ctx, record, revision, "silent")
 }
 
-// yieldToStronger waits to let instances with more processor time go first. The holder's load grows
-// with the fleet, and a holder without enough processor time would soon be suspected itself.
-func (f *follower) yieldToStronger(ctx context.Context) bool {
-	return pause.For(ctx, f.members.takeoverDelay(ctx, takeoverSpread)+rand.N(takeoverJitter))
+// yieldToBetter waits to let instances that reach engines, and those with more processor time, go first. The holder's load
+// grows with the fleet, and a holder without enough processor time would soon be suspected itself. It returns false if
+// another holder is known before the time is over.
+func (f *follower) yieldToBetter(ctx context.Context) bool {
+	known := f.knownFence()
+	wait := f.members.takeoverDelay(ctx, takeoverSpread) + rand.N(takeoverJitter)
+	if !f.reachesEngine(ctx) {
+		wait += isolatedTakeoverDelay
+	}
+	for until := clock.Now().Add(wait); clock.Now().Before(until); {
+		if !pause.For(ctx, min(takeoverPoll, clock.Until(until))) || f.knownFence() > known {
+			return false
+		}
+	}
+	return true
 }
 
+// takeoverPoll is how often an instance that is about to take over checks whether another one has.
+const takeoverPoll = 100 * time.Millisecond
+
 // pollReachability asks a few instances of each failure domain concurrently whether the holder answers
 // them. asked is the number of those asked, and answered the number of those that answered.
 func (f *follower) pollReachability(ctx context.Context, suspect string) (asked, answered int, reached bool) {
