Servers that end when they reject too much are spared

What a server states is kept and exchanged like its limits (backpressure). command/brittle bounds what one instance has in flight at such a server: its part of the slots, or half of what others are reported to leave free, since only what exceeds the room is rejected; in fleets with more instances than slots a drawn part of them sends. After a rejection the instance pauses for so long that all instances together stay at half of N, and halves its part. The gate is asked right before each send. A request waits for room for a quarter of its objective, 250 ms at most, and is then refused with a Retry-After.

--- a/command/backpressure/backpressure.go
+++ b/command/backpressure/backpressure.go
@@ -22,7 +22,7 @@
 // call.
 const Transit = 500 * time.Millisecond
 
-// Limit is the known limit of a server. Its times are by this instance's clock.
+// Limit is what is known of the limits of a server. Its times are by this instance's clock.
 type Limit struct {
 	Server string
 	Born   int64
@@ -30,6 +30,9 @@
 	// requests without a limit.
 	Advertised bool
 	Rate       float64
+	// Brittle is set if the server states that it ends if it has to reject more than Tolerated requests in a second.
+	Brittle   bool
+	Tolerated int
 	// SentAt is when the request was sent whose answer had the advisory, and ReadAt when that answer was
 	// read.
 	SentAt, ReadAt time.Time
@@ -41,13 +44,15 @@
 	Born              int64
 	Named             bool
 	Rate              float64
+	Brittle           bool
+	Tolerated         int
 	SentAge, HeardAge time.Duration
 }
 
 // snapshot returns the limit as sent to other instances.
 func (l Limit) snapshot(now time.Time) Snapshot {
 	return Snapshot{
-		Server: l.Server, Born: l.Born, Named: l.Advertised, Rate: l.Rate,
+		Server: l.Server, Born: l.Born, Named: l.Advertised, Rate: l.Rate, Brittle: l.Brittle, Tolerated: l.Tolerated,
 		SentAge: now.Sub(l.SentAt), HeardAge: now.Sub(l.ReadAt),
 	}
 }
@@ -55,14 +60,16 @@
 // limit returns a received snapshot by this instance's clock.
 func (s Snapshot) limit(now time.Time) Limit {
 	return Limit{
-		Server: s.Server, Born: s.Born, Advertised: s.Named, Rate: s.Rate,
+		Server: s.Server, Born: s.Born, Advertised: s.Named, Rate: s.Rate, Brittle: s.Brittle, Tolerated: s.Tolerated,
 		SentAt: now.Add(-s.SentAge - Transit), ReadAt: now.Add(-s.HeardAge),
 	}
 }
 
 // limitOf returns the limit in a server's advisory.
 func limitOf(a serving.Advisory) Limit {
-	return Limit{Server: a.Server, Born: a.Born, Advertised: a.Limited, Rate: a.Rate, SentAt: a.SentAt, ReadAt: a.ReceivedAt}
+	return Limit{
+		Server: a.Server, Born: a.Born, Advertised: a.Limited, Rate: a.Rate, Brittle: a.Brittle, Tolerated: a.Tolerated, SentAt: a.SentAt, ReadAt: a.ReceivedAt,
+	}
 }
 
 // supersedes reports whether l replaces the known limit.
@@ -83,10 +90,13 @@
 
 // stricter reports whether l allows fewer requests than other.
 func (l Limit) stricter(other Limit) bool {
-	return l.Advertised && (!other.Advertised || l.Rate < other.Rate)
+	if l.Advertised != other.Advertised || l.Rate != other.Rate {
+		return l.Advertised && (!other.Advertised || l.Rate < other.Rate)
+	}
+	return l.Brittle && (!other.Brittle || l.Tolerated < other.Tolerated)
 }
 
 // equivalent reports whether two limits of the same process have the same value.
 func (l Limit) equivalent(other Limit) bool {
-	return l.Born == other.Born && l.Advertised == other.Advertised && l.Rate == other.Rate
+	return l.Born == other.Born && l.Advertised == other.Advertised && l.Rate == other.Rate && l.Brittle == other.Brittle && l.Tolerated == other.Tolerated
 }
--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -59,7 +59,7 @@
 	defer l.mu.Unlock()
 	e := l.entries[a.Server]
 	if e == nil {
-		if !a.Limited && a.RetryAfter == 0 && a.Unreadable == "" {
+		if !a.Limited && !a.Brittle && a.RetryAfter == 0 && a.Unreadable == "" {
 			return c // most servers never send advisories
 		}
 		e = l.add(a.Server)
@@ -85,7 +85,7 @@
 // updateLimit sets the limit unless a newer one is known, and reports whether that changed anything.
 // l.mu must be held.
 func (l *Ledger) updateLimit(e *entry, limit Limit) bool {
-	if !e.known && !limit.Advertised {
+	if !e.known && !limit.Advertised && !limit.Brittle {
 		return false
 	}
 	if e.known && e.limit.equivalent(limit) {
@@ -159,6 +159,18 @@
 	return e.limit.Rate, true
 }
 
+// Brittle returns how many requests in a second a server can reject for lack of room; brittle is false if it does not
+// state that it ends if it has to reject more.
+func (l *Ledger) Brittle(s serving.Server) (tolerated int, brittle bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entries[s.ID]
+	if e == nil || !e.known || !e.limit.Brittle || !s.MayBeSameProcess(e.limit.Born) {
+		return 0, false
+	}
+	return e.limit.Tolerated, true
+}
+
 // accountingRetention is how long the sends to a server are still accounted for after it has withdrawn
 // its limit: if it advertises one again, the accounting must not restart with the full saved-up amount.
 // It is longer than a limit's window.
@@ -232,7 +244,7 @@
 	for _, s := range list {
 		e := l.entries[s.Server]
 		if e == nil {
-			if !s.Named {
+			if !s.Named && !s.Brittle {
 				continue
 			}
 			e = l.add(s.Server)
@@ -247,6 +259,18 @@
 	return changed
 }
 
+// CountBrittle returns the number of servers that state that they are brittle.
+func (l *Ledger) CountBrittle() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		if e.known && e.limit.Brittle {
+			n++
+		}
+	}
+	return n
+}
+
 // Count returns the number of servers that advertise a limit, and of those that accept nothing from
 // this instance because of a retry-after period.
 func (l *Ledger) Count(now time.Time) (limited, resting int) {
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -96,6 +96,9 @@
 			wait = clock.Until(ready)
 		}
 		if server.ID == "" && !t.serverLimits.nextAvailable.IsZero() {
+			if t.roomWaitOver(clock.Now()) {
+				return serving.Server{}, t.heldBackFailure(clock.Until(t.serverLimits.nextAvailable))
+			}
 			wait = min(wait, clock.Until(t.serverLimits.nextAvailable))
 		}
 		if wait <= 0 && server.ID != "" {
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -72,6 +72,11 @@
 	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
 }
 
+// brittleRejection counts a request that a brittle server rejected.
+func (c *Counts) brittleRejection(service string) {
+	c.set.GetOrCreateCounter(`martenport_brittle_rejections_total{service="` + service + `"}`).Inc()
+}
+
 // waitEstimateError records the difference between the estimated and the actual wait.
 func (c *Counts) waitEstimateError(estimated, waited time.Duration) {
 	if waited >= estimated {
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -18,6 +18,7 @@
 
 	"github.com/martenport/martenport/command/access"
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
@@ -133,6 +134,7 @@
 	guard    Guard
 	access   Access
 	limiter  ServerLimiter
+	gate     *brittle.Gate
 	log      logrus.FieldLogger
 	counts   *Counts
 	waitlist Waitlist
@@ -155,6 +157,7 @@
 	Guard     Guard
 	Access    Access
 	Limiter   ServerLimiter
+	Gate      *brittle.Gate
 	Counts    *Counts
 	Log       logrus.FieldLogger
 	// Waitlist lets refused requests return in order; nil if they are not to.
@@ -169,7 +172,7 @@
 func New(p Params, d Dependencies) *Forwarder {
 	f := &Forwarder{
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
-		guard: d.Guard, access: d.Access, limiter: d.Limiter, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
+		guard: d.Guard, access: d.Access, limiter: d.Limiter, gate: d.Gate, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
 		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
--- a/command/forward/serverlimiter.go
+++ b/command/forward/serverlimiter.go
@@ -25,6 +25,9 @@
 	// RetryAfterUntil returns until when this instance must not send to a server, or the zero time
 	// if it may.
 	RetryAfterUntil(s serving.Server) time.Time
+	// Brittle returns how many requests in a second a server can reject for lack of room; brittle is false if it does
+	// not state that it ends if it has to reject more.
+	Brittle(s serving.Server) (tolerated int, brittle bool)
 	// Limited reports whether a server limits the requests it accepts. spareFrom is the estimated
 	// earliest time at which it can accept a request that could also be sent elsewhere.
 	Limited(s serving.Server) (limited bool, spareFrom time.Time)
@@ -93,9 +96,9 @@
 }
 
 // notBefore returns the earliest time at which the request may be sent to the server, given the
-// server's Retry-After and the last answer to a request for permission.
+// server's Retry-After, the last answer to a request for permission, and its room if it is brittle.
 func (t *transaction) notBefore(s serving.Server) time.Time {
-	return latest(t.f.limiter.RetryAfterUntil(s), t.serverLimits.retryAt[s.ID])
+	return latest(latest(t.f.limiter.RetryAfterUntil(s), t.serverLimits.retryAt[s.ID]), t.brittleNotBefore(s, clock.Now()))
 }
 
 // addUnavailable records that a server is unavailable until a given time.
--- a/command/forward/serverlimiter_test.go
+++ b/command/forward/serverlimiter_test.go
@@ -25,6 +25,8 @@
 	// be sent elsewhere.
 	after                  time.Duration
 	spare, returned, asked int
+	// brittle is how many rejections each brittle server tolerates.
+	brittle map[string]int
 	// onAdmit is called during each request for permission.
 	onAdmit func(s serving.Server)
 }
@@ -33,6 +35,11 @@
 	return l.retryAfterUntil[s.ID]
 }
 
+func (l *fakeServerLimiter) Brittle(s serving.Server) (int, bool) {
+	tolerated, brittle := l.brittle[s.ID]
+	return tolerated, brittle
+}
+
 func (l *fakeServerLimiter) Limited(s serving.Server) (bool, time.Time) {
 	_, limited := l.limits[s.ID]
 	return limited, time.Time{}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -62,6 +62,8 @@
 	// roomAt is when the first of the engines that have the unit and are full may have room; the zero
 	// time if none is full. It is set by each choice of an engine.
 	roomAt time.Time
+	// roomWaitUntil is until when the request waits for room at brittle servers; zero before it waits.
+	roomWaitUntil time.Time
 	// trial is the permission of a suspect to run; zero if there is none.
 	trial Trial
 	// last is the failure of the last attempt; nil before.
@@ -142,6 +144,11 @@
 			t.endTrial(server, false)
 			return t.finalFailure(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
+		if !t.beginSend(server) {
+			t.refundAdmission()
+			t.endTrial(server, false)
+			continue
+		}
 		answered, failure := t.attempt(ctx, server)
 		t.serverLimits.refund = nil
 		if answered {
@@ -252,6 +259,7 @@
 	}
 	t.beginOnlyRun(&a)
 	resp, err := t.f.sender.Send(ctx, a)
+	defer t.endSend(server, resp)
 	if resp != nil {
 		t.via = resp.Via
 	}
--- a/directory/views.go
+++ b/directory/views.go
@@ -152,6 +152,17 @@
 	return found
 }
 
+// OthersOn returns the number of running requests of other instances on an engine, as last reported by the holder; known is
+// false if there was no report within viewTTL, or the server is no engine that the holder reports on.
+func (d *Directory) OthersOn(id string, now time.Time) (n int, known bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if _, viewed := d.views[id]; !viewed || now.Sub(d.lastUpdate) >= viewTTL {
+		return 0, false
+	}
+	return d.otherInstancesLoads[id], true
+}
+
 // UnitsOn returns the units that are or will be ready on an engine: according to the holder's view or, without one,
 // the engine's announcement.
 func (d *Directory) UnitsOn(id string) []serving.Unit {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,6 +17,7 @@
 
 	"github.com/martenport/martenport/command/backpressure"
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/quarantine"
@@ -158,7 +159,7 @@
 	i.access = newAccessControl(i.follower, i.settings.Load, i.set)
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
-		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter,
+		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter, Gate: brittle.NewGate(s.NodeName, i.follower.knownInstances),
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends,
 	})
 	i.backends.SetMetrics(i.set)
--- a/entry/serverlimiter.go
+++ b/entry/serverlimiter.go
@@ -60,6 +60,7 @@
 	}
 	gauge("martenport_servers_limited", func(limited, _ int) int { return limited })
 	gauge("martenport_servers_resting", func(_, resting int) int { return resting })
+	set.NewGauge("martenport_servers_brittle", func() float64 { return float64(i.ledger.CountBrittle()) })
 	set.NewGauge("martenport_servers_leaving", func() float64 { return float64(len(dir.LeavingServers())) })
 	return i
 }
@@ -75,7 +76,7 @@
 	}
 	log := i.log.WithFields(logrus.Fields{"server": w.Server, "born": w.Born, "sent_ms": clock.Since(w.SentAt).Milliseconds()})
 	if changed.Limit {
-		log.WithFields(logrus.Fields{"limited": w.Limited, "rate": w.Rate, "source": "answer"}).Info("server's limit changed")
+		log.WithFields(logrus.Fields{"limited": w.Limited, "rate": w.Rate, "brittle": w.Brittle, "tolerated": w.Tolerated, "source": "answer"}).Info("server's limit changed")
 		i.reportChange()
 		// Read now because the store may be unavailable when the list is needed.
 		go i.members.lastKnown(store.WithStaleReads(context.Background()))
@@ -127,7 +128,7 @@
 func (i *serverLimiter) mergeLimits(snapshots []backpressure.Snapshot, source string) {
 	for _, l := range i.ledger.Merge(snapshots, clock.Now()) {
 		i.log.WithFields(logrus.Fields{
-			"server": l.Server, "born": l.Born, "sent_ms": clock.Since(l.SentAt).Milliseconds(), "limited": l.Advertised, "rate": l.Rate, "source": source,
+			"server": l.Server, "born": l.Born, "sent_ms": clock.Since(l.SentAt).Milliseconds(), "limited": l.Advertised, "rate": l.Rate, "brittle": l.Brittle, "tolerated": l.Tolerated, "source": source,
 		}).Info("server's limit changed")
 	}
 }
@@ -137,6 +138,11 @@
 	return i.ledger.RetryAfterUntil(s)
 }
 
+// Brittle implements forward.ServerLimiter.
+func (i *serverLimiter) Brittle(s serving.Server) (tolerated int, brittle bool) {
+	return i.ledger.Brittle(s)
+}
+
 // Limited implements forward.ServerLimiter.
 func (i *serverLimiter) Limited(s serving.Server) (limited bool, spareFrom time.Time) {
 	if _, limited = i.ledger.Limit(s); !limited {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -72,12 +72,14 @@
 
 	arrivals     arrivalLog
 	backpressure backpressureState
+	brittle      brittleState
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
 	loading            string                     // guarded by mu
 	sequence           int64                      // guarded by mu
 	state              string                     // guarded by mu
+	fell               bool                       // whether it ended because of rejections; guarded by mu
 	endedBy            string                     // the body of the request that crashed it; guarded by mu
 	entrySequence      int64                      // number of entries written; guarded by mu
 	orders             []ReceivedOrder            // guarded by mu
@@ -205,6 +207,8 @@
 	Violations []string
 	// EndedBy is the body of the request that crashed the server, or "".
 	EndedBy string
+	// Fell is set if the server ended because it had to reject too many requests.
+	Fell bool
 	// Arrivals are the latest attempts, and Forgotten is the number of older ones dropped.
 	Arrivals  []Arrival
 	Forgotten int
@@ -214,10 +218,10 @@
 func (s *Server) State() State {
 	arrived, forgotten := s.arrivals.all()
 	s.mu.Lock()
-	endedBy := s.endedBy
+	endedBy, fell := s.endedBy, s.fell
 	s.mu.Unlock()
 	return State{
-		EndedBy: endedBy, Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
+		EndedBy: endedBy, Fell: fell, Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
 	}
 }
 
@@ -280,6 +284,12 @@
 			s.freeBackup(w, handle)
 			return
 		}
+		if id != "" && !s.admit(w, id) {
+			return
+		}
+		if id != "" {
+			defer s.brittle.end()
+		}
 		s.serveRequest(w, r)
 	}
 }
--- a/serving/advisory.go
+++ b/serving/advisory.go
@@ -17,6 +17,10 @@
 	// Limited is set if the server accepts at most Rate requests per second from all instances together.
 	Limited bool
 	Rate    float64
+	// Brittle is set if the server ends if it has to reject more than Tolerated requests in a second for lack of room,
+	// over all instances.
+	Brittle   bool
+	Tolerated int
 	// RetryAfter is how long the server wants no requests from this instance; 0 if it does not state that.
 	RetryAfter time.Duration
 	// Unreadable lists what could not be parsed, "" if everything could. LimitUnknown is set if the advisory does not
