--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -30,7 +30,8 @@
 // between probes. It is the shortest that the kernel supports.
 const probeInterval = time.Second
 
-// probeCount is the kernel's own limit on unanswered probes; UnackedTimeout takes effect first.
+// probeCount is the kernel's own limit on unanswered probes. The kernel applies UnackedTimeout to probes instead, whatever
+// their count: an idle connection ends at the first probe that is due after it.
 const probeCount = 3
 
 // Dial connects to a TCP address.
