A server that counts as ended although it runs is used again

Cause: while several instances lose their paths at the same moment, none of them can tell that from the end of a server, and 'ended' was for good: nothing was sent there, so nothing could show that the server runs.

A server that counts as ended and is still announced is probed once a second, and used again if it answers.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -164,6 +165,36 @@
 	c.countEnd(incarnation, attempts, now)
 }
 
+// recheckEnded probes the servers that count as ended although they are still announced. While several instances lose
+// their paths at the same moment, none of them can tell that from the end of a server.
+func (c *crashDetector) recheckEnded() {
+	for _, incarnation := range c.matchingIncarnations(func(w *incarnationWatch) bool { return w.ended }) {
+		if s, known := c.dir.Server(incarnation.Server); known && quarantine.IncarnationOf(s) == incarnation {
+			go c.recheck(incarnation, s)
+		}
+	}
+}
+
+// recheck drops the end of a server that runs.
+func (c *crashDetector) recheck(incarnation quarantine.Incarnation, s serving.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	presence := c.backends.Presence(ctx, s, c.isEngine(s))
+	if presence != serving.PresenceRunning && presence != serving.PresenceConnects {
+		return
+	}
+	c.mu.Lock()
+	w := c.incarnations[incarnation]
+	revived := w != nil && w.ended
+	if revived {
+		delete(c.incarnations, incarnation)
+	}
+	c.mu.Unlock()
+	if revived {
+		c.log.WithFields(logrus.Fields{"server": s.ID, "born": s.Born, "service": s.Service}).Warn("server that counted as ended runs")
+	}
+}
+
 // countEnd counts the end of an incarnation against requests.
 func (c *crashDetector) countEnd(incarnation quarantine.Incarnation, attempts []timedAttempt, now time.Time) {
 	if s, known := c.dir.Server(incarnation.Server); known && s.Draining && s.Born == incarnation.Born {
@@ -240,6 +271,7 @@
 	if len(escalations)+len(dropped) > 0 {
 		c.quarantine.recordChange(escalations)
 	}
+	c.recheckEnded()
 	for _, incarnation := range c.matchingIncarnations(func(w *incarnationWatch) bool { return now.Sub(w.lastChange) > brokenAttemptRetention }) {
 		c.forget(incarnation)
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -73,6 +73,7 @@
 	arrivals     arrivalLog
 	backpressure backpressureState
 	brittle      brittleState
+	pause        pauseState
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
@@ -252,6 +253,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.pause.wait()
 	signals := s.backpressure.write(w.Header())
 	id := r.Header.Get("Martenport-Attempt-Id")
 	if id != "" {
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -87,6 +87,7 @@
 		if cut && i == from+3 {
 			panic(http.ErrAbortHandler)
 		}
+		s.pause.wait()
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Header.Get("Martenport-Model")); err != nil {
 			return
 		}
