martensoak: engines that are brittle, and servers that pause

That an instance loses its path to servers cannot be played between real processes on loopback without means that the soak does not have (a proxy that resets has accepted the connection first); TestIsolationHistory plays it with whole instances in one process.

--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -125,9 +125,9 @@
 	return c.writeState(s.State())
 }
 
-// writeState writes what the server has observed to the state file, if a request ended it.
+// writeState writes what the server has observed to the state file, if a request or rejections ended it.
 func (c *serverCommand) writeState(state standin.State) error {
-	if c.State == "" || state.EndedBy == "" {
+	if c.State == "" || state.EndedBy == "" && !state.Fell {
 		return nil
 	}
 	text, err := json.Marshal(state)
--- a/internal/standin/backpressure.go
+++ b/internal/standin/backpressure.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"sync"
 )
 
@@ -32,14 +31,11 @@
 }
 
 // PathBackpressure is the path that calls SetBackpressure: POST with ?limit=, &rest=, &brittle= and &leaving=true or false.
-// A server that states that it is brittle is.
 const PathBackpressure = "/standin/say"
 
 func (s *Server) serveBackpressure(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.SetBackpressure(Backpressure{Limit: q.Get("limit"), Rest: q.Get("rest"), Leaving: q.Get("leaving") == "true", Brittle: q.Get("brittle")})
-	tolerated, err := strconv.Atoi(q.Get("brittle"))
-	s.SetBrittle(err == nil, tolerated)
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/standin/brittle.go
+++ b/internal/standin/brittle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -26,6 +27,19 @@
 	s.brittle.brittle, s.brittle.tolerated, s.brittle.rejected = on, tolerated, nil
 }
 
+// PathBrittle is the path that calls SetBrittle: POST with ?on=true or false, and &tolerated=.
+const PathBrittle = "/standin/brittle"
+
+func (s *Server) serveBrittle(w http.ResponseWriter, r *http.Request) {
+	tolerated, err := strconv.Atoi(r.URL.Query().Get("tolerated"))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.SetBrittle(r.URL.Query().Get("on") == "true", tolerated)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // begin counts a request that begins to run, and reports whether there is room for it. falls is set if the server ends
 // because it had to reject too many.
 func (b *brittleState) begin(now time.Time) (admitted, falls bool) {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -281,6 +281,8 @@
 		s.serveFault(w, r)
 	case PathBackpressure:
 		s.serveBackpressure(w, r)
+	case PathBrittle:
+		s.serveBrittle(w, r)
 	default:
 		if handle, found := strings.CutPrefix(r.URL.Path, pathHandles); found && r.Method == http.MethodDelete {
 			s.freeBackup(w, handle)
--- a/soak/backpressure.go
+++ b/soak/backpressure.go
@@ -59,9 +59,18 @@
 
 // setBackpressure sets what a server reports in its answers. It does nothing if the server does not answer.
 func (r *run) setBackpressure(server int, b standin.Backpressure) {
-	query := url.Values{"limit": {b.Limit}, "rest": {b.Rest}, "leaving": {strconv.FormatBool(b.Leaving)}}
+	r.postToServer(server, standin.PathBackpressure, url.Values{"limit": {b.Limit}, "rest": {b.Rest}, "brittle": {b.Brittle}, "leaving": {strconv.FormatBool(b.Leaving)}})
+}
+
+// setBrittle sets whether a server ends if it has to reject more than toleratedRejections in a second.
+func (r *run) setBrittle(server int, on bool) {
+	r.postToServer(server, standin.PathBrittle, url.Values{"on": {strconv.FormatBool(on)}, "tolerated": {strconv.Itoa(toleratedRejections)}})
+}
+
+// postToServer posts to a server. It does nothing if the server does not answer.
+func (r *run) postToServer(server int, path string, query url.Values) {
 	client := http.Client{Timeout: time.Second}
-	resp, err := client.Post("http://"+r.serverAddresses[server]+standin.PathBackpressure+"?"+query.Encode(), "", nil)
+	resp, err := client.Post("http://"+r.serverAddresses[server]+path+"?"+query.Encode(), "", nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,7 +88,7 @@
 	e, s, service := r.random.IntN(len(r.entries)), r.random.IntN(len(r.servers)), services[r.random.IntN(len(services))]
 	entry, server, storeProxy, serverProxy := r.entries[e], r.servers[s], r.storeProxies[e], r.serverProxies[s]
 	restart := func(p *process) func() { return func() { _ = p.start() } } // a failed start shows up in the recovery checks
-	kind := r.random.IntN(23)
+	kind := r.random.IntN(25)
 	if storeKinds := kind >= 7 && kind <= 9; storeKinds && !storeAllowed {
 		kind = 13
 	}
@@ -129,6 +129,10 @@
 		return r.poisonFault(ctx)
 	case 20, 21, 22:
 		return r.backpressureFault(ctx, s)
+	case 23:
+		return r.brittleFault(ctx)
+	case 24:
+		return r.pauseFault(s)
 	default:
 		return fault{"configuration", func() { _ = r.writeConfig(ctx) }, noop} // if the store is unavailable, a later fault writes the next one
 	}
@@ -169,6 +173,7 @@
 	}
 	for i := range r.servers {
 		r.setBackpressure(i, standin.Backpressure{})
+		r.setBrittle(i, false)
 	}
 	for _, p := range append(append([]*proxy{}, r.storeProxies...), r.serverProxies...) {
 		p.setMode(passAll)
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -98,7 +98,7 @@
 	return filepath.Join(r.logs, fmt.Sprintf("server-%d-start-%d.state", engine, start))
 }
 
-// superviseEngine restarts an engine after a request has crashed it, until ctx is done.
+// superviseEngine restarts an engine after a request or rejections have ended it, until ctx is done.
 func (r *run) superviseEngine(ctx context.Context, i int) {
 	p, proxy := r.servers[i], r.serverProxies[i]
 	for pause.For(ctx, 20*time.Millisecond) {
@@ -120,7 +120,7 @@
 	}
 }
 
-// recordCrash adds the state of an engine that a request crashed to the history, and reports whether there is
+// recordCrash adds the state of an engine that a request or rejections ended to the history, and reports whether there is
 // such a state.
 func (r *run) recordCrash(engine, starts int) bool {
 	data, err := os.ReadFile(r.stateFile(engine, starts-1))
@@ -132,6 +132,10 @@
 		return false
 	}
 	r.history.addServerState(fmt.Sprintf("%s start %d", r.servers[engine].name, starts), state)
+	if state.Fell {
+		r.falls.record()
+		return true
+	}
 	r.poisons.mu.Lock()
 	defer r.poisons.mu.Unlock()
 	r.poisons.crashes[state.EndedBy] = append(r.poisons.crashes[state.EndedBy], time.Now())
