--- a/command/reachability/reachability.go
+++ b/command/reachability/reachability.go
@@ -93,11 +93,7 @@
 func (t *Tracker) Failed(s serving.Server, now time.Time) (c Change) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.servers[s.ID]
-	if p == nil {
-		p = &path{service: s.Service}
-		t.servers[s.ID] = p
-	}
+	p := t.path(s)
 	c.Path = !p.broken
 	p.broken, p.nextProbe = true, now.Add(probeInterval)
 	was := t.isolated(s.Service)
@@ -107,6 +103,16 @@
 	return c
 }
 
+// path returns the state of the path to a server. t.mu must be held.
+func (t *Tracker) path(s serving.Server) *path {
+	p := t.servers[s.ID]
+	if p == nil {
+		p = &path{service: s.Service}
+		t.servers[s.ID] = p
+	}
+	return p
+}
+
 // failing returns what failed since the last success under a key of services. t.mu must be held.
 func (t *Tracker) failing(key string) map[string]struct{} {
 	i := t.services[key]
@@ -133,11 +139,7 @@
 func (t *Tracker) ProbeDue(s serving.Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.servers[s.ID]
-	if p == nil {
-		p = &path{service: s.Service}
-		t.servers[s.ID] = p
-	}
+	p := t.path(s)
 	if now.Before(p.nextProbe) {
 		return false
 	}
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -102,6 +102,20 @@
 	return client, server
 }
 
+// openMidAnswer opens a tunnel through which the first half of an answer has come.
+func (f *fixture) openMidAnswer() (client *Conn, server net.Conn) {
+	f.t.Helper()
+	client, server = f.open()
+	const half = "half"
+	if _, err := io.WriteString(server, half); err != nil {
+		f.t.Fatal(err)
+	}
+	if _, err := io.ReadFull(client, make([]byte, len(half))); err != nil {
+		f.t.Fatal(err)
+	}
+	return client, server
+}
+
 // TestTunnelCarriesRequestAndAnswer sends a request and an answer that ends with its connection.
 func TestTunnelCarriesRequestAndAnswer(t *testing.T) {
 	f := newFixture(t, 1)
@@ -129,19 +143,12 @@
 // ended.
 func TestLostProviderIsNoEndOfAnswer(t *testing.T) {
 	f := newFixture(t, 1)
-	client, server := f.open()
-	if _, err := io.WriteString(server, "half"); err != nil {
+	client, server := f.openMidAnswer()
+	defer server.Close()
+	if err := client.Conn.(*net.TCPConn).CloseRead(); err != nil { // reads return the end of the stream, as when a process ends
 		t.Fatal(err)
 	}
-	got := make([]byte, len("half"))
-	if _, err := io.ReadFull(client, got); err != nil {
-		t.Fatal(err)
-	}
-	accepted := client.Conn.(*net.TCPConn)
-	if err := accepted.CloseRead(); err != nil { // reads return the end of the stream, as when a process ends
-		t.Fatal(err)
-	}
-	if n, err := client.Read(got); err == nil || err == io.EOF {
+	if n, err := client.Read(make([]byte, 1)); err == nil || err == io.EOF {
 		t.Errorf("read %d, %v; want an error other than the end", n, err)
 	}
 }
@@ -150,17 +157,10 @@
 // server's connection was reset.
 func TestBrokenServerConnectionIsNoEndOfAnswer(t *testing.T) {
 	f := newFixture(t, 1)
-	client, server := f.open()
-	if _, err := io.WriteString(server, "half"); err != nil {
-		t.Fatal(err)
-	}
-	got := make([]byte, len("half"))
-	if _, err := io.ReadFull(client, got); err != nil {
-		t.Fatal(err)
-	}
+	client, server := f.openMidAnswer()
 	_ = server.(*net.TCPConn).SetLinger(0)
 	_ = server.Close()
-	if n, err := client.Read(got); err == nil || err == io.EOF {
+	if n, err := client.Read(make([]byte, 1)); err == nil || err == io.EOF {
 		t.Errorf("read %d, %v; want an error other than the end", n, err)
 	}
 }
