forward: room at a brittle server is asked before a repeated send is drawn

A repeated send that found no room at a brittle server had been drawn from the shared budget, and was drawn again. Found by reading the diff.

--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -139,15 +139,16 @@
 			t.endTrial(server, false)
 			continue
 		}
-		if !t.withinBudget() {
+		if !t.beginSend(server) {
 			t.refundAdmission()
 			t.endTrial(server, false)
-			return t.finalFailure(ctx, t.lastFailure("the budget of repeated sends is spent"))
+			continue
 		}
-		if !t.beginSend(server) {
+		if !t.withinBudget() {
+			t.f.gate.End(server.ID)
 			t.refundAdmission()
 			t.endTrial(server, false)
-			continue
+			return t.finalFailure(ctx, t.lastFailure("the budget of repeated sends is spent"))
 		}
 		answered, failure := t.attempt(ctx, server)
 		t.serverLimits.refund = nil
