forward: a refusal for brittle servers tells when to return

Cause: the time at which a server may take more was that of the last choice, 25 ms later, and over when the request had waited long enough. TestRefusalForBrittleServersTellsWhenToReturn failed before.

--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -32,3 +32,27 @@
 		})
 	}
 }
+
+// TestRefusalForBrittleServersTellsWhenToReturn guards against a Retry-After in the past where the room at brittle servers is taken
+// by other requests (soak seed 127).
+func TestRefusalForBrittleServersTellsWhenToReturn(t *testing.T) {
+	for route, model := range map[string]string{"safe": "", "unsafe": "", "stream": "warm", "once": "warm"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, reply{status: 200, body: "done"})
+			f.limiter.brittle = map[string]int{}
+			for _, s := range f.dir.All() {
+				f.limiter.brittle[s.ID] = 2
+				f.forwarder.gate.Begin(s.ID)
+			}
+			f.placer.place = Place{Engine: "e1", Ready: time.Now()}
+			begun := time.Now()
+			_, failure := f.serve(route, model, 0)
+			if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter < time.Second {
+				t.Errorf("%s: %+v, want a refusal with a Retry-After", route, failure)
+			}
+			if held := time.Since(begun); held > 2*maxBrittleWait || len(f.servers.attempts) > 0 {
+				t.Errorf("%s: held for %s, sent %d times", route, held, len(f.servers.attempts))
+			}
+		})
+	}
+}
--- a/command/forward/serverlimiter.go
+++ b/command/forward/serverlimiter.go
@@ -175,6 +175,7 @@
 // The Retry-After is spread because the Retry-After of a server ends for all clients at the same
 // time, whereas limited servers grant permissions one by one.
 func (t *transaction) heldBackFailure(wait time.Duration) *verdict.Failure {
+	wait = max(wait, t.f.params.RetryPause) // a server may have become available since the choice
 	spread := min(maxRetrySpread, time.Duration(retrySpreadFraction*float64(wait)))
 	after := wait + time.Duration(rand.Float64()*float64(spread))
 	return verdict.Refuse(verdict.ReasonHeldBack, "no server of %s that could run it takes anything for %s: all limit what they take, or rest",
