forward: the test of refusals for brittle servers plays the race

The time of the last choice is over only if the holder's answer takes 45 ms meanwhile; with that it fails without the fix (Retry-After -20 ms for streams) and passes with it.

--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -44,7 +44,7 @@
 				f.limiter.brittle[s.ID] = 2
 				f.forwarder.gate.Begin(s.ID)
 			}
-			f.placer.place = Place{Engine: "e1", Ready: time.Now()}
+			f.placer.place, f.placer.delay = Place{Engine: "e1", Ready: time.Now()}, 45*time.Millisecond
 			begun := time.Now()
 			_, failure := f.serve(route, model, 0)
 			if failure == nil || failure.Verdict != verdict.NotRun || failure.RetryAfter < time.Second {
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -70,6 +70,8 @@
 	place    Place // guarded by mu in tests that change it concurrently
 	err      error
 	requests []PlaceRequest
+	// delay is how long the answer to a request for a place takes.
+	delay time.Duration
 	// waiting is the number of waiting requests, and onTime the value passed by the last one.
 	waiting int
 	onTime  time.Time
@@ -78,6 +80,7 @@
 }
 
 func (f *fakePlacer) RequestPlace(_ context.Context, w PlaceRequest) (Place, error) {
+	time.Sleep(f.delay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.requests = append(f.requests, w)
