--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -102,7 +102,7 @@
 }
 
 // probeOnce probes a server once and reports whether to probe it again: it is running, and answers
-// broke off so recently that it may be about to end. Otherwise the check has ended.
+// broke off so recently that it may be about to end, or no server is in reach. Otherwise the check has ended.
 func (c *crashDetector) probeOnce(incarnation quarantine.Incarnation, s serving.Server, check *crashCheck) (again bool) {
 	start := clock.Now()
 	presence := c.probe(s)
@@ -116,10 +116,13 @@
 	if w == nil {
 		return false
 	}
-	if presence == serving.PresenceRunning {
+	switch presence {
+	case serving.PresenceRunning:
 		w.dropIrrelevantAttempts(start)
 		w.lastSeen = clock.Now()
 		again = len(w.brokenAttempts) > 0
+	case serving.PresenceUnknown:
+		again = c.isolated(s.Service) // whether the server has ended will show once another one is in reach
 	}
 	if !again {
 		w.check = nil
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -27,6 +27,8 @@
 	log        logrus.FieldLogger
 	set        *metrics.Set
 	quarantine *quarantineManager
+	// isolated reports whether this instance seems to reach no server of a service.
+	isolated func(service string) bool
 
 	mu           sync.Mutex
 	incarnations map[quarantine.Incarnation]*incarnationWatch // guarded by mu
@@ -53,7 +55,10 @@
 }
 
 func newCrashDetector(q *quarantineManager, dir *directory.Directory, b *platform.Backends, set *metrics.Set, log logrus.FieldLogger) *crashDetector {
-	return &crashDetector{ledger: q.ledger, quarantine: q, dir: dir, backends: b, set: set, log: log, incarnations: map[quarantine.Incarnation]*incarnationWatch{}}
+	return &crashDetector{
+		ledger: q.ledger, quarantine: q, dir: dir, backends: b, set: set, log: log, incarnations: map[quarantine.Incarnation]*incarnationWatch{},
+		isolated: func(string) bool { return false },
+	}
 }
 
 const (
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -149,6 +149,7 @@
 	i.quarantine = newQuarantineManager(i.client, i.members, i.follower, i.holder.Holds, i.set, log)
 	i.quarantine.loaded.Store(s.Bootstrap) // then the store is empty
 	i.crashes = newCrashDetector(i.quarantine, i.dir, i.backends, i.set, log)
+	i.crashes.isolated = i.paths.tracker.Isolated
 	i.follower.onEscalations, i.watcher.crashes = i.quarantine.recordReceived, i.crashes
 	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, storeAge: i.watcher.storeAge}
 	i.follower.self = i.service
