--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -127,7 +127,7 @@
 
 // writeState writes what the server has observed to the state file, if a request or rejections ended it.
 func (c *serverCommand) writeState(state standin.State) error {
-	if c.State == "" || state.EndedBy == "" && !state.Fell {
+	if c.State == "" || state.EndedBy == "" && !state.EndedByRejections {
 		return nil
 	}
 	text, err := json.Marshal(state)
--- a/entry/brittle_test.go
+++ b/entry/brittle_test.go
@@ -35,18 +35,18 @@
 		s.SetBrittle(true, brittleTolerated)
 	}
 	time.Sleep(5 * time.Second)
-	ended := time.Now()
+	until := time.Now()
 	f.stopLoad()
-	fell := 0
+	ended := 0
 	for _, s := range servers {
-		if s.State().Fell {
-			fell++
+		if s.State().EndedByRejections {
+			ended++
 		}
 	}
-	e := f.outcomesBetween(begun, ended)
-	t.Logf("%d of %d servers ended; %v", fell, len(servers), e)
-	if fell > 0 {
-		t.Errorf("%d of %d servers ended", fell, len(servers))
+	e := f.outcomesBetween(begun, until)
+	t.Logf("%d of %d servers ended; %v", ended, len(servers), e)
+	if ended > 0 {
+		t.Errorf("%d of %d servers ended", ended, len(servers))
 	}
 	if 3*e.served < e.total {
 		t.Errorf("%v: want a third served, of the 60%% for which there is room", e)
--- a/internal/standin/brittle.go
+++ b/internal/standin/brittle.go
@@ -40,9 +40,9 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// begin counts a request that begins to run, and reports whether there is room for it. falls is set if the server ends
+// begin counts a request that begins to run, and reports whether there is room for it. ends is set if the server ends
 // because it had to reject too many.
-func (b *brittleState) begin(now time.Time) (admitted, falls bool) {
+func (b *brittleState) begin(now time.Time) (admitted, ends bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.brittle || b.running < serverSlots {
@@ -64,13 +64,13 @@
 
 // admit reports whether a request may run. Otherwise it has been rejected, and the server ends if that was one too many.
 func (s *Server) admit(w http.ResponseWriter, id string) bool {
-	admitted, falls := s.brittle.begin(time.Now())
+	admitted, ends := s.brittle.begin(time.Now())
 	if admitted {
 		return true
 	}
-	if falls {
+	if ends {
 		s.mu.Lock()
-		s.fell = true
+		s.endedByRejections = true
 		s.mu.Unlock()
 		s.Stop()
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -80,7 +80,7 @@
 	loading            string                     // guarded by mu
 	sequence           int64                      // guarded by mu
 	state              string                     // guarded by mu
-	fell               bool                       // whether it ended because of rejections; guarded by mu
+	endedByRejections  bool                       // whether it ended because of rejections; guarded by mu
 	endedBy            string                     // the body of the request that crashed it; guarded by mu
 	entrySequence      int64                      // number of entries written; guarded by mu
 	orders             []ReceivedOrder            // guarded by mu
@@ -208,8 +208,8 @@
 	Violations []string
 	// EndedBy is the body of the request that crashed the server, or "".
 	EndedBy string
-	// Fell is set if the server ended because it had to reject too many requests.
-	Fell bool
+	// EndedByRejections is set if the server ended because it had to reject too many requests.
+	EndedByRejections bool
 	// Arrivals are the latest attempts, and Forgotten is the number of older ones dropped.
 	Arrivals  []Arrival
 	Forgotten int
@@ -219,10 +219,10 @@
 func (s *Server) State() State {
 	arrived, forgotten := s.arrivals.all()
 	s.mu.Lock()
-	endedBy, fell := s.endedBy, s.fell
+	endedBy, endedByRejections := s.endedBy, s.endedByRejections
 	s.mu.Unlock()
 	return State{
-		EndedBy: endedBy, Fell: fell, Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
+		EndedBy: endedBy, EndedByRejections: endedByRejections, Service: s.params.Service, Orders: s.Orders(), Runs: s.Runs(), Violations: s.Violations(), Arrivals: arrived, Forgotten: forgotten,
 	}
 }
 
--- a/soak/brittle.go
+++ b/soak/brittle.go
@@ -24,34 +24,34 @@
 	serverPause = 1200 * time.Millisecond
 )
 
-// fallLog counts the engines that ended because of rejections, by period in which engines are brittle.
-type fallLog struct {
-	mu    sync.Mutex
-	falls []int // guarded by mu
+// rejectionEnds counts the engines that ended because of rejections, by period in which engines are brittle.
+type rejectionEnds struct {
+	mu   sync.Mutex
+	ends []int // guarded by mu
 }
 
 // begin begins a period.
-func (f *fallLog) begin() {
+func (f *rejectionEnds) begin() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.falls = append(f.falls, 0)
+	f.ends = append(f.ends, 0)
 }
 
 // record records that an engine ended because of rejections.
-func (f *fallLog) record() {
+func (f *rejectionEnds) record() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.falls) > 0 {
-		f.falls[len(f.falls)-1]++
+	if len(f.ends) > 0 {
+		f.ends[len(f.ends)-1]++
 	}
 }
 
 // violations checks that in each period at most two engines and a tenth of their number ended.
-func (f *fallLog) violations(engines int) []Violation {
+func (f *rejectionEnds) violations(engines int) []Violation {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var found []Violation
-	for period, n := range f.falls {
+	for period, n := range f.ends {
 		if 10*n > 20+engines {
 			found = append(found, Violation{"brittle engines are spared", fmt.Sprintf("%d of %d ended in period %d", n, engines, period+1)})
 		}
@@ -69,7 +69,7 @@
 	}
 	return fault{"engines are brittle", func() {
 		r.disturbances.begin(engineService)
-		r.falls.begin()
+		r.ends.begin()
 		set(standin.Backpressure{Brittle: strconv.Itoa(toleratedRejections)}, false)
 	}, func() {
 		if pause.For(ctx, brittleNotice) {
--- a/soak/brittle_test.go
+++ b/soak/brittle_test.go
@@ -2,8 +2,8 @@
 
 import "testing"
 
-// TestFallsAreCountedByPeriod: the check must find a period in which more than two engines and a tenth of them ended.
-func TestFallsAreCountedByPeriod(t *testing.T) {
+// TestEndsAreCountedByPeriod: the check must find a period in which more than two engines and a tenth of them ended.
+func TestEndsAreCountedByPeriod(t *testing.T) {
 	for name, c := range map[string]struct {
 		periods []int
 		engines int
@@ -12,7 +12,7 @@
 		"none": {[]int{0, 0}, 3, 0}, "two of three": {[]int{2, 0}, 3, 0}, "three of three": {[]int{0, 3}, 3, 1},
 		"two in each": {[]int{2, 2}, 3, 0}, "three of ten": {[]int{3}, 10, 0}, "four of ten": {[]int{4, 4}, 10, 2},
 	} {
-		log := &fallLog{}
+		log := &rejectionEnds{}
 		for _, n := range c.periods {
 			log.begin()
 			for range n {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -132,8 +132,8 @@
 		return false
 	}
 	r.history.addServerState(fmt.Sprintf("%s start %d", r.servers[engine].name, starts), state)
-	if state.Fell {
-		r.falls.record()
+	if state.EndedByRejections {
+		r.ends.record()
 		return true
 	}
 	r.poisons.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -100,8 +100,8 @@
 	disturbances *disturbanceTracker
 	// poisons records the poison requests and the engines that they crashed.
 	poisons *poisonLog
-	// falls counts the engines that ended because of rejections.
-	falls fallLog
+	// ends counts the engines that ended because of rejections.
+	ends rejectionEnds
 	// storeFaults records the faults of the store.
 	storeFaults storeFaultTracker
 	// waker makes clients that wait between requests send at about the same time.
@@ -152,7 +152,7 @@
 	result.Violations = append(result.Violations, r.history.violations()...)
 	result.EnginesCrashed = r.poisons.count()
 	result.Violations = append(result.Violations, r.poisonViolations()...)
-	result.Violations = append(result.Violations, r.falls.violations(p.Engines)...)
+	result.Violations = append(result.Violations, r.ends.violations(p.Engines)...)
 	result.Violations = append(result.Violations, r.checkRecovery(ctx)...)
 	return result, nil
 }
