--- a/command/holder/handover_test.go
+++ b/command/holder/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,8 +29,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			engine := &fakeEngine{models: map[string][]string{}}
 			h := newTestHolder("a", standin.NewPlatform(), engine, time.Second, "m1")
-			reached := 1.0
-			h.SetReach(func() float64 { return reached })
+			var reached atomic.Value
+			reached.Store(1.0)
+			h.SetReach(func() float64 { return reached.Load().(float64) })
 			ctx, stop := context.WithCancel(t.Context())
 			takeOverFrom(ctx, t, h)
 			go func() {
@@ -39,13 +41,9 @@
 				}
 			}()
 			time.Sleep(time.Second)
-			h.mu.Lock()
-			reached = c.own
-			h.mu.Unlock()
+			reached.Store(c.own)
 			time.Sleep(c.lasts)
-			h.mu.Lock()
-			reached = 1
-			h.mu.Unlock()
+			reached.Store(1.0)
 			time.Sleep(time.Second)
 			if h.Holds() == c.want {
 				t.Errorf("%s: holds the lease: %t", name, h.Holds())
