--- a/command/holder/handover_test.go
+++ b/command/holder/handover_test.go
@@ -54,11 +54,16 @@
 	}
 }
 
-// slowStore is a store whose writes take a second.
-type slowStore struct{ store.Store }
+// slowStore is a store whose first write takes a second.
+type slowStore struct {
+	store.Store
+	written atomic.Bool
+}
 
-func (s slowStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
-	time.Sleep(time.Second)
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
+	if !s.written.Swap(true) {
+		time.Sleep(time.Second)
+	}
 	return s.Store.Put(ctx, key, value, version)
 }
 
@@ -71,7 +76,7 @@
 		h := newTestHolder("a", platform, engine, time.Second, "m1")
 		ctx, stop := context.WithCancel(t.Context())
 		takeOverFrom(ctx, t, h)
-		h.store = slowStore{platform}
+		h.store = &slowStore{Store: platform}
 		released := make(chan struct{})
 		go func() {
 			h.Release(ctx)
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -60,7 +60,8 @@
 	// hedgeDelay is how long a tunnel may take until another instance is asked as well.
 	hedgeDelay = 60 * time.Millisecond
 	// maxAsked is the number of instances that are asked for one tunnel: all of a small fleet, most of which may be
-	// isolated. maxDown is the number of answers that the server is down after which no more are asked.
+	// isolated. maxDown is the number of answers that the server is down after which no more are asked; some of
+	// those that answer so may be isolated and not know it yet.
 	maxAsked = 12
 	maxDown  = 4
 	// avoidTime is how long an instance that provided no tunnel is asked last.
