--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -27,6 +28,8 @@
 // ServerParams are the parameters of a Server.
 type ServerParams struct {
 	ID, Service, FailureDomain string
+	// Version is the version of its software; "v1" if empty. If it is set, each event of a stream ends with it.
+	Version string
 	// Models are the models that it can load; empty for a plain service.
 	Models       map[string]ServerModel
 	MemoryMB     float64
@@ -155,7 +158,7 @@
 		address = s.params.Announced
 	}
 	value, _ := json.Marshal(map[string]any{
-		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "version": "v1", "slots": serverSlots, "state": s.state,
+		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "version": cmp.Or(s.params.Version, "v1"), "slots": serverSlots, "state": s.state,
 		"coldLeftMs": 0, "sequence": s.entrySequence,
 		"born": s.born, "models": s.models(), "available": map[string]any{"onDisk": onDisk},
 	})
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -81,6 +81,7 @@
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, cut bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	data := strings.TrimSuffix(r.Header.Get("Martenport-Model")+" "+s.params.Version, " ")
 	id, backup := r.Header.Get("Martenport-Attempt-Id"), r.Header.Get("Martenport-Kv-Backup")
 	defer s.setActive(id, -1)
 	for i := from + 1; i <= StreamEvents; i++ {
@@ -88,7 +89,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.pause.wait()
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Header.Get("Martenport-Model")); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, data); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
