Lines of requests name the version of the server, and the stream that a client takes up

From the logs of the incident it could not be told which streams had gone on at another software version, nor whether within an answer or because a client took one up: no line had the version or Resumes. "sending request again", "request answered" and "request not answered" now have version, and after and resumes.

--- a/command/forward/finish.go
+++ b/command/forward/finish.go
@@ -19,6 +19,12 @@
 	if name := t.workspaceName(); name != "" {
 		fields["workspace"] = name
 	}
+	if t.serverVersion != "" {
+		fields["version"] = t.serverVersion
+	}
+	if t.request.LastEventID != "" {
+		fields["after"], fields["resumes"] = t.request.LastEventID, t.request.Resumes
+	}
 	return fields
 }
 
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -51,6 +51,8 @@
 	waits waitTimes
 	// server is the ID of the server to which the request was last sent.
 	server string
+	// serverVersion is the version of that server's software.
+	serverVersion string
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
 	// firstEventAt is when the current server sent its first event; zero before.
@@ -237,7 +239,7 @@
 // attempt sends the request to a server and relays the answer. answered states that the client has
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
-	t.server, t.firstEventAt = server.ID, time.Time{}
+	t.server, t.serverVersion, t.firstEventAt = server.ID, server.Version, time.Time{}
 	now := clock.Now()
 	requestCtx := ctx
 	defer func() { t.endTrial(server, failure != nil && failure.Verdict == verdict.MayHaveRun) }()
