Streams keep to one software version of their servers within an answer

Callers saw events of two versions in one answer after an engine had ended or a stream had broken off. Cause: a stream that goes on was sent to any engine that has its model; which version of the software began it was known and not asked (choosePlain, availableReplicas, requestPlace), nor where backups are kept (reserveBackup). Ruled out: the holder's views; they name engines, whose versions the directory has. Now a transaction is bound to the version of the server whose first event is relayed. Servers of other versions are no candidates; if none of the version is left, the answer ends at once, so that the client can take it up or begin anew. Backups are kept at engines of the same version only.

--- a/command/forward/backups.go
+++ b/command/forward/backups.go
@@ -71,12 +71,12 @@
 }
 
 // reserveBackup returns the engine that keeps the backup of a stream on the given engine: one that
-// has the unit, since only there the stream can go on. Its ID is empty if there is none.
+// has the unit and the engine's software version, since only there the stream can go on. Its ID is empty if there is none.
 func (t *transaction) reserveBackup(engine serving.Server) serving.Server {
 	var targets []continuation.Target
 	for _, r := range t.f.dir.Replicas(t.service.Name, t.request.Unit, clock.Now()) {
 		s := r.Server
-		if r.Ready.IsZero() && !t.excluded[s.ID] && !t.isLeaving(s) && !t.f.guard.Crashed(s) {
+		if s.Version == engine.Version && r.Ready.IsZero() && !t.excluded[s.ID] && !t.isLeaving(s) && !t.f.guard.Crashed(s) {
 			targets = append(targets, continuation.Target{ID: s.ID, FailureDomain: s.FailureDomain, Running: r.Others, Slots: s.Slots})
 		}
 	}
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -30,7 +30,9 @@
 	for {
 		servers := t.f.dir.Servers(t.service.Name)
 		known := len(servers)
-		usable := slices.DeleteFunc(servers, func(s serving.Server) bool { return t.excluded[s.ID] || t.f.guard.Crashed(s) })
+		usable := slices.DeleteFunc(servers, func(s serving.Server) bool {
+			return t.excluded[s.ID] || !t.fitsVersion(s) || t.f.guard.Crashed(s)
+		})
 		open := t.availableServers(usable)
 		candidates := make([]balance.Candidate, 0, len(open))
 		for _, i := range open {
@@ -194,7 +196,7 @@
 // availableReplicas returns the replicas to which the request may be sent, according to the current
 // state of the directory and the server limits.
 func (t *transaction) availableReplicas(now time.Time) []directory.Replica {
-	replicas := t.withoutFull(t.f.dir.Replicas(t.service.Name, t.request.Unit, now), now)
+	replicas := t.withoutFull(t.replicas(now), now)
 	replicas = slices.DeleteFunc(replicas, func(r directory.Replica) bool {
 		return t.excluded[r.Server.ID] || t.f.guard.Crashed(r.Server)
 	})
--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -50,7 +50,7 @@
 		return t.choose(ctx)
 	}
 	target := t.onlyRun.backup
-	if _, known := t.f.dir.Server(target.ID); !known || t.isLeaving(target) || t.f.guard.Crashed(target) {
+	if s, known := t.f.dir.Server(target.ID); !known || s.Version != t.onlyRun.engine.Version || t.isLeaving(target) || t.f.guard.Crashed(target) {
 		return serving.Server{}, t.refuseContinuation("its backup engine is gone")
 	}
 	wait := clock.Until(t.notBefore(target))
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -140,6 +140,7 @@
 		if t.alreadySent(e) {
 			continue // a resumed stream that repeats an event
 		}
+		t.pinVersion()
 		t.out.start(resp)
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -53,6 +53,8 @@
 	server string
 	// serverVersion is the version of that server's software.
 	serverVersion string
+	// version is the software version that the stream is bound to, "" while its client has no event.
+	version string
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
 	// firstEventAt is when the current server sent its first event; zero before.
@@ -122,6 +124,9 @@
 		if failure := t.quarantineFailure(); failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
+		if failure := t.versionFailure(); failure != nil {
+			return t.finalFailure(ctx, failure)
+		}
 		server, failure := t.nextServer(ctx)
 		if failure != nil {
 			return t.finalFailure(ctx, failure)
--- /dev/null
+++ b/command/forward/version.go
@@ -0,0 +1,57 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
+)
+
+// Servers of several software versions may serve side by side. What two versions write does not fit together, and
+// servers do not check it: once a client has the first event of a stream, the stream goes on only at servers of the
+// version that wrote it.
+
+// pinVersion binds the stream to the version of the server whose first event is about to be relayed.
+func (t *transaction) pinVersion() {
+	if t.version == "" {
+		t.version = t.serverVersion
+	}
+}
+
+// fitsVersion reports whether the request may be sent to a server, given the version that its stream is bound to.
+func (t *transaction) fitsVersion(s serving.Server) bool {
+	return t.version == "" || s.Version == t.version
+}
+
+// versionFailure returns the failure of a stream that cannot go on because no server of its version is left, and nil if
+// there is one, or if the stream has not begun.
+func (t *transaction) versionFailure() *verdict.Failure {
+	if t.version == "" || slices.ContainsFunc(t.f.dir.Servers(t.service.Name), t.fitsVersion) {
+		return nil
+	}
+	if t.last != nil {
+		return t.lastFailure("no server of software version " + t.version + " is left")
+	}
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, is left of %s", t.version, t.service.Name).
+		WithRetryAfter(noServerRetryAfter)
+}
+
+// noReplicaOfVersion returns the failure of a stream that cannot go on because no server of its version has the unit.
+func (t *transaction) noReplicaOfVersion() *verdict.Failure {
+	if t.last != nil {
+		return t.lastFailure("no server of software version " + t.version + " has " + t.request.Unit.String())
+	}
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, has %s", t.version, t.request.Unit).
+		WithRetryAfter(noServerRetryAfter)
+}
+
+// replicas returns the replicas of the request's unit on servers that it may be sent to because of their version.
+func (t *transaction) replicas(now time.Time) []directory.Replica {
+	found := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
+	if t.version == "" {
+		return found
+	}
+	return slices.DeleteFunc(found, func(r directory.Replica) bool { return !t.fitsVersion(r.Server) })
+}
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -33,6 +33,9 @@
 	if !live || server.Draining {
 		return serving.Server{}, time.Time{}, t.pauseFor(ctx, t.f.params.RetryPause)
 	}
+	if !t.fitsVersion(server) {
+		return serving.Server{}, time.Time{}, t.noReplicaOfVersion()
+	}
 	if at := t.notBefore(server); at.After(place.Ready) && at.After(clock.Now()) {
 		t.addUnavailable(server, at)
 		return serving.Server{}, at, nil
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -66,6 +66,7 @@
 	ReasonUnauthorized Reason = "unauthorized"  // the request has no known key
 	ReasonOverLimit    Reason = "over_limit"    // the workspace exceeds its limit
 	ReasonHeldBack     Reason = "held_back"     // all eligible servers are at their limit or asked for a pause
+	ReasonVersion      Reason = "version"       // no server has the software version that began the stream, or that version is not known
 	ReasonStalePlan    Reason = "stale_plan"    // the plan's base generation is not current
 )
 
