Streams that clients take up go on at the software version that began them

Callers whose connection broke took a stream up with Last-Event-Id and Resumes, and got events of another version. Cause: Resumes was forwarded unread, and nothing kept at which version a stream had begun; the take-up was served like a new request, at any engine. Class: work that goes on elsewhere is treated as if all servers were alike. Now the instance that relays a first event sends the origin (attempt, service, version) to one other instance of each failure domain, by rendezvous of the attempt's ID; a take-up asks the same ones and one in reserve, and is bound to the version. It is sent once, never changes, and is not waited for: what is not known is refused with 503, never guessed. While a service has one version, nothing is sent, asked or recorded. Who can say so: an instance whose list of servers is under 3 s old and that has read the marks (versions/SERVICE), which the holder writes when a second version appears and deletes 2 min after the last server of the others is gone. So one version is known as such after a restart of all instances, too, and an instance that was cut off is not certain until it has read the marks again. TestUnknownOriginIsRefused, TestOneVersionGoesOn, TestCertainOfVersions: new.

--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -67,6 +67,12 @@
 	c.set.GetOrCreateCounter(`martenport_waitlist_total{what="` + what + `"}`).Inc()
 }
 
+// streamTakenUp counts a stream that a client takes up while servers of several software versions serve, by what is known
+// of its origin.
+func (c *Counts) streamTakenUp(outcome string) {
+	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
+}
+
 // serverFull counts a refusal by an engine that was full.
 func (c *Counts) serverFull(service string) {
 	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -145,9 +145,10 @@
 	refused       *refusedRequests
 	recordRefused func(model string, room RoomClass)
 	backups       *backups
+	origins       Origins
 }
 
-// Dependencies are what a Forwarder works with. All fields but Waitlist, RecordRefused and Memory are required.
+// Dependencies are what a Forwarder works with. All fields but Waitlist, RecordRefused, Memory and Origins are required.
 type Dependencies struct {
 	Directory *directory.Directory
 	Sender    serving.Sender
@@ -166,6 +167,8 @@
 	RecordRefused func(model string, room RoomClass)
 	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
 	Memory RunMemory
+	// Origins keeps streams that clients take up at the software version that began them; nil if there is only one.
+	Origins Origins
 }
 
 // New returns a Forwarder.
@@ -174,6 +177,7 @@
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, gate: d.Gate, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
 		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
+		origins: d.Origins,
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
 	f.backups = newBackups(d)
@@ -220,7 +224,12 @@
 	if failure != nil {
 		return f.recordRejection(admitted, r, failure)
 	}
-	t := f.newTransaction(admitted, r, w)
+	bound, failure := f.bind(ctx, admitted, r)
+	if failure != nil {
+		admitted.refund()
+		return f.recordRejection(admitted, r, failure)
+	}
+	t := f.newTransaction(admitted, bound, r, w)
 	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
 	defer cancel()
 	failure = t.run(ctx)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -81,11 +81,11 @@
 
 // newTransaction returns the transaction of an admitted request, and records the request for the
 // budget and for demand forecasts.
-func (f *Forwarder) newTransaction(a admission, r *serving.Request, w http.ResponseWriter) *transaction {
+func (f *Forwarder) newTransaction(a admission, b binding, r *serving.Request, w http.ResponseWriter) *transaction {
 	route := a.route
 	t := &transaction{
 		f: f, admission: a, request: r, out: newClientWriter(w), excluded: map[string]bool{},
-		service: a.config.Services[chooseTarget(route.Targets)],
+		service: b.service, version: b.version,
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
 	t.room = t.roomClass()
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -15,9 +15,11 @@
 
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed.
 func (t *transaction) pinVersion() {
-	if t.version == "" {
-		t.version = t.serverVersion
+	if t.version != "" {
+		return
 	}
+	t.version = t.serverVersion
+	t.recordOrigin()
 }
 
 // fitsVersion reports whether the request may be sent to a server, given the version that its stream is bound to.
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -55,6 +55,8 @@
 	// removalsKnownSince is the time from which this directory has followed the removal of servers, see
 	// RemovalsComplete. It is zero before the first listing; guarded by mu.
 	removalsKnownSince time.Time
+	// versions has the software versions of servers; guarded by mu, but for reads of its mixed services.
+	versions *softwareVersions
 	// digest is the digest of the servers, see Digest; guarded by mu.
 	digest uint64
 }
@@ -75,7 +77,7 @@
 func New() *Directory {
 	return &Directory{
 		servers: map[string]serving.Server{}, draining: map[string]drainRecord{}, removed: map[string]removal{},
-		views: map[string]EngineView{}, missingUnits: map[string]map[serving.Unit]time.Time{}, changeOf: map[string]uint64{},
+		views: map[string]EngineView{}, missingUnits: map[string]map[serving.Unit]time.Time{}, changeOf: map[string]uint64{}, versions: newSoftwareVersions(),
 	}
 }
 
@@ -147,7 +149,9 @@
 	}
 	s.Draining = s.Draining || draining
 	d.servers[s.ID] = s
+	d.versions.add(s)
 	if found {
+		d.versions.remove(known, now)
 		d.digest ^= digestOf(known)
 	}
 	d.digest ^= digestOf(s)
@@ -171,6 +175,7 @@
 	delete(d.views, id)
 	delete(d.missingUnits, id)
 	if found {
+		d.versions.remove(known, now)
 		d.digest ^= digestOf(known)
 	}
 	if found || removed && before.revision.Era() < revision.Era() {
@@ -238,6 +243,7 @@
 func (d *Directory) Sweep(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.versions.expire(now)
 	maps.DeleteFunc(d.removed, func(id string, r removal) bool {
 		old := now.Sub(r.at) > removedRetention
 		if _, live := d.servers[id]; old && !live {
--- /dev/null
+++ b/directory/versions_test.go
@@ -0,0 +1,42 @@
+package directory
+
+import (
+	"testing"
+
+	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// TestMixedVersions: a service counts as having several software versions while servers of two are known, and until no
+// stream of the one that is gone can be taken up.
+func TestMixedVersions(t *testing.T) {
+	d := New()
+	add := func(id, version string, revision store.Revision) {
+		d.ApplyServer(serving.Server{ID: id, Service: "s", Version: version, Revision: revision}, start)
+	}
+	check := func(what string, want int) {
+		t.Helper()
+		if got := d.MixedVersions()["s"]; len(got) != want {
+			t.Errorf("%s: versions %v, want %d", what, got, want)
+		}
+	}
+	add("a", "v1", 1)
+	add("b", "v1", 2)
+	d.RemoveServer("b", 3, start)
+	check("one version", 0)
+	add("c", "v2", 4)
+	add("c", "v2", 5) // written again
+	check("two versions", 2)
+	d.RemoveServer("c", 6, start)
+	d.Sweep(start.Add(skew.Lifetime))
+	check("streams may still be taken up", 2)
+	d.Sweep(start.Add(skew.Lifetime + 1))
+	check("too late", 0)
+	add("a", "v2", 7)
+	check("the process has new software", 2)
+	d.Sweep(start.Add(2 * skew.Lifetime))
+	check("too late for the earlier process", 0)
+	d.ObserveVersions("s", []string{"v2", "v3"}, start)
+	check("told of an earlier version", 2)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -83,6 +83,8 @@
 	options      Options
 	declaration  *declarationState
 	shedding     *connShedder
+	marks        *versionMarks
+	origins      *streamOrigins
 
 	draining atomic.Bool
 	// leaveRequested is closed when an operator asks the instance to leave.
@@ -151,7 +153,9 @@
 	i.crashes = newCrashDetector(i.quarantine, i.dir, i.backends, i.set, log)
 	i.crashes.isolated = i.paths.tracker.Isolated
 	i.follower.onEscalations, i.watcher.crashes = i.quarantine.recordReceived, i.crashes
-	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, storeAge: i.watcher.storeAge}
+	i.marks = &versionMarks{store: i.client, dir: i.dir, isHolder: i.holder.Holds, serversAge: i.watcher.serversAge, log: log}
+	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, i.set)
+	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, origins: i.origins, storeAge: i.watcher.storeAge}
 	i.follower.self = i.service
 	i.startDomains = s.RetryBudgetDomains()
 	i.budget = forward.NewBudget(i.budgetParams(&s))
@@ -161,7 +165,7 @@
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter, Gate: brittle.NewGate(s.NodeName, i.follower.knownInstances),
-		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends,
+		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends, Origins: i.origins,
 	})
 	i.backends.SetMetrics(i.set)
 	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
@@ -291,7 +295,7 @@
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.access.run, i.members.run, i.shedding.run,
+		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.shedding.run,
 	}
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -139,9 +139,9 @@
 	return m.addressesOfOthers(known)
 }
 
-// tunnelProviders returns the other instances that provide tunnels, as last read. It refreshes the list in the
-// background if it is old, and waits for it only if it has never been read.
-func (m *members) tunnelProviders(ctx context.Context) []tunnel.Instance {
+// cached returns the list as last read. It refreshes the list in the background if it is old, and waits for it only if
+// it has never been read.
+func (m *members) cached(ctx context.Context) []member {
 	m.mu.Lock()
 	known, read, fresh := append([]member(nil), m.known...), !m.readAt.IsZero(), clock.Since(m.readAt) < membersCacheTime
 	m.mu.Unlock()
@@ -154,8 +154,13 @@
 			m.list(context.WithoutCancel(ctx))
 		}()
 	}
+	return known
+}
+
+// tunnelProviders returns the other instances that provide tunnels, as cached returns them.
+func (m *members) tunnelProviders(ctx context.Context) []tunnel.Instance {
 	var providers []tunnel.Instance
-	for _, other := range known {
+	for _, other := range m.cached(ctx) {
 		if other.Name != m.self.Name && other.Tunnels != "" {
 			providers = append(providers, tunnel.Instance{Name: other.Name, Address: other.Tunnels, Domain: other.Domain})
 		}
--- /dev/null
+++ b/entry/origins.go
@@ -0,0 +1,179 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/martenport/martenport/command/forward"
+	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/rpcpool"
+	"github.com/martenport/martenport/rendezvous"
+)
+
+// streamOrigins shares at which software version streams began while servers of several versions serve. The instance
+// that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
+// ID, and an instance at which a client takes the stream up asks the same ones. The first event does not wait for
+// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent or asked. It
+// implements forward.Origins.
+type streamOrigins struct {
+	table   *skew.Origins
+	dir     *directory.Directory
+	members *members
+	pool    *rpcpool.Pool
+	marks   *versionMarks
+	set     *metrics.Set
+	// sending is the number of origins that are being sent.
+	sending atomic.Int64
+}
+
+func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set) *streamOrigins {
+	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set}
+	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
+	return o
+}
+
+// Limits of calls between instances about origins.
+const (
+	// originTimeout bounds a call. It is long enough for several round trips between failure domains, and short
+	// compared with the time for which clients wait for an event.
+	originTimeout = 300 * time.Millisecond
+	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
+	// answer.
+	maxOriginsSending = 256
+	// minKeepers is the number of instances that keep an origin if there are fewer failure domains.
+	minKeepers = 2
+)
+
+// Intervals at which the list of instances is read, so that it is known while the store does not answer.
+const (
+	// firstMembersRead is the time in which instances that start together have registered.
+	firstMembersRead = 5 * time.Second
+	membersInterval  = time.Minute
+)
+
+// run keeps the list of instances current until ctx ends.
+func (o *streamOrigins) run(ctx context.Context) {
+	for wait := firstMembersRead; pause.For(ctx, wait); wait = membersInterval {
+		o.members.list(ctx)
+	}
+}
+
+// Mixed implements forward.Origins.
+func (o *streamOrigins) Mixed(service string) bool {
+	return !o.marks.certain() || len(o.dir.MixedVersions()[service]) > 0
+}
+
+// Record implements forward.Origins.
+func (o *streamOrigins) Record(attempt string, origin skew.Origin) {
+	o.table.Record(attempt, origin, clock.Now())
+	if o.sending.Add(1) > maxOriginsSending {
+		o.sending.Add(-1)
+		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="dropped"}`).Inc()
+		return
+	}
+	go o.send(attempt, origin)
+}
+
+// send sends an origin to the instances that keep it.
+func (o *streamOrigins) send(attempt string, origin skew.Origin) {
+	defer o.sending.Add(-1)
+	args := &RecordOriginArgs{Attempt: attempt, Origin: origin}
+	candidates, copies := o.keepers(context.Background(), attempt)
+	var domains sync.WaitGroup
+	for _, inDomain := range candidates {
+		domains.Go(func() { o.sendWithin(inDomain, copies, args) })
+	}
+	domains.Wait()
+}
+
+// sendWithin sends an origin to instances of a failure domain in turn, until the given number of them keep it.
+func (o *streamOrigins) sendWithin(candidates []string, copies int, args *RecordOriginArgs) {
+	for _, address := range candidates {
+		if copies == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), originTimeout)
+		err := o.pool.Call(ctx, address, methodRecordOrigin, args, &RecordOriginReply{})
+		cancel()
+		outcome := "failed"
+		if err == nil {
+			outcome = "sent"
+			copies--
+		}
+		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="` + outcome + `"}`).Inc()
+	}
+}
+
+// Find implements forward.Origins. It asks all instances that keep the origin at once, and returns the first answer that
+// settles where the stream may go on.
+func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
+	if origin, known := o.table.Find(attempt, clock.Now()); known {
+		return forward.OriginAnswer{Origin: origin}
+	}
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	candidates, _ := o.keepers(ctx, attempt)
+	keepers := slices.Concat(candidates...)
+	replies := make(chan *OriginReply, len(keepers))
+	args := &OriginArgs{Attempt: attempt, Service: service}
+	for _, address := range keepers {
+		go func() {
+			reply := &OriginReply{}
+			if err := o.pool.Call(ctx, address, methodOrigin, args, reply); err != nil {
+				reply = nil
+			}
+			replies <- reply
+		}()
+	}
+	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0}
+	for range keepers {
+		switch reply := <-replies; {
+		case reply == nil:
+			answer.Unanswered = true
+		case reply.Known:
+			o.table.Record(attempt, reply.Origin, clock.Now())
+			return forward.OriginAnswer{Origin: reply.Origin}
+		case reply.OneVersion:
+			answer.OneVersion = true
+		}
+	}
+	return answer
+}
+
+// keepers returns, by failure domain, the addresses of the other instances that may keep the origin of an attempt, sorted
+// by rank, and how many of a domain keep it. There is one more than that for the case that one is gone.
+func (o *streamOrigins) keepers(ctx context.Context, attempt string) (candidates [][]string, copies int) {
+	domains := map[string][]member{}
+	for _, m := range o.members.cached(ctx) {
+		if m.Name != o.members.self.Name {
+			domains[m.Domain] = append(domains[m.Domain], m)
+		}
+	}
+	copies = 1
+	if len(domains) < minKeepers {
+		copies = minKeepers
+	}
+	for _, inDomain := range domains {
+		rendezvous.Rank(attempt, inDomain, func(m member) string { return m.Name })
+		var addresses []string
+		for _, m := range inDomain[:min(copies+1, len(inDomain))] {
+			addresses = append(addresses, m.Address)
+		}
+		candidates = append(candidates, addresses)
+	}
+	return candidates, copies
+}
+
+// answer returns what this instance knows of an origin.
+func (o *streamOrigins) answer(args *OriginArgs) OriginReply {
+	origin, known := o.table.Find(args.Attempt, clock.Now())
+	return OriginReply{Known: known, Origin: origin, OneVersion: !known && !o.Mixed(args.Service)}
+}
--- /dev/null
+++ b/entry/origins_test.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/serving"
+	"github.com/sirupsen/logrus"
+)
+
+// replaceInstances replaces all instances by new processes of the same names.
+func (f *versionFleet) replaceInstances() {
+	f.t.Helper()
+	n := len(f.instances)
+	for _, r := range f.instances {
+		r.stop()
+	}
+	for _, r := range f.instances {
+		<-r.done
+	}
+	f.instances = nil
+	for i := range n {
+		f.addInstance(i)
+	}
+	f.await("new instances ready", func() bool {
+		for _, r := range f.instances {
+			if !r.Ready() || !r.marks.certain() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestOriginOutlivesInstance guards against streams that do not go on, or go on at another version, because the instance
+// that relayed their beginning is gone.
+func TestOriginOutlivesInstance(t *testing.T) {
+	f := newVersionFleet(t, 4, "v1", "v1.1", "v1", "v1.1", "v1", "v1.1")
+	for round := range 3 {
+		first := f.instances[0]
+		var begun []attempt
+		var versions []string
+		for range 20 {
+			a := attempt{id: newAttemptID(), leaveAfter: 3}
+			got := f.send(first, a)
+			begun, versions = append(begun, a), append(versions, got.versions[0])
+		}
+		first.stop()
+		<-first.done
+		f.instances = f.instances[1:]
+		for i, a := range begun {
+			got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
+			f.takenUp++
+			if len(got.versions) > 0 {
+				f.wentOn++
+			}
+			for _, v := range got.versions {
+				if v != versions[i] {
+					t.Fatalf("began at %s, went on at %s", versions[i], v)
+				}
+			}
+		}
+		f.addInstance(10 + round)
+		f.awaitServers(6)
+	}
+	f.begun, f.beginnings = 60, 60
+	f.check()
+}
+
+// TestUnknownOriginIsRefused guards against a version that is guessed where no instance knows which one began a stream.
+func TestUnknownOriginIsRefused(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1.1")
+	f.await("marks written", func() bool {
+		obj, err := f.store.Get(t.Context(), prefixVersions+"llm")
+		return err == nil && len(obj.Value) > 0
+	})
+	begun := attempt{id: newAttemptID(), leaveAfter: 3}
+	f.send(f.instances[0], begun)
+	check := func(what string, a attempt) {
+		t.Helper()
+		if got := f.send(f.instances[0], a); got.status != http.StatusServiceUnavailable || len(got.versions) > 0 {
+			t.Errorf("%s: %+v, want a refusal", what, got)
+		}
+	}
+	check("no attempt named", attempt{id: newAttemptID(), lastEvent: 3})
+	check("unknown attempt", attempt{id: newAttemptID(), lastEvent: 3, resumes: "never"})
+	f.replaceInstances()
+	check("all instances are new", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+	f.removeServer("v1")
+	f.awaitServers(1)
+	check("the other version is gone", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+	f.replaceInstances()
+	check("all instances are new, and the other version was gone", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+}
+
+// TestOneVersionGoesOn guards against streams that are refused although all servers have one version.
+func TestOneVersionGoesOn(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1")
+	f.await("certain", func() bool { return f.instances[0].marks.certain() && f.instances[1].marks.certain() })
+	begun := attempt{id: newAttemptID(), leaveAfter: 3}
+	f.send(f.instances[0], begun)
+	for name, a := range map[string]attempt{
+		"another instance": {id: newAttemptID(), lastEvent: 3, resumes: begun.id}, "no attempt named": {id: newAttemptID(), lastEvent: 3},
+	} {
+		if got := f.send(f.instances[1], a); got.lastID != standin.StreamEvents {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+	f.replaceInstances()
+	if got := f.send(f.instances[0], attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id}); got.lastID != standin.StreamEvents {
+		t.Errorf("after all instances were replaced: %+v", got)
+	}
+	for _, r := range f.instances {
+		if n := r.origins.table.Len(); n > 0 {
+			t.Errorf("%d origins recorded at %s", n, r.follower.name)
+		}
+	}
+}
+
+// TestCertainOfVersions guards against an instance that goes by an old list of servers: it is certain of the versions
+// only while its list is current, and after a gap only once it has read the marks again.
+func TestCertainOfVersions(t *testing.T) {
+	p, dir, age := standin.NewPlatform(), directory.New(), time.Duration(0)
+	dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
+	holds := false
+	m := &versionMarks{store: p, dir: dir, isHolder: func() bool { return holds }, serversAge: func(time.Time) time.Duration { return age }, log: logrus.New()}
+	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, marks: m}
+	if !o.Mixed("s") {
+		t.Error("certain before the marks were read")
+	}
+	m.update(t.Context())
+	if o.Mixed("s") {
+		t.Error("not certain with a current list")
+	}
+	past := clock.Now()
+	m.certainUntil.Store(&past)
+	age = maxServersAge + 1
+	m.update(t.Context())
+	if !o.Mixed("s") {
+		t.Error("certain with an old list")
+	}
+	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), 0); err != nil {
+		t.Fatal(err)
+	}
+	age = 0
+	m.update(t.Context())
+	if !o.Mixed("s") || !m.certain() {
+		t.Error("a version that came and went meanwhile is not known")
+	}
+	holds = true
+	dir.Sweep(clock.Now().Add(skew.Lifetime + time.Second))
+	m.update(t.Context())
+	if obj, err := p.Get(t.Context(), prefixVersions+"s"); err == nil && len(obj.Value) > 0 {
+		t.Errorf("mark %s still there", obj.Value)
+	}
+}
--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -68,9 +68,14 @@
 	return now.Sub(w.syncedAt[prefix])
 }
 
+// serversAge returns the age of the copy of the servers.
+func (w *watcher) serversAge(now time.Time) time.Duration {
+	return w.prefixAge(platform.PrefixServers, now)
+}
+
 // storeAge returns the greater of the ages of the configuration and of the servers.
 func (w *watcher) storeAge(now time.Time) time.Duration {
-	return max(w.prefixAge(platform.KeyConfig, now), w.prefixAge(platform.PrefixServers, now))
+	return max(w.prefixAge(platform.KeyConfig, now), w.serversAge(now))
 }
 
 // holderUpdateFresh reports whether the holder's last update is still within its lifetime.
--- a/entry/takeover.go
+++ b/entry/takeover.go
@@ -255,11 +255,15 @@
 	f.leaving = true
 }
 
-func (f *follower) takeOver(ctx context.Context, record lease.Record, revision store.Revision, cause string) {
+// isLeaving reports whether the instance is about to end.
+func (f *follower) isLeaving() bool {
 	f.mu.Lock()
-	leaving := f.leaving
-	f.mu.Unlock()
-	if leaving {
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
+func (f *follower) takeOver(ctx context.Context, record lease.Record, revision store.Revision, cause string) {
+	if f.isLeaving() {
 		return
 	}
 	err := f.holder.TakeOver(ctx, f.withRelease(record), revision, cause)
--- /dev/null
+++ b/entry/versionmarks.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/store"
+)
+
+// prefixVersions is the store's prefix of the marks of services with several software versions, by service.
+const prefixVersions = "versions/"
+
+// versionMark is the entry of a service at which streams may have begun at several software versions.
+type versionMark struct {
+	Versions []string `json:"versions"`
+}
+
+// versionMarks makes known which services have or had servers of several software versions to instances that start or
+// were cut off and did not see that. The holder writes a mark when servers of a second version appear, and deletes it
+// when no stream of the others can be taken up any more. Without such servers nothing is written.
+type versionMarks struct {
+	store    store.Store
+	dir      *directory.Directory
+	isHolder func() bool
+	// serversAge returns the age of this instance's list of servers.
+	serversAge func(now time.Time) time.Duration
+	log        logrus.FieldLogger
+
+	// certainUntil is until when this instance certainly knows all software versions; nil before it does.
+	certainUntil atomic.Pointer[time.Time]
+
+	// The following are used by run only. loaded is whether the marks have been read since the list of servers was last
+	// too old. known are the marks as last read or written, and wasHolder whether this instance was the holder then.
+	loaded, wasHolder bool
+	known             map[string]storedMark
+}
+
+// storedMark is a mark with its revision in the store.
+type storedMark struct {
+	versions []string
+	revision store.Revision
+}
+
+// Timing of version marks.
+const (
+	marksInterval = 200 * time.Millisecond
+	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
+	// A server of a new version has to load models, which takes longer, before it can begin a stream.
+	maxServersAge = 3 * time.Second
+)
+
+// certain reports whether this instance knows the software versions of all servers that streams may have begun at.
+func (m *versionMarks) certain() bool {
+	until := m.certainUntil.Load()
+	return until != nil && clock.Now().Before(*until)
+}
+
+// run keeps the marks current until ctx ends.
+func (m *versionMarks) run(ctx context.Context) {
+	for pause.For(ctx, marksInterval) {
+		m.update(ctx)
+	}
+}
+
+// update reads the marks if this instance may have missed some, and writes them if it is the holder.
+func (m *versionMarks) update(ctx context.Context) {
+	now := clock.Now()
+	age := m.serversAge(now)
+	if age > maxServersAge {
+		m.loaded = false
+		return
+	}
+	m.loaded = m.loaded || m.load(ctx)
+	if !m.loaded {
+		return
+	}
+	until := now.Add(maxServersAge - age)
+	m.certainUntil.Store(&until)
+	isHolder := m.isHolder()
+	if isHolder && (!m.wasHolder || !m.upToDate()) {
+		m.wasHolder = m.load(ctx) && m.write(ctx)
+		return
+	}
+	m.wasHolder = isHolder
+}
+
+// load reads the marks, and reports whether the store answered.
+func (m *versionMarks) load(ctx context.Context) bool {
+	snap, err := m.store.List(ctx, prefixVersions)
+	if err != nil {
+		return false
+	}
+	m.known = map[string]storedMark{}
+	for _, obj := range snap.Objects {
+		var mark versionMark
+		if err := json.Unmarshal(obj.Value, &mark); err != nil {
+			m.log.WithFields(logrus.Fields{"key": obj.Key, "error": err}).Error("mark of software versions cannot be decoded")
+		}
+		service := obj.Key[len(prefixVersions):]
+		m.known[service] = storedMark{versions: mark.Versions, revision: obj.Version}
+		if !m.loaded {
+			m.dir.ObserveVersions(service, mark.Versions, clock.Now())
+		}
+	}
+	return true
+}
+
+// upToDate reports whether the marks as last read or written match the directory.
+func (m *versionMarks) upToDate() bool {
+	return maps.EqualFunc(m.dir.MixedVersions(), m.known, func(versions []string, mark storedMark) bool { return slices.Equal(versions, mark.versions) })
+}
+
+// write makes the marks match the directory, and reports whether the store carried that out.
+func (m *versionMarks) write(ctx context.Context) bool {
+	mixed := m.dir.MixedVersions()
+	for service, versions := range mixed {
+		mark := m.known[service]
+		if slices.Equal(mark.versions, versions) {
+			continue
+		}
+		revision, err := store.WriteJSON(ctx, m.store, prefixVersions+service, versionMark{Versions: versions}, mark.revision)
+		if err != nil {
+			return m.logFailure(service, err)
+		}
+		m.known[service] = storedMark{versions: versions, revision: revision}
+		m.log.WithFields(logrus.Fields{"service": service, "versions": versions}).Info("servers of several software versions")
+	}
+	for service, mark := range m.known {
+		if _, still := mixed[service]; still {
+			continue
+		}
+		if err := m.store.Delete(ctx, prefixVersions+service, mark.revision); err != nil {
+			return m.logFailure(service, err)
+		}
+		delete(m.known, service)
+		m.log.WithField("service", service).Info("servers of one software version")
+	}
+	return true
+}
+
+// logFailure logs that a mark could not be written. It returns false: the marks are read and written again.
+func (m *versionMarks) logFailure(service string, err error) bool {
+	if !errors.Is(err, store.ErrUnavailable) {
+		m.log.WithFields(logrus.Fields{"service": service, "error": err}).Info("mark of software versions could not be written")
+	}
+	return false
+}
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -91,6 +91,9 @@
 	leaveAfter int
 }
 
+// newAttemptID returns an ID for an attempt.
+func newAttemptID() string { return fmt.Sprintf("try-%d", attemptsIssued.Add(1)) }
+
 // streamResult is what a client received in one attempt.
 type streamResult struct {
 	status   int
@@ -146,7 +149,7 @@
 	var versions []string
 	last := 0
 	for n := range maxAttempts {
-		a := attempt{id: fmt.Sprintf("try-%d", attemptsIssued.Add(1)), lastEvent: last, resumes: first}
+		a := attempt{id: newAttemptID(), lastEvent: last, resumes: first}
 		if n == 0 {
 			a.leaveAfter = leaveAfter
 		} else if between != nil {
--- a/entry/wirenames_test.go
+++ b/entry/wirenames_test.go
@@ -59,6 +59,7 @@
 	for key, record := range map[string]reflect.Type{
 		holder.KeyLease:       reflect.TypeFor[lease.Record](),
 		prefixMembers:         reflect.TypeFor[member](),
+		prefixVersions:        reflect.TypeFor[versionMark](),
 		prefixQuarantine:      reflect.TypeFor[heldRequest](),
 		"replicas/":           reflect.TypeFor[limits.Record](), // package holder checks this key
 		store.KeyConfig:       reflect.TypeFor[table.Accepted](),
--- a/rendezvous/rendezvous.go
+++ b/rendezvous/rendezvous.go
@@ -64,3 +64,10 @@
 	}
 	return chosen
 }
+
+// Rank sorts items by the weights of their names for key, the highest first. Items of equal weight are sorted by name.
+func Rank[T any](key string, items []T, name func(T) string) {
+	slices.SortFunc(items, func(a, b T) int {
+		return cmp.Or(cmp.Compare(weight(key, name(b)), weight(key, name(a))), cmp.Compare(name(a), name(b)))
+	})
+}
