A model is loaded at the software version that a stream goes on at

A stream that is bound to a version was given up, or refused with 503, where no engine of the version has its model or adapter although one could load it: the holder named the copy at another version, and nobody asked for one. RequestPlace and the holder's Want now name the version. An old holder ignores the field, and what it names is refused as before.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -28,6 +28,9 @@
 // have set a Retry-After.
 func (t *transaction) choosePlain(ctx context.Context) (serving.Server, *verdict.Failure) {
 	for {
+		if failure := t.versionFailure(); failure != nil {
+			return serving.Server{}, failure
+		}
 		servers := t.f.dir.Servers(t.service.Name)
 		known := len(servers)
 		usable := slices.DeleteFunc(servers, func(s serving.Server) bool {
@@ -73,6 +76,9 @@
 		}
 	}()
 	for {
+		if failure := t.versionFailure(); failure != nil {
+			return serving.Server{}, failure
+		}
 		server, ready, found := t.bestReplica()
 		if found && ready.IsZero() {
 			t.waits.recordEstimateError(t.f.counts)
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -38,6 +38,8 @@
 type PlaceRequest struct {
 	Service string
 	Unit    serving.Unit
+	// Version is the software version that the engine must have; empty for any.
+	Version string
 	// Missing is an engine that reported that it does not have the unit although it should; empty
 	// if there is none.
 	Missing string
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -124,9 +124,6 @@
 		if failure := t.quarantineFailure(); failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
-		if failure := t.versionFailure(); failure != nil {
-			return t.finalFailure(ctx, failure)
-		}
 		server, failure := t.nextServer(ctx)
 		if failure != nil {
 			return t.finalFailure(ctx, failure)
--- a/command/forward/want.go
+++ b/command/forward/want.go
@@ -14,7 +14,7 @@
 // now, if there is one; it is used if the holder cannot be asked.
 func (t *transaction) requestPlace(ctx context.Context, expected serving.Server) (serving.Server, time.Time, *verdict.Failure) {
 	place, err := t.f.placer.RequestPlace(ctx, PlaceRequest{
-		Service: t.service.Name, Unit: t.request.Unit, Missing: t.missing, Unreachable: t.unreachable,
+		Service: t.service.Name, Unit: t.request.Unit, Version: t.version, Missing: t.missing, Unreachable: t.unreachable,
 	})
 	t.missing, t.unreachable = "", ""
 	t.waits.setCause(place.Cause)
--- a/command/holder/want.go
+++ b/command/holder/want.go
@@ -13,6 +13,8 @@
 type Request struct {
 	Service string
 	Unit    serving.Unit
+	// Version is the software version that the engine must have; "" for any.
+	Version string
 	// Waiting describes the requests for the model that wait at the asking instance.
 	Waiting replicas.Waiting
 	// Missing names an engine that reported that it does not have the unit. Unreachable names an engine that could
@@ -52,7 +54,11 @@
 		h.fleet.HoldBack(id, now)
 	}
 	outage := h.suspendInOutage(now)
-	found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
+	if r.Version != "" {
+		found, ok = h.fleet.FindVersion(r.Service, r.Unit, r.Version, r.Waiting, now)
+	} else {
+		found, ok = h.fleet.Find(r.Service, r.Unit, r.Waiting, now)
+	}
 	var operations []replicas.Operation
 	if found.Start != nil {
 		operations = append(operations, *found.Start)
--- a/command/replicas/adapters.go
+++ b/command/replicas/adapters.go
@@ -15,13 +15,13 @@
 	score float64
 }
 
-// placeAdapter plans to load an adapter on an engine that has its model. Engines accept no adapter load while they
+// placeAdapter plans to load an adapter on an engine, of a software version unless that is "", that has its model. Engines accept no adapter load while they
 // load or unload a model.
-func (f *Fleet) placeAdapter(service string, unit serving.Unit, now time.Time) (Found, bool) {
+func (f *Fleet) placeAdapter(service string, unit serving.Unit, version string, now time.Time) (Found, bool) {
 	var best adapterPlacement
 	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
-		if e.Server.Service != service || c.State == Unloading || !e.usable(now) {
+		if e.Server.Service != service || !e.hasVersion(version) || c.State == Unloading || !e.usable(now) {
 			continue
 		}
 		r, ok := f.adapterPlacementOn(e, unit.Model, now)
--- a/command/replicas/dispatch.go
+++ b/command/replicas/dispatch.go
@@ -27,14 +27,14 @@
 	if waiting.value() > 0 {
 		f.SetWaiting(service, unit.Model, waiting, now)
 	}
-	if found, ok := f.findCopy(service, unit, now); ok {
+	if found, ok := f.findCopy(service, unit, "", now); ok {
 		return found, true
 	}
 	if f.suspended {
 		return f.unplaced(unit, now), false
 	}
 	if unit.Adapter != "" && f.copiesOf(unit.Model, now) > 0 {
-		return f.placeAdapter(service, unit, now)
+		return f.placeAdapter(service, unit, "", now)
 	}
 	w := f.wantedModels[unit.Model]
 	if w == nil {
@@ -173,13 +173,13 @@
 	return operations
 }
 
-// findCopy returns the engine whose copy is the first to serve the unit, now or later, and records that the copy is in
-// use. It returns false if there is none.
-func (f *Fleet) findCopy(service string, unit serving.Unit, now time.Time) (best Found, ok bool) {
+// findCopy returns the engine, of a software version unless that is "", whose copy is the first to serve the unit, now or
+// later, and records that the copy is in use. It returns false if there is none.
+func (f *Fleet) findCopy(service string, unit serving.Unit, version string, now time.Time) (best Found, ok bool) {
 	var chosen *Copy
 	for _, e := range f.holding(unit.Model) {
 		c := e.Copies[unit.Model]
-		if e.Server.Service != service || c.State == Unloading || !e.acceptsRequests(now) {
+		if e.Server.Service != service || !e.hasVersion(version) || c.State == Unloading || !e.acceptsRequests(now) {
 			continue
 		}
 		ready := c.Ready
--- a/command/replicas/place.go
+++ b/command/replicas/place.go
@@ -104,7 +104,7 @@
 // bestPlacementAmong returns the option with the lowest cost on the given engines, and false if there is none.
 func (f *Fleet) bestPlacementAmong(engines []*Engine, w *wantedModel, reserved map[string]time.Duration, remote remoteState, now time.Time) (best placementOption, ok bool) {
 	for _, e := range engines {
-		if e.Server.Service != w.service || !e.usable(now) || e.Copies[w.model] != nil {
+		if e.Server.Service != w.service || !e.hasVersion(w.version) || !e.usable(now) || e.Copies[w.model] != nil {
 			continue
 		}
 		c, possible := f.evaluatePlacement(e, w, reserved[e.Server.ID], remote, now)
--- a/command/replicas/slack_load_test.go
+++ b/command/replicas/slack_load_test.go
@@ -166,7 +166,7 @@
 	}
 	l.arrivals[model] = a
 	c := &caller{class: class, arrived: l.now}
-	if found, ok := l.f.findCopy("llm", serving.Unit{Model: model}, l.now); ok && !found.Ready.After(l.now) {
+	if found, ok := l.f.findCopy("llm", serving.Unit{Model: model}, "", l.now); ok && !found.Ready.After(l.now) {
 		l.begin(c, found.Engine, model)
 		return
 	}
--- a/command/replicas/waiting.go
+++ b/command/replicas/waiting.go
@@ -42,6 +42,8 @@
 // no request waits any more: the copy is needed for those requests.
 type wantedModel struct {
 	service, model string
+	// version is the software version that the engine must have; "" for any.
+	version string
 	// proactive: a first or further copy should be loaded before requests wait for it.
 	proactive bool
 	// waiting has the value of the waiting requests, by instance.
--- a/entry/placer.go
+++ b/entry/placer.go
@@ -177,7 +177,7 @@
 	}
 	var reply WantReply
 	args := &WantArgs{holder.Request{
-		Service: r.Service, Unit: r.Unit, Waiting: waiting, Missing: r.Missing, Unreachable: r.Unreachable,
+		Service: r.Service, Unit: r.Unit, Version: r.Version, Waiting: waiting, Missing: r.Missing, Unreachable: r.Unreachable,
 		HeldBack: f.limiter.heldBack(r.Service, r.Unit, clock.Now()),
 	}}
 	if err := f.call(ctx, record, callTimeout, methodWant, args, &reply); err != nil {
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -34,7 +34,7 @@
 	f := &versionFleet{fleet: newFleet(t, instances)}
 	f.configure("stream", "once", "unsafe", "safe")
 	for i, v := range versions {
-		f.addVersion(fmt.Sprintf("v%d", i), v)
+		f.addVersion(fmt.Sprintf("v%d", i), v, "m1")
 	}
 	f.removeServer("e1")
 	f.removeServer("e2")
@@ -43,11 +43,11 @@
 	return f
 }
 
-// addVersion starts an engine with software of a version.
-func (f *versionFleet) addVersion(id, version string) {
+// addVersion starts an engine with software of a version, and one model.
+func (f *versionFleet) addVersion(id, version, model string) {
 	s, err := standin.NewServer("127.0.0.1", standin.ServerParams{
 		ID: id, Service: "llm", FailureDomain: "a", Version: version, EventPause: 5 * time.Millisecond, Models: testModels, MemoryMB: testMemoryMB,
-		AdapterSlots: testAdapterSlots, Loaded: []string{"m1"},
+		AdapterSlots: testAdapterSlots, Loaded: []string{model},
 	})
 	if err != nil {
 		f.t.Fatal(err)
