--- a/entry/crash_fixture_test.go
+++ b/entry/crash_fixture_test.go
@@ -50,6 +50,8 @@
 	slowReports bool
 	// crashDelay is the time between the cut-off of the answer to the poison request and the crash.
 	crashDelay time.Duration
+	// poisonPart is the ID of a prompt part that crashes engines; none if empty.
+	poisonPart string
 	// omitSeal: engines answer the poison request with headers without a seal before they crash.
 	omitSeal bool
 }
@@ -99,7 +101,7 @@
 		s, err := standin.NewServerAt(address, standin.ServerParams{
 			ID: id, Service: "llm", FailureDomain: "a", EventPause: f.engines.eventPause, Models: testModels, MemoryMB: testMemoryMB,
 			AdapterSlots: testAdapterSlots, Loaded: []string{"m1"},
-			PoisonPrefix: poison, OmitSeal: f.engines.omitSeal, CrashDelay: f.engines.crashDelay,
+			PoisonPrefix: poison, PoisonPart: f.engines.poisonPart, OmitSeal: f.engines.omitSeal, CrashDelay: f.engines.crashDelay,
 		})
 		if err != nil {
 			f.t.Errorf("engine: %v", err)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -41,6 +41,9 @@
 	// PoisonPrefix is the prefix of the bodies of requests that crash the server when it begins to run them; none if
 	// empty.
 	PoisonPrefix string
+	// PoisonPart is the ID of a prompt part that crashes the server when it begins to write an answer to a request with
+	// it, unless it is the request's last part; none if empty.
+	PoisonPart string
 	// CrashDelay is the time between the cut-off of the answer to such a request and the end of the server. Until
 	// then the server still listens and serves its other requests.
 	CrashDelay time.Duration
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -40,7 +41,8 @@
 		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
-	if s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix) {
+	poisoned := s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix)
+	if poisoned || s.hasPoisonPart(r) {
 		s.crash(w, string(body))
 	}
 	if s.arrivals.isFailing() {
@@ -56,6 +58,15 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 }
 
+// hasPoisonPart reports whether a part of the request's prompt crashes the server.
+func (s *Server) hasPoisonPart(r *http.Request) bool {
+	parts := strings.Split(r.Header.Get("Martenport-Prompt-Prefix"), ",")
+	return s.params.PoisonPart != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		id, _, _ := strings.Cut(part, ":")
+		return id == s.params.PoisonPart
+	})
+}
+
 // crash ends the server because of a request with the given body.
 func (s *Server) crash(w http.ResponseWriter, body string) {
 	if s.params.OmitSeal {
