Lines of servers that ended name the prompt parts that the requests share

"server ended while requests ran there" now has the most frequent parts of the prompts of requests that had no event yet, with counts.

--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -12,6 +12,8 @@
 	// Subject describes the request for operators.
 	Subject string
 	Server  serving.Server
+	// PromptParts are the parts of the request's prompt, as in serving.Request.
+	PromptParts []string
 	// RunTime is the time from the server's first event to the failure; 0 if there was no event.
 	RunTime time.Duration
 	// Isolated is set if the attempt was an isolated run of a suspect.
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -165,7 +165,7 @@
 	c.mu.Unlock()
 	c.set.GetOrCreateCounter(`martenport_servers_ended_total{service="` + w.server.Service + `"}`).Inc()
 	c.log.WithFields(logrus.Fields{
-		"server": incarnation.Server, "born": incarnation.Born, "service": w.server.Service, "evidence": evidence, "requests": len(attempts),
+		"server": incarnation.Server, "born": incarnation.Born, "service": w.server.Service, "evidence": evidence, "requests": len(attempts), "parts": sharedParts(attempts),
 	}).Info("server ended while requests ran there")
 	c.countEnd(incarnation, attempts, now)
 }
