--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -24,29 +24,32 @@
 	// Ready reports whether the quarantine records have been loaded, which an instance does first
 	// after its start.
 	Ready() bool
-	// State returns how a request for a service is treated, and StateOn how it is treated on one
-	// server: a quarantined request may run alone on a software version under which no server has
-	// crashed.
-	State(fp serving.Fingerprint, service string) quarantine.State
-	StateOn(fp serving.Fingerprint, s serving.Server) quarantine.State
+	// State returns how a request is treated and, unless it is clear, because of which fingerprint. StateOn
+	// returns how it is treated on one server: a quarantined request may run alone on a software version
+	// under which no server has crashed.
+	State(i quarantine.Identity) (state quarantine.State, cause serving.Fingerprint)
+	StateOn(i quarantine.Identity, s serving.Server) quarantine.State
 	// Crashed reports whether a server is known to have crashed although it is still announced.
 	Crashed(s serving.Server) bool
 	// RequestTrial requests permission for a suspect to run alone on a server, for at most longest.
 	// Its errors are ErrTrialBusy and ErrNoHolder.
-	RequestTrial(ctx context.Context, fp serving.Fingerprint, s serving.Server, longest time.Duration) (Trial, error)
+	RequestTrial(ctx context.Context, i quarantine.Identity, s serving.Server, longest time.Duration) (Trial, error)
 	// Implicated reports whether a server is known to have crashed under a request whose state is
 	// still clear.
-	Implicated(fp serving.Fingerprint) bool
+	Implicated(i quarantine.Identity) bool
 	// Consult exchanges the records of a request with the holder. Its error is ErrNoHolder.
-	Consult(ctx context.Context, fp serving.Fingerprint) error
+	Consult(ctx context.Context, i quarantine.Identity) error
 	// RecordBrokenAnswer records that an answer broke off, and starts a check of whether the server
 	// has crashed.
 	RecordBrokenAnswer(b quarantine.BrokenAttempt) CrashCheck
 	// Inconclusive reports whether answers broke off on a server and it is not known whether it has
 	// crashed.
 	Inconclusive(s serving.Server) bool
-	// RecordSuccess records that a request was answered completely and successfully.
-	RecordSuccess(fp serving.Fingerprint)
+	// RecordBegun records that a server of a software version has begun an answer to a request, and goes on.
+	RecordBegun(i quarantine.Identity, version string)
+	// RecordSuccess records that a server of a software version has answered a request completely and
+	// successfully.
+	RecordSuccess(i quarantine.Identity, version string)
 }
 
 // CrashCheck is the progress of a check of whether a server has crashed.
@@ -85,11 +88,21 @@
 // for other requests. It has no Retry-After, so that clients do not retry: the request would not be
 // served later either.
 func (t *transaction) quarantineFailure() *verdict.Failure {
-	if t.f.guard.State(t.request.Fingerprint, t.service.Name) != quarantine.Quarantined {
+	state, cause := t.f.guard.State(t.identity())
+	if state != quarantine.Quarantined {
 		return nil
 	}
-	return verdict.Refuse(verdict.ReasonQuarantined, "request %s is quarantined: %d servers or more ended while it ran there, one while it ran alone",
-		t.request.Fingerprint, quarantine.QuarantineAfter)
+	what := "request"
+	if cause != t.request.Fingerprint {
+		what = "a part of the prompt,"
+	}
+	return verdict.Refuse(verdict.ReasonQuarantined, "%s %s is quarantined: %d servers or more ended while it ran there, one while it ran alone",
+		what, cause, quarantine.QuarantineAfter)
+}
+
+// identity returns by what the request is recognized.
+func (t *transaction) identity() quarantine.Identity {
+	return quarantine.Identity{Fingerprint: t.request.Fingerprint, Service: t.service.Name, PromptParts: t.request.PromptParts}
 }
 
 // Timing of trials.
@@ -111,14 +124,14 @@
 // request.
 func (t *transaction) checkQuarantine(ctx context.Context, server serving.Server) (bool, *verdict.Failure) {
 	t.consultHolder(ctx)
-	switch t.f.guard.StateOn(t.request.Fingerprint, server) {
+	switch t.f.guard.StateOn(t.identity(), server) {
 	case quarantine.Clear:
 		return true, nil
 	case quarantine.Quarantined:
 		t.excluded[server.ID] = true
 		return false, t.quarantineFailure()
 	}
-	trial, err := t.f.guard.RequestTrial(ctx, t.request.Fingerprint, server, clock.Until(t.deadline)+trialSlack)
+	trial, err := t.f.guard.RequestTrial(ctx, t.identity(), server, clock.Until(t.deadline)+trialSlack)
 	switch {
 	case err == nil:
 		t.trial = trial
@@ -137,12 +150,12 @@
 // again. If no holder answers, the decision is based on what this instance knows, since most
 // requests under which one server crashed are not the cause.
 func (t *transaction) consultHolder(ctx context.Context) {
-	fp := t.request.Fingerprint
-	if t.consultedForSend > t.sends || !t.f.guard.Implicated(fp) {
+	identity := t.identity()
+	if t.consultedForSend > t.sends || !t.f.guard.Implicated(identity) {
 		return
 	}
 	t.consultedForSend = t.sends + 1
-	if err := t.f.guard.Consult(ctx, fp); err != nil {
+	if err := t.f.guard.Consult(ctx, identity); err != nil {
 		t.f.log.WithFields(t.logFields()).WithField("error", err).Info("server ended while the request ran there; holder could not be consulted")
 	}
 }
@@ -157,6 +170,16 @@
 	t.trial = Trial{}
 }
 
+// recordBegun records that the answer of the current server has begun and goes on, once it has for
+// quarantine.MinGrace: what crashes servers when they begin to answer does so sooner.
+func (t *transaction) recordBegun(now time.Time) {
+	if t.begunRecorded || now.Sub(t.firstEventAt) < quarantine.MinGrace {
+		return
+	}
+	t.begunRecorded = true
+	t.f.guard.RecordBegun(t.identity(), t.serverVersion)
+}
+
 // endTrialAfterGrace ends the trial once the suspect has run beyond its grace period, so that other
 // suspects can run on the server.
 func (t *transaction) endTrialAfterGrace(now time.Time) {
@@ -181,7 +204,7 @@
 	fp := t.request.Fingerprint
 	if failure == nil {
 		if t.out.status < http.StatusMultipleChoices {
-			t.f.guard.RecordSuccess(fp)
+			t.f.guard.RecordSuccess(t.identity(), server.Version)
 		}
 		return
 	}
@@ -198,13 +221,19 @@
 	check := t.f.guard.RecordBrokenAnswer(b)
 	switch {
 	case clientLeft:
-	case t.f.guard.State(fp, t.service.Name) == quarantine.Clear:
+	case t.isClear():
 		awaitCheck(ctx, check.FirstProbe, firstCheckTimeout)
 	case !awaitCheck(ctx, check.Done, suspectCheckTimeout):
 		t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{"server": server.ID}).Info("server check timed out; unknown whether the server has ended")
 	}
 }
 
+// isClear reports whether the request may run without restriction.
+func (t *transaction) isClear() bool {
+	state, _ := t.f.guard.State(t.identity())
+	return state == quarantine.Clear
+}
+
 // awaitCheck waits for a check of a server for at most timeout, and reports whether it completed.
 func awaitCheck(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
 	timer := time.NewTimer(timeout)
--- a/command/forward/guard_test.go
+++ b/command/forward/guard_test.go
@@ -28,32 +28,33 @@
 	statesFromHolder []quarantine.State
 	consultErr       error
 
-	consulted, trialRequests, answered, trialsEnded int
+	consulted, trialRequests, answered, begun, trialsEnded int
 	// inconclusiveEnds is the number of trials that ended inconclusively.
 	inconclusiveEnds int
 	brokenAttempts   []quarantine.BrokenAttempt
 }
 
-func (g *fakeGuard) State(serving.Fingerprint, string) quarantine.State {
+func (g *fakeGuard) State(i quarantine.Identity) (quarantine.State, serving.Fingerprint) {
 	if len(g.states) == 0 {
-		return quarantine.Clear
+		return quarantine.Clear, ""
 	}
 	state := g.states[0]
 	if len(g.states) > 1 {
 		g.states = g.states[1:]
 	}
-	return state
+	return state, i.Fingerprint
 }
 
 func (g *fakeGuard) Ready() bool { return true }
 
-func (g *fakeGuard) StateOn(fp serving.Fingerprint, _ serving.Server) quarantine.State {
-	return g.State(fp, "")
+func (g *fakeGuard) StateOn(i quarantine.Identity, _ serving.Server) quarantine.State {
+	state, _ := g.State(i)
+	return state
 }
 
 func (g *fakeGuard) Crashed(s serving.Server) bool { return g.crashed[s.ID] }
 
-func (g *fakeGuard) RequestTrial(context.Context, serving.Fingerprint, serving.Server, time.Duration) (Trial, error) {
+func (g *fakeGuard) RequestTrial(context.Context, quarantine.Identity, serving.Server, time.Duration) (Trial, error) {
 	g.trialRequests++
 	if g.busy > 0 {
 		g.busy--
@@ -76,11 +77,11 @@
 	return CrashCheck{FirstProbe: closed, Done: closed}
 }
 
-func (g *fakeGuard) Implicated(serving.Fingerprint) bool {
+func (g *fakeGuard) Implicated(quarantine.Identity) bool {
 	return g.implicates && len(g.brokenAttempts) > 0
 }
 
-func (g *fakeGuard) Consult(context.Context, serving.Fingerprint) error {
+func (g *fakeGuard) Consult(context.Context, quarantine.Identity) error {
 	g.consulted++
 	if g.consultErr == nil {
 		g.states = g.statesFromHolder
@@ -90,7 +91,9 @@
 
 func (g *fakeGuard) Inconclusive(serving.Server) bool { return g.inconclusive }
 
-func (g *fakeGuard) RecordSuccess(serving.Fingerprint) { g.answered++ }
+func (g *fakeGuard) RecordBegun(quarantine.Identity, string) { g.begun++ }
+
+func (g *fakeGuard) RecordSuccess(quarantine.Identity, string) { g.answered++ }
 
 // TestQuarantinedBeforeSend: a request that is quarantined while it waits for a load, or between
 // two sends, is not sent, and the refusal is permanent.
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -165,6 +165,7 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = now
 	}
+	t.recordBegun(now)
 	t.endTrialAfterGrace(now)
 }
 
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -59,6 +59,8 @@
 	via string
 	// firstEventAt is when the current server sent its first event; zero before.
 	firstEventAt time.Time
+	// begunRecorded is set once that server's answer is recorded as begun.
+	begunRecorded bool
 	// serverLimits is the state of the servers that limit the requests they accept.
 	serverLimits limitedServers
 	// speed follows the stream of the current attempt, to learn the engine's speed.
@@ -241,7 +243,7 @@
 // attempt sends the request to a server and relays the answer. answered states that the client has
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
-	t.server, t.serverVersion, t.firstEventAt = server.ID, server.Version, time.Time{}
+	t.server, t.serverVersion, t.firstEventAt, t.begunRecorded = server.ID, server.Version, time.Time{}, false
 	now := clock.Now()
 	requestCtx := ctx
 	defer func() { t.endTrial(server, failure != nil && failure.Verdict == verdict.MayHaveRun) }()
--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -32,6 +32,11 @@
 // followed to their end.
 func (b *BrokenAttempt) inconclusive() bool { return !b.Isolated && (b.Unresponsive || b.ClientGone) }
 
+// Identity returns the identity of the request.
+func (b *BrokenAttempt) Identity() Identity {
+	return Identity{Fingerprint: b.Fingerprint, Service: b.Server.Service, PromptParts: b.PromptParts}
+}
+
 // RecordCrash records that the server of a broken attempt has crashed, and returns the escalations that
 // follow. For a suspect, only the crash of a server that had just started the request counts
 // permanently: if the request had already run for longer than its grace period, another request is
@@ -39,6 +44,11 @@
 func (l *Ledger) RecordCrash(b BrokenAttempt, now time.Time) []Escalation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return append(l.recordRequestCrash(b, now), l.recordPartCrashes(&b, now)...)
+}
+
+// recordRequestCrash counts the crash against the request itself. l.mu must be held.
+func (l *Ledger) recordRequestCrash(b BrokenAttempt, now time.Time) []Escalation {
 	update := Record{Fingerprint: b.Fingerprint, Subject: b.Subject}
 	r := l.records[b.Fingerprint]
 	suspect := r != nil && r.State() == Suspect
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/martenport/martenport/serving"
@@ -43,6 +44,10 @@
 	digest uint64
 	// answered holds the requests that this instance has answered recently; guarded by mu.
 	answered recentAnswers
+	// partRecords is the number of records of parts of prompts; changed under mu.
+	partRecords atomic.Int32
+	// begun has the parts of prompts with which answers have begun here recently.
+	begun begunParts
 }
 
 // NewLedger returns an empty ledger.
@@ -93,12 +98,23 @@
 	return Record{}, false
 }
 
-// RecordsOf returns the request's record in the form that Merge accepts; nil if there is none.
-func (l *Ledger) RecordsOf(fp serving.Fingerprint, now time.Time) []Record {
-	if r, known := l.Record(fp, now); known {
-		return []Record{r}
+// RecordsOf returns the records with the given fingerprints in the form that Merge accepts.
+func (l *Ledger) RecordsOf(now time.Time, fps ...serving.Fingerprint) []Record {
+	var records []Record
+	for _, fp := range fps {
+		if r, known := l.Record(fp, now); known {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// RecordsOfIdentity returns the records of a request and of the parts of its prompt.
+func (l *Ledger) RecordsOfIdentity(i Identity, now time.Time) []Record {
+	if l.partRecords.Load() == 0 {
+		return l.RecordsOf(now, i.Fingerprint)
 	}
-	return nil
+	return l.RecordsOf(now, i.fingerprints()...)
 }
 
 // State returns how the request is treated.
@@ -111,13 +127,13 @@
 	return Clear
 }
 
-// Implicated reports whether the request is clear although crashes count against it. It may be their
-// cause, and other instances may know of more.
-func (l *Ledger) Implicated(fp serving.Fingerprint) bool {
+// Implicated reports whether the request, or a part of its prompt, is clear although crashes count against it. It may be
+// their cause, and other instances may know of more.
+func (l *Ledger) Implicated(i Identity) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.records[fp]
-	return r != nil && len(r.Crashes) > 0 && r.State() == Clear
+	implicated := func(r *record) bool { return r != nil && len(r.Crashes) > 0 && r.State() == Clear }
+	return implicated(l.records[i.Fingerprint]) || slices.ContainsFunc(l.partsOf(&i), implicated)
 }
 
 // StateOnVersion returns how the request is treated on servers with the given software version. A
@@ -129,13 +145,7 @@
 	if r == nil {
 		return Clear
 	}
-	state := r.State()
-	if state == Quarantined && !slices.ContainsFunc(r.Crashes, func(incarnation Incarnation) bool {
-		return incarnation.Version == version
-	}) {
-		return Suspect
-	}
-	return state
+	return r.stateOn(version)
 }
 
 // Grace returns the time after the first event of an isolated run during which a crash counts.
@@ -145,7 +155,7 @@
 	if r := l.records[fp]; r != nil {
 		return r.grace()
 	}
-	return minGrace
+	return MinGrace
 }
 
 // List returns the records of all suspects and quarantined requests, oldest first.
@@ -188,6 +198,7 @@
 		l.evictIfFull()
 		r = &record{Record: Record{Fingerprint: from.Fingerprint}}
 		l.records[from.Fingerprint] = r
+		l.countPart(from.Fingerprint, 1)
 	}
 	before := r.State()
 	changed := r.merge(from)
@@ -196,12 +207,16 @@
 	if len(r.Crashes) > 0 && l.answered.contains(r.Fingerprint, now) {
 		changed = r.merge(Record{Cleared: slices.Clone(r.Crashes)}) || changed
 	}
+	if begun := l.begunCrashes(r, now); len(begun) > 0 {
+		changed = r.merge(Record{Cleared: begun}) || changed
+	}
 	if at := now.Add(-from.Age); changed && at.After(r.changedAt) {
 		r.changedAt = at
 	}
 	if !changed {
 		if r.revision == 0 {
 			delete(l.records, from.Fingerprint)
+			l.countPart(from.Fingerprint, -1)
 		}
 		return nil
 	}
@@ -218,8 +233,13 @@
 }
 
 // clearAttributed clears a request of the crashes that are attributed to another, quarantined request.
-// It reports whether there were any. l.mu must be held.
+// It reports whether there were any. Crashes are never attributed away from a part of prompts: a request
+// and several of its parts crash the same servers, and which of them is quarantined first depends on the
+// order of messages. l.mu must be held.
 func (l *Ledger) clearAttributed(r *record) bool {
+	if IsPart(r.Fingerprint) {
+		return false
+	}
 	var cleared []Incarnation
 	for _, incarnation := range r.Crashes {
 		if culprit, ok := l.attributed[incarnation]; ok && culprit != r.Fingerprint {
@@ -233,7 +253,7 @@
 // all other requests of them. l.mu must be held.
 func (l *Ledger) attributeCrashes(culprit *record) {
 	for _, incarnation := range culprit.Crashes {
-		if _, known := l.attributed[incarnation]; !known {
+		if before, known := l.attributed[incarnation]; !known || IsPart(culprit.Fingerprint) && !IsPart(before) {
 			l.attributed[incarnation] = culprit.Fingerprint
 		}
 	}
@@ -274,6 +294,14 @@
 	r.Crashes, r.Alone = nil, nil
 	l.dropAttributions(r, before)
 	delete(l.records, fp)
+	l.countPart(fp, -1)
+}
+
+// countPart changes the number of records of parts if the fingerprint is that of a part. l.mu must be held.
+func (l *Ledger) countPart(fp serving.Fingerprint, change int32) {
+	if IsPart(fp) {
+		l.partRecords.Add(change)
+	}
 }
 
 // evictIfFull removes the oldest record of those with the mildest state if the ledger is full. l.mu
--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -114,11 +114,11 @@
 		t.Fatal("not yet a suspect")
 	}
 	recordCrash(l, "culprit", 2)
-	if l.State("culprit") != Suspect || l.State("beside") != Suspect || !l.HasPending("culprit") {
+	if l.State("culprit") != Suspect || l.State("beside") != Suspect || !l.HasPending(Identity{Fingerprint: "culprit"}) {
 		t.Error("a crash during an isolated run counts before it is known which other requests were running there")
 	}
 	l.DecidePending(start.Add(confirmationDelay))
-	if got := l.State("culprit"); got != Quarantined || l.HasPending("culprit") {
+	if got := l.State("culprit"); got != Quarantined || l.HasPending(Identity{Fingerprint: "culprit"}) {
 		t.Errorf("%s, want quarantined", got)
 	}
 	if got := l.State("beside"); got != Clear {
@@ -163,6 +163,8 @@
 		ledgers := []*Ledger{NewLedger(), NewLedger(), NewLedger()}
 		links := map[[2]int]*Link{}
 		fps := []serving.Fingerprint{"a", "b", "c"}
+		parts := []string{"p:1", "q:2", "own"}
+		partFPs := (&Identity{PromptParts: parts}).partFingerprints()
 		exchange := func(from, to int, lost bool) {
 			key := [2]int{from, to}
 			if links[key] == nil {
@@ -177,15 +179,20 @@
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			at := rapid.IntRange(0, 2).Draw(t, "at")
 			fp := rapid.SampledFrom(fps).Draw(t, "request")
-			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
-				recordCrash(ledgers[at], fp, rapid.IntRange(0, 5).Draw(t, "incarnation"))
+				ledgers[at].RecordCrash(BrokenAttempt{
+					Fingerprint: fp, Server: server(rapid.IntRange(0, 5).Draw(t, "incarnation")), Isolated: ledgers[at].State(fp) == Suspect,
+					PromptParts: parts[rapid.IntRange(0, 2).Draw(t, "first part"):],
+				}, start)
 			case 2:
 				if ledgers[at].State(fp) != Quarantined {
 					ledgers[at].Clear(fp, start)
 				}
 			case 3:
 				exchange(at, rapid.IntRange(0, 2).Draw(t, "to"), rapid.Bool().Draw(t, "lost"))
+			case 5:
+				ledgers[at].RecordBegun(Identity{PromptParts: parts[rapid.IntRange(0, 2).Draw(t, "first part"):]}, "v1", start)
 			case 4: // the process restarts
 				ledgers[at] = NewLedger()
 				for key := range links {
@@ -202,7 +209,7 @@
 				}
 			}
 		}
-		for _, fp := range fps {
+		for _, fp := range append(fps, partFPs...) {
 			if a, b, c := incarnations(ledgers[0], fp), incarnations(ledgers[1], fp), incarnations(ledgers[2], fp); !slices.Equal(a, b) || !slices.Equal(b, c) {
 				t.Fatalf("%s: ledgers differ: %v, %v, %v", fp, a, b, c)
 			}
--- /dev/null
+++ b/command/quarantine/parts_test.go
@@ -0,0 +1,172 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/serving"
+)
+
+// identity returns the identity of a request with parts of its prompt, the last of which is its own.
+func identity(fp string, parts ...string) Identity {
+	return Identity{Fingerprint: serving.Fingerprint(fp), PromptParts: append(parts, "own-"+fp+":1")}
+}
+
+// crashUnder records a crash of a server while a request ran there, and decides it if it is pending.
+func crashUnder(l *Ledger, i Identity, n int, isolated bool) {
+	l.RecordCrash(BrokenAttempt{Fingerprint: i.Fingerprint, Server: server(n), PromptParts: i.PromptParts, Isolated: isolated}, start)
+	l.DecidePending(start.Add(confirmationDelay))
+}
+
+// crashWithPart records three crashes under different requests with the part p, the last one during an isolated run.
+func crashWithPart(l *Ledger, others ...string) {
+	for n := range QuarantineAfter {
+		crashUnder(l, identity(fmt.Sprintf("bad-%d", n), append(others, "p:10")...), n, n == QuarantineAfter-1)
+	}
+}
+
+func checkAssessed(t *testing.T, l *Ledger, what string, i Identity, version string, want State) {
+	t.Helper()
+	if got, cause := l.Assess(i, version); got != want {
+		t.Errorf("%s: %s because of %q, want %s", what, got, cause, want)
+	}
+}
+
+// TestPartIsQuarantined guards against requests of which no two are alike, but that share a part that crashes servers.
+func TestPartIsQuarantined(t *testing.T) {
+	l := NewLedger()
+	l.RecordBegun(identity("sound", "a:1", "m:2"), "v1", start)
+	crashUnder(l, identity("bad-0", "a:1", "p:10"), 0, false)
+	if !l.Implicated(identity("bad-1", "p:10")) || l.Implicated(identity("sound", "a:1")) {
+		t.Error("after one crash the part alone has to be implicated")
+	}
+	crashUnder(l, identity("bad-1", "a:1", "p:10"), 1, false)
+	checkAssessed(t, l, "two crashes", identity("bad-2", "a:1", "p:10"), "", Suspect)
+	crashUnder(l, identity("bad-2", "a:1", "p:10"), 2, true)
+	checkAssessed(t, l, "three crashes", identity("bad-3", "a:1", "p:10"), "", Quarantined)
+	checkAssessed(t, l, "other count of tokens", identity("bad-4", "p:11"), "", Quarantined)
+	checkAssessed(t, l, "without the part", identity("sound", "a:1", "m:2"), "", Clear)
+	checkAssessed(t, l, "as the request's own part", Identity{Fingerprint: "own", PromptParts: []string{"a:1", "p:10"}}, "", Clear)
+	checkAssessed(t, l, "another service", Identity{Fingerprint: "x", Service: "other", PromptParts: []string{"p:10", "own"}}, "", Clear)
+	checkAssessed(t, l, "a new version", identity("bad-5", "p:10"), "v2", Suspect)
+}
+
+// TestBegunPartIsClear: a part with which an answer has begun at one instance is not held because of crashes of the same
+// version at another one.
+func TestBegunPartIsClear(t *testing.T) {
+	here, there := NewLedger(), NewLedger()
+	here.RecordBegun(identity("sound", "p:10"), "v1", start)
+	crashWithPart(there)
+	here.Merge(there.RecordsOfIdentity(identity("x", "p:10"), start), start)
+	checkAssessed(t, here, "begun here", identity("x", "p:10"), "", Clear)
+	there.Merge(here.RecordsOfIdentity(identity("x", "p:10"), start), start)
+	checkAssessed(t, there, "told that it began", identity("x", "p:10"), "", Clear)
+	there = NewLedger()
+	crashWithPart(there)
+	there.RecordBegun(identity("sound", "p:10"), "v2", start)
+	checkAssessed(t, there, "begun at another version", identity("x", "p:10"), "v1", Quarantined)
+	late := start.Add(2 * begunRetention)
+	here.RecordCrash(BrokenAttempt{Fingerprint: "r", Server: server(7), PromptParts: []string{"p:10", "own"}}, late)
+	if !here.Implicated(identity("x", "p:10")) {
+		t.Error("an answer that began long ago clears a part")
+	}
+}
+
+// TestCompanionPartIsNotHeld guards against refusing sound requests because of a part that all requests with a part that
+// crashes servers had, too: they run isolated, and one that begins clears the part.
+func TestCompanionPartIsNotHeld(t *testing.T) {
+	l := NewLedger()
+	crashWithPart(l, "q:5")
+	checkAssessed(t, l, "both parts", identity("bad", "q:5", "p:10"), "", Quarantined)
+	checkAssessed(t, l, "the companion alone", identity("sound", "q:5"), "", Suspect)
+	checkAssessed(t, l, "the part alone", identity("other", "p:10"), "", Suspect)
+	crashUnder(l, identity("other", "p:10"), 5, true)
+	checkAssessed(t, l, "the part alone, after another crash", identity("other", "p:10"), "", Quarantined)
+	l.RecordBegun(identity("sound", "q:5"), "v1", start)
+	checkAssessed(t, l, "the companion has begun", identity("sound-2", "q:5"), "", Clear)
+	checkAssessed(t, l, "both parts again", identity("bad", "q:5", "p:10"), "", Quarantined)
+}
+
+// TestPartOutlivesRequest guards against a quarantined request that takes the crashes of a part of its prompt with it.
+func TestPartOutlivesRequest(t *testing.T) {
+	l := NewLedger()
+	for n := range QuarantineAfter {
+		crashUnder(l, identity("bad", "p:10"), n, n == QuarantineAfter-1)
+	}
+	checkAssessed(t, l, "the request", identity("bad"), "", Quarantined)
+	checkAssessed(t, l, "another request with the part", identity("next", "p:10"), "", Suspect)
+	crashUnder(l, identity("next", "p:10"), 5, true)
+	checkAssessed(t, l, "after it crashed a server", identity("third", "p:10"), "", Quarantined)
+}
+
+// TestPartsAreBounded guards against records that grow with the parts that clients name.
+func TestPartsAreBounded(t *testing.T) {
+	var parts []string
+	for n := range 2 * maxParts {
+		parts = append(parts, fmt.Sprintf("p%d:1", n))
+	}
+	parts = append(parts, "own")
+	i := Identity{PromptParts: parts}
+	if n := len(i.partFingerprints()); n != maxParts {
+		t.Errorf("%d parts recorded, want %d", n, maxParts)
+	}
+	i = Identity{PromptParts: []string{string(make([]byte, maxPartID+1)), "", ":5", "own"}}
+	if fps := i.partFingerprints(); len(fps) > 0 {
+		t.Errorf("recorded %v", fps)
+	}
+	l := NewLedger()
+	for n := range 2 * maxRecords {
+		crashUnder(l, identity("r", fmt.Sprintf("p%d:1", n)), n%maxCleared, false)
+	}
+	if n := len(l.records); n > maxRecords {
+		t.Errorf("%d records", n)
+	}
+	if n := l.partRecords.Load(); int(n) > maxRecords || n == 0 {
+		t.Errorf("%d records of parts counted", n)
+	}
+	l.Expire(start.Add(2 * quarantineLifetime))
+	if n := l.partRecords.Load(); n != 0 {
+		t.Errorf("%d records of parts counted after all have expired", n)
+	}
+}
+
+// TestTrialsOfPart: only one request with a suspect part is on trial at a time.
+func TestTrialsOfPart(t *testing.T) {
+	trials := NewTrials()
+	first := Trial{Fingerprint: "a", Parts: []serving.Fingerprint{"part-1", "part-2"}, Server: "s1"}
+	if !trials.Begin(first, time.Minute, start) {
+		t.Fatal("no trial")
+	}
+	if trials.Begin(Trial{Fingerprint: "b", Parts: []serving.Fingerprint{"part-2"}, Server: "s2"}, time.Minute, start) {
+		t.Error("two trials of a part")
+	}
+	if !trials.Begin(Trial{Fingerprint: "b", Parts: []serving.Fingerprint{"part-3"}, Server: "s2"}, time.Minute, start) {
+		t.Error("no trial of another part")
+	}
+	trials.Hold(first, time.Second, start)
+	if trials.Begin(Trial{Fingerprint: "c", Parts: []serving.Fingerprint{"part-1"}, Server: "s3"}, time.Minute, start) {
+		t.Error("a trial of a part that is held")
+	}
+	if !trials.Begin(Trial{Fingerprint: "c", Parts: []serving.Fingerprint{"part-1"}, Server: "s3"}, time.Minute, start.Add(time.Second)) {
+		t.Error("no trial after the hold")
+	}
+}
+
+// BenchmarkAssess: what a send costs while no crash of a part is known.
+func BenchmarkAssess(b *testing.B) {
+	l, i := NewLedger(), identity("r", "5c1e07a2:800", "91bd3f06:410")
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Assess(i, "v1")
+	}
+}
+
+// BenchmarkRecordBegun: what an answer costs while no crash of a part is known.
+func BenchmarkRecordBegun(b *testing.B) {
+	l, i := NewLedger(), identity("r", "5c1e07a2:800", "91bd3f06:410")
+	b.ReportAllocs()
+	for b.Loop() {
+		l.RecordBegun(i, "v1", start)
+	}
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -107,23 +107,32 @@
 }
 
 // hasOtherCause reports whether another request, which is a suspect because of other crashes as well,
-// was running on an incarnation that crashed during an isolated run. l.mu must be held.
+// was running on an incarnation that crashed during an isolated run. A request and the parts of its prompt
+// crash the same servers: between the two, the one with more crashes is the cause. l.mu must be held.
 func (l *Ledger) hasOtherCause(fp serving.Fingerprint, incarnation Incarnation) bool {
+	own := 0
+	if r := l.records[fp]; r != nil {
+		own = len(r.Crashes)
+	}
 	for _, other := range l.records {
-		if other.Fingerprint != fp && len(other.Crashes) > SuspectAfter && slices.Contains(other.Crashes, incarnation) {
+		moreThan := SuspectAfter
+		if IsPart(fp) || IsPart(other.Fingerprint) {
+			moreThan = max(moreThan, own)
+		}
+		if other.Fingerprint != fp && len(other.Crashes) > moreThan && slices.Contains(other.Crashes, incarnation) {
 			return true
 		}
 	}
 	return false
 }
 
-// HasPending reports whether a crash during an isolated run of the request is pending. The request must
-// not run until it is decided.
-func (l *Ledger) HasPending(fp serving.Fingerprint) bool {
+// HasPending reports whether a crash during an isolated run of the request, or of another one with a part
+// of its prompt, is pending. The request must not run until it is decided.
+func (l *Ledger) HasPending(i Identity) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.records[fp]
-	return r != nil && len(r.pending) > 0
+	pending := func(r *record) bool { return r != nil && len(r.pending) > 0 }
+	return pending(l.records[i.Fingerprint]) || slices.ContainsFunc(l.partsOf(&i), pending)
 }
 
 // DecidePending decides the pending crashes that are older than confirmationDelay: each counts as a
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -127,10 +127,10 @@
 
 // Grace periods of isolated runs.
 const (
-	// minGrace is the minimum time for which a suspect has to run after its first event before
+	// MinGrace is the minimum time for which a suspect has to run after its first event before
 	// another one may run on the same server. A request that crashes servers when it starts does so
 	// within tens of milliseconds.
-	minGrace = 250 * time.Millisecond
+	MinGrace = 250 * time.Millisecond
 	// maxGrace bounds the grace period of requests that crash servers later.
 	maxGrace = 30 * time.Second
 	// graceFactor is the ratio of the next grace period to the run time at a crash that came after
--- a/command/quarantine/record.go
+++ b/command/quarantine/record.go
@@ -20,7 +20,19 @@
 }
 
 // grace returns the grace period of the next isolated run.
-func (r *record) grace() time.Duration { return max(minGrace, r.Grace) }
+func (r *record) grace() time.Duration { return max(MinGrace, r.Grace) }
+
+// stateOn returns the state on servers with a software version, or on any server if version is "". What is quarantined
+// may run isolated on a version of which it has crashed no server.
+func (r *record) stateOn(version string) State {
+	state := r.State()
+	if state == Quarantined && version != "" && !slices.ContainsFunc(r.Crashes, func(incarnation Incarnation) bool {
+		return incarnation.Version == version
+	}) {
+		return Suspect
+	}
+	return state
+}
 
 // merge adds what another record contains, and reports whether any of it was new.
 func (r *record) merge(from Record) bool {
--- a/command/quarantine/restart_test.go
+++ b/command/quarantine/restart_test.go
@@ -72,7 +72,7 @@
 				r.ledger.DecidePending(now)
 				r.write(now, fps...)
 			}
-			if r.ledger.State("culprit") != Suspect || r.ledger.HasPending("culprit") {
+			if r.ledger.State("culprit") != Suspect || r.ledger.HasPending(Identity{Fingerprint: "culprit"}) {
 				continue
 			}
 			r.ledger.RecordCrash(BrokenAttempt{Fingerprint: "culprit", Server: server(crashes), Isolated: true}, now)
@@ -116,11 +116,11 @@
 	}
 	send(a, b, start.Add(confirmationDelay))
 	send(b, a, start.Add(confirmationDelay+time.Second))
-	if a.HasPending("beside") {
+	if a.HasPending(Identity{Fingerprint: "beside"}) {
 		t.Error("the crash is pending again after it was decided")
 	}
 	b.DecidePending(start.Add(confirmationDelay + time.Second))
-	if a.State("beside") != Suspect || b.State("beside") != Suspect || b.HasPending("beside") {
+	if a.State("beside") != Suspect || b.State("beside") != Suspect || b.HasPending(Identity{Fingerprint: "beside"}) {
 		t.Errorf("%s and %s, want suspect", a.State("beside"), b.State("beside"))
 	}
 	if a.digest != b.digest {
--- a/command/quarantine/trials.go
+++ b/command/quarantine/trials.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -17,7 +18,9 @@
 // Trial is an isolated run of a suspect.
 type Trial struct {
 	Fingerprint serving.Fingerprint
-	Server      string
+	// Parts are the parts of the request's prompt that are suspects.
+	Parts  []serving.Fingerprint
+	Server string
 	// Instance is the instance that sends the request.
 	Instance string
 	// expiresAt is when the trial ends unless its end is reported earlier.
@@ -27,8 +30,13 @@
 // NewTrials returns an empty set of trials.
 func NewTrials() *Trials { return &Trials{byServer: map[string]Trial{}} }
 
-// Begin starts a trial and returns true, unless the server is already running a trial or the request
-// is already on trial on another server. The trial ends at the call of End, or after maxDuration.
+// sharesSuspect reports whether the trials are of the same request, or of requests with the same suspect part.
+func (t *Trial) sharesSuspect(other Trial) bool {
+	return t.Fingerprint == other.Fingerprint || slices.ContainsFunc(t.Parts, func(part serving.Fingerprint) bool { return slices.Contains(other.Parts, part) })
+}
+
+// Begin starts a trial and returns true, unless the server is already running a trial or the request, or
+// a suspect part of its prompt, is already on trial on another server. The trial ends at the call of End, or after maxDuration.
 func (t *Trials) Begin(trial Trial, maxDuration time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -36,7 +44,7 @@
 		switch {
 		case !now.Before(running.expiresAt):
 			delete(t.byServer, server)
-		case server == trial.Server || running.Fingerprint == trial.Fingerprint:
+		case server == trial.Server || running.sharesSuspect(trial):
 			return false
 		}
 	}
@@ -67,3 +75,14 @@
 	}
 	delete(t.byServer, trial.Server)
 }
+
+// Hold ends a trial after d, whatever its maximum duration.
+func (t *Trials) Hold(trial Trial, d time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	running := t.byServer[trial.Server]
+	if running.Fingerprint == trial.Fingerprint && running.Instance == trial.Instance {
+		running.expiresAt = now.Add(d)
+		t.byServer[trial.Server] = running
+	}
+}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -125,14 +125,23 @@
 // completedCheck is returned if nothing more can be learned about a server.
 var completedCheck = forward.CrashCheck{FirstProbe: closedChannel, Done: closedChannel}
 
+// RecordBegun implements forward.Guard.
+func (c *crashDetector) RecordBegun(i quarantine.Identity, version string) {
+	for _, fp := range c.ledger.RecordBegun(i, version, clock.Now()) {
+		c.log.WithFields(logrus.Fields{"fingerprint": fp, "version": version}).Info("answer begun, part of the prompt cleared of ends of servers")
+		c.quarantine.recordCleared(fp, quarantine.Suspect)
+	}
+}
+
 // RecordSuccess implements forward.Guard.
-func (c *crashDetector) RecordSuccess(fp serving.Fingerprint) {
-	before, changed := c.ledger.RecordAnswer(fp, clock.Now())
+func (c *crashDetector) RecordSuccess(i quarantine.Identity, version string) {
+	c.RecordBegun(i, version)
+	before, changed := c.ledger.RecordAnswer(i.Fingerprint, clock.Now())
 	if !changed {
 		return
 	}
-	c.log.WithFields(logrus.Fields{"fingerprint": fp, "state": before}).Info("request answered, cleared of ends of servers")
-	c.quarantine.recordCleared(fp, before)
+	c.log.WithFields(logrus.Fields{"fingerprint": i.Fingerprint, "state": before}).Info("request answered, cleared of ends of servers")
+	c.quarantine.recordCleared(i.Fingerprint, before)
 }
 
 // Crashed implements forward.Guard.
@@ -216,6 +225,7 @@
 		if c.ledger.State(a.Fingerprint) != quarantine.Clear {
 			c.quarantine.scheduleWrite(a.Fingerprint)
 		}
+		c.quarantine.scheduleWrite(c.ledger.HeldParts(a.Identity())...)
 	}
 	c.quarantine.recordChange(escalations)
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -164,7 +164,7 @@
 	i.access = newAccessControl(i.follower, i.settings.Load, i.set)
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
-		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower}, Access: i.access, Limiter: i.limiter, Gate: brittle.NewGate(s.NodeName, i.follower.knownInstances),
+		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower, ownTrials: quarantine.NewTrials()}, Access: i.access, Limiter: i.limiter, Gate: brittle.NewGate(s.NodeName, i.follower.knownInstances),
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends, Origins: i.origins,
 	})
 	i.backends.SetMetrics(i.set)
--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -34,7 +34,8 @@
 // partLoad sends requests whose prompts have three parts: the first is shared by all, the last is their own.
 type partLoad struct {
 	*crashFleet
-	mu sync.Mutex
+	companion bool
+	mu        sync.Mutex
 	// deadly has the attempts with the deadly part, and sound what became of the others; guarded by mu.
 	deadly map[string]bool
 	sound  []soundRequest
@@ -59,6 +60,9 @@
 		if deadly {
 			middle = deadlyPart
 		}
+		if l.companion && (deadly || n%soundParts == 1) {
+			middle = "eeee:20," + middle
+		}
 		work.Go(func() { l.request(ctx, n, middle, deadly) })
 	}
 	work.Wait()
@@ -184,15 +188,91 @@
 	t.Cleanup(l.logCrashes)
 }
 
+// deadlyScenario is a disturbance of a test with a deadly part, at its instances, and further parts of prompts.
+type deadlyScenario struct {
+	// companion is a part that all deadly requests have, too, and one in soundParts of the others.
+	companion bool
+	// disturb is called when the deadly requests begin.
+	disturb func(ctx context.Context, l *partLoad)
+}
+
+// replaceInTurn replaces the instances one after the other, without clean shutdowns.
+func replaceInTurn(ctx context.Context, l *partLoad) {
+	for n := 10; pause.For(ctx, time.Second); n++ {
+		l.replaceOldest(n)
+	}
+}
+
+// replaceOldest kills the oldest instance and starts another one.
+func (l *partLoad) replaceOldest(machine int) {
+	l.crashFleet.mu.Lock()
+	oldest := l.instances[0]
+	l.crashFleet.mu.Unlock()
+	l.killInstance(oldest)
+	l.crashFleet.mu.Lock()
+	defer l.crashFleet.mu.Unlock()
+	l.addInstance(machine)
+}
+
+// loseHolder kills the holder once an engine has crashed.
+func loseHolder(ctx context.Context, l *partLoad) {
+	for len(l.crashTimes()) == 0 && pause.For(ctx, 10*time.Millisecond) {
+	}
+	if r := l.holder(); r != nil {
+		l.killInstance(r)
+	}
+}
+
+// replaceAll kills all instances and starts others, a while after the part has been quarantined.
+func replaceAll(ctx context.Context, l *partLoad) {
+	if !pause.For(ctx, 5*time.Second) {
+		return
+	}
+	for n := range len(l.instances) {
+		l.replaceOldest(20 + n)
+	}
+}
+
+// crashOthers makes engines crash for a reason of their own, one each second.
+func crashOthers(ctx context.Context, l *partLoad) {
+	for pause.For(ctx, time.Second) {
+		l.crashFleet.mu.Lock()
+		s := l.starts[len(l.starts)-1]
+		l.crashFleet.mu.Unlock()
+		s.Stop()
+	}
+}
+
 // TestDeadlyPromptPart guards against requests of which no two are alike, but that share a part of their prompts that
 // crashes each engine that begins to answer: engines crashed one after the other, and sound requests with them.
 func TestDeadlyPromptPart(t *testing.T) {
-	l := newPartLoad(t, 4)
-	l.await("a holder", func() bool { return l.holder() != nil })
-	start := time.Now()
-	deadlyFrom, end := start.Add(3*time.Second), start.Add(20*time.Second)
-	ctx, stop := context.WithDeadline(context.Background(), end)
-	defer stop()
-	l.run(ctx, deadlyFrom)
-	l.check(deadlyFrom, end.Add(-time.Second))
+	for name, scenario := range map[string]deadlyScenario{
+		"undisturbed":                 {},
+		"with a companion":            {companion: true},
+		"holder lost":                 {disturb: loseHolder},
+		"all instances replaced":      {disturb: replaceAll},
+		"instances replaced in turn":  {disturb: replaceInTurn},
+		"engines crash by themselves": {disturb: crashOthers},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newPartLoad(t, 4)
+			l.companion = scenario.companion
+			l.await("a holder", func() bool { return l.holder() != nil })
+			start := time.Now()
+			deadlyFrom, end := start.Add(3*time.Second), start.Add(20*time.Second)
+			ctx, stop := context.WithDeadline(context.Background(), end)
+			defer stop()
+			if scenario.disturb != nil {
+				var disturbance sync.WaitGroup
+				disturbance.Go(func() {
+					if pause.For(ctx, time.Until(deadlyFrom)) {
+						scenario.disturb(ctx, l)
+					}
+				})
+				defer disturbance.Wait()
+			}
+			l.run(ctx, deadlyFrom)
+			l.check(deadlyFrom, end.Add(-time.Second))
+		})
+	}
 }
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -16,33 +16,36 @@
 type crashGuard struct {
 	*crashDetector
 	follower *follower
+	// ownTrials are the trials of suspect parts of prompts that this instance asks for or runs.
+	ownTrials *quarantine.Trials
 }
 
 // State implements forward.Guard.
-func (g *crashGuard) State(fp serving.Fingerprint, service string) quarantine.State {
-	state := g.ledger.State(fp)
+func (g *crashGuard) State(i quarantine.Identity) (quarantine.State, serving.Fingerprint) {
+	state, cause := g.ledger.Assess(i, "")
 	if state != quarantine.Quarantined {
-		return state
+		return state, cause
 	}
-	for _, s := range g.dir.Servers(service) {
-		if onVersion := g.ledger.StateOnVersion(fp, s.Version); onVersion != quarantine.Quarantined {
-			return onVersion
+	for _, s := range g.dir.Servers(i.Service) {
+		if onVersion, cause := g.ledger.Assess(i, s.Version); onVersion != quarantine.Quarantined {
+			return onVersion, cause
 		}
 	}
-	return state
+	return state, cause
 }
 
 // StateOn implements forward.Guard.
-func (g *crashGuard) StateOn(fp serving.Fingerprint, s serving.Server) quarantine.State {
-	return g.ledger.StateOnVersion(fp, s.Version)
+func (g *crashGuard) StateOn(i quarantine.Identity, s serving.Server) quarantine.State {
+	state, _ := g.ledger.Assess(i, s.Version)
+	return state
 }
 
 // Implicated implements forward.Guard.
-func (g *crashGuard) Implicated(fp serving.Fingerprint) bool { return g.ledger.Implicated(fp) }
+func (g *crashGuard) Implicated(i quarantine.Identity) bool { return g.ledger.Implicated(i) }
 
 // Consult implements forward.Guard.
-func (g *crashGuard) Consult(ctx context.Context, fp serving.Fingerprint) error {
-	return g.follower.consult(ctx, fp)
+func (g *crashGuard) Consult(ctx context.Context, i quarantine.Identity) error {
+	return g.follower.consult(ctx, i)
 }
 
 // loadGrace bounds how long an instance that starts refuses requests because it has not yet read from
@@ -54,11 +57,21 @@
 	return g.quarantine.loaded.Load() || clock.Since(g.quarantine.started) > loadGrace
 }
 
+// trialRetry is how long an instance does not ask for a trial of a suspect part of prompts after the holder has let none
+// run: many requests with the part may wait for one.
+const trialRetry = 150 * time.Millisecond
+
 // RequestTrial implements forward.Guard. Only the holder lets a suspect request run; while there is no
 // holder, none runs.
-func (g *crashGuard) RequestTrial(ctx context.Context, fp serving.Fingerprint, s serving.Server, maxRun time.Duration) (forward.Trial, error) {
-	trial := quarantine.Trial{Fingerprint: fp, Server: s.ID, Instance: g.follower.name}
-	granted, err := g.follower.requestTrial(ctx, trial, s.Version, maxRun)
+func (g *crashGuard) RequestTrial(ctx context.Context, i quarantine.Identity, s serving.Server, maxRun time.Duration) (forward.Trial, error) {
+	trial := quarantine.Trial{Fingerprint: i.Fingerprint, Server: s.ID, Instance: g.follower.name, Parts: g.ledger.SuspectParts(i, s.Version)}
+	if len(trial.Parts) > 0 && !g.ownTrials.Begin(trial, maxRun, clock.Now()) {
+		return forward.Trial{}, forward.ErrTrialBusy
+	}
+	granted, err := g.follower.requestTrial(ctx, trial, i, s.Version, maxRun)
+	if err != nil || !granted {
+		g.ownTrials.Hold(trial, trialRetry, clock.Now())
+	}
 	if err != nil {
 		return forward.Trial{}, err
 	}
@@ -69,10 +82,11 @@
 	end := func(inconclusive bool) {
 		if !ended {
 			ended = true
-			go g.follower.endTrial(trial, inconclusive || g.ledger.HasPending(fp))
+			g.ownTrials.End(trial, false, clock.Now())
+			go g.follower.endTrial(trial, i, inconclusive || g.ledger.HasPending(i))
 		}
 	}
-	return forward.Trial{Grace: g.ledger.Grace(fp), End: end}, nil
+	return forward.Trial{Grace: g.ledger.Grace(i.Fingerprint), End: end}, nil
 }
 
 // crashSweepInterval is how often expired state is dropped.
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
@@ -90,7 +91,12 @@
 // write updates the entries in the store that are out of date.
 func (q *quarantineManager) write(ctx context.Context) {
 	q.mu.Lock()
-	pending := slices.Sorted(maps.Keys(q.unwritten))
+	pending := slices.SortedFunc(maps.Keys(q.unwritten), func(a, b serving.Fingerprint) int {
+		if aPart := quarantine.IsPart(a); aPart != quarantine.IsPart(b) {
+			return map[bool]int{true: -1, false: 1}[aPart] // a part concerns many requests
+		}
+		return cmp.Compare(a, b)
+	})
 	q.mu.Unlock()
 	for _, fp := range pending {
 		err := q.writeOne(ctx, fp)
--- a/entry/quarantine_urgent.go
+++ b/entry/quarantine_urgent.go
@@ -49,7 +49,7 @@
 	q.mu.Unlock()
 	var records []quarantine.Record
 	for fp := range urgent {
-		records = append(records, q.ledger.RecordsOf(fp, clock.Now())...)
+		records = append(records, q.ledger.RecordsOf(clock.Now(), fp)...)
 	}
 	if len(records) == 0 {
 		return
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -187,6 +187,8 @@
 // TrialArgs asks the holder to let a suspect request run alone, or reports that it has ended.
 type TrialArgs struct {
 	quarantine.Trial
+	// Identity is by what the request is recognized. Instances of earlier builds send its fingerprint only.
+	Identity quarantine.Identity
 	// Version is the version of the server's software. LongestMS is the maximum duration of the trial
 	// in milliseconds.
 	Version   string
@@ -210,6 +212,8 @@
 // ConsultArgs asks for the state of a request under which a server ended.
 type ConsultArgs struct {
 	Fingerprint serving.Fingerprint
+	// Identity is by what the request is recognized. Instances of earlier builds send its fingerprint only.
+	Identity quarantine.Identity
 	// Known is the sender's state of the request.
 	Known []quarantine.Record
 }
@@ -321,9 +325,12 @@
 		return nil
 	}
 	reply.Held = s.holder.PriorOperationsEnded(now)
-	reply.Known = s.quarantine.ledger.RecordsOf(args.Fingerprint, now)
-	mayRun := s.quarantine.ledger.StateOnVersion(args.Fingerprint, args.Version) == quarantine.Suspect && !s.quarantine.ledger.HasPending(args.Fingerprint)
-	if reply.Held && mayRun {
+	ledger, identity := s.quarantine.ledger, args.Identity
+	identity.Fingerprint = args.Fingerprint
+	reply.Known = ledger.RecordsOfIdentity(identity, now)
+	state, _ := ledger.Assess(identity, args.Version)
+	if reply.Held && state == quarantine.Suspect && !ledger.HasPending(identity) {
+		args.Trial.Parts = ledger.SuspectParts(identity, args.Version)
 		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
 	}
 	return nil
@@ -333,7 +340,9 @@
 func (s *service) Consult(args *ConsultArgs, reply *ConsultReply) error {
 	now := clock.Now()
 	s.quarantine.merge(args.Known, now)
-	reply.Known = s.quarantine.ledger.RecordsOf(args.Fingerprint, now)
+	identity := args.Identity
+	identity.Fingerprint = args.Fingerprint
+	reply.Known = s.quarantine.ledger.RecordsOfIdentity(identity, now)
 	return nil
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -11,20 +11,19 @@
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
-	"github.com/martenport/martenport/serving"
 )
 
 // requestTrial asks the holder whether a suspect request may run alone, for maxRun at most, on a server
 // whose software has the given version.
-func (f *follower) requestTrial(ctx context.Context, t quarantine.Trial, version string, maxRun time.Duration) (bool, error) {
+func (f *follower) requestTrial(ctx context.Context, t quarantine.Trial, i quarantine.Identity, version string, maxRun time.Duration) (bool, error) {
 	record, live := f.liveHolder()
 	if !live {
 		return false, forward.ErrNoHolder
 	}
 	var reply TrialReply
-	args := &TrialArgs{Trial: t, Version: version, LongestMS: maxRun.Milliseconds(), Known: f.ledger.RecordsOf(t.Fingerprint, clock.Now())}
+	args := &TrialArgs{Trial: t, Identity: i, Version: version, LongestMS: maxRun.Milliseconds(), Known: f.ledger.RecordsOfIdentity(i, clock.Now())}
 	if err := f.call(ctx, record, callTimeout, methodTrial, args, &reply); err != nil {
-		go f.endTrial(t, false) // the trial may have been granted, and no other runs until it ends
+		go f.endTrial(t, i, false) // the trial may have been granted, and no other runs until it ends
 		return false, errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	f.onEscalations(f.ledger.Merge(reply.Known, clock.Now()))
@@ -39,28 +38,29 @@
 const consultTimeout = 200 * time.Millisecond
 
 // consult exchanges the state of a request with the holder.
-func (f *follower) consult(ctx context.Context, fp serving.Fingerprint) error {
+func (f *follower) consult(ctx context.Context, i quarantine.Identity) error {
 	record, live := f.liveHolder()
 	if !live {
 		return forward.ErrNoHolder
 	}
 	var reply ConsultReply
-	args := &ConsultArgs{Fingerprint: fp, Known: f.ledger.RecordsOf(fp, clock.Now())}
+	args := &ConsultArgs{Fingerprint: i.Fingerprint, Identity: i, Known: f.ledger.RecordsOfIdentity(i, clock.Now())}
 	if err := f.call(ctx, record, consultTimeout, methodConsult, args, &reply); err != nil {
 		return errors.Wrap(forward.ErrNoHolder, err.Error())
 	}
 	f.onEscalations(f.ledger.Merge(reply.Known, clock.Now()))
-	f.log.WithFields(logrus.Fields{"fingerprint": fp, "holder": record.Holder, "state": f.ledger.State(fp)}).Info("holder asked before a request is sent under which a server ended")
+	state, cause := f.ledger.Assess(i, "")
+	f.log.WithFields(logrus.Fields{"fingerprint": i.Fingerprint, "holder": record.Holder, "state": state, "cause": cause}).Info("holder asked before a request is sent under which a server ended")
 	return nil
 }
 
 // endTrial reports to the holder that a trial has ended. If the report is lost, the trial ends at the
 // holder after its maximum duration.
-func (f *follower) endTrial(t quarantine.Trial, inconclusive bool) {
+func (f *follower) endTrial(t quarantine.Trial, i quarantine.Identity, inconclusive bool) {
 	f.mu.Lock()
 	record := f.record
 	f.mu.Unlock()
-	_ = f.call(context.Background(), record, callTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Doubtful: inconclusive, Known: f.ledger.RecordsOf(t.Fingerprint, clock.Now())}, &TrialReply{})
+	_ = f.call(context.Background(), record, callTimeout, methodTrial, &TrialArgs{Trial: t, Over: true, Doubtful: inconclusive, Known: f.ledger.RecordsOfIdentity(i, clock.Now())}, &TrialReply{})
 }
 
 // applyCrashes merges the answer to a report about requests under which servers ended.
--- a/entry/trial_test.go
+++ b/entry/trial_test.go
@@ -51,7 +51,7 @@
 		f := newFollower("a", nil, directory.New(), pool, &members{}, discardLog())
 		f.record, f.lastAnswer = lease.Record{Holder: "h", Address: "10.0.0.1:1", Fence: 1}, time.Now()
 		trial := quarantine.Trial{Fingerprint: "f", Server: "s1", Instance: "a"}
-		if granted, err := f.requestTrial(t.Context(), trial, "v1", time.Minute); granted || err == nil {
+		if granted, err := f.requestTrial(t.Context(), trial, quarantine.Identity{}, "v1", time.Minute); granted || err == nil {
 			t.Errorf("granted %t, %v; want a lost answer", granted, err)
 		}
 		time.Sleep(callTimeout)
