New connections that an instance cannot read in time are closed unread

While most new connections of a domain or region come to one instance, each was accepted and read as the processor allowed: beyond its capacity a client waits a second for its request to be read and then gives up, and nothing bounded the connections an instance holds against its descriptors. Now what is beyond is closed with nothing read, so that the client connects elsewhere at once: new connections beside .6 of the sockets of the settings, and a share of them while the instance's own work runs more than 250 ms late, a quarter of what clients wait; the share follows the delay and is never all. Without objectives nothing is closed.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -20,6 +20,8 @@
 	// has been accepted.
 	listener                   net.Listener
 	acceptStarted, acceptEnded chan struct{}
+	// admit decides whether to keep a new connection beside the given number of open ones; set before serve.
+	admit func(open int) bool
 }
 
 // maxHeaderBytes is net/http's own limit. The configured one is lower.
@@ -28,7 +30,7 @@
 func newClientServer(handler http.Handler, limits func() serving.Limits, set *metrics.Set, log logrus.FieldLogger) *clientServer {
 	ends := &connEndRecorder{log: log, set: set}
 	g := newConnGuard(limits, ends)
-	return &clientServer{guard: g, connEnds: ends, acceptStarted: make(chan struct{}), acceptEnded: make(chan struct{}), server: &http.Server{
+	return &clientServer{admit: func(int) bool { return true }, guard: g, connEnds: ends, acceptStarted: make(chan struct{}), acceptEnded: make(chan struct{}), server: &http.Server{
 		Handler: g.trackHandlers(ends.logAborted(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState, ConnContext: g.connContext,
 	}}
 }
@@ -38,19 +40,29 @@
 	c.listener = l
 	close(c.acceptStarted)
 	defer close(c.acceptEnded)
-	return c.server.Serve(clientListener{l})
+	return c.server.Serve(clientListener{Listener: l, clients: c})
 }
 
-// clientListener wraps accepted connections in clientConn.
-type clientListener struct{ net.Listener }
+// clientListener wraps accepted connections in clientConn, and closes those that are not admitted unread, so that their
+// clients connect to other instances.
+type clientListener struct {
+	net.Listener
+	clients *clientServer
+}
 
 // Accept implements net.Listener.
 func (l clientListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.clients.admit(l.clients.guard.openConnections()) {
+			return newClientConn(c), nil
+		}
+		_ = c.Close()
+		l.clients.connEnds.count(endNotAdmitted, 1)
 	}
-	return newClientConn(c), nil
 }
 
 // drainPollInterval is how often drain checks the connections.
--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -276,3 +277,31 @@
 		}
 	})
 }
+
+// TestConnectionsNotAdmittedAreClosedUnread guards against connections that an instance accepts and cannot serve, when
+// most new ones come to it: those beyond its limit are closed with nothing read, the others are served.
+func TestConnectionsNotAdmittedAreClosedUnread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestClients(t, serving.Limits{IdleTimeout: time.Minute, HeaderTimeout: time.Second})
+		const limit = 3
+		s.clients.admit = func(open int) bool { return open < limit }
+		all := make([]*testConn, 2*limit)
+		var requests sync.WaitGroup
+		for i := range all {
+			all[i] = s.connect()
+			synctest.Wait()
+			requests.Go(func() { all[i].answered = all[i].request() })
+		}
+		requests.Wait()
+		for i, c := range all {
+			if kept := i < limit; c.answered != kept || (c.server.read.Load() > 0) != kept {
+				t.Errorf("connection %d: answered %t, %d bytes read", i, c.answered, c.server.read.Load())
+			}
+		}
+		_ = all[0].Close()
+		time.Sleep(time.Second)
+		if c := s.connect(); !c.request() {
+			t.Error("a connection that takes the place of a closed one is not served")
+		}
+	})
+}
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -26,6 +26,7 @@
 	endRequestUnserved = "request_unserved"
 	endAnswerNotSent   = "answer_not_taken"
 	endLimit           = "limit"
+	endNotAdmitted     = "not_admitted"
 	endGrace           = "grace"
 )
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -170,9 +170,10 @@
 	i.backends.SetMetrics(i.set)
 	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
 	i.balancer.SetSubset(balance.Subset{Instance: s.NodeName, Instances: i.follower.reportedInstances, Connections: i.backends})
-	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, i.set, log)
+	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, s.MaxSockets(), i.set, log)
 	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
 	i.clients = newClientServer(i.closeWhileDraining(ingress), i.limits, i.set, log)
+	i.clients.admit = i.shedding.admit
 	i.addGauges()
 	return i
 }
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -186,6 +186,13 @@
 	return counts[phaseReceiving]+counts[phaseServing] == 0
 }
 
+// openConnections returns the number of connections.
+func (g *connGuard) openConnections() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns)
+}
+
 // noConnections reports whether there are no connections.
 func (g *connGuard) noConnections() bool {
 	g.mu.Lock()
--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/serving"
@@ -62,7 +63,8 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	server, err := clientListener{l}.Accept()
+	clients := newClientServer(nil, func() serving.Limits { return serving.Limits{} }, metrics.NewSet(), discardLog())
+	server, err := clientListener{l, clients}.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/shedding.go
+++ b/entry/shedding.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -31,15 +32,23 @@
 	mu      sync.Mutex
 	lag     overload.Lag      // guarded by mu
 	shedder *overload.Shedder // guarded by mu
+	// admission decides which new connections are kept, and closing is whether some are closed; guarded by mu.
+	admission *overload.ConnAdmission
+	closing   bool
 	// objective is the shortest objective of objectiveOf; guarded by mu.
 	objective   time.Duration
 	objectiveOf *serving.Config
 }
 
-func newConnShedder(config func() *serving.Config, holdsLease func() bool, set *metrics.Set, log logrus.FieldLogger) *connShedder {
+// clientSocketShare is the part of an instance's sockets that clients' connections may take. The others are for servers,
+// the store and other instances.
+const clientSocketShare = 0.6
+
+func newConnShedder(config func() *serving.Config, holdsLease func() bool, maxSockets int, set *metrics.Set, log logrus.FieldLogger) *connShedder {
 	s := &connShedder{
 		config: config, holdsLease: holdsLease, log: log, shedder: overload.NewShedder(overload.DefaultShedderParams(balancerDelay), clock.Now()),
-		closed: set.NewCounter("martenport_connections_shed_total"), begun: set.NewCounter("martenport_sheddings_total"),
+		admission: overload.NewConnAdmission(overload.DefaultConnAdmissionParams(int(clientSocketShare * float64(maxSockets)))),
+		closed:    set.NewCounter("martenport_connections_shed_total"), begun: set.NewCounter("martenport_sheddings_total"),
 	}
 	set.NewGauge("martenport_scheduling_lag_seconds", func() float64 { return s.currentLag().Seconds() })
 	set.NewGauge("martenport_shedding", func() float64 {
@@ -67,12 +76,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.lag.Observe(at, lagSampleInterval, steady) {
+		s.admission.Reset()
 		if s.shedder.Interrupted(at) {
 			s.log.WithField("cause", "interrupted").Info("shedding of connections ended")
 		}
 		return
 	}
 	lag, bearable := s.lag.Value(), overload.BearableLag(s.shortestObjective(), holder)
+	if bearable > 0 {
+		s.admission.Observe(max(0, steady-lagSampleInterval))
+	}
+	s.logClosing()
 	if !s.shedder.Update(lag, bearable, at) {
 		return
 	}
@@ -85,6 +99,24 @@
 	log.Info("shedding of connections begins")
 }
 
+// logClosing logs when the instance begins to close new connections because it falls behind, and when it ends. s.mu must
+// be held.
+func (s *connShedder) logClosing() {
+	closing := !s.admission.Admit(0, 0)
+	if closing == s.closing {
+		return
+	}
+	s.closing = closing
+	s.log.WithFields(logrus.Fields{"closing": closing, "lag_ms": s.lag.Value().Milliseconds()}).Info("whether new connections are closed unread has changed")
+}
+
+// admit decides whether to keep a new connection beside the given number of open ones.
+func (s *connShedder) admit(open int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.admission.Admit(open, rand.Float64())
+}
+
 // shortestObjective returns the shortest objective of the routes, 0 if there is none. s.mu must be held.
 func (s *connShedder) shortestObjective() time.Duration {
 	config := s.config()
--- a/entry/shedding_test.go
+++ b/entry/shedding_test.go
@@ -40,7 +40,7 @@
 	} {
 		log, hook := logtest.NewNullLogger()
 		config := &serving.Config{Routes: []serving.Route{{Objective: c.objective}, {Objective: 10 * c.objective}, {}}}
-		s := newConnShedder(func() *serving.Config { return config }, func() bool { return c.holder }, metrics.NewSet(), log)
+		s := newConnShedder(func() *serving.Config { return config }, func() bool { return c.holder }, 0, metrics.NewSet(), log)
 		at, shedFor, steady := clock.Now(), time.Duration(0), lagSampleInterval+c.delay
 		for range 10 * time.Minute / steady {
 			at = at.Add(steady)
@@ -61,7 +61,7 @@
 // TestShedderWithoutConfig checks that an instance that has no configuration yet does not shed.
 func TestShedderWithoutConfig(t *testing.T) {
 	log, _ := logtest.NewNullLogger()
-	s := newConnShedder(func() *serving.Config { return nil }, func() bool { return false }, metrics.NewSet(), log)
+	s := newConnShedder(func() *serving.Config { return nil }, func() bool { return false }, 0, metrics.NewSet(), log)
 	at := clock.Now()
 	for range 1000 {
 		at = at.Add(time.Second / 2)
