A part of an answer does not look complete to clients of HTTP/1.0

A client of HTTP/1.0 got the beginning of a stream that had broken off as a whole answer: net/http closes the connection of an aborted handler, and without chunks the end of the connection is the end of the answer. Found by TestBrokenAnswerToOldClient while answers without a length were played from the other side. Now the connection is reset. The stand-in of a server can send such answers.

--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -72,6 +72,14 @@
 	return &clientConn{Conn: c, phaseStart: time.Now()}
 }
 
+// resetOnClose makes closing the connection reset it. Without chunks, which HTTP/1.0 lacks, the end of a connection is
+// the end of an answer, so that a part of one would look complete.
+func (c *clientConn) resetOnClose() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // finalReadTimeout is how long the reader of a connection to be closed waits for a request that may
 // have arrived. A read whose deadline has passed does not check for data at all, and a request may
 // have arrived while the process was not scheduled. The timeout only has to be longer than the reader
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -57,6 +57,9 @@
 				stack := debug.Stack()
 				log.WithField("stack", string(stack[:min(len(stack), maxStack)])).Errorf("handler panicked: %v", cause)
 			}
+			if c := connFromContext(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
+				c.resetOnClose()
+			}
 			panic(http.ErrAbortHandler) // makes net/http close the connection
 		}()
 		next.ServeHTTP(w, r)
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -45,17 +45,20 @@
 
 // addVersion starts an engine with software of a version, and one model.
 func (f *versionFleet) addVersion(id, version, model string) {
-	s, err := standin.NewServer("127.0.0.1", standin.ServerParams{
-		ID: id, Service: "llm", FailureDomain: "a", Version: version, EventPause: 5 * time.Millisecond, Models: testModels, MemoryMB: testMemoryMB,
-		AdapterSlots: testAdapterSlots, Loaded: []string{model},
-	})
+	f.addEngine(standin.ServerParams{ID: id, Version: version, Loaded: []string{model}})
+}
+
+// addEngine starts an engine with the given parameters, and others that are the same for all.
+func (f *versionFleet) addEngine(p standin.ServerParams) {
+	p.Service, p.FailureDomain, p.EventPause, p.Models, p.MemoryMB, p.AdapterSlots = "llm", "a", 5*time.Millisecond, testModels, testMemoryMB, testAdapterSlots
+	s, err := standin.NewServer("127.0.0.1", p)
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, stopAnnouncing := context.WithCancel(context.Background())
 	f.t.Cleanup(stopAnnouncing)
 	f.t.Cleanup(s.Stop)
-	f.servers[id], f.stopAnnouncing[id] = s, stopAnnouncing
+	f.servers[p.ID], f.stopAnnouncing[p.ID] = s, stopAnnouncing
 	go s.Announce(ctx, f.store, testHeartbeat)
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -50,6 +50,9 @@
 	// OmitSeal makes the server send the headers of the answer to such a request without its seal, so that nothing
 	// proves that the server made the answer.
 	OmitSeal bool
+	// Unframed makes the server send answers with neither a length nor chunks, which end with their connections. Those
+	// that break off do so by a reset, and streams within an event if CloseWithinEvent is set.
+	Unframed, CloseWithinEvent bool
 	// EventPause is the pause between events of a stream, Work the duration of a plain request.
 	EventPause, Work time.Duration
 }
@@ -300,6 +303,10 @@
 		if id != "" {
 			defer s.brittle.end()
 		}
+		if s.params.Unframed && id != "" {
+			serveUnframed(w, r, !s.params.CloseWithinEvent, s.serveRequest)
+			return
+		}
 		s.serveRequest(w, r)
 	}
 }
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -97,6 +97,9 @@
 	defer s.setActive(id, -1)
 	for i := from + 1; i <= StreamEvents; i++ {
 		if cut && i == from+3 {
+			if s.params.CloseWithinEvent {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata:", i)
+			}
 			panic(http.ErrAbortHandler)
 		}
 		s.pause.wait()
