soak: software versions, prompt parts that crash engines, answers without a length, most connections at one instance

What a client has of a stream must be of one version; at stable instances streams go on half as often as they begin. Two kinds of fault are new: requests of which no two are alike with a part that crashes engines (three sends at most later than 3 s after the fifth end; no other request held), and nine in ten new connections at one instance. One server in five sends answers with neither a length nor chunks.

--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -88,6 +88,9 @@
 	Load      time.Duration `long:"load" default:"200ms" description:"time of a load"`
 	Work      time.Duration `long:"work" default:"5ms" description:"time of a plain request, and pause between events"`
 	Poison    string        `long:"poison" description:"beginning of the body of requests that end it when it begins them"`
+	Part      string        `long:"poison-part" description:"beginning of the IDs of prompt parts that end it when it begins to answer requests with them"`
+	Version   string        `long:"version" description:"version of its software, which ends each event; v1, and no such end, if absent"`
+	Unframed  bool          `long:"unframed" description:"send answers with neither a length nor chunks"`
 	State     string        `long:"state" description:"file for what it has seen, if such a request ends it"`
 	Heartbeat time.Duration `long:"heartbeat" default:"500ms" description:"interval of its entries"`
 }
@@ -104,6 +107,7 @@
 	p := standin.ServerParams{
 		ID: c.ID, Service: c.Service, FailureDomain: c.Domain, Announced: c.Announced, Models: map[string]standin.ServerModel{},
 		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work, PoisonPrefix: c.Poison,
+		PoisonPart: c.Part, Version: c.Version, Unframed: c.Unframed,
 	}
 	for _, name := range c.Models {
 		p.Models[name] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: c.Load}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -41,8 +41,8 @@
 	// PoisonPrefix is the prefix of the bodies of requests that crash the server when it begins to run them; none if
 	// empty.
 	PoisonPrefix string
-	// PoisonPart is the ID of a prompt part that crashes the server when it begins to write an answer to a request with
-	// it, unless it is the request's last part; none if empty.
+	// PoisonPart is the beginning of the IDs of prompt parts that crash the server when it begins to write an answer to a
+	// request with them, unless they are the request's last part; none if empty.
 	PoisonPart string
 	// CrashDelay is the time between the cut-off of the answer to such a request and the end of the server. Until
 	// then the server still listens and serves its other requests.
@@ -215,7 +215,7 @@
 	Orders     []ReceivedOrder
 	Runs       map[string]int
 	Violations []string
-	// EndedBy is the body of the request that crashed the server, or "".
+	// EndedBy is the body of the request that crashed the server, or the ID of the part of its prompt that did, or "".
 	EndedBy string
 	// EndedByRejections is set if the server ended because it had to reject too many requests.
 	EndedByRejections bool
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,10 +40,12 @@
 		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
-	poisoned := s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix)
-	if poisoned || s.hasPoisonPart(r) {
+	if s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix) {
 		s.crash(w, string(body))
 	}
+	if part := s.poisonPart(r); part != "" {
+		s.crash(w, part)
+	}
 	if s.arrivals.isFailing() {
 		time.Sleep(s.params.Work)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -58,17 +59,20 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 }
 
-// hasPoisonPart reports whether a part of the request's prompt crashes the server.
-func (s *Server) hasPoisonPart(r *http.Request) bool {
+// poisonPart returns the ID of the part of the request's prompt that crashes the server, or "".
+func (s *Server) poisonPart(r *http.Request) string {
 	parts := strings.Split(r.Header.Get("Martenport-Prompt-Prefix"), ",")
-	return s.params.PoisonPart != "" && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+	for _, part := range parts[:len(parts)-1] {
 		id, _, _ := strings.Cut(part, ":")
-		return id == s.params.PoisonPart
-	})
+		if s.params.PoisonPart != "" && strings.HasPrefix(id, s.params.PoisonPart) {
+			return id
+		}
+	}
+	return ""
 }
 
-// crash ends the server because of a request with the given body.
-func (s *Server) crash(w http.ResponseWriter, body string) {
+// crash ends the server because of a request with the given body, or a part of a prompt with the given ID.
+func (s *Server) crash(w http.ResponseWriter, cause string) {
 	if s.params.OmitSeal {
 		w.Header().Del("Martenport-Server-Seal")
 		_ = http.NewResponseController(w).Flush()
@@ -76,7 +80,7 @@
 	time.Sleep(poisonDelay)
 	s.mu.Lock()
 	if s.endedBy == "" {
-		s.endedBy = body
+		s.endedBy = cause
 	}
 	s.mu.Unlock()
 	time.AfterFunc(s.params.CrashDelay, s.Stop)
--- a/soak/check.go
+++ b/soak/check.go
@@ -67,6 +67,7 @@
 		found = append(found, req.violations(runs[req.id])...)
 		found = append(found, req.lostAnswerViolations(runs[req.id])...)
 		found = append(found, req.retryViolations()...)
+		found = append(found, req.versionViolations()...)
 	}
 	found = append(found, h.keyViolations()...)
 	found = append(found, h.backpressureViolations()...)
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -6,10 +6,11 @@
 	"cmp"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -40,10 +41,18 @@
 	id, route, model string
 	// key is the API key; empty means steadyKey.
 	key string
-	// payload is the body; empty means defaultPayload.
-	payload string
-	status  int
-	body    string
+	// payload is the body; empty means defaultPayload. prompt are the parts of the prompt; empty means that none are sent.
+	payload, prompt string
+	// lastEvent and resumes are the last event that the client has of the stream that it takes up, and the attempt that
+	// brought the first one.
+	lastEvent int
+	resumes   string
+	// leaveAfter is the number of events after which the client leaves; 0 for never.
+	leaveAfter int
+	// versions are the software versions of the engines whose events the client has.
+	versions []string
+	status   int
+	body     string
 	// retryAfter is the header of that name in the answer.
 	retryAfter string
 	// complete reports whether the whole answer was read.
@@ -81,7 +90,11 @@
 		random := rand.New(rand.NewPCG(r.params.Seed, uint64(100+c)))
 		wg.Go(func() {
 			for n := 0; pause.For(ctx, clientPause); n++ {
-				record(r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n)))
+				req := r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n))
+				record(req)
+				if again, more := r.takeUp(random, req); more {
+					record(again)
+				}
 			}
 		})
 	}
@@ -116,8 +129,12 @@
 	}
 	if req.route == "stream" || req.route == "once" {
 		req.model = models[random.IntN(len(models))]
+		req.prompt = drawPrompt(random, id)
 	}
-	r.sendTo(random.IntN(len(r.entries)), &req)
+	if req.route == "stream" && random.IntN(leaveShare) == 0 {
+		req.leaveAfter = leaveAfter
+	}
+	r.sendTo(r.drawEntry(random), &req)
 	return req
 }
 
@@ -129,6 +146,7 @@
 	req.send(r.entryAddress(entry))
 	req.duration = time.Since(began)
 	observed.finish(req)
+	r.takeUps.record(req)
 }
 
 // send sends the request on a new connection.
@@ -148,6 +166,13 @@
 	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", req.route, len(req.requestBody()))
 	header := standin.ClientHeader(req.id, req.model, longestTimeout)
 	header.Set(standin.KeyHeader, cmp.Or(req.key, steadyKey))
+	if req.prompt != "" {
+		header.Set("Martenport-Prompt-Prefix", req.prompt)
+	}
+	if req.resumes != "" {
+		header.Set("Last-Event-Id", strconv.Itoa(req.lastEvent))
+		header.Set("Resumes", req.resumes)
+	}
 	_ = header.Write(&text) // writes to a bytes.Buffer do not fail
 	text.WriteString("\r\n" + req.requestBody())
 	now := time.Now()
@@ -160,8 +185,18 @@
 		return false
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	req.status, req.body, req.complete, req.retryAfter = resp.StatusCode, string(body), err == nil, resp.Header.Get("Retry-After")
+	events := 0
+	if resp.StatusCode == http.StatusOK {
+		events = req.leaveAfter
+	}
+	body, err := readStream(resp.Body, events)
+	plain, versions := splitVersions(string(body))
+	for _, version := range versions {
+		if !slices.Contains(req.versions, version) {
+			req.versions = append(req.versions, version)
+		}
+	}
+	req.status, req.body, req.complete, req.retryAfter = resp.StatusCode, plain, err == nil, resp.Header.Get("Retry-After")
 	return req.complete && !resp.Close
 }
 
@@ -184,7 +219,7 @@
 		return "POST /" + req.route + "/x " + req.requestBody()
 	}
 	var b strings.Builder
-	for i := range standin.StreamEvents {
+	for i := req.lastEvent; i < standin.StreamEvents; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, req.model)
 	}
 	return b.String()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -88,7 +88,7 @@
 	e, s, service := r.random.IntN(len(r.entries)), r.random.IntN(len(r.servers)), services[r.random.IntN(len(services))]
 	entry, server, storeProxy, serverProxy := r.entries[e], r.servers[s], r.storeProxies[e], r.serverProxies[s]
 	restart := func(p *process) func() { return func() { _ = p.start() } } // a failed start shows up in the recovery checks
-	kind := r.random.IntN(25)
+	kind := r.random.IntN(28)
 	if storeKinds := kind >= 7 && kind <= 9; storeKinds && !storeAllowed {
 		kind = 13
 	}
@@ -133,6 +133,10 @@
 		return r.brittleFault(ctx)
 	case 24:
 		return r.pauseFault(s)
+	case 25, 26:
+		return r.partFault(ctx)
+	case 27:
+		return r.concentrateFault(e)
 	default:
 		return fault{"configuration", func() { _ = r.writeConfig(ctx) }, noop} // if the store is unavailable, a later fault writes the next one
 	}
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -81,18 +81,22 @@
 func (r *run) repeatPoison(ctx context.Context, body string, client int, random *rand.Rand) {
 	deadline := time.Now().Add(poisonDuration)
 	for n := 0; time.Now().Before(deadline) && pause.For(ctx, poisonInterval); n++ {
-		req := clientRequest{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[random.IntN(len(models))], payload: body}
-		entry := random.IntN(len(r.entries))
-		observed, entryStable := r.observe(entry, engineService), r.entryStable(entry, time.Now())
-		req.send(r.entryAddress(entry))
-		observed.finish(&req)
-		r.history.addRequest(req)
-		r.poisons.mu.Lock()
-		r.poisons.entryStable[req.id] = entryStable && req.entryRunning
-		r.poisons.mu.Unlock()
+		r.sendHarmful(clientRequest{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[random.IntN(len(models))], payload: body}, random)
 	}
 }
 
+// sendHarmful sends a request that crashes engines to a random instance, and records it.
+func (r *run) sendHarmful(req clientRequest, random *rand.Rand) {
+	entry := random.IntN(len(r.entries))
+	observed, entryStable := r.observe(entry, engineService), r.entryStable(entry, time.Now())
+	req.send(r.entryAddress(entry))
+	observed.finish(&req)
+	r.history.addRequest(req)
+	r.poisons.mu.Lock()
+	defer r.poisons.mu.Unlock()
+	r.poisons.entryStable[req.id] = entryStable && req.entryRunning
+}
+
 // stateFile returns the file in which an engine saves its state when a request crashes it.
 func (r *run) stateFile(engine, start int) string {
 	return filepath.Join(r.logs, fmt.Sprintf("server-%d-start-%d.state", engine, start))
@@ -150,19 +154,22 @@
 	defer r.history.mu.Unlock()
 	var found []Violation
 	for body, crashes := range r.poisons.crashes {
-		if len(crashes) > maxCrashes {
+		known := crashesToQuarantine
+		if strings.HasPrefix(body, deadly) {
+			known = crashesToKnowPart
+		} else if len(crashes) > maxCrashes {
 			found = append(found, Violation{"a request ends few engines", fmt.Sprintf("%d ended under %s", len(crashes), body)})
 		}
-		if len(crashes) < crashesToQuarantine {
+		if len(crashes) < known {
 			continue
 		}
 		slices.SortFunc(crashes, time.Time.Compare)
-		if late := r.lateSends(body, crashes[crashesToQuarantine-1].Add(quarantineDelay)); late > maxLateSends {
-			found = append(found, Violation{"a request that ended engines is held", fmt.Sprintf("%d sends of %s more than %s after the third end", late, body, quarantineDelay)})
+		if late := r.lateSends(body, crashes[known-1].Add(quarantineDelay)); late > maxLateSends {
+			found = append(found, Violation{"a request that ended engines is held", fmt.Sprintf("%d sends of %s more than %s after end %d", late, body, quarantineDelay, known)})
 		}
 	}
 	for _, req := range r.history.requests {
-		if req.status == http.StatusBadRequest && !strings.HasPrefix(req.payload, poison) {
+		if req.status == http.StatusBadRequest && !req.isHarmful() {
 			found = append(found, Violation{"a request that harms nobody is not held", req.id + " was refused for good"})
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -14,6 +14,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -106,6 +107,10 @@
 	storeFaults storeFaultTracker
 	// waker makes clients that wait between requests send at about the same time.
 	waker *clientWaker
+	// takeUps counts streams that clients begin and take up.
+	takeUps takeUps
+	// concentrated is the instance that most new connections come to, plus 1; 0 if there is none.
+	concentrated atomic.Int64
 	// config is the state of the generated configurations.
 	config configState
 }
@@ -152,6 +157,7 @@
 	result.Violations = append(result.Violations, r.history.violations()...)
 	result.EnginesCrashed = r.poisons.count()
 	result.Violations = append(result.Violations, r.poisonViolations()...)
+	result.Violations = append(result.Violations, r.takeUps.violations()...)
 	result.Violations = append(result.Violations, r.ends.violations(p.Engines)...)
 	result.Violations = append(result.Violations, r.checkRecovery(ctx)...)
 	return result, nil
@@ -213,10 +219,13 @@
 	p.args = func() []string {
 		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", r.serverID(i, p.starts), "--work", r.engineWork(i).String()}
 		args = append(args, "--service", r.serverService(i))
+		if i%unframedServers == unframedServers-1 {
+			args = append(args, "--unframed")
+		}
 		if i >= r.params.Engines {
 			return args
 		}
-		args = append(args, "--poison", poison, "--state", r.stateFile(i, p.starts))
+		args = append(args, "--poison", poison, "--poison-part", deadly, "--version", r.engineVersion(i), "--state", r.stateFile(i, p.starts))
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
@@ -229,6 +238,9 @@
 	return p.start()
 }
 
+// unframedServers is how often a server sends answers with neither a length nor chunks: one in so many.
+const unframedServers = 5
+
 // serverID returns the ID of one start of a server. Each start has its own.
 func (r *run) serverID(server, start int) string { return fmt.Sprintf("server-%d-%d", server, start) }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -76,6 +76,7 @@
 	s.addRequest(clientRequest{id: "answer cut", route: "once", model: "m1", status: 200, reusedConn: true, undisturbed: true, sentAt: time.Unix(1, 0)})
 	s.addRequest(clientRequest{id: "patient", route: patientRoute, model: "m1", status: 503})
 	s.addRequest(clientRequest{id: "patient, told", route: patientRoute, model: "m1", status: 503, retryAfter: "2"})
+	s.addRequest(clientRequest{id: "two versions", route: "stream", model: "m1", status: 200, versions: []string{"v1", "v2"}})
 	s.servers["e start 1"] = stateWithRuns(map[string]int{"twice": 1, "refused": 1, "nobody's": 1, "run and cut": 1, "answer cut": 1})
 	s.servers["e start 2"] = stateWithRuns(map[string]int{"twice": 1})
 	s.servers["e start 3"] = standin.State{Forgotten: 1}
@@ -85,6 +86,7 @@
 		"each client gets the whole answer to its own request": 2, "each request is answered or refused in its time": 1,
 		"a request on a kept connection is answered or refused": 3, "repeated sends stay within the shared budget": 1,
 		"the history is whole": 1, "a refused request is told when to return": 1,
+		"a stream keeps to one software version": 1,
 	}
 	got := map[string]int{}
 	for _, b := range s.violations() {
@@ -155,3 +157,29 @@
 		}
 	}
 }
+
+// TestTakeUpBound: streams that are taken up have to go on half as often as streams begin, once there are enough.
+func TestTakeUpBound(t *testing.T) {
+	for name, c := range map[string]struct {
+		counts *takeUps
+		broken bool
+	}{
+		"all go on":                  {&takeUps{beginnings: 100, begun: 90, takenUp: 20, wentOn: 20}, false},
+		"half as often":              {&takeUps{beginnings: 100, begun: 100, takenUp: 20, wentOn: 10}, false},
+		"less":                       {&takeUps{beginnings: 100, begun: 100, takenUp: 20, wentOn: 9}, true},
+		"as seldom as streams begin": {&takeUps{beginnings: 100, begun: 10, takenUp: 20, wentOn: 1}, false},
+		"few":                        {&takeUps{beginnings: 100, begun: 100, takenUp: minTakeUps - 1}, false},
+	} {
+		if found := c.counts.violations(); (len(found) > 0) != c.broken {
+			t.Errorf("%s: got violations %v, want any: %v", name, found, c.broken)
+		}
+	}
+}
+
+// TestVersionsOfEvents: the versions in events are found, and what is left is what clients expect.
+func TestVersionsOfEvents(t *testing.T) {
+	plain, versions := splitVersions("id: 1\ndata: m1 v1\n\nid: 2\ndata: m1 v2\n\n")
+	if plain != "id: 1\ndata: m1\n\nid: 2\ndata: m1\n\n" || len(versions) != 2 {
+		t.Errorf("%q, versions %v", plain, versions)
+	}
+}
