A request that servers held back until its time was over is told when to return

Traced in its logs: all engines with the model held the request back, it waited for a place 2.08 s of its 2 s, and the deadline came while the holder was asked; the refusal of a passed deadline named no time, though it is known when the servers take more. TestHeldBackUntilDeadlineTellsWhenToReturn failed before.

--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -56,3 +56,21 @@
 		})
 	}
 }
+
+// TestHeldBackUntilDeadlineTellsWhenToReturn guards against a refusal without a Retry-After of a request that servers held
+// back while it waited for a place, until its time was over (soak seed 103).
+func TestHeldBackUntilDeadlineTellsWhenToReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, reply{status: 200, body: "done"})
+		f.limiter.brittle = map[string]int{}
+		for _, s := range f.dir.All() {
+			f.limiter.brittle[s.ID] = 2
+			f.forwarder.gate.Begin(s.ID)
+		}
+		f.placer.place, f.placer.delay = Place{Engine: "e1", Ready: time.Now()}, time.Minute
+		_, failure := f.serve("stream", "warm", 2*time.Second)
+		if failure == nil || failure.Reason != verdict.ReasonDeadline || failure.RetryAfter < time.Second {
+			t.Errorf("%+v, want a refusal with a Retry-After", failure)
+		}
+	})
+}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -237,6 +237,9 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.Reason = verdict.ReasonDeadline
 	}
+	if at := t.serverLimits.nextAvailable; f.Verdict == verdict.NotRun && f.Reason == verdict.ReasonDeadline && f.RetryAfter == 0 && !at.IsZero() {
+		f.RetryAfter = max(brittleRetryAfter, clock.Until(at)) // servers held the request back until its time was over
+	}
 	return &f
 }
 
