--- a/entry/parts_test.go
+++ b/entry/parts_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,7 @@
 type partLoad struct {
 	*crashFleet
 	companion bool
+	share     int
 	mu        sync.Mutex
 	// deadly has the attempts with the deadly part, and sound what became of the others; guarded by mu.
 	deadly map[string]bool
@@ -47,8 +49,11 @@
 	served, refused bool
 }
 
-func newPartLoad(t *testing.T, instances int) *partLoad {
-	return &partLoad{crashFleet: newCrashFleetWith(t, instances, crashEngineParams{eventPause: shortEventPause, count: 8, poisonPart: deadlyPart}), deadly: map[string]bool{}}
+func newPartLoad(t *testing.T, s deadlyScenario) *partLoad {
+	engines := crashEngineParams{eventPause: shortEventPause, count: 8, poisonPart: deadlyPart, slowReports: s.slowReports}
+	return &partLoad{
+		crashFleet: newCrashFleetWith(t, cmp.Or(s.instances, 4), engines), companion: s.companion, share: cmp.Or(s.share, deadlyShare), deadly: map[string]bool{},
+	}
 }
 
 // run sends requests at a steady rate, from deadlyFrom on also such with the deadly part, until ctx is done.
@@ -56,7 +61,7 @@
 	var work sync.WaitGroup
 	for n := 0; pause.For(ctx, partInterval); n++ {
 		middle := fmt.Sprintf("b%d", rand.IntN(soundParts))
-		deadly := n%deadlyShare == 0 && time.Now().After(deadlyFrom)
+		deadly := n%l.share == 0 && time.Now().After(deadlyFrom)
 		if deadly {
 			middle = deadlyPart
 		}
@@ -192,6 +197,11 @@
 type deadlyScenario struct {
 	// companion is a part that all deadly requests have, too, and one in soundParts of the others.
 	companion bool
+	// instances is the number of instances; 4 if it is 0. slowReports: they report as seldom as in a large fleet.
+	instances   int
+	slowReports bool
+	// share: one request in so many is deadly; deadlyShare if it is 0.
+	share int
 	// disturb is called when the deadly requests begin.
 	disturb func(ctx context.Context, l *partLoad)
 }
@@ -253,10 +263,11 @@
 		"all instances replaced":      {disturb: replaceAll},
 		"instances replaced in turn":  {disturb: replaceInTurn},
 		"engines crash by themselves": {disturb: crashOthers},
+		"many instances":              {instances: 12, slowReports: true},
+		"many deadly":                 {share: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l := newPartLoad(t, 4)
-			l.companion = scenario.companion
+			l := newPartLoad(t, scenario)
 			l.await("a holder", func() bool { return l.holder() != nil })
 			start := time.Now()
 			deadlyFrom, end := start.Add(3*time.Second), start.Add(20*time.Second)
