A request beside two parts that crash engines is not quarantined for both

It had run on four engines that two deadly parts had crashed, the fourth under its own isolated run, to which one of the parts had been sent before it was known. Cause, from the logs: whether an isolated run's crash has another cause was decided between a request and a part by the number of crashes, so that no part with fewer than the request's four counted, though each had three. The number was compared because a request's own parts crash the same servers. Now a pending crash names the parts of the request that ran isolated: these are no other cause, any other part with three crashes is. TestRequestBesideTwoParts failed before; TestRequestWithOwnParts passes with and without. Also: marks of versions are read every 20 ms until they are, since streams that clients take up are refused before.

--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -94,7 +94,7 @@
 	}
 	what := "request"
 	if cause != t.request.Fingerprint {
-		what = "a part of the prompt,"
+		what = "prompt with"
 	}
 	return verdict.Refuse(verdict.ReasonQuarantined, "%s %s is quarantined: %d servers or more ended while it ran there, one while it ran alone",
 		what, cause, quarantine.QuarantineAfter)
--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -28,7 +28,8 @@
 	Origin skew.Origin
 	// OneVersion is set if another instance is certain that all streams of the service began at one version.
 	OneVersion bool
-	// Unanswered is set if an instance that may know the origin did not answer.
+	// Unanswered is set if an instance that may know the origin did not answer, or if this one is not certain yet
+	// whether the service has several versions.
 	Unanswered bool
 }
 
--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -61,7 +61,8 @@
 		update.Crashes = []Incarnation{IncarnationOf(b.Server)}
 		switch {
 		case b.Isolated && l.needsConfirmation(b):
-			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server)}}
+			i := b.Identity()
+			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Parts: i.partFingerprints()}}
 		case b.Isolated:
 			update.Alone = update.Crashes
 		}
--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -170,3 +170,33 @@
 		l.RecordBegun(i, "v1", start)
 	}
 }
+
+// TestRequestBesideTwoParts guards against quarantining a request that many clients send, and that ran on all servers that
+// two parts crashed: it has more crashes than either, and one of them is that of an isolated run (soak seed 3).
+func TestRequestBesideTwoParts(t *testing.T) {
+	l := NewLedger()
+	crash := func(fp string, n int, isolated bool, parts ...string) {
+		i := identity(fp, parts...)
+		l.RecordCrash(BrokenAttempt{Fingerprint: i.Fingerprint, Server: server(n), PromptParts: i.PromptParts, Isolated: isolated}, start)
+	}
+	for n := range 3 {
+		crash(fmt.Sprintf("first-%d", n), n, false, "p:10")
+	}
+	crash("second", 3, false, "r:10")
+	for _, n := range []int{0, 1, 3} {
+		crash("shared", n, false, "b:1")
+	}
+	crash("shared", 2, true, "c:1")
+	l.DecidePending(start.Add(confirmationDelay))
+	checkAssessed(t, l, "the request", identity("shared"), "", Suspect)
+}
+
+// TestRequestWithOwnParts: a request that crashes servers by itself is quarantined although the parts of its prompt have
+// the same crashes.
+func TestRequestWithOwnParts(t *testing.T) {
+	l := NewLedger()
+	for n := range QuarantineAfter {
+		crashUnder(l, identity("bad", "p:10"), n, n == QuarantineAfter-1)
+	}
+	checkAssessed(t, l, "the request", identity("bad"), "", Quarantined)
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -28,6 +28,8 @@
 // caused.
 type PendingCrash struct {
 	Incarnation Incarnation
+	// Parts are the parts of the prompt of the request that ran isolated.
+	Parts []serving.Fingerprint
 	// Age is the time since the crash.
 	Age time.Duration
 }
@@ -36,6 +38,7 @@
 // itself, so the earliest of several times is kept.
 type pendingCrash struct {
 	incarnation Incarnation
+	parts       []serving.Fingerprint
 	crashedAt   time.Time
 }
 
@@ -50,10 +53,11 @@
 // count: otherwise ledgers would send them to each other forever. l.mu must be held.
 func (l *Ledger) mergePending(r *record, pending []PendingCrash, now time.Time) (changed bool) {
 	for _, crash := range pending {
-		if crash.Age >= confirmationDelay && l.hasOtherCause(r.Fingerprint, crash.Incarnation) {
+		pending := pendingCrash{incarnation: crash.Incarnation, parts: crash.Parts, crashedAt: now.Add(-crash.Age)}
+		if crash.Age >= confirmationDelay && l.hasOtherCause(r, pending) {
 			continue
 		}
-		changed = r.addPending(pendingCrash{incarnation: crash.Incarnation, crashedAt: now.Add(-crash.Age)}) || changed
+		changed = r.addPending(pending) || changed
 	}
 	return changed
 }
@@ -88,7 +92,7 @@
 func (r *record) pendingSnapshot(now time.Time) []PendingCrash {
 	var list []PendingCrash
 	for _, crash := range r.pending {
-		list = append(list, PendingCrash{Incarnation: crash.incarnation, Age: max(0, now.Sub(crash.crashedAt))})
+		list = append(list, PendingCrash{Incarnation: crash.incarnation, Parts: crash.parts, Age: max(0, now.Sub(crash.crashedAt))})
 	}
 	return list
 }
@@ -106,20 +110,16 @@
 	return false
 }
 
-// hasOtherCause reports whether another request, which is a suspect because of other crashes as well,
-// was running on an incarnation that crashed during an isolated run. A request and the parts of its prompt
-// crash the same servers: between the two, the one with more crashes is the cause. l.mu must be held.
-func (l *Ledger) hasOtherCause(fp serving.Fingerprint, incarnation Incarnation) bool {
-	own := 0
-	if r := l.records[fp]; r != nil {
-		own = len(r.Crashes)
+// hasOtherCause reports whether another request or part, which is a suspect because of other crashes as well, was
+// running on an incarnation that crashed during an isolated run. The parts of the request's own prompt are no other cause;
+// for a part, it is what has more crashes, since the requests with the part crash the same servers. l.mu must be held.
+func (l *Ledger) hasOtherCause(r *record, crash pendingCrash) bool {
+	moreThan := SuspectAfter
+	if IsPart(r.Fingerprint) {
+		moreThan = max(moreThan, len(r.Crashes))
 	}
 	for _, other := range l.records {
-		moreThan := SuspectAfter
-		if IsPart(fp) || IsPart(other.Fingerprint) {
-			moreThan = max(moreThan, own)
-		}
-		if other.Fingerprint != fp && len(other.Crashes) > moreThan && slices.Contains(other.Crashes, incarnation) {
+		if other != r && len(other.Crashes) > moreThan && slices.Contains(other.Crashes, crash.incarnation) && !slices.Contains(crash.parts, other.Fingerprint) {
 			return true
 		}
 	}
@@ -143,7 +143,7 @@
 	defer l.mu.Unlock()
 	for fp, r := range l.records {
 		for _, crash := range r.removeDecidable(now) {
-			if l.hasOtherCause(fp, crash.incarnation) {
+			if l.hasOtherCause(r, crash) {
 				l.markChanged(r)
 				dropped = append(dropped, fp)
 				continue
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -133,7 +133,7 @@
 			replies <- reply
 		}()
 	}
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0}
+	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !o.marks.certain()}
 	for range keepers {
 		switch reply := <-replies; {
 		case reply == nil:
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -54,6 +54,8 @@
 // Timing of version marks.
 const (
 	marksInterval = 200 * time.Millisecond
+	// firstMarksInterval applies until the marks have been read: before, streams that clients take up are refused.
+	firstMarksInterval = 20 * time.Millisecond
 	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
 	// A server of a new version has to load models, which takes longer, before it can begin a stream.
 	maxServersAge = 3 * time.Second
@@ -67,8 +69,11 @@
 
 // run keeps the marks current until ctx ends.
 func (m *versionMarks) run(ctx context.Context) {
-	for pause.For(ctx, marksInterval) {
+	for wait := firstMarksInterval; pause.For(ctx, wait); {
 		m.update(ctx)
+		if wait = firstMarksInterval; m.loaded {
+			wait = marksInterval
+		}
 	}
 }
 
