--- a/command/quarantine/identity.go
+++ b/command/quarantine/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,6 +35,16 @@
 // IsPart reports whether a fingerprint is that of a part.
 func IsPart(fp serving.Fingerprint) bool { return strings.HasPrefix(string(fp), partPrefix) }
 
+// partHash returns the hash of the part with a fingerprint, and false if the fingerprint is that of a request.
+func partHash(fp serving.Fingerprint) (uint64, bool) {
+	text, found := strings.CutPrefix(string(fp), partPrefix)
+	if !found {
+		return 0, false
+	}
+	hash, err := strconv.ParseUint(text, 16, 64)
+	return hash, err == nil
+}
+
 // partFingerprint returns the fingerprint of the part with a hash.
 func partFingerprint(hash uint64) serving.Fingerprint {
 	return serving.Fingerprint(fmt.Sprintf("%s%016x", partPrefix, hash))
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -44,7 +44,8 @@
 	digest uint64
 	// answered holds the requests that this instance has answered recently; guarded by mu.
 	answered recentAnswers
-	// partRecords is the number of records of parts of prompts; changed under mu.
+	// parts has the records of parts of prompts by the hash of the part; guarded by mu. partRecords is their number.
+	parts       map[uint64]*record
 	partRecords atomic.Int32
 	// begun has the parts of prompts with which answers have begun here recently.
 	begun begunParts
@@ -55,6 +56,7 @@
 	return &Ledger{
 		id:         rand.Uint64(),
 		records:    map[serving.Fingerprint]*record{},
+		parts:      map[uint64]*record{},
 		attributed: map[Incarnation]serving.Fingerprint{},
 	}
 }
@@ -198,7 +200,7 @@
 		l.evictIfFull()
 		r = &record{Record: Record{Fingerprint: from.Fingerprint}}
 		l.records[from.Fingerprint] = r
-		l.countPart(from.Fingerprint, 1)
+		l.indexPart(r)
 	}
 	before := r.State()
 	changed := r.merge(from)
@@ -215,8 +217,7 @@
 	}
 	if !changed {
 		if r.revision == 0 {
-			delete(l.records, from.Fingerprint)
-			l.countPart(from.Fingerprint, -1)
+			l.remove(r)
 		}
 		return nil
 	}
@@ -293,14 +294,23 @@
 	before := r.State()
 	r.Crashes, r.Alone = nil, nil
 	l.dropAttributions(r, before)
-	delete(l.records, fp)
-	l.countPart(fp, -1)
+	l.remove(r)
 }
 
-// countPart changes the number of records of parts if the fingerprint is that of a part. l.mu must be held.
-func (l *Ledger) countPart(fp serving.Fingerprint, change int32) {
-	if IsPart(fp) {
-		l.partRecords.Add(change)
+// remove removes a record that is not attributed anything. l.mu must be held.
+func (l *Ledger) remove(r *record) {
+	delete(l.records, r.Fingerprint)
+	if hash, isPart := partHash(r.Fingerprint); isPart {
+		delete(l.parts, hash)
+		l.partRecords.Store(int32(len(l.parts)))
+	}
+}
+
+// indexPart adds a new record to the index of parts if it is that of a part. l.mu must be held.
+func (l *Ledger) indexPart(r *record) {
+	if hash, isPart := partHash(r.Fingerprint); isPart {
+		l.parts[hash] = r
+		l.partRecords.Store(int32(len(l.parts)))
 	}
 }
 
--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -2,8 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/martenport/martenport/serving"
@@ -85,11 +83,11 @@
 	if l.partRecords.Load() == 0 {
 		return nil
 	}
-	for _, fp := range i.partFingerprints() {
-		if r := l.records[fp]; r != nil {
+	i.eachPart(func(hash uint64, _ string) {
+		if r := l.parts[hash]; r != nil {
 			known = append(known, r)
 		}
-	}
+	})
 	return known
 }
 
@@ -152,12 +150,8 @@
 // begunCrashes returns the crashes in the record of a part that do not count against it, because servers of the same
 // software version have begun answers with it recently. It returns none for a request. l.mu must be held.
 func (l *Ledger) begunCrashes(r *record, now time.Time) (begun []Incarnation) {
-	text, found := strings.CutPrefix(string(r.Fingerprint), partPrefix)
-	if !found {
-		return nil
-	}
-	hash, err := strconv.ParseUint(text, 16, 64)
-	if err != nil {
+	hash, isPart := partHash(r.Fingerprint)
+	if !isPart {
 		return nil
 	}
 	for _, crash := range r.Crashes {
--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -162,6 +162,16 @@
 	}
 }
 
+// BenchmarkAssessBesideParts: what a send costs while crashes of other parts are known.
+func BenchmarkAssessBesideParts(b *testing.B) {
+	l, i := NewLedger(), identity("r", "5c1e07a2:800", "91bd3f06:410")
+	crashWithPart(l)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Assess(i, "v1")
+	}
+}
+
 // BenchmarkRecordBegun: what an answer costs while no crash of a part is known.
 func BenchmarkRecordBegun(b *testing.B) {
 	l, i := NewLedger(), identity("r", "5c1e07a2:800", "91bd3f06:410")
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -12,7 +12,6 @@
 	"github.com/martenport/martenport/command/lease"
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/quota"
-	"github.com/martenport/martenport/command/skew"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
@@ -35,9 +34,6 @@
 	methodLimits   = "Entry.Limits"
 	methodTurn     = "Entry.Turn"
 	methodRunsEnd  = "Entry.RunsEnd"
-
-	methodRecordOrigin = "Entry.RecordOrigin"
-	methodOrigin       = "Entry.Origin"
 )
 
 // ExchangeArgs is an instance's report to the holder.
@@ -221,25 +217,6 @@
 // ConsultReply has the other instance's state of the request.
 type ConsultReply struct{ Known []quarantine.Record }
 
-// RecordOriginArgs has the origin of a stream, by the attempt that brought its first event.
-type RecordOriginArgs struct {
-	Attempt string
-	Origin  skew.Origin
-}
-
-// RecordOriginReply is empty.
-type RecordOriginReply struct{}
-
-// OriginArgs asks for the origin of a stream of a service.
-type OriginArgs struct{ Attempt, Service string }
-
-// OriginReply has the origin if it is known. OneVersion is set if it is not, and all streams of the service certainly
-// began at one software version.
-type OriginReply struct {
-	Known, OneVersion bool
-	Origin            skew.Origin
-}
-
 // AnnounceReply is empty.
 type AnnounceReply struct{}
 
@@ -346,24 +323,6 @@
 	return nil
 }
 
-// errLeaving is returned by an instance that is about to end and keeps nothing new for others.
-var errLeaving = errors.New("entry: the instance is leaving")
-
-// RecordOrigin records the origin of a stream.
-func (s *service) RecordOrigin(args *RecordOriginArgs, _ *RecordOriginReply) error {
-	if s.follower.isLeaving() {
-		return errLeaving
-	}
-	s.origins.table.Record(args.Attempt, args.Origin, clock.Now())
-	return nil
-}
-
-// Origin returns what is known of the origin of a stream.
-func (s *service) Origin(args *OriginArgs, reply *OriginReply) error {
-	*reply = s.origins.answer(args)
-	return nil
-}
-
 // Reaches answers whether the holder answers this instance.
 func (s *service) Reaches(args *ReachesArgs, reply *ReachesReply) error {
 	reply.Reaches, reply.GaveUp = s.follower.reachesHolder(args.Holder, clock.Now())
--- /dev/null
+++ b/entry/rpc_origins.go
@@ -0,0 +1,51 @@
+package entry
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/internal/clock"
+)
+
+// RPC methods about the origins of streams.
+const (
+	methodRecordOrigin = "Entry.RecordOrigin"
+	methodOrigin       = "Entry.Origin"
+)
+
+// RecordOriginArgs has the origin of a stream, by the attempt that brought its first event.
+type RecordOriginArgs struct {
+	Attempt string
+	Origin  skew.Origin
+}
+
+// RecordOriginReply is empty.
+type RecordOriginReply struct{}
+
+// OriginArgs asks for the origin of a stream of a service.
+type OriginArgs struct{ Attempt, Service string }
+
+// OriginReply has the origin if it is known. OneVersion is set if it is not, and all streams of the service certainly
+// began at one software version.
+type OriginReply struct {
+	Known, OneVersion bool
+	Origin            skew.Origin
+}
+
+// errLeaving is returned by an instance that is about to end and keeps nothing new for others.
+var errLeaving = errors.New("entry: the instance is leaving")
+
+// RecordOrigin records the origin of a stream.
+func (s *service) RecordOrigin(args *RecordOriginArgs, _ *RecordOriginReply) error {
+	if s.follower.isLeaving() {
+		return errLeaving
+	}
+	s.origins.table.Record(args.Attempt, args.Origin, clock.Now())
+	return nil
+}
+
+// Origin returns what is known of the origin of a stream.
+func (s *service) Origin(args *OriginArgs, reply *OriginReply) error {
+	*reply = s.origins.answer(args)
+	return nil
+}
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/martenport/martenport/internal/pause"
@@ -31,24 +30,7 @@
 }
 
 // partFault returns a fault in which clients send requests with a new part that crashes engines.
-func (r *run) partFault(ctx context.Context) fault {
-	r.poisons.mu.Lock()
-	r.poisons.created++
-	part := fmt.Sprintf("%s%d", deadly, r.poisons.created)
-	r.poisons.mu.Unlock()
-	var wg sync.WaitGroup
-	seed := r.random.Uint64()
-	begin := func() {
-		for c := range poisonClients {
-			random := rand.New(rand.NewPCG(seed, uint64(c)))
-			wg.Go(func() { r.sendDeadly(ctx, part, c, random) })
-		}
-	}
-	return fault{part + " sent", r.beginDisturbance(0, begin), r.endDisturbance(0, func() {
-		wg.Wait()
-		pause.For(ctx, engineDowntime)
-	})}
-}
+func (r *run) partFault(ctx context.Context) fault { return r.harmfulFault(ctx, deadly, r.sendDeadly) }
 
 // sendDeadly is one client that sends requests with a part that crashes engines.
 func (r *run) sendDeadly(ctx context.Context, part string, client int, random *rand.Rand) {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -59,19 +59,25 @@
 
 // poisonFault returns a fault in which clients repeat a new poison request at random instances.
 func (r *run) poisonFault(ctx context.Context) fault {
+	return r.harmfulFault(ctx, poison, r.repeatPoison)
+}
+
+// harmfulFault returns a fault in which clients send requests that crash engines, each with send. Their cause begins with
+// prefix and is new.
+func (r *run) harmfulFault(ctx context.Context, prefix string, send func(ctx context.Context, cause string, client int, random *rand.Rand)) fault {
 	r.poisons.mu.Lock()
 	r.poisons.created++
-	body := fmt.Sprintf("%s-%d", poison, r.poisons.created)
+	cause := fmt.Sprintf("%s-%d", prefix, r.poisons.created)
 	r.poisons.mu.Unlock()
 	var wg sync.WaitGroup
 	seed := r.random.Uint64()
 	begin := func() {
 		for c := range poisonClients {
 			random := rand.New(rand.NewPCG(seed, uint64(c)))
-			wg.Go(func() { r.repeatPoison(ctx, body, c, random) })
+			wg.Go(func() { send(ctx, cause, c, random) })
 		}
 	}
-	return fault{body + " sent", r.beginDisturbance(0, begin), r.endDisturbance(0, func() {
+	return fault{cause + " sent", r.beginDisturbance(0, begin), r.endDisturbance(0, func() {
 		wg.Wait()
 		pause.For(ctx, engineDowntime)
 	})}
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -10,6 +10,8 @@
 	"slices"
 	"sync"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/internal/standin"
 )
 
@@ -47,7 +49,7 @@
 	return text.Bytes(), errLeft
 }
 
-var errLeft = fmt.Errorf("soak: the client has left")
+var errLeft = errors.New("soak: the client has left")
 
 // versionInData matches the software version at the end of an event's data.
 var versionInData = regexp.MustCompile(`(?m)^(data: \S+) (v\d+)$`)
