What many requests share is not quarantined beside what crashes servers

Three causes, from the logs and the records in them: - An isolated run was sent to a server on which answers had broken off 70 ms before, and whose end was concluded a second later: the end counted as that of the isolated run. It does not any more where an answer had broken off before the run was sent (entry TestIsolatedRunOnFailingServer). - A part's crash in an isolated run counted at once if no other suspect was known, 100 ms before the deadly part became one. For parts it is always pending for 2.5 s (TestPartBesideUnknownOne). - Between parts and requests the one with more crashes was taken for the cause: what everyone has, has most. Now whatever else has three crashes and ran there is the other cause, but for the parts of the isolated request's own prompt, and for a part one that has all crashes of that part and more: the requests with it have that one, too (TestSharedPartBesideDeadlyOne).

--- a/command/forward/guard.go
+++ b/command/forward/guard.go
@@ -213,7 +213,7 @@
 		return
 	}
 	b := quarantine.BrokenAttempt{
-		Fingerprint: fp, Subject: subject(t.request), Server: server, PromptParts: t.request.PromptParts, Isolated: t.trial.End != nil, Unresponsive: failure.Silent, ClientGone: clientLeft,
+		Fingerprint: fp, Subject: subject(t.request), Server: server, PromptParts: t.request.PromptParts, SentAt: t.sentAt, Isolated: t.trial.End != nil, Unresponsive: failure.Silent, ClientGone: clientLeft,
 	}
 	if !t.firstEventAt.IsZero() {
 		b.RunTime = clock.Since(t.firstEventAt)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -57,6 +57,8 @@
 	version string
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
+	// sentAt is when the request was last sent to that server.
+	sentAt time.Time
 	// firstEventAt is when the current server sent its first event; zero before.
 	firstEventAt time.Time
 	// begunRecorded is set once that server's answer is recorded as begun.
@@ -237,17 +239,26 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.Reason = verdict.ReasonDeadline
 	}
-	if at := t.serverLimits.nextAvailable; f.Verdict == verdict.NotRun && f.Reason == verdict.ReasonDeadline && f.RetryAfter == 0 && !at.IsZero() {
-		f.RetryAfter = max(brittleRetryAfter, clock.Until(at)) // servers held the request back until its time was over
+	if f.Verdict == verdict.NotRun && f.Reason == verdict.ReasonDeadline && f.RetryAfter == 0 {
+		f.RetryAfter = t.returnAfterDeadline()
 	}
 	return &f
 }
 
+// returnAfterDeadline returns when the client of a request whose time is over before it was sent may try again.
+func (t *transaction) returnAfterDeadline() time.Duration {
+	if at := t.serverLimits.nextAvailable; !at.IsZero() {
+		return max(brittleRetryAfter, clock.Until(at)) // servers held the request back
+	}
+	return t.f.params.RetryPause
+}
+
 // attempt sends the request to a server and relays the answer. answered states that the client has
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
 	t.server, t.serverVersion, t.firstEventAt, t.begunRecorded = server.ID, server.Version, time.Time{}, false
 	now := clock.Now()
+	t.sentAt = now
 	requestCtx := ctx
 	defer func() { t.endTrial(server, failure != nil && failure.Verdict == verdict.MayHaveRun) }()
 	defer func() { t.recordOutcome(requestCtx, server, failure) }()
--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -14,6 +14,8 @@
 	Server  serving.Server
 	// PromptParts are the parts of the request's prompt, as in serving.Request.
 	PromptParts []string
+	// SentAt is when the request was sent.
+	SentAt time.Time
 	// RunTime is the time from the server's first event to the failure; 0 if there was no event.
 	RunTime time.Duration
 	// Isolated is set if the attempt was an isolated run of a suspect.
@@ -62,7 +64,7 @@
 		switch {
 		case b.Isolated && l.needsConfirmation(b):
 			i := b.Identity()
-			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Parts: i.partFingerprints()}}
+			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints()}}
 		case b.Isolated:
 			update.Alone = update.Crashes
 		}
--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -210,3 +210,43 @@
 	}
 	checkAssessed(t, l, "the request", identity("bad"), "", Quarantined)
 }
+
+// TestPartBesideUnknownOne guards against quarantining a part whose isolated run ended with a server that another part
+// crashed, before that one was a suspect (soak seed 3).
+func TestPartBesideUnknownOne(t *testing.T) {
+	l := NewLedger()
+	crash := func(n int, isolated bool, parts ...string) {
+		i := identity(fmt.Sprintf("r-%d", n), parts...)
+		l.RecordCrash(BrokenAttempt{Fingerprint: i.Fingerprint, Server: server(n), PromptParts: i.PromptParts, Isolated: isolated}, start)
+	}
+	crash(0, false, "sound:1")
+	crash(1, false, "sound:1")
+	crash(2, true, "sound:1")
+	for n := 2; n < 6; n++ {
+		crash(n, false, "bad:1")
+	}
+	l.DecidePending(start.Add(confirmationDelay))
+	checkAssessed(t, l, "the sound part", identity("x", "sound:1"), "", Suspect)
+}
+
+// TestSharedPartBesideDeadlyOne guards against quarantining a part that nearly all requests have, when no instance remembers
+// that answers with it have begun: it has all crashes of the part that crashes servers, and others (soak seed 117).
+func TestSharedPartBesideDeadlyOne(t *testing.T) {
+	for name, cause := range map[string][]string{"another part": {"shared:1", "bad:1"}, "another request": {"shared:1"}} {
+		l := NewLedger()
+		crash := func(fp string, n int, isolated bool, parts ...string) {
+			i := identity(fp, parts...)
+			l.RecordCrash(BrokenAttempt{Fingerprint: i.Fingerprint, Server: server(n), PromptParts: i.PromptParts, Isolated: isolated}, start)
+		}
+		crash("sound-0", 0, false, "shared:1")
+		crash("sound-1", 1, false, "shared:1")
+		for n := 1; n < 4; n++ {
+			crash("bad", n, false, cause...)
+		}
+		crash("sound-2", 3, true, "shared:1")
+		l.DecidePending(start.Add(confirmationDelay))
+		if got, _ := l.Assess(identity("sound-3", "shared:1"), ""); got != Suspect {
+			t.Errorf("beside %s: %s, want suspect", name, got)
+		}
+	}
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -28,8 +28,8 @@
 // caused.
 type PendingCrash struct {
 	Incarnation Incarnation
-	// Parts are the parts of the prompt of the request that ran isolated.
-	Parts []serving.Fingerprint
+	// Companions are the request that ran isolated and the parts of its prompt.
+	Companions []serving.Fingerprint
 	// Age is the time since the crash.
 	Age time.Duration
 }
@@ -38,7 +38,7 @@
 // itself, so the earliest of several times is kept.
 type pendingCrash struct {
 	incarnation Incarnation
-	parts       []serving.Fingerprint
+	companions  []serving.Fingerprint
 	crashedAt   time.Time
 }
 
@@ -53,7 +53,7 @@
 // count: otherwise ledgers would send them to each other forever. l.mu must be held.
 func (l *Ledger) mergePending(r *record, pending []PendingCrash, now time.Time) (changed bool) {
 	for _, crash := range pending {
-		pending := pendingCrash{incarnation: crash.Incarnation, parts: crash.Parts, crashedAt: now.Add(-crash.Age)}
+		pending := pendingCrash{incarnation: crash.Incarnation, companions: crash.Companions, crashedAt: now.Add(-crash.Age)}
 		if crash.Age >= confirmationDelay && l.hasOtherCause(r, pending) {
 			continue
 		}
@@ -92,7 +92,7 @@
 func (r *record) pendingSnapshot(now time.Time) []PendingCrash {
 	var list []PendingCrash
 	for _, crash := range r.pending {
-		list = append(list, PendingCrash{Incarnation: crash.incarnation, Parts: crash.parts, Age: max(0, now.Sub(crash.crashedAt))})
+		list = append(list, PendingCrash{Incarnation: crash.incarnation, Companions: crash.companions, Age: max(0, now.Sub(crash.crashedAt))})
 	}
 	return list
 }
@@ -111,15 +111,20 @@
 }
 
 // hasOtherCause reports whether another request or part, which is a suspect because of other crashes as well, was
-// running on an incarnation that crashed during an isolated run. The parts of the request's own prompt are no other cause;
-// for a part, it is what has more crashes, since the requests with the part crash the same servers. l.mu must be held.
+// running on an incarnation that crashed during an isolated run. What the isolated run itself consisted of is no other
+// cause of the crash, with one exception: a part that many requests share may have run beside a part that crashes
+// servers. l.mu must be held.
 func (l *Ledger) hasOtherCause(r *record, crash pendingCrash) bool {
-	moreThan := SuspectAfter
-	if IsPart(r.Fingerprint) {
-		moreThan = max(moreThan, len(r.Crashes))
-	}
 	for _, other := range l.records {
-		if other != r && len(other.Crashes) > moreThan && slices.Contains(other.Crashes, crash.incarnation) && !slices.Contains(crash.parts, other.Fingerprint) {
+		if other == r || len(other.Crashes) <= SuspectAfter || !slices.Contains(other.Crashes, crash.incarnation) {
+			continue
+		}
+		switch companion := slices.Contains(crash.companions, other.Fingerprint); {
+		case IsPart(r.Fingerprint) && IsPart(other.Fingerprint):
+			if !containsAll(other.Crashes, r.Crashes) { // otherwise the requests with r have the other part, too
+				return true
+			}
+		case !companion:
 			return true
 		}
 	}
--- a/entry/crashcheck_test.go
+++ b/entry/crashcheck_test.go
@@ -1,6 +1,13 @@
 package entry
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/command/quarantine"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/serving"
+)
 
 // TestProbeFollowsCutOff checks that a caller that requests a probe after an answer was cut off waits for a probe
 // that starts after that. Guards against a retry before it is known that the server crashed, if another answer had
@@ -24,3 +31,21 @@
 		t.Error("the probe after the cut-off was not reported")
 	}
 }
+
+// TestIsolatedRunOnFailingServer guards against quarantining a request whose isolated run was sent to a server on which
+// answers had broken off before: what ended the server had begun already (soak seed 3).
+func TestIsolatedRunOnFailingServer(t *testing.T) {
+	f := newFleet(t, 1)
+	r := f.instances[0]
+	for id, began := range map[string]time.Duration{"e1": time.Second, "e2": -time.Second} {
+		s, _ := r.dir.Server(id)
+		r.crashes.RecordBrokenAnswer(quarantine.BrokenAttempt{Fingerprint: serving.Fingerprint("other-" + id), Server: s, SentAt: clock.Now().Add(-time.Minute)})
+		isolated := quarantine.BrokenAttempt{Fingerprint: "isolated", Server: s, SentAt: clock.Now().Add(began), Isolated: true}
+		r.crashes.RecordBrokenAnswer(isolated)
+		r.crashes.recordEnd(quarantine.IncarnationOf(s), "test")
+	}
+	record, _ := r.quarantine.ledger.Record("isolated", clock.Now())
+	if len(record.Crashes) != 2 || len(record.Alone) != 1 || record.Alone[0].Server != "e2" {
+		t.Errorf("crashes %v, %v of isolated runs; want both, and that of the run that began before", record.Crashes, record.Alone)
+	}
+}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,11 @@
 	lastChange time.Time
 }
 
+// brokeBefore reports whether an answer of the incarnation broke off before a time. What ended it began before then.
+func (w *incarnationWatch) brokeBefore(at time.Time) bool {
+	return slices.ContainsFunc(w.brokenAttempts, func(a timedAttempt) bool { return a.at.Before(at) })
+}
+
 type timedAttempt struct {
 	quarantine.BrokenAttempt
 	at time.Time
@@ -96,6 +102,7 @@
 		return completedCheck
 	}
 	defer c.mu.Unlock()
+	b.Isolated = b.Isolated && !w.brokeBefore(b.SentAt)
 	if len(w.brokenAttempts) < maxBrokenAttempts {
 		w.brokenAttempts = append(w.brokenAttempts, timedAttempt{b, now})
 	}
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -37,8 +37,8 @@
 // heldEnd is a pending end in a heldRequest.
 type heldEnd struct {
 	Incarnation quarantine.Incarnation `json:"incarnation"`
-	// Parts are the parts of the prompt of the request that ran alone.
-	Parts []serving.Fingerprint `json:"parts,omitempty"`
+	// Companions are the request that ran alone and the parts of its prompt.
+	Companions []serving.Fingerprint `json:"companions,omitempty"`
 	// EndedMS is when the server ended, in milliseconds since the Unix epoch. It determines when the
 	// pending end is decided; the request does not run before that.
 	EndedMS int64 `json:"endedMs"`
@@ -47,7 +47,7 @@
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
 	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
-		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Parts: end.Parts, EndedMS: now.Add(-end.Age).UnixMilli()})
+		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli()})
 	}
 	return h
 }
@@ -64,7 +64,7 @@
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
-		r.Pending = append(r.Pending, quarantine.PendingCrash{Incarnation: end.Incarnation, Parts: end.Parts, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
+		r.Pending = append(r.Pending, quarantine.PendingCrash{Incarnation: end.Incarnation, Companions: end.Companions, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
 	}
 	return r
 }
