--- a/command/forward/suspended_test.go
+++ b/command/forward/suspended_test.go
@@ -37,8 +37,8 @@
 				t.Fatalf("%s: %d sends, want %d (%v)", name, len(f.servers.attempts), test.sends, failure)
 			}
 			if test.sends == 0 {
-				if failure == nil || failure.Reason != verdict.ReasonDeadline || failure.Verdict != verdict.NotRun {
-					t.Errorf("%s: %v, want a refusal for the deadline", name, failure)
+				if failure == nil || failure.Reason != verdict.ReasonDeadline || failure.Verdict != verdict.NotRun || failure.RetryAfter <= 0 {
+					t.Errorf("%s: %+v, want a refusal for the deadline that tells when to return", name, failure)
 				}
 				return
 			}
