entry: an instance asks the store for marks of versions five times a second at most

With the interval of 20 ms until they are read, an instance that starts while the store turns calls away would have called it fifty times a second. Now the short interval applies while the list of servers is too old to be relied on, which takes no call. Found by reading.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -54,8 +54,9 @@
 // Timing of version marks.
 const (
 	marksInterval = 200 * time.Millisecond
-	// firstMarksInterval applies until the marks have been read: before, streams that clients take up are refused.
-	firstMarksInterval = 20 * time.Millisecond
+	// noServersInterval applies while the list of servers is too old, or is not known yet: streams that clients take up may
+	// be refused until it is, and checking that calls nobody.
+	noServersInterval = 20 * time.Millisecond
 	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
 	// A server of a new version has to load models, which takes longer, before it can begin a stream.
 	maxServersAge = 3 * time.Second
@@ -69,34 +70,36 @@
 
 // run keeps the marks current until ctx ends.
 func (m *versionMarks) run(ctx context.Context) {
-	for wait := firstMarksInterval; pause.For(ctx, wait); {
-		m.update(ctx)
-		if wait = firstMarksInterval; m.loaded {
-			wait = marksInterval
+	for wait := noServersInterval; pause.For(ctx, wait); {
+		wait = marksInterval
+		if !m.update(ctx) {
+			wait = noServersInterval
 		}
 	}
 }
 
-// update reads the marks if this instance may have missed some, and writes them if it is the holder.
-func (m *versionMarks) update(ctx context.Context) {
+// update reads the marks if this instance may have missed some, and writes them if it is the holder. It returns false,
+// and does nothing, if the list of servers is too old.
+func (m *versionMarks) update(ctx context.Context) bool {
 	now := clock.Now()
 	age := m.serversAge(now)
 	if age > maxServersAge {
 		m.loaded = false
-		return
+		return false
 	}
 	m.loaded = m.loaded || m.load(ctx)
 	if !m.loaded {
-		return
+		return true
 	}
 	until := now.Add(maxServersAge - age)
 	m.certainUntil.Store(&until)
 	isHolder := m.isHolder()
 	if isHolder && (!m.wasHolder || !m.upToDate()) {
 		m.wasHolder = m.load(ctx) && m.write(ctx)
-		return
+		return true
 	}
 	m.wasHolder = isHolder
+	return true
 }
 
 // load reads the marks, and reports whether the store answered.
