An answer that has begun shows for good that a part crashes no server of that version

A part crashes whatever server begins to answer with it, so that one answer is proof. Now a part's record has the software versions at which answers have begun; crashes of these do not count, whenever they are heard of. It is exchanged and, for a part that was a suspect, kept in the store until it expires.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -174,8 +174,8 @@
 	return list
 }
 
-// Expire removes records that have exceeded their lifetime, and returns the quarantined requests among
-// them.
+// Expire removes records that have exceeded their lifetime, and returns those among them that the store may have: of
+// quarantined requests, and of parts with which answers have begun.
 func (l *Ledger) Expire(now time.Time) []serving.Fingerprint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -184,7 +184,7 @@
 		if now.Sub(r.changedAt) < r.lifetime() {
 			continue
 		}
-		if r.State() == Quarantined {
+		if r.State() == Quarantined || len(r.Begun) > 0 {
 			released = append(released, fp)
 		}
 		l.drop(fp)
@@ -209,8 +209,8 @@
 	if len(r.Crashes) > 0 && l.answered.contains(r.Fingerprint, now) {
 		changed = r.merge(Record{Cleared: slices.Clone(r.Crashes)}) || changed
 	}
-	if begun := l.begunCrashes(r, now); len(begun) > 0 {
-		changed = r.merge(Record{Cleared: begun}) || changed
+	if begun := l.begunVersions(r, now); len(begun) > 0 {
+		changed = r.merge(Record{Begun: begun}) || changed
 	}
 	if at := now.Add(-from.Age); changed && at.After(r.changedAt) {
 		r.changedAt = at
--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -59,8 +59,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.partsOf(&i) {
+		if slices.Contains(r.Begun, version) {
+			continue
+		}
 		before := r.State()
-		l.merge(Record{Fingerprint: r.Fingerprint, Cleared: ofVersion(r.Crashes, version)}, now)
+		l.merge(Record{Fingerprint: r.Fingerprint, Begun: []string{version}}, now)
 		if before != Clear && r.State() == Clear {
 			released = append(released, r.Fingerprint)
 		}
@@ -144,17 +147,17 @@
 	return l.merge(update, now)
 }
 
-// begunCrashes returns the crashes in the record of a part that do not count against it, because servers of the same
-// software version have begun answers with it recently. It returns none for a request. l.mu must be held.
-func (l *Ledger) begunCrashes(r *record, now time.Time) (begun []Incarnation) {
+// begunVersions returns the software versions of crashes in the record of a part that do not count against it, because
+// servers of the version have begun answers with it recently. It returns none for a request. l.mu must be held.
+func (l *Ledger) begunVersions(r *record, now time.Time) (versions []string) {
 	hash, isPart := partHash(r.Fingerprint)
 	if !isPart {
 		return nil
 	}
 	for _, crash := range r.Crashes {
 		if l.begun.contains(hash, crash.Version, now) {
-			begun = append(begun, crash)
+			versions = append(versions, crash.Version)
 		}
 	}
-	return begun
+	return versions
 }
--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -67,6 +67,8 @@
 	there.RecordBegun(identity("sound", "p:10"), "v2", start)
 	checkAssessed(t, there, "begun at another version", identity("x", "p:10"), "v1", Quarantined)
 	late := start.Add(2 * begunRetention)
+	here = NewLedger()
+	here.RecordBegun(identity("sound", "p:10"), "v1", start)
 	here.RecordCrash(BrokenAttempt{Fingerprint: "r", Server: server(7), PromptParts: []string{"p:10", "own"}}, late)
 	if !here.Implicated(identity("x", "p:10")) {
 		t.Error("an answer that began long ago clears a part")
@@ -250,3 +252,22 @@
 		}
 	}
 }
+
+// TestBegunPartStaysClear guards against quarantining a part that many requests share after instances have lost their
+// memory of answers: one answer that began at a version shows that the part crashes none of its servers (soak seeds 124, 128).
+func TestBegunPartStaysClear(t *testing.T) {
+	l := NewLedger()
+	crashUnder(l, identity("r-0", "shared:1"), 0, false)
+	l.RecordBegun(identity("sound", "shared:1"), "v1", start)
+	successor := NewLedger()
+	successor.Merge(l.RecordsOfIdentity(identity("x", "shared:1"), start), start)
+	for n := 1; n < 6; n++ {
+		crashUnder(successor, identity(fmt.Sprintf("r-%d", n), "shared:1"), n, n > 2)
+	}
+	checkAssessed(t, successor, "begun at this version", identity("x", "shared:1"), "", Clear)
+	for n := 6; n < 9; n++ {
+		successor.RecordCrash(BrokenAttempt{Fingerprint: "r", Server: serving.Server{ID: fmt.Sprint(n), Version: "v2"}, PromptParts: []string{"shared:1", "own"}, Isolated: n == 8}, start)
+	}
+	successor.DecidePending(start.Add(confirmationDelay))
+	checkAssessed(t, successor, "crashes of another version", identity("x", "shared:1"), "v2", Quarantined)
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -72,7 +72,7 @@
 		}
 		return false
 	case len(r.pending) >= maxPending,
-		slices.Contains(r.Alone, crash.incarnation), slices.Contains(r.Cleared, crash.incarnation):
+		slices.Contains(r.Alone, crash.incarnation), slices.Contains(r.Cleared, crash.incarnation), slices.Contains(r.Begun, crash.incarnation.Version):
 		return false
 	}
 	r.pending = append(r.pending, crash)
@@ -84,7 +84,7 @@
 // Cleared.
 func (r *record) dropPending() {
 	r.pending = slices.DeleteFunc(r.pending, func(crash pendingCrash) bool {
-		return slices.Contains(r.Alone, crash.incarnation) || slices.Contains(r.Cleared, crash.incarnation)
+		return slices.Contains(r.Alone, crash.incarnation) || slices.Contains(r.Cleared, crash.incarnation) || slices.Contains(r.Begun, crash.incarnation.Version)
 	})
 }
 
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -77,6 +77,9 @@
 	Crashes, Cleared []Incarnation
 	// Alone is the subset of Crashes that happened during isolated runs.
 	Alone []Incarnation
+	// Begun are the software versions at which an answer to a request with the part has begun, sorted. Crashes of servers of
+	// these versions do not count. It is empty for requests.
+	Begun []string
 	// Pending are crashes during isolated runs that are not yet in Alone, because another request may
 	// be the cause.
 	Pending []PendingCrash
@@ -109,7 +112,7 @@
 // same reports whether two records have the same content, apart from subjects and ages.
 func (r *Record) same(other Record) bool {
 	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) &&
-		slices.Equal(r.Alone, other.Alone) &&
+		slices.Equal(r.Alone, other.Alone) && slices.Equal(r.Begun, other.Begun) &&
 		slices.EqualFunc(r.Pending, other.Pending, func(a, b PendingCrash) bool { return a.Incarnation == b.Incarnation }) &&
 		r.Grace == other.Grace
 }
--- a/command/quarantine/record.go
+++ b/command/quarantine/record.go
@@ -36,7 +36,8 @@
 
 // merge adds what another record contains, and reports whether any of it was new.
 func (r *record) merge(from Record) bool {
-	changed := r.mergeCleared(from.Cleared)
+	changed := r.mergeBegun(from.Begun)
+	changed = r.mergeCleared(from.Cleared) || changed
 	changed = r.mergeCrashes(from) || changed
 	r.normalize()
 	r.dropPending()
@@ -50,6 +51,21 @@
 	return changed
 }
 
+// mergeBegun adds software versions at which answers have begun, clears the record of their crashes, and reports whether
+// any was new.
+func (r *record) mergeBegun(versions []string) (changed bool) {
+	for _, version := range versions {
+		if slices.Contains(r.Begun, version) {
+			continue
+		}
+		r.Begun = append(slices.Clone(r.Begun), version)
+		r.mergeCleared(ofVersion(r.Crashes, version))
+		changed = true
+	}
+	slices.Sort(r.Begun)
+	return changed
+}
+
 // mergeCleared clears the record of crashes, and reports whether that changed anything.
 func (r *record) mergeCleared(cleared []Incarnation) (changed bool) {
 	for _, incarnation := range cleared {
@@ -65,7 +81,7 @@
 // mergeCrashes adds the crashes of another record, and reports whether any was new.
 func (r *record) mergeCrashes(from Record) (changed bool) {
 	for _, incarnation := range from.Crashes {
-		if !slices.Contains(r.Cleared, incarnation) && len(r.Crashes) < r.crashLimit(from, incarnation) {
+		if !slices.Contains(r.Begun, incarnation.Version) && !slices.Contains(r.Cleared, incarnation) && len(r.Crashes) < r.crashLimit(from, incarnation) {
 			changed = addIncarnation(&r.Crashes, incarnation) || changed
 		}
 	}
@@ -128,6 +144,9 @@
 	for _, crash := range r.pending {
 		incarnations = append(incarnations, crash.incarnation)
 	}
+	for _, version := range r.Begun {
+		text = append(text, version...)
+	}
 	for _, incarnation := range incarnations {
 		text = append(text, incarnation.Server...)
 		text = binary.BigEndian.AppendUint64(text, uint64(incarnation.Born))
@@ -140,6 +159,7 @@
 	snapshot := r.Record
 	snapshot.Crashes, snapshot.Cleared, snapshot.Alone =
 		slices.Clone(r.Crashes), slices.Clone(r.Cleared), slices.Clone(r.Alone)
+	snapshot.Begun = slices.Clone(r.Begun)
 	snapshot.Pending = r.pendingSnapshot(now)
 	snapshot.Age = max(0, now.Sub(r.changedAt))
 	return snapshot
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -28,6 +28,7 @@
 	Cleared []quarantine.Incarnation `json:"cleared"`
 	Alone   []quarantine.Incarnation `json:"alone,omitempty"`
 	Pending []heldEnd                `json:"pending,omitempty"`
+	Begun   []string                 `json:"begun,omitempty"`
 	GraceMS int64                    `json:"graceMs"`
 	// ChangedMS is the time of the last change, in milliseconds since the Unix epoch. It only
 	// determines for how many minutes the entry counts.
@@ -45,7 +46,7 @@
 }
 
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
-	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
 		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli()})
 	}
@@ -54,13 +55,13 @@
 
 // matches reports whether the entry agrees with a record of the ledger.
 func (h heldRequest) matches(r quarantine.Record) bool {
-	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Alone, r.Alone) &&
+	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Alone, r.Alone) && slices.Equal(h.Begun, r.Begun) &&
 		slices.EqualFunc(h.Pending, r.Pending, func(a heldEnd, b quarantine.PendingCrash) bool { return a.Incarnation == b.Incarnation })
 }
 
 func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
 	r := quarantine.Record{
-		Fingerprint: fp, Subject: h.Subject, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Grace: time.Duration(h.GraceMS) * time.Millisecond,
+		Fingerprint: fp, Subject: h.Subject, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Begun: h.Begun, Grace: time.Duration(h.GraceMS) * time.Millisecond,
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
@@ -127,7 +128,7 @@
 		q.recordEscalations(q.ledger.Merge([]quarantine.Record{stored.decode(fp, now)}, clock.Now()), "store")
 	}
 	r, known := q.ledger.Record(fp, clock.Now())
-	if !known || r.State() == quarantine.Clear {
+	if !known || r.State() == quarantine.Clear && len(r.Begun) == 0 {
 		if version == 0 {
 			return nil
 		}
