A request's own crashes are counted before those of its parts

Ruled out: load (it is in memory, and without times). Cause: pending crashes were decided in the order of a map, and another instance's records in that of the message. Of a request that crashed three servers by itself and a part of its prompt, the one that came first was quarantined for these crashes; if it was the part, all requests with it were refused. The part's record cannot take the crashes from a request that is quarantined already, and others with the part then run isolated.

--- a/command/quarantine/identity.go
+++ b/command/quarantine/identity.go
@@ -35,6 +35,18 @@
 // IsPart reports whether a fingerprint is that of a part.
 func IsPart(fp serving.Fingerprint) bool { return strings.HasPrefix(string(fp), partPrefix) }
 
+// compareRequestsFirst orders fingerprints of requests before those of parts. Crashes are counted in this order, since those
+// of a request that is sent repeatedly must not be attributed to a part of its prompt.
+func compareRequestsFirst(a, b serving.Fingerprint) int {
+	if IsPart(a) != IsPart(b) {
+		if IsPart(b) {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(string(a), string(b))
+}
+
 // partHash returns the hash of the part with a fingerprint, and false if the fingerprint is that of a request.
 func partHash(fp serving.Fingerprint) (uint64, bool) {
 	text, found := strings.CutPrefix(string(fp), partPrefix)
--- a/command/quarantine/message.go
+++ b/command/quarantine/message.go
@@ -141,7 +141,9 @@
 // mergeRecords merges records that have not exceeded their lifetime. l.mu must be held.
 func (l *Ledger) mergeRecords(records []Record, now time.Time) []Escalation {
 	var escalations []Escalation
-	for _, r := range records {
+	ordered := slices.Clone(records)
+	slices.SortStableFunc(ordered, func(a, b Record) int { return compareRequestsFirst(a.Fingerprint, b.Fingerprint) })
+	for _, r := range ordered {
 		if r.Age < r.lifetime() {
 			escalations = append(escalations, l.merge(r, now)...)
 		}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -146,7 +147,8 @@
 func (l *Ledger) DecidePending(now time.Time) (escalations []Escalation, dropped []serving.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for fp, r := range l.records {
+	for _, fp := range slices.SortedFunc(maps.Keys(l.records), compareRequestsFirst) {
+		r := l.records[fp]
 		for _, crash := range r.removeDecidable(now) {
 			if l.hasOtherCause(r, crash) {
 				l.markChanged(r)
