standin: servers run what they have slots for, let a number wait and reject the rest

Stand-ins ran everything at once, and brittle ones let nothing wait. Without these settings servers behave as before. No logic of the system is changed.

--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -56,6 +57,8 @@
 	// service.
 	PlainServices []string
 	EngineService string
+	// EngineSlots is the number of requests that an engine runs concurrently; defaultSlots if 0.
+	EngineSlots int
 	// Models are the models that engines can load; MemoryMB and AdapterSlots are the capacity of an engine.
 	Models       map[string]ServerModel
 	MemoryMB     float64
@@ -109,7 +112,7 @@
 		})
 	}
 	services = append(services, map[string]any{"name": c.EngineService, "engine": map[string]any{
-		"slots": serverSlots, "weightsMb": c.MemoryMB, "adapterSlots": c.AdapterSlots, "loadsPerS": c.LoadsPerSecond, "models": models,
+		"slots": cmp.Or(c.EngineSlots, defaultSlots), "weightsMb": c.MemoryMB, "adapterSlots": c.AdapterSlots, "loadsPerS": c.LoadsPerSecond, "models": models,
 		"backups": c.Backups, "handle_s": handleLifetime.Seconds(),
 	}})
 	idle := c.IdleTimeout
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -22,9 +22,6 @@
 	Load                time.Duration
 }
 
-// serverSlots is the number of requests that a Server claims to run concurrently.
-const serverSlots = 8
-
 // ServerParams are the parameters of a Server.
 type ServerParams struct {
 	ID, Service, FailureDomain string
@@ -55,8 +52,19 @@
 	Unframed, CloseWithinEvent bool
 	// EventPause is the pause between events of a stream, Work the duration of a plain request.
 	EventPause, Work time.Duration
+	// Slots is the number of requests that it runs concurrently; defaultSlots if 0.
+	Slots int
+	// Queue is how many requests wait for a slot; if 0, a server that is not brittle runs all at once. BrittleQueue is the
+	// same for a brittle server.
+	Queue, BrittleQueue int
 }
 
+// defaultSlots is the number of requests that a Server runs concurrently unless its parameters state another.
+const defaultSlots = 8
+
+// slots returns the number of requests that the server runs concurrently.
+func (p *ServerParams) slots() int { return cmp.Or(p.Slots, defaultSlots) }
+
 // ReceivedOrder is an order that a Server received.
 type ReceivedOrder struct {
 	Operation, Unit, Holder string
@@ -81,7 +89,7 @@
 
 	arrivals     arrivalLog
 	backpressure backpressureState
-	brittle      brittleState
+	admission    admission
 	pause        pauseState
 
 	mu                 sync.Mutex
@@ -164,7 +172,7 @@
 		address = s.params.Announced
 	}
 	value, _ := json.Marshal(map[string]any{
-		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "version": cmp.Or(s.params.Version, "v1"), "slots": serverSlots, "state": s.state,
+		"service": s.params.Service, "address": address, "zone": s.params.FailureDomain, "version": cmp.Or(s.params.Version, "v1"), "slots": s.params.slots(), "state": s.state,
 		"coldLeftMs": 0, "sequence": s.entrySequence,
 		"born": s.born, "models": s.models(), "available": map[string]any{"onDisk": onDisk},
 	})
@@ -268,11 +276,11 @@
 			s.freeBackup(w, handle)
 			return
 		}
-		if id != "" && !s.admit(w, id) {
+		if id != "" && !s.admit(w, r, id) {
 			return
 		}
 		if id != "" {
-			defer s.brittle.end()
+			defer s.admission.end()
 		}
 		if s.params.Unframed && id != "" {
 			serveUnframed(w, r, !s.params.CloseWithinEvent, s.serveRequest)
