Lines of rejections by brittle servers tell in_flight and known

Rejections before an end could come from one instance that sends much or from many that send one each, and from instances that know that the server is brittle or not: the lines told neither. in_flight is what the instance that logs had there, known whether the server was known to be brittle when the request was sent.

--- a/command/brittle/gate.go
+++ b/command/brittle/gate.go
@@ -140,15 +140,17 @@
 	return true
 }
 
-// End ends a request after Begin or BeginBrittle.
-func (g *Gate) End(id string) {
+// End ends a request after Begin or BeginBrittle, and returns how many of this instance were in flight until then.
+func (g *Gate) End(id string) (inFlight int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	st := g.state(id)
+	inFlight = st.inFlight
 	st.inFlight--
 	if st.inFlight == 0 && st.window == 0 {
 		delete(g.servers, id)
 	}
+	return inFlight
 }
 
 // Rejected records that a brittle server rejected a request for lack of room.
--- a/command/forward/brittle.go
+++ b/command/forward/brittle.go
@@ -63,7 +63,9 @@
 // beginSend counts a send to a server until endSend. It returns false if the server is brittle and has no room for it.
 func (t *transaction) beginSend(s serving.Server) bool {
 	now := clock.Now()
-	if b, isBrittle := t.brittleServer(s, now); isBrittle {
+	b, isBrittle := t.brittleServer(s, now)
+	t.sentAsBrittle = isBrittle
+	if isBrittle {
 		return t.f.gate.BeginBrittle(b, now)
 	}
 	t.f.gate.Begin(s.ID)
@@ -72,7 +74,7 @@
 
 // endSend ends a send. resp is nil if there was no response.
 func (t *transaction) endSend(s serving.Server, resp *serving.Response) {
-	t.f.gate.End(s.ID)
+	inFlight := t.f.gate.End(s.ID)
 	if resp == nil {
 		return
 	}
@@ -84,7 +86,7 @@
 	case rejectedForRoom(resp):
 		t.f.gate.Rejected(b, now)
 		t.f.counts.brittleRejection(t.service.Name)
-		t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{"server": s.ID, "tolerated": b.Tolerated, "others": b.Others}).Info("brittle server rejected a request")
+		t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{"server": s.ID, "tolerated": b.Tolerated, "others": b.Others, "in_flight": inFlight, "known": t.sentAsBrittle}).Info("brittle server rejected a request")
 	case !resp.NotExecuted:
 		t.f.gate.Answered(s.ID)
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -72,6 +72,8 @@
 	roomAt time.Time
 	// roomWaitUntil is until when the request waits for room at brittle servers; zero before it waits.
 	roomWaitUntil time.Time
+	// sentAsBrittle is whether the server was known to be brittle when the request was last sent.
+	sentAsBrittle bool
 	// trial is the permission of a suspect to run; zero if there is none.
 	trial Trial
 	// last is the failure of the last attempt; nil before.
