--- /dev/null
+++ b/entry/brittle_fixture_test.go
@@ -0,0 +1,410 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"github.com/sirupsen/logrus"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/platform"
+)
+
+// brittleSize is the size of a brittleFleet.
+type brittleSize struct {
+	instances, engines, plain int
+	// hotModels have hotCopies copies each at the start, all other models one.
+	models, hotModels, hotCopies int
+}
+
+// Sizes of fleets: that of a large deployment, which MARTENPORT_LARGE selects, and one for short tests. In both there are more
+// instances than an engine has slots.
+var (
+	largeBrittleSize = brittleSize{instances: 79, engines: 90, plain: 4, models: 120, hotModels: 10, hotCopies: 7}
+	smallBrittleSize = brittleSize{instances: 24, engines: 20, plain: 4, models: 24, hotModels: 4, hotCopies: 5}
+)
+
+// Parameters of the servers of a brittleFleet.
+const (
+	brittleDomains                         = 4
+	brittleEngineSlots, brittleEngineQueue = 16, 48
+	brittlePlainSlots, brittlePlainQueue   = 6, 24
+	// brittleQueue is how many requests wait at a server that is brittle, and brittleRejections how many it may reject in
+	// a second.
+	brittleQueue, brittleRejections = 2, 6
+	// brittleNotice is the time between the first statement and the moment from which servers are brittle.
+	brittleNotice = 4 * time.Second
+	// brittleRestart is how long a server that has ended is away.
+	brittleRestart = 2 * time.Second
+	// brittlePlainWork is the run time of a plain request, brittleEventPause the pause between events of a stream.
+	brittlePlainWork, brittleEventPause = 300 * time.Millisecond, 60 * time.Millisecond
+)
+
+// brittleFleet is a fleet in several failure domains whose servers can be brittle. Servers that end are started again.
+type brittleFleet struct {
+	*fleet
+	size   brittleSize
+	models map[string]standin.ServerModel
+
+	mu sync.Mutex
+	// positions are the servers that run now, by name; guarded by mu.
+	positions map[string]*brittlePosition
+	// stated and enforced are whether servers state that they are brittle, and whether they are; guarded by mu.
+	stated, enforced bool
+	// falls are the servers that ended because of rejections, with the time; guarded by mu.
+	falls []string
+	// stopped is set when servers are not started again; guarded by mu.
+	stopped bool
+	began   time.Time
+	work    sync.WaitGroup
+}
+
+// brittlePosition is a server that is started again when it ends.
+type brittlePosition struct {
+	name, service, domain string
+	loaded                []string
+	starts                int
+	server                *standin.Server
+}
+
+// newBrittleFleet starts a fleet whose servers are not brittle yet. MARTENPORT_LOG names a file for the log lines.
+func newBrittleFleet(t *testing.T) *brittleFleet {
+	size := smallBrittleSize
+	if os.Getenv("MARTENPORT_LARGE") != "" {
+		size = largeBrittleSize
+	}
+	f := &brittleFleet{fleet: &fleet{t: t}, size: size, models: map[string]standin.ServerModel{}, positions: map[string]*brittlePosition{}, began: time.Now()}
+	t.Parallel()
+	if path := os.Getenv("MARTENPORT_LOG"); path != "" {
+		f.writeLog(path)
+	}
+	for i := range size.models {
+		f.models[brittleModel(i)] = standin.ServerModel{MemoryMB: 100, AdapterMB: 1, Load: testLoadTime}
+	}
+	f.startStore()
+	f.configureBrittle()
+	f.editSettings = func(s *platform.Settings) {
+		n, _ := strconv.Atoi(strings.TrimPrefix(s.NodeName, "node-"))
+		s.Zone = brittleDomain(n)
+	}
+	copies := f.copies()
+	for i := range size.engines {
+		f.startPosition(&brittlePosition{name: fmt.Sprint("e", i), service: "llm", domain: brittleDomain(i), loaded: copies[i]})
+	}
+	for i := range size.plain {
+		f.startPosition(&brittlePosition{name: fmt.Sprint("p", i), service: "plain", domain: brittleDomain(i)})
+	}
+	for i := range size.instances {
+		f.addInstance(i)
+	}
+	t.Cleanup(f.stop)
+	f.await("instances ready", func() bool {
+		return f.holder() != nil && !slices.ContainsFunc(f.instances, func(r *running) bool { return !r.Ready() || len(r.dir.IDs()) < size.engines+size.plain })
+	})
+	return f
+}
+
+func brittleModel(i int) string { return fmt.Sprintf("m%03d", i) }
+
+func brittleDomain(i int) string { return "abcd"[i%brittleDomains : i%brittleDomains+1] }
+
+// copies returns the models that each engine has at the start.
+func (f *brittleFleet) copies() [][]string {
+	list := make([][]string, f.size.engines)
+	next := 0
+	place := func(model string) {
+		list[next%len(list)] = append(list[next%len(list)], model)
+		next++
+	}
+	for range f.size.hotCopies {
+		for m := range f.size.hotModels {
+			place(brittleModel(m))
+		}
+	}
+	for m := f.size.hotModels; m < f.size.models; m++ {
+		place(brittleModel(m))
+	}
+	return list
+}
+
+func (f *brittleFleet) configureBrittle() {
+	c := standin.Config{
+		Version: 1, PlainServices: []string{"plain"}, EngineService: "llm", EngineSlots: brittleEngineSlots, Models: f.models, MemoryMB: testMemoryMB, AdapterSlots: testAdapterSlots,
+		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 30,
+		Routes: []standin.Route{
+			{Name: "stream", Host: "h.example", Service: "llm", Kind: standin.StreamRoute, Timeout: 10 * time.Second, Objective: 400 * time.Millisecond, Attempts: 2, Resumable: true, Priority: 1},
+			{Name: "once", Host: "h.example", Service: "llm", Kind: standin.StreamRoute, Timeout: 10 * time.Second, Objective: 3 * time.Second, Attempts: 1, Priority: 1},
+			{Name: "unsafe", Host: "h.example", Service: "plain", Kind: standin.UnsafeRoute, Timeout: 2500 * time.Millisecond, Objective: 600 * time.Millisecond, Attempts: 1, Priority: 2},
+			{Name: "safe", Host: "h.example", Service: "plain", Kind: standin.SafeRoute, Timeout: 2500 * time.Millisecond, Objective: 600 * time.Millisecond, Attempts: 2, Priority: 2},
+		},
+	}
+	if err := c.Write(context.Background(), f.store); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// startPosition starts a server, and starts it again whenever it ends.
+func (f *brittleFleet) startPosition(p *brittlePosition) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.positions[p.name] = p
+	f.startServer(p)
+}
+
+// startServer starts the next server of a position. f.mu must be held.
+func (f *brittleFleet) startServer(p *brittlePosition) {
+	params := standin.ServerParams{
+		ID: fmt.Sprintf("%s-%d", p.name, p.starts), Service: p.service, FailureDomain: p.domain, Work: brittlePlainWork, EventPause: brittleEventPause,
+		Slots: brittlePlainSlots, Queue: brittlePlainQueue, BrittleQueue: brittleQueue,
+	}
+	if p.service == "llm" {
+		params.Models, params.MemoryMB, params.AdapterSlots, params.Slots, params.Queue = f.models, testMemoryMB, testAdapterSlots, brittleEngineSlots, brittleEngineQueue
+		if p.starts == 0 {
+			params.Loaded = p.loaded
+		}
+	}
+	s, err := standin.NewServer("127.0.0.1", params)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	p.starts++
+	p.server = s
+	f.apply(s)
+	ctx, stop := context.WithCancel(context.Background())
+	go s.Announce(ctx, f.store, testHeartbeat)
+	f.work.Go(func() {
+		<-s.Ended()
+		stop()
+		f.restart(p, params.ID)
+	})
+}
+
+// restart starts the next server of a position after the server with the given id has ended.
+func (f *brittleFleet) restart(p *brittlePosition, id string) {
+	f.mu.Lock()
+	if f.stopped {
+		f.mu.Unlock()
+		return
+	}
+	if p.server.State().EndedByRejections {
+		f.falls = append(f.falls, fmt.Sprintf("%s at %.1f s", id, time.Since(f.began).Seconds()))
+	}
+	f.mu.Unlock()
+	time.Sleep(brittleRestart)
+	if obj, err := f.store.Get(context.Background(), platform.PrefixServers+id); err == nil {
+		_ = f.store.Delete(context.Background(), platform.PrefixServers+id, obj.Version)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.stopped {
+		f.startServer(p)
+	}
+}
+
+// apply makes a server state that it is brittle, and be brittle, as all are now. f.mu must be held.
+func (f *brittleFleet) apply(s *standin.Server) {
+	b := standin.Backpressure{}
+	if f.stated {
+		b.Brittle = strconv.Itoa(brittleRejections)
+	}
+	s.SetBackpressure(b)
+	s.SetBrittle(f.enforced, brittleRejections)
+}
+
+// setBrittle sets whether all servers state that they are brittle, and whether they are.
+func (f *brittleFleet) setBrittle(stated, enforced bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stated, f.enforced = stated, enforced
+	for _, p := range f.positions {
+		f.apply(p.server)
+	}
+}
+
+// server returns the server that runs at a position, or ran there last.
+func (f *brittleFleet) server(name string) *standin.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.positions[name].server
+}
+
+// stop ends all servers and instances.
+func (f *brittleFleet) stop() {
+	f.mu.Lock()
+	f.stopped = true
+	for _, p := range f.positions {
+		p.server.Stop()
+	}
+	f.mu.Unlock()
+	f.work.Wait()
+	for _, r := range f.instances {
+		r.stop()
+	}
+}
+
+// fallsOf returns the servers of a service that ended because of rejections; prefix begins the names of its servers.
+func (f *brittleFleet) fallsOf(prefix string) (list []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, fall := range f.falls {
+		if strings.HasPrefix(fall, prefix) {
+			list = append(list, fall)
+		}
+	}
+	return list
+}
+
+// checkFalls checks that of the servers of each service at most two and a tenth of their number ended.
+func (f *brittleFleet) checkFalls() {
+	f.t.Helper()
+	for prefix, n := range map[string]int{"e": f.size.engines, "p": f.size.plain} {
+		if falls := f.fallsOf(prefix); 10*len(falls) > 20+n {
+			f.t.Errorf("%d of %d brittle servers ended, allowed %d: %v", len(falls), n, 2+n/10, falls)
+		}
+	}
+}
+
+// brittleLoad is an open load on one route and model.
+type brittleLoad struct {
+	f            *brittleFleet
+	route, model string
+	length       time.Duration
+
+	mu sync.Mutex
+	// sent, served and firstServed count requests, those that were served, and at the first try; byInstance are the first
+	// and the last of them for each instance; failed counts the others by their last answer. Guarded by mu.
+	sent, served, firstServed int
+	byInstance                map[*running][2]int
+	failed                    map[string]int
+}
+
+// play sends requests at the given rate per second for a time, to random instances, and waits for the answers. Clients that are
+// refused come back once, when they are told to. model "" draws a model for each request, a hot one for two of three.
+func (f *brittleFleet) play(route, model string, rate float64, length time.Duration) *brittleLoad {
+	l := &brittleLoad{f: f, route: route, model: model, length: length, byInstance: map[*running][2]int{}, failed: map[string]int{}}
+	var work sync.WaitGroup
+	random := rand.New(rand.NewPCG(uint64(rate*100), uint64(len(route))))
+	for until := time.Now().Add(length); time.Now().Before(until); {
+		work.Go(l.request)
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+	}
+	work.Wait()
+	f.t.Log(l)
+	return l
+}
+
+// request sends one request, and again if it is refused.
+func (l *brittleLoad) request() {
+	model := l.model
+	if model == "" && (l.route == "stream" || l.route == "once") {
+		model = brittleModel(rand.IntN(l.f.size.hotModels))
+		if rand.IntN(3) == 0 {
+			model = brittleModel(rand.IntN(l.f.size.models))
+		}
+	}
+	first := l.f.drawInstance()
+	a := l.f.request(first, l.route, model)
+	firstServed := a.served()
+	if a.err == nil && a.status == http.StatusServiceUnavailable {
+		time.Sleep(min(a.retryAfter, brittleMaxReturn))
+		a = l.f.request(l.f.drawInstance(), l.route, model)
+	}
+	l.record(first, firstServed, a)
+}
+
+// brittleMaxReturn is the longest time after which a client returns.
+const brittleMaxReturn = 3 * time.Second
+
+// served reports whether the request was answered.
+func (a answer) served() bool { return a.err == nil && a.status == http.StatusOK }
+
+// record records a request that was first sent to an instance.
+func (l *brittleLoad) record(first *running, firstServed bool, last answer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent++
+	n := l.byInstance[first]
+	n[0]++
+	if firstServed {
+		l.firstServed++
+		n[1]++
+	}
+	l.byInstance[first] = n
+	if last.served() {
+		l.served++
+		return
+	}
+	l.failed[fmt.Sprint(last.status, " ", last.err)]++
+}
+
+// drawInstance returns a random instance.
+func (f *brittleFleet) drawInstance() *running {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.instances[rand.IntN(len(f.instances))]
+}
+
+// minJudgedRequests is the number of requests from which on an instance that serves none of them is one that gets no room.
+const minJudgedRequests = 6
+
+// withoutRoom returns the number of instances that served nothing at the first try.
+func (l *brittleLoad) withoutRoom() (n int) {
+	for _, c := range l.byInstance {
+		if c[0] >= minJudgedRequests && c[1] == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// checkServed checks that at least part of what was sent, or of the room if that is less, was served. room is how many requests
+// the servers can run in a second.
+func (l *brittleLoad) checkServed(part, room float64) {
+	l.f.t.Helper()
+	if want := part * min(float64(l.sent), room*l.length.Seconds()); float64(l.served) < want {
+		l.f.t.Errorf("%v: want %.0f served", l, want)
+	}
+}
+
+// checkInstances checks that no instance served nobody.
+func (l *brittleLoad) checkInstances() {
+	l.f.t.Helper()
+	if n := l.withoutRoom(); n > 0 {
+		l.f.t.Errorf("%v: %d instances served nobody", l, n)
+	}
+}
+
+func (l *brittleLoad) String() string {
+	return fmt.Sprintf("%s %s: %d sent, %d served, %d of them at the first try, %d instances served nobody; not served: %v", l.route, l.model, l.sent, l.served, l.firstServed, l.withoutRoom(), l.failed)
+}
+
+// writeLog writes the log lines of all instances, with their names, to a file.
+func (f *brittleFleet) writeLog(path string) {
+	out, err := os.Create(path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.logOutput = out
+	f.beforeRun = func(i *Instance) { i.log.AddHook(nodeHook{i.settings.Load().NodeName}) }
+}
+
+// nodeHook adds the name of an instance to its log lines.
+type nodeHook struct{ node string }
+
+// Levels implements logrus.Hook.
+func (h nodeHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h nodeHook) Fire(e *logrus.Entry) error {
+	e.Data["node"] = h.node
+	return nil
+}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -81,10 +81,7 @@
 	t := f.t
 	t.Helper()
 	t.Parallel()
-	f.store, f.servers, f.stopAnnouncing = standin.NewPlatform(), map[string]*standin.Server{}, map[string]context.CancelFunc{}
-	server := httptest.NewServer(f.store.Handler())
-	t.Cleanup(server.Close)
-	f.storeURL = strings.TrimPrefix(server.URL, "http://")
+	f.startStore()
 	f.configure("stream", "unsafe", "safe")
 	for _, id := range []string{"e1", "e2"} {
 		f.addServer(id, "llm", map[string][]string{"e1": {"m1", "m2"}, "e2": {"m1", "m3"}}[id])
@@ -99,6 +96,14 @@
 	return f
 }
 
+// startStore starts the store.
+func (f *fleet) startStore() {
+	f.store, f.servers, f.stopAnnouncing = standin.NewPlatform(), map[string]*standin.Server{}, map[string]context.CancelFunc{}
+	server := httptest.NewServer(f.store.Handler())
+	f.t.Cleanup(server.Close)
+	f.storeURL = strings.TrimPrefix(server.URL, "http://")
+}
+
 func (f *fleet) addServer(id, service string, loaded []string) {
 	f.addServerWith(id, service, loaded, 5*time.Millisecond)
 }
