Requests in flight at a brittle server are counted over all instances

What callers saw: in bursts one engine after the other ended, with all that ran there, and most instances refused requests while servers had room.

Cause: each instance bounded by itself what all instances together must not exceed: by half of what a report that is 0.6 s old left free, or by a part drawn by hash. With 79 instances and 16 slots the first spends the same free room many times, and a rejection teaches one instance only; the second leaves most instances without any room (15 of 79 could send at all to 4 servers with 6 slots).

Now one instance in the server's failure domain, chosen by rendezvous, keeps a semaphore for the server, and the others ask it for a permit before each send. It learns the server's room from below: a send beyond the number that was seen to work may be rejected, and at most half of the tolerated rejections are in doubt at a time. Permits that are not renewed expire. If the keeper does not answer the next one does, and distrusts what it does not know; if none does, fixed parts remain.

Weighed: places lent by the holder (one instance for all, and none while the lease moves); passing requests on to instances that have a part (a hop for each request); telling all of each rejection (the first one comes too late).

--- a/command/brittle/gate.go
+++ b/command/brittle/gate.go
@@ -1,194 +1,205 @@
-// Package brittle bounds what an instance sends to backend servers that end if they have to turn too many requests away.
+// Package brittle bounds what instances send to backend servers that end if they have to turn too many requests away.
 //
 // A server that states in its answers that it is brittle tolerates a number of rejections a second from all instances
-// together. Only a request that it has no room for is rejected, so each instance keeps its part of the server's room: its
-// requests in flight stay within a share of the slots, or half of what the other instances leave free. After a rejection
-// an instance sends nothing for so long that the rejections of all instances stay below what the server tolerates, and
-// its part is halved; answers let it grow again.
+// together. Only a request that it has no room for is rejected, so the requests in flight there are counted over all
+// instances: one of them keeps a Semaphore for the server, and the others ask it for a permit before each send. The
+// semaphore also learns how much room the server has. While no instance answers that keeps a semaphore, each instance has a
+// fixed part of the server's slots.
 //
-// The package is pure: the current time is passed in, and nothing is sent.
+// The package sends nothing. Semaphores tell the time themselves, and the current time is passed to the rest.
 package brittle
 
 import (
-	"math/rand/v2"
+	"context"
+	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Server is what is known of a brittle server.
 type Server struct {
 	ID string
+	// FailureDomain is where it runs.
+	FailureDomain string
 	// Slots is the number of requests that it runs concurrently; 0 if unknown.
 	Slots int
-	// Others is the number of requests of other instances on it, -1 if unknown.
-	Others int
 	// Tolerated is the number of rejections a second that it survives.
 	Tolerated int
 }
 
-const (
-	// toleratedPart is the part of the tolerated rejections that instances may cause together.
-	toleratedPart = 0.5
-	// minPause is the shortest pause after a rejection: the time over which rejections count.
-	minPause = time.Second
-	// maxPause bounds the pause where a large fleet sends to a server that tolerates little.
-	maxPause = 10 * time.Second
-	// pauseSpread is the part by which pauses differ, so that instances do not return together.
-	pauseSpread = 0.5
-	// sharePart is the part of the servers' room that is divided where each instance cannot have a request in flight.
-	// Which instances have one is drawn by hash, so their number varies.
-	sharePart = 0.75
-	// retryDelay is when to ask again while the instance's part is taken: a fraction of the time that requests take.
-	retryDelay = 25 * time.Millisecond
-	// noPlaceDelay is when to ask again for a server at which this instance has no place.
-	noPlaceDelay = 2 * time.Second
-	// maxWindow bounds the growth of an instance's part.
-	maxWindow = 1024
-)
+// Permits asks the instances that keep semaphores for permits.
+type Permits interface {
+	// Acquire asks for a permit, as Semaphore.Acquire does.
+	Acquire(ctx context.Context, r Request) Answer
+	// Release ends the use of a permit, without waiting for an answer.
+	Release(s Server, p Permit, o Outcome)
+}
+
+// Answer is the answer to a Request. Answered is false if no instance answers that keeps the semaphore.
+type Answer struct {
+	Answered, Granted bool
+	RetryAfter        time.Duration
+}
 
-// Gate decides what one instance sends to brittle servers. It is safe for concurrent use.
+// Gate admits what one instance sends to servers. It is safe for concurrent use.
 type Gate struct {
-	self      string
-	instances func() int
+	self    string
+	permits Permits
+	parts   *parts
 
-	mu      sync.Mutex
-	servers map[string]*serverState // by server ID; guarded by mu
+	mu         sync.Mutex
+	lastNumber uint64                  // of the last permit; guarded by mu
+	servers    map[string]*serverState // by server ID; guarded by mu
 }
 
-// serverState is the state of one server.
+// serverState is what the instance has in flight at one server.
 type serverState struct {
 	inFlight int
-	// window is the number of requests that may be in flight according to earlier rejections; 0 before the first one.
-	window float64
-	// pausedUntil is when the instance may send again after a rejection.
-	pausedUntil time.Time
+	// permits are the numbers of the permits in use.
+	permits []uint64
+	// fullUntil is until when no permit is asked for that the request would not wait for.
+	fullUntil time.Time
 }
 
+// maxFullPause bounds the time for which a refused permit holds for other requests of the instance.
+const maxFullPause = 30 * time.Millisecond
+
 // NewGate returns a Gate for the named instance. instances returns the number of instances.
-func NewGate(self string, instances func() int) *Gate {
-	return &Gate{self: self, instances: instances, servers: map[string]*serverState{}}
+func NewGate(self string, permits Permits, instances func() int) *Gate {
+	return &Gate{self: self, permits: permits, parts: newParts(self, instances), servers: map[string]*serverState{}}
+}
+
+// Admission is the admission of one request to a server, until End. The zero value is none.
+type Admission struct {
+	gate   *Gate
+	server Server
+	// permit is the number of the permit; 0 if there is none. byPart is set if a part of the server's slots is used instead.
+	permit uint64
+	byPart bool
 }
 
-// NextSend returns when a request may be sent to a brittle server, the zero time if it may be now.
-func (g *Gate) NextSend(s Server, now time.Time) time.Time {
+// Begin admits a request to a server that is not brittle.
+func (g *Gate) Begin(id string) Admission {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.nextSend(s, now)
-}
-
-// nextSend implements NextSend. g.mu must be held.
-func (g *Gate) nextSend(s Server, now time.Time) time.Time {
-	st := g.servers[s.ID]
-	switch part := g.part(s); {
-	case part == 0:
-		return now.Add(noPlaceDelay)
-	case st == nil:
-		return time.Time{}
-	case st.pausedUntil.After(now):
-		return st.pausedUntil
-	case st.inFlight >= part || st.window > 0 && st.inFlight >= int(st.window):
-		return now.Add(retryDelay)
-	}
-	return time.Time{}
+	g.state(id).inFlight++
+	return Admission{gate: g, server: Server{ID: id}}
 }
 
-// part returns how many requests this instance may have in flight at a server that has rejected none of them.
-func (g *Gate) part(s Server) int {
-	instances := max(1, g.instances())
-	if s.Slots <= 0 {
-		return 1
+// BeginBrittle admits a request to a brittle server if there is room for it, and waits for room for the given time. If
+// there is none, ok is false, and retryAfter is the time after which there may be.
+func (g *Gate) BeginBrittle(ctx context.Context, s Server, priority int, wait time.Duration, now time.Time) (a Admission, retryAfter time.Duration, ok bool) {
+	number, full := g.nextPermit(s.ID, wait, now)
+	if full > 0 {
+		return Admission{}, full, false
 	}
-	part := s.Slots / instances
-	if part == 0 && g.hasPlace(s, instances) {
-		part = 1
+	answer := g.permits.Acquire(ctx, Request{Permit: Permit{Instance: g.self, Number: number}, Server: s, Priority: priority, Wait: wait})
+	switch {
+	case answer.Granted:
+		return g.admit(Admission{gate: g, server: s, permit: number}), 0, true
+	case answer.Answered:
+		g.setFull(s.ID, now.Add(min(maxFullPause, answer.RetryAfter)))
+		return Admission{}, answer.RetryAfter, false
 	}
-	if s.Others >= 0 {
-		part = max(part, (s.Slots-s.Others)/2)
+	if next := g.parts.nextSend(s, g.InFlight(s.ID), now); !next.IsZero() {
+		return Admission{}, next.Sub(now), false
 	}
-	return part
-}
-
-// hasPlace reports whether this instance is one of those that may have a request in flight at a server with fewer slots
-// than there are instances: all of them, if the server tolerates the rest.
-func (g *Gate) hasPlace(s Server, instances int) bool {
-	room := float64(s.Slots) + toleratedPart*float64(s.Tolerated)
-	return room >= float64(instances) || g.drawn(s.ID) < sharePart*room/float64(instances)
-}
-
-// drawn returns a number in [0, 1) that is fixed for this instance and a server.
-func (g *Gate) drawn(server string) float64 {
-	return float64(xxhash.Sum64String(g.self+"@"+server)>>11) / (1 << 53)
+	return g.admit(Admission{gate: g, server: s, byPart: true}), 0, true
 }
 
-// Begin counts a request to a server, which need not be brittle, until End.
-func (g *Gate) Begin(id string) {
+// nextPermit returns the number of the next permit to ask for. full is above 0 if none is to be asked for within that time.
+func (g *Gate) nextPermit(id string, wait time.Duration, now time.Time) (number uint64, full time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.state(id).inFlight++
+	if st := g.servers[id]; st != nil && wait <= 0 && st.fullUntil.After(now) {
+		return 0, st.fullUntil.Sub(now)
+	}
+	g.lastNumber++
+	return g.lastNumber, 0
 }
 
-// BeginBrittle is Begin for a brittle server, unless NextSend is not zero. It reports whether the request may be sent.
-func (g *Gate) BeginBrittle(s Server, now time.Time) bool {
+// admit counts an admitted request.
+func (g *Gate) admit(a Admission) Admission {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.nextSend(s, now).IsZero() {
-		return false
+	st := g.state(a.server.ID)
+	st.inFlight++
+	if a.permit != 0 {
+		st.permits = append(st.permits, a.permit)
 	}
-	g.state(s.ID).inFlight++
-	return true
+	return a
 }
 
-// End ends a request after Begin or BeginBrittle, and returns how many of this instance were in flight until then.
-func (g *Gate) End(id string) (inFlight int) {
+// setFull records that a server has no room.
+func (g *Gate) setFull(id string, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	st := g.state(id)
-	inFlight = st.inFlight
-	st.inFlight--
-	if st.inFlight == 0 && st.window == 0 {
-		delete(g.servers, id)
+	g.state(id).fullUntil = until
+}
+
+// End ends a request, and returns how many requests of this instance were in flight at the server until then.
+func (a Admission) End(o Outcome, now time.Time) (inFlight int) {
+	if a.gate == nil {
+		return 0
+	}
+	inFlight = a.gate.end(a)
+	if a.permit != 0 {
+		a.gate.permits.Release(a.server, Permit{Instance: a.gate.self, Number: a.permit}, o)
+	}
+	if a.byPart {
+		a.gate.parts.record(a.server, inFlight, o, now)
 	}
 	return inFlight
 }
 
-// Rejected records that a brittle server rejected a request for lack of room.
-func (g *Gate) Rejected(s Server, now time.Time) {
+// RejectedWithoutPermit records that a brittle server rejected a request that was sent without a permit.
+func (g *Gate) RejectedWithoutPermit(s Server) {
+	g.permits.Release(s, Permit{Instance: g.self}, Rejected)
+}
+
+// HasPermit reports whether the request was sent with a permit.
+func (a Admission) HasPermit() bool { return a.permit != 0 }
+
+// end counts the end of an admitted request.
+func (g *Gate) end(a Admission) (inFlight int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	st := g.state(s.ID)
-	pause := time.Duration(float64(g.instances()) / max(toleratedPart, toleratedPart*float64(s.Tolerated)) * float64(time.Second))
-	pause = min(maxPause, max(minPause, pause))
-	st.pausedUntil = now.Add(time.Duration((1 + pauseSpread*rand.Float64()) * float64(pause)))
-	window := st.window
-	if window == 0 {
-		window = float64(st.inFlight)
+	st := g.state(a.server.ID)
+	inFlight = st.inFlight
+	st.inFlight--
+	if i := slices.Index(st.permits, a.permit); i >= 0 {
+		st.permits = slices.Delete(st.permits, i, i+1)
 	}
-	st.window = max(1, window/2)
+	if st.inFlight <= 0 && st.fullUntil.IsZero() {
+		delete(g.servers, a.server.ID)
+	}
+	return inFlight
 }
 
-// Answered records that a server ran a request.
-func (g *Gate) Answered(id string) {
+// InFlight returns the number of requests in flight at a server.
+func (g *Gate) InFlight(id string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if st := g.servers[id]; st != nil && st.window > 0 {
-		st.window = min(maxWindow, st.window+1/st.window)
+	if st := g.servers[id]; st != nil {
+		return st.inFlight
 	}
+	return 0
 }
 
-// Forget drops the state of a server that is not brittle, or gone.
-func (g *Gate) Forget(id string) {
+// Renewals returns what is in flight, by server ID, and drops the state of servers at which nothing is.
+func (g *Gate) Renewals(now time.Time) map[string]Renewal {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	st := g.servers[id]
-	if st == nil {
-		return
-	}
-	st.window, st.pausedUntil = 0, time.Time{}
-	if st.inFlight == 0 {
-		delete(g.servers, id)
+	list := make(map[string]Renewal, len(g.servers))
+	for id, st := range g.servers {
+		switch {
+		case st.inFlight > 0:
+			list[id] = Renewal{Instance: g.self, Permits: slices.Clone(st.permits), Unpermitted: st.inFlight - len(st.permits)}
+		case !st.fullUntil.After(now):
+			delete(g.servers, id)
+		}
 	}
+	return list
 }
 
 // state returns the state of a server. g.mu must be held.
@@ -200,3 +211,6 @@
 	}
 	return st
 }
+
+// Forget drops the state of servers that are not known any more.
+func (g *Gate) Forget(known func(id string) bool) { g.parts.forget(known) }
--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -105,7 +105,7 @@
 		}
 		if server.ID == "" && !t.serverLimits.nextAvailable.IsZero() {
 			if t.roomWaitOver(clock.Now()) {
-				return serving.Server{}, t.heldBackFailure(max(brittleRetryAfter, clock.Until(t.serverLimits.nextAvailable)))
+				return serving.Server{}, t.heldBackFailure(t.search.returnAfter())
 			}
 			wait = min(wait, clock.Until(t.serverLimits.nextAvailable))
 		}
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -104,6 +104,7 @@
 	placer    *fakePlacer
 	guard     *fakeGuard
 	limiter   *fakeServerLimiter
+	permits   *fakePermits
 	access    *fakeAccess
 	dir       *directory.Directory
 	forwarder *Forwarder
@@ -140,11 +141,11 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir, guard: &fakeGuard{}, limiter: &fakeServerLimiter{}, access: &fakeAccess{dir: dir}}
+	f := &fixture{servers: &fakeServers{replies: replies}, placer: &fakePlacer{}, dir: dir, guard: &fakeGuard{}, limiter: &fakeServerLimiter{}, permits: newFakePermits(), access: &fakeAccess{dir: dir}}
 	f.forwarder = New(DefaultParams("d"), Dependencies{
 		Directory: dir, Sender: f.servers, Placer: f.placer, Balancer: balance.New(balance.DefaultParams()),
 		Budget: newFilledBudget(BudgetParams{Ratio: 1, Extra: 100, Window: time.Minute}), Guard: f.guard, Access: f.access,
-		Limiter: f.limiter, Gate: brittle.NewGate("a", func() int { return 7 }), Counts: NewCounts(metrics.NewSet()), Log: log,
+		Limiter: f.limiter, Gate: brittle.NewGate("a", f.permits, func() int { return 7 }), Counts: NewCounts(metrics.NewSet()), Log: log,
 	})
 	return f
 }
--- a/command/forward/serverlimiter.go
+++ b/command/forward/serverlimiter.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
@@ -25,9 +26,9 @@
 	// RetryAfterUntil returns until when this instance must not send to a server, or the zero time
 	// if it may.
 	RetryAfterUntil(s serving.Server) time.Time
-	// Brittle returns how many requests in a second a server can reject for lack of room; brittle is false if it does
-	// not state that it ends if it has to reject more.
-	Brittle(s serving.Server) (tolerated int, brittle bool)
+	// Brittle returns what is known of a server that ends if it has to reject too many requests; isBrittle is false if it
+	// does not.
+	Brittle(s serving.Server) (b brittle.Server, isBrittle bool)
 	// Limited reports whether a server limits the requests it accepts. spareFrom is the estimated
 	// earliest time at which it can accept a request that could also be sent elsewhere.
 	Limited(s serving.Server) (limited bool, spareFrom time.Time)
@@ -89,6 +90,7 @@
 		}
 	}
 	t.serverLimits.hasAlternative = len(free) > 0
+	t.search.available = len(free) + len(spare) + len(limited)
 	if t.serverLimits.hasAlternative {
 		return append(free, spare...)
 	}
@@ -162,7 +164,7 @@
 // immediately if that takes too long.
 func (t *transaction) awaitTurn(ctx context.Context) *verdict.Failure {
 	wait := clock.Until(t.serverLimits.nextAvailable)
-	if wait > maxTurnWait || wait+t.f.params.FirstEvent >= clock.Until(t.nextOutputDeadline()) {
+	if t.roomWaitOver(clock.Now()) || wait > maxTurnWait || wait+t.f.params.FirstEvent >= clock.Until(t.nextOutputDeadline()) {
 		return t.heldBackFailure(wait)
 	}
 	started := clock.Now()
--- a/command/forward/serverlimiter_test.go
+++ b/command/forward/serverlimiter_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
@@ -35,9 +36,9 @@
 	return l.retryAfterUntil[s.ID]
 }
 
-func (l *fakeServerLimiter) Brittle(s serving.Server) (int, bool) {
-	tolerated, brittle := l.brittle[s.ID]
-	return tolerated, brittle
+func (l *fakeServerLimiter) Brittle(s serving.Server) (brittle.Server, bool) {
+	tolerated, isBrittle := l.brittle[s.ID]
+	return brittle.Server{ID: s.ID, Slots: s.Slots, Tolerated: tolerated}, isBrittle
 }
 
 func (l *fakeServerLimiter) Limited(s serving.Server) (bool, time.Time) {
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/balance"
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -70,8 +71,9 @@
 	// roomAt is when the first of the engines that have the unit and are full may have room; the zero
 	// time if none is full. It is set by each choice of an engine.
 	roomAt time.Time
-	// roomWaitUntil is until when the request waits for room at brittle servers; zero before it waits.
-	roomWaitUntil time.Time
+	// search is the search for room at brittle servers, and sendAdmission the admission of the last send.
+	search        roomSearch
+	sendAdmission brittle.Admission
 	// sentAsBrittle is whether the server was known to be brittle when the request was last sent.
 	sentAsBrittle bool
 	// trial is the permission of a suspect to run; zero if there is none.
@@ -149,13 +151,13 @@
 			t.endTrial(server, false)
 			continue
 		}
-		if !t.beginSend(server) {
+		if !t.beginSend(ctx, server) {
 			t.refundAdmission()
 			t.endTrial(server, false)
 			continue
 		}
 		if !t.withinBudget() {
-			t.f.gate.End(server.ID)
+			t.sendAdmission.End(brittle.Unknown, clock.Now())
 			t.refundAdmission()
 			t.endTrial(server, false)
 			return t.finalFailure(ctx, t.lastFailure("the budget of repeated sends is spent"))
@@ -250,7 +252,7 @@
 // returnAfterDeadline returns when the client of a request whose time is over before it was sent may try again.
 func (t *transaction) returnAfterDeadline() time.Duration {
 	if at := t.serverLimits.nextAvailable; !at.IsZero() {
-		return max(brittleRetryAfter, clock.Until(at)) // servers held the request back
+		return max(t.search.returnAfter(), clock.Until(at)) // servers held the request back
 	}
 	return t.f.params.RetryPause
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -155,16 +155,19 @@
 	i.follower.onEscalations, i.watcher.crashes = i.quarantine.recordReceived, i.crashes
 	i.marks = &versionMarks{store: i.client, dir: i.dir, isHolder: i.holder.Holds, serversAge: i.watcher.serversAge, log: log}
 	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, i.set)
-	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, origins: i.origins, storeAge: i.watcher.storeAge}
+	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, semaphores: newSemaphores(i.set, log), origins: i.origins, storeAge: i.watcher.storeAge}
 	i.follower.self = i.service
 	i.startDomains = s.RetryBudgetDomains()
 	i.budget = forward.NewBudget(i.budgetParams(&s))
 	i.follower.budget, i.follower.domain = i.budget, s.RetryBudgetDomain()
 	i.counts = forward.NewCounts(i.set)
 	i.access = newAccessControl(i.follower, i.settings.Load, i.set)
+	i.limiter.permits = newPermits(s.NodeName, i.dir, i.members, i.follower.pool, i.set)
+	i.limiter.permits.local, i.limiter.permits.brittleServer = i.service, i.limiter.Brittle
+	i.limiter.permits.gate = brittle.NewGate(s.NodeName, i.limiter.permits, i.instanceCount)
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
-		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower, ownTrials: quarantine.NewTrials()}, Access: i.access, Limiter: i.limiter, Gate: brittle.NewGate(s.NodeName, i.follower.knownInstances),
+		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower, ownTrials: quarantine.NewTrials()}, Access: i.access, Limiter: i.limiter, Gate: i.limiter.permits.gate,
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends, Origins: i.origins,
 	})
 	i.backends.SetMetrics(i.set)
@@ -218,6 +221,9 @@
 	})
 }
 
+// instanceCount returns the number of instances: those that report to the holder, or that are registered if those are more.
+func (i *Instance) instanceCount() int { return max(i.follower.knownInstances(), i.members.count()) }
+
 // Ready reports whether clients should be routed to this instance.
 func (i *Instance) Ready() bool {
 	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0 && !i.shedding.active()
@@ -296,7 +302,7 @@
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.shedding.run,
+		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.limiter.permits.run, i.service.semaphores.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.shedding.run,
 	}
 }
 
--- a/entry/members.go
+++ b/entry/members.go
@@ -221,6 +221,31 @@
 	return inDomain
 }
 
+// inDomain returns the instances in a failure domain, or all if it has none, as cached returns them.
+func (m *members) inDomain(ctx context.Context, domain string) []member {
+	all := m.cached(ctx)
+	if !slices.ContainsFunc(all, func(other member) bool { return other.Name == m.self.Name }) {
+		all = append(all, m.self)
+	}
+	inDomain := make([]member, 0, len(all))
+	for _, other := range all {
+		if other.Domain == domain {
+			inDomain = append(inDomain, other)
+		}
+	}
+	if len(inDomain) == 0 {
+		return all
+	}
+	return inDomain
+}
+
+// count returns the number of instances as last read, 1 if the list has never been read.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(1, len(m.known))
+}
+
 // hasInstanceIn reports whether an instance is registered in a failure domain, as last read.
 func (m *members) hasInstanceIn(domain string) bool {
 	m.mu.Lock()
--- /dev/null
+++ b/entry/permits.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/command/brittle"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/rpcpool"
+	"github.com/martenport/martenport/rendezvous"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// permits asks other instances for permits to send to brittle servers. The semaphore of a server is kept by the first
+// instance that answers of those in the server's failure domain, in an order by the server's ID, so that a domain that is cut
+// off goes on with its own. It implements brittle.Permits.
+type permits struct {
+	self    string
+	members *members
+	pool    *rpcpool.Pool
+	// local handles the calls to this instance itself; set before the first request.
+	local *service
+	// gate has what this instance has in flight, brittleServer returns what is known of a server if it is brittle; set before
+	// the first request.
+	gate          *brittle.Gate
+	brittleServer func(s serving.Server) (b brittle.Server, isBrittle bool)
+	dir           *directory.Directory
+	set           *metrics.Set
+
+	mu sync.Mutex
+	// unreachable are the addresses of instances that do not answer; guarded by mu.
+	unreachable map[string]bool
+	// keepers are the instances that last kept the semaphores of servers, by server ID; guarded by mu.
+	keepers map[string]member
+}
+
+const (
+	// maxKeepersAsked is the number of instances that a request asks in turn while they do not answer.
+	maxKeepersAsked = 3
+	// permitTimeout bounds a call beyond the time for which the request waits: several round trips between failure
+	// domains, plus time for an instance that is short of processor time.
+	permitTimeout = 300 * time.Millisecond
+	// permitRenewInterval is how often permits are renewed: several times in their lifetime.
+	permitRenewInterval = brittle.PermitLifetime / 4
+	// minKeeperRetry and maxKeeperRetry are the first and the longest pause before an instance is tried again that did not
+	// answer.
+	minKeeperRetry, maxKeeperRetry = 200 * time.Millisecond, 2 * time.Second
+	// keeperRetryTime is how long such an instance is tried.
+	keeperRetryTime = time.Minute
+)
+
+func newPermits(self string, dir *directory.Directory, m *members, pool *rpcpool.Pool, set *metrics.Set) *permits {
+	return &permits{self: self, dir: dir, members: m, pool: pool, set: set, unreachable: map[string]bool{}, keepers: map[string]member{}}
+}
+
+// Acquire implements brittle.Permits.
+func (p *permits) Acquire(ctx context.Context, r brittle.Request) brittle.Answer {
+	for _, k := range p.candidates(ctx, r.Server) {
+		r.Moved = p.hasMoved(r.Server.ID, k)
+		reply, err := p.acquireFrom(ctx, k, r)
+		switch {
+		case err == nil:
+			p.setKeeper(r.Server.ID, k)
+			answer := brittle.Answer{Answered: true, Granted: reply.Granted, RetryAfter: reply.RetryAfter}
+			p.count(answer)
+			return answer
+		case ctx.Err() != nil:
+			return brittle.Answer{Answered: true}
+		}
+		p.markUnreachable(k)
+	}
+	p.count(brittle.Answer{})
+	return brittle.Answer{}
+}
+
+func (p *permits) count(a brittle.Answer) {
+	outcome := "unanswered"
+	switch {
+	case a.Granted:
+		outcome = "granted"
+	case a.Answered:
+		outcome = "refused"
+	}
+	p.set.GetOrCreateCounter(`martenport_brittle_permits_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// acquireFrom asks an instance for a permit. If ctx ends meanwhile, a permit that is still granted is released.
+func (p *permits) acquireFrom(ctx context.Context, k member, r brittle.Request) (*AcquirePermitReply, error) {
+	type result struct {
+		reply *AcquirePermitReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply := &AcquirePermitReply{}
+		err := p.call(k, r.Wait+permitTimeout, methodAcquirePermit, &AcquirePermitArgs{Request: r}, reply)
+		done <- result{reply, err}
+		if err == nil && reply.Granted && ctx.Err() != nil {
+			p.releaseAt(k, &ReleasePermitArgs{Server: r.Server, Permit: r.Permit})
+		}
+	}()
+	select {
+	case res := <-done:
+		return res.reply, res.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "entry: permit")
+	}
+}
+
+// Release implements brittle.Permits.
+func (p *permits) Release(s brittle.Server, permit brittle.Permit, o brittle.Outcome) {
+	args := &ReleasePermitArgs{Server: s, Permit: permit, Outcome: o}
+	if k, found := p.keeper(s.ID); found {
+		go p.releaseAt(k, args)
+		return
+	}
+	if list := p.candidates(context.Background(), s); len(list) > 0 {
+		go p.releaseAt(list[0], args)
+	}
+}
+
+// releaseAt releases a permit at the instance that granted it. If that does not answer, the permit expires.
+func (p *permits) releaseAt(k member, args *ReleasePermitArgs) {
+	if err := p.call(k, permitTimeout, methodReleasePermit, args, &ReleasePermitReply{}); err != nil {
+		p.markUnreachable(k)
+	}
+}
+
+// call calls an instance, without the network if that is this one.
+func (p *permits) call(k member, timeout time.Duration, method string, args, reply any) error {
+	if k.Name == p.self {
+		return p.callSelf(args, reply)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return p.pool.Call(ctx, k.Address, method, args, reply)
+}
+
+func (p *permits) callSelf(args, reply any) error {
+	switch a := args.(type) {
+	case *AcquirePermitArgs:
+		return p.local.AcquirePermit(a, reply.(*AcquirePermitReply))
+	case *ReleasePermitArgs:
+		return p.local.ReleasePermit(a, reply.(*ReleasePermitReply))
+	case *RenewPermitsArgs:
+		return p.local.RenewPermits(a, reply.(*RenewPermitsReply))
+	default:
+		return errors.Newf("entry: unsupported call %T", args)
+	}
+}
+
+// candidates returns the instances that may keep a server's semaphore and answered when they were last called, the first one
+// first.
+func (p *permits) candidates(ctx context.Context, s brittle.Server) []member {
+	ctx, cancel := context.WithTimeout(store.WithStaleReads(ctx), permitTimeout)
+	defer cancel()
+	list := p.members.inDomain(ctx, s.FailureDomain)
+	rendezvous.Rank(s.ID, list, func(m member) string { return m.Name })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list = slices.DeleteFunc(list, func(m member) bool { return p.unreachable[m.Address] })
+	return list[:min(len(list), maxKeepersAsked)]
+}
+
+// hasMoved reports whether another instance than k kept the semaphore of a server when this one last asked.
+func (p *permits) hasMoved(server string, k member) bool {
+	last, found := p.keeper(server)
+	return found && last.Address != k.Address
+}
+
+// keeper returns the instance that last kept the semaphore of a server; found is false if none did.
+func (p *permits) keeper(server string) (k member, found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	k, found = p.keepers[server]
+	return k, found
+}
+
+func (p *permits) setKeeper(server string, k member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keepers[server] = k
+}
+
+// markUnreachable has an instance passed over until it answers again.
+func (p *permits) markUnreachable(k member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k.Name == p.self || p.unreachable[k.Address] {
+		return
+	}
+	p.unreachable[k.Address] = true
+	go p.awaitAnswer(k)
+}
+
+// awaitAnswer tries an instance until it answers.
+func (p *permits) awaitAnswer(k member) {
+	wait := minKeeperRetry
+	for begun := clock.Now(); clock.Since(begun) < keeperRetryTime; wait = min(maxKeeperRetry, 2*wait) {
+		time.Sleep(wait)
+		if p.call(k, permitTimeout, methodRenewPermits, &RenewPermitsArgs{}, &RenewPermitsReply{}) == nil {
+			break
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.unreachable, k.Address)
+}
+
+// run renews this instance's permits until ctx ends.
+func (p *permits) run(ctx context.Context) {
+	for pause.For(ctx, permitRenewInterval) {
+		p.renew(ctx)
+	}
+}
+
+// renew tells the instances that keep semaphores what this one has in flight.
+func (p *permits) renew(ctx context.Context) {
+	byKeeper, args := map[string]member{}, map[string]*RenewPermitsArgs{}
+	for id, r := range p.gate.Renewals(clock.Now()) {
+		server, _ := p.dir.Server(id)
+		s, isBrittle := p.brittleServer(server)
+		if !isBrittle {
+			continue
+		}
+		list := p.candidates(ctx, s)
+		if len(list) == 0 {
+			continue
+		}
+		k := list[0]
+		if args[k.Address] == nil {
+			byKeeper[k.Address], args[k.Address] = k, &RenewPermitsArgs{}
+		}
+		r.Server, r.Moved = s, p.hasMoved(id, k)
+		args[k.Address].Renewals = append(args[k.Address].Renewals, r)
+	}
+	for address, k := range byKeeper {
+		go p.renewAt(k, args[address])
+	}
+}
+
+// renewAt renews permits at one instance.
+func (p *permits) renewAt(k member, args *RenewPermitsArgs) {
+	if err := p.call(k, permitTimeout, methodRenewPermits, args, &RenewPermitsReply{}); err != nil {
+		p.markUnreachable(k)
+		return
+	}
+	for _, r := range args.Renewals {
+		p.setKeeper(r.Server.ID, k)
+	}
+}
+
+// forget drops the state of servers that are not known any more.
+func (p *permits) forget(known func(id string) bool) {
+	p.gate.Forget(known)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.keepers {
+		if !known(id) {
+			delete(p.keepers, id)
+		}
+	}
+}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -228,6 +228,7 @@
 	quarantine *quarantineManager
 	trials     *quarantine.Trials
 	limiter    *serverLimiter
+	semaphores *semaphores
 	origins    *streamOrigins
 	// storeAge returns the maximum age of this instance's copy of the store.
 	storeAge func(now time.Time) time.Duration
--- a/entry/serverlimiter.go
+++ b/entry/serverlimiter.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/backpressure"
+	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
@@ -39,6 +40,8 @@
 	// instances; set before the first request.
 	requestReport func()
 	instances     func() int
+	// permits are those to send to brittle servers; set before the first request.
+	permits *permits
 
 	mu sync.Mutex
 	// lastLent is when the holder last lent, and lastReport when a report was last sent at once;
@@ -139,8 +142,9 @@
 }
 
 // Brittle implements forward.ServerLimiter.
-func (i *serverLimiter) Brittle(s serving.Server) (tolerated int, brittle bool) {
-	return i.ledger.Brittle(s)
+func (i *serverLimiter) Brittle(s serving.Server) (b brittle.Server, isBrittle bool) {
+	tolerated, isBrittle := i.ledger.Brittle(s)
+	return brittle.Server{ID: s.ID, FailureDomain: s.FailureDomain, Slots: s.Slots, Tolerated: tolerated}, isBrittle
 }
 
 // Limited implements forward.ServerLimiter.
@@ -258,6 +262,7 @@
 func (i *serverLimiter) sweep(now time.Time) {
 	known := func(id string) bool { _, live := i.dir.Server(id); return live }
 	i.ledger.Sweep(known, now)
+	i.permits.forget(known)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for _, times := range []map[string]time.Time{i.spareFrom, i.lastRefused} {
