A server that has not answered yet is taken to be brittle like the others of its service

What callers saw: servers that came back ended within 0.3 s, again and again, with all that ran there.

Cause: what a server states was kept for its process alone. One that has just started has stated nothing, so all instances sent to it without a bound until each had its first answer: 30 of the 32 rejections before ends were of instances that did not know (known=false).

A service is brittle while a server of it states so. A server whose process has not answered, or that has not answered for 2 s since another one stated it, counts as such, with the least number that others tolerate; its first answer decides. Answers of servers that state nothing are kept while their service is brittle; else nothing is stored, as before.

--- a/command/backpressure/backpressure.go
+++ b/command/backpressure/backpressure.go
@@ -24,8 +24,9 @@
 
 // Limit is what is known of the limits of a server. Its times are by this instance's clock.
 type Limit struct {
-	Server string
-	Born   int64
+	// Service is the server's service; empty if unknown.
+	Server, Service string
+	Born            int64
 	// Advertised is set if the server advertises a limit of Rate requests per second. Otherwise it accepts
 	// requests without a limit.
 	Advertised bool
@@ -40,7 +41,7 @@
 
 // Snapshot is a Limit as sent to other instances, with ages instead of times.
 type Snapshot struct {
-	Server            string
+	Server, Service   string
 	Born              int64
 	Named             bool
 	Rate              float64
@@ -52,7 +53,7 @@
 // snapshot returns the limit as sent to other instances.
 func (l Limit) snapshot(now time.Time) Snapshot {
 	return Snapshot{
-		Server: l.Server, Born: l.Born, Named: l.Advertised, Rate: l.Rate, Brittle: l.Brittle, Tolerated: l.Tolerated,
+		Server: l.Server, Service: l.Service, Born: l.Born, Named: l.Advertised, Rate: l.Rate, Brittle: l.Brittle, Tolerated: l.Tolerated,
 		SentAge: now.Sub(l.SentAt), HeardAge: now.Sub(l.ReadAt),
 	}
 }
@@ -60,7 +61,7 @@
 // limit returns a received snapshot by this instance's clock.
 func (s Snapshot) limit(now time.Time) Limit {
 	return Limit{
-		Server: s.Server, Born: s.Born, Advertised: s.Named, Rate: s.Rate, Brittle: s.Brittle, Tolerated: s.Tolerated,
+		Server: s.Server, Service: s.Service, Born: s.Born, Advertised: s.Named, Rate: s.Rate, Brittle: s.Brittle, Tolerated: s.Tolerated,
 		SentAt: now.Add(-s.SentAge - Transit), ReadAt: now.Add(-s.HeardAge),
 	}
 }
@@ -68,7 +69,7 @@
 // limitOf returns the limit in a server's advisory.
 func limitOf(a serving.Advisory) Limit {
 	return Limit{
-		Server: a.Server, Born: a.Born, Advertised: a.Limited, Rate: a.Rate, Brittle: a.Brittle, Tolerated: a.Tolerated, SentAt: a.SentAt, ReadAt: a.ReceivedAt,
+		Server: a.Server, Service: a.Service, Born: a.Born, Advertised: a.Limited, Rate: a.Rate, Brittle: a.Brittle, Tolerated: a.Tolerated, SentAt: a.SentAt, ReadAt: a.ReceivedAt,
 	}
 }
 
--- a/command/backpressure/brittle_test.go
+++ b/command/backpressure/brittle_test.go
@@ -36,3 +36,38 @@
 		}
 	}
 }
+
+// TestNewcomersOfBrittleServiceAreBrittle guards against servers that end because nobody has heard from them yet that they are
+// brittle, while others of their service say so.
+func TestNewcomersOfBrittleServiceAreBrittle(t *testing.T) {
+	here, there := NewLedger(), NewLedger()
+	state := func(server string, born int64, brittle bool, tolerated, ms int) {
+		here.Observe(serving.Advisory{Server: server, Service: "llm", Born: born, Brittle: brittle, Tolerated: tolerated, SentAt: at(ms), ReceivedAt: at(ms + 5)}, at(ms+5))
+		snapshots, _ := here.Since(0, at(ms+10))
+		there.Merge(snapshots, at(ms+10))
+	}
+	check := func(what, id, service string, born int64, want int) {
+		t.Helper()
+		for name, l := range map[string]*Ledger{"here": here, "there": there} {
+			n, ok := l.Brittle(serving.Server{ID: id, Service: service, Born: born})
+			if ok != (want >= 0) || ok && n != want {
+				t.Errorf("%s, %s: %d, %t, want %d", what, name, n, ok, want)
+			}
+		}
+	}
+	check("nothing stated", "new", "llm", 9, -1)
+	state("e1", 1, true, 4, 0)
+	state("e2", 1, true, 3, 100)
+	check("a new server", "new", "llm", 9, 3)
+	check("the next process", "e1", "llm", 2, 3)
+	check("another service", "new", "plain", 9, -1)
+	state("new", 9, false, 0, 200)
+	if _, ok := here.Brittle(serving.Server{ID: "new", Service: "llm", Born: 9}); ok {
+		t.Error("brittle after an answer that does not state it")
+	}
+	state("e1", 1, true, 4, 3000)
+	check("others have stated it since", "new", "llm", 9, 3)
+	state("e1", 1, false, 0, 6000)
+	state("e2", 1, false, 0, 6000)
+	check("withdrawn by all", "new", "llm", 9, -1)
+}
--- a/command/backpressure/ledger.go
+++ b/command/backpressure/ledger.go
@@ -14,6 +14,8 @@
 type Ledger struct {
 	mu      sync.Mutex
 	entries map[string]*entry // by server id; guarded by mu
+	// brittleServices are the services of which servers state that they are brittle, by name; guarded by mu.
+	brittleServices map[string]*brittleService
 	// revision counts the limits marked for sending to other instances: changes, and repeated
 	// withdrawals; guarded by mu.
 	revision uint64
@@ -43,7 +45,9 @@
 }
 
 // NewLedger returns an empty Ledger.
-func NewLedger() *Ledger { return &Ledger{entries: map[string]*entry{}} }
+func NewLedger() *Ledger {
+	return &Ledger{entries: map[string]*entry{}, brittleServices: map[string]*brittleService{}}
+}
 
 // Change describes what an advisory has changed.
 type Change struct {
@@ -59,7 +63,7 @@
 	defer l.mu.Unlock()
 	e := l.entries[a.Server]
 	if e == nil {
-		if !a.Limited && !a.Brittle && a.RetryAfter == 0 && a.Unreadable == "" {
+		if !a.Limited && !a.Brittle && a.RetryAfter == 0 && a.Unreadable == "" && l.brittleServices[a.Service] == nil {
 			return c // most servers never send advisories
 		}
 		e = l.add(a.Server)
@@ -86,11 +90,13 @@
 // l.mu must be held.
 func (l *Ledger) updateLimit(e *entry, limit Limit) bool {
 	if !e.known && !limit.Advertised && !limit.Brittle {
+		e.limit, e.known = limit, l.brittleServices[limit.Service] != nil
 		return false
 	}
 	if e.known && e.limit.equivalent(limit) {
 		if limit.ReadAt.After(e.limit.ReadAt) {
 			e.limit.SentAt, e.limit.ReadAt = limit.SentAt, limit.ReadAt
+			l.recordBrittle(limit)
 		}
 		return false
 	}
@@ -101,6 +107,7 @@
 		e.withdrawnAt = limit.ReadAt
 	}
 	e.limit, e.known = limit, true
+	l.recordBrittle(limit)
 	if limit.Advertised {
 		e.lastRate = limit.Rate
 	}
@@ -159,18 +166,6 @@
 	return e.limit.Rate, true
 }
 
-// Brittle returns how many requests in a second a server can reject for lack of room; brittle is false if it does not
-// state that it ends if it has to reject more.
-func (l *Ledger) Brittle(s serving.Server) (tolerated int, brittle bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e := l.entries[s.ID]
-	if e == nil || !e.known || !e.limit.Brittle || !s.MayBeSameProcess(e.limit.Born) {
-		return 0, false
-	}
-	return e.limit.Tolerated, true
-}
-
 // accountingRetention is how long the sends to a server are still accounted for after it has withdrawn
 // its limit: if it advertises one again, the accounting must not restart with the full saved-up amount.
 // It is longer than a limit's window.
@@ -293,7 +288,11 @@
 	defer l.mu.Unlock()
 	maps.DeleteFunc(l.entries, func(id string, e *entry) bool {
 		expired := now.Sub(e.limit.ReadAt) > entryRetention && now.Sub(e.retryAfter) > entryRetention
-		return expired && !known(id)
+		if !expired || known(id) {
+			return false
+		}
+		l.recordBrittle(Limit{Server: id, Service: e.limit.Service})
+		return true
 	})
 }
 
--- a/serving/advisory.go
+++ b/serving/advisory.go
@@ -5,10 +5,10 @@
 // Advisory is the state that a backend server reports in the headers of a response, to a request, an order or a call
 // for its report.
 type Advisory struct {
-	// Server is the id of the reporting server. Born is when its process started, as announced; 0 if it is not
-	// announced.
-	Server string
-	Born   int64
+	// Server is the id of the reporting server, and Service its service. Born is when its process started, as announced; 0 if
+	// it is not announced.
+	Server, Service string
+	Born            int64
 	// SentAt is when the request was sent and ReceivedAt when the headers of its response were read. Responses may arrive
 	// out of order.
 	SentAt, ReceivedAt time.Time
