Permits of a brittle server are counted once while domains are cut off and heal

What callers saw: in histories of cuts, at the size of the deployment, three of four plain servers ended within 0.2 s of the end of a cut.

Cause: several instances granted permits for one server. Callers that could not reach the first keeper used fixed parts of the slots beside it, or asked others, each another one while their paths came back; an instance without a path to others granted itself permits; and a send that hung in a cut counted as accepted after 0.1 s, so that a keeper that nobody's request got past learnt a room that was not there.

Now instances of other domains may keep the semaphore in place of those in the server's, an instance that is asked passes the call on to the one that ranks first if it reaches that, a substitute begins with nothing proven, an instance that hears of no other uses fixed parts, and a request in doubt is accepted only once the server has begun to answer it.

--- a/command/brittle/gate.go
+++ b/command/brittle/gate.go
@@ -31,14 +31,15 @@
 type Permits interface {
 	// Acquire asks for a permit, as Semaphore.Acquire does.
 	Acquire(ctx context.Context, r Request) Answer
-	// Release ends the use of a permit, without waiting for an answer.
+	// Accept and Release are as those of Semaphore. They do not wait for an answer.
+	Accept(s Server, p Permit)
 	Release(s Server, p Permit, o Outcome)
 }
 
 // Answer is the answer to a Request. Answered is false if no instance answers that keeps the semaphore.
 type Answer struct {
-	Answered, Granted bool
-	RetryAfter        time.Duration
+	Answered bool
+	Grant
 }
 
 // Gate admits what one instance sends to servers. It is safe for concurrent use.
@@ -76,6 +77,8 @@
 	// permit is the number of the permit; 0 if there is none. byPart is set if a part of the server's slots is used instead.
 	permit uint64
 	byPart bool
+	// doubtful is set if the server may reject the request.
+	doubtful bool
 }
 
 // Begin admits a request to a server that is not brittle.
@@ -96,7 +99,7 @@
 	answer := g.permits.Acquire(ctx, Request{Permit: Permit{Instance: g.self, Number: number}, Server: s, Priority: priority, Wait: wait})
 	switch {
 	case answer.Granted:
-		return g.admit(Admission{gate: g, server: s, permit: number}), 0, true
+		return g.admit(Admission{gate: g, server: s, permit: number, doubtful: answer.Doubtful}), 0, true
 	case answer.Answered:
 		g.setFull(s.ID, now.Add(min(maxFullPause, answer.RetryAfter)))
 		return Admission{}, answer.RetryAfter, false
@@ -137,6 +140,13 @@
 	g.state(id).fullUntil = until
 }
 
+// Accepted records that the server has begun to answer the request.
+func (a Admission) Accepted() {
+	if a.doubtful {
+		a.gate.permits.Accept(a.server, Permit{Instance: a.gate.self, Number: a.permit})
+	}
+}
+
 // End ends a request, and returns how many requests of this instance were in flight at the server until then.
 func (a Admission) End(o Outcome, now time.Time) (inFlight int) {
 	if a.gate == nil {
--- a/command/brittle/gate_test.go
+++ b/command/brittle/gate_test.go
@@ -117,9 +117,18 @@
 		return Answer{}
 	}
 	time.Sleep(k.hop)
-	granted, after := s.Acquire(ctx, r)
+	grant := s.Acquire(ctx, r)
 	time.Sleep(k.hop)
-	return Answer{Answered: true, Granted: granted, RetryAfter: after}
+	return Answer{Answered: true, Grant: grant}
+}
+
+// Accept implements Permits.
+func (k *fakeKeepers) Accept(s Server, p Permit) {
+	time.AfterFunc(k.hop, func() {
+		if semaphore := k.semaphore(s); semaphore != nil {
+			semaphore.Accept(p)
+		}
+	})
 }
 
 // Release implements Permits.
@@ -157,6 +166,8 @@
 	scenarioLength = 10 * time.Second
 	renewInterval  = 400 * time.Millisecond
 	scenarioWait   = 100 * time.Millisecond
+	// firstEventTime is the time until a server begins to answer.
+	firstEventTime = 80 * time.Millisecond
 )
 
 // play plays a scenario. Each request goes to a random instance, which asks two random servers without waiting and then waits for a
@@ -283,7 +294,10 @@
 		a.End(Rejected, time.Now())
 		return false
 	}
-	time.Sleep(p.work)
+	begins := min(p.work, firstEventTime)
+	time.Sleep(begins)
+	a.Accepted()
+	time.Sleep(p.work - begins)
 	s.end(start)
 	time.Sleep(p.keepers.hop)
 	a.End(Accepted, time.Now())
--- a/command/brittle/semaphore.go
+++ b/command/brittle/semaphore.go
@@ -13,8 +13,8 @@
 	// PermitLifetime is how long a permit lasts unless it is renewed. The requests of an instance that has failed end at
 	// their servers within that time, since their connections close.
 	PermitLifetime = 1600 * time.Millisecond
-	// settleTime is the time after which a request that has not been rejected counts as accepted. A server rejects at
-	// once.
+	// settleTime is the time after which a request is not about to be rejected any more that is not in doubt. A server
+	// rejects at once.
 	settleTime = 100 * time.Millisecond
 	// recheckInterval is how often waiting requests are considered again while nothing ends.
 	recheckInterval = 20 * time.Millisecond
@@ -49,8 +49,18 @@
 	Priority int
 	// Wait is how long it may wait for the permit.
 	Wait time.Duration
-	// Moved is set if the instance last got a permit for the server from another semaphore.
-	Moved bool
+	// Moved is set if the instance last got a permit for the server from another semaphore, and Substitute if the instance that
+	// is to keep the semaphore does not answer.
+	Moved, Substitute bool
+}
+
+// Grant is the answer to a Request.
+type Grant struct {
+	Granted bool
+	// Doubtful is set if the server may reject the request; Accept is to be called once it has not.
+	Doubtful bool
+	// RetryAfter is the time after which there may be room if there is none.
+	RetryAfter time.Duration
 }
 
 // Renewal is what an instance has in flight at a server.
@@ -60,8 +70,8 @@
 	// Permits are the numbers of the permits in use, and Unpermitted is the number of requests without one.
 	Permits     []uint64
 	Unpermitted int
-	// Moved is set if the instance last renewed its permits at another semaphore.
-	Moved bool
+	// Moved and Substitute are as in Request.
+	Moved, Substitute bool
 }
 
 // Semaphore bounds the requests that all instances together have in flight at one brittle server. One instance keeps it.
@@ -85,7 +95,7 @@
 	granted, expires time.Time
 	// level is the number of requests in flight with this one when it was granted.
 	level int
-	// doubtful is set if the server may reject the request, and settled once it is known not to have done so.
+	// doubtful is set if the server may reject the request, and settled once it has accepted it or is not about to reject it.
 	doubtful, settled bool
 }
 
@@ -108,9 +118,8 @@
 	return &Semaphore{limit: newLimit(s.Slots, s.Tolerated, trusted, clock.Now()), permits: map[Permit]*permitState{}, unpermitted: map[string]unpermittedRequests{}}
 }
 
-// Acquire asks for a permit, and waits for it for as long as the request may. If it is refused, retryAfter is the time after
-// which there may be room.
-func (s *Semaphore) Acquire(ctx context.Context, r Request) (granted bool, retryAfter time.Duration) {
+// Acquire asks for a permit, and waits for it for as long as the request may.
+func (s *Semaphore) Acquire(ctx context.Context, r Request) Grant {
 	w := &waiter{permit: r.Permit, priority: r.Priority, granted: make(chan struct{})}
 	s.update(func(now time.Time) {
 		s.use(r.Server, r.Moved, now)
@@ -122,7 +131,7 @@
 	for waits := r.Wait > 0; waits; {
 		select {
 		case <-w.granted:
-			return true, 0
+			waits = false
 		case <-recheck.C:
 			s.update(func(time.Time) {})
 		case <-timer.C:
@@ -131,7 +140,22 @@
 			waits = false
 		}
 	}
-	return s.giveUp(w)
+	return s.result(w)
+}
+
+// Accept records that the server has accepted the request of a permit that is in doubt.
+func (s *Semaphore) Accept(p Permit) {
+	s.update(func(now time.Time) {
+		if state, found := s.permits[p]; found {
+			s.settle(state, now)
+		}
+	})
+}
+
+// settle records that a request was accepted. s.mu must be held.
+func (s *Semaphore) settle(state *permitState, now time.Time) {
+	state.settled = true
+	s.limit.accept(state.level, state.granted, now)
 }
 
 // Release ends the use of a permit. A permit that the semaphore does not know stands for a request without one.
@@ -145,10 +169,9 @@
 		s.turnover.end(now)
 		switch o {
 		case Accepted:
-			if !found {
-				return
+			if found {
+				s.settle(state, now)
 			}
-			s.limit.accept(state.level, state.granted, now)
 		case Rejected:
 			s.limit.reject(state.level, now)
 		}
@@ -231,34 +254,31 @@
 	s.permits[p] = &permitState{granted: now, expires: now.Add(PermitLifetime), level: level, doubtful: s.limit.isDoubtful(level)}
 }
 
-// giveUp ends the wait for a permit, unless it was granted meanwhile.
-func (s *Semaphore) giveUp(w *waiter) (granted bool, retryAfter time.Duration) {
+// result returns whether a permit was granted, and ends the wait for it if it was not.
+func (s *Semaphore) result(w *waiter) Grant {
 	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	select {
-	case <-w.granted:
-		return true, 0
-	default:
+	if state, found := s.permits[w.permit]; found {
+		return Grant{Granted: true, Doubtful: state.doubtful}
 	}
 	s.waiting = slices.DeleteFunc(s.waiting, func(other *waiter) bool { return other == w })
-	retryAfter = s.turnover.refuse(now)
+	retryAfter := s.turnover.refuse(now)
 	if s.inFlight() == 0 {
 		retryAfter = max(retryAfter, s.limit.probeFrom.Sub(now))
 	}
-	return false, retryAfter
+	return Grant{RetryAfter: retryAfter}
 }
 
-// expire drops what has expired and settles what was not rejected in time. s.mu must be held.
+// expire drops what has expired, and settles what is not in doubt and was not rejected. s.mu must be held.
 func (s *Semaphore) expire(now time.Time) {
 	for p, state := range s.permits {
 		if !now.Before(state.expires) {
 			delete(s.permits, p)
 			continue
 		}
-		if !state.settled && now.Sub(state.granted) >= settleTime {
+		if !state.doubtful && now.Sub(state.granted) >= settleTime {
 			state.settled = true
-			s.limit.accept(state.level, state.granted, now)
 		}
 	}
 	for instance, u := range s.unpermitted {
--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -37,12 +37,14 @@
 	semaphore := p.of(r.Server)
 	if p.refuseFor > 0 {
 		time.Sleep(r.Wait)
-		return brittle.Answer{Answered: true, RetryAfter: p.refuseFor}
+		return brittle.Answer{Answered: true, Grant: brittle.Grant{RetryAfter: p.refuseFor}}
 	}
-	granted, after := semaphore.Acquire(ctx, r)
-	return brittle.Answer{Answered: true, Granted: granted, RetryAfter: after}
+	return brittle.Answer{Answered: true, Grant: semaphore.Acquire(ctx, r)}
 }
 
+// Accept implements brittle.Permits.
+func (p *fakePermits) Accept(s brittle.Server, permit brittle.Permit) { p.of(s).Accept(permit) }
+
 // Release implements brittle.Permits.
 func (p *fakePermits) Release(s brittle.Server, permit brittle.Permit, o brittle.Outcome) {
 	p.of(s).Release(permit, o)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -296,6 +296,7 @@
 		outcome = rejectionOutcome(resp)
 		return false, t.handleNotExecuted(server, resp, &outcome)
 	}
+	t.sendAdmission.Accepted()
 	t.sends++
 	t.runs++
 	t.mayHaveRun = true
--- a/entry/brittle_fixture_test.go
+++ b/entry/brittle_fixture_test.go
@@ -52,6 +52,7 @@
 type brittleFleet struct {
 	*fleet
 	size   brittleSize
+	paths  *domainPaths
 	models map[string]standin.ServerModel
 
 	mu sync.Mutex
@@ -63,8 +64,10 @@
 	falls []string
 	// stopped is set when servers are not started again; guarded by mu.
 	stopped bool
-	began   time.Time
-	work    sync.WaitGroup
+	// lastMachine is the number of the next instance; guarded by mu.
+	lastMachine int
+	began       time.Time
+	work        sync.WaitGroup
 }
 
 // brittlePosition is a server that is started again when it ends.
@@ -91,6 +94,8 @@
 	}
 	f.startStore()
 	f.configureBrittle()
+	f.paths = newDomainPaths(f.storeURL)
+	f.network = f.paths.network
 	f.editSettings = func(s *platform.Settings) {
 		n, _ := strconv.Atoi(strings.TrimPrefix(s.NodeName, "node-"))
 		s.Zone = brittleDomain(n)
@@ -102,8 +107,8 @@
 	for i := range size.plain {
 		f.startPosition(&brittlePosition{name: fmt.Sprint("p", i), service: "plain", domain: brittleDomain(i)})
 	}
-	for i := range size.instances {
-		f.addInstance(i)
+	for range size.instances {
+		f.addNext()
 	}
 	t.Cleanup(f.stop)
 	f.await("instances ready", func() bool {
@@ -151,6 +156,15 @@
 	}
 }
 
+// addNext starts another instance.
+func (f *brittleFleet) addNext() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.addInstance(f.lastMachine)
+	f.paths.setDomain(r.settings.Load().PeerAddress(), brittleDomain(f.lastMachine))
+	f.lastMachine++
+}
+
 // startPosition starts a server, and starts it again whenever it ends.
 func (f *brittleFleet) startPosition(p *brittlePosition) {
 	f.mu.Lock()
@@ -178,6 +192,7 @@
 	}
 	p.starts++
 	p.server = s
+	f.paths.setDomain(s.Address(), p.domain)
 	f.apply(s)
 	ctx, stop := context.WithCancel(context.Background())
 	go s.Announce(ctx, f.store, testHeartbeat)
@@ -246,6 +261,8 @@
 	}
 	f.mu.Unlock()
 	f.work.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for _, r := range f.instances {
 		r.stop()
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -17,7 +17,6 @@
 
 	"github.com/martenport/martenport/command/backpressure"
 	"github.com/martenport/martenport/command/balance"
-	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/command/quarantine"
@@ -162,9 +161,7 @@
 	i.follower.budget, i.follower.domain = i.budget, s.RetryBudgetDomain()
 	i.counts = forward.NewCounts(i.set)
 	i.access = newAccessControl(i.follower, i.settings.Load, i.set)
-	i.limiter.permits = newPermits(s.NodeName, i.dir, i.members, i.follower.pool, i.set)
-	i.limiter.permits.local, i.limiter.permits.brittleServer = i.service, i.limiter.Brittle
-	i.limiter.permits.gate = brittle.NewGate(s.NodeName, i.limiter.permits, i.instanceCount)
+	i.limiter.permits = i.newPermits()
 	i.forwarder = forward.New(forward.DefaultParams(s.Zone), forward.Dependencies{
 		Directory: i.dir, Sender: i.backends, Placer: i.follower, Balancer: i.balancer, Budget: i.budget,
 		Guard: &crashGuard{crashDetector: i.crashes, follower: i.follower, ownTrials: quarantine.NewTrials()}, Access: i.access, Limiter: i.limiter, Gate: i.limiter.permits.gate,
@@ -221,9 +218,6 @@
 	})
 }
 
-// instanceCount returns the number of instances: those that report to the holder, or that are registered if those are more.
-func (i *Instance) instanceCount() int { return max(i.follower.knownInstances(), i.members.count()) }
-
 // Ready reports whether clients should be routed to this instance.
 func (i *Instance) Ready() bool {
 	return !i.draining.Load() && i.dir.Config() != nil && len(i.dir.IDs()) > 0 && !i.shedding.active()
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -42,6 +42,8 @@
 	logOutput io.Writer
 	// links are the instances' paths to servers, by machine; a test that sets it to an empty map can cut them.
 	links map[int]*serverLink
+	// network, if set, returns how the instance on a machine opens connections.
+	network func(machine int) network
 	// plainWork is the run time of requests on plain servers; 5 ms if 0.
 	plainWork time.Duration
 	// beforeRun is called with each instance before it runs.
@@ -195,6 +197,9 @@
 		f.links[machine] = newServerLink()
 		n.servers = f.links[machine].dial
 	}
+	if f.network != nil {
+		n = f.network(machine)
+	}
 	r := &running{Instance: newInstance(s, writeSettings(f.t, s), f.options, n, log), address: s.Listen.Frontend, ready: s.Listen.Ready, stop: stop, done: make(chan struct{})}
 	if f.beforeRun != nil {
 		f.beforeRun(r.Instance)
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -192,6 +192,12 @@
 	return f.record, live
 }
 
+// reachesOtherHolder reports whether another instance is the holder and answers.
+func (f *follower) reachesOtherHolder() bool {
+	record, live := f.liveHolder()
+	return live && record.Holder != f.name
+}
+
 // run exchanges reports with the holder, or becomes the holder, until ctx ends.
 func (f *follower) run(ctx context.Context) {
 	f.mu.Lock()
--- a/entry/members.go
+++ b/entry/members.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/rendezvous"
 	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/tunnel"
 )
@@ -221,22 +223,21 @@
 	return inDomain
 }
 
-// inDomain returns the instances in a failure domain, or all if it has none, as cached returns them.
-func (m *members) inDomain(ctx context.Context, domain string) []member {
+// ranked returns all instances in an order by a key, those in a failure domain before the others, as cached returns them.
+func (m *members) ranked(ctx context.Context, key, domain string) []member {
 	all := m.cached(ctx)
 	if !slices.ContainsFunc(all, func(other member) bool { return other.Name == m.self.Name }) {
 		all = append(all, m.self)
 	}
-	inDomain := make([]member, 0, len(all))
-	for _, other := range all {
-		if other.Domain == domain {
-			inDomain = append(inDomain, other)
+	rendezvous.Rank(key, all, func(other member) string { return other.Name })
+	inDomain := func(m member) int { // 0 sorts before 1
+		if m.Domain == domain {
+			return 0
 		}
+		return 1
 	}
-	if len(inDomain) == 0 {
-		return all
-	}
-	return inDomain
+	slices.SortStableFunc(all, func(a, b member) int { return cmp.Compare(inDomain(a), inDomain(b)) })
+	return all
 }
 
 // count returns the number of instances as last read, 1 if the list has never been read.
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -14,14 +13,13 @@
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/rpcpool"
-	"github.com/martenport/martenport/rendezvous"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
 )
 
 // permits asks other instances for permits to send to brittle servers. The semaphore of a server is kept by the first
-// instance that answers of those in the server's failure domain, in an order by the server's ID, so that a domain that is cut
-// off goes on with its own. It implements brittle.Permits.
+// instance that answers, in an order by the server's ID that begins with those in the server's failure domain, so that a
+// domain that is cut off goes on with its own. It implements brittle.Permits.
 type permits struct {
 	self    string
 	members *members
@@ -32,6 +30,8 @@
 	// the first request.
 	gate          *brittle.Gate
 	brittleServer func(s serving.Server) (b brittle.Server, isBrittle bool)
+	// reachesHolder reports whether another instance is the holder and answers; set before the first request.
+	reachesHolder func() bool
 	dir           *directory.Directory
 	set           *metrics.Set
 
@@ -40,42 +40,63 @@
 	unreachable map[string]bool
 	// keepers are the instances that last kept the semaphores of servers, by server ID; guarded by mu.
 	keepers map[string]member
+	// heardAt is when another instance last answered or called; guarded by mu.
+	heardAt time.Time
 }
 
 const (
 	// maxKeepersAsked is the number of instances that a request asks in turn while they do not answer.
 	maxKeepersAsked = 3
 	// permitTimeout bounds a call beyond the time for which the request waits: several round trips between failure
-	// domains, plus time for an instance that is short of processor time.
-	permitTimeout = 300 * time.Millisecond
+	// domains, plus time for an instance that is short of processor time, and for one that passes the call on in vain.
+	permitTimeout = 400 * time.Millisecond
 	// permitRenewInterval is how often permits are renewed: several times in their lifetime.
 	permitRenewInterval = brittle.PermitLifetime / 4
 	// minKeeperRetry and maxKeeperRetry are the first and the longest pause before an instance is tried again that did not
 	// answer.
-	minKeeperRetry, maxKeeperRetry = 200 * time.Millisecond, 2 * time.Second
+	minKeeperRetry, maxKeeperRetry = 200 * time.Millisecond, time.Second
 	// keeperRetryTime is how long such an instance is tried.
 	keeperRetryTime = time.Minute
+	// relayTimeout is permitTimeout for calls that are passed on, so that the caller is still there if they fail.
+	relayTimeout = permitTimeout / 4
+	// isolationDelay is how long after it last heard of another instance an instance does not count as isolated.
+	isolationDelay = 2 * time.Second
 )
 
 func newPermits(self string, dir *directory.Directory, m *members, pool *rpcpool.Pool, set *metrics.Set) *permits {
 	return &permits{self: self, dir: dir, members: m, pool: pool, set: set, unreachable: map[string]bool{}, keepers: map[string]member{}}
 }
 
+// newPermits returns the instance's permits, with a gate that uses them.
+func (i *Instance) newPermits() *permits {
+	self := i.members.self.Name
+	p := newPermits(self, i.dir, i.members, i.follower.pool, i.set)
+	p.local, p.brittleServer, p.reachesHolder = i.service, i.limiter.Brittle, i.follower.reachesOtherHolder
+	p.gate = brittle.NewGate(self, p, i.instanceCount)
+	return p
+}
+
+// instanceCount returns the number of instances: those that report to the holder, or that are registered if those are more.
+func (i *Instance) instanceCount() int { return max(i.follower.knownInstances(), i.members.count()) }
+
 // Acquire implements brittle.Permits.
 func (p *permits) Acquire(ctx context.Context, r brittle.Request) brittle.Answer {
 	for _, k := range p.candidates(ctx, r.Server) {
-		r.Moved = p.hasMoved(r.Server.ID, k)
-		reply, err := p.acquireFrom(ctx, k, r)
+		if p.isIsolatedSubstitute(k) {
+			break
+		}
+		r.Moved, r.Substitute = p.hasMoved(r.Server.ID, k.member), k.substitute
+		reply, err := p.acquireFrom(ctx, k.member, r)
 		switch {
 		case err == nil:
-			p.setKeeper(r.Server.ID, k)
-			answer := brittle.Answer{Answered: true, Granted: reply.Granted, RetryAfter: reply.RetryAfter}
+			p.setKeeper(r.Server.ID, k.member)
+			answer := brittle.Answer{Answered: true, Grant: reply.Grant}
 			p.count(answer)
 			return answer
 		case ctx.Err() != nil:
 			return brittle.Answer{Answered: true}
 		}
-		p.markUnreachable(k)
+		p.markUnreachable(k.member)
 	}
 	p.count(brittle.Answer{})
 	return brittle.Answer{}
@@ -115,15 +136,24 @@
 	}
 }
 
+// Accept implements brittle.Permits.
+func (p *permits) Accept(s brittle.Server, permit brittle.Permit) {
+	p.report(s, &ReleasePermitArgs{Server: s, Permit: permit, Running: true})
+}
+
 // Release implements brittle.Permits.
 func (p *permits) Release(s brittle.Server, permit brittle.Permit, o brittle.Outcome) {
-	args := &ReleasePermitArgs{Server: s, Permit: permit, Outcome: o}
+	p.report(s, &ReleasePermitArgs{Server: s, Permit: permit, Outcome: o})
+}
+
+// report tells the instance that keeps the semaphore of a server what came of a permit.
+func (p *permits) report(s brittle.Server, args *ReleasePermitArgs) {
 	if k, found := p.keeper(s.ID); found {
 		go p.releaseAt(k, args)
 		return
 	}
 	if list := p.candidates(context.Background(), s); len(list) > 0 {
-		go p.releaseAt(list[0], args)
+		go p.releaseAt(list[0].member, args)
 	}
 }
 
@@ -141,7 +171,32 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	return p.pool.Call(ctx, k.Address, method, args, reply)
+	if err := p.pool.Call(ctx, k.Address, method, args, reply); err != nil {
+		return err
+	}
+	p.recordHeard()
+	return nil
+}
+
+// relay passes a call about a server on to the instance that keeps its semaphore, and reports whether that answered. Callers
+// that could not reach that instance a moment ago ask others, which may reach it. It does nothing if this is the one.
+func (p *permits) relay(s brittle.Server, wait time.Duration, method string, args, reply any) bool {
+	list := p.candidates(context.Background(), s)
+	if len(list) == 0 || list[0].Name == p.self {
+		return false
+	}
+	if err := p.call(list[0].member, wait+relayTimeout, method, args, reply); err != nil {
+		p.markUnreachable(list[0].member)
+		return false
+	}
+	return true
+}
+
+// recordHeard records that another instance has answered or called.
+func (p *permits) recordHeard() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heardAt = clock.Now()
 }
 
 func (p *permits) callSelf(args, reply any) error {
@@ -157,17 +212,38 @@
 	}
 }
 
+// candidate is an instance that may keep a semaphore.
+type candidate struct {
+	member
+	// substitute is set if another instance is to keep it, but does not answer.
+	substitute bool
+}
+
+// isIsolatedSubstitute reports whether a candidate is this instance itself, which has no path to those that rank before it or
+// to any other: they go on without it.
+func (p *permits) isIsolatedSubstitute(k candidate) bool {
+	if k.Name != p.self || !k.substitute || p.reachesHolder() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return clock.Since(p.heardAt) > isolationDelay
+}
+
 // candidates returns the instances that may keep a server's semaphore and answered when they were last called, the first one
 // first.
-func (p *permits) candidates(ctx context.Context, s brittle.Server) []member {
+func (p *permits) candidates(ctx context.Context, s brittle.Server) (list []candidate) {
 	ctx, cancel := context.WithTimeout(store.WithStaleReads(ctx), permitTimeout)
 	defer cancel()
-	list := p.members.inDomain(ctx, s.FailureDomain)
-	rendezvous.Rank(s.ID, list, func(m member) string { return m.Name })
+	ranked := p.members.ranked(ctx, s.ID, s.FailureDomain)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list = slices.DeleteFunc(list, func(m member) bool { return p.unreachable[m.Address] })
-	return list[:min(len(list), maxKeepersAsked)]
+	for i, m := range ranked {
+		if len(list) < maxKeepersAsked && !p.unreachable[m.Address] {
+			list = append(list, candidate{member: m, substitute: i > 0})
+		}
+	}
+	return list
 }
 
 // hasMoved reports whether another instance than k kept the semaphore of a server when this one last asked.
@@ -232,14 +308,14 @@
 			continue
 		}
 		list := p.candidates(ctx, s)
-		if len(list) == 0 {
+		if len(list) == 0 || p.isIsolatedSubstitute(list[0]) {
 			continue
 		}
-		k := list[0]
+		k := list[0].member
 		if args[k.Address] == nil {
 			byKeeper[k.Address], args[k.Address] = k, &RenewPermitsArgs{}
 		}
-		r.Server, r.Moved = s, p.hasMoved(id, k)
+		r.Server, r.Moved, r.Substitute = s, p.hasMoved(id, k), list[0].substitute
 		args[k.Address].Renewals = append(args[k.Address].Renewals, r)
 	}
 	for address, k := range byKeeper {
--- a/entry/semaphores.go
+++ b/entry/semaphores.go
@@ -60,15 +60,15 @@
 	return sum
 }
 
-// of returns the semaphore of a server.
-func (k *semaphores) of(server brittle.Server) *brittle.Semaphore {
+// of returns the semaphore of a server. substitute is set if another instance is to keep it, but does not answer the caller.
+func (k *semaphores) of(server brittle.Server, substitute bool) *brittle.Semaphore {
 	now := clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.checkSuspension(now)
 	s := k.byServer[server.ID]
 	if s == nil {
-		s = brittle.NewSemaphore(server, !now.Before(k.trustedFrom))
+		s = brittle.NewSemaphore(server, !substitute && !now.Before(k.trustedFrom))
 		k.byServer[server.ID] = s
 	}
 	return s
@@ -109,7 +109,7 @@
 
 // release ends the use of a permit, and logs a rejection with what the semaphore knows.
 func (k *semaphores) release(server brittle.Server, p brittle.Permit, o brittle.Outcome) {
-	s := k.of(server)
+	s := k.of(server, false)
 	s.Release(p, o)
 	if o != brittle.Rejected {
 		return
