A part of prompts is not quarantined by an isolated run that had another unknown part

Cause: the request that ran isolated had two parts with which no answer had begun. Its end counted against both, and the one that many requests share had its other ends from before.

Such an end stays undecided until an answer has begun with the other part, or a second isolated run without it ends as well. Parts that are at all of each other's ends count as one, as before. Requests with the part go on to run isolated meanwhile; one answer clears it.

--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -41,6 +41,8 @@
 	incarnation Incarnation
 	companions  []serving.Fingerprint
 	crashedAt   time.Time
+	// ambiguous is set once other records must have arrived and the crash may still be that of another part of the prompt.
+	ambiguous bool
 }
 
 // needsConfirmation reports whether a crash during an isolated run has to be kept pending, because
@@ -132,18 +134,45 @@
 	return false
 }
 
+// isAmbiguous reports whether a crash during an isolated run may be that of another part of the prompt: one that was not at
+// all crashes of r, and with which no answer has begun. Two isolated runs without a common part of that kind show that it is
+// r. l.mu must be held.
+func (l *Ledger) isAmbiguous(r *record, crash pendingCrash) bool {
+	rivals := l.rivals(r, crash)
+	return len(rivals) > 0 && !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
+		return other.incarnation != crash.incarnation && !slices.ContainsFunc(l.rivals(r, other), func(fp serving.Fingerprint) bool {
+			return slices.Contains(rivals, fp)
+		})
+	})
+}
+
+// rivals implements isAmbiguous. l.mu must be held.
+func (l *Ledger) rivals(r *record, crash pendingCrash) (rivals []serving.Fingerprint) {
+	for _, fp := range crash.companions {
+		other := l.records[fp]
+		if IsPart(r.Fingerprint) && IsPart(fp) && other != nil && other != r &&
+			slices.Contains(other.Crashes, crash.incarnation) && !containsAll(other.Crashes, r.Crashes) {
+			rivals = append(rivals, fp)
+		}
+	}
+	return rivals
+}
+
 // HasPending reports whether a crash during an isolated run of the request, or of another one with a part
 // of its prompt, is pending. The request must not run until it is decided.
 func (l *Ledger) HasPending(i Identity) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	pending := func(r *record) bool { return r != nil && len(r.pending) > 0 }
+	pending := func(r *record) bool {
+		return r != nil && slices.ContainsFunc(r.pending, func(crash pendingCrash) bool { return !crash.ambiguous })
+	}
 	return pending(l.records[i.Fingerprint]) || slices.ContainsFunc(l.partsOf(&i), pending)
 }
 
 // DecidePending decides the pending crashes that are older than confirmationDelay: each counts as a
-// crash during an isolated run unless another suspect was running on the incarnation. It returns the
-// escalations that follow, and the requests against which a pending crash does not count.
+// crash during an isolated run unless another suspect was running on the incarnation. A crash that may be that of another part
+// of the prompt stays pending. It returns the escalations that follow, and the requests against which a pending crash does
+// not count.
 func (l *Ledger) DecidePending(now time.Time) (escalations []Escalation, dropped []serving.Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,6 +184,11 @@
 				dropped = append(dropped, fp)
 				continue
 			}
+			if l.isAmbiguous(r, crash) {
+				crash.ambiguous = true
+				r.addPending(crash)
+				continue
+			}
 			crashed := []Incarnation{crash.incarnation}
 			escalations = append(escalations, l.merge(Record{Fingerprint: fp, Crashes: crashed, Alone: crashed}, now)...)
 		}
