A request is not refused for an isolated run beside a cause that was known later

Cause: its isolated run ended with a server under which something else crashed, and that became a suspect only after the request was quarantined. A quarantine was never looked at again.

A quarantined request runs isolated again if at each of its isolated ends something else was there that also ended servers without it. That is judged from the records at each decision, so a word that comes late counts, and nothing is stored.

--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -13,7 +13,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r := l.records[i.Fingerprint]; r != nil {
-		state, cause = r.stateOn(version), i.Fingerprint
+		state, cause = l.requestState(r, &i, version), i.Fingerprint
 	}
 	for _, r := range l.partsOf(&i) {
 		if s := l.partState(r, &i, version); s > state {
@@ -94,6 +94,34 @@
 	return known
 }
 
+// requestState returns how a request is treated because of its own record. If each of its isolated runs ended beside something
+// that crashed other servers as well, it is not shown to be the cause, and runs isolated. l.mu must be held.
+func (l *Ledger) requestState(r *record, i *Identity, version string) State {
+	state := r.stateOn(version)
+	if state != Quarantined {
+		return state
+	}
+	own := i.fingerprints()
+	for _, incarnation := range r.Alone {
+		if !l.hasCauseBeside(r, incarnation, own) {
+			return Quarantined
+		}
+	}
+	return Suspect
+}
+
+// hasCauseBeside reports whether another suspect, or something quarantined, was running on an incarnation, and on some that
+// crashed without r. l.mu must be held.
+func (l *Ledger) hasCauseBeside(r *record, incarnation Incarnation, own []serving.Fingerprint) bool {
+	for _, other := range l.records {
+		if len(other.Crashes) > SuspectAfter && slices.Contains(other.Crashes, incarnation) &&
+			!slices.Contains(own, other.Fingerprint) && !containsAll(r.Crashes, other.Crashes) {
+			return true
+		}
+	}
+	return false
+}
+
 // partState returns how a request is treated because of a part of its prompt. If another quarantined record that does
 // not apply to the request accounts for all crashes of the part, the part is not shown to be a cause by itself, and the
 // request runs isolated. l.mu must be held.
