An isolated run that was cut off holds the next one only until its server is known to have ended

Cause: an engine that ends 1.5 s after it has cut off an answer is not known to have ended when the isolated run does (0.5 s), so the trial is inconclusive and the holder lets no other run for 6 s, the time in which an entry lapses. That the engine's end was known 0.1 s later did not lift that. In the log of a failed play: check timed out at 41.970, end seen at 42.074, next isolated run at 47.982.

An inconclusive trial ends as soon as the holder's records have the end of its server under that request.

--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -119,6 +119,18 @@
 	return l.RecordsOf(now, i.fingerprints()...)
 }
 
+// knowsCrash reports whether a server is known to have crashed while it ran the request.
+func (l *Ledger) knowsCrash(fp serving.Fingerprint, server string, born int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.records[fp]
+	if r == nil {
+		return false
+	}
+	is := func(i Incarnation) bool { return i.Server == server && i.Born == born }
+	return slices.ContainsFunc(r.Crashes, is) || slices.ContainsFunc(r.Cleared, is)
+}
+
 // State returns how the request is treated.
 func (l *Ledger) State(fp serving.Fingerprint) State {
 	l.mu.Lock()
--- a/command/quarantine/ledger_test.go
+++ b/command/quarantine/ledger_test.go
@@ -378,3 +378,32 @@
 		t.Errorf("%d records sent, want 0; digests equal: %v", sent, a.digest == b.digest)
 	}
 }
+
+// TestInconclusiveTrialEndsWithServer guards against isolated runs that begin seconds late, since the one before was cut off
+// and its server ended only later.
+func TestInconclusiveTrialEndsWithServer(t *testing.T) {
+	trials, l := NewTrials(), NewLedger()
+	s := server(1)
+	first := Trial{Fingerprint: "f", Server: s.ID, Born: s.Born, Instance: "a"}
+	next := Trial{Fingerprint: "f", Server: "other", Instance: "b"}
+	trials.Begin(first, time.Minute, start)
+	trials.EndKnown(l)
+	if trials.Begin(next, time.Minute, start) {
+		t.Error("two isolated runs at a time")
+	}
+	trials.End(first, true, start)
+	trials.EndKnown(l)
+	if trials.Begin(next, time.Minute, start) {
+		t.Error("an isolated run although it is unknown whether the server of the one before has crashed")
+	}
+	crashUnder(l, Identity{Fingerprint: "f"}, 2, true)
+	trials.EndKnown(l)
+	if trials.Begin(next, time.Minute, start) {
+		t.Error("an isolated run after the crash of another server")
+	}
+	crashUnder(l, Identity{Fingerprint: "f"}, 1, true)
+	trials.EndKnown(l)
+	if !trials.Begin(next, time.Minute, start) {
+		t.Error("no isolated run although the server has crashed")
+	}
+}
--- a/command/quarantine/trials.go
+++ b/command/quarantine/trials.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -21,10 +22,14 @@
 	// Parts are the parts of the request's prompt that are suspects.
 	Parts  []serving.Fingerprint
 	Server string
+	// Born is the start time of the server as in Incarnation; 0 if unknown.
+	Born int64
 	// Instance is the instance that sends the request.
 	Instance string
 	// expiresAt is when the trial ends unless its end is reported earlier.
 	expiresAt time.Time
+	// inconclusive is set once the trial has ended and it is unknown whether the server has crashed.
+	inconclusive bool
 }
 
 // NewTrials returns an empty set of trials.
@@ -69,13 +74,22 @@
 		return
 	}
 	if inconclusive {
-		running.expiresAt = now.Add(inconclusiveHold)
+		running.expiresAt, running.inconclusive = now.Add(inconclusiveHold), true
 		t.byServer[trial.Server] = running
 		return
 	}
 	delete(t.byServer, trial.Server)
 }
 
+// EndKnown ends the inconclusive trials on servers that are known to have crashed meanwhile.
+func (t *Trials) EndKnown(l *Ledger) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.byServer, func(_ string, trial Trial) bool {
+		return trial.inconclusive && l.knowsCrash(trial.Fingerprint, trial.Server, trial.Born)
+	})
+}
+
 // Hold ends a trial after d, whatever its maximum duration.
 func (t *Trials) Hold(trial Trial, d time.Duration, now time.Time) {
 	t.mu.Lock()
--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -64,7 +64,7 @@
 // RequestTrial implements forward.Guard. Only the holder lets a suspect request run; while there is no
 // holder, none runs.
 func (g *crashGuard) RequestTrial(ctx context.Context, i quarantine.Identity, s serving.Server, maxRun time.Duration) (forward.Trial, error) {
-	trial := quarantine.Trial{Fingerprint: i.Fingerprint, Server: s.ID, Instance: g.follower.name, Parts: g.ledger.SuspectParts(i, s.Version)}
+	trial := quarantine.Trial{Fingerprint: i.Fingerprint, Server: s.ID, Born: s.Born, Instance: g.follower.name, Parts: g.ledger.SuspectParts(i, s.Version)}
 	if len(trial.Parts) > 0 && !g.ownTrials.Begin(trial, maxRun, clock.Now()) {
 		return forward.Trial{}, forward.ErrTrialBusy
 	}
--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -307,6 +307,7 @@
 	identity.Fingerprint = args.Fingerprint
 	reply.Known = ledger.RecordsOfIdentity(identity, now)
 	state, _ := ledger.Assess(identity, args.Version)
+	s.trials.EndKnown(ledger)
 	if reply.Held && state == quarantine.Suspect && !ledger.HasPending(identity) {
 		args.Trial.Parts = ledger.SuspectParts(identity, args.Version)
 		reply.Granted = s.trials.Begin(args.Trial, time.Duration(args.LongestMS)*time.Millisecond, now)
