A part is not quarantined by an instance that does not know what else ran in the isolated run

Cause: an instance that was restarted read the record of the part that all requests have from the store, with the end of an isolated run that was undecided. It had no record of the deadly part that ran there, took that as shown to be harmless, and decided against the part that it knew.

A part counts as harmless only if an answer with it is known to have begun; what is not known is a possible cause.

quarantine TestPartAfterRestartBesideUnknownPart failed before.

--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // TestSharedPartRunsIsolatedWithUnknownPart guards against quarantining a part that many requests share because of an
 // isolated run of a request with a part that crashes servers and is no suspect yet (soak seed 122).
@@ -24,3 +27,19 @@
 	}
 	checkAssessed(t, l, "the request", identity("shared"), "", Suspect)
 }
+
+// TestPartAfterRestartBesideUnknownPart guards against quarantining a part that many requests share at an instance that was
+// restarted and does not know the other part of the request that ran isolated (soak seed 106).
+func TestPartAfterRestartBesideUnknownPart(t *testing.T) {
+	l := NewLedger()
+	for n := range 2 {
+		crashUnder(l, identity(fmt.Sprint("sound-", n), "shared:1"), n, false)
+	}
+	bad := identity("bad", "shared:1", "bad:1")
+	l.RecordCrash(BrokenAttempt{Fingerprint: bad.Fingerprint, Server: server(2), PromptParts: bad.PromptParts, Isolated: true}, start)
+	shared := Identity{PromptParts: []string{"shared:1", "own"}}
+	restarted := NewLedger()
+	restarted.Merge(l.RecordsOf(start, shared.partFingerprints()...), start)
+	restarted.DecidePending(start.Add(confirmationDelay))
+	checkAssessed(t, restarted, "after a restart", identity("sound-2", "shared:1"), "", Suspect)
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -135,29 +135,40 @@
 }
 
 // isAmbiguous reports whether a crash during an isolated run may be that of another part of the prompt: one that was not at
-// all crashes of r, and with which no answer has begun. Two isolated runs without a common part of that kind show that it is
-// r. l.mu must be held.
-func (l *Ledger) isAmbiguous(r *record, crash pendingCrash) bool {
-	rivals := l.rivals(r, crash)
+// all crashes of r, and with which no answer is known to have begun. Two isolated runs without a common part of that kind show
+// that it is r. l.mu must be held.
+func (l *Ledger) isAmbiguous(r *record, crash pendingCrash, now time.Time) bool {
+	rivals := l.rivals(r, crash, now)
 	return len(rivals) > 0 && !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
-		return other.incarnation != crash.incarnation && !slices.ContainsFunc(l.rivals(r, other), func(fp serving.Fingerprint) bool {
+		return other.incarnation != crash.incarnation && !slices.ContainsFunc(l.rivals(r, other, now), func(fp serving.Fingerprint) bool {
 			return slices.Contains(rivals, fp)
 		})
 	})
 }
 
 // rivals implements isAmbiguous. l.mu must be held.
-func (l *Ledger) rivals(r *record, crash pendingCrash) (rivals []serving.Fingerprint) {
+func (l *Ledger) rivals(r *record, crash pendingCrash, now time.Time) (rivals []serving.Fingerprint) {
+	if !IsPart(r.Fingerprint) {
+		return nil
+	}
 	for _, fp := range crash.companions {
-		other := l.records[fp]
-		if IsPart(r.Fingerprint) && IsPart(fp) && other != nil && other != r &&
-			slices.Contains(other.Crashes, crash.incarnation) && !containsAll(other.Crashes, r.Crashes) {
+		if fp != r.Fingerprint && l.isRival(r, fp, crash.incarnation.Version, now) {
 			rivals = append(rivals, fp)
 		}
 	}
 	return rivals
 }
 
+// isRival implements rivals for one part. l.mu must be held.
+func (l *Ledger) isRival(r *record, fp serving.Fingerprint, version string, now time.Time) bool {
+	hash, isPart := partHash(fp)
+	if !isPart || l.begun.contains(hash, version, now) {
+		return false
+	}
+	other := l.records[fp]
+	return other == nil || !slices.Contains(other.Begun, version) && !containsAll(other.Crashes, r.Crashes)
+}
+
 // HasPending reports whether a crash during an isolated run of the request, or of another one with a part
 // of its prompt, is pending. The request must not run until it is decided.
 func (l *Ledger) HasPending(i Identity) bool {
@@ -184,7 +195,7 @@
 				dropped = append(dropped, fp)
 				continue
 			}
-			if l.isAmbiguous(r, crash) {
+			if l.isAmbiguous(r, crash, now) {
 				crash.ambiguous = true
 				r.addPending(crash)
 				continue
