standin: a part of an unframed answer that a killed server leaves does not look complete

By the users' page an answer that is broken off ends within an event or by a reset, so nobody can tell that from a whole one: a fault of the stand-in.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -159,6 +159,8 @@
 		if err != nil {
 			if err == io.EOF {
 				p.waitForMode(towardsTarget)
+			} else {
+				_ = to.(*net.TCPConn).SetLinger(0) // passes the reset on
 			}
 			return
 		}
