soak: servers of all services are brittle in each run, as the users' page states it

The soak made engines brittle in one of 28 draws, without load beyond their room, a queue, or plain servers, and servers that came back did not state it. Now one service is brittle in each run, with four or two slots and two requests that wait, more requests come than there is room for, and a server that starts states it. Servers are in the instances' failure domains.

--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -91,7 +92,11 @@
 	Part      string        `long:"poison-part" description:"beginning of the IDs of prompt parts that end it when it begins to answer requests with them"`
 	Version   string        `long:"version" description:"version of its software, which ends each event; v1, and no such end, if absent"`
 	Unframed  bool          `long:"unframed" description:"send answers with neither a length nor chunks"`
-	State     string        `long:"state" description:"file for what it has seen, if such a request ends it"`
+	State     string        `long:"state" description:"file for what it has seen, if such a request or rejections end it"`
+	Slots     int           `long:"slots" description:"requests that it runs concurrently while it is brittle; 8 if absent"`
+	Queue     int           `long:"brittle-queue" description:"requests that wait for a slot while it is brittle"`
+	Tolerates string        `long:"states-brittle" description:"rejections a second that it states to tolerate; none if absent"`
+	Brittle   bool          `long:"brittle" description:"end if it has to reject more than that"`
 	Heartbeat time.Duration `long:"heartbeat" default:"500ms" description:"interval of its entries"`
 }
 
@@ -107,7 +112,7 @@
 	p := standin.ServerParams{
 		ID: c.ID, Service: c.Service, FailureDomain: c.Domain, Announced: c.Announced, Models: map[string]standin.ServerModel{},
 		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work, PoisonPrefix: c.Poison,
-		PoisonPart: c.Part, Version: c.Version, Unframed: c.Unframed,
+		PoisonPart: c.Part, Version: c.Version, Unframed: c.Unframed, Slots: c.Slots, BrittleQueue: c.Queue,
 	}
 	for _, name := range c.Models {
 		p.Models[name] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: c.Load}
@@ -116,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.setBrittle(s); err != nil {
+		return err
+	}
 	fmt.Printf("listening address=%s\n", c.Listen)
 	ctx, stop := cli.UntilSignal()
 	defer stop()
@@ -129,6 +137,20 @@
 	return c.writeState(s.State())
 }
 
+// setBrittle makes the server state that it is brittle, and be it, as the options say.
+func (c *serverCommand) setBrittle(s *standin.Server) error {
+	if c.Tolerates == "" {
+		return nil
+	}
+	tolerated, err := strconv.Atoi(c.Tolerates)
+	if err != nil {
+		return errors.Wrap(err, "--states-brittle")
+	}
+	s.SetBackpressure(standin.Backpressure{Brittle: c.Tolerates})
+	s.SetBrittle(c.Brittle, tolerated)
+	return nil
+}
+
 // writeState writes what the server has observed to the state file, if a request or rejections ended it.
 func (c *serverCommand) writeState(state standin.State) error {
 	if c.State == "" || state.EndedBy == "" && !state.EndedByRejections {
--- a/soak/brittle_test.go
+++ b/soak/brittle_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// TestEndsAreCountedByPeriod: the check must find a period in which more than two engines and a tenth of them ended.
+// TestEndsAreCountedByPeriod: the check must find a period in which more than two servers of a service and a tenth of them ended.
 func TestEndsAreCountedByPeriod(t *testing.T) {
 	for name, c := range map[string]struct {
 		periods []int
@@ -12,14 +12,18 @@
 		"none": {[]int{0, 0}, 3, 0}, "two of three": {[]int{2, 0}, 3, 0}, "three of three": {[]int{0, 3}, 3, 1},
 		"two in each": {[]int{2, 2}, 3, 0}, "three of ten": {[]int{3}, 10, 0}, "four of ten": {[]int{4, 4}, 10, 2},
 	} {
-		log := &rejectionEnds{}
+		log := newBrittleServices()
 		for _, n := range c.periods {
-			log.begin()
+			log.set(engineService, true, true)
+			log.set(mainService, true, true)
 			for range n {
-				log.record()
+				log.recordEnd(engineService)
 			}
+			log.recordEnd(mainService)
+			log.set(engineService, false, false)
+			log.set(mainService, false, false)
 		}
-		if found := log.violations(c.engines); len(found) != c.found {
+		if found := log.violations(map[string]int{engineService: c.engines, mainService: 2}); len(found) != c.found {
 			t.Errorf("%s: %v", name, found)
 		}
 	}
--- a/soak/config.go
+++ b/soak/config.go
@@ -69,7 +69,7 @@
 	r.config.version++
 	// With MemoryMB, an engine has room for two models of 100 MB.
 	c := standin.Config{
-		Version: r.config.version, PlainServices: []string{mainService, sideService}, EngineService: engineService, Models: map[string]standin.ServerModel{}, MemoryMB: 210, AdapterSlots: 2,
+		Version: r.config.version, PlainServices: []string{mainService, sideService}, EngineService: engineService, EngineSlots: engineSlots, Models: map[string]standin.ServerModel{}, MemoryMB: 210, AdapterSlots: 2,
 		RemoteLoad: 500 * time.Millisecond, LoadsPerSecond: 3, IdleTimeout: idle,
 		Workspaces: workspaces(r.config.version),
 	}
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -103,13 +103,13 @@
 	r.poisons.entryStable[req.id] = entryStable && req.entryRunning
 }
 
-// stateFile returns the file in which an engine saves its state when a request crashes it.
-func (r *run) stateFile(engine, start int) string {
-	return filepath.Join(r.logs, fmt.Sprintf("server-%d-start-%d.state", engine, start))
+// stateFile returns the file in which a server saves its state when a request or rejections end it.
+func (r *run) stateFile(server, start int) string {
+	return filepath.Join(r.logs, fmt.Sprintf("server-%d-start-%d.state", server, start))
 }
 
-// superviseEngine restarts an engine after a request or rejections have ended it, until ctx is done.
-func (r *run) superviseEngine(ctx context.Context, i int) {
+// superviseServer restarts a server after a request or rejections have ended it, until ctx is done.
+func (r *run) superviseServer(ctx context.Context, i int) {
 	p, proxy := r.servers[i], r.serverProxies[i]
 	for pause.For(ctx, 20*time.Millisecond) {
 		p.mu.Lock()
@@ -130,10 +130,10 @@
 	}
 }
 
-// recordCrash adds the state of an engine that a request or rejections ended to the history, and reports whether there is
+// recordCrash adds the state of a server that a request or rejections ended to the history, and reports whether there is
 // such a state.
-func (r *run) recordCrash(engine, starts int) bool {
-	data, err := os.ReadFile(r.stateFile(engine, starts-1))
+func (r *run) recordCrash(server, starts int) bool {
+	data, err := os.ReadFile(r.stateFile(server, starts-1))
 	if err != nil {
 		return false
 	}
@@ -141,9 +141,9 @@
 	if json.Unmarshal(data, &state) != nil {
 		return false
 	}
-	r.history.addServerState(fmt.Sprintf("%s start %d", r.servers[engine].name, starts), state)
+	r.history.addServerState(fmt.Sprintf("%s start %d", r.servers[server].name, starts), state)
 	if state.EndedByRejections {
-		r.ends.record()
+		r.brittle.recordEnd(r.serverService(server))
 		return true
 	}
 	r.poisons.mu.Lock()
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -101,8 +101,8 @@
 	disturbances *disturbanceTracker
 	// poisons records the poison requests and the engines that they crashed.
 	poisons *poisonLog
-	// ends counts the engines that ended because of rejections.
-	ends rejectionEnds
+	// brittle records which services are brittle, and the servers that ended because of rejections.
+	brittle *brittleServices
 	// storeFaults records the faults of the store.
 	storeFaults storeFaultTracker
 	// waker makes clients that wait between requests send at about the same time.
@@ -121,7 +121,7 @@
 	r := &run{
 		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
 		history:      newHistory(p.Entries),
-		disturbances: newDisturbanceTracker(), poisons: newPoisonLog(), storeFaults: storeFaultTracker{active: map[string]bool{}}, waker: newClientWaker(), config: configState{random: rand.New(rand.NewPCG(p.Seed, 2))},
+		disturbances: newDisturbanceTracker(), poisons: newPoisonLog(), brittle: newBrittleServices(), storeFaults: storeFaultTracker{active: map[string]bool{}}, waker: newClientWaker(), config: configState{random: rand.New(rand.NewPCG(p.Seed, 2))},
 	}
 	if p.Entries > maxProcesses || p.Engines+p.PlainServers > maxProcesses {
 		return Result{}, errors.Newf("soak: %d entry instances and %d servers requested, at most %d of each are supported", p.Entries, p.Engines+p.PlainServers, maxProcesses)
@@ -142,8 +142,8 @@
 		return Result{}, err
 	}
 	clientCtx, stopClients := context.WithCancel(ctx)
-	for i := range p.Engines {
-		go r.superviseEngine(clientCtx, i)
+	for i := range r.servers {
+		go r.superviseServer(clientCtx, i)
 	}
 	waitClients := r.startClients(clientCtx)
 	faults := r.injectFaults(ctx)
@@ -158,7 +158,7 @@
 	result.EnginesCrashed = r.poisons.count()
 	result.Violations = append(result.Violations, r.poisonViolations()...)
 	result.Violations = append(result.Violations, r.takeUps.violations()...)
-	result.Violations = append(result.Violations, r.ends.violations(p.Engines)...)
+	result.Violations = append(result.Violations, r.brittle.violations(r.serversByService())...)
 	result.Violations = append(result.Violations, r.checkRecovery(ctx)...)
 	return result, nil
 }
@@ -218,14 +218,15 @@
 	p := r.newProcess(name, "martendev", nil)
 	p.args = func() []string {
 		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", r.serverID(i, p.starts), "--work", r.engineWork(i).String()}
-		args = append(args, "--service", r.serverService(i))
+		args = append(args, "--service", r.serverService(i), "--domain", domainOf(i), "--state", r.stateFile(i, p.starts))
+		args = append(args, r.brittleArgs(i)...)
 		if i%unframedServers == unframedServers-1 {
 			args = append(args, "--unframed")
 		}
 		if i >= r.params.Engines {
 			return args
 		}
-		args = append(args, "--poison", poison, "--poison-part", deadly, "--version", r.engineVersion(i), "--state", r.stateFile(i, p.starts))
+		args = append(args, "--poison", poison, "--poison-part", deadly, "--version", r.engineVersion(i))
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
@@ -266,13 +267,13 @@
 	ip := r.entryIP(i)
 	settings := fmt.Sprintf(`nodeName = "entry-%d"
 ip = "%s"
-zone = "z%d"
+zone = "%s"
 internalPorts = [7380, 7390]
 listen = { frontend = "%s:8100", ready = "%s:8101" }
 limits = { cpuShare = 1.0, cores = 1 }
 bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = %v, budgetWindowS = %v, budgetExtra = %d, revokeFailClosed = true, revokeMs = %d, quotaWindowS = %v, quotaOverage = %v, quotaSlack = %v }
 platform = { address = "%s" }
-`, i, ip, i%3, ip, ip, gracePeriod.Seconds(), holderGapMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), revokeBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, storeProxy.address())
+`, i, ip, domainOf(i), ip, ip, gracePeriod.Seconds(), holderGapMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), revokeBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, storeProxy.address())
 	path := filepath.Join(r.logs, fmt.Sprintf("entry-%d.toml", i))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return errors.Wrap(err, "soak: write settings of an entry instance")
@@ -282,6 +283,12 @@
 	return p.start()
 }
 
+// domainOf returns the failure domain of an entry instance or a server.
+func domainOf(i int) string { return fmt.Sprintf("z%d", i%failureDomains) }
+
+// failureDomains is the number of failure domains.
+const failureDomains = 3
+
 func (r *run) entryIP(i int) string { return fmt.Sprintf("127.2.%d.%d", r.subnet, 1+i) }
 
 func (r *run) entryAddress(i int) string { return r.entryIP(i) + ":8100" }
