Permits and semaphores are looked after by one loop, which does little while no server is brittle

Two loops woke each instance 6.5 times a second although no server was brittle; now one wakes it 1.25 times a second, and 2.5 times while a server is brittle or a semaphore is kept.

--- a/entry/permits.go
+++ b/entry/permits.go
@@ -30,6 +30,8 @@
 	// the first request.
 	gate          *brittle.Gate
 	brittleServer func(s serving.Server) (b brittle.Server, isBrittle bool)
+	// anyBrittle reports whether a server is known to be brittle; set before run.
+	anyBrittle func() bool
 	// reachesHolder reports whether another instance is the holder and answers; set before the first request.
 	reachesHolder func() bool
 	dir           *directory.Directory
@@ -52,6 +54,8 @@
 	permitTimeout = 400 * time.Millisecond
 	// permitRenewInterval is how often permits are renewed: several times in their lifetime.
 	permitRenewInterval = brittle.PermitLifetime / 4
+	// permitIdleInterval is how often an instance looks for permits to renew while it knows of no brittle server.
+	permitIdleInterval = brittle.PermitLifetime / 2
 	// minKeeperRetry and maxKeeperRetry are the first and the longest pause before an instance is tried again that did not
 	// answer.
 	minKeeperRetry, maxKeeperRetry = 200 * time.Millisecond, time.Second
@@ -73,6 +77,7 @@
 	p := newPermits(self, i.dir, i.members, i.follower.pool, i.set)
 	p.local, p.brittleServer, p.reachesHolder = i.service, i.limiter.Brittle, i.follower.reachesOtherHolder
 	p.gate = brittle.NewGate(self, p, i.instanceCount)
+	p.anyBrittle = func() bool { return i.limiter.ledger.CountBrittle() > 0 }
 	return p
 }
 
@@ -291,10 +296,19 @@
 	delete(p.unreachable, k.Address)
 }
 
-// run renews this instance's permits until ctx ends.
+// run renews this instance's permits, and checks the semaphores that it keeps, until ctx ends.
 func (p *permits) run(ctx context.Context) {
-	for pause.For(ctx, permitRenewInterval) {
-		p.renew(ctx)
+	wait := permitIdleInterval
+	for pause.For(ctx, wait) {
+		kept := p.local.semaphores.sweep(clock.Now())
+		isBrittle := p.anyBrittle()
+		if isBrittle {
+			p.renew(ctx)
+		}
+		wait = permitIdleInterval
+		if isBrittle || kept > 0 {
+			wait = permitRenewInterval
+		}
 	}
 }
 
--- a/entry/semaphores.go
+++ b/entry/semaphores.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -10,7 +9,6 @@
 
 	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 )
 
 // semaphores are the semaphores of brittle servers that this instance keeps.
@@ -22,15 +20,14 @@
 	byServer map[string]*brittle.Semaphore
 	// trustedFrom is from when on this instance would have heard of requests that other instances have in flight; guarded by mu.
 	trustedFrom time.Time
-	// lastTick is when run was last active; guarded by mu.
+	// lastTick is when the process was last known to run; guarded by mu.
 	lastTick time.Time
 }
 
 const (
-	// semaphoreTick is how often semaphores are checked, and maxTickGap the longest time between two checks of a process that
-	// was not suspended.
-	semaphoreTick = 250 * time.Millisecond
-	maxTickGap    = time.Second
+	// maxTickGap is the longest time between two checks of a process that was not suspended. It is shorter than the lifetime
+	// of permits.
+	maxTickGap = 1500 * time.Millisecond
 	// semaphoreTrustDelay is how long after its start an instance trusts that it knows what others have in flight: they
 	// renew their permits within that time.
 	semaphoreTrustDelay = 3 * time.Second
@@ -88,15 +85,9 @@
 	}
 }
 
-// run checks the semaphores until ctx ends.
-func (k *semaphores) run(ctx context.Context) {
-	for pause.For(ctx, semaphoreTick) {
-		k.sweep(clock.Now())
-	}
-}
-
-// sweep drops the semaphores that are not used any more.
-func (k *semaphores) sweep(now time.Time) {
+// sweep drops the semaphores that are not used any more, and returns the number of the others. It is called at intervals below
+// maxTickGap.
+func (k *semaphores) sweep(now time.Time) (kept int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.checkSuspension(now)
@@ -105,6 +96,7 @@
 			delete(k.byServer, id)
 		}
 	}
+	return len(k.byServer)
 }
 
 // release ends the use of a permit, and logs a rejection with what the semaphore knows.
