Room at brittle servers is not taken by renewals that arrive late

Found by reading: a renewal of permits that arrives after the release of one of them brought that back for 1.6 s, and what was in flight without permits stayed counted as long after its end.

A semaphore remembers released permits for as long as it would renew them, and an instance sends one renewal more for a server at which it has nothing left.

TestLateRenewalTakesRoom, and 'plain, twice the room' of TestBrittleServersEndOneAfterTheOther with late renewals, failed before.

--- a/command/brittle/gate_test.go
+++ b/command/brittle/gate_test.go
@@ -241,9 +241,11 @@
 		for _, g := range p.gates {
 			for id, r := range g.Renewals(time.Now()) {
 				r.Server = Server{ID: id, Slots: p.slots, Tolerated: p.tolerated}
-				if s := p.keepers.semaphore(r.Server); s != nil {
-					s.Renew(r)
-				}
+				time.AfterFunc(3*p.keepers.hop, func() { // later than releases that are sent after it
+					if s := p.keepers.semaphore(r.Server); s != nil {
+						s.Renew(r)
+					}
+				})
 			}
 		}
 	}
--- a/command/brittle/semaphore.go
+++ b/command/brittle/semaphore.go
@@ -80,6 +80,10 @@
 	mu      sync.Mutex
 	limit   limit                   // guarded by mu
 	permits map[Permit]*permitState // guarded by mu
+	// released are the permits released lately, in the order of their releases: a renewal may arrive after the release of a
+	// permit in it. isReleased has them, too. Both are guarded by mu.
+	released   []releasedPermit
+	isReleased map[Permit]bool
 	// unpermitted are requests in flight without a permit, by instance; guarded by mu.
 	unpermitted map[string]unpermittedRequests
 	// waiting are the requests that wait for a permit, in the order in which they get one; guarded by mu.
@@ -99,6 +103,12 @@
 	doubtful, settled bool
 }
 
+// releasedPermit is a permit, and when it was released.
+type releasedPermit struct {
+	permit Permit
+	at     time.Time
+}
+
 // unpermittedRequests is a number of requests, and until when it holds.
 type unpermittedRequests struct {
 	n       int
@@ -115,7 +125,7 @@
 // NewSemaphore returns a Semaphore without permits. trusted is whether all requests that are in flight at the server will
 // have permits of it.
 func NewSemaphore(s Server, trusted bool) *Semaphore {
-	return &Semaphore{limit: newLimit(s.Slots, s.Tolerated, trusted, clock.Now()), permits: map[Permit]*permitState{}, unpermitted: map[string]unpermittedRequests{}}
+	return &Semaphore{limit: newLimit(s.Slots, s.Tolerated, trusted, clock.Now()), permits: map[Permit]*permitState{}, isReleased: map[Permit]bool{}, unpermitted: map[string]unpermittedRequests{}}
 }
 
 // Acquire asks for a permit, and waits for it for as long as the request may.
@@ -125,22 +135,29 @@
 		s.use(r.Server, r.Moved, now)
 		s.enqueue(w)
 	})
-	timer, recheck := time.NewTimer(r.Wait), time.NewTicker(recheckInterval)
+	if r.Wait > 0 {
+		s.await(ctx, w, r.Wait)
+	}
+	return s.result(w)
+}
+
+// await waits until a permit is granted, for the given time at most.
+func (s *Semaphore) await(ctx context.Context, w *waiter, wait time.Duration) {
+	timer, recheck := time.NewTimer(wait), time.NewTicker(recheckInterval)
 	defer timer.Stop()
 	defer recheck.Stop()
-	for waits := r.Wait > 0; waits; {
+	for {
 		select {
-		case <-w.granted:
-			waits = false
 		case <-recheck.C:
 			s.update(func(time.Time) {})
+		case <-w.granted:
+			return
 		case <-timer.C:
-			waits = false
+			return
 		case <-ctx.Done():
-			waits = false
+			return
 		}
 	}
-	return s.result(w)
 }
 
 // Accept records that the server has accepted the request of a permit that is in doubt.
@@ -166,6 +183,7 @@
 			state = &permitState{granted: now, level: s.inFlight() + 1}
 		}
 		delete(s.permits, p)
+		s.released, s.isReleased[p] = append(s.released, releasedPermit{p, now}), true
 		s.turnover.end(now)
 		switch o {
 		case Accepted:
@@ -184,6 +202,9 @@
 		s.use(r.Server, r.Moved, now)
 		for _, number := range r.Permits {
 			p := Permit{Instance: r.Instance, Number: number}
+			if s.isReleased[p] {
+				continue
+			}
 			if s.permits[p] == nil {
 				s.permits[p] = &permitState{granted: now, settled: true}
 			}
@@ -281,6 +302,10 @@
 			state.settled = true
 		}
 	}
+	for len(s.released) > 0 && now.Sub(s.released[0].at) >= PermitLifetime {
+		delete(s.isReleased, s.released[0].permit)
+		s.released = s.released[1:]
+	}
 	for instance, u := range s.unpermitted {
 		if !now.Before(u.expires) {
 			delete(s.unpermitted, instance)
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -36,6 +36,9 @@
 	reachesHolder func() bool
 	dir           *directory.Directory
 	set           *metrics.Set
+	// renewed are the brittle servers at which this instance had something in flight at the last renewal, by ID; used by run
+	// only.
+	renewed map[string]brittle.Server
 
 	mu sync.Mutex
 	// unreachable are the addresses of instances that do not answer; guarded by mu.
@@ -312,29 +315,41 @@
 	}
 }
 
-// renew tells the instances that keep semaphores what this one has in flight.
+// renew tells the instances that keep semaphores what this one has in flight, and for servers at which nothing is any more,
+// that.
 func (p *permits) renew(ctx context.Context) {
-	byKeeper, args := map[string]member{}, map[string]*RenewPermitsArgs{}
-	for id, r := range p.gate.Renewals(clock.Now()) {
+	inFlight, renewed := p.gate.Renewals(clock.Now()), map[string]brittle.Server{}
+	args := map[member]*RenewPermitsArgs{}
+	for id, r := range inFlight {
 		server, _ := p.dir.Server(id)
-		s, isBrittle := p.brittleServer(server)
-		if !isBrittle {
-			continue
+		if s, isBrittle := p.brittleServer(server); isBrittle {
+			renewed[id] = s
+			p.addRenewal(ctx, args, s, r)
 		}
-		list := p.candidates(ctx, s)
-		if len(list) == 0 || p.isIsolatedSubstitute(list[0]) {
-			continue
-		}
-		k := list[0].member
-		if args[k.Address] == nil {
-			byKeeper[k.Address], args[k.Address] = k, &RenewPermitsArgs{}
+	}
+	for id, s := range p.renewed {
+		if _, found := inFlight[id]; !found {
+			p.addRenewal(ctx, args, s, brittle.Renewal{Instance: p.self})
 		}
-		r.Server, r.Moved, r.Substitute = s, p.hasMoved(id, k), list[0].substitute
-		args[k.Address].Renewals = append(args[k.Address].Renewals, r)
 	}
-	for address, k := range byKeeper {
-		go p.renewAt(k, args[address])
+	p.renewed = renewed
+	for k, a := range args {
+		go p.renewAt(k, a)
+	}
+}
+
+// addRenewal adds the renewal of the permits for a server to what is sent to the instance that keeps its semaphore.
+func (p *permits) addRenewal(ctx context.Context, args map[member]*RenewPermitsArgs, s brittle.Server, r brittle.Renewal) {
+	list := p.candidates(ctx, s)
+	if len(list) == 0 || p.isIsolatedSubstitute(list[0]) {
+		return
+	}
+	k := list[0]
+	if args[k.member] == nil {
+		args[k.member] = &RenewPermitsArgs{}
 	}
+	r.Server, r.Moved, r.Substitute = s, p.hasMoved(s.ID, k.member), k.substitute
+	args[k.member].Renewals = append(args[k.member].Renewals, r)
 }
 
 // renewAt renews permits at one instance.
