--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -121,3 +121,17 @@
 		}
 	})
 }
+
+// TestLimitedServersHeldBackUntilDeadline guards against clients that return at once to servers with a Retry-After.
+func TestLimitedServersHeldBackUntilDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, reply{status: 200, body: "done"})
+		soon := time.Now().Add(10 * time.Millisecond)
+		f.limiter.retryAfterUntil = map[string]time.Time{"e1": soon, "e2": soon}
+		f.placer.place, f.placer.delay = Place{Engine: "e1", Ready: time.Now()}, time.Minute
+		_, failure := f.serve("stream", "warm", 2*time.Second)
+		if failure == nil || failure.Reason != verdict.ReasonDeadline || failure.RetryAfter <= maxTurnWait {
+			t.Errorf("%+v, want a refusal with a Retry-After of over %s", failure, maxTurnWait)
+		}
+	})
+}
--- a/command/forward/refusal.go
+++ b/command/forward/refusal.go
@@ -95,3 +95,20 @@
 	}
 	return allowed
 }
+
+// returnAfterDeadline returns when the client of a request whose time is over before it was sent may try again.
+func (t *transaction) returnAfterDeadline() time.Duration {
+	at := t.serverLimits.nextAvailable
+	switch {
+	case at.IsZero():
+		return t.f.params.RetryPause
+	case len(t.search.full) > 0:
+		return max(t.search.returnAfter(), clock.Until(at))
+	default:
+		return max(heldBackRetryAfter, clock.Until(at))
+	}
+}
+
+// heldBackRetryAfter is the shortest Retry-After of a request that servers with a limit or a Retry-After held back until its
+// time was over. It is longer than maxTurnWait.
+const heldBackRetryAfter = 1200 * time.Millisecond
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -249,14 +249,6 @@
 	return &f
 }
 
-// returnAfterDeadline returns when the client of a request whose time is over before it was sent may try again.
-func (t *transaction) returnAfterDeadline() time.Duration {
-	if at := t.serverLimits.nextAvailable; !at.IsZero() {
-		return max(t.search.returnAfter(), clock.Until(at)) // servers held the request back
-	}
-	return t.f.params.RetryPause
-}
-
 // attempt sends the request to a server and relays the answer. answered states that the client has
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
