An instance that has just started does not quarantine by one isolated run before others have reported

Cause: all instances had been killed a moment before. The one at which the isolated run ended knew of no other suspect, so the end counted at once, although the request that crashed all these engines had run there as well.

For its first 10 s an instance keeps such an end undecided for 2.5 s, as it does where it knows of another suspect. The request does not run meanwhile.

The tests of poison requests and parts in ./entry pass. Two of them recorded ends and looked at once: entry TestIsolatedRunOnFailingServer and TestQuarantinedIsRefused wait until that is decided, and check what they did.

--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -62,7 +62,7 @@
 	default:
 		update.Crashes = []Incarnation{IncarnationOf(b.Server)}
 		switch {
-		case b.Isolated && l.needsConfirmation(b):
+		case b.Isolated && l.needsConfirmation(b, now):
 			i := b.Identity()
 			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints()}}
 		case b.Isolated:
--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -43,3 +43,24 @@
 	restarted.DecidePending(start.Add(confirmationDelay))
 	checkAssessed(t, restarted, "after a restart", identity("sound-2", "shared:1"), "", Suspect)
 }
+
+// TestRequestAfterRestartBesideUnknownCause guards against quarantining a request that many clients send at an instance that was
+// restarted and hears of the request that crashed all these servers only later (soak seed 133).
+func TestRequestAfterRestartBesideUnknownCause(t *testing.T) {
+	for _, cause := range []bool{false, true} {
+		l := NewLedgerOfInstance(start.Add(-newLedgerTime / 2))
+		for n := range QuarantineAfter {
+			l.RecordCrash(BrokenAttempt{Fingerprint: "shared", Server: server(n), Isolated: n == QuarantineAfter-1}, start)
+		}
+		checkAssessed(t, l, "before others have reported", identity("shared"), "", Suspect)
+		for n := 0; cause && n < QuarantineAfter; n++ {
+			l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n)}, start)
+		}
+		l.DecidePending(start.Add(confirmationDelay))
+		want := Quarantined
+		if cause {
+			want = Suspect
+		}
+		checkAssessed(t, l, fmt.Sprintf("another cause: %t", cause), identity("shared"), "", want)
+	}
+}
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -33,6 +33,8 @@
 type Ledger struct {
 	// id distinguishes this ledger from those of other instances and of earlier processes of this one.
 	id uint64
+	// startedAt is when the instance started; the zero time if it has all records.
+	startedAt time.Time
 
 	mu      sync.Mutex
 	records map[serving.Fingerprint]*record // guarded by mu
@@ -61,6 +63,13 @@
 	}
 }
 
+// NewLedgerOfInstance returns the empty ledger of an instance that starts now: other instances may know of more.
+func NewLedgerOfInstance(now time.Time) *Ledger {
+	l := NewLedger()
+	l.startedAt = now
+	return l
+}
+
 // RecordAnswer records that the request was answered. The request is cleared, and crashes reported
 // shortly afterwards do not count against it. RecordAnswer returns the previous state, and whether any
 // crash counted against the request.
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -45,9 +45,16 @@
 	ambiguous bool
 }
 
+// newLedgerTime is how long after its start an instance may not know of suspects that other instances knew of which have
+// failed, or that it knew of before.
+const newLedgerTime = 4 * confirmationDelay
+
 // needsConfirmation reports whether a crash during an isolated run has to be kept pending, because
-// another suspect was running at crashes that count against the request. l.mu must be held.
-func (l *Ledger) needsConfirmation(b BrokenAttempt) bool {
+// another suspect was running at crashes that count against the request, or may have been. l.mu must be held.
+func (l *Ledger) needsConfirmation(b BrokenAttempt, now time.Time) bool {
+	if now.Sub(l.startedAt) < newLedgerTime {
+		return true
+	}
 	known := l.records[b.Fingerprint]
 	return known != nil && l.sharesCrashWithSuspect(known)
 }
--- a/entry/crashcheck_test.go
+++ b/entry/crashcheck_test.go
@@ -44,7 +44,11 @@
 		r.crashes.RecordBrokenAnswer(isolated)
 		r.crashes.recordEnd(quarantine.IncarnationOf(s), "test")
 	}
-	record, _ := r.quarantine.ledger.Record("isolated", clock.Now())
+	var record quarantine.Record
+	f.await("isolated runs decided", func() bool {
+		record, _ = r.quarantine.ledger.Record("isolated", clock.Now())
+		return len(record.Pending) == 0
+	})
 	if len(record.Crashes) != 2 || len(record.Alone) != 1 || record.Alone[0].Server != "e2" {
 		t.Errorf("crashes %v, %v of isolated runs; want both, and that of the run that began before", record.Crashes, record.Alone)
 	}
--- a/entry/follower.go
+++ b/entry/follower.go
@@ -168,7 +168,7 @@
 	return &follower{
 		name: name, holder: h, dir: dir, pool: pool, members: m, log: log,
 		arrivals: map[string]*holder.Arrivals{}, running: map[unitOnEngine]int{}, waiting: map[string]map[*waitingRequest]struct{}{}, cachedPlaces: map[forward.PlaceRequest]cachedPlace{}, instances: assumedInstances, minInterval: exchangeInterval,
-		reportRequested: make(chan struct{}, 1), ledger: quarantine.NewLedger(), shares: quota.NewShares(0), desk: waitlist.NewDesk(), onEscalations: func([]quarantine.Escalation) {},
+		reportRequested: make(chan struct{}, 1), ledger: quarantine.NewLedgerOfInstance(clock.Now()), shares: quota.NewShares(0), desk: waitlist.NewDesk(), onEscalations: func([]quarantine.Escalation) {},
 		reached: func() float64 { return 1 }, reachesEngine: func(context.Context) bool { return true },
 	}
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -126,6 +126,7 @@
 	r := f.instances[0]
 	req := &serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x?q=1", Body: []byte("body")}
 	recordCrashes(r, serving.FingerprintOf(req, ""), quarantine.QuarantineAfter)
+	f.await("quarantined", f.allInState(serving.FingerprintOf(req, ""), quarantine.Quarantined))
 	a := f.request(r, "stream", "m4")
 	if a.status != http.StatusBadRequest || a.retryAfter != 0 || f.runs(a.id) != 0 {
 		t.Errorf("%+v, ran %d times, want 400 without Retry-After", a, f.runs(a.id))
