--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,13 +1,12 @@
-// Command 1 shows what becomes of streams that are in progress when a software version of engines
-// joins, and that requesters take up at other instances; see claim.txt.
+// Command 1 shows what becomes of requests that must not be repeated when engines give some of their
+// answers twice; see claim.txt.
 package main
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/martenport/martenport/review/lab"
@@ -15,32 +14,58 @@
 
 const (
 	service = "redacteur"
-	model   = "m0"
-	host    = "agents.example"
-	path    = "/reply/1"
+	host    = "briefs.example"
+	path    = "/brief/1"
 
-	streams   = 24
-	events    = 58
-	pace      = 140 * time.Millisecond
-	budget    = 12 * time.Second
-	attempts  = 4
-	sendAfter = 8 * time.Second
-	joinAfter = 1500 * time.Millisecond
-	killAfter = 3500 * time.Millisecond
+	// Each engine has room for three of the models.
+	engineCount = 9
+	models      = 45
+	requests    = 350
+	// Every gap some models are asked for at once, the least recently asked for first.
+	atOnce    = 5
+	gap       = 1150 * time.Millisecond
+	events    = 6
+	pace      = 40 * time.Millisecond
+	budget    = 25 * time.Second
+	sendAfter = 6 * time.Second
+
+	// warmLoad is how long a load takes alone, and slowerBy the part by which each other load makes it longer.
+	warmLoad = 380 * time.Millisecond
+	slowerBy = 0.08
+
+	// faulty engines give one of repeatEvery answers twice, for faultyFor of each faultyPeriod.
+	faulty       = 5
+	repeatEvery  = 16
+	faultyFor    = 5 * time.Second
+	faultyPeriod = 6 * time.Second
 )
 
+// faults decides which answers are given twice.
+type faults struct {
+	began   time.Time
+	answers atomic.Int64
+}
+
+func (f *faults) repeat(string) bool {
+	return time.Since(f.began)%faultyPeriod < faultyFor && f.answers.Add(1)%repeatEvery == repeatEvery/3
+}
+
 func config() map[string]any {
+	var list []any
+	for m := range models {
+		list = append(list, map[string]any{"name": fmt.Sprintf("m%d", m), "weightsMb": 65100, "loadS": 6.0, "adapters": 0, "warmS": 0.38, "diskS": 0.76})
+	}
 	return map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
-			"name": "r-reply", "host": host, "pathPrefix": "/reply/", "routeType": "streaming", "timeoutMs": 12000, "goalMs": 400,
-			"priority": 1, "service": service, "attempts": 2, "sticky": true, "resumable": true, "gapTargetMs": 300,
+			"name": "r-brief", "host": host, "pathPrefix": "/brief/", "routeType": "streaming", "timeoutMs": 25000, "goalMs": 2500,
+			"priority": 0, "service": service, "attempts": 1, "sticky": true, "resumable": false, "gapTargetMs": 300,
 		}},
 		"services": []any{map[string]any{
 			"name": service, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
-				"slots": 64, "kvCapacity": 156843, "moves": true, "backups": true, "handle_s": 5.0, "hostMb": 150000.0, "diskMb": 1300000.0,
-				"models":    []any{map[string]any{"name": model, "weightsMb": 65100, "loadS": 6.0, "adapters": 0, "warmS": 0.38, "diskS": 0.76}},
+				"slots": 64, "kvCapacity": 156843, "moves": true, "backups": true, "handle_s": 5.0, "hostMb": 3000000.0, "diskMb": 1300000.0,
+				"models":    list,
 				"weightsMb": 220000, "adapterSlots": 8, "loadsPerS": 3.1,
 			},
 		}},
@@ -48,67 +73,6 @@
 	}
 }
 
-// stream is one requester's stream over all its attempts.
-type stream struct {
-	number    int
-	first     string // the attempt that brought the first event
-	last      int    // the last event seen
-	deadline  time.Time
-	takenUp   bool
-	goesOn    bool
-	completed bool
-}
-
-type caseRun struct {
-	record *lab.Record
-	fleet  *lab.Fleet
-	mu     sync.Mutex
-}
-
-// begin sends the first attempt of a stream.
-func (c *caseRun) begin(s *stream, at *lab.Instance) {
-	s.deadline = time.Now().Add(budget)
-	c.send(s, at, lab.Attempt{ID: fmt.Sprintf("%08x0", s.number)})
-}
-
-// send sends one attempt and records what it brings.
-func (c *caseRun) send(s *stream, at *lab.Instance, a lab.Attempt) lab.Answer {
-	a.Host, a.Path, a.Model, a.Body, a.Budget = host, path, model, "hello", time.Until(s.deadline)
-	c.record.Note("attempt %s is sent to %s, after event %q of %q", a.ID, at.Name, a.LastEventID, a.Resumes)
-	answer := lab.Send(context.Background(), at.Frontend(), a, func(e lab.Event) {
-		n, _ := strconv.Atoi(e.ID)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if s.last == 0 {
-			s.first = a.ID
-		}
-		if a.LastEventID != "" && n == s.last+1 {
-			s.goesOn = true
-		}
-		s.last = max(s.last, n)
-	})
-	c.mu.Lock()
-	s.completed = s.completed || answer.Status == 200 && answer.Complete && s.last == events
-	c.mu.Unlock()
-	c.record.Note("attempt %s ends: status %d, Retry-After %q, %d events, complete %v, %v %s", a.ID, answer.Status, answer.RetryAfter, len(answer.Events), answer.Complete, answer.Err, answer.Body)
-	return answer
-}
-
-// takeUp takes a stream up whose channel has broken, a few times, at the given instances in turn.
-func (c *caseRun) takeUp(s *stream, at []*lab.Instance) {
-	s.takenUp = true
-	for n := 1; n <= attempts && time.Until(s.deadline) > time.Second && !s.completed; n++ {
-		answer := c.send(s, at[(s.number+n)%len(at)], lab.Attempt{ID: fmt.Sprintf("%08x%d", s.number, n), LastEventID: strconv.Itoa(s.last), Resumes: s.first})
-		wait, err := strconv.ParseFloat(answer.RetryAfter, 64)
-		if err != nil {
-			wait = 0.3
-		}
-		if answer.Status != 200 {
-			time.Sleep(time.Duration(min(wait, time.Until(s.deadline).Seconds()/3) * float64(time.Second)))
-		}
-	}
-}
-
 func main() { lab.Main(run) }
 
 func run(r *lab.Record, trouble bool) (bool, error) {
@@ -117,23 +81,31 @@
 		return false, err
 	}
 	defer fleet.Close()
-	c := &caseRun{record: r, fleet: fleet}
 	fleet.Store.Put("config", "main", config())
-	engine := func(n int, version string, models ...string) error {
-		_, err := fleet.AddEngine(100+n, lab.EngineParams{
-			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: []string{"mtl-a", "mtl-b", "mtl-c"}[n%3], Version: version, Slots: 64,
-			Models: models, Events: events, Pace: pace, ReportLag: 200 * time.Millisecond,
-		})
-		return err
-	}
-	for n := range 3 {
-		if err := engine(n, "v1", model); err != nil {
+	var list []string
+	for m := range models {
+		list = append(list, fmt.Sprintf("m%d", m))
+	}
+	var engines []*lab.Engine
+	zones := []string{"mtl-a", "mtl-b", "mtl-c"}
+	f := &faults{began: time.Now()}
+	for n := range engineCount {
+		p := lab.EngineParams{
+			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: zones[n%3], Version: "v1", Slots: 64, Models: []string{fmt.Sprintf("m%d", n)},
+			InMemory: list, Events: events, Pace: pace, ReportLag: 200 * time.Millisecond, LoadTime: warmLoad, SlowerBy: slowerBy,
+		}
+		if trouble && n < faulty {
+			p.Repeat = f.repeat
+		}
+		e, err := fleet.AddEngine(100+n, p)
+		if err != nil {
 			return false, err
 		}
+		engines = append(engines, e)
 	}
 	var instances []*lab.Instance
 	for n := range 3 {
-		i, err := fleet.AddInstance([]string{"mtl-a", "mtl-b", "mtl-c"}[n])
+		i, err := fleet.AddInstance(zones[n])
 		if err != nil {
 			return false, err
 		}
@@ -144,59 +116,56 @@
 	}
 	time.Sleep(sendAfter)
 
-	var running, others sync.WaitGroup
-	var all []*stream
-	for n := range streams {
-		s := &stream{number: n + 1}
-		all = append(all, s)
-		running.Go(func() { c.begin(s, instances[0]) })
-	}
-	time.Sleep(joinAfter)
-	if trouble {
-		if err := engine(3, "v2"); err != nil { // an engine that starts holds nothing
-			return false, err
-		}
-	}
-	time.Sleep(killAfter - joinAfter)
-	instances[0].Kill()
-	running.Wait()
-	for _, s := range all {
-		if s.last == 0 || s.completed {
-			return false, fmt.Errorf("stream %d was not in progress when its channel broke", s.number)
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	statuses := map[string]int{}
+	for n := range requests {
+		a := lab.Attempt{ID: fmt.Sprintf("%08x", n+1), Host: host, Path: path, Model: fmt.Sprintf("m%d", n%models), Body: "hello", Budget: budget}
+		sending.Go(func() {
+			r.Note("attempt %s for %s is sent to %s", a.ID, a.Model, instances[n%3].Name)
+			answer := lab.Send(context.Background(), instances[n%3].Frontend(), a, nil)
+			mu.Lock()
+			statuses[a.ID] = answer.Status
+			mu.Unlock()
+			r.Note("attempt %s ends: status %d, seal %s, %d events, complete %v, %v %s", a.ID, answer.Status, answer.Seal, len(answer.Events), answer.Complete, answer.Err, answer.Body)
+		})
+		if n%atOnce == atOnce-1 {
+			time.Sleep(gap)
 		}
-		others.Go(func() { c.takeUp(s, instances[1:]) })
 	}
-	time.Sleep(500 * time.Millisecond)
-	if err := instances[0].Start(); err != nil {
-		return false, err
-	}
-	var fresh []*stream
-	for n := range streams {
-		s := &stream{number: 1000 + n}
-		fresh = append(fresh, s)
-		others.Go(func() { c.begin(s, instances[1+n%2]) })
-	}
-	others.Wait()
+	sending.Wait()
+	time.Sleep(time.Second)
 
-	goOn, begin := 0, 0
-	for _, s := range all {
-		if s.goesOn {
-			goOn++
+	runs := map[string][]lab.Run{}
+	rejected, repeated, answers := 0, 0, 0
+	for n, e := range engines {
+		for _, run := range e.Runs() {
+			runs[run.Request] = append(runs[run.Request], run)
 		}
-	}
-	for _, s := range fresh {
-		if s.last > 0 {
-			begin++
+		x, y := e.Rejected()
+		rejected, repeated = rejected+x, repeated+y
+		if n < faulty {
+			answers += x + len(e.Runs())
 		}
 	}
-	for _, i := range instances {
-		for _, l := range i.Lines("client takes a stream up")[:min(2, len(i.Lines("client takes a stream up")))] {
-			r.Note("log of %s: %s", i.Name, l)
+	twice := 0
+	for id, list := range runs {
+		if len(list) > 1 {
+			twice++
+			r.Note("request %s ran %d times:", id, len(list))
+			for _, run := range list {
+				r.Note("    at %s from %s to %s", run.Server, run.Began.Format(time.StampMilli), run.Ended.Format(time.StampMilli))
+			}
 		}
 	}
-	r.Say("streams taken up: %d, of which go on: %d; new streams meanwhile: %d, of which begin: %d", len(all), goOn, len(fresh), begin)
-	if begin < len(fresh)/2 {
-		return false, errors.New("new streams do not begin either")
+	refused := 0
+	for id, status := range statuses {
+		if status == 503 && len(runs[id]) > 0 {
+			refused++
+			r.Note("request %s ran and was answered 503", id)
+		}
 	}
-	return float64(goOn)/float64(len(all)) < 0.5*float64(begin)/float64(len(fresh)), nil
+	r.Say("requests that must not be repeated: %d, turned away %d times; the faulty engines gave %d of %d answers twice; requests that ran more than once: %d, that ran and were answered 503: %d",
+		requests, rejected, repeated, answers, twice, refused)
+	return twice > 0, nil
 }
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -1,11 +1,13 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +27,7 @@
 	// Events is the number of events made, and Truncated when the server broke its answer off.
 	Events    int
 	Truncated time.Time
+	model     string
 }
 
 // EngineParams describe an engine.
@@ -32,6 +35,8 @@
 	ID, Service, Zone, Version string
 	Slots                      int
 	Models                     []string
+	// InMemory are the models whose weights the engine has in memory or on disk.
+	InMemory []string
 	// Events is the number of events of a stream, and Pace the time between two of them.
 	Events int
 	Pace   time.Duration
@@ -41,6 +46,13 @@
 	// run goes on for Linger after that.
 	Truncate func(request string) time.Duration
 	Linger   time.Duration
+	// LoadTime is how long a load takes, and SlowerBy the fraction by which it is longer for each other load that runs on
+	// the engines.
+	LoadTime time.Duration
+	SlowerBy float64
+	// Repeat reports whether the answer to a request is to be given once more, late: at the point where the next answer
+	// on its channel is expected.
+	Repeat func(request string) bool
 }
 
 // Engine is a stand-in of a model engine.
@@ -55,14 +67,20 @@
 	sequence int
 	beats    int
 	busy     bool
-	runs     []*Run
-	backups  map[string]int
+	// loading is the model of the order that is being carried out, "" if there is none.
+	loading string
+	runs    []*Run
+	// rejected is the number of requests that were turned away, and repeated that of answers given twice.
+	rejected, repeated int
+	backups            map[string]int
 }
 
 // engines are all engines of the process by address: they hand each other copies of runs' memory.
 var (
 	enginesMu sync.Mutex
 	engines   = map[string]*Engine{}
+	// loads is the number of loads that run on all engines.
+	loads int
 )
 
 // AddEngine starts an engine on a machine of its own, and lets it announce itself.
@@ -78,7 +96,7 @@
 	enginesMu.Lock()
 	engines[e.address] = e
 	enginesMu.Unlock()
-	f.serve(l, e)
+	f.serve(repeatingListener{l}, e)
 	f.record.Note("engine %s of version %s at %s announces itself", p.ID, p.Version, e.address)
 	e.announce()
 	go func() {
@@ -112,6 +130,7 @@
 	entry := map[string]any{
 		"service": e.Service, "address": e.address, "zone": e.Zone, "version": e.Version, "slots": e.Slots, "state": "ready",
 		"coldLeftMs": 0, "stage": "unified", "models": e.modelList(), "sequence": e.beats, "born": e.born.UnixMilli(),
+		"available": map[string]any{"inMemory": e.InMemory, "onDisk": e.InMemory},
 	}
 	e.mu.Unlock()
 	e.fleet.Store.Put("servers", e.ID, entry)
@@ -164,13 +183,28 @@
 	answer := map[string]any{
 		"stage": "unified", "models": e.modelList(), "busy": e.busy, "sequence": e.sequence, "queued": 0, "running": len(list),
 		"kvUsed": 1000 * len(list), "kvTotal": 156843, "handles": 0, "state": "ready", "next": 0, "runs": list, "born": e.born.UnixMilli(),
+		"available": map[string]any{"inMemory": e.InMemory, "onDisk": e.InMemory},
 	}
 	e.mu.Unlock()
 	reply(w, http.StatusOK, answer)
 }
 
-// loadTime is how long a load from memory takes.
-const loadTime = 380 * time.Millisecond
+// defaultLoadTime is how long a load from memory takes.
+const defaultLoadTime = 380 * time.Millisecond
+
+// beginLoad counts a load and returns how long it takes.
+func (e *Engine) beginLoad() time.Duration {
+	enginesMu.Lock()
+	defer enginesMu.Unlock()
+	loads++
+	return time.Duration(float64(cmp.Or(e.LoadTime, defaultLoadTime)) * (1 + e.SlowerBy*float64(loads-1)))
+}
+
+func endLoad() {
+	enginesMu.Lock()
+	defer enginesMu.Unlock()
+	loads--
+}
 
 // order carries an order out.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -194,20 +228,43 @@
 		return
 	}
 	e.sequence++
-	e.busy = true
-	time.AfterFunc(loadTime, func() {
+	if !load {
+		e.unload(o.Model)
+		w.WriteHeader(http.StatusAccepted)
+		return
+	}
+	e.busy, e.loading = true, o.Model
+	took := e.beginLoad()
+	e.fleet.record.Note("engine %s loads %s in %v", e.ID, o.Model, took)
+	time.AfterFunc(took, func() {
+		endLoad()
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.busy = false
-		if load {
-			e.models[o.Model] = true
-		} else {
-			delete(e.models, o.Model)
-		}
+		e.busy, e.loading = false, ""
+		e.models[o.Model] = true
 	})
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// unload drops a model. Its runs have to end first. e.mu must be held.
+func (e *Engine) unload(model string) {
+	e.busy = true
+	go func() {
+		for {
+			e.mu.Lock()
+			active := slices.ContainsFunc(e.runs, func(r *Run) bool { return r.model == model && r.Ended.IsZero() })
+			if !active {
+				delete(e.models, model)
+				e.busy = false
+				e.mu.Unlock()
+				return
+			}
+			e.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+		}
+	}()
+}
+
 func notExecuted(w http.ResponseWriter) {
 	w.Header().Set("Martenport-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -219,6 +276,10 @@
 	model, _, _ := strings.Cut(r.Header.Get("Martenport-Model"), "/")
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.loading == model {
+		e.reject(w, r, id)
+		return nil, false
+	}
 	if !e.models[model] {
 		w.Header().Set("Martenport-Instance-Id", e.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -241,11 +302,31 @@
 		}
 		delete(e.backups, id)
 	}
-	run := &Run{Request: id, Server: e.ID, Began: time.Now()}
+	run := &Run{Request: id, Server: e.ID, Began: time.Now(), model: model}
 	e.runs = append(e.runs, run)
 	return run, true
 }
 
+// reject turns a request away that an order in progress concerns. e.mu must be held.
+func (e *Engine) reject(w http.ResponseWriter, r *http.Request, id string) {
+	e.rejected++
+	e.fleet.record.Note("engine %s turns %s away, its model is being loaded", e.ID, id)
+	w.Header().Set("Martenport-Attempt-Id", id)
+	if c, ok := r.Context().Value(connKey{}).(*repeatingConn); ok && e.Repeat != nil && e.Repeat(id) {
+		e.repeated++
+		e.fleet.record.Note("engine %s will give its answer to %s once more on this channel, late", e.ID, id)
+		c.repeat("HTTP/1.1 503 Service Unavailable\r\nMartenport-Attempt-Id: " + id + "\r\nMartenport-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+	}
+	notExecuted(w)
+}
+
+// Rejected returns the number of requests that were turned away, and of answers that were given twice.
+func (e *Engine) Rejected() (rejected, repeated int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rejected, e.repeated
+}
+
 // stream runs a request and answers with a stream of events.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -77,7 +77,7 @@
 }
 
 func (f *Fleet) serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h}
+	s := &http.Server{Handler: h, ConnContext: connContext}
 	f.mu.Lock()
 	f.servers = append(f.servers, s)
 	f.mu.Unlock()
