--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,57 +1,61 @@
-// Command 3 shows what becomes of streams that must not be repeated when their engine breaks off its
-// answers soon after the first event; see claim.txt.
+// Command 3 shows what becomes of an instance to which requesters send bodies of the size that the
+// configuration allows; see claim.txt.
 package main
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"fmt"
+	"os"
+	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/martenport/martenport/review/lab"
 )
 
 const (
-	service = "redacteur"
-	model   = "m0"
-	host    = "briefs.example"
-	path    = "/brief/1"
+	service = "aiguilleur"
+	host    = "notices.example"
+	path    = "/cancel/1"
 
-	streams   = 240
-	gap       = 160 * time.Millisecond
-	events    = 58
-	pace      = 50 * time.Millisecond
-	budget    = 25 * time.Second
-	sendAfter = 6 * time.Second
-	// reportLag is the age of the values in the engines' reports, and breakOff when a faulty engine breaks
-	// an answer off, after its first event.
-	reportLag = 400 * time.Millisecond
-	breakOff  = 300 * time.Millisecond
-	// brokenOffEvery is how many answers of the faulty engine there are to one that it breaks off.
-	brokenOffEvery = 50
-	// overlap is how long two engines may work on a request.
-	overlap = 400 * time.Millisecond
+	requesters = 100
+	maxBody    = 4194304
+	smallBody  = 600
+	budget     = 4 * time.Second
+	// perRequester is the number of requests that each requester sends on its kept channel.
+	perRequester = 3
+	restartAfter = 500 * time.Millisecond
+	// tolerated is how many requests may be passed on and end with their kept channel.
+	tolerated = 3
 )
 
 func config() map[string]any {
 	return map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
-			"name": "r-brief", "host": host, "pathPrefix": "/brief/", "routeType": "streaming", "timeoutMs": 25000, "goalMs": 2500,
-			"priority": 0, "service": service, "attempts": 1, "sticky": true, "resumable": false, "gapTargetMs": 300,
+			"name": "r-cancel", "host": host, "pathPrefix": "/cancel/", "routeType": "unsafe", "timeoutMs": 4000, "goalMs": 300,
+			"priority": 2, "service": service, "attempts": 1,
 		}},
-		"services": []any{map[string]any{
-			"name": service, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
-			"engine": map[string]any{
-				"slots": 64, "kvCapacity": 156843, "moves": true, "backups": true, "handle_s": 5.0, "hostMb": 150000.0, "diskMb": 1300000.0,
-				"models":    []any{map[string]any{"name": model, "weightsMb": 65100, "loadS": 6.0, "adapters": 0, "warmS": 0.38, "diskS": 0.76}},
-				"weightsMb": 220000, "adapterSlots": 8, "loadsPerS": 3.1,
-			},
-		}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	}
+}
+
+// resident returns the memory of a process in MB.
+func resident(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range bytes.Lines(text) {
+		if rest, found := strings.CutPrefix(string(line), "VmRSS:"); found {
+			kb, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")))
+			return kb >> 10
+		}
 	}
+	return 0
 }
 
 func main() { lab.Main(run) }
@@ -63,30 +67,19 @@
 	}
 	defer fleet.Close()
 	fleet.Store.Put("config", "main", config())
-	var engines []*lab.Engine
+	var servers []*lab.Plain
 	for n := range 3 {
-		p := lab.EngineParams{
-			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: []string{"mtl-a", "mtl-b", "mtl-c"}[n], Version: "v1", Slots: 64,
-			Models: []string{model}, Events: events, Pace: pace, ReportLag: reportLag, Linger: 1500 * time.Millisecond,
-		}
-		if trouble && n == 0 {
-			var answers atomic.Int64
-			p.Truncate = func(string) time.Duration {
-				if answers.Add(1)%brokenOffEvery == brokenOffEvery/2 {
-					return breakOff
-				}
-				return 0
-			}
-		}
-		e, err := fleet.AddEngine(100+n, p)
+		server, err := fleet.AddPlain(100+n, lab.PlainParams{
+			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: []string{"mtl-a", "mtl-b", "mtl-c"}[n], Slots: 6, Queue: 24, Work: 60 * time.Millisecond,
+		})
 		if err != nil {
 			return false, err
 		}
-		engines = append(engines, e)
+		servers = append(servers, server)
 	}
 	var instances []*lab.Instance
-	for n := range 3 {
-		i, err := fleet.AddInstance([]string{"mtl-a", "mtl-b", "mtl-c"}[n])
+	for _, zone := range []string{"mtl-a", "mtl-b", "mtl-c"} {
+		i, err := fleet.AddInstance(zone)
 		if err != nil {
 			return false, err
 		}
@@ -95,54 +88,93 @@
 	if err := fleet.AwaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	time.Sleep(sendAfter)
-
+	time.Sleep(3 * time.Second)
+	size := smallBody
+	if trouble {
+		size = maxBody
+	}
+	body := strings.Repeat("x", size)
+	c := &caseRun{record: r, instance: instances[0], answered: map[string]bool{}, closed: map[string]bool{}}
+	monitor, stopMonitor := context.WithCancel(context.Background())
+	defer stopMonitor()
+	var watching sync.WaitGroup
+	watching.Go(func() { c.guardMemory(monitor) })
 	var sending sync.WaitGroup
-	for n := range streams {
-		a := lab.Attempt{ID: fmt.Sprintf("%08x", n+1), Host: host, Path: path, Model: model, Body: "hello", Budget: budget}
-		sending.Go(func() {
-			r.Note("attempt %s is sent to %s", a.ID, instances[n%3].Name)
-			answer := lab.Send(context.Background(), instances[n%3].Frontend(), a, nil)
-			r.Note("attempt %s ends: status %d, seal %s, %d events, complete %v, %v %s", a.ID, answer.Status, answer.Seal, len(answer.Events), answer.Complete, answer.Err, answer.Body)
-		})
-		time.Sleep(gap)
+	for n := range requesters {
+		sending.Go(func() { c.request(n, body) })
 	}
 	sending.Wait()
-	time.Sleep(2 * time.Second)
+	stopMonitor()
+	watching.Wait()
 
-	for _, i := range instances {
-		for _, l := range i.Lines("must not be repeated") {
-			r.Note("log of %s: %s", i.Name, l)
+	passedOn := map[string]bool{}
+	for _, s := range servers {
+		for _, id := range s.Arrived() {
+			passedOn[id] = true
 		}
 	}
-	runs := map[string][]lab.Run{}
-	brokenOff := 0
-	for _, e := range engines {
-		for _, run := range e.Runs() {
-			runs[run.Request] = append(runs[run.Request], run)
-			if !run.Truncated.IsZero() {
-				brokenOff++
-			}
+	lost := 0
+	for id := range c.closed {
+		if passedOn[id] {
+			lost++
+			r.Note("attempt %s was passed on to a server, and its kept channel was closed without an answer", id)
 		}
 	}
-	if len(runs) == 0 || trouble && brokenOff == 0 {
-		return false, errors.New("no answer was broken off")
+	r.Say("requests of %d bytes: %d answered, %d ended with their channel; most memory of the process: %d MB of %d; killed for that: %d times; passed on and closed without an answer on kept channels: %d",
+		size, len(c.answered), len(c.closed), c.most, lab.MemoryMB, c.kills, lost)
+	return lost > tolerated, nil
+}
+
+// caseRun is the state of the case.
+type caseRun struct {
+	record   *lab.Record
+	instance *lab.Instance
+
+	mu               sync.Mutex
+	answered, closed map[string]bool // by attempt; closed has those on kept channels
+	most, kills      int
+}
+
+// guardMemory ends the instance's process, as the platform does, when it exceeds its memory, and starts it again.
+func (c *caseRun) guardMemory(ctx context.Context) {
+	for ctx.Err() == nil {
+		used := resident(c.instance.PID())
+		c.most = max(c.most, used)
+		if used > lab.MemoryMB {
+			c.kills++
+			c.record.Note("%s uses %d MB: the platform kills its process", c.instance.Name, used)
+			c.instance.Kill()
+			time.Sleep(restartAfter)
+			_ = c.instance.Start() // requests fail if it cannot be started
+		}
+		time.Sleep(2 * time.Millisecond)
 	}
-	twice := 0
-	for id, list := range runs {
-		for _, first := range list {
-			for _, second := range list {
-				if !second.Began.After(first.Began) {
-					continue
-				}
-				both := first.Ended.Sub(second.Began)
-				r.Note("request %s began at %s %v after it began at %s, which worked on it for another %v", id, second.Server, second.Began.Sub(first.Began).Round(time.Millisecond), first.Server, both.Round(time.Millisecond))
-				if both > overlap {
-					twice++
-				}
-			}
+}
+
+// request sends the requests of one requester: a small one, after which the channel is kept, then others on it.
+func (c *caseRun) request(n int, body string) {
+	channel := lab.NewChannel()
+	defer channel.Close()
+	for k := range perRequester + 1 {
+		a := lab.Attempt{ID: fmt.Sprintf("%04x%04x", n, k), Host: host, Path: path, Body: body, Budget: budget}
+		if k == 0 {
+			a.Body = body[:smallBody]
+		}
+		answer := channel.Send(context.Background(), c.instance.Frontend(), a)
+		c.record.Note("attempt %s, %d bytes, ends: status %d, kept channel %v, %v", a.ID, len(a.Body), answer.Status, answer.Kept, answer.Err)
+		c.mu.Lock()
+		switch {
+		case answer.Status != 0:
+			c.answered[a.ID] = true
+		case answer.Kept:
+			c.closed[a.ID] = true
+		}
+		c.mu.Unlock()
+		if answer.Status == 0 {
+			return // the requester comes back another day
+		}
+		if k == 0 {
+			time.Sleep(time.Second) // the others have a channel by then
 		}
 	}
-	r.Say("streams that must not be repeated: %d, of which engine i-0 ran %d and broke off %d; begun at another engine while the one before worked on them %v later: %d", len(runs), len(engines[0].Runs()), brokenOff, overlap, twice)
-	return twice > 0, nil
 }
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"time"
 )
@@ -33,6 +34,8 @@
 	// Complete is set if the answer has come to its end. Err is why it has not.
 	Complete bool
 	Err      error
+	// Kept is set if the channel was open before.
+	Kept bool
 }
 
 // Event is one event of a stream.
@@ -41,18 +44,44 @@
 	At       time.Time
 }
 
+// dial opens a channel. Requesters allow it one second to be established.
+var dial = (&net.Dialer{Timeout: time.Second}).DialContext
+
+// Channel is the channel of one requester, which it keeps open for many requests.
+type Channel struct{ transport *http.Transport }
+
+// NewChannel returns a Channel that is opened by the first request.
+func NewChannel() *Channel {
+	return &Channel{&http.Transport{MaxConnsPerHost: 1, DisableCompression: true, DialContext: dial}}
+}
+
+// Close closes the channel.
+func (c *Channel) Close() { c.transport.CloseIdleConnections() }
+
+// Send sends an attempt on the channel.
+func (c *Channel) Send(ctx context.Context, address string, a Attempt) Answer {
+	kept := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused }})
+	answer := send(ctx, c.transport, address, a, nil)
+	answer.Kept = kept
+	return answer
+}
+
 // Send sends an attempt to an instance on a channel of its own. onEvent, if set, is called with each event.
 func Send(ctx context.Context, address string, a Attempt, onEvent func(Event)) Answer {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
+	defer transport.CloseIdleConnections()
+	return send(ctx, transport, address, a, onEvent)
+}
+
+func send(ctx context.Context, transport *http.Transport, address string, a Attempt, onEvent func(Event)) Answer {
 	ctx, cancel := context.WithTimeout(ctx, a.Budget)
 	defer cancel()
-	transport := &http.Transport{
-		DisableKeepAlives: true, DisableCompression: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
-	}
-	defer transport.CloseIdleConnections()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+a.Path, strings.NewReader(a.Body))
 	if err != nil {
 		return Answer{Err: err}
 	}
+	req.GetBody = nil // the transport sends nothing twice
 	req.Host = a.Host
 	set := func(name, value string) {
 		if value != "" {
