--- a/review/2/main.go
+++ b/review/2/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -27,6 +28,8 @@
 	sendAfter = 8 * time.Second
 	joinAfter = 1500 * time.Millisecond
 	killAfter = 3500 * time.Millisecond
+	// touchAfter is how long after they are back machines are in touch, and a little more.
+	touchAfter = 3500 * time.Millisecond
 )
 
 func config() map[string]any {
@@ -111,6 +114,28 @@
 
 func main() { lab.Main(run) }
 
+// killAll kills the processes of all instances, starts them again, and waits until they are in touch.
+func killAll(fleet *lab.Fleet, instances []*lab.Instance) error {
+	for _, i := range instances {
+		i.Kill()
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, i := range instances {
+		if err := i.Start(); err != nil {
+			return err
+		}
+	}
+	if err := fleet.AwaitReady(10 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(touchAfter)
+	return nil
+}
+
+// allKilled selects a variant for an entry of the second part of the review, see REPORT.md: both versions serve from the
+// start, and the processes of all instances are killed at once.
+var allKilled = os.Getenv("VARIANT") == "all-killed"
+
 func run(r *lab.Record, trouble bool) (bool, error) {
 	fleet, err := lab.NewFleet(r, "mtl-a", "mtl-b", "mtl-c")
 	if err != nil {
@@ -142,6 +167,11 @@
 	if err := fleet.AwaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
+	if trouble && allKilled {
+		if err := engine(3, "v2"); err != nil {
+			return false, err
+		}
+	}
 	time.Sleep(sendAfter)
 
 	var running, others sync.WaitGroup
@@ -152,23 +182,33 @@
 		running.Go(func() { c.begin(s, instances[0]) })
 	}
 	time.Sleep(joinAfter)
-	if trouble {
-		if err := engine(3, "v2"); err != nil { // an engine that starts holds nothing
+	takeUpAt := instances[1:]
+	if allKilled {
+		takeUpAt = instances
+		if err := killAll(fleet, instances); err != nil {
 			return false, err
 		}
+	} else {
+		if trouble {
+			if err := engine(3, "v2"); err != nil { // an engine that starts holds nothing
+				return false, err
+			}
+		}
+		time.Sleep(killAfter - joinAfter)
+		instances[0].Kill()
 	}
-	time.Sleep(killAfter - joinAfter)
-	instances[0].Kill()
 	running.Wait()
 	for _, s := range all {
 		if s.last == 0 || s.completed {
 			return false, fmt.Errorf("stream %d was not in progress when its channel broke", s.number)
 		}
-		others.Go(func() { c.takeUp(s, instances[1:]) })
+		others.Go(func() { c.takeUp(s, takeUpAt) })
 	}
-	time.Sleep(500 * time.Millisecond)
-	if err := instances[0].Start(); err != nil {
-		return false, err
+	if !allKilled {
+		time.Sleep(500 * time.Millisecond)
+		if err := instances[0].Start(); err != nil {
+			return false, err
+		}
 	}
 	var fresh []*stream
 	for n := range streams {
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,13 +1,10 @@
-// Command 3 shows what becomes of an instance to which requesters send bodies of the size that the
-// configuration allows; see claim.txt.
+// Command 3 shows what becomes of sound requests that share a part of their prompts with a request under which engines
+// crash; see claim.txt.
 package main
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -16,46 +13,52 @@
 )
 
 const (
-	service = "aiguilleur"
-	host    = "notices.example"
-	path    = "/cancel/1"
+	service = "redacteur"
+	model   = "m0"
+	other   = "m1"
+	host    = "briefs.example"
+	path    = "/brief/"
 
-	requesters = 100
-	maxBody    = 4194304
-	smallBody  = 600
-	budget     = 4 * time.Second
-	// perRequester is the number of requests that each requester sends on its kept channel.
-	perRequester = 3
-	restartAfter = 500 * time.Millisecond
-	// tolerated is how many requests may be passed on and end with their kept channel.
-	tolerated = 3
+	engineCount = 9
+	events      = 5
+	pace        = 40 * time.Millisecond
+	firstEvent  = 20 * time.Millisecond
+	budget      = 20 * time.Second
+	sendAfter   = 8 * time.Second
+	gap         = 100 * time.Millisecond
+	// earlier and later are the numbers of sound requests before and after the one under which engines crash. idle is how long
+	// the model is not asked for in between, and settle how long after that request the later ones begin.
+	earlier, later = 30, 60
+	idle           = 25 * time.Second
+	settle         = 12 * time.Second
+	downTime       = 3 * time.Second
+	tries          = 2
+	pause          = 300 * time.Millisecond
+	// shared is the first part of all prompts.
+	shared = "91bd3f06:198"
+	poison = "poison"
 )
 
 func config() map[string]any {
 	return map[string]any{
 		"version": 3,
 		"routes": []any{map[string]any{
-			"name": "r-cancel", "host": host, "pathPrefix": "/cancel/", "routeType": "unsafe", "timeoutMs": 4000, "goalMs": 300,
-			"priority": 2, "service": service, "attempts": 1,
+			"name": "r-brief", "host": host, "pathPrefix": "/brief/", "routeType": "streaming", "timeoutMs": 25000, "goalMs": 2500,
+			"priority": 0, "service": service, "attempts": 2, "sticky": true, "resumable": true, "gapTargetMs": 300,
 		}},
-		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 100, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBody, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	}
-}
-
-// resident returns the memory of a process in MB.
-func resident(pid int) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range bytes.Lines(text) {
-		if rest, found := strings.CutPrefix(string(line), "VmRSS:"); found {
-			kb, _ := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(rest), "kB")))
-			return kb >> 10
-		}
+		"services": []any{map[string]any{
+			"name": service, "healthPath": "/healthz", "maxConns": 360, "protocol": "h1", "tls": false,
+			"engine": map[string]any{
+				"slots": 64, "kvCapacity": 156843, "hostMb": 150000.0, "diskMb": 1300000.0,
+				"models": []any{
+					map[string]any{"name": model, "weightsMb": 65100, "loadS": 6.0, "adapters": 0, "warmS": 0.38, "diskS": 0.76},
+					map[string]any{"name": other, "weightsMb": 65100, "loadS": 6.0, "adapters": 0, "warmS": 0.38, "diskS": 0.76},
+				},
+				"weightsMb": 220000, "adapterSlots": 8, "loadsPerS": 3.1,
+			},
+		}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
-	return 0
 }
 
 func main() { lab.Main(run) }
@@ -67,19 +70,22 @@
 	}
 	defer fleet.Close()
 	fleet.Store.Put("config", "main", config())
-	var servers []*lab.Plain
-	for n := range 3 {
-		server, err := fleet.AddPlain(100+n, lab.PlainParams{
-			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: []string{"mtl-a", "mtl-b", "mtl-c"}[n], Slots: 6, Queue: 24, Work: 60 * time.Millisecond,
+	zones := []string{"mtl-a", "mtl-b", "mtl-c"}
+	var engines []*lab.Engine
+	for n := range engineCount {
+		e, err := fleet.AddEngine(100+n, lab.EngineParams{
+			ID: fmt.Sprintf("i-%d", n), Service: service, Zone: zones[n%3], Version: "v1", Slots: 64, Models: []string{[]string{model, other}[n%2]}, InMemory: []string{model, other},
+			Events: events, Pace: pace, ReportLag: 200 * time.Millisecond, DownTime: downTime, FirstEvent: firstEvent,
+			Poison: func(body string) bool { return body == poison },
 		})
 		if err != nil {
 			return false, err
 		}
-		servers = append(servers, server)
+		engines = append(engines, e)
 	}
 	var instances []*lab.Instance
-	for _, zone := range []string{"mtl-a", "mtl-b", "mtl-c"} {
-		i, err := fleet.AddInstance(zone)
+	for n := range 3 {
+		i, err := fleet.AddInstance(zones[n])
 		if err != nil {
 			return false, err
 		}
@@ -88,93 +94,79 @@
 	if err := fleet.AwaitReady(15 * time.Second); err != nil {
 		return false, err
 	}
-	time.Sleep(3 * time.Second)
-	size := smallBody
+	time.Sleep(sendAfter)
+
+	c := &caseRun{record: r, instances: instances, ended: map[string]int{}}
+	for n := range earlier {
+		c.send(fmt.Sprintf("earlier %d", n))
+		time.Sleep(gap)
+	}
+	time.Sleep(idle)
 	if trouble {
-		size = maxBody
+		c.send(poison)
 	}
-	body := strings.Repeat("x", size)
-	c := &caseRun{record: r, instance: instances[0], answered: map[string]bool{}, closed: map[string]bool{}}
-	monitor, stopMonitor := context.WithCancel(context.Background())
-	defer stopMonitor()
-	var watching sync.WaitGroup
-	watching.Go(func() { c.guardMemory(monitor) })
-	var sending sync.WaitGroup
-	for n := range requesters {
-		sending.Go(func() { c.request(n, body) })
+	time.Sleep(settle)
+	for n := range later {
+		c.send(fmt.Sprintf("later %d", n))
+		time.Sleep(gap)
 	}
-	sending.Wait()
-	stopMonitor()
-	watching.Wait()
+	c.sending.Wait()
 
-	passedOn := map[string]bool{}
-	for _, s := range servers {
-		for _, id := range s.Arrived() {
-			passedOn[id] = true
-		}
+	crashes := 0
+	for _, e := range engines {
+		crashes += e.Crashes()
 	}
-	lost := 0
-	for id := range c.closed {
-		if passedOn[id] {
-			lost++
-			r.Note("attempt %s was passed on to a server, and its kept channel was closed without an answer", id)
+	for _, i := range instances {
+		for _, l := range i.Lines("servers ended while") {
+			r.Note("log of %s: %s", i.Name, l)
 		}
 	}
-	r.Say("requests of %d bytes: %d answered, %d ended with their channel; most memory of the process: %d MB of %d; killed for that: %d times; passed on and closed without an answer on kept channels: %d",
-		size, len(c.answered), len(c.closed), c.most, lab.MemoryMB, c.kills, lost)
-	return lost > tolerated, nil
+	denied := c.ended["earlier 400"] + c.ended["later 400"]
+	r.Say("engines that crashed under one request: %d; sound requests before it: %d, served: %d; after it: %d, served: %d, ended with 400: %d",
+		crashes, earlier, c.ended["earlier 200"], later, c.ended["later 200"], c.ended["later 400"])
+	return float64(denied) > tolerated+float64(c.attempts)/toleratedShare, nil
 }
 
+// The rule allows so many requests, and one in so many, to be ended with an own 4xx.
+const tolerated, toleratedShare = 5, 500
+
 // caseRun is the state of the case.
 type caseRun struct {
-	record   *lab.Record
-	instance *lab.Instance
+	record    *lab.Record
+	instances []*lab.Instance
+	requests  int
+	sending   sync.WaitGroup
 
-	mu               sync.Mutex
-	answered, closed map[string]bool // by attempt; closed has those on kept channels
-	most, kills      int
-}
-
-// guardMemory ends the instance's process, as the platform does, when it exceeds its memory, and starts it again.
-func (c *caseRun) guardMemory(ctx context.Context) {
-	for ctx.Err() == nil {
-		used := resident(c.instance.PID())
-		c.most = max(c.most, used)
-		if used > lab.MemoryMB {
-			c.kills++
-			c.record.Note("%s uses %d MB: the platform kills its process", c.instance.Name, used)
-			c.instance.Kill()
-			time.Sleep(restartAfter)
-			_ = c.instance.Start() // requests fail if it cannot be started
-		}
-		time.Sleep(2 * time.Millisecond)
-	}
+	mu       sync.Mutex
+	attempts int
+	// ended counts the requests by the first word of their bodies and the last status.
+	ended map[string]int
 }
 
-// request sends the requests of one requester: a small one, after which the channel is kept, then others on it.
-func (c *caseRun) request(n int, body string) {
-	channel := lab.NewChannel()
-	defer channel.Close()
-	for k := range perRequester + 1 {
-		a := lab.Attempt{ID: fmt.Sprintf("%04x%04x", n, k), Host: host, Path: path, Body: body, Budget: budget}
-		if k == 0 {
-			a.Body = body[:smallBody]
+// send sends a request in the background, and once more at another instance if it fails.
+func (c *caseRun) send(body string) {
+	c.requests++
+	n := c.requests
+	c.sending.Go(func() {
+		kind, _, _ := strings.Cut(body, " ")
+		status := 0
+		for try := range tries {
+			id, at := fmt.Sprintf("%06x%d", n, try), c.instances[(n+try)%len(c.instances)]
+			a := lab.Attempt{ID: id, Host: host, Path: fmt.Sprintf("%s%d/", path, n), Model: model, Body: body, Prefix: shared + ",e440" + id + ":628", Budget: budget}
+			c.record.Note("attempt %s, %q, is sent to %s", a.ID, body, at.Name)
+			answer := lab.Send(context.Background(), at.Frontend(), a, nil)
+			c.record.Note("attempt %s, %q, ends: status %d, %d events, complete %v, %v %s", a.ID, body, answer.Status, len(answer.Events), answer.Complete, answer.Err, answer.Body)
+			c.mu.Lock()
+			c.attempts++
+			c.mu.Unlock()
+			status = answer.Status
+			if status == 200 && answer.Complete || status == 400 {
+				break
+			}
+			time.Sleep(pause)
 		}
-		answer := channel.Send(context.Background(), c.instance.Frontend(), a)
-		c.record.Note("attempt %s, %d bytes, ends: status %d, kept channel %v, %v", a.ID, len(a.Body), answer.Status, answer.Kept, answer.Err)
 		c.mu.Lock()
-		switch {
-		case answer.Status != 0:
-			c.answered[a.ID] = true
-		case answer.Kept:
-			c.closed[a.ID] = true
-		}
-		c.mu.Unlock()
-		if answer.Status == 0 {
-			return // the requester comes back another day
-		}
-		if k == 0 {
-			time.Sleep(time.Second) // the others have a channel by then
-		}
-	}
+		defer c.mu.Unlock()
+		c.ended[fmt.Sprintf("%s %d", kind, status)]++
+	})
 }
--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
 	"time"
 )
@@ -17,6 +17,8 @@
 type Attempt struct {
 	ID, Host, Path, Model string
 	Body                  string
+	// Prefix is the list of the parts of the prompt; a list of its own if it is empty.
+	Prefix string
 	// LastEventID and Resumes are set if the attempt takes a stream up.
 	LastEventID, Resumes string
 	Budget               time.Duration
@@ -34,8 +36,6 @@
 	// Complete is set if the answer has come to its end. Err is why it has not.
 	Complete bool
 	Err      error
-	// Kept is set if the channel was open before.
-	Kept bool
 }
 
 // Event is one event of a stream.
@@ -47,34 +47,10 @@
 // dial opens a channel. Requesters allow it one second to be established.
 var dial = (&net.Dialer{Timeout: time.Second}).DialContext
 
-// Channel is the channel of one requester, which it keeps open for many requests.
-type Channel struct{ transport *http.Transport }
-
-// NewChannel returns a Channel that is opened by the first request.
-func NewChannel() *Channel {
-	return &Channel{&http.Transport{MaxConnsPerHost: 1, DisableCompression: true, DialContext: dial}}
-}
-
-// Close closes the channel.
-func (c *Channel) Close() { c.transport.CloseIdleConnections() }
-
-// Send sends an attempt on the channel.
-func (c *Channel) Send(ctx context.Context, address string, a Attempt) Answer {
-	kept := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { kept = i.Reused }})
-	answer := send(ctx, c.transport, address, a, nil)
-	answer.Kept = kept
-	return answer
-}
-
 // Send sends an attempt to an instance on a channel of its own. onEvent, if set, is called with each event.
 func Send(ctx context.Context, address string, a Attempt, onEvent func(Event)) Answer {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dial}
 	defer transport.CloseIdleConnections()
-	return send(ctx, transport, address, a, onEvent)
-}
-
-func send(ctx context.Context, transport *http.Transport, address string, a Attempt, onEvent func(Event)) Answer {
 	ctx, cancel := context.WithTimeout(ctx, a.Budget)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+a.Path, strings.NewReader(a.Body))
@@ -95,7 +71,7 @@
 	set("Martenport-Deadline-Ms", fmt.Sprint(a.Budget.Milliseconds()))
 	if a.Model != "" {
 		set("Martenport-Token-Count", "826,300")
-		set("Martenport-Prompt-Prefix", "5c1e07a2:198,"+a.ID+":628")
+		set("Martenport-Prompt-Prefix", cmp.Or(a.Prefix, "5c1e07a2:198,"+a.ID+":628"))
 	}
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
--- a/review/lab/engine.go
+++ b/review/lab/engine.go
@@ -24,10 +24,9 @@
 type Run struct {
 	Request, Server string
 	Began, Ended    time.Time
-	// Events is the number of events made, and Truncated when the server broke its answer off.
-	Events    int
-	Truncated time.Time
-	model     string
+	// Events is the number of events made.
+	Events int
+	model  string
 }
 
 // EngineParams describe an engine.
@@ -42,10 +41,6 @@
 	Pace   time.Duration
 	// ReportLag is the age of the values in a report.
 	ReportLag time.Duration
-	// Truncate returns after which time from the first event the answer is broken off, 0 for never. The
-	// run goes on for Linger after that.
-	Truncate func(request string) time.Duration
-	Linger   time.Duration
 	// LoadTime is how long a load takes, and SlowerBy the fraction by which it is longer for each other load that runs on
 	// the engines.
 	LoadTime time.Duration
@@ -53,6 +48,12 @@
 	// Repeat reports whether the answer to a request is to be given once more, late: at the point where the next answer
 	// on its channel is expected.
 	Repeat func(request string) bool
+	// FirstEvent is how long a request takes to its first event, and Poison returns whether a request crashes the engine
+	// then, given its body.
+	FirstEvent time.Duration
+	Poison     func(body string) bool
+	// DownTime is how long a crashed engine is down. It comes back under its id, and holds nothing.
+	DownTime time.Duration
 }
 
 // Engine is a stand-in of a model engine.
@@ -60,9 +61,12 @@
 	EngineParams
 	address string
 	fleet   *Fleet
-	born    time.Time
 
 	mu       sync.Mutex
+	born     time.Time
+	server   *http.Server
+	down     bool
+	crashes  int
 	models   map[string]bool
 	sequence int
 	beats    int
@@ -96,7 +100,7 @@
 	enginesMu.Lock()
 	engines[e.address] = e
 	enginesMu.Unlock()
-	f.serve(repeatingListener{l}, e)
+	e.server = f.serve(repeatingListener{l}, e)
 	f.record.Note("engine %s of version %s at %s announces itself", p.ID, p.Version, e.address)
 	e.announce()
 	go func() {
@@ -126,6 +130,10 @@
 // announce writes the engine's entry.
 func (e *Engine) announce() {
 	e.mu.Lock()
+	if e.down {
+		e.mu.Unlock()
+		return
+	}
 	e.beats++
 	entry := map[string]any{
 		"service": e.Service, "address": e.address, "zone": e.Zone, "version": e.Version, "slots": e.Slots, "state": "ready",
@@ -329,7 +337,7 @@
 
 // stream runs a request and answers with a stream of events.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Martenport-Attempt-Id")
 	if id == "" {
 		w.Header().Set("Martenport-Not-Executed", "1")
@@ -348,14 +356,18 @@
 	h.Set("Martenport-Attempt-Id", id)
 	h.Set("Martenport-Server-Seal", "seal."+e.ID+"."+id)
 	h.Set("Martenport-Weight-Versions", "1")
-	var truncateAt time.Time
-	if e.Truncate != nil && r.Header.Get("Kv-From") == "" {
-		if after := e.Truncate(id); after > 0 {
-			truncateAt = run.Began.Add(after)
-		}
-	}
 	deadline := run.Began.Add(time.Duration(budget) * time.Millisecond)
 	lastBackup := time.Time{}
+	select {
+	case <-time.After(e.FirstEvent):
+	case <-r.Context().Done():
+		e.end(run, "its channel is closed")
+		return
+	}
+	if e.Poison != nil && e.Poison(string(body)) {
+		e.crash(run)
+		panic(http.ErrAbortHandler)
+	}
 	for n := last + 1; n <= e.Events; n++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s %d\n\n", n, id, e.Version, n); err != nil {
 			e.end(run, "its channel is closed")
@@ -370,11 +382,6 @@
 			e.backUp(r.Header.Get("Martenport-Kv-Backup"), id, n)
 		}
 		next := time.Now().Add(e.Pace)
-		if !truncateAt.IsZero() && truncateAt.Before(next) {
-			time.Sleep(time.Until(truncateAt))
-			e.breakOff(run)
-			panic(http.ErrAbortHandler)
-		}
 		if budget > 0 && next.After(deadline) {
 			e.end(run, "its time budget is over")
 			panic(http.ErrAbortHandler)
@@ -390,22 +397,51 @@
 	e.end(run, "complete")
 }
 
-// breakOff lets a run go on whose answer is broken off.
-func (e *Engine) breakOff(run *Run) {
+// crash ends the engine's process under a run. It is back after DownTime.
+func (e *Engine) crash(run *Run) {
 	e.mu.Lock()
-	run.Truncated = time.Now()
+	if e.down {
+		e.mu.Unlock()
+		return
+	}
+	e.down = true
+	e.crashes++
+	e.models, e.sequence, e.busy, e.loading = map[string]bool{}, 0, false, ""
+	clear(e.backups)
+	var ended []string
+	for _, r := range e.runs {
+		if r.Ended.IsZero() {
+			r.Ended = time.Now()
+			ended = append(ended, r.Request)
+		}
+	}
+	server := e.server
 	e.mu.Unlock()
-	e.fleet.record.Note("engine %s breaks off its answer to %s, and works on", e.ID, run.Request)
+	e.fleet.record.Note("engine %s crashes under %s; it ran %v", e.ID, run.Request, ended)
 	go func() {
-		for until := time.Now().Add(e.Linger); time.Now().Before(until); time.Sleep(e.Pace) {
-			e.mu.Lock()
-			run.Events++
-			e.mu.Unlock()
+		_ = server.Close()
+		time.Sleep(e.DownTime)
+		l, err := net.Listen("tcp", e.address)
+		if err != nil {
+			e.fleet.record.Note("engine %s cannot start again: %v", e.ID, err)
+			return
 		}
-		e.end(run, "end of its work")
+		e.mu.Lock()
+		e.down, e.born = false, time.Now()
+		e.server = e.fleet.serve(repeatingListener{l}, e)
+		e.mu.Unlock()
+		e.fleet.record.Note("engine %s is back", e.ID)
+		e.announce()
 	}()
 }
 
+// Crashes returns how often the engine has crashed.
+func (e *Engine) Crashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
 // backUp hands an engine a copy of a run's memory, or lets it drop the copy if events is negative.
 func (e *Engine) backUp(address, id string, events int) {
 	enginesMu.Lock()
@@ -425,6 +461,10 @@
 
 func (e *Engine) end(run *Run, reason string) {
 	e.mu.Lock()
+	if !run.Ended.IsZero() {
+		e.mu.Unlock()
+		return // it ended with the engine
+	}
 	run.Ended = time.Now()
 	e.mu.Unlock()
 	e.fleet.record.Note("engine %s: run of %s ends: %s", e.ID, run.Request, reason)
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -34,8 +34,8 @@
 	serverPort   = 8080
 )
 
-// MemoryMB is the memory of a machine of the small deployment.
-const MemoryMB = 284
+// memoryMB is the memory of a machine of the small deployment.
+const memoryMB = 284
 
 // Fleet is a small deployment: a store, backend servers, and entry instances as processes.
 type Fleet struct {
@@ -111,7 +111,7 @@
 		line("%s = \"r\"", z)
 	}
 	line("[listen]\nfrontend = \"%s:%d\"\nready = \"%s:%d\"\ncontrolPlane = \"%s:%d\"", ip, frontendPort, ip, readyPort, ip, controlPort)
-	line("[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = %d\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0", MemoryMB)
+	line("[limits]\ncpuShare = 0.4\ncores = 1\nmemoryMb = %d\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0", memoryMB)
 	line("[faultTolerance]\nmachines = 2\nzones = 1\nregions = 0\n[bounds]\nseedLagS = 3\nreuseAfterS = 2\nstabilityMs = 3000\nackMs = 4000\ncatchUpS = 4")
 	line("drainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\nrollbackSlackMs = 250\nouterMs = 5000\nbudgetRatio = 0.2\nbudgetWindowS = 10")
 	line("budgetExtra = 54\nrecoverS = 12\npassMs = 120\nretryS = 0\nfencingEnforced = false\nleaseMs = 3000\nthawMs = 300\nceilingWindowS = 5\nceilingOverage = 1.1")
@@ -166,13 +166,6 @@
 	return nil
 }
 
-// PID returns the process id of the current process.
-func (i *Instance) PID() int {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return i.process.Process.Pid
-}
-
 // Kill ends the current process with SIGKILL and waits for its end.
 func (i *Instance) Kill() {
 	i.mu.Lock()
