--- a/review/1/main.go
+++ b/review/1/main.go
@@ -20,9 +20,9 @@
 	// Each engine has room for three of the models.
 	engineCount = 9
 	models      = 45
-	requests    = 350
+	requests    = 288
 	// Every gap some models are asked for at once, the least recently asked for first.
-	atOnce    = 5
+	atOnce    = 4
 	gap       = 1150 * time.Millisecond
 	events    = 6
 	pace      = 40 * time.Millisecond
