Log lines of requests have the client's address and the size of the body

One path had several fingerprints, and no line said what differs: the address, the body, or what a record was worth at another instance.

--- a/command/forward/finish.go
+++ b/command/forward/finish.go
@@ -12,6 +12,7 @@
 	fields := logrus.Fields{
 		"request": t.request.ID, "route": t.route.Name, "config": t.config.Version, "sends": t.sends,
 		"ms": clock.Since(t.request.Arrived).Milliseconds(), "fingerprint": t.request.Fingerprint,
+		"client": t.request.ClientAddress, "body_bytes": len(t.request.Body),
 	}
 	if t.request.Unit.Model != "" {
 		fields["unit"] = t.request.Unit.String()
