--- a/entry/crash_fixture_test.go
+++ b/entry/crash_fixture_test.go
@@ -50,6 +50,8 @@
 	slowReports bool
 	// crashDelay is the time between the cut-off of the answer to the poison request and the crash.
 	crashDelay time.Duration
+	// withoutBody: the poison request and the harmless ones are GET requests without a body, told apart by their path.
+	withoutBody bool
 	// poisonPart is the ID of a prompt part that crashes engines; none if empty.
 	poisonPart string
 	// omitSeal: engines answer the poison request with headers without a seal before they crash.
@@ -140,13 +142,14 @@
 
 // sendTo sends a request to an instance and returns the outcome.
 func (f *crashFleet) sendTo(ctx context.Context, r *running, id, body string) (status int, text string, err error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+"/stream/x", strings.NewReader(body))
+	req, err := f.newRequest(ctx, r, body)
 	if err != nil {
 		return 0, "", err
 	}
 	req.Host = "h.example"
 	req.Header = standin.ClientHeader(id, "m1", 5*time.Second)
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: randomClientIP()}}
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}}).Do(req)
 	if err != nil {
 		return 0, "", err
 	}
@@ -155,21 +158,44 @@
 	return resp.StatusCode, string(read), err
 }
 
-// sendHarmless sends different harmless requests at a steady rate until ctx is done.
+// newRequest returns a request with the given body, or one without a body that has it as the last segment of its path.
+func (f *crashFleet) newRequest(ctx context.Context, r *running, body string) (*http.Request, error) {
+	target := "http://" + r.address + "/stream/"
+	if f.engines.withoutBody {
+		return http.NewRequestWithContext(ctx, http.MethodGet, target+body, nil)
+	}
+	return http.NewRequestWithContext(ctx, http.MethodPost, target+"x", strings.NewReader(body))
+}
+
+// clientIPCount is the number of addresses that clients have.
+const clientIPCount = 16
+
+// randomClientIP returns the address of one of the clients.
+func randomClientIP() net.IP { return net.IPv4(127, 1, 0, byte(1+rand.IntN(clientIPCount))) }
+
+// sendHarmless sends harmless requests at a steady rate until ctx is done: different ones, and one that all clients send.
 func (f *crashFleet) sendHarmless(ctx context.Context) {
 	var work sync.WaitGroup
 	for n := 0; pause.For(ctx, harmlessInterval); n++ {
-		work.Go(func() { f.sendHarmlessOnce(ctx, fmt.Sprintf("innocent-%d", n)) })
+		id := fmt.Sprintf("innocent-%d", n)
+		body := id
+		if n%commonEvery == 0 {
+			body = "common"
+		}
+		work.Go(func() { f.sendHarmlessOnce(ctx, id, body) })
 	}
 	work.Wait()
 }
 
+// commonEvery is the ratio of all harmless requests to the one that all clients send.
+const commonEvery = 4
+
 // sendHarmlessOnce sends a request and counts its outcome. A request that was refused or cut off is retried once,
 // as clients do.
-func (f *crashFleet) sendHarmlessOnce(ctx context.Context, body string) {
+func (f *crashFleet) sendHarmlessOnce(ctx context.Context, id, body string) {
 	served, refused := false, false
 	for attempt := 0; attempt < 2 && !served; attempt++ {
-		status, text, err := f.send(ctx, fmt.Sprintf("%s-%d", body, attempt), body)
+		status, text, err := f.send(ctx, fmt.Sprintf("%s-%d", id, attempt), body)
 		served = err == nil && status == http.StatusOK && text == wholeStream("m1")
 		refused = refused || status == http.StatusBadRequest
 	}
@@ -270,7 +296,7 @@
 func (l *crashLog) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	relevant := bytes.Contains(line, []byte("ended")) || bytes.Contains(line, []byte(poisonFingerprint))
+	relevant := bytes.Contains(line, []byte("ended")) || bytes.Contains(line, []byte(poisonFingerprint)) || bytes.Contains(line, []byte("/"+poison))
 	if relevant && len(l.lines) < maxCrashLogLines {
 		l.lines = append(l.lines, string(line))
 	}
--- a/entry/crash_test.go
+++ b/entry/crash_test.go
@@ -116,6 +116,13 @@
 	})
 }
 
+// TestPoisonRequestWithoutBody checks the bounds for a poison request without a body that comes from many addresses.
+func TestPoisonRequestWithoutBody(t *testing.T) {
+	f := newCrashFleetWith(t, 4, crashEngineParams{eventPause: shortEventPause, withoutBody: true})
+	f.runLoad(10*time.Second, func(context.Context) {})
+	f.check(0)
+}
+
 // TestPoisonRequestUnsealed checks the bounds while engines send headers without a seal before they crash. While
 // such an answer was not taken as a sign of a crash, 59 engines crashed in one run, with 60 late attempts.
 func TestPoisonRequestUnsealed(t *testing.T) {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -35,8 +35,8 @@
 	Loaded []string
 	// Announced is the address in its store entry; its own address if empty.
 	Announced string
-	// PoisonPrefix is the prefix of the bodies of requests that crash the server when it begins to run them; none if
-	// empty.
+	// PoisonPrefix is the prefix of the bodies of requests that crash the server when it begins to run them, and of the
+	// last segments of their paths if they have no body; none if empty.
 	PoisonPrefix string
 	// PoisonPart is the beginning of the IDs of prompt parts that crash the server when it begins to write an answer to a
 	// request with them, unless they are the request's last part; none if empty.
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -40,8 +41,8 @@
 		return
 	}
 	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
-	if s.params.PoisonPrefix != "" && strings.HasPrefix(string(body), s.params.PoisonPrefix) {
-		s.crash(w, string(body))
+	if content := requestContent(r, body); s.params.PoisonPrefix != "" && strings.HasPrefix(content, s.params.PoisonPrefix) {
+		s.crash(w, content)
 	}
 	if part := s.poisonPart(r); part != "" {
 		s.crash(w, part)
@@ -59,6 +60,14 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
 }
 
+// requestContent returns what a request is about: its body, or the last segment of its path if it has none.
+func requestContent(r *http.Request, body []byte) string {
+	if len(body) > 0 {
+		return string(body)
+	}
+	return path.Base(r.URL.Path)
+}
+
 // poisonPart returns the ID of the part of the request's prompt that crashes the server, or "".
 func (s *Server) poisonPart(r *http.Request) string {
 	parts := strings.Split(r.Header.Get("Martenport-Prompt-Prefix"), ",")
