A request without a body is one request whatever address it comes from

Cause: the fingerprint of a request without a body had the client's address in it, so that each address had a record of its own. A caller has several addresses, and may come through several gateways. Fix: the address is no part of the fingerprint. In place of a body the headers that select a representation are (Accept, Accept-Encoding, Accept-Language, Range), so that a harmful range or type does not hold sound requests for the same path. Headers that may be new on each attempt (signatures, cookies) are left out: with them nothing would be recognized. Requests with a body keep their fingerprints. Turns of the waitlist, bookings and the count of those that return go by fingerprint and address where there is no body, as before: two clients must not take each other's turn.

--- a/command/forward/refusal.go
+++ b/command/forward/refusal.go
@@ -30,7 +30,7 @@
 	if route.Objective > 0 {
 		within = time.Duration(queuedFraction * float64(route.Objective))
 	}
-	return quota.Draw{Cost: cost, Request: shortFingerprint(r.Fingerprint), Class: route.Class(), Within: within, Left: left}
+	return quota.Draw{Cost: cost, Request: shortFingerprint(r.ClientFingerprint()), Class: route.Class(), Within: within, Left: left}
 }
 
 // Waitlist lets requests that were refused for lack of room return in order; see waitlist.Desk.
@@ -46,7 +46,7 @@
 	if t.f.waitlist == nil || !t.config.Contended(t.service.Name) {
 		return failure
 	}
-	now, request := clock.Now(), shortFingerprint(t.request.Fingerprint)
+	now, request := clock.Now(), shortFingerprint(t.request.ClientFingerprint())
 	if t.f.waitlist.Begin(request, now) {
 		t.f.counts.turn("begun")
 		return nil
--- a/command/forward/refused.go
+++ b/command/forward/refused.go
@@ -9,7 +9,7 @@
 	"github.com/martenport/martenport/verdict"
 )
 
-// A client whose request was refused sends it again, under a new ID but with the same fingerprint. It is one request
+// A client whose request was refused sends it again, under a new ID but with the same client fingerprint. It is one request
 // that still wants to be served, however often it comes back, and counts once in each countedInterval.
 
 const (
@@ -80,7 +80,7 @@
 
 // recordArrival records the request for demand forecasts.
 func (t *transaction) recordArrival() {
-	returned := t.room != nil && t.f.refused.counted(t.request.Fingerprint, clock.Now())
+	returned := t.room != nil && t.f.refused.counted(t.request.ClientFingerprint(), clock.Now())
 	t.f.placer.RecordArrival(t.request.Unit, Demand{
 		Priority: t.route.Priority, Deferrable: deferrable(t.route), LateProbability: t.lateProbability(), Returned: returned, Room: t.room,
 	})
@@ -92,8 +92,8 @@
 	switch {
 	case t.room == nil:
 	case failure == nil:
-		t.f.refused.forget(t.request.Fingerprint)
-	case refusedForRoom(failure) && t.f.refused.count(t.request.Fingerprint, clock.Now()) && t.f.recordRefused != nil:
+		t.f.refused.forget(t.request.ClientFingerprint())
+	case refusedForRoom(failure) && t.f.refused.count(t.request.ClientFingerprint(), clock.Now()) && t.f.recordRefused != nil:
 		t.f.recordRefused(t.request.Unit.Model, *t.room)
 	}
 }
--- a/entry/crash_fixture_test.go
+++ b/entry/crash_fixture_test.go
@@ -281,7 +281,7 @@
 }
 
 // poisonFingerprint is the fingerprint of the poison request.
-var poisonFingerprint = serving.FingerprintOf(&serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x", Body: []byte(poison)}, "")
+var poisonFingerprint = serving.FingerprintOf(&serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x", Body: []byte(poison)})
 
 // crashLog keeps the log lines about crashes of servers and about the poison request.
 type crashLog struct {
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -125,8 +125,8 @@
 	f := newFleet(t, 1)
 	r := f.instances[0]
 	req := &serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x?q=1", Body: []byte("body")}
-	recordCrashes(r, serving.FingerprintOf(req, ""), quarantine.QuarantineAfter)
-	f.await("quarantined", f.allInState(serving.FingerprintOf(req, ""), quarantine.Quarantined))
+	recordCrashes(r, serving.FingerprintOf(req), quarantine.QuarantineAfter)
+	f.await("quarantined", f.allInState(serving.FingerprintOf(req), quarantine.Quarantined))
 	a := f.request(r, "stream", "m4")
 	if a.status != http.StatusBadRequest || a.retryAfter != 0 || f.runs(a.id) != 0 {
 		t.Errorf("%+v, ran %d times, want 400 without Retry-After", a, f.runs(a.id))
@@ -159,7 +159,7 @@
 		}
 	}
 	req := &serving.Request{Method: http.MethodPost, Host: "h.example", Target: "/stream/x?q=1", Body: []byte("body")}
-	record, known := r.quarantine.ledger.Record(serving.FingerprintOf(req, ""), time.Now())
+	record, known := r.quarantine.ledger.Record(serving.FingerprintOf(req), time.Now())
 	if cutOff == 0 {
 		t.Error("no answer was cut off: nothing was tested")
 	}
--- a/serving/fingerprint.go
+++ b/serving/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 )
 
 // Fingerprint identifies the content of a request. Two attempts of the same request have the same fingerprint,
@@ -14,17 +15,36 @@
 // with the fingerprint of another one.
 const fingerprintBytes = 16
 
-// FingerprintOf returns the fingerprint of a request: a digest of its method, host, target and body. If there is no
-// body, many clients send the same request. The client's address is then included, so that the requests of one
-// client have no effect on those of others.
-func FingerprintOf(r *Request, client string) Fingerprint {
-	h := sha256.New()
-	for _, part := range []string{r.Method, normalizeHost(r.Host), r.Target} {
-		writePart(h.Write, []byte(part))
-	}
-	writePart(h.Write, r.Body)
+// selectingHeaders are the headers that determine which representation of its target a request without a body asks for.
+// Headers that clients may set anew for each attempt, as signatures and cookies, are not among them.
+var selectingHeaders = []string{"Accept", "Accept-Encoding", "Accept-Language", "Range"}
+
+// FingerprintOf returns the fingerprint of a request: a digest of its method, host, target and body, and of its
+// selecting headers if it has no body. It does not depend on the client's address, since one caller may have several.
+func FingerprintOf(r *Request) Fingerprint {
+	parts := [][]byte{[]byte(r.Method), []byte(normalizeHost(r.Host)), []byte(r.Target), r.Body}
 	if len(r.Body) == 0 {
-		writePart(h.Write, []byte(client))
+		for _, name := range selectingHeaders {
+			parts = append(parts, []byte(strings.Join(r.Header.Values(name), ",")))
+		}
+	}
+	return digest(parts...)
+}
+
+// ClientFingerprint identifies the request as that of one client, for what clients are promised one by one. Many clients
+// send the same request without a body; they are told apart by their addresses.
+func (r *Request) ClientFingerprint() Fingerprint {
+	if len(r.Body) > 0 || r.ClientAddress == "" {
+		return r.Fingerprint
+	}
+	return digest([]byte(r.Fingerprint), []byte(r.ClientAddress))
+}
+
+// digest returns a digest of the parts.
+func digest(parts ...[]byte) Fingerprint {
+	h := sha256.New()
+	for _, part := range parts {
+		writePart(h.Write, part)
 	}
 	return Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -23,8 +23,7 @@
 	LastEventID, Resumes string
 	// Fingerprint identifies the content of the request over all attempts.
 	Fingerprint Fingerprint
-	// ClientAddress is the IP address that the request came from, for logs: a client may have several, and clients may
-	// share one.
+	// ClientAddress is the IP address that the request came from. A client may have several, and clients may share one.
 	ClientAddress string
 	// Unit is the unit that the request needs on its engine; empty if it needs none.
 	Unit Unit
