A request that ends servers does not have the same request of another workspace held

Cause: fingerprints did not have the caller, so that a workspace whose request is made harmful by something that fingerprints leave out (a cookie, say) had the same path refused to all other workspaces. The fingerprint of an admitted request has the name of its workspace, not the key: a workspace may have several, and change them. Turns and bookings were within a workspace already. Evidence: TestBrokenAttemptsOfWorkspaces has one fingerprint for two workspaces without the change, two with it.

--- a/command/forward/access.go
+++ b/command/forward/access.go
@@ -45,6 +45,7 @@
 		return a, failure
 	}
 	a.workspace, a.route = workspace, withWorkspacePriority(a.route, workspace)
+	r.Fingerprint = r.Fingerprint.InWorkspace(workspace.Name)
 	cost, err := workspace.Limit.Cost(r)
 	if err != nil && workspace.Limit.Limited() {
 		return a, verdict.Refuse(verdict.ReasonInvalid, "%v", err)
--- a/command/forward/access_test.go
+++ b/command/forward/access_test.go
@@ -66,6 +66,38 @@
 	}
 }
 
+// TestBrokenAttemptsOfWorkspaces: the same request of two workspaces, or of one whose key changed, is known by the workspace
+// and not by the key.
+func TestBrokenAttemptsOfWorkspaces(t *testing.T) {
+	keys := []string{testKey, "its second key", "a key of another workspace"}
+	var seen []serving.Fingerprint
+	for _, key := range keys {
+		f := newFixture(t, reply{failure: mayHaveRun})
+		f.requireKeys(t)
+		config := *f.dir.Config()
+		config.Version++
+		config.Workspaces = []serving.Workspace{
+			{Name: "w1", Keys: []serving.KeyDigest{serving.DigestKey(keys[0]), serving.DigestKey(keys[1])}},
+			{Name: "w2", Keys: []serving.KeyDigest{serving.DigestKey(keys[2])}},
+		}
+		if err := config.Index(); err != nil {
+			t.Fatal(err)
+		}
+		f.dir.ApplyConfig(&config)
+		f.access.remaining = 1
+		r := keyed("unsafe", serving.Credential{Form: serving.KeyGiven, Digest: serving.DigestKey(key)})
+		r.Fingerprint = serving.FingerprintOf(r)
+		_ = f.forwarder.Serve(context.Background(), r, httptest.NewRecorder())
+		if len(f.guard.brokenAttempts) != 1 {
+			t.Fatalf("%d broken attempts, want 1", len(f.guard.brokenAttempts))
+		}
+		seen = append(seen, f.guard.brokenAttempts[0].Fingerprint)
+	}
+	if seen[0] != seen[1] || seen[0] == seen[2] {
+		t.Errorf("fingerprints %v: want the first two equal, and the third one different", seen)
+	}
+}
+
 // TestRequestWorkspace: a request runs with the name and the priority of its workspace, a draw is
 // refunded if the request did not reach a server, and a request without permission is not sent to
 // any server.
--- a/serving/fingerprint.go
+++ b/serving/fingerprint.go
@@ -31,6 +31,10 @@
 	return digest(parts...)
 }
 
+// InWorkspace returns the fingerprint of a request of a workspace: a request that harms servers must not have the same
+// request of another workspace refused, which may differ in what fingerprints leave out.
+func (f Fingerprint) InWorkspace(name string) Fingerprint { return digest([]byte(f), []byte(name)) }
+
 // ClientFingerprint identifies the request as that of one client, for what clients are promised one by one. Many clients
 // send the same request without a body; they are told apart by their addresses.
 func (r *Request) ClientFingerprint() Fingerprint {
