A request that goes to a server again takes a new connection

Cause: an extra answer is told by its attempt id. The repeated send of the same attempt has the same id and takes the connection that became idle last, which is the one on which it was rejected; the repeated rejection passes for the answer to that send, and the request is sent a third time although it runs. Fix: an attempt at a server that has had the request before (Attempt.Repeated) goes over a connection of its own, which carries nothing else. Weighed: to close the connection after each rejection costs as many new connections as there are rejections; this one only those that go back to the same server.

--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -354,6 +354,29 @@
 	}
 }
 
+// TestRepeatedAttemptIsMarked guards against an attempt that goes to a server again on a connection that has carried it.
+func TestRepeatedAttemptIsMarked(t *testing.T) {
+	refused := reply{status: http.StatusServiceUnavailable, notExecuted: true}
+	f := newFixture(t, refused, refused, refused, reply{status: 200, events: true, body: threeEvents})
+	f.placer.place = Place{Engine: "e1"}
+	if _, failure := f.serve("stream", "warm", 0); failure != nil {
+		t.Fatal(failure)
+	}
+	seen, repeated := map[string]bool{}, 0
+	for n, a := range f.servers.attempts {
+		if a.Repeated != seen[a.Server.ID] {
+			t.Errorf("attempt %d at %s: repeated %v, want %v", n, a.Server.ID, a.Repeated, seen[a.Server.ID])
+		}
+		if a.Repeated {
+			repeated++
+		}
+		seen[a.Server.ID] = true
+	}
+	if repeated == 0 {
+		t.Errorf("%d attempts at %d servers, want one that goes to a server again", len(f.servers.attempts), len(seen))
+	}
+}
+
 // TestDrainRefusesWaitingRequest: an instance that shuts down refuses waiting requests. Guards
 // against a request that is lost in the shutdown (found by portage as LOST, mix 684510430417).
 func TestDrainRefusesWaitingRequest(t *testing.T) { synctest.Test(t, testDrainRefusesWaitingRequest) }
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,8 @@
 	retryPauses int
 	// waits records what the request waited for, and how long.
 	waits waitTimes
+	// sentTo are the IDs of the servers to which the request was sent, in order.
+	sentTo []string
 	// server is the ID of the server to which the request was last sent.
 	server string
 	// serverVersion is the version of that server's software.
@@ -272,8 +275,9 @@
 	defer cancel()
 	a := serving.Attempt{
 		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
-		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(),
+		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(), Repeated: slices.Contains(t.sentTo, server.ID),
 	}
+	t.sentTo = append(t.sentTo, server.ID)
 	t.beginOnlyRun(&a)
 	resp, err := t.f.sender.Send(ctx, a)
 	defer t.endSend(server, resp)
--- a/serving/request.go
+++ b/serving/request.go
@@ -65,6 +65,9 @@
 	KeysRequired bool
 	// Workspace is the workspace of the request; "" if it needs no key.
 	Workspace string
+	// Repeated is set if the request was sent to the server before. It needs a new connection then: on one that has carried
+	// it, an answer that the server gives twice would be taken for the answer to this attempt.
+	Repeated bool
 	// Backup is the address of the engine that the memory of the run is sent to as it grows; "" for none.
 	Backup string
 	// ContinueFromBackup is set if the server keeps the backup of this request's run, and is to go on from there. If
