A quarantined request keeps its crashes beside a part of its prompt that has the same ones

Cause: the crashes of a request count against the recorded parts of its prompt, too, so that both are quarantined. Crashes are attributed to what was quarantined, the part last, and merge cleared each record that arrived of crashes attributed to another one, a quarantined request too. So the first exchange of records cleared the request. Nothing explained the part's crashes any more: all requests with it were refused. And as soon as an answer with the part had begun somewhere, the part was cleared as well, and the request ran as if for the first time. The rule is by content, not by the order in which records arrive. Weighed: not to attribute to parts at all would hold sound requests beside them. Evidence: TestRequestOutlivesItsPart, five orders of records at two ledgers: the request clear and the part quarantined in all five without the change in ledger.go; request quarantined, part suspect, then clear, with it. TestRequestBesidePartIsCleared holds with and without: what ran beside a quarantined part is cleared still. Same class as the incident: what is known of a request is kept under an identity that another record can take over.

--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -51,7 +51,8 @@
 
 // recordRequestCrash counts the crash against the request itself. l.mu must be held.
 func (l *Ledger) recordRequestCrash(b BrokenAttempt, now time.Time) []Escalation {
-	update := Record{Fingerprint: b.Fingerprint, Subject: b.Subject}
+	i := b.Identity()
+	update := Record{Fingerprint: b.Fingerprint, Subject: b.Subject, Parts: i.partHashes()}
 	r := l.records[b.Fingerprint]
 	suspect := r != nil && r.State() == Suspect
 	switch {
@@ -63,7 +64,6 @@
 		update.Crashes = []Incarnation{IncarnationOf(b.Server)}
 		switch {
 		case b.Isolated && l.needsConfirmation(b, now):
-			i := b.Identity()
 			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints()}}
 		case b.Isolated:
 			update.Alone = update.Crashes
--- a/command/quarantine/identity.go
+++ b/command/quarantine/identity.go
@@ -84,6 +84,13 @@
 // partSeparator makes the hash inputs of ("ab", "c") and ("a", "bc") distinct.
 var partSeparator = []byte{0}
 
+// partHashes returns the hashes of the recorded parts of the prompt.
+func (i *Identity) partHashes() []uint64 {
+	var hashes []uint64
+	i.eachPart(func(hash uint64, _ string) { hashes = append(hashes, hash) })
+	return hashes
+}
+
 // partFingerprints returns the fingerprints of the recorded parts of the prompt.
 func (i *Identity) partFingerprints() []serving.Fingerprint {
 	var fps []serving.Fingerprint
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -255,16 +255,16 @@
 }
 
 // clearAttributed clears a request of the crashes that are attributed to another, quarantined request.
-// It reports whether there were any. Crashes are never attributed away from a part of prompts: a request
-// and several of its parts crash the same servers, and which of them is quarantined first depends on the
-// order of messages. l.mu must be held.
+// It reports whether there were any. Crashes are never attributed away from a part of prompts, nor from a
+// request to a part of its own prompt: a request and several of its parts crash the same servers, and which
+// of them is quarantined first depends on the order of messages. l.mu must be held.
 func (l *Ledger) clearAttributed(r *record) bool {
 	if IsPart(r.Fingerprint) {
 		return false
 	}
 	var cleared []Incarnation
 	for _, incarnation := range r.Crashes {
-		if culprit, ok := l.attributed[incarnation]; ok && culprit != r.Fingerprint {
+		if culprit, ok := l.attributed[incarnation]; ok && culprit != r.Fingerprint && !r.hasPart(culprit) {
 			cleared = append(cleared, incarnation)
 		}
 	}
@@ -275,7 +275,7 @@
 // all other requests of them. l.mu must be held.
 func (l *Ledger) attributeCrashes(culprit *record) {
 	for _, incarnation := range culprit.Crashes {
-		if before, known := l.attributed[incarnation]; !known || IsPart(culprit.Fingerprint) && !IsPart(before) {
+		if before, known := l.attributed[incarnation]; !known || l.isMoreGeneral(culprit, before) {
 			l.attributed[incarnation] = culprit.Fingerprint
 		}
 	}
@@ -286,6 +286,13 @@
 	}
 }
 
+// isMoreGeneral reports whether a record is that of a part, and the culprit so far is a request without that part: its
+// crashes are then those of the part. l.mu must be held.
+func (l *Ledger) isMoreGeneral(r *record, culprit serving.Fingerprint) bool {
+	before := l.records[culprit]
+	return IsPart(r.Fingerprint) && !IsPart(culprit) && (before == nil || !before.hasPart(r.Fingerprint))
+}
+
 // dropAttributions removes the attributions to a request that is no longer quarantined, so that new
 // crashes count against others again. l.mu must be held.
 func (l *Ledger) dropAttributions(r *record, before State) {
--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -295,3 +295,48 @@
 		}
 	}
 }
+
+// TestRequestOutlivesItsPart guards against a quarantined request that is cleared of its crashes because a part of its prompt
+// has the same ones: all others with the part were refused, and once the part was cleared the request ran again.
+func TestRequestOutlivesItsPart(t *testing.T) {
+	bad := identity("bad", "shared:1")
+	part := bad.partFingerprints()[0]
+	for name, order := range map[string][][]serving.Fingerprint{
+		"one exchange":       {{bad.Fingerprint, part}},
+		"the part first":     {{part}, {bad.Fingerprint}},
+		"the request first":  {{bad.Fingerprint}, {part}},
+		"the part, twice":    {{part}, {bad.Fingerprint, part}},
+		"the request, twice": {{bad.Fingerprint}, {part}, {bad.Fingerprint}},
+	} {
+		here, there := NewLedger(), NewLedger()
+		for n := range QuarantineAfter {
+			crashUnder(here, bad, n, n == QuarantineAfter-1)
+			if n > 0 {
+				there.Merge(here.RecordsOf(start, order[0]...), start)
+			}
+		}
+		for _, fps := range order {
+			there.Merge(here.RecordsOf(start, fps...), start)
+			here.Merge(there.RecordsOf(start, fps...), start)
+		}
+		for at, l := range map[string]*Ledger{"here": here, "there": there} {
+			checkAssessed(t, l, name+", the request, "+at, bad, "", Quarantined)
+			checkAssessed(t, l, name+", another one with the part, "+at, identity("sound", "shared:1"), "", Suspect)
+			l.RecordBegun(identity("sound", "shared:1"), "v1", start)
+			checkAssessed(t, l, name+", the part cleared, "+at, identity("sound", "shared:1"), "", Clear)
+			checkAssessed(t, l, name+", the request after that, "+at, bad, "", Quarantined)
+		}
+	}
+}
+
+// TestRequestBesidePartIsCleared guards against holding a request because of the servers that a quarantined part crashed.
+func TestRequestBesidePartIsCleared(t *testing.T) {
+	l := NewLedger()
+	beside := identity("beside", "other:1")
+	crashUnder(l, beside, 0, false)
+	crashUnder(l, beside, 1, false)
+	crashWithPart(l)
+	if state := l.State(beside.Fingerprint); state != Clear {
+		t.Errorf("a request without the part, on two of its servers: %s, want clear", state)
+	}
+}
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -72,6 +72,8 @@
 	Fingerprint serving.Fingerprint
 	// Subject describes the request for operators.
 	Subject string
+	// Parts are the hashes of the recorded parts of the request's prompt. It is empty for parts.
+	Parts []uint64
 	// Crashes are the incarnations that crashed while running the request. Cleared are those whose
 	// crashes no longer count against it. Both are sorted by compareIncarnations.
 	Crashes, Cleared []Incarnation
--- a/command/quarantine/record.go
+++ b/command/quarantine/record.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // record is a ledger's record of one request.
@@ -19,6 +21,12 @@
 	revision, digestTerm uint64
 }
 
+// hasPart reports whether fp is the fingerprint of a part of the request's prompt.
+func (r *record) hasPart(fp serving.Fingerprint) bool {
+	hash, isPart := partHash(fp)
+	return isPart && slices.Contains(r.Parts, hash)
+}
+
 // grace returns the grace period of the next isolated run.
 func (r *record) grace() time.Duration { return max(MinGrace, r.Grace) }
 
@@ -48,6 +56,9 @@
 	if r.Subject == "" {
 		r.Subject = from.Subject
 	}
+	if len(r.Parts) == 0 {
+		r.Parts = from.Parts
+	}
 	return changed
 }
 
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -24,6 +24,7 @@
 // heldRequest is the entry of a suspect or quarantined request.
 type heldRequest struct {
 	Subject string                   `json:"subject"`
+	Parts   []uint64                 `json:"parts,omitempty"`
 	Crashes []quarantine.Incarnation `json:"crashes"`
 	Cleared []quarantine.Incarnation `json:"cleared"`
 	Alone   []quarantine.Incarnation `json:"alone,omitempty"`
@@ -46,7 +47,7 @@
 }
 
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
-	h := heldRequest{Subject: r.Subject, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+	h := heldRequest{Subject: r.Subject, Parts: r.Parts, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
 		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli()})
 	}
@@ -61,7 +62,7 @@
 
 func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
 	r := quarantine.Record{
-		Fingerprint: fp, Subject: h.Subject, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Begun: h.Begun, Grace: time.Duration(h.GraceMS) * time.Millisecond,
+		Fingerprint: fp, Subject: h.Subject, Parts: h.Parts, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Begun: h.Begun, Grace: time.Duration(h.GraceMS) * time.Millisecond,
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
