Crashes that a quarantined request without the part explains do not quarantine a part

Cause: a part was excused only if one other quarantined record had all of its crashes. One crash more, of an isolated run beside something not known yet, and the rest counted again. Fix: crashes at which a quarantined request without the part was running are left out, and the part is quarantined by what remains: three crashes, one of them of an isolated run.

--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -122,17 +122,33 @@
 	return false
 }
 
-// partState returns how a request is treated because of a part of its prompt. If another quarantined record that does
-// not apply to the request accounts for all crashes of the part, the part is not shown to be a cause by itself, and the
-// request runs isolated. l.mu must be held.
+// partState returns how a request is treated because of a part of its prompt. The part is not shown to be a cause by
+// itself if another quarantined record that does not apply to the request accounts for all of its crashes, or if those
+// that are left without the crashes of quarantined requests without the part would not quarantine it. The request then
+// runs isolated. l.mu must be held.
 func (l *Ledger) partState(r *record, i *Identity, version string) State {
 	state := r.stateOn(version)
-	if state == Quarantined && l.explainedByOther(r, i) {
+	if state == Quarantined && (l.explainedByOther(r, i) || l.crashesLeft(r).State() != Quarantined) {
 		return Suspect
 	}
 	return state
 }
 
+// crashesLeft returns the crashes of a part during which no quarantined request without the part was running. l.mu must be
+// held.
+func (l *Ledger) crashesLeft(r *record) *Record {
+	left := Record{Fingerprint: r.Fingerprint, Crashes: slices.Clone(r.Crashes), Alone: slices.Clone(r.Alone)}
+	for _, other := range l.records {
+		if IsPart(other.Fingerprint) || other.State() != Quarantined || other.hasPart(r.Fingerprint) {
+			continue
+		}
+		explained := func(incarnation Incarnation) bool { return slices.Contains(other.Crashes, incarnation) }
+		left.Crashes = slices.DeleteFunc(left.Crashes, explained)
+		left.Alone = slices.DeleteFunc(left.Alone, explained)
+	}
+	return &left
+}
+
 // explainedByOther implements partState. l.mu must be held.
 func (l *Ledger) explainedByOther(r *record, i *Identity) bool {
 	own := i.fingerprints()
