Streams that began before servers of a second software version appeared can be taken up beside them

Cause: an origin was recorded only if the service had several versions at the stream's first event. Streams that ran when the second version appeared were never recorded, though their instance knew their version; the others no longer know that there was one version, and refuse. Ruled out: to conclude from an attempt's age that it began at the first version; the instance that is asked does not know the age. To send origins always costs a call per stream and failure domain. TestStreamOfOneVersionGoesOnBesideSecond waits for copies that nobody made before. TestOneVersionGoesOn still wants nothing recorded elsewhere while there is one version.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -86,7 +86,7 @@
 
 // recordOrigin records where the stream begins, for clients that take it up later.
 func (t *transaction) recordOrigin() {
-	if t.f.origins == nil || !t.route.Resumable || !t.f.mixed(t.route) {
+	if t.f.origins == nil || !t.route.Resumable {
 		return
 	}
 	t.f.origins.Record(t.request.ID, skew.Origin{Service: t.service.Name, Version: t.version})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -153,7 +153,7 @@
 	i.crashes.isolated = i.paths.tracker.Isolated
 	i.follower.onEscalations, i.watcher.crashes = i.quarantine.recordReceived, i.crashes
 	i.marks = &versionMarks{store: i.client, dir: i.dir, isHolder: i.holder.Holds, serversAge: i.watcher.serversAge, log: log}
-	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, i.set)
+	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, i.set, log)
 	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, semaphores: newSemaphores(i.set, log), origins: i.origins, storeAge: i.watcher.storeAge}
 	i.follower.self = i.service
 	i.startDomains = s.RetryBudgetDomains()
@@ -296,7 +296,7 @@
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.limiter.permits.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.shedding.run,
+		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.limiter.permits.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.origins.runUnsent, i.shedding.run,
 	}
 }
 
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/skew"
@@ -21,21 +22,24 @@
 // streamOrigins shares at which software version streams began while servers of several versions serve. The instance
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client takes the stream up asks the same ones. The first event does not wait for
-// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent or asked. It
-// implements forward.Origins.
+// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent or asked; the
+// origins of that time are sent when servers of a second version appear. It implements forward.Origins.
 type streamOrigins struct {
-	table   *skew.Origins
+	table *skew.Origins
+	// unsent has the streams that began here while their service had one version.
+	unsent  skew.Recent
 	dir     *directory.Directory
 	members *members
 	pool    *rpcpool.Pool
 	marks   *versionMarks
 	set     *metrics.Set
+	log     logrus.FieldLogger
 	// sending is the number of origins that are being sent.
 	sending atomic.Int64
 }
 
-func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set) *streamOrigins {
-	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set}
+func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
+	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
 	return o
 }
@@ -73,6 +77,10 @@
 
 // Record implements forward.Origins.
 func (o *streamOrigins) Record(attempt string, origin skew.Origin) {
+	if !o.Mixed(origin.Service) {
+		o.unsent.Add(skew.Entry{Attempt: attempt, Origin: origin}, clock.Now())
+		return
+	}
 	o.table.Record(attempt, origin, clock.Now())
 	if o.sending.Add(1) > maxOriginsSending {
 		o.sending.Add(-1)
--- /dev/null
+++ b/entry/origins_handover.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
+)
+
+// Sending of the origins of streams that began before servers of a second software version appeared.
+const (
+	// unsentInterval is how long such streams may be without a copy of their origin.
+	unsentInterval = 100 * time.Millisecond
+	// maxOriginsPerCall bounds the origins in one call, about 60 B each.
+	maxOriginsPerCall = 512
+	// originCalls is the number of calls at a time.
+	originCalls = 8
+)
+
+// runUnsent sends origins to the instances that keep them once their service has several versions, until ctx ends.
+func (o *streamOrigins) runUnsent(ctx context.Context) {
+	for pause.For(ctx, unsentInterval) {
+		for service := range o.dir.MixedVersions() {
+			if entries := o.unsent.Take(service, clock.Now()); len(entries) > 0 {
+				o.sendUnsent(ctx, entries)
+			}
+		}
+	}
+}
+
+// sendUnsent records origins here and sends them to all instances that may keep them.
+func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry) {
+	byKeeper := map[string][]skew.Entry{}
+	for _, e := range entries {
+		o.table.Record(e.Attempt, e.Origin, clock.Now())
+		candidates, _ := o.keepers(ctx, e.Attempt)
+		for _, address := range slices.Concat(candidates...) {
+			byKeeper[address] = append(byKeeper[address], e)
+		}
+	}
+	var calls errgroup.Group
+	calls.SetLimit(originCalls)
+	for address, kept := range byKeeper {
+		for chunk := range slices.Chunk(kept, maxOriginsPerCall) {
+			calls.Go(func() error {
+				o.sendChunk(ctx, address, chunk)
+				return nil
+			})
+		}
+	}
+	_ = calls.Wait() // no call returns an error
+	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, servers of a second software version have appeared")
+}
+
+// sendChunk sends origins to an instance.
+func (o *streamOrigins) sendChunk(ctx context.Context, address string, entries []skew.Entry) {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	outcome := "sent"
+	if err := o.pool.Call(ctx, address, methodRecordOrigins, &RecordOriginsArgs{Entries: entries}, &RecordOriginReply{}); err != nil {
+		outcome = "failed"
+	}
+	o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="` + outcome + `"}`).Add(len(entries))
+}
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,6 +73,35 @@
 	f.check()
 }
 
+// TestStreamOfOneVersionGoesOnBesideSecond guards against streams that began before servers of a second software version
+// appeared, and that no other instance lets go on once theirs is gone.
+func TestStreamOfOneVersionGoesOnBesideSecond(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1")
+	f.await("certain", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool { return !r.marks.certain() })
+	})
+	var begun []attempt
+	for range 20 {
+		a := attempt{id: newAttemptID(), leaveAfter: 3}
+		f.send(f.instances[0], a)
+		begun = append(begun, a)
+	}
+	f.addVersion("v2", "v2", "m1")
+	f.awaitServers(3)
+	f.await("origins kept by others", func() bool {
+		return !slices.ContainsFunc(f.instances[1:], func(r *running) bool { return r.origins.table.Len() < len(begun) })
+	})
+	f.instances[0].kill()
+	<-f.instances[0].done
+	f.instances = f.instances[1:]
+	for _, a := range begun {
+		got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
+		if got.lastID != standin.StreamEvents || slices.Contains(got.versions, "v2") {
+			t.Errorf("%+v, want the rest at v1", got)
+		}
+	}
+}
+
 // TestUnknownOriginIsRefused guards against a version that is guessed where no instance knows which one began a stream.
 func TestUnknownOriginIsRefused(t *testing.T) {
 	f := newVersionFleet(t, 3, "v1", "v1.1")
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -9,8 +9,9 @@
 
 // RPC methods about the origins of streams.
 const (
-	methodRecordOrigin = "Entry.RecordOrigin"
-	methodOrigin       = "Entry.Origin"
+	methodRecordOrigin  = "Entry.RecordOrigin"
+	methodRecordOrigins = "Entry.RecordOrigins"
+	methodOrigin        = "Entry.Origin"
 )
 
 // RecordOriginArgs has the origin of a stream, by the attempt that brought its first event.
@@ -22,6 +23,9 @@
 // RecordOriginReply is empty.
 type RecordOriginReply struct{}
 
+// RecordOriginsArgs has the origins of streams that began while their service had one software version.
+type RecordOriginsArgs struct{ Entries []skew.Entry }
+
 // OriginArgs asks for the origin of a stream of a service.
 type OriginArgs struct{ Attempt, Service string }
 
@@ -44,6 +48,17 @@
 	return nil
 }
 
+// RecordOrigins records the origins of streams.
+func (s *service) RecordOrigins(args *RecordOriginsArgs, _ *RecordOriginReply) error {
+	if s.follower.isLeaving() {
+		return errLeaving
+	}
+	for _, e := range args.Entries {
+		s.origins.table.Record(e.Attempt, e.Origin, clock.Now())
+	}
+	return nil
+}
+
 // Origin returns what is known of the origin of a stream.
 func (s *service) Origin(args *OriginArgs, reply *OriginReply) error {
 	*reply = s.origins.answer(args)
