Log lines of isolated runs at the holder, when they begin and end

Whether a suspect that ended a server had run isolated, and since when, could not be read from any line. Two lines for each isolated run, which are few: a suspect has one at a time.

--- a/entry/quarantine_manager.go
+++ b/entry/quarantine_manager.go
@@ -118,6 +118,13 @@
 	}
 }
 
+// logTrial logs the begin or the end of an isolated run that the holder has permitted.
+func (q *quarantineManager) logTrial(message string, t quarantine.Trial, fields logrus.Fields) {
+	q.log.WithFields(fields).WithFields(logrus.Fields{
+		"fingerprint": t.Fingerprint, "parts": t.Parts, "server": t.Server, "instance": t.Instance,
+	}).Info(message)
+}
+
 // recordCleared records that a request was answered or released. before is its previous state.
 func (q *quarantineManager) recordCleared(fp serving.Fingerprint, before quarantine.State) {
 	if before != quarantine.Clear {
