An isolated run beside a suspect that was known too late convicts nothing until one of them is told apart

Cause: three servers ended under the sound request, sent again each time. It ran isolated on a server where the harmful one, not yet a suspect, ran, too. Its crash counted as that of an isolated run, since only records with three crashes count as another cause. It was quarantined, both crashes of the harmful one were attributed to it, and that one ran as if for the first time. Fix: if other requests that are suspects were running on the server, the crash stays pending, as it does for parts of prompts. It is decided when none of them is a suspect any more (answered, or cleared), or by a second isolated run with no common one. Evidence: TestIsolatedRunBesideSuspect, seven states wrong without the change.

--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"github.com/martenport/martenport/serving"
 )
 
 // TestSharedPartRunsIsolatedWithUnknownPart guards against quarantining a part that many requests share because of an
@@ -64,3 +66,46 @@
 		checkAssessed(t, l, fmt.Sprintf("another cause: %t", cause), identity("shared"), "", want)
 	}
 }
+
+// TestIsolatedRunBesideSuspect guards against quarantining a request whose isolated run was on a server with another one that
+// became a suspect too late to be kept away: the other one was cleared of its crashes, and ran again.
+func TestIsolatedRunBesideSuspect(t *testing.T) {
+	crash := func(l *Ledger, fp serving.Fingerprint, isolated bool, servers ...int) {
+		for _, n := range servers {
+			l.RecordCrash(BrokenAttempt{Fingerprint: fp, Server: server(n), Isolated: isolated}, start)
+		}
+	}
+	check := func(l *Ledger, what string, want map[serving.Fingerprint]State) {
+		t.Helper()
+		for fp, state := range want {
+			if got := l.State(fp); got != state {
+				t.Errorf("%s: %s is %s, want %s", what, fp, got, state)
+			}
+		}
+	}
+	decided := start.Add(confirmationDelay)
+	begin := func() *Ledger { // two requests that look alike
+		l := NewLedgerOfInstance(start)
+		crash(l, "alone", false, 0, 1)
+		crash(l, "alone", true, 2)
+		crash(l, "beside", false, 1, 2)
+		l.DecidePending(decided)
+		check(l, "not known which", map[serving.Fingerprint]State{"alone": Suspect, "beside": Suspect})
+		if l.HasPending(Identity{Fingerprint: "alone"}) {
+			t.Error("the request must not run, and nothing decides")
+		}
+		return l
+	}
+	l := begin()
+	crash(l, "beside", true, 3)
+	l.DecidePending(decided.Add(confirmationDelay))
+	check(l, "the other one crashes another server", map[serving.Fingerprint]State{"alone": Clear, "beside": Quarantined})
+	l = begin()
+	l.RecordAnswer("beside", decided)
+	l.DecidePending(decided)
+	check(l, "the other one is answered", map[serving.Fingerprint]State{"alone": Quarantined, "beside": Clear})
+	l = begin()
+	crash(l, "alone", true, 3)
+	l.DecidePending(decided.Add(confirmationDelay))
+	check(l, "it crashes another server", map[serving.Fingerprint]State{"alone": Quarantined, "beside": Clear})
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -41,7 +41,7 @@
 	incarnation Incarnation
 	companions  []serving.Fingerprint
 	crashedAt   time.Time
-	// ambiguous is set once other records must have arrived and the crash may still be that of another part of the prompt.
+	// ambiguous is set once other records must have arrived and the crash may still be that of a rival.
 	ambiguous bool
 }
 
@@ -141,9 +141,8 @@
 	return false
 }
 
-// isAmbiguous reports whether a crash during an isolated run may be that of another part of the prompt: one that was not at
-// all crashes of r, and with which no answer is known to have begun. Two isolated runs without a common part of that kind show
-// that it is r. l.mu must be held.
+// isAmbiguous reports whether a crash during an isolated run of r may be that of a rival. Two isolated runs without a common
+// rival show that it is r. l.mu must be held.
 func (l *Ledger) isAmbiguous(r *record, crash pendingCrash, now time.Time) bool {
 	rivals := l.rivals(r, crash, now)
 	return len(rivals) > 0 && !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
@@ -153,11 +152,12 @@
 	})
 }
 
-// rivals implements isAmbiguous. l.mu must be held.
-func (l *Ledger) rivals(r *record, crash pendingCrash, now time.Time) (rivals []serving.Fingerprint) {
+// rivals returns what else may have caused a crash during an isolated run of r. l.mu must be held.
+func (l *Ledger) rivals(r *record, crash pendingCrash, now time.Time) []serving.Fingerprint {
 	if !IsPart(r.Fingerprint) {
-		return nil
+		return l.suspectsBeside(r, crash)
 	}
+	var rivals []serving.Fingerprint
 	for _, fp := range crash.companions {
 		if fp != r.Fingerprint && l.isRival(r, fp, crash.incarnation.Version, now) {
 			rivals = append(rivals, fp)
@@ -166,7 +166,19 @@
 	return rivals
 }
 
-// isRival implements rivals for one part. l.mu must be held.
+// suspectsBeside returns the other requests that were running on the incarnation and are suspects: they became that too late
+// to be kept away from the isolated run. What is answered meanwhile is no suspect any more. l.mu must be held.
+func (l *Ledger) suspectsBeside(r *record, crash pendingCrash) (suspects []serving.Fingerprint) {
+	for fp, other := range l.records {
+		if other != r && !IsPart(fp) && other.State() == Suspect && slices.Contains(other.Crashes, crash.incarnation) {
+			suspects = append(suspects, fp)
+		}
+	}
+	return suspects
+}
+
+// isRival reports whether another part of the prompt is a rival of the part r: one that was not at all crashes of r, and with
+// which no answer is known to have begun. l.mu must be held.
 func (l *Ledger) isRival(r *record, fp serving.Fingerprint, version string, now time.Time) bool {
 	hash, isPart := partHash(fp)
 	if !isPart || l.begun.contains(hash, version, now) {
@@ -188,8 +200,8 @@
 }
 
 // DecidePending decides the pending crashes that are older than confirmationDelay: each counts as a
-// crash during an isolated run unless another suspect was running on the incarnation. A crash that may be that of another part
-// of the prompt stays pending. It returns the escalations that follow, and the requests against which a pending crash does
+// crash during an isolated run unless another suspect was running on the incarnation. A crash that may be that of a rival stays
+// pending. It returns the escalations that follow, and the requests against which a pending crash does
 // not count.
 func (l *Ledger) DecidePending(now time.Time) (escalations []Escalation, dropped []serving.Fingerprint) {
 	l.mu.Lock()
