soak: requests without a body, harmful and sound, from many addresses

Every second harmful request has no body now, a third of the sound ones neither, half of those at a common path, and clients connect from 64 loopback addresses.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -43,6 +43,8 @@
 	key string
 	// payload is the body; empty means defaultPayload. prompt are the parts of the prompt; empty means that none are sent.
 	payload, prompt string
+	// withoutBody makes it a GET request without a body, whose payload is the last segment of its path.
+	withoutBody bool
 	// lastEvent and resumes are the last event that the client has of the stream that it takes up, and the attempt that
 	// brought the first one.
 	lastEvent int
@@ -125,8 +127,9 @@
 func (r *run) sendOnNewConn(random *rand.Rand, id string) clientRequest {
 	req := clientRequest{id: id, route: newConnRoutes[random.IntN(len(newConnRoutes))], key: r.drawKey(random)}
 	if random.IntN(2) == 0 {
-		req.payload = "body of " + id
+		req.payload = "body-of-" + id
 	}
+	req.withoutBody = random.IntN(withoutBodyShare) == 0
 	if req.route == "stream" || req.route == "once" {
 		req.model = models[random.IntN(len(models))]
 		req.prompt = drawPrompt(random, id)
@@ -149,9 +152,17 @@
 	r.takeUps.record(req)
 }
 
-// send sends the request on a new connection.
+// withoutBodyShare is the ratio of all requests on new connections to those without a body.
+const withoutBodyShare = 3
+
+// clientIPs is the number of addresses that clients connect from.
+const clientIPs = 64
+
+// send sends the request on a new connection, from one of the clients' addresses.
 func (req *clientRequest) send(address string) {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	local := net.IPv4(127, 1, 0, byte(1+rand.IntN(clientIPs)))
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: local}}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return
 	}
@@ -163,7 +174,10 @@
 func (req *clientRequest) exchange(conn net.Conn, reader *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(longestTimeout + 2*answerSlack)) // a read beyond the deadline ends the request
 	var text bytes.Buffer
-	fmt.Fprintf(&text, "POST /%s/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: %d\r\n", req.route, len(req.requestBody()))
+	fmt.Fprintf(&text, "%s HTTP/1.1\r\nHost: h.example\r\n", req.methodAndTarget())
+	if !req.withoutBody {
+		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(req.requestBody()))
+	}
 	header := standin.ClientHeader(req.id, req.model, longestTimeout)
 	header.Set(standin.KeyHeader, cmp.Or(req.key, steadyKey))
 	if req.prompt != "" {
@@ -205,18 +219,26 @@
 	return req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests || req.status == http.StatusUnauthorized
 }
 
+// methodAndTarget returns the method and the target of the request.
+func (req *clientRequest) methodAndTarget() string {
+	if req.withoutBody {
+		return "GET /" + req.route + "/" + cmp.Or(req.payload, defaultPayload)
+	}
+	return "POST /" + req.route + "/x"
+}
+
 // requestBody returns the body of the request.
 func (req *clientRequest) requestBody() string {
-	if req.payload == "" {
-		return defaultPayload
+	if req.withoutBody {
+		return ""
 	}
-	return req.payload
+	return cmp.Or(req.payload, defaultPayload)
 }
 
 // expectedBody returns the complete body of a correct answer.
 func (req *clientRequest) expectedBody() string {
 	if req.model == "" {
-		return "POST /" + req.route + "/x " + req.requestBody()
+		return req.methodAndTarget() + " " + req.requestBody()
 	}
 	var b strings.Builder
 	for i := req.lastEvent; i < standin.StreamEvents; i++ {
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -83,11 +83,13 @@
 	})}
 }
 
-// repeatPoison is one client that repeats a poison request, and records its sends in the history.
+// repeatPoison is one client that repeats a poison request, and records its sends in the history. Every second poison
+// request has no body.
 func (r *run) repeatPoison(ctx context.Context, body string, client int, random *rand.Rand) {
 	deadline := time.Now().Add(poisonDuration)
+	withoutBody := body[len(body)-1]%2 == 1
 	for n := 0; time.Now().Before(deadline) && pause.For(ctx, poisonInterval); n++ {
-		r.sendHarmful(clientRequest{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[random.IntN(len(models))], payload: body}, random)
+		r.sendHarmful(clientRequest{id: fmt.Sprintf("%s-%d-%d", body, client, n), route: "stream", model: models[random.IntN(len(models))], payload: body, withoutBody: withoutBody}, random)
 	}
 }
 
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -108,7 +108,7 @@
 		return clientRequest{}, false
 	}
 	req := clientRequest{
-		id: begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, prompt: begun.prompt,
+		id: begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
 		lastEvent: events, resumes: begun.id, versions: slices.Clone(begun.versions),
 	}
 	r.sendTo(r.drawEntry(random), &req)
