--- a/serving/fingerprint_test.go
+++ b/serving/fingerprint_test.go
@@ -62,7 +62,8 @@
 		r.Fingerprint = FingerprintOf(r)
 		return r.ClientFingerprint()
 	}
-	if of("10.0.0.1", "") != of("10.0.0.1", "") || of("10.0.0.1", "") == of("10.0.0.2", "") {
+	first, again, other := of("10.0.0.1", ""), of("10.0.0.1", ""), of("10.0.0.2", "")
+	if first != again || first == other {
 		t.Error("no body: want one client fingerprint for each client")
 	}
 	if of("10.0.0.1", "body") != of("10.0.0.2", "body") {
