A log line tells of an end under an isolated run that stays undecided, and of its rivals

A request under which servers end may run isolated again and again while no line says why: ends of isolated runs beside other suspects stay pending, and only those that were decided were logged. The line has the server, the number of rivals and one of them. Ledger.DecidePending returns the undecided ends; the tests that use its second result ignore the third.

--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -45,6 +45,13 @@
 	ambiguous bool
 }
 
+// UndecidedCrash is a crash during an isolated run that one of the rivals may have caused as well.
+type UndecidedCrash struct {
+	Fingerprint serving.Fingerprint
+	Incarnation Incarnation
+	Rivals      []serving.Fingerprint
+}
+
 // newLedgerTime is how long after its start an instance may not know of suspects that other instances knew of which have
 // failed, or that it knew of before.
 const newLedgerTime = 4 * confirmationDelay
@@ -201,9 +208,9 @@
 
 // DecidePending decides the pending crashes that are older than confirmationDelay: each counts as a
 // crash during an isolated run unless another suspect was running on the incarnation. A crash that may be that of a rival stays
-// pending. It returns the escalations that follow, and the requests against which a pending crash does
-// not count.
-func (l *Ledger) DecidePending(now time.Time) (escalations []Escalation, dropped []serving.Fingerprint) {
+// pending. It returns the escalations that follow, the requests against which a pending crash does not count, and the crashes
+// that have just become undecided.
+func (l *Ledger) DecidePending(now time.Time) (escalations []Escalation, dropped []serving.Fingerprint, undecided []UndecidedCrash) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, fp := range slices.SortedFunc(maps.Keys(l.records), compareRequestsFirst) {
@@ -215,6 +222,9 @@
 				continue
 			}
 			if l.isAmbiguous(r, crash, now) {
+				if !crash.ambiguous {
+					undecided = append(undecided, UndecidedCrash{Fingerprint: fp, Incarnation: crash.incarnation, Rivals: l.rivals(r, crash, now)})
+				}
 				crash.ambiguous = true
 				r.addPending(crash)
 				continue
@@ -223,7 +233,7 @@
 			escalations = append(escalations, l.merge(Record{Fingerprint: fp, Crashes: crashed, Alone: crashed}, now)...)
 		}
 	}
-	return escalations, dropped
+	return escalations, dropped, undecided
 }
 
 // removeDecidable removes the pending crashes that are old enough to be decided, and returns them.
--- a/command/quarantine/restart_test.go
+++ b/command/quarantine/restart_test.go
@@ -111,7 +111,7 @@
 	send(a, b, start.Add(time.Second)) // in transit for one second
 	send(b, a, start.Add(time.Second))
 	a.RecordCrash(BrokenAttempt{Fingerprint: "culprit", Server: server(3)}, start)
-	if _, dropped := a.DecidePending(start.Add(confirmationDelay)); len(dropped) != 1 {
+	if _, dropped, _ := a.DecidePending(start.Add(confirmationDelay)); len(dropped) != 1 {
 		t.Fatalf("dropped %v, want one request: the decision was postponed, or the crash counts", dropped)
 	}
 	send(a, b, start.Add(confirmationDelay))
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -285,7 +285,12 @@
 // sweep decides pending ends of requests that ran alone, and drops expired failures, ends and
 // quarantine entries.
 func (c *crashDetector) sweep(now time.Time) {
-	escalations, dropped := c.ledger.DecidePending(now)
+	escalations, dropped, undecided := c.ledger.DecidePending(now)
+	for _, crash := range undecided {
+		c.log.WithFields(logrus.Fields{
+			"fingerprint": crash.Fingerprint, "server": crash.Incarnation.Server, "rivals": len(crash.Rivals), "rival": crash.Rivals[0],
+		}).Info("end under a run alone is undecided, others may be its cause")
+	}
 	for _, fp := range dropped {
 		c.log.WithField("fingerprint", fp).Info("end under a run alone does not count, another suspect was there")
 	}
