A suspect is told apart by two isolated runs although sound requests follow it from server to server

Real cost: each end breaks off ten to twenty streams of others. Cause: an end of an isolated run is undecided while another suspect was on the server, and two such ends decide only if they have no suspect in common. Fix: a suspect that two isolated runs have in common is in the way only if it was at all ends that count against the request. One that only follows it does not explain the ends before. Evidence: TestSuspectFollowedByResentRequests fails without the change; TestTwinsStaySuspects, TestIsolatedRunBesideSuspect, TestSharedRequestBesideUnknownCause hold: what was at the same ends still cannot be told apart.

--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -109,3 +109,45 @@
 	l.DecidePending(decided.Add(confirmationDelay))
 	check(l, "it crashes another server", map[serving.Fingerprint]State{"alone": Quarantined, "beside": Clear})
 }
+
+// TestSuspectFollowedByResentRequests guards against a request that ends server after server in isolated runs because sound
+// requests that are sent again after each crash run beside it: they are not its rivals forever.
+func TestSuspectFollowedByResentRequests(t *testing.T) {
+	l := NewLedgerOfInstance(start)
+	crash := func(fp serving.Fingerprint, isolated bool, servers ...int) {
+		for _, n := range servers {
+			l.RecordCrash(BrokenAttempt{Fingerprint: fp, Server: server(n), Isolated: isolated}, start)
+		}
+	}
+	crash("bad", false, 0, 1)
+	crash("first", false, 1, 2)
+	crash("bad", true, 2)
+	l.DecidePending(start.Add(confirmationDelay))
+	if got := l.State("bad"); got != Suspect {
+		t.Fatalf("%s after one isolated run beside another suspect, want suspect", got)
+	}
+	crash("second", false, 2, 3)
+	crash("bad", true, 3)
+	l.DecidePending(start.Add(2 * confirmationDelay))
+	for fp, want := range map[serving.Fingerprint]State{"bad": Quarantined, "first": Clear, "second": Clear} {
+		if got := l.State(fp); got != want {
+			t.Errorf("%s is %s after two isolated runs, want %s", fp, got, want)
+		}
+	}
+}
+
+// TestTwinsStaySuspects guards against refusing one of two requests that were at the same crashes, without a run that told them
+// apart.
+func TestTwinsStaySuspects(t *testing.T) {
+	l := NewLedgerOfInstance(start)
+	for n := range 4 {
+		l.RecordCrash(BrokenAttempt{Fingerprint: "twin", Server: server(n)}, start)
+		l.RecordCrash(BrokenAttempt{Fingerprint: "other", Server: server(n), Isolated: n > 1}, start)
+	}
+	l.DecidePending(start.Add(confirmationDelay))
+	for _, fp := range []serving.Fingerprint{"twin", "other"} {
+		if got := l.State(fp); got != Suspect {
+			t.Errorf("%s is %s, want suspect", fp, got)
+		}
+	}
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -148,17 +148,24 @@
 	return false
 }
 
-// isAmbiguous reports whether a crash during an isolated run of r may be that of a rival. Two isolated runs without a common
-// rival show that it is r. l.mu must be held.
+// isAmbiguous reports whether a crash during an isolated run of r may be that of a rival. Two isolated runs show that it is r
+// unless one rival explains both. l.mu must be held.
 func (l *Ledger) isAmbiguous(r *record, crash pendingCrash, now time.Time) bool {
 	rivals := l.rivals(r, crash, now)
 	return len(rivals) > 0 && !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
 		return other.incarnation != crash.incarnation && !slices.ContainsFunc(l.rivals(r, other, now), func(fp serving.Fingerprint) bool {
-			return slices.Contains(rivals, fp)
+			return slices.Contains(rivals, fp) && l.explainsAll(fp, r)
 		})
 	})
 }
 
+// explainsAll reports whether a rival was running at all crashes that count against r. A request that is sent again after
+// each crash follows r to the next server, but was not at the crashes that made r a suspect. Parts of prompts spread with
+// requests, so that for them a common rival is enough. l.mu must be held.
+func (l *Ledger) explainsAll(rival serving.Fingerprint, r *record) bool {
+	return IsPart(r.Fingerprint) || containsAll(l.records[rival].Crashes, r.Crashes)
+}
+
 // rivals returns what else may have caused a crash during an isolated run of r. l.mu must be held.
 func (l *Ledger) rivals(r *record, crash pendingCrash, now time.Time) []serving.Fingerprint {
 	if !IsPart(r.Fingerprint) {
