A request under which servers end in three isolated runs is refused, whatever else ran there

Nothing bounded the isolated runs of a suspect of which none counted: undecided ones, ones that were dropped for another cause, and those of a request whose runs all ended beside a cause of other ends (requestState). Each of them ends a server. Cause: only ends that are certain were counted. An end that might be another's left no trace that adds up. Fix: a record keeps which of its ends were of isolated runs, certain or not; from three on the request is refused. It is cleared as before by an answer, and of ends that are another one's. The new list travels like the others (reports, store); builds before leave it empty. Evidence: TestIsolatedRunsAreBounded, a random history of others beside: isolated run 4 and still a suspect without the change, three at most with it.

--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -62,6 +62,9 @@
 		update.Grace = min(maxGrace, graceFactor*b.RunTime)
 	default:
 		update.Crashes = []Incarnation{IncarnationOf(b.Server)}
+		if b.Isolated {
+			update.Isolated = update.Crashes
+		}
 		switch {
 		case b.Isolated && l.needsConfirmation(b, now):
 			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints()}}
--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"github.com/martenport/martenport/serving"
 )
 
@@ -151,3 +153,30 @@
 		}
 	}
 }
+
+// TestIsolatedRunsAreBounded guards against a request that ends a server in each isolated run and is never refused, since
+// others that cannot be told apart from it were always there, too.
+func TestIsolatedRunsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedgerOfInstance(start)
+		beside := []serving.Fingerprint{"a", "b", "c"}
+		now, isolatedRuns := start, 0
+		for n := 0; l.State("bad") != Quarantined; n++ {
+			isolated := l.State("bad") == Suspect
+			if isolated {
+				isolatedRuns++
+			}
+			if isolatedRuns > QuarantineAfterIsolated {
+				t.Fatalf("isolated run %d, and still a suspect", isolatedRuns)
+			}
+			for _, fp := range beside {
+				if rapid.Bool().Draw(t, "beside") {
+					l.RecordCrash(BrokenAttempt{Fingerprint: fp, Server: server(n)}, now)
+				}
+			}
+			l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n), Isolated: isolated}, now)
+			now = now.Add(confirmationDelay)
+			l.DecidePending(now)
+		}
+	})
+}
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -320,7 +320,7 @@
 	r := l.records[fp]
 	l.digest ^= r.digestTerm
 	before := r.State()
-	r.Crashes, r.Alone = nil, nil
+	r.Crashes, r.Isolated, r.Alone = nil, nil, nil
 	l.dropAttributions(r, before)
 	l.remove(r)
 }
--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -98,7 +98,7 @@
 // that crashed other servers as well, it is not shown to be the cause, and runs isolated. l.mu must be held.
 func (l *Ledger) requestState(r *record, i *Identity, version string) State {
 	state := r.stateOn(version)
-	if state != Quarantined {
+	if state != Quarantined || r.isolatedTooOften() {
 		return state
 	}
 	own := i.fingerprints()
--- a/command/quarantine/quarantine.go
+++ b/command/quarantine/quarantine.go
@@ -33,6 +33,9 @@
 	// the same time count equally against all requests running on them, and a request that many
 	// clients send runs on every server.
 	QuarantineAfter = 3
+	// QuarantineAfterIsolated is the number of crashes during isolated runs from which a request is refused even if
+	// others were running on each of the servers. It bounds what a request costs that cannot be told apart from them.
+	QuarantineAfterIsolated = 3
 )
 
 // Incarnation is one run of a backend server process.
@@ -77,8 +80,9 @@
 	// Crashes are the incarnations that crashed while running the request. Cleared are those whose
 	// crashes no longer count against it. Both are sorted by compareIncarnations.
 	Crashes, Cleared []Incarnation
-	// Alone is the subset of Crashes that happened during isolated runs.
-	Alone []Incarnation
+	// Isolated is the subset of Crashes that happened during isolated runs, and Alone the subset of these that no other
+	// request is known to have caused.
+	Isolated, Alone []Incarnation
 	// Begun are the software versions at which an answer to a request with the part has begun, sorted. Crashes of servers of
 	// these versions do not count. It is empty for requests.
 	Begun []string
@@ -94,7 +98,7 @@
 // State returns how the request is treated.
 func (r *Record) State() State {
 	switch n := len(r.Crashes); {
-	case n >= QuarantineAfter && len(r.Alone) > 0:
+	case n >= QuarantineAfter && (len(r.Alone) > 0 || r.isolatedTooOften()):
 		return Quarantined
 	case n >= SuspectAfter:
 		return Suspect
@@ -103,6 +107,10 @@
 	}
 }
 
+// isolatedTooOften reports whether servers crashed under the request in so many isolated runs that it is refused whatever
+// else ran there.
+func (r *Record) isolatedTooOften() bool { return len(r.Isolated) >= QuarantineAfterIsolated }
+
 // lifetime returns how long after its last change the record is valid.
 func (r *Record) lifetime() time.Duration {
 	if r.State() == Quarantined {
@@ -114,7 +122,7 @@
 // same reports whether two records have the same content, apart from subjects and ages.
 func (r *Record) same(other Record) bool {
 	return slices.Equal(r.Crashes, other.Crashes) && slices.Equal(r.Cleared, other.Cleared) &&
-		slices.Equal(r.Alone, other.Alone) && slices.Equal(r.Begun, other.Begun) &&
+		slices.Equal(r.Isolated, other.Isolated) && slices.Equal(r.Alone, other.Alone) && slices.Equal(r.Begun, other.Begun) &&
 		slices.EqualFunc(r.Pending, other.Pending, func(a, b PendingCrash) bool { return a.Incarnation == b.Incarnation }) &&
 		r.Grace == other.Grace
 }
--- a/command/quarantine/record.go
+++ b/command/quarantine/record.go
@@ -84,6 +84,7 @@
 			changed = addIncarnation(&r.Cleared, incarnation) || changed
 		}
 		changed = removeIncarnation(&r.Crashes, incarnation) || changed
+		removeIncarnation(&r.Isolated, incarnation)
 		removeIncarnation(&r.Alone, incarnation)
 	}
 	return changed
@@ -96,9 +97,15 @@
 			changed = addIncarnation(&r.Crashes, incarnation) || changed
 		}
 	}
-	for _, incarnation := range from.Alone {
+	changed = r.addSubset(&r.Isolated, from.Isolated) || changed
+	return r.addSubset(&r.Alone, from.Alone) || changed
+}
+
+// addSubset adds those incarnations to a list whose crashes count against the request, and reports whether any was new.
+func (r *record) addSubset(list *[]Incarnation, incarnations []Incarnation) (changed bool) {
+	for _, incarnation := range incarnations {
 		if slices.Contains(r.Crashes, incarnation) {
-			changed = addIncarnation(&r.Alone, incarnation) || changed
+			changed = addIncarnation(list, incarnation) || changed
 		}
 	}
 	return changed
@@ -108,6 +115,7 @@
 func (r *record) normalize() {
 	slices.SortFunc(r.Crashes, compareIncarnations)
 	slices.SortFunc(r.Cleared, compareIncarnations)
+	slices.SortFunc(r.Isolated, compareIncarnations)
 	slices.SortFunc(r.Alone, compareIncarnations)
 	if excess := len(r.Cleared) - maxCleared; excess > 0 {
 		r.Cleared = slices.Delete(r.Cleared, 0, excess) // all ledgers remove the same ones
@@ -137,7 +145,7 @@
 // higher for crashes during isolated runs, so that one of them fits however many servers have crashed
 // together before.
 func (r *record) crashLimit(from Record, incarnation Incarnation) int {
-	if slices.Contains(from.Alone, incarnation) {
+	if slices.Contains(from.Isolated, incarnation) || slices.Contains(from.Alone, incarnation) {
 		return maxCleared + maxIsolatedCrashes
 	}
 	return maxCleared
@@ -150,8 +158,8 @@
 
 // hash returns a hash of the record's content.
 func (r *record) hash() uint64 {
-	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Alone)))
-	incarnations := slices.Concat(r.Crashes, r.Cleared, r.Alone)
+	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Isolated)), byte(len(r.Alone)))
+	incarnations := slices.Concat(r.Crashes, r.Cleared, r.Isolated, r.Alone)
 	for _, crash := range r.pending {
 		incarnations = append(incarnations, crash.incarnation)
 	}
@@ -168,8 +176,8 @@
 // snapshot returns a copy of the record for other ledgers.
 func (r *record) snapshot(now time.Time) Record {
 	snapshot := r.Record
-	snapshot.Crashes, snapshot.Cleared, snapshot.Alone =
-		slices.Clone(r.Crashes), slices.Clone(r.Cleared), slices.Clone(r.Alone)
+	snapshot.Crashes, snapshot.Cleared = slices.Clone(r.Crashes), slices.Clone(r.Cleared)
+	snapshot.Isolated, snapshot.Alone = slices.Clone(r.Isolated), slices.Clone(r.Alone)
 	snapshot.Begun = slices.Clone(r.Begun)
 	snapshot.Pending = r.pendingSnapshot(now)
 	snapshot.Age = max(0, now.Sub(r.changedAt))
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -27,10 +27,12 @@
 	Parts   []uint64                 `json:"parts,omitempty"`
 	Crashes []quarantine.Incarnation `json:"crashes"`
 	Cleared []quarantine.Incarnation `json:"cleared"`
-	Alone   []quarantine.Incarnation `json:"alone,omitempty"`
-	Pending []heldEnd                `json:"pending,omitempty"`
-	Begun   []string                 `json:"begun,omitempty"`
-	GraceMS int64                    `json:"graceMs"`
+	// Isolated is empty in entries of earlier builds.
+	Isolated []quarantine.Incarnation `json:"isolated,omitempty"`
+	Alone    []quarantine.Incarnation `json:"alone,omitempty"`
+	Pending  []heldEnd                `json:"pending,omitempty"`
+	Begun    []string                 `json:"begun,omitempty"`
+	GraceMS  int64                    `json:"graceMs"`
 	// ChangedMS is the time of the last change, in milliseconds since the Unix epoch. It only
 	// determines for how many minutes the entry counts.
 	ChangedMS int64 `json:"changedMs"`
@@ -47,7 +49,7 @@
 }
 
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
-	h := heldRequest{Subject: r.Subject, Parts: r.Parts, Crashes: r.Crashes, Cleared: r.Cleared, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
+	h := heldRequest{Subject: r.Subject, Parts: r.Parts, Crashes: r.Crashes, Cleared: r.Cleared, Isolated: r.Isolated, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
 		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli()})
 	}
@@ -56,13 +58,13 @@
 
 // matches reports whether the entry agrees with a record of the ledger.
 func (h heldRequest) matches(r quarantine.Record) bool {
-	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Alone, r.Alone) && slices.Equal(h.Begun, r.Begun) &&
+	return slices.Equal(h.Crashes, r.Crashes) && slices.Equal(h.Isolated, r.Isolated) && slices.Equal(h.Alone, r.Alone) && slices.Equal(h.Begun, r.Begun) &&
 		slices.EqualFunc(h.Pending, r.Pending, func(a heldEnd, b quarantine.PendingCrash) bool { return a.Incarnation == b.Incarnation })
 }
 
 func (h heldRequest) decode(fp serving.Fingerprint, now time.Time) quarantine.Record {
 	r := quarantine.Record{
-		Fingerprint: fp, Subject: h.Subject, Parts: h.Parts, Crashes: h.Crashes, Cleared: h.Cleared, Alone: h.Alone, Begun: h.Begun, Grace: time.Duration(h.GraceMS) * time.Millisecond,
+		Fingerprint: fp, Subject: h.Subject, Parts: h.Parts, Crashes: h.Crashes, Cleared: h.Cleared, Isolated: h.Isolated, Alone: h.Alone, Begun: h.Begun, Grace: time.Duration(h.GraceMS) * time.Millisecond,
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
