A suspect whose isolated run ended a server stays one when its other ends are a part's of other prompts

Cause: the ends that are attributed to something quarantined are taken off all others. What is left of a suspect may be the one end of its isolated run, which is below the two that make a suspect. Fix: a request of which an isolated run ended a server that is nobody else's end keeps all its ends, until it is answered. Weighed: to attribute nothing to parts would leave hundreds of sound requests suspects while a harmful part comes. Evidence: TestSuspectOutlivesPartOfOthers, "clear" before. TestIsolatedRunBesideSuspect holds: where the isolated run is explained by the one that is quarantined, the other is cleared.

--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -180,3 +180,21 @@
 		}
 	})
 }
+
+// TestSuspectOutlivesPartOfOthers guards against a request that is free to run on all servers at once again, since a part of
+// other prompts is quarantined that ran at its first crashes, though its isolated run ended another server.
+func TestSuspectOutlivesPartOfOthers(t *testing.T) {
+	l := NewLedger()
+	for n := range 2 {
+		l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n)}, start)
+	}
+	l.RecordCrash(BrokenAttempt{Fingerprint: "beside", Server: server(1)}, start)
+	l.RecordCrash(BrokenAttempt{Fingerprint: "beside", Server: server(9)}, start)
+	l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(9), Isolated: true}, start)
+	l.DecidePending(start.Add(confirmationDelay))
+	crashWithPart(l) // servers 0 to 2
+	checkAssessed(t, l, "the part", identity("next", "p:10"), "", Quarantined)
+	checkAssessed(t, l, "the request", identity("bad"), "", Suspect)
+	l.RecordAnswer("bad", start)
+	checkAssessed(t, l, "the request, answered", identity("bad"), "", Clear)
+}
--- a/command/quarantine/ledger.go
+++ b/command/quarantine/ledger.go
@@ -257,20 +257,28 @@
 // clearAttributed clears a request of the crashes that are attributed to another, quarantined request.
 // It reports whether there were any. Crashes are never attributed away from a part of prompts, nor from a
 // request to a part of its own prompt: a request and several of its parts crash the same servers, and which
-// of them is quarantined first depends on the order of messages. l.mu must be held.
+// of them is quarantined first depends on the order of messages. A request keeps all its crashes if one of its isolated
+// runs ended with a server that nobody else is known to have crashed. l.mu must be held.
 func (l *Ledger) clearAttributed(r *record) bool {
-	if IsPart(r.Fingerprint) {
+	if IsPart(r.Fingerprint) || slices.ContainsFunc(r.Isolated, func(incarnation Incarnation) bool { return !l.isAnothers(r, incarnation) }) {
 		return false
 	}
 	var cleared []Incarnation
 	for _, incarnation := range r.Crashes {
-		if culprit, ok := l.attributed[incarnation]; ok && culprit != r.Fingerprint && !r.hasPart(culprit) {
+		if l.isAnothers(r, incarnation) {
 			cleared = append(cleared, incarnation)
 		}
 	}
 	return len(cleared) > 0 && r.merge(Record{Cleared: cleared})
 }
 
+// isAnothers reports whether a crash is attributed to another request, or to a part of prompts that the request does not
+// have. l.mu must be held.
+func (l *Ledger) isAnothers(r *record, incarnation Incarnation) bool {
+	culprit, ok := l.attributed[incarnation]
+	return ok && culprit != r.Fingerprint && !r.hasPart(culprit)
+}
+
 // attributeCrashes attributes the crashes of a request that has just been quarantined to it, and clears
 // all other requests of them. l.mu must be held.
 func (l *Ledger) attributeCrashes(culprit *record) {
