Streams go on after all instances were killed while servers of two software versions serve

Cause: where streams began was in the memory of instances only. Copies at several instances outlive some of them, not all. Fix: an instance archives in the store what it keeps for others, all of it in one write, at most twice a second and only if there is something new; a process that starts reads it before it answers that it does not know. Nothing is written while services have one version. Weighed: a hash of the attempt as the version (versions come and go); the runs that engines report (they end with their connections); a write before each first event (a wait, and thousands a second in a large fleet). TestOriginOutlivesAllInstances fails (503) if the archive is not read. TestUnknownOriginIsRefused removed nothing from the store before, and would find the origins there now; it removes the archives between the processes and checks the same. Left: what began after the last write, up to 0.5 s in a small fleet.

--- a/command/skew/origins.go
+++ b/command/skew/origins.go
@@ -45,7 +45,10 @@
 
 // Record records the origin of a stream. An origin never changes: only the first one recorded for an attempt counts.
 func (o *Origins) Record(attempt string, origin Origin, now time.Time) {
-	key := keyOf(attempt)
+	o.record(keyOf(attempt), origin, now)
+}
+
+func (o *Origins) record(key attemptKey, origin Origin, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.rotate(now)
--- /dev/null
+++ b/command/skew/window.go
@@ -0,0 +1,97 @@
+package skew
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of a Window.
+const (
+	// windowPeriod is the length of each of a window's two periods. A stream is taken up within seconds after it broke off,
+	// and few last for longer than a period.
+	windowPeriod = 30 * time.Second
+	// maxPerPeriod bounds the origins of a period, 16 B each.
+	maxPerPeriod = 8192
+)
+
+// Digests are the digests of the attempts that began streams, one after the other, by service and software version.
+type Digests map[string]map[string][]byte
+
+// Window collects the origins of the last one to two periods for an archive that outlives the process. It is safe for
+// concurrent use.
+type Window struct {
+	mu sync.Mutex
+	// current has the origins added since currentSince, and previous those of the period before; guarded by mu.
+	current, previous map[attemptKey]Origin
+	currentSince      time.Time
+	// changed is set if something was added since the last Snapshot; guarded by mu.
+	changed bool
+}
+
+// Add adds the origin of a stream that begins now.
+func (w *Window) Add(e Entry, now time.Time) { w.add(keyOf(e.Attempt), e.Origin, now) }
+
+func (w *Window) add(key attemptKey, origin Origin, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rotate(now)
+	if _, known := w.current[key]; known || len(w.current) >= maxPerPeriod {
+		return
+	}
+	w.current[key] = origin
+	w.changed = true
+}
+
+// rotate begins a new period if the current one is over. w.mu must be held.
+func (w *Window) rotate(now time.Time) {
+	age := now.Sub(w.currentSince)
+	if w.current != nil && age < windowPeriod {
+		return
+	}
+	w.previous = w.current
+	if age >= 2*windowPeriod {
+		w.previous = nil
+	}
+	w.current, w.currentSince = map[attemptKey]Origin{}, now
+}
+
+// Snapshot returns the origins in the window, and whether any was added since the last call.
+func (w *Window) Snapshot(now time.Time) (digests Digests, changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rotate(now)
+	changed, w.changed = w.changed, false
+	digests = Digests{}
+	for _, period := range []map[attemptKey]Origin{w.previous, w.current} {
+		for key, origin := range period {
+			if digests[origin.Service] == nil {
+				digests[origin.Service] = map[string][]byte{}
+			}
+			digests[origin.Service][origin.Version] = append(digests[origin.Service][origin.Version], key[:]...)
+		}
+	}
+	return digests, changed
+}
+
+// MarkChanged makes the next Snapshot report a change: what the last one returned was not archived.
+func (w *Window) MarkChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.changed = true
+}
+
+// Restore records archived origins in a table and in the window, and returns their number.
+func (d Digests) Restore(table *Origins, w *Window, now time.Time) (restored int) {
+	for service, versions := range d {
+		for version, digests := range versions {
+			for len(digests) >= len(attemptKey{}) {
+				key, origin := attemptKey(digests[:len(attemptKey{})]), Origin{Service: service, Version: version}
+				table.record(key, origin, now)
+				w.add(key, origin, now)
+				digests = digests[len(attemptKey{}):]
+				restored++
+			}
+		}
+	}
+	return restored
+}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -23,11 +23,13 @@
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client takes the stream up asks the same ones. The first event does not wait for
 // them: a stream whose origin is lost does not go on. While a service has one version nothing is sent or asked; the
-// origins of that time are sent when servers of a second version appear. It implements forward.Origins.
+// origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
+// for others, so that streams go on after all instances were killed. It implements forward.Origins.
 type streamOrigins struct {
 	table *skew.Origins
 	// unsent has the streams that began here while their service had one version.
 	unsent  skew.Recent
+	archive *originArchive
 	dir     *directory.Directory
 	members *members
 	pool    *rpcpool.Pool
@@ -40,6 +42,7 @@
 
 func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
 	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set, log: log}
+	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, instances: m.count, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
 	return o
 }
@@ -141,7 +144,7 @@
 			replies <- reply
 		}()
 	}
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !o.marks.certain()}
+	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !o.marks.certain() || !o.archive.restored.Load()}
 	for range keepers {
 		switch reply := <-replies; {
 		case reply == nil:
@@ -180,6 +183,12 @@
 	return candidates, copies
 }
 
+// keep records an origin that this instance keeps for another one.
+func (o *streamOrigins) keep(e skew.Entry, now time.Time) {
+	o.table.Record(e.Attempt, e.Origin, now)
+	o.archive.window.Add(e, now)
+}
+
 // answer returns what this instance knows of an origin.
 func (o *streamOrigins) answer(args *OriginArgs) OriginReply {
 	origin, known := o.table.Find(args.Attempt, clock.Now())
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"encoding/json"
 	"net/http"
 	"slices"
 	"testing"
@@ -11,20 +12,22 @@
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 	"github.com/sirupsen/logrus"
 )
 
-// replaceInstances replaces all instances by new processes of the same names.
-func (f *versionFleet) replaceInstances() {
+// replaceInstances ends all instances, calls between, and starts new processes of the same names.
+func (f *versionFleet) replaceInstances(end func(*running), between func()) {
 	f.t.Helper()
 	n := len(f.instances)
 	for _, r := range f.instances {
-		r.stop()
+		end(r)
 	}
 	for _, r := range f.instances {
 		<-r.done
 	}
 	f.instances = nil
+	between()
 	for i := range n {
 		f.addInstance(i)
 	}
@@ -38,6 +41,56 @@
 	})
 }
 
+// removeArchives removes the archived origins of all instances, as in a store that came back from an older copy.
+func (f *versionFleet) removeArchives() {
+	f.t.Helper()
+	for _, obj := range f.archives() {
+		if err := f.store.Delete(f.t.Context(), obj.Key, obj.Version); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+func (f *versionFleet) archives() []store.Object {
+	f.t.Helper()
+	snap, err := f.store.List(f.t.Context(), prefixOrigins)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return snap.Objects
+}
+
+// TestOriginOutlivesAllInstances guards against streams that do not go on after all instances were killed, since nobody
+// knows which version began them.
+func TestOriginOutlivesAllInstances(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1.1", "v1", "v1.1")
+	var begun []attempt
+	var versions []string
+	for range 20 {
+		a := attempt{id: newAttemptID(), leaveAfter: 3}
+		got := f.send(f.instances[0], a)
+		begun, versions = append(begun, a), append(versions, got.versions[0])
+	}
+	f.await("origins archived", func() bool {
+		archived := 0
+		for _, obj := range f.archives() {
+			var digests skew.Digests
+			if err := json.Unmarshal(obj.Value, &digests); err != nil {
+				t.Fatal(err)
+			}
+			archived += digests.Restore(skew.NewOrigins(), &skew.Window{}, time.Now())
+		}
+		return archived >= 2*len(begun)
+	})
+	f.replaceInstances((*running).kill, func() {})
+	for i, a := range begun {
+		got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
+		if got.lastID != standin.StreamEvents || slices.ContainsFunc(got.versions, func(v string) bool { return v != versions[i] }) {
+			t.Errorf("began at %s: %+v, want the rest at that version", versions[i], got)
+		}
+	}
+}
+
 // TestOriginOutlivesInstance guards against streams that do not go on, or go on at another version, because the instance
 // that relayed their beginning is gone.
 func TestOriginOutlivesInstance(t *testing.T) {
@@ -102,7 +155,8 @@
 	}
 }
 
-// TestUnknownOriginIsRefused guards against a version that is guessed where no instance knows which one began a stream.
+// TestUnknownOriginIsRefused guards against a version that is guessed where no instance knows which one began a stream, and
+// no archive has it.
 func TestUnknownOriginIsRefused(t *testing.T) {
 	f := newVersionFleet(t, 3, "v1", "v1.1")
 	f.await("marks written", func() bool {
@@ -119,12 +173,12 @@
 	}
 	check("no attempt named", attempt{id: newAttemptID(), lastEvent: 3})
 	check("unknown attempt", attempt{id: newAttemptID(), lastEvent: 3, resumes: "never"})
-	f.replaceInstances()
+	f.replaceInstances(func(r *running) { r.stop() }, f.removeArchives)
 	check("all instances are new", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
 	f.removeServer("v1")
 	f.awaitServers(1)
 	check("the other version is gone", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
-	f.replaceInstances()
+	f.replaceInstances(func(r *running) { r.stop() }, f.removeArchives)
 	check("all instances are new, and the other version was gone", attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
 }
 
@@ -141,7 +195,7 @@
 			t.Errorf("%s: %+v", name, got)
 		}
 	}
-	f.replaceInstances()
+	f.replaceInstances(func(r *running) { r.stop() }, func() {})
 	if got := f.send(f.instances[0], attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id}); got.lastID != standin.StreamEvents {
 		t.Errorf("after all instances were replaced: %+v", got)
 	}
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -36,6 +36,9 @@
 	Origin            skew.Origin
 }
 
+// errNotRestored is returned by an instance that does not know yet what an earlier process of it kept.
+var errNotRestored = errors.New("entry: the archived origins of streams are not read yet")
+
 // errLeaving is returned by an instance that is about to end and keeps nothing new for others.
 var errLeaving = errors.New("entry: the instance is leaving")
 
@@ -44,7 +47,7 @@
 	if s.follower.isLeaving() {
 		return errLeaving
 	}
-	s.origins.table.Record(args.Attempt, args.Origin, clock.Now())
+	s.origins.keep(skew.Entry{Attempt: args.Attempt, Origin: args.Origin}, clock.Now())
 	return nil
 }
 
@@ -54,7 +57,7 @@
 		return errLeaving
 	}
 	for _, e := range args.Entries {
-		s.origins.table.Record(e.Attempt, e.Origin, clock.Now())
+		s.origins.keep(e, clock.Now())
 	}
 	return nil
 }
@@ -62,5 +65,8 @@
 // Origin returns what is known of the origin of a stream.
 func (s *service) Origin(args *OriginArgs, reply *OriginReply) error {
 	*reply = s.origins.answer(args)
+	if !reply.Known && !s.origins.archive.restored.Load() {
+		return errNotRestored
+	}
 	return nil
 }
