soak: checks at how many servers requests run, and how much time servers are given for them

Two lines of the users' rule BUDGET had no check in real processes: more servers than a route's attempts, and more time handed on than is left. The stand-in of a server records the time that a request names. TestAttemptsAreChecked and TestTimeLeftIsChecked show that both checks find what they are for.

--- a/internal/standin/arrivals.go
+++ b/internal/standin/arrivals.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Remaining is the time that the server is given for the request, 0 if the request names none.
+	Remaining time.Duration
 	// Workspace is the workspace that the request named, and KeyTold reports whether it carried the client's key.
 	Workspace string
 	KeyTold   bool
@@ -66,3 +69,12 @@
 	s.SetFailing(r.URL.Query().Get("failing") == "true")
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// remainingTime returns the time that a server is given for a request, 0 if the request names none.
+func remainingTime(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("Martenport-Deadline-Ms"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -245,7 +245,7 @@
 	signals := s.backpressure.write(w.Header())
 	id := r.Header.Get("Martenport-Attempt-Id")
 	if id != "" {
-		s.arrivals.record(Arrival{ID: id, At: time.Now(), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != "", Said: signals})
+		s.arrivals.record(Arrival{ID: id, At: time.Now(), Remaining: remainingTime(r), Workspace: r.Header.Get("Martenport-Tenant"), KeyTold: r.Header.Get(KeyHeader) != "", Said: signals})
 	}
 	if expected := r.Header.Get("Martenport-Expect-Instance"); expected != "" && expected != s.params.ID {
 		w.Header().Set("Martenport-Instance-Id", s.params.ID)
--- a/soak/check.go
+++ b/soak/check.go
@@ -71,6 +71,8 @@
 	}
 	found = append(found, h.keyViolations()...)
 	found = append(found, h.backpressureViolations()...)
+	found = append(found, h.attemptViolations()...)
+	found = append(found, h.timeLeftViolations()...)
 	return append(found, h.budgetViolations()...)
 }
 
--- a/soak/config.go
+++ b/soak/config.go
@@ -78,7 +78,7 @@
 	}
 	times := []time.Duration{shortestTimeout, middleTimeout, longestTimeout}
 	for _, route := range configRoutes(c.Version) {
-		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", times[r.config.random.IntN(len(times))], urgentObjective, 2
+		route.Host, route.Timeout, route.Objective, route.Attempts = "h.example", times[r.config.random.IntN(len(times))], urgentObjective, routeAttempts
 		if route.Name == patientRoute {
 			route.Objective, route.Priority = patientObjective, patientPriority
 		}
