A stream that must not be repeated does not go on by an engine's list that may be older than its run

Cause: engines answer with values that are some hundred milliseconds old. A run that the list does not have counted as ended if its first event had come 250 ms before; a list that is 400 ms old cannot have it yet. Fix: 600 ms, and the engine is asked for as long (14 times at intervals of 50 ms instead of 8). It concerns streams that break off within 600 ms of their first event; they go on up to 0.4 s later than before. Clients wait 2 s for an event. TestOldList, "begun some hundred milliseconds ago", fails without the change; TestContinuation and TestRandomWalk hold.

--- a/command/continuation/continuation_test.go
+++ b/command/continuation/continuation_test.go
@@ -196,9 +196,11 @@
 }
 
 // TestOldList: an engine's list of its runs proves nothing about a run that may have begun after it
-// was made, or that may still wait in the engine's queue.
+// was made, or that may still wait in the engine's queue: the stream would run at two engines.
 func TestOldList(t *testing.T) {
-	for name, firstEvent := range map[string]time.Time{"no event": {}, "just begun": start.Add(-20 * time.Millisecond)} {
+	for name, firstEvent := range map[string]time.Time{
+		"no event": {}, "just begun": start.Add(-20 * time.Millisecond), "begun some hundred milliseconds ago": start.Add(-450 * time.Millisecond),
+	} {
 		s := New(DefaultParams())
 		s.Sent("a", "b")
 		s.Broke(start, firstEvent, start.Add(time.Minute))
--- a/command/continuation/stream.go
+++ b/command/continuation/stream.go
@@ -37,7 +37,8 @@
 	CheckPause time.Duration
 	// UnreachableAfter is how long an engine must have been unreachable to count as gone.
 	UnreachableAfter time.Duration
-	// MaxListAge is the age that an engine's list of its runs may have.
+	// MaxListAge is the age that an engine's list of its runs may have: engines answer with values that are some hundred
+	// milliseconds old. The checks go on for that long.
 	MaxListAge time.Duration
 }
 
@@ -45,8 +46,8 @@
 // stream, which they do after two seconds or more.
 func DefaultParams() Params {
 	return Params{
-		MaxContinuations: 2, MaxChecks: 8, CheckPause: 50 * time.Millisecond, UnreachableAfter: 600 * time.Millisecond,
-		MaxListAge: 250 * time.Millisecond,
+		MaxContinuations: 2, MaxChecks: 14, CheckPause: 50 * time.Millisecond, UnreachableAfter: 600 * time.Millisecond,
+		MaxListAge: 600 * time.Millisecond,
 	}
 }
 
