--- a/entry/origins_archive.go
+++ b/entry/origins_archive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync/atomic"
 	"time"
 
@@ -57,14 +58,17 @@
 
 // restore reads the archive, and reports whether the store answered.
 func (a *originArchive) restore(ctx context.Context) bool {
-	archived, revision, err := store.Read[skew.Digests](ctx, a.store, a.key)
-	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrUnknown) || ctx.Err() != nil {
+	obj, err := a.store.Get(ctx, a.key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
-	if err != nil {
-		a.log.WithFields(logrus.Fields{"key": a.key, "error": err}).Error("archived origins of streams cannot be decoded")
+	var archived skew.Digests
+	if err == nil {
+		if err := json.Unmarshal(obj.Value, &archived); err != nil {
+			a.log.WithFields(logrus.Fields{"key": a.key, "error": err}).Error("archived origins of streams cannot be decoded")
+		}
 	}
-	a.revision = revision
+	a.revision = obj.Version // 0 if there is none
 	if streams := archived.Restore(a.table, &a.window, clock.Now()); streams > 0 {
 		a.log.WithField("streams", streams).Info("origins of streams restored, kept by an earlier process of this instance")
 	}
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -83,6 +84,13 @@
 		return archived >= 2*len(begun)
 	})
 	f.replaceInstances((*running).kill, func() {})
+	f.await("new addresses of all instances known", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool {
+			return len(r.members.list(t.Context())) != len(f.instances) || slices.ContainsFunc(f.instances, func(other *running) bool {
+				return !slices.Contains(r.members.list(t.Context()), other.members.self)
+			})
+		})
+	})
 	for i, a := range begun {
 		got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
 		if got.lastID != standin.StreamEvents || slices.ContainsFunc(got.versions, func(v string) bool { return v != versions[i] }) {
@@ -243,3 +251,50 @@
 		t.Errorf("mark %s still there", obj.Value)
 	}
 }
+
+// TestArchiveOfOrigins guards against an archive that is never written again: its entry was written by another process,
+// cannot be decoded, or is gone with a store that came back from an older copy.
+func TestArchiveOfOrigins(t *testing.T) {
+	p := standin.NewPlatform()
+	a := &originArchive{store: p, key: prefixOrigins + "a", table: skew.NewOrigins(), log: discardLog()}
+	if !a.restore(t.Context()) {
+		t.Fatal("no archive: not restored")
+	}
+	archived := func() int {
+		obj, err := p.Get(t.Context(), a.key)
+		if err != nil {
+			return 0
+		}
+		var digests skew.Digests
+		if err := json.Unmarshal(obj.Value, &digests); err != nil {
+			t.Fatal(err)
+		}
+		return digests.Restore(skew.NewOrigins(), &skew.Window{}, time.Now())
+	}
+	for n, value := range []string{"", `{"s":{"v1":"AAAAAAAAAAAAAAAAAAAAAA=="}}`, `no JSON`, "gone"} {
+		if value != "" {
+			obj, err := p.Get(t.Context(), a.key)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if value == "gone" {
+				err = p.Delete(t.Context(), a.key, obj.Version)
+			} else {
+				_, err = p.Put(t.Context(), a.key, []byte(value), obj.Version)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		a.window.Add(skew.Entry{Attempt: strconv.Itoa(n), Origin: skew.Origin{Service: "s", Version: "v1"}}, time.Now())
+		a.update(t.Context())
+		a.update(t.Context())
+		want := n + 1
+		if n > 0 {
+			want++ // what the other process wrote
+		}
+		if got := archived(); got != want {
+			t.Errorf("%q: %d origins archived, want %d", value, got, want)
+		}
+	}
+}
