--- a/command/quarantine/begun.go
+++ b/command/quarantine/begun.go
@@ -16,8 +16,9 @@
 	begunSlots = 1 << 13
 )
 
-// begunParts remembers with which parts of prompts answers have begun at which software version. It takes no locks, since
-// it is updated with each answer. A part that crashes servers of a version is never in it with that version.
+// begunParts remembers with which parts of prompts answers have begun here at which software version. It takes no locks, since
+// it is updated with each answer, and is not exchanged: Record.Begun tells other instances, and only of parts that have a
+// record. A part that crashes servers of a version is never in it with that version.
 type begunParts struct {
 	slots [begunSlots]struct {
 		hash atomic.Uint64
--- a/command/quarantine/message_test.go
+++ b/command/quarantine/message_test.go
@@ -57,3 +57,13 @@
 		t.Errorf("%d records sent for one new record; the last instance has it: %v", sent, ledgers[19].records["new"] != nil)
 	}
 }
+
+// TestDigestTellsPendingFromCleared guards against two ledgers that differ and have the same digest, so that they do not
+// exchange their records.
+func TestDigestTellsPendingFromCleared(t *testing.T) {
+	pending := record{Record: Record{Fingerprint: "r"}, pending: []pendingCrash{{incarnation: incarnation(1)}}}
+	cleared := record{Record: Record{Fingerprint: "r", Cleared: []Incarnation{incarnation(1)}}}
+	if pending.hash() == cleared.hash() {
+		t.Error("a pending crash and a cleared one have the same hash")
+	}
+}
--- a/command/quarantine/record.go
+++ b/command/quarantine/record.go
@@ -158,7 +158,7 @@
 
 // hash returns a hash of the record's content.
 func (r *record) hash() uint64 {
-	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Isolated)), byte(len(r.Alone)))
+	text := append([]byte(r.Fingerprint), byte(len(r.Crashes)), byte(len(r.Cleared)), byte(len(r.Isolated)), byte(len(r.Alone)))
 	incarnations := slices.Concat(r.Crashes, r.Cleared, r.Isolated, r.Alone)
 	for _, crash := range r.pending {
 		incarnations = append(incarnations, crash.incarnation)
--- a/entry/announce.go
+++ b/entry/announce.go
@@ -56,5 +56,5 @@
 // handleAnnouncement applies the record that a new holder has announced, and reports to it at once.
 func (f *follower) handleAnnouncement(record lease.Record) {
 	f.applyRecord(record, "holder")
-	f.triggerReport()
+	f.reportNow()
 }
--- a/entry/quarantine_manager.go
+++ b/entry/quarantine_manager.go
@@ -80,7 +80,7 @@
 func (q *quarantineManager) recordChange(escalations []quarantine.Escalation) {
 	q.recordEscalations(escalations, "seen here")
 	q.scheduleEscalations(escalations)
-	q.follower.triggerReport()
+	q.follower.reportNow()
 	pause.Wake(q.syncRequested)
 }
 
@@ -130,7 +130,7 @@
 	if before != quarantine.Clear {
 		q.scheduleWrite(fp)
 	}
-	q.follower.triggerReport()
+	q.follower.reportNow()
 	pause.Wake(q.syncRequested)
 }
 
--- a/entry/trial.go
+++ b/entry/trial.go
@@ -10,7 +10,6 @@
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 )
 
 // requestTrial asks the holder whether a suspect request may run alone, for maxRun at most, on a server
@@ -81,6 +80,3 @@
 	defer f.mu.Unlock()
 	return f.unansweredReports, f.link.SentRevision()
 }
-
-// triggerReport makes the next report be sent at once.
-func (f *follower) triggerReport() { pause.Wake(f.reportRequested) }
