A request is not confused with one that only follows it; names of the new fields between builds

Traced by the line of undecided ends: the request had ended three engines when its isolated run ended a fourth at 18.2 s. A sound request that had been sent again from the third to the fourth was a suspect of both, so that the end stayed undecided, and the next isolated run came at 21.8 s, 3.5 s after the third end. Cause and fix: as for two isolated runs, a suspect whose ends are all ends of the request explains nothing that the request does not, if the request would be a suspect without them. It is no rival then. Evidence: TestRequestBesideItsFollower, "suspect" before; a request that was at another end too, or at most of the ends, is a rival as before, and so are those of TestIsolatedRunBesideSuspect and TestTwinsStaySuspects.

--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -198,3 +198,27 @@
 	l.RecordAnswer("bad", start)
 	checkAssessed(t, l, "the request, answered", identity("bad"), "", Clear)
 }
+
+// TestRequestBesideItsFollower guards against a request that ends one more server, seconds after the third, since a sound request
+// that was sent again to the server of its isolated run is taken for a rival.
+func TestRequestBesideItsFollower(t *testing.T) {
+	for name, c := range map[string]struct {
+		beside []int
+		want   State
+	}{
+		"follows": {[]int{2, 3}, Quarantined}, "also at another end": {[]int{9, 3}, Suspect}, "at most of the ends": {[]int{1, 2, 3}, Suspect},
+	} {
+		l := NewLedgerOfInstance(start)
+		for n := range 3 {
+			l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n)}, start)
+		}
+		for _, n := range c.beside {
+			l.RecordCrash(BrokenAttempt{Fingerprint: "beside", Server: server(n)}, start)
+		}
+		l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(3), Isolated: true}, start)
+		l.DecidePending(start.Add(confirmationDelay))
+		if got := l.State("bad"); got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -184,13 +184,19 @@
 // to be kept away from the isolated run. What is answered meanwhile is no suspect any more. l.mu must be held.
 func (l *Ledger) suspectsBeside(r *record, crash pendingCrash) (suspects []serving.Fingerprint) {
 	for fp, other := range l.records {
-		if other != r && !IsPart(fp) && other.State() == Suspect && slices.Contains(other.Crashes, crash.incarnation) {
+		if other != r && !IsPart(fp) && other.State() == Suspect && slices.Contains(other.Crashes, crash.incarnation) && !follows(other, r) {
 			suspects = append(suspects, fp)
 		}
 	}
 	return suspects
 }
 
+// follows reports whether a request was at crashes of r only, and r would be a suspect without these: it was sent again to
+// servers on which r ran, and explains nothing that r does not.
+func follows(other, r *record) bool {
+	return len(r.Crashes)-len(other.Crashes) >= SuspectAfter && containsAll(r.Crashes, other.Crashes)
+}
+
 // isRival reports whether another part of the prompt is a rival of the part r: one that was not at all crashes of r, and with
 // which no answer is known to have begun. l.mu must be held.
 func (l *Ledger) isRival(r *record, fp serving.Fingerprint, version string, now time.Time) bool {
--- a/entry/wirenames_test.go
+++ b/entry/wirenames_test.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/limits"
 	"github.com/martenport/martenport/command/placement"
 	"github.com/martenport/martenport/command/runonce"
+	"github.com/martenport/martenport/command/skew"
 	"github.com/martenport/martenport/peer"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/store"
@@ -60,6 +61,7 @@
 		holder.KeyLease:       reflect.TypeFor[lease.Record](),
 		prefixMembers:         reflect.TypeFor[member](),
 		prefixVersions:        reflect.TypeFor[versionMark](),
+		prefixOrigins:         reflect.TypeFor[skew.Digests](),
 		prefixQuarantine:      reflect.TypeFor[heldRequest](),
 		"replicas/":           reflect.TypeFor[limits.Record](), // package holder checks this key
 		store.KeyConfig:       reflect.TypeFor[table.Accepted](),
