--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -222,3 +223,17 @@
 		}
 	}
 }
+
+// TestPendingCrashAfterRestartBesideUnknownCause guards against quarantining a request that many clients send by the end of an
+// isolated run that is decided after all instances were restarted: what else ran there is not known any more (soak seed 112).
+func TestPendingCrashAfterRestartBesideUnknownCause(t *testing.T) {
+	l := NewLedgerOfInstance(start.Add(-newLedgerTime / 2))
+	for n := range QuarantineAfter {
+		l.RecordCrash(BrokenAttempt{Fingerprint: "shared", Server: server(n), Isolated: n == QuarantineAfter-1}, start)
+	}
+	l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(QuarantineAfter - 1)}, start)
+	restarted := NewLedgerOfInstance(start.Add(time.Second))
+	restarted.Merge(l.RecordsOf(start.Add(time.Second), "shared"), start.Add(time.Second)) // what the store has
+	restarted.DecidePending(start.Add(confirmationDelay))
+	checkAssessed(t, restarted, "after a restart", identity("shared"), "", Suspect)
+}
