--- /dev/null
+++ b/review/stand2/late.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Sizes of engines and models, as on the sheet: three models fit.
+const (
+	engineMemoryMB, modelMB = 230000, 72700
+	diskLoad                = 840 * time.Millisecond
+)
+
+func engineModels(names ...string) map[string]model {
+	models := map[string]model{}
+	for _, name := range names {
+		models[name] = model{weightsMB: modelMB, disk: diskLoad}
+	}
+	return models
+}
+
+// lateAfter is how long after it was sent the unanswered order is carried out: 2 to 12 s.
+const lateAfter = 9 * time.Second
+
+// lateOrder: an order to load a model gets no answer and is carried out late. Meanwhile the engine has crashed and started
+// again under its id, and has been ordered to load as many models as fit.
+func lateOrder(d *deployment) ([]string, error) {
+	models := engineModels("m1", "m2", "m3", "m4", "m5")
+	d.store.put("config", "main", configuration(1, nil, engineSpec(engineMemoryMB, models)))
+	s := newServer(serverParams{id: "i-7f3a91c2", service: engineService, zone: "ulemiste", models: models, weightsMB: engineMemoryMB, pause: 20 * time.Millisecond, events: 5}, d.store, d.log)
+	if err := s.start(d.address(21), "r1", "m1", "m2", "m3"); err != nil {
+		return nil, err
+	}
+	if err := d.start(smallBounds); err != nil {
+		return nil, err
+	}
+	ask := func(n int, name string, longest time.Duration) answer {
+		a := send(d.ctx, request{to: d.instances[n%len(d.instances)].frontend(), path: streamPath + "photo", model: name, deadline: longest})
+		d.log.add("%s for %s: status %d, %d bytes, error %v", a.attempt, name, a.status, len(a.body), a.err)
+		return a
+	}
+	if !d.await(20*time.Second, func() bool { return ask(0, "m4", 8*time.Second).status == 200 }) {
+		return nil, fmt.Errorf("m4 is not loaded")
+	}
+	d.pause(time.Second)
+	s.mu.Lock()
+	before := s.sequence
+	if d.trouble {
+		s.lateBy = lateAfter
+	}
+	s.mu.Unlock()
+	d.log.say("sequence %d; m5 is requested", before)
+	go ask(1, "m5", 3*time.Second)
+	lost := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.late) > 0
+	}
+	if d.trouble {
+		if !d.await(10*time.Second, lost) {
+			return nil, fmt.Errorf("no load was ordered")
+		}
+		d.pause(100 * time.Millisecond)
+		s.crash()
+		d.pause(1200 * time.Millisecond)
+		if err := s.start(d.address(21), "r1"); err != nil {
+			return nil, err
+		}
+		d.log.say("the engine has started again under its id")
+	}
+	d.pause(2 * time.Second) // the client of m5 has left
+	var clients sync.WaitGroup
+	until := time.Now().Add(lateAfter)
+	for n, name := range []string{"m1", "m3", "m4"} {
+		clients.Go(func() {
+			for time.Now().Before(until) && d.ctx.Err() == nil {
+				ask(n, name, 4*time.Second)
+				d.pause(200 * time.Millisecond)
+			}
+		})
+	}
+	clients.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ran := len(s.runs)
+	d.log.say("%d requests ran", ran)
+	if ran < 10 {
+		return nil, fmt.Errorf("only %d requests ran", ran)
+	}
+	var broken []string
+	for _, o := range s.overloads {
+		broken = append(broken, "LIMIT: "+o+"; the engine crashes")
+	}
+	return broken, nil
+}
