--- a/review/stand2/instance.go
+++ b/review/stand2/instance.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"syscall"
 	"time"
 )
@@ -139,20 +138,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// logged returns the lines of the instance's log that contain a text.
-func (i *instance) logged(text string) (lines []string) {
-	log, err := os.ReadFile(filepath.Join(i.dir, i.name+".log"))
-	if err != nil {
-		return nil
-	}
-	for line := range strings.Lines(string(log)) {
-		if strings.Contains(line, text) {
-			lines = append(lines, strings.TrimSpace(line))
-		}
-	}
-	return lines
-}
-
 // freeNetwork returns the first three numbers of loopback addresses on which the ports of instances are free.
 func freeNetwork() (string, error) {
 	for n := range 200 {
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,11 @@
 	store     *objectStore
 	network   string
 	instances []*instance
+	// statuses are those of the answers to requests of askAlways; guarded by mu.
+	mu       sync.Mutex
+	statuses []int
+	// second is the machine that took the lease while the holder was frozen.
+	second string
 	// trouble is whether the case's disruption is played.
 	trouble bool
 }
@@ -35,6 +41,7 @@
 	"revoked-restart": revokedRestart,
 	"revoked-deaf":    revokedDeaf,
 	"late-order":      lateOrder,
+	"same-fence":      sameFence,
 }
 
 func main() {
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -63,6 +63,8 @@
 	// lateBy, if not zero, makes loads get no answer: they are carried out that much later, once, by whatever process runs then.
 	lateBy time.Duration
 	late   []order
+	// orders are the orders that arrived, over all starts.
+	orders []order
 	// runs are the requests that were begun, over all starts, and overloads the orders to load more than there is room for.
 	runs      []run
 	overloads []string
@@ -235,6 +237,7 @@
 		return
 	}
 	s.mu.Lock()
+	s.orders = append(s.orders, o)
 	if s.lateBy > 0 && o.Operation == "model_load" && *o.Expect == s.sequence {
 		by := s.lateBy
 		s.lateBy = 0
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -49,6 +49,8 @@
 // objectStore is a stand-in for the platform's store, as PROTOCOL.md describes it.
 type objectStore struct {
 	log *record
+	// latency is the time that each call takes; set before the first one.
+	latency time.Duration
 
 	mu      sync.Mutex
 	objects map[string]map[string]object
@@ -178,6 +180,7 @@
 	if err != nil {
 		return
 	}
+	time.Sleep(s.latency)
 	if !s.admit(r.Context(), w) {
 		return
 	}
