--- a/review/stand2/config.go
+++ b/review/stand2/config.go
@@ -59,6 +59,7 @@
 const (
 	plainService, engineService = "galerii", "kirjutaja"
 	plainPath, streamPath       = "/full-fetch/", "/caption-live/"
+	albumPath                   = "/album-keepsake/"
 )
 
 // configuration returns a configuration. keys are those of each tenant; requests need none if it is nil.
@@ -73,6 +74,9 @@
 		routes = append(routes, map[string]any{
 			"name": "caption-live", "host": routeHost, "pathPrefix": streamPath, "routeType": "streaming", "timeoutMs": 15000, "goalMs": 400,
 			"gapTargetMs": 300, "priority": 1, "service": engineService, "attempts": 2, "resumable": true,
+		}, map[string]any{
+			"name": "album-keepsake", "host": routeHost, "pathPrefix": albumPath, "routeType": "streaming", "timeoutMs": 25000, "goalMs": 2500,
+			"gapTargetMs": 300, "priority": 0, "service": engineService, "attempts": 1, "resumable": false,
 		})
 	}
 	c := map[string]any{
@@ -100,5 +104,5 @@
 			"name": name, "weightsMb": m.weightsMB, "loadS": 6, "diskS": m.disk.Seconds(), "warmS": m.disk.Seconds() / 2, "adapters": 0, "adapterSizeMb": 12,
 		})
 	}
-	return map[string]any{"slots": 64, "weightsMb": weightsMB, "adapterSlots": 8, "loadsPerS": 3.1, "models": list}
+	return map[string]any{"slots": 64, "weightsMb": weightsMB, "adapterSlots": 8, "loadsPerS": 3.1, "models": list, "backups": true, "handle_s": 5}
 }
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -28,6 +28,8 @@
 	models map[string]model
 	// weightsMB is its memory for weights.
 	weightsMB float64
+	// work is how long a plain server works on a request.
+	work time.Duration
 	// pause is the time between the events of a stream, and events their number.
 	pause  time.Duration
 	events int
@@ -68,10 +70,27 @@
 	// runs are the requests that were begun, over all starts, and overloads the orders to load more than there is room for.
 	runs      []run
 	overloads []string
+	// cutOff is set while the server is partitioned from the store.
+	cutOff bool
+	// active are the streams that the server works on, and copies the copies of others' runs that it keeps, by attempt. peer
+	// finds the server at an address.
+	active map[string]*stream
+	copies map[string]bool
+	peer   func(address string) *server
 	// onRun is called with each request that begins.
 	onRun func(run)
 }
 
+// stream is a stream that a server works on.
+type stream struct {
+	attempt, path string
+	events        int
+	// breakOff ends its channel; the server works on.
+	breakOff func()
+	// backup is the server that its memory is sent to, nil if there is none.
+	backup *server
+}
+
 // order is the body of a call for an order.
 type order struct {
 	Operation string `json:"op"`
@@ -83,7 +102,7 @@
 }
 
 func newServer(p serverParams, store *objectStore, log *record) *server {
-	s := &server{params: p, store: store, log: log, onDisk: map[string]bool{}, onRun: func(run) {}}
+	s := &server{params: p, store: store, log: log, onDisk: map[string]bool{}, active: map[string]*stream{}, copies: map[string]bool{}, peer: func(string) *server { return nil }, onRun: func(run) {}}
 	for name := range p.models {
 		s.onDisk[name] = true
 	}
@@ -170,7 +189,7 @@
 		"service": s.params.service, "address": s.address, "zone": s.params.zone, "version": s.version, "slots": 64, "state": "ready",
 		"coldLeftMs": 0, "sequence": s.beats, "born": s.born, "stage": "unified", "models": s.models(), "available": s.available(),
 	}
-	running := s.running
+	running := s.running && !s.cutOff
 	s.mu.Unlock()
 	if !running {
 		return
@@ -215,6 +234,12 @@
 	case "/v1/order":
 		s.serveOrder(w, r)
 	default:
+		if id, isCopy := strings.CutPrefix(r.URL.Path, "/v1/kv-handle/"); isCopy && r.Method == http.MethodDelete {
+			s.mu.Lock()
+			delete(s.copies, id)
+			s.mu.Unlock()
+			return
+		}
 		s.serveRequest(w, r)
 	}
 }
@@ -223,13 +248,22 @@
 	s.mu.Lock()
 	report := map[string]any{
 		"stage": "unified", "models": s.models(), "busy": s.loading != "", "sequence": s.sequence, "queued": 0, "running": 0, "kvUsed": 0,
-		"kvTotal": 100000, "handles": 0, "born": s.born, "available": s.available(), "runs": []any{}, "pending": []string{},
+		"kvTotal": 100000, "handles": len(s.copies), "born": s.born, "available": s.available(), "runs": s.activeRuns(), "pending": []string{},
 	}
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(report) // the caller may have left
 }
 
+// activeRuns returns the streams as a report lists them. s.mu must be held.
+func (s *server) activeRuns() [][]any {
+	runs := [][]any{}
+	for id, r := range s.active {
+		runs = append(runs, []any{id, 100 + r.events, r.events, 0})
+	}
+	return runs
+}
+
 func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o order
 	if json.NewDecoder(r.Body).Decode(&o) != nil || o.Holder == "" || o.Fence == 0 || o.Expect == nil {
@@ -319,36 +353,95 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if from := r.Header.Get("Kv-From"); from != "" && !s.copies[id] {
+		s.mu.Unlock()
+		w.Header().Set("Martenport-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	begun := run{attempt: id, server: s.params.id, version: s.version, key: r.Header.Get("Martenport-Tenant"), at: time.Now()}
 	s.runs = append(s.runs, begun)
 	report := s.onRun
 	s.mu.Unlock()
-	s.log.add("server %s runs %s, tenant %q, model %q, after %q", s.params.id, id, begun.key, name, r.Header.Get("Last-Event-Id"))
+	s.log.add("server %s runs %s, tenant %q, model %q, after %q, from %q", s.params.id, id, begun.key, name, r.Header.Get("Last-Event-Id"), r.Header.Get("Kv-From"))
 	report(begun)
 	w.Header().Set("Martenport-Server-Seal", "seal."+s.params.id)
 	if name == "" {
+		time.Sleep(s.params.work)
 		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, id, len(body)) // the caller may have left
 		return
 	}
 	s.stream(w, r, begun.version)
 }
 
-// stream sends events that name the software version that wrote them.
+// stream sends events that name the software version that wrote them. If its channel is broken off by breakOff the server works
+// on; if the other end closes it, the server drops the request.
 func (s *server) stream(w http.ResponseWriter, r *http.Request, version string) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Martenport-Weight-Versions", "1")
 	after, _ := strconv.Atoi(strings.TrimSpace(r.Header.Get("Last-Event-Id")))
-	for n := after + 1; n <= s.params.events; n++ {
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", n, version, s.params.id); err != nil {
-			return
-		}
-		if http.NewResponseController(w).Flush() != nil {
-			return
+	broken := make(chan struct{})
+	work := &stream{attempt: r.Header.Get("Martenport-Attempt-Id"), path: r.URL.Path, breakOff: sync.OnceFunc(func() { close(broken) })}
+	if address := r.Header.Get("Martenport-Kv-Backup"); address != "" {
+		work.backup = s.peer(address)
+	}
+	s.begin(work)
+	defer s.finish(work)
+	gone := r.Context().Done()
+	events, pause := s.params.events, s.params.pause
+	if strings.HasPrefix(work.path, albumPath) {
+		events, pause = albumEvents, albumPause
+	}
+	for n := after + 1; n <= events; n++ {
+		if gone != nil {
+			_, err := fmt.Fprintf(w, "id: %d\ndata: %s %s\n\n", n, version, s.params.id)
+			if err != nil || http.NewResponseController(w).Flush() != nil {
+				return
+			}
 		}
+		s.mu.Lock()
+		work.events = n
+		s.mu.Unlock()
+		work.sendBackup(true)
 		select {
-		case <-time.After(s.params.pause):
-		case <-r.Context().Done():
+		case <-time.After(pause):
+		case <-broken:
+			s.log.add("server %s breaks off the answer to %s after event %d, and works on", s.params.id, work.attempt, n)
+			cut(w)
+			gone, broken = nil, nil
+		case <-gone:
 			return
 		}
 	}
+	work.sendBackup(false)
+}
+
+// begin and finish record the streams that the server works on.
+func (s *server) begin(work *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active[work.attempt] = work
+}
+
+func (s *server) finish(work *stream) {
+	s.log.add("server %s works on %s no more, event %d", s.params.id, work.attempt, work.events)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active[work.attempt] == work {
+		delete(s.active, work.attempt)
+	}
+}
+
+// sendBackup makes the backup engine keep a copy of the run, or drop it.
+func (work *stream) sendBackup(keep bool) {
+	if work.backup == nil {
+		return
+	}
+	work.backup.mu.Lock()
+	defer work.backup.mu.Unlock()
+	if keep {
+		work.backup.copies[work.attempt] = true
+	} else {
+		delete(work.backup.copies, work.attempt)
+	}
 }
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -146,6 +146,13 @@
 	return s.objects[kind][name].Spec
 }
 
+// expire removes the entry of a server that has not been heard of.
+func (s *objectStore) expire(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop("servers", id)
+}
+
 func (s *objectStore) write(kind, name string, spec json.RawMessage, finalizers []string) object {
 	known, found := s.objects[kind][name]
 	if found && bytes.Equal(known.Spec, spec) {
