--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -42,7 +42,6 @@
 	"revoked-deaf":    revokedDeaf,
 	"late-order":      lateOrder,
 	"same-fence":      sameFence,
-	"refused-sound":   refusedSound,
 	"works-on":        worksOn,
 }
 
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -28,8 +28,6 @@
 	models map[string]model
 	// weightsMB is its memory for weights.
 	weightsMB float64
-	// work is how long a plain server works on a request.
-	work time.Duration
 	// pause is the time between the events of a stream, and events their number.
 	pause  time.Duration
 	events int
@@ -367,7 +365,6 @@
 	report(begun)
 	w.Header().Set("Martenport-Server-Seal", "seal."+s.params.id)
 	if name == "" {
-		time.Sleep(s.params.work)
 		_, _ = fmt.Fprintf(w, "%s %s %d", r.Method, id, len(body)) // the caller may have left
 		return
 	}
--- a/review/stand2/workson.go
+++ b/review/stand2/workson.go
@@ -105,7 +105,7 @@
 	d.pause(2 * time.Second)
 	captions := 0
 	for range 8 {
-		if captions < 5 {
+		if captions < 6 {
 			captions += len(x.breakOff(streamPath, 1))
 		}
 		d.pause(120 * time.Millisecond)
@@ -114,7 +114,7 @@
 	d.store.expire(x.params.id)
 	d.log.say("the entry of %s is removed", x.params.id)
 	d.pause(600 * time.Millisecond)
-	second := x.breakOff(albumPath, 2)
+	second := x.breakOff(albumPath, 3)
 	d.log.say("%s has broken off %d captions and %d albums since it was cut off, of %d requests that it ran", x.params.id, captions, len(second), x.ranSince(began))
 	d.pause(overlap + 200*time.Millisecond)
 	for _, work := range second {
