--- a/review/stand2/late.go
+++ b/review/stand2/late.go
@@ -20,13 +20,13 @@
 	return models
 }
 
-// lateAfter is how long after it was sent the unanswered order is carried out: 2 to 12 s.
-const lateAfter = 9 * time.Second
+// lateAfter is how long after it was sent the unanswered order is carried out at the latest.
+const lateAfter = 11 * time.Second
 
 // lateOrder: an order to load a model gets no answer and is carried out late. Meanwhile the engine has crashed and started
 // again under its id, and has been ordered to load as many models as fit.
 func lateOrder(d *deployment) ([]string, error) {
-	models := engineModels("m1", "m2", "m3", "m4", "m5")
+	models := engineModels("m1", "m2", "m3", "m4", "m5", "m6")
 	d.store.put("config", "main", configuration(1, nil, engineSpec(engineMemoryMB, models)))
 	s := newServer(serverParams{id: "i-7f3a91c2", service: engineService, zone: "ulemiste", models: models, weightsMB: engineMemoryMB, pause: 20 * time.Millisecond, events: 5}, d.store, d.log)
 	if err := s.start(d.address(21), "r1", "m1", "m2", "m3"); err != nil {
@@ -43,6 +43,9 @@
 	if !d.await(20*time.Second, func() bool { return ask(0, "m4", 8*time.Second).status == 200 }) {
 		return nil, fmt.Errorf("m4 is not loaded")
 	}
+	if !d.await(20*time.Second, func() bool { return ask(2, "m6", 8*time.Second).status == 200 }) {
+		return nil, fmt.Errorf("m6 is not loaded")
+	}
 	d.pause(time.Second)
 	s.mu.Lock()
 	before := s.sequence
@@ -51,7 +54,7 @@
 	}
 	s.mu.Unlock()
 	d.log.say("sequence %d; m5 is requested", before)
-	go ask(1, "m5", 3*time.Second)
+	go ask(1, "m5", time.Second)
 	lost := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -72,7 +75,7 @@
 	d.pause(2 * time.Second) // the client of m5 has left
 	var clients sync.WaitGroup
 	until := time.Now().Add(lateAfter)
-	for n, name := range []string{"m1", "m3", "m4"} {
+	for n, name := range []string{"m1", "m4", "m6"} {
 		clients.Go(func() {
 			for time.Now().Before(until) && d.ctx.Err() == nil {
 				ask(n, name, 4*time.Second)
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -60,7 +60,7 @@
 	connection map[net.Conn]struct{}
 	// onDisk are the models on the machine's disk, which restarts preserve.
 	onDisk map[string]bool
-	// lateBy, if not zero, makes loads get no answer: they are carried out that much later, once, by whatever process runs then.
+	// lateBy, if not zero, makes the next load get no answer: it is carried out up to that much later by whatever process runs then.
 	lateBy time.Duration
 	late   []order
 	// orders are the orders that arrived, over all starts.
@@ -275,8 +275,11 @@
 		s.lateBy = 0
 		s.late = append(s.late, o)
 		s.mu.Unlock()
-		s.log.say("server %s: %s of %s, expect %d, gets no answer and is carried out %s later", s.params.id, o.Operation, o.Model, *o.Expect, by)
-		time.AfterFunc(by, func() { s.carryOutLate(o) })
+		s.log.say("server %s: %s of %s, expect %d, gets no answer and is carried out up to %s later", s.params.id, o.Operation, o.Model, *o.Expect, by)
+		go func() {
+			s.awaitMoment(o, by)
+			s.carryOutLate(o)
+		}()
 		<-r.Context().Done()
 		return
 	}
@@ -286,6 +289,34 @@
 	w.WriteHeader(status)
 }
 
+// minLate is how late an order that got no answer is carried out at the earliest.
+const minLate = 2 * time.Second
+
+// awaitMoment waits until the server is idle at the sequence that an order names and has no room for its model, at the earliest
+// minLate from now and at the latest after the given time.
+func (s *server) awaitMoment(o order, longest time.Duration) {
+	sent := time.Now()
+	time.Sleep(minLate)
+	for time.Since(sent) < longest {
+		s.mu.Lock()
+		reached := s.running && s.loading == "" && s.sequence == *o.Expect && !s.loaded[o.Model] && s.neededFor(o.Model) > s.params.weightsMB
+		s.mu.Unlock()
+		if reached {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// neededFor returns the memory that is needed with one more model. s.mu must be held.
+func (s *server) neededFor(name string) float64 {
+	needed := s.params.models[name].weightsMB
+	for loaded := range s.loaded {
+		needed += s.params.models[loaded].weightsMB
+	}
+	return needed
+}
+
 // carryOutLate carries out an order that got no answer.
 func (s *server) carryOutLate(o order) {
 	s.mu.Lock()
@@ -311,11 +342,7 @@
 		delete(s.loaded, o.Model)
 		return http.StatusAccepted
 	}
-	needed := s.params.models[o.Model].weightsMB
-	for name := range s.loaded {
-		needed += s.params.models[name].weightsMB
-	}
-	if needed > s.params.weightsMB {
+	if needed := s.neededFor(o.Model); needed > s.params.weightsMB {
 		s.overloads = append(s.overloads, fmt.Sprintf("%s is ordered to load %s by %s: %.0f MB of %.0f MB", s.params.id, o.Model, o.Holder, needed, s.params.weightsMB))
 		go s.crash()
 		return http.StatusAccepted
