--- a/review/stand2/fence.go
+++ b/review/stand2/fence.go
@@ -15,7 +15,7 @@
 	// storeLatency is the store's time for an answer, as on the sheet.
 	storeLatency = 4 * time.Millisecond
 	// maxFrozen is the longest freeze of a machine on the site's days.
-	maxFrozen = 7800 * time.Millisecond
+	maxFrozen = 7400 * time.Millisecond
 )
 
 // leaseRecord is the part of the record of the system's lease that this case looks at: when to end the freeze.
--- a/review/stand2/revoked.go
+++ b/review/stand2/revoked.go
@@ -9,6 +9,9 @@
 // revokeBound is revokeMs of the settings.
 const revokeBound = 5 * time.Second
 
+// silentFor is how long the store is silent, the longest such outage on the site's days.
+const silentFor = 4500 * time.Millisecond
+
 // Keys of the two tenants; the first one is taken away.
 const (
 	lostKey, keptKey = "key-of-gallery", "key-of-archive"
@@ -176,9 +179,12 @@
 		d.store.compact()
 		d.log.say("the history is dropped, watches are cut, the store is down")
 	}
-	d.pause(7 * time.Second)
+	d.pause(silentFor)
 	d.store.setState(serving)
-	d.pause(2 * time.Second)
+	if d.trouble {
+		d.log.say("the store is back")
+	}
+	d.pause(4 * time.Second)
 	t.end()
 	return t.runsLate(s, acknowledged)
 }
--- a/review/stand2/workson.go
+++ b/review/stand2/workson.go
@@ -64,7 +64,6 @@
 	if d.trouble {
 		broken = d.cutAndBreak(engines)
 	}
-	d.pause(6 * time.Second)
 	close(stop)
 	clients.Wait()
 	ran := 0
@@ -81,7 +80,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(40 * time.Millisecond):
+		case <-time.After(12 * time.Millisecond):
 		}
 		a := send(d.ctx, request{to: i.frontend(), path: streamPath + "photo", model: "m1", deadline: 3 * time.Second})
 		d.log.add("%s for a caption at %s: status %d, %d events, error %v", a.attempt, i.name, a.status, strings.Count(a.body, "id: "), a.err)
