--- a/review/stand2/workson.go
+++ b/review/stand2/workson.go
@@ -104,7 +104,7 @@
 	d.pause(2 * time.Second)
 	captions := 0
 	for range 8 {
-		if captions < 6 {
+		if captions < 5 {
 			captions += len(x.breakOff(streamPath, 1))
 		}
 		d.pause(120 * time.Millisecond)
