Observability: take-ups that are not bound to a version, and the start of the server

Now each take-up is logged and counted, request lines have the server's start and the version that the stream is bound to, and instances log when they read the marks of versions. No change of logic: command/forward passes with -race.

--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -67,8 +67,7 @@
 	c.set.GetOrCreateCounter(`martenport_waitlist_total{what="` + what + `"}`).Inc()
 }
 
-// streamTakenUp counts a stream that a client takes up while servers of several software versions serve, by what is known
-// of its origin.
+// streamTakenUp counts a stream that a client takes up, by what is known of its origin.
 func (c *Counts) streamTakenUp(outcome string) {
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
 }
--- a/command/forward/finish.go
+++ b/command/forward/finish.go
@@ -21,7 +21,7 @@
 		fields["workspace"] = name
 	}
 	if t.serverVersion != "" {
-		fields["version"] = t.serverVersion
+		fields["version"], fields["born"], fields["bound"] = t.serverVersion, t.serverBorn, t.version
 	}
 	if t.request.LastEventID != "" {
 		fields["after"], fields["resumes"] = t.request.LastEventID, t.request.Resumes
--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -43,7 +43,11 @@
 // refused if that is not known.
 func (f *Forwarder) bind(ctx context.Context, a admission, r *serving.Request) (binding, *verdict.Failure) {
 	b := binding{service: a.config.Services[chooseTarget(a.route.Targets)]}
-	if f.origins == nil || r.LastEventID == "" || a.route.Kind != serving.Streaming || !f.mixed(a.route) {
+	if f.origins == nil || r.LastEventID == "" || a.route.Kind != serving.Streaming {
+		return b, nil
+	}
+	if !f.mixed(a.route) {
+		f.recordTakeUp(r, b, "not_mixed")
 		return b, nil
 	}
 	answer := f.findOrigin(ctx, r, b.service.Name)
@@ -57,10 +61,7 @@
 	case answer.OneVersion:
 		outcome = "one_version"
 	}
-	f.counts.streamTakenUp(outcome)
-	f.log.WithFields(logrus.Fields{
-		"request": r.ID, "resumes": r.Resumes, "after": r.LastEventID, "service": b.service.Name, "version": b.version, "outcome": outcome,
-	}).Info("client takes a stream up")
+	f.recordTakeUp(r, b, outcome)
 	if outcome != "not_known" {
 		return b, nil
 	}
@@ -71,6 +72,14 @@
 	return b, failure
 }
 
+// recordTakeUp logs and counts a stream that a client takes up, by what is known of its origin.
+func (f *Forwarder) recordTakeUp(r *serving.Request, b binding, outcome string) {
+	f.counts.streamTakenUp(outcome)
+	f.log.WithFields(logrus.Fields{
+		"request": r.ID, "resumes": r.Resumes, "after": r.LastEventID, "service": b.service.Name, "version": b.version, "outcome": outcome,
+	}).Info("client takes a stream up")
+}
+
 // mixed reports whether streams of one of the route's services may have begun at several versions.
 func (f *Forwarder) mixed(route *serving.Route) bool {
 	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return f.origins.Mixed(t.Service) })
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -55,8 +55,10 @@
 	sentTo []string
 	// server is the ID of the server to which the request was last sent.
 	server string
-	// serverVersion is the version of that server's software.
+	// serverVersion is the version of that server's software, and serverBorn the start of its process, as announced when
+	// the request was sent.
 	serverVersion string
+	serverBorn    int64
 	// version is the software version that the stream is bound to, "" while its client has no event.
 	version string
 	// via is the instance through which the server last answered; "" if the connection was direct.
@@ -255,7 +257,8 @@
 // attempt sends the request to a server and relays the answer. answered states that the client has
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
-	t.server, t.serverVersion, t.firstEventAt, t.begunRecorded = server.ID, server.Version, time.Time{}, false
+	t.server, t.serverVersion, t.serverBorn = server.ID, server.Version, server.Born
+	t.firstEventAt, t.begunRecorded = time.Time{}, false
 	now := clock.Now()
 	t.sentAt = now
 	requestCtx := ctx
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -109,6 +109,7 @@
 		return false
 	}
 	m.known = map[string]storedMark{}
+	m.log.WithFields(logrus.Fields{"services": len(snap.Objects), "first": !m.loaded}).Info("marks of software versions read")
 	for _, obj := range snap.Objects {
 		var mark versionMark
 		if err := json.Unmarshal(obj.Value, &mark); err != nil {
