A stream that a client takes up is always bound to a version

Cause: a take-up was bound to a version only if the instance held, at arrival, that there were several. Otherwise it was sent like a new stream, to whatever servers were known when it was sent: after a wait for a load or for room, or after a first send that broke off. A server of a second version that appeared meanwhile got it. The same if another instance with an older list of servers answered that there is one version: the answer did not say which.

Evidence: a client has three events from the only engine with the model, of v1; that engine ends, another one of v1 loads the model, and one of v2 that has it appears meanwhile. entry TestTakenUpStreamKeepsVersionWhileItWaits failed in 3 of 3 runs before ("versions:[v2 v2 v2 v2 v2 v2 v2] lastID:10}, began at v1"), and passes now.

Class: a decision at arrival that is acted on later, against a state that has changed. Binding to nothing was the decision; now each take-up names the version, also the only one, and whatever servers appear are compared with it.

Others are asked only by an instance that is not certain itself, they answer with the versions that they are certain of, and the answer counts if all agree and this instance knows no other (TestOnlyVersionOfOthers; before, an older list outweighed this instance's own). Ruled out: looking at the versions once more before each send, which leaves a window and no version for the resend. Streams that go on at another service, by a changed route, are sent there as before.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -13,9 +13,9 @@
 
 // Origins knows at which software version the streams began that clients take up.
 type Origins interface {
-	// Mixed reports whether streams of a service that can still be taken up may have begun at several versions. It is
-	// false only if that is certain.
-	Mixed(service string) bool
+	// Versions returns the versions at which streams of a service may have begun that can still be taken up. certain is
+	// set if there are certainly no others.
+	Versions(service string) (versions []string, certain bool)
 	// Record records that an attempt brings the first event of a stream. It does not wait.
 	Record(attempt string, origin skew.Origin)
 	// Find returns the origin of a stream of a service by the attempt that brought its first event.
@@ -26,40 +26,43 @@
 type OriginAnswer struct {
 	// Origin is the zero value if it is not known.
 	Origin skew.Origin
-	// OneVersion is set if another instance is certain that all streams of the service began at one version.
-	OneVersion bool
+	// OnlyVersion is the version at which another instance is certain that all streams of the service began; "" if there
+	// is none.
+	OnlyVersion string
 	// Unanswered is set if an instance that may know the origin did not answer, or if this one is not certain yet
 	// whether the service has several versions.
 	Unanswered bool
 }
 
-// binding is the service that a request is sent to, and the software version that its stream is bound to, "" for none.
+// binding is the service that a request is sent to, and the software version that its stream is bound to: "" for a stream
+// that begins, or goes on at another service.
 type binding struct {
 	service serving.Service
 	version string
 }
 
 // bind chooses the service of a request. A stream that a client takes up is bound to the version that began it, and
-// refused if that is not known.
+// refused if that is not known: servers of another version may appear at any time until it is sent.
 func (f *Forwarder) bind(ctx context.Context, a admission, r *serving.Request) (binding, *verdict.Failure) {
 	b := binding{service: a.config.Services[chooseTarget(a.route.Targets)]}
 	if f.origins == nil || r.LastEventID == "" || a.route.Kind != serving.Streaming {
 		return b, nil
 	}
-	if !f.mixed(a.route) {
+	if b.version = f.onlyVersion(a.route, b.service.Name); b.version != "" {
 		f.recordTakeUp(r, b, "not_mixed")
 		return b, nil
 	}
 	answer := f.findOrigin(ctx, r, b.service.Name)
 	outcome := "not_known"
 	switch origin := answer.Origin; {
-	case origin.Version != "" && slices.ContainsFunc(a.route.Targets, func(t serving.Target) bool { return t.Service == origin.Service }):
+	case origin.Version != "" && leadsTo(a.route, origin.Service):
 		outcome = "bound"
 		b = binding{service: a.config.Services[origin.Service], version: origin.Version}
 	case origin.Version != "":
 		outcome = "other_service"
-	case answer.OneVersion:
+	case answer.OnlyVersion != "":
 		outcome = "one_version"
+		b.version = answer.OnlyVersion
 	}
 	f.recordTakeUp(r, b, outcome)
 	if outcome != "not_known" {
@@ -72,6 +75,26 @@
 	return b, failure
 }
 
+// onlyVersion returns the software version of a service at which all streams of a route began; "" if there may be several
+// versions at one of the route's services, or none is known.
+func (f *Forwarder) onlyVersion(route *serving.Route, service string) string {
+	for _, t := range route.Targets {
+		if versions, certain := f.origins.Versions(t.Service); !certain || len(versions) > 1 {
+			return ""
+		}
+	}
+	versions, _ := f.origins.Versions(service)
+	if len(versions) == 0 {
+		return ""
+	}
+	return versions[0]
+}
+
+// leadsTo reports whether a service is among the targets of a route.
+func leadsTo(route *serving.Route, service string) bool {
+	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return t.Service == service })
+}
+
 // recordTakeUp logs and counts a stream that a client takes up, by what is known of its origin.
 func (f *Forwarder) recordTakeUp(r *serving.Request, b binding, outcome string) {
 	f.counts.streamTakenUp(outcome)
@@ -80,11 +103,6 @@
 	}).Info("client takes a stream up")
 }
 
-// mixed reports whether streams of one of the route's services may have begun at several versions.
-func (f *Forwarder) mixed(route *serving.Route) bool {
-	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return f.origins.Mixed(t.Service) })
-}
-
 // findOrigin returns what is known of the origin of the stream that a client takes up.
 func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string) OriginAnswer {
 	if r.Resumes == "" {
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -19,13 +19,15 @@
 	// removed.
 	servers map[serviceVersion]int
 	goneAt  map[serviceVersion]time.Time
-	// mixed has the versions of services that have more than one; nil if there is no such service. It is replaced,
+	// known has the sorted versions by service, and mixed those of services that have more than one. They are replaced,
 	// never modified, and read without a lock.
-	mixed atomic.Pointer[map[string][]string]
+	known, mixed atomic.Pointer[map[string][]string]
 }
 
 func newSoftwareVersions() *softwareVersions {
-	return &softwareVersions{servers: map[serviceVersion]int{}, goneAt: map[serviceVersion]time.Time{}}
+	v := &softwareVersions{servers: map[serviceVersion]int{}, goneAt: map[serviceVersion]time.Time{}}
+	v.publish()
+	return v
 }
 
 // add counts a server that became known.
@@ -57,34 +59,31 @@
 	}
 }
 
-// publish replaces mixed.
+// publish replaces known and mixed.
 func (v *softwareVersions) publish() {
-	versions := map[string][]string{}
+	known, mixed := map[string][]string{}, map[string][]string{}
 	for key := range v.servers {
-		versions[key.service] = append(versions[key.service], key.version)
+		known[key.service] = append(known[key.service], key.version)
 	}
 	for key := range v.goneAt {
-		versions[key.service] = append(versions[key.service], key.version)
+		known[key.service] = append(known[key.service], key.version)
 	}
-	maps.DeleteFunc(versions, func(_ string, list []string) bool { return len(list) < 2 })
-	if len(versions) == 0 {
-		v.mixed.Store(nil)
-		return
-	}
-	for _, list := range versions {
+	for service, list := range known {
 		slices.Sort(list)
+		if len(list) > 1 {
+			mixed[service] = list
+		}
 	}
-	v.mixed.Store(&versions)
+	v.known.Store(&known)
+	v.mixed.Store(&mixed)
 }
 
-// MixedVersions returns, by service, the software versions at which streams may have begun that clients may still take
-// up, for services with more than one. The result must not be modified.
-func (d *Directory) MixedVersions() map[string][]string {
-	if mixed := d.versions.mixed.Load(); mixed != nil {
-		return *mixed
-	}
-	return nil
-}
+// Versions returns, by service, the sorted software versions at which streams may have begun that clients may still take
+// up. The result must not be modified.
+func (d *Directory) Versions() map[string][]string { return *d.versions.known.Load() }
+
+// MixedVersions returns the part of Versions for services with more than one. The result must not be modified.
+func (d *Directory) MixedVersions() map[string][]string { return *d.versions.mixed.Load() }
 
 // ObserveVersions records that servers of a service may have had the given software versions until now.
 func (d *Directory) ObserveVersions(service string, versions []string, now time.Time) {
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -73,14 +73,21 @@
 	}
 }
 
-// Mixed implements forward.Origins.
-func (o *streamOrigins) Mixed(service string) bool {
-	return !o.marks.certain() || len(o.dir.MixedVersions()[service]) > 0
+// Versions implements forward.Origins.
+func (o *streamOrigins) Versions(service string) (versions []string, certain bool) {
+	certain = o.marks.certain()
+	return o.dir.Versions()[service], certain
+}
+
+// mixed reports whether streams of a service that can still be taken up may have begun at several versions.
+func (o *streamOrigins) mixed(service string) bool {
+	versions, certain := o.Versions(service)
+	return !certain || len(versions) > 1
 }
 
 // Record implements forward.Origins.
 func (o *streamOrigins) Record(attempt string, origin skew.Origin) {
-	if !o.Mixed(origin.Service) {
+	if !o.mixed(origin.Service) {
 		o.unsent.Add(skew.Entry{Attempt: attempt, Origin: origin}, clock.Now())
 		return
 	}
@@ -144,7 +151,9 @@
 			replies <- reply
 		}()
 	}
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !o.marks.certain() || !o.archive.restored.Load()}
+	certain := o.marks.certain()
+	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !certain || !o.archive.restored.Load()}
+	var told []string
 	for range keepers {
 		switch reply := <-replies; {
 		case reply == nil:
@@ -152,13 +161,26 @@
 		case reply.Known:
 			o.table.Record(attempt, reply.Origin, clock.Now())
 			return forward.OriginAnswer{Origin: reply.Origin}
-		case reply.OneVersion:
-			answer.OneVersion = true
+		default:
+			told = append(told, reply.Versions...)
 		}
 	}
+	if !certain {
+		answer.OnlyVersion = onlyVersion(told, o.dir.Versions()[service])
+	}
 	return answer
 }
 
+// onlyVersion returns the version at which all streams of a service began: the one that other instances are certain of, if
+// they agree and this instance knows no other. It returns "" if there is none.
+func onlyVersion(told, known []string) string {
+	all := slices.Concat(told, known)
+	if len(told) == 0 || slices.ContainsFunc(all, func(v string) bool { return v != all[0] }) {
+		return ""
+	}
+	return all[0]
+}
+
 // keepers returns, by failure domain, the addresses of the other instances that may keep the origin of an attempt, sorted
 // by rank, and how many of a domain keep it. There is one more than that for the case that one is gone.
 func (o *streamOrigins) keepers(ctx context.Context, attempt string) (candidates [][]string, copies int) {
@@ -192,5 +214,9 @@
 // answer returns what this instance knows of an origin.
 func (o *streamOrigins) answer(args *OriginArgs) OriginReply {
 	origin, known := o.table.Find(args.Attempt, clock.Now())
-	return OriginReply{Known: known, Origin: origin, OneVersion: !known && !o.Mixed(args.Service)}
+	reply := OriginReply{Known: known, Origin: origin}
+	if versions, certain := o.Versions(args.Service); !known && certain {
+		reply.Versions = versions
+	}
+	return reply
 }
--- a/entry/origins_bench_test.go
+++ b/entry/origins_bench_test.go
@@ -60,7 +60,7 @@
 	o := &streamOrigins{dir: dir, marks: marks}
 	b.ReportAllocs()
 	for b.Loop() {
-		if o.Mixed("s") {
+		if o.mixed("s") {
 			b.Fatal("mixed")
 		}
 	}
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -222,18 +222,18 @@
 	holds := false
 	m := &versionMarks{store: p, dir: dir, isHolder: func() bool { return holds }, serversAge: func(time.Time) time.Duration { return age }, log: logrus.New()}
 	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, marks: m}
-	if !o.Mixed("s") {
+	if !o.mixed("s") {
 		t.Error("certain before the marks were read")
 	}
 	m.update(t.Context())
-	if o.Mixed("s") {
+	if o.mixed("s") {
 		t.Error("not certain with a current list")
 	}
 	past := clock.Now()
 	m.certainUntil.Store(&past)
 	age = maxServersAge + 1
 	m.update(t.Context())
-	if !o.Mixed("s") {
+	if !o.mixed("s") {
 		t.Error("certain with an old list")
 	}
 	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), 0); err != nil {
@@ -241,7 +241,7 @@
 	}
 	age = 0
 	m.update(t.Context())
-	if !o.Mixed("s") || !m.certain() {
+	if !o.mixed("s") || !m.certain() {
 		t.Error("a version that came and went meanwhile is not known")
 	}
 	holds = true
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -29,11 +29,12 @@
 // OriginArgs asks for the origin of a stream of a service.
 type OriginArgs struct{ Attempt, Service string }
 
-// OriginReply has the origin if it is known. OneVersion is set if it is not, and all streams of the service certainly
-// began at one software version.
+// OriginReply has the origin if it is known. Otherwise Versions are the software versions at which streams of the service
+// began; it is empty if the instance is not certain that it knows all.
 type OriginReply struct {
-	Known, OneVersion bool
-	Origin            skew.Origin
+	Known    bool
+	Versions []string
+	Origin   skew.Origin
 }
 
 // errNotRestored is returned by an instance that does not know yet what an earlier process of it kept.
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -50,7 +50,10 @@
 
 // addEngine starts an engine with the given parameters, and others that are the same for all.
 func (f *versionFleet) addEngine(p standin.ServerParams) {
-	p.Service, p.FailureDomain, p.EventPause, p.Models, p.MemoryMB, p.AdapterSlots = "llm", "a", 5*time.Millisecond, testModels, testMemoryMB, testAdapterSlots
+	p.Service, p.FailureDomain, p.EventPause, p.MemoryMB, p.AdapterSlots = "llm", "a", 5*time.Millisecond, testMemoryMB, testAdapterSlots
+	if p.Models == nil {
+		p.Models = testModels
+	}
 	s, err := standin.NewServer("127.0.0.1", p)
 	if err != nil {
 		f.t.Fatal(err)
