Marks of software versions are kept while there is one, and outlive their holder

What callers saw: all instances were killed, the servers of one version left meanwhile and those of another came; streams that clients took up went on at the new version, 200 and to the end (ORDER). All streams of that time at once.

Cause: the store had a mark of a service's versions only while there were two. Instances that start find no mark and one version, and are certain that it was always so.

Now the holder writes the mark whenever the versions of a service change, the first one included: one write a service after the first start, and one for each change. Two more ways in which a mark was lost, both read and shown by tests that failed before: a new holder that had not seen a version itself overwrote a mark that names it (TestNewHolderKeepsVersionsOfMark); after the store came back from a copy the mark was not written again (TestMarkIsWrittenAfterRestore).

What is left: a version whose servers come, begin streams and go while there is no holder to write the mark.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,6 @@
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
-	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
@@ -281,17 +280,6 @@
 	return err
 }
 
-// handleStoreRestored schedules this instance's records to be written again, since the copy that the
-// store was restored from may lack them. fromStore is whether the store has reported the restore, and
-// not another instance.
-func (i *Instance) handleStoreRestored(fromStore bool) {
-	pause.Wake(i.members.eraChanged)
-	if fromStore {
-		i.quarantine.scheduleWriteAll()
-	}
-	i.follower.reportNow()
-}
-
 // backgroundTasks returns the tasks that communicate with the store and other instances for as long as
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
--- a/entry/era.go
+++ b/entry/era.go
@@ -7,6 +7,7 @@
 
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
 )
 
@@ -57,3 +58,15 @@
 	graceEnd := w.eraLearnedAt.Add(directory.RestoreGrace)
 	return prefix == platform.PrefixServers && !w.eraLearnedAt.IsZero() && started.Before(graceEnd) && !clock.Now().Before(graceEnd)
 }
+
+// handleStoreRestored schedules this instance's records to be written again, since the copy that the
+// store was restored from may lack them. fromStore is whether the store has reported the restore, and
+// not another instance.
+func (i *Instance) handleStoreRestored(fromStore bool) {
+	pause.Wake(i.members.eraChanged)
+	i.marks.restored.Store(true)
+	if fromStore {
+		i.quarantine.scheduleWriteAll()
+	}
+	i.follower.reportNow()
+}
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -17,17 +17,18 @@
 	"github.com/martenport/martenport/store"
 )
 
-// prefixVersions is the store's prefix of the marks of services with several software versions, by service.
+// prefixVersions is the store's prefix of the marks of software versions, by service.
 const prefixVersions = "versions/"
 
-// versionMark is the entry of a service at which streams may have begun at several software versions.
+// versionMark is the entry of a service: the software versions at which streams may have begun that can be taken up.
 type versionMark struct {
 	Versions []string `json:"versions"`
 }
 
-// versionMarks makes known which services have or had servers of several software versions to instances that start or
-// were cut off and did not see that. The holder writes a mark when servers of a second version appear, and deletes it
-// when no stream of the others can be taken up any more. Without such servers nothing is written.
+// versionMarks makes known which software versions the servers of each service have or had to instances that start or
+// were cut off and did not see that. The holder writes a mark when the versions of a service change: also while there is
+// one, since all its servers may be replaced while no instance runs. It removes a version when no stream that began at
+// it can be taken up any more.
 type versionMarks struct {
 	store    store.Store
 	dir      *directory.Directory
@@ -39,6 +40,9 @@
 	// certainUntil is until when this instance certainly knows all software versions; nil before it does.
 	certainUntil atomic.Pointer[time.Time]
 
+	// restored is set if the store came back from a copy, in which marks may be missing.
+	restored atomic.Bool
+
 	// The following are used by run only. loaded is whether the marks have been read since the list of servers was last
 	// too old. known are the marks as last read or written, and wasHolder whether this instance was the holder then.
 	loaded, wasHolder bool
@@ -83,6 +87,9 @@
 func (m *versionMarks) update(ctx context.Context) bool {
 	now := clock.Now()
 	age := m.serversAge(now)
+	if m.restored.Swap(false) {
+		m.loaded = false
+	}
 	if age > maxServersAge {
 		m.loaded = false
 		return false
@@ -108,8 +115,8 @@
 	if err != nil {
 		return false
 	}
+	before := m.known
 	m.known = map[string]storedMark{}
-	m.log.WithFields(logrus.Fields{"services": len(snap.Objects), "first": !m.loaded}).Info("marks of software versions read")
 	for _, obj := range snap.Objects {
 		var mark versionMark
 		if err := json.Unmarshal(obj.Value, &mark); err != nil {
@@ -117,22 +124,32 @@
 		}
 		service := obj.Key[len(prefixVersions):]
 		m.known[service] = storedMark{versions: mark.Versions, revision: obj.Version}
-		if !m.loaded {
-			m.dir.ObserveVersions(service, mark.Versions, clock.Now())
-		}
+		m.observe(service, mark.Versions, before[service].versions)
+	}
+	if !m.loaded {
+		m.log.WithField("services", len(m.known)).Info("marks of software versions read")
 	}
 	return true
 }
 
+// observe records versions that a mark names. While this instance has been the holder all the time, those of its own mark
+// that it does not know any more have expired.
+func (m *versionMarks) observe(service string, versions, own []string) {
+	if m.loaded && m.wasHolder {
+		versions = slices.DeleteFunc(slices.Clone(versions), func(v string) bool { return slices.Contains(own, v) })
+	}
+	m.dir.ObserveVersions(service, versions, clock.Now())
+}
+
 // upToDate reports whether the marks as last read or written match the directory.
 func (m *versionMarks) upToDate() bool {
-	return maps.EqualFunc(m.dir.MixedVersions(), m.known, func(versions []string, mark storedMark) bool { return slices.Equal(versions, mark.versions) })
+	return maps.EqualFunc(m.dir.Versions(), m.known, func(versions []string, mark storedMark) bool { return slices.Equal(versions, mark.versions) })
 }
 
 // write makes the marks match the directory, and reports whether the store carried that out.
 func (m *versionMarks) write(ctx context.Context) bool {
-	mixed := m.dir.MixedVersions()
-	for service, versions := range mixed {
+	current := m.dir.Versions()
+	for service, versions := range current {
 		mark := m.known[service]
 		if slices.Equal(mark.versions, versions) {
 			continue
@@ -142,17 +159,17 @@
 			return m.logFailure(service, err)
 		}
 		m.known[service] = storedMark{versions: versions, revision: revision}
-		m.log.WithFields(logrus.Fields{"service": service, "versions": versions}).Info("servers of several software versions")
+		m.log.WithFields(logrus.Fields{"service": service, "versions": versions, "before": mark.versions}).Info("software versions of servers")
 	}
 	for service, mark := range m.known {
-		if _, still := mixed[service]; still {
+		if _, still := current[service]; still {
 			continue
 		}
 		if err := m.store.Delete(ctx, prefixVersions+service, mark.revision); err != nil {
 			return m.logFailure(service, err)
 		}
 		delete(m.known, service)
-		m.log.WithField("service", service).Info("servers of one software version")
+		m.log.WithField("service", service).Info("no servers of a service")
 	}
 	return true
 }
--- /dev/null
+++ b/entry/versionmarks_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
+	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+)
+
+// TestTakenUpStreamKeepsVersionOverUnseenReplacement guards against streams that go on at a software version that
+// replaced another one while no instance ran.
+func TestTakenUpStreamKeepsVersionOverUnseenReplacement(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1")
+	f.await("certain", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool { return !r.marks.certain() })
+	})
+	for n := 0; n < 100 && markOf(t, f.store, "llm") == ""; n++ {
+		time.Sleep(20 * time.Millisecond)
+	}
+	var begun []attempt
+	for range 12 {
+		a := attempt{id: newAttemptID(), leaveAfter: 3}
+		f.send(f.instances[0], a)
+		begun = append(begun, a)
+	}
+	f.replaceInstances((*running).kill, func() {
+		f.removeServer("v0")
+		f.removeServer("v1")
+		f.addVersion("new-0", "v2", "m1")
+		f.addVersion("new-1", "v2", "m1")
+	})
+	f.awaitServers(2)
+	joined, went := 0, 0
+	for _, a := range begun {
+		got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
+		if slices.Contains(got.versions, "v2") {
+			joined++
+		}
+		if got := f.send(f.randomInstance(), attempt{id: newAttemptID()}); got.lastID == standin.StreamEvents {
+			went++
+		}
+	}
+	if joined > 0 || went < len(begun) {
+		t.Errorf("%d of %d streams of v1 go on at v2, %d new streams served", joined, len(begun), went)
+	}
+}
+
+// newMarks returns marks of an instance that knows one server, of version v1 of the service s.
+func newMarks(t *testing.T, s store.Store, isHolder func() bool) *versionMarks {
+	t.Helper()
+	dir := directory.New()
+	dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
+	return &versionMarks{store: s, dir: dir, isHolder: isHolder, serversAge: func(time.Time) time.Duration { return 0 }, log: discardLog()}
+}
+
+// TestNewHolderKeepsVersionsOfMark guards against a mark that a new holder overwrites although it names a version whose
+// servers the holder has not seen.
+func TestNewHolderKeepsVersionsOfMark(t *testing.T) {
+	p, holds := standin.NewPlatform(), false
+	m := newMarks(t, p, func() bool { return holds })
+	m.update(t.Context())
+	const both = `{"versions":["v1","v2"]}`
+	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(both), 0); err != nil {
+		t.Fatal(err)
+	}
+	holds = true
+	m.update(t.Context())
+	if got := markOf(t, p, "s"); got != both {
+		t.Errorf("mark %s, want %s", got, both)
+	}
+	if versions, certain := (&streamOrigins{dir: m.dir, marks: m}).Versions("s"); !certain || len(versions) != 2 {
+		t.Errorf("versions %v, certain %t", versions, certain)
+	}
+}
+
+// TestMarkIsWrittenAfterRestore guards against a mark that is missing for good once the store came back from a copy.
+func TestMarkIsWrittenAfterRestore(t *testing.T) {
+	p := standin.NewPlatform()
+	m := newMarks(t, p, func() bool { return true })
+	m.update(t.Context())
+	obj, err := p.Get(t.Context(), prefixVersions+"s")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Delete(t.Context(), obj.Key, obj.Version); err != nil {
+		t.Fatal(err)
+	}
+	(&Instance{marks: m, members: &members{eraChanged: make(chan struct{}, 1)}, follower: &follower{}}).handleStoreRestored(false)
+	m.update(t.Context())
+	if got := markOf(t, p, "s"); got != `{"versions":["v1"]}` {
+		t.Errorf("mark %q", got)
+	}
+}
+
+// markOf returns the mark of a service, "" if there is none.
+func markOf(t *testing.T, s store.Store, service string) string {
+	t.Helper()
+	obj, err := s.Get(t.Context(), prefixVersions+service)
+	if err != nil {
+		return ""
+	}
+	return string(obj.Value)
+}
