The version of a stream is compared again at its server's first event

Cause: the version is that of the server's entry when the request is sent. A server may start again under its ID; an instance that goes on after a freeze sends before it has read the new entry.

At the first event of each answer the entry is looked at again. If the server has another version by now, it is not known which of the two wrote the event: the answer is dropped before anything is relayed and the request is sent again, which streams that may be resumed allow; others are relayed and not continued. A counter names the service.

Ruled out: asking the server for its start on each new connection, a probe a connection for a case of milliseconds.

What is left: the entry may still be the old one when the first event arrives, at an instance that is cut off from the store and hears nothing from the holder.

--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -72,6 +72,12 @@
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
 }
 
+// serverReplaced counts an answer of a server that was replaced by one of another software version since the request was
+// sent.
+func (c *Counts) serverReplaced(service string) {
+	c.set.GetOrCreateCounter(`martenport_answers_of_replaced_servers_total{service="` + service + `"}`).Inc()
+}
+
 // serverFull counts a refusal by an engine that was full.
 func (c *Counts) serverFull(service string) {
 	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -39,10 +39,15 @@
 type fakeServers struct {
 	replies  []reply
 	attempts []serving.Attempt
+	// onSend is called with each attempt before it is answered.
+	onSend func(serving.Attempt)
 }
 
 func (f *fakeServers) Send(_ context.Context, a serving.Attempt) (*serving.Response, error) {
 	f.attempts = append(f.attempts, a)
+	if f.onSend != nil {
+		f.onSend(a)
+	}
 	r := f.replies[0]
 	if len(f.replies) > 1 {
 		f.replies = f.replies[1:]
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -140,7 +140,9 @@
 		if t.alreadySent(e) {
 			continue // a resumed stream that repeats an event
 		}
-		t.pinVersion()
+		if failure := t.pinVersion(); failure != nil {
+			return failure
+		}
 		t.out.start(resp)
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -59,8 +59,10 @@
 	// the request was sent.
 	serverVersion string
 	serverBorn    int64
-	// version is the software version that the stream is bound to, "" while its client has no event.
-	version string
+	// version is the software version that the stream is bound to, "" while its client has no event, and versionPinned
+	// whether the current server's first event was compared with it.
+	version       string
+	versionPinned bool
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
 	// sentAt is when the request was last sent to that server.
@@ -258,7 +260,7 @@
 // its answer.
 func (t *transaction) attempt(ctx context.Context, server serving.Server) (answered bool, failure *verdict.Failure) {
 	t.server, t.serverVersion, t.serverBorn = server.ID, server.Version, server.Born
-	t.firstEventAt, t.begunRecorded = time.Time{}, false
+	t.firstEventAt, t.begunRecorded, t.versionPinned = time.Time{}, false, false
 	now := clock.Now()
 	t.sentAt = now
 	requestCtx := ctx
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -13,13 +13,33 @@
 // servers do not check it: once a client has the first event of a stream, the stream goes on only at servers of the
 // version that wrote it.
 
-// pinVersion binds the stream to the version of the server whose first event is about to be relayed.
-func (t *transaction) pinVersion() {
-	if t.version != "" {
-		return
+// pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
+// again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
+// event. Such an answer is dropped if the request may be repeated, and otherwise relayed but not continued.
+func (t *transaction) pinVersion() *verdict.Failure {
+	if t.versionPinned {
+		return nil
+	}
+	t.versionPinned = true
+	if s, known := t.f.dir.Server(t.server); known && s.Version != t.serverVersion {
+		t.f.counts.serverReplaced(t.service.Name)
+		if t.route.MayRepeat() {
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s was replaced by one of version %s since the request was sent", s.ID, s.Version)
+		}
+		t.refuseContinuations()
+	}
+	if t.version == "" {
+		t.version = t.serverVersion
+		t.recordOrigin()
+	}
+	return nil
+}
+
+// refuseContinuations makes a stream that must not be repeated end if it breaks off.
+func (t *transaction) refuseContinuations() {
+	if t.onlyRun != nil {
+		t.onlyRun.stream.Refuse()
 	}
-	t.version = t.serverVersion
-	t.recordOrigin()
 }
 
 // fitsVersion reports whether the request may be sent to a server, given the version that its stream is bound to.
