Versions that an archive of origins names are known to a process that starts

The mark of a service's versions is written by the holder alone.

What was archived names the versions at which streams began. A process that reads its archive now records them as versions that streams may have begun at, so it looks for the origin. entry TestArchivedVersionIsKnown failed without it ("versions [v1]").

What is left: streams of the last half second before the end, which no archive has.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -42,7 +42,7 @@
 
 func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
 	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set, log: log}
-	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, instances: m.count, log: log}
+	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, dir: dir, instances: m.count, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
 	return o
 }
--- a/entry/origins_archive.go
+++ b/entry/origins_archive.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/store"
@@ -25,6 +28,8 @@
 	store store.Store
 	key   string
 	table *skew.Origins
+	// dir is told of the software versions that the archive names.
+	dir *directory.Directory
 	// window has the origins to be archived.
 	window skew.Window
 	// instances returns the number of instances that share the store.
@@ -72,6 +77,9 @@
 	if streams := archived.Restore(a.table, &a.window, clock.Now()); streams > 0 {
 		a.log.WithField("streams", streams).Info("origins of streams restored, kept by an earlier process of this instance")
 	}
+	for service, versions := range archived {
+		a.dir.ObserveVersions(service, slices.Collect(maps.Keys(versions)), clock.Now())
+	}
 	a.restored.Store(true)
 	return true
 }
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -260,7 +260,7 @@
 // cannot be decoded, or is gone with a store that came back from an older copy.
 func TestArchiveOfOrigins(t *testing.T) {
 	p := standin.NewPlatform()
-	a := &originArchive{store: p, key: prefixOrigins + "a", table: skew.NewOrigins(), log: discardLog()}
+	a := &originArchive{store: p, key: prefixOrigins + "a", table: skew.NewOrigins(), dir: directory.New(), log: discardLog()}
 	if !a.restore(t.Context()) {
 		t.Fatal("no archive: not restored")
 	}
--- a/entry/versionmarks_test.go
+++ b/entry/versionmarks_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/martenport/martenport/command/skew"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/standin"
@@ -78,6 +79,26 @@
 	}
 }
 
+// TestArchivedVersionIsKnown guards against a process that starts and holds the version of the servers for the only one,
+// although an earlier process kept origins of another that no holder had marked.
+func TestArchivedVersionIsKnown(t *testing.T) {
+	p := standin.NewPlatform()
+	m := newMarks(t, p, func() bool { return false })
+	m.update(t.Context())
+	archived := &originArchive{store: p, key: prefixOrigins + "a", table: skew.NewOrigins(), dir: directory.New(), log: discardLog()}
+	archived.window.Add(skew.Entry{Attempt: "begun", Origin: skew.Origin{Service: "s", Version: "v2"}}, time.Now())
+	archived.update(t.Context())
+	o := &streamOrigins{dir: m.dir, marks: m}
+	archived.dir = m.dir
+	if !archived.restore(t.Context()) {
+		t.Fatal("not restored")
+	}
+	if !o.mixed("s") {
+		versions, _ := o.Versions("s")
+		t.Errorf("versions %v", versions)
+	}
+}
+
 // TestMarkIsWrittenAfterRestore guards against a mark that is missing for good once the store came back from a copy.
 func TestMarkIsWrittenAfterRestore(t *testing.T) {
 	p := standin.NewPlatform()
