lease: count no fencing token from a record that may be of an earlier era

Cause: a write to the store names a revision but no era. The frozen holder's renewal named the number that its successor's record had in the new era, and replaced it. The next token was counted from the record in the store, which was then the old one, so the successor's token was issued again. Instances that knew the successor took no notice of a holder with the same token.

Ruled out: that the old holder sends orders by that write; its client sees the era of the answer, and the renewal counts as a conflict.

Fix: a token is the era and the number of the revision that the take-over replaces, plus one. Revisions rise within an era and a conditional write replaces each only once, so tokens are unique and rise whatever the record says. The store still lets such a write through: the holder of the new era then loses the lease once, and its successor waits as after an unknown one.

Candidate has one more parameter; its callers in tests pass the revision.

--- a/command/holder/lease.go
+++ b/command/holder/lease.go
@@ -55,7 +55,7 @@
 	}
 	era := max(0, h.era, revision.Era())
 	current = h.recordToReplace(current, era)
-	candidate := h.lease.Candidate(current, era, h.params.Address)
+	candidate := h.lease.Candidate(current, revision, era, h.params.Address)
 	h.mu.Unlock()
 	sent := clock.Now()
 	written, err := store.WriteJSON(ctx, h.store, KeyLease, candidate, revision)
--- a/command/lease/era.go
+++ b/command/lease/era.go
@@ -1,12 +1,10 @@
 package lease
 
-// eraBits is the number of low bits of a fencing token that count the take-overs within an era. At one take-over per
-// second they last for half a year.
-const eraBits = 24
+import "github.com/martenport/martenport/store"
 
 // FenceBase returns the base of an era's fencing tokens: it is lower than every token of that era and higher than
 // every token of earlier eras.
-func FenceBase(era int64) int64 { return era << eraBits }
+func FenceBase(era int64) int64 { return int64(store.RevisionOf(era, 0)) }
 
 // RestoredFromBackup reports whether the record, read in the given era of the store, was written in an earlier era.
 // Such a record was restored from a backup of the store, and other instances may have held the lease since it was
--- a/command/lease/era_test.go
+++ b/command/lease/era_test.go
@@ -12,7 +12,7 @@
 func TestLostLeaseNotAdoptedFromBackup(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := New(testParams, "a")
-	record := a.Candidate(NeverHeld(0), 0, "")
+	record := a.Candidate(NeverHeld(0), 0, 0, "")
 	a.Acquired(NeverHeld(0), 0, record, store.RevisionOf(0, 5), now, now)
 	if a.ObserveEra(0) || !a.ObserveEra(1) || a.Held() {
 		t.Error("want the lease lost when a new era begins, and only then")
@@ -28,10 +28,25 @@
 // TestFencingTokensUniqueAcrossEras: the record in a restored backup has an old fencing token or none. The tokens
 // issued after the restore must still be higher than all tokens of earlier eras.
 func TestFencingTokensUniqueAcrossEras(t *testing.T) {
-	before := New(testParams, "b").Candidate(Record{Fence: FenceBase(2) + 1000, Era: 2}, 2, "")
-	for _, copied := range []Record{{}, {Fence: 1}, {Fence: FenceBase(2) + 7, Era: 2}} {
-		if next := New(testParams, "c").Candidate(copied, 3, ""); next.Fence <= before.Fence {
+	before := New(testParams, "b").Candidate(Record{Fence: FenceBase(2) + 1000, Era: 2}, store.RevisionOf(2, 1000), 2, "")
+	for _, copied := range []storedRecord{
+		{},
+		{Record{Fence: 1}, store.RevisionOf(3, 1)},
+		{Record{Fence: FenceBase(2) + 7, Era: 2}, store.RevisionOf(3, 7)},
+	} {
+		if next := New(testParams, "c").Candidate(copied.record, copied.revision, 3, ""); next.Fence <= before.Fence {
 			t.Errorf("token %d after %d", next.Fence, before.Fence)
 		}
 	}
 }
+
+// TestTokenNotReissuedAfterLateRenewal: a renewal from before a restore replaces the record of the new era's holder.
+func TestTokenNotReissuedAfterLateRenewal(t *testing.T) {
+	old := Record{Holder: "a", Fence: FenceBase(0) + 1, Renewals: 1}
+	current := New(testParams, "b").Candidate(old, store.RevisionOf(1, 8), 1, "")
+	old.Renewals++
+	next := New(testParams, "c").Candidate(old, store.RevisionOf(1, 16), 1, "")
+	if next.Fence <= current.Fence {
+		t.Errorf("token %d of c after %d of b", next.Fence, current.Fence)
+	}
+}
--- a/command/lease/lease.go
+++ b/command/lease/lease.go
@@ -19,7 +19,9 @@
 // A store that is restored from a backup begins a new era. Its record does not show who has held the lease since the
 // backup was made. A holder loses a lease of an earlier era when it first learns of the new era. Records name their
 // era. A successor treats a restored record as that of an unknown holder which renewed the lease until the
-// take-over. Fencing tokens contain the era in their upper bits, so no token is issued twice.
+// take-over. A write names a revision but no era, so an old holder that does not know of the new era yet may replace
+// the record of a new one. The next fencing token is therefore not counted from the record: it is the revision that
+// the take-over replaces, plus one. A later take-over replaces a later revision, so no token is issued twice.
 //
 // A holder that is paused after its check may still send one order. That order carries the old token and the engine
 // sequence number on which it was decided. The engine refuses it once the successor has ordered anything there.
@@ -103,8 +105,9 @@
 func New(p Params, self string) *Lease { return &Lease{params: p, self: self} }
 
 // Candidate returns the record to write in place of current in order to take over, in the given era of the store.
-func (l *Lease) Candidate(current Record, era int64, address string) Record {
-	fence := max(current.Fence, FenceBase(era)) + 1
+// replaced is the revision of current, 0 if there is no record yet.
+func (l *Lease) Candidate(current Record, replaced store.Revision, era int64, address string) Record {
+	fence := FenceBase(era) + replaced.Number() + 1
 	current = current.inEra(era)
 	candidate := Record{Holder: l.self, Address: address, Fence: fence, Era: era, Settled: l.noOtherHolderMayOrder(current), Renewals: 1}
 	if current.Fence != 0 && current.Renewals == 0 {
--- a/command/lease/lease_test.go
+++ b/command/lease/lease_test.go
@@ -64,13 +64,13 @@
 	now := time.Unix(1000, 0)
 	b := New(testParams, "b")
 	before := Record{Holder: "a", Fence: 1}
-	record := b.Candidate(before, 0, "")
+	record := b.Candidate(before, 7, 0, "")
 	b.Acquired(before, 7, record, 8, now, now)
 	renewed, _ := b.Renewal(now)
 	for _, c := range []struct {
 		record Record
 		counts bool
-	}{{record, false}, {renewed, true}, {New(testParams, "c").Candidate(renewed, 0, ""), true}, {b.Candidate(Record{}, 0, ""), true}} {
+	}{{record, false}, {renewed, true}, {New(testParams, "c").Candidate(renewed, 8, 0, ""), true}, {b.Candidate(Record{}, 0, 0, ""), true}} {
 		if c.counts != (c.record.Renewals > 0) {
 			t.Errorf("%+v: has a renewal count: %v", c.record, !c.counts)
 		}
@@ -83,7 +83,7 @@
 func TestUnconfirmedRenewalDoesNotExtendLease(t *testing.T) {
 	now := time.Unix(1000, 0)
 	a := New(testParams, "a")
-	record := a.Candidate(Record{}, 0, "")
+	record := a.Candidate(Record{}, 0, 0, "")
 	a.Acquired(Record{}, 0, record, 1, now, now)
 	unconfirmed, _ := a.Renewal(now.Add(time.Second))
 	if !a.Adopt(unconfirmed, 2) {
@@ -106,7 +106,7 @@
 func TestNoOrderArrivesAfterValidity(t *testing.T) {
 	now := time.Unix(1000, 0)
 	l := New(testParams, "a")
-	record := l.Candidate(Record{}, 0, "")
+	record := l.Candidate(Record{}, 0, 0, "")
 	l.Acquired(Record{}, 0, record, 1, now, now)
 	usable := testParams.Validity - testParams.Transit
 	if _, ok := l.Fence("e", now.Add(usable-time.Millisecond)); !ok {
@@ -137,7 +137,7 @@
 	}
 	b := New(testParams, "b")
 	won := now.Add(2 * time.Second)
-	b.Acquired(record, 0, b.Candidate(record, 0, ""), 2, won, won)
+	b.Acquired(record, 0, b.Candidate(record, 1, 0, ""), 2, won, won)
 	// e was ordered 500 ms before the release and the order may have arrived Transit later. The age for old comes
 	// from the record of the earlier holder.
 	for engine, age := range map[string]time.Duration{"e": 500*time.Millisecond - testParams.Transit, "old": 1100 * time.Millisecond} {
@@ -348,7 +348,7 @@
 	m.observe(l)
 	previous, replaced := m.record, m.revision
 	sent := m.now
-	m.write(l.Candidate(previous, replaced.Era(), ""))
+	m.write(l.Candidate(previous, replaced, replaced.Era(), ""))
 	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "answer takes")) * time.Millisecond)
 	l.Acquired(previous, replaced, m.record, m.revision, sent, m.now)
 }
--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -6,6 +6,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
 )
 
 // forEachEra runs a test with a small simulation whose instances rely on a holder, in the first era of the store and in
@@ -174,3 +177,31 @@
 		}
 	})
 }
+
+// TestRecordReplacedByEarlierEra: a renewal from before a restore replaces the record of the next holder.
+func TestRecordReplacedByEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, smallDeployment)
+		old, err := s.store.Get(t.Context(), holder.KeyLease)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.restoreStore(s.store.Copy())
+		s.await("a holder in the new era", 30*time.Second, func() bool {
+			h := s.holder()
+			return h != nil && h.Instance.holder.Fence() > lease.FenceBase(1) && s.settled()
+		})
+		token := s.holder().Instance.holder.Fence()
+		current, err := s.store.Get(t.Context(), holder.KeyLease)
+		if err == nil {
+			_, err = s.store.Put(t.Context(), holder.KeyLease, old.Value, current.Version)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.await("all rely on a holder with a new token", 30*time.Second, func() bool {
+			h := s.holder()
+			return h != nil && h.Instance.holder.Fence() > token && s.settled()
+		})
+	})
+}
