--- a/entry/era_test.go
+++ b/entry/era_test.go
@@ -6,6 +6,14 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/martenport/martenport/command/access"
+	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/lease"
+	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
 )
 
 // forEachEra runs a test with a small simulation whose instances rely on a holder, in the first era of the store and in
@@ -174,3 +182,93 @@
 		}
 	})
 }
+
+// TestRecordReplacedByEarlierEra: a renewal from before a restore replaces the record of the next holder.
+func TestRecordReplacedByEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, smallDeployment)
+		old, err := s.store.Get(t.Context(), holder.KeyLease)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.restoreStore(s.store.Copy())
+		s.await("a holder in the new era", 30*time.Second, func() bool {
+			h := s.holder()
+			return h != nil && h.Instance.holder.Fence() > lease.FenceBase(1) && s.settled()
+		})
+		token := s.holder().Instance.holder.Fence()
+		current, err := s.store.Get(t.Context(), holder.KeyLease)
+		if err == nil {
+			_, err = s.store.Put(t.Context(), holder.KeyLease, old.Value, current.Version)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.await("all rely on a holder with a new token", 30*time.Second, func() bool {
+			h := s.holder()
+			return h != nil && h.Instance.holder.Fence() > token && s.settled()
+		})
+	})
+}
+
+// TestStartWithConfigurationOfCopy: an instance starts while the store has an older configuration than the others know.
+func TestStartWithConfigurationOfCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimulation(t, smallDeployment)
+		backup := s.store.Copy()
+		s.configure(2)
+		s.await("all have the new configuration", 10*time.Second, func() bool {
+			return !slices.ContainsFunc(s.all(), func(i *simulatedInstance) bool { return i.dir.Config().Version != 2 })
+		})
+		s.store.SetDown(true)
+		time.Sleep(300 * time.Millisecond)
+		s.store.Restore(backup, platform.PrefixServers)
+		s.store.SetDown(false)
+		s.restarted = true
+		started := s.add(s.deployment.instances)
+		for range 80 {
+			time.Sleep(50 * time.Millisecond)
+			if config, known := started.access.Current(); config != nil && known.Age < time.Minute {
+				t.Fatalf("version %d of the copy is confirmed", config.Version)
+			}
+		}
+		s.configure(2)
+		s.await("the new configuration is confirmed", 10*time.Second, func() bool {
+			config, known := started.access.Current()
+			return config.Version == 2 && known.Age < time.Minute
+		})
+	})
+}
+
+// TestFirstConfigurationConfirmed checks when an instance that starts may confirm the configuration by itself.
+func TestFirstConfigurationConfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		era        int64
+		firstStart bool
+		after      time.Duration
+		known      int64
+		want       bool
+	}{
+		"store never restored":             {want: true},
+		"era may have just begun":          {era: 1},
+		"whole system starts":              {era: 1, firstStart: true, want: true},
+		"time for the operator has passed": {era: 1, after: directory.LapseGrace, want: true},
+		"holder knows a newer one":         {era: 1, after: time.Minute, known: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newTestWatcher(nil, directory.New(), discardLog())
+				w.firstStart = c.firstStart
+				w.recordEra(c.era, true)
+				w.dir.ApplyConfig(&serving.Config{Version: 1})
+				time.Sleep(c.after)
+				now := clock.Now()
+				w.applyHolderUpdate(holder.Update{Config: access.ConfigStatus{Version: c.known}}, now, now)
+				w.confirmConfig(now)
+				if _, confirmedAt := w.dir.Current(); confirmedAt.Equal(now) != c.want {
+					t.Errorf("confirmed: %t", !c.want)
+				}
+			})
+		})
+	}
+}
