A stream that a client takes up is not drawn like a new request under overload

Cause: admission drew a stream that a client takes up like a new request, from a share that is the mean of its class over all engines with the model, whatever their version. Of such streams only engines of their version can go on. Those that were admitted queued at the engine behind new requests of their class, until their clients left.

Ruled out: that the share is too low since rates are measured from zero after the start. The shortage is real, only shared out badly.

Fix: what the share does not cover is admitted if the engine chosen, which is one of the version, has a queue of at most one request for each slot; otherwise it is refused at once, as before. Beyond a burst of 32 at an instance there is one such admission for each new request that is admitted under overload, so that clients that take streams up again and again get no more than that. At the engine a stream that has begun has the next higher priority.

The guards fail without the queue's limit ("<nil> after 0s, want refused at once") and without the credits ("128 streams taken up are sent while no new one is admitted, want 32").

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -82,7 +82,7 @@
 		server, ready, found := t.bestReplica()
 		if found && ready.IsZero() {
 			t.waits.recordEstimateError(t.f.counts)
-			return server, t.refuseOverload()
+			return server, t.refuseOverload(server)
 		}
 		if !found && !t.roomAt.IsZero() {
 			if failure := t.awaitRoom(ctx); failure != nil {
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -73,6 +73,12 @@
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
 }
 
+// takenUpUnderOverload counts a stream that a client takes up and that the share to admit does not cover: "admitted" if it
+// was sent all the same, "no_room" if the queue of its engine is too long, "no_credit" if too many others were admitted.
+func (c *Counts) takenUpUnderOverload(what string) {
+	c.set.GetOrCreateCounter(`martenport_streams_taken_up_under_overload_total{what="` + what + `"}`).Inc()
+}
+
 // serverFull counts a refusal by an engine that was full.
 func (c *Counts) serverFull(service string) {
 	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -146,6 +146,7 @@
 	// refused has the requests that were refused for lack of room, and recordRefused reports them.
 	refused       *refusedRequests
 	recordRefused func(model string, room RoomClass)
+	resumed       *resumedCredits
 	backups       *backups
 	origins       Origins
 }
@@ -179,7 +180,7 @@
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, gate: d.Gate, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
 		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
-		origins: d.Origins,
+		origins: d.Origins, resumed: newResumedCredits(),
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
 	f.backups = newBackups(d)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -274,7 +274,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := serving.Attempt{
-		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
+		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: t.urgency(), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(), Repeated: slices.Contains(t.sentTo, server.ID),
 	}
 	t.sentTo = append(t.sentTo, server.ID)
@@ -305,12 +305,6 @@
 	return failure == nil, failure
 }
 
-// maxUrgency is the lowest priority that engines support.
-const maxUrgency = 9
-
-// urgency returns the priority of a request at an engine, which is that of its route.
-func urgency(r *serving.Route) int { return min(maxUrgency, max(0, r.Priority)) }
-
 // silenceThreshold is the time without an answer after which a server counts as silent if the client
 // then leaves: many times what an engine with a free slot takes to its first event.
 const silenceThreshold = time.Second
