soak: newer engines beside a kill of all instances, and plays of one order of faults

The soak gave each start of a server an ID of its own, never changed a server's version, and had clients take a stream up once, at once. So it could not show streams joined from two versions after all instances were killed.

Now each run has a release: half or all of the engines are replaced by ones of a newer version, some under their IDs and addresses, while all instances are killed before, amid or after it. Clients take a stream up to four times, with pauses of up to 0.6 s; versions are checked over all tries. The share of streams that go on is still judged by the first two attempts, as before. In one of four runs all engines begin with one version; their events name it too now.

--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -24,6 +24,8 @@
 	Engines int           `long:"engines" default:"4" description:"model engines"`
 	Plain   int           `long:"plain" default:"4" description:"servers of the two plain services together"`
 	Dir     string        `long:"dir" description:"folder for programs and logs; a new one if absent"`
+	Entry   string        `long:"entry-program" description:"program of the entry instances, if not the one of this repository"`
+	Play    string        `long:"play" description:"play this order of faults instead of drawn ones; all for each in turn"`
 }
 
 func main() {
@@ -49,7 +51,7 @@
 	defer stop()
 	failedSeeds := 0
 	for seed := first; seed <= last && ctx.Err() == nil; seed++ {
-		violated, err := o.runSeed(ctx, seed)
+		violated, err := o.runOne(ctx, seed)
 		if err != nil {
 			return err
 		}
@@ -63,10 +65,43 @@
 	return nil
 }
 
+// runOne runs one seed, or the chosen plays with it. It reports whether a guarantee was violated.
+func (o *options) runOne(ctx context.Context, seed uint64) (bool, error) {
+	switch o.Play {
+	case "":
+		return o.runSeed(ctx, seed)
+	case "all":
+		violated := false
+		for _, name := range soak.PlayNames() {
+			joined, err := o.runPlay(ctx, seed, name)
+			if err != nil {
+				return false, err
+			}
+			violated = violated || joined
+		}
+		return violated, nil
+	default:
+		return o.runPlay(ctx, seed, o.Play)
+	}
+}
+
+// runPlay runs a play and prints its outcome. It reports whether a stream has events of two versions.
+func (o *options) runPlay(ctx context.Context, seed uint64, name string) (bool, error) {
+	result, err := soak.RunPlay(ctx, soak.Params{Seed: seed, Dir: o.Dir, EntryProgram: o.Entry}, name)
+	if err != nil {
+		return false, errors.Wrapf(err, "play %s, seed %d", name, seed)
+	}
+	fmt.Printf("play=%s seed=%d streams=%d taken_up=%d exposed=%d went_on=%d joined=%d\n", name, seed, result.Streams, result.TakenUp, result.Exposed, result.WentOn, len(result.Joined))
+	for _, j := range result.Joined {
+		fmt.Println("  BROKEN", j)
+	}
+	return len(result.Joined) > 0, nil
+}
+
 // runSeed runs one seed and prints its outcome, its faults and the violated guarantees. It reports
 // whether there were any.
 func (o *options) runSeed(ctx context.Context, seed uint64) (bool, error) {
-	result, err := soak.Run(ctx, soak.Params{Seed: seed, FaultDuration: o.For, Entries: o.Entries, Engines: o.Engines, PlainServers: o.Plain, Dir: o.Dir})
+	result, err := soak.Run(ctx, soak.Params{Seed: seed, FaultDuration: o.For, Entries: o.Entries, Engines: o.Engines, PlainServers: o.Plain, Dir: o.Dir, EntryProgram: o.Entry})
 	if err != nil {
 		return false, errors.Wrapf(err, "seed %d", seed)
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -49,6 +49,8 @@
 	// brought the first one.
 	lastEvent int
 	resumes   string
+	// takeUps is how often the client has taken the stream up, this attempt included.
+	takeUps int
 	// leaveAfter is the number of events after which the client leaves; 0 for never.
 	leaveAfter int
 	// versions are the software versions of the engines whose events the client has.
@@ -94,9 +96,7 @@
 			for n := 0; pause.For(ctx, clientPause); n++ {
 				req := r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n))
 				record(req)
-				if again, more := r.takeUp(random, req); more {
-					record(again)
-				}
+				r.takeStreamUp(ctx, random, req, record)
 			}
 		})
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -64,9 +64,10 @@
 
 // scheduledFaults returns the faults of every run: reused connections under a changing idle timeout, a poison
 // request, a server that sends backpressure or announces that it is leaving, a failing service while all instances are
-// killed repeatedly, a service whose servers are brittle, and a restore of the store from a backup.
+// killed repeatedly, newer engines while all instances are killed, a service whose servers are brittle, and a restore of
+// the store from a backup.
 func (r *run) scheduledFaults(ctx context.Context) []scheduledFault {
-	return []scheduledFault{{0, r.varyIdleTimeout(ctx)}, {r.params.FaultDuration / 10, r.poisonFault(ctx)}, {r.params.FaultDuration / 5, r.backpressureFault(ctx, r.random.IntN(len(r.servers)))}, {r.params.FaultDuration * 2 / 5, r.killAll(ctx, mainService)}, {r.params.FaultDuration * 3 / 5, r.brittleFault(ctx)}, {r.params.FaultDuration * 4 / 5, r.restoreFault(ctx)}}
+	return []scheduledFault{{0, r.varyIdleTimeout(ctx)}, {r.params.FaultDuration / 10, r.poisonFault(ctx)}, {r.params.FaultDuration / 5, r.backpressureFault(ctx, r.random.IntN(len(r.servers)))}, {r.params.FaultDuration * 2 / 5, r.killAll(ctx, mainService)}, {r.params.FaultDuration / 2, r.releaseFault(ctx)}, {r.params.FaultDuration * 3 / 5, r.brittleFault(ctx)}, {r.params.FaultDuration * 4 / 5, r.restoreFault(ctx)}}
 }
 
 // proxyModes are the modes that faults draw from. blockFromTarget is listed twice, since lost answers put most
--- /dev/null
+++ b/soak/playlist.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"context"
+	"net/url"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/martenport/martenport/internal/pause"
+)
+
+// plays are the orders of faults.
+var plays = []play{
+	{name: "replaced-while-down", versions: oneVersion, models: commonModels, act: replacedWhileDown(false)},
+	{name: "replaced-while-down-same-id", versions: oneVersion, models: commonModels, act: replacedWhileDown(true)},
+	{name: "replaced-while-load-waits", versions: oneVersion, loaded: [][]string{{"m1"}, {"m3"}}, models: []string{"m1"}, act: replacedWhileLoadWaits},
+	{name: "replaced-while-frozen", versions: oneVersion, models: commonModels, act: replacedWhileFrozen},
+	{name: "replaced-while-cut-off", versions: oneVersion, models: commonModels, act: replacedWhileCutOff},
+	{name: "killed-with-two", versions: twoVersions, models: commonModels, act: killedWithTwo(false)},
+	{name: "killed-after-old-left", versions: twoVersions, models: commonModels, act: killedWithTwo(true)},
+	{name: "killed-with-two-restored", versions: oneVersion, models: commonModels, act: killedAndRestored(false)},
+	{name: "killed-after-old-left-restored", versions: oneVersion, models: commonModels, act: killedAndRestored(true)},
+	{name: "holder-killed-as-second-appears", versions: oneVersion, models: commonModels, act: holderLost(holderKilled, false)},
+	{name: "holder-cut-off-as-second-appears", versions: oneVersion, models: commonModels, act: holderLost(holderCutOff, false)},
+	{name: "holder-killed-and-old-left", versions: oneVersion, models: commonModels, act: holderLost(holderKilled, true)},
+	{name: "holder-cut-off-and-old-left", versions: oneVersion, models: commonModels, act: holderLost(holderCutOff, true)},
+}
+
+// Versions of the engines at the start, and the models that some of them have loaded.
+var (
+	oneVersion   = []string{"v1", "v1"}
+	twoVersions  = []string{"v1", "v1", "v2", "v2"}
+	commonModels = []string{"m1", "m2", "m3"}
+)
+
+// replacedWhileDown has all engines replaced while all instances are down.
+func replacedWhileDown(sameID bool) func(ctx context.Context, p *playRun) {
+	return func(ctx context.Context, p *playRun) {
+		p.killInstances()
+		var replaced sync.WaitGroup
+		for i := range p.servers {
+			replaced.Go(func() {
+				p.replaceEngine(ctx, i, engineStart{version: "v2", keepsID: sameID, loaded: firstModels(i)})
+			})
+		}
+		pause.For(ctx, allDownTime)
+		replaced.Wait()
+		p.startInstances()
+	}
+}
+
+// replacedWhileLoadWaits has the only engine with a model end; while requests wait for another one of its version to load
+// it, one of another version appears that has it.
+func replacedWhileLoadWaits(ctx context.Context, p *playRun) {
+	release := p.holdTakeUps()
+	pause.For(ctx, time.Second)
+	p.removeEngine(ctx, 0)
+	release()
+	pause.For(ctx, p.upTo(400*time.Millisecond))
+	p.addEngine("v2", "m1")
+}
+
+// replacedWhileFrozen has an engine start again under its ID with another version while an instance is frozen.
+func replacedWhileFrozen(ctx context.Context, p *playRun) {
+	p.entries[0].signal(syscall.SIGSTOP)
+	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, loaded: firstModels(0)})
+	pause.For(ctx, p.upTo(time.Second))
+	p.entries[0].signal(syscall.SIGCONT)
+}
+
+// replacedWhileCutOff has an engine start again under its ID with another version while an instance is cut off from the
+// store.
+func replacedWhileCutOff(ctx context.Context, p *playRun) {
+	p.storeProxies[0].setMode(blockBoth)
+	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, loaded: firstModels(0)})
+	pause.For(ctx, 2*time.Second)
+	p.storeProxies[0].setMode(passAll)
+}
+
+// killedWithTwo has all instances killed while two versions serve, or just after the older one has left.
+func killedWithTwo(oldLeaves bool) func(ctx context.Context, p *playRun) {
+	return func(ctx context.Context, p *playRun) {
+		if oldLeaves {
+			p.removeOld(ctx)
+			pause.For(ctx, p.upTo(300*time.Millisecond))
+		}
+		p.killInstances()
+		pause.For(ctx, allDownTime)
+		p.startInstances()
+	}
+}
+
+// removeOld removes the first two engines.
+func (p *playRun) removeOld(ctx context.Context) {
+	for i := range oneVersion {
+		p.removeEngine(ctx, i)
+	}
+}
+
+// addNew adds two engines of a second version.
+func (p *playRun) addNew() {
+	for i := range oneVersion {
+		p.addEngine("v2", firstModels(i)...)
+	}
+}
+
+// killedAndRestored has a second version appear, the old one leave if oldLeaves is set, and all instances killed as the
+// store comes back from a copy that is older than the second version.
+func killedAndRestored(oldLeaves bool) func(ctx context.Context, p *playRun) {
+	return func(ctx context.Context, p *playRun) {
+		p.postStoreFault(url.Values{"copy": {"true"}})
+		p.addNew()
+		pause.For(ctx, minCopyAge+p.upTo(time.Second))
+		if oldLeaves {
+			p.removeOld(ctx)
+		}
+		p.setStoreFault("down=true")
+		pause.For(ctx, restoreDowntime)
+		p.postStoreFault(url.Values{"restore": {"true"}, "again": {"config/"}})
+		p.setStoreFault("down=false")
+		if oldLeaves { // the copy has the entries of engines that are gone
+			for i := range oneVersion {
+				p.removeServerEntry(ctx, i)
+			}
+		}
+		p.killInstances()
+		pause.For(ctx, allDownTime)
+		p.startInstances()
+	}
+}
+
+// holderLost has the lease holder killed or cut off from the store as a second version appears, and all instances killed
+// a second later, after the old version has left if oldLeaves is set.
+func holderLost(how string, oldLeaves bool) func(ctx context.Context, p *playRun) {
+	return func(ctx context.Context, p *playRun) {
+		end := p.disturbHolder(p.leaseHolder(ctx), how)
+		p.addNew()
+		pause.For(ctx, time.Second+p.upTo(time.Second))
+		if oldLeaves {
+			p.removeOld(ctx)
+		}
+		p.killInstances()
+		pause.For(ctx, allDownTime)
+		end()
+		p.startInstances()
+	}
+}
--- /dev/null
+++ b/soak/plays.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/martenport/martenport/internal/pause"
+)
+
+// A play is a fixed order of faults while the software version of the engines changes. Clients take their streams up
+// several times, and no stream may have events of two versions. The seed selects the times within the play.
+
+// Sizes and times of a play.
+const (
+	playEntries, playClients = 3, 16
+	// playWarmUp is the time from the first requests to the first fault, and playEnd that from the last fault to the end.
+	playWarmUp, playEnd = 1500 * time.Millisecond, 6 * time.Second
+	// playLeaveShare is the share of streams that clients leave, as 1 in playLeaveShare.
+	playLeaveShare = 2
+	// playStream selects the random numbers of a play.
+	playStream = 30000
+)
+
+// play is an order of faults. Its engines start with version v1 unless it names others.
+type play struct {
+	name     string
+	versions []string
+	// loaded are the models that each engine has loaded at the start; the usual ones if nil.
+	loaded [][]string
+	// models are those that clients ask for.
+	models []string
+	act    func(ctx context.Context, p *playRun)
+}
+
+// playRun is a run of a play.
+type playRun struct {
+	*run
+	random *rand.Rand
+	// takeUpsAllowed is closed when clients may take their streams up.
+	takeUpsAllowed chan struct{}
+
+	mu       sync.Mutex
+	requests [][]clientRequest // the attempts at each stream; guarded by mu
+	faultAt  time.Time         // when the first fault began; set before the result is counted
+}
+
+// PlayResult counts the streams of a play.
+type PlayResult struct {
+	// Streams began. Clients took TakenUp of them up. Exposed began before the first fault and were taken up after it, and
+	// WentOn of these brought further events. Joined have events of two software versions.
+	Streams, TakenUp, Exposed, WentOn int
+	Joined                            []string
+}
+
+// PlayNames returns the names of the plays.
+func PlayNames() []string {
+	var names []string
+	for _, p := range plays {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+// RunPlay runs a play. An error means that the soak itself failed.
+func RunPlay(ctx context.Context, params Params, name string) (PlayResult, error) {
+	n := slices.IndexFunc(plays, func(p play) bool { return p.name == name })
+	if n < 0 {
+		return PlayResult{}, errors.Newf("soak: no play %q among %v", name, PlayNames())
+	}
+	chosen := plays[n]
+	params.Entries, params.Engines, params.PlainServers = playEntries, len(chosen.versions), 0
+	r := newRun(params, fmt.Sprintf("play-%s-%d", name, params.Seed))
+	subnetClaim, err := r.prepare()
+	if err != nil {
+		return PlayResult{}, err
+	}
+	defer subnetClaim.Close()
+	for i, version := range chosen.versions {
+		r.software.set(i, engineStart{version: version, loaded: chosen.loadedAt(i)})
+	}
+	defer r.stop()
+	if err := r.start(ctx); err != nil {
+		return PlayResult{}, err
+	}
+	p := &playRun{run: r, random: rand.New(rand.NewPCG(params.Seed, playStream)), takeUpsAllowed: make(chan struct{})}
+	close(p.takeUpsAllowed)
+	p.perform(ctx, chosen)
+	return p.result(), nil
+}
+
+// loadedAt returns the models that an engine has loaded at the start.
+func (p *play) loadedAt(engine int) []string {
+	if p.loaded == nil {
+		return firstModels(engine)
+	}
+	return p.loaded[engine]
+}
+
+// perform runs the clients and the faults.
+func (p *playRun) perform(ctx context.Context, chosen play) {
+	clientCtx, stopClients := context.WithCancel(ctx)
+	defer stopClients()
+	var clients sync.WaitGroup
+	for c := range playClients {
+		random := rand.New(rand.NewPCG(p.params.Seed, uint64(playStream+1+c)))
+		clients.Go(func() {
+			for n := 0; pause.For(clientCtx, clientPause); n++ {
+				p.stream(ctx, random, fmt.Sprintf("play-%d-%d", c, n), chosen.models)
+			}
+		})
+	}
+	pause.For(ctx, playWarmUp+p.upTo(300*time.Millisecond))
+	p.faultAt = time.Now()
+	chosen.act(ctx, p)
+	pause.For(ctx, playEnd)
+	stopClients()
+	clients.Wait()
+}
+
+// stream begins a stream at a random instance, and takes it up if the client leaves it or it breaks off.
+func (p *playRun) stream(ctx context.Context, random *rand.Rand, id string, models []string) {
+	req := clientRequest{id: id, route: "stream", model: models[random.IntN(len(models))], key: steadyKey, payload: "body-of-" + id}
+	if random.IntN(playLeaveShare) == 0 {
+		req.leaveAfter = leaveAfter
+	}
+	p.mu.Lock()
+	allowed := p.takeUpsAllowed
+	p.mu.Unlock()
+	p.sendTo(random.IntN(len(p.entries)), &req)
+	attempts := []clientRequest{req}
+	select {
+	case <-allowed:
+	case <-ctx.Done():
+	}
+	p.takeStreamUp(ctx, random, req, func(again clientRequest) { attempts = append(attempts, again) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, attempts)
+}
+
+// result counts the streams.
+func (p *playRun) result() PlayResult {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var result PlayResult
+	for _, attempts := range p.requests {
+		first, last := attempts[0], attempts[len(attempts)-1]
+		if first.events() > 0 {
+			result.Streams++
+		}
+		if len(attempts) > 1 {
+			result.TakenUp++
+		}
+		if first.events() > 0 && first.sentAt.Before(p.faultAt) && last.sentAt.After(p.faultAt) && len(attempts) > 1 {
+			result.Exposed++
+			if last.events() > first.events() {
+				result.WentOn++
+			}
+		}
+		for _, v := range last.versionViolations() {
+			result.Joined = append(result.Joined, v.Detail)
+		}
+	}
+	slices.Sort(result.Joined)
+	return result
+}
+
+// upTo returns a random duration below d.
+func (p *playRun) upTo(d time.Duration) time.Duration {
+	return time.Duration(p.random.Int64N(int64(d)))
+}
+
+// holdTakeUps makes clients wait before they take streams up that begin from now on. The returned function ends that.
+func (p *playRun) holdTakeUps() (release func()) {
+	held := make(chan struct{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takeUpsAllowed = held
+	return func() { close(held) }
+}
+
+// addEngine starts a further engine.
+func (p *playRun) addEngine(version string, loaded ...string) {
+	i := len(p.servers)
+	p.params.Engines++
+	p.software.set(i, engineStart{version: version, loaded: loaded})
+	_ = p.startServer(i) // a failed start shows up as a play in which nothing goes on
+}
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -15,7 +15,6 @@
 
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
-	"github.com/martenport/martenport/platform"
 )
 
 // A poison request crashes each engine that begins to run it. Clients repeat it while other faults are in progress. The
@@ -122,10 +121,7 @@
 		}
 		proxy.setRefusing(true)
 		pause.For(ctx, staleEntryTime)
-		key := platform.PrefixServers + r.serverID(i, starts-1)
-		if obj, err := r.client.Get(ctx, key); err == nil {
-			_ = r.client.Delete(ctx, key, obj.Version) // if the store is unavailable the entry stays
-		}
+		r.removeServerEntry(ctx, i)
 		pause.For(ctx, engineDowntime-staleEntryTime)
 		proxy.setRefusing(false)
 		_ = p.start() // a failed start shows up in the recovery checks
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,6 +36,8 @@
 	Entries, Engines, PlainServers int
 	// Dir is the directory of the built programs and the logs.
 	Dir string
+	// EntryProgram is the program of the entry instances; the built one if empty.
+	EntryProgram string
 }
 
 // Violation is an observation that contradicts a guarantee of the system.
@@ -109,6 +112,8 @@
 	waker *clientWaker
 	// takeUps counts streams that clients begin and take up.
 	takeUps takeUps
+	// software holds the IDs of servers and the software versions of engines.
+	software *softwareLog
 	// concentrated is the instance that most new connections come to, plus 1; 0 if there is none.
 	concentrated atomic.Int64
 	// config is the state of the generated configurations.
@@ -118,25 +123,16 @@
 // Run starts the processes, injects faults and checks the guarantees. An error means that the soak itself failed;
 // violations are in the result.
 func Run(ctx context.Context, p Params) (Result, error) {
-	r := &run{
-		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, fmt.Sprintf("seed-%d", p.Seed)),
-		history:      newHistory(p.Entries),
-		disturbances: newDisturbanceTracker(), poisons: newPoisonLog(), brittle: newBrittleServices(), storeFaults: storeFaultTracker{active: map[string]bool{}}, waker: newClientWaker(), config: configState{random: rand.New(rand.NewPCG(p.Seed, 2))},
-	}
+	r := newRun(p, fmt.Sprintf("seed-%d", p.Seed))
 	if p.Entries > maxProcesses || p.Engines+p.PlainServers > maxProcesses {
 		return Result{}, errors.Newf("soak: %d entry instances and %d servers requested, at most %d of each are supported", p.Entries, p.Engines+p.PlainServers, maxProcesses)
 	}
-	subnetClaim, err := r.claimSubnet(subnets)
+	subnetClaim, err := r.prepare()
 	if err != nil {
 		return Result{}, err
 	}
 	defer subnetClaim.Close()
-	if err := os.MkdirAll(r.logs, 0o700); err != nil {
-		return Result{}, errors.Wrap(err, "soak: create log directory")
-	}
-	if err := build(p.Dir); err != nil {
-		return Result{}, err
-	}
+	r.setFirstStarts()
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
 		return Result{}, err
@@ -163,6 +159,32 @@
 	return result, nil
 }
 
+// newRun returns a run whose logs are in the given folder within that of the built programs.
+func newRun(p Params, logs string) *run {
+	return &run{
+		params: p, random: rand.New(rand.NewPCG(p.Seed, 1)), logs: filepath.Join(p.Dir, logs),
+		history:      newHistory(p.Entries),
+		disturbances: newDisturbanceTracker(), poisons: newPoisonLog(), brittle: newBrittleServices(), storeFaults: storeFaultTracker{active: map[string]bool{}}, waker: newClientWaker(), config: configState{random: rand.New(rand.NewPCG(p.Seed, 2))},
+		software: newSoftwareLog(),
+	}
+}
+
+// prepare reserves an address range, creates the folder of the logs and builds the programs. The range is reserved until
+// the returned listener is closed.
+func (r *run) prepare() (net.Listener, error) {
+	subnetClaim, err := r.claimSubnet(subnets)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(r.logs, 0o700); err != nil {
+		return nil, errors.CombineErrors(errors.Wrap(err, "soak: create log directory"), subnetClaim.Close())
+	}
+	if err := build(r.params.Dir); err != nil {
+		return nil, errors.CombineErrors(err, subnetClaim.Close())
+	}
+	return subnetClaim, nil
+}
+
 // claimSubnet reserves an address range that no other run uses. It tries the range that the seed selects and then those
 // after it, as many as tries in all. The range is reserved until the returned listener is closed.
 func (r *run) claimSubnet(tries int) (net.Listener, error) {
@@ -217,7 +239,8 @@
 	name := fmt.Sprintf("server-%d", i)
 	p := r.newProcess(name, "martendev", nil)
 	p.args = func() []string {
-		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", r.serverID(i, p.starts), "--work", r.engineWork(i).String()}
+		id, how := r.software.begin(i, p.starts)
+		args := []string{"server", "--listen", address, "--announced", serverProxy.address(), "--store", "http://" + r.storeAddress, "--id", id, "--work", r.engineWork(i).String()}
 		args = append(args, "--service", r.serverService(i), "--domain", domainOf(i), "--state", r.stateFile(i, p.starts))
 		args = append(args, r.brittleArgs(i)...)
 		if i%unframedServers == unframedServers-1 {
@@ -226,12 +249,12 @@
 		if i >= r.params.Engines {
 			return args
 		}
-		args = append(args, "--poison", poison, "--poison-part", deadly, "--version", r.engineVersion(i))
+		args = append(args, "--poison", poison, "--poison-part", deadly, "--version", how.version)
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
-		if p.starts == 0 { // a restarted engine has nothing loaded
-			args = append(args, "--loaded", models[i%len(models)], "--loaded", models[(i+1)%len(models)])
+		for _, m := range how.loaded {
+			args = append(args, "--loaded", m)
 		}
 		return args
 	}
@@ -242,9 +265,6 @@
 // unframedServers is how often a server sends answers with neither a length nor chunks: one in so many.
 const unframedServers = 5
 
-// serverID returns the ID of one start of a server. Each start has its own.
-func (r *run) serverID(server, start int) string { return fmt.Sprintf("server-%d-%d", server, start) }
-
 // serverService returns the service of a server: engines come first, the others alternate between the two
 // services that have no engines.
 func (r *run) serverService(server int) string {
@@ -279,6 +299,7 @@
 		return errors.Wrap(err, "soak: write settings of an entry instance")
 	}
 	p := r.newProcess(fmt.Sprintf("entry-%d", i), "martenentryd", func() []string { return []string{"--settings", path} })
+	p.path = cmp.Or(r.params.EntryProgram, p.path)
 	r.entries, r.storeProxies = append(r.entries, p), append(r.storeProxies, storeProxy)
 	return p.start()
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -3,28 +3,26 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
 )
 
-// Engines have software of two versions in three of four runs, and write their version into each event. Clients leave
-// some streams and take them up, as well as those that break off. What a client gets of a stream has to be of one version.
-
-// engineVersion returns the software version of an engine; "" if all have the same.
-func (r *run) engineVersion(engine int) string {
-	if r.params.Seed%4 == 0 {
-		return ""
-	}
-	return fmt.Sprintf("v%d", 1+engine%2)
-}
+// Engines have software of two versions in three of four runs, are replaced by newer ones in all, and write their version
+// into each event. Clients leave some streams and take them up, as well as those that break off. What a client gets of a
+// stream has to be of one version.
 
 // leaveShare is the share of streams that clients leave, as 1 in leaveShare, after leaveAfter events.
 const leaveShare, leaveAfter = 6, 3
@@ -71,9 +69,9 @@
 	beginnings, begun, takenUp, wentOn int // guarded by mu
 }
 
-// record counts an attempt on the route of streams that can be taken up.
+// record counts an attempt on the route of streams that can be taken up, of those at one stream the first two.
 func (u *takeUps) record(req *clientRequest) {
-	if req.route != "stream" || !req.entryStable || !req.undisturbed {
+	if req.route != "stream" || req.takeUps > 1 || !req.entryStable || !req.undisturbed {
 		return
 	}
 	u.mu.Lock()
@@ -101,23 +99,44 @@
 	return []Violation{{"streams that are taken up go on", fmt.Sprintf("%d of %d, while %d of %d began", u.wentOn, u.takenUp, u.begun, u.beginnings)}}
 }
 
-// takeUp returns a further attempt at a stream of which the client has a part, and false if there is none to make.
-func (r *run) takeUp(random *rand.Rand, begun clientRequest) (clientRequest, bool) {
-	events := begun.events()
-	if begun.route != "stream" || begun.status != 200 || begun.complete || events == 0 || events == standin.StreamEvents {
-		return clientRequest{}, false
-	}
-	req := clientRequest{
-		id: begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
-		lastEvent: events, resumes: begun.id, versions: slices.Clone(begun.versions),
+// maxTakeUps is how often a client takes a stream up, and maxTakeUpPause is the longest pause before that: long enough for
+// some to come after all instances were killed.
+const maxTakeUps, maxTakeUpPause = 4, 600 * time.Millisecond
+
+// takeStreamUp takes up a stream of which the client has a part, until it has all of it or a part of another version. It
+// calls record with each attempt.
+func (r *run) takeStreamUp(ctx context.Context, random *rand.Rand, begun clientRequest, record func(clientRequest)) {
+	part := begun
+	for n := range maxTakeUps {
+		if !part.canBeTakenUp() || !pause.For(ctx, time.Duration(random.Int64N(int64(maxTakeUpPause)))) {
+			return
+		}
+		req := clientRequest{
+			id: fmt.Sprintf("%s-up%d", begun.id, n+1), route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
+			lastEvent: part.events(), resumes: begun.id, takeUps: n + 1, versions: slices.Clone(part.versions),
+		}
+		if random.IntN(leaveShare) == 0 {
+			req.leaveAfter = leaveAfter
+		}
+		r.sendTo(r.drawEntry(random), &req)
+		record(req)
+		part = req
 	}
-	r.sendTo(r.drawEntry(random), &req)
-	return req, true
+}
+
+// canBeTakenUp reports whether the client has a part of a stream, all of one version, that it can take up.
+func (req *clientRequest) canBeTakenUp() bool {
+	events := req.events()
+	complete := req.status == http.StatusOK && req.complete
+	return req.route == "stream" && !complete && events > 0 && events < standin.StreamEvents && len(req.versions) < 2
 }
 
 // events returns the number of events that the client has.
 func (req *clientRequest) events() int {
-	return req.lastEvent + bytes.Count([]byte(req.body), []byte("\n\n"))
+	if req.status != http.StatusOK {
+		return req.lastEvent
+	}
+	return req.lastEvent + strings.Count(req.body, "\n\n")
 }
 
 // versionViolations checks that what the client has of a stream is of one software version.
