--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -222,18 +222,18 @@
 	holds := false
 	m := &versionMarks{store: p, dir: dir, isHolder: func() bool { return holds }, serversAge: func(time.Time) time.Duration { return age }, log: logrus.New()}
 	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, marks: m}
-	if !o.Mixed("s") {
+	if !o.mixed("s") {
 		t.Error("certain before the marks were read")
 	}
 	m.update(t.Context())
-	if o.Mixed("s") {
+	if o.mixed("s") {
 		t.Error("not certain with a current list")
 	}
 	past := clock.Now()
 	m.certainUntil.Store(&past)
 	age = maxServersAge + 1
 	m.update(t.Context())
-	if !o.Mixed("s") {
+	if !o.mixed("s") {
 		t.Error("certain with an old list")
 	}
 	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), 0); err != nil {
@@ -241,14 +241,18 @@
 	}
 	age = 0
 	m.update(t.Context())
-	if !o.Mixed("s") || !m.certain() {
+	if !o.mixed("s") || !m.certain() {
 		t.Error("a version that came and went meanwhile is not known")
 	}
 	holds = true
+	m.update(t.Context())
+	if got := markOf(t, p, "s"); got != `{"versions":["v1","v2"]}` {
+		t.Errorf("mark %s of an earlier holder", got)
+	}
 	dir.Sweep(clock.Now().Add(skew.Lifetime + time.Second))
 	m.update(t.Context())
-	if obj, err := p.Get(t.Context(), prefixVersions+"s"); err == nil && len(obj.Value) > 0 {
-		t.Errorf("mark %s still there", obj.Value)
+	if got := markOf(t, p, "s"); got != `{"versions":["v1"]}` {
+		t.Errorf("mark %s after the other version has expired", got)
 	}
 }
 
