soak: plays hold take-ups until the instances are back, and two further plays

Clients now wait with their take-ups for the end of the fault, more of them, and the load in replaced-while-load-waits is slow. New: an engine replaced under its ID while the store is down (replaced-while-store-down), and a second version that comes and leaves while the lease holder is cut off (canary-without-holder).

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -96,7 +96,7 @@
 			for n := 0; pause.For(ctx, clientPause); n++ {
 				req := r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n))
 				record(req)
-				r.takeStreamUp(ctx, random, req, record)
+				r.takeStreamUp(ctx, random, req, maxTakeUpPause, record)
 			}
 		})
 	}
--- a/soak/playlist.go
+++ b/soak/playlist.go
@@ -14,9 +14,11 @@
 var plays = []play{
 	{name: "replaced-while-down", versions: oneVersion, models: commonModels, act: replacedWhileDown(false)},
 	{name: "replaced-while-down-same-id", versions: oneVersion, models: commonModels, act: replacedWhileDown(true)},
-	{name: "replaced-while-load-waits", versions: oneVersion, loaded: [][]string{{"m1"}, {"m3"}}, models: []string{"m1"}, act: replacedWhileLoadWaits},
+	{name: "replaced-while-load-waits", versions: oneVersion, loaded: [][]string{{"m1"}, {"m3"}}, models: []string{"m1"}, load: slowLoad, maxPause: shortPause, act: replacedWhileLoadWaits},
 	{name: "replaced-while-frozen", versions: oneVersion, models: commonModels, act: replacedWhileFrozen},
 	{name: "replaced-while-cut-off", versions: oneVersion, models: commonModels, act: replacedWhileCutOff},
+	{name: "replaced-while-store-down", versions: oneVersion, models: commonModels, act: replacedWhileStoreDown},
+	{name: "canary-without-holder", versions: oneVersion, models: commonModels, act: canaryWithoutHolder},
 	{name: "killed-with-two", versions: twoVersions, models: commonModels, act: killedWithTwo(false)},
 	{name: "killed-after-old-left", versions: twoVersions, models: commonModels, act: killedWithTwo(true)},
 	{name: "killed-with-two-restored", versions: oneVersion, models: commonModels, act: killedAndRestored(false)},
@@ -27,6 +29,9 @@
 	{name: "holder-cut-off-and-old-left", versions: oneVersion, models: commonModels, act: holderLost(holderCutOff, true)},
 }
 
+// slowLoad is a load that takes longer than usual, and shortPause a pause of clients that take a stream up at once.
+const slowLoad, shortPause = 800 * time.Millisecond, 20 * time.Millisecond
+
 // Versions of the engines at the start, and the models that some of them have loaded.
 var (
 	oneVersion   = []string{"v1", "v1"}
@@ -47,22 +52,22 @@
 		pause.For(ctx, allDownTime)
 		replaced.Wait()
 		p.startInstances()
+		p.releaseTakeUps()
 	}
 }
 
 // replacedWhileLoadWaits has the only engine with a model end; while requests wait for another one of its version to load
 // it, one of another version appears that has it.
 func replacedWhileLoadWaits(ctx context.Context, p *playRun) {
-	release := p.holdTakeUps()
-	pause.For(ctx, time.Second)
 	p.removeEngine(ctx, 0)
-	release()
-	pause.For(ctx, p.upTo(400*time.Millisecond))
+	p.releaseTakeUps()
+	pause.For(ctx, p.upTo(300*time.Millisecond))
 	p.addEngine("v2", "m1")
 }
 
 // replacedWhileFrozen has an engine start again under its ID with another version while an instance is frozen.
 func replacedWhileFrozen(ctx context.Context, p *playRun) {
+	p.releaseTakeUps()
 	p.entries[0].signal(syscall.SIGSTOP)
 	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, loaded: firstModels(0)})
 	pause.For(ctx, p.upTo(time.Second))
@@ -72,12 +77,38 @@
 // replacedWhileCutOff has an engine start again under its ID with another version while an instance is cut off from the
 // store.
 func replacedWhileCutOff(ctx context.Context, p *playRun) {
+	p.releaseTakeUps()
 	p.storeProxies[0].setMode(blockBoth)
 	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, loaded: firstModels(0)})
 	pause.For(ctx, 2*time.Second)
 	p.storeProxies[0].setMode(passAll)
 }
 
+// replacedWhileStoreDown has an engine start again under its ID with another version while the store is down.
+func replacedWhileStoreDown(ctx context.Context, p *playRun) {
+	p.releaseTakeUps()
+	p.setStoreFault("down=true")
+	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, loaded: firstModels(0)})
+	pause.For(ctx, time.Second+p.upTo(time.Second))
+	p.setStoreFault("down=false")
+}
+
+// canaryWithoutHolder has engines of a second version come and leave while the lease holder is cut off from the store, and
+// all instances killed then.
+func canaryWithoutHolder(ctx context.Context, p *playRun) {
+	end := p.disturbHolder(p.leaseHolder(ctx), holderCutOff)
+	p.addNew()
+	pause.For(ctx, time.Second+p.upTo(time.Second))
+	for i := range oneVersion {
+		p.removeEngine(ctx, len(oneVersion)+i)
+	}
+	p.killInstances()
+	pause.For(ctx, allDownTime)
+	end()
+	p.startInstances()
+	p.releaseTakeUps()
+}
+
 // killedWithTwo has all instances killed while two versions serve, or just after the older one has left.
 func killedWithTwo(oldLeaves bool) func(ctx context.Context, p *playRun) {
 	return func(ctx context.Context, p *playRun) {
@@ -88,6 +119,7 @@
 		p.killInstances()
 		pause.For(ctx, allDownTime)
 		p.startInstances()
+		p.releaseTakeUps()
 	}
 }
 
@@ -127,6 +159,7 @@
 		p.killInstances()
 		pause.For(ctx, allDownTime)
 		p.startInstances()
+		p.releaseTakeUps()
 	}
 }
 
@@ -144,5 +177,6 @@
 		pause.For(ctx, allDownTime)
 		end()
 		p.startInstances()
+		p.releaseTakeUps()
 	}
 }
--- a/soak/plays.go
+++ b/soak/plays.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -18,9 +19,11 @@
 
 // Sizes and times of a play.
 const (
-	playEntries, playClients = 3, 16
+	playEntries, playClients = 3, 40
 	// playWarmUp is the time from the first requests to the first fault, and playEnd that from the last fault to the end.
 	playWarmUp, playEnd = 1500 * time.Millisecond, 6 * time.Second
+	// holdTime is how long clients take no stream up before the first fault, so that many wait for it.
+	holdTime = time.Second
 	// playLeaveShare is the share of streams that clients leave, as 1 in playLeaveShare.
 	playLeaveShare = 2
 	// playStream selects the random numbers of a play.
@@ -35,17 +38,23 @@
 	loaded [][]string
 	// models are those that clients ask for.
 	models []string
-	act    func(ctx context.Context, p *playRun)
+	// load is how long a load takes, and maxPause the longest pause before a client takes a stream up; the usual ones if 0.
+	load, maxPause time.Duration
+	act            func(ctx context.Context, p *playRun)
 }
 
 // playRun is a run of a play.
 type playRun struct {
 	*run
 	random *rand.Rand
-	// takeUpsAllowed is closed when clients may take their streams up.
+	chosen play
+
+	mu sync.Mutex
+	// takeUpsAllowed is closed when clients may take up the streams that begin now; guarded by mu.
 	takeUpsAllowed chan struct{}
+	// releaseTakeUps allows the held take-ups.
+	releaseTakeUps func()
 
-	mu       sync.Mutex
 	requests [][]clientRequest // the attempts at each stream; guarded by mu
 	faultAt  time.Time         // when the first fault began; set before the result is counted
 }
@@ -82,15 +91,15 @@
 	}
 	defer subnetClaim.Close()
 	for i, version := range chosen.versions {
-		r.software.set(i, engineStart{version: version, loaded: chosen.loadedAt(i)})
+		r.software.set(i, engineStart{version: version, loaded: chosen.loadedAt(i), load: chosen.load})
 	}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
 		return PlayResult{}, err
 	}
-	p := &playRun{run: r, random: rand.New(rand.NewPCG(params.Seed, playStream)), takeUpsAllowed: make(chan struct{})}
+	p := &playRun{run: r, random: rand.New(rand.NewPCG(params.Seed, playStream)), chosen: chosen, takeUpsAllowed: make(chan struct{})}
 	close(p.takeUpsAllowed)
-	p.perform(ctx, chosen)
+	p.perform(ctx)
 	return p.result(), nil
 }
 
@@ -103,7 +112,7 @@
 }
 
 // perform runs the clients and the faults.
-func (p *playRun) perform(ctx context.Context, chosen play) {
+func (p *playRun) perform(ctx context.Context) {
 	clientCtx, stopClients := context.WithCancel(ctx)
 	defer stopClients()
 	var clients sync.WaitGroup
@@ -111,21 +120,24 @@
 		random := rand.New(rand.NewPCG(p.params.Seed, uint64(playStream+1+c)))
 		clients.Go(func() {
 			for n := 0; pause.For(clientCtx, clientPause); n++ {
-				p.stream(ctx, random, fmt.Sprintf("play-%d-%d", c, n), chosen.models)
+				p.stream(ctx, random, fmt.Sprintf("play-%d-%d", c, n))
 			}
 		})
 	}
 	pause.For(ctx, playWarmUp+p.upTo(300*time.Millisecond))
+	p.holdTakeUps()
+	pause.For(ctx, holdTime)
 	p.faultAt = time.Now()
-	chosen.act(ctx, p)
+	p.chosen.act(ctx, p)
+	p.releaseTakeUps()
 	pause.For(ctx, playEnd)
 	stopClients()
 	clients.Wait()
 }
 
 // stream begins a stream at a random instance, and takes it up if the client leaves it or it breaks off.
-func (p *playRun) stream(ctx context.Context, random *rand.Rand, id string, models []string) {
-	req := clientRequest{id: id, route: "stream", model: models[random.IntN(len(models))], key: steadyKey, payload: "body-of-" + id}
+func (p *playRun) stream(ctx context.Context, random *rand.Rand, id string) {
+	req := clientRequest{id: id, route: "stream", model: p.chosen.models[random.IntN(len(p.chosen.models))], key: steadyKey, payload: "body-of-" + id}
 	if random.IntN(playLeaveShare) == 0 {
 		req.leaveAfter = leaveAfter
 	}
@@ -138,7 +150,7 @@
 	case <-allowed:
 	case <-ctx.Done():
 	}
-	p.takeStreamUp(ctx, random, req, func(again clientRequest) { attempts = append(attempts, again) })
+	p.takeStreamUp(ctx, random, req, cmp.Or(p.chosen.maxPause, maxTakeUpPause), func(again clientRequest) { attempts = append(attempts, again) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.requests = append(p.requests, attempts)
@@ -176,13 +188,12 @@
 	return time.Duration(p.random.Int64N(int64(d)))
 }
 
-// holdTakeUps makes clients wait before they take streams up that begin from now on. The returned function ends that.
-func (p *playRun) holdTakeUps() (release func()) {
+// holdTakeUps makes clients wait before they take streams up that begin from now on, until releaseTakeUps is called.
+func (p *playRun) holdTakeUps() {
 	held := make(chan struct{})
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.takeUpsAllowed = held
-	return func() { close(held) }
+	p.takeUpsAllowed, p.releaseTakeUps = held, sync.OnceFunc(func() { close(held) })
 }
 
 // addEngine starts a further engine.
--- a/soak/software.go
+++ b/soak/software.go
@@ -11,11 +11,12 @@
 )
 
 // engineStart is how an engine starts: its software version, whether it keeps the ID of its start before, and the models
-// that are loaded at the start.
+// that are loaded at the start. A load takes as long as load says; the usual time if 0.
 type engineStart struct {
 	version string
 	keepsID bool
 	loaded  []string
+	load    time.Duration
 }
 
 // softwareLog holds how engines start next, and the IDs of all starts of servers.
@@ -42,7 +43,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	how = s.next[server]
-	s.next[server] = engineStart{version: how.version}
+	s.next[server] = engineStart{version: how.version, load: how.load}
 	id = fmt.Sprintf("server-%d-%d", server, start)
 	if how.keepsID && start > 0 {
 		id = s.ids[server][start-1]
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -105,10 +105,10 @@
 
 // takeStreamUp takes up a stream of which the client has a part, until it has all of it or a part of another version. It
 // calls record with each attempt.
-func (r *run) takeStreamUp(ctx context.Context, random *rand.Rand, begun clientRequest, record func(clientRequest)) {
+func (r *run) takeStreamUp(ctx context.Context, random *rand.Rand, begun clientRequest, maxPause time.Duration, record func(clientRequest)) {
 	part := begun
 	for n := range maxTakeUps {
-		if !part.canBeTakenUp() || !pause.For(ctx, time.Duration(random.Int64N(int64(maxTakeUpPause)))) {
+		if !part.canBeTakenUp() || !pause.For(ctx, time.Duration(random.Int64N(int64(maxPause)))) {
 			return
 		}
 		req := clientRequest{
