A part of an answer that ends with its connection does not look complete after its server was killed

Clients held parts of streams, and of plain answers, for complete: nothing in the answer showed that the rest was missing.

An answer with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that is killed like all others unless bytes are unread, so the end of the process was relayed as the end of the answer. It hits all such answers of the server at the same moment. It is now killed like any process, and writes such plain answers in two parts.

Ruled out: tunnels. They carry chunks of their own, so the end of the instance that provides one is no end of an answer.

Such an answer now counts as complete only if the process that made it is found running after it: an engine by its report and start time, another server by a new connection that it keeps open. Otherwise reading fails like that of an answer that is cut off, and requests that may be sent again go on elsewhere. A server that is not heard counts as ended: a whole answer that is lost can be asked for again, a part that looks whole cannot be told. Threads of a killed process run no more before its connections are closed, so a report after the end comes from a process that outlived it. A server that closes the connection of a part and runs on cannot be told from one whose answer was complete.

--- a/command/forward/finish.go
+++ b/command/forward/finish.go
@@ -51,6 +51,9 @@
 	if t.via != "" {
 		fields["via"] = t.via
 	}
+	if t.endsWithConnection {
+		fields["framing"] = "none"
+	}
 	if t.onlyRun != nil {
 		fields["backups"] = t.onlyRun.copyIDs()
 	}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -61,6 +61,8 @@
 	version string
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
+	// endsWithConnection is set if the answer of that server states its end only by that of its connection.
+	endsWithConnection bool
 	// sentAt is when the request was last sent to that server.
 	sentAt time.Time
 	// firstEventAt is when the current server sent its first event; zero before.
@@ -274,7 +276,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := serving.Attempt{
-		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
+		Request: t.request, Server: server, Engine: t.service.Engine != nil, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(), Repeated: slices.Contains(t.sentTo, server.ID),
 	}
 	t.sentTo = append(t.sentTo, server.ID)
@@ -282,7 +284,7 @@
 	resp, err := t.f.sender.Send(ctx, a)
 	defer t.endSend(server, resp)
 	if resp != nil {
-		t.via = resp.Via
+		t.via, t.endsWithConnection = resp.Via, resp.EndsWithConnection
 	}
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
--- a/entry/unframed_test.go
+++ b/entry/unframed_test.go
@@ -51,6 +51,28 @@
 	f.addEngine(standin.ServerParams{ID: id, Loaded: []string{"m1"}, Unframed: true, CloseWithinEvent: closeWithinEvent})
 }
 
+// TestUnframedAnswersInTunnels guards against unframed answers that an instance without a path to their servers takes for
+// broken off, because it can't see itself that the servers run.
+func TestUnframedAnswersInTunnels(t *testing.T) {
+	for name, c := range map[string]cut{"refused": cutRefused, "silent": cutSilent, "new ones refused": cutNew} {
+		t.Run(name, func(t *testing.T) {
+			f := &versionFleet{fleet: (&fleet{t: t, links: map[int]*serverLink{}}).start(2)}
+			f.configure("stream", "once", "unsafe", "safe")
+			f.addUnframed("u", false)
+			f.removeServer("e1")
+			f.removeServer("e2")
+			f.awaitServers(1)
+			f.links[0].set(c)
+			f.await("an answer in a tunnel", func() bool { return f.request(f.instances[0], "stream", "m1").body == wholeStream("m1") })
+			for range 10 {
+				if a := f.request(f.instances[0], "once", "m1"); a.err != nil || a.body != wholeStream("m1") {
+					t.Errorf("answer %+v, want the whole stream", a)
+				}
+			}
+		})
+	}
+}
+
 // TestBrokenAnswerToOldClient guards against a part of a stream that looks complete to a client of HTTP/1.0, which knows
 // no chunks: its answer ends with the connection, which has to be reset.
 func TestBrokenAnswerToOldClient(t *testing.T) {
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -56,8 +56,17 @@
 		s.stream(w, r, cut)
 		return
 	}
+	s.answer(w, fmt.Sprintf("%s %s %s", r.Method, r.RequestURI, body))
+}
+
+// answer writes the answer to a plain request; an unframed one in two parts, before and after the work.
+func (s *Server) answer(w http.ResponseWriter, text string) {
+	if s.params.Unframed {
+		_, _ = io.WriteString(w, text[:len(text)/2])
+		text = text[len(text)/2:]
+	}
 	time.Sleep(s.params.Work)
-	_, _ = fmt.Fprintf(w, "%s %s %s", r.Method, r.RequestURI, body)
+	_, _ = io.WriteString(w, text)
 }
 
 // requestContent returns what a request is about: its body, or the last segment of its path if it has none.
--- a/internal/standin/unframed.go
+++ b/internal/standin/unframed.go
@@ -16,8 +16,8 @@
 }
 
 // serveUnframed calls handle with a writer of an unframed answer. If handle panics, as handlers do to break an answer
-// off, the connection is closed like after a complete answer unless reset is set. If the process is killed meanwhile, the
-// connection is reset: a clean close would make a part of the answer look complete.
+// off, the connection is closed like after a complete answer unless reset is set. It is closed like that, too, if the
+// process is killed meanwhile.
 func serveUnframed(w http.ResponseWriter, r *http.Request, reset bool, handle http.HandlerFunc) {
 	body, _ := io.ReadAll(r.Body)
 	r.Body = io.NopCloser(bytes.NewReader(body))
@@ -26,29 +26,14 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.Close()
-	tcp, _ := conn.(*net.TCPConn)
-	setReset(tcp, true)
 	defer func() {
-		if recover() == nil || !reset {
-			setReset(tcp, false)
+		if tcp, ok := conn.(*net.TCPConn); recover() != nil && reset && ok {
+			_ = tcp.SetLinger(0) // fails only if the connection is gone
 		}
 	}()
 	handle(&unframedWriter{conn: conn, header: w.Header()}, r)
 }
 
-// setReset sets whether the connection is reset when it is closed, also by the end of the process.
-func setReset(conn *net.TCPConn, reset bool) {
-	const closeCleanly, dropUnsent = -1, 0
-	if conn == nil {
-		return
-	}
-	linger := closeCleanly
-	if reset {
-		linger = dropUnsent
-	}
-	_ = conn.SetLinger(linger) // fails only if the connection is gone
-}
-
 // Header implements http.ResponseWriter.
 func (w *unframedWriter) Header() http.Header { return w.header }
 
--- a/serving/request.go
+++ b/serving/request.go
@@ -55,6 +55,8 @@
 type Attempt struct {
 	Request *Request
 	Server  Server
+	// Engine is set if the server is a model engine.
+	Engine bool
 	// Remaining is the time that the server has for the request.
 	Remaining time.Duration
 	// Urgency is the rank of the attempt at an engine; 0 is the most urgent.
@@ -82,6 +84,9 @@
 	Header http.Header
 	// Body must be closed. Reading fails if the response is cut off.
 	Body io.ReadCloser
+	// EndsWithConnection is set if nothing but the end of its connection states the end of the body. Reading fails at the
+	// end, then, unless the server still runs.
+	EndsWithConnection bool
 	// NotExecuted is set if the server stated that the request did not run.
 	NotExecuted bool
 	// Misdirected is set if the address belongs to another server by now, or the unit that the request needs is not
