Rates that a new holder measures are corrected for the time in which it did not run

What callers saw: one second after all instances had been killed, refused clients were told (in the refusal's detail) "those refused before have their turns for 37.2s". The wait decides which of them get a turn at all.

Cause: the waits rest on the rate at which engines serve a model. The holder averages it over the demand window of 4 s, from zero: half a second after its first report it is an eighth of the true one. The same holds for the demand from which the share kept for those whose turn has come is subtracted.

Fix: both are divided by the part of the window for which there were reports. Shares to admit are ratios of two such rates and are left as they are. Not corrected: answers lag behind arrivals by the time of a run.

The call in the holder's test of the list passes the time, its bounds are unchanged.

--- a/command/holder/views.go
+++ b/command/holder/views.go
@@ -58,7 +58,7 @@
 func (h *Holder) admissions(now time.Time) map[string]float64 {
 	if now.Sub(h.admissionsAt) >= viewsInterval {
 		h.admissionsAt = now
-		h.admissionShares = h.lessBooked(h.fleet.Admissions(now))
+		h.admissionShares = h.lessBooked(h.fleet.Admissions(now), now)
 	}
 	if now.Sub(h.roomAt) >= roomInterval {
 		h.roomAt = now
--- a/command/holder/waitlist.go
+++ b/command/holder/waitlist.go
@@ -25,7 +25,7 @@
 	w.list.Record(r, now)
 	if now.Sub(w.advancedAt).Abs() >= viewsInterval {
 		w.advancedAt = now
-		w.list.Advance(h.fleet.ServedRate, now)
+		w.list.Advance(func(model string) float64 { return h.fleet.ServedRate(model, now) }, now)
 		w.update = w.list.Update()
 		h.logWaitlist(now)
 	}
@@ -87,14 +87,14 @@
 
 // lessBooked lowers the shares of newcomers to admit by what is kept for refused requests whose turn has come, so that
 // both together are not more than the engines serve. h.mu must be held.
-func (h *Holder) lessBooked(shares map[string]float64) map[string]float64 {
+func (h *Holder) lessBooked(shares map[string]float64, now time.Time) map[string]float64 {
 	for model, share := range shares {
 		booked := 0.0
 		for _, perSecond := range h.refused.list.Booked(model) {
 			booked += perSecond
 		}
 		if booked > 0 {
-			shares[model] = h.fleet.LessBooked(model, share, booked)
+			shares[model] = h.fleet.LessBooked(model, share, booked, now)
 		}
 	}
 	return shares
--- a/command/holder/waitlist_test.go
+++ b/command/holder/waitlist_test.go
@@ -42,7 +42,7 @@
 	if len(due.Due) != 1 || due.Due[0] != 7 || len(due.Queues) != 1 || listed != 1 {
 		t.Errorf("%+v, listed %d times; want request 7 due and listed once", due, listed)
 	}
-	if share := h.lessBooked(map[string]float64{"m": 0.9})["m"]; share >= 0.9 || share <= 0 {
+	if share := h.lessBooked(map[string]float64{"m": 0.9}, now)["m"]; share >= 0.9 || share <= 0 {
 		t.Errorf("share of newcomers %.2f while a request is due", share)
 	}
 	h.mu.Unlock()
--- a/command/replicas/demand.go
+++ b/command/replicas/demand.go
@@ -20,6 +20,7 @@
 
 // RecordArrivals records requests for a model.
 func (f *Fleet) RecordArrivals(model string, a Arrivals, now time.Time) {
+	f.noteArrivals(now)
 	f.decay(now)
 	d := f.demandFor(model)
 	window := f.params.DemandWindow.Seconds()
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -135,6 +135,8 @@
 	// decayedAt is when the rates were last decayed, countedAt when running requests were last counted, and
 	// proactiveCheckedAt when models were last checked for proactive loads.
 	decayedAt, countedAt, proactiveCheckedAt time.Time
+	// arrivalsSince is when the first arrivals were reported; zero before.
+	arrivalsSince time.Time
 	// remoteLimiter limits loads from the weight store, and store estimates its speed.
 	remoteLimiter remoteLimiter
 	store         weightStore
