Soak: clients go on taking a stream up while all instances are away

A client whose stream broke off tried once to take it up, at once. If all instances had been killed it met none, so the soak, which kills all of them several times a run while two versions serve, hardly saw a stream go on after such a kill, and could not see one joined from two versions. Clients now try up to six times, half a second apart, and each answer is checked as before. The bound on the share of streams that go on counts first attempts, as before. Each run prints how many streams broke off or were left and how many of them went on.

--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -81,6 +81,7 @@
 	for _, b := range result.Budget {
 		fmt.Println("  budget", b)
 	}
+	fmt.Println("  taken up", result.TakenUp)
 	for _, b := range result.Violations {
 		fmt.Printf("  BROKEN %s: %s\n", b.Guarantee, b.Detail)
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -49,6 +49,8 @@
 	// brought the first one.
 	lastEvent int
 	resumes   string
+	// tookUpBefore is set if the client has tried to take the stream up before.
+	tookUpBefore bool
 	// leaveAfter is the number of events after which the client leaves; 0 for never.
 	leaveAfter int
 	// versions are the software versions of the engines whose events the client has.
@@ -94,9 +96,7 @@
 			for n := 0; pause.For(ctx, clientPause); n++ {
 				req := r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n))
 				record(req)
-				if again, more := r.takeUp(random, req); more {
-					record(again)
-				}
+				r.takeUp(ctx, random, req, record)
 			}
 		})
 	}
@@ -149,7 +149,9 @@
 	req.send(r.entryAddress(entry))
 	req.duration = time.Since(began)
 	observed.finish(req)
-	r.takeUps.record(req)
+	if !req.tookUpBefore {
+		r.takeUps.record(req)
+	}
 }
 
 // withoutBodyShare is the ratio of all requests on new connections to those without a body.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -50,7 +50,9 @@
 	// EnginesCrashed counts the crashes of engines due to a poison request, which crashes each engine that runs it.
 	EnginesCrashed int
 	// Budget says, for each service, how close the repeated sends came to the bound of the retry budget.
-	Budget     []string
+	Budget []string
+	// TakenUp describes the streams that clients took up.
+	TakenUp    string
 	Violations []Violation
 	classes    map[string]*classCounts
 }
@@ -153,6 +155,7 @@
 	result := waitClients()
 	result.Faults = faults
 	r.collectAllStates()
+	result.TakenUp = r.takeUps.summary()
 	result.Budget, result.RepeatedSends = r.history.budgetSummary()
 	result.Violations = append(result.Violations, r.history.violations()...)
 	result.EnginesCrashed = r.poisons.count()
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -3,15 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"regexp"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
 )
 
@@ -69,6 +72,32 @@
 type takeUps struct {
 	mu                                 sync.Mutex
 	beginnings, begun, takenUp, wentOn int // guarded by mu
+	// broken are the streams taken up that broke off, left those that their clients left.
+	broken, left streamsTakenUp // guarded by mu
+}
+
+// streamsTakenUp counts streams that clients took up, with as many attempts as they made, and those that went on.
+type streamsTakenUp struct{ streams, wentOn int }
+
+// recordStream counts a stream that its client took up.
+func (u *takeUps) recordStream(broken, wentOn bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	counts := &u.left
+	if broken {
+		counts = &u.broken
+	}
+	counts.streams++
+	if wentOn {
+		counts.wentOn++
+	}
+}
+
+// summary describes the streams taken up.
+func (u *takeUps) summary() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return fmt.Sprintf("broken=%d went_on=%d left=%d went_on=%d", u.broken.streams, u.broken.wentOn, u.left.streams, u.left.wentOn)
 }
 
 // record counts an attempt on the route of streams that can be taken up.
@@ -101,18 +130,30 @@
 	return []Violation{{"streams that are taken up go on", fmt.Sprintf("%d of %d, while %d of %d began", u.wentOn, u.takenUp, u.begun, u.beginnings)}}
 }
 
-// takeUp returns a further attempt at a stream of which the client has a part, and false if there is none to make.
-func (r *run) takeUp(random *rand.Rand, begun clientRequest) (clientRequest, bool) {
+// A client tries to take a stream up takeUpTries times, takeUpPause after each other: longer than all instances are away
+// when they are killed at once.
+const (
+	takeUpTries = 6
+	takeUpPause = 500 * time.Millisecond
+)
+
+// takeUp has a client take up a stream of which it has a part, until it gets an event.
+func (r *run) takeUp(ctx context.Context, random *rand.Rand, begun clientRequest, record func(clientRequest)) {
 	events := begun.events()
 	if begun.route != "stream" || begun.status != 200 || begun.complete || events == 0 || events == standin.StreamEvents {
-		return clientRequest{}, false
+		return
 	}
-	req := clientRequest{
-		id: begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
-		lastEvent: events, resumes: begun.id, versions: slices.Clone(begun.versions),
+	wentOn := false
+	for try := 0; try < takeUpTries && !wentOn && (try == 0 || pause.For(ctx, takeUpPause)); try++ {
+		req := clientRequest{
+			id: fmt.Sprintf("%s-up%d", begun.id, try), route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody,
+			prompt: begun.prompt, lastEvent: events, resumes: begun.id, tookUpBefore: try > 0, versions: slices.Clone(begun.versions),
+		}
+		r.sendTo(r.drawEntry(random), &req)
+		wentOn = req.status == 200 && req.body != ""
+		record(req)
 	}
-	r.sendTo(r.drawEntry(random), &req)
-	return req, true
+	r.takeUps.recordStream(begun.leaveAfter == 0, wentOn)
 }
 
 // events returns the number of events that the client has.
