access: keys are relied on for the bound less the delay of a watch

Seen: watches of the store heard nothing for a second, in which a key was taken away; then the store was down.

Cause: the end of a watch without events confirms the configuration as of then, up to a second after it was replaced. A fraction of the bound (.14, .7 s) was left for that.

Fix: the delay is one second whatever the bound, so the bound less that is the age up to which keys are relied on. The fraction remains where the absence of a route is judged, against another bound. A bound of 5 s now gives 4 s instead of 4.3: in an outage of the store requests with keys are refused .3 s earlier. With a bound of 1 s or less no key is accepted.

TestRevocationSearch has the watch as a new step. Its step of time is shorter, so that it is within the delay; sequences are one step longer for it, and it still finds a confirmation that ignores the version (tried).

--- a/command/access/access.go
+++ b/command/access/access.go
@@ -29,17 +29,17 @@
 	PropagationBound time.Duration
 }
 
-// safetyMargin is the fraction of the bound that is left unused: the store may report a change some
-// time after it has acknowledged the change, and a watch without updates may have been disconnected
-// for a part of its one-second interval.
-const safetyMargin = 0.14
+// maxWatchDelay is the longest time after the acknowledgement of a change for which a watch of the
+// store may still end without it. The end of such a watch counts as a confirmation, so a
+// configuration may be confirmed for that long after it was replaced.
+const maxWatchDelay = time.Second
 
-// MaxAge returns the age up to which keys are relied on; 0 means that there is no limit.
+// MaxAge returns the age up to which keys are relied on if revocation fails closed, 0 if it does not.
 func (p Policy) MaxAge() time.Duration {
 	if !p.FailClosed {
 		return 0
 	}
-	return time.Duration((1 - safetyMargin) * float64(p.Bound))
+	return max(0, p.Bound-maxWatchDelay)
 }
 
 // KeysTrusted reports whether keys are relied on if the last confirmation of the configuration has
@@ -91,13 +91,17 @@
 // the knowledge is older, the key or route may be new.
 const maxAbsenceAge = 2500 * time.Millisecond
 
+// absenceMargin is the fraction of PropagationBound that is left unused when the absence of a key or
+// route is judged, since a change may be reported some time after its acknowledgement.
+const absenceMargin = 0.14
+
 // AbsenceIsCertain reports whether a route or a key that is not in the configuration certainly does
 // not exist. If it may exist, the request must not be refused permanently, since its client would
 // not retry.
 func (p Policy) AbsenceIsCertain(f Freshness) bool {
 	maxAge := maxAbsenceAge
 	if p.PropagationBound > 0 {
-		maxAge = min(maxAge, time.Duration((1-safetyMargin)*float64(p.PropagationBound)))
+		maxAge = min(maxAge, time.Duration((1-absenceMargin)*float64(p.PropagationBound)))
 	}
 	return !f.NewerExists && f.Age <= maxAge
 }
--- a/command/access/search_test.go
+++ b/command/access/search_test.go
@@ -21,9 +21,12 @@
 	searchPolicy = access.Policy{FailClosed: true, Bound: 2 * time.Second}
 )
 
-// timeStep is the duration of one step of time: more than half of the bound, so that two steps
-// exceed it.
-const timeStep = 1200 * time.Millisecond
+// timeStep is the duration of one step of time: three steps exceed the bound, and one is within
+// watchDelay.
+const timeStep = 800 * time.Millisecond
+
+// watchDelay is how long a watch may end without an event after a change was acknowledged.
+const watchDelay = time.Second
 
 // call is a call in progress.
 type call struct {
@@ -93,6 +96,15 @@
 		return s.execute(0, access.ConfigStatus{Version: s.accepted})
 	}},
 	{"the holder hears the store", func(s *state, configs map[int64]*serving.Config) bool { return s.receive(0, configs) }},
+	{"the holder's watch ends without an event", func(s *state, configs map[int64]*serving.Config) bool {
+		if s.accepted == 2 && (s.version[0] == 2 || s.now.Sub(s.revoked) > watchDelay) {
+			return false
+		}
+		d := s.directoryOf(0, configs)
+		d.Confirm(s.version[0], s.now)
+		_, s.confirmedAt[0] = d.Current()
+		return true
+	}},
 	{"the instance asks the holder", func(s *state, _ map[int64]*serving.Config) bool { return s.send(1) }},
 	{"the holder answers", func(s *state, configs map[int64]*serving.Config) bool {
 		config, confirmedAt := s.directoryOf(0, configs).Current()
@@ -162,9 +174,9 @@
 }
 
 // searchDepth is the length of the sequences searched. The shortest sequence in which a report of a
-// newer configuration extends the use of a key of the old configuration beyond the bound has nine
+// newer configuration extends the use of a key of the old configuration beyond the bound has ten
 // steps.
-const searchDepth = 10
+const searchDepth = 11
 
 // TestRevocationSearch searches all sequences of up to searchDepth steps for one in which a key
 // works for longer than the bound after its removal.
