--- a/entry/entry.go
+++ b/entry/entry.go
@@ -123,6 +123,7 @@
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores(), Tunnels: s.TunnelAddress()}, log: log, eraChanged: make(chan struct{}, 1)}
 	i.limiter = newServerLimiter(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.OnAdvisory(i.limiter.observe)
+	i.backends.OnOversized(newOversizedAnswers(i.set, log).record)
 	i.paths = newPathObserver(i.set, log)
 	i.backends.TrackPaths(i.paths.tracker, i.paths.changed)
 	if n.servers != nil {
