forward: a stream ends if nothing new comes within 64 KiB

Callers saw: nothing yet. A faulty engine that sends blank lines, comments, events without ID or one event again and again kept its stream, and the room at the client, until the deadline; each counted as an event, so that the caller and the check of the server took the answer for a living one. An event of up to 1 MiB was kept three times over for each stream: hundreds at once exceed the memory of a machine.

An event, with all that comes before it since the last one whose ID rises, is limited to 64 KiB, and its bytes are kept once. The stream then breaks off as before with an event that is too large: it goes on elsewhere if it may, the server counts as failing, and the counter and log line name it.

--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -1,13 +1,10 @@
 package forward
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -125,12 +122,15 @@
 
 // relayEvents relays events as they arrive, each one only once it is complete.
 func (t *transaction) relayEvents(ctx context.Context, resp *serving.Response) *verdict.Failure {
-	events := bufio.NewReader(resp.Body)
+	events := newEventReader(resp.Body)
 	for {
-		e, err := readEvent(events)
+		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return t.finishEvents(resp, e)
 		}
+		if errors.Is(err, errEventTooLarge) && resp.RecordOversized != nil {
+			resp.RecordOversized()
+		}
 		if err != nil {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEventID, err).WithCause(err)
 		}
@@ -189,51 +189,3 @@
 	id, err := strconv.ParseInt(e.id, 10, 64)
 	return err == nil && id <= last
 }
-
-// streamEvent is one event of a stream, as received.
-type streamEvent struct {
-	raw []byte
-	id  string
-}
-
-// maxEvent is the size in bytes up to which an event is read. It is many times that of an event with
-// a few tokens, and bounds the memory that a faulty server takes.
-const maxEvent = 1 << 20
-
-// errEventTooLarge is returned for an event larger than maxEvent.
-var errEventTooLarge = errors.Newf("an event is larger than %d bytes", maxEvent)
-
-// readLine reads a line of at most limit bytes, with its end.
-func readLine(r *bufio.Reader, limit int) ([]byte, error) {
-	var line []byte
-	for {
-		part, err := r.ReadSlice('\n')
-		if len(line)+len(part) > limit {
-			return line, errEventTooLarge
-		}
-		line = append(line, part...)
-		if !errors.Is(err, bufio.ErrBufferFull) {
-			return line, err
-		}
-	}
-}
-
-// readEvent reads up to and including the blank line that ends an event. At the end of the stream
-// it returns io.EOF together with the remaining data.
-func readEvent(r *bufio.Reader) (streamEvent, error) {
-	var e streamEvent
-	for {
-		line, err := readLine(r, maxEvent-len(e.raw))
-		e.raw = append(e.raw, line...)
-		if err != nil {
-			return e, err
-		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			return e, nil
-		}
-		if name, value, _ := strings.Cut(string(text), ":"); name == "id" {
-			e.id = strings.TrimPrefix(value, " ")
-		}
-	}
-}
--- a/serving/request.go
+++ b/serving/request.go
@@ -91,6 +91,8 @@
 	Events bool
 	// Via is the instance through which the response came; "" if the connection to the server was direct.
 	Via string
+	// RecordOversized, if set, records that the server sent an event that is longer than allowed.
+	RecordOversized func()
 	// HasRetryAfter is set if the server rejected the request and asked for a pause without requests.
 	HasRetryAfter bool
 }
