tunnel: the head of an instance's answer ends at 4 KiB

Callers saw: nothing yet. The answer to a request for a tunnel was read for as long as it came, until the 400 ms for opening a tunnel were over: on a fast link that is more than the memory of a machine. The address of an instance that is gone may be in use by another process.

Ruled out: what a server sends through a tunnel is copied through buffers of 8 KiB on both sides, chunk lines are bounded by net/http, and what the server's head may take is bounded by the transport of the instance that asked (TestEndlessHeadInTunnelTakesMemory of package platform).

--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -196,11 +197,13 @@
 	if err := req.Write(conn); err != nil {
 		return nil, errors.Wrap(err, "tunnel: request")
 	}
-	reader := bufio.NewReader(conn)
+	limited := &io.LimitedReader{R: conn, N: maxHead}
+	reader := bufio.NewReader(limited)
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, errors.Wrap(err, "tunnel: response")
 	}
+	limited.N = math.MaxInt64
 	switch reason := failure(resp.Header.Get(headerFailure)); {
 	case resp.StatusCode == http.StatusOK:
 		return reader, nil
--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -66,6 +66,8 @@
 	maxDown  = 4
 	// avoidTime is how long an instance that provided no tunnel is asked last.
 	avoidTime = time.Second
+	// maxHead bounds the head of an instance's answer, in bytes.
+	maxHead = 4 << 10
 	// failureTime is how long no instance is asked again after none of those asked reached a server.
 	failureTime = 200 * time.Millisecond
 )
