--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,6 +122,7 @@
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores(), Tunnels: s.TunnelAddress()}, log: log, eraChanged: make(chan struct{}, 1)}
 	i.limiter = newServerLimiter(s.NodeName, i.dir, i.members, i.set, log)
 	i.backends.OnAdvisory(i.limiter.observe)
+	i.backends.OnOversized(newOversizedAnswers(i.set, log).record)
 	i.paths = newPathObserver(i.set, log)
 	i.backends.TrackPaths(i.paths.tracker, i.paths.changed)
 	if n.servers != nil {
@@ -373,7 +374,7 @@
 	i.set.NewGauge(`martenport_waitlist_requests{state="due"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Due) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
-		"unreadable": &i.client.Calls().MalformedObjects,
+		"unreadable": &i.client.Calls().MalformedObjects, "oversized": &i.client.Calls().Oversized,
 	} {
 		i.set.NewGauge(`martenport_store_calls{kind="`+kind+`"}`, func() float64 { return float64(count.Load()) })
 	}
