--- a/soak/clients.go
+++ b/soak/clients.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/internal/standin"
 )
@@ -198,12 +200,14 @@
 	if err != nil {
 		return false
 	}
-	defer resp.Body.Close()
 	events := 0
 	if resp.StatusCode == http.StatusOK {
 		events = req.leaveAfter
 	}
 	body, err := readStream(resp.Body, events)
+	if !errors.Is(err, errLeft) { // to close the body is to read the rest of it
+		_ = resp.Body.Close()
+	}
 	plain, versions := splitVersions(string(body))
 	for _, version := range versions {
 		if !slices.Contains(req.versions, version) {
