--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -65,6 +65,8 @@
 	versionPinned bool
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
+	// endsWithConnection is set if the answer of that server states its end only by that of its connection.
+	endsWithConnection bool
 	// sentAt is when the request was last sent to that server.
 	sentAt time.Time
 	// firstEventAt is when the current server sent its first event; zero before.
@@ -279,7 +281,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := serving.Attempt{
-		Request: t.request, Server: server, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
+		Request: t.request, Server: server, Engine: t.service.Engine != nil, Remaining: t.deadline.Sub(now), Urgency: t.urgency(), ResumeAfter: t.out.lastEventID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(), Repeated: slices.Contains(t.sentTo, server.ID),
 	}
 	t.sentTo = append(t.sentTo, server.ID)
@@ -287,7 +289,7 @@
 	resp, err := t.f.sender.Send(ctx, a)
 	defer t.endSend(server, resp)
 	if resp != nil {
-		t.via = resp.Via
+		t.via, t.endsWithConnection = resp.Via, resp.EndsWithConnection
 	}
 	if err != nil {
 		return false, t.handleSendFailure(ctx, server, err, now, &outcome)
@@ -310,12 +312,6 @@
 	return failure == nil, failure
 }
 
-// maxUrgency is the lowest priority that engines support.
-const maxUrgency = 9
-
-// urgency returns the priority of a request at an engine, which is that of its route.
-func urgency(r *serving.Route) int { return min(maxUrgency, max(0, r.Priority)) }
-
 // silenceThreshold is the time without an answer after which a server counts as silent if the client
 // then leaves: many times what an engine with a free slot takes to its first event.
 const silenceThreshold = time.Second
