--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -68,6 +68,10 @@
 	return now.Sub(w.syncedAt[prefix])
 }
 
+// recentServersAge is the age up to which the copy of the servers is relied on to name the process of each server: some
+// watches without a change. A server that starts has to load a model before it can begin a stream, which takes about as long.
+const recentServersAge = time.Second
+
 // serversAge returns the age of the copy of the servers.
 func (w *watcher) serversAge(now time.Time) time.Duration {
 	return w.prefixAge(platform.PrefixServers, now)
