forward: events of two runs are not joined where a stream goes on

Clients would get a stream whose parts are of two texts, with an event missing or twice, if a server that is to go on after an event begins anew, steps back or leaves events out.

The relay dropped events with IDs up to the last one relayed, without a word, and relayed all others: a server that began anew was joined at the right number, a gap was not seen, events without IDs came twice, and at a stream that a client takes up not even those were dropped that the client had named.

The order of a stream's events is now followed over all parts, from the last event that the client names. A part that repeats events has to repeat the last one as it was, otherwise the server has begun anew. The first new event has to be the next one if IDs count the events. Within a part an ID only has to rise. A part that breaks this is broken off like an answer that is cut, so that another server may go on. After an event without an ID no server can be asked for the rest. A run that goes on from its backup is the same run and may repeat events, as before.

--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -104,6 +104,8 @@
 func (t *transaction) goesOn(ctx context.Context, failure *verdict.Failure) bool {
 	r := t.onlyRun
 	switch {
+	case t.out.order.unplaced:
+		return false
 	case r == nil:
 		return t.mayResend(failure)
 	case !t.mayHaveRun:
@@ -164,7 +166,7 @@
 func (t *transaction) logContinuation(o continuation.Outcome) {
 	t.f.backups.count(o)
 	t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{
-		"server": t.onlyRun.engine.ID, "backup": t.onlyRun.backup.ID, "event": t.out.lastEventID, "outcome": o,
+		"server": t.onlyRun.engine.ID, "backup": t.onlyRun.backup.ID, "event": t.out.order.lastID, "outcome": o,
 	}).Info("stream broke off that must not be repeated")
 }
 
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -73,6 +73,12 @@
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
 }
 
+// eventOutOfOrder counts an event of a server that did not follow those that the client has: "repeated" by a run that went
+// on, or "misplaced", which breaks the server's part of the stream off.
+func (c *Counts) eventOutOfOrder(what string) {
+	c.set.GetOrCreateCounter(`martenport_events_out_of_order_total{what="` + what + `"}`).Inc()
+}
+
 // serverFull counts a refusal by an engine that was full.
 func (c *Counts) serverFull(service string) {
 	c.set.GetOrCreateCounter(`martenport_full_engine_refusals_total{service="` + service + `"}`).Inc()
--- /dev/null
+++ b/command/forward/eventorder.go
@@ -0,0 +1,104 @@
+package forward
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// A stream may go on at another server after the last event that its client has. The server is asked for the events after
+// that one, but may send some of the earlier ones again. It has begun anew, with another text, if the last one is not the same.
+
+// eventPlace is the place of an event in its stream.
+type eventPlace int
+
+const (
+	// eventFollows: the event is the next one.
+	eventFollows eventPlace = iota
+	// eventRepeated: the client has the event.
+	eventRepeated
+	// eventMisplaced: the event does not follow those that the client has.
+	eventMisplaced
+)
+
+// eventOrder follows the IDs of a stream's events over all servers that send a part of it.
+type eventOrder struct {
+	// lastID is the ID of the last event that the client has, "" if it has none, and last the same as a number. It is
+	// valid only if numbered is set.
+	lastID   string
+	last     int64
+	numbered bool
+	// lastRaw is that event as it was relayed; nil if another instance relayed it.
+	lastRaw []byte
+	// unplaced is set if the last event that the client has has no ID, so that no server can be asked for the rest.
+	unplaced bool
+	// counted is set while the IDs that this instance has relayed count the events.
+	counted bool
+	relayed int
+	// joining is set until a part brings its first new event, and sameRun if the part belongs to the run before. overlap
+	// is set if it has repeated events, and matched if one of them was the last one.
+	joining, sameRun, overlap, matched bool
+}
+
+// newEventOrder returns the order of a stream of which the client has the events up to lastID, "" for none.
+func newEventOrder(lastID string) eventOrder {
+	o := eventOrder{counted: true}
+	o.setLast(lastID)
+	return o
+}
+
+func (o *eventOrder) setLast(id string) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	o.lastID, o.last, o.numbered = id, n, err == nil
+}
+
+// beginPart begins the part of a server.
+func (o *eventOrder) beginPart(sameRun bool) {
+	o.joining, o.sameRun, o.overlap, o.matched = true, sameRun, false, false
+}
+
+// place returns the place of an event that was received.
+func (o *eventOrder) place(e streamEvent) eventPlace {
+	n, err := strconv.ParseInt(e.id, 10, 64)
+	if err != nil || !o.numbered {
+		return eventFollows // unknown
+	}
+	if n <= o.last {
+		return o.placeRepeated(n, e.raw)
+	}
+	switch {
+	case !o.joining:
+		return eventFollows
+	case o.overlap && !o.matched && !o.sameRun, o.relayed > 0 && o.counted && n != o.last+1:
+		return eventMisplaced
+	}
+	return eventFollows
+}
+
+// placeRepeated returns the place of an event with an ID that the client has.
+func (o *eventOrder) placeRepeated(n int64, raw []byte) eventPlace {
+	if !o.joining {
+		return eventMisplaced
+	}
+	o.overlap = true
+	if n < o.last || o.sameRun {
+		return eventRepeated
+	}
+	if !bytes.Equal(raw, o.lastRaw) {
+		return eventMisplaced
+	}
+	o.matched = true
+	return eventRepeated
+}
+
+// record records that an event was relayed.
+func (o *eventOrder) record(e streamEvent) {
+	before, numbered := o.last, o.numbered
+	o.joining, o.unplaced = false, e.id == ""
+	if e.id == "" {
+		return
+	}
+	o.setLast(e.id)
+	o.lastRaw = e.raw
+	o.counted = o.counted && o.numbered && (!numbered || o.last == before+1)
+	o.relayed++
+}
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -30,13 +29,14 @@
 	// events so far.
 	firstEvent   time.Time
 	longestPause time.Duration
-	// lastEventID is the ID of the last event relayed, "" before the first.
-	lastEventID string
+	// order has the IDs of the events that the client has.
+	order eventOrder
 }
 
-// newClientWriter returns a clientWriter for w.
-func newClientWriter(w http.ResponseWriter) *clientWriter {
-	return &clientWriter{ResponseWriter: w, control: http.NewResponseController(w)}
+// newClientWriter returns a clientWriter for w. lastEventID is the last event that the client has of a stream that it takes
+// up, "" for none.
+func newClientWriter(w http.ResponseWriter, lastEventID string) *clientWriter {
+	return &clientWriter{ResponseWriter: w, control: http.NewResponseController(w), order: newEventOrder(lastEventID)}
 }
 
 // start writes the header of the answer unless it has been written before.
@@ -126,19 +126,25 @@
 // relayEvents relays events as they arrive, each one only once it is complete.
 func (t *transaction) relayEvents(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	events := bufio.NewReader(resp.Body)
+	t.out.order.beginPart(t.onlyRun != nil)
 	for {
 		e, err := readEvent(events)
 		if errors.Is(err, io.EOF) {
 			return t.finishEvents(resp, e)
 		}
 		if err != nil {
-			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEventID, err).WithCause(err)
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.order.lastID, err).WithCause(err)
 		}
 		received := clock.Now()
 		t.recordEventReceived(received)
 		t.speed.recordEvent(received)
-		if t.alreadySent(e) {
-			continue // a resumed stream that repeats an event
+		switch t.out.order.place(e) {
+		case eventRepeated:
+			t.f.counts.eventOutOfOrder("repeated")
+			continue
+		case eventMisplaced:
+			t.f.counts.eventOutOfOrder("misplaced")
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "event %q does not follow event %q", e.id, t.out.order.lastID)
 		}
 		t.pinVersion()
 		t.out.start(resp)
@@ -148,9 +154,7 @@
 		sent := clock.Now()
 		t.out.recordEventSent(sent)
 		t.speed.recordWrite(sent.Sub(received))
-		if e.id != "" {
-			t.out.lastEventID = e.id
-		}
+		t.out.order.record(e)
 		if events.Buffered() > 0 {
 			continue // flushed together with the next event
 		}
@@ -173,23 +177,13 @@
 // complete event.
 func (t *transaction) finishEvents(resp *serving.Response, rest streamEvent) *verdict.Failure {
 	if len(rest.raw) > 0 {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.lastEventID)
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.order.lastID)
 	}
 	t.out.start(resp)
 	t.endSpeedSample(clock.Now())
 	return nil
 }
 
-// alreadySent reports whether the client has received the event before.
-func (t *transaction) alreadySent(e streamEvent) bool {
-	last, err := strconv.ParseInt(t.out.lastEventID, 10, 64)
-	if err != nil {
-		return false // no event relayed yet
-	}
-	id, err := strconv.ParseInt(e.id, 10, 64)
-	return err == nil && id <= last
-}
-
 // streamEvent is one event of a stream, as received.
 type streamEvent struct {
 	raw []byte
--- a/command/forward/speed.go
+++ b/command/forward/speed.go
@@ -30,7 +30,7 @@
 		return
 	}
 	t.speed = streamSpeed{
-		server: server, resumed: t.out.lastEventID != "", relative: t.f.balancer.Speed(server, now),
+		server: server, resumed: t.out.order.lastID != "", relative: t.f.balancer.Speed(server, now),
 		level: t.f.balancer.LoadLevel(server.ID, t.othersOn(server.ID, now), server.Slots),
 	}
 }
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -97,7 +97,7 @@
 func (f *Forwarder) newTransaction(a admission, b binding, r *serving.Request, w http.ResponseWriter) *transaction {
 	route := a.route
 	t := &transaction{
-		f: f, admission: a, request: r, out: newClientWriter(w), excluded: map[string]bool{},
+		f: f, admission: a, request: r, out: newClientWriter(w, r.LastEventID), excluded: map[string]bool{},
 		service: b.service, version: b.version,
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
@@ -276,7 +276,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	a := serving.Attempt{
-		Request: t.request, Server: server, Engine: t.service.Engine != nil, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.lastEventID,
+		Request: t.request, Server: server, Engine: t.service.Engine != nil, Remaining: t.deadline.Sub(now), Urgency: urgency(t.route), ResumeAfter: t.out.order.lastID,
 		KeysRequired: t.config.KeysRequired(), Workspace: t.workspaceName(), Repeated: slices.Contains(t.sentTo, server.ID),
 	}
 	t.sentTo = append(t.sentTo, server.ID)
