soak: clients check what they have of a stream over all their attempts

A client took a stream up once and each attempt was checked by itself, so an event missing or twice where two attempts meet showed only through the number of events. Clients now take a stream up to three times, under the attempt that brought its first event, and the joined text has to be the stream, or a beginning of it while it is broken off. The new promise has its violation in TestChecksFindViolations.

--- a/soak/check.go
+++ b/soak/check.go
@@ -68,6 +68,7 @@
 		found = append(found, req.lostAnswerViolations(runs[req.id])...)
 		found = append(found, req.retryViolations()...)
 		found = append(found, req.versionViolations()...)
+		found = append(found, req.joinedViolations()...)
 	}
 	found = append(found, h.keyViolations()...)
 	found = append(found, h.backpressureViolations()...)
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -49,6 +49,8 @@
 	// brought the first one.
 	lastEvent int
 	resumes   string
+	// parts are the events that the client has from its attempts before.
+	parts []string
 	// leaveAfter is the number of events after which the client leaves; 0 for never.
 	leaveAfter int
 	// versions are the software versions of the engines whose events the client has.
@@ -94,7 +96,7 @@
 			for n := 0; pause.For(ctx, clientPause); n++ {
 				req := r.sendOnNewConn(random, fmt.Sprintf("try-%d-%d", c, n))
 				record(req)
-				if again, more := r.takeUp(random, req); more {
+				for again, more := r.takeUp(random, req); more; again, more = r.takeUp(random, again) {
 					record(again)
 				}
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -77,6 +77,9 @@
 	s.addRequest(clientRequest{id: "patient", route: patientRoute, model: "m1", status: 503})
 	s.addRequest(clientRequest{id: "patient, told", route: patientRoute, model: "m1", status: 503, retryAfter: "2"})
 	s.addRequest(clientRequest{id: "two versions", route: "stream", model: "m1", status: 200, versions: []string{"v1", "v2"}})
+	joined := clientRequest{id: "joined", route: "stream", model: "m1", status: 200, complete: true, lastEvent: 3, resumes: "begun"}
+	joined.parts, joined.body = []string{"id: 1\ndata: m1\n\nid: 2\ndata: m1\n\n"}, joined.expectedBody()
+	s.addRequest(joined)
 	s.servers["e start 1"] = stateWithRuns(map[string]int{"twice": 1, "refused": 1, "nobody's": 1, "run and cut": 1, "answer cut": 1})
 	s.servers["e start 2"] = stateWithRuns(map[string]int{"twice": 1})
 	s.servers["e start 3"] = standin.State{Forgotten: 1}
@@ -86,7 +89,7 @@
 		"each client gets the whole answer to its own request": 2, "each request is answered or refused in its time": 1,
 		"a request on a kept connection is answered or refused": 3, "repeated sends stay within the shared budget": 1,
 		"the history is whole": 1, "a refused request is told when to return": 1,
-		"a stream keeps to one software version": 1,
+		"a stream keeps to one software version": 1, "the parts of a stream that is taken up are one stream": 1,
 	}
 	got := map[string]int{}
 	for _, b := range s.violations() {
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -3,11 +3,14 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"regexp"
 	"slices"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -101,20 +104,51 @@
 	return []Violation{{"streams that are taken up go on", fmt.Sprintf("%d of %d, while %d of %d began", u.wentOn, u.takenUp, u.begun, u.beginnings)}}
 }
 
+// maxTakeUps is how often a client takes a stream up.
+const maxTakeUps = 3
+
 // takeUp returns a further attempt at a stream of which the client has a part, and false if there is none to make.
 func (r *run) takeUp(random *rand.Rand, begun clientRequest) (clientRequest, bool) {
 	events := begun.events()
-	if begun.route != "stream" || begun.status != 200 || begun.complete || events == 0 || events == standin.StreamEvents {
+	if begun.route != "stream" || begun.status != 200 || begun.complete || events == 0 || events == standin.StreamEvents || len(begun.parts) == maxTakeUps {
 		return clientRequest{}, false
 	}
 	req := clientRequest{
-		id: begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
-		lastEvent: events, resumes: begun.id, versions: slices.Clone(begun.versions),
+		parts: append(slices.Clone(begun.parts), begun.wholeEvents()),
+		id:    begun.id + "-up", route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
+		lastEvent: events, resumes: cmp.Or(begun.resumes, begun.id), versions: slices.Clone(begun.versions),
 	}
 	r.sendTo(r.drawEntry(random), &req)
 	return req, true
 }
 
+// wholeEvents returns the events of the answer, without a part of one at its end.
+func (req *clientRequest) wholeEvents() string {
+	const end = "\n\n"
+	if i := strings.LastIndex(req.body, end); i >= 0 {
+		return req.body[:i+len(end)]
+	}
+	return ""
+}
+
+// joinedViolations checks the text that the client has of a stream from all its attempts.
+func (req *clientRequest) joinedViolations() []Violation {
+	if req.resumes == "" || req.status != http.StatusOK {
+		return nil
+	}
+	text, whole := strings.Join(req.parts, "")+req.body, wholeStream(req.model)
+	if text == whole || !req.complete && strings.HasPrefix(whole, text) {
+		return nil
+	}
+	return []Violation{{"the parts of a stream that is taken up are one stream", fmt.Sprintf("%s, which resumes %q, has %q", req.id, req.resumes, text)}}
+}
+
+// wholeStream returns all events of a stream of a model.
+func wholeStream(model string) string {
+	all := clientRequest{model: model}
+	return all.expectedBody()
+}
+
 // events returns the number of events that the client has.
 func (req *clientRequest) events() int {
 	return req.lastEvent + bytes.Count([]byte(req.body), []byte("\n\n"))
