forward: a length that a stream's first server stated does not end the stream

A client would take a stream for complete before its last event, if the server that began it stated a length and the one where it goes on sends more.

The header of the first server is kept for the whole answer, its Content-Length included. Events of the second one that fit into it were relayed, the next one could not be written, and the client had exactly the length it was told. Streams are now sent without a length, in chunks, whose end only the relay states.

Not shown in real processes. The test has a real client and connection, and failed before: the client got events 1 to 3 of 4 and no error.

--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -48,6 +48,9 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
+	if resp.Events {
+		header.Del("Content-Length") // another server may send the rest, of another length
+	}
 	w.started, w.status, w.lastWrite = true, resp.Status, clock.Now()
 	w.WriteHeader(resp.Status)
 }
