forward: events that a server repeats within its part are left out, unless it goes on with another text

Events with IDs that the client has, within the part of one server, broke the part off at the first of them. The rule is now the same at the beginning of a part and within it: events may be repeated, and a new one may follow only if the last one was repeated last, as it was. A step back followed by a new event still breaks the part off: two more orders in the test.

--- a/command/forward/eventorder.go
+++ b/command/forward/eventorder.go
@@ -35,7 +35,7 @@
 	counted bool
 	relayed int
 	// joining is set until a part brings its first new event, and sameRun if the part belongs to the run before. overlap
-	// is set if it has repeated events, and matched if one of them was the last one.
+	// is set if events were repeated since the last new one, and matched if that one came last.
 	joining, sameRun, overlap, matched bool
 }
 
@@ -65,10 +65,7 @@
 	if n <= o.last {
 		return o.placeRepeated(n, e.raw)
 	}
-	switch {
-	case !o.joining:
-		return eventFollows
-	case o.overlap && !o.matched && !o.sameRun, o.relayed > 0 && o.counted && n != o.last+1:
+	if o.overlap && !o.matched || o.joining && o.relayed > 0 && o.counted && n != o.last+1 {
 		return eventMisplaced
 	}
 	return eventFollows
@@ -76,24 +73,20 @@
 
 // placeRepeated returns the place of an event with an ID that the client has.
 func (o *eventOrder) placeRepeated(n int64, raw []byte) eventPlace {
-	if !o.joining {
-		return eventMisplaced
-	}
-	o.overlap = true
-	if n < o.last || o.sameRun {
+	if o.joining && o.sameRun {
 		return eventRepeated
 	}
-	if !bytes.Equal(raw, o.lastRaw) {
+	o.overlap, o.matched = true, n == o.last
+	if o.matched && !bytes.Equal(raw, o.lastRaw) {
 		return eventMisplaced
 	}
-	o.matched = true
 	return eventRepeated
 }
 
 // record records that an event was relayed.
 func (o *eventOrder) record(e streamEvent) {
 	before, numbered := o.last, o.numbered
-	o.joining, o.unplaced = false, e.id == ""
+	o.joining, o.overlap, o.unplaced = false, false, e.id == ""
 	if e.id == "" {
 		return
 	}
--- a/command/forward/eventorder_test.go
+++ b/command/forward/eventorder_test.go
@@ -32,6 +32,8 @@
 		"the same run, with a gap":      {"once", begun, "id: 4\ndata: d\n\n", "", begun, false},
 		"taken up":                      {"stream", "id: 8\ndata: h\n\n", "id: 9\ndata: i\n\n", "7", "id: 8\ndata: h\n\nid: 9\ndata: i\n\n", true},
 		"taken up, begins anew":         {"stream", "id: 1\ndata: x\n\nid: 7\ndata: y\n\nid: 8\ndata: z\n\n", "id: 8\ndata: h\n\n", "7", "id: 8\ndata: h\n\n", true},
+		"begins anew within a part":     {"stream", begun + "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
+		"steps back, then goes on":      {"stream", begun + "id: 1\ndata: a\n\nid: 3\ndata: z\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
 		"steps back":                    {"stream", begun + "id: 1\ndata: x\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
 	}
 	for name, test := range tests {
