--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,13 +26,14 @@
 	// events so far.
 	firstEvent   time.Time
 	longestPause time.Duration
-	// lastEventID is the ID of the last event relayed, "" before the first.
-	lastEventID string
+	// order has the IDs of the events that the client has.
+	order eventOrder
 }
 
-// newClientWriter returns a clientWriter for w.
-func newClientWriter(w http.ResponseWriter) *clientWriter {
-	return &clientWriter{ResponseWriter: w, control: http.NewResponseController(w)}
+// newClientWriter returns a clientWriter for w. lastEventID is the last event that the client has of a stream that it takes
+// up, "" for none.
+func newClientWriter(w http.ResponseWriter, lastEventID string) *clientWriter {
+	return &clientWriter{ResponseWriter: w, control: http.NewResponseController(w), order: newEventOrder(lastEventID)}
 }
 
 // start writes the header of the answer unless it has been written before.
@@ -45,6 +45,9 @@
 	for name, values := range resp.Header {
 		header[name] = values
 	}
+	if resp.Events {
+		header.Del("Content-Length") // another server may send the rest, of another length
+	}
 	w.started, w.status, w.lastWrite = true, resp.Status, clock.Now()
 	w.WriteHeader(resp.Status)
 }
@@ -123,6 +126,7 @@
 // relayEvents relays events as they arrive, each one only once it is complete.
 func (t *transaction) relayEvents(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	events := newEventReader(resp.Body)
+	t.out.order.beginPart(t.onlyRun != nil)
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -132,13 +136,18 @@
 			resp.RecordOversized()
 		}
 		if err != nil {
-			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.lastEventID, err).WithCause(err)
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream broke off after event %q: %v", t.out.order.lastID, err).WithCause(err)
 		}
 		received := clock.Now()
 		t.recordEventReceived(received)
 		t.speed.recordEvent(received)
-		if t.alreadySent(e) {
-			continue // a resumed stream that repeats an event
+		switch t.out.order.place(e) {
+		case eventRepeated:
+			t.f.counts.eventOutOfOrder("repeated")
+			continue
+		case eventMisplaced:
+			t.f.counts.eventOutOfOrder("misplaced")
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "event %q does not follow event %q", e.id, t.out.order.lastID)
 		}
 		if failure := t.pinVersion(); failure != nil {
 			return failure
@@ -150,9 +159,7 @@
 		sent := clock.Now()
 		t.out.recordEventSent(sent)
 		t.speed.recordWrite(sent.Sub(received))
-		if e.id != "" {
-			t.out.lastEventID = e.id
-		}
+		t.out.order.record(e)
 		if events.Buffered() > 0 {
 			continue // flushed together with the next event
 		}
@@ -175,19 +182,9 @@
 // complete event.
 func (t *transaction) finishEvents(resp *serving.Response, rest streamEvent) *verdict.Failure {
 	if len(rest.raw) > 0 {
-		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.lastEventID)
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.order.lastID)
 	}
 	t.out.start(resp)
 	t.endSpeedSample(clock.Now())
 	return nil
 }
-
-// alreadySent reports whether the client has received the event before.
-func (t *transaction) alreadySent(e streamEvent) bool {
-	last, err := strconv.ParseInt(t.out.lastEventID, 10, 64)
-	if err != nil {
-		return false // no event relayed yet
-	}
-	id, err := strconv.ParseInt(e.id, 10, 64)
-	return err == nil && id <= last
-}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -53,6 +53,8 @@
 	resumes   string
 	// takeUps is how often the client has taken the stream up, this attempt included.
 	takeUps int
+	// parts are the events that the client has from its attempts before.
+	parts []string
 	// leaveAfter is the number of events after which the client leaves; 0 for never.
 	leaveAfter int
 	// versions are the software versions of the engines whose events the client has.
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -113,7 +113,7 @@
 		}
 		req := clientRequest{
 			id: fmt.Sprintf("%s-up%d", begun.id, n+1), route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
-			lastEvent: part.events(), resumes: begun.id, takeUps: n + 1, versions: slices.Clone(part.versions),
+			parts: append(slices.Clone(part.parts), part.wholeEvents()), lastEvent: part.events(), resumes: begun.id, takeUps: n + 1, versions: slices.Clone(part.versions),
 		}
 		if random.IntN(leaveShare) == 0 {
 			req.leaveAfter = leaveAfter
@@ -131,6 +131,33 @@
 	return req.route == "stream" && !complete && events > 0 && events < standin.StreamEvents && len(req.versions) < 2
 }
 
+// wholeEvents returns the events of the answer, without a part of one at its end.
+func (req *clientRequest) wholeEvents() string {
+	const end = "\n\n"
+	if i := strings.LastIndex(req.body, end); i >= 0 && req.status == http.StatusOK {
+		return req.body[:i+len(end)]
+	}
+	return ""
+}
+
+// joinedViolations checks the text that the client has of a stream from all its attempts.
+func (req *clientRequest) joinedViolations() []Violation {
+	if req.resumes == "" || req.status != http.StatusOK {
+		return nil
+	}
+	text, whole := strings.Join(req.parts, "")+req.body, wholeStream(req.model)
+	if text == whole || !req.complete && strings.HasPrefix(whole, text) {
+		return nil
+	}
+	return []Violation{{"the parts of a stream that is taken up are one stream", fmt.Sprintf("%s, which resumes %q, has %q", req.id, req.resumes, text)}}
+}
+
+// wholeStream returns all events of a stream of a model.
+func wholeStream(model string) string {
+	all := clientRequest{model: model}
+	return all.expectedBody()
+}
+
 // events returns the number of events that the client has.
 func (req *clientRequest) events() int {
 	if req.status != http.StatusOK {
