entry: one server of five without end costs its own requests only

Tests for whole instances, and a fault of the stand-in server: it sends a status line, a header, headers, informational answers, an unsealed body, comments, an event or a sealed body until the connection is closed, also as reports.

One of five plain servers, or of three engines, answers all 200 requests (40 at once) so. What must hold: all but those under way when the server was found failing are served whole; no client gets a part of it as a whole answer or is refused for good; what is read there stays below 1 MiB an answer; and at most two log lines name the server. A sealed body without end has no bound but the deadline, and must not look complete then.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -91,6 +91,7 @@
 	backpressure backpressureState
 	admission    admission
 	pause        pauseState
+	endless      endlessState
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
@@ -240,6 +241,9 @@
 	return slices.Clone(s.violations)
 }
 
+// pathOfStandin is the beginning of the paths that set and return the state of a Server.
+const pathOfStandin = "/standin/"
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.pause.wait()
 	signals := s.backpressure.write(w.Header())
@@ -252,6 +256,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if part := s.endless.current(); part != "" && !strings.HasPrefix(r.URL.Path, pathOfStandin) {
+		s.sendEndless(w, r, part)
+		return
+	}
 	if id != "" && signals.Rest != "" {
 		signals.refuseRequest(w, id)
 		return
@@ -271,6 +279,8 @@
 		s.serveBackpressure(w, r)
 	case PathBrittle:
 		s.serveBrittle(w, r)
+	case PathEndless:
+		s.serveEndless(w, r)
 	default:
 		if handle, found := strings.CutPrefix(r.URL.Path, pathHandles); found && r.Method == http.MethodDelete {
 			s.freeBackup(w, handle)
