--- a/soak/faults.go
+++ b/soak/faults.go
@@ -31,6 +31,8 @@
 	var injected []string
 	var pending sync.WaitGroup
 	began := time.Now()
+	var endless []string
+	pending.Go(func() { endless = r.injectEndlessFaults(ctx) })
 	scheduled, storeFaultsFrom := r.scheduledFaults(ctx), r.storeFaultsFrom()
 	for time.Since(began) < r.params.FaultDuration {
 		var f fault
@@ -51,7 +53,7 @@
 		}
 	}
 	pending.Wait()
-	return injected
+	return append(injected, endless...)
 }
 
 func noop() {}
@@ -178,6 +180,7 @@
 	for i := range r.servers {
 		r.setBackpressure(i, standin.Backpressure{})
 		r.setBrittle(i, false)
+		r.setEndless(i, "")
 	}
 	for _, p := range append(append([]*proxy{}, r.storeProxies...), r.serverProxies...) {
 		p.setMode(passAll)
