entry: what servers' answers say is observed in one place

No change of behaviour; TestServerWithoutEndTakesMemoryAndRequests and the tests of leaving servers passed with -race.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -122,8 +122,7 @@
 	i.holder = holder.New(holderParams, i.client, i.backends, i.dir, holder.NewMetrics(i.set), log)
 	i.members = &members{store: i.client, self: member{Name: s.NodeName, Address: s.PeerAddress(), Domain: s.Zone, Cores: s.Cores(), Tunnels: s.TunnelAddress()}, log: log, eraChanged: make(chan struct{}, 1)}
 	i.limiter = newServerLimiter(s.NodeName, i.dir, i.members, i.set, log)
-	i.backends.OnAdvisory(i.limiter.observe)
-	i.backends.OnOversized(newOversizedAnswers(i.set, log).record)
+	i.observeAnswers()
 	i.paths = newPathObserver(i.set, log)
 	i.backends.TrackPaths(i.paths.tracker, i.paths.changed)
 	if n.servers != nil {
--- a/entry/oversized.go
+++ b/entry/oversized.go
@@ -29,6 +29,12 @@
 	return &oversizedAnswers{set: set, log: log, logged: map[string]time.Time{}, omitted: map[string]int{}}
 }
 
+// observeAnswers makes the instance observe what servers' answers say of them.
+func (i *Instance) observeAnswers() {
+	i.backends.OnAdvisory(i.limiter.observe)
+	i.backends.OnOversized(newOversizedAnswers(i.set, i.log).record)
+}
+
 // record records an answer of a server, part of which is oversized.
 func (o *oversizedAnswers) record(s serving.Server, part string) {
 	o.set.GetOrCreateCounter(`martenport_oversized_answers_total{part="` + part + `"}`).Inc()
