replicas: no order lets a restarted engine reach the number of a late order

Cause: a restarted engine was to stay unread, and so without orders, for 5 s after the loss. But a read that had begun before the restart was adopted; the loss was forgotten once the old process was read again, had accepted another order, or its entry was gone for a moment; and orders are carried out up to 12 s late.

Fix: the fleet keeps lost orders by engine, process and sequence for 12 s, whatever becomes of the engine's record. Nothing is planned on another process under that ID within an operation's reach of such a sequence, and no order is sent that would let it reach it. Other orders go out at once. At the sequence itself orders may go out: of two that name it one is refused.

Tests name the order whose answer was lost, not the engine only.

Open: a new holder doesn't know of orders that an earlier one lost.

--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -202,7 +202,7 @@
 	h.fleet.SetSpeeds(speeds)
 	h.speedReporter.report(speeds, h.metrics, h.log, now)
 	operations := append(h.fleet.Trim(now), h.runDispatch(now)...)
-	uncertain := h.fleet.EnginesToRead(now)
+	uncertain := h.fleet.EnginesToRead()
 	h.metrics.loadsHeld.Set(float64(h.fleet.HeldLoads(now)))
 	settleDue := !h.lease.Settled() && h.lease.RenewalDue(now)
 	h.mu.Unlock()
--- a/command/holder/order.go
+++ b/command/holder/order.go
@@ -66,6 +66,9 @@
 // out, or have done so.
 var errUncertain = errors.New("holder: the order may have been carried out")
 
+// errLateOrder is returned when the engine would reach the sequence of an order to its previous process.
+var errLateOrder = errors.New("holder: a late order may be carried out after this one")
+
 // heldAlready records that the engine already had what an order asked for, and reports whether an earlier send of the
 // order was probably carried out.
 func (w *worker) heldAlready() bool {
@@ -149,6 +152,10 @@
 		w.h.mu.Unlock()
 		return 0, errSequenceChanged
 	}
+	if w.h.fleet.AwaitsLateOrder(w.engine, clock.Now()) {
+		w.h.mu.Unlock()
+		return 0, errLateOrder
+	}
 	o := serving.Order{Server: e.Server, Unit: unit, Unload: unload, Expect: e.Sequence, Holder: w.h.params.Name, Fence: fence}
 	w.h.mu.Unlock()
 	answer, err := w.h.engines.Order(ctx, o)
@@ -168,7 +175,7 @@
 	w.h.mu.Lock()
 	switch {
 	case errors.Is(err, serving.ErrOrderUnknown):
-		w.h.fleet.Unanswered(w.engine, w.lastOrder)
+		w.h.fleet.Unanswered(o, w.lastOrder)
 	case err == nil && incremented:
 		w.lastAccepted = w.lastOrder
 		w.h.fleet.Ordered(w.engine)
--- a/command/holder/worker.go
+++ b/command/holder/worker.go
@@ -284,11 +284,11 @@
 	return errors.Wrapf(errEngine, "%s not loaded before the deadline %s", op.Load, deadline)
 }
 
-// readNeeded reports whether the engine must be read again and may be read now.
+// readNeeded reports whether the engine must be read again.
 func (w *worker) readNeeded() bool {
 	w.h.mu.Lock()
 	defer w.h.mu.Unlock()
-	return w.h.fleet.Readable(w.engine, clock.Now())
+	return w.h.fleet.MustBeRead(w.engine)
 }
 
 // maxReadAttempts bounds the attempts of one call of read. The next tick starts another.
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -74,12 +74,10 @@
 	// orderUnanswered: the answer to an order on unansweredSequence was lost.
 	orderUnanswered    bool
 	unansweredSequence int64
-	// unansweredAt is when the answer was lost.
-	unansweredAt time.Time
+	// late has the late orders of all engines.
+	late lateOrders
 	// sequenceDoubtful: the order whose answer was lost was probably carried out, see HeldAlready.
 	sequenceDoubtful bool
-	// readableAt is when the engine may be read, see restarted.
-	readableAt time.Time
 	// Busy: a model is being loaded or unloaded. FreeAt is when that is expected to be done.
 	Busy   bool
 	FreeAt time.Time
@@ -132,6 +130,8 @@
 	demand       map[string]*Demand
 	wantedModels map[string]*wantedModel
 	index        index
+	// late has the orders to all engines, also to those that are gone, whose answers were lost.
+	late lateOrders
 	// decayedAt is when the rates were last decayed, countedAt when running requests were last counted, and
 	// proactiveCheckedAt when models were last checked for proactive loads.
 	decayedAt, countedAt, proactiveCheckedAt time.Time
@@ -166,7 +166,7 @@
 
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, speeds: map[string]float64{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, late: lateOrders{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, speeds: map[string]float64{},
 		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait, afterRuns: p.UnloadTime}}
 }
 
@@ -189,6 +189,7 @@
 		e := f.engines[s.ID]
 		if e == nil || e.Server.IsEarlierProcess(s) {
 			e = restarted(e, s)
+			e.late = f.late
 			f.engines[s.ID] = e
 			f.index = index{}
 		}
@@ -205,23 +206,13 @@
 	}
 }
 
-// lateOrderWindow is how long after its answer was lost an order may still be carried out. The order names the engine
-// by its ID and a sequence, which a process that restarts under the same ID can reach as well.
-const lateOrderWindow = 5 * time.Second
-
 // restarted returns the record of a started engine, which replaces that of the previous process under the same ID; before
-// is nil if there is none. The new record has no state of the previous process. It is not read, and so gets no orders,
-// while an order to the previous process may still arrive.
+// is nil if there is none. The new record has no state of the previous process.
 func restarted(before *Engine, s serving.Server) *Engine {
 	e := &Engine{MustBeRead: true, Copies: map[string]*Copy{}}
 	e.adopt(s.Models, 0, time.Time{})
-	if before == nil {
-		return e
-	}
-	e.generation = before.generation + 1
-	e.readableAt = before.readableAt
-	if before.orderUnanswered {
-		e.readableAt = before.unansweredAt.Add(lateOrderWindow)
+	if before != nil {
+		e.generation = before.generation + 1
 	}
 	return e
 }
@@ -293,7 +284,7 @@
 
 // usable reports whether anything may be loaded on the engine.
 func (e *Engine) usable(now time.Time) bool {
-	return !e.MustBeRead && !now.Before(e.outOfReachUntil) && e.acceptsRequests(now)
+	return !e.MustBeRead && !now.Before(e.outOfReachUntil) && e.acceptsRequests(now) && !e.nearLateOrder(now)
 }
 
 // acceptsRequests reports whether the engine accepts requests for its units.
--- a/command/replicas/place_test.go
+++ b/command/replicas/place_test.go
@@ -306,7 +306,7 @@
 				}
 				f.Done(op, now)
 			case "read":
-				for _, id := range f.EnginesToRead(now) {
+				for _, id := range f.EnginesToRead() {
 					f.Adopt(id, serving.Report{Models: map[string][]string{"m1": nil, "m2": {"a1"}}, Sequence: 1 << 30}, now)
 				}
 			}
--- a/command/replicas/progress.go
+++ b/command/replicas/progress.go
@@ -23,11 +23,12 @@
 	}
 }
 
-// Unanswered records that the response to an order that names the known sequence was lost. The engine may still carry
-// out the order until it accepts another one that names that sequence.
-func (f *Fleet) Unanswered(id string, now time.Time) {
-	if e := f.engines[id]; e != nil {
-		e.orderUnanswered, e.unansweredSequence, e.unansweredAt = true, e.Sequence, now
+// Unanswered records that the response to an order was lost. The engine may still carry out the order until it accepts
+// another one that names the same sequence.
+func (f *Fleet) Unanswered(o serving.Order, now time.Time) {
+	f.late.add(o, now)
+	if e := f.engines[o.Server.ID]; e != nil && e.Server.MayBeSameProcess(o.Server.Born) {
+		e.orderUnanswered, e.unansweredSequence = true, o.Expect
 	}
 }
 
--- a/command/replicas/progress_test.go
+++ b/command/replicas/progress_test.go
@@ -77,7 +77,7 @@
 			e := f.Engine("a-engine")
 			before := e.memoryMB()
 			if c.lost {
-				f.Unanswered("a-engine", now)
+				f.Unanswered(serving.Order{Server: e.Server, Expect: e.Sequence}, now)
 			}
 			if c.passed {
 				f.Ordered("a-engine")
@@ -115,9 +115,9 @@
 			if f.Ordered(op.Engine); f.HeldAlready(op.Engine) {
 				t.Error("an answered order is considered to be lost")
 			}
-			f.Unanswered(op.Engine, now)
-			end(f, op)
 			e := f.Engine(op.Engine)
+			f.Unanswered(serving.Order{Server: e.Server, Expect: e.Sequence}, now)
+			end(f, op)
 			if !e.MustBeRead || f.Current(op) || e.usable(now) || !e.acceptsRequests(now) || len(e.Units(now)) < 2 {
 				t.Errorf("must be read %v, operation current %v, units %v", e.MustBeRead, f.Current(op), e.Units(now))
 			}
@@ -125,7 +125,7 @@
 			if !e.usable(now) || f.OrderPending(op.Engine) || e.sequenceDoubtful || e.Sequence != 2 {
 				t.Errorf("the engine is not usable after it was read: %+v", e)
 			}
-			f.Unanswered(op.Engine, now)
+			f.Unanswered(serving.Order{Server: e.Server, Expect: e.Sequence}, now)
 			if f.Ordered(op.Engine); f.OrderPending(op.Engine) || f.HeldAlready(op.Engine) {
 				t.Error("a lost order is pending although the engine has accepted another one on its sequence")
 			}
--- a/command/replicas/view.go
+++ b/command/replicas/view.go
@@ -61,21 +61,21 @@
 	return a != nil && !now.Before(a.Ready)
 }
 
-// EnginesToRead returns the IDs of the engines that must be read again and may be read now.
-func (f *Fleet) EnginesToRead(now time.Time) []string {
+// EnginesToRead returns the IDs of the engines that must be read again.
+func (f *Fleet) EnginesToRead() []string {
 	var ids []string
 	for _, e := range f.Engines() {
-		if !e.Server.Draining && f.Readable(e.Server.ID, now) {
+		if !e.Server.Draining && e.MustBeRead {
 			ids = append(ids, e.Server.ID)
 		}
 	}
 	return ids
 }
 
-// Readable reports whether an engine must be read again and may be read now.
-func (f *Fleet) Readable(id string, now time.Time) bool {
+// MustBeRead reports whether an engine must be read again.
+func (f *Fleet) MustBeRead(id string) bool {
 	e := f.engines[id]
-	return e != nil && e.MustBeRead && !now.Before(e.readableAt)
+	return e != nil && e.MustBeRead
 }
 
 // UseStarted records that a request has started on a unit of an engine, which the instances' reports do not include
