--- a/command/forward/overload.go
+++ b/command/forward/overload.go
@@ -41,7 +41,7 @@
 	}
 	share := t.admittedShare()
 	if rand.Float64() < share {
-		if share < 1 && !t.takenUp() {
+		if !t.takenUp() {
 			t.f.resumed.earn(t.service.Name)
 		}
 		return nil
--- a/command/forward/resumed.go
+++ b/command/forward/resumed.go
@@ -19,7 +19,7 @@
 )
 
 // resumedCredits bound the streams taken up that are admitted in preference: beyond resumedBurst there is one for each new
-// request that is admitted under overload. So clients that take streams up again and again do not crowd out the others.
+// request that is admitted. So clients that take streams up again and again do not crowd out the others.
 // They are safe for concurrent use.
 type resumedCredits struct {
 	mu sync.Mutex
@@ -29,7 +29,7 @@
 
 func newResumedCredits() *resumedCredits { return &resumedCredits{spent: map[string]int{}} }
 
-// earn adds a credit for a new request that was admitted under overload.
+// earn adds a credit for a new request that was admitted.
 func (c *resumedCredits) earn(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -13,9 +13,12 @@
 // servers do not check it: once a client has the first event of a stream, the stream goes on only at servers of the
 // version that wrote it.
 
+// unknownVersion is the version of a stream that no server may continue.
+const unknownVersion = "unknown"
+
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
-// event. Such an answer is dropped if the request may be repeated, and otherwise relayed but not continued.
+// event. The rest of a stream is dropped then, and a stream that begins is relayed but not continued.
 func (t *transaction) pinVersion() *verdict.Failure {
 	if t.versionPinned {
 		return nil
@@ -23,10 +26,12 @@
 	t.versionPinned = true
 	if s, known := t.f.dir.Server(t.server); known && s.Version != t.serverVersion {
 		t.f.counts.serverReplaced(t.service.Name)
-		if t.route.MayRepeat() {
+		if t.version != "" && t.route.MayRepeat() {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s was replaced by one of version %s since the request was sent", s.ID, s.Version)
 		}
+		t.version = unknownVersion
 		t.refuseContinuations()
+		return nil
 	}
 	if t.version == "" {
 		t.version = t.serverVersion
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -75,8 +75,7 @@
 
 // Versions implements forward.Origins.
 func (o *streamOrigins) Versions(service string) (versions []string, certain bool) {
-	certain = o.marks.certain()
-	return o.dir.Versions()[service], certain
+	return o.dir.Versions()[service], o.marks.certain() && o.archive.restored.Load()
 }
 
 // mixed reports whether streams of a service that can still be taken up may have begun at several versions.
@@ -151,22 +150,22 @@
 			replies <- reply
 		}()
 	}
-	certain := o.marks.certain()
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !certain || !o.archive.restored.Load()}
+	known, certain := o.Versions(service)
+	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !certain || len(known) == 0}
 	var told []string
 	for range keepers {
 		switch reply := <-replies; {
 		case reply == nil:
 			answer.Unanswered = true
 		case reply.Known:
-			o.table.Record(attempt, reply.Origin, clock.Now())
+			o.record(attempt, reply.Origin, clock.Now())
 			return forward.OriginAnswer{Origin: reply.Origin}
 		default:
 			told = append(told, reply.Versions...)
 		}
 	}
 	if !certain {
-		answer.OnlyVersion = onlyVersion(told, o.dir.Versions()[service])
+		answer.OnlyVersion = onlyVersion(told, known)
 	}
 	return answer
 }
@@ -207,10 +206,18 @@
 
 // keep records an origin that this instance keeps for another one.
 func (o *streamOrigins) keep(e skew.Entry, now time.Time) {
-	o.table.Record(e.Attempt, e.Origin, now)
+	o.record(e.Attempt, e.Origin, now)
 	o.archive.window.Add(e, now)
 }
 
+// record records an origin that another instance has told of, and its version, of which no server may be known here yet.
+func (o *streamOrigins) record(attempt string, origin skew.Origin, now time.Time) {
+	o.table.Record(attempt, origin, now)
+	if !slices.Contains(o.dir.Versions()[origin.Service], origin.Version) {
+		o.dir.ObserveVersions(origin.Service, []string{origin.Version}, now)
+	}
+}
+
 // answer returns what this instance knows of an origin.
 func (o *streamOrigins) answer(args *OriginArgs) OriginReply {
 	origin, known := o.table.Find(args.Attempt, clock.Now())
