--- a/command/forward/forward_test.go
+++ b/command/forward/forward_test.go
@@ -33,6 +33,8 @@
 	broken bool
 	// hasRetryAfter is set if the server sets a Retry-After.
 	hasRetryAfter bool
+	// processUnknown is set if another process may have answered.
+	processUnknown bool
 }
 
 // fakeServers answers attempts in the order of replies and records the attempts.
@@ -61,7 +63,7 @@
 	}
 	return &serving.Response{
 		Status: r.status, Header: http.Header{"X-Server": {a.Server.ID}}, Body: io.NopCloser(body),
-		NotExecuted: r.notExecuted, Misdirected: r.misdir, Events: r.events, HasRetryAfter: r.hasRetryAfter,
+		NotExecuted: r.notExecuted, Misdirected: r.misdir, Events: r.events, HasRetryAfter: r.hasRetryAfter, ProcessUnknown: r.processUnknown,
 	}, nil
 }
 
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -18,16 +18,16 @@
 
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
-// event. The rest of a stream is dropped then, and a stream that begins is relayed but not continued.
-func (t *transaction) pinVersion() *verdict.Failure {
+// event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not continued.
+func (t *transaction) pinVersion(processUnknown bool) *verdict.Failure {
 	if t.versionPinned {
 		return nil
 	}
 	t.versionPinned = true
-	if s, known := t.f.dir.Server(t.server); known && s.Version != t.serverVersion {
+	if s, known := t.f.dir.Server(t.server); processUnknown || known && s.Version != t.serverVersion {
 		t.f.counts.serverReplaced(t.service.Name)
 		if t.version != "" && t.route.MayRepeat() {
-			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s was replaced by one of version %s since the request was sent", s.ID, s.Version)
+			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s may have been replaced by one of another version than %s", t.server, t.serverVersion)
 		}
 		t.version = unknownVersion
 		t.refuseContinuations()
--- a/command/forward/version_test.go
+++ b/command/forward/version_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// TestStreamOfUnknownProcess guards against streams that go on at the version that was known of a server although another
+// process may have answered there.
+func TestStreamOfUnknownProcess(t *testing.T) {
+	broken := brokenStream
+	broken.processUnknown = true
+	f := newFixture(t, broken, reply{status: 200, events: true, body: threeEvents})
+	if w, failure := f.serveAfter("stream", false); failure == nil || len(f.servers.attempts) != 1 || w.Body.Len() == 0 {
+		t.Errorf("%v after %d sends, client got %q; want what there is, and no second send", failure, len(f.servers.attempts), w.Body.String())
+	}
+}
+
 // boundOrigins returns Origins that know that all streams began at a version; nil if it is "".
 func boundOrigins(version string) Origins {
 	if version == "" {
--- a/serving/request.go
+++ b/serving/request.go
@@ -87,6 +87,8 @@
 	// EndsWithConnection is set if nothing but the end of its connection states the end of the body. Reading fails at the
 	// end, then, unless the server still runs.
 	EndsWithConnection bool
+	// ProcessUnknown is set if the response may come from another process than the one that is known as the server.
+	ProcessUnknown bool
 	// NotExecuted is set if the server stated that the request did not run.
 	NotExecuted bool
 	// Misdirected is set if the address belongs to another server by now, or the unit that the request needs is not
