--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -18,7 +18,8 @@
 
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
-// event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not continued.
+// event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not
+// continued.
 func (t *transaction) pinVersion(processUnknown bool) *verdict.Failure {
 	if t.versionPinned {
 		return nil
