--- a/command/forward/events_test.go
+++ b/command/forward/events_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -38,7 +37,7 @@
 			f, answer := newFixture(t), &endlessAnswer{piece: piece}
 			servers := &recordingServers{body: io.MultiReader(strings.NewReader(begun), answer), end: func() { answer.ended.Store(true) }}
 			f.forwarder.sender = servers
-			w, failure := f.serve("once", "warm", 500*time.Millisecond)
+			w, failure := f.serve("once", "warm", 0)
 			if failure == nil || failure.Reason != verdict.ReasonBroken || !strings.Contains(failure.Detail, "larger than") {
 				t.Errorf("failure %v", failure)
 			}
