A call that the store does not permit is not taken for a lost answer

Cause: status codes other than 404, 409, 410, 429 and 503 were taken for lost answers. A write that may have taken effect is sent five times and then reported as unknown; a read is sent again as well. So a call that is wrong or not permitted looked like a store in trouble, each time cost five calls, and nobody could tell that it will never succeed.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -176,8 +176,12 @@
 
 // logFailure logs that a mark could not be written. It returns false: the marks are read and written again.
 func (m *versionMarks) logFailure(service string, err error) bool {
-	if !errors.Is(err, store.ErrUnavailable) {
-		m.log.WithFields(logrus.Fields{"service": service, "error": err}).Info("mark of software versions could not be written")
+	switch log := m.log.WithFields(logrus.Fields{"service": service, "error": err}); {
+	case errors.Is(err, store.ErrUnavailable):
+	case errors.Is(err, store.ErrRefused):
+		log.Error("mark of software versions refused by the store")
+	default:
+		log.Info("mark of software versions could not be written")
 	}
 	return false
 }
--- a/store/store.go
+++ b/store/store.go
@@ -18,7 +18,10 @@
 	ErrNotFound    = errors.New("store: object not found")
 	ErrConflict    = errors.New("store: version conflict")
 	ErrUnavailable = errors.New("store: unavailable, request not carried out")
-	ErrUnknown     = errors.New("store: answer lost, write may have taken effect")
+	// ErrRefused means that the store does not permit or does not understand the call. The same call
+	// will be refused again.
+	ErrRefused = errors.New("store: call refused for good")
+	ErrUnknown = errors.New("store: answer lost, write may have taken effect")
 	// ErrCompacted means that the history after a revision is no longer available; the caller must
 	// list and watch anew.
 	ErrCompacted = errors.New("store: history is gone")
