Marks of software versions are written under a kind that the platform leaves to the system

What callers saw: streams taken up after all instances had ended were answered 200 and ran to the end, their first part from one software version and the rest from another.

Cause: the marks, which tell an instance that starts which versions streams may have begun at, were objects of the kind 'versions'. The users' store keeps that kind for itself and refuses to create its objects (403). Our stand-in of the store accepted every kind, so all tests, plays and soaks of marks passed.

The kind is 'stream-versions' now, and the stand-in refuses 'versions' as the users' store does. Nothing is to be carried over: no mark exists under the old name.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -17,8 +17,9 @@
 	"github.com/martenport/martenport/store"
 )
 
-// prefixVersions is the store's prefix of the marks of software versions, by service.
-const prefixVersions = "versions/"
+// prefixVersions is the store's prefix of the marks of software versions, by service. The platform keeps the kind
+// "versions" for itself.
+const prefixVersions = "stream-versions/"
 
 // versionMark is the entry of a service: the software versions at which streams may have begun that can be taken up.
 type versionMark struct {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -21,6 +21,9 @@
 // maxValueBytes is the maximum size of a value.
 const maxValueBytes = 1 << 20
 
+// reservedKinds are the kinds of which only the platform makes and deletes objects, besides those of its pages.
+var reservedKinds = []string{"versions"}
+
 // Platform is an in-memory store.Store with configurable faults.
 type Platform struct {
 	// Reads, Writes and Watches count calls, including failed ones.
@@ -124,6 +127,9 @@
 	if err := p.beginCall(ctx); err != nil {
 		return store.Object{}, err
 	}
+	if isReserved(key) {
+		return store.Object{}, store.ErrRefused
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(value) > maxValueBytes || liveVersion(p.objects[key]) != version {
@@ -141,6 +147,9 @@
 	if err := p.beginCall(ctx); err != nil {
 		return err
 	}
+	if isReserved(key) {
+		return store.ErrRefused
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if version == 0 || liveVersion(p.objects[key]) != version {
@@ -150,6 +159,12 @@
 	return err
 }
 
+// isReserved reports whether an object is of a kind that only the platform writes.
+func isReserved(key string) bool {
+	kind, _, _ := strings.Cut(key, "/")
+	return slices.Contains(reservedKinds, kind)
+}
+
 // storeObject stores an object under a new revision. p.mu must be held.
 func (p *Platform) storeObject(obj store.Object) (store.Object, error) {
 	p.revision++
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -183,6 +183,8 @@
 		http.Error(w, err.Error(), http.StatusConflict)
 	case errors.Is(err, store.ErrCompacted):
 		http.Error(w, err.Error(), http.StatusGone)
+	case errors.Is(err, store.ErrRefused):
+		http.Error(w, err.Error(), http.StatusForbidden)
 	case errors.Is(err, store.ErrUnavailable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
