An instance that finds no mark of a service's software versions is certain of none

The fault behind it is wider than the name of a kind: an instance that started and found no mark took that for the knowledge that all streams began at the version that serves now, and sent take-ups there. A mark may be missing because the store refuses it, because no holder has lived long enough to write it, or because it cannot be read; none of these says what streams began at.

Now an instance is certain only once each service with servers has a mark that can be read, or it has written them as the holder. Until then it reads the marks again each 500 ms, and take-ups go on only where the origin of the stream is known, as with several versions. A holder whose marks are refused tries again after 10 s, not five times a second.

--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -219,6 +219,7 @@
 func TestCertainOfVersions(t *testing.T) {
 	p, dir, age := standin.NewPlatform(), directory.New(), time.Duration(0)
 	dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
+	one := writeMark(t, p)
 	holds := false
 	m := &versionMarks{store: p, dir: dir, isHolder: func() bool { return holds }, serversAge: func(time.Time) time.Duration { return age }, log: logrus.New()}
 	o := newTestOrigins(dir, m)
@@ -236,7 +237,7 @@
 	if !o.mixed("s") {
 		t.Error("certain with an old list")
 	}
-	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), 0); err != nil {
+	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), one.Version); err != nil {
 		t.Fatal(err)
 	}
 	age = 0
@@ -251,7 +252,7 @@
 	}
 	dir.Sweep(clock.Now().Add(skew.Lifetime + time.Second))
 	m.update(t.Context())
-	if got := markOf(t, p, "s"); got != `{"versions":["v1"]}` {
+	if got := markOf(t, p, "s"); got != oneVersionMark {
 		t.Errorf("mark %s after the other version has expired", got)
 	}
 }
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -29,7 +29,8 @@
 // versionMarks makes known which software versions the servers of each service have or had to instances that start or
 // were cut off and did not see that. The holder writes a mark when the versions of a service change: also while there is
 // one, since all its servers may be replaced while no instance runs. It removes a version when no stream that began at
-// it can be taken up any more.
+// it can be taken up any more. An instance that starts is certain of nothing while a mark is missing: streams that are
+// taken up go on only where their origin is known then.
 type versionMarks struct {
 	store    store.Store
 	dir      *directory.Directory
@@ -45,9 +46,12 @@
 	restored atomic.Bool
 
 	// The following are used by run only. loaded is whether the marks have been read since the list of servers was last
-	// too old. known are the marks as last read or written, and wasHolder whether this instance was the holder then.
-	loaded, wasHolder bool
-	known             map[string]storedMark
+	// too old, and complete whether each service with servers had one since. known are the marks as last read or written,
+	// and wasHolder whether this instance was the holder then.
+	loaded, complete, wasHolder bool
+	known                       map[string]storedMark
+	// readAgainAt is when missing marks are read again, and refusedUntil when marks that the store refused are written again.
+	readAgainAt, refusedUntil time.Time
 }
 
 // storedMark is a mark with its revision in the store.
@@ -62,6 +66,10 @@
 	// noServersInterval applies while the list of servers is too old, or is not known yet: streams that clients take up may
 	// be refused until it is, and checking that calls nobody.
 	noServersInterval = 20 * time.Millisecond
+	// missingInterval is the time between two reads while a mark is missing, and refusedInterval that between two writes
+	// of a mark that the store refuses.
+	missingInterval = 500 * time.Millisecond
+	refusedInterval = 10 * time.Second
 	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
 	// A server of a new version has to load models, which takes longer, before it can begin a stream.
 	maxServersAge = 3 * time.Second
@@ -95,21 +103,53 @@
 		m.loaded = false
 		return false
 	}
-	m.loaded = m.loaded || m.load(ctx)
-	if !m.loaded {
-		return true
+	m.read(ctx, now)
+	if m.loaded {
+		m.writeIfHolder(ctx, now)
 	}
-	until := now.Add(maxServersAge - age)
-	m.certainUntil.Store(&until)
-	isHolder := m.isHolder()
-	if isHolder && (!m.wasHolder || !m.upToDate()) {
-		m.wasHolder = m.load(ctx) && m.write(ctx)
-		return true
+	if m.loaded && m.complete {
+		until := now.Add(maxServersAge - age)
+		m.certainUntil.Store(&until)
 	}
-	m.wasHolder = isHolder
 	return true
 }
 
+// read reads the marks unless that was done, and again as long as one is missing: the service may have had versions that
+// nobody has recorded.
+func (m *versionMarks) read(ctx context.Context, now time.Time) {
+	switch {
+	case !m.loaded:
+		m.loaded, m.complete = m.load(ctx), false
+	case m.complete || now.Before(m.readAgainAt):
+		return
+	default:
+		m.load(ctx)
+	}
+	m.readAgainAt = now.Add(missingInterval)
+	m.complete = m.loaded && !m.missing()
+}
+
+// missing reports whether a service has no mark, or none that can be read.
+func (m *versionMarks) missing() bool {
+	for service := range m.dir.Versions() {
+		if len(m.known[service].versions) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// writeIfHolder writes the marks if they are out of date and this instance is the holder.
+func (m *versionMarks) writeIfHolder(ctx context.Context, now time.Time) {
+	isHolder := m.isHolder()
+	if !isHolder || m.wasHolder && m.upToDate() {
+		m.wasHolder = isHolder
+		return
+	}
+	m.wasHolder = !now.Before(m.refusedUntil) && m.load(ctx) && m.write(ctx)
+	m.complete = m.complete || m.wasHolder
+}
+
 // load reads the marks, and reports whether the store answered.
 func (m *versionMarks) load(ctx context.Context) bool {
 	snap, err := m.store.List(ctx, prefixVersions)
@@ -180,6 +220,7 @@
 	switch log := m.log.WithFields(logrus.Fields{"service": service, "error": err}); {
 	case errors.Is(err, store.ErrUnavailable):
 	case errors.Is(err, store.ErrRefused):
+		m.refusedUntil = clock.Now().Add(refusedInterval)
 		log.Error("mark of software versions refused by the store")
 	default:
 		log.Info("mark of software versions could not be written")
--- a/entry/versionmarks_test.go
+++ b/entry/versionmarks_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,10 +65,11 @@
 // servers the holder has not seen.
 func TestNewHolderKeepsVersionsOfMark(t *testing.T) {
 	p, holds := standin.NewPlatform(), false
+	one := writeMark(t, p)
 	m := newMarks(t, p, func() bool { return holds })
 	m.update(t.Context())
 	const both = `{"versions":["v1","v2"]}`
-	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(both), 0); err != nil {
+	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(both), one.Version); err != nil {
 		t.Fatal(err)
 	}
 	holds = true
@@ -79,10 +82,62 @@
 	}
 }
 
+// refusingStore refuses to create marks.
+type refusingStore struct {
+	store.Store
+	refused int
+}
+
+// Put implements store.Store.
+func (r *refusingStore) Put(ctx context.Context, key string, value []byte, version store.Revision) (store.Object, error) {
+	if strings.HasPrefix(key, prefixVersions) {
+		r.refused++
+		return store.Object{}, store.ErrRefused
+	}
+	return r.Store.Put(ctx, key, value, version)
+}
+
+// TestMissingMarkPassesForOneVersion guards against an instance that starts, finds no mark, and is certain that all streams
+// began at the version that serves now.
+func TestMissingMarkPassesForOneVersion(t *testing.T) {
+	for name, holder := range map[string]bool{"holder": true, "other instance": false} {
+		s := &refusingStore{Store: standin.NewPlatform()}
+		m := newMarks(t, s, func() bool { return holder })
+		for range 20 {
+			m.update(t.Context())
+		}
+		if versions, certain := newTestOrigins(m.dir, m).Versions("s"); certain {
+			t.Errorf("%s: certain of %v", name, versions)
+		}
+		if s.refused > 1 {
+			t.Errorf("%s: %d writes after the first was refused", name, s.refused-1)
+		}
+	}
+}
+
+// TestUnreadableMarkPassesForNone guards against an instance that starts and is certain although a mark cannot be read.
+func TestUnreadableMarkPassesForNone(t *testing.T) {
+	p, holds := standin.NewPlatform(), false
+	if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":"v2"}`), 0); err != nil {
+		t.Fatal(err)
+	}
+	m := newMarks(t, p, func() bool { return holds })
+	m.update(t.Context())
+	if m.certain() {
+		t.Error("certain with a mark that cannot be read")
+	}
+	holds = true
+	m.update(t.Context())
+	if got := markOf(t, p, "s"); got != oneVersionMark || !m.certain() {
+		t.Errorf("mark %s of a new holder, certain %t", got, m.certain())
+	}
+}
+
 // TestArchivedVersionIsKnown guards against a process that starts and holds the version of the servers for the only one,
 // although an earlier process kept origins of another that no holder had marked.
 func TestArchivedVersionIsKnown(t *testing.T) {
 	p := standin.NewPlatform()
+	writeMark(t, p)
 	m := newMarks(t, p, func() bool { return false })
 	m.update(t.Context())
 	archived := &originArchive{store: p, key: prefixOrigins + "a", table: skew.NewOrigins(), dir: directory.New(), log: discardLog()}
@@ -112,7 +167,9 @@
 // TestKeptOriginOfUnknownVersion guards against an instance that is certain of one version although it keeps the origin of
 // a stream of another one, whose servers it has not heard of.
 func TestKeptOriginOfUnknownVersion(t *testing.T) {
-	m := newMarks(t, standin.NewPlatform(), func() bool { return false })
+	p := standin.NewPlatform()
+	writeMark(t, p)
+	m := newMarks(t, p, func() bool { return false })
 	m.update(t.Context())
 	o := newTestOrigins(m.dir, m)
 	o.keep(skew.Entry{Attempt: "begun", Origin: skew.Origin{Service: "s", Version: "v2"}}, clock.Now())
@@ -135,11 +192,24 @@
 	}
 	(&Instance{marks: m, members: &members{eraChanged: make(chan struct{}, 1)}, follower: &follower{}}).handleStoreRestored(false)
 	m.update(t.Context())
-	if got := markOf(t, p, "s"); got != `{"versions":["v1"]}` {
+	if got := markOf(t, p, "s"); got != oneVersionMark {
 		t.Errorf("mark %q", got)
 	}
 }
 
+// oneVersionMark is the mark of a service whose servers have version v1.
+const oneVersionMark = `{"versions":["v1"]}`
+
+// writeMark writes the mark of the service s, as the holder does when its first server appears.
+func writeMark(t *testing.T, s store.Store) store.Object {
+	t.Helper()
+	obj, err := s.Put(t.Context(), prefixVersions+"s", []byte(oneVersionMark), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return obj
+}
+
 // markOf returns the mark of a service, "" if there is none.
 func markOf(t *testing.T, s store.Store, service string) string {
 	t.Helper()
