A stream taken up asks the other instances also where one version is known for certain

What callers saw: a stream begun at servers of a new software version, and taken up at an instance that had not heard of that version yet, went on at the old one: text of two versions, with status 200.

Cause: an instance relies on knowing all versions while its list of servers is at most 3 s old, and asked nobody then. "A server of a new version has to load models first, which takes longer" does not hold: servers may come with models loaded. The origin is sent to a few instances only, so the others learn of the version from their lists alone.

Weighed: (a) ask the instances that keep the origin, always. One round trip a stream taken up, nothing for new ones. An exemption for lists of up to some 100 ms was left out: a client takes a stream up within milliseconds, and the lists of a healthy fleet are up to some 500 ms old. (b) begin no stream at a server of a version that is new until no instance can be certain without it: costs 3 s of capacity in each release, and a new version that replaces all servers would serve nobody for 3 s. (c) less certainty: each short outage of the store or change of the holder would refuse all streams taken up.

Now an origin found binds; a version that another instance has heard of, certain or not, makes the stream's version unknown (refused, with a retry). If at least one instance answers and none knows of another version, it goes on as before. If none answers, it goes on only once the list of servers was complete at the time at which the client came, for which it waits 0.8 s at most (the holder's list is confirmed each 0.4 s), and is refused with a retry otherwise. So an instance that is cut off from the store and from all others refuses, where it went on at the only version that it knew. Origins of streams that have not been sent to others are found at the instance where they began, by others too, so asking refuses none of these.

Costs: a frozen instance among those asked costs a stream taken up 0.3 s (originTimeout) if nobody knows its origin; no answer at all 1.1 s. After all instances were killed nobody is certain, and all were asked before.

Conclusion: whether a version is the only one is asked when a stream is taken up, not inferred from the age of a list. What remains: all of those asked have old lists, too, and the origin has not been sent, as its instance was killed with the first event.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -26,11 +26,11 @@
 type OriginAnswer struct {
 	// Origin is the zero value if it is not known.
 	Origin skew.Origin
-	// OnlyVersion is the version at which another instance is certain that all streams of the service began; "" if there
-	// is none.
+	// OnlyVersion is the version at which all streams of the service began: an instance is certain of it, and none that
+	// answered knows another one; "" if there is none.
 	OnlyVersion string
 	// Unanswered is set if an instance that may know the origin did not answer, or if this one is not certain yet
-	// whether the service has several versions.
+	// whether the service has several versions, or took one for the only one that is not.
 	Unanswered bool
 }
 
@@ -48,11 +48,8 @@
 	if f.origins == nil || r.LastEventID == "" || a.route.Kind != serving.Streaming {
 		return b, nil
 	}
-	if b.version = f.onlyVersion(a.route, b.service.Name); b.version != "" {
-		f.recordTakeUp(r, b, "not_mixed")
-		return b, nil
-	}
-	answer := f.findOrigin(ctx, r, b.service.Name)
+	only := f.onlyVersion(a.route, b.service.Name)
+	answer := f.findOrigin(ctx, r, b.service.Name, only != "")
 	outcome := "not_known"
 	switch origin := answer.Origin; {
 	case origin.Version != "" && leadsTo(a.route, origin.Service):
@@ -60,7 +57,11 @@
 		b = binding{service: a.config.Services[origin.Service], version: origin.Version}
 	case origin.Version != "":
 		outcome = "other_service"
-	case answer.OnlyVersion != "":
+	case answer.OnlyVersion == "", f.mixed(a.route):
+	case answer.OnlyVersion == only:
+		outcome = "not_mixed"
+		b.version = only
+	default:
 		outcome = "one_version"
 		b.version = answer.OnlyVersion
 	}
@@ -75,21 +76,30 @@
 	return b, failure
 }
 
-// onlyVersion returns the software version of a service at which all streams of a route began; "" if there may be several
-// versions at one of the route's services, or none is known.
+// onlyVersion returns the software version of a service at which all streams of a route began as far as this instance
+// knows; "" if there may be several versions at one of the route's services, or none is known.
 func (f *Forwarder) onlyVersion(route *serving.Route, service string) string {
-	for _, t := range route.Targets {
-		if versions, certain := f.origins.Versions(t.Service); !certain || len(versions) > 1 {
-			return ""
-		}
-	}
 	versions, _ := f.origins.Versions(service)
-	if len(versions) == 0 {
+	if len(versions) == 0 || f.mixed(route) || slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return !f.certain(t) }) {
 		return ""
 	}
 	return versions[0]
 }
 
+// mixed reports whether one of a route's services is known to have several versions.
+func (f *Forwarder) mixed(route *serving.Route) bool {
+	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool {
+		versions, _ := f.origins.Versions(t.Service)
+		return len(versions) > 1
+	})
+}
+
+// certain reports whether all versions of a service are known.
+func (f *Forwarder) certain(t serving.Target) bool {
+	_, certain := f.origins.Versions(t.Service)
+	return certain
+}
+
 // leadsTo reports whether a service is among the targets of a route.
 func leadsTo(route *serving.Route, service string) bool {
 	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return t.Service == service })
@@ -103,9 +113,10 @@
 	}).Info("client takes a stream up")
 }
 
-// findOrigin returns what is known of the origin of the stream that a client takes up.
-func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string) OriginAnswer {
-	if r.Resumes == "" {
+// findOrigin returns what is known of the origin of the stream that a client takes up. If the client does not name the
+// attempt that began it, that is at most the only version of the service.
+func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string, oneVersion bool) OriginAnswer {
+	if r.Resumes == "" && !oneVersion {
 		return OriginAnswer{}
 	}
 	return f.origins.Find(ctx, r.Resumes, service)
--- a/command/skew/recent.go
+++ b/command/skew/recent.go
@@ -48,6 +48,18 @@
 	r.next = (r.next + 1) % maxRecent
 }
 
+// Find returns the origin of a stream, and whether it is held.
+func (r *Recent) Find(attempt string) (Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for n := range r.entries {
+		if e := r.entries[(r.next+len(r.entries)-1-n)%len(r.entries)]; e.Attempt == attempt {
+			return e.Origin, true
+		}
+	}
+	return Origin{}, false
+}
+
 // Take removes the streams of a service, and returns those that may still be taken up.
 func (r *Recent) Take(service string, now time.Time) []Entry {
 	r.mu.Lock()
--- a/command/skew/recent_test.go
+++ b/command/skew/recent_test.go
@@ -20,6 +20,12 @@
 	add("other", "b", now)
 	add("second", "a", now)
 	add(strings.Repeat("x", maxAttemptLength+1), "a", now)
+	if origin, held := r.Find("second"); !held || origin.Service != "a" {
+		t.Errorf("found %v, %t", origin, held)
+	}
+	if _, held := r.Find("third"); held {
+		t.Error("found a stream that was not added")
+	}
 	attempts := func(service string) (list []string) {
 		for _, e := range r.Take(service, now) {
 			list = append(list, e.Attempt)
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -22,8 +22,8 @@
 // streamOrigins shares at which software version streams began while servers of several versions serve. The instance
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client takes the stream up asks the same ones. The first event does not wait for
-// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent or asked; the
-// origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
+// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent; the origins of
+// that time are sent when servers of a second version appear. An instance archives in the store what it keeps
 // for others, so that streams go on after all instances were killed. It implements forward.Origins.
 type streamOrigins struct {
 	table *skew.Origins
@@ -55,6 +55,10 @@
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
+	// maxServersWait is how long a stream that a client takes up waits for a current list of servers if no other instance
+	// answers, and serversCheckInterval how often the list is checked. The holder's list is current twice in that time.
+	maxServersWait       = 2 * holderWatchWait
+	serversCheckInterval = 20 * time.Millisecond
 	// minKeepers is the number of instances that keep an origin if there are fewer failure domains.
 	minKeepers = 2
 )
@@ -129,18 +133,49 @@
 	}
 }
 
-// Find implements forward.Origins. It asks all instances that keep the origin at once, and returns the first answer that
-// settles where the stream may go on.
+// Find implements forward.Origins. It asks all instances that keep the origin at once, also if this instance is certain of
+// the versions: its list of servers may be older than a stream of a newer version that began elsewhere. It returns the first
+// answer that settles where the stream may go on.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
-	if origin, known := o.table.Find(attempt, clock.Now()); known {
+	arrived := clock.Now()
+	if origin, known := o.find(attempt); known {
 		return forward.OriginAnswer{Origin: origin}
 	}
+	asked := o.ask(ctx, &OriginArgs{Attempt: attempt, Service: service})
+	if asked.origin.Version != "" {
+		o.record(attempt, asked.origin, clock.Now())
+		return forward.OriginAnswer{Origin: asked.origin}
+	}
+	if asked.answers == 0 && o.marks.certain() {
+		o.awaitServersSince(ctx, arrived)
+	}
+	known, certain := o.Versions(service)
+	if certain && (asked.answers > 0 || o.serversSince(arrived)) {
+		asked.told = append(asked.told, known...)
+	}
+	only := onlyVersion(asked.told, slices.Concat(asked.heard, known))
+	return forward.OriginAnswer{
+		OnlyVersion: only,
+		Unanswered:  asked.answers < max(1, asked.instances) || !certain || len(known) == 0 || only == "" && len(known) == 1,
+	}
+}
+
+// askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, told are the
+// versions that one or more are certain of, and heard those that others know.
+type askedOrigin struct {
+	origin             skew.Origin
+	instances, answers int
+	told, heard        []string
+}
+
+// ask asks the instances that keep an origin until one knows it, for originTimeout at most.
+func (o *streamOrigins) ask(ctx context.Context, args *OriginArgs) askedOrigin {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	candidates, _ := o.keepers(ctx, attempt)
+	candidates, _ := o.keepers(ctx, args.Attempt)
 	keepers := slices.Concat(candidates...)
+	asked := askedOrigin{instances: len(keepers)}
 	replies := make(chan *OriginReply, len(keepers))
-	args := &OriginArgs{Attempt: attempt, Service: service}
 	for _, address := range keepers {
 		go func() {
 			reply := &OriginReply{}
@@ -150,28 +185,45 @@
 			replies <- reply
 		}()
 	}
-	known, certain := o.Versions(service)
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !certain || len(known) == 0}
-	var told []string
 	for range keepers {
-		switch reply := <-replies; {
-		case reply == nil:
-			answer.Unanswered = true
-		case reply.Known:
-			o.record(attempt, reply.Origin, clock.Now())
-			return forward.OriginAnswer{Origin: reply.Origin}
-		default:
-			told = append(told, reply.Versions...)
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		if reply.Known {
+			return askedOrigin{origin: reply.Origin}
 		}
+		asked.answers++
+		asked.told = append(asked.told, reply.Versions...)
+		asked.heard = append(asked.heard, reply.Heard...)
 	}
-	if !certain {
-		answer.OnlyVersion = onlyVersion(told, known)
+	return asked
+}
+
+// serversSince reports whether the list of servers was complete at a time or later.
+func (o *streamOrigins) serversSince(at time.Time) bool {
+	now := clock.Now()
+	return o.marks.serversAge(now) <= now.Sub(at)
+}
+
+// awaitServersSince waits until the list of servers was complete at a time or later, for maxServersWait at most.
+func (o *streamOrigins) awaitServersSince(ctx context.Context, at time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, maxServersWait)
+	defer cancel()
+	for !o.serversSince(at) && pause.For(ctx, serversCheckInterval) {
 	}
-	return answer
 }
 
-// onlyVersion returns the version at which all streams of a service began: the one that other instances are certain of, if
-// they agree and this instance knows no other. It returns "" if there is none.
+// find returns the origin of a stream if this instance knows it.
+func (o *streamOrigins) find(attempt string) (skew.Origin, bool) {
+	if origin, known := o.table.Find(attempt, clock.Now()); known {
+		return origin, true
+	}
+	return o.unsent.Find(attempt)
+}
+
+// onlyVersion returns the version at which all streams of a service began: the one that instances are certain of, if
+// they agree and none knows another. It returns "" if there is none.
 func onlyVersion(told, known []string) string {
 	all := slices.Concat(told, known)
 	if len(told) == 0 || slices.ContainsFunc(all, func(v string) bool { return v != all[0] }) {
@@ -220,10 +272,12 @@
 
 // answer returns what this instance knows of an origin.
 func (o *streamOrigins) answer(args *OriginArgs) OriginReply {
-	origin, known := o.table.Find(args.Attempt, clock.Now())
-	reply := OriginReply{Known: known, Origin: origin}
-	if versions, certain := o.Versions(args.Service); !known && certain {
-		reply.Versions = versions
+	if origin, known := o.find(args.Attempt); known {
+		return OriginReply{Known: true, Origin: origin}
+	}
+	versions, certain := o.Versions(args.Service)
+	if !certain {
+		return OriginReply{Heard: versions}
 	}
-	return reply
+	return OriginReply{Versions: versions}
 }
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -30,11 +30,11 @@
 type OriginArgs struct{ Attempt, Service string }
 
 // OriginReply has the origin if it is known. Otherwise Versions are the software versions at which streams of the service
-// began; it is empty if the instance is not certain that it knows all.
+// began, or if the instance is not certain that it knows all, Heard are those that it knows.
 type OriginReply struct {
-	Known    bool
-	Versions []string
-	Origin   skew.Origin
+	Known           bool
+	Versions, Heard []string
+	Origin          skew.Origin
 }
 
 // errNotRestored is returned by an instance that does not know yet what an earlier process of it kept.
--- a/soak/playlist.go
+++ b/soak/playlist.go
@@ -17,6 +17,8 @@
 	{name: "replaced-while-load-waits", versions: oneVersion, loaded: [][]string{{"m1"}, {"m3"}}, models: []string{"m1"}, load: slowLoad, maxPause: shortPause, act: replacedWhileLoadWaits},
 	{name: "replaced-while-frozen", versions: oneVersion, models: commonModels, act: replacedWhileFrozen},
 	{name: "replaced-while-cut-off", versions: oneVersion, models: commonModels, act: replacedWhileCutOff},
+	{name: "added", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, act: added(holderUndisturbed)},
+	{name: "added-while-cut-off", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, act: added(holderCutOff)},
 	{name: "replaced-while-store-down", versions: oneVersion, models: commonModels, act: replacedWhileStoreDown},
 	{name: "canary-without-holder", versions: oneVersion, models: commonModels, act: canaryWithoutHolder},
 	{name: "killed-with-two", versions: twoVersions, models: commonModels, act: killedWithTwo(false)},
@@ -29,6 +31,9 @@
 	{name: "holder-cut-off-and-old-left", versions: oneVersion, models: commonModels, act: holderLost(holderCutOff, true)},
 }
 
+// manyEntries is a number of instances of which few keep the origin of a stream.
+const manyEntries = 8
+
 // slowLoad is a load that takes longer than usual, and shortPause a pause of clients that take a stream up at once.
 const slowLoad, shortPause = 800 * time.Millisecond, 20 * time.Millisecond
 
@@ -84,6 +89,19 @@
 	p.storeProxies[0].setMode(passAll)
 }
 
+// added has engines of a second version, which have models loaded, appear after the lease holder is cut off from the store,
+// if how says so. Clients take their streams up at once.
+func added(how string) func(ctx context.Context, p *playRun) {
+	return func(ctx context.Context, p *playRun) {
+		p.releaseTakeUps()
+		end := p.disturbHolder(p.leaseHolder(ctx), how)
+		pause.For(ctx, p.upTo(time.Second))
+		p.addNew()
+		pause.For(ctx, 2*time.Second+p.upTo(time.Second))
+		end()
+	}
+}
+
 // replacedWhileStoreDown has an engine start again under its ID with another version while the store is down.
 func replacedWhileStoreDown(ctx context.Context, p *playRun) {
 	p.releaseTakeUps()
--- a/soak/plays.go
+++ b/soak/plays.go
@@ -38,6 +38,8 @@
 	loaded [][]string
 	// models are those that clients ask for.
 	models []string
+	// entries is the number of instances; playEntries if 0.
+	entries int
 	// load is how long a load takes, and maxPause the longest pause before a client takes a stream up; the usual ones if 0.
 	load, maxPause time.Duration
 	act            func(ctx context.Context, p *playRun)
@@ -83,7 +85,7 @@
 		return PlayResult{}, errors.Newf("soak: no play %q among %v", name, PlayNames())
 	}
 	chosen := plays[n]
-	params.Entries, params.Engines, params.PlainServers = playEntries, len(chosen.versions), 0
+	params.Entries, params.Engines, params.PlainServers = cmp.Or(chosen.entries, playEntries), len(chosen.versions), 0
 	r := newRun(params, fmt.Sprintf("play-%s-%d", name, params.Seed))
 	subnetClaim, err := r.prepare()
 	if err != nil {
