forward: a stream whose version is not known has a state of its own

What callers saw, had a service such servers: a stream whose first event came from a server that had been replaced meanwhile, so that nobody knows which version wrote it, went on at a server that calls its version "unknown". No such server was seen; the case is from reading.

Cause: "no server may continue this stream" was stated as a version of that name, and compared with the servers' versions like any other.

Now the transaction states it in a field of its own, which fits no server. The priority of such a stream and its refusals stay as they were; its log lines have an empty bound version.

Evidence: TestStreamOfUnknownProcessAtServerOfAnyVersion, before: version_test.go:89: version "unknown": <nil> after 2 sends, want one It passes now, as do all tests of the package under -race.

Conclusion: versions are names that others choose; none of them is free for a meaning of ours.

--- a/command/forward/resumed.go
+++ b/command/forward/resumed.go
@@ -75,7 +75,7 @@
 // that has begun, so that it does not queue behind new requests of its own class until its client leaves.
 func (t *transaction) urgency() int {
 	priority := t.route.Priority
-	if t.version != "" {
+	if t.bound() {
 		priority--
 	}
 	return min(maxUrgency, max(0, priority))
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -63,6 +63,8 @@
 	// whether the current server's first event was compared with it.
 	version       string
 	versionPinned bool
+	// versionUnknown is set if it is not known which version wrote what the client has, so that no server may continue it.
+	versionUnknown bool
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
 	// endsWithConnection is set if the answer of that server states its end only by that of its connection.
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -13,9 +13,6 @@
 // servers do not check it: once a client has the first event of a stream, the stream goes on only at servers of the
 // version that wrote it.
 
-// unknownVersion is the version of a stream that no server may continue.
-const unknownVersion = "unknown"
-
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
 // event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not
@@ -30,7 +27,7 @@
 		if t.version != "" && t.route.MayRepeat() {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s may have been replaced by one of another version than %s", t.server, t.serverVersion)
 		}
-		t.version = unknownVersion
+		t.version, t.versionUnknown = "", true
 		t.refuseContinuations()
 		return nil
 	}
@@ -50,35 +47,46 @@
 
 // fitsVersion reports whether the request may be sent to a server, given the version that its stream is bound to.
 func (t *transaction) fitsVersion(s serving.Server) bool {
-	return t.version == "" || s.Version == t.version
+	return !t.versionUnknown && (t.version == "" || s.Version == t.version)
+}
+
+// bound reports whether only servers of one version may continue the stream, or none.
+func (t *transaction) bound() bool { return t.version != "" || t.versionUnknown }
+
+// versionName names the version that the stream is bound to in messages.
+func (t *transaction) versionName() string {
+	if t.versionUnknown {
+		return "(not known)"
+	}
+	return t.version
 }
 
 // versionFailure returns the failure of a stream that cannot go on because no server of its version is left, and nil if
 // there is one, or if the stream has not begun.
 func (t *transaction) versionFailure() *verdict.Failure {
-	if t.version == "" || slices.ContainsFunc(t.f.dir.Servers(t.service.Name), t.fitsVersion) {
+	if !t.bound() || slices.ContainsFunc(t.f.dir.Servers(t.service.Name), t.fitsVersion) {
 		return nil
 	}
 	if t.last != nil {
-		return t.lastFailure("no server of software version " + t.version + " is left")
+		return t.lastFailure("no server of software version " + t.versionName() + " is left")
 	}
-	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, is left of %s", t.version, t.service.Name).
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, is left of %s", t.versionName(), t.service.Name).
 		WithRetryAfter(noServerRetryAfter)
 }
 
 // noReplicaOfVersion returns the failure of a stream that cannot go on because no server of its version has the unit.
 func (t *transaction) noReplicaOfVersion() *verdict.Failure {
 	if t.last != nil {
-		return t.lastFailure("no server of software version " + t.version + " has " + t.request.Unit.String())
+		return t.lastFailure("no server of software version " + t.versionName() + " has " + t.request.Unit.String())
 	}
-	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, has %s", t.version, t.request.Unit).
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, has %s", t.versionName(), t.request.Unit).
 		WithRetryAfter(noServerRetryAfter)
 }
 
 // replicas returns the replicas of the request's unit on servers that it may be sent to because of their version.
 func (t *transaction) replicas(now time.Time) []directory.Replica {
 	found := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
-	if t.version == "" {
+	if !t.bound() {
 		return found
 	}
 	return slices.DeleteFunc(found, func(r directory.Replica) bool { return !t.fitsVersion(r.Server) })
--- a/command/forward/version_test.go
+++ b/command/forward/version_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// TestStreamOfUnknownProcessAtServerOfAnyVersion guards against streams of a replaced server that go on at one whose
+// version has the name by which an unknown version is stated.
+func TestStreamOfUnknownProcessAtServerOfAnyVersion(t *testing.T) {
+	for _, version := range []string{"unknown", "", "none"} {
+		broken := brokenStream
+		broken.processUnknown = true
+		f := newFixture(t, broken, reply{status: 200, events: true, body: threeEvents})
+		for _, id := range []string{"e1", "e2"} {
+			f.dir.ApplyServer(serving.Server{ID: id, Service: "llm", Address: id + ":1", Revision: 3, Version: version, Models: map[string][]string{"warm": nil}}, time.Now())
+		}
+		if _, failure := f.serveAfter("stream", false); failure == nil || len(f.servers.attempts) != 1 {
+			t.Errorf("version %q: %v after %d sends, want one", version, failure, len(f.servers.attempts))
+		}
+	}
+}
+
 // boundOrigins returns Origins that know that all streams began at a version; nil if it is "".
 func boundOrigins(version string) Origins {
 	if version == "" {
