Log lines tell of a server whose process is another than the known one

What callers saw: streams that end early, are asked for again, or are kept from a server, after it had started again under its ID; only two counters told why, without the server, the request and what was known.

Cause: the check of a server's process and the one at a first event (pinVersion) decided without a line.

"server may have been replaced since the request was sent" has the fields of the request's own line, the version and start that are known now, the time since it was sent and the outcome (dropped, not_continued), once a stream.

--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -24,7 +27,9 @@
 	t.versionPinned = true
 	if s, known := t.f.dir.Server(t.server); processUnknown || known && s.Version != t.serverVersion {
 		t.f.counts.serverReplaced(t.service.Name)
-		if t.version != "" && t.route.MayRepeat() {
+		dropped := t.version != "" && t.route.MayRepeat()
+		t.logReplaced(s, processUnknown, dropped)
+		if dropped {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s may have been replaced by one of another version than %s", t.server, t.serverVersion)
 		}
 		t.version, t.versionUnknown = "", true
@@ -38,6 +43,19 @@
 	return nil
 }
 
+// logReplaced logs that the first event of a server may come from another process than the request was sent to. found is
+// the server as it is known now.
+func (t *transaction) logReplaced(found serving.Server, processUnknown, dropped bool) {
+	outcome := "not_continued"
+	if dropped {
+		outcome = "dropped"
+	}
+	t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{
+		"server": t.server, "found_version": found.Version, "found_born": found.Born, "process_unknown": processUnknown,
+		"sent_ms": clock.Since(t.sentAt).Milliseconds(), "outcome": outcome,
+	}).Info("server may have been replaced since the request was sent")
+}
+
 // refuseContinuations makes a stream that must not be repeated end if it breaks off.
 func (t *transaction) refuseContinuations() {
 	if t.onlyRun != nil {
--- a/command/forward/version_test.go
+++ b/command/forward/version_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
 	"github.com/martenport/martenport/command/skew"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -75,6 +78,30 @@
 	}
 }
 
+// TestReplacedServerIsLogged guards against streams that end early, or are asked for again, for a reason that no log line
+// tells.
+func TestReplacedServerIsLogged(t *testing.T) {
+	for version, outcome := range map[string]string{"": "not_continued", "v1": "dropped"} {
+		f := newFixture(t, reply{status: 200, events: true, body: threeEvents}, reply{status: 200, events: true, body: threeEvents})
+		for _, id := range []string{"e1", "e2"} {
+			f.dir.ApplyServer(serving.Server{ID: id, Service: "llm", Address: id + ":1", Revision: 3, Born: 1, Version: "v1", Models: map[string][]string{"warm": nil}}, time.Now())
+		}
+		logger, lines := logtest.NewNullLogger()
+		f.forwarder.log, f.forwarder.origins = logger, boundOrigins(version)
+		f.replaceOnSend()
+		f.serveAfter("stream", version != "")
+		var logged []logrus.Fields
+		for _, line := range lines.AllEntries() {
+			if line.Message == "server may have been replaced since the request was sent" {
+				logged = append(logged, line.Data)
+			}
+		}
+		if len(logged) != 1 || logged[0]["outcome"] != outcome || logged[0]["found_version"] != "v2" || logged[0]["version"] != "v1" || logged[0]["bound"] != version {
+			t.Errorf("bound to %q: %v", version, logged)
+		}
+	}
+}
+
 // TestStreamOfUnknownProcessAtServerOfAnyVersion guards against streams of a replaced server that go on at one whose
 // version has the name by which an unknown version is stated.
 func TestStreamOfUnknownProcessAtServerOfAnyVersion(t *testing.T) {
