forward: a stream that goes on at another service keeps to one version there

What callers saw: a stream whose route was changed goes on at the new service when it is taken up. Each time it is, it could go to any version of that service: of 20 take-ups 9 went to one version and 11 to the other.

Cause: the origin is at the service that the route no longer leads to and binds to nothing at the new one, and that the stream had already gone on there was recorded nowhere.

Ruled out: refusing such streams. A new run that goes on after the last event may follow where a request may be resumed, the text of two services is not of one service, and all streams of a changed route would be lost. Replacing the origin: an origin never changes, its copies are found in any order, and the route may lead back.

Now the version at which a stream goes on is recorded under an ID made of its attempt and the new service, and found by the same way as origins. The first take-up there may go to any version. If an instance that may know of an earlier one does not answer, and the service is not known to have one version only, the stream is refused with a retry, as one whose origin is not known. A take-up at such a service costs a second round trip to the instances that keep it.

Evidence, before: TestStreamGoesOnAtOneVersionElsewhere: take-ups by version: map[v1:9 v2:11], want one version TestUnansweredContinuationIsRefused: <nil>, 1 sends; want a refusal with a Retry-After Both pass now, with all tests of the package under -race. It was not played in real processes.

Conclusion: what binds a stream is each service's first version of it. What remains: a stream that went on at the new service while its origin was not known and that service had one version is not recorded; if a second version comes and the origin becomes known then, it is bound to nothing once more.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -35,10 +38,13 @@
 }
 
 // binding is the service that a request is sent to, and the software version that its stream is bound to: "" for a stream
-// that begins, or goes on at another service.
+// that begins, or goes on at another service for the first time.
 type binding struct {
 	service serving.Service
 	version string
+	// continued is the ID under which it is recorded at which version a stream goes on that began at another service; ""
+	// for others.
+	continued string
 }
 
 // bind chooses the service of a request. A stream that a client takes up is bound to the version that began it, and
@@ -56,7 +62,10 @@
 		outcome = "bound"
 		b = binding{service: a.config.Services[origin.Service], version: origin.Version}
 	case origin.Version != "":
-		outcome = "other_service"
+		b, answer = f.bindElsewhere(ctx, r, b)
+		if b.version != "" || !answer.Unanswered {
+			outcome = "other_service"
+		}
 	case answer.OnlyVersion == "", f.mixed(a.route):
 	case answer.OnlyVersion == only:
 		outcome = "not_mixed"
@@ -76,6 +85,22 @@
 	return b, failure
 }
 
+// bindElsewhere binds a stream to the version at which it has gone on at another service than it began at, which a changed
+// route leads to. answer is what is known of that; if the stream has not gone on there yet, any version may begin to.
+func (f *Forwarder) bindElsewhere(ctx context.Context, r *serving.Request, b binding) (binding, OriginAnswer) {
+	b.continued = continuedID(r.Resumes, b.service.Name)
+	answer := f.origins.Find(ctx, b.continued, b.service.Name)
+	b.version = cmp.Or(answer.Origin.Version, answer.OnlyVersion)
+	return b, answer
+}
+
+// continuedID returns the ID under which it is recorded how a stream goes on at another service than it began at. It is
+// short enough to be recorded, whatever the attempt's ID.
+func continuedID(attempt, service string) string {
+	sum := sha256.Sum256([]byte(attempt + "\x00" + service))
+	return hex.EncodeToString(sum[:16])
+}
+
 // onlyVersion returns the software version of a service at which all streams of a route began as far as this instance
 // knows; "" if there may be several versions at one of the route's services, or none is known.
 func (f *Forwarder) onlyVersion(route *serving.Route, service string) string {
@@ -129,3 +154,10 @@
 	}
 	t.f.origins.Record(t.request.ID, skew.Origin{Service: t.service.Name, Version: t.version})
 }
+
+// recordContinued records at which version the stream goes on if it began at another service.
+func (t *transaction) recordContinued() {
+	if t.continued != "" {
+		t.f.origins.Record(t.continued, skew.Origin{Service: t.service.Name, Version: t.version})
+	}
+}
--- a/command/forward/origin_test.go
+++ b/command/forward/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,3 +45,51 @@
 		})
 	}
 }
+
+// recordedOrigins know the origins that were recorded, of a service with two versions.
+type recordedOrigins struct {
+	known      map[string]skew.Origin
+	unanswered bool
+}
+
+func (recordedOrigins) Versions(string) ([]string, bool)            { return []string{"v1", "v2"}, true }
+func (o recordedOrigins) Record(attempt string, origin skew.Origin) { o.known[attempt] = origin }
+func (o recordedOrigins) Find(_ context.Context, attempt, _ string) OriginAnswer {
+	return OriginAnswer{Origin: o.known[attempt], Unanswered: o.unanswered}
+}
+
+// newChangedRoute returns a fixture with servers of two versions, at a service that a changed route leads to.
+func newChangedRoute(t *testing.T, replies ...reply) (*fixture, *recordedOrigins) {
+	f := newFixture(t, replies...)
+	for id, version := range map[string]string{"e1": "v1", "e2": "v2"} {
+		f.dir.ApplyServer(serving.Server{ID: id, Service: "llm", Address: id + ":1", Revision: 3, Version: version, Models: map[string][]string{"warm": nil}}, time.Now())
+	}
+	origins := &recordedOrigins{known: map[string]skew.Origin{"before": {Service: "earlier", Version: "v1"}}}
+	f.forwarder.origins = origins
+	return f, origins
+}
+
+// TestStreamGoesOnAtOneVersionElsewhere guards against a stream that is taken up several times at a service that a changed
+// route leads to, and gets events of two of that service's versions.
+func TestStreamGoesOnAtOneVersionElsewhere(t *testing.T) {
+	const takeUps = 20
+	f, _ := newChangedRoute(t, slices.Repeat([]reply{{status: 200, events: true, body: threeEvents}}, takeUps)...)
+	sent := map[string]int{}
+	for range takeUps {
+		f.serveAfter("stream", true)
+		sent[f.servers.attempts[len(f.servers.attempts)-1].Server.Version]++
+	}
+	if len(sent) != 1 || len(f.servers.attempts) != takeUps {
+		t.Errorf("take-ups by version: %v, want one version", sent)
+	}
+}
+
+// TestUnansweredContinuationIsRefused guards against a version that is guessed for a stream that may have gone on at
+// another one.
+func TestUnansweredContinuationIsRefused(t *testing.T) {
+	f, origins := newChangedRoute(t, reply{status: 200, events: true, body: threeEvents})
+	origins.unanswered = true
+	if _, failure := f.serveAfter("stream", true); failure == nil || failure.RetryAfter == 0 || len(f.servers.attempts) > 0 {
+		t.Errorf("%v, %d sends; want a refusal with a Retry-After", failure, len(f.servers.attempts))
+	}
+}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -65,6 +65,8 @@
 	versionPinned bool
 	// versionUnknown is set if it is not known which version wrote what the client has, so that no server may continue it.
 	versionUnknown bool
+	// continued is that of the binding.
+	continued string
 	// via is the instance through which the server last answered; "" if the connection was direct.
 	via string
 	// endsWithConnection is set if the answer of that server states its end only by that of its connection.
@@ -104,7 +106,7 @@
 	route := a.route
 	t := &transaction{
 		f: f, admission: a, request: r, out: newClientWriter(w, r.LastEventID), excluded: map[string]bool{},
-		service: b.service, version: b.version,
+		service: b.service, version: b.version, continued: b.continued,
 	}
 	t.deadline = r.Arrived.Add(allowedTime(route, r))
 	t.room = t.roomClass()
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -40,6 +40,7 @@
 		t.version = t.serverVersion
 		t.recordOrigin()
 	}
+	t.recordContinued()
 	return nil
 }
 
