--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"cmp"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 
 	"github.com/sirupsen/logrus"
@@ -26,19 +29,22 @@
 type OriginAnswer struct {
 	// Origin is the zero value if it is not known.
 	Origin skew.Origin
-	// OnlyVersion is the version at which another instance is certain that all streams of the service began; "" if there
-	// is none.
+	// OnlyVersion is the version at which all streams of the service began: an instance is certain of it, and none that
+	// answered knows another one; "" if there is none.
 	OnlyVersion string
 	// Unanswered is set if an instance that may know the origin did not answer, or if this one is not certain yet
-	// whether the service has several versions.
+	// whether the service has several versions, or took one for the only one that is not.
 	Unanswered bool
 }
 
 // binding is the service that a request is sent to, and the software version that its stream is bound to: "" for a stream
-// that begins, or goes on at another service.
+// that begins, or goes on at another service for the first time.
 type binding struct {
 	service serving.Service
 	version string
+	// continued is the ID under which it is recorded at which version a stream goes on that began at another service; ""
+	// for others.
+	continued string
 }
 
 // bind chooses the service of a request. A stream that a client takes up is bound to the version that began it, and
@@ -48,19 +54,23 @@
 	if f.origins == nil || r.LastEventID == "" || a.route.Kind != serving.Streaming {
 		return b, nil
 	}
-	if b.version = f.onlyVersion(a.route, b.service.Name); b.version != "" {
-		f.recordTakeUp(r, b, "not_mixed")
-		return b, nil
-	}
-	answer := f.findOrigin(ctx, r, b.service.Name)
+	only := f.onlyVersion(a.route, b.service.Name)
+	answer := f.findOrigin(ctx, r, b.service.Name, only != "")
 	outcome := "not_known"
 	switch origin := answer.Origin; {
 	case origin.Version != "" && leadsTo(a.route, origin.Service):
 		outcome = "bound"
 		b = binding{service: a.config.Services[origin.Service], version: origin.Version}
 	case origin.Version != "":
-		outcome = "other_service"
-	case answer.OnlyVersion != "":
+		b, answer = f.bindElsewhere(ctx, r, b)
+		if b.version != "" || !answer.Unanswered {
+			outcome = "other_service"
+		}
+	case answer.OnlyVersion == "", f.mixed(a.route):
+	case answer.OnlyVersion == only:
+		outcome = "not_mixed"
+		b.version = only
+	default:
 		outcome = "one_version"
 		b.version = answer.OnlyVersion
 	}
@@ -75,21 +85,46 @@
 	return b, failure
 }
 
-// onlyVersion returns the software version of a service at which all streams of a route began; "" if there may be several
-// versions at one of the route's services, or none is known.
+// bindElsewhere binds a stream to the version at which it has gone on at another service than it began at, which a changed
+// route leads to. answer is what is known of that; if the stream has not gone on there yet, any version may begin to.
+func (f *Forwarder) bindElsewhere(ctx context.Context, r *serving.Request, b binding) (binding, OriginAnswer) {
+	b.continued = continuedID(r.Resumes, b.service.Name)
+	answer := f.origins.Find(ctx, b.continued, b.service.Name)
+	b.version = cmp.Or(answer.Origin.Version, answer.OnlyVersion)
+	return b, answer
+}
+
+// continuedID returns the ID under which it is recorded how a stream goes on at another service than it began at. It is
+// short enough to be recorded, whatever the attempt's ID.
+func continuedID(attempt, service string) string {
+	sum := sha256.Sum256([]byte(attempt + "\x00" + service))
+	return hex.EncodeToString(sum[:16])
+}
+
+// onlyVersion returns the software version of a service at which all streams of a route began as far as this instance
+// knows; "" if there may be several versions at one of the route's services, or none is known.
 func (f *Forwarder) onlyVersion(route *serving.Route, service string) string {
-	for _, t := range route.Targets {
-		if versions, certain := f.origins.Versions(t.Service); !certain || len(versions) > 1 {
-			return ""
-		}
-	}
 	versions, _ := f.origins.Versions(service)
-	if len(versions) == 0 {
+	if len(versions) == 0 || f.mixed(route) || slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return !f.certain(t) }) {
 		return ""
 	}
 	return versions[0]
 }
 
+// mixed reports whether one of a route's services is known to have several versions.
+func (f *Forwarder) mixed(route *serving.Route) bool {
+	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool {
+		versions, _ := f.origins.Versions(t.Service)
+		return len(versions) > 1
+	})
+}
+
+// certain reports whether all versions of a service are known.
+func (f *Forwarder) certain(t serving.Target) bool {
+	_, certain := f.origins.Versions(t.Service)
+	return certain
+}
+
 // leadsTo reports whether a service is among the targets of a route.
 func leadsTo(route *serving.Route, service string) bool {
 	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return t.Service == service })
@@ -103,9 +138,10 @@
 	}).Info("client takes a stream up")
 }
 
-// findOrigin returns what is known of the origin of the stream that a client takes up.
-func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string) OriginAnswer {
-	if r.Resumes == "" {
+// findOrigin returns what is known of the origin of the stream that a client takes up. If the client does not name the
+// attempt that began it, that is at most the only version of the service.
+func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string, oneVersion bool) OriginAnswer {
+	if r.Resumes == "" && !oneVersion {
 		return OriginAnswer{}
 	}
 	return f.origins.Find(ctx, r.Resumes, service)
@@ -118,3 +154,10 @@
 	}
 	t.f.origins.Record(t.request.ID, skew.Origin{Service: t.service.Name, Version: t.version})
 }
+
+// recordContinued records at which version the stream goes on if it began at another service.
+func (t *transaction) recordContinued() {
+	if t.continued != "" {
+		t.f.origins.Record(t.continued, skew.Origin{Service: t.service.Name, Version: t.version})
+	}
+}
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -4,7 +4,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -13,9 +16,6 @@
 // servers do not check it: once a client has the first event of a stream, the stream goes on only at servers of the
 // version that wrote it.
 
-// unknownVersion is the version of a stream that no server may continue.
-const unknownVersion = "unknown"
-
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
 // event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not
@@ -27,10 +27,12 @@
 	t.versionPinned = true
 	if s, known := t.f.dir.Server(t.server); processUnknown || known && s.Version != t.serverVersion {
 		t.f.counts.serverReplaced(t.service.Name)
-		if t.version != "" && t.route.MayRepeat() {
+		dropped := t.version != "" && t.route.MayRepeat()
+		t.logReplaced(s, processUnknown, dropped)
+		if dropped {
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "server %s may have been replaced by one of another version than %s", t.server, t.serverVersion)
 		}
-		t.version = unknownVersion
+		t.version, t.versionUnknown = "", true
 		t.refuseContinuations()
 		return nil
 	}
@@ -38,9 +40,23 @@
 		t.version = t.serverVersion
 		t.recordOrigin()
 	}
+	t.recordContinued()
 	return nil
 }
 
+// logReplaced logs that the first event of a server may come from another process than the request was sent to. found is
+// the server as it is known now.
+func (t *transaction) logReplaced(found serving.Server, processUnknown, dropped bool) {
+	outcome := "not_continued"
+	if dropped {
+		outcome = "dropped"
+	}
+	t.f.log.WithFields(t.logFields()).WithFields(logrus.Fields{
+		"server": t.server, "found_version": found.Version, "found_born": found.Born, "process_unknown": processUnknown,
+		"sent_ms": clock.Since(t.sentAt).Milliseconds(), "outcome": outcome,
+	}).Info("server may have been replaced since the request was sent")
+}
+
 // refuseContinuations makes a stream that must not be repeated end if it breaks off.
 func (t *transaction) refuseContinuations() {
 	if t.onlyRun != nil {
@@ -50,35 +66,46 @@
 
 // fitsVersion reports whether the request may be sent to a server, given the version that its stream is bound to.
 func (t *transaction) fitsVersion(s serving.Server) bool {
-	return t.version == "" || s.Version == t.version
+	return !t.versionUnknown && (t.version == "" || s.Version == t.version)
+}
+
+// bound reports whether only servers of one version may continue the stream, or none.
+func (t *transaction) bound() bool { return t.version != "" || t.versionUnknown }
+
+// versionName names the version that the stream is bound to in messages.
+func (t *transaction) versionName() string {
+	if t.versionUnknown {
+		return "(not known)"
+	}
+	return t.version
 }
 
 // versionFailure returns the failure of a stream that cannot go on because no server of its version is left, and nil if
 // there is one, or if the stream has not begun.
 func (t *transaction) versionFailure() *verdict.Failure {
-	if t.version == "" || slices.ContainsFunc(t.f.dir.Servers(t.service.Name), t.fitsVersion) {
+	if !t.bound() || slices.ContainsFunc(t.f.dir.Servers(t.service.Name), t.fitsVersion) {
 		return nil
 	}
 	if t.last != nil {
-		return t.lastFailure("no server of software version " + t.version + " is left")
+		return t.lastFailure("no server of software version " + t.versionName() + " is left")
 	}
-	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, is left of %s", t.version, t.service.Name).
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, is left of %s", t.versionName(), t.service.Name).
 		WithRetryAfter(noServerRetryAfter)
 }
 
 // noReplicaOfVersion returns the failure of a stream that cannot go on because no server of its version has the unit.
 func (t *transaction) noReplicaOfVersion() *verdict.Failure {
 	if t.last != nil {
-		return t.lastFailure("no server of software version " + t.version + " has " + t.request.Unit.String())
+		return t.lastFailure("no server of software version " + t.versionName() + " has " + t.request.Unit.String())
 	}
-	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, has %s", t.version, t.request.Unit).
+	return verdict.Refuse(verdict.ReasonVersion, "no server of software version %s, which began the stream, has %s", t.versionName(), t.request.Unit).
 		WithRetryAfter(noServerRetryAfter)
 }
 
 // replicas returns the replicas of the request's unit on servers that it may be sent to because of their version.
 func (t *transaction) replicas(now time.Time) []directory.Replica {
 	found := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
-	if t.version == "" {
+	if !t.bound() {
 		return found
 	}
 	return slices.DeleteFunc(found, func(r directory.Replica) bool { return !t.fitsVersion(r.Server) })
