An engine that lost its entry only is asked before its streams go on elsewhere

Its entry is removed; 0.6 s later it breaks off streams that must not be repeated. They go on at other engines within a millisecond, while the engine, which is reached, works on them for seconds.

Hypotheses: 1. the removal of the entry counts as the end of the process, and a server that counts as ended is not asked; 2. it is asked, and its list of runs is old; 3. it is asked over connections that were closed with its entry, and counts as gone. Tests of each seam told them apart: 1 fails as below; lists older than 600 ms are excluded as before (TestContinuationOfEndedEngine, "stopped"); a server whose entry was forgotten is called on a new connection.

Cause: handleEntryRemoved recorded an end whenever any answer had broken off within 20 s, also if the engine had been found running since. runState took an engine that counts as ended for gone.

The process of an engine has ended if its address refuses or is another process's, or if its entry is gone and it gives no answer to four probes. For new requests an engine without an entry is gone, as before. A stream goes on only by what its engine says or after 600 ms without an answer, whether it counts as ended or not. Plain servers have no call that shows their process; the removal of their entry is their end, as before.

Ruled out: no end by a missing entry at all, since a machine that fails answers nothing, and requests under which engines end are counted by it.

--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -152,11 +152,9 @@
 	}
 }
 
-// runState returns whether the engine before still works on the stream.
+// runState returns whether the engine before still works on the stream. An engine that counts as ended is asked as well: it
+// may have lost its entry only.
 func (t *transaction) runState(ctx context.Context) serving.RunState {
-	if t.f.guard.Crashed(t.onlyRun.engine) {
-		return serving.RunGone
-	}
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	return t.f.backups.memory.RunState(ctx, t.onlyRun.engine, t.request.ID)
--- a/command/forward/continuation_test.go
+++ b/command/forward/continuation_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/martenport/martenport/command/continuation"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -128,6 +129,41 @@
 	}
 }
 
+// TestContinuationOfEndedEngine guards against a stream that goes on while its engine, which counts as ended, works on it.
+func TestContinuationOfEndedEngine(t *testing.T) {
+	for name, test := range map[string]struct {
+		state serving.RunState
+		sends int
+		wait  time.Duration
+	}{
+		"works on":    {serving.RunActive, 1, 0},
+		"stopped":     {serving.RunNotListed, 2, continuation.DefaultParams().MaxListAge},
+		"gone":        {serving.RunGone, 2, 0},
+		"unreachable": {serving.RunUnknown, 2, continuation.DefaultParams().UnreachableAfter},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newBackupFixture(t, &fakeMemory{state: test.state}, brokenStream, restOfStream)
+				var sent []time.Time
+				f.servers.onSend = func(a serving.Attempt) {
+					sent = append(sent, time.Now())
+					if len(sent) == 1 {
+						f.guard.crashed = map[string]bool{a.Server.ID: true}
+					}
+				}
+				_, failure := f.serve("once", "warm", 0)
+				synctest.Wait()
+				if len(sent) != test.sends || (failure == nil) != (test.sends == 2) {
+					t.Fatalf("%d sends, %v; want %d", len(sent), failure, test.sends)
+				}
+				if waited := sent[len(sent)-1].Sub(sent[0]); waited < test.wait {
+					t.Errorf("went on after %s, want %s without an answer", waited, test.wait)
+				}
+			})
+		})
+	}
+}
+
 // TestContinuationTarget: a stream does not go on at an engine that leaves in the meantime, and has no
 // backup if no other engine has its unit.
 func TestContinuationTarget(t *testing.T) {
--- a/entry/crashcheck.go
+++ b/entry/crashcheck.go
@@ -87,6 +87,36 @@
 	close(check.done)
 }
 
+// probeWithoutEntry finds out whether an engine whose entry is gone has ended. It waits for no check in progress: those probe
+// less often.
+func (c *crashDetector) probeWithoutEntry(incarnation quarantine.Incarnation, s serving.Server) {
+	start := clock.Now()
+	switch presence := c.probe(s); {
+	case presence == serving.PresenceRunning:
+		c.recordRunning(incarnation, start)
+	case presence == serving.PresenceEnded:
+		c.recordEnd(incarnation, "address refuses or is another's")
+	case c.lostEntry(incarnation):
+		c.recordEnd(incarnation, "entry gone, no answer")
+	}
+}
+
+// recordRunning records that a server was running at a time.
+func (c *crashDetector) recordRunning(incarnation quarantine.Incarnation, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.incarnations[incarnation]; w != nil {
+		w.dropIrrelevantAttempts(at)
+		w.lastSeen = clock.Now()
+	}
+}
+
+// lostEntry reports whether the entry of an incarnation is gone although the server had not announced that it leaves.
+func (c *crashDetector) lostEntry(incarnation quarantine.Incarnation) bool {
+	s, known := c.dir.Server(incarnation.Server)
+	return !(known && quarantine.IncarnationOf(s) == incarnation) && !c.dir.SeenDraining(incarnation.Server)
+}
+
 // waitForNextProbe waits between two probes, for probeSpacing at most if another answer breaks off
 // meanwhile, and returns how long it waited.
 func (c *crashCheck) waitForNextProbe(wait time.Duration) time.Duration {
--- a/entry/crashcheck_test.go
+++ b/entry/crashcheck_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -53,3 +54,40 @@
 		t.Errorf("crashes %v, %v of isolated runs; want both, and that of the run that began before", record.Crashes, record.Alone)
 	}
 }
+
+// TestEntryGoneOfRunningEngine guards against requests that count as the cause of the end of an engine that lost its entry only.
+func TestEntryGoneOfRunningEngine(t *testing.T) {
+	tests := map[string]struct {
+		server  string
+		disturb func(*standin.Server)
+		ended   bool
+	}{
+		"engine answers":       {"e1", func(*standin.Server) {}, false},
+		"engine does not":      {"e1", func(s *standin.Server) { s.Pause(time.Minute) }, true},
+		"engine has ended":     {"e1", (*standin.Server).Stop, true},
+		"plain server accepts": {"p1", func(*standin.Server) {}, true}, // nothing shows that it is the same process
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			r := f.instances[0]
+			s, _ := r.dir.Server(test.server)
+			f.stopAnnouncing[test.server]()
+			check := r.crashes.RecordBrokenAnswer(quarantine.BrokenAttempt{Fingerprint: "sound", Server: s, SentAt: clock.Now()})
+			<-check.FirstProbe
+			test.disturb(f.servers[test.server])
+			f.expireEntry(test.server)
+			f.await("entry gone", func() bool { _, known := r.dir.Server(test.server); return !known })
+			f.await("known whether it has ended", func() bool {
+				r.crashes.mu.Lock()
+				defer r.crashes.mu.Unlock()
+				w := r.crashes.incarnations[quarantine.IncarnationOf(s)]
+				return w.ended || !test.ended && w.check == nil
+			})
+			record, _ := r.quarantine.ledger.Record("sound", clock.Now())
+			if ended := r.crashes.Crashed(s); ended != test.ended || len(record.Crashes) > 0 != test.ended {
+				t.Errorf("counts as ended: %t, ends that count against the request: %v; want %t", ended, record.Crashes, test.ended)
+			}
+		})
+	}
+}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -20,7 +20,8 @@
 // crashDetector detects which servers have ended while requests ran on them, and records that in the
 // ledger. An answer that breaks off does not prove an end: servers and links break off answers for
 // other reasons. The server has ended if nothing listens at its address, if another process does, or
-// if its entry disappears although the server had not announced that it leaves.
+// if its entry disappears although the server had not announced that it leaves. An engine has not ended
+// if it still answers then: it may be cut off from the store only.
 type crashDetector struct {
 	ledger     *quarantine.Ledger
 	dir        *directory.Directory
@@ -237,15 +238,18 @@
 	c.quarantine.recordChange(escalations)
 }
 
-// handleEntryRemoved records that a server's entry was removed from the store. A draining server has
-// left as planned; any other has ended.
+// handleEntryRemoved handles the removal of a server's entry from the store. A draining server has left as
+// planned. An engine is asked whether it runs; any other server has ended.
 func (c *crashDetector) handleEntryRemoved(id string, draining bool) {
 	for _, incarnation := range c.matchingIncarnations(func(w *incarnationWatch) bool { return w.server.ID == id }) {
-		if draining {
+		switch s, watched := c.watched(incarnation); {
+		case draining:
 			c.forget(incarnation)
-			continue
+		case watched && c.isEngine(s):
+			go c.probeWithoutEntry(incarnation, s)
+		default:
+			c.recordEnd(incarnation, "entry gone")
 		}
-		c.recordEnd(incarnation, "entry gone")
 	}
 }
 
@@ -274,6 +278,17 @@
 	return incarnations
 }
 
+// watched returns the server of an incarnation that is not known to have ended.
+func (c *crashDetector) watched(incarnation quarantine.Incarnation) (serving.Server, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w := c.incarnations[incarnation]
+	if w == nil || w.ended {
+		return serving.Server{}, false
+	}
+	return w.server, true
+}
+
 func (c *crashDetector) forget(incarnation quarantine.Incarnation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
