backend: heads of responses end at 16 KiB

Callers saw: nothing yet. A backend server in trouble sends a status line, a header, headers or informational answers without end, and net/http's transport reads 10 MB of each such head before it gives up, for each request, report and order at once. platform/ is bounded since; the transport of the fleet's own client was not.

Ruled out: the bodies of reports, acknowledgements, answers of plain services and refusals, which have limits of their own. The verdict of such a send is unchanged: the request may have run.

--- a/backend/http.go
+++ b/backend/http.go
@@ -37,6 +37,9 @@
 	RetryAfterMS int64 `json:"retry_after_ms,omitempty"`
 }
 
+// maxHeadBytes bounds the head of a response, with the informational ones before it.
+const maxHeadBytes = 16 << 10
+
 // Size limits of response bodies: reports and acknowledgements of orders, answers of
 // plain services, and refusals.
 const (
@@ -72,7 +75,10 @@
 // servers.
 func NewTransport() *http.Transport {
 	dial := tcpdial.Params{Connect: dialTimeout, UnackedTimeout: ackTimeout}
-	return &http.Transport{DialContext: dial.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true}
+	return &http.Transport{
+		DialContext: dial.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHeadBytes,
+	}
 }
 
 type fenceRequest struct {
