backend: a token of a stream has a bound

Callers saw: nothing yet. The stream of an engine is decoded token by token, and the decoder keeps what it has read until the token is complete. A token without end, or blanks without end before one, is kept as a whole until the connection ends.

The count starts anew with each token, so that no length of a stream of tokens is too long.

Ruled out: reports and acknowledgements (at most 4 MiB are decoded), answers of plain services (8 MiB) and refusals (64 KiB). Tests of backend, command/dispatch and daemon with -race pass.

--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// TestTokenWithoutEnd guards against a token without end, which is kept in memory as a whole.
+func TestTokenWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n\r\n"
+	const first = head + `{"attempt":"mine","sequence":0,"text":"x"}` + "\n"
+	for name, c := range map[string]struct{ begin, piece string }{
+		"text":         {head + `{"attempt":"mine","sequence":0,"text":"`, "x"},
+		"list":         {head + `{"other":[`, "[],"},
+		"blanks":       {head, " "},
+		"blank lines":  {first, "\n"},
+		"second token": {first + `{"text":"`, "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checkEndless(t, c.begin, c.piece, 4<<20, func(ctx context.Context, h *backend.HTTP) error { _, err := readAll(ctx, h); return err })
+		})
+	}
+}
+
 // checkEndless checks that a call of a server without end fails, and how much is read.
 func checkEndless(t *testing.T, begin, piece string, most int64, send func(ctx context.Context, h *backend.HTTP) error) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
--- a/backend/generate.go
+++ b/backend/generate.go
@@ -17,7 +17,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &stream{attempt: a.ID, next: a.From, body: resp.Body, decoder: json.NewDecoder(resp.Body)}, nil
+	body := &tokenReader{ReadCloser: resp.Body}
+	return &stream{attempt: a.ID, next: a.From, body: body, decoder: json.NewDecoder(body)}, nil
 }
 
 // Cancel implements Engine.
@@ -84,16 +85,38 @@
 type stream struct {
 	attempt string
 	next    int64
-	body    io.ReadCloser
+	body    *tokenReader
 	decoder *json.Decoder
 }
 
+// maxTokenBytes bounds what is read for one token, which the decoder keeps in memory until the token is complete.
+const maxTokenBytes = 64 << 10
+
+var errTokenTooLarge = errors.Newf("a token is larger than %d bytes, or none comes", maxTokenBytes)
+
+// tokenReader fails once more than maxTokenBytes have been read since the last token.
+type tokenReader struct {
+	io.ReadCloser
+	read int
+}
+
+// Read implements io.Reader.
+func (r *tokenReader) Read(p []byte) (int, error) {
+	if r.read > maxTokenBytes {
+		return 0, errTokenTooLarge
+	}
+	n, err := r.ReadCloser.Read(p)
+	r.read += n
+	return n, err
+}
+
 // Next implements Stream.
 func (s *stream) Next() (Token, error) {
 	var t Token
 	if err := s.decoder.Decode(&t); err != nil {
 		return Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "answer broke off at %d: %v", s.next, err)
 	}
+	s.body.read = 0
 	if t.Attempt != s.attempt {
 		return Token{}, verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "answer of attempt %q in the place of %q", t.Attempt, s.attempt)
 	}
