rpcpool: what comes without a response has a bound

Callers saw: nothing yet. net/rpc keeps a response in memory as a whole before it decodes it, and accepts a length of up to 8 GiB. A call gives up at its deadline, but the connection stays open while bytes arrive, and so the memory grows: by one connection to an address at which something else than an instance answers, or an instance in trouble.

Now reading fails with more than 16 MiB since the last response, and the connection is replaced.

Ruled out: bytes that are no message at all, such as an answer in HTTP or one byte again and again, end the connection at once ("no message" passed before). The server's side of net/rpc has the same decoder; only instances connect there.

--- a/internal/rpcpool/rpcpool.go
+++ b/internal/rpcpool/rpcpool.go
@@ -40,28 +40,43 @@
 // client is one connection.
 type client struct {
 	*rpc.Client
-	// reads counts the reads that returned data.
-	reads *atomic.Int64
+	received *received
 }
 
-// countingConn counts the reads that return data.
+// maxReplyBytes bounds what is received between two responses on a connection. net/rpc keeps a response in memory as a whole,
+// and accepts one of any length.
+const maxReplyBytes = 16 << 20
+
+var errReplyTooLarge = errors.Newf("rpc: more than %d bytes without a response", maxReplyBytes)
+
+// received counts what is received on a connection.
+type received struct {
+	// reads is the number of reads that returned data, and bytes the number of bytes since the last response.
+	reads, bytes atomic.Int64
+}
+
+// countingConn counts what it receives. Reading fails after maxReplyBytes without a response.
 type countingConn struct {
 	net.Conn
-	reads *atomic.Int64
+	received *received
 }
 
 // Read implements net.Conn.
 func (c countingConn) Read(b []byte) (int, error) {
+	if c.received.bytes.Load() > maxReplyBytes {
+		return 0, errReplyTooLarge
+	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.reads.Add(1)
+		c.received.reads.Add(1)
+		c.received.bytes.Add(int64(n))
 	}
 	return n, err
 }
 
 func newClient(raw net.Conn) *client {
-	reads := &atomic.Int64{}
-	return &client{Client: rpc.NewClient(countingConn{Conn: raw, reads: reads}), reads: reads}
+	r := &received{}
+	return &client{Client: rpc.NewClient(countingConn{Conn: raw, received: r}), received: r}
 }
 
 // New returns an empty pool.
@@ -78,12 +93,13 @@
 	if err != nil {
 		return errors.Wrap(ErrUnreachable, err.Error())
 	}
-	readsBefore := conn.reads.Load()
+	readsBefore := conn.received.reads.Load()
 	pending := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-pending.Done:
+		conn.received.bytes.Store(0)
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) && conn.reads.Load() == readsBefore {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && conn.received.reads.Load() == readsBefore {
 			p.drop(address, conn)
 		}
 		return errors.Wrap(ErrUnreachable, ctx.Err().Error())
