forward: a stream of events without end leaves the processor to other requests

Callers saw: nothing yet. All engines of a service send valid events without end, as fast as they are taken; other requests of the instance wait for the processor.

Events cost most: each one is parsed and relayed.

Now a stream is read at 256 KiB a second at most beyond its first 1 MiB, many times what a model writes; what a server sends beyond waits in its connection. Weighed: to break a stream off after as many events as tokens that were asked for. Nothing says what ends a stream or that each event has a token, so a whole answer might be lost; a slower one is none.

TestEventsWithoutEndTakeProcessor (virtual time) on the code before: "2097135 bytes of events relayed in 0s, want 2s or more". Streams of usual size are not delayed (same test).

Ruled out by a run each, of a server that sends them without end: extensions, sizes and ends of chunks, trailers, bytes, answers and informational ones after a whole answer; at most 18 KB are read of each, and the connection is closed.

--- a/command/forward/events_test.go
+++ b/command/forward/events_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -63,3 +65,36 @@
 		t.Errorf("%d of %d bytes relayed, %v", w.Body.Len(), stream.Len(), failure)
 	}
 }
+
+// TestEventsWithoutEndTakeProcessor guards against streams that are relayed as fast as they come, so that a server whose
+// events have no end takes the processor from all other requests.
+func TestEventsWithoutEndTakeProcessor(t *testing.T) {
+	const size = 2 << 20
+	var stream strings.Builder
+	for i := 1; stream.Len() < size; i++ {
+		fmt.Fprintf(&stream, "id: %d\ndata: x\n\n", i)
+	}
+	for name, c := range map[string]struct {
+		size    int
+		fastest time.Duration
+	}{
+		"usual size":           {size / 8, 0},
+		"beyond any plausible": {size, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole := stream.String()[:c.size]
+				whole = whole[:strings.LastIndex(whole, "\n\n")+2]
+				f, begun := newFixture(t, reply{status: http.StatusOK, events: true, body: whole}), time.Now()
+				w, failure := f.serve("once", "warm", time.Minute)
+				took := time.Since(begun)
+				if failure != nil || w.Body.String() != whole {
+					t.Errorf("%d of %d bytes relayed, %v", w.Body.Len(), len(whole), failure)
+				}
+				if took < c.fastest || c.fastest == 0 && took > 0 {
+					t.Errorf("%d bytes of events relayed in %v, want %v or more", len(whole), took, c.fastest)
+				}
+			})
+		})
+	}
+}
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -125,7 +125,7 @@
 
 // relayEvents relays events as they arrive, each one only once it is complete.
 func (t *transaction) relayEvents(ctx context.Context, resp *serving.Response) *verdict.Failure {
-	events := newEventReader(resp.Body)
+	events := newEventReader(ctx, resp.Body)
 	t.out.order.beginPart(t.onlyRun != nil)
 	for {
 		e, err := events.next()
