--- a/e2e/unframed_test.go
+++ b/e2e/unframed_test.go
@@ -60,15 +60,19 @@
 // clients because its server was killed: the kernel closes the connections of a killed process like all others.
 func TestPartOfUnframedAnswerLooksWhole(t *testing.T) {
 	engine := []string{"--unframed", "--model", "m1", "--loaded", "m1", "--work", "40ms"}
+	plain := []string{"--unframed", "--work", "300ms"}
 	for name, c := range map[string]struct {
 		service       string
 		args          []string
 		repeated, not string // routes whose requests may be sent again, and may not
 		atOnce        bool   // whether the server is started again at once
+		frozen        bool   // whether the instance is frozen meanwhile
 	}{
-		"stream":                {engineService, engine, "stream", "once", false},
-		"stream, started again": {engineService, engine, "stream", "once", true},
-		"plain":                 {plainService, []string{"--unframed", "--work", "300ms"}, "safe", "unsafe", false},
+		"stream":                {engineService, engine, "stream", "once", false, false},
+		"stream, started again": {engineService, engine, "stream", "once", true, false},
+		"plain":                 {plainService, plain, "safe", "unsafe", false, false},
+		"plain, started again":  {plainService, plain, "safe", "unsafe", true, false},
+		"plain, started again while the instance is frozen": {plainService, plain, "safe", "unsafe", true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newEntryFleet(t)
@@ -81,10 +85,20 @@
 			whole, parts := map[string]int{}, map[string]int{}
 			for round := range rounds {
 				f.awaitRunsAt("s1", c.repeated)
-				ended := f.killDuringRequests("s1", fmt.Sprintf("round-%d", round), requests, time.Duration(round)*80*time.Millisecond, c.repeated, c.not)
+				kill := func() { f.kill("s1") }
+				if c.frozen {
+					kill = func() {
+						f.entries[0].signal(syscall.SIGSTOP)
+						f.kill("s1")
+					}
+				}
+				ended := f.duringRequests("s1", fmt.Sprintf("round-%d", round), requests, time.Duration(round)*80*time.Millisecond, kill, c.repeated, c.not)
 				if c.atOnce {
 					f.startServer("s1", c.service, c.args...)
 				}
+				if c.frozen {
+					f.entries[0].signal(syscall.SIGCONT)
+				}
 				for _, a := range ended() {
 					switch {
 					case !a.whole || a.status != http.StatusOK:
@@ -109,9 +123,9 @@
 	}
 }
 
-// killDuringRequests kills a server some time after it has begun to answer several of the requests, which take turns on
+// duringRequests does something some time after a server has begun to answer several of the requests, which take turns on
 // the routes. The returned function waits for the answers.
-func (f *entryFleet) killDuringRequests(server, name string, requests int, after time.Duration, routes ...string) func() []answer {
+func (f *entryFleet) duringRequests(server, name string, requests int, after time.Duration, do func(), routes ...string) func() []answer {
 	var wg sync.WaitGroup
 	answers := make([]answer, requests)
 	before := len(f.state(server).Runs)
@@ -120,8 +134,7 @@
 	}
 	await(f.t, "the server runs several requests", func() bool { return len(f.state(server).Runs) >= before+requests/4 })
 	time.Sleep(after)
-	f.servers[server].signal(syscall.SIGKILL)
-	<-f.servers[server].exit
+	do()
 	return func() []answer {
 		wg.Wait()
 		return answers
