A stream whose engine did not report once is not refused for good when it is taken up

Hypotheses: (a) the engine's report on a new connection is later than the dial time-out, and the stream counts as one of an unknown process; (b) an origin's keepers do not answer within 300 ms; (c) refused for room, or by the client's own 10 s; (d) the origin is still on its way to its keepers. Nothing told them apart, so the fixture of these tests keeps the attempts that brought no event, with what the client received and what the instances logged of them, and prints them if a test fails.

One stream began "bound=unknown" and both its take-ups were refused, "it is not known which software version began the stream"; two take-ups ended with 504, "may have been replaced by one of another version". (b) and (d) did not show there; (c) showed in one take-up, 503 after the server's deadline.

The check asks once, when the connection is opened, and what is not known then was never asked again. But the known process was there before the connection was opened; if it is found running later, it is the one that accepted it.

--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -18,13 +18,14 @@
 
 // pinVersion binds the stream to the version of the server whose first event is about to be relayed. A server may start
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
-// event, as it is if processUnknown is set. The rest of a stream is dropped then, and a stream that begins is relayed but not
-// continued.
-func (t *transaction) pinVersion(processUnknown bool) *verdict.Failure {
+// event, as it is if another process may have answered. The rest of a stream is dropped then, and a stream that begins is
+// relayed but not continued.
+func (t *transaction) pinVersion(resp *serving.Response) *verdict.Failure {
 	if t.versionPinned {
 		return nil
 	}
 	t.versionPinned = true
+	processUnknown := resp.ProcessUnknown && (resp.ConfirmProcess == nil || !resp.ConfirmProcess())
 	if s, known := t.f.dir.Server(t.server); processUnknown || known && s.Version != t.serverVersion {
 		t.f.counts.serverReplaced(t.service.Name)
 		if t.version != "" && t.route.MayRepeat() {
--- a/entry/takeup_test.go
+++ b/entry/takeup_test.go
@@ -49,3 +49,18 @@
 		}
 	}
 }
+
+// TestStreamOfEngineThatReportsLateGoesOn guards against streams that do not go on since a report of their engine was lost.
+func TestStreamOfEngineThatReportsLateGoesOn(t *testing.T) {
+	f := newVersionFleet(t, 2, "v1", "v1.1")
+	f.run(8, func() {
+		for _, id := range []string{"v0", "v1"} {
+			f.servers[id].HoldReports()
+		}
+		f.stream(3, 2, nil)
+	})
+	f.check()
+	if f.complete < f.streams {
+		t.Errorf("%d of %d streams are complete", f.complete, f.streams)
+	}
+}
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -26,18 +27,36 @@
 	streams, mixed, complete int
 	// begun of beginnings attempts began a stream, and wentOn of takenUp attempts went on with one; guarded by mu.
 	begun, beginnings, wentOn, takenUp int
+	// refused are the attempts that brought no event; guarded by mu.
+	refused []refusedAttempt
+	lines   *syncBuffer // of the instances' logs
+}
+
+// refusedAttempt is an attempt that brought no event.
+type refusedAttempt struct {
+	attempt  attempt
+	instance string
+	got      streamResult
 }
 
 // newVersionFleet starts instances, and an engine for each of the versions.
 func newVersionFleet(t *testing.T, instances int, versions ...string) *versionFleet {
 	t.Helper()
-	f := &versionFleet{fleet: newFleet(t, instances)}
+	lines := &syncBuffer{}
+	f := &versionFleet{fleet: (&fleet{t: t, logOutput: lines}).start(instances), lines: lines}
 	f.configure("stream", "once", "unsafe", "safe")
 	for i, v := range versions {
 		f.addVersion(fmt.Sprintf("v%d", i), v, "m1")
 	}
 	f.removeServer("e1")
 	f.removeServer("e2")
+	f.await("the first engines gone", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool {
+			_, first := r.dir.Server("e1")
+			_, second := r.dir.Server("e2")
+			return first || second
+		})
+	})
 	f.awaitServers(len(versions))
 	f.await("a holder", func() bool { return f.holder() != nil })
 	return f
@@ -105,6 +124,8 @@
 	status   int
 	versions []string // of the events, in order
 	lastID   int
+	// failure is what the client received instead of a stream.
+	failure string
 }
 
 // send sends an attempt to an instance and reads the events until the stream ends or the client leaves.
@@ -126,10 +147,15 @@
 	}
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
-		return streamResult{}
+		return streamResult{lastID: a.lastEvent, failure: err.Error()}
 	}
 	defer resp.Body.Close()
 	got := streamResult{status: resp.StatusCode, lastID: a.lastEvent}
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(resp.Body) // a part is enough
+		got.failure = fmt.Sprintf("Retry-After %q: %s", resp.Header.Get("Retry-After"), body)
+		return got
+	}
 	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
 		var id int
 		if _, err := fmt.Sscanf(lines.Text(), "id: %d", &id); err == nil {
@@ -161,7 +187,8 @@
 		} else if between != nil {
 			between()
 		}
-		got := f.send(f.randomInstance(), a)
+		r := f.randomInstance()
+		got := f.send(r, a)
 		if first == "" && len(got.versions) > 0 {
 			first = a.id
 		}
@@ -178,6 +205,9 @@
 				f.wentOn++
 			}
 		}
+		if len(got.versions) == 0 {
+			f.refused = append(f.refused, refusedAttempt{attempt: a, instance: r.follower.name, got: got})
+		}
 		f.mu.Unlock()
 		if last >= standin.StreamEvents {
 			break
@@ -218,9 +248,29 @@
 	work.Wait()
 }
 
+// logRefused logs the attempts that brought no event, and what the instances logged of their streams.
+func (f *versionFleet) logRefused() {
+	f.t.Helper()
+	logged := strings.Split(f.lines.String(), "\n")
+	for _, r := range f.refused {
+		f.t.Logf("%+v at %s: %+v", r.attempt, r.instance, r.got)
+		for _, line := range logged {
+			fields := strings.Fields(line)
+			if slices.Contains(fields, "request="+r.attempt.id) || slices.Contains(fields, "request="+r.attempt.resumes) {
+				f.t.Log(line)
+			}
+		}
+	}
+}
+
 // check checks that no stream has events of two versions, and that streams go on at least half as often as they begin.
 func (f *versionFleet) check() {
 	f.t.Helper()
+	f.t.Cleanup(func() {
+		if f.t.Failed() {
+			f.logRefused()
+		}
+	})
 	f.t.Logf("%d streams, %d complete, %d of two versions; %d of %d began, %d of %d went on", f.streams, f.complete, f.mixed, f.begun, f.beginnings, f.wentOn, f.takenUp)
 	if f.mixed > 0 {
 		f.t.Errorf("%d of %d streams have events of two software versions", f.mixed, f.streams)
--- /dev/null
+++ b/internal/standin/reports.go
@@ -0,0 +1,21 @@
+package standin
+
+import "net/http"
+
+// HoldReports makes the server break off calls for its report until the next request begins, as if they were not answered
+// in time.
+func (s *Server) HoldReports() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportsHeld = true
+}
+
+// awaitReport breaks the call off while reports are held.
+func (s *Server) awaitReport() {
+	s.mu.Lock()
+	held := s.reportsHeld
+	s.mu.Unlock()
+	if held {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -105,6 +105,7 @@
 	runs               map[string]int             // by attempt id; guarded by mu
 	streamsToCut       int                        // number of streams still to cut off; guarded by mu
 	orderAnswersToLose int                        // number of answers to orders still to lose; guarded by mu
+	reportsHeld        bool                       // whether no reports are sent; guarded by mu
 	violations         []string                   // guarded by mu
 	backups            map[string]int             // events by attempt id of runs elsewhere; guarded by mu
 	active             map[string]int             // events by attempt id of own streams; guarded by mu
@@ -301,6 +302,7 @@
 }
 
 func (s *Server) serveReport(w http.ResponseWriter) {
+	s.awaitReport()
 	s.mu.Lock()
 	report := map[string]any{"born": s.born, "models": s.models(), "busy": s.loading != "", "sequence": s.sequence, "runs": s.activeRuns()}
 	s.mu.Unlock()
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -21,7 +21,8 @@
 	from := r.Header.Get("Kv-From")
 	lacksBackup := !missing && from != "" && !s.takeBackup(from, id)
 	if !missing && id != "" && from == "" {
-		s.runs[id]++ // one that goes on from a backup is the same run
+		s.runs[id]++          // one that goes on from a backup is the same run
+		s.reportsHeld = false // see HoldReports
 	}
 	cut := s.streamsToCut > 0 && model != ""
 	if cut && !missing {
--- a/serving/request.go
+++ b/serving/request.go
@@ -89,6 +89,9 @@
 	EndsWithConnection bool
 	// ProcessUnknown is set if the response may come from another process than the one that is known as the server.
 	ProcessUnknown bool
+	// ConfirmProcess asks the server again if ProcessUnknown is set, and reports whether the response comes from the known
+	// process. It may be nil.
+	ConfirmProcess func() bool
 	// NotExecuted is set if the server stated that the request did not run.
 	NotExecuted bool
 	// Misdirected is set if the address belongs to another server by now, or the unit that the request needs is not
