Instances are asked again for the origin of a stream before it is refused

Callers would see streams refused, "it is not known which software version began the stream", though an instance knows it: one that answers later than 300 ms, or that is to learn it within the next moment, since the first event does not wait for the origins that are sent.

Find asked once. A call that times out closes its connection, and the other calls on it fail with it; if all instances answered and none knew, the client was not even told to come back.

Now it asks up to three times while an instance does not answer, 0.9 s together, and once more after 0.1 s if all answer and none knows; for a third of the client's time at most. What is told does not change, so nothing is guessed.

entry TestOriginOfSlowInstanceIsFound (virtual time) before: "learns it meanwhile: {Origin:{Service: Version:} Unanswered:false}, want {Service:s Version:v1}". TestUnknownOriginIsSaidSoon bounds how long clients are held: 0.1 s if nobody knows, 0.9 s if nobody answers, and the client's share.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -52,7 +54,7 @@
 		f.recordTakeUp(r, b, "not_mixed")
 		return b, nil
 	}
-	answer := f.findOrigin(ctx, r, b.service.Name)
+	answer := f.findOrigin(ctx, a.route, r, b.service.Name)
 	outcome := "not_known"
 	switch origin := answer.Origin; {
 	case origin.Version != "" && leadsTo(a.route, origin.Service):
@@ -103,11 +105,14 @@
 	}).Info("client takes a stream up")
 }
 
-// findOrigin returns what is known of the origin of the stream that a client takes up.
-func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string) OriginAnswer {
+// findOrigin returns what is known of the origin of the stream that a client takes up, in time for it to run.
+func (f *Forwarder) findOrigin(ctx context.Context, route *serving.Route, r *serving.Request, service string) OriginAnswer {
 	if r.Resumes == "" {
 		return OriginAnswer{}
 	}
+	left := clock.Until(r.Arrived.Add(allowedTime(route, r)))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(returnFraction*float64(left)))
+	defer cancel()
 	return f.origins.Find(ctx, r.Resumes, service)
 }
 
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -52,6 +52,10 @@
 	// originTimeout bounds a call. It is long enough for several round trips between failure domains, and short
 	// compared with the time for which clients wait for an event.
 	originTimeout = 300 * time.Millisecond
+	// maxOriginQuestions bounds how often instances are asked for an origin while one of them does not answer.
+	maxOriginQuestions = 3
+	// originRetryPause is the shortest time between two questions: an origin that is on its way has arrived then.
+	originRetryPause = 100 * time.Millisecond
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
@@ -129,11 +133,34 @@
 	}
 }
 
-// Find implements forward.Origins. It asks all instances that keep the origin at once, and returns the first answer that
-// settles where the stream may go on.
+// Find implements forward.Origins. It asks again if an instance does not answer, since streams whose origin is not known
+// are refused, and once if all instances answer and none knows the origin, which may be on its way to them.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
+	for n := 1; ; n++ {
+		again := time.NewTimer(originRetryPause)
+		answer, answered := o.ask(ctx, attempt, service)
+		last := maxOriginQuestions
+		if answered {
+			last = 2
+		}
+		if answer.Origin.Version != "" || answer.OnlyVersion != "" || n >= last {
+			again.Stop()
+			return answer
+		}
+		select {
+		case <-again.C:
+		case <-ctx.Done():
+			answer.Unanswered = true
+			return answer
+		}
+	}
+}
+
+// ask asks all instances that keep an origin at once, and returns the first answer that settles where the stream may go
+// on. answered is set if all of them answered.
+func (o *streamOrigins) ask(ctx context.Context, attempt, service string) (answer forward.OriginAnswer, answered bool) {
 	if origin, known := o.table.Find(attempt, clock.Now()); known {
-		return forward.OriginAnswer{Origin: origin}
+		return forward.OriginAnswer{Origin: origin}, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
@@ -151,23 +178,24 @@
 		}()
 	}
 	known, certain := o.Versions(service)
-	answer := forward.OriginAnswer{Unanswered: len(keepers) == 0 || !certain || len(known) == 0}
+	answered = true
 	var told []string
 	for range keepers {
 		switch reply := <-replies; {
 		case reply == nil:
-			answer.Unanswered = true
+			answered = false
 		case reply.Known:
 			o.record(attempt, reply.Origin, clock.Now())
-			return forward.OriginAnswer{Origin: reply.Origin}
+			return forward.OriginAnswer{Origin: reply.Origin}, true
 		default:
 			told = append(told, reply.Versions...)
 		}
 	}
+	answer.Unanswered = !answered || len(keepers) == 0 || !certain || len(known) == 0
 	if !certain {
 		answer.OnlyVersion = onlyVersion(told, known)
 	}
-	return answer
+	return answer, answered
 }
 
 // onlyVersion returns the version at which all streams of a service began: the one that other instances are certain of, if
