--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -6,10 +6,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/skew"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -55,7 +57,7 @@
 		return b, nil
 	}
 	only := f.onlyVersion(a.route, b.service.Name)
-	answer := f.findOrigin(ctx, r, b.service.Name, only != "")
+	answer := f.findOrigin(ctx, a.route, r, b.service.Name, only != "")
 	outcome := "not_known"
 	switch origin := answer.Origin; {
 	case origin.Version != "" && leadsTo(a.route, origin.Service):
@@ -138,12 +140,15 @@
 	}).Info("client takes a stream up")
 }
 
-// findOrigin returns what is known of the origin of the stream that a client takes up. If the client does not name the
-// attempt that began it, that is at most the only version of the service.
-func (f *Forwarder) findOrigin(ctx context.Context, r *serving.Request, service string, oneVersion bool) OriginAnswer {
+// findOrigin returns what is known of the origin of the stream that a client takes up, in time for it to run. If the client
+// does not name the attempt that began it, that is at most the only version of the service.
+func (f *Forwarder) findOrigin(ctx context.Context, route *serving.Route, r *serving.Request, service string, oneVersion bool) OriginAnswer {
 	if r.Resumes == "" && !oneVersion {
 		return OriginAnswer{}
 	}
+	left := clock.Until(r.Arrived.Add(allowedTime(route, r)))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(returnFraction*float64(left)))
+	defer cancel()
 	return f.origins.Find(ctx, r.Resumes, service)
 }
 
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -52,6 +52,10 @@
 	// originTimeout bounds a call. It is long enough for several round trips between failure domains, and short
 	// compared with the time for which clients wait for an event.
 	originTimeout = 300 * time.Millisecond
+	// maxOriginQuestions bounds how often instances are asked for an origin while one of them does not answer.
+	maxOriginQuestions = 3
+	// originRetryPause is the shortest time between two questions: an origin that is on its way has arrived then.
+	originRetryPause = 100 * time.Millisecond
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
@@ -133,31 +137,59 @@
 	}
 }
 
-// Find implements forward.Origins. It asks all instances that keep the origin at once, also if this instance is certain of
-// the versions: its list of servers may be older than a stream of a newer version that began elsewhere. It returns the first
-// answer that settles where the stream may go on.
+// Find implements forward.Origins. It asks all instances that keep the origin, also if this instance is certain of the
+// versions: its list of servers may be older than a stream of a newer version that began elsewhere. It asks again if an
+// instance does not answer, since streams whose origin is not known are refused, and once if all answer and none knows the
+// origin, which may be on its way to them.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
 	arrived := clock.Now()
-	if origin, known := o.find(attempt); known {
-		return forward.OriginAnswer{Origin: origin}
-	}
-	asked := o.ask(ctx, &OriginArgs{Attempt: attempt, Service: service})
-	if asked.origin.Version != "" {
-		o.record(attempt, asked.origin, clock.Now())
-		return forward.OriginAnswer{Origin: asked.origin}
-	}
-	if asked.answers == 0 && o.marks.certain() {
-		o.awaitServersSince(ctx, arrived)
+	for n := 1; ; n++ {
+		if origin, known := o.find(attempt); known {
+			return forward.OriginAnswer{Origin: origin}
+		}
+		again := time.NewTimer(originRetryPause)
+		asked := o.ask(ctx, &OriginArgs{Attempt: attempt, Service: service})
+		if asked.origin.Version != "" {
+			o.record(attempt, asked.origin, clock.Now())
+			return forward.OriginAnswer{Origin: asked.origin}
+		}
+		answer := o.conclude(asked, arrived, service)
+		if answer.OnlyVersion != "" {
+			return answer
+		}
+		if n >= asked.mostQuestions() {
+			return o.concludeAlone(ctx, asked, arrived, service)
+		}
+		select {
+		case <-again.C:
+		case <-ctx.Done():
+			answer.Unanswered = true
+			return answer
+		}
 	}
+}
+
+// conclude returns what follows from the answers about an origin that no instance knows. arrived is when the client asked.
+func (o *streamOrigins) conclude(asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
 	known, certain := o.Versions(service)
+	told := asked.told
 	if certain && (asked.answers > 0 || o.serversSince(arrived)) {
-		asked.told = append(asked.told, known...)
+		told = slices.Concat(told, known)
 	}
-	only := onlyVersion(asked.told, slices.Concat(asked.heard, known))
+	only := onlyVersion(told, slices.Concat(asked.heard, known))
 	return forward.OriginAnswer{
 		OnlyVersion: only,
-		Unanswered:  asked.answers < max(1, asked.instances) || !certain || len(known) == 0 || only == "" && len(known) == 1,
+		Unanswered:  !asked.complete() || !certain || len(known) == 0 || only == "" && len(known) == 1,
+	}
+}
+
+// concludeAlone returns the same after the last question. If no instance answers, one that is certain of one version waits
+// for a current list of servers.
+func (o *streamOrigins) concludeAlone(ctx context.Context, asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
+	if known, certain := o.Versions(service); asked.answers == 0 && certain && len(known) == 1 {
+		o.awaitServersSince(ctx, arrived)
 	}
+	return o.conclude(asked, arrived, service)
 }
 
 // askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, told are the
@@ -168,6 +200,17 @@
 	told, heard        []string
 }
 
+// complete reports whether there are other instances and all of them answered.
+func (a askedOrigin) complete() bool { return a.answers >= max(1, a.instances) }
+
+// mostQuestions returns how often instances that answered like this are asked.
+func (a askedOrigin) mostQuestions() int {
+	if a.complete() {
+		return 2
+	}
+	return maxOriginQuestions
+}
+
 // ask asks the instances that keep an origin until one knows it, for originTimeout at most.
 func (o *streamOrigins) ask(ctx context.Context, args *OriginArgs) askedOrigin {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
