An end that nobody can explain after restarts does not quarantine a request by itself

Such an end says now that its recorder had just started (FromNewInstance; within 10 s, the time for which it holds its own ends pending). An instance that started later than the end leaves it undecided: a second isolated run decides, as where a rival is known, and three refuse the request whatever else ran there. For 5 s the request does not run, so that an instance that ran throughout decides before. An end recorded by an instance that has run for longer counts after a restart as before.

Ruled out: to leave all ends from before a start undecided, since it would undo TestPendingCrashSurvivesRestart in instances that know when they started; the companions of an end in the store, since in the traced play the other run was forgotten before the end was recorded.

What it costs: a harmful request may end one server more, if all instances had restarted within 10 s before an isolated run that ended one and restart again within 2.5 s after. Builds before send the field as false and decide as they did.

New: TestCrashKnownToOldInstanceOutlastsRestarts, TestForgottenCrashIsLeftToOthers.

What is left: a new holder lets a run begin where one of the holder before may just have ended the server. If no restart follows, the instance that recorded the end decides it.

--- a/command/quarantine/attempt.go
+++ b/command/quarantine/attempt.go
@@ -67,7 +67,7 @@
 		}
 		switch {
 		case b.Isolated && l.needsConfirmation(b, now):
-			update.Pending = []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints()}}
+			update.Pending = l.newPending(&b, now)
 		case b.Isolated:
 			update.Alone = update.Crashes
 		}
--- a/command/quarantine/isolated_test.go
+++ b/command/quarantine/isolated_test.go
@@ -237,3 +237,43 @@
 	restarted.DecidePending(start.Add(confirmationDelay))
 	checkAssessed(t, restarted, "after a restart", identity("shared"), "", Suspect)
 }
+
+// TestCrashKnownToOldInstanceOutlastsRestarts guards against a request that ends one more server since all instances restarted
+// before a crash was decided, though the one that recorded it knew what else ran there.
+func TestCrashKnownToOldInstanceOutlastsRestarts(t *testing.T) {
+	for since, want := range map[time.Duration]State{newLedgerTime - time.Millisecond: Suspect, newLedgerTime: Quarantined} {
+		l, later := NewLedgerOfInstance(start.Add(-since)), NewLedgerOfInstance(start.Add(time.Second))
+		for n := range QuarantineAfter {
+			l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n)}, start)
+			l.RecordCrash(BrokenAttempt{Fingerprint: "beside", Server: server(n)}, start)
+		}
+		l.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(QuarantineAfter), Isolated: true}, start)
+		later.Merge(l.RecordsOf(start.Add(time.Second), "bad", "beside"), start.Add(time.Second))
+		later.DecidePending(start.Add(confirmationDelay))
+		checkAssessed(t, later, "recorded "+since.String()+" after a start", identity("bad"), "", want)
+	}
+}
+
+// TestForgottenCrashIsLeftToOthers guards against a request that runs again at an instance that has just started while an older
+// one, which knows what else ran there, is about to decide.
+func TestForgottenCrashIsLeftToOthers(t *testing.T) {
+	older, newer, now := NewLedgerOfInstance(start.Add(-newLedgerTime/2)), NewLedgerOfInstance(start.Add(time.Second)), start.Add(time.Second)
+	for n := range QuarantineAfter {
+		older.RecordCrash(BrokenAttempt{Fingerprint: "bad", Server: server(n), Isolated: n == QuarantineAfter-1}, start)
+	}
+	newer.Merge(older.RecordsOf(now, "bad"), now)
+	alone := NewLedgerOfInstance(now)
+	alone.Merge(older.RecordsOf(now, "bad"), now)
+	for _, l := range []*Ledger{older, newer, alone} {
+		l.DecidePending(start.Add(confirmationDelay))
+	}
+	if !newer.HasPending(Identity{Fingerprint: "bad"}) {
+		t.Error("the request may run before the older instance's decision has arrived")
+	}
+	newer.Merge(older.RecordsOf(start.Add(confirmationDelay), "bad"), start.Add(confirmationDelay))
+	checkAssessed(t, newer, "decided by the older instance", identity("bad"), "", Quarantined)
+	_, _, undecided := alone.DecidePending(start.Add(forgottenDelay))
+	if len(undecided) != 1 || len(undecided[0].Rivals) != 0 || alone.HasPending(Identity{Fingerprint: "bad"}) {
+		t.Errorf("undecided %+v; want one crash, and that the request may run", undecided)
+	}
+}
--- a/command/quarantine/parts.go
+++ b/command/quarantine/parts.go
@@ -185,8 +185,7 @@
 	crashed := []Incarnation{IncarnationOf(b.Server)}
 	update := Record{Fingerprint: fp, Subject: subject, Crashes: crashed}
 	if r := l.records[fp]; b.Isolated && r != nil && r.State() != Clear {
-		i := b.Identity()
-		update.Pending = []PendingCrash{{Incarnation: crashed[0], Companions: i.fingerprints()}} // another part that is no suspect yet may be the cause
+		update.Pending = l.newPending(b, now) // another part that is no suspect yet may be the cause
 	}
 	return l.merge(update, now)
 }
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -33,6 +33,9 @@
 	Companions []serving.Fingerprint
 	// Age is the time since the crash.
 	Age time.Duration
+	// FromNewInstance is set if the instance that recorded the crash had just started: it may not have known what else was
+	// running there.
+	FromNewInstance bool
 }
 
 // pendingCrash is a PendingCrash as stored in a ledger. Every report of a crash is later than the crash
@@ -41,11 +44,14 @@
 	incarnation Incarnation
 	companions  []serving.Fingerprint
 	crashedAt   time.Time
+	// fromNewInstance is as in PendingCrash.
+	fromNewInstance bool
 	// ambiguous is set once other records must have arrived and the crash may still be that of a rival.
 	ambiguous bool
 }
 
-// UndecidedCrash is a crash during an isolated run that one of the rivals may have caused as well.
+// UndecidedCrash is a crash during an isolated run that one of the rivals may have caused as well, or, if there are none,
+// something that nobody knows of any more.
 type UndecidedCrash struct {
 	Fingerprint serving.Fingerprint
 	Incarnation Incarnation
@@ -59,18 +65,27 @@
 // needsConfirmation reports whether a crash during an isolated run has to be kept pending, because
 // another suspect was running at crashes that count against the request, or may have been. l.mu must be held.
 func (l *Ledger) needsConfirmation(b BrokenAttempt, now time.Time) bool {
-	if now.Sub(l.startedAt) < newLedgerTime {
+	if l.isNew(now) {
 		return true
 	}
 	known := l.records[b.Fingerprint]
 	return known != nil && l.sharesCrashWithSuspect(known)
 }
 
+// isNew reports whether the instance has just started.
+func (l *Ledger) isNew(now time.Time) bool { return now.Sub(l.startedAt) < newLedgerTime }
+
+// newPending returns the pending crash of the server of a broken attempt.
+func (l *Ledger) newPending(b *BrokenAttempt, now time.Time) []PendingCrash {
+	i := b.Identity()
+	return []PendingCrash{{Incarnation: IncarnationOf(b.Server), Companions: i.fingerprints(), FromNewInstance: l.isNew(now)}}
+}
+
 // mergePending merges pending crashes, and reports whether any was new. It skips those that no longer
 // count: otherwise ledgers would send them to each other forever. l.mu must be held.
 func (l *Ledger) mergePending(r *record, pending []PendingCrash, now time.Time) (changed bool) {
 	for _, crash := range pending {
-		pending := pendingCrash{incarnation: crash.Incarnation, companions: crash.Companions, crashedAt: now.Add(-crash.Age)}
+		pending := pendingCrash{incarnation: crash.Incarnation, companions: crash.Companions, crashedAt: now.Add(-crash.Age), fromNewInstance: crash.FromNewInstance}
 		if crash.Age >= confirmationDelay && l.hasOtherCause(r, pending) {
 			continue
 		}
@@ -109,7 +124,7 @@
 func (r *record) pendingSnapshot(now time.Time) []PendingCrash {
 	var list []PendingCrash
 	for _, crash := range r.pending {
-		list = append(list, PendingCrash{Incarnation: crash.incarnation, Companions: crash.companions, Age: max(0, now.Sub(crash.crashedAt))})
+		list = append(list, PendingCrash{Incarnation: crash.incarnation, Companions: crash.companions, Age: max(0, now.Sub(crash.crashedAt)), FromNewInstance: crash.fromNewInstance})
 	}
 	return list
 }
@@ -152,13 +167,26 @@
 // unless one rival explains both. l.mu must be held.
 func (l *Ledger) isAmbiguous(r *record, crash pendingCrash, now time.Time) bool {
 	rivals := l.rivals(r, crash, now)
-	return len(rivals) > 0 && !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
+	if len(rivals) == 0 && !l.mayBeForgotten(crash) {
+		return false
+	}
+	return !slices.ContainsFunc(r.pending, func(other pendingCrash) bool {
 		return other.incarnation != crash.incarnation && !slices.ContainsFunc(l.rivals(r, other, now), func(fp serving.Fingerprint) bool {
 			return slices.Contains(rivals, fp) && l.explainsAll(fp, r)
 		})
 	})
 }
 
+// mayBeForgotten reports whether nobody may know any more what else was running at a crash: neither the instance that recorded
+// it, which had just started, nor this one, which started later.
+func (l *Ledger) mayBeForgotten(crash pendingCrash) bool {
+	return crash.fromNewInstance && crash.crashedAt.Before(l.startedAt)
+}
+
+// forgottenDelay is how long after a crash that may be forgotten the request may run again: an instance that ran throughout, if
+// there is one, decides it after confirmationDelay, and its decision has to arrive.
+const forgottenDelay = 2 * confirmationDelay
+
 // explainsAll reports whether a rival was running at all crashes that count against r. A request that is sent again after
 // each crash follows r to the next server, but was not at the crashes that made r a suspect. Parts of prompts spread with
 // requests, so that for them a common rival is enough. l.mu must be held.
@@ -235,10 +263,11 @@
 				continue
 			}
 			if l.isAmbiguous(r, crash, now) {
-				if !crash.ambiguous {
-					undecided = append(undecided, UndecidedCrash{Fingerprint: fp, Incarnation: crash.incarnation, Rivals: l.rivals(r, crash, now)})
+				rivals := l.rivals(r, crash, now)
+				if !crash.ambiguous && (len(rivals) > 0 || now.Sub(crash.crashedAt) >= forgottenDelay) {
+					crash.ambiguous = true
+					undecided = append(undecided, UndecidedCrash{Fingerprint: fp, Incarnation: crash.incarnation, Rivals: rivals})
 				}
-				crash.ambiguous = true
 				r.addPending(crash)
 				continue
 			}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -302,9 +302,12 @@
 func (c *crashDetector) sweep(now time.Time) {
 	escalations, dropped, undecided := c.ledger.DecidePending(now)
 	for _, crash := range undecided {
-		c.log.WithFields(logrus.Fields{
-			"fingerprint": crash.Fingerprint, "server": crash.Incarnation.Server, "rivals": len(crash.Rivals), "rival": crash.Rivals[0],
-		}).Info("end under a run alone is undecided, others may be its cause")
+		line := c.log.WithFields(logrus.Fields{"fingerprint": crash.Fingerprint, "server": crash.Incarnation.Server, "rivals": len(crash.Rivals)})
+		if len(crash.Rivals) == 0 {
+			line.Info("end under a run alone is undecided, what else ran there is not known")
+			continue
+		}
+		line.WithField("rival", crash.Rivals[0]).Info("end under a run alone is undecided, others may be its cause")
 	}
 	for _, fp := range dropped {
 		c.log.WithField("fingerprint", fp).Info("end under a run alone does not count, another suspect was there")
--- a/entry/quarantine_store.go
+++ b/entry/quarantine_store.go
@@ -46,12 +46,14 @@
 	// EndedMS is when the server ended, in milliseconds since the Unix epoch. It determines when the
 	// pending end is decided; the request does not run before that.
 	EndedMS int64 `json:"endedMs"`
+	// FromNewInstance is as in quarantine.PendingCrash; false in entries of earlier builds.
+	FromNewInstance bool `json:"fromNewInstance,omitempty"`
 }
 
 func encodeHeld(r quarantine.Record, now time.Time) heldRequest {
 	h := heldRequest{Subject: r.Subject, Parts: r.Parts, Crashes: r.Crashes, Cleared: r.Cleared, Isolated: r.Isolated, Alone: r.Alone, Begun: r.Begun, GraceMS: r.Grace.Milliseconds(), ChangedMS: now.Add(-r.Age).UnixMilli()}
 	for _, end := range r.Pending {
-		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli()})
+		h.Pending = append(h.Pending, heldEnd{Incarnation: end.Incarnation, Companions: end.Companions, EndedMS: now.Add(-end.Age).UnixMilli(), FromNewInstance: end.FromNewInstance})
 	}
 	return h
 }
@@ -68,7 +70,7 @@
 		Age: max(0, now.Sub(time.UnixMilli(h.ChangedMS))),
 	}
 	for _, end := range h.Pending {
-		r.Pending = append(r.Pending, quarantine.PendingCrash{Incarnation: end.Incarnation, Companions: end.Companions, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS)))})
+		r.Pending = append(r.Pending, quarantine.PendingCrash{Incarnation: end.Incarnation, Companions: end.Companions, Age: max(0, now.Sub(time.UnixMilli(end.EndedMS))), FromNewInstance: end.FromNewInstance})
 	}
 	return r
 }
