continuation: an engine counts as unreachable by its silence since its last answer

Suspected only: an engine that says again and again that it works on a stream, and then does not answer one call in time, as sound engines do that pause for a second.

Cause: the 600 ms without an answer after which an engine counts as gone began when the stream broke off. After that, one call without an answer was enough, also 50 ms after the engine had said that it works on the stream.

Fix: they begin with the last call that the engine answered.

Evidence: TestSilenceCountsFromLastAnswer before: "goes on after 50ms without an answer, want 600ms".

--- a/command/continuation/continuation_test.go
+++ b/command/continuation/continuation_test.go
@@ -211,3 +211,25 @@
 		}
 	}
 }
+
+// TestSilenceCountsFromLastAnswer guards against a stream that goes on since its engine, which answered a moment before that it
+// works on it, gives no answer once.
+func TestSilenceCountsFromLastAnswer(t *testing.T) {
+	s, p := New(DefaultParams()), DefaultParams()
+	s.Sent("a", "b")
+	s.Broke(start, start.Add(-time.Second), start.Add(time.Minute))
+	answered := start.Add(p.UnreachableAfter - p.CheckPause)
+	s.Next(start)
+	s.Checked(serving.RunActive, answered)
+	s.Next(answered)
+	for now := answered; now.Before(answered.Add(p.UnreachableAfter)); now = now.Add(p.CheckPause) {
+		s.Checked(serving.RunUnknown, now)
+		if got := s.Next(now); got == Continue {
+			t.Fatalf("goes on after %s without an answer, want %s", now.Sub(answered), p.UnreachableAfter)
+		}
+		s.Next(now)
+	}
+	if got := s.Next(answered.Add(p.UnreachableAfter)); got != Continue {
+		t.Errorf("action %d after %s without an answer", got, p.UnreachableAfter)
+	}
+}
--- a/command/continuation/stream.go
+++ b/command/continuation/stream.go
@@ -93,12 +93,14 @@
 	backup        string
 	continuations int
 	outcome       Outcome
-	// brokeAt and giveUp are when the stream broke off, and when it is too late to go on.
-	brokeAt, giveUp time.Time
+	// giveUp is when it is too late to go on.
+	giveUp time.Time
 	// firstEvent is when the engine sent its first event, zero if it sent none.
 	firstEvent time.Time
 	checks     int
 	run        serving.RunState
+	// heardAt is when the engine before was last asked and answered, or when the stream broke off.
+	heardAt time.Time
 	// paused is set if a pause follows the last check.
 	paused bool
 }
@@ -148,7 +150,7 @@
 	if s.state != Running {
 		return
 	}
-	s.state, s.brokeAt, s.firstEvent, s.giveUp = Broken, now, firstEvent, giveUp
+	s.state, s.heardAt, s.firstEvent, s.giveUp = Broken, now, firstEvent, giveUp
 	s.checks, s.run, s.paused = 0, serving.RunUnknown, false
 }
 
@@ -158,6 +160,9 @@
 	if run == serving.RunNotListed && (s.firstEvent.IsZero() || asked.Sub(s.firstEvent) < s.params.MaxListAge) {
 		run = serving.RunActive
 	}
+	if run != serving.RunUnknown {
+		s.heardAt = asked
+	}
 	s.checks++
 	s.run, s.paused = run, false
 }
@@ -176,7 +181,7 @@
 		return s.stop(TooLate)
 	case s.checks == 0:
 		return Check
-	case s.run == serving.RunGone, s.run == serving.RunNotListed, s.run == serving.RunUnknown && now.Sub(s.brokeAt) >= s.params.UnreachableAfter:
+	case s.run == serving.RunGone, s.run == serving.RunNotListed, s.run == serving.RunUnknown && now.Sub(s.heardAt) >= s.params.UnreachableAfter:
 		s.state, s.outcome = Continuing, Continued
 		return Continue
 	case !s.paused:
