A reply of the holder is not read after its call has timed out

go test -race ./entry on the tree of before its last edit, beside a load of 28: "WARNING: DATA RACE", a read in (*follower).requestDraw, access.go:180, and a write in gob.(*Decoder).decodeStruct. Callers saw nothing: with an error the answer is not used.

A call that times out leaves its connection open if other calls on it are answered, and its own reply is then decoded whenever it arrives, while requestDraw copied it to return it beside the error. requestTurn and queryLimits did the same; the other calls read their replies only without an error (looked through by hand).

--- a/entry/access.go
+++ b/entry/access.go
@@ -165,19 +165,23 @@
 	record := f.record
 	f.mu.Unlock()
 	var reply LimitsReply
-	err := f.call(ctx, record, callTimeout, methodLimits, &LimitsArgs{}, &reply)
-	if err == nil && !reply.Held {
-		err = errors.New("entry: instance is not the lease holder")
+	if err := f.call(ctx, record, callTimeout, methodLimits, &LimitsArgs{}, &reply); err != nil {
+		return nil, err
 	}
-	return reply.Totals, err
+	if !reply.Held {
+		return nil, errors.New("entry: instance is not the lease holder")
+	}
+	return reply.Totals, nil
 }
 
 // requestDraw asks the holder to admit one request.
 func (f *follower) requestDraw(ctx context.Context, workspace string, d quota.Draw) (quota.Answer, error) {
 	var reply DrawReply
 	args := &DrawArgs{Workspace: workspace, Cost: d.Cost, Request: d.Request, Class: d.Class, Within: d.Within, Left: d.Left}
-	err := f.callWithinDrawTimeout(ctx, methodDraw, args, &reply)
-	return reply.Answer, err
+	if err := f.callWithinDrawTimeout(ctx, methodDraw, args, &reply); err != nil {
+		return quota.Answer{}, err // the reply may still arrive
+	}
+	return reply.Answer, nil
 }
 
 // callWithinDrawTimeout calls the holder and returns an error if the answer arrives later than
--- a/entry/serverlimiter.go
+++ b/entry/serverlimiter.go
@@ -298,6 +298,8 @@
 // requestTurn asks the holder to admit one request to a server with a limit.
 func (f *follower) requestTurn(ctx context.Context, args *TurnArgs) (quota.Answer, error) {
 	var reply TurnReply
-	err := f.callWithinDrawTimeout(ctx, methodTurn, args, &reply)
-	return reply.Answer, err
+	if err := f.callWithinDrawTimeout(ctx, methodTurn, args, &reply); err != nil {
+		return quota.Answer{}, err // the reply may still arrive
+	}
+	return reply.Answer, nil
 }
