A stream whose origin no instance knows is refused at once if all of them answer

What callers saw: each try of a client to take such a stream up was held for 0.1 s more, for a second question to instances that had all answered that they do not know. What can't be served is to be refused at once.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -54,7 +54,7 @@
 	originTimeout = 300 * time.Millisecond
 	// maxOriginQuestions bounds how often instances are asked for an origin while one of them does not answer.
 	maxOriginQuestions = 3
-	// originRetryPause is the shortest time between two questions: an origin that is on its way has arrived then.
+	// originRetryPause is the shortest time between two questions.
 	originRetryPause = 100 * time.Millisecond
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
@@ -139,8 +139,7 @@
 
 // Find implements forward.Origins. It asks all instances that keep the origin, also if this instance is certain of the
 // versions: its list of servers may be older than a stream of a newer version that began elsewhere. It asks again if an
-// instance does not answer, since streams whose origin is not known are refused, and once if all answer and none knows the
-// origin, which may be on its way to them.
+// instance does not answer, since streams whose origin is not known are refused.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
 	arrived := clock.Now()
 	for n := 1; ; n++ {
@@ -157,7 +156,7 @@
 		if answer.OnlyVersion != "" {
 			return answer
 		}
-		if n >= asked.mostQuestions() {
+		if asked.complete() || n >= maxOriginQuestions {
 			return o.concludeAlone(ctx, asked, arrived, service)
 		}
 		select {
@@ -203,14 +202,6 @@
 // complete reports whether there are other instances and all of them answered.
 func (a askedOrigin) complete() bool { return a.answers >= max(1, a.instances) }
 
-// mostQuestions returns how often instances that answered like this are asked.
-func (a askedOrigin) mostQuestions() int {
-	if a.complete() {
-		return 2
-	}
-	return maxOriginQuestions
-}
-
 // ask asks the instances that keep an origin until one knows it, for originTimeout at most.
 func (o *streamOrigins) ask(ctx context.Context, args *OriginArgs) askedOrigin {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
