e2e: streams with IDs of other kinds, slow readers and instances that end, in the test of order

TestStreamsStayInOrderOverFaults had streams whose IDs count the events, clients that keep up, and instances that run on. Three of the suspected causes of events out of order were not covered: events without an ID (whoever asks for the rest after the last ID gets them again), IDs that do not count, and clients that hold their stream up while its engine dies. And nothing covered clients that take a stream up because its instance was killed, or was to end and was killed in the middle.

Now events have IDs that are tens, or none each second time, or are large (12 kB, at clients whose receive buffer has 4 kB), and an instance is killed, or ended and killed 1 s later. The number of an event is in its data, so that it is known also without an ID.

--- a/e2e/oldprotocol_test.go
+++ b/e2e/clientconn_test.go
@@ -15,6 +15,15 @@
 	return oldProtocolConn{conn}, nil
 }
 
+// dialWithSmallBuffer opens a connection with room for a few events, so that a client that reads slowly holds its stream up.
+func dialWithSmallBuffer(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+}
+
 // oldProtocolConn replaces the protocol version in what is written.
 type oldProtocolConn struct{ net.Conn }
 
--- a/internal/standin/streamform.go
+++ b/internal/standin/streamform.go
@@ -20,6 +20,10 @@
 // forms.
 type streamForm struct {
 	framing, lineEnd string
+	// ids is "tens" if the IDs of events are 10, 20 and so on, and "some" if only those with an odd number have one.
+	ids string
+	// padding is the number of bytes added to each event.
+	padding int
 	// inParts makes the server send each event in parts, with pauses between them: the first one ends within a multi-byte
 	// character, and the second one within the last line end.
 	inParts bool
@@ -28,16 +32,39 @@
 }
 
 func streamFormOf(query url.Values) streamForm {
-	f := streamForm{framing: query.Get("framing"), lineEnd: "\n", inParts: query.Get("in") == "parts", marked: query.Get("marked") == "true"}
+	f := streamForm{framing: query.Get("framing"), lineEnd: "\n", ids: query.Get("ids"), inParts: query.Get("in") == "parts", marked: query.Get("marked") == "true"}
 	if query.Get("lines") == "crlf" {
 		f.lineEnd = "\r\n"
 	}
+	f.padding, _ = strconv.Atoi(query.Get("padding"))
 	return f
 }
 
+// idStep is the step of IDs that are tens.
+const idStep = 10
+
+// number returns the number of the event with the given ID; 0 if there is none.
+func (f streamForm) number(id string) int {
+	n, _ := strconv.Atoi(id)
+	if f.ids == "tens" {
+		return n / idStep
+	}
+	return n
+}
+
 // event returns an event with the given data.
-func (f streamForm) event(id int, data string) string {
-	return fmt.Sprintf("id: %d%sdata: %s%s%s", id, f.lineEnd, data, f.lineEnd, f.lineEnd)
+func (f streamForm) event(number int, data string) string {
+	id := fmt.Sprintf("id: %d%s", number, f.lineEnd)
+	switch {
+	case f.ids == "tens":
+		id = fmt.Sprintf("id: %d%s", number*idStep, f.lineEnd)
+	case f.ids == "some" && number%2 == 0:
+		id = ""
+	}
+	if f.marked {
+		data = fmt.Sprintf("%s #%d", data, number)
+	}
+	return id + "data: " + data + strings.Repeat(".", f.padding) + f.lineEnd + f.lineEnd
 }
 
 // mark returns the data of the events of a run that begins after the given one.
