--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -75,7 +75,7 @@
 // timestampFormat includes milliseconds: a model load takes about a second, a request less.
 const timestampFormat = "2006-01-02T15:04:05.000Z07:00"
 
-// Log returns a logger that writes one line of key=value pairs per entry.
+// Log returns a logger that writes one line of key=value pairs per entry. What libraries report goes there, too.
 func Log(level string, to io.Writer) (*logrus.Logger, error) {
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
@@ -85,6 +85,7 @@
 	log.SetOutput(to)
 	log.SetLevel(parsed)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: timestampFormat})
+	captureLibraryLog(log)
 	return log, nil
 }
 
