A part of the instances' answers does not tell the only version of a service

Cause: the first answer that named one version settled it, whoever had not answered yet, and a reply did not say what its certainty rests on.

Now the only version is concluded from the answers if all instances that may know the origin gave one; otherwise only from a list of servers that was complete after the client came, for which the instance waits after the last question. Replies are Marked if their certainty rests on marks; versions of others count as heard. Without any other instance nobody is asked three times.

--- a/entry/originanswers_test.go
+++ b/entry/originanswers_test.go
@@ -118,3 +118,27 @@
 		})
 	}
 }
+
+// TestPartOfAnswersTellsOneVersion guards against streams that go on at the version that some instances hold for the only one,
+// while one that may know their origin has not answered, or that older builds are certain of.
+func TestPartOfAnswersTellsOneVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		asked askedOrigin
+		age   time.Duration // of this instance's list of servers
+		want  string
+	}{
+		"all answered":                     {askedOrigin{instances: 2, answers: 2, told: []string{"v1", "v1"}}, time.Second, "v1"},
+		"one did not":                      {askedOrigin{instances: 2, answers: 1, told: []string{"v1"}}, time.Second, ""},
+		"one did not, but the list is new": {askedOrigin{instances: 2, answers: 1, told: []string{"v1"}}, 0, "v1"},
+		"another version is told":          {askedOrigin{instances: 2, answers: 1, told: []string{"v2"}}, 0, ""},
+		"another version was heard":        {askedOrigin{instances: 2, answers: 2, told: []string{"v1"}, heard: []string{"v2"}}, 0, ""},
+	} {
+		dir := directory.New()
+		dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
+		marks, until := &versionMarks{serversAge: func(time.Time) time.Duration { return c.age }}, clock.Now().Add(time.Hour)
+		marks.certainUntil.Store(&until)
+		if got := newTestOrigins(dir, marks).conclude(c.asked, clock.Now(), "s"); got.OnlyVersion != c.want {
+			t.Errorf("%s: %+v, want %q", name, got, c.want)
+		}
+	}
+}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -153,10 +153,10 @@
 			return forward.OriginAnswer{Origin: asked.origin}
 		}
 		answer := o.conclude(asked, arrived, service)
-		if answer.OnlyVersion != "" {
+		switch {
+		case answer.OnlyVersion != "":
 			return answer
-		}
-		if asked.complete() || n >= maxOriginQuestions {
+		case asked.complete(), asked.instances == 0, n >= maxOriginQuestions:
 			return o.concludeAlone(ctx, asked, arrived, service)
 		}
 		select {
@@ -169,23 +169,28 @@
 }
 
 // conclude returns what follows from the answers about an origin that no instance knows. arrived is when the client asked.
+// While an instance that may know the origin has not answered, only a list of servers that was complete since then tells of all
+// versions.
 func (o *streamOrigins) conclude(asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
 	known, certain := o.Versions(service)
-	told := asked.told
-	if certain && (asked.answers > 0 || o.serversSince(arrived)) {
+	var told []string
+	if asked.complete() {
+		told = asked.told
+	}
+	if certain && (asked.complete() || o.serversSince(arrived)) {
 		told = slices.Concat(told, known)
 	}
-	only := onlyVersion(told, slices.Concat(asked.heard, known))
+	only := onlyVersion(told, slices.Concat(asked.told, asked.heard, known))
 	return forward.OriginAnswer{
 		OnlyVersion: only,
 		Unanswered:  !asked.complete() || !certain || len(known) == 0 || only == "" && len(known) == 1,
 	}
 }
 
-// concludeAlone returns the same after the last question. If no instance answers, one that is certain of one version waits
-// for a current list of servers.
+// concludeAlone returns the same after the last question. If not all instances answered, one that is certain of one version
+// waits for a current list of servers.
 func (o *streamOrigins) concludeAlone(ctx context.Context, asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
-	if known, certain := o.Versions(service); asked.answers == 0 && certain && len(known) == 1 {
+	if known, certain := o.Versions(service); !asked.complete() && certain && len(known) == 1 {
 		o.awaitServersSince(ctx, arrived)
 	}
 	return o.conclude(asked, arrived, service)
@@ -228,8 +233,12 @@
 			return askedOrigin{origin: reply.Origin}
 		}
 		asked.answers++
-		asked.told = append(asked.told, reply.Versions...)
 		asked.heard = append(asked.heard, reply.Heard...)
+		if reply.Marked {
+			asked.told = append(asked.told, reply.Versions...)
+		} else {
+			asked.heard = append(asked.heard, reply.Versions...)
+		}
 	}
 	return asked
 }
@@ -313,5 +322,5 @@
 	if !certain {
 		return OriginReply{Heard: versions}
 	}
-	return OriginReply{Versions: versions}
+	return OriginReply{Versions: versions, Marked: true}
 }
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -30,9 +30,10 @@
 type OriginArgs struct{ Attempt, Service string }
 
 // OriginReply has the origin if it is known. Otherwise Versions are the software versions at which streams of the service
-// began, or if the instance is not certain that it knows all, Heard are those that it knows.
+// began, or if the instance is not certain that it knows all, Heard are those that it knows. Marked is set if its certainty
+// rests on marks; builds without them were certain of what they saw.
 type OriginReply struct {
-	Known           bool
+	Known, Marked   bool
 	Versions, Heard []string
 	Origin          skew.Origin
 }
