The names of resumed streams are the field's: resumes, certain, reported

Comments say that a client resumes a stream. Metrics and log messages stay as they are (docs/WORDING.md). No behaviour changes.

--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -67,8 +67,8 @@
 	c.set.GetOrCreateCounter(`martenport_waitlist_total{what="` + what + `"}`).Inc()
 }
 
-// streamTakenUp counts a stream that a client takes up, by what is known of its origin.
-func (c *Counts) streamTakenUp(outcome string) {
+// streamResumed counts a stream that a client resumes, by what is known of its origin.
+func (c *Counts) streamResumed(outcome string) {
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_total{origin="` + outcome + `"}`).Inc()
 }
 
@@ -78,9 +78,9 @@
 	c.set.GetOrCreateCounter(`martenport_answers_of_replaced_servers_total{service="` + service + `"}`).Inc()
 }
 
-// takenUpUnderOverload counts a stream that a client takes up and that the share to admit does not cover: "admitted" if it
+// resumedUnderOverload counts a stream that a client resumes and that the share to admit does not cover: "admitted" if it
 // was sent all the same, "no_room" if the queue of its engine is too long, "no_credit" if too many others were admitted.
-func (c *Counts) takenUpUnderOverload(what string) {
+func (c *Counts) resumedUnderOverload(what string) {
 	c.set.GetOrCreateCounter(`martenport_streams_taken_up_under_overload_total{what="` + what + `"}`).Inc()
 }
 
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -170,7 +170,7 @@
 	RecordRefused func(model string, room RoomClass)
 	// Memory lets streams that must not be repeated outlive their engine; nil if they are not to.
 	Memory RunMemory
-	// Origins keeps streams that clients take up at the software version that began them; nil if there is only one.
+	// Origins keeps streams that clients resume at the software version that began them; nil if there is only one.
 	Origins Origins
 }
 
--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -16,9 +16,9 @@
 	"github.com/martenport/martenport/verdict"
 )
 
-// Origins knows at which software version the streams began that clients take up.
+// Origins knows at which software version the streams began that clients resume.
 type Origins interface {
-	// Versions returns the versions at which streams of a service may have begun that can still be taken up. certain is
+	// Versions returns the versions at which streams of a service may have begun that can still be resumed. certain is
 	// set if there are certainly no others.
 	Versions(service string) (versions []string, certain bool)
 	// Record records that an attempt brings the first event of a stream. It does not wait.
@@ -49,7 +49,7 @@
 	continued string
 }
 
-// bind chooses the service of a request. A stream that a client takes up is bound to the version that began it, and
+// bind chooses the service of a request. A stream that a client resumes is bound to the version that began it, and
 // refused if that is not known: servers of another version may appear at any time until it is sent.
 func (f *Forwarder) bind(ctx context.Context, a admission, r *serving.Request) (binding, *verdict.Failure) {
 	b := binding{service: a.config.Services[chooseTarget(a.route.Targets)]}
@@ -76,7 +76,7 @@
 		outcome = "one_version"
 		b.version = answer.OnlyVersion
 	}
-	f.recordTakeUp(r, b, outcome)
+	f.recordResumption(r, b, outcome)
 	if outcome != "not_known" {
 		return b, nil
 	}
@@ -132,15 +132,15 @@
 	return slices.ContainsFunc(route.Targets, func(t serving.Target) bool { return t.Service == service })
 }
 
-// recordTakeUp logs and counts a stream that a client takes up, by what is known of its origin.
-func (f *Forwarder) recordTakeUp(r *serving.Request, b binding, outcome string) {
-	f.counts.streamTakenUp(outcome)
+// recordResumption logs and counts a stream that a client resumes, by what is known of its origin.
+func (f *Forwarder) recordResumption(r *serving.Request, b binding, outcome string) {
+	f.counts.streamResumed(outcome)
 	f.log.WithFields(logrus.Fields{
 		"request": r.ID, "resumes": r.Resumes, "after": r.LastEventID, "service": b.service.Name, "version": b.version, "outcome": outcome,
 	}).Info("client takes a stream up")
 }
 
-// findOrigin returns what is known of the origin of the stream that a client takes up, in time for it to run. If the client
+// findOrigin returns what is known of the origin of the stream that a client resumes, in time for it to run. If the client
 // does not name the attempt that began it, that is at most the only version of the service.
 func (f *Forwarder) findOrigin(ctx context.Context, route *serving.Route, r *serving.Request, service string, oneVersion bool) OriginAnswer {
 	if r.Resumes == "" && !oneVersion {
@@ -152,7 +152,7 @@
 	return f.origins.Find(ctx, r.Resumes, service)
 }
 
-// recordOrigin records where the stream begins, for clients that take it up later.
+// recordOrigin records where the stream begins, for clients that resume it later.
 func (t *transaction) recordOrigin() {
 	if t.f.origins == nil || !t.route.Resumable {
 		return
--- a/command/forward/overload.go
+++ b/command/forward/overload.go
@@ -34,19 +34,19 @@
 
 // refuseOverload refuses a random fraction of the requests while the demand for a model exceeds the
 // capacity of its engines. A request that has been sent to an engine before is not refused, nor is a
-// stream taken up for which its engine has room.
+// resumed stream for which its engine has room.
 func (t *transaction) refuseOverload(server serving.Server) *verdict.Failure {
 	if t.sends > 0 || t.out.started {
 		return nil
 	}
 	share := t.admittedShare()
 	if rand.Float64() < share {
-		if !t.takenUp() {
+		if !t.resumes() {
 			t.f.resumed.earn(t.service.Name)
 		}
 		return nil
 	}
-	if t.admitTakenUp(server) {
+	if t.admitResumed(server) {
 		return nil
 	}
 	return t.refuseInOrder(verdict.Refuse(verdict.ReasonQueueFull, "more is asked of %s than its engines serve, %.2f of such requests are admitted",
--- a/command/forward/resumed.go
+++ b/command/forward/resumed.go
@@ -7,19 +7,19 @@
 	"github.com/martenport/martenport/serving"
 )
 
-// A client that takes a stream up already has a part of the answer: most of the work is done, and is lost if the client
+// A client that resumes a stream already has a part of the answer: most of the work is done, and is lost if the client
 // gives up. Under overload such a request is therefore not only drawn at random like a new one. Only engines of the
 // version that began the stream can continue it, so their queues decide, not the share of its class over all engines.
 
 const (
-	// resumedQueue is how many requests may wait for each slot of an engine that a stream is taken up at.
+	// resumedQueue is how many requests may wait for each slot of an engine that a stream is resumed at.
 	resumedQueue = 1.0
-	// resumedBurst is how many streams taken up are admitted in preference before any new request of the service is.
+	// resumedBurst is how many resumed streams are admitted in preference before any new request of the service is.
 	resumedBurst = 32
 )
 
-// resumedCredits bound the streams taken up that are admitted in preference: beyond resumedBurst there is one for each new
-// request that is admitted. So clients that take streams up again and again do not crowd out the others.
+// resumedCredits bound the resumed streams that are admitted in preference: beyond resumedBurst there is one for each new
+// request that is admitted. So clients that resume streams again and again do not crowd out the others.
 // They are safe for concurrent use.
 type resumedCredits struct {
 	mu sync.Mutex
@@ -36,7 +36,7 @@
 	c.spent[service] = max(0, c.spent[service]-1)
 }
 
-// spend takes a credit for a stream taken up, and reports whether there was one.
+// spend takes a credit for a resumed stream, and reports whether there was one.
 func (c *resumedCredits) spend(service string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -47,24 +47,24 @@
 	return true
 }
 
-// takenUp reports whether the request continues a stream that began in an earlier request of its client.
-func (t *transaction) takenUp() bool { return t.request.LastEventID != "" && t.version != "" }
+// resumes reports whether the request continues a stream that began in an earlier request of its client.
+func (t *transaction) resumes() bool { return t.request.LastEventID != "" && t.version != "" }
 
-// admitTakenUp reports whether the request takes a stream up and is admitted in preference to new requests.
-func (t *transaction) admitTakenUp(server serving.Server) bool {
-	if !t.takenUp() || server.Slots <= 0 {
+// admitResumed reports whether the request resumes a stream and is admitted in preference to new requests.
+func (t *transaction) admitResumed(server serving.Server) bool {
+	if !t.resumes() || server.Slots <= 0 {
 		return false
 	}
 	most := int((1 + resumedQueue) * float64(server.Slots))
 	switch {
 	case t.f.balancer.RunsAtLeast(server.ID, t.othersOn(server.ID, clock.Now()), most):
-		t.f.counts.takenUpUnderOverload("no_room")
+		t.f.counts.resumedUnderOverload("no_room")
 		return false
 	case !t.f.resumed.spend(t.service.Name):
-		t.f.counts.takenUpUnderOverload("no_credit")
+		t.f.counts.resumedUnderOverload("no_credit")
 		return false
 	}
-	t.f.counts.takenUpUnderOverload("admitted")
+	t.f.counts.resumedUnderOverload("admitted")
 	return true
 }
 
--- a/command/skew/origins.go
+++ b/command/skew/origins.go
@@ -1,5 +1,5 @@
 // Package skew remembers at which software version streams began while servers of several versions serve side by side
-// (version skew, as in a rolling update). A client that takes a stream up names the attempt that began it; the stream
+// (version skew, as in a rolling update). A client that resumes a stream names the attempt that began it; the stream
 // may go on only at the version that began it. The package does no I/O.
 package skew
 
@@ -16,7 +16,7 @@
 	Version string
 }
 
-// Lifetime is how long after its first event a stream may be taken up. It exceeds the time for which clients of
+// Lifetime is how long after its first event a stream may be resumed. It exceeds the time for which clients of
 // streams wait for a complete answer over all attempts.
 const Lifetime = 2 * time.Minute
 
--- a/command/skew/recent.go
+++ b/command/skew/recent.go
@@ -60,7 +60,7 @@
 	return Origin{}, false
 }
 
-// Take removes the streams of a service, and returns those that may still be taken up.
+// Take removes the streams of a service, and returns those that may still be resumed.
 func (r *Recent) Take(service string, now time.Time) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/command/skew/window.go
+++ b/command/skew/window.go
@@ -7,7 +7,7 @@
 
 // Limits of a Window.
 const (
-	// windowPeriod is the length of each of a window's two periods. A stream is taken up within seconds after it broke off,
+	// windowPeriod is the length of each of a window's two periods. A stream is resumed within seconds after it broke off,
 	// and few last for longer than a period.
 	windowPeriod = 30 * time.Second
 	// maxPerPeriod bounds the origins of a period, 16 B each.
--- a/directory/versions.go
+++ b/directory/versions.go
@@ -13,7 +13,7 @@
 // serviceVersion is a software version of a service's servers.
 type serviceVersion struct{ service, version string }
 
-// softwareVersions tracks the software versions at which streams that clients may still take up can have begun.
+// softwareVersions tracks the software versions at which streams that clients may still resume can have begun.
 type softwareVersions struct {
 	// servers is the number of known servers of each version, and goneAt when the last server of a version was
 	// removed.
@@ -50,7 +50,7 @@
 	}
 }
 
-// expire forgets versions whose last server was removed too long ago for a stream to be taken up.
+// expire forgets versions whose last server was removed too long ago for a stream to be resumed.
 func (v *softwareVersions) expire(now time.Time) {
 	before := len(v.goneAt)
 	maps.DeleteFunc(v.goneAt, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > skew.Lifetime })
--- a/entry/originanswers_test.go
+++ b/entry/originanswers_test.go
@@ -127,11 +127,11 @@
 		age   time.Duration // of this instance's list of servers
 		want  string
 	}{
-		"all answered":                     {askedOrigin{instances: 2, answers: 2, told: []string{"v1", "v1"}}, time.Second, "v1"},
-		"one did not":                      {askedOrigin{instances: 2, answers: 1, told: []string{"v1"}}, time.Second, ""},
-		"one did not, but the list is new": {askedOrigin{instances: 2, answers: 1, told: []string{"v1"}}, 0, "v1"},
-		"another version is told":          {askedOrigin{instances: 2, answers: 1, told: []string{"v2"}}, 0, ""},
-		"another version was heard":        {askedOrigin{instances: 2, answers: 2, told: []string{"v1"}, heard: []string{"v2"}}, 0, ""},
+		"all answered":                          {askedOrigin{instances: 2, answers: 2, certain: []string{"v1", "v1"}}, time.Second, "v1"},
+		"one did not":                           {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, time.Second, ""},
+		"one did not, but the list is new":      {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, 0, "v1"},
+		"another is certain of another version": {askedOrigin{instances: 2, answers: 1, certain: []string{"v2"}}, 0, ""},
+		"another version is reported":           {askedOrigin{instances: 2, answers: 2, certain: []string{"v1"}, reported: []string{"v2"}}, 0, ""},
 	} {
 		dir := directory.New()
 		dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -21,7 +21,7 @@
 
 // streamOrigins shares at which software version streams began while servers of several versions serve. The instance
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
-// ID, and an instance at which a client takes the stream up asks the same ones. The first event does not wait for
+// ID, and an instance at which a client resumes the stream asks the same ones. The first event does not wait for
 // them: a stream whose origin is lost does not go on. While a service has one version nothing is sent; the origins of
 // that time are sent when servers of a second version appear. An instance archives in the store what it keeps
 // for others, so that streams go on after all instances were killed. It implements forward.Origins.
@@ -59,7 +59,7 @@
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
-	// maxServersWait is how long a stream that a client takes up waits for a current list of servers if no other instance
+	// maxServersWait is how long a stream that a client resumes waits for a current list of servers if no other instance
 	// answers, and serversCheckInterval how often the list is checked. The holder's list is current twice in that time.
 	maxServersWait       = 2 * holderWatchWait
 	serversCheckInterval = 20 * time.Millisecond
@@ -86,7 +86,7 @@
 	return o.dir.Versions()[service], o.marks.certain() && o.archive.restored.Load()
 }
 
-// mixed reports whether streams of a service that can still be taken up may have begun at several versions.
+// mixed reports whether streams of a service that can still be resumed may have begun at several versions.
 func (o *streamOrigins) mixed(service string) bool {
 	versions, certain := o.Versions(service)
 	return !certain || len(versions) > 1
@@ -173,14 +173,14 @@
 // versions.
 func (o *streamOrigins) conclude(asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
 	known, certain := o.Versions(service)
-	var told []string
+	var sure []string
 	if asked.complete() {
-		told = asked.told
+		sure = asked.certain
 	}
 	if certain && (asked.complete() || o.serversSince(arrived)) {
-		told = slices.Concat(told, known)
+		sure = slices.Concat(sure, known)
 	}
-	only := onlyVersion(told, slices.Concat(asked.told, asked.heard, known))
+	only := onlyVersion(sure, slices.Concat(asked.certain, asked.reported, known))
 	return forward.OriginAnswer{
 		OnlyVersion: only,
 		Unanswered:  !asked.complete() || !certain || len(known) == 0 || only == "" && len(known) == 1,
@@ -196,12 +196,12 @@
 	return o.conclude(asked, arrived, service)
 }
 
-// askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, told are the
-// versions that one or more are certain of, and heard those that others know.
+// askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, certain are the
+// versions that one or more are certain of, and reported those that others know.
 type askedOrigin struct {
 	origin             skew.Origin
 	instances, answers int
-	told, heard        []string
+	certain, reported  []string
 }
 
 // complete reports whether there are other instances and all of them answered.
@@ -233,11 +233,11 @@
 			return askedOrigin{origin: reply.Origin}
 		}
 		asked.answers++
-		asked.heard = append(asked.heard, reply.Heard...)
+		asked.reported = append(asked.reported, reply.Reported...)
 		if reply.Marked {
-			asked.told = append(asked.told, reply.Versions...)
+			asked.certain = append(asked.certain, reply.Versions...)
 		} else {
-			asked.heard = append(asked.heard, reply.Versions...)
+			asked.reported = append(asked.reported, reply.Versions...)
 		}
 	}
 	return asked
@@ -267,9 +267,9 @@
 
 // onlyVersion returns the version at which all streams of a service began: the one that instances are certain of, if
 // they agree and none knows another. It returns "" if there is none.
-func onlyVersion(told, known []string) string {
-	all := slices.Concat(told, known)
-	if len(told) == 0 || slices.ContainsFunc(all, func(v string) bool { return v != all[0] }) {
+func onlyVersion(certain, known []string) string {
+	all := slices.Concat(certain, known)
+	if len(certain) == 0 || slices.ContainsFunc(all, func(v string) bool { return v != all[0] }) {
 		return ""
 	}
 	return all[0]
@@ -305,7 +305,7 @@
 	o.archive.window.Add(e, now)
 }
 
-// record records an origin that another instance has told of, and its version, of which no server may be known here yet.
+// record records an origin that another instance reported, and its version, of which no server may be known here yet.
 func (o *streamOrigins) record(attempt string, origin skew.Origin, now time.Time) {
 	o.table.Record(attempt, origin, now)
 	if !slices.Contains(o.dir.Versions()[origin.Service], origin.Version) {
@@ -320,7 +320,7 @@
 	}
 	versions, certain := o.Versions(args.Service)
 	if !certain {
-		return OriginReply{Heard: versions}
+		return OriginReply{Reported: versions}
 	}
 	return OriginReply{Versions: versions, Marked: true}
 }
--- a/entry/rpc_origins.go
+++ b/entry/rpc_origins.go
@@ -30,12 +30,12 @@
 type OriginArgs struct{ Attempt, Service string }
 
 // OriginReply has the origin if it is known. Otherwise Versions are the software versions at which streams of the service
-// began, or if the instance is not certain that it knows all, Heard are those that it knows. Marked is set if its certainty
+// began, or if the instance is not certain that it knows all, Reported are those that it knows. Marked is set if its certainty
 // rests on marks; builds without them were certain of what they saw.
 type OriginReply struct {
-	Known, Marked   bool
-	Versions, Heard []string
-	Origin          skew.Origin
+	Known, Marked      bool
+	Versions, Reported []string
+	Origin             skew.Origin
 }
 
 // errNotRestored is returned by an instance that does not know yet what an earlier process of it kept.
--- a/entry/takeup_test.go
+++ b/entry/takeup_test.go
@@ -35,8 +35,8 @@
 // one of them, or this instance, knows of another.
 func TestOnlyVersionOfOthers(t *testing.T) {
 	for name, test := range map[string]struct {
-		told, known []string
-		want        string
+		certain, known []string
+		want           string
 	}{
 		"nobody is certain":      {nil, []string{"v1"}, ""},
 		"one is certain":         {[]string{"v1"}, nil, "v1"},
@@ -44,7 +44,7 @@
 		"this one knows another": {[]string{"v1"}, []string{"v1", "v2"}, ""},
 		"one knows another":      {[]string{"v1", "v1", "v2"}, nil, ""},
 	} {
-		if got := onlyVersion(test.told, test.known); got != test.want {
+		if got := onlyVersion(test.certain, test.known); got != test.want {
 			t.Errorf("%s: %q, want %q", name, got, test.want)
 		}
 	}
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -22,7 +22,7 @@
 // "versions" for itself.
 const prefixVersions = "stream-versions/"
 
-// versionMark is the entry of a service: the software versions at which streams may have begun that can be taken up.
+// versionMark is the entry of a service: the software versions at which streams may have begun that can be resumed.
 type versionMark struct {
 	Versions []string `json:"versions"`
 	// Unsure is set if there may have been others: the holder that wrote the mark found none, and has not run long enough.
@@ -34,8 +34,8 @@
 // versionMarks makes known which software versions the servers of each service have or had to instances that start or
 // were cut off and did not see that. The holder writes a mark when the versions of a service change: also while there is
 // one, since all its servers may be replaced while no instance runs. It removes a version when no stream that began at
-// it can be taken up any more. An instance that starts is certain of nothing while a mark is missing or unsure: streams that
-// are taken up go on only where their origin is known then.
+// it can be resumed any more. An instance that starts is certain of nothing while a mark is missing or unsure: streams that
+// are resumed go on only where their origin is known then.
 type versionMarks struct {
 	store    store.Store
 	dir      *directory.Directory
@@ -74,7 +74,7 @@
 // Timing of version marks.
 const (
 	marksInterval = 200 * time.Millisecond
-	// noServersInterval applies while the list of servers is too old, or is not known yet: streams that clients take up may
+	// noServersInterval applies while the list of servers is too old, or is not known yet: streams that clients resume may
 	// be refused until it is, and checking that calls nobody.
 	noServersInterval = 20 * time.Millisecond
 	// minReadPause and maxReadPause are the first and the longest pause between two reads while a mark is missing, and
@@ -162,7 +162,7 @@
 }
 
 // knowsAll reports whether this instance knows the versions of services that have no mark: it has known all before, it is the
-// first to hold the lease, or it has run for as long as streams are taken up.
+// first to hold the lease, or it has run for as long as streams can be resumed.
 func (m *versionMarks) knowsAll(now time.Time) bool {
 	return m.wasComplete || m.isFirstHolder() || now.Sub(m.startedAt) > skew.Lifetime
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -18,7 +18,7 @@
 	// Header holds the headers that are forwarded: neither connection headers nor headers that the system sets.
 	Header http.Header
 	Body   []byte
-	// LastEventID is the last event that the client has of a stream that it takes up, "" if it takes up none. Resumes is
+	// LastEventID is the last event that the client has of a stream that it resumes, "" if it resumes none. Resumes is
 	// the ID of the attempt that brought the stream's first event, "" if the client does not name it.
 	LastEventID, Resumes string
 	// Fingerprint identifies the content of the request over all attempts.
