skew: tables and windows of origins rotate in one place

Origins and Window each kept two periods of origins and rotated them alike. They share the type periods now; a table still begins a new period when it is full, a window refuses what is too much. No behaviour changes: the package's tests pass with -race and 5,000 draws, and those of entry on origins.

--- a/command/skew/origins.go
+++ b/command/skew/origins.go
@@ -34,14 +34,12 @@
 // Origins holds the origins of streams by the attempt that brought the first event, for Lifetime at least unless there
 // are too many. It is safe for concurrent use.
 type Origins struct {
-	mu sync.Mutex
-	// current has the origins recorded since currentSince, and previous those of the period before; guarded by mu.
-	current, previous map[attemptKey]Origin
-	currentSince      time.Time
+	mu      sync.Mutex
+	periods // guarded by mu
 }
 
 // NewOrigins returns an empty table.
-func NewOrigins() *Origins { return &Origins{current: map[attemptKey]Origin{}} }
+func NewOrigins() *Origins { return &Origins{} }
 
 // Record records the origin of a stream. An origin never changes: only the first one recorded for an attempt counts.
 func (o *Origins) Record(attempt string, origin Origin, now time.Time) {
@@ -51,7 +49,7 @@
 func (o *Origins) record(key attemptKey, origin Origin, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.rotate(now)
+	o.advance(now, Lifetime, len(o.current) >= maxOrigins)
 	if _, known := o.previous[key]; known {
 		return
 	}
@@ -65,7 +63,7 @@
 	key := keyOf(attempt)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.rotate(now)
+	o.advance(now, Lifetime, len(o.current) >= maxOrigins)
 	if origin, known := o.current[key]; known {
 		return origin, true
 	}
@@ -79,16 +77,3 @@
 	defer o.mu.Unlock()
 	return len(o.current) + len(o.previous)
 }
-
-// rotate begins a new period if the current one is over or full. o.mu must be held.
-func (o *Origins) rotate(now time.Time) {
-	age := now.Sub(o.currentSince)
-	if age < Lifetime && len(o.current) < maxOrigins {
-		return
-	}
-	o.previous = o.current
-	if age >= 2*Lifetime {
-		o.previous = nil
-	}
-	o.current, o.currentSince = map[attemptKey]Origin{}, now
-}
--- a/command/skew/window.go
+++ b/command/skew/window.go
@@ -20,10 +20,8 @@
 // Window collects the origins of the last one to two periods for an archive that outlives the process. It is safe for
 // concurrent use.
 type Window struct {
-	mu sync.Mutex
-	// current has the origins added since currentSince, and previous those of the period before; guarded by mu.
-	current, previous map[attemptKey]Origin
-	currentSince      time.Time
+	mu      sync.Mutex
+	periods // guarded by mu
 	// changed is set if something was added since the last Snapshot; guarded by mu.
 	changed bool
 }
@@ -34,7 +32,7 @@
 func (w *Window) add(key attemptKey, origin Origin, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.rotate(now)
+	w.advance(now, windowPeriod, false)
 	if _, known := w.current[key]; known || len(w.current) >= maxPerPeriod {
 		return
 	}
@@ -42,24 +40,11 @@
 	w.changed = true
 }
 
-// rotate begins a new period if the current one is over. w.mu must be held.
-func (w *Window) rotate(now time.Time) {
-	age := now.Sub(w.currentSince)
-	if w.current != nil && age < windowPeriod {
-		return
-	}
-	w.previous = w.current
-	if age >= 2*windowPeriod {
-		w.previous = nil
-	}
-	w.current, w.currentSince = map[attemptKey]Origin{}, now
-}
-
 // Snapshot returns the origins in the window, and whether any was added since the last call.
 func (w *Window) Snapshot(now time.Time) (digests Digests, changed bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.rotate(now)
+	w.advance(now, windowPeriod, false)
 	changed, w.changed = w.changed, false
 	digests = Digests{}
 	for _, period := range []map[attemptKey]Origin{w.previous, w.current} {
