An instance that was paused reads the marks of software versions again

What callers saw: nothing yet, found by review. A stream of version v2 that is taken up may go on at v1, at an instance that was paused (a frozen process, a suspended machine) while v2 came and left.

Cause: the marks are read again if the list of servers is too old when update runs. After a pause the holder's next update may come first: timers don't count a suspension, so update may run up to 200 ms after the machine goes on. The list is current then, and its delta doesn't name servers that came and left in the pause. So the past is replaced by what can be seen now.

Evidence: TestVersionsMissedByPausedInstance failed before ("certain of [v1]", the mark has v1 and v2). Shown in one process with a virtual clock, not in real processes.

Why this works: update runs every 200 ms, so a longer pause than maxServersAge between two runs is one of the instance. It is then certain of nothing until it has read the marks, which costs one read of the store.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -58,6 +58,8 @@
 	loaded, complete, wasComplete, wasHolder bool
 	known                                    map[string]storedMark
 	era                                      int64
+	// updatedAt is when update last began.
+	updatedAt time.Time
 	// startedAt is when the marks were first read. readAgainAt and readPause are when missing ones are read again, and the pause
 	// after that. refusedUntil is when marks that the store refused are written again.
 	startedAt, readAgainAt, refusedUntil time.Time
@@ -108,11 +110,12 @@
 func (m *versionMarks) update(ctx context.Context) bool {
 	now := clock.Now()
 	age := m.serversAge(now)
-	if m.restored.Swap(false) {
+	paused := now.Sub(m.updatedAt) > maxServersAge // a list that is current again does not tell what came and left meanwhile
+	m.updatedAt = now
+	if m.restored.Swap(false) || paused || age > maxServersAge {
 		m.loaded = false
 	}
 	if age > maxServersAge {
-		m.loaded = false
 		return false
 	}
 	m.read(ctx, now)
--- a/entry/versionmarks_test.go
+++ b/entry/versionmarks_test.go
@@ -261,3 +261,21 @@
 	}
 	return string(obj.Value)
 }
+
+// TestVersionsMissedByPausedInstance guards against an instance that is certain after a pause, in which a version came and left.
+func TestVersionsMissedByPausedInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := standin.NewPlatform()
+		one := writeMark(t, p)
+		m := newMarks(t, p, func() bool { return false })
+		m.update(t.Context())
+		if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(`{"versions":["v1","v2"]}`), one.Version); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * maxServersAge)
+		m.update(t.Context())
+		if versions, certain := newTestOrigins(m.dir, m).Versions("s"); certain && len(versions) != 2 {
+			t.Errorf("certain of %v", versions)
+		}
+	})
+}
