A holder that was cut off from the store is not sure of versions because it started long ago

What callers saw: nothing yet, found by review. A holder that finds no mark of a service, and has run for two minutes, marks the versions that it knows as all there were. Others are certain of them and let streams go on there whose origin nobody knows.

Cause: the time was counted from the first read of the marks, also while the instance didn't hear of servers. What it doesn't remember was taken for what didn't happen. A service has no mark where builds ran before that wrote none, while the store refuses them, or with a mark of an earlier era.

Evidence: TestCutOffInstanceKnowsAllVersions failed before ("certain with mark v1"). Shown in one process with a virtual clock.

Why this works: the time begins again when the list of servers was too old, or the instance paused, in which it may have missed a version.

TestMarkOfNewHolderPassesForSure let the time pass without an update, which now is a pause of the instance. It updates throughout instead, as run does; what it demands is the same.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -60,10 +60,11 @@
 	era                                      int64
 	// updatedAt is when update last began.
 	updatedAt time.Time
-	// startedAt is when the marks were first read. readAgainAt and readPause are when missing ones are read again, and the pause
-	// after that. refusedUntil is when marks that the store refused are written again.
-	startedAt, readAgainAt, refusedUntil time.Time
-	readPause                            time.Duration
+	// followedSince is when the marks were first read since the list of servers was last too old. readAgainAt and readPause are
+	// when missing ones are read again, and the pause after that. refusedUntil is when marks that the store refused are written
+	// again.
+	followedSince, readAgainAt, refusedUntil time.Time
+	readPause                                time.Duration
 }
 
 // storedMark is a mark with its revision in the store.
@@ -112,7 +113,10 @@
 	age := m.serversAge(now)
 	paused := now.Sub(m.updatedAt) > maxServersAge // a list that is current again does not tell what came and left meanwhile
 	m.updatedAt = now
-	if m.restored.Swap(false) || paused || age > maxServersAge {
+	if paused || age > maxServersAge {
+		m.loaded, m.followedSince = false, time.Time{}
+	}
+	if m.restored.Swap(false) {
 		m.loaded = false
 	}
 	if age > maxServersAge {
@@ -140,8 +144,8 @@
 	default:
 		m.load(ctx)
 	}
-	if m.loaded && m.startedAt.IsZero() {
-		m.startedAt = now
+	if m.loaded && m.followedSince.IsZero() {
+		m.followedSince = now
 	}
 	m.readAgainAt = now.Add(m.readPause)
 	m.readPause = min(maxReadPause, 2*m.readPause)
@@ -165,9 +169,9 @@
 }
 
 // knowsAll reports whether this instance knows the versions of services that have no mark: it has known all before, it is the
-// first to hold the lease, or it has run for as long as streams can be resumed.
+// first to hold the lease, or it has followed the servers for as long as streams can be resumed.
 func (m *versionMarks) knowsAll(now time.Time) bool {
-	return m.wasComplete || m.isFirstHolder() || now.Sub(m.startedAt) > skew.Lifetime
+	return m.wasComplete || m.isFirstHolder() || now.Sub(m.followedSince) > skew.Lifetime
 }
 
 // writeIfHolder writes the marks if they are out of date and this instance is the holder.
--- a/entry/versionmarks_test.go
+++ b/entry/versionmarks_test.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// updateFor updates marks for some time, as run does.
+func updateFor(t *testing.T, d time.Duration, all ...*versionMarks) {
+	t.Helper()
+	for range d / marksInterval {
+		for _, m := range all {
+			m.update(t.Context())
+		}
+		time.Sleep(marksInterval)
+	}
+}
+
 // TestMarkOfNewHolderPassesForSure guards against a mark that a holder writes which found none and has just started, and that
 // makes others certain.
 func TestMarkOfNewHolderPassesForSure(t *testing.T) {
@@ -125,15 +136,11 @@
 		m.isFirstHolder = func() bool { return false }
 		other := newMarks(t, p, func() bool { return false })
 		for _, sure := range []bool{false, true} {
-			for range 40 {
-				m.update(t.Context())
-				other.update(t.Context())
-				time.Sleep(marksInterval)
-			}
+			updateFor(t, 40*marksInterval, m, other)
 			if m.certain() != sure || other.certain() != sure {
 				t.Errorf("certain %t, another instance %t, want %t; mark %s", m.certain(), other.certain(), sure, markOf(t, p, "s"))
 			}
-			time.Sleep(skew.Lifetime)
+			updateFor(t, skew.Lifetime, m)
 		}
 	})
 }
@@ -279,3 +286,23 @@
 		}
 	})
 }
+
+// TestCutOffInstanceKnowsAllVersions guards against a holder that marks versions as sure because it started long ago, although it
+// was cut off from the store for most of that time.
+func TestCutOffInstanceKnowsAllVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, holds, age := standin.NewPlatform(), false, time.Duration(0)
+		m := newMarks(t, p, func() bool { return holds })
+		m.isFirstHolder = func() bool { return false }
+		m.serversAge = func(time.Time) time.Duration { return age }
+		m.update(t.Context())
+		age = skew.Lifetime
+		time.Sleep(skew.Lifetime + time.Second)
+		m.update(t.Context())
+		holds, age = true, 0
+		m.update(t.Context())
+		if m.certain() {
+			t.Errorf("certain with mark %s", markOf(t, p, "s"))
+		}
+	})
+}
