The origin of a stream is known here while it is sent to others

What callers saw: nothing yet, found by review. When servers of a second version appear, a stream that began before is refused (503) at the very instance that relayed its beginning.

Cause: the origins are taken out of the list of unsent ones at once, but recorded in the table one by one, each after the search for the instances that are to keep the one before.

Evidence: TestOriginIsKnownDuringHandover failed before ("origin of last: known false").

Why this works: all are recorded before the first search. A few milliseconds at most remain, between the removal from the list and the records.

--- a/entry/origins_handover.go
+++ b/entry/origins_handover.go
@@ -36,9 +36,11 @@
 
 // sendUnsent records origins here and sends them to all instances that may keep them.
 func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry) {
+	for _, e := range entries { // at once: they are not among the unsent any more, and clients may ask for them
+		o.table.Record(e.Attempt, e.Origin, clock.Now())
+	}
 	byKeeper := map[string][]skew.Entry{}
 	for _, e := range entries {
-		o.table.Record(e.Attempt, e.Origin, clock.Now())
 		candidates, _ := o.keepers(ctx, e.Attempt)
 		for _, address := range slices.Concat(candidates...) {
 			byKeeper[address] = append(byKeeper[address], e)
