A stream of a split route is resumed at the service where it began

What callers saw: a stream of a route that is split between two services, each with one version, goes on at the other service when its client takes it up: 200, joined from two versions. The rule ORDER counts versions of one service only; the protocol lets a stream go on only at the version that began it.

Cause: where a stream began is sent to other instances only if its service has several versions. Here each has one, so nobody who is asked knows the origin, and the version of the service drawn at random counts as the only one. With four instances or fewer all are asked, the one that relayed it too, so smaller tests don't show it.

Why this works: the services of a streaming route count together. If their versions differ, origins are sent as for a service with two, and the stream is bound to the service, which the code did already where it knew the origin. Nothing more is refused. Cost: on such routes the calls between instances and the archive that two versions of a service cost, for as long as the route is split. Left: if the origin is lost, the service is still drawn at random.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -22,8 +22,8 @@
 // streamOrigins shares at which software version streams began while servers of several versions serve. The instance
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client resumes the stream asks the same ones. The first event does not wait for
-// them: a stream whose origin is lost does not go on. While a service has one version nothing is sent; the origins of
-// that time are sent when servers of a second version appear. An instance archives in the store what it keeps
+// them: a stream whose origin is lost does not go on. While the services of a route have one version nothing is sent; the
+// origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
 // for others, so that streams go on after all instances were killed. It implements forward.Origins.
 type streamOrigins struct {
 	table *skew.Origins
@@ -86,10 +86,10 @@
 	return o.dir.Versions()[service], o.marks.certain() && o.archive.restored.Load()
 }
 
-// mixed reports whether streams of a service that can still be resumed may have begun at several versions.
+// mixed reports whether streams of a service's routes that can still be resumed may have begun at several versions.
 func (o *streamOrigins) mixed(service string) bool {
-	versions, certain := o.Versions(service)
-	return !certain || len(versions) > 1
+	_, certain := o.Versions(service)
+	return !certain || o.severalVersions(service)
 }
 
 // Record implements forward.Origins.
--- a/entry/origins_handover.go
+++ b/entry/origins_handover.go
@@ -11,6 +11,7 @@
 	"github.com/martenport/martenport/command/skew"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/serving"
 )
 
 // Sending of the origins of streams that began before servers of a second software version appeared.
@@ -23,10 +24,13 @@
 	originCalls = 8
 )
 
-// runUnsent sends origins to the instances that keep them once their service has several versions, until ctx ends.
+// runUnsent sends origins to the instances that keep them once there are several versions, until ctx ends.
 func (o *streamOrigins) runUnsent(ctx context.Context) {
 	for pause.For(ctx, unsentInterval) {
-		for service := range o.dir.MixedVersions() {
+		for service := range o.dir.Versions() {
+			if !o.severalVersions(service) {
+				continue
+			}
 			if entries := o.unsent.Take(service, clock.Now()); len(entries) > 0 {
 				o.sendUnsent(ctx, entries)
 			}
@@ -34,6 +38,25 @@
 	}
 }
 
+// severalVersions reports whether a service has several versions, or a streaming route leads to it and to one with other
+// versions: a stream that a client resumes may be sent to either.
+func (o *streamOrigins) severalVersions(service string) bool {
+	if len(o.dir.MixedVersions()[service]) > 0 {
+		return true
+	}
+	known, config := o.dir.Versions(), o.dir.Config()
+	return config != nil && slices.ContainsFunc(config.Routes, func(r serving.Route) bool {
+		return r.Kind == serving.Streaming && leadsTo(r.Targets, service) && slices.ContainsFunc(r.Targets, func(t serving.Target) bool {
+			return len(known[t.Service]) > 0 && !slices.Equal(known[t.Service], known[service])
+		})
+	})
+}
+
+// leadsTo reports whether a service is among the targets of a route.
+func leadsTo(targets []serving.Target, service string) bool {
+	return slices.ContainsFunc(targets, func(t serving.Target) bool { return t.Service == service })
+}
+
 // sendUnsent records origins here and sends them to all instances that may keep them.
 func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry) {
 	for _, e := range entries { // at once: they are not among the unsent any more, and clients may ask for them
