soak: a play in which an engine that announces no start is updated in place

The engines of all plays announce their starts, which hides whatever depends on an entry's version alone. In this one none does, and one of two starts again as v2 under its ID and address. Clients take streams up while both versions serve.

--- a/cmd/martendev/roles.go
+++ b/cmd/martendev/roles.go
@@ -91,6 +91,7 @@
 	Poison    string        `long:"poison" description:"beginning of the body of requests that end it when it begins them"`
 	Part      string        `long:"poison-part" description:"beginning of the IDs of prompt parts that end it when it begins to answer requests with them"`
 	Version   string        `long:"version" description:"version of its software, which ends each event; v1, and no such end, if absent"`
+	OmitStart bool          `long:"omit-start" description:"announce no start"`
 	Unframed  bool          `long:"unframed" description:"send answers with neither a length nor chunks"`
 	State     string        `long:"state" description:"file for what it has seen, if such a request or rejections end it"`
 	Slots     int           `long:"slots" description:"requests that it runs concurrently while it is brittle; 8 if absent"`
@@ -112,7 +113,7 @@
 	p := standin.ServerParams{
 		ID: c.ID, Service: c.Service, FailureDomain: c.Domain, Announced: c.Announced, Models: map[string]standin.ServerModel{},
 		MemoryMB: serverMemoryMB, AdapterSlots: serverAdapterSlots, Loaded: c.Loaded, Work: c.Work, EventPause: c.Work, PoisonPrefix: c.Poison,
-		PoisonPart: c.Part, Version: c.Version, Unframed: c.Unframed, Slots: c.Slots, BrittleQueue: c.Queue,
+		PoisonPart: c.Part, Version: c.Version, OmitStart: c.OmitStart, Unframed: c.Unframed, Slots: c.Slots, BrittleQueue: c.Queue,
 	}
 	for _, name := range c.Models {
 		p.Models[name] = standin.ServerModel{MemoryMB: serverModelMB, AdapterMB: 1, Load: c.Load}
--- a/soak/playlist.go
+++ b/soak/playlist.go
@@ -19,6 +19,7 @@
 	{name: "replaced-while-cut-off", versions: oneVersion, models: commonModels, act: replacedWhileCutOff},
 	{name: "added", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, act: added(holderUndisturbed)},
 	{name: "added-while-cut-off", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, act: added(holderCutOff)},
+	{name: "updated-in-place", versions: oneVersion, models: commonModels, omitsStart: true, maxPause: shortPause, act: updatedInPlace},
 	{name: "replaced-while-store-down", versions: oneVersion, models: commonModels, act: replacedWhileStoreDown},
 	{name: "canary-without-holder", versions: oneVersion, models: commonModels, act: canaryWithoutHolder},
 	{name: "killed-with-two", versions: twoVersions, models: commonModels, act: killedWithTwo(false)},
@@ -37,6 +38,9 @@
 // slowLoad is a load that takes longer than usual, and shortPause a pause of clients that take a stream up at once.
 const slowLoad, shortPause = 800 * time.Millisecond, 20 * time.Millisecond
 
+// updatedTime is how long two versions serve after an update in place.
+const updatedTime = 5 * time.Second
+
 // Versions of the engines at the start, and the models that some of them have loaded.
 var (
 	oneVersion   = []string{"v1", "v1"}
@@ -89,6 +93,13 @@
 	p.storeProxies[0].setMode(passAll)
 }
 
+// updatedInPlace has an engine start again under its ID with another version. Clients take streams up while both versions serve.
+func updatedInPlace(ctx context.Context, p *playRun) {
+	p.releaseTakeUps()
+	p.replaceEngine(ctx, 0, engineStart{version: "v2", keepsID: true, omitsStart: true, loaded: firstModels(0)})
+	pause.For(ctx, updatedTime)
+}
+
 // added has engines of a second version, which have models loaded, appear after the lease holder is cut off from the store,
 // if how says so. Clients take their streams up at once.
 func added(how string) func(ctx context.Context, p *playRun) {
--- a/soak/plays.go
+++ b/soak/plays.go
@@ -42,7 +42,9 @@
 	entries int
 	// load is how long a load takes, and maxPause the longest pause before a client takes a stream up; the usual ones if 0.
 	load, maxPause time.Duration
-	act            func(ctx context.Context, p *playRun)
+	// omitsStart is set if the engines announce no start.
+	omitsStart bool
+	act        func(ctx context.Context, p *playRun)
 }
 
 // playRun is a run of a play.
@@ -93,7 +95,7 @@
 	}
 	defer subnetClaim.Close()
 	for i, version := range chosen.versions {
-		r.software.set(i, engineStart{version: version, loaded: chosen.loadedAt(i), load: chosen.load})
+		r.software.set(i, engineStart{version: version, omitsStart: chosen.omitsStart, loaded: chosen.loadedAt(i), load: chosen.load})
 	}
 	defer r.stop()
 	if err := r.start(ctx); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -253,6 +253,9 @@
 		for _, m := range models {
 			args = append(args, "--model", m)
 		}
+		if how.omitsStart {
+			args = append(args, "--omit-start")
+		}
 		if how.load > 0 {
 			args = append(args, "--load", how.load.String())
 		}
--- a/soak/software.go
+++ b/soak/software.go
@@ -11,12 +11,14 @@
 )
 
 // engineStart is how an engine starts: its software version, whether it keeps the ID of its start before, and the models
-// that are loaded at the start. A load takes as long as load says; the usual time if 0.
+// that are loaded at the start. A load takes as long as load says; the usual time if 0. With omitsStart the engine does not
+// announce its start.
 type engineStart struct {
-	version string
-	keepsID bool
-	loaded  []string
-	load    time.Duration
+	version    string
+	keepsID    bool
+	omitsStart bool
+	loaded     []string
+	load       time.Duration
 }
 
 // softwareLog holds how engines start next, and the IDs of all starts of servers.
@@ -43,7 +45,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	how = s.next[server]
-	s.next[server] = engineStart{version: how.version, load: how.load}
+	s.next[server] = engineStart{version: how.version, omitsStart: how.omitsStart, load: how.load}
 	id = fmt.Sprintf("server-%d-%d", server, start)
 	if how.keepsID && start > 0 {
 		id = s.ids[server][start-1]
