A complete event is sent before its server is waited for

What clients saw: an event that a server had completed came only with the next one, if a part of that one had arrived with it. If the next one did not come, because its server was frozen, was preempted or broke off, the client did not get the event at all, though the stream had gone on or was taken up after it as if it had.

Cause: relayEvents flushed an event only if nothing was buffered behind it, and took any buffered byte for an event that would be flushed next. Behind a part of an event, or an event that is dropped because the client has it, the next flush depends on what the server sends later.

Ruled out: events in the wrong order by this. A stream goes on after the last event that was written, and what was written is sent before that.

Why it works: what was written is flushed before each wait for the server, that is unless a complete event is buffered, and whenever the part of a server ends. A burst of events that arrive together is still sent in one write.

--- a/command/forward/events.go
+++ b/command/forward/events.go
@@ -67,6 +67,12 @@
 	return n, err
 }
 
+// hasEvent reports whether next returns an event without waiting. It may miss one of an uncommon form.
+func (r *eventReader) hasEvent() bool {
+	buffered, _ := r.Peek(r.Buffered()) // cannot fail
+	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
+}
+
 // next reads up to and including the blank line that ends an event. At the end of the stream it returns io.EOF together with
 // the remaining data.
 func (r *eventReader) next() (streamEvent, error) {
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -20,6 +20,8 @@
 	// started is set once the header has been written, so that the status can no longer change.
 	started bool
 	status  int
+	// unflushed is set if an event was written and may not have been sent yet.
+	unflushed bool
 	// lastWrite is when data was last sent to the client.
 	lastWrite time.Time
 	// firstEvent is when the first event was relayed, and longestPause the longest time between two
@@ -52,6 +54,15 @@
 	w.WriteHeader(resp.Status)
 }
 
+// flush sends the events that were written.
+func (w *clientWriter) flush() error {
+	if !w.unflushed {
+		return nil
+	}
+	w.unflushed = false
+	return w.control.Flush()
+}
+
 // recordEventSent records that an event was relayed to the client.
 func (w *clientWriter) recordEventSent(now time.Time) {
 	if w.firstEvent.IsZero() {
@@ -127,7 +138,13 @@
 func (t *transaction) relayEvents(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	events := newEventReader(ctx, resp.Body)
 	t.out.order.beginPart(t.onlyRun != nil)
+	defer func() { _ = t.out.flush() }() // if that fails, so does the next write
 	for {
+		if !events.hasEvent() { // the next event may be long in coming
+			if err := t.out.flush(); err != nil {
+				return clientGone(err)
+			}
+		}
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			return t.finishEvents(resp, e)
@@ -156,16 +173,11 @@
 		if _, err := t.out.Write(e.raw); err != nil {
 			return clientGone(err)
 		}
+		t.out.unflushed = true
 		sent := clock.Now()
 		t.out.recordEventSent(sent)
 		t.speed.recordWrite(sent.Sub(received))
 		t.out.order.record(e)
-		if events.Buffered() > 0 {
-			continue // flushed together with the next event
-		}
-		if err := t.out.control.Flush(); err != nil {
-			return clientGone(err)
-		}
 	}
 }
 
