A part that ends among the events of its client is not the rest

What clients saw: a stream that had broken off after an event went on at a server that began anew and ended before that event. Its answer ended as complete, with the last events missing. The same for a stream that a client resumes, for one that goes on from its backup, and for a server that steps back within its part and then ends.

Cause: events that the client has are left out, and are compared with what it has only at the last of them. The end of a part was accepted wherever it was.

Ruled out: parts without any event; they end after the last event, as a server says whose stream was complete when its connection broke.

Evidence: four new cases of TestEventsOfTwoRunsAreJoined were complete before and are broken off now, so that the stream goes on elsewhere; one that repeats all events and then ends is complete before and after.

Why it works: the order of events knows whether a part is behind the last event of the client, and a part that ends there counts as broken off.

--- a/command/forward/eventorder.go
+++ b/command/forward/eventorder.go
@@ -34,9 +34,9 @@
 	// counted is set while the IDs that this instance has relayed count the events.
 	counted bool
 	relayed int
-	// joining is set until a part brings its first new event, and sameRun if the part belongs to the run before. overlap
-	// is set if events were repeated since the last new one, and matched if that one came last.
-	joining, sameRun, overlap, matched bool
+	// joining is set until a part brings its first new event, and sameRun if the part belongs to the run before. behind is
+	// set if the part has repeated an event before the last one, and neither that one nor a new one since.
+	joining, sameRun, behind bool
 }
 
 // newEventOrder returns the order of a stream of which the client has the events up to lastID, "" for none.
@@ -53,7 +53,7 @@
 
 // beginPart begins the part of a server.
 func (o *eventOrder) beginPart(sameRun bool) {
-	o.joining, o.sameRun, o.overlap, o.matched = true, sameRun, false, false
+	o.joining, o.sameRun, o.behind = true, sameRun, false
 }
 
 // place returns the place of an event that was received.
@@ -65,7 +65,8 @@
 	if n <= o.last {
 		return o.placeRepeated(n, e.raw)
 	}
-	if o.overlap && !o.matched || o.joining && o.relayed > 0 && o.counted && n != o.last+1 {
+	sameRun := o.joining && o.sameRun
+	if o.behind && !sameRun || o.joining && o.relayed > 0 && o.counted && n != o.last+1 {
 		return eventMisplaced
 	}
 	return eventFollows
@@ -73,11 +74,9 @@
 
 // placeRepeated returns the place of an event with an ID that the client has.
 func (o *eventOrder) placeRepeated(n int64, raw []byte) eventPlace {
-	if o.joining && o.sameRun {
-		return eventRepeated
-	}
-	o.overlap, o.matched = true, n == o.last
-	if o.matched && !bytes.Equal(raw, o.lastRaw) {
+	o.behind = n != o.last
+	sameRun := o.joining && o.sameRun
+	if !o.behind && !sameRun && !bytes.Equal(raw, o.lastRaw) {
 		return eventMisplaced
 	}
 	return eventRepeated
@@ -86,7 +85,7 @@
 // record records that an event was relayed.
 func (o *eventOrder) record(e streamEvent) {
 	before, numbered := o.last, o.numbered
-	o.joining, o.overlap, o.unplaced = false, false, e.id == ""
+	o.joining, o.behind, o.unplaced = false, false, e.id == ""
 	if e.id == "" {
 		return
 	}
--- a/command/forward/eventorder_test.go
+++ b/command/forward/eventorder_test.go
@@ -34,6 +34,11 @@
 		"taken up, begins anew":         {"stream", "id: 1\ndata: x\n\nid: 7\ndata: y\n\nid: 8\ndata: z\n\n", "id: 8\ndata: h\n\n", "7", "id: 8\ndata: h\n\n", true},
 		"begins anew within a part":     {"stream", begun + "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
 		"steps back, then goes on":      {"stream", begun + "id: 1\ndata: a\n\nid: 3\ndata: z\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
+		"repeats all events, then ends": {"stream", begun, begun, "", begun, true},
+		"ends before the last event":    {"stream", begun, "id: 1\ndata: x\n\n", "", begun, false},
+		"the same run, ends before it":  {"once", begun, "id: 1\ndata: a\n\n", "", begun, false},
+		"taken up, ends before it":      {"stream", "", "id: 6\ndata: x\n\n", "7", "", false},
+		"steps back, then ends":         {"stream", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\nid: 1\ndata: x\n\n", "", begun, false},
 		"steps back":                    {"stream", begun + "id: 1\ndata: x\n\n", "id: 3\ndata: c\n\n", "", threeEvents, true},
 	}
 	for name, test := range tests {
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -191,11 +191,15 @@
 }
 
 // finishEvents completes a stream that its engine has ended. rest is the data after the last
-// complete event.
+// complete event. A part that ends among the events that the client has is not the rest of its stream.
 func (t *transaction) finishEvents(resp *serving.Response, rest streamEvent) *verdict.Failure {
 	if len(rest.raw) > 0 {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended within an event after %q", t.out.order.lastID)
 	}
+	if t.out.order.behind {
+		t.f.counts.eventOutOfOrder("ended_before")
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the stream ended before event %q, which its client has", t.out.order.lastID)
+	}
 	t.out.start(resp)
 	t.endSpeedSample(clock.Now())
 	return nil
