The end of an instance does not complete answers to old clients

What clients saw: a client of HTTP/1.0, for which the end of the connection is that of the answer, took a part of a stream for the whole if the instance was killed, or cut the answer off at the end of its grace period.

Cause: the connection was made to reset only once a handler had aborted. The kernel closes the connections of a killed process, and the server those that are left after the grace period, while their handlers still run.

Ruled out: clients of HTTP/1.1, who get chunks or a length.

Why it works: such a connection has SO_LINGER 0 while a handler answers on it, so that whoever closes it resets it, the kernel too. Close takes it back after a complete answer, when net/http has written the rest.

--- a/e2e/streamorder_test.go
+++ b/e2e/streamorder_test.go
@@ -116,9 +116,6 @@
 			header.Set("Resumes", fmt.Sprintf("%s-%d-0", c.name, n))
 		}
 		instance := c.random.IntN(len(c.fleet.instances))
-		if oldProtocol {
-			instance = 0
-		}
 		part := c.fleet.receive(instance, route, form, fmt.Sprintf("%s-%d", c.name, n), header, pause, oldProtocol)
 		part.id = id
 		parts = append(parts, part)
@@ -269,7 +266,7 @@
 		entry.signal(syscall.SIGHUP)
 		time.Sleep(pause)
 		f.servers[server].signal(syscall.SIGCONT)
-	case 5: // an instance is killed; clients of the other one can't tell the end of its process
+	case 5: // an instance is killed
 		f.endEntry(1, syscall.SIGKILL, 0)
 	case 6: // an instance is to end, and is killed if its streams go on
 		f.endEntry(1, syscall.SIGTERM, time.Second)
--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -64,6 +64,8 @@
 	readDeadline time.Time
 	// handled: a handler has the request; aborted: the handler has ended without a complete answer.
 	handled, aborted bool
+	// resetting: closing the connection resets it; ended: the handler has ended with a complete answer since that was set.
+	resetting, ended bool
 	// readErr and writeErr are the first read and write errors.
 	readErr, writeErr error
 }
@@ -72,12 +74,39 @@
 	return &clientConn{Conn: c, phaseStart: time.Now()}
 }
 
-// resetOnClose makes closing the connection reset it. Without chunks, which HTTP/1.0 lacks, the end of a connection is
-// the end of an answer, so that a part of one would look complete.
-func (c *clientConn) resetOnClose() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
+// resetUntilEnded makes the connection be reset if it is closed before markEnded is called, also by the kernel when the
+// process is killed. Without chunks, which HTTP/1.0 lacks, the end of a connection is the end of an answer, so that a part of
+// one would look complete.
+func (c *clientConn) resetUntilEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resetting, c.ended = c.setLinger(0), false
+}
+
+// markEnded records that the handler has ended with a complete answer. The rest of it is sent before Close is called.
+func (c *clientConn) markEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+}
+
+// defaultLinger has the kernel send what is left in the background when a connection is closed.
+const defaultLinger = -1
+
+// setLinger sets SO_LINGER, and reports whether that was possible.
+func (c *clientConn) setLinger(seconds int) bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	return ok && tcp.SetLinger(seconds) == nil
+}
+
+// Close implements net.Conn.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	if c.resetting && c.ended {
+		c.setLinger(defaultLinger)
 	}
+	c.mu.Unlock()
+	return c.Conn.Close()
 }
 
 // finalReadTimeout is how long the reader of a connection to be closed waits for a request that may
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -42,13 +42,17 @@
 func (e *connEndRecorder) logAborted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		start := time.Now()
+		c := connFromContext(r.Context())
+		if c != nil && !r.ProtoAtLeast(1, 1) {
+			c.resetUntilEnded()
+		}
 		defer func() {
 			cause := recover()
 			if cause == nil {
 				return
 			}
 			log := e.log.WithFields(logrus.Fields{"request": platform.RequestID(r), "ms": time.Since(start).Milliseconds()}).
-				WithFields(connFromContext(r.Context()).abort())
+				WithFields(c.abort())
 			if cause == http.ErrAbortHandler {
 				e.count(endAnswerAborted, 1)
 				log.WithField("context", contextState(r.Context())).Info("connection closed without a whole answer")
@@ -57,12 +61,12 @@
 				stack := debug.Stack()
 				log.WithField("stack", string(stack[:min(len(stack), maxStack)])).Errorf("handler panicked: %v", cause)
 			}
-			if c := connFromContext(r.Context()); c != nil && !r.ProtoAtLeast(1, 1) {
-				c.resetOnClose()
-			}
 			panic(http.ErrAbortHandler) // makes net/http close the connection
 		}()
 		next.ServeHTTP(w, r)
+		if c != nil {
+			c.markEnded()
+		}
 	})
 }
 
