--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -19,6 +19,7 @@
 type entryFleet struct {
 	t            *testing.T
 	storeAddress string
+	storeProcess *process
 	store        *platform.Client
 	servers      map[string]*process
 	// addresses are those of the servers, which they keep over restarts.
@@ -47,7 +48,7 @@
 func newEntryFleetWith(t *testing.T, change func(*standin.Config)) *entryFleet {
 	t.Helper()
 	f := &entryFleet{t: t, storeAddress: freeAddress(t), servers: map[string]*process{}, addresses: map[string]string{}}
-	startProcess(t, "address=", "martendev", "platform", "--listen", f.storeAddress)
+	f.storeProcess, _ = startProcess(t, "address=", "martendev", "platform", "--listen", f.storeAddress)
 	f.store = platform.NewClient(platform.ClientParams{BaseURL: "http://" + f.storeAddress, CallTimeout: time.Second, WatchWait: time.Second, CallsPerSecond: 100})
 	config := standin.Config{
 		Version: 1, PlainServices: []string{plainService}, EngineService: engineService,
--- a/e2e/streamorder_test.go
+++ b/e2e/streamorder_test.go
@@ -98,12 +98,13 @@
 	fleet  *entryFleet
 	random *rand.Rand
 	name   string
+	forms  []string
 }
 
 // run sends a stream and takes it up at any instance until it is complete, as far as its route allows. It returns what it got.
 func (c *streamClient) run(n int) []streamPart {
 	route := []string{"stream", "once"}[c.random.IntN(2)]
-	form := streamForms[c.random.IntN(len(streamForms))]
+	form := c.forms[c.random.IntN(len(c.forms))]
 	pause := time.Duration(c.random.IntN(3)) * 30 * time.Millisecond
 	oldProtocol := c.random.IntN(6) == 0
 	var parts []streamPart
@@ -182,7 +183,7 @@
 	var mu sync.Mutex
 	var streams [][]streamPart
 	for c := range clients {
-		client := streamClient{f, rand.New(rand.NewPCG(seed, uint64(c))), fmt.Sprintf("c%d", c)}
+		client := streamClient{f, rand.New(rand.NewPCG(seed, uint64(c))), fmt.Sprintf("c%d", c), streamForms}
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				parts := client.run(n)
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -117,10 +117,15 @@
 	from := form.number(r.Header.Get("Last-Event-Id"))
 	data := strings.TrimSuffix(r.Header.Get("Martenport-Model")+" "+s.params.Version, " ")
 	id, backup := r.Header.Get("Martenport-Attempt-Id"), r.Header.Get("Martenport-Kv-Backup")
+	other := strings.Replace(s.mark(form, data, 0), "@", "@other-", 1)
 	data = s.mark(form, data, from)
+	if r.Header.Get("Kv-From") != "" && form.wrong == WrongEarly {
+		other = data // what goes on from memory is the same run
+	}
 	form.setLength(w, from, data)
 	defer s.setActive(id, -1)
-	for i := from + 1; i <= StreamEvents; i++ {
+	for _, item := range form.sequence(from, data, other) {
+		i := item.number
 		if cut && i == from+3 {
 			if s.params.CloseWithinEvent {
 				_, _ = fmt.Fprintf(w, "id: %d\ndata:", i)
@@ -128,7 +133,12 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.pause.wait()
-		if !form.sendEvent(w, form.event(i, data), s.params.EventPause) {
+		event := form.event(i, item.data)
+		if item.isPart {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			return
+		}
+		if !form.sendEvent(w, event, s.params.EventPause) {
 			return
 		}
 		s.setActive(id, i)
--- a/internal/standin/streamform.go
+++ b/internal/standin/streamform.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -29,10 +30,12 @@
 	inParts bool
 	// marked adds a mark to each event: the server and the time at which the run began, and the event after which it began.
 	marked bool
+	// wrong is what half of the runs do wrong; see sequence.
+	wrong string
 }
 
 func streamFormOf(query url.Values) streamForm {
-	f := streamForm{framing: query.Get("framing"), lineEnd: "\n", ids: query.Get("ids"), inParts: query.Get("in") == "parts", marked: query.Get("marked") == "true"}
+	f := streamForm{framing: query.Get("framing"), lineEnd: "\n", ids: query.Get("ids"), inParts: query.Get("in") == "parts", marked: query.Get("marked") == "true", wrong: query.Get("wrong")}
 	if query.Get("lines") == "crlf" {
 		f.lineEnd = "\r\n"
 	}
@@ -111,3 +114,61 @@
 	}
 	return true
 }
+
+// Wrongs of streams, which requests may name in their query as "wrong".
+const (
+	// WrongRepeat sends each event twice, and WrongBack some events a second time.
+	WrongRepeat, WrongBack = "repeat", "back"
+	// WrongAnew begins another run in the middle, WrongEarly before the event that the run is to go on after, and WrongShort
+	// ends such a run before that event.
+	WrongAnew, WrongEarly, WrongShort = "anew", "early", "short"
+	// WrongCut ends within an event, as if the stream were complete.
+	WrongCut = "cut"
+)
+
+// Wrongs are all of them.
+var Wrongs = []string{WrongRepeat, WrongBack, WrongAnew, WrongEarly, WrongShort, WrongCut}
+
+// streamItem is an event of a stream, or a part of it with which the stream ends.
+type streamItem struct {
+	number int
+	data   string
+	isPart bool
+}
+
+// sequence returns what a stream that goes on after an event sends. other is the data of another run.
+func (f streamForm) sequence(after int, data, other string) []streamItem {
+	var items []streamItem
+	add := func(first, last int, data string) {
+		for i := max(1, first); i <= min(last, StreamEvents); i++ {
+			items = append(items, streamItem{number: i, data: data})
+		}
+	}
+	wrong, middle := f.wrong, min(after+4, StreamEvents)
+	if rand.IntN(2) == 0 || wrong == WrongShort && after <= 1 || after == StreamEvents {
+		wrong = ""
+	}
+	switch wrong {
+	case WrongRepeat:
+		for i := after + 1; i <= StreamEvents; i++ {
+			add(i, i, data)
+			add(i, i, data)
+		}
+	case WrongBack:
+		add(after+1, middle, data)
+		add(middle-2, StreamEvents, data)
+	case WrongAnew:
+		add(after+1, middle, data)
+		add(1, StreamEvents, other)
+	case WrongEarly:
+		add(after-1, StreamEvents, other)
+	case WrongShort:
+		add(1, after-1, other)
+	case WrongCut:
+		add(after+1, middle, data)
+		items[len(items)-1].isPart = true
+	default:
+		add(after+1, StreamEvents, data)
+	}
+	return items
+}
