A part is not held for the crash of a request that ran beside it

Cause: an isolated run of a request with the part ended with its server, on which a request that crashes servers had been started a millisecond before. That one had two crashes, known as a suspect's, but only one with three or more counts as the other cause of a pending crash; below that a run alone is left undecided beside a suspect for requests, but not for parts, whose only rivals were the other parts of the same prompt. The instance at which the third crash was not known yet decided against the part, and the others adopted that.

Ruled out: an order of messages alone.

In one process TestPartBesideSuspectRequest: quarantined before, suspect now, and quarantined after a second run with no suspect beside it.

Why it works: a suspect request that ran on the server and does not have the part is a rival, as it is for requests. A part that does crash servers has a second isolated run then.

The test failed before.

--- a/command/quarantine/parts_test.go
+++ b/command/quarantine/parts_test.go
@@ -353,3 +353,17 @@
 	crashUnder(l, identity("sound-2", "shared:1"), 5, true)
 	checkAssessed(t, l, "two of three crashes explained", identity("sound-3", "shared:1"), "", Suspect)
 }
+
+// TestPartBesideSuspectRequest guards against quarantining a part that many requests share because its isolated run was on a
+// server with a request that crashes servers, and that had crashed too few to be known for it.
+func TestPartBesideSuspectRequest(t *testing.T) {
+	l, bad := NewLedger(), identity("bad", "other:1")
+	crashUnder(l, identity("sound-0", "m:10"), 0, false)
+	crashUnder(l, identity("sound-1", "m:10"), 1, false)
+	crashUnder(l, bad, 1, false)
+	crashUnder(l, bad, 2, false)
+	crashUnder(l, identity("sound-1", "m:10"), 2, true)
+	checkAssessed(t, l, "beside the request", identity("sound-2", "m:10"), "", Suspect)
+	crashUnder(l, identity("sound-3", "m:10"), 3, true)
+	checkAssessed(t, l, "alone", identity("sound-4", "m:10"), "", Quarantined)
+}
--- a/command/quarantine/pending.go
+++ b/command/quarantine/pending.go
@@ -196,10 +196,10 @@
 
 // rivals returns what else may have caused a crash during an isolated run of r. l.mu must be held.
 func (l *Ledger) rivals(r *record, crash pendingCrash, now time.Time) []serving.Fingerprint {
+	rivals := l.suspectsBeside(r, crash)
 	if !IsPart(r.Fingerprint) {
-		return l.suspectsBeside(r, crash)
+		return rivals
 	}
-	var rivals []serving.Fingerprint
 	for _, fp := range crash.companions {
 		if fp != r.Fingerprint && l.isRival(r, fp, crash.incarnation.Version, now) {
 			rivals = append(rivals, fp)
@@ -209,10 +209,11 @@
 }
 
 // suspectsBeside returns the other requests that were running on the incarnation and are suspects: they became that too late
-// to be kept away from the isolated run. What is answered meanwhile is no suspect any more. l.mu must be held.
+// to be kept away from the isolated run. What is answered meanwhile is no suspect any more. Requests with the part r are none:
+// their crashes may be those of r. l.mu must be held.
 func (l *Ledger) suspectsBeside(r *record, crash pendingCrash) (suspects []serving.Fingerprint) {
 	for fp, other := range l.records {
-		if other != r && !IsPart(fp) && other.State() == Suspect && slices.Contains(other.Crashes, crash.incarnation) && !follows(other, r) {
+		if other != r && !IsPart(fp) && !other.hasPart(r.Fingerprint) && other.State() == Suspect && slices.Contains(other.Crashes, crash.incarnation) && !follows(other, r) {
 			suspects = append(suspects, fp)
 		}
 	}
