--- a/e2e/streamorder_test.go
+++ b/e2e/streamorder_test.go
@@ -98,12 +98,13 @@
 	fleet  *entryFleet
 	random *rand.Rand
 	name   string
+	forms  []string
 }
 
 // run sends a stream and takes it up at any instance until it is complete, as far as its route allows. It returns what it got.
 func (c *streamClient) run(n int) []streamPart {
 	route := []string{"stream", "once"}[c.random.IntN(2)]
-	form := streamForms[c.random.IntN(len(streamForms))]
+	form := c.forms[c.random.IntN(len(c.forms))]
 	pause := time.Duration(c.random.IntN(3)) * 30 * time.Millisecond
 	oldProtocol := c.random.IntN(6) == 0
 	var parts []streamPart
@@ -116,9 +117,6 @@
 			header.Set("Resumes", fmt.Sprintf("%s-%d-0", c.name, n))
 		}
 		instance := c.random.IntN(len(c.fleet.instances))
-		if oldProtocol {
-			instance = 0
-		}
 		part := c.fleet.receive(instance, route, form, fmt.Sprintf("%s-%d", c.name, n), header, pause, oldProtocol)
 		part.id = id
 		parts = append(parts, part)
@@ -185,7 +183,7 @@
 	var mu sync.Mutex
 	var streams [][]streamPart
 	for c := range clients {
-		client := streamClient{f, rand.New(rand.NewPCG(seed, uint64(c))), fmt.Sprintf("c%d", c)}
+		client := streamClient{f, rand.New(rand.NewPCG(seed, uint64(c))), fmt.Sprintf("c%d", c), streamForms}
 		wg.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				parts := client.run(n)
@@ -269,7 +267,7 @@
 		entry.signal(syscall.SIGHUP)
 		time.Sleep(pause)
 		f.servers[server].signal(syscall.SIGCONT)
-	case 5: // an instance is killed; clients of the other one can't tell the end of its process
+	case 5: // an instance is killed
 		f.endEntry(1, syscall.SIGKILL, 0)
 	case 6: // an instance is to end, and is killed if its streams go on
 		f.endEntry(1, syscall.SIGTERM, time.Second)
