soak: plays of instances killed or stopped as versions change

Seventeen more orders of faults, in a file of their own: all instances killed up to 0.5 s after the second version's first engine is announced, or as streams begin there (both versions stay, one of them leaves while no instance runs, the store is slow, serves one instance only), killed twice, killed while the store is down, stopped in turn while the versions change or before a second one appears, the old version back, three versions, the holder frozen through a release, marks removed or emptied.

Why: the seventeen plays killed all instances a second or more after a version appeared, when its mark and the archives of origins are written.

--- a/soak/playlist.go
+++ b/soak/playlist.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/url"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +12,10 @@
 )
 
 // plays are the orders of faults.
-var plays = []play{
+var plays = slices.Concat(changePlays, killPlays)
+
+// changePlays are orders of faults around a change of versions.
+var changePlays = []play{
 	{name: "replaced-while-down", versions: oneVersion, models: commonModels, act: replacedWhileDown(false)},
 	{name: "replaced-while-down-same-id", versions: oneVersion, models: commonModels, act: replacedWhileDown(true)},
 	{name: "replaced-while-load-waits", versions: oneVersion, loaded: [][]string{{"m1"}, {"m3"}}, models: []string{"m1"}, load: slowLoad, maxPause: shortPause, act: replacedWhileLoadWaits},
