Streams begin at a software version only once its mark is in the store

Callers saw: streams joined from two versions (ORDER) that they took up after all instances had been killed, if the kill came as the first streams of a second version had begun and its servers left while no instance ran: the first events from that version, the rest from the other one. No line or header told.

Cause: the mark of a service's versions, on which an instance that starts relies, is written by the holder up to 200 ms after a server of a new version is known, later if there is no holder or the store is slow; origins are archived up to 500 ms later. A stream could begin there before. After the kill the mark names one version, its servers are the only ones, and so the stream of the other version goes on there. Class: a record that proves what could have happened has to be written before it can.

Now an instance holds servers back from streams that can be resumed and begin, while a mark names other versions of the service but not theirs, if a server of a named version has the model. The holder writes the mark as before; others read the marks again while they know of a version that is not named. A version that expires is held back again until it is marked. After 5 s without a mark (no holder, or a store that refuses it) streams begin there all the same, with a warning. Streams that cannot be resumed, and those that go on, are as before. New servers load a model first, which takes longer than the mark.

Left: the only server with the model has the new version; an instance that has not read the marks yet; those 5 s. Refusing there would cost more callers than it saves.

--- a/command/forward/choose.go
+++ b/command/forward/choose.go
@@ -36,6 +36,7 @@
 		usable := slices.DeleteFunc(servers, func(s serving.Server) bool {
 			return t.excluded[s.ID] || !t.fitsVersion(s) || t.f.guard.Crashed(s)
 		})
+		usable = withoutHeldBack(t, usable, func(s serving.Server) (serving.Server, bool) { return s, true })
 		open := t.availableServers(usable)
 		candidates := make([]balance.Candidate, 0, len(open))
 		for _, i := range open {
--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -21,6 +21,8 @@
 	// Versions returns the versions at which streams of a service may have begun that can still be resumed. certain is
 	// set if there are certainly no others.
 	Versions(service string) (versions []string, certain bool)
+	// HoldsBack reports whether streams should not begin at a version of a service yet.
+	HoldsBack(service, version string) bool
 	// Record records that an attempt brings the first event of a stream. It does not wait.
 	Record(attempt string, origin skew.Origin)
 	// Find returns the origin of a stream of a service by the attempt that brought its first event.
--- a/command/forward/origin_test.go
+++ b/command/forward/origin_test.go
@@ -14,6 +14,7 @@
 type staleOrigins struct{ answer OriginAnswer }
 
 func (staleOrigins) Versions(string) ([]string, bool)                    { return []string{"v1"}, true }
+func (staleOrigins) HoldsBack(_, _ string) bool                          { return false }
 func (staleOrigins) Record(string, skew.Origin)                          {}
 func (o staleOrigins) Find(context.Context, string, string) OriginAnswer { return o.answer }
 
@@ -53,6 +54,7 @@
 }
 
 func (recordedOrigins) Versions(string) ([]string, bool)            { return []string{"v1", "v2"}, true }
+func (recordedOrigins) HoldsBack(_, _ string) bool                  { return false }
 func (o recordedOrigins) Record(attempt string, origin skew.Origin) { o.known[attempt] = origin }
 func (o recordedOrigins) Find(_ context.Context, attempt, _ string) OriginAnswer {
 	return OriginAnswer{Origin: o.known[attempt], Unanswered: o.unanswered}
--- a/command/forward/resumed_test.go
+++ b/command/forward/resumed_test.go
@@ -21,6 +21,7 @@
 type fakeOrigins struct{ origin skew.Origin }
 
 func (fakeOrigins) Versions(string) ([]string, bool) { return []string{"v1", "v2"}, true }
+func (fakeOrigins) HoldsBack(_, _ string) bool       { return false }
 func (fakeOrigins) Record(string, skew.Origin)       {}
 func (o fakeOrigins) Find(context.Context, string, string) OriginAnswer {
 	return OriginAnswer{Origin: o.origin}
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -70,6 +70,25 @@
 	return !t.versionUnknown && (t.version == "" || s.Version == t.version)
 }
 
+// withoutHeldBack drops the servers whose version is held back from a stream that begins, unless it can begin at no other.
+// ready reports whether it could begin at a server now.
+func withoutHeldBack[S any](t *transaction, list []S, server func(S) (s serving.Server, ready bool)) []S {
+	if t.bound() || t.f.origins == nil || !t.route.Resumable {
+		return list
+	}
+	heldBack := func(s S) bool {
+		found, _ := server(s)
+		return t.f.origins.HoldsBack(t.service.Name, found.Version)
+	}
+	if !slices.ContainsFunc(list, func(s S) bool {
+		found, ready := server(s)
+		return ready && !t.excluded[found.ID] && !heldBack(s)
+	}) {
+		return list
+	}
+	return slices.DeleteFunc(list, heldBack)
+}
+
 // bound reports whether only servers of one version may continue the stream, or none.
 func (t *transaction) bound() bool { return t.version != "" || t.versionUnknown }
 
@@ -107,7 +126,7 @@
 func (t *transaction) replicas(now time.Time) []directory.Replica {
 	found := t.f.dir.Replicas(t.service.Name, t.request.Unit, now)
 	if !t.bound() {
-		return found
+		return withoutHeldBack(t, found, func(r directory.Replica) (serving.Server, bool) { return r.Server, r.Ready.IsZero() })
 	}
 	return slices.DeleteFunc(found, func(r directory.Replica) bool { return !t.fitsVersion(r.Server) })
 }
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -86,6 +86,11 @@
 	return o.dir.Versions()[service], o.marks.certain() && o.archive.restored.Load()
 }
 
+// HoldsBack implements forward.Origins.
+func (o *streamOrigins) HoldsBack(service, version string) bool {
+	return o.marks.HoldsBack(service, version)
+}
+
 // mixed reports whether streams of a service that can still be resumed may have begun at several versions.
 func (o *streamOrigins) mixed(service string) bool {
 	versions, certain := o.Versions(service)
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -52,12 +52,18 @@
 	// restored is set if the store came back from a copy, in which marks may be missing.
 	restored atomic.Bool
 
+	// open are the versions at which streams may begin, by service; nil before the marks are read.
+	open atomic.Pointer[map[string][]string]
 	// The following are used by run only. loaded is whether the marks have been read since the list of servers was last
 	// too old, complete whether each service with servers had a sure one since, and wasComplete whether that was ever so.
 	// known are the marks as last read or written, in era, and wasHolder whether this instance was the holder then.
 	loaded, complete, wasComplete, wasHolder bool
 	known                                    map[string]storedMark
 	era                                      int64
+	// named are the versions that the marks named when they were last read or written and that were known since, by service,
+	// and unnamedSince is when other versions were first known.
+	named        map[string][]string
+	unnamedSince map[serviceVersion]time.Time
 	// startedAt is when the marks were first read. readAgainAt and readPause are when missing ones are read again, and the pause
 	// after that. refusedUntil is when marks that the store refused are written again.
 	startedAt, readAgainAt, refusedUntil time.Time
@@ -71,6 +77,9 @@
 	revision store.Revision
 }
 
+// serviceVersion is a software version of a service's servers.
+type serviceVersion struct{ service, version string }
+
 // Timing of version marks.
 const (
 	marksInterval = 200 * time.Millisecond
@@ -85,6 +94,9 @@
 	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
 	// A server of a new version has to load models, which takes longer, before it can begin a stream.
 	maxServersAge = 3 * time.Second
+	// maxHeldBackTime bounds how long the servers of a version are held back while no mark names it. The successor of a lost
+	// holder has written the mark by then.
+	maxHeldBackTime = 5 * time.Second
 )
 
 // certain reports whether this instance knows the software versions of all servers that streams may have begun at.
@@ -107,6 +119,7 @@
 // and does nothing, if the list of servers is too old.
 func (m *versionMarks) update(ctx context.Context) bool {
 	now := clock.Now()
+	defer m.publishOpen(now)
 	age := m.serversAge(now)
 	if m.restored.Swap(false) {
 		m.loaded = false
@@ -126,13 +139,16 @@
 	return true
 }
 
-// read reads the marks unless that was done, and again as long as one is missing: the service may have had versions that
-// nobody has recorded.
+// read reads the marks unless that was done, again as long as one is missing, since the service may have had versions that
+// nobody has recorded, and again until the marks name all known versions.
 func (m *versionMarks) read(ctx context.Context, now time.Time) {
 	switch {
 	case !m.loaded:
 		m.loaded, m.complete, m.readPause = m.load(ctx), false, minReadPause
-	case m.complete || now.Before(m.readAgainAt):
+	case m.complete && (m.wasHolder || len(m.unnamedSince) == 0):
+		m.readPause = minReadPause
+		return
+	case now.Before(m.readAgainAt):
 		return
 	default:
 		m.load(ctx)
@@ -142,7 +158,7 @@
 	}
 	m.readAgainAt = now.Add(m.readPause)
 	m.readPause = min(maxReadPause, 2*m.readPause)
-	m.setComplete(m.loaded && !m.missing())
+	m.setComplete(m.complete || m.loaded && !m.missing())
 }
 
 func (m *versionMarks) setComplete(complete bool) {
@@ -150,6 +166,53 @@
 	m.wasComplete = m.wasComplete || complete
 }
 
+// HoldsBack reports whether no stream should begin at a version of a service yet: the service's mark does not name it, so
+// that instances that start after all others were killed would not know of the stream's version.
+func (m *versionMarks) HoldsBack(service, version string) bool {
+	open := m.open.Load()
+	if open == nil {
+		return false
+	}
+	versions, marked := (*open)[service]
+	return marked && !slices.Contains(versions, version)
+}
+
+// publishOpen replaces open: a version that has expired is held back again until a mark names it.
+func (m *versionMarks) publishOpen(now time.Time) {
+	if m.named == nil {
+		return
+	}
+	open, since := map[string][]string{}, map[serviceVersion]time.Time{}
+	for service, versions := range m.dir.Versions() {
+		named := slices.DeleteFunc(slices.Clone(m.named[service]), func(v string) bool { return !slices.Contains(versions, v) })
+		m.named[service] = named
+		if len(named) == 0 {
+			continue
+		}
+		open[service] = slices.Clone(named)
+		for _, version := range versions {
+			if slices.Contains(named, version) {
+				continue
+			}
+			key := serviceVersion{service, version}
+			first, known := m.unnamedSince[key]
+			if !known {
+				first = now
+			}
+			since[key] = first
+			if now.Sub(first) <= maxHeldBackTime {
+				continue
+			}
+			open[service] = append(open[service], version)
+			if m.HoldsBack(service, version) {
+				m.log.WithFields(logrus.Fields{"service": service, "version": version}).Warn("streams begin at a software version that no mark names")
+			}
+		}
+	}
+	m.unnamedSince = since
+	m.open.Store(&open)
+}
+
 // missing reports whether a service has no mark, or none that is sure and can be read, or no service is known.
 func (m *versionMarks) missing() bool {
 	services := m.dir.Versions()
@@ -185,7 +248,7 @@
 		return false
 	}
 	before := m.known
-	m.known, m.era = map[string]storedMark{}, snap.Revision.Era()
+	m.known, m.named, m.era = map[string]storedMark{}, map[string][]string{}, snap.Revision.Era()
 	for _, obj := range snap.Objects {
 		var mark versionMark
 		if err := json.Unmarshal(obj.Value, &mark); err != nil {
@@ -193,6 +256,7 @@
 		}
 		service := obj.Key[len(prefixVersions):]
 		m.known[service] = storedMark{versions: mark.Versions, unsure: mark.Unsure || mark.Era < m.era, revision: obj.Version}
+		m.named[service] = mark.Versions
 		m.observe(service, mark.Versions, before[service].versions)
 	}
 	if !m.loaded {
@@ -234,7 +298,7 @@
 		if err != nil {
 			return m.logFailure(service, err)
 		}
-		m.known[service] = storedMark{versions: versions, unsure: unsure, revision: revision}
+		m.known[service], m.named[service] = storedMark{versions: versions, unsure: unsure, revision: revision}, versions
 		m.log.WithFields(logrus.Fields{"service": service, "versions": versions, "before": mark.versions, "unsure": unsure}).Info("software versions of servers")
 	}
 	for service, mark := range m.known {
