An instance that is stopped hands over where its streams began

Callers saw: streams that they took up were refused (503, reason version) though servers of their version served: an instance that had begun them was stopped, as in a rolling restart, and servers of a second version appeared before they came back (LOST).

Cause: while a service has one version nobody is told where streams began; an instance sends that when a second one appears. One that ended before took it along. Class: state that is needed later is lost with a process that could have passed it on.

Ruled out: marks (the version was known to all) and refusals by keepers that leave themselves (instances stopped one after the other, each back before the next).

Now an instance sends those origins to the instances that keep them when its requests have ended, in at most 0.5 s. Instances that are killed cannot, as before.

TestStreamOfStoppedInstanceGoesOnBesideSecond failed before (503).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -336,6 +336,8 @@
 	// the instance has become unready: two checks one second apart, plus one in flight.
 	balancerDelay  = 2500 * time.Millisecond
 	releaseTimeout = time.Second
+	// handOverTimeout bounds sending origins. It is shorter than what drainShare leaves of usual grace periods.
+	handOverTimeout = 500 * time.Millisecond
 )
 
 // drain makes the instance unready, releases the lease, and lets requests end.
@@ -357,6 +359,9 @@
 	ctx, cancel = context.WithDeadline(context.Background(), deadline)
 	i.tunnels.Wait(ctx)
 	cancel()
+	ctx, cancel = context.WithTimeout(context.Background(), handOverTimeout)
+	i.origins.handOver(ctx)
+	cancel()
 	i.forwarder.FlushLog()
 }
 
--- a/entry/origins_handover.go
+++ b/entry/origins_handover.go
@@ -27,15 +27,25 @@
 func (o *streamOrigins) runUnsent(ctx context.Context) {
 	for pause.For(ctx, unsentInterval) {
 		for service := range o.dir.MixedVersions() {
-			if entries := o.unsent.Take(service, clock.Now()); len(entries) > 0 {
-				o.sendUnsent(ctx, entries)
-			}
+			o.sendUnsent(ctx, service, "servers of a second software version have appeared")
 		}
 	}
 }
 
-// sendUnsent records origins here and sends them to all instances that may keep them.
-func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry) {
+// handOver sends the origins that no other instance has, as this one is about to end: servers of a second version may appear
+// while the streams can still be resumed.
+func (o *streamOrigins) handOver(ctx context.Context) {
+	for service := range o.dir.Versions() {
+		o.sendUnsent(ctx, service, "the instance ends")
+	}
+}
+
+// sendUnsent records the origins of a service's streams here and sends them to all instances that may keep them.
+func (o *streamOrigins) sendUnsent(ctx context.Context, service, reason string) {
+	entries := o.unsent.Take(service, clock.Now())
+	if len(entries) == 0 {
+		return
+	}
 	byKeeper := map[string][]skew.Entry{}
 	for _, e := range entries {
 		o.table.Record(e.Attempt, e.Origin, clock.Now())
@@ -55,7 +65,7 @@
 		}
 	}
 	_ = calls.Wait() // no call returns an error
-	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, servers of a second software version have appeared")
+	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, " + reason)
 }
 
 // sendChunk sends origins to an instance.
--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -303,3 +303,29 @@
 		}
 	}
 }
+
+// TestStreamOfStoppedInstanceGoesOnBesideSecond guards against streams that no instance lets go on beside a second software
+// version because the instance that began them was stopped before that appeared.
+func TestStreamOfStoppedInstanceGoesOnBesideSecond(t *testing.T) {
+	f := newVersionFleet(t, 3, "v1", "v1")
+	f.await("certain", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool { return !r.marks.certain() })
+	})
+	var begun []attempt
+	for range 20 {
+		a := attempt{id: newAttemptID(), leaveAfter: 3}
+		f.send(f.instances[0], a)
+		begun = append(begun, a)
+	}
+	f.instances[0].stop()
+	<-f.instances[0].done
+	f.instances = f.instances[1:]
+	f.addVersion("v2", "v2", "m1")
+	f.awaitServers(3)
+	for _, a := range begun {
+		got := f.send(f.randomInstance(), attempt{id: newAttemptID(), lastEvent: 3, resumes: a.id})
+		if got.lastID != standin.StreamEvents || slices.Contains(got.versions, "v2") {
+			t.Errorf("%+v, want the rest at v1", got)
+		}
+	}
+}
