--- a/entry/origins_handover.go
+++ b/entry/origins_handover.go
@@ -28,11 +28,8 @@
 func (o *streamOrigins) runUnsent(ctx context.Context) {
 	for pause.For(ctx, unsentInterval) {
 		for service := range o.dir.Versions() {
-			if !o.severalVersions(service) {
-				continue
-			}
-			if entries := o.unsent.Take(service, clock.Now()); len(entries) > 0 {
-				o.sendUnsent(ctx, entries)
+			if o.severalVersions(service) {
+				o.handOver(ctx, service, "servers of a second software version have appeared")
 			}
 		}
 	}
@@ -57,8 +54,23 @@
 	return slices.ContainsFunc(targets, func(t serving.Target) bool { return t.Service == service })
 }
 
+// handOverAll sends the origins that no other instance has, as this one is about to end: servers of a second version may
+// appear while the streams can still be resumed.
+func (o *streamOrigins) handOverAll(ctx context.Context) {
+	for service := range o.dir.Versions() {
+		o.handOver(ctx, service, "the instance ends")
+	}
+}
+
+// handOver sends the origins of a service's streams that no other instance has.
+func (o *streamOrigins) handOver(ctx context.Context, service, reason string) {
+	if entries := o.unsent.Take(service, clock.Now()); len(entries) > 0 {
+		o.sendUnsent(ctx, entries, reason)
+	}
+}
+
 // sendUnsent records origins here and sends them to all instances that may keep them.
-func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry) {
+func (o *streamOrigins) sendUnsent(ctx context.Context, entries []skew.Entry, reason string) {
 	for _, e := range entries { // at once: they are not among the unsent any more, and clients may ask for them
 		o.table.Record(e.Attempt, e.Origin, clock.Now())
 	}
@@ -80,7 +92,7 @@
 		}
 	}
 	_ = calls.Wait() // no call returns an error
-	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, servers of a second software version have appeared")
+	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, " + reason)
 }
 
 // sendChunk sends origins to an instance.
--- a/entry/origins_handover_test.go
+++ b/entry/origins_handover_test.go
@@ -32,7 +32,7 @@
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
-		o.sendUnsent(t.Context(), []skew.Entry{{Attempt: "first", Origin: origin}, {Attempt: "last", Origin: origin}})
+		o.sendUnsent(t.Context(), []skew.Entry{{Attempt: "first", Origin: origin}, {Attempt: "last", Origin: origin}}, "test")
 	}()
 	<-s.asked
 	for _, attempt := range []string{"first", "last"} {
