Requests that were not awaited to their end leave room at a brittle server in doubt

What callers saw: servers that say that they are brittle and fall silent for a second or so end as they go on, all of a service at once, if clients leave meanwhile or the time of their requests is over (LIMIT).

Hypotheses: several keepers for one server while calls are late; permits that expire in use; sends by instances that do not know that the server is brittle; room that is given away while the server still has the request. `brittle server has less room` had nothing that tells them apart; it has now what was known of the permit, and the numbers of unpermitted and abandoned requests.

Cause: the permit of a request was released as soon as its instance did not wait for it any more. The server still has the request until it notices that its connection is closed, and runs or rejects what took its place.

Fix: such a release says that the request was abandoned. For the lifetime of a permit, which is how long requests of a failed instance are expected to outlive it, as many requests as were abandoned count beside those in flight when it is decided whether the next one is in doubt; no more are in doubt at a time than half of the rejections that the server survives. So nothing is lost where a server has dropped the requests but the time until it begins to answer.

--- a/command/brittle/limit.go
+++ b/command/brittle/limit.go
@@ -61,19 +61,21 @@
 // isDoubtful reports whether a request may be rejected that is the level-th in flight.
 func (l *limit) isDoubtful(level int) bool { return level > l.proven }
 
-// allows reports whether a request may be sent as the level-th in flight. doubtful and unsettled are the numbers of
-// requests in flight that are in doubt, and of which it is not known yet whether the server accepted them.
-func (l *limit) allows(level, doubtful, unsettled int, now time.Time) bool {
+// allows reports whether a request may be sent as the level-th in flight, beside the given number of abandoned ones.
+// doubtful and unsettled are the numbers of requests in flight that are in doubt, and of which it is not known yet whether
+// the server accepted them.
+func (l *limit) allows(level, abandoned, doubtful, unsettled int, now time.Time) bool {
 	l.expire(now)
+	highest := level + abandoned
 	switch {
 	case l.slots > 0 && level > l.most():
 		return false
-	case l.isDoubtful(level) && (now.Before(l.probeFrom) || level > l.slots && now.Before(l.queueFrom)):
+	case l.isDoubtful(highest) && (now.Before(l.probeFrom) || highest > l.slots && now.Before(l.queueFrom)):
 		return false
 	case len(l.rejections) >= min(cautiousAfter, max(1, l.tolerated)):
 		return len(l.rejections)+unsettled < l.tolerated
 	default:
-		return !l.isDoubtful(level) || doubtful < l.doubts()
+		return !l.isDoubtful(highest) || doubtful < l.doubts()
 	}
 }
 
--- a/command/brittle/semaphore.go
+++ b/command/brittle/semaphore.go
@@ -39,6 +39,8 @@
 	Accepted
 	// Rejected means that the server had no room.
 	Rejected
+	// Abandoned means that the instance did not wait for the end of the answer, so that the server may still have the request.
+	Abandoned
 )
 
 // Request is a request for a permit.
@@ -84,6 +86,8 @@
 	// permit in it. isReleased has them, too. Both are guarded by mu.
 	released   []releasedPermit
 	isReleased map[Permit]bool
+	// abandoned are the times at which requests were abandoned lately; guarded by mu.
+	abandoned []time.Time
 	// unpermitted are requests in flight without a permit, by instance; guarded by mu.
 	unpermitted map[string]unpermittedRequests
 	// waiting are the requests that wait for a permit, in the order in which they get one; guarded by mu.
@@ -97,8 +101,9 @@
 // permitState is the state of a permit.
 type permitState struct {
 	granted, expires time.Time
-	// level is the number of requests in flight with this one when it was granted.
-	level int
+	// level is the number of requests in flight with this one when it was granted, and highest the same with those that were
+	// abandoned.
+	level, highest int
 	// doubtful is set if the server may reject the request, and settled once it has accepted it or is not about to reject it.
 	doubtful, settled bool
 }
@@ -175,13 +180,26 @@
 	s.limit.accept(state.level, state.granted, now)
 }
 
+// Use is what the semaphore knew of a permit when it was released.
+type Use struct {
+	// Known is set if the permit had not expired. Age is the time since it was granted, or was first renewed here.
+	Known bool
+	Age   time.Duration
+	// Level is the number of requests in flight with this one when it was granted.
+	Level int
+	// Doubtful is set if the server could have rejected the request.
+	Doubtful bool
+}
+
 // Release ends the use of a permit. A permit that the semaphore does not know stands for a request without one.
-func (s *Semaphore) Release(p Permit, o Outcome) {
+func (s *Semaphore) Release(p Permit, o Outcome) (use Use) {
 	s.update(func(now time.Time) {
 		state, found := s.permits[p]
 		if !found {
-			state = &permitState{granted: now, level: s.inFlight() + 1}
+			level := s.inFlight() + 1
+			state = &permitState{granted: now, level: level, highest: level + len(s.abandoned)}
 		}
+		use = Use{Known: found, Age: now.Sub(state.granted), Level: state.level, Doubtful: state.doubtful}
 		delete(s.permits, p)
 		s.released, s.isReleased[p] = append(s.released, releasedPermit{p, now}), true
 		s.turnover.end(now)
@@ -191,9 +209,12 @@
 				s.settle(state, now)
 			}
 		case Rejected:
-			s.limit.reject(state.level, now)
+			s.limit.reject(state.highest, now)
+		case Abandoned:
+			s.abandoned = append(s.abandoned, now)
 		}
 	})
+	return use
 }
 
 // Renew renews the permits of an instance. Permits that the semaphore does not know were granted by another one.
@@ -219,6 +240,10 @@
 	// InFlight is the number of requests in flight at the server, Proven how many are known to have room there, and Waiting
 	// how many wait for a permit.
 	InFlight, Proven, Waiting int
+	// Unpermitted is the number of requests in flight without a permit, as instances have reported it.
+	Unpermitted int
+	// Abandoned is the number of requests that were abandoned lately, which the server may still have.
+	Abandoned int
 	// Rejections is the number of recent rejections.
 	Rejections int
 	UsedAt     time.Time
@@ -228,7 +253,8 @@
 func (s *Semaphore) State() State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return State{InFlight: s.inFlight(), Proven: s.limit.proven, Waiting: len(s.waiting), Rejections: len(s.limit.rejections), UsedAt: s.usedAt}
+	inFlight := s.inFlight()
+	return State{InFlight: inFlight, Unpermitted: inFlight - len(s.permits), Abandoned: len(s.abandoned), Proven: s.limit.proven, Waiting: len(s.waiting), Rejections: len(s.limit.rejections), UsedAt: s.usedAt}
 }
 
 // Distrust makes the semaphore learn anew how many requests the server has room for, since this instance may not have
@@ -244,7 +270,7 @@
 	defer s.mu.Unlock()
 	change(now)
 	s.expire(now)
-	for len(s.waiting) > 0 && s.limit.allows(s.inFlight()+1, s.count(isInDoubt), s.count(isUnsettled), now) {
+	for len(s.waiting) > 0 && s.limit.allows(s.inFlight()+1, len(s.abandoned), s.count(isInDoubt), s.count(isUnsettled), now) {
 		s.grant(s.waiting[0].permit, now)
 		close(s.waiting[0].granted)
 		s.waiting = s.waiting[1:]
@@ -272,7 +298,8 @@
 // grant grants a permit. s.mu must be held.
 func (s *Semaphore) grant(p Permit, now time.Time) {
 	level := s.inFlight() + 1
-	s.permits[p] = &permitState{granted: now, expires: now.Add(PermitLifetime), level: level, doubtful: s.limit.isDoubtful(level)}
+	highest := level + len(s.abandoned)
+	s.permits[p] = &permitState{granted: now, expires: now.Add(PermitLifetime), level: level, highest: highest, doubtful: s.limit.isDoubtful(highest)}
 }
 
 // result returns whether a permit was granted, and ends the wait for it if it was not.
@@ -306,6 +333,9 @@
 		delete(s.isReleased, s.released[0].permit)
 		s.released = s.released[1:]
 	}
+	for len(s.abandoned) > 0 && now.Sub(s.abandoned[0]) >= PermitLifetime {
+		s.abandoned = s.abandoned[1:]
+	}
 	for instance, u := range s.unpermitted {
 		if !now.Before(u.expires) {
 			delete(s.unpermitted, instance)
--- a/command/brittle/semaphore_test.go
+++ b/command/brittle/semaphore_test.go
@@ -32,6 +32,30 @@
 	}
 }
 
+// TestRoomOfAbandonedRequests guards against permits for the room of requests that were abandoned, and that the server still has.
+func TestRoomOfAbandonedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, sent := NewSemaphore(testServer, true), uint64(0)
+		for n := 1; n > 0; sent += uint64(n) { // until all room is taken
+			n = acquireAll(t, s, "a", sent)
+			for i := range n {
+				s.Accept(Permit{Instance: "a", Number: sent + uint64(i)})
+			}
+		}
+		for number := range sent {
+			s.Release(Permit{Instance: "a", Number: number}, Abandoned)
+		}
+		n := acquireAll(t, s, "a", sent)
+		if n == 0 || n > testServer.Tolerated {
+			t.Errorf("%d permits beside %d abandoned requests, want some, and no more than rejections that the server survives", n, sent)
+		}
+		time.Sleep(PermitLifetime)
+		if n += acquireAll(t, s, "a", sent+uint64(n)); n < testServer.Slots {
+			t.Errorf("%d permits after the abandoned requests have ended, want the room of %d slots", n, testServer.Slots)
+		}
+	})
+}
+
 // TestPermitsOfFailedInstance guards against room that an instance holds for good that has failed, and against permits that
 // expire although they are renewed.
 func TestPermitsOfFailedInstance(t *testing.T) {
--- a/command/forward/brittle.go
+++ b/command/forward/brittle.go
@@ -10,6 +10,7 @@
 	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/verdict"
 )
 
 const (
@@ -124,14 +125,15 @@
 	}
 }
 
-// endSend ends a send. resp is nil if there was no response.
-func (t *transaction) endSend(s serving.Server, resp *serving.Response) {
+// endSend ends a send. resp is nil if there was no response, and failure nil if the answer was complete.
+func (t *transaction) endSend(s serving.Server, resp *serving.Response, failure *verdict.Failure) {
 	now, outcome := clock.Now(), brittle.Unknown
 	switch {
-	case resp == nil:
-	case rejectedForRoom(resp):
+	case resp != nil && rejectedForRoom(resp):
 		outcome = brittle.Rejected
-	case !resp.NotExecuted:
+	case failure != nil && failure.Verdict == verdict.MayHaveRun:
+		outcome = brittle.Abandoned
+	case resp != nil && !resp.NotExecuted:
 		outcome = brittle.Accepted
 	}
 	inFlight := t.sendAdmission.End(outcome, now)
--- a/command/forward/brittle_test.go
+++ b/command/forward/brittle_test.go
@@ -135,3 +135,31 @@
 		}
 	})
 }
+
+// TestAbandonedSendsAreReported guards against room that is given away while the server may still have the request.
+func TestAbandonedSendsAreReported(t *testing.T) {
+	cases := map[string]struct {
+		reply     reply
+		abandoned int
+	}{
+		"no answer":       {reply{failure: verdict.New(verdict.MayHaveRun, verdict.ReasonDeadline, "")}, 1},
+		"part of one":     {reply{status: 200, body: "do", broken: true}, 1},
+		"whole answer":    {reply{status: 200, body: "done"}, 0},
+		"error":           {reply{status: 500}, 0},
+		"never connected": {reply{failure: verdict.New(verdict.NotRun, verdict.ReasonBackend, "")}, 0},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, c.reply)
+			f.limiter.brittle = map[string]int{"s1": 2, "s2": 2, "s3": 2}
+			_, _ = f.serve("unsafe", "", 0)
+			n := 0
+			for _, s := range f.permits.semaphores {
+				n += s.State().Abandoned
+			}
+			if n != c.abandoned {
+				t.Errorf("%s: %d abandoned requests, want %d", name, n, c.abandoned)
+			}
+		})
+	}
+}
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -291,7 +291,7 @@
 	t.sentTo = append(t.sentTo, server.ID)
 	t.beginOnlyRun(&a)
 	resp, err := t.f.sender.Send(ctx, a)
-	defer t.endSend(server, resp)
+	defer func() { t.endSend(server, resp, failure) }()
 	if resp != nil {
 		t.via, t.endsWithConnection = resp.Via, resp.EndsWithConnection
 	}
--- a/entry/brittle_fleet_test.go
+++ b/entry/brittle_fleet_test.go
@@ -69,3 +69,19 @@
 	loads.Wait()
 	f.checkFalls()
 }
+
+// TestAbandonedRequestsEndBrittleServers guards against servers that end as they go on after a silence, since requests were sent
+// in place of those that clients had left, which the servers still had.
+func TestAbandonedRequestsEndBrittleServers(t *testing.T) {
+	const patience, silence = 500 * time.Millisecond, 1200 * time.Millisecond
+	f := newBrittleFleet(t)
+	f.becomeBrittle()
+	var loads sync.WaitGroup
+	loads.Go(func() { f.playImpatient("unsafe", "", 2*brittlePlainRoom, 6*time.Second, patience) })
+	time.Sleep(1500 * time.Millisecond)
+	for _, name := range []string{"p0", "p1", "p2", "p3"} {
+		f.server(name).Pause(silence)
+	}
+	loads.Wait()
+	f.checkFalls()
+}
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
 	"slices"
@@ -257,8 +259,13 @@
 
 // requestWithKey sends a request with a key, or without one if key is empty.
 func (f *fleet) requestWithKey(r *running, route, model, key string) answer {
+	return f.requestUntilDone(context.Background(), r, route, model, key)
+}
+
+// requestUntilDone is requestWithKey by a client that leaves when ctx is done.
+func (f *fleet) requestUntilDone(ctx context.Context, r *running, route, model, key string) answer {
 	a := answer{id: fmt.Sprintf("try-%d", attemptsIssued.Add(1))}
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+r.address+"/"+route+"/x?q=1", strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+"/"+route+"/x?q=1", strings.NewReader("body"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -281,6 +288,14 @@
 	return a
 }
 
+// outcome returns the status and the error that the client got, without the address.
+func (a answer) outcome() string {
+	if e := (*url.Error)(nil); errors.As(a.err, &e) {
+		return fmt.Sprint(a.status, " ", e.Err)
+	}
+	return fmt.Sprint(a.status, " ", a.err)
+}
+
 // requestUntilServed retries a request until it is served, with the pauses that Retry-After demands.
 func (f *fleet) requestUntilServed(r *running, route, model string) answer {
 	f.t.Helper()
--- a/entry/load_test.go
+++ b/entry/load_test.go
@@ -58,6 +58,7 @@
 // startLoadFleet starts the instances and engines of a fleet, without the load.
 func startLoadFleet(fleet *fleet) *loadFleet {
 	t := fleet.t
+	fleet.writeLog()
 	f := &loadFleet{fleet: fleet.start(loadInstances), loadEnded: make(chan struct{}), model: "m1", route: "stream", pause: loadPause}
 	f.addServer("e3", "llm", []string{"m1"})
 	t.Cleanup(func() { // stop all before waiting for any: each takes seconds
@@ -107,11 +108,13 @@
 	total, served, refused, failed int
 	// withoutRetryAfter counts the refused requests without a Retry-After.
 	withoutRetryAfter int
+	// unserved counts the refused and the failed requests by what their clients got.
+	unserved map[string]int
 }
 
 func (e outcomes) String() string {
-	return fmt.Sprintf("%d sent: %d served, %d refused (%d without Retry-After), %d failed",
-		e.total, e.served, e.refused, e.withoutRetryAfter, e.failed)
+	return fmt.Sprintf("%d sent: %d served, %d refused (%d without Retry-After), %d failed: %v",
+		e.total, e.served, e.refused, e.withoutRetryAfter, e.failed, e.unserved)
 }
 
 // outcomesBetween counts the outcomes of the answered requests that were sent from the time from until before to. A
@@ -124,6 +127,7 @@
 func (f *loadFleet) countOutcomes(from, to time.Time, counts func(*loadRequest) bool) (e outcomes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	e.unserved = map[string]int{}
 	for _, req := range f.requests {
 		if req.sent.Before(from) || !req.sent.Before(to) || !req.done || !counts(req) {
 			continue
@@ -134,10 +138,12 @@
 			e.served++
 		case req.err == nil && (req.status == http.StatusServiceUnavailable || req.status == http.StatusTooManyRequests):
 			e.refused++
+			e.unserved[req.outcome()]++
 			if req.retryAfter == 0 {
 				e.withoutRetryAfter++
 			}
 		default:
+			e.unserved[req.outcome()]++
 			e.failed++
 		}
 	}
--- a/entry/semaphores.go
+++ b/entry/semaphores.go
@@ -102,7 +102,7 @@
 // release ends the use of a permit, and logs a rejection with what the semaphore knows.
 func (k *semaphores) release(server brittle.Server, p brittle.Permit, o brittle.Outcome) {
 	s := k.of(server, false)
-	s.Release(p, o)
+	use := s.Release(p, o)
 	if o != brittle.Rejected {
 		return
 	}
@@ -110,5 +110,6 @@
 	k.log.WithFields(logrus.Fields{
 		"server": server.ID, "instance": p.Instance, "permit": p.Number, "tolerated": server.Tolerated, "slots": server.Slots,
 		"in_flight": state.InFlight, "proven": state.Proven, "waiting": state.Waiting, "rejections": state.Rejections,
+		"unpermitted": state.Unpermitted, "abandoned": state.Abandoned, "permit_known": use.Known, "permit_age_ms": use.Age.Milliseconds(), "permit_level": use.Level, "doubtful": use.Doubtful,
 	}).Info("brittle server has less room")
 }
