brittle: a rejected request with a permit of another semaphore does not stand for a server without room

What callers saw: after another instance has become the one that counts for a brittle server, two rejections there put the server out of use: nothing is sent to it for 2 s, whatever it runs.

Cause: a permit that the semaphore learns from a renewal had no number of requests in flight with it, so that its rejection was taken for one at number 0, and the proven number became -1.

Fix: such a permit counts with what is in flight when the semaphore learns of it, like one that is granted then.

The test failed before: -1 requests were known to have room, while the server had 4.

--- a/command/brittle/semaphore.go
+++ b/command/brittle/semaphore.go
@@ -196,8 +196,7 @@
 	s.update(func(now time.Time) {
 		state, found := s.permits[p]
 		if !found {
-			level := s.inFlight() + 1
-			state = &permitState{granted: now, level: level, highest: level + len(s.abandoned)}
+			state = s.newPermit(now)
 		}
 		use = Use{Known: found, Age: now.Sub(state.granted), Level: state.level, Doubtful: state.doubtful}
 		delete(s.permits, p)
@@ -227,7 +226,9 @@
 				continue
 			}
 			if s.permits[p] == nil {
-				s.permits[p] = &permitState{granted: now, settled: true}
+				state := s.newPermit(now)
+				state.settled = true
+				s.permits[p] = state
 			}
 			s.permits[p].expires = now.Add(PermitLifetime)
 		}
@@ -295,11 +296,17 @@
 	s.waiting = s.waiting[:min(len(s.waiting), maxWaiting)]
 }
 
+// newPermit returns the state of a permit that is granted now. s.mu must be held.
+func (s *Semaphore) newPermit(now time.Time) *permitState {
+	level := s.inFlight() + 1
+	return &permitState{granted: now, expires: now.Add(PermitLifetime), level: level, highest: level + len(s.abandoned)}
+}
+
 // grant grants a permit. s.mu must be held.
 func (s *Semaphore) grant(p Permit, now time.Time) {
-	level := s.inFlight() + 1
-	highest := level + len(s.abandoned)
-	s.permits[p] = &permitState{granted: now, expires: now.Add(PermitLifetime), level: level, highest: highest, doubtful: s.limit.isDoubtful(highest)}
+	state := s.newPermit(now)
+	state.doubtful = s.limit.isDoubtful(state.highest)
+	s.permits[p] = state
 }
 
 // result returns whether a permit was granted, and ends the wait for it if it was not.
--- a/command/brittle/semaphore_test.go
+++ b/command/brittle/semaphore_test.go
@@ -56,6 +56,19 @@
 	})
 }
 
+// TestRejectionOfRenewedPermit guards against a server that counts as one without any room, since it rejected requests with permits
+// that another semaphore had granted.
+func TestRejectionOfRenewedPermit(t *testing.T) {
+	s := NewSemaphore(testServer, true)
+	s.Renew(Renewal{Instance: "a", Server: testServer, Permits: []uint64{1, 2, 3, 4, 5, 6}})
+	for number := uint64(5); number <= 6; number++ {
+		s.Release(Permit{Instance: "a", Number: number}, Rejected)
+	}
+	if state := s.State(); state.Proven <= 0 {
+		t.Errorf("%d requests are known to have room, while the server has %d", state.Proven, state.InFlight)
+	}
+}
+
 // TestPermitsOfFailedInstance guards against room that an instance holds for good that has failed, and against permits that
 // expire although they are renewed.
 func TestPermitsOfFailedInstance(t *testing.T) {
