entry: a load on brittle servers is judged if the machine keeps up with all loads at the time

TestBurstsEndBrittleServers failed beside load for rates that are too low and instances that served nobody. Seen in 6 of 18 plays with the race detector, one to eight processors and up to six busy loops (other work on the machine besides): in each of the six, one to four of the loads that ran at the same time had 6 to 90 in 100 requests sent later than half of the delay from which instances close connections unread, or had lost 5 in 100, and were not judged; others, mostly those of 2 s, had just kept within 5 in 100 and were. Logs of these plays: connections closed unread, connects to servers that take over 0.3 s, requests run into their deadlines.

Instances, servers and all loads are one process, so whether the machine keeps up is the same for all loads at a time. A load is judged now if it has kept up with all that ran meanwhile. Nothing else changes: on a machine that keeps up all loads are judged, by the same bounds, and servers that end are counted always.

--- a/entry/brittle_fixture_test.go
+++ b/entry/brittle_fixture_test.go
@@ -59,6 +59,8 @@
 	stated, enforced bool
 	// falls are the servers that ended because of rejections, with the time; guarded by mu.
 	falls []string
+	// loads are all loads so far; guarded by mu.
+	loads []*brittleLoad
 	// stopped is set when servers are not started again; guarded by mu.
 	stopped bool
 	// lastMachine is the number of the next instance; guarded by mu.
