entry: tests of streams' origins fail, and do not panic, if a new stream has no event

Beside much load (once) a new stream of TestOriginOutlivesAllInstances got no event; the test read its first event's version, and the panic ended the package's other tests and their output. It fails as before, with what the client got.

--- a/entry/origins_test.go
+++ b/entry/origins_test.go
@@ -70,6 +70,9 @@
 	for range 20 {
 		a := attempt{id: newAttemptID(), leaveAfter: 3}
 		got := f.send(f.instances[0], a)
+		if len(got.versions) == 0 {
+			t.Fatalf("%v: no event of a new stream", got)
+		}
 		begun, versions = append(begun, a), append(versions, got.versions[0])
 	}
 	f.await("origins archived", func() bool {
@@ -110,6 +113,9 @@
 		for range 20 {
 			a := attempt{id: newAttemptID(), leaveAfter: 3}
 			got := f.send(first, a)
+			if len(got.versions) == 0 {
+				t.Fatalf("%v: no event of a new stream", got)
+			}
 			begun, versions = append(begun, a), append(versions, got.versions[0])
 		}
 		first.stop()
