A lease holder does not block on a broadcast under which a request becomes held

What callers saw: the instance that holds the lease answers no report and no broadcast any more, and does not stop; suspects find no holder. Seen in the package's tests: go test -race ./entry, beside other such runs (load 25 to 33), ended after 600 s with four subtests of TestDeadlyPromptPart still running, 59 goroutines waiting for locks of quarantine managers, for up to 6 minutes, five of them the holders of the same lock.

Cause, by the stacks and by reading: receiveDirect merges under the manager's lock and records there which requests became held; at the holder that schedules notices for all instances, which takes the same lock. It takes a broadcast, so two reports without an answer of the holder, that makes a request held at the holder. The exchange's path records without the lock.

Fix: only the merge is done under the lock. The test failed before (blocked after 3 s; run with that limit) and passes, once with the race detector.

The whole package was not run again with the race detector.

--- a/entry/quarantine_broadcast.go
+++ b/entry/quarantine_broadcast.go
@@ -28,13 +28,19 @@
 
 // receiveDirect merges the records from another instance's broadcast.
 func (q *quarantineManager) receiveDirect(records []quarantine.Record, now time.Time) {
+	q.recordReceived(q.mergeDirect(records, now))
+}
+
+// mergeDirect merges the records from another instance's broadcast, and returns which requests became held.
+func (q *quarantineManager) mergeDirect(records []quarantine.Record, now time.Time) []quarantine.Escalation {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	upToDate := q.delivered == q.ledger.Revision()
-	q.merge(records, now)
+	escalations := q.ledger.Merge(records, now)
 	if upToDate {
 		q.delivered = q.ledger.Revision()
 	}
+	return escalations
 }
 
 // broadcast sends all other instances the records that they may lack. delivered is the last change
