forward: a body without end leaves the processor to other requests

Callers saw: one server of five whose sealed bodies have no end takes the processor of an instance, and answers of other servers come later.

Cause: only streams of events had a pace.

Weighed: a bound on the size. A sealed body may have any length, so that a whole answer might be lost.

--- a/command/forward/events.go
+++ b/command/forward/events.go
@@ -7,11 +7,8 @@
 	"io"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
-
-	"github.com/martenport/martenport/internal/pause"
 )
 
 // streamEvent is one event of a stream, as received.
@@ -38,33 +35,7 @@
 }
 
 func newEventReader(ctx context.Context, r io.Reader) *eventReader {
-	return &eventReader{Reader: bufio.NewReader(&pacedReader{Reader: r, ctx: ctx, begun: time.Now()}), highest: -1}
-}
-
-// A stream is relayed at eventBytesPerSecond at most, beyond its first eventBytesAtOnce. Both are many times what a model
-// writes. Otherwise some streams of a faulty server whose events have no end would take the processor from all other requests.
-const (
-	eventBytesPerSecond = 256 << 10
-	eventBytesAtOnce    = 1 << 20
-)
-
-// pacedReader pauses after a read as long as more has come than a stream may have by then.
-type pacedReader struct {
-	io.Reader
-	ctx   context.Context
-	begun time.Time
-	read  int64
-}
-
-// Read implements io.Reader.
-func (r *pacedReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.read += int64(n)
-	due := time.Duration(float64(r.read-eventBytesAtOnce) / eventBytesPerSecond * float64(time.Second))
-	if wait := due - time.Since(r.begun); wait > 0 && !pause.For(r.ctx, wait) {
-		return n, r.ctx.Err()
-	}
-	return n, err
+	return &eventReader{Reader: bufio.NewReader(newPacedReader(ctx, r, eventPace)), highest: -1}
 }
 
 // next reads up to and including the blank line that ends an event. At the end of the stream it returns io.EOF together with
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -73,7 +73,7 @@
 	_ = t.out.control.SetWriteDeadline(time.Now().Add(clock.Until(t.deadline) + writeSlack)) // otherwise a client that does not read would not be detected
 	defer func() { _ = t.out.control.SetWriteDeadline(time.Time{}) }()
 	if resp.Status >= http.StatusInternalServerError && t.route.MayRepeat() && t.runs < t.route.Attempts && !t.out.started {
-		return t.withholdFailure(resp)
+		return t.withholdFailure(ctx, resp)
 	}
 	if resp.Events && resp.Status == http.StatusOK {
 		return t.relayEvents(ctx, resp)
@@ -81,7 +81,7 @@
 	if t.out.started {
 		return verdict.New(verdict.Ran, verdict.ReasonBackend, "status %d instead of the rest of a stream", resp.Status)
 	}
-	return t.relayBody(resp)
+	return t.relayBody(ctx, resp)
 }
 
 // writeSlack is how long after the request's deadline a client may take to read.
@@ -89,18 +89,18 @@
 
 // withholdFailure does not relay an engine's failure if the request can be sent to another server.
 // Otherwise the failure is relayed.
-func (t *transaction) withholdFailure(resp *serving.Response) *verdict.Failure {
+func (t *transaction) withholdFailure(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	server, known := t.f.dir.Server(t.server)
 	others := len(t.f.dir.Servers(t.service.Name))
 	if !known || others < 2 || !t.drawRepeatedSend() {
-		return t.relayBody(resp)
+		return t.relayBody(ctx, resp)
 	}
 	t.drawnAt = clock.Now()
 	return verdict.New(verdict.Ran, verdict.ReasonBackend, "server %s answered with status %d", server.ID, resp.Status)
 }
 
 // relayBody relays an answer that is not a stream of events.
-func (t *transaction) relayBody(resp *serving.Response) *verdict.Failure {
+func (t *transaction) relayBody(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	prefix, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered))
 	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "the answer broke off: %v", err).WithCause(err)
@@ -112,7 +112,7 @@
 	if len(prefix) < maxBuffered {
 		return nil
 	}
-	if _, err := io.Copy(t.out, resp.Body); err != nil {
+	if _, err := io.Copy(t.out, newPacedReader(ctx, resp.Body, bodyPace)); err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "the answer broke off: %v", err).WithCause(err)
 	}
 	return nil
