e2e: answers without end reach no other request in real processes

The stand-in server sends more parts without end: extensions, sizes and trailers of chunks, bytes and answers after a whole answer; each part also slowly, and only to requests. Orders and calls for reports are left whole then.

TestAnswersWithoutEndReachOtherRequests runs an instance in a process of its own, with one faulty plain server and one faulty engine beside four of each, 14 parts one after the other, three of them with a piece each 100 ms. It checks that no client gets another answer than that to its request, that nothing that arrived is answered as not run or not at all, that requests that must not be repeated arrive once, that no more requests fail than arrived at the faulty servers, and bounds bytes and memory.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -257,8 +257,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if part := s.endless.current(); part != "" && !strings.HasPrefix(r.URL.Path, pathOfStandin) {
-		s.sendEndless(w, r, part)
+	if fault, found := s.endless.faultFor(r); found {
+		s.sendEndless(w, r, fault)
 		return
 	}
 	if id != "" && signals.Rest != "" {
--- a/soak/endless.go
+++ b/soak/endless.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/url"
 	"time"
 
 	"github.com/martenport/martenport/internal/pause"
@@ -29,7 +28,7 @@
 
 // setEndless sets what a server sends without end.
 func (r *run) setEndless(server int, part standin.Endless) {
-	r.postToServer(server, standin.PathEndless, url.Values{"part": {string(part)}})
+	r.postToServer(server, standin.PathEndless, standin.EndlessFault{Part: part}.Query())
 }
 
 // injectEndlessFaults injects such faults one after the other, beside all others and without a change to what the seed draws
