standin: a server that was stopped does not announce itself again

entry TestLastInstanceKeepsVersion failed once in a part of the package with -race beside a load of 10 to 46, in its fixture: the first engines were not gone. A stand-in reads its entry and writes it; if the entry is removed, and the announcements stopped, before the read, it was created anew, and stayed. Now the server looks whether it was stopped after the read. That the one failure was this is likely, not shown: its logs do not tell who wrote the entry.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -153,6 +153,9 @@
 		if obj, err := p.Get(ctx, key); err == nil {
 			version = obj.Version
 		}
+		if ctx.Err() != nil {
+			return // the entry may have been removed since
+		}
 		_, _ = p.Put(ctx, key, s.entry(), version) // retried at the next interval
 		select {
 		case <-time.After(every):
