entry: publishing the versions at which streams may begin in short steps; what bounds the age of the list of servers

No behaviour changes. The comment at maxServersAge said that a server of a new version has to load models first; some come with models loaded.

--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -52,8 +52,9 @@
 	// restored is set if the store came back from a copy, in which marks may be missing.
 	restored atomic.Bool
 
-	// open are the versions at which streams may begin, by service; nil before the marks are read.
+	// open has the versions at which streams may begin, by service; nil before the marks are read.
 	open atomic.Pointer[map[string][]string]
+
 	// The following are used by run only. loaded is whether the marks have been read since the list of servers was last
 	// too old, complete whether each service with servers had a sure one since, and wasComplete whether that was ever so.
 	// known are the marks as last read or written, in era, and wasHolder whether this instance was the holder then.
@@ -94,8 +95,8 @@
 	minReadPause    = 500 * time.Millisecond
 	maxReadPause    = 4 * time.Second
 	refusedInterval = 10 * time.Second
-	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions.
-	// A server of a new version has to load models, which takes longer, before it can begin a stream.
+	// maxServersAge is the age of the list of servers up to which an instance relies on knowing all software versions. Streams
+	// of a version that came since are known to the instances that keep their origins, which are asked first.
 	maxServersAge = 3 * time.Second
 	// maxHeldBackTime bounds how long the servers of a version are held back while no mark names it. The successor of a lost
 	// holder has written the mark by then.
@@ -190,29 +191,22 @@
 		return
 	}
 	open, since := map[string][]string{}, map[serviceVersion]time.Time{}
-	for service, versions := range m.dir.Versions() {
-		named := slices.DeleteFunc(slices.Clone(m.named[service]), func(v string) bool { return !slices.Contains(versions, v) })
+	for service, known := range m.dir.Versions() {
+		named := slices.DeleteFunc(slices.Clone(m.named[service]), func(v string) bool { return !slices.Contains(known, v) })
 		m.named[service] = named
 		if len(named) == 0 {
 			continue
 		}
 		open[service] = slices.Clone(named)
-		for _, version := range versions {
+		for _, version := range known {
 			if slices.Contains(named, version) {
 				continue
 			}
 			key := serviceVersion{service, version}
-			first, known := m.unnamedSince[key]
-			if !known {
-				first = now
-			}
-			since[key] = first
-			if now.Sub(first) <= maxHeldBackTime {
-				continue
-			}
-			open[service] = append(open[service], version)
-			if m.HoldsBack(service, version) {
-				m.log.WithFields(logrus.Fields{"service": service, "version": version}).Warn("streams begin at a software version that no mark names")
+			since[key] = m.firstUnnamed(key, now)
+			if now.Sub(since[key]) > maxHeldBackTime {
+				open[service] = append(open[service], version)
+				m.logUnnamed(key)
 			}
 		}
 	}
@@ -220,6 +214,21 @@
 	m.open.Store(&open)
 }
 
+// firstUnnamed returns since when a version is known that no mark names.
+func (m *versionMarks) firstUnnamed(key serviceVersion, now time.Time) time.Time {
+	if since, known := m.unnamedSince[key]; known {
+		return since
+	}
+	return now
+}
+
+// logUnnamed logs that a version is no longer held back although no mark names it, once.
+func (m *versionMarks) logUnnamed(key serviceVersion) {
+	if m.HoldsBack(key.service, key.version) {
+		m.log.WithFields(logrus.Fields{"service": key.service, "version": key.version}).Warn("streams begin at a software version that no mark names")
+	}
+}
+
 // missing reports whether a service has no mark, or none that is sure and can be read, or no service is known.
 func (m *versionMarks) missing() bool {
 	services := m.dir.Versions()
