A new holder awaits late orders to the earlier process of an engine

Seen: an order to load got no answer, its holder was killed, stopped or frozen, and the engine started again under its ID. The next holder filled it; then the late order named the sequence that it had reached, overfilled it (290,800 MB of 230,000 MB), and it crashed.

Cause: lost orders are recorded in the holder's memory. A holder can't pass them on completely: one that is killed while it waits for an answer knows less than the engine. The same instance loses the record too when it takes the lease again.

Fix: the directory records when an instance learned that a process replaced another one under a server's ID. Late orders to the earlier process were sent before that, and an earlier holder's before this one's, so such an engine gets no order until 12 s after the earlier of both. An instance that has just started can't see restarts; it takes processes that started less than 22 s ago, by the time of day, for restarted. The line "lease taken" has the number of engines that wait.

Ruled out: passing on the lost orders in the holder's updates alone, which misses those in flight when a holder ends.

TestNewHolderOvercommitsRestartedEngine failed before in five of ten cases: "restarted: first order -8.2s after orders are safe".

--- a/command/holder/lease.go
+++ b/command/holder/lease.go
@@ -78,6 +78,9 @@
 		remaining = nil
 	}
 	h.firstHolder = firstHolder
+	if !firstHolder {
+		h.fleet.SetInheritedOrders(h.inheritedOrders(orderFrom))
+	}
 	h.lender = quota.NewLender(h.params.Quota, firstHolder, remaining, clock.Now())
 	h.serverLender = quota.NewLender(h.params.ServerQuota, firstHolder, nil, clock.Now())
 	h.failingSince = time.Time{}
@@ -86,10 +89,11 @@
 	}
 	h.workers = map[string]*worker{}
 	h.refreshServers()
+	awaiting := h.fleet.CountAwaitingInherited(orderFrom)
 	h.mu.Unlock()
 	h.metrics.takeOvers.Inc()
 	h.log.WithFields(logrus.Fields{
-		"fence": candidate.Fence, "before": current.Holder, "cause": cause, "orders_in_ms": clock.Until(orderFrom).Milliseconds(),
+		"fence": candidate.Fence, "before": current.Holder, "cause": cause, "orders_in_ms": clock.Until(orderFrom).Milliseconds(), "await_late_orders": awaiting,
 	}).Info("lease taken")
 	return nil
 }
--- a/command/holder/succession_test.go
+++ b/command/holder/succession_test.go
@@ -28,6 +28,8 @@
 	holder string
 	fence  int64
 	at     time.Time
+	// born is the start of the process for which the order was meant.
+	born int64
 }
 
 func (r *recordingEngine) Order(ctx context.Context, o serving.Order) (serving.OrderAnswer, error) {
@@ -42,7 +44,7 @@
 	if answer == serving.OrderAccepted {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.accepted = append(r.accepted, acceptedOrder{holder: o.Holder, fence: o.Fence, at: time.Now()})
+		r.accepted = append(r.accepted, acceptedOrder{holder: o.Holder, fence: o.Fence, at: time.Now(), born: o.Server.Born})
 	}
 	return answer, err
 }
--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -76,6 +76,8 @@
 	unansweredSequence int64
 	// late has the late orders of all engines.
 	late lateOrders
+	// inheritedUntil is until when an order of an earlier holder may be carried out that was sent to an earlier process.
+	inheritedUntil time.Time
 	// sequenceDoubtful: the order whose answer was lost was probably carried out, see HeldAlready.
 	sequenceDoubtful bool
 	// Busy: a model is being loaded or unloaded. FreeAt is when that is expected to be done.
@@ -132,6 +134,8 @@
 	index        index
 	// late has the orders to all engines, also to those that are gone, whose answers were lost.
 	late lateOrders
+	// inheritedUntil returns Engine.inheritedUntil for a server.
+	inheritedUntil func(serving.Server) time.Time
 	// decayedAt is when the rates were last decayed, countedAt when running requests were last counted, and
 	// proactiveCheckedAt when models were last checked for proactive loads.
 	decayedAt, countedAt, proactiveCheckedAt time.Time
@@ -168,7 +172,7 @@
 
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, late: lateOrders{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, speeds: map[string]float64{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, late: lateOrders{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, inheritedUntil: func(serving.Server) (none time.Time) { return }, speeds: map[string]float64{},
 		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait, afterRuns: p.UnloadTime}}
 }
 
@@ -199,7 +203,7 @@
 			e.Tiers = maps.Clone(s.Tiers)
 			f.index.cached = nil
 		}
-		e.Server, e.Spec = s, engineSpec
+		e.Server, e.Spec, e.inheritedUntil = s, engineSpec, f.inheritedUntil(s)
 	}
 	countBefore := len(f.engines)
 	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
--- a/command/replicas/restart_test.go
+++ b/command/replicas/restart_test.go
@@ -40,12 +40,12 @@
 		if again.MustBeRead || again.Copies["m3"] == nil {
 			t.Errorf("%s: its own report was not adopted", name)
 		}
-		for _, after := range []time.Duration{failureBackoff, lateOrderWindow - time.Millisecond} {
+		for _, after := range []time.Duration{failureBackoff, LateOrderWindow - time.Millisecond} {
 			if planned, sendable := again.usable(now.Add(after)), !f.AwaitsLateOrder("a-engine", now.Add(after)); planned == lost || sendable == lost {
 				t.Errorf("%s: gets orders %s after the loss: planned %v, sent %v", name, after, planned, sendable)
 			}
 		}
-		if end := now.Add(lateOrderWindow); !again.usable(end) || f.AwaitsLateOrder("a-engine", end) {
+		if end := now.Add(LateOrderWindow); !again.usable(end) || f.AwaitsLateOrder("a-engine", end) {
 			t.Errorf("%s: gets no orders after late orders can no longer arrive", name)
 		}
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -25,8 +25,10 @@
 	draining map[string]drainRecord // guarded by mu
 	// removed holds, by id, the revisions at which entries were found to be removed. Only a newer announcement adds a
 	// server again.
-	removed map[string]removal    // guarded by mu
-	views   map[string]EngineView // by engine id; guarded by mu
+	removed map[string]removal // guarded by mu
+	// restarts holds the restarts from which the current processes resulted, by server id.
+	restarts map[string]Restart    // guarded by mu
+	views    map[string]EngineView // by engine id; guarded by mu
 	// missingUnits is the time until which an engine is not offered for a unit, because it reported that it does not
 	// have the unit although it should; guarded by mu.
 	missingUnits map[string]map[serving.Unit]time.Time
@@ -69,14 +71,17 @@
 	announced bool
 }
 
+// removal states that an entry did not exist at a revision. born is the start of the process that it named, 0 if that is
+// not known.
 type removal struct {
 	revision store.Revision
 	at       time.Time
+	born     int64
 }
 
 func New() *Directory {
 	return &Directory{
-		servers: map[string]serving.Server{}, draining: map[string]drainRecord{}, removed: map[string]removal{},
+		servers: map[string]serving.Server{}, draining: map[string]drainRecord{}, removed: map[string]removal{}, restarts: map[string]Restart{},
 		views: map[string]EngineView{}, missingUnits: map[string]map[serving.Unit]time.Time{}, changeOf: map[string]uint64{}, versions: newSoftwareVersions(),
 	}
 }
@@ -138,6 +143,7 @@
 		delete(d.views, s.ID)
 		delete(d.missingUnits, s.ID)
 	}
+	d.recordRestart(s, known, found, now)
 	delete(d.removed, s.ID)
 	record, draining := d.draining[s.ID]
 	if draining && serving.StartedBefore(record.born, s.Born) {
@@ -171,7 +177,11 @@
 		return false
 	}
 	before, removed := d.removed[id]
-	d.removed[id] = removal{revision: max(revision, before.revision), at: now}
+	born := before.born
+	if found {
+		born = known.Born
+	}
+	d.removed[id] = removal{revision: max(revision, before.revision), at: now, born: born}
 	delete(d.servers, id)
 	delete(d.views, id)
 	delete(d.missingUnits, id)
@@ -249,6 +259,7 @@
 		old := now.Sub(r.at) > removedRetention
 		if _, live := d.servers[id]; old && !live {
 			delete(d.changeOf, id)
+			delete(d.restarts, id)
 		}
 		return old
 	})
