access: absence of a route is judged with the delay of a watch, like keys

After a watch that heard nothing for a second, a request for a route that had been added 2.4 s ago was refused for good, with 404, where configurations apply within 2 s.

Cause: a watch may end without a change up to a second after its acknowledgement. For keys that is a constant since; the absence of a route was still judged with a fraction of the bound, .14, or .28 s of 2 s.

Fix: one function derives every allowed age of a confirmation from its bound, and store.MaxWatchDelay states the second.

Ruled out by reading: confirmations passed on between instances or kept over a pause (ages count from before the call), lists that may be stale (not used for configurations).

--- a/command/access/access.go
+++ b/command/access/access.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -29,17 +30,17 @@
 	PropagationBound time.Duration
 }
 
-// maxWatchDelay is the longest time after the acknowledgement of a change for which a watch of the
-// store may still end without it. The end of such a watch counts as a confirmation, so a
-// configuration may be confirmed for that long after it was replaced.
-const maxWatchDelay = time.Second
+// maxConfirmationAge returns the age of the last confirmation of a configuration up to which it certainly was in force a bound
+// ago. All rules about the age of a configuration are derived from it. An age counts from the end of a watch without a
+// change, or from an earlier time, wherever that watch ended and whoever passed on the confirmation.
+func maxConfirmationAge(bound time.Duration) time.Duration { return max(0, bound-store.MaxWatchDelay) }
 
 // MaxAge returns the age up to which keys are relied on if revocation fails closed, 0 if it does not.
 func (p Policy) MaxAge() time.Duration {
 	if !p.FailClosed {
 		return 0
 	}
-	return max(0, p.Bound-maxWatchDelay)
+	return maxConfirmationAge(p.Bound)
 }
 
 // KeysTrusted reports whether keys are relied on if the last confirmation of the configuration has
@@ -91,17 +92,13 @@
 // the knowledge is older, the key or route may be new.
 const maxAbsenceAge = 2500 * time.Millisecond
 
-// absenceMargin is the fraction of PropagationBound that is left unused when the absence of a key or
-// route is judged, since a change may be reported some time after its acknowledgement.
-const absenceMargin = 0.14
-
 // AbsenceIsCertain reports whether a route or a key that is not in the configuration certainly does
 // not exist. If it may exist, the request must not be refused permanently, since its client would
 // not retry.
 func (p Policy) AbsenceIsCertain(f Freshness) bool {
 	maxAge := maxAbsenceAge
 	if p.PropagationBound > 0 {
-		maxAge = min(maxAge, time.Duration((1-absenceMargin)*float64(p.PropagationBound)))
+		maxAge = min(maxAge, maxConfirmationAge(p.PropagationBound))
 	}
 	return !f.NewerExists && f.Age <= maxAge
 }
--- a/command/access/search_test.go
+++ b/command/access/search_test.go
@@ -8,26 +8,26 @@
 	"github.com/martenport/martenport/command/access"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/serving"
+	"github.com/martenport/martenport/store"
+	"github.com/martenport/martenport/verdict"
 )
 
 // The search visits every sequence of a few steps, up to a given depth, of a holder that watches
 // the store, an instance that receives reports from the holder, and a key that is removed. Calls to
 // the store and to the holder are sent, executed and answered at any time, or never; the store
 // notifies its watch late or not at all while no fault is detected; time may pass between any two
-// steps. In each state a request with the key arrives at both the holder and the instance.
+// steps. In each state a request with the key, and one for a route that the later configuration adds,
+// arrive at both the holder and the instance.
 
 var (
 	searchStart  = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	searchPolicy = access.Policy{FailClosed: true, Bound: 2 * time.Second}
+	searchPolicy = access.Policy{FailClosed: true, Bound: 2 * time.Second, PropagationBound: 2 * time.Second}
 )
 
 // timeStep is the duration of one step of time: three steps exceed the bound, and one is within
-// watchDelay.
+// store.MaxWatchDelay.
 const timeStep = 800 * time.Millisecond
 
-// watchDelay is how long a watch may end without an event after a change was acknowledged.
-const watchDelay = time.Second
-
 // call is a call in progress.
 type call struct {
 	sentAt time.Time
@@ -97,7 +97,7 @@
 	}},
 	{"the holder hears the store", func(s *state, configs map[int64]*serving.Config) bool { return s.receive(0, configs) }},
 	{"the holder's watch ends without an event", func(s *state, configs map[int64]*serving.Config) bool {
-		if s.accepted == 2 && (s.version[0] == 2 || s.now.Sub(s.revoked) > watchDelay) {
+		if s.accepted == 2 && (s.version[0] == 2 || s.now.Sub(s.revoked) > store.MaxWatchDelay) {
 			return false
 		}
 		d := s.directoryOf(0, configs)
@@ -160,15 +160,20 @@
 	return true
 }
 
-// check tests a request with the key at both nodes.
+// check tests a request with the key and one for the new route at both nodes.
 func (s *state) check(configs map[int64]*serving.Config) error {
 	for node, name := range []string{"holder", "instance"} {
 		config, confirmedAt := s.directoryOf(node, configs).Current()
 		key := serving.Credential{Form: serving.KeyGiven, Digest: serving.DigestKey("k")}
-		_, failure := access.Authorize(config, &serving.Route{}, key, access.Freshness{Age: s.now.Sub(confirmedAt)}, searchPolicy)
-		if over := s.now.Sub(s.revoked); failure == nil && s.accepted == 2 && over > searchPolicy.Bound {
+		freshness, over := access.Freshness{Age: s.now.Sub(confirmedAt)}, s.now.Sub(s.revoked)
+		_, failure := access.Authorize(config, &serving.Route{}, key, freshness, searchPolicy)
+		if failure == nil && s.accepted == 2 && over > searchPolicy.Bound {
 			return fmt.Errorf("the %s accepts the key %s after its removal", name, over)
 		}
+		missing := access.NoRoute(config, &serving.Request{}, freshness, searchPolicy)
+		if missing.Reason == verdict.ReasonNoRoute && s.version[node] == 1 && s.accepted == 2 && over > searchPolicy.PropagationBound {
+			return fmt.Errorf("the %s refuses a route for good %s after it was added", name, over)
+		}
 	}
 	return nil
 }
@@ -179,7 +184,7 @@
 const searchDepth = 11
 
 // TestRevocationSearch searches all sequences of up to searchDepth steps for one in which a key
-// works for longer than the bound after its removal.
+// works for longer than the bound after its removal, or a route is refused for good after the bound.
 func TestRevocationSearch(t *testing.T) {
 	configs := map[int64]*serving.Config{1: searchConfig(t, 1), 2: searchConfig(t, 2)}
 	start := state{now: searchStart, accepted: 1, version: [2]int64{1, 1}, confirmedAt: [2]time.Time{searchStart, searchStart}}
