--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,7 +108,7 @@
 	i := &Instance{path: path, options: o, leaveRequested: make(chan struct{}), log: log, set: metrics.NewSet(), dir: directory.New(), backends: platform.NewBackends()}
 	i.settings.Store(&s)
 	i.client = platform.NewClient(platform.ClientParams{
-		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, WatchGrace: watchGrace, CallsPerSecond: storeCallsPerSecond, ReadRetries: readRetries, Dial: n.store,
+		BaseURL: "http://" + s.Platform.Address, CallTimeout: storeTimeout, WatchWait: watchWait, WatchGrace: watchGrace, CallsPerSecond: storeCallsPerSecond, ReadRetries: readRetries, Dial: n.store, OnMalformed: logMalformed(log),
 	})
 	i.balancer = balance.New(balance.DefaultParams())
 	holderParams := holder.DefaultParams(s.NodeName, s.PeerAddress(), s.Lease())
@@ -134,6 +134,7 @@
 	i.watcher = newWatcher(i.client, i.dir, i.backends, i.balancer, i.holder.Holds, maxUpdateAge, log)
 	i.watcher.firstStart = s.Bootstrap
 	i.watcher.onNewEra, i.watcher.onRestored = i.holder.ObserveEra, i.handleStoreRestored
+	i.watcher.onUnreadable = countUnreadable(i.set, log)
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holderParams.Quota.Lifetime)
 	i.holder.SetReach(i.reachedEngines)
 	i.follower.reached, i.follower.reachesEngine = i.reachedEngines, i.reachesEngine
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -50,6 +50,8 @@
 	plainWork time.Duration
 	// beforeRun is called with each instance before it runs.
 	beforeRun func(i *Instance)
+	// wrapStore wraps the handler of the store, unless it is nil.
+	wrapStore func(http.Handler) http.Handler
 }
 
 // running is a running instance.
@@ -103,7 +105,11 @@
 // startStore starts the store.
 func (f *fleet) startStore() {
 	f.store, f.servers, f.stopAnnouncing = standin.NewPlatform(), map[string]*standin.Server{}, map[string]context.CancelFunc{}
-	server := httptest.NewServer(f.store.Handler())
+	handler := f.store.Handler()
+	if f.wrapStore != nil {
+		handler = f.wrapStore(handler)
+	}
+	server := httptest.NewServer(handler)
 	f.t.Cleanup(server.Close)
 	f.storeURL = strings.TrimPrefix(server.URL, "http://")
 }
--- /dev/null
+++ b/entry/malformed.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/serving"
+)
+
+// malformedInterval is the time between two log lines about malformed objects of one kind.
+const malformedInterval = time.Second
+
+// maxMalformedLogged is the number of bytes of a malformed object that are logged.
+const maxMalformedLogged = 120
+
+// logMalformed returns a function that logs objects of the store whose names cannot be decoded.
+func logMalformed(log logrus.FieldLogger) func(kind string, text []byte) {
+	lines := newServerLines(malformedInterval)
+	return func(kind string, text []byte) {
+		omitted, due := lines.due(kind, clock.Now())
+		if !due {
+			return
+		}
+		start := strconv.Quote(string(text[:min(len(text), maxMalformedLogged)]))
+		log.WithFields(logrus.Fields{"kind": kind, "bytes": len(text), "start": start, "omitted": omitted}).Error("object of the store cannot be read, it is skipped")
+	}
+}
+
+// countUnreadable returns a function that counts and logs entries of servers that cannot be decoded.
+func countUnreadable(set *metrics.Set, log logrus.FieldLogger) func(server serving.Server, err error) {
+	entries := set.NewCounter("martenport_server_entries_unreadable_total")
+	lines := newServerLines(malformedInterval)
+	return func(server serving.Server, err error) {
+		entries.Inc()
+		omitted, due := lines.due(server.ID, clock.Now())
+		if due {
+			log.WithFields(logrus.Fields{"server": server.ID, "revision": server.Revision, "error": err, "omitted": omitted}).Error("entry of a server cannot be read, it is not used")
+		}
+	}
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -13,6 +13,7 @@
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
 )
 
@@ -87,6 +88,8 @@
 	// whether the era was read from an answer of the store.
 	onNewEra   func(era int64)
 	onRestored func(fromStore bool)
+	// onUnreadable is called with each entry of a server that cannot be decoded.
+	onUnreadable func(server serving.Server, err error)
 	// lapsed are servers whose entries are missing, with the revision at which they were missing.
 	lapsed map[string]store.Revision // guarded by mu
 }
@@ -95,7 +98,7 @@
 func newWatcher(s store.Store, dir *directory.Directory, b *platform.Backends, balancer *balance.Balancer, isHolder func() bool, maxUpdateAge func() time.Duration, log logrus.FieldLogger) *watcher {
 	return &watcher{
 		store: s, dir: dir, backends: b, balancer: balancer, isHolder: isHolder, maxUpdateAge: maxUpdateAge, log: log, configAvailable: make(chan struct{}, 1),
-		era: unknownEra, onNewEra: func(int64) {}, onRestored: func(bool) {}, failed: map[string]bool{}, syncedAt: map[string]time.Time{}, lapsed: map[string]store.Revision{},
+		era: unknownEra, onNewEra: func(int64) {}, onRestored: func(bool) {}, onUnreadable: func(serving.Server, error) {}, failed: map[string]bool{}, syncedAt: map[string]time.Time{}, lapsed: map[string]store.Revision{},
 	}
 }
 
--- a/entry/watch_apply.go
+++ b/entry/watch_apply.go
@@ -67,7 +67,7 @@
 			continue
 		}
 		if err != nil {
-			w.log.WithFields(logrus.Fields{"server": server.ID, "revision": obj.Version, "error": err}).Error("entry of a server cannot be read, it is not used")
+			w.onUnreadable(server, err)
 			w.removeUnreadable(server)
 			continue
 		}
