A request that waits for a connection is not sent to a server that has asked for a pause meanwhile

Cause: whether a server rests is checked before a request waits for its connection, which takes long on a machine without free processor time. Requests that got one late, a new one or one that another request had left, were sent.

Fix: it is checked again once the request has its connection. Nothing is sent then; the request counts as not run and its next server is chosen as before any send, or it is refused with the time at which the server returns.

--- a/command/forward/serverlimiter.go
+++ b/command/forward/serverlimiter.go
@@ -111,10 +111,15 @@
 	}
 }
 
+// isResting reports whether the server has asked this instance to send no requests for now.
+func (t *transaction) isResting(server serving.Server) bool {
+	return t.f.limiter.RetryAfterUntil(server).After(clock.Now())
+}
+
 // admitByServer reports whether the request may be sent to the server now. If not, it records when
 // permission may be requested again.
 func (t *transaction) admitByServer(ctx context.Context, server serving.Server) bool {
-	if t.f.limiter.RetryAfterUntil(server).After(clock.Now()) {
+	if t.isResting(server) {
 		return false // the Retry-After may have been set after the server was chosen
 	}
 	if limited, _ := t.f.limiter.Limited(server); !limited {
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -316,31 +316,6 @@
 	return failure == nil, failure
 }
 
-// silenceThreshold is the time without an answer after which a server counts as silent if the client
-// then leaves: many times what an engine with a free slot takes to its first event.
-const silenceThreshold = time.Second
-
-// handleSendFailure handles a send without an answer.
-func (t *transaction) handleSendFailure(ctx context.Context, server serving.Server, err error, sent time.Time, outcome *balance.Outcome) *verdict.Failure {
-	failure := verdict.FromError(err)
-	t.excluded[server.ID] = true
-	switch {
-	case !errors.Is(ctx.Err(), context.Canceled):
-		*outcome = balance.Unreachable
-	case clock.Since(sent) >= silenceThreshold:
-		*outcome = balance.Silent
-	}
-	if failure.Verdict == verdict.NotRun {
-		t.refundAdmission()
-		t.unreachable = server.ID
-	} else {
-		t.sends++
-		t.runs++
-		t.mayHaveRun = true
-	}
-	return failure
-}
-
 // rejectionOutcome returns the outcome for the balancer if the server rejected the request without
 // running it. A server that sets a Retry-After is not counted as failing: it receives nothing until
 // then, and afterwards its previous share again.
--- a/entry/processchecks.go
+++ b/entry/processchecks.go
@@ -15,6 +15,7 @@
 // observeAnswers makes the instance observe what servers' answers say of them.
 func (i *Instance) observeAnswers() {
 	i.backends.OnAdvisory(i.limiter.observe)
+	i.backends.CheckRests(func(s serving.Server) bool { return i.limiter.RetryAfterUntil(s).After(clock.Now()) })
 	i.backends.OnOversized(newOversizedAnswers(i.set, i.log).record)
 	lines := newServerLines(processLogInterval)
 	i.backends.OnProcessCheck(func(s serving.Server, found serving.Presence) {
