--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -52,8 +52,8 @@
 }
 
 // watchConfirmedAt returns the latest time for which a watch without events confirms that nothing has
-// changed, but for changes less than store.MaxWatchDelay before. The watch began at started and returned at now. The store was to hold it for wait; if it
-// returned earlier, only the state at started is confirmed.
+// changed, except within store.MaxWatchDelay before it. The watch began at started and returned at now.
+// The store was to hold it for wait; if it returned earlier, only the state at started is confirmed.
 func watchConfirmedAt(started time.Time, wait time.Duration, now time.Time) time.Time {
 	if end := started.Add(wait); !end.After(now) {
 		return end
