--- a/command/holder/inherited_test.go
+++ b/command/holder/inherited_test.go
@@ -130,6 +130,8 @@
 				stop()
 				time.Sleep(10 * time.Second) // let all goroutines end
 				server, _ := h.dir.Server("e")
+				engine.mu.Lock()
+				defer engine.mu.Unlock()
 				first := slices.IndexFunc(engine.accepted, func(o acceptedOrder) bool { return o.born == server.Born })
 				if first < 0 {
 					t.Fatal("the engine gets no orders")
