standin: watches that are late

The users' store lets a watch end up to a second (store.MaxWatchDelay) after a change without it; no stand-in did so, so that no test or play could meet it. It is set for a prefix, a caller, or all.

--- a/internal/standin/copy.go
+++ b/internal/standin/copy.go
@@ -29,7 +29,7 @@
 	defer p.mu.Unlock()
 	era, previous := p.revision.Era()+1, p.objects
 	p.revision = store.RevisionOf(era, c.revision.Number())
-	p.objects = make(map[string]store.Object, len(c.objects))
+	p.objects, p.changeLog = make(map[string]store.Object, len(c.objects)), nil
 	for key, obj := range c.objects {
 		obj.Version = store.RevisionOf(era, obj.Version.Number())
 		p.objects[key] = obj
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -37,6 +37,8 @@
 	delay          time.Duration           // guarded by mu
 	answersToLose  int                     // number of answers to writes still to lose; guarded by mu
 	watchesBlocked bool                    // watches get no answer; guarded by mu
+	late           []LateWatches           // guarded by mu
+	changeLog      []change                // the changes of the last changeLogTime; guarded by mu
 	lastCopy       Copy                    // the last backup requested over HTTP; guarded by mu
 }
 
@@ -170,6 +172,7 @@
 	p.revision++
 	obj.Version = p.revision
 	p.objects[obj.Key] = obj
+	p.logChange(obj)
 	p.notifyChange()
 	return obj, p.writeResult()
 }
@@ -213,24 +216,35 @@
 
 // Watch implements store.Store.
 func (p *Platform) Watch(ctx context.Context, prefix string, revision store.Revision) (store.Snapshot, error) {
-	return p.watch(ctx, prefix, revision, watchWait)
+	return p.watch(ctx, watchRequest{prefix: prefix, revision: revision, wait: watchWait})
 }
 
-// watch waits for a change for at most the given time.
-func (p *Platform) watch(ctx context.Context, prefix string, revision store.Revision, wait time.Duration) (store.Snapshot, error) {
+// watchRequest asks for the changes under a prefix after a revision, and waits for one for at most the given time.
+type watchRequest struct {
+	prefix   string
+	revision store.Revision
+	wait     time.Duration
+	// watcher is the IP address of the caller; "" within the process.
+	watcher string
+}
+
+// watch waits for a change.
+func (p *Platform) watch(ctx context.Context, req watchRequest) (store.Snapshot, error) {
 	p.Watches.Add(1)
-	timeout := time.NewTimer(wait)
+	timeout := time.NewTimer(req.wait)
 	defer timeout.Stop()
 	for {
 		if err := p.beginCall(ctx); err != nil {
 			return store.Snapshot{}, err
 		}
 		p.mu.Lock()
-		snap, changed, blocked := p.changes(prefix, revision, true), p.changed, p.watchesBlocked
+		snap, changed, blocked := p.changes(req.prefix, req.revision, true), p.changed, p.watchesBlocked
+		visible, later := p.visibleTo(req, snap)
 		p.mu.Unlock()
-		if revision.Era() != snap.Revision.Era() || revision > snap.Revision {
+		if req.revision.Era() != snap.Revision.Era() || req.revision > snap.Revision {
 			return snap, store.ErrCompacted
 		}
+		snap = visible
 		if blocked {
 			<-ctx.Done()
 			return store.Snapshot{}, store.ErrUnknown
@@ -240,6 +254,7 @@
 		}
 		select {
 		case <-changed:
+		case <-later:
 		case <-timeout.C:
 			return snap, nil
 		case <-ctx.Done():
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -43,6 +44,7 @@
 }
 
 // Handler returns the HTTP interface of the platform. POST /fault?down=true, ?delay=1s and ?lose=3 set its faults.
+// POST /fault?late=1s&prefix=servers/&watcher=127.0.0.1 makes watches late (see DelayWatches); prefix and watcher may be left out.
 // POST /fault?copy=true makes a backup, and ?restore=true restores it; objects under each "again" prefix are then
 // written again (see Restore).
 func (p *Platform) Handler() http.Handler {
@@ -85,7 +87,8 @@
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, prefix string) {
 	wait := time.Duration(queryInt(r, "waitMs")) * time.Millisecond
-	snap, err := p.watch(r.Context(), prefix, p.revisionOf(queryInt(r, "watch")), wait)
+	watcher, _, _ := net.SplitHostPort(r.RemoteAddr)
+	snap, err := p.watch(r.Context(), watchRequest{prefix: prefix, revision: p.revisionOf(queryInt(r, "watch")), wait: wait, watcher: watcher})
 	page := objectEvents{Events: []objectEvent{}, StoreRevision: snap.Revision.Number()}
 	for _, obj := range snap.Objects {
 		page.Events = append(page.Events, objectEvent{Object: encodeObject(obj), Deleted: obj.Deleted})
@@ -129,6 +132,9 @@
 	if delay, err := time.ParseDuration(query.Get("delay")); err == nil {
 		p.SetDelay(delay)
 	}
+	if delay, err := time.ParseDuration(query.Get("late")); err == nil {
+		p.DelayWatches(LateWatches{Prefix: query.Get("prefix"), Watcher: query.Get("watcher"), Delay: delay})
+	}
 	if query.Has("lose") {
 		p.LoseAnswers(int(queryInt(r, "lose")))
 	}
