ORDER: a watch that ended without a change no longer proves that there is no other version

Callers: a stream that began at a new software version through another instance broke, was taken up at an instance that was cut off from the others, and went on at the old version, with 200.

Cause: an instance whose questions for the origin are not answered relied on its own list of servers if that was complete since the client came. The time of a watch that ends without a change counted as such. The store may end a watch up to a second (store.MaxWatchDelay) after a change without it.

The instance now reads the list anew: a List is complete as of its beginning. Callers do not wait for the next watch any more (up to 0.8 s before). The line of a stream that is taken up says whether the list was read (listed) and whether somebody did not answer.

TestPartOfAnswersTellsOneVersion asks the same with a list that was read in place of one of age 0.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -36,6 +36,8 @@
 	// OnlyVersion is the version at which all streams of the service began: an instance is certain of it, and none that
 	// answered knows another one; "" if there is none.
 	OnlyVersion string
+	// Listed is set if the list of servers was read anew to tell that, since an instance did not answer.
+	Listed bool
 	// Unanswered is set if an instance that may know the origin did not answer, or if this one is not certain yet
 	// whether the service has several versions, or took one for the only one that is not.
 	Unanswered bool
@@ -78,7 +80,7 @@
 		outcome = "one_version"
 		b.version = answer.OnlyVersion
 	}
-	f.recordResumption(r, b, outcome)
+	f.recordResumption(r, b, outcome, answer)
 	if outcome != "not_known" {
 		return b, nil
 	}
@@ -135,10 +137,11 @@
 }
 
 // recordResumption logs and counts a stream that a client resumes, by what is known of its origin.
-func (f *Forwarder) recordResumption(r *serving.Request, b binding, outcome string) {
+func (f *Forwarder) recordResumption(r *serving.Request, b binding, outcome string, answer OriginAnswer) {
 	f.counts.streamResumed(outcome)
 	f.log.WithFields(logrus.Fields{
 		"request": r.ID, "resumes": r.Resumes, "after": r.LastEventID, "service": b.service.Name, "version": b.version, "outcome": outcome,
+		"listed": answer.Listed, "unanswered": answer.Unanswered,
 	}).Info("client takes a stream up")
 }
 
--- a/entry/originanswers_test.go
+++ b/entry/originanswers_test.go
@@ -123,21 +123,21 @@
 // while one that may know their origin has not answered, or that older builds are certain of.
 func TestPartOfAnswersTellsOneVersion(t *testing.T) {
 	for name, c := range map[string]struct {
-		asked askedOrigin
-		age   time.Duration // of this instance's list of servers
-		want  string
+		asked  askedOrigin
+		listed bool // the servers since the client asked
+		want   string
 	}{
-		"all answered":                          {askedOrigin{instances: 2, answers: 2, certain: []string{"v1", "v1"}}, time.Second, "v1"},
-		"one did not":                           {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, time.Second, ""},
-		"one did not, but the list is new":      {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, 0, "v1"},
-		"another is certain of another version": {askedOrigin{instances: 2, answers: 1, certain: []string{"v2"}}, 0, ""},
-		"another version is reported":           {askedOrigin{instances: 2, answers: 2, certain: []string{"v1"}, reported: []string{"v2"}}, 0, ""},
+		"all answered":                          {askedOrigin{instances: 2, answers: 2, certain: []string{"v1", "v1"}}, false, "v1"},
+		"one did not":                           {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, false, ""},
+		"one did not, but the list is new":      {askedOrigin{instances: 2, answers: 1, certain: []string{"v1"}}, true, "v1"},
+		"another is certain of another version": {askedOrigin{instances: 2, answers: 1, certain: []string{"v2"}}, true, ""},
+		"another version is reported":           {askedOrigin{instances: 2, answers: 2, certain: []string{"v1"}, reported: []string{"v2"}}, true, ""},
 	} {
 		dir := directory.New()
 		dir.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, clock.Now())
-		marks, until := &versionMarks{serversAge: func(time.Time) time.Duration { return c.age }}, clock.Now().Add(time.Hour)
+		marks, until := &versionMarks{}, clock.Now().Add(time.Hour)
 		marks.certainUntil.Store(&until)
-		if got := newTestOrigins(dir, marks).conclude(c.asked, clock.Now(), "s"); got.OnlyVersion != c.want {
+		if got := newTestOrigins(dir, marks).conclude(c.asked, "s", c.listed); got.OnlyVersion != c.want {
 			t.Errorf("%s: %+v, want %q", name, got, c.want)
 		}
 	}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -34,14 +34,15 @@
 	members *members
 	pool    *rpcpool.Pool
 	marks   *versionMarks
+	list    *serverList
 	set     *metrics.Set
 	log     logrus.FieldLogger
 	// sending is the number of origins that are being sent.
 	sending atomic.Int64
 }
 
-func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
-	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, set: set, log: log}
+func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, list *serverList, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
+	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, list: list, set: set, log: log}
 	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, dir: dir, instances: m.count, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
 	return o
@@ -49,8 +50,8 @@
 
 // Limits of calls between instances about origins.
 const (
-	// originTimeout bounds a call. It is long enough for several round trips between failure domains, and short
-	// compared with the time for which clients wait for an event.
+	// originTimeout bounds a call, and the time for which the list of servers is read. It is long enough for several round
+	// trips between failure domains, and short compared with the time for which clients wait for an event.
 	originTimeout = 300 * time.Millisecond
 	// maxOriginQuestions bounds how often instances are asked for an origin while one of them does not answer.
 	maxOriginQuestions = 3
@@ -59,10 +60,6 @@
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
-	// maxServersWait is how long a stream that a client resumes waits for a current list of servers if no other instance
-	// answers, and serversCheckInterval how often the list is checked. The holder's list is current twice in that time.
-	maxServersWait       = 2 * holderWatchWait
-	serversCheckInterval = 20 * time.Millisecond
 	// minKeepers is the number of instances that keep an origin if there are fewer failure domains.
 	minKeepers = 2
 )
@@ -146,7 +143,7 @@
 // versions: its list of servers may be older than a stream of a newer version that began elsewhere. It asks again if an
 // instance does not answer, since streams whose origin is not known are refused.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
-	arrived := clock.Now()
+	arrived := clock.Exact()
 	for n := 1; ; n++ {
 		if origin, known := o.find(attempt); known {
 			return forward.OriginAnswer{Origin: origin}
@@ -157,12 +154,9 @@
 			o.record(attempt, asked.origin, clock.Now())
 			return forward.OriginAnswer{Origin: asked.origin}
 		}
-		answer := o.conclude(asked, arrived, service)
-		switch {
-		case answer.OnlyVersion != "":
+		answer := o.conclude(asked, service, !asked.complete() && o.listSince(ctx, arrived, service))
+		if answer.OnlyVersion != "" || asked.complete() || asked.instances == 0 || n >= maxOriginQuestions {
 			return answer
-		case asked.complete(), asked.instances == 0, n >= maxOriginQuestions:
-			return o.concludeAlone(ctx, asked, arrived, service)
 		}
 		select {
 		case <-again.C:
@@ -173,32 +167,34 @@
 	}
 }
 
-// conclude returns what follows from the answers about an origin that no instance knows. arrived is when the client asked.
-// While an instance that may know the origin has not answered, only a list of servers that was complete since then tells of all
-// versions.
-func (o *streamOrigins) conclude(asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
+// conclude returns what follows from the answers about an origin that no instance knows. While an instance that may know the
+// origin has not answered, only a list of servers that was read since the client asked tells of all versions.
+func (o *streamOrigins) conclude(asked askedOrigin, service string, listed bool) forward.OriginAnswer {
 	known, certain := o.Versions(service)
 	var sure []string
 	if asked.complete() {
 		sure = asked.certain
 	}
-	if certain && (asked.complete() || o.serversSince(arrived)) {
+	if certain && (asked.complete() || listed) {
 		sure = slices.Concat(sure, known)
 	}
 	only := onlyVersion(sure, slices.Concat(asked.certain, asked.reported, known))
 	return forward.OriginAnswer{
 		OnlyVersion: only,
+		Listed:      listed,
 		Unanswered:  !asked.complete() || !certain || len(known) == 0 || only == "" && len(known) == 1,
 	}
 }
 
-// concludeAlone returns the same after the last question. If not all instances answered, one that is certain of one version
-// waits for a current list of servers.
-func (o *streamOrigins) concludeAlone(ctx context.Context, asked askedOrigin, arrived time.Time, service string) forward.OriginAnswer {
-	if known, certain := o.Versions(service); !asked.complete() && certain && len(known) == 1 {
-		o.awaitServersSince(ctx, arrived)
+// listSince reads the list of servers, as of a time or later, if this instance is certain of one version of a service. It reports
+// whether it is known now which versions there are.
+func (o *streamOrigins) listSince(ctx context.Context, at time.Time, service string) bool {
+	if known, certain := o.Versions(service); !certain || len(known) != 1 {
+		return false
 	}
-	return o.conclude(asked, arrived, service)
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	return o.list.observeSince(ctx, at, o.dir)
 }
 
 // askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, certain are the
@@ -248,20 +244,6 @@
 	return asked
 }
 
-// serversSince reports whether the list of servers was complete at a time or later.
-func (o *streamOrigins) serversSince(at time.Time) bool {
-	now := clock.Now()
-	return o.marks.serversAge(now) <= now.Sub(at)
-}
-
-// awaitServersSince waits until the list of servers was complete at a time or later, for maxServersWait at most.
-func (o *streamOrigins) awaitServersSince(ctx context.Context, at time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, maxServersWait)
-	defer cancel()
-	for !o.serversSince(at) && pause.For(ctx, serversCheckInterval) {
-	}
-}
-
 // find returns the origin of a stream if this instance knows it.
 func (o *streamOrigins) find(attempt string) (skew.Origin, bool) {
 	if origin, known := o.table.Find(attempt, clock.Now()); known {
--- a/entry/versions_fixture_test.go
+++ b/entry/versions_fixture_test.go
@@ -44,6 +44,13 @@
 	t.Helper()
 	lines := &syncBuffer{}
 	f := &versionFleet{fleet: (&fleet{t: t, logOutput: lines}).start(instances), lines: lines}
+	f.begin(versions...)
+	return f
+}
+
+// begin replaces the engines by one for each of the versions.
+func (f *versionFleet) begin(versions ...string) {
+	f.t.Helper()
 	f.configure("stream", "once", "unsafe", "safe")
 	for i, v := range versions {
 		f.addVersion(fmt.Sprintf("v%d", i), v, "m1")
@@ -59,7 +66,6 @@
 	})
 	f.awaitServers(len(versions))
 	f.await("a holder", func() bool { return f.holder() != nil })
-	return f
 }
 
 // addVersion starts an engine with software of a version, and one model.
