--- a/command/replicas/fleet.go
+++ b/command/replicas/fleet.go
@@ -134,8 +134,8 @@
 	index        index
 	// late has the orders to all engines, also to those that are gone, whose answers were lost.
 	late lateOrders
-	// inheritedUntil returns Engine.inheritedUntil for a server.
-	inheritedUntil func(serving.Server) time.Time
+	// inheritedOrdersEnd returns Engine.inheritedUntil for a server.
+	inheritedOrdersEnd func(serving.Server) time.Time
 	// decayedAt is when the rates were last decayed, countedAt when running requests were last counted, and
 	// proactiveCheckedAt when models were last checked for proactive loads.
 	decayedAt, countedAt, proactiveCheckedAt time.Time
@@ -172,7 +172,7 @@
 
 // NewFleet returns a Fleet without engines.
 func NewFleet(p Params) *Fleet {
-	return &Fleet{params: p, engines: map[string]*Engine{}, late: lateOrders{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, inheritedUntil: func(serving.Server) (none time.Time) { return }, speeds: map[string]float64{},
+	return &Fleet{params: p, engines: map[string]*Engine{}, late: lateOrders{}, demand: map[string]*Demand{}, wantedModels: map[string]*wantedModel{}, limits: limits.None{}, inheritedOrdersEnd: func(serving.Server) (none time.Time) { return }, speeds: map[string]float64{},
 		store: weightStore{fullSpeedLoads: p.RemoteConcurrency}, unloadTimes: unloadTimes{idle: p.UnloadTime, inUse: p.RunningWait, afterRuns: p.UnloadTime}}
 }
 
@@ -203,7 +203,7 @@
 			e.Tiers = maps.Clone(s.Tiers)
 			f.index.cached = nil
 		}
-		e.Server, e.Spec, e.inheritedUntil = s, engineSpec, f.inheritedUntil(s)
+		e.Server, e.Spec, e.inheritedUntil = s, engineSpec, f.inheritedOrdersEnd(s)
 	}
 	countBefore := len(f.engines)
 	maps.DeleteFunc(f.engines, func(id string, _ *Engine) bool { return !seen[id] })
--- a/command/replicas/lateorders.go
+++ b/command/replicas/lateorders.go
@@ -45,7 +45,9 @@
 // SetInheritedOrders sets the function that returns until when an order that an earlier holder sent to an earlier process
 // under a server's ID may be carried out, the zero time if there is none. The sequences of such orders are not known, so
 // the engine gets no order before.
-func (f *Fleet) SetInheritedOrders(until func(serving.Server) time.Time) { f.inheritedUntil = until }
+func (f *Fleet) SetInheritedOrders(until func(serving.Server) time.Time) {
+	f.inheritedOrdersEnd = until
+}
 
 // AwaitsLateOrder reports whether the engine is about to reach the sequence of an order that was sent to an earlier
 // process under its ID and may still arrive. No order may be sent that lets the engine reach it. An engine that has
