origins: the list of servers is read at most once a second by an instance of a large fleet

A partition between failure domains has many instances read the list at the same time. The pause between two calls now grows with the fleet (100 ms to 1 s at 330 instances); streams wait for the next call for 1.2 s at most, and only once. TestListIsReadForEachStream: 200 streams in a second, at most 11 calls with 6 instances and 2 with 330. TestListOfCopyPassesForComplete fails without the check of a restored store.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -154,7 +154,7 @@
 	i.crashes.isolated = i.paths.tracker.Isolated
 	i.follower.onEscalations, i.watcher.crashes = i.quarantine.recordReceived, i.crashes
 	i.marks = &versionMarks{store: i.client, dir: i.dir, isHolder: i.holder.Holds, isFirstHolder: i.holder.IsFirst, serversAge: i.watcher.serversAge, log: log}
-	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, newServerList(i.client, i.watcher), i.set, log)
+	i.origins = newStreamOrigins(i.dir, i.members, i.follower.pool, i.marks, newServerList(i.client, i.watcher, i.follower.knownInstances), i.set, log)
 	i.service = &service{holder: i.holder, follower: i.follower, quarantine: i.quarantine, trials: quarantine.NewTrials(), limiter: i.limiter, semaphores: newSemaphores(i.set, log), origins: i.origins, storeAge: i.watcher.storeAge}
 	i.follower.self = i.service
 	i.startDomains = s.RetryBudgetDomains()
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -50,8 +50,8 @@
 
 // Limits of calls between instances about origins.
 const (
-	// originTimeout bounds a call, and the time for which the list of servers is read. It is long enough for several round
-	// trips between failure domains, and short compared with the time for which clients wait for an event.
+	// originTimeout bounds a call. It is long enough for several round trips between failure domains, and short
+	// compared with the time for which clients wait for an event.
 	originTimeout = 300 * time.Millisecond
 	// maxOriginQuestions bounds how often instances are asked for an origin while one of them does not answer.
 	maxOriginQuestions = 3
@@ -144,6 +144,7 @@
 // instance does not answer, since streams whose origin is not known are refused.
 func (o *streamOrigins) Find(ctx context.Context, attempt, service string) forward.OriginAnswer {
 	arrived := clock.Exact()
+	listed := false
 	for n := 1; ; n++ {
 		if origin, known := o.find(attempt); known {
 			return forward.OriginAnswer{Origin: origin}
@@ -154,7 +155,10 @@
 			o.record(attempt, asked.origin, clock.Now())
 			return forward.OriginAnswer{Origin: asked.origin}
 		}
-		answer := o.conclude(asked, service, !asked.complete() && o.listSince(ctx, arrived, service))
+		if n == 1 && !asked.complete() {
+			listed = o.listSince(ctx, arrived, service)
+		}
+		answer := o.conclude(asked, service, listed)
 		if answer.OnlyVersion != "" || asked.complete() || asked.instances == 0 || n >= maxOriginQuestions {
 			return answer
 		}
@@ -192,7 +196,7 @@
 	if known, certain := o.Versions(service); !certain || len(known) != 1 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	ctx, cancel := context.WithTimeout(ctx, maxListWait)
 	defer cancel()
 	return o.list.observeSince(ctx, at, o.dir)
 }
--- a/entry/serverlist.go
+++ b/entry/serverlist.go
@@ -16,18 +16,27 @@
 type serverList struct {
 	store   store.Store
 	watcher *watcher
+	// instances returns the number of instances that share the store.
+	instances func() int
 	// reading is full while somebody uses the fields below.
 	reading chan struct{}
 	// calledAt is when the last call began, and completeAt when the last one began that returned all servers.
 	calledAt, completeAt time.Time
 }
 
-func newServerList(s store.Store, w *watcher) *serverList {
-	return &serverList{store: s, watcher: w, reading: make(chan struct{}, 1)}
+func newServerList(s store.Store, w *watcher, instances func() int) *serverList {
+	return &serverList{store: s, watcher: w, instances: instances, reading: make(chan struct{}, 1)}
 }
 
-// minListPause is the shortest time between two calls.
-const minListPause = 100 * time.Millisecond
+const (
+	// minListPause is the shortest time between two calls, and listSpacing the mean time between two calls of all instances
+	// together, since a partition concerns many at once.
+	minListPause = 100 * time.Millisecond
+	listSpacing  = 3 * time.Millisecond
+	// maxListWait is how long a stream that a client resumes waits for the list. It is longer than the pause between two calls
+	// in a fleet of 330 instances.
+	maxListWait = 1200 * time.Millisecond
+)
 
 // observeSince records in dir the software versions of all servers, as of a time or later. It reports whether that was possible
 // before ctx ended.
@@ -41,7 +50,7 @@
 	if !l.completeAt.Before(at) {
 		return true
 	}
-	if !pause.For(ctx, minListPause-clock.Since(l.calledAt)) {
+	if !pause.For(ctx, max(minListPause, time.Duration(l.instances())*listSpacing)-clock.Since(l.calledAt)) {
 		return false
 	}
 	l.calledAt = clock.Exact()
@@ -51,7 +60,7 @@
 	}
 	l.watcher.recordEra(snap.Revision.Era(), true)
 	observeVersions(dir, snap)
-	if l.watcher.entriesMayLack() {
+	if l.watcher.mayLackEntries() {
 		return false
 	}
 	l.completeAt = l.calledAt
@@ -71,9 +80,9 @@
 	}
 }
 
-// entriesMayLack reports whether the store may lack entries of servers that run: those that lapsed in an outage, or that a copy
+// mayLackEntries reports whether the store may lack entries of servers that run: those that lapsed in an outage, or that a copy
 // from which it was restored does not have.
-func (w *watcher) entriesMayLack() bool {
+func (w *watcher) mayLackEntries() bool {
 	if w.copySuspectedWithin(directory.LapseGrace) {
 		return true
 	}
