soak: plays of an instance that is out of step as engines of another version appear

An instance is frozen, cut off from all or some of the others or from the store, or relays streams that nobody else hears of, while watches of the store are late; streams begin elsewhere and are taken up there at once, or the other way round. Instances are cut off from each other by proxies between each two: the proxies of an instance give the addresses in what it is told the ports of its own proxies to the others. Clients of plays keep connections open.

--- a/cmd/martensoak/main.go
+++ b/cmd/martensoak/main.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return false, errors.Wrapf(err, "play %s, seed %d", name, seed)
 	}
-	fmt.Printf("play=%s seed=%d streams=%d taken_up=%d exposed=%d went_on=%d joined=%d\n", name, seed, result.Streams, result.TakenUp, result.Exposed, result.WentOn, len(result.Joined))
+	fmt.Printf("play=%s seed=%d streams=%d taken_up=%d exposed=%d newer=%d went_on=%d joined=%d\n", name, seed, result.Streams, result.TakenUp, result.Exposed, result.Newer, result.WentOn, len(result.Joined))
 	for _, j := range result.Joined {
 		fmt.Println("  BROKEN", j)
 	}
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -68,6 +68,8 @@
 	duration time.Duration
 	// sentAt is the time just before the request was written. It is zero if the write failed.
 	sentAt time.Time
+	// conns are the open connections of its client; nil if it opens a connection for each request.
+	conns openConns
 	// reusedConn reports whether the connection had carried an earlier request.
 	reusedConn bool
 	// entryRunning reports whether the instance ran during the whole request.
@@ -150,7 +152,11 @@
 	req.entry, req.entryStable, req.entryUndisturbedSince = entry, r.entryStable(entry, time.Now()), r.entries[entry].undisturbedSince()
 	observed := r.observe(entry, serviceOf(req.route))
 	began := time.Now()
-	req.send(r.entryAddress(entry))
+	if req.conns != nil {
+		req.conns.send(r.entryAddress(entry), r.idleTimeout(), req)
+	} else {
+		req.send(r.entryAddress(entry))
+	}
 	req.duration = time.Since(began)
 	observed.finish(req)
 	r.takeUps.record(req)
@@ -164,9 +170,7 @@
 
 // send sends the request on a new connection, from one of the clients' addresses.
 func (req *clientRequest) send(address string) {
-	local := net.IPv4(127, 1, 0, byte(1+rand.IntN(clientIPs)))
-	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: local}}
-	conn, err := dialer.Dial("tcp", address)
+	conn, err := dialEntry(address)
 	if err != nil {
 		return
 	}
@@ -174,6 +178,13 @@
 	req.exchange(conn, bufio.NewReader(conn))
 }
 
+// dialEntry opens a connection to an instance, from one of the clients' addresses.
+func dialEntry(address string) (net.Conn, error) {
+	local := net.IPv4(127, 1, 0, byte(1+rand.IntN(clientIPs)))
+	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: local}}
+	return dialer.Dial("tcp", address)
+}
+
 // exchange sends the request and reads the answer. It reports whether the connection can be reused.
 func (req *clientRequest) exchange(conn net.Conn, reader *bufio.Reader) bool {
 	_ = conn.SetDeadline(time.Now().Add(longestTimeout + 2*answerSlack)) // a read beyond the deadline ends the request
--- a/soak/parts.go
+++ b/soak/parts.go
@@ -59,5 +59,9 @@
 	if entry := r.concentrated.Load(); entry > 0 && random.IntN(10) < concentratedShare {
 		return int(entry - 1)
 	}
-	return random.IntN(len(r.entries))
+	entry := random.IntN(len(r.entries))
+	if int64(entry+1) == r.avoided.Load() {
+		return (entry + 1) % len(r.entries)
+	}
+	return entry
 }
--- a/soak/plays.go
+++ b/soak/plays.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,9 +43,9 @@
 	entries int
 	// load is how long a load takes, and maxPause the longest pause before a client takes a stream up; the usual ones if 0.
 	load, maxPause time.Duration
-	// omitsStart is set if the engines announce no start.
-	omitsStart bool
-	act        func(ctx context.Context, p *playRun)
+	// omitsStart is set if the engines announce no start, and peerLinks if instances can be cut off from each other.
+	omitsStart, peerLinks bool
+	act                   func(ctx context.Context, p *playRun)
 }
 
 // playRun is a run of a play.
@@ -59,16 +60,23 @@
 	// releaseTakeUps allows the held take-ups.
 	releaseTakeUps func()
 
+	// beginsAt is the instance at which all streams begin, and beginsElsewhere one at which none does, plus 1; 0 for none.
+	beginsAt, beginsElsewhere atomic.Int64
+	// outOfStep is the instance that is out of step, in plays with one; set before the result is counted.
+	outOfStep *outOfStep
+
 	requests [][]clientRequest // the attempts at each stream; guarded by mu
 	faultAt  time.Time         // when the first fault began; set before the result is counted
 }
 
 // PlayResult counts the streams of a play.
 type PlayResult struct {
-	// Streams began. Clients took TakenUp of them up. Exposed began before the first fault and were taken up after it, and
-	// WentOn of these brought further events. Joined have events of two software versions.
-	Streams, TakenUp, Exposed, WentOn int
-	Joined                            []string
+	// Streams began. Clients took TakenUp of them up. Exposed began before the first fault and were taken up after it; in plays
+	// with an instance that is out of step, they began at others and were taken up at it, or the other way round. Newer of these
+	// began at a version that came during the play, and WentOn brought further events. Joined have events of two software
+	// versions.
+	Streams, TakenUp, Exposed, Newer, WentOn int
+	Joined                                   []string
 }
 
 // PlayNames returns the names of the plays.
@@ -94,6 +102,11 @@
 		return PlayResult{}, err
 	}
 	defer subnetClaim.Close()
+	if chosen.peerLinks {
+		if err := r.startPeerLinks(); err != nil {
+			return PlayResult{}, err
+		}
+	}
 	for i, version := range chosen.versions {
 		r.software.set(i, engineStart{version: version, omitsStart: chosen.omitsStart, loaded: chosen.loadedAt(i), load: chosen.load})
 	}
@@ -123,8 +136,10 @@
 	for c := range playClients {
 		random := rand.New(rand.NewPCG(p.params.Seed, uint64(playStream+1+c)))
 		clients.Go(func() {
+			conns := openConns{}
+			defer conns.close()
 			for n := 0; pause.For(clientCtx, clientPause); n++ {
-				p.stream(ctx, random, fmt.Sprintf("play-%d-%d", c, n))
+				p.stream(ctx, random, conns, fmt.Sprintf("play-%d-%d", c, n))
 			}
 		})
 	}
@@ -140,15 +155,15 @@
 }
 
 // stream begins a stream at a random instance, and takes it up if the client leaves it or it breaks off.
-func (p *playRun) stream(ctx context.Context, random *rand.Rand, id string) {
-	req := clientRequest{id: id, route: "stream", model: p.chosen.models[random.IntN(len(p.chosen.models))], key: steadyKey, payload: "body-of-" + id}
+func (p *playRun) stream(ctx context.Context, random *rand.Rand, conns openConns, id string) {
+	req := clientRequest{id: id, conns: conns, route: "stream", model: p.chosen.models[random.IntN(len(p.chosen.models))], key: steadyKey, payload: "body-of-" + id}
 	if random.IntN(playLeaveShare) == 0 {
 		req.leaveAfter = leaveAfter
 	}
 	p.mu.Lock()
 	allowed := p.takeUpsAllowed
 	p.mu.Unlock()
-	p.sendTo(random.IntN(len(p.entries)), &req)
+	p.sendTo(p.drawBeginning(random), &req)
 	attempts := []clientRequest{req}
 	select {
 	case <-allowed:
@@ -173,8 +188,11 @@
 		if len(attempts) > 1 {
 			result.TakenUp++
 		}
-		if first.events() > 0 && first.sentAt.Before(p.faultAt) && last.sentAt.After(p.faultAt) && len(attempts) > 1 {
+		if first.events() > 0 && len(attempts) > 1 && p.exposes(attempts) {
 			result.Exposed++
+			if !slices.Contains(p.chosen.versions, first.versions[0]) {
+				result.Newer++
+			}
 			if last.events() > first.events() {
 				result.WentOn++
 			}
@@ -187,6 +205,26 @@
 	return result
 }
 
+// exposes reports whether the attempts at a stream that was taken up are what the play is about.
+func (p *playRun) exposes(attempts []clientRequest) bool {
+	if p.outOfStep != nil {
+		return p.outOfStep.exposes(attempts)
+	}
+	return attempts[0].sentAt.Before(p.faultAt) && attempts[len(attempts)-1].sentAt.After(p.faultAt)
+}
+
+// drawBeginning returns the instance at which a stream begins.
+func (p *playRun) drawBeginning(random *rand.Rand) int {
+	if entry := p.beginsAt.Load(); entry > 0 {
+		return int(entry - 1)
+	}
+	entry := random.IntN(len(p.entries))
+	if int64(entry+1) == p.beginsElsewhere.Load() {
+		return (entry + 1) % len(p.entries)
+	}
+	return entry
+}
+
 // upTo returns a random duration below d.
 func (p *playRun) upTo(d time.Duration) time.Duration {
 	return time.Duration(p.random.Int64N(int64(d)))
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -35,6 +35,10 @@
 // proxy is a TCP proxy on loopback that can disturb its connections.
 type proxy struct {
 	listenAddress, target string
+	// source is the IP address from which it calls the target; "" for any.
+	source string
+	// toTarget and fromTarget change the addresses in what is passed on; nil for no change.
+	toTarget, fromTarget *portRule
 
 	mu        sync.Mutex
 	listener  net.Listener      // guarded by mu
@@ -47,13 +51,20 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(standin.UniqueLoopbackIP(), "0"))
+	p := &proxy{listenAddress: net.JoinHostPort(standin.UniqueLoopbackIP(), "0"), target: target}
+	return p, p.open()
+}
+
+// open starts a proxy.
+func (p *proxy) open() error {
+	l, err := net.Listen("tcp", p.listenAddress)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	p := &proxy{listener: l, listenAddress: l.Addr().String(), target: target, conns: map[net.Conn]bool{}, modeChanged: make(chan struct{})}
+	p.listener, p.listenAddress = l, l.Addr().String()
+	p.conns, p.modeChanged = map[net.Conn]bool{}, make(chan struct{})
 	go p.run(l)
-	return p, nil
+	return nil
 }
 
 func (p *proxy) address() string { return p.listenAddress }
@@ -122,7 +133,11 @@
 		_ = client.Close()
 		return
 	}
-	server, err := net.Dial("tcp", p.target)
+	var dialer net.Dialer
+	if p.source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.source)}
+	}
+	server, err := dialer.Dial("tcp", p.target)
 	if err != nil {
 		_ = client.Close()
 		return
@@ -144,17 +159,23 @@
 func (p *proxy) copy(to, from net.Conn, towardsTarget bool) {
 	defer to.Close()
 	defer from.Close()
-	buf := make([]byte, 32<<10)
+	rule := p.fromTarget
+	if towardsTarget {
+		rule = p.toTarget
+	}
+	buf, held := make([]byte, 32<<10), 0
 	for {
-		n, err := from.Read(buf)
+		n, err := from.Read(buf[held:])
 		if n > 0 {
 			p.waitForMode(towardsTarget)
 			if wasReset(from) {
 				return
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
+			passed, rest := rule.apply(buf[:held+n])
+			if _, err := to.Write(passed); err != nil {
 				return
 			}
+			held = copy(buf, rest)
 		}
 		if err != nil {
 			if err == io.EOF {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -94,7 +94,8 @@
 	storeAddress    string
 	client          *platform.Client
 	entries         []*process
-	storeProxies    []*proxy // to the store, one per entry instance
+	storeProxies    []*proxy         // to the store, one per entry instance
+	peerLinks       []map[int]*proxy // by source and target; none in a run without peer links
 	servers         []*process
 	serverProxies   []*proxy // one per server
 	serverAddresses []string // one per server
@@ -114,8 +115,9 @@
 	takeUps takeUps
 	// software holds the IDs of servers and the software versions of engines.
 	software *softwareLog
-	// concentrated is the instance that most new connections come to, plus 1; 0 if there is none.
-	concentrated atomic.Int64
+	// concentrated is the instance that most new connections come to, and avoided one that none comes to, plus 1; 0 if there is
+	// none.
+	concentrated, avoided atomic.Int64
 	// config is the state of the generated configurations.
 	config configState
 }
@@ -286,7 +288,7 @@
 
 // startEntry writes the settings of entry instance i and starts it and its proxy to the store.
 func (r *run) startEntry(i int) error {
-	storeProxy, err := newProxy(r.storeAddress)
+	storeProxy, err := r.newStoreProxy(i)
 	if err != nil {
 		return errors.Wrap(err, "soak: start proxy")
 	}
@@ -379,4 +381,9 @@
 	for _, p := range append(r.storeProxies, r.serverProxies...) {
 		p.close()
 	}
+	for _, links := range r.peerLinks {
+		for _, p := range links {
+			p.close()
+		}
+	}
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -112,7 +112,7 @@
 			return
 		}
 		req := clientRequest{
-			id: fmt.Sprintf("%s-up%d", begun.id, n+1), route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
+			id: fmt.Sprintf("%s-up%d", begun.id, n+1), conns: begun.conns, route: begun.route, model: begun.model, key: begun.key, payload: begun.payload, withoutBody: begun.withoutBody, prompt: begun.prompt,
 			parts: append(slices.Clone(part.parts), part.wholeEvents()), lastEvent: part.events(), resumes: begun.id, takeUps: n + 1, versions: slices.Clone(part.versions),
 		}
 		if random.IntN(leaveShare) == 0 {
