ORDER: the first watches after a pause no longer name the process of each server

Callers: a stream could be recorded under the version of a server's earlier process although a new one of another version ran it, and be joined from both when it was taken up.

Cause: an instance asks a server for its process on each new connection while its list of servers is older than a second, since after a pause of the machine closed connections still look open. The first watch or update after the pause made the list recent, but it may lack the changes of the last store.MaxWatchDelay, thus of the pause.

After a gap of more than two seconds the list stays old until it is complete as of store.MaxWatchDelay after the gap.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -169,7 +169,7 @@
 		Counts: i.counts, Log: log, Waitlist: i.follower.desk, RecordRefused: i.follower.recordRefused, Memory: i.backends, Origins: i.origins,
 	})
 	i.backends.SetMetrics(i.set)
-	i.backends.CheckProcesses(func() bool { return i.watcher.serversAge(clock.Now()) > recentServersAge })
+	i.backends.CheckProcesses(func() bool { return i.watcher.serversOld(clock.Now()) })
 	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
 	i.balancer.SetSubset(balance.Subset{Instance: s.NodeName, Instances: i.follower.reportedInstances, Connections: i.backends})
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, s.MaxSockets(), i.set, log)
--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/platform"
+	"github.com/martenport/martenport/store"
 )
 
 // How stale an instance's copy of the store is. An age is measured from a time at which the copy was
@@ -36,11 +38,17 @@
 
 // recordSynced records that the copy of the objects under a prefix was complete at a time.
 func (w *watcher) recordSynced(prefix string, at time.Time) {
+	now := clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if at.After(w.syncedAt[prefix]) {
-		w.syncedAt[prefix] = at
+	before := w.syncedAt[prefix]
+	if !at.After(before) {
+		return
 	}
+	if prefix == platform.PrefixServers && at.Sub(before) > serversGap {
+		w.serversResumed = now
+	}
+	w.syncedAt[prefix] = at
 }
 
 // recordStoreRead records that the store returned everything it had under a prefix at a time.
@@ -77,6 +85,19 @@
 	return w.prefixAge(platform.PrefixServers, now)
 }
 
+// serversGap is the time between two readings of the servers that counts as a pause of the instance, or of its sources: a server
+// needs longer to end and start again.
+const serversGap = recentServersAge + store.MaxWatchDelay
+
+// serversOld reports whether the copy of the servers is too old to name the process of each server. After a pause it is until
+// no change of the time of the pause can be missing.
+func (w *watcher) serversOld(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	syncedAt := w.syncedAt[platform.PrefixServers]
+	return now.Sub(syncedAt) > recentServersAge || syncedAt.Before(w.serversResumed.Add(store.MaxWatchDelay))
+}
+
 // storeAge returns the greater of the ages of the configuration and of the servers.
 func (w *watcher) storeAge(now time.Time) time.Duration {
 	return max(w.prefixAge(platform.KeyConfig, now), w.serversAge(now))
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -75,6 +75,8 @@
 	// syncedAt has, by prefix, the time for which the copy of the objects is known to be complete;
 	// guarded by mu.
 	syncedAt map[string]time.Time
+	// serversResumed is when the servers were first read after the last serversGap; guarded by mu.
+	serversResumed time.Time
 	// era is the store's era, and eraLearnedAt when the instance learned of its last change, zero if
 	// there was none; guarded by mu.
 	era          int64
