--- a/soak/playlist_outofstep.go
+++ b/soak/playlist_outofstep.go
@@ -22,6 +22,7 @@
 	{name: "cut-off-from-store-and-some-as-second-appears", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, peerLinks: true, act: withoutStoreAsAdded(someOthers)},
 	{name: "relay-alone-as-second-appears", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, peerLinks: true, act: relayAloneAsAdded(false)},
 	{name: "relay-alone-others-late-as-second-appears", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, peerLinks: true, act: relayAloneAsAdded(true)},
+	{name: "relay-and-holder-alone-others-late-as-second-appears", versions: oneVersion, models: commonModels, entries: manyEntries, maxPause: shortPause, peerLinks: true, act: relayAndHolderAloneAsAdded},
 }
 
 // outOfStep is an instance that is out of step for some time. It takes streams up that began elsewhere, or relays those that
@@ -148,19 +149,37 @@
 func relayAloneAsAdded(othersLate bool) func(ctx context.Context, p *playRun) {
 	return func(ctx context.Context, p *playRun) {
 		entry := p.setOutOfStep(true)
-		others := p.allBut(entry)
-		p.setPeerLinks(entry, others, blockBoth)
-		if othersLate {
-			p.setLate(p.drawDelay(), others...)
+		p.relayAlone(ctx, []int{entry}, othersLate)
+	}
+}
+
+// relayAndHolderAloneAsAdded does the same, but the lease holder is cut off with the instance.
+func relayAndHolderAloneAsAdded(ctx context.Context, p *playRun) {
+	entry := p.setOutOfStep(true)
+	p.relayAlone(ctx, []int{entry, p.leaseHolder(ctx)}, true)
+}
+
+// relayAlone cuts instances off from all others as the engines appear.
+func (p *playRun) relayAlone(ctx context.Context, alone []int, othersLate bool) {
+	others := slices.DeleteFunc(p.allBut(alone[0]), func(i int) bool { return slices.Contains(alone, i) })
+	setLinks := func(m mode) {
+		for _, entry := range alone {
+			if entry >= 0 { // there may be no holder
+				p.setPeerLinks(entry, others, m)
+			}
 		}
-		pause.For(ctx, p.upTo(maxAloneTime))
-		p.addNew()
-		pause.For(ctx, minBesideTime+p.upTo(minBesideTime))
-		p.setPeerLinks(entry, others, resetConns)
-		p.setPeerLinks(entry, others, passAll)
-		p.setLate(0, others...)
-		p.setInStep(ctx)
 	}
+	setLinks(blockBoth)
+	if othersLate {
+		p.setLate(p.drawDelay(), others...)
+	}
+	pause.For(ctx, p.upTo(maxAloneTime))
+	p.addNew()
+	pause.For(ctx, minBesideTime+p.upTo(minBesideTime))
+	setLinks(resetConns)
+	setLinks(passAll)
+	p.setLate(0, others...)
+	p.setInStep(ctx)
 }
 
 // allBut returns all instances but one.
