ORDER: reads of the list of servers do not end with the client that waited first

Callers: while an instance does not answer and the store takes longer than about 0.15 s, streams that clients take up are refused, all but the first, with 503 and Retry-After.

Cause: the call was that of the client that waited first, within what was left of its time. Clients that had waited for the call before it had too little left, so that each call ended early and the next one began.

The call is on its own, within the time limit of all calls to the store; whoever waits gets its result if it began late enough.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -34,14 +34,15 @@
 	members *members
 	pool    *rpcpool.Pool
 	marks   *versionMarks
-	list    *serverList
-	set     *metrics.Set
-	log     logrus.FieldLogger
+	// list has the versions of the servers there are.
+	list *versionReads
+	set  *metrics.Set
+	log  logrus.FieldLogger
 	// sending is the number of origins that are being sent.
 	sending atomic.Int64
 }
 
-func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, list *serverList, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
+func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, list *versionReads, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
 	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, list: list, set: set, log: log}
 	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, dir: dir, instances: m.count, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
@@ -196,9 +197,13 @@
 	if known, certain := o.Versions(service); !certain || len(known) != 1 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxListWait)
+	ctx, cancel := context.WithTimeout(ctx, maxServerListWait)
 	defer cancel()
-	return o.list.observeSince(ctx, at, o.dir)
+	listed, ok := o.list.since(ctx, at)
+	for service, versions := range listed {
+		o.dir.ObserveVersions(service, versions, clock.Now())
+	}
+	return ok
 }
 
 // askedOrigin is what other instances know of an origin. If none knows it, answers of the instances answered, certain are the
