ORDER: answers of all others, or a new list of servers, no longer prove alone that there is one version

Callers: a stream that began at a new software version broke, was taken up at another instance, and went on at the old version, with 200. Two orders of events: - the instance that relayed its first event reached none of the others for a moment (the holder, cut off from them but not from the store and the engines), and is not among those that are asked for that origin: all who are asked answer, and their lists of servers are older than the new version, by 1.2 s and more; - an instance on its own reads the list of servers anew, but the new version's engine has left again: the list tells what is there, not what was.

Cause: an origin that nobody knows was taken for one of the only version that instances know. All answers, or a list read since the client came, passed for proof that there was no other; neither has what came after the last word, or left before the list.

A version is marked in the store before streams begin at it. So a version counts as the only one only if the service's mark, as of the client's arrival or later, names no other one, but for those that have expired here. The marks are one small object a service; one call serves all that wait, ten a second at most at an instance, and only where no instance knows the origin and one version is known. While the store does not answer in time the answers of all that are asked count as before, else an outage would refuse streams that break in its first seconds; an instance without all answers refuses then, as before. Streams that begin at a version that is not held back though no mark names it (no server of another has the model, or 5 s without a mark) are not covered by the mark.

--- a/directory/versions.go
+++ b/directory/versions.go
@@ -19,13 +19,15 @@
 	// removed.
 	servers map[serviceVersion]int
 	goneAt  map[serviceVersion]time.Time
+	// expired has the versions that are not known any more since no stream can be resumed that began at them.
+	expired map[serviceVersion]bool
 	// known has the sorted versions by service, and mixed those of services that have more than one. They are replaced,
 	// never modified, and read without a lock.
 	known, mixed atomic.Pointer[map[string][]string]
 }
 
 func newSoftwareVersions() *softwareVersions {
-	v := &softwareVersions{servers: map[serviceVersion]int{}, goneAt: map[serviceVersion]time.Time{}}
+	v := &softwareVersions{servers: map[serviceVersion]int{}, goneAt: map[serviceVersion]time.Time{}, expired: map[serviceVersion]bool{}}
 	v.publish()
 	return v
 }
@@ -36,6 +38,7 @@
 	v.servers[key]++
 	if v.servers[key] == 1 {
 		delete(v.goneAt, key)
+		delete(v.expired, key)
 		v.publish()
 	}
 }
@@ -53,7 +56,13 @@
 // expire forgets versions whose last server was removed too long ago for a stream to be resumed.
 func (v *softwareVersions) expire(now time.Time) {
 	before := len(v.goneAt)
-	maps.DeleteFunc(v.goneAt, func(_ serviceVersion, at time.Time) bool { return now.Sub(at) > skew.Lifetime })
+	maps.DeleteFunc(v.goneAt, func(key serviceVersion, at time.Time) bool {
+		expired := now.Sub(at) > skew.Lifetime
+		if expired {
+			v.expired[key] = true
+		}
+		return expired
+	})
 	if len(v.goneAt) != before {
 		v.publish()
 	}
@@ -93,7 +102,15 @@
 		key := serviceVersion{service, version}
 		if d.versions.servers[key] == 0 {
 			d.versions.goneAt[key] = now
+			delete(d.versions.expired, key)
 		}
 	}
 	d.versions.publish()
 }
+
+// VersionExpired reports whether a software version was known and no stream that began at it can be resumed any more.
+func (d *Directory) VersionExpired(service, version string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.versions.expired[serviceVersion{service, version}]
+}
--- a/directory/versions_test.go
+++ b/directory/versions_test.go
@@ -54,3 +54,27 @@
 		t.Errorf("version %s, versions of the service %v", s.Version, follower.Versions()["s"])
 	}
 }
+
+// TestReturnedVersionPassesForExpired guards against a version that counts as expired although it serves again, or may have.
+func TestReturnedVersionPassesForExpired(t *testing.T) {
+	for name, returns := range map[string]func(d *Directory){
+		"serves again": func(d *Directory) {
+			d.ApplyServer(serving.Server{ID: "b", Service: "s", Version: "v1", Revision: 3}, start)
+		},
+		"may have served": func(d *Directory) { d.ObserveVersions("s", []string{"v1"}, start) },
+	} {
+		d := New()
+		d.ApplyServer(serving.Server{ID: "a", Service: "s", Version: "v1", Revision: 1}, start)
+		d.RemoveServer("a", 2, start.Add(-2*skew.Lifetime))
+		if d.VersionExpired("s", "v1") {
+			t.Error("expired before its time has been looked at")
+		}
+		d.Sweep(start)
+		if !d.VersionExpired("s", "v1") || d.VersionExpired("s", "v2") {
+			t.Error("not expired, or one that was never known is")
+		}
+		if returns(d); d.VersionExpired("s", "v1") {
+			t.Errorf("%s: expired", name)
+		}
+	}
+}
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -34,16 +34,16 @@
 	members *members
 	pool    *rpcpool.Pool
 	marks   *versionMarks
-	// list has the versions of the servers there are.
-	list *versionReads
-	set  *metrics.Set
-	log  logrus.FieldLogger
+	// list has the versions of the servers there are, and marked those that marks name.
+	list, marked *versionReads
+	set          *metrics.Set
+	log          logrus.FieldLogger
 	// sending is the number of origins that are being sent.
 	sending atomic.Int64
 }
 
 func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, list *versionReads, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
-	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, list: list, set: set, log: log}
+	o := &streamOrigins{table: skew.NewOrigins(), dir: dir, members: m, pool: pool, marks: marks, list: list, marked: newMarkList(marks.store), set: set, log: log}
 	o.archive = &originArchive{store: marks.store, key: prefixOrigins + m.self.Name, table: o.table, dir: dir, instances: m.count, log: log}
 	set.NewGauge("martenport_stream_origins", func() float64 { return float64(o.table.Len()) })
 	return o
@@ -160,6 +160,9 @@
 			listed = o.listSince(ctx, arrived, service)
 		}
 		answer := o.conclude(asked, service, listed)
+		if answer.OnlyVersion != "" && !o.confirmOnly(ctx, arrived, service, answer) {
+			answer = forward.OriginAnswer{Listed: answer.Listed, Unanswered: true}
+		}
 		if answer.OnlyVersion != "" || asked.complete() || asked.instances == 0 || n >= maxOriginQuestions {
 			return answer
 		}
@@ -191,6 +194,22 @@
 	}
 }
 
+// confirmOnly reports whether the service's mark names no other version than the one that instances take for the only one, but
+// for those that have expired: the instance that relayed the first event may reach none of them, and streams begin at a version
+// after it is marked. While the store does not answer in time, the answers of all that may know the origin count.
+func (o *streamOrigins) confirmOnly(ctx context.Context, at time.Time, service string, answer forward.OriginAnswer) bool {
+	ctx, cancel := context.WithTimeout(ctx, originTimeout)
+	defer cancel()
+	marked, read := o.marked.since(ctx, at)
+	if !read {
+		return !answer.Listed
+	}
+	named := marked[service]
+	return slices.Contains(named, answer.OnlyVersion) && !slices.ContainsFunc(named, func(v string) bool {
+		return v != answer.OnlyVersion && !o.dir.VersionExpired(service, v)
+	})
+}
+
 // listSince reads the list of servers, as of a time or later, if this instance is certain of one version of a service. It reports
 // whether it is known now which versions there are.
 func (o *streamOrigins) listSince(ctx context.Context, at time.Time, service string) bool {
--- /dev/null
+++ b/entry/unreachablerelay_test.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+)
+
+// peerPaths are the paths between instances.
+type peerPaths struct {
+	mu    sync.Mutex
+	paths map[peerPath]*serverLink // guarded by mu
+	cut   string                   // address of the instance that is cut off, "" for none; guarded by mu
+	named string                   // its node name; guarded by mu
+}
+
+// peerPath is the path from an instance, by its node name, to the address of another one.
+type peerPath struct{ from, to string }
+
+// dial opens a connection from an instance to another one.
+func (p *peerPaths) dial(ctx context.Context, from, to string) (net.Conn, error) {
+	p.mu.Lock()
+	link, known := p.paths[peerPath{from, to}]
+	if !known {
+		link = newServerLink()
+		p.paths[peerPath{from, to}] = link
+		if p.cut != "" && (from == p.named || to == p.cut) {
+			link.set(cutRefused)
+		}
+	}
+	p.mu.Unlock()
+	return link.dial(ctx, "tcp", to)
+}
+
+// cutOff cuts an instance off from all others.
+func (p *peerPaths) cutOff(m member) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut, p.named = m.Address, m.Name
+	for path, link := range p.paths {
+		if path.from == m.Name || path.to == m.Address {
+			link.set(cutRefused)
+		}
+	}
+}
+
+// newPeerFleet starts instances whose paths to one another can be cut, with an engine of version v1.
+func newPeerFleet(t *testing.T, instances int) (*versionFleet, *peerPaths) {
+	t.Helper()
+	paths, lines := &peerPaths{paths: map[peerPath]*serverLink{}}, &syncBuffer{}
+	f := &versionFleet{lines: lines, fleet: &fleet{t: t, logOutput: lines, network: func(machine int) network {
+		return network{peers: func(ctx context.Context, address string) (net.Conn, error) {
+			return paths.dial(ctx, "node-"+strconv.Itoa(machine), address)
+		}}
+	}}}
+	f.start(instances)
+	f.begin("v1")
+	f.await("instances known", func() bool {
+		return !slices.ContainsFunc(f.instances, func(r *running) bool {
+			names, ok := r.members.refreshNames(t.Context())
+			return !ok || len(names) != instances || !r.marks.certain()
+		})
+	})
+	return f, paths
+}
+
+// TestOriginThatReachesNobodyJoinsVersions guards against instances that take the answers of others for the knowledge that there
+// is one version, while the one that relayed the first event of a newer one reaches none of them.
+func TestOriginThatReachesNobodyJoinsVersions(t *testing.T) {
+	f, paths := newPeerFleet(t, 6)
+	holder := f.holder()
+	taker := f.instances[slices.IndexFunc(f.instances, func(r *running) bool { return r != holder })]
+	asked := func(id string) bool {
+		candidates, _ := taker.origins.keepers(t.Context(), id)
+		return slices.Contains(slices.Concat(candidates...), holder.members.self.Address)
+	}
+	paths.cutOff(holder.members.self)
+	f.addVersion("v2", "v2", "m1")
+	var begun attempt
+	f.await("a stream of v2", func() bool {
+		begun = attempt{id: newAttemptID(), leaveAfter: 3}
+		for asked(begun.id) {
+			begun.id = newAttemptID()
+		}
+		return slices.Contains(f.send(holder, begun).versions, "v2")
+	})
+	got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+	if slices.Contains(got.versions, "v1") {
+		t.Errorf("%+v, began at v2", got)
+	}
+}
--- a/entry/versionreads.go
+++ b/entry/versionreads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -56,6 +57,11 @@
 	}
 }
 
+// newMarkList returns reads of the marks of software versions: streams may have begun since at a version that others have marked.
+func newMarkList(s store.Store) *versionReads {
+	return &versionReads{store: s, prefix: prefixVersions, decode: decodeMarks, pause: func() time.Duration { return minReadsPause }}
+}
+
 // since returns the versions as of a time or later. ok is set if the store answered before ctx ended, and none may lack.
 func (r *versionReads) since(ctx context.Context, at time.Time) (versions map[string][]string, ok bool) {
 	for {
@@ -132,3 +138,15 @@
 	defer w.mu.Unlock()
 	return w.storeDown || clock.Since(w.regainedAt) < directory.LapseGrace
 }
+
+// decodeMarks returns the versions that marks name, by service, without marks that may lack some.
+func decodeMarks(snap store.Snapshot) (versions map[string][]string, complete bool) {
+	versions = map[string][]string{}
+	for _, obj := range snap.Objects {
+		var mark versionMark
+		if json.Unmarshal(obj.Value, &mark) == nil && !mark.Unsure && mark.Era >= snap.Revision.Era() {
+			versions[obj.Key[len(prefixVersions):]] = mark.Versions
+		}
+	}
+	return versions, true
+}
