ORDER: a stream begins at a version that no mark names only if another instance keeps its origin

Callers: a stream that began at a new software version through an instance that was cut off from all others broke, was taken up elsewhere, and went on at the old version, with 200.

Cause: an instance whose engines of the marked versions cannot take a stream begins it at a version that is held back, without a mark. The origin was sent and not waited for. If it reached nobody, all instances that keep it answered that they do not know it and are certain of the old version, as their watches were late; such answers settle it.

If none does, the request begins at this version or not at all, and for a second no other one begins there: the client is refused and may go to another instance. Once a mark names the version, nothing waits. An instance that knows of no other does not wait.

--- a/command/forward/origin.go
+++ b/command/forward/origin.go
@@ -23,6 +23,12 @@
 	Versions(service string) (versions []string, certain bool)
 	// HoldsBack reports whether streams should not begin at a version of a service yet.
 	HoldsBack(service, version string) bool
+	// MayGiveWay reports whether streams that can begin at no other version may begin at one that is held back. They may not
+	// while other instances do not hear of it.
+	MayGiveWay() bool
+	// RecordKept is Record for a version that is held back. It waits until another instance keeps the origin, and reports
+	// whether one does, or there is none.
+	RecordKept(ctx context.Context, attempt string, origin skew.Origin) bool
 	// Record records that an attempt brings the first event of a stream. It does not wait.
 	Record(attempt string, origin skew.Origin)
 	// Find returns the origin of a stream of a service by the attempt that brought its first event.
@@ -157,12 +163,21 @@
 	return f.origins.Find(ctx, r.Resumes, service)
 }
 
-// recordOrigin records where the stream begins, for clients that resume it later.
-func (t *transaction) recordOrigin() {
+// recordOrigin records where the stream begins, for clients that resume it later. A stream at a version that instances may
+// not know yet begins only if another one knows its origin.
+func (t *transaction) recordOrigin(ctx context.Context) *verdict.Failure {
 	if t.f.origins == nil || !t.route.Resumable {
-		return
+		return nil
 	}
-	t.f.origins.Record(t.request.ID, skew.Origin{Service: t.service.Name, Version: t.version})
+	origin := skew.Origin{Service: t.service.Name, Version: t.version}
+	if !t.f.origins.HoldsBack(t.service.Name, t.version) {
+		t.f.origins.Record(t.request.ID, origin)
+		return nil
+	}
+	if t.f.origins.RecordKept(ctx, t.request.ID, origin) {
+		return nil
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.ReasonBroken, "no other instance knows that the stream begins at software version %s", t.version)
 }
 
 // recordContinued records at which version the stream goes on if it began at another service.
--- a/command/forward/origin_test.go
+++ b/command/forward/origin_test.go
@@ -13,10 +13,12 @@
 // staleOrigins are certain of one version, while other instances answer with more.
 type staleOrigins struct{ answer OriginAnswer }
 
-func (staleOrigins) Versions(string) ([]string, bool)                    { return []string{"v1"}, true }
-func (staleOrigins) HoldsBack(_, _ string) bool                          { return false }
-func (staleOrigins) Record(string, skew.Origin)                          {}
-func (o staleOrigins) Find(context.Context, string, string) OriginAnswer { return o.answer }
+func (staleOrigins) Versions(string) ([]string, bool)                     { return []string{"v1"}, true }
+func (staleOrigins) HoldsBack(_, _ string) bool                           { return false }
+func (staleOrigins) MayGiveWay() bool                                     { return true }
+func (staleOrigins) RecordKept(context.Context, string, skew.Origin) bool { return true }
+func (staleOrigins) Record(string, skew.Origin)                           {}
+func (o staleOrigins) Find(context.Context, string, string) OriginAnswer  { return o.answer }
 
 // TestTakeUpAsksOthers guards against streams that go on at the version that this instance takes for the only one although
 // other instances know better.
@@ -53,9 +55,11 @@
 	unanswered bool
 }
 
-func (recordedOrigins) Versions(string) ([]string, bool)            { return []string{"v1", "v2"}, true }
-func (recordedOrigins) HoldsBack(_, _ string) bool                  { return false }
-func (o recordedOrigins) Record(attempt string, origin skew.Origin) { o.known[attempt] = origin }
+func (recordedOrigins) Versions(string) ([]string, bool)                     { return []string{"v1", "v2"}, true }
+func (recordedOrigins) HoldsBack(_, _ string) bool                           { return false }
+func (recordedOrigins) MayGiveWay() bool                                     { return true }
+func (recordedOrigins) RecordKept(context.Context, string, skew.Origin) bool { return true }
+func (o recordedOrigins) Record(attempt string, origin skew.Origin)          { o.known[attempt] = origin }
 func (o recordedOrigins) Find(_ context.Context, attempt, _ string) OriginAnswer {
 	return OriginAnswer{Origin: o.known[attempt], Unanswered: o.unanswered}
 }
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -166,7 +166,7 @@
 			t.f.counts.eventOutOfOrder("misplaced")
 			return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "event %q does not follow event %q", e.id, t.out.order.lastID)
 		}
-		if failure := t.pinVersion(resp); failure != nil {
+		if failure := t.pinVersion(ctx, resp); failure != nil {
 			return failure
 		}
 		t.out.start(resp)
--- a/command/forward/resumed_test.go
+++ b/command/forward/resumed_test.go
@@ -20,9 +20,11 @@
 // fakeOrigins holds that all streams began at one version.
 type fakeOrigins struct{ origin skew.Origin }
 
-func (fakeOrigins) Versions(string) ([]string, bool) { return []string{"v1", "v2"}, true }
-func (fakeOrigins) HoldsBack(_, _ string) bool       { return false }
-func (fakeOrigins) Record(string, skew.Origin)       {}
+func (fakeOrigins) Versions(string) ([]string, bool)                     { return []string{"v1", "v2"}, true }
+func (fakeOrigins) HoldsBack(_, _ string) bool                           { return false }
+func (fakeOrigins) MayGiveWay() bool                                     { return true }
+func (fakeOrigins) RecordKept(context.Context, string, skew.Origin) bool { return true }
+func (fakeOrigins) Record(string, skew.Origin)                           {}
 func (o fakeOrigins) Find(context.Context, string, string) OriginAnswer {
 	return OriginAnswer{Origin: o.origin}
 }
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -65,6 +65,8 @@
 	versionPinned bool
 	// versionUnknown is set if it is not known which version wrote what the client has, so that no server may continue it.
 	versionUnknown bool
+	// originUnheard is set if the stream was about to begin at version, and no other instance is known to keep that.
+	originUnheard bool
 	// continued is that of the binding.
 	continued string
 	// via is the instance through which the server last answered; "" if the connection was direct.
--- a/command/forward/version.go
+++ b/command/forward/version.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -20,7 +21,7 @@
 // again under its ID with other software; if it did since the request was sent, it is not known which version wrote the
 // event, as it is if another process may have answered. The rest of a stream is dropped then, and a stream that begins is
 // relayed but not continued.
-func (t *transaction) pinVersion(resp *serving.Response) *verdict.Failure {
+func (t *transaction) pinVersion(ctx context.Context, resp *serving.Response) *verdict.Failure {
 	if t.versionPinned {
 		return nil
 	}
@@ -37,9 +38,13 @@
 		t.refuseContinuations()
 		return nil
 	}
-	if t.version == "" {
+	if t.version == "" || t.originUnheard {
 		t.version = t.serverVersion
-		t.recordOrigin()
+		if failure := t.recordOrigin(ctx); failure != nil {
+			t.originUnheard = true // it may arrive late, so the stream begins at this version or not at all
+			return failure
+		}
+		t.originUnheard = false
 	}
 	t.recordContinued()
 	return nil
@@ -70,8 +75,8 @@
 	return !t.versionUnknown && (t.version == "" || s.Version == t.version)
 }
 
-// withoutHeldBack drops the servers whose version is held back from a stream that begins, unless it can begin at no other.
-// ready reports whether it could begin at a server now.
+// withoutHeldBack drops the servers whose version is held back from a stream that begins, unless it can begin at no other and
+// may begin there. ready reports whether it could begin at a server now.
 func withoutHeldBack[S any](t *transaction, list []S, server func(S) (s serving.Server, ready bool)) []S {
 	if t.bound() || t.f.origins == nil || !t.route.Resumable {
 		return list
@@ -80,7 +85,7 @@
 		found, _ := server(s)
 		return t.f.origins.HoldsBack(t.service.Name, found.Version)
 	}
-	if !slices.ContainsFunc(list, func(s S) bool {
+	if t.f.origins.MayGiveWay() && !slices.ContainsFunc(list, func(s S) bool {
 		found, ready := server(s)
 		return ready && !t.excluded[found.ID] && !heldBack(s)
 	}) {
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -39,6 +39,8 @@
 	log     logrus.FieldLogger
 	// sending is the number of origins that are being sent.
 	sending atomic.Int64
+	// unheardUntil is until when no instance is taken to hear of origins, since none kept the last one that had to be kept.
+	unheardUntil atomic.Pointer[time.Time]
 }
 
 func newStreamOrigins(dir *directory.Directory, m *members, pool *rpcpool.Pool, marks *versionMarks, list *serverList, set *metrics.Set, log logrus.FieldLogger) *streamOrigins {
@@ -60,6 +62,8 @@
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
 	// answer.
 	maxOriginsSending = 256
+	// unheardTime is how long streams do not begin at a version that is held back after no instance kept the origin of one.
+	unheardTime = time.Second
 	// minKeepers is the number of instances that keep an origin if there are fewer failure domains.
 	minKeepers = 2
 )
@@ -101,28 +105,66 @@
 		return
 	}
 	o.table.Record(attempt, origin, clock.Now())
+	o.startSending(attempt, origin, func() {})
+}
+
+// RecordKept implements forward.Origins.
+func (o *streamOrigins) RecordKept(ctx context.Context, attempt string, origin skew.Origin) bool {
+	o.table.Record(attempt, origin, clock.Now())
+	candidates, _ := o.keepers(ctx, attempt)
+	if len(candidates) == 0 {
+		return true
+	}
+	kept := make(chan struct{})
+	if o.startSending(attempt, origin, sync.OnceFunc(func() { close(kept) })) {
+		timeout := time.NewTimer(originTimeout)
+		defer timeout.Stop()
+		select {
+		case <-kept:
+			return true
+		case <-ctx.Done():
+			return false
+		case <-timeout.C:
+		}
+	}
+	until := clock.Now().Add(unheardTime)
+	o.unheardUntil.Store(&until)
+	o.log.WithFields(logrus.Fields{"request": attempt, "service": origin.Service, "version": origin.Version}).Warn("no other instance knows where a stream began")
+	return false
+}
+
+// MayGiveWay implements forward.Origins.
+func (o *streamOrigins) MayGiveWay() bool {
+	until := o.unheardUntil.Load()
+	return until == nil || !clock.Now().Before(*until)
+}
+
+// startSending sends an origin in the background, unless too many are being sent. It calls kept when an instance keeps it.
+func (o *streamOrigins) startSending(attempt string, origin skew.Origin, kept func()) bool {
 	if o.sending.Add(1) > maxOriginsSending {
 		o.sending.Add(-1)
 		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="dropped"}`).Inc()
-		return
+		return false
 	}
-	go o.send(attempt, origin)
+	go o.send(attempt, origin, kept)
+	return true
 }
 
 // send sends an origin to the instances that keep it.
-func (o *streamOrigins) send(attempt string, origin skew.Origin) {
+func (o *streamOrigins) send(attempt string, origin skew.Origin, kept func()) {
 	defer o.sending.Add(-1)
 	args := &RecordOriginArgs{Attempt: attempt, Origin: origin}
 	candidates, copies := o.keepers(context.Background(), attempt)
 	var domains sync.WaitGroup
 	for _, inDomain := range candidates {
-		domains.Go(func() { o.sendWithin(inDomain, copies, args) })
+		domains.Go(func() { o.sendWithin(inDomain, copies, args, kept) })
 	}
 	domains.Wait()
 }
 
-// sendWithin sends an origin to instances of a failure domain in turn, until the given number of them keep it.
-func (o *streamOrigins) sendWithin(candidates []string, copies int, args *RecordOriginArgs) {
+// sendWithin sends an origin to instances of a failure domain in turn, until the given number of them keep it. It calls kept
+// when one does.
+func (o *streamOrigins) sendWithin(candidates []string, copies int, args *RecordOriginArgs, kept func()) {
 	for _, address := range candidates {
 		if copies == 0 {
 			return
@@ -134,6 +176,7 @@
 		if err == nil {
 			outcome = "sent"
 			copies--
+			kept()
 		}
 		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="` + outcome + `"}`).Inc()
 	}
