LOST: an origin that no other instance keeps is sent again

Callers: streams that began at an instance that reached no other one, or none of those that it knew, were refused elsewhere for as long as they could have been taken up, also long after it reached the others again.

Cause: the origin was sent once. If no call succeeded, or too many were under way, it stayed with the instance that relayed the first event, which others ask only if it is among those that may keep that origin.

Nothing is sent while all origins have a keeper. Origins beyond the 256 under way go the same way: outcome `postponed` in place of `dropped`.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -287,7 +287,7 @@
 // the instance runs.
 func (i *Instance) backgroundTasks() []func(context.Context) {
 	return []func(context.Context){
-		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.limiter.permits.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.origins.runUnsent, i.origins.archive.run, i.shedding.run,
+		i.watcher.run, i.follower.run, i.holder.Run, i.quarantine.run, i.quarantine.runUrgent, i.crashes.runSweep, i.limiter.run, i.limiter.permits.run, i.access.run, i.members.run, i.marks.run, i.origins.run, i.origins.runUnsent, i.origins.runResend, i.origins.archive.run, i.shedding.run,
 	}
 }
 
--- a/entry/origins.go
+++ b/entry/origins.go
@@ -22,13 +22,14 @@
 // streamOrigins shares at which software version streams began while servers of several versions serve. The instance
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client resumes the stream asks the same ones. The first event does not wait for
-// them: a stream whose origin is lost does not go on. While the services of a route have one version nothing is sent; the
-// origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
+// them: a stream whose origin is lost does not go on. An origin that no other instance keeps is sent again. While the
+// services of a route have one version nothing is sent; the origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
 // for others, so that streams go on after all instances were killed. It implements forward.Origins.
 type streamOrigins struct {
 	table *skew.Origins
 	// unsent has the streams that began here while their service had one version.
 	unsent  skew.Recent
+	unkept  unkeptOrigins
 	archive *originArchive
 	dir     *directory.Directory
 	members *members
@@ -61,7 +62,7 @@
 	// originRetryPause is the shortest time between two questions.
 	originRetryPause = 100 * time.Millisecond
 	// maxOriginsSending bounds the origins that are sent at a time. More are pending only if other instances do not
-	// answer.
+	// answer; they are sent later.
 	maxOriginsSending = 256
 	// unheardTime is how long streams do not begin at a version that is held back after no instance kept the origin of one.
 	unheardTime = time.Second
@@ -144,23 +145,33 @@
 func (o *streamOrigins) startSending(attempt string, origin skew.Origin, kept func()) bool {
 	if o.sending.Add(1) > maxOriginsSending {
 		o.sending.Add(-1)
-		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="dropped"}`).Inc()
+		o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="postponed"}`).Inc()
+		o.unkept.add(unkeptOrigin{skew.Entry{Attempt: attempt, Origin: origin}, clock.Now()})
 		return false
 	}
 	go o.send(attempt, origin, kept)
 	return true
 }
 
-// send sends an origin to the instances that keep it.
+// send sends an origin to the instances that keep it. It calls kept when one does; if none does it is sent again later.
 func (o *streamOrigins) send(attempt string, origin skew.Origin, kept func()) {
 	defer o.sending.Add(-1)
 	args := &RecordOriginArgs{Attempt: attempt, Origin: origin}
+	begunAt := clock.Now()
 	candidates, copies := o.keepers(context.Background(), attempt)
 	var domains sync.WaitGroup
+	var anyKept atomic.Bool
+	isKept := func() {
+		anyKept.Store(true)
+		kept()
+	}
 	for _, inDomain := range candidates {
-		domains.Go(func() { o.sendWithin(inDomain, copies, args, kept) })
+		domains.Go(func() { o.sendWithin(inDomain, copies, args, isKept) })
 	}
 	domains.Wait()
+	if len(candidates) > 0 && !anyKept.Load() {
+		o.unkept.add(unkeptOrigin{skew.Entry{Attempt: attempt, Origin: origin}, begunAt})
+	}
 }
 
 // sendWithin sends an origin to instances of a failure domain in turn, until the given number of them keep it. It calls kept
--- a/entry/origins_handover.go
+++ b/entry/origins_handover.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -60,6 +62,7 @@
 	for service := range o.dir.Versions() {
 		o.handOver(ctx, service, "the instance ends")
 	}
+	o.resend(ctx)
 }
 
 // handOver sends the origins of a service's streams that no other instance has.
@@ -74,34 +77,61 @@
 	for _, e := range entries { // at once: they are not among the unsent any more, and clients may ask for them
 		o.table.Record(e.Attempt, e.Origin, clock.Now())
 	}
+	kept, instances := o.sendBatch(ctx, entries)
+	for _, e := range entries {
+		if !kept[e.Attempt] {
+			o.unkept.add(unkeptOrigin{e, clock.Now()})
+		}
+	}
+	o.logSent(len(entries), instances, reason)
+}
+
+// sendBatch sends origins to all instances that may keep them. It returns the attempts of those that an instance keeps, or that
+// no other one is there for, and the number of instances that they were sent to.
+func (o *streamOrigins) sendBatch(ctx context.Context, entries []skew.Entry) (kept map[string]bool, instances int) {
+	kept = map[string]bool{}
 	byKeeper := map[string][]skew.Entry{}
 	for _, e := range entries {
 		candidates, _ := o.keepers(ctx, e.Attempt)
+		kept[e.Attempt] = len(candidates) == 0
 		for _, address := range slices.Concat(candidates...) {
 			byKeeper[address] = append(byKeeper[address], e)
 		}
 	}
+	var mu sync.Mutex // guards kept
 	var calls errgroup.Group
 	calls.SetLimit(originCalls)
-	for address, kept := range byKeeper {
-		for chunk := range slices.Chunk(kept, maxOriginsPerCall) {
+	for address, origins := range byKeeper {
+		for chunk := range slices.Chunk(origins, maxOriginsPerCall) {
 			calls.Go(func() error {
-				o.sendChunk(ctx, address, chunk)
+				sent := o.sendChunk(ctx, address, chunk)
+				mu.Lock()
+				defer mu.Unlock()
+				for _, e := range chunk {
+					kept[e.Attempt] = kept[e.Attempt] || sent
+				}
 				return nil
 			})
 		}
 	}
 	_ = calls.Wait() // no call returns an error
-	o.log.WithFields(logrus.Fields{"streams": len(entries), "instances": len(byKeeper)}).Info("origins of streams sent, " + reason)
+	maps.DeleteFunc(kept, func(_ string, sent bool) bool { return !sent })
+	return kept, len(byKeeper)
+}
+
+func (o *streamOrigins) logSent(streams, instances int, reason string) {
+	o.log.WithFields(logrus.Fields{"streams": streams, "instances": instances}).Info("origins of streams sent, " + reason)
 }
 
-// sendChunk sends origins to an instance.
-func (o *streamOrigins) sendChunk(ctx context.Context, address string, entries []skew.Entry) {
+// sendChunk sends origins to an instance, and reports whether it keeps them.
+func (o *streamOrigins) sendChunk(ctx context.Context, address string, entries []skew.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
+	err := o.pool.Call(ctx, address, methodRecordOrigins, &RecordOriginsArgs{Entries: entries}, &RecordOriginReply{})
 	outcome := "sent"
-	if err := o.pool.Call(ctx, address, methodRecordOrigins, &RecordOriginsArgs{Entries: entries}, &RecordOriginReply{}); err != nil {
+	if err != nil {
 		outcome = "failed"
 	}
 	o.set.GetOrCreateCounter(`martenport_stream_origins_sent_total{outcome="` + outcome + `"}`).Add(len(entries))
+	return err == nil
 }
--- a/entry/unreachablerelay_test.go
+++ b/entry/unreachablerelay_test.go
@@ -7,6 +7,9 @@
 	"strconv"
 	"sync"
 	"testing"
+
+	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
 )
 
 // peerPaths are the paths between instances.
@@ -67,19 +70,28 @@
 	return f, paths
 }
 
-// TestOriginThatReachesNobodyJoinsVersions guards against instances that take the answers of others for the knowledge that there
-// is one version, while the one that relayed the first event of a newer one reaches none of them.
-func TestOriginThatReachesNobodyJoinsVersions(t *testing.T) {
-	f, paths := newPeerFleet(t, 6)
+// heal restores all paths.
+func (p *peerPaths) heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut, p.named = "", ""
+	for _, link := range p.paths {
+		link.set(notCut)
+	}
+}
+
+// beginUnreached cuts the holder off from the other instances, and begins a stream at the new version v2 there. The instance
+// taker does not ask the holder for its origin.
+func (f *versionFleet) beginUnreached(paths *peerPaths) (begun attempt, taker *running) {
+	f.t.Helper()
 	holder := f.holder()
-	taker := f.instances[slices.IndexFunc(f.instances, func(r *running) bool { return r != holder })]
+	taker = f.instances[slices.IndexFunc(f.instances, func(r *running) bool { return r != holder })]
 	asked := func(id string) bool {
-		candidates, _ := taker.origins.keepers(t.Context(), id)
+		candidates, _ := taker.origins.keepers(f.t.Context(), id)
 		return slices.Contains(slices.Concat(candidates...), holder.members.self.Address)
 	}
 	paths.cutOff(holder.members.self)
 	f.addVersion("v2", "v2", "m1")
-	var begun attempt
 	f.await("a stream of v2", func() bool {
 		begun = attempt{id: newAttemptID(), leaveAfter: 3}
 		for asked(begun.id) {
@@ -87,8 +99,62 @@
 		}
 		return slices.Contains(f.send(holder, begun).versions, "v2")
 	})
-	got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
-	if slices.Contains(got.versions, "v1") {
+	return begun, taker
+}
+
+// TestOriginThatReachesNobodyJoinsVersions guards against instances that take the answers of others for the knowledge that there
+// is one version, while the one that relayed the first event of a newer one reaches none of them.
+func TestOriginThatReachesNobodyJoinsVersions(t *testing.T) {
+	f, paths := newPeerFleet(t, 6)
+	begun, taker := f.beginUnreached(paths)
+	if got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id}); slices.Contains(got.versions, "v1") {
 		t.Errorf("%+v, began at v2", got)
 	}
 }
+
+// TestOriginIsSentWhenOthersAreBack guards against streams that are refused for good since the instance that relayed their first
+// event reached no other one at that time.
+func TestOriginIsSentWhenOthersAreBack(t *testing.T) {
+	f, paths := newPeerFleet(t, 6)
+	begun, taker := f.beginUnreached(paths)
+	paths.heal()
+	f.await("the rest of the stream", func() bool {
+		got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+		if slices.Contains(got.versions, "v1") {
+			t.Fatalf("%+v, began at v2", got)
+		}
+		return got.lastID == standin.StreamEvents
+	})
+}
+
+// TestOriginIsSentToReplacements guards against streams that are refused for good since all other instances were replaced before
+// the one that relayed their first event had read the list of instances again.
+func TestOriginIsSentToReplacements(t *testing.T) {
+	f := newVersionFleet(t, 2, "v1", "v2")
+	relay, replaced := f.instances[0], f.instances[1]
+	replaced.stop()
+	<-replaced.done
+	f.instances = f.instances[:1]
+	for machine := 10; machine < 15; machine++ {
+		f.addInstance(machine)
+	}
+	f.awaitServers(2)
+	taker := f.instances[1]
+	f.await("instances known", func() bool {
+		names, ok := taker.members.refreshNames(t.Context())
+		return ok && len(names) == 6
+	})
+	relay.members.mu.Lock()
+	relay.members.known, relay.members.readAt = []member{replaced.members.self}, clock.Now()
+	relay.members.mu.Unlock()
+	begun := attempt{id: newAttemptID(), leaveAfter: 3}
+	for candidates, _ := taker.origins.keepers(t.Context(), begun.id); slices.Contains(slices.Concat(candidates...), relay.members.self.Address); {
+		begun.id = newAttemptID()
+		candidates, _ = taker.origins.keepers(t.Context(), begun.id)
+	}
+	versions := f.send(relay, begun).versions
+	f.await("the rest of the stream", func() bool {
+		got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id})
+		return got.lastID == standin.StreamEvents && slices.Equal(slices.Compact(got.versions), versions[:1])
+	})
+}
