ORDER: a mark of software versions that can be read in part only is not sure

Callers: none seen. An instance that starts and finds a mark whose list or other fields cannot be read whole was certain of the versions that it could read, so that a stream of one that it could not read could be taken up at another; a holder left such a mark as it is.

Cause: what could be decoded before the error counted, and a field that could not be read as not set: `unsure` as sure.

Evidence: TestPartlyReadableMarkPassesForSure, certain with each of three such marks before (a version that is no text; `unsure` and `era` of another type), with none now. A mark of which no version can be read was not taken for sure by an instance that starts before either: it counts as missing, and a holder that knows all versions writes it anew.

--- a/entry/origins.go
+++ b/entry/origins.go
@@ -23,8 +23,9 @@
 // that relays a stream's first event sends the origin to another instance in each failure domain, chosen by the attempt's
 // ID, and an instance at which a client resumes the stream asks the same ones. The first event does not wait for
 // them: a stream whose origin is lost does not go on. An origin that no other instance keeps is sent again. While the
-// services of a route have one version nothing is sent; the origins of that time are sent when servers of a second version appear. An instance archives in the store what it keeps
-// for others, so that streams go on after all instances were killed. It implements forward.Origins.
+// services of a route have one version nothing is sent; the origins of that time are sent when servers of a second version
+// appear. An instance archives in the store what it keeps for others, so that streams go on after all instances were killed.
+// It implements forward.Origins.
 type streamOrigins struct {
 	table *skew.Origins
 	// unsent has the streams that began here while their service had one version.
--- a/entry/versionmarks.go
+++ b/entry/versionmarks.go
@@ -257,6 +257,14 @@
 	m.setComplete(m.wasHolder && !m.missing() || m.complete)
 }
 
+// decodeMark decodes a mark. One that can be read in part only is unsure: it may lack versions.
+func decodeMark(obj store.Object) (versionMark, error) {
+	var mark versionMark
+	err := json.Unmarshal(obj.Value, &mark)
+	mark.Unsure = mark.Unsure || err != nil
+	return mark, err
+}
+
 // load reads the marks, and reports whether the store answered.
 func (m *versionMarks) load(ctx context.Context) bool {
 	snap, err := m.store.List(ctx, prefixVersions)
@@ -266,8 +274,8 @@
 	before := m.known
 	m.known, m.named, m.era = map[string]storedMark{}, map[string][]string{}, snap.Revision.Era()
 	for _, obj := range snap.Objects {
-		var mark versionMark
-		if err := json.Unmarshal(obj.Value, &mark); err != nil {
+		mark, err := decodeMark(obj)
+		if err != nil {
 			m.log.WithFields(logrus.Fields{"key": obj.Key, "error": err}).Error("mark of software versions cannot be decoded")
 		}
 		service := obj.Key[len(prefixVersions):]
--- a/entry/versionmarks_test.go
+++ b/entry/versionmarks_test.go
@@ -182,6 +182,31 @@
 	}
 }
 
+// TestPartlyReadableMarkPassesForSure guards against an instance that starts and is certain of the versions that it could read of a
+// mark, and against a holder that knows all and leaves such a mark as it is.
+func TestPartlyReadableMarkPassesForSure(t *testing.T) {
+	for _, value := range []string{`{"versions":["v1",2]}`, `{"versions":["v1"],"unsure":"yes"}`, `{"versions":["v1"],"era":"x"}`} {
+		p := standin.NewPlatform()
+		if _, err := p.Put(t.Context(), prefixVersions+"s", []byte(value), 0); err != nil {
+			t.Fatal(err)
+		}
+		m := newMarks(t, p, func() bool { return false })
+		m.update(t.Context())
+		if m.certain() {
+			t.Errorf("%s: certain of %q", value, m.dir.Versions()["s"])
+		}
+		holder := newMarks(t, p, func() bool { return true })
+		holder.update(t.Context())
+		obj, err := p.Get(t.Context(), prefixVersions+"s")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if mark, err := decodeMark(obj); err != nil || mark.Unsure || !slices.Contains(mark.Versions, "v1") {
+			t.Errorf("%s: mark %s of a holder that knows all", value, obj.Value)
+		}
+	}
+}
+
 // TestArchivedVersionIsKnown guards against a process that starts and holds the version of the servers for the only one,
 // although an earlier process kept origins of another that no holder had marked.
 func TestArchivedVersionIsKnown(t *testing.T) {
--- a/entry/versionreads.go
+++ b/entry/versionreads.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
 	"time"
@@ -143,8 +142,7 @@
 func decodeMarks(snap store.Snapshot) (versions map[string][]string, complete bool) {
 	versions = map[string][]string{}
 	for _, obj := range snap.Objects {
-		var mark versionMark
-		if json.Unmarshal(obj.Value, &mark) == nil && !mark.Unsure && mark.Era >= snap.Revision.Era() {
+		if mark, err := decodeMark(obj); err == nil && !mark.Unsure && mark.Era >= snap.Revision.Era() {
 			versions[obj.Key[len(prefixVersions):]] = mark.Versions
 		}
 	}
