ORDER: a client is served by the list that was read since it came while the next one is read

Callers: a stream that is taken up while others are is refused although the list of servers has been read since its client came, as far as the client asked again when the next read had begun.

Cause: one read only was kept, and the next one took the place of the one that had ended.

TestReadHidesListBeforeIt fails without the last complete read being kept.

--- a/entry/versionreads.go
+++ b/entry/versionreads.go
@@ -24,8 +24,9 @@
 	pause func() time.Duration
 
 	mu sync.Mutex
-	// last is the read that is going on, or else the last one; nil before the first; guarded by mu.
-	last *versionRead
+	// last is the read that is going on, or else the last one, and complete the last one that was complete; nil before the first;
+	// guarded by mu.
+	last, complete *versionRead
 }
 
 // versionRead is one read. The other fields are set before done is closed.
@@ -76,13 +77,17 @@
 	}
 }
 
-// readSince returns the read that is going on, or the last one if that is complete as of a time. It begins one if there is neither.
+// readSince returns the last complete read if that is as of a time or later, or else the one that is going on. It begins one if
+// there is neither.
 func (r *versionReads) readSince(at time.Time) *versionRead {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.complete != nil && !r.complete.calledAt.Before(at) {
+		return r.complete
+	}
 	wait := time.Duration(0)
 	if r.last != nil {
-		if r.last.isGoingOn() || r.last.complete && !r.last.calledAt.Before(at) {
+		if r.last.isGoingOn() {
 			return r.last
 		}
 		wait = r.pause() - clock.Since(r.last.calledAt)
@@ -110,8 +115,13 @@
 	defer cancel()
 	read.calledAt = clock.Exact()
 	snap, err := r.store.List(ctx, r.prefix)
-	if err == nil {
-		read.versions, read.complete = r.decode(snap)
+	if err != nil {
+		return
+	}
+	if read.versions, read.complete = r.decode(snap); read.complete {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.complete = read
 	}
 }
 
--- a/entry/versionreads_test.go
+++ b/entry/versionreads_test.go
@@ -86,6 +86,26 @@
 	}
 }
 
+// TestReadHidesListBeforeIt guards against a client that has to wait for another read although one since it came has ended.
+func TestReadHidesListBeforeIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, _ := newTestList(&slowLists{Store: standin.NewPlatform(), takes: minReadsPause}, 6)
+		arrived := clock.Now()
+		if _, ok := l.since(t.Context(), arrived); !ok {
+			t.Error("no list")
+		}
+		time.Sleep(minReadsPause)
+		go l.since(t.Context(), clock.Now())
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), minReadsPause/2)
+		defer cancel()
+		if _, ok := l.since(ctx, arrived); !ok {
+			t.Error("no list while the next one is read")
+		}
+		time.Sleep(time.Minute) // the read ends
+	})
+}
+
 // TestListWithoutLapsedEntriesPassesForComplete guards against a list that tells that there is one version while the store may
 // lack entries, and against a failed or incomplete list that stands for good.
 func TestListWithoutLapsedEntriesPassesForComplete(t *testing.T) {
