--- a/entry/leaving_outage_test.go
+++ b/entry/leaving_outage_test.go
@@ -10,6 +10,7 @@
 	"github.com/martenport/martenport/command/holder"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/standin"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/store"
@@ -65,6 +66,16 @@
 	})
 }
 
+// TestLeavingWithLateWatches guards against leaving servers that are known too late since all watches are as late as they may
+// be, and the holder passes on what it has as current.
+func TestLeavingWithLateWatches(t *testing.T) {
+	forEachPhase(t, func(_ *testing.T, s *simulation) {
+		s.store.DelayWatches(standin.LateWatches{Prefix: platform.PrefixServers, Delay: store.MaxWatchDelay})
+		time.Sleep(2 * store.MaxWatchDelay)
+		s.checkLeavingPropagates(nil)
+	})
+}
+
 // TestLeavingWithHolderCutOff checks that leaving servers are known in time, also to an instance that starts
 // meanwhile, if only the holder is cut off from the store.
 func TestLeavingWithHolderCutOff(t *testing.T) {
