DRAIN: a late watch of a holder that is lost no longer delays leaving servers beyond the bound

Callers: requests could be sent to a leaving server up to 2.1 s after the store had acknowledged that, with a bound of 2 s, if the holder was lost just before it had the change.

Cause: the holder's last update counted as complete as of the end of its last watch, which may lack the changes of the last store.MaxWatchDelay, and was used for up to 1.2 s after that. The time that is left for a failed call (0.8 s) is shorter than the delay.

An update whose holder does not answer a report is used for 0.3 s less, so that a late watch is covered as a failed call is.

A holder that misses one report makes instances read the store a little sooner than before; not measured.

--- a/entry/follower.go
+++ b/entry/follower.go
@@ -371,6 +371,7 @@
 
 // recordUnanswered records that the holder did not answer, or does not hold the lease any more.
 func (f *follower) recordUnanswered(record lease.Record, err error) {
+	f.watcher.shortenUpdate()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.unansweredReports++
--- a/entry/leaving_outage_test.go
+++ b/entry/leaving_outage_test.go
@@ -76,6 +76,21 @@
 	})
 }
 
+// TestLeavingWithLateWatchAndLostHolder guards against the same if the holder is lost just before it has the change.
+func TestLeavingWithLateWatchAndLostHolder(t *testing.T) {
+	const phases = 80
+	for n := range phases {
+		synctest.Test(t, func(t *testing.T) {
+			s := newSimulation(t, smallDeployment)
+			s.store.DelayWatches(standin.LateWatches{Prefix: platform.PrefixServers, Delay: store.MaxWatchDelay})
+			time.Sleep(5*time.Second + time.Duration(n)*holderWatchWait/phases)
+			holder := s.holder()
+			time.AfterFunc(store.MaxWatchDelay-5*time.Millisecond, func() { s.stopInstances(holder) })
+			s.checkLeavingPropagates(holder)
+		})
+	}
+}
+
 // TestLeavingWithHolderCutOff checks that leaving servers are known in time, also to an instance that starts
 // meanwhile, if only the holder is cut off from the store.
 func TestLeavingWithHolderCutOff(t *testing.T) {
--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -12,13 +12,16 @@
 )
 
 // How stale an instance's copy of the store is. An age is measured from a time at which the copy was
-// certainly complete. It is passed on from instance to instance, so relaying an update does not make
+// complete but for changes that a late watch lacks (store.MaxWatchDelay). It is passed on from instance to instance, so relaying an update does not make
 // it younger.
 
 const (
 	// directReadTime is how long an instance may need to notice that the holder's update is too old
 	// and to read the store itself, including one failed call.
 	directReadTime = 800 * time.Millisecond
+	// lateWatchMargin is by how much sooner an update is too old if its holder does not answer: the next one would have brought
+	// the changes that a late watch lacked.
+	lateWatchMargin = store.MaxWatchDelay + relayCheckInterval - directReadTime
 	// minUpdateLifetime is the minimum time for which a holder's update is used, whatever the bounds.
 	minUpdateLifetime = 600 * time.Millisecond
 	// updateLifetimeJitter is how much earlier than others an instance may start to read the store
@@ -110,6 +113,13 @@
 	return !w.holderUpdateAt.IsZero() && now.Sub(w.holderUpdateAt) < w.holderUpdateLifetime
 }
 
+// shortenUpdate makes the holder's last update expire sooner, since the holder did not answer.
+func (w *watcher) shortenUpdate() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.holderUpdateLifetime = min(w.holderUpdateLifetime, w.maxUpdateAge()-lateWatchMargin-rand.N(updateLifetimeJitter))
+}
+
 // applyHolderUpdate applies the holder's update, which was current at the given time.
 func (w *watcher) applyHolderUpdate(update holder.Update, at, now time.Time) {
 	if update.Servers.Revision > 0 {
