--- a/entry/staleness.go
+++ b/entry/staleness.go
@@ -12,8 +12,8 @@
 )
 
 // How stale an instance's copy of the store is. An age is measured from a time at which the copy was
-// complete but for changes that a late watch lacks (store.MaxWatchDelay). It is passed on from instance to instance, so relaying an update does not make
-// it younger.
+// complete but for changes that a late watch lacks (store.MaxWatchDelay). It is passed on from instance
+// to instance, so relaying an update does not make it younger.
 
 const (
 	// directReadTime is how long an instance may need to notice that the holder's update is too old
--- a/entry/unreachablerelay_test.go
+++ b/entry/unreachablerelay_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/internal/standin"
@@ -158,3 +159,18 @@
 		return got.lastID == standin.StreamEvents && slices.Equal(slices.Compact(got.versions), versions[:1])
 	})
 }
+
+// TestSlowStoreRefusesTakenUpStreams guards against streams of the only version that are refused while the store is slow.
+func TestSlowStoreRefusesTakenUpStreams(t *testing.T) {
+	f, _ := newPeerFleet(t, 6)
+	relay, taker := f.instances[0], f.instances[1]
+	f.store.SetDelay(400 * time.Millisecond)
+	time.Sleep(2 * time.Second)
+	for range 10 {
+		begun := attempt{id: newAttemptID(), leaveAfter: 3}
+		f.send(relay, begun)
+		if got := f.send(taker, attempt{id: newAttemptID(), lastEvent: 3, resumes: begun.id}); got.lastID != standin.StreamEvents {
+			t.Errorf("%+v, want the rest of the stream", got)
+		}
+	}
+}
