entry: a test of unanswered reports has a watcher, as each follower that runs

The whole script failed on: TestTimeBetweenReportsIsNoMiss, nil pointer in shortenUpdate. A follower's watcher is set before it runs; the test had none.

--- a/entry/follower_test.go
+++ b/entry/follower_test.go
@@ -56,6 +56,7 @@
 // without an answer. In a large fleet reports are one second apart, and the holder sends nothing in between.
 func TestTimeBetweenReportsIsNoMiss(t *testing.T) {
 	f := newFollower("a", nil, directory.New(), nil, &members{}, logrus.New())
+	f.watcher = newTestWatcher(nil, f.dir, discardLog())
 	f.lastAnswer = time.Now().Add(-maxExchangeInterval)
 	if misses, _ := f.reportProgress(); misses >= broadcastAfter {
 		t.Errorf("%d reports count as unanswered", misses)
