--- a/entry/malformed.go
+++ b/entry/malformed.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
@@ -19,9 +20,9 @@
 
 // logMalformed returns a function that logs objects of the store whose names cannot be decoded.
 func logMalformed(log logrus.FieldLogger) func(kind string, text []byte) {
-	lines := newServerLines(malformedInterval)
+	lines := boundedlog.NewLines(malformedInterval)
 	return func(kind string, text []byte) {
-		omitted, due := lines.due(kind, clock.Now())
+		omitted, due := lines.Due(kind, clock.Now())
 		if !due {
 			return
 		}
@@ -33,10 +34,10 @@
 // countUnreadable returns a function that counts and logs entries of servers that cannot be decoded.
 func countUnreadable(set *metrics.Set, log logrus.FieldLogger) func(server serving.Server, err error) {
 	entries := set.NewCounter("martenport_server_entries_unreadable_total")
-	lines := newServerLines(malformedInterval)
+	lines := boundedlog.NewLines(malformedInterval)
 	return func(server serving.Server, err error) {
 		entries.Inc()
-		omitted, due := lines.due(server.ID, clock.Now())
+		omitted, due := lines.Due(server.ID, clock.Now())
 		if due {
 			log.WithFields(logrus.Fields{"server": server.ID, "revision": server.Revision, "error": err, "omitted": omitted}).Error("entry of a server cannot be read, it is not used")
 		}
--- a/entry/processchecks.go
+++ b/entry/processchecks.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 )
@@ -17,10 +18,10 @@
 	i.backends.OnAdvisory(i.limiter.observe)
 	i.backends.CheckRests(func(s serving.Server) bool { return i.limiter.RetryAfterUntil(s).After(clock.Now()) })
 	i.backends.OnOversized(newOversizedAnswers(i.set, i.log).record)
-	lines := newServerLines(processLogInterval)
+	lines := boundedlog.NewLines(processLogInterval)
 	i.backends.OnProcessCheck(func(s serving.Server, found serving.Presence) {
 		now := clock.Now()
-		omitted, due := lines.due(s.ID, now)
+		omitted, due := lines.Due(s.ID, now)
 		if !due {
 			return
 		}
--- a/entry/serverlines.go
+++ b/internal/boundedlog/lines.go
@@ -1,12 +1,12 @@
-package entry
+package boundedlog
 
 import (
 	"sync"
 	"time"
 )
 
-// serverLines limits the log lines about each server to one in an interval.
-type serverLines struct {
+// Lines limits the log lines about each server to one in an interval. It is safe for concurrent use.
+type Lines struct {
 	interval time.Duration
 
 	mu sync.Mutex
@@ -16,12 +16,13 @@
 	omitted map[string]int
 }
 
-func newServerLines(interval time.Duration) *serverLines {
-	return &serverLines{interval: interval, logged: map[string]time.Time{}, omitted: map[string]int{}}
+// NewLines returns Lines with no line logged.
+func NewLines(interval time.Duration) *Lines {
+	return &Lines{interval: interval, logged: map[string]time.Time{}, omitted: map[string]int{}}
 }
 
-// due reports whether a log line may name the server again, and how many lines were left out since the last one.
-func (l *serverLines) due(server string, now time.Time) (omitted int, due bool) {
+// Due reports whether a log line may name the server again, and how many lines were left out since the last one.
+func (l *Lines) Due(server string, now time.Time) (omitted int, due bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if last, known := l.logged[server]; known && now.Sub(last) < l.interval {
@@ -36,7 +37,7 @@
 }
 
 // dropOld drops what is known of servers that were named long ago. l.mu must be held.
-func (l *serverLines) dropOld(now time.Time) {
+func (l *Lines) dropOld(now time.Time) {
 	for id, last := range l.logged {
 		if now.Sub(last) >= l.interval {
 			delete(l.logged, id)
--- a/entry/serverlines_test.go
+++ b/internal/boundedlog/lines_test.go
@@ -1,4 +1,4 @@
-package entry
+package boundedlog
 
 import (
 	"testing"
@@ -7,17 +7,17 @@
 
 // TestServerLinesAreBounded guards against a log line for each answer of a server, or none about others meanwhile.
 func TestServerLinesAreBounded(t *testing.T) {
-	l, start := newServerLines(time.Second), time.Now()
+	l, start := NewLines(time.Second), time.Now()
 	lines, omitted := 0, 0
 	for ms := range 2500 {
-		if n, due := l.due("a", start.Add(time.Duration(ms)*time.Millisecond)); due {
+		if n, due := l.Due("a", start.Add(time.Duration(ms)*time.Millisecond)); due {
 			lines, omitted = lines+1, omitted+n
 		}
 	}
 	if lines != 3 || omitted != 1998 {
 		t.Errorf("%d lines, %d omitted before them; want 3 and 1998", lines, omitted)
 	}
-	if _, due := l.due("b", start); !due {
+	if _, due := l.Due("b", start); !due {
 		t.Error("no line about another server")
 	}
 }
