ORDER: data that is no event no longer reaches clients as a part of their stream

Cause: an event without an ID, or with one that is no number, could not be compared with the last one and counted as the next (eventOrder.place, 'unknown'). So all that a faulty server sent up to a blank line was relayed; a stream that ended behind it looked complete. A number far ahead was relayed, too, within one part.

Why this works: what an event is, is decided in one place. Anything else breaks the server's part off before a byte of it is relayed; a resumable stream goes on elsewhere.

--- a/command/forward/continuation.go
+++ b/command/forward/continuation.go
@@ -104,8 +104,6 @@
 func (t *transaction) goesOn(ctx context.Context, failure *verdict.Failure) bool {
 	r := t.onlyRun
 	switch {
-	case t.out.order.unplaced:
-		return false
 	case r == nil:
 		return t.mayResend(failure)
 	case !t.mayHaveRun:
--- a/command/forward/counts.go
+++ b/command/forward/counts.go
@@ -85,7 +85,8 @@
 }
 
 // eventOutOfOrder counts an event of a server that did not follow those that the client has: "repeated" by a run that went
-// on, or "misplaced", which breaks the server's part of the stream off. It counts a part that "ended_before" the last one.
+// on, or "misplaced", which breaks the server's part of the stream off, as data does that is "no_event". It counts a part that
+// "ended_before" the last one.
 func (c *Counts) eventOutOfOrder(what string) {
 	c.set.GetOrCreateCounter(`martenport_events_out_of_order_total{what="` + what + `"}`).Inc()
 }
--- a/command/forward/eventorder.go
+++ b/command/forward/eventorder.go
@@ -29,10 +29,10 @@
 	numbered bool
 	// lastRaw is that event as it was relayed; nil if another instance relayed it.
 	lastRaw []byte
-	// unplaced is set if the last event that the client has has no ID, so that no server can be asked for the rest.
-	unplaced bool
-	// counted is set while the IDs that this instance has relayed count the events.
+	// counted is set while the IDs that this instance has relayed count the events, and steps is how often one followed
+	// another.
 	counted bool
+	steps   int
 	relayed int
 	// joining is set until a part brings its first new event, and sameRun if the part belongs to the run before. behind is
 	// set if the part has repeated an event before the last one, and neither that one nor a new one since.
@@ -58,25 +58,29 @@
 
 // place returns the place of an event that was received.
 func (o *eventOrder) place(e streamEvent) eventPlace {
-	n, err := strconv.ParseInt(e.id, 10, 64)
-	if err != nil || !o.numbered {
-		return eventFollows // unknown
+	if !o.numbered {
+		return eventFollows
 	}
-	if n <= o.last {
-		return o.placeRepeated(n, e.raw)
+	if e.number <= o.last {
+		return o.placeRepeated(e)
 	}
 	sameRun := o.joining && o.sameRun
-	if o.behind && !sameRun || o.joining && o.relayed > 0 && o.counted && n != o.last+1 {
+	if o.behind && !sameRun || o.expectsNext() && e.number != o.last+1 {
 		return eventMisplaced
 	}
 	return eventFollows
 }
 
+// expectsNext reports whether only the next number may follow: the numbers have counted the events so far.
+func (o *eventOrder) expectsNext() bool {
+	return o.counted && (o.steps > 0 || o.joining && o.relayed > 0)
+}
+
 // placeRepeated returns the place of an event with an ID that the client has.
-func (o *eventOrder) placeRepeated(n int64, raw []byte) eventPlace {
-	o.behind = n != o.last
+func (o *eventOrder) placeRepeated(e streamEvent) eventPlace {
+	o.behind = e.number != o.last
 	sameRun := o.joining && o.sameRun
-	if !o.behind && !sameRun && !bytes.Equal(raw, o.lastRaw) {
+	if !o.behind && !sameRun && !bytes.Equal(e.raw, o.lastRaw) {
 		return eventMisplaced
 	}
 	return eventRepeated
@@ -85,12 +89,13 @@
 // record records that an event was relayed.
 func (o *eventOrder) record(e streamEvent) {
 	before, numbered := o.last, o.numbered
-	o.joining, o.behind, o.unplaced = false, false, e.id == ""
-	if e.id == "" {
-		return
-	}
+	o.joining, o.behind = false, false
 	o.setLast(e.id)
 	o.lastRaw = e.raw
-	o.counted = o.counted && o.numbered && (!numbered || o.last == before+1)
 	o.relayed++
+	if !numbered {
+		return
+	}
+	o.steps++
+	o.counted = o.counted && o.last == before+1
 }
--- a/command/forward/events.go
+++ b/command/forward/events.go
@@ -6,15 +6,18 @@
 	"context"
 	"io"
 	"strconv"
-	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
 
-// streamEvent is one event of a stream, as received.
+// streamEvent is one event of a stream.
 type streamEvent struct {
+	// raw is the event as received, without comments.
 	raw []byte
-	id  string
+	// id is the event's ID, and number the same as a number.
+	id     string
+	number int64
 }
 
 // maxEvent is the size in bytes up to which an event is read, together with comments and events without a new ID before it.
@@ -24,13 +27,16 @@
 // errEventTooLarge is returned for an event larger than maxEvent, and for as many bytes that bring no new event.
 var errEventTooLarge = errors.Newf("an event is larger than %d bytes, or none comes", maxEvent)
 
-// eventReader reads the events of a stream.
+// errNotAnEvent is returned for data that no sound server sends in a stream. What follows it can't be relied on either.
+var errNotAnEvent = errors.New("the server sent data that is no event")
+
+// eventReader reads the events of a stream: blocks of lines "name: value" in UTF-8, each ended by a blank line. An event has
+// data and an ID, which is a decimal number. Comments and empty blocks between events are left out.
 type eventReader struct {
 	*bufio.Reader
-	// lastID is the ID of the last event that had one, and highest the highest number among the IDs.
-	lastID  string
+	// highest is the highest number of an event so far, -1 before the first one.
 	highest int64
-	// unadvanced is the number of bytes read since the last event with a new ID.
+	// unadvanced is the number of bytes read since the last event with a higher number.
 	unadvanced int
 }
 
@@ -44,49 +50,85 @@
 	return bytes.Contains(buffered, []byte("\n\n")) || bytes.Contains(buffered, []byte("\n\r\n"))
 }
 
-// next reads up to and including the blank line that ends an event. At the end of the stream it returns io.EOF together with
-// the remaining data.
+// next reads up to and including the blank line that ends an event. It returns io.EOF at the end of the stream, and
+// io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *eventReader) next() (streamEvent, error) {
-	var e streamEvent
+	var b eventBlock
 	for {
-		line, err := r.appendLine(&e)
-		if err != nil {
-			return e, err
+		line, err := r.readLine(&b)
+		if errors.Is(err, io.EOF) && (len(b.raw) > 0 || len(line) > 0) {
+			return streamEvent{}, io.ErrUnexpectedEOF
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
-			r.advance(e.id)
-			return e, nil
+		if err != nil {
+			return streamEvent{}, err
 		}
-		if name, value, _ := bytes.Cut(text, []byte(":")); string(name) == "id" {
-			e.id = strings.TrimPrefix(string(value), " ")
+		text := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		switch {
+		case len(text) > 0 && text[0] == ':':
+			b.raw = b.raw[:len(b.raw)-len(line)]
+		case len(text) > 0:
+			if err := b.add(text); err != nil {
+				return streamEvent{}, err
+			}
+		case len(b.raw) == len(line):
+			b.raw = b.raw[:0]
+		default:
+			return r.end(b)
 		}
 	}
 }
 
-// appendLine appends a line to the event, with its end, and returns it.
-func (r *eventReader) appendLine(e *streamEvent) ([]byte, error) {
-	begin := len(e.raw)
+// end returns the event that a block ends with.
+func (r *eventReader) end(b eventBlock) (streamEvent, error) {
+	if b.id == "" || !b.hasData {
+		return streamEvent{}, errors.Wrap(errNotAnEvent, "no ID or no data")
+	}
+	if b.number > r.highest {
+		r.highest, r.unadvanced = b.number, 0
+	}
+	return b.streamEvent, nil
+}
+
+// readLine reads a line with its end, and appends it to a block.
+func (r *eventReader) readLine(b *eventBlock) ([]byte, error) {
+	begin := len(b.raw)
 	for {
 		part, err := r.ReadSlice('\n')
 		if r.unadvanced += len(part); r.unadvanced > maxEvent {
 			return nil, errEventTooLarge
 		}
-		e.raw = append(e.raw, part...)
+		b.raw = append(b.raw, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
-			return e.raw[begin:], err
+			return b.raw[begin:], err
 		}
 	}
 }
 
-// advance records that an event has ended.
-func (r *eventReader) advance(id string) {
-	number, err := strconv.ParseInt(id, 10, 64)
-	if id == "" || id == r.lastID || err == nil && number <= r.highest {
-		return
+// eventBlock is a block that is being read.
+type eventBlock struct {
+	streamEvent
+	hasData bool
+}
+
+// add adds a line without its end.
+func (b *eventBlock) add(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !utf8.Valid(line) || bytes.ContainsFunc(name, notInFieldName) {
+		return errors.Wrap(errNotAnEvent, "a line is no field")
 	}
-	r.lastID, r.unadvanced = id, 0
-	if err == nil {
-		r.highest = number
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "data":
+		b.hasData = true
+	case "id":
+		number, err := strconv.ParseUint(string(value), 10, 63)
+		if err != nil || b.id != "" {
+			return errors.Wrap(errNotAnEvent, "an ID is no number, or the second one")
+		}
+		b.id, b.number = string(value), int64(number)
 	}
+	return nil
 }
+
+// notInFieldName reports whether a character can't be in the name of a field.
+func notInFieldName(c rune) bool { return c != '-' && (c < 'a' || c > 'z') }
--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/directory"
+	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
@@ -147,8 +148,10 @@
 	refused       *refusedRequests
 	recordRefused func(model string, room RoomClass)
 	resumed       *resumedCredits
-	backups       *backups
-	origins       Origins
+	// invalidStreams limits the log lines about servers that send invalid streams.
+	invalidStreams *boundedlog.Lines
+	backups        *backups
+	origins        Origins
 }
 
 // Dependencies are what a Forwarder works with. All fields but Waitlist, RecordRefused, Memory and Origins are required.
@@ -180,7 +183,7 @@
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, gate: d.Gate, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
 		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
-		origins: d.Origins, resumed: newResumedCredits(),
+		origins: d.Origins, resumed: newResumedCredits(), invalidStreams: boundedlog.NewLines(invalidStreamLogInterval),
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
 	f.backups = newBackups(d)
