LOST: a large fleet archives where new streams began each half second, not each 4 s

Cause: instances space their archives over the fleet, each writes all origins of the last 30 to 60 s. With 77 instances that was each 3.9 s, and most streams that break off are younger. 29 of the 30 take-ups after the loss were 'not_known'.

--- a/command/skew/window.go
+++ b/command/skew/window.go
@@ -1,6 +1,7 @@
 package skew
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -22,8 +23,10 @@
 type Window struct {
 	mu      sync.Mutex
 	periods // guarded by mu
-	// changed is set if something was added since the last Snapshot; guarded by mu.
-	changed bool
+	// recent has the origins added since the last Snapshot, and pending those of the Snapshot; guarded by mu.
+	recent, pending map[attemptKey]Origin
+	// changed is set if something was added since the last Snapshot, and recentChanged since the last Recent; guarded by mu.
+	changed, recentChanged bool
 }
 
 // Add adds the origin of a stream that begins now.
@@ -36,8 +39,11 @@
 	if _, known := w.current[key]; known || len(w.current) >= maxPerPeriod {
 		return
 	}
-	w.current[key] = origin
-	w.changed = true
+	if w.recent == nil {
+		w.recent = map[attemptKey]Origin{}
+	}
+	w.current[key], w.recent[key] = origin, origin
+	w.changed, w.recentChanged = true, true
 }
 
 // Snapshot returns the origins in the window, and whether any was added since the last call.
@@ -46,8 +52,32 @@
 	defer w.mu.Unlock()
 	w.advance(now, windowPeriod, false)
 	changed, w.changed = w.changed, false
-	digests = Digests{}
-	for _, period := range []map[attemptKey]Origin{w.previous, w.current} {
+	w.recent, w.pending, w.recentChanged = nil, w.recent, false
+	return digestsOf(w.previous, w.current), changed
+}
+
+// Recent returns the origins that were added since the last Snapshot, and whether any was since the last call.
+func (w *Window) Recent() (digests Digests, changed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed, w.recentChanged = w.recentChanged, false
+	return digestsOf(w.recent), changed
+}
+
+// MarkChanged makes the next Snapshot and the next Recent report a change: what was returned last was not archived.
+func (w *Window) MarkChanged() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.recent == nil {
+		w.recent = map[attemptKey]Origin{}
+	}
+	maps.Copy(w.recent, w.pending)
+	w.pending, w.changed, w.recentChanged = nil, true, true
+}
+
+func digestsOf(periods ...map[attemptKey]Origin) Digests {
+	digests := Digests{}
+	for _, period := range periods {
 		for key, origin := range period {
 			if digests[origin.Service] == nil {
 				digests[origin.Service] = map[string][]byte{}
@@ -55,14 +85,7 @@
 			digests[origin.Service][origin.Version] = append(digests[origin.Service][origin.Version], key[:]...)
 		}
 	}
-	return digests, changed
-}
-
-// MarkChanged makes the next Snapshot report a change: what the last one returned was not archived.
-func (w *Window) MarkChanged() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.changed = true
+	return digests
 }
 
 // Restore records archived origins in a table and in the window, and returns their number.
--- a/entry/origins_archive.go
+++ b/entry/origins_archive.go
@@ -21,9 +21,13 @@
 // prefixOrigins is the store's prefix of the archived origins of streams, by the instance that keeps them.
 const prefixOrigins = "origins/"
 
+// suffixRecent is that of the name of an instance's entry with the origins that were added since all were archived.
+const suffixRecent = "-recent"
+
 // originArchive keeps in the store the origins that this instance keeps for others, and reads them when a process starts.
-// It writes all of them at once and only if there are new ones, so nothing is written while services have one software
-// version. What is not written yet when the process ends costs a stream, never its integrity.
+// It writes all of them at once, and in large fleets those that were added since more often, to a second entry. It writes only if
+// there are new ones, so nothing is written while services have one software version. What is not written yet when the process
+// ends costs a stream, never its integrity.
 type originArchive struct {
 	store store.Store
 	key   string
@@ -37,18 +41,25 @@
 	log       logrus.FieldLogger
 	// restored is set once the archive of earlier processes was read.
 	restored atomic.Bool
-	// revision is that of the archive in the store, 0 if there is none; used by run only.
-	revision store.Revision
+	// revision is that of the entry with all origins, and recentRevision that of the other one, 0 if there is none; used by run only.
+	revision, recentRevision store.Revision
 }
 
 // Timing of archive writes.
 const (
 	// minArchiveInterval is how long the origin of a stream may be without an archived copy in a small fleet.
 	minArchiveInterval = 500 * time.Millisecond
-	// archiveSpacing is the mean time between two writes of all instances together.
+	// archiveSpacing is the mean time between two writes of all origins, and recentSpacing that between two of those added since,
+	// by any instance.
 	archiveSpacing = 50 * time.Millisecond
+	recentSpacing  = 6 * time.Millisecond
 )
 
+// archiveInterval is the time between two writes of an instance if they are spaced over a number of instances.
+func archiveInterval(instances int, spacing time.Duration) time.Duration {
+	return max(minArchiveInterval, time.Duration(instances)*spacing)
+}
+
 // run reads the archive and then keeps it current until ctx ends.
 func (a *originArchive) run(ctx context.Context) {
 	for !a.restore(ctx) {
@@ -56,58 +67,90 @@
 			return
 		}
 	}
-	for pause.For(ctx, max(minArchiveInterval, time.Duration(a.instances())*archiveSpacing)) {
+	var updatedAt time.Time
+	for pause.For(ctx, archiveInterval(a.instances(), recentSpacing)) {
+		if clock.Since(updatedAt) < archiveInterval(a.instances(), archiveSpacing) {
+			a.updateRecent(ctx)
+			continue
+		}
+		updatedAt = clock.Now()
 		a.update(ctx)
 	}
 }
 
 // restore reads the archive, and reports whether the store answered.
 func (a *originArchive) restore(ctx context.Context) bool {
-	obj, err := a.store.Get(ctx, a.key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	all, revision, read := a.read(ctx, a.key)
+	if !read {
 		return false
 	}
-	var archived skew.Digests
-	if err == nil {
-		if err := json.Unmarshal(obj.Value, &archived); err != nil {
-			a.log.WithFields(logrus.Fields{"key": a.key, "error": err}).Error("archived origins of streams cannot be decoded")
+	recent, recentRevision, read := a.read(ctx, a.key+suffixRecent)
+	if !read {
+		return false
+	}
+	a.revision, a.recentRevision = revision, recentRevision
+	streams := 0
+	for _, archived := range []skew.Digests{all, recent} {
+		streams += archived.Restore(a.table, &a.window, clock.Now())
+		for service, versions := range archived {
+			a.dir.ObserveVersions(service, slices.Collect(maps.Keys(versions)), clock.Now())
 		}
 	}
-	a.revision = obj.Version // 0 if there is none
-	if streams := archived.Restore(a.table, &a.window, clock.Now()); streams > 0 {
+	if streams > 0 {
 		a.log.WithField("streams", streams).Info("origins of streams restored, kept by an earlier process of this instance")
 	}
-	for service, versions := range archived {
-		a.dir.ObserveVersions(service, slices.Collect(maps.Keys(versions)), clock.Now())
-	}
 	a.restored.Store(true)
 	return true
 }
 
-// update writes the archive if there are new origins, and deletes it if none is left.
+// read reads an entry, and reports whether the store answered. revision is 0 if there is none.
+func (a *originArchive) read(ctx context.Context, key string) (archived skew.Digests, revision store.Revision, answered bool) {
+	obj, err := a.store.Get(ctx, key)
+	if err != nil {
+		return nil, 0, errors.Is(err, store.ErrNotFound)
+	}
+	if err := json.Unmarshal(obj.Value, &archived); err != nil {
+		a.log.WithFields(logrus.Fields{"key": key, "error": err}).Error("archived origins of streams cannot be decoded")
+	}
+	return archived, obj.Version, true
+}
+
+// update writes all origins if there are new ones, and deletes the archive if none is left.
 func (a *originArchive) update(ctx context.Context) {
 	digests, changed := a.window.Snapshot(clock.Now())
 	switch {
 	case changed:
-		a.write(ctx, digests)
-	case len(digests) == 0 && a.revision != 0:
-		if a.store.Delete(ctx, a.key, a.revision) == nil {
-			a.revision = 0
-		}
+		a.write(ctx, a.key, &a.revision, digests)
+	case len(digests) == 0:
+		a.delete(ctx, a.key, &a.revision)
+		a.delete(ctx, a.key+suffixRecent, &a.recentRevision)
 	}
 }
 
-// write writes the archive. If that fails it is written again, with what another process has written meanwhile.
-func (a *originArchive) write(ctx context.Context, digests skew.Digests) {
-	revision, err := store.WriteJSON(ctx, a.store, a.key, digests, a.revision)
+// updateRecent writes the origins that were added since all were written, if there are new ones.
+func (a *originArchive) updateRecent(ctx context.Context) {
+	if digests, changed := a.window.Recent(); changed {
+		a.write(ctx, a.key+suffixRecent, &a.recentRevision, digests)
+	}
+}
+
+// write writes an entry. If that fails all origins are written again, with what another process has written meanwhile.
+func (a *originArchive) write(ctx context.Context, key string, revision *store.Revision, digests skew.Digests) {
+	written, err := store.WriteJSON(ctx, a.store, key, digests, *revision)
 	if err == nil {
-		a.revision = revision
+		*revision = written
 		return
 	}
 	a.window.MarkChanged()
 	if errors.Is(err, store.ErrUnavailable) {
 		return
 	}
-	a.log.WithFields(logrus.Fields{"key": a.key, "error": err}).Info("origins of streams could not be archived")
+	a.log.WithFields(logrus.Fields{"key": key, "error": err}).Info("origins of streams could not be archived")
 	a.restore(ctx)
 }
+
+func (a *originArchive) delete(ctx context.Context, key string, revision *store.Revision) {
+	if *revision != 0 && a.store.Delete(ctx, key, *revision) == nil {
+		*revision = 0
+	}
+}
