LOST: a planned stop refuses what cannot end in time and tells the end of the rest

Callers of an instance that was stopped in calm saw their connection closed without an answer at 0.9 of the grace, for requests that had been taken up to 2.5 s after the stop and ran, among them some that must not be repeated.

Cause: nothing compared what a request takes with the time left until the end of the grace, and what was left then was closed, not answered. Also: a request that waited for its server's admission was sent although the instance had begun to refuse; with a grace below 2.8 s, or one that was shortened meanwhile, the kill came before the instance's own end.

Why it works: the forwarder knows when requests have to end (EndBy). It refuses as not run, with a Retry-After, those that are not expected to end by then, from the durations of the last answered requests of their route and model, before they wait and again before they are sent. At the deadline it ends the rest with its verdict (502 may have run, 503 not run, begun streams visibly incomplete), and there is time left to send these answers. New requests are taken for at most half of a short grace.

--- a/command/forward/forward.go
+++ b/command/forward/forward.go
@@ -21,7 +21,6 @@
 	"github.com/martenport/martenport/command/brittle"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/boundedlog"
-	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/verdict"
 )
@@ -142,8 +141,10 @@
 	counts   *Counts
 	waitlist Waitlist
 	// draining is closed when the instance begins to shut down.
-	draining chan struct{}
-	refusals *refusalLines
+	draining  chan struct{}
+	leaving   *leaving
+	durations *durations
+	refusals  *refusalLines
 	// refused has the requests that were refused for lack of room, and recordRefused reports them.
 	refused       *refusedRequests
 	recordRefused func(model string, room RoomClass)
@@ -182,7 +183,7 @@
 	f := &Forwarder{
 		params: p, dir: d.Directory, sender: d.Sender, placer: d.Placer, balancer: d.Balancer, budget: d.Budget,
 		guard: d.Guard, access: d.Access, limiter: d.Limiter, gate: d.Gate, counts: d.Counts, log: d.Log, waitlist: d.Waitlist,
-		draining: make(chan struct{}), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
+		draining: make(chan struct{}), leaving: newLeaving(), durations: newDurations(), refused: newRefusedRequests(), recordRefused: d.RecordRefused,
 		origins: d.Origins, resumed: newResumedCredits(), invalidStreams: boundedlog.NewLines(invalidStreamLogInterval),
 	}
 	f.refusals = newRefusalLines(func() logrus.FieldLogger { return f.log }, d.Counts)
@@ -236,7 +237,7 @@
 		return f.recordRejection(admitted, r, failure)
 	}
 	t := f.newTransaction(admitted, bound, r, w)
-	ctx, cancel := context.WithTimeout(ctx, clock.Until(t.deadline))
+	ctx, cancel := f.requestContext(ctx, t.deadline)
 	defer cancel()
 	failure = t.run(ctx)
 	t.endOnlyRun(ctx, failure)
--- a/command/forward/transaction.go
+++ b/command/forward/transaction.go
@@ -141,7 +141,7 @@
 // run sends the request to one server after another until it is answered or cannot be sent again.
 func (t *transaction) run(ctx context.Context) *verdict.Failure {
 	for {
-		if failure := t.f.drainingFailure(); failure != nil {
+		if failure := t.leavingFailure(); failure != nil {
 			return t.finalFailure(ctx, failure)
 		}
 		if failure := t.quarantineFailure(); failure != nil {
@@ -171,15 +171,16 @@
 			t.endTrial(server, false)
 			continue
 		}
-		if !t.withinBudget() {
+		if failure := t.sendFailure(); failure != nil {
 			t.sendAdmission.End(brittle.Unknown, clock.Now())
 			t.refundAdmission()
 			t.endTrial(server, false)
-			return t.finalFailure(ctx, t.lastFailure("the budget of repeated sends is spent"))
+			return t.finalFailure(ctx, failure)
 		}
 		answered, failure := t.attempt(ctx, server)
 		t.serverLimits.refund = nil
 		if answered {
+			t.recordDuration()
 			return nil
 		}
 		t.last = failure
@@ -191,6 +192,17 @@
 	}
 }
 
+// sendFailure returns why a request must not be sent although a server has been chosen, nil if it may.
+func (t *transaction) sendFailure() *verdict.Failure {
+	if failure := t.leavingFailure(); failure != nil { // waiting for the server's admission may have taken long
+		return failure
+	}
+	if !t.withinBudget() {
+		return t.lastFailure("the budget of repeated sends is spent")
+	}
+	return nil
+}
+
 // deadlineFailure refuses a request whose deadline has passed although its context has not ended:
 // context timers do not advance while the machine is suspended.
 func (t *transaction) deadlineFailure() *verdict.Failure {
@@ -251,7 +263,9 @@
 		f.Verdict = verdict.MayHaveRun
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case endedByLeaving(ctx) && !t.out.started:
+		f.Reason, f.RetryAfter = verdict.ReasonDraining, drainRetryAfter
+	case errors.Is(ctx.Err(), context.Canceled) && !endedByLeaving(ctx):
 		f.Reason = verdict.ReasonCancelled
 	case t.out.started:
 		f.Reason = verdict.ReasonBroken
--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -29,6 +29,8 @@
 	instances []string
 	entries   []*process
 	settings  []string
+	// graceS is the grace period in the settings of instances that are started from now on, in seconds.
+	graceS int
 }
 
 // Names in the configuration of an entryFleet.
@@ -47,7 +49,7 @@
 // newEntryFleetWith does the same with a configuration that change has changed.
 func newEntryFleetWith(t *testing.T, change func(*standin.Config)) *entryFleet {
 	t.Helper()
-	f := &entryFleet{t: t, storeAddress: freeAddress(t), servers: map[string]*process{}, addresses: map[string]string{}}
+	f := &entryFleet{t: t, storeAddress: freeAddress(t), servers: map[string]*process{}, addresses: map[string]string{}, graceS: 8}
 	f.storeProcess, _ = startProcess(t, "address=", "martendev", "platform", "--listen", f.storeAddress)
 	f.store = platform.NewClient(platform.ClientParams{BaseURL: "http://" + f.storeAddress, CallTimeout: time.Second, WatchWait: time.Second, CallsPerSecond: 100})
 	config := standin.Config{
@@ -97,9 +99,9 @@
 internalPorts = [7380, 7390]
 listen = { frontend = "%[1]s:8100", ready = "%[1]s:8101" }
 limits = { cpuShare = 1.0, cores = 1 }
-bounds = { drainMs = 2000, graceS = 8, leaseMs = 1000, budgetRatio = 1.0, budgetWindowS = 10, budgetExtra = 500 }
+bounds = { drainMs = 2000, graceS = %[4]d, leaseMs = 1000, budgetRatio = 1.0, budgetWindowS = 10, budgetExtra = 500 }
 platform = { address = "%[3]s" }
-`, ip, len(f.instances), f.storeAddress)
+`, ip, len(f.instances), f.storeAddress, f.graceS)
 	file := filepath.Join(f.t.TempDir(), "entry.toml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
--- a/e2e/unframed_test.go
+++ b/e2e/unframed_test.go
@@ -35,6 +35,11 @@
 
 // send sends a request to an instance on a new connection.
 func (f *entryFleet) send(instance int, route, id string) answer {
+	return f.sendWith(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, instance, route, id)
+}
+
+// sendWith does the same with a client that may keep its connection.
+func (f *entryFleet) sendWith(client *http.Client, instance int, route, id string) answer {
 	a := answer{route: route, id: id}
 	req, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, "http://"+f.instances[instance]+"/"+route+"/x", strings.NewReader(body(id)))
 	if err != nil {
@@ -45,7 +50,6 @@
 		model = "m1"
 	}
 	req.Host, req.Header = clientHost, standin.ClientHeader(id, model, 15*time.Second)
-	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		return a
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -85,6 +85,8 @@
 	origins      *streamOrigins
 
 	draining atomic.Bool
+	// drainStart is when the instance began to drain; nil before.
+	drainStart atomic.Pointer[time.Time]
 	// leaveRequested is closed when an operator asks the instance to leave.
 	leaveRequested chan struct{}
 	leaveOnce      sync.Once
@@ -325,47 +327,6 @@
 	return l, nil
 }
 
-// leave makes the instance leave as on SIGTERM.
-func (i *Instance) leave() { i.leaveOnce.Do(func() { close(i.leaveRequested) }) }
-
-// Time limits for leaving.
-const (
-	// drainShare is the part of the grace period, after which the platform kills the process, that is
-	// used to let requests end. The rest is for sending the last answers.
-	drainShare = 0.9
-	// balancerDelay is how long the platform's load balancer may go on sending new connections after
-	// the instance has become unready: two checks one second apart, plus one in flight.
-	balancerDelay  = 2500 * time.Millisecond
-	releaseTimeout = time.Second
-	// handOverTimeout bounds sending origins. It is shorter than what drainShare leaves of usual grace periods.
-	handOverTimeout = 500 * time.Millisecond
-)
-
-// drain makes the instance unready, releases the lease, and lets requests end.
-func (i *Instance) drain() {
-	start := time.Now()
-	i.draining.Store(true)
-	i.tunnels.Refuse()
-	grace := i.settings.Load().Grace()
-	i.log.WithField("grace_ms", grace.Milliseconds()).Info("instance draining")
-	deadline := start.Add(time.Duration(float64(grace) * drainShare))
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	i.follower.stopTakeovers()
-	i.holder.Release(ctx)
-	i.members.unregister(ctx)
-	cancel()
-	time.Sleep(time.Until(start.Add(balancerDelay)))
-	i.forwarder.Drain()
-	i.clients.drain(deadline)
-	ctx, cancel = context.WithDeadline(context.Background(), deadline)
-	i.tunnels.Wait(ctx)
-	cancel()
-	ctx, cancel = context.WithTimeout(context.Background(), handOverTimeout)
-	i.origins.handOverAll(ctx)
-	cancel()
-	i.forwarder.FlushLog()
-}
-
 func (i *Instance) addGauges() {
 	i.set.NewGauge("martenport_configuration_version", func() float64 {
 		if config := i.dir.Config(); config != nil {
--- a/entry/reload.go
+++ b/entry/reload.go
@@ -52,6 +52,7 @@
 		return
 	}
 	i.settings.Store(&s)
+	i.endRequestsWithinGrace()
 	i.budget.SetParams(i.budgetParams(&s), time.Now())
 	i.log.WithFields(logrus.Fields{"cause": cause, "restart_needed": startupSettingsOf(s) != startupSettingsOf(*old)}).Info("settings reloaded")
 }
