e2e: servers that send garbage which ends, in all places of an answer

Until now the stand-in server sent garbage only without end, so no test saw what clients got of data that ends with a blank line (ORDER, events that no run had made).

New in the stand-in: ten kinds of data (text, bytes, events without an ID, with two or far ahead, parts of an event, another answer, comments) before, between and behind the events of a stream, in place of an answer or of its body, also in reports and replies to orders, and as a surplus behind a whole answer, which may be an answer that names another request; once or until it is ended.

Changed tests: the form 'ids=some', whose even events had no ID, is no stream of the protocol. It is now one of the wrongs of a server, and the check is stricter: each event that a client gets has an ID. The stand-in sent no head at all before an empty answer without a framing, as no server does, so that streams were not completed after their last event; it now sends one.

--- a/e2e/streamfaults_test.go
+++ b/e2e/streamfaults_test.go
@@ -15,13 +15,20 @@
 	"github.com/martenport/martenport/internal/standin"
 )
 
-// wrongForms are forms of streams of servers that repeat events, begin anew or end too soon.
+// wrongForms are forms of streams of servers that repeat events, begin anew, end too soon or send data that is no event.
 var wrongForms = func() (forms []string) {
 	for _, framing := range []string{standin.FramingChunks, standin.FramingNone} {
 		for _, wrong := range standin.Wrongs {
 			forms = append(forms, "marked=true&framing="+framing+"&wrong="+wrong, "marked=true&framing="+framing+"&in=parts&wrong="+wrong)
 		}
 	}
+	for _, framing := range []string{standin.FramingChunks, standin.FramingLength, standin.FramingNone} {
+		for _, kind := range standin.AllGarbage {
+			for _, place := range standin.GarbageInStream {
+				forms = append(forms, fmt.Sprintf("marked=true&framing=%s&wrong=%s&kind=%s&place=%s", framing, standin.WrongGarbage, kind, place))
+			}
+		}
+	}
 	return forms
 }()
 
@@ -30,9 +37,6 @@
 func (c *streamClient) runAtOnce(n int) [][]streamPart {
 	form := streamForms[c.random.IntN(len(streamForms))]
 	after := 1 + c.random.IntN(standin.StreamEvents-2)
-	if strings.Contains(form, "ids=some") {
-		after |= 1 // the others have no ID
-	}
 	lastID := strconv.Itoa(after)
 	if strings.Contains(form, "ids=tens") {
 		lastID += "0"
--- a/e2e/streamorder_test.go
+++ b/e2e/streamorder_test.go
@@ -35,7 +35,7 @@
 
 // markedEvent matches an event of a marked stream, without its line ends: its ID, run, the event after which that one began,
 // and its number.
-var markedEvent = regexp.MustCompile(`^(?:id: (\d+) )?data: m1 (\S+) after (\d+) € #(\d+)\.*$`)
+var markedEvent = regexp.MustCompile(`^id: (\d+) data: m1 (\S+) after (\d+) € #(\d+)\.*$`)
 
 // orderFault returns what is wrong with the events that a client has of a stream from all its attempts, "" if nothing is:
 // each event comes once and in order, and a run other than that of the event before began after that event.
@@ -66,7 +66,7 @@
 // streamForms are forms of streams, as queries.
 var streamForms = func() (forms []string) {
 	for _, framing := range []string{standin.FramingChunks, standin.FramingLength, standin.FramingNone} {
-		for _, more := range []string{"", "&in=parts", "&lines=crlf&in=parts", "&ids=tens", "&ids=some&in=parts", "&padding=12000"} {
+		for _, more := range []string{"", "&in=parts", "&lines=crlf&in=parts", "&ids=tens", "&padding=12000"} {
 			forms = append(forms, "marked=true&framing="+framing+more)
 		}
 	}
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -163,37 +163,57 @@
 	_ = conn.Close()
 }
 
+// successLine is the status line of a success.
+const successLine = "HTTP/1.1 200 OK\r\n"
+
+// answerHeaders returns the header that names the request, and the same with that of the seal.
+func (s *Server) answerHeaders(id string) (named, sealed string) {
+	if id != "" {
+		named = "Martenport-Attempt-Id: " + id + "\r\n"
+	}
+	return named, named + "Martenport-Server-Seal: seal-" + s.params.ID + "\r\n"
+}
+
+// contentType returns the header of that name for a body.
+func contentType(body string) string {
+	if strings.HasPrefix(body, "id: ") {
+		return "Content-Type: text/event-stream\r\n"
+	}
+	return "Content-Type: text/plain\r\n"
+}
+
+// framedAnswer returns a sealed answer, in chunks or with its length.
+func (s *Server) framedAnswer(id, body string, inChunks bool) string {
+	_, sealed := s.answerHeaders(id)
+	head := successLine + sealed + contentType(body)
+	if inChunks {
+		return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	}
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+}
+
 // endlessParts returns the beginning of the answer to a request, and what is repeated after it. whole is the body of a sound
 // answer.
 func (s *Server) endlessParts(id string, part Endless, whole string) (begin, piece string) {
-	const line = "HTTP/1.1 200 OK\r\n"
-	named := "Martenport-Attempt-Id: " + id + "\r\n"
-	if id == "" {
-		named = ""
-	}
-	sealed := named + "Martenport-Server-Seal: seal-" + s.params.ID + "\r\n"
-	contentType := "Content-Type: text/plain\r\n"
-	if strings.HasPrefix(whole, "id: ") {
-		contentType = "Content-Type: text/event-stream\r\n"
-	}
-	chunked := line + sealed + contentType + "Transfer-Encoding: chunked\r\n\r\n"
-	inChunks := fmt.Sprintf("%s%x\r\n%s\r\n0\r\n", chunked, len(whole), whole)
-	withLength := fmt.Sprintf("%s%s%sContent-Length: %d\r\n\r\n%s", line, sealed, contentType, len(whole), whole)
+	named, sealed := s.answerHeaders(id)
+	chunked := successLine + sealed + contentType(whole) + "Transfer-Encoding: chunked\r\n\r\n"
+	inChunks := strings.TrimSuffix(s.framedAnswer(id, whole, true), "\r\n")
+	withLength := s.framedAnswer(id, whole, false)
 	switch part {
 	case EndlessStatusLine:
 		return "HTTP/1.1 200 ", "x"
 	case EndlessHeader:
-		return line + sealed + "X-Long: ", "x"
+		return successLine + sealed + "X-Long: ", "x"
 	case EndlessHeaders:
-		return line + sealed, "X-Many: x\r\n"
+		return successLine + sealed, "X-Many: x\r\n"
 	case EndlessInterim:
 		return "", "HTTP/1.1 102 Processing\r\n\r\n"
 	case EndlessNotice:
 		return "HTTP/1.1 400 Bad Request\r\n" + named + "\r\n", "x"
 	case EndlessComments:
-		return line + sealed + "Content-Type: text/event-stream\r\n\r\n", ": x\n\n"
+		return successLine + sealed + "Content-Type: text/event-stream\r\n\r\n", ": x\n\n"
 	case EndlessEvent:
-		return line + sealed + "Content-Type: text/event-stream\r\n\r\nid: 1\n", "data: x\n"
+		return successLine + sealed + "Content-Type: text/event-stream\r\n\r\nid: 1\n", "data: x\n"
 	case EndlessExtension:
 		return chunked + "1;", "x"
 	case EndlessExtensions:
@@ -209,6 +229,6 @@
 	case EndlessAnswers:
 		return withLength, "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
 	default:
-		return line + sealed + "\r\n", "x"
+		return successLine + sealed + "\r\n", "x"
 	}
 }
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -90,6 +90,7 @@
 	admission    admission
 	pause        pauseState
 	endless      endlessState
+	garbage      garbageState
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
@@ -207,6 +208,10 @@
 		s.sendEndless(w, r, fault)
 		return
 	}
+	if fault, found := s.garbage.takeFor(r); found {
+		s.sendGarbage(w, r, fault)
+		return
+	}
 	if id != "" && signals.Rest != "" {
 		signals.refuseRequest(w, id)
 		return
@@ -228,6 +233,8 @@
 		s.serveBrittle(w, r)
 	case PathEndless:
 		s.serveEndless(w, r)
+	case PathGarbage:
+		s.serveGarbage(w, r)
 	default:
 		if handle, found := strings.CutPrefix(r.URL.Path, pathHandles); found && r.Method == http.MethodDelete {
 			s.freeBackup(w, handle)
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -59,6 +59,13 @@
 	s.answer(w, fmt.Sprintf("%s %s %s", r.Method, r.RequestURI, body))
 }
 
+// countRun records that a request runs.
+func (s *Server) countRun(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runs[id]++
+}
+
 // answer writes the answer to a plain request; an unframed one in two parts, before and after the work.
 func (s *Server) answer(w http.ResponseWriter, text string) {
 	if s.params.Unframed {
@@ -122,9 +129,13 @@
 	if r.Header.Get("Kv-From") != "" && form.wrong == WrongEarly {
 		other = data // what goes on from memory is the same run
 	}
-	form.setLength(w, from, data)
+	items := form.sequence(from, data, other)
+	if fault, found := s.garbage.take(GarbageInStream...); found {
+		items = fault.Kind.insert(items, fault.Place, from)
+	}
+	form.setLength(w, items)
 	defer s.setActive(id, -1)
-	for _, item := range form.sequence(from, data, other) {
+	for _, item := range items {
 		i := item.number
 		if cut && i == from+3 {
 			if s.params.CloseWithinEvent {
@@ -133,16 +144,18 @@
 			panic(http.ErrAbortHandler)
 		}
 		s.pause.wait()
-		event := form.event(i, item.data)
+		event := form.text(item)
 		if item.isPart {
-			_, _ = io.WriteString(w, event[:len(event)/2])
+			_, _ = io.WriteString(w, event)
 			return
 		}
 		if !form.sendEvent(w, event, s.params.EventPause) {
 			return
 		}
-		s.setActive(id, i)
-		s.sendBackup(backup, id, i)
+		if item.garbage == "" {
+			s.setActive(id, i)
+			s.sendBackup(backup, id, i)
+		}
 		select {
 		case <-time.After(s.params.EventPause):
 		case <-r.Context().Done():
--- a/internal/standin/streamform.go
+++ b/internal/standin/streamform.go
@@ -21,7 +21,7 @@
 // forms.
 type streamForm struct {
 	framing, lineEnd string
-	// ids is "tens" if the IDs of events are 10, 20 and so on, and "some" if only those with an odd number have one.
+	// ids is "tens" if the IDs of events are 10, 20 and so on.
 	ids string
 	// padding is the number of bytes added to each event.
 	padding int
@@ -32,6 +32,8 @@
 	marked bool
 	// wrong is what half of the runs do wrong; see sequence.
 	wrong string
+	// garbage is what WrongGarbage sends.
+	garbage GarbageFault
 }
 
 func streamFormOf(query url.Values) streamForm {
@@ -39,6 +41,7 @@
 	if query.Get("lines") == "crlf" {
 		f.lineEnd = "\r\n"
 	}
+	f.garbage = GarbageFault{Kind: Garbage(query.Get("kind")), Place: GarbagePlace(query.Get("place"))}
 	f.padding, _ = strconv.Atoi(query.Get("padding"))
 	return f
 }
@@ -58,11 +61,8 @@
 // event returns an event with the given data.
 func (f streamForm) event(number int, data string) string {
 	id := fmt.Sprintf("id: %d%s", number, f.lineEnd)
-	switch {
-	case f.ids == "tens":
+	if f.ids == "tens" {
 		id = fmt.Sprintf("id: %d%s", number*idStep, f.lineEnd)
-	case f.ids == "some" && number%2 == 0:
-		id = ""
 	}
 	if f.marked {
 		data = fmt.Sprintf("%s #%d", data, number)
@@ -79,13 +79,13 @@
 }
 
 // setLength states the length of a stream if its form demands it.
-func (f streamForm) setLength(w http.ResponseWriter, after int, data string) {
+func (f streamForm) setLength(w http.ResponseWriter, items []streamItem) {
 	if f.framing != FramingLength {
 		return
 	}
 	length := 0
-	for i := after + 1; i <= StreamEvents; i++ {
-		length += len(f.event(i, data))
+	for _, item := range items {
+		length += len(f.text(item))
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(length))
 }
@@ -124,16 +124,37 @@
 	WrongAnew, WrongEarly, WrongShort = "anew", "early", "short"
 	// WrongCut ends within an event, as if the stream were complete.
 	WrongCut = "cut"
+	// WrongSome leaves out the ID of each event with an even number, and WrongGarbage sends the garbage and has it at the place
+	// that the query names.
+	WrongSome, WrongGarbage = "some", "garbage"
 )
 
-// Wrongs are all of them.
-var Wrongs = []string{WrongRepeat, WrongBack, WrongAnew, WrongEarly, WrongShort, WrongCut}
+// Wrongs are all of them but WrongGarbage.
+var Wrongs = []string{WrongRepeat, WrongBack, WrongAnew, WrongEarly, WrongShort, WrongCut, WrongSome}
 
 // streamItem is an event of a stream, or a part of it with which the stream ends.
 type streamItem struct {
 	number int
 	data   string
 	isPart bool
+	// withoutID leaves out the ID, and garbage is sent in the place of the event if there is any.
+	withoutID bool
+	garbage   string
+}
+
+// text returns what is sent of an item.
+func (f streamForm) text(item streamItem) string {
+	if item.garbage != "" {
+		return item.garbage
+	}
+	event := f.event(item.number, item.data)
+	switch {
+	case item.isPart:
+		return event[:len(event)/2]
+	case item.withoutID:
+		return event[strings.Index(event, "data: "):]
+	}
+	return event
 }
 
 // sequence returns what a stream that goes on after an event sends. other is the data of another run.
@@ -167,6 +188,14 @@
 	case WrongCut:
 		add(after+1, middle, data)
 		items[len(items)-1].isPart = true
+	case WrongSome:
+		add(after+1, StreamEvents, data)
+		for n := range items {
+			items[n].withoutID = items[n].number%2 == 0
+		}
+	case WrongGarbage:
+		add(after+1, StreamEvents, data)
+		items = f.garbage.Kind.insert(items, f.garbage.Place, after)
 	default:
 		add(after+1, StreamEvents, data)
 	}
--- a/internal/standin/unframed.go
+++ b/internal/standin/unframed.go
@@ -31,7 +31,9 @@
 			_ = tcp.SetLinger(0) // fails only if the connection is gone
 		}
 	}()
-	handle(&unframedWriter{conn: conn, header: w.Header()}, r)
+	answer := &unframedWriter{conn: conn, header: w.Header()}
+	handle(answer, r)
+	answer.Flush() // an empty answer has a head, too
 }
 
 // Header implements http.ResponseWriter.
