rpcpool: a budget bounds what is received of calls and replies between instances

Callers saw: something that sends without end to the port for other instances takes the memory of the instance, and all requests there end with it. In a real process, six connections that announce a message of 2 GiB and send 32 MiB of it each brought the peak of the resident memory from 20,020 KB to 343,632 KB; an instance may have 160 to 284 MB.

Cause: encoding/gob keeps a message in memory as a whole and accepts one of any length. Replies were bounded for one connection (16 MiB), but not over all connections; requests were not bounded at all.

The same class: replies of 24 instances, each below its limit, 505,445,952 bytes kept.

Now the connections of a listener or a pool share a budget of 16 MiB. A message is charged with its length before any of it is kept. If the sum exceeds the budget, the connections with the largest messages are closed, so that the sound ones of others go on. A connection that is given up is closed at once: otherwise net/rpc waits for a request that is being written, and the other side may not read it.

Tests, before and after: e2e TestCallsWithoutEndTakeMemory (343,632 KB; 18,912 KB, 18,816 KB without such calls), rpcpool TestLongRepliesOfManyTakeMemory (505,445,952 bytes; below 64 MiB, and a sound reply of 5 MiB comes whole). TestSoundMessagesAreReceived (rapid) compares lengths and pieces; it guards the reading of lengths and has no run before.

--- a/entry/rpc.go
+++ b/entry/rpc.go
@@ -14,6 +14,7 @@
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -321,11 +322,12 @@
 	if err := server.RegisterName("Entry", s); err != nil {
 		panic(err) // the method set is fixed, so this is a programming error
 	}
+	budget := rpcpool.NewBudget()
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go server.ServeConn(conn)
+		go server.ServeConn(budget.Limit(conn))
 	}
 }
--- a/internal/rpcpool/rpcpool.go
+++ b/internal/rpcpool/rpcpool.go
@@ -31,7 +31,8 @@
 
 // Pool is a set of connections. It is safe for concurrent use.
 type Pool struct {
-	dial Dial
+	dial   Dial
+	budget *Budget
 
 	mu    sync.Mutex
 	conns map[string]*client // by address; guarded by mu
@@ -43,8 +44,7 @@
 	received *received
 }
 
-// maxReplyBytes bounds what is received between two responses on a connection. net/rpc keeps a response in memory as a whole,
-// and accepts one of any length.
+// maxReplyBytes bounds what is received between two responses on a connection.
 const maxReplyBytes = 16 << 20
 
 var errReplyTooLarge = errors.Newf("rpc: more than %d bytes without a response", maxReplyBytes)
@@ -81,7 +81,7 @@
 
 // New returns an empty pool.
 func New(dial Dial) *Pool {
-	return &Pool{dial: dial, conns: map[string]*client{}}
+	return &Pool{dial: dial, budget: NewBudget(), conns: map[string]*client{}}
 }
 
 // Call makes one call and waits for its response until ctx ends. reply must not be used after an
@@ -128,7 +128,7 @@
 		_ = raw.Close()
 		return conn, nil
 	}
-	conn = newClient(raw)
+	conn = newClient(p.budget.Limit(raw))
 	p.conns[address] = conn
 	return conn, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/verdict"
 )
 
@@ -29,12 +30,13 @@
 
 // Serve serves connections accepted from l until l is closed.
 func (s *Server) Serve(l net.Listener) {
+	budget := rpcpool.NewBudget()
 	for {
 		conn, err := l.Accept()
 		if err != nil {
 			return
 		}
-		go s.rpc.ServeConn(conn)
+		go s.rpc.ServeConn(budget.Limit(conn))
 	}
 }
 
