ORDER: a line end within a line no longer hides what no run made in an event

What callers saw: an event without an ID, or a stream that looks complete, behind data of a faulty server that holds a CR which is not followed by LF. Clients take a CR for the end of a line, so that 'data: x CR CR data: y LF id: 3' is two events for them, the first without an ID.

Cause: lines were split at LF only, so the balancer saw one sound event there and relayed it. Likewise what stands behind a CR in a comment was dropped as a part of the comment, and the stream ended as complete.

Why this works: a line that holds a CR is no field and no comment, and breaks the server's part off. Both line ends of the protocol, LF and CRLF, stay as they are.

--- a/command/forward/events.go
+++ b/command/forward/events.go
@@ -64,6 +64,8 @@
 		}
 		text := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		switch {
+		case bytes.IndexByte(text, '\r') >= 0: // clients may take it for the end of a line
+			return streamEvent{}, errors.Wrap(errNotAnEvent, "a line end within a line")
 		case len(text) > 0 && text[0] == ':':
 			b.raw = b.raw[:len(b.raw)-len(line)]
 		case len(text) > 0:
--- a/command/forward/invalidevents_test.go
+++ b/command/forward/invalidevents_test.go
@@ -28,6 +28,8 @@
 	"bytes in an event":            "id: 3\ndata: \xff\xfe\n\n",
 	"a line end within a line":     "id: 3\rx\ndata: x\n\n",
 	"an event far ahead":           "id: 900\ndata: x\n\n",
+	"an event behind CR":           "data: x\r\rdata: y\nid: 3\n\n",
+	"an event behind a comment":    ": x\rdata: y\n\n",
 	"the head of another answer":   "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	"an event of another protocol": "{\"id\":3,\"data\":\"x\"}\n\n",
 	"text without an end":          "out of memory",
