LOST: origins of streams no longer pile up for as long as the store takes no writes

What would be seen: during an outage of the store, with servers of two versions, the memory of an instance grows with each stream that begins, up to 8,192 origins each 30 s, and the first write after it holds all of them. No caller was seen to be harmed.

Cause: origins since the last full write are kept for the archive's second entry. A failed write puts them back, but nothing dropped those that had left the window of two periods meanwhile.

Why this works: what is put back is limited to what the window still holds, so it has the same bound. Nothing reads the others: they are not in the full entry either.

TestUnarchivedOriginsPileUp, 20 periods of 100 origins each: before 2,000 origins held, after at most 201 (it wants 100 to 201).

--- a/command/skew/periods.go
+++ b/command/skew/periods.go
@@ -21,3 +21,10 @@
 	}
 	p.current, p.currentSince = map[attemptKey]Origin{}, now
 }
+
+// has reports whether an origin is held.
+func (p *periods) has(key attemptKey) bool {
+	_, current := p.current[key]
+	_, previous := p.previous[key]
+	return current || previous
+}
--- a/command/skew/window.go
+++ b/command/skew/window.go
@@ -64,7 +64,8 @@
 	return digestsOf(w.recent), changed
 }
 
-// MarkChanged makes the next Snapshot and the next Recent report a change: what was returned last was not archived.
+// MarkChanged makes the next Snapshot and the next Recent report a change: what was returned last was not archived. Origins
+// that have left the window are given up.
 func (w *Window) MarkChanged() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -72,6 +73,7 @@
 		w.recent = map[attemptKey]Origin{}
 	}
 	maps.Copy(w.recent, w.pending)
+	maps.DeleteFunc(w.recent, func(key attemptKey, _ Origin) bool { return !w.has(key) })
 	w.pending, w.changed, w.recentChanged = nil, true, true
 }
 
--- a/command/skew/window_test.go
+++ b/command/skew/window_test.go
@@ -65,6 +65,28 @@
 	}
 }
 
+// TestUnarchivedOriginsPileUp guards against origins that are held for as long as the store takes no writes, and are then written
+// all at once.
+func TestUnarchivedOriginsPileUp(t *testing.T) {
+	const perPeriod, periods = 100, 20
+	w, now := &Window{}, start
+	for n := range perPeriod * periods {
+		w.Add(Entry{strconv.Itoa(n), Origin{Service: "s", Version: "v1"}}, now)
+		now = now.Add(windowPeriod / perPeriod)
+		if n%3 == 0 {
+			w.Snapshot(now)
+		} else {
+			w.Recent()
+		}
+		w.MarkChanged()
+	}
+	recent, _ := w.Recent()
+	n := len(recent["s"]["v1"]) / len(attemptKey{})
+	if n < perPeriod || n > 2*perPeriod+1 {
+		t.Errorf("%d new origins of %d are held, want those of the last one to two periods, %d each", n, perPeriod*periods, perPeriod)
+	}
+}
+
 // BenchmarkWindowSnapshot: what an archive write costs that has 1,000 origins.
 func BenchmarkWindowSnapshot(b *testing.B) {
 	var w Window
