LOST: the archive of origins is no longer deleted in vain for ever

What would be seen: after servers of two versions have served, an instance calls the store for nothing each 0.5 to 4 s, once for each of its two entries, if the answer to the deletion of an entry was lost. If another process of the same name, or a store that came back from a copy, has left an entry of another revision, it stays, and a process that starts much later takes the service for mixed. No caller was seen to be harmed.

Cause: only a deletion that is answered as done ended the tries: the entry that is gone, and the one with another revision, were refused each time.

Why this works: what is gone needs no deletion. An entry of another revision is read like one that can't be written, so that its origins are kept for their time, and deleted after them.

--- a/entry/origins_archive.go
+++ b/entry/origins_archive.go
@@ -149,8 +149,16 @@
 	a.restore(ctx)
 }
 
+// delete deletes an entry. One that another process has written meanwhile is read first, and deleted once its origins have left
+// the window, too.
 func (a *originArchive) delete(ctx context.Context, key string, revision *store.Revision) {
-	if *revision != 0 && a.store.Delete(ctx, key, *revision) == nil {
+	if *revision == 0 {
+		return
+	}
+	switch err := a.store.Delete(ctx, key, *revision); {
+	case err == nil, errors.Is(err, store.ErrNotFound):
 		*revision = 0
+	case errors.Is(err, store.ErrConflict):
+		a.restore(ctx)
 	}
 }
--- a/entry/origins_archive_test.go
+++ b/entry/origins_archive_test.go
@@ -74,3 +74,55 @@
 		t.Logf("%d of %d origins of the last 2 s archived, %d B a second", kept, last, s.bytes/int(played/time.Second))
 	})
 }
+
+// deletionStore counts deletions, and may lose the answer of one that is carried out.
+type deletionStore struct {
+	store.Store
+	deletions   int
+	losesAnswer bool
+}
+
+// Delete implements store.Store.
+func (s *deletionStore) Delete(ctx context.Context, key string, known store.Revision) error {
+	s.deletions++
+	if err := s.Store.Delete(ctx, key, known); err != nil || !s.losesAnswer {
+		return err
+	}
+	s.losesAnswer = false
+	return store.ErrUnknown
+}
+
+// TestEmptyArchiveIsDeletedForEver guards against an archive without origins whose deletion is tried again and again, and never
+// succeeds.
+func TestEmptyArchiveIsDeletedForEver(t *testing.T) {
+	const mostDeletions = 4 // of two entries, each a second time at most
+	for _, cause := range []string{"", "answer lost", "entry written by another process"} {
+		t.Run(cause, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &deletionStore{Store: standin.NewPlatform(), losesAnswer: cause == "answer lost"}
+				a := &originArchive{store: s, key: prefixOrigins + "a", table: skew.NewOrigins(), dir: directory.New(), log: discardLog()}
+				add := func(attempt string) {
+					a.window.Add(skew.Entry{Attempt: attempt, Origin: skew.Origin{Service: "s", Version: "v1"}}, clock.Now())
+				}
+				add("1")
+				a.update(t.Context())
+				add("2")
+				a.updateRecent(t.Context())
+				a.update(t.Context())
+				if cause == "entry written by another process" {
+					if _, err := store.WriteJSON(t.Context(), s, a.key, skew.Digests{"s": {"v2": make([]byte, 16)}}, a.revision); err != nil {
+						t.Fatal(err)
+					}
+				}
+				for range 10 {
+					time.Sleep(time.Minute)
+					a.update(t.Context())
+				}
+				left, err := s.List(t.Context(), prefixOrigins)
+				if err != nil || len(left.Objects) > 0 || s.deletions > mostDeletions {
+					t.Errorf("%d entries left after %d deletions, %v", len(left.Objects), s.deletions, err)
+				}
+			})
+		})
+	}
+}
