LOST: an instance's second archive entry can't have the name of another one's first

What would be seen: beside an instance 'a', one named 'a-recent' loses where streams began that it keeps for others, if all instances end at once. No caller was seen to be harmed.

Cause: the second entry of 'a' was 'origins/a-recent', the first one of 'a-recent'. A conflict merges the two, but the next write of 'a' replaces them by its own.

Why this works: the second entries have a prefix of their own, 'recent-origins/', so that no two names can be the same.

--- a/entry/origins_archive.go
+++ b/entry/origins_archive.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,8 @@
 // prefixOrigins is the store's prefix of the archived origins of streams, by the instance that keeps them.
 const prefixOrigins = "origins/"
 
-// suffixRecent is that of the name of an instance's entry with the origins that were added since all were archived.
-const suffixRecent = "-recent"
+// prefixRecentOrigins is the store's prefix of those that were added since all were archived, by the same instances.
+const prefixRecentOrigins = "recent-origins/"
 
 // originArchive keeps in the store the origins that this instance keeps for others, and reads them when a process starts.
 // It writes all of them at once, and in large fleets those that were added since more often, to a second entry. It writes only if
@@ -60,6 +61,11 @@
 	return max(minArchiveInterval, time.Duration(instances)*spacing)
 }
 
+// recentKey returns the key of the second entry.
+func (a *originArchive) recentKey() string {
+	return prefixRecentOrigins + strings.TrimPrefix(a.key, prefixOrigins)
+}
+
 // run reads the archive and then keeps it current until ctx ends.
 func (a *originArchive) run(ctx context.Context) {
 	for !a.restore(ctx) {
@@ -84,7 +90,7 @@
 	if !read {
 		return false
 	}
-	recent, recentRevision, read := a.read(ctx, a.key+suffixRecent)
+	recent, recentRevision, read := a.read(ctx, a.recentKey())
 	if !read {
 		return false
 	}
@@ -123,14 +129,14 @@
 		a.write(ctx, a.key, &a.revision, digests)
 	case len(digests) == 0:
 		a.delete(ctx, a.key, &a.revision)
-		a.delete(ctx, a.key+suffixRecent, &a.recentRevision)
+		a.delete(ctx, a.recentKey(), &a.recentRevision)
 	}
 }
 
 // updateRecent writes the origins that were added since all were written, if there are new ones.
 func (a *originArchive) updateRecent(ctx context.Context) {
 	if digests, changed := a.window.Recent(); changed {
-		a.write(ctx, a.key+suffixRecent, &a.recentRevision, digests)
+		a.write(ctx, a.recentKey(), &a.recentRevision, digests)
 	}
 }
 
--- a/entry/wirenames_test.go
+++ b/entry/wirenames_test.go
@@ -62,6 +62,7 @@
 		prefixMembers:         reflect.TypeFor[member](),
 		prefixVersions:        reflect.TypeFor[versionMark](),
 		prefixOrigins:         reflect.TypeFor[skew.Digests](),
+		prefixRecentOrigins:   reflect.TypeFor[skew.Digests](),
 		prefixQuarantine:      reflect.TypeFor[heldRequest](),
 		"replicas/":           reflect.TypeFor[limits.Record](), // package holder checks this key
 		store.KeyConfig:       reflect.TypeFor[table.Accepted](),
