--- a/command/forward/invalidevents_test.go
+++ b/command/forward/invalidevents_test.go
@@ -28,6 +28,8 @@
 	"bytes in an event":            "id: 3\ndata: \xff\xfe\n\n",
 	"a line end within a line":     "id: 3\rx\ndata: x\n\n",
 	"an event far ahead":           "id: 900\ndata: x\n\n",
+	"an event behind CR":           "data: x\r\rdata: y\nid: 3\n\n",
+	"an event behind a comment":    ": x\rdata: y\n\n",
 	"the head of another answer":   "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
 	"an event of another protocol": "{\"id\":3,\"data\":\"x\"}\n\n",
 	"text without an end":          "out of memory",
@@ -100,11 +102,17 @@
 // serveStream serves a stream from servers that give the replies in order, and returns what its client gets and whether that
 // is complete.
 func serveStream(t *testing.T, route string, replies ...reply) (body string, complete bool) {
+	t.Helper()
+	return takeUpStream(t, route, "", replies...)
+}
+
+// takeUpStream is serveStream for a client that has the events up to lastEvent, "" for none.
+func takeUpStream(t *testing.T, route, lastEvent string, replies ...reply) (body string, complete bool) {
 	t.Helper()
 	f := newFixture(t, replies...)
 	w := httptest.NewRecorder()
 	r := &serving.Request{
-		ID: "r1", Method: http.MethodPost, Host: "h", Target: "/" + route + "/x", Header: http.Header{}, Unit: serving.Unit{Model: "warm"}, Arrived: time.Now(),
+		ID: "r1", Method: http.MethodPost, Host: "h", Target: "/" + route + "/x", Header: http.Header{}, Unit: serving.Unit{Model: "warm"}, Arrived: time.Now(), LastEventID: lastEvent,
 	}
 	failure := f.forwarder.Serve(t.Context(), r, w)
 	return w.Body.String(), failure == nil
