--- a/command/forward/leaving.go
+++ b/command/forward/leaving.go
@@ -11,7 +11,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/internal/clock"
-
 	"github.com/martenport/martenport/verdict"
 )
 
