--- a/command/forward/invalidevents_test.go
+++ b/command/forward/invalidevents_test.go
@@ -87,6 +87,18 @@
 	}
 }
 
+// TestStreamWithoutItsTypeReachesClient guards against data that is relayed unread, since its head does not say that it is a stream.
+func TestStreamWithoutItsTypeReachesClient(t *testing.T) {
+	const whole = "id: 1\ndata: a\n\n"
+	untyped := reply{status: http.StatusOK, body: "out of memory\n\n" + whole}
+	if got, complete := serveStream(t, "stream", untyped, streamReply(whole)); got != whole || !complete {
+		t.Errorf("resumable: client got %q, complete %t", got, complete)
+	}
+	if got, complete := serveStream(t, "once", untyped); got != "" || complete {
+		t.Errorf("not to be repeated: client got %q, complete %t", got, complete)
+	}
+}
+
 // TestCommentsAreNoEvents guards against clients that take comments or empty blocks for events, and against streams that end
 // by them.
 func TestCommentsAreNoEvents(t *testing.T) {
--- a/command/forward/relay.go
+++ b/command/forward/relay.go
@@ -93,6 +93,9 @@
 	if t.out.started {
 		return verdict.New(verdict.Ran, verdict.ReasonBackend, "status %d instead of the rest of a stream", resp.Status)
 	}
+	if t.route.Kind == serving.Streaming && resp.Status < http.StatusMultipleChoices {
+		return verdict.New(verdict.MayHaveRun, verdict.ReasonBackend, "a success with status %d that is no stream of events", resp.Status)
+	}
 	return t.relayBody(ctx, resp)
 }
 
