--- a/e2e/entry_test.go
+++ b/e2e/entry_test.go
@@ -31,6 +31,8 @@
 	settings  []string
 	// graceS is the grace period in the settings of instances that are started from now on, in seconds.
 	graceS int
+	// memoryMB and maxFDs limit the memory in MiB and the descriptors of such instances; 0 for no limit.
+	memoryMB, maxFDs int
 }
 
 // Names in the configuration of an entryFleet.
@@ -98,10 +100,10 @@
 zone = "a"
 internalPorts = [7380, 7390]
 listen = { frontend = "%[1]s:8100", ready = "%[1]s:8101" }
-limits = { cpuShare = 1.0, cores = 1 }
+limits = { cpuShare = 1.0, cores = 1, memoryMb = %[5]d, maxFds = %[6]d }
 bounds = { drainMs = 2000, graceS = %[4]d, leaseMs = 1000, budgetRatio = 1.0, budgetWindowS = 10, budgetExtra = 500 }
 platform = { address = "%[3]s" }
-`, ip, len(f.instances), f.storeAddress, f.graceS)
+`, ip, len(f.instances), f.storeAddress, f.graceS, f.memoryMB, f.maxFDs)
 	file := filepath.Join(f.t.TempDir(), "entry.toml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		f.t.Fatal(err)
