intake: one budget for the memory of all requests of clients

What callers saw: an instance ran out of memory and ended, with all its connections, under 192 bodies of 1 MiB (162 to 386 MB, limit 96 MB), whole or stopping short of their end, in one piece, in pieces or in chunks, and under 192 heads of many small headers (206 MB).

Cause: each body is bounded, and each head by net/http's 64 KiB, but nothing adds them up. A client sets for how long what it sent is kept. io.ReadAll keeps 2.25 times a body while it grows; a header of 4 bytes takes over 100.

Now a request is charged for what has arrived of it, before the memory is taken and until its answer ends: its head and 256 bytes a header, and its body's buffer. The budget is a quarter of the process's memory (--request-memory), or what one body of the largest size needs, up to half. The first 8 KiB of each request are free, and a request leaves as much of the budget free as it takes, so that smaller ones find room. If it is exhausted, requests slower than 4 KB/s for 2 s yield, the largest first, else the one that needs more is refused: no two wait for each other. Progress is measured in checks of the running process, so that a suspension does not count. A body that has taken 30 s and brought less than 1 KB/s gets 408. A refusal is 503 with Retry-After, or a closed connection before the head is complete; nothing of the request has been sent to a server. Connections are bounded by memory, too.

--- a/cmd/martenentryd/main.go
+++ b/cmd/martenentryd/main.go
@@ -20,6 +20,7 @@
 	Settings           string `long:"settings" description:"settings file that the platform writes; if absent, the platform's environment variable names it"`
 	OperatorsPort      int    `long:"operators-port" env:"MARTENPORT_OPERATORS_PORT" description:"port on the instance's own address where operators are answered, the same at all instances; absent, no operators' interface is offered and no number of replicas limited"`
 	OperatorCredential string `long:"operator-credential" env:"MARTENPORT_OPERATOR_CREDENTIAL" description:"bearer token that operators must send"`
+	RequestMemory      int    `long:"request-memory" env:"MARTENPORT_REQUEST_MEMORY" default:"25" description:"part of the process's memory in percent, 1 to 50, that clients' requests may take together, beyond 8 KiB each"`
 	LogLevel           string `long:"log-level" env:"MARTENPORT_LOG_LEVEL" default:"info" description:"debug, info, warning or error"`
 }
 
@@ -60,6 +61,9 @@
 	if o.OperatorsPort < 0 || o.OperatorsPort > maxPort {
 		return cli.Usage(errors.Newf("--operators-port %d is not a port: give 1 to %d, or leave it out", o.OperatorsPort, maxPort))
 	}
+	if o.RequestMemory < 1 || o.RequestMemory > entry.MaxRequestMemoryPercent {
+		return cli.Usage(errors.Newf("--request-memory %d is not a part of the memory: give 1 to %d percent", o.RequestMemory, entry.MaxRequestMemoryPercent))
+	}
 	out := boundedlog.New(os.Stdout, logBuffer)
 	defer out.Close(logCloseTimeout)
 	log, err := cli.Log(o.LogLevel, out)
@@ -68,5 +72,7 @@
 	}
 	ctx, stop := cli.UntilSignal()
 	defer stop()
-	return entry.New(settings, o.Settings, entry.Options{OperatorsPort: o.OperatorsPort, OperatorCredential: o.OperatorCredential}, log).Run(ctx)
+	return entry.New(settings, o.Settings, entry.Options{
+		OperatorsPort: o.OperatorsPort, OperatorCredential: o.OperatorCredential, RequestMemoryPercent: o.RequestMemory,
+	}, log).Run(ctx)
 }
--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -48,8 +50,13 @@
 // connection stays open and the request is served; otherwise net/http closes it.
 type clientConn struct {
 	net.Conn
+	intake *intake.Budget
 
-	mu sync.Mutex // guards the fields below; acquired after connGuard.mu
+	mu sync.Mutex // guards the fields below; acquired after connGuard.mu and the intake's
+	// holding is what the request takes that is being received or served; nil if there is none.
+	holding *intake.Holding
+	// yielding: the connection is being closed because another needs its place, or because its request is not read.
+	yielding bool
 	// phase is the connection's phase, which began at phaseStart.
 	phase      phase
 	phaseStart time.Time
@@ -70,8 +77,8 @@
 	readErr, writeErr error
 }
 
-func newClientConn(c net.Conn) *clientConn {
-	return &clientConn{Conn: c, phaseStart: time.Now()}
+func newClientConn(c net.Conn, budget *intake.Budget) *clientConn {
+	return &clientConn{Conn: c, intake: budget, phaseStart: time.Now()}
 }
 
 // resetUntilEnded makes the connection be reset if it is closed before markEnded is called, also by the kernel when the
@@ -125,9 +132,78 @@
 		n, err = c.Conn.Read(p)
 	}
 	c.recordRead(n, err)
+	if c.chargeHead(p[:n]) != nil || err != nil && c.isHeadRefused() {
+		_ = c.Close() // net/http may take what has come of a line for a malformed one and would answer 400
+		return 0, os.ErrDeadlineExceeded
+	}
 	return n, err
 }
 
+// isHeadRefused reports whether the connection is being closed because the head of its request is not read any further.
+func (c *clientConn) isHeadRefused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.yielding && c.phase == phaseReceiving
+}
+
+// headerBytes is the memory that a header takes beyond its text, as net/http and the request keep it.
+const headerBytes = 256
+
+// chargeHead charges what has been read to the request, unless that is part of a body, which its reader charges.
+func (c *clientConn) chargeHead(p []byte) error {
+	if len(p) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	serving := c.phase == phaseServing
+	c.mu.Unlock()
+	if serving {
+		return nil
+	}
+	h := c.requestHolding()
+	h.Progress(len(p))
+	return h.Charge(int64(len(p) + headerBytes*bytes.Count(p, []byte{'\n'})))
+}
+
+// requestHolding returns the holding of the request that is being received or served.
+func (c *clientConn) requestHolding() *intake.Holding {
+	c.mu.Lock()
+	h := c.holding
+	c.mu.Unlock()
+	if h != nil {
+		return h
+	}
+	begun := c.intake.Begin(c.interrupt) // without c.mu, which is acquired after the budget's
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holding = begun
+	return begun
+}
+
+// releaseHolding ends the holding of the request.
+func (c *clientConn) releaseHolding() {
+	c.mu.Lock()
+	h := c.holding
+	c.holding = nil
+	c.mu.Unlock()
+	if h != nil {
+		h.Release()
+	}
+}
+
+// interrupt ends the reading of a request that is refused. If its head is being received the connection is closed, else the reader
+// of its body answers it.
+func (c *clientConn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.yielding = true
+	if c.phase == phaseServing {
+		_ = c.Conn.SetReadDeadline(expiredDeadline)
+		return
+	}
+	c.requestClose()
+}
+
 // beginFinalRead reports whether a read whose deadline has passed is to be retried one last time.
 func (c *clientConn) beginFinalRead() bool {
 	c.mu.Lock()
@@ -166,7 +242,7 @@
 	if c.closing == closeNone {
 		return
 	}
-	c.closing = closeNone
+	c.closing, c.yielding = closeNone, false
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
--- a/entry/clients.go
+++ b/entry/clients.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -27,9 +28,9 @@
 // maxHeaderBytes is net/http's own limit. The configured one is lower.
 const maxHeaderBytes = 64 << 10
 
-func newClientServer(handler http.Handler, limits func() serving.Limits, set *metrics.Set, log logrus.FieldLogger) *clientServer {
+func newClientServer(handler http.Handler, limits func() serving.Limits, budget *intake.Budget, set *metrics.Set, log logrus.FieldLogger) *clientServer {
 	ends := &connEndRecorder{log: log, set: set}
-	g := newConnGuard(limits, ends)
+	g := newConnGuard(limits, budget, ends)
 	return &clientServer{admit: func(int) bool { return true }, guard: g, connEnds: ends, acceptStarted: make(chan struct{}), acceptEnded: make(chan struct{}), server: &http.Server{
 		Handler: g.trackHandlers(ends.logAborted(handler)), MaxHeaderBytes: maxHeaderBytes, ConnState: g.connState, ConnContext: g.connContext,
 	}}
@@ -58,7 +59,7 @@
 			return nil, err
 		}
 		if l.clients.admit(l.clients.guard.openConnections()) {
-			return newClientConn(c), nil
+			return newClientConn(c, l.clients.guard.intake), nil
 		}
 		_ = c.Close()
 		l.clients.connEnds.count(endNotAdmitted, 1)
--- a/entry/clients_fixture_test.go
+++ b/entry/clients_fixture_test.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -38,6 +39,9 @@
 	accepted chan net.Conn
 }
 
+// testIntake returns a budget of clients' requests that they do not exhaust.
+func testIntake() *intake.Budget { return newIntake(0, 0, metrics.NewSet(), discardLog()) }
+
 func newTestClients(t *testing.T, limits serving.Limits) *testClients {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -47,7 +51,7 @@
 func newTestClientsWith(t *testing.T, limits serving.Limits, handler http.HandlerFunc, log logrus.FieldLogger) *testClients {
 	s := &testClients{t: t, accepted: make(chan net.Conn)}
 	s.limits.Store(&limits)
-	s.clients = newClientServer(handler, func() serving.Limits { return *s.limits.Load() }, metrics.NewSet(), log)
+	s.clients = newClientServer(handler, func() serving.Limits { return *s.limits.Load() }, testIntake(), metrics.NewSet(), log)
 	listener := &pipeListener{accepted: s.accepted, closed: make(chan struct{})}
 	ctx, stop := context.WithCancel(t.Context())
 	var work sync.WaitGroup
--- a/entry/clients_test.go
+++ b/entry/clients_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -43,7 +44,7 @@
 		for _, c := range all {
 			c.server.closeTime.Store(int64(testCloseTime))
 		}
-		firstCheck := idleSince.Add(5 * connCheckInterval) // the first check at which they exceed the limit
+		firstCheck := idleSince.Add(5 * intake.CheckInterval) // the first check at which they exceed the limit
 		s.sendSpread(all, firstCheck.Add(-100*time.Millisecond))
 		s.checkReadRequestsAnswered(all)
 	})
@@ -89,7 +90,7 @@
 		if c.readAnswer() {
 			t.Error("an incomplete request was answered")
 		}
-		if took := time.Since(began); took < time.Second || took > time.Second+2*connCheckInterval {
+		if took := time.Since(began); took < time.Second || took > time.Second+2*intake.CheckInterval {
 			t.Errorf("slow headers were cut off after %s, the limit is 1 s", took)
 		}
 	})
@@ -107,7 +108,7 @@
 			c.write(testRequest[:1])
 		}
 		begin()
-		time.Sleep(10*time.Second + 2*connCheckInterval)
+		time.Sleep(10*time.Second + 2*intake.CheckInterval)
 		if !s.clients.guard.noConnections() {
 			t.Error("a connection with an incomplete request exceeds the idle limit")
 		}
@@ -137,7 +138,7 @@
 		if c.readAnswer() {
 			t.Error("answer without a request")
 		}
-		if took := time.Since(began); took < time.Second || took > time.Second+2*connCheckInterval {
+		if took := time.Since(began); took < time.Second || took > time.Second+2*intake.CheckInterval {
 			t.Errorf("the lower limit of 1 s ended the next idle period after %s", took)
 		}
 	})
@@ -254,10 +255,14 @@
 func testCloseCancelled(t *testing.T) {
 	const offset = 50 * time.Millisecond // into the final read
 	idle, header := 10*time.Second, time.Second
-	t.Run("whole", func(t *testing.T) { cancelClose(t, true, idle+connCheckInterval+offset, 0) })
-	t.Run("first bytes", func(t *testing.T) { cancelClose(t, true, idle+connCheckInterval+offset, header-connCheckInterval) })
-	t.Run("first bytes of all", func(t *testing.T) { cancelClose(t, false, idle+connCheckInterval+offset, header-connCheckInterval) })
-	t.Run("rest of the headers", func(t *testing.T) { cancelClose(t, true, idle/2, header+connCheckInterval+offset) })
+	t.Run("whole", func(t *testing.T) { cancelClose(t, true, idle+intake.CheckInterval+offset, 0) })
+	t.Run("first bytes", func(t *testing.T) {
+		cancelClose(t, true, idle+intake.CheckInterval+offset, header-intake.CheckInterval)
+	})
+	t.Run("first bytes of all", func(t *testing.T) {
+		cancelClose(t, false, idle+intake.CheckInterval+offset, header-intake.CheckInterval)
+	})
+	t.Run("rest of the headers", func(t *testing.T) { cancelClose(t, true, idle/2, header+intake.CheckInterval+offset) })
 }
 
 // cancelClose sends a request after an idle time on a reused or a new connection, with a pause within its headers.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/martenport/martenport/command/balance"
 	"github.com/martenport/martenport/command/forward"
 	"github.com/martenport/martenport/command/holder"
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/command/quarantine"
 	"github.com/martenport/martenport/command/quota"
 	"github.com/martenport/martenport/directory"
@@ -76,6 +77,7 @@
 	// startDomains is the number of failure domains that shared the budget when the instance started.
 	startDomains int
 	clients      *clientServer
+	intake       *intake.Budget
 	watcher      *watcher
 	service      *service
 	options      Options
@@ -174,9 +176,10 @@
 	i.backends.CheckProcesses(func() bool { return i.watcher.serversOld(clock.Now()) })
 	i.backends.KeepLonger(func() bool { return balance.ManyInstances(i.follower.reportedInstances()) })
 	i.balancer.SetSubset(balance.Subset{Instance: s.NodeName, Instances: i.follower.reportedInstances, Connections: i.backends})
-	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, s.MaxSockets(), i.set, log)
-	ingress := i.shedding.closeWhileShedding(platform.NewIngress(i.forwarder, i.limits))
-	i.clients = newClientServer(i.closeWhileDraining(ingress), i.limits, i.set, log)
+	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, maxClientConns(&s), i.set, log)
+	i.intake = newIntake(s.MemoryLimit(), o.RequestMemoryPercent, i.set, log)
+	ingress := platform.NewIngress(i.forwarder, i.limits, requestHolding)
+	i.clients = newClientServer(i.closeWhileDraining(i.shedding.closeWhileShedding(ingress)), i.limits, i.intake, i.set, log)
 	i.clients.admit = i.shedding.admit
 	i.addGauges()
 	return i
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
@@ -19,15 +20,19 @@
 // that it is reading on connections that it closes.
 type connGuard struct {
 	limits func() serving.Limits
+	intake *intake.Budget
 	ends   *connEndRecorder
 
 	mu       sync.Mutex               // acquired before a clientConn's
 	conns    map[*clientConn]struct{} // guarded by mu
 	draining bool                     // guarded by mu
+
+	// largest is the largest size of a body that the budget was last set to. Only run uses it.
+	largest int64
 }
 
-func newConnGuard(limits func() serving.Limits, ends *connEndRecorder) *connGuard {
-	return &connGuard{limits: limits, ends: ends, conns: map[*clientConn]struct{}{}}
+func newConnGuard(limits func() serving.Limits, budget *intake.Budget, ends *connEndRecorder) *connGuard {
+	return &connGuard{limits: limits, intake: budget, ends: ends, conns: map[*clientConn]struct{}{}}
 }
 
 // connKey is the context key of a request's connection.
@@ -44,6 +49,11 @@
 	return c
 }
 
+// requestHolding returns what the request with the given context takes.
+func requestHolding(ctx context.Context) *intake.Holding {
+	return connFromContext(ctx).requestHolding()
+}
+
 // connState is an http.Server's ConnState hook. All connections must be clientConns.
 func (g *connGuard) connState(conn net.Conn, state http.ConnState) {
 	c := conn.(*clientConn)
@@ -55,10 +65,12 @@
 	case http.StateActive:
 		c.markServing(g.limits())
 	case http.StateIdle:
+		c.releaseHolding()
 		c.markIdle(g.limits())
 		g.closeIfDraining(c)
 	case http.StateClosed, http.StateHijacked:
 		g.ends.closed(c)
+		c.releaseHolding()
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		delete(g.conns, c)
@@ -86,18 +98,26 @@
 	})
 }
 
-// connCheckInterval is how often connections are checked against their limits.
-const connCheckInterval = 250 * time.Millisecond
-
-// run closes connections that exceed their limits, until ctx ends.
+// run closes connections that exceed their limits, and ends requests that arrive too slowly, until ctx ends.
 func (g *connGuard) run(ctx context.Context) {
-	for pause.For(ctx, connCheckInterval) {
+	for pause.For(ctx, intake.CheckInterval) {
+		g.setLargest(g.limits().BodyBytes)
+		g.intake.Check()
 		if expired := g.closeExpired(time.Now()); expired.count > 0 {
 			g.logExpired(expired)
 		}
 	}
 }
 
+// setLargest makes the budget hold a body of the largest size, and logs if there is no room for one.
+func (g *connGuard) setLargest(size int64) {
+	hasRoom := g.intake.SetLargest(size)
+	if size != g.largest && !hasRoom {
+		g.ends.log.WithField("max_body_bytes", size).Error("the process's memory has no room for a body of the largest size: give it more, or lower the limit")
+	}
+	g.largest = size
+}
+
 // expiredConns summarizes the connections that one check has closed.
 type expiredConns struct {
 	count, idle      int
--- a/entry/guard_test.go
+++ b/entry/guard_test.go
@@ -17,12 +17,12 @@
 func TestGuardLimits(t *testing.T) {
 	g := newConnGuard(func() serving.Limits {
 		return serving.Limits{IdleTimeout: 10 * time.Second, HeaderTimeout: 2 * time.Second}
-	}, nil)
+	}, nil, nil)
 	now := time.Now()
 	conn := func(p phase, age time.Duration) *clientConn {
 		server, peer := net.Pipe()
 		t.Cleanup(func() { _ = server.Close(); _ = peer.Close() })
-		c := newClientConn(server)
+		c := newClientConn(server, nil)
 		c.phase, c.phaseStart = p, now.Add(-age)
 		g.conns[c] = struct{}{}
 		return c
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	defer client.Close()
-	clients := newClientServer(nil, func() serving.Limits { return serving.Limits{} }, metrics.NewSet(), discardLog())
+	clients := newClientServer(nil, func() serving.Limits { return serving.Limits{} }, testIntake(), metrics.NewSet(), discardLog())
 	server, err := clientListener{l, clients}.Accept()
 	if err != nil {
 		t.Fatal(err)
--- a/entry/oldclient_test.go
+++ b/entry/oldclient_test.go
@@ -31,7 +31,7 @@
 				panic(http.ErrAbortHandler)
 			}
 			_, _ = io.WriteString(w, strings.Repeat("x", piece))
-		}), func() serving.Limits { return serving.Limits{} }, metrics.NewSet(), log)
+		}), func() serving.Limits { return serving.Limits{} }, testIntake(), metrics.NewSet(), log)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -32,6 +32,9 @@
 	// OperatorCredential is the bearer token that operators must send. If it is empty, everyone who
 	// can connect to the port has access.
 	OperatorCredential string
+	// RequestMemoryPercent is the part of the process's memory that clients' requests may take together;
+	// DefaultRequestMemoryPercent if 0.
+	RequestMemoryPercent int
 }
 
 // declarationState is the operators' declaration as last read by this instance.
--- a/entry/shedding.go
+++ b/entry/shedding.go
@@ -40,14 +40,10 @@
 	objectiveOf *serving.Config
 }
 
-// clientSocketShare is the part of an instance's sockets that clients' connections may take. The others are for servers,
-// the store and other instances.
-const clientSocketShare = 0.6
-
-func newConnShedder(config func() *serving.Config, holdsLease func() bool, maxSockets int, set *metrics.Set, log logrus.FieldLogger) *connShedder {
+func newConnShedder(config func() *serving.Config, holdsLease func() bool, maxConns int, set *metrics.Set, log logrus.FieldLogger) *connShedder {
 	s := &connShedder{
 		config: config, holdsLease: holdsLease, log: log, shedder: overload.NewShedder(overload.DefaultShedderParams(balancerDelay), clock.Now()),
-		admission: overload.NewConnAdmission(overload.DefaultConnAdmissionParams(int(clientSocketShare * float64(maxSockets)))),
+		admission: overload.NewConnAdmission(overload.DefaultConnAdmissionParams(maxConns)),
 		closed:    set.NewCounter("martenport_connections_shed_total"), begun: set.NewCounter("martenport_sheddings_total"),
 	}
 	set.NewGauge("martenport_scheduling_lag_seconds", func() float64 { return s.currentLag().Seconds() })
--- a/internal/boundedlog/lines.go
+++ b/internal/boundedlog/lines.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Lines limits the log lines about each server to one in an interval. It is safe for concurrent use.
+// Lines limits the log lines about each server, or whatever else has a name, to one in an interval. It is safe for concurrent use.
 type Lines struct {
 	interval time.Duration
 
