entry: connections whose requests do not progress yield to new ones

What callers saw: 500 clients with bodies of 1,000 bytes that stop short of their end, or come byte by byte, take all connections of an instance; every other one is closed unread, for the 600 s that these clients named.

Cause: an instance that has all the connections that it keeps closes new ones, whatever the others do.

Now one of them makes room: one that has been open for a second without a request, else the request that has been slow for longest (2 s below 4 KB/s, answered 503 with Retry-After), else the one that has been idle for longest; a request that arrives on an idle one meanwhile is served. At most an eighth is being closed at a time. Below the limit nothing changes. A planned stop no longer waits for requests that do not progress.

--- a/entry/clients.go
+++ b/entry/clients.go
@@ -23,6 +23,8 @@
 	acceptStarted, acceptEnded chan struct{}
 	// admit decides whether to keep a new connection beside the given number of open ones; set before serve.
 	admit func(open int) bool
+	// maxConns is the number of connections from which others yield to new ones, 0 for no limit; set before serve.
+	maxConns int
 }
 
 // maxHeaderBytes is net/http's own limit. The configured one is lower.
@@ -58,7 +60,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.clients.admit(l.clients.guard.openConnections()) {
+		if l.clients.hasRoom() {
 			return newClientConn(c, l.clients.guard.intake), nil
 		}
 		_ = c.Close()
@@ -66,6 +68,15 @@
 	}
 }
 
+// hasRoom reports whether to keep a new connection. If there are too many, another one yields if possible.
+func (c *clientServer) hasRoom() bool {
+	open := c.guard.openConnections()
+	if c.maxConns > 0 && open >= c.maxConns && c.guard.makeRoom(c.maxConns) {
+		open = c.maxConns - 1
+	}
+	return c.admit(open)
+}
+
 // drainPollInterval is how often drain checks the connections.
 const drainPollInterval = 50 * time.Millisecond
 
@@ -82,6 +93,7 @@
 // http.Server.Shutdown is not used
 // because it drops requests that it reads after it has begun.
 func (c *clientServer) drain(deadline time.Time) {
+	c.guard.leaving.Store(true)
 	c.waitUntil(deadline.Add(-idleCloseLead), c.guard.noRequests)
 	c.guard.beginDrain()
 	<-c.acceptStarted
--- a/entry/connends.go
+++ b/entry/connends.go
@@ -28,6 +28,7 @@
 	endLimit           = "limit"
 	endNotAdmitted     = "not_admitted"
 	endGrace           = "grace"
+	endYielded         = "yielded"
 )
 
 func (e *connEndRecorder) count(end string, n int) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,7 +180,7 @@
 	i.intake = newIntake(s.MemoryLimit(), o.RequestMemoryPercent, i.set, log)
 	ingress := platform.NewIngress(i.forwarder, i.limits, requestHolding)
 	i.clients = newClientServer(i.closeWhileDraining(i.shedding.closeWhileShedding(ingress)), i.limits, i.intake, i.set, log)
-	i.clients.admit = i.shedding.admit
+	i.clients.admit, i.clients.maxConns = i.shedding.admit, maxClientConns(&s)
 	i.addGauges()
 	return i
 }
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,9 @@
 	intake *intake.Budget
 	ends   *connEndRecorder
 
+	// leaving: the instance waits for its requests to end, and not for those that do not progress.
+	leaving atomic.Bool
+
 	mu       sync.Mutex               // acquired before a clientConn's
 	conns    map[*clientConn]struct{} // guarded by mu
 	draining bool                     // guarded by mu
@@ -103,6 +107,8 @@
 	for pause.For(ctx, intake.CheckInterval) {
 		g.setLargest(g.limits().BodyBytes)
 		g.intake.Check()
+		for g.leaving.Load() && g.intake.EndSlow(intake.CauseShutdown) {
+		}
 		if expired := g.closeExpired(time.Now()); expired.count > 0 {
 			g.logExpired(expired)
 		}
