entry: bounds for the ports that are not for clients

What callers saw: an instance ended by memory (114 to 452 MB, limit 96 MB) or without descriptors (622, limit 600) through its ports for readiness, metrics, tunnels and operators, which had no limits on heads, time or connections.

Cause: bare http.Servers: heads of 1 MiB, no timeouts, any number of connections.

Now heads have 4 KiB and 5 s there (tunnels 1 s, as before). Readiness, metrics and operators have 16 connections each, of which the oldest is closed, so that a crowd does not keep the platform's question out. Other instances and tunnels have an eighth of the sockets each. Bodies of operators' calls are charged to the budget of clients' requests. A tunnel that aborts still resets its connection (tunnel package's tests).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -245,6 +245,7 @@
 	if err != nil {
 		return err
 	}
+	i.limitConnections(&listeners)
 	s := i.settings.Load()
 	i.log.WithFields(logrus.Fields{
 		"instance": s.NodeName, "domain": s.Zone, "clients": s.Listen.Frontend, "peers": s.PeerAddress(), "store": s.Platform.Address,
@@ -256,16 +257,15 @@
 		wg.Go(func() { run(background) })
 	}
 	go i.service.serve(listeners.peers)
-	ready := &http.Server{Handler: http.HandlerFunc(i.serveReady)}
-	metricsServer := &http.Server{Handler: http.HandlerFunc(i.serveMetrics)}
+	ready, metricsServer := newCallServer(http.HandlerFunc(i.serveReady)), newCallServer(http.HandlerFunc(i.serveMetrics))
 	serveErrors := make(chan error, 5)
 	tunnels := i.newTunnelServer()
 	if listeners.tunnels != nil {
 		go func() { serveErrors <- tunnels.Serve(listeners.tunnels) }()
 	}
-	operators := &http.Server{}
+	operators := newCallServer(nil)
 	if listeners.operators != nil {
-		operators.Handler = i.operatorHandler()
+		operators.Handler = i.intake.Limit(i.operatorHandler())
 		go func() { serveErrors <- operators.Serve(listeners.operators) }()
 	}
 	go func() { serveErrors <- i.clients.serve(listeners.clients) }()
--- a/entry/paths.go
+++ b/entry/paths.go
@@ -89,7 +89,7 @@
 
 // newTunnelServer returns the server of requests for tunnels.
 func (i *Instance) newTunnelServer() *http.Server {
-	return &http.Server{Handler: i.tunnels, ReadHeaderTimeout: tunnelHeaderTimeout}
+	return &http.Server{Handler: i.tunnels, ReadHeaderTimeout: tunnelHeaderTimeout, MaxHeaderBytes: shortCallHeaderBytes}
 }
 
 // reachedEngines returns the fraction of the engines that this instance reaches; 1 if there are none. An engine that was
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -163,7 +163,7 @@
 
 // abort makes closing the connection reset it.
 func abort(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 }
