daemon: the fleet's own instances share the budget for callers' requests

What callers saw: martenportd took 391 MB under 192 calls of 1 MiB whose last byte does not come, with a target of 96 MB.

Cause: the messages of callers are bounded, 1 MiB each, and not added up; there was no setting for the process's memory.

--memory states it (1,024 MiB by default). Bodies of callers' and operators' calls are charged to an intake budget, three times, as they are decoded; a request counts as arriving only while its handler waits for more of it, so that long streams of answers are never interrupted. A refused call gets ResourceExhausted with the verdict that it has not run. Callers' connections are bounded, and what HTTP/2 receives ahead of its handlers.

--- a/cmd/martenentryd/main.go
+++ b/cmd/martenentryd/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/entry"
 	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/cli"
@@ -31,11 +32,6 @@
 	logCloseTimeout = 200 * time.Millisecond
 )
 
-// memoryShare is the heap limit as a percentage of the process's memory limit, above which the
-// garbage collector works harder. The rest is for stacks and for bytes that were received and not
-// yet read.
-const memoryShare = 70
-
 // maxPort is the highest TCP port.
 const maxPort = 65535
 
@@ -56,13 +52,13 @@
 		return cli.Usage(err)
 	}
 	if limit := settings.MemoryLimit(); limit > 0 {
-		debug.SetMemoryLimit(limit * memoryShare / 100)
+		debug.SetMemoryLimit(limit * intake.HeapPercent / 100)
 	}
 	if o.OperatorsPort < 0 || o.OperatorsPort > maxPort {
 		return cli.Usage(errors.Newf("--operators-port %d is not a port: give 1 to %d, or leave it out", o.OperatorsPort, maxPort))
 	}
-	if o.RequestMemory < 1 || o.RequestMemory > entry.MaxRequestMemoryPercent {
-		return cli.Usage(errors.Newf("--request-memory %d is not a part of the memory: give 1 to %d percent", o.RequestMemory, entry.MaxRequestMemoryPercent))
+	if o.RequestMemory < 1 || o.RequestMemory > intake.MaxPercent {
+		return cli.Usage(errors.Newf("--request-memory %d is not a part of the memory: give 1 to %d percent", o.RequestMemory, intake.MaxPercent))
 	}
 	out := boundedlog.New(os.Stdout, logBuffer)
 	defer out.Close(logCloseTimeout)
--- a/cmd/martenportd/main.go
+++ b/cmd/martenportd/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"os"
+	"runtime/debug"
 
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/daemon"
 	"github.com/martenport/martenport/internal/cli"
 	"github.com/martenport/martenport/settings"
@@ -25,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(s.Memory) << 20 * intake.HeapPercent / 100)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return err
--- a/command/intake/budget.go
+++ b/command/intake/budget.go
@@ -260,6 +260,15 @@
 	return nil
 }
 
+// setArriving records whether more of the request is awaited, unless it has been refused.
+func (h *Holding) setArriving(arriving bool) {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	if h.refused == "" {
+		h.arriving = arriving
+	}
+}
+
 // Release ends the holding: the request takes no memory any more.
 func (h *Holding) Release() {
 	h.budget.mu.Lock()
--- a/command/intake/handler.go
+++ b/command/intake/handler.go
@@ -13,14 +13,15 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
-// Limit returns a handler whose requests' bodies are charged to the budget until they are answered. A body that is refused fails
-// to be read.
-func (b *Budget) Limit(next http.Handler) http.Handler {
+// Limit returns a handler whose requests' bodies are charged to the budget until they are answered. A request arrives while its body
+// is being read; if it is refused then, reading fails with the error that refusal makes of an *Error.
+func (b *Budget) Limit(next http.Handler, refusal func(error) error) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := http.NewResponseController(w)
 		h := b.Begin(func() { _ = conn.SetReadDeadline(past) })
 		defer h.Release()
-		r.Body = &chargedBody{ReadCloser: r.Body, holding: h}
+		h.setArriving(false)
+		r.Body = &chargedBody{ReadCloser: r.Body, holding: h, refusal: refusal}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -29,19 +30,17 @@
 type chargedBody struct {
 	io.ReadCloser
 	holding *Holding
+	refusal func(error) error
 }
 
 // Read implements io.Reader.
 func (c *chargedBody) Read(p []byte) (int, error) {
+	c.holding.setArriving(true)
 	n, err := c.ReadCloser.Read(p)
+	c.holding.setArriving(false)
 	c.holding.Progress(n)
 	if refused := c.holding.Charge(messageCopies * int64(n)); refused != nil {
-		return 0, refused
-	}
-	if err == io.EOF {
-		if refused := c.holding.Complete(); refused != nil {
-			return 0, refused
-		}
+		return 0, c.refusal(refused)
 	}
 	return n, err
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,17 +13,21 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/backend"
+	"github.com/martenport/martenport/command/intake"
 	"github.com/martenport/martenport/declaration"
 	"github.com/martenport/martenport/event"
+	"github.com/martenport/martenport/internal/connlimit"
 	"github.com/martenport/martenport/internal/rpcpool"
 	"github.com/martenport/martenport/platform"
 	"github.com/martenport/martenport/settings"
+	"github.com/martenport/martenport/verdict/rpcerror"
 )
 
 // Daemon is an entry instance with its listeners.
 type Daemon struct {
 	*Core
 	transport *http.Transport
+	intake    *intake.Budget
 
 	callerListener, operatorListener, peerListener net.Listener
 
@@ -58,6 +62,9 @@
 	}
 	d.Core = NewCore(s, Dependencies{Store: client, Engine: d.dialEngine, Service: d.dialService, Peer: rpcpool.DialTCP}, peerAddress, log)
 	d.metrics.addPlatform(client.Calls())
+	memory := int64(s.Memory) << 20
+	d.intake = intake.ForProcess(memory, intake.DefaultPercent, d.metrics.set, log)
+	d.callerListener = connlimit.New(d.callerListener, "callers", intake.MaxConns(memory), connlimit.CloseNew, d.metrics.set, log)
 	return d, nil
 }
 
@@ -109,6 +116,13 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// connReceiveBytes and streamReceiveBytes bound what is received and not yet read of the requests on a connection of HTTP/2, and of
+// each of them.
+const (
+	connReceiveBytes   = 256 << 10
+	streamReceiveBytes = 64 << 10
+)
+
 // Run serves until ctx ends, Drain is called or a listener fails, then drains and
 // returns. Draining takes at most settings.DrainLimit. The error is that of the
 // failed listener.
@@ -118,6 +132,7 @@
 	var work sync.WaitGroup
 	work.Go(func() { d.Core.Run(background) })
 	go d.ServePeers(d.peerListener)
+	work.Go(func() { d.intake.Run(background) })
 	callers, operators := d.server(d.callerHandler()), d.server(d.operatorHandler())
 	failed := make(chan error, 2)
 	go func() { failed <- d.serve(callers, d.callerListener) }()
@@ -142,7 +157,10 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{
+		Handler: d.intake.Limit(handler, rpcerror.Refused), Protocols: protocols, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes,
+		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerConnection: connReceiveBytes, MaxReceiveBufferPerStream: streamReceiveBytes},
+	}
 }
 
 func (d *Daemon) serve(server *http.Server, l net.Listener) error {
--- a/daemon/fleet_test.go
+++ b/daemon/fleet_test.go
@@ -83,7 +83,7 @@
 func testSettings(name, domain string) settings.Settings {
 	return settings.Settings{
 		Name: name, FailureDomain: domain, Listen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		PlatformURL: "http://127.0.0.1:1", PlatformRate: 50, MaxRequests: 2000, MaxPerModel: 2000, MaxPerCaller: 2000,
+		PlatformURL: "http://127.0.0.1:1", PlatformRate: 50, MaxRequests: 2000, Memory: 1024, MaxPerModel: 2000, MaxPerCaller: 2000,
 		MaxPromptBytes: 1 << 20, MaxTokens: 8192, MaxTimeout: 24 * time.Hour, KeyRetention: 24 * time.Hour, HeldAnswers: 1000,
 		DrainLimit: time.Minute, Events: 2000, LogLevel: "info", Tick: time.Second, Settle: 2 * time.Second, Workers: 4,
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -29,6 +29,7 @@
 	"github.com/martenport/martenport/serving"
 	"github.com/martenport/martenport/table"
 	"github.com/martenport/martenport/tunnel"
+	"github.com/martenport/martenport/verdict/rpcerror"
 )
 
 // Time limits and rates of calls to the store.
@@ -265,7 +266,7 @@
 	}
 	operators := newCallServer(nil)
 	if listeners.operators != nil {
-		operators.Handler = i.intake.Limit(i.operatorHandler())
+		operators.Handler = i.intake.Limit(i.operatorHandler(), rpcerror.Refused)
 		go func() { serveErrors <- operators.Serve(listeners.operators) }()
 	}
 	go func() { serveErrors <- i.clients.serve(listeners.clients) }()
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -33,7 +33,7 @@
 	// can connect to the port has access.
 	OperatorCredential string
 	// RequestMemoryPercent is the part of the process's memory that clients' requests may take together;
-	// DefaultRequestMemoryPercent if 0.
+	// intake.DefaultPercent if 0.
 	RequestMemoryPercent int
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,7 @@
 	MaxPromptBytes int           `long:"max-prompt-bytes" env:"MARTENPORT_MAX_PROMPT_BYTES" default:"1048576" description:"largest prompt or service call body"`
 	MaxTokens      int           `long:"max-tokens" env:"MARTENPORT_MAX_TOKENS" default:"8192" description:"most tokens that a request may ask for"`
 	MaxTimeout     time.Duration `long:"max-timeout" env:"MARTENPORT_MAX_TIMEOUT" default:"24h" description:"longest time that a request may allow"`
+	Memory         int           `long:"memory" env:"MARTENPORT_MEMORY" default:"1024" description:"memory of the process in MiB; requests may take a quarter of it together, and connections another"`
 	KeyRetention   time.Duration `long:"key-retention" env:"MARTENPORT_KEY_RETENTION" default:"24h" description:"how long keys of non-idempotent requests are remembered"`
 	HeldAnswers    int           `long:"held-answers" env:"MARTENPORT_HELD_ANSWERS" default:"10000" description:"answers of non-idempotent requests held for repeats"`
 	DrainLimit     time.Duration `long:"drain-limit" env:"MARTENPORT_DRAIN_LIMIT" default:"10m" description:"longest time that a graceful shutdown waits for running requests"`
@@ -104,7 +105,7 @@
 	for flag, n := range map[string]int{
 		"max-requests": s.MaxRequests, "max-per-model": s.MaxPerModel, "max-per-caller": s.MaxPerCaller,
 		"max-prompt-bytes": s.MaxPromptBytes, "max-tokens": s.MaxTokens, "held-answers": s.HeldAnswers,
-		"events": s.Events, "workers": s.Workers,
+		"events": s.Events, "workers": s.Workers, "memory": s.Memory,
 	} {
 		if n < 1 {
 			fault(flag, "%d is below 1", n)
--- a/verdict/rpcerror/rpcerror.go
+++ b/verdict/rpcerror/rpcerror.go
@@ -42,3 +42,8 @@
 	}
 	return out
 }
+
+// Refused converts the error of a request that is not read for lack of room. It has not run.
+func Refused(err error) error {
+	return New(verdict.New(verdict.NotRun, verdict.ReasonQueueFull, "%v", err))
+}
