soak: crowds of clients that do not behave, beside all other faults

Each instance has 96 MB and 800 descriptors now. In turn, 112 clients send bodies of 1 MiB to one of them, with a length or in chunks, and stop short of their end. An instance that exceeds its memory breaks a promise, and so does a request of a crowd that runs.

--- a/soak/faults.go
+++ b/soak/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,9 +32,10 @@
 	var injected []string
 	var pending sync.WaitGroup
 	began := time.Now()
-	var endless, garbage []string
+	var endless, garbage, crowds []string
 	pending.Go(func() { endless = r.injectEndlessFaults(ctx) })
 	pending.Go(func() { garbage = r.injectGarbage(ctx) })
+	pending.Go(func() { crowds = r.injectCrowds(ctx) })
 	scheduled, storeFaultsFrom := r.scheduledFaults(ctx), r.storeFaultsFrom()
 	for time.Since(began) < r.params.FaultDuration {
 		var f fault
@@ -54,7 +56,7 @@
 		}
 	}
 	pending.Wait()
-	return append(append(injected, endless...), garbage...)
+	return slices.Concat(injected, endless, garbage, crowds)
 }
 
 func noop() {}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -113,6 +113,8 @@
 	waker *clientWaker
 	// takeUps counts streams that clients begin and take up.
 	takeUps takeUps
+	// entryMemory records instances that exceed their memory.
+	entryMemory memoryLog
 	// software holds the IDs of servers and the software versions of engines.
 	software *softwareLog
 	// concentrated is the instance that most new connections come to, and avoided one that none comes to, plus 1; 0 if there is
@@ -156,6 +158,7 @@
 	result.EnginesCrashed = r.poisons.count()
 	result.Violations = append(result.Violations, r.poisonViolations()...)
 	result.Violations = append(result.Violations, r.takeUps.violations()...)
+	result.Violations = append(result.Violations, r.entryMemory.violations()...)
 	result.Violations = append(result.Violations, r.brittle.violations(r.serversByService())...)
 	result.Violations = append(result.Violations, r.checkRecovery(ctx)...)
 	return result, nil
@@ -298,10 +301,10 @@
 zone = "%s"
 internalPorts = [7380, 7390]
 listen = { frontend = "%s:8100", ready = "%s:8101" }
-limits = { cpuShare = 1.0, cores = 1 }
+limits = { cpuShare = 1.0, cores = 1, memoryMb = %d, maxFds = %d }
 bounds = { drainMs = 2000, graceS = %v, leaseMs = %d, budgetRatio = %v, budgetWindowS = %v, budgetExtra = %d, revokeFailClosed = true, revokeMs = %d, quotaWindowS = %v, quotaOverage = %v, quotaSlack = %v }
 platform = { address = "%s" }
-`, i, ip, domainOf(i), ip, ip, gracePeriod.Seconds(), holderGapMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), revokeBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, storeProxy.address())
+`, i, ip, domainOf(i), ip, ip, entryMemoryMB, entryFDs, gracePeriod.Seconds(), holderGapMS, budgetRatio, budgetWindow.Seconds(), budgetExtra(r.params.Entries), revokeBound.Milliseconds(), quotaWindow.Seconds(), quotaOverage, quotaSlack, storeProxy.address())
 	path := filepath.Join(r.logs, fmt.Sprintf("entry-%d.toml", i))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return errors.Wrap(err, "soak: write settings of an entry instance")
