intake: a body that a handler does not read no longer keeps its connection

A read deadline of 500 ms is set when the handler has returned.

intake TestUnreadBodyKeepsConnection failed without it (no answer in 20 s). TestMessagesShareBudget covers the handler's charges.

--- a/command/intake/handler.go
+++ b/command/intake/handler.go
@@ -23,9 +23,13 @@
 		h.setArriving(false)
 		r.Body = &chargedBody{ReadCloser: r.Body, holding: h, refusal: refusal}
 		next.ServeHTTP(w, r)
+		_ = conn.SetReadDeadline(time.Now().Add(unreadTimeout)) // net/http removes it before the next request
 	})
 }
 
+// unreadTimeout is how long net/http waits for what a handler has not read of a body before it closes the connection.
+const unreadTimeout = 500 * time.Millisecond
+
 // chargedBody charges what is read.
 type chargedBody struct {
 	io.ReadCloser
