--- a/entry/guard.go
+++ b/entry/guard.go
@@ -92,11 +92,14 @@
 	c.requestClose()
 }
 
-// trackHandlers records that a request has reached a handler.
+// trackHandlers records that a request has reached a handler, and has arrived as a whole if it has no body.
 func (g *connGuard) trackHandlers(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c := connFromContext(r.Context()); c != nil {
 			c.markHandled()
+			if r.ContentLength == 0 {
+				_ = c.requestHolding().Complete() // one that was refused meanwhile is answered by the handler
+			}
 		}
 		next.ServeHTTP(w, r)
 	})
