entry: operators see requests that are refused early, and connections that make room

A review of this change: refusals of 400, 408, 413 and 431 had neither a counter nor a log line, and neither had connections that are closed to make room beyond their end. Both have now, one line in 10 s for each kind. The fleet's operators' port has a bound of connections, as that of entry instances. The end-to-end tests and the soak read the memory of processes with one function. makeRoom says its order in plain steps; three names are clearer.

--- a/command/intake/budget.go
+++ b/command/intake/budget.go
@@ -76,17 +76,17 @@
 	return &Budget{share: share, most: max(share, most), onRefused: onRefused, limit: share, open: map[*Holding]struct{}{}}
 }
 
-// growth is how many times the size of a request it may need: half as much for the buffer that it outgrows, and the part of the
+// largestShares is how many times its size a single request needs: one and a half times while its buffer doubles, and the part of the
 // budget that it leaves free.
-const growth = 2
+const largestShares = 2
 
 // SetLargest sets the size of the largest request in bytes, which is read even if it exceeds the share, and reports whether there
 // is room for one.
 func (b *Budget) SetLargest(size int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = min(max(b.share, growth*size), b.most)
-	return growth*size <= b.most
+	b.limit = min(max(b.share, largestShares*size), b.most)
+	return largestShares*size <= b.most
 }
 
 // Used returns the memory of all requests beyond what is not charged, in bytes, and the number of requests.
--- a/command/intake/budget_test.go
+++ b/command/intake/budget_test.go
@@ -167,7 +167,7 @@
 				h := pick(t)
 				n := rapid.Int64Range(1, testShare/2).Draw(t, "bytes")
 				alone := b.used == h.charged && h.refused == ""
-				fitsAlone := growth*(h.bytes+n) <= testShare
+				fitsAlone := largestShares*(h.bytes+n) <= testShare
 				if err := h.Charge(n); err != nil && alone && fitsAlone {
 					t.Fatalf("a request alone is refused: %v", err)
 				}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,6 +64,7 @@
 	d.metrics.addPlatform(client.Calls())
 	memory := int64(s.Memory) << 20
 	d.intake = intake.ForProcess(memory, intake.DefaultPercent, d.metrics.set, log)
+	d.operatorListener = connlimit.New(d.operatorListener, "operators", operatorConns, connlimit.CloseOldest, d.metrics.set, log)
 	d.callerListener = connlimit.New(d.callerListener, "callers", intake.MaxConns(memory), connlimit.CloseNew, d.metrics.set, log)
 	return d, nil
 }
@@ -116,6 +117,9 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// operatorConns is the number of connections of operators and of readers of the metrics.
+const operatorConns = 64
+
 // connReceiveBytes and streamReceiveBytes bound what is received and not yet read of the requests on a connection of HTTP/2, and of
 // each of them.
 const (
--- a/e2e/crowd_test.go
+++ b/e2e/crowd_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"github.com/martenport/martenport/internal/procstat"
 	"github.com/martenport/martenport/internal/standin"
 )
 
@@ -134,17 +135,17 @@
 		c.t.Fatalf("%s: the process has ended: %v", when, err)
 	default:
 	}
-	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	fds, err := procstat.OpenDescriptors(p.cmd.Process.Pid)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	peak := p.peakMemoryKB()
-	c.t.Logf("%s: %d KB of memory at most, %d descriptors", when, peak, len(fds))
+	c.t.Logf("%s: %d KB of memory at most, %d descriptors", when, peak, fds)
 	if peak > crowdMemoryMB<<10 {
 		c.t.Errorf("%s: the process had %d KB of memory, its limit is %d KB", when, peak, crowdMemoryMB<<10)
 	}
-	if len(fds) > crowdFDs {
-		c.t.Errorf("%s: the process has %d descriptors, its limit is %d", when, len(fds), crowdFDs)
+	if fds > crowdFDs {
+		c.t.Errorf("%s: the process has %d descriptors, its limit is %d", when, fds, crowdFDs)
 	}
 }
 
@@ -161,7 +162,7 @@
 	}
 }
 
-// checkPromises checks that no request has run that was answered as not run, or that did not arrive whole.
+// checkPromises checks that no request has run that was answered as not run.
 func (c *crowd) checkPromises() {
 	c.t.Helper()
 	c.mu.Lock()
--- a/e2e/endlessload_test.go
+++ b/e2e/endlessload_test.go
@@ -5,14 +5,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/martenport/martenport/internal/procstat"
 	"github.com/martenport/martenport/internal/standin"
 )
 
@@ -151,12 +150,7 @@
 // peakMemoryKB returns the highest resident memory that a process has had.
 func (p *process) peakMemoryKB() int {
 	p.t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	_, peak, _ := strings.Cut(string(status), "VmHWM:")
-	kb, err := strconv.Atoi(strings.Fields(peak)[0])
+	kb, err := procstat.PeakMemoryKB(p.cmd.Process.Pid)
 	if err != nil {
 		p.t.Fatal(err)
 	}
--- a/entry/clientconn.go
+++ b/entry/clientconn.go
@@ -146,8 +146,8 @@
 	return c.yielding && c.phase == phaseReceiving
 }
 
-// headerBytes is the memory that a header takes beyond its text, as net/http and the request keep it.
-const headerBytes = 256
+// headerOverhead is the memory in bytes that a header takes beyond its text, in the maps of net/http and of the request.
+const headerOverhead = 256
 
 // chargeHead charges what has been read to the request, unless that is part of a body, which its reader charges.
 func (c *clientConn) chargeHead(p []byte) error {
@@ -155,14 +155,14 @@
 		return nil
 	}
 	c.mu.Lock()
-	serving := c.phase == phaseServing
+	isBody := c.phase == phaseServing
 	c.mu.Unlock()
-	if serving {
+	if isBody {
 		return nil
 	}
 	h := c.requestHolding()
 	h.Progress(len(p))
-	return h.Charge(int64(len(p) + headerBytes*bytes.Count(p, []byte{'\n'})))
+	return h.Charge(int64(len(p) + headerOverhead*bytes.Count(p, []byte{'\n'})))
 }
 
 // requestHolding returns the holding of the request that is being received or served.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -180,6 +180,7 @@
 	i.shedding = newConnShedder(i.dir.Config, i.holder.Holds, maxClientConns(&s), i.set, log)
 	i.intake = newIntake(s.MemoryLimit(), o.RequestMemoryPercent, i.set, log)
 	ingress := platform.NewIngress(i.forwarder, i.limits, requestHolding)
+	ingress.OnRefused(recordEarlyRefusals(i.set, log))
 	i.clients = newClientServer(i.closeWhileDraining(i.shedding.closeWhileShedding(ingress)), i.limits, i.intake, i.set, log)
 	i.clients.admit, i.clients.maxConns = i.shedding.admit, maxClientConns(&s)
 	i.addGauges()
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/intake"
+	"github.com/martenport/martenport/internal/boundedlog"
 	"github.com/martenport/martenport/internal/pause"
 	"github.com/martenport/martenport/serving"
 )
@@ -23,6 +24,8 @@
 	limits func() serving.Limits
 	intake *intake.Budget
 	ends   *connEndRecorder
+	// yieldLines limits the log lines about connections that are closed to make room.
+	yieldLines *boundedlog.Lines
 
 	// leaving: the instance waits for its requests to end, and not for those that do not progress.
 	leaving atomic.Bool
@@ -36,7 +39,7 @@
 }
 
 func newConnGuard(limits func() serving.Limits, budget *intake.Budget, ends *connEndRecorder) *connGuard {
-	return &connGuard{limits: limits, intake: budget, ends: ends, conns: map[*clientConn]struct{}{}}
+	return &connGuard{limits: limits, intake: budget, ends: ends, yieldLines: boundedlog.NewLines(yieldLogInterval), conns: map[*clientConn]struct{}{}}
 }
 
 // connKey is the context key of a request's connection.
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -2,11 +2,15 @@
 
 import (
 	"cmp"
+	"strconv"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/command/intake"
+	"github.com/martenport/martenport/internal/boundedlog"
+	"github.com/martenport/martenport/internal/clock"
 	"github.com/martenport/martenport/platform"
 )
 
@@ -34,3 +38,20 @@
 func newIntake(memory int64, percent int, set *metrics.Set, log logrus.FieldLogger) *intake.Budget {
 	return intake.ForProcess(cmp.Or(memory, defaultMemoryBytes), cmp.Or(percent, intake.DefaultPercent), set, log)
 }
+
+// earlyRefusalLogInterval is the time between two log lines about requests that are refused early with one status.
+const earlyRefusalLogInterval = 10 * time.Second
+
+// recordEarlyRefusals returns a function that counts and logs requests that are refused before they are passed on.
+func recordEarlyRefusals(set *metrics.Set, log logrus.FieldLogger) func(platform.EarlyRefusal) {
+	lines := boundedlog.NewLines(earlyRefusalLogInterval)
+	return func(r platform.EarlyRefusal) {
+		status := strconv.Itoa(r.Status)
+		set.GetOrCreateCounter(`martenport_requests_refused_early_total{status="` + status + `"}`).Inc()
+		if omitted, due := lines.Due(status, clock.Now()); due {
+			log.WithFields(logrus.Fields{
+				"status": r.Status, "reason": r.Reason, "client": r.ClientAddress, "announced_bytes": r.AnnouncedBytes, "omitted": omitted,
+			}).Warn("request refused before it was passed on")
+		}
+	}
+}
--- a/entry/yield.go
+++ b/entry/yield.go
@@ -3,28 +3,52 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/martenport/martenport/command/intake"
+	"github.com/martenport/martenport/internal/clock"
 )
 
 // yieldAge is how long a connection has to have been idle to yield to a new one. Clients send their first request right after they
 // connect.
 const yieldAge = time.Second
 
-// yieldingShare is the part of the connections that may be closing to make room for others. They take their places until then.
+// yieldingShare: one in so many connections may be closing to make room for others. They take their places until then.
 const yieldingShare = 8
 
-// makeRoom closes one of most connections so that there is room for another one, and reports whether it did: one without a request
-// so far, else one whose request does not progress, else one that has been idle for longest.
+// yieldLogInterval is the time between two log lines about connections of one kind that are closed to make room.
+const yieldLogInterval = 10 * time.Second
+
+// makeRoom closes one of most connections so that there is room for another one, and reports whether it did.
 func (g *connGuard) makeRoom(most int) bool {
 	unused, idle, yielding := g.yieldCandidates(time.Now())
-	switch {
-	case yielding > most/yieldingShare:
+	if yielding > most/yieldingShare {
+		return false
+	}
+	kind := g.closeForRoom(unused, idle)
+	if kind == "" {
 		return false
-	case unused != nil && g.yield(unused), g.intake.EndSlow(intake.CauseConnections), idle != nil && g.yield(idle):
-		g.ends.count(endYielded, 1)
-		return true
 	}
-	return false
+	g.ends.count(endYielded, 1)
+	if omitted, due := g.yieldLines.Due(kind, clock.Now()); due {
+		g.ends.log.WithFields(logrus.Fields{"kind": kind, "limit": most, "yielding": yielding, "omitted": omitted}).Warn("connection closed to make room for another")
+	}
+	return true
+}
+
+// closeForRoom closes the connection without a request so far, else one whose request does not progress, else the idle one. It returns
+// which kind that is, "" if there is none.
+func (g *connGuard) closeForRoom(unused, idle *clientConn) string {
+	if unused != nil && g.yield(unused) {
+		return "unused"
+	}
+	if g.intake.EndSlow(intake.CauseConnections) {
+		return "slow"
+	}
+	if idle != nil && g.yield(idle) {
+		return "idle"
+	}
+	return ""
 }
 
 // yieldCandidates returns the connections that have been idle for longest, one without and one with an earlier request, and how many
--- a/soak/crowd.go
+++ b/soak/crowd.go
@@ -6,11 +6,11 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/martenport/martenport/internal/procstat"
 )
 
 // Limits of each entry instance, and the clients of a crowd: their bodies together exceed the memory.
@@ -115,17 +115,8 @@
 	if cmd == nil {
 		return
 	}
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-	if err != nil {
-		return // it has just ended
-	}
-	_, peak, _ := strings.Cut(string(status), "VmHWM:")
-	fields := strings.Fields(peak)
-	if len(fields) == 0 {
-		return // it is ending
-	}
-	kb, err := strconv.Atoi(fields[0])
-	if err != nil || kb <= entryMemoryMB<<10 {
+	kb, err := procstat.PeakMemoryKB(cmd.Process.Pid)
+	if err != nil || kb <= entryMemoryMB<<10 { // an error means that it has just ended
 		return
 	}
 	l.mu.Lock()
