holder: two engines out of reach in a row no longer make a holder give up its lease

Cause: a failure domain is cut off, and its holder's lease passes to an instance of another one. Every second engine that it tries is in the cut one; two failures in a row count as isolation from all engines (reached=0). It gives the lease up, takes it again since it can connect to engines, and gives it up again 12 times in 5 s; each term orders loads 5.5 s after it began, so none is ordered. Besides, the 400 ms for which that has to last were counted from an earlier term.

The fault is older: the handover has not been changed.

Now an instance connects to some engines before it gives the lease up, as it does before it takes one; a success shows that it is not isolated. One that is, fails to connect and gives the lease up as before. The time starts anew with each term.

--- a/command/holder/handover.go
+++ b/command/holder/handover.go
@@ -25,6 +25,10 @@
 // before Run.
 func (h *Holder) SetReach(reached func() float64) { h.reached = reached }
 
+// SetReachCheck sets the function that tries whether engines are in reach, by connecting to some; what it finds is part of what the
+// function of SetReach returns afterwards. It must be called before Run.
+func (h *Holder) SetReachCheck(check func(context.Context)) { h.checkReach = check }
+
 // handOverDue reports whether the lease should be given up because other instances reach more engines.
 func (h *Holder) handOverDue(now time.Time) bool {
 	own := h.reached()
@@ -60,4 +64,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	h.Release(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.fewReachedSince = time.Time{}
 }
--- a/command/holder/handover_test.go
+++ b/command/holder/handover_test.go
@@ -99,3 +99,65 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// TestReachIsTriedBeforeHandOver guards against a holder that counts as isolated since two engines in a row could not be connected
+// to, gives up the lease although it reaches most others, takes it again, and orders no loads meanwhile.
+func TestReachIsTriedBeforeHandOver(t *testing.T) {
+	for name, reachable := range map[string]bool{"others are in reach": true, "none is in reach": false} {
+		synctest.Test(t, func(t *testing.T) {
+			h := newTestHolder("a", standin.NewPlatform(), &fakeEngine{models: map[string][]string{}}, time.Second, "m1")
+			var isolated atomic.Bool
+			h.SetReach(func() float64 {
+				if isolated.Load() {
+					return 0
+				}
+				return 1
+			})
+			h.SetReachCheck(func(context.Context) {
+				if reachable {
+					isolated.Store(false)
+				}
+			})
+			ctx, stop := context.WithCancel(t.Context())
+			takeOverFrom(ctx, t, h)
+			go func() {
+				for ctx.Err() == nil {
+					_, _ = h.Exchange(Report{Name: "b", Reached: 1}, time.Now())
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+			time.Sleep(time.Second)
+			for range 5 {
+				isolated.Store(true)
+				time.Sleep(2 * handOverAfter)
+			}
+			if h.Holds() != reachable {
+				t.Errorf("%s: holds the lease: %t", name, h.Holds())
+			}
+			stop()
+			time.Sleep(10 * time.Second)
+		})
+	}
+}
+
+// TestReachOfEarlierTerm guards against a holder that gives up the lease at once, since it reached few engines when it last held it.
+func TestReachOfEarlierTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newTestHolder("a", standin.NewPlatform(), &fakeEngine{models: map[string][]string{}}, time.Second, "m1")
+		h.SetReach(func() float64 { return 0 })
+		ctx, stop := context.WithCancel(t.Context())
+		takeOverFrom(ctx, t, h)
+		_, _ = h.Exchange(Report{Name: "b", Reached: 1}, time.Now())
+		h.handOverDue(time.Now())
+		time.Sleep(handOverAfter)
+		h.handOver(ctx)
+		h.mu.Lock()
+		since := h.fewReachedSince
+		h.mu.Unlock()
+		if !since.IsZero() {
+			t.Errorf("few engines are in reach since %v, when the lease was held before", since)
+		}
+		stop()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/command/holder/holder.go
+++ b/command/holder/holder.go
@@ -76,6 +76,8 @@
 	// is so small that the lease is to be given up; zero if it is not. fewReachedSince is guarded by mu.
 	reached         func() float64
 	fewReachedSince time.Time
+	// checkReach tries whether engines are in reach.
+	checkReach func(context.Context)
 	// outageID numbers the outages in which this instance cannot reach the store, and inOutage reports whether there
 	// is one now; guarded by mu.
 	outageID uint64
@@ -125,7 +127,7 @@
 		workers: map[string]*worker{}, uses: recentUses{until: map[use]time.Time{}}, pacing: newDispatchPacing(),
 		speeds: balance.NewSpeedLearner(),
 		era:    unknownEra, firstEra: unknownEra, ctx: context.Background(), replicaLimits: limits.None{},
-		outageStart: func() (none time.Time) { return }, reached: func() float64 { return 1 },
+		outageStart: func() (none time.Time) { return }, reached: func() float64 { return 1 }, checkReach: func(context.Context) {},
 	}
 }
 
@@ -160,8 +162,11 @@
 			continue
 		}
 		if h.handOverDue(clock.Now()) {
-			h.handOver(ctx)
-			continue
+			h.checkReach(ctx) // two engines out of reach, one after the other, do not show that the others are
+			if h.handOverDue(clock.Now()) {
+				h.handOver(ctx)
+				continue
+			}
 		}
 		h.tick(clock.Now())
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -142,6 +142,7 @@
 	i.watcher.onUnreadable = countUnreadable(i.set, log)
 	i.follower.watcher, i.follower.shares = i.watcher, quota.NewShares(holderParams.Quota.Lifetime)
 	i.holder.SetReach(i.reachedEngines)
+	i.holder.SetReachCheck(func(ctx context.Context) { i.reachesEngine(ctx) })
 	i.follower.reached, i.follower.reachesEngine = i.reachedEngines, i.reachesEngine
 	i.follower.limiter, i.follower.address = i.limiter, s.PeerAddress()
 	i.holder.SetRunsAsker(i.follower.askRunsEnd)
