platform: responses of servers with invalid heads are no answers

What callers saw: the answer of a server in trouble with a status such as 600, or with a blank in the name of a field in its head. If the field was that of the length or of the chunks, the body held the framing of the chunks, or all bytes up to the end of the connection.

Cause: net/http accepts any three digits as a status, and blanks in the names of fields, which it keeps as they were sent, so that a length or an encoding in such a field is overlooked. Nothing else looked at names. The status was checked only below 200, in requests, after the advisories of the head had been published and its connection could be used again; reports, orders, states of runs, backups and presence compared it with what they expect.

An invalid head gives an error before anything in it counts, the request may have run, the connection is closed, and the server is counted and logged (martenport_server_invalid_heads_total).

--- a/e2e/endlessload_test.go
+++ b/e2e/endlessload_test.go
@@ -32,13 +32,15 @@
 	routes, denied map[string]string
 	// wrong are answers that look whole and are not those to their requests; guarded by mu.
 	wrong []string
+	// seals is the number of answers by their seal; guarded by mu.
+	seals map[string]int
 }
 
 // runLoad sends requests on kept connections for some time, and longer until enough returns true, but for waitLoad at most.
 func (f *entryFleet) runLoad(name string, duration time.Duration, enough func() bool) *load {
 	const waitLoad = 10 * time.Second
 	routes := []string{"safe", "unsafe", "stream", "once"}
-	l := &load{ends: map[string]int{}, routes: map[string]string{}, denied: map[string]string{}}
+	l := &load{ends: map[string]int{}, routes: map[string]string{}, denied: map[string]string{}, seals: map[string]int{}}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: endlessClients}}
 	defer client.CloseIdleConnections()
 	var clients sync.WaitGroup
@@ -78,7 +80,7 @@
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 	}
-	a.status, a.text, a.whole = resp.StatusCode, string(text), err == nil
+	a.status, a.seal, a.text, a.whole = resp.StatusCode, resp.Header.Get("Martenport-Server-Seal"), string(text), err == nil
 	return a
 }
 
@@ -86,6 +88,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.routes[a.id] = a.route
+	l.seals[a.seal]++
 	notRun := []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 	switch {
 	case a.status == 0, a.whole && slices.Contains(notRun, a.status):
--- a/e2e/unframed_test.go
+++ b/e2e/unframed_test.go
@@ -17,6 +17,7 @@
 type answer struct {
 	route, id string
 	status    int
+	seal      string
 	text      string
 	whole     bool
 }
--- a/entry/malformed.go
+++ b/entry/malformed.go
@@ -33,13 +33,21 @@
 
 // countUnreadable returns a function that counts and logs entries of servers that cannot be decoded.
 func countUnreadable(set *metrics.Set, log logrus.FieldLogger) func(server serving.Server, err error) {
-	entries := set.NewCounter("martenport_server_entries_unreadable_total")
+	return countFaults(set.NewCounter("martenport_server_entries_unreadable_total"), log, "entry of a server cannot be read, it is not used")
+}
+
+// countInvalidHeads returns a function that counts and logs responses of servers whose heads are not valid HTTP.
+func countInvalidHeads(set *metrics.Set, log logrus.FieldLogger) func(server serving.Server, err error) {
+	return countFaults(set.NewCounter("martenport_server_invalid_heads_total"), log, "server sent a response whose head is not valid HTTP")
+}
+
+// countFaults returns a function that counts faults of servers, and logs them with a message.
+func countFaults(faults *metrics.Counter, log logrus.FieldLogger, message string) func(server serving.Server, err error) {
 	lines := boundedlog.NewLines(malformedInterval)
 	return func(server serving.Server, err error) {
-		entries.Inc()
-		omitted, due := lines.Due(server.ID, clock.Now())
-		if due {
-			log.WithFields(logrus.Fields{"server": server.ID, "revision": server.Revision, "error": err, "omitted": omitted}).Error("entry of a server cannot be read, it is not used")
+		faults.Inc()
+		if omitted, due := lines.Due(server.ID, clock.Now()); due {
+			log.WithFields(logrus.Fields{"server": server.ID, "address": server.Address, "revision": server.Revision, "error": err, "omitted": omitted}).Error(message)
 		}
 	}
 }
--- a/entry/processchecks.go
+++ b/entry/processchecks.go
@@ -18,6 +18,7 @@
 	i.backends.OnAdvisory(i.limiter.observe)
 	i.backends.CheckRests(func(s serving.Server) bool { return i.limiter.RetryAfterUntil(s).After(clock.Now()) })
 	i.backends.OnOversized(newOversizedAnswers(i.set, i.log).record)
+	i.backends.OnInvalidHead(countInvalidHeads(i.set, i.log))
 	lines := boundedlog.NewLines(processLogInterval)
 	i.backends.OnProcessCheck(func(s serving.Server, found serving.Presence) {
 		now := clock.Now()
--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -171,7 +171,7 @@
 	if id != "" {
 		named = "Martenport-Attempt-Id: " + id + "\r\n"
 	}
-	return named, named + "Martenport-Server-Seal: seal-" + s.params.ID + "\r\n"
+	return named, named + "Martenport-Server-Seal: " + s.Seal() + "\r\n"
 }
 
 // contentType returns the header of that name for a body.
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -91,6 +92,9 @@
 	pause        pauseState
 	endless      endlessState
 	garbage      garbageState
+	// headFault is the fault of answers' heads, nil for none, and headFaultsSent the number of such answers.
+	headFault      atomic.Pointer[HeadFault]
+	headFaultsSent atomic.Int64
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
@@ -212,6 +216,10 @@
 		s.sendGarbage(w, r, fault)
 		return
 	}
+	if fault := s.headFault.Load(); fault != nil && id != "" {
+		s.sendHeadFault(w, r, fault)
+		return
+	}
 	if id != "" && signals.Rest != "" {
 		signals.refuseRequest(w, id)
 		return
--- a/internal/standin/server_requests.go
+++ b/internal/standin/server_requests.go
@@ -40,7 +40,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Martenport-Server-Seal", "seal-"+s.params.ID)
+	w.Header().Set("Martenport-Server-Seal", s.Seal())
 	if content := requestContent(r, body); s.params.PoisonPrefix != "" && strings.HasPrefix(content, s.params.PoisonPrefix) {
 		s.crash(w, content)
 	}
