--- a/entry/entry.go
+++ b/entry/entry.go
@@ -347,7 +347,7 @@
 	i.set.NewGauge(`martenport_waitlist_requests{state="due"}`, func() float64 { return float64(i.holder.WaitlistTotals(clock.Now()).Due) })
 	for kind, count := range map[string]*atomic.Int64{
 		"read": &i.client.Calls().Reads, "stale_read": &i.client.Calls().StaleReads, "write": &i.client.Calls().Writes, "watch": &i.client.Calls().Watches, "failed": &i.client.Calls().Failures,
-		"unreadable": &i.client.Calls().MalformedObjects, "oversized": &i.client.Calls().Oversized, "refused": &i.client.Calls().Refused,
+		"unreadable": &i.client.Calls().MalformedObjects, "oversized": &i.client.Calls().Oversized, "refused": &i.client.Calls().Refused, "invalid_head": &i.client.Calls().InvalidHeads,
 	} {
 		i.set.NewGauge(`martenport_store_calls{kind="`+kind+`"}`, func() float64 { return float64(count.Load()) })
 	}
