backend: responses with invalid heads are no answers

In martenportd a response with status 000, 101 or 600, or with a blank in the name of a field, stated that an order was not carried out (below 500 all but 200 and 412 is a refusal), or that a request had not run ("not_run" in its body), though either may have been; a body whose length was overlooked counted as a call's answer.

Now all requests of a backend.HTTP go through httphead.Transport: the outcome of an order is not known, a request may have run, and the connection is closed.

--- a/backend/http.go
+++ b/backend/http.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/martenport/martenport/internal/httphead"
 	"github.com/martenport/martenport/internal/tcpdial"
 	"github.com/martenport/martenport/verdict"
 )
@@ -55,10 +56,16 @@
 	credential string
 }
 
-// NewHTTP returns a client of the backend server at the base URL. credential, if not
-// empty, is sent as a bearer token with each POST request.
+// NewHTTP returns a client of the backend server at the base URL, which sends requests
+// like the given one. credential, if not empty, is sent as a bearer token with each POST
+// request.
 func NewHTTP(base string, client *http.Client, credential string) *HTTP {
-	return &HTTP{base: base, client: client, credential: credential}
+	checked := *client
+	if checked.Transport == nil {
+		checked.Transport = http.DefaultTransport
+	}
+	checked.Transport = httphead.Transport{Base: checked.Transport}
+	return &HTTP{base: base, client: &checked, credential: credential}
 }
 
 // An unreachable backend server must be detected quickly: a request sent on a
