tunnel: a response with an invalid head opens no tunnel

A response with status 000 or 600, or with a blank in the name of a field, from whatever listens at the address of an instance that is gone, opened a tunnel if its status was 200, and told else that the server is down, if it had that field: a request was then refused though other instances may reach the server.

Now it goes by httphead.Check: such an instance provides no tunnel, and the next one is asked.

Failed before: tunnel TestInvalidHeadOpensTunnel in 13 of 24 cases.

--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/martenport/martenport/internal/clock"
+	"github.com/martenport/martenport/internal/httphead"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -203,6 +204,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "tunnel: response")
 	}
+	if err := httphead.Check(resp); err != nil {
+		return nil, errors.Wrap(err, "tunnel: response")
+	}
 	limited.N = math.MaxInt64
 	switch reason := failure(resp.Header.Get(headerFailure)); {
 	case resp.StatusCode == http.StatusOK:
