httphead: a line of a head that begins with a blank makes the response invalid

What callers saw: an answer of a server in trouble in which a line of the head began with a blank or a tab: the line as a part of the value before it, also of the seal, and a body with the framing of its chunks, or all bytes up to the end of the connection, if the line had the length or the encoding.

Cause: net/http joins such a line with the one before it (folding, which RFC 9112, section 5.2, forbids servers to send), so that a field in it is overlooked. The parsed head does not show that any more.

Now the connections to servers, the store and instances that provide tunnels have a scanner, which sees each byte of a head before net/http does, and whose finding counts as an invalid head. A gateway may reject such a response, which the section allows. Bodies are not scanned; such lines in interim responses count as little as before.

--- a/backend/headfault_test.go
+++ b/backend/headfault_test.go
@@ -34,7 +34,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, fault.Answer(status, "", body))
+				_, _ = io.WriteString(conn, fault.Answer(status, "X-First: x\r\n", body))
 			}()
 		}
 	}()
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,6 +1,6 @@
 // Package httphead checks the heads of HTTP responses, of which net/http accepts more than HTTP allows: status codes that do not
-// exist, and names of fields with blanks. Such a field is kept under the name as it was sent, so that a length or an encoding in it
-// is overlooked, and the body is not the one that the server meant.
+// exist, and names of fields with blanks. Such a field is kept under the name as it was sent, or joined with the one before, so that
+// a length or an encoding in it is overlooked, and the body is not the one that the server meant.
 //
 // All that reads responses of servers, of the store or of other instances goes by it, before anything else of a head counts.
 package httphead
@@ -22,8 +22,9 @@
 // lastStatus is the highest status code of HTTP (RFC 9110, section 15).
 const lastStatus = 599
 
-// Check returns an error that wraps ErrInvalid if the head of a response is not that of a final response in HTTP.
-func Check(resp *http.Response) error {
+// Check returns an error that wraps ErrInvalid if the head of a response is not that of a final response in HTTP. scanner is that of
+// its connection, nil for none.
+func Check(resp *http.Response, scanner *Scanner) error {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > lastStatus {
 		return errors.Wrapf(ErrInvalid, "status %03d", resp.StatusCode)
 	}
@@ -32,7 +33,7 @@
 			return errors.Wrapf(ErrInvalid, "field %q", name)
 		}
 	}
-	return nil
+	return scanner.Err()
 }
 
 // isToken reports whether a text is a token (RFC 9110, section 5.6.2), as names of fields are.
@@ -58,14 +59,23 @@
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn atomic.Pointer[net.Conn]
-	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn.Store(&i.Conn) }}
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn.Store(&i.Conn)
+		if i.Reused {
+			ScannerOf(i.Conn).Begin()
+		}
+	}}
 	resp, err := t.Base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
-	if err := Check(resp); err != nil {
-		if c := conn.Load(); c != nil {
-			_ = (*c).Close() // that of a response without a body is kept otherwise
+	var used net.Conn
+	if c := conn.Load(); c != nil {
+		used = *c
+	}
+	if err := Check(resp, ScannerOf(used)); err != nil {
+		if used != nil {
+			_ = used.Close() // that of a response without a body is kept otherwise
 		}
 		_ = resp.Body.Close()
 		return nil, err
--- a/internal/httphead/httphead_test.go
+++ b/internal/httphead/httphead_test.go
@@ -17,7 +17,7 @@
 func TestCheck(t *testing.T) {
 	for status := range 1000 {
 		resp := &http.Response{StatusCode: status, Header: http.Header{"X-Own": {""}}}
-		if err := httphead.Check(resp); (err == nil) != (status >= 200 && status <= 599) {
+		if err := httphead.Check(resp, nil); (err == nil) != (status >= 200 && status <= 599) {
 			t.Errorf("status %d: %v", status, err)
 		}
 	}
@@ -28,13 +28,13 @@
 			token = token && byte(b) != separator
 		}
 		for _, name := range []string{string([]byte{byte(b)}), string([]byte{'X', byte(b)}), string([]byte{byte(b), 'X'})} {
-			err := httphead.Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Own": {""}, name: {""}}})
+			err := httphead.Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"X-Own": {""}, name: {""}}}, nil)
 			if (err == nil) != token || err != nil && !errors.Is(err, httphead.ErrInvalid) {
 				t.Errorf("name %q: %v", name, err)
 			}
 		}
 	}
-	if httphead.Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {""}}}) == nil {
+	if httphead.Check(&http.Response{StatusCode: http.StatusOK, Header: http.Header{"": {""}}}, nil) == nil {
 		t.Error("an empty name is valid")
 	}
 }
@@ -74,9 +74,9 @@
 // that others keep it.
 func TestTransport(t *testing.T) {
 	const sound = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
-	for _, invalid := range []string{"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX Own: x\r\nContent-Length: 5\r\n\r\nhello"} {
+	for _, invalid := range []string{"HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nX Own: x\r\nContent-Length: 5\r\n\r\nhello", "HTTP/1.1 200 OK\r\nX-Own: x\r\n y\r\nContent-Length: 0\r\n\r\n"} {
 		url, conns := answerServer(t, sound, invalid, sound, sound)
-		client := http.Client{Transport: httphead.Transport{Base: &http.Transport{}}}
+		client := http.Client{Transport: httphead.Transport{Base: &http.Transport{DialContext: httphead.ScanConns((&net.Dialer{}).DialContext)}}}
 		for n, want := range []struct {
 			valid bool
 			conns int64
--- a/tunnel/client.go
+++ b/tunnel/client.go
@@ -198,13 +198,14 @@
 	if err := req.Write(conn); err != nil {
 		return nil, errors.Wrap(err, "tunnel: request")
 	}
-	limited := &io.LimitedReader{R: conn, N: maxHead}
+	scanner := &httphead.Scanner{}
+	limited := &io.LimitedReader{R: io.TeeReader(conn, scanner), N: maxHead}
 	reader := bufio.NewReader(limited)
 	resp, err := http.ReadResponse(reader, req)
 	if err != nil {
 		return nil, errors.Wrap(err, "tunnel: response")
 	}
-	if err := httphead.Check(resp); err != nil {
+	if err := httphead.Check(resp, scanner); err != nil {
 		return nil, errors.Wrap(err, "tunnel: response")
 	}
 	limited.N = math.MaxInt64
