--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -14,9 +14,8 @@
 	"github.com/martenport/martenport/backend"
 )
 
-// endlessServer answers each request with begin, followed by piece without end, until the connection is closed, but for at
-// most endlessBytes.
-func endlessServer(t *testing.T, begin, piece string) (baseURL string) {
+// rawServer starts a server that serves each connection, and closes it then.
+func rawServer(t *testing.T, serve func(net.Conn)) (baseURL string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -30,20 +29,28 @@
 			}
 			go func() {
 				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, err := io.WriteString(conn, begin)
-				block := strings.Repeat(piece, 1+4096/len(piece))
-				for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
-					_, err = io.WriteString(conn, block)
-				}
+				serve(conn)
 			}()
 		}
 	}()
 	return "http://" + l.Addr().String()
 }
 
+// endlessServer answers each request with begin, followed by piece without end, until the connection is closed, but for at
+// most endlessBytes.
+func endlessServer(t *testing.T, begin, piece string) (baseURL string) {
+	return rawServer(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, err := io.WriteString(conn, begin)
+		block := strings.Repeat(piece, 1+4096/len(piece))
+		for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+			_, err = io.WriteString(conn, block)
+		}
+	})
+}
+
 // endlessBytes is how much is sent at most, so that a test ends that does not close the connection.
 const endlessBytes = 64 << 20
 
--- a/backend/headfault_test.go
+++ b/backend/headfault_test.go
@@ -16,29 +16,15 @@
 
 // headFaultServer answers each request with a fault of the head, and closes the connection.
 func headFaultServer(t *testing.T, fault standin.HeadFault, status int, body string) *backend.HTTP {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = io.WriteString(conn, fault.Answer(status, "X-First: x\r\n", body))
-			}()
+	url := rawServer(t, func(conn net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return backend.NewHTTP("http://"+l.Addr().String(), &http.Client{Transport: backend.NewTransport()}, "")
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = io.WriteString(conn, fault.Answer(status, "X-First: x\r\n", body))
+	})
+	return backend.NewHTTP(url, &http.Client{Transport: backend.NewTransport()}, "")
 }
 
 // TestInvalidHeadIsTakenForAnswer guards against responses whose heads are not valid HTTP and that are taken for answers, or state
--- a/internal/httphead/scanner.go
+++ b/internal/httphead/scanner.go
@@ -28,7 +28,7 @@
 	folded, invalid bool
 }
 
-// maxStatusLine is how much of a status line is kept: more than its version and code have.
+// maxStatusLine is how many bytes of a status line are kept: more than its version and code have.
 const maxStatusLine = 32
 
 // Begin makes the next bytes those of a response. It may be called on nil.
--- a/internal/standin/headfault.go
+++ b/internal/standin/headfault.go
@@ -10,6 +10,7 @@
 
 // HeadFault makes the head of an otherwise sound answer one that is not valid HTTP.
 type HeadFault struct {
+	// Name says what is not valid.
 	Name string
 	// Status is the status code; if empty, it is that of the sound answer.
 	Status string
