entry: a path that a test breaks no longer leaves a connection open

Seen: TestOriginIsKeptElsewhere failed once in the whole script on, beside four busy processes: an origin counted as kept while the instance reached no other.

Cause: the fixture. serverLink.dial looks whether the path is broken, opens the connection and then registers it; a path that is broken meanwhile closes only what is registered, so that this connection goes on. Origins are sent to a second instance in the background, which opens one at that moment.

Now dial closes or silences such a connection. No product code changes.

--- a/entry/serverlink_test.go
+++ b/entry/serverlink_test.go
@@ -69,8 +69,14 @@
 	}
 	c := &linkConn{Conn: conn, link: l, silent: make(chan struct{})}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conns[c] = struct{}{}
-	l.mu.Unlock()
+	switch l.cut { // the path may have been broken while the connection was opened
+	case cutRefused:
+		_ = conn.Close()
+	case cutSilent:
+		c.silence()
+	}
 	return c, nil
 }
 
