platform, tcpdial: a reset that the write of a request meets first is no end of an answer

What callers saw: a part of an answer as a complete one. A server answered a long upload early, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the operating system reports a reset once, to the first call that meets it. Here that is the write of the request's body. The read beside it then returns no bytes and no error, which Go reports as io.EOF; for an answer without a length and chunks that is its proper end. The check after it finds the server running, as it is. The same holds for a server that closes its socket while a part of the body is unread (the operating system resets then), and for one that closes its side first and resets a moment later.

Now all connections to servers go through tcpdial.CheckEnd: io.EOF is returned only if the socket's state says that the other end has closed its side and nothing has reset the connection. A connection that was closed here meanwhile, as net/http does after the failed write, proves nothing. If a write is under way at the end, the connection is watched for 20 ms, in which a closed peer answers what arrives with a reset. Whole answers are still whole, also those that end before the rest of the upload was read.

The part counts as broken off: the request may have run, repeatable ones go on elsewhere. Counted as end="reset", with the resets that counted as broken so far.

Already handled, tests kept: parts of answers with a length or chunks, parts of JSON replies of the store.

--- a/internal/standin/config.go
+++ b/internal/standin/config.go
@@ -73,6 +73,8 @@
 	Workspaces []Workspace
 	// IdleTimeout is the idle timeout of clients' connections, configIdleTimeout if 0.
 	IdleTimeout time.Duration
+	// BodyBytes is the largest body of a request, configBodyBytes if 0.
+	BodyBytes int
 }
 
 // Limits on clients in every Config.
@@ -122,7 +124,7 @@
 	config := map[string]any{
 		"version": c.Version, "routes": routes, "services": services,
 		"limits": map[string]any{
-			"maxHeaderBytes": configHeaderBytes, "maxBodyBytes": configBodyBytes,
+			"maxHeaderBytes": configHeaderBytes, "maxBodyBytes": cmp.Or(c.BodyBytes, configBodyBytes),
 			"idleTimeoutMs": idle.Milliseconds(), "headerTimeoutMs": configHeaderTimeout.Milliseconds(),
 		},
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -95,6 +95,10 @@
 	// headFault is the fault of answers' heads, nil for none, and headFaultsSent the number of such answers.
 	headFault      atomic.Pointer[HeadFault]
 	headFaultsSent atomic.Int64
+	// earlyAnswer is how requests are answered before their bodies have been read, nil if they are not, and earlyAnswersSent the
+	// number of such answers.
+	earlyAnswer      atomic.Pointer[EarlyAnswer]
+	earlyAnswersSent atomic.Int64
 
 	mu                 sync.Mutex
 	loaded             map[string]map[string]bool // adapters by model; guarded by mu
@@ -220,6 +224,10 @@
 		s.sendHeadFault(w, r, fault)
 		return
 	}
+	if early := s.earlyAnswer.Load(); early != nil && id != "" {
+		s.sendEarlyAnswer(w, r, early)
+		return
+	}
 	if id != "" && signals.Rest != "" {
 		signals.refuseRequest(w, id)
 		return
--- a/internal/tcpdial/established.go
+++ b/internal/tcpdial/established.go
@@ -3,8 +3,6 @@
 import (
 	"net"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // stateEstablished is the state of a TCP connection that neither end has closed.
@@ -21,10 +19,5 @@
 	if err != nil {
 		return false
 	}
-	established := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		established = err == nil && info.State == stateEstablished
-	})
-	return err == nil && established
+	return state(raw) == stateEstablished
 }
