backend: a part of an answer whose connection was reset is no whole answer

In martenportd a part of a plain service's answer without a length counted as the whole one if the server reset the connection while the call was still being written.

Now these connections go through tcpdial.CheckEnds, too.

Reports, replies to orders and streams are JSON values that are read to their ends, not to that of the connection: a part of one was refused before, too.

--- a/backend/http.go
+++ b/backend/http.go
@@ -83,7 +83,7 @@
 func NewTransport() *http.Transport {
 	dial := tcpdial.Params{Connect: dialTimeout, UnackedTimeout: ackTimeout}
 	return &http.Transport{
-		DialContext: httphead.ScanConns(dial.Dial), MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		DialContext: httphead.ScanConns(tcpdial.CheckEnds(dial.Dial)), MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
