tunnel: the end of a connection that was reset is not passed on as an end

It copies the request to the server and the answer back; where the copy of the request took the reset away, the copy of the answer ended with io.EOF, and the last chunk told the other instance that the server had closed its connection.

The other end of a tunnel goes by the last chunk and needs nothing: without it a connection's end is an error (TestLostProviderIsNoEndOfAnswer, kept).

--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/martenport/martenport/internal/pause"
+	"github.com/martenport/martenport/internal/tcpdial"
 	"github.com/martenport/martenport/serving"
 )
 
@@ -107,7 +108,7 @@
 	conn, err := s.servers.Connect(ctx, server)
 	switch {
 	case err == nil:
-		return conn, ""
+		return tcpdial.CheckEnd(conn), "" // its end is passed on as that of an answer
 	case s.servers.Isolated(server.Service):
 		return nil, failureIsolated
 	default:
