tcpdial, standin: tests of early answers do not depend on how fast they run

Two tests could tell a sound product from a broken one only if the stand-in was on time: "closed and then reset" had 5 ms in the stand-in against 20 ms in the product, and "closed with the body unread" went by a pause, in which nothing may have arrived on a busy machine.

The first case is now one of tcpdial TestEndBeforeReset alone, which sets the time that the connection is watched; it fails without the watch, as before. The second waits until the operating system has unread bytes, and has one more case, at once. The connection is looked at each 2 ms, in place of once at the end of the 20 ms.

--- a/internal/standin/earlyanswer.go
+++ b/internal/standin/earlyanswer.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // EarlyEnd is how a server ends an answer that it sends while the body of its request is still being sent.
@@ -16,17 +18,12 @@
 	EndReset EarlyEnd = "reset"
 	// EndUnread closes the connection while a part of the body is unread, which the operating system makes a reset.
 	EndUnread EarlyEnd = "closed with the body unread"
-	// EndThenReset closes the server's side and resets the connection while the body is still being sent.
-	EndThenReset EarlyEnd = "closed and then reset"
 	// EndThenRest closes the server's side and then reads the rest of the body.
 	EndThenRest EarlyEnd = "closed before the rest of the body"
 	// EndAfterRest reads the rest of the body and then closes the connection.
 	EndAfterRest EarlyEnd = "closed after the rest of the body"
 )
 
-// endThenResetPause is the time between the two steps of EndThenReset.
-const endThenResetPause = 5 * time.Millisecond
-
 // EarlyAnswer is an answer that a server begins before it has read the body of the request.
 type EarlyAnswer struct {
 	End EarlyEnd
@@ -44,10 +41,10 @@
 	{EndReset, 0, 20 * time.Millisecond, "after 20 ms"},
 	{EndReset, 0, 150 * time.Millisecond, "after 150 ms"},
 	{EndReset, 1 << 20, 0, "after 1 MiB"},
+	{EndUnread, 0, 0, "at once"},
 	{EndUnread, 0, 20 * time.Millisecond, "after 20 ms"},
 	{EndUnread, 0, 150 * time.Millisecond, "after 150 ms"},
-	{EndUnread, 1 << 20, 20 * time.Millisecond, "after 1 MiB"},
-	{EndThenReset, 0, 20 * time.Millisecond, "after 20 ms"},
+	{EndUnread, 1 << 20, 0, "after 1 MiB"},
 	{EndThenRest, 0, 0, "at once"},
 	{EndThenRest, 1 << 20, 20 * time.Millisecond, "after 1 MiB"},
 	{EndAfterRest, 0, 0, "at once"},
@@ -75,10 +72,8 @@
 	switch a.End {
 	case EndReset:
 		_ = tcp.SetLinger(0)
-	case EndThenReset:
-		_ = tcp.CloseWrite()
-		time.Sleep(endThenResetPause)
-		_ = tcp.SetLinger(0)
+	case EndUnread:
+		awaitUnread(tcp)
 	case EndThenRest:
 		_ = tcp.CloseWrite()
 		_, _ = io.Copy(io.Discard, body)
@@ -88,6 +83,23 @@
 	}
 }
 
+// unreadWait bounds how long awaitUnread waits.
+const unreadWait = 10 * time.Second
+
+// awaitUnread waits until the operating system has bytes of a connection that were not read.
+func awaitUnread(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	unread := 0
+	for begun := time.Now(); unread == 0 && time.Since(begun) < unreadWait; time.Sleep(time.Millisecond) {
+		if raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) != nil {
+			return
+		}
+	}
+}
+
 // EarlyPadding is the number of bytes added to early answers that are no streams, so that instances relay their first half before
 // the second one comes.
 const EarlyPadding = 256 << 10
--- a/internal/tcpdial/end.go
+++ b/internal/tcpdial/end.go
@@ -23,6 +23,9 @@
 // side. It is many round trips within a region: an end that takes nothing more resets the connection as soon as data arrives.
 const settleTime = 20 * time.Millisecond
 
+// settleStep is the time between two looks at such a connection.
+const settleStep = 2 * time.Millisecond
+
 // CheckEnd returns a connection whose reads return io.EOF only if the other end has closed its side, and ErrReset at any other end.
 // The operating system reports a reset once, to the first call that meets it. If that is a write, the read beside it returns
 // io.EOF as if the other end had sent everything.
@@ -37,7 +40,7 @@
 	if err != nil {
 		return conn
 	}
-	return &checkedConn{Conn: conn, raw: raw}
+	return &checkedConn{Conn: conn, raw: raw, settle: settleTime}
 }
 
 // CheckEnds makes a function that opens connections return those of CheckEnd.
@@ -58,6 +61,8 @@
 	// writes is the number of writes under way, and reset is set once one has failed because the connection was reset.
 	writes atomic.Int64
 	reset  atomic.Bool
+	// settle is how long the connection is watched at its end.
+	settle time.Duration
 }
 
 // SyscallConn implements syscall.Conn.
@@ -91,8 +96,13 @@
 	if c.writes.Load() == 0 {
 		return true
 	}
-	time.Sleep(settleTime)
-	return state(c.raw) == stateCloseWait
+	for settled := time.Now().Add(c.settle); time.Now().Before(settled); {
+		time.Sleep(settleStep)
+		if state(c.raw) != stateCloseWait {
+			return false
+		}
+	}
+	return true
 }
 
 // state returns the state of a TCP connection; 0 if it is not known, as after the connection was closed here.
--- a/internal/tcpdial/end_test.go
+++ b/internal/tcpdial/end_test.go
@@ -13,15 +13,15 @@
 // endWait bounds what takes a round trip on loopback.
 const endWait = 10 * time.Second
 
-// connPair returns the two ends of a connection. Reads from the first one go through CheckEnd.
-func connPair(t *testing.T) (checked net.Conn, peer *net.TCPConn) {
+// connPair returns the two ends of a connection.
+func connPair(t *testing.T) (conn net.Conn, peer *net.TCPConn) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	conn, err := net.Dial("tcp", l.Addr().String())
+	conn, err = net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,9 +30,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _, _ = conn.Close(), accepted.Close() })
-	checked = CheckEnd(conn)
-	_ = checked.SetDeadline(time.Now().Add(endWait))
-	return checked, accepted.(*net.TCPConn)
+	_ = conn.SetDeadline(time.Now().Add(endWait))
+	return conn, accepted.(*net.TCPConn)
 }
 
 // writeUntilError writes until a write fails.
@@ -91,7 +90,8 @@
 		"closed here": {func(_ *testing.T, conn net.Conn, _ *net.TCPConn) { _ = conn.Close() }, net.ErrClosed},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn, peer := connPair(t)
+			own, peer := connPair(t)
+			conn := CheckEnd(own)
 			if _, err := io.WriteString(peer, text); err != nil {
 				t.Fatal(err)
 			}
@@ -107,13 +107,19 @@
 	}
 }
 
-// TestEndBeforeReset guards against an end that counts although the other end resets the connection once the next data arrives.
+// TestEndBeforeReset guards against an end that counts although the other end resets the connection while the write that was under way
+// at the end waits.
 func TestEndBeforeReset(t *testing.T) {
-	conn, peer := connPair(t)
+	own, peer := connPair(t)
+	conn := CheckEnd(own).(*checkedConn)
+	conn.settle = endWait
 	go writeUntilError(t, conn)
-	time.Sleep(50 * time.Millisecond) // until the write waits for room
+	for conn.writes.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond) // until the buffers are full, so that a write is under way all the time
 	_ = peer.CloseWrite()
-	time.AfterFunc(settleTime/4, func() {
+	time.AfterFunc(50*time.Millisecond, func() {
 		_ = peer.SetLinger(0)
 		_ = peer.Close()
 	})
@@ -131,7 +137,8 @@
 	if CheckEnd(own) != own {
 		t.Error("a pipe is not returned as it is")
 	}
-	checked, _ := connPair(t)
+	conn, _ := connPair(t)
+	checked := CheckEnd(conn)
 	if CheckEnd(checked) != checked {
 		t.Error("a checked connection is checked again")
 	}
--- a/internal/tcpdial/established_test.go
+++ b/internal/tcpdial/established_test.go
@@ -11,27 +11,14 @@
 func TestUnreadEndIsSeen(t *testing.T) {
 	for name, linger := range map[string]int{"closed": -1, "reset": 0} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			conn, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer conn.Close()
-			other, err := l.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			conn, other := connPair(t)
 			if _, err := io.WriteString(other, "not read"); err != nil {
 				t.Fatal(err)
 			}
 			if !Established(conn) {
 				t.Error("an open connection does not count as one")
 			}
-			_ = other.(*net.TCPConn).SetLinger(linger)
+			_ = other.SetLinger(linger)
 			_ = other.Close()
 			for deadline := time.Now().Add(10 * time.Second); Established(conn); time.Sleep(time.Millisecond) {
 				if time.Now().After(deadline) {
--- a/internal/tcpdial/tcpdial.go
+++ b/internal/tcpdial/tcpdial.go
@@ -1,6 +1,7 @@
-// Package tcpdial opens TCP connections that detect an unresponsive peer. In a partition, if the
-// peer's machine loses power, or if a middlebox has dropped the connection's state, no packets
-// arrive at all, and with the kernel's defaults a connection waits for minutes.
+// Package tcpdial opens TCP connections that detect an unresponsive peer, and tells the end of a
+// connection from a reset. In a partition, if the peer's machine loses power, or if a middlebox has
+// dropped the connection's state, no packets arrive at all, and with the kernel's defaults a
+// connection waits for minutes.
 package tcpdial
 
 import (
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -128,7 +128,7 @@
 	if _, err := io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n"); err != nil {
 		return
 	}
-	left := make(chan struct{})
+	left := make(chan struct{}) // closed once the other instance has closed its connection
 	go func() {
 		defer close(left)
 		_, _ = io.CopyBuffer(struct{ io.Writer }{conn}, struct{ io.Reader }{buffered}, make([]byte, bufferSize))
