tunnel tests: an early answer follows the first byte of its request

The whole script beside four busy processes failed once in tunnel TestPartOfResetAnswerLooksWhole, "reset, at once": no tunnel was opened.

Traced: beside that load, a dial of the providing instance fails in 314 of 1,200 runs of this case, each with "connect: connection reset by peer", which ends that run of the test. The stand-in answered and reset the connection as soon as it had accepted it, so that the opening of the connection met the reset. Nothing was sent then, and no tunnel is what the instance should report: the fault is the fixture's, since an answer follows a request.

Now it waits for the first byte of the request. No product code changes.

--- a/tunnel/earlyanswer_test.go
+++ b/tunnel/earlyanswer_test.go
@@ -40,7 +40,11 @@
 			if err != nil {
 				return
 			}
-			go answer.Send(conn, io.LimitReader(conn, uploadBytes), whole, part)
+			go func() {
+				// An answer follows its request. A reset before that could fail the opening of the connection.
+				first, _ := io.ReadFull(conn, make([]byte, 1))
+				answer.Send(conn, io.LimitReader(conn, uploadBytes-int64(first)), whole, part)
+			}()
 		}
 	}()
 	log := logrus.New()
